--- a/trailladder-core/src/main/java/io/trailladder/core/claim/ClaimRegistry.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/claim/ClaimRegistry.java
@@ -82,14 +82,15 @@
     }
 
     /**
-     * Takes over a map read from the platform, or one this entry's proposal made.
+     * Takes over a map read from the platform or heard from a peer.
      *
      * @param newer the map; assignments of lower epochs than known are passed over
-     * @param nowMillis the time, in milliseconds since 1970
+     * @param readMillis when it was read from the platform, in milliseconds since 1970; 0 if it was
+     *     heard from a peer
      * @return what is to be done
      */
-    public List<ClaimAction> mapRead(RangeMap newer, long nowMillis) {
-        mapReadMillis = nowMillis;
+    public List<ClaimAction> mapRead(RangeMap newer, long readMillis) {
+        mapReadMillis = Math.max(mapReadMillis, readMillis);
         List<ClaimAction> actions = new ArrayList<>();
         Map<Integer, RangeAssignment> changes = new HashMap<>();
         for (int range = 0; range < map.ranges().size(); range++) {
@@ -246,15 +247,17 @@
     }
 
     /**
-     * Stops granting claims and keeping copies of a range in its present epoch. Must come before
-     * any proposal that changes the range.
+     * Stops granting claims and keeping copies, in their present epochs, of the ranges that a
+     * proposal changes. Must come before the proposal.
      *
-     * @param range the range
+     * @param proposal the proposal
      */
-    public void seal(int range) {
-        RangeState state = state(range);
-        state.sealedEpoch = Math.max(state.sealedEpoch, map.get(range).epoch());
-        state.pending.clear();
+    public void seal(ClaimAction.Propose proposal) {
+        for (int range : proposal.changes().keySet()) {
+            RangeState state = state(range);
+            state.sealedEpoch = Math.max(state.sealedEpoch, map.get(range).epoch());
+            state.pending.clear();
+        }
     }
 
     /**
--- a/trailladder-core/src/main/java/io/trailladder/core/claim/RangePlanner.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/claim/RangePlanner.java
@@ -78,7 +78,7 @@
     }
 
     /**
-     * Plans the next change of the map, and seals the ranges it changes.
+     * Plans the next change of the map. The ranges it changes must be sealed before it is proposed.
      *
      * @param view the other entries
      * @param nowMillis the time, in milliseconds since 1970
@@ -91,7 +91,6 @@
             RangeAssignment present = map.get(range);
             RangeAssignment next = next(range, present, view, nowMillis);
             if (!next.equals(present)) {
-                registry.seal(range);
                 changes.put(range, next);
             }
         }
--- a/trailladder-core/src/main/java/io/trailladder/core/limit/RetryBudget.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/limit/RetryBudget.java
@@ -17,7 +17,7 @@
 
 /**
  * Lets an organisation's requests be retried only as often as a share of its successes, so that
- * retries never amplify a wave of failures.
+ * retries never amplify a wave of failures. Safe for several threads.
  *
  * @since 0.1
  */
@@ -30,7 +30,7 @@
     private double balance = MOST;
 
     /** Records a request that succeeded. */
-    public void succeeded() {
+    public synchronized void succeeded() {
         balance = Math.min(MOST, balance + RETRIES_PER_SUCCESS);
     }
 
@@ -39,7 +39,7 @@
      *
      * @return true if the retry may be made
      */
-    public boolean tryRetry() {
+    public synchronized boolean tryRetry() {
         if (balance < 1) {
             return false;
         }
--- a/trailladder-core/src/main/java/io/trailladder/core/request/GenerationMachine.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/request/GenerationMachine.java
@@ -58,9 +58,15 @@
      * @param patienceMillis how long the request may wait for an upstream, in milliseconds
      * @param tokenMillis expected time between two tokens, in milliseconds
      * @param exportMillis expected time of a KV export, in milliseconds
+     * @param repeatable false if no second attempt may begin once an upstream may have seen the
+     *     first; only an exported KV cache may then be gone on with elsewhere
      */
     public record Settings(
-            int maxTokens, long patienceMillis, int tokenMillis, long exportMillis) {}
+            int maxTokens,
+            long patienceMillis,
+            int tokenMillis,
+            long exportMillis,
+            boolean repeatable) {}
 
     private enum Phase {
         PLACING,
@@ -170,6 +176,7 @@
         if (position > log.size() || log.size() >= settings.maxTokens()) {
             return broken(ofAttempt, true, nowMillis);
         }
+        everSent = true;
         log.append(text);
         return List.of(new Emit());
     }
@@ -210,6 +217,9 @@
         }
         List<GenerationAction> actions = new ArrayList<>();
         everSent |= sent;
+        if (sent && !settings.repeatable()) {
+            return fail(Kind.UPSTREAM_BROKEN, 0);
+        }
         actions.add(new Cancel(attempt));
         failedUpstreams.add(upstream);
         failures++;
@@ -301,6 +311,16 @@
         return List.of(new Cancel(attempt));
     }
 
+    /**
+     * Tells whether an upstream that was placed is kept for later.
+     *
+     * @param placed the upstream's name
+     * @return true while the KV cache is exported to go on there
+     */
+    public boolean wants(String placed) {
+        return phase == Phase.EXPORTING && placed.equals(nextUpstream);
+    }
+
     /**
      * Returns the number of the current attempt.
      *
@@ -354,12 +374,17 @@
     private List<GenerationAction> dispatch(String chosen, String kvHandle) {
         attempt++;
         upstream = chosen;
-        everSent = true;
+        nextUpstream = "";
         phase = Phase.RUNNING;
         return List.of(new Dispatch(attempt, chosen, log.size(), kvHandle));
     }
 
     private List<GenerationAction> switchTo(String chosen, String kvHandle) {
+        if (kvHandle.isEmpty() && !settings.repeatable()) {
+            nextUpstream = "";
+            phase = Phase.RUNNING;
+            return List.of();
+        }
         List<GenerationAction> actions = new ArrayList<>();
         actions.add(new Cancel(attempt));
         actions.addAll(dispatch(chosen, kvHandle));
@@ -369,7 +394,7 @@
     private List<GenerationAction> fail(Kind kind, long retryAfterMillis) {
         boolean hadAttempt = phase != Phase.PLACING;
         phase = Phase.ENDED;
-        Outcome outcome = everSent ? Outcome.UNKNOWN : Outcome.NOT_RUN;
+        Outcome outcome = everSent || hadAttempt ? Outcome.UNKNOWN : Outcome.NOT_RUN;
         Fail fail = new Fail(new Failure(outcome, kind, retryAfterMillis));
         return hadAttempt ? List.of(new Cancel(attempt), fail) : List.of(fail);
     }
--- a/trailladder-core/src/main/java/io/trailladder/core/request/WeightedQueue.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/request/WeightedQueue.java
@@ -61,6 +61,15 @@
         queue.add(new Entry<>(item, begun, tag, sequence++));
     }
 
+    /**
+     * Returns the next request without taking it.
+     *
+     * @return the request; empty if none waits
+     */
+    public Optional<T> peek() {
+        return Optional.ofNullable(queue.peek()).map(Entry::item);
+    }
+
     /**
      * Takes the next request.
      *
--- a/trailladder-core/src/main/java/io/trailladder/core/table/Row.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/table/Row.java
@@ -69,4 +69,22 @@
     public boolean allows(String dataCentre) {
         return dataCentres.contains(dataCentre);
     }
+
+    /**
+     * Returns this row for a request that must run at most once.
+     *
+     * @return the row, not repeatable
+     */
+    public Row notRepeatable() {
+        return new Row(
+                organisation,
+                target,
+                kind,
+                dataCentres,
+                weight,
+                limitPerSecond,
+                latencyTargetMillis,
+                false,
+                keySha256);
+    }
 }
--- a/trailladder-core/src/main/java/io/trailladder/core/table/TableChange.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/table/TableChange.java
@@ -40,13 +40,4 @@
         puts = List.copyOf(puts);
         removals = List.copyOf(removals);
     }
-
-    /**
-     * Tells whether this change alters nothing.
-     *
-     * @return true if no row is put or removed
-     */
-    public boolean isEmpty() {
-        return puts.isEmpty() && removals.isEmpty();
-    }
 }
--- a/trailladder-core/src/test/java/io/trailladder/core/claim/AtMostOnceProperties.java
+++ b/trailladder-core/src/test/java/io/trailladder/core/claim/AtMostOnceProperties.java
@@ -162,6 +162,7 @@
         }
 
         private void propose(String name, Propose proposal) {
+            entries.get(name).seal(proposal);
             deliver(
                     name,
                     () -> {
--- a/trailladder-core/src/test/java/io/trailladder/core/request/GenerationMachineTest.java
+++ b/trailladder-core/src/test/java/io/trailladder/core/request/GenerationMachineTest.java
@@ -33,7 +33,7 @@
 /** One request's way under faults of its upstreams. */
 class GenerationMachineTest {
     private static final GenerationMachine.Settings SETTINGS =
-            new GenerationMachine.Settings(100, 10_000, 25, 500);
+            new GenerationMachine.Settings(100, 10_000, 25, 500, true);
 
     private final AnswerLog log = new AnswerLog();
     private final GenerationMachine machine =
@@ -163,4 +163,36 @@
         Fail fail = only(Fail.class, machine.notPlaced(700, 20_000));
         assertEquals(Outcome.UNKNOWN, fail.failure().outcome());
     }
+
+    @Example
+    void requestThatMayNotBeRepeatedIsNeverSentAgain() {
+        GenerationMachine once =
+                new GenerationMachine(
+                        new GenerationMachine.Settings(100, 10_000, 25, 500, false),
+                        new RetryBudget(),
+                        log,
+                        0);
+        once.start();
+        once.placed("e1", 0);
+        once.leaving("e1", 200, 1);
+        assertTrue(once.placed("e2", 2).isEmpty());
+        assertEquals("e1", once.upstream());
+        Fail fail = only(Fail.class, once.broken(1, true, 10));
+        assertEquals(Outcome.UNKNOWN, fail.failure().outcome());
+    }
+
+    @Example
+    void requestOfWhichNoByteLeftMayGoElsewhereThoughNotRepeatable() {
+        GenerationMachine once =
+                new GenerationMachine(
+                        new GenerationMachine.Settings(100, 10_000, 25, 500, false),
+                        new RetryBudget(),
+                        log,
+                        0);
+        once.start();
+        once.placed("e1", 0);
+        only(WakeAt.class, once.broken(1, false, 10));
+        once.tick(50);
+        assertEquals("e2", only(Dispatch.class, once.placed("e2", 50)).upstream());
+    }
 }
--- /dev/null
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/EntryDaemon.java
@@ -0,0 +1,459 @@
+/*
+ * Copyright 2026 The trailladder authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package io.trailladder.entry;
+
+import io.trailladder.core.claim.RangeMap;
+import io.trailladder.core.table.RowKey;
+import io.trailladder.entry.caller.CallerHandler;
+import io.trailladder.entry.operator.OperatorServer;
+import io.trailladder.entry.operator.StatusReport;
+import io.trailladder.entry.peer.PeerHandler;
+import io.trailladder.entry.peer.PeerLinks;
+import io.trailladder.entry.serve.ClaimService;
+import io.trailladder.entry.serve.DataCentreChooser;
+import io.trailladder.entry.serve.HttpEngineApi;
+import io.trailladder.entry.serve.PeerRelay;
+import io.trailladder.entry.serve.PeerServer;
+import io.trailladder.entry.serve.Placements;
+import io.trailladder.entry.serve.RequestBook;
+import io.trailladder.entry.serve.RequestDispatcher;
+import io.trailladder.entry.serve.RequestFinder;
+import io.trailladder.entry.serve.RowPolicies;
+import io.trailladder.entry.serve.ServingContext;
+import io.trailladder.entry.sync.ClaimSync;
+import io.trailladder.entry.sync.EntrySync;
+import io.trailladder.entry.sync.FleetSync;
+import io.trailladder.entry.sync.Members;
+import io.trailladder.entry.sync.TableSync;
+import io.trailladder.platform.CloudApi;
+import io.trailladder.platform.HttpKeyValueStore;
+import io.trailladder.platform.RangeStore;
+import io.trailladder.platform.http.HttpClient;
+import io.trailladder.wire.EntryInfo;
+import io.trailladder.wire.PeerMessage;
+import io.trailladder.wire.PeerMessage.Heartbeat;
+import io.trailladder.wire.PeerMessage.RangeMapNews;
+import io.trailladder.wire.PeerMessage.RowDemand;
+import io.trailladder.wire.PeerMessage.TargetLoad;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import org.glassfish.grizzly.http.server.HttpServer;
+import org.glassfish.grizzly.http.server.NetworkListener;
+import org.glassfish.grizzly.strategies.SameThreadIOStrategy;
+import org.tinylog.Logger;
+
+/**
+ * Is one entry: puts all its parts together, starts and stops them.
+ *
+ * <pre>{@code
+ * EntryDaemon entry = new EntryDaemon(settings);
+ * entry.start();
+ * entry.stop(); // finishes requests in flight, hands the rest over
+ * }</pre>
+ *
+ * @since 0.1
+ */
+public final class EntryDaemon {
+    private static final long HEARTBEAT_MILLIS = 1_000;
+    private static final int MAX_CLAIMS = 300_000;
+    private static final int TIMER_THREADS = 2;
+    private static final long DRAIN_POLL_MILLIS = 50;
+    private static final long HAND_OVER_MILLIS = 300;
+    private static final long RANGES_MILLIS = 5_000;
+    private static final long NOTICE_MARGIN_MILLIS = 700;
+
+    private final EntrySettings settings;
+    private final EntryInfo self;
+    private final ScheduledExecutorService timer;
+    private final HttpClient client;
+    private final EntryMetrics metrics = new EntryMetrics();
+    private final RowPolicies policies = new RowPolicies();
+    private final PeerLinks links;
+    private final Placements placements;
+    private final ServingContext context;
+    private final Members members;
+    private final RequestBook book;
+    private final ClaimService claims;
+    private final DataCentreChooser chooser;
+    private final PeerRelay relay;
+    private final RequestDispatcher dispatcher;
+    private final TableSync tableSync;
+    private final FleetSync fleetSync;
+    private final EntrySync entrySync;
+    private final ClaimSync claimSync;
+    private final PeerRouter router;
+    private final OperatorServer operators;
+    private final HttpServer callers = new HttpServer();
+    private final Set<String> lostPeers = new HashSet<>();
+    private volatile boolean stopping;
+
+    /**
+     * Puts an entry together.
+     *
+     * @param settings its settings
+     */
+    public EntryDaemon(EntrySettings settings) {
+        this.settings = settings;
+        this.self = presentation(settings);
+        this.timer = Executors.newScheduledThreadPool(TIMER_THREADS, EntryDaemon::timerThread);
+        this.client = new HttpClient(timer);
+        this.links = new PeerLinks(self, settings.peerKey(), new LateHandler());
+        this.placements =
+                new Placements(
+                        settings.dataCentre(), ThreadLocalRandom.current().nextLong(), timer);
+        HttpEngineApi engines = new HttpEngineApi(client, settings.limits().upstreamIdleMillis());
+        this.context =
+                new ServingContext(
+                        self,
+                        settings,
+                        placements,
+                        engines,
+                        client,
+                        links,
+                        timer,
+                        metrics,
+                        policies);
+        this.members = new Members(self, links, settings.peers());
+        this.book = new RequestBook(context);
+        this.claims =
+                new ClaimService(
+                        self.id(),
+                        links,
+                        RangeMap.DEFAULT_RANGES,
+                        MAX_CLAIMS,
+                        settings.claimRetentionMillis());
+        this.chooser = new DataCentreChooser(links, placements);
+        this.relay = new PeerRelay(links);
+        RequestFinder finder = new RequestFinder(links);
+        this.dispatcher = new RequestDispatcher(context, book, claims, relay, chooser, finder);
+        HttpKeyValueStore store = new HttpKeyValueStore(client, settings.keyValue());
+        this.tableSync = new TableSync(store, policies, links, members, chooser, timer);
+        this.entrySync = new EntrySync(self, store, links, members, timer);
+        this.fleetSync =
+                new FleetSync(
+                        new CloudApi(client, settings.cloud()),
+                        placements,
+                        engines,
+                        policies,
+                        links,
+                        members,
+                        self,
+                        this::leaving,
+                        timer);
+        RangeStore ranges = new RangeStore(store, RangeMap.DEFAULT_RANGES);
+        this.claimSync = new ClaimSync(claims, ranges, links, members, chooser, timer);
+        this.router =
+                new PeerRouter(
+                        new PeerRouter.Parts(
+                                members,
+                                chooser,
+                                tableSync,
+                                fleetSync,
+                                book,
+                                finder,
+                                relay,
+                                new PeerServer(links, dispatcher, book),
+                                claims,
+                                new Greeter()));
+        this.operators =
+                new OperatorServer(
+                        settings.operatorAddress(),
+                        metrics,
+                        this::status,
+                        placements,
+                        this::isReady);
+        policies.onChange(table -> tableInForce());
+    }
+
+    /**
+     * Starts everything.
+     *
+     * @throws IOException if a port is taken
+     */
+    public void start() throws IOException {
+        links.start(settings.peerAddress(), timer);
+        operators.start();
+        startCallers();
+        tableSync.start();
+        entrySync.start();
+        fleetSync.start();
+        claimSync.start();
+        timer.scheduleAtFixedRate(
+                this::beat, HEARTBEAT_MILLIS, HEARTBEAT_MILLIS, TimeUnit.MILLISECONDS);
+        Logger.info("entry {} in {} started", self.id(), self.dataCentre());
+    }
+
+    /** Stops: refuses new requests, finishes those in flight, hands the rest to other entries. */
+    public void stop() {
+        stop(settings.drainMillis());
+    }
+
+    /**
+     * Returns how this entry presents itself.
+     *
+     * @return the presentation
+     */
+    public EntryInfo self() {
+        return self;
+    }
+
+    /**
+     * Returns the links to peers, to be cut in failure tests.
+     *
+     * @return the links
+     */
+    public PeerLinks links() {
+        return links;
+    }
+
+    /**
+     * Returns what operators are told.
+     *
+     * @return the status
+     */
+    public StatusReport status() {
+        long heard = tableSync.platformMillis();
+        List<StatusReport.Peer> peers =
+                links.live().stream()
+                        .map(
+                                peer ->
+                                        new StatusReport.Peer(
+                                                peer.id(),
+                                                peer.dataCentre(),
+                                                chooser.heartbeat(peer.id())
+                                                        .map(Heartbeat::tableRevision)
+                                                        .orElse(0L)))
+                        .toList();
+        List<StatusReport.UpstreamLine> upstreams =
+                placements.states().stream()
+                        .map(
+                                state ->
+                                        new StatusReport.UpstreamLine(
+                                                state.upstream().id(),
+                                                state.upstream().target(),
+                                                state.leaving()))
+                        .toList();
+        return new StatusReport(
+                self.id(),
+                self.dataCentre(),
+                policies.table().revision(),
+                dispatcher.draining(),
+                book.open(),
+                relay.size(),
+                book.copies(),
+                claims.size(),
+                claims.owned(),
+                heard == 0 ? -1 : System.currentTimeMillis() - heard,
+                peers,
+                upstreams);
+    }
+
+    private synchronized void stop(long drainMillis) {
+        if (stopping) {
+            return;
+        }
+        stopping = true;
+        Logger.info("entry {} stops within {} ms", self.id(), drainMillis);
+        dispatcher.drain();
+        beat();
+        claimSync.drain();
+        long started = MonotonicClock.millis();
+        long deadline = started + drainMillis;
+        while (busy(started) && MonotonicClock.millis() < deadline) {
+            pause(DRAIN_POLL_MILLIS);
+        }
+        if (book.open() > 0) {
+            Logger.info("entry {} hands over {} requests", self.id(), book.open());
+            book.handOver();
+            pause(HAND_OVER_MILLIS);
+        }
+        shutDown();
+    }
+
+    private boolean busy(long sinceMillis) {
+        boolean handsRangesOver =
+                claims.owned() > 0
+                        && MonotonicClock.millis() - sinceMillis < RANGES_MILLIS
+                        && links.live().stream().anyMatch(peer -> !isStopping(peer));
+        return book.open() > 0 || relay.size() > 0 || handsRangesOver;
+    }
+
+    private boolean isStopping(EntryInfo peer) {
+        return chooser.heartbeat(peer.id()).map(Heartbeat::draining).orElse(true);
+    }
+
+    private void shutDown() {
+        tableSync.stop();
+        fleetSync.stop();
+        entrySync.stop();
+        pause(DRAIN_POLL_MILLIS);
+        callers.shutdown(1, TimeUnit.SECONDS);
+        operators.close();
+        links.close();
+        client.close();
+        timer.shutdownNow();
+    }
+
+    private void leaving(String instance, long remainingMillis) {
+        if (instance.equals(settings.instance())) {
+            long drain = Math.max(0, remainingMillis - NOTICE_MARGIN_MILLIS);
+            Thread stopper = new Thread(() -> stop(drain), "reclaim");
+            stopper.start();
+        } else {
+            book.leaving(instance, remainingMillis);
+        }
+    }
+
+    private void startCallers() throws IOException {
+        NetworkListener listener =
+                new NetworkListener(
+                        "callers",
+                        settings.callerAddress().host(),
+                        settings.callerAddress().port());
+        listener.setMaxHttpHeaderSize(settings.limits().maxHeaderBytes());
+        listener.getTransport().setIOStrategy(SameThreadIOStrategy.getInstance());
+        listener.getKeepAlive()
+                .setIdleTimeoutInSeconds((int) (settings.limits().callerIdleMillis() / 1000));
+        callers.addListener(listener);
+        callers.getServerConfiguration()
+                .addHttpHandler(new CallerHandler(context, dispatcher, chooser), "/");
+        callers.start();
+    }
+
+    private void beat() {
+        links.sendAll(heartbeat(policies.measureDemand()));
+        shareLimits();
+        metrics.openRequests(book.open());
+        noticeSilentPeers();
+    }
+
+    private Heartbeat heartbeat(List<RowDemand> demand) {
+        List<TargetLoad> loads = new ArrayList<>();
+        placements.waits().forEach((target, wait) -> loads.add(new TargetLoad(target, wait)));
+        return new Heartbeat(
+                policies.table().revision(),
+                claims.mapVersion(),
+                dispatcher.draining(),
+                loads,
+                demand);
+    }
+
+    private void shareLimits() {
+        Map<RowKey, Double> others = new HashMap<>();
+        int peers = 0;
+        for (EntryInfo peer : links.live()) {
+            Optional<Heartbeat> heartbeat = chooser.heartbeat(peer.id());
+            if (heartbeat.isPresent()) {
+                peers++;
+                for (RowDemand demand : heartbeat.get().demands()) {
+                    RowKey key = new RowKey(demand.organisation(), demand.target());
+                    others.merge(key, demand.perSecond(), Double::sum);
+                }
+            }
+        }
+        policies.share(others, peers);
+    }
+
+    /** A peer that is linked but silent, because frozen or cut off, counts as lost once. */
+    private void noticeSilentPeers() {
+        Set<String> live = new HashSet<>();
+        links.live().forEach(peer -> live.add(peer.id()));
+        lostPeers.removeIf(live::contains);
+        for (EntryInfo entry : members.known()) {
+            boolean silent = !live.contains(entry.id()) && !entry.id().equals(self.id());
+            if (silent && lostPeers.add(entry.id())) {
+                router.lost(entry);
+            }
+        }
+    }
+
+    private void tableInForce() {
+        metrics.tableRevision(policies.table().revision());
+        links.sendAll(heartbeat(List.of()));
+        Logger.info("table revision {} is in force", policies.table().revision());
+    }
+
+    private boolean isReady() {
+        return !dispatcher.draining() && policies.table().revision() > 0;
+    }
+
+    /** Sends peers what they should know. */
+    private final class Greeter implements PeerRouter.PeerSender {
+        @Override
+        public void greet(String peer) {
+            links.send(peer, new PeerMessage.Members(members.known()));
+            links.send(peer, heartbeat(List.of()));
+        }
+
+        @Override
+        public void sendRangeMap(String peer) {
+            links.send(peer, new RangeMapNews(claims.map()));
+        }
+    }
+
+    /** Breaks the circle between the links and the parts that use them. */
+    private final class LateHandler implements PeerHandler {
+        @Override
+        public void linked(EntryInfo peer) {
+            router.linked(peer);
+        }
+
+        @Override
+        public void unlinked(EntryInfo peer) {
+            router.unlinked(peer);
+        }
+
+        @Override
+        public void received(EntryInfo from, PeerMessage message) {
+            router.received(from, message);
+        }
+    }
+
+    private static EntryInfo presentation(EntrySettings settings) {
+        String suffix = HexFormat.of().toHexDigits(ThreadLocalRandom.current().nextInt());
+        return new EntryInfo(
+                settings.dataCentre() + "-" + suffix,
+                settings.dataCentre(),
+                settings.peerAddress().toString(),
+                settings.callerAddress().toString(),
+                settings.operatorAddress().toString());
+    }
+
+    private static Thread timerThread(Runnable work) {
+        Thread thread = new Thread(work, "timer");
+        thread.setDaemon(true);
+        return thread;
+    }
+
+    private static void pause(long millis) {
+        try {
+            Thread.sleep(millis);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- /dev/null
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/PeerRouter.java
@@ -0,0 +1,173 @@
+/*
+ * Copyright 2026 The trailladder authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package io.trailladder.entry;
+
+import io.trailladder.entry.peer.PeerHandler;
+import io.trailladder.entry.serve.ClaimService;
+import io.trailladder.entry.serve.DataCentreChooser;
+import io.trailladder.entry.serve.PeerRelay;
+import io.trailladder.entry.serve.PeerServer;
+import io.trailladder.entry.serve.RequestBook;
+import io.trailladder.entry.serve.RequestFinder;
+import io.trailladder.entry.sync.FleetSync;
+import io.trailladder.entry.sync.Members;
+import io.trailladder.entry.sync.TableSync;
+import io.trailladder.wire.EntryInfo;
+import io.trailladder.wire.PeerMessage;
+import io.trailladder.wire.PeerMessage.AnswerBody;
+import io.trailladder.wire.PeerMessage.AnswerCancel;
+import io.trailladder.wire.PeerMessage.AnswerEnd;
+import io.trailladder.wire.PeerMessage.AnswerHead;
+import io.trailladder.wire.PeerMessage.Forward;
+import io.trailladder.wire.PeerMessage.Heartbeat;
+import io.trailladder.wire.PeerMessage.LeavingNotice;
+import io.trailladder.wire.PeerMessage.RangeMapNews;
+import io.trailladder.wire.PeerMessage.RecordDrop;
+import io.trailladder.wire.PeerMessage.RecordFind;
+import io.trailladder.wire.PeerMessage.RecordFound;
+import io.trailladder.wire.PeerMessage.RecordHandOver;
+import io.trailladder.wire.PeerMessage.RecordKept;
+import io.trailladder.wire.PeerMessage.RecordPut;
+import io.trailladder.wire.PeerMessage.RecordTokens;
+import io.trailladder.wire.PeerMessage.TableDelta;
+import io.trailladder.wire.PeerMessage.TableSnapshot;
+import io.trailladder.wire.PeerMessage.UpstreamList;
+
+/**
+ * Takes every message from a peer to the part it is for.
+ *
+ * @since 0.1
+ */
+final class PeerRouter implements PeerHandler {
+    private final Parts parts;
+
+    /** The parts that take messages. */
+    record Parts(
+            Members members,
+            DataCentreChooser chooser,
+            TableSync tables,
+            FleetSync fleet,
+            RequestBook book,
+            RequestFinder finder,
+            PeerRelay relay,
+            PeerServer server,
+            ClaimService claims,
+            PeerSender sender) {}
+
+    /** Sends what a new or lagging peer should know. */
+    interface PeerSender {
+        void greet(String peer);
+
+        void sendRangeMap(String peer);
+    }
+
+    PeerRouter(Parts parts) {
+        this.parts = parts;
+    }
+
+    @Override
+    public void linked(EntryInfo peer) {
+        parts.sender().greet(peer.id());
+    }
+
+    @Override
+    public void unlinked(EntryInfo peer) {
+        lost(peer);
+    }
+
+    /** Is also called for a peer that is linked but silent. */
+    void lost(EntryInfo peer) {
+        parts.chooser().lost(peer.id());
+        parts.server().lost(peer.id());
+        parts.book().lost(peer.id());
+        parts.relay().lost(peer.id());
+    }
+
+    @Override
+    public void received(EntryInfo from, PeerMessage message) {
+        boolean taken =
+                control(from, message)
+                        || answers(message)
+                        || records(from, message)
+                        || parts.claims().received(from, message);
+        if (!taken) {
+            throw new IllegalStateException("no part takes " + message.getClass());
+        }
+    }
+
+    private boolean control(EntryInfo from, PeerMessage message) {
+        if (message instanceof Heartbeat heartbeat) {
+            parts.chooser().heard(from.id(), heartbeat);
+            parts.tables().heard(from, heartbeat);
+            if (heartbeat.rangeMapVersion() < parts.claims().mapVersion()) {
+                parts.sender().sendRangeMap(from.id());
+            }
+        } else if (message instanceof PeerMessage.Members known) {
+            parts.members().heard(known.entries());
+        } else if (message instanceof TableDelta delta) {
+            parts.tables().received(delta);
+        } else if (message instanceof TableSnapshot snapshot) {
+            parts.tables().received(snapshot);
+        } else if (message instanceof UpstreamList list) {
+            parts.fleet().received(list);
+        } else if (message instanceof LeavingNotice notice) {
+            parts.fleet().received(notice);
+        } else if (message instanceof RangeMapNews news) {
+            parts.claims().mapHeard(news.map());
+        } else {
+            return false;
+        }
+        return true;
+    }
+
+    private boolean answers(PeerMessage message) {
+        if (message instanceof AnswerHead head) {
+            parts.relay().head(head);
+        } else if (message instanceof AnswerBody body) {
+            parts.relay().body(body);
+        } else if (message instanceof AnswerEnd end) {
+            parts.relay().end(end);
+        } else {
+            return false;
+        }
+        return true;
+    }
+
+    private boolean records(EntryInfo from, PeerMessage message) {
+        if (message instanceof Forward forward) {
+            parts.server().serve(from.id(), forward);
+        } else if (message instanceof AnswerCancel cancel) {
+            parts.server().cancel(from.id(), cancel);
+        } else if (message instanceof RecordPut put) {
+            parts.book().put(from, put);
+        } else if (message instanceof RecordKept kept) {
+            parts.book().kept(kept);
+        } else if (message instanceof RecordTokens tokens) {
+            parts.book().tokens(tokens);
+        } else if (message instanceof RecordDrop drop) {
+            parts.book().drop(drop);
+        } else if (message instanceof RecordHandOver handOver) {
+            parts.book().handedOver(handOver);
+        } else if (message instanceof RecordFind find) {
+            parts.server().find(from.id(), find);
+        } else if (message instanceof RecordFound found) {
+            parts.finder().found(from.id(), found);
+        } else {
+            return false;
+        }
+        return true;
+    }
+}
--- /dev/null
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/serve/AnswerFeed.java
@@ -0,0 +1,137 @@
+/*
+ * Copyright 2026 The trailladder authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package io.trailladder.entry.serve;
+
+import io.trailladder.core.request.AnswerLog;
+import io.trailladder.core.request.Failure;
+import io.trailladder.wire.PeerMessage.Header;
+import io.trailladder.wire.RequestRecord;
+import java.util.List;
+
+/**
+ * Brings one answer to one receiver, at the receiver's pace. What the receiver has not yet taken
+ * stays in the answer's log, so a slow receiver costs no memory of its own.
+ *
+ * @since 0.1
+ */
+final class AnswerFeed {
+    private final CallerSink sink;
+    private final CompletionWriter writer;
+    private final boolean stream;
+    private final List<Header> headers;
+    private int cursor;
+    private boolean headSent;
+    private boolean over;
+
+    AnswerFeed(RequestRecord request, CallerSink sink, String servedIn, int from) {
+        this.sink = sink;
+        this.writer = new CompletionWriter(request);
+        this.stream = request.stream();
+        this.cursor = from;
+        this.headers =
+                List.of(
+                        new Header(Answers.REQUEST_HEADER, request.requestId()),
+                        new Header(Answers.SERVED_HEADER, servedIn));
+    }
+
+    CallerSink sink() {
+        return sink;
+    }
+
+    boolean isOver() {
+        return over;
+    }
+
+    /** Sends what the receiver can take; returns false if it cannot take all. */
+    boolean pump(AnswerLog log) {
+        if (over) {
+            return true;
+        }
+        if (!stream) {
+            sendWhole(log);
+            return true;
+        }
+        sendHead();
+        for (String token : log.from(cursor)) {
+            if (!sink.writable()) {
+                return false;
+            }
+            sink.body(writer.event(cursor, token));
+            cursor++;
+        }
+        if (log.isComplete()) {
+            sink.body(writer.end(log.size()));
+            end();
+        }
+        return true;
+    }
+
+    /** Gives the receiver the final answer of a failed request. */
+    void fail(String requestId, Failure failure) {
+        if (over) {
+            return;
+        }
+        over = true;
+        if (!headSent) {
+            Answers.failure(sink, requestId, failure);
+            return;
+        }
+        sink.body(writer.failureEvent(failure));
+        sink.abort();
+    }
+
+    /** Tells the receiver to ask any entry for the rest. */
+    void moved(String requestId) {
+        if (over) {
+            return;
+        }
+        over = true;
+        if (!stream) {
+            Answers.failure(
+                    sink,
+                    requestId,
+                    new Failure(
+                            io.trailladder.core.request.Outcome.UNKNOWN, Failure.Kind.STOPPING, 1));
+            return;
+        }
+        sendHead();
+        sink.body(writer.movedEvent());
+        sink.end();
+    }
+
+    private void sendWhole(AnswerLog log) {
+        if (log.isComplete()) {
+            over = true;
+            byte[] body = writer.whole(log.text(), log.size());
+            Answers.whole(sink, 200, "application/json", headers, body);
+        }
+    }
+
+    private void sendHead() {
+        if (!headSent) {
+            headSent = true;
+            List<Header> all = new java.util.ArrayList<>(headers);
+            all.add(new Header("Content-Type", "text/event-stream"));
+            all.add(new Header("Cache-Control", "no-store"));
+            sink.head(200, all);
+        }
+    }
+
+    private void end() {
+        over = true;
+        sink.end();
+    }
+}
--- /dev/null
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/serve/CompletionWriter.java
@@ -0,0 +1,110 @@
+/*
+ * Copyright 2026 The trailladder authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package io.trailladder.entry.serve;
+
+import com.fasterxml.jackson.core.io.JsonStringEncoder;
+import io.trailladder.core.request.Failure;
+import io.trailladder.wire.RequestRecord;
+import java.nio.charset.StandardCharsets;
+
+/**
+ * Writes model answers in the forms of {@code /v1/completions} and {@code /v1/chat/completions}.
+ *
+ * <p>Every event of a stream carries the token's position as its id, so that a caller can ask for
+ * the rest with {@code Last-Event-ID}.
+ *
+ * @since 0.1
+ */
+final class CompletionWriter {
+    private final RequestRecord request;
+    private final String before;
+    private final String after;
+
+    CompletionWriter(RequestRecord request) {
+        this.request = request;
+        String object = request.chat() ? "chat.completion.chunk" : "text_completion";
+        String choice = request.chat() ? "\"delta\":{\"content\":\"" : "\"text\":\"";
+        before =
+                "data: {\"id\":\""
+                        + quoted(request.requestId())
+                        + "\",\"object\":\""
+                        + object
+                        + "\",\"created\":"
+                        + request.createdMillis() / 1000
+                        + ",\"model\":\""
+                        + quoted(request.model())
+                        + "\",\"choices\":[{\"index\":0,"
+                        + choice;
+        after = request.chat() ? "\"},\"finish_reason\":" : "\",\"finish_reason\":";
+    }
+
+    byte[] event(int position, String token) {
+        return bytes("id: " + position + "\n" + before + quoted(token) + after + "null}]}\n\n");
+    }
+
+    byte[] end(int tokens) {
+        return bytes(
+                before + after + "\"stop\"}],\"usage\":" + usage(tokens) + "}\n\ndata: [DONE]\n\n");
+    }
+
+    /** Tells the caller of a stream to ask any entry for the rest. */
+    byte[] movedEvent() {
+        return bytes(
+                "event: moved\nretry: 100\ndata: {\"request\":\""
+                        + quoted(request.requestId())
+                        + "\"}\n\n");
+    }
+
+    byte[] failureEvent(Failure failure) {
+        String json = Answers.errorJson(failure.kind().message(), failure.outcome());
+        return bytes("event: error\ndata: " + json + "\n\n");
+    }
+
+    byte[] whole(String text, int tokens) {
+        String choice =
+                request.chat()
+                        ? "\"message\":{\"role\":\"assistant\",\"content\":\""
+                                + quoted(text)
+                                + "\"}"
+                        : "\"text\":\"" + quoted(text) + "\"";
+        return bytes(
+                "{\"id\":\""
+                        + quoted(request.requestId())
+                        + "\",\"object\":\""
+                        + (request.chat() ? "chat.completion" : "text_completion")
+                        + "\",\"created\":"
+                        + request.createdMillis() / 1000
+                        + ",\"model\":\""
+                        + quoted(request.model())
+                        + "\",\"choices\":[{\"index\":0,"
+                        + choice
+                        + ",\"finish_reason\":\"stop\"}],\"usage\":"
+                        + usage(tokens)
+                        + "}");
+    }
+
+    private static String usage(int tokens) {
+        return "{\"completion_tokens\":" + tokens + "}";
+    }
+
+    private static String quoted(String text) {
+        return String.valueOf(JsonStringEncoder.getInstance().quoteAsString(text));
+    }
+
+    private static byte[] bytes(String text) {
+        return text.getBytes(StandardCharsets.UTF_8);
+    }
+}
--- /dev/null
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/serve/IncomingRequest.java
@@ -0,0 +1,110 @@
+/*
+ * Copyright 2026 The trailladder authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package io.trailladder.entry.serve;
+
+import io.trailladder.wire.PeerMessage.Header;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * Is a caller's request as an entry got it, from the caller or from a peer.
+ *
+ * @param organisation the organisation the caller's key belongs to
+ * @param method HTTP method
+ * @param path path with query
+ * @param headers the headers that matter to the serving side
+ * @param body the body
+ * @param relayed true if a peer passed it on; it is then never passed on again
+ * @since 0.1
+ */
+public record IncomingRequest(
+        String organisation,
+        String method,
+        String path,
+        List<Header> headers,
+        byte[] body,
+        boolean relayed) {
+    /** Names the request for the caller. */
+    public static final String KEY_HEADER = "Idempotency-Key";
+
+    /** Marks a request that must run at most once. */
+    public static final String RUN_HEADER = "Trailladder-Run";
+
+    /** Names the model, for entries that may not read the body. */
+    public static final String MODEL_HEADER = "Trailladder-Model";
+
+    /** Names the last event a caller has of a stream. */
+    public static final String LAST_EVENT_HEADER = "Last-Event-ID";
+
+    /** The headers that matter to the serving side. */
+    public static final List<String> KEPT_HEADERS =
+            List.of(
+                    KEY_HEADER,
+                    RUN_HEADER,
+                    MODEL_HEADER,
+                    LAST_EVENT_HEADER,
+                    "Content-Type",
+                    "Accept");
+
+    private static final String SERVICES = "/services/";
+
+    /** Copies the headers. */
+    public IncomingRequest {
+        headers = List.copyOf(headers);
+    }
+
+    /**
+     * Returns a header.
+     *
+     * @param name its name
+     * @return its value, if it is there and not empty
+     */
+    public Optional<String> header(String name) {
+        return headers.stream()
+                .filter(header -> header.name().equalsIgnoreCase(name))
+                .map(Header::value)
+                .filter(value -> value != null && !value.isEmpty())
+                .findFirst();
+    }
+
+    /**
+     * Returns the service the path names.
+     *
+     * @return the service; empty if the path is not below {@code /services/}
+     */
+    public Optional<String> service() {
+        return service(path);
+    }
+
+    /**
+     * Returns the service a path names.
+     *
+     * @param path path with query
+     * @return the service; empty if the path is not below {@code /services/}
+     */
+    public static Optional<String> service(String path) {
+        if (!path.startsWith(SERVICES)) {
+            return Optional.empty();
+        }
+        String rest = path.substring(SERVICES.length());
+        int end = rest.length();
+        for (char stop : new char[] {'/', '?'}) {
+            int at = rest.indexOf(stop);
+            end = at >= 0 ? Math.min(end, at) : end;
+        }
+        return Optional.of(rest.substring(0, end)).filter(name -> !name.isEmpty());
+    }
+}
--- /dev/null
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/serve/PeerServer.java
@@ -0,0 +1,113 @@
+/*
+ * Copyright 2026 The trailladder authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package io.trailladder.entry.serve;
+
+import io.trailladder.entry.peer.PeerLinks;
+import io.trailladder.wire.PeerMessage.AnswerCancel;
+import io.trailladder.wire.PeerMessage.Forward;
+import io.trailladder.wire.PeerMessage.RecordFind;
+import io.trailladder.wire.PeerMessage.RecordFound;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+
+/**
+ * Serves requests that peers pass on.
+ *
+ * @since 0.1
+ */
+public final class PeerServer {
+    private final PeerLinks links;
+    private final RequestDispatcher dispatcher;
+    private final RequestBook book;
+    private final Map<Key, PeerSink> open = new ConcurrentHashMap<>();
+
+    /** Names an exchange: its peer and the peer's number for it. */
+    private record Key(String peer, long exchange) {}
+
+    /**
+     * Creates the server.
+     *
+     * @param links reaches peers
+     * @param dispatcher serves requests
+     * @param book knows the requests worked on
+     */
+    public PeerServer(PeerLinks links, RequestDispatcher dispatcher, RequestBook book) {
+        this.links = links;
+        this.dispatcher = dispatcher;
+        this.book = book;
+    }
+
+    /**
+     * Serves a request.
+     *
+     * @param peer the peer that passed it on
+     * @param forward the request
+     */
+    public void serve(String peer, Forward forward) {
+        Key key = new Key(peer, forward.exchange());
+        PeerSink sink = new PeerSink(links, peer, forward.exchange(), () -> open.remove(key));
+        open.put(key, sink);
+        IncomingRequest request =
+                new IncomingRequest(
+                        forward.organisation(),
+                        forward.method(),
+                        forward.path(),
+                        forward.headers(),
+                        forward.body(),
+                        true);
+        dispatcher.serve(request, sink);
+    }
+
+    /**
+     * Is told that the caller behind an exchange is gone.
+     *
+     * @param peer the peer
+     * @param cancel names the exchange
+     */
+    public void cancel(String peer, AnswerCancel cancel) {
+        PeerSink sink = open.remove(new Key(peer, cancel.exchange()));
+        if (sink != null) {
+            sink.cancelled();
+        }
+    }
+
+    /**
+     * Tells a peer what this entry has of a request.
+     *
+     * @param peer the peer
+     * @param find names the request
+     */
+    public void find(String peer, RecordFind find) {
+        RecordFound found =
+                new RecordFound(
+                        find.requestId(), book.standing(find.requestId(), find.organisation()));
+        links.send(peer, found);
+    }
+
+    /**
+     * Is told that a peer is lost.
+     *
+     * @param peer the peer's name
+     */
+    public void lost(String peer) {
+        open.forEach(
+                (key, sink) -> {
+                    if (key.peer().equals(peer) && open.remove(key) != null) {
+                        sink.cancelled();
+                    }
+                });
+    }
+}
--- /dev/null
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/serve/RequestBook.java
@@ -0,0 +1,407 @@
+/*
+ * Copyright 2026 The trailladder authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package io.trailladder.entry.serve;
+
+import io.trailladder.core.request.Failure;
+import io.trailladder.core.table.Row;
+import io.trailladder.core.table.RowKey;
+import io.trailladder.entry.EntryMetrics.Event;
+import io.trailladder.wire.EntryInfo;
+import io.trailladder.wire.PeerMessage.RecordDrop;
+import io.trailladder.wire.PeerMessage.RecordHandOver;
+import io.trailladder.wire.PeerMessage.RecordKept;
+import io.trailladder.wire.PeerMessage.RecordPut;
+import io.trailladder.wire.PeerMessage.RecordTokens;
+import io.trailladder.wire.PeerMessage.Standing;
+import io.trailladder.wire.PeerMessage.TokenPart;
+import io.trailladder.wire.RequestRecord;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import org.tinylog.Logger;
+
+/**
+ * Knows the model requests this entry works on, and keeps copies of those that other entries work
+ * on.
+ *
+ * <p>Before a request counts as accepted, another entry has a copy of it, in a data centre that the
+ * row allows. The copy follows the answer every {@link #COPY_MILLIS}. If the entry that works on
+ * the request is lost or stops, the copy's keeper goes on from the tokens it has.
+ *
+ * @since 0.1
+ */
+public final class RequestBook {
+    /** How often tokens are copied, in milliseconds. */
+    public static final long COPY_MILLIS = 100;
+
+    private static final long COPY_TIMEOUT_MILLIS = 150;
+    private static final long KEPT_AFTER_END_MILLIS = 15_000;
+    private static final long MOVE_PACE_MILLIS = 2;
+
+    private final ServingContext context;
+    private final Map<String, Held> held = new ConcurrentHashMap<>();
+    private final Map<String, Copy> copies = new ConcurrentHashMap<>();
+    private final Map<String, CompletableFuture<Void>> awaited = new ConcurrentHashMap<>();
+
+    /** A request this entry works on, and where its copy is. */
+    private static final class Held {
+        final GenerationRunner runner;
+        final String keeper;
+        int copied;
+        boolean endCopied;
+
+        Held(GenerationRunner runner, String keeper) {
+            this.runner = runner;
+            this.keeper = keeper;
+        }
+    }
+
+    /** A request another entry works on. */
+    private record Copy(RequestRecord request, String owner) {}
+
+    /**
+     * Creates an empty book.
+     *
+     * @param context what serving code shares
+     */
+    public RequestBook(ServingContext context) {
+        this.context = context;
+        context.timer()
+                .scheduleWithFixedDelay(
+                        this::copyTokens, COPY_MILLIS, COPY_MILLIS, TimeUnit.MILLISECONDS);
+        context.policies().onChange(table -> held.values().forEach(h -> h.runner.recheckRow()));
+    }
+
+    /**
+     * Accepts a request: has it copied, then begins it. If the book already has the name, the
+     * request it has is attached to instead, unless its content differs.
+     *
+     * @param request the request
+     * @param row the row that allows it
+     * @param sink where the answer goes
+     */
+    public void accept(RequestRecord request, Row row, CallerSink sink) {
+        Held known = held.get(request.requestId());
+        if (known != null && same(known.runner.request(), request)) {
+            known.runner.attach(sink, 0);
+            return;
+        }
+        if (known != null) {
+            Answers.failure(sink, "", Failure.notRun(Failure.Kind.CLAIM_MISMATCH, 0));
+            return;
+        }
+        String keeper = keeper(row);
+        CompletableFuture<Void> copied = new CompletableFuture<>();
+        awaited.put(request.requestId(), copied);
+        if (keeper.isEmpty() || !context.links().send(keeper, new RecordPut(request))) {
+            copied.completeExceptionally(new IllegalStateException("no keeper"));
+        }
+        copied.orTimeout(COPY_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
+                .whenComplete(
+                        (done, failure) -> {
+                            awaited.remove(request.requestId());
+                            if (failure != null) {
+                                context.metrics().count(Event.UNCOPIED);
+                            }
+                            begin(request, row, keeper, sink);
+                        });
+    }
+
+    /**
+     * Finds a request this entry works on.
+     *
+     * @param requestId its name
+     * @param organisation whose it must be
+     * @return its runner
+     */
+    public Optional<GenerationRunner> find(String requestId, String organisation) {
+        return Optional.ofNullable(held.get(requestId))
+                .map(h -> h.runner)
+                .filter(runner -> runner.organisation().equals(organisation));
+    }
+
+    /**
+     * Goes on with a request this entry has a copy of.
+     *
+     * @param requestId its name
+     * @param organisation whose it must be
+     * @return its runner, if there is such a copy
+     */
+    public Optional<GenerationRunner> adopt(String requestId, String organisation) {
+        Copy copy = copies.get(requestId);
+        if (copy == null || !copy.request().organisation().equals(organisation)) {
+            return Optional.empty();
+        }
+        copies.remove(requestId);
+        return resume(copy.request());
+    }
+
+    /**
+     * Tells what this entry has of a request.
+     *
+     * @param requestId its name
+     * @param organisation whose it must be
+     * @return its standing here
+     */
+    public Standing standing(String requestId, String organisation) {
+        if (find(requestId, organisation).isPresent()) {
+            return Standing.HOLDER;
+        }
+        Copy copy = copies.get(requestId);
+        boolean has = copy != null && copy.request().organisation().equals(organisation);
+        return has ? Standing.COPY : Standing.NONE;
+    }
+
+    /**
+     * Returns how many requests are in flight here.
+     *
+     * @return a count
+     */
+    public int open() {
+        return (int) held.values().stream().filter(h -> !h.runner.isEnded()).count();
+    }
+
+    /**
+     * Returns how many copies are kept for other entries.
+     *
+     * @return a count
+     */
+    public int copies() {
+        return copies.size();
+    }
+
+    /**
+     * Is told that an upstream is leaving. Requests of heavier rows are moved first, at a pace that
+     * does not overrun the upstreams that stay.
+     *
+     * @param upstream the upstream's name
+     * @param noticeMillis how long it will still run, in milliseconds
+     */
+    public void leaving(String upstream, long noticeMillis) {
+        List<GenerationRunner> runners =
+                held.values().stream()
+                        .map(h -> h.runner)
+                        .filter(runner -> !runner.isEnded())
+                        .sorted(Comparator.comparingInt(GenerationRunner::weight).reversed())
+                        .toList();
+        long delay = 0;
+        for (GenerationRunner runner : runners) {
+            if (!runner.runsAt(upstream)) {
+                continue;
+            }
+            long left = Math.max(0, noticeMillis - delay);
+            context.timer()
+                    .schedule(() -> runner.leaving(upstream, left), delay, TimeUnit.MILLISECONDS);
+            delay = Math.min(delay + MOVE_PACE_MILLIS, noticeMillis / 2);
+        }
+    }
+
+    /** Hands every request in flight to another entry. */
+    public void handOver() {
+        for (Held h : held.values()) {
+            if (h.runner.isEnded()) {
+                continue;
+            }
+            String heir = h.keeper.isEmpty() ? keeperOf(h.runner.request()) : h.keeper;
+            RequestRecord record = h.runner.record();
+            if (context.links().send(heir, new RecordHandOver(record))) {
+                h.runner.moveAway();
+            }
+        }
+    }
+
+    /**
+     * Is told that a peer is lost: its requests go on here if this entry has their copies.
+     *
+     * @param peer the peer's name
+     */
+    public void lost(String peer) {
+        for (Copy copy : List.copyOf(copies.values())) {
+            boolean orphan = copy.owner().equals(peer) && !copy.request().complete();
+            if (orphan && copies.remove(copy.request().requestId(), copy)) {
+                resume(copy.request());
+            }
+        }
+    }
+
+    /**
+     * Keeps a copy for a peer.
+     *
+     * @param from the peer
+     * @param put the request
+     */
+    public void put(EntryInfo from, RecordPut put) {
+        copies.put(put.request().requestId(), new Copy(put.request(), from.id()));
+        context.links().send(from.id(), new RecordKept(put.request().requestId()));
+    }
+
+    /**
+     * Is told that a copy is kept.
+     *
+     * @param kept the confirmation
+     */
+    public void kept(RecordKept kept) {
+        CompletableFuture<Void> copied = awaited.get(kept.requestId());
+        if (copied != null) {
+            copied.complete(null);
+        }
+    }
+
+    /**
+     * Adds tokens to copies.
+     *
+     * @param tokens the tokens
+     */
+    public void tokens(RecordTokens tokens) {
+        tokens.parts().forEach(this::grow);
+    }
+
+    /**
+     * Gives a copy up.
+     *
+     * @param drop names the request
+     */
+    public void drop(RecordDrop drop) {
+        copies.remove(drop.requestId());
+    }
+
+    /**
+     * Goes on with a request that a stopping peer hands over.
+     *
+     * @param handOver the request
+     */
+    public void handedOver(RecordHandOver handOver) {
+        copies.remove(handOver.request().requestId());
+        resume(handOver.request());
+    }
+
+    private static boolean same(RequestRecord known, RequestRecord request) {
+        return known.model().equals(request.model())
+                && known.prompt().equals(request.prompt())
+                && known.maxTokens() == request.maxTokens()
+                && known.stream() == request.stream()
+                && known.chat() == request.chat();
+    }
+
+    private void begin(RequestRecord request, Row row, String keeper, CallerSink sink) {
+        Held mine = hold(request, row, keeper);
+        mine.runner.attach(sink, 0);
+        if (!request.complete()) {
+            mine.runner.start();
+        }
+    }
+
+    private Optional<GenerationRunner> resume(RequestRecord request) {
+        RowKey key = new RowKey(request.organisation(), request.model());
+        Optional<Row> row =
+                context.policies()
+                        .table()
+                        .row(key)
+                        .filter(r -> r.allows(context.self().dataCentre()));
+        if (row.isEmpty()) {
+            Logger.warn("request {} is not allowed here and is dropped", request.requestId());
+            return Optional.empty();
+        }
+        context.metrics().count(Event.ADOPTED);
+        Held mine = hold(request, row.get(), keeper(row.get()));
+        context.links().send(mine.keeper, new RecordPut(request));
+        mine.runner.start();
+        return Optional.of(mine.runner);
+    }
+
+    private Held hold(RequestRecord request, Row row, String keeper) {
+        String requestId = request.requestId();
+        GenerationRunner runner =
+                new GenerationRunner(context, request, row, () -> ended(requestId));
+        Held mine = new Held(runner, keeper);
+        mine.copied = request.tokens().size();
+        held.put(requestId, mine);
+        return mine;
+    }
+
+    private void ended(String requestId) {
+        context.timer()
+                .schedule(() -> forget(requestId), KEPT_AFTER_END_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    private void forget(String requestId) {
+        Held mine = held.remove(requestId);
+        if (mine != null && !mine.keeper.isEmpty()) {
+            context.links().send(mine.keeper, new RecordDrop(requestId));
+        }
+    }
+
+    private void grow(TokenPart part) {
+        copies.computeIfPresent(
+                part.requestId(),
+                (id, copy) -> {
+                    List<String> tokens = copy.request().tokens();
+                    if (part.from() > tokens.size()) {
+                        return copy;
+                    }
+                    List<String> grown = new ArrayList<>(tokens.subList(0, part.from()));
+                    grown.addAll(part.tokens());
+                    return new Copy(copy.request().with(grown, part.complete()), copy.owner());
+                });
+    }
+
+    private void copyTokens() {
+        Map<String, List<TokenPart>> byKeeper = new HashMap<>();
+        for (Held h : held.values()) {
+            if (h.keeper.isEmpty() || h.endCopied) {
+                continue;
+            }
+            boolean complete = h.runner.isComplete();
+            List<String> news = h.runner.tokensFrom(h.copied);
+            if (!news.isEmpty() || complete) {
+                String id = h.runner.request().requestId();
+                byKeeper.computeIfAbsent(h.keeper, k -> new ArrayList<>())
+                        .add(new TokenPart(id, h.copied, news, complete));
+                h.copied += news.size();
+                h.endCopied = complete;
+            }
+        }
+        byKeeper.forEach((keeper, parts) -> context.links().send(keeper, new RecordTokens(parts)));
+    }
+
+    private String keeperOf(RequestRecord request) {
+        RowKey key = new RowKey(request.organisation(), request.model());
+        return context.policies().table().row(key).map(this::keeper).orElse("");
+    }
+
+    /**
+     * Prefers an entry of the same data centre; never one where the row's data may not be handled.
+     */
+    private String keeper(Row row) {
+        List<EntryInfo> allowed =
+                context.links().live().stream()
+                        .filter(peer -> row.allows(peer.dataCentre()))
+                        .toList();
+        String here = context.self().dataCentre();
+        return allowed.stream()
+                .filter(peer -> peer.dataCentre().equals(here))
+                .findFirst()
+                .or(() -> allowed.stream().findFirst())
+                .map(EntryInfo::id)
+                .orElse("");
+    }
+}
--- /dev/null
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/serve/RequestDispatcher.java
@@ -0,0 +1,512 @@
+/*
+ * Copyright 2026 The trailladder authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package io.trailladder.entry.serve;
+
+import com.dynatrace.hash4j.hashing.Hashing;
+import io.trailladder.core.claim.ClaimKey;
+import io.trailladder.core.claim.ClaimReply;
+import io.trailladder.core.request.Failure;
+import io.trailladder.core.request.Failure.Kind;
+import io.trailladder.core.request.Outcome;
+import io.trailladder.core.table.Row;
+import io.trailladder.core.table.RowKey;
+import io.trailladder.core.table.TargetKind;
+import io.trailladder.entry.serve.ServiceRunner.Result;
+import io.trailladder.wire.EntryInfo;
+import io.trailladder.wire.PeerMessage.Header;
+import io.trailladder.wire.RequestRecord;
+import java.util.ArrayList;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.ThreadLocalRandom;
+
+/**
+ * Takes a request that may be read in this data centre to where it is served.
+ *
+ * @since 0.1
+ */
+public final class RequestDispatcher {
+    /** Path below which requests are found again by their names. */
+    public static final String REQUESTS_PATH = "/v1/requests/";
+
+    private static final String CALLS_PATH = "/internal/calls/";
+    private static final String ADMITTED_HEADER = "Trailladder-Admitted";
+    private static final String AT_MOST_ONCE = "at-most-once";
+    private static final long RETRY_AFTER_MILLIS = 1_000;
+
+    private final ServingContext context;
+    private final RequestBook book;
+    private final ClaimService claims;
+    private final PeerRelay relay;
+    private final DataCentreChooser chooser;
+    private final RequestFinder finder;
+    private final CallBook calls;
+    private volatile boolean draining;
+
+    /**
+     * Creates the dispatcher.
+     *
+     * @param context what serving code shares
+     * @param book the requests worked on
+     * @param claims obtains claims for at-most-once requests
+     * @param relay passes requests on
+     * @param chooser chooses between data centres
+     * @param finder finds requests at peers
+     */
+    public RequestDispatcher(
+            ServingContext context,
+            RequestBook book,
+            ClaimService claims,
+            PeerRelay relay,
+            DataCentreChooser chooser,
+            RequestFinder finder) {
+        this.context = context;
+        this.book = book;
+        this.claims = claims;
+        this.relay = relay;
+        this.chooser = chooser;
+        this.finder = finder;
+        this.calls = new CallBook(context.self().dataCentre());
+        relay.onLost(this::goOn);
+    }
+
+    /** Refuses new requests from now on. */
+    public void drain() {
+        draining = true;
+    }
+
+    /**
+     * Tells whether new requests are refused.
+     *
+     * @return true after {@link #drain}
+     */
+    public boolean draining() {
+        return draining;
+    }
+
+    /**
+     * Serves a request.
+     *
+     * @param request the request
+     * @param sink where its answer goes
+     */
+    public void serve(IncomingRequest request, CallerSink sink) {
+        String path = request.path();
+        if (path.startsWith(REQUESTS_PATH)) {
+            findAgain(request, sink);
+        } else if (request.relayed() && path.startsWith(CALLS_PATH)) {
+            calls.answer(path.substring(CALLS_PATH.length()), request.organisation(), sink);
+        } else if (draining) {
+            Answers.failure(sink, "", Failure.notRun(Kind.STOPPING, RETRY_AFTER_MILLIS));
+        } else if (request.service().isPresent()) {
+            serveService(request, request.service().get(), sink);
+        } else if (path.equals(CompletionRequest.CHAT_PATH)) {
+            serveModel(request, true, sink);
+        } else if (path.equals(CompletionRequest.PLAIN_PATH)) {
+            serveModel(request, false, sink);
+        } else {
+            Answers.refuse(sink, 404, "no such path: " + path);
+        }
+    }
+
+    /**
+     * Passes a request unread to another data centre.
+     *
+     * @param request the request
+     * @param target model or service, if known
+     * @param dataCentres where it may be read
+     * @param sink where its answer goes
+     */
+    public void relay(
+            IncomingRequest request,
+            Optional<String> target,
+            List<String> dataCentres,
+            CallerSink sink) {
+        boolean passedOn =
+                chooser.foreign(target, dataCentres)
+                        .map(peer -> relay.forward(peer.id(), "", request, sink, 0))
+                        .orElse(false);
+        if (!passedOn) {
+            Answers.failure(sink, "", Failure.notRun(Kind.NO_CAPACITY, RETRY_AFTER_MILLIS));
+        }
+    }
+
+    private void serveModel(IncomingRequest request, boolean chat, CallerSink sink) {
+        if (!request.method().equals("POST")) {
+            Answers.refuse(sink, 405, "method " + request.method() + ", expected POST");
+            return;
+        }
+        CompletionRequest.parse(request.body(), chat)
+                .peekLeft(fault -> Answers.refuse(sink, 400, fault))
+                .peek(completion -> serveModel(request, completion, sink));
+    }
+
+    private void serveModel(
+            IncomingRequest request, CompletionRequest completion, CallerSink sink) {
+        Optional<String> named = request.header(IncomingRequest.MODEL_HEADER);
+        if (named.isPresent() && !named.get().equals(completion.model())) {
+            Answers.refuse(
+                    sink,
+                    400,
+                    "header "
+                            + IncomingRequest.MODEL_HEADER
+                            + " names another model than the body");
+            return;
+        }
+        Optional<Row> row = admitted(request, completion.model(), TargetKind.MODEL, sink);
+        if (row.isEmpty()) {
+            return;
+        }
+        boolean atMostOnce = atMostOnce(request, row.get());
+        Optional<String> key = request.header(IncomingRequest.KEY_HEADER);
+        if (!atMostOnce || key.isEmpty()) {
+            String requestId = key.map(k -> keyedName(request, k)).orElseGet(() -> newName("r"));
+            Row effective = atMostOnce ? row.get().notRepeatable() : row.get();
+            begin(request, completion, requestId, effective, sink);
+            return;
+        }
+        String requestId = newName("c");
+        ClaimKey claimKey = ClaimKey.of(request.organisation(), key.get());
+        claims.claim(claimKey, fingerprint(request), requestId)
+                .thenAccept(
+                        reply -> {
+                            if (granted(reply, sink, requestId)) {
+                                begin(
+                                        request,
+                                        completion,
+                                        requestId,
+                                        row.get().notRepeatable(),
+                                        sink);
+                            } else if (reply.verdict() == ClaimReply.Verdict.DUPLICATE) {
+                                first(REQUESTS_PATH, request, reply, sink);
+                            }
+                        });
+    }
+
+    private void begin(
+            IncomingRequest request,
+            CompletionRequest completion,
+            String requestId,
+            Row row,
+            CallerSink sink) {
+        RequestRecord record =
+                new RequestRecord(
+                        requestId,
+                        request.organisation(),
+                        completion.model(),
+                        completion.prompt(),
+                        completion.maxTokens(),
+                        completion.chat(),
+                        completion.stream(),
+                        System.currentTimeMillis(),
+                        List.of(),
+                        false);
+        book.accept(record, row, sink);
+    }
+
+    private void serveService(IncomingRequest request, String service, CallerSink sink) {
+        Optional<Row> row = admitted(request, service, TargetKind.SERVICE, sink);
+        if (row.isEmpty()) {
+            return;
+        }
+        boolean atMostOnce = atMostOnce(request, row.get());
+        Optional<String> key = request.header(IncomingRequest.KEY_HEADER);
+        if (!atMostOnce || key.isEmpty()) {
+            String callId = newName("s");
+            String here = context.self().dataCentre();
+            new ServiceRunner(
+                            context,
+                            request,
+                            callId,
+                            row.get(),
+                            !atMostOnce,
+                            result -> result.send(sink, callId, here))
+                    .start();
+            return;
+        }
+        callOnce(request, row.get(), ClaimKey.of(request.organisation(), key.get()), sink);
+    }
+
+    private void callOnce(IncomingRequest request, Row row, ClaimKey key, CallerSink sink) {
+        String callId = newName("s");
+        claims.claim(key, fingerprint(request), callId)
+                .thenAccept(
+                        reply -> {
+                            if (granted(reply, sink, callId)) {
+                                callClaimed(request, row, key, callId, sink);
+                            } else if (reply.verdict() == ClaimReply.Verdict.DUPLICATE) {
+                                first(CALLS_PATH, request, reply, sink);
+                            }
+                        });
+    }
+
+    private void callClaimed(
+            IncomingRequest request, Row row, ClaimKey key, String callId, CallerSink sink) {
+        calls.begin(callId, request.organisation());
+        calls.answer(callId, request.organisation(), sink);
+        new ServiceRunner(
+                        context,
+                        request,
+                        callId,
+                        row,
+                        false,
+                        result -> {
+                            releaseIfNotRun(key, callId, result);
+                            calls.end(callId, result);
+                        })
+                .start();
+    }
+
+    private void releaseIfNotRun(ClaimKey key, String callId, Result result) {
+        boolean notRun =
+                result instanceof Result.Failed failed
+                        && failed.failure().outcome() == Outcome.NOT_RUN;
+        if (notRun) {
+            claims.release(key, callId);
+        }
+    }
+
+    /** Gives the caller the final answer unless the claim was granted or names a first request. */
+    private boolean granted(ClaimReply reply, CallerSink sink, String requestId) {
+        return switch (reply.verdict()) {
+            case GRANTED -> true;
+            case DUPLICATE -> false;
+            case MISMATCH -> refused(sink, requestId, Failure.notRun(Kind.CLAIM_MISMATCH, 0));
+            case UNKNOWN -> {
+                CallBook.unknown().send(sink, requestId, context.self().dataCentre());
+                yield false;
+            }
+            case UNAVAILABLE ->
+                    refused(
+                            sink,
+                            requestId,
+                            Failure.notRun(Kind.CLAIM_UNAVAILABLE, RETRY_AFTER_MILLIS));
+        };
+    }
+
+    private static boolean refused(CallerSink sink, String requestId, Failure failure) {
+        Answers.failure(sink, requestId, failure);
+        return false;
+    }
+
+    /** Gives the caller the first answer to its key, from the entry that has it. */
+    private void first(
+            String pathPrefix, IncomingRequest request, ClaimReply reply, CallerSink sink) {
+        IncomingRequest lookUp =
+                new IncomingRequest(
+                        request.organisation(),
+                        "GET",
+                        pathPrefix + reply.requestId(),
+                        List.of(),
+                        new byte[0],
+                        true);
+        if (reply.holder().equals(context.self().id())) {
+            serve(lookUp, sink);
+        } else if (!relay.forward(reply.holder(), "", lookUp, sink, 0)) {
+            CallBook.unknown().send(sink, reply.requestId(), context.self().dataCentre());
+        }
+    }
+
+    /**
+     * Finds the row, takes its limit, and passes the request on if another data centre is better.
+     */
+    private Optional<Row> admitted(
+            IncomingRequest request, String target, TargetKind kind, CallerSink sink) {
+        String here = context.self().dataCentre();
+        Optional<Row> row =
+                context.policies()
+                        .table()
+                        .row(new RowKey(request.organisation(), target))
+                        .filter(r -> r.kind() == kind);
+        if (row.isEmpty()) {
+            Answers.refuse(sink, 403, "organisation has no row for '" + target + "'");
+            return Optional.empty();
+        }
+        if (!row.get().allows(here)) {
+            refuseOrRelay(request, row.get(), sink);
+            return Optional.empty();
+        }
+        if (request.header(ADMITTED_HEADER).isEmpty()) {
+            long waitMillis = context.policies().tryAcquire(row.get());
+            if (waitMillis > 0) {
+                Answers.failure(sink, "", Failure.notRun(Kind.LIMIT, waitMillis));
+                return Optional.empty();
+            }
+        }
+        boolean passedOn =
+                !request.relayed()
+                        && chooser.elsewhere(target, row.get().dataCentres(), here)
+                                .map(peer -> passOn(request, peer, sink))
+                                .orElse(false);
+        if (passedOn) {
+            return Optional.empty();
+        }
+        boolean full = book.open() >= context.settings().limits().maxStreams();
+        if (full || !context.placements().serves(target)) {
+            Answers.failure(sink, "", Failure.notRun(Kind.NO_CAPACITY, RETRY_AFTER_MILLIS));
+            return Optional.empty();
+        }
+        return row;
+    }
+
+    private void refuseOrRelay(IncomingRequest request, Row row, CallerSink sink) {
+        if (request.relayed()) {
+            // the sender's table differs; it is never handled here
+            Answers.failure(sink, "", Failure.notRun(Kind.ROW_NARROWED, RETRY_AFTER_MILLIS));
+        } else {
+            relay(request, Optional.of(row.target()), row.dataCentres(), sink);
+        }
+    }
+
+    private boolean passOn(IncomingRequest request, EntryInfo peer, CallerSink sink) {
+        List<Header> headers = new ArrayList<>(request.headers());
+        headers.add(new Header(ADMITTED_HEADER, "yes"));
+        IncomingRequest admitted =
+                new IncomingRequest(
+                        request.organisation(),
+                        request.method(),
+                        request.path(),
+                        headers,
+                        request.body(),
+                        false);
+        return relay.forward(peer.id(), "", admitted, sink, 0);
+    }
+
+    private void findAgain(IncomingRequest request, CallerSink sink) {
+        String name = request.path().substring(REQUESTS_PATH.length());
+        int from = firstWanted(request);
+        String organisation = request.organisation();
+        Optional<GenerationRunner> mine =
+                book.find(name, organisation)
+                        .or(() -> book.find(keyedName(request, name), organisation));
+        if (mine.isPresent()) {
+            mine.get().attach(sink, from);
+            return;
+        }
+        if (request.relayed()) {
+            book.adopt(name, organisation)
+                    .ifPresentOrElse(
+                            runner -> runner.attach(sink, from),
+                            () -> Answers.refuse(sink, 404, "no request of this name"));
+            return;
+        }
+        findAtPeers(request, List.of(name, keyedName(request, name)), sink, 0);
+    }
+
+    private void findAtPeers(
+            IncomingRequest request, List<String> names, CallerSink sink, int earlierParts) {
+        String name = names.get(0);
+        finder.find(name, request.organisation())
+                .thenAccept(
+                        holder -> {
+                            if (holder.isPresent()
+                                    && attachAt(holder.get(), name, request, sink, earlierParts)) {
+                                return;
+                            }
+                            Optional<GenerationRunner> adopted =
+                                    book.adopt(name, request.organisation());
+                            if (adopted.isPresent()) {
+                                adopted.get().attach(sink, firstWanted(request));
+                            } else if (names.size() > 1) {
+                                findAtPeers(
+                                        request,
+                                        names.subList(1, names.size()),
+                                        sink,
+                                        earlierParts);
+                            } else if (earlierParts > 0) {
+                                sink.abort();
+                            } else {
+                                Answers.refuse(sink, 404, "no request of this name");
+                            }
+                        });
+    }
+
+    private boolean attachAt(
+            String peer, String name, IncomingRequest request, CallerSink sink, int earlierParts) {
+        IncomingRequest lookUp =
+                new IncomingRequest(
+                        request.organisation(),
+                        "GET",
+                        REQUESTS_PATH + name,
+                        request.headers(),
+                        new byte[0],
+                        true);
+        return relay.forward(peer, name, lookUp, sink, earlierParts);
+    }
+
+    /** Goes on with an answer whose peer was lost, at another entry that has the request. */
+    private boolean goOn(PeerRelay.Lost lost) {
+        if (lost.requestId().isEmpty()) {
+            return false;
+        }
+        List<Header> headers = new ArrayList<>();
+        if (lost.parts() > 0) {
+            String last = Integer.toString(lost.parts() - 1);
+            headers.add(new Header(IncomingRequest.LAST_EVENT_HEADER, last));
+        }
+        IncomingRequest again =
+                new IncomingRequest(
+                        lost.request().organisation(),
+                        "GET",
+                        REQUESTS_PATH + lost.requestId(),
+                        headers,
+                        new byte[0],
+                        false);
+        findAtPeers(again, List.of(lost.requestId()), lost.sink(), lost.parts());
+        return true;
+    }
+
+    private static int firstWanted(IncomingRequest request) {
+        try {
+            return request.header(IncomingRequest.LAST_EVENT_HEADER)
+                    .map(last -> Math.max(0, Integer.parseInt(last) + 1))
+                    .orElse(0);
+        } catch (NumberFormatException e) {
+            return 0;
+        }
+    }
+
+    private static boolean atMostOnce(IncomingRequest request, Row row) {
+        boolean marked =
+                request.header(IncomingRequest.RUN_HEADER)
+                        .map(AT_MOST_ONCE::equalsIgnoreCase)
+                        .orElse(false);
+        return marked || !row.repeatable();
+    }
+
+    private static long fingerprint(IncomingRequest request) {
+        String head = request.method() + ' ' + request.path();
+        return Hashing.xxh3_64()
+                .hashLongLongToLong(
+                        Hashing.xxh3_64().hashCharsToLong(head),
+                        Hashing.xxh3_64().hashBytesToLong(request.body()));
+    }
+
+    private static String keyedName(IncomingRequest request, String key) {
+        ClaimKey hash = ClaimKey.of(request.organisation(), key);
+        return "k" + hex(hash.high()) + hex(hash.low());
+    }
+
+    private static String newName(String prefix) {
+        ThreadLocalRandom random = ThreadLocalRandom.current();
+        return prefix + hex(random.nextLong()) + hex(random.nextLong());
+    }
+
+    private static String hex(long value) {
+        return HexFormat.of().toHexDigits(value);
+    }
+}
--- /dev/null
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/serve/ServingContext.java
@@ -0,0 +1,48 @@
+/*
+ * Copyright 2026 The trailladder authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package io.trailladder.entry.serve;
+
+import io.trailladder.entry.EntryMetrics;
+import io.trailladder.entry.EntrySettings;
+import io.trailladder.entry.peer.PeerLinks;
+import io.trailladder.platform.http.HttpClient;
+import io.trailladder.wire.EntryInfo;
+import java.util.concurrent.ScheduledExecutorService;
+
+/**
+ * Is what all serving code shares.
+ *
+ * @param self this entry
+ * @param settings its settings
+ * @param placements gives requests their upstreams
+ * @param engines reaches model engines
+ * @param client reaches plain services
+ * @param links reaches peers
+ * @param timer runs timed work
+ * @param metrics counts
+ * @param policies rows, limits and retry budgets
+ * @since 0.1
+ */
+public record ServingContext(
+        EntryInfo self,
+        EntrySettings settings,
+        Placements placements,
+        EngineApi engines,
+        HttpClient client,
+        PeerLinks links,
+        ScheduledExecutorService timer,
+        EntryMetrics metrics,
+        RowPolicies policies) {}
--- /dev/null
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/sync/ClaimSync.java
@@ -0,0 +1,189 @@
+/*
+ * Copyright 2026 The trailladder authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package io.trailladder.entry.sync;
+
+import io.trailladder.core.claim.ClaimAction.Propose;
+import io.trailladder.core.claim.RangeAssignment;
+import io.trailladder.core.claim.RangeMap;
+import io.trailladder.core.claim.RangePlanner.Member;
+import io.trailladder.core.claim.RangePlanner.View;
+import io.trailladder.entry.peer.PeerLinks;
+import io.trailladder.entry.serve.ClaimService;
+import io.trailladder.entry.serve.DataCentreChooser;
+import io.trailladder.platform.RangeStore;
+import io.trailladder.wire.PeerMessage.Heartbeat;
+import io.trailladder.wire.PeerMessage.RangeMapNews;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+
+/**
+ * Keeps the range map fresh and carries the planner's proposals to the platform.
+ *
+ * @since 0.1
+ */
+public final class ClaimSync {
+    private static final long TICK_MILLIS = 500;
+    private static final long READER_MILLIS = 2_000;
+    private static final long OTHER_MILLIS = 10_000;
+    private static final int READERS = 2;
+    private static final long REGISTERED_MAX_AGE_MILLIS = 10_000;
+    private static final long SETTLE_MILLIS = 1_500;
+    private static final long GONE_MILLIS = 45_000;
+
+    private final ClaimService claims;
+    private final RangeStore store;
+    private final PeerLinks links;
+    private final Members members;
+    private final DataCentreChooser heartbeats;
+    private final ScheduledExecutorService timer;
+    private final AtomicBoolean busy = new AtomicBoolean();
+    private final long startedMillis = System.currentTimeMillis();
+    private volatile boolean draining;
+    private final Map<String, Long> missingSince = new ConcurrentHashMap<>();
+    private long readMillis;
+
+    /**
+     * Creates the sync.
+     *
+     * @param claims holds the claims
+     * @param store the map in the platform's service
+     * @param links reaches peers
+     * @param members knows this entry's rank
+     * @param heartbeats knows which peers are stopping
+     * @param timer runs the work
+     */
+    public ClaimSync(
+            ClaimService claims,
+            RangeStore store,
+            PeerLinks links,
+            Members members,
+            DataCentreChooser heartbeats,
+            ScheduledExecutorService timer) {
+        this.claims = claims;
+        this.store = store;
+        this.links = links;
+        this.members = members;
+        this.heartbeats = heartbeats;
+        this.timer = timer;
+    }
+
+    /** Begins. */
+    public void start() {
+        timer.scheduleWithFixedDelay(this::tick, 0, TICK_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    /** Begins to give all ranges away. */
+    public void drain() {
+        draining = true;
+    }
+
+    private void tick() {
+        claims.maintain();
+        long now = System.currentTimeMillis();
+        boolean reader = draining || members.rank("ranges") < READERS;
+        boolean due = now - readMillis >= (reader ? READER_MILLIS : OTHER_MILLIS);
+        boolean settled = now - startedMillis > SETTLE_MILLIS;
+        boolean wanted = settled && claims.plan(view(now)).isPresent();
+        if ((due || wanted) && busy.compareAndSet(false, true)) {
+            readMillis = now;
+            store.read()
+                    .thenCompose(read -> settled ? propose(read.map()) : onlyRead(read.map()))
+                    .whenComplete((done, failure) -> busy.set(false));
+        }
+    }
+
+    private CompletableFuture<Void> onlyRead(RangeMap map) {
+        news(map);
+        return CompletableFuture.completedFuture(null);
+    }
+
+    /** Ranges are sealed only once the platform has just answered, so an outage seals nothing. */
+    private CompletableFuture<Void> propose(RangeMap map) {
+        news(map);
+        Optional<Propose> proposal = claims.plan(view(System.currentTimeMillis()));
+        if (proposal.isEmpty()) {
+            return CompletableFuture.completedFuture(null);
+        }
+        claims.seal(proposal.get());
+        return store.change(proposal.get().changes()).thenAccept(this::news);
+    }
+
+    private void news(RangeMap map) {
+        long before = claims.mapVersion();
+        claims.mapRead(map);
+        if (claims.mapVersion() > before) {
+            links.sendAll(new RangeMapNews(map));
+        }
+    }
+
+    private View view(long now) {
+        List<Member> live = new ArrayList<>();
+        List<io.trailladder.core.membership.PeerTopology.Member> all = members.live();
+        for (int i = 0; i < all.size(); i++) {
+            String id = all.get(i).id();
+            boolean self = i == 0;
+            boolean stops =
+                    self
+                            ? draining
+                            : heartbeats.heartbeat(id).map(Heartbeat::draining).orElse(false);
+            if (!stops) {
+                live.add(new Member(id, all.get(i).dataCentre()));
+            }
+        }
+        return new View(live, presentKeepers(now, live));
+    }
+
+    /**
+     * Returns the keepers of claims that are not surely gone. One counts as gone only after it was
+     * neither live nor in a fresh list of the platform for longer than a lease lasts, because at a
+     * start both are still incomplete.
+     */
+    private Set<String> presentKeepers(long now, List<Member> live) {
+        Set<String> seen = members.registered(now, REGISTERED_MAX_AGE_MILLIS);
+        Set<String> present = new HashSet<>();
+        for (String keeper : keepers()) {
+            boolean isLive = live.stream().anyMatch(member -> member.id().equals(keeper));
+            if (seen == null || seen.contains(keeper) || isLive) {
+                missingSince.remove(keeper);
+            } else {
+                missingSince.putIfAbsent(keeper, now);
+            }
+            if (now - missingSince.getOrDefault(keeper, now) < GONE_MILLIS) {
+                present.add(keeper);
+            }
+        }
+        missingSince.keySet().retainAll(keepers());
+        return present;
+    }
+
+    private Set<String> keepers() {
+        Set<String> names = new HashSet<>();
+        for (RangeAssignment assignment : claims.map().ranges()) {
+            names.add(assignment.owner());
+            names.add(assignment.backup());
+        }
+        return names;
+    }
+}
--- /dev/null
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/sync/EntrySync.java
@@ -0,0 +1,159 @@
+/*
+ * Copyright 2026 The trailladder authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package io.trailladder.entry.sync;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.trailladder.entry.peer.PeerLinks;
+import io.trailladder.platform.KeyValueStore;
+import io.trailladder.wire.EntryInfo;
+import io.trailladder.wire.PeerMessage;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.tinylog.Logger;
+
+/**
+ * Registers this entry with the platform under a lease, and learns of the other entries.
+ *
+ * @since 0.1
+ */
+public final class EntrySync {
+    /** Prefix of the entries' keys. */
+    public static final String PREFIX = "entries/";
+
+    private static final ObjectMapper JSON = new ObjectMapper();
+    private static final long LEASE_MILLIS = 30_000;
+    private static final long RENEW_MILLIS = 8_000;
+    private static final long RETRY_MILLIS = 1_000;
+    private static final long READER_LIST_MILLIS = 2_000;
+    private static final long OTHER_LIST_MILLIS = 30_000;
+    private static final int READERS = 2;
+
+    private final EntryInfo self;
+    private final KeyValueStore store;
+    private final PeerLinks links;
+    private final Members members;
+    private final ScheduledExecutorService timer;
+    private volatile boolean stopped;
+
+    /**
+     * Creates the sync.
+     *
+     * @param self this entry
+     * @param store the platform's service
+     * @param links reaches peers
+     * @param members told of the other entries
+     * @param timer runs the work
+     */
+    public EntrySync(
+            EntryInfo self,
+            KeyValueStore store,
+            PeerLinks links,
+            Members members,
+            ScheduledExecutorService timer) {
+        this.self = self;
+        this.store = store;
+        this.links = links;
+        this.members = members;
+        this.timer = timer;
+    }
+
+    /** Begins. */
+    public void start() {
+        register();
+        list();
+    }
+
+    /** Ends, and takes the registration away. */
+    public void stop() {
+        stopped = true;
+        store.delete(PREFIX + self.id())
+                .exceptionally(
+                        failure -> {
+                            Logger.debug("registration is left to its lease");
+                            return null;
+                        });
+    }
+
+    private void register() {
+        if (stopped) {
+            return;
+        }
+        store.renew(self.id(), LEASE_MILLIS)
+                .thenCompose(done -> store.putLeased(PREFIX + self.id(), json(self), self.id()))
+                .whenComplete(
+                        (done, failure) ->
+                                later(
+                                        failure == null ? this::renew : this::register,
+                                        failure == null ? RENEW_MILLIS : RETRY_MILLIS));
+    }
+
+    private void renew() {
+        if (stopped) {
+            return;
+        }
+        // the lease may have lapsed in an outage, so the key is written again after a failure
+        store.renew(self.id(), LEASE_MILLIS)
+                .whenComplete(
+                        (done, failure) ->
+                                later(
+                                        failure == null ? this::renew : this::register,
+                                        failure == null ? RENEW_MILLIS : RETRY_MILLIS));
+    }
+
+    private void list() {
+        if (stopped) {
+            return;
+        }
+        boolean reader = members.rank("entries") < READERS;
+        store.list(PREFIX)
+                .whenComplete(
+                        (batch, failure) -> {
+                            if (failure == null) {
+                                listed(batch);
+                            }
+                            later(this::list, reader ? READER_LIST_MILLIS : OTHER_LIST_MILLIS);
+                        });
+    }
+
+    private void listed(KeyValueStore.Batch batch) {
+        List<EntryInfo> entries = new ArrayList<>();
+        for (KeyValueStore.Item item : batch.items()) {
+            try {
+                entries.add(JSON.readValue(item.value(), EntryInfo.class));
+            } catch (JsonProcessingException e) {
+                Logger.warn("registration {} is malformed", item.key());
+            }
+        }
+        if (members.listed(entries, System.currentTimeMillis())) {
+            links.sendAll(new PeerMessage.Members(members.known()));
+        }
+    }
+
+    private void later(Runnable work, long delayMillis) {
+        timer.schedule(work, delayMillis, TimeUnit.MILLISECONDS);
+    }
+
+    private static String json(EntryInfo entry) {
+        try {
+            return JSON.writeValueAsString(entry);
+        } catch (JsonProcessingException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+}
--- /dev/null
+++ b/trailladder-platform/src/main/java/io/trailladder/platform/http/HttpExchange.java
@@ -0,0 +1,115 @@
+/*
+ * Copyright 2026 The trailladder authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package io.trailladder.platform.http;
+
+import io.trailladder.platform.http.HttpFailureException.Kind;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.glassfish.grizzly.Connection;
+
+/**
+ * Is one call on its own connection. It tells its listener the end exactly once.
+ *
+ * @since 0.1
+ */
+public final class HttpExchange {
+    private final HttpCall call;
+    private final HttpListener listener;
+    private final AtomicBoolean over = new AtomicBoolean();
+    private volatile Connection<?> connection;
+    private volatile boolean sent;
+    private volatile long activeNanos = System.nanoTime();
+    private boolean headSeen;
+
+    HttpExchange(HttpCall call, HttpListener listener) {
+        this.call = call;
+        this.listener = listener;
+    }
+
+    /** Breaks the call off; the listener is told that it failed unless it has ended. */
+    public void cancel() {
+        fail(Kind.CANCELLED);
+    }
+
+    HttpCall call() {
+        return call;
+    }
+
+    boolean isOver() {
+        return over.get();
+    }
+
+    /**
+     * Marks that bytes may leave from now on.
+     *
+     * @param opened the connection they leave on
+     * @return false if the call is over and must not be sent
+     */
+    boolean beginSend(Connection<?> opened) {
+        connection = opened;
+        sent = true;
+        if (over.get()) {
+            opened.closeSilently();
+            return false;
+        }
+        return true;
+    }
+
+    void head(int status, String contentType) {
+        active();
+        if (!headSeen && !over.get()) {
+            headSeen = true;
+            listener.head(status, contentType);
+        }
+    }
+
+    void body(byte[] bytes) {
+        active();
+        if (!over.get()) {
+            listener.body(bytes);
+        }
+    }
+
+    void end() {
+        if (over.compareAndSet(false, true)) {
+            close();
+            listener.ended();
+        }
+    }
+
+    void fail(Kind kind) {
+        if (over.compareAndSet(false, true)) {
+            close();
+            listener.failed(new HttpFailureException(kind, sent, call.target()));
+        }
+    }
+
+    void failIfSilent(long nowNanos) {
+        if (nowNanos - activeNanos > call.idleMillis() * 1_000_000) {
+            fail(Kind.SILENT);
+        }
+    }
+
+    private void active() {
+        activeNanos = System.nanoTime();
+    }
+
+    private void close() {
+        Connection<?> open = connection;
+        if (open != null) {
+            open.closeSilently();
+        }
+    }
+}
--- /dev/null
+++ b/trailladder-wire/src/main/java/io/trailladder/wire/PeerCodec.java
@@ -0,0 +1,135 @@
+/*
+ * Copyright 2026 The trailladder authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package io.trailladder.wire;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.StreamReadConstraints;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import org.msgpack.jackson.dataformat.JsonArrayFormat;
+import org.msgpack.jackson.dataformat.MessagePackFactory;
+import org.msgpack.jackson.dataformat.MessagePackMapper;
+
+/**
+ * Writes and reads frames: four bytes of length, one of version, one of message type, then the
+ * message as a MessagePack array.
+ *
+ * <pre>{@code
+ * byte[] frame = PeerCodec.encode(new PeerMessage.RecordDrop("r1"));
+ * PeerMessage message = PeerCodec.decode(frame, PeerCodec.LENGTH_BYTES, frame.length);
+ * }</pre>
+ *
+ * @since 0.1
+ */
+public final class PeerCodec {
+    /** Version of the frames and messages; both sides of a link must have the same. */
+    public static final int VERSION = 1;
+
+    /** Bytes that hold a frame's length. */
+    public static final int LENGTH_BYTES = 4;
+
+    /** Most bytes a frame may have after its length. */
+    public static final int MAX_FRAME_BYTES = 8 * 1024 * 1024;
+
+    private static final int HEADER_BYTES = 2;
+    private static final int MAX_DEPTH = 16;
+    private static final ObjectMapper MAPPER = mapper();
+
+    private PeerCodec() {}
+
+    /**
+     * Writes a message as a frame.
+     *
+     * @param message the message
+     * @return the whole frame with its length
+     * @throws WireException if the message is too large
+     */
+    public static byte[] encode(PeerMessage message) {
+        MessageType type = MessageType.of(message);
+        byte[] payload = payload(type, message);
+        int length = payload.length + HEADER_BYTES;
+        if (length > MAX_FRAME_BYTES) {
+            throw new WireException(
+                    type + " frame of " + length + " bytes, expected at most " + MAX_FRAME_BYTES);
+        }
+        ByteBuffer frame = ByteBuffer.allocate(LENGTH_BYTES + length);
+        frame.putInt(length).put((byte) VERSION).put((byte) type.number()).put(payload);
+        return frame.array();
+    }
+
+    /**
+     * Checks the length that a frame announces.
+     *
+     * @param length the announced length
+     * @throws WireException if it is below two bytes or above {@link #MAX_FRAME_BYTES}
+     */
+    public static void checkLength(int length) {
+        if (length < HEADER_BYTES || length > MAX_FRAME_BYTES) {
+            throw new WireException(
+                    "frame of "
+                            + length
+                            + " bytes, expected "
+                            + HEADER_BYTES
+                            + " to "
+                            + MAX_FRAME_BYTES);
+        }
+    }
+
+    /**
+     * Reads a message.
+     *
+     * @param bytes a frame
+     * @param from where the version byte is
+     * @param to where the frame ends
+     * @return the message
+     * @throws WireException if the bytes are no message of this version
+     */
+    public static PeerMessage decode(byte[] bytes, int from, int to) {
+        checkLength(to - from);
+        if (bytes[from] != VERSION) {
+            throw new WireException("frame version " + bytes[from] + ", expected " + VERSION);
+        }
+        MessageType type = MessageType.of(Byte.toUnsignedInt(bytes[from + 1]));
+        int start = from + HEADER_BYTES;
+        try {
+            PeerMessage message = MAPPER.readValue(bytes, start, to - start, type.messageClass());
+            if (message == null) {
+                throw new WireException(type + " message is nil, expected an array");
+            }
+            return message;
+        } catch (IOException | RuntimeException e) {
+            throw new WireException(type, e);
+        }
+    }
+
+    private static byte[] payload(MessageType type, PeerMessage message) {
+        try {
+            return MAPPER.writeValueAsBytes(message);
+        } catch (JsonProcessingException e) {
+            throw new WireException(type, e);
+        }
+    }
+
+    private static ObjectMapper mapper() {
+        MessagePackFactory factory = new MessagePackFactory();
+        factory.setStreamReadConstraints(
+                StreamReadConstraints.builder().maxNestingDepth(MAX_DEPTH).build());
+        MessagePackMapper mapper = new MessagePackMapper(factory);
+        mapper.setAnnotationIntrospector(new JsonArrayFormat());
+        return mapper;
+    }
+}
