--- a/trailladder-cli/src/main/java/io/trailladder/cli/EntryCommand.java
+++ b/trailladder-cli/src/main/java/io/trailladder/cli/EntryCommand.java
@@ -30,6 +30,7 @@
 import java.util.List;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CountDownLatch;
+import org.tinylog.jul.JulTinylogBridge;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
@@ -199,6 +200,7 @@
         if (!faults.isEmpty()) {
             throw new ParameterException(spec.commandLine(), String.join("\n", faults));
         }
+        JulTinylogBridge.activate();
         EntryDaemon daemon = new EntryDaemon(settings);
         CountDownLatch stopped = new CountDownLatch(1);
         Runtime.getRuntime()
--- a/trailladder-core/src/main/java/io/trailladder/core/request/GenerationMachine.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/request/GenerationMachine.java
@@ -55,7 +55,9 @@
      * Bounds of one request.
      *
      * @param maxTokens most tokens the answer may have
-     * @param patienceMillis how long the request may wait for an upstream, in milliseconds
+     * @param queueMillis how long it may wait for its first upstream, in milliseconds
+     * @param patienceMillis how long it may wait for another upstream once it had one, in
+     *     milliseconds
      * @param tokenMillis expected time between two tokens, in milliseconds
      * @param exportMillis expected time of a KV export, in milliseconds
      * @param repeatable false if no second attempt may begin once an upstream may have seen the
@@ -63,6 +65,7 @@
      */
     public record Settings(
             int maxTokens,
+            long queueMillis,
             long patienceMillis,
             int tokenMillis,
             long exportMillis,
@@ -150,7 +153,7 @@
         if (phase != Phase.PLACING) {
             return List.of();
         }
-        if (nowMillis - waitingSinceMillis >= settings.patienceMillis()) {
+        if (nowMillis - waitingSinceMillis >= waitLimitMillis()) {
             Kind kind = failures > 0 ? Kind.UPSTREAM_BROKEN : Kind.NO_CAPACITY;
             return fail(kind, retryAfterMillis);
         }
@@ -358,7 +361,7 @@
     }
 
     private List<GenerationAction> placeAgain(long nowMillis) {
-        boolean patient = nowMillis - waitingSinceMillis < settings.patienceMillis();
+        boolean patient = nowMillis - waitingSinceMillis < waitLimitMillis();
         if (!retryPaid) {
             retryPaid = budget.tryRetry();
         }
@@ -399,6 +402,11 @@
         return hadAttempt ? List.of(new Cancel(attempt), fail) : List.of(fail);
     }
 
+    private long waitLimitMillis() {
+        boolean accepted = failures > 0 || log.size() > 0;
+        return accepted ? settings.patienceMillis() : settings.queueMillis();
+    }
+
     private boolean takesTokens() {
         return phase == Phase.RUNNING || phase == Phase.MOVING || phase == Phase.EXPORTING;
     }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/EntryDaemon.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/EntryDaemon.java
@@ -63,7 +63,6 @@
 import java.util.concurrent.TimeUnit;
 import org.glassfish.grizzly.http.server.HttpServer;
 import org.glassfish.grizzly.http.server.NetworkListener;
-import org.glassfish.grizzly.strategies.SameThreadIOStrategy;
 import org.tinylog.Logger;
 
 /**
@@ -212,6 +211,15 @@
         stop(settings.drainMillis());
     }
 
+    /** Ends at once, without finishing or handing over anything, as a crash would. */
+    public void kill() {
+        timer.shutdownNow();
+        callers.shutdownNow();
+        operators.close();
+        links.close();
+        client.close();
+    }
+
     /**
      * Returns how this entry presents itself.
      *
@@ -335,7 +343,6 @@
                         settings.callerAddress().host(),
                         settings.callerAddress().port());
         listener.setMaxHttpHeaderSize(settings.limits().maxHeaderBytes());
-        listener.getTransport().setIOStrategy(SameThreadIOStrategy.getInstance());
         listener.getKeepAlive()
                 .setIdleTimeoutInSeconds((int) (settings.limits().callerIdleMillis() / 1000));
         callers.addListener(listener);
--- a/trailladder-entry/src/main/java/io/trailladder/entry/EntrySettings.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/EntrySettings.java
@@ -76,6 +76,21 @@
             long patienceMillis,
             long upstreamIdleMillis,
             long reattachMillis) {
+        private static final long LEAST_QUEUE_MILLIS = 2_000;
+        private static final long TARGETS_IN_QUEUE = 4;
+
+        /**
+         * Returns how long a request that was not yet begun may wait. A wait of several latency
+         * targets helps nobody: the caller is told to come back instead.
+         *
+         * @param latencyTargetMillis the row's target, in milliseconds
+         * @return milliseconds
+         */
+        public long queueMillis(int latencyTargetMillis) {
+            long wait = Math.max(LEAST_QUEUE_MILLIS, TARGETS_IN_QUEUE * latencyTargetMillis);
+            return Math.min(patienceMillis, wait);
+        }
+
         /** The bounds unless settings say otherwise. */
         public static final CallerLimits DEFAULTS =
                 new CallerLimits(1 << 20, 16 * 1024, 2_000, 30_000, 20_000, 5_000, 2_000);
--- a/trailladder-entry/src/main/java/io/trailladder/entry/serve/GenerationRunner.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/serve/GenerationRunner.java
@@ -93,6 +93,7 @@
         GenerationMachine.Settings settings =
                 new GenerationMachine.Settings(
                         request.maxTokens(),
+                        context.settings().limits().queueMillis(row.latencyTargetMillis()),
                         context.settings().limits().patienceMillis(),
                         TOKEN_MILLIS,
                         EXPORT_MILLIS,
--- a/trailladder-entry/src/main/java/io/trailladder/entry/serve/RequestDispatcher.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/serve/RequestDispatcher.java
@@ -111,7 +111,7 @@
         } else if (request.relayed() && path.startsWith(CALLS_PATH)) {
             calls.answer(path.substring(CALLS_PATH.length()), request.organisation(), sink);
         } else if (draining) {
-            Answers.failure(sink, "", Failure.notRun(Kind.STOPPING, RETRY_AFTER_MILLIS));
+            Answers.failure(sink, "", refusal(request, Kind.STOPPING, RETRY_AFTER_MILLIS));
         } else if (request.service().isPresent()) {
             serveService(request, request.service().get(), sink);
         } else if (path.equals(CompletionRequest.CHAT_PATH)) {
@@ -141,10 +141,19 @@
                         .map(peer -> relay.forward(peer.id(), "", request, sink, 0))
                         .orElse(false);
         if (!passedOn) {
-            Answers.failure(sink, "", Failure.notRun(Kind.NO_CAPACITY, RETRY_AFTER_MILLIS));
+            Answers.failure(sink, "", refusal(request, Kind.NO_CAPACITY, RETRY_AFTER_MILLIS));
         }
     }
 
+    /**
+     * Refuses a request before its key was claimed. Only a request without key is then surely not
+     * run: one with a key may have run when it was sent before.
+     */
+    private static Failure refusal(IncomingRequest request, Kind kind, long retryAfterMillis) {
+        boolean keyed = request.header(IncomingRequest.KEY_HEADER).isPresent();
+        return new Failure(keyed ? Outcome.UNKNOWN : Outcome.NOT_RUN, kind, retryAfterMillis);
+    }
+
     private void serveModel(IncomingRequest request, boolean chat, CallerSink sink) {
         if (!request.method().equals("POST")) {
             Answers.refuse(sink, 405, "method " + request.method() + ", expected POST");
@@ -294,7 +303,8 @@
                     refused(
                             sink,
                             requestId,
-                            Failure.notRun(Kind.CLAIM_UNAVAILABLE, RETRY_AFTER_MILLIS));
+                            new Failure(
+                                    Outcome.UNKNOWN, Kind.CLAIM_UNAVAILABLE, RETRY_AFTER_MILLIS));
         };
     }
 
@@ -333,7 +343,7 @@
                         .row(new RowKey(request.organisation(), target))
                         .filter(r -> r.kind() == kind);
         if (row.isEmpty()) {
-            Answers.refuse(sink, 403, "organisation has no row for '" + target + "'");
+            Answers.failure(sink, "", refusal(request, Kind.NO_ROW, 0));
             return Optional.empty();
         }
         if (!row.get().allows(here)) {
@@ -343,7 +353,7 @@
         if (request.header(ADMITTED_HEADER).isEmpty()) {
             long waitMillis = context.policies().tryAcquire(row.get());
             if (waitMillis > 0) {
-                Answers.failure(sink, "", Failure.notRun(Kind.LIMIT, waitMillis));
+                Answers.failure(sink, "", refusal(request, Kind.LIMIT, waitMillis));
                 return Optional.empty();
             }
         }
@@ -357,7 +367,7 @@
         }
         boolean full = book.open() >= context.settings().limits().maxStreams();
         if (full || !context.placements().serves(target)) {
-            Answers.failure(sink, "", Failure.notRun(Kind.NO_CAPACITY, RETRY_AFTER_MILLIS));
+            Answers.failure(sink, "", refusal(request, Kind.NO_CAPACITY, RETRY_AFTER_MILLIS));
             return Optional.empty();
         }
         return row;
@@ -366,7 +376,7 @@
     private void refuseOrRelay(IncomingRequest request, Row row, CallerSink sink) {
         if (request.relayed()) {
             // the sender's table differs; it is never handled here
-            Answers.failure(sink, "", Failure.notRun(Kind.ROW_NARROWED, RETRY_AFTER_MILLIS));
+            Answers.failure(sink, "", refusal(request, Kind.ROW_NARROWED, RETRY_AFTER_MILLIS));
         } else {
             relay(request, Optional.of(row.target()), row.dataCentres(), sink);
         }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/serve/ServiceRunner.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/serve/ServiceRunner.java
@@ -164,7 +164,7 @@
     }
 
     private long patienceMillis() {
-        return context.settings().limits().patienceMillis();
+        return context.settings().limits().queueMillis(row.latencyTargetMillis());
     }
 
     private void answered(Upstream upstream, HttpReply reply, Throwable failure) {
