--- a/trailladder-testkit/src/main/java/io/trailladder/testkit/StandInMain.java
+++ b/trailladder-testkit/src/main/java/io/trailladder/testkit/StandInMain.java
@@ -28,7 +28,8 @@
     /**
      * Starts the stand-in and leaves it running.
      *
-     * @param args kind, host, port, and for an engine the time between tokens in milliseconds
+     * @param args kind, host, port, and for an engine the time between tokens in milliseconds and
+     *     its slots
      * @throws IOException if the port is taken
      * @throws InterruptedException if the thread is interrupted
      */
@@ -44,7 +45,10 @@
                                     host,
                                     port,
                                     new EngineStandIn.Settings(
-                                            Integer.parseInt(args[3]), 8000, 32, 2000));
+                                            Integer.parseInt(args[3]),
+                                            8000,
+                                            args.length > 4 ? Integer.parseInt(args[4]) : 32,
+                                            2000));
                     case "service" -> new ServiceStandIn(host, port);
                     default ->
                             throw new IllegalArgumentException(
