Let queue predictions know what ended and what was computed since the load report

Cause: reports are 2 to 4 s old; requests that ended since were still counted as running and computed prompt tokens as queued, so the router saw full engines that had room, and fled from warm caches. Ruled out: the slot-wait formula itself (unchanged). Change: own ends are taken off, and queued prompt tokens shrink at the engine's rate with the time.

--- a/trailladder-bench/src/main/java/io/trailladder/bench/CoreSlopes.java
+++ b/trailladder-bench/src/main/java/io/trailladder/bench/CoreSlopes.java
@@ -24,6 +24,7 @@
 import io.trailladder.core.limit.RateLimiter;
 import io.trailladder.core.membership.Upstream;
 import io.trailladder.core.membership.UpstreamDirectory;
+import io.trailladder.core.routing.LoadReport;
 import io.trailladder.core.routing.PromptBlocks;
 import io.trailladder.core.routing.Router;
 import io.trailladder.core.routing.RoutingDecision;
@@ -141,11 +142,9 @@
     public RoutingDecision decision(Routing state) {
         RoutingQuery query = state.query();
         RoutingDecision decision = state.router.choose(query, 0);
-        state.router.sent(query, decision.chosen().orElseThrow());
+        state.router.sent(query, decision.chosen().orElseThrow(), 0);
         state.router.load(decision.chosen().get()).ended();
-        state.router
-                .load(decision.chosen().get())
-                .reported(io.trailladder.core.routing.LoadReport.UNKNOWN);
+        state.router.load(decision.chosen().get()).reported(LoadReport.UNKNOWN, 0);
         return decision;
     }
 
--- a/trailladder-bench/src/main/java/io/trailladder/bench/PolicyReplay.java
+++ b/trailladder-bench/src/main/java/io/trailladder/bench/PolicyReplay.java
@@ -142,7 +142,7 @@
         }
         while (!reports.isEmpty() && reports.peekFirst().at() <= now) {
             Late late = reports.pollFirst();
-            policy.reported(late.engine(), late.report());
+            policy.reported(late.engine(), late.report(), now);
         }
     }
 }
--- a/trailladder-bench/src/main/java/io/trailladder/bench/RoutingPolicy.java
+++ b/trailladder-bench/src/main/java/io/trailladder/bench/RoutingPolicy.java
@@ -39,7 +39,7 @@
     default void ended(int engine) {}
 
     /** Is told of a late load report. */
-    default void reported(int engine, LoadReport report) {}
+    default void reported(int engine, LoadReport report, double now) {}
 
     /** Takes engines in turn. */
     static RoutingPolicy roundRobin(int engines) {
@@ -114,7 +114,7 @@
             RoutingQuery query =
                     new RoutingQuery("modelo", request.blocks(), request.answerTokens(), Set.of());
             Optional<String> chosen = router.choose(query, (long) now).chosen();
-            chosen.ifPresent(id -> router.sent(query, id));
+            chosen.ifPresent(id -> router.sent(query, id, (long) now));
             return chosen.map(id -> Integer.parseInt(id.substring(1)));
         }
 
@@ -124,8 +124,8 @@
         }
 
         @Override
-        public void reported(int engine, LoadReport report) {
-            router.load("e" + engine).reported(report);
+        public void reported(int engine, LoadReport report, double now) {
+            router.load("e" + engine).reported(report, (long) now);
         }
     }
 }
--- a/trailladder-core/src/main/java/io/trailladder/core/routing/Router.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/routing/Router.java
@@ -93,10 +93,11 @@
      *
      * @param query the request
      * @param upstream the upstream's name
+     * @param nowMillis the time
      */
-    public void sent(RoutingQuery query, String upstream) {
+    public void sent(RoutingQuery query, String upstream, long nowMillis) {
         int cached = cachedTokens(query, upstream);
-        load(upstream).sent(query.promptTokens() - cached);
+        load(upstream).sent(query.promptTokens() - cached, nowMillis);
         if (query.blocks() != null) {
             prefixes.sent(query.blocks(), upstream);
         }
@@ -138,7 +139,7 @@
         int cached = cachedTokens(query, id);
         return new Candidate(
                 id,
-                load.queueMillis(query.maxTokens()),
+                load.queueMillis(query.maxTokens(), nowMillis),
                 load.prefillMillis(query.promptTokens() - cached),
                 cached,
                 fitness(id, load, query, nowMillis));
--- a/trailladder-core/src/main/java/io/trailladder/core/routing/UpstreamLoad.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/routing/UpstreamLoad.java
@@ -26,8 +26,9 @@
 
     private LoadReport report = LoadReport.UNKNOWN;
     private int inFlight;
-    private int sentSinceReport;
-    private int tokensSentSinceReport;
+    private int balanceSinceReport;
+    private long drainedFromMillis;
+    private double queuedTokens;
     private int streak;
     private long suspectUntilMillis;
 
@@ -35,27 +36,32 @@
      * Records a request sent to the upstream.
      *
      * @param uncachedTokens prompt tokens it must compute
+     * @param nowMillis the time
      */
-    public void sent(int uncachedTokens) {
+    public void sent(int uncachedTokens, long nowMillis) {
         inFlight++;
-        sentSinceReport++;
-        tokensSentSinceReport += uncachedTokens;
+        balanceSinceReport++;
+        queuedTokens = queuedTokens(nowMillis) + uncachedTokens;
+        drainedFromMillis = nowMillis;
     }
 
     /** Records that a request sent to the upstream has ended. */
     public void ended() {
         inFlight = Math.max(0, inFlight - 1);
+        balanceSinceReport--;
     }
 
     /**
      * Takes over a load report.
      *
      * @param latest the report
+     * @param nowMillis the time
      */
-    public void reported(LoadReport latest) {
+    public void reported(LoadReport latest, long nowMillis) {
         report = latest;
-        sentSinceReport = 0;
-        tokensSentSinceReport = 0;
+        balanceSinceReport = 0;
+        queuedTokens = latest.queuedPromptTokens();
+        drainedFromMillis = nowMillis;
     }
 
     /**
@@ -89,16 +95,13 @@
      * Predicts how long a new request waits before its prompt is computed.
      *
      * @param maxTokens tokens an average request in front of it generates
+     * @param nowMillis the time
      * @return milliseconds
      */
-    public double queueMillis(int maxTokens) {
-        double prefill =
-                (report.queuedPromptTokens() + tokensSentSinceReport)
-                        * MILLIS_PER_SECOND
-                        / report.prefillTokensPerSecond();
-        int ahead = waitingAhead();
+    public double queueMillis(int maxTokens, long nowMillis) {
+        double prefill = prefillMillis((int) queuedTokens(nowMillis));
         double slotMillis = (double) maxTokens * report.tokenMillis() / report.slots();
-        return prefill + ahead * slotMillis;
+        return prefill + waitingAhead() * slotMillis;
     }
 
     /**
@@ -130,7 +133,17 @@
     }
 
     private int waitingAhead() {
-        int busy = Math.max(report.running() + report.waiting() + sentSinceReport, inFlight);
+        int reported = report.running() + report.waiting() + balanceSinceReport;
+        int busy = Math.max(reported, inFlight);
         return Math.max(0, busy - report.slots() + 1);
     }
+
+    /** Prompt tokens not yet computed, assuming that the upstream has worked on them since. */
+    private double queuedTokens(long nowMillis) {
+        double computed =
+                (nowMillis - drainedFromMillis)
+                        * report.prefillTokensPerSecond()
+                        / MILLIS_PER_SECOND;
+        return Math.max(0, queuedTokens - computed);
+    }
 }
--- a/trailladder-core/src/test/java/io/trailladder/core/routing/RouterTest.java
+++ b/trailladder-core/src/test/java/io/trailladder/core/routing/RouterTest.java
@@ -68,8 +68,8 @@
         directory.listed(list, List.of());
         RoutingQuery query = query(PROMPT);
         String first = router.choose(query, 0).chosen().orElseThrow();
-        router.sent(query, first);
-        router.load(first).reported(LoadReport.UNKNOWN);
+        router.sent(query, first, 0);
+        router.load(first).reported(LoadReport.UNKNOWN, 0);
         assertEquals(Optional.of(first), router.choose(query(PROMPT + " y otra"), 1).chosen());
     }
 
--- a/trailladder-entry/src/main/java/io/trailladder/entry/serve/Placements.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/serve/Placements.java
@@ -199,7 +199,7 @@
      * @param report the report
      */
     public synchronized void reported(String upstream, LoadReport report) {
-        router.load(upstream).reported(report);
+        router.load(upstream).reported(report, MonotonicClock.millis());
     }
 
     /**
@@ -261,10 +261,11 @@
      */
     public synchronized Map<String, Integer> waits() {
         Map<String, Integer> waits = new HashMap<>();
+        long now = MonotonicClock.millis();
         for (UpstreamState state : directory.states()) {
             boolean here = state.upstream().dataCentre().equals(dataCentre);
             if (here && state.takesNewWork()) {
-                double wait = router.load(state.upstream().id()).queueMillis(256);
+                double wait = router.load(state.upstream().id()).queueMillis(256, now);
                 waits.merge(state.upstream().target(), (int) wait, Math::min);
             }
         }
@@ -295,12 +296,13 @@
 
     private Optional<Upstream> choose(Ticket ticket) {
         RoutingQuery query = ticket.query();
-        RoutingDecision decision = router.choose(query, MonotonicClock.millis());
+        long now = MonotonicClock.millis();
+        RoutingDecision decision = router.choose(query, now);
         if (decision.chosen().isEmpty()) {
             return Optional.empty();
         }
         String id = decision.chosen().get();
-        router.sent(query, id);
+        router.sent(query, id, now);
         log(ticket, query, decision);
         return directory.state(id).map(UpstreamState::upstream);
     }
