--- a/trailladder-cli/src/main/java/io/trailladder/cli/TrailladderCommand.java
+++ b/trailladder-cli/src/main/java/io/trailladder/cli/TrailladderCommand.java
@@ -41,6 +41,7 @@
             EntryCommand.class,
             TableCommand.class,
             StatusCommand.class,
+            ReplayCommand.class,
             GenerateCompletion.class
         })
 public final class TrailladderCommand implements Runnable {
@@ -69,6 +70,6 @@
     @Override
     public void run() {
         throw new ParameterException(
-                spec.commandLine(), "missing command, expected entry, table or status");
+                spec.commandLine(), "missing command, expected entry, table, status or replay");
     }
 }
