--- a/trailladder-entry/src/main/java/io/trailladder/entry/EntryMetrics.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/EntryMetrics.java
@@ -15,6 +15,7 @@
  */
 package io.trailladder.entry;
 
+import io.prometheus.metrics.core.datapoints.DistributionDataPoint;
 import io.prometheus.metrics.core.metrics.Counter;
 import io.prometheus.metrics.core.metrics.Gauge;
 import io.prometheus.metrics.core.metrics.Histogram;
@@ -101,23 +102,41 @@
     }
 
     /**
-     * Records the wait for the first token.
+     * Looks up one organisation's histograms, so that a stream need not do it at every token.
      *
      * @param organisation the organisation
-     * @param millis milliseconds
+     * @return its histograms
      */
-    public void firstToken(String organisation, long millis) {
-        firstToken.labelValues(organisation, "model").observe(millis / 1000.0);
+    public TokenTimes tokenTimes(String organisation) {
+        return new TokenTimes(
+                firstToken.labelValues(organisation, "model"),
+                betweenTokens.labelValues(organisation, "model"));
     }
 
     /**
-     * Records the time between two tokens.
+     * Holds one organisation's token histograms.
      *
-     * @param organisation the organisation
-     * @param millis milliseconds
+     * @param first time to the first token
+     * @param between time between two tokens
      */
-    public void betweenTokens(String organisation, long millis) {
-        betweenTokens.labelValues(organisation, "model").observe(millis / 1000.0);
+    public record TokenTimes(DistributionDataPoint first, DistributionDataPoint between) {
+        /**
+         * Records the wait for the first token.
+         *
+         * @param millis milliseconds
+         */
+        public void first(long millis) {
+            first.observe(millis / 1000.0);
+        }
+
+        /**
+         * Records the time between two tokens.
+         *
+         * @param millis milliseconds
+         */
+        public void between(long millis) {
+            between.observe(millis / 1000.0);
+        }
     }
 
     /**
--- a/trailladder-entry/src/main/java/io/trailladder/entry/serve/GenerationRunner.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/serve/GenerationRunner.java
@@ -33,6 +33,7 @@
 import io.trailladder.core.table.Row;
 import io.trailladder.core.table.RowKey;
 import io.trailladder.entry.EntryMetrics.Event;
+import io.trailladder.entry.EntryMetrics.TokenTimes;
 import io.trailladder.entry.MonotonicClock;
 import io.trailladder.wire.RequestRecord;
 import java.util.ArrayList;
@@ -61,6 +62,7 @@
     private final GenerationMachine machine;
     private final PromptBlocks blocks;
     private final Runnable onEnd;
+    private final TokenTimes times;
     private final long startedMillis = MonotonicClock.millis();
     private final List<AnswerFeed> feeds = new ArrayList<>();
     private RoutingQuery query;
@@ -87,6 +89,7 @@
         this.request = request;
         this.row = row;
         this.onEnd = onEnd;
+        this.times = context.metrics().tokenTimes(request.organisation());
         this.log = new AnswerLog(request.tokens());
         this.blocks = PromptBlocks.of(request.organisation(), request.model(), request.prompt());
         this.query = query(Set.of());
@@ -332,9 +335,9 @@
     private void emitted() {
         long now = MonotonicClock.millis();
         if (log.size() == 1) {
-            context.metrics().firstToken(request.organisation(), now - startedMillis);
+            times.first(now - startedMillis);
         } else if (lastTokenMillis > 0) {
-            context.metrics().betweenTokens(request.organisation(), now - lastTokenMillis);
+            times.between(now - lastTokenMillis);
         }
         lastTokenMillis = now;
         feeds.forEach(this::pump);
