Revert reading engine events without a tree: it did not help

Cause: the request path costs 64 us of processor a token; a JSON tree and label look-ups were suspected. Conclusion: reverted; the tests of bad input stay. Reads, writes and wake-ups a token are the next suspects.

--- a/trailladder-entry/src/main/java/io/trailladder/entry/EntryMetrics.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/EntryMetrics.java
@@ -15,7 +15,6 @@
  */
 package io.trailladder.entry;
 
-import io.prometheus.metrics.core.datapoints.DistributionDataPoint;
 import io.prometheus.metrics.core.metrics.Counter;
 import io.prometheus.metrics.core.metrics.Gauge;
 import io.prometheus.metrics.core.metrics.Histogram;
@@ -102,41 +101,23 @@
     }
 
     /**
-     * Looks up one organisation's histograms, so that a stream need not do it at every token.
+     * Records the wait for the first token.
      *
      * @param organisation the organisation
-     * @return its histograms
+     * @param millis milliseconds
      */
-    public TokenTimes tokenTimes(String organisation) {
-        return new TokenTimes(
-                firstToken.labelValues(organisation, "model"),
-                betweenTokens.labelValues(organisation, "model"));
+    public void firstToken(String organisation, long millis) {
+        firstToken.labelValues(organisation, "model").observe(millis / 1000.0);
     }
 
     /**
-     * Holds one organisation's token histograms.
+     * Records the time between two tokens.
      *
-     * @param first time to the first token
-     * @param between time between two tokens
+     * @param organisation the organisation
+     * @param millis milliseconds
      */
-    public record TokenTimes(DistributionDataPoint first, DistributionDataPoint between) {
-        /**
-         * Records the wait for the first token.
-         *
-         * @param millis milliseconds
-         */
-        public void first(long millis) {
-            first.observe(millis / 1000.0);
-        }
-
-        /**
-         * Records the time between two tokens.
-         *
-         * @param millis milliseconds
-         */
-        public void between(long millis) {
-            between.observe(millis / 1000.0);
-        }
+    public void betweenTokens(String organisation, long millis) {
+        betweenTokens.labelValues(organisation, "model").observe(millis / 1000.0);
     }
 
     /**
--- a/trailladder-entry/src/main/java/io/trailladder/entry/serve/GenerationRunner.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/serve/GenerationRunner.java
@@ -33,7 +33,6 @@
 import io.trailladder.core.table.Row;
 import io.trailladder.core.table.RowKey;
 import io.trailladder.entry.EntryMetrics.Event;
-import io.trailladder.entry.EntryMetrics.TokenTimes;
 import io.trailladder.entry.MonotonicClock;
 import io.trailladder.wire.RequestRecord;
 import java.util.ArrayList;
@@ -62,7 +61,6 @@
     private final GenerationMachine machine;
     private final PromptBlocks blocks;
     private final Runnable onEnd;
-    private final TokenTimes times;
     private final long startedMillis = MonotonicClock.millis();
     private final List<AnswerFeed> feeds = new ArrayList<>();
     private RoutingQuery query;
@@ -89,7 +87,6 @@
         this.request = request;
         this.row = row;
         this.onEnd = onEnd;
-        this.times = context.metrics().tokenTimes(request.organisation());
         this.log = new AnswerLog(request.tokens());
         this.blocks = PromptBlocks.of(request.organisation(), request.model(), request.prompt());
         this.query = query(Set.of());
@@ -335,9 +332,9 @@
     private void emitted() {
         long now = MonotonicClock.millis();
         if (log.size() == 1) {
-            times.first(now - startedMillis);
+            context.metrics().firstToken(request.organisation(), now - startedMillis);
         } else if (lastTokenMillis > 0) {
-            times.between(now - lastTokenMillis);
+            context.metrics().betweenTokens(request.organisation(), now - lastTokenMillis);
         }
         lastTokenMillis = now;
         feeds.forEach(this::pump);
--- a/trailladder-entry/src/main/java/io/trailladder/entry/serve/HttpEngineApi.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/serve/HttpEngineApi.java
@@ -15,9 +15,6 @@
  */
 package io.trailladder.entry.serve;
 
-import com.fasterxml.jackson.core.JsonFactory;
-import com.fasterxml.jackson.core.JsonParser;
-import com.fasterxml.jackson.core.JsonToken;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
@@ -43,7 +40,6 @@
  */
 public final class HttpEngineApi implements EngineApi {
     private static final ObjectMapper JSON = new ObjectMapper();
-    private static final JsonFactory FACTORY = JSON.getFactory();
     private static final long CONTROL_MILLIS = 1_000;
     private static final int OK = 200;
 
@@ -168,39 +164,16 @@
             }
         }
 
-        /** Reads one event field by field; it comes once a token, so no tree is built. */
         private void event(String data) throws IOException {
-            String requestId = "";
-            String text = null;
-            int attempt = -1;
-            int position = -1;
-            int end = -1;
-            try (JsonParser fields = FACTORY.createParser(data)) {
-                if (fields.nextToken() != JsonToken.START_OBJECT) {
-                    throw new IOException("an event that is no object");
-                }
-                for (String name = fields.nextFieldName();
-                        name != null;
-                        name = fields.nextFieldName()) {
-                    fields.nextToken();
-                    switch (name) {
-                        case "r" -> requestId = fields.getValueAsString("");
-                        case "a" -> attempt = fields.getValueAsInt(-1);
-                        case "p" -> position = fields.getValueAsInt(-1);
-                        case "t" -> text = fields.getValueAsString();
-                        case "end" -> end = fields.getValueAsInt(-1);
-                        default -> fields.skipChildren();
-                    }
-                }
-                if (fields.currentToken() != JsonToken.END_OBJECT) {
-                    throw new IOException("an event that does not end");
-                }
-            }
-            if (text != null && position >= 0) {
-                listener.token(requestId, attempt, position, text);
-            } else if (end >= 0) {
+            JsonNode node = JSON.readTree(data);
+            String requestId = node.path("r").asText();
+            int attempt = node.path("a").asInt(-1);
+            if (node.path("t").isTextual() && node.path("p").isInt()) {
+                int position = node.path("p").asInt();
+                listener.token(requestId, attempt, position, node.path("t").asText());
+            } else if (node.path("end").isInt()) {
                 ended = true;
-                listener.ended(requestId, attempt, end);
+                listener.ended(requestId, attempt, node.path("end").asInt());
             } else {
                 throw new IOException("an event that is neither token nor end");
             }
