End a deadlock between a request and the placements, and go on behind a relay after two losses

Cause: the wave test hung. Placements asked a waiting request for its query under their own lock, and the request asked for a placement under its lock: each waited for the other. Found by reading the lock order after ruling out lost timers and a null upstream (no exception in the log). A second test, new here, lost the rest of a relayed stream when its second serving entry was killed: the search ran while the copy's keeper was taking over; also the position to go on from was counted wrongly after a second loss. Files of many jobs split: Admission, RequestRecovery, RequestNames, CopyStore, HeartbeatSender, PeriodicTasks. Conclusion: callbacks under the placements' lock must take no other lock, which the interface now says.

--- a/trailladder-bench/src/main/java/io/trailladder/bench/CoreSlopes.java
+++ b/trailladder-bench/src/main/java/io/trailladder/bench/CoreSlopes.java
@@ -39,6 +39,7 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
+import java.util.Locale;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -199,7 +200,7 @@
     }
 
     private static Row row(int number, int weight) {
-        String hash = String.format(java.util.Locale.ROOT, "%064x", number);
+        String hash = String.format(Locale.ROOT, "%064x", number);
         return new Row(
                 "org-" + number,
                 "modelo-hipo",
--- a/trailladder-cli/src/main/java/io/trailladder/cli/TableCommand.java
+++ b/trailladder-cli/src/main/java/io/trailladder/cli/TableCommand.java
@@ -28,6 +28,7 @@
 import io.vavr.control.Validation;
 import java.io.IOException;
 import java.io.PrintWriter;
+import java.io.StringReader;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -307,7 +308,7 @@
 
     private Optional<Seq<Row>> checked(Row row) {
         Validation<Seq<RowFault>, Seq<Row>> checked =
-                TableFile.parse(new java.io.StringReader(TableFile.write(List.of(row))));
+                TableFile.parse(new StringReader(TableFile.write(List.of(row))));
         if (checked.isInvalid()) {
             checked.getError().forEach(f -> err().println("error: " + f.describe("row")));
             return Optional.empty();
--- a/trailladder-cli/src/test/java/io/trailladder/cli/fault/Deployment.java
+++ b/trailladder-cli/src/test/java/io/trailladder/cli/fault/Deployment.java
@@ -233,10 +233,23 @@
     }
 
     private int peers(SpawnedEntry entry) {
+        return status(entry).split("\"entry\"").length - 2;
+    }
+
+    /** Kills the spawned entry that works on the only open request. */
+    void killServing() {
+        for (SpawnedEntry entry : spawned) {
+            if (entry.process().isAlive() && status(entry).contains("\"openRequests\":1")) {
+                entry.process().destroyForcibly();
+                return;
+            }
+        }
+    }
+
+    private String status(SpawnedEntry entry) {
         HttpCall call = HttpCall.get(HostPort.parse(entry.operatorAddress()), "/status", 1_000);
         return client.call(call)
                 .handle((reply, failure) -> failure == null ? reply.text() : "")
-                .thenApply(text -> text.split("\"entry\"").length - 2)
                 .join();
     }
 
--- a/trailladder-cli/src/test/java/io/trailladder/cli/fault/ReclaimFaultTest.java
+++ b/trailladder-cli/src/test/java/io/trailladder/cli/fault/ReclaimFaultTest.java
@@ -75,6 +75,11 @@
         return streams;
     }
 
+    /** Waits for a stream's end; one that hangs is a failure, not a test that hangs. */
+    private static Streamed ended(CompletableFuture<Streamed> stream) {
+        return stream.orTimeout(60, TimeUnit.SECONDS).join();
+    }
+
     private static void reclaimAndExpectWhole(String exportFault, int notice) throws Exception {
         ExecutorService pool = Executors.newCachedThreadPool();
         try (Deployment system = new Deployment()) {
@@ -90,7 +95,7 @@
             first.fault(new Fault(exportFault, 1000, 5_000, 0));
             system.cloud.reclaim("e-1", notice);
             for (int i = 0; i < streams.size(); i++) {
-                assertWhole(prompt(i), streams.get(i).join());
+                assertWhole(prompt(i), ended(streams.get(i)));
             }
         } finally {
             pool.shutdownNow();
@@ -129,7 +134,7 @@
             Deployment.pause(1_500);
             system.engine("e-3", "baires-a");
             for (int i = 0; i < streams.size(); i++) {
-                assertWhole(prompt(i), streams.get(i).join());
+                assertWhole(prompt(i), ended(streams.get(i)));
             }
         } finally {
             pool.shutdownNow();
@@ -216,7 +221,7 @@
                 Deployment.await(() -> fresh.call("/services/calculo/x", "p").status() == 200);
                 stopped.signal("TERM");
                 for (int i = 0; i < streams.size(); i++) {
-                    assertWhole(prompt(i), streams.get(i).join());
+                    assertWhole(prompt(i), ended(streams.get(i)));
                 }
                 assertEquals(143, stopped.process().waitFor());
             }
@@ -225,6 +230,31 @@
         }
     }
 
+    @Example
+    void servingEntriesLostOneAfterAnotherBehindARelayAreInvisibleToTheCaller() throws Exception {
+        try (Deployment system = new Deployment()) {
+            system.engine("e-1", "baires-a");
+            system.service("s-1", "baires-a");
+            system.table(List.of(ORGANISATION), List.of("baires-a"));
+            system.spawn("baires-a");
+            system.spawn("baires-a");
+            system.spawn("baires-a");
+            SpawnedEntry relay = system.spawn("baires-b");
+            system.awaitServing(ORGANISATION);
+            Caller caller = new Caller(relay.callerAddress(), KEY);
+            Streamed answer =
+                    caller.stream(
+                            prompt(3),
+                            TOKENS,
+                            token -> {
+                                if (token == 100 || token == 250) {
+                                    system.killServing();
+                                }
+                            });
+            assertWhole(prompt(3), answer);
+        }
+    }
+
     private static Streamed resumeUntilFound(Caller other, Streamed cut) {
         AtomicReference<Streamed> rest = new AtomicReference<>();
         Deployment.await(
--- a/trailladder-entry/src/main/java/io/trailladder/entry/EntryDaemon.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/EntryDaemon.java
@@ -16,7 +16,6 @@
 package io.trailladder.entry;
 
 import io.trailladder.core.claim.RangeMap;
-import io.trailladder.core.table.RowKey;
 import io.trailladder.entry.caller.CallerHandler;
 import io.trailladder.entry.operator.OperatorServer;
 import io.trailladder.entry.operator.StatusReport;
@@ -46,18 +45,9 @@
 import io.trailladder.wire.PeerMessage;
 import io.trailladder.wire.PeerMessage.Heartbeat;
 import io.trailladder.wire.PeerMessage.RangeMapNews;
-import io.trailladder.wire.PeerMessage.RowDemand;
-import io.trailladder.wire.PeerMessage.TargetLoad;
 import java.io.IOException;
-import java.util.ArrayList;
-import java.util.HashMap;
-import java.util.HashSet;
 import java.util.HexFormat;
 import java.util.List;
-import java.util.Map;
-import java.util.Optional;
-import java.util.Set;
-import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
@@ -105,9 +95,9 @@
     private final EntrySync entrySync;
     private final ClaimSync claimSync;
     private final PeerRouter router;
+    private final HeartbeatSender heartbeats;
     private final OperatorServer operators;
     private final HttpServer callers = new HttpServer();
-    private final Set<String> lostPeers = new HashSet<>();
     private volatile boolean stopping;
 
     /**
@@ -118,7 +108,7 @@
     public EntryDaemon(EntrySettings settings) {
         this.settings = settings;
         this.self = presentation(settings);
-        this.timer = Executors.newScheduledThreadPool(TIMER_THREADS, EntryDaemon::timerThread);
+        this.timer = PeriodicTasks.newTimer(TIMER_THREADS);
         this.client = new HttpClient(timer);
         this.links = new PeerLinks(self, settings.peerKey(), new LateHandler());
         this.placements =
@@ -178,6 +168,17 @@
                                 new PeerServer(links, dispatcher, book),
                                 claims,
                                 new Greeter()));
+        this.heartbeats =
+                new HeartbeatSender(
+                        self,
+                        links,
+                        placements,
+                        policies,
+                        claims,
+                        chooser,
+                        members,
+                        dispatcher::draining,
+                        router::lost);
         this.operators =
                 new OperatorServer(
                         settings.operatorAddress(),
@@ -201,8 +202,7 @@
         entrySync.start();
         fleetSync.start();
         claimSync.start();
-        timer.scheduleAtFixedRate(
-                this::beat, HEARTBEAT_MILLIS, HEARTBEAT_MILLIS, TimeUnit.MILLISECONDS);
+        PeriodicTasks.repeat(timer, "heartbeat", this::beat, HEARTBEAT_MILLIS);
         Logger.info("entry {} in {} started", self.id(), self.dataCentre());
     }
 
@@ -352,55 +352,13 @@
     }
 
     private void beat() {
-        links.sendAll(heartbeat(policies.measureDemand()));
-        shareLimits();
+        heartbeats.beat();
         metrics.openRequests(book.open());
-        noticeSilentPeers();
-    }
-
-    private Heartbeat heartbeat(List<RowDemand> demand) {
-        List<TargetLoad> loads = new ArrayList<>();
-        placements.waits().forEach((target, wait) -> loads.add(new TargetLoad(target, wait)));
-        return new Heartbeat(
-                policies.table().revision(),
-                claims.mapVersion(),
-                dispatcher.draining(),
-                loads,
-                demand);
-    }
-
-    private void shareLimits() {
-        Map<RowKey, Double> others = new HashMap<>();
-        int peers = 0;
-        for (EntryInfo peer : links.live()) {
-            Optional<Heartbeat> heartbeat = chooser.heartbeat(peer.id());
-            if (heartbeat.isPresent()) {
-                peers++;
-                for (RowDemand demand : heartbeat.get().demands()) {
-                    RowKey key = new RowKey(demand.organisation(), demand.target());
-                    others.merge(key, demand.perSecond(), Double::sum);
-                }
-            }
-        }
-        policies.share(others, peers);
-    }
-
-    /** A peer that is linked but silent, because frozen or cut off, counts as lost once. */
-    private void noticeSilentPeers() {
-        Set<String> live = new HashSet<>();
-        links.live().forEach(peer -> live.add(peer.id()));
-        lostPeers.removeIf(live::contains);
-        for (EntryInfo entry : members.known()) {
-            boolean silent = !live.contains(entry.id()) && !entry.id().equals(self.id());
-            if (silent && lostPeers.add(entry.id())) {
-                router.lost(entry);
-            }
-        }
     }
 
     private void tableInForce() {
         metrics.tableRevision(policies.table().revision());
-        links.sendAll(heartbeat(List.of()));
+        links.sendAll(heartbeats.heartbeat(List.of()));
         Logger.info("table revision {} is in force", policies.table().revision());
     }
 
@@ -413,7 +371,7 @@
         @Override
         public void greet(String peer) {
             links.send(peer, new PeerMessage.Members(members.known()));
-            links.send(peer, heartbeat(List.of()));
+            links.send(peer, heartbeats.heartbeat(List.of()));
         }
 
         @Override
@@ -450,12 +408,6 @@
                 settings.operatorAddress().toString());
     }
 
-    private static Thread timerThread(Runnable work) {
-        Thread thread = new Thread(work, "timer");
-        thread.setDaemon(true);
-        return thread;
-    }
-
     private static void pause(long millis) {
         try {
             Thread.sleep(millis);
--- a/trailladder-entry/src/main/java/io/trailladder/entry/EntryMetrics.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/EntryMetrics.java
@@ -19,6 +19,7 @@
 import io.prometheus.metrics.core.metrics.Gauge;
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.util.Locale;
 
 /**
  * Holds the entry's metrics. Label values come from the table and from enums, so callers cannot add
@@ -97,7 +98,7 @@
      * @param event the event
      */
     public void count(Event event) {
-        events.labelValues(event.name().toLowerCase(java.util.Locale.ROOT)).inc();
+        events.labelValues(event.name().toLowerCase(Locale.ROOT)).inc();
     }
 
     /**
--- /dev/null
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/PeriodicTasks.java
@@ -0,0 +1,71 @@
+/*
+ * Copyright 2026 The trailladder authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package io.trailladder.entry;
+
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.ThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+import org.tinylog.Logger;
+
+/**
+ * Runs work again and again. A run that fails is logged and does not end the runs after it, as it
+ * would with the JDK's executors alone.
+ *
+ * @since 0.1
+ */
+public final class PeriodicTasks {
+    private PeriodicTasks() {}
+
+    /**
+     * Creates the timer of an entry. After its shutdown it drops what it is given.
+     *
+     * @param threads how many threads it has
+     * @return the timer
+     */
+    public static ScheduledExecutorService newTimer(int threads) {
+        return new ScheduledThreadPoolExecutor(
+                threads, PeriodicTasks::daemon, new ThreadPoolExecutor.DiscardPolicy());
+    }
+
+    /**
+     * Runs work again and again, with a pause after each run.
+     *
+     * @param timer runs it
+     * @param name names it in the log
+     * @param work the work
+     * @param pauseMillis the pause, in milliseconds
+     */
+    public static void repeat(
+            ScheduledExecutorService timer, String name, Runnable work, long pauseMillis) {
+        timer.scheduleWithFixedDelay(
+                () -> runLogged(name, work), pauseMillis, pauseMillis, TimeUnit.MILLISECONDS);
+    }
+
+    private static void runLogged(String name, Runnable work) {
+        try {
+            work.run();
+        } catch (RuntimeException e) {
+            Logger.error(e, "periodic task {} failed and goes on", name);
+        }
+    }
+
+    private static Thread daemon(Runnable work) {
+        Thread thread = new Thread(work, "timer");
+        thread.setDaemon(true);
+        return thread;
+    }
+}
--- a/trailladder-entry/src/main/java/io/trailladder/entry/log/JsonLinesWriter.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/log/JsonLinesWriter.java
@@ -17,6 +17,8 @@
 
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.FileDescriptor;
+import java.io.FileOutputStream;
 import java.io.PrintStream;
 import java.nio.charset.StandardCharsets;
 import java.util.Collection;
@@ -37,10 +39,7 @@
     private static final ObjectMapper JSON = new ObjectMapper();
 
     private final PrintStream out =
-            new PrintStream(
-                    new java.io.FileOutputStream(java.io.FileDescriptor.err),
-                    true,
-                    StandardCharsets.UTF_8);
+            new PrintStream(new FileOutputStream(FileDescriptor.err), true, StandardCharsets.UTF_8);
 
     /**
      * Creates the writer; called by tinylog.
--- a/trailladder-entry/src/main/java/io/trailladder/entry/peer/PeerLinks.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/peer/PeerLinks.java
@@ -15,6 +15,7 @@
  */
 package io.trailladder.entry.peer;
 
+import io.trailladder.entry.PeriodicTasks;
 import io.trailladder.platform.http.HostPort;
 import io.trailladder.wire.EntryInfo;
 import io.trailladder.wire.PeerMessage;
@@ -100,7 +101,7 @@
     public void start(HostPort address, ScheduledExecutorService timer) throws IOException {
         transport.bind(new InetSocketAddress(address.host(), address.port()));
         transport.start();
-        timer.scheduleWithFixedDelay(this::dialMissing, 0, DIAL_MILLIS, TimeUnit.MILLISECONDS);
+        PeriodicTasks.repeat(timer, "dial", this::dialMissing, DIAL_MILLIS);
     }
 
     /**
--- a/trailladder-entry/src/main/java/io/trailladder/entry/serve/AnswerFeed.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/serve/AnswerFeed.java
@@ -17,8 +17,10 @@
 
 import io.trailladder.core.request.AnswerLog;
 import io.trailladder.core.request.Failure;
+import io.trailladder.core.request.Outcome;
 import io.trailladder.wire.PeerMessage.Header;
 import io.trailladder.wire.RequestRecord;
+import java.util.ArrayList;
 import java.util.List;
 
 /**
@@ -101,10 +103,7 @@
         over = true;
         if (!stream) {
             Answers.failure(
-                    sink,
-                    requestId,
-                    new Failure(
-                            io.trailladder.core.request.Outcome.UNKNOWN, Failure.Kind.STOPPING, 1));
+                    sink, requestId, new Failure(Outcome.UNKNOWN, Failure.Kind.STOPPING, 1));
             return;
         }
         sendHead();
@@ -123,7 +122,7 @@
     private void sendHead() {
         if (!headSent) {
             headSent = true;
-            List<Header> all = new java.util.ArrayList<>(headers);
+            List<Header> all = new ArrayList<>(headers);
             all.add(new Header("Content-Type", "text/event-stream"));
             all.add(new Header("Cache-Control", "no-store"));
             sink.head(200, all);
--- a/trailladder-entry/src/main/java/io/trailladder/entry/serve/GenerationRunner.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/serve/GenerationRunner.java
@@ -63,7 +63,8 @@
     private final Runnable onEnd;
     private final long startedMillis = MonotonicClock.millis();
     private final List<AnswerFeed> feeds = new ArrayList<>();
-    private RoutingQuery query;
+    private volatile RoutingQuery query;
+    private volatile boolean begun;
     private EngineApi.Running running;
     private Upstream current;
     private Upstream reserved;
@@ -88,6 +89,7 @@
         this.row = row;
         this.onEnd = onEnd;
         this.log = new AnswerLog(request.tokens());
+        this.begun = log.size() > 0;
         this.blocks = PromptBlocks.of(request.organisation(), request.model(), request.prompt());
         this.query = query(Set.of());
         GenerationMachine.Settings settings =
@@ -226,7 +228,7 @@
     }
 
     @Override
-    public synchronized RoutingQuery query() {
+    public RoutingQuery query() {
         return query;
     }
 
@@ -241,12 +243,17 @@
     }
 
     @Override
-    public synchronized boolean begun() {
-        return log.size() > 0;
+    public boolean begun() {
+        return begun;
     }
 
     @Override
     public synchronized void placed(Upstream upstream) {
+        if (reserved != null && machine.wants(reserved.id())) {
+            // placed twice: once from the queue and once at once; the first one counts
+            context.placements().release(upstream.id());
+            return;
+        }
         reserve(upstream);
         perform(machine.placed(upstream.id(), MonotonicClock.millis()));
         releaseUnused();
@@ -330,6 +337,7 @@
     }
 
     private void emitted() {
+        begun = true;
         long now = MonotonicClock.millis();
         if (log.size() == 1) {
             context.metrics().firstToken(request.organisation(), now - startedMillis);
--- a/trailladder-entry/src/main/java/io/trailladder/entry/serve/IncomingRequest.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/serve/IncomingRequest.java
@@ -80,6 +80,21 @@
                 .findFirst();
     }
 
+    /**
+     * Returns the first event of a stream that the caller lacks.
+     *
+     * @return the event after {@code Last-Event-ID}; 0 without one
+     */
+    public int firstWantedEvent() {
+        try {
+            return header(LAST_EVENT_HEADER)
+                    .map(last -> Math.max(0, Integer.parseInt(last) + 1))
+                    .orElse(0);
+        } catch (NumberFormatException e) {
+            return 0;
+        }
+    }
+
     /**
      * Returns the service the path names.
      *
--- a/trailladder-entry/src/main/java/io/trailladder/entry/serve/PeerRelay.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/serve/PeerRelay.java
@@ -54,26 +54,30 @@
      * @param request the request
      * @param requestId its name at the lost peer; empty if no part of the answer came
      * @param sink where its answer goes
-     * @param parts how many parts of the body came
+     * @param nextEvent the first event of a stream that did not come
+     * @param begun true if the sink already has a part of the answer
      */
-    public record Lost(IncomingRequest request, String requestId, CallerSink sink, int parts) {}
+    public record Lost(
+            IncomingRequest request,
+            String requestId,
+            CallerSink sink,
+            int nextEvent,
+            boolean begun) {}
 
     /** A request at a peer. */
     private static final class Exchange {
         final String peer;
         final IncomingRequest request;
         final CallerSink sink;
-        final int earlierParts;
         String requestId = "";
         boolean headSeen;
         int parts;
 
-        Exchange(String peer, IncomingRequest request, CallerSink sink, int earlierParts) {
+        Exchange(String peer, IncomingRequest request, CallerSink sink, boolean begun) {
             this.peer = peer;
             this.request = request;
             this.sink = sink;
-            this.earlierParts = earlierParts;
-            this.headSeen = earlierParts > 0;
+            this.headSeen = begun;
         }
     }
 
@@ -102,7 +106,7 @@
      * @param requestId the request's name
      * @param request the request
      * @param sink where its answer goes
-     * @param earlierParts parts of the answer that the sink already has
+     * @param begun true if the sink already has a part of the answer
      * @return false if no link to the peer is up; the peer has then not seen the request
      */
     public boolean forward(
@@ -110,9 +114,9 @@
             String requestId,
             IncomingRequest request,
             CallerSink sink,
-            int earlierParts) {
+            boolean begun) {
         long number = exchanges.incrementAndGet();
-        Exchange exchange = new Exchange(peer, request, sink, earlierParts);
+        Exchange exchange = new Exchange(peer, request, sink, begun);
         exchange.requestId = requestId;
         open.put(number, exchange);
         Forward forward =
@@ -228,8 +232,14 @@
 
     private void lost(Exchange exchange) {
         synchronized (exchange) {
-            int parts = exchange.earlierParts + exchange.parts;
-            Lost lost = new Lost(exchange.request, exchange.requestId, exchange.sink, parts);
+            int nextEvent = exchange.request.firstWantedEvent() + exchange.parts;
+            Lost lost =
+                    new Lost(
+                            exchange.request,
+                            exchange.requestId,
+                            exchange.sink,
+                            nextEvent,
+                            exchange.headSeen);
             if (onLost.apply(lost)) {
                 return;
             }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/serve/Placements.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/serve/Placements.java
@@ -56,7 +56,10 @@
     private final Set<Ticket> queued = new HashSet<>();
     private final Deque<LoggedDecision> decisions = new ArrayDeque<>();
 
-    /** Is a request that wants an upstream. */
+    /**
+     * Is a request that wants an upstream. All but {@link #placed} are called under the lock of the
+     * placements, so they must take no other lock.
+     */
     public interface Ticket {
         /**
          * Returns what is asked for.
--- a/trailladder-entry/src/main/java/io/trailladder/entry/serve/RequestBook.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/serve/RequestBook.java
@@ -19,6 +19,7 @@
 import io.trailladder.core.table.Row;
 import io.trailladder.core.table.RowKey;
 import io.trailladder.entry.EntryMetrics.Event;
+import io.trailladder.entry.PeriodicTasks;
 import io.trailladder.wire.EntryInfo;
 import io.trailladder.wire.PeerMessage.RecordDrop;
 import io.trailladder.wire.PeerMessage.RecordHandOver;
@@ -61,7 +62,7 @@
 
     private final ServingContext context;
     private final Map<String, Held> held = new ConcurrentHashMap<>();
-    private final Map<String, Copy> copies = new ConcurrentHashMap<>();
+    private final CopyStore copies = new CopyStore();
     private final Map<String, CompletableFuture<Void>> awaited = new ConcurrentHashMap<>();
 
     /** A request this entry works on, and where its copy is. */
@@ -77,9 +78,6 @@
         }
     }
 
-    /** A request another entry works on. */
-    private record Copy(RequestRecord request, String owner) {}
-
     /**
      * Creates an empty book.
      *
@@ -87,9 +85,7 @@
      */
     public RequestBook(ServingContext context) {
         this.context = context;
-        context.timer()
-                .scheduleWithFixedDelay(
-                        this::copyTokens, COPY_MILLIS, COPY_MILLIS, TimeUnit.MILLISECONDS);
+        PeriodicTasks.repeat(context.timer(), "copies", this::copyTokens, COPY_MILLIS);
         context.policies().onChange(table -> held.values().forEach(h -> h.runner.recheckRow()));
     }
 
@@ -149,12 +145,7 @@
      * @return its runner, if there is such a copy
      */
     public Optional<GenerationRunner> adopt(String requestId, String organisation) {
-        Copy copy = copies.get(requestId);
-        if (copy == null || !copy.request().organisation().equals(organisation)) {
-            return Optional.empty();
-        }
-        copies.remove(requestId);
-        return resume(copy.request());
+        return copies.take(requestId, organisation).flatMap(this::resume);
     }
 
     /**
@@ -168,9 +159,7 @@
         if (find(requestId, organisation).isPresent()) {
             return Standing.HOLDER;
         }
-        Copy copy = copies.get(requestId);
-        boolean has = copy != null && copy.request().organisation().equals(organisation);
-        return has ? Standing.COPY : Standing.NONE;
+        return copies.has(requestId, organisation) ? Standing.COPY : Standing.NONE;
     }
 
     /**
@@ -237,12 +226,7 @@
      * @param peer the peer's name
      */
     public void lost(String peer) {
-        for (Copy copy : List.copyOf(copies.values())) {
-            boolean orphan = copy.owner().equals(peer) && !copy.request().complete();
-            if (orphan && copies.remove(copy.request().requestId(), copy)) {
-                resume(copy.request());
-            }
-        }
+        copies.takeUnfinishedOf(peer).forEach(this::resume);
     }
 
     /**
@@ -252,7 +236,7 @@
      * @param put the request
      */
     public void put(EntryInfo from, RecordPut put) {
-        copies.put(put.request().requestId(), new Copy(put.request(), from.id()));
+        copies.put(put.request(), from.id());
         context.links().send(from.id(), new RecordKept(put.request().requestId()));
     }
 
@@ -274,7 +258,7 @@
      * @param tokens the tokens
      */
     public void tokens(RecordTokens tokens) {
-        tokens.parts().forEach(this::grow);
+        tokens.parts().forEach(copies::grow);
     }
 
     /**
@@ -283,7 +267,7 @@
      * @param drop names the request
      */
     public void drop(RecordDrop drop) {
-        copies.remove(drop.requestId());
+        copies.drop(drop.requestId());
     }
 
     /**
@@ -292,7 +276,7 @@
      * @param handOver the request
      */
     public void handedOver(RecordHandOver handOver) {
-        copies.remove(handOver.request().requestId());
+        copies.drop(handOver.request().requestId());
         resume(handOver.request());
     }
 
@@ -352,20 +336,6 @@
         }
     }
 
-    private void grow(TokenPart part) {
-        copies.computeIfPresent(
-                part.requestId(),
-                (id, copy) -> {
-                    List<String> tokens = copy.request().tokens();
-                    if (part.from() > tokens.size()) {
-                        return copy;
-                    }
-                    List<String> grown = new ArrayList<>(tokens.subList(0, part.from()));
-                    grown.addAll(part.tokens());
-                    return new Copy(copy.request().with(grown, part.complete()), copy.owner());
-                });
-    }
-
     private void copyTokens() {
         Map<String, List<TokenPart>> byKeeper = new HashMap<>();
         Set<String> live = new HashSet<>();
--- a/trailladder-entry/src/main/java/io/trailladder/entry/serve/RequestDispatcher.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/serve/RequestDispatcher.java
@@ -15,24 +15,17 @@
  */
 package io.trailladder.entry.serve;
 
-import com.dynatrace.hash4j.hashing.Hashing;
 import io.trailladder.core.claim.ClaimKey;
 import io.trailladder.core.claim.ClaimReply;
 import io.trailladder.core.request.Failure;
 import io.trailladder.core.request.Failure.Kind;
 import io.trailladder.core.request.Outcome;
 import io.trailladder.core.table.Row;
-import io.trailladder.core.table.RowKey;
 import io.trailladder.core.table.TargetKind;
 import io.trailladder.entry.serve.ServiceRunner.Result;
-import io.trailladder.wire.EntryInfo;
-import io.trailladder.wire.PeerMessage.Header;
 import io.trailladder.wire.RequestRecord;
-import java.util.ArrayList;
-import java.util.HexFormat;
 import java.util.List;
 import java.util.Optional;
-import java.util.concurrent.ThreadLocalRandom;
 
 /**
  * Takes a request that may be read in this data centre to where it is served.
@@ -41,10 +34,9 @@
  */
 public final class RequestDispatcher {
     /** Path below which requests are found again by their names. */
-    public static final String REQUESTS_PATH = "/v1/requests/";
+    public static final String REQUESTS_PATH = RequestRecovery.REQUESTS_PATH;
 
     private static final String CALLS_PATH = "/internal/calls/";
-    private static final String ADMITTED_HEADER = "Trailladder-Admitted";
     private static final String AT_MOST_ONCE = "at-most-once";
     private static final long RETRY_AFTER_MILLIS = 1_000;
 
@@ -52,8 +44,8 @@
     private final RequestBook book;
     private final ClaimService claims;
     private final PeerRelay relay;
-    private final DataCentreChooser chooser;
-    private final RequestFinder finder;
+    private final Admission admission;
+    private final RequestRecovery recovery;
     private final CallBook calls;
     private volatile boolean draining;
 
@@ -78,10 +70,9 @@
         this.book = book;
         this.claims = claims;
         this.relay = relay;
-        this.chooser = chooser;
-        this.finder = finder;
         this.calls = new CallBook(context.self().dataCentre());
-        relay.onLost(this::goOn);
+        this.admission = new Admission(context, book, relay, chooser);
+        this.recovery = new RequestRecovery(context.timer(), book, relay, finder);
     }
 
     /** Refuses new requests from now on. */
@@ -107,11 +98,12 @@
     public void serve(IncomingRequest request, CallerSink sink) {
         String path = request.path();
         if (path.startsWith(REQUESTS_PATH)) {
-            findAgain(request, sink);
+            recovery.findAgain(request, sink);
         } else if (request.relayed() && path.startsWith(CALLS_PATH)) {
             calls.answer(path.substring(CALLS_PATH.length()), request.organisation(), sink);
         } else if (draining) {
-            Answers.failure(sink, "", refusal(request, Kind.STOPPING, RETRY_AFTER_MILLIS));
+            Answers.failure(
+                    sink, "", Admission.refusal(request, Kind.STOPPING, RETRY_AFTER_MILLIS));
         } else if (request.service().isPresent()) {
             serveService(request, request.service().get(), sink);
         } else if (path.equals(CompletionRequest.CHAT_PATH)) {
@@ -136,22 +128,7 @@
             Optional<String> target,
             List<String> dataCentres,
             CallerSink sink) {
-        boolean passedOn =
-                chooser.foreign(target, dataCentres)
-                        .map(peer -> relay.forward(peer.id(), "", request, sink, 0))
-                        .orElse(false);
-        if (!passedOn) {
-            Answers.failure(sink, "", refusal(request, Kind.NO_CAPACITY, RETRY_AFTER_MILLIS));
-        }
-    }
-
-    /**
-     * Refuses a request before its key was claimed. Only a request without key is then surely not
-     * run: one with a key may have run when it was sent before.
-     */
-    private static Failure refusal(IncomingRequest request, Kind kind, long retryAfterMillis) {
-        boolean keyed = request.header(IncomingRequest.KEY_HEADER).isPresent();
-        return new Failure(keyed ? Outcome.UNKNOWN : Outcome.NOT_RUN, kind, retryAfterMillis);
+        admission.relay(request, target, dataCentres, sink);
     }
 
     private void serveModel(IncomingRequest request, boolean chat, CallerSink sink) {
@@ -176,21 +153,23 @@
                             + " names another model than the body");
             return;
         }
-        Optional<Row> row = admitted(request, completion.model(), TargetKind.MODEL, sink);
+        Optional<Row> row = admission.admit(request, completion.model(), TargetKind.MODEL, sink);
         if (row.isEmpty()) {
             return;
         }
         boolean atMostOnce = atMostOnce(request, row.get());
         Optional<String> key = request.header(IncomingRequest.KEY_HEADER);
         if (!atMostOnce || key.isEmpty()) {
-            String requestId = key.map(k -> keyedName(request, k)).orElseGet(() -> newName("r"));
+            String requestId =
+                    key.map(k -> RequestNames.keyed(request.organisation(), k))
+                            .orElseGet(() -> RequestNames.fresh("r"));
             Row effective = atMostOnce ? row.get().notRepeatable() : row.get();
             begin(request, completion, requestId, effective, sink);
             return;
         }
-        String requestId = newName("c");
+        String requestId = RequestNames.fresh("c");
         ClaimKey claimKey = ClaimKey.of(request.organisation(), key.get());
-        claims.claim(claimKey, fingerprint(request), requestId)
+        claims.claim(claimKey, RequestNames.fingerprint(request), requestId)
                 .thenAccept(
                         reply -> {
                             if (granted(reply, sink, requestId)) {
@@ -228,14 +207,14 @@
     }
 
     private void serveService(IncomingRequest request, String service, CallerSink sink) {
-        Optional<Row> row = admitted(request, service, TargetKind.SERVICE, sink);
+        Optional<Row> row = admission.admit(request, service, TargetKind.SERVICE, sink);
         if (row.isEmpty()) {
             return;
         }
         boolean atMostOnce = atMostOnce(request, row.get());
         Optional<String> key = request.header(IncomingRequest.KEY_HEADER);
         if (!atMostOnce || key.isEmpty()) {
-            String callId = newName("s");
+            String callId = RequestNames.fresh("s");
             String here = context.self().dataCentre();
             new ServiceRunner(
                             context,
@@ -251,10 +230,10 @@
     }
 
     private void callOnce(IncomingRequest request, Row row, ClaimKey key, CallerSink sink) {
-        String callId = newName("s");
+        String callId = RequestNames.fresh("s");
         // known before the claim, because another asker may be sent here as soon as it is granted
         calls.begin(callId, request.organisation());
-        claims.claim(key, fingerprint(request), callId)
+        claims.claim(key, RequestNames.fingerprint(request), callId)
                 .thenAccept(
                         reply -> {
                             if (granted(reply, sink, callId)) {
@@ -330,170 +309,11 @@
                         true);
         if (reply.holder().equals(context.self().id())) {
             serve(lookUp, sink);
-        } else if (!relay.forward(reply.holder(), "", lookUp, sink, 0)) {
+        } else if (!relay.forward(reply.holder(), "", lookUp, sink, false)) {
             CallBook.unknown().send(sink, reply.requestId(), context.self().dataCentre());
         }
     }
 
-    /**
-     * Finds the row, takes its limit, and passes the request on if another data centre is better.
-     */
-    private Optional<Row> admitted(
-            IncomingRequest request, String target, TargetKind kind, CallerSink sink) {
-        String here = context.self().dataCentre();
-        Optional<Row> row =
-                context.policies()
-                        .table()
-                        .row(new RowKey(request.organisation(), target))
-                        .filter(r -> r.kind() == kind);
-        if (row.isEmpty()) {
-            Answers.failure(sink, "", refusal(request, Kind.NO_ROW, 0));
-            return Optional.empty();
-        }
-        if (!row.get().allows(here)) {
-            refuseOrRelay(request, row.get(), sink);
-            return Optional.empty();
-        }
-        if (request.header(ADMITTED_HEADER).isEmpty()) {
-            long waitMillis = context.policies().tryAcquire(row.get());
-            if (waitMillis > 0) {
-                Answers.failure(sink, "", refusal(request, Kind.LIMIT, waitMillis));
-                return Optional.empty();
-            }
-        }
-        boolean passedOn =
-                !request.relayed()
-                        && chooser.elsewhere(target, row.get().dataCentres(), here)
-                                .map(peer -> passOn(request, peer, sink))
-                                .orElse(false);
-        if (passedOn) {
-            return Optional.empty();
-        }
-        boolean full = book.open() >= context.settings().limits().maxStreams();
-        if (full || !context.placements().serves(target)) {
-            Answers.failure(sink, "", refusal(request, Kind.NO_CAPACITY, RETRY_AFTER_MILLIS));
-            return Optional.empty();
-        }
-        return row;
-    }
-
-    private void refuseOrRelay(IncomingRequest request, Row row, CallerSink sink) {
-        if (request.relayed()) {
-            // the sender's table differs; it is never handled here
-            Answers.failure(sink, "", refusal(request, Kind.ROW_NARROWED, RETRY_AFTER_MILLIS));
-        } else {
-            relay(request, Optional.of(row.target()), row.dataCentres(), sink);
-        }
-    }
-
-    private boolean passOn(IncomingRequest request, EntryInfo peer, CallerSink sink) {
-        List<Header> headers = new ArrayList<>(request.headers());
-        headers.add(new Header(ADMITTED_HEADER, "yes"));
-        IncomingRequest admitted =
-                new IncomingRequest(
-                        request.organisation(),
-                        request.method(),
-                        request.path(),
-                        headers,
-                        request.body(),
-                        false);
-        return relay.forward(peer.id(), "", admitted, sink, 0);
-    }
-
-    private void findAgain(IncomingRequest request, CallerSink sink) {
-        String name = request.path().substring(REQUESTS_PATH.length());
-        int from = firstWanted(request);
-        String organisation = request.organisation();
-        Optional<GenerationRunner> mine =
-                book.find(name, organisation)
-                        .or(() -> book.find(keyedName(request, name), organisation));
-        if (mine.isPresent()) {
-            mine.get().attach(sink, from);
-            return;
-        }
-        if (request.relayed()) {
-            book.adopt(name, organisation)
-                    .ifPresentOrElse(
-                            runner -> runner.attach(sink, from),
-                            () -> Answers.refuse(sink, 404, "no request of this name"));
-            return;
-        }
-        findAtPeers(request, List.of(name, keyedName(request, name)), sink, 0);
-    }
-
-    private void findAtPeers(
-            IncomingRequest request, List<String> names, CallerSink sink, int earlierParts) {
-        String name = names.get(0);
-        finder.find(name, request.organisation())
-                .thenAccept(
-                        holder -> {
-                            if (holder.isPresent()
-                                    && attachAt(holder.get(), name, request, sink, earlierParts)) {
-                                return;
-                            }
-                            Optional<GenerationRunner> adopted =
-                                    book.adopt(name, request.organisation());
-                            if (adopted.isPresent()) {
-                                adopted.get().attach(sink, firstWanted(request));
-                            } else if (names.size() > 1) {
-                                findAtPeers(
-                                        request,
-                                        names.subList(1, names.size()),
-                                        sink,
-                                        earlierParts);
-                            } else if (earlierParts > 0) {
-                                sink.abort();
-                            } else {
-                                Answers.refuse(sink, 404, "no request of this name");
-                            }
-                        });
-    }
-
-    private boolean attachAt(
-            String peer, String name, IncomingRequest request, CallerSink sink, int earlierParts) {
-        IncomingRequest lookUp =
-                new IncomingRequest(
-                        request.organisation(),
-                        "GET",
-                        REQUESTS_PATH + name,
-                        request.headers(),
-                        new byte[0],
-                        true);
-        return relay.forward(peer, name, lookUp, sink, earlierParts);
-    }
-
-    /** Goes on with an answer whose peer was lost, at another entry that has the request. */
-    private boolean goOn(PeerRelay.Lost lost) {
-        if (lost.requestId().isEmpty()) {
-            return false;
-        }
-        List<Header> headers = new ArrayList<>();
-        if (lost.parts() > 0) {
-            String last = Integer.toString(lost.parts() - 1);
-            headers.add(new Header(IncomingRequest.LAST_EVENT_HEADER, last));
-        }
-        IncomingRequest again =
-                new IncomingRequest(
-                        lost.request().organisation(),
-                        "GET",
-                        REQUESTS_PATH + lost.requestId(),
-                        headers,
-                        new byte[0],
-                        false);
-        findAtPeers(again, List.of(lost.requestId()), lost.sink(), lost.parts());
-        return true;
-    }
-
-    private static int firstWanted(IncomingRequest request) {
-        try {
-            return request.header(IncomingRequest.LAST_EVENT_HEADER)
-                    .map(last -> Math.max(0, Integer.parseInt(last) + 1))
-                    .orElse(0);
-        } catch (NumberFormatException e) {
-            return 0;
-        }
-    }
-
     private static boolean atMostOnce(IncomingRequest request, Row row) {
         boolean marked =
                 request.header(IncomingRequest.RUN_HEADER)
@@ -501,26 +321,4 @@
                         .orElse(false);
         return marked || !row.repeatable();
     }
-
-    private static long fingerprint(IncomingRequest request) {
-        String head = request.method() + ' ' + request.path();
-        return Hashing.xxh3_64()
-                .hashLongLongToLong(
-                        Hashing.xxh3_64().hashCharsToLong(head),
-                        Hashing.xxh3_64().hashBytesToLong(request.body()));
-    }
-
-    private static String keyedName(IncomingRequest request, String key) {
-        ClaimKey hash = ClaimKey.of(request.organisation(), key);
-        return "k" + hex(hash.high()) + hex(hash.low());
-    }
-
-    private static String newName(String prefix) {
-        ThreadLocalRandom random = ThreadLocalRandom.current();
-        return prefix + hex(random.nextLong()) + hex(random.nextLong());
-    }
-
-    private static String hex(long value) {
-        return HexFormat.of().toHexDigits(value);
-    }
 }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/serve/RowPolicies.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/serve/RowPolicies.java
@@ -15,6 +15,7 @@
  */
 package io.trailladder.entry.serve;
 
+import io.trailladder.core.limit.LimitShare;
 import io.trailladder.core.limit.RateLimiter;
 import io.trailladder.core.limit.RetryBudget;
 import io.trailladder.core.table.Row;
@@ -161,7 +162,7 @@
                 continue;
             }
             double share =
-                    io.trailladder.core.limit.LimitShare.of(
+                    LimitShare.of(
                             row.limitPerSecond(),
                             ownDemand.getOrDefault(row.key(), 0.0),
                             peerDemand.getOrDefault(row.key(), 0.0),
--- a/trailladder-entry/src/main/java/io/trailladder/entry/sync/ClaimSync.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/sync/ClaimSync.java
@@ -20,6 +20,7 @@
 import io.trailladder.core.claim.RangeMap;
 import io.trailladder.core.claim.RangePlanner.Member;
 import io.trailladder.core.claim.RangePlanner.View;
+import io.trailladder.entry.PeriodicTasks;
 import io.trailladder.entry.peer.PeerLinks;
 import io.trailladder.entry.serve.ClaimService;
 import io.trailladder.entry.serve.DataCentreChooser;
@@ -35,7 +36,6 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ScheduledExecutorService;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 
 /**
@@ -91,7 +91,7 @@
 
     /** Begins. */
     public void start() {
-        timer.scheduleWithFixedDelay(this::tick, 0, TICK_MILLIS, TimeUnit.MILLISECONDS);
+        PeriodicTasks.repeat(timer, "claims", this::tick, TICK_MILLIS);
     }
 
     /** Begins to give all ranges away. */
--- a/trailladder-entry/src/main/java/io/trailladder/entry/sync/FleetSync.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/sync/FleetSync.java
@@ -20,12 +20,14 @@
 import io.trailladder.core.table.Row;
 import io.trailladder.core.table.TargetKind;
 import io.trailladder.entry.MonotonicClock;
+import io.trailladder.entry.PeriodicTasks;
 import io.trailladder.entry.peer.PeerLinks;
 import io.trailladder.entry.serve.EngineApi;
 import io.trailladder.entry.serve.Placements;
 import io.trailladder.entry.serve.RowPolicies;
 import io.trailladder.platform.CloudApi;
 import io.trailladder.wire.EntryInfo;
+import io.trailladder.wire.PeerMessage;
 import io.trailladder.wire.PeerMessage.LeavingNotice;
 import io.trailladder.wire.PeerMessage.Notice;
 import io.trailladder.wire.PeerMessage.UpstreamList;
@@ -119,7 +121,7 @@
 
     /** Begins. */
     public void start() {
-        timer.scheduleWithFixedDelay(this::tick, 0, TICK_MILLIS, TimeUnit.MILLISECONDS);
+        PeriodicTasks.repeat(timer, "fleet", this::tick, TICK_MILLIS);
         waitForNotices();
     }
 
@@ -215,7 +217,7 @@
         }
     }
 
-    private void toDataCentre(io.trailladder.wire.PeerMessage message) {
+    private void toDataCentre(PeerMessage message) {
         for (EntryInfo peer : links.live()) {
             if (peer.dataCentre().equals(self.dataCentre())) {
                 links.send(peer.id(), message);
--- a/trailladder-entry/src/main/java/io/trailladder/entry/sync/TableSync.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/sync/TableSync.java
@@ -28,6 +28,7 @@
 import io.trailladder.wire.PeerMessage.TableDelta;
 import io.trailladder.wire.PeerMessage.TableSnapshot;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
@@ -192,7 +193,7 @@
                         });
     }
 
-    private java.util.concurrent.CompletableFuture<Void> catchUp() {
+    private CompletableFuture<Void> catchUp() {
         return store.changesAfter(policies.table())
                 .thenCompose(
                         changes -> {
@@ -201,9 +202,9 @@
                         });
     }
 
-    private java.util.concurrent.CompletableFuture<Void> offer(List<TableChange> changes) {
+    private CompletableFuture<Void> offer(List<TableChange> changes) {
         if (changes.isEmpty() || policies.offer(changes) != Offer.GAP) {
-            return java.util.concurrent.CompletableFuture.completedFuture(null);
+            return CompletableFuture.completedFuture(null);
         }
         return store.load().thenAccept(policies::offer);
     }
--- a/trailladder-platform/src/main/java/io/trailladder/platform/HttpKeyValueStore.java
+++ b/trailladder-platform/src/main/java/io/trailladder/platform/HttpKeyValueStore.java
@@ -24,6 +24,7 @@
 import io.trailladder.platform.http.HttpClient;
 import io.trailladder.platform.http.HttpFailureException;
 import io.trailladder.platform.http.HttpReply;
+import java.io.IOException;
 import java.net.URLEncoder;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -155,7 +156,7 @@
     private static JsonNode json(HttpReply reply) {
         try {
             return JSON.readTree(reply.body());
-        } catch (java.io.IOException e) {
+        } catch (IOException e) {
             throw new PlatformException("a call", reply.status() + " without JSON");
         }
     }
--- a/trailladder-platform/src/main/java/io/trailladder/platform/RangeStore.java
+++ b/trailladder-platform/src/main/java/io/trailladder/platform/RangeStore.java
@@ -17,6 +17,7 @@
 
 import io.trailladder.core.claim.RangeAssignment;
 import io.trailladder.core.claim.RangeMap;
+import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 
@@ -80,7 +81,7 @@
 
     private CompletableFuture<RangeMap> change(
             Versioned present, Map<Integer, RangeAssignment> changes) {
-        Map<Integer, RangeAssignment> following = new java.util.HashMap<>(changes);
+        Map<Integer, RangeAssignment> following = new HashMap<>(changes);
         following
                 .entrySet()
                 .removeIf(
--- a/trailladder-platform/src/main/java/io/trailladder/platform/http/HttpClient.java
+++ b/trailladder-platform/src/main/java/io/trailladder/platform/http/HttpClient.java
@@ -168,7 +168,17 @@
     private void sweep() {
         long now = System.nanoTime();
         exchanges.removeIf(HttpExchange::isOver);
-        exchanges.forEach(exchange -> exchange.failIfSilent(now));
+        exchanges.forEach(exchange -> failIfSilent(exchange, now));
+    }
+
+    /** One listener that throws must not end the check for all other calls. */
+    private static void failIfSilent(HttpExchange exchange, long now) {
+        try {
+            exchange.failIfSilent(now);
+        } catch (RuntimeException e) {
+            Thread thread = Thread.currentThread();
+            thread.getUncaughtExceptionHandler().uncaughtException(thread, e);
+        }
     }
 
     /** Collects a bounded answer. */
--- a/trailladder-testkit/src/main/java/io/trailladder/testkit/KeyValueStandIn.java
+++ b/trailladder-testkit/src/main/java/io/trailladder/testkit/KeyValueStandIn.java
@@ -21,6 +21,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
 import org.glassfish.grizzly.http.server.Request;
 import org.glassfish.grizzly.http.server.Response;
 
@@ -52,8 +53,7 @@
      */
     public KeyValueStandIn(String host, int port) {
         super(host, port);
-        timer.scheduleAtFixedRate(
-                this::expire, 200, 200, java.util.concurrent.TimeUnit.MILLISECONDS);
+        timer.scheduleAtFixedRate(this::expire, 200, 200, TimeUnit.MILLISECONDS);
     }
 
     /**
