Do not answer for a request that was handed over

Asked by the other entry, the stopping entry still said that it held the request, and answered 'moved' once more. Ruled out: lost tokens at the hand-over (the 91 were right, and the rest was never sent). Change: a request that was handed over is no longer found at the entry that gave it away.

--- a/trailladder-entry/src/main/java/io/trailladder/entry/serve/GenerationRunner.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/serve/GenerationRunner.java
@@ -159,6 +159,15 @@
         return machine.isEnded();
     }
 
+    /**
+     * Tells whether another entry goes on with the request.
+     *
+     * @return true after {@link #moveAway}
+     */
+    public synchronized boolean isMovedAway() {
+        return movedAway;
+    }
+
     /**
      * Brings the answer to a receiver.
      *
--- a/trailladder-entry/src/main/java/io/trailladder/entry/serve/RequestBook.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/serve/RequestBook.java
@@ -134,7 +134,8 @@
     public Optional<GenerationRunner> find(String requestId, String organisation) {
         return Optional.ofNullable(held.get(requestId))
                 .map(h -> h.runner)
-                .filter(runner -> runner.organisation().equals(organisation));
+                .filter(runner -> runner.organisation().equals(organisation))
+                .filter(runner -> !runner.isMovedAway());
     }
 
     /**
