--- a/trailladder-cli/src/main/java/io/trailladder/cli/TrailladderCommand.java
+++ b/trailladder-cli/src/main/java/io/trailladder/cli/TrailladderCommand.java
@@ -39,6 +39,7 @@
         description = "Serves language models where the table allows it.",
         subcommands = {
             EntryCommand.class,
+            GatewayCommand.class,
             TableCommand.class,
             StatusCommand.class,
             ReplayCommand.class,
@@ -70,6 +71,7 @@
     @Override
     public void run() {
         throw new ParameterException(
-                spec.commandLine(), "missing command, expected entry, table, status or replay");
+                spec.commandLine(),
+                "missing command, expected entry, gateway, table, status or replay");
     }
 }
--- /dev/null
+++ b/trailladder-core/src/main/java/io/trailladder/core/duty/UsageLedger.java
@@ -0,0 +1,146 @@
+/*
+ * Copyright 2026 The trailladder authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package io.trailladder.core.duty;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.NavigableMap;
+import java.util.TreeMap;
+
+/**
+ * Counts the requests that began to run, by window and tenant: this entry's own and what its peers
+ * told of theirs, so that the counts of a lost entry survive at the others.
+ *
+ * @since 0.2
+ */
+public final class UsageLedger {
+    private static final long KEPT_WINDOWS = 8;
+
+    private final String self;
+    private final long windowMillis;
+    private final Map<String, NavigableMap<Long, Map<String, Integer>>> byEntry = new HashMap<>();
+
+    /**
+     * Creates a ledger.
+     *
+     * @param self names this life of this entry; a restarted entry has another name
+     * @param windowMillis length of a window, in milliseconds
+     */
+    public UsageLedger(String self, long windowMillis) {
+        this.self = self;
+        this.windowMillis = windowMillis;
+    }
+
+    /**
+     * Records that a request of this entry began to run.
+     *
+     * @param tenant whose it is
+     * @param wallMillis when, in milliseconds since the start of 1970
+     */
+    public void started(String tenant, long wallMillis) {
+        windows(self)
+                .computeIfAbsent(wallMillis / windowMillis, window -> new HashMap<>())
+                .merge(tenant, 1, Integer::sum);
+    }
+
+    /**
+     * Takes over an entry's counts. Counts only grow within the life of an entry.
+     *
+     * @param entry names the life of the entry
+     * @param counts its counts of recent windows
+     */
+    public void merge(String entry, List<UsageCount> counts) {
+        for (UsageCount count : counts) {
+            windows(entry)
+                    .computeIfAbsent(count.window(), window -> new HashMap<>())
+                    .merge(count.tenant(), count.started(), Math::max);
+        }
+    }
+
+    /**
+     * Returns the counts of one life of an entry.
+     *
+     * @param entry names the life
+     * @return counts of recent windows
+     */
+    public List<UsageCount> countsOf(String entry) {
+        List<UsageCount> counts = new ArrayList<>();
+        windows(entry)
+                .forEach(
+                        (window, tenants) ->
+                                tenants.forEach(
+                                        (tenant, started) ->
+                                                counts.add(
+                                                        new UsageCount(window, tenant, started))));
+        return counts;
+    }
+
+    /**
+     * Returns the counts of all entries together.
+     *
+     * @param window the window's number
+     * @return requests by tenant
+     */
+    public Map<String, Integer> total(long window) {
+        Map<String, Integer> total = new TreeMap<>();
+        byEntry.values()
+                .forEach(
+                        windows ->
+                                windows.getOrDefault(window, Map.of())
+                                        .forEach(
+                                                (tenant, started) ->
+                                                        total.merge(
+                                                                tenant, started, Integer::sum)));
+        return total;
+    }
+
+    /**
+     * Returns the window of a time.
+     *
+     * @param wallMillis milliseconds since the start of 1970
+     * @return its number
+     */
+    public long windowAt(long wallMillis) {
+        return Math.floorDiv(wallMillis, windowMillis);
+    }
+
+    /**
+     * Returns the entries whose counts are known.
+     *
+     * @return names of lives of entries
+     */
+    public List<String> entries() {
+        return List.copyOf(byEntry.keySet());
+    }
+
+    /**
+     * Forgets windows that were reported long ago.
+     *
+     * @param wallMillis the time
+     */
+    public void forgetOld(long wallMillis) {
+        long oldest = windowAt(wallMillis) - KEPT_WINDOWS;
+        byEntry.values().forEach(windows -> windows.headMap(oldest).clear());
+        byEntry.entrySet()
+                .removeIf(entry -> entry.getValue().isEmpty() && !entry.getKey().equals(self));
+    }
+
+    private NavigableMap<Long, Map<String, Integer>> windows(String entry) {
+        return byEntry.computeIfAbsent(entry, name -> new TreeMap<>());
+    }
+}
--- /dev/null
+++ b/trailladder-core/src/main/java/io/trailladder/core/limit/QuotaBucket.java
@@ -0,0 +1,153 @@
+/*
+ * Copyright 2026 The trailladder authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package io.trailladder.core.limit;
+
+import io.trailladder.core.policy.RateSpec;
+
+/**
+ * One tenant's limit over all entries, as this entry sees it: a token bucket that its own requests
+ * and those its peers tell of draw on.
+ *
+ * <p>Peers that cannot be heard are taken to use an equal part of the rate each.
+ *
+ * @since 0.2
+ */
+public final class QuotaBucket {
+    private static final double MILLIS_PER_SECOND = 1000.0;
+    private static final double LEAST_PART_HELD = 0.5;
+
+    private RateSpec limit;
+    private double level;
+    private long updatedMillis;
+    private double ownPart = 1;
+    private double used;
+
+    /**
+     * Creates a bucket.
+     *
+     * @param limit the tenant's limit
+     * @param filled how full it is, from 0 to 1
+     * @param nowMillis the time
+     */
+    public QuotaBucket(RateSpec limit, double filled, long nowMillis) {
+        this.limit = limit;
+        this.level = limit.burst() * filled;
+        this.updatedMillis = nowMillis;
+    }
+
+    /**
+     * Takes a request's units if there are enough.
+     *
+     * @param units the request's size
+     * @param nowMillis the time
+     * @return 0 if the request may go on, else milliseconds until asking again may help
+     */
+    public long tryTake(double units, long nowMillis) {
+        refill(nowMillis);
+        double needed = Math.min(units, limit.burst()) * LEAST_PART_HELD;
+        if (!limit.limited() || level >= needed) {
+            level -= units;
+            used += units;
+            return 0;
+        }
+        double perSecond = Math.max(1, limit.perSecond() * ownPart);
+        return Math.max(1, (long) Math.ceil((needed - level) * MILLIS_PER_SECOND / perSecond));
+    }
+
+    /**
+     * Records what peers have taken.
+     *
+     * @param units units since it was last told
+     * @param nowMillis the time
+     */
+    public void takenByPeers(double units, long nowMillis) {
+        refill(nowMillis);
+        level -= units;
+    }
+
+    /**
+     * Gives units back that a request did not use because it did not run.
+     *
+     * @param units the request's size
+     */
+    public void giveBack(double units) {
+        level += units;
+        used -= units;
+    }
+
+    /**
+     * Changes the limit. A lower limit takes effect at once.
+     *
+     * @param changed the new limit
+     * @param nowMillis the time
+     */
+    public void limit(RateSpec changed, long nowMillis) {
+        refill(nowMillis);
+        if (changed.limited() && !limit.limited()) {
+            level = changed.burst();
+        }
+        limit = changed;
+        level = Math.min(level, limit.burst());
+    }
+
+    /**
+     * Sets the part of the rate that heard entries share.
+     *
+     * @param part from 0 to 1; 1 if every peer is heard
+     * @param nowMillis the time
+     */
+    public void sharedPart(double part, long nowMillis) {
+        refill(nowMillis);
+        ownPart = part;
+    }
+
+    /**
+     * Takes over a lower level that a peer knows of, after a start.
+     *
+     * @param peerLevel the peer's level
+     * @param nowMillis the time
+     */
+    public void atMost(double peerLevel, long nowMillis) {
+        refill(nowMillis);
+        level = Math.min(level, peerLevel);
+    }
+
+    /**
+     * Returns all units this entry has let pass since its start, to be told to peers.
+     *
+     * @return units
+     */
+    public double used() {
+        return used;
+    }
+
+    /**
+     * Returns the units left.
+     *
+     * @param nowMillis the time
+     * @return units; below 0 if peers have taken more than there was
+     */
+    public double level(long nowMillis) {
+        refill(nowMillis);
+        return level;
+    }
+
+    private void refill(long nowMillis) {
+        double elapsed = Math.max(0, nowMillis - updatedMillis) / MILLIS_PER_SECOND;
+        level = Math.min(limit.burst(), level + elapsed * limit.perSecond() * ownPart);
+        updatedMillis = Math.max(updatedMillis, nowMillis);
+    }
+}
--- /dev/null
+++ b/trailladder-core/src/main/java/io/trailladder/core/limit/WindowedRetryBudget.java
@@ -0,0 +1,104 @@
+/*
+ * Copyright 2026 The trailladder authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package io.trailladder.core.limit;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+
+/**
+ * The second and later attempts that one service may get from this entry within a sliding window: a
+ * part of the requests of that window, and this entry's part of a fixed allowance.
+ *
+ * @since 0.2
+ */
+public final class WindowedRetryBudget {
+    private static final int SLICES = 20;
+    private static final double SAFETY = 0.7;
+
+    private final double ratio;
+    private final double allowance;
+    private final long sliceMillis;
+    private final Deque<Slice> slices = new ArrayDeque<>();
+
+    /** What was counted in one part of the window. */
+    private static final class Slice {
+        final long number;
+        int requests;
+        int retries;
+
+        Slice(long number) {
+            this.number = number;
+        }
+    }
+
+    /**
+     * Creates a budget.
+     *
+     * @param ratio retries allowed for each request
+     * @param allowance retries allowed on top in each window, over all entries
+     * @param windowMillis length of the window, in milliseconds
+     */
+    public WindowedRetryBudget(double ratio, double allowance, long windowMillis) {
+        this.ratio = ratio;
+        this.allowance = allowance;
+        this.sliceMillis = Math.max(1, windowMillis / SLICES);
+    }
+
+    /**
+     * Records the first attempt of a request.
+     *
+     * @param nowMillis the time
+     */
+    public void requested(long nowMillis) {
+        slice(nowMillis).requests++;
+    }
+
+    /**
+     * Takes one retry if the window has one left.
+     *
+     * @param entries how many entries share the allowance
+     * @param nowMillis the time
+     * @return true if the retry may be made
+     */
+    public boolean tryRetry(int entries, long nowMillis) {
+        Slice current = slice(nowMillis);
+        int requests = 0;
+        int retries = 0;
+        for (Slice slice : slices) {
+            requests += slice.requests;
+            retries += slice.retries;
+        }
+        double most = SAFETY * (ratio * requests + allowance / Math.max(1, entries));
+        if (retries + 1 > most) {
+            return false;
+        }
+        current.retries++;
+        return true;
+    }
+
+    private Slice slice(long nowMillis) {
+        long number = nowMillis / sliceMillis;
+        while (!slices.isEmpty() && slices.peekFirst().number <= number - SLICES) {
+            slices.removeFirst();
+        }
+        Slice last = slices.peekLast();
+        if (last == null || last.number < number) {
+            last = new Slice(number);
+            slices.addLast(last);
+        }
+        return last;
+    }
+}
--- /dev/null
+++ b/trailladder-core/src/main/java/io/trailladder/core/pipeline/AttemptHistory.java
@@ -0,0 +1,128 @@
+/*
+ * Copyright 2026 The trailladder authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package io.trailladder.core.pipeline;
+
+import java.util.HashSet;
+import java.util.Set;
+
+/**
+ * What became of a request's attempts so far.
+ *
+ * @since 0.2
+ */
+public final class AttemptHistory {
+    private final Set<String> tried = new HashSet<>();
+    private int sent;
+    private int connectFailures;
+    private boolean mayHaveRun;
+    private boolean answerBegun;
+    private String lastEventId = "";
+
+    /**
+     * Records an attempt that was sent to an upstream.
+     *
+     * @param worker the upstream's name
+     */
+    public void sent(String worker) {
+        tried.add(worker);
+        sent++;
+    }
+
+    /**
+     * Records how an attempt failed.
+     *
+     * @param worker the upstream's name
+     * @param failure how
+     */
+    public void failed(String worker, AttemptFailure failure) {
+        tried.add(worker);
+        mayHaveRun |= failure.mayHaveRun();
+        if (failure == AttemptFailure.UNREACHABLE) {
+            connectFailures++;
+        }
+        if (failure == AttemptFailure.MISDIRECTED) {
+            sent--;
+        }
+    }
+
+    /** Records that the caller was sent the head of the answer. */
+    public void answerBegun() {
+        answerBegun = true;
+    }
+
+    /**
+     * Records a whole event that the caller was sent.
+     *
+     * @param eventId the event's name
+     */
+    public void eventPassed(String eventId) {
+        lastEventId = eventId;
+    }
+
+    /**
+     * Returns the upstreams that were tried.
+     *
+     * @return their names
+     */
+    public Set<String> tried() {
+        return tried;
+    }
+
+    /**
+     * Returns how many upstreams the request was sent to.
+     *
+     * @return a count
+     */
+    public int sent() {
+        return sent;
+    }
+
+    /**
+     * Returns how many connections did not come about.
+     *
+     * @return a count
+     */
+    public int connectFailures() {
+        return connectFailures;
+    }
+
+    /**
+     * Tells whether any attempt may have run.
+     *
+     * @return false only if the request certainly did not run
+     */
+    public boolean mayHaveRun() {
+        return mayHaveRun;
+    }
+
+    /**
+     * Tells whether the caller was sent the head of the answer.
+     *
+     * @return true if its status can no longer be chosen
+     */
+    public boolean hasAnswerBegun() {
+        return answerBegun;
+    }
+
+    /**
+     * Returns the last whole event that the caller has.
+     *
+     * @return its name; empty if there is none
+     */
+    public String lastEventId() {
+        return lastEventId;
+    }
+}
--- /dev/null
+++ b/trailladder-core/src/main/java/io/trailladder/core/pipeline/Recovery.java
@@ -0,0 +1,40 @@
+/*
+ * Copyright 2026 The trailladder authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package io.trailladder.core.pipeline;
+
+/**
+ * What is done after an attempt has failed.
+ *
+ * @since 0.2
+ */
+public sealed interface Recovery {
+    /** The request is sent to another upstream from its beginning. */
+    record Retry() implements Recovery {}
+
+    /**
+     * The stream goes on at another upstream.
+     *
+     * @param lastEventId the last event that the caller has
+     */
+    record Resume(String lastEventId) implements Recovery {}
+
+    /**
+     * The request is given up.
+     *
+     * @param ending how the caller is told
+     */
+    record GiveUp(Ending ending) implements Recovery {}
+}
--- /dev/null
+++ b/trailladder-core/src/main/java/io/trailladder/core/policy/package-info.java
@@ -0,0 +1,6 @@
+/**
+ * The operators' serving policy: routes, services, tenants and bounds of one version.
+ *
+ * @since 0.2
+ */
+package io.trailladder.core.policy;
--- /dev/null
+++ b/trailladder-core/src/main/java/io/trailladder/core/worker/PrefixIndex.java
@@ -0,0 +1,81 @@
+/*
+ * Copyright 2026 The trailladder authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package io.trailladder.core.worker;
+
+import io.trailladder.core.pipeline.Prompt;
+import io.trailladder.core.pipeline.PromptBlock;
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/**
+ * Remembers which upstream read which prompt parts lately, in bounded memory. A hint only: the
+ * upstream may have dropped a part since.
+ *
+ * @since 0.2
+ */
+public final class PrefixIndex {
+    private final Map<Place, Integer> places;
+
+    /** A prompt part at an upstream. */
+    private record Place(String worker, String block) {}
+
+    /**
+     * Creates an index.
+     *
+     * @param capacity how many parts are remembered; those unused for longest are forgotten first
+     */
+    public PrefixIndex(int capacity) {
+        places =
+                new LinkedHashMap<>(16, 0.75f, true) {
+                    private static final long serialVersionUID = 1L;
+
+                    @Override
+                    protected boolean removeEldestEntry(Map.Entry<Place, Integer> eldest) {
+                        return size() > capacity;
+                    }
+                };
+    }
+
+    /**
+     * Records that an upstream reads a prompt.
+     *
+     * @param worker the upstream's name
+     * @param prompt the prompt
+     */
+    public void read(String worker, Prompt prompt) {
+        for (PromptBlock block : prompt.blocks()) {
+            places.put(new Place(worker, block.id()), block.tokens());
+        }
+    }
+
+    /**
+     * Returns how many leading tokens of a prompt an upstream probably holds.
+     *
+     * @param worker the upstream's name
+     * @param prompt the prompt
+     * @return tokens
+     */
+    public int cachedTokens(String worker, Prompt prompt) {
+        int tokens = 0;
+        for (PromptBlock block : prompt.blocks()) {
+            if (places.get(new Place(worker, block.id())) == null) {
+                return tokens;
+            }
+            tokens += block.tokens();
+        }
+        return tokens;
+    }
+}
--- /dev/null
+++ b/trailladder-core/src/main/java/io/trailladder/core/worker/Selection.java
@@ -0,0 +1,35 @@
+/*
+ * Copyright 2026 The trailladder authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package io.trailladder.core.worker;
+
+/**
+ * The choice of an upstream for one request, with the inputs that led to it.
+ *
+ * @param worker the upstream
+ * @param predictedMillis predicted time to its first answer, in milliseconds
+ * @param requests requests under way there, of all entries
+ * @param waitingTokens prompt tokens waiting there, of all entries
+ * @param cachedTokens tokens of the prompt it probably holds
+ * @param candidates how many upstreams were weighed
+ * @since 0.2
+ */
+public record Selection(
+        Worker worker,
+        double predictedMillis,
+        int requests,
+        int waitingTokens,
+        int cachedTokens,
+        int candidates) {}
--- /dev/null
+++ b/trailladder-core/src/main/java/io/trailladder/core/worker/Worker.java
@@ -0,0 +1,39 @@
+/*
+ * Copyright 2026 The trailladder authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package io.trailladder.core.worker;
+
+/**
+ * One running upstream as the platform lists it.
+ *
+ * @param id its name; every start has a new one
+ * @param service the service it belongs to
+ * @param zone the data centre it runs in
+ * @param address host and port
+ * @param slots requests it works on at once
+ * @param draining true if it has announced that it leaves
+ * @param reclaimable true if the cloud may take it back
+ * @param leavesMillis how long it still runs once it is draining, in milliseconds; 0 if not told
+ * @since 0.2
+ */
+public record Worker(
+        String id,
+        String service,
+        String zone,
+        String address,
+        int slots,
+        boolean draining,
+        boolean reclaimable,
+        long leavesMillis) {}
--- /dev/null
+++ b/trailladder-core/src/main/java/io/trailladder/core/worker/WorkerSelector.java
@@ -0,0 +1,165 @@
+/*
+ * Copyright 2026 The trailladder authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package io.trailladder.core.worker;
+
+import com.dynatrace.hash4j.hashing.Hashing;
+import io.trailladder.core.pipeline.Prompt;
+import io.trailladder.core.pipeline.PromptBlock;
+import io.trailladder.core.pipeline.ServingRequest;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * Chooses the upstream of a service with the lowest predicted time to its first answer.
+ *
+ * <p>The prediction counts the work under way of all entries, the part of the prompt that the
+ * upstream does not hold, and the way to another data centre. A prompt whose parts nobody has read
+ * yet is drawn to the same upstream by every entry, by rendezvous hashing.
+ *
+ * @since 0.2
+ */
+public final class WorkerSelector {
+    /** Prompt tokens that an engine is assumed to read in a millisecond. */
+    static final double PROMPT_TOKENS_PER_MILLI = 30;
+
+    /** Time that a running request adds to every step of an engine, in milliseconds. */
+    static final double MILLIS_PER_RUNNING = 0.5;
+
+    private static final double PLAIN_SERVICE_MILLIS = 20;
+    private static final double OTHER_ZONE_MILLIS = 4;
+    private static final double OTHER_ZONE_MILLIS_PER_KB = 0.5;
+    private static final double HOME_TRUST = 0.8;
+    private static final double FAILING_MILLIS = 400;
+    private static final int REMEMBERED_PARTS = 20_000;
+    private static final double BYTES_PER_KB = 1024;
+
+    private final String zone;
+    private final WorkerDirectory directory;
+    private final WorkerLoads loads;
+    private final PrefixIndex prefixes = new PrefixIndex(REMEMBERED_PARTS);
+
+    /**
+     * Creates a selector.
+     *
+     * @param zone the data centre of this entry
+     * @param directory the upstreams known
+     * @param loads the work under way at them
+     */
+    public WorkerSelector(String zone, WorkerDirectory directory, WorkerLoads loads) {
+        this.zone = zone;
+        this.directory = directory;
+        this.loads = loads;
+    }
+
+    /**
+     * Chooses an upstream. Those left out for their failures are taken only if there is no other.
+     *
+     * @param request the request
+     * @param excluded upstreams that must not be chosen
+     * @param nowMillis the time
+     * @return the choice; empty if no upstream of the service takes new work
+     */
+    public Optional<Selection> choose(
+            ServingRequest request, Set<String> excluded, long nowMillis) {
+        List<Worker> serving = directory.serving(request.service());
+        Selection best = null;
+        boolean bestEjected = true;
+        String home = home(serving, request.prompt());
+        for (Worker worker : serving) {
+            if (excluded.contains(worker.id())) {
+                continue;
+            }
+            boolean ejected = loads.ejected(worker.id(), nowMillis);
+            Selection candidate = weigh(worker, request, home, serving.size());
+            boolean better = best == null || candidate.predictedMillis() < best.predictedMillis();
+            if ((bestEjected && !ejected) || (bestEjected == ejected && better)) {
+                best = candidate;
+                bestEjected = ejected;
+            }
+        }
+        return Optional.ofNullable(best);
+    }
+
+    /**
+     * Records that a request was sent as chosen.
+     *
+     * @param request the request
+     * @param worker the upstream's name
+     */
+    public void sent(ServingRequest request, String worker) {
+        prefixes.read(worker, request.prompt());
+    }
+
+    private Selection weigh(Worker worker, ServingRequest request, String home, int candidates) {
+        Prompt prompt = request.prompt();
+        int running = loads.requests(worker.id());
+        int waiting = loads.promptTokens(worker.id());
+        int cached = cachedTokens(worker, prompt, home);
+        double millis = distanceMillis(worker, request);
+        millis += loads.failedPart(worker.id()) * FAILING_MILLIS;
+        if (prompt.tokensIn() > 0) {
+            double toRead = waiting + Math.max(0, prompt.tokensIn() - cached);
+            millis += toRead / PROMPT_TOKENS_PER_MILLI + running * MILLIS_PER_RUNNING;
+        } else {
+            double perSlot = (running + 1.0) / Math.max(1, worker.slots());
+            millis += PLAIN_SERVICE_MILLIS * perSlot;
+        }
+        return new Selection(worker, millis, running, waiting, cached, candidates);
+    }
+
+    private double distanceMillis(Worker worker, ServingRequest request) {
+        if (worker.zone().equals(zone)) {
+            return 0;
+        }
+        return OTHER_ZONE_MILLIS + OTHER_ZONE_MILLIS_PER_KB * request.bodyBytes() / BYTES_PER_KB;
+    }
+
+    private int cachedTokens(Worker worker, Prompt prompt, String home) {
+        int known = prefixes.cachedTokens(worker.id(), prompt);
+        if (!worker.id().equals(home)) {
+            return known;
+        }
+        int shared = sharedTokens(prompt);
+        return Math.max(known, (int) (shared * HOME_TRUST));
+    }
+
+    private static int sharedTokens(Prompt prompt) {
+        List<PromptBlock> blocks = prompt.blocks();
+        int tokens = 0;
+        for (int i = 0; i + 1 < blocks.size(); i++) {
+            tokens += blocks.get(i).tokens();
+        }
+        return tokens;
+    }
+
+    private static String home(List<Worker> serving, Prompt prompt) {
+        String subject = prompt.subject();
+        if (subject.isEmpty()) {
+            return "";
+        }
+        String home = "";
+        long highest = Long.MIN_VALUE;
+        for (Worker worker : serving) {
+            long weight = Hashing.xxh3_64().hashCharsToLong(subject + '/' + worker.id());
+            if (weight >= highest) {
+                highest = weight;
+                home = worker.id();
+            }
+        }
+        return home;
+    }
+}
--- /dev/null
+++ b/trailladder-core/src/main/java/io/trailladder/core/worker/WorkerUse.java
@@ -0,0 +1,26 @@
+/*
+ * Copyright 2026 The trailladder authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package io.trailladder.core.worker;
+
+/**
+ * What one entry has under way at one upstream.
+ *
+ * @param worker the upstream's name
+ * @param requests requests in flight
+ * @param promptTokens prompt tokens sent and not yet read by the upstream
+ * @since 0.2
+ */
+public record WorkerUse(String worker, int requests, int promptTokens) {}
--- /dev/null
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Attempt.java
@@ -0,0 +1,198 @@
+/*
+ * Copyright 2026 The trailladder authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package io.trailladder.entry.gateway;
+
+import io.trailladder.core.pipeline.AttemptFailure;
+import io.trailladder.core.pipeline.ServingRequest;
+import io.trailladder.core.worker.Selection;
+import io.trailladder.core.worker.Worker;
+import io.trailladder.entry.http.CallFailure;
+import io.trailladder.entry.http.CallListener;
+import io.trailladder.entry.http.ClientCall;
+import io.trailladder.entry.http.HeaderList;
+import io.trailladder.entry.http.OutgoingCall;
+
+/**
+ * One sending of a request to an upstream. It keeps the upstream's load and health true, and sorts
+ * answers from failures.
+ */
+final class Attempt implements CallListener {
+    private static final int SERVER_ERRORS = 500;
+    private static final int SUCCESS_FROM = 200;
+    private static final int SUCCESS_TO = 299;
+
+    private final ServingContext context;
+    private final ServingRequest request;
+    private final Worker worker;
+    private final int uncachedTokens;
+    private final Owner owner;
+    private final long createdMillis;
+    private ClientCall call;
+    private boolean sent;
+    private boolean promptRead;
+    private boolean over;
+    private int status;
+    private long heardMillis;
+
+    /** Told what becomes of the attempt. Only one of the last four methods is called, once. */
+    interface Owner {
+        /** The request is about to leave. */
+        void sending(Attempt attempt);
+
+        /** A good answer, or one to be passed on, begins. */
+        void answered(Attempt attempt, int status, HeaderList headers, long length);
+
+        /** A part of that answer's body. */
+        void body(Attempt attempt, byte[] bytes);
+
+        /** That answer is whole. */
+        void ended(Attempt attempt);
+
+        /** The attempt has failed. */
+        void failed(Attempt attempt, AttemptFailure failure);
+    }
+
+    Attempt(ServingContext context, ServingRequest request, Selection selection, Owner owner) {
+        this.context = context;
+        this.request = request;
+        this.worker = selection.worker();
+        this.uncachedTokens = Math.max(0, request.prompt().tokensIn() - selection.cachedTokens());
+        this.owner = owner;
+        this.createdMillis = context.loop().nowMillis();
+        this.heardMillis = createdMillis;
+    }
+
+    void start(OutgoingCall outgoing) {
+        context.loads().sent(worker.id(), uncachedTokens);
+        call = context.connector().send(outgoing, this);
+        if (over) {
+            call.cancel();
+        }
+    }
+
+    Worker worker() {
+        return worker;
+    }
+
+    boolean isSent() {
+        return sent;
+    }
+
+    int status() {
+        return status;
+    }
+
+    long ageMillis() {
+        return context.loop().nowMillis() - createdMillis;
+    }
+
+    long silentMillis() {
+        return context.loop().nowMillis() - heardMillis;
+    }
+
+    /** Stops the attempt; its owner is told nothing more. */
+    void cancel() {
+        if (!over) {
+            finish();
+            if (call != null) {
+                call.cancel();
+            }
+        }
+    }
+
+    /** Records that the upstream has begun to answer the request itself. */
+    void promptRead() {
+        if (!promptRead) {
+            promptRead = true;
+            context.loads().promptRead(worker.id(), uncachedTokens);
+        }
+    }
+
+    @Override
+    public void sending() {
+        sent = true;
+        owner.sending(this);
+    }
+
+    @Override
+    public void head(int answered, HeaderList headers, long length) {
+        status = answered;
+        heardMillis = context.loop().nowMillis();
+        if (context.protocol().misdirected(answered)) {
+            fail(AttemptFailure.MISDIRECTED);
+        } else if (context.protocol().notExecuted(answered, headers)) {
+            fail(AttemptFailure.NOT_EXECUTED);
+        } else if (!context.protocol().belongs(request.id(), headers)) {
+            context.metrics().count(GatewayMetrics.Event.FOREIGN_ANSWER);
+            fail(AttemptFailure.BROKEN);
+        } else {
+            owner.answered(this, answered, headers, length);
+        }
+    }
+
+    @Override
+    public void body(byte[] bytes) {
+        if (!over) {
+            heardMillis = context.loop().nowMillis();
+            owner.body(this, bytes);
+        }
+    }
+
+    @Override
+    public void ended() {
+        if (over) {
+            return;
+        }
+        long now = context.loop().nowMillis();
+        if (status >= SERVER_ERRORS) {
+            context.loads().failed(worker.id(), now);
+        } else if (status >= SUCCESS_FROM && status <= SUCCESS_TO) {
+            context.loads().succeeded(worker.id(), now);
+        }
+        finish();
+        owner.ended(this);
+    }
+
+    @Override
+    public void failed(CallFailure failure) {
+        boolean unreachable = failure == CallFailure.UNREACHABLE && !sent;
+        fail(unreachable ? AttemptFailure.UNREACHABLE : AttemptFailure.BROKEN);
+    }
+
+    /** Ends the attempt as failed and breaks its connection off. */
+    void fail(AttemptFailure failure) {
+        if (over) {
+            return;
+        }
+        long now = context.loop().nowMillis();
+        if (failure == AttemptFailure.UNREACHABLE || failure == AttemptFailure.MISDIRECTED) {
+            context.loads().unreachable(worker.id(), now);
+        } else if (failure != AttemptFailure.LEAVING) {
+            context.loads().failed(worker.id(), now);
+        }
+        finish();
+        if (call != null) {
+            call.cancel();
+        }
+        owner.failed(this, failure);
+    }
+
+    private void finish() {
+        over = true;
+        promptRead();
+        context.loads().ended(worker.id());
+    }
+}
--- /dev/null
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/DecisionLog.java
@@ -0,0 +1,169 @@
+/*
+ * Copyright 2026 The trailladder authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package io.trailladder.entry.gateway;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import org.tinylog.Logger;
+
+/**
+ * Writes one structured line for each decision. The line's fields are those of the decision's
+ * record.
+ *
+ * @since 0.2
+ */
+public final class DecisionLog {
+    private static final ObjectMapper JSON = new ObjectMapper();
+
+    private DecisionLog() {}
+
+    /** One kind of decision. */
+    public sealed interface Decision {}
+
+    /**
+     * A request was accepted or refused before any attempt.
+     *
+     * @param id the request
+     * @param route the route; empty if there is none
+     * @param tenant whose it is; empty if not known
+     * @param size units counted against the tenant's limit
+     * @param policyVersion version of the policy that decided
+     * @param outcome what was decided
+     */
+    public record Intake(
+            String id, String route, String tenant, int size, long policyVersion, String outcome)
+            implements Decision {}
+
+    /**
+     * An upstream was chosen for an attempt.
+     *
+     * @param id the request
+     * @param attempt number of the attempt, from 1
+     * @param worker the upstream
+     * @param predictedMs predicted time to its first answer, in milliseconds
+     * @param running requests under way there
+     * @param waitingTokens prompt tokens waiting there
+     * @param cachedTokens tokens of the prompt it probably holds
+     * @param candidates upstreams weighed
+     * @param peersAgeMs age of the oldest peer digest that was used, in milliseconds
+     * @param resumeAfter the last event the caller has; empty for a beginning
+     */
+    public record Dispatch(
+            String id,
+            int attempt,
+            String worker,
+            long predictedMs,
+            int running,
+            int waitingTokens,
+            int cachedTokens,
+            int candidates,
+            long peersAgeMs,
+            String resumeAfter)
+            implements Decision {}
+
+    /**
+     * An attempt failed.
+     *
+     * @param id the request
+     * @param worker the upstream
+     * @param failure how it failed
+     * @param status the upstream's HTTP status; 0 if none came
+     * @param afterMs time since the attempt was sent, in milliseconds
+     * @param recovery what is done now
+     */
+    public record AttemptFailed(
+            String id, String worker, String failure, int status, long afterMs, String recovery)
+            implements Decision {}
+
+    /**
+     * A request ended.
+     *
+     * @param id the request
+     * @param outcome how
+     * @param status the HTTP status that the caller was sent; 0 if none
+     * @param worker the last upstream; empty if there was none
+     * @param attempts upstreams it was sent to
+     * @param tookMs time since it was accepted, in milliseconds
+     * @param firstMs time to the first byte of the answer, in milliseconds; below 0 if there was
+     *     none
+     */
+    public record Ended(
+            String id,
+            String outcome,
+            int status,
+            String worker,
+            int attempts,
+            long tookMs,
+            long firstMs)
+            implements Decision {}
+
+    /**
+     * The process began to believe something new.
+     *
+     * @param what what it is about
+     * @param value the new value
+     * @param source where it was learned
+     * @param version its version or revision
+     */
+    public record Belief(String what, String value, String source, long version)
+            implements Decision {}
+
+    /**
+     * A dependency was lost or regained, or the process started, stopped or read its settings anew.
+     *
+     * @param what the dependency or the process
+     * @param state its new state
+     * @param detail what led to it
+     */
+    public record Lifecycle(String what, String state, String detail) implements Decision {}
+
+    /**
+     * A duty call was made.
+     *
+     * @param duty which duty
+     * @param subject what it is about
+     * @param token the fencing token
+     * @param result the platform's answer
+     */
+    public record Duty(String duty, String subject, long token, String result)
+            implements Decision {}
+
+    /**
+     * Writes a line.
+     *
+     * @param decision the decision
+     */
+    public static void write(Decision decision) {
+        Logger.info("{}", new Line(decision));
+    }
+
+    /** Turns a decision into text when the line is written. */
+    private record Line(Decision decision) {
+        @Override
+        public String toString() {
+            String kind = decision.getClass().getSimpleName();
+            try {
+                return '{'
+                        + "\"kind\":\""
+                        + kind
+                        + "\","
+                        + JSON.writeValueAsString(decision).substring(1);
+            } catch (JsonProcessingException e) {
+                return "{\"kind\":\"" + kind + "\",\"fault\":\"not writable\"}";
+            }
+        }
+    }
+}
--- /dev/null
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/DirectoryKeeper.java
@@ -0,0 +1,160 @@
+/*
+ * Copyright 2026 The trailladder authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package io.trailladder.entry.gateway;
+
+import io.trailladder.core.worker.Worker;
+import io.trailladder.core.worker.WorkerDirectory;
+import io.trailladder.entry.gateway.DecisionLog.Belief;
+import io.trailladder.entry.port.PlatformFormat;
+import io.trailladder.entry.port.StoreItem;
+import io.trailladder.wire.NodeMessage.WorkerEntry;
+import io.vavr.control.Either;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import org.tinylog.Logger;
+
+/**
+ * The list of upstreams as the store tells it, or as a peer does while the store cannot be reached.
+ *
+ * @since 0.2
+ */
+public final class DirectoryKeeper implements StoreWatcher.Listener {
+    private final PlatformFormat format;
+    private final WorkerDirectory directory;
+    private final List<Consumer<Worker>> onLeaving = new ArrayList<>();
+    private final Map<String, byte[]> entries = new HashMap<>();
+    private long revision;
+
+    /**
+     * Creates a keeper.
+     *
+     * @param format how entries are written
+     * @param directory the directory to keep
+     */
+    public DirectoryKeeper(PlatformFormat format, WorkerDirectory directory) {
+        this.format = format;
+        this.directory = directory;
+    }
+
+    /**
+     * Has a listener told of every upstream that begins to leave or is gone.
+     *
+     * @param listener the listener
+     */
+    public void onLeaving(Consumer<Worker> listener) {
+        onLeaving.add(listener);
+    }
+
+    @Override
+    public void listed(List<StoreItem> items, long atRevision) {
+        entries.clear();
+        items.forEach(item -> entries.put(idOf(item.key()), item.value()));
+        replaceAll(atRevision, "store");
+    }
+
+    @Override
+    public void changed(StoreItem item) {
+        String id = idOf(item.key());
+        revision = Math.max(revision, item.revision());
+        if (item.gone()) {
+            entries.remove(id);
+            directory.removed(id).ifPresent(worker -> left(worker, "gone"));
+            return;
+        }
+        entries.put(id, item.value());
+        Either<String, Worker> worker = format.worker(id, item.value());
+        if (worker.isLeft()) {
+            Logger.warn("entry of upstream {} cannot be read: {}", id, worker.getLeft());
+            return;
+        }
+        boolean known = directory.find(id).isPresent();
+        directory.changed(worker.get()).ifPresent(leaving -> left(leaving, "draining"));
+        if (!known) {
+            DecisionLog.write(
+                    new Belief("upstream " + id, worker.get().address(), "store", revision));
+        }
+    }
+
+    /**
+     * Takes a peer's list over if it is newer.
+     *
+     * @param workers the entries
+     * @param peerRevision the revision of the peer's list
+     * @param peer the peer's name
+     */
+    public void fromPeer(List<WorkerEntry> workers, long peerRevision, String peer) {
+        if (peerRevision <= revision) {
+            return;
+        }
+        entries.clear();
+        workers.forEach(entry -> entries.put(entry.id(), entry.value()));
+        replaceAll(peerRevision, peer);
+    }
+
+    /**
+     * Records that a peer saw an upstream leave.
+     *
+     * @param id the upstream's name
+     * @param peer the peer's name
+     */
+    public void leavingSeenBy(String id, String peer) {
+        directory.leaving(id).ifPresent(worker -> left(worker, "draining, told by " + peer));
+    }
+
+    /**
+     * Returns the revision of the list.
+     *
+     * @return the revision; 0 if no list is known
+     */
+    public long revision() {
+        return revision;
+    }
+
+    /**
+     * Returns the list as the platform wrote it.
+     *
+     * @return the entries
+     */
+    public List<WorkerEntry> entries() {
+        List<WorkerEntry> all = new ArrayList<>();
+        entries.forEach((id, value) -> all.add(new WorkerEntry(id, value)));
+        return all;
+    }
+
+    private void replaceAll(long atRevision, String source) {
+        revision = atRevision;
+        List<Worker> workers = new ArrayList<>();
+        entries.forEach(
+                (id, value) ->
+                        format.worker(id, value)
+                                .peek(workers::add)
+                                .peekLeft(fault -> Logger.warn("upstream {}: {}", id, fault)));
+        DecisionLog.write(new Belief("upstreams", workers.size() + " listed", source, revision));
+        directory.replaceAll(workers).forEach(worker -> left(worker, "left, by list"));
+    }
+
+    private void left(Worker worker, String how) {
+        DecisionLog.write(new Belief("upstream " + worker.id(), how, "store", revision));
+        onLeaving.forEach(listener -> listener.accept(worker));
+    }
+
+    private String idOf(String key) {
+        return key.substring(format.workerPrefix().length());
+    }
+}
--- /dev/null
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/EventSplitter.java
@@ -0,0 +1,84 @@
+/*
+ * Copyright 2026 The trailladder authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package io.trailladder.entry.gateway;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * Cuts the body of an event stream into whole events, so that a stream that breaks off inside an
+ * event can go on at another upstream.
+ *
+ * @since 0.2
+ */
+public final class EventSplitter {
+    private static final String ID_FIELD = "id:";
+
+    private final ByteArrayOutputStream pending = new ByteArrayOutputStream();
+    private boolean lineEmpty = true;
+
+    /**
+     * A whole event.
+     *
+     * @param id its name; empty if it has none
+     * @param bytes its bytes, with the empty line that ends it
+     */
+    public record StreamEvent(String id, byte[] bytes) {}
+
+    /**
+     * Takes a part of the body.
+     *
+     * @param bytes the part
+     * @return the events that are whole with it
+     */
+    public List<StreamEvent> take(byte[] bytes) {
+        List<StreamEvent> events = new ArrayList<>();
+        for (byte b : bytes) {
+            pending.write(b);
+            if (b == '\n' && lineEmpty) {
+                byte[] whole = pending.toByteArray();
+                pending.reset();
+                events.add(new StreamEvent(idOf(whole), whole));
+            } else if (b == '\n') {
+                lineEmpty = true;
+            } else if (b != '\r') {
+                lineEmpty = false;
+            }
+        }
+        return events;
+    }
+
+    /**
+     * Returns the bytes after the last whole event.
+     *
+     * @return the bytes; none if the body ended with a whole event
+     */
+    public byte[] rest() {
+        return pending.toByteArray();
+    }
+
+    private static String idOf(byte[] event) {
+        String text = new String(event, StandardCharsets.UTF_8);
+        for (String line : text.split("\n", -1)) {
+            if (line.startsWith(ID_FIELD)) {
+                return line.substring(ID_FIELD.length()).trim();
+            }
+        }
+        return "";
+    }
+}
--- /dev/null
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
@@ -0,0 +1,332 @@
+/*
+ * Copyright 2026 The trailladder authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package io.trailladder.entry.gateway;
+
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
+import io.trailladder.core.duty.LeaderElection;
+import io.trailladder.core.duty.UsageLedger;
+import io.trailladder.core.policy.RequestBounds;
+import io.trailladder.core.policy.ServingPolicy;
+import io.trailladder.core.worker.Worker;
+import io.trailladder.core.worker.WorkerDirectory;
+import io.trailladder.core.worker.WorkerLoads;
+import io.trailladder.core.worker.WorkerSelector;
+import io.trailladder.entry.gateway.DecisionLog.Lifecycle;
+import io.trailladder.entry.http.HeaderList;
+import io.trailladder.entry.http.HttpConnector;
+import io.trailladder.entry.http.HttpServer;
+import io.trailladder.entry.http.ServerBounds;
+import io.trailladder.entry.http.ServerExchange;
+import io.trailladder.entry.loop.EventLoop;
+import io.trailladder.entry.mesh.PeerMesh;
+import io.trailladder.entry.port.PlatformFormat;
+import io.trailladder.entry.port.StoreItem;
+import io.trailladder.platform.http.HostPort;
+import io.trailladder.wire.NodeMessage.NodeHello;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.time.Clock;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.function.BiFunction;
+import org.tinylog.Logger;
+
+/**
+ * One gateway process: wires its parts together, starts them, and stops them in order.
+ *
+ * @since 0.2
+ */
+public final class Gateway {
+    private static final int OK = 200;
+    private static final int UNAVAILABLE = 503;
+    private static final long STATE_MILLIS = 1_000;
+    private static final long LOST_SILENT_MILLIS = 500;
+    private static final long STOP_CHECK_MILLIS = 100;
+    private static final long LEAST_DRAIN_MILLIS = 3_000;
+    private static final long END_MARGIN_MILLIS = 700;
+    private static final long ELECTION_PATIENCE_MILLIS = 100;
+    private static final long ELECTION_SPREAD_MILLIS = 500;
+    private static final long PEERS_FIRST_MILLIS = 700;
+    private static final byte[] NO_BYTES = {};
+
+    private final GatewaySettings settings;
+    private final EventLoop loop = new EventLoop();
+    private final GatewayMetrics metrics = new GatewayMetrics();
+    private final HttpConnector connector = new HttpConnector(loop);
+    private final WorkerDirectory directory = new WorkerDirectory();
+    private final WorkerLoads loads = new WorkerLoads();
+    private final StoreHealth storeHealth = new StoreHealth(metrics);
+    private final PolicyKeeper policies;
+    private final DirectoryKeeper directoryKeeper;
+    private final Quotas quotas;
+    private final ClusterView view;
+    private final PeerMesh mesh;
+    private final Membership membership;
+    private final DutyRunner duties;
+    private final RequestIntake intake;
+    private final HttpServer callers;
+    private final HttpServer health;
+    private final HttpServer figures;
+    private final StoreWatcher policyWatcher;
+    private final StoreWatcher directoryWatcher;
+    private final StoreWatcher memberWatcher;
+    private final StoreWatcher leaderWatcher;
+    private final long startedMillis = loop.nowMillis();
+    private final Runnable onStopped;
+    private boolean stopping;
+
+    /**
+     * Wires a process; nothing runs yet.
+     *
+     * @param settings what it is told
+     * @param adapters makes the adapter of the platform it runs on
+     * @param onStopped runs once it has stopped
+     */
+    public Gateway(
+            GatewaySettings settings,
+            BiFunction<EventLoop, HttpConnector, PlatformAdapter> adapters,
+            Runnable onStopped) {
+        this.settings = settings;
+        this.onStopped = onStopped;
+        PlatformAdapter platform = adapters.apply(loop, connector);
+        String name = settings.node().name();
+        SplittableRandom random = new SplittableRandom(name.hashCode() ^ System.nanoTime());
+        String incarnation = Long.toHexString(random.nextLong());
+        String life = name + '/' + incarnation;
+        Clock clock = Clock.systemUTC();
+        UsageLedger usage = new UsageLedger(life, settings.timing().usageWindowMillis());
+        policies = new PolicyKeeper(platform.format());
+        directoryKeeper = new DirectoryKeeper(platform.format(), directory);
+        quotas = new Quotas(settings.node().firstStart());
+        view =
+                new ClusterView(
+                        loop,
+                        policies,
+                        directoryKeeper,
+                        storeHealth,
+                        quotas,
+                        loads,
+                        usage,
+                        life,
+                        metrics);
+        String peerAddress = settings.listen().peers().toString();
+        mesh =
+                new PeerMesh(
+                        loop,
+                        new NodeHello(name, incarnation, settings.node().zone(), peerAddress),
+                        view);
+        mesh.seeds(settings.seeds().stream().map(HostPort::toString).toList());
+        membership =
+                new Membership(loop, platform.store(), storeHealth, mesh, view, name, peerAddress);
+        LeaderElection election =
+                new LeaderElection(
+                        settings.timing().leaseMillis(),
+                        ELECTION_PATIENCE_MILLIS + random.nextLong(ELECTION_SPREAD_MILLIS),
+                        2 * settings.timing().leaseMillis());
+        duties =
+                new DutyRunner(
+                        loop,
+                        clock,
+                        platform.store(),
+                        storeHealth,
+                        platform.duties(),
+                        usage,
+                        election,
+                        name,
+                        life,
+                        settings.timing(),
+                        metrics);
+        ServingContext context =
+                new ServingContext(
+                        loop,
+                        clock,
+                        platform.protocol(),
+                        connector,
+                        directory,
+                        loads,
+                        new WorkerSelector(settings.node().zone(), directory, loads),
+                        quotas,
+                        new RetryBudgets(settings.retries(), view::entries),
+                        usage,
+                        metrics,
+                        view::oldestDigestMillis);
+        intake = new RequestIntake(context, policies, random.split());
+        callers = new HttpServer(loop, bounds(RequestBounds.DEFAULTS), intake);
+        ServerBounds inside = bounds(RequestBounds.DEFAULTS);
+        health = new HttpServer(loop, inside, this::answerReady);
+        figures = new HttpServer(loop, inside, this::answerFigures);
+        PlatformFormat format = platform.format();
+        policyWatcher = watcher(platform, random, format.policyKey(), new PolicyListener());
+        directoryWatcher = watcher(platform, random, format.workerPrefix(), directoryKeeper);
+        memberWatcher = watcher(platform, random, Membership.PREFIX, membership);
+        leaderWatcher = watcher(platform, random, DutyRunner.LEADER_PREFIX, duties);
+    }
+
+    /**
+     * Starts the process.
+     *
+     * @throws IOException if it cannot listen
+     */
+    public void start() throws IOException {
+        policies.onChange(this::policyChanged);
+        directoryKeeper.onLeaving(this::upstreamLeaves);
+        callers.start(settings.listen().callers());
+        health.start(settings.listen().health());
+        figures.start(settings.listen().metrics());
+        mesh.start(settings.listen().peers());
+        view.start(mesh);
+        loop.repeat(STATE_MILLIS, this::tellState);
+        loop.execute(
+                () -> {
+                    policyWatcher.restart();
+                    directoryWatcher.restart();
+                    memberWatcher.restart();
+                    leaderWatcher.restart();
+                    membership.start();
+                    duties.start();
+                });
+        loop.start();
+        DecisionLog.write(
+                new Lifecycle("process", "started", settings.listen().callers().toString()));
+    }
+
+    /** Stops the process: it goes on serving until the balancer has left it out. */
+    public void stop() {
+        loop.execute(this::beginStop);
+    }
+
+    /**
+     * Takes settings over that have changed.
+     *
+     * @param changed the new settings
+     */
+    public void reload(GatewaySettings changed) {
+        loop.execute(
+                () -> {
+                    mesh.seeds(changed.seeds().stream().map(HostPort::toString).toList());
+                    DecisionLog.write(new Lifecycle("process", "reloaded", "settings changed"));
+                });
+    }
+
+    private StoreWatcher watcher(
+            PlatformAdapter platform,
+            SplittableRandom random,
+            String prefix,
+            StoreWatcher.Listener listener) {
+        return new StoreWatcher(
+                loop, platform.store(), storeHealth, random.split(), prefix, listener);
+    }
+
+    private static ServerBounds bounds(RequestBounds bounds) {
+        return new ServerBounds(
+                bounds.maxBodyBytes(), bounds.headerTimeoutMillis(), bounds.idleTimeoutMillis());
+    }
+
+    private void policyChanged(ServingPolicy policy) {
+        quotas.policy(policy, loop.nowMillis());
+        callers.bounds(bounds(policy.bounds()));
+    }
+
+    /** A lost upstream says nothing, so streams that have been silent leave it at once. */
+    private void upstreamLeaves(Worker worker) {
+        if (!worker.draining()) {
+            intake.lost(worker, LOST_SILENT_MILLIS);
+        } else if (worker.leavesMillis() > 0) {
+            long notice = Math.max(0, worker.leavesMillis() - END_MARGIN_MILLIS);
+            loop.schedule(notice, () -> intake.moveAway(worker));
+        }
+    }
+
+    private boolean isReady() {
+        boolean knowsUpstreams = directoryKeeper.revision() > 0;
+        boolean asked =
+                policyWatcher.isComplete()
+                        || loop.nowMillis() - startedMillis >= PEERS_FIRST_MILLIS;
+        return !stopping && asked && policies.version() > 0 && knowsUpstreams;
+    }
+
+    private void answerReady(ServerExchange exchange) {
+        exchange.respond(isReady() ? OK : UNAVAILABLE, HeaderList.EMPTY, NO_BYTES);
+    }
+
+    private void answerFigures(ServerExchange exchange) {
+        ByteArrayOutputStream text = new ByteArrayOutputStream();
+        try {
+            PrometheusTextFormatWriter.create().write(text, metrics.registry().scrape());
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        HeaderList headers = HeaderList.of("Content-Type", PrometheusTextFormatWriter.CONTENT_TYPE);
+        exchange.respond(OK, headers, text.toByteArray());
+    }
+
+    private void tellState() {
+        loads.forgetGone(directory);
+        metrics.state(
+                policies.version(),
+                directory.all().size(),
+                mesh.heardPeers().size(),
+                intake.open(),
+                duties.leads(),
+                connector.opened());
+    }
+
+    private void beginStop() {
+        if (stopping) {
+            return;
+        }
+        stopping = true;
+        DecisionLog.write(new Lifecycle("process", "stopping", intake.open() + " in flight"));
+        view.draining();
+        duties.stop();
+        callers.closing();
+        long begun = loop.nowMillis();
+        loop.repeat(STOP_CHECK_MILLIS, () -> checkStopped(begun));
+    }
+
+    private void checkStopped(long begunMillis) {
+        long since = loop.nowMillis() - begunMillis;
+        if (since >= LEAST_DRAIN_MILLIS) {
+            callers.closeResting();
+        }
+        boolean idle = since >= LEAST_DRAIN_MILLIS && callers.open() == 0;
+        boolean late = since >= settings.timing().graceMillis() - END_MARGIN_MILLIS;
+        if (idle || late) {
+            intake.stopAll();
+            membership.stop();
+            DecisionLog.write(new Lifecycle("process", "stopped", "after " + since + " ms"));
+            loop.schedule(STOP_CHECK_MILLIS, onStopped);
+        }
+    }
+
+    /** Takes the policy as the store has it. */
+    private final class PolicyListener implements StoreWatcher.Listener {
+        @Override
+        public void listed(List<StoreItem> items, long revision) {
+            items.forEach(this::changed);
+        }
+
+        @Override
+        public void changed(StoreItem item) {
+            if (item.gone()) {
+                Logger.warn("the policy is gone from the store; the one in force is kept");
+            } else {
+                policies.offer(item.value(), "store");
+            }
+        }
+    }
+}
--- /dev/null
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/GatewayMetrics.java
@@ -0,0 +1,166 @@
+/*
+ * Copyright 2026 The trailladder authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package io.trailladder.entry.gateway;
+
+import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.Gauge;
+import io.prometheus.metrics.core.metrics.Histogram;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.util.Locale;
+
+/**
+ * The figures of a gateway process. Label values come from the policy and from enums, so callers
+ * cannot add series.
+ *
+ * @since 0.2
+ */
+public final class GatewayMetrics {
+    private static final double[] SECONDS = {
+        0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.2, 2.4, 5, 10, 30
+    };
+    private static final double MILLIS = 1000.0;
+
+    private final PrometheusRegistry registry = new PrometheusRegistry();
+    private final Counter requests =
+            Counter.builder()
+                    .name("trailladder_requests_total")
+                    .help("Requests by tenant, service and outcome")
+                    .labelNames("tenant", "service", "outcome")
+                    .register(registry);
+    private final Counter attempts =
+            Counter.builder()
+                    .name("trailladder_attempts_total")
+                    .help("Attempts at upstreams by service and result")
+                    .labelNames("service", "result")
+                    .register(registry);
+    private final Counter events =
+            Counter.builder()
+                    .name("trailladder_events_total")
+                    .help("Events inside the process")
+                    .labelNames("event")
+                    .register(registry);
+    private final Histogram firstAnswer =
+            histogram("trailladder_first_answer_seconds", "Time to the first byte of the answer");
+    private final Histogram wholeAnswer =
+            histogram("trailladder_request_seconds", "Time to the whole answer");
+    private final Gauge policyVersion = gauge("trailladder_policy_version", "Policy in force");
+    private final Gauge upstreams = gauge("trailladder_upstreams", "Upstreams listed");
+    private final Gauge peers = gauge("trailladder_peers_heard", "Peers heard lately");
+    private final Gauge open = gauge("trailladder_open_requests", "Requests in flight");
+    private final Gauge leading = gauge("trailladder_leading", "1 while this process leads");
+    private final Gauge connections =
+            gauge("trailladder_connections_opened", "Connections opened to servers");
+
+    /** What is counted inside the process. */
+    public enum Event {
+        /** A connection brought an answer that belongs to another request. */
+        FOREIGN_ANSWER,
+        /** The store did not answer, or turned a call away. */
+        STORE_FAILURE,
+        /** A peer told of a newer policy than the store did. */
+        POLICY_FROM_PEER,
+        /** A second attempt was not made because the budget was used up. */
+        RETRY_BUDGET_EMPTY,
+        /** A usage report or an order was not accepted. */
+        DUTY_FAILURE
+    }
+
+    /**
+     * Returns the registry, to be exposed.
+     *
+     * @return the registry
+     */
+    public PrometheusRegistry registry() {
+        return registry;
+    }
+
+    /**
+     * Records the end of a request.
+     *
+     * @param tenant whose it was; empty if nobody's
+     * @param service the service; empty if none was chosen
+     * @param outcome how it ended
+     * @param millis how long it took, in milliseconds
+     */
+    public void ended(String tenant, String service, String outcome, long millis) {
+        requests.labelValues(tenant, service, outcome).inc();
+        wholeAnswer.labelValues(tenant, service).observe(millis / MILLIS);
+    }
+
+    /**
+     * Records the first byte of an answer.
+     *
+     * @param tenant whose request it was; empty if nobody's
+     * @param service the service
+     * @param millis time since the request was accepted, in milliseconds
+     */
+    public void firstAnswer(String tenant, String service, long millis) {
+        firstAnswer.labelValues(tenant, service).observe(millis / MILLIS);
+    }
+
+    /**
+     * Counts an attempt's result.
+     *
+     * @param service the service
+     * @param result how it ended
+     */
+    public void attempt(String service, String result) {
+        attempts.labelValues(service, result).inc();
+    }
+
+    /**
+     * Counts an event.
+     *
+     * @param event the event
+     */
+    public void count(Event event) {
+        events.labelValues(event.name().toLowerCase(Locale.ROOT)).inc();
+    }
+
+    /**
+     * Records the state of the process.
+     *
+     * @param policy version of the policy in force
+     * @param listed upstreams listed
+     * @param heard peers heard lately
+     * @param inFlight requests in flight
+     * @param leads true while it leads
+     * @param opened connections opened since its start
+     */
+    public void state(
+            long policy, int listed, int heard, int inFlight, boolean leads, long opened) {
+        policyVersion.set((double) policy);
+        upstreams.set(listed);
+        peers.set(heard);
+        open.set(inFlight);
+        leading.set(leads ? 1 : 0);
+        connections.set((double) opened);
+    }
+
+    private Gauge gauge(String name, String help) {
+        return Gauge.builder().name(name).help(help).register(registry);
+    }
+
+    private Histogram histogram(String name, String help) {
+        return Histogram.builder()
+                .name(name)
+                .help(help)
+                .labelNames("tenant", "service")
+                .classicUpperBounds(SECONDS)
+                .classicOnly()
+                .register(registry);
+    }
+}
--- /dev/null
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/GatewaySettings.java
@@ -0,0 +1,82 @@
+/*
+ * Copyright 2026 The trailladder authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package io.trailladder.entry.gateway;
+
+import io.trailladder.platform.http.HostPort;
+import java.util.List;
+
+/**
+ * All that a gateway process is told when it starts, and again when its settings change.
+ *
+ * @param node who and where it is
+ * @param listen where it listens
+ * @param seeds addresses of peers, which may be stale
+ * @param store the platform's store
+ * @param cloud the platform's API for duties
+ * @param retries bounds of second attempts
+ * @param timing bounds of time
+ * @since 0.2
+ */
+public record GatewaySettings(
+        Node node,
+        Listen listen,
+        List<HostPort> seeds,
+        HostPort store,
+        HostPort cloud,
+        Retries retries,
+        Timing timing) {
+    /** Copies the seeds. */
+    public GatewaySettings {
+        seeds = List.copyOf(seeds);
+    }
+
+    /**
+     * Who and where a process is.
+     *
+     * @param name its name, unlike all others
+     * @param zone its data centre
+     * @param firstStart true only if the whole installation starts for the first time
+     */
+    public record Node(String name, String zone, boolean firstStart) {}
+
+    /**
+     * Where a process listens.
+     *
+     * @param callers for callers
+     * @param health for the balancer's question whether it is ready
+     * @param peers for its peers
+     * @param metrics for its own figures
+     */
+    public record Listen(HostPort callers, HostPort health, HostPort peers, HostPort metrics) {}
+
+    /**
+     * Bounds of second attempts, over all processes.
+     *
+     * @param ratio second attempts allowed for each request
+     * @param allowance second attempts allowed on top in a window
+     * @param windowMillis length of the window, in milliseconds
+     */
+    public record Retries(double ratio, double allowance, long windowMillis) {}
+
+    /**
+     * Bounds of time, all in milliseconds.
+     *
+     * @param graceMillis time between SIGTERM and the end
+     * @param leaseMillis time to live of the leader's lease
+     * @param usageWindowMillis length of a usage window
+     */
+    public record Timing(long graceMillis, long leaseMillis, long usageWindowMillis) {}
+}
--- /dev/null
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestDriver.java
@@ -0,0 +1,407 @@
+/*
+ * Copyright 2026 The trailladder authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package io.trailladder.entry.gateway;
+
+import io.trailladder.core.pipeline.AttemptFailure;
+import io.trailladder.core.pipeline.AttemptHistory;
+import io.trailladder.core.pipeline.Ending;
+import io.trailladder.core.pipeline.Recovery;
+import io.trailladder.core.pipeline.Recovery.GiveUp;
+import io.trailladder.core.pipeline.Recovery.Resume;
+import io.trailladder.core.pipeline.RecoveryPolicy;
+import io.trailladder.core.pipeline.ServingRequest;
+import io.trailladder.core.policy.RouteKind;
+import io.trailladder.core.worker.Selection;
+import io.trailladder.core.worker.Worker;
+import io.trailladder.entry.gateway.DecisionLog.AttemptFailed;
+import io.trailladder.entry.gateway.DecisionLog.Dispatch;
+import io.trailladder.entry.gateway.DecisionLog.Ended;
+import io.trailladder.entry.gateway.EventSplitter.StreamEvent;
+import io.trailladder.entry.http.HeaderList;
+import io.trailladder.entry.http.OutgoingCall;
+import io.trailladder.entry.http.ServerExchange;
+import io.trailladder.entry.loop.LoopTimer;
+import io.trailladder.entry.port.AttemptFields;
+import io.trailladder.platform.http.HostPort;
+import java.io.ByteArrayOutputStream;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Consumer;
+
+/**
+ * Brings one accepted request to its end: sends it to upstreams, passes the answer on, and does
+ * what {@link RecoveryPolicy} decides when an attempt fails.
+ */
+final class RequestDriver implements Attempt.Owner {
+    private static final int MAX_BUFFERED_BYTES = 1024 * 1024;
+    private static final int SERVER_ERRORS = 500;
+    private static final int SUCCESS_TO = 299;
+    private static final long MAX_CONNECT_MILLIS = 1_000;
+    private static final long LEAST_CONNECT_MILLIS = 50;
+    private static final long KEPT_MILLIS = 1_500;
+    private static final long KEPT_UNREPEATABLE_MILLIS = 400;
+    private static final long LEAST_RETRY_AFTER_MILLIS = 50;
+    private static final byte[] NO_BYTES = {};
+
+    private final ServingContext context;
+    private final ServerExchange exchange;
+    private final ServingRequest request;
+    private final int units;
+    private final Consumer<RequestDriver> onEnd;
+    private final AttemptHistory history = new AttemptHistory();
+    private final ByteArrayOutputStream buffered = new ByteArrayOutputStream();
+    private final LoopTimer deadline;
+    private EventSplitter splitter = new EventSplitter();
+    private Attempt attempt;
+    private HeaderList answerHeaders = HeaderList.EMPTY;
+    private int answerStatus;
+    private boolean passing;
+    private boolean started;
+    private boolean over;
+    private long firstMillis = -1;
+
+    RequestDriver(
+            ServingContext context,
+            ServerExchange exchange,
+            ServingRequest request,
+            int units,
+            String lastEventId,
+            Consumer<RequestDriver> onEnd) {
+        this.context = context;
+        this.exchange = exchange;
+        this.request = request;
+        this.units = units;
+        this.onEnd = onEnd;
+        if (!lastEventId.isEmpty()) {
+            history.eventPassed(lastEventId);
+        }
+        exchange.onGone(this::callerGone);
+        long left = request.deadlineMillis() - context.loop().nowMillis();
+        this.deadline = context.loop().schedule(left, this::timeOver);
+    }
+
+    void start() {
+        context.budgets().requested(request.service(), context.loop().nowMillis());
+        nextAttempt();
+    }
+
+    /** Tells whether the request runs at an upstream now. */
+    boolean runsAt(String worker) {
+        return attempt != null && attempt.worker().id().equals(worker);
+    }
+
+    /** Returns how long the upstream has been silent, in milliseconds. */
+    long silentMillis() {
+        return attempt == null ? 0 : attempt.silentMillis();
+    }
+
+    boolean isStream() {
+        return request.route().kind() == RouteKind.STREAMING;
+    }
+
+    /** Goes on at another upstream if the request may. */
+    void moveAway(AttemptFailure reason) {
+        boolean canMove = request.route().repeatable() || (attempt != null && !attempt.isSent());
+        if (attempt != null && canMove) {
+            attempt.fail(reason);
+        }
+    }
+
+    /** Breaks the request off because the process ends. */
+    void stop() {
+        if (over) {
+            return;
+        }
+        boolean mayHaveRun = mayHaveRun();
+        cancelAttempt();
+        giveUp(
+                history.hasAnswerBegun()
+                        ? Ending.BROKEN_OFF
+                        : mayHaveRun ? Ending.MAY_HAVE_RUN : Ending.NOT_RUN);
+    }
+
+    @Override
+    public void sending(Attempt sender) {
+        history.sent(sender.worker().id());
+        if (request.prompt().tokensIn() == 0) {
+            startedRunning();
+        }
+    }
+
+    @Override
+    public void answered(Attempt sender, int status, HeaderList headers, long length) {
+        answerStatus = status;
+        answerHeaders = headers;
+        buffered.reset();
+        passing = isStream() && status <= SUCCESS_TO;
+    }
+
+    @Override
+    public void body(Attempt sender, byte[] bytes) {
+        if (passing) {
+            passEvents(sender, splitter.take(bytes));
+            return;
+        }
+        buffered.writeBytes(bytes);
+        if (buffered.size() > MAX_BUFFERED_BYTES) {
+            passing = true;
+            passBytes(buffered.toByteArray());
+            buffered.reset();
+        }
+    }
+
+    @Override
+    public void ended(Attempt sender) {
+        if (answerStatus >= SERVER_ERRORS && !history.hasAnswerBegun()) {
+            attemptFailed(sender, AttemptFailure.SERVER_ERROR);
+            return;
+        }
+        attempt = null;
+        context.metrics().attempt(request.service(), "whole");
+        if (passing) {
+            passBytes(splitter.rest());
+            beginAnswer();
+            exchange.end();
+        } else if (history.hasAnswerBegun()) {
+            exchange.abort();
+        } else {
+            respondWhole();
+        }
+        end("whole", answerStatus, sender);
+    }
+
+    @Override
+    public void failed(Attempt sender, AttemptFailure failure) {
+        attemptFailed(sender, failure);
+    }
+
+    private void nextAttempt() {
+        long now = context.loop().nowMillis();
+        Optional<Selection> choice = context.selector().choose(request, history.tried(), now);
+        if (choice.isEmpty() && request.route().repeatable() && !history.tried().isEmpty()) {
+            choice = context.selector().choose(request, Set.of(), now);
+        }
+        if (choice.isEmpty()) {
+            giveUp(
+                    history.hasAnswerBegun()
+                            ? Ending.BROKEN_OFF
+                            : history.mayHaveRun() ? Ending.MAY_HAVE_RUN : Ending.NOT_RUN);
+            return;
+        }
+        send(choice.get(), now);
+    }
+
+    private void send(Selection selection, long now) {
+        Worker worker = selection.worker();
+        DecisionLog.write(
+                new Dispatch(
+                        request.id(),
+                        history.sent() + 1,
+                        worker.id(),
+                        Math.round(selection.predictedMillis()),
+                        selection.requests(),
+                        selection.waitingTokens(),
+                        selection.cachedTokens(),
+                        selection.candidates(),
+                        context.peersAgeMillis().getAsLong(),
+                        history.lastEventId()));
+        context.selector().sent(request, worker.id());
+        splitter = new EventSplitter();
+        attempt = new Attempt(context, request, selection, this);
+        long left = request.deadlineMillis() - now;
+        HeaderList headers =
+                context.protocol()
+                        .attempt(
+                                exchange.headers(),
+                                new AttemptFields(
+                                        worker.id(),
+                                        request.tenant(),
+                                        request.priority(),
+                                        left,
+                                        history.lastEventId()));
+        boolean repeatable = request.route().repeatable();
+        attempt.start(
+                new OutgoingCall(
+                        HostPort.parse(worker.address()),
+                        exchange.method(),
+                        exchange.uri(),
+                        headers,
+                        exchange.body(),
+                        repeatable ? KEPT_MILLIS : KEPT_UNREPEATABLE_MILLIS,
+                        connectMillis(left)));
+    }
+
+    private static long connectMillis(long left) {
+        return Math.max(LEAST_CONNECT_MILLIS, Math.min(MAX_CONNECT_MILLIS, left / 3));
+    }
+
+    private void passEvents(Attempt sender, List<StreamEvent> events) {
+        for (StreamEvent event : events) {
+            sender.promptRead();
+            startedRunning();
+            passBytes(event.bytes());
+            if (!event.id().isEmpty()) {
+                history.eventPassed(event.id());
+            }
+        }
+    }
+
+    private void passBytes(byte[] bytes) {
+        if (bytes.length > 0) {
+            beginAnswer();
+            exchange.write(bytes);
+        }
+    }
+
+    private void beginAnswer() {
+        if (!history.hasAnswerBegun()) {
+            history.answerBegun();
+            exchange.begin(answerStatus, answerHeaders.endToEnd(), -1);
+            firstByte();
+        }
+    }
+
+    private void respondWhole() {
+        firstByte();
+        exchange.respond(answerStatus, answerHeaders.endToEnd(), buffered.toByteArray());
+    }
+
+    private void firstByte() {
+        firstMillis = context.loop().nowMillis() - request.acceptedMillis();
+        context.metrics().firstAnswer(request.tenant(), request.service(), firstMillis);
+    }
+
+    private void startedRunning() {
+        if (!started) {
+            started = true;
+            context.usage().started(request.tenant(), context.clock().millis());
+        }
+    }
+
+    private void attemptFailed(Attempt sender, AttemptFailure failure) {
+        attempt = null;
+        history.failed(sender.worker().id(), failure);
+        context.metrics().attempt(request.service(), failure.name());
+        long now = context.loop().nowMillis();
+        Recovery recovery = RecoveryPolicy.after(request, history, failure, true, now);
+        boolean arrived = failure != AttemptFailure.UNREACHABLE;
+        if (!(recovery instanceof GiveUp)
+                && arrived
+                && !context.budgets().tryRetry(request.service(), now)) {
+            context.metrics().count(GatewayMetrics.Event.RETRY_BUDGET_EMPTY);
+            recovery = RecoveryPolicy.after(request, history, failure, false, now);
+        }
+        DecisionLog.write(
+                new AttemptFailed(
+                        request.id(),
+                        sender.worker().id(),
+                        failure.name(),
+                        sender.status(),
+                        sender.ageMillis(),
+                        describe(recovery)));
+        if (recovery instanceof GiveUp giveUp) {
+            giveUp(giveUp.ending(), sender);
+        } else {
+            nextAttempt();
+        }
+    }
+
+    private static String describe(Recovery recovery) {
+        if (recovery instanceof GiveUp giveUp) {
+            return "give up, " + giveUp.ending();
+        }
+        return recovery instanceof Resume resume
+                ? "resume after " + resume.lastEventId()
+                : "retry elsewhere";
+    }
+
+    private void giveUp(Ending ending) {
+        giveUp(ending, null);
+    }
+
+    private void giveUp(Ending ending, Attempt last) {
+        if (ending == Ending.NOT_RUN) {
+            context.quotas().giveBack(request.tenant(), units);
+        }
+        switch (ending) {
+            case PASSED_ON -> respondWhole();
+            case BROKEN_OFF -> exchange.abort();
+            default ->
+                    exchange.respond(
+                            ending.status(),
+                            context.protocol().refusal(retryAfterMillis(ending)),
+                            NO_BYTES);
+        }
+        int status = ending == Ending.PASSED_ON ? answerStatus : ending.status();
+        end(ending.name(), status, last);
+    }
+
+    private long retryAfterMillis(Ending ending) {
+        if (ending != Ending.NOT_RUN) {
+            return 0;
+        }
+        return Math.max(LEAST_RETRY_AFTER_MILLIS, request.route().objectiveMillis() / 4);
+    }
+
+    private void timeOver() {
+        if (over) {
+            return;
+        }
+        boolean mayHaveRun = mayHaveRun();
+        Attempt last = attempt;
+        if (attempt != null && attempt.isSent()) {
+            context.loads().failed(attempt.worker().id(), context.loop().nowMillis());
+        }
+        cancelAttempt();
+        if (history.hasAnswerBegun()) {
+            giveUp(Ending.BROKEN_OFF, last);
+        } else {
+            giveUp(mayHaveRun ? Ending.TIMED_OUT : Ending.NOT_RUN, last);
+        }
+    }
+
+    private boolean mayHaveRun() {
+        return history.mayHaveRun() || (attempt != null && attempt.isSent());
+    }
+
+    private void callerGone() {
+        if (!over) {
+            Attempt last = attempt;
+            cancelAttempt();
+            end("caller-gone", 0, last);
+        }
+    }
+
+    private void cancelAttempt() {
+        if (attempt != null) {
+            attempt.cancel();
+            attempt = null;
+        }
+    }
+
+    private void end(String outcome, int status, Attempt last) {
+        over = true;
+        deadline.cancel();
+        long took = context.loop().nowMillis() - request.acceptedMillis();
+        context.metrics().ended(request.tenant(), request.service(), outcome, took);
+        String worker = last == null ? "" : last.worker().id();
+        DecisionLog.write(
+                new Ended(
+                        request.id(), outcome, status, worker, history.sent(), took, firstMillis));
+        onEnd.accept(this);
+    }
+}
--- /dev/null
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestIntake.java
@@ -0,0 +1,209 @@
+/*
+ * Copyright 2026 The trailladder authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package io.trailladder.entry.gateway;
+
+import io.trailladder.core.pipeline.AttemptFailure;
+import io.trailladder.core.pipeline.ServingRequest;
+import io.trailladder.core.policy.Route;
+import io.trailladder.core.policy.ServingPolicy;
+import io.trailladder.core.policy.TenantSpec;
+import io.trailladder.core.worker.Worker;
+import io.trailladder.entry.gateway.DecisionLog.Intake;
+import io.trailladder.entry.http.HeaderList;
+import io.trailladder.entry.http.RequestHandler;
+import io.trailladder.entry.http.ServerExchange;
+import io.trailladder.entry.port.CallerRequest;
+import io.vavr.control.Either;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SplittableRandom;
+
+/**
+ * Decides of each request whether it is accepted, by the policy in force and the tenant's limit.
+ *
+ * @since 0.2
+ */
+public final class RequestIntake implements RequestHandler {
+    private static final int BAD_REQUEST = 400;
+    private static final int UNAUTHORIZED = 401;
+    private static final int NOT_FOUND = 404;
+    private static final int OVER_LIMIT = 429;
+    private static final int UNAVAILABLE = 503;
+    private static final long NO_POLICY_RETRY_MILLIS = 500;
+    private static final long DEFAULT_WAIT_MILLIS = 60_000;
+    private static final byte[] NO_BYTES = {};
+
+    private final ServingContext context;
+    private final PolicyKeeper policies;
+    private final SplittableRandom random;
+    private final Set<RequestDriver> open = new HashSet<>();
+
+    /**
+     * Creates an intake.
+     *
+     * @param context what requests share
+     * @param policies the policy in force
+     * @param random draws the services of routes that are split
+     */
+    public RequestIntake(ServingContext context, PolicyKeeper policies, SplittableRandom random) {
+        this.context = context;
+        this.policies = policies;
+        this.random = random;
+    }
+
+    @Override
+    public void handle(ServerExchange exchange) {
+        Optional<ServingPolicy> policy = policies.policy();
+        if (policy.isEmpty()) {
+            refuse(exchange, "", UNAVAILABLE, NO_POLICY_RETRY_MILLIS, "no policy known");
+            return;
+        }
+        Either<String, CallerRequest> read = context.protocol().read(exchange);
+        if (read.isLeft()) {
+            refuse(exchange, "", BAD_REQUEST, 0, read.getLeft());
+            return;
+        }
+        admit(exchange, read.get(), policy.get());
+    }
+
+    /**
+     * Returns how many requests are in flight.
+     *
+     * @return a count
+     */
+    public int open() {
+        return open.size();
+    }
+
+    /**
+     * Has requests leave an upstream that was lost without notice, if it has been silent.
+     *
+     * @param worker the upstream
+     * @param silentMillis least silence, in milliseconds
+     */
+    public void lost(Worker worker, long silentMillis) {
+        for (RequestDriver driver : List.copyOf(open)) {
+            if (driver.runsAt(worker.id()) && driver.silentMillis() >= silentMillis) {
+                driver.moveAway(AttemptFailure.SILENT);
+            }
+        }
+    }
+
+    /**
+     * Has requests go on at other upstreams because theirs will end before they do.
+     *
+     * @param worker the upstream
+     */
+    public void moveAway(Worker worker) {
+        for (RequestDriver driver : List.copyOf(open)) {
+            if (driver.runsAt(worker.id())) {
+                driver.moveAway(AttemptFailure.LEAVING);
+            }
+        }
+    }
+
+    /** Breaks all requests off because the process ends. */
+    public void stopAll() {
+        List.copyOf(open).forEach(RequestDriver::stop);
+    }
+
+    private void admit(ServerExchange exchange, CallerRequest caller, ServingPolicy policy) {
+        Optional<Route> route = policy.route(caller.host(), caller.path());
+        if (route.isEmpty()) {
+            refuse(exchange, caller.id(), NOT_FOUND, 0, "no route");
+            return;
+        }
+        boolean needsKey = policy.needsKeys() && !route.get().anonymous();
+        Optional<TenantSpec> tenant =
+                caller.key().isEmpty() ? Optional.empty() : policy.tenantOfKey(caller.key());
+        if (needsKey && tenant.isEmpty()) {
+            refuse(exchange, caller.id(), UNAUTHORIZED, 0, "unknown key");
+            return;
+        }
+        int units =
+                tenant.map(
+                                known ->
+                                        Quotas.size(
+                                                known.limit(),
+                                                caller.prompt().tokensIn(),
+                                                caller.prompt().tokensOut()))
+                        .orElse(0);
+        String name = tenant.map(TenantSpec::name).orElse("");
+        long now = context.loop().nowMillis();
+        long retryAfter = context.quotas().tryTake(name, units, now);
+        if (retryAfter > 0) {
+            refuse(exchange, caller.id(), OVER_LIMIT, retryAfter, "over limit of " + name);
+            return;
+        }
+        ServingRequest request = request(exchange, caller, policy, route.get(), tenant);
+        DecisionLog.write(
+                new Intake(
+                        caller.id(),
+                        route.get().name(),
+                        name,
+                        units,
+                        policy.version(),
+                        "accepted"));
+        drive(exchange, request, units, caller.lastEventId());
+    }
+
+    private void drive(
+            ServerExchange exchange, ServingRequest request, int units, String lastEventId) {
+        RequestDriver driver =
+                new RequestDriver(context, exchange, request, units, lastEventId, open::remove);
+        open.add(driver);
+        driver.start();
+    }
+
+    private ServingRequest request(
+            ServerExchange exchange,
+            CallerRequest caller,
+            ServingPolicy policy,
+            Route route,
+            Optional<TenantSpec> tenant) {
+        long now = context.loop().nowMillis();
+        long wait = caller.waitMillis() > 0 ? caller.waitMillis() : DEFAULT_WAIT_MILLIS;
+        long held = route.timeoutMillis() > 0 ? Math.min(wait, route.timeoutMillis()) : wait;
+        int priority =
+                tenant.flatMap(
+                                known ->
+                                        known.priority().isPresent()
+                                                ? Optional.of(known.priority().getAsInt())
+                                                : Optional.empty())
+                        .orElse(route.priority());
+        return new ServingRequest(
+                caller.id(),
+                tenant.map(TenantSpec::name).orElse(""),
+                route,
+                route.service(random.nextDouble()),
+                priority,
+                caller.prompt(),
+                exchange.body().length,
+                now,
+                now + held,
+                policy.version());
+    }
+
+    private void refuse(
+            ServerExchange exchange, String id, int status, long retryAfterMillis, String reason) {
+        DecisionLog.write(new Intake(id, "", "", 0, policies.version(), status + ", " + reason));
+        context.metrics().ended("", "", "refused-" + status, 0);
+        HeaderList headers = context.protocol().refusal(retryAfterMillis);
+        exchange.respond(status, headers, NO_BYTES);
+    }
+}
--- /dev/null
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ServingContext.java
@@ -0,0 +1,57 @@
+/*
+ * Copyright 2026 The trailladder authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package io.trailladder.entry.gateway;
+
+import io.trailladder.core.duty.UsageLedger;
+import io.trailladder.core.worker.WorkerDirectory;
+import io.trailladder.core.worker.WorkerLoads;
+import io.trailladder.core.worker.WorkerSelector;
+import io.trailladder.entry.http.HttpConnector;
+import io.trailladder.entry.loop.EventLoop;
+import io.trailladder.entry.port.RequestProtocol;
+import java.time.Clock;
+import java.util.function.LongSupplier;
+
+/**
+ * What all requests of a process share. Only the event loop's thread uses it.
+ *
+ * @param loop the loop
+ * @param clock the time of day
+ * @param protocol how requests are told in HTTP heads
+ * @param connector calls upstreams
+ * @param directory the upstreams known
+ * @param loads the work under way at them
+ * @param selector chooses among them
+ * @param quotas the tenants' limits
+ * @param budgets the budgets of second attempts
+ * @param usage counts requests that began to run
+ * @param metrics the process's figures
+ * @param peersAgeMillis tells how old the oldest peer digest in use is, in milliseconds
+ * @since 0.2
+ */
+public record ServingContext(
+        EventLoop loop,
+        Clock clock,
+        RequestProtocol protocol,
+        HttpConnector connector,
+        WorkerDirectory directory,
+        WorkerLoads loads,
+        WorkerSelector selector,
+        Quotas quotas,
+        RetryBudgets budgets,
+        UsageLedger usage,
+        GatewayMetrics metrics,
+        LongSupplier peersAgeMillis) {}
--- /dev/null
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/StoreHealth.java
@@ -0,0 +1,89 @@
+/*
+ * Copyright 2026 The trailladder authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package io.trailladder.entry.gateway;
+
+import io.trailladder.entry.gateway.DecisionLog.Lifecycle;
+import io.trailladder.entry.port.StoreFailure;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * Whether the store answers this process. One watcher's failure or success tells all of them.
+ *
+ * @since 0.2
+ */
+public final class StoreHealth {
+    private final GatewayMetrics metrics;
+    private final List<Runnable> onRegained = new ArrayList<>();
+    private boolean reachable = true;
+
+    /**
+     * Creates the state of a store that is taken to answer.
+     *
+     * @param metrics counts failures
+     */
+    public StoreHealth(GatewayMetrics metrics) {
+        this.metrics = metrics;
+    }
+
+    /**
+     * Has a task run whenever the store answers again.
+     *
+     * @param task the task
+     */
+    public void onRegained(Runnable task) {
+        onRegained.add(task);
+    }
+
+    /** Records an answer. */
+    public void answered() {
+        if (!reachable) {
+            reachable = true;
+            DecisionLog.write(new Lifecycle("store", "regained", ""));
+            onRegained.forEach(Runnable::run);
+        }
+    }
+
+    /**
+     * Records a failure.
+     *
+     * @param failure the failure
+     */
+    public void failed(StoreFailure failure) {
+        boolean answer =
+                failure == StoreFailure.CONFLICT
+                        || failure == StoreFailure.LEASE_GONE
+                        || failure == StoreFailure.HISTORY_LOST;
+        if (answer) {
+            answered();
+            return;
+        }
+        metrics.count(GatewayMetrics.Event.STORE_FAILURE);
+        if (reachable) {
+            reachable = false;
+            DecisionLog.write(new Lifecycle("store", "lost", failure.name()));
+        }
+    }
+
+    /**
+     * Tells whether the last call was answered.
+     *
+     * @return true if it was
+     */
+    public boolean isReachable() {
+        return reachable;
+    }
+}
--- /dev/null
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/StoreWatcher.java
@@ -0,0 +1,193 @@
+/*
+ * Copyright 2026 The trailladder authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package io.trailladder.entry.gateway;
+
+import io.trailladder.entry.loop.EventLoop;
+import io.trailladder.entry.port.CoordinationStore;
+import io.trailladder.entry.port.StoreBatch;
+import io.trailladder.entry.port.StoreFailure;
+import io.trailladder.entry.port.StoreItem;
+import io.vavr.control.Either;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+
+/**
+ * Follows the keys with one prefix: reads them all, then watches their changes, and reads all again
+ * whenever it may have missed one.
+ *
+ * @since 0.2
+ */
+public final class StoreWatcher {
+    private static final long WATCH_MILLIS = 10_000;
+    private static final long FIRST_BACKOFF_MILLIS = 150;
+    private static final long LONGEST_BACKOFF_MILLIS = 1_200;
+
+    private final EventLoop loop;
+    private final CoordinationStore store;
+    private final StoreHealth health;
+    private final SplittableRandom random;
+    private final String prefix;
+    private final Listener listener;
+    private final List<StoreItem> listed = new ArrayList<>();
+    private Runnable cancelWatch = () -> {};
+    private long revision;
+    private long backoffMillis = FIRST_BACKOFF_MILLIS;
+    private int round;
+    private boolean complete;
+
+    /** Told of the keys. */
+    public interface Listener {
+        /**
+         * Called with all keys.
+         *
+         * @param items the keys
+         * @param revision the store's revision
+         */
+        void listed(List<StoreItem> items, long revision);
+
+        /**
+         * Called with one change.
+         *
+         * @param item the key, or that it is gone
+         */
+        void changed(StoreItem item);
+    }
+
+    /**
+     * Creates a watcher.
+     *
+     * @param loop the loop whose thread runs it
+     * @param store the store
+     * @param health told of answers and failures
+     * @param random spreads repeated calls
+     * @param prefix the prefix to follow
+     * @param listener told of the keys
+     */
+    public StoreWatcher(
+            EventLoop loop,
+            CoordinationStore store,
+            StoreHealth health,
+            SplittableRandom random,
+            String prefix,
+            Listener listener) {
+        this.loop = loop;
+        this.store = store;
+        this.health = health;
+        this.random = random;
+        this.prefix = prefix;
+        this.listener = listener;
+        health.onRegained(this::restart);
+    }
+
+    /** Begins, or begins anew, with reading all keys. */
+    public void restart() {
+        round++;
+        cancelWatch.run();
+        cancelWatch = () -> {};
+        listed.clear();
+        list(round, "");
+    }
+
+    /**
+     * Tells whether all keys were read at least once.
+     *
+     * @return true if they were
+     */
+    public boolean isComplete() {
+        return complete;
+    }
+
+    private void list(int current, String afterKey) {
+        store.list(prefix, afterKey, result -> page(current, afterKey, result));
+    }
+
+    private void page(int current, String afterKey, Either<StoreFailure, StoreBatch> result) {
+        if (current != round) {
+            return;
+        }
+        if (result.isLeft()) {
+            failed(current, result.getLeft());
+            return;
+        }
+        health.answered();
+        if (current != round) {
+            return;
+        }
+        StoreBatch batch = result.get();
+        if (afterKey.isEmpty()) {
+            revision = batch.revision();
+        }
+        listed.addAll(batch.items());
+        if (batch.more() && !batch.items().isEmpty()) {
+            list(current, batch.items().get(batch.items().size() - 1).key());
+            return;
+        }
+        complete = true;
+        backoffMillis = FIRST_BACKOFF_MILLIS;
+        listener.listed(List.copyOf(listed), revision);
+        listed.clear();
+        watch(current);
+    }
+
+    private void watch(int current) {
+        cancelWatch =
+                store.watch(prefix, revision, WATCH_MILLIS, result -> changes(current, result));
+    }
+
+    private void changes(int current, Either<StoreFailure, StoreBatch> result) {
+        if (current != round) {
+            return;
+        }
+        if (result.isLeft()) {
+            failed(current, result.getLeft());
+            return;
+        }
+        health.answered();
+        if (current != round) {
+            return;
+        }
+        backoffMillis = FIRST_BACKOFF_MILLIS;
+        StoreBatch batch = result.get();
+        for (StoreItem item : batch.items()) {
+            revision = Math.max(revision, item.revision());
+            listener.changed(item);
+        }
+        revision = Math.max(revision, batch.revision());
+        watch(current);
+    }
+
+    /** Reads all keys again after a pause; at once if the store has lost its history. */
+    private void failed(int current, StoreFailure failure) {
+        health.failed(failure);
+        if (current != round) {
+            return;
+        }
+        long pause = failure == StoreFailure.HISTORY_LOST ? 0 : backoffMillis;
+        backoffMillis = Math.min(LONGEST_BACKOFF_MILLIS, backoffMillis * 2);
+        long jittered = pause / 2 + random.nextLong(pause / 2 + 1);
+        round++;
+        int next = round;
+        listed.clear();
+        loop.schedule(
+                jittered,
+                () -> {
+                    if (next == round) {
+                        list(next, "");
+                    }
+                });
+    }
+}
--- /dev/null
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/http/CallListener.java
@@ -0,0 +1,53 @@
+/*
+ * Copyright 2026 The trailladder authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package io.trailladder.entry.http;
+
+/**
+ * Told of an answer while it arrives. Either {@link #ended} or {@link #failed} comes last, once,
+ * unless the call is cancelled.
+ *
+ * @since 0.2
+ */
+public interface CallListener {
+    /** Called once before the first byte of the request may leave. */
+    default void sending() {}
+
+    /**
+     * Called when the answer begins.
+     *
+     * @param status HTTP status
+     * @param headers all header fields
+     * @param length length of the body; below 0 if not told
+     */
+    void head(int status, HeaderList headers, long length);
+
+    /**
+     * Called for each part of the body.
+     *
+     * @param bytes the part
+     */
+    void body(byte[] bytes);
+
+    /** Called when the answer is whole. */
+    void ended();
+
+    /**
+     * Called when the answer will never be whole.
+     *
+     * @param failure how it failed
+     */
+    void failed(CallFailure failure);
+}
--- /dev/null
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/http/ClientCall.java
@@ -0,0 +1,116 @@
+/*
+ * Copyright 2026 The trailladder authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package io.trailladder.entry.http;
+
+import org.glassfish.grizzly.Connection;
+
+/**
+ * One call under way.
+ *
+ * @since 0.2
+ */
+public final class ClientCall {
+    private final OutgoingCall request;
+    private final CallListener listener;
+    private Connection<?> connection;
+    private boolean over;
+    private boolean headSeen;
+    private boolean requestWritten;
+    private boolean reusable = true;
+    private boolean endsWithConnection;
+
+    ClientCall(OutgoingCall request, CallListener listener) {
+        this.request = request;
+        this.listener = listener;
+    }
+
+    /** Breaks the call off: its connection is closed, and its listener is told nothing more. */
+    public void cancel() {
+        over = true;
+        closeConnection();
+    }
+
+    OutgoingCall request() {
+        return request;
+    }
+
+    boolean isOver() {
+        return over;
+    }
+
+    void begin(Connection<?> opened) {
+        connection = opened;
+        listener.sending();
+    }
+
+    void written() {
+        requestWritten = true;
+    }
+
+    boolean canKeepConnection() {
+        return requestWritten && reusable;
+    }
+
+    void head(int status, HeaderList headers, long length) {
+        if (over || headSeen) {
+            return;
+        }
+        headSeen = true;
+        endsWithConnection = length < 0 && !isChunked(headers);
+        boolean closes =
+                headers.first("Connection").map(v -> v.equalsIgnoreCase("close")).orElse(false);
+        if (closes) {
+            reusable = false;
+        }
+        listener.head(status, headers, length);
+    }
+
+    /** Tells whether the answer has no length and ends together with its connection. */
+    boolean endsWithConnection() {
+        return endsWithConnection;
+    }
+
+    void body(byte[] bytes) {
+        if (!over) {
+            listener.body(bytes);
+        }
+    }
+
+    void end() {
+        if (!over) {
+            over = true;
+            listener.ended();
+        }
+    }
+
+    void fail(CallFailure failure) {
+        if (!over) {
+            over = true;
+            closeConnection();
+            listener.failed(failure);
+        }
+    }
+
+    private static boolean isChunked(HeaderList headers) {
+        return headers.first("Transfer-Encoding").isPresent();
+    }
+
+    private void closeConnection() {
+        if (connection != null) {
+            connection.terminateSilently();
+        }
+    }
+}
--- /dev/null
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/http/HttpConnector.java
@@ -0,0 +1,263 @@
+/*
+ * Copyright 2026 The trailladder authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package io.trailladder.entry.http;
+
+import io.trailladder.entry.loop.EventLoop;
+import io.trailladder.entry.loop.LoopTimer;
+import io.trailladder.platform.http.HostPort;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.SocketAddress;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Map;
+import org.glassfish.grizzly.Buffer;
+import org.glassfish.grizzly.Connection;
+import org.glassfish.grizzly.EmptyCompletionHandler;
+import org.glassfish.grizzly.Grizzly;
+import org.glassfish.grizzly.WriteResult;
+import org.glassfish.grizzly.attributes.Attribute;
+import org.glassfish.grizzly.filterchain.BaseFilter;
+import org.glassfish.grizzly.filterchain.FilterChain;
+import org.glassfish.grizzly.filterchain.FilterChainBuilder;
+import org.glassfish.grizzly.filterchain.FilterChainContext;
+import org.glassfish.grizzly.filterchain.NextAction;
+import org.glassfish.grizzly.http.HttpClientFilter;
+import org.glassfish.grizzly.http.HttpContent;
+import org.glassfish.grizzly.http.HttpRequestPacket;
+import org.glassfish.grizzly.http.HttpResponsePacket;
+import org.glassfish.grizzly.memory.Buffers;
+
+/**
+ * Calls HTTP servers on the event loop, one call at a time on a connection, and keeps connections
+ * for a short rest.
+ *
+ * <p>A connection that brings any byte beyond a whole answer is closed and never used again.
+ *
+ * @since 0.2
+ */
+public final class HttpConnector {
+    private static final int MAX_HEAD_BYTES = 64 * 1024;
+    private static final int MAX_RESTING = 64;
+    private static final Attribute<ClientCall> CALL =
+            Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("trailladder.client-call");
+
+    private final EventLoop loop;
+    private final FilterChain chain;
+    private final Map<HostPort, Deque<Resting>> resting = new HashMap<>();
+    private long opened;
+    private long surplus;
+
+    /** A connection between two calls. */
+    private record Resting(Connection<?> connection, long sinceMillis) {}
+
+    /**
+     * Creates a connector.
+     *
+     * @param loop the loop whose thread calls it
+     */
+    public HttpConnector(EventLoop loop) {
+        this.loop = loop;
+        this.chain =
+                FilterChainBuilder.stateless()
+                        .add(new SocketFilter())
+                        .add(new HttpClientFilter(MAX_HEAD_BYTES))
+                        .add(new AnswerFilter())
+                        .build();
+    }
+
+    /**
+     * Sends a call.
+     *
+     * @param request the call
+     * @param listener told of the answer on the loop's thread, never before this method returns
+     *     unless a kept connection fails at once
+     * @return the call, to cancel it
+     */
+    public ClientCall send(OutgoingCall request, CallListener listener) {
+        ClientCall call = new ClientCall(request, listener);
+        Connection<?> kept = request.maxRestMillis() > 0 ? takeResting(request) : null;
+        if (kept != null) {
+            write(call, kept);
+        } else {
+            open(call);
+        }
+        return call;
+    }
+
+    /**
+     * Returns how many connections were opened.
+     *
+     * @return a count since the start
+     */
+    public long opened() {
+        return opened;
+    }
+
+    /**
+     * Returns how many connections were closed because they brought bytes beyond an answer.
+     *
+     * @return a count since the start
+     */
+    public long surplus() {
+        return surplus;
+    }
+
+    private void open(ClientCall call) {
+        opened++;
+        HostPort target = call.request().target();
+        LoopTimer timeout =
+                loop.schedule(
+                        call.request().connectMillis(), () -> call.fail(CallFailure.UNREACHABLE));
+        loop.connect(
+                new InetSocketAddress(target.host(), target.port()),
+                chain,
+                connection -> {
+                    timeout.cancel();
+                    if (call.isOver()) {
+                        connection.terminateSilently();
+                    } else {
+                        write(call, connection);
+                    }
+                },
+                cause -> {
+                    timeout.cancel();
+                    loop.execute(() -> call.fail(CallFailure.UNREACHABLE));
+                });
+    }
+
+    @SuppressWarnings("unchecked") // a TCP connection's address type
+    private void write(ClientCall call, Connection<?> connection) {
+        CALL.set(connection, call);
+        call.begin(connection);
+        OutgoingCall request = call.request();
+        HttpRequestPacket.Builder head =
+                HttpRequestPacket.builder()
+                        .method(request.method())
+                        .uri(request.uri())
+                        .protocol("HTTP/1.1");
+        request.headers().fields().forEach(field -> head.header(field.name(), field.value()));
+        if (request.body().length > 0 || needsLength(request.method())) {
+            head.contentLength(request.body().length);
+        }
+        HttpContent content =
+                HttpContent.builder(head.build())
+                        .content(Buffers.wrap(connection.getMemoryManager(), request.body()))
+                        .last(true)
+                        .build();
+        ((Connection<SocketAddress>) connection)
+                .write(
+                        null,
+                        content,
+                        new EmptyCompletionHandler<WriteResult<HttpContent, SocketAddress>>() {
+                            @Override
+                            public void completed(WriteResult<HttpContent, SocketAddress> result) {
+                                call.written();
+                            }
+                        });
+    }
+
+    private static boolean needsLength(String method) {
+        return method.equals("POST") || method.equals("PUT") || method.equals("PATCH");
+    }
+
+    private Connection<?> takeResting(OutgoingCall request) {
+        Deque<Resting> idle = resting.get(request.target());
+        long oldest = loop.nowMillis() - request.maxRestMillis();
+        while (idle != null && !idle.isEmpty()) {
+            Resting last = idle.removeLast();
+            if (last.connection().isOpen() && last.sinceMillis() >= oldest) {
+                return last.connection();
+            }
+            last.connection().terminateSilently();
+        }
+        return null;
+    }
+
+    /** Keeps a connection, but only after all bytes that came with the answer were looked at. */
+    private void keep(HostPort target, Connection<?> connection) {
+        loop.execute(
+                () -> {
+                    Deque<Resting> idle =
+                            resting.computeIfAbsent(target, address -> new ArrayDeque<>());
+                    if (!connection.isOpen()) {
+                        return;
+                    }
+                    if (idle.size() >= MAX_RESTING) {
+                        idle.removeFirst().connection().terminateSilently();
+                    }
+                    idle.addLast(new Resting(connection, loop.nowMillis()));
+                });
+    }
+
+    /** Passes what Grizzly reads to the call of the connection. */
+    private final class AnswerFilter extends BaseFilter {
+        @Override
+        public NextAction handleRead(FilterChainContext context) {
+            Connection<?> connection = context.getConnection();
+            ClientCall call = CALL.get(connection);
+            HttpContent content = context.getMessage();
+            if (call == null) {
+                surplus++;
+                connection.terminateSilently();
+                return context.getStopAction();
+            }
+            HttpResponsePacket head = (HttpResponsePacket) content.getHttpHeader();
+            long length = head.isChunked() ? -1 : head.getContentLength();
+            call.head(head.getStatus(), HeaderList.of(head.getHeaders()), length);
+            Buffer buffer = content.getContent();
+            if (buffer != null && buffer.hasRemaining()) {
+                byte[] bytes = new byte[buffer.remaining()];
+                buffer.get(bytes);
+                call.body(bytes);
+            }
+            if (content.isLast()) {
+                CALL.remove(connection);
+                finish(call, connection);
+            }
+            return context.getStopAction();
+        }
+
+        @Override
+        public NextAction handleClose(FilterChainContext context) throws IOException {
+            Connection<?> connection = context.getConnection();
+            ClientCall call = CALL.get(connection);
+            if (call != null) {
+                CALL.remove(connection);
+                closed(call, connection);
+            }
+            return context.getInvokeAction();
+        }
+
+        private void finish(ClientCall call, Connection<?> connection) {
+            if (call.canKeepConnection() && call.request().maxRestMillis() > 0) {
+                keep(call.request().target(), connection);
+            } else {
+                connection.closeSilently();
+            }
+            call.end();
+        }
+
+        private void closed(ClientCall call, Connection<?> connection) {
+            if (call.endsWithConnection() && SocketFilter.endedOrderly(connection)) {
+                call.end();
+            } else {
+                call.fail(CallFailure.BROKEN);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/http/HttpServer.java
@@ -0,0 +1,205 @@
+/*
+ * Copyright 2026 The trailladder authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package io.trailladder.entry.http;
+
+import io.trailladder.entry.loop.EventLoop;
+import io.trailladder.platform.http.HostPort;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.glassfish.grizzly.Connection;
+import org.glassfish.grizzly.Grizzly;
+import org.glassfish.grizzly.attributes.Attribute;
+import org.glassfish.grizzly.filterchain.BaseFilter;
+import org.glassfish.grizzly.filterchain.FilterChain;
+import org.glassfish.grizzly.filterchain.FilterChainBuilder;
+import org.glassfish.grizzly.filterchain.FilterChainContext;
+import org.glassfish.grizzly.filterchain.NextAction;
+import org.glassfish.grizzly.http.HttpContent;
+import org.glassfish.grizzly.http.HttpServerFilter;
+import org.glassfish.grizzly.http.KeepAlive;
+
+/**
+ * An HTTP server on the event loop. It goes on reading while a request is worked on, so that it
+ * sees at once when the caller leaves.
+ *
+ * @since 0.2
+ */
+public final class HttpServer {
+    private static final int MAX_HEAD_BYTES = 64 * 1024;
+    private static final int MAX_HEAD_FIELDS = 200;
+    private static final long CHECK_MILLIS = 250;
+    private static final Attribute<ServerConnection> CONNECTION =
+            Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("trailladder.server-connection");
+
+    private final EventLoop loop;
+    private final RequestHandler handler;
+    private final Set<ServerConnection> connections = new HashSet<>();
+    private ServerBounds bounds;
+    private boolean closing;
+    private Connection<?> listener;
+
+    /**
+     * Creates a server.
+     *
+     * @param loop the loop whose thread runs it
+     * @param bounds bounds of what it reads
+     * @param handler takes its requests
+     */
+    public HttpServer(EventLoop loop, ServerBounds bounds, RequestHandler handler) {
+        this.loop = loop;
+        this.bounds = bounds;
+        this.handler = handler;
+    }
+
+    /**
+     * Begins to listen.
+     *
+     * @param address where
+     * @throws IOException if the port is taken
+     */
+    @SuppressWarnings("deprecation") // the only constructors that take the bounds needed here
+    public void start(HostPort address) throws IOException {
+        KeepAlive keepAlive = new KeepAlive();
+        keepAlive.setIdleTimeoutInSeconds(-1);
+        keepAlive.setMaxRequestsCount(-1);
+        FilterChain chain =
+                FilterChainBuilder.stateless()
+                        .add(new ClockedSocketFilter())
+                        .add(
+                                new HttpServerFilter(
+                                        true,
+                                        MAX_HEAD_BYTES,
+                                        null,
+                                        keepAlive,
+                                        null,
+                                        MAX_HEAD_FIELDS,
+                                        MAX_HEAD_FIELDS))
+                        .add(new RequestFilter())
+                        .build();
+        listener = loop.bind(new InetSocketAddress(address.host(), address.port()), chain);
+        loop.repeat(CHECK_MILLIS, this::checkTimes);
+    }
+
+    /**
+     * Returns the port it listens at.
+     *
+     * @return the port
+     */
+    public int port() {
+        return ((InetSocketAddress) listener.getLocalAddress()).getPort();
+    }
+
+    /**
+     * Changes the bounds for requests that begin from now on.
+     *
+     * @param changed the bounds
+     */
+    public void bounds(ServerBounds changed) {
+        bounds = changed;
+    }
+
+    /** Has every further answer close its connection. */
+    public void closing() {
+        closing = true;
+    }
+
+    /** Closes connections that have no request. */
+    public void closeResting() {
+        for (ServerConnection connection : List.copyOf(connections)) {
+            if (connection.isResting()) {
+                connection.close();
+            }
+        }
+    }
+
+    /** Stops listening. */
+    public void stopListening() {
+        listener.closeSilently();
+    }
+
+    /**
+     * Returns how many requests are being worked on.
+     *
+     * @return a count
+     */
+    public int open() {
+        return (int) connections.stream().filter(ServerConnection::hasRequest).count();
+    }
+
+    ServerBounds bounds() {
+        return bounds;
+    }
+
+    RequestHandler handler() {
+        return handler;
+    }
+
+    boolean isClosing() {
+        return closing;
+    }
+
+    long nowMillis() {
+        return loop.nowMillis();
+    }
+
+    private void checkTimes() {
+        long now = loop.nowMillis();
+        List.copyOf(connections).forEach(connection -> connection.checkTime(now));
+    }
+
+    /** Tells a connection of bytes before they make a request. */
+    private static final class ClockedSocketFilter extends SocketFilter {
+        @Override
+        protected void bytesRead(Connection<?> connection, int count) {
+            ServerConnection known = CONNECTION.get(connection);
+            if (known != null) {
+                known.bytesRead();
+            }
+        }
+    }
+
+    /** Passes requests and closes to their connection. */
+    private final class RequestFilter extends BaseFilter {
+        @Override
+        public NextAction handleAccept(FilterChainContext context) {
+            ServerConnection connection =
+                    new ServerConnection(HttpServer.this, context.getConnection());
+            CONNECTION.set(context.getConnection(), connection);
+            connections.add(connection);
+            return context.getInvokeAction();
+        }
+
+        @Override
+        public NextAction handleRead(FilterChainContext context) {
+            HttpContent content = context.getMessage();
+            CONNECTION.get(context.getConnection()).read(content);
+            return context.getStopAction();
+        }
+
+        @Override
+        public NextAction handleClose(FilterChainContext context) {
+            ServerConnection connection = CONNECTION.get(context.getConnection());
+            if (connection != null) {
+                connections.remove(connection);
+                connection.closed();
+            }
+            return context.getInvokeAction();
+        }
+    }
+}
--- /dev/null
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/http/ServerConnection.java
@@ -0,0 +1,193 @@
+/*
+ * Copyright 2026 The trailladder authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package io.trailladder.entry.http;
+
+import java.io.ByteArrayOutputStream;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import org.glassfish.grizzly.Buffer;
+import org.glassfish.grizzly.Connection;
+import org.glassfish.grizzly.http.HttpContent;
+import org.glassfish.grizzly.http.HttpRequestPacket;
+
+/** One caller's connection: it is answered one request after the other, in order. */
+final class ServerConnection {
+    private static final int MAX_WAITING = 32;
+    private static final int BAD_REQUEST = 400;
+    private static final int REQUEST_TIMEOUT = 408;
+    private static final int TOO_LARGE = 413;
+    private static final byte[] NO_BYTES = {};
+
+    private final HttpServer server;
+    private final Connection<?> connection;
+    private final Deque<ServerExchange> waiting = new ArrayDeque<>();
+    private HttpRequestPacket reading;
+    private ByteArrayOutputStream body = new ByteArrayOutputStream();
+    private ServerExchange current;
+    private boolean refusing;
+    private long restingSinceMillis;
+    private long headSinceMillis = -1;
+
+    ServerConnection(HttpServer server, Connection<?> connection) {
+        this.server = server;
+        this.connection = connection;
+        this.restingSinceMillis = server.nowMillis();
+    }
+
+    Connection<?> connection() {
+        return connection;
+    }
+
+    boolean isClosing() {
+        return server.isClosing();
+    }
+
+    void bytesRead() {
+        if (current == null && reading == null && headSinceMillis < 0) {
+            headSinceMillis = server.nowMillis();
+        }
+    }
+
+    void read(HttpContent content) {
+        if (refusing) {
+            return;
+        }
+        HttpRequestPacket request = (HttpRequestPacket) content.getHttpHeader();
+        if (request != reading) {
+            reading = request;
+            headSinceMillis = -1;
+            restingSinceMillis = server.nowMillis();
+            body = new ByteArrayOutputStream();
+            if (!acceptable(request)) {
+                return;
+            }
+        }
+        Buffer buffer = content.getContent();
+        if (buffer != null && buffer.hasRemaining()) {
+            byte[] bytes = new byte[buffer.remaining()];
+            buffer.get(bytes);
+            body.writeBytes(bytes);
+            if (body.size() > server.bounds().maxBodyBytes()) {
+                refuse(request, TOO_LARGE);
+                return;
+            }
+        }
+        if (content.isLast()) {
+            reading = null;
+            accept(new ServerExchange(this, request, body.toByteArray()));
+        }
+    }
+
+    void answered(ServerExchange exchange) {
+        if (exchange != current) {
+            return;
+        }
+        current = null;
+        restingSinceMillis = server.nowMillis();
+        if (!exchange.closesAfter()) {
+            startNext();
+        }
+    }
+
+    void closed() {
+        if (current != null) {
+            ServerExchange left = current;
+            current = null;
+            left.gone();
+        }
+        waiting.clear();
+    }
+
+    void close() {
+        connection.closeSilently();
+    }
+
+    boolean isResting() {
+        return current == null && reading == null && headSinceMillis < 0;
+    }
+
+    boolean hasRequest() {
+        return current != null || !waiting.isEmpty();
+    }
+
+    void checkTime(long nowMillis) {
+        ServerBounds bounds = server.bounds();
+        boolean headLate =
+                headSinceMillis >= 0 && nowMillis - headSinceMillis > bounds.headerTimeoutMillis();
+        boolean bodyLate =
+                reading != null && nowMillis - restingSinceMillis > bounds.idleTimeoutMillis();
+        if (bodyLate && current == null) {
+            refuse(reading, REQUEST_TIMEOUT);
+        } else if (headLate) {
+            close();
+        } else if (isResting() && nowMillis - restingSinceMillis > bounds.idleTimeoutMillis()) {
+            close();
+        }
+    }
+
+    private void accept(ServerExchange exchange) {
+        if (current == null) {
+            start(exchange);
+        } else if (waiting.size() < MAX_WAITING) {
+            waiting.addLast(exchange);
+        } else {
+            close();
+        }
+    }
+
+    private void startNext() {
+        ServerExchange next = waiting.pollFirst();
+        if (next != null) {
+            start(next);
+        }
+    }
+
+    private void start(ServerExchange exchange) {
+        current = exchange;
+        server.handler().handle(exchange);
+    }
+
+    /** Refuses requests whose end could be read in two ways, and bodies that are too large. */
+    private boolean acceptable(HttpRequestPacket request) {
+        HeaderList headers = HeaderList.of(request.getHeaders());
+        String encoding = headers.first("Transfer-Encoding").orElse("");
+        boolean hasLength = headers.first("Content-Length").isPresent();
+        boolean encoded = !encoding.isEmpty();
+        if ((encoded && (hasLength || !encoding.equalsIgnoreCase("chunked")))
+                || headers.count("Transfer-Encoding") > 1
+                || headers.count("Host") > 1) {
+            refuse(request, BAD_REQUEST);
+            return false;
+        }
+        if (request.getContentLength() > server.bounds().maxBodyBytes()) {
+            refuse(request, TOO_LARGE);
+            return false;
+        }
+        return true;
+    }
+
+    private void refuse(HttpRequestPacket request, int status) {
+        refusing = true;
+        if (current != null) {
+            close();
+            return;
+        }
+        ServerExchange exchange = new ServerExchange(this, request, NO_BYTES);
+        current = exchange;
+        exchange.closeAfter();
+        exchange.respond(status, HeaderList.EMPTY, NO_BYTES);
+    }
+}
--- /dev/null
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/http/SocketFilter.java
@@ -0,0 +1,84 @@
+/*
+ * Copyright 2026 The trailladder authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package io.trailladder.entry.http;
+
+import java.io.EOFException;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.SocketChannel;
+import org.glassfish.grizzly.Connection;
+import org.glassfish.grizzly.Grizzly;
+import org.glassfish.grizzly.attributes.Attribute;
+import org.glassfish.grizzly.filterchain.FilterChainContext;
+import org.glassfish.grizzly.filterchain.NextAction;
+import org.glassfish.grizzly.filterchain.TransportFilter;
+import org.glassfish.grizzly.memory.Buffers;
+import org.glassfish.grizzly.nio.NIOConnection;
+
+/**
+ * Reads a socket and remembers whether its end was orderly. Grizzly's own filter reports a reset as
+ * an orderly end, which would let a cut answer without a length look whole.
+ *
+ * <p>One filter belongs to one event loop.
+ *
+ * @since 0.2
+ */
+public class SocketFilter extends TransportFilter {
+    private static final int READ_BYTES = 64 * 1024;
+    private static final Attribute<Boolean> ORDERLY =
+            Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("trailladder.orderly-end");
+
+    private final ByteBuffer space = ByteBuffer.allocateDirect(READ_BYTES);
+
+    @Override
+    public NextAction handleRead(FilterChainContext context) throws IOException {
+        NIOConnection connection = (NIOConnection) context.getConnection();
+        space.clear();
+        int count;
+        try {
+            count = ((SocketChannel) connection.getChannel()).read(space);
+        } catch (IOException e) {
+            connection.closeWithReason(e);
+            return context.getStopAction();
+        }
+        if (count < 0) {
+            ORDERLY.set(connection, Boolean.TRUE);
+            connection.closeWithReason(new EOFException());
+            return context.getStopAction();
+        }
+        if (count == 0) {
+            return context.getStopAction();
+        }
+        space.flip();
+        byte[] bytes = new byte[count];
+        space.get(bytes);
+        bytesRead(connection, count);
+        context.setMessage(Buffers.wrap(connection.getMemoryManager(), bytes));
+        return context.getInvokeAction();
+    }
+
+    /**
+     * Told of bytes before they are understood.
+     *
+     * @param connection where they came from
+     * @param count how many
+     */
+    protected void bytesRead(Connection<?> connection, int count) {}
+
+    static boolean endedOrderly(Connection<?> connection) {
+        return Boolean.TRUE.equals(ORDERLY.get(connection));
+    }
+}
--- a/trailladder-entry/src/main/java/io/trailladder/entry/log/JsonLinesWriter.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/log/JsonLinesWriter.java
@@ -17,36 +17,59 @@
 
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.fasterxml.jackson.databind.util.RawValue;
 import java.io.FileDescriptor;
 import java.io.FileOutputStream;
 import java.io.PrintStream;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.EnumSet;
+import java.util.List;
 import java.util.Map;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.atomic.AtomicLong;
 import org.tinylog.core.LogEntry;
 import org.tinylog.core.LogEntryValue;
 import org.tinylog.writers.Writer;
 
 /**
- * Writes every log entry as one JSON object on one line of standard error.
+ * Writes every log entry as one JSON object on one line, on a thread of its own.
  *
- * <p>tinylog's own JSON writer needs a file, and entries have no disks.
+ * <p>The thread that logs never waits: lines beyond a bounded queue are dropped and counted, and
+ * the next line that is written tells how many. tinylog's own JSON writer needs a file, and entries
+ * have no disks.
  *
  * @since 0.1
  */
 public final class JsonLinesWriter implements Writer {
+    /** Property that names the stream: {@code out} or {@code err}. */
+    public static final String STREAM_PROPERTY = "stream";
+
     private static final ObjectMapper JSON = new ObjectMapper();
+    private static final int MAX_WAITING = 4_096;
+    private static final int MAX_BATCH = 512;
+    private static final long PAUSE_MILLIS = 100;
 
-    private final PrintStream out =
-            new PrintStream(new FileOutputStream(FileDescriptor.err), true, StandardCharsets.UTF_8);
+    private final PrintStream out;
+    private final BlockingQueue<LogEntry> waiting = new ArrayBlockingQueue<>(MAX_WAITING);
+    private final AtomicLong dropped = new AtomicLong();
+    private volatile boolean closing;
 
     /**
      * Creates the writer; called by tinylog.
      *
-     * @param properties settings, of which there are none
+     * @param properties settings: {@value #STREAM_PROPERTY}
      */
-    public JsonLinesWriter(Map<String, String> properties) {}
+    public JsonLinesWriter(Map<String, String> properties) {
+        boolean toOutput = "out".equals(properties.get(STREAM_PROPERTY));
+        FileDescriptor stream = toOutput ? FileDescriptor.out : FileDescriptor.err;
+        out = new PrintStream(new FileOutputStream(stream), false, StandardCharsets.UTF_8);
+        Thread thread = new Thread(this::run, "log-writer");
+        thread.setDaemon(true);
+        thread.start();
+    }
 
     @Override
     public Collection<LogEntryValue> getRequiredLogEntryValues() {
@@ -61,27 +84,71 @@
 
     @Override
     public void write(LogEntry entry) {
+        if (!waiting.offer(entry)) {
+            dropped.incrementAndGet();
+        }
+    }
+
+    @Override
+    public void flush() {
+        writeWaiting();
+    }
+
+    @Override
+    public void close() {
+        closing = true;
+        writeWaiting();
+    }
+
+    private void run() {
+        while (!closing) {
+            try {
+                LogEntry first = waiting.take();
+                writeBatch(List.of(first));
+                writeWaiting();
+                Thread.sleep(PAUSE_MILLIS);
+            } catch (InterruptedException e) {
+                return;
+            }
+        }
+    }
+
+    private void writeWaiting() {
+        List<LogEntry> batch = new ArrayList<>();
+        while (waiting.drainTo(batch, MAX_BATCH) > 0) {
+            writeBatch(batch);
+            batch.clear();
+        }
+    }
+
+    private synchronized void writeBatch(List<LogEntry> batch) {
+        StringBuilder lines = new StringBuilder();
+        long lost = dropped.getAndSet(0);
+        if (lost > 0) {
+            lines.append("{\"level\":\"WARN\",\"dropped_lines\":").append(lost).append("}\n");
+        }
+        batch.forEach(entry -> lines.append(line(entry)).append('\n'));
+        out.print(lines);
+        out.flush();
+    }
+
+    private static String line(LogEntry entry) {
         ObjectNode line = JSON.createObjectNode();
         line.put("time", entry.getTimestamp().toInstant().toString());
         line.put("level", entry.getLevel().name());
         line.put("class", entry.getClassName());
-        line.put("message", entry.getMessage());
+        String message = entry.getMessage();
+        if (message != null && message.startsWith("{")) {
+            line.putRawValue("decision", new RawValue(message));
+        } else {
+            line.put("message", message);
+        }
         if (entry.getContext() != null) {
             entry.getContext().forEach(line::put);
         }
         if (entry.getException() != null) {
             line.put("exception", entry.getException().toString());
         }
-        out.println(line);
-    }
-
-    @Override
-    public void flush() {
-        out.flush();
-    }
-
-    @Override
-    public void close() {
-        flush();
+        return line.toString();
     }
 }
--- /dev/null
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/loop/EventLoop.java
@@ -0,0 +1,196 @@
+/*
+ * Copyright 2026 The trailladder authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package io.trailladder.entry.loop;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.channels.Selector;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.glassfish.grizzly.Connection;
+import org.glassfish.grizzly.EmptyCompletionHandler;
+import org.glassfish.grizzly.filterchain.FilterChain;
+import org.glassfish.grizzly.nio.transport.TCPNIOBindingHandler;
+import org.glassfish.grizzly.nio.transport.TCPNIOConnectorHandler;
+import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
+import org.glassfish.grizzly.nio.transport.TCPNIOTransportBuilder;
+import org.glassfish.grizzly.strategies.SameThreadIOStrategy;
+import org.tinylog.Logger;
+
+/**
+ * One thread that runs all input, output and timers of a process. State that only its tasks touch
+ * needs no locks.
+ *
+ * <p>The thread is the selector thread of a Grizzly transport.
+ *
+ * @since 0.2
+ */
+public final class EventLoop implements AutoCloseable {
+    private static final int BACKLOG = 512;
+
+    private final TCPNIOTransport transport;
+    private final TimerQueue timers = new TimerQueue();
+    private final Queue<Runnable> posted = new ConcurrentLinkedQueue<>();
+    private volatile Selector selector;
+
+    /** Creates a loop that is not yet running. */
+    public EventLoop() {
+        transport =
+                TCPNIOTransportBuilder.newInstance()
+                        .setIOStrategy(SameThreadIOStrategy.getInstance())
+                        .setSelectorRunnersCount(1)
+                        .setSelectorHandler(new LoopSelectorHandler(this))
+                        .setTcpNoDelay(true)
+                        .setReuseAddress(true)
+                        .setServerConnectionBackLog(BACKLOG)
+                        .build();
+    }
+
+    /**
+     * Starts the thread.
+     *
+     * @throws IOException if no selector can be opened
+     */
+    public void start() throws IOException {
+        transport.start();
+    }
+
+    /**
+     * Listens at an address.
+     *
+     * @param address where to listen
+     * @param chain filters of accepted connections
+     * @return the listening connection, to be closed
+     * @throws IOException if the port is taken
+     */
+    public Connection<?> bind(InetSocketAddress address, FilterChain chain) throws IOException {
+        return TCPNIOBindingHandler.builder(transport)
+                .processor(chain)
+                .build()
+                .bind(address, BACKLOG);
+    }
+
+    /**
+     * Opens a connection. Exactly one of the callbacks runs, if any; there is no time-out.
+     *
+     * @param address where to connect to
+     * @param chain filters of the connection
+     * @param opened told of the connection
+     * @param failed told that there is none
+     */
+    public void connect(
+            InetSocketAddress address,
+            FilterChain chain,
+            Consumer<Connection<?>> opened,
+            Consumer<Throwable> failed) {
+        TCPNIOConnectorHandler.builder(transport)
+                .processor(chain)
+                .build()
+                .connect(
+                        address,
+                        new EmptyCompletionHandler<>() {
+                            @Override
+                            @SuppressWarnings("rawtypes") // Grizzly's own signature
+                            public void completed(Connection connection) {
+                                opened.accept(connection);
+                            }
+
+                            @Override
+                            public void failed(Throwable cause) {
+                                failed.accept(cause);
+                            }
+                        });
+    }
+
+    /**
+     * Returns the time on the monotonic clock.
+     *
+     * @return milliseconds since an arbitrary moment
+     */
+    public long nowMillis() {
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+    }
+
+    /**
+     * Runs a task later. To be called on the loop's thread, or before it has started.
+     *
+     * @param delayMillis how much later, in milliseconds
+     * @param task the task
+     * @return the timer, to cancel it
+     */
+    public LoopTimer schedule(long delayMillis, Runnable task) {
+        long delayNanos = TimeUnit.MILLISECONDS.toNanos(Math.max(0, delayMillis));
+        return timers.add(System.nanoTime() + delayNanos, task);
+    }
+
+    /**
+     * Runs a task again and again. To be called on the loop's thread, or before it has started.
+     *
+     * @param periodMillis pause between two runs, in milliseconds
+     * @param task the task
+     */
+    public void repeat(long periodMillis, Runnable task) {
+        schedule(
+                periodMillis,
+                () -> {
+                    repeat(periodMillis, task);
+                    task.run();
+                });
+    }
+
+    /**
+     * Runs a task on the loop's thread, after what it is doing now. May be called on any thread.
+     *
+     * @param task the task
+     */
+    public void execute(Runnable task) {
+        posted.add(task);
+        Selector open = selector;
+        if (open != null) {
+            open.wakeup();
+        }
+    }
+
+    @Override
+    public void close() throws IOException {
+        transport.shutdownNow();
+    }
+
+    void runTasks(Selector current) {
+        selector = current;
+        for (Runnable task = posted.poll(); task != null; task = posted.poll()) {
+            run(task);
+        }
+        long now = System.nanoTime();
+        for (Runnable task = timers.nextDue(now); task != null; task = timers.nextDue(now)) {
+            run(task);
+        }
+    }
+
+    long sleepMillis() {
+        return posted.isEmpty() ? timers.millisToNext(System.nanoTime()) : 0;
+    }
+
+    private static void run(Runnable task) {
+        try {
+            task.run();
+        } catch (RuntimeException e) {
+            Logger.error(e, "a task of the event loop failed");
+        }
+    }
+}
--- /dev/null
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/loop/package-info.java
@@ -0,0 +1,6 @@
+/**
+ * The one thread that runs all input, output, timers and decisions of a gateway process.
+ *
+ * @since 0.2
+ */
+package io.trailladder.entry.loop;
--- /dev/null
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/mesh/NodeLink.java
@@ -0,0 +1,83 @@
+/*
+ * Copyright 2026 The trailladder authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package io.trailladder.entry.mesh;
+
+import io.trailladder.wire.NodeMessage;
+import io.trailladder.wire.NodeMessage.NodeHello;
+import io.trailladder.wire.PeerCodec;
+import java.net.SocketAddress;
+import org.glassfish.grizzly.Buffer;
+import org.glassfish.grizzly.Connection;
+import org.glassfish.grizzly.EmptyCompletionHandler;
+import org.glassfish.grizzly.WriteResult;
+import org.glassfish.grizzly.memory.Buffers;
+
+/** One connection to a peer. */
+final class NodeLink {
+    private final Connection<SocketAddress> connection;
+    private NodeHello peer;
+    private long heardMillis;
+
+    @SuppressWarnings("unchecked") // a TCP connection's address type
+    NodeLink(Connection<?> connection, long nowMillis) {
+        this.connection = (Connection<SocketAddress>) connection;
+        this.heardMillis = nowMillis;
+    }
+
+    void greeted(NodeHello hello) {
+        peer = hello;
+    }
+
+    boolean isGreeted() {
+        return peer != null;
+    }
+
+    NodeHello peer() {
+        return peer;
+    }
+
+    void heard(long nowMillis) {
+        heardMillis = nowMillis;
+    }
+
+    long heardMillis() {
+        return heardMillis;
+    }
+
+    boolean isOpen() {
+        return connection.isOpen();
+    }
+
+    void send(NodeMessage message) {
+        sendFrame(PeerCodec.encode(message));
+    }
+
+    void sendFrame(byte[] frame) {
+        connection.write(
+                null,
+                Buffers.wrap(connection.getMemoryManager(), frame),
+                new EmptyCompletionHandler<WriteResult<Buffer, SocketAddress>>() {
+                    @Override
+                    public void failed(Throwable cause) {
+                        close();
+                    }
+                });
+    }
+
+    void close() {
+        connection.terminateSilently();
+    }
+}
--- /dev/null
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/port/AttemptFields.java
@@ -0,0 +1,29 @@
+/*
+ * Copyright 2026 The trailladder authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package io.trailladder.entry.port;
+
+/**
+ * What the gateway tells an upstream with an attempt.
+ *
+ * @param worker the upstream that is meant; any other refuses
+ * @param tenant whose the request is; empty if nobody's
+ * @param priority its rank; 0 is the most urgent
+ * @param leftMillis how long the caller still waits, in milliseconds
+ * @param lastEventId the last event the caller has; empty to begin
+ * @since 0.2
+ */
+public record AttemptFields(
+        String worker, String tenant, int priority, long leftMillis, String lastEventId) {}
--- /dev/null
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/port/StoreItem.java
@@ -0,0 +1,28 @@
+/*
+ * Copyright 2026 The trailladder authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package io.trailladder.entry.port;
+
+/**
+ * A value in the coordination store.
+ *
+ * @param key the key
+ * @param value the value; empty if the key is gone
+ * @param revision the store's revision at its last change
+ * @param made the store's revision at its creation
+ * @param gone true if the key no longer exists
+ * @since 0.2
+ */
+public record StoreItem(String key, byte[] value, long revision, long made, boolean gone) {}
--- a/trailladder-wire/src/main/java/io/trailladder/wire/MessageType.java
+++ b/trailladder-wire/src/main/java/io/trailladder/wire/MessageType.java
@@ -79,7 +79,15 @@
     /** {@link PeerMessage.ClaimRelease}. */
     CLAIM_RELEASE(27, PeerMessage.ClaimRelease.class),
     /** {@link PeerMessage.RangeMapNews}. */
-    RANGE_MAP_NEWS(28, PeerMessage.RangeMapNews.class);
+    RANGE_MAP_NEWS(28, PeerMessage.RangeMapNews.class),
+    /** {@link NodeMessage.NodeHello}. */
+    NODE_HELLO(29, NodeMessage.NodeHello.class),
+    /** {@link NodeMessage.NodeDigest}. */
+    NODE_DIGEST(30, NodeMessage.NodeDigest.class),
+    /** {@link NodeMessage.SnapshotAsk}. */
+    SNAPSHOT_ASK(31, NodeMessage.SnapshotAsk.class),
+    /** {@link NodeMessage.Snapshot}. */
+    SNAPSHOT(32, NodeMessage.Snapshot.class);
 
     private static final Map<Integer, MessageType> BY_NUMBER = new HashMap<>();
     private static final Map<Class<?>, MessageType> BY_CLASS = new HashMap<>();
--- /dev/null
+++ b/trailladder-wire/src/main/java/io/trailladder/wire/NodeMessage.java
@@ -0,0 +1,91 @@
+/*
+ * Copyright 2026 The trailladder authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package io.trailladder.wire;
+
+import io.trailladder.core.duty.UsageCount;
+import io.trailladder.core.worker.WorkerUse;
+import java.util.List;
+
+/**
+ * A message between two gateway processes.
+ *
+ * @since 0.2
+ */
+public sealed interface NodeMessage extends PeerMessage {
+    /**
+     * Opens a link.
+     *
+     * @param name the sender's name
+     * @param incarnation names this life of the sender
+     * @param zone its data centre
+     * @param address where it takes links
+     */
+    record NodeHello(String name, String incarnation, String zone, String address)
+            implements NodeMessage {}
+
+    /**
+     * What the sender knows and does, sent a few times a second.
+     *
+     * @param policyVersion version of the policy in force there; 0 if it knows none
+     * @param directoryRevision revision of its list of upstreams; 0 if it knows none
+     * @param draining true if it is stopping
+     * @param usage requests that began to run there, in recent windows
+     * @param quotas what it let pass, by tenant
+     * @param uses what it has under way at upstreams
+     * @param leaving upstreams it saw leaving lately
+     */
+    record NodeDigest(
+            long policyVersion,
+            long directoryRevision,
+            boolean draining,
+            List<UsageCount> usage,
+            List<TenantUse> quotas,
+            List<WorkerUse> uses,
+            List<String> leaving)
+            implements NodeMessage {}
+
+    /**
+     * One tenant's use at one entry.
+     *
+     * @param tenant the tenant
+     * @param used units let pass since the entry's start
+     * @param level units left over all entries, as that entry sees it
+     */
+    record TenantUse(String tenant, double used, double level) {}
+
+    /** Asks for what the receiver knows of policy and upstreams. */
+    record SnapshotAsk(long policyVersion) implements NodeMessage {}
+
+    /**
+     * What the sender knows of policy and upstreams, as the platform wrote it.
+     *
+     * @param policyVersion version of the policy; 0 if it knows none
+     * @param policy the policy's bytes
+     * @param directoryRevision revision of the list of upstreams; 0 if it knows none
+     * @param workers the upstreams' entries
+     */
+    record Snapshot(
+            long policyVersion, byte[] policy, long directoryRevision, List<WorkerEntry> workers)
+            implements NodeMessage {}
+
+    /**
+     * One upstream's entry.
+     *
+     * @param id the upstream's name
+     * @param value the entry's bytes
+     */
+    record WorkerEntry(String id, byte[] value) {}
+}
--- a/trailladder-wire/src/main/java/io/trailladder/wire/PeerMessage.java
+++ b/trailladder-wire/src/main/java/io/trailladder/wire/PeerMessage.java
@@ -29,7 +29,7 @@
  *
  * @since 0.1
  */
-public sealed interface PeerMessage {
+public interface PeerMessage {
     /**
      * Opens a link.
      *
