--- a/trailladder-entry/src/main/java/io/trailladder/entry/port/WorkerOrder.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/duty/WorkerOrder.java
@@ -13,7 +13,7 @@
  * See the License for the specific language governing permissions and
  * limitations under the License.
  */
-package io.trailladder.entry.port;
+package io.trailladder.core.duty;
 
 /**
  * How many upstreams of one kind a data centre is to have.
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Attempt.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Attempt.java
@@ -77,6 +77,7 @@
 
     void start(OutgoingCall outgoing) {
         context.loads().sent(worker.id(), uncachedTokens);
+        context.demand().sent(request, uncachedTokens, createdMillis);
         call = context.connector().send(outgoing, this);
         if (over) {
             call.cancel();
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ClusterView.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ClusterView.java
@@ -16,6 +16,8 @@
 package io.trailladder.entry.gateway;
 
 import io.trailladder.core.duty.UsageLedger;
+import io.trailladder.core.worker.DemandMeter;
+import io.trailladder.core.worker.ServiceDemand;
 import io.trailladder.core.worker.WorkerLoads;
 import io.trailladder.entry.loop.EventLoop;
 import io.trailladder.entry.mesh.MeshListener;
@@ -44,6 +46,7 @@
 
     private static final long ASK_MILLIS = 300;
     private static final int RECENT_LEAVING = 32;
+    private static final double LEAST_BUSY = 0.02;
 
     private final EventLoop loop;
     private final PolicyKeeper policies;
@@ -52,10 +55,12 @@
     private final Quotas quotas;
     private final WorkerLoads loads;
     private final UsageLedger usage;
+    private final DemandMeter demand;
     private final String life;
     private final GatewayMetrics metrics;
     private final List<String> recentLeaving = new ArrayList<>();
     private final Map<String, Long> digestMillis = new HashMap<>();
+    private final Map<String, List<ServiceDemand>> peerDemands = new HashMap<>();
     private final Set<String> members = new HashSet<>();
     private PeerMesh mesh;
     private boolean draining;
@@ -71,6 +76,7 @@
      * @param quotas the tenants' limits
      * @param loads the work under way at upstreams
      * @param usage counts requests that began to run
+     * @param demand measures the load of services here
      * @param life names this life of this process
      * @param metrics the process's figures
      */
@@ -82,6 +88,7 @@
             Quotas quotas,
             WorkerLoads loads,
             UsageLedger usage,
+            DemandMeter demand,
             String life,
             GatewayMetrics metrics) {
         this.loop = loop;
@@ -91,6 +98,7 @@
         this.quotas = quotas;
         this.loads = loads;
         this.usage = usage;
+        this.demand = demand;
         this.life = life;
         this.metrics = metrics;
         directory.onLeaving(worker -> remember(worker.id()));
@@ -146,6 +154,25 @@
         return oldest;
     }
 
+    /**
+     * Returns the load of a service over all heard processes.
+     *
+     * @param service the service
+     * @return how many upstreams it keeps busy; below 0 if it was not asked for lately
+     */
+    public double busy(String service) {
+        double busy = 0;
+        for (ServiceDemand own : demand.demands(loop.nowMillis())) {
+            busy += own.service().equals(service) ? own.busy() : 0;
+        }
+        for (List<ServiceDemand> demands : peerDemands.values()) {
+            for (ServiceDemand other : demands) {
+                busy += other.service().equals(service) ? other.busy() : 0;
+            }
+        }
+        return busy < LEAST_BUSY ? -1 : busy;
+    }
+
     @Override
     public void linked(NodeHello peer) {
         DecisionLog.write(
@@ -180,6 +207,7 @@
         usage.merge(peerLife, digest.usage());
         quotas.peerUsed(peerLife, digest.quotas(), now);
         loads.peerUses(peer.name(), digest.uses());
+        peerDemands.put(peer.name(), digest.demands());
         digest.leaving().forEach(id -> directory.leavingSeenBy(id, peer.name()));
         boolean newerPolicy = digest.policyVersion() > policies.version();
         boolean newerList =
@@ -214,6 +242,7 @@
             if (!heard.contains(peer)) {
                 digestMillis.remove(peer);
                 loads.peerLost(peer);
+                peerDemands.remove(peer);
                 DecisionLog.write(new DecisionLog.Lifecycle("peer " + peer, "silent", ""));
             }
         }
@@ -233,6 +262,7 @@
                 usage.countsOf(life),
                 uses,
                 loads.ownUses(),
+                demand.demands(now),
                 List.copyOf(recentLeaving));
     }
 
--- /dev/null
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/FleetRunner.java
@@ -0,0 +1,184 @@
+/*
+ * Copyright 2026 The trailladder authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package io.trailladder.entry.gateway;
+
+import io.trailladder.core.duty.FleetPlanner;
+import io.trailladder.core.duty.WorkerOrder;
+import io.trailladder.core.policy.ScalingSpec;
+import io.trailladder.core.policy.ServiceSpec;
+import io.trailladder.core.worker.Worker;
+import io.trailladder.core.worker.WorkerDirectory;
+import io.trailladder.entry.gateway.DecisionLog.Duty;
+import io.trailladder.entry.loop.EventLoop;
+import io.trailladder.entry.port.DutyApi;
+import io.trailladder.entry.port.DutyHolder;
+import io.trailladder.entry.port.DutyResult;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.ToDoubleFunction;
+
+/**
+ * Orders upstreams while this process leads.
+ *
+ * <p>An order is given when it differs from the last one, and again when the list of upstreams does
+ * not follow it for a while, because an unanswered order may be lost or be carried out late.
+ *
+ * @since 0.2
+ */
+public final class FleetRunner {
+    private static final long STEP_MILLIS = 250;
+    private static final long LEAST_PAUSE_MILLIS = 900;
+    private static final long DRY_MILLIS = 3_000;
+    private static final long SETTLE_MILLIS = 4_000;
+
+    private final EventLoop loop;
+    private final DutyApi duties;
+    private final DutyRunner leadership;
+    private final PolicyKeeper policies;
+    private final WorkerDirectory directory;
+    private final ToDoubleFunction<String> busy;
+    private final GatewayMetrics metrics;
+    private final Map<String, FleetPlanner> planners = new HashMap<>();
+    private final Map<Subject, Given> given = new HashMap<>();
+    private final Map<String, Long> dryUntilMillis = new HashMap<>();
+    private long token;
+
+    /** What an order is about. */
+    private record Subject(String service, String zone, boolean reclaimable) {}
+
+    /** The last order about a subject. */
+    private static final class Given {
+        private int count = -1;
+        private long sentMillis;
+        private boolean waiting;
+        private boolean accepted;
+    }
+
+    /**
+     * Creates a runner.
+     *
+     * @param loop the loop whose thread runs it
+     * @param duties the platform's calls
+     * @param leadership tells whether this process leads
+     * @param policies the policy in force
+     * @param directory the upstreams known
+     * @param busy tells how many upstreams of a service the load keeps busy; below 0 if not known
+     * @param metrics the process's figures
+     */
+    public FleetRunner(
+            EventLoop loop,
+            DutyApi duties,
+            DutyRunner leadership,
+            PolicyKeeper policies,
+            WorkerDirectory directory,
+            ToDoubleFunction<String> busy,
+            GatewayMetrics metrics) {
+        this.loop = loop;
+        this.duties = duties;
+        this.leadership = leadership;
+        this.policies = policies;
+        this.directory = directory;
+        this.busy = busy;
+        this.metrics = metrics;
+    }
+
+    /** Begins to order. */
+    public void start() {
+        loop.repeat(STEP_MILLIS, this::step);
+    }
+
+    private void step() {
+        if (!leadership.leads() || policies.policy().isEmpty()) {
+            return;
+        }
+        if (leadership.holder().token() != token) {
+            token = leadership.holder().token();
+            given.clear();
+        }
+        for (ServiceSpec service : policies.policy().get().services()) {
+            service.scaling().ifPresent(scaling -> plan(service.name(), scaling));
+        }
+    }
+
+    private void plan(String service, ScalingSpec scaling) {
+        List<Worker> workers =
+                directory.all().stream().filter(w -> w.service().equals(service)).toList();
+        if (workers.isEmpty()) {
+            return;
+        }
+        FleetPlanner planner = planners.computeIfAbsent(service, FleetPlanner::new);
+        List<WorkerOrder> orders =
+                planner.plan(scaling, workers, busy.applyAsDouble(service), dryZones());
+        orders.forEach(order -> give(order, workers, scaling.bootMillis() + SETTLE_MILLIS));
+    }
+
+    private void give(WorkerOrder order, List<Worker> workers, long settleMillis) {
+        Subject subject = new Subject(order.service(), order.zone(), order.reclaimable());
+        Given last = given.computeIfAbsent(subject, key -> new Given());
+        long since = loop.nowMillis() - last.sentMillis;
+        boolean changed = last.count != order.count() || !last.accepted;
+        boolean ignored = since >= settleMillis && serving(workers, subject) != order.count();
+        if (last.waiting || since < LEAST_PAUSE_MILLIS || !(changed || ignored)) {
+            return;
+        }
+        last.count = order.count();
+        last.sentMillis = loop.nowMillis();
+        last.waiting = true;
+        DutyHolder holder = leadership.holder();
+        duties.order(holder, order, result -> answered(holder, order, last, result));
+    }
+
+    private void answered(DutyHolder holder, WorkerOrder order, Given last, DutyResult result) {
+        last.waiting = false;
+        last.accepted = result == DutyResult.ACCEPTED;
+        String kind = order.reclaimable() ? "reclaimable" : "full price";
+        DecisionLog.write(
+                new Duty(
+                        "order",
+                        order.count() + " " + kind + " in " + order.zone(),
+                        holder.token(),
+                        result.name()));
+        if (result == DutyResult.DECLINED && order.reclaimable()) {
+            dryUntilMillis.put(order.zone(), loop.nowMillis() + DRY_MILLIS);
+        }
+        if (result != DutyResult.ACCEPTED) {
+            metrics.count(GatewayMetrics.Event.DUTY_FAILURE);
+        }
+    }
+
+    private Set<String> dryZones() {
+        Set<String> dry = new HashSet<>();
+        dryUntilMillis.forEach(
+                (zone, until) -> {
+                    if (until > loop.nowMillis()) {
+                        dry.add(zone);
+                    }
+                });
+        return dry;
+    }
+
+    private static int serving(List<Worker> workers, Subject subject) {
+        return (int)
+                workers.stream()
+                        .filter(worker -> worker.zone().equals(subject.zone()))
+                        .filter(worker -> worker.reclaimable() == subject.reclaimable())
+                        .filter(worker -> !worker.draining())
+                        .count();
+    }
+}
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
@@ -20,6 +20,7 @@
 import io.trailladder.core.duty.UsageLedger;
 import io.trailladder.core.policy.RequestBounds;
 import io.trailladder.core.policy.ServingPolicy;
+import io.trailladder.core.worker.DemandMeter;
 import io.trailladder.core.worker.Worker;
 import io.trailladder.core.worker.WorkerDirectory;
 import io.trailladder.core.worker.WorkerLoads;
@@ -56,7 +57,7 @@
     private static final long STATE_MILLIS = 1_000;
     private static final long LOST_SILENT_MILLIS = 500;
     private static final long STOP_CHECK_MILLIS = 100;
-    private static final long LEAST_DRAIN_MILLIS = 3_000;
+    private static final long LEAST_DRAIN_MILLIS = 2_600;
     private static final long END_MARGIN_MILLIS = 700;
     private static final long ELECTION_PATIENCE_MILLIS = 100;
     private static final long ELECTION_SPREAD_MILLIS = 500;
@@ -77,6 +78,7 @@
     private final PeerMesh mesh;
     private final Membership membership;
     private final DutyRunner duties;
+    private final FleetRunner fleet;
     private final RequestIntake intake;
     private final HttpServer callers;
     private final HttpServer health;
@@ -109,6 +111,7 @@
         String life = name + '/' + incarnation;
         Clock clock = Clock.systemUTC();
         UsageLedger usage = new UsageLedger(life, settings.timing().usageWindowMillis());
+        DemandMeter demand = new DemandMeter();
         policies = new PolicyKeeper(platform.format());
         directoryKeeper = new DirectoryKeeper(platform.format(), directory);
         quotas = new Quotas(settings.node().firstStart());
@@ -121,6 +124,7 @@
                         quotas,
                         loads,
                         usage,
+                        demand,
                         life,
                         metrics);
         String peerAddress = settings.listen().peers().toString();
@@ -150,6 +154,9 @@
                         life,
                         settings.timing(),
                         metrics);
+        fleet =
+                new FleetRunner(
+                        loop, platform.duties(), duties, policies, directory, view::busy, metrics);
         ServingContext context =
                 new ServingContext(
                         loop,
@@ -162,6 +169,7 @@
                         quotas,
                         new RetryBudgets(settings.retries(), view::entries),
                         usage,
+                        demand,
                         metrics,
                         view::oldestDigestMillis);
         intake = new RequestIntake(context, policies, random.split());
@@ -198,6 +206,7 @@
                     leaderWatcher.restart();
                     membership.start();
                     duties.start();
+                    fleet.start();
                 });
         loop.start();
         DecisionLog.write(
@@ -301,6 +310,8 @@
     private void checkStopped(long begunMillis) {
         long since = loop.nowMillis() - begunMillis;
         if (since >= LEAST_DRAIN_MILLIS) {
+            callers.stopListening();
+            intake.refuseNew();
             callers.closeResting();
         }
         boolean idle = since >= LEAST_DRAIN_MILLIS && callers.open() == 0;
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestDriver.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestDriver.java
@@ -55,6 +55,9 @@
     private static final long KEPT_MILLIS = 1_500;
     private static final long KEPT_UNREPEATABLE_MILLIS = 400;
     private static final long LEAST_RETRY_AFTER_MILLIS = 50;
+    private static final long LONGEST_PAUSE_MILLIS = 1_000;
+    private static final long LEAST_CHECK_MILLIS = 10;
+    private static final double SLOWEST_FACTOR = 3;
     private static final byte[] NO_BYTES = {};
 
     private final ServingContext context;
@@ -234,6 +237,7 @@
                                         left,
                                         history.lastEventId()));
         boolean repeatable = request.route().repeatable();
+        watchSilence(attempt, firstAnswerMillis(selection));
         attempt.start(
                 new OutgoingCall(
                         HostPort.parse(worker.address()),
@@ -245,6 +249,34 @@
                         connectMillis(left)));
     }
 
+    private long firstAnswerMillis(Selection selection) {
+        long objective = request.route().objectiveMillis();
+        return Math.max(objective, Math.round(selection.predictedMillis() * SLOWEST_FACTOR));
+    }
+
+    /** Leaves an upstream that is silent for too long, if the request may run again. */
+    private void watchSilence(Attempt watched, long mostMillis) {
+        if (!request.route().repeatable() || mostMillis <= 0) {
+            return;
+        }
+        context.loop()
+                .schedule(
+                        Math.max(LEAST_CHECK_MILLIS, mostMillis - watched.silentMillis()),
+                        () -> checkSilence(watched, mostMillis));
+    }
+
+    private void checkSilence(Attempt watched, long mostMillis) {
+        if (over || watched != attempt) {
+            return;
+        }
+        long most = history.hasAnswerBegun() ? LONGEST_PAUSE_MILLIS : mostMillis;
+        if (watched.silentMillis() >= most) {
+            watched.fail(AttemptFailure.SILENT);
+        } else {
+            watchSilence(watched, most);
+        }
+    }
+
     private static long connectMillis(long left) {
         return Math.max(LEAST_CONNECT_MILLIS, Math.min(MAX_CONNECT_MILLIS, left / 3));
     }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestIntake.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestIntake.java
@@ -45,6 +45,7 @@
     private static final int OVER_LIMIT = 429;
     private static final int UNAVAILABLE = 503;
     private static final long NO_POLICY_RETRY_MILLIS = 500;
+    private static final long STOPPING_RETRY_MILLIS = 30;
     private static final long DEFAULT_WAIT_MILLIS = 60_000;
     private static final byte[] NO_BYTES = {};
 
@@ -52,6 +53,7 @@
     private final PolicyKeeper policies;
     private final SplittableRandom random;
     private final Set<RequestDriver> open = new HashSet<>();
+    private boolean refusing;
 
     /**
      * Creates an intake.
@@ -69,6 +71,10 @@
     @Override
     public void handle(ServerExchange exchange) {
         Optional<ServingPolicy> policy = policies.policy();
+        if (refusing) {
+            refuse(exchange, "", UNAVAILABLE, STOPPING_RETRY_MILLIS, "stopping");
+            return;
+        }
         if (policy.isEmpty()) {
             refuse(exchange, "", UNAVAILABLE, NO_POLICY_RETRY_MILLIS, "no policy known");
             return;
@@ -117,6 +123,11 @@
         }
     }
 
+    /** Refuses every further request, which callers may ask again of another process. */
+    public void refuseNew() {
+        refusing = true;
+    }
+
     /** Breaks all requests off because the process ends. */
     public void stopAll() {
         List.copyOf(open).forEach(RequestDriver::stop);
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ServingContext.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ServingContext.java
@@ -16,6 +16,7 @@
 package io.trailladder.entry.gateway;
 
 import io.trailladder.core.duty.UsageLedger;
+import io.trailladder.core.worker.DemandMeter;
 import io.trailladder.core.worker.WorkerDirectory;
 import io.trailladder.core.worker.WorkerLoads;
 import io.trailladder.core.worker.WorkerSelector;
@@ -38,6 +39,7 @@
  * @param quotas the tenants' limits
  * @param budgets the budgets of second attempts
  * @param usage counts requests that began to run
+ * @param demand measures the load of services here
  * @param metrics the process's figures
  * @param peersAgeMillis tells how old the oldest peer digest in use is, in milliseconds
  * @since 0.2
@@ -53,5 +55,6 @@
         Quotas quotas,
         RetryBudgets budgets,
         UsageLedger usage,
+        DemandMeter demand,
         GatewayMetrics metrics,
         LongSupplier peersAgeMillis) {}
--- a/trailladder-entry/src/main/java/io/trailladder/entry/mesh/PeerMesh.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/mesh/PeerMesh.java
@@ -237,9 +237,11 @@
             link.heard(loop.nowMillis());
             if (message instanceof NodeHello hello) {
                 link.greeted(hello);
-                links.put(hello.name(), link);
+                NodeLink before = links.put(hello.name(), link);
                 heard.put(hello.name(), loop.nowMillis());
-                listener.linked(hello);
+                if (before == null) {
+                    listener.linked(hello);
+                }
             } else if (link.isGreeted()) {
                 heard.put(link.peer().name(), loop.nowMillis());
                 listener.received(link.peer(), message);
--- a/trailladder-entry/src/main/java/io/trailladder/entry/port/DutyApi.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/port/DutyApi.java
@@ -15,6 +15,7 @@
  */
 package io.trailladder.entry.port;
 
+import io.trailladder.core.duty.WorkerOrder;
 import java.util.Map;
 import java.util.function.Consumer;
 
--- a/trailladder-wire/src/main/java/io/trailladder/wire/NodeMessage.java
+++ b/trailladder-wire/src/main/java/io/trailladder/wire/NodeMessage.java
@@ -16,6 +16,7 @@
 package io.trailladder.wire;
 
 import io.trailladder.core.duty.UsageCount;
+import io.trailladder.core.worker.ServiceDemand;
 import io.trailladder.core.worker.WorkerUse;
 import java.util.List;
 
@@ -45,6 +46,7 @@
      * @param usage requests that began to run there, in recent windows
      * @param quotas what it let pass, by tenant
      * @param uses what it has under way at upstreams
+     * @param demands the load of services there
      * @param leaving upstreams it saw leaving lately
      */
     record NodeDigest(
@@ -54,6 +56,7 @@
             List<UsageCount> usage,
             List<TenantUse> quotas,
             List<WorkerUse> uses,
+            List<ServiceDemand> demands,
             List<String> leaving)
             implements NodeMessage {}
 
