--- a/trailladder-core/src/main/java/io/trailladder/core/duty/FleetPlanner.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/duty/FleetPlanner.java
@@ -19,26 +19,80 @@
 import io.trailladder.core.worker.Worker;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
-import java.util.TreeSet;
+import java.util.TreeMap;
 
 /**
  * Decides how many upstreams of a service each data centre is to have, and of which kind.
  *
- * <p>Reclaimable upstreams carry the load wherever they can be had. The data centres have equal
- * parts, so that the loss of all reclaimable upstreams of one leaves the others below {@link
- * #MOST_BUSY_AFTER_LOSS}. Upstreams at the full price take their place while there are none, and
- * leave only when reclaimable ones serve again.
+ * <p>Reclaimable upstreams carry the load, in equal parts in every data centre, so that the loss of
+ * all of one leaves the others below {@link #MOST_BUSY_AFTER_LOSS}. Upstreams at the full price are
+ * added only while too few others serve, or too few would be left after one more loss. Numbers grow
+ * soon and shrink late, so that they do not swing with the load.
  *
  * @since 0.2
  */
 public final class FleetPlanner {
-    /** Part of their time that the remaining upstreams may be busy after a data centre's loss. */
-    public static final double MOST_BUSY_AFTER_LOSS = 0.40;
+    /** Part of their time that upstreams may be busy after a data centre's loss, as planned for. */
+    public static final double MOST_BUSY_AFTER_LOSS = 0.45;
+
+    private static final double MOST_BUSY_NOW = 0.5;
+    private static final double MOST_BUSY_AFTER_NEXT_LOSS = 0.7;
+    private static final long GROW_AFTER_MILLIS = 4_000;
+    private static final long SHRINK_AFTER_MILLIS = 20_000;
+    private static final long RELEASE_AFTER_MILLIS = 3_000;
 
     private final String service;
-    private final Set<String> zones = new TreeSet<>();
+    private final Map<String, Integer> zones = new TreeMap<>();
+    private final Set<String> provided = new HashSet<>();
+    private final Hysteresis perZone = new Hysteresis(GROW_AFTER_MILLIS, SHRINK_AFTER_MILLIS);
+    private final Hysteresis fullPrice = new Hysteresis(0, RELEASE_AFTER_MILLIS);
+
+    /** A number that follows another one only after that has differed for some time. */
+    private static final class Hysteresis {
+        private final long growAfterMillis;
+        private final long shrinkAfterMillis;
+        private int value = -1;
+        private long sameOrAboveMillis;
+        private long sameOrBelowMillis;
+
+        Hysteresis(long growAfterMillis, long shrinkAfterMillis) {
+            this.growAfterMillis = growAfterMillis;
+            this.shrinkAfterMillis = shrinkAfterMillis;
+        }
+
+        int follow(int wanted, long nowMillis) {
+            if (value < 0) {
+                set(wanted, nowMillis);
+            }
+            if (wanted >= value) {
+                sameOrAboveMillis = nowMillis;
+            }
+            if (wanted <= value) {
+                sameOrBelowMillis = nowMillis;
+            }
+            if (wanted > value && nowMillis - sameOrBelowMillis >= growAfterMillis) {
+                set(growAfterMillis == 0 ? wanted : value + 1, nowMillis);
+            } else if (wanted < value && nowMillis - sameOrAboveMillis >= shrinkAfterMillis) {
+                set(value - 1, nowMillis);
+            }
+            return value;
+        }
+
+        void atLeast(int least) {
+            value = Math.max(value, least);
+        }
+
+        private void set(int changed, long nowMillis) {
+            value = changed;
+            sameOrAboveMillis = nowMillis;
+            sameOrBelowMillis = nowMillis;
+        }
+    }
 
     /**
      * Creates a planner.
@@ -55,35 +109,91 @@
      * @param scaling bounds and prices
      * @param workers the service's upstreams, leaving ones too
      * @param busy how many upstreams the load would keep busy all the time; below 0 if not known
-     * @param dryZones data centres where no reclaimable upstream could be had lately
+     * @param nowMillis the time
      * @return an order for both kinds in every data centre
      */
     public List<WorkerOrder> plan(
-            ScalingSpec scaling, Collection<Worker> workers, double busy, Set<String> dryZones) {
+            ScalingSpec scaling, Collection<Worker> workers, double busy, long nowMillis) {
         List<Worker> serving = workers.stream().filter(worker -> !worker.draining()).toList();
-        serving.forEach(worker -> zones.add(worker.zone()));
+        workers.forEach(worker -> zones.putIfAbsent(worker.zone(), 0));
+        if (busy < 0) {
+            learnProvided(serving);
+        }
+        int target = perZone.follow(wantedPerZone(scaling, busy), nowMillis);
+        int full = fullPrice.follow(wantedFullPrice(scaling, serving, busy), nowMillis);
+        Map<String, Integer> fullByZone = spread(scaling, serving, full);
         List<WorkerOrder> orders = new ArrayList<>();
-        int target = perZone(scaling, serving, busy);
-        for (String zone : zones) {
-            int reclaimable = count(serving, zone, true);
-            boolean dry = dryZones.contains(zone);
-            orders.add(new WorkerOrder(service, zone, true, dry ? reclaimable : target));
-            int missing = Math.max(0, target - reclaimable);
-            orders.add(new WorkerOrder(service, zone, false, missing));
+        for (String zone : zones.keySet()) {
+            orders.add(new WorkerOrder(service, zone, true, target));
+            orders.add(new WorkerOrder(service, zone, false, fullByZone.get(zone)));
         }
         return orders;
     }
 
-    private int perZone(ScalingSpec scaling, List<Worker> serving, double busy) {
-        int count = Math.max(1, zones.size());
-        int target;
-        if (busy < 0) {
-            target = (int) Math.ceil(serving.size() / (double) count);
-        } else {
-            int zonesAfterLoss = Math.max(1, count - 1);
-            target = (int) Math.ceil(busy / MOST_BUSY_AFTER_LOSS / zonesAfterLoss);
+    /**
+     * Before any load is known, the operator's own provision is the best guess of what is needed.
+     */
+    private void learnProvided(List<Worker> serving) {
+        serving.stream()
+                .filter(worker -> !worker.reclaimable())
+                .forEach(worker -> provided.add(worker.id()));
+        perZone.atLeast(providedPerZone());
+    }
+
+    private int providedPerZone() {
+        return ceil(provided.size() / (double) Math.max(1, zones.size()));
+    }
+
+    private int wantedPerZone(ScalingSpec scaling, double busy) {
+        int others = Math.max(1, zones.size() - 1);
+        int wanted =
+                busy < 0
+                        ? Math.max(perZone.value, providedPerZone())
+                        : ceil(busy / MOST_BUSY_AFTER_LOSS / others);
+        return Math.max(Math.max(1, scaling.min()), Math.min(scaling.max(), wanted));
+    }
+
+    /** Full-price upstreams that make up for reclaimable ones that are not there. */
+    private int wantedFullPrice(ScalingSpec scaling, List<Worker> serving, double busy) {
+        int reclaimable = 0;
+        int mostInZone = 0;
+        for (String zone : zones.keySet()) {
+            int here = count(serving, zone, true);
+            reclaimable += here;
+            mostInZone = Math.max(mostInZone, here);
+        }
+        double load = busy < 0 ? 1 : busy;
+        int now = ceil(load / MOST_BUSY_NOW) - reclaimable;
+        int afterLoss = ceil(load / MOST_BUSY_AFTER_NEXT_LOSS) - (reclaimable - mostInZone);
+        int most = scaling.max() * zones.size();
+        return Math.max(0, Math.min(most, Math.max(now, afterLoss)));
+    }
+
+    /** Spreads full-price upstreams: where such ones are, then where they cost least. */
+    private Map<String, Integer> spread(ScalingSpec scaling, List<Worker> serving, int full) {
+        Map<String, Integer> byZone = new TreeMap<>(zones);
+        Comparator<String> order =
+                Comparator.<String>comparingInt(zone -> -count(serving, zone, false))
+                        .thenComparingDouble(zone -> scaling.zonePrices().getOrDefault(zone, 1.0));
+        List<String> sorted = zones.keySet().stream().sorted(order).toList();
+        int left = full;
+        while (left > 0) {
+            int before = left;
+            for (String zone : sorted) {
+                if (left > 0 && byZone.get(zone) < scaling.max()) {
+                    byZone.merge(zone, 1, Integer::sum);
+                    left--;
+                }
+            }
+            if (left == before) {
+                break;
+            }
         }
-        return Math.max(Math.max(1, scaling.min()), Math.min(scaling.max(), target));
+        return byZone;
+    }
+
+    private static int ceil(double value) {
+        return (int) Math.ceil(value);
     }
 
     private static int count(List<Worker> serving, String zone, boolean reclaimable) {
--- a/trailladder-core/src/main/java/io/trailladder/core/pipeline/RecoveryPolicy.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/pipeline/RecoveryPolicy.java
@@ -56,11 +56,7 @@
             long nowMillis) {
         Route route = request.route();
         boolean repeatable = route.repeatable() || !history.mayHaveRun();
-        boolean attemptsLeft =
-                history.sent() < route.maxAttempts()
-                        && history.connectFailures() < MAX_CONNECT_FAILURES;
-        boolean timeLeft = request.deadlineMillis() - nowMillis >= LEAST_MILLIS_LEFT;
-        if (!repeatable || !attemptsLeft || !timeLeft || !budget) {
+        if (!repeatable || !budget || !allowsAnother(request, history, nowMillis)) {
             return new GiveUp(ending(history, failure));
         }
         if (!history.hasAnswerBegun()) {
@@ -70,6 +66,21 @@
         return resumable ? new Resume(history.lastEventId()) : new GiveUp(Ending.BROKEN_OFF);
     }
 
+    /**
+     * Tells whether a request has attempts and time left, whether or not it may run again.
+     *
+     * @param request the request
+     * @param history its attempts
+     * @param nowMillis the time
+     * @return true if it has
+     */
+    public static boolean allowsAnother(
+            ServingRequest request, AttemptHistory history, long nowMillis) {
+        return history.sent() < request.route().maxAttempts()
+                && history.connectFailures() < MAX_CONNECT_FAILURES
+                && request.deadlineMillis() - nowMillis >= LEAST_MILLIS_LEFT;
+    }
+
     private static Ending ending(AttemptHistory history, AttemptFailure failure) {
         if (history.hasAnswerBegun()) {
             return Ending.BROKEN_OFF;
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ClusterView.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ClusterView.java
@@ -28,6 +28,7 @@
 import io.trailladder.wire.NodeMessage.Snapshot;
 import io.trailladder.wire.NodeMessage.SnapshotAsk;
 import io.trailladder.wire.NodeMessage.TenantUse;
+import io.trailladder.wire.NodeMessage.UsageHistory;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -125,6 +126,11 @@
         members.addAll(names);
     }
 
+    /** Tells the peers what this process knows now. */
+    public void tellNow() {
+        tellPeers();
+    }
+
     /** Has the peers told that this process stops. */
     public void draining() {
         draining = true;
@@ -178,6 +184,12 @@
         DecisionLog.write(
                 new DecisionLog.Lifecycle("peer " + peer.name(), "linked", peer.address()));
         mesh.send(peer.name(), digest());
+        usage.entries()
+                .forEach(
+                        entry ->
+                                mesh.send(
+                                        peer.name(),
+                                        new UsageHistory(entry, usage.countsOf(entry))));
         if (!store.isReachable() || policies.version() == 0) {
             mesh.send(peer.name(), new SnapshotAsk(policies.version()));
         }
@@ -187,6 +199,8 @@
     public void received(NodeHello peer, NodeMessage message) {
         if (message instanceof NodeDigest digest) {
             digest(peer, digest);
+        } else if (message instanceof UsageHistory history) {
+            usage.merge(history.life(), history.usage());
         } else if (message instanceof SnapshotAsk) {
             mesh.send(
                     peer.name(),
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/FleetRunner.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/FleetRunner.java
@@ -27,10 +27,9 @@
 import io.trailladder.entry.port.DutyHolder;
 import io.trailladder.entry.port.DutyResult;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
-import java.util.Set;
 import java.util.function.ToDoubleFunction;
 
 /**
@@ -43,8 +42,9 @@
  */
 public final class FleetRunner {
     private static final long STEP_MILLIS = 250;
+    private static final long FIRST_LOOK_MILLIS = 1_500;
     private static final long LEAST_PAUSE_MILLIS = 900;
-    private static final long DRY_MILLIS = 3_000;
+    private static final long DECLINED_MILLIS = 2_500;
     private static final long SETTLE_MILLIS = 4_000;
 
     private final EventLoop loop;
@@ -56,8 +56,8 @@
     private final GatewayMetrics metrics;
     private final Map<String, FleetPlanner> planners = new HashMap<>();
     private final Map<Subject, Given> given = new HashMap<>();
-    private final Map<String, Long> dryUntilMillis = new HashMap<>();
     private long token;
+    private long ledSinceMillis;
 
     /** What an order is about. */
     private record Subject(String service, String zone, boolean reclaimable) {}
@@ -68,6 +68,7 @@
         private long sentMillis;
         private boolean waiting;
         private boolean accepted;
+        private boolean declined;
     }
 
     /**
@@ -109,6 +110,7 @@
         }
         if (leadership.holder().token() != token) {
             token = leadership.holder().token();
+            ledSinceMillis = loop.nowMillis();
             given.clear();
         }
         for (ServiceSpec service : policies.policy().get().services()) {
@@ -122,57 +124,55 @@
         if (workers.isEmpty()) {
             return;
         }
+        double load = busy.applyAsDouble(service);
         FleetPlanner planner = planners.computeIfAbsent(service, FleetPlanner::new);
-        List<WorkerOrder> orders =
-                planner.plan(scaling, workers, busy.applyAsDouble(service), dryZones());
-        orders.forEach(order -> give(order, workers, scaling.bootMillis() + SETTLE_MILLIS));
+        List<WorkerOrder> orders = planner.plan(scaling, workers, load, loop.nowMillis());
+        if (loop.nowMillis() - ledSinceMillis < FIRST_LOOK_MILLIS) {
+            return;
+        }
+        orders.forEach(order -> give(order, workers, load, scaling.bootMillis() + SETTLE_MILLIS));
     }
 
-    private void give(WorkerOrder order, List<Worker> workers, long settleMillis) {
+    private void give(WorkerOrder order, List<Worker> workers, double load, long settleMillis) {
         Subject subject = new Subject(order.service(), order.zone(), order.reclaimable());
         Given last = given.computeIfAbsent(subject, key -> new Given());
         long since = loop.nowMillis() - last.sentMillis;
         boolean changed = last.count != order.count() || !last.accepted;
         boolean ignored = since >= settleMillis && serving(workers, subject) != order.count();
-        if (last.waiting || since < LEAST_PAUSE_MILLIS || !(changed || ignored)) {
+        long pause = last.declined ? DECLINED_MILLIS : LEAST_PAUSE_MILLIS;
+        if (last.waiting || since < pause || !(changed || ignored)) {
             return;
         }
         last.count = order.count();
         last.sentMillis = loop.nowMillis();
         last.waiting = true;
         DutyHolder holder = leadership.holder();
-        duties.order(holder, order, result -> answered(holder, order, last, result));
+        duties.order(holder, order, result -> answered(holder, order, load, last, result));
     }
 
-    private void answered(DutyHolder holder, WorkerOrder order, Given last, DutyResult result) {
+    private void answered(
+            DutyHolder holder, WorkerOrder order, double load, Given last, DutyResult result) {
         last.waiting = false;
+        last.declined = result == DutyResult.DECLINED;
         last.accepted = result == DutyResult.ACCEPTED;
         String kind = order.reclaimable() ? "reclaimable" : "full price";
         DecisionLog.write(
                 new Duty(
                         "order",
-                        order.count() + " " + kind + " in " + order.zone(),
+                        String.format(
+                                Locale.ROOT,
+                                "%d %s in %s, load %.2f",
+                                order.count(),
+                                kind,
+                                order.zone(),
+                                load),
                         holder.token(),
                         result.name()));
-        if (result == DutyResult.DECLINED && order.reclaimable()) {
-            dryUntilMillis.put(order.zone(), loop.nowMillis() + DRY_MILLIS);
-        }
         if (result != DutyResult.ACCEPTED) {
             metrics.count(GatewayMetrics.Event.DUTY_FAILURE);
         }
     }
 
-    private Set<String> dryZones() {
-        Set<String> dry = new HashSet<>();
-        dryUntilMillis.forEach(
-                (zone, until) -> {
-                    if (until > loop.nowMillis()) {
-                        dry.add(zone);
-                    }
-                });
-        return dry;
-    }
-
     private static int serving(List<Worker> workers, Subject subject) {
         return (int)
                 workers.stream()
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
@@ -318,6 +318,7 @@
         boolean late = since >= settings.timing().graceMillis() - END_MARGIN_MILLIS;
         if (idle || late) {
             intake.stopAll();
+            view.tellNow();
             membership.stop();
             DecisionLog.write(new Lifecycle("process", "stopped", "after " + since + " ms"));
             loop.schedule(STOP_CHECK_MILLIS, onStopped);
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestDriver.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestDriver.java
@@ -56,7 +56,7 @@
     private static final long KEPT_UNREPEATABLE_MILLIS = 400;
     private static final long LEAST_RETRY_AFTER_MILLIS = 50;
     private static final long LONGEST_PAUSE_MILLIS = 1_000;
-    private static final long LEAST_CHECK_MILLIS = 10;
+    private static final long SILENCE_CHECK_MILLIS = 50;
     private static final double SLOWEST_FACTOR = 3;
     private static final byte[] NO_BYTES = {};
 
@@ -75,6 +75,7 @@
     private boolean passing;
     private boolean started;
     private boolean over;
+    private boolean budgetTaken;
     private long firstMillis = -1;
 
     RequestDriver(
@@ -261,7 +262,7 @@
         }
         context.loop()
                 .schedule(
-                        Math.max(LEAST_CHECK_MILLIS, mostMillis - watched.silentMillis()),
+                        Math.max(SILENCE_CHECK_MILLIS, mostMillis - watched.silentMillis()),
                         () -> checkSilence(watched, mostMillis));
     }
 
@@ -270,7 +271,11 @@
             return;
         }
         long most = history.hasAnswerBegun() ? LONGEST_PAUSE_MILLIS : mostMillis;
-        if (watched.silentMillis() >= most) {
+        long now = context.loop().nowMillis();
+        if (watched.silentMillis() >= most
+                && RecoveryPolicy.allowsAnother(request, history, now)
+                && context.budgets().tryRetry(request.service(), now)) {
+            budgetTaken = true;
             watched.fail(AttemptFailure.SILENT);
         } else {
             watchSilence(watched, most);
@@ -330,9 +335,10 @@
         context.metrics().attempt(request.service(), failure.name());
         long now = context.loop().nowMillis();
         Recovery recovery = RecoveryPolicy.after(request, history, failure, true, now);
-        boolean arrived = failure != AttemptFailure.UNREACHABLE;
+        boolean paid = failure == AttemptFailure.UNREACHABLE || budgetTaken;
+        budgetTaken = false;
         if (!(recovery instanceof GiveUp)
-                && arrived
+                && !paid
                 && !context.budgets().tryRetry(request.service(), now)) {
             context.metrics().count(GatewayMetrics.Event.RETRY_BUDGET_EMPTY);
             recovery = RecoveryPolicy.after(request, history, failure, false, now);
--- a/trailladder-wire/src/main/java/io/trailladder/wire/MessageType.java
+++ b/trailladder-wire/src/main/java/io/trailladder/wire/MessageType.java
@@ -87,7 +87,9 @@
     /** {@link NodeMessage.SnapshotAsk}. */
     SNAPSHOT_ASK(31, NodeMessage.SnapshotAsk.class),
     /** {@link NodeMessage.Snapshot}. */
-    SNAPSHOT(32, NodeMessage.Snapshot.class);
+    SNAPSHOT(32, NodeMessage.Snapshot.class),
+    /** {@link NodeMessage.UsageHistory}. */
+    USAGE_HISTORY(33, NodeMessage.UsageHistory.class);
 
     private static final Map<Integer, MessageType> BY_NUMBER = new HashMap<>();
     private static final Map<Class<?>, MessageType> BY_CLASS = new HashMap<>();
--- a/trailladder-wire/src/main/java/io/trailladder/wire/NodeMessage.java
+++ b/trailladder-wire/src/main/java/io/trailladder/wire/NodeMessage.java
@@ -69,6 +69,14 @@
      */
     record TenantUse(String tenant, double used, double level) {}
 
+    /**
+     * Requests that began to run at one process, told to a peer that may not have heard of them.
+     *
+     * @param life names the life of the process
+     * @param usage its counts of recent windows
+     */
+    record UsageHistory(String life, List<UsageCount> usage) implements NodeMessage {}
+
     /** Asks for what the receiver knows of policy and upstreams. */
     record SnapshotAsk(long policyVersion) implements NodeMessage {}
 
