--- a/trailladder-core/src/main/java/io/trailladder/core/duty/FleetPlanner.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/duty/FleetPlanner.java
@@ -38,13 +38,14 @@
  */
 public final class FleetPlanner {
     /** Part of their time that upstreams may be busy after a data centre's loss, as planned for. */
-    public static final double MOST_BUSY_AFTER_LOSS = 0.45;
+    public static final double MOST_BUSY_AFTER_LOSS = 0.35;
 
+    private static final double PROVISION_FACTOR = 1.5;
     private static final double MOST_BUSY_NOW = 0.5;
     private static final double MOST_BUSY_AFTER_NEXT_LOSS = 0.7;
     private static final long GROW_AFTER_MILLIS = 4_000;
     private static final long SHRINK_AFTER_MILLIS = 20_000;
-    private static final long RELEASE_AFTER_MILLIS = 3_000;
+    private static final long RELEASE_AFTER_MILLIS = 2_000;
 
     private final String service;
     private final Map<String, Integer> zones = new TreeMap<>();
@@ -78,7 +79,7 @@
             if (wanted > value && nowMillis - sameOrBelowMillis >= growAfterMillis) {
                 set(growAfterMillis == 0 ? wanted : value + 1, nowMillis);
             } else if (wanted < value && nowMillis - sameOrAboveMillis >= shrinkAfterMillis) {
-                set(value - 1, nowMillis);
+                set(growAfterMillis == 0 ? wanted : value - 1, nowMillis);
             }
             return value;
         }
@@ -141,7 +142,7 @@
     }
 
     private int providedPerZone() {
-        return ceil(provided.size() / (double) Math.max(1, zones.size()));
+        return ceil(PROVISION_FACTOR * provided.size() / Math.max(1, zones.size()));
     }
 
     private int wantedPerZone(ScalingSpec scaling, double busy) {
--- a/trailladder-core/src/main/java/io/trailladder/core/worker/WorkerSelector.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/worker/WorkerSelector.java
@@ -19,6 +19,7 @@
 import io.trailladder.core.pipeline.Prompt;
 import io.trailladder.core.pipeline.PromptBlock;
 import io.trailladder.core.pipeline.ServingRequest;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -28,7 +29,8 @@
  *
  * <p>The prediction counts the work under way of all entries, the part of the prompt that the
  * upstream does not hold, and the way to another data centre. A prompt whose parts nobody has read
- * yet is drawn to the same upstream by every entry, by rendezvous hashing.
+ * yet is drawn to the same upstream by every entry, by rendezvous hashing. The work that a choice
+ * adds counts more than once, because it delays what comes after.
  *
  * @since 0.2
  */
@@ -42,7 +44,8 @@
     private static final double PLAIN_SERVICE_MILLIS = 20;
     private static final double OTHER_ZONE_MILLIS = 4;
     private static final double OTHER_ZONE_MILLIS_PER_KB = 0.5;
-    private static final double HOME_TRUST = 0.8;
+    private static final double[] HOME_TRUST = {0.9, 0.45};
+    private static final double WORK_WEIGHT = 2;
     private static final double FAILING_MILLIS = 400;
     private static final int REMEMBERED_PARTS = 20_000;
     private static final double BYTES_PER_KB = 1024;
@@ -78,13 +81,13 @@
         List<Worker> serving = directory.serving(request.service());
         Selection best = null;
         boolean bestEjected = true;
-        String home = home(serving, request.prompt());
+        List<String> homes = homes(serving, request.prompt());
         for (Worker worker : serving) {
             if (excluded.contains(worker.id())) {
                 continue;
             }
             boolean ejected = loads.ejected(worker.id(), nowMillis);
-            Selection candidate = weigh(worker, request, home, serving.size());
+            Selection candidate = weigh(worker, request, homes, serving.size());
             boolean better = best == null || candidate.predictedMillis() < best.predictedMillis();
             if ((bestEjected && !ejected) || (bestEjected == ejected && better)) {
                 best = candidate;
@@ -104,15 +107,16 @@
         prefixes.read(worker, request.prompt());
     }
 
-    private Selection weigh(Worker worker, ServingRequest request, String home, int candidates) {
+    private Selection weigh(
+            Worker worker, ServingRequest request, List<String> homes, int candidates) {
         Prompt prompt = request.prompt();
         int running = loads.requests(worker.id());
         int waiting = loads.promptTokens(worker.id());
-        int cached = cachedTokens(worker, prompt, home);
+        int cached = cachedTokens(worker, prompt, homes);
         double millis = distanceMillis(worker, request);
         millis += loads.failedPart(worker.id()) * FAILING_MILLIS;
         if (prompt.tokensIn() > 0) {
-            double toRead = waiting + Math.max(0, prompt.tokensIn() - cached);
+            double toRead = waiting + WORK_WEIGHT * Math.max(0, prompt.tokensIn() - cached);
             millis += toRead / PROMPT_TOKENS_PER_MILLI + running * MILLIS_PER_RUNNING;
         } else {
             double perSlot = (running + 1.0) / Math.max(1, worker.slots());
@@ -128,13 +132,13 @@
         return OTHER_ZONE_MILLIS + OTHER_ZONE_MILLIS_PER_KB * request.bodyBytes() / BYTES_PER_KB;
     }
 
-    private int cachedTokens(Worker worker, Prompt prompt, String home) {
+    private int cachedTokens(Worker worker, Prompt prompt, List<String> homes) {
         int known = prefixes.cachedTokens(worker.id(), prompt);
-        if (!worker.id().equals(home)) {
+        int rank = homes.indexOf(worker.id());
+        if (rank < 0 || rank >= HOME_TRUST.length) {
             return known;
         }
-        int shared = sharedTokens(prompt);
-        return Math.max(known, (int) (shared * HOME_TRUST));
+        return Math.max(known, (int) (sharedTokens(prompt) * HOME_TRUST[rank]));
     }
 
     private static int sharedTokens(Prompt prompt) {
@@ -146,20 +150,15 @@
         return tokens;
     }
 
-    private static String home(List<Worker> serving, Prompt prompt) {
+    /** The upstreams that every entry draws a subject to, the first choice first. */
+    private static List<String> homes(List<Worker> serving, Prompt prompt) {
         String subject = prompt.subject();
         if (subject.isEmpty()) {
-            return "";
+            return List.of();
         }
-        String home = "";
-        long highest = Long.MIN_VALUE;
-        for (Worker worker : serving) {
-            long weight = Hashing.xxh3_64().hashCharsToLong(subject + '/' + worker.id());
-            if (weight >= highest) {
-                highest = weight;
-                home = worker.id();
-            }
-        }
-        return home;
+        Comparator<Worker> byWeight =
+                Comparator.comparingLong(
+                        worker -> Hashing.xxh3_64().hashCharsToLong(subject + '/' + worker.id()));
+        return serving.stream().sorted(byWeight).limit(HOME_TRUST.length).map(Worker::id).toList();
     }
 }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/FleetRunner.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/FleetRunner.java
@@ -57,7 +57,7 @@
     private final Map<String, FleetPlanner> planners = new HashMap<>();
     private final Map<Subject, Given> given = new HashMap<>();
     private long token;
-    private long ledSinceMillis;
+    private long firstPlanMillis = -1;
 
     /** What an order is about. */
     private record Subject(String service, String zone, boolean reclaimable) {}
@@ -105,12 +105,14 @@
     }
 
     private void step() {
-        if (!leadership.leads() || policies.policy().isEmpty()) {
+        if (policies.policy().isEmpty() || directory.all().isEmpty()) {
             return;
         }
+        if (firstPlanMillis < 0) {
+            firstPlanMillis = loop.nowMillis();
+        }
         if (leadership.holder().token() != token) {
             token = leadership.holder().token();
-            ledSinceMillis = loop.nowMillis();
             given.clear();
         }
         for (ServiceSpec service : policies.policy().get().services()) {
@@ -127,7 +129,8 @@
         double load = busy.applyAsDouble(service);
         FleetPlanner planner = planners.computeIfAbsent(service, FleetPlanner::new);
         List<WorkerOrder> orders = planner.plan(scaling, workers, load, loop.nowMillis());
-        if (loop.nowMillis() - ledSinceMillis < FIRST_LOOK_MILLIS) {
+        boolean looked = loop.nowMillis() - firstPlanMillis >= FIRST_LOOK_MILLIS;
+        if (!looked || !leadership.leads()) {
             return;
         }
         orders.forEach(order -> give(order, workers, load, scaling.bootMillis() + SETTLE_MILLIS));
