--- /dev/null
+++ b/trailladder-cli/src/main/java/io/trailladder/cli/ClassDataTraining.java
@@ -0,0 +1,209 @@
+/*
+ * Copyright 2026 The trailladder authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package io.trailladder.cli;
+
+import io.trailladder.adapter.CloudDuties;
+import io.trailladder.adapter.HeadTranslator;
+import io.trailladder.adapter.JsonTranslator;
+import io.trailladder.adapter.KvStore;
+import io.trailladder.entry.gateway.Gateway;
+import io.trailladder.entry.gateway.GatewaySettings;
+import io.trailladder.entry.gateway.GatewaySettings.Listen;
+import io.trailladder.entry.gateway.GatewaySettings.Node;
+import io.trailladder.entry.gateway.GatewaySettings.Retries;
+import io.trailladder.entry.gateway.GatewaySettings.Timing;
+import io.trailladder.entry.gateway.PlatformAdapter;
+import io.trailladder.entry.http.CallFailure;
+import io.trailladder.entry.http.CallListener;
+import io.trailladder.entry.http.HeaderField;
+import io.trailladder.entry.http.HeaderList;
+import io.trailladder.entry.http.HttpConnector;
+import io.trailladder.entry.http.HttpServer;
+import io.trailladder.entry.http.OutgoingCall;
+import io.trailladder.entry.http.ServerBounds;
+import io.trailladder.entry.http.ServerExchange;
+import io.trailladder.entry.loop.EventLoop;
+import io.trailladder.platform.http.HostPort;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
+import java.util.Base64;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.tinylog.jul.JulTinylogBridge;
+
+/**
+ * Runs a gateway for a moment against a canned platform on the loopback interface, so that the JVM
+ * can record the classes it needs. The record shortens every later start.
+ *
+ * <p>Used by the build with {@code -XX:ArchiveClassesAtExit}.
+ *
+ * @since 0.2
+ */
+public final class ClassDataTraining {
+    private static final String LOOPBACK = "127.0.0.1";
+    private static final String SERVICE = "service";
+    private static final String REQUEST_ID = "0123456789abcdef";
+    private static final int OK = 200;
+    private static final int REQUESTS = 20;
+    private static final long PAUSE_MILLIS = 100;
+    private static final long MOST_MILLIS = 6_000;
+    private static final int MAX_BODY_BYTES = 1 << 20;
+    private static final byte[] NO_BYTES = {};
+
+    private final EventLoop loop = new EventLoop();
+    private final HttpConnector connector = new HttpConnector(loop);
+    private final CountDownLatch stopped = new CountDownLatch(1);
+    private HostPort platform;
+    private GatewaySettings settings;
+
+    private ClassDataTraining() {}
+
+    /**
+     * Runs the gateway and ends the process, with code 0 if the gateway stopped in order.
+     *
+     * @param args not used
+     * @throws IOException if nothing can listen on the loopback interface
+     * @throws InterruptedException if the main thread is interrupted
+     */
+    public static void main(String[] args) throws IOException, InterruptedException {
+        System.exit(new ClassDataTraining().train());
+    }
+
+    private int train() throws IOException, InterruptedException {
+        System.setProperty("tinylog.level", "off");
+        JulTinylogBridge.activate();
+        platform = freePort();
+        ServerBounds bounds = new ServerBounds(MAX_BODY_BYTES, MOST_MILLIS, MOST_MILLIS);
+        new HttpServer(loop, bounds, this::answer).start(platform);
+        loop.start();
+        Listen listen = new Listen(freePort(), freePort(), freePort(), freePort());
+        settings =
+                new GatewaySettings(
+                        new Node("training", "zone", true),
+                        listen,
+                        List.of(listen.peers()),
+                        platform,
+                        platform,
+                        new Retries(0.1, 1, MOST_MILLIS),
+                        new Timing(1, MOST_MILLIS, MOST_MILLIS));
+        Gateway gateway = new Gateway(settings, this::adapter, stopped::countDown);
+        gateway.start();
+        for (int i = 0; i < REQUESTS; i++) {
+            Thread.sleep(PAUSE_MILLIS);
+            loop.execute(() -> ask(listen.callers(), "/route/call"));
+            loop.execute(() -> ask(listen.health(), "/ready"));
+            loop.execute(() -> ask(listen.metrics(), "/metrics"));
+        }
+        gateway.stop();
+        return stopped.await(MOST_MILLIS, TimeUnit.MILLISECONDS) ? 0 : 1;
+    }
+
+    private PlatformAdapter adapter(EventLoop owner, HttpConnector calls) {
+        return new PlatformAdapter(
+                new HeadTranslator(),
+                new JsonTranslator(),
+                new KvStore(owner, calls, settings.store()),
+                new CloudDuties(owner, calls, settings.cloud()));
+    }
+
+    private void ask(HostPort target, String path) {
+        HeaderList headers =
+                new HeaderList(
+                        List.of(
+                                new HeaderField("Host", "training"),
+                                new HeaderField("Attempt-Id", REQUEST_ID),
+                                new HeaderField("Token-Usage", "10,10"),
+                                new HeaderField("Prefix-Hash", "a:5,b:5"),
+                                new HeaderField("Authorization", "Bearer key")));
+        OutgoingCall call =
+                new OutgoingCall(target, "POST", path, headers, NO_BYTES, MOST_MILLIS, MOST_MILLIS);
+        connector.send(call, new IgnoredAnswer());
+    }
+
+    private void answer(ServerExchange exchange) {
+        String path = exchange.uri();
+        if (path.contains("kv-watch")) {
+            loop.schedule(MOST_MILLIS, () -> respond(exchange, "{\"events\":[],\"at\":2}"));
+        } else if (path.contains("op%2Fconfig")) {
+            respond(exchange, listing("op/config", policy()));
+        } else if (path.contains("servers%2F")) {
+            respond(exchange, listing("servers/one", worker()));
+        } else if (path.startsWith("/v1/") || path.equals("/usage") || path.equals("/scale")) {
+            respond(
+                    exchange,
+                    "{\"entries\":[],\"lease\":1,\"ttl_ms\":1000,\"revision\":3,\"at\":3}");
+        } else {
+            byte[] events = "id: 1\ndata: x\n\nid: 2\ndata: y\n\n".getBytes(StandardCharsets.UTF_8);
+            exchange.begin(OK, HeaderList.of("Attempt-Id", REQUEST_ID), -1);
+            exchange.write(events);
+            exchange.end();
+        }
+    }
+
+    private static void respond(ServerExchange exchange, String json) {
+        byte[] body = json.getBytes(StandardCharsets.UTF_8);
+        exchange.respond(OK, HeaderList.of("Content-Type", "application/json"), body);
+    }
+
+    private static String listing(String key, String value) {
+        String encoded = Base64.getEncoder().encodeToString(value.getBytes(StandardCharsets.UTF_8));
+        return "{\"entries\":[{\"private_key\":\"%s\",\"value\":\"%s\",\"revision\":1,\"made\":1}],\"at\":2}"
+                .formatted(key, encoded);
+    }
+
+    private static String policy() {
+        return """
+        {"version":1,
+         "routes":[{"name":"r","host":"training","path_prefix":"/route/",
+           "route_type":"streaming","timeout_ms":5000,"slo_ms":1000,"service":"%s",
+           "max_attempts":2,"resumable":true}],
+         "services":[{"name":"%s","max_conns":10,"engine":{"slots":8,"moves":true},
+           "scaling":{"min":1,"max":2,"boot_s":4,"spot_price":0.5,"zone_prices":{"zone":1}}}],
+         "tenants":[{"name":"t","api_keys":["key"],"unit":"tokens","rate_per_s":1000,
+           "burst":1000}]}
+        """
+                .formatted(SERVICE, SERVICE);
+    }
+
+    private String worker() {
+        return "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"zone\",\"slots\":8}"
+                .formatted(SERVICE, platform);
+    }
+
+    private static HostPort freePort() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return new HostPort(LOOPBACK, socket.getLocalPort());
+        }
+    }
+
+    /** Takes no interest in an answer. */
+    private static final class IgnoredAnswer implements CallListener {
+        @Override
+        public void head(int status, HeaderList headers, long length) {}
+
+        @Override
+        public void body(byte[] bytes) {}
+
+        @Override
+        public void ended() {}
+
+        @Override
+        public void failed(CallFailure failure) {}
+    }
+}
--- /dev/null
+++ b/trailladder-cli/src/main/java/io/trailladder/cli/GatewayProcess.java
@@ -0,0 +1,146 @@
+/*
+ * Copyright 2026 The trailladder authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package io.trailladder.cli;
+
+import io.trailladder.adapter.CloudDuties;
+import io.trailladder.adapter.HeadTranslator;
+import io.trailladder.adapter.JsonTranslator;
+import io.trailladder.adapter.KvStore;
+import io.trailladder.core.TrailladderException;
+import io.trailladder.entry.gateway.DecisionLog;
+import io.trailladder.entry.gateway.DecisionLog.Lifecycle;
+import io.trailladder.entry.gateway.Gateway;
+import io.trailladder.entry.gateway.GatewaySettings;
+import io.trailladder.entry.gateway.PlatformAdapter;
+import io.trailladder.entry.gateway.SettingsException;
+import io.trailladder.entry.gateway.SettingsReader;
+import io.trailladder.entry.http.HttpConnector;
+import io.trailladder.entry.loop.EventLoop;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.attribute.FileTime;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.tinylog.Logger;
+import org.tinylog.jul.JulTinylogBridge;
+
+/**
+ * One gateway with its settings file, its signals and the adapter of the users' platform.
+ *
+ * <p>Its own {@link #main} starts it without a command line, which is parsed by a library whose
+ * classes cannot be recorded for a quick start.
+ *
+ * @since 0.2
+ */
+public final class GatewayProcess {
+    /** Names the settings file in the environment. */
+    public static final String SETTINGS_VARIABLE = "TRAILLADDER_SETTINGS";
+
+    private static final long WATCH_FILE_MILLIS = 1_000;
+    private static final int USAGE_ERROR = 2;
+
+    private final Path settingsFile;
+    private final CountDownLatch stopped = new CountDownLatch(1);
+    private GatewaySettings settings;
+    private FileTime settingsTime;
+
+    /**
+     * Creates a process that does not yet run.
+     *
+     * @param settingsFile its settings
+     */
+    public GatewayProcess(Path settingsFile) {
+        this.settingsFile = settingsFile;
+    }
+
+    /**
+     * Runs a gateway with the settings file that the environment names.
+     *
+     * @param args not used
+     * @throws IOException if it cannot listen
+     * @throws InterruptedException if the main thread is interrupted
+     */
+    public static void main(String[] args) throws IOException, InterruptedException {
+        String file = System.getenv(SETTINGS_VARIABLE);
+        if (file == null) {
+            System.err.println(SETTINGS_VARIABLE + " is not set, expected a settings file");
+            System.exit(USAGE_ERROR);
+        }
+        try {
+            new GatewayProcess(Path.of(file)).run();
+        } catch (SettingsException e) {
+            System.err.println(e.getMessage());
+            System.exit(USAGE_ERROR);
+        }
+        System.exit(0);
+    }
+
+    /**
+     * Runs until the process is told to stop.
+     *
+     * @throws IOException if it cannot listen
+     * @throws InterruptedException if the calling thread is interrupted
+     * @throws SettingsException if the settings are wrong
+     */
+    public void run() throws IOException, InterruptedException {
+        System.setProperty("tinylog.writer.stream", "out");
+        JulTinylogBridge.activate();
+        settings = SettingsReader.read(settingsFile);
+        Gateway gateway = new Gateway(settings, this::adapter, stopped::countDown);
+        ProcessSignals.on("TERM", gateway::stop);
+        ProcessSignals.on("INT", gateway::stop);
+        ProcessSignals.on("HUP", () -> reload(gateway));
+        gateway.start();
+        settingsTime = modified();
+        while (!stopped.await(WATCH_FILE_MILLIS, TimeUnit.MILLISECONDS)) {
+            reloadIfChanged(gateway);
+        }
+    }
+
+    private PlatformAdapter adapter(EventLoop loop, HttpConnector connector) {
+        return new PlatformAdapter(
+                new HeadTranslator(),
+                new JsonTranslator(),
+                new KvStore(loop, connector, settings.store()),
+                new CloudDuties(loop, connector, settings.cloud()));
+    }
+
+    private void reloadIfChanged(Gateway gateway) {
+        FileTime now = modified();
+        if (!now.equals(settingsTime)) {
+            settingsTime = now;
+            reload(gateway);
+        }
+    }
+
+    private FileTime modified() {
+        try {
+            return Files.getLastModifiedTime(settingsFile);
+        } catch (IOException e) {
+            return settingsTime;
+        }
+    }
+
+    private synchronized void reload(Gateway gateway) {
+        try {
+            gateway.reload(SettingsReader.read(settingsFile));
+        } catch (TrailladderException e) {
+            Logger.warn("settings kept as they were: {}", e.getMessage());
+            DecisionLog.write(new Lifecycle("process", "not reloaded", e.getMessage()));
+        }
+    }
+}
