--- /dev/null
+++ b/trailladder-core/src/test/java/io/trailladder/core/duty/UsageLedgerTest.java
@@ -0,0 +1,53 @@
+/*
+ * Copyright 2026 The trailladder authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package io.trailladder.core.duty;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.List;
+import java.util.Map;
+import net.jqwik.api.Example;
+
+/** Counts of all entries add up, and those of a lost entry survive at the others. */
+class UsageLedgerTest {
+    private static final long WINDOW = 5_000;
+
+    @Example
+    void countsAddUpByWindowAndTenant() {
+        UsageLedger ledger = new UsageLedger("a/1", WINDOW);
+        ledger.started("t", 4_999);
+        ledger.started("t", 5_000);
+        ledger.merge("b/1", List.of(new UsageCount(1, "t", 2), new UsageCount(1, "u", 1)));
+        assertEquals(Map.of("t", 1), ledger.total(0));
+        assertEquals(Map.of("t", 3, "u", 1), ledger.total(1));
+    }
+
+    @Example
+    void lateOrRepeatedDigestNeverLowersACount() {
+        UsageLedger ledger = new UsageLedger("a/1", WINDOW);
+        ledger.merge("b/1", List.of(new UsageCount(1, "t", 5)));
+        ledger.merge("b/1", List.of(new UsageCount(1, "t", 3)));
+        assertEquals(Map.of("t", 5), ledger.total(1));
+    }
+
+    @Example
+    void restartedEntryCountsBesideItsEarlierLife() {
+        UsageLedger ledger = new UsageLedger("a/1", WINDOW);
+        ledger.merge("b/1", List.of(new UsageCount(1, "t", 5)));
+        ledger.merge("b/2", List.of(new UsageCount(1, "t", 2)));
+        assertEquals(Map.of("t", 7), ledger.total(1));
+    }
+}
--- /dev/null
+++ b/trailladder-core/src/test/java/io/trailladder/core/limit/WindowedRetryBudgetTest.java
@@ -0,0 +1,58 @@
+/*
+ * Copyright 2026 The trailladder authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package io.trailladder.core.limit;
+
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+
+/** Second attempts stay within the ratio and the shared allowance in every window. */
+class WindowedRetryBudgetTest {
+    private static final double RATIO = 0.2;
+    private static final double ALLOWANCE = 52;
+    private static final long WINDOW = 10_000;
+
+    @Property
+    void entriesTogetherStayWithinTheBound(
+            @ForAll @IntRange(min = 1, max = 12) int entries,
+            @ForAll @IntRange(min = 0, max = 300) int requests) {
+        int retries = 0;
+        for (int entry = 0; entry < entries; entry++) {
+            WindowedRetryBudget budget = new WindowedRetryBudget(RATIO, ALLOWANCE, WINDOW);
+            for (int i = 0; i < requests; i++) {
+                budget.requested(i);
+            }
+            while (budget.tryRetry(entries, WINDOW / 2)) {
+                retries++;
+            }
+        }
+        assertTrue(retries <= RATIO * requests * entries + ALLOWANCE);
+    }
+
+    @Example
+    void oldRequestsNoLongerCount() {
+        WindowedRetryBudget budget = new WindowedRetryBudget(RATIO, 0, WINDOW);
+        for (int i = 0; i < 100; i++) {
+            budget.requested(0);
+        }
+        assertTrue(budget.tryRetry(1, 1));
+        assertFalse(budget.tryRetry(1, 2 * WINDOW));
+    }
+}
--- /dev/null
+++ b/trailladder-core/src/test/java/io/trailladder/core/pipeline/RecoveryPolicyProperties.java
@@ -0,0 +1,146 @@
+/*
+ * Copyright 2026 The trailladder authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package io.trailladder.core.pipeline;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.trailladder.core.pipeline.Recovery.GiveUp;
+import io.trailladder.core.pipeline.Recovery.Resume;
+import io.trailladder.core.pipeline.Recovery.Retry;
+import io.trailladder.core.policy.Route;
+import io.trailladder.core.policy.RouteKind;
+import io.trailladder.core.policy.ServiceShare;
+import java.util.List;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+
+/** What may have run is not repeated unless it may be, and "not run" is only said when certain. */
+class RecoveryPolicyProperties {
+    private static final long NOW = 1_000;
+
+    private static ServingRequest request(RouteKind kind, boolean resumable, int attempts) {
+        Route route =
+                new Route(
+                        "r",
+                        "h",
+                        "/",
+                        kind,
+                        600,
+                        100,
+                        0,
+                        List.of(new ServiceShare("s", 1)),
+                        attempts,
+                        false,
+                        false,
+                        resumable);
+        return new ServingRequest("id", "t", route, "s", 0, Prompt.NONE, 0, NOW, NOW + 10_000, 1);
+    }
+
+    /** Plays failures until the request is given up; returns how it ended. */
+    private static Ending play(
+            ServingRequest request, AttemptHistory history, List<AttemptFailure> failures) {
+        Recovery recovery = new Retry();
+        int worker = 0;
+        for (AttemptFailure failure : failures) {
+            String name = "w" + worker++;
+            if (failure != AttemptFailure.UNREACHABLE) {
+                assertFalse(
+                        history.mayHaveRun() && !request.route().repeatable(),
+                        "sent again after it may have run");
+                history.sent(name);
+            }
+            history.failed(name, failure);
+            recovery = RecoveryPolicy.after(request, history, failure, true, NOW);
+            if (recovery instanceof GiveUp giveUp) {
+                return giveUp.ending();
+            }
+        }
+        return null;
+    }
+
+    @Property
+    void unsafeRequestNeverRunsTwiceAndNotRunIsTrue(
+            @ForAll @Size(min = 1, max = 6) List<AttemptFailure> failures,
+            @ForAll @IntRange(min = 1, max = 4) int attempts) {
+        AttemptHistory history = new AttemptHistory();
+        Ending ending = play(request(RouteKind.UNSAFE, false, attempts), history, failures);
+        if (ending == Ending.NOT_RUN) {
+            assertFalse(history.mayHaveRun());
+        }
+    }
+
+    @Property
+    void noRequestIsSentToMoreUpstreamsThanItsRouteAllows(
+            @ForAll @Size(min = 1, max = 10) List<AttemptFailure> failures,
+            @ForAll @IntRange(min = 1, max = 4) int attempts) {
+        AttemptHistory history = new AttemptHistory();
+        play(request(RouteKind.SAFE, false, attempts), history, failures);
+        assertTrue(history.sent() <= attempts);
+    }
+
+    @Example
+    void streamGoesOnAfterItsLastWholeEvent() {
+        AttemptHistory history = new AttemptHistory();
+        history.sent("w0");
+        history.answerBegun();
+        history.eventPassed("7");
+        history.failed("w0", AttemptFailure.BROKEN);
+        ServingRequest request = request(RouteKind.STREAMING, true, 2);
+        Recovery recovery =
+                RecoveryPolicy.after(request, history, AttemptFailure.BROKEN, true, NOW);
+        assertEquals("7", assertInstanceOf(Resume.class, recovery).lastEventId());
+    }
+
+    @Example
+    void streamThatMayNotBeResumedIsBrokenOffAloud() {
+        AttemptHistory history = new AttemptHistory();
+        history.sent("w0");
+        history.answerBegun();
+        history.failed("w0", AttemptFailure.BROKEN);
+        ServingRequest request = request(RouteKind.STREAMING, false, 2);
+        Recovery recovery =
+                RecoveryPolicy.after(request, history, AttemptFailure.BROKEN, true, NOW);
+        assertEquals(Ending.BROKEN_OFF, assertInstanceOf(GiveUp.class, recovery).ending());
+    }
+
+    @Example
+    void emptyBudgetEndsARepeatableRequestAtOnce() {
+        AttemptHistory history = new AttemptHistory();
+        history.sent("w0");
+        history.failed("w0", AttemptFailure.NOT_EXECUTED);
+        ServingRequest request = request(RouteKind.SAFE, false, 3);
+        Recovery recovery =
+                RecoveryPolicy.after(request, history, AttemptFailure.NOT_EXECUTED, false, NOW);
+        assertEquals(Ending.NOT_RUN, assertInstanceOf(GiveUp.class, recovery).ending());
+    }
+
+    @Example
+    void misdirectedAttemptCostsNoAttempt() {
+        AttemptHistory history = new AttemptHistory();
+        history.sent("w0");
+        history.failed("w0", AttemptFailure.MISDIRECTED);
+        ServingRequest request = request(RouteKind.UNSAFE, false, 1);
+        assertInstanceOf(
+                Retry.class,
+                RecoveryPolicy.after(request, history, AttemptFailure.MISDIRECTED, true, NOW));
+    }
+}
--- /dev/null
+++ b/trailladder-core/src/test/java/io/trailladder/core/worker/WorkerSelectorTest.java
@@ -0,0 +1,124 @@
+/*
+ * Copyright 2026 The trailladder authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package io.trailladder.core.worker;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.trailladder.core.pipeline.Prompt;
+import io.trailladder.core.pipeline.PromptBlock;
+import io.trailladder.core.pipeline.ServingRequest;
+import io.trailladder.core.policy.Route;
+import io.trailladder.core.policy.RouteKind;
+import io.trailladder.core.policy.ServiceShare;
+import java.util.List;
+import java.util.Set;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+
+/** The choice of an upstream by cached prompt parts, load of all entries, distance and health. */
+class WorkerSelectorTest {
+    private final WorkerDirectory directory = new WorkerDirectory();
+    private final WorkerLoads loads = new WorkerLoads();
+    private final WorkerSelector selector = new WorkerSelector("a", directory, loads);
+
+    private void workers(int count) {
+        for (int i = 0; i < count; i++) {
+            String zone = i % 2 == 0 ? "a" : "b";
+            directory.changed(new Worker("w" + i, "s", zone, "h:1", 8, false, false, 0));
+        }
+    }
+
+    private static ServingRequest request(String subject) {
+        Route route =
+                new Route(
+                        "r",
+                        "h",
+                        "/",
+                        RouteKind.STREAMING,
+                        8_000,
+                        1_000,
+                        0,
+                        List.of(new ServiceShare("s", 1)),
+                        2,
+                        false,
+                        true,
+                        true);
+        Prompt prompt =
+                new Prompt(
+                        9_000,
+                        50,
+                        List.of(
+                                new PromptBlock("system", 2_500),
+                                new PromptBlock(subject, 3_500),
+                                new PromptBlock("own", 3_000)));
+        return new ServingRequest("id", "t", route, "s", 0, prompt, 100, 0, 8_000, 1);
+    }
+
+    private static String chosen(WorkerSelector from, ServingRequest request) {
+        return from.choose(request, Set.of(), 0).orElseThrow().worker().id();
+    }
+
+    @Property
+    void entriesDrawASubjectToTheSameUpstream(@ForAll @IntRange(min = 1, max = 9) int count) {
+        WorkerDirectory fresh = new WorkerDirectory();
+        for (int i = 0; i < count; i++) {
+            fresh.changed(new Worker("w" + i, "s", "a", "h:1", 8, false, false, 0));
+        }
+        WorkerSelector one = new WorkerSelector("a", fresh, new WorkerLoads());
+        WorkerSelector other = new WorkerSelector("a", fresh, new WorkerLoads());
+        assertEquals(chosen(one, request("x")), chosen(other, request("x")));
+    }
+
+    @Example
+    void workOfPeersCounts() {
+        workers(2);
+        String home = chosen(selector, request("x"));
+        loads.peerUses("peer", List.of(new WorkerUse(home, 20, 60_000)));
+        assertNotEquals(home, chosen(selector, request("x")));
+    }
+
+    @Example
+    void failingUpstreamIsLeftOutUnlessItIsTheOnlyOne() {
+        workers(2);
+        loads.unreachable("w0", 0);
+        assertEquals("w1", chosen(selector, request("x")));
+        loads.unreachable("w1", 0);
+        assertTrue(selector.choose(request("x"), Set.of(), 0).isPresent());
+    }
+
+    @Example
+    void leavingUpstreamGetsNoNewWork() {
+        workers(2);
+        directory.leaving("w0");
+        for (int i = 0; i < 20; i++) {
+            assertEquals("w1", chosen(selector, request("subject" + i)));
+        }
+        directory.removed("w1");
+        assertTrue(selector.choose(request("x"), Set.of(), 0).isEmpty());
+    }
+
+    @Example
+    void lateListDoesNotBringALeavingUpstreamBack() {
+        workers(1);
+        directory.leaving("w0");
+        directory.changed(new Worker("w0", "s", "a", "h:1", 8, false, false, 0));
+        assertTrue(directory.serving("s").isEmpty());
+    }
+}
