--- a/trailladder-cli/src/main/java/io/trailladder/cli/ClassDataTraining.java
+++ b/trailladder-cli/src/main/java/io/trailladder/cli/ClassDataTraining.java
@@ -25,6 +25,7 @@
 import io.trailladder.entry.gateway.GatewaySettings.Node;
 import io.trailladder.entry.gateway.GatewaySettings.Retries;
 import io.trailladder.entry.gateway.GatewaySettings.Timing;
+import io.trailladder.entry.gateway.GatewaySettings.Tolerance;
 import io.trailladder.entry.gateway.PlatformAdapter;
 import io.trailladder.entry.http.CallFailure;
 import io.trailladder.entry.http.CallListener;
@@ -101,6 +102,7 @@
                         platform,
                         platform,
                         new Retries(0.1, 1, MOST_MILLIS),
+                        new Tolerance(0, 0),
                         new Timing(1, MOST_MILLIS, MOST_MILLIS));
         Gateway gateway = new Gateway(settings, this::adapter, stopped::countDown);
         gateway.start();
--- a/trailladder-core/src/main/java/io/trailladder/core/limit/QuotaBucket.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/limit/QuotaBucket.java
@@ -27,7 +27,6 @@
  */
 public final class QuotaBucket {
     private static final double MILLIS_PER_SECOND = 1000.0;
-    private static final double LEAST_PART_HELD = 0.5;
 
     private RateSpec limit;
     private double level;
@@ -57,7 +56,7 @@
      */
     public long tryTake(double units, long nowMillis) {
         refill(nowMillis);
-        double needed = Math.min(units, limit.burst()) * LEAST_PART_HELD;
+        double needed = Math.min(units, limit.burst());
         if (!limit.limited() || level >= needed) {
             level -= units;
             used += units;
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
@@ -114,7 +114,7 @@
         DemandMeter demand = new DemandMeter();
         policies = new PolicyKeeper(platform.format());
         directoryKeeper = new DirectoryKeeper(platform.format(), directory);
-        quotas = new Quotas(settings.node().firstStart());
+        quotas = new Quotas(settings.node().firstStart(), settings.tolerance());
         view =
                 new ClusterView(
                         loop,
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/GatewaySettings.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/GatewaySettings.java
@@ -27,6 +27,7 @@
  * @param store the platform's store
  * @param cloud the platform's API for duties
  * @param retries bounds of second attempts
+ * @param tolerance how far tenants' limits may be overshot
  * @param timing bounds of time
  * @since 0.2
  */
@@ -37,6 +38,7 @@
         HostPort store,
         HostPort cloud,
         Retries retries,
+        Tolerance tolerance,
         Timing timing) {
     /** Copies the seeds. */
     public GatewaySettings {
@@ -71,6 +73,14 @@
      */
     public record Retries(double ratio, double allowance, long windowMillis) {}
 
+    /**
+     * How far all processes together may overshoot a tenant's limit.
+     *
+     * @param ratio part of the limit
+     * @param units units on top
+     */
+    public record Tolerance(double ratio, double units) {}
+
     /**
      * Bounds of time, all in milliseconds.
      *
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Quotas.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Quotas.java
@@ -32,8 +32,10 @@
  */
 public final class Quotas {
     private static final double FILLED_AFTER_RESTART = 0.3;
+    private static final double TOLERANCE_USED = 0.4;
 
     private final boolean firstStart;
+    private final GatewaySettings.Tolerance tolerance;
     private final Map<String, QuotaBucket> buckets = new HashMap<>();
     private final Map<String, Double> seenOfPeers = new HashMap<>();
 
@@ -41,9 +43,11 @@
      * Creates limits of no tenants.
      *
      * @param firstStart true if nothing was served before
+     * @param tolerance how far limits may be overshot
      */
-    public Quotas(boolean firstStart) {
+    public Quotas(boolean firstStart, GatewaySettings.Tolerance tolerance) {
         this.firstStart = firstStart;
+        this.tolerance = tolerance;
     }
 
     /**
@@ -54,12 +58,13 @@
      */
     public void policy(ServingPolicy policy, long nowMillis) {
         for (TenantSpec tenant : policy.tenants()) {
+            RateSpec limit = lenient(tenant.limit());
             QuotaBucket known = buckets.get(tenant.name());
             if (known == null) {
                 double filled = firstStart ? 1 : FILLED_AFTER_RESTART;
-                buckets.put(tenant.name(), new QuotaBucket(tenant.limit(), filled, nowMillis));
+                buckets.put(tenant.name(), new QuotaBucket(limit, filled, nowMillis));
             } else {
-                known.limit(tenant.limit(), nowMillis);
+                known.limit(limit, nowMillis);
             }
         }
         buckets.keySet().removeIf(name -> policy.tenants().stream().noneMatch(named(name)));
@@ -153,6 +158,20 @@
         return tokens > 0 ? tokens : limit.unsizedTokens();
     }
 
+    /**
+     * Uses a part of the tolerance, so that what peers tell late refuses nobody within the limit.
+     */
+    private RateSpec lenient(RateSpec limit) {
+        if (!limit.limited()) {
+            return limit;
+        }
+        return new RateSpec(
+                limit.perSecond() * (1 + TOLERANCE_USED * tolerance.ratio()),
+                limit.burst() + TOLERANCE_USED * tolerance.units(),
+                limit.inTokens(),
+                limit.unsizedTokens());
+    }
+
     private static java.util.function.Predicate<TenantSpec> named(String name) {
         return tenant -> tenant.name().equals(name);
     }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/SettingsReader.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/SettingsReader.java
@@ -23,6 +23,7 @@
 import io.trailladder.entry.gateway.GatewaySettings.Node;
 import io.trailladder.entry.gateway.GatewaySettings.Retries;
 import io.trailladder.entry.gateway.GatewaySettings.Timing;
+import io.trailladder.entry.gateway.GatewaySettings.Tolerance;
 import io.trailladder.platform.http.HostPort;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
@@ -105,6 +106,7 @@
                                 number("/retries/ratio", 0.1),
                                 number("/retries/allowance", 0),
                                 millis("/retries/window_s", 10)),
+                        new Tolerance(number("/tolerance/ratio", 0), number("/tolerance/units", 0)),
                         new Timing(
                                 millis("/timing/grace_s", 8),
                                 (long) number("/timing/lease_ms", 3_000),
--- a/trailladder-entry/src/main/java/io/trailladder/entry/http/HttpConnector.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/http/HttpConnector.java
@@ -72,10 +72,12 @@
      */
     public HttpConnector(EventLoop loop) {
         this.loop = loop;
+        HttpClientFilter codec = new HttpClientFilter(MAX_HEAD_BYTES);
+        codec.setPreserveHeaderCase(true);
         this.chain =
                 FilterChainBuilder.stateless()
                         .add(new SocketFilter())
-                        .add(new HttpClientFilter(MAX_HEAD_BYTES))
+                        .add(codec)
                         .add(new AnswerFilter())
                         .build();
     }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/http/HttpServer.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/http/HttpServer.java
@@ -78,18 +78,20 @@
         KeepAlive keepAlive = new KeepAlive();
         keepAlive.setIdleTimeoutInSeconds(-1);
         keepAlive.setMaxRequestsCount(-1);
+        HttpServerFilter codec =
+                new HttpServerFilter(
+                        true,
+                        MAX_HEAD_BYTES,
+                        null,
+                        keepAlive,
+                        null,
+                        MAX_HEAD_FIELDS,
+                        MAX_HEAD_FIELDS);
+        codec.setPreserveHeaderCase(true);
         FilterChain chain =
                 FilterChainBuilder.stateless()
                         .add(new ClockedSocketFilter())
-                        .add(
-                                new HttpServerFilter(
-                                        true,
-                                        MAX_HEAD_BYTES,
-                                        null,
-                                        keepAlive,
-                                        null,
-                                        MAX_HEAD_FIELDS,
-                                        MAX_HEAD_FIELDS))
+                        .add(codec)
                         .add(new RequestFilter())
                         .build();
         listener = loop.bind(new InetSocketAddress(address.host(), address.port()), chain);
--- a/trailladder-entry/src/main/java/io/trailladder/entry/http/ServerExchange.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/http/ServerExchange.java
@@ -132,8 +132,7 @@
      */
     public void respond(int status, HeaderList fields, byte[] bytes) {
         begin(status, fields, bytes.length);
-        write(bytes);
-        end();
+        endWith(bytes);
     }
 
     /**
@@ -172,11 +171,18 @@
 
     /** Ends the answer as whole. */
     public void end() {
+        endWith(NO_BYTES);
+    }
+
+    /**
+     * Sends the last part with the end, since an end without bytes tells nobody that it is sent.
+     */
+    private void endWith(byte[] bytes) {
         if (over) {
             return;
         }
-        send(NO_BYTES, true);
         over = true;
+        send(bytes, true);
         owner.answered(this);
     }
 
--- a/trailladder-entry/src/test/java/io/trailladder/entry/http/HttpServerTest.java
+++ b/trailladder-entry/src/test/java/io/trailladder/entry/http/HttpServerTest.java
@@ -93,6 +93,15 @@
         }
     }
 
+    @Example
+    void connectionEndsAfterTheAnswerIfTheCallerWantsIt() throws Exception {
+        try (RawSocket caller = RawSocket.to(server.port())) {
+            caller.send(head("Connection: close", "Content-Length: 0"));
+            respond(next(), "done");
+            assertTrue(caller.readAll().endsWith("done"));
+        }
+    }
+
     @Example
     void callerThatLeavesIsSeenWhileItsRequestIsWorkedOn() throws Exception {
         CountDownLatch gone = new CountDownLatch(1);
