Look longer before the first order, and avoid a cut data centre as a whole

Cause: at 2 s after the start four of six workers had registered, so two reclaimable ones a zone were ordered; each worker of a cut zone cost some requests a connect time-out of 1 s. Change: first order after 3.5 s; connects of at most 0.4 s; a failed connect counts against all of that zone for 1.5 s.

--- a/trailladder-core/src/main/java/io/trailladder/core/worker/WorkerSelector.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/worker/WorkerSelector.java
@@ -20,7 +20,9 @@
 import io.trailladder.core.pipeline.PromptBlock;
 import io.trailladder.core.pipeline.ServingRequest;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 
@@ -47,12 +49,15 @@
     private static final double[] HOME_TRUST = {0.9, 0.45};
     private static final double WORK_WEIGHT = 2;
     private static final double FAILING_MILLIS = 400;
+    private static final long SUSPECT_MILLIS = 1_500;
+    private static final double SUSPECT_PENALTY_MILLIS = 600;
     private static final int REMEMBERED_PARTS = 20_000;
     private static final double BYTES_PER_KB = 1024;
 
     private final String zone;
     private final WorkerDirectory directory;
     private final WorkerLoads loads;
+    private final Map<String, Long> suspectUntilMillis = new HashMap<>();
     private final PrefixIndex prefixes = new PrefixIndex(REMEMBERED_PARTS);
 
     /**
@@ -87,7 +92,7 @@
                 continue;
             }
             boolean ejected = loads.ejected(worker.id(), nowMillis);
-            Selection candidate = weigh(worker, request, homes, serving.size());
+            Selection candidate = weigh(worker, request, homes, serving.size(), nowMillis);
             boolean better = best == null || candidate.predictedMillis() < best.predictedMillis();
             if ((bestEjected && !ejected) || (bestEjected == ejected && better)) {
                 best = candidate;
@@ -107,14 +112,35 @@
         prefixes.read(worker, request.prompt());
     }
 
+    /**
+     * Records that no connection to an upstream came about. For a while the others of its data
+     * centre are taken only if they promise much more than those elsewhere, since the way there may
+     * be cut.
+     *
+     * @param worker the upstream
+     * @param nowMillis the time
+     */
+    public void unreachable(Worker worker, long nowMillis) {
+        if (!worker.zone().equals(zone)) {
+            suspectUntilMillis.put(worker.zone(), nowMillis + SUSPECT_MILLIS);
+        }
+    }
+
     private Selection weigh(
-            Worker worker, ServingRequest request, List<String> homes, int candidates) {
+            Worker worker,
+            ServingRequest request,
+            List<String> homes,
+            int candidates,
+            long nowMillis) {
         Prompt prompt = request.prompt();
         int running = loads.requests(worker.id());
         int waiting = loads.promptTokens(worker.id());
         int cached = cachedTokens(worker, prompt, homes);
         double millis = distanceMillis(worker, request);
         millis += loads.failedPart(worker.id()) * FAILING_MILLIS;
+        if (suspectUntilMillis.getOrDefault(worker.zone(), nowMillis) > nowMillis) {
+            millis += SUSPECT_PENALTY_MILLIS;
+        }
         if (prompt.tokensIn() > 0) {
             double toRead = waiting + WORK_WEIGHT * Math.max(0, prompt.tokensIn() - cached);
             millis += toRead / PROMPT_TOKENS_PER_MILLI + running * MILLIS_PER_RUNNING;
--- a/trailladder-core/src/test/java/io/trailladder/core/worker/WorkerSelectorTest.java
+++ b/trailladder-core/src/test/java/io/trailladder/core/worker/WorkerSelectorTest.java
@@ -103,6 +103,17 @@
         assertTrue(selector.choose(request("x"), Set.of(), 0).isPresent());
     }
 
+    @Example
+    void dataCentreThatCannotBeReachedIsLeftOutAsAWhole() {
+        workers(6);
+        Worker far = directory.find("w1").orElseThrow();
+        selector.unreachable(far, 0);
+        for (int i = 0; i < 20; i++) {
+            String id = chosen(selector, request("subject" + i));
+            assertEquals("a", directory.find(id).orElseThrow().zone());
+        }
+    }
+
     @Example
     void leavingUpstreamGetsNoNewWork() {
         workers(2);
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Attempt.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Attempt.java
@@ -181,6 +181,9 @@
         long now = context.loop().nowMillis();
         if (failure == AttemptFailure.UNREACHABLE || failure == AttemptFailure.MISDIRECTED) {
             context.loads().unreachable(worker.id(), now);
+            if (failure == AttemptFailure.UNREACHABLE) {
+                context.selector().unreachable(worker, now);
+            }
         } else if (failure != AttemptFailure.LEAVING) {
             context.loads().failed(worker.id(), now);
         }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/FleetRunner.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/FleetRunner.java
@@ -42,7 +42,7 @@
  */
 public final class FleetRunner {
     private static final long STEP_MILLIS = 250;
-    private static final long FIRST_LOOK_MILLIS = 1_500;
+    private static final long FIRST_LOOK_MILLIS = 3_500;
     private static final long LEAST_PAUSE_MILLIS = 900;
     private static final long DECLINED_MILLIS = 2_500;
     private static final long SETTLE_MILLIS = 4_000;
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestDriver.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestDriver.java
@@ -50,7 +50,7 @@
     private static final int MAX_BUFFERED_BYTES = 1024 * 1024;
     private static final int SERVER_ERRORS = 500;
     private static final int SUCCESS_TO = 299;
-    private static final long MAX_CONNECT_MILLIS = 1_000;
+    private static final long MAX_CONNECT_MILLIS = 400;
     private static final long LEAST_CONNECT_MILLIS = 50;
     private static final long KEPT_MILLIS = 1_500;
     private static final long KEPT_UNREPEATABLE_MILLIS = 400;
