Number attempts from a base of each entry, and keep one runner for a request

Cause of the known red hand-over test: an entry that hands a request over cancels its attempt at the engine by request and number; the heir's attempts begin at 1 as well, so the late cancel stopped the heir's stream. The test of that cause fails without the base (ends at once) and passes with it. A hand-over that meets a runner begun from the copy keeps it.

--- a/trailladder-bench/src/main/java/io/trailladder/bench/RoutingPolicy.java
+++ b/trailladder-bench/src/main/java/io/trailladder/bench/RoutingPolicy.java
@@ -27,7 +27,7 @@
 import java.util.Set;
 
 /**
- * Is a way to choose engines, to be compared in one replay.
+ * A way to choose engines, to be compared in one replay.
  *
  * @since 0.1
  */
--- a/trailladder-cli/src/main/java/io/trailladder/cli/TrailladderCommand.java
+++ b/trailladder-cli/src/main/java/io/trailladder/cli/TrailladderCommand.java
@@ -23,7 +23,7 @@
 import picocli.CommandLine.Spec;
 
 /**
- * Is the {@code trailladder} command.
+ * The {@code trailladder} command.
  *
  * <pre>{@code
  * trailladder table apply table.csv
--- a/trailladder-core/src/main/java/io/trailladder/core/TrailladderException.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/TrailladderException.java
@@ -16,7 +16,7 @@
 package io.trailladder.core;
 
 /**
- * Is the root of every exception that trailladder throws.
+ * The root of every exception that trailladder throws.
  *
  * @since 0.1
  */
--- a/trailladder-core/src/main/java/io/trailladder/core/claim/Claim.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/claim/Claim.java
@@ -16,7 +16,7 @@
 package io.trailladder.core.claim;
 
 /**
- * Is the right of one entry to send one request to an upstream, once.
+ * The right of one entry to send one request to an upstream, once.
  *
  * @param key names the request
  * @param fingerprint hash of the request's content, to tell a key that is used for something else
--- a/trailladder-core/src/main/java/io/trailladder/core/claim/ClaimAction.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/claim/ClaimAction.java
@@ -19,7 +19,7 @@
 import java.util.Map;
 
 /**
- * Is what a {@link ClaimRegistry} wants done.
+ * What a {@link ClaimRegistry} wants done.
  *
  * @since 0.1
  */
--- a/trailladder-core/src/main/java/io/trailladder/core/claim/ClaimReply.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/claim/ClaimReply.java
@@ -16,7 +16,7 @@
 package io.trailladder.core.claim;
 
 /**
- * Is the owner's answer to an entry that wants to send a request.
+ * The owner's answer to an entry that wants to send a request.
  *
  * @param verdict the answer
  * @param holder for {@link Verdict#DUPLICATE}, the entry that holds the first claim
--- a/trailladder-core/src/main/java/io/trailladder/core/claim/RangeMap.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/claim/RangeMap.java
@@ -21,8 +21,8 @@
 import java.util.Map;
 
 /**
- * Is the assignment of all ranges. It is kept as one value in the platform's service and changed
- * only by compare-and-swap.
+ * The assignment of all ranges. It is kept as one value in the platform's service and changed only
+ * by compare-and-swap.
  *
  * @param ranges one assignment for each range
  * @since 0.1
--- a/trailladder-core/src/main/java/io/trailladder/core/claim/RangePlanner.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/claim/RangePlanner.java
@@ -39,7 +39,7 @@
     private final long retentionMillis;
 
     /**
-     * Is an entry that can keep claims.
+     * An entry that can keep claims.
      *
      * @param id its name
      * @param dataCentre where it runs
@@ -47,7 +47,7 @@
     public record Member(String id, String dataCentre) {}
 
     /**
-     * Is what the planner knows of the other entries.
+     * What the planner knows of the other entries.
      *
      * @param live entries heard of lately, with this one unless it is stopping
      * @param registered names of the entries that the platform lists
--- a/trailladder-core/src/main/java/io/trailladder/core/limit/RateLimiter.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/limit/RateLimiter.java
@@ -16,7 +16,7 @@
 package io.trailladder.core.limit;
 
 /**
- * Is a token bucket: so many requests a second, with one second's worth of burst.
+ * A token bucket: so many requests a second, with one second's worth of burst.
  *
  * @since 0.1
  */
--- a/trailladder-core/src/main/java/io/trailladder/core/membership/PeerTopology.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/membership/PeerTopology.java
@@ -35,7 +35,7 @@
     private PeerTopology() {}
 
     /**
-     * Is an entry as the topology sees it.
+     * An entry as the topology sees it.
      *
      * @param id its name
      * @param dataCentre where it runs
--- a/trailladder-core/src/main/java/io/trailladder/core/membership/Upstream.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/membership/Upstream.java
@@ -16,7 +16,7 @@
 package io.trailladder.core.membership;
 
 /**
- * Is one process that serves requests: a model engine or a plain service.
+ * One process that serves requests: a model engine or a plain service.
  *
  * @param id the instance's name; never used again for another instance
  * @param dataCentre where it runs
--- a/trailladder-core/src/main/java/io/trailladder/core/membership/UpstreamState.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/membership/UpstreamState.java
@@ -16,7 +16,7 @@
 package io.trailladder.core.membership;
 
 /**
- * Is what an entry knows of one upstream.
+ * What an entry knows of one upstream.
  *
  * @param upstream the upstream
  * @param leaving true once any notice of its leaving was seen
--- a/trailladder-core/src/main/java/io/trailladder/core/request/AnswerLog.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/request/AnswerLog.java
@@ -19,7 +19,7 @@
 import java.util.List;
 
 /**
- * Is the answer of one model request so far. It outlives attempts, connections and entries.
+ * The answer of one model request so far. It outlives attempts, connections and entries.
  *
  * @since 0.1
  */
--- a/trailladder-core/src/main/java/io/trailladder/core/request/Failure.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/request/Failure.java
@@ -16,7 +16,7 @@
 package io.trailladder.core.request;
 
 /**
- * Is the final answer to a request that could not be served.
+ * The final answer to a request that could not be served.
  *
  * @param outcome what is certain about the request
  * @param kind why it failed
--- a/trailladder-core/src/main/java/io/trailladder/core/request/GenerationAction.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/request/GenerationAction.java
@@ -18,7 +18,7 @@
 import java.util.Set;
 
 /**
- * Is what a {@link GenerationMachine} wants done.
+ * What a {@link GenerationMachine} wants done.
  *
  * @since 0.1
  */
--- a/trailladder-core/src/main/java/io/trailladder/core/routing/LoadReport.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/routing/LoadReport.java
@@ -16,7 +16,7 @@
 package io.trailladder.core.routing;
 
 /**
- * Is what an engine said of itself at some moment; it arrives late.
+ * What an engine said of itself at some moment; it arrives late.
  *
  * @param running sequences being generated
  * @param slots sequences it can generate at once
--- a/trailladder-core/src/main/java/io/trailladder/core/routing/RoutingDecision.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/routing/RoutingDecision.java
@@ -19,7 +19,7 @@
 import java.util.Optional;
 
 /**
- * Is the router's answer with the inputs that led to it, so that it can be inspected and replayed.
+ * The router's answer with the inputs that led to it, so that it can be inspected and replayed.
  *
  * @param chosen the upstream's name; empty if none can take the request now
  * @param predictedMillis predicted time to the first token, in milliseconds
@@ -29,7 +29,7 @@
 public record RoutingDecision(
         Optional<String> chosen, double predictedMillis, List<Candidate> candidates) {
     /**
-     * Is one weighed upstream.
+     * One weighed upstream.
      *
      * @param upstream its name
      * @param queueMillis predicted wait before its prompt is computed, in milliseconds
--- a/trailladder-core/src/main/java/io/trailladder/core/routing/UpstreamLoad.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/routing/UpstreamLoad.java
@@ -16,8 +16,8 @@
 package io.trailladder.core.routing;
 
 /**
- * Is one upstream's load as an entry sees it: its last report, corrected by the entry's own
- * requests that the report cannot know of yet.
+ * One upstream's load as an entry sees it: its last report, corrected by the entry's own requests
+ * that the report cannot know of yet.
  *
  * @since 0.1
  */
--- a/trailladder-core/src/main/java/io/trailladder/core/table/Table.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/table/Table.java
@@ -26,7 +26,7 @@
 import java.util.TreeMap;
 
 /**
- * Is the operators' table at one revision. Immutable.
+ * The operators' table at one revision. Immutable.
  *
  * <pre>{@code
  * Table table = Table.empty().apply(change);
--- a/trailladder-core/src/main/java/io/trailladder/core/table/TableChange.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/table/TableChange.java
@@ -18,7 +18,7 @@
 import java.util.List;
 
 /**
- * Is one accepted edit of the table, and the unit in which the table is distributed.
+ * One accepted edit of the table, and the unit in which the table is distributed.
  *
  * @param revision the revision this change produces; the first one is 1
  * @param changeId unique name of the edit, by which a lost answer is resolved
--- a/trailladder-core/src/main/java/io/trailladder/core/table/TableReplica.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/table/TableReplica.java
@@ -22,7 +22,7 @@
 import java.util.Optional;
 
 /**
- * Is the copy of the table that one entry decides from. It only ever moves to higher revisions.
+ * The copy of the table that one entry decides from. It only ever moves to higher revisions.
  *
  * <p>Keeps the latest changes so that a peer which lags by a few revisions is sent only those.
  *
--- a/trailladder-entry/src/main/java/io/trailladder/entry/EntryDaemon.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/EntryDaemon.java
@@ -56,7 +56,7 @@
 import org.tinylog.Logger;
 
 /**
- * Is one entry: puts all its parts together, starts and stops them.
+ * One entry: puts all its parts together, starts and stops them.
  *
  * <pre>{@code
  * EntryDaemon entry = new EntryDaemon(settings);
--- a/trailladder-entry/src/main/java/io/trailladder/entry/EntrySettings.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/EntrySettings.java
@@ -19,7 +19,7 @@
 import java.util.List;
 
 /**
- * Is all that an entry is told when it starts. The command line checks it.
+ * All that an entry is told when it starts. The command line checks it.
  *
  * @param dataCentre where the entry runs
  * @param instance the instance's name in the cloud's notices; empty if it has none
--- a/trailladder-entry/src/main/java/io/trailladder/entry/operator/StatusReport.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/operator/StatusReport.java
@@ -18,7 +18,7 @@
 import java.util.List;
 
 /**
- * Is what an entry tells operators of itself, as JSON under {@code /status}.
+ * What an entry tells operators of itself, as JSON under {@code /status}.
  *
  * @param entry its name
  * @param dataCentre where it runs
@@ -48,7 +48,7 @@
         List<Peer> peers,
         List<UpstreamLine> upstreams) {
     /**
-     * Is one live peer.
+     * One live peer.
      *
      * @param entry its name
      * @param dataCentre where it runs
@@ -57,7 +57,7 @@
     public record Peer(String entry, String dataCentre, long tableRevision) {}
 
     /**
-     * Is one upstream.
+     * One upstream.
      *
      * @param id its name
      * @param target model or service
--- a/trailladder-entry/src/main/java/io/trailladder/entry/peer/PeerLink.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/peer/PeerLink.java
@@ -28,7 +28,7 @@
 import org.glassfish.grizzly.memory.Buffers;
 
 /**
- * Is one connection to a peer, from its handshake on.
+ * One connection to a peer, from its handshake on.
  *
  * @since 0.1
  */
--- a/trailladder-entry/src/main/java/io/trailladder/entry/serve/CompletionRequest.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/serve/CompletionRequest.java
@@ -23,7 +23,7 @@
 import java.io.IOException;
 
 /**
- * Is a model request in the forms of {@code /v1/completions} and {@code /v1/chat/completions}.
+ * A model request in the forms of {@code /v1/completions} and {@code /v1/chat/completions}.
  *
  * @param model the model
  * @param prompt the prompt; for a chat, its messages as text
--- a/trailladder-entry/src/main/java/io/trailladder/entry/serve/EngineApi.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/serve/EngineApi.java
@@ -21,13 +21,13 @@
 import java.util.concurrent.CompletableFuture;
 
 /**
- * Is the port to model engines. A new kind of engine needs one adapter.
+ * The port to model engines. A new kind of engine needs one adapter.
  *
  * @since 0.1
  */
 public interface EngineApi {
     /**
-     * Is one attempt as an engine is told of it.
+     * One attempt as an engine is told of it.
      *
      * @param requestId the request's name
      * @param attempt the attempt's number
@@ -80,7 +80,7 @@
         void failed(boolean sent, boolean garbage);
     }
 
-    /** Is a running attempt. */
+    /** A running attempt. */
     interface Running {
         /** Tells the engine to stop. */
         void cancel();
--- a/trailladder-entry/src/main/java/io/trailladder/entry/serve/HttpEngineApi.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/serve/HttpEngineApi.java
@@ -31,20 +31,27 @@
 import io.trailladder.platform.http.HttpListener;
 import io.trailladder.platform.http.HttpReply;
 import java.io.IOException;
+import java.security.SecureRandom;
 import java.util.concurrent.CompletableFuture;
 
 /**
  * Reaches engines over HTTP; answers come as server-sent events.
  *
+ * <p>Attempts are numbered from a base of each entry's own on the wire, so that a late cancel of
+ * one entry never stops the attempt of another that goes on with the same request.
+ *
  * @since 0.1
  */
 public final class HttpEngineApi implements EngineApi {
     private static final ObjectMapper JSON = new ObjectMapper();
     private static final long CONTROL_MILLIS = 1_000;
     private static final int OK = 200;
+    private static final int MAX_BASE = 1 << 20;
+    private static final int ATTEMPTS_PER_BASE = 1_000;
 
     private final HttpClient client;
     private final long idleMillis;
+    private final int attemptBase = new SecureRandom().nextInt(MAX_BASE) * ATTEMPTS_PER_BASE;
 
     /**
      * Creates the adapter.
@@ -70,7 +77,7 @@
         ArrayNode resume = body.putArray("resume");
         attempt.resume().forEach(resume::add);
         HttpCall call = HttpCall.post(address, "/v1/generate", body.toString(), idleMillis);
-        HttpExchange exchange = client.send(call, new Events(listener));
+        HttpExchange exchange = client.send(call, new Events(listener, attemptBase));
         return () -> {
             exchange.cancel();
             String name = named(attempt.requestId(), attempt.attempt()).toString();
@@ -104,8 +111,10 @@
                 Math.max(1, node.path("tokenMillis").asInt(1)));
     }
 
-    private static ObjectNode named(String requestId, int attempt) {
-        return JSON.createObjectNode().put("request", requestId).put("attempt", attempt);
+    private ObjectNode named(String requestId, int attempt) {
+        return JSON.createObjectNode()
+                .put("request", requestId)
+                .put("attempt", attemptBase + attempt);
     }
 
     private static JsonNode json(HttpReply reply) {
@@ -122,12 +131,14 @@
     /** Turns the bytes of an answer into tokens. */
     private static final class Events implements HttpListener {
         private final Listener listener;
+        private final int attemptBase;
         private final SseLines lines = new SseLines();
         private boolean refused;
         private boolean ended;
 
-        Events(Listener listener) {
+        Events(Listener listener, int attemptBase) {
             this.listener = listener;
+            this.attemptBase = attemptBase;
         }
 
         @Override
@@ -167,7 +178,7 @@
         private void event(String data) throws IOException {
             JsonNode node = JSON.readTree(data);
             String requestId = node.path("r").asText();
-            int attempt = node.path("a").asInt(-1);
+            int attempt = node.path("a").asInt(-1) - attemptBase;
             if (node.path("t").isTextual() && node.path("p").isInt()) {
                 int position = node.path("p").asInt();
                 listener.token(requestId, attempt, position, node.path("t").asText());
--- a/trailladder-entry/src/main/java/io/trailladder/entry/serve/IncomingRequest.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/serve/IncomingRequest.java
@@ -20,7 +20,7 @@
 import java.util.Optional;
 
 /**
- * Is a caller's request as an entry got it, from the caller or from a peer.
+ * A caller's request as an entry got it, from the caller or from a peer.
  *
  * @param organisation the organisation the caller's key belongs to
  * @param method HTTP method
--- a/trailladder-entry/src/main/java/io/trailladder/entry/serve/PeerRelay.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/serve/PeerRelay.java
@@ -49,7 +49,7 @@
     private Function<Lost, Boolean> onLost = lost -> false;
 
     /**
-     * Is an answer whose peer was lost.
+     * An answer whose peer was lost.
      *
      * @param request the request
      * @param requestId its name at the lost peer; empty if no part of the answer came
--- a/trailladder-entry/src/main/java/io/trailladder/entry/serve/Placements.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/serve/Placements.java
@@ -57,7 +57,7 @@
     private final Deque<LoggedDecision> decisions = new ArrayDeque<>();
 
     /**
-     * Is a request that wants an upstream. All but {@link #placed} are called under the lock of the
+     * A request that wants an upstream. All but {@link #placed} are called under the lock of the
      * placements, so they must take no other lock.
      */
     public interface Ticket {
@@ -98,7 +98,7 @@
     }
 
     /**
-     * Is a decision as operators see it.
+     * A decision as operators see it.
      *
      * @param atMillis when, in milliseconds since 1970
      * @param organisation whose request
@@ -113,7 +113,7 @@
             int promptTokens,
             RoutingDecision decision) {}
 
-    /** Is a ticket whose wait is over. */
+    /** A ticket whose wait is over. */
     private record Granted(Ticket ticket, Upstream upstream) {}
 
     /**
--- a/trailladder-entry/src/main/java/io/trailladder/entry/serve/RequestBook.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/serve/RequestBook.java
@@ -298,6 +298,10 @@
     }
 
     private Optional<GenerationRunner> resume(RequestRecord request) {
+        Held known = held.get(request.requestId());
+        if (known != null && !known.runner.isEnded() && !known.runner.isMovedAway()) {
+            return Optional.of(known.runner);
+        }
         RowKey key = new RowKey(request.organisation(), request.model());
         Optional<Row> row =
                 context.policies()
--- a/trailladder-entry/src/main/java/io/trailladder/entry/serve/ServingContext.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/serve/ServingContext.java
@@ -23,7 +23,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 
 /**
- * Is what all serving code shares.
+ * What all serving code shares.
  *
  * @param self this entry
  * @param settings its settings
--- a/trailladder-platform/src/main/java/io/trailladder/platform/CloudApi.java
+++ b/trailladder-platform/src/main/java/io/trailladder/platform/CloudApi.java
@@ -40,7 +40,7 @@
     private final HostPort service;
 
     /**
-     * Is the instance list as the cloud tells it.
+     * The instance list as the cloud tells it.
      *
      * @param upstreams instances live or leaving
      * @param leaving names of those that are leaving
@@ -62,7 +62,7 @@
     public record Notice(String id, long remainingMillis) {}
 
     /**
-     * Is an answer to a wait for notices.
+     * An answer to a wait for notices.
      *
      * @param notices the notices, oldest first
      * @param next where to go on waiting
--- a/trailladder-platform/src/main/java/io/trailladder/platform/KeyValueStore.java
+++ b/trailladder-platform/src/main/java/io/trailladder/platform/KeyValueStore.java
@@ -20,7 +20,7 @@
 import java.util.concurrent.CompletableFuture;
 
 /**
- * Is the port to the platform's key-value service. Every future may fail with {@link
+ * The port to the platform's key-value service. Every future may fail with {@link
  * PlatformException}.
  *
  * @since 0.1
@@ -30,7 +30,7 @@
     long ABSENT = 0;
 
     /**
-     * Is a value with its version.
+     * A value with its version.
      *
      * @param key the key
      * @param value the value; null in a watch if the key was deleted
@@ -39,7 +39,7 @@
     record Item(String key, String value, long version) {}
 
     /**
-     * Is what a watch or list returns.
+     * What a watch or list returns.
      *
      * @param items the items
      * @param revision the service's revision, to watch on from
--- a/trailladder-platform/src/main/java/io/trailladder/platform/RangeStore.java
+++ b/trailladder-platform/src/main/java/io/trailladder/platform/RangeStore.java
@@ -34,7 +34,7 @@
     private final int ranges;
 
     /**
-     * Is the map with the version that a change must expect.
+     * The map with the version that a change must expect.
      *
      * @param map the map
      * @param version the key's version
--- a/trailladder-platform/src/main/java/io/trailladder/platform/TableStore.java
+++ b/trailladder-platform/src/main/java/io/trailladder/platform/TableStore.java
@@ -57,7 +57,7 @@
     public record Head(long revision, String changeId) {}
 
     /**
-     * Is a head with the version that a commit must expect.
+     * A head with the version that a commit must expect.
      *
      * @param head the head
      * @param version the key's version
@@ -65,7 +65,7 @@
     private record HeadItem(Head head, long version) {}
 
     /**
-     * Is the stored form of a whole table.
+     * The stored form of a whole table.
      *
      * @param revision its revision
      * @param changeId the change that made it
--- a/trailladder-platform/src/main/java/io/trailladder/platform/http/HostPort.java
+++ b/trailladder-platform/src/main/java/io/trailladder/platform/http/HostPort.java
@@ -18,7 +18,7 @@
 import io.trailladder.core.TrailladderException;
 
 /**
- * Is an address given by IP number and port.
+ * An address given by IP number and port.
  *
  * @param host IP number
  * @param port from 0 to 65535; 0 lets the system choose
--- a/trailladder-platform/src/main/java/io/trailladder/platform/http/HttpCall.java
+++ b/trailladder-platform/src/main/java/io/trailladder/platform/http/HttpCall.java
@@ -20,7 +20,7 @@
 import java.util.Map;
 
 /**
- * Is a request to an HTTP server.
+ * A request to an HTTP server.
  *
  * @param target the server
  * @param method HTTP method
--- a/trailladder-platform/src/main/java/io/trailladder/platform/http/HttpExchange.java
+++ b/trailladder-platform/src/main/java/io/trailladder/platform/http/HttpExchange.java
@@ -20,7 +20,7 @@
 import org.glassfish.grizzly.Connection;
 
 /**
- * Is one call on its own connection. It tells its listener the end exactly once.
+ * One call on its own connection. It tells its listener the end exactly once.
  *
  * @since 0.1
  */
--- a/trailladder-platform/src/main/java/io/trailladder/platform/http/HttpFailureException.java
+++ b/trailladder-platform/src/main/java/io/trailladder/platform/http/HttpFailureException.java
@@ -18,7 +18,7 @@
 import io.trailladder.core.TrailladderException;
 
 /**
- * Is how a call ends that gets no whole answer.
+ * How a call ends that gets no whole answer.
  *
  * @since 0.1
  */
--- a/trailladder-platform/src/main/java/io/trailladder/platform/http/HttpReply.java
+++ b/trailladder-platform/src/main/java/io/trailladder/platform/http/HttpReply.java
@@ -18,7 +18,7 @@
 import java.nio.charset.StandardCharsets;
 
 /**
- * Is a whole answer of an HTTP server.
+ * A whole answer of an HTTP server.
  *
  * @param status HTTP status
  * @param contentType the {@code Content-Type}; empty if none
--- a/trailladder-testkit/src/main/java/io/trailladder/testkit/EngineStandIn.java
+++ b/trailladder-testkit/src/main/java/io/trailladder/testkit/EngineStandIn.java
@@ -51,7 +51,7 @@
     private long cancelled;
 
     /**
-     * Is how an engine behaves.
+     * How an engine behaves.
      *
      * @param tokenMillis time between two tokens
      * @param prefillTokensPerSecond prompt tokens it computes a second
--- a/trailladder-testkit/src/main/java/io/trailladder/testkit/StandIn.java
+++ b/trailladder-testkit/src/main/java/io/trailladder/testkit/StandIn.java
@@ -31,7 +31,7 @@
 import org.glassfish.grizzly.http.server.Response;
 
 /**
- * Is the base of all stand-ins: an HTTP server with fault switches.
+ * The base of all stand-ins: an HTTP server with fault switches.
  *
  * <p>{@code POST /fault?mode=MODE&count=N&millis=M&after=K} makes the next {@code N} requests meet
  * the fault; {@code POST /die} ends the stand-in.
@@ -56,7 +56,7 @@
     private Fault fault = NO_FAULT;
 
     /**
-     * Is a switched fault.
+     * A switched fault.
      *
      * @param mode what goes wrong
      * @param count how many requests still meet it
--- a/trailladder-wire/src/main/java/io/trailladder/wire/EntryInfo.java
+++ b/trailladder-wire/src/main/java/io/trailladder/wire/EntryInfo.java
@@ -16,7 +16,7 @@
 package io.trailladder.wire;
 
 /**
- * Is how an entry presents itself to its peers.
+ * How an entry presents itself to its peers.
  *
  * @param id its name, new at every start
  * @param dataCentre where it runs
--- a/trailladder-wire/src/main/java/io/trailladder/wire/PeerMessage.java
+++ b/trailladder-wire/src/main/java/io/trailladder/wire/PeerMessage.java
@@ -25,7 +25,7 @@
 import java.util.List;
 
 /**
- * Is any message between two entries. Each type has its number in {@link MessageType}.
+ * Any message between two entries. Each type has its number in {@link MessageType}.
  *
  * @since 0.1
  */
@@ -63,7 +63,7 @@
             implements PeerMessage {}
 
     /**
-     * Is the wait for one target in a data centre.
+     * The wait for one target in a data centre.
      *
      * @param target the model or service
      * @param queueMillis predicted wait before a prompt is computed, in milliseconds
@@ -71,7 +71,7 @@
     record TargetLoad(String target, int queueMillis) {}
 
     /**
-     * Is how much of a limited row an entry was asked for.
+     * How much of a limited row an entry was asked for.
      *
      * @param organisation the row's organisation
      * @param target the row's target
@@ -118,7 +118,7 @@
     record LeavingNotice(List<Notice> notices) implements PeerMessage {}
 
     /**
-     * Is one notice.
+     * One notice.
      *
      * @param upstream the upstream's name
      * @param remainingMillis how long it will still run
@@ -147,7 +147,7 @@
             implements PeerMessage {}
 
     /**
-     * Is one HTTP header.
+     * One HTTP header.
      *
      * @param name its name
      * @param value its value
@@ -210,7 +210,7 @@
     record RecordTokens(List<TokenPart> parts) implements PeerMessage {}
 
     /**
-     * Is the growth of one answer.
+     * The growth of one answer.
      *
      * @param requestId the request's name
      * @param from position of the first token
--- a/trailladder-wire/src/main/java/io/trailladder/wire/RequestRecord.java
+++ b/trailladder-wire/src/main/java/io/trailladder/wire/RequestRecord.java
@@ -18,7 +18,7 @@
 import java.util.List;
 
 /**
- * Is all that another entry needs to go on with an accepted model request.
+ * All that another entry needs to go on with an accepted model request.
  *
  * @param requestId the request's name
  * @param organisation its organisation
