--- a/trailladder-core/src/main/java/io/trailladder/core/limit/QuotaBucket.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/limit/QuotaBucket.java
@@ -38,12 +38,12 @@
      * Creates a bucket.
      *
      * @param limit the tenant's limit
-     * @param filled how full it is, from 0 to 1
+     * @param level units it holds at first
      * @param nowMillis the time
      */
-    public QuotaBucket(RateSpec limit, double filled, long nowMillis) {
+    public QuotaBucket(RateSpec limit, double level, long nowMillis) {
         this.limit = limit;
-        this.level = limit.burst() * filled;
+        this.level = level;
         this.updatedMillis = nowMillis;
     }
 
--- a/trailladder-core/src/test/java/io/trailladder/core/limit/QuotaBucketTest.java
+++ b/trailladder-core/src/test/java/io/trailladder/core/limit/QuotaBucketTest.java
@@ -31,7 +31,7 @@
 
     @Example
     void burstThenRate() {
-        QuotaBucket bucket = new QuotaBucket(LIMIT, 1, 0);
+        QuotaBucket bucket = new QuotaBucket(LIMIT, LIMIT.burst(), 0);
         assertEquals(0, bucket.tryTake(1_000, 0));
         long wait = bucket.tryTake(500, 0);
         assertTrue(wait > 0);
@@ -40,7 +40,7 @@
 
     @Example
     void whatPeersTakeIsNotThereAnyMore() {
-        QuotaBucket bucket = new QuotaBucket(LIMIT, 1, 0);
+        QuotaBucket bucket = new QuotaBucket(LIMIT, LIMIT.burst(), 0);
         bucket.takenByPeers(1_000, 0);
         assertTrue(bucket.tryTake(100, 0) > 0);
     }
@@ -54,14 +54,14 @@
 
     @Example
     void restartedEntryTakesOverALowerLevel() {
-        QuotaBucket bucket = new QuotaBucket(LIMIT, 1, 0);
+        QuotaBucket bucket = new QuotaBucket(LIMIT, LIMIT.burst(), 0);
         bucket.atMost(-300, 0);
         assertEquals(-300, bucket.level(0), 0.001);
     }
 
     @Example
     void unlimitedTenantIsNeverRefused() {
-        QuotaBucket bucket = new QuotaBucket(RateSpec.UNLIMITED, 1, 0);
+        QuotaBucket bucket = new QuotaBucket(RateSpec.UNLIMITED, 0, 0);
         for (int i = 0; i < 100; i++) {
             assertEquals(0, bucket.tryTake(1_000_000, 0));
         }
@@ -71,7 +71,7 @@
     void neverLetsPassMoreThanRateAndBurst(
             @ForAll @IntRange(min = 1, max = 700) int units,
             @ForAll @IntRange(min = 1, max = 200) int stepMillis) {
-        QuotaBucket bucket = new QuotaBucket(LIMIT, 1, 0);
+        QuotaBucket bucket = new QuotaBucket(LIMIT, LIMIT.burst(), 0);
         double passed = 0;
         long now = 0;
         while (now < 10 * SECOND) {
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Quotas.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Quotas.java
@@ -31,7 +31,7 @@
  * @since 0.2
  */
 public final class Quotas {
-    private static final double FILLED_AFTER_RESTART = 0.3;
+    private static final double FILLED_AFTER_RESTART = 0.6;
     private static final double TOLERANCE_USED = 0.4;
 
     private final boolean firstStart;
@@ -61,8 +61,8 @@
             RateSpec limit = lenient(tenant.limit());
             QuotaBucket known = buckets.get(tenant.name());
             if (known == null) {
-                double filled = firstStart ? 1 : FILLED_AFTER_RESTART;
-                buckets.put(tenant.name(), new QuotaBucket(limit, filled, nowMillis));
+                double level = firstStart ? limit.burst() : levelAfterRestart(limit);
+                buckets.put(tenant.name(), new QuotaBucket(limit, level, nowMillis));
             } else {
                 known.limit(limit, nowMillis);
             }
--- /dev/null
+++ b/trailladder-entry/src/test/java/io/trailladder/entry/gateway/QuotasTest.java
@@ -0,0 +1,83 @@
+/*
+ * Copyright 2026 The trailladder authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package io.trailladder.entry.gateway;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.trailladder.core.policy.RateSpec;
+import io.trailladder.core.policy.RequestBounds;
+import io.trailladder.core.policy.ServingPolicy;
+import io.trailladder.core.policy.TenantSpec;
+import io.trailladder.wire.NodeMessage.TenantUse;
+import java.util.List;
+import java.util.OptionalInt;
+import net.jqwik.api.Example;
+
+/** Limits of tenants over all processes, over restarts and over what peers tell. */
+class QuotasTest {
+    private static final String TENANT = "t";
+    private static final GatewaySettings.Tolerance EXACT = new GatewaySettings.Tolerance(0, 0);
+
+    private static ServingPolicy policy(double perSecond, double burst) {
+        RateSpec limit = new RateSpec(perSecond, burst, true, 1);
+        TenantSpec tenant = new TenantSpec(TENANT, List.of("k"), OptionalInt.empty(), limit);
+        return new ServingPolicy(1, List.of(), List.of(), List.of(tenant), RequestBounds.DEFAULTS);
+    }
+
+    private static double passedAtOnce(Quotas quotas) {
+        double passed = 0;
+        while (quotas.tryTake(TENANT, 10, 0) == 0) {
+            passed += 10;
+        }
+        return passed;
+    }
+
+    @Example
+    void restartGivesLessThanAFirstStart() {
+        Quotas first = new Quotas(true, EXACT);
+        first.policy(policy(1_000, 1_000), 0);
+        Quotas restarted = new Quotas(false, EXACT);
+        restarted.policy(policy(1_000, 1_000), 0);
+        assertEquals(1_000, passedAtOnce(first));
+        assertEquals(600, passedAtOnce(restarted));
+    }
+
+    @Example
+    void restartNeverGivesMoreThanASecondOfALargeBurst() {
+        Quotas restarted = new Quotas(false, EXACT);
+        restarted.policy(policy(1_000, 5_000), 0);
+        assertEquals(1_000, passedAtOnce(restarted));
+    }
+
+    @Example
+    void peersUseCountsOnceHoweverOftenItIsTold() {
+        Quotas quotas = new Quotas(true, EXACT);
+        quotas.policy(policy(1_000, 1_000), 0);
+        quotas.peerUsed("p/1", List.of(new TenantUse(TENANT, 0, 1_000)), 0);
+        quotas.peerUsed("p/1", List.of(new TenantUse(TENANT, 400, 600)), 0);
+        quotas.peerUsed("p/1", List.of(new TenantUse(TENANT, 400, 600)), 0);
+        assertEquals(600, passedAtOnce(quotas));
+    }
+
+    @Example
+    void lowerLimitBindsAtOnce() {
+        Quotas quotas = new Quotas(true, EXACT);
+        quotas.policy(policy(1_000, 1_000), 0);
+        quotas.policy(policy(10, 50), 0);
+        assertTrue(passedAtOnce(quotas) <= 50);
+    }
+}
