--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Quotas.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Quotas.java
@@ -158,6 +158,11 @@
         return tokens > 0 ? tokens : limit.unsizedTokens();
     }
 
+    /** Nobody may know what was used before all processes restarted at once, perhaps twice. */
+    private static double levelAfterRestart(RateSpec limit) {
+        return Math.min(limit.perSecond(), limit.burst() * FILLED_AFTER_RESTART);
+    }
+
     /**
      * Uses a part of the tolerance, so that what peers tell late refuses nobody within the limit.
      */
