Answer callers on the event loop, and stop stand-ins from suspending responses

Cause of both known red tests: Grizzly's server recycles a request whose suspended response is resumed by another thread before the handler has returned, so that a call is never answered or gets the buffers of another. Ruled out: the idle time-out of kept connections (connections stayed open for 2 s after the failure), the late cancel of the hand-over (mended before), the claims (the request never reached the handler). Change: callers are served by our own server on the event loop, which the gateway uses already; a request that may not be read here is answered before its body, and a refused body is dropped for up to 1 s so that its answer is seen. Stand-ins answer on worker threads and suspend only streams.

--- a/trailladder-entry/src/main/java/io/trailladder/entry/EntryDaemon.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/EntryDaemon.java
@@ -17,6 +17,9 @@
 
 import io.trailladder.core.claim.RangeMap;
 import io.trailladder.entry.caller.CallerHandler;
+import io.trailladder.entry.http.HttpServer;
+import io.trailladder.entry.http.ServerBounds;
+import io.trailladder.entry.loop.EventLoop;
 import io.trailladder.entry.operator.OperatorServer;
 import io.trailladder.entry.operator.StatusReport;
 import io.trailladder.entry.peer.PeerHandler;
@@ -50,9 +53,6 @@
 import java.util.List;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ThreadLocalRandom;
-import java.util.concurrent.TimeUnit;
-import org.glassfish.grizzly.http.server.HttpServer;
-import org.glassfish.grizzly.http.server.NetworkListener;
 import org.tinylog.Logger;
 
 /**
@@ -69,6 +69,8 @@
 public final class EntryDaemon {
     private static final long HEARTBEAT_MILLIS = 1_000;
     private static final int MAX_CLAIMS = 300_000;
+    private static final long HEAD_MILLIS = 10_000;
+    private static final long LAST_ANSWERS_MILLIS = 200;
     private static final int TIMER_THREADS = 2;
     private static final long DRAIN_POLL_MILLIS = 50;
     private static final long HAND_OVER_MILLIS = 300;
@@ -97,7 +99,8 @@
     private final PeerRouter router;
     private final HeartbeatSender heartbeats;
     private final OperatorServer operators;
-    private final HttpServer callers = new HttpServer();
+    private final EventLoop callerLoop = new EventLoop();
+    private final HttpServer callers;
     private volatile boolean stopping;
 
     /**
@@ -140,6 +143,7 @@
         RequestFinder finder = new RequestFinder(links);
         this.dispatcher = new RequestDispatcher(context, book, claims, relay, chooser, finder);
         HttpKeyValueStore store = new HttpKeyValueStore(client, settings.keyValue());
+        this.callers = callerServer();
         this.tableSync = new TableSync(store, policies, links, members, chooser, timer);
         this.entrySync = new EntrySync(self, store, links, members, timer);
         this.fleetSync =
@@ -214,7 +218,7 @@
     /** Ends at once, without finishing or handing over anything, as a crash would. */
     public void kill() {
         timer.shutdownNow();
-        callers.shutdownNow();
+        closeCallers();
         operators.close();
         links.close();
         client.close();
@@ -319,7 +323,7 @@
         fleetSync.stop();
         entrySync.stop();
         pause(DRAIN_POLL_MILLIS);
-        callers.shutdown(1, TimeUnit.SECONDS);
+        endCallers();
         operators.close();
         links.close();
         client.close();
@@ -336,19 +340,43 @@
         }
     }
 
+    private HttpServer callerServer() {
+        EntrySettings.CallerLimits limits = settings.limits();
+        ServerBounds bounds =
+                new ServerBounds(
+                        limits.maxBodyBytes(),
+                        Math.min(HEAD_MILLIS, limits.callerIdleMillis()),
+                        limits.callerIdleMillis());
+        return new HttpServer(
+                callerLoop,
+                limits.maxHeaderBytes(),
+                bounds,
+                new CallerHandler(callerLoop, context, dispatcher, chooser));
+    }
+
     private void startCallers() throws IOException {
-        NetworkListener listener =
-                new NetworkListener(
-                        "callers",
-                        settings.callerAddress().host(),
-                        settings.callerAddress().port());
-        listener.setMaxHttpHeaderSize(settings.limits().maxHeaderBytes());
-        listener.getKeepAlive()
-                .setIdleTimeoutInSeconds((int) (settings.limits().callerIdleMillis() / 1000));
-        callers.addListener(listener);
-        callers.getServerConfiguration()
-                .addHttpHandler(new CallerHandler(context, dispatcher, chooser), "/");
-        callers.start();
+        callers.start(settings.callerAddress());
+        callerLoop.start();
+    }
+
+    /** Stops listening, and closes connections once their answers are sent. */
+    private void endCallers() {
+        callerLoop.execute(
+                () -> {
+                    callers.closing();
+                    callers.stopListening();
+                    callers.closeResting();
+                });
+        pause(LAST_ANSWERS_MILLIS);
+        closeCallers();
+    }
+
+    private void closeCallers() {
+        try {
+            callerLoop.close();
+        } catch (IOException e) {
+            Logger.warn("connections of callers are not closed: {}", e.getMessage());
+        }
     }
 
     private void beat() {
--- a/trailladder-entry/src/main/java/io/trailladder/entry/caller/CallerHandler.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/caller/CallerHandler.java
@@ -20,8 +20,10 @@
 import io.trailladder.core.table.HandlingPolicy;
 import io.trailladder.core.table.HandlingPolicy.Handling;
 import io.trailladder.core.table.Table;
-import io.trailladder.entry.EntrySettings.CallerLimits;
 import io.trailladder.entry.EntrySettings.Foreign;
+import io.trailladder.entry.http.RequestHandler;
+import io.trailladder.entry.http.ServerExchange;
+import io.trailladder.entry.loop.EventLoop;
 import io.trailladder.entry.serve.Answers;
 import io.trailladder.entry.serve.CallerSink;
 import io.trailladder.entry.serve.DataCentreChooser;
@@ -37,9 +39,6 @@
 import java.util.HexFormat;
 import java.util.List;
 import java.util.Optional;
-import org.glassfish.grizzly.http.server.HttpHandler;
-import org.glassfish.grizzly.http.server.Request;
-import org.glassfish.grizzly.http.server.Response;
 
 /**
  * Takes callers' requests: finds the organisation by the key, decides whether the body may be read
@@ -47,10 +46,15 @@
  *
  * @since 0.1
  */
-public final class CallerHandler extends HttpHandler {
+public final class CallerHandler implements RequestHandler {
     private static final String BEARER = "Bearer ";
     private static final long RETRY_AFTER_MILLIS = 1_000;
 
+    private static final int REQUEST_TIMEOUT = 408;
+    private static final int TOO_LARGE = 413;
+    private static final byte[] NO_BYTES = {};
+
+    private final EventLoop loop;
     private final ServingContext context;
     private final RequestDispatcher dispatcher;
     private final DataCentreChooser chooser;
@@ -58,21 +62,54 @@
     /**
      * Creates the handler.
      *
+     * @param loop the loop whose thread reads and writes callers' connections
      * @param context what serving code shares
      * @param dispatcher serves requests
      * @param chooser finds entries in other data centres
      */
     public CallerHandler(
-            ServingContext context, RequestDispatcher dispatcher, DataCentreChooser chooser) {
+            EventLoop loop,
+            ServingContext context,
+            RequestDispatcher dispatcher,
+            DataCentreChooser chooser) {
+        this.loop = loop;
         this.context = context;
         this.dispatcher = dispatcher;
         this.chooser = chooser;
     }
 
     @Override
-    public void service(Request request, Response response) {
-        response.suspend();
-        CallerSink sink = new GrizzlySink(response);
+    public void handle(ServerExchange exchange) {
+        serve(exchange, sink(exchange), true);
+    }
+
+    @Override
+    public boolean answersWithoutBody(ServerExchange exchange) {
+        return serve(exchange, sink(exchange), false);
+    }
+
+    @Override
+    public void refuse(ServerExchange exchange, int status) {
+        int most = context.settings().limits().maxBodyBytes();
+        String message =
+                switch (status) {
+                    case TOO_LARGE -> "body, expected at most " + most + " bytes";
+                    case REQUEST_TIMEOUT -> "the body did not come in time";
+                    default -> "head, expected one Host and one length or chunks";
+                };
+        Answers.refuse(sink(exchange), status, message);
+    }
+
+    private CallerSink sink(ServerExchange exchange) {
+        return new ExchangeSink(loop, exchange);
+    }
+
+    /**
+     * Serves a request whose body was read, or answers one that must not be read here.
+     *
+     * @return false if the body is needed first
+     */
+    private boolean serve(ServerExchange request, CallerSink sink, boolean bodyRead) {
         Table table = context.policies().table();
         Optional<String> organisation =
                 bearer(request).flatMap(key -> table.organisation(sha256(key)));
@@ -80,7 +117,7 @@
         if (table.revision() == 0) {
             Failure failure = new Failure(refused, Failure.Kind.NO_TABLE, RETRY_AFTER_MILLIS);
             Answers.failure(sink, "", failure);
-            return;
+            return true;
         }
         if (organisation.isEmpty()) {
             Answers.refuse(
@@ -88,19 +125,34 @@
                     401,
                     refused,
                     "header Authorization, expected 'Bearer KEY' with a known key");
-            return;
+            return true;
         }
-        String path = pathWithQuery(request);
+        String path = request.uri();
         if (path.startsWith(RequestDispatcher.REQUESTS_PATH)) {
-            dispatcher.serve(incoming(request, organisation.get(), path, new byte[0]), sink);
-            return;
+            if (bodyRead) {
+                dispatcher.serve(incoming(request, organisation.get(), NO_BYTES), sink);
+            }
+            return bodyRead;
         }
+        return serveTarget(request, organisation.get(), refused, sink, bodyRead);
+    }
+
+    private boolean serveTarget(
+            ServerExchange request,
+            String organisation,
+            Outcome refused,
+            CallerSink sink,
+            boolean bodyRead) {
+        String path = request.uri();
         Optional<String> target =
                 IncomingRequest.service(path)
                         .or(() -> header(request, IncomingRequest.MODEL_HEADER));
         Handling handling =
                 HandlingPolicy.decide(
-                        table, organisation.get(), target, context.self().dataCentre());
+                        context.policies().table(),
+                        organisation,
+                        target,
+                        context.self().dataCentre());
         if (handling instanceof Handling.NotAllowed) {
             Answers.failure(sink, "", new Failure(refused, Failure.Kind.NO_ROW, 0));
         } else if (handling instanceof Handling.NameTarget) {
@@ -115,45 +167,15 @@
         } else if (handling instanceof Handling.Elsewhere elsewhere
                 && context.settings().foreign() == Foreign.REDIRECT) {
             redirect(path, target, elsewhere.dataCentres(), sink);
+        } else if (!bodyRead) {
+            return false;
+        } else if (handling instanceof Handling.Elsewhere elsewhere) {
+            IncomingRequest incoming = incoming(request, organisation, request.body());
+            dispatcher.relay(incoming, target, elsewhere.dataCentres(), sink);
         } else {
-            read(request, organisation.get(), path, target, handling, sink);
-        }
-    }
-
-    private void read(
-            Request request,
-            String organisation,
-            String path,
-            Optional<String> target,
-            Handling handling,
-            CallerSink sink) {
-        CallerLimits limits = context.settings().limits();
-        BodyReader.read(
-                request,
-                limits.maxBodyBytes(),
-                limits.callerIdleMillis(),
-                context.timer(),
-                body -> {
-                    IncomingRequest incoming = incoming(request, organisation, path, body);
-                    if (handling instanceof Handling.Elsewhere elsewhere) {
-                        dispatcher.relay(incoming, target, elsewhere.dataCentres(), sink);
-                    } else {
-                        dispatcher.serve(incoming, sink);
-                    }
-                },
-                fault -> unreadable(fault, limits, sink));
-    }
-
-    private static void unreadable(BodyReader.Fault fault, CallerLimits limits, CallerSink sink) {
-        switch (fault) {
-            case TOO_LARGE ->
-                    Answers.refuse(
-                            sink,
-                            413,
-                            "body, expected at most " + limits.maxBodyBytes() + " bytes");
-            case TOO_SLOW -> Answers.refuse(sink, 408, "the body did not come in time");
-            case BROKEN -> sink.abort();
+            dispatcher.serve(incoming(request, organisation, request.body()), sink);
         }
+        return true;
     }
 
     private void redirect(
@@ -164,40 +186,35 @@
             return;
         }
         Header location = new Header("Location", "http://" + peer.get().callerAddress() + path);
-        Answers.whole(sink, 307, "text/plain", List.of(location), new byte[0]);
+        Answers.whole(sink, 307, "text/plain", List.of(location), NO_BYTES);
     }
 
     private static IncomingRequest incoming(
-            Request request, String organisation, String path, byte[] body) {
+            ServerExchange request, String organisation, byte[] body) {
         List<Header> headers = new ArrayList<>();
         for (String name : IncomingRequest.KEPT_HEADERS) {
             header(request, name).ifPresent(value -> headers.add(new Header(name, value)));
         }
         return new IncomingRequest(
-                organisation, request.getMethod().getMethodString(), path, headers, body, false);
+                organisation, request.method(), request.uri(), headers, body, false);
     }
 
     /**
      * A request with a key may have run when it was sent before, so it is never told not-run here.
      */
-    private static Outcome refusedOutcome(Request request) {
+    private static Outcome refusedOutcome(ServerExchange request) {
         boolean keyed = header(request, IncomingRequest.KEY_HEADER).isPresent();
         return keyed ? Outcome.UNKNOWN : Outcome.NOT_RUN;
     }
 
-    private static Optional<String> bearer(Request request) {
+    private static Optional<String> bearer(ServerExchange request) {
         return header(request, "Authorization")
                 .filter(value -> value.startsWith(BEARER))
                 .map(value -> value.substring(BEARER.length()).trim());
     }
 
-    private static Optional<String> header(Request request, String name) {
-        return Optional.ofNullable(request.getHeader(name)).filter(value -> !value.isEmpty());
-    }
-
-    private static String pathWithQuery(Request request) {
-        String query = request.getQueryString();
-        return query == null ? request.getRequestURI() : request.getRequestURI() + '?' + query;
+    private static Optional<String> header(ServerExchange request, String name) {
+        return request.headers().first(name).filter(value -> !value.isEmpty());
     }
 
     /** The table holds hashes only, so looking one up compares no secret. */
--- a/trailladder-entry/src/main/java/io/trailladder/entry/http/HttpServer.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/http/HttpServer.java
@@ -48,6 +48,7 @@
             Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("trailladder.server-connection");
 
     private final EventLoop loop;
+    private final int maxHeadBytes;
     private final RequestHandler handler;
     private final Set<ServerConnection> connections = new HashSet<>();
     private ServerBounds bounds;
@@ -62,7 +63,21 @@
      * @param handler takes its requests
      */
     public HttpServer(EventLoop loop, ServerBounds bounds, RequestHandler handler) {
+        this(loop, MAX_HEAD_BYTES, bounds, handler);
+    }
+
+    /**
+     * Creates a server with a bound of request heads.
+     *
+     * @param loop the loop whose thread runs it
+     * @param maxHeadBytes largest request head
+     * @param bounds bounds of what it reads
+     * @param handler takes its requests
+     */
+    public HttpServer(
+            EventLoop loop, int maxHeadBytes, ServerBounds bounds, RequestHandler handler) {
         this.loop = loop;
+        this.maxHeadBytes = maxHeadBytes;
         this.bounds = bounds;
         this.handler = handler;
     }
@@ -81,7 +96,7 @@
         HttpServerFilter codec =
                 new HttpServerFilter(
                         true,
-                        MAX_HEAD_BYTES,
+                        maxHeadBytes,
                         null,
                         keepAlive,
                         null,
--- a/trailladder-entry/src/main/java/io/trailladder/entry/http/RequestHandler.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/http/RequestHandler.java
@@ -28,4 +28,24 @@
      * @param exchange the request, to be answered now or later
      */
     void handle(ServerExchange exchange);
+
+    /**
+     * Answers a request of which only the head was read, if its body must not be read here.
+     *
+     * @param exchange the request without its body
+     * @return true if it was answered; its body is then dropped and its connection closed
+     */
+    default boolean answersWithoutBody(ServerExchange exchange) {
+        return false;
+    }
+
+    /**
+     * Answers a request that cannot be read whole.
+     *
+     * @param exchange the request without its body
+     * @param status HTTP status: 400, 408 or 413
+     */
+    default void refuse(ServerExchange exchange, int status) {
+        exchange.respond(status, HeaderList.EMPTY, new byte[0]);
+    }
 }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/http/ServerConnection.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/http/ServerConnection.java
@@ -26,6 +26,7 @@
 /** One caller's connection: it is answered one request after the other, in order. */
 final class ServerConnection {
     private static final int MAX_WAITING = 32;
+    private static final long DROP_BODY_MILLIS = 1_000;
     private static final int BAD_REQUEST = 400;
     private static final int REQUEST_TIMEOUT = 408;
     private static final int TOO_LARGE = 413;
@@ -38,6 +39,8 @@
     private ByteArrayOutputStream body = new ByteArrayOutputStream();
     private ServerExchange current;
     private boolean refusing;
+    private boolean bodyEnded;
+    private long closeAtMillis;
     private long restingSinceMillis;
     private long headSinceMillis = -1;
 
@@ -63,6 +66,7 @@
 
     void read(HttpContent content) {
         if (refusing) {
+            bodyDropped(content);
             return;
         }
         HttpRequestPacket request = (HttpRequestPacket) content.getHttpHeader();
@@ -71,7 +75,8 @@
             headSinceMillis = -1;
             restingSinceMillis = server.nowMillis();
             body = new ByteArrayOutputStream();
-            if (!acceptable(request)) {
+            if (!acceptable(request) || answeredWithoutBody(request, content)) {
+                bodyDropped(content);
                 return;
             }
         }
@@ -82,6 +87,7 @@
             body.writeBytes(bytes);
             if (body.size() > server.bounds().maxBodyBytes()) {
                 refuse(request, TOO_LARGE);
+                bodyDropped(content);
                 return;
             }
         }
@@ -115,6 +121,18 @@
         connection.closeSilently();
     }
 
+    /**
+     * Closes after the last answer. While a body is still coming whose request was refused, closing
+     * would reset the connection, and the caller would not see the answer.
+     */
+    void closeAfterAnswer() {
+        if (refusing && !bodyEnded) {
+            closeAtMillis = server.nowMillis() + DROP_BODY_MILLIS;
+        } else {
+            close();
+        }
+    }
+
     boolean isResting() {
         return current == null && reading == null && headSinceMillis < 0;
     }
@@ -124,6 +142,10 @@
     }
 
     void checkTime(long nowMillis) {
+        if (closeAtMillis > 0 && nowMillis >= closeAtMillis) {
+            close();
+            return;
+        }
         ServerBounds bounds = server.bounds();
         boolean headLate =
                 headSinceMillis >= 0 && nowMillis - headSinceMillis > bounds.headerTimeoutMillis();
@@ -188,6 +210,33 @@
         ServerExchange exchange = new ServerExchange(this, request, NO_BYTES);
         current = exchange;
         exchange.closeAfter();
-        exchange.respond(status, HeaderList.EMPTY, NO_BYTES);
+        server.handler().refuse(exchange, status);
+    }
+
+    /** Lets the handler answer a request whose body must not be read here. */
+    private boolean answeredWithoutBody(HttpRequestPacket request, HttpContent content) {
+        if (current != null || content.isLast()) {
+            return false;
+        }
+        ServerExchange exchange = new ServerExchange(this, request, NO_BYTES);
+        exchange.closeAfter();
+        current = exchange;
+        refusing = true;
+        if (server.handler().answersWithoutBody(exchange)) {
+            return true;
+        }
+        current = null;
+        refusing = false;
+        return false;
+    }
+
+    private void bodyDropped(HttpContent content) {
+        if (!refusing || !content.isLast()) {
+            return;
+        }
+        bodyEnded = true;
+        if (closeAtMillis > 0) {
+            close();
+        }
     }
 }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/http/ServerExchange.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/http/ServerExchange.java
@@ -18,6 +18,7 @@
 import java.net.SocketAddress;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.EmptyCompletionHandler;
+import org.glassfish.grizzly.WriteHandler;
 import org.glassfish.grizzly.WriteResult;
 import org.glassfish.grizzly.http.HttpContent;
 import org.glassfish.grizzly.http.HttpRequestPacket;
@@ -39,7 +40,7 @@
     private HttpResponsePacket response;
     private Runnable onGone = () -> {};
     private boolean closeAfter;
-    private boolean over;
+    private volatile boolean over;
     private boolean gone;
 
     ServerExchange(ServerConnection owner, HttpRequestPacket request, byte[] body) {
@@ -169,6 +170,36 @@
         }
     }
 
+    /**
+     * Tells whether more may be written without piling up. May be called on any thread.
+     *
+     * @return false while the caller does not read
+     */
+    public boolean isWritable() {
+        return owner.connection().canWrite();
+    }
+
+    /**
+     * Has a task run once more may be written, or nothing more can be.
+     *
+     * @param task the task
+     */
+    public void whenWritable(Runnable task) {
+        owner.connection()
+                .notifyCanWrite(
+                        new WriteHandler() {
+                            @Override
+                            public void onWritePossible() {
+                                task.run();
+                            }
+
+                            @Override
+                            public void onError(Throwable cause) {
+                                task.run();
+                            }
+                        });
+    }
+
     /** Ends the answer as whole. */
     public void end() {
         endWith(NO_BYTES);
@@ -221,7 +252,7 @@
                     @Override
                     public void completed(WriteResult<HttpContent, SocketAddress> result) {
                         if (last && closeAfter) {
-                            owner.close();
+                            owner.closeAfterAnswer();
                         }
                     }
 
--- a/trailladder-testkit/src/main/java/io/trailladder/testkit/CloudStandIn.java
+++ b/trailladder-testkit/src/main/java/io/trailladder/testkit/CloudStandIn.java
@@ -95,10 +95,10 @@
     }
 
     @Override
-    protected boolean handle(Request request, Response response) throws IOException {
+    protected void handle(Request request, Response response) throws IOException {
         if (strike().mode().equals("down")) {
             cut(request);
-            return true;
+            return;
         }
         ObjectNode answer = object();
         switch (request.getRequestURI()) {
@@ -115,7 +115,6 @@
             default -> reclaim(request.getParameter("id"), number(request, "notice", 3000));
         }
         write(response, 200, answer);
-        return true;
     }
 
     private synchronized ArrayNode listed() {
--- a/trailladder-testkit/src/main/java/io/trailladder/testkit/EngineStandIn.java
+++ b/trailladder-testkit/src/main/java/io/trailladder/testkit/EngineStandIn.java
@@ -139,34 +139,34 @@
     }
 
     @Override
-    protected boolean handle(Request request, Response response) throws IOException {
+    protected void handle(Request request, Response response) throws IOException {
         String path = request.getRequestURI();
         if (path.equals("/v1/load")) {
             write(response, 200, load());
-            return true;
+            return;
         }
         if (path.startsWith("/v1/exported/")) {
             write(response, 200, object().put("tokens", exported(path.substring(13))));
-            return true;
+            return;
         }
         JsonNode body = json(request);
         if (path.equals("/v1/cancel")) {
             cancel(body);
-            return true;
+            return;
         }
         Fault struck = strike();
         if (path.equals("/v1/export")) {
             pause(struck.mode().equals("slow-export") ? struck.millis() : 5);
             write(response, 200, export(body));
-            return true;
+            return;
         }
         if (struck.mode().equals("refuse")) {
             write(response, 503, object().put("error", "refused"));
-            return true;
+            return;
         }
         response.setContentType("text/event-stream");
+        response.suspend();
         begin(new Sequence(request, response, body, struck), body.path("kv").asText());
-        return false;
     }
 
     private void begin(Sequence sequence, String kv) {
--- a/trailladder-testkit/src/main/java/io/trailladder/testkit/KeyValueStandIn.java
+++ b/trailladder-testkit/src/main/java/io/trailladder/testkit/KeyValueStandIn.java
@@ -75,11 +75,11 @@
     }
 
     @Override
-    protected boolean handle(Request request, Response response) throws IOException {
+    protected void handle(Request request, Response response) throws IOException {
         Fault struck = request.getRequestURI().equals("/stats") ? NO_FAULT : strike();
         if (struck.mode().equals("down")) {
             cut(request);
-            return true;
+            return;
         }
         pause(struck.mode().equals("slow") ? struck.millis() : 0);
         String path = request.getRequestURI();
@@ -107,10 +107,9 @@
         }
         if (struck.mode().equals("lost")) {
             cut(request);
-            return true;
+            return;
         }
         write(response, status, answer);
-        return true;
     }
 
     private synchronized int get(String key, ObjectNode answer) {
--- a/trailladder-testkit/src/main/java/io/trailladder/testkit/ServiceStandIn.java
+++ b/trailladder-testkit/src/main/java/io/trailladder/testkit/ServiceStandIn.java
@@ -55,18 +55,18 @@
     }
 
     @Override
-    protected boolean handle(Request request, Response response) throws IOException {
+    protected void handle(Request request, Response response) throws IOException {
         if (request.getRequestURI().equals("/stats")) {
             ObjectNode stats = object();
             runs().forEach(stats::put);
             write(response, 200, stats);
-            return true;
+            return;
         }
         byte[] body = request.getInputStream().readAllBytes();
         Fault struck = strike();
         if (struck.mode().equals("before")) {
             cut(request);
-            return true;
+            return;
         }
         pause(struck.mode().equals("slow") ? struck.millis() : 0);
         String key = request.getHeader("Idempotency-Key");
@@ -74,10 +74,9 @@
         int run = ran(key == null ? text : key);
         if (struck.mode().equals("after")) {
             cut(request);
-            return true;
+            return;
         }
         answer(request, response, struck, text, run);
-        return true;
     }
 
     private synchronized int ran(String call) {
--- a/trailladder-testkit/src/main/java/io/trailladder/testkit/StandIn.java
+++ b/trailladder-testkit/src/main/java/io/trailladder/testkit/StandIn.java
@@ -21,7 +21,6 @@
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import org.glassfish.grizzly.http.server.HttpHandler;
@@ -29,6 +28,8 @@
 import org.glassfish.grizzly.http.server.NetworkListener;
 import org.glassfish.grizzly.http.server.Request;
 import org.glassfish.grizzly.http.server.Response;
+import org.glassfish.grizzly.strategies.WorkerThreadIOStrategy;
+import org.glassfish.grizzly.threadpool.ThreadPoolConfig;
 
 /**
  * The base of all stand-ins: an HTTP server with fault switches.
@@ -49,7 +50,8 @@
     protected final ScheduledExecutorService timer =
             Executors.newSingleThreadScheduledExecutor(StandIn::daemon);
 
-    private final ExecutorService workers = Executors.newCachedThreadPool(StandIn::daemon);
+    private static final int WORKERS = 64;
+
     private final HttpServer server = new HttpServer();
     private final NetworkListener listener;
     private final CountDownLatch closed = new CountDownLatch(1);
@@ -73,14 +75,23 @@
      */
     protected StandIn(String host, int port) {
         listener = new NetworkListener("stand-in", host, port);
+        // answers on the worker's own thread: a response that is suspended and resumed before the
+        // handler returns may be recycled under the request
+        listener.getTransport().setIOStrategy(WorkerThreadIOStrategy.getInstance());
+        listener.getTransport()
+                .setWorkerThreadPoolConfig(
+                        ThreadPoolConfig.defaultConfig()
+                                .setPoolName("stand-in")
+                                .setDaemon(true)
+                                .setCorePoolSize(WORKERS)
+                                .setMaxPoolSize(WORKERS));
         server.addListener(listener);
         server.getServerConfiguration()
                 .addHttpHandler(
                         new HttpHandler() {
                             @Override
                             public void service(Request request, Response response) {
-                                response.suspend();
-                                workers.execute(() -> answer(request, response));
+                                answer(request, response);
                             }
                         },
                         "/");
@@ -117,19 +128,17 @@
     public void close() {
         server.shutdownNow();
         timer.shutdownNow();
-        workers.shutdownNow();
         closed.countDown();
     }
 
     /**
-     * Answers a request; the response is resumed afterwards unless this returns false.
+     * Answers a request. A response that is finished later is suspended here first.
      *
      * @param request the request
      * @param response the response
-     * @return false if the response is finished later
      * @throws IOException if the connection breaks
      */
-    protected abstract boolean handle(Request request, Response response) throws IOException;
+    protected abstract void handle(Request request, Response response) throws IOException;
 
     /**
      * Waits until the stand-in was closed.
@@ -205,7 +214,6 @@
     private void answer(Request request, Response response) {
         try {
             if (request.getRequestURI().equals("/die")) {
-                response.resume();
                 new Thread(this::close, "die").start();
             } else if (request.getRequestURI().equals("/fault")) {
                 fault(
@@ -214,9 +222,8 @@
                                 number(request, "count", 1),
                                 number(request, "millis", 0),
                                 number(request, "after", 0)));
-                response.resume();
-            } else if (handle(request, response)) {
-                response.resume();
+            } else {
+                handle(request, response);
             }
         } catch (IOException | RuntimeException e) {
             cut(request);
