--- a/trailladder-core/src/main/java/io/trailladder/core/duty/UsageLedger.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/duty/UsageLedger.java
@@ -17,6 +17,7 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.NavigableMap;
@@ -34,6 +35,11 @@
     private final String self;
     private final long windowMillis;
     private final Map<String, NavigableMap<Long, Map<String, Integer>>> byEntry = new HashMap<>();
+    private final LinkedHashMap<Key, Long> changes = new LinkedHashMap<>();
+    private long sequence;
+
+    /** Names one count. */
+    private record Key(String entry, long window, String tenant) {}
 
     /**
      * Creates a ledger.
@@ -53,9 +59,9 @@
      * @param wallMillis when, in milliseconds since the start of 1970
      */
     public void started(String tenant, long wallMillis) {
-        windows(self)
-                .computeIfAbsent(wallMillis / windowMillis, window -> new HashMap<>())
-                .merge(tenant, 1, Integer::sum);
+        long window = windowAt(wallMillis);
+        counts(self, window).merge(tenant, 1, Integer::sum);
+        changed(new Key(self, window, tenant));
     }
 
     /**
@@ -63,15 +69,49 @@
      *
      * @param entry names the life of the entry
      * @param counts its counts of recent windows
+     * @param passOn true if this entry has to tell others of them
      */
-    public void merge(String entry, List<UsageCount> counts) {
+    public void merge(String entry, List<UsageCount> counts, boolean passOn) {
         for (UsageCount count : counts) {
-            windows(entry)
-                    .computeIfAbsent(count.window(), window -> new HashMap<>())
-                    .merge(count.tenant(), count.started(), Math::max);
+            Map<String, Integer> window = counts(entry, count.window());
+            int before = window.getOrDefault(count.tenant(), 0);
+            if (count.started() > before) {
+                window.put(count.tenant(), count.started());
+                if (passOn) {
+                    changed(new Key(entry, count.window(), count.tenant()));
+                }
+            }
         }
     }
 
+    /**
+     * Returns the number of the latest change that others are to be told of.
+     *
+     * @return a number that grows with every change
+     */
+    public long sequence() {
+        return sequence;
+    }
+
+    /**
+     * Returns the counts that have changed, by entry.
+     *
+     * @param after the number of the latest change that was told
+     * @return the counts as they are now
+     */
+    public Map<String, List<UsageCount>> changesAfter(long after) {
+        Map<String, List<UsageCount>> news = new TreeMap<>();
+        changes.forEach(
+                (key, number) -> {
+                    if (number > after) {
+                        int started = counts(key.entry(), key.window()).get(key.tenant());
+                        news.computeIfAbsent(key.entry(), entry -> new ArrayList<>())
+                                .add(new UsageCount(key.window(), key.tenant(), started));
+                    }
+                });
+        return news;
+    }
+
     /**
      * Returns the counts of one life of an entry.
      *
@@ -135,11 +175,22 @@
      */
     public void forgetOld(long wallMillis) {
         long oldest = windowAt(wallMillis) - KEPT_WINDOWS;
+        changes.keySet().removeIf(key -> key.window() < oldest);
         byEntry.values().forEach(windows -> windows.headMap(oldest).clear());
         byEntry.entrySet()
                 .removeIf(entry -> entry.getValue().isEmpty() && !entry.getKey().equals(self));
     }
 
+    private void changed(Key key) {
+        sequence++;
+        changes.remove(key);
+        changes.put(key, sequence);
+    }
+
+    private Map<String, Integer> counts(String entry, long window) {
+        return windows(entry).computeIfAbsent(window, number -> new HashMap<>());
+    }
+
     private NavigableMap<Long, Map<String, Integer>> windows(String entry) {
         return byEntry.computeIfAbsent(entry, name -> new TreeMap<>());
     }
--- a/trailladder-core/src/main/java/io/trailladder/core/limit/QuotaBucket.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/limit/QuotaBucket.java
@@ -33,6 +33,8 @@
     private long updatedMillis;
     private double ownPart = 1;
     private double used;
+    private double usedByLeaves;
+    private double usedByPeers;
 
     /**
      * Creates a bucket.
@@ -75,6 +77,19 @@
     public void takenByPeers(double units, long nowMillis) {
         refill(nowMillis);
         level -= units;
+        usedByPeers += units;
+    }
+
+    /**
+     * Records what a process has taken that relies on this one to tell the others.
+     *
+     * @param units units since it was last told
+     * @param nowMillis the time
+     */
+    public void takenByLeaf(double units, long nowMillis) {
+        refill(nowMillis);
+        level -= units;
+        usedByLeaves += units;
     }
 
     /**
@@ -133,6 +148,24 @@
         return used;
     }
 
+    /**
+     * Returns all units that this entry, and those that rely on it, have let pass.
+     *
+     * @return units
+     */
+    public double usedByGroup() {
+        return used + usedByLeaves;
+    }
+
+    /**
+     * Returns all units that this entry has let pass or was told of.
+     *
+     * @return units
+     */
+    public double usedByAll() {
+        return used + usedByLeaves + usedByPeers;
+    }
+
     /**
      * Returns the units left.
      *
--- /dev/null
+++ b/trailladder-core/src/main/java/io/trailladder/core/membership/LinkPlanner.java
@@ -0,0 +1,148 @@
+/*
+ * Copyright 2026 The trailladder authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package io.trailladder.core.membership;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * Decides which processes this process opens links to, and whether it acts as a hub.
+ *
+ * <p>A leaf stays with its hub until the link is lost, and leaves out for a while whom it could not
+ * reach. A process that others took as their hub acts as one, whatever its rank.
+ *
+ * @since 0.2
+ */
+public final class LinkPlanner {
+    private static final long AVOID_MILLIS = 3_000;
+
+    private final GatewayMember self;
+    private final Map<String, Long> avoidedUntilMillis = new HashMap<>();
+    private List<GatewayMember> members = List.of();
+    private String hub = "";
+
+    /**
+     * What to do about links.
+     *
+     * @param hub true if this process acts as a hub
+     * @param dial addresses to be linked to by this process
+     */
+    public record LinkPlan(boolean hub, Set<String> dial) {
+        /** Copies the addresses. */
+        public LinkPlan {
+            dial = Set.copyOf(dial);
+        }
+    }
+
+    /**
+     * Creates a planner that knows nobody.
+     *
+     * @param self this process
+     */
+    public LinkPlanner(GatewayMember self) {
+        this.self = self;
+    }
+
+    /**
+     * Sets the known processes.
+     *
+     * @param listed all processes that the store lists
+     */
+    public void members(Collection<GatewayMember> listed) {
+        members = List.copyOf(listed);
+    }
+
+    /**
+     * Returns how many processes are known, this one included.
+     *
+     * @return a count of at least 1
+     */
+    public int size() {
+        boolean listed = members.stream().anyMatch(member -> member.name().equals(self.name()));
+        return members.size() + (listed ? 0 : 1);
+    }
+
+    /**
+     * Records that a process could not be reached, or fell silent.
+     *
+     * @param address its address
+     * @param nowMillis the time
+     */
+    public void unreachable(String address, long nowMillis) {
+        avoidedUntilMillis.put(address, nowMillis + AVOID_MILLIS);
+        if (hub.equals(address)) {
+            hub = "";
+        }
+    }
+
+    /**
+     * Plans.
+     *
+     * @param needed true if others rely on this process as a hub, or it leads
+     * @param nowMillis the time
+     * @return whom to link to
+     */
+    public LinkPlan plan(boolean needed, long nowMillis) {
+        avoidedUntilMillis.values().removeIf(until -> until <= nowMillis);
+        if (HubTopology.isFullMesh(members)) {
+            return new LinkPlan(true, mesh(members));
+        }
+        List<GatewayMember> hubs = HubTopology.hubs(members);
+        boolean chosen = hubs.stream().anyMatch(member -> member.name().equals(self.name()));
+        if (chosen) {
+            return new LinkPlan(true, mesh(hubs));
+        }
+        if (needed) {
+            return new LinkPlan(true, addresses(hubs));
+        }
+        chooseHub();
+        return new LinkPlan(false, hub.isEmpty() ? Set.of() : Set.of(hub));
+    }
+
+    private void chooseHub() {
+        boolean known = members.stream().anyMatch(member -> member.address().equals(hub));
+        if (known) {
+            return;
+        }
+        Optional<GatewayMember> best =
+                HubTopology.candidates(self, members).stream()
+                        .filter(member -> !avoidedUntilMillis.containsKey(member.address()))
+                        .findFirst();
+        hub = best.map(GatewayMember::address).orElse("");
+    }
+
+    /** Of two processes that want each other, the one whose address sorts lower dials. */
+    private Set<String> mesh(Collection<GatewayMember> wanted) {
+        Set<String> dial = new HashSet<>();
+        for (GatewayMember member : wanted) {
+            if (self.address().compareTo(member.address()) < 0) {
+                dial.add(member.address());
+            }
+        }
+        return dial;
+    }
+
+    private static Set<String> addresses(Collection<GatewayMember> wanted) {
+        Set<String> dial = new HashSet<>();
+        wanted.forEach(member -> dial.add(member.address()));
+        return dial;
+    }
+}
--- a/trailladder-core/src/main/java/io/trailladder/core/worker/WorkerLoads.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/worker/WorkerLoads.java
@@ -16,6 +16,7 @@
 package io.trailladder.core.worker;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -28,7 +29,23 @@
  */
 public final class WorkerLoads {
     private final Map<String, Load> own = new HashMap<>();
-    private final Map<String, Map<String, WorkerUse>> byPeer = new HashMap<>();
+    private final Map<String, List<WorkerUse>> byPeer = new HashMap<>();
+    private final Map<String, Use> ofPeers = new HashMap<>();
+
+    /** Work under way at one upstream. */
+    private static final class Use {
+        int requests;
+        int promptTokens;
+
+        void add(int moreRequests, int moreTokens) {
+            requests += moreRequests;
+            promptTokens += moreTokens;
+        }
+
+        boolean isNone() {
+            return requests == 0 && promptTokens == 0;
+        }
+    }
 
     /** One upstream's load. */
     private static final class Load {
@@ -105,9 +122,9 @@
      * @param uses its use of upstreams; those it does not name are unused
      */
     public void peerUses(String peer, List<WorkerUse> uses) {
-        Map<String, WorkerUse> byWorker = new HashMap<>();
-        uses.forEach(use -> byWorker.put(use.worker(), use));
-        byPeer.put(peer, byWorker);
+        peerLost(peer);
+        byPeer.put(peer, List.copyOf(uses));
+        uses.forEach(use -> count(ofPeers, use, 1));
     }
 
     /**
@@ -116,23 +133,46 @@
      * @param peer the peer's name
      */
     public void peerLost(String peer) {
-        byPeer.remove(peer);
+        List<WorkerUse> before = byPeer.remove(peer);
+        if (before != null) {
+            before.forEach(use -> count(ofPeers, use, -1));
+        }
     }
 
     /**
-     * Returns what this entry has under way, to be told to its peers.
+     * Returns what this entry has under way, to be told to the hub it relies on.
      *
      * @return its use of upstreams
      */
     public List<WorkerUse> ownUses() {
-        List<WorkerUse> uses = new ArrayList<>();
-        own.forEach(
-                (worker, load) -> {
-                    if (load.requests > 0) {
-                        uses.add(new WorkerUse(worker, load.requests, load.promptTokens));
-                    }
-                });
-        return uses;
+        return list(own());
+    }
+
+    /**
+     * Returns what this entry and some peers have under way.
+     *
+     * @param peers the peers' names
+     * @return their use of upstreams
+     */
+    public List<WorkerUse> groupUses(Collection<String> peers) {
+        Map<String, Use> sum = own();
+        for (String peer : peers) {
+            byPeer.getOrDefault(peer, List.of()).forEach(use -> count(sum, use, 1));
+        }
+        return list(sum);
+    }
+
+    /**
+     * Returns what all entries but one have under way.
+     *
+     * @param peer the name of that one
+     * @return their use of upstreams
+     */
+    public List<WorkerUse> restUses(String peer) {
+        Map<String, Use> sum = own();
+        ofPeers.forEach((worker, use) -> add(sum, worker, use.requests, use.promptTokens));
+        byPeer.getOrDefault(peer, List.of()).forEach(use -> count(sum, use, -1));
+        return list(sum);
     }
 
     /**
@@ -142,12 +182,8 @@
      * @return a count
      */
     public int requests(String worker) {
-        int total = ownRequests(worker);
-        for (Map<String, WorkerUse> uses : byPeer.values()) {
-            WorkerUse use = uses.get(worker);
-            total += use == null ? 0 : use.requests();
-        }
-        return total;
+        Use peers = ofPeers.get(worker);
+        return ownRequests(worker) + (peers == null ? 0 : peers.requests);
     }
 
     /**
@@ -158,12 +194,8 @@
      */
     public int promptTokens(String worker) {
         Load load = own.get(worker);
-        int total = load == null ? 0 : load.promptTokens;
-        for (Map<String, WorkerUse> uses : byPeer.values()) {
-            WorkerUse use = uses.get(worker);
-            total += use == null ? 0 : use.promptTokens();
-        }
-        return total;
+        Use peers = ofPeers.get(worker);
+        return (load == null ? 0 : load.promptTokens) + (peers == null ? 0 : peers.promptTokens);
     }
 
     /**
@@ -202,6 +234,36 @@
                                         && directory.find(entry.getKey()).isEmpty());
     }
 
+    private Map<String, Use> own() {
+        Map<String, Use> sum = new HashMap<>();
+        own.forEach(
+                (worker, load) -> {
+                    if (load.requests > 0) {
+                        add(sum, worker, load.requests, load.promptTokens);
+                    }
+                });
+        return sum;
+    }
+
+    private static List<WorkerUse> list(Map<String, Use> sum) {
+        List<WorkerUse> uses = new ArrayList<>();
+        sum.forEach(
+                (worker, use) -> uses.add(new WorkerUse(worker, use.requests, use.promptTokens)));
+        return uses;
+    }
+
+    private static void count(Map<String, Use> sum, WorkerUse use, int sign) {
+        add(sum, use.worker(), sign * use.requests(), sign * use.promptTokens());
+    }
+
+    private static void add(Map<String, Use> sum, String worker, int requests, int promptTokens) {
+        Use use = sum.computeIfAbsent(worker, name -> new Use());
+        use.add(requests, promptTokens);
+        if (use.isNone()) {
+            sum.remove(worker);
+        }
+    }
+
     private int ownRequests(String worker) {
         Load load = own.get(worker);
         return load == null ? 0 : load.requests;
--- a/trailladder-core/src/test/java/io/trailladder/core/duty/UsageLedgerTest.java
+++ b/trailladder-core/src/test/java/io/trailladder/core/duty/UsageLedgerTest.java
@@ -30,7 +30,7 @@
         UsageLedger ledger = new UsageLedger("a/1", WINDOW);
         ledger.started("t", 4_999);
         ledger.started("t", 5_000);
-        ledger.merge("b/1", List.of(new UsageCount(1, "t", 2), new UsageCount(1, "u", 1)));
+        ledger.merge("b/1", List.of(new UsageCount(1, "t", 2), new UsageCount(1, "u", 1)), false);
         assertEquals(Map.of("t", 1), ledger.total(0));
         assertEquals(Map.of("t", 3, "u", 1), ledger.total(1));
     }
@@ -38,16 +38,16 @@
     @Example
     void lateOrRepeatedDigestNeverLowersACount() {
         UsageLedger ledger = new UsageLedger("a/1", WINDOW);
-        ledger.merge("b/1", List.of(new UsageCount(1, "t", 5)));
-        ledger.merge("b/1", List.of(new UsageCount(1, "t", 3)));
+        ledger.merge("b/1", List.of(new UsageCount(1, "t", 5)), false);
+        ledger.merge("b/1", List.of(new UsageCount(1, "t", 3)), false);
         assertEquals(Map.of("t", 5), ledger.total(1));
     }
 
     @Example
     void restartedEntryCountsBesideItsEarlierLife() {
         UsageLedger ledger = new UsageLedger("a/1", WINDOW);
-        ledger.merge("b/1", List.of(new UsageCount(1, "t", 5)));
-        ledger.merge("b/2", List.of(new UsageCount(1, "t", 2)));
+        ledger.merge("b/1", List.of(new UsageCount(1, "t", 5)), false);
+        ledger.merge("b/2", List.of(new UsageCount(1, "t", 2)), false);
         assertEquals(Map.of("t", 7), ledger.total(1));
     }
 }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ClusterView.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ClusterView.java
@@ -19,26 +19,29 @@
 import io.trailladder.core.worker.DemandMeter;
 import io.trailladder.core.worker.ServiceDemand;
 import io.trailladder.core.worker.WorkerLoads;
+import io.trailladder.entry.gateway.DigestWriter.SenderState;
 import io.trailladder.entry.loop.EventLoop;
 import io.trailladder.entry.mesh.MeshListener;
 import io.trailladder.entry.mesh.PeerMesh;
 import io.trailladder.wire.NodeMessage;
+import io.trailladder.wire.NodeMessage.DigestScope;
 import io.trailladder.wire.NodeMessage.NodeDigest;
 import io.trailladder.wire.NodeMessage.NodeHello;
 import io.trailladder.wire.NodeMessage.Snapshot;
 import io.trailladder.wire.NodeMessage.SnapshotAsk;
-import io.trailladder.wire.NodeMessage.TenantUse;
 import io.trailladder.wire.NodeMessage.UsageHistory;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
+import java.util.function.BooleanSupplier;
 
 /**
  * What the peers tell, and what they are told.
  *
+ * <p>A leaf tells its hub its own figures and is told those of all others. Hubs tell each other
+ * their own figures with those of their leaves. Where there are few processes, all are hubs.
+ *
  * @since 0.2
  */
 public final class ClusterView implements MeshListener {
@@ -56,13 +59,11 @@
     private final Quotas quotas;
     private final WorkerLoads loads;
     private final UsageLedger usage;
-    private final DemandMeter demand;
-    private final String life;
+    private final DigestWriter writer;
     private final GatewayMetrics metrics;
     private final List<String> recentLeaving = new ArrayList<>();
-    private final Map<String, Long> digestMillis = new HashMap<>();
-    private final Map<String, List<ServiceDemand>> peerDemands = new HashMap<>();
-    private final Set<String> members = new HashSet<>();
+    private final Map<String, Peer> peers = new HashMap<>();
+    private BooleanSupplier leads = () -> false;
     private PeerMesh mesh;
     private boolean draining;
     private long askedMillis;
@@ -78,7 +79,6 @@
      * @param loads the work under way at upstreams
      * @param usage counts requests that began to run
      * @param demand measures the load of services here
-     * @param life names this life of this process
      * @param metrics the process's figures
      */
     public ClusterView(
@@ -90,7 +90,6 @@
             WorkerLoads loads,
             UsageLedger usage,
             DemandMeter demand,
-            String life,
             GatewayMetrics metrics) {
         this.loop = loop;
         this.policies = policies;
@@ -99,8 +98,7 @@
         this.quotas = quotas;
         this.loads = loads;
         this.usage = usage;
-        this.demand = demand;
-        this.life = life;
+        this.writer = new DigestWriter(policies, directory, quotas, loads, usage, demand);
         this.metrics = metrics;
         directory.onLeaving(worker -> remember(worker.id()));
     }
@@ -109,28 +107,15 @@
      * Begins to tell the peers.
      *
      * @param links the links to them
+     * @param leading tells whether this process leads
      */
-    public void start(PeerMesh links) {
+    public void start(PeerMesh links, BooleanSupplier leading) {
         mesh = links;
+        leads = leading;
         policies.onChange(policy -> tellPeers());
         loop.repeat(DIGEST_MILLIS, this::tick);
     }
 
-    /**
-     * Sets the names of the processes that the store lists.
-     *
-     * @param names their names
-     */
-    public void members(Set<String> names) {
-        members.clear();
-        members.addAll(names);
-    }
-
-    /** Tells the peers what this process knows now. */
-    public void tellNow() {
-        tellPeers();
-    }
-
     /** Has the peers told that this process stops. */
     public void draining() {
         draining = true;
@@ -143,19 +128,23 @@
      * @return a count of at least 1
      */
     public int entries() {
-        return Math.max(1, others().size() + 1);
+        int known = mesh.size();
+        for (Peer peer : counted()) {
+            known = Math.max(known, peer.members());
+        }
+        return Math.max(known, heard());
     }
 
     /**
-     * Returns the age of the oldest digest of a heard peer.
+     * Returns the age of the oldest digest that counts.
      *
      * @return milliseconds; 0 without peers
      */
     public long oldestDigestMillis() {
         long now = loop.nowMillis();
         long oldest = 0;
-        for (String peer : mesh.heardPeers()) {
-            oldest = Math.max(oldest, now - digestMillis.getOrDefault(peer, now));
+        for (Peer peer : counted()) {
+            oldest = Math.max(oldest, now - peer.digestMillis());
         }
         return oldest;
     }
@@ -168,61 +157,81 @@
      */
     public double busy(String service) {
         double busy = 0;
-        for (ServiceDemand own : demand.demands(loop.nowMillis())) {
-            busy += own.service().equals(service) ? own.busy() : 0;
-        }
-        for (List<ServiceDemand> demands : peerDemands.values()) {
-            for (ServiceDemand other : demands) {
-                busy += other.service().equals(service) ? other.busy() : 0;
-            }
+        for (ServiceDemand sum : writer.sum(counted(), loop.nowMillis())) {
+            busy += sum.service().equals(service) ? sum.busy() : 0;
         }
         return busy < LEAST_BUSY ? -1 : busy;
     }
 
     @Override
-    public void linked(NodeHello peer) {
+    public boolean isNeeded() {
+        return leads.getAsBoolean() || !leaves().isEmpty();
+    }
+
+    @Override
+    public void linked(NodeHello hello) {
         DecisionLog.write(
-                new DecisionLog.Lifecycle("peer " + peer.name(), "linked", peer.address()));
-        mesh.send(peer.name(), digest());
-        usage.entries()
-                .forEach(
-                        entry ->
-                                mesh.send(
-                                        peer.name(),
-                                        new UsageHistory(entry, usage.countsOf(entry))));
+                new DecisionLog.Lifecycle("peer " + hello.name(), "linked", hello.address()));
+        Peer peer = new Peer(hello, loop.nowMillis());
+        peers.put(hello.name(), peer);
+        tell(peer);
         if (!store.isReachable() || policies.version() == 0) {
-            mesh.send(peer.name(), new SnapshotAsk(policies.version()));
+            mesh.send(hello.name(), new SnapshotAsk(policies.version()));
         }
     }
 
     @Override
-    public void received(NodeHello peer, NodeMessage message) {
+    public void received(NodeHello hello, NodeMessage message) {
         if (message instanceof NodeDigest digest) {
-            digest(peer, digest);
+            digest(peers.computeIfAbsent(hello.name(), name -> newPeer(hello)), digest);
         } else if (message instanceof UsageHistory history) {
-            usage.merge(history.life(), history.usage());
+            usage.merge(history.life(), history.usage(), false);
         } else if (message instanceof SnapshotAsk) {
             mesh.send(
-                    peer.name(),
+                    hello.name(),
                     new Snapshot(
                             policies.version(),
                             policies.bytes(),
                             directory.revision(),
                             directory.entries()));
         } else if (message instanceof Snapshot snapshot) {
-            snapshot(peer, snapshot);
+            snapshot(hello, snapshot);
         }
     }
 
-    private void digest(NodeHello peer, NodeDigest digest) {
+    private Peer newPeer(NodeHello hello) {
+        return new Peer(hello, loop.nowMillis());
+    }
+
+    private void digest(Peer peer, NodeDigest digest) {
+        boolean wasHub = peer.isHeard() && !peer.isLeaf();
         long now = loop.nowMillis();
-        String peerLife = peer.name() + '/' + peer.incarnation();
-        digestMillis.put(peer.name(), now);
-        usage.merge(peerLife, digest.usage());
-        quotas.peerUsed(peerLife, digest.quotas(), now);
-        loads.peerUses(peer.name(), digest.uses());
-        peerDemands.put(peer.name(), digest.demands());
+        peer.told(digest, now);
         digest.leaving().forEach(id -> directory.leavingSeenBy(id, peer.name()));
+        askIfNewer(peer, digest, now);
+        if (!counts(peer)) {
+            loads.peerLost(peer.name());
+            return;
+        }
+        boolean leaf = peer.isLeaf();
+        digest.usage().forEach(news -> usage.merge(news.life(), news.usage(), leaf));
+        loads.peerUses(peer.name(), digest.uses());
+        if (leaf) {
+            quotas.leafUsed(peer.life(), digest.quotas(), now);
+        } else {
+            quotas.peerUsed(source(peer, digest.scope()), digest.quotas(), now);
+        }
+        if (digest.scope() == DigestScope.GROUP && !wasHub) {
+            tellAllUsage(peer);
+        }
+    }
+
+    /** A hub counts to a leaf all others, to a hub its group only: two counts of one life. */
+    private static String source(Peer peer, DigestScope scope) {
+        return scope == DigestScope.REST ? peer.life() + "/rest" : peer.life();
+    }
+
+    private void askIfNewer(Peer peer, NodeDigest digest, long now) {
         boolean newerPolicy = digest.policyVersion() > policies.version();
         boolean newerList =
                 !store.isReachable() && digest.directoryRevision() > directory.revision();
@@ -232,59 +241,81 @@
         }
     }
 
-    private void snapshot(NodeHello peer, Snapshot snapshot) {
+    private void snapshot(NodeHello hello, Snapshot snapshot) {
         if (snapshot.policyVersion() > policies.version()
-                && policies.offer(snapshot.policy(), peer.name())) {
+                && policies.offer(snapshot.policy(), hello.name())) {
             metrics.count(GatewayMetrics.Event.POLICY_FROM_PEER);
         }
         if (!store.isReachable() || directory.revision() == 0) {
-            directory.fromPeer(snapshot.workers(), snapshot.directoryRevision(), peer.name());
+            directory.fromPeer(snapshot.workers(), snapshot.directoryRevision(), hello.name());
         }
     }
 
     private void tick() {
         forgetSilentPeers();
-        int all = entries();
-        int heard = mesh.heardPeers().size() + 1;
-        quotas.sharedPart(Math.min(1.0, heard / (double) all), loop.nowMillis());
+        quotas.sharedPart(Math.min(1.0, heard() / (double) entries()), loop.nowMillis());
         tellPeers();
     }
 
     private void forgetSilentPeers() {
-        Set<String> heard = new HashSet<>(mesh.heardPeers());
-        for (String peer : List.copyOf(digestMillis.keySet())) {
-            if (!heard.contains(peer)) {
-                digestMillis.remove(peer);
-                loads.peerLost(peer);
-                peerDemands.remove(peer);
-                DecisionLog.write(new DecisionLog.Lifecycle("peer " + peer, "silent", ""));
+        long oldest = loop.nowMillis() - PeerMesh.HEARD_MILLIS;
+        for (Peer peer : List.copyOf(peers.values())) {
+            if (peer.digestMillis() < oldest) {
+                peers.remove(peer.name());
+                loads.peerLost(peer.name());
+                DecisionLog.write(new DecisionLog.Lifecycle("peer " + peer.name(), "silent", ""));
             }
         }
     }
 
-    private void tellPeers() {
-        mesh.sendAll(digest());
+    /** Tells the peers what this process knows now. */
+    public void tellPeers() {
+        peers.values().forEach(this::tell);
     }
 
-    private NodeDigest digest() {
+    private void tell(Peer peer) {
         long now = loop.nowMillis();
-        List<TenantUse> uses = quotas.uses(now);
-        return new NodeDigest(
-                policies.version(),
-                directory.revision(),
-                draining,
-                usage.countsOf(life),
-                uses,
-                loads.ownUses(),
-                demand.demands(now),
-                List.copyOf(recentLeaving));
+        SenderState state = new SenderState(draining, entries(), List.copyOf(recentLeaving));
+        if (!mesh.isHub()) {
+            if (mesh.isOwnHub(peer.hello())) {
+                sendNews(peer, writer.own(state, peer.usageTold(), now));
+            }
+        } else if (peer.isLeaf()) {
+            mesh.send(peer.name(), writer.rest(state, peer, counted(), now));
+        } else {
+            sendNews(peer, writer.group(state, leaves(), peer.usageTold(), now));
+        }
+    }
+
+    private void sendNews(Peer peer, NodeDigest digest) {
+        if (mesh.send(peer.name(), digest)) {
+            peer.usageTold(usage.sequence());
+        }
+    }
+
+    /** A hub that was not linked before may lack what other processes told long ago. */
+    private void tellAllUsage(Peer peer) {
+        for (String life : usage.entries()) {
+            mesh.send(peer.name(), new UsageHistory(life, usage.countsOf(life)));
+        }
+    }
+
+    /** The processes whose figures this one knows, itself included. */
+    private int heard() {
+        return 1 + counted().stream().mapToInt(Peer::processes).sum();
+    }
+
+    private List<Peer> counted() {
+        return peers.values().stream().filter(this::counts).toList();
+    }
+
+    /** To a leaf only its hub's figures count, and those of peers that take it for a hub. */
+    private boolean counts(Peer peer) {
+        return peer.isHeard() && (peer.isLeaf() || mesh.isHub() || mesh.isOwnHub(peer.hello()));
     }
 
-    private Set<String> others() {
-        Set<String> others = new HashSet<>(members);
-        others.addAll(mesh.heardPeers());
-        others.remove(life.substring(0, life.indexOf('/')));
-        return others;
+    private List<Peer> leaves() {
+        return peers.values().stream().filter(Peer::isLeaf).toList();
     }
 
     private void remember(String worker) {
--- /dev/null
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/DigestWriter.java
@@ -0,0 +1,149 @@
+/*
+ * Copyright 2026 The trailladder authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package io.trailladder.entry.gateway;
+
+import io.trailladder.core.duty.UsageCount;
+import io.trailladder.core.duty.UsageLedger;
+import io.trailladder.core.worker.DemandMeter;
+import io.trailladder.core.worker.ServiceDemand;
+import io.trailladder.core.worker.WorkerLoads;
+import io.trailladder.core.worker.WorkerUse;
+import io.trailladder.wire.NodeMessage.DigestScope;
+import io.trailladder.wire.NodeMessage.NodeDigest;
+import io.trailladder.wire.NodeMessage.TenantUse;
+import io.trailladder.wire.NodeMessage.UsageHistory;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/** Writes what a process tells its peers, each the part that it lacks. */
+final class DigestWriter {
+    private final PolicyKeeper policies;
+    private final DirectoryKeeper directory;
+    private final Quotas quotas;
+    private final WorkerLoads loads;
+    private final UsageLedger usage;
+    private final DemandMeter demand;
+
+    /**
+     * What a digest says of its sender.
+     *
+     * @param draining true if it is stopping
+     * @param members how many processes it knows of
+     * @param leaving upstreams it saw leaving lately
+     */
+    record SenderState(boolean draining, int members, List<String> leaving) {}
+
+    DigestWriter(
+            PolicyKeeper policies,
+            DirectoryKeeper directory,
+            Quotas quotas,
+            WorkerLoads loads,
+            UsageLedger usage,
+            DemandMeter demand) {
+        this.policies = policies;
+        this.directory = directory;
+        this.quotas = quotas;
+        this.loads = loads;
+        this.usage = usage;
+        this.demand = demand;
+    }
+
+    /** Writes what a leaf tells its hub. */
+    NodeDigest own(SenderState state, long usageTold, long nowMillis) {
+        return digest(
+                state,
+                DigestScope.OWN,
+                1,
+                news(usageTold),
+                quotas.ownUses(nowMillis),
+                loads.ownUses(),
+                demand.demands(nowMillis));
+    }
+
+    /** Writes what a hub tells other hubs: its own figures and those of its leaves. */
+    NodeDigest group(SenderState state, Collection<Peer> leaves, long usageTold, long nowMillis) {
+        return digest(
+                state,
+                DigestScope.GROUP,
+                1 + leaves.size(),
+                news(usageTold),
+                quotas.groupUses(nowMillis),
+                loads.groupUses(leaves.stream().map(Peer::name).toList()),
+                sum(leaves, nowMillis));
+    }
+
+    /** Writes what a hub tells a leaf: the figures of all others. */
+    NodeDigest rest(SenderState state, Peer leaf, Collection<Peer> counted, long nowMillis) {
+        List<Peer> others = counted.stream().filter(peer -> peer != leaf).toList();
+        int processes = 1 + others.stream().mapToInt(Peer::processes).sum();
+        return digest(
+                state,
+                DigestScope.REST,
+                processes,
+                List.of(),
+                quotas.restUses(leaf.life(), nowMillis),
+                loads.restUses(leaf.name()),
+                sum(others, nowMillis));
+    }
+
+    /** Returns the load of every service at this process and some peers. */
+    List<ServiceDemand> sum(Collection<Peer> peers, long nowMillis) {
+        Map<String, Double> busy = new TreeMap<>();
+        demand.demands(nowMillis).forEach(d -> busy.merge(d.service(), d.busy(), Double::sum));
+        for (Peer peer : peers) {
+            peer.demands().forEach(d -> busy.merge(d.service(), d.busy(), Double::sum));
+        }
+        List<ServiceDemand> sum = new ArrayList<>();
+        busy.forEach((service, part) -> sum.add(new ServiceDemand(service, part)));
+        return sum;
+    }
+
+    private List<UsageHistory> news(long usageTold) {
+        if (usageTold >= usage.sequence()) {
+            return List.of();
+        }
+        List<UsageHistory> news = new ArrayList<>();
+        for (Map.Entry<String, List<UsageCount>> entry : usage.changesAfter(usageTold).entrySet()) {
+            news.add(new UsageHistory(entry.getKey(), entry.getValue()));
+        }
+        return news;
+    }
+
+    private NodeDigest digest(
+            SenderState state,
+            DigestScope scope,
+            int processes,
+            List<UsageHistory> news,
+            List<TenantUse> tenants,
+            List<WorkerUse> uses,
+            List<ServiceDemand> demands) {
+        return new NodeDigest(
+                policies.version(),
+                directory.revision(),
+                state.draining(),
+                scope,
+                processes,
+                state.members(),
+                news,
+                tenants.stream().filter(use -> use.used() != 0).toList(),
+                uses,
+                demands,
+                state.leaving());
+    }
+}
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
@@ -18,6 +18,7 @@
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
 import io.trailladder.core.duty.LeaderElection;
 import io.trailladder.core.duty.UsageLedger;
+import io.trailladder.core.membership.GatewayMember;
 import io.trailladder.core.policy.RequestBounds;
 import io.trailladder.core.policy.ServingPolicy;
 import io.trailladder.core.worker.DemandMeter;
@@ -36,7 +37,6 @@
 import io.trailladder.entry.port.PlatformFormat;
 import io.trailladder.entry.port.StoreItem;
 import io.trailladder.platform.http.HostPort;
-import io.trailladder.wire.NodeMessage.NodeHello;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.UncheckedIOException;
@@ -55,6 +55,8 @@
     private static final int OK = 200;
     private static final int UNAVAILABLE = 503;
     private static final long STATE_MILLIS = 1_000;
+    private static final long ROLE_MILLIS = 100;
+    private static final long DIRECTORY_PAUSE_MILLIS = 150;
     private static final long LOST_SILENT_MILLIS = 500;
     private static final long STOP_CHECK_MILLIS = 100;
     private static final long LEAST_DRAIN_MILLIS = 2_600;
@@ -85,7 +87,6 @@
     private final HttpServer figures;
     private final StoreWatcher policyWatcher;
     private final StoreWatcher directoryWatcher;
-    private final StoreWatcher memberWatcher;
     private final StoreWatcher leaderWatcher;
     private final long startedMillis = loop.nowMillis();
     private final Runnable onStopped;
@@ -125,17 +126,11 @@
                         loads,
                         usage,
                         demand,
-                        life,
                         metrics);
-        String peerAddress = settings.listen().peers().toString();
-        mesh =
-                new PeerMesh(
-                        loop,
-                        new NodeHello(name, incarnation, settings.node().zone(), peerAddress),
-                        view);
+        GatewayMember self = settings.self();
+        mesh = new PeerMesh(loop, self, incarnation, view);
         mesh.seeds(settings.seeds().stream().map(HostPort::toString).toList());
-        membership =
-                new Membership(loop, platform.store(), storeHealth, mesh, view, name, peerAddress);
+        membership = new Membership(loop, platform.store(), storeHealth, mesh, self);
         LeaderElection election =
                 new LeaderElection(
                         settings.timing().leaseMillis(),
@@ -178,10 +173,15 @@
         health = new HttpServer(loop, inside, this::answerReady);
         figures = new HttpServer(loop, inside, this::answerFigures);
         PlatformFormat format = platform.format();
-        policyWatcher = watcher(platform, random, format.policyKey(), new PolicyListener());
-        directoryWatcher = watcher(platform, random, format.workerPrefix(), directoryKeeper);
-        memberWatcher = watcher(platform, random, Membership.PREFIX, membership);
-        leaderWatcher = watcher(platform, random, DutyRunner.LEADER_PREFIX, duties);
+        policyWatcher = watcher(platform, random, format.policyKey(), 0, new PolicyListener());
+        directoryWatcher =
+                watcher(
+                        platform,
+                        random,
+                        format.workerPrefix(),
+                        DIRECTORY_PAUSE_MILLIS,
+                        directoryKeeper);
+        leaderWatcher = watcher(platform, random, DutyRunner.LEADER_PREFIX, 0, duties);
     }
 
     /**
@@ -196,14 +196,13 @@
         health.start(settings.listen().health());
         figures.start(settings.listen().metrics());
         mesh.start(settings.listen().peers());
-        view.start(mesh);
+        view.start(mesh, duties::leads);
         loop.repeat(STATE_MILLIS, this::tellState);
+        loop.repeat(ROLE_MILLIS, this::followLeader);
         loop.execute(
                 () -> {
                     policyWatcher.restart();
                     directoryWatcher.restart();
-                    memberWatcher.restart();
-                    leaderWatcher.restart();
                     membership.start();
                     duties.start();
                     fleet.start();
@@ -235,9 +234,10 @@
             PlatformAdapter platform,
             SplittableRandom random,
             String prefix,
+            long pauseMillis,
             StoreWatcher.Listener listener) {
         return new StoreWatcher(
-                loop, platform.store(), storeHealth, random.split(), prefix, listener);
+                loop, platform.store(), storeHealth, random.split(), prefix, pauseMillis, listener);
     }
 
     private static ServerBounds bounds(RequestBounds bounds) {
@@ -283,6 +283,15 @@
         exchange.respond(OK, headers, text.toByteArray());
     }
 
+    /** Hubs alone look after leadership, so that a lost leader is not followed by all at once. */
+    private void followLeader() {
+        if (mesh.isHub() && !leaderWatcher.isRunning()) {
+            leaderWatcher.restart();
+        } else if (!mesh.isHub() && leaderWatcher.isRunning()) {
+            leaderWatcher.stop();
+        }
+    }
+
     private void tellState() {
         loads.forgetGone(directory);
         metrics.state(
@@ -318,7 +327,7 @@
         boolean late = since >= settings.timing().graceMillis() - END_MARGIN_MILLIS;
         if (idle || late) {
             intake.stopAll();
-            view.tellNow();
+            view.tellPeers();
             membership.stop();
             DecisionLog.write(new Lifecycle("process", "stopped", "after " + since + " ms"));
             loop.schedule(STOP_CHECK_MILLIS, onStopped);
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/GatewaySettings.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/GatewaySettings.java
@@ -15,6 +15,7 @@
  */
 package io.trailladder.entry.gateway;
 
+import io.trailladder.core.membership.GatewayMember;
 import io.trailladder.platform.http.HostPort;
 import java.util.List;
 
@@ -40,19 +41,49 @@
         Retries retries,
         Tolerance tolerance,
         Timing timing) {
+    /** Processor of a process whose settings do not tell it, in cores. */
+    public static final double USUAL_CORES = 1;
+
+    /** Bandwidth of a process whose settings do not tell it, in megabits a second. */
+    public static final double USUAL_LINK_MBPS = 1_000;
+
     /** Copies the seeds. */
     public GatewaySettings {
         seeds = List.copyOf(seeds);
     }
 
+    /**
+     * Returns this process as the others are to know it.
+     *
+     * @return its entry
+     */
+    public GatewayMember self() {
+        return new GatewayMember(
+                node.name(), node.zone(), listen.peers().toString(), node.linkMbps(), node.cores());
+    }
+
     /**
      * Who and where a process is.
      *
      * @param name its name, unlike all others
      * @param zone its data centre
      * @param firstStart true only if the whole installation starts for the first time
+     * @param cores processor it may use, in cores
+     * @param linkMbps bandwidth of its network link, in megabits a second
      */
-    public record Node(String name, String zone, boolean firstStart) {}
+    public record Node(
+            String name, String zone, boolean firstStart, double cores, double linkMbps) {
+        /**
+         * Creates a process of usual size.
+         *
+         * @param name its name, unlike all others
+         * @param zone its data centre
+         * @param firstStart true only if the whole installation starts for the first time
+         */
+        public Node(String name, String zone, boolean firstStart) {
+            this(name, zone, firstStart, USUAL_CORES, USUAL_LINK_MBPS);
+        }
+    }
 
     /**
      * Where a process listens.
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Membership.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Membership.java
@@ -15,27 +15,40 @@
  */
 package io.trailladder.entry.gateway;
 
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.trailladder.core.membership.GatewayMember;
 import io.trailladder.entry.loop.EventLoop;
 import io.trailladder.entry.mesh.PeerMesh;
 import io.trailladder.entry.port.CoordinationStore;
+import io.trailladder.entry.port.CoordinationStore.Freshness;
+import io.trailladder.entry.port.StoreBatch;
 import io.trailladder.entry.port.StoreFailure;
 import io.trailladder.entry.port.StoreItem;
 import io.trailladder.entry.port.StoreWrite;
 import io.vavr.control.Either;
-import java.nio.charset.StandardCharsets;
-import java.util.HashMap;
+import java.io.IOException;
+import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
+import org.tinylog.Logger;
 
 /**
  * This process's own entry in the store, under a lease, and those of the others.
  *
+ * <p>The list is read now and then rather than watched: when many processes start, each would else
+ * be told of each.
+ *
  * @since 0.2
  */
-public final class Membership implements StoreWatcher.Listener {
+public final class Membership {
     /** Prefix of the keys of all processes; their names follow it. */
     public static final String PREFIX = "trailladder/live/node/";
 
+    private static final ObjectMapper JSON = new ObjectMapper();
+    private static final long FIRST_LIST_MILLIS = 400;
+    private static final long SETTLING_LIST_MILLIS = 1_000;
+    private static final long LIST_MILLIS = 3_000;
+    private static final int SETTLING_LISTS = 3;
     private static final long TTL_MILLIS = 8_000;
     private static final long RENEW_MILLIS = 2_000;
     private static final long RETRY_MILLIS = 700;
@@ -44,10 +57,10 @@
     private final CoordinationStore store;
     private final StoreHealth health;
     private final PeerMesh mesh;
-    private final ClusterView view;
     private final String key;
-    private final String address;
-    private final Map<String, String> addresses = new HashMap<>();
+    private final GatewayMember self;
+    private final List<GatewayMember> listed = new ArrayList<>();
+    private int lists;
     private long ownRevision;
     private long lease;
     private boolean stopped;
@@ -58,31 +71,27 @@
      * @param loop the loop whose thread runs it
      * @param store the store
      * @param health told of answers and failures
-     * @param mesh told of the others' addresses
-     * @param view told of the others' names
-     * @param name this process's name
-     * @param address where it takes links
+     * @param mesh told of the others
+     * @param self this process
      */
     public Membership(
             EventLoop loop,
             CoordinationStore store,
             StoreHealth health,
             PeerMesh mesh,
-            ClusterView view,
-            String name,
-            String address) {
+            GatewayMember self) {
         this.loop = loop;
         this.store = store;
         this.health = health;
         this.mesh = mesh;
-        this.view = view;
-        this.key = PREFIX + name;
-        this.address = address;
+        this.key = PREFIX + self.name();
+        this.self = self;
     }
 
-    /** Writes the entry, and keeps it. */
+    /** Writes the entry and keeps it, and reads those of the others. */
     public void start() {
-        store.grant(TTL_MILLIS, this::granted);
+        grant();
+        loop.schedule(FIRST_LIST_MILLIS, this::list);
     }
 
     /** Takes the entry away. */
@@ -93,35 +102,58 @@
         }
     }
 
-    @Override
-    public void listed(List<StoreItem> items, long revision) {
-        addresses.clear();
-        ownRevision = 0;
-        items.forEach(this::take);
-        tell();
+    private void list() {
+        if (!stopped) {
+            listed.clear();
+            listAfter("");
+        }
     }
 
-    @Override
-    public void changed(StoreItem item) {
-        take(item);
-        tell();
+    private void listAfter(String afterKey) {
+        Freshness freshness = lists < SETTLING_LISTS ? Freshness.LATEST : Freshness.RECENT;
+        store.list(PREFIX, afterKey, freshness, this::page);
+    }
+
+    private void page(Either<StoreFailure, StoreBatch> result) {
+        if (result.isLeft()) {
+            health.failed(result.getLeft());
+            loop.schedule(SETTLING_LIST_MILLIS, this::list);
+            return;
+        }
+        health.answered();
+        List<StoreItem> items = result.get().items();
+        items.forEach(this::take);
+        if (result.get().more() && !items.isEmpty()) {
+            listAfter(items.get(items.size() - 1).key());
+            return;
+        }
+        lists++;
+        mesh.members(List.copyOf(listed));
+        boolean settling = lists < SETTLING_LISTS || mesh.lacksHub();
+        loop.schedule(settling ? SETTLING_LIST_MILLIS : LIST_MILLIS, this::list);
     }
 
     private void take(StoreItem item) {
-        String name = item.key().substring(PREFIX.length());
         if (item.key().equals(key)) {
-            ownRevision = item.gone() ? 0 : item.revision();
+            ownRevision = item.revision();
         }
-        if (item.gone()) {
-            addresses.remove(name);
-        } else {
-            addresses.put(name, new String(item.value(), StandardCharsets.UTF_8));
+        try {
+            listed.add(JSON.readValue(item.value(), GatewayMember.class));
+        } catch (IOException e) {
+            Logger.warn("entry {} cannot be read: {}", item.key(), e.getMessage());
         }
     }
 
-    private void tell() {
-        mesh.members(addresses.values());
-        view.members(addresses.keySet());
+    private byte[] value() {
+        try {
+            return JSON.writeValueAsBytes(self);
+        } catch (JsonProcessingException e) {
+            throw new IllegalStateException("entry is not writable", e);
+        }
+    }
+
+    private void grant() {
+        store.grant(TTL_MILLIS, this::granted);
     }
 
     private void granted(Either<StoreFailure, Long> result) {
@@ -134,8 +166,7 @@
         }
         health.answered();
         lease = result.get();
-        byte[] value = address.getBytes(StandardCharsets.UTF_8);
-        store.write(new StoreWrite(key, value, ownRevision, lease), this::written);
+        store.write(new StoreWrite(key, value(), ownRevision, lease), this::written);
     }
 
     private void written(Either<StoreFailure, Long> result) {
@@ -157,7 +188,7 @@
     private void renewed(Either<StoreFailure, Long> result) {
         if (result.isLeft() && result.getLeft() == StoreFailure.LEASE_GONE) {
             health.answered();
-            start();
+            grant();
             return;
         }
         if (result.isLeft()) {
@@ -185,7 +216,7 @@
                 key,
                 result -> {
                     result.peek(item -> ownRevision = item.gone() ? 0 : item.revision());
-                    start();
+                    grant();
                 });
     }
 }
--- /dev/null
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Peer.java
@@ -0,0 +1,96 @@
+/*
+ * Copyright 2026 The trailladder authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package io.trailladder.entry.gateway;
+
+import io.trailladder.core.worker.ServiceDemand;
+import io.trailladder.wire.NodeMessage.DigestScope;
+import io.trailladder.wire.NodeMessage.NodeDigest;
+import io.trailladder.wire.NodeMessage.NodeHello;
+import java.util.List;
+
+/** One linked peer and what it told last. */
+final class Peer {
+    private final NodeHello hello;
+    private DigestScope scope;
+    private long digestMillis;
+    private int processes;
+    private int members;
+    private List<ServiceDemand> demands = List.of();
+    private long usageTold;
+
+    Peer(NodeHello hello, long nowMillis) {
+        this.hello = hello;
+        this.digestMillis = nowMillis;
+    }
+
+    NodeHello hello() {
+        return hello;
+    }
+
+    String name() {
+        return hello.name();
+    }
+
+    /** Returns the name of this life of the peer. */
+    String life() {
+        return hello.name() + '/' + hello.incarnation();
+    }
+
+    void told(NodeDigest digest, long nowMillis) {
+        scope = digest.scope();
+        digestMillis = nowMillis;
+        processes = digest.processes();
+        members = digest.members();
+        demands = digest.demands();
+    }
+
+    /** Tells whether the peer relies on this process as its hub. */
+    boolean isLeaf() {
+        return scope == DigestScope.OWN;
+    }
+
+    /** Tells whether the peer has told anything yet. */
+    boolean isHeard() {
+        return scope != null;
+    }
+
+    long digestMillis() {
+        return digestMillis;
+    }
+
+    /** Returns how many processes the peer spoke for. */
+    int processes() {
+        return processes;
+    }
+
+    /** Returns how many processes the peer knows of. */
+    int members() {
+        return members;
+    }
+
+    List<ServiceDemand> demands() {
+        return demands;
+    }
+
+    /** Returns the latest change of usage that the peer was told of. */
+    long usageTold() {
+        return usageTold;
+    }
+
+    void usageTold(long sequence) {
+        usageTold = sequence;
+    }
+}
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Quotas.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Quotas.java
@@ -22,8 +22,11 @@
 import io.trailladder.wire.NodeMessage.TenantUse;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.BiFunction;
+import java.util.function.Predicate;
 
 /**
  * The tenants' limits over all processes.
@@ -33,11 +36,35 @@
 public final class Quotas {
     private static final double FILLED_AFTER_RESTART = 0.6;
     private static final double TOLERANCE_USED = 0.4;
+    private static final int MOST_REMEMBERED = 50_000;
 
     private final boolean firstStart;
     private final GatewaySettings.Tolerance tolerance;
     private final Map<String, QuotaBucket> buckets = new HashMap<>();
-    private final Map<String, Double> seenOfPeers = new HashMap<>();
+    private final Map<String, Double> seen = new RecentKeys();
+    private final Map<String, Double> ofLeaves = new RecentKeys();
+    private final Map<String, Double> told = new HashMap<>();
+
+    /** Counts by life and tenant; the lives of processes that are long gone fall out. */
+    private static final class RecentKeys extends LinkedHashMap<String, Double> {
+        private static final long serialVersionUID = 1L;
+
+        RecentKeys() {
+            super(16, 0.75f, true);
+        }
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, Double> eldest) {
+            return size() > MOST_REMEMBERED;
+        }
+    }
+
+    /** What is told of one tenant: all units, and the part that was told before. */
+    private record Told(double used, double before) {
+        static Told all(double used) {
+            return new Told(used, used);
+        }
+    }
 
     /**
      * Creates limits of no tenants.
@@ -97,23 +124,38 @@
     }
 
     /**
-     * Takes over what a peer has let pass.
+     * Takes over what peers have let pass. A first message tells no increase, but the level.
      *
-     * @param peerLife names the life of the peer
-     * @param uses what it let pass since its start
+     * @param source names the life of the peer, and what it counts
+     * @param uses what was let pass since that life began
      * @param nowMillis the time
      */
-    public void peerUsed(String peerLife, List<TenantUse> uses, long nowMillis) {
+    public void peerUsed(String source, List<TenantUse> uses, long nowMillis) {
         for (TenantUse use : uses) {
             QuotaBucket bucket = buckets.get(use.tenant());
-            if (bucket == null) {
-                continue;
+            if (bucket != null) {
+                if (!seen.containsKey(key(source, use))) {
+                    bucket.atMost(use.level(), nowMillis);
+                }
+                bucket.takenByPeers(increase(source, use), nowMillis);
             }
-            Double before = seenOfPeers.put(peerLife + '/' + use.tenant(), use.used());
-            if (before == null) {
-                bucket.atMost(use.level(), nowMillis);
-            } else {
-                bucket.takenByPeers(use.used() - before, nowMillis);
+        }
+    }
+
+    /**
+     * Takes over what a process has let pass that relies on this one to tell the others.
+     *
+     * @param life names the life of that process
+     * @param uses what it let pass since its start
+     * @param nowMillis the time
+     */
+    public void leafUsed(String life, List<TenantUse> uses, long nowMillis) {
+        for (TenantUse use : uses) {
+            QuotaBucket bucket = buckets.get(use.tenant());
+            if (bucket != null) {
+                double units = increase(life, use);
+                bucket.takenByLeaf(units, nowMillis);
+                ofLeaves.merge(key(life, use), units, Double::sum);
             }
         }
     }
@@ -129,17 +171,49 @@
     }
 
     /**
-     * Returns what this process has let pass, to be told to its peers.
+     * Returns what this process has let pass, to be told to the hub it relies on.
      *
      * @param nowMillis the time
      * @return its use of limited tenants
      */
-    public List<TenantUse> uses(long nowMillis) {
-        List<TenantUse> uses = new ArrayList<>();
-        buckets.forEach(
-                (name, bucket) ->
-                        uses.add(new TenantUse(name, bucket.used(), bucket.level(nowMillis))));
-        return uses;
+    public List<TenantUse> ownUses(long nowMillis) {
+        return uses(
+                nowMillis,
+                (name, bucket) -> {
+                    Double before = told.put(name, bucket.used());
+                    return new Told(bucket.used(), before == null ? 0 : before);
+                });
+    }
+
+    /**
+     * Returns what this process, and those that rely on it, have let pass.
+     *
+     * @param nowMillis the time
+     * @return their use of limited tenants
+     */
+    public List<TenantUse> groupUses(long nowMillis) {
+        return uses(
+                nowMillis,
+                (name, bucket) -> {
+                    told.put(name, bucket.used());
+                    return Told.all(bucket.usedByGroup());
+                });
+    }
+
+    /**
+     * Returns what all processes have let pass but one that relies on this process.
+     *
+     * @param leafLife names the life of that one
+     * @param nowMillis the time
+     * @return the use of limited tenants
+     */
+    public List<TenantUse> restUses(String leafLife, long nowMillis) {
+        return uses(
+                nowMillis,
+                (name, bucket) -> {
+                    double ofLeaf = ofLeaves.getOrDefault(leafLife + '/' + name, 0.0);
+                    return Told.all(bucket.usedByAll() - ofLeaf);
+                });
     }
 
     /**
@@ -158,6 +232,27 @@
         return tokens > 0 ? tokens : limit.unsizedTokens();
     }
 
+    private double increase(String source, TenantUse use) {
+        Double before = seen.put(key(source, use), use.used());
+        return use.used() - (before == null ? use.toldBefore() : before);
+    }
+
+    private static String key(String source, TenantUse use) {
+        return source + '/' + use.tenant();
+    }
+
+    private List<TenantUse> uses(long nowMillis, BiFunction<String, QuotaBucket, Told> figures) {
+        List<TenantUse> uses = new ArrayList<>();
+        buckets.forEach(
+                (name, bucket) -> {
+                    Told figure = figures.apply(name, bucket);
+                    uses.add(
+                            new TenantUse(
+                                    name, figure.used(), figure.before(), bucket.level(nowMillis)));
+                });
+        return uses;
+    }
+
     /** Nobody may know what was used before all processes restarted at once, perhaps twice. */
     private static double levelAfterRestart(RateSpec limit) {
         return Math.min(limit.perSecond(), limit.burst() * FILLED_AFTER_RESTART);
@@ -177,7 +272,7 @@
                 limit.unsizedTokens());
     }
 
-    private static java.util.function.Predicate<TenantSpec> named(String name) {
+    private static Predicate<TenantSpec> named(String name) {
         return tenant -> tenant.name().equals(name);
     }
 }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/SettingsReader.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/SettingsReader.java
@@ -93,7 +93,10 @@
                         new Node(
                                 text("/node/name"),
                                 text("/node/zone"),
-                                root.at("/node/first_start").asBoolean(false)),
+                                root.at("/node/first_start").asBoolean(false),
+                                number("/capacity/core_share", GatewaySettings.USUAL_CORES)
+                                        * number("/capacity/core_speed", 1),
+                                number("/capacity/link_mbps", GatewaySettings.USUAL_LINK_MBPS)),
                         new Listen(
                                 address("/listen/callers"),
                                 address("/listen/health"),
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/StoreWatcher.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/StoreWatcher.java
@@ -17,6 +17,7 @@
 
 import io.trailladder.entry.loop.EventLoop;
 import io.trailladder.entry.port.CoordinationStore;
+import io.trailladder.entry.port.CoordinationStore.Freshness;
 import io.trailladder.entry.port.StoreBatch;
 import io.trailladder.entry.port.StoreFailure;
 import io.trailladder.entry.port.StoreItem;
@@ -41,6 +42,7 @@
     private final StoreHealth health;
     private final SplittableRandom random;
     private final String prefix;
+    private final long pauseMillis;
     private final Listener listener;
     private final List<StoreItem> listed = new ArrayList<>();
     private Runnable cancelWatch = () -> {};
@@ -48,6 +50,7 @@
     private long backoffMillis = FIRST_BACKOFF_MILLIS;
     private int round;
     private boolean complete;
+    private boolean running;
 
     /** Told of the keys. */
     public interface Listener {
@@ -75,6 +78,8 @@
      * @param health told of answers and failures
      * @param random spreads repeated calls
      * @param prefix the prefix to follow
+     * @param pauseMillis pause after changes, in milliseconds, so that those that come close
+     *     together are told by one call
      * @param listener told of the keys
      */
     public StoreWatcher(
@@ -83,18 +88,21 @@
             StoreHealth health,
             SplittableRandom random,
             String prefix,
+            long pauseMillis,
             Listener listener) {
         this.loop = loop;
         this.store = store;
         this.health = health;
         this.random = random;
         this.prefix = prefix;
+        this.pauseMillis = pauseMillis;
         this.listener = listener;
-        health.onRegained(this::restart);
+        health.onRegained(this::resume);
     }
 
     /** Begins, or begins anew, with reading all keys. */
     public void restart() {
+        running = true;
         round++;
         cancelWatch.run();
         cancelWatch = () -> {};
@@ -102,6 +110,23 @@
         list(round, "");
     }
 
+    /** Stops following. */
+    public void stop() {
+        running = false;
+        round++;
+        cancelWatch.run();
+        cancelWatch = () -> {};
+    }
+
+    /**
+     * Tells whether the keys are followed.
+     *
+     * @return false before the start and after a stop
+     */
+    public boolean isRunning() {
+        return running;
+    }
+
     /**
      * Tells whether all keys were read at least once.
      *
@@ -112,7 +137,7 @@
     }
 
     private void list(int current, String afterKey) {
-        store.list(prefix, afterKey, result -> page(current, afterKey, result));
+        store.list(prefix, afterKey, Freshness.LATEST, result -> page(current, afterKey, result));
     }
 
     private void page(int current, String afterKey, Either<StoreFailure, StoreBatch> result) {
@@ -167,7 +192,23 @@
             listener.changed(item);
         }
         revision = Math.max(revision, batch.revision());
-        watch(current);
+        if (batch.items().isEmpty() || pauseMillis == 0) {
+            watch(current);
+        } else {
+            loop.schedule(pauseMillis, () -> watchIfCurrent(current));
+        }
+    }
+
+    private void watchIfCurrent(int current) {
+        if (current == round) {
+            watch(current);
+        }
+    }
+
+    private void resume() {
+        if (running) {
+            restart();
+        }
     }
 
     /** Reads all keys again after a pause; at once if the store has lost its history. */
--- a/trailladder-entry/src/main/java/io/trailladder/entry/mesh/MeshListener.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/mesh/MeshListener.java
@@ -38,4 +38,11 @@
      * @param message the message
      */
     void received(NodeHello peer, NodeMessage message);
+
+    /**
+     * Tells whether this process must act as a hub.
+     *
+     * @return true if others rely on it, or it leads
+     */
+    boolean isNeeded();
 }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/mesh/NodeLink.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/mesh/NodeLink.java
@@ -28,12 +28,14 @@
 /** One connection to a peer. */
 final class NodeLink {
     private final Connection<SocketAddress> connection;
+    private final String dialledAddress;
     private NodeHello peer;
     private long heardMillis;
 
     @SuppressWarnings("unchecked") // a TCP connection's address type
-    NodeLink(Connection<?> connection, long nowMillis) {
+    NodeLink(Connection<?> connection, String dialledAddress, long nowMillis) {
         this.connection = (Connection<SocketAddress>) connection;
+        this.dialledAddress = dialledAddress;
         this.heardMillis = nowMillis;
     }
 
@@ -49,6 +51,16 @@
         return peer;
     }
 
+    /** Tells whether this process opened the link. */
+    boolean isDialled() {
+        return !dialledAddress.isEmpty();
+    }
+
+    /** Returns where the peer takes links; empty if it is not known yet. */
+    String peerAddress() {
+        return isGreeted() ? peer.address() : dialledAddress;
+    }
+
     void heard(long nowMillis) {
         heardMillis = nowMillis;
     }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/mesh/PeerMesh.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/mesh/PeerMesh.java
@@ -15,6 +15,10 @@
  */
 package io.trailladder.entry.mesh;
 
+import io.trailladder.core.membership.GatewayMember;
+import io.trailladder.core.membership.HubTopology;
+import io.trailladder.core.membership.LinkPlanner;
+import io.trailladder.core.membership.LinkPlanner.LinkPlan;
 import io.trailladder.entry.http.SocketFilter;
 import io.trailladder.entry.loop.EventLoop;
 import io.trailladder.entry.loop.LoopTimer;
@@ -38,8 +42,8 @@
 /**
  * Links to the other gateway processes.
  *
- * <p>Of two processes that know each other, the one whose address sorts lower opens the link.
- * Addresses from the settings are tried by everyone while a process has no link at all.
+ * <p>{@link LinkPlanner} decides whom to link to. Addresses from the settings are tried by everyone
+ * while a process has no link at all.
  *
  * @since 0.2
  */
@@ -53,25 +57,29 @@
 
     private final EventLoop loop;
     private final NodeHello self;
+    private final LinkPlanner planner;
     private final MeshListener listener;
     private final FilterChain chain;
     private final Set<NodeLink> open = new HashSet<>();
     private final Map<String, NodeLink> links = new HashMap<>();
     private final Map<String, Long> heard = new HashMap<>();
     private final Set<String> dialling = new HashSet<>();
-    private Set<String> members = Set.of();
     private Set<String> seeds = Set.of();
+    private LinkPlan plan = new LinkPlan(false, Set.of());
+    private boolean planned;
 
     /**
      * Creates a mesh.
      *
      * @param loop the loop whose thread runs it
-     * @param self how this process presents itself
+     * @param self this process
+     * @param incarnation names this life of this process
      * @param listener told of peers and messages
      */
-    public PeerMesh(EventLoop loop, NodeHello self, MeshListener listener) {
+    public PeerMesh(EventLoop loop, GatewayMember self, String incarnation, MeshListener listener) {
         this.loop = loop;
-        this.self = self;
+        this.self = new NodeHello(self.name(), incarnation, self.dataCentre(), self.address());
+        this.planner = new LinkPlanner(self);
         this.listener = listener;
         this.chain =
                 FilterChainBuilder.stateless()
@@ -92,15 +100,53 @@
     }
 
     /**
-     * Sets the addresses of the peers that the store lists.
+     * Sets the processes that the store lists.
      *
-     * @param addresses host and port of each
+     * @param listed all of them
      */
-    public void members(Collection<String> addresses) {
-        members = new HashSet<>(addresses);
+    public void members(Collection<GatewayMember> listed) {
+        planner.members(listed);
+        planned = true;
         maintain();
     }
 
+    /**
+     * Returns how many processes are known, this one included.
+     *
+     * @return a count of at least 1
+     */
+    public int size() {
+        return planner.size();
+    }
+
+    /**
+     * Tells whether this process acts as a hub, as all do where there are few.
+     *
+     * @return false for a leaf, and until the processes are known
+     */
+    public boolean isHub() {
+        return planned && plan.hub();
+    }
+
+    /**
+     * Tells whether this process relies on a peer to pass on what it tells.
+     *
+     * @param peer the peer
+     * @return true for the hub of a leaf
+     */
+    public boolean isOwnHub(NodeHello peer) {
+        return !plan.hub() && plan.dial().contains(peer.address());
+    }
+
+    /**
+     * Tells whether this process looks for a hub that it can reach.
+     *
+     * @return true for a leaf without link
+     */
+    public boolean lacksHub() {
+        return planned && !plan.hub() && plan.dial().stream().noneMatch(this::isLinked);
+    }
+
     /**
      * Sets the addresses from the settings.
      *
@@ -159,34 +205,54 @@
     private void maintain() {
         long now = loop.nowMillis();
         for (NodeLink link : List.copyOf(open)) {
-            if (now - link.heardMillis() > SILENT_MILLIS) {
+            if (now - link.heardMillis() > longestSilenceMillis(link)) {
+                planner.unreachable(link.peerAddress(), now);
                 link.close();
             }
         }
-        for (String member : members) {
-            if (self.address().compareTo(member) < 0) {
-                dialIfMissing(member);
-            }
-        }
+        plan = planner.plan(listener.isNeeded(), now);
+        closeUnwanted();
+        plan.dial().forEach(this::dialIfMissing);
         if (links.isEmpty()) {
             seeds.forEach(this::dialIfMissing);
         }
     }
 
+    /** A leaf looks for another hub soon. */
+    private long longestSilenceMillis(NodeLink link) {
+        boolean ownHub = link.isGreeted() && isOwnHub(link.peer());
+        return ownHub ? HEARD_MILLIS : SILENT_MILLIS;
+    }
+
+    /** Links that were opened before the processes were known are not needed by a leaf or hub. */
+    private void closeUnwanted() {
+        if (planner.size() <= HubTopology.FULL_MESH_MOST) {
+            return;
+        }
+        for (NodeLink link : List.copyOf(open)) {
+            if (link.isDialled() && !plan.dial().contains(link.peerAddress())) {
+                link.close();
+            }
+        }
+    }
+
+    private boolean isLinked(String address) {
+        return links.values().stream().anyMatch(link -> link.peer().address().equals(address));
+    }
+
     private void dialIfMissing(String address) {
-        boolean linked =
-                links.values().stream().anyMatch(link -> link.peer().address().equals(address));
-        if (linked || address.equals(self.address()) || !dialling.add(address)) {
+        boolean none = address.equals(self.address()) || isLinked(address);
+        if (none || !dialling.add(address)) {
             return;
         }
         HostPort target = HostPort.parse(address);
         Dial dial = new Dial(address);
-        dial.timeout = loop.schedule(CONNECT_MILLIS, dial::end);
+        dial.timeout = loop.schedule(CONNECT_MILLIS, dial::failed);
         loop.connect(
                 new InetSocketAddress(target.host(), target.port()),
                 chain,
                 dial::opened,
-                cause -> dial.end());
+                cause -> loop.execute(dial::failed));
     }
 
     private void greet(NodeLink link) {
@@ -209,13 +275,20 @@
                 return;
             }
             end();
-            NodeLink link = new NodeLink(connection, loop.nowMillis());
+            NodeLink link = new NodeLink(connection, address, loop.nowMillis());
             NodeFrameFilter.attach(connection, link);
             open.add(link);
             greet(link);
         }
 
-        void end() {
+        void failed() {
+            if (!over) {
+                end();
+                planner.unreachable(address, loop.nowMillis());
+            }
+        }
+
+        private void end() {
             over = true;
             timeout.cancel();
             dialling.remove(address);
@@ -226,7 +299,7 @@
     private final class Frames implements NodeFrameFilter.Listener {
         @Override
         public NodeLink accepted(Connection<?> connection) {
-            NodeLink link = new NodeLink(connection, loop.nowMillis());
+            NodeLink link = new NodeLink(connection, "", loop.nowMillis());
             open.add(link);
             greet(link);
             return link;
@@ -253,6 +326,7 @@
             open.remove(link);
             if (link.isGreeted()) {
                 links.remove(link.peer().name(), link);
+                planner.unreachable(link.peerAddress(), loop.nowMillis());
             }
         }
     }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/port/CoordinationStore.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/port/CoordinationStore.java
@@ -25,14 +25,27 @@
  * @since 0.2
  */
 public interface CoordinationStore {
+    /** How new the result of a read must be. */
+    enum Freshness {
+        /** With every write that was answered before. */
+        LATEST,
+        /** Perhaps seconds old, which costs less. */
+        RECENT
+    }
+
     /**
      * Reads the keys with a prefix.
      *
      * @param prefix the prefix
      * @param afterKey only keys after this one; empty for the first part
+     * @param freshness how new they must be
      * @param result told of the keys
      */
-    void list(String prefix, String afterKey, Consumer<Either<StoreFailure, StoreBatch>> result);
+    void list(
+            String prefix,
+            String afterKey,
+            Freshness freshness,
+            Consumer<Either<StoreFailure, StoreBatch>> result);
 
     /**
      * Reads one key.
--- a/trailladder-entry/src/test/java/io/trailladder/entry/gateway/QuotasTest.java
+++ b/trailladder-entry/src/test/java/io/trailladder/entry/gateway/QuotasTest.java
@@ -67,9 +67,9 @@
     void peersUseCountsOnceHoweverOftenItIsTold() {
         Quotas quotas = new Quotas(true, EXACT);
         quotas.policy(policy(1_000, 1_000), 0);
-        quotas.peerUsed("p/1", List.of(new TenantUse(TENANT, 0, 1_000)), 0);
-        quotas.peerUsed("p/1", List.of(new TenantUse(TENANT, 400, 600)), 0);
-        quotas.peerUsed("p/1", List.of(new TenantUse(TENANT, 400, 600)), 0);
+        quotas.peerUsed("p/1", List.of(new TenantUse(TENANT, 0, 0, 1_000)), 0);
+        quotas.peerUsed("p/1", List.of(new TenantUse(TENANT, 400, 400, 600)), 0);
+        quotas.peerUsed("p/1", List.of(new TenantUse(TENANT, 400, 400, 600)), 0);
         assertEquals(600, passedAtOnce(quotas));
     }
 
--- a/trailladder-wire/src/main/java/io/trailladder/wire/NodeMessage.java
+++ b/trailladder-wire/src/main/java/io/trailladder/wire/NodeMessage.java
@@ -37,23 +37,39 @@
     record NodeHello(String name, String incarnation, String zone, String address)
             implements NodeMessage {}
 
+    /** Whose figures a digest carries. */
+    enum DigestScope {
+        /** The sender's own: it relies on the receiver to pass them on. */
+        OWN,
+        /** Those of the sender, a hub, and of all that rely on it. */
+        GROUP,
+        /** Those of all processes but the receiver, as its hub sees them. */
+        REST
+    }
+
     /**
      * What the sender knows and does, sent a few times a second.
      *
      * @param policyVersion version of the policy in force there; 0 if it knows none
      * @param directoryRevision revision of its list of upstreams; 0 if it knows none
      * @param draining true if it is stopping
-     * @param usage requests that began to run there, in recent windows
-     * @param quotas what it let pass, by tenant
-     * @param uses what it has under way at upstreams
-     * @param demands the load of services there
+     * @param scope whose figures follow
+     * @param processes how many processes the figures are of
+     * @param members how many processes the sender knows of, itself included
+     * @param usage requests that began to run, where that has changed since the digest before
+     * @param quotas what was let pass, by tenant
+     * @param uses what is under way at upstreams
+     * @param demands the load of services
      * @param leaving upstreams it saw leaving lately
      */
     record NodeDigest(
             long policyVersion,
             long directoryRevision,
             boolean draining,
-            List<UsageCount> usage,
+            DigestScope scope,
+            int processes,
+            int members,
+            List<UsageHistory> usage,
             List<TenantUse> quotas,
             List<WorkerUse> uses,
             List<ServiceDemand> demands,
@@ -61,13 +77,14 @@
             implements NodeMessage {}
 
     /**
-     * One tenant's use at one entry.
+     * One tenant's use.
      *
      * @param tenant the tenant
-     * @param used units let pass since the entry's start
-     * @param level units left over all entries, as that entry sees it
+     * @param used units let pass since the sender's start
+     * @param toldBefore the part of them that other processes have been told of already
+     * @param level units left over all processes, as the sender sees it
      */
-    record TenantUse(String tenant, double used, double level) {}
+    record TenantUse(String tenant, double used, double toldBefore, double level) {}
 
     /**
      * Requests that began to run at one process, told to a peer that may not have heard of them.
