--- a/trailladder-core/src/test/java/io/trailladder/core/duty/UsageLedgerTest.java
+++ b/trailladder-core/src/test/java/io/trailladder/core/duty/UsageLedgerTest.java
@@ -50,4 +50,23 @@
         ledger.merge("b/2", List.of(new UsageCount(1, "t", 2)), false);
         assertEquals(Map.of("t", 7), ledger.total(1));
     }
+
+    @Example
+    void onlyWhatIsToBePassedOnIsNews() {
+        UsageLedger ledger = new UsageLedger("hub/1", WINDOW);
+        ledger.started("t", 5_000);
+        ledger.merge("leaf/1", List.of(new UsageCount(1, "t", 5)), true);
+        ledger.merge("other-hub/1", List.of(new UsageCount(1, "t", 9)), false);
+        long told = ledger.sequence();
+        assertEquals(
+                Map.of(
+                        "hub/1", List.of(new UsageCount(1, "t", 1)),
+                        "leaf/1", List.of(new UsageCount(1, "t", 5))),
+                ledger.changesAfter(0));
+        ledger.merge("leaf/1", List.of(new UsageCount(1, "t", 5)), true);
+        assertEquals(Map.of(), ledger.changesAfter(told));
+        ledger.merge("leaf/1", List.of(new UsageCount(1, "t", 7)), true);
+        assertEquals(
+                Map.of("leaf/1", List.of(new UsageCount(1, "t", 7))), ledger.changesAfter(told));
+    }
 }
--- /dev/null
+++ b/trailladder-core/src/test/java/io/trailladder/core/worker/WorkerLoadsTest.java
@@ -0,0 +1,63 @@
+/*
+ * Copyright 2026 The trailladder authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package io.trailladder.core.worker;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import net.jqwik.api.Example;
+
+/** Sums of the work under way at upstreams, as hubs tell them. */
+class WorkerLoadsTest {
+    private static Map<String, Integer> requests(List<WorkerUse> uses) {
+        Map<String, Integer> requests = new TreeMap<>();
+        uses.forEach(use -> requests.put(use.worker(), use.requests()));
+        return requests;
+    }
+
+    private static WorkerLoads loads() {
+        WorkerLoads loads = new WorkerLoads();
+        loads.sent("u1", 100);
+        loads.peerUses("leaf", List.of(new WorkerUse("u1", 2, 10), new WorkerUse("u2", 3, 20)));
+        loads.peerUses("hub", List.of(new WorkerUse("u3", 4, 30)));
+        return loads;
+    }
+
+    @Example
+    void groupHoldsOwnAndLeavesAndRestAllButOne() {
+        WorkerLoads loads = loads();
+        assertEquals(Map.of("u1", 3, "u2", 3), requests(loads.groupUses(List.of("leaf"))));
+        assertEquals(Map.of("u1", 1, "u3", 4), requests(loads.restUses("leaf")));
+        assertEquals(Map.of("u1", 1), requests(loads.ownUses()));
+        assertEquals(3, loads.requests("u1"));
+        assertEquals(110, loads.promptTokens("u1"));
+    }
+
+    @Example
+    void newerFiguresReplaceOlderOnesAndALostPeerCountsNothing() {
+        WorkerLoads loads = loads();
+        loads.peerUses("leaf", List.of(new WorkerUse("u2", 1, 5)));
+        assertEquals(1, loads.requests("u1"));
+        assertEquals(1, loads.requests("u2"));
+        assertEquals(5, loads.promptTokens("u2"));
+        loads.peerLost("leaf");
+        loads.peerLost("leaf");
+        assertEquals(0, loads.requests("u2"));
+        assertEquals(4, loads.requests("u3"));
+    }
+}
--- a/trailladder-entry/src/test/java/io/trailladder/entry/gateway/QuotasTest.java
+++ b/trailladder-entry/src/test/java/io/trailladder/entry/gateway/QuotasTest.java
@@ -80,4 +80,43 @@
         quotas.policy(policy(10, 50), 0);
         assertTrue(passedAtOnce(quotas) <= 50);
     }
+
+    private static Quotas limited(double burst) {
+        Quotas quotas = new Quotas(true, EXACT);
+        quotas.policy(policy(0.001, burst), 0);
+        return quotas;
+    }
+
+    @Example
+    void useOfALeafReachesAllThroughItsHubAndComesBackToNobody() {
+        Quotas leaf = limited(1_000);
+        Quotas hub = limited(1_000);
+        Quotas otherHub = limited(1_000);
+        Quotas otherLeaf = limited(1_000);
+        otherHub.peerUsed("hub/1", hub.groupUses(0), 0);
+        otherLeaf.peerUsed("hub2/1/rest", otherHub.restUses("leaf2/1", 0), 0);
+        leaf.tryTake(TENANT, 400, 0);
+        hub.leafUsed("leaf/1", leaf.ownUses(0), 0);
+        leaf.peerUsed("hub/1/rest", hub.restUses("leaf/1", 0), 0);
+        otherHub.peerUsed("hub/1", hub.groupUses(0), 0);
+        otherLeaf.peerUsed("hub2/1/rest", otherHub.restUses("leaf2/1", 0), 0);
+        assertEquals(600, passedAtOnce(leaf));
+        assertEquals(600, passedAtOnce(hub));
+        assertEquals(600, passedAtOnce(otherHub));
+        assertEquals(600, passedAtOnce(otherLeaf));
+    }
+
+    @Example
+    void leafThatChangesItsHubTellsNothingTwiceAndNothingIsMissed() {
+        Quotas leaf = limited(1_000);
+        Quotas first = limited(1_000);
+        Quotas second = limited(1_000);
+        second.peerUsed("first/1", first.groupUses(0), 0);
+        leaf.tryTake(TENANT, 300, 0);
+        first.leafUsed("leaf/1", leaf.ownUses(0), 0);
+        second.peerUsed("first/1", first.groupUses(0), 0);
+        leaf.tryTake(TENANT, 200, 0);
+        second.leafUsed("leaf/1", leaf.ownUses(0), 0);
+        assertEquals(500, passedAtOnce(second));
+    }
 }
