Let hubs tell leaves of policy and upstreams

Change: a leaf whose hub can reach the store and answers in time stops its own watches; the hub passes each change of the list of upstreams on, with the revision it follows, and a missing one is asked for. A silent hub, or one that has lost the store, makes the leaf follow the store itself again. Hubs renew their entry every 0.9 s, so that they know soon.

--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ClusterView.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ClusterView.java
@@ -29,6 +29,7 @@
 import io.trailladder.wire.NodeMessage.NodeHello;
 import io.trailladder.wire.NodeMessage.Snapshot;
 import io.trailladder.wire.NodeMessage.SnapshotAsk;
+import io.trailladder.wire.NodeMessage.UpstreamNews;
 import io.trailladder.wire.NodeMessage.UsageHistory;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -49,8 +50,10 @@
     public static final long DIGEST_MILLIS = 200;
 
     private static final long ASK_MILLIS = 300;
+    private static final long FED_MILLIS = 800;
     private static final int RECENT_LEAVING = 32;
     private static final double LEAST_BUSY = 0.02;
+    private static final byte[] NO_BYTES = {};
 
     private final EventLoop loop;
     private final PolicyKeeper policies;
@@ -101,6 +104,7 @@
         this.writer = new DigestWriter(policies, directory, quotas, loads, usage, demand);
         this.metrics = metrics;
         directory.onLeaving(worker -> remember(worker.id()));
+        directory.onNews(this::tellLeaves);
     }
 
     /**
@@ -163,6 +167,29 @@
         return busy < LEAST_BUSY ? -1 : busy;
     }
 
+    /**
+     * Tells whether a hub tells this process of policy and upstreams in time, so that it need not
+     * follow the store itself.
+     *
+     * @param before true if that was so until now
+     * @return false for hubs, and while the hub is silent or cannot reach the store
+     */
+    public boolean isFed(boolean before) {
+        if (mesh.isHub()) {
+            return false;
+        }
+        long oldest = loop.nowMillis() - FED_MILLIS;
+        return counted().stream()
+                .filter(peer -> !peer.isLeaf())
+                .filter(peer -> peer.isStoreReachable() && peer.digestMillis() >= oldest)
+                .anyMatch(peer -> before || isLevelWith(peer));
+    }
+
+    private boolean isLevelWith(Peer peer) {
+        return policies.version() >= peer.policyVersion()
+                && directory.revision() >= peer.directoryRevision();
+    }
+
     @Override
     public boolean isNeeded() {
         return leads.getAsBoolean() || !leaves().isEmpty();
@@ -176,7 +203,7 @@
         peers.put(hello.name(), peer);
         tell(peer);
         if (!store.isReachable() || policies.version() == 0) {
-            mesh.send(hello.name(), new SnapshotAsk(policies.version()));
+            mesh.send(hello.name(), ask());
         }
     }
 
@@ -186,14 +213,10 @@
             digest(peers.computeIfAbsent(hello.name(), name -> newPeer(hello)), digest);
         } else if (message instanceof UsageHistory history) {
             usage.merge(history.life(), history.usage(), false);
-        } else if (message instanceof SnapshotAsk) {
-            mesh.send(
-                    hello.name(),
-                    new Snapshot(
-                            policies.version(),
-                            policies.bytes(),
-                            directory.revision(),
-                            directory.entries()));
+        } else if (message instanceof SnapshotAsk ask) {
+            mesh.send(hello.name(), newerThan(ask));
+        } else if (message instanceof UpstreamNews news && isFromOwnHub(hello)) {
+            directory.fromPeer(news);
         } else if (message instanceof Snapshot snapshot) {
             snapshot(hello, snapshot);
         }
@@ -234,19 +257,44 @@
     private void askIfNewer(Peer peer, NodeDigest digest, long now) {
         boolean newerPolicy = digest.policyVersion() > policies.version();
         boolean newerList =
-                !store.isReachable() && digest.directoryRevision() > directory.revision();
+                digest.directoryRevision() > directory.revision()
+                        && (!store.isReachable() || isFromOwnHub(peer.hello()));
         if ((newerPolicy || newerList) && now - askedMillis >= ASK_MILLIS) {
             askedMillis = now;
-            mesh.send(peer.name(), new SnapshotAsk(policies.version()));
+            mesh.send(peer.name(), ask());
         }
     }
 
+    private SnapshotAsk ask() {
+        return new SnapshotAsk(policies.version(), directory.revision());
+    }
+
+    private Snapshot newerThan(SnapshotAsk ask) {
+        boolean newerPolicy = policies.version() > ask.policyVersion();
+        boolean newerList = directory.revision() > ask.directoryRevision();
+        return new Snapshot(
+                policies.version(),
+                newerPolicy ? policies.bytes() : NO_BYTES,
+                directory.revision(),
+                newerList ? directory.entries() : List.of());
+    }
+
+    private void tellLeaves(UpstreamNews news) {
+        if (mesh != null && mesh.isHub()) {
+            leaves().forEach(leaf -> mesh.send(leaf.name(), news));
+        }
+    }
+
+    private boolean isFromOwnHub(NodeHello hello) {
+        return !mesh.isHub() && mesh.isOwnHub(hello);
+    }
+
     private void snapshot(NodeHello hello, Snapshot snapshot) {
         if (snapshot.policyVersion() > policies.version()
                 && policies.offer(snapshot.policy(), hello.name())) {
             metrics.count(GatewayMetrics.Event.POLICY_FROM_PEER);
         }
-        if (!store.isReachable() || directory.revision() == 0) {
+        if (!store.isReachable() || directory.revision() == 0 || isFromOwnHub(hello)) {
             directory.fromPeer(snapshot.workers(), snapshot.directoryRevision(), hello.name());
         }
     }
@@ -275,7 +323,9 @@
 
     private void tell(Peer peer) {
         long now = loop.nowMillis();
-        SenderState state = new SenderState(draining, entries(), List.copyOf(recentLeaving));
+        SenderState state =
+                new SenderState(
+                        store.isReachable(), draining, entries(), List.copyOf(recentLeaving));
         if (!mesh.isHub()) {
             if (mesh.isOwnHub(peer.hello())) {
                 sendNews(peer, writer.own(state, peer.usageTold(), now));
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/DigestWriter.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/DigestWriter.java
@@ -43,11 +43,13 @@
     /**
      * What a digest says of its sender.
      *
+     * @param storeReachable true if the platform's store answers it
      * @param draining true if it is stopping
      * @param members how many processes it knows of
      * @param leaving upstreams it saw leaving lately
      */
-    record SenderState(boolean draining, int members, List<String> leaving) {}
+    record SenderState(
+            boolean storeReachable, boolean draining, int members, List<String> leaving) {}
 
     DigestWriter(
             PolicyKeeper policies,
@@ -136,6 +138,7 @@
         return new NodeDigest(
                 policies.version(),
                 directory.revision(),
+                state.storeReachable(),
                 state.draining(),
                 scope,
                 processes,
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/DirectoryKeeper.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/DirectoryKeeper.java
@@ -20,6 +20,7 @@
 import io.trailladder.entry.gateway.DecisionLog.Belief;
 import io.trailladder.entry.port.PlatformFormat;
 import io.trailladder.entry.port.StoreItem;
+import io.trailladder.wire.NodeMessage.UpstreamNews;
 import io.trailladder.wire.NodeMessage.WorkerEntry;
 import io.vavr.control.Either;
 import java.util.ArrayList;
@@ -35,10 +36,13 @@
  * @since 0.2
  */
 public final class DirectoryKeeper implements StoreWatcher.Listener {
+    private static final byte[] NO_BYTES = {};
+
     private final PlatformFormat format;
     private final WorkerDirectory directory;
     private final List<Consumer<Worker>> onLeaving = new ArrayList<>();
     private final Map<String, byte[]> entries = new HashMap<>();
+    private Consumer<UpstreamNews> onNews = news -> {};
     private long revision;
 
     /**
@@ -61,6 +65,15 @@
         onLeaving.add(listener);
     }
 
+    /**
+     * Has a listener told of every change that the store tells.
+     *
+     * @param listener the listener
+     */
+    public void onNews(Consumer<UpstreamNews> listener) {
+        onNews = listener;
+    }
+
     @Override
     public void listed(List<StoreItem> items, long atRevision) {
         entries.clear();
@@ -70,15 +83,34 @@
 
     @Override
     public void changed(StoreItem item) {
-        String id = idOf(item.key());
+        long before = revision;
         revision = Math.max(revision, item.revision());
-        if (item.gone()) {
+        String id = idOf(item.key());
+        byte[] value = item.gone() ? NO_BYTES : item.value();
+        apply(id, value);
+        onNews.accept(new UpstreamNews(before, revision, new WorkerEntry(id, value)));
+    }
+
+    /**
+     * Takes over a change that a peer tells, if nothing between it and the list here is missing.
+     *
+     * @param news the change
+     */
+    public void fromPeer(UpstreamNews news) {
+        if (news.after() <= revision && news.revision() > revision) {
+            revision = news.revision();
+            apply(news.upstream().id(), news.upstream().value());
+        }
+    }
+
+    private void apply(String id, byte[] value) {
+        if (value.length == 0) {
             entries.remove(id);
             directory.removed(id).ifPresent(worker -> left(worker, "gone"));
             return;
         }
-        entries.put(id, item.value());
-        Either<String, Worker> worker = format.worker(id, item.value());
+        entries.put(id, value);
+        Either<String, Worker> worker = format.worker(id, value);
         if (worker.isLeft()) {
             Logger.warn("entry of upstream {} cannot be read: {}", id, worker.getLeft());
             return;
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
@@ -91,6 +91,7 @@
     private final long startedMillis = loop.nowMillis();
     private final Runnable onStopped;
     private boolean stopping;
+    private boolean fed;
 
     /**
      * Wires a process; nothing runs yet.
@@ -198,7 +199,7 @@
         mesh.start(settings.listen().peers());
         view.start(mesh, duties::leads);
         loop.repeat(STATE_MILLIS, this::tellState);
-        loop.repeat(ROLE_MILLIS, this::followLeader);
+        loop.repeat(ROLE_MILLIS, this::followStore);
         loop.execute(
                 () -> {
                     policyWatcher.restart();
@@ -283,6 +284,19 @@
         exchange.respond(OK, headers, text.toByteArray());
     }
 
+    /** What a hub tells in time is not asked of the store as well. */
+    private void followStore() {
+        fed = view.isFed(fed);
+        for (StoreWatcher watcher : List.of(policyWatcher, directoryWatcher)) {
+            if (fed && watcher.isRunning()) {
+                watcher.stop();
+            } else if (!fed && !watcher.isRunning()) {
+                watcher.restart();
+            }
+        }
+        followLeader();
+    }
+
     /** Hubs alone look after leadership, so that a lost leader is not followed by all at once. */
     private void followLeader() {
         if (mesh.isHub() && !leaderWatcher.isRunning()) {
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Membership.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Membership.java
@@ -18,6 +18,7 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import io.trailladder.core.membership.GatewayMember;
+import io.trailladder.core.membership.HubTopology;
 import io.trailladder.entry.loop.EventLoop;
 import io.trailladder.entry.mesh.PeerMesh;
 import io.trailladder.entry.port.CoordinationStore;
@@ -51,6 +52,7 @@
     private static final int SETTLING_LISTS = 3;
     private static final long TTL_MILLIS = 8_000;
     private static final long RENEW_MILLIS = 2_000;
+    private static final long HUB_RENEW_MILLIS = 900;
     private static final long RETRY_MILLIS = 700;
 
     private final EventLoop loop;
@@ -197,7 +199,13 @@
             return;
         }
         health.answered();
-        loop.schedule(RENEW_MILLIS, this::renew);
+        loop.schedule(renewMillis(), this::renew);
+    }
+
+    /** A hub must know soon that the store is lost, because its leaves rely on it. */
+    private long renewMillis() {
+        boolean feeds = mesh.isHub() && mesh.size() > HubTopology.FULL_MESH_MOST;
+        return feeds ? HUB_RENEW_MILLIS : RENEW_MILLIS;
     }
 
     private void retryLater(StoreFailure failure) {
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Peer.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Peer.java
@@ -30,6 +30,9 @@
     private int members;
     private List<ServiceDemand> demands = List.of();
     private long usageTold;
+    private boolean storeReachable;
+    private long policyVersion;
+    private long directoryRevision;
 
     Peer(NodeHello hello, long nowMillis) {
         this.hello = hello;
@@ -55,6 +58,9 @@
         processes = digest.processes();
         members = digest.members();
         demands = digest.demands();
+        storeReachable = digest.storeReachable();
+        policyVersion = digest.policyVersion();
+        directoryRevision = digest.directoryRevision();
     }
 
     /** Tells whether the peer relies on this process as its hub. */
@@ -81,6 +87,21 @@
         return members;
     }
 
+    /** Tells whether the platform's store answers the peer. */
+    boolean isStoreReachable() {
+        return storeReachable;
+    }
+
+    /** Returns the version of the policy in force at the peer. */
+    long policyVersion() {
+        return policyVersion;
+    }
+
+    /** Returns the revision of the peer's list of upstreams. */
+    long directoryRevision() {
+        return directoryRevision;
+    }
+
     List<ServiceDemand> demands() {
         return demands;
     }
--- a/trailladder-wire/src/main/java/io/trailladder/wire/MessageType.java
+++ b/trailladder-wire/src/main/java/io/trailladder/wire/MessageType.java
@@ -82,14 +82,16 @@
     RANGE_MAP_NEWS(28, PeerMessage.RangeMapNews.class),
     /** {@link NodeMessage.NodeHello}. */
     NODE_HELLO(29, NodeMessage.NodeHello.class),
-    /** {@link NodeMessage.SnapshotAsk}. */
-    SNAPSHOT_ASK(31, NodeMessage.SnapshotAsk.class),
     /** {@link NodeMessage.Snapshot}. */
     SNAPSHOT(32, NodeMessage.Snapshot.class),
     /** {@link NodeMessage.UsageHistory}. */
     USAGE_HISTORY(33, NodeMessage.UsageHistory.class),
     /** {@link NodeMessage.NodeDigest}; 30 was a digest without scope. */
-    NODE_DIGEST(34, NodeMessage.NodeDigest.class);
+    NODE_DIGEST(34, NodeMessage.NodeDigest.class),
+    /** {@link NodeMessage.SnapshotAsk}; 31 asked for everything. */
+    SNAPSHOT_ASK(35, NodeMessage.SnapshotAsk.class),
+    /** {@link NodeMessage.UpstreamNews}. */
+    UPSTREAM_NEWS(36, NodeMessage.UpstreamNews.class);
 
     private static final Map<Integer, MessageType> BY_NUMBER = new HashMap<>();
     private static final Map<Class<?>, MessageType> BY_CLASS = new HashMap<>();
--- a/trailladder-wire/src/main/java/io/trailladder/wire/NodeMessage.java
+++ b/trailladder-wire/src/main/java/io/trailladder/wire/NodeMessage.java
@@ -52,6 +52,7 @@
      *
      * @param policyVersion version of the policy in force there; 0 if it knows none
      * @param directoryRevision revision of its list of upstreams; 0 if it knows none
+     * @param storeReachable true if the platform's store answers the sender
      * @param draining true if it is stopping
      * @param scope whose figures follow
      * @param processes how many processes the figures are of
@@ -65,6 +66,7 @@
     record NodeDigest(
             long policyVersion,
             long directoryRevision,
+            boolean storeReachable,
             boolean draining,
             DigestScope scope,
             int processes,
@@ -94,8 +96,22 @@
      */
     record UsageHistory(String life, List<UsageCount> usage) implements NodeMessage {}
 
-    /** Asks for what the receiver knows of policy and upstreams. */
-    record SnapshotAsk(long policyVersion) implements NodeMessage {}
+    /**
+     * Asks for what the receiver knows of policy and upstreams, where that is newer.
+     *
+     * @param policyVersion version of the policy that the sender has
+     * @param directoryRevision revision of the sender's list of upstreams
+     */
+    record SnapshotAsk(long policyVersion, long directoryRevision) implements NodeMessage {}
+
+    /**
+     * One change of the list of upstreams, told by a hub to its leaves.
+     *
+     * @param after revision of the list before the change
+     * @param revision revision of the list with it
+     * @param upstream the entry; without bytes if it is gone
+     */
+    record UpstreamNews(long after, long revision, WorkerEntry upstream) implements NodeMessage {}
 
     /**
      * What the sender knows of policy and upstreams, as the platform wrote it.
