Split the passing of answers and the watch of silence from RequestDriver

Change: AnswerPassing, SilenceWatch; RecoveryPolicy.endingOf and endingInTime are the one place that says broken off, may have run, timed out or not run. A large answer that is no stream no longer passes through the splitter of events.

--- a/trailladder-core/src/main/java/io/trailladder/core/pipeline/RecoveryPolicy.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/pipeline/RecoveryPolicy.java
@@ -81,13 +81,35 @@
                 && request.deadlineMillis() - nowMillis >= LEAST_MILLIS_LEFT;
     }
 
-    private static Ending ending(AttemptHistory history, AttemptFailure failure) {
+    /**
+     * Tells how a request ends that has no attempt left, or whose process stops.
+     *
+     * @param history its attempts
+     * @param underWay true if an attempt was sent whose outcome is not known
+     * @return what the caller is told
+     */
+    public static Ending endingOf(AttemptHistory history, boolean underWay) {
         if (history.hasAnswerBegun()) {
             return Ending.BROKEN_OFF;
         }
-        if (failure == AttemptFailure.SERVER_ERROR) {
-            return Ending.PASSED_ON;
-        }
-        return history.mayHaveRun() ? Ending.MAY_HAVE_RUN : Ending.NOT_RUN;
+        boolean mayHaveRun = history.mayHaveRun() || underWay;
+        return mayHaveRun ? Ending.MAY_HAVE_RUN : Ending.NOT_RUN;
+    }
+
+    /**
+     * Tells how a request ends whose time is over.
+     *
+     * @param history its attempts
+     * @param underWay true if an attempt was sent whose outcome is not known
+     * @return what the caller is told
+     */
+    public static Ending endingInTime(AttemptHistory history, boolean underWay) {
+        Ending ending = endingOf(history, underWay);
+        return ending == Ending.MAY_HAVE_RUN ? Ending.TIMED_OUT : ending;
+    }
+
+    private static Ending ending(AttemptHistory history, AttemptFailure failure) {
+        boolean answered = failure == AttemptFailure.SERVER_ERROR && !history.hasAnswerBegun();
+        return answered ? Ending.PASSED_ON : endingOf(history, false);
     }
 }
--- /dev/null
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/AnswerPassing.java
@@ -0,0 +1,136 @@
+/*
+ * Copyright 2026 The trailladder authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package io.trailladder.entry.gateway;
+
+import io.trailladder.core.pipeline.AttemptHistory;
+import io.trailladder.entry.gateway.EventSplitter.StreamEvent;
+import io.trailladder.entry.http.HeaderList;
+import io.trailladder.entry.http.ServerExchange;
+import java.io.ByteArrayOutputStream;
+import java.util.List;
+
+/**
+ * Passes an upstream's answer on to the caller: a stream event by event as they come, anything else
+ * once it is whole, unless it is too large to be held.
+ */
+final class AnswerPassing {
+    private static final int MAX_BUFFERED_BYTES = 1024 * 1024;
+    private static final int SUCCESS_TO = 299;
+
+    private final ServerExchange exchange;
+    private final AttemptHistory history;
+    private final boolean stream;
+    private final Runnable onFirstByte;
+    private final ByteArrayOutputStream buffered = new ByteArrayOutputStream();
+    private EventSplitter splitter = new EventSplitter();
+    private HeaderList headers = HeaderList.EMPTY;
+    private int status;
+    private boolean passing;
+
+    /**
+     * Creates the passing of a request's answer.
+     *
+     * @param exchange the caller's request
+     * @param history told of what was passed on
+     * @param stream true if the answer is a series of events
+     * @param onFirstByte runs before the first byte is sent
+     */
+    AnswerPassing(
+            ServerExchange exchange, AttemptHistory history, boolean stream, Runnable onFirstByte) {
+        this.exchange = exchange;
+        this.history = history;
+        this.stream = stream;
+        this.onFirstByte = onFirstByte;
+    }
+
+    /** Forgets what an attempt that failed left unfinished. */
+    void newAttempt() {
+        splitter = new EventSplitter();
+    }
+
+    void head(int answered, HeaderList fields) {
+        status = answered;
+        headers = fields;
+        buffered.reset();
+        passing = stream && answered <= SUCCESS_TO;
+    }
+
+    /** Takes a part of the body; returns how many events of the stream are whole with it. */
+    int body(byte[] bytes) {
+        if (passing && stream) {
+            return passEvents(splitter.take(bytes));
+        }
+        if (passing) {
+            passBytes(bytes);
+            return 0;
+        }
+        buffered.writeBytes(bytes);
+        if (buffered.size() > MAX_BUFFERED_BYTES) {
+            passing = true;
+            passBytes(buffered.toByteArray());
+            buffered.reset();
+        }
+        return 0;
+    }
+
+    /** Ends the answer, which the upstream ended as whole. */
+    void end() {
+        if (passing) {
+            passBytes(splitter.rest());
+            begin();
+            exchange.end();
+        } else if (history.hasAnswerBegun()) {
+            exchange.abort();
+        } else {
+            respondWhole();
+        }
+    }
+
+    /** Sends what was held back as the whole answer. */
+    void respondWhole() {
+        onFirstByte.run();
+        exchange.respond(status, headers.endToEnd(), buffered.toByteArray());
+    }
+
+    int status() {
+        return status;
+    }
+
+    private int passEvents(List<StreamEvent> events) {
+        for (StreamEvent event : events) {
+            passBytes(event.bytes());
+            if (!event.id().isEmpty()) {
+                history.eventPassed(event.id());
+            }
+        }
+        return events.size();
+    }
+
+    private void passBytes(byte[] bytes) {
+        if (bytes.length > 0) {
+            begin();
+            exchange.write(bytes);
+        }
+    }
+
+    private void begin() {
+        if (!history.hasAnswerBegun()) {
+            history.answerBegun();
+            exchange.begin(status, headers.endToEnd(), -1);
+            onFirstByte.run();
+        }
+    }
+}
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestDriver.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestDriver.java
@@ -29,15 +29,12 @@
 import io.trailladder.entry.gateway.DecisionLog.AttemptFailed;
 import io.trailladder.entry.gateway.DecisionLog.Dispatch;
 import io.trailladder.entry.gateway.DecisionLog.Ended;
-import io.trailladder.entry.gateway.EventSplitter.StreamEvent;
 import io.trailladder.entry.http.HeaderList;
 import io.trailladder.entry.http.OutgoingCall;
 import io.trailladder.entry.http.ServerExchange;
 import io.trailladder.entry.loop.LoopTimer;
 import io.trailladder.entry.port.AttemptFields;
 import io.trailladder.platform.http.HostPort;
-import java.io.ByteArrayOutputStream;
-import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
@@ -47,17 +44,12 @@
  * what {@link RecoveryPolicy} decides when an attempt fails.
  */
 final class RequestDriver implements Attempt.Owner {
-    private static final int MAX_BUFFERED_BYTES = 1024 * 1024;
     private static final int SERVER_ERRORS = 500;
-    private static final int SUCCESS_TO = 299;
     private static final long MAX_CONNECT_MILLIS = 400;
     private static final long LEAST_CONNECT_MILLIS = 50;
     private static final long KEPT_MILLIS = 1_500;
     private static final long KEPT_UNREPEATABLE_MILLIS = 400;
     private static final long LEAST_RETRY_AFTER_MILLIS = 50;
-    private static final long LONGEST_PAUSE_MILLIS = 1_000;
-    private static final long SILENCE_CHECK_MILLIS = 50;
-    private static final double SLOWEST_FACTOR = 3;
     private static final byte[] NO_BYTES = {};
 
     private final ServingContext context;
@@ -66,16 +58,12 @@
     private final int units;
     private final Consumer<RequestDriver> onEnd;
     private final AttemptHistory history = new AttemptHistory();
-    private final ByteArrayOutputStream buffered = new ByteArrayOutputStream();
     private final LoopTimer deadline;
-    private EventSplitter splitter = new EventSplitter();
+    private final AnswerPassing answer;
+    private final SilenceWatch silence;
     private Attempt attempt;
-    private HeaderList answerHeaders = HeaderList.EMPTY;
-    private int answerStatus;
-    private boolean passing;
     private boolean started;
     private boolean over;
-    private boolean budgetTaken;
     private long firstMillis = -1;
 
     RequestDriver(
@@ -93,6 +81,8 @@
         if (!lastEventId.isEmpty()) {
             history.eventPassed(lastEventId);
         }
+        this.answer = new AnswerPassing(exchange, history, isStream(), this::firstByte);
+        this.silence = new SilenceWatch(context, request, history);
         exchange.onGone(this::callerGone);
         long left = request.deadlineMillis() - context.loop().nowMillis();
         this.deadline = context.loop().schedule(left, this::timeOver);
@@ -130,12 +120,9 @@
         if (over) {
             return;
         }
-        boolean mayHaveRun = mayHaveRun();
+        Ending ending = RecoveryPolicy.endingOf(history, isUnderWay());
         cancelAttempt();
-        giveUp(
-                history.hasAnswerBegun()
-                        ? Ending.BROKEN_OFF
-                        : mayHaveRun ? Ending.MAY_HAVE_RUN : Ending.NOT_RUN);
+        giveUp(ending);
     }
 
     @Override
@@ -148,44 +135,27 @@
 
     @Override
     public void answered(Attempt sender, int status, HeaderList headers, long length) {
-        answerStatus = status;
-        answerHeaders = headers;
-        buffered.reset();
-        passing = isStream() && status <= SUCCESS_TO;
+        answer.head(status, headers);
     }
 
     @Override
     public void body(Attempt sender, byte[] bytes) {
-        if (passing) {
-            passEvents(sender, splitter.take(bytes));
-            return;
-        }
-        buffered.writeBytes(bytes);
-        if (buffered.size() > MAX_BUFFERED_BYTES) {
-            passing = true;
-            passBytes(buffered.toByteArray());
-            buffered.reset();
+        if (answer.body(bytes) > 0) {
+            sender.promptRead();
+            startedRunning();
         }
     }
 
     @Override
     public void ended(Attempt sender) {
-        if (answerStatus >= SERVER_ERRORS && !history.hasAnswerBegun()) {
+        if (answer.status() >= SERVER_ERRORS && !history.hasAnswerBegun()) {
             attemptFailed(sender, AttemptFailure.SERVER_ERROR);
             return;
         }
         attempt = null;
         context.metrics().attempt(request.service(), "whole");
-        if (passing) {
-            passBytes(splitter.rest());
-            beginAnswer();
-            exchange.end();
-        } else if (history.hasAnswerBegun()) {
-            exchange.abort();
-        } else {
-            respondWhole();
-        }
-        end("whole", answerStatus, sender);
+        answer.end();
+        end("whole", answer.status(), sender);
     }
 
     @Override
@@ -200,10 +170,7 @@
             choice = context.selector().choose(request, Set.of(), now);
         }
         if (choice.isEmpty()) {
-            giveUp(
-                    history.hasAnswerBegun()
-                            ? Ending.BROKEN_OFF
-                            : history.mayHaveRun() ? Ending.MAY_HAVE_RUN : Ending.NOT_RUN);
+            giveUp(RecoveryPolicy.endingOf(history, false));
             return;
         }
         send(choice.get(), now);
@@ -224,7 +191,7 @@
                         context.peersAgeMillis().getAsLong(),
                         history.lastEventId()));
         context.selector().sent(request, worker.id());
-        splitter = new EventSplitter();
+        answer.newAttempt();
         attempt = new Attempt(context, request, selection, this);
         long left = request.deadlineMillis() - now;
         HeaderList headers =
@@ -238,7 +205,7 @@
                                         left,
                                         history.lastEventId()));
         boolean repeatable = request.route().repeatable();
-        watchSilence(attempt, firstAnswerMillis(selection));
+        silence.watch(attempt, selection);
         attempt.start(
                 new OutgoingCall(
                         HostPort.parse(worker.address()),
@@ -250,73 +217,10 @@
                         connectMillis(left)));
     }
 
-    private long firstAnswerMillis(Selection selection) {
-        long objective = request.route().objectiveMillis();
-        return Math.max(objective, Math.round(selection.predictedMillis() * SLOWEST_FACTOR));
-    }
-
-    /** Leaves an upstream that is silent for too long, if the request may run again. */
-    private void watchSilence(Attempt watched, long mostMillis) {
-        if (!request.route().repeatable() || mostMillis <= 0) {
-            return;
-        }
-        context.loop()
-                .schedule(
-                        Math.max(SILENCE_CHECK_MILLIS, mostMillis - watched.silentMillis()),
-                        () -> checkSilence(watched, mostMillis));
-    }
-
-    private void checkSilence(Attempt watched, long mostMillis) {
-        if (over || watched != attempt) {
-            return;
-        }
-        long most = history.hasAnswerBegun() ? LONGEST_PAUSE_MILLIS : mostMillis;
-        long now = context.loop().nowMillis();
-        if (watched.silentMillis() >= most
-                && RecoveryPolicy.allowsAnother(request, history, now)
-                && context.budgets().tryRetry(request.service(), now)) {
-            budgetTaken = true;
-            watched.fail(AttemptFailure.SILENT);
-        } else {
-            watchSilence(watched, most);
-        }
-    }
-
     private static long connectMillis(long left) {
         return Math.max(LEAST_CONNECT_MILLIS, Math.min(MAX_CONNECT_MILLIS, left / 3));
     }
 
-    private void passEvents(Attempt sender, List<StreamEvent> events) {
-        for (StreamEvent event : events) {
-            sender.promptRead();
-            startedRunning();
-            passBytes(event.bytes());
-            if (!event.id().isEmpty()) {
-                history.eventPassed(event.id());
-            }
-        }
-    }
-
-    private void passBytes(byte[] bytes) {
-        if (bytes.length > 0) {
-            beginAnswer();
-            exchange.write(bytes);
-        }
-    }
-
-    private void beginAnswer() {
-        if (!history.hasAnswerBegun()) {
-            history.answerBegun();
-            exchange.begin(answerStatus, answerHeaders.endToEnd(), -1);
-            firstByte();
-        }
-    }
-
-    private void respondWhole() {
-        firstByte();
-        exchange.respond(answerStatus, answerHeaders.endToEnd(), buffered.toByteArray());
-    }
-
     private void firstByte() {
         firstMillis = context.loop().nowMillis() - request.acceptedMillis();
         context.metrics().firstAnswer(request.tenant(), request.service(), firstMillis);
@@ -331,12 +235,12 @@
 
     private void attemptFailed(Attempt sender, AttemptFailure failure) {
         attempt = null;
+        silence.stop();
         history.failed(sender.worker().id(), failure);
         context.metrics().attempt(request.service(), failure.name());
         long now = context.loop().nowMillis();
         Recovery recovery = RecoveryPolicy.after(request, history, failure, true, now);
-        boolean paid = failure == AttemptFailure.UNREACHABLE || budgetTaken;
-        budgetTaken = false;
+        boolean paid = silence.takePaid() || failure == AttemptFailure.UNREACHABLE;
         if (!(recovery instanceof GiveUp)
                 && !paid
                 && !context.budgets().tryRetry(request.service(), now)) {
@@ -376,7 +280,7 @@
             context.quotas().giveBack(request.tenant(), units);
         }
         switch (ending) {
-            case PASSED_ON -> respondWhole();
+            case PASSED_ON -> answer.respondWhole();
             case BROKEN_OFF -> exchange.abort();
             default ->
                     exchange.respond(
@@ -384,7 +288,7 @@
                             context.protocol().refusal(retryAfterMillis(ending)),
                             NO_BYTES);
         }
-        int status = ending == Ending.PASSED_ON ? answerStatus : ending.status();
+        int status = ending == Ending.PASSED_ON ? answer.status() : ending.status();
         end(ending.name(), status, last);
     }
 
@@ -399,21 +303,17 @@
         if (over) {
             return;
         }
-        boolean mayHaveRun = mayHaveRun();
+        Ending ending = RecoveryPolicy.endingInTime(history, isUnderWay());
         Attempt last = attempt;
-        if (attempt != null && attempt.isSent()) {
+        if (isUnderWay()) {
             context.loads().failed(attempt.worker().id(), context.loop().nowMillis());
         }
         cancelAttempt();
-        if (history.hasAnswerBegun()) {
-            giveUp(Ending.BROKEN_OFF, last);
-        } else {
-            giveUp(mayHaveRun ? Ending.TIMED_OUT : Ending.NOT_RUN, last);
-        }
+        giveUp(ending, last);
     }
 
-    private boolean mayHaveRun() {
-        return history.mayHaveRun() || (attempt != null && attempt.isSent());
+    private boolean isUnderWay() {
+        return attempt != null && attempt.isSent();
     }
 
     private void callerGone() {
@@ -433,6 +333,7 @@
 
     private void end(String outcome, int status, Attempt last) {
         over = true;
+        silence.stop();
         deadline.cancel();
         long took = context.loop().nowMillis() - request.acceptedMillis();
         context.metrics().ended(request.tenant(), request.service(), outcome, took);
