Soak real gateway processes with faults from outside

A seeded run starts two to five gateways as processes, with upstreams, the platform's store and callers round them, and strikes from outside: kill, pause, TERM, HUP, restart; a loopback proxy that delays, resets, silences or cuts one way what goes to the store or an upstream; upstreams that are replaced; changes of policy; a store that is down, forgets its history or loses answers. Checked: whole and right answers, nobody else's answer, nothing unsafe run twice, "not run" is true, proper requests are not denied, one count per usage window, all gateways serve after the faults.

--- /dev/null
+++ b/trailladder-cli/src/test/java/io/trailladder/cli/soak/SoakCaller.java
@@ -0,0 +1,211 @@
+/*
+ * Copyright 2026 The trailladder authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package io.trailladder.cli.soak;
+
+import io.trailladder.platform.http.HostPort;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Queue;
+import java.util.SplittableRandom;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.BooleanSupplier;
+
+/**
+ * A caller that asks gateways for streams and plain calls, keeps its connections until they end,
+ * and checks every answer.
+ */
+final class SoakCaller implements Runnable {
+    private static final int READ_MILLIS = 6_000;
+    private static final int CONNECT_MILLIS = 500;
+    private static final long PAUSE_MILLIS = 15;
+
+    private final List<HostPort> gateways;
+    private final SplittableRandom random;
+    private final BooleanSupplier going;
+    private final Observations record;
+    private final Map<HostPort, Socket> kept = new HashMap<>();
+
+    /** A request that was told that it has not run, or whose answer promised as much. */
+    record NotRun(String attempt, int status) {}
+
+    /** What callers saw. */
+    static final class Observations {
+        final AtomicInteger asked = new AtomicInteger();
+        final AtomicInteger served = new AtomicInteger();
+        final Queue<String> unsafe = new ConcurrentLinkedQueue<>();
+        final Queue<NotRun> notRun = new ConcurrentLinkedQueue<>();
+        final Queue<String> violations = new ConcurrentLinkedQueue<>();
+    }
+
+    SoakCaller(
+            List<HostPort> gateways,
+            SplittableRandom random,
+            BooleanSupplier going,
+            Observations record) {
+        this.gateways = gateways;
+        this.random = random;
+        this.going = going;
+        this.record = record;
+    }
+
+    @Override
+    public void run() {
+        while (going.getAsBoolean()) {
+            HostPort gateway = gateways.get(random.nextInt(gateways.size()));
+            switch (random.nextInt(3)) {
+                case 0 -> stream(gateway);
+                case 1 -> call(gateway, "/unsafe/", true);
+                default -> call(gateway, "/safe/", false);
+            }
+            pause();
+        }
+        kept.values().forEach(SoakCaller::close);
+    }
+
+    /** Asks for one plain call; returns true if it was served. */
+    boolean call(HostPort gateway, String path, boolean unsafe) {
+        String attempt = Long.toHexString(random.nextLong());
+        if (unsafe) {
+            record.unsafe.add(attempt);
+        }
+        CallerAnswer answer = ask(gateway, "GET " + path + "x", attempt, "");
+        boolean served = check(answer, attempt, unsafe);
+        if (served && !answer.body().equals("answer " + attempt)) {
+            violation(attempt, "another body: " + answer);
+        }
+        return served;
+    }
+
+    private void stream(HostPort gateway) {
+        String attempt = Long.toHexString(random.nextLong());
+        String fields = "Model: m\r\nToken-Usage: 100,36\r\nPrefix-Hash: a1:60,b2:40\r\n";
+        CallerAnswer answer = ask(gateway, "POST /stream/x", attempt, fields);
+        check(answer, attempt, false);
+        if (answer.status() != 200) {
+            return;
+        }
+        StringBuilder expected = new StringBuilder();
+        for (int event = 1; event <= SoakUpstream.EVENTS; event++) {
+            expected.append("id: " + event + "\ndata: " + attempt + ' ' + event + "\n\n");
+        }
+        boolean right =
+                answer.whole()
+                        ? expected.toString().equals(answer.body())
+                        : expected.toString().startsWith(wholeEvents(answer.body()));
+        if (!right) {
+            violation(attempt, "stream is not the right one: " + answer);
+        }
+    }
+
+    private static String wholeEvents(String body) {
+        int end = body.lastIndexOf("\n\n");
+        return end < 0 ? "" : body.substring(0, end + 2);
+    }
+
+    /** Checks what every answer must keep; returns true if it is a whole success. */
+    private boolean check(CallerAnswer answer, String attempt, boolean unsafe) {
+        record.asked.incrementAndGet();
+        int status = answer.status();
+        if (unsafe && List.of(408, 421, 429, 503).contains(status)) {
+            record.notRun.add(new NotRun(attempt, status));
+        }
+        if (List.of(400, 401, 403, 404).contains(status)) {
+            violation(attempt, "proper request denied: " + answer);
+        }
+        if (status != 200) {
+            return false;
+        }
+        if (!answer.headers().containsKey("instance-stamp")) {
+            violation(attempt, "success without the upstream's stamp: " + answer);
+        }
+        if (!answer.headers().getOrDefault("attempt-id", attempt).equals(attempt)) {
+            violation(attempt, "answer of another request: " + answer);
+        }
+        if (answer.whole()) {
+            record.served.incrementAndGet();
+        }
+        return answer.whole();
+    }
+
+    private void violation(String attempt, String what) {
+        record.violations.add(attempt + ": " + what);
+    }
+
+    private CallerAnswer ask(HostPort gateway, String line, String attempt, String fields) {
+        Socket socket = null;
+        try {
+            socket = connection(gateway);
+            String head =
+                    line
+                            + " HTTP/1.1\r\nHost: h.example\r\nAuthorization: Bearer key\r\n"
+                            + "Attempt-Id: "
+                            + attempt
+                            + "\r\nDeadline-Ms: 4000\r\n"
+                            + fields
+                            + (line.startsWith("POST") ? "Content-Length: 2\r\n\r\n{}" : "\r\n");
+            socket.getOutputStream().write(head.getBytes(StandardCharsets.ISO_8859_1));
+            CallerAnswer answer = CallerAnswer.read(socket);
+            if (answer.closes()) {
+                drop(gateway, socket);
+            }
+            return answer;
+        } catch (IOException | RuntimeException e) {
+            drop(gateway, socket);
+            return CallerAnswer.NONE;
+        }
+    }
+
+    private Socket connection(HostPort gateway) throws IOException {
+        Socket known = kept.get(gateway);
+        if (known != null) {
+            return known;
+        }
+        Socket socket = new Socket();
+        socket.connect(new InetSocketAddress(gateway.host(), gateway.port()), CONNECT_MILLIS);
+        socket.setSoTimeout(READ_MILLIS);
+        kept.put(gateway, socket);
+        return socket;
+    }
+
+    private void drop(HostPort gateway, Socket socket) {
+        kept.remove(gateway);
+        if (socket != null) {
+            close(socket);
+        }
+    }
+
+    private static void close(Socket socket) {
+        try {
+            socket.close();
+        } catch (IOException e) {
+            // it is closed already
+        }
+    }
+
+    private void pause() {
+        try {
+            Thread.sleep(random.nextLong(PAUSE_MILLIS));
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- /dev/null
+++ b/trailladder-cli/src/test/java/io/trailladder/cli/soak/SoakGateway.java
@@ -0,0 +1,140 @@
+/*
+ * Copyright 2026 The trailladder authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package io.trailladder.cli.soak;
+
+import io.trailladder.cli.GatewayProcess;
+import io.trailladder.platform.http.HostPort;
+import java.io.File;
+import java.io.IOException;
+import java.net.HttpURLConnection;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.URI;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+/** One gateway as a process of its own, with a proxy before the platform's store. */
+final class SoakGateway {
+    private static final String SETTINGS =
+            """
+            {"node": {"name": "%s", "zone": "a", "first_start": %s},
+             "listen": {"callers": "%s", "health": "%s", "peers": "%s", "metrics": "%s"},
+             "seeds": [], "store": "%s", "cloud": "%s",
+             "retries": {"ratio": 0.2, "allowance": 1000, "window_s": 10},
+             "timing": {"grace_s": 3, "lease_ms": 1500, "usage_window_s": 2}}
+            """;
+    private static final int READY_MILLIS = 500;
+
+    private final String name;
+    private final Path folder;
+    private final FaultProxy store;
+    private final HostPort callers = freePort();
+    private final HostPort health = freePort();
+    private final HostPort peers = freePort();
+    private final HostPort metrics = freePort();
+    private Process process;
+    private boolean paused;
+
+    SoakGateway(String name, Path folder, HostPort platform) throws IOException {
+        this.name = name;
+        this.folder = folder;
+        this.store = new FaultProxy(platform);
+    }
+
+    void start(boolean first) throws IOException {
+        Path settings = folder.resolve(name + ".json");
+        Files.writeString(
+                settings,
+                SETTINGS.formatted(
+                        name,
+                        first,
+                        callers,
+                        health,
+                        peers,
+                        metrics,
+                        store.address(),
+                        store.address()));
+        ProcessBuilder builder =
+                new ProcessBuilder(
+                        Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                        "-Xmx96m",
+                        "-XX:+UseSerialGC",
+                        "-XX:TieredStopAtLevel=1",
+                        "-cp",
+                        System.getProperty("java.class.path"),
+                        GatewayProcess.class.getName());
+        builder.environment().put(GatewayProcess.SETTINGS_VARIABLE, settings.toString());
+        builder.redirectErrorStream(true);
+        File log = folder.resolve(name + ".log").toFile();
+        builder.redirectOutput(ProcessBuilder.Redirect.appendTo(log));
+        process = builder.start();
+        paused = false;
+    }
+
+    HostPort callers() {
+        return callers;
+    }
+
+    FaultProxy store() {
+        return store;
+    }
+
+    boolean isRunning() {
+        return process.isAlive();
+    }
+
+    boolean isPaused() {
+        return paused;
+    }
+
+    /** Sends a signal to this process only. */
+    void signal(String signal) throws IOException, InterruptedException {
+        if (process.isAlive()) {
+            String id = Long.toString(process.pid());
+            new ProcessBuilder("kill", "-" + signal, id).start().waitFor();
+            paused = signal.equals("STOP") || (paused && !signal.equals("CONT"));
+        }
+    }
+
+    void kill() throws InterruptedException {
+        process.destroyForcibly().waitFor(5, TimeUnit.SECONDS);
+    }
+
+    boolean isReady() {
+        try {
+            URI uri = URI.create("http://" + health + "/v1/readyz");
+            HttpURLConnection call = (HttpURLConnection) uri.toURL().openConnection();
+            call.setConnectTimeout(READY_MILLIS);
+            call.setReadTimeout(READY_MILLIS);
+            return call.getResponseCode() == HttpURLConnection.HTTP_OK;
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
+    private static HostPort freePort() throws IOException {
+        InetAddress loopback = InetAddress.getLoopbackAddress();
+        try (ServerSocket socket = new ServerSocket(0, 1, loopback)) {
+            return new HostPort("127.0.0.1", socket.getLocalPort());
+        }
+    }
+
+    static List<HostPort> callers(List<SoakGateway> gateways) {
+        return gateways.stream().map(SoakGateway::callers).toList();
+    }
+}
--- /dev/null
+++ b/trailladder-cli/src/test/java/io/trailladder/cli/soak/SoakRun.java
@@ -0,0 +1,381 @@
+/*
+ * Copyright 2026 The trailladder authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package io.trailladder.cli.soak;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.trailladder.adapter.PlatformStandIn;
+import io.trailladder.cli.soak.FaultProxy.Mode;
+import io.trailladder.cli.soak.SoakCaller.NotRun;
+import io.trailladder.cli.soak.SoakCaller.Observations;
+import io.trailladder.entry.loop.EventLoop;
+import io.trailladder.platform.http.HostPort;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+
+/**
+ * One seeded run: gateways as processes, upstreams, store and callers round them, and faults from
+ * outside until the time is over. What callers and upstreams saw must keep the promises.
+ */
+final class SoakRun implements AutoCloseable {
+    private static final int UPSTREAMS = 4;
+    private static final int CALLERS = 6;
+    private static final long LEAST_STEP_MILLIS = 150;
+    private static final long STEP_MILLIS = 700;
+    private static final long LONGEST_FAULT_MILLIS = 2_500;
+    private static final long READY_MILLIS = 25_000;
+    private static final long SETTLE_MILLIS = 4_500;
+    private static final int LAST_CALLS = 30;
+    private static final String CONFIG =
+            """
+            {"version": %d,
+             "routes": [
+               {"name": "stream", "host": "h.example", "path_prefix": "/stream/",
+                "route_type": "streaming", "timeout_ms": 4000, "slo_ms": 800, "service": "m",
+                "max_attempts": 3, "sticky": true, "resumable": true},
+               {"name": "unsafe", "host": "h.example", "path_prefix": "/unsafe/",
+                "route_type": "unsafe", "timeout_ms": 1500, "slo_ms": 200, "service": "m",
+                "max_attempts": 2},
+               {"name": "safe", "host": "h.example", "path_prefix": "/safe/",
+                "route_type": "safe", "timeout_ms": 1500, "slo_ms": 200, "service": "m",
+                "max_attempts": 3}],
+             "services": [{"name": "m", "max_conns": 400}],
+             "tenants": [{"name": "t", "api_keys": ["key"]}]}
+            """;
+
+    private final long seed;
+    private final SplittableRandom random;
+    private final EventLoop loop = new EventLoop();
+    private final PlatformStandIn platform;
+    private final List<SoakGateway> gateways = new ArrayList<>();
+    private final List<SoakUpstream> upstreams = new ArrayList<>();
+    private final Map<String, Integer> runs = SoakUpstream.newRuns();
+    private final Observations record = new Observations();
+    private final List<String> faults = new ArrayList<>();
+    private final Path folder;
+    private volatile boolean going = true;
+    private int version = 1;
+    private int upstreamsMade;
+
+    /**
+     * What a run came to.
+     *
+     * @param seed its seed
+     * @param asked requests that callers sent
+     * @param served those that were served whole
+     * @param faults what was done, in order
+     * @param violations promises that were broken
+     * @param logs folder of the gateways' logs
+     */
+    record Result(
+            long seed,
+            int asked,
+            int served,
+            List<String> faults,
+            List<String> violations,
+            Path logs) {}
+
+    SoakRun(long seed, int processes) throws Exception {
+        this.seed = seed;
+        this.random = new SplittableRandom(seed);
+        this.folder = Files.createTempDirectory(Path.of("target"), "soak-" + seed + "-");
+        loop.start();
+        platform = onLoop(() -> new PlatformStandIn(loop));
+        configure();
+        for (int i = 0; i < UPSTREAMS; i++) {
+            addUpstream();
+        }
+        for (int i = 0; i < processes; i++) {
+            SoakGateway gateway = new SoakGateway("g" + i, folder, platform.address());
+            gateway.start(true);
+            gateways.add(gateway);
+        }
+        awaitReady();
+    }
+
+    /** Runs faults for some time, then calm, and tells what was seen. */
+    Result run(long millis) throws Exception {
+        List<Thread> callers = new ArrayList<>();
+        for (int i = 0; i < CALLERS; i++) {
+            List<HostPort> targets = SoakGateway.callers(gateways);
+            SoakCaller caller = new SoakCaller(targets, random.split(), () -> going, record);
+            Thread thread = new Thread(caller, "caller-" + i);
+            thread.start();
+            callers.add(thread);
+        }
+        long end = System.nanoTime() + millis * 1_000_000;
+        while (System.nanoTime() < end) {
+            strike();
+            pause(LEAST_STEP_MILLIS + random.nextLong(STEP_MILLIS));
+        }
+        calm();
+        boolean ready = awaitReady();
+        going = false;
+        for (Thread caller : callers) {
+            caller.join();
+        }
+        if (!ready) {
+            record.violations.add(
+                    "a gateway was not ready " + READY_MILLIS + " ms after the faults");
+        }
+        checkRecovered();
+        pause(SETTLE_MILLIS);
+        checkRuns();
+        checkUsage();
+        return new Result(
+                seed,
+                record.asked.get(),
+                record.served.get(),
+                faults,
+                List.copyOf(record.violations),
+                folder);
+    }
+
+    @Override
+    public void close() throws IOException {
+        for (SoakGateway gateway : gateways) {
+            try {
+                gateway.kill();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+            gateway.store().close();
+        }
+        loop.close();
+    }
+
+    /** Does one thing from outside; what was stopped or paused before goes on first. */
+    private void strike() throws Exception {
+        SoakGateway gateway = gateways.get(random.nextInt(gateways.size()));
+        SoakUpstream upstream = upstreams.get(random.nextInt(upstreams.size()));
+        long forMillis = 200 + random.nextLong(LONGEST_FAULT_MILLIS);
+        switch (random.nextInt(12)) {
+            case 0 -> {
+                note("kill " + index(gateway));
+                gateway.kill();
+            }
+            case 1 -> {
+                note("pause " + index(gateway));
+                gateway.signal("STOP");
+            }
+            case 2 -> {
+                note("term " + index(gateway));
+                gateway.signal("TERM");
+            }
+            case 3 -> {
+                note("hup " + index(gateway));
+                gateway.signal("HUP");
+            }
+            case 4, 5 -> proxied("store of " + index(gateway), gateway.store(), forMillis);
+            case 6 -> proxied("upstream " + upstream.id(), upstream.proxy(), forMillis);
+            case 7 -> replace(upstream);
+            case 8 -> {
+                note("config " + (version + 1));
+                version++;
+                configure();
+            }
+            case 9 -> {
+                note("history");
+                onLoop(() -> forget());
+            }
+            case 10 -> switched("store down", forMillis, down -> platform.down(down));
+            default -> switched("answers lost", forMillis, on -> platform.loseWriteAnswers(on));
+        }
+        goOn();
+    }
+
+    /** Wakes what is paused and starts what has ended, each with some chance. */
+    private void goOn() throws Exception {
+        for (SoakGateway gateway : gateways) {
+            if (gateway.isPaused() && random.nextInt(2) == 0) {
+                gateway.signal("CONT");
+            }
+            if (!gateway.isRunning() && random.nextInt(2) == 0) {
+                note("start " + index(gateway));
+                gateway.start(false);
+            }
+        }
+    }
+
+    private void calm() throws Exception {
+        onLoop(
+                () -> {
+                    platform.down(false);
+                    platform.loseWriteAnswers(false);
+                    return true;
+                });
+        upstreams.forEach(upstream -> upstream.proxy().mode(Mode.PASS));
+        for (SoakGateway gateway : gateways) {
+            gateway.store().mode(Mode.PASS);
+            gateway.signal("CONT");
+        }
+    }
+
+    private boolean awaitReady() throws Exception {
+        long end = System.nanoTime() + READY_MILLIS * 1_000_000;
+        while (System.nanoTime() < end) {
+            boolean all = true;
+            for (SoakGateway gateway : gateways) {
+                if (!gateway.isRunning()) {
+                    gateway.start(false);
+                }
+                all &= gateway.isReady();
+            }
+            if (all) {
+                return true;
+            }
+            pause(50);
+        }
+        return false;
+    }
+
+    private void checkRecovered() {
+        for (SoakGateway gateway : gateways) {
+            SoakCaller caller =
+                    new SoakCaller(List.of(gateway.callers()), random.split(), () -> false, record);
+            int served = 0;
+            for (int i = 0; i < LAST_CALLS; i++) {
+                served += caller.call(gateway.callers(), "/safe/", false) ? 1 : 0;
+            }
+            if (served < LAST_CALLS / 2) {
+                record.violations.add(
+                        index(gateway) + " served " + served + " of " + LAST_CALLS + " at the end");
+            }
+        }
+    }
+
+    private void checkRuns() {
+        for (String attempt : record.unsafe) {
+            int count = runs.getOrDefault(attempt, 0);
+            if (count > 1) {
+                record.violations.add(attempt + ": not repeatable, ran " + count + " times");
+            }
+        }
+        for (NotRun told : record.notRun) {
+            if (runs.containsKey(told.attempt())) {
+                record.violations.add(told.attempt() + ": " + told.status() + ", but it ran");
+            }
+        }
+    }
+
+    private void checkUsage() throws Exception {
+        Map<Long, JsonNode> byWindow = new HashMap<>();
+        for (String call : onLoop(platform::dutyCalls)) {
+            if (call.startsWith("/usage ")) {
+                JsonNode report = new ObjectMapper().readTree(call.substring("/usage ".length()));
+                JsonNode counts = report.path("counts");
+                JsonNode before = byWindow.put(report.path("window_id").asLong(), counts);
+                if (before != null && !before.equals(counts)) {
+                    record.violations.add("two reports of one window: " + before + ", " + report);
+                }
+            }
+        }
+    }
+
+    private void proxied(String what, FaultProxy proxy, long forMillis) {
+        Mode[] modes = Mode.values();
+        Mode mode = modes[1 + random.nextInt(modes.length - 1)];
+        note(mode + " " + what);
+        proxy.mode(mode);
+        loop.execute(() -> loop.schedule(forMillis, () -> proxy.mode(Mode.PASS)));
+    }
+
+    private void switched(String what, long forMillis, java.util.function.Consumer<Boolean> fault) {
+        note(what);
+        loop.execute(
+                () -> {
+                    fault.accept(true);
+                    loop.schedule(forMillis, () -> fault.accept(false));
+                });
+    }
+
+    private void replace(SoakUpstream upstream) throws Exception {
+        note("replace " + upstream.id());
+        addUpstream();
+        upstreams.remove(upstream);
+        onLoop(
+                () -> {
+                    platform.put("servers/" + upstream.id(), upstream.entry("draining"));
+                    loop.schedule(
+                            LONGEST_FAULT_MILLIS,
+                            () -> platform.remove("servers/" + upstream.id()));
+                    return true;
+                });
+    }
+
+    private void addUpstream() throws Exception {
+        String id = "u" + upstreamsMade++;
+        SoakUpstream upstream = onLoop(() -> new SoakUpstream(loop, id, random.split(), runs));
+        onLoop(
+                () -> {
+                    platform.put("servers/" + id, upstream.entry("ready"));
+                    return true;
+                });
+        upstreams.add(upstream);
+    }
+
+    private void configure() throws Exception {
+        int next = version;
+        onLoop(
+                () -> {
+                    platform.put("op/config", CONFIG.formatted(next));
+                    return true;
+                });
+    }
+
+    private boolean forget() {
+        platform.forgetHistory();
+        return true;
+    }
+
+    private String index(SoakGateway gateway) {
+        return "g" + gateways.indexOf(gateway);
+    }
+
+    private void note(String fault) {
+        faults.add(fault);
+    }
+
+    /** A task that may fail. */
+    private interface Task<T> {
+        T run() throws IOException;
+    }
+
+    private <T> T onLoop(Task<T> task) throws ExecutionException, InterruptedException {
+        CompletableFuture<T> result = new CompletableFuture<>();
+        loop.execute(
+                () -> {
+                    try {
+                        result.complete(task.run());
+                    } catch (IOException | RuntimeException e) {
+                        result.completeExceptionally(e);
+                    }
+                });
+        return result.get();
+    }
+
+    private static void pause(long millis) throws InterruptedException {
+        Thread.sleep(millis);
+    }
+}
--- /dev/null
+++ b/trailladder-cli/src/test/java/io/trailladder/cli/soak/SoakUpstream.java
@@ -0,0 +1,152 @@
+/*
+ * Copyright 2026 The trailladder authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package io.trailladder.cli.soak;
+
+import io.trailladder.entry.http.HeaderField;
+import io.trailladder.entry.http.HeaderList;
+import io.trailladder.entry.http.HttpServer;
+import io.trailladder.entry.http.ServerBounds;
+import io.trailladder.entry.http.ServerExchange;
+import io.trailladder.entry.loop.EventLoop;
+import io.trailladder.platform.http.HostPort;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.concurrent.ConcurrentHashMap;
+
+/** An upstream that streams at its own pace and records which requests it ran. */
+final class SoakUpstream {
+    /** Events of a whole stream. */
+    static final int EVENTS = 12;
+
+    private static final long EVENT_MILLIS = 15;
+    private static final long IDLE_MILLIS = 60_000;
+    private static final double REFUSED = 0.02;
+    private static final double FAILED = 0.02;
+    private static final double CUT = 0.02;
+    private static final byte[] NO_BYTES = {};
+
+    private final EventLoop loop;
+    private final String id;
+    private final SplittableRandom random;
+    private final Map<String, Integer> runs;
+    private final HttpServer server;
+    private final FaultProxy proxy;
+
+    /**
+     * Creates an upstream; it listens at once.
+     *
+     * @param loop the loop whose thread runs it
+     * @param id its name
+     * @param random draws its faults
+     * @param runs counts, by attempt id, how often a request ran at any upstream
+     */
+    SoakUpstream(EventLoop loop, String id, SplittableRandom random, Map<String, Integer> runs)
+            throws IOException {
+        this.loop = loop;
+        this.id = id;
+        this.random = random;
+        this.runs = runs;
+        this.server =
+                new HttpServer(
+                        loop, new ServerBounds(1 << 21, IDLE_MILLIS, IDLE_MILLIS), this::handle);
+        server.start(new HostPort("127.0.0.1", 0));
+        this.proxy = new FaultProxy(new HostPort("127.0.0.1", server.port()));
+    }
+
+    static Map<String, Integer> newRuns() {
+        return new ConcurrentHashMap<>();
+    }
+
+    String id() {
+        return id;
+    }
+
+    FaultProxy proxy() {
+        return proxy;
+    }
+
+    /** Returns its entry in the platform's store. */
+    String entry(String state) {
+        return String.format(
+                "{\"service\": \"m\", \"address\": \"%s\", \"zone\": \"a\", \"slots\": 64,"
+                        + " \"state\": \"%s\"}",
+                proxy.address(), state);
+    }
+
+    private void handle(ServerExchange exchange) {
+        if (!exchange.headers().first("Expect-Instance").orElse(id).equals(id)) {
+            exchange.respond(421, HeaderList.of("Instance-Id", id), NO_BYTES);
+            return;
+        }
+        double drawn = random.nextDouble();
+        if (drawn < REFUSED) {
+            exchange.respond(503, HeaderList.of("Not-Executed", "1"), NO_BYTES);
+            return;
+        }
+        String attempt = exchange.headers().first("Attempt-Id").orElse("");
+        runs.merge(attempt, 1, Integer::sum);
+        HeaderList stamps =
+                new HeaderList(
+                        List.of(
+                                new HeaderField("Attempt-Id", attempt),
+                                new HeaderField("Instance-Stamp", "stamp-" + id)));
+        if (drawn < REFUSED + FAILED) {
+            exchange.respond(500, stamps, NO_BYTES);
+            return;
+        }
+        boolean cut = drawn < REFUSED + FAILED + CUT;
+        if (exchange.headers().first("Token-Usage").isPresent()) {
+            int after = Integer.parseInt(exchange.headers().first("Last-Event-Id").orElse("0"));
+            exchange.begin(200, stamps, -1);
+            stream(exchange, attempt, after + 1, cut);
+        } else {
+            loop.schedule(EVENT_MILLIS, () -> plain(exchange, stamps, attempt, cut));
+        }
+    }
+
+    private static void plain(
+            ServerExchange exchange, HeaderList stamps, String attempt, boolean cut) {
+        if (cut) {
+            exchange.abort();
+        } else if (!exchange.isOver()) {
+            exchange.respond(200, stamps, bytes("answer " + attempt));
+        }
+    }
+
+    private void stream(ServerExchange exchange, String attempt, int event, boolean cut) {
+        if (exchange.isOver()) {
+            return;
+        }
+        if (cut && event == EVENTS / 2) {
+            exchange.write(bytes("id: " + event + "\nda"));
+            exchange.abort();
+            return;
+        }
+        if (event > EVENTS) {
+            exchange.end();
+            return;
+        }
+        exchange.write(bytes("id: " + event + "\ndata: " + attempt + ' ' + event + "\n\n"));
+        loop.schedule(EVENT_MILLIS, () -> stream(exchange, attempt, event + 1, cut));
+    }
+
+    private static byte[] bytes(String text) {
+        return text.getBytes(StandardCharsets.UTF_8);
+    }
+}
