Explain a failed request from the logs of gateways

`trailladder explain REQUEST-ID [FILE...]` orders the request's own lines, those about its upstreams and the lost or regained dependencies of its process within 5 s, and says the cause of its end in one sentence. Before it, docs/OPERATIONS.md told only how to look by hand. Tests: ExplainCommandTest (broken stream, refusal, time over, no end logged, unknown request, missing file).

--- /dev/null
+++ b/trailladder-cli/src/main/java/io/trailladder/cli/ExplainCommand.java
@@ -0,0 +1,102 @@
+/*
+ * Copyright 2026 The trailladder authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package io.trailladder.cli;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.io.PrintWriter;
+import java.io.Reader;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.NoSuchFileException;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.Callable;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.ParameterException;
+import picocli.CommandLine.Parameters;
+import picocli.CommandLine.Spec;
+
+/**
+ * Tells from gateways' logs what became of a request, and why.
+ *
+ * <pre>{@code
+ * cat gateway-*.log | trailladder explain 9c41d07be2a35f68
+ * trailladder explain 9c41d07be2a35f68 gateway-1.log gateway-2.log
+ * }</pre>
+ *
+ * @since 0.2
+ */
+@Command(
+        name = "explain",
+        mixinStandardHelpOptions = true,
+        description = "Tell from gateways' logs what became of a request, and why.")
+public final class ExplainCommand implements Callable<Integer> {
+    private static final int NOT_FOUND = 1;
+
+    @Spec private CommandSpec spec;
+
+    @Parameters(index = "0", paramLabel = "REQUEST-ID", description = "The request's id.")
+    private String id;
+
+    @Parameters(
+            index = "1..*",
+            paramLabel = "FILE",
+            description = "Logs; standard input if none is named.")
+    private List<Path> files = List.of();
+
+    @Override
+    public Integer call() throws IOException {
+        RequestTrace trace = new RequestTrace(id);
+        if (files.isEmpty()) {
+            read(new InputStreamReader(System.in, StandardCharsets.UTF_8), trace);
+        }
+        for (Path file : files) {
+            try (Reader reader = Files.newBufferedReader(file, StandardCharsets.UTF_8)) {
+                read(reader, trace);
+            } catch (NoSuchFileException e) {
+                throw new ParameterException(
+                        spec.commandLine(), "FILE '" + file + "' is not there, expected a log", e);
+            }
+        }
+        return tell(trace);
+    }
+
+    private static void read(Reader source, RequestTrace trace) throws IOException {
+        BufferedReader reader = new BufferedReader(source);
+        for (String line = reader.readLine(); line != null; line = reader.readLine()) {
+            DecisionLine.parse(line).ifPresent(trace::add);
+        }
+    }
+
+    private int tell(RequestTrace trace) {
+        if (trace.isEmpty()) {
+            PrintWriter err = spec.commandLine().getErr();
+            err.println("REQUEST-ID '" + id + "' is in no line, expected the logs of all gateways");
+            err.flush();
+            return NOT_FOUND;
+        }
+        PrintWriter out = spec.commandLine().getOut();
+        for (DecisionLine line : trace.lines()) {
+            out.println(line.time() + " " + line.source() + " " + line.fields());
+        }
+        out.println("cause: " + trace.cause());
+        out.flush();
+        return 0;
+    }
+}
--- /dev/null
+++ b/trailladder-cli/src/main/java/io/trailladder/cli/RequestTrace.java
@@ -0,0 +1,175 @@
+/*
+ * Copyright 2026 The trailladder authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package io.trailladder.cli;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+
+/** The way of one request through the logs of gateways, and why it ended as it did. */
+final class RequestTrace {
+    private static final Duration AROUND = Duration.ofSeconds(5);
+    private static final int FIRST_ERROR = 400;
+
+    private final String id;
+    private final List<DecisionLine> own = new ArrayList<>();
+    private final List<DecisionLine> others = new ArrayList<>();
+
+    RequestTrace(String id) {
+        this.id = id;
+    }
+
+    /** Takes a line of a log, in any order. */
+    void add(DecisionLine line) {
+        if (line.text("id").equals(id)) {
+            own.add(line);
+        } else if (line.kind().equals("Belief") || line.kind().equals("Lifecycle")) {
+            others.add(line);
+        }
+    }
+
+    boolean isEmpty() {
+        return own.isEmpty();
+    }
+
+    /**
+     * Returns the request's own lines and what was learned of its upstreams near them, in order.
+     */
+    List<DecisionLine> lines() {
+        Set<String> upstreams = new HashSet<>();
+        own.stream()
+                .filter(line -> line.kind().equals("Dispatch"))
+                .forEach(line -> upstreams.add("upstream " + line.text("worker")));
+        List<DecisionLine> lines = new ArrayList<>(own);
+        others.stream()
+                .filter(line -> upstreams.contains(line.text("what")) || isOfProcess(line))
+                .filter(this::isNear)
+                .forEach(lines::add);
+        lines.sort(Comparator.comparing(DecisionLine::time));
+        return lines;
+    }
+
+    /** Returns why the request ended as it did, in one sentence. */
+    String cause() {
+        Optional<DecisionLine> intake = last("Intake");
+        Optional<DecisionLine> ended = last("Ended");
+        if (intake.isPresent() && !intake.get().text("outcome").equals("accepted")) {
+            return refused(intake.get());
+        }
+        if (ended.isEmpty()) {
+            return "its end is not logged: the process was lost, or lines were dropped"
+                    + " (look for dropped_lines)";
+        }
+        return ending(ended.get());
+    }
+
+    private static String refused(DecisionLine intake) {
+        return "refused before any attempt: "
+                + intake.text("outcome")
+                + "; decided by policy version "
+                + intake.number("policyVersion");
+    }
+
+    private String ending(DecisionLine ended) {
+        String attempts = ended.number("attempts") + " attempts";
+        return switch (ended.text("outcome")) {
+            case "whole" ->
+                    ended.number("status") < FIRST_ERROR
+                            ? "served whole by " + ended.text("worker")
+                            : "the answer of "
+                                    + ended.text("worker")
+                                    + " was passed on: "
+                                    + ended.number("status");
+            case "PASSED_ON" ->
+                    "upstream "
+                            + ended.text("worker")
+                            + " failed itself with "
+                            + ended.number("status")
+                            + " after "
+                            + attempts;
+            case "NOT_RUN" -> "not run, so the caller may ask again: " + lastFailure();
+            case "MAY_HAVE_RUN" -> "may have run and may not be sent again: " + lastFailure();
+            case "TIMED_OUT" -> "its time was over: " + lastPrediction(ended);
+            case "BROKEN_OFF" -> "the answer had begun and could not go on: " + lastFailure();
+            case "caller-gone" ->
+                    "the caller left after "
+                            + ended.number("tookMs")
+                            + " ms, "
+                            + lastPrediction(ended);
+            default -> "ended as " + ended.text("outcome") + " after " + attempts;
+        };
+    }
+
+    private String lastFailure() {
+        return last("AttemptFailed")
+                .map(
+                        failed ->
+                                "upstream "
+                                        + failed.text("worker")
+                                        + " "
+                                        + failed.text("failure")
+                                        + " after "
+                                        + failed.number("afterMs")
+                                        + " ms, then "
+                                        + failed.text("recovery"))
+                .orElseGet(
+                        () ->
+                                last("Dispatch").isPresent()
+                                        ? "the process stopped while it was under way"
+                                        : "no upstream of its service took new work");
+    }
+
+    private String lastPrediction(DecisionLine ended) {
+        return last("Dispatch")
+                .map(
+                        sent ->
+                                "upstream "
+                                        + sent.text("worker")
+                                        + " was expected to answer within "
+                                        + sent.number("predictedMs")
+                                        + " ms with "
+                                        + sent.number("running")
+                                        + " requests there, first byte "
+                                        + (ended.number("firstMs") < 0
+                                                ? "never came"
+                                                : "after " + ended.number("firstMs") + " ms"))
+                .orElse("it was never sent to an upstream");
+    }
+
+    private Optional<DecisionLine> last(String kind) {
+        return own.stream()
+                .filter(line -> line.kind().equals(kind))
+                .max(Comparator.comparing(DecisionLine::time));
+    }
+
+    /** Lost and regained dependencies matter where they come from the request's own process. */
+    private boolean isOfProcess(DecisionLine line) {
+        return line.kind().equals("Lifecycle")
+                && own.stream().anyMatch(mine -> mine.source().equals(line.source()));
+    }
+
+    private boolean isNear(DecisionLine line) {
+        return own.stream()
+                .anyMatch(
+                        mine ->
+                                Duration.between(mine.time(), line.time()).abs().compareTo(AROUND)
+                                        <= 0);
+    }
+}
--- a/trailladder-cli/src/main/java/io/trailladder/cli/TrailladderCommand.java
+++ b/trailladder-cli/src/main/java/io/trailladder/cli/TrailladderCommand.java
@@ -42,6 +42,7 @@
             GatewayCommand.class,
             TableCommand.class,
             StatusCommand.class,
+            ExplainCommand.class,
             ReplayCommand.class,
             GenerateCompletion.class
         })
@@ -72,6 +73,6 @@
     public void run() {
         throw new ParameterException(
                 spec.commandLine(),
-                "missing command, expected entry, gateway, table, status or replay");
+                "missing command, expected entry, gateway, table, status, explain or replay");
     }
 }
--- /dev/null
+++ b/trailladder-cli/src/test/java/io/trailladder/cli/ExplainCommandTest.java
@@ -0,0 +1,130 @@
+/*
+ * Copyright 2026 The trailladder authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package io.trailladder.cli;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.io.StringWriter;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import net.jqwik.api.Example;
+import picocli.CommandLine;
+
+/** From a request's id to the cause of its failure, by the lines that gateways write. */
+class ExplainCommandTest {
+    private final StringWriter err = new StringWriter();
+    private final StringWriter out = new StringWriter();
+
+    private int explain(String id, String log) throws IOException {
+        Path file = Files.createTempFile("trailladder", ".log");
+        file.toFile().deleteOnExit();
+        Files.writeString(file, log);
+        return run("explain", id, file.toString());
+    }
+
+    private int run(String... args) {
+        CommandLine commandLine = TrailladderCommand.commandLine();
+        commandLine.setErr(new PrintWriter(err, true));
+        commandLine.setOut(new PrintWriter(out, true));
+        return commandLine.execute(args);
+    }
+
+    private static String line(String second, String decision) {
+        return "e-1 {\"time\":\"2026-12-02T13:00:"
+                + second
+                + "Z\",\"decision\":"
+                + decision
+                + "}\n";
+    }
+
+    private static final String ACCEPTED =
+            line(
+                    "01.000",
+                    "{\"kind\":\"Intake\",\"id\":\"r1\",\"policyVersion\":3,\"outcome\":\"accepted\"}");
+    private static final String SENT =
+            line(
+                    "01.001",
+                    "{\"kind\":\"Dispatch\",\"id\":\"r1\",\"attempt\":1,\"worker\":\"u7\","
+                            + "\"predictedMs\":40,\"running\":2}");
+
+    @Example
+    void brokenStreamIsExplainedByItsUpstreamThatLeft() throws IOException {
+        String log =
+                line(
+                                "02.500",
+                                "{\"kind\":\"Ended\",\"id\":\"r1\",\"outcome\":\"BROKEN_OFF\","
+                                        + "\"status\":0,\"worker\":\"u7\",\"attempts\":1}")
+                        + ACCEPTED
+                        + SENT
+                        + line(
+                                "02.000",
+                                "{\"kind\":\"Belief\",\"what\":\"upstream u7\",\"value\":\"gone\"}")
+                        + line(
+                                "02.000",
+                                "{\"kind\":\"Belief\",\"what\":\"upstream u8\",\"value\":\"gone\"}")
+                        + line(
+                                "02.400",
+                                "{\"kind\":\"AttemptFailed\",\"id\":\"r1\",\"worker\":\"u7\","
+                                        + "\"failure\":\"BROKEN\",\"afterMs\":1400,"
+                                        + "\"recovery\":\"give up, BROKEN_OFF\"}")
+                        + "a line that is no decision\n";
+        assertEquals(0, explain("r1", log), err.toString());
+        String text = out.toString();
+        assertTrue(text.contains("upstream u7 BROKEN after 1400 ms"), text);
+        assertTrue(text.contains("\"value\":\"gone\""), text);
+        assertTrue(!text.contains("u8"), text);
+        assertTrue(text.indexOf("Intake") < text.indexOf("Dispatch"), text);
+    }
+
+    @Example
+    void refusalNamesTheLimitAndThePolicyThatDecided() throws IOException {
+        String log =
+                line(
+                        "01.000",
+                        "{\"kind\":\"Intake\",\"id\":\"r1\",\"policyVersion\":3,"
+                                + "\"outcome\":\"429, over limit of t\"}");
+        assertEquals(0, explain("r1", log));
+        assertTrue(out.toString().contains("429, over limit of t; decided by policy version 3"));
+    }
+
+    @Example
+    void timedOutRequestTellsWhatWasExpectedOfItsUpstream() throws IOException {
+        String log =
+                ACCEPTED
+                        + SENT
+                        + line(
+                                "05.000",
+                                "{\"kind\":\"Ended\",\"id\":\"r1\",\"outcome\":\"TIMED_OUT\","
+                                        + "\"status\":504,\"firstMs\":-1}");
+        assertEquals(0, explain("r1", log));
+        assertTrue(
+                out.toString().contains("expected to answer within 40 ms with 2 requests there"),
+                out.toString());
+    }
+
+    @Example
+    void requestWithoutEndAndUnknownRequestAreSaidSo() throws IOException {
+        assertEquals(0, explain("r1", ACCEPTED + SENT));
+        assertTrue(out.toString().contains("its end is not logged"), out.toString());
+        assertEquals(1, explain("r2", ACCEPTED));
+        assertTrue(err.toString().contains("REQUEST-ID 'r2' is in no line"), err.toString());
+        assertEquals(2, run("explain", "r1", "no-such-file"));
+        assertTrue(err.toString().contains("FILE 'no-such-file' is not there"), err.toString());
+    }
+}
