Return leaves to the hubs of their data centre, and prove hubs with whole gateways

Cause: a leaf that could not reach its hubs at its start took another process as its hub for good, which then follows the store and links to all hubs; found while the new test was written (three processes followed the store; the third was, that time, the leader, which had begun before the processes were known: that stays so by design). Change: it returns to a hub once it may be tried again; who stays out of reach is left out for 3, 6, 12, 24, then 48 s. Tests: LinkPlannerProperties (return to a hub in place of "stays there", which was wrong; tries grow rare), HubFaultTest with 14 gateways on sockets: policies, gone upstreams and limits reach all leaves through hubs, and policies from the store once all hubs are lost.

--- a/trailladder-core/src/main/java/io/trailladder/core/membership/LinkPlanner.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/membership/LinkPlanner.java
@@ -26,16 +26,20 @@
 /**
  * Decides which processes this process opens links to, and whether it acts as a hub.
  *
- * <p>A leaf stays with its hub until the link is lost, and leaves out for a while whom it could not
- * reach. A process that others took as their hub acts as one, whatever its rank.
+ * <p>A leaf stays with its hub until the link is lost, and leaves out whom it could not reach, for
+ * longer each time. One that had to take a process of lower rank returns to a hub of its data
+ * centre when it may try it again. A process that others took as their hub acts as one, whatever
+ * its rank.
  *
  * @since 0.2
  */
 public final class LinkPlanner {
     private static final long AVOID_MILLIS = 3_000;
+    private static final int MOST_DOUBLINGS = 4;
 
     private final GatewayMember self;
     private final Map<String, Long> avoidedUntilMillis = new HashMap<>();
+    private final Map<String, Integer> failures = new HashMap<>();
     private List<GatewayMember> members = List.of();
     private String hub = "";
 
@@ -87,12 +91,23 @@
      * @param nowMillis the time
      */
     public void unreachable(String address, long nowMillis) {
-        avoidedUntilMillis.put(address, nowMillis + AVOID_MILLIS);
+        int before = failures.merge(address, 1, Integer::sum) - 1;
+        long avoid = AVOID_MILLIS << Math.min(before, MOST_DOUBLINGS);
+        avoidedUntilMillis.put(address, nowMillis + avoid);
         if (hub.equals(address)) {
             hub = "";
         }
     }
 
+    /**
+     * Records that a process answered over a new link.
+     *
+     * @param address its address
+     */
+    public void reached(String address) {
+        failures.remove(address);
+    }
+
     /**
      * Plans.
      *
@@ -118,15 +133,21 @@
     }
 
     private void chooseHub() {
-        boolean known = members.stream().anyMatch(member -> member.address().equals(hub));
-        if (known) {
-            return;
-        }
         Optional<GatewayMember> best =
                 HubTopology.candidates(self, members).stream()
                         .filter(member -> !avoidedUntilMillis.containsKey(member.address()))
                         .findFirst();
-        hub = best.map(GatewayMember::address).orElse("");
+        Optional<GatewayMember> current =
+                members.stream().filter(member -> member.address().equals(hub)).findFirst();
+        if (current.isEmpty() || (!isLocalHub(current) && isLocalHub(best))) {
+            hub = best.map(GatewayMember::address).orElse("");
+        }
+    }
+
+    private boolean isLocalHub(Optional<GatewayMember> member) {
+        return member.filter(m -> m.dataCentre().equals(self.dataCentre()))
+                .filter(m -> HubTopology.hubs(members).contains(m))
+                .isPresent();
     }
 
     /** Of two processes that want each other, the one whose address sorts lower dials. */
--- a/trailladder-entry/src/main/java/io/trailladder/entry/mesh/PeerMesh.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/mesh/PeerMesh.java
@@ -310,6 +310,7 @@
             link.heard(loop.nowMillis());
             if (message instanceof NodeHello hello) {
                 link.greeted(hello);
+                planner.reached(hello.address());
                 NodeLink before = links.put(hello.name(), link);
                 heard.put(hello.name(), loop.nowMillis());
                 if (before == null) {
