Ask the store for the other processes at once after a restart

Cause: since members are read in place of watched, a restarted process read the list 0.4 s after its start. A process whose store was down at its start heard its peers' digests but did not count them. Ruled out: the limits in windows, which were out of the code by then and had been blamed for the same break. Change: a restarted process reads the list at once; a process that knows nobody yet uses a tenth of the rate; while the processes are not known, linked peers count as hubs.

--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ClusterView.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ClusterView.java
@@ -53,6 +53,7 @@
     private static final long FED_MILLIS = 800;
     private static final int RECENT_LEAVING = 32;
     private static final double LEAST_BUSY = 0.02;
+    private static final double ALONE_PART = 0.1;
     private static final byte[] NO_BYTES = {};
 
     private final EventLoop loop;
@@ -64,6 +65,7 @@
     private final UsageLedger usage;
     private final DigestWriter writer;
     private final GatewayMetrics metrics;
+    private final boolean restarted;
     private final List<String> recentLeaving = new ArrayList<>();
     private final Map<String, Peer> peers = new HashMap<>();
     private BooleanSupplier leads = () -> false;
@@ -83,6 +85,7 @@
      * @param usage counts requests that began to run
      * @param demand measures the load of services here
      * @param metrics the process's figures
+     * @param restarted true if other processes may have served before this one started
      */
     public ClusterView(
             EventLoop loop,
@@ -93,7 +96,9 @@
             WorkerLoads loads,
             UsageLedger usage,
             DemandMeter demand,
-            GatewayMetrics metrics) {
+            GatewayMetrics metrics,
+            boolean restarted) {
+        this.restarted = restarted;
         this.loop = loop;
         this.policies = policies;
         this.directory = directory;
@@ -301,10 +306,20 @@
 
     private void tick() {
         forgetSilentPeers();
-        quotas.sharedPart(Math.min(1.0, heard() / (double) entries()), loop.nowMillis());
+        quotas.sharedPart(sharedPart(), loop.nowMillis());
         tellPeers();
     }
 
+    /**
+     * A restarted process that does not know the others yet must not take the limit for its own.
+     */
+    private double sharedPart() {
+        if (!mesh.isPlanned() && restarted && peers.isEmpty()) {
+            return ALONE_PART;
+        }
+        return Math.min(1.0, heard() / (double) entries());
+    }
+
     private void forgetSilentPeers() {
         long oldest = loop.nowMillis() - PeerMesh.HEARD_MILLIS;
         for (Peer peer : List.copyOf(peers.values())) {
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
@@ -127,11 +127,19 @@
                         loads,
                         usage,
                         demand,
-                        metrics);
+                        metrics,
+                        !settings.node().firstStart());
         GatewayMember self = settings.self();
         mesh = new PeerMesh(loop, self, incarnation, view);
         mesh.seeds(settings.seeds().stream().map(HostPort::toString).toList());
-        membership = new Membership(loop, platform.store(), storeHealth, mesh, self);
+        membership =
+                new Membership(
+                        loop,
+                        platform.store(),
+                        storeHealth,
+                        mesh,
+                        self,
+                        settings.node().firstStart());
         LeaderElection election =
                 new LeaderElection(
                         settings.timing().leaseMillis(),
@@ -299,9 +307,10 @@
 
     /** Hubs alone look after leadership, so that a lost leader is not followed by all at once. */
     private void followLeader() {
-        if (mesh.isHub() && !leaderWatcher.isRunning()) {
+        boolean follows = mesh.isHub() && mesh.isPlanned();
+        if (follows && !leaderWatcher.isRunning()) {
             leaderWatcher.restart();
-        } else if (!mesh.isHub() && leaderWatcher.isRunning()) {
+        } else if (!follows && leaderWatcher.isRunning()) {
             leaderWatcher.stop();
         }
     }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Membership.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Membership.java
@@ -61,6 +61,7 @@
     private final PeerMesh mesh;
     private final String key;
     private final GatewayMember self;
+    private final boolean firstStart;
     private final List<GatewayMember> listed = new ArrayList<>();
     private int lists;
     private long ownRevision;
@@ -75,25 +76,32 @@
      * @param health told of answers and failures
      * @param mesh told of the others
      * @param self this process
+     * @param firstStart true if all processes start now, so that few are listed at once
      */
     public Membership(
             EventLoop loop,
             CoordinationStore store,
             StoreHealth health,
             PeerMesh mesh,
-            GatewayMember self) {
+            GatewayMember self,
+            boolean firstStart) {
         this.loop = loop;
         this.store = store;
         this.health = health;
         this.mesh = mesh;
         this.key = PREFIX + self.name();
         this.self = self;
+        this.firstStart = firstStart;
     }
 
     /** Writes the entry and keeps it, and reads those of the others. */
     public void start() {
         grant();
-        loop.schedule(FIRST_LIST_MILLIS, this::list);
+        if (firstStart) {
+            loop.schedule(FIRST_LIST_MILLIS, this::list);
+        } else {
+            list();
+        }
     }
 
     /** Takes the entry away. */
--- a/trailladder-entry/src/main/java/io/trailladder/entry/mesh/PeerMesh.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/mesh/PeerMesh.java
@@ -65,7 +65,7 @@
     private final Map<String, Long> heard = new HashMap<>();
     private final Set<String> dialling = new HashSet<>();
     private Set<String> seeds = Set.of();
-    private LinkPlan plan = new LinkPlan(false, Set.of());
+    private LinkPlan plan = new LinkPlan(true, Set.of());
     private boolean planned;
 
     /**
@@ -120,12 +120,22 @@
     }
 
     /**
-     * Tells whether this process acts as a hub, as all do where there are few.
+     * Tells whether this process acts as a hub, as all do where there are few, and while the
+     * processes are not known.
      *
-     * @return false for a leaf, and until the processes are known
+     * @return false for a leaf
      */
     public boolean isHub() {
-        return planned && plan.hub();
+        return plan.hub();
+    }
+
+    /**
+     * Tells whether the processes are known.
+     *
+     * @return false until the store has listed them once
+     */
+    public boolean isPlanned() {
+        return planned;
     }
 
     /**
@@ -210,7 +220,9 @@
                 link.close();
             }
         }
-        plan = planner.plan(listener.isNeeded(), now);
+        if (planned) {
+            plan = planner.plan(listener.isNeeded(), now);
+        }
         closeUnwanted();
         plan.dial().forEach(this::dialIfMissing);
         if (links.isEmpty()) {
