--- a/trailladder-core/src/main/java/io/trailladder/core/membership/LinkPlanner.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/membership/LinkPlanner.java
@@ -41,6 +41,8 @@
     private final Map<String, Long> avoidedUntilMillis = new HashMap<>();
     private final Map<String, Integer> failures = new HashMap<>();
     private List<GatewayMember> members = List.of();
+    private List<GatewayMember> hubs = List.of();
+    private List<GatewayMember> candidates = List.of();
     private String hub = "";
 
     /**
@@ -72,6 +74,8 @@
      */
     public void members(Collection<GatewayMember> listed) {
         members = List.copyOf(listed);
+        hubs = HubTopology.hubs(members);
+        candidates = HubTopology.candidates(self, members);
     }
 
     /**
@@ -120,7 +124,6 @@
         if (HubTopology.isFullMesh(members)) {
             return new LinkPlan(true, mesh(members));
         }
-        List<GatewayMember> hubs = HubTopology.hubs(members);
         boolean chosen = hubs.stream().anyMatch(member -> member.name().equals(self.name()));
         if (chosen) {
             return new LinkPlan(true, mesh(hubs));
@@ -134,7 +137,7 @@
 
     private void chooseHub() {
         Optional<GatewayMember> best =
-                HubTopology.candidates(self, members).stream()
+                candidates.stream()
                         .filter(member -> !avoidedUntilMillis.containsKey(member.address()))
                         .findFirst();
         Optional<GatewayMember> current =
@@ -146,7 +149,7 @@
 
     private boolean isLocalHub(Optional<GatewayMember> member) {
         return member.filter(m -> m.dataCentre().equals(self.dataCentre()))
-                .filter(m -> HubTopology.hubs(members).contains(m))
+                .filter(m -> hubs.contains(m))
                 .isPresent();
     }
 
