--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/StoreWatcher.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/StoreWatcher.java
@@ -24,6 +24,7 @@
 import io.vavr.control.Either;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.SplittableRandom;
 
 /**
@@ -102,10 +103,8 @@
 
     /** Begins, or begins anew, with reading all keys. */
     public void restart() {
+        stop();
         running = true;
-        round++;
-        cancelWatch.run();
-        cancelWatch = () -> {};
         listed.clear();
         list(round, "");
     }
@@ -137,22 +136,30 @@
     }
 
     private void list(int current, String afterKey) {
-        store.list(prefix, afterKey, Freshness.LATEST, result -> page(current, afterKey, result));
+        store.list(
+                prefix,
+                afterKey,
+                Freshness.LATEST,
+                result ->
+                        awaited(current, result)
+                                .ifPresent(batch -> page(current, afterKey, batch)));
     }
 
-    private void page(int current, String afterKey, Either<StoreFailure, StoreBatch> result) {
+    /** Returns what a call brought, unless it failed or is no longer awaited. */
+    private Optional<StoreBatch> awaited(int current, Either<StoreFailure, StoreBatch> result) {
         if (current != round) {
-            return;
+            return Optional.empty();
         }
         if (result.isLeft()) {
             failed(current, result.getLeft());
-            return;
+            return Optional.empty();
         }
+        // a regained store begins a new round
         health.answered();
-        if (current != round) {
-            return;
-        }
-        StoreBatch batch = result.get();
+        return current == round ? Optional.of(result.get()) : Optional.empty();
+    }
+
+    private void page(int current, String afterKey, StoreBatch batch) {
         if (afterKey.isEmpty()) {
             revision = batch.revision();
         }
@@ -170,23 +177,17 @@
 
     private void watch(int current) {
         cancelWatch =
-                store.watch(prefix, revision, WATCH_MILLIS, result -> changes(current, result));
+                store.watch(
+                        prefix,
+                        revision,
+                        WATCH_MILLIS,
+                        result ->
+                                awaited(current, result)
+                                        .ifPresent(batch -> changes(current, batch)));
     }
 
-    private void changes(int current, Either<StoreFailure, StoreBatch> result) {
-        if (current != round) {
-            return;
-        }
-        if (result.isLeft()) {
-            failed(current, result.getLeft());
-            return;
-        }
-        health.answered();
-        if (current != round) {
-            return;
-        }
+    private void changes(int current, StoreBatch batch) {
         backoffMillis = FIRST_BACKOFF_MILLIS;
-        StoreBatch batch = result.get();
         for (StoreItem item : batch.items()) {
             revision = Math.max(revision, item.revision());
             listener.changed(item);
