Let one bounded map serve prompts, limits and the engine model

Found on reading the change again: Quotas wrote a fourth map that forgets its eldest entry; RecentMap replaces it and those of PrefixIndex, PrefixMemory and EngineModel. CallBook's keeps entries without answer and stays.

--- a/trailladder-bench/src/main/java/io/trailladder/bench/EngineModel.java
+++ b/trailladder-bench/src/main/java/io/trailladder/bench/EngineModel.java
@@ -15,9 +15,9 @@
  */
 package io.trailladder.bench;
 
+import io.trailladder.core.RecentMap;
 import io.trailladder.core.routing.LoadReport;
 import io.trailladder.core.routing.PromptBlocks;
-import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.PriorityQueue;
 
@@ -40,15 +40,7 @@
     record Served(double firstTokenAt, double endAt, int computedTokens) {}
 
     EngineModel(int cacheBlocks) {
-        cache =
-                new LinkedHashMap<>(16, 0.75f, true) {
-                    private static final long serialVersionUID = 1L;
-
-                    @Override
-                    protected boolean removeEldestEntry(Map.Entry<Long, Boolean> eldest) {
-                        return size() > cacheBlocks;
-                    }
-                };
+        cache = new RecentMap<>(cacheBlocks);
     }
 
     Served serve(PromptBlocks blocks, int answerTokens, double now) {
--- a/trailladder-core/src/main/java/io/trailladder/core/routing/PrefixMemory.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/routing/PrefixMemory.java
@@ -15,7 +15,7 @@
  */
 package io.trailladder.core.routing;
 
-import java.util.LinkedHashMap;
+import io.trailladder.core.RecentMap;
 import java.util.Map;
 
 /**
@@ -37,15 +37,7 @@
      * @param capacity how many prefixes are remembered; the oldest are forgotten first
      */
     public PrefixMemory(int capacity) {
-        places =
-                new LinkedHashMap<>(16, 0.75f, true) {
-                    private static final long serialVersionUID = 1L;
-
-                    @Override
-                    protected boolean removeEldestEntry(Map.Entry<Place, Boolean> eldest) {
-                        return size() > capacity;
-                    }
-                };
+        places = new RecentMap<>(capacity);
     }
 
     /**
--- a/trailladder-core/src/main/java/io/trailladder/core/worker/PrefixIndex.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/worker/PrefixIndex.java
@@ -15,9 +15,9 @@
  */
 package io.trailladder.core.worker;
 
+import io.trailladder.core.RecentMap;
 import io.trailladder.core.pipeline.Prompt;
 import io.trailladder.core.pipeline.PromptBlock;
-import java.util.LinkedHashMap;
 import java.util.Map;
 
 /**
@@ -38,15 +38,7 @@
      * @param capacity how many parts are remembered; those unused for longest are forgotten first
      */
     public PrefixIndex(int capacity) {
-        places =
-                new LinkedHashMap<>(16, 0.75f, true) {
-                    private static final long serialVersionUID = 1L;
-
-                    @Override
-                    protected boolean removeEldestEntry(Map.Entry<Place, Integer> eldest) {
-                        return size() > capacity;
-                    }
-                };
+        places = new RecentMap<>(capacity);
     }
 
     /**
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Quotas.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Quotas.java
@@ -15,6 +15,7 @@
  */
 package io.trailladder.entry.gateway;
 
+import io.trailladder.core.RecentMap;
 import io.trailladder.core.limit.QuotaBucket;
 import io.trailladder.core.policy.RateSpec;
 import io.trailladder.core.policy.ServingPolicy;
@@ -22,7 +23,6 @@
 import io.trailladder.wire.NodeMessage.TenantUse;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.function.BiFunction;
@@ -41,23 +41,12 @@
     private final boolean firstStart;
     private final GatewaySettings.Tolerance tolerance;
     private final Map<String, QuotaBucket> buckets = new HashMap<>();
-    private final Map<String, Double> seen = new RecentKeys();
-    private final Map<String, Double> ofLeaves = new RecentKeys();
-    private final Map<String, Double> told = new HashMap<>();
-
-    /** Counts by life and tenant; the lives of processes that are long gone fall out. */
-    private static final class RecentKeys extends LinkedHashMap<String, Double> {
-        private static final long serialVersionUID = 1L;
 
-        RecentKeys() {
-            super(16, 0.75f, true);
-        }
+    /** By life and tenant; the lives of processes that are long gone fall out. */
+    private final Map<String, Double> seen = new RecentMap<>(MOST_REMEMBERED);
 
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<String, Double> eldest) {
-            return size() > MOST_REMEMBERED;
-        }
-    }
+    private final Map<String, Double> ofLeaves = new RecentMap<>(MOST_REMEMBERED);
+    private final Map<String, Double> told = new HashMap<>();
 
     /** What is told of one tenant: all units, and the part that was told before. */
     private record Told(double used, double before) {
