--- a/trailladder-entry/src/main/java/io/trailladder/entry/mesh/NodeLink.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/mesh/NodeLink.java
@@ -15,15 +15,12 @@
  */
 package io.trailladder.entry.mesh;
 
+import io.trailladder.entry.loop.FrameWriter;
 import io.trailladder.wire.NodeMessage;
 import io.trailladder.wire.NodeMessage.NodeHello;
 import io.trailladder.wire.PeerCodec;
 import java.net.SocketAddress;
-import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.Connection;
-import org.glassfish.grizzly.EmptyCompletionHandler;
-import org.glassfish.grizzly.WriteResult;
-import org.glassfish.grizzly.memory.Buffers;
 
 /** One connection to a peer. */
 final class NodeLink {
@@ -78,15 +75,7 @@
     }
 
     void sendFrame(byte[] frame) {
-        connection.write(
-                null,
-                Buffers.wrap(connection.getMemoryManager(), frame),
-                new EmptyCompletionHandler<WriteResult<Buffer, SocketAddress>>() {
-                    @Override
-                    public void failed(Throwable cause) {
-                        close();
-                    }
-                });
+        FrameWriter.write(connection, frame, this::close);
     }
 
     void close() {
--- a/trailladder-entry/src/main/java/io/trailladder/entry/peer/PeerLink.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/peer/PeerLink.java
@@ -15,17 +15,14 @@
  */
 package io.trailladder.entry.peer;
 
+import io.trailladder.entry.loop.FrameWriter;
 import io.trailladder.wire.EntryInfo;
 import io.trailladder.wire.PeerCodec;
 import io.trailladder.wire.PeerMessage;
 import io.trailladder.wire.PeerMessage.Hello;
 import io.trailladder.wire.PeerMessage.Proof;
 import java.net.SocketAddress;
-import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.Connection;
-import org.glassfish.grizzly.EmptyCompletionHandler;
-import org.glassfish.grizzly.WriteResult;
-import org.glassfish.grizzly.memory.Buffers;
 
 /**
  * One connection to a peer, from its handshake on.
@@ -98,15 +95,7 @@
 
     void send(PeerMessage message) {
         byte[] frame = PeerCodec.encode(message);
-        connection.write(
-                null,
-                Buffers.wrap(connection.getMemoryManager(), frame),
-                new EmptyCompletionHandler<WriteResult<Buffer, SocketAddress>>() {
-                    @Override
-                    public void failed(Throwable cause) {
-                        close();
-                    }
-                });
+        FrameWriter.write(connection, frame, this::close);
     }
 
     void close() {
