--- a/trailladder-cli/src/test/java/io/trailladder/cli/soak/SoakGateway.java
+++ b/trailladder-cli/src/test/java/io/trailladder/cli/soak/SoakGateway.java
@@ -15,13 +15,12 @@
  */
 package io.trailladder.cli.soak;
 
+import io.trailladder.adapter.GatewayRunner;
 import io.trailladder.cli.GatewayProcess;
 import io.trailladder.platform.http.HostPort;
 import java.io.File;
 import java.io.IOException;
 import java.net.HttpURLConnection;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.URI;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -43,10 +42,10 @@
     private final String name;
     private final Path folder;
     private final FaultProxy store;
-    private final HostPort callers = freePort();
-    private final HostPort health = freePort();
-    private final HostPort peers = freePort();
-    private final HostPort metrics = freePort();
+    private final HostPort callers = GatewayRunner.freePort();
+    private final HostPort health = GatewayRunner.freePort();
+    private final HostPort peers = GatewayRunner.freePort();
+    private final HostPort metrics = GatewayRunner.freePort();
     private Process process;
     private boolean paused;
 
@@ -127,13 +126,6 @@
         }
     }
 
-    private static HostPort freePort() throws IOException {
-        InetAddress loopback = InetAddress.getLoopbackAddress();
-        try (ServerSocket socket = new ServerSocket(0, 1, loopback)) {
-            return new HostPort("127.0.0.1", socket.getLocalPort());
-        }
-    }
-
     static List<HostPort> callers(List<SoakGateway> gateways) {
         return gateways.stream().map(SoakGateway::callers).toList();
     }
--- a/trailladder-cli/src/test/java/io/trailladder/cli/soak/SoakRun.java
+++ b/trailladder-cli/src/test/java/io/trailladder/cli/soak/SoakRun.java
@@ -15,6 +15,8 @@
  */
 package io.trailladder.cli.soak;
 
+import static io.trailladder.adapter.GatewayRunner.onLoop;
+
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import io.trailladder.adapter.PlatformStandIn;
@@ -31,8 +33,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
-import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.ExecutionException;
 
 /**
  * One seeded run: gateways as processes, upstreams, store and callers round them, and faults from
@@ -101,7 +101,7 @@
         this.random = new SplittableRandom(seed);
         this.folder = Files.createTempDirectory(Path.of("target"), "soak-" + seed + "-");
         loop.start();
-        platform = onLoop(() -> new PlatformStandIn(loop));
+        platform = onLoop(loop, () -> new PlatformStandIn(loop));
         configure();
         for (int i = 0; i < UPSTREAMS; i++) {
             addUpstream();
@@ -197,7 +197,7 @@
             }
             case 9 -> {
                 note("history");
-                onLoop(() -> forget());
+                onLoop(loop, () -> forget());
             }
             case 10 -> switched("store down", forMillis, down -> platform.down(down));
             default -> switched("answers lost", forMillis, on -> platform.loseWriteAnswers(on));
@@ -220,6 +220,7 @@
 
     private void calm() throws Exception {
         onLoop(
+                loop,
                 () -> {
                     platform.down(false);
                     platform.loseWriteAnswers(false);
@@ -281,7 +282,7 @@
 
     private void checkUsage() throws Exception {
         Map<Long, JsonNode> byWindow = new HashMap<>();
-        for (String call : onLoop(platform::dutyCalls)) {
+        for (String call : onLoop(loop, platform::dutyCalls)) {
             if (call.startsWith("/usage ")) {
                 JsonNode report = new ObjectMapper().readTree(call.substring("/usage ".length()));
                 JsonNode counts = report.path("counts");
@@ -315,6 +316,7 @@
         addUpstream();
         upstreams.remove(upstream);
         onLoop(
+                loop,
                 () -> {
                     platform.put("servers/" + upstream.id(), upstream.entry("draining"));
                     loop.schedule(
@@ -326,8 +328,10 @@
 
     private void addUpstream() throws Exception {
         String id = "u" + upstreamsMade++;
-        SoakUpstream upstream = onLoop(() -> new SoakUpstream(loop, id, random.split(), runs));
+        SoakUpstream upstream =
+                onLoop(loop, () -> new SoakUpstream(loop, id, random.split(), runs));
         onLoop(
+                loop,
                 () -> {
                     platform.put("servers/" + id, upstream.entry("ready"));
                     return true;
@@ -338,6 +342,7 @@
     private void configure() throws Exception {
         int next = version;
         onLoop(
+                loop,
                 () -> {
                     platform.put("op/config", CONFIG.formatted(next));
                     return true;
@@ -357,24 +362,6 @@
         faults.add(fault);
     }
 
-    /** A task that may fail. */
-    private interface Task<T> {
-        T run() throws IOException;
-    }
-
-    private <T> T onLoop(Task<T> task) throws ExecutionException, InterruptedException {
-        CompletableFuture<T> result = new CompletableFuture<>();
-        loop.execute(
-                () -> {
-                    try {
-                        result.complete(task.run());
-                    } catch (IOException | RuntimeException e) {
-                        result.completeExceptionally(e);
-                    }
-                });
-        return result.get();
-    }
-
     private static void pause(long millis) throws InterruptedException {
         Thread.sleep(millis);
     }
