Read a request's header fields once

Found on reading the change again: the check of a head, the look whether its body is needed and the exchange each turned the same head into a list of fields, twice or three times a request.

--- a/trailladder-entry/src/main/java/io/trailladder/entry/http/ServerConnection.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/http/ServerConnection.java
@@ -36,6 +36,10 @@
     private final Connection<?> connection;
     private final Deque<ServerExchange> waiting = new ArrayDeque<>();
     private HttpRequestPacket reading;
+
+    /** Of the request that is read, or was read last. */
+    private HeaderList headers = HeaderList.EMPTY;
+
     private ByteArrayOutputStream body = new ByteArrayOutputStream();
     private ServerExchange current;
     private boolean refusing;
@@ -72,6 +76,7 @@
         HttpRequestPacket request = (HttpRequestPacket) content.getHttpHeader();
         if (request != reading) {
             reading = request;
+            headers = HeaderList.of(request.getHeaders());
             headSinceMillis = -1;
             restingSinceMillis = server.nowMillis();
             body = new ByteArrayOutputStream();
@@ -93,7 +98,7 @@
         }
         if (content.isLast()) {
             reading = null;
-            accept(new ServerExchange(this, request, body.toByteArray()));
+            accept(new ServerExchange(this, request, headers, body.toByteArray()));
         }
     }
 
@@ -184,7 +189,6 @@
 
     /** Refuses requests whose end could be read in two ways, and bodies that are too large. */
     private boolean acceptable(HttpRequestPacket request) {
-        HeaderList headers = HeaderList.of(request.getHeaders());
         String encoding = headers.first("Transfer-Encoding").orElse("");
         boolean hasLength = headers.first("Content-Length").isPresent();
         boolean encoded = !encoding.isEmpty();
@@ -207,7 +211,7 @@
             close();
             return;
         }
-        ServerExchange exchange = new ServerExchange(this, request, NO_BYTES);
+        ServerExchange exchange = new ServerExchange(this, request, headers, NO_BYTES);
         current = exchange;
         exchange.closeAfter();
         server.handler().refuse(exchange, status);
@@ -218,7 +222,7 @@
         if (current != null || content.isLast()) {
             return false;
         }
-        ServerExchange exchange = new ServerExchange(this, request, NO_BYTES);
+        ServerExchange exchange = new ServerExchange(this, request, headers, NO_BYTES);
         exchange.closeAfter();
         current = exchange;
         refusing = true;
--- a/trailladder-entry/src/main/java/io/trailladder/entry/http/ServerExchange.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/http/ServerExchange.java
@@ -43,10 +43,11 @@
     private volatile boolean over;
     private boolean gone;
 
-    ServerExchange(ServerConnection owner, HttpRequestPacket request, byte[] body) {
+    ServerExchange(
+            ServerConnection owner, HttpRequestPacket request, HeaderList headers, byte[] body) {
         this.owner = owner;
         this.request = request;
-        this.headers = HeaderList.of(request.getHeaders());
+        this.headers = headers;
         this.body = body;
         this.closeAfter = !request.getProcessingState().isKeepAlive() || wantsClose(headers);
     }
