A planner that takes a running system over begins with what serves

Ruled out: a wrong list (it held all 28); a refused order (all were accepted). Change: a process that starts beside others holds at least what serves, of either kind, until the load has been known for 8 s. Tests: takingOverDoesNotShrinkWhatServes, entriesThatComeBackLateAfterTakingOverAreKeptToo (both failed first).

--- a/trailladder-core/src/main/java/io/trailladder/core/duty/FleetPlanner.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/duty/FleetPlanner.java
@@ -32,7 +32,9 @@
  * <p>Reclaimable upstreams carry the load, in equal parts in every data centre, so that the loss of
  * all of one leaves the others below {@link #MOST_BUSY_AFTER_LOSS}. Upstreams at the full price are
  * added only while too few others serve, or too few would be left after one more loss. Numbers grow
- * soon and shrink late, so that they do not swing with the load.
+ * soon and shrink late, so that they do not swing with the load. A planner that takes a running
+ * system over begins with what serves, and gives nothing back before it has measured the load for
+ * {@link #MEASURED_MILLIS}.
  *
  * @since 0.2
  */
@@ -40,6 +42,13 @@
     /** Part of their time that upstreams may be busy after a data centre's loss, as planned for. */
     public static final double MOST_BUSY_AFTER_LOSS = 0.35;
 
+    /**
+     * How long the load must have been known before a planner that takes over shrinks a fleet, in
+     * milliseconds: some of the time over which the load is smoothed, so that a load that is still
+     * being summed up is not taken for a small one.
+     */
+    public static final long MEASURED_MILLIS = 8_000;
+
     private static final double PROVISION_FACTOR = 1.5;
     private static final double MOST_BUSY_NOW = 0.5;
     private static final double MOST_BUSY_AFTER_NEXT_LOSS = 0.7;
@@ -48,10 +57,12 @@
     private static final long RELEASE_AFTER_MILLIS = 2_000;
 
     private final String service;
+    private final boolean takesOver;
     private final Map<String, Integer> zones = new TreeMap<>();
     private final Set<String> provided = new HashSet<>();
     private final Hysteresis perZone = new Hysteresis(GROW_AFTER_MILLIS, SHRINK_AFTER_MILLIS);
     private final Hysteresis fullPrice = new Hysteresis(0, RELEASE_AFTER_MILLIS);
+    private long knownSinceMillis = -1;
 
     /** A number that follows another one only after that has differed for some time. */
     private static final class Hysteresis {
@@ -88,6 +99,12 @@
             value = Math.max(value, least);
         }
 
+        /** Keeps the number from shrinking now, and raises it to a least one. */
+        void hold(int least, long nowMillis) {
+            atLeast(least);
+            sameOrAboveMillis = nowMillis;
+        }
+
         private void set(int changed, long nowMillis) {
             value = changed;
             sameOrAboveMillis = nowMillis;
@@ -99,9 +116,11 @@
      * Creates a planner.
      *
      * @param service the service it plans for
+     * @param takesOver true if others may have ordered upstreams before this process started
      */
-    public FleetPlanner(String service) {
+    public FleetPlanner(String service, boolean takesOver) {
         this.service = service;
+        this.takesOver = takesOver;
     }
 
     /**
@@ -120,6 +139,9 @@
         if (busy < 0) {
             learnProvided(serving);
         }
+        if (takesOver && !isMeasured(busy, nowMillis)) {
+            keep(serving, nowMillis);
+        }
         int target = perZone.follow(wantedPerZone(scaling, busy), nowMillis);
         int full = fullPrice.follow(wantedFullPrice(scaling, serving, busy), nowMillis);
         Map<String, Integer> fullByZone = spread(scaling, serving, full);
@@ -131,6 +153,25 @@
         return orders;
     }
 
+    private boolean isMeasured(double busy, long nowMillis) {
+        if (knownSinceMillis < 0 && busy >= 0) {
+            knownSinceMillis = nowMillis;
+        }
+        return knownSinceMillis >= 0 && nowMillis - knownSinceMillis >= MEASURED_MILLIS;
+    }
+
+    /** Plans for no fewer than serve now, of either kind. */
+    private void keep(List<Worker> serving, long nowMillis) {
+        int most = 0;
+        int full = 0;
+        for (String zone : zones.keySet()) {
+            most = Math.max(most, count(serving, zone, true));
+            full += count(serving, zone, false);
+        }
+        perZone.hold(most, nowMillis);
+        fullPrice.hold(full, nowMillis);
+    }
+
     /**
      * Before any load is known, the operator's own provision is the best guess of what is needed.
      */
--- a/trailladder-core/src/test/java/io/trailladder/core/duty/FleetPlannerTest.java
+++ b/trailladder-core/src/test/java/io/trailladder/core/duty/FleetPlannerTest.java
@@ -56,7 +56,7 @@
 
     @Example
     void provisionIsReplacedByReclaimableUpstreamsBeforeItIsReleased() {
-        FleetPlanner planner = new FleetPlanner("s");
+        FleetPlanner planner = new FleetPlanner("s", false);
         List<WorkerOrder> first = planner.plan(SCALING, fleet(2, 0), UNKNOWN, 0);
         assertEquals(9, ordered(first, true));
         assertTrue(ordered(first, false) >= 2, "something still serves at the full price");
@@ -68,14 +68,14 @@
 
     @Example
     void partOfTheListSeenFirstDoesNotShrinkTheFleet() {
-        FleetPlanner planner = new FleetPlanner("s");
+        FleetPlanner planner = new FleetPlanner("s", false);
         planner.plan(SCALING, fleet(2, 0).subList(0, 1), UNKNOWN, 0);
         assertEquals(9, ordered(planner.plan(SCALING, fleet(2, 0), UNKNOWN, 100), true));
     }
 
     @Example
     void ownOrdersDoNotFeedBackIntoTheTarget() {
-        FleetPlanner planner = new FleetPlanner("s");
+        FleetPlanner planner = new FleetPlanner("s", false);
         planner.plan(SCALING, fleet(2, 0), UNKNOWN, 0);
         planner.plan(SCALING, fleet(2, 3), UNKNOWN, 5_000);
         assertEquals(9, ordered(planner.plan(SCALING, fleet(2, 3), UNKNOWN, 60_000), true));
@@ -83,7 +83,7 @@
 
     @Example
     void lossOfReclaimableUpstreamsIsMadeUpAtOnce() {
-        FleetPlanner planner = new FleetPlanner("s");
+        FleetPlanner planner = new FleetPlanner("s", false);
         planner.plan(SCALING, fleet(0, 2), 1.3, 0);
         List<Worker> left = new ArrayList<>();
         add(left, "a", 2, true);
@@ -93,9 +93,38 @@
 
     @Example
     void aShortPeakDoesNotChangeTheTarget() {
-        FleetPlanner planner = new FleetPlanner("s");
+        FleetPlanner planner = new FleetPlanner("s", false);
         int before = ordered(planner.plan(SCALING, fleet(0, 2), 1.3, 0), true);
         planner.plan(SCALING, fleet(0, 2), 4, 1_000);
         assertEquals(before, ordered(planner.plan(SCALING, fleet(0, 2), 4, 2_000), true));
     }
+
+    @Example
+    void takingOverDoesNotShrinkWhatServes() {
+        FleetPlanner planner = new FleetPlanner("s", true);
+        List<Worker> serving = fleet(1, 5);
+        for (long now = 0; now <= FleetPlanner.MEASURED_MILLIS; now += 250) {
+            double load = now < 500 ? UNKNOWN : now / 10_000.0;
+            List<WorkerOrder> orders = planner.plan(SCALING, serving, load, now);
+            assertTrue(ordered(orders, true) >= 15, "reclaimable at " + now);
+            assertTrue(ordered(orders, false) >= 3, "full price at " + now);
+        }
+    }
+
+    @Example
+    void entriesThatComeBackLateAfterTakingOverAreKeptToo() {
+        FleetPlanner planner = new FleetPlanner("s", true);
+        planner.plan(SCALING, fleet(0, 5).subList(0, 2), UNKNOWN, 0);
+        assertEquals(15, ordered(planner.plan(SCALING, fleet(0, 5), 0.4, 1_000), true));
+    }
+
+    @Example
+    void aFleetThatIsTooLargeShrinksOnceTheLoadIsMeasured() {
+        FleetPlanner planner = new FleetPlanner("s", true);
+        List<WorkerOrder> orders = List.of();
+        for (long now = 0; now <= 200_000; now += 250) {
+            orders = planner.plan(SCALING, fleet(0, 5), 0.5, now);
+        }
+        assertEquals(3, ordered(orders, true));
+    }
 }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/FleetRunner.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/FleetRunner.java
@@ -54,6 +54,7 @@
     private final WorkerDirectory directory;
     private final ToDoubleFunction<String> busy;
     private final GatewayMetrics metrics;
+    private final boolean takesOver;
     private final Map<String, FleetPlanner> planners = new HashMap<>();
     private final Map<Subject, Given> given = new HashMap<>();
     private long token;
@@ -81,6 +82,7 @@
      * @param directory the upstreams known
      * @param busy tells how many upstreams of a service the load keeps busy; below 0 if not known
      * @param metrics the process's figures
+     * @param takesOver true if others may have ordered upstreams before this process started
      */
     public FleetRunner(
             EventLoop loop,
@@ -89,7 +91,8 @@
             PolicyKeeper policies,
             WorkerDirectory directory,
             ToDoubleFunction<String> busy,
-            GatewayMetrics metrics) {
+            GatewayMetrics metrics,
+            boolean takesOver) {
         this.loop = loop;
         this.duties = duties;
         this.leadership = leadership;
@@ -97,6 +100,7 @@
         this.directory = directory;
         this.busy = busy;
         this.metrics = metrics;
+        this.takesOver = takesOver;
     }
 
     /** Begins to order. */
@@ -127,7 +131,7 @@
             return;
         }
         double load = busy.applyAsDouble(service);
-        FleetPlanner planner = planners.computeIfAbsent(service, FleetPlanner::new);
+        FleetPlanner planner = planners.computeIfAbsent(service, name -> new FleetPlanner(name, takesOver));
         List<WorkerOrder> orders = planner.plan(scaling, workers, load, loop.nowMillis());
         boolean looked = loop.nowMillis() - firstPlanMillis >= FIRST_LOOK_MILLIS;
         if (!looked || !leadership.leads()) {
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
@@ -160,7 +160,14 @@
                         metrics);
         fleet =
                 new FleetRunner(
-                        loop, platform.duties(), duties, policies, directory, view::busy, metrics);
+                        loop,
+                        platform.duties(),
+                        duties,
+                        policies,
+                        directory,
+                        view::busy,
+                        metrics,
+                        !settings.node().firstStart());
         ServingContext context =
                 new ServingContext(
                         loop,
