Learn the speed of upstreams from their answers, and size the fleet by it

Cause: prompt speed, step time and token time were constants of another customer's engines (30 tokens a ms; here about 80 with decoding between, 157 without), so 6 to 10 busy upstreams were told where 3 are, and the fleet grew to 28 and more. Ruled out: smoothing and hysteresis (the told load itself was wrong); constants of this customer (would be fitting). Change: core/engine holds a model without I/O: decayed least squares of first events over prompt tokens and of pauses over requests under way, run time, prior, robust weights, bounds; evidence is additive and told to peers once a second. Selection, silence bounds and fleet use it. The need of upstreams is reading plus places by Little's law, with a bound on waiting. Upstreams at the full price bridge up to the comfortable need while reclaimable ones are short. Unsound figures of peers are refused with a log line. Homes of prompts no longer sort and hash every upstream's name for each request.

--- a/trailladder-core/src/main/java/io/trailladder/core/duty/FleetPlanner.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/duty/FleetPlanner.java
@@ -15,6 +15,7 @@
  */
 package io.trailladder.core.duty;
 
+import io.trailladder.core.engine.FleetNeed;
 import io.trailladder.core.policy.ScalingSpec;
 import io.trailladder.core.worker.Worker;
 import java.util.ArrayList;
@@ -23,6 +24,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
 
@@ -30,18 +32,14 @@
  * Decides how many upstreams of a service each data centre is to have, and of which kind.
  *
  * <p>Reclaimable upstreams carry the load, in equal parts in every data centre, so that the loss of
- * all of one leaves the others below {@link #MOST_BUSY_AFTER_LOSS}. Upstreams at the full price are
- * added only while too few others serve, or too few would be left after one more loss. Numbers grow
- * soon and shrink late, so that they do not swing with the load. A planner that takes a running
- * system over begins with what serves, and gives nothing back before it has measured the load for
- * {@link #MEASURED_MILLIS}.
+ * all of one leaves as many as the load needs. Upstreams at the full price are added only while
+ * others are short, or would be after one more loss. Numbers grow soon and shrink late, so that
+ * they do not swing with the load. A planner that takes a running system over begins with what
+ * serves, and gives nothing back before it has measured the load for {@link #MEASURED_MILLIS}.
  *
  * @since 0.2
  */
 public final class FleetPlanner {
-    /** Part of their time that upstreams may be busy after a data centre's loss, as planned for. */
-    public static final double MOST_BUSY_AFTER_LOSS = 0.35;
-
     /**
      * How long the load must have been known before a planner that takes over shrinks a fleet, in
      * milliseconds: some of the time over which the load is smoothed, so that a load that is still
@@ -50,8 +48,10 @@
     public static final long MEASURED_MILLIS = 8_000;
 
     private static final double PROVISION_FACTOR = 1.5;
-    private static final double MOST_BUSY_NOW = 0.5;
-    private static final double MOST_BUSY_AFTER_NEXT_LOSS = 0.7;
+
+    /** Upstreams that are to be left after a loss while no load is known. */
+    private static final double LEAST_WITHOUT_LOAD = 2;
+
     private static final long GROW_AFTER_MILLIS = 4_000;
     private static final long SHRINK_AFTER_MILLIS = 20_000;
     private static final long RELEASE_AFTER_MILLIS = 2_000;
@@ -128,22 +128,25 @@
      *
      * @param scaling bounds and prices
      * @param workers the service's upstreams, leaving ones too
-     * @param busy how many upstreams the load would keep busy all the time; below 0 if not known
+     * @param need how many upstreams the load needs; empty if no load is known
      * @param nowMillis the time
      * @return an order for both kinds in every data centre
      */
     public List<WorkerOrder> plan(
-            ScalingSpec scaling, Collection<Worker> workers, double busy, long nowMillis) {
+            ScalingSpec scaling,
+            Collection<Worker> workers,
+            Optional<FleetNeed> need,
+            long nowMillis) {
         List<Worker> serving = workers.stream().filter(worker -> !worker.draining()).toList();
         workers.forEach(worker -> zones.putIfAbsent(worker.zone(), 0));
-        if (busy < 0) {
+        if (need.isEmpty()) {
             learnProvided(serving);
         }
-        if (takesOver && !isMeasured(busy, nowMillis)) {
+        if (takesOver && !isMeasured(need.isPresent(), nowMillis)) {
             keep(serving, nowMillis);
         }
-        int target = perZone.follow(wantedPerZone(scaling, busy), nowMillis);
-        int full = fullPrice.follow(wantedFullPrice(scaling, serving, busy), nowMillis);
+        int target = perZone.follow(wantedPerZone(scaling, need), nowMillis);
+        int full = fullPrice.follow(wantedFullPrice(scaling, serving, need), nowMillis);
         Map<String, Integer> fullByZone = spread(scaling, serving, full);
         List<WorkerOrder> orders = new ArrayList<>();
         for (String zone : zones.keySet()) {
@@ -153,8 +156,8 @@
         return orders;
     }
 
-    private boolean isMeasured(double busy, long nowMillis) {
-        if (knownSinceMillis < 0 && busy >= 0) {
+    private boolean isMeasured(boolean known, long nowMillis) {
+        if (knownSinceMillis < 0 && known) {
             knownSinceMillis = nowMillis;
         }
         return knownSinceMillis >= 0 && nowMillis - knownSinceMillis >= MEASURED_MILLIS;
@@ -186,17 +189,17 @@
         return ceil(PROVISION_FACTOR * provided.size() / Math.max(1, zones.size()));
     }
 
-    private int wantedPerZone(ScalingSpec scaling, double busy) {
+    private int wantedPerZone(ScalingSpec scaling, Optional<FleetNeed> need) {
         int others = Math.max(1, zones.size() - 1);
         int wanted =
-                busy < 0
-                        ? Math.max(perZone.value, providedPerZone())
-                        : ceil(busy / MOST_BUSY_AFTER_LOSS / others);
+                need.map(known -> ceil(known.comfortable() / others))
+                        .orElseGet(() -> Math.max(perZone.value, providedPerZone()));
         return Math.max(Math.max(1, scaling.min()), Math.min(scaling.max(), wanted));
     }
 
     /** Full-price upstreams that make up for reclaimable ones that are not there. */
-    private int wantedFullPrice(ScalingSpec scaling, List<Worker> serving, double busy) {
+    private int wantedFullPrice(
+            ScalingSpec scaling, List<Worker> serving, Optional<FleetNeed> need) {
         int reclaimable = 0;
         int mostInZone = 0;
         for (String zone : zones.keySet()) {
@@ -204,9 +207,9 @@
             reclaimable += here;
             mostInZone = Math.max(mostInZone, here);
         }
-        double load = busy < 0 ? 1 : busy;
-        int now = ceil(load / MOST_BUSY_NOW) - reclaimable;
-        int afterLoss = ceil(load / MOST_BUSY_AFTER_NEXT_LOSS) - (reclaimable - mostInZone);
+        int now = ceil(need.map(FleetNeed::comfortable).orElse(0.0)) - reclaimable;
+        int least = ceil(need.map(FleetNeed::tight).orElse(LEAST_WITHOUT_LOAD));
+        int afterLoss = least - (reclaimable - mostInZone);
         int most = scaling.max() * zones.size();
         return Math.max(0, Math.min(most, Math.max(now, afterLoss)));
     }
--- /dev/null
+++ b/trailladder-core/src/main/java/io/trailladder/core/engine/ServiceLoad.java
@@ -0,0 +1,47 @@
+/*
+ * Copyright 2026 The trailladder authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package io.trailladder.core.engine;
+
+/**
+ * The load of a service over all processes.
+ *
+ * @param tokensPerMilli prompt tokens to be read, a millisecond
+ * @param squaredTokensPerMilli sum of the squares of their prompts' sizes, a millisecond
+ * @param running requests under way at its upstreams
+ * @since 0.3
+ */
+public record ServiceLoad(double tokensPerMilli, double squaredTokensPerMilli, double running) {
+    /** Load below which a service counts as not asked for, in requests under way. */
+    private static final double LEAST_RUNNING = 0.05;
+
+    /**
+     * Tells whether the service is asked for at all.
+     *
+     * @return false if nothing worth mentioning is under way
+     */
+    public boolean isKnown() {
+        return running >= LEAST_RUNNING;
+    }
+
+    /**
+     * Returns how much of a prompt is left to be read, on average, when another request arrives.
+     *
+     * @return tokens; 0 without load
+     */
+    public double tokensLeft() {
+        return tokensPerMilli <= 0 ? 0 : squaredTokensPerMilli / (2 * tokensPerMilli);
+    }
+}
--- a/trailladder-core/src/main/java/io/trailladder/core/policy/Route.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/policy/Route.java
@@ -61,6 +61,16 @@
         return kind == RouteKind.SAFE || (kind == RouteKind.STREAMING && resumable);
     }
 
+    /**
+     * Tells whether some of its requests go to a service.
+     *
+     * @param service the service's name
+     * @return true if one of its shares names it
+     */
+    public boolean leadsTo(String service) {
+        return shares.stream().anyMatch(share -> share.service().equals(service));
+    }
+
     /**
      * Chooses the service of one request by the shares' weights.
      *
--- a/trailladder-core/src/main/java/io/trailladder/core/worker/DemandMeter.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/worker/DemandMeter.java
@@ -15,52 +15,70 @@
  */
 package io.trailladder.core.worker;
 
-import io.trailladder.core.pipeline.ServingRequest;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 
 /**
- * Measures the load of each service as the part of upstreams' time that this entry's requests take,
- * smoothed over some seconds.
+ * Measures the prompt tokens that this entry's requests have upstreams read, by service, smoothed
+ * over some seconds.
  *
  * @since 0.2
  */
 public final class DemandMeter {
+    /** Time after which work counts a third, in milliseconds: a swing of traffic lasts as long. */
     private static final double SMOOTHING_MILLIS = 6_000;
-    private static final double TOKEN_OUT_MILLIS = 0.12;
+
+    /** Least time over which a rate is taken, in milliseconds: a few requests. */
+    private static final double LEAST_SPAN_MILLIS = 500;
 
     private final Map<String, Rate> rates = new HashMap<>();
 
-    /** A decaying sum of work. */
+    /** Decaying sums of work since its beginning. */
     private static final class Rate {
-        double millis;
-        long updatedMillis;
+        private final long begunMillis;
+        private double tokens;
+        private double squaredTokens;
+        private long updatedMillis;
 
         Rate(long nowMillis) {
+            begunMillis = nowMillis;
             updatedMillis = nowMillis;
         }
 
+        void add(double more) {
+            tokens += more;
+            squaredTokens += more * more;
+        }
+
         void decay(long nowMillis) {
             long elapsed = Math.max(0, nowMillis - updatedMillis);
-            millis *= Math.exp(-elapsed / SMOOTHING_MILLIS);
+            double factor = Math.exp(-elapsed / SMOOTHING_MILLIS);
+            tokens *= factor;
+            squaredTokens *= factor;
             updatedMillis = Math.max(updatedMillis, nowMillis);
         }
+
+        /** The span that the sums stand for; shorter than the memory at the beginning. */
+        double spanMillis() {
+            double age = updatedMillis - begunMillis;
+            double span = SMOOTHING_MILLIS * (1 - Math.exp(-age / SMOOTHING_MILLIS));
+            return Math.max(LEAST_SPAN_MILLIS, span);
+        }
     }
 
     /**
      * Records a request that was sent to an upstream.
      *
-     * @param request the request
-     * @param uncachedTokens prompt tokens the upstream must read
+     * @param service the service
+     * @param tokens prompt tokens the upstream must read
      * @param nowMillis the time
      */
-    public void sent(ServingRequest request, int uncachedTokens, long nowMillis) {
-        Rate rate = rates.computeIfAbsent(request.service(), name -> new Rate(nowMillis));
+    public void sent(String service, int tokens, long nowMillis) {
+        Rate rate = rates.computeIfAbsent(service, name -> new Rate(nowMillis));
         rate.decay(nowMillis);
-        rate.millis += uncachedTokens / WorkerSelector.PROMPT_TOKENS_PER_MILLI;
-        rate.millis += request.prompt().tokensOut() * TOKEN_OUT_MILLIS;
+        rate.add(tokens);
     }
 
     /**
@@ -74,7 +92,10 @@
         rates.forEach(
                 (service, rate) -> {
                     rate.decay(nowMillis);
-                    demands.add(new ServiceDemand(service, rate.millis / SMOOTHING_MILLIS));
+                    double span = rate.spanMillis();
+                    demands.add(
+                            new ServiceDemand(
+                                    service, rate.tokens / span, rate.squaredTokens / span));
                 });
         return demands;
     }
--- a/trailladder-core/src/main/java/io/trailladder/core/worker/ServiceDemand.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/worker/ServiceDemand.java
@@ -16,10 +16,40 @@
 package io.trailladder.core.worker;
 
 /**
- * The load of one service at one entry.
+ * The prompts that one entry, or several, have the upstreams of a service read.
  *
  * @param service the service
- * @param busy how many upstreams it would keep busy all the time
+ * @param tokensPerMilli prompt tokens to be read, a millisecond
+ * @param squaredTokensPerMilli sum of the squares of the prompts' sizes, a millisecond
  * @since 0.2
  */
-public record ServiceDemand(String service, double busy) {}
+public record ServiceDemand(String service, double tokensPerMilli, double squaredTokensPerMilli) {
+    /** Most tokens a millisecond that are believed: a thousand times the largest site. */
+    private static final double MAX_TOKENS_PER_MILLI = 1e7;
+
+    /**
+     * Returns the load of both.
+     *
+     * @param other a load of the same service
+     * @return their sum
+     */
+    public ServiceDemand plus(ServiceDemand other) {
+        return new ServiceDemand(
+                service,
+                tokensPerMilli + other.tokensPerMilli,
+                squaredTokensPerMilli + other.squaredTokensPerMilli);
+    }
+
+    /**
+     * Tells whether figures told by another process can be true.
+     *
+     * @return false if one is negative, not a number or absurdly large
+     */
+    public boolean isSound() {
+        return service != null
+                && tokensPerMilli >= 0
+                && tokensPerMilli <= MAX_TOKENS_PER_MILLI
+                && squaredTokensPerMilli >= 0
+                && squaredTokensPerMilli <= MAX_TOKENS_PER_MILLI * MAX_TOKENS_PER_MILLI;
+    }
+}
--- a/trailladder-core/src/main/java/io/trailladder/core/worker/WorkerLoads.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/worker/WorkerLoads.java
@@ -186,6 +186,16 @@
         return ownRequests(worker) + (peers == null ? 0 : peers.requests);
     }
 
+    /**
+     * Returns the requests under way at some upstreams, of all entries.
+     *
+     * @param workers the upstreams
+     * @return a count
+     */
+    public int requests(Collection<Worker> workers) {
+        return workers.stream().mapToInt(worker -> requests(worker.id())).sum();
+    }
+
     /**
      * Returns the prompt tokens waiting at an upstream, of all entries.
      *
--- a/trailladder-core/src/main/java/io/trailladder/core/worker/WorkerSelector.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/worker/WorkerSelector.java
@@ -16,15 +16,18 @@
 package io.trailladder.core.worker;
 
 import com.dynatrace.hash4j.hashing.Hashing;
+import io.trailladder.core.engine.EngineEstimate;
+import io.trailladder.core.engine.EngineModel;
 import io.trailladder.core.pipeline.Prompt;
 import io.trailladder.core.pipeline.PromptBlock;
 import io.trailladder.core.pipeline.ServingRequest;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Stream;
 
 /**
  * Chooses the upstream of a service with the lowest predicted time to its first answer.
@@ -37,13 +40,6 @@
  * @since 0.2
  */
 public final class WorkerSelector {
-    /** Prompt tokens that an engine is assumed to read in a millisecond. */
-    static final double PROMPT_TOKENS_PER_MILLI = 30;
-
-    /** Time that a running request adds to every step of an engine, in milliseconds. */
-    static final double MILLIS_PER_RUNNING = 0.5;
-
-    private static final double PLAIN_SERVICE_MILLIS = 20;
     private static final double OTHER_ZONE_MILLIS = 4;
     private static final double OTHER_ZONE_MILLIS_PER_KB = 0.5;
     private static final double[] HOME_TRUST = {0.9, 0.45};
@@ -57,6 +53,7 @@
     private final String zone;
     private final WorkerDirectory directory;
     private final WorkerLoads loads;
+    private final EngineModel engines;
     private final Map<String, Long> suspectUntilMillis = new HashMap<>();
     private final PrefixIndex prefixes = new PrefixIndex(REMEMBERED_PARTS);
 
@@ -66,11 +63,14 @@
      * @param zone the data centre of this entry
      * @param directory the upstreams known
      * @param loads the work under way at them
+     * @param engines what is believed of their speed
      */
-    public WorkerSelector(String zone, WorkerDirectory directory, WorkerLoads loads) {
+    public WorkerSelector(
+            String zone, WorkerDirectory directory, WorkerLoads loads, EngineModel engines) {
         this.zone = zone;
         this.directory = directory;
         this.loads = loads;
+        this.engines = engines;
     }
 
     /**
@@ -87,12 +87,13 @@
         Selection best = null;
         boolean bestEjected = true;
         List<String> homes = homes(serving, request.prompt());
+        EngineEstimate engine = engines.estimate(request.service(), nowMillis);
         for (Worker worker : serving) {
             if (excluded.contains(worker.id())) {
                 continue;
             }
             boolean ejected = loads.ejected(worker.id(), nowMillis);
-            Selection candidate = weigh(worker, request, homes, serving.size(), nowMillis);
+            Selection candidate = weigh(worker, request, engine, homes, serving.size(), nowMillis);
             boolean better = best == null || candidate.predictedMillis() < best.predictedMillis();
             if ((bestEjected && !ejected) || (bestEjected == ejected && better)) {
                 best = candidate;
@@ -129,6 +130,7 @@
     private Selection weigh(
             Worker worker,
             ServingRequest request,
+            EngineEstimate engine,
             List<String> homes,
             int candidates,
             long nowMillis) {
@@ -143,10 +145,12 @@
         }
         if (prompt.tokensIn() > 0) {
             double toRead = waiting + WORK_WEIGHT * Math.max(0, prompt.tokensIn() - cached);
-            millis += toRead / PROMPT_TOKENS_PER_MILLI + running * MILLIS_PER_RUNNING;
+            millis += engine.firstMillis() + toRead * engine.millisPerToken();
+            millis += running * engine.pauseMillisPerRequest();
+            millis += engine.placeMillis(running, worker.slots());
         } else {
             double perSlot = (running + 1.0) / Math.max(1, worker.slots());
-            millis += PLAIN_SERVICE_MILLIS * perSlot;
+            millis += engine.runMillis() * perSlot;
         }
         return new Selection(worker, millis, running, waiting, cached, candidates);
     }
@@ -182,9 +186,28 @@
         if (subject.isEmpty()) {
             return List.of();
         }
-        Comparator<Worker> byWeight =
-                Comparator.comparingLong(
-                        worker -> Hashing.xxh3_64().hashCharsToLong(subject + '/' + worker.id()));
-        return serving.stream().sorted(byWeight).limit(HOME_TRUST.length).map(Worker::id).toList();
+        long subjectHash = Hashing.xxh3_64().hashCharsToLong(subject);
+        Worker first = null;
+        Worker second = null;
+        long firstRank = 0;
+        long secondRank = 0;
+        for (Worker worker : serving) {
+            long rank = rank(subjectHash, worker);
+            if (first == null || rank < firstRank) {
+                second = first;
+                secondRank = firstRank;
+                first = worker;
+                firstRank = rank;
+            } else if (second == null || rank < secondRank) {
+                second = worker;
+                secondRank = rank;
+            }
+        }
+        return Stream.of(first, second).filter(Objects::nonNull).map(Worker::id).toList();
+    }
+
+    /** A number that is as good as random for each pair of a subject and an upstream. */
+    private static long rank(long subjectHash, Worker worker) {
+        return Hashing.komihash5_0().hashLongLongToLong(subjectHash, worker.id().hashCode());
     }
 }
--- a/trailladder-core/src/test/java/io/trailladder/core/duty/FleetPlannerTest.java
+++ b/trailladder-core/src/test/java/io/trailladder/core/duty/FleetPlannerTest.java
@@ -18,18 +18,25 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.trailladder.core.engine.FleetNeed;
 import io.trailladder.core.policy.ScalingSpec;
 import io.trailladder.core.worker.Worker;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import net.jqwik.api.Example;
 
 /** Reclaimable upstreams carry the load; full-price ones only make up for those that are gone. */
 class FleetPlannerTest {
     private static final ScalingSpec SCALING =
             new ScalingSpec(1, 6, 4_000, 0.2, Map.of("a", 0.85, "b", 1.2, "c", 1.0));
-    private static final double UNKNOWN = -1;
+    private static final Optional<FleetNeed> UNKNOWN = Optional.empty();
+
+    /** A load that wants its upstreams at most 0.35 busy, and 0.7 when they are short. */
+    private static Optional<FleetNeed> busy(double upstreams) {
+        return Optional.of(new FleetNeed(upstreams / 0.35, upstreams / 0.7));
+    }
 
     private static List<Worker> fleet(int fullPrice, int reclaimable) {
         List<Worker> workers = new ArrayList<>();
@@ -84,19 +91,19 @@
     @Example
     void lossOfReclaimableUpstreamsIsMadeUpAtOnce() {
         FleetPlanner planner = new FleetPlanner("s", false);
-        planner.plan(SCALING, fleet(0, 2), 1.3, 0);
+        planner.plan(SCALING, fleet(0, 2), busy(1.3), 0);
         List<Worker> left = new ArrayList<>();
         add(left, "a", 2, true);
         left.add(new Worker("b0", "s", "b", "h:1", 8, true, true, 2_000));
-        assertTrue(ordered(planner.plan(SCALING, left, 1.3, 1_000), false) >= 2);
+        assertTrue(ordered(planner.plan(SCALING, left, busy(1.3), 1_000), false) >= 2);
     }
 
     @Example
     void aShortPeakDoesNotChangeTheTarget() {
         FleetPlanner planner = new FleetPlanner("s", false);
-        int before = ordered(planner.plan(SCALING, fleet(0, 2), 1.3, 0), true);
-        planner.plan(SCALING, fleet(0, 2), 4, 1_000);
-        assertEquals(before, ordered(planner.plan(SCALING, fleet(0, 2), 4, 2_000), true));
+        int before = ordered(planner.plan(SCALING, fleet(0, 2), busy(1.3), 0), true);
+        planner.plan(SCALING, fleet(0, 2), busy(4), 1_000);
+        assertEquals(before, ordered(planner.plan(SCALING, fleet(0, 2), busy(4), 2_000), true));
     }
 
     @Example
@@ -104,7 +111,7 @@
         FleetPlanner planner = new FleetPlanner("s", true);
         List<Worker> serving = fleet(1, 5);
         for (long now = 0; now <= FleetPlanner.MEASURED_MILLIS; now += 250) {
-            double load = now < 500 ? UNKNOWN : now / 10_000.0;
+            Optional<FleetNeed> load = now < 500 ? UNKNOWN : busy(now / 10_000.0);
             List<WorkerOrder> orders = planner.plan(SCALING, serving, load, now);
             assertTrue(ordered(orders, true) >= 15, "reclaimable at " + now);
             assertTrue(ordered(orders, false) >= 3, "full price at " + now);
@@ -115,7 +122,7 @@
     void entriesThatComeBackLateAfterTakingOverAreKeptToo() {
         FleetPlanner planner = new FleetPlanner("s", true);
         planner.plan(SCALING, fleet(0, 5).subList(0, 2), UNKNOWN, 0);
-        assertEquals(15, ordered(planner.plan(SCALING, fleet(0, 5), 0.4, 1_000), true));
+        assertEquals(15, ordered(planner.plan(SCALING, fleet(0, 5), busy(0.4), 1_000), true));
     }
 
     @Example
@@ -123,7 +130,7 @@
         FleetPlanner planner = new FleetPlanner("s", true);
         List<WorkerOrder> orders = List.of();
         for (long now = 0; now <= 200_000; now += 250) {
-            orders = planner.plan(SCALING, fleet(0, 5), 0.5, now);
+            orders = planner.plan(SCALING, fleet(0, 5), busy(0.5), now);
         }
         assertEquals(3, ordered(orders, true));
     }
--- a/trailladder-core/src/test/java/io/trailladder/core/worker/WorkerSelectorTest.java
+++ b/trailladder-core/src/test/java/io/trailladder/core/worker/WorkerSelectorTest.java
@@ -19,6 +19,7 @@
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.trailladder.core.engine.EngineModel;
 import io.trailladder.core.pipeline.Prompt;
 import io.trailladder.core.pipeline.PromptBlock;
 import io.trailladder.core.pipeline.ServingRequest;
@@ -36,7 +37,8 @@
 class WorkerSelectorTest {
     private final WorkerDirectory directory = new WorkerDirectory();
     private final WorkerLoads loads = new WorkerLoads();
-    private final WorkerSelector selector = new WorkerSelector("a", directory, loads);
+    private final WorkerSelector selector =
+            new WorkerSelector("a", directory, loads, new EngineModel());
 
     private void workers(int count) {
         for (int i = 0; i < count; i++) {
@@ -81,8 +83,8 @@
         for (int i = 0; i < count; i++) {
             fresh.changed(new Worker("w" + i, "s", "a", "h:1", 8, false, false, 0));
         }
-        WorkerSelector one = new WorkerSelector("a", fresh, new WorkerLoads());
-        WorkerSelector other = new WorkerSelector("a", fresh, new WorkerLoads());
+        WorkerSelector one = new WorkerSelector("a", fresh, new WorkerLoads(), new EngineModel());
+        WorkerSelector other = new WorkerSelector("a", fresh, new WorkerLoads(), new EngineModel());
         assertEquals(chosen(one, request("x")), chosen(other, request("x")));
     }
 
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Attempt.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Attempt.java
@@ -38,6 +38,7 @@
     private final ServingRequest request;
     private final Worker worker;
     private final int uncachedTokens;
+    private final int waitingTokens;
     private final Owner owner;
     private final long createdMillis;
     private ClientCall call;
@@ -46,6 +47,8 @@
     private boolean over;
     private int status;
     private long heardMillis;
+    private long firstEventMillis = -1;
+    private int events;
 
     /** Told what becomes of the attempt. Only one of the last four methods is called, once. */
     interface Owner {
@@ -70,6 +73,7 @@
         this.request = request;
         this.worker = selection.worker();
         this.uncachedTokens = Math.max(0, request.prompt().tokensIn() - selection.cachedTokens());
+        this.waitingTokens = selection.waitingTokens();
         this.owner = owner;
         this.createdMillis = context.loop().nowMillis();
         this.heardMillis = createdMillis;
@@ -77,7 +81,7 @@
 
     void start(OutgoingCall outgoing) {
         context.loads().sent(worker.id(), uncachedTokens);
-        context.demand().sent(request, uncachedTokens, createdMillis);
+        context.demand().sent(request.service(), uncachedTokens, createdMillis);
         call = context.connector().send(outgoing, this);
         if (over) {
             call.cancel();
@@ -114,8 +118,27 @@
         }
     }
 
-    /** Records that the upstream has begun to answer the request itself. */
-    void promptRead() {
+    /**
+     * Records events of the answer that have come whole.
+     *
+     * @param more how many, at least one
+     */
+    void events(int more) {
+        if (events == 0) {
+            firstEventMillis = context.loop().nowMillis();
+            promptRead();
+            context.engines()
+                    .firstEvent(
+                            request.service(),
+                            uncachedTokens,
+                            waitingTokens,
+                            firstEventMillis - createdMillis,
+                            firstEventMillis);
+        }
+        events += more;
+    }
+
+    private void promptRead() {
         if (!promptRead) {
             promptRead = true;
             context.loads().promptRead(worker.id(), uncachedTokens);
@@ -162,11 +185,22 @@
             context.loads().failed(worker.id(), now);
         } else if (status >= SUCCESS_FROM && status <= SUCCESS_TO) {
             context.loads().succeeded(worker.id(), now);
+            learn(now);
         }
         finish();
         owner.ended(this);
     }
 
+    /** Has the whole answer tell how fast the upstream is. */
+    private void learn(long nowMillis) {
+        context.engines().ended(request.service(), nowMillis - createdMillis, nowMillis);
+        if (events > 1) {
+            double pause = (nowMillis - firstEventMillis) / (events - 1.0);
+            int running = context.loads().requests(worker.id());
+            context.engines().paused(request.service(), running, pause, nowMillis);
+        }
+    }
+
     @Override
     public void failed(CallFailure failure) {
         boolean unreachable = failure == CallFailure.UNREACHABLE && !sent;
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ClusterView.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ClusterView.java
@@ -16,8 +16,12 @@
 package io.trailladder.entry.gateway;
 
 import io.trailladder.core.duty.UsageLedger;
+import io.trailladder.core.engine.EngineEvidence;
+import io.trailladder.core.engine.EngineModel;
+import io.trailladder.core.engine.ServiceLoad;
 import io.trailladder.core.worker.DemandMeter;
 import io.trailladder.core.worker.ServiceDemand;
+import io.trailladder.core.worker.Worker;
 import io.trailladder.core.worker.WorkerLoads;
 import io.trailladder.entry.gateway.DigestWriter.SenderState;
 import io.trailladder.entry.loop.EventLoop;
@@ -53,7 +57,6 @@
 
     private static final long FED_MILLIS = 800;
     private static final int RECENT_LEAVING = 32;
-    private static final double LEAST_BUSY = 0.02;
     private static final double ALONE_PART = 0.1;
 
     private final EventLoop loop;
@@ -63,6 +66,7 @@
     private final Quotas quotas;
     private final WorkerLoads loads;
     private final UsageLedger usage;
+    private final EngineModel engines;
     private final DigestWriter writer;
     private final SnapshotExchange snapshots;
     private final boolean restarted;
@@ -83,6 +87,7 @@
      * @param loads the work under way at upstreams
      * @param usage counts requests that began to run
      * @param demand measures the load of services here
+     * @param engines learns how fast upstreams are
      * @param metrics the process's figures
      * @param restarted true if other processes may have served before this one started
      */
@@ -95,6 +100,7 @@
             WorkerLoads loads,
             UsageLedger usage,
             DemandMeter demand,
+            EngineModel engines,
             GatewayMetrics metrics,
             boolean restarted) {
         this.restarted = restarted;
@@ -105,7 +111,8 @@
         this.quotas = quotas;
         this.loads = loads;
         this.usage = usage;
-        this.writer = new DigestWriter(policies, directory, quotas, loads, usage, demand);
+        this.engines = engines;
+        this.writer = new DigestWriter(policies, directory, quotas, loads, usage, demand, engines);
         this.snapshots = new SnapshotExchange(loop, policies, directory, store, metrics);
         directory.onLeaving(worker -> remember(worker.id()));
         directory.onNews(this::tellLeaves);
@@ -170,14 +177,17 @@
      * Returns the load of a service over all heard processes.
      *
      * @param service the service
-     * @return how many upstreams it keeps busy; below 0 if it was not asked for lately
+     * @param upstreams its upstreams, leaving ones too
+     * @return the load now
      */
-    public double busy(String service) {
-        double busy = 0;
+    public ServiceLoad load(String service, Collection<Worker> upstreams) {
+        int running = loads.requests(upstreams);
         for (ServiceDemand sum : writer.sum(counted(), loop.nowMillis())) {
-            busy += sum.service().equals(service) ? sum.busy() : 0;
+            if (sum.service().equals(service)) {
+                return new ServiceLoad(sum.tokensPerMilli(), sum.squaredTokensPerMilli(), running);
+            }
         }
-        return busy < LEAST_BUSY ? -1 : busy;
+        return new ServiceLoad(0, 0, running);
     }
 
     /**
@@ -235,7 +245,7 @@
     private void digest(Peer peer, NodeDigest digest) {
         boolean wasHub = peer.isHeard() && !peer.isLeaf();
         long now = loop.nowMillis();
-        peer.told(digest, now);
+        peer.told(sound(peer, digest), now);
         digest.leaving().forEach(id -> directory.leavingSeenBy(id, peer.name()));
         snapshots.digest(mesh, peer.hello(), digest);
         if (!counts(peer)) {
@@ -255,6 +265,28 @@
         }
     }
 
+    /** Leaves figures out that cannot be true, so that they spoil nobody's model. */
+    private static NodeDigest sound(Peer peer, NodeDigest digest) {
+        List<ServiceDemand> demands =
+                digest.demands().stream().filter(ServiceDemand::isSound).toList();
+        List<EngineEvidence> evidence =
+                digest.evidence().stream().filter(EngineEvidence::isSound).toList();
+        int refused =
+                digest.demands().size()
+                        - demands.size()
+                        + digest.evidence().size()
+                        - evidence.size();
+        if (refused == 0) {
+            return digest;
+        }
+        DecisionLog.write(
+                new DecisionLog.Lifecycle(
+                        "peer " + peer.name(),
+                        "figures refused",
+                        refused + " of " + digest.demands() + ' ' + digest.evidence()));
+        return digest.withFigures(demands, evidence);
+    }
+
     /** A hub counts to a leaf all others, to a hub its group only: two counts of one life. */
     private static String source(Peer peer, DigestScope scope) {
         return scope == DigestScope.REST ? peer.life() + "/rest" : peer.life();
@@ -268,6 +300,7 @@
 
     private void tick() {
         forgetSilentPeers();
+        engines.others(counted().stream().flatMap(peer -> peer.evidence().stream()).toList());
         quotas.sharedPart(sharedPart(), loop.nowMillis());
         tellPeers();
     }
@@ -300,6 +333,7 @@
 
     private void tell(Collection<Peer> told) {
         long now = loop.nowMillis();
+        writer.beginRound(now);
         SenderState state =
                 new SenderState(
                         store.isReachable(), draining, entries(), List.copyOf(recentLeaving));
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/DigestWriter.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/DigestWriter.java
@@ -17,6 +17,8 @@
 
 import io.trailladder.core.duty.UsageCount;
 import io.trailladder.core.duty.UsageLedger;
+import io.trailladder.core.engine.EngineEvidence;
+import io.trailladder.core.engine.EngineModel;
 import io.trailladder.core.worker.DemandMeter;
 import io.trailladder.core.worker.ServiceDemand;
 import io.trailladder.core.worker.WorkerLoads;
@@ -33,12 +35,21 @@
 
 /** Writes what a process tells its peers, each the part that it lacks. */
 final class DigestWriter {
+    /**
+     * How often peers are told of the speed of upstreams, in milliseconds: it changes slowly, and
+     * its sums are the largest part of a digest.
+     */
+    private static final long EVIDENCE_MILLIS = 1_000;
+
     private final PolicyKeeper policies;
     private final DirectoryKeeper directory;
     private final Quotas quotas;
     private final WorkerLoads loads;
     private final UsageLedger usage;
     private final DemandMeter demand;
+    private final EngineModel engines;
+    private long toldEvidenceMillis;
+    private boolean tellsEvidence;
 
     /**
      * What a digest says of its sender.
@@ -57,13 +68,23 @@
             Quotas quotas,
             WorkerLoads loads,
             UsageLedger usage,
-            DemandMeter demand) {
+            DemandMeter demand,
+            EngineModel engines) {
         this.policies = policies;
         this.directory = directory;
         this.quotas = quotas;
         this.loads = loads;
         this.usage = usage;
         this.demand = demand;
+        this.engines = engines;
+    }
+
+    /** Begins a round of digests; some rounds tell evidence too. */
+    void beginRound(long nowMillis) {
+        tellsEvidence = nowMillis - toldEvidenceMillis >= EVIDENCE_MILLIS;
+        if (tellsEvidence) {
+            toldEvidenceMillis = nowMillis;
+        }
     }
 
     /** Writes what a leaf tells its hub. */
@@ -75,7 +96,8 @@
                 news(usageTold),
                 quotas.ownUses(nowMillis),
                 loads.ownUses(),
-                demand.demands(nowMillis));
+                demand.demands(nowMillis),
+                evidence(List.of(), nowMillis));
     }
 
     /** Writes what a hub tells other hubs: its own figures and those of its leaves. */
@@ -87,7 +109,8 @@
                 news(usageTold),
                 quotas.groupUses(nowMillis),
                 loads.groupUses(leaves.stream().map(Peer::name).toList()),
-                sum(leaves, nowMillis));
+                sum(leaves, nowMillis),
+                evidence(leaves, nowMillis));
     }
 
     /** Writes what a hub tells a leaf: the figures of all others. */
@@ -101,19 +124,30 @@
                 List.of(),
                 quotas.restUses(leaf.life(), nowMillis),
                 loads.restUses(leaf.name()),
-                sum(others, nowMillis));
+                sum(others, nowMillis),
+                evidence(others, nowMillis));
     }
 
     /** Returns the load of every service at this process and some peers. */
     List<ServiceDemand> sum(Collection<Peer> peers, long nowMillis) {
-        Map<String, Double> busy = new TreeMap<>();
-        demand.demands(nowMillis).forEach(d -> busy.merge(d.service(), d.busy(), Double::sum));
+        Map<String, ServiceDemand> sum = new TreeMap<>();
+        demand.demands(nowMillis).forEach(d -> sum.merge(d.service(), d, ServiceDemand::plus));
+        for (Peer peer : peers) {
+            peer.demands().forEach(d -> sum.merge(d.service(), d, ServiceDemand::plus));
+        }
+        return List.copyOf(sum.values());
+    }
+
+    private List<EngineEvidence> evidence(Collection<Peer> peers, long nowMillis) {
+        if (!tellsEvidence) {
+            return List.of();
+        }
+        Map<String, EngineEvidence> sum = new TreeMap<>();
+        engines.evidence(nowMillis).forEach(e -> sum.merge(e.service(), e, EngineEvidence::plus));
         for (Peer peer : peers) {
-            peer.demands().forEach(d -> busy.merge(d.service(), d.busy(), Double::sum));
+            peer.evidence().forEach(e -> sum.merge(e.service(), e, EngineEvidence::plus));
         }
-        List<ServiceDemand> sum = new ArrayList<>();
-        busy.forEach((service, part) -> sum.add(new ServiceDemand(service, part)));
-        return sum;
+        return List.copyOf(sum.values());
     }
 
     private List<UsageHistory> news(long usageTold) {
@@ -134,7 +168,8 @@
             List<UsageHistory> news,
             List<TenantUse> tenants,
             List<WorkerUse> uses,
-            List<ServiceDemand> demands) {
+            List<ServiceDemand> demands,
+            List<EngineEvidence> evidence) {
         return new NodeDigest(
                 policies.version(),
                 directory.revision(),
@@ -147,6 +182,7 @@
                 tenants.stream().filter(use -> use.used() != 0).toList(),
                 uses,
                 demands,
+                evidence,
                 state.leaving());
     }
 }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/FleetRunner.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/FleetRunner.java
@@ -17,6 +17,12 @@
 
 import io.trailladder.core.duty.FleetPlanner;
 import io.trailladder.core.duty.WorkerOrder;
+import io.trailladder.core.engine.EngineEstimate;
+import io.trailladder.core.engine.EngineModel;
+import io.trailladder.core.engine.FleetNeed;
+import io.trailladder.core.engine.FleetSizer;
+import io.trailladder.core.engine.ServiceLoad;
+import io.trailladder.core.policy.Route;
 import io.trailladder.core.policy.ScalingSpec;
 import io.trailladder.core.policy.ServiceSpec;
 import io.trailladder.core.worker.Worker;
@@ -26,11 +32,12 @@
 import io.trailladder.entry.port.DutyApi;
 import io.trailladder.entry.port.DutyHolder;
 import io.trailladder.entry.port.DutyResult;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
-import java.util.function.ToDoubleFunction;
+import java.util.Optional;
 
 /**
  * Orders upstreams while this process leads.
@@ -42,24 +49,61 @@
  */
 public final class FleetRunner {
     private static final long STEP_MILLIS = 250;
+
+    /** Time after which requests under way count a third, in milliseconds: as long as a boot. */
+    private static final double SMOOTHING_MILLIS = 4_000;
+
     private static final long FIRST_LOOK_MILLIS = 3_500;
     private static final long LEAST_PAUSE_MILLIS = 900;
     private static final long DECLINED_MILLIS = 2_500;
     private static final long SETTLE_MILLIS = 4_000;
 
+    /** Objective of a service whose routes name none, in milliseconds. */
+    private static final long DEFAULT_OBJECTIVE_MILLIS = 1_000;
+
     private final EventLoop loop;
     private final DutyApi duties;
     private final DutyRunner leadership;
     private final PolicyKeeper policies;
     private final WorkerDirectory directory;
-    private final ToDoubleFunction<String> busy;
+    private final LoadSource loads;
+    private final EngineModel engines;
     private final GatewayMetrics metrics;
     private final boolean takesOver;
-    private final Map<String, FleetPlanner> planners = new HashMap<>();
+    private final Map<String, Fleet> fleets = new HashMap<>();
     private final Map<Subject, Given> given = new HashMap<>();
     private long token;
     private long firstPlanMillis = -1;
 
+    /** Tells the load of a service. */
+    public interface LoadSource {
+        /**
+         * Returns the load now.
+         *
+         * @param service the service
+         * @param upstreams its upstreams, leaving ones too
+         * @return the load over all processes
+         */
+        ServiceLoad load(String service, Collection<Worker> upstreams);
+    }
+
+    /** What is kept of one service. */
+    private static final class Fleet {
+        private final FleetPlanner planner;
+        private double running = -1;
+
+        Fleet(FleetPlanner planner) {
+            this.planner = planner;
+        }
+
+        /** Smooths the requests under way, which jump with each long answer. */
+        ServiceLoad smooth(ServiceLoad load) {
+            double part = 1 - Math.exp(-STEP_MILLIS / SMOOTHING_MILLIS);
+            running = running < 0 ? load.running() : running + part * (load.running() - running);
+            return new ServiceLoad(load.tokensPerMilli(), load.squaredTokensPerMilli(), running);
+        }
+    }
+
     /** What an order is about. */
     private record Subject(String service, String zone, boolean reclaimable) {}
 
@@ -80,7 +124,8 @@
      * @param leadership tells whether this process leads
      * @param policies the policy in force
      * @param directory the upstreams known
-     * @param busy tells how many upstreams of a service the load keeps busy; below 0 if not known
+     * @param loads tells the load of a service
+     * @param engines tells how fast its upstreams are
      * @param metrics the process's figures
      * @param takesOver true if others may have ordered upstreams before this process started
      */
@@ -90,7 +135,8 @@
             DutyRunner leadership,
             PolicyKeeper policies,
             WorkerDirectory directory,
-            ToDoubleFunction<String> busy,
+            LoadSource loads,
+            EngineModel engines,
             GatewayMetrics metrics,
             boolean takesOver) {
         this.loop = loop;
@@ -98,7 +144,8 @@
         this.leadership = leadership;
         this.policies = policies;
         this.directory = directory;
-        this.busy = busy;
+        this.loads = loads;
+        this.engines = engines;
         this.metrics = metrics;
         this.takesOver = takesOver;
     }
@@ -120,27 +167,66 @@
             given.clear();
         }
         for (ServiceSpec service : policies.policy().get().services()) {
-            service.scaling().ifPresent(scaling -> plan(service.name(), scaling));
+            service.scaling().ifPresent(scaling -> plan(service, scaling));
         }
     }
 
-    private void plan(String service, ScalingSpec scaling) {
+    private void plan(ServiceSpec spec, ScalingSpec scaling) {
+        String service = spec.name();
         List<Worker> workers =
                 directory.all().stream().filter(w -> w.service().equals(service)).toList();
         if (workers.isEmpty()) {
             return;
         }
-        double load = busy.applyAsDouble(service);
-        FleetPlanner planner = planners.computeIfAbsent(service, name -> new FleetPlanner(name, takesOver));
-        List<WorkerOrder> orders = planner.plan(scaling, workers, load, loop.nowMillis());
+        Fleet fleet =
+                fleets.computeIfAbsent(
+                        service, name -> new Fleet(new FleetPlanner(name, takesOver)));
+        ServiceLoad load = fleet.smooth(loads.load(service, workers));
+        Optional<FleetNeed> need = need(service, load, workers);
+        List<WorkerOrder> orders = fleet.planner.plan(scaling, workers, need, loop.nowMillis());
         boolean looked = loop.nowMillis() - firstPlanMillis >= FIRST_LOOK_MILLIS;
         if (!looked || !leadership.leads()) {
             return;
         }
-        orders.forEach(order -> give(order, workers, load, scaling.bootMillis() + SETTLE_MILLIS));
+        long settle = scaling.bootMillis() + SETTLE_MILLIS;
+        String reason = reason(service, load, need);
+        orders.forEach(order -> give(order, workers, reason, settle));
+    }
+
+    private Optional<FleetNeed> need(String service, ServiceLoad load, List<Worker> workers) {
+        if (!load.isKnown()) {
+            return Optional.empty();
+        }
+        int slots = workers.stream().mapToInt(Worker::slots).min().orElse(1);
+        EngineEstimate engine = engines.estimate(service, loop.nowMillis());
+        return Optional.of(FleetSizer.need(load, engine, slots, objectiveMillis(service)));
+    }
+
+    /** The tightest objective of the routes that lead to a service, in milliseconds. */
+    private double objectiveMillis(String service) {
+        return policies.policy().orElseThrow().routes().stream()
+                .filter(route -> route.leadsTo(service) && route.objectiveMillis() > 0)
+                .mapToLong(Route::objectiveMillis)
+                .min()
+                .orElse(DEFAULT_OBJECTIVE_MILLIS);
+    }
+
+    private String reason(String service, ServiceLoad load, Optional<FleetNeed> need) {
+        if (need.isEmpty()) {
+            return "no load known";
+        }
+        EngineEstimate engine = engines.estimate(service, loop.nowMillis());
+        return String.format(
+                Locale.ROOT,
+                "%s, %.1f requests under way, %.1f tokens/ms to read at %.4f ms each, %.0f seen",
+                need.get(),
+                load.running(),
+                load.tokensPerMilli(),
+                engine.millisPerToken(),
+                engine.observations());
     }
 
-    private void give(WorkerOrder order, List<Worker> workers, double load, long settleMillis) {
+    private void give(WorkerOrder order, List<Worker> workers, String reason, long settleMillis) {
         Subject subject = new Subject(order.service(), order.zone(), order.reclaimable());
         Given last = given.computeIfAbsent(subject, key -> new Given());
         long since = loop.nowMillis() - last.sentMillis;
@@ -154,11 +240,11 @@
         last.sentMillis = loop.nowMillis();
         last.waiting = true;
         DutyHolder holder = leadership.holder();
-        duties.order(holder, order, result -> answered(holder, order, load, last, result));
+        duties.order(holder, order, result -> answered(holder, order, reason, last, result));
     }
 
     private void answered(
-            DutyHolder holder, WorkerOrder order, double load, Given last, DutyResult result) {
+            DutyHolder holder, WorkerOrder order, String reason, Given last, DutyResult result) {
         last.waiting = false;
         last.declined = result == DutyResult.DECLINED;
         last.accepted = result == DutyResult.ACCEPTED;
@@ -168,11 +254,11 @@
                         "order",
                         String.format(
                                 Locale.ROOT,
-                                "%d %s in %s, load %.2f",
+                                "%d %s in %s, %s",
                                 order.count(),
                                 kind,
                                 order.zone(),
-                                load),
+                                reason),
                         holder.token(),
                         result.name()));
         if (result != DutyResult.ACCEPTED) {
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
@@ -18,6 +18,7 @@
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
 import io.trailladder.core.duty.LeaderElection;
 import io.trailladder.core.duty.UsageLedger;
+import io.trailladder.core.engine.EngineModel;
 import io.trailladder.core.membership.GatewayMember;
 import io.trailladder.core.policy.RequestBounds;
 import io.trailladder.core.policy.ServingPolicy;
@@ -114,6 +115,7 @@
         Clock clock = Clock.systemUTC();
         UsageLedger usage = new UsageLedger(life, settings.timing().usageWindowMillis());
         DemandMeter demand = new DemandMeter();
+        EngineModel engines = new EngineModel();
         policies = new PolicyKeeper(platform.format());
         directoryKeeper = new DirectoryKeeper(platform.format(), directory);
         quotas = new Quotas(settings.node().firstStart(), settings.tolerance());
@@ -127,6 +129,7 @@
                         loads,
                         usage,
                         demand,
+                        engines,
                         metrics,
                         !settings.node().firstStart());
         GatewayMember self = settings.self();
@@ -165,7 +168,8 @@
                         duties,
                         policies,
                         directory,
-                        view::busy,
+                        view::load,
+                        engines,
                         metrics,
                         !settings.node().firstStart());
         ServingContext context =
@@ -176,11 +180,12 @@
                         connector,
                         directory,
                         loads,
-                        new WorkerSelector(settings.node().zone(), directory, loads),
+                        new WorkerSelector(settings.node().zone(), directory, loads, engines),
                         quotas,
                         new RetryBudgets(settings.retries(), view::entries),
                         usage,
                         demand,
+                        engines,
                         metrics,
                         view::oldestDigestMillis);
         intake = new RequestIntake(context, policies, random.split());
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Peer.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Peer.java
@@ -15,6 +15,7 @@
  */
 package io.trailladder.entry.gateway;
 
+import io.trailladder.core.engine.EngineEvidence;
 import io.trailladder.core.worker.ServiceDemand;
 import io.trailladder.wire.NodeMessage.DigestScope;
 import io.trailladder.wire.NodeMessage.NodeDigest;
@@ -29,6 +30,7 @@
     private int processes;
     private int members;
     private List<ServiceDemand> demands = List.of();
+    private List<EngineEvidence> evidence = List.of();
     private long usageTold;
     private boolean storeReachable;
     private long policyVersion;
@@ -58,6 +60,9 @@
         processes = digest.processes();
         members = digest.members();
         demands = digest.demands();
+        if (!digest.evidence().isEmpty()) {
+            evidence = digest.evidence();
+        }
         storeReachable = digest.storeReachable();
         policyVersion = digest.policyVersion();
         directoryRevision = digest.directoryRevision();
@@ -106,6 +111,11 @@
         return demands;
     }
 
+    /** Returns what the peer saw of the speed of upstreams, as it last told. */
+    List<EngineEvidence> evidence() {
+        return evidence;
+    }
+
     /** Returns the latest change of usage that the peer was told of. */
     long usageTold() {
         return usageTold;
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestDriver.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestDriver.java
@@ -140,8 +140,9 @@
 
     @Override
     public void body(Attempt sender, byte[] bytes) {
-        if (answer.body(bytes) > 0) {
-            sender.promptRead();
+        int events = answer.body(bytes);
+        if (events > 0) {
+            sender.events(events);
             startedRunning();
         }
     }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ServingContext.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ServingContext.java
@@ -16,6 +16,7 @@
 package io.trailladder.entry.gateway;
 
 import io.trailladder.core.duty.UsageLedger;
+import io.trailladder.core.engine.EngineModel;
 import io.trailladder.core.worker.DemandMeter;
 import io.trailladder.core.worker.WorkerDirectory;
 import io.trailladder.core.worker.WorkerLoads;
@@ -40,6 +41,7 @@
  * @param budgets the budgets of second attempts
  * @param usage counts requests that began to run
  * @param demand measures the load of services here
+ * @param engines learns how fast upstreams are
  * @param metrics the process's figures
  * @param peersAgeMillis tells how old the oldest peer digest in use is, in milliseconds
  * @since 0.2
@@ -56,5 +58,6 @@
         RetryBudgets budgets,
         UsageLedger usage,
         DemandMeter demand,
+        EngineModel engines,
         GatewayMetrics metrics,
         LongSupplier peersAgeMillis) {}
--- a/trailladder-wire/src/main/java/io/trailladder/wire/NodeMessage.java
+++ b/trailladder-wire/src/main/java/io/trailladder/wire/NodeMessage.java
@@ -16,6 +16,7 @@
 package io.trailladder.wire;
 
 import io.trailladder.core.duty.UsageCount;
+import io.trailladder.core.engine.EngineEvidence;
 import io.trailladder.core.worker.ServiceDemand;
 import io.trailladder.core.worker.WorkerUse;
 import java.util.List;
@@ -60,7 +61,8 @@
      * @param usage requests that began to run, where that has changed since the digest before
      * @param quotas what was let pass, by tenant
      * @param uses what is under way at upstreams
-     * @param demands the load of services
+     * @param demands the prompts that upstreams of services are to read
+     * @param evidence what was seen of the speed of upstreams; empty if not told this time
      * @param leaving upstreams it saw leaving lately
      */
     record NodeDigest(
@@ -75,8 +77,34 @@
             List<TenantUse> quotas,
             List<WorkerUse> uses,
             List<ServiceDemand> demands,
+            List<EngineEvidence> evidence,
             List<String> leaving)
-            implements NodeMessage {}
+            implements NodeMessage {
+        /**
+         * Returns the digest with other figures of services.
+         *
+         * @param sound the demands
+         * @param soundEvidence the evidence
+         * @return a copy
+         */
+        public NodeDigest withFigures(
+                List<ServiceDemand> sound, List<EngineEvidence> soundEvidence) {
+            return new NodeDigest(
+                    policyVersion,
+                    directoryRevision,
+                    storeReachable,
+                    draining,
+                    scope,
+                    processes,
+                    members,
+                    usage,
+                    quotas,
+                    uses,
+                    sound,
+                    soundEvidence,
+                    leaving);
+        }
+    }
 
     /**
      * One tenant's use.
