--- a/trailladder-cli/src/main/java/io/trailladder/cli/ClassDataTraining.java
+++ b/trailladder-cli/src/main/java/io/trailladder/cli/ClassDataTraining.java
@@ -15,18 +15,6 @@
  */
 package io.trailladder.cli;
 
-import io.trailladder.adapter.CloudDuties;
-import io.trailladder.adapter.HeadTranslator;
-import io.trailladder.adapter.JsonTranslator;
-import io.trailladder.adapter.KvStore;
-import io.trailladder.entry.gateway.Gateway;
-import io.trailladder.entry.gateway.GatewaySettings;
-import io.trailladder.entry.gateway.GatewaySettings.Listen;
-import io.trailladder.entry.gateway.GatewaySettings.Node;
-import io.trailladder.entry.gateway.GatewaySettings.Retries;
-import io.trailladder.entry.gateway.GatewaySettings.Timing;
-import io.trailladder.entry.gateway.GatewaySettings.Tolerance;
-import io.trailladder.entry.gateway.PlatformAdapter;
 import io.trailladder.entry.http.CallFailure;
 import io.trailladder.entry.http.CallListener;
 import io.trailladder.entry.http.HeaderField;
@@ -39,18 +27,21 @@
 import io.trailladder.entry.loop.EventLoop;
 import io.trailladder.platform.http.HostPort;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.Base64;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
-import org.tinylog.jul.JulTinylogBridge;
 
 /**
- * Runs a gateway for a moment against a canned platform on the loopback interface, so that the JVM
- * can record the classes it needs. The record shortens every later start.
+ * Runs two linked gateways for a moment against a canned platform on the loopback interface, one of
+ * them as the process that is deployed, so that the JVM can record the classes it needs. The record
+ * shortens every later start.
  *
  * <p>Used by the build with {@code -XX:ArchiveClassesAtExit}.
  *
@@ -61,6 +52,7 @@
     private static final String SERVICE = "service";
     private static final String REQUEST_ID = "0123456789abcdef";
     private static final int OK = 200;
+    private static final int PROCESSES = 2;
     private static final int REQUESTS = 20;
     private static final long PAUSE_MILLIS = 100;
     private static final long MOST_MILLIS = 6_000;
@@ -69,9 +61,9 @@
 
     private final EventLoop loop = new EventLoop();
     private final HttpConnector connector = new HttpConnector(loop);
-    private final CountDownLatch stopped = new CountDownLatch(1);
+    private final CountDownLatch stopped = new CountDownLatch(PROCESSES);
     private HostPort platform;
-    private GatewaySettings settings;
+    private HostPort seed;
 
     private ClassDataTraining() {}
 
@@ -87,41 +79,74 @@
     }
 
     private int train() throws IOException, InterruptedException {
-        System.setProperty("tinylog.level", "off");
-        JulTinylogBridge.activate();
         platform = freePort();
         ServerBounds bounds = new ServerBounds(MAX_BODY_BYTES, MOST_MILLIS, MOST_MILLIS);
         new HttpServer(loop, bounds, this::answer).start(platform);
         loop.start();
-        Listen listen = new Listen(freePort(), freePort(), freePort(), freePort());
-        settings =
-                new GatewaySettings(
-                        new Node("training", "zone", true),
-                        listen,
-                        List.of(listen.peers()),
-                        platform,
-                        platform,
-                        new Retries(0.1, 1, MOST_MILLIS),
-                        new Tolerance(0, 0),
-                        new Timing(1, MOST_MILLIS, MOST_MILLIS));
-        Gateway gateway = new Gateway(settings, this::adapter, stopped::countDown);
-        gateway.start();
+        List<TrainedProcess> processes =
+                List.of(new TrainedProcess("one"), new TrainedProcess("two"));
+        for (TrainedProcess process : processes) {
+            process.start();
+        }
         for (int i = 0; i < REQUESTS; i++) {
             Thread.sleep(PAUSE_MILLIS);
-            loop.execute(() -> ask(listen.callers(), "/route/call"));
-            loop.execute(() -> ask(listen.health(), "/ready"));
-            loop.execute(() -> ask(listen.metrics(), "/metrics"));
+            for (TrainedProcess process : processes) {
+                loop.execute(() -> ask(process.callers, "/route/call"));
+                loop.execute(() -> ask(process.health, "/ready"));
+                loop.execute(() -> ask(process.metrics, "/metrics"));
+            }
         }
-        gateway.stop();
+        processes.forEach(process -> process.gateway.stop());
         return stopped.await(MOST_MILLIS, TimeUnit.MILLISECONDS) ? 0 : 1;
     }
 
-    private PlatformAdapter adapter(EventLoop owner, HttpConnector calls) {
-        return new PlatformAdapter(
-                new HeadTranslator(),
-                new JsonTranslator(),
-                new KvStore(owner, calls, settings.store()),
-                new CloudDuties(owner, calls, settings.cloud()));
+    /** One gateway that runs from a settings file, as it is deployed. */
+    private final class TrainedProcess {
+        private final HostPort callers = freePort();
+        private final HostPort health = freePort();
+        private final HostPort peers = freePort();
+        private final HostPort metrics = freePort();
+        private final GatewayProcess gateway;
+
+        TrainedProcess(String name) throws IOException {
+            Path file = Files.createTempFile("training", ".json");
+            file.toFile().deleteOnExit();
+            if (seed == null) {
+                seed = peers;
+            }
+            Files.writeString(file, settings(name));
+            gateway = new GatewayProcess(file);
+        }
+
+        void start() {
+            Thread thread = new Thread(this::run, "training");
+            thread.setDaemon(true);
+            thread.start();
+        }
+
+        private void run() {
+            try {
+                gateway.run();
+                stopped.countDown();
+            } catch (IOException e) {
+                throw new UncheckedIOException(e);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }
+
+        private String settings(String name) {
+            return """
+            {"node":{"name":"%s","zone":"zone","first_start":true},
+             "capacity":{"core_share":1,"core_speed":1,"link_mbps":1000},
+             "listen":{"callers":"%s","health":"%s","peers":"%s","metrics":"%s"},
+             "seeds":["%s"],"store":"%s","cloud":"%s",
+             "retries":{"ratio":0.1,"allowance":1,"window_s":6},
+             "tolerance":{"ratio":0,"units":0},
+             "timing":{"grace_s":6,"lease_ms":3000,"usage_window_s":1}}
+            """
+                    .formatted(name, callers, health, peers, metrics, seed, platform, platform);
+        }
     }
 
     private void ask(HostPort target, String path) {
--- a/trailladder-cli/src/main/java/io/trailladder/cli/GatewayProcess.java
+++ b/trailladder-cli/src/main/java/io/trailladder/cli/GatewayProcess.java
@@ -56,6 +56,7 @@
     private final Path settingsFile;
     private final CountDownLatch stopped = new CountDownLatch(1);
     private GatewaySettings settings;
+    private Gateway gateway;
     private FileTime settingsTime;
 
     /**
@@ -100,17 +101,22 @@
         System.setProperty("tinylog.writer.stream", "out");
         JulTinylogBridge.activate();
         settings = SettingsReader.read(settingsFile);
-        Gateway gateway = new Gateway(settings, this::adapter, stopped::countDown);
-        ProcessSignals.on("TERM", gateway::stop);
-        ProcessSignals.on("INT", gateway::stop);
-        ProcessSignals.on("HUP", () -> reload(gateway));
+        gateway = new Gateway(settings, this::adapter, stopped::countDown);
+        ProcessSignals.on("TERM", this::stop);
+        ProcessSignals.on("INT", this::stop);
+        ProcessSignals.on("HUP", this::reload);
         gateway.start();
         settingsTime = modified();
         while (!stopped.await(WATCH_FILE_MILLIS, TimeUnit.MILLISECONDS)) {
-            reloadIfChanged(gateway);
+            reloadIfChanged();
         }
     }
 
+    /** Stops the gateway in order; {@link #run} returns once it has stopped. */
+    void stop() {
+        gateway.stop();
+    }
+
     private PlatformAdapter adapter(EventLoop loop, HttpConnector connector) {
         return new PlatformAdapter(
                 new HeadTranslator(),
@@ -119,11 +125,11 @@
                 new CloudDuties(loop, connector, settings.cloud()));
     }
 
-    private void reloadIfChanged(Gateway gateway) {
+    private void reloadIfChanged() {
         FileTime now = modified();
         if (!now.equals(settingsTime)) {
             settingsTime = now;
-            reload(gateway);
+            reload();
         }
     }
 
@@ -135,7 +141,7 @@
         }
     }
 
-    private synchronized void reload(Gateway gateway) {
+    private synchronized void reload() {
         try {
             gateway.reload(SettingsReader.read(settingsFile));
         } catch (TrailladderException e) {
