Order by the load only once answers have been seen

Cause: at the begin of traffic and after a loss of power the prior alone, a slow engine, asked for 21 to 44 upstreams for a moment, and 25 at the full price were ordered and held. Change: without 15 answers behind the model the load counts as not known.

--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/FleetRunner.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/FleetRunner.java
@@ -58,6 +58,12 @@
     private static final long DECLINED_MILLIS = 2_500;
     private static final long SETTLE_MILLIS = 4_000;
 
+    /**
+     * Answers that must have been seen before orders follow the load: below that the model's prior,
+     * a slow engine, would order a large fleet for a moment.
+     */
+    private static final double LEAST_OBSERVATIONS = 15;
+
     /** Objective of a service whose routes name none, in milliseconds. */
     private static final long DEFAULT_OBJECTIVE_MILLIS = 1_000;
 
@@ -194,11 +200,11 @@
     }
 
     private Optional<FleetNeed> need(String service, ServiceLoad load, List<Worker> workers) {
-        if (!load.isKnown()) {
+        EngineEstimate engine = engines.estimate(service, loop.nowMillis());
+        if (!load.isKnown() || engine.observations() < LEAST_OBSERVATIONS) {
             return Optional.empty();
         }
         int slots = workers.stream().mapToInt(Worker::slots).min().orElse(1);
-        EngineEstimate engine = engines.estimate(service, loop.nowMillis());
         return Optional.of(FleetSizer.need(load, engine, slots, objectiveMillis(service)));
     }
 
