Hold what serves after taking over, without bridging a first peak

Cause: right after all processes restart callers ask again all at once; the need of that moment ordered 15 to 25 upstreams at the full price, which were then held for 8 s. Change: until the load is measured a planner that takes over orders as many at the full price as serve; reclaimable ones may grow. Test: aPeakRightAfterTakingOverIsNotBridgedAtTheFullPrice.

--- a/trailladder-core/src/main/java/io/trailladder/core/duty/FleetPlanner.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/duty/FleetPlanner.java
@@ -142,11 +142,13 @@
         if (need.isEmpty()) {
             learnProvided(serving);
         }
+        int wantedFull = wantedFullPrice(scaling, serving, need);
         if (takesOver && !isMeasured(need.isPresent(), nowMillis)) {
-            keep(serving, nowMillis);
+            perZone.hold(mostInOneZone(serving), nowMillis);
+            wantedFull = count(serving, false);
         }
         int target = perZone.follow(wantedPerZone(scaling, need), nowMillis);
-        int full = fullPrice.follow(wantedFullPrice(scaling, serving, need), nowMillis);
+        int full = fullPrice.follow(wantedFull, nowMillis);
         Map<String, Integer> fullByZone = spread(scaling, serving, full);
         List<WorkerOrder> orders = new ArrayList<>();
         for (String zone : zones.keySet()) {
@@ -163,18 +165,6 @@
         return knownSinceMillis >= 0 && nowMillis - knownSinceMillis >= MEASURED_MILLIS;
     }
 
-    /** Plans for no fewer than serve now, of either kind. */
-    private void keep(List<Worker> serving, long nowMillis) {
-        int most = 0;
-        int full = 0;
-        for (String zone : zones.keySet()) {
-            most = Math.max(most, count(serving, zone, true));
-            full += count(serving, zone, false);
-        }
-        perZone.hold(most, nowMillis);
-        fullPrice.hold(full, nowMillis);
-    }
-
     /**
      * Before any load is known, the operator's own provision is the best guess of what is needed.
      */
@@ -200,16 +190,10 @@
     /** Full-price upstreams that make up for reclaimable ones that are not there. */
     private int wantedFullPrice(
             ScalingSpec scaling, List<Worker> serving, Optional<FleetNeed> need) {
-        int reclaimable = 0;
-        int mostInZone = 0;
-        for (String zone : zones.keySet()) {
-            int here = count(serving, zone, true);
-            reclaimable += here;
-            mostInZone = Math.max(mostInZone, here);
-        }
+        int reclaimable = count(serving, true);
         int now = ceil(need.map(FleetNeed::comfortable).orElse(0.0)) - reclaimable;
         int least = ceil(need.map(FleetNeed::tight).orElse(LEAST_WITHOUT_LOAD));
-        int afterLoss = least - (reclaimable - mostInZone);
+        int afterLoss = least - (reclaimable - mostInOneZone(serving));
         int most = scaling.max() * zones.size();
         return Math.max(0, Math.min(most, Math.max(now, afterLoss)));
     }
@@ -241,6 +225,14 @@
         return (int) Math.ceil(value);
     }
 
+    private int mostInOneZone(List<Worker> serving) {
+        return zones.keySet().stream().mapToInt(zone -> count(serving, zone, true)).max().orElse(0);
+    }
+
+    private static int count(List<Worker> serving, boolean reclaimable) {
+        return (int) serving.stream().filter(worker -> worker.reclaimable() == reclaimable).count();
+    }
+
     private static int count(List<Worker> serving, String zone, boolean reclaimable) {
         return (int)
                 serving.stream()
--- a/trailladder-core/src/test/java/io/trailladder/core/duty/FleetPlannerTest.java
+++ b/trailladder-core/src/test/java/io/trailladder/core/duty/FleetPlannerTest.java
@@ -134,4 +134,12 @@
         }
         assertEquals(3, ordered(orders, true));
     }
+
+    @Example
+    void aPeakRightAfterTakingOverIsNotBridgedAtTheFullPrice() {
+        FleetPlanner planner = new FleetPlanner("s", true);
+        for (long now = 0; now < FleetPlanner.MEASURED_MILLIS; now += 250) {
+            assertEquals(0, ordered(planner.plan(SCALING, fleet(0, 5), busy(9), now), false));
+        }
+    }
 }
