Look for a second and a half, not three and a half, before the first order

Cause: the operator's upstreams at the full price run on until the first orders, 13 of them for two seconds longer than the list of upstreams takes to be whole. Change: FIRST_LOOK_MILLIS 3,500 to 1,500.

--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/FleetRunner.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/FleetRunner.java
@@ -53,7 +53,7 @@
     /** Time after which requests under way count a third, in milliseconds: as long as a boot. */
     private static final double SMOOTHING_MILLIS = 4_000;
 
-    private static final long FIRST_LOOK_MILLIS = 3_500;
+    private static final long FIRST_LOOK_MILLIS = 1_500;
     private static final long LEAST_PAUSE_MILLIS = 900;
     private static final long DECLINED_MILLIS = 2_500;
     private static final long SETTLE_MILLIS = 4_000;
