--- a/trailladder-cli/src/main/java/io/trailladder/cli/ExplainCommand.java
+++ b/trailladder-cli/src/main/java/io/trailladder/cli/ExplainCommand.java
@@ -15,20 +15,13 @@
  */
 package io.trailladder.cli;
 
-import java.io.BufferedReader;
 import java.io.IOException;
-import java.io.InputStreamReader;
 import java.io.PrintWriter;
-import java.io.Reader;
-import java.nio.charset.StandardCharsets;
-import java.nio.file.Files;
-import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.concurrent.Callable;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
-import picocli.CommandLine.ParameterException;
 import picocli.CommandLine.Parameters;
 import picocli.CommandLine.Spec;
 
@@ -63,27 +56,10 @@
     @Override
     public Integer call() throws IOException {
         RequestTrace trace = new RequestTrace(id);
-        if (files.isEmpty()) {
-            read(new InputStreamReader(System.in, StandardCharsets.UTF_8), trace);
-        }
-        for (Path file : files) {
-            try (Reader reader = Files.newBufferedReader(file, StandardCharsets.UTF_8)) {
-                read(reader, trace);
-            } catch (NoSuchFileException e) {
-                throw new ParameterException(
-                        spec.commandLine(), "FILE '" + file + "' is not there, expected a log", e);
-            }
-        }
+        LogFiles.read(files, spec.commandLine(), trace::add);
         return tell(trace);
     }
 
-    private static void read(Reader source, RequestTrace trace) throws IOException {
-        BufferedReader reader = new BufferedReader(source);
-        for (String line = reader.readLine(); line != null; line = reader.readLine()) {
-            DecisionLine.parse(line).ifPresent(trace::add);
-        }
-    }
-
     private int tell(RequestTrace trace) {
         if (trace.isEmpty()) {
             PrintWriter err = spec.commandLine().getErr();
--- /dev/null
+++ b/trailladder-cli/src/main/java/io/trailladder/cli/LossesCommand.java
@@ -0,0 +1,105 @@
+/*
+ * Copyright 2026 The trailladder authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package io.trailladder.cli;
+
+import io.trailladder.cli.LossTable.Dimension;
+import io.trailladder.cli.LossTable.Row;
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.Callable;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+import picocli.CommandLine.Spec;
+
+/**
+ * Tells from gateways' logs which requests were not served, or late, summed up by cause, route,
+ * organisation, upstream or second.
+ *
+ * <pre>{@code
+ * cat gateway-*.log | trailladder losses
+ * trailladder losses --by second --most 100 gateway-1.log gateway-2.log
+ * }</pre>
+ *
+ * @since 0.3
+ */
+@Command(
+        name = "losses",
+        mixinStandardHelpOptions = true,
+        description = "Tell from gateways' logs which requests were not served, or late, and why.")
+public final class LossesCommand implements Callable<Integer> {
+    private static final int NOTHING_FOUND = 1;
+    private static final int DEFAULT_MOST = 20;
+
+    @Spec private CommandSpec spec;
+
+    @Option(
+            names = "--by",
+            paramLabel = "DIMENSION",
+            description = "One of: ${COMPLETION-CANDIDATES}. All but SECOND if not given.")
+    private List<Dimension> dimensions =
+            List.of(Dimension.CAUSE, Dimension.ROUTE, Dimension.ORGANISATION, Dimension.UPSTREAM);
+
+    @Option(
+            names = "--most",
+            paramLabel = "N",
+            description = "Most rows of a table; ${DEFAULT-VALUE} if not given.")
+    private int most = DEFAULT_MOST;
+
+    @Parameters(
+            index = "0..*",
+            paramLabel = "FILE",
+            description = "Logs; standard input if none is named.")
+    private List<Path> files = List.of();
+
+    @Override
+    public Integer call() throws IOException {
+        LossTable table = new LossTable();
+        LogFiles.read(files, spec.commandLine(), table::add);
+        PrintWriter out = spec.commandLine().getOut();
+        Row total = table.total();
+        if (total.requests() == 0) {
+            PrintWriter err = spec.commandLine().getErr();
+            err.println("no line tells of a request, expected the logs of all gateways");
+            err.flush();
+            return NOTHING_FOUND;
+        }
+        print(out, "all", List.of(total));
+        for (Dimension dimension : dimensions) {
+            print(out, dimension.name().toLowerCase(Locale.ROOT), table.rows(dimension));
+        }
+        out.flush();
+        return 0;
+    }
+
+    private void print(PrintWriter out, String title, List<Row> rows) {
+        out.printf(Locale.ROOT, "%-40s %9s %9s %9s%n", title, "requests", "unserved", "late");
+        for (Row row : rows.subList(0, Math.min(most, rows.size()))) {
+            out.printf(
+                    Locale.ROOT,
+                    "%-40s %9d %9d %9d%n",
+                    row.value(),
+                    row.requests(),
+                    row.unserved(),
+                    row.late());
+        }
+        out.println();
+    }
+}
--- a/trailladder-cli/src/main/java/io/trailladder/cli/TrailladderCommand.java
+++ b/trailladder-cli/src/main/java/io/trailladder/cli/TrailladderCommand.java
@@ -43,6 +43,7 @@
             TableCommand.class,
             StatusCommand.class,
             ExplainCommand.class,
+            LossesCommand.class,
             ReplayCommand.class,
             GenerateCompletion.class
         })
--- /dev/null
+++ b/trailladder-cli/src/test/java/io/trailladder/cli/LossesCommandTest.java
@@ -0,0 +1,125 @@
+/*
+ * Copyright 2026 The trailladder authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package io.trailladder.cli;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.io.StringWriter;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import net.jqwik.api.Example;
+import picocli.CommandLine;
+
+/** Sums of a day's losses from the lines that gateways write. */
+class LossesCommandTest {
+    private final StringWriter err = new StringWriter();
+    private final StringWriter out = new StringWriter();
+
+    private int losses(String log, String... options) throws IOException {
+        Path file = Files.createTempFile("trailladder", ".log");
+        file.toFile().deleteOnExit();
+        Files.writeString(file, log);
+        String[] args = new String[options.length + 2];
+        args[0] = "losses";
+        System.arraycopy(options, 0, args, 1, options.length);
+        args[args.length - 1] = file.toString();
+        return run(args);
+    }
+
+    private int run(String... args) {
+        CommandLine commandLine = TrailladderCommand.commandLine();
+        commandLine.setErr(new PrintWriter(err, true));
+        commandLine.setOut(new PrintWriter(out, true));
+        return commandLine.execute(args);
+    }
+
+    private static String line(int second, String decision) {
+        return "e-1 {\"time\":\"2026-12-02T13:00:0%dZ\",\"decision\":{%s}}%n"
+                .formatted(second, decision.replace('\'', '"'));
+    }
+
+    private static String taken(int second, String id, String outcome) {
+        return line(
+                second,
+                "'kind':'Intake','id':'%s','route':'chat','tenant':'acme','objectiveMs':300,'outcome':'%s'"
+                        .formatted(id, outcome));
+    }
+
+    private static String sent(int second, String id, String upstream) {
+        return line(
+                second,
+                "'kind':'Dispatch','id':'%s','attempt':1,'worker':'%s'".formatted(id, upstream));
+    }
+
+    private static String ended(int second, String id, String outcome, int firstMillis) {
+        return line(
+                second,
+                "'kind':'Ended','id':'%s','outcome':'%s','status':%d,'firstMs':%d"
+                        .formatted(id, outcome, outcome.equals("whole") ? 200 : 502, firstMillis));
+    }
+
+    private static String day() {
+        return taken(0, "r1", "accepted")
+                + sent(0, "r1", "u1")
+                + ended(1, "r1", "whole", 120)
+                + taken(1, "r2", "accepted")
+                + sent(1, "r2", "u2")
+                + ended(2, "r2", "whole", 900)
+                + taken(2, "r3", "accepted")
+                + sent(2, "r3", "u2")
+                + line(2, "'kind':'AttemptFailed','id':'r3','worker':'u2','failure':'BROKEN'")
+                + ended(3, "r3", "MAY_HAVE_RUN", -1)
+                + taken(4, "r4", "429, over limit of acme")
+                + line(4, "'kind':'Lifecycle','what':'store','state':'lost'")
+                + "no decision\n";
+    }
+
+    private void shows(String row) {
+        String text = out.toString().replaceAll(" +", " ");
+        assertTrue(text.contains(row), "no '" + row + "' in\n" + text);
+    }
+
+    @Example
+    void requestsAreSummedByWhatTheyHaveInCommon() throws IOException {
+        assertEquals(0, losses(day()), err.toString());
+        shows("all 4 2 1");
+        shows("MAY_HAVE_RUN after BROKEN 1 1 0");
+        shows("refused: 429, over limit of acme 1 1 0");
+        shows("late 1 0 1");
+        shows("in time 1 0 0");
+        shows("chat 4 2 1");
+        shows("acme 4 2 1");
+        shows("u2 2 1 1");
+    }
+
+    @Example
+    void secondsAreInOrderAndCanBeCutOff() throws IOException {
+        assertEquals(0, losses(day(), "--by", "SECOND", "--most", "2"), err.toString());
+        shows("0 1 0 0\n1 1 0 1\n");
+        assertTrue(!out.toString().contains("\n4 "), out.toString());
+    }
+
+    @Example
+    void logsWithoutRequestsAndFilesThatAreNotThereAreTold() throws IOException {
+        assertEquals(1, losses("nothing\n"));
+        assertTrue(err.toString().contains("expected the logs of all gateways"), err.toString());
+        assertEquals(2, run("losses", "/no/such.log"));
+        assertTrue(err.toString().contains("'/no/such.log' is not there"), err.toString());
+    }
+}
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/DecisionLog.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/DecisionLog.java
@@ -54,10 +54,17 @@
      * @param tenant whose it is; empty if not known
      * @param size units counted against the tenant's limit
      * @param policyVersion version of the policy that decided
+     * @param objectiveMs time inside which its answer is in time, in milliseconds; 0 if refused
      * @param outcome what was decided
      */
     public record Intake(
-            String id, String route, String tenant, int size, long policyVersion, String outcome)
+            String id,
+            String route,
+            String tenant,
+            int size,
+            long policyVersion,
+            long objectiveMs,
+            String outcome)
             implements Decision {
         @Override
         public void write(JsonGenerator json) throws IOException {
@@ -66,6 +73,7 @@
             json.writeStringField("tenant", tenant);
             json.writeNumberField("size", size);
             json.writeNumberField("policyVersion", policyVersion);
+            json.writeNumberField("objectiveMs", objectiveMs);
             json.writeStringField("outcome", outcome);
         }
     }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestIntake.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestIntake.java
@@ -169,6 +169,7 @@
                         name,
                         units,
                         policy.version(),
+                        route.get().objectiveMillis(),
                         "accepted"));
         drive(exchange, request, units, caller.lastEventId());
     }
@@ -212,7 +213,7 @@
 
     private void refuse(
             ServerExchange exchange, String id, int status, long retryAfterMillis, String reason) {
-        DecisionLog.write(new Intake(id, "", "", 0, policies.version(), status + ", " + reason));
+        DecisionLog.write(new Intake(id, "", "", 0, policies.version(), 0, status + ", " + reason));
         context.metrics().ended("", "", "refused-" + status, 0);
         HeaderList headers = context.protocol().refusal(retryAfterMillis);
         exchange.respond(status, headers, NO_BYTES);
