Let entries that lapsed while the store was away serve again

Change: only an announced leaving is final. Entries missing within 2.2 s of the store's return are taken for gone only if they do not come back in that time; peers are told of announced leavings only.

--- a/trailladder-core/src/main/java/io/trailladder/core/worker/WorkerDirectory.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/worker/WorkerDirectory.java
@@ -27,8 +27,9 @@
 /**
  * The upstreams that serve, by service.
  *
- * <p>Names are never used again, so an upstream that was seen leaving stays so even if an older
- * entry arrives late.
+ * <p>Names are never used again, so an upstream that announced that it leaves stays so even if an
+ * older entry arrives late. One whose entry is only gone serves again if the entry comes back: it
+ * may have lapsed while the store was away.
  *
  * @since 0.2
  */
@@ -77,8 +78,6 @@
      * @return the upstream if it was known
      */
     public Optional<Worker> removed(String id) {
-        forgetOldNames();
-        leaving.add(id);
         byService.clear();
         return Optional.ofNullable(workers.remove(id));
     }
@@ -90,6 +89,7 @@
      * @return the upstream if this is news and it is known
      */
     public Optional<Worker> leaving(String id) {
+        forgetOldNames();
         if (!leaving.add(id)) {
             return Optional.empty();
         }
@@ -127,10 +127,10 @@
     }
 
     /**
-     * Tells whether an upstream is leaving or gone.
+     * Tells whether an upstream has announced that it leaves, to this process or a peer.
      *
      * @param id its name
-     * @return true if it takes no new work
+     * @return true if it takes no new work any more
      */
     public boolean isLeaving(String id) {
         return leaving.contains(id);
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ClusterView.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ClusterView.java
@@ -389,7 +389,11 @@
         return peers.values().stream().filter(Peer::isLeaf).toList();
     }
 
+    /** An upstream whose entry is only gone may come back, so peers are not told that it leaves. */
     private void remember(String worker) {
+        if (!directory.isLeaving(worker)) {
+            return;
+        }
         recentLeaving.add(worker);
         if (recentLeaving.size() > RECENT_LEAVING) {
             recentLeaving.remove(0);
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/DirectoryKeeper.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/DirectoryKeeper.java
@@ -28,6 +28,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 import org.tinylog.Logger;
 
 /**
@@ -38,22 +39,48 @@
 public final class DirectoryKeeper implements StoreWatcher.Listener {
     private static final byte[] NO_BYTES = {};
 
+    /**
+     * How long entries that lapsed while the store was away may take to come back, in milliseconds:
+     * about two seconds by the platform's contract, and a message's way.
+     */
+    static final long RETURN_MILLIS = 2_200;
+
     private final PlatformFormat format;
     private final WorkerDirectory directory;
+    private final LongSupplier nowMillis;
+    private final Consumer<Runnable> afterReturn;
     private final List<Consumer<Worker>> onLeaving = new ArrayList<>();
     private final Map<String, byte[]> entries = new HashMap<>();
     private Consumer<UpstreamNews> onNews = news -> {};
     private long revision;
+    private long returnsUntilMillis = Long.MIN_VALUE;
 
     /**
      * Creates a keeper.
      *
      * @param format how entries are written
      * @param directory the directory to keep
+     * @param nowMillis tells the time
+     * @param afterReturn runs a task {@value #RETURN_MILLIS} milliseconds later
      */
-    public DirectoryKeeper(PlatformFormat format, WorkerDirectory directory) {
+    public DirectoryKeeper(
+            PlatformFormat format,
+            WorkerDirectory directory,
+            LongSupplier nowMillis,
+            Consumer<Runnable> afterReturn) {
         this.format = format;
         this.directory = directory;
+        this.nowMillis = nowMillis;
+        this.afterReturn = afterReturn;
+    }
+
+    /**
+     * Has entries that are missing from now on taken for gone only if they do not come back soon:
+     * the store was away, and entries lapse meanwhile though their upstreams live.
+     */
+    public void storeRegained() {
+        returnsUntilMillis = nowMillis.getAsLong() + RETURN_MILLIS;
+        afterReturn.accept(this::dropMissing);
     }
 
     /**
@@ -106,7 +133,9 @@
     private void apply(String id, byte[] value) {
         if (value.length == 0) {
             entries.remove(id);
-            directory.removed(id).ifPresent(worker -> left(worker, "gone"));
+            if (!mayReturn(id)) {
+                directory.removed(id).ifPresent(worker -> left(worker, "gone"));
+            }
             return;
         }
         entries.put(id, value);
@@ -149,6 +178,16 @@
         directory.leaving(id).ifPresent(worker -> left(worker, "draining, told by " + peer));
     }
 
+    /**
+     * Tells whether an upstream has announced that it leaves.
+     *
+     * @param id the upstream's name
+     * @return false if its entry is only gone
+     */
+    public boolean isLeaving(String id) {
+        return directory.isLeaving(id);
+    }
+
     /**
      * Returns the revision of the list.
      *
@@ -178,9 +217,27 @@
                                 .peek(workers::add)
                                 .peekLeft(fault -> Logger.warn("upstream {}: {}", id, fault)));
         DecisionLog.write(new Belief("upstreams", workers.size() + " listed", source, revision));
+        directory.all().stream()
+                .filter(worker -> !entries.containsKey(worker.id()) && mayReturn(worker.id()))
+                .forEach(workers::add);
         directory.replaceAll(workers).forEach(worker -> left(worker, "left, by list"));
     }
 
+    private boolean mayReturn(String id) {
+        return nowMillis.getAsLong() < returnsUntilMillis && !directory.isLeaving(id);
+    }
+
+    private void dropMissing() {
+        if (nowMillis.getAsLong() < returnsUntilMillis) {
+            return;
+        }
+        for (Worker worker : directory.all()) {
+            if (!entries.containsKey(worker.id())) {
+                directory.removed(worker.id()).ifPresent(gone -> left(gone, "gone, not back"));
+            }
+        }
+    }
+
     private void left(Worker worker, String how) {
         DecisionLog.write(new Belief("upstream " + worker.id(), how, "store", revision));
         onLeaving.forEach(listener -> listener.accept(worker));
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
@@ -117,7 +117,13 @@
         DemandMeter demand = new DemandMeter();
         EngineModel engines = new EngineModel();
         policies = new PolicyKeeper(platform.format());
-        directoryKeeper = new DirectoryKeeper(platform.format(), directory);
+        directoryKeeper =
+                new DirectoryKeeper(
+                        platform.format(),
+                        directory,
+                        loop::nowMillis,
+                        task -> loop.schedule(DirectoryKeeper.RETURN_MILLIS, task));
+        storeHealth.onRegained(directoryKeeper::storeRegained);
         quotas = new Quotas(settings.node().firstStart(), settings.tolerance());
         view =
                 new ClusterView(
--- /dev/null
+++ b/trailladder-entry/src/test/java/io/trailladder/entry/gateway/DirectoryKeeperTest.java
@@ -0,0 +1,144 @@
+/*
+ * Copyright 2026 The trailladder authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package io.trailladder.entry.gateway;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.trailladder.core.policy.ServingPolicy;
+import io.trailladder.core.worker.Worker;
+import io.trailladder.core.worker.WorkerDirectory;
+import io.trailladder.entry.port.PlatformFormat;
+import io.trailladder.entry.port.StoreItem;
+import io.vavr.control.Either;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import net.jqwik.api.Example;
+
+/** The list of upstreams over an absence of the store, in virtual time. */
+class DirectoryKeeperTest {
+    private static final String READY = "ready";
+    private static final String LEAVING = "leaving";
+
+    private final WorkerDirectory directory = new WorkerDirectory();
+    private final List<String> left = new ArrayList<>();
+    private final List<Runnable> later = new ArrayList<>();
+    private long now;
+    private final DirectoryKeeper keeper =
+            new DirectoryKeeper(new PlainFormat(), directory, () -> now, later::add);
+
+    DirectoryKeeperTest() {
+        keeper.onLeaving(worker -> left.add(worker.id()));
+        keeper.listed(List.of(item("a", READY, 1), item("b", READY, 2)), 2);
+    }
+
+    /** Entries whose whole text is their state. */
+    private static final class PlainFormat implements PlatformFormat {
+        @Override
+        public String policyKey() {
+            return "policy";
+        }
+
+        @Override
+        public String workerPrefix() {
+            return "upstream/";
+        }
+
+        @Override
+        public Either<String, ServingPolicy> policy(byte[] value) {
+            return Either.left("no policy here");
+        }
+
+        @Override
+        public Either<String, Worker> worker(String id, byte[] value) {
+            boolean leaving = new String(value, StandardCharsets.UTF_8).equals(LEAVING);
+            return Either.right(new Worker(id, "s", "z", "h:1", 8, leaving, false, 0));
+        }
+    }
+
+    private static StoreItem item(String id, String state, long revision) {
+        byte[] value = state.getBytes(StandardCharsets.UTF_8);
+        return new StoreItem("upstream/" + id, value, revision, 1, false);
+    }
+
+    private static StoreItem gone(String id, long revision) {
+        return new StoreItem("upstream/" + id, new byte[0], revision, 1, true);
+    }
+
+    private void pass(long millis) {
+        now += millis;
+        List<Runnable> due = List.copyOf(later);
+        later.clear();
+        due.forEach(Runnable::run);
+    }
+
+    private int serving() {
+        return directory.serving("s").size();
+    }
+
+    @Example
+    void entryThatLapsedAndComesBackServesAgain() {
+        keeper.changed(gone("a", 3));
+        assertEquals(1, serving());
+        keeper.changed(item("a", READY, 4));
+        assertEquals(2, serving());
+    }
+
+    @Example
+    void entriesMissingRightAfterTheStoreReturnsServeOnUntilTheyAreBack() {
+        keeper.storeRegained();
+        keeper.listed(List.of(item("a", READY, 1)), 5);
+        assertEquals(2, serving());
+        now += DirectoryKeeper.RETURN_MILLIS - 1;
+        keeper.changed(item("b", READY, 6));
+        pass(1);
+        assertEquals(2, serving());
+        assertTrue(left.isEmpty(), left.toString());
+    }
+
+    @Example
+    void entriesThatDoNotComeBackAreGone() {
+        keeper.storeRegained();
+        keeper.changed(gone("a", 3));
+        keeper.listed(List.of(), 5);
+        assertEquals(2, serving());
+        pass(DirectoryKeeper.RETURN_MILLIS);
+        assertEquals(0, serving());
+        assertEquals(2, left.size(), left.toString());
+    }
+
+    @Example
+    void leavingThatWasAcknowledgedBindsWhileTheStoreIsAway() {
+        keeper.changed(item("a", LEAVING, 3));
+        keeper.storeRegained();
+        keeper.listed(List.of(item("a", READY, 1), item("b", READY, 2)), 5);
+        assertEquals(1, serving());
+        keeper.changed(gone("a", 6));
+        keeper.changed(item("a", READY, 7));
+        assertEquals(1, serving());
+        assertTrue(keeper.isLeaving("a"));
+        assertFalse(keeper.isLeaving("b"));
+    }
+
+    @Example
+    void leavingToldByAPeerBindsToo() {
+        keeper.leavingSeenBy("b", "peer");
+        keeper.listed(List.of(item("a", READY, 1), item("b", READY, 2)), 5);
+        assertEquals(1, serving());
+    }
+}
