--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
@@ -34,6 +34,7 @@
 import io.trailladder.entry.http.ServerBounds;
 import io.trailladder.entry.http.ServerExchange;
 import io.trailladder.entry.loop.EventLoop;
+import io.trailladder.entry.loop.SteadyClock;
 import io.trailladder.entry.mesh.PeerMesh;
 import io.trailladder.entry.port.PlatformFormat;
 import io.trailladder.entry.port.StoreItem;
@@ -112,7 +113,7 @@
         SplittableRandom random = new SplittableRandom(name.hashCode() ^ System.nanoTime());
         String incarnation = Long.toHexString(random.nextLong());
         String life = name + '/' + incarnation;
-        Clock clock = Clock.systemUTC();
+        Clock clock = new SteadyClock(Clock.systemUTC(), loop::nowMillis);
         UsageLedger usage = new UsageLedger(life, settings.timing().usageWindowMillis());
         DemandMeter demand = new DemandMeter();
         EngineModel engines = new EngineModel();
--- /dev/null
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/loop/SteadyClock.java
@@ -0,0 +1,93 @@
+/*
+ * Copyright 2026 The trailladder authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package io.trailladder.entry.loop;
+
+import java.time.Clock;
+import java.time.Instant;
+import java.time.ZoneId;
+import java.util.function.LongSupplier;
+import org.tinylog.Logger;
+
+/**
+ * A time of day that does not follow a jump of the machine's clock at once.
+ *
+ * <p>It goes on from a steady clock, and takes the machine's time over while both agree. A jump is
+ * believed only after it has lasted for {@link #PATIENCE_MILLIS}: clocks that were set wrongly are
+ * mostly set right again soon, and counts by time of day would go to the wrong window meanwhile.
+ *
+ * <pre>{@code
+ * Clock clock = new SteadyClock(Clock.systemUTC(), loop::nowMillis);
+ * }</pre>
+ *
+ * @since 0.3
+ */
+public final class SteadyClock extends Clock {
+    /** How long a jump must last to be believed, in milliseconds: some windows of usage. */
+    public static final long PATIENCE_MILLIS = 15_000;
+
+    /** Largest difference that is taken for an adjustment, in milliseconds. */
+    public static final long MOST_ADJUSTMENT_MILLIS = 200;
+
+    private final Clock machine;
+    private final LongSupplier steadyMillis;
+    private long offsetMillis;
+    private long jumpedMillis = -1;
+
+    /**
+     * Creates a clock that begins with the machine's time.
+     *
+     * @param machine the machine's time of day
+     * @param steadyMillis a clock that never jumps, in milliseconds
+     */
+    public SteadyClock(Clock machine, LongSupplier steadyMillis) {
+        this.machine = machine;
+        this.steadyMillis = steadyMillis;
+        this.offsetMillis = machine.millis() - steadyMillis.getAsLong();
+    }
+
+    @Override
+    public long millis() {
+        long now = steadyMillis.getAsLong();
+        long offset = machine.millis() - now;
+        if (Math.abs(offset - offsetMillis) <= MOST_ADJUSTMENT_MILLIS) {
+            offsetMillis = offset;
+            jumpedMillis = -1;
+        } else if (jumpedMillis < 0) {
+            jumpedMillis = now;
+            Logger.warn("the time of day jumped by {} ms", offset - offsetMillis);
+        } else if (now - jumpedMillis >= PATIENCE_MILLIS) {
+            Logger.warn("a jump of the time of day by {} ms lasts", offset - offsetMillis);
+            offsetMillis = offset;
+            jumpedMillis = -1;
+        }
+        return now + offsetMillis;
+    }
+
+    @Override
+    public Instant instant() {
+        return Instant.ofEpochMilli(millis());
+    }
+
+    @Override
+    public ZoneId getZone() {
+        return machine.getZone();
+    }
+
+    @Override
+    public Clock withZone(ZoneId zone) {
+        return new SteadyClock(machine.withZone(zone), steadyMillis);
+    }
+}
