Play the core's decisions against engines of four very different kinds

Cause: nothing showed that model, choice, need and orders hold on engines unlike those of the sites.

--- /dev/null
+++ b/trailladder-core/src/test/java/io/trailladder/core/engine/SimulatedFleet.java
@@ -0,0 +1,261 @@
+/*
+ * Copyright 2026 The trailladder authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package io.trailladder.core.engine;
+
+import io.trailladder.core.duty.FleetPlanner;
+import io.trailladder.core.duty.WorkerOrder;
+import io.trailladder.core.pipeline.Prompt;
+import io.trailladder.core.pipeline.PromptBlock;
+import io.trailladder.core.pipeline.ServingRequest;
+import io.trailladder.core.policy.Route;
+import io.trailladder.core.policy.RouteKind;
+import io.trailladder.core.policy.ScalingSpec;
+import io.trailladder.core.policy.ServiceShare;
+import io.trailladder.core.worker.DemandMeter;
+import io.trailladder.core.worker.Selection;
+import io.trailladder.core.worker.ServiceDemand;
+import io.trailladder.core.worker.Worker;
+import io.trailladder.core.worker.WorkerDirectory;
+import io.trailladder.core.worker.WorkerLoads;
+import io.trailladder.core.worker.WorkerSelector;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.Set;
+import java.util.SplittableRandom;
+
+/**
+ * The core's decisions on simulated engines in virtual time: one gateway chooses upstreams, learns
+ * their speed, and orders as many as it believes are needed.
+ */
+final class SimulatedFleet {
+    private static final String SERVICE = "s";
+    private static final int STEP_MILLIS = 250;
+
+    /**
+     * A kind of engine and the load for it.
+     *
+     * @param tokensPerMilli prompt tokens it reads in a millisecond
+     * @param slots requests it works on at once
+     * @param tokenMillis time between two tokens of an answer, in milliseconds
+     * @param perSecond requests a second
+     * @param promptTokens mean prompt
+     * @param answerTokens length of an answer
+     * @param objectiveMillis time for the first event, in milliseconds
+     * @param scaling bounds and prices
+     */
+    record Kind(
+            double tokensPerMilli,
+            int slots,
+            double tokenMillis,
+            double perSecond,
+            int promptTokens,
+            int answerTokens,
+            long objectiveMillis,
+            ScalingSpec scaling) {
+        /** Upstreams that this load keeps wholly busy, by either measure. */
+        double leastUpstreams() {
+            double reading = perSecond / 1_000 * promptTokens / tokensPerMilli;
+            double places = perSecond / 1_000 * answerTokens * tokenMillis / slots;
+            return reading + places;
+        }
+    }
+
+    /** One engine: reads prompts one after the other, and answers in its places. */
+    private static final class Engine {
+        private final PriorityQueue<Double> placesFreeAt = new PriorityQueue<>();
+        private double readsUntil;
+
+        double firstEventAt(Kind kind, double now, int tokens) {
+            double place = now;
+            if (placesFreeAt.size() >= kind.slots()) {
+                place = Math.max(now, placesFreeAt.remove());
+            }
+            readsUntil = Math.max(place, readsUntil) + tokens / kind.tokensPerMilli();
+            return readsUntil;
+        }
+    }
+
+    /** Something that happens later. */
+    private record Due(double at, Runnable task) {}
+
+    private final Kind kind;
+    private final SplittableRandom random;
+    private final WorkerDirectory directory = new WorkerDirectory();
+    private final WorkerLoads loads = new WorkerLoads();
+    private final EngineModel model = new EngineModel();
+    private final DemandMeter demand = new DemandMeter();
+    private final FleetPlanner planner = new FleetPlanner(SERVICE, false);
+    private final WorkerSelector selector = new WorkerSelector("a", directory, loads, model);
+    private final Map<String, Engine> engines = new HashMap<>();
+    private final PriorityQueue<Due> due = new PriorityQueue<>(Comparator.comparing(Due::at));
+    private final Route route;
+    private double now;
+    private double running = -1;
+    private int started;
+    private int served;
+    private int inTime;
+    private double fleetSum;
+    private int fleetCount;
+
+    SimulatedFleet(Kind kind, List<String> dataCentres, int provided, long seed) {
+        this.kind = kind;
+        this.random = new SplittableRandom(seed);
+        this.route =
+                new Route(
+                        "r",
+                        "h",
+                        "/",
+                        RouteKind.STREAMING,
+                        60_000,
+                        kind.objectiveMillis(),
+                        0,
+                        List.of(new ServiceShare(SERVICE, 1)),
+                        2,
+                        false,
+                        true,
+                        true);
+        for (int i = 0; i < provided; i++) {
+            add(dataCentres.get(i % dataCentres.size()), false);
+        }
+    }
+
+    /** Plays some seconds; what is measured counts from the given second on. */
+    void play(int seconds, int measuredFrom) {
+        for (int step = 0; step < seconds * 1_000 / STEP_MILLIS; step++) {
+            double from = step * (double) STEP_MILLIS;
+            arrivals(from, from >= measuredFrom * 1_000.0);
+            until(from + STEP_MILLIS);
+            order(from >= measuredFrom * 1_000.0);
+        }
+    }
+
+    double inTimePart() {
+        return (double) inTime / Math.max(1, served);
+    }
+
+    double meanUpstreams() {
+        return fleetSum / Math.max(1, fleetCount);
+    }
+
+    double believedTokensPerMilli() {
+        return 1 / model.estimate(SERVICE, Math.round(now)).millisPerToken();
+    }
+
+    private void arrivals(double from, boolean measured) {
+        double expected = kind.perSecond() * STEP_MILLIS / 1_000;
+        int count = (int) expected + (random.nextDouble() < expected % 1 ? 1 : 0);
+        for (int i = 0; i < count; i++) {
+            double at = from + random.nextDouble() * STEP_MILLIS;
+            due.add(new Due(at, () -> send(measured)));
+        }
+    }
+
+    private void until(double end) {
+        while (!due.isEmpty() && due.peek().at() < end) {
+            Due next = due.remove();
+            now = next.at();
+            next.task().run();
+        }
+        now = end;
+    }
+
+    private void send(boolean measured) {
+        int tokens = (int) (kind.promptTokens() * (0.2 + 1.6 * random.nextDouble()));
+        Prompt prompt = new Prompt(tokens, 10, List.of(new PromptBlock("p" + started++, tokens)));
+        long nowMillis = Math.round(now);
+        ServingRequest request =
+                new ServingRequest(
+                        "id", "t", route, SERVICE, 0, prompt, 0, nowMillis, nowMillis + 60_000, 1);
+        Selection choice = selector.choose(request, Set.of(), nowMillis).orElseThrow();
+        String worker = choice.worker().id();
+        Engine engine = engines.get(worker);
+        double first = engine.firstEventAt(kind, now, tokens);
+        double end = first + kind.answerTokens() * kind.tokenMillis();
+        engine.placesFreeAt.add(end);
+        loads.sent(worker, tokens);
+        demand.sent(SERVICE, tokens, nowMillis);
+        long took = Math.round(first - now);
+        due.add(new Due(first, () -> firstEvent(worker, tokens, choice.waitingTokens(), took)));
+        due.add(new Due(end, () -> ended(worker, Math.round(end - nowMillis))));
+        if (measured) {
+            served++;
+            inTime += took <= kind.objectiveMillis() ? 1 : 0;
+        }
+    }
+
+    private void firstEvent(String worker, int tokens, int waiting, long took) {
+        loads.promptRead(worker, tokens);
+        model.firstEvent(SERVICE, tokens, waiting, took, Math.round(now));
+    }
+
+    private void ended(String worker, long took) {
+        loads.ended(worker);
+        model.ended(SERVICE, took, Math.round(now));
+    }
+
+    private void order(boolean measured) {
+        long nowMillis = Math.round(now);
+        int underWay = loads.requests(directory.all());
+        running = running < 0 ? underWay : running + 0.06 * (underWay - running);
+        Optional<FleetNeed> need = need(nowMillis);
+        List<WorkerOrder> orders = planner.plan(kind.scaling(), directory.all(), need, nowMillis);
+        orders.forEach(this::follow);
+        if (measured) {
+            fleetSum += directory.serving(SERVICE).size();
+            fleetCount++;
+        }
+    }
+
+    private Optional<FleetNeed> need(long nowMillis) {
+        EngineEstimate engine = model.estimate(SERVICE, nowMillis);
+        List<ServiceDemand> demands = demand.demands(nowMillis);
+        if (engine.observations() < 15 || demands.isEmpty()) {
+            return Optional.empty();
+        }
+        ServiceDemand told = demands.get(0);
+        ServiceLoad load =
+                new ServiceLoad(told.tokensPerMilli(), told.squaredTokensPerMilli(), running);
+        return Optional.of(
+                FleetSizer.need(load, engine, kind.slots(), (double) kind.objectiveMillis()));
+    }
+
+    private void follow(WorkerOrder order) {
+        List<Worker> there = new ArrayList<>();
+        for (Worker worker : directory.serving(SERVICE)) {
+            if (worker.zone().equals(order.zone()) && worker.reclaimable() == order.reclaimable()) {
+                there.add(worker);
+            }
+        }
+        for (int i = there.size(); i < order.count(); i++) {
+            add(order.zone(), order.reclaimable());
+        }
+        for (int i = order.count(); i < there.size(); i++) {
+            directory.removed(there.get(i).id());
+        }
+    }
+
+    private void add(String dataCentre, boolean reclaimable) {
+        String id = "u" + engines.size();
+        engines.put(id, new Engine());
+        directory.changed(
+                new Worker(id, SERVICE, dataCentre, "h:1", kind.slots(), false, reclaimable, 0));
+    }
+}
