--- a/trailladder-core/src/main/java/io/trailladder/core/duty/FleetPlanner.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/duty/FleetPlanner.java
@@ -47,13 +47,24 @@
      */
     public static final long MEASURED_MILLIS = 8_000;
 
+    /**
+     * Reclaimable upstreams ordered for each that the operator provided, before any load is known:
+     * a data centre of three may be lost at once.
+     */
     private static final double PROVISION_FACTOR = 1.5;
 
     /** Upstreams that are to be left after a loss while no load is known. */
     private static final double LEAST_WITHOUT_LOAD = 2;
 
+    /** How long more must be wanted before reclaimable upstreams grow: as long as one boots. */
     private static final long GROW_AFTER_MILLIS = 4_000;
+
+    /** How long fewer must be wanted before they shrink; half of it measured no better. */
     private static final long SHRINK_AFTER_MILLIS = 20_000;
+
+    /**
+     * How long upstreams at the full price stay when they are no longer wanted: a swing of load.
+     */
     private static final long RELEASE_AFTER_MILLIS = 2_000;
 
     private final String service;
--- a/trailladder-core/src/main/java/io/trailladder/core/worker/WorkerSelector.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/worker/WorkerSelector.java
@@ -40,14 +40,32 @@
  * @since 0.2
  */
 public final class WorkerSelector {
+    /** What another data centre counts for, in milliseconds: four times the way there and back. */
     private static final double OTHER_ZONE_MILLIS = 4;
+
+    /** What each kilobyte sent there counts for, in milliseconds: bytes between them are dear. */
     private static final double OTHER_ZONE_MILLIS_PER_KB = 0.5;
+
+    /** Part of a prompt's shared tokens that its first and second home are trusted to hold. */
     private static final double[] HOME_TRUST = {0.9, 0.45};
+
+    /** How often the request's own reading counts: it delays itself and what comes after. */
     private static final double WORK_WEIGHT = 2;
+
+    /**
+     * What an upstream counts that fails all of its requests, in milliseconds: a usual objective.
+     */
     private static final double FAILING_MILLIS = 400;
+
+    /** How long a data centre is avoided after a connection there failed, in milliseconds. */
     private static final long SUSPECT_MILLIS = 1_500;
+
+    /** What an upstream of such a data centre counts, in milliseconds: more than any objective. */
     private static final double SUSPECT_PENALTY_MILLIS = 600;
+
+    /** Most parts of prompts whose places are remembered: some 2 MB. */
     private static final int REMEMBERED_PARTS = 20_000;
+
     private static final double BYTES_PER_KB = 1024;
 
     private final String zone;
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/FleetRunner.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/FleetRunner.java
@@ -48,14 +48,26 @@
  * @since 0.2
  */
 public final class FleetRunner {
+    /** How often the plan is looked at, in milliseconds: well below a reclaim's notice of 2 s. */
     private static final long STEP_MILLIS = 250;
 
     /** Time after which requests under way count a third, in milliseconds: as long as a boot. */
     private static final double SMOOTHING_MILLIS = 4_000;
 
+    /**
+     * How long the list is looked at before the first order: until all upstreams have registered.
+     */
     private static final long FIRST_LOOK_MILLIS = 1_500;
+
+    /**
+     * Least pause between two orders about the same upstreams, in milliseconds: each call costs.
+     */
     private static final long LEAST_PAUSE_MILLIS = 900;
+
+    /** Pause after an order that could not be had, in milliseconds; shortages last 5 to 15 s. */
     private static final long DECLINED_MILLIS = 2_500;
+
+    /** Time beyond the boot after which the list should follow an order, in milliseconds. */
     private static final long SETTLE_MILLIS = 4_000;
 
     /**
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
@@ -74,6 +74,7 @@
     private final HttpConnector connector = new HttpConnector(loop);
     private final WorkerDirectory directory = new WorkerDirectory();
     private final WorkerLoads loads = new WorkerLoads();
+    private final EngineModel engines = new EngineModel();
     private final StoreHealth storeHealth = new StoreHealth(metrics);
     private final PolicyKeeper policies;
     private final DirectoryKeeper directoryKeeper;
@@ -116,7 +117,6 @@
         Clock clock = new SteadyClock(Clock.systemUTC(), loop::nowMillis);
         UsageLedger usage = new UsageLedger(life, settings.timing().usageWindowMillis());
         DemandMeter demand = new DemandMeter();
-        EngineModel engines = new EngineModel();
         policies = new PolicyKeeper(platform.format());
         directoryKeeper =
                 new DirectoryKeeper(
@@ -336,6 +336,8 @@
 
     private void tellState() {
         loads.forgetGone(directory);
+        policies.policy()
+                .ifPresent(policy -> policy.services().forEach(spec -> tellUpstreams(spec.name())));
         metrics.state(
                 policies.version(),
                 directory.all().size(),
@@ -345,6 +347,10 @@
                 connector.opened());
     }
 
+    private void tellUpstreams(String service) {
+        metrics.upstreams(service, engines.estimate(service, loop.nowMillis()));
+    }
+
     private void beginStop() {
         if (stopping) {
             return;
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/GatewayMetrics.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/GatewayMetrics.java
@@ -19,6 +19,7 @@
 import io.prometheus.metrics.core.metrics.Gauge;
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import io.trailladder.core.engine.EngineEstimate;
 import java.util.Locale;
 
 /**
@@ -64,6 +65,19 @@
     private final Gauge connections =
             gauge("trailladder_connections_opened", "Connections opened to servers");
 
+    private final Gauge readingSpeed =
+            serviceGauge(
+                    "trailladder_upstream_tokens_per_second",
+                    "Prompt tokens that an upstream is believed to read in a second");
+    private final Gauge runSeconds =
+            serviceGauge(
+                    "trailladder_upstream_run_seconds",
+                    "Time that a request is believed to take at an upstream");
+    private final Gauge observations =
+            serviceGauge(
+                    "trailladder_upstream_observations",
+                    "Answers behind what is believed of upstreams; older ones count less");
+
     /** What is counted inside the process. */
     public enum Event {
         /** A connection brought an answer that belongs to another request. */
@@ -150,6 +164,22 @@
         connections.set((double) opened);
     }
 
+    /**
+     * Records what is believed of a service's upstreams.
+     *
+     * @param service the service
+     * @param estimate what is believed
+     */
+    public void upstreams(String service, EngineEstimate estimate) {
+        readingSpeed.labelValues(service).set(MILLIS / estimate.millisPerToken());
+        runSeconds.labelValues(service).set(estimate.runMillis() / MILLIS);
+        observations.labelValues(service).set(estimate.observations());
+    }
+
+    private Gauge serviceGauge(String name, String help) {
+        return Gauge.builder().name(name).help(help).labelNames("service").register(registry);
+    }
+
     private Gauge gauge(String name, String help) {
         return Gauge.builder().name(name).help(help).register(registry);
     }
