--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ClusterView.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ClusterView.java
@@ -16,7 +16,6 @@
 package io.trailladder.entry.gateway;
 
 import io.trailladder.core.duty.UsageLedger;
-import io.trailladder.core.engine.EngineEvidence;
 import io.trailladder.core.engine.EngineModel;
 import io.trailladder.core.engine.ServiceLoad;
 import io.trailladder.core.worker.DemandMeter;
@@ -245,7 +244,7 @@
     private void digest(Peer peer, NodeDigest digest) {
         boolean wasHub = peer.isHeard() && !peer.isLeaf();
         long now = loop.nowMillis();
-        peer.told(sound(peer, digest), now);
+        peer.told(SoundFigures.of(peer.name(), digest), now);
         digest.leaving().forEach(id -> directory.leavingSeenBy(id, peer.name()));
         snapshots.digest(mesh, peer.hello(), digest);
         if (!counts(peer)) {
@@ -265,28 +264,6 @@
         }
     }
 
-    /** Leaves figures out that cannot be true, so that they spoil nobody's model. */
-    private static NodeDigest sound(Peer peer, NodeDigest digest) {
-        List<ServiceDemand> demands =
-                digest.demands().stream().filter(ServiceDemand::isSound).toList();
-        List<EngineEvidence> evidence =
-                digest.evidence().stream().filter(EngineEvidence::isSound).toList();
-        int refused =
-                digest.demands().size()
-                        - demands.size()
-                        + digest.evidence().size()
-                        - evidence.size();
-        if (refused == 0) {
-            return digest;
-        }
-        DecisionLog.write(
-                new DecisionLog.Lifecycle(
-                        "peer " + peer.name(),
-                        "figures refused",
-                        refused + " of " + digest.demands() + ' ' + digest.evidence()));
-        return digest.withFigures(demands, evidence);
-    }
-
     /** A hub counts to a leaf all others, to a hub its group only: two counts of one life. */
     private static String source(Peer peer, DigestScope scope) {
         return scope == DigestScope.REST ? peer.life() + "/rest" : peer.life();
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/DigestWriter.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/DigestWriter.java
@@ -32,6 +32,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.function.BinaryOperator;
+import java.util.function.Function;
+import java.util.stream.Stream;
 
 /** Writes what a process tells its peers, each the part that it lacks. */
 final class DigestWriter {
@@ -130,23 +133,29 @@
 
     /** Returns the load of every service at this process and some peers. */
     List<ServiceDemand> sum(Collection<Peer> peers, long nowMillis) {
-        Map<String, ServiceDemand> sum = new TreeMap<>();
-        demand.demands(nowMillis).forEach(d -> sum.merge(d.service(), d, ServiceDemand::plus));
-        for (Peer peer : peers) {
-            peer.demands().forEach(d -> sum.merge(d.service(), d, ServiceDemand::plus));
-        }
-        return List.copyOf(sum.values());
+        Stream<ServiceDemand> told = peers.stream().flatMap(peer -> peer.demands().stream());
+        return byService(
+                Stream.concat(demand.demands(nowMillis).stream(), told),
+                ServiceDemand::service,
+                ServiceDemand::plus);
     }
 
     private List<EngineEvidence> evidence(Collection<Peer> peers, long nowMillis) {
         if (!tellsEvidence) {
             return List.of();
         }
-        Map<String, EngineEvidence> sum = new TreeMap<>();
-        engines.evidence(nowMillis).forEach(e -> sum.merge(e.service(), e, EngineEvidence::plus));
-        for (Peer peer : peers) {
-            peer.evidence().forEach(e -> sum.merge(e.service(), e, EngineEvidence::plus));
-        }
+        Stream<EngineEvidence> told = peers.stream().flatMap(peer -> peer.evidence().stream());
+        return byService(
+                Stream.concat(engines.evidence(nowMillis).stream(), told),
+                EngineEvidence::service,
+                EngineEvidence::plus);
+    }
+
+    /** Adds up what is told of the same service. */
+    private static <T> List<T> byService(
+            Stream<T> told, Function<T, String> service, BinaryOperator<T> plus) {
+        Map<String, T> sum = new TreeMap<>();
+        told.forEach(part -> sum.merge(service.apply(part), part, plus));
         return List.copyOf(sum.values());
     }
 
