Work an order's reason out only when it is sent, and add to evidence in one place

Cause: the leader formatted the reason of its orders four times a second though few are sent; EngineModel wrote the same record out three times with one part changed, and added up all evidence twice for each estimate. Change: FleetRunner takes the reason from a supplier; EngineEvidence.withReading, withPause, withRun. No behaviour changes.

--- a/trailladder-core/src/main/java/io/trailladder/core/engine/EngineEvidence.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/engine/EngineEvidence.java
@@ -40,6 +40,42 @@
         return new EngineEvidence(service, FitSums.NONE, FitSums.NONE, 0, 0);
     }
 
+    /**
+     * Returns the evidence with one more first event.
+     *
+     * @param tokens prompt tokens that had to be read before it
+     * @param millis time since the request was sent, in milliseconds
+     * @param weight how much it counts
+     * @return the new evidence
+     */
+    EngineEvidence withReading(double tokens, double millis, double weight) {
+        FitSums more = reading.with(tokens, millis, weight);
+        return new EngineEvidence(service, more, pacing, runs, runMillis);
+    }
+
+    /**
+     * Returns the evidence with the pauses of one more answer.
+     *
+     * @param running requests under way at the upstream meanwhile
+     * @param millis mean pause, in milliseconds
+     * @param weight how much it counts
+     * @return the new evidence
+     */
+    EngineEvidence withPause(double running, double millis, double weight) {
+        FitSums more = pacing.with(running, millis, weight);
+        return new EngineEvidence(service, reading, more, runs, runMillis);
+    }
+
+    /**
+     * Returns the evidence with one more request that ran to its end.
+     *
+     * @param millis how long it took, in milliseconds
+     * @return the new evidence
+     */
+    EngineEvidence withRun(double millis) {
+        return new EngineEvidence(service, reading, pacing, runs + 1, runMillis + millis);
+    }
+
     /**
      * Returns the evidence of both.
      *
--- a/trailladder-core/src/main/java/io/trailladder/core/engine/EngineModel.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/engine/EngineModel.java
@@ -122,13 +122,7 @@
         double certainty = (tokens + 1.0) / (toRead + 1.0);
         double weight = certainty * plausibility(millis, expected);
         Learned of = learned(service, nowMillis);
-        of.own =
-                new EngineEvidence(
-                        service,
-                        of.own.reading().with(toRead, millis, weight),
-                        of.own.pacing(),
-                        of.own.runs(),
-                        of.own.runMillis());
+        of.own = of.own.withReading(toRead, millis, weight);
     }
 
     /**
@@ -144,13 +138,7 @@
             return;
         }
         Learned of = learned(service, nowMillis);
-        of.own =
-                new EngineEvidence(
-                        service,
-                        of.own.reading(),
-                        of.own.pacing(),
-                        of.own.runs() + 1,
-                        of.own.runMillis() + millis);
+        of.own = of.own.withRun(millis);
     }
 
     /**
@@ -165,16 +153,10 @@
         if (running < 0 || !isTime(millis)) {
             return;
         }
-        FitSums believed = pacing(service);
+        FitSums believed = all(service).pacing().plus(PRIOR_PACING);
         double expected = believed.meanY() + believed.slope() * (running - believed.meanX());
         Learned of = learned(service, nowMillis);
-        of.own =
-                new EngineEvidence(
-                        service,
-                        of.own.reading(),
-                        of.own.pacing().with(running, millis, plausibility(millis, expected)),
-                        of.own.runs(),
-                        of.own.runMillis());
+        of.own = of.own.withPause(running, millis, plausibility(millis, expected));
     }
 
     /**
@@ -224,16 +206,12 @@
         FitSums reading = all.reading().plus(PRIOR_READING);
         double perToken = within(reading.slope(), LEAST_MILLIS_PER_TOKEN, MOST_MILLIS_PER_TOKEN);
         double first = within(reading.meanY() - perToken * reading.meanX(), 0, MOST_MILLIS);
-        double perRequest = within(pacing(service).slope(), 0, MOST_MILLIS);
+        double perRequest = within(all.pacing().plus(PRIOR_PACING).slope(), 0, MOST_MILLIS);
         double runSum = all.runMillis() + PRIOR_RUNS * PRIOR_RUN_MILLIS;
         double run = within(runSum / (all.runs() + PRIOR_RUNS), 1, MOST_MILLIS);
         return new EngineEstimate(first, perToken, perRequest, run, all.runs());
     }
 
-    private FitSums pacing(String service) {
-        return all(service).pacing().plus(PRIOR_PACING);
-    }
-
     private EngineEvidence all(String service) {
         EngineEvidence told = others.getOrDefault(service, EngineEvidence.none(service));
         Learned of = learned.get(service);
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/FleetRunner.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/FleetRunner.java
@@ -38,6 +38,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Supplier;
 
 /**
  * Orders upstreams while this process leads.
@@ -207,7 +208,7 @@
             return;
         }
         long settle = scaling.bootMillis() + SETTLE_MILLIS;
-        String reason = reason(service, load, need);
+        Supplier<String> reason = () -> reason(service, load, need);
         orders.forEach(order -> give(order, workers, reason, settle));
     }
 
@@ -244,7 +245,8 @@
                 engine.observations());
     }
 
-    private void give(WorkerOrder order, List<Worker> workers, String reason, long settleMillis) {
+    private void give(
+            WorkerOrder order, List<Worker> workers, Supplier<String> reason, long settleMillis) {
         Subject subject = new Subject(order.service(), order.zone(), order.reclaimable());
         Given last = given.computeIfAbsent(subject, key -> new Given());
         long since = loop.nowMillis() - last.sentMillis;
@@ -258,7 +260,8 @@
         last.sentMillis = loop.nowMillis();
         last.waiting = true;
         DutyHolder holder = leadership.holder();
-        duties.order(holder, order, result -> answered(holder, order, reason, last, result));
+        String why = reason.get();
+        duties.order(holder, order, result -> answered(holder, order, why, last, result));
     }
 
     private void answered(
