Halve the weight of the engine model's prior, and fix the seeds of its properties

Cause: anySpeedIsFoundWithinTenSeconds failed once, with a seed drawn anew each run: 337.81 tokens a ms found as 253.35. The prior weighed 3 observations with a slope twelve times too large. Change: its two points weigh 0.75 each. The failing draws stand as an example of their own; properties have a fixed seed, as the house rule asks, and 1,000 tries in place of 50 to 200. No bound is changed.

--- a/trailladder-core/src/main/java/io/trailladder/core/engine/EngineModel.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/engine/EngineModel.java
@@ -43,9 +43,12 @@
     /** Time after which an observation counts a third, in milliseconds: some hundred requests. */
     static final double MEMORY_MILLIS = 20_000;
 
-    /** The prior's points for reading: a small engine that reads 30 tokens a millisecond. */
+    /**
+     * The prior's points for reading: a small engine that reads 30 tokens a millisecond. With twice
+     * the weight an engine of 400 is taken for one of 290 after 200 requests.
+     */
     private static final FitSums PRIOR_READING =
-            FitSums.NONE.with(0, 60, 1.5).with(4_000, 60 + 4_000 / 30.0, 1.5);
+            FitSums.NONE.with(0, 60, 0.75).with(4_000, 60 + 4_000 / 30.0, 0.75);
 
     /** The prior's points for pauses: 25 ms, and half a millisecond more for each request. */
     private static final FitSums PRIOR_PACING =
--- a/trailladder-core/src/test/java/io/trailladder/core/engine/EngineModelProperties.java
+++ b/trailladder-core/src/test/java/io/trailladder/core/engine/EngineModelProperties.java
@@ -57,7 +57,7 @@
         return 1 / model.estimate("s", nowMillis).millisPerToken();
     }
 
-    @Property(tries = 100)
+    @Property(tries = 1_000, seed = "20261202")
     void anySpeedIsFoundWithinTenSeconds(
             @ForAll @DoubleRange(min = 5, max = 400) double speed,
             @ForAll @DoubleRange(min = 0, max = 200) double first,
@@ -68,7 +68,13 @@
         assertTrue(found > 0.75 * speed && found < 1.35 * speed, speed + " found as " + found);
     }
 
-    @Property(tries = 50)
+    @Example
+    void veryFastEnginesAreFoundWithinTenSecondsToo() {
+        anySpeedIsFoundWithinTenSeconds(337.81, 3.72, 2);
+        anySpeedIsFoundWithinTenSeconds(400, 4.91, 2);
+    }
+
+    @Property(tries = 1_000, seed = "20261202")
     void oneSlowUpstreamOfTenDoesNotSpoilTheFiguresOfHalfAMinute(
             @ForAll @DoubleRange(min = 20, max = 200) double speed,
             @ForAll @LongRange(min = 0, max = 1_000) long seed) {
@@ -84,7 +90,7 @@
         assertTrue(found > 0.6 * speed && found < 1.4 * speed, speed + " found as " + found);
     }
 
-    @Property(tries = 50)
+    @Property(tries = 1_000, seed = "20261202")
     void aChangeOfSpeedIsFollowed(@ForAll @LongRange(min = 0, max = 1_000) long seed) {
         EngineModel model = new EngineModel();
         serve(model, List.of(new SimulatedEngine(30, 100, 1)), 0, seed);
@@ -122,7 +128,7 @@
         assertEquals(once, model.estimate("s", 10_000).observations(), 0.01);
     }
 
-    @Property(tries = 200)
+    @Property(tries = 1_000, seed = "20261202")
     void estimatesStayWithinBoundsWhateverIsObserved(
             @ForAll List<@IntRange(min = -5, max = 1_000_000) Integer> tokens,
             @ForAll List<@LongRange(min = -1_000, max = 1_000_000) Long> times) {
--- a/trailladder-core/src/test/java/io/trailladder/core/engine/FleetSizerTest.java
+++ b/trailladder-core/src/test/java/io/trailladder/core/engine/FleetSizerTest.java
@@ -54,7 +54,7 @@
         assertTrue(withLarge > 1.5 * withSmall, withSmall + " and " + withLarge);
     }
 
-    @Property(tries = 200)
+    @Property(tries = 1_000, seed = "20261202")
     void needIsFiniteAndTheTightOneIsNeverMore(
             @ForAll @DoubleRange(min = 0, max = 10_000) double tokens,
             @ForAll @DoubleRange(min = 1, max = 50_000) double promptSize,
