Count processes by what each has read itself

Cause: a process told its peers the largest count of processes that it or any peer of its had told, so a number that was too high once never fell until all had started again. It came about when leaves changed their hub (two hubs counted them for a second) and when entries of ended processes still stood in the store. Everybody then used only a part of each limit.

Change: MemberCount. What is passed on is what a process has read in the store; readings of processes that have lost the store give way. A gauge, trailladder_processes, tells the count.

--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ClusterView.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ClusterView.java
@@ -18,6 +18,8 @@
 import io.trailladder.core.duty.UsageLedger;
 import io.trailladder.core.engine.EngineModel;
 import io.trailladder.core.engine.ServiceLoad;
+import io.trailladder.core.membership.MemberCount;
+import io.trailladder.core.membership.MemberCount.Reading;
 import io.trailladder.core.worker.DemandMeter;
 import io.trailladder.core.worker.ServiceDemand;
 import io.trailladder.core.worker.Worker;
@@ -142,11 +144,13 @@
      * @return a count of at least 1
      */
     public int entries() {
-        int known = mesh.size();
-        for (Peer peer : counted()) {
-            known = Math.max(known, peer.members());
-        }
-        return Math.max(known, heard());
+        Reading own = new Reading(membersRead(), store.isReachable());
+        return MemberCount.of(own, counted().stream().map(Peer::members).toList(), heard());
+    }
+
+    /** Returns how many processes this one has read in the store; 0 if it has read none. */
+    private int membersRead() {
+        return mesh.isPlanned() ? mesh.size() : 0;
     }
 
     /**
@@ -313,7 +317,10 @@
         writer.beginRound(now);
         SenderState state =
                 new SenderState(
-                        store.isReachable(), draining, entries(), List.copyOf(recentLeaving));
+                        store.isReachable(),
+                        draining,
+                        membersRead(),
+                        List.copyOf(recentLeaving));
         Map<Long, List<Peer>> byUsageTold = new HashMap<>();
         for (Peer peer : told) {
             if (mesh.isHub() && peer.isLeaf()) {
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/DigestWriter.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/DigestWriter.java
@@ -59,7 +59,7 @@
      *
      * @param storeReachable true if the platform's store answers it
      * @param draining true if it is stopping
-     * @param members how many processes it knows of
+     * @param members how many processes it has read in the store; 0 if none
      * @param leaving upstreams it saw leaving lately
      */
     record SenderState(
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
@@ -342,6 +342,7 @@
                 policies.version(),
                 directory.all().size(),
                 view.heardPeers(),
+                view.entries(),
                 intake.open(),
                 duties.leads(),
                 connector.opened());
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/GatewayMetrics.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/GatewayMetrics.java
@@ -60,6 +60,8 @@
     private final Gauge policyVersion = gauge("trailladder_policy_version", "Policy in force");
     private final Gauge upstreams = gauge("trailladder_upstreams", "Upstreams listed");
     private final Gauge peers = gauge("trailladder_peers_heard", "Peers heard lately");
+    private final Gauge members =
+            gauge("trailladder_processes", "Processes that share limits, as this one counts them");
     private final Gauge open = gauge("trailladder_open_requests", "Requests in flight");
     private final Gauge leading = gauge("trailladder_leading", "1 while this process leads");
     private final Gauge connections =
@@ -150,15 +152,23 @@
      * @param policy version of the policy in force
      * @param listed upstreams listed
      * @param heard peers heard lately
+     * @param sharing processes that share limits, as this one counts them
      * @param inFlight requests in flight
      * @param leads true while it leads
      * @param opened connections opened since its start
      */
     public void state(
-            long policy, int listed, int heard, int inFlight, boolean leads, long opened) {
+            long policy,
+            int listed,
+            int heard,
+            int sharing,
+            int inFlight,
+            boolean leads,
+            long opened) {
         policyVersion.set((double) policy);
         upstreams.set(listed);
         peers.set(heard);
+        members.set(sharing);
         open.set(inFlight);
         leading.set(leads ? 1 : 0);
         connections.set((double) opened);
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Peer.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Peer.java
@@ -16,6 +16,7 @@
 package io.trailladder.entry.gateway;
 
 import io.trailladder.core.engine.EngineEvidence;
+import io.trailladder.core.membership.MemberCount.Reading;
 import io.trailladder.core.worker.ServiceDemand;
 import io.trailladder.wire.NodeMessage.DigestScope;
 import io.trailladder.wire.NodeMessage.NodeDigest;
@@ -87,9 +88,9 @@
         return processes;
     }
 
-    /** Returns how many processes the peer knows of. */
-    int members() {
-        return members;
+    /** Returns how many processes the peer has read in the store. */
+    Reading members() {
+        return new Reading(members, storeReachable);
     }
 
     /** Tells whether the platform's store answers the peer. */
--- a/trailladder-wire/src/main/java/io/trailladder/wire/NodeMessage.java
+++ b/trailladder-wire/src/main/java/io/trailladder/wire/NodeMessage.java
@@ -57,7 +57,7 @@
      * @param draining true if it is stopping
      * @param scope whose figures follow
      * @param processes how many processes the figures are of
-     * @param members how many processes the sender knows of, itself included
+     * @param members how many processes the sender has read in the store; 0 if none
      * @param usage requests that began to run, where that has changed since the digest before
      * @param quotas what was let pass, by tenant
      * @param uses what is under way at upstreams
