Take nothing that peers tell twice after a link was lost

Cause: use of limits travels as increments since the last message of a life. A leaf that returned to a hub which it had had before was told, in one message, all that the others had taken meanwhile, though it had heard it from its other hub: its buckets fell far below zero, and it refused for as long as that takes to refill. A process that changed from hub to leaf and back mixed two counts under one name.

Change: the first digest after a link was lost, passed over, or changed its scope begins anew with the level. Limits leave ClusterView for LimitExchange.

--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ClusterView.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ClusterView.java
@@ -58,19 +58,17 @@
 
     private static final long FED_MILLIS = 800;
     private static final int RECENT_LEAVING = 32;
-    private static final double ALONE_PART = 0.1;
 
     private final EventLoop loop;
     private final PolicyKeeper policies;
     private final DirectoryKeeper directory;
     private final StoreHealth store;
-    private final Quotas quotas;
+    private final LimitExchange limits;
     private final WorkerLoads loads;
     private final UsageLedger usage;
     private final EngineModel engines;
     private final DigestWriter writer;
     private final SnapshotExchange snapshots;
-    private final boolean restarted;
     private final List<String> recentLeaving = new ArrayList<>();
     private final Map<String, Peer> peers = new HashMap<>();
     private BooleanSupplier leads = () -> false;
@@ -104,12 +102,11 @@
             EngineModel engines,
             GatewayMetrics metrics,
             boolean restarted) {
-        this.restarted = restarted;
         this.loop = loop;
         this.policies = policies;
         this.directory = directory;
         this.store = store;
-        this.quotas = quotas;
+        this.limits = new LimitExchange(quotas, restarted);
         this.loads = loads;
         this.usage = usage;
         this.engines = engines;
@@ -253,26 +250,18 @@
         snapshots.digest(mesh, peer.hello(), digest);
         if (!counts(peer)) {
             loads.peerLost(peer.name());
+            peer.passedOver();
             return;
         }
         boolean leaf = peer.isLeaf();
         digest.usage().forEach(news -> usage.merge(news.life(), news.usage(), leaf));
         loads.peerUses(peer.name(), digest.uses());
-        if (leaf) {
-            quotas.leafUsed(peer.life(), digest.quotas(), now);
-        } else {
-            quotas.peerUsed(source(peer, digest.scope()), digest.quotas(), now);
-        }
+        limits.told(peer, digest.quotas(), now);
         if (digest.scope() == DigestScope.GROUP && !wasHub) {
             tellAllUsage(peer);
         }
     }
 
-    /** A hub counts to a leaf all others, to a hub its group only: two counts of one life. */
-    private static String source(Peer peer, DigestScope scope) {
-        return scope == DigestScope.REST ? peer.life() + "/rest" : peer.life();
-    }
-
     private void tellLeaves(UpstreamNews news) {
         if (mesh != null && mesh.isHub()) {
             leaves().forEach(leaf -> mesh.send(leaf.name(), news));
@@ -282,20 +271,11 @@
     private void tick() {
         forgetSilentPeers();
         engines.others(counted().stream().flatMap(peer -> peer.evidence().stream()).toList());
-        quotas.sharedPart(sharedPart(), loop.nowMillis());
+        boolean othersKnown = mesh.isPlanned() || !peers.isEmpty();
+        limits.share(othersKnown, heard(), entries(), loop.nowMillis());
         tellPeers();
     }
 
-    /**
-     * A restarted process that does not know the others yet must not take the limit for its own.
-     */
-    private double sharedPart() {
-        if (!mesh.isPlanned() && restarted && peers.isEmpty()) {
-            return ALONE_PART;
-        }
-        return Math.min(1.0, heard() / (double) entries());
-    }
-
     private void forgetSilentPeers() {
         long oldest = loop.nowMillis() - PeerMesh.HEARD_MILLIS;
         for (Peer peer : List.copyOf(peers.values())) {
--- /dev/null
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/LimitExchange.java
@@ -0,0 +1,77 @@
+/*
+ * Copyright 2026 The trailladder authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package io.trailladder.entry.gateway;
+
+import io.trailladder.wire.NodeMessage.TenantUse;
+import java.util.List;
+
+/**
+ * Takes over what peers tell of their use of tenants' limits, and how much of each limit this
+ * process may count on.
+ */
+final class LimitExchange {
+    /**
+     * Part of a limit that a restarted process uses which knows of no other: any of the others may
+     * use the rest.
+     */
+    private static final double ALONE_PART = 0.1;
+
+    private final Quotas quotas;
+    private final boolean restarted;
+
+    /**
+     * Creates an exchange.
+     *
+     * @param quotas the tenants' limits
+     * @param restarted true if other processes may have served before this one started
+     */
+    LimitExchange(Quotas quotas, boolean restarted) {
+        this.quotas = quotas;
+        this.restarted = restarted;
+    }
+
+    /**
+     * Takes over the use that a peer's digest tells.
+     *
+     * @param peer the peer, which has taken the digest over
+     * @param uses its use
+     * @param nowMillis the time
+     */
+    void told(Peer peer, List<TenantUse> uses, long nowMillis) {
+        if (peer.followed()) {
+            quotas.beginAnew(peer.life());
+        }
+        if (peer.isLeaf()) {
+            quotas.leafUsed(peer.life(), uses, nowMillis);
+        } else {
+            quotas.peerUsed(peer.life(), uses, nowMillis);
+        }
+    }
+
+    /**
+     * Sets which part of the limits this process and those it hears may use.
+     *
+     * @param othersKnown true if the store has told which processes there are, or a peer is heard
+     * @param heard processes whose figures are known, this one included
+     * @param sharing processes that share limits
+     * @param nowMillis the time
+     */
+    void share(boolean othersKnown, int heard, int sharing, long nowMillis) {
+        double part = Math.min(1.0, heard / (double) sharing);
+        boolean stranger = restarted && !othersKnown;
+        quotas.sharedPart(stranger ? ALONE_PART : part, nowMillis);
+    }
+}
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Peer.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Peer.java
@@ -27,6 +27,7 @@
 final class Peer {
     private final NodeHello hello;
     private DigestScope scope;
+    private DigestScope followedScope;
     private long digestMillis;
     private int processes;
     private int members;
@@ -69,6 +70,22 @@
         directoryRevision = digest.directoryRevision();
     }
 
+    /**
+     * Records that the figures of its last digest count.
+     *
+     * @return true if those of the digest before did not, or were of other processes
+     */
+    boolean followed() {
+        boolean anew = followedScope != scope;
+        followedScope = scope;
+        return anew;
+    }
+
+    /** Records that the figures of its last digest do not count. */
+    void passedOver() {
+        followedScope = null;
+    }
+
     /** Tells whether the peer relies on this process as its hub. */
     boolean isLeaf() {
         return scope == DigestScope.OWN;
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Quotas.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Quotas.java
@@ -42,7 +42,7 @@
     private final GatewaySettings.Tolerance tolerance;
     private final Map<String, QuotaBucket> buckets = new HashMap<>();
 
-    /** By life and tenant; the lives of processes that are long gone fall out. */
+    /** What was told last, by life and tenant; lives of processes long gone fall out. */
     private final Map<String, Double> seen = new RecentMap<>(MOST_REMEMBERED);
 
     private final Map<String, Double> ofLeaves = new RecentMap<>(MOST_REMEMBERED);
@@ -112,21 +112,31 @@
         }
     }
 
+    /**
+     * Has the next message of a process count as its first one: what it has let pass since the last
+     * one that was heard has come by another way, or its part of the limit was left to it.
+     *
+     * @param life names the life of the process
+     */
+    public void beginAnew(String life) {
+        seen.keySet().removeIf(key -> key.startsWith(life + '/'));
+    }
+
     /**
      * Takes over what peers have let pass. A first message tells no increase, but the level.
      *
-     * @param source names the life of the peer, and what it counts
+     * @param life names the life of the peer that tells it
      * @param uses what was let pass since that life began
      * @param nowMillis the time
      */
-    public void peerUsed(String source, List<TenantUse> uses, long nowMillis) {
+    public void peerUsed(String life, List<TenantUse> uses, long nowMillis) {
         for (TenantUse use : uses) {
             QuotaBucket bucket = buckets.get(use.tenant());
             if (bucket != null) {
-                if (!seen.containsKey(key(source, use))) {
+                if (!seen.containsKey(key(life, use))) {
                     bucket.atMost(use.level(), nowMillis);
                 }
-                bucket.takenByPeers(increase(source, use), nowMillis);
+                bucket.takenByPeers(increase(life, use), nowMillis);
             }
         }
     }
@@ -221,13 +231,13 @@
         return tokens > 0 ? tokens : limit.unsizedTokens();
     }
 
-    private double increase(String source, TenantUse use) {
-        Double before = seen.put(key(source, use), use.used());
+    private double increase(String life, TenantUse use) {
+        Double before = seen.put(key(life, use), use.used());
         return use.used() - (before == null ? use.toldBefore() : before);
     }
 
-    private static String key(String source, TenantUse use) {
-        return source + '/' + use.tenant();
+    private static String key(String life, TenantUse use) {
+        return life + '/' + use.tenant();
     }
 
     private List<TenantUse> uses(long nowMillis, BiFunction<String, QuotaBucket, Told> figures) {
--- a/trailladder-entry/src/test/java/io/trailladder/entry/gateway/QuotasTest.java
+++ b/trailladder-entry/src/test/java/io/trailladder/entry/gateway/QuotasTest.java
@@ -119,4 +119,37 @@
         second.leafUsed("leaf/1", leaf.ownUses(0), 0);
         assertEquals(500, passedAtOnce(second));
     }
+
+    @Example
+    void leafThatReturnsToAnEarlierHubIsToldNothingTwice() {
+        Quotas leaf = limited(1_000);
+        Quotas first = limited(1_000);
+        Quotas second = limited(1_000);
+        second.peerUsed("first/1", first.groupUses(0), 0);
+        leaf.peerUsed("first/1", first.restUses("leaf/1", 0), 0);
+        leaf.beginAnew("second/1");
+        leaf.peerUsed("second/1", second.restUses("leaf/1", 0), 0);
+        first.tryTake(TENANT, 400, 0);
+        second.peerUsed("first/1", first.groupUses(0), 0);
+        leaf.peerUsed("second/1", second.restUses("leaf/1", 0), 0);
+        leaf.beginAnew("first/1");
+        leaf.peerUsed("first/1", first.restUses("leaf/1", 0), 0);
+        assertEquals(600, passedAtOnce(leaf));
+    }
+
+    @Example
+    void leafThatReturnsToAnEarlierHubTellsNothingTwice() {
+        Quotas leaf = limited(1_000);
+        Quotas first = limited(1_000);
+        Quotas second = limited(1_000);
+        first.peerUsed("second/1", second.groupUses(0), 0);
+        leaf.tryTake(TENANT, 100, 0);
+        first.leafUsed("leaf/1", leaf.ownUses(0), 0);
+        leaf.tryTake(TENANT, 300, 0);
+        second.leafUsed("leaf/1", leaf.ownUses(0), 0);
+        first.peerUsed("second/1", second.groupUses(0), 0);
+        first.beginAnew("leaf/1");
+        first.leafUsed("leaf/1", leaf.ownUses(0), 0);
+        assertEquals(600, passedAtOnce(first));
+    }
 }
