Let a leaf between two hubs use what the others leave

Cause: a leaf hears its hub only. While it has none, it heard 1 of n processes and used an n-th of each limit, whatever it had served before.

Change: for 3 s it takes the others to go on as they did when they were last heard, if they had been heard for 4 s. After that, its own part.

--- a/trailladder-core/src/main/java/io/trailladder/core/limit/QuotaBucket.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/limit/QuotaBucket.java
@@ -21,13 +21,17 @@
  * One tenant's limit over all entries, as this entry sees it: a token bucket that its own requests
  * and those its peers tell of draw on.
  *
- * <p>Peers that cannot be heard are taken to use an equal part of the rate each.
+ * <p>Peers that cannot be heard are taken to use an equal part of the rate each. While none is heard
+ * for a moment, they are taken to go on as before.
  *
  * @since 0.2
  */
 public final class QuotaBucket {
     private static final double MILLIS_PER_SECOND = 1000.0;
 
+    /** Time after which what others took counts a third, in milliseconds: some requests of each. */
+    private static final double OTHERS_MILLIS = 2_000;
+
     private RateSpec limit;
     private double level;
     private long updatedMillis;
@@ -35,6 +39,9 @@
     private double used;
     private double usedByLeaves;
     private double usedByPeers;
+    private double othersRecent;
+    private long othersUpdatedMillis;
+    private double othersPerSecond;
 
     /**
      * Creates a bucket.
@@ -47,6 +54,7 @@
         this.limit = limit;
         this.level = level;
         this.updatedMillis = nowMillis;
+        this.othersUpdatedMillis = nowMillis;
     }
 
     /**
@@ -78,6 +86,7 @@
         refill(nowMillis);
         level -= units;
         usedByPeers += units;
+        othersTook(units, nowMillis);
     }
 
     /**
@@ -90,6 +99,7 @@
         refill(nowMillis);
         level -= units;
         usedByLeaves += units;
+        othersTook(units, nowMillis);
     }
 
     /**
@@ -126,6 +136,21 @@
     public void sharedPart(double part, long nowMillis) {
         refill(nowMillis);
         ownPart = part;
+        othersTook(0, nowMillis);
+        othersPerSecond = othersRecent * MILLIS_PER_SECOND / OTHERS_MILLIS;
+    }
+
+    /**
+     * Has this entry use what the others leave if they go on as they did when they were last heard.
+     * To be called in place of {@link #sharedPart} while it hears nobody for a moment.
+     *
+     * @param part the least part of the rate that is its own, from 0 to 1
+     * @param nowMillis the time
+     */
+    public void othersGoOn(double part, long nowMillis) {
+        refill(nowMillis);
+        double left = limit.limited() ? 1 - othersPerSecond / limit.perSecond() : 1;
+        ownPart = Math.max(part, left);
     }
 
     /**
@@ -177,6 +202,12 @@
         return level;
     }
 
+    private void othersTook(double units, long nowMillis) {
+        double elapsed = Math.max(0, nowMillis - othersUpdatedMillis);
+        othersRecent = othersRecent * Math.exp(-elapsed / OTHERS_MILLIS) + units;
+        othersUpdatedMillis = Math.max(othersUpdatedMillis, nowMillis);
+    }
+
     private void refill(long nowMillis) {
         double elapsed = Math.max(0, nowMillis - updatedMillis) / MILLIS_PER_SECOND;
         level = Math.min(limit.burst(), level + elapsed * limit.perSecond() * ownPart);
--- a/trailladder-core/src/test/java/io/trailladder/core/limit/QuotaBucketTest.java
+++ b/trailladder-core/src/test/java/io/trailladder/core/limit/QuotaBucketTest.java
@@ -52,6 +52,32 @@
         assertEquals(500, bucket.level(SECOND), 0.001);
     }
 
+    /** Has a bucket hear others that take some units every 100 ms for ten seconds. */
+    private static QuotaBucket hearing(double unitsOfOthers) {
+        QuotaBucket bucket = new QuotaBucket(LIMIT, LIMIT.burst(), 0);
+        for (long now = 0; now <= 10 * SECOND; now += 100) {
+            bucket.takenByPeers(unitsOfOthers, now);
+            bucket.sharedPart(1, now);
+        }
+        return bucket;
+    }
+
+    @Example
+    void entryThatHearsNobodyForAMomentUsesWhatTheOthersLeave() {
+        QuotaBucket bucket = hearing(40);
+        bucket.tryTake(bucket.level(10 * SECOND), 10 * SECOND);
+        bucket.othersGoOn(0.01, 10 * SECOND);
+        assertEquals(600, bucket.level(11 * SECOND), 60);
+    }
+
+    @Example
+    void entryThatHearsNobodyTakesNothingThatTheOthersUse() {
+        QuotaBucket bucket = hearing(100);
+        double before = bucket.level(10 * SECOND);
+        bucket.othersGoOn(0.01, 10 * SECOND);
+        assertEquals(before + 10, bucket.level(11 * SECOND), 60);
+    }
+
     @Example
     void restartedEntryTakesOverALowerLevel() {
         QuotaBucket bucket = new QuotaBucket(LIMIT, LIMIT.burst(), 0);
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/LimitExchange.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/LimitExchange.java
@@ -29,8 +29,20 @@
      */
     private static final double ALONE_PART = 0.1;
 
+    /**
+     * How long a process that hears nobody any more takes the others to go on as they did, in
+     * milliseconds: a leaf finds another hub in 1.2 s of silence, 0.4 s until it looks, and at most
+     * 1 s to connect. It saves callers within their limits from being refused meanwhile.
+     */
+    static final long HUB_CHANGE_MILLIS = 3_000;
+
+    /** How long others must have been heard before, in milliseconds: until their use is known. */
+    static final long KNOWN_MILLIS = 4_000;
+
     private final Quotas quotas;
     private final boolean restarted;
+    private long heardSinceMillis = Long.MAX_VALUE;
+    private long heardMillis;
 
     /**
      * Creates an exchange.
@@ -71,7 +83,27 @@
      */
     void share(boolean othersKnown, int heard, int sharing, long nowMillis) {
         double part = Math.min(1.0, heard / (double) sharing);
-        boolean stranger = restarted && !othersKnown;
-        quotas.sharedPart(stranger ? ALONE_PART : part, nowMillis);
+        if (restarted && !othersKnown) {
+            quotas.sharedPart(ALONE_PART, nowMillis);
+        } else if (heard == 1 && sharing > 1 && changesHub(nowMillis)) {
+            quotas.othersGoOn(part, nowMillis);
+        } else {
+            quotas.sharedPart(part, nowMillis);
+            remember(heard, nowMillis);
+        }
+    }
+
+    private boolean changesHub(long nowMillis) {
+        boolean known = heardMillis - heardSinceMillis >= KNOWN_MILLIS;
+        return known && nowMillis - heardMillis < HUB_CHANGE_MILLIS;
+    }
+
+    private void remember(int heard, long nowMillis) {
+        if (heard == 1) {
+            heardSinceMillis = Long.MAX_VALUE;
+            return;
+        }
+        heardSinceMillis = Math.min(heardSinceMillis, nowMillis);
+        heardMillis = nowMillis;
     }
 }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Quotas.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Quotas.java
@@ -169,6 +169,16 @@
         buckets.values().forEach(bucket -> bucket.sharedPart(part, nowMillis));
     }
 
+    /**
+     * Has limits used as far as the others leave them if they go on as they last did.
+     *
+     * @param part the least part of each that is this process's own, from 0 to 1
+     * @param nowMillis the time
+     */
+    public void othersGoOn(double part, long nowMillis) {
+        buckets.values().forEach(bucket -> bucket.othersGoOn(part, nowMillis));
+    }
+
     /**
      * Returns what this process has let pass, to be told to the hub it relies on.
      *
--- /dev/null
+++ b/trailladder-entry/src/test/java/io/trailladder/entry/gateway/LimitExchangeTest.java
@@ -0,0 +1,143 @@
+/*
+ * Copyright 2026 The trailladder authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package io.trailladder.entry.gateway;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.trailladder.core.policy.RateSpec;
+import io.trailladder.core.policy.RequestBounds;
+import io.trailladder.core.policy.ServingPolicy;
+import io.trailladder.core.policy.TenantSpec;
+import io.trailladder.wire.NodeMessage.DigestScope;
+import io.trailladder.wire.NodeMessage.NodeDigest;
+import io.trailladder.wire.NodeMessage.NodeHello;
+import io.trailladder.wire.NodeMessage.TenantUse;
+import java.util.List;
+import java.util.OptionalInt;
+import net.jqwik.api.Example;
+
+/** What a leaf may use of limits while it changes hubs. */
+class LimitExchangeTest {
+    private static final String TENANT = "t";
+    private static final int PROCESSES = 77;
+    private static final long STEP_MILLIS = 200;
+    private static final long LEARNED_MILLIS = 10_000;
+
+    private final Quotas quotas = new Quotas(true, new GatewaySettings.Tolerance(0, 0));
+    private final LimitExchange limits = new LimitExchange(quotas, false);
+    private final NodeHello hubHello = new NodeHello("hub", "1", "a", "h:1");
+    private Peer hub = new Peer(hubHello, 0);
+    private double usedByOthers;
+
+    /** A digest of a hub to its leaf. */
+    private NodeDigest digest(double used, double level) {
+        return new NodeDigest(
+                1,
+                1,
+                true,
+                false,
+                DigestScope.REST,
+                PROCESSES - 1,
+                PROCESSES,
+                List.of(),
+                List.of(new TenantUse(TENANT, used, used, level)),
+                List.of(),
+                List.of(),
+                List.of(),
+                List.of());
+    }
+
+    private void hear(double unitsSinceLast, long nowMillis) {
+        usedByOthers += unitsSinceLast;
+        NodeDigest digest = digest(usedByOthers, 1_000);
+        hub.told(digest, nowMillis);
+        limits.told(hub, digest.quotas(), nowMillis);
+        limits.share(true, PROCESSES, PROCESSES, nowMillis);
+    }
+
+    private void limit(double perSecond) {
+        RateSpec limit = new RateSpec(perSecond, perSecond, true, 1);
+        TenantSpec tenant = new TenantSpec(TENANT, List.of("k"), OptionalInt.empty(), limit);
+        quotas.policy(
+                new ServingPolicy(
+                        1, List.of(), List.of(), List.of(tenant), RequestBounds.DEFAULTS),
+                0);
+    }
+
+    private double passed(long nowMillis, double units, int requests) {
+        double passed = 0;
+        for (int i = 0; i < requests; i++) {
+            passed += quotas.tryTake(TENANT, units, nowMillis) == 0 ? units : 0;
+        }
+        return passed;
+    }
+
+    @Example
+    void leafBetweenTwoHubsRefusesNobodyWhoIsWithinTheLimit() {
+        limit(1_000);
+        for (long now = 0; now <= LEARNED_MILLIS; now += STEP_MILLIS) {
+            hear(100, now);
+        }
+        double passed = passed(LEARNED_MILLIS, 100, 20);
+        assertTrue(passed > 0, "the level is used up");
+        long end = LEARNED_MILLIS + LimitExchange.HUB_CHANGE_MILLIS;
+        for (long now = LEARNED_MILLIS + STEP_MILLIS; now < end; now += STEP_MILLIS) {
+            limits.share(true, 1, PROCESSES, now);
+        }
+        // 500 a second are left by the others, 2.8 s long
+        assertEquals(1_000, passed(end - STEP_MILLIS, 100, 20), 1);
+    }
+
+    @Example
+    void leafThatStaysAloneUsesItsOwnPartOnly() {
+        limit(1_000);
+        for (long now = 0; now <= LEARNED_MILLIS; now += STEP_MILLIS) {
+            hear(100, now);
+        }
+        long alone = LEARNED_MILLIS + LimitExchange.HUB_CHANGE_MILLIS;
+        for (long now = LEARNED_MILLIS + STEP_MILLIS; now <= alone; now += STEP_MILLIS) {
+            limits.share(true, 1, PROCESSES, now);
+        }
+        passed(alone, 10, 200);
+        limits.share(true, 1, PROCESSES, alone + 10_000);
+        assertTrue(passed(alone + 10_000, 10, 200) <= 10_000.0 / PROCESSES + 10);
+    }
+
+    @Example
+    void processThatHasJustBegunToHearOthersGetsNoSuchGrace() {
+        limit(1_000);
+        hear(100, 0);
+        hear(100, STEP_MILLIS);
+        long alone = 2 * STEP_MILLIS;
+        limits.share(true, 1, PROCESSES, alone);
+        passed(alone, 10, 200);
+        limits.share(true, 1, PROCESSES, alone + 1_000);
+        assertEquals(0, passed(alone + 1_000, 100, 5));
+    }
+
+    @Example
+    void hubThatIsHeardAgainTellsNothingTwice() {
+        limit(1_000);
+        for (long now = 0; now <= LEARNED_MILLIS; now += STEP_MILLIS) {
+            hear(100, now);
+        }
+        hub = new Peer(hubHello, LEARNED_MILLIS);
+        usedByOthers += 5_000;
+        hear(0, LEARNED_MILLIS);
+        assertTrue(passed(LEARNED_MILLIS, 100, 20) > 0);
+    }
+}
