Say "not run" of attempts that were stopped before they left

Cause: an attempt that was left because its upstream leaves, or is silent, counted as one that may have run even if its connection had not come about. The caller got 502 in place of 503 with a time to come back, and a request that may not be repeated was given up.

Change: such attempts fail as NOT_SENT, which runs nothing and costs no retry.

--- a/trailladder-core/src/main/java/io/trailladder/core/pipeline/AttemptFailure.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/pipeline/AttemptFailure.java
@@ -23,6 +23,8 @@
 public enum AttemptFailure {
     /** No connection came about, so the request did not run. */
     UNREACHABLE(false),
+    /** The attempt was stopped before any byte of the request had left. */
+    NOT_SENT(false),
     /** The upstream said that it did not run the request. */
     NOT_EXECUTED(false),
     /** Another upstream has the address and did not run the request. */
@@ -50,4 +52,13 @@
     public boolean mayHaveRun() {
         return mayHaveRun;
     }
+
+    /**
+     * Returns how an attempt failed of which no byte had left.
+     *
+     * @return this failure if it certainly did not run the request, else {@link #NOT_SENT}
+     */
+    public AttemptFailure beforeSending() {
+        return mayHaveRun ? NOT_SENT : this;
+    }
 }
--- a/trailladder-core/src/test/java/io/trailladder/core/pipeline/RecoveryPolicyProperties.java
+++ b/trailladder-core/src/test/java/io/trailladder/core/pipeline/RecoveryPolicyProperties.java
@@ -143,4 +143,21 @@
                 Retry.class,
                 RecoveryPolicy.after(request, history, AttemptFailure.MISDIRECTED, true, NOW));
     }
+
+    @Property
+    void attemptThatNeverLeftRunsNothing(@ForAll AttemptFailure failure) {
+        AttemptHistory history = new AttemptHistory();
+        history.failed("w0", failure.beforeSending());
+        assertFalse(history.mayHaveRun());
+        ServingRequest request = request(RouteKind.UNSAFE, false, 2);
+        assertInstanceOf(
+                Retry.class,
+                RecoveryPolicy.after(request, history, failure.beforeSending(), true, NOW));
+    }
+
+    @Property
+    void failureThatIsCertainStaysWhatItIs(@ForAll AttemptFailure failure) {
+        boolean certain = !failure.mayHaveRun();
+        assertEquals(certain ? failure : AttemptFailure.NOT_SENT, failure.beforeSending());
+    }
 }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Attempt.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Attempt.java
@@ -208,17 +208,18 @@
     }
 
     /** Ends the attempt as failed and breaks its connection off. */
-    void fail(AttemptFailure failure) {
+    void fail(AttemptFailure reason) {
         if (over) {
             return;
         }
+        AttemptFailure failure = sent ? reason : reason.beforeSending();
         long now = context.loop().nowMillis();
         if (failure == AttemptFailure.UNREACHABLE || failure == AttemptFailure.MISDIRECTED) {
             context.loads().unreachable(worker.id(), now);
             if (failure == AttemptFailure.UNREACHABLE) {
                 context.selector().unreachable(worker, now);
             }
-        } else if (failure != AttemptFailure.LEAVING) {
+        } else if (failure != AttemptFailure.LEAVING && failure != AttemptFailure.NOT_SENT) {
             context.loads().failed(worker.id(), now);
         }
         finish();
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestDriver.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestDriver.java
@@ -241,7 +241,9 @@
         context.metrics().attempt(request.service(), failure.name());
         long now = context.loop().nowMillis();
         Recovery recovery = RecoveryPolicy.after(request, history, failure, true, now);
-        boolean paid = silence.takePaid() || failure == AttemptFailure.UNREACHABLE;
+        boolean neverArrived =
+                failure == AttemptFailure.UNREACHABLE || failure == AttemptFailure.NOT_SENT;
+        boolean paid = silence.takePaid() || neverArrived;
         if (!(recovery instanceof GiveUp)
                 && !paid
                 && !context.budgets().tryRetry(request.service(), now)) {
