Tell callers to come back when a place is expected

Cause: a refusal named a quarter of the objective, which says nothing of when a place comes; those refused together came back together.

Change: PlaceForecast works the time out from the work under way and the speed learned, or from the boot of an upstream; ReturnTimes spreads callers over half as long again. A request for which no place comes before its deadline is refused at once, never while a place is free or while the upstreams' speed is only guessed. Calls to upstreams are written by AttemptCalls, which takes 50 lines from RequestDriver.

Tests: PlaceForecastTest.

--- a/trailladder-core/src/main/java/io/trailladder/core/engine/EngineEstimate.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/engine/EngineEstimate.java
@@ -33,6 +33,21 @@
         double runMillis,
         double observations) {
 
+    /**
+     * Answers that must have been seen before decisions that cost callers or money rest on the
+     * estimate: below that it is mostly the prior, a slow engine.
+     */
+    public static final double LEAST_OBSERVATIONS = 15;
+
+    /**
+     * Tells whether enough answers were seen to decide by the estimate.
+     *
+     * @return false while it is mostly the prior
+     */
+    public boolean isLearned() {
+        return observations >= LEAST_OBSERVATIONS;
+    }
+
     /**
      * Returns how long a request waits for a place, beyond what reading takes.
      *
--- a/trailladder-core/src/main/java/io/trailladder/core/pipeline/Recovery.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/pipeline/Recovery.java
@@ -22,19 +22,34 @@
  */
 public sealed interface Recovery {
     /** The request is sent to another upstream from its beginning. */
-    record Retry() implements Recovery {}
+    record Retry() implements Recovery {
+        @Override
+        public String toString() {
+            return "retry elsewhere";
+        }
+    }
 
     /**
      * The stream goes on at another upstream.
      *
      * @param lastEventId the last event that the caller has
      */
-    record Resume(String lastEventId) implements Recovery {}
+    record Resume(String lastEventId) implements Recovery {
+        @Override
+        public String toString() {
+            return "resume after " + lastEventId;
+        }
+    }
 
     /**
      * The request is given up.
      *
      * @param ending how the caller is told
      */
-    record GiveUp(Ending ending) implements Recovery {}
+    record GiveUp(Ending ending) implements Recovery {
+        @Override
+        public String toString() {
+            return "give up, " + ending;
+        }
+    }
 }
--- a/trailladder-core/src/main/java/io/trailladder/core/worker/Selection.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/worker/Selection.java
@@ -24,6 +24,8 @@
  * @param waitingTokens prompt tokens waiting there, of all entries
  * @param cachedTokens tokens of the prompt it probably holds
  * @param candidates how many upstreams were weighed
+ * @param placeMillis how long a place there is expected to be waited for, in milliseconds; 0 while
+ *     one is free, or while too little is known of the upstreams
  * @since 0.2
  */
 public record Selection(
@@ -32,4 +34,5 @@
         int requests,
         int waitingTokens,
         int cachedTokens,
-        int candidates) {}
+        int candidates,
+        long placeMillis) {}
--- a/trailladder-core/src/main/java/io/trailladder/core/worker/WorkerSelector.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/worker/WorkerSelector.java
@@ -170,7 +170,9 @@
             double perSlot = (running + 1.0) / Math.max(1, worker.slots());
             millis += engine.runMillis() * perSlot;
         }
-        return new Selection(worker, millis, running, waiting, cached, candidates);
+        double place = engine.isLearned() ? engine.placeMillis(running, worker.slots()) : 0;
+        return new Selection(
+                worker, millis, running, waiting, cached, candidates, Math.round(place));
     }
 
     private double distanceMillis(Worker worker, ServingRequest request) {
--- /dev/null
+++ b/trailladder-core/src/test/java/io/trailladder/core/worker/PlaceForecastTest.java
@@ -0,0 +1,79 @@
+/*
+ * Copyright 2026 The trailladder authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package io.trailladder.core.worker;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import io.trailladder.core.engine.EngineEstimate;
+import java.util.List;
+import java.util.OptionalLong;
+import net.jqwik.api.Example;
+
+/** When a request that was turned away is told to come back. */
+class PlaceForecastTest {
+    private static final EngineEstimate ENGINE = new EngineEstimate(20, 0.01, 0.1, 1_200, 100);
+    private static final OptionalLong BOOT = OptionalLong.of(4_000);
+
+    private final WorkerLoads loads = new WorkerLoads();
+
+    private static Worker worker(String id) {
+        return new Worker(id, "s", "a", "h:1", 4, false, false, 0);
+    }
+
+    private void running(String id, int requests) {
+        loads.peerUses("peer of " + id, List.of(new WorkerUse(id, requests, 0)));
+    }
+
+    private long forecast(String... ids) {
+        List<Worker> serving = java.util.Arrays.stream(ids).map(id -> worker(id)).toList();
+        return PlaceForecast.millis(serving, loads, ENGINE, BOOT);
+    }
+
+    @Example
+    void placeOfAnUpstreamThatIsFullIsFreeWhenThoseAheadHaveEnded() {
+        running("w0", 12);
+        // nine are ahead of it, and one of four places becomes free every 300 ms
+        assertEquals(2_700, forecast("w0"));
+    }
+
+    @Example
+    void soonestOfSeveralUpstreamsCounts() {
+        running("w0", 12);
+        running("w1", 5);
+        assertEquals(600, forecast("w0", "w1"));
+    }
+
+    @Example
+    void upstreamWithFreePlacesIsTakenToBeFullForAMoment() {
+        assertEquals(300, forecast("w0"));
+    }
+
+    @Example
+    void withoutAnyUpstreamTheBootOfOneIsWaitedFor() {
+        assertEquals(4_000, forecast());
+        assertEquals(
+                PlaceForecast.UNKNOWN_MILLIS,
+                PlaceForecast.millis(List.of(), loads, ENGINE, OptionalLong.empty()));
+    }
+
+    @Example
+    void callersNeedAMomentToComeBack() {
+        EngineEstimate fast = new EngineEstimate(1, 0.001, 0.1, 20, 100);
+        assertEquals(
+                PlaceForecast.LEAST_MILLIS,
+                PlaceForecast.millis(List.of(worker("w0")), loads, fast, BOOT));
+    }
+}
--- /dev/null
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/AttemptCalls.java
@@ -0,0 +1,89 @@
+/*
+ * Copyright 2026 The trailladder authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package io.trailladder.entry.gateway;
+
+import io.trailladder.core.pipeline.ServingRequest;
+import io.trailladder.core.worker.Worker;
+import io.trailladder.entry.http.HeaderList;
+import io.trailladder.entry.http.OutgoingCall;
+import io.trailladder.entry.http.ServerExchange;
+import io.trailladder.entry.port.AttemptFields;
+import io.trailladder.entry.port.RequestProtocol;
+import io.trailladder.platform.http.HostPort;
+
+/** Writes the calls that carry a request to upstreams. */
+final class AttemptCalls {
+    /** Bounds of the time that a connection may take to come about, in milliseconds. */
+    private static final long MAX_CONNECT_MILLIS = 400;
+
+    private static final long LEAST_CONNECT_MILLIS = 50;
+
+    /** Part of the time left that a connection may take: another attempt must still be possible. */
+    private static final int CONNECT_SHARE = 3;
+
+    /** Longest rest of a connection that is used again, in milliseconds. */
+    private static final long KEPT_MILLIS = 1_500;
+
+    /**
+     * The same for requests that may not be repeated, in milliseconds: a connection that the
+     * upstream has just closed would leave it open whether they ran.
+     */
+    private static final long KEPT_UNREPEATABLE_MILLIS = 400;
+
+    private final RequestProtocol protocol;
+    private final ServerExchange exchange;
+    private final ServingRequest request;
+
+    AttemptCalls(RequestProtocol protocol, ServerExchange exchange, ServingRequest request) {
+        this.protocol = protocol;
+        this.exchange = exchange;
+        this.request = request;
+    }
+
+    /**
+     * Writes a call.
+     *
+     * @param worker the upstream
+     * @param lastEventId the last event that the caller has; empty for a beginning
+     * @param nowMillis the time
+     * @return the call
+     */
+    OutgoingCall to(Worker worker, String lastEventId, long nowMillis) {
+        long left = request.deadlineMillis() - nowMillis;
+        HeaderList headers =
+                protocol.attempt(
+                        exchange.headers(),
+                        new AttemptFields(
+                                worker.id(),
+                                request.tenant(),
+                                request.priority(),
+                                left,
+                                lastEventId));
+        return new OutgoingCall(
+                HostPort.parse(worker.address()),
+                exchange.method(),
+                exchange.uri(),
+                headers,
+                exchange.body(),
+                request.route().repeatable() ? KEPT_MILLIS : KEPT_UNREPEATABLE_MILLIS,
+                connectMillis(left));
+    }
+
+    private static long connectMillis(long leftMillis) {
+        return Math.max(
+                LEAST_CONNECT_MILLIS, Math.min(MAX_CONNECT_MILLIS, leftMillis / CONNECT_SHARE));
+    }
+}
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/DecisionLog.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/DecisionLog.java
@@ -119,6 +119,32 @@
         }
     }
 
+    /**
+     * A request was ended before a further attempt, because none could bring an answer in time.
+     *
+     * @param id the request
+     * @param reason why
+     * @param placeMs how long a place was expected to be waited for, in milliseconds; 0 if no
+     *     upstream serves
+     * @param leftMs time left to its deadline, in milliseconds
+     */
+    public record TurnedAway(String id, String reason, long placeMs, long leftMs)
+            implements Decision {
+        /** No upstream of the service takes new work, or all were tried. */
+        static final String NO_UPSTREAM = "no upstream left";
+
+        /** Every place is taken for longer than the caller waits. */
+        static final String NO_PLACE_IN_TIME = "no place in time";
+
+        @Override
+        public void write(JsonGenerator json) throws IOException {
+            json.writeStringField("id", id);
+            json.writeStringField("reason", reason);
+            json.writeNumberField("placeMs", placeMs);
+            json.writeNumberField("leftMs", leftMs);
+        }
+    }
+
     /**
      * An attempt failed.
      *
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/FleetRunner.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/FleetRunner.java
@@ -71,12 +71,6 @@
     /** Time beyond the boot after which the list should follow an order, in milliseconds. */
     private static final long SETTLE_MILLIS = 4_000;
 
-    /**
-     * Answers that must have been seen before orders follow the load: below that the model's prior,
-     * a slow engine, would order a large fleet for a moment.
-     */
-    private static final double LEAST_OBSERVATIONS = 15;
-
     /** Objective of a service whose routes name none, in milliseconds. */
     private static final long DEFAULT_OBJECTIVE_MILLIS = 1_000;
 
@@ -214,7 +208,7 @@
 
     private Optional<FleetNeed> need(String service, ServiceLoad load, List<Worker> workers) {
         EngineEstimate engine = engines.estimate(service, loop.nowMillis());
-        if (!load.isKnown() || engine.observations() < LEAST_OBSERVATIONS) {
+        if (!load.isKnown() || !engine.isLearned()) {
             return Optional.empty();
         }
         int slots = workers.stream().mapToInt(Worker::slots).min().orElse(1);
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
@@ -193,6 +193,7 @@
                         usage,
                         demand,
                         engines,
+                        new ReturnTimes(policies, directory, loads, engines, random.split()),
                         metrics,
                         view::oldestDigestMillis);
         intake = new RequestIntake(context, policies, random.split());
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestDriver.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestDriver.java
@@ -20,7 +20,6 @@
 import io.trailladder.core.pipeline.Ending;
 import io.trailladder.core.pipeline.Recovery;
 import io.trailladder.core.pipeline.Recovery.GiveUp;
-import io.trailladder.core.pipeline.Recovery.Resume;
 import io.trailladder.core.pipeline.RecoveryPolicy;
 import io.trailladder.core.pipeline.ServingRequest;
 import io.trailladder.core.policy.RouteKind;
@@ -29,12 +28,10 @@
 import io.trailladder.entry.gateway.DecisionLog.AttemptFailed;
 import io.trailladder.entry.gateway.DecisionLog.Dispatch;
 import io.trailladder.entry.gateway.DecisionLog.Ended;
+import io.trailladder.entry.gateway.DecisionLog.TurnedAway;
 import io.trailladder.entry.http.HeaderList;
-import io.trailladder.entry.http.OutgoingCall;
 import io.trailladder.entry.http.ServerExchange;
 import io.trailladder.entry.loop.LoopTimer;
-import io.trailladder.entry.port.AttemptFields;
-import io.trailladder.platform.http.HostPort;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
@@ -45,11 +42,6 @@
  */
 final class RequestDriver implements Attempt.Owner {
     private static final int SERVER_ERRORS = 500;
-    private static final long MAX_CONNECT_MILLIS = 400;
-    private static final long LEAST_CONNECT_MILLIS = 50;
-    private static final long KEPT_MILLIS = 1_500;
-    private static final long KEPT_UNREPEATABLE_MILLIS = 400;
-    private static final long LEAST_RETRY_AFTER_MILLIS = 50;
     private static final byte[] NO_BYTES = {};
 
     private final ServingContext context;
@@ -59,6 +51,7 @@
     private final Consumer<RequestDriver> onEnd;
     private final AttemptHistory history = new AttemptHistory();
     private final LoopTimer deadline;
+    private final AttemptCalls calls;
     private final AnswerPassing answer;
     private final SilenceWatch silence;
     private Attempt attempt;
@@ -81,6 +74,7 @@
         if (!lastEventId.isEmpty()) {
             history.eventPassed(lastEventId);
         }
+        this.calls = new AttemptCalls(context.protocol(), exchange, request);
         this.answer = new AnswerPassing(exchange, history, isStream(), this::firstByte);
         this.silence = new SilenceWatch(context, request, history);
         exchange.onGone(this::callerGone);
@@ -171,10 +165,20 @@
             choice = context.selector().choose(request, Set.of(), now);
         }
         if (choice.isEmpty()) {
-            giveUp(RecoveryPolicy.endingOf(history, false));
-            return;
+            turnAway(TurnedAway.NO_UPSTREAM, 0);
+        } else if (!history.hasAnswerBegun()
+                && choice.get().placeMillis() > request.deadlineMillis() - now) {
+            turnAway(TurnedAway.NO_PLACE_IN_TIME, choice.get().placeMillis());
+        } else {
+            send(choice.get(), now);
         }
-        send(choice.get(), now);
+    }
+
+    /** Ends the request at once because what it waits for does not come in time. */
+    private void turnAway(String reason, long placeMillis) {
+        long left = request.deadlineMillis() - context.loop().nowMillis();
+        DecisionLog.write(new TurnedAway(request.id(), reason, placeMillis, left));
+        giveUp(RecoveryPolicy.endingOf(history, false));
     }
 
     private void send(Selection selection, long now) {
@@ -194,32 +198,8 @@
         context.selector().sent(request, worker.id());
         answer.newAttempt();
         attempt = new Attempt(context, request, selection, this);
-        long left = request.deadlineMillis() - now;
-        HeaderList headers =
-                context.protocol()
-                        .attempt(
-                                exchange.headers(),
-                                new AttemptFields(
-                                        worker.id(),
-                                        request.tenant(),
-                                        request.priority(),
-                                        left,
-                                        history.lastEventId()));
-        boolean repeatable = request.route().repeatable();
         silence.watch(attempt, selection);
-        attempt.start(
-                new OutgoingCall(
-                        HostPort.parse(worker.address()),
-                        exchange.method(),
-                        exchange.uri(),
-                        headers,
-                        exchange.body(),
-                        repeatable ? KEPT_MILLIS : KEPT_UNREPEATABLE_MILLIS,
-                        connectMillis(left)));
-    }
-
-    private static long connectMillis(long left) {
-        return Math.max(LEAST_CONNECT_MILLIS, Math.min(MAX_CONNECT_MILLIS, left / 3));
+        attempt.start(calls.to(worker, history.lastEventId(), now));
     }
 
     private void firstByte() {
@@ -257,7 +237,7 @@
                         failure.name(),
                         sender.status(),
                         sender.ageMillis(),
-                        describe(recovery)));
+                        recovery.toString()));
         if (recovery instanceof GiveUp giveUp) {
             giveUp(giveUp.ending(), sender);
         } else {
@@ -265,15 +245,6 @@
         }
     }
 
-    private static String describe(Recovery recovery) {
-        if (recovery instanceof GiveUp giveUp) {
-            return "give up, " + giveUp.ending();
-        }
-        return recovery instanceof Resume resume
-                ? "resume after " + resume.lastEventId()
-                : "retry elsewhere";
-    }
-
     private void giveUp(Ending ending) {
         giveUp(ending, null);
     }
@@ -296,10 +267,9 @@
     }
 
     private long retryAfterMillis(Ending ending) {
-        if (ending != Ending.NOT_RUN) {
-            return 0;
-        }
-        return Math.max(LEAST_RETRY_AFTER_MILLIS, request.route().objectiveMillis() / 4);
+        return ending == Ending.NOT_RUN
+                ? context.returns().place(request.service(), context.loop().nowMillis())
+                : 0;
     }
 
     private void timeOver() {
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestIntake.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestIntake.java
@@ -44,8 +44,13 @@
     private static final int NOT_FOUND = 404;
     private static final int OVER_LIMIT = 429;
     private static final int UNAVAILABLE = 503;
+
+    /** When a caller may come back that met a process without policy: the store is asked again. */
     private static final long NO_POLICY_RETRY_MILLIS = 500;
+
+    /** When a caller may come back that met a stopping process: another one takes it at once. */
     private static final long STOPPING_RETRY_MILLIS = 30;
+
     private static final long DEFAULT_WAIT_MILLIS = 60_000;
     private static final byte[] NO_BYTES = {};
 
@@ -215,7 +220,8 @@
             ServerExchange exchange, String id, int status, long retryAfterMillis, String reason) {
         DecisionLog.write(new Intake(id, "", "", 0, policies.version(), 0, status + ", " + reason));
         context.metrics().ended("", "", "refused-" + status, 0);
-        HeaderList headers = context.protocol().refusal(retryAfterMillis);
+        long spread = context.returns().spread(retryAfterMillis);
+        HeaderList headers = context.protocol().refusal(spread);
         exchange.respond(status, headers, NO_BYTES);
     }
 }
--- /dev/null
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ReturnTimes.java
@@ -0,0 +1,87 @@
+/*
+ * Copyright 2026 The trailladder authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package io.trailladder.entry.gateway;
+
+import io.trailladder.core.engine.EngineModel;
+import io.trailladder.core.policy.ServiceSpec;
+import io.trailladder.core.worker.PlaceForecast;
+import io.trailladder.core.worker.WorkerDirectory;
+import io.trailladder.core.worker.WorkerLoads;
+import java.util.OptionalLong;
+import java.util.SplittableRandom;
+
+/** Tells callers whose requests have not run when coming back may help. */
+final class ReturnTimes {
+    /**
+     * How much later some callers are told to come back than others, as a part of the time told:
+     * those that were turned away together must not all return at once.
+     */
+    private static final double SPREAD = 0.5;
+
+    private final PolicyKeeper policies;
+    private final WorkerDirectory directory;
+    private final WorkerLoads loads;
+    private final EngineModel engines;
+    private final SplittableRandom random;
+
+    ReturnTimes(
+            PolicyKeeper policies,
+            WorkerDirectory directory,
+            WorkerLoads loads,
+            EngineModel engines,
+            SplittableRandom random) {
+        this.policies = policies;
+        this.directory = directory;
+        this.loads = loads;
+        this.engines = engines;
+        this.random = random;
+    }
+
+    /**
+     * Returns when a place for a request of a service is expected.
+     *
+     * @param service the service
+     * @param nowMillis the time
+     * @return milliseconds from now, spread over callers
+     */
+    long place(String service, long nowMillis) {
+        long place =
+                PlaceForecast.millis(
+                        directory.serving(service),
+                        loads,
+                        engines.estimate(service, nowMillis),
+                        bootMillis(service));
+        return spread(place);
+    }
+
+    /**
+     * Spreads callers that are told the same time.
+     *
+     * @param millis the least time, in milliseconds
+     * @return that time or somewhat more
+     */
+    long spread(long millis) {
+        return millis + Math.round(millis * SPREAD * random.nextDouble());
+    }
+
+    private OptionalLong bootMillis(String service) {
+        return policies.policy()
+                .flatMap(policy -> policy.service(service))
+                .flatMap(ServiceSpec::scaling)
+                .map(scaling -> OptionalLong.of(scaling.bootMillis()))
+                .orElse(OptionalLong.empty());
+    }
+}
