--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
@@ -196,7 +196,7 @@
                         new ReturnTimes(policies, directory, loads, engines, random.split()),
                         metrics,
                         view::oldestDigestMillis);
-        intake = new RequestIntake(context, policies, random.split());
+        intake = new RequestIntake(context, policies, this::isInformed, random.split());
         callers = new HttpServer(loop, bounds(RequestBounds.DEFAULTS), intake);
         ServerBounds inside = bounds(RequestBounds.DEFAULTS);
         health = new HttpServer(loop, inside, this::answerReady);
@@ -289,12 +289,15 @@
         }
     }
 
+    private boolean isInformed() {
+        return policies.version() > 0 && directoryKeeper.revision() > 0;
+    }
+
     private boolean isReady() {
-        boolean knowsUpstreams = directoryKeeper.revision() > 0;
         boolean asked =
                 policyWatcher.isComplete()
                         || loop.nowMillis() - startedMillis >= PEERS_FIRST_MILLIS;
-        return !stopping && asked && policies.version() > 0 && knowsUpstreams;
+        return !stopping && asked && isInformed();
     }
 
     private void answerReady(ServerExchange exchange) {
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestIntake.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestIntake.java
@@ -32,6 +32,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.function.BooleanSupplier;
 
 /**
  * Decides of each request whether it is accepted, by the policy in force and the tenant's limit.
@@ -57,6 +58,7 @@
     private final ServingContext context;
     private final PolicyKeeper policies;
     private final SplittableRandom random;
+    private final StartingRequests<ServerExchange> starting;
     private final Set<RequestDriver> open = new HashSet<>();
     private boolean refusing;
 
@@ -65,12 +67,23 @@
      *
      * @param context what requests share
      * @param policies the policy in force
+     * @param informed tells whether policy and upstreams are known
      * @param random draws the services of routes that are split
      */
-    public RequestIntake(ServingContext context, PolicyKeeper policies, SplittableRandom random) {
+    public RequestIntake(
+            ServingContext context,
+            PolicyKeeper policies,
+            BooleanSupplier informed,
+            SplittableRandom random) {
         this.context = context;
         this.policies = policies;
         this.random = random;
+        this.starting =
+                new StartingRequests<>(
+                        context.loop()::nowMillis,
+                        context.loop()::schedule,
+                        informed,
+                        new StartOutcome());
     }
 
     @Override
@@ -80,8 +93,8 @@
             refuse(exchange, "", UNAVAILABLE, STOPPING_RETRY_MILLIS, "stopping");
             return;
         }
-        if (policy.isEmpty()) {
-            refuse(exchange, "", UNAVAILABLE, NO_POLICY_RETRY_MILLIS, "no policy known");
+        if (policy.isEmpty() || starting.isUninformed()) {
+            starting.hold(exchange);
             return;
         }
         Either<String, CallerRequest> read = context.protocol().read(exchange);
@@ -224,4 +237,23 @@
         HeaderList headers = context.protocol().refusal(spread);
         exchange.respond(status, headers, NO_BYTES);
     }
+
+    /** Goes on with requests that were held while the process started. */
+    private final class StartOutcome implements StartingRequests.Outcome<ServerExchange> {
+        @Override
+        public void accepted(ServerExchange exchange) {
+            handle(exchange);
+        }
+
+        @Override
+        public void refused(ServerExchange exchange) {
+            String unknown = policies.version() == 0 ? "policy" : "list of upstreams";
+            refuse(exchange, "", UNAVAILABLE, NO_POLICY_RETRY_MILLIS, "no " + unknown + " known");
+        }
+
+        @Override
+        public boolean isOver(ServerExchange exchange) {
+            return exchange.isOver();
+        }
+    }
 }
