Count calls to the store by purpose and kind

A counter by purpose and kind, a log line every 5 s, a table in trailladder losses. Nothing decides by it yet.

--- a/trailladder-cli/src/main/java/io/trailladder/cli/LossesCommand.java
+++ b/trailladder-cli/src/main/java/io/trailladder/cli/LossesCommand.java
@@ -72,7 +72,14 @@
     @Override
     public Integer call() throws IOException {
         LossTable table = new LossTable();
-        LogFiles.read(files, spec.commandLine(), table::add);
+        StoreUseTable storeUse = new StoreUseTable();
+        LogFiles.read(
+                files,
+                spec.commandLine(),
+                line -> {
+                    table.add(line);
+                    storeUse.add(line);
+                });
         PrintWriter out = spec.commandLine().getOut();
         Row total = table.total();
         if (total.requests() == 0) {
@@ -85,10 +92,22 @@
         for (Dimension dimension : dimensions) {
             print(out, dimension.name().toLowerCase(Locale.ROOT), table.rows(dimension));
         }
+        print(out, storeUse);
         out.flush();
         return 0;
     }
 
+    private static void print(PrintWriter out, StoreUseTable storeUse) {
+        if (storeUse.rows().isEmpty()) {
+            return;
+        }
+        out.printf(Locale.ROOT, "%-40s %9s%n", "calls to the store", "calls");
+        for (StoreUseTable.Row row : storeUse.rows()) {
+            out.printf(Locale.ROOT, "%-40s %9d%n", row.sort(), row.calls());
+        }
+        out.println();
+    }
+
     private void print(PrintWriter out, String title, List<Row> rows) {
         out.printf(Locale.ROOT, "%-40s %9s %9s %9s%n", title, "requests", "unserved", "late");
         for (Row row : rows.subList(0, Math.min(most, rows.size()))) {
--- a/trailladder-cli/src/test/java/io/trailladder/cli/LossesCommandTest.java
+++ b/trailladder-cli/src/test/java/io/trailladder/cli/LossesCommandTest.java
@@ -108,6 +108,16 @@
         shows("u2 2 1 1");
     }
 
+    @Example
+    void callsToTheStoreAreSummedByPurposeAndKind() throws IOException {
+        String log =
+                day()
+                        + line(5, "'kind':'StoreUse','members renewal':3,'policy fresh read':1")
+                        + line(9, "'kind':'StoreUse','members renewal':4");
+        assertEquals(0, losses(log), err.toString());
+        shows("calls to the store calls\nmembers renewal 7\npolicy fresh read 1\n");
+    }
+
     @Example
     void secondsAreInOrderAndCanBeCutOff() throws IOException {
         assertEquals(0, losses(day(), "--by", "SECOND", "--most", "2"), err.toString());
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/DecisionLog.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/DecisionLog.java
@@ -19,6 +19,8 @@
 import com.fasterxml.jackson.core.JsonGenerator;
 import java.io.IOException;
 import java.io.StringWriter;
+import java.util.List;
+import java.util.Locale;
 import org.tinylog.Logger;
 
 /**
@@ -237,6 +239,28 @@
         }
     }
 
+    /**
+     * Calls to the platform's store since the line before. Each sort is a field, such as {@code
+     * "members renewal"}, with their number.
+     *
+     * @param counts the calls
+     */
+    public record StoreUse(List<StoreCalls.Count> counts) implements Decision {
+        /** Copies the counts. */
+        public StoreUse {
+            counts = List.copyOf(counts);
+        }
+
+        @Override
+        public void write(JsonGenerator json) throws IOException {
+            for (StoreCalls.Count count : counts) {
+                String sort = count.purpose() + " " + count.kind();
+                json.writeNumberField(
+                        sort.toLowerCase(Locale.ROOT).replace('_', ' '), count.calls());
+            }
+        }
+    }
+
     /**
      * A duty call was made.
      *
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
@@ -28,6 +28,8 @@
 import io.trailladder.core.worker.WorkerLoads;
 import io.trailladder.core.worker.WorkerSelector;
 import io.trailladder.entry.gateway.DecisionLog.Lifecycle;
+import io.trailladder.entry.gateway.DecisionLog.StoreUse;
+import io.trailladder.entry.gateway.StoreCalls.Purpose;
 import io.trailladder.entry.http.HeaderList;
 import io.trailladder.entry.http.HttpConnector;
 import io.trailladder.entry.http.HttpServer;
@@ -36,6 +38,7 @@
 import io.trailladder.entry.loop.EventLoop;
 import io.trailladder.entry.loop.SteadyClock;
 import io.trailladder.entry.mesh.PeerMesh;
+import io.trailladder.entry.port.CoordinationStore;
 import io.trailladder.entry.port.PlatformFormat;
 import io.trailladder.entry.port.StoreItem;
 import io.trailladder.platform.http.HostPort;
@@ -58,6 +61,10 @@
     private static final int UNAVAILABLE = 503;
     private static final long STATE_MILLIS = 1_000;
     private static final long ROLE_MILLIS = 100;
+
+    /** How often calls to the store are logged, in milliseconds: one line in some hundred. */
+    private static final long STORE_USE_MILLIS = 5_000;
+
     private static final long DIRECTORY_PAUSE_MILLIS = 150;
     private static final long LOST_SILENT_MILLIS = 500;
     private static final long STOP_CHECK_MILLIS = 100;
@@ -71,6 +78,7 @@
     private final GatewaySettings settings;
     private final EventLoop loop = new EventLoop();
     private final GatewayMetrics metrics = new GatewayMetrics();
+    private final StoreCalls storeCalls = new StoreCalls(metrics);
     private final HttpConnector connector = new HttpConnector(loop);
     private final WorkerDirectory directory = new WorkerDirectory();
     private final WorkerLoads loads = new WorkerLoads();
@@ -145,7 +153,7 @@
         membership =
                 new Membership(
                         loop,
-                        platform.store(),
+                        counted(platform, Purpose.MEMBERS),
                         storeHealth,
                         mesh,
                         self,
@@ -159,7 +167,7 @@
                 new DutyRunner(
                         loop,
                         clock,
-                        platform.store(),
+                        counted(platform, Purpose.LEADERSHIP),
                         storeHealth,
                         platform.duties(),
                         usage,
@@ -202,15 +210,26 @@
         health = new HttpServer(loop, inside, this::answerReady);
         figures = new HttpServer(loop, inside, this::answerFigures);
         PlatformFormat format = platform.format();
-        policyWatcher = watcher(platform, random, format.policyKey(), 0, new PolicyListener());
+        policyWatcher = watcher(
+                        counted(platform, Purpose.POLICY),
+                        random,
+                        format.policyKey(),
+                        0,
+                        new PolicyListener());
         directoryWatcher =
                 watcher(
-                        platform,
+                        counted(platform, Purpose.UPSTREAMS),
                         random,
                         format.workerPrefix(),
                         DIRECTORY_PAUSE_MILLIS,
                         directoryKeeper);
-        leaderWatcher = watcher(platform, random, DutyRunner.LEADER_PREFIX, 0, duties);
+        leaderWatcher =
+                watcher(
+                        counted(platform, Purpose.LEADERSHIP),
+                        random,
+                        DutyRunner.LEADER_PREFIX,
+                        0,
+                        duties);
     }
 
     /**
@@ -228,6 +247,7 @@
         view.start(mesh, duties::leads);
         loop.repeat(STATE_MILLIS, this::tellState);
         loop.repeat(ROLE_MILLIS, this::followStore);
+        loop.repeat(STORE_USE_MILLIS, this::logStoreUse);
         loop.execute(
                 () -> {
                     policyWatcher.restart();
@@ -259,14 +279,18 @@
                 });
     }
 
+    private CoordinationStore counted(PlatformAdapter platform, Purpose purpose) {
+        return new CountedStore(platform.store(), storeCalls, purpose);
+    }
+
     private StoreWatcher watcher(
-            PlatformAdapter platform,
+            CoordinationStore store,
             SplittableRandom random,
             String prefix,
             long pauseMillis,
             StoreWatcher.Listener listener) {
         return new StoreWatcher(
-                loop, platform.store(), storeHealth, random.split(), prefix, pauseMillis, listener);
+                loop, store, storeHealth, random.split(), prefix, pauseMillis, listener);
     }
 
     private static ServerBounds bounds(RequestBounds bounds) {
@@ -352,6 +376,13 @@
                 connector.opened());
     }
 
+    private void logStoreUse() {
+        List<StoreCalls.Count> counts = storeCalls.takeUntold();
+        if (!counts.isEmpty()) {
+            DecisionLog.write(new StoreUse(counts));
+        }
+    }
+
     private void tellUpstreams(String service) {
         metrics.upstreams(service, engines.estimate(service, loop.nowMillis()));
     }
@@ -382,6 +413,7 @@
             intake.stopAll();
             view.tellPeers();
             membership.stop();
+            logStoreUse();
             DecisionLog.write(new Lifecycle("process", "stopped", "after " + since + " ms"));
             loop.schedule(STOP_CHECK_MILLIS, onStopped);
         }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/GatewayMetrics.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/GatewayMetrics.java
@@ -53,6 +53,12 @@
                     .help("Events inside the process")
                     .labelNames("event")
                     .register(registry);
+    private final Counter storeCalls =
+            Counter.builder()
+                    .name("trailladder_store_calls_total")
+                    .help("Calls to the platform's store by purpose and kind")
+                    .labelNames("purpose", "kind")
+                    .register(registry);
     private final Histogram firstAnswer =
             histogram("trailladder_first_answer_seconds", "Time to the first byte of the answer");
     private final Histogram wholeAnswer =
@@ -146,6 +152,20 @@
         events.labelValues(event.name().toLowerCase(Locale.ROOT)).inc();
     }
 
+    /**
+     * Counts a call to the platform's store.
+     *
+     * @param purpose what it is for
+     * @param kind its kind
+     */
+    public void storeCall(StoreCalls.Purpose purpose, StoreCalls.Kind kind) {
+        storeCalls
+                .labelValues(
+                        purpose.name().toLowerCase(Locale.ROOT),
+                        kind.name().toLowerCase(Locale.ROOT))
+                .inc();
+    }
+
     /**
      * Records the state of the process.
      *
