Tell apart requests that were refused at once and those held in vain

trailladder losses sums up by outcome too (refused at once, held then refused, failed, broken off, caller left) and has a column of seconds held. The literal of one existing test has the new column; it is as strict.

--- a/trailladder-cli/src/main/java/io/trailladder/cli/LossTable.java
+++ b/trailladder-cli/src/main/java/io/trailladder/cli/LossTable.java
@@ -32,7 +32,9 @@
 final class LossTable {
     /** By what requests are summed up. */
     enum Dimension {
-        /** What became of the request. */
+        /** How it ended for the caller, and for how long it was held. */
+        OUTCOME,
+        /** What became of the request, and why. */
         CAUSE,
         /** The route. */
         ROUTE,
@@ -47,6 +49,12 @@
     private static final int OK_BELOW = 400;
     private static final String NONE = "-";
 
+    /** A request that is refused within this time waited for nothing, in milliseconds. */
+    private static final long AT_ONCE_MILLIS = 50;
+
+    private static final String UNKNOWN_END = "no end in the logs";
+    private static final String REFUSED_AT_ONCE = "refused at once";
+
     private final Map<String, Request> requests = new LinkedHashMap<>();
     private Instant begin;
 
@@ -56,8 +64,10 @@
         private String route = NONE;
         private String organisation = NONE;
         private String upstream = NONE;
-        private String cause = "no end in the logs";
+        private String cause = UNKNOWN_END;
+        private String outcome = UNKNOWN_END;
         private String failure = "";
+        private long heldMillis;
         private long objectiveMillis;
         private boolean late;
         private boolean served;
@@ -74,11 +84,25 @@
      * @param requests how many there were
      * @param unserved how many of them were not served
      * @param late how many of them were served late
+     * @param heldMillis how long those were held in all that were not served, in milliseconds
      */
-    record Row(String value, int requests, int unserved, int late) {
+    record Row(String value, int requests, int unserved, int late, long heldMillis) {
+        private static Row of(String value, Request request) {
+            return new Row(
+                    value,
+                    1,
+                    request.served ? 0 : 1,
+                    request.late ? 1 : 0,
+                    request.served ? 0 : request.heldMillis);
+        }
+
         private Row plus(Row other) {
             return new Row(
-                    value, requests + other.requests, unserved + other.unserved, late + other.late);
+                    value,
+                    requests + other.requests,
+                    unserved + other.unserved,
+                    late + other.late,
+                    heldMillis + other.heldMillis);
         }
     }
 
@@ -95,6 +119,7 @@
             case "Intake" -> taken(line);
             case "Dispatch" -> request(line).upstream = line.text("worker");
             case "AttemptFailed" -> request(line).failure = line.text("failure");
+            case "TurnedAway" -> request(line).failure = line.text("reason");
             case "Ended" -> ended(line);
             default -> {
                 // says nothing of a request
@@ -112,8 +137,7 @@
         Map<String, Row> rows = new TreeMap<>();
         for (Request request : requests.values()) {
             String value = value(request, dimension);
-            int unserved = request.served ? 0 : 1;
-            rows.merge(value, new Row(value, 1, unserved, request.late ? 1 : 0), Row::plus);
+            rows.merge(value, Row.of(value, request), Row::plus);
         }
         List<Row> sorted = new ArrayList<>(rows.values());
         if (dimension == Dimension.SECOND) {
@@ -130,7 +154,7 @@
      * @return one row
      */
     Row total() {
-        Row total = new Row("all", 0, 0, 0);
+        Row total = new Row("all", 0, 0, 0, 0);
         for (Row row : rows(Dimension.CAUSE)) {
             total = total.plus(row);
         }
@@ -152,6 +176,7 @@
         String outcome = line.text("outcome");
         if (!outcome.equals("accepted")) {
             request.cause = "refused: " + outcome;
+            request.outcome = REFUSED_AT_ONCE;
         }
     }
 
@@ -162,16 +187,29 @@
         request.served = whole;
         long first = line.number("firstMs");
         request.late = whole && request.objectiveMillis > 0 && first > request.objectiveMillis;
+        request.heldMillis = line.number("tookMs");
         if (whole) {
             request.cause = request.late ? "late" : "in time";
+            request.outcome = request.cause;
         } else {
             request.cause =
                     request.failure.isEmpty() ? outcome : outcome + " after " + request.failure;
+            request.outcome = unservedOutcome(outcome, request.heldMillis);
         }
     }
 
+    private static String unservedOutcome(String ending, long heldMillis) {
+        return switch (ending) {
+            case "NOT_RUN" -> heldMillis < AT_ONCE_MILLIS ? REFUSED_AT_ONCE : "held, then refused";
+            case "BROKEN_OFF" -> "broken off";
+            case "caller-gone" -> "caller left";
+            default -> "failed";
+        };
+    }
+
     private String value(Request request, Dimension dimension) {
         return switch (dimension) {
+            case OUTCOME -> request.outcome;
             case CAUSE -> request.cause;
             case ROUTE -> request.route;
             case ORGANISATION -> request.organisation;
--- a/trailladder-cli/src/main/java/io/trailladder/cli/LossesCommand.java
+++ b/trailladder-cli/src/main/java/io/trailladder/cli/LossesCommand.java
@@ -47,6 +47,7 @@
 public final class LossesCommand implements Callable<Integer> {
     private static final int NOTHING_FOUND = 1;
     private static final int DEFAULT_MOST = 20;
+    private static final double MILLIS_PER_SECOND = 1000.0;
 
     @Spec private CommandSpec spec;
 
@@ -55,7 +56,12 @@
             paramLabel = "DIMENSION",
             description = "One of: ${COMPLETION-CANDIDATES}. All but SECOND if not given.")
     private List<Dimension> dimensions =
-            List.of(Dimension.CAUSE, Dimension.ROUTE, Dimension.ORGANISATION, Dimension.UPSTREAM);
+            List.of(
+                    Dimension.OUTCOME,
+                    Dimension.CAUSE,
+                    Dimension.ROUTE,
+                    Dimension.ORGANISATION,
+                    Dimension.UPSTREAM);
 
     @Option(
             names = "--most",
@@ -109,15 +115,23 @@
     }
 
     private void print(PrintWriter out, String title, List<Row> rows) {
-        out.printf(Locale.ROOT, "%-40s %9s %9s %9s%n", title, "requests", "unserved", "late");
+        out.printf(
+                Locale.ROOT,
+                "%-40s %9s %9s %9s %9s%n",
+                title,
+                "requests",
+                "unserved",
+                "late",
+                "held s");
         for (Row row : rows.subList(0, Math.min(most, rows.size()))) {
             out.printf(
                     Locale.ROOT,
-                    "%-40s %9d %9d %9d%n",
+                    "%-40s %9d %9d %9d %9.1f%n",
                     row.value(),
                     row.requests(),
                     row.unserved(),
-                    row.late());
+                    row.late(),
+                    row.heldMillis() / MILLIS_PER_SECOND);
         }
         out.println();
     }
--- a/trailladder-cli/src/test/java/io/trailladder/cli/LossesCommandTest.java
+++ b/trailladder-cli/src/test/java/io/trailladder/cli/LossesCommandTest.java
@@ -74,6 +74,13 @@
                         .formatted(id, outcome, outcome.equals("whole") ? 200 : 502, firstMillis));
     }
 
+    private static String endedAfter(int second, String id, String outcome, long tookMillis) {
+        return line(
+                second,
+                "'kind':'Ended','id':'%s','outcome':'%s','status':503,'firstMs':-1,'tookMs':%d"
+                        .formatted(id, outcome, tookMillis));
+    }
+
     private static String day() {
         return taken(0, "r1", "accepted")
                 + sent(0, "r1", "u1")
@@ -108,6 +115,25 @@
         shows("u2 2 1 1");
     }
 
+    @Example
+    void requestsThatWereHeldInVainAreToldApartFromThoseRefusedAtOnce() throws IOException {
+        String log =
+                day()
+                        + taken(5, "r5", "accepted")
+                        + line(5, "'kind':'TurnedAway','id':'r5','reason':'no upstream left'")
+                        + endedAfter(5, "r5", "NOT_RUN", 3)
+                        + taken(6, "r6", "accepted")
+                        + endedAfter(8, "r6", "NOT_RUN", 1_500)
+                        + taken(7, "r7", "accepted")
+                        + endedAfter(9, "r7", "BROKEN_OFF", 2_000);
+        assertEquals(0, losses(log), err.toString());
+        shows("refused at once 2 2 0 0.0\n");
+        shows("held, then refused 1 1 0 1.5\n");
+        shows("broken off 1 1 0 2.0\n");
+        shows("NOT_RUN after no upstream left 1 1 0 0.0\n");
+        shows("all 7 5 1 3.5\n");
+    }
+
     @Example
     void callsToTheStoreAreSummedByPurposeAndKind() throws IOException {
         String log =
@@ -121,7 +147,7 @@
     @Example
     void secondsAreInOrderAndCanBeCutOff() throws IOException {
         assertEquals(0, losses(day(), "--by", "SECOND", "--most", "2"), err.toString());
-        shows("0 1 0 0\n1 1 0 1\n");
+        shows("0 1 0 0 0.0\n1 1 0 1 0.0\n");
         assertTrue(!out.toString().contains("\n4 "), out.toString());
     }
 
