Close the resting connections to a platform that falls silent

Cause: connections may fall silent for good without a reset. A call to the store over one of them ends by its time-out after 1 s, and the next took another resting one.

Tests: HttpConnectorTest, also that a call which is cancelled before its connection is open sends nothing.

--- a/trailladder-cli/src/main/java/io/trailladder/cli/RequestTrace.java
+++ b/trailladder-cli/src/main/java/io/trailladder/cli/RequestTrace.java
@@ -104,7 +104,7 @@
                             + ended.number("status")
                             + " after "
                             + attempts;
-            case "NOT_RUN" -> "not run, so the caller may ask again: " + lastFailure();
+            case "NOT_RUN" -> "not run, so the caller may ask again: " + turnedAway();
             case "MAY_HAVE_RUN" -> "may have run and may not be sent again: " + lastFailure();
             case "TIMED_OUT" -> "its time was over: " + lastPrediction(ended);
             case "BROKEN_OFF" -> "the answer had begun and could not go on: " + lastFailure();
@@ -117,6 +117,19 @@
         };
     }
 
+    private String turnedAway() {
+        return last("TurnedAway")
+                .map(
+                        turned ->
+                                turned.text("reason")
+                                        + ", a place was expected in "
+                                        + turned.number("placeMs")
+                                        + " ms and "
+                                        + turned.number("leftMs")
+                                        + " ms were left")
+                .orElseGet(this::lastFailure);
+    }
+
     private String lastFailure() {
         return last("AttemptFailed")
                 .map(
--- a/trailladder-entry/src/main/java/io/trailladder/entry/http/HttpConnector.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/http/HttpConnector.java
@@ -101,6 +101,19 @@
         return call;
     }
 
+    /**
+     * Closes the connections to a server that rest between calls. To be called when one to it has
+     * fallen silent: the others may be dead as well, and each would cost a call its time-out.
+     *
+     * @param target the server
+     */
+    public void closeResting(HostPort target) {
+        Deque<Resting> idle = resting.remove(target);
+        if (idle != null) {
+            idle.forEach(rested -> rested.connection().terminateSilently());
+        }
+    }
+
     /**
      * Returns how many connections were opened.
      *
--- a/trailladder-entry/src/test/java/io/trailladder/entry/http/HttpConnectorTest.java
+++ b/trailladder-entry/src/test/java/io/trailladder/entry/http/HttpConnectorTest.java
@@ -23,6 +23,8 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -203,4 +205,49 @@
             }
         }
     }
+
+    @Example
+    void callThatIsCancelledBeforeItsConnectionIsOpenSendsNothing() throws Exception {
+        HostPort target = new HostPort("127.0.0.1", listener.getLocalPort());
+        OutgoingCall call =
+                new OutgoingCall(
+                        target,
+                        "GET",
+                        "/x",
+                        HeaderList.of("Host", target.toString()),
+                        new byte[0],
+                        REST_MILLIS,
+                        5_000);
+        loop.execute(() -> connector.send(call, new Recorder()).cancel());
+        try (Socket server = listener.accept()) {
+            server.setSoTimeout((int) TimeUnit.SECONDS.toMillis(PATIENCE_SECONDS));
+            assertEquals(-1, readOrReset(server), "a byte arrived");
+        }
+        assertTrue(results.isEmpty(), results.toString());
+    }
+
+    /** Returns the next byte; -1 if the connection has ended instead. */
+    private static int readOrReset(Socket server) throws IOException {
+        try {
+            return server.getInputStream().read();
+        } catch (SocketException e) {
+            return -1;
+        }
+    }
+
+    @Example
+    void restingConnectionsAreNotUsedAgainOnceTheyAreClosed() throws Exception {
+        call("/1");
+        RawSocket first = accept("/1");
+        first.send("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na");
+        assertEquals("200 a", result());
+        HostPort target = new HostPort("127.0.0.1", listener.getLocalPort());
+        loop.execute(() -> connector.closeResting(target));
+        call("/2");
+        try (RawSocket second = accept("/2")) {
+            second.send("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nb");
+            assertEquals("200 b", result());
+        }
+        first.close();
+    }
 }
