Let the view of peers run without sockets

ClusterView and SnapshotExchange see links through the interface Mesh and time through a function, so that tests can play many processes in virtual time. Behaviour as before.

--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ClusterView.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ClusterView.java
@@ -25,7 +25,7 @@
 import io.trailladder.core.worker.Worker;
 import io.trailladder.core.worker.WorkerLoads;
 import io.trailladder.entry.gateway.DigestWriter.SenderState;
-import io.trailladder.entry.loop.EventLoop;
+import io.trailladder.entry.mesh.Mesh;
 import io.trailladder.entry.mesh.MeshListener;
 import io.trailladder.entry.mesh.PeerMesh;
 import io.trailladder.wire.NodeMessage;
@@ -43,6 +43,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.BooleanSupplier;
+import java.util.function.LongSupplier;
 
 /**
  * What the peers tell, and what they are told.
@@ -59,7 +60,7 @@
     private static final long FED_MILLIS = 800;
     private static final int RECENT_LEAVING = 32;
 
-    private final EventLoop loop;
+    private final LongSupplier nowMillis;
     private final PolicyKeeper policies;
     private final DirectoryKeeper directory;
     private final StoreHealth store;
@@ -72,13 +73,13 @@
     private final List<String> recentLeaving = new ArrayList<>();
     private final Map<String, Peer> peers = new HashMap<>();
     private BooleanSupplier leads = () -> false;
-    private PeerMesh mesh;
+    private Mesh mesh;
     private boolean draining;
 
     /**
      * Creates a view without peers.
      *
-     * @param loop the loop whose thread runs it
+     * @param nowMillis tells the time
      * @param policies the policy in force
      * @param directory the list of upstreams
      * @param store whether the store answers
@@ -91,7 +92,7 @@
      * @param restarted true if other processes may have served before this one started
      */
     public ClusterView(
-            EventLoop loop,
+            LongSupplier nowMillis,
             PolicyKeeper policies,
             DirectoryKeeper directory,
             StoreHealth store,
@@ -102,7 +103,7 @@
             EngineModel engines,
             GatewayMetrics metrics,
             boolean restarted) {
-        this.loop = loop;
+        this.nowMillis = nowMillis;
         this.policies = policies;
         this.directory = directory;
         this.store = store;
@@ -111,22 +112,21 @@
         this.usage = usage;
         this.engines = engines;
         this.writer = new DigestWriter(policies, directory, quotas, loads, usage, demand, engines);
-        this.snapshots = new SnapshotExchange(loop, policies, directory, store, metrics);
+        this.snapshots = new SnapshotExchange(nowMillis, policies, directory, store, metrics);
         directory.onLeaving(worker -> remember(worker.id()));
         directory.onNews(this::tellLeaves);
     }
 
     /**
-     * Begins to tell the peers.
+     * Begins to tell the peers, at once what changes, the rest with each {@link #tick}.
      *
      * @param links the links to them
      * @param leading tells whether this process leads
      */
-    public void start(PeerMesh links, BooleanSupplier leading) {
+    public void start(Mesh links, BooleanSupplier leading) {
         mesh = links;
         leads = leading;
         policies.onChange(policy -> tellPeers());
-        loop.repeat(DIGEST_MILLIS, this::tick);
     }
 
     /** Has the peers told that this process stops. */
@@ -165,7 +165,7 @@
      * @return milliseconds; 0 without peers
      */
     public long oldestDigestMillis() {
-        long now = loop.nowMillis();
+        long now = nowMillis.getAsLong();
         long oldest = 0;
         for (Peer peer : counted()) {
             oldest = Math.max(oldest, now - peer.digestMillis());
@@ -182,7 +182,7 @@
      */
     public ServiceLoad load(String service, Collection<Worker> upstreams) {
         int running = loads.requests(upstreams);
-        for (ServiceDemand sum : writer.sum(counted(), loop.nowMillis())) {
+        for (ServiceDemand sum : writer.sum(counted(), nowMillis.getAsLong())) {
             if (sum.service().equals(service)) {
                 return new ServiceLoad(sum.tokensPerMilli(), sum.squaredTokensPerMilli(), running);
             }
@@ -201,7 +201,7 @@
         if (mesh.isHub()) {
             return false;
         }
-        long oldest = loop.nowMillis() - FED_MILLIS;
+        long oldest = nowMillis.getAsLong() - FED_MILLIS;
         return counted().stream()
                 .filter(peer -> !peer.isLeaf())
                 .filter(peer -> peer.isStoreReachable() && peer.digestMillis() >= oldest)
@@ -239,12 +239,12 @@
     }
 
     private Peer newPeer(NodeHello hello) {
-        return new Peer(hello, loop.nowMillis());
+        return new Peer(hello, nowMillis.getAsLong());
     }
 
     private void digest(Peer peer, NodeDigest digest) {
         boolean wasHub = peer.isHeard() && !peer.isLeaf();
-        long now = loop.nowMillis();
+        long now = nowMillis.getAsLong();
         peer.told(SoundFigures.of(peer.name(), digest), now);
         digest.leaving().forEach(id -> directory.leavingSeenBy(id, peer.name()));
         snapshots.digest(mesh, peer.hello(), digest);
@@ -268,16 +268,17 @@
         }
     }
 
-    private void tick() {
+    /** Tells the peers, and forgets silent ones. To be called every {@link #DIGEST_MILLIS}. */
+    public void tick() {
         forgetSilentPeers();
         engines.others(counted().stream().flatMap(peer -> peer.evidence().stream()).toList());
         boolean othersKnown = mesh.isPlanned() || !peers.isEmpty();
-        limits.share(othersKnown, heard(), entries(), loop.nowMillis());
+        limits.share(othersKnown, heard(), entries(), nowMillis.getAsLong());
         tellPeers();
     }
 
     private void forgetSilentPeers() {
-        long oldest = loop.nowMillis() - PeerMesh.HEARD_MILLIS;
+        long oldest = nowMillis.getAsLong() - PeerMesh.HEARD_MILLIS;
         for (Peer peer : List.copyOf(peers.values())) {
             if (peer.digestMillis() < oldest) {
                 peers.remove(peer.name());
@@ -293,7 +294,7 @@
     }
 
     private void tell(Collection<Peer> told) {
-        long now = loop.nowMillis();
+        long now = nowMillis.getAsLong();
         writer.beginRound(now);
         SenderState state =
                 new SenderState(
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
@@ -136,7 +136,7 @@
         quotas = new Quotas(settings.node().firstStart(), settings.tolerance());
         view =
                 new ClusterView(
-                        loop,
+                        loop::nowMillis,
                         policies,
                         directoryKeeper,
                         storeHealth,
@@ -245,6 +245,7 @@
         figures.start(settings.listen().metrics());
         mesh.start(settings.listen().peers());
         view.start(mesh, duties::leads);
+        loop.repeat(ClusterView.DIGEST_MILLIS, view::tick);
         loop.repeat(STATE_MILLIS, this::tellState);
         loop.repeat(ROLE_MILLIS, this::followStore);
         loop.repeat(STORE_USE_MILLIS, this::logStoreUse);
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/SnapshotExchange.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/SnapshotExchange.java
@@ -15,20 +15,20 @@
  */
 package io.trailladder.entry.gateway;
 
-import io.trailladder.entry.loop.EventLoop;
-import io.trailladder.entry.mesh.PeerMesh;
+import io.trailladder.entry.mesh.Mesh;
 import io.trailladder.wire.NodeMessage.NodeDigest;
 import io.trailladder.wire.NodeMessage.NodeHello;
 import io.trailladder.wire.NodeMessage.Snapshot;
 import io.trailladder.wire.NodeMessage.SnapshotAsk;
 import java.util.List;
+import java.util.function.LongSupplier;
 
 /** Takes the policy and the list of upstreams over from peers that have newer ones. */
 final class SnapshotExchange {
     private static final long ASK_MILLIS = 300;
     private static final byte[] NO_BYTES = {};
 
-    private final EventLoop loop;
+    private final LongSupplier nowMillis;
     private final PolicyKeeper policies;
     private final DirectoryKeeper directory;
     private final StoreHealth store;
@@ -36,12 +36,12 @@
     private long askedMillis;
 
     SnapshotExchange(
-            EventLoop loop,
+            LongSupplier nowMillis,
             PolicyKeeper policies,
             DirectoryKeeper directory,
             StoreHealth store,
             GatewayMetrics metrics) {
-        this.loop = loop;
+        this.nowMillis = nowMillis;
         this.policies = policies;
         this.directory = directory;
         this.store = store;
@@ -49,19 +49,19 @@
     }
 
     /** Asks a peer that has just been linked if the store does not tell, or has not told yet. */
-    void linked(PeerMesh mesh, NodeHello peer) {
+    void linked(Mesh mesh, NodeHello peer) {
         if (!store.isReachable() || policies.version() == 0) {
             ask(mesh, peer);
         }
     }
 
     /** Asks a peer whose digest tells of a newer policy or list. */
-    void digest(PeerMesh mesh, NodeHello peer, NodeDigest digest) {
+    void digest(Mesh mesh, NodeHello peer, NodeDigest digest) {
         boolean newerPolicy = digest.policyVersion() > policies.version();
         boolean newerList =
                 digest.directoryRevision() > directory.revision()
                         && (!store.isReachable() || mesh.isOwnHub(peer));
-        long now = loop.nowMillis();
+        long now = nowMillis.getAsLong();
         if ((newerPolicy || newerList) && now - askedMillis >= ASK_MILLIS) {
             askedMillis = now;
             ask(mesh, peer);
@@ -69,7 +69,7 @@
     }
 
     /** Answers a peer with what is newer here. */
-    void asked(PeerMesh mesh, NodeHello peer, SnapshotAsk ask) {
+    void asked(Mesh mesh, NodeHello peer, SnapshotAsk ask) {
         boolean newerPolicy = policies.version() > ask.policyVersion();
         boolean newerList = directory.revision() > ask.directoryRevision();
         Snapshot snapshot =
@@ -82,7 +82,7 @@
     }
 
     /** Takes a peer's answer over where it is newer. */
-    void answered(PeerMesh mesh, NodeHello peer, Snapshot snapshot) {
+    void answered(Mesh mesh, NodeHello peer, Snapshot snapshot) {
         if (snapshot.policyVersion() > policies.version()
                 && policies.offer(snapshot.policy(), peer.name())) {
             metrics.count(GatewayMetrics.Event.POLICY_FROM_PEER);
@@ -98,7 +98,7 @@
                 && directory.revision() >= peer.directoryRevision();
     }
 
-    private void ask(PeerMesh mesh, NodeHello peer) {
+    private void ask(Mesh mesh, NodeHello peer) {
         mesh.send(peer.name(), new SnapshotAsk(policies.version(), directory.revision()));
     }
 }
--- /dev/null
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/mesh/Mesh.java
@@ -0,0 +1,79 @@
+/*
+ * Copyright 2026 The trailladder authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package io.trailladder.entry.mesh;
+
+import io.trailladder.wire.NodeMessage;
+import io.trailladder.wire.NodeMessage.NodeHello;
+import java.util.Collection;
+import java.util.List;
+import java.util.Set;
+
+/**
+ * The links of a process to its peers, as those see them who tell and are told.
+ *
+ * @since 0.3
+ */
+public interface Mesh {
+    /**
+     * Returns how many processes are known, this one included.
+     *
+     * @return a count of at least 1
+     */
+    int size();
+
+    /**
+     * Tells whether this process acts as a hub, as all do where there are few, and while the
+     * processes are not known.
+     *
+     * @return false for a leaf
+     */
+    boolean isHub();
+
+    /**
+     * Tells whether the processes are known.
+     *
+     * @return false until the store has listed them once
+     */
+    boolean isPlanned();
+
+    /**
+     * Tells whether this process relies on a peer to pass on what it tells.
+     *
+     * @param peer the peer
+     * @return true for the hub of a leaf
+     */
+    boolean isOwnHub(NodeHello peer);
+
+    /**
+     * Sends a message to one peer.
+     *
+     * @param peer the peer's name
+     * @param message the message
+     * @return false if there is no link to it
+     */
+    default boolean send(String peer, NodeMessage message) {
+        return !send(List.of(peer), message).isEmpty();
+    }
+
+    /**
+     * Sends one message to several peers.
+     *
+     * @param peers the peers' names
+     * @param message the message
+     * @return the names of those that there is a link to
+     */
+    Set<String> send(Collection<String> peers, NodeMessage message);
+}
--- a/trailladder-entry/src/main/java/io/trailladder/entry/mesh/PeerMesh.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/mesh/PeerMesh.java
@@ -46,7 +46,7 @@
  *
  * @since 0.2
  */
-public final class PeerMesh {
+public final class PeerMesh implements Mesh {
     /** How long a peer counts as heard after its last message, in milliseconds. */
     public static final long HEARD_MILLIS = 1_200;
 
@@ -108,40 +108,22 @@
         maintain();
     }
 
-    /**
-     * Returns how many processes are known, this one included.
-     *
-     * @return a count of at least 1
-     */
+    @Override
     public int size() {
         return planner.size();
     }
 
-    /**
-     * Tells whether this process acts as a hub, as all do where there are few, and while the
-     * processes are not known.
-     *
-     * @return false for a leaf
-     */
+    @Override
     public boolean isHub() {
         return plan.hub();
     }
 
-    /**
-     * Tells whether the processes are known.
-     *
-     * @return false until the store has listed them once
-     */
+    @Override
     public boolean isPlanned() {
         return planned;
     }
 
-    /**
-     * Tells whether this process relies on a peer to pass on what it tells.
-     *
-     * @param peer the peer
-     * @return true for the hub of a leaf
-     */
+    @Override
     public boolean isOwnHub(NodeHello peer) {
         return !plan.hub() && plan.dial().contains(peer.address());
     }
@@ -164,24 +146,7 @@
         seeds = new HashSet<>(addresses);
     }
 
-    /**
-     * Sends a message to one peer.
-     *
-     * @param peer the peer's name
-     * @param message the message
-     * @return false if there is no link to it
-     */
-    public boolean send(String peer, NodeMessage message) {
-        return !send(List.of(peer), message).isEmpty();
-    }
-
-    /**
-     * Sends one message to several peers.
-     *
-     * @param peers the peers' names
-     * @param message the message
-     * @return the names of those that there is a link to
-     */
+    @Override
     public Set<String> send(Collection<String> peers, NodeMessage message) {
         Set<String> linked = new HashSet<>(peers);
         linked.retainAll(links.keySet());
