Play histories of limits over thirty processes in virtual time

The real views, limits and plans of links of 30 processes, over links and a store that the test plays: rolling restarts, freezes, loss of all, a data centre cut off, many requests, a changed limit, entries of nobody, alone and in pairs. A window's length later nobody within the limit may be refused, and no window may pass more than the limit allows.

Found while writing it: a peer that starts again before its old link is found dead kept the name of its former life, so its figures were taken for increases of the old ones. Mended here (ClusterView.sameLife, PeerMesh).

--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ClusterView.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ClusterView.java
@@ -226,7 +226,7 @@
     @Override
     public void received(NodeHello hello, NodeMessage message) {
         if (message instanceof NodeDigest digest) {
-            digest(peers.computeIfAbsent(hello.name(), name -> newPeer(hello)), digest);
+            digest(peers.compute(hello.name(), (name, known) -> sameLife(known, hello)), digest);
         } else if (message instanceof UsageHistory history) {
             usage.merge(history.life(), history.usage(), false);
         } else if (message instanceof SnapshotAsk ask) {
@@ -238,6 +238,12 @@
         }
     }
 
+    /** A peer that has started again may be linked anew before its old link is found dead. */
+    private Peer sameLife(Peer known, NodeHello hello) {
+        boolean same = known != null && known.hello().incarnation().equals(hello.incarnation());
+        return same ? known : newPeer(hello);
+    }
+
     private Peer newPeer(NodeHello hello) {
         return new Peer(hello, nowMillis.getAsLong());
     }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/mesh/PeerMesh.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/mesh/PeerMesh.java
@@ -269,7 +269,7 @@
                 link.greeted(hello);
                 planner.reached(hello.address());
                 NodeLink before = links.put(hello.name(), link);
-                if (before == null) {
+                if (before == null || !before.peer().incarnation().equals(hello.incarnation())) {
                     listener.linked(hello);
                 }
             } else if (link.isGreeted()) {
--- /dev/null
+++ b/trailladder-entry/src/test/java/io/trailladder/entry/gateway/SimulatedCluster.java
@@ -0,0 +1,286 @@
+/*
+ * Copyright 2026 The trailladder authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package io.trailladder.entry.gateway;
+
+import io.trailladder.core.membership.GatewayMember;
+import io.trailladder.core.policy.RateSpec;
+import io.trailladder.core.policy.RequestBounds;
+import io.trailladder.core.policy.ServingPolicy;
+import io.trailladder.core.policy.TenantSpec;
+import io.trailladder.wire.NodeMessage;
+import io.trailladder.wire.NodeMessage.NodeHello;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalInt;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.BiPredicate;
+
+/**
+ * Gateway processes in virtual time that share one tenant's limit: their real views of each other,
+ * limits and plans of links, over links and a store that this class plays.
+ *
+ * <p>Callers send requests of {@link #UNITS} units at a steady rate, in equal parts to all
+ * processes that run.
+ */
+final class SimulatedCluster {
+    /** Size of each request. */
+    static final double UNITS = 10;
+
+    static final String TENANT = "t";
+
+    /** Over how long the limit is measured, in milliseconds. */
+    static final long WINDOW_MILLIS = 8_000;
+
+    private static final long STEP_MILLIS = 20;
+    private static final long LEASE_MILLIS = 8_000;
+    private static final long RENEW_MILLIS = 2_000;
+    private static final double TOLERANCE = 0.1;
+
+    /** Units on top: what the largest limits of the users' deployments have in proportion. */
+    private static final double TOLERANCE_UNITS = 7_200;
+
+    private final Map<String, SimulatedProcess> processes = new TreeMap<>();
+    private final Map<String, Long> leaseEnds = new HashMap<>();
+    private final Map<String, GatewayMember> entries = new HashMap<>();
+    private final Set<Link> links = new HashSet<>();
+    private final Deque<Message> underWay = new ArrayDeque<>();
+    private final TreeMap<Long, Integer> granted = new TreeMap<>();
+    private final TreeMap<Long, Integer> refused = new TreeMap<>();
+    private BiPredicate<String, String> cut = (one, other) -> false;
+    private ServingPolicy policy;
+    private double demand;
+    private double mostAllowed;
+    private long now;
+
+    /** A link between two processes, named in the order of their names; one of them dialled. */
+    private record Link(String one, String other, String dialler) {
+        boolean joins(String first, String second) {
+            return (one.equals(first) && other.equals(second))
+                    || (one.equals(second) && other.equals(first));
+        }
+    }
+
+    /** A message that arrives with the next step. */
+    private record Message(NodeHello from, String to, NodeMessage content) {}
+
+    SimulatedCluster(int dataCentres, int processesOfEach, double perSecond) {
+        limit(perSecond);
+        for (int i = 0; i < dataCentres * processesOfEach; i++) {
+            String dataCentre = "dc" + i % dataCentres;
+            String name = String.format("p%03d", i);
+            double linkMbps = i < 2 * dataCentres ? 100 : 10;
+            GatewayMember member =
+                    new GatewayMember(name, dataCentre, name + ":1", linkMbps, 1);
+            processes.put(name, new SimulatedProcess(this, member, i * 7L % 200));
+            entries.put(name, member);
+            leaseEnds.put(name, LEASE_MILLIS);
+        }
+        processes.values().forEach(process -> process.start(true));
+    }
+
+    long now() {
+        return now;
+    }
+
+    ServingPolicy policy() {
+        return policy;
+    }
+
+    /** Sets the limit; the burst is what the rate gives in a second. */
+    void limit(double perSecond) {
+        RateSpec limit = new RateSpec(perSecond, perSecond, true, 1);
+        TenantSpec tenant = new TenantSpec(TENANT, List.of("k"), OptionalInt.empty(), limit);
+        long version = policy == null ? 1 : policy.version() + 1;
+        policy =
+                new ServingPolicy(
+                        version, List.of(), List.of(), List.of(tenant), RequestBounds.DEFAULTS);
+        double measured = perSecond * (WINDOW_MILLIS / 1000.0 + 1);
+        mostAllowed = measured * (1 + TOLERANCE) + TOLERANCE_UNITS;
+        processes.values().forEach(SimulatedProcess::policyChanged);
+    }
+
+    GatewaySettings.Tolerance tolerance() {
+        return new GatewaySettings.Tolerance(TOLERANCE, TOLERANCE_UNITS);
+    }
+
+    /** Sets what callers ask for, in units a second over all processes. */
+    void demand(double perSecond) {
+        demand = perSecond;
+    }
+
+    /** Sets which processes cannot reach each other. */
+    void cut(BiPredicate<String, String> between) {
+        cut = (one, other) -> between.test(one, other) || between.test(other, one);
+        for (Link link : List.copyOf(links)) {
+            if (cut.test(link.one(), link.other())) {
+                links.remove(link);
+            }
+        }
+    }
+
+    List<String> names() {
+        return List.copyOf(processes.keySet());
+    }
+
+    List<String> namesOf(String dataCentre) {
+        return processes.values().stream()
+                .filter(process -> process.member().dataCentre().equals(dataCentre))
+                .map(process -> process.member().name())
+                .toList();
+    }
+
+    /** Ends a process; its peers see their links close. */
+    void kill(String name) {
+        processes.get(name).stop();
+        for (Link link : List.copyOf(links)) {
+            if (link.one().equals(name) || link.other().equals(name)) {
+                links.remove(link);
+                String peer = link.one().equals(name) ? link.other() : link.one();
+                processes.get(peer).closed(processes.get(name).member().address());
+            }
+        }
+    }
+
+    /** Starts a process that was killed. */
+    void restart(String name) {
+        processes.get(name).start(false);
+    }
+
+    void freeze(String name, boolean frozen) {
+        processes.get(name).freeze(frozen);
+    }
+
+    /** Has time pass. */
+    void pass(long millis) {
+        long end = now + millis;
+        while (now < end) {
+            now += STEP_MILLIS;
+            deliver();
+            processes.values().forEach(this::step);
+            ask();
+        }
+    }
+
+    /** Returns how many requests were refused from a time on. */
+    int refusedSince(long millis) {
+        return refused.tailMap(millis, true).values().stream().mapToInt(count -> count).sum();
+    }
+
+    /** Returns the part of what one window allows that the fullest window passed; at most 1. */
+    double fullestWindow() {
+        double most = 0;
+        for (long end : granted.keySet()) {
+            int requests =
+                    granted.subMap(end - WINDOW_MILLIS, false, end, true).values().stream()
+                            .mapToInt(count -> count)
+                            .sum();
+            most = Math.max(most, requests * UNITS);
+        }
+        return most / mostAllowed;
+    }
+
+    /** Returns the processes that the store lists. */
+    Collection<GatewayMember> listed() {
+        List<GatewayMember> listed = new ArrayList<>();
+        leaseEnds.forEach(
+                (name, end) -> {
+                    if (end > now) {
+                        listed.add(entries.get(name));
+                    }
+                });
+        return listed;
+    }
+
+    /** Has an entry stand in the store although there is no such process. */
+    void ghost(String name, String dataCentre, long forMillis) {
+        entries.put(name, new GatewayMember(name, dataCentre, name + ":1", 1, 1));
+        leaseEnds.put(name, now + forMillis);
+    }
+
+    boolean linked(String one, String other) {
+        return links.stream().anyMatch(link -> link.joins(one, other));
+    }
+
+    /** Opens a link; returns false if the other one cannot be reached. */
+    boolean dial(SimulatedProcess dialler, String address) {
+        String name = address.substring(0, address.indexOf(':'));
+        String own = dialler.member().name();
+        SimulatedProcess target = processes.get(name);
+        if (target == null || !target.isRunning() || cut.test(own, name)) {
+            return false;
+        }
+        links.add(new Link(own, name, own));
+        target.linked(dialler.hello());
+        dialler.linked(target.hello());
+        return true;
+    }
+
+    /** Closes the links that a process opened and does not want any more. */
+    void closeUnwanted(String dialler, Set<String> wantedAddresses) {
+        links.removeIf(
+                link ->
+                        link.dialler().equals(dialler)
+                                && !wantedAddresses.contains(link.other() + ":1"));
+    }
+
+    void close(String one, String other) {
+        links.removeIf(link -> link.joins(one, other));
+    }
+
+    void send(NodeHello from, String to, NodeMessage message) {
+        underWay.add(new Message(from, to, message));
+    }
+
+    private void deliver() {
+        List<Message> due = List.copyOf(underWay);
+        underWay.clear();
+        for (Message message : due) {
+            SimulatedProcess target = processes.get(message.to());
+            if (target != null && linked(message.from().name(), message.to())) {
+                target.received(message.from(), message.content());
+            }
+        }
+    }
+
+    private void step(SimulatedProcess process) {
+        if (!process.isRunning()) {
+            return;
+        }
+        process.step(now);
+        if (now % RENEW_MILLIS == 0) {
+            leaseEnds.put(process.member().name(), now + LEASE_MILLIS);
+        }
+    }
+
+    private void ask() {
+        List<SimulatedProcess> running =
+                processes.values().stream().filter(SimulatedProcess::isRunning).toList();
+        for (SimulatedProcess process : running) {
+            int requests = process.due(demand / running.size() * STEP_MILLIS / 1000.0 / UNITS);
+            for (int i = 0; i < requests; i++) {
+                TreeMap<Long, Integer> counts = process.tryTake(now) ? granted : refused;
+                counts.merge(now, 1, Integer::sum);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/trailladder-entry/src/test/java/io/trailladder/entry/gateway/SimulatedProcess.java
@@ -0,0 +1,258 @@
+/*
+ * Copyright 2026 The trailladder authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package io.trailladder.entry.gateway;
+
+import io.trailladder.core.duty.UsageLedger;
+import io.trailladder.core.engine.EngineModel;
+import io.trailladder.core.membership.GatewayMember;
+import io.trailladder.core.membership.HubTopology;
+import io.trailladder.core.membership.LinkPlanner;
+import io.trailladder.core.membership.LinkPlanner.LinkPlan;
+import io.trailladder.core.policy.ServingPolicy;
+import io.trailladder.core.worker.DemandMeter;
+import io.trailladder.core.worker.Worker;
+import io.trailladder.core.worker.WorkerDirectory;
+import io.trailladder.core.worker.WorkerLoads;
+import io.trailladder.entry.mesh.Mesh;
+import io.trailladder.entry.mesh.PeerMesh;
+import io.trailladder.entry.port.PlatformFormat;
+import io.trailladder.wire.NodeMessage;
+import io.trailladder.wire.NodeMessage.NodeHello;
+import io.vavr.control.Either;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+
+/** One process of a {@link SimulatedCluster}. */
+final class SimulatedProcess {
+    private static final long DIAL_MILLIS = 400;
+    private static final long SILENT_MILLIS = 2_500;
+    private static final long SETTLING_LIST_MILLIS = 1_000;
+    private static final long LIST_MILLIS = 3_000;
+    private static final long USAGE_WINDOW_MILLIS = 5_000;
+
+    private final SimulatedCluster cluster;
+    private final GatewayMember member;
+    private final long offsetMillis;
+    private final Map<String, Long> heardMillis = new HashMap<>();
+    private LinkPlanner planner;
+    private LinkPlan plan;
+    private Quotas quotas;
+    private ClusterView view;
+    private NodeHello hello;
+    private boolean planned;
+    private boolean running;
+    private boolean frozen;
+    private int life;
+    private long startedMillis;
+    private long listAtMillis;
+    private double owed;
+
+    SimulatedProcess(SimulatedCluster cluster, GatewayMember member, long offsetMillis) {
+        this.cluster = cluster;
+        this.member = member;
+        this.offsetMillis = offsetMillis;
+    }
+
+    void start(boolean firstStart) {
+        life++;
+        running = true;
+        planned = false;
+        plan = new LinkPlan(true, Set.of());
+        planner = new LinkPlanner(member);
+        hello =
+                new NodeHello(
+                        member.name(),
+                        Integer.toString(life),
+                        member.dataCentre(),
+                        member.address());
+        quotas = new Quotas(firstStart, cluster.tolerance());
+        GatewayMetrics metrics = new GatewayMetrics();
+        PlatformFormat format = new NoFormat();
+        view =
+                new ClusterView(
+                        cluster::now,
+                        new PolicyKeeper(format),
+                        new DirectoryKeeper(
+                                format, new WorkerDirectory(), cluster::now, task -> {}),
+                        new StoreHealth(metrics),
+                        quotas,
+                        new WorkerLoads(),
+                        new UsageLedger(member.name() + '/' + life, USAGE_WINDOW_MILLIS),
+                        new DemandMeter(),
+                        new EngineModel(),
+                        metrics,
+                        !firstStart);
+        view.start(new Links(), () -> false);
+        quotas.policy(cluster.policy(), cluster.now());
+        startedMillis = cluster.now();
+        listAtMillis = startedMillis;
+        heardMillis.clear();
+    }
+
+    void stop() {
+        running = false;
+    }
+
+    void freeze(boolean now) {
+        frozen = now;
+    }
+
+    boolean isRunning() {
+        return running && !frozen;
+    }
+
+    GatewayMember member() {
+        return member;
+    }
+
+    NodeHello hello() {
+        return hello;
+    }
+
+    void policyChanged() {
+        quotas.policy(cluster.policy(), cluster.now());
+    }
+
+    /** Tells how many requests come now, if so many are expected on average. */
+    int due(double requests) {
+        owed += requests;
+        int whole = (int) owed;
+        owed -= whole;
+        return whole;
+    }
+
+    boolean tryTake(long now) {
+        return quotas.tryTake(SimulatedCluster.TENANT, SimulatedCluster.UNITS, now) == 0;
+    }
+
+    void step(long now) {
+        if (now >= listAtMillis) {
+            planner.members(cluster.listed());
+            planned = true;
+            boolean settling = now - startedMillis < LIST_MILLIS;
+            listAtMillis = now + (settling ? SETTLING_LIST_MILLIS : LIST_MILLIS);
+        }
+        if ((now + offsetMillis) % DIAL_MILLIS < 20) {
+            maintain(now);
+        }
+        if ((now + offsetMillis) % ClusterView.DIGEST_MILLIS < 20) {
+            view.tick();
+        }
+    }
+
+    void linked(NodeHello peer) {
+        planner.reached(peer.address());
+        heardMillis.put(peer.name(), cluster.now());
+        view.linked(peer);
+    }
+
+    void closed(String address) {
+        planner.unreachable(address, cluster.now());
+    }
+
+    void received(NodeHello peer, NodeMessage message) {
+        if (isRunning()) {
+            heardMillis.put(peer.name(), cluster.now());
+            view.received(peer, message);
+        }
+    }
+
+    private void maintain(long now) {
+        for (Map.Entry<String, Long> heard : Map.copyOf(heardMillis).entrySet()) {
+            String address = heard.getKey() + ":1";
+            boolean ownHub = !plan.hub() && plan.dial().contains(address);
+            long most = ownHub ? PeerMesh.HEARD_MILLIS : SILENT_MILLIS;
+            if (cluster.linked(member.name(), heard.getKey()) && now - heard.getValue() > most) {
+                planner.unreachable(address, now);
+                cluster.close(member.name(), heard.getKey());
+                heardMillis.remove(heard.getKey());
+            }
+        }
+        if (planned) {
+            plan = planner.plan(view.isNeeded(), now);
+        }
+        if (planner.size() > HubTopology.FULL_MESH_MOST) {
+            cluster.closeUnwanted(member.name(), plan.dial());
+        }
+        for (String address : plan.dial()) {
+            String name = address.substring(0, address.indexOf(':'));
+            if (!cluster.linked(member.name(), name) && !cluster.dial(this, address)) {
+                planner.unreachable(address, now);
+            }
+        }
+    }
+
+    /** The links as the view sees them. */
+    private final class Links implements Mesh {
+        @Override
+        public int size() {
+            return planner.size();
+        }
+
+        @Override
+        public boolean isHub() {
+            return plan.hub();
+        }
+
+        @Override
+        public boolean isPlanned() {
+            return planned;
+        }
+
+        @Override
+        public boolean isOwnHub(NodeHello peer) {
+            return !plan.hub() && plan.dial().contains(peer.address());
+        }
+
+        @Override
+        public Set<String> send(Collection<String> peers, NodeMessage message) {
+            Set<String> linked = new HashSet<>();
+            for (String peer : peers) {
+                if (cluster.linked(member.name(), peer)) {
+                    linked.add(peer);
+                    cluster.send(hello, peer, message);
+                }
+            }
+            return linked;
+        }
+    }
+
+    /** A platform that tells nothing. */
+    private static final class NoFormat implements PlatformFormat {
+        @Override
+        public String policyKey() {
+            return "policy";
+        }
+
+        @Override
+        public String workerPrefix() {
+            return "upstream/";
+        }
+
+        @Override
+        public Either<String, ServingPolicy> policy(byte[] value) {
+            return Either.left("no policy here");
+        }
+
+        @Override
+        public Either<String, Worker> worker(String id, byte[] value) {
+            return Either.left("no upstream here");
+        }
+    }
+}
