--- a/trailladder-core/src/test/java/io/trailladder/core/worker/PlaceForecastTest.java
+++ b/trailladder-core/src/test/java/io/trailladder/core/worker/PlaceForecastTest.java
@@ -18,6 +18,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import io.trailladder.core.engine.EngineEstimate;
+import java.util.Arrays;
 import java.util.List;
 import java.util.OptionalLong;
 import net.jqwik.api.Example;
@@ -38,7 +39,7 @@
     }
 
     private long forecast(String... ids) {
-        List<Worker> serving = java.util.Arrays.stream(ids).map(id -> worker(id)).toList();
+        List<Worker> serving = Arrays.stream(ids).map(PlaceForecastTest::worker).toList();
         return PlaceForecast.millis(serving, loads, ENGINE, BOOT);
     }
 
--- a/trailladder-entry/src/test/java/io/trailladder/entry/gateway/LimitHistoriesTest.java
+++ b/trailladder-entry/src/test/java/io/trailladder/entry/gateway/LimitHistoriesTest.java
@@ -40,6 +40,9 @@
 
     private SimulatedCluster cluster;
 
+    /** The event that changes the limit itself, which the check of windows cannot take. */
+    private static final int LIMIT_CHANGES = 6;
+
     /** What may happen, one of them after the other. */
     private static final List<Consumer<SimulatedCluster>> EVENTS =
             List.of(
@@ -158,7 +161,7 @@
         begin();
         cluster.demand(6 * USUAL);
         cluster.pass(3_000);
-        if (EVENTS.get(event) != EVENTS.get(6)) {
+        if (event != LIMIT_CHANGES) {
             EVENTS.get(event).accept(cluster);
         }
         cluster.pass(SimulatedCluster.WINDOW_MILLIS);
--- a/trailladder-entry/src/test/java/io/trailladder/entry/gateway/SimulatedCluster.java
+++ b/trailladder-entry/src/test/java/io/trailladder/entry/gateway/SimulatedCluster.java
@@ -29,6 +29,7 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.OptionalInt;
 import java.util.Set;
@@ -87,7 +88,7 @@
         limit(perSecond);
         for (int i = 0; i < dataCentres * processesOfEach; i++) {
             String dataCentre = "dc" + i % dataCentres;
-            String name = String.format("p%03d", i);
+            String name = String.format(Locale.ROOT, "p%03d", i);
             double linkMbps = i < 2 * dataCentres ? 100 : 10;
             GatewayMember member =
                     new GatewayMember(name, dataCentre, name + ":1", linkMbps, 1);
