--- a/trailladder-cli/src/main/java/io/trailladder/cli/LossTable.java
+++ b/trailladder-cli/src/main/java/io/trailladder/cli/LossTable.java
@@ -171,7 +171,7 @@
         }
         Request request = request(line);
         request.route = orNone(line.text("route"));
-        request.organisation = orNone(line.text("tenant"));
+        request.organisation = orNone(line.text("organisation"));
         request.objectiveMillis = line.number("objectiveMs");
         String outcome = line.text("outcome");
         if (!outcome.equals("accepted")) {
--- a/trailladder-cli/src/test/java/io/trailladder/cli/LossesCommandTest.java
+++ b/trailladder-cli/src/test/java/io/trailladder/cli/LossesCommandTest.java
@@ -57,7 +57,7 @@
     private static String taken(int second, String id, String outcome) {
         return line(
                 second,
-                "'kind':'Intake','id':'%s','route':'chat','tenant':'acme','objectiveMs':300,'outcome':'%s'"
+                "'kind':'Intake','id':'%s','route':'chat','organisation':'acme','objectiveMs':300,'outcome':'%s'"
                         .formatted(id, outcome));
     }
 
--- a/trailladder-core/src/main/java/io/trailladder/core/duty/UsageCount.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/duty/UsageCount.java
@@ -16,11 +16,11 @@
 package io.trailladder.core.duty;
 
 /**
- * How many requests of one tenant began to run within one window.
+ * How many requests of one organisation began to run within one window.
  *
  * @param window the window's number
- * @param tenant the tenant
+ * @param organisation the organisation
  * @param started requests
  * @since 0.2
  */
-public record UsageCount(long window, String tenant, int started) {}
+public record UsageCount(long window, String organisation, int started) {}
--- a/trailladder-core/src/main/java/io/trailladder/core/duty/UsageLedger.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/duty/UsageLedger.java
@@ -24,7 +24,7 @@
 import java.util.TreeMap;
 
 /**
- * Counts the requests that began to run, by window and tenant: this entry's own and what its peers
+ * Counts the requests that began to run, by window and organisation: this entry's own and what its peers
  * told of theirs, so that the counts of a lost entry survive at the others.
  *
  * @since 0.2
@@ -39,7 +39,7 @@
     private long sequence;
 
     /** Names one count. */
-    private record Key(String entry, long window, String tenant) {}
+    private record Key(String entry, long window, String organisation) {}
 
     /**
      * Creates a ledger.
@@ -55,13 +55,13 @@
     /**
      * Records that a request of this entry began to run.
      *
-     * @param tenant whose it is
+     * @param organisation whose it is
      * @param wallMillis when, in milliseconds since the start of 1970
      */
-    public void started(String tenant, long wallMillis) {
+    public void started(String organisation, long wallMillis) {
         long window = windowAt(wallMillis);
-        counts(self, window).merge(tenant, 1, Integer::sum);
-        changed(new Key(self, window, tenant));
+        counts(self, window).merge(organisation, 1, Integer::sum);
+        changed(new Key(self, window, organisation));
     }
 
     /**
@@ -74,11 +74,11 @@
     public void merge(String entry, List<UsageCount> counts, boolean passOn) {
         for (UsageCount count : counts) {
             Map<String, Integer> window = counts(entry, count.window());
-            int before = window.getOrDefault(count.tenant(), 0);
+            int before = window.getOrDefault(count.organisation(), 0);
             if (count.started() > before) {
-                window.put(count.tenant(), count.started());
+                window.put(count.organisation(), count.started());
                 if (passOn) {
-                    changed(new Key(entry, count.window(), count.tenant()));
+                    changed(new Key(entry, count.window(), count.organisation()));
                 }
             }
         }
@@ -104,9 +104,9 @@
         changes.forEach(
                 (key, number) -> {
                     if (number > after) {
-                        int started = counts(key.entry(), key.window()).get(key.tenant());
+                        int started = counts(key.entry(), key.window()).get(key.organisation());
                         news.computeIfAbsent(key.entry(), entry -> new ArrayList<>())
-                                .add(new UsageCount(key.window(), key.tenant(), started));
+                                .add(new UsageCount(key.window(), key.organisation(), started));
                     }
                 });
         return news;
@@ -122,11 +122,11 @@
         List<UsageCount> counts = new ArrayList<>();
         windows(entry)
                 .forEach(
-                        (window, tenants) ->
-                                tenants.forEach(
-                                        (tenant, started) ->
+                        (window, organisations) ->
+                                organisations.forEach(
+                                        (organisation, started) ->
                                                 counts.add(
-                                                        new UsageCount(window, tenant, started))));
+                                                        new UsageCount(window, organisation, started))));
         return counts;
     }
 
@@ -134,7 +134,7 @@
      * Returns the counts of all entries together.
      *
      * @param window the window's number
-     * @return requests by tenant
+     * @return requests by organisation
      */
     public Map<String, Integer> total(long window) {
         Map<String, Integer> total = new TreeMap<>();
@@ -143,9 +143,9 @@
                         windows ->
                                 windows.getOrDefault(window, Map.of())
                                         .forEach(
-                                                (tenant, started) ->
+                                                (organisation, started) ->
                                                         total.merge(
-                                                                tenant, started, Integer::sum)));
+                                                                organisation, started, Integer::sum)));
         return total;
     }
 
--- a/trailladder-core/src/main/java/io/trailladder/core/limit/QuotaBucket.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/limit/QuotaBucket.java
@@ -18,7 +18,7 @@
 import io.trailladder.core.policy.RateSpec;
 
 /**
- * One tenant's limit over all entries, as this entry sees it: a token bucket that its own requests
+ * One organisation's limit over all entries, as this entry sees it: a token bucket that its own requests
  * and those its peers tell of draw on.
  *
  * <p>Peers that cannot be heard are taken to use an equal part of the rate each. While none is heard
@@ -46,7 +46,7 @@
     /**
      * Creates a bucket.
      *
-     * @param limit the tenant's limit
+     * @param limit the organisation's limit
      * @param level units it holds at first
      * @param nowMillis the time
      */
--- a/trailladder-core/src/main/java/io/trailladder/core/pipeline/Ending.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/pipeline/Ending.java
@@ -23,7 +23,7 @@
 public enum Ending {
     /** It has not run and never will; the caller is told when to come back. */
     NOT_RUN(503),
-    /** It is over its tenant's limit and has not run. */
+    /** It is over its organisation's limit and has not run. */
     OVER_LIMIT(429),
     /** It may have run. */
     MAY_HAVE_RUN(502),
--- a/trailladder-core/src/main/java/io/trailladder/core/pipeline/ServingRequest.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/pipeline/ServingRequest.java
@@ -21,7 +21,7 @@
  * A request that was accepted, as decisions see it. Its body and headers are opaque to them.
  *
  * @param id the caller's name for this request
- * @param tenant whose it is; empty on an anonymous route
+ * @param organisation whose it is; empty on an anonymous route
  * @param route the rule it was accepted by
  * @param service the service that runs it
  * @param priority its rank; 0 is the most urgent
@@ -34,7 +34,7 @@
  */
 public record ServingRequest(
         String id,
-        String tenant,
+        String organisation,
         Route route,
         String service,
         int priority,
--- a/trailladder-core/src/main/java/io/trailladder/core/policy/TenantSpec.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/policy/OrganisationSpec.java
@@ -19,17 +19,17 @@
 import java.util.OptionalInt;
 
 /**
- * One tenant (an organisation of the table).
+ * One organisation (an organisation of the table).
  *
- * @param name the tenant's name
+ * @param name the organisation's name
  * @param keys its keys
  * @param priority its rank, taken ahead of a route's; empty if it has none
  * @param limit its limit
  * @since 0.2
  */
-public record TenantSpec(String name, List<String> keys, OptionalInt priority, RateSpec limit) {
+public record OrganisationSpec(String name, List<String> keys, OptionalInt priority, RateSpec limit) {
     /** Copies the keys. */
-    public TenantSpec {
+    public OrganisationSpec {
         keys = List.copyOf(keys);
     }
 }
--- a/trailladder-core/src/main/java/io/trailladder/core/policy/RateSpec.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/policy/RateSpec.java
@@ -16,7 +16,7 @@
 package io.trailladder.core.policy;
 
 /**
- * A tenant's limit over all entries together.
+ * An organisation's limit over all entries together.
  *
  * @param perSecond units a second; 0 for no limit
  * @param burst units on top
--- a/trailladder-core/src/main/java/io/trailladder/core/policy/ServingPolicy.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/policy/ServingPolicy.java
@@ -35,8 +35,8 @@
     private final List<Route> routes;
     private final RouteMatcher matcher;
     private final Map<String, ServiceSpec> services = new HashMap<>();
-    private final Map<String, TenantSpec> tenants = new HashMap<>();
-    private final Map<String, TenantSpec> tenantsByKey = new HashMap<>();
+    private final Map<String, OrganisationSpec> organisations = new HashMap<>();
+    private final Map<String, OrganisationSpec> organisationsByKey = new HashMap<>();
     private final RequestBounds bounds;
 
     /**
@@ -45,23 +45,23 @@
      * @param version its number; later versions have higher ones
      * @param routes the routes
      * @param services the services
-     * @param tenants the tenants; none if requests need no keys
+     * @param organisations the organisations; none if requests need no keys
      * @param bounds bounds of what callers may send
      */
     public ServingPolicy(
             long version,
             Collection<Route> routes,
             Collection<ServiceSpec> services,
-            Collection<TenantSpec> tenants,
+            Collection<OrganisationSpec> organisations,
             RequestBounds bounds) {
         this.version = version;
         this.routes = List.copyOf(routes);
         this.matcher = new RouteMatcher(routes);
         this.bounds = bounds;
         services.forEach(service -> this.services.put(service.name(), service));
-        for (TenantSpec tenant : tenants) {
-            this.tenants.put(tenant.name(), tenant);
-            tenant.keys().forEach(key -> tenantsByKey.put(key, tenant));
+        for (OrganisationSpec organisation : organisations) {
+            this.organisations.put(organisation.name(), organisation);
+            organisation.keys().forEach(key -> organisationsByKey.put(key, organisation));
         }
     }
 
@@ -93,12 +93,12 @@
     }
 
     /**
-     * Returns all tenants.
+     * Returns all organisations.
      *
-     * @return the tenants
+     * @return the organisations
      */
-    public Collection<TenantSpec> tenants() {
-        return List.copyOf(tenants.values());
+    public Collection<OrganisationSpec> organisations() {
+        return List.copyOf(organisations.values());
     }
 
     /**
@@ -134,19 +134,19 @@
     /**
      * Tells whether requests need a key unless their route is anonymous.
      *
-     * @return true if the policy has tenants
+     * @return true if the policy has organisations
      */
     public boolean needsKeys() {
-        return !tenants.isEmpty();
+        return !organisations.isEmpty();
     }
 
     /**
-     * Finds the tenant that has a key.
+     * Finds the organisation that has a key.
      *
      * @param key the key as the caller sent it
-     * @return the tenant
+     * @return the organisation
      */
-    public Optional<TenantSpec> tenantOfKey(String key) {
-        return Optional.ofNullable(tenantsByKey.get(key));
+    public Optional<OrganisationSpec> organisationOfKey(String key) {
+        return Optional.ofNullable(organisationsByKey.get(key));
     }
 }
--- a/trailladder-core/src/test/java/io/trailladder/core/duty/UsageLedgerTest.java
+++ b/trailladder-core/src/test/java/io/trailladder/core/duty/UsageLedgerTest.java
@@ -26,7 +26,7 @@
     private static final long WINDOW = 5_000;
 
     @Example
-    void countsAddUpByWindowAndTenant() {
+    void countsAddUpByWindowAndOrganisation() {
         UsageLedger ledger = new UsageLedger("a/1", WINDOW);
         ledger.started("t", 4_999);
         ledger.started("t", 5_000);
--- a/trailladder-core/src/test/java/io/trailladder/core/limit/QuotaBucketTest.java
+++ b/trailladder-core/src/test/java/io/trailladder/core/limit/QuotaBucketTest.java
@@ -24,7 +24,7 @@
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
 
-/** A tenant's limit holds over all entries that hear one another, and over those that do not. */
+/** An organisation's limit holds over all entries that hear one another, and over those that do not. */
 class QuotaBucketTest {
     private static final RateSpec LIMIT = new RateSpec(1_000, 1_000, true, 1);
     private static final long SECOND = 1_000;
@@ -86,7 +86,7 @@
     }
 
     @Example
-    void unlimitedTenantIsNeverRefused() {
+    void unlimitedOrganisationIsNeverRefused() {
         QuotaBucket bucket = new QuotaBucket(RateSpec.UNLIMITED, 0, 0);
         for (int i = 0; i < 100; i++) {
             assertEquals(0, bucket.tryTake(1_000_000, 0));
--- a/trailladder-core/src/test/java/io/trailladder/core/policy/ServingPolicyTest.java
+++ b/trailladder-core/src/test/java/io/trailladder/core/policy/ServingPolicyTest.java
@@ -22,7 +22,7 @@
 import java.util.OptionalInt;
 import net.jqwik.api.Example;
 
-/** Routes are found by host and longest prefix, tenants by key. */
+/** Routes are found by host and longest prefix, organisations by key. */
 class ServingPolicyTest {
     private static Route route(String name, String host, String prefix, ServiceShare... shares) {
         return new Route(
@@ -81,12 +81,12 @@
 
     @Example
     void droppedKeyIsUnknown() {
-        TenantSpec tenant =
-                new TenantSpec("t", List.of("k1"), OptionalInt.empty(), RateSpec.UNLIMITED);
+        OrganisationSpec organisation =
+                new OrganisationSpec("t", List.of("k1"), OptionalInt.empty(), RateSpec.UNLIMITED);
         ServingPolicy policy =
-                new ServingPolicy(4, List.of(), List.of(), List.of(tenant), RequestBounds.DEFAULTS);
+                new ServingPolicy(4, List.of(), List.of(), List.of(organisation), RequestBounds.DEFAULTS);
         assertTrue(policy.needsKeys());
-        assertEquals("t", policy.tenantOfKey("k1").orElseThrow().name());
-        assertTrue(policy.tenantOfKey("k2").isEmpty());
+        assertEquals("t", policy.organisationOfKey("k1").orElseThrow().name());
+        assertTrue(policy.organisationOfKey("k2").isEmpty());
     }
 }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/AttemptCalls.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/AttemptCalls.java
@@ -68,7 +68,7 @@
                         exchange.headers(),
                         new AttemptFields(
                                 worker.id(),
-                                request.tenant(),
+                                request.organisation(),
                                 request.priority(),
                                 left,
                                 lastEventId));
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ClusterView.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ClusterView.java
@@ -83,7 +83,7 @@
      * @param policies the policy in force
      * @param directory the list of upstreams
      * @param store whether the store answers
-     * @param quotas the tenants' limits
+     * @param quotas the organisations' limits
      * @param loads the work under way at upstreams
      * @param usage counts requests that began to run
      * @param demand measures the load of services here
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/DecisionLog.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/DecisionLog.java
@@ -53,8 +53,8 @@
      *
      * @param id the request
      * @param route the route; empty if there is none
-     * @param tenant whose it is; empty if not known
-     * @param size units counted against the tenant's limit
+     * @param organisation whose it is; empty if not known
+     * @param size units counted against the organisation's limit
      * @param policyVersion version of the policy that decided
      * @param objectiveMs time inside which its answer is in time, in milliseconds; 0 if refused
      * @param outcome what was decided
@@ -62,7 +62,7 @@
     public record Intake(
             String id,
             String route,
-            String tenant,
+            String organisation,
             int size,
             long policyVersion,
             long objectiveMs,
@@ -72,7 +72,7 @@
         public void write(JsonGenerator json) throws IOException {
             json.writeStringField("id", id);
             json.writeStringField("route", route);
-            json.writeStringField("tenant", tenant);
+            json.writeStringField("organisation", organisation);
             json.writeNumberField("size", size);
             json.writeNumberField("policyVersion", policyVersion);
             json.writeNumberField("objectiveMs", objectiveMs);
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/DigestWriter.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/DigestWriter.java
@@ -25,7 +25,7 @@
 import io.trailladder.core.worker.WorkerUse;
 import io.trailladder.wire.NodeMessage.DigestScope;
 import io.trailladder.wire.NodeMessage.NodeDigest;
-import io.trailladder.wire.NodeMessage.TenantUse;
+import io.trailladder.wire.NodeMessage.OrganisationUse;
 import io.trailladder.wire.NodeMessage.UsageHistory;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -175,7 +175,7 @@
             DigestScope scope,
             int processes,
             List<UsageHistory> news,
-            List<TenantUse> tenants,
+            List<OrganisationUse> organisations,
             List<WorkerUse> uses,
             List<ServiceDemand> demands,
             List<EngineEvidence> evidence) {
@@ -188,7 +188,7 @@
                 processes,
                 state.members(),
                 news,
-                tenants.stream().filter(use -> use.used() != 0).toList(),
+                organisations.stream().filter(use -> use.used() != 0).toList(),
                 uses,
                 demands,
                 evidence,
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/GatewayMetrics.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/GatewayMetrics.java
@@ -38,8 +38,8 @@
     private final Counter requests =
             Counter.builder()
                     .name("trailladder_requests_total")
-                    .help("Requests by tenant, service and outcome")
-                    .labelNames("tenant", "service", "outcome")
+                    .help("Requests by organisation, service and outcome")
+                    .labelNames("organisation", "service", "outcome")
                     .register(registry);
     private final Counter attempts =
             Counter.builder()
@@ -112,25 +112,25 @@
     /**
      * Records the end of a request.
      *
-     * @param tenant whose it was; empty if nobody's
+     * @param organisation whose it was; empty if nobody's
      * @param service the service; empty if none was chosen
      * @param outcome how it ended
      * @param millis how long it took, in milliseconds
      */
-    public void ended(String tenant, String service, String outcome, long millis) {
-        requests.labelValues(tenant, service, outcome).inc();
-        wholeAnswer.labelValues(tenant, service).observe(millis / MILLIS);
+    public void ended(String organisation, String service, String outcome, long millis) {
+        requests.labelValues(organisation, service, outcome).inc();
+        wholeAnswer.labelValues(organisation, service).observe(millis / MILLIS);
     }
 
     /**
      * Records the first byte of an answer.
      *
-     * @param tenant whose request it was; empty if nobody's
+     * @param organisation whose request it was; empty if nobody's
      * @param service the service
      * @param millis time since the request was accepted, in milliseconds
      */
-    public void firstAnswer(String tenant, String service, long millis) {
-        firstAnswer.labelValues(tenant, service).observe(millis / MILLIS);
+    public void firstAnswer(String organisation, String service, long millis) {
+        firstAnswer.labelValues(organisation, service).observe(millis / MILLIS);
     }
 
     /**
@@ -218,7 +218,7 @@
         return Histogram.builder()
                 .name(name)
                 .help(help)
-                .labelNames("tenant", "service")
+                .labelNames("organisation", "service")
                 .classicUpperBounds(SECONDS)
                 .classicOnly()
                 .register(registry);
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/GatewaySettings.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/GatewaySettings.java
@@ -28,7 +28,7 @@
  * @param store the platform's store
  * @param cloud the platform's API for duties
  * @param retries bounds of second attempts
- * @param tolerance how far tenants' limits may be overshot
+ * @param tolerance how far organisations' limits may be overshot
  * @param timing bounds of time
  * @since 0.2
  */
@@ -105,7 +105,7 @@
     public record Retries(double ratio, double allowance, long windowMillis) {}
 
     /**
-     * How far all processes together may overshoot a tenant's limit.
+     * How far all processes together may overshoot an organisation's limit.
      *
      * @param ratio part of the limit
      * @param units units on top
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/LimitExchange.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/LimitExchange.java
@@ -15,11 +15,11 @@
  */
 package io.trailladder.entry.gateway;
 
-import io.trailladder.wire.NodeMessage.TenantUse;
+import io.trailladder.wire.NodeMessage.OrganisationUse;
 import java.util.List;
 
 /**
- * Takes over what peers tell of their use of tenants' limits, and how much of each limit this
+ * Takes over what peers tell of their use of organisations' limits, and how much of each limit this
  * process may count on.
  */
 final class LimitExchange {
@@ -47,7 +47,7 @@
     /**
      * Creates an exchange.
      *
-     * @param quotas the tenants' limits
+     * @param quotas the organisations' limits
      * @param restarted true if other processes may have served before this one started
      */
     LimitExchange(Quotas quotas, boolean restarted) {
@@ -62,7 +62,7 @@
      * @param uses its use
      * @param nowMillis the time
      */
-    void told(Peer peer, List<TenantUse> uses, long nowMillis) {
+    void told(Peer peer, List<OrganisationUse> uses, long nowMillis) {
         if (peer.followed()) {
             quotas.beginAnew(peer.life());
         }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Quotas.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Quotas.java
@@ -19,8 +19,8 @@
 import io.trailladder.core.limit.QuotaBucket;
 import io.trailladder.core.policy.RateSpec;
 import io.trailladder.core.policy.ServingPolicy;
-import io.trailladder.core.policy.TenantSpec;
-import io.trailladder.wire.NodeMessage.TenantUse;
+import io.trailladder.core.policy.OrganisationSpec;
+import io.trailladder.wire.NodeMessage.OrganisationUse;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -29,7 +29,7 @@
 import java.util.function.Predicate;
 
 /**
- * The tenants' limits over all processes.
+ * The organisations' limits over all processes.
  *
  * @since 0.2
  */
@@ -42,13 +42,13 @@
     private final GatewaySettings.Tolerance tolerance;
     private final Map<String, QuotaBucket> buckets = new HashMap<>();
 
-    /** What was told last, by life and tenant; lives of processes long gone fall out. */
+    /** What was told last, by life and organisation; lives of processes long gone fall out. */
     private final Map<String, Double> seen = new RecentMap<>(MOST_REMEMBERED);
 
     private final Map<String, Double> ofLeaves = new RecentMap<>(MOST_REMEMBERED);
     private final Map<String, Double> told = new HashMap<>();
 
-    /** What is told of one tenant: all units, and the part that was told before. */
+    /** What is told of one organisation: all units, and the part that was told before. */
     private record Told(double used, double before) {
         static Told all(double used) {
             return new Told(used, used);
@@ -56,7 +56,7 @@
     }
 
     /**
-     * Creates limits of no tenants.
+     * Creates limits of no organisations.
      *
      * @param firstStart true if nothing was served before
      * @param tolerance how far limits may be overshot
@@ -73,40 +73,40 @@
      * @param nowMillis the time
      */
     public void policy(ServingPolicy policy, long nowMillis) {
-        for (TenantSpec tenant : policy.tenants()) {
-            RateSpec limit = lenient(tenant.limit());
-            QuotaBucket known = buckets.get(tenant.name());
+        for (OrganisationSpec organisation : policy.organisations()) {
+            RateSpec limit = lenient(organisation.limit());
+            QuotaBucket known = buckets.get(organisation.name());
             if (known == null) {
                 double level = firstStart ? limit.burst() : levelAfterRestart(limit);
-                buckets.put(tenant.name(), new QuotaBucket(limit, level, nowMillis));
+                buckets.put(organisation.name(), new QuotaBucket(limit, level, nowMillis));
             } else {
                 known.limit(limit, nowMillis);
             }
         }
-        buckets.keySet().removeIf(name -> policy.tenants().stream().noneMatch(named(name)));
+        buckets.keySet().removeIf(name -> policy.organisations().stream().noneMatch(named(name)));
     }
 
     /**
-     * Takes a request's units from its tenant's limit.
+     * Takes a request's units from its organisation's limit.
      *
-     * @param tenant the tenant
+     * @param organisation the organisation
      * @param units the request's size
      * @param nowMillis the time
      * @return 0 if the request may go on, else milliseconds until asking again may help
      */
-    public long tryTake(String tenant, double units, long nowMillis) {
-        QuotaBucket bucket = buckets.get(tenant);
+    public long tryTake(String organisation, double units, long nowMillis) {
+        QuotaBucket bucket = buckets.get(organisation);
         return bucket == null ? 0 : bucket.tryTake(units, nowMillis);
     }
 
     /**
      * Gives units back that were not used.
      *
-     * @param tenant the tenant
+     * @param organisation the organisation
      * @param units the request's size
      */
-    public void giveBack(String tenant, double units) {
-        QuotaBucket bucket = buckets.get(tenant);
+    public void giveBack(String organisation, double units) {
+        QuotaBucket bucket = buckets.get(organisation);
         if (bucket != null) {
             bucket.giveBack(units);
         }
@@ -129,9 +129,9 @@
      * @param uses what was let pass since that life began
      * @param nowMillis the time
      */
-    public void peerUsed(String life, List<TenantUse> uses, long nowMillis) {
-        for (TenantUse use : uses) {
-            QuotaBucket bucket = buckets.get(use.tenant());
+    public void peerUsed(String life, List<OrganisationUse> uses, long nowMillis) {
+        for (OrganisationUse use : uses) {
+            QuotaBucket bucket = buckets.get(use.organisation());
             if (bucket != null) {
                 if (!seen.containsKey(key(life, use))) {
                     bucket.atMost(use.level(), nowMillis);
@@ -148,9 +148,9 @@
      * @param uses what it let pass since its start
      * @param nowMillis the time
      */
-    public void leafUsed(String life, List<TenantUse> uses, long nowMillis) {
-        for (TenantUse use : uses) {
-            QuotaBucket bucket = buckets.get(use.tenant());
+    public void leafUsed(String life, List<OrganisationUse> uses, long nowMillis) {
+        for (OrganisationUse use : uses) {
+            QuotaBucket bucket = buckets.get(use.organisation());
             if (bucket != null) {
                 double units = increase(life, use);
                 bucket.takenByLeaf(units, nowMillis);
@@ -183,9 +183,9 @@
      * Returns what this process has let pass, to be told to the hub it relies on.
      *
      * @param nowMillis the time
-     * @return its use of limited tenants
+     * @return its use of limited organisations
      */
-    public List<TenantUse> ownUses(long nowMillis) {
+    public List<OrganisationUse> ownUses(long nowMillis) {
         return uses(
                 nowMillis,
                 (name, bucket) -> {
@@ -198,9 +198,9 @@
      * Returns what this process, and those that rely on it, have let pass.
      *
      * @param nowMillis the time
-     * @return their use of limited tenants
+     * @return their use of limited organisations
      */
-    public List<TenantUse> groupUses(long nowMillis) {
+    public List<OrganisationUse> groupUses(long nowMillis) {
         return uses(
                 nowMillis,
                 (name, bucket) -> {
@@ -214,9 +214,9 @@
      *
      * @param leafLife names the life of that one
      * @param nowMillis the time
-     * @return the use of limited tenants
+     * @return the use of limited organisations
      */
-    public List<TenantUse> restUses(String leafLife, long nowMillis) {
+    public List<OrganisationUse> restUses(String leafLife, long nowMillis) {
         return uses(
                 nowMillis,
                 (name, bucket) -> {
@@ -241,22 +241,22 @@
         return tokens > 0 ? tokens : limit.unsizedTokens();
     }
 
-    private double increase(String life, TenantUse use) {
+    private double increase(String life, OrganisationUse use) {
         Double before = seen.put(key(life, use), use.used());
         return use.used() - (before == null ? use.toldBefore() : before);
     }
 
-    private static String key(String life, TenantUse use) {
-        return life + '/' + use.tenant();
+    private static String key(String life, OrganisationUse use) {
+        return life + '/' + use.organisation();
     }
 
-    private List<TenantUse> uses(long nowMillis, BiFunction<String, QuotaBucket, Told> figures) {
-        List<TenantUse> uses = new ArrayList<>();
+    private List<OrganisationUse> uses(long nowMillis, BiFunction<String, QuotaBucket, Told> figures) {
+        List<OrganisationUse> uses = new ArrayList<>();
         buckets.forEach(
                 (name, bucket) -> {
                     Told figure = figures.apply(name, bucket);
                     uses.add(
-                            new TenantUse(
+                            new OrganisationUse(
                                     name, figure.used(), figure.before(), bucket.level(nowMillis)));
                 });
         return uses;
@@ -281,7 +281,7 @@
                 limit.unsizedTokens());
     }
 
-    private static Predicate<TenantSpec> named(String name) {
-        return tenant -> tenant.name().equals(name);
+    private static Predicate<OrganisationSpec> named(String name) {
+        return organisation -> organisation.name().equals(name);
     }
 }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestDriver.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestDriver.java
@@ -204,13 +204,13 @@
 
     private void firstByte() {
         firstMillis = context.loop().nowMillis() - request.acceptedMillis();
-        context.metrics().firstAnswer(request.tenant(), request.service(), firstMillis);
+        context.metrics().firstAnswer(request.organisation(), request.service(), firstMillis);
     }
 
     private void startedRunning() {
         if (!started) {
             started = true;
-            context.usage().started(request.tenant(), context.clock().millis());
+            context.usage().started(request.organisation(), context.clock().millis());
         }
     }
 
@@ -251,7 +251,7 @@
 
     private void giveUp(Ending ending, Attempt last) {
         if (ending == Ending.NOT_RUN) {
-            context.quotas().giveBack(request.tenant(), units);
+            context.quotas().giveBack(request.organisation(), units);
         }
         switch (ending) {
             case PASSED_ON -> answer.respondWhole();
@@ -309,7 +309,7 @@
         silence.stop();
         deadline.cancel();
         long took = context.loop().nowMillis() - request.acceptedMillis();
-        context.metrics().ended(request.tenant(), request.service(), outcome, took);
+        context.metrics().ended(request.organisation(), request.service(), outcome, took);
         String worker = last == null ? "" : last.worker().id();
         DecisionLog.write(
                 new Ended(
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestIntake.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestIntake.java
@@ -19,7 +19,7 @@
 import io.trailladder.core.pipeline.ServingRequest;
 import io.trailladder.core.policy.Route;
 import io.trailladder.core.policy.ServingPolicy;
-import io.trailladder.core.policy.TenantSpec;
+import io.trailladder.core.policy.OrganisationSpec;
 import io.trailladder.core.worker.Worker;
 import io.trailladder.entry.gateway.DecisionLog.Intake;
 import io.trailladder.entry.http.HeaderList;
@@ -35,7 +35,7 @@
 import java.util.function.BooleanSupplier;
 
 /**
- * Decides of each request whether it is accepted, by the policy in force and the tenant's limit.
+ * Decides of each request whether it is accepted, by the policy in force and the organisation's limit.
  *
  * @since 0.2
  */
@@ -158,28 +158,28 @@
             return;
         }
         boolean needsKey = policy.needsKeys() && !route.get().anonymous();
-        Optional<TenantSpec> tenant =
-                caller.key().isEmpty() ? Optional.empty() : policy.tenantOfKey(caller.key());
-        if (needsKey && tenant.isEmpty()) {
+        Optional<OrganisationSpec> organisation =
+                caller.key().isEmpty() ? Optional.empty() : policy.organisationOfKey(caller.key());
+        if (needsKey && organisation.isEmpty()) {
             refuse(exchange, caller.id(), UNAUTHORIZED, 0, "unknown key");
             return;
         }
         int units =
-                tenant.map(
+                organisation.map(
                                 known ->
                                         Quotas.size(
                                                 known.limit(),
                                                 caller.prompt().tokensIn(),
                                                 caller.prompt().tokensOut()))
                         .orElse(0);
-        String name = tenant.map(TenantSpec::name).orElse("");
+        String name = organisation.map(OrganisationSpec::name).orElse("");
         long now = context.loop().nowMillis();
         long retryAfter = context.quotas().tryTake(name, units, now);
         if (retryAfter > 0) {
             refuse(exchange, caller.id(), OVER_LIMIT, retryAfter, "over limit of " + name);
             return;
         }
-        ServingRequest request = request(exchange, caller, policy, route.get(), tenant);
+        ServingRequest request = request(exchange, caller, policy, route.get(), organisation);
         DecisionLog.write(
                 new Intake(
                         caller.id(),
@@ -205,12 +205,12 @@
             CallerRequest caller,
             ServingPolicy policy,
             Route route,
-            Optional<TenantSpec> tenant) {
+            Optional<OrganisationSpec> organisation) {
         long now = context.loop().nowMillis();
         long wait = caller.waitMillis() > 0 ? caller.waitMillis() : DEFAULT_WAIT_MILLIS;
         long held = route.timeoutMillis() > 0 ? Math.min(wait, route.timeoutMillis()) : wait;
         int priority =
-                tenant.flatMap(
+                organisation.flatMap(
                                 known ->
                                         known.priority().isPresent()
                                                 ? Optional.of(known.priority().getAsInt())
@@ -218,7 +218,7 @@
                         .orElse(route.priority());
         return new ServingRequest(
                 caller.id(),
-                tenant.map(TenantSpec::name).orElse(""),
+                organisation.map(OrganisationSpec::name).orElse(""),
                 route,
                 route.service(random.nextDouble()),
                 priority,
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ServingContext.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ServingContext.java
@@ -37,7 +37,7 @@
  * @param directory the upstreams known
  * @param loads the work under way at them
  * @param selector chooses among them
- * @param quotas the tenants' limits
+ * @param quotas the organisations' limits
  * @param budgets the budgets of second attempts
  * @param usage counts requests that began to run
  * @param demand measures the load of services here
--- a/trailladder-entry/src/main/java/io/trailladder/entry/port/AttemptFields.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/port/AttemptFields.java
@@ -19,11 +19,11 @@
  * What the gateway tells an upstream with an attempt.
  *
  * @param worker the upstream that is meant; any other refuses
- * @param tenant whose the request is; empty if nobody's
+ * @param organisation whose the request is; empty if nobody's
  * @param priority its rank; 0 is the most urgent
  * @param leftMillis how long the caller still waits, in milliseconds
  * @param lastEventId the last event the caller has; empty to begin
  * @since 0.2
  */
 public record AttemptFields(
-        String worker, String tenant, int priority, long leftMillis, String lastEventId) {}
+        String worker, String organisation, int priority, long leftMillis, String lastEventId) {}
--- a/trailladder-entry/src/main/java/io/trailladder/entry/port/DutyApi.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/port/DutyApi.java
@@ -31,7 +31,7 @@
      *
      * @param holder who reports
      * @param window the window's number
-     * @param counts requests by tenant
+     * @param counts requests by organisation
      * @param result told of the answer
      */
     void reportUsage(
--- a/trailladder-entry/src/test/java/io/trailladder/entry/gateway/LimitExchangeTest.java
+++ b/trailladder-entry/src/test/java/io/trailladder/entry/gateway/LimitExchangeTest.java
@@ -21,18 +21,18 @@
 import io.trailladder.core.policy.RateSpec;
 import io.trailladder.core.policy.RequestBounds;
 import io.trailladder.core.policy.ServingPolicy;
-import io.trailladder.core.policy.TenantSpec;
+import io.trailladder.core.policy.OrganisationSpec;
 import io.trailladder.wire.NodeMessage.DigestScope;
 import io.trailladder.wire.NodeMessage.NodeDigest;
 import io.trailladder.wire.NodeMessage.NodeHello;
-import io.trailladder.wire.NodeMessage.TenantUse;
+import io.trailladder.wire.NodeMessage.OrganisationUse;
 import java.util.List;
 import java.util.OptionalInt;
 import net.jqwik.api.Example;
 
 /** What a leaf may use of limits while it changes hubs. */
 class LimitExchangeTest {
-    private static final String TENANT = "t";
+    private static final String ORGANISATION = "t";
     private static final int PROCESSES = 77;
     private static final long STEP_MILLIS = 200;
     private static final long LEARNED_MILLIS = 10_000;
@@ -54,7 +54,7 @@
                 PROCESSES - 1,
                 PROCESSES,
                 List.of(),
-                List.of(new TenantUse(TENANT, used, used, level)),
+                List.of(new OrganisationUse(ORGANISATION, used, used, level)),
                 List.of(),
                 List.of(),
                 List.of(),
@@ -71,17 +71,17 @@
 
     private void limit(double perSecond) {
         RateSpec limit = new RateSpec(perSecond, perSecond, true, 1);
-        TenantSpec tenant = new TenantSpec(TENANT, List.of("k"), OptionalInt.empty(), limit);
+        OrganisationSpec organisation = new OrganisationSpec(ORGANISATION, List.of("k"), OptionalInt.empty(), limit);
         quotas.policy(
                 new ServingPolicy(
-                        1, List.of(), List.of(), List.of(tenant), RequestBounds.DEFAULTS),
+                        1, List.of(), List.of(), List.of(organisation), RequestBounds.DEFAULTS),
                 0);
     }
 
     private double passed(long nowMillis, double units, int requests) {
         double passed = 0;
         for (int i = 0; i < requests; i++) {
-            passed += quotas.tryTake(TENANT, units, nowMillis) == 0 ? units : 0;
+            passed += quotas.tryTake(ORGANISATION, units, nowMillis) == 0 ? units : 0;
         }
         return passed;
     }
--- a/trailladder-entry/src/test/java/io/trailladder/entry/gateway/QuotasTest.java
+++ b/trailladder-entry/src/test/java/io/trailladder/entry/gateway/QuotasTest.java
@@ -21,26 +21,26 @@
 import io.trailladder.core.policy.RateSpec;
 import io.trailladder.core.policy.RequestBounds;
 import io.trailladder.core.policy.ServingPolicy;
-import io.trailladder.core.policy.TenantSpec;
-import io.trailladder.wire.NodeMessage.TenantUse;
+import io.trailladder.core.policy.OrganisationSpec;
+import io.trailladder.wire.NodeMessage.OrganisationUse;
 import java.util.List;
 import java.util.OptionalInt;
 import net.jqwik.api.Example;
 
-/** Limits of tenants over all processes, over restarts and over what peers tell. */
+/** Limits of organisations over all processes, over restarts and over what peers tell. */
 class QuotasTest {
-    private static final String TENANT = "t";
+    private static final String ORGANISATION = "t";
     private static final GatewaySettings.Tolerance EXACT = new GatewaySettings.Tolerance(0, 0);
 
     private static ServingPolicy policy(double perSecond, double burst) {
         RateSpec limit = new RateSpec(perSecond, burst, true, 1);
-        TenantSpec tenant = new TenantSpec(TENANT, List.of("k"), OptionalInt.empty(), limit);
-        return new ServingPolicy(1, List.of(), List.of(), List.of(tenant), RequestBounds.DEFAULTS);
+        OrganisationSpec organisation = new OrganisationSpec(ORGANISATION, List.of("k"), OptionalInt.empty(), limit);
+        return new ServingPolicy(1, List.of(), List.of(), List.of(organisation), RequestBounds.DEFAULTS);
     }
 
     private static double passedAtOnce(Quotas quotas) {
         double passed = 0;
-        while (quotas.tryTake(TENANT, 10, 0) == 0) {
+        while (quotas.tryTake(ORGANISATION, 10, 0) == 0) {
             passed += 10;
         }
         return passed;
@@ -67,9 +67,9 @@
     void peersUseCountsOnceHoweverOftenItIsTold() {
         Quotas quotas = new Quotas(true, EXACT);
         quotas.policy(policy(1_000, 1_000), 0);
-        quotas.peerUsed("p/1", List.of(new TenantUse(TENANT, 0, 0, 1_000)), 0);
-        quotas.peerUsed("p/1", List.of(new TenantUse(TENANT, 400, 400, 600)), 0);
-        quotas.peerUsed("p/1", List.of(new TenantUse(TENANT, 400, 400, 600)), 0);
+        quotas.peerUsed("p/1", List.of(new OrganisationUse(ORGANISATION, 0, 0, 1_000)), 0);
+        quotas.peerUsed("p/1", List.of(new OrganisationUse(ORGANISATION, 400, 400, 600)), 0);
+        quotas.peerUsed("p/1", List.of(new OrganisationUse(ORGANISATION, 400, 400, 600)), 0);
         assertEquals(600, passedAtOnce(quotas));
     }
 
@@ -95,7 +95,7 @@
         Quotas otherLeaf = limited(1_000);
         otherHub.peerUsed("hub/1", hub.groupUses(0), 0);
         otherLeaf.peerUsed("hub2/1/rest", otherHub.restUses("leaf2/1", 0), 0);
-        leaf.tryTake(TENANT, 400, 0);
+        leaf.tryTake(ORGANISATION, 400, 0);
         hub.leafUsed("leaf/1", leaf.ownUses(0), 0);
         leaf.peerUsed("hub/1/rest", hub.restUses("leaf/1", 0), 0);
         otherHub.peerUsed("hub/1", hub.groupUses(0), 0);
@@ -112,10 +112,10 @@
         Quotas first = limited(1_000);
         Quotas second = limited(1_000);
         second.peerUsed("first/1", first.groupUses(0), 0);
-        leaf.tryTake(TENANT, 300, 0);
+        leaf.tryTake(ORGANISATION, 300, 0);
         first.leafUsed("leaf/1", leaf.ownUses(0), 0);
         second.peerUsed("first/1", first.groupUses(0), 0);
-        leaf.tryTake(TENANT, 200, 0);
+        leaf.tryTake(ORGANISATION, 200, 0);
         second.leafUsed("leaf/1", leaf.ownUses(0), 0);
         assertEquals(500, passedAtOnce(second));
     }
@@ -129,7 +129,7 @@
         leaf.peerUsed("first/1", first.restUses("leaf/1", 0), 0);
         leaf.beginAnew("second/1");
         leaf.peerUsed("second/1", second.restUses("leaf/1", 0), 0);
-        first.tryTake(TENANT, 400, 0);
+        first.tryTake(ORGANISATION, 400, 0);
         second.peerUsed("first/1", first.groupUses(0), 0);
         leaf.peerUsed("second/1", second.restUses("leaf/1", 0), 0);
         leaf.beginAnew("first/1");
@@ -143,9 +143,9 @@
         Quotas first = limited(1_000);
         Quotas second = limited(1_000);
         first.peerUsed("second/1", second.groupUses(0), 0);
-        leaf.tryTake(TENANT, 100, 0);
+        leaf.tryTake(ORGANISATION, 100, 0);
         first.leafUsed("leaf/1", leaf.ownUses(0), 0);
-        leaf.tryTake(TENANT, 300, 0);
+        leaf.tryTake(ORGANISATION, 300, 0);
         second.leafUsed("leaf/1", leaf.ownUses(0), 0);
         first.peerUsed("second/1", second.groupUses(0), 0);
         first.beginAnew("leaf/1");
--- a/trailladder-entry/src/test/java/io/trailladder/entry/gateway/SimulatedCluster.java
+++ b/trailladder-entry/src/test/java/io/trailladder/entry/gateway/SimulatedCluster.java
@@ -19,7 +19,7 @@
 import io.trailladder.core.policy.RateSpec;
 import io.trailladder.core.policy.RequestBounds;
 import io.trailladder.core.policy.ServingPolicy;
-import io.trailladder.core.policy.TenantSpec;
+import io.trailladder.core.policy.OrganisationSpec;
 import io.trailladder.wire.NodeMessage;
 import io.trailladder.wire.NodeMessage.NodeHello;
 import java.util.ArrayDeque;
@@ -37,7 +37,7 @@
 import java.util.function.BiPredicate;
 
 /**
- * Gateway processes in virtual time that share one tenant's limit: their real views of each other,
+ * Gateway processes in virtual time that share one organisation's limit: their real views of each other,
  * limits and plans of links, over links and a store that this class plays.
  *
  * <p>Callers send requests of {@link #UNITS} units at a steady rate, in equal parts to all
@@ -47,7 +47,7 @@
     /** Size of each request. */
     static final double UNITS = 10;
 
-    static final String TENANT = "t";
+    static final String ORGANISATION = "t";
 
     /** Over how long the limit is measured, in milliseconds. */
     static final long WINDOW_MILLIS = 8_000;
@@ -110,11 +110,11 @@
     /** Sets the limit; the burst is what the rate gives in a second. */
     void limit(double perSecond) {
         RateSpec limit = new RateSpec(perSecond, perSecond, true, 1);
-        TenantSpec tenant = new TenantSpec(TENANT, List.of("k"), OptionalInt.empty(), limit);
+        OrganisationSpec organisation = new OrganisationSpec(ORGANISATION, List.of("k"), OptionalInt.empty(), limit);
         long version = policy == null ? 1 : policy.version() + 1;
         policy =
                 new ServingPolicy(
-                        version, List.of(), List.of(), List.of(tenant), RequestBounds.DEFAULTS);
+                        version, List.of(), List.of(), List.of(organisation), RequestBounds.DEFAULTS);
         double measured = perSecond * (WINDOW_MILLIS / 1000.0 + 1);
         mostAllowed = measured * (1 + TOLERANCE) + TOLERANCE_UNITS;
         processes.values().forEach(SimulatedProcess::policyChanged);
--- a/trailladder-entry/src/test/java/io/trailladder/entry/gateway/SimulatedProcess.java
+++ b/trailladder-entry/src/test/java/io/trailladder/entry/gateway/SimulatedProcess.java
@@ -138,7 +138,7 @@
     }
 
     boolean tryTake(long now) {
-        return quotas.tryTake(SimulatedCluster.TENANT, SimulatedCluster.UNITS, now) == 0;
+        return quotas.tryTake(SimulatedCluster.ORGANISATION, SimulatedCluster.UNITS, now) == 0;
     }
 
     void step(long now) {
--- a/trailladder-wire/src/main/java/io/trailladder/wire/NodeMessage.java
+++ b/trailladder-wire/src/main/java/io/trailladder/wire/NodeMessage.java
@@ -59,7 +59,7 @@
      * @param processes how many processes the figures are of
      * @param members how many processes the sender has read in the store; 0 if none
      * @param usage requests that began to run, where that has changed since the digest before
-     * @param quotas what was let pass, by tenant
+     * @param quotas what was let pass, by organisation
      * @param uses what is under way at upstreams
      * @param demands the prompts that upstreams of services are to read
      * @param evidence what was seen of the speed of upstreams; empty if not told this time
@@ -74,7 +74,7 @@
             int processes,
             int members,
             List<UsageHistory> usage,
-            List<TenantUse> quotas,
+            List<OrganisationUse> quotas,
             List<WorkerUse> uses,
             List<ServiceDemand> demands,
             List<EngineEvidence> evidence,
@@ -107,14 +107,14 @@
     }
 
     /**
-     * One tenant's use.
+     * One organisation's use.
      *
-     * @param tenant the tenant
+     * @param organisation the organisation
      * @param used units let pass since the sender's start
      * @param toldBefore the part of them that other processes have been told of already
      * @param level units left over all processes, as the sender sees it
      */
-    record TenantUse(String tenant, double used, double toldBefore, double level) {}
+    record OrganisationUse(String organisation, double used, double toldBefore, double level) {}
 
     /**
      * Requests that began to run at one process, told to a peer that may not have heard of them.
--- a/trailladder-wire/src/main/java/io/trailladder/wire/NodePacker.java
+++ b/trailladder-wire/src/main/java/io/trailladder/wire/NodePacker.java
@@ -24,7 +24,7 @@
 import io.trailladder.wire.NodeMessage.NodeHello;
 import io.trailladder.wire.NodeMessage.Snapshot;
 import io.trailladder.wire.NodeMessage.SnapshotAsk;
-import io.trailladder.wire.NodeMessage.TenantUse;
+import io.trailladder.wire.NodeMessage.OrganisationUse;
 import io.trailladder.wire.NodeMessage.UpstreamNews;
 import io.trailladder.wire.NodeMessage.UsageHistory;
 import io.trailladder.wire.NodeMessage.WorkerEntry;
@@ -95,7 +95,7 @@
                 .number(digest.processes())
                 .number(digest.members())
                 .list(digest.usage(), this::usageHistory)
-                .list(digest.quotas(), this::tenantUse)
+                .list(digest.quotas(), this::organisationUse)
                 .list(digest.uses(), this::workerUse)
                 .list(digest.demands(), this::demand)
                 .list(digest.evidence(), this::evidence)
@@ -115,12 +115,12 @@
     }
 
     private void usageCount(UsageCount count) throws IOException {
-        fields(3).number(count.window()).text(count.tenant()).number(count.started());
+        fields(3).number(count.window()).text(count.organisation()).number(count.started());
     }
 
-    private void tenantUse(TenantUse use) throws IOException {
+    private void organisationUse(OrganisationUse use) throws IOException {
         fields(4)
-                .text(use.tenant())
+                .text(use.organisation())
                 .fraction(use.used())
                 .fraction(use.toldBefore())
                 .fraction(use.level());
--- a/trailladder-wire/src/main/java/io/trailladder/wire/NodeUnpacker.java
+++ b/trailladder-wire/src/main/java/io/trailladder/wire/NodeUnpacker.java
@@ -25,7 +25,7 @@
 import io.trailladder.wire.NodeMessage.NodeHello;
 import io.trailladder.wire.NodeMessage.Snapshot;
 import io.trailladder.wire.NodeMessage.SnapshotAsk;
-import io.trailladder.wire.NodeMessage.TenantUse;
+import io.trailladder.wire.NodeMessage.OrganisationUse;
 import io.trailladder.wire.NodeMessage.UpstreamNews;
 import io.trailladder.wire.NodeMessage.UsageHistory;
 import io.trailladder.wire.NodeMessage.WorkerEntry;
@@ -111,7 +111,7 @@
                 smallNumber(),
                 smallNumber(),
                 list(this::usageHistory),
-                list(this::tenantUse),
+                list(this::organisationUse),
                 list(this::workerUse),
                 list(this::demand),
                 list(this::evidence),
@@ -152,9 +152,9 @@
         return new UsageCount(number(), text(), smallNumber());
     }
 
-    private TenantUse tenantUse() throws IOException {
+    private OrganisationUse organisationUse() throws IOException {
         fields(4);
-        return new TenantUse(text(), fraction(), fraction(), fraction());
+        return new OrganisationUse(text(), fraction(), fraction(), fraction());
     }
 
     private WorkerUse workerUse() throws IOException {
--- a/trailladder-wire/src/test/java/io/trailladder/wire/NodeMessageProperties.java
+++ b/trailladder-wire/src/test/java/io/trailladder/wire/NodeMessageProperties.java
@@ -31,7 +31,7 @@
 import io.trailladder.wire.NodeMessage.NodeHello;
 import io.trailladder.wire.NodeMessage.Snapshot;
 import io.trailladder.wire.NodeMessage.SnapshotAsk;
-import io.trailladder.wire.NodeMessage.TenantUse;
+import io.trailladder.wire.NodeMessage.OrganisationUse;
 import io.trailladder.wire.NodeMessage.UpstreamNews;
 import io.trailladder.wire.NodeMessage.UsageHistory;
 import io.trailladder.wire.NodeMessage.WorkerEntry;
@@ -63,7 +63,7 @@
                 3,
                 4,
                 List.of(new UsageHistory(name, List.of(new UsageCount(5, "t", 6)))),
-                List.of(new TenantUse("t", figure, 7, 8)),
+                List.of(new OrganisationUse("t", figure, 7, 8)),
                 List.of(new WorkerUse(name, 9, 10)),
                 List.of(new ServiceDemand("s", figure, 11)),
                 List.of(new EngineEvidence("s", sums, FitSums.NONE, 12, figure)),
