--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestIntake.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestIntake.java
@@ -175,11 +175,7 @@
         String name = organisation.map(OrganisationSpec::name).orElse("");
         long now = context.loop().nowMillis();
         long retryAfter = context.quotas().tryTake(name, units, now);
-        if (retryAfter > 0) {
-            refuse(exchange, caller.id(), OVER_LIMIT, retryAfter, "over limit of " + name);
-            return;
-        }
-        ServingRequest request = request(exchange, caller, policy, route.get(), organisation);
+        String outcome = retryAfter > 0 ? OVER_LIMIT + ", over limit of " + name : "accepted";
         DecisionLog.write(
                 new Intake(
                         caller.id(),
@@ -188,7 +184,12 @@
                         units,
                         policy.version(),
                         route.get().objectiveMillis(),
-                        "accepted"));
+                        outcome));
+        if (retryAfter > 0) {
+            turnBack(exchange, OVER_LIMIT, retryAfter);
+            return;
+        }
+        ServingRequest request = request(exchange, caller, policy, route.get(), organisation);
         drive(exchange, request, units, caller.lastEventId());
     }
 
@@ -232,6 +233,10 @@
     private void refuse(
             ServerExchange exchange, String id, int status, long retryAfterMillis, String reason) {
         DecisionLog.write(new Intake(id, "", "", 0, policies.version(), 0, status + ", " + reason));
+        turnBack(exchange, status, retryAfterMillis);
+    }
+
+    private void turnBack(ServerExchange exchange, int status, long retryAfterMillis) {
         context.metrics().ended("", "", "refused-" + status, 0);
         long spread = context.returns().spread(retryAfterMillis);
         HeaderList headers = context.protocol().refusal(spread);
