--- a/trailladder-core/src/main/java/io/trailladder/core/duty/UsageLedger.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/duty/UsageLedger.java
@@ -24,8 +24,8 @@
 import java.util.TreeMap;
 
 /**
- * Counts the requests that began to run, by window and organisation: this entry's own and what its peers
- * told of theirs, so that the counts of a lost entry survive at the others.
+ * Counts the requests that began to run, by window and organisation: this entry's own and what its
+ * peers told of theirs, so that the counts of a lost entry survive at the others.
  *
  * @since 0.2
  */
@@ -126,7 +126,8 @@
                                 organisations.forEach(
                                         (organisation, started) ->
                                                 counts.add(
-                                                        new UsageCount(window, organisation, started))));
+                                                        new UsageCount(
+                                                                window, organisation, started))));
         return counts;
     }
 
@@ -145,7 +146,9 @@
                                         .forEach(
                                                 (organisation, started) ->
                                                         total.merge(
-                                                                organisation, started, Integer::sum)));
+                                                                organisation,
+                                                                started,
+                                                                Integer::sum)));
         return total;
     }
 
--- a/trailladder-core/src/main/java/io/trailladder/core/limit/QuotaBucket.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/limit/QuotaBucket.java
@@ -18,11 +18,11 @@
 import io.trailladder.core.policy.RateSpec;
 
 /**
- * One organisation's limit over all entries, as this entry sees it: a token bucket that its own requests
- * and those its peers tell of draw on.
+ * One organisation's limit over all entries, as this entry sees it: a token bucket that its own
+ * requests and those its peers tell of draw on.
  *
- * <p>Peers that cannot be heard are taken to use an equal part of the rate each. While none is heard
- * for a moment, they are taken to go on as before.
+ * <p>Peers that cannot be heard are taken to use an equal part of the rate each. While none is
+ * heard for a moment, they are taken to go on as before.
  *
  * @since 0.2
  */
--- a/trailladder-core/src/main/java/io/trailladder/core/policy/OrganisationSpec.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/policy/OrganisationSpec.java
@@ -27,7 +27,8 @@
  * @param limit its limit
  * @since 0.2
  */
-public record OrganisationSpec(String name, List<String> keys, OptionalInt priority, RateSpec limit) {
+public record OrganisationSpec(
+        String name, List<String> keys, OptionalInt priority, RateSpec limit) {
     /** Copies the keys. */
     public OrganisationSpec {
         keys = List.copyOf(keys);
--- a/trailladder-core/src/main/java/io/trailladder/core/worker/PlaceForecast.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/worker/PlaceForecast.java
@@ -37,8 +37,8 @@
     private PlaceForecast() {}
 
     /**
-     * Works the time out. An upstream with free places that turns a request away is taken to be full
-     * for a moment: one place there becomes free as soon as one of its requests ends.
+     * Works the time out. An upstream with free places that turns a request away is taken to be
+     * full for a moment: one place there becomes free as soon as one of its requests ends.
      *
      * @param serving the upstreams that take new work
      * @param loads the work under way at them
--- a/trailladder-core/src/test/java/io/trailladder/core/limit/QuotaBucketTest.java
+++ b/trailladder-core/src/test/java/io/trailladder/core/limit/QuotaBucketTest.java
@@ -24,7 +24,9 @@
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
 
-/** An organisation's limit holds over all entries that hear one another, and over those that do not. */
+/**
+ * An organisation's limit holds over all entries that hear one another, and over those that do not.
+ */
 class QuotaBucketTest {
     private static final RateSpec LIMIT = new RateSpec(1_000, 1_000, true, 1);
     private static final long SECOND = 1_000;
--- a/trailladder-core/src/test/java/io/trailladder/core/policy/ServingPolicyTest.java
+++ b/trailladder-core/src/test/java/io/trailladder/core/policy/ServingPolicyTest.java
@@ -84,7 +84,8 @@
         OrganisationSpec organisation =
                 new OrganisationSpec("t", List.of("k1"), OptionalInt.empty(), RateSpec.UNLIMITED);
         ServingPolicy policy =
-                new ServingPolicy(4, List.of(), List.of(), List.of(organisation), RequestBounds.DEFAULTS);
+                new ServingPolicy(
+                        4, List.of(), List.of(), List.of(organisation), RequestBounds.DEFAULTS);
         assertTrue(policy.needsKeys());
         assertEquals("t", policy.organisationOfKey("k1").orElseThrow().name());
         assertTrue(policy.organisationOfKey("k2").isEmpty());
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ClusterView.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ClusterView.java
@@ -304,10 +304,7 @@
         writer.beginRound(now);
         SenderState state =
                 new SenderState(
-                        store.isReachable(),
-                        draining,
-                        membersRead(),
-                        List.copyOf(recentLeaving));
+                        store.isReachable(), draining, membersRead(), List.copyOf(recentLeaving));
         Map<Long, List<Peer>> byUsageTold = new HashMap<>();
         for (Peer peer : told) {
             if (mesh.isHub() && peer.isLeaf()) {
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
@@ -210,7 +210,8 @@
         health = new HttpServer(loop, inside, this::answerReady);
         figures = new HttpServer(loop, inside, this::answerFigures);
         PlatformFormat format = platform.format();
-        policyWatcher = watcher(
+        policyWatcher =
+                watcher(
                         counted(platform, Purpose.POLICY),
                         random,
                         format.policyKey(),
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Quotas.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Quotas.java
@@ -17,9 +17,9 @@
 
 import io.trailladder.core.RecentMap;
 import io.trailladder.core.limit.QuotaBucket;
+import io.trailladder.core.policy.OrganisationSpec;
 import io.trailladder.core.policy.RateSpec;
 import io.trailladder.core.policy.ServingPolicy;
-import io.trailladder.core.policy.OrganisationSpec;
 import io.trailladder.wire.NodeMessage.OrganisationUse;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -250,7 +250,8 @@
         return life + '/' + use.organisation();
     }
 
-    private List<OrganisationUse> uses(long nowMillis, BiFunction<String, QuotaBucket, Told> figures) {
+    private List<OrganisationUse> uses(
+            long nowMillis, BiFunction<String, QuotaBucket, Told> figures) {
         List<OrganisationUse> uses = new ArrayList<>();
         buckets.forEach(
                 (name, bucket) -> {
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestIntake.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestIntake.java
@@ -17,9 +17,9 @@
 
 import io.trailladder.core.pipeline.AttemptFailure;
 import io.trailladder.core.pipeline.ServingRequest;
+import io.trailladder.core.policy.OrganisationSpec;
 import io.trailladder.core.policy.Route;
 import io.trailladder.core.policy.ServingPolicy;
-import io.trailladder.core.policy.OrganisationSpec;
 import io.trailladder.core.worker.Worker;
 import io.trailladder.entry.gateway.DecisionLog.Intake;
 import io.trailladder.entry.http.HeaderList;
@@ -35,7 +35,8 @@
 import java.util.function.BooleanSupplier;
 
 /**
- * Decides of each request whether it is accepted, by the policy in force and the organisation's limit.
+ * Decides of each request whether it is accepted, by the policy in force and the organisation's
+ * limit.
  *
  * @since 0.2
  */
@@ -165,7 +166,8 @@
             return;
         }
         int units =
-                organisation.map(
+                organisation
+                        .map(
                                 known ->
                                         Quotas.size(
                                                 known.limit(),
@@ -211,7 +213,8 @@
         long wait = caller.waitMillis() > 0 ? caller.waitMillis() : DEFAULT_WAIT_MILLIS;
         long held = route.timeoutMillis() > 0 ? Math.min(wait, route.timeoutMillis()) : wait;
         int priority =
-                organisation.flatMap(
+                organisation
+                        .flatMap(
                                 known ->
                                         known.priority().isPresent()
                                                 ? Optional.of(known.priority().getAsInt())
--- a/trailladder-entry/src/test/java/io/trailladder/entry/gateway/LimitExchangeTest.java
+++ b/trailladder-entry/src/test/java/io/trailladder/entry/gateway/LimitExchangeTest.java
@@ -18,10 +18,10 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.trailladder.core.policy.OrganisationSpec;
 import io.trailladder.core.policy.RateSpec;
 import io.trailladder.core.policy.RequestBounds;
 import io.trailladder.core.policy.ServingPolicy;
-import io.trailladder.core.policy.OrganisationSpec;
 import io.trailladder.wire.NodeMessage.DigestScope;
 import io.trailladder.wire.NodeMessage.NodeDigest;
 import io.trailladder.wire.NodeMessage.NodeHello;
@@ -71,7 +71,8 @@
 
     private void limit(double perSecond) {
         RateSpec limit = new RateSpec(perSecond, perSecond, true, 1);
-        OrganisationSpec organisation = new OrganisationSpec(ORGANISATION, List.of("k"), OptionalInt.empty(), limit);
+        OrganisationSpec organisation =
+                new OrganisationSpec(ORGANISATION, List.of("k"), OptionalInt.empty(), limit);
         quotas.policy(
                 new ServingPolicy(
                         1, List.of(), List.of(), List.of(organisation), RequestBounds.DEFAULTS),
--- a/trailladder-entry/src/test/java/io/trailladder/entry/gateway/QuotasTest.java
+++ b/trailladder-entry/src/test/java/io/trailladder/entry/gateway/QuotasTest.java
@@ -18,10 +18,10 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.trailladder.core.policy.OrganisationSpec;
 import io.trailladder.core.policy.RateSpec;
 import io.trailladder.core.policy.RequestBounds;
 import io.trailladder.core.policy.ServingPolicy;
-import io.trailladder.core.policy.OrganisationSpec;
 import io.trailladder.wire.NodeMessage.OrganisationUse;
 import java.util.List;
 import java.util.OptionalInt;
@@ -34,8 +34,10 @@
 
     private static ServingPolicy policy(double perSecond, double burst) {
         RateSpec limit = new RateSpec(perSecond, burst, true, 1);
-        OrganisationSpec organisation = new OrganisationSpec(ORGANISATION, List.of("k"), OptionalInt.empty(), limit);
-        return new ServingPolicy(1, List.of(), List.of(), List.of(organisation), RequestBounds.DEFAULTS);
+        OrganisationSpec organisation =
+                new OrganisationSpec(ORGANISATION, List.of("k"), OptionalInt.empty(), limit);
+        return new ServingPolicy(
+                1, List.of(), List.of(), List.of(organisation), RequestBounds.DEFAULTS);
     }
 
     private static double passedAtOnce(Quotas quotas) {
--- a/trailladder-entry/src/test/java/io/trailladder/entry/gateway/SimulatedCluster.java
+++ b/trailladder-entry/src/test/java/io/trailladder/entry/gateway/SimulatedCluster.java
@@ -16,10 +16,10 @@
 package io.trailladder.entry.gateway;
 
 import io.trailladder.core.membership.GatewayMember;
+import io.trailladder.core.policy.OrganisationSpec;
 import io.trailladder.core.policy.RateSpec;
 import io.trailladder.core.policy.RequestBounds;
 import io.trailladder.core.policy.ServingPolicy;
-import io.trailladder.core.policy.OrganisationSpec;
 import io.trailladder.wire.NodeMessage;
 import io.trailladder.wire.NodeMessage.NodeHello;
 import java.util.ArrayDeque;
@@ -37,8 +37,8 @@
 import java.util.function.BiPredicate;
 
 /**
- * Gateway processes in virtual time that share one organisation's limit: their real views of each other,
- * limits and plans of links, over links and a store that this class plays.
+ * Gateway processes in virtual time that share one organisation's limit: their real views of each
+ * other, limits and plans of links, over links and a store that this class plays.
  *
  * <p>Callers send requests of {@link #UNITS} units at a steady rate, in equal parts to all
  * processes that run.
@@ -90,8 +90,7 @@
             String dataCentre = "dc" + i % dataCentres;
             String name = String.format(Locale.ROOT, "p%03d", i);
             double linkMbps = i < 2 * dataCentres ? 100 : 10;
-            GatewayMember member =
-                    new GatewayMember(name, dataCentre, name + ":1", linkMbps, 1);
+            GatewayMember member = new GatewayMember(name, dataCentre, name + ":1", linkMbps, 1);
             processes.put(name, new SimulatedProcess(this, member, i * 7L % 200));
             entries.put(name, member);
             leaseEnds.put(name, LEASE_MILLIS);
@@ -110,11 +109,16 @@
     /** Sets the limit; the burst is what the rate gives in a second. */
     void limit(double perSecond) {
         RateSpec limit = new RateSpec(perSecond, perSecond, true, 1);
-        OrganisationSpec organisation = new OrganisationSpec(ORGANISATION, List.of("k"), OptionalInt.empty(), limit);
+        OrganisationSpec organisation =
+                new OrganisationSpec(ORGANISATION, List.of("k"), OptionalInt.empty(), limit);
         long version = policy == null ? 1 : policy.version() + 1;
         policy =
                 new ServingPolicy(
-                        version, List.of(), List.of(), List.of(organisation), RequestBounds.DEFAULTS);
+                        version,
+                        List.of(),
+                        List.of(),
+                        List.of(organisation),
+                        RequestBounds.DEFAULTS);
         double measured = perSecond * (WINDOW_MILLIS / 1000.0 + 1);
         mostAllowed = measured * (1 + TOLERANCE) + TOLERANCE_UNITS;
         processes.values().forEach(SimulatedProcess::policyChanged);
