Share limits with processes heard in the last 0.6 s

Cause: a process counted as heard for 1.2 s after its last message, so when a data centre is cut off both sides use whole limits for that long.

Change: for shares of limits a peer counts for three digests.

--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ClusterView.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ClusterView.java
@@ -58,6 +58,13 @@
     public static final long DIGEST_MILLIS = 200;
 
     private static final long FED_MILLIS = 800;
+
+    /**
+     * How old figures may be for their processes to share limits with this one, in milliseconds:
+     * three digests. Until then both sides of a cut use whole limits.
+     */
+    private static final long FRESH_MILLIS = 600;
+
     private static final int RECENT_LEAVING = 32;
 
     private final LongSupplier nowMillis;
@@ -308,7 +315,9 @@
         Map<Long, List<Peer>> byUsageTold = new HashMap<>();
         for (Peer peer : told) {
             if (mesh.isHub() && peer.isLeaf()) {
-                mesh.send(peer.name(), writer.rest(state, peer, counted(), now));
+                mesh.send(
+                        peer.name(),
+                        writer.rest(state, peer, counted(), heard() - justHeard(peer), now));
             } else if (mesh.isHub() || mesh.isOwnHub(peer.hello())) {
                 byUsageTold
                         .computeIfAbsent(peer.usageTold(), sequence -> new ArrayList<>())
@@ -339,9 +348,14 @@
         }
     }
 
-    /** The processes whose figures this one knows, itself included. */
+    /** The processes whose figures this one has just heard, itself included. */
     private int heard() {
-        return 1 + counted().stream().mapToInt(Peer::processes).sum();
+        return 1 + counted().stream().mapToInt(this::justHeard).sum();
+    }
+
+    private int justHeard(Peer peer) {
+        boolean fresh = peer.digestMillis() >= nowMillis.getAsLong() - FRESH_MILLIS;
+        return fresh ? peer.processes() : 0;
     }
 
     private List<Peer> counted() {
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/DigestWriter.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/DigestWriter.java
@@ -116,10 +116,10 @@
                 evidence(leaves, nowMillis));
     }
 
-    /** Writes what a hub tells a leaf: the figures of all others. */
-    NodeDigest rest(SenderState state, Peer leaf, Collection<Peer> counted, long nowMillis) {
+    /** Writes what a hub tells a leaf: the figures of all others, so many processes. */
+    NodeDigest rest(
+            SenderState state, Peer leaf, Collection<Peer> counted, int processes, long nowMillis) {
         List<Peer> others = counted.stream().filter(peer -> peer != leaf).toList();
-        int processes = 1 + others.stream().mapToInt(Peer::processes).sum();
         return digest(
                 state,
                 DigestScope.REST,
