Go on with a handed-over stream at its heir

Cause of the test that was known red (a handed-over stream ends after 152 to 186 of 400 tokens, some 5 s later): the caller asks the heir just before the hand-over arrives there, so the heir asks its peers. The stopping entry has meanwhile become the keeper of the heir's own copy; it takes that copy up and begins the request again for the half second it has left, and the heir relays the caller there. When it is gone, the heir looks for the request at its peers for 20 x 0.2 s, never at itself, and breaks off. Seen by having the engine stand-in print each beginning; ruled out with it: any failure of the engine stand-in.

Change: an entry that has handed its requests over takes up no copies any more; an entry looks at itself before it asks peers; an answer that had begun gets no second head (BegunSink).

--- a/trailladder-entry/src/main/java/io/trailladder/entry/serve/RequestBook.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/serve/RequestBook.java
@@ -65,6 +65,9 @@
     private final CopyStore copies = new CopyStore();
     private final Map<String, CompletableFuture<Void>> awaited = new ConcurrentHashMap<>();
 
+    /** Set once this entry has handed its requests over: it must not begin any more. */
+    private volatile boolean handedOver;
+
     /** A request this entry works on, and where its copy is. */
     private static final class Held {
         final GenerationRunner runner;
@@ -146,7 +149,9 @@
      * @return its runner, if there is such a copy
      */
     public Optional<GenerationRunner> adopt(String requestId, String organisation) {
-        return copies.take(requestId, organisation).flatMap(this::resume);
+        return handedOver
+                ? Optional.empty()
+                : copies.take(requestId, organisation).flatMap(this::resume);
     }
 
     /**
@@ -160,7 +165,8 @@
         if (find(requestId, organisation).isPresent()) {
             return Standing.HOLDER;
         }
-        return copies.has(requestId, organisation) ? Standing.COPY : Standing.NONE;
+        boolean copy = !handedOver && copies.has(requestId, organisation);
+        return copy ? Standing.COPY : Standing.NONE;
     }
 
     /**
@@ -209,6 +215,7 @@
 
     /** Hands every request in flight to another entry. */
     public void handOver() {
+        handedOver = true;
         for (Held h : held.values()) {
             if (h.runner.isEnded()) {
                 continue;
@@ -227,7 +234,9 @@
      * @param peer the peer's name
      */
     public void lost(String peer) {
-        copies.takeUnfinishedOf(peer).forEach(this::resume);
+        if (!handedOver) {
+            copies.takeUnfinishedOf(peer).forEach(this::resume);
+        }
     }
 
     /**
--- a/trailladder-entry/src/main/java/io/trailladder/entry/serve/RequestRecovery.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/serve/RequestRecovery.java
@@ -81,6 +81,9 @@
             boolean begun,
             int triesLeft) {
         String name = names.get(0);
+        if (attachHere(book.find(name, request.organisation()), request, sink, begun)) {
+            return;
+        }
         finder.find(name, request.organisation())
                 .thenAccept(
                         holder -> {
@@ -90,9 +93,10 @@
                             }
                             Optional<GenerationRunner> adopted =
                                     book.adopt(name, request.organisation());
-                            if (adopted.isPresent()) {
-                                adopted.get().attach(sink, request.firstWantedEvent());
-                            } else if (names.size() > 1) {
+                            if (attachHere(adopted, request, sink, begun)) {
+                                return;
+                            }
+                            if (names.size() > 1) {
                                 findAtPeers(
                                         request,
                                         names.subList(1, names.size()),
@@ -109,6 +113,17 @@
                         });
     }
 
+    /** Brings the caller the rest from a runner of this entry, if there is one. */
+    private static boolean attachHere(
+            Optional<GenerationRunner> runner,
+            IncomingRequest request,
+            CallerSink sink,
+            boolean begun) {
+        CallerSink rest = begun ? new BegunSink(sink) : sink;
+        runner.ifPresent(found -> found.attach(rest, request.firstWantedEvent()));
+        return runner.isPresent();
+    }
+
     /**
      * A request that is just passing from a lost entry to its copy's keeper is found a little
      * later.
