Give the grace of a change of hubs to leaves only

A process that links to all others hears nobody only when it is cut off or they are gone; no other way to them is about to open. LimitExchangeTest.processThatReliesOnNoHub*.

--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ClusterView.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ClusterView.java
@@ -286,7 +286,7 @@
         forgetSilentPeers();
         engines.others(counted().stream().flatMap(peer -> peer.evidence().stream()).toList());
         boolean othersKnown = mesh.isPlanned() || !peers.isEmpty();
-        limits.share(othersKnown, heard(), entries(), nowMillis.getAsLong());
+        limits.share(othersKnown, !mesh.isHub(), heard(), entries(), nowMillis.getAsLong());
         tellPeers();
     }
 
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/LimitExchange.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/LimitExchange.java
@@ -30,7 +30,7 @@
     private static final double ALONE_PART = 0.1;
 
     /**
-     * How long a process that hears nobody any more takes the others to go on as they did, in
+     * How long a leaf that hears nobody any more takes the others to go on as they did, in
      * milliseconds: a leaf finds another hub in 1.2 s of silence, 0.4 s until it looks, and at most
      * 1 s to connect. It saves callers within their limits from being refused meanwhile.
      */
@@ -77,15 +77,16 @@
      * Sets which part of the limits this process and those it hears may use.
      *
      * @param othersKnown true if the store has told which processes there are, or a peer is heard
+     * @param leaf true if it relies on a hub, so that hearing nobody may only mean a change of hubs
      * @param heard processes whose figures are known, this one included
      * @param sharing processes that share limits
      * @param nowMillis the time
      */
-    void share(boolean othersKnown, int heard, int sharing, long nowMillis) {
+    void share(boolean othersKnown, boolean leaf, int heard, int sharing, long nowMillis) {
         double part = Math.min(1.0, heard / (double) sharing);
         if (restarted && !othersKnown) {
             quotas.sharedPart(ALONE_PART, nowMillis);
-        } else if (heard == 1 && sharing > 1 && changesHub(nowMillis)) {
+        } else if (leaf && heard == 1 && sharing > 1 && changesHub(nowMillis)) {
             quotas.othersGoOn(part, nowMillis);
         } else {
             quotas.sharedPart(part, nowMillis);
--- a/trailladder-entry/src/test/java/io/trailladder/entry/gateway/LimitExchangeTest.java
+++ b/trailladder-entry/src/test/java/io/trailladder/entry/gateway/LimitExchangeTest.java
@@ -66,7 +66,7 @@
         NodeDigest digest = digest(usedByOthers, 1_000);
         hub.told(digest, nowMillis);
         limits.told(hub, digest.quotas(), nowMillis);
-        limits.share(true, PROCESSES, PROCESSES, nowMillis);
+        limits.share(true, true, PROCESSES, PROCESSES, nowMillis);
     }
 
     private void limit(double perSecond) {
@@ -97,7 +97,7 @@
         assertTrue(passed > 0, "the level is used up");
         long end = LEARNED_MILLIS + LimitExchange.HUB_CHANGE_MILLIS;
         for (long now = LEARNED_MILLIS + STEP_MILLIS; now < end; now += STEP_MILLIS) {
-            limits.share(true, 1, PROCESSES, now);
+            limits.share(true, true, 1, PROCESSES, now);
         }
         // 500 a second are left by the others, 2.8 s long
         assertEquals(1_000, passed(end - STEP_MILLIS, 100, 20), 1);
@@ -111,22 +111,35 @@
         }
         long alone = LEARNED_MILLIS + LimitExchange.HUB_CHANGE_MILLIS;
         for (long now = LEARNED_MILLIS + STEP_MILLIS; now <= alone; now += STEP_MILLIS) {
-            limits.share(true, 1, PROCESSES, now);
+            limits.share(true, true, 1, PROCESSES, now);
         }
         passed(alone, 10, 200);
-        limits.share(true, 1, PROCESSES, alone + 10_000);
+        limits.share(true, true, 1, PROCESSES, alone + 10_000);
         assertTrue(passed(alone + 10_000, 10, 200) <= 10_000.0 / PROCESSES + 10);
     }
 
+    @Example
+    void processThatReliesOnNoHubGetsNoSuchGrace() {
+        limit(1_000);
+        for (long now = 0; now <= LEARNED_MILLIS; now += STEP_MILLIS) {
+            hear(100, now);
+        }
+        long alone = LEARNED_MILLIS + STEP_MILLIS;
+        limits.share(true, false, 1, PROCESSES, alone);
+        passed(alone, 10, 200);
+        limits.share(true, false, 1, PROCESSES, alone + 1_000);
+        assertEquals(0, passed(alone + 1_000, 100, 5));
+    }
+
     @Example
     void processThatHasJustBegunToHearOthersGetsNoSuchGrace() {
         limit(1_000);
         hear(100, 0);
         hear(100, STEP_MILLIS);
         long alone = 2 * STEP_MILLIS;
-        limits.share(true, 1, PROCESSES, alone);
+        limits.share(true, true, 1, PROCESSES, alone);
         passed(alone, 10, 200);
-        limits.share(true, 1, PROCESSES, alone + 1_000);
+        limits.share(true, true, 1, PROCESSES, alone + 1_000);
         assertEquals(0, passed(alone + 1_000, 100, 5));
     }
 
