--- /dev/null
+++ b/trailladder-core/src/main/java/io/trailladder/core/duty/RegistrationWatch.java
@@ -0,0 +1,74 @@
+/*
+ * Copyright 2026 The trailladder authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package io.trailladder.core.duty;
+
+import io.trailladder.core.worker.Worker;
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.Set;
+
+/**
+ * Tells when the upstreams that an operator provided have all registered.
+ *
+ * <p>They register one by one: 42 over some 3 s. Whoever takes the first that are seen for all of
+ * them orders too few in their place, and the day begins with half of what it needs. The list
+ * counts as complete once nobody new has come for longer than the gaps between them let expect.
+ *
+ * @since 0.4
+ */
+public final class RegistrationWatch {
+    /** Least time without a newcomer, in milliseconds: a heartbeat of 1.2 s and the list's lag. */
+    static final long LEAST_QUIET_MILLIS = 2_000;
+
+    /** Most time that is waited for another newcomer, in milliseconds: a boot. */
+    static final long MOST_QUIET_MILLIS = 5_000;
+
+    /** How many times the longest gap seen so far must pass without a newcomer. */
+    private static final int GAPS = 3;
+
+    private final Set<String> seen = new HashSet<>();
+    private long lastMillis;
+    private long longestGapMillis;
+    private boolean settled;
+
+    /**
+     * Looks at the list. To be called a few times a second.
+     *
+     * @param workers the service's upstreams, leaving ones too
+     * @param nowMillis the time
+     * @return true once the list has been complete, also later
+     */
+    public boolean isSettled(Collection<Worker> workers, long nowMillis) {
+        if (settled) {
+            return true;
+        }
+        boolean first = seen.isEmpty();
+        boolean newcomers = false;
+        for (Worker worker : workers) {
+            newcomers |= seen.add(worker.id());
+        }
+        if (newcomers) {
+            longestGapMillis = first ? 0 : Math.max(longestGapMillis, nowMillis - lastMillis);
+            lastMillis = nowMillis;
+        }
+        settled = !seen.isEmpty() && nowMillis - lastMillis >= quietMillis();
+        return settled;
+    }
+
+    private long quietMillis() {
+        return Math.max(LEAST_QUIET_MILLIS, Math.min(MOST_QUIET_MILLIS, GAPS * longestGapMillis));
+    }
+}
--- /dev/null
+++ b/trailladder-core/src/main/java/io/trailladder/core/rollout/AnswerCount.java
@@ -0,0 +1,60 @@
+/*
+ * Copyright 2026 The trailladder authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package io.trailladder.core.rollout;
+
+/**
+ * Answers of one version on one route since the order.
+ *
+ * @param answers how many ended, well or badly
+ * @param bad how many of them failed or came several times later than usual
+ * @since 0.4
+ */
+public record AnswerCount(int answers, int bad) {
+    /** No answers. */
+    public static final AnswerCount NONE = new AnswerCount(0, 0);
+
+    /** Most answers that are believed of one process and all it speaks for. */
+    private static final int MOST = 10_000_000;
+
+    /**
+     * Returns the sum of both.
+     *
+     * @param other another count
+     * @return their sum
+     */
+    public AnswerCount plus(AnswerCount other) {
+        return new AnswerCount(answers + other.answers, bad + other.bad);
+    }
+
+    /**
+     * Returns the count with one more answer.
+     *
+     * @param isBad true if it failed or came late
+     * @return the new count
+     */
+    public AnswerCount with(boolean isBad) {
+        return new AnswerCount(answers + 1, bad + (isBad ? 1 : 0));
+    }
+
+    /**
+     * Tells whether a count that another process tells can be true.
+     *
+     * @return false if a figure is negative, absurdly large or beyond its whole
+     */
+    public boolean isSound() {
+        return answers >= 0 && answers <= MOST && bad >= 0 && bad <= answers;
+    }
+}
--- /dev/null
+++ b/trailladder-core/src/main/java/io/trailladder/core/rollout/Rollout.java
@@ -0,0 +1,339 @@
+/*
+ * Copyright 2026 The trailladder authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package io.trailladder.core.rollout;
+
+import io.trailladder.core.worker.Worker;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+
+/**
+ * One roll-out as one process sees it: which upstreams a request may go to, what was seen of both
+ * versions, and what the other processes are told.
+ *
+ * <p>A process that sees by itself that the version is bad sends it nothing more at once. A process
+ * that has not heard of the leader for {@link #HEARD_MILLIS} sends it nothing either, so that
+ * nobody goes on with a version that the others have found bad.
+ *
+ * <pre>{@code
+ * Rollout rollout = new Rollout(order, ledger, nowMillis);
+ * List<Worker> candidates = rollout.admitted(directory.serving("chat"), true, nowMillis);
+ * rollout.sent(candidates.get(0));
+ * }</pre>
+ *
+ * @since 0.4
+ */
+public final class Rollout {
+    /**
+     * How long after the last news of the leader the new version is still sampled, in milliseconds:
+     * ten digests, and well below the 5 s within which a bad version must have been left.
+     */
+    public static final long HEARD_MILLIS = 2_000;
+
+    /**
+     * How long after the completion only the new version is chosen, in milliseconds: entries of
+     * stopped upstreams stay listed for three heartbeats of 1.2 s and the list's lag.
+     */
+    private static final long SETTLE_MILLIS = 10_000;
+
+    private static final String FIRST = "/first";
+    private static final String PAUSE = "/pause";
+
+    private final RolloutOrder order;
+    private final ExposureLedger ledger;
+    private final PaceBaseline pace = new PaceBaseline();
+    private final Map<String, RouteEvidence> seen = new TreeMap<>();
+    private RolloutPhase phase = RolloutPhase.SAMPLING;
+    private long deadlineMillis;
+    private long round;
+    private long heardMillis = Long.MIN_VALUE / 2;
+    private long finalMillis;
+    private final Set<String> oldVersions = new HashSet<>();
+
+    /**
+     * Creates the view of a roll-out that has just become known.
+     *
+     * @param order the order
+     * @param ledger what may be spent on the new version
+     * @param nowMillis the time
+     */
+    public Rollout(RolloutOrder order, ExposureLedger ledger, long nowMillis) {
+        this.order = order;
+        this.ledger = ledger;
+        this.deadlineMillis = nowMillis + order.durationMillis();
+    }
+
+    /**
+     * Returns the order.
+     *
+     * @return the order it is about
+     */
+    public RolloutOrder order() {
+        return order;
+    }
+
+    /**
+     * Returns how far it has come.
+     *
+     * @return the phase, as this process knows it
+     */
+    public RolloutPhase phase() {
+        return phase;
+    }
+
+    /**
+     * Returns when the order is to be carried out.
+     *
+     * @return a time, in milliseconds
+     */
+    public long deadlineMillis() {
+        return deadlineMillis;
+    }
+
+    /**
+     * Returns what this process has spent.
+     *
+     * @return the ledger
+     */
+    public ExposureLedger ledger() {
+        return ledger;
+    }
+
+    /**
+     * Tells whether an upstream runs the version that the order names.
+     *
+     * @param worker the upstream
+     * @return true for the new version
+     */
+    public boolean isTarget(Worker worker) {
+        return worker.version().equals(order.version());
+    }
+
+    /**
+     * Returns the upstreams that a request may go to now. A request that an upstream has failed
+     * before is no sample: it goes to the old version while there is one.
+     *
+     * @param serving upstreams of the service that take new work
+     * @param first false for a request that an upstream has failed before
+     * @param nowMillis the time
+     * @return some of them, perhaps none
+     */
+    public List<Worker> admitted(List<Worker> serving, boolean first, long nowMillis) {
+        noteOld(serving);
+        return switch (phase) {
+            case SAMPLING -> first && maySample(nowMillis) ? sampleOrOld(serving) : old(serving);
+            case SWITCHING -> isHeard(nowMillis) ? targetOrOld(serving) : old(serving);
+            case COMPLETED -> afterCompletion(serving, nowMillis);
+            case HALTED, ROLLED_BACK -> old(serving);
+        };
+    }
+
+    private void noteOld(List<Worker> serving) {
+        if (phase.isFinal()) {
+            return;
+        }
+        for (Worker worker : serving) {
+            if (!isTarget(worker)) {
+                oldVersions.add(worker.version());
+            }
+        }
+    }
+
+    private boolean maySample(long nowMillis) {
+        return isHeard(nowMillis) && ledger.mayExpose();
+    }
+
+    private List<Worker> sampleOrOld(List<Worker> serving) {
+        List<Worker> target = target(serving);
+        return target.isEmpty() ? old(serving) : sampled(target);
+    }
+
+    private List<Worker> targetOrOld(List<Worker> serving) {
+        List<Worker> target = target(serving);
+        return target.isEmpty() ? old(serving) : target;
+    }
+
+    /** Later versions replace the new one in their turn; those that it replaced are gone. */
+    private List<Worker> afterCompletion(List<Worker> serving, long nowMillis) {
+        if (nowMillis - finalMillis < SETTLE_MILLIS) {
+            return targetOrOld(serving);
+        }
+        List<Worker> later =
+                serving.stream().filter(worker -> !oldVersions.contains(worker.version())).toList();
+        return later.isEmpty() ? serving : later;
+    }
+
+    private List<Worker> target(List<Worker> serving) {
+        return serving.stream().filter(this::isTarget).toList();
+    }
+
+    /** All but the new version, unless no other ever served beside it. */
+    private List<Worker> old(List<Worker> serving) {
+        if (oldVersions.isEmpty() && phase != RolloutPhase.ROLLED_BACK) {
+            return serving;
+        }
+        return serving.stream().filter(worker -> !isTarget(worker)).toList();
+    }
+
+    /**
+     * The few requests of the sample go to few upstreams, so that these bear the load of each that
+     * is to come and a fault that shows only under load shows in the sample.
+     */
+    private List<Worker> sampled(List<Worker> target) {
+        int few = (int) Math.ceil(target.size() * ledger.spentShare());
+        return target.stream()
+                .sorted(Comparator.comparing(Worker::id))
+                .limit(Math.max(1, few))
+                .toList();
+    }
+
+    private boolean isHeard(long nowMillis) {
+        return nowMillis - heardMillis <= HEARD_MILLIS;
+    }
+
+    /**
+     * Records a request that is sent, first or repeated.
+     *
+     * @param worker the upstream
+     */
+    public void sent(Worker worker) {
+        ledger.sent(isTarget(worker));
+    }
+
+    /**
+     * Records how a request ended. A cold upstream of the new version may be late, and an answer
+     * that was broken off counts only if it was late.
+     *
+     * @param worker the upstream
+     * @param answer how it ended
+     */
+    public void answered(Worker worker, AnswerSeen answer) {
+        boolean isTarget = isTarget(worker);
+        boolean late = worker.coldLeftMillis() <= 0 && isLate(answer);
+        if (!answer.whole() && !late && !answer.failed()) {
+            return;
+        }
+        if (!isTarget && !answer.failed()) {
+            learnPace(answer);
+        }
+        RouteEvidence none = new RouteEvidence(answer.route(), AnswerCount.NONE, AnswerCount.NONE);
+        RouteEvidence before = seen.getOrDefault(answer.route(), none);
+        boolean bad = late || answer.failed();
+        seen.put(answer.route(), before.with(isTarget, bad));
+        if (isTarget && bad && !phase.isFinal() && RolloutJudge.isBad(evidence())) {
+            phase = phase.merge(RolloutPhase.HALTED);
+        }
+    }
+
+    private boolean isLate(AnswerSeen answer) {
+        boolean firstLate =
+                pace.isLate(answer.route() + FIRST, answer.firstMillis(), answer.predictedMillis());
+        boolean pausesLong =
+                answer.pauseMillis() > 0
+                        && pace.isLate(answer.route() + PAUSE, answer.pauseMillis(), 0);
+        return firstLate || pausesLong;
+    }
+
+    private void learnPace(AnswerSeen answer) {
+        pace.usual(answer.route() + FIRST, answer.firstMillis(), answer.predictedMillis());
+        if (answer.pauseMillis() > 0) {
+            pace.usual(answer.route() + PAUSE, answer.pauseMillis(), 0);
+        }
+    }
+
+    /**
+     * Returns what this process has seen.
+     *
+     * @return its evidence, by route
+     */
+    public List<RouteEvidence> evidence() {
+        return List.copyOf(seen.values());
+    }
+
+    /**
+     * Writes what another process is told.
+     *
+     * @param evidence what this one and those it speaks for have seen; empty to tell none
+     * @param nowMillis the time
+     * @return the news
+     */
+    public RolloutNews news(List<RouteEvidence> evidence, long nowMillis) {
+        return new RolloutNews(order, phase, deadlineMillis - nowMillis, round, evidence);
+    }
+
+    /**
+     * Takes over what another process tells of the same order.
+     *
+     * @param news the news
+     * @param nowMillis the time
+     */
+    public void heard(RolloutNews news, long nowMillis) {
+        moveTo(phase.merge(news.phase()), nowMillis);
+        deadlineMillis = Math.min(deadlineMillis, nowMillis + news.leftMillis());
+        if (news.round() > round) {
+            round = news.round();
+            heardMillis = nowMillis;
+        }
+    }
+
+    /**
+     * Takes over what the store records, which decides.
+     *
+     * @param status the record
+     * @param nowMillis the time
+     */
+    public void recorded(RolloutStatus status, long nowMillis) {
+        if (!status.isAbout(order)) {
+            return;
+        }
+        switch (status.state()) {
+            case COMPLETED -> moveTo(RolloutPhase.COMPLETED, nowMillis);
+            case ROLLED_BACK -> moveTo(RolloutPhase.ROLLED_BACK, nowMillis);
+            case NONE, IN_PROGRESS -> {}
+        }
+    }
+
+    /**
+     * Sends the new version nothing more, because the order was taken back.
+     *
+     * @param nowMillis the time
+     */
+    public void withdrawn(long nowMillis) {
+        moveTo(phase.merge(RolloutPhase.HALTED), nowMillis);
+    }
+
+    private void moveTo(RolloutPhase next, long nowMillis) {
+        if (next != phase && next.isFinal()) {
+            finalMillis = nowMillis;
+        }
+        phase = next;
+    }
+
+    /**
+     * Goes on as the leader decides. To be called on the leader only, a few times a second.
+     *
+     * @param decided the phase
+     * @param nowMillis the time
+     */
+    public void lead(RolloutPhase decided, long nowMillis) {
+        moveTo(phase.merge(decided), nowMillis);
+        round++;
+        heardMillis = nowMillis;
+    }
+}
--- /dev/null
+++ b/trailladder-core/src/main/java/io/trailladder/core/rollout/RolloutJudge.java
@@ -0,0 +1,164 @@
+/*
+ * Copyright 2026 The trailladder authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package io.trailladder.core.rollout;
+
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.stream.Stream;
+
+/**
+ * Judges a version by its answers against those of the version before it, at the same time and on
+ * the same routes.
+ *
+ * <p>Both tests are exact binomial tails. A version is bad if so many bad answers would hardly come
+ * about at the rate of the old version; it is good if a rate that is higher by {@link #TOLERATED}
+ * would hardly have brought so few. What strikes both versions, such as a burst or a slow data
+ * centre, raises the old rate as well and so speaks against neither.
+ *
+ * @since 0.4
+ */
+public final class RolloutJudge {
+    /**
+     * How likely a good version's answers may look bad by chance at one look: with some hundred
+     * looks at answers that depend on each other, at most one good version in a hundred is rolled
+     * back.
+     */
+    private static final double FALSE_ALARM = 2e-5;
+
+    /** Bad answers below which nothing is found bad: three may have one cause. */
+    private static final int LEAST_BAD = 4;
+
+    /** How likely a version that is worse by {@link #TOLERATED} may be taken for good. */
+    private static final double FALSE_PASS = 0.02;
+
+    /** By how much more of its answers a version may fail and still count as good. */
+    private static final double TOLERATED = 0.1;
+
+    /** Answers of the target without which it is not taken for good. */
+    private static final int LEAST_ANSWERS = 30;
+
+    /** Answers of the target on each route without which it is not taken for good. */
+    private static final int LEAST_ON_ROUTE = 6;
+
+    /** Part of a service's answers below which a route need not have been seen by itself. */
+    private static final double SMALL_ROUTE = 0.02;
+
+    private RolloutJudge() {}
+
+    /** What the evidence says. */
+    public enum Verdict {
+        /** The version fails more often than the one before it. */
+        BAD,
+        /** It does not. */
+        GOOD,
+        /** Not enough was seen. */
+        OPEN
+    }
+
+    /**
+     * A verdict and what led to it.
+     *
+     * @param verdict the verdict
+     * @param reason the figures behind it
+     */
+    public record Judgement(Verdict verdict, String reason) {}
+
+    /**
+     * Judges a version.
+     *
+     * @param evidence what was seen, by route
+     * @return the verdict with its reason
+     */
+    public static Judgement judge(List<RouteEvidence> evidence) {
+        RouteEvidence all = total(evidence);
+        Optional<RouteEvidence> bad =
+                Stream.concat(evidence.stream(), Stream.of(all))
+                        .filter(RolloutJudge::isBad)
+                        .findFirst();
+        if (bad.isPresent()) {
+            return new Judgement(Verdict.BAD, figures(bad.get()));
+        }
+        Optional<String> missing = missing(evidence, all);
+        return missing.isPresent()
+                ? new Judgement(Verdict.OPEN, missing.get())
+                : new Judgement(Verdict.GOOD, figures(all));
+    }
+
+    /**
+     * Tells whether some of the evidence shows a version to be bad.
+     *
+     * @param evidence what was seen, by route
+     * @return true if one route, or all together, show it
+     */
+    public static boolean isBad(List<RouteEvidence> evidence) {
+        return judge(evidence).verdict() == Verdict.BAD;
+    }
+
+    private static RouteEvidence total(List<RouteEvidence> evidence) {
+        return evidence.stream()
+                .reduce(
+                        new RouteEvidence("all routes", AnswerCount.NONE, AnswerCount.NONE),
+                        RouteEvidence::plus);
+    }
+
+    private static boolean isBad(RouteEvidence seen) {
+        AnswerCount target = seen.target();
+        return target.bad() >= LEAST_BAD
+                && Binomial.atLeast(target.bad(), target.answers(), rate(seen.old())) < FALSE_ALARM;
+    }
+
+    /** The rate of bad answers to be expected of a version as good as the old one. */
+    private static double rate(AnswerCount old) {
+        return (old.bad() + 1.0) / (old.answers() + 2.0);
+    }
+
+    private static Optional<String> missing(List<RouteEvidence> evidence, RouteEvidence all) {
+        if (all.target().answers() < LEAST_ANSWERS) {
+            return Optional.of(
+                    String.format(
+                            Locale.ROOT,
+                            "%d answers of the new version, expected at least %d",
+                            all.target().answers(),
+                            LEAST_ANSWERS));
+        }
+        double small = SMALL_ROUTE * all.old().answers();
+        for (RouteEvidence route : evidence) {
+            if (route.old().answers() > small && route.target().answers() < LEAST_ON_ROUTE) {
+                return Optional.of("too few answers on " + figures(route));
+            }
+        }
+        return isShownGood(all.target(), rate(all.old()))
+                ? Optional.empty()
+                : Optional.of("not yet sure by " + figures(all));
+    }
+
+    private static boolean isShownGood(AnswerCount target, double oldRate) {
+        double worse = Math.min(1, oldRate + TOLERATED);
+        return Binomial.atMost(target.bad(), target.answers(), worse) < FALSE_PASS;
+    }
+
+    private static String figures(RouteEvidence seen) {
+        return String.format(
+                Locale.ROOT,
+                "%s: %d of %d answers of the new version bad, %d of %d of the old",
+                seen.route(),
+                seen.target().bad(),
+                seen.target().answers(),
+                seen.old().bad(),
+                seen.old().answers());
+    }
+}
--- /dev/null
+++ b/trailladder-core/src/main/java/io/trailladder/core/rollout/RolloutPhase.java
@@ -0,0 +1,56 @@
+/*
+ * Copyright 2026 The trailladder authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package io.trailladder.core.rollout;
+
+/**
+ * How far a roll-out has come. A process never goes back to an earlier phase of the same order.
+ *
+ * @since 0.4
+ */
+public enum RolloutPhase {
+    /** A small part of the requests goes to the new version. */
+    SAMPLING,
+    /**
+     * The new version was found good: all fresh requests go to it, the old one finishes its own.
+     */
+    SWITCHING,
+    /** The new version was found bad: it gets nothing; the result is not recorded yet. */
+    HALTED,
+    /** The result is recorded: the new version failed. */
+    ROLLED_BACK,
+    /** The result is recorded: the old version stops. */
+    COMPLETED;
+
+    /**
+     * Tells whether the result is recorded.
+     *
+     * @return true for {@link #ROLLED_BACK} and {@link #COMPLETED}
+     */
+    public boolean isFinal() {
+        return this == ROLLED_BACK || this == COMPLETED;
+    }
+
+    /**
+     * Returns the later of two phases. Of two final ones the first stays: the record decides, and
+     * the platform writes it once.
+     *
+     * @param told a phase that another process tells
+     * @return the phase to go on with
+     */
+    public RolloutPhase merge(RolloutPhase told) {
+        return isFinal() || told.compareTo(this) <= 0 ? this : told;
+    }
+}
--- /dev/null
+++ b/trailladder-core/src/main/java/io/trailladder/core/rollout/RouteEvidence.java
@@ -0,0 +1,75 @@
+/*
+ * Copyright 2026 The trailladder authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package io.trailladder.core.rollout;
+
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.stream.Stream;
+
+/**
+ * What was seen of both versions on one route at the same time.
+ *
+ * @param route the route's name
+ * @param old answers of the versions that served before
+ * @param target answers of the version that the order names
+ * @since 0.4
+ */
+public record RouteEvidence(String route, AnswerCount old, AnswerCount target) {
+    /**
+     * Returns the sum of what was seen on the same route.
+     *
+     * @param other what another process saw
+     * @return the sum
+     */
+    public RouteEvidence plus(RouteEvidence other) {
+        return new RouteEvidence(route, old.plus(other.old), target.plus(other.target));
+    }
+
+    /**
+     * Returns the evidence with one more answer.
+     *
+     * @param isTarget true if the version that the order names gave it
+     * @param isBad true if it failed or came late
+     * @return the new evidence
+     */
+    public RouteEvidence with(boolean isTarget, boolean isBad) {
+        return isTarget
+                ? new RouteEvidence(route, old, target.with(isBad))
+                : new RouteEvidence(route, old.with(isBad), target);
+    }
+
+    /**
+     * Adds evidence up by route.
+     *
+     * @param parts evidence of several processes
+     * @return one entry a route
+     */
+    public static List<RouteEvidence> sum(Stream<RouteEvidence> parts) {
+        Map<String, RouteEvidence> sum = new TreeMap<>();
+        parts.forEach(part -> sum.merge(part.route(), part, RouteEvidence::plus));
+        return List.copyOf(sum.values());
+    }
+
+    /**
+     * Tells whether evidence that another process tells can be true.
+     *
+     * @return false if a count is not
+     */
+    public boolean isSound() {
+        return old.isSound() && target.isSound();
+    }
+}
--- /dev/null
+++ b/trailladder-core/src/main/java/io/trailladder/core/rollout/package-info.java
@@ -0,0 +1,20 @@
+/*
+ * Copyright 2026 The trailladder authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+/**
+ * Moves a service's traffic to a new version of its upstreams, or back, from what is observed of
+ * both versions.
+ */
+package io.trailladder.core.rollout;
--- a/trailladder-core/src/main/java/io/trailladder/core/worker/Worker.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/worker/Worker.java
@@ -26,6 +26,8 @@
  * @param draining true if it has announced that it leaves
  * @param reclaimable true if the cloud may take it back
  * @param leavesMillis how long it still runs once it is draining, in milliseconds; 0 if not told
+ * @param version version of its software; empty if not told
+ * @param coldLeftMillis how long it is still slow after its start, in milliseconds
  * @since 0.2
  */
 public record Worker(
@@ -36,4 +38,30 @@
         int slots,
         boolean draining,
         boolean reclaimable,
-        long leavesMillis) {}
+        long leavesMillis,
+        String version,
+        long coldLeftMillis) {
+    /**
+     * Creates an upstream that tells no version.
+     *
+     * @param id its name
+     * @param service the service it belongs to
+     * @param zone the data centre it runs in
+     * @param address host and port
+     * @param slots requests it works on at once
+     * @param draining true if it has announced that it leaves
+     * @param reclaimable true if the cloud may take it back
+     * @param leavesMillis how long it still runs once it is draining, in milliseconds
+     */
+    public Worker(
+            String id,
+            String service,
+            String zone,
+            String address,
+            int slots,
+            boolean draining,
+            boolean reclaimable,
+            long leavesMillis) {
+        this(id, service, zone, address, slots, draining, reclaimable, leavesMillis, "", 0);
+    }
+}
--- a/trailladder-core/src/main/java/io/trailladder/core/worker/WorkerSelector.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/worker/WorkerSelector.java
@@ -21,6 +21,7 @@
 import io.trailladder.core.pipeline.Prompt;
 import io.trailladder.core.pipeline.PromptBlock;
 import io.trailladder.core.pipeline.ServingRequest;
+import io.trailladder.core.rollout.VersionGate;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -72,11 +73,12 @@
     private final WorkerDirectory directory;
     private final WorkerLoads loads;
     private final EngineModel engines;
+    private final VersionGate versions;
     private final Map<String, Long> suspectUntilMillis = new HashMap<>();
     private final PrefixIndex prefixes = new PrefixIndex(REMEMBERED_PARTS);
 
     /**
-     * Creates a selector.
+     * Creates a selector of upstreams of any version.
      *
      * @param zone the data centre of this entry
      * @param directory the upstreams known
@@ -85,6 +87,25 @@
      */
     public WorkerSelector(
             String zone, WorkerDirectory directory, WorkerLoads loads, EngineModel engines) {
+        this(zone, directory, loads, engines, new VersionGate());
+    }
+
+    /**
+     * Creates a selector.
+     *
+     * @param zone the data centre of this entry
+     * @param directory the upstreams known
+     * @param loads the work under way at them
+     * @param engines what is believed of their speed
+     * @param versions decides which versions may be chosen
+     */
+    public WorkerSelector(
+            String zone,
+            WorkerDirectory directory,
+            WorkerLoads loads,
+            EngineModel engines,
+            VersionGate versions) {
+        this.versions = versions;
         this.zone = zone;
         this.directory = directory;
         this.loads = loads;
@@ -101,7 +122,10 @@
      */
     public Optional<Selection> choose(
             ServingRequest request, Set<String> excluded, long nowMillis) {
-        List<Worker> serving = directory.serving(request.service());
+        String service = request.service();
+        List<Worker> serving =
+                versions.admitted(
+                        service, directory.serving(service), excluded.isEmpty(), nowMillis);
         Selection best = null;
         boolean bestEjected = true;
         List<String> homes = homes(serving, request.prompt());
--- /dev/null
+++ b/trailladder-core/src/test/java/io/trailladder/core/rollout/RolloutTest.java
@@ -0,0 +1,156 @@
+/*
+ * Copyright 2026 The trailladder authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package io.trailladder.core.rollout;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.trailladder.core.rollout.RolloutStatus.State;
+import io.trailladder.core.worker.Worker;
+import java.util.List;
+import java.util.SplittableRandom;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+
+class RolloutTest {
+    private static final RolloutOrder ORDER = new RolloutOrder("s", "v2", 12_000, 7);
+    private static final Worker OLD = worker("a", "v1");
+    private static final Worker NEW = worker("b", "v2");
+    private static final List<Worker> BOTH = List.of(OLD, NEW);
+
+    private final Rollout rollout = new Rollout(ORDER, new ExposureLedger(1, 1_000, 1), 0);
+
+    private static Worker worker(String id, String version) {
+        return new Worker(id, "s", "z", "h:1", 8, false, false, 0, version, 0);
+    }
+
+    @Example
+    void nothingIsSampledBeforeALeaderIsHeard() {
+        assertEquals(List.of(OLD), rollout.admitted(BOTH, true, 100));
+        rollout.lead(RolloutPhase.SAMPLING, 200);
+        assertEquals(List.of(NEW), rollout.admitted(BOTH, true, 300));
+        long silent = 201 + Rollout.HEARD_MILLIS;
+        assertEquals(List.of(OLD), rollout.admitted(BOTH, true, silent));
+    }
+
+    @Example
+    void requestThatFailedBeforeIsNoSample() {
+        rollout.lead(RolloutPhase.SAMPLING, 0);
+        assertEquals(List.of(OLD), rollout.admitted(BOTH, false, 100));
+    }
+
+    @Example
+    void processThatSeesItFailStopsByItself() {
+        rollout.lead(RolloutPhase.SAMPLING, 0);
+        for (int i = 0; i < 100; i++) {
+            rollout.answered(OLD, new AnswerSeen("r", false, 50, 50, 0, true));
+        }
+        for (int i = 0; i < 6; i++) {
+            rollout.answered(NEW, new AnswerSeen("r", true, 50, 50, 0, true));
+        }
+        assertEquals(RolloutPhase.HALTED, rollout.phase());
+        assertEquals(List.of(OLD), rollout.admitted(BOTH, true, 100));
+    }
+
+    @Example
+    void coldUpstreamMayBeLate() {
+        Worker cold = new Worker("c", "s", "z", "h:1", 8, false, false, 0, "v2", 900);
+        for (int i = 0; i < 100; i++) {
+            rollout.answered(OLD, new AnswerSeen("r", false, 50, 50, 0, true));
+            rollout.answered(cold, new AnswerSeen("r", false, 900, 50, 0, true));
+        }
+        assertEquals(RolloutPhase.SAMPLING, rollout.phase());
+        assertEquals(0, rollout.evidence().get(0).target().bad());
+    }
+
+    @Example
+    void recordInTheStoreDecides() {
+        rollout.heard(new RolloutNews(ORDER, RolloutPhase.HALTED, 9_000, 1, List.of()), 0);
+        rollout.recorded(new RolloutStatus("s", "v2", State.COMPLETED, 9), 100);
+        assertEquals(List.of(NEW), rollout.admitted(BOTH, true, 200));
+    }
+
+    @Example
+    void recordOfAnEarlierOrderSaysNothing() {
+        rollout.recorded(new RolloutStatus("s", "v2", State.ROLLED_BACK, 5), 100);
+        assertEquals(RolloutPhase.SAMPLING, rollout.phase());
+    }
+
+    @Example
+    void versionThatWasRolledBackGetsNothingEvenAlone() {
+        rollout.recorded(new RolloutStatus("s", "v2", State.ROLLED_BACK, 9), 100);
+        assertEquals(List.of(), rollout.admitted(List.of(NEW), true, 200));
+    }
+
+    @Example
+    void laterReplacementServesAfterACompletion() {
+        rollout.lead(RolloutPhase.SWITCHING, 0);
+        rollout.admitted(BOTH, true, 100);
+        rollout.recorded(new RolloutStatus("s", "v2", State.COMPLETED, 9), 200);
+        Worker later = worker("c", "v3");
+        List<Worker> all = List.of(OLD, NEW, later);
+        assertEquals(List.of(NEW), rollout.admitted(all, true, 300));
+        assertEquals(List.of(NEW, later), rollout.admitted(all, true, 20_000));
+    }
+
+    @Example
+    void orderTakenBackStopsTheSample() {
+        rollout.lead(RolloutPhase.SAMPLING, 0);
+        rollout.admitted(BOTH, true, 50);
+        rollout.withdrawn(100);
+        assertEquals(List.of(OLD), rollout.admitted(BOTH, true, 200));
+    }
+
+    @Property(tries = 300, seed = "20261202")
+    void partsOfAllLivesTogetherKeepTheBound(
+            @ForAll @IntRange(min = 1, max = 95) int processes,
+            @ForAll @IntRange(min = 0, max = 20_000) int requests,
+            @ForAll long seed) {
+        SplittableRandom random = new SplittableRandom(seed);
+        ExposureLedger[] ledgers = new ExposureLedger[processes];
+        for (int i = 0; i < processes; i++) {
+            ledgers[i] = new ExposureLedger(0.1, 50, processes);
+        }
+        int exposed = 0;
+        for (int request = 0; request < requests; request++) {
+            int at = random.nextInt(processes);
+            if (random.nextInt(200) == 0) {
+                ledgers[at] = new ExposureLedger(0.1, 0, processes);
+            }
+            boolean isTarget = ledgers[at].mayExpose();
+            ledgers[at].sent(isTarget);
+            exposed += isTarget ? 1 : 0;
+            assertTrue(exposed <= 0.1 * (request + 1) + 50);
+        }
+    }
+
+    @Example
+    void versionThatNoOrderNamesWaitsAMoment() {
+        VersionGate gate = new VersionGate();
+        assertEquals(List.of(OLD), gate.admitted("s", List.of(OLD), true, 0));
+        assertEquals(List.of(OLD), gate.admitted("s", BOTH, true, 1_000));
+        assertEquals(BOTH, gate.admitted("s", BOTH, true, 1_000 + VersionGate.HELD_MILLIS));
+        assertFalse(gate.rollout("s").isPresent());
+    }
+
+    @Example
+    void firstListIsTakenAsItIs() {
+        assertEquals(BOTH, new VersionGate().admitted("s", BOTH, true, 0));
+    }
+}
--- /dev/null
+++ b/trailladder-core/src/test/java/io/trailladder/core/rollout/SimulatedRollout.java
@@ -0,0 +1,320 @@
+/*
+ * Copyright 2026 The trailladder authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package io.trailladder.core.rollout;
+
+import io.trailladder.core.rollout.RolloutLead.Fleet;
+import io.trailladder.core.rollout.RolloutLead.Step;
+import io.trailladder.core.rollout.RolloutStatus.State;
+import io.trailladder.core.worker.Worker;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.SplittableRandom;
+import java.util.stream.Stream;
+
+/**
+ * A roll-out over many processes in virtual time: each sends requests to upstreams of two versions,
+ * tells a leader what it saw with delay and loss, and loses the leader, the links or its own life.
+ */
+final class SimulatedRollout {
+    private static final String SERVICE = "s";
+    private static final String OLD = "v1";
+    private static final String NEW = "v2";
+    private static final int STEP_MILLIS = 20;
+    private static final int DIGEST_MILLIS = 200;
+    private static final double FIRST_MILLIS = 60;
+    private static final int RUN_MILLIS = 400;
+    private static final int ROUTES = 3;
+    private static final double OLD_FAILS = 0.004;
+
+    /**
+     * How the new version behaves.
+     *
+     * @param fails part of its answers that are failures
+     * @param slow part of its answers that come late
+     * @param slowTimes how many times later these come
+     * @param fromMillis when it begins to be bad, after the order
+     * @param aboveRunning it is bad only while an upstream has more requests under way
+     * @param route the only route that it is bad on; below 0 for all
+     */
+    record Version(
+            double fails,
+            double slow,
+            double slowTimes,
+            int fromMillis,
+            int aboveRunning,
+            int route) {
+        static final Version GOOD = new Version(OLD_FAILS, 0, 1, 0, -1, -1);
+
+        static Version failing(double part) {
+            return new Version(part, 0, 1, 0, -1, -1);
+        }
+
+        boolean isBadNow(int sinceMillis, int running, int onRoute) {
+            return sinceMillis >= fromMillis
+                    && running > aboveRunning
+                    && (route < 0 || route == onRoute);
+        }
+    }
+
+    /** What strikes the processes, by time after the order. */
+    record Faults(int leaderLostMillis, int cutFromMillis, int cutParts, int restartEveryMillis) {
+        static final Faults NONE = new Faults(-1, -1, 0, 0);
+    }
+
+    private record Due(double at, Runnable task) {}
+
+    /** One process. */
+    private final class Member {
+        private Rollout rollout;
+        private RolloutLead lead;
+        private final Map<Integer, List<RouteEvidence>> told = new HashMap<>();
+        private boolean cut;
+
+        Member(double allowance) {
+            rollout = newView(allowance);
+        }
+
+        private Rollout newView(double allowance) {
+            return new Rollout(
+                    order, new ExposureLedger(SHARE, allowance, processes.size() + 1), now);
+        }
+
+        void restart() {
+            rollout = newView(0);
+            rollout.heard(
+                    new RolloutNews(order, RolloutPhase.SAMPLING, deadline - now, 0, List.of()),
+                    now);
+            rollout.recorded(status, now);
+            told.clear();
+            lead = null;
+        }
+    }
+
+    /** Part of the requests that a bad version may get, and those on top; as a platform has it. */
+    static final double SHARE = 0.1;
+
+    static final double SLACK = 50;
+
+    /**
+     * Within which a bad version must have been left after its 50th bad answer, in milliseconds.
+     */
+    static final int LEFT_MILLIS = 5_000;
+
+    private static final int MANY_BAD = 50;
+
+    private final Version version;
+    private final Faults faults;
+    private final SplittableRandom random;
+    private final RolloutOrder order;
+    private final long deadline;
+    private final List<Member> processes = new ArrayList<>();
+    private final List<Worker> serving = new ArrayList<>();
+    private final Map<String, Integer> running = new HashMap<>();
+    private final PriorityQueue<Due> due = new PriorityQueue<>(Comparator.comparing(Due::at));
+    private RolloutStatus status = RolloutStatus.none(SERVICE);
+    private int leader;
+    private int leaderFromMillis = 500;
+    private long now;
+    private long revision = 10;
+    private int total;
+    private int exposed;
+    private int badAnswers;
+    private long manyBadMillis = -1;
+    private long lastExposedMillis = -1;
+    private long finalMillis = -1;
+
+    SimulatedRollout(Version version, Faults faults, int count, int durationMillis, long seed) {
+        this.version = version;
+        this.faults = faults;
+        this.random = new SplittableRandom(seed);
+        this.order = new RolloutOrder(SERVICE, NEW, durationMillis, revision);
+        this.deadline = durationMillis;
+        for (int i = 0; i < count; i++) {
+            processes.add(new Member(SLACK));
+        }
+        processes.forEach(process -> process.rollout = process.newView(SLACK));
+        for (int i = 0; i < 12; i++) {
+            serving.add(worker("a" + i, OLD));
+            serving.add(worker("b" + i, NEW));
+        }
+    }
+
+    private static Worker worker(String id, String version) {
+        return new Worker(id, SERVICE, "z", "h:1", 8, false, false, 0, version, 0);
+    }
+
+    /** Plays the order's time and what is needed to see that nothing is sent after it. */
+    SimulatedRollout play(double perSecond) {
+        for (now = 0; now < deadline + LEFT_MILLIS; now += STEP_MILLIS) {
+            strike();
+            arrivals(perSecond);
+            while (!due.isEmpty() && due.peek().at() < now + STEP_MILLIS) {
+                due.remove().task().run();
+            }
+            if (now % DIGEST_MILLIS == 0) {
+                digests();
+            }
+        }
+        return this;
+    }
+
+    State state() {
+        return status.state();
+    }
+
+    /** Tells when the result was recorded; below 0 if never. */
+    long finalMillis() {
+        return finalMillis;
+    }
+
+    int exposed() {
+        return exposed;
+    }
+
+    double exposureBound() {
+        return SHARE * total + SLACK;
+    }
+
+    /** How long after the 50th bad answer the new version still got a request; 0 if not at all. */
+    long lateMillis() {
+        return manyBadMillis < 0 ? 0 : Math.max(0, lastExposedMillis - manyBadMillis);
+    }
+
+    private void strike() {
+        if (now == faults.leaderLostMillis()) {
+            processes.get(leader).restart();
+            leader = (leader + 1) % processes.size();
+            leaderFromMillis = (int) now + 4_000;
+        }
+        if (faults.restartEveryMillis() > 0 && now % faults.restartEveryMillis() == 0 && now > 0) {
+            processes.get(random.nextInt(processes.size())).restart();
+        }
+        boolean cutNow = faults.cutFromMillis() >= 0 && now >= faults.cutFromMillis();
+        for (int i = 0; i < processes.size(); i++) {
+            processes.get(i).cut = cutNow && i % 3 < faults.cutParts() && i != leader;
+        }
+    }
+
+    private void arrivals(double perSecond) {
+        double expected = perSecond * STEP_MILLIS / 1_000;
+        int count = (int) expected + (random.nextDouble() < expected % 1 ? 1 : 0);
+        for (int i = 0; i < count; i++) {
+            send(processes.get(random.nextInt(processes.size())), random.nextInt(ROUTES));
+        }
+    }
+
+    private void send(Member process, int route) {
+        List<Worker> candidates = process.rollout.admitted(serving, true, now);
+        if (candidates.isEmpty()) {
+            return;
+        }
+        Worker worker = candidates.get(random.nextInt(candidates.size()));
+        boolean isTarget = worker.version().equals(NEW);
+        Rollout sentBy = process.rollout;
+        sentBy.sent(worker);
+        if (now <= deadline && !status.state().equals(State.COMPLETED)) {
+            total++;
+            exposed += isTarget ? 1 : 0;
+        }
+        if (isTarget && status.state() != State.COMPLETED && !process.cut) {
+            lastExposedMillis = now;
+        }
+        int load = running.merge(worker.id(), 1, Integer::sum);
+        boolean badNow = isTarget && version.isBadNow((int) now, load, route);
+        boolean fails = random.nextDouble() < (badNow ? version.fails() : OLD_FAILS);
+        boolean slow = badNow && random.nextDouble() < version.slow();
+        double first = FIRST_MILLIS * Math.exp(0.4 * (random.nextDouble() - 0.5));
+        double took = slow ? first * version.slowTimes() : first;
+        due.add(
+                new Due(
+                        now + took + RUN_MILLIS,
+                        () -> ended(sentBy, worker, route, fails, slow, took)));
+    }
+
+    private void ended(
+            Rollout sentBy, Worker worker, int route, boolean fails, boolean slow, double took) {
+        running.merge(worker.id(), -1, Integer::sum);
+        sentBy.answered(worker, new AnswerSeen("r" + route, fails, took, FIRST_MILLIS, 0, true));
+        if (worker.version().equals(NEW) && (fails || slow) && isBadVersion()) {
+            badAnswers++;
+            if (badAnswers == MANY_BAD) {
+                manyBadMillis = now;
+            }
+        }
+    }
+
+    private boolean isBadVersion() {
+        return !version.equals(Version.GOOD);
+    }
+
+    private void digests() {
+        Member leading = processes.get(leader);
+        boolean leads = now >= leaderFromMillis;
+        if (leads) {
+            lead(leading);
+        }
+        for (int i = 0; i < processes.size(); i++) {
+            Member process = processes.get(i);
+            if (i == leader || process.cut || !leads) {
+                continue;
+            }
+            int from = i;
+            Rollout told = process.rollout;
+            RolloutNews up = told.news(told.evidence(), now);
+            RolloutNews down = leading.rollout.news(List.of(), now);
+            due.add(
+                    new Due(
+                            now + 20 + random.nextInt(230),
+                            () -> {
+                                leading.rollout.heard(up, now);
+                                leading.told.put(from, up.evidence());
+                            }));
+            due.add(
+                    new Due(
+                            now + 20 + random.nextInt(230),
+                            () -> process.rollout.heard(down, now)));
+        }
+    }
+
+    private void lead(Member leading) {
+        if (leading.lead == null) {
+            leading.lead = new RolloutLead(leading.rollout);
+        }
+        Stream<RouteEvidence> others = leading.told.values().stream().flatMap(List::stream);
+        List<RouteEvidence> all =
+                RouteEvidence.sum(Stream.concat(leading.rollout.evidence().stream(), others));
+        int oldRunning =
+                running.entrySet().stream()
+                        .filter(entry -> entry.getKey().startsWith("a"))
+                        .mapToInt(Map.Entry::getValue)
+                        .sum();
+        Step step = leading.lead.next(all, status, new Fleet(12, 12, oldRunning), now);
+        leading.rollout.lead(step.phase(), now);
+        step.record().ifPresent(this::record);
+        leading.rollout.recorded(status, now);
+    }
+
+    private void record(State state) {
+        status = new RolloutStatus(SERVICE, NEW, state, ++revision);
+        if (state != State.IN_PROGRESS) {
+            finalMillis = now;
+        }
+    }
+}
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Attempt.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Attempt.java
@@ -17,6 +17,7 @@
 
 import io.trailladder.core.pipeline.AttemptFailure;
 import io.trailladder.core.pipeline.ServingRequest;
+import io.trailladder.core.rollout.AnswerSeen;
 import io.trailladder.core.worker.Selection;
 import io.trailladder.core.worker.Worker;
 import io.trailladder.entry.http.CallFailure;
@@ -39,6 +40,7 @@
     private final Worker worker;
     private final int uncachedTokens;
     private final int waitingTokens;
+    private final double predictedMillis;
     private final Owner owner;
     private final long createdMillis;
     private ClientCall call;
@@ -74,6 +76,7 @@
         this.worker = selection.worker();
         this.uncachedTokens = Math.max(0, request.prompt().tokensIn() - selection.cachedTokens());
         this.waitingTokens = selection.waitingTokens();
+        this.predictedMillis = selection.predictedMillis();
         this.owner = owner;
         this.createdMillis = context.loop().nowMillis();
         this.heardMillis = createdMillis;
@@ -81,6 +84,7 @@
 
     void start(OutgoingCall outgoing) {
         context.loads().sent(worker.id(), uncachedTokens);
+        context.rollouts().sent(request.service(), worker);
         context.demand().sent(request.service(), uncachedTokens, createdMillis);
         call = context.connector().send(outgoing, this);
         if (over) {
@@ -111,6 +115,7 @@
     /** Stops the attempt; its owner is told nothing more. */
     void cancel() {
         if (!over) {
+            tellVersion(false, false);
             finish();
             if (call != null) {
                 call.cancel();
@@ -187,17 +192,40 @@
             context.loads().succeeded(worker.id(), now);
             learn(now);
         }
+        tellVersion(status >= SERVER_ERRORS, true);
         finish();
         owner.ended(this);
     }
 
+    /** Has the end of the attempt count for, or against, the version of its upstream. */
+    private void tellVersion(boolean failed, boolean whole) {
+        if (!sent) {
+            return;
+        }
+        long firstAt = firstEventMillis < 0 ? context.loop().nowMillis() : firstEventMillis;
+        AnswerSeen seen =
+                new AnswerSeen(
+                        request.route().name(),
+                        failed,
+                        (double) (firstAt - createdMillis),
+                        predictedMillis,
+                        whole ? pauseMillis() : 0,
+                        whole);
+        context.rollouts().answered(request.service(), worker, seen);
+    }
+
+    /** The mean pause between the events, in milliseconds; 0 if there were too few. */
+    private double pauseMillis() {
+        long now = context.loop().nowMillis();
+        return events > 1 ? (now - firstEventMillis) / (events - 1.0) : 0;
+    }
+
     /** Has the whole answer tell how fast the upstream is. */
     private void learn(long nowMillis) {
         context.engines().ended(request.service(), nowMillis - createdMillis, nowMillis);
         if (events > 1) {
-            double pause = (nowMillis - firstEventMillis) / (events - 1.0);
             int running = context.loads().requests(worker.id());
-            context.engines().paused(request.service(), running, pause, nowMillis);
+            context.engines().paused(request.service(), running, pauseMillis(), nowMillis);
         }
     }
 
@@ -222,6 +250,9 @@
         } else if (failure != AttemptFailure.LEAVING && failure != AttemptFailure.NOT_SENT) {
             context.loads().failed(worker.id(), now);
         }
+        if (failure == AttemptFailure.SILENT || failure == AttemptFailure.BROKEN) {
+            tellVersion(false, false);
+        }
         finish();
         if (call != null) {
             call.cancel();
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ClusterView.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ClusterView.java
@@ -32,6 +32,7 @@
 import io.trailladder.wire.NodeMessage.DigestScope;
 import io.trailladder.wire.NodeMessage.NodeDigest;
 import io.trailladder.wire.NodeMessage.NodeHello;
+import io.trailladder.wire.NodeMessage.RolloutReport;
 import io.trailladder.wire.NodeMessage.Snapshot;
 import io.trailladder.wire.NodeMessage.SnapshotAsk;
 import io.trailladder.wire.NodeMessage.UpstreamNews;
@@ -41,6 +42,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
@@ -79,6 +81,7 @@
     private final SnapshotExchange snapshots;
     private final List<String> recentLeaving = new ArrayList<>();
     private final Map<String, Peer> peers = new HashMap<>();
+    private Optional<RolloutExchange> rollouts = Optional.empty();
     private BooleanSupplier leads = () -> false;
     private Mesh mesh;
     private boolean draining;
@@ -136,6 +139,24 @@
         policies.onChange(policy -> tellPeers());
     }
 
+    /**
+     * Has the peers told of roll-outs too.
+     *
+     * @param exchange tells them and hears them
+     */
+    void rollouts(RolloutExchange exchange) {
+        rollouts = Optional.of(exchange);
+    }
+
+    /**
+     * Returns the peers whose figures count here.
+     *
+     * @return their names
+     */
+    List<String> countedPeers() {
+        return counted().stream().map(Peer::name).toList();
+    }
+
     /** Has the peers told that this process stops. */
     public void draining() {
         draining = true;
@@ -227,6 +248,7 @@
         Peer peer = newPeer(hello);
         peers.put(hello.name(), peer);
         tell(List.of(peer));
+        rollouts.ifPresent(exchange -> exchange.tell(mesh, List.of(peer)));
         snapshots.linked(mesh, hello);
     }
 
@@ -242,6 +264,8 @@
             directory.fromPeer(news);
         } else if (message instanceof Snapshot snapshot) {
             snapshots.answered(mesh, hello, snapshot);
+        } else if (message instanceof RolloutReport report) {
+            rollouts.ifPresent(exchange -> exchange.heard(hello, report));
         }
     }
 
@@ -288,6 +312,7 @@
         boolean othersKnown = mesh.isPlanned() || !peers.isEmpty();
         limits.share(othersKnown, !mesh.isHub(), heard(), entries(), nowMillis.getAsLong());
         tellPeers();
+        rollouts.ifPresent(exchange -> exchange.tell(mesh, peers.values()));
     }
 
     private void forgetSilentPeers() {
@@ -296,6 +321,7 @@
             if (peer.digestMillis() < oldest) {
                 peers.remove(peer.name());
                 loads.peerLost(peer.name());
+                rollouts.ifPresent(exchange -> exchange.forget(peer.name()));
                 DecisionLog.write(new DecisionLog.Lifecycle("peer " + peer.name(), "silent", ""));
             }
         }
@@ -313,11 +339,13 @@
                 new SenderState(
                         store.isReachable(), draining, membersRead(), List.copyOf(recentLeaving));
         Map<Long, List<Peer>> byUsageTold = new HashMap<>();
+        List<Peer> counted = counted();
+        int heard = heard();
         for (Peer peer : told) {
             if (mesh.isHub() && peer.isLeaf()) {
                 mesh.send(
                         peer.name(),
-                        writer.rest(state, peer, counted(), heard() - justHeard(peer), now));
+                        writer.rest(state, peer, counted, heard - justHeard(peer), now));
             } else if (mesh.isHub() || mesh.isOwnHub(peer.hello())) {
                 byUsageTold
                         .computeIfAbsent(peer.usageTold(), sequence -> new ArrayList<>())
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/FleetRunner.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/FleetRunner.java
@@ -38,6 +38,8 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.BooleanSupplier;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 
 /**
@@ -82,7 +84,10 @@
     private final LoadSource loads;
     private final EngineModel engines;
     private final GatewayMetrics metrics;
+    private final Predicate<String> isMoving;
+    private final BooleanSupplier mayLead;
     private final boolean takesOver;
+    private boolean hasFollowed;
     private final Map<String, Fleet> fleets = new HashMap<>();
     private final Map<Subject, Given> given = new HashMap<>();
     private long token;
@@ -140,6 +145,10 @@
      * @param loads tells the load of a service
      * @param engines tells how fast its upstreams are
      * @param metrics the process's figures
+     * @param isMoving tells of a service whose traffic is being moved to another version: both
+     *     versions serve then, so that a count of upstreams tells nothing, and none are ordered
+     * @param mayLead false while this process is none of those that the leader is chosen from: it
+     *     then plans nothing, which was a sixth of the processor time of a process at rest
      * @param takesOver true if others may have ordered upstreams before this process started
      */
     public FleetRunner(
@@ -151,6 +160,8 @@
             LoadSource loads,
             EngineModel engines,
             GatewayMetrics metrics,
+            Predicate<String> isMoving,
+            BooleanSupplier mayLead,
             boolean takesOver) {
         this.loop = loop;
         this.duties = duties;
@@ -160,6 +171,8 @@
         this.loads = loads;
         this.engines = engines;
         this.metrics = metrics;
+        this.isMoving = isMoving;
+        this.mayLead = mayLead;
         this.takesOver = takesOver;
     }
 
@@ -169,6 +182,11 @@
     }
 
     private void step() {
+        if (!mayLead.getAsBoolean()) {
+            hasFollowed = true;
+            fleets.clear();
+            return;
+        }
         if (policies.policy().isEmpty() || directory.all().isEmpty()) {
             return;
         }
@@ -188,12 +206,13 @@
         String service = spec.name();
         List<Worker> workers =
                 directory.all().stream().filter(w -> w.service().equals(service)).toList();
-        if (workers.isEmpty()) {
+        if (workers.isEmpty() || isMoving.test(service)) {
             return;
         }
         Fleet fleet =
                 fleets.computeIfAbsent(
-                        service, name -> new Fleet(new FleetPlanner(name, takesOver)));
+                        service,
+                        name -> new Fleet(new FleetPlanner(name, takesOver || hasFollowed)));
         ServiceLoad load = fleet.smooth(loads.load(service, workers));
         Optional<FleetNeed> need = need(service, load, workers);
         List<WorkerOrder> orders = fleet.planner.plan(scaling, workers, need, loop.nowMillis());
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
@@ -22,6 +22,7 @@
 import io.trailladder.core.membership.GatewayMember;
 import io.trailladder.core.policy.RequestBounds;
 import io.trailladder.core.policy.ServingPolicy;
+import io.trailladder.core.rollout.VersionGate;
 import io.trailladder.core.worker.DemandMeter;
 import io.trailladder.core.worker.Worker;
 import io.trailladder.core.worker.WorkerDirectory;
@@ -59,8 +60,8 @@
 public final class Gateway {
     private static final int OK = 200;
     private static final int UNAVAILABLE = 503;
-    private static final long STATE_MILLIS = 1_000;
-    private static final long ROLE_MILLIS = 100;
+    private static final long FORGET_MILLIS = 1_000;
+    private static final long ROLE_MILLIS = 200;
 
     /** How often calls to the store are logged, in milliseconds: one line in some hundred. */
     private static final long STORE_USE_MILLIS = 5_000;
@@ -91,6 +92,7 @@
     private final PeerMesh mesh;
     private final Membership membership;
     private final DutyRunner duties;
+    private final RolloutParts rollouts;
     private final FleetRunner fleet;
     private final RequestIntake intake;
     private final HttpServer callers;
@@ -176,6 +178,20 @@
                         life,
                         settings.timing(),
                         metrics);
+        VersionGate versions = new VersionGate();
+        rollouts =
+                new RolloutParts(
+                        loop,
+                        counted(platform, Purpose.ROLLOUTS),
+                        storeHealth,
+                        random,
+                        platform.format(),
+                        settings,
+                        versions,
+                        directory,
+                        loads,
+                        view,
+                        duties::leads);
         fleet =
                 new FleetRunner(
                         loop,
@@ -186,6 +202,8 @@
                         view::load,
                         engines,
                         metrics,
+                        rollouts.keeper()::isMoving,
+                        mesh::isHub,
                         !settings.node().firstStart());
         ServingContext context =
                 new ServingContext(
@@ -195,12 +213,14 @@
                         connector,
                         directory,
                         loads,
-                        new WorkerSelector(settings.node().zone(), directory, loads, engines),
+                        new WorkerSelector(
+                                settings.node().zone(), directory, loads, engines, versions),
                         quotas,
                         new RetryBudgets(settings.retries(), view::entries),
                         usage,
                         demand,
                         engines,
+                        rollouts.keeper(),
                         new ReturnTimes(policies, directory, loads, engines, random.split()),
                         metrics,
                         view::oldestDigestMillis);
@@ -247,7 +267,7 @@
         mesh.start(settings.listen().peers());
         view.start(mesh, duties::leads);
         loop.repeat(ClusterView.DIGEST_MILLIS, view::tick);
-        loop.repeat(STATE_MILLIS, this::tellState);
+        loop.repeat(FORGET_MILLIS, () -> loads.forgetGone(directory));
         loop.repeat(ROLE_MILLIS, this::followStore);
         loop.repeat(STORE_USE_MILLIS, this::logStoreUse);
         loop.execute(
@@ -257,6 +277,7 @@
                     membership.start();
                     duties.start();
                     fleet.start();
+                    rollouts.start();
                 });
         loop.start();
         DecisionLog.write(
@@ -316,14 +337,17 @@
     }
 
     private boolean isInformed() {
-        return policies.version() > 0 && directoryKeeper.revision() > 0;
+        boolean versionsKnown = rollouts.isKnown() || peersHaveTold();
+        return policies.version() > 0 && directoryKeeper.revision() > 0 && versionsKnown;
+    }
+
+    /** What the store does not tell soon after the start is taken from peers. */
+    private boolean peersHaveTold() {
+        return loop.nowMillis() - startedMillis >= PEERS_FIRST_MILLIS;
     }
 
     private boolean isReady() {
-        boolean asked =
-                policyWatcher.isComplete()
-                        || loop.nowMillis() - startedMillis >= PEERS_FIRST_MILLIS;
-        return !stopping && asked && isInformed();
+        return !stopping && (policyWatcher.isComplete() || peersHaveTold()) && isInformed();
     }
 
     private void answerReady(ServerExchange exchange) {
@@ -331,6 +355,7 @@
     }
 
     private void answerFigures(ServerExchange exchange) {
+        tellState();
         ByteArrayOutputStream text = new ByteArrayOutputStream();
         try {
             PrometheusTextFormatWriter.create().write(text, metrics.registry().scrape());
@@ -351,6 +376,7 @@
                 watcher.restart();
             }
         }
+        rollouts.follow(fed);
         followLeader();
     }
 
@@ -365,7 +391,6 @@
     }
 
     private void tellState() {
-        loads.forgetGone(directory);
         policies.policy()
                 .ifPresent(policy -> policy.services().forEach(spec -> tellUpstreams(spec.name())));
         metrics.state(
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/GatewaySettings.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/GatewaySettings.java
@@ -29,6 +29,7 @@
  * @param cloud the platform's API for duties
  * @param retries bounds of second attempts
  * @param tolerance how far organisations' limits may be overshot
+ * @param rollouts what a version under test may get
  * @param timing bounds of time
  * @since 0.2
  */
@@ -40,6 +41,7 @@
         HostPort cloud,
         Retries retries,
         Tolerance tolerance,
+        Rollouts rollouts,
         Timing timing) {
     /** Processor of a process whose settings do not tell it, in cores. */
     public static final double USUAL_CORES = 1;
@@ -112,6 +114,18 @@
      */
     public record Tolerance(double ratio, double units) {}
 
+    /**
+     * What all processes together may send to a version that is not yet found good.
+     *
+     * @param ordered true if operators order roll-outs on this platform
+     * @param share part of the service's requests
+     * @param allowance requests on top
+     */
+    public record Rollouts(boolean ordered, double share, double allowance) {
+        /** For platforms without roll-outs. */
+        public static final Rollouts NONE = new Rollouts(false, 0, 0);
+    }
+
     /**
      * Bounds of time, all in milliseconds.
      *
--- /dev/null
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RolloutParts.java
@@ -0,0 +1,142 @@
+/*
+ * Copyright 2026 The trailladder authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package io.trailladder.entry.gateway;
+
+import io.trailladder.core.rollout.VersionGate;
+import io.trailladder.core.worker.WorkerDirectory;
+import io.trailladder.core.worker.WorkerLoads;
+import io.trailladder.entry.loop.EventLoop;
+import io.trailladder.entry.port.CoordinationStore;
+import io.trailladder.entry.port.PlatformFormat;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.function.BooleanSupplier;
+
+/**
+ * The parts of a process that follow roll-outs and lead them, wired together. Where operators order
+ * none, nothing of it runs and no call is made.
+ */
+final class RolloutParts {
+    private final boolean ordered;
+    private final RolloutKeeper keeper;
+    private final RolloutRunner runner;
+    private final List<StoreWatcher> watchers;
+
+    /**
+     * Wires the parts; nothing runs yet.
+     *
+     * @param loop the loop whose thread runs them
+     * @param store the platform's store
+     * @param health told of answers and failures
+     * @param random spreads repeated calls
+     * @param format how orders and records are written
+     * @param settings the process's settings
+     * @param gate decides which versions are chosen
+     * @param directory the upstreams known
+     * @param loads the work under way at them
+     * @param view the peers
+     * @param leads tells whether this process leads
+     */
+    RolloutParts(
+            EventLoop loop,
+            CoordinationStore store,
+            StoreHealth health,
+            SplittableRandom random,
+            PlatformFormat format,
+            GatewaySettings settings,
+            VersionGate gate,
+            WorkerDirectory directory,
+            WorkerLoads loads,
+            ClusterView view,
+            BooleanSupplier leads) {
+        ordered = settings.rollouts().ordered();
+        keeper =
+                new RolloutKeeper(
+                        format,
+                        gate,
+                        settings.rollouts(),
+                        settings.node().firstStart(),
+                        view::entries,
+                        loop::nowMillis);
+        RolloutExchange exchange = new RolloutExchange(keeper, loop::nowMillis);
+        runner =
+                new RolloutRunner(
+                        loop,
+                        store,
+                        health,
+                        format,
+                        keeper,
+                        directory,
+                        loads,
+                        leads,
+                        rollout -> exchange.evidence(rollout, view.countedPeers()));
+        // records first: an order whose result is known is not begun anew
+        watchers =
+                List.of(
+                        watcher(loop, store, health, random, format.rolloutStatusPrefix(), true),
+                        watcher(loop, store, health, random, format.rolloutOrderPrefix(), false));
+        if (ordered) {
+            view.rollouts(exchange);
+        }
+    }
+
+    private StoreWatcher watcher(
+            EventLoop loop,
+            CoordinationStore store,
+            StoreHealth health,
+            SplittableRandom random,
+            String prefix,
+            boolean records) {
+        StoreWatcher.Listener listener = records ? keeper.records() : keeper.orders();
+        return new StoreWatcher(loop, store, health, random.split(), prefix, 0, listener);
+    }
+
+    /** Returns the roll-outs known. */
+    RolloutKeeper keeper() {
+        return keeper;
+    }
+
+    /** Begins to follow and to lead. */
+    void start() {
+        if (ordered) {
+            watchers.forEach(StoreWatcher::restart);
+            runner.start();
+        }
+    }
+
+    /** Tells whether it is known if there are any: the store was read once, or need not be. */
+    boolean isKnown() {
+        return !ordered || watchers.stream().allMatch(StoreWatcher::isComplete);
+    }
+
+    /**
+     * Follows the store or leaves it.
+     *
+     * @param fed true while a hub tells this process in time
+     */
+    void follow(boolean fed) {
+        if (!ordered) {
+            return;
+        }
+        for (StoreWatcher watcher : watchers) {
+            if (fed && watcher.isRunning() && watcher.isComplete()) {
+                watcher.stop();
+            } else if (!fed && !watcher.isRunning()) {
+                watcher.restart();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RolloutRunner.java
@@ -0,0 +1,193 @@
+/*
+ * Copyright 2026 The trailladder authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package io.trailladder.entry.gateway;
+
+import io.trailladder.core.rollout.Rollout;
+import io.trailladder.core.rollout.RolloutLead;
+import io.trailladder.core.rollout.RolloutLead.Fleet;
+import io.trailladder.core.rollout.RolloutLead.Step;
+import io.trailladder.core.rollout.RolloutStatus;
+import io.trailladder.core.rollout.RolloutStatus.State;
+import io.trailladder.core.rollout.RouteEvidence;
+import io.trailladder.core.worker.Worker;
+import io.trailladder.core.worker.WorkerDirectory;
+import io.trailladder.core.worker.WorkerLoads;
+import io.trailladder.entry.gateway.DecisionLog.Lifecycle;
+import io.trailladder.entry.loop.EventLoop;
+import io.trailladder.entry.port.CoordinationStore;
+import io.trailladder.entry.port.PlatformFormat;
+import io.trailladder.entry.port.StoreFailure;
+import io.trailladder.entry.port.StoreItem;
+import io.trailladder.entry.port.StoreWrite;
+import io.vavr.control.Either;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.BooleanSupplier;
+import java.util.function.Function;
+import org.tinylog.Logger;
+
+/**
+ * Leads the roll-outs while this process is the leader: decides how each goes on and records its
+ * state in the store, each time under the condition that nobody else has.
+ */
+final class RolloutRunner {
+    private static final long STEP_MILLIS = 200;
+
+    /** Pause after a write that failed, in milliseconds: the store's usual time for some calls. */
+    private static final long AGAIN_MILLIS = 300;
+
+    private final EventLoop loop;
+    private final CoordinationStore store;
+    private final StoreHealth health;
+    private final PlatformFormat format;
+    private final RolloutKeeper keeper;
+    private final WorkerDirectory directory;
+    private final WorkerLoads loads;
+    private final BooleanSupplier leads;
+    private final Function<Rollout, List<RouteEvidence>> evidence;
+    private final Map<Long, RolloutLead> deciders = new HashMap<>();
+    private final Map<String, String> logged = new HashMap<>();
+    private final Set<String> writing = new HashSet<>();
+
+    /**
+     * Creates a runner.
+     *
+     * @param loop the loop whose thread runs it
+     * @param store holds the records
+     * @param health told of answers and failures
+     * @param format how records are written
+     * @param keeper the roll-outs known
+     * @param directory the upstreams known
+     * @param loads the work under way at them
+     * @param leads tells whether this process leads
+     * @param evidence tells what all processes have seen of a roll-out
+     */
+    RolloutRunner(
+            EventLoop loop,
+            CoordinationStore store,
+            StoreHealth health,
+            PlatformFormat format,
+            RolloutKeeper keeper,
+            WorkerDirectory directory,
+            WorkerLoads loads,
+            BooleanSupplier leads,
+            Function<Rollout, List<RouteEvidence>> evidence) {
+        this.loop = loop;
+        this.store = store;
+        this.health = health;
+        this.format = format;
+        this.keeper = keeper;
+        this.directory = directory;
+        this.loads = loads;
+        this.leads = leads;
+        this.evidence = evidence;
+    }
+
+    /** Begins to take part. */
+    void start() {
+        loop.repeat(STEP_MILLIS, this::step);
+    }
+
+    private void step() {
+        if (!leads.getAsBoolean()) {
+            deciders.clear();
+            return;
+        }
+        for (Rollout rollout : keeper.rollouts()) {
+            if (!rollout.phase().isFinal()) {
+                lead(rollout);
+            }
+        }
+    }
+
+    private void lead(Rollout rollout) {
+        RolloutLead decider =
+                deciders.computeIfAbsent(
+                        rollout.order().revision(), order -> new RolloutLead(rollout));
+        String service = rollout.order().service();
+        RolloutStatus status = keeper.record(service);
+        Step step = decider.next(evidence.apply(rollout), status, fleet(rollout), loop.nowMillis());
+        rollout.lead(step.phase(), loop.nowMillis());
+        log(rollout, step);
+        step.record().ifPresent(state -> record(rollout, status, state));
+    }
+
+    private Fleet fleet(Rollout rollout) {
+        List<Worker> serving = directory.serving(rollout.order().service());
+        List<Worker> target = serving.stream().filter(rollout::isTarget).toList();
+        List<Worker> old =
+                directory.all().stream()
+                        .filter(worker -> worker.service().equals(rollout.order().service()))
+                        .filter(worker -> !rollout.isTarget(worker))
+                        .toList();
+        return new Fleet(serving.size() - target.size(), target.size(), loads.requests(old));
+    }
+
+    /** Writes one line for each phase, and for each thing that a phase waits for. */
+    private void log(Rollout rollout, Step step) {
+        String service = rollout.order().service();
+        String state =
+                step.phase() + step.record().map(record -> ", recording " + record).orElse("");
+        if (!state.equals(logged.put(service, state))) {
+            String subject = "roll-out of " + service + " to " + rollout.order().version();
+            String spent =
+                    "; sent here " + rollout.ledger().exposed() + " of " + rollout.ledger().sent();
+            DecisionLog.write(new Lifecycle(subject, state, step.reason() + spent));
+        }
+    }
+
+    private void record(Rollout rollout, RolloutStatus before, State state) {
+        String service = rollout.order().service();
+        if (!writing.add(service)) {
+            return;
+        }
+        RolloutStatus next = new RolloutStatus(service, rollout.order().version(), state, 0);
+        String key = format.rolloutStatusPrefix() + service;
+        store.write(
+                new StoreWrite(key, format.rolloutStatus(next), before.revision(), 0),
+                result -> recorded(key, next, result));
+    }
+
+    private void recorded(String key, RolloutStatus next, Either<StoreFailure, Long> result) {
+        String service = next.service();
+        if (result.isRight()) {
+            health.answered();
+            writing.remove(service);
+            keeper.recorded(new RolloutStatus(service, next.version(), next.state(), result.get()));
+            return;
+        }
+        health.failed(result.getLeft());
+        loop.schedule(AGAIN_MILLIS, () -> store.read(key, read -> readBack(service, read)));
+    }
+
+    /** The write may have been done though its answer was lost, or another leader has written. */
+    private void readBack(String service, Either<StoreFailure, StoreItem> read) {
+        writing.remove(service);
+        if (read.isLeft()) {
+            health.failed(read.getLeft());
+            return;
+        }
+        health.answered();
+        if (!read.get().gone()) {
+            format.rolloutStatus(service, read.get().value(), read.get().revision())
+                    .peek(keeper::recorded)
+                    .peekLeft(fault -> Logger.warn("record of a roll-out: {}", fault));
+        }
+    }
+}
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ServingContext.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ServingContext.java
@@ -42,6 +42,7 @@
  * @param usage counts requests that began to run
  * @param demand measures the load of services here
  * @param engines learns how fast upstreams are
+ * @param rollouts the roll-outs known
  * @param returns tells callers when to come back
  * @param metrics the process's figures
  * @param peersAgeMillis tells how old the oldest peer digest in use is, in milliseconds
@@ -60,6 +61,7 @@
         UsageLedger usage,
         DemandMeter demand,
         EngineModel engines,
+        RolloutKeeper rollouts,
         ReturnTimes returns,
         GatewayMetrics metrics,
         LongSupplier peersAgeMillis) {}
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/SettingsReader.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/SettingsReader.java
@@ -15,13 +15,13 @@
  */
 package io.trailladder.entry.gateway;
 
-import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
 import io.trailladder.core.TrailladderException;
+import io.trailladder.entry.JsonTree;
 import io.trailladder.entry.gateway.GatewaySettings.Listen;
 import io.trailladder.entry.gateway.GatewaySettings.Node;
 import io.trailladder.entry.gateway.GatewaySettings.Retries;
+import io.trailladder.entry.gateway.GatewaySettings.Rollouts;
 import io.trailladder.entry.gateway.GatewaySettings.Timing;
 import io.trailladder.entry.gateway.GatewaySettings.Tolerance;
 import io.trailladder.platform.http.HostPort;
@@ -43,7 +43,6 @@
  * @since 0.2
  */
 public final class SettingsReader {
-    private static final ObjectMapper JSON = new ObjectMapper();
 
     private final String file;
     private final JsonNode root;
@@ -80,10 +79,11 @@
      */
     public static GatewaySettings parse(String file, String text) {
         try {
-            return new SettingsReader(file, JSON.readTree(text)).settings();
-        } catch (JsonProcessingException e) {
+            return new SettingsReader(file, JsonTree.read(text.getBytes(StandardCharsets.UTF_8)))
+                    .settings();
+        } catch (IOException e) {
             throw new SettingsException(
-                    file, List.of("is no JSON, expected an object: " + e.getOriginalMessage()));
+                    file, List.of("is no JSON, expected an object: " + e.getMessage()));
         }
     }
 
@@ -110,6 +110,7 @@
                                 number("/retries/allowance", 0),
                                 millis("/retries/window_s", 10)),
                         new Tolerance(number("/tolerance/ratio", 0), number("/tolerance/units", 0)),
+                        rollouts(),
                         new Timing(
                                 millis("/timing/grace_s", 8),
                                 (long) number("/timing/lease_ms", 3_000),
@@ -120,6 +121,17 @@
         return settings;
     }
 
+    private Rollouts rollouts() {
+        if (!root.at("/rollouts").isObject()) {
+            return Rollouts.NONE;
+        }
+        double share = number("/rollouts/share", 0);
+        if (share > 1) {
+            fault("/rollouts/share", root.at("/rollouts/share"), "a part from 0 to 1");
+        }
+        return new Rollouts(true, share, number("/rollouts/allowance", 0));
+    }
+
     private String text(String pointer) {
         JsonNode node = root.at(pointer);
         if (!node.isTextual() || node.asText().isEmpty()) {
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/StoreCalls.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/StoreCalls.java
@@ -38,7 +38,9 @@
         /** The policy. */
         POLICY,
         /** The list of upstreams. */
-        UPSTREAMS
+        UPSTREAMS,
+        /** Orders and records of roll-outs. */
+        ROLLOUTS
     }
 
     /** The kind of a call. */
--- a/trailladder-entry/src/main/java/io/trailladder/entry/port/PlatformFormat.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/port/PlatformFormat.java
@@ -16,6 +16,8 @@
 package io.trailladder.entry.port;
 
 import io.trailladder.core.policy.ServingPolicy;
+import io.trailladder.core.rollout.RolloutOrder;
+import io.trailladder.core.rollout.RolloutStatus;
 import io.trailladder.core.worker.Worker;
 import io.vavr.control.Either;
 
@@ -39,6 +41,49 @@
      */
     String workerPrefix();
 
+    /**
+     * Returns the prefix of the keys where operators order roll-outs; the service's name follows.
+     *
+     * @return the prefix
+     */
+    String rolloutOrderPrefix();
+
+    /**
+     * Returns the prefix of the keys where the state of roll-outs is recorded; the service's name
+     * follows.
+     *
+     * @return the prefix
+     */
+    String rolloutStatusPrefix();
+
+    /**
+     * Reads an order for a roll-out.
+     *
+     * @param service the service that its key names
+     * @param value its bytes
+     * @param revision the store's revision of it
+     * @return the order, or what is wrong with it
+     */
+    Either<String, RolloutOrder> rolloutOrder(String service, byte[] value, long revision);
+
+    /**
+     * Reads the record of a roll-out.
+     *
+     * @param service the service that its key names
+     * @param value its bytes
+     * @param revision the store's revision of it
+     * @return the record, or what is wrong with it
+     */
+    Either<String, RolloutStatus> rolloutStatus(String service, byte[] value, long revision);
+
+    /**
+     * Writes the record of a roll-out.
+     *
+     * @param status the record; its revision is not written
+     * @return its bytes
+     */
+    byte[] rolloutStatus(RolloutStatus status);
+
     /**
      * Reads a policy.
      *
--- a/trailladder-entry/src/test/java/io/trailladder/entry/gateway/ClusterViewTest.java
+++ b/trailladder-entry/src/test/java/io/trailladder/entry/gateway/ClusterViewTest.java
@@ -27,7 +27,6 @@
 import io.trailladder.core.worker.DemandMeter;
 import io.trailladder.core.worker.WorkerDirectory;
 import io.trailladder.core.worker.WorkerLoads;
-import io.trailladder.entry.gateway.SimulatedProcess.NoFormat;
 import io.trailladder.entry.mesh.Mesh;
 import io.trailladder.wire.NodeMessage;
 import io.trailladder.wire.NodeMessage.DigestScope;
--- a/trailladder-entry/src/test/java/io/trailladder/entry/gateway/DirectoryKeeperTest.java
+++ b/trailladder-entry/src/test/java/io/trailladder/entry/gateway/DirectoryKeeperTest.java
@@ -19,10 +19,8 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import io.trailladder.core.policy.ServingPolicy;
 import io.trailladder.core.worker.Worker;
 import io.trailladder.core.worker.WorkerDirectory;
-import io.trailladder.entry.port.PlatformFormat;
 import io.trailladder.entry.port.StoreItem;
 import io.vavr.control.Either;
 import java.nio.charset.StandardCharsets;
@@ -48,22 +46,7 @@
     }
 
     /** Entries whose whole text is their state. */
-    private static final class PlainFormat implements PlatformFormat {
-        @Override
-        public String policyKey() {
-            return "policy";
-        }
-
-        @Override
-        public String workerPrefix() {
-            return "upstream/";
-        }
-
-        @Override
-        public Either<String, ServingPolicy> policy(byte[] value) {
-            return Either.left("no policy here");
-        }
-
+    private static final class PlainFormat extends NoFormat {
         @Override
         public Either<String, Worker> worker(String id, byte[] value) {
             boolean leaving = new String(value, StandardCharsets.UTF_8).equals(LEAVING);
--- a/trailladder-entry/src/test/java/io/trailladder/entry/gateway/SimulatedProcess.java
+++ b/trailladder-entry/src/test/java/io/trailladder/entry/gateway/SimulatedProcess.java
@@ -21,9 +21,7 @@
 import io.trailladder.core.membership.HubTopology;
 import io.trailladder.core.membership.LinkPlanner;
 import io.trailladder.core.membership.LinkPlanner.LinkPlan;
-import io.trailladder.core.policy.ServingPolicy;
 import io.trailladder.core.worker.DemandMeter;
-import io.trailladder.core.worker.Worker;
 import io.trailladder.core.worker.WorkerDirectory;
 import io.trailladder.core.worker.WorkerLoads;
 import io.trailladder.entry.mesh.Mesh;
@@ -31,7 +29,6 @@
 import io.trailladder.entry.port.PlatformFormat;
 import io.trailladder.wire.NodeMessage;
 import io.trailladder.wire.NodeMessage.NodeHello;
-import io.vavr.control.Either;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -232,27 +229,4 @@
             return linked;
         }
     }
-
-    /** A platform that tells nothing. */
-    static final class NoFormat implements PlatformFormat {
-        @Override
-        public String policyKey() {
-            return "policy";
-        }
-
-        @Override
-        public String workerPrefix() {
-            return "upstream/";
-        }
-
-        @Override
-        public Either<String, ServingPolicy> policy(byte[] value) {
-            return Either.left("no policy here");
-        }
-
-        @Override
-        public Either<String, Worker> worker(String id, byte[] value) {
-            return Either.left("no upstream here");
-        }
-    }
 }
--- a/trailladder-wire/src/main/java/io/trailladder/wire/MessageType.java
+++ b/trailladder-wire/src/main/java/io/trailladder/wire/MessageType.java
@@ -91,7 +91,9 @@
     /** {@link NodeMessage.SnapshotAsk}; 31 asked for everything. */
     SNAPSHOT_ASK(35, NodeMessage.SnapshotAsk.class),
     /** {@link NodeMessage.UpstreamNews}. */
-    UPSTREAM_NEWS(36, NodeMessage.UpstreamNews.class);
+    UPSTREAM_NEWS(36, NodeMessage.UpstreamNews.class),
+    /** {@link NodeMessage.RolloutReport}. */
+    ROLLOUT_REPORT(37, NodeMessage.RolloutReport.class);
 
     private static final Map<Integer, MessageType> BY_NUMBER = new HashMap<>();
     private static final Map<Class<?>, MessageType> BY_CLASS = new HashMap<>();
--- a/trailladder-wire/src/main/java/io/trailladder/wire/NodeMessage.java
+++ b/trailladder-wire/src/main/java/io/trailladder/wire/NodeMessage.java
@@ -17,6 +17,7 @@
 
 import io.trailladder.core.duty.UsageCount;
 import io.trailladder.core.engine.EngineEvidence;
+import io.trailladder.core.rollout.RolloutNews;
 import io.trailladder.core.worker.ServiceDemand;
 import io.trailladder.core.worker.WorkerUse;
 import java.util.List;
@@ -141,6 +142,18 @@
      */
     record UpstreamNews(long after, long revision, WorkerEntry upstream) implements NodeMessage {}
 
+    /**
+     * What the sender knows and has seen of roll-outs; sent only while there are some.
+     *
+     * @param rollouts one entry a service
+     */
+    record RolloutReport(List<RolloutNews> rollouts) implements NodeMessage {
+        /** Copies the entries. */
+        public RolloutReport {
+            rollouts = List.copyOf(rollouts);
+        }
+    }
+
     /**
      * What the sender knows of policy and upstreams, as the platform wrote it.
      *
--- a/trailladder-wire/src/main/java/io/trailladder/wire/NodePacker.java
+++ b/trailladder-wire/src/main/java/io/trailladder/wire/NodePacker.java
@@ -18,11 +18,16 @@
 import io.trailladder.core.duty.UsageCount;
 import io.trailladder.core.engine.EngineEvidence;
 import io.trailladder.core.engine.FitSums;
+import io.trailladder.core.rollout.AnswerCount;
+import io.trailladder.core.rollout.RolloutNews;
+import io.trailladder.core.rollout.RolloutOrder;
+import io.trailladder.core.rollout.RouteEvidence;
 import io.trailladder.core.worker.ServiceDemand;
 import io.trailladder.core.worker.WorkerUse;
 import io.trailladder.wire.NodeMessage.NodeDigest;
 import io.trailladder.wire.NodeMessage.NodeHello;
 import io.trailladder.wire.NodeMessage.OrganisationUse;
+import io.trailladder.wire.NodeMessage.RolloutReport;
 import io.trailladder.wire.NodeMessage.Snapshot;
 import io.trailladder.wire.NodeMessage.SnapshotAsk;
 import io.trailladder.wire.NodeMessage.UpstreamNews;
@@ -72,6 +77,8 @@
             fields(2).number(ask.policyVersion()).number(ask.directoryRevision());
         } else if (message instanceof UpstreamNews news) {
             fields(3).number(news.after()).number(news.revision()).workerEntry(news.upstream());
+        } else if (message instanceof RolloutReport report) {
+            fields(1).list(report.rollouts(), this::rollout);
         } else if (message instanceof Snapshot snapshot) {
             snapshot(snapshot);
         }
@@ -153,6 +160,29 @@
                 .fraction(sums.xy());
     }
 
+    private void rollout(RolloutNews news) throws IOException {
+        RolloutOrder order = news.order();
+        fields(8)
+                .text(order.service())
+                .text(order.version())
+                .number(order.durationMillis())
+                .number(order.revision())
+                .text(news.phase().name())
+                .number(news.leftMillis())
+                .number(news.round())
+                .list(news.evidence(), this::routeEvidence);
+    }
+
+    private void routeEvidence(RouteEvidence evidence) throws IOException {
+        fields(5).text(evidence.route());
+        answerCount(evidence.old());
+        answerCount(evidence.target());
+    }
+
+    private void answerCount(AnswerCount count) throws IOException {
+        number(count.answers()).number(count.bad());
+    }
+
     private void workerEntry(WorkerEntry entry) throws IOException {
         fields(2).text(entry.id()).bytes(entry.value());
     }
--- a/trailladder-wire/src/main/java/io/trailladder/wire/NodeUnpacker.java
+++ b/trailladder-wire/src/main/java/io/trailladder/wire/NodeUnpacker.java
@@ -18,12 +18,18 @@
 import io.trailladder.core.duty.UsageCount;
 import io.trailladder.core.engine.EngineEvidence;
 import io.trailladder.core.engine.FitSums;
+import io.trailladder.core.rollout.AnswerCount;
+import io.trailladder.core.rollout.RolloutNews;
+import io.trailladder.core.rollout.RolloutOrder;
+import io.trailladder.core.rollout.RolloutPhase;
+import io.trailladder.core.rollout.RouteEvidence;
 import io.trailladder.core.worker.ServiceDemand;
 import io.trailladder.core.worker.WorkerUse;
 import io.trailladder.wire.NodeMessage.DigestScope;
 import io.trailladder.wire.NodeMessage.NodeDigest;
 import io.trailladder.wire.NodeMessage.NodeHello;
 import io.trailladder.wire.NodeMessage.OrganisationUse;
+import io.trailladder.wire.NodeMessage.RolloutReport;
 import io.trailladder.wire.NodeMessage.Snapshot;
 import io.trailladder.wire.NodeMessage.SnapshotAsk;
 import io.trailladder.wire.NodeMessage.UpstreamNews;
@@ -91,6 +97,7 @@
             case SNAPSHOT_ASK -> snapshotAsk();
             case UPSTREAM_NEWS -> upstreamNews();
             case SNAPSHOT -> snapshot();
+            case ROLLOUT_REPORT -> rolloutReport();
             default -> throw new IOException(type + " is no message between gateways");
         };
     }
@@ -177,6 +184,35 @@
         return new FitSums(fraction(), fraction(), fraction(), fraction(), fraction());
     }
 
+    private RolloutReport rolloutReport() throws IOException {
+        fields(1);
+        return new RolloutReport(list(this::rollout));
+    }
+
+    private RolloutNews rollout() throws IOException {
+        fields(8);
+        RolloutOrder order = new RolloutOrder(text(), text(), number(), number());
+        return new RolloutNews(order, phase(), number(), number(), list(this::routeEvidence));
+    }
+
+    private RolloutPhase phase() throws IOException {
+        String name = text();
+        try {
+            return RolloutPhase.valueOf(name);
+        } catch (IllegalArgumentException e) {
+            throw new IOException("phase of a roll-out: " + name, e);
+        }
+    }
+
+    private RouteEvidence routeEvidence() throws IOException {
+        fields(5);
+        return new RouteEvidence(text(), answerCount(), answerCount());
+    }
+
+    private AnswerCount answerCount() throws IOException {
+        return new AnswerCount(smallNumber(), smallNumber());
+    }
+
     private WorkerEntry workerEntry() throws IOException {
         fields(2);
         return new WorkerEntry(text(), bytes());
