--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RolloutKeeper.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RolloutKeeper.java
@@ -94,6 +94,11 @@
         return gate.rollout(service).filter(rollout -> !rollout.phase().isFinal()).isPresent();
     }
 
+    /** Tells whether traffic of any service is being moved now. */
+    boolean isAnyMoving() {
+        return gate.rollouts().stream().anyMatch(rollout -> !rollout.phase().isFinal());
+    }
+
     /** Returns the record of a service's roll-out. */
     RolloutStatus record(String service) {
         return records.getOrDefault(service, RolloutStatus.none(service));
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RolloutParts.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RolloutParts.java
@@ -21,7 +21,6 @@
 import io.trailladder.entry.loop.EventLoop;
 import io.trailladder.entry.port.CoordinationStore;
 import io.trailladder.entry.port.PlatformFormat;
-import java.util.List;
 import java.util.SplittableRandom;
 import java.util.function.BooleanSupplier;
 
@@ -33,7 +32,8 @@
     private final boolean ordered;
     private final RolloutKeeper keeper;
     private final RolloutRunner runner;
-    private final List<StoreWatcher> watchers;
+    private final StoreWatcher records;
+    private final StoreWatcher orders;
 
     /**
      * Wires the parts; nothing runs yet.
@@ -83,24 +83,27 @@
                         loads,
                         leads,
                         rollout -> exchange.evidence(rollout, view.countedPeers()));
-        // records first: an order whose result is known is not begun anew
-        watchers =
-                List.of(
-                        watcher(loop, store, health, random, format.rolloutStatusPrefix(), true),
-                        watcher(loop, store, health, random, format.rolloutOrderPrefix(), false));
+        records =
+                watcher(
+                        loop,
+                        store,
+                        health,
+                        random,
+                        format.rolloutStatusPrefix(),
+                        keeper.records());
+        orders = watcher(loop, store, health, random, format.rolloutOrderPrefix(), keeper.orders());
         if (ordered) {
             view.rollouts(exchange);
         }
     }
 
-    private StoreWatcher watcher(
+    private static StoreWatcher watcher(
             EventLoop loop,
             CoordinationStore store,
             StoreHealth health,
             SplittableRandom random,
             String prefix,
-            boolean records) {
-        StoreWatcher.Listener listener = records ? keeper.records() : keeper.orders();
+            StoreWatcher.Listener listener) {
         return new StoreWatcher(loop, store, health, random.split(), prefix, 0, listener);
     }
 
@@ -112,14 +115,16 @@
     /** Begins to follow and to lead. */
     void start() {
         if (ordered) {
-            watchers.forEach(StoreWatcher::restart);
+            // records first: an order whose result is known is not begun anew
+            records.restart();
+            orders.restart();
             runner.start();
         }
     }
 
     /** Tells whether it is known if there are any: the store was read once, or need not be. */
     boolean isKnown() {
-        return !ordered || watchers.stream().allMatch(StoreWatcher::isComplete);
+        return !ordered || (records.isComplete() && orders.isComplete());
     }
 
     /**
@@ -131,12 +136,16 @@
         if (!ordered) {
             return;
         }
-        for (StoreWatcher watcher : watchers) {
-            if (fed && watcher.isRunning() && watcher.isComplete()) {
-                watcher.stop();
-            } else if (!fed && !watcher.isRunning()) {
-                watcher.restart();
-            }
+        follow(orders, !fed);
+        // nobody else writes records, so they are followed only while there are some to come
+        follow(records, !fed && keeper.isAnyMoving());
+    }
+
+    private static void follow(StoreWatcher watcher, boolean wanted) {
+        if (!wanted && watcher.isRunning() && watcher.isComplete()) {
+            watcher.stop();
+        } else if (wanted && !watcher.isRunning()) {
+            watcher.restart();
         }
     }
 }
