Size the fleet by need: reclaimable ones in one step, the full price a third of the way

Change: the first order waits until the list is quiet (RegistrationWatch); reclaimable ones are as many as the comfortable need, and as the tight one without one data centre, ordered in one step after 1.5 s, taken back to the most that was wanted in 20 s; the full price only for what is declined or does not come within a boot, a third of the way from the tight need to the comfortable one, where it costs least; what one data centre declines is ordered in the others; a queue beyond all places is a backlog to be worked off, not a need; a new leader gives nothing back that may boot; a guess from the provision is replaced once the load has been measured. Each order tells what serves and what was declined.

Tests: a loss is made up by reclaimable ones at once and at the full price where these are declined or do not come.

--- a/trailladder-core/src/main/java/io/trailladder/core/duty/FleetPlanner.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/duty/FleetPlanner.java
@@ -31,19 +31,20 @@
 /**
  * Decides how many upstreams of a service each data centre is to have, and of which kind.
  *
- * <p>Reclaimable upstreams carry the load, in equal parts in every data centre, so that the loss of
- * all of one leaves as many as the load needs. Upstreams at the full price are added only while
- * others are short, or would be after one more loss. Numbers grow soon and shrink late, so that
- * they do not swing with the load. A planner that takes a running system over begins with what
- * serves, and gives nothing back before it has measured the load for {@link #MEASURED_MILLIS}.
+ * <p>Reclaimable upstreams carry the load, in equal parts in every data centre: as many as it needs
+ * in comfort, and so many that the loss of all of one data centre leaves as many as serve it at
+ * all. Upstreams at the full price only bridge the time in which reclaimable ones cannot be had.
+ * Numbers grow soon and shrink late, so that they do not swing with the load. A planner that takes
+ * a running system over begins with what serves, and gives nothing back before it has measured the
+ * load for {@link #MEASURED_MILLIS}.
  *
  * @since 0.2
  */
 public final class FleetPlanner {
     /**
-     * How long the load must have been known before a planner that takes over shrinks a fleet, in
-     * milliseconds: some of the time over which the load is smoothed, so that a load that is still
-     * being summed up is not taken for a small one.
+     * How long the load must have been known before a planner that takes over, or began with a
+     * guess, shrinks a fleet, in milliseconds: some of the time over which the load is smoothed, so
+     * that a load that is still being summed up is not taken for a small one.
      */
     public static final long MEASURED_MILLIS = 8_000;
 
@@ -53,15 +54,37 @@
      */
     private static final double PROVISION_FACTOR = 1.5;
 
+    /**
+     * Part of a guessed number that stays when the load has been measured for the first time: a
+     * load that swings may just be at its lowest.
+     */
+    private static final double LEAST_OF_GUESS = 0.5;
+
     /** Upstreams that are to be left after a loss while no load is known. */
     private static final double LEAST_WITHOUT_LOAD = 2;
 
-    /** How long more must be wanted before reclaimable upstreams grow: as long as one boots. */
-    private static final long GROW_AFTER_MILLIS = 4_000;
+    /**
+     * How long more must be wanted before reclaimable upstreams grow, in milliseconds: longer than
+     * a clump of arrivals.
+     */
+    private static final long GROW_AFTER_MILLIS = 1_500;
 
     /** How long fewer must be wanted before they shrink; half of it measured no better. */
     private static final long SHRINK_AFTER_MILLIS = 20_000;
 
+    /**
+     * Time beyond the boot within which reclaimable upstreams that were ordered should serve, in
+     * milliseconds: until then nothing is bought in their place.
+     */
+    private static final long LATE_MILLIS = 1_500;
+
+    /**
+     * How far upstreams at the full price make up for missing ones, from 0, where all requests are
+     * just served, to 1, where they are in time also while the load swings. A second of one costs
+     * as much as four to five of a reclaimable one.
+     */
+    private static final double BRIDGED_PART = 0.35;
+
     /**
      * How long upstreams at the full price stay when they are no longer wanted: a swing of load.
      */
@@ -71,57 +94,13 @@
     private final boolean takesOver;
     private final Map<String, Integer> zones = new TreeMap<>();
     private final Set<String> provided = new HashSet<>();
-    private final Hysteresis perZone = new Hysteresis(GROW_AFTER_MILLIS, SHRINK_AFTER_MILLIS);
-    private final Hysteresis fullPrice = new Hysteresis(0, RELEASE_AFTER_MILLIS);
+    private final Map<String, Long> shortSinceMillis = new TreeMap<>();
+    private final FollowedNumber perZone =
+            new FollowedNumber(GROW_AFTER_MILLIS, SHRINK_AFTER_MILLIS);
+    private final FollowedNumber fullPrice = new FollowedNumber(0, RELEASE_AFTER_MILLIS);
     private long knownSinceMillis = -1;
-
-    /** A number that follows another one only after that has differed for some time. */
-    private static final class Hysteresis {
-        private final long growAfterMillis;
-        private final long shrinkAfterMillis;
-        private int value = -1;
-        private long sameOrAboveMillis;
-        private long sameOrBelowMillis;
-
-        Hysteresis(long growAfterMillis, long shrinkAfterMillis) {
-            this.growAfterMillis = growAfterMillis;
-            this.shrinkAfterMillis = shrinkAfterMillis;
-        }
-
-        int follow(int wanted, long nowMillis) {
-            if (value < 0) {
-                set(wanted, nowMillis);
-            }
-            if (wanted >= value) {
-                sameOrAboveMillis = nowMillis;
-            }
-            if (wanted <= value) {
-                sameOrBelowMillis = nowMillis;
-            }
-            if (wanted > value && nowMillis - sameOrBelowMillis >= growAfterMillis) {
-                set(growAfterMillis == 0 ? wanted : value + 1, nowMillis);
-            } else if (wanted < value && nowMillis - sameOrAboveMillis >= shrinkAfterMillis) {
-                set(growAfterMillis == 0 ? wanted : value - 1, nowMillis);
-            }
-            return value;
-        }
-
-        void atLeast(int least) {
-            value = Math.max(value, least);
-        }
-
-        /** Keeps the number from shrinking now, and raises it to a least one. */
-        void hold(int least, long nowMillis) {
-            atLeast(least);
-            sameOrAboveMillis = nowMillis;
-        }
-
-        private void set(int changed, long nowMillis) {
-            value = changed;
-            sameOrAboveMillis = nowMillis;
-            sameOrBelowMillis = nowMillis;
-        }
-    }
+    private boolean guessed;
+    private int mostWanted;
 
     /**
      * Creates a planner.
@@ -140,6 +119,7 @@
      * @param scaling bounds and prices
      * @param workers the service's upstreams, leaving ones too
      * @param need how many upstreams the load needs; empty if no load is known
+     * @param declined data centres where reclaimable upstreams could not be had lately
      * @param nowMillis the time
      * @return an order for both kinds in every data centre
      */
@@ -147,28 +127,90 @@
             ScalingSpec scaling,
             Collection<Worker> workers,
             Optional<FleetNeed> need,
+            Set<String> declined,
             long nowMillis) {
         List<Worker> serving = workers.stream().filter(worker -> !worker.draining()).toList();
         workers.forEach(worker -> zones.putIfAbsent(worker.zone(), 0));
         if (need.isEmpty()) {
             learnProvided(serving);
         }
-        int wantedFull = wantedFullPrice(scaling, serving, need);
-        if (takesOver && !isMeasured(need.isPresent(), nowMillis)) {
+        boolean holds = takesOver && !isMeasured(need.isPresent(), nowMillis);
+        if (holds) {
             perZone.hold(mostInOneZone(serving), nowMillis);
-            wantedFull = count(serving, false);
         }
-        int target = perZone.follow(wantedPerZone(scaling, need), nowMillis);
+        int target = target(wantedPerZone(scaling, need), need.isPresent(), nowMillis);
+        Map<String, Integer> reclaimable = reclaimable(scaling, serving, need, declined, target);
+        int coming = coming(scaling, serving, reclaimable, declined, nowMillis);
+        int wantedFull =
+                holds ? count(serving, false) : wantedFullPrice(scaling, serving, need, coming);
         int full = fullPrice.follow(wantedFull, nowMillis);
-        Map<String, Integer> fullByZone = spread(scaling, serving, full);
+        Map<String, Integer> fullByZone = spread(scaling, serving, reclaimable, declined, full);
         List<WorkerOrder> orders = new ArrayList<>();
         for (String zone : zones.keySet()) {
-            orders.add(new WorkerOrder(service, zone, true, target));
+            orders.add(new WorkerOrder(service, zone, true, reclaimable.get(zone)));
             orders.add(new WorkerOrder(service, zone, false, fullByZone.get(zone)));
         }
         return orders;
     }
 
+    /**
+     * Follows what is wanted. A number that was guessed from the operator's provision is replaced
+     * by the most that was wanted once the load has been known for {@link #MEASURED_MILLIS}.
+     */
+    private int target(int wanted, boolean known, long nowMillis) {
+        if (guessed && known) {
+            mostWanted = Math.max(mostWanted, wanted);
+            if (isMeasured(true, nowMillis)) {
+                guessed = false;
+                perZone.set(Math.max(mostWanted, ceil(LEAST_OF_GUESS * perZone.value())));
+            }
+        }
+        return perZone.follow(wanted, nowMillis);
+    }
+
+    /** What data centres decline is ordered in the others, in the same step. */
+    private Map<String, Integer> reclaimable(
+            ScalingSpec scaling,
+            List<Worker> serving,
+            Optional<FleetNeed> need,
+            Set<String> declined,
+            int target) {
+        Map<String, Integer> byZone = new TreeMap<>();
+        zones.keySet().forEach(zone -> byZone.put(zone, target));
+        List<String> open = zones.keySet().stream().filter(z -> !declined.contains(z)).toList();
+        if (open.isEmpty() || open.size() == zones.size() || need.isEmpty()) {
+            return byZone;
+        }
+        int there = 0;
+        for (String zone : zones.keySet()) {
+            there += open.contains(zone) ? 0 : count(serving, zone, true);
+        }
+        int each = ceil((need.get().comfortable() - there) / open.size());
+        int bounded = Math.max(target, Math.min(scaling.max(), each));
+        open.forEach(zone -> byZone.put(zone, bounded));
+        return byZone;
+    }
+
+    /** Reclaimable upstreams that were ordered and should serve soon. */
+    private int coming(
+            ScalingSpec scaling,
+            List<Worker> serving,
+            Map<String, Integer> ordered,
+            Set<String> declined,
+            long nowMillis) {
+        int coming = 0;
+        for (String zone : zones.keySet()) {
+            int missing = ordered.get(zone) - count(serving, zone, true);
+            if (missing <= 0 || declined.contains(zone)) {
+                shortSinceMillis.remove(zone);
+                continue;
+            }
+            long since = shortSinceMillis.computeIfAbsent(zone, name -> nowMillis);
+            coming += nowMillis - since <= scaling.bootMillis() + LATE_MILLIS ? missing : 0;
+        }
+        return coming;
+    }
+
     private boolean isMeasured(boolean known, long nowMillis) {
         if (knownSinceMillis < 0 && known) {
             knownSinceMillis = nowMillis;
@@ -183,7 +225,10 @@
         serving.stream()
                 .filter(worker -> !worker.reclaimable())
                 .forEach(worker -> provided.add(worker.id()));
-        perZone.atLeast(providedPerZone());
+        if (providedPerZone() > 0 && knownSinceMillis < 0) {
+            perZone.atLeast(providedPerZone());
+            guessed = true;
+        }
     }
 
     private int providedPerZone() {
@@ -191,47 +236,64 @@
     }
 
     private int wantedPerZone(ScalingSpec scaling, Optional<FleetNeed> need) {
-        int others = Math.max(1, zones.size() - 1);
+        int all = Math.max(1, zones.size());
+        int others = Math.max(1, all - 1);
         int wanted =
-                need.map(known -> ceil(known.comfortable() / others))
-                        .orElseGet(() -> Math.max(perZone.value, providedPerZone()));
+                need.map(
+                                known ->
+                                        Math.max(
+                                                ceil(known.comfortable() / all),
+                                                ceil(known.tight() / others)))
+                        .orElseGet(() -> Math.max(perZone.value(), providedPerZone()));
         return Math.max(Math.max(1, scaling.min()), Math.min(scaling.max(), wanted));
     }
 
-    /** Full-price upstreams that make up for reclaimable ones that are not there. */
+    /** Full-price upstreams that make up for reclaimable ones that cannot be had. */
     private int wantedFullPrice(
-            ScalingSpec scaling, List<Worker> serving, Optional<FleetNeed> need) {
+            ScalingSpec scaling, List<Worker> serving, Optional<FleetNeed> need, int coming) {
         int reclaimable = count(serving, true);
-        int now = ceil(need.map(FleetNeed::comfortable).orElse(0.0)) - reclaimable;
-        int least = ceil(need.map(FleetNeed::tight).orElse(LEAST_WITHOUT_LOAD));
-        int afterLoss = least - (reclaimable - mostInOneZone(serving));
         int most = scaling.max() * zones.size();
-        return Math.max(0, Math.min(most, Math.max(now, afterLoss)));
+        if (need.isEmpty()) {
+            int afterLoss = ceil(LEAST_WITHOUT_LOAD) - (reclaimable - mostInOneZone(serving));
+            return Math.max(0, Math.min(most, afterLoss));
+        }
+        double bridged = need.get().between(BRIDGED_PART);
+        return Math.max(0, Math.min(most, ceil(bridged) - reclaimable - coming));
     }
 
-    /** Spreads full-price upstreams: where such ones are, then where they cost least. */
-    private Map<String, Integer> spread(ScalingSpec scaling, List<Worker> serving, int full) {
+    /** Places full-price upstreams: where such ones are, then where they cost least. */
+    private Map<String, Integer> spread(
+            ScalingSpec scaling,
+            List<Worker> serving,
+            Map<String, Integer> reclaimable,
+            Set<String> declined,
+            int full) {
         Map<String, Integer> byZone = new TreeMap<>(zones);
-        Comparator<String> order =
-                Comparator.<String>comparingInt(zone -> -count(serving, zone, false))
-                        .thenComparingDouble(zone -> scaling.zonePrices().getOrDefault(zone, 1.0));
-        List<String> sorted = zones.keySet().stream().sorted(order).toList();
         int left = full;
-        while (left > 0) {
-            int before = left;
-            for (String zone : sorted) {
-                if (left > 0 && byZone.get(zone) < scaling.max()) {
-                    byZone.merge(zone, 1, Integer::sum);
-                    left--;
-                }
-            }
-            if (left == before) {
-                break;
-            }
+        for (String zone : cheapestFirst(scaling)) {
+            int there = Math.min(left, count(serving, zone, false));
+            byZone.put(zone, there);
+            left -= there;
+        }
+        for (String zone : cheapestFirst(scaling)) {
+            int others =
+                    declined.contains(zone) ? count(serving, zone, true) : reclaimable.get(zone);
+            int room = scaling.max() - others - byZone.get(zone);
+            int more = Math.max(0, Math.min(left, room));
+            byZone.merge(zone, more, Integer::sum);
+            left -= more;
         }
         return byZone;
     }
 
+    private List<String> cheapestFirst(ScalingSpec scaling) {
+        return zones.keySet().stream()
+                .sorted(
+                        Comparator.comparingDouble(
+                                zone -> scaling.zonePrices().getOrDefault(zone, 1.0)))
+                .toList();
+    }
+
     private static int ceil(double value) {
         return (int) Math.ceil(value);
     }
--- a/trailladder-core/src/main/java/io/trailladder/core/duty/FollowedNumber.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/duty/FollowedNumber.java
@@ -72,11 +72,19 @@
         }
     }
 
+    /** Replaces the number. */
+    void set(int replaced) {
+        value = replaced;
+        nearest = replaced;
+    }
+
     /** Keeps the number from shrinking now, and raises it to a least one. */
     void hold(int least, long nowMillis) {
         atLeast(least);
-        nearest = value;
-        differsSinceMillis = nowMillis;
+        if (nearest < value) {
+            nearest = value;
+            differsSinceMillis = nowMillis;
+        }
     }
 
     int value() {
--- a/trailladder-core/src/main/java/io/trailladder/core/duty/RegistrationWatch.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/duty/RegistrationWatch.java
@@ -30,14 +30,19 @@
  * @since 0.4
  */
 public final class RegistrationWatch {
-    /** Least time without a newcomer, in milliseconds: a heartbeat of 1.2 s and the list's lag. */
-    static final long LEAST_QUIET_MILLIS = 2_000;
+    /**
+     * Least time without a newcomer, in milliseconds: several of the gaps of a tenth of a second.
+     */
+    static final long LEAST_QUIET_MILLIS = 1_000;
 
-    /** Most time that is waited for another newcomer, in milliseconds: a boot. */
-    static final long MOST_QUIET_MILLIS = 5_000;
+    /**
+     * Most time that is waited for another newcomer, in milliseconds: all that were provided are
+     * paid for meanwhile.
+     */
+    static final long MOST_QUIET_MILLIS = 3_000;
 
     /** How many times the longest gap seen so far must pass without a newcomer. */
-    private static final int GAPS = 3;
+    private static final int GAPS = 2;
 
     private final Set<String> seen = new HashSet<>();
     private long lastMillis;
--- a/trailladder-core/src/main/java/io/trailladder/core/engine/FleetNeed.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/engine/FleetNeed.java
@@ -25,6 +25,16 @@
  * @since 0.3
  */
 public record FleetNeed(double comfortable, double tight) {
+    /**
+     * Returns a number between the two.
+     *
+     * @param part 0 for the tight one, 1 for the comfortable one
+     * @return the number
+     */
+    public double between(double part) {
+        return tight + part * (comfortable - tight);
+    }
+
     @Override
     public String toString() {
         return String.format(Locale.ROOT, "need %.2f, at least %.2f", comfortable, tight);
--- a/trailladder-core/src/main/java/io/trailladder/core/engine/ServiceLoad.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/engine/ServiceLoad.java
@@ -27,6 +27,29 @@
     /** Load below which a service counts as not asked for, in requests under way. */
     private static final double LEAST_RUNNING = 0.05;
 
+    /**
+     * Time within which requests beyond all places are to be worked off, in milliseconds: as long
+     * as an upstream boots, since one that is ordered for them comes too late otherwise.
+     */
+    private static final double WORKED_OFF_MILLIS = 4_000;
+
+    /**
+     * Returns the load with requests that wait for a place counted as a backlog: as the places that
+     * work them off within a boot, not as places that are needed from now on.
+     *
+     * @param places places of all upstreams that serve
+     * @param runMillis how long a request takes a place, in milliseconds
+     * @return the load itself while places are free
+     */
+    public ServiceLoad withBacklog(int places, double runMillis) {
+        double waiting = running - places;
+        if (waiting <= 0) {
+            return this;
+        }
+        double part = Math.min(1, runMillis / WORKED_OFF_MILLIS);
+        return new ServiceLoad(tokensPerMilli, squaredTokensPerMilli, places + waiting * part);
+    }
+
     /**
      * Tells whether the service is asked for at all.
      *
--- a/trailladder-core/src/test/java/io/trailladder/core/duty/FleetPlannerTest.java
+++ b/trailladder-core/src/test/java/io/trailladder/core/duty/FleetPlannerTest.java
@@ -19,18 +19,21 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.trailladder.core.engine.FleetNeed;
+import io.trailladder.core.engine.ServiceLoad;
 import io.trailladder.core.policy.ScalingSpec;
 import io.trailladder.core.worker.Worker;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import net.jqwik.api.Example;
 
 /** Reclaimable upstreams carry the load; full-price ones only make up for those that are gone. */
 class FleetPlannerTest {
     private static final ScalingSpec SCALING =
             new ScalingSpec(1, 6, 4_000, 0.2, Map.of("a", 0.85, "b", 1.2, "c", 1.0));
+    private static final Set<String> NONE = Set.of();
     private static final Optional<FleetNeed> UNKNOWN = Optional.empty();
 
     /** A load that wants its upstreams at most 0.35 busy, and 0.7 when they are short. */
@@ -64,46 +67,182 @@
     @Example
     void provisionIsReplacedByReclaimableUpstreamsBeforeItIsReleased() {
         FleetPlanner planner = new FleetPlanner("s", false);
-        List<WorkerOrder> first = planner.plan(SCALING, fleet(2, 0), UNKNOWN, 0);
+        List<WorkerOrder> first = planner.plan(SCALING, fleet(2, 0), UNKNOWN, NONE, 0);
         assertEquals(9, ordered(first, true));
         assertTrue(ordered(first, false) >= 2, "something still serves at the full price");
-        List<WorkerOrder> served = planner.plan(SCALING, fleet(2, 3), UNKNOWN, 5_000);
+        List<WorkerOrder> served = planner.plan(SCALING, fleet(2, 3), UNKNOWN, NONE, 5_000);
         assertEquals(9, ordered(served, true));
-        List<WorkerOrder> later = planner.plan(SCALING, fleet(2, 3), UNKNOWN, 8_000);
+        List<WorkerOrder> later = planner.plan(SCALING, fleet(2, 3), UNKNOWN, NONE, 8_000);
         assertEquals(0, ordered(later, false));
     }
 
     @Example
     void partOfTheListSeenFirstDoesNotShrinkTheFleet() {
         FleetPlanner planner = new FleetPlanner("s", false);
-        planner.plan(SCALING, fleet(2, 0).subList(0, 1), UNKNOWN, 0);
-        assertEquals(9, ordered(planner.plan(SCALING, fleet(2, 0), UNKNOWN, 100), true));
+        planner.plan(SCALING, fleet(2, 0).subList(0, 1), UNKNOWN, NONE, 0);
+        assertEquals(9, ordered(planner.plan(SCALING, fleet(2, 0), UNKNOWN, NONE, 100), true));
     }
 
     @Example
     void ownOrdersDoNotFeedBackIntoTheTarget() {
         FleetPlanner planner = new FleetPlanner("s", false);
-        planner.plan(SCALING, fleet(2, 0), UNKNOWN, 0);
-        planner.plan(SCALING, fleet(2, 3), UNKNOWN, 5_000);
-        assertEquals(9, ordered(planner.plan(SCALING, fleet(2, 3), UNKNOWN, 60_000), true));
+        planner.plan(SCALING, fleet(2, 0), UNKNOWN, NONE, 0);
+        planner.plan(SCALING, fleet(2, 3), UNKNOWN, NONE, 5_000);
+        assertEquals(9, ordered(planner.plan(SCALING, fleet(2, 3), UNKNOWN, NONE, 60_000), true));
     }
 
-    @Example
-    void lossOfReclaimableUpstreamsIsMadeUpAtOnce() {
-        FleetPlanner planner = new FleetPlanner("s", false);
-        planner.plan(SCALING, fleet(0, 2), busy(1.3), 0);
+    /** What is left after a reclaim: two in one data centre, one that leaves, none in the third. */
+    private static List<Worker> afterLoss() {
         List<Worker> left = new ArrayList<>();
         add(left, "a", 2, true);
         left.add(new Worker("b0", "s", "b", "h:1", 8, true, true, 2_000));
-        assertTrue(ordered(planner.plan(SCALING, left, busy(1.3), 1_000), false) >= 2);
+        return left;
+    }
+
+    /** Reclaimable ones boot as fast as others, so the same are ordered again, at a fifth. */
+    @Example
+    void lossOfReclaimableUpstreamsIsMadeUpAtOnceByOthersOfTheirKind() {
+        FleetPlanner planner = new FleetPlanner("s", false);
+        int before = ordered(planner.plan(SCALING, fleet(0, 2), busy(1.3), NONE, 0), true);
+        List<WorkerOrder> orders = planner.plan(SCALING, afterLoss(), busy(1.3), NONE, 1_000);
+        assertEquals(before, ordered(orders, true));
+        assertEquals(0, ordered(orders, false));
+    }
+
+    @Example
+    void lossIsBridgedAtTheFullPriceAtOnceWhereReclaimableOnesAreDeclined() {
+        FleetPlanner planner = new FleetPlanner("s", false);
+        planner.plan(SCALING, fleet(0, 2), busy(2.6), NONE, 0);
+        Set<String> all = Set.of("a", "b", "c");
+        List<WorkerOrder> orders = planner.plan(SCALING, afterLoss(), busy(2.6), all, 1_000);
+        assertTrue(ordered(orders, false) >= 2, orders.toString());
+    }
+
+    @Example
+    void lossIsBridgedAtTheFullPriceIfReclaimableOnesDoNotCome() {
+        FleetPlanner planner = new FleetPlanner("s", false);
+        planner.plan(SCALING, fleet(0, 2), busy(2.6), NONE, 0);
+        planner.plan(SCALING, afterLoss(), busy(2.6), NONE, 1_000);
+        List<WorkerOrder> orders = planner.plan(SCALING, afterLoss(), busy(2.6), NONE, 7_000);
+        assertTrue(ordered(orders, false) >= 2, orders.toString());
+    }
+
+    @Example
+    void whatOneDataCentreDeclinesIsOrderedInTheOthersInTheSameStep() {
+        FleetPlanner planner = new FleetPlanner("s", false);
+        int before = ordered(planner.plan(SCALING, fleet(0, 2), busy(2), NONE, 0), true);
+        List<WorkerOrder> orders = planner.plan(SCALING, afterLoss(), busy(2), Set.of("b"), 1_000);
+        assertTrue(ordered(orders, true) > before, orders.toString());
+    }
+
+    @Example
+    void fullPriceIsBoughtWhereItCostsLeast() {
+        FleetPlanner planner = new FleetPlanner("s", false);
+        Set<String> all = Set.of("a", "b", "c");
+        List<WorkerOrder> orders = planner.plan(SCALING, afterLoss(), busy(1.6), all, 0);
+        assertTrue(ordered(orders, false) > 0, orders.toString());
+        for (WorkerOrder order : orders) {
+            boolean dearer = !order.reclaimable() && !order.zone().equals("a");
+            assertTrue(!dearer || order.count() == 0, orders.toString());
+        }
+    }
+
+    /** Both kinds count towards the most of a data centre, but what was declined is not there. */
+    @Example
+    void declinedOnesTakeNoRoomFromTheFullPrice() {
+        FleetPlanner planner = new FleetPlanner("s", false);
+        Set<String> all = Set.of("a", "b", "c");
+        planner.plan(SCALING, fleet(0, 6), busy(6), NONE, 0);
+        List<WorkerOrder> orders = planner.plan(SCALING, fleet(0, 1), busy(6), all, 1_000);
+        assertTrue(ordered(orders, false) >= 8, orders.toString());
+    }
+
+    /** The pattern of a first start: 42 upstreams register over some 3 s, by data centre. */
+    @Example
+    void listThatStillGrowsIsNotComplete() {
+        RegistrationWatch watch = new RegistrationWatch();
+        List<Worker> provided = fleet(14, 0);
+        for (int seen = 0; seen <= provided.size(); seen++) {
+            long now = 70L * seen + (seen > 14 ? 900 : 0);
+            assertTrue(!watch.isSettled(provided.subList(0, seen), now), "complete at " + now);
+        }
+        long last = 70L * provided.size() + 900;
+        long quiet = 2 * (70 + 900);
+        assertTrue(!watch.isSettled(provided, last + quiet - 100), "gaps of 0.97 s were seen");
+        assertTrue(watch.isSettled(provided, last + quiet), "complete in the end");
+    }
+
+    @Example
+    void emptyListIsNeverComplete() {
+        RegistrationWatch watch = new RegistrationWatch();
+        assertTrue(!watch.isSettled(List.of(), 0));
+        assertTrue(!watch.isSettled(List.of(), 60_000));
+    }
+
+    /** A swing of 0.42 round the mean with a period of 40 s, as the traffic of one user has it. */
+    @Example
+    void swingOfTheLoadIsNotFollowedDown() {
+        FleetPlanner planner = new FleetPlanner("s", true);
+        ScalingSpec large = new ScalingSpec(1, 28, 4_000, 0.22, Map.of());
+        List<Worker> workers = fleet(0, 20);
+        int least = Integer.MAX_VALUE;
+        for (long now = 0; now <= 160_000; now += 250) {
+            double load = 20 * (1 + 0.42 * Math.sin(now * 2 * Math.PI / 40_000));
+            List<WorkerOrder> orders = planner.plan(large, workers, busy(load), NONE, now);
+            assertEquals(0, ordered(orders, false), "full price at " + now);
+            least = Math.min(least, ordered(orders, true));
+            workers = fleet(0, ordered(orders, true) / 3);
+        }
+        // need in comfort at the mean is 57, at the peak 81; the trough of 33 lasts under 20 s
+        assertTrue(least >= 57, "reclaimable ones fell to " + least);
+    }
+
+    /** The provision tells little of the load: 42 are provided where 12 are needed, or 70. */
+    @Example
+    void guessIsReplacedOnceTheLoadIsMeasured() {
+        FleetPlanner planner = new FleetPlanner("s", false);
+        ScalingSpec large = new ScalingSpec(1, 28, 4_000, 0.22, Map.of());
+        assertEquals(63, ordered(planner.plan(large, fleet(14, 0), UNKNOWN, NONE, 0), true));
+        int ordered = 0;
+        for (long now = 20_000; now <= 20_000 + FleetPlanner.MEASURED_MILLIS; now += 250) {
+            ordered = ordered(planner.plan(large, fleet(0, 21), busy(4), NONE, now), true);
+        }
+        assertEquals(33, ordered, "half of the guess, though 11.4 are needed in comfort");
+        for (long now = 28_250; now <= 50_000; now += 250) {
+            ordered = ordered(planner.plan(large, fleet(0, 11), busy(4), NONE, now), true);
+        }
+        assertEquals(12, ordered, "as many as are needed, in three data centres");
+    }
+
+    /** A step of three times is met by reclaimable ones in one order, not one by one. */
+    @Example
+    void stepOfTheLoadIsMetAtOnceByReclaimableOnes() {
+        FleetPlanner planner = new FleetPlanner("s", false);
+        ScalingSpec large = new ScalingSpec(1, 28, 4_000, 0.22, Map.of());
+        planner.plan(large, fleet(0, 6), busy(6), NONE, 0);
+        int ordered = 0;
+        for (long now = 250; now <= 2_000; now += 250) {
+            ordered = ordered(planner.plan(large, fleet(0, 6), busy(18), NONE, now), true);
+        }
+        assertTrue(ordered >= 51, "ordered " + ordered);
+    }
+
+    /** Requests beyond all places are a backlog: they do not each want a place from now on. */
+    @Example
+    void queueIsNotTakenForAFleetThatIsNeeded() {
+        ServiceLoad queued = new ServiceLoad(10, 10_000, 900);
+        ServiceLoad load = queued.withBacklog(400, 800);
+        assertEquals(400 + 500 * 0.2, load.running(), 1e-9);
+        assertEquals(300, new ServiceLoad(1, 1, 300).withBacklog(400, 800).running(), 1e-9);
     }
 
     @Example
     void aShortPeakDoesNotChangeTheTarget() {
         FleetPlanner planner = new FleetPlanner("s", false);
-        int before = ordered(planner.plan(SCALING, fleet(0, 2), busy(1.3), 0), true);
-        planner.plan(SCALING, fleet(0, 2), busy(4), 1_000);
-        assertEquals(before, ordered(planner.plan(SCALING, fleet(0, 2), busy(4), 2_000), true));
+        int before = ordered(planner.plan(SCALING, fleet(0, 2), busy(1.3), NONE, 0), true);
+        planner.plan(SCALING, fleet(0, 2), busy(4), NONE, 1_000);
+        assertEquals(
+                before, ordered(planner.plan(SCALING, fleet(0, 2), busy(4), NONE, 2_000), true));
     }
 
     @Example
@@ -112,7 +251,7 @@
         List<Worker> serving = fleet(1, 5);
         for (long now = 0; now <= FleetPlanner.MEASURED_MILLIS; now += 250) {
             Optional<FleetNeed> load = now < 500 ? UNKNOWN : busy(now / 10_000.0);
-            List<WorkerOrder> orders = planner.plan(SCALING, serving, load, now);
+            List<WorkerOrder> orders = planner.plan(SCALING, serving, load, NONE, now);
             assertTrue(ordered(orders, true) >= 15, "reclaimable at " + now);
             assertTrue(ordered(orders, false) >= 3, "full price at " + now);
         }
@@ -121,8 +260,8 @@
     @Example
     void entriesThatComeBackLateAfterTakingOverAreKeptToo() {
         FleetPlanner planner = new FleetPlanner("s", true);
-        planner.plan(SCALING, fleet(0, 5).subList(0, 2), UNKNOWN, 0);
-        assertEquals(15, ordered(planner.plan(SCALING, fleet(0, 5), busy(0.4), 1_000), true));
+        planner.plan(SCALING, fleet(0, 5).subList(0, 2), UNKNOWN, NONE, 0);
+        assertEquals(15, ordered(planner.plan(SCALING, fleet(0, 5), busy(0.4), NONE, 1_000), true));
     }
 
     @Example
@@ -130,7 +269,7 @@
         FleetPlanner planner = new FleetPlanner("s", true);
         List<WorkerOrder> orders = List.of();
         for (long now = 0; now <= 200_000; now += 250) {
-            orders = planner.plan(SCALING, fleet(0, 5), busy(0.5), now);
+            orders = planner.plan(SCALING, fleet(0, 5), busy(0.5), NONE, now);
         }
         assertEquals(3, ordered(orders, true));
     }
@@ -139,7 +278,7 @@
     void aPeakRightAfterTakingOverIsNotBridgedAtTheFullPrice() {
         FleetPlanner planner = new FleetPlanner("s", true);
         for (long now = 0; now < FleetPlanner.MEASURED_MILLIS; now += 250) {
-            assertEquals(0, ordered(planner.plan(SCALING, fleet(0, 5), busy(9), now), false));
+            assertEquals(0, ordered(planner.plan(SCALING, fleet(0, 5), busy(9), NONE, now), false));
         }
     }
 }
--- a/trailladder-core/src/test/java/io/trailladder/core/engine/SimulatedFleet.java
+++ b/trailladder-core/src/test/java/io/trailladder/core/engine/SimulatedFleet.java
@@ -216,7 +216,8 @@
         int underWay = loads.requests(directory.all());
         running = running < 0 ? underWay : running + 0.06 * (underWay - running);
         Optional<FleetNeed> need = need(nowMillis);
-        List<WorkerOrder> orders = planner.plan(kind.scaling(), directory.all(), need, nowMillis);
+        List<WorkerOrder> orders =
+                planner.plan(kind.scaling(), directory.all(), need, Set.of(), nowMillis);
         orders.forEach(this::follow);
         if (measured) {
             fleetSum += directory.serving(SERVICE).size();
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/FleetRunner.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/FleetRunner.java
@@ -16,6 +16,7 @@
 package io.trailladder.entry.gateway;
 
 import io.trailladder.core.duty.FleetPlanner;
+import io.trailladder.core.duty.RegistrationWatch;
 import io.trailladder.core.duty.WorkerOrder;
 import io.trailladder.core.engine.EngineEstimate;
 import io.trailladder.core.engine.EngineModel;
@@ -38,6 +39,8 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
 import java.util.function.BooleanSupplier;
 import java.util.function.Predicate;
 import java.util.function.Supplier;
@@ -58,17 +61,17 @@
     private static final double SMOOTHING_MILLIS = 4_000;
 
     /**
-     * How long the list is looked at before the first order: until all upstreams have registered.
+     * Least pause between two orders about the same upstreams, in milliseconds: each call costs.
      */
-    private static final long FIRST_LOOK_MILLIS = 1_500;
+    private static final long LEAST_PAUSE_MILLIS = 900;
 
     /**
-     * Least pause between two orders about the same upstreams, in milliseconds: each call costs.
+     * Pause after an order that could not be had, in milliseconds; doubled with each further one,
+     * as shortages last 5 to 15 s.
      */
-    private static final long LEAST_PAUSE_MILLIS = 900;
+    private static final long DECLINED_MILLIS = 1_500;
 
-    /** Pause after an order that could not be had, in milliseconds; shortages last 5 to 15 s. */
-    private static final long DECLINED_MILLIS = 2_500;
+    private static final int MOST_DOUBLINGS = 2;
 
     /** Time beyond the boot after which the list should follow an order, in milliseconds. */
     private static final long SETTLE_MILLIS = 4_000;
@@ -91,7 +94,7 @@
     private final Map<String, Fleet> fleets = new HashMap<>();
     private final Map<Subject, Given> given = new HashMap<>();
     private long token;
-    private long firstPlanMillis = -1;
+    private long tokenMillis;
 
     /** Tells the load of a service. */
     public interface LoadSource {
@@ -108,6 +111,7 @@
     /** What is kept of one service. */
     private static final class Fleet {
         private final FleetPlanner planner;
+        private final RegistrationWatch registrations = new RegistrationWatch();
         private double running = -1;
 
         Fleet(FleetPlanner planner) {
@@ -131,7 +135,12 @@
         private long sentMillis;
         private boolean waiting;
         private boolean accepted;
-        private boolean declined;
+        private int declined;
+
+        long pauseMillis() {
+            int doublings = Math.min(MOST_DOUBLINGS, declined - 1);
+            return declined == 0 ? LEAST_PAUSE_MILLIS : DECLINED_MILLIS << doublings;
+        }
     }
 
     /**
@@ -190,11 +199,9 @@
         if (policies.policy().isEmpty() || directory.all().isEmpty()) {
             return;
         }
-        if (firstPlanMillis < 0) {
-            firstPlanMillis = loop.nowMillis();
-        }
         if (leadership.holder().token() != token) {
             token = leadership.holder().token();
+            tokenMillis = loop.nowMillis();
             given.clear();
         }
         for (ServiceSpec service : policies.policy().get().services()) {
@@ -215,14 +222,43 @@
                         name -> new Fleet(new FleetPlanner(name, takesOver || hasFollowed)));
         ServiceLoad load = fleet.smooth(loads.load(service, workers));
         Optional<FleetNeed> need = need(service, load, workers);
-        List<WorkerOrder> orders = fleet.planner.plan(scaling, workers, need, loop.nowMillis());
-        boolean looked = loop.nowMillis() - firstPlanMillis >= FIRST_LOOK_MILLIS;
-        if (!looked || !leadership.leads()) {
+        boolean settled = fleet.registrations.isSettled(workers, loop.nowMillis());
+        Set<String> declined = declined(service);
+        List<WorkerOrder> orders =
+                fleet.planner.plan(scaling, workers, need, declined, loop.nowMillis());
+        if (!settled || !leadership.leads()) {
             return;
         }
         long settle = scaling.bootMillis() + SETTLE_MILLIS;
-        Supplier<String> reason = () -> reason(service, load, need);
-        orders.forEach(order -> give(order, workers, reason, settle));
+        Supplier<String> reason = () -> reason(workers, load, need, declined);
+        boolean mayBoot = need.isPresent() && loop.nowMillis() - tokenMillis < scaling.bootMillis();
+        orders.stream()
+                .filter(order -> !mayBoot || !givesBack(order, workers))
+                .forEach(order -> give(order, workers, reason, settle));
+    }
+
+    /**
+     * Tells whether an order may end upstreams at the full price that an earlier leader has bought
+     * and that still boot: a new one does not know of them, nor of what was declined to its
+     * predecessor.
+     */
+    private static boolean givesBack(WorkerOrder order, List<Worker> workers) {
+        Subject subject = new Subject(order.service(), order.zone(), order.reclaimable());
+        return !order.reclaimable() && order.count() <= serving(workers, subject);
+    }
+
+    /** The data centres where reclaimable upstreams could not be had when last ordered. */
+    private Set<String> declined(String service) {
+        Set<String> zones = new TreeSet<>();
+        given.forEach(
+                (subject, last) -> {
+                    if (subject.reclaimable()
+                            && subject.service().equals(service)
+                            && last.declined > 0) {
+                        zones.add(subject.zone());
+                    }
+                });
+        return zones;
     }
 
     private Optional<FleetNeed> need(String service, ServiceLoad load, List<Worker> workers) {
@@ -231,7 +267,9 @@
             return Optional.empty();
         }
         int slots = workers.stream().mapToInt(Worker::slots).min().orElse(1);
-        return Optional.of(FleetSizer.need(load, engine, slots, objectiveMillis(service)));
+        int places = workers.stream().filter(w -> !w.draining()).mapToInt(Worker::slots).sum();
+        ServiceLoad served = load.withBacklog(places, engine.runMillis());
+        return Optional.of(FleetSizer.need(served, engine, slots, objectiveMillis(service)));
     }
 
     /** The tightest objective of the routes that lead to a service, in milliseconds. */
@@ -243,15 +281,30 @@
                 .orElse(DEFAULT_OBJECTIVE_MILLIS);
     }
 
-    private String reason(String service, ServiceLoad load, Optional<FleetNeed> need) {
+    /** Tells what an order was worked out from: what serves, the need with its bounds, the load. */
+    private String reason(
+            List<Worker> workers,
+            ServiceLoad load,
+            Optional<FleetNeed> need,
+            Set<String> declined) {
+        long reclaimable = workers.stream().filter(w -> w.reclaimable() && !w.draining()).count();
+        long full = workers.stream().filter(w -> !w.reclaimable() && !w.draining()).count();
+        String fleet =
+                "serving "
+                        + reclaimable
+                        + " reclaimable and "
+                        + full
+                        + " at full price, declined in "
+                        + declined;
         if (need.isEmpty()) {
-            return "no load known";
+            return "no load known, " + fleet;
         }
-        EngineEstimate engine = engines.estimate(service, loop.nowMillis());
+        EngineEstimate engine = engines.estimate(workers.get(0).service(), loop.nowMillis());
         return String.format(
                 Locale.ROOT,
-                "%s, %.1f requests under way, %.1f tokens/ms to read at %.4f ms each, %.0f seen",
+                "%s, %s, %.1f requests under way, %.1f tokens/ms to read at %.4f ms each, %.0f seen",
                 need.get(),
+                fleet,
                 load.running(),
                 load.tokensPerMilli(),
                 engine.millisPerToken(),
@@ -265,8 +318,7 @@
         long since = loop.nowMillis() - last.sentMillis;
         boolean changed = last.count != order.count() || !last.accepted;
         boolean ignored = since >= settleMillis && serving(workers, subject) != order.count();
-        long pause = last.declined ? DECLINED_MILLIS : LEAST_PAUSE_MILLIS;
-        if (last.waiting || since < pause || !(changed || ignored)) {
+        if (last.waiting || since < last.pauseMillis() || !(changed || ignored)) {
             return;
         }
         last.count = order.count();
@@ -280,7 +332,7 @@
     private void answered(
             DutyHolder holder, WorkerOrder order, String reason, Given last, DutyResult result) {
         last.waiting = false;
-        last.declined = result == DutyResult.DECLINED;
+        last.declined = result == DutyResult.DECLINED ? last.declined + 1 : 0;
         last.accepted = result == DutyResult.ACCEPTED;
         String kind = order.reclaimable() ? "reclaimable" : "full price";
         DecisionLog.write(
