Take a list that never rests as it is after 10 s; a planner that takes over does not guess

Cause: found in reading: where upstreams come and go all the time the list would never be quiet, and nothing would ever be ordered; a planner that takes over and meets upstreams at the full price took them for the operator's provision.

Change: a bound of 10 s, with its test, which failed before; the guess is for first starts only.

--- a/trailladder-core/src/main/java/io/trailladder/core/duty/FleetPlanner.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/duty/FleetPlanner.java
@@ -227,7 +227,7 @@
                 .forEach(worker -> provided.add(worker.id()));
         if (providedPerZone() > 0 && knownSinceMillis < 0) {
             perZone.atLeast(providedPerZone());
-            guessed = true;
+            guessed = !takesOver;
         }
     }
 
--- a/trailladder-core/src/main/java/io/trailladder/core/duty/RegistrationWatch.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/duty/RegistrationWatch.java
@@ -41,10 +41,17 @@
      */
     static final long MOST_QUIET_MILLIS = 3_000;
 
+    /**
+     * Longest time that a list may keep growing, in milliseconds: one that never rests, because
+     * upstreams come and go, must not keep orders back for ever.
+     */
+    static final long MOST_WAIT_MILLIS = 10_000;
+
     /** How many times the longest gap seen so far must pass without a newcomer. */
     private static final int GAPS = 2;
 
     private final Set<String> seen = new HashSet<>();
+    private long firstMillis;
     private long lastMillis;
     private long longestGapMillis;
     private boolean settled;
@@ -69,7 +76,11 @@
             longestGapMillis = first ? 0 : Math.max(longestGapMillis, nowMillis - lastMillis);
             lastMillis = nowMillis;
         }
-        settled = !seen.isEmpty() && nowMillis - lastMillis >= quietMillis();
+        if (first && newcomers) {
+            firstMillis = nowMillis;
+        }
+        boolean quiet = nowMillis - lastMillis >= quietMillis();
+        settled = !seen.isEmpty() && (quiet || nowMillis - firstMillis >= MOST_WAIT_MILLIS);
         return settled;
     }
 
--- a/trailladder-core/src/test/java/io/trailladder/core/duty/FleetPlannerTest.java
+++ b/trailladder-core/src/test/java/io/trailladder/core/duty/FleetPlannerTest.java
@@ -172,6 +172,17 @@
         assertTrue(watch.isSettled(provided, last + quiet), "complete in the end");
     }
 
+    @Example
+    void listThatNeverRestsIsTakenAsItIsInTheEnd() {
+        RegistrationWatch watch = new RegistrationWatch();
+        List<Worker> workers = new ArrayList<>();
+        for (long now = 0; now < RegistrationWatch.MOST_WAIT_MILLIS; now += 250) {
+            workers.add(new Worker("w" + now, "s", "a", "h:1", 8, false, false, 0));
+            assertTrue(!watch.isSettled(workers, now), "complete at " + now);
+        }
+        assertTrue(watch.isSettled(workers, RegistrationWatch.MOST_WAIT_MILLIS));
+    }
+
     @Example
     void emptyListIsNeverComplete() {
         RegistrationWatch watch = new RegistrationWatch();
