Place the full price where it was placed before, and split the runner and the planner

Change: FullPricePlacement keeps what was placed while it is wanted and takes from the dearest first; OrderDesk gives the orders, FleetRunner plans.

--- a/trailladder-core/src/main/java/io/trailladder/core/duty/FleetPlanner.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/duty/FleetPlanner.java
@@ -20,7 +20,6 @@
 import io.trailladder.core.worker.Worker;
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -94,6 +93,7 @@
     private final boolean takesOver;
     private final Map<String, Integer> zones = new TreeMap<>();
     private final Set<String> provided = new HashSet<>();
+    private final FullPricePlacement placement = new FullPricePlacement();
     private final Map<String, Long> shortSinceMillis = new TreeMap<>();
     private final FollowedNumber perZone =
             new FollowedNumber(GROW_AFTER_MILLIS, SHRINK_AFTER_MILLIS);
@@ -144,7 +144,8 @@
         int wantedFull =
                 holds ? count(serving, false) : wantedFullPrice(scaling, serving, need, coming);
         int full = fullPrice.follow(wantedFull, nowMillis);
-        Map<String, Integer> fullByZone = spread(scaling, serving, reclaimable, declined, full);
+        Map<String, Integer> fullByZone =
+                placement.place(full, scaling, room(scaling, serving, reclaimable, declined));
         List<WorkerOrder> orders = new ArrayList<>();
         for (String zone : zones.keySet()) {
             orders.add(new WorkerOrder(service, zone, true, reclaimable.get(zone)));
@@ -261,37 +262,19 @@
         return Math.max(0, Math.min(most, ceil(bridged) - reclaimable - coming));
     }
 
-    /** Places full-price upstreams: where such ones are, then where they cost least. */
-    private Map<String, Integer> spread(
+    /** How many at the full price each data centre can have beside its reclaimable ones. */
+    private Map<String, Integer> room(
             ScalingSpec scaling,
             List<Worker> serving,
             Map<String, Integer> reclaimable,
-            Set<String> declined,
-            int full) {
-        Map<String, Integer> byZone = new TreeMap<>(zones);
-        int left = full;
-        for (String zone : cheapestFirst(scaling)) {
-            int there = Math.min(left, count(serving, zone, false));
-            byZone.put(zone, there);
-            left -= there;
-        }
-        for (String zone : cheapestFirst(scaling)) {
+            Set<String> declined) {
+        Map<String, Integer> room = new TreeMap<>();
+        for (String zone : zones.keySet()) {
             int others =
                     declined.contains(zone) ? count(serving, zone, true) : reclaimable.get(zone);
-            int room = scaling.max() - others - byZone.get(zone);
-            int more = Math.max(0, Math.min(left, room));
-            byZone.merge(zone, more, Integer::sum);
-            left -= more;
+            room.put(zone, Math.max(0, scaling.max() - others));
         }
-        return byZone;
-    }
-
-    private List<String> cheapestFirst(ScalingSpec scaling) {
-        return zones.keySet().stream()
-                .sorted(
-                        Comparator.comparingDouble(
-                                zone -> scaling.zonePrices().getOrDefault(zone, 1.0)))
-                .toList();
+        return room;
     }
 
     private static int ceil(double value) {
--- a/trailladder-core/src/test/java/io/trailladder/core/duty/FleetPlannerTest.java
+++ b/trailladder-core/src/test/java/io/trailladder/core/duty/FleetPlannerTest.java
@@ -147,6 +147,21 @@
         }
     }
 
+    /** One that was ordered and still boots is not moved when a cheaper data centre gets room. */
+    @Example
+    void fullPriceStaysWhereItWasPlaced() {
+        FullPricePlacement placement = new FullPricePlacement();
+        assertEquals(
+                Map.of("a", 0, "b", 0, "c", 3),
+                placement.place(3, SCALING, Map.of("a", 0, "b", 5, "c", 5)));
+        assertEquals(
+                Map.of("a", 2, "b", 0, "c", 3),
+                placement.place(5, SCALING, Map.of("a", 5, "b", 5, "c", 5)));
+        assertEquals(
+                Map.of("a", 2, "b", 0, "c", 1),
+                placement.place(3, SCALING, Map.of("a", 5, "b", 5, "c", 0)));
+    }
+
     /** Both kinds count towards the most of a data centre, but what was declined is not there. */
     @Example
     void declinedOnesTakeNoRoomFromTheFullPrice() {
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/FleetRunner.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/FleetRunner.java
@@ -28,11 +28,8 @@
 import io.trailladder.core.policy.ServiceSpec;
 import io.trailladder.core.worker.Worker;
 import io.trailladder.core.worker.WorkerDirectory;
-import io.trailladder.entry.gateway.DecisionLog.Duty;
 import io.trailladder.entry.loop.EventLoop;
 import io.trailladder.entry.port.DutyApi;
-import io.trailladder.entry.port.DutyHolder;
-import io.trailladder.entry.port.DutyResult;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
@@ -40,7 +37,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.TreeSet;
 import java.util.function.BooleanSupplier;
 import java.util.function.Predicate;
 import java.util.function.Supplier;
@@ -60,41 +56,21 @@
     /** Time after which requests under way count a third, in milliseconds: as long as a boot. */
     private static final double SMOOTHING_MILLIS = 4_000;
 
-    /**
-     * Least pause between two orders about the same upstreams, in milliseconds: each call costs.
-     */
-    private static final long LEAST_PAUSE_MILLIS = 900;
-
-    /**
-     * Pause after an order that could not be had, in milliseconds; doubled with each further one,
-     * as shortages last 5 to 15 s.
-     */
-    private static final long DECLINED_MILLIS = 1_500;
-
-    private static final int MOST_DOUBLINGS = 2;
-
-    /** Time beyond the boot after which the list should follow an order, in milliseconds. */
-    private static final long SETTLE_MILLIS = 4_000;
-
     /** Objective of a service whose routes name none, in milliseconds. */
     private static final long DEFAULT_OBJECTIVE_MILLIS = 1_000;
 
     private final EventLoop loop;
-    private final DutyApi duties;
     private final DutyRunner leadership;
     private final PolicyKeeper policies;
     private final WorkerDirectory directory;
     private final LoadSource loads;
     private final EngineModel engines;
-    private final GatewayMetrics metrics;
     private final Predicate<String> isMoving;
     private final BooleanSupplier mayLead;
     private final boolean takesOver;
     private boolean hasFollowed;
     private final Map<String, Fleet> fleets = new HashMap<>();
-    private final Map<Subject, Given> given = new HashMap<>();
-    private long token;
-    private long tokenMillis;
+    private final OrderDesk desk;
 
     /** Tells the load of a service. */
     public interface LoadSource {
@@ -126,23 +102,6 @@
         }
     }
 
-    /** What an order is about. */
-    private record Subject(String service, String zone, boolean reclaimable) {}
-
-    /** The last order about a subject. */
-    private static final class Given {
-        private int count = -1;
-        private long sentMillis;
-        private boolean waiting;
-        private boolean accepted;
-        private int declined;
-
-        long pauseMillis() {
-            int doublings = Math.min(MOST_DOUBLINGS, declined - 1);
-            return declined == 0 ? LEAST_PAUSE_MILLIS : DECLINED_MILLIS << doublings;
-        }
-    }
-
     /**
      * Creates a runner.
      *
@@ -173,13 +132,12 @@
             BooleanSupplier mayLead,
             boolean takesOver) {
         this.loop = loop;
-        this.duties = duties;
+        this.desk = new OrderDesk(loop, duties, metrics);
         this.leadership = leadership;
         this.policies = policies;
         this.directory = directory;
         this.loads = loads;
         this.engines = engines;
-        this.metrics = metrics;
         this.isMoving = isMoving;
         this.mayLead = mayLead;
         this.takesOver = takesOver;
@@ -199,11 +157,7 @@
         if (policies.policy().isEmpty() || directory.all().isEmpty()) {
             return;
         }
-        if (leadership.holder().token() != token) {
-            token = leadership.holder().token();
-            tokenMillis = loop.nowMillis();
-            given.clear();
-        }
+        desk.follow(leadership.holder());
         for (ServiceSpec service : policies.policy().get().services()) {
             service.scaling().ifPresent(scaling -> plan(service, scaling));
         }
@@ -223,42 +177,16 @@
         ServiceLoad load = fleet.smooth(loads.load(service, workers));
         Optional<FleetNeed> need = need(service, load, workers);
         boolean settled = fleet.registrations.isSettled(workers, loop.nowMillis());
-        Set<String> declined = declined(service);
+        Set<String> declined = desk.declined(service);
         List<WorkerOrder> orders =
                 fleet.planner.plan(scaling, workers, need, declined, loop.nowMillis());
         if (!settled || !leadership.leads()) {
             return;
         }
-        long settle = scaling.bootMillis() + SETTLE_MILLIS;
         Supplier<String> reason = () -> reason(workers, load, need, declined);
-        boolean mayBoot = need.isPresent() && loop.nowMillis() - tokenMillis < scaling.bootMillis();
-        orders.stream()
-                .filter(order -> !mayBoot || !givesBack(order, workers))
-                .forEach(order -> give(order, workers, reason, settle));
-    }
-
-    /**
-     * Tells whether an order may end upstreams at the full price that an earlier leader has bought
-     * and that still boot: a new one does not know of them, nor of what was declined to its
-     * predecessor.
-     */
-    private static boolean givesBack(WorkerOrder order, List<Worker> workers) {
-        Subject subject = new Subject(order.service(), order.zone(), order.reclaimable());
-        return !order.reclaimable() && order.count() <= serving(workers, subject);
-    }
-
-    /** The data centres where reclaimable upstreams could not be had when last ordered. */
-    private Set<String> declined(String service) {
-        Set<String> zones = new TreeSet<>();
-        given.forEach(
-                (subject, last) -> {
-                    if (subject.reclaimable()
-                            && subject.service().equals(service)
-                            && last.declined > 0) {
-                        zones.add(subject.zone());
-                    }
-                });
-        return zones;
+        boolean protectsBooting = need.isPresent();
+        orders.forEach(
+                order -> desk.give(order, workers, scaling.bootMillis(), protectsBooting, reason));
     }
 
     private Optional<FleetNeed> need(String service, ServiceLoad load, List<Worker> workers) {
@@ -310,54 +238,4 @@
                 engine.millisPerToken(),
                 engine.observations());
     }
-
-    private void give(
-            WorkerOrder order, List<Worker> workers, Supplier<String> reason, long settleMillis) {
-        Subject subject = new Subject(order.service(), order.zone(), order.reclaimable());
-        Given last = given.computeIfAbsent(subject, key -> new Given());
-        long since = loop.nowMillis() - last.sentMillis;
-        boolean changed = last.count != order.count() || !last.accepted;
-        boolean ignored = since >= settleMillis && serving(workers, subject) != order.count();
-        if (last.waiting || since < last.pauseMillis() || !(changed || ignored)) {
-            return;
-        }
-        last.count = order.count();
-        last.sentMillis = loop.nowMillis();
-        last.waiting = true;
-        DutyHolder holder = leadership.holder();
-        String why = reason.get();
-        duties.order(holder, order, result -> answered(holder, order, why, last, result));
-    }
-
-    private void answered(
-            DutyHolder holder, WorkerOrder order, String reason, Given last, DutyResult result) {
-        last.waiting = false;
-        last.declined = result == DutyResult.DECLINED ? last.declined + 1 : 0;
-        last.accepted = result == DutyResult.ACCEPTED;
-        String kind = order.reclaimable() ? "reclaimable" : "full price";
-        DecisionLog.write(
-                new Duty(
-                        "order",
-                        String.format(
-                                Locale.ROOT,
-                                "%d %s in %s, %s",
-                                order.count(),
-                                kind,
-                                order.zone(),
-                                reason),
-                        holder.token(),
-                        result.name()));
-        if (result != DutyResult.ACCEPTED) {
-            metrics.count(GatewayMetrics.Event.DUTY_FAILURE);
-        }
-    }
-
-    private static int serving(List<Worker> workers, Subject subject) {
-        return (int)
-                workers.stream()
-                        .filter(worker -> worker.zone().equals(subject.zone()))
-                        .filter(worker -> worker.reclaimable() == subject.reclaimable())
-                        .filter(worker -> !worker.draining())
-                        .count();
-    }
 }
--- /dev/null
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/OrderDesk.java
@@ -0,0 +1,194 @@
+/*
+ * Copyright 2026 The trailladder authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package io.trailladder.entry.gateway;
+
+import io.trailladder.core.duty.WorkerOrder;
+import io.trailladder.core.worker.Worker;
+import io.trailladder.entry.gateway.DecisionLog.Duty;
+import io.trailladder.entry.loop.EventLoop;
+import io.trailladder.entry.port.DutyApi;
+import io.trailladder.entry.port.DutyHolder;
+import io.trailladder.entry.port.DutyResult;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.function.Supplier;
+
+/**
+ * Gives orders of upstreams to the cloud: each once, again if it was not accepted or had no effect,
+ * and more slowly where the cloud declines.
+ */
+final class OrderDesk {
+    /**
+     * Least pause between two orders about the same upstreams, in milliseconds: each call costs.
+     */
+    private static final long LEAST_PAUSE_MILLIS = 900;
+
+    /**
+     * Pause after an order that could not be had, in milliseconds; doubled with each further one,
+     * as shortages last 5 to 15 s.
+     */
+    private static final long DECLINED_MILLIS = 1_500;
+
+    private static final int MOST_DOUBLINGS = 2;
+
+    /** Time beyond the boot after which the list should follow an order, in milliseconds. */
+    private static final long SETTLE_MILLIS = 4_000;
+
+    private final EventLoop loop;
+    private final DutyApi duties;
+    private final GatewayMetrics metrics;
+    private final Map<Subject, Given> given = new HashMap<>();
+    private DutyHolder holder = new DutyHolder("", 0);
+    private long heldSinceMillis;
+
+    /** What an order is about. */
+    private record Subject(String service, String zone, boolean reclaimable) {
+        static Subject of(WorkerOrder order) {
+            return new Subject(order.service(), order.zone(), order.reclaimable());
+        }
+    }
+
+    /** The last order about a subject. */
+    private static final class Given {
+        private int count = -1;
+        private long sentMillis;
+        private boolean waiting;
+        private boolean accepted;
+        private int declined;
+
+        long pauseMillis() {
+            int doublings = Math.min(MOST_DOUBLINGS, declined - 1);
+            return declined == 0 ? LEAST_PAUSE_MILLIS : DECLINED_MILLIS << doublings;
+        }
+    }
+
+    /**
+     * Creates a desk that has given no order.
+     *
+     * @param loop the loop whose thread runs it
+     * @param duties the platform's calls
+     * @param metrics the process's figures
+     */
+    OrderDesk(EventLoop loop, DutyApi duties, GatewayMetrics metrics) {
+        this.loop = loop;
+        this.duties = duties;
+        this.metrics = metrics;
+    }
+
+    /** Forgets all orders if another leader may have given some since. */
+    void follow(DutyHolder leader) {
+        if (leader.token() != holder.token()) {
+            given.clear();
+            heldSinceMillis = loop.nowMillis();
+        }
+        holder = leader;
+    }
+
+    /** Returns the data centres where reclaimable upstreams could not be had when last ordered. */
+    Set<String> declined(String service) {
+        Set<String> zones = new TreeSet<>();
+        given.forEach(
+                (subject, last) -> {
+                    if (subject.reclaimable()
+                            && subject.service().equals(service)
+                            && last.declined > 0) {
+                        zones.add(subject.zone());
+                    }
+                });
+        return zones;
+    }
+
+    /**
+     * Gives an order, unless it was given already or must wait.
+     *
+     * @param order the order
+     * @param workers the service's upstreams, leaving ones too
+     * @param bootMillis how long an upstream boots, in milliseconds
+     * @param protectsBooting true if upstreams that an earlier leader has bought may be needed
+     * @param reason tells what led to it; asked only if it is given
+     */
+    void give(
+            WorkerOrder order,
+            List<Worker> workers,
+            long bootMillis,
+            boolean protectsBooting,
+            Supplier<String> reason) {
+        boolean mayBoot = protectsBooting && loop.nowMillis() - heldSinceMillis < bootMillis;
+        if (mayBoot && givesBack(order, workers)) {
+            return;
+        }
+        Given last = given.computeIfAbsent(Subject.of(order), key -> new Given());
+        long since = loop.nowMillis() - last.sentMillis;
+        boolean changed = last.count != order.count() || !last.accepted;
+        boolean ignored =
+                since >= bootMillis + SETTLE_MILLIS
+                        && serving(workers, Subject.of(order)) != order.count();
+        if (last.waiting || since < last.pauseMillis() || !(changed || ignored)) {
+            return;
+        }
+        last.count = order.count();
+        last.sentMillis = loop.nowMillis();
+        last.waiting = true;
+        DutyHolder giver = holder;
+        String why = reason.get();
+        duties.order(giver, order, result -> answered(giver, order, why, last, result));
+    }
+
+    /**
+     * Tells whether an order may end upstreams at the full price that an earlier leader has bought
+     * and that still boot: a new one does not know of them, nor of what was declined to its
+     * predecessor.
+     */
+    private static boolean givesBack(WorkerOrder order, List<Worker> workers) {
+        return !order.reclaimable() && order.count() <= serving(workers, Subject.of(order));
+    }
+
+    private void answered(
+            DutyHolder giver, WorkerOrder order, String reason, Given last, DutyResult result) {
+        last.waiting = false;
+        last.declined = result == DutyResult.DECLINED ? last.declined + 1 : 0;
+        last.accepted = result == DutyResult.ACCEPTED;
+        String kind = order.reclaimable() ? "reclaimable" : "full price";
+        DecisionLog.write(
+                new Duty(
+                        "order",
+                        String.format(
+                                Locale.ROOT,
+                                "%d %s in %s, %s",
+                                order.count(),
+                                kind,
+                                order.zone(),
+                                reason),
+                        giver.token(),
+                        result.name()));
+        if (result != DutyResult.ACCEPTED) {
+            metrics.count(GatewayMetrics.Event.DUTY_FAILURE);
+        }
+    }
+
+    private static int serving(List<Worker> workers, Subject subject) {
+        return (int)
+                workers.stream()
+                        .filter(worker -> worker.zone().equals(subject.zone()))
+                        .filter(worker -> worker.reclaimable() == subject.reclaimable())
+                        .filter(worker -> !worker.draining())
+                        .count();
+    }
+}
