--- /dev/null
+++ b/trailladder-entry/src/test/java/io/trailladder/entry/gateway/MemberFormatTest.java
@@ -0,0 +1,51 @@
+/*
+ * Copyright 2026 The trailladder authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package io.trailladder.entry.gateway;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.trailladder.core.membership.GatewayMember;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import net.jqwik.api.Example;
+
+class MemberFormatTest {
+    private static final GatewayMember MEMBER =
+            new GatewayMember("edge-1", "baires-a", "10.0.0.1:7400", 140.5, 0.36);
+
+    @Example
+    void entryComesBackAsItWasWritten() {
+        assertEquals(MEMBER, MemberFormat.read(MemberFormat.write(MEMBER)).get());
+    }
+
+    /** Processes of the version before write their entries by a library. */
+    @Example
+    void entryIsTheOneThatALibraryWrites() throws IOException {
+        ObjectMapper library = new ObjectMapper();
+        assertEquals(MEMBER, MemberFormat.read(library.writeValueAsBytes(MEMBER)).get());
+        assertEquals(MEMBER, library.readValue(MemberFormat.write(MEMBER), GatewayMember.class));
+    }
+
+    @Example
+    void brokenEntryIsRefused() {
+        byte[] nameless = "{\"address\":\"h:1\"}".getBytes(StandardCharsets.UTF_8);
+        assertTrue(MemberFormat.read(nameless).getLeft().contains("lacks name"));
+        assertTrue(MemberFormat.read(new byte[] {1, 2}).getLeft().contains("no JSON"));
+        assertTrue(MemberFormat.read(new byte[0]).isLeft());
+    }
+}
--- a/trailladder-entry/src/test/java/io/trailladder/entry/gateway/SettingsReaderTest.java
+++ b/trailladder-entry/src/test/java/io/trailladder/entry/gateway/SettingsReaderTest.java
@@ -56,6 +56,22 @@
         assertTrue(e.getMessage().contains("option retries.ratio is 'much'"), e.getMessage());
     }
 
+    @Example
+    void rolloutsAreOrderedOnlyWhereTheSettingsSaySo() {
+        assertEquals(GatewaySettings.Rollouts.NONE, SettingsReader.parse("f", GOOD).rollouts());
+        String ordered =
+                GOOD.replace(
+                        "\"not_known\"",
+                        "\"rollouts\": {\"share\": 0.1, \"allowance\": 50}, \"x\"");
+        assertEquals(
+                new GatewaySettings.Rollouts(true, 0.1, 50),
+                SettingsReader.parse("f", ordered).rollouts());
+        String bad = ordered.replace("0.1", "1.5");
+        SettingsException e =
+                assertThrows(SettingsException.class, () -> SettingsReader.parse("f", bad));
+        assertTrue(e.getMessage().contains("option rollouts.share is '1.5'"), e.getMessage());
+    }
+
     @Example
     void saysThatAFileIsNoJson() {
         SettingsException e =
--- a/trailladder-wire/src/test/java/io/trailladder/wire/NodeMessageProperties.java
+++ b/trailladder-wire/src/test/java/io/trailladder/wire/NodeMessageProperties.java
@@ -24,12 +24,18 @@
 import io.trailladder.core.duty.UsageCount;
 import io.trailladder.core.engine.EngineEvidence;
 import io.trailladder.core.engine.FitSums;
+import io.trailladder.core.rollout.AnswerCount;
+import io.trailladder.core.rollout.RolloutNews;
+import io.trailladder.core.rollout.RolloutOrder;
+import io.trailladder.core.rollout.RolloutPhase;
+import io.trailladder.core.rollout.RouteEvidence;
 import io.trailladder.core.worker.ServiceDemand;
 import io.trailladder.core.worker.WorkerUse;
 import io.trailladder.wire.NodeMessage.DigestScope;
 import io.trailladder.wire.NodeMessage.NodeDigest;
 import io.trailladder.wire.NodeMessage.NodeHello;
 import io.trailladder.wire.NodeMessage.OrganisationUse;
+import io.trailladder.wire.NodeMessage.RolloutReport;
 import io.trailladder.wire.NodeMessage.Snapshot;
 import io.trailladder.wire.NodeMessage.SnapshotAsk;
 import io.trailladder.wire.NodeMessage.UpstreamNews;
@@ -50,7 +56,7 @@
 /** Messages between gateways come back unchanged, and bytes from a stranger only throw. */
 class NodeMessageProperties {
     private static final int FIRST_TYPE = 29;
-    private static final int LAST_TYPE = 36;
+    private static final int LAST_TYPE = 37;
 
     private static NodeDigest digest(long version, double figure, String name) {
         FitSums sums = new FitSums(1, figure, 2, 3, 4);
@@ -99,6 +105,17 @@
         assertEquals("w", snapshotBack.workers().get(0).id());
     }
 
+    @Property(tries = 300, seed = "20261202")
+    void reportsOfRolloutsComeBackUnchanged(
+            @ForAll String name, @ForAll long number, @ForAll RolloutPhase phase) {
+        RouteEvidence evidence =
+                new RouteEvidence(name, new AnswerCount(4, 3), new AnswerCount(2, 1));
+        RolloutOrder order = new RolloutOrder(name, "v2", 12_000, number);
+        RolloutNews news = new RolloutNews(order, phase, -number, 7, List.of(evidence));
+        RolloutReport report = new RolloutReport(List.of(news));
+        assertEquals(report, roundTrip(report));
+    }
+
     @Example
     void payloadIsAnArrayOfTheFieldsInOrder() throws IOException {
         ObjectMapper reader = new ObjectMapper(new MessagePackFactory());
