Keep a margin after a loss by the square-root rule

Change: after the loss of a data centre, and where the full price bridges, as many serve as the tight need and its root, at most the comfortable need: 4.7 for 3, 46 for 40.

--- a/trailladder-core/src/main/java/io/trailladder/core/duty/FleetPlanner.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/duty/FleetPlanner.java
@@ -31,8 +31,8 @@
  * Decides how many upstreams of a service each data centre is to have, and of which kind.
  *
  * <p>Reclaimable upstreams carry the load, in equal parts in every data centre: as many as it needs
- * in comfort, and so many that the loss of all of one data centre leaves as many as serve it at
- * all. Upstreams at the full price only bridge the time in which reclaimable ones cannot be had.
+ * in comfort, and so many that the loss of all of one data centre leaves as many as serve it with a
+ * margin. Upstreams at the full price only bridge the time in which reclaimable ones cannot be had.
  * Numbers grow soon and shrink late, so that they do not swing with the load. A planner that takes
  * a running system over begins with what serves, and gives nothing back before it has measured the
  * load for {@link #MEASURED_MILLIS}.
@@ -77,13 +77,6 @@
      */
     private static final long LATE_MILLIS = 1_500;
 
-    /**
-     * How far upstreams at the full price make up for missing ones, from 0, where all requests are
-     * just served, to 1, where they are in time also while the load swings. A second of one costs
-     * as much as four to five of a reclaimable one.
-     */
-    private static final double BRIDGED_PART = 0.35;
-
     /**
      * How long upstreams at the full price stay when they are no longer wanted: a swing of load.
      */
@@ -244,7 +237,7 @@
                                 known ->
                                         Math.max(
                                                 ceil(known.comfortable() / all),
-                                                ceil(known.tight() / others)))
+                                                ceil(known.staffed() / others)))
                         .orElseGet(() -> Math.max(perZone.value(), providedPerZone()));
         return Math.max(Math.max(1, scaling.min()), Math.min(scaling.max(), wanted));
     }
@@ -258,8 +251,8 @@
             int afterLoss = ceil(LEAST_WITHOUT_LOAD) - (reclaimable - mostInOneZone(serving));
             return Math.max(0, Math.min(most, afterLoss));
         }
-        double bridged = need.get().between(BRIDGED_PART);
-        return Math.max(0, Math.min(most, ceil(bridged) - reclaimable - coming));
+        int bridged = ceil(need.get().staffed()) - reclaimable - coming;
+        return Math.max(0, Math.min(most, bridged));
     }
 
     /** How many at the full price each data centre can have beside its reclaimable ones. */
--- a/trailladder-core/src/main/java/io/trailladder/core/engine/FleetNeed.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/engine/FleetNeed.java
@@ -26,13 +26,14 @@
  */
 public record FleetNeed(double comfortable, double tight) {
     /**
-     * Returns a number between the two.
+     * Returns as many as serve the load with a margin for its chance variation: by the square-root
+     * rule of staffing the margin is the root of the number itself, so that few upstreams need a
+     * large part more and many a small one.
      *
-     * @param part 0 for the tight one, 1 for the comfortable one
-     * @return the number
+     * @return the tight number and its root, at most the comfortable one
      */
-    public double between(double part) {
-        return tight + part * (comfortable - tight);
+    public double staffed() {
+        return Math.min(comfortable, tight + Math.sqrt(tight));
     }
 
     @Override
