--- a/trailladder-core/src/main/java/io/trailladder/core/duty/FleetPlanner.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/duty/FleetPlanner.java
@@ -242,17 +242,18 @@
         return Math.max(Math.max(1, scaling.min()), Math.min(scaling.max(), wanted));
     }
 
-    /** Full-price upstreams that make up for reclaimable ones that cannot be had. */
+    /**
+     * Full-price upstreams that make up for reclaimable ones that cannot be had, and for the loss
+     * of one more data centre: waves come some seconds apart, and the last one would leave nothing.
+     */
     private int wantedFullPrice(
             ScalingSpec scaling, List<Worker> serving, Optional<FleetNeed> need, int coming) {
         int reclaimable = count(serving, true);
         int most = scaling.max() * zones.size();
-        if (need.isEmpty()) {
-            int afterLoss = ceil(LEAST_WITHOUT_LOAD) - (reclaimable - mostInOneZone(serving));
-            return Math.max(0, Math.min(most, afterLoss));
-        }
-        int bridged = ceil(need.get().staffed()) - reclaimable - coming;
-        return Math.max(0, Math.min(most, bridged));
+        int least = ceil(need.map(FleetNeed::tight).orElse(LEAST_WITHOUT_LOAD));
+        int afterLoss = least - (reclaimable - mostInOneZone(serving));
+        int bridged = need.map(known -> ceil(known.staffed()) - reclaimable - coming).orElse(0);
+        return Math.max(0, Math.min(most, Math.max(bridged, afterLoss)));
     }
 
     /** How many at the full price each data centre can have beside its reclaimable ones. */
--- a/trailladder-core/src/test/java/io/trailladder/core/duty/FleetPlannerTest.java
+++ b/trailladder-core/src/test/java/io/trailladder/core/duty/FleetPlannerTest.java
@@ -99,14 +99,13 @@
         return left;
     }
 
-    /** Reclaimable ones boot as fast as others, so the same are ordered again, at a fifth. */
     @Example
-    void lossOfReclaimableUpstreamsIsMadeUpAtOnceByOthersOfTheirKind() {
+    void lossOfReclaimableUpstreamsIsMadeUpAtOnce() {
         FleetPlanner planner = new FleetPlanner("s", false);
         int before = ordered(planner.plan(SCALING, fleet(0, 2), busy(1.3), NONE, 0), true);
         List<WorkerOrder> orders = planner.plan(SCALING, afterLoss(), busy(1.3), NONE, 1_000);
+        assertTrue(ordered(orders, false) >= 2, orders.toString());
         assertEquals(before, ordered(orders, true));
-        assertEquals(0, ordered(orders, false));
     }
 
     @Example
