--- a/trailladder-bench/src/main/java/io/trailladder/bench/CoreSlopes.java
+++ b/trailladder-bench/src/main/java/io/trailladder/bench/CoreSlopes.java
@@ -22,8 +22,8 @@
 import io.trailladder.core.claim.RangeAssignment;
 import io.trailladder.core.claim.RangeMap;
 import io.trailladder.core.limit.RateLimiter;
-import io.trailladder.core.membership.Upstream;
-import io.trailladder.core.membership.UpstreamDirectory;
+import io.trailladder.core.membership.LocalUpstream;
+import io.trailladder.core.membership.LocalUpstreamDirectory;
 import io.trailladder.core.routing.LoadReport;
 import io.trailladder.core.routing.PromptBlocks;
 import io.trailladder.core.routing.Router;
@@ -70,24 +70,24 @@
 public class CoreSlopes {
     private static final int PROMPTS = 512;
 
-    /** A router over many workers. */
+    /** A router over many upstreams. */
     @State(Scope.Thread)
     public static class Routing {
-        /** Workers of the data centre. */
+        /** Upstreams of the data centre. */
         @Param({"9", "90", "825", "6600"})
-        public int workers;
+        public int upstreamCount;
 
-        private final UpstreamDirectory directory = new UpstreamDirectory();
+        private final LocalUpstreamDirectory directory = new LocalUpstreamDirectory();
         private final List<RoutingQuery> queries = new ArrayList<>();
         private Router router;
         private int next;
 
-        /** Lists the workers and makes the prompts. */
+        /** Lists the upstreams and makes the prompts. */
         @Setup
         public void list() {
-            List<Upstream> upstreams = new ArrayList<>();
-            for (int i = 0; i < workers; i++) {
-                upstreams.add(new Upstream("w" + i, "baires-a", "127.0.0.1:1", "modelo-hipo"));
+            List<LocalUpstream> upstreams = new ArrayList<>();
+            for (int i = 0; i < upstreamCount; i++) {
+                upstreams.add(new LocalUpstream("w" + i, "baires-a", "127.0.0.1:1", "modelo-hipo"));
             }
             directory.listed(upstreams, List.of());
             router = new Router("baires-a", directory, 20261202);
@@ -149,7 +149,7 @@
         return decision;
     }
 
-    /** Takes a notice of a leaving worker and rebuilds what depends on the list. */
+    /** Takes a notice of a leaving upstream and rebuilds what depends on the list. */
     @Benchmark
     public boolean membershipEvent(Routing state) {
         state.directory.noticed("other-" + state.next++);
--- a/trailladder-bench/src/main/java/io/trailladder/bench/RoutingPolicy.java
+++ b/trailladder-bench/src/main/java/io/trailladder/bench/RoutingPolicy.java
@@ -15,8 +15,8 @@
  */
 package io.trailladder.bench;
 
-import io.trailladder.core.membership.Upstream;
-import io.trailladder.core.membership.UpstreamDirectory;
+import io.trailladder.core.membership.LocalUpstream;
+import io.trailladder.core.membership.LocalUpstreamDirectory;
 import io.trailladder.core.routing.LoadReport;
 import io.trailladder.core.routing.Router;
 import io.trailladder.core.routing.RoutingQuery;
@@ -100,10 +100,10 @@
         private final Router router;
 
         Predicted(int engines) {
-            UpstreamDirectory directory = new UpstreamDirectory();
-            List<Upstream> upstreams = new ArrayList<>();
+            LocalUpstreamDirectory directory = new LocalUpstreamDirectory();
+            List<LocalUpstream> upstreams = new ArrayList<>();
             for (int i = 0; i < engines; i++) {
-                upstreams.add(new Upstream("e" + i, "baires-a", "", "modelo"));
+                upstreams.add(new LocalUpstream("e" + i, "baires-a", "", "modelo"));
             }
             directory.listed(upstreams, List.of());
             router = new Router("baires-a", directory, 7);
--- a/trailladder-cli/src/main/java/io/trailladder/cli/ClassDataTraining.java
+++ b/trailladder-cli/src/main/java/io/trailladder/cli/ClassDataTraining.java
@@ -137,7 +137,7 @@
 
         private String settings(String name) {
             return """
-            {"node":{"name":"%s","zone":"zone","first_start":true},
+            {"node":{"name":"%s","data_centre":"zone","first_start":true},
              "capacity":{"core_share":1,"core_speed":1,"link_mbps":1000},
              "listen":{"callers":"%s","health":"%s","peers":"%s","metrics":"%s"},
              "seeds":["%s"],"store":"%s","cloud":"%s",
@@ -170,7 +170,7 @@
         } else if (path.contains("op%2Fconfig")) {
             respond(exchange, listing("op/config", policy()));
         } else if (path.contains("servers%2F")) {
-            respond(exchange, listing("servers/one", worker()));
+            respond(exchange, listing("servers/one", upstream()));
         } else if (path.startsWith("/v1/") || path.equals("/usage") || path.equals("/scale")) {
             respond(
                     exchange,
@@ -208,7 +208,7 @@
                 .formatted(SERVICE, SERVICE);
     }
 
-    private String worker() {
+    private String upstream() {
         return "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"zone\",\"slots\":8}"
                 .formatted(SERVICE, platform);
     }
--- a/trailladder-cli/src/main/java/io/trailladder/cli/DecisionLine.java
+++ b/trailladder-cli/src/main/java/io/trailladder/cli/DecisionLine.java
@@ -20,6 +20,7 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.time.Instant;
 import java.time.format.DateTimeParseException;
+import java.util.Map;
 import java.util.Optional;
 
 /**
@@ -33,6 +34,9 @@
 record DecisionLine(Instant time, String source, String kind, JsonNode fields) {
     private static final ObjectMapper JSON = new ObjectMapper();
 
+    /** Names of fields as the version before wrote them, by today's names. */
+    private static final Map<String, String> FORMER_NAMES = Map.of("upstream", "worker");
+
     /**
      * Reads a line.
      *
@@ -60,7 +64,8 @@
     }
 
     String text(String field) {
-        return fields.path(field).asText();
+        String former = FORMER_NAMES.getOrDefault(field, field);
+        return fields.path(fields.has(field) ? field : former).asText();
     }
 
     long number(String field) {
--- a/trailladder-cli/src/main/java/io/trailladder/cli/LossTable.java
+++ b/trailladder-cli/src/main/java/io/trailladder/cli/LossTable.java
@@ -117,7 +117,7 @@
         }
         switch (line.kind()) {
             case "Intake" -> taken(line);
-            case "Dispatch" -> request(line).upstream = line.text("worker");
+            case "Dispatch" -> request(line).upstream = line.text("upstream");
             case "AttemptFailed" -> request(line).failure = line.text("failure");
             case "TurnedAway" -> request(line).failure = line.text("reason");
             case "Ended" -> ended(line);
--- a/trailladder-cli/src/main/java/io/trailladder/cli/RequestTrace.java
+++ b/trailladder-cli/src/main/java/io/trailladder/cli/RequestTrace.java
@@ -56,7 +56,7 @@
         Set<String> upstreams = new HashSet<>();
         own.stream()
                 .filter(line -> line.kind().equals("Dispatch"))
-                .forEach(line -> upstreams.add("upstream " + line.text("worker")));
+                .forEach(line -> upstreams.add("upstream " + line.text("upstream")));
         List<DecisionLine> lines = new ArrayList<>(own);
         others.stream()
                 .filter(line -> upstreams.contains(line.text("what")) || isOfProcess(line))
@@ -92,14 +92,14 @@
         return switch (ended.text("outcome")) {
             case "whole" ->
                     ended.number("status") < FIRST_ERROR
-                            ? "served whole by " + ended.text("worker")
+                            ? "served whole by " + ended.text("upstream")
                             : "the answer of "
-                                    + ended.text("worker")
+                                    + ended.text("upstream")
                                     + " was passed on: "
                                     + ended.number("status");
             case "PASSED_ON" ->
                     "upstream "
-                            + ended.text("worker")
+                            + ended.text("upstream")
                             + " failed itself with "
                             + ended.number("status")
                             + " after "
@@ -135,7 +135,7 @@
                 .map(
                         failed ->
                                 "upstream "
-                                        + failed.text("worker")
+                                        + failed.text("upstream")
                                         + " "
                                         + failed.text("failure")
                                         + " after "
@@ -154,7 +154,7 @@
                 .map(
                         sent ->
                                 "upstream "
-                                        + sent.text("worker")
+                                        + sent.text("upstream")
                                         + " was expected to answer within "
                                         + sent.number("predictedMs")
                                         + " ms with "
--- a/trailladder-cli/src/main/java/io/trailladder/cli/RoutingTrace.java
+++ b/trailladder-cli/src/main/java/io/trailladder/cli/RoutingTrace.java
@@ -18,8 +18,8 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import io.trailladder.core.TrailladderException;
-import io.trailladder.core.membership.Upstream;
-import io.trailladder.core.membership.UpstreamDirectory;
+import io.trailladder.core.membership.LocalUpstream;
+import io.trailladder.core.membership.LocalUpstreamDirectory;
 import io.trailladder.core.routing.LoadReport;
 import io.trailladder.core.routing.PromptBlocks;
 import io.trailladder.core.routing.Router;
@@ -39,7 +39,7 @@
 final class RoutingTrace {
     private static final ObjectMapper JSON = new ObjectMapper();
 
-    private final UpstreamDirectory directory = new UpstreamDirectory();
+    private final LocalUpstreamDirectory directory = new LocalUpstreamDirectory();
     private final List<String> differences = new ArrayList<>();
     private Router router;
     private int decisions;
@@ -82,10 +82,10 @@
         if (dataCentre.isEmpty() || !head.path("upstreams").isArray()) {
             throw new BadTraceException(line, head.toString());
         }
-        List<Upstream> upstreams = new ArrayList<>();
+        List<LocalUpstream> upstreams = new ArrayList<>();
         for (JsonNode node : head.path("upstreams")) {
             upstreams.add(
-                    new Upstream(
+                    new LocalUpstream(
                             node.path("id").asText(),
                             node.path("dataCentre").asText(dataCentre),
                             "",
--- a/trailladder-cli/src/test/java/io/trailladder/cli/ExplainCommandTest.java
+++ b/trailladder-cli/src/test/java/io/trailladder/cli/ExplainCommandTest.java
@@ -60,7 +60,7 @@
     private static final String SENT =
             line(
                     "01.001",
-                    "{\"kind\":\"Dispatch\",\"id\":\"r1\",\"attempt\":1,\"worker\":\"u7\","
+                    "{\"kind\":\"Dispatch\",\"id\":\"r1\",\"attempt\":1,\"upstream\":\"u7\","
                             + "\"predictedMs\":40,\"running\":2}");
 
     @Example
@@ -69,7 +69,7 @@
                 line(
                                 "02.500",
                                 "{\"kind\":\"Ended\",\"id\":\"r1\",\"outcome\":\"BROKEN_OFF\","
-                                        + "\"status\":0,\"worker\":\"u7\",\"attempts\":1}")
+                                        + "\"status\":0,\"upstream\":\"u7\",\"attempts\":1}")
                         + ACCEPTED
                         + SENT
                         + line(
@@ -80,7 +80,7 @@
                                 "{\"kind\":\"Belief\",\"what\":\"upstream u8\",\"value\":\"gone\"}")
                         + line(
                                 "02.400",
-                                "{\"kind\":\"AttemptFailed\",\"id\":\"r1\",\"worker\":\"u7\","
+                                "{\"kind\":\"AttemptFailed\",\"id\":\"r1\",\"upstream\":\"u7\","
                                         + "\"failure\":\"BROKEN\",\"afterMs\":1400,"
                                         + "\"recovery\":\"give up, BROKEN_OFF\"}")
                         + "a line that is no decision\n";
--- a/trailladder-cli/src/test/java/io/trailladder/cli/LossesCommandTest.java
+++ b/trailladder-cli/src/test/java/io/trailladder/cli/LossesCommandTest.java
@@ -64,7 +64,7 @@
     private static String sent(int second, String id, String upstream) {
         return line(
                 second,
-                "'kind':'Dispatch','id':'%s','attempt':1,'worker':'%s'".formatted(id, upstream));
+                "'kind':'Dispatch','id':'%s','attempt':1,'upstream':'%s'".formatted(id, upstream));
     }
 
     private static String ended(int second, String id, String outcome, int firstMillis) {
@@ -90,7 +90,7 @@
                 + ended(2, "r2", "whole", 900)
                 + taken(2, "r3", "accepted")
                 + sent(2, "r3", "u2")
-                + line(2, "'kind':'AttemptFailed','id':'r3','worker':'u2','failure':'BROKEN'")
+                + line(2, "'kind':'AttemptFailed','id':'r3','upstream':'u2','failure':'BROKEN'")
                 + ended(3, "r3", "MAY_HAVE_RUN", -1)
                 + taken(4, "r4", "429, over limit of acme")
                 + line(4, "'kind':'Lifecycle','what':'store','state':'lost'")
@@ -102,6 +102,15 @@
         assertTrue(text.contains(row), "no '" + row + "' in\n" + text);
     }
 
+    @Example
+    void logOfTheVersionBeforeIsReadAlike() {
+        String former = day().replace("\"upstream\":", "\"worker\":");
+        DecisionLine dispatch =
+                DecisionLine.parse(former.lines().skip(1).findFirst().orElseThrow()).orElseThrow();
+        assertEquals("Dispatch", dispatch.kind());
+        assertEquals("u1", dispatch.text("upstream"));
+    }
+
     @Example
     void requestsAreSummedByWhatTheyHaveInCommon() throws IOException {
         assertEquals(0, losses(day()), err.toString());
--- a/trailladder-cli/src/test/java/io/trailladder/cli/soak/SoakGateway.java
+++ b/trailladder-cli/src/test/java/io/trailladder/cli/soak/SoakGateway.java
@@ -31,7 +31,7 @@
 final class SoakGateway {
     private static final String SETTINGS =
             """
-            {"node": {"name": "%s", "zone": "a", "first_start": %s},
+            {"node": {"name": "%s", "data_centre": "a", "first_start": %s},
              "listen": {"callers": "%s", "health": "%s", "peers": "%s", "metrics": "%s"},
              "seeds": [], "store": "%s", "cloud": "%s",
              "retries": {"ratio": 0.2, "allowance": 1000, "window_s": 10},
--- a/trailladder-core/src/main/java/io/trailladder/core/duty/FleetPlanner.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/duty/FleetPlanner.java
@@ -17,7 +17,7 @@
 
 import io.trailladder.core.engine.FleetNeed;
 import io.trailladder.core.policy.ScalingSpec;
-import io.trailladder.core.worker.Worker;
+import io.trailladder.core.upstream.Upstream;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashSet;
@@ -84,11 +84,11 @@
 
     private final String service;
     private final boolean takesOver;
-    private final Map<String, Integer> zones = new TreeMap<>();
+    private final Map<String, Integer> dataCentres = new TreeMap<>();
     private final Set<String> provided = new HashSet<>();
     private final FullPricePlacement placement = new FullPricePlacement();
     private final Map<String, Long> shortSinceMillis = new TreeMap<>();
-    private final FollowedNumber perZone =
+    private final FollowedNumber perDataCentre =
             new FollowedNumber(GROW_AFTER_MILLIS, SHRINK_AFTER_MILLIS);
     private final FollowedNumber fullPrice = new FollowedNumber(0, RELEASE_AFTER_MILLIS);
     private long knownSinceMillis = -1;
@@ -110,39 +110,42 @@
      * Plans.
      *
      * @param scaling bounds and prices
-     * @param workers the service's upstreams, leaving ones too
+     * @param upstreams the service's upstreams, leaving ones too
      * @param need how many upstreams the load needs; empty if no load is known
      * @param declined data centres where reclaimable upstreams could not be had lately
      * @param nowMillis the time
      * @return an order for both kinds in every data centre
      */
-    public List<WorkerOrder> plan(
+    public List<UpstreamOrder> plan(
             ScalingSpec scaling,
-            Collection<Worker> workers,
+            Collection<Upstream> upstreams,
             Optional<FleetNeed> need,
             Set<String> declined,
             long nowMillis) {
-        List<Worker> serving = workers.stream().filter(worker -> !worker.draining()).toList();
-        workers.forEach(worker -> zones.putIfAbsent(worker.zone(), 0));
+        List<Upstream> serving =
+                upstreams.stream().filter(upstream -> !upstream.draining()).toList();
+        upstreams.forEach(upstream -> dataCentres.putIfAbsent(upstream.dataCentre(), 0));
         if (need.isEmpty()) {
             learnProvided(serving);
         }
         boolean holds = takesOver && !isMeasured(need.isPresent(), nowMillis);
         if (holds) {
-            perZone.hold(mostInOneZone(serving), nowMillis);
+            perDataCentre.hold(mostInOneDataCentre(serving), nowMillis);
         }
-        int target = target(wantedPerZone(scaling, need), need.isPresent(), nowMillis);
+        int target = target(wantedPerDataCentre(scaling, need), need.isPresent(), nowMillis);
         Map<String, Integer> reclaimable = reclaimable(scaling, serving, need, declined, target);
         int coming = coming(scaling, serving, reclaimable, declined, nowMillis);
         int wantedFull =
                 holds ? count(serving, false) : wantedFullPrice(scaling, serving, need, coming);
         int full = fullPrice.follow(wantedFull, nowMillis);
-        Map<String, Integer> fullByZone =
+        Map<String, Integer> fullByDataCentre =
                 placement.place(full, scaling, room(scaling, serving, reclaimable, declined));
-        List<WorkerOrder> orders = new ArrayList<>();
-        for (String zone : zones.keySet()) {
-            orders.add(new WorkerOrder(service, zone, true, reclaimable.get(zone)));
-            orders.add(new WorkerOrder(service, zone, false, fullByZone.get(zone)));
+        List<UpstreamOrder> orders = new ArrayList<>();
+        for (String dataCentre : dataCentres.keySet()) {
+            orders.add(new UpstreamOrder(service, dataCentre, true, reclaimable.get(dataCentre)));
+            orders.add(
+                    new UpstreamOrder(
+                            service, dataCentre, false, fullByDataCentre.get(dataCentre)));
         }
         return orders;
     }
@@ -156,50 +159,52 @@
             mostWanted = Math.max(mostWanted, wanted);
             if (isMeasured(true, nowMillis)) {
                 guessed = false;
-                perZone.set(Math.max(mostWanted, ceil(LEAST_OF_GUESS * perZone.value())));
+                perDataCentre.set(
+                        Math.max(mostWanted, ceil(LEAST_OF_GUESS * perDataCentre.value())));
             }
         }
-        return perZone.follow(wanted, nowMillis);
+        return perDataCentre.follow(wanted, nowMillis);
     }
 
     /** What data centres decline is ordered in the others, in the same step. */
     private Map<String, Integer> reclaimable(
             ScalingSpec scaling,
-            List<Worker> serving,
+            List<Upstream> serving,
             Optional<FleetNeed> need,
             Set<String> declined,
             int target) {
-        Map<String, Integer> byZone = new TreeMap<>();
-        zones.keySet().forEach(zone -> byZone.put(zone, target));
-        List<String> open = zones.keySet().stream().filter(z -> !declined.contains(z)).toList();
-        if (open.isEmpty() || open.size() == zones.size() || need.isEmpty()) {
-            return byZone;
+        Map<String, Integer> byDataCentre = new TreeMap<>();
+        dataCentres.keySet().forEach(dataCentre -> byDataCentre.put(dataCentre, target));
+        List<String> open =
+                dataCentres.keySet().stream().filter(z -> !declined.contains(z)).toList();
+        if (open.isEmpty() || open.size() == dataCentres.size() || need.isEmpty()) {
+            return byDataCentre;
         }
         int there = 0;
-        for (String zone : zones.keySet()) {
-            there += open.contains(zone) ? 0 : count(serving, zone, true);
+        for (String dataCentre : dataCentres.keySet()) {
+            there += open.contains(dataCentre) ? 0 : count(serving, dataCentre, true);
         }
         int each = ceil((need.get().comfortable() - there) / open.size());
         int bounded = Math.max(target, Math.min(scaling.max(), each));
-        open.forEach(zone -> byZone.put(zone, bounded));
-        return byZone;
+        open.forEach(dataCentre -> byDataCentre.put(dataCentre, bounded));
+        return byDataCentre;
     }
 
     /** Reclaimable upstreams that were ordered and should serve soon. */
     private int coming(
             ScalingSpec scaling,
-            List<Worker> serving,
+            List<Upstream> serving,
             Map<String, Integer> ordered,
             Set<String> declined,
             long nowMillis) {
         int coming = 0;
-        for (String zone : zones.keySet()) {
-            int missing = ordered.get(zone) - count(serving, zone, true);
-            if (missing <= 0 || declined.contains(zone)) {
-                shortSinceMillis.remove(zone);
+        for (String dataCentre : dataCentres.keySet()) {
+            int missing = ordered.get(dataCentre) - count(serving, dataCentre, true);
+            if (missing <= 0 || declined.contains(dataCentre)) {
+                shortSinceMillis.remove(dataCentre);
                 continue;
             }
-            long since = shortSinceMillis.computeIfAbsent(zone, name -> nowMillis);
+            long since = shortSinceMillis.computeIfAbsent(dataCentre, name -> nowMillis);
             coming += nowMillis - since <= scaling.bootMillis() + LATE_MILLIS ? missing : 0;
         }
         return coming;
@@ -215,22 +220,22 @@
     /**
      * Before any load is known, the operator's own provision is the best guess of what is needed.
      */
-    private void learnProvided(List<Worker> serving) {
+    private void learnProvided(List<Upstream> serving) {
         serving.stream()
-                .filter(worker -> !worker.reclaimable())
-                .forEach(worker -> provided.add(worker.id()));
-        if (providedPerZone() > 0 && knownSinceMillis < 0) {
-            perZone.atLeast(providedPerZone());
+                .filter(upstream -> !upstream.reclaimable())
+                .forEach(upstream -> provided.add(upstream.id()));
+        if (providedPerDataCentre() > 0 && knownSinceMillis < 0) {
+            perDataCentre.atLeast(providedPerDataCentre());
             guessed = !takesOver;
         }
     }
 
-    private int providedPerZone() {
-        return ceil(PROVISION_FACTOR * provided.size() / Math.max(1, zones.size()));
+    private int providedPerDataCentre() {
+        return ceil(PROVISION_FACTOR * provided.size() / Math.max(1, dataCentres.size()));
     }
 
-    private int wantedPerZone(ScalingSpec scaling, Optional<FleetNeed> need) {
-        int all = Math.max(1, zones.size());
+    private int wantedPerDataCentre(ScalingSpec scaling, Optional<FleetNeed> need) {
+        int all = Math.max(1, dataCentres.size());
         int others = Math.max(1, all - 1);
         int wanted =
                 need.map(
@@ -238,7 +243,7 @@
                                         Math.max(
                                                 ceil(known.comfortable() / all),
                                                 ceil(known.staffed() / others)))
-                        .orElseGet(() -> Math.max(perZone.value(), providedPerZone()));
+                        .orElseGet(() -> Math.max(perDataCentre.value(), providedPerDataCentre()));
         return Math.max(Math.max(1, scaling.min()), Math.min(scaling.max(), wanted));
     }
 
@@ -247,11 +252,11 @@
      * of one more data centre: waves come some seconds apart, and the last one would leave nothing.
      */
     private int wantedFullPrice(
-            ScalingSpec scaling, List<Worker> serving, Optional<FleetNeed> need, int coming) {
+            ScalingSpec scaling, List<Upstream> serving, Optional<FleetNeed> need, int coming) {
         int reclaimable = count(serving, true);
-        int most = scaling.max() * zones.size();
+        int most = scaling.max() * dataCentres.size();
         int least = ceil(need.map(FleetNeed::tight).orElse(LEAST_WITHOUT_LOAD));
-        int afterLoss = least - (reclaimable - mostInOneZone(serving));
+        int afterLoss = least - (reclaimable - mostInOneDataCentre(serving));
         int bridged = need.map(known -> ceil(known.staffed()) - reclaimable - coming).orElse(0);
         return Math.max(0, Math.min(most, Math.max(bridged, afterLoss)));
     }
@@ -259,14 +264,16 @@
     /** How many at the full price each data centre can have beside its reclaimable ones. */
     private Map<String, Integer> room(
             ScalingSpec scaling,
-            List<Worker> serving,
+            List<Upstream> serving,
             Map<String, Integer> reclaimable,
             Set<String> declined) {
         Map<String, Integer> room = new TreeMap<>();
-        for (String zone : zones.keySet()) {
+        for (String dataCentre : dataCentres.keySet()) {
             int others =
-                    declined.contains(zone) ? count(serving, zone, true) : reclaimable.get(zone);
-            room.put(zone, Math.max(0, scaling.max() - others));
+                    declined.contains(dataCentre)
+                            ? count(serving, dataCentre, true)
+                            : reclaimable.get(dataCentre);
+            room.put(dataCentre, Math.max(0, scaling.max() - others));
         }
         return room;
     }
@@ -275,19 +282,23 @@
         return (int) Math.ceil(value);
     }
 
-    private int mostInOneZone(List<Worker> serving) {
-        return zones.keySet().stream().mapToInt(zone -> count(serving, zone, true)).max().orElse(0);
+    private int mostInOneDataCentre(List<Upstream> serving) {
+        return dataCentres.keySet().stream()
+                .mapToInt(dataCentre -> count(serving, dataCentre, true))
+                .max()
+                .orElse(0);
     }
 
-    private static int count(List<Worker> serving, boolean reclaimable) {
-        return (int) serving.stream().filter(worker -> worker.reclaimable() == reclaimable).count();
+    private static int count(List<Upstream> serving, boolean reclaimable) {
+        return (int)
+                serving.stream().filter(upstream -> upstream.reclaimable() == reclaimable).count();
     }
 
-    private static int count(List<Worker> serving, String zone, boolean reclaimable) {
+    private static int count(List<Upstream> serving, String dataCentre, boolean reclaimable) {
         return (int)
                 serving.stream()
-                        .filter(worker -> worker.zone().equals(zone))
-                        .filter(worker -> worker.reclaimable() == reclaimable)
+                        .filter(upstream -> upstream.dataCentre().equals(dataCentre))
+                        .filter(upstream -> upstream.reclaimable() == reclaimable)
                         .count();
     }
 }
--- a/trailladder-core/src/main/java/io/trailladder/core/duty/FullPricePlacement.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/duty/FullPricePlacement.java
@@ -43,17 +43,19 @@
                 room.keySet().stream()
                         .sorted(
                                 Comparator.comparingDouble(
-                                        zone -> scaling.zonePrices().getOrDefault(zone, 1.0)))
+                                        dataCentre ->
+                                                scaling.dataCentrePrices()
+                                                        .getOrDefault(dataCentre, 1.0)))
                         .toList();
         int left = wanted;
-        for (String zone : cheapestFirst) {
-            int kept = Math.min(left, placed.getOrDefault(zone, 0));
-            placed.put(zone, kept);
+        for (String dataCentre : cheapestFirst) {
+            int kept = Math.min(left, placed.getOrDefault(dataCentre, 0));
+            placed.put(dataCentre, kept);
             left -= kept;
         }
-        for (String zone : cheapestFirst) {
-            int more = Math.max(0, Math.min(left, room.get(zone) - placed.get(zone)));
-            placed.merge(zone, more, Integer::sum);
+        for (String dataCentre : cheapestFirst) {
+            int more = Math.max(0, Math.min(left, room.get(dataCentre) - placed.get(dataCentre)));
+            placed.merge(dataCentre, more, Integer::sum);
             left -= more;
         }
         return new TreeMap<>(placed);
--- a/trailladder-core/src/main/java/io/trailladder/core/duty/RegistrationWatch.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/duty/RegistrationWatch.java
@@ -15,7 +15,7 @@
  */
 package io.trailladder.core.duty;
 
-import io.trailladder.core.worker.Worker;
+import io.trailladder.core.upstream.Upstream;
 import java.util.Collection;
 import java.util.HashSet;
 import java.util.Set;
@@ -59,18 +59,18 @@
     /**
      * Looks at the list. To be called a few times a second.
      *
-     * @param workers the service's upstreams, leaving ones too
+     * @param upstreams the service's upstreams, leaving ones too
      * @param nowMillis the time
      * @return true once the list has been complete, also later
      */
-    public boolean isSettled(Collection<Worker> workers, long nowMillis) {
+    public boolean isSettled(Collection<Upstream> upstreams, long nowMillis) {
         if (settled) {
             return true;
         }
         boolean first = seen.isEmpty();
         boolean newcomers = false;
-        for (Worker worker : workers) {
-            newcomers |= seen.add(worker.id());
+        for (Upstream upstream : upstreams) {
+            newcomers |= seen.add(upstream.id());
         }
         if (newcomers) {
             longestGapMillis = first ? 0 : Math.max(longestGapMillis, nowMillis - lastMillis);
--- a/trailladder-core/src/main/java/io/trailladder/core/duty/WorkerOrder.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/duty/UpstreamOrder.java
@@ -19,9 +19,9 @@
  * How many upstreams of one kind a data centre is to have.
  *
  * @param service the service
- * @param zone the data centre
+ * @param dataCentre the data centre
  * @param reclaimable true for those the cloud may take back
  * @param count how many
  * @since 0.2
  */
-public record WorkerOrder(String service, String zone, boolean reclaimable, int count) {}
+public record UpstreamOrder(String service, String dataCentre, boolean reclaimable, int count) {}
--- a/trailladder-core/src/main/java/io/trailladder/core/membership/Upstream.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/membership/LocalUpstream.java
@@ -24,4 +24,4 @@
  * @param target the model or service it serves
  * @since 0.1
  */
-public record Upstream(String id, String dataCentre, String address, String target) {}
+public record LocalUpstream(String id, String dataCentre, String address, String target) {}
--- a/trailladder-core/src/main/java/io/trailladder/core/membership/UpstreamDirectory.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/membership/LocalUpstreamDirectory.java
@@ -32,10 +32,10 @@
  *
  * @since 0.1
  */
-public final class UpstreamDirectory {
+public final class LocalUpstreamDirectory {
     private static final int MAX_REMEMBERED_LEAVING = 20_000;
 
-    private final Map<String, Upstream> upstreams = new HashMap<>();
+    private final Map<String, LocalUpstream> upstreams = new HashMap<>();
     private final Set<String> leaving = new HashSet<>();
     private long listVersion;
 
@@ -46,15 +46,16 @@
      * @param listedLeaving the names of those it calls leaving
      * @return the upstreams that are newly leaving
      */
-    public List<Upstream> listed(Collection<Upstream> listed, Collection<String> listedLeaving) {
-        Map<String, Upstream> next = new HashMap<>();
+    public List<LocalUpstream> listed(
+            Collection<LocalUpstream> listed, Collection<String> listedLeaving) {
+        Map<String, LocalUpstream> next = new HashMap<>();
         listed.forEach(upstream -> next.put(upstream.id(), upstream));
         if (!next.equals(upstreams)) {
             upstreams.clear();
             upstreams.putAll(next);
             listVersion++;
         }
-        List<Upstream> newlyLeaving = new ArrayList<>();
+        List<LocalUpstream> newlyLeaving = new ArrayList<>();
         listedLeaving.forEach(id -> noticed(id).ifPresent(newlyLeaving::add));
         forgetOldNotices();
         return newlyLeaving;
@@ -66,7 +67,7 @@
      * @param id the upstream's name, known or not yet known
      * @return the upstream if this is news and the upstream is known
      */
-    public Optional<Upstream> noticed(String id) {
+    public Optional<LocalUpstream> noticed(String id) {
         if (!leaving.add(id)) {
             return Optional.empty();
         }
@@ -110,7 +111,7 @@
         return listVersion;
     }
 
-    private UpstreamState stateOf(Upstream upstream) {
+    private UpstreamState stateOf(LocalUpstream upstream) {
         return new UpstreamState(upstream, leaving.contains(upstream.id()));
     }
 
--- a/trailladder-core/src/main/java/io/trailladder/core/membership/UpstreamState.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/membership/UpstreamState.java
@@ -22,7 +22,7 @@
  * @param leaving true once any notice of its leaving was seen
  * @since 0.1
  */
-public record UpstreamState(Upstream upstream, boolean leaving) {
+public record UpstreamState(LocalUpstream upstream, boolean leaving) {
     /**
      * Tells whether new work may be sent to it.
      *
--- a/trailladder-core/src/main/java/io/trailladder/core/pipeline/AttemptHistory.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/pipeline/AttemptHistory.java
@@ -34,21 +34,21 @@
     /**
      * Records an attempt that was sent to an upstream.
      *
-     * @param worker the upstream's name
+     * @param upstream the upstream's name
      */
-    public void sent(String worker) {
-        tried.add(worker);
+    public void sent(String upstream) {
+        tried.add(upstream);
         sent++;
     }
 
     /**
      * Records how an attempt failed.
      *
-     * @param worker the upstream's name
+     * @param upstream the upstream's name
      * @param failure how
      */
-    public void failed(String worker, AttemptFailure failure) {
-        tried.add(worker);
+    public void failed(String upstream, AttemptFailure failure) {
+        tried.add(upstream);
         mayHaveRun |= failure.mayHaveRun();
         if (failure == AttemptFailure.UNREACHABLE) {
             connectFailures++;
--- a/trailladder-core/src/main/java/io/trailladder/core/policy/ScalingSpec.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/policy/ScalingSpec.java
@@ -24,7 +24,7 @@
  * @param max most in each data centre
  * @param bootMillis time from an order to service, in milliseconds
  * @param reclaimablePrice price of a reclaimable upstream as a part of the full price
- * @param zonePrices price of an upstream's second by data centre
+ * @param dataCentrePrices price of an upstream's second by data centre
  * @since 0.2
  */
 public record ScalingSpec(
@@ -32,9 +32,9 @@
         int max,
         long bootMillis,
         double reclaimablePrice,
-        Map<String, Double> zonePrices) {
+        Map<String, Double> dataCentrePrices) {
     /** Copies the prices. */
     public ScalingSpec {
-        zonePrices = Map.copyOf(zonePrices);
+        dataCentrePrices = Map.copyOf(dataCentrePrices);
     }
 }
--- a/trailladder-core/src/main/java/io/trailladder/core/rollout/Rollout.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/rollout/Rollout.java
@@ -15,7 +15,7 @@
  */
 package io.trailladder.core.rollout;
 
-import io.trailladder.core.worker.Worker;
+import io.trailladder.core.upstream.Upstream;
 import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
@@ -33,7 +33,7 @@
  *
  * <pre>{@code
  * Rollout rollout = new Rollout(order, ledger, nowMillis);
- * List<Worker> candidates = rollout.admitted(directory.serving("chat"), true, nowMillis);
+ * List<Upstream> candidates = rollout.admitted(directory.serving("chat"), true, nowMillis);
  * rollout.sent(candidates.get(0));
  * }</pre>
  *
@@ -118,11 +118,11 @@
     /**
      * Tells whether an upstream runs the version that the order names.
      *
-     * @param worker the upstream
+     * @param upstream the upstream
      * @return true for the new version
      */
-    public boolean isTarget(Worker worker) {
-        return worker.version().equals(order.version());
+    public boolean isTarget(Upstream upstream) {
+        return upstream.version().equals(order.version());
     }
 
     /**
@@ -134,7 +134,7 @@
      * @param nowMillis the time
      * @return some of them, perhaps none
      */
-    public List<Worker> admitted(List<Worker> serving, boolean first, long nowMillis) {
+    public List<Upstream> admitted(List<Upstream> serving, boolean first, long nowMillis) {
         noteOld(serving);
         return switch (phase) {
             case SAMPLING -> first && maySample(nowMillis) ? sampleOrOld(serving) : old(serving);
@@ -144,13 +144,13 @@
         };
     }
 
-    private void noteOld(List<Worker> serving) {
+    private void noteOld(List<Upstream> serving) {
         if (phase.isFinal()) {
             return;
         }
-        for (Worker worker : serving) {
-            if (!isTarget(worker)) {
-                oldVersions.add(worker.version());
+        for (Upstream upstream : serving) {
+            if (!isTarget(upstream)) {
+                oldVersions.add(upstream.version());
             }
         }
     }
@@ -159,46 +159,48 @@
         return isHeard(nowMillis) && ledger.mayExpose();
     }
 
-    private List<Worker> sampleOrOld(List<Worker> serving) {
-        List<Worker> target = target(serving);
+    private List<Upstream> sampleOrOld(List<Upstream> serving) {
+        List<Upstream> target = target(serving);
         return target.isEmpty() ? old(serving) : sampled(target);
     }
 
-    private List<Worker> targetOrOld(List<Worker> serving) {
-        List<Worker> target = target(serving);
+    private List<Upstream> targetOrOld(List<Upstream> serving) {
+        List<Upstream> target = target(serving);
         return target.isEmpty() ? old(serving) : target;
     }
 
     /** Later versions replace the new one in their turn; those that it replaced are gone. */
-    private List<Worker> afterCompletion(List<Worker> serving, long nowMillis) {
+    private List<Upstream> afterCompletion(List<Upstream> serving, long nowMillis) {
         if (nowMillis - finalMillis < SETTLE_MILLIS) {
             return targetOrOld(serving);
         }
-        List<Worker> later =
-                serving.stream().filter(worker -> !oldVersions.contains(worker.version())).toList();
+        List<Upstream> later =
+                serving.stream()
+                        .filter(upstream -> !oldVersions.contains(upstream.version()))
+                        .toList();
         return later.isEmpty() ? serving : later;
     }
 
-    private List<Worker> target(List<Worker> serving) {
+    private List<Upstream> target(List<Upstream> serving) {
         return serving.stream().filter(this::isTarget).toList();
     }
 
     /** All but the new version, unless no other ever served beside it. */
-    private List<Worker> old(List<Worker> serving) {
+    private List<Upstream> old(List<Upstream> serving) {
         if (oldVersions.isEmpty() && phase != RolloutPhase.ROLLED_BACK) {
             return serving;
         }
-        return serving.stream().filter(worker -> !isTarget(worker)).toList();
+        return serving.stream().filter(upstream -> !isTarget(upstream)).toList();
     }
 
     /**
      * The few requests of the sample go to few upstreams, so that these bear the load of each that
      * is to come and a fault that shows only under load shows in the sample.
      */
-    private List<Worker> sampled(List<Worker> target) {
+    private List<Upstream> sampled(List<Upstream> target) {
         int few = (int) Math.ceil(target.size() * ledger.spentShare());
         return target.stream()
-                .sorted(Comparator.comparing(Worker::id))
+                .sorted(Comparator.comparing(Upstream::id))
                 .limit(Math.max(1, few))
                 .toList();
     }
@@ -210,22 +212,22 @@
     /**
      * Records a request that is sent, first or repeated.
      *
-     * @param worker the upstream
+     * @param upstream the upstream
      */
-    public void sent(Worker worker) {
-        ledger.sent(isTarget(worker));
+    public void sent(Upstream upstream) {
+        ledger.sent(isTarget(upstream));
     }
 
     /**
      * Records how a request ended. A cold upstream of the new version may be late, and an answer
      * that was broken off counts only if it was late.
      *
-     * @param worker the upstream
+     * @param upstream the upstream
      * @param answer how it ended
      */
-    public void answered(Worker worker, AnswerSeen answer) {
-        boolean isTarget = isTarget(worker);
-        boolean late = worker.coldLeftMillis() <= 0 && isLate(answer);
+    public void answered(Upstream upstream, AnswerSeen answer) {
+        boolean isTarget = isTarget(upstream);
+        boolean late = upstream.coldLeftMillis() <= 0 && isLate(answer);
         if (!answer.whole() && !late && !answer.failed()) {
             return;
         }
--- a/trailladder-core/src/main/java/io/trailladder/core/rollout/VersionGate.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/rollout/VersionGate.java
@@ -15,7 +15,7 @@
  */
 package io.trailladder.core.rollout;
 
-import io.trailladder.core.worker.Worker;
+import io.trailladder.core.upstream.Upstream;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
@@ -87,8 +87,8 @@
      * @param nowMillis the time
      * @return some of them
      */
-    public List<Worker> admitted(
-            String service, List<Worker> serving, boolean first, long nowMillis) {
+    public List<Upstream> admitted(
+            String service, List<Upstream> serving, boolean first, long nowMillis) {
         Rollout rollout = rollouts.get(service);
         if (rollout != null) {
             return rollout.admitted(serving, first, nowMillis);
@@ -98,13 +98,15 @@
             return serving;
         }
         Map<String, Long> seen = note(service, serving, nowMillis);
-        List<Worker> known =
-                serving.stream().filter(worker -> nowMillis >= seen.get(worker.version())).toList();
+        List<Upstream> known =
+                serving.stream()
+                        .filter(upstream -> nowMillis >= seen.get(upstream.version()))
+                        .toList();
         return known.isEmpty() ? serving : known;
     }
 
     /** Notes from when each version serves: those of the first list at once, others later. */
-    private Map<String, Long> note(String service, List<Worker> serving, long nowMillis) {
+    private Map<String, Long> note(String service, List<Upstream> serving, long nowMillis) {
         Map<String, Long> seen = seenMillis.get(service);
         long from = seen == null ? nowMillis : nowMillis + HELD_MILLIS;
         if (seen == null) {
@@ -114,15 +116,15 @@
             seen = new HashMap<>();
             seenMillis.put(service, seen);
         }
-        for (Worker worker : serving) {
-            seen.putIfAbsent(worker.version(), from);
+        for (Upstream upstream : serving) {
+            seen.putIfAbsent(upstream.version(), from);
         }
         return seen;
     }
 
-    private static boolean isOneVersion(List<Worker> serving) {
-        for (Worker worker : serving) {
-            if (!worker.version().equals(serving.get(0).version())) {
+    private static boolean isOneVersion(List<Upstream> serving) {
+        for (Upstream upstream : serving) {
+            if (!upstream.version().equals(serving.get(0).version())) {
                 return false;
             }
         }
--- a/trailladder-core/src/main/java/io/trailladder/core/routing/UpstreamLoad.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/routing/LocalUpstreamLoad.java
@@ -21,7 +21,7 @@
  *
  * @since 0.1
  */
-public final class UpstreamLoad {
+public final class LocalUpstreamLoad {
     private static final double MILLIS_PER_SECOND = 1000.0;
 
     private LoadReport report = LoadReport.UNKNOWN;
--- a/trailladder-core/src/main/java/io/trailladder/core/routing/Router.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/routing/Router.java
@@ -15,7 +15,7 @@
  */
 package io.trailladder.core.routing;
 
-import io.trailladder.core.membership.UpstreamDirectory;
+import io.trailladder.core.membership.LocalUpstreamDirectory;
 import io.trailladder.core.membership.UpstreamState;
 import io.trailladder.core.routing.RoutingDecision.Candidate;
 import io.trailladder.core.routing.RoutingDecision.Reason;
@@ -43,10 +43,10 @@
     private static final int REMEMBERED_PREFIXES = 50_000;
 
     private final String dataCentre;
-    private final UpstreamDirectory directory;
+    private final LocalUpstreamDirectory directory;
     private final SplittableRandom random;
     private final PrefixMemory prefixes = new PrefixMemory(REMEMBERED_PREFIXES);
-    private final Map<String, UpstreamLoad> loads = new HashMap<>();
+    private final Map<String, LocalUpstreamLoad> loads = new HashMap<>();
     private final Map<String, UpstreamRing> rings = new HashMap<>();
     private long ringsVersion = -1;
 
@@ -57,7 +57,7 @@
      * @param directory the upstreams known
      * @param seed seed of its random choices
      */
-    public Router(String dataCentre, UpstreamDirectory directory, long seed) {
+    public Router(String dataCentre, LocalUpstreamDirectory directory, long seed) {
         this.dataCentre = dataCentre;
         this.directory = directory;
         this.random = new SplittableRandom(seed);
@@ -109,8 +109,8 @@
      * @param upstream the upstream's name
      * @return its load
      */
-    public UpstreamLoad load(String upstream) {
-        return loads.computeIfAbsent(upstream, id -> new UpstreamLoad());
+    public LocalUpstreamLoad load(String upstream) {
+        return loads.computeIfAbsent(upstream, id -> new LocalUpstreamLoad());
     }
 
     /**
@@ -135,7 +135,7 @@
     }
 
     private Candidate weigh(String id, RoutingQuery query, long nowMillis) {
-        UpstreamLoad load = load(id);
+        LocalUpstreamLoad load = load(id);
         int cached = cachedTokens(query, id);
         return new Candidate(
                 id,
@@ -145,7 +145,7 @@
                 fitness(id, load, query, nowMillis));
     }
 
-    private Reason fitness(String id, UpstreamLoad load, RoutingQuery query, long nowMillis) {
+    private Reason fitness(String id, LocalUpstreamLoad load, RoutingQuery query, long nowMillis) {
         if (!takesNewWork(id)) {
             return Reason.LEAVING;
         }
--- a/trailladder-core/src/main/java/io/trailladder/core/worker/DemandMeter.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/upstream/DemandMeter.java
@@ -13,7 +13,7 @@
  * See the License for the specific language governing permissions and
  * limitations under the License.
  */
-package io.trailladder.core.worker;
+package io.trailladder.core.upstream;
 
 import java.util.ArrayList;
 import java.util.HashMap;
--- a/trailladder-core/src/main/java/io/trailladder/core/worker/PlaceForecast.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/upstream/PlaceForecast.java
@@ -13,7 +13,7 @@
  * See the License for the specific language governing permissions and
  * limitations under the License.
  */
-package io.trailladder.core.worker;
+package io.trailladder.core.upstream;
 
 import io.trailladder.core.engine.EngineEstimate;
 import java.util.Collection;
@@ -48,8 +48,8 @@
      * @return milliseconds, at least {@link #LEAST_MILLIS}
      */
     public static long millis(
-            Collection<Worker> serving,
-            WorkerLoads loads,
+            Collection<Upstream> serving,
+            UpstreamLoads loads,
             EngineEstimate engine,
             OptionalLong bootMillis) {
         if (serving.isEmpty()) {
@@ -57,14 +57,16 @@
         }
         double soonest =
                 serving.stream()
-                        .mapToDouble(worker -> placeMillis(worker, loads, engine))
+                        .mapToDouble(upstream -> placeMillis(upstream, loads, engine))
                         .min()
                         .orElseThrow();
         return Math.max(LEAST_MILLIS, Math.round(soonest));
     }
 
-    private static double placeMillis(Worker worker, WorkerLoads loads, EngineEstimate engine) {
-        double oneEnds = engine.runMillis() / Math.max(1, worker.slots());
-        return Math.max(oneEnds, engine.placeMillis(loads.requests(worker.id()), worker.slots()));
+    private static double placeMillis(
+            Upstream upstream, UpstreamLoads loads, EngineEstimate engine) {
+        double oneEnds = engine.runMillis() / Math.max(1, upstream.slots());
+        return Math.max(
+                oneEnds, engine.placeMillis(loads.requests(upstream.id()), upstream.slots()));
     }
 }
--- a/trailladder-core/src/main/java/io/trailladder/core/worker/PrefixIndex.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/upstream/PrefixIndex.java
@@ -13,7 +13,7 @@
  * See the License for the specific language governing permissions and
  * limitations under the License.
  */
-package io.trailladder.core.worker;
+package io.trailladder.core.upstream;
 
 import io.trailladder.core.RecentMap;
 import io.trailladder.core.pipeline.Prompt;
@@ -31,20 +31,20 @@
 
     /** A prompt part at an upstream. */
     private record Place(
-            String worker,
+            String upstream,
             String block) { // written out: the methods that records get are linked at their first
         // call, which takes a
         // process that starts some 5 ms of processor time for each record
         @Override
         public boolean equals(Object other) {
             return other instanceof Place that
-                    && worker.equals(that.worker)
+                    && upstream.equals(that.upstream)
                     && block.equals(that.block);
         }
 
         @Override
         public int hashCode() {
-            return 31 * worker.hashCode() + block.hashCode();
+            return 31 * upstream.hashCode() + block.hashCode();
         }
     }
 
@@ -60,26 +60,26 @@
     /**
      * Records that an upstream reads a prompt.
      *
-     * @param worker the upstream's name
+     * @param upstream the upstream's name
      * @param prompt the prompt
      */
-    public void read(String worker, Prompt prompt) {
+    public void read(String upstream, Prompt prompt) {
         for (PromptBlock block : prompt.blocks()) {
-            places.put(new Place(worker, block.id()), block.tokens());
+            places.put(new Place(upstream, block.id()), block.tokens());
         }
     }
 
     /**
      * Returns how many leading tokens of a prompt an upstream probably holds.
      *
-     * @param worker the upstream's name
+     * @param upstream the upstream's name
      * @param prompt the prompt
      * @return tokens
      */
-    public int cachedTokens(String worker, Prompt prompt) {
+    public int cachedTokens(String upstream, Prompt prompt) {
         int tokens = 0;
         for (PromptBlock block : prompt.blocks()) {
-            if (places.get(new Place(worker, block.id())) == null) {
+            if (places.get(new Place(upstream, block.id())) == null) {
                 return tokens;
             }
             tokens += block.tokens();
--- a/trailladder-core/src/main/java/io/trailladder/core/worker/Selection.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/upstream/Selection.java
@@ -13,12 +13,12 @@
  * See the License for the specific language governing permissions and
  * limitations under the License.
  */
-package io.trailladder.core.worker;
+package io.trailladder.core.upstream;
 
 /**
  * The choice of an upstream for one request, with the inputs that led to it.
  *
- * @param worker the upstream
+ * @param upstream the upstream
  * @param predictedMillis predicted time to its first answer, in milliseconds
  * @param requests requests under way there, of all entries
  * @param waitingTokens prompt tokens waiting there, of all entries
@@ -29,7 +29,7 @@
  * @since 0.2
  */
 public record Selection(
-        Worker worker,
+        Upstream upstream,
         double predictedMillis,
         int requests,
         int waitingTokens,
--- a/trailladder-core/src/main/java/io/trailladder/core/worker/ServiceDemand.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/upstream/ServiceDemand.java
@@ -13,7 +13,7 @@
  * See the License for the specific language governing permissions and
  * limitations under the License.
  */
-package io.trailladder.core.worker;
+package io.trailladder.core.upstream;
 
 /**
  * The prompts that one entry, or several, have the upstreams of a service read.
--- a/trailladder-core/src/main/java/io/trailladder/core/worker/Worker.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/upstream/Upstream.java
@@ -13,14 +13,14 @@
  * See the License for the specific language governing permissions and
  * limitations under the License.
  */
-package io.trailladder.core.worker;
+package io.trailladder.core.upstream;
 
 /**
  * One running upstream as the platform lists it.
  *
  * @param id its name; every start has a new one
  * @param service the service it belongs to
- * @param zone the data centre it runs in
+ * @param dataCentre the data centre it runs in
  * @param address host and port
  * @param slots requests it works on at once
  * @param draining true if it has announced that it leaves
@@ -30,10 +30,10 @@
  * @param coldLeftMillis how long it is still slow after its start, in milliseconds
  * @since 0.2
  */
-public record Worker(
+public record Upstream(
         String id,
         String service,
-        String zone,
+        String dataCentre,
         String address,
         int slots,
         boolean draining,
@@ -46,22 +46,22 @@
      *
      * @param id its name
      * @param service the service it belongs to
-     * @param zone the data centre it runs in
+     * @param dataCentre the data centre it runs in
      * @param address host and port
      * @param slots requests it works on at once
      * @param draining true if it has announced that it leaves
      * @param reclaimable true if the cloud may take it back
      * @param leavesMillis how long it still runs once it is draining, in milliseconds
      */
-    public Worker(
+    public Upstream(
             String id,
             String service,
-            String zone,
+            String dataCentre,
             String address,
             int slots,
             boolean draining,
             boolean reclaimable,
             long leavesMillis) {
-        this(id, service, zone, address, slots, draining, reclaimable, leavesMillis, "", 0);
+        this(id, service, dataCentre, address, slots, draining, reclaimable, leavesMillis, "", 0);
     }
 }
--- a/trailladder-core/src/main/java/io/trailladder/core/worker/WorkerDirectory.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/upstream/UpstreamDirectory.java
@@ -13,7 +13,7 @@
  * See the License for the specific language governing permissions and
  * limitations under the License.
  */
-package io.trailladder.core.worker;
+package io.trailladder.core.upstream;
 
 import java.util.ArrayList;
 import java.util.Collection;
@@ -33,11 +33,11 @@
  *
  * @since 0.2
  */
-public final class WorkerDirectory {
+public final class UpstreamDirectory {
     private static final int MAX_REMEMBERED = 20_000;
 
-    private final Map<String, Worker> workers = new HashMap<>();
-    private final Map<String, List<Worker>> byService = new HashMap<>();
+    private final Map<String, Upstream> upstreams = new HashMap<>();
+    private final Map<String, List<Upstream>> byService = new HashMap<>();
     private final Set<String> leaving = new HashSet<>();
 
     /**
@@ -46,29 +46,29 @@
      * @param listed all upstreams
      * @return those that are newly leaving or gone
      */
-    public List<Worker> replaceAll(Collection<Worker> listed) {
+    public List<Upstream> replaceAll(Collection<Upstream> listed) {
         Set<String> names = new HashSet<>();
-        listed.forEach(worker -> names.add(worker.id()));
-        List<Worker> left = new ArrayList<>();
-        for (Worker known : List.copyOf(workers.values())) {
+        listed.forEach(upstream -> names.add(upstream.id()));
+        List<Upstream> left = new ArrayList<>();
+        for (Upstream known : List.copyOf(upstreams.values())) {
             if (!names.contains(known.id())) {
                 removed(known.id()).ifPresent(left::add);
             }
         }
-        listed.forEach(worker -> changed(worker).ifPresent(left::add));
+        listed.forEach(upstream -> changed(upstream).ifPresent(left::add));
         return left;
     }
 
     /**
      * Records an upstream's entry.
      *
-     * @param worker the entry
+     * @param upstream the entry
      * @return the upstream if it is newly leaving
      */
-    public Optional<Worker> changed(Worker worker) {
-        workers.put(worker.id(), worker);
+    public Optional<Upstream> changed(Upstream upstream) {
+        upstreams.put(upstream.id(), upstream);
         byService.clear();
-        return worker.draining() ? leaving(worker.id()) : Optional.empty();
+        return upstream.draining() ? leaving(upstream.id()) : Optional.empty();
     }
 
     /**
@@ -77,9 +77,9 @@
      * @param id the upstream's name
      * @return the upstream if it was known
      */
-    public Optional<Worker> removed(String id) {
+    public Optional<Upstream> removed(String id) {
         byService.clear();
-        return Optional.ofNullable(workers.remove(id));
+        return Optional.ofNullable(upstreams.remove(id));
     }
 
     /**
@@ -88,13 +88,13 @@
      * @param id the upstream's name
      * @return the upstream if this is news and it is known
      */
-    public Optional<Worker> leaving(String id) {
+    public Optional<Upstream> leaving(String id) {
         forgetOldNames();
         if (!leaving.add(id)) {
             return Optional.empty();
         }
         byService.clear();
-        return Optional.ofNullable(workers.get(id));
+        return Optional.ofNullable(upstreams.get(id));
     }
 
     /**
@@ -103,7 +103,7 @@
      * @param service the service's name
      * @return the upstreams; none if the service is unknown
      */
-    public List<Worker> serving(String service) {
+    public List<Upstream> serving(String service) {
         return byService.computeIfAbsent(service, this::collect);
     }
 
@@ -113,8 +113,8 @@
      * @param id its name
      * @return the upstream
      */
-    public Optional<Worker> find(String id) {
-        return Optional.ofNullable(workers.get(id));
+    public Optional<Upstream> find(String id) {
+        return Optional.ofNullable(upstreams.get(id));
     }
 
     /**
@@ -122,8 +122,8 @@
      *
      * @return a copy
      */
-    public List<Worker> all() {
-        return List.copyOf(workers.values());
+    public List<Upstream> all() {
+        return List.copyOf(upstreams.values());
     }
 
     /**
@@ -136,16 +136,16 @@
         return leaving.contains(id);
     }
 
-    private List<Worker> collect(String service) {
-        return workers.values().stream()
-                .filter(worker -> worker.service().equals(service))
-                .filter(worker -> !leaving.contains(worker.id()))
+    private List<Upstream> collect(String service) {
+        return upstreams.values().stream()
+                .filter(upstream -> upstream.service().equals(service))
+                .filter(upstream -> !leaving.contains(upstream.id()))
                 .toList();
     }
 
     private void forgetOldNames() {
         if (leaving.size() > MAX_REMEMBERED) {
-            leaving.retainAll(workers.keySet());
+            leaving.retainAll(upstreams.keySet());
         }
     }
 }
--- a/trailladder-core/src/main/java/io/trailladder/core/worker/WorkerHealth.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/upstream/UpstreamHealth.java
@@ -13,7 +13,7 @@
  * See the License for the specific language governing permissions and
  * limitations under the License.
  */
-package io.trailladder.core.worker;
+package io.trailladder.core.upstream;
 
 /**
  * The recent failures of one upstream, as seen by the requests sent to it.
@@ -21,7 +21,7 @@
  * <p>An upstream that fails a large part of its recent requests is left out for a while; each
  * further failure right after its return leaves it out for longer.
  */
-final class WorkerHealth {
+final class UpstreamHealth {
     private static final double HALF_LIFE_MILLIS = 4_000;
     private static final double FEWEST_FAILURES = 1.6;
     private static final double WORST_FAILED_PART = 0.25;
--- a/trailladder-core/src/main/java/io/trailladder/core/worker/WorkerLoads.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/upstream/UpstreamLoads.java
@@ -13,7 +13,7 @@
  * See the License for the specific language governing permissions and
  * limitations under the License.
  */
-package io.trailladder.core.worker;
+package io.trailladder.core.upstream;
 
 import java.util.ArrayList;
 import java.util.Collection;
@@ -27,9 +27,9 @@
  *
  * @since 0.2
  */
-public final class WorkerLoads {
+public final class UpstreamLoads {
     private final Map<String, Load> own = new HashMap<>();
-    private final Map<String, List<WorkerUse>> byPeer = new HashMap<>();
+    private final Map<String, List<UpstreamUse>> byPeer = new HashMap<>();
     private final Map<String, Use> ofPeers = new HashMap<>();
 
     /** Work under way at one upstream. */
@@ -49,7 +49,7 @@
 
     /** One upstream's load. */
     private static final class Load {
-        final WorkerHealth health = new WorkerHealth();
+        final UpstreamHealth health = new UpstreamHealth();
         int requests;
         int promptTokens;
     }
@@ -57,11 +57,11 @@
     /**
      * Records that a request was sent.
      *
-     * @param worker the upstream's name
+     * @param upstream the upstream's name
      * @param promptTokens prompt tokens it must read
      */
-    public void sent(String worker, int promptTokens) {
-        Load load = load(worker);
+    public void sent(String upstream, int promptTokens) {
+        Load load = load(upstream);
         load.requests++;
         load.promptTokens += promptTokens;
     }
@@ -69,50 +69,50 @@
     /**
      * Records that an upstream has read a prompt.
      *
-     * @param worker the upstream's name
+     * @param upstream the upstream's name
      * @param promptTokens the tokens given with {@link #sent}
      */
-    public void promptRead(String worker, int promptTokens) {
-        load(worker).promptTokens -= promptTokens;
+    public void promptRead(String upstream, int promptTokens) {
+        load(upstream).promptTokens -= promptTokens;
     }
 
     /**
      * Records that a request is no longer under way.
      *
-     * @param worker the upstream's name
+     * @param upstream the upstream's name
      */
-    public void ended(String worker) {
-        load(worker).requests--;
+    public void ended(String upstream) {
+        load(upstream).requests--;
     }
 
     /**
      * Records a request that the upstream answered well.
      *
-     * @param worker the upstream's name
+     * @param upstream the upstream's name
      * @param nowMillis the time
      */
-    public void succeeded(String worker, long nowMillis) {
-        load(worker).health.succeeded(nowMillis);
+    public void succeeded(String upstream, long nowMillis) {
+        load(upstream).health.succeeded(nowMillis);
     }
 
     /**
      * Records a request that the upstream failed.
      *
-     * @param worker the upstream's name
+     * @param upstream the upstream's name
      * @param nowMillis the time
      */
-    public void failed(String worker, long nowMillis) {
-        load(worker).health.failed(nowMillis);
+    public void failed(String upstream, long nowMillis) {
+        load(upstream).health.failed(nowMillis);
     }
 
     /**
      * Records that no connection to an upstream came about.
      *
-     * @param worker the upstream's name
+     * @param upstream the upstream's name
      * @param nowMillis the time
      */
-    public void unreachable(String worker, long nowMillis) {
-        load(worker).health.unreachable(nowMillis);
+    public void unreachable(String upstream, long nowMillis) {
+        load(upstream).health.unreachable(nowMillis);
     }
 
     /**
@@ -121,7 +121,7 @@
      * @param peer the peer's name
      * @param uses its use of upstreams; those it does not name are unused
      */
-    public void peerUses(String peer, List<WorkerUse> uses) {
+    public void peerUses(String peer, List<UpstreamUse> uses) {
         peerLost(peer);
         byPeer.put(peer, List.copyOf(uses));
         uses.forEach(use -> count(ofPeers, use, 1));
@@ -133,7 +133,7 @@
      * @param peer the peer's name
      */
     public void peerLost(String peer) {
-        List<WorkerUse> before = byPeer.remove(peer);
+        List<UpstreamUse> before = byPeer.remove(peer);
         if (before != null) {
             before.forEach(use -> count(ofPeers, use, -1));
         }
@@ -144,7 +144,7 @@
      *
      * @return its use of upstreams
      */
-    public List<WorkerUse> ownUses() {
+    public List<UpstreamUse> ownUses() {
         return list(own());
     }
 
@@ -154,7 +154,7 @@
      * @param peers the peers' names
      * @return their use of upstreams
      */
-    public List<WorkerUse> groupUses(Collection<String> peers) {
+    public List<UpstreamUse> groupUses(Collection<String> peers) {
         Map<String, Use> sum = own();
         for (String peer : peers) {
             byPeer.getOrDefault(peer, List.of()).forEach(use -> count(sum, use, 1));
@@ -168,9 +168,9 @@
      * @param peer the name of that one
      * @return their use of upstreams
      */
-    public List<WorkerUse> restUses(String peer) {
+    public List<UpstreamUse> restUses(String peer) {
         Map<String, Use> sum = own();
-        ofPeers.forEach((worker, use) -> add(sum, worker, use.requests, use.promptTokens));
+        ofPeers.forEach((upstream, use) -> add(sum, upstream, use.requests, use.promptTokens));
         byPeer.getOrDefault(peer, List.of()).forEach(use -> count(sum, use, -1));
         return list(sum);
     }
@@ -178,56 +178,56 @@
     /**
      * Returns the requests under way at an upstream, of all entries.
      *
-     * @param worker the upstream's name
+     * @param upstream the upstream's name
      * @return a count
      */
-    public int requests(String worker) {
-        Use peers = ofPeers.get(worker);
-        return ownRequests(worker) + (peers == null ? 0 : peers.requests);
+    public int requests(String upstream) {
+        Use peers = ofPeers.get(upstream);
+        return ownRequests(upstream) + (peers == null ? 0 : peers.requests);
     }
 
     /**
      * Returns the requests under way at some upstreams, of all entries.
      *
-     * @param workers the upstreams
+     * @param upstreams the upstreams
      * @return a count
      */
-    public int requests(Collection<Worker> workers) {
-        return workers.stream().mapToInt(worker -> requests(worker.id())).sum();
+    public int requests(Collection<Upstream> upstreams) {
+        return upstreams.stream().mapToInt(upstream -> requests(upstream.id())).sum();
     }
 
     /**
      * Returns the prompt tokens waiting at an upstream, of all entries.
      *
-     * @param worker the upstream's name
+     * @param upstream the upstream's name
      * @return tokens
      */
-    public int promptTokens(String worker) {
-        Load load = own.get(worker);
-        Use peers = ofPeers.get(worker);
+    public int promptTokens(String upstream) {
+        Load load = own.get(upstream);
+        Use peers = ofPeers.get(upstream);
         return (load == null ? 0 : load.promptTokens) + (peers == null ? 0 : peers.promptTokens);
     }
 
     /**
      * Tells whether an upstream is left out because of its recent failures.
      *
-     * @param worker the upstream's name
+     * @param upstream the upstream's name
      * @param nowMillis the time
      * @return true if other upstreams are to be preferred
      */
-    public boolean ejected(String worker, long nowMillis) {
-        Load load = own.get(worker);
+    public boolean ejected(String upstream, long nowMillis) {
+        Load load = own.get(upstream);
         return load != null && load.health.ejected(nowMillis);
     }
 
     /**
      * Returns the part of an upstream's recent requests that it failed.
      *
-     * @param worker the upstream's name
+     * @param upstream the upstream's name
      * @return from 0 to 1
      */
-    public double failedPart(String worker) {
-        Load load = own.get(worker);
+    public double failedPart(String upstream) {
+        Load load = own.get(upstream);
         return load == null ? 0 : load.health.failedPart();
     }
 
@@ -236,7 +236,7 @@
      *
      * @param directory the upstreams known
      */
-    public void forgetGone(WorkerDirectory directory) {
+    public void forgetGone(UpstreamDirectory directory) {
         own.entrySet()
                 .removeIf(
                         entry ->
@@ -247,39 +247,40 @@
     private Map<String, Use> own() {
         Map<String, Use> sum = new HashMap<>();
         own.forEach(
-                (worker, load) -> {
+                (upstream, load) -> {
                     if (load.requests > 0) {
-                        add(sum, worker, load.requests, load.promptTokens);
+                        add(sum, upstream, load.requests, load.promptTokens);
                     }
                 });
         return sum;
     }
 
-    private static List<WorkerUse> list(Map<String, Use> sum) {
-        List<WorkerUse> uses = new ArrayList<>();
+    private static List<UpstreamUse> list(Map<String, Use> sum) {
+        List<UpstreamUse> uses = new ArrayList<>();
         sum.forEach(
-                (worker, use) -> uses.add(new WorkerUse(worker, use.requests, use.promptTokens)));
+                (upstream, use) ->
+                        uses.add(new UpstreamUse(upstream, use.requests, use.promptTokens)));
         return uses;
     }
 
-    private static void count(Map<String, Use> sum, WorkerUse use, int sign) {
-        add(sum, use.worker(), sign * use.requests(), sign * use.promptTokens());
+    private static void count(Map<String, Use> sum, UpstreamUse use, int sign) {
+        add(sum, use.upstream(), sign * use.requests(), sign * use.promptTokens());
     }
 
-    private static void add(Map<String, Use> sum, String worker, int requests, int promptTokens) {
-        Use use = sum.computeIfAbsent(worker, name -> new Use());
+    private static void add(Map<String, Use> sum, String upstream, int requests, int promptTokens) {
+        Use use = sum.computeIfAbsent(upstream, name -> new Use());
         use.add(requests, promptTokens);
         if (use.isNone()) {
-            sum.remove(worker);
+            sum.remove(upstream);
         }
     }
 
-    private int ownRequests(String worker) {
-        Load load = own.get(worker);
+    private int ownRequests(String upstream) {
+        Load load = own.get(upstream);
         return load == null ? 0 : load.requests;
     }
 
-    private Load load(String worker) {
-        return own.computeIfAbsent(worker, name -> new Load());
+    private Load load(String upstream) {
+        return own.computeIfAbsent(upstream, name -> new Load());
     }
 }
--- a/trailladder-core/src/main/java/io/trailladder/core/worker/WorkerSelector.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/upstream/UpstreamSelector.java
@@ -13,7 +13,7 @@
  * See the License for the specific language governing permissions and
  * limitations under the License.
  */
-package io.trailladder.core.worker;
+package io.trailladder.core.upstream;
 
 import com.dynatrace.hash4j.hashing.Hashing;
 import io.trailladder.core.engine.EngineEstimate;
@@ -40,12 +40,12 @@
  *
  * @since 0.2
  */
-public final class WorkerSelector {
+public final class UpstreamSelector {
     /** What another data centre counts for, in milliseconds: four times the way there and back. */
-    private static final double OTHER_ZONE_MILLIS = 4;
+    private static final double OTHER_DATA_CENTRE_MILLIS = 4;
 
     /** What each kilobyte sent there counts for, in milliseconds: bytes between them are dear. */
-    private static final double OTHER_ZONE_MILLIS_PER_KB = 0.5;
+    private static final double OTHER_DATA_CENTRE_MILLIS_PER_KB = 0.5;
 
     /** Part of a prompt's shared tokens that its first and second home are trusted to hold. */
     private static final double[] HOME_TRUST = {0.9, 0.45};
@@ -69,9 +69,9 @@
 
     private static final double BYTES_PER_KB = 1024;
 
-    private final String zone;
-    private final WorkerDirectory directory;
-    private final WorkerLoads loads;
+    private final String dataCentre;
+    private final UpstreamDirectory directory;
+    private final UpstreamLoads loads;
     private final EngineModel engines;
     private final VersionGate versions;
     private final Map<String, Long> suspectUntilMillis = new HashMap<>();
@@ -80,33 +80,36 @@
     /**
      * Creates a selector of upstreams of any version.
      *
-     * @param zone the data centre of this entry
+     * @param dataCentre the data centre of this entry
      * @param directory the upstreams known
      * @param loads the work under way at them
      * @param engines what is believed of their speed
      */
-    public WorkerSelector(
-            String zone, WorkerDirectory directory, WorkerLoads loads, EngineModel engines) {
-        this(zone, directory, loads, engines, new VersionGate());
+    public UpstreamSelector(
+            String dataCentre,
+            UpstreamDirectory directory,
+            UpstreamLoads loads,
+            EngineModel engines) {
+        this(dataCentre, directory, loads, engines, new VersionGate());
     }
 
     /**
      * Creates a selector.
      *
-     * @param zone the data centre of this entry
+     * @param dataCentre the data centre of this entry
      * @param directory the upstreams known
      * @param loads the work under way at them
      * @param engines what is believed of their speed
      * @param versions decides which versions may be chosen
      */
-    public WorkerSelector(
-            String zone,
-            WorkerDirectory directory,
-            WorkerLoads loads,
+    public UpstreamSelector(
+            String dataCentre,
+            UpstreamDirectory directory,
+            UpstreamLoads loads,
             EngineModel engines,
             VersionGate versions) {
         this.versions = versions;
-        this.zone = zone;
+        this.dataCentre = dataCentre;
         this.directory = directory;
         this.loads = loads;
         this.engines = engines;
@@ -123,19 +126,20 @@
     public Optional<Selection> choose(
             ServingRequest request, Set<String> excluded, long nowMillis) {
         String service = request.service();
-        List<Worker> serving =
+        List<Upstream> serving =
                 versions.admitted(
                         service, directory.serving(service), excluded.isEmpty(), nowMillis);
         Selection best = null;
         boolean bestEjected = true;
         List<String> homes = homes(serving, request.prompt());
         EngineEstimate engine = engines.estimate(request.service(), nowMillis);
-        for (Worker worker : serving) {
-            if (excluded.contains(worker.id())) {
+        for (Upstream upstream : serving) {
+            if (excluded.contains(upstream.id())) {
                 continue;
             }
-            boolean ejected = loads.ejected(worker.id(), nowMillis);
-            Selection candidate = weigh(worker, request, engine, homes, serving.size(), nowMillis);
+            boolean ejected = loads.ejected(upstream.id(), nowMillis);
+            Selection candidate =
+                    weigh(upstream, request, engine, homes, serving.size(), nowMillis);
             boolean better = best == null || candidate.predictedMillis() < best.predictedMillis();
             if ((bestEjected && !ejected) || (bestEjected == ejected && better)) {
                 best = candidate;
@@ -149,10 +153,10 @@
      * Records that a request was sent as chosen.
      *
      * @param request the request
-     * @param worker the upstream's name
+     * @param upstream the upstream's name
      */
-    public void sent(ServingRequest request, String worker) {
-        prefixes.read(worker, request.prompt());
+    public void sent(ServingRequest request, String upstream) {
+        prefixes.read(upstream, request.prompt());
     }
 
     /**
@@ -160,55 +164,56 @@
      * centre are taken only if they promise much more than those elsewhere, since the way there may
      * be cut.
      *
-     * @param worker the upstream
+     * @param upstream the upstream
      * @param nowMillis the time
      */
-    public void unreachable(Worker worker, long nowMillis) {
-        if (!worker.zone().equals(zone)) {
-            suspectUntilMillis.put(worker.zone(), nowMillis + SUSPECT_MILLIS);
+    public void unreachable(Upstream upstream, long nowMillis) {
+        if (!upstream.dataCentre().equals(dataCentre)) {
+            suspectUntilMillis.put(upstream.dataCentre(), nowMillis + SUSPECT_MILLIS);
         }
     }
 
     private Selection weigh(
-            Worker worker,
+            Upstream upstream,
             ServingRequest request,
             EngineEstimate engine,
             List<String> homes,
             int candidates,
             long nowMillis) {
         Prompt prompt = request.prompt();
-        int running = loads.requests(worker.id());
-        int waiting = loads.promptTokens(worker.id());
-        int cached = cachedTokens(worker, prompt, homes);
-        double millis = distanceMillis(worker, request);
-        millis += loads.failedPart(worker.id()) * FAILING_MILLIS;
-        if (suspectUntilMillis.getOrDefault(worker.zone(), nowMillis) > nowMillis) {
+        int running = loads.requests(upstream.id());
+        int waiting = loads.promptTokens(upstream.id());
+        int cached = cachedTokens(upstream, prompt, homes);
+        double millis = distanceMillis(upstream, request);
+        millis += loads.failedPart(upstream.id()) * FAILING_MILLIS;
+        if (suspectUntilMillis.getOrDefault(upstream.dataCentre(), nowMillis) > nowMillis) {
             millis += SUSPECT_PENALTY_MILLIS;
         }
         if (prompt.tokensIn() > 0) {
             double toRead = waiting + WORK_WEIGHT * Math.max(0, prompt.tokensIn() - cached);
             millis += engine.firstMillis() + toRead * engine.millisPerToken();
             millis += running * engine.pauseMillisPerRequest();
-            millis += engine.placeMillis(running, worker.slots());
+            millis += engine.placeMillis(running, upstream.slots());
         } else {
-            double perSlot = (running + 1.0) / Math.max(1, worker.slots());
+            double perSlot = (running + 1.0) / Math.max(1, upstream.slots());
             millis += engine.runMillis() * perSlot;
         }
-        double place = engine.isLearned() ? engine.placeMillis(running, worker.slots()) : 0;
+        double place = engine.isLearned() ? engine.placeMillis(running, upstream.slots()) : 0;
         return new Selection(
-                worker, millis, running, waiting, cached, candidates, Math.round(place));
+                upstream, millis, running, waiting, cached, candidates, Math.round(place));
     }
 
-    private double distanceMillis(Worker worker, ServingRequest request) {
-        if (worker.zone().equals(zone)) {
+    private double distanceMillis(Upstream upstream, ServingRequest request) {
+        if (upstream.dataCentre().equals(dataCentre)) {
             return 0;
         }
-        return OTHER_ZONE_MILLIS + OTHER_ZONE_MILLIS_PER_KB * request.bodyBytes() / BYTES_PER_KB;
+        return OTHER_DATA_CENTRE_MILLIS
+                + OTHER_DATA_CENTRE_MILLIS_PER_KB * request.bodyBytes() / BYTES_PER_KB;
     }
 
-    private int cachedTokens(Worker worker, Prompt prompt, List<String> homes) {
-        int known = prefixes.cachedTokens(worker.id(), prompt);
-        int rank = homes.indexOf(worker.id());
+    private int cachedTokens(Upstream upstream, Prompt prompt, List<String> homes) {
+        int known = prefixes.cachedTokens(upstream.id(), prompt);
+        int rank = homes.indexOf(upstream.id());
         if (rank < 0 || rank >= HOME_TRUST.length) {
             return known;
         }
@@ -225,33 +230,33 @@
     }
 
     /** The upstreams that every entry draws a subject to, the first choice first. */
-    private static List<String> homes(List<Worker> serving, Prompt prompt) {
+    private static List<String> homes(List<Upstream> serving, Prompt prompt) {
         String subject = prompt.subject();
         if (subject.isEmpty()) {
             return List.of();
         }
         long subjectHash = Hashing.xxh3_64().hashCharsToLong(subject);
-        Worker first = null;
-        Worker second = null;
+        Upstream first = null;
+        Upstream second = null;
         long firstRank = 0;
         long secondRank = 0;
-        for (Worker worker : serving) {
-            long rank = rank(subjectHash, worker);
+        for (Upstream upstream : serving) {
+            long rank = rank(subjectHash, upstream);
             if (first == null || rank < firstRank) {
                 second = first;
                 secondRank = firstRank;
-                first = worker;
+                first = upstream;
                 firstRank = rank;
             } else if (second == null || rank < secondRank) {
-                second = worker;
+                second = upstream;
                 secondRank = rank;
             }
         }
-        return Stream.of(first, second).filter(Objects::nonNull).map(Worker::id).toList();
+        return Stream.of(first, second).filter(Objects::nonNull).map(Upstream::id).toList();
     }
 
     /** A number that is as good as random for each pair of a subject and an upstream. */
-    private static long rank(long subjectHash, Worker worker) {
-        return Hashing.komihash5_0().hashLongLongToLong(subjectHash, worker.id().hashCode());
+    private static long rank(long subjectHash, Upstream upstream) {
+        return Hashing.komihash5_0().hashLongLongToLong(subjectHash, upstream.id().hashCode());
     }
 }
--- a/trailladder-core/src/main/java/io/trailladder/core/worker/WorkerUse.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/upstream/UpstreamUse.java
@@ -13,14 +13,14 @@
  * See the License for the specific language governing permissions and
  * limitations under the License.
  */
-package io.trailladder.core.worker;
+package io.trailladder.core.upstream;
 
 /**
  * What one entry has under way at one upstream.
  *
- * @param worker the upstream's name
+ * @param upstream the upstream's name
  * @param requests requests in flight
  * @param promptTokens prompt tokens sent and not yet read by the upstream
  * @since 0.2
  */
-public record WorkerUse(String worker, int requests, int promptTokens) {}
+public record UpstreamUse(String upstream, int requests, int promptTokens) {}
--- a/trailladder-core/src/main/java/io/trailladder/core/worker/package-info.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/upstream/package-info.java
@@ -3,4 +3,4 @@
  *
  * @since 0.2
  */
-package io.trailladder.core.worker;
+package io.trailladder.core.upstream;
--- a/trailladder-core/src/test/java/io/trailladder/core/duty/FleetPlannerTest.java
+++ b/trailladder-core/src/test/java/io/trailladder/core/duty/FleetPlannerTest.java
@@ -21,7 +21,7 @@
 import io.trailladder.core.engine.FleetNeed;
 import io.trailladder.core.engine.ServiceLoad;
 import io.trailladder.core.policy.ScalingSpec;
-import io.trailladder.core.worker.Worker;
+import io.trailladder.core.upstream.Upstream;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -41,38 +41,39 @@
         return Optional.of(new FleetNeed(upstreams / 0.35, upstreams / 0.7));
     }
 
-    private static List<Worker> fleet(int fullPrice, int reclaimable) {
-        List<Worker> workers = new ArrayList<>();
-        for (String zone : List.of("a", "b", "c")) {
-            add(workers, zone, fullPrice, false);
-            add(workers, zone, reclaimable, true);
+    private static List<Upstream> fleet(int fullPrice, int reclaimable) {
+        List<Upstream> upstreams = new ArrayList<>();
+        for (String dataCentre : List.of("a", "b", "c")) {
+            add(upstreams, dataCentre, fullPrice, false);
+            add(upstreams, dataCentre, reclaimable, true);
         }
-        return workers;
+        return upstreams;
     }
 
-    private static void add(List<Worker> workers, String zone, int count, boolean reclaimable) {
+    private static void add(
+            List<Upstream> upstreams, String dataCentre, int count, boolean reclaimable) {
         for (int i = 0; i < count; i++) {
-            String id = zone + i + reclaimable;
-            workers.add(new Worker(id, "s", zone, "h:1", 8, false, reclaimable, 0));
+            String id = dataCentre + i + reclaimable;
+            upstreams.add(new Upstream(id, "s", dataCentre, "h:1", 8, false, reclaimable, 0));
         }
     }
 
-    private static int ordered(List<WorkerOrder> orders, boolean reclaimable) {
+    private static int ordered(List<UpstreamOrder> orders, boolean reclaimable) {
         return orders.stream()
                 .filter(order -> order.reclaimable() == reclaimable)
-                .mapToInt(WorkerOrder::count)
+                .mapToInt(UpstreamOrder::count)
                 .sum();
     }
 
     @Example
     void provisionIsReplacedByReclaimableUpstreamsBeforeItIsReleased() {
         FleetPlanner planner = new FleetPlanner("s", false);
-        List<WorkerOrder> first = planner.plan(SCALING, fleet(2, 0), UNKNOWN, NONE, 0);
+        List<UpstreamOrder> first = planner.plan(SCALING, fleet(2, 0), UNKNOWN, NONE, 0);
         assertEquals(9, ordered(first, true));
         assertTrue(ordered(first, false) >= 2, "something still serves at the full price");
-        List<WorkerOrder> served = planner.plan(SCALING, fleet(2, 3), UNKNOWN, NONE, 5_000);
+        List<UpstreamOrder> served = planner.plan(SCALING, fleet(2, 3), UNKNOWN, NONE, 5_000);
         assertEquals(9, ordered(served, true));
-        List<WorkerOrder> later = planner.plan(SCALING, fleet(2, 3), UNKNOWN, NONE, 8_000);
+        List<UpstreamOrder> later = planner.plan(SCALING, fleet(2, 3), UNKNOWN, NONE, 8_000);
         assertEquals(0, ordered(later, false));
     }
 
@@ -92,10 +93,10 @@
     }
 
     /** What is left after a reclaim: two in one data centre, one that leaves, none in the third. */
-    private static List<Worker> afterLoss() {
-        List<Worker> left = new ArrayList<>();
+    private static List<Upstream> afterLoss() {
+        List<Upstream> left = new ArrayList<>();
         add(left, "a", 2, true);
-        left.add(new Worker("b0", "s", "b", "h:1", 8, true, true, 2_000));
+        left.add(new Upstream("b0", "s", "b", "h:1", 8, true, true, 2_000));
         return left;
     }
 
@@ -103,7 +104,7 @@
     void lossOfReclaimableUpstreamsIsMadeUpAtOnce() {
         FleetPlanner planner = new FleetPlanner("s", false);
         int before = ordered(planner.plan(SCALING, fleet(0, 2), busy(1.3), NONE, 0), true);
-        List<WorkerOrder> orders = planner.plan(SCALING, afterLoss(), busy(1.3), NONE, 1_000);
+        List<UpstreamOrder> orders = planner.plan(SCALING, afterLoss(), busy(1.3), NONE, 1_000);
         assertTrue(ordered(orders, false) >= 2, orders.toString());
         assertEquals(before, ordered(orders, true));
     }
@@ -113,7 +114,7 @@
         FleetPlanner planner = new FleetPlanner("s", false);
         planner.plan(SCALING, fleet(0, 2), busy(2.6), NONE, 0);
         Set<String> all = Set.of("a", "b", "c");
-        List<WorkerOrder> orders = planner.plan(SCALING, afterLoss(), busy(2.6), all, 1_000);
+        List<UpstreamOrder> orders = planner.plan(SCALING, afterLoss(), busy(2.6), all, 1_000);
         assertTrue(ordered(orders, false) >= 2, orders.toString());
     }
 
@@ -122,7 +123,7 @@
         FleetPlanner planner = new FleetPlanner("s", false);
         planner.plan(SCALING, fleet(0, 2), busy(2.6), NONE, 0);
         planner.plan(SCALING, afterLoss(), busy(2.6), NONE, 1_000);
-        List<WorkerOrder> orders = planner.plan(SCALING, afterLoss(), busy(2.6), NONE, 7_000);
+        List<UpstreamOrder> orders = planner.plan(SCALING, afterLoss(), busy(2.6), NONE, 7_000);
         assertTrue(ordered(orders, false) >= 2, orders.toString());
     }
 
@@ -130,7 +131,8 @@
     void whatOneDataCentreDeclinesIsOrderedInTheOthersInTheSameStep() {
         FleetPlanner planner = new FleetPlanner("s", false);
         int before = ordered(planner.plan(SCALING, fleet(0, 2), busy(4), NONE, 0), true);
-        List<WorkerOrder> orders = planner.plan(SCALING, afterLoss(), busy(4), Set.of("b"), 1_000);
+        List<UpstreamOrder> orders =
+                planner.plan(SCALING, afterLoss(), busy(4), Set.of("b"), 1_000);
         assertTrue(ordered(orders, true) > before, orders.toString());
     }
 
@@ -138,10 +140,10 @@
     void fullPriceIsBoughtWhereItCostsLeast() {
         FleetPlanner planner = new FleetPlanner("s", false);
         Set<String> all = Set.of("a", "b", "c");
-        List<WorkerOrder> orders = planner.plan(SCALING, afterLoss(), busy(1.6), all, 0);
+        List<UpstreamOrder> orders = planner.plan(SCALING, afterLoss(), busy(1.6), all, 0);
         assertTrue(ordered(orders, false) > 0, orders.toString());
-        for (WorkerOrder order : orders) {
-            boolean dearer = !order.reclaimable() && !order.zone().equals("a");
+        for (UpstreamOrder order : orders) {
+            boolean dearer = !order.reclaimable() && !order.dataCentre().equals("a");
             assertTrue(!dearer || order.count() == 0, orders.toString());
         }
     }
@@ -167,7 +169,7 @@
         FleetPlanner planner = new FleetPlanner("s", false);
         Set<String> all = Set.of("a", "b", "c");
         planner.plan(SCALING, fleet(0, 6), busy(6), NONE, 0);
-        List<WorkerOrder> orders = planner.plan(SCALING, fleet(0, 1), busy(6), all, 1_000);
+        List<UpstreamOrder> orders = planner.plan(SCALING, fleet(0, 1), busy(6), all, 1_000);
         assertTrue(ordered(orders, false) >= 8, orders.toString());
     }
 
@@ -175,7 +177,7 @@
     @Example
     void listThatStillGrowsIsNotComplete() {
         RegistrationWatch watch = new RegistrationWatch();
-        List<Worker> provided = fleet(14, 0);
+        List<Upstream> provided = fleet(14, 0);
         for (int seen = 0; seen <= provided.size(); seen++) {
             long now = 70L * seen + (seen > 14 ? 900 : 0);
             assertTrue(!watch.isSettled(provided.subList(0, seen), now), "complete at " + now);
@@ -189,12 +191,12 @@
     @Example
     void listThatNeverRestsIsTakenAsItIsInTheEnd() {
         RegistrationWatch watch = new RegistrationWatch();
-        List<Worker> workers = new ArrayList<>();
+        List<Upstream> upstreams = new ArrayList<>();
         for (long now = 0; now < RegistrationWatch.MOST_WAIT_MILLIS; now += 250) {
-            workers.add(new Worker("w" + now, "s", "a", "h:1", 8, false, false, 0));
-            assertTrue(!watch.isSettled(workers, now), "complete at " + now);
+            upstreams.add(new Upstream("w" + now, "s", "a", "h:1", 8, false, false, 0));
+            assertTrue(!watch.isSettled(upstreams, now), "complete at " + now);
         }
-        assertTrue(watch.isSettled(workers, RegistrationWatch.MOST_WAIT_MILLIS));
+        assertTrue(watch.isSettled(upstreams, RegistrationWatch.MOST_WAIT_MILLIS));
     }
 
     @Example
@@ -209,14 +211,14 @@
     void swingOfTheLoadIsNotFollowedDown() {
         FleetPlanner planner = new FleetPlanner("s", true);
         ScalingSpec large = new ScalingSpec(1, 28, 4_000, 0.22, Map.of());
-        List<Worker> workers = fleet(0, 20);
+        List<Upstream> upstreams = fleet(0, 20);
         int least = Integer.MAX_VALUE;
         for (long now = 0; now <= 160_000; now += 250) {
             double load = 20 * (1 + 0.42 * Math.sin(now * 2 * Math.PI / 40_000));
-            List<WorkerOrder> orders = planner.plan(large, workers, busy(load), NONE, now);
+            List<UpstreamOrder> orders = planner.plan(large, upstreams, busy(load), NONE, now);
             assertEquals(0, ordered(orders, false), "full price at " + now);
             least = Math.min(least, ordered(orders, true));
-            workers = fleet(0, ordered(orders, true) / 3);
+            upstreams = fleet(0, ordered(orders, true) / 3);
         }
         // need in comfort at the mean is 57, at the peak 81; the trough of 33 lasts under 20 s
         assertTrue(least >= 57, "reclaimable ones fell to " + least);
@@ -281,10 +283,10 @@
     @Example
     void takingOverDoesNotShrinkWhatServes() {
         FleetPlanner planner = new FleetPlanner("s", true);
-        List<Worker> serving = fleet(1, 5);
+        List<Upstream> serving = fleet(1, 5);
         for (long now = 0; now <= FleetPlanner.MEASURED_MILLIS; now += 250) {
             Optional<FleetNeed> load = now < 500 ? UNKNOWN : busy(now / 10_000.0);
-            List<WorkerOrder> orders = planner.plan(SCALING, serving, load, NONE, now);
+            List<UpstreamOrder> orders = planner.plan(SCALING, serving, load, NONE, now);
             assertTrue(ordered(orders, true) >= 15, "reclaimable at " + now);
             assertTrue(ordered(orders, false) >= 3, "full price at " + now);
         }
@@ -300,7 +302,7 @@
     @Example
     void aFleetThatIsTooLargeShrinksOnceTheLoadIsMeasured() {
         FleetPlanner planner = new FleetPlanner("s", true);
-        List<WorkerOrder> orders = List.of();
+        List<UpstreamOrder> orders = List.of();
         for (long now = 0; now <= 200_000; now += 250) {
             orders = planner.plan(SCALING, fleet(0, 5), busy(0.5), NONE, now);
         }
--- a/trailladder-core/src/test/java/io/trailladder/core/engine/SimulatedFleet.java
+++ b/trailladder-core/src/test/java/io/trailladder/core/engine/SimulatedFleet.java
@@ -16,7 +16,7 @@
 package io.trailladder.core.engine;
 
 import io.trailladder.core.duty.FleetPlanner;
-import io.trailladder.core.duty.WorkerOrder;
+import io.trailladder.core.duty.UpstreamOrder;
 import io.trailladder.core.pipeline.Prompt;
 import io.trailladder.core.pipeline.PromptBlock;
 import io.trailladder.core.pipeline.ServingRequest;
@@ -24,13 +24,13 @@
 import io.trailladder.core.policy.RouteKind;
 import io.trailladder.core.policy.ScalingSpec;
 import io.trailladder.core.policy.ServiceShare;
-import io.trailladder.core.worker.DemandMeter;
-import io.trailladder.core.worker.Selection;
-import io.trailladder.core.worker.ServiceDemand;
-import io.trailladder.core.worker.Worker;
-import io.trailladder.core.worker.WorkerDirectory;
-import io.trailladder.core.worker.WorkerLoads;
-import io.trailladder.core.worker.WorkerSelector;
+import io.trailladder.core.upstream.DemandMeter;
+import io.trailladder.core.upstream.Selection;
+import io.trailladder.core.upstream.ServiceDemand;
+import io.trailladder.core.upstream.Upstream;
+import io.trailladder.core.upstream.UpstreamDirectory;
+import io.trailladder.core.upstream.UpstreamLoads;
+import io.trailladder.core.upstream.UpstreamSelector;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -98,12 +98,12 @@
 
     private final Kind kind;
     private final SplittableRandom random;
-    private final WorkerDirectory directory = new WorkerDirectory();
-    private final WorkerLoads loads = new WorkerLoads();
+    private final UpstreamDirectory directory = new UpstreamDirectory();
+    private final UpstreamLoads loads = new UpstreamLoads();
     private final EngineModel model = new EngineModel();
     private final DemandMeter demand = new DemandMeter();
     private final FleetPlanner planner = new FleetPlanner(SERVICE, false);
-    private final WorkerSelector selector = new WorkerSelector("a", directory, loads, model);
+    private final UpstreamSelector selector = new UpstreamSelector("a", directory, loads, model);
     private final Map<String, Engine> engines = new HashMap<>();
     private final PriorityQueue<Due> due = new PriorityQueue<>(Comparator.comparing(Due::at));
     private final Route route;
@@ -185,29 +185,29 @@
                 new ServingRequest(
                         "id", "t", route, SERVICE, 0, prompt, 0, nowMillis, nowMillis + 60_000, 1);
         Selection choice = selector.choose(request, Set.of(), nowMillis).orElseThrow();
-        String worker = choice.worker().id();
-        Engine engine = engines.get(worker);
+        String upstream = choice.upstream().id();
+        Engine engine = engines.get(upstream);
         double first = engine.firstEventAt(kind, now, tokens);
         double end = first + kind.answerTokens() * kind.tokenMillis();
         engine.placesFreeAt.add(end);
-        loads.sent(worker, tokens);
+        loads.sent(upstream, tokens);
         demand.sent(SERVICE, tokens, nowMillis);
         long took = Math.round(first - now);
-        due.add(new Due(first, () -> firstEvent(worker, tokens, choice.waitingTokens(), took)));
-        due.add(new Due(end, () -> ended(worker, Math.round(end - nowMillis))));
+        due.add(new Due(first, () -> firstEvent(upstream, tokens, choice.waitingTokens(), took)));
+        due.add(new Due(end, () -> ended(upstream, Math.round(end - nowMillis))));
         if (measured) {
             served++;
             inTime += took <= kind.objectiveMillis() ? 1 : 0;
         }
     }
 
-    private void firstEvent(String worker, int tokens, int waiting, long took) {
-        loads.promptRead(worker, tokens);
+    private void firstEvent(String upstream, int tokens, int waiting, long took) {
+        loads.promptRead(upstream, tokens);
         model.firstEvent(SERVICE, tokens, waiting, took, Math.round(now));
     }
 
-    private void ended(String worker, long took) {
-        loads.ended(worker);
+    private void ended(String upstream, long took) {
+        loads.ended(upstream);
         model.ended(SERVICE, took, Math.round(now));
     }
 
@@ -216,7 +216,7 @@
         int underWay = loads.requests(directory.all());
         running = running < 0 ? underWay : running + 0.06 * (underWay - running);
         Optional<FleetNeed> need = need(nowMillis);
-        List<WorkerOrder> orders =
+        List<UpstreamOrder> orders =
                 planner.plan(kind.scaling(), directory.all(), need, Set.of(), nowMillis);
         orders.forEach(this::follow);
         if (measured) {
@@ -238,15 +238,16 @@
                 FleetSizer.need(load, engine, kind.slots(), (double) kind.objectiveMillis()));
     }
 
-    private void follow(WorkerOrder order) {
-        List<Worker> there = new ArrayList<>();
-        for (Worker worker : directory.serving(SERVICE)) {
-            if (worker.zone().equals(order.zone()) && worker.reclaimable() == order.reclaimable()) {
-                there.add(worker);
+    private void follow(UpstreamOrder order) {
+        List<Upstream> there = new ArrayList<>();
+        for (Upstream upstream : directory.serving(SERVICE)) {
+            if (upstream.dataCentre().equals(order.dataCentre())
+                    && upstream.reclaimable() == order.reclaimable()) {
+                there.add(upstream);
             }
         }
         for (int i = there.size(); i < order.count(); i++) {
-            add(order.zone(), order.reclaimable());
+            add(order.dataCentre(), order.reclaimable());
         }
         for (int i = order.count(); i < there.size(); i++) {
             directory.removed(there.get(i).id());
@@ -257,6 +258,6 @@
         String id = "u" + engines.size();
         engines.put(id, new Engine());
         directory.changed(
-                new Worker(id, SERVICE, dataCentre, "h:1", kind.slots(), false, reclaimable, 0));
+                new Upstream(id, SERVICE, dataCentre, "h:1", kind.slots(), false, reclaimable, 0));
     }
 }
--- a/trailladder-core/src/test/java/io/trailladder/core/pipeline/RecoveryPolicyProperties.java
+++ b/trailladder-core/src/test/java/io/trailladder/core/pipeline/RecoveryPolicyProperties.java
@@ -59,9 +59,9 @@
     private static Ending play(
             ServingRequest request, AttemptHistory history, List<AttemptFailure> failures) {
         Recovery recovery = new Retry();
-        int worker = 0;
+        int upstream = 0;
         for (AttemptFailure failure : failures) {
-            String name = "w" + worker++;
+            String name = "w" + upstream++;
             if (failure != AttemptFailure.UNREACHABLE) {
                 assertFalse(
                         history.mayHaveRun() && !request.route().repeatable(),
--- a/trailladder-core/src/test/java/io/trailladder/core/rollout/RolloutTest.java
+++ b/trailladder-core/src/test/java/io/trailladder/core/rollout/RolloutTest.java
@@ -20,7 +20,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.trailladder.core.rollout.RolloutStatus.State;
-import io.trailladder.core.worker.Worker;
+import io.trailladder.core.upstream.Upstream;
 import java.util.List;
 import java.util.SplittableRandom;
 import net.jqwik.api.Example;
@@ -30,14 +30,14 @@
 
 class RolloutTest {
     private static final RolloutOrder ORDER = new RolloutOrder("s", "v2", 12_000, 7);
-    private static final Worker OLD = worker("a", "v1");
-    private static final Worker NEW = worker("b", "v2");
-    private static final List<Worker> BOTH = List.of(OLD, NEW);
+    private static final Upstream OLD = upstream("a", "v1");
+    private static final Upstream NEW = upstream("b", "v2");
+    private static final List<Upstream> BOTH = List.of(OLD, NEW);
 
     private final Rollout rollout = new Rollout(ORDER, new ExposureLedger(1, 1_000, 1), 0);
 
-    private static Worker worker(String id, String version) {
-        return new Worker(id, "s", "z", "h:1", 8, false, false, 0, version, 0);
+    private static Upstream upstream(String id, String version) {
+        return new Upstream(id, "s", "z", "h:1", 8, false, false, 0, version, 0);
     }
 
     @Example
@@ -70,7 +70,7 @@
 
     @Example
     void coldUpstreamMayBeLate() {
-        Worker cold = new Worker("c", "s", "z", "h:1", 8, false, false, 0, "v2", 900);
+        Upstream cold = new Upstream("c", "s", "z", "h:1", 8, false, false, 0, "v2", 900);
         for (int i = 0; i < 100; i++) {
             rollout.answered(OLD, new AnswerSeen("r", false, 50, 50, 0, true));
             rollout.answered(cold, new AnswerSeen("r", false, 900, 50, 0, true));
@@ -103,8 +103,8 @@
         rollout.lead(RolloutPhase.SWITCHING, 0);
         rollout.admitted(BOTH, true, 100);
         rollout.recorded(new RolloutStatus("s", "v2", State.COMPLETED, 9), 200);
-        Worker later = worker("c", "v3");
-        List<Worker> all = List.of(OLD, NEW, later);
+        Upstream later = upstream("c", "v3");
+        List<Upstream> all = List.of(OLD, NEW, later);
         assertEquals(List.of(NEW), rollout.admitted(all, true, 300));
         assertEquals(List.of(NEW, later), rollout.admitted(all, true, 20_000));
     }
--- a/trailladder-core/src/test/java/io/trailladder/core/rollout/SimulatedRollout.java
+++ b/trailladder-core/src/test/java/io/trailladder/core/rollout/SimulatedRollout.java
@@ -18,7 +18,7 @@
 import io.trailladder.core.rollout.RolloutLead.Fleet;
 import io.trailladder.core.rollout.RolloutLead.Step;
 import io.trailladder.core.rollout.RolloutStatus.State;
-import io.trailladder.core.worker.Worker;
+import io.trailladder.core.upstream.Upstream;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -125,7 +125,7 @@
     private final RolloutOrder order;
     private final long deadline;
     private final List<Member> processes = new ArrayList<>();
-    private final List<Worker> serving = new ArrayList<>();
+    private final List<Upstream> serving = new ArrayList<>();
     private final Map<String, Integer> running = new HashMap<>();
     private final PriorityQueue<Due> due = new PriorityQueue<>(Comparator.comparing(Due::at));
     private RolloutStatus status = RolloutStatus.none(SERVICE);
@@ -151,13 +151,13 @@
         }
         processes.forEach(process -> process.rollout = process.newView(SLACK));
         for (int i = 0; i < 12; i++) {
-            serving.add(worker("a" + i, OLD));
-            serving.add(worker("b" + i, NEW));
+            serving.add(upstream("a" + i, OLD));
+            serving.add(upstream("b" + i, NEW));
         }
     }
 
-    private static Worker worker(String id, String version) {
-        return new Worker(id, SERVICE, "z", "h:1", 8, false, false, 0, version, 0);
+    private static Upstream upstream(String id, String version) {
+        return new Upstream(id, SERVICE, "z", "h:1", 8, false, false, 0, version, 0);
     }
 
     /** Plays the order's time and what is needed to see that nothing is sent after it. */
@@ -221,14 +221,14 @@
     }
 
     private void send(Member process, int route) {
-        List<Worker> candidates = process.rollout.admitted(serving, true, now);
+        List<Upstream> candidates = process.rollout.admitted(serving, true, now);
         if (candidates.isEmpty()) {
             return;
         }
-        Worker worker = candidates.get(random.nextInt(candidates.size()));
-        boolean isTarget = worker.version().equals(NEW);
+        Upstream upstream = candidates.get(random.nextInt(candidates.size()));
+        boolean isTarget = upstream.version().equals(NEW);
         Rollout sentBy = process.rollout;
-        sentBy.sent(worker);
+        sentBy.sent(upstream);
         if (now <= deadline && !status.state().equals(State.COMPLETED)) {
             total++;
             exposed += isTarget ? 1 : 0;
@@ -236,7 +236,7 @@
         if (isTarget && status.state() != State.COMPLETED && !process.cut) {
             lastExposedMillis = now;
         }
-        int load = running.merge(worker.id(), 1, Integer::sum);
+        int load = running.merge(upstream.id(), 1, Integer::sum);
         boolean badNow = isTarget && version.isBadNow((int) now, load, route);
         boolean fails = random.nextDouble() < (badNow ? version.fails() : OLD_FAILS);
         boolean slow = badNow && random.nextDouble() < version.slow();
@@ -245,14 +245,19 @@
         due.add(
                 new Due(
                         now + took + RUN_MILLIS,
-                        () -> ended(sentBy, worker, route, fails, slow, took)));
+                        () -> ended(sentBy, upstream, route, fails, slow, took)));
     }
 
     private void ended(
-            Rollout sentBy, Worker worker, int route, boolean fails, boolean slow, double took) {
-        running.merge(worker.id(), -1, Integer::sum);
-        sentBy.answered(worker, new AnswerSeen("r" + route, fails, took, FIRST_MILLIS, 0, true));
-        if (worker.version().equals(NEW) && (fails || slow) && isBadVersion()) {
+            Rollout sentBy,
+            Upstream upstream,
+            int route,
+            boolean fails,
+            boolean slow,
+            double took) {
+        running.merge(upstream.id(), -1, Integer::sum);
+        sentBy.answered(upstream, new AnswerSeen("r" + route, fails, took, FIRST_MILLIS, 0, true));
+        if (upstream.version().equals(NEW) && (fails || slow) && isBadVersion()) {
             badAnswers++;
             if (badAnswers == MANY_BAD) {
                 manyBadMillis = now;
--- a/trailladder-core/src/test/java/io/trailladder/core/routing/RouterTest.java
+++ b/trailladder-core/src/test/java/io/trailladder/core/routing/RouterTest.java
@@ -18,8 +18,8 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import io.trailladder.core.membership.Upstream;
-import io.trailladder.core.membership.UpstreamDirectory;
+import io.trailladder.core.membership.LocalUpstream;
+import io.trailladder.core.membership.LocalUpstreamDirectory;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -30,11 +30,11 @@
 class RouterTest {
     private static final String PROMPT = "un expediente familiar ".repeat(200);
 
-    private final UpstreamDirectory directory = new UpstreamDirectory();
+    private final LocalUpstreamDirectory directory = new LocalUpstreamDirectory();
     private final Router router = new Router("baires-a", directory, 42);
 
-    private static Upstream engine(String id, String dataCentre) {
-        return new Upstream(id, dataCentre, "127.0.0.1:1", "modelo-hipo");
+    private static LocalUpstream engine(String id, String dataCentre) {
+        return new LocalUpstream(id, dataCentre, "127.0.0.1:1", "modelo-hipo");
     }
 
     private static RoutingQuery query(String prompt) {
@@ -50,7 +50,7 @@
 
     @Example
     void leavingUpstreamGetsNoNewWorkThoughTheListStillCallsItLive() {
-        List<Upstream> list = List.of(engine("a1", "baires-a"), engine("a2", "baires-a"));
+        List<LocalUpstream> list = List.of(engine("a1", "baires-a"), engine("a2", "baires-a"));
         directory.listed(list, List.of());
         directory.noticed("a1");
         directory.listed(list, List.of());
@@ -61,7 +61,7 @@
 
     @Example
     void sharedPrefixGoesWhereItIsCached() {
-        List<Upstream> list = new ArrayList<>();
+        List<LocalUpstream> list = new ArrayList<>();
         for (int i = 0; i < 6; i++) {
             list.add(engine("a" + i, "baires-a"));
         }
--- a/trailladder-core/src/test/java/io/trailladder/core/worker/PlaceForecastTest.java
+++ b/trailladder-core/src/test/java/io/trailladder/core/upstream/PlaceForecastTest.java
@@ -13,7 +13,7 @@
  * See the License for the specific language governing permissions and
  * limitations under the License.
  */
-package io.trailladder.core.worker;
+package io.trailladder.core.upstream;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
@@ -28,18 +28,18 @@
     private static final EngineEstimate ENGINE = new EngineEstimate(20, 0.01, 0.1, 1_200, 100);
     private static final OptionalLong BOOT = OptionalLong.of(4_000);
 
-    private final WorkerLoads loads = new WorkerLoads();
+    private final UpstreamLoads loads = new UpstreamLoads();
 
-    private static Worker worker(String id) {
-        return new Worker(id, "s", "a", "h:1", 4, false, false, 0);
+    private static Upstream upstream(String id) {
+        return new Upstream(id, "s", "a", "h:1", 4, false, false, 0);
     }
 
     private void running(String id, int requests) {
-        loads.peerUses("peer of " + id, List.of(new WorkerUse(id, requests, 0)));
+        loads.peerUses("peer of " + id, List.of(new UpstreamUse(id, requests, 0)));
     }
 
     private long forecast(String... ids) {
-        List<Worker> serving = Arrays.stream(ids).map(PlaceForecastTest::worker).toList();
+        List<Upstream> serving = Arrays.stream(ids).map(PlaceForecastTest::upstream).toList();
         return PlaceForecast.millis(serving, loads, ENGINE, BOOT);
     }
 
@@ -75,6 +75,6 @@
         EngineEstimate fast = new EngineEstimate(1, 0.001, 0.1, 20, 100);
         assertEquals(
                 PlaceForecast.LEAST_MILLIS,
-                PlaceForecast.millis(List.of(worker("w0")), loads, fast, BOOT));
+                PlaceForecast.millis(List.of(upstream("w0")), loads, fast, BOOT));
     }
 }
--- a/trailladder-core/src/test/java/io/trailladder/core/worker/WorkerLoadsTest.java
+++ b/trailladder-core/src/test/java/io/trailladder/core/upstream/UpstreamLoadsTest.java
@@ -13,7 +13,7 @@
  * See the License for the specific language governing permissions and
  * limitations under the License.
  */
-package io.trailladder.core.worker;
+package io.trailladder.core.upstream;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
@@ -23,24 +23,24 @@
 import net.jqwik.api.Example;
 
 /** Sums of the work under way at upstreams, as hubs tell them. */
-class WorkerLoadsTest {
-    private static Map<String, Integer> requests(List<WorkerUse> uses) {
+class UpstreamLoadsTest {
+    private static Map<String, Integer> requests(List<UpstreamUse> uses) {
         Map<String, Integer> requests = new TreeMap<>();
-        uses.forEach(use -> requests.put(use.worker(), use.requests()));
+        uses.forEach(use -> requests.put(use.upstream(), use.requests()));
         return requests;
     }
 
-    private static WorkerLoads loads() {
-        WorkerLoads loads = new WorkerLoads();
+    private static UpstreamLoads loads() {
+        UpstreamLoads loads = new UpstreamLoads();
         loads.sent("u1", 100);
-        loads.peerUses("leaf", List.of(new WorkerUse("u1", 2, 10), new WorkerUse("u2", 3, 20)));
-        loads.peerUses("hub", List.of(new WorkerUse("u3", 4, 30)));
+        loads.peerUses("leaf", List.of(new UpstreamUse("u1", 2, 10), new UpstreamUse("u2", 3, 20)));
+        loads.peerUses("hub", List.of(new UpstreamUse("u3", 4, 30)));
         return loads;
     }
 
     @Example
     void groupHoldsOwnAndLeavesAndRestAllButOne() {
-        WorkerLoads loads = loads();
+        UpstreamLoads loads = loads();
         assertEquals(Map.of("u1", 3, "u2", 3), requests(loads.groupUses(List.of("leaf"))));
         assertEquals(Map.of("u1", 1, "u3", 4), requests(loads.restUses("leaf")));
         assertEquals(Map.of("u1", 1), requests(loads.ownUses()));
@@ -50,8 +50,8 @@
 
     @Example
     void newerFiguresReplaceOlderOnesAndALostPeerCountsNothing() {
-        WorkerLoads loads = loads();
-        loads.peerUses("leaf", List.of(new WorkerUse("u2", 1, 5)));
+        UpstreamLoads loads = loads();
+        loads.peerUses("leaf", List.of(new UpstreamUse("u2", 1, 5)));
         assertEquals(1, loads.requests("u1"));
         assertEquals(1, loads.requests("u2"));
         assertEquals(5, loads.promptTokens("u2"));
--- a/trailladder-core/src/test/java/io/trailladder/core/worker/WorkerSelectorTest.java
+++ b/trailladder-core/src/test/java/io/trailladder/core/upstream/UpstreamSelectorTest.java
@@ -13,7 +13,7 @@
  * See the License for the specific language governing permissions and
  * limitations under the License.
  */
-package io.trailladder.core.worker;
+package io.trailladder.core.upstream;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
@@ -34,16 +34,16 @@
 import net.jqwik.api.constraints.IntRange;
 
 /** The choice of an upstream by cached prompt parts, load of all entries, distance and health. */
-class WorkerSelectorTest {
-    private final WorkerDirectory directory = new WorkerDirectory();
-    private final WorkerLoads loads = new WorkerLoads();
-    private final WorkerSelector selector =
-            new WorkerSelector("a", directory, loads, new EngineModel());
+class UpstreamSelectorTest {
+    private final UpstreamDirectory directory = new UpstreamDirectory();
+    private final UpstreamLoads loads = new UpstreamLoads();
+    private final UpstreamSelector selector =
+            new UpstreamSelector("a", directory, loads, new EngineModel());
 
-    private void workers(int count) {
+    private void upstreams(int count) {
         for (int i = 0; i < count; i++) {
-            String zone = i % 2 == 0 ? "a" : "b";
-            directory.changed(new Worker("w" + i, "s", zone, "h:1", 8, false, false, 0));
+            String dataCentre = i % 2 == 0 ? "a" : "b";
+            directory.changed(new Upstream("w" + i, "s", dataCentre, "h:1", 8, false, false, 0));
         }
     }
 
@@ -73,32 +73,34 @@
         return new ServingRequest("id", "t", route, "s", 0, prompt, 100, 0, 8_000, 1);
     }
 
-    private static String chosen(WorkerSelector from, ServingRequest request) {
-        return from.choose(request, Set.of(), 0).orElseThrow().worker().id();
+    private static String chosen(UpstreamSelector from, ServingRequest request) {
+        return from.choose(request, Set.of(), 0).orElseThrow().upstream().id();
     }
 
     @Property
     void entriesDrawASubjectToTheSameUpstream(@ForAll @IntRange(min = 1, max = 9) int count) {
-        WorkerDirectory fresh = new WorkerDirectory();
+        UpstreamDirectory fresh = new UpstreamDirectory();
         for (int i = 0; i < count; i++) {
-            fresh.changed(new Worker("w" + i, "s", "a", "h:1", 8, false, false, 0));
+            fresh.changed(new Upstream("w" + i, "s", "a", "h:1", 8, false, false, 0));
         }
-        WorkerSelector one = new WorkerSelector("a", fresh, new WorkerLoads(), new EngineModel());
-        WorkerSelector other = new WorkerSelector("a", fresh, new WorkerLoads(), new EngineModel());
+        UpstreamSelector one =
+                new UpstreamSelector("a", fresh, new UpstreamLoads(), new EngineModel());
+        UpstreamSelector other =
+                new UpstreamSelector("a", fresh, new UpstreamLoads(), new EngineModel());
         assertEquals(chosen(one, request("x")), chosen(other, request("x")));
     }
 
     @Example
     void workOfPeersCounts() {
-        workers(2);
+        upstreams(2);
         String home = chosen(selector, request("x"));
-        loads.peerUses("peer", List.of(new WorkerUse(home, 20, 60_000)));
+        loads.peerUses("peer", List.of(new UpstreamUse(home, 20, 60_000)));
         assertNotEquals(home, chosen(selector, request("x")));
     }
 
     @Example
     void failingUpstreamIsLeftOutUnlessItIsTheOnlyOne() {
-        workers(2);
+        upstreams(2);
         loads.unreachable("w0", 0);
         assertEquals("w1", chosen(selector, request("x")));
         loads.unreachable("w1", 0);
@@ -107,18 +109,18 @@
 
     @Example
     void dataCentreThatCannotBeReachedIsLeftOutAsAWhole() {
-        workers(6);
-        Worker far = directory.find("w1").orElseThrow();
+        upstreams(6);
+        Upstream far = directory.find("w1").orElseThrow();
         selector.unreachable(far, 0);
         for (int i = 0; i < 20; i++) {
             String id = chosen(selector, request("subject" + i));
-            assertEquals("a", directory.find(id).orElseThrow().zone());
+            assertEquals("a", directory.find(id).orElseThrow().dataCentre());
         }
     }
 
     @Example
     void leavingUpstreamGetsNoNewWork() {
-        workers(2);
+        upstreams(2);
         directory.leaving("w0");
         for (int i = 0; i < 20; i++) {
             assertEquals("w1", chosen(selector, request("subject" + i)));
@@ -129,9 +131,9 @@
 
     @Example
     void lateListDoesNotBringALeavingUpstreamBack() {
-        workers(1);
+        upstreams(1);
         directory.leaving("w0");
-        directory.changed(new Worker("w0", "s", "a", "h:1", 8, false, false, 0));
+        directory.changed(new Upstream("w0", "s", "a", "h:1", 8, false, false, 0));
         assertTrue(directory.serving("s").isEmpty());
     }
 }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Attempt.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Attempt.java
@@ -18,8 +18,8 @@
 import io.trailladder.core.pipeline.AttemptFailure;
 import io.trailladder.core.pipeline.ServingRequest;
 import io.trailladder.core.rollout.AnswerSeen;
-import io.trailladder.core.worker.Selection;
-import io.trailladder.core.worker.Worker;
+import io.trailladder.core.upstream.Selection;
+import io.trailladder.core.upstream.Upstream;
 import io.trailladder.entry.http.CallFailure;
 import io.trailladder.entry.http.CallListener;
 import io.trailladder.entry.http.ClientCall;
@@ -37,7 +37,7 @@
 
     private final ServingContext context;
     private final ServingRequest request;
-    private final Worker worker;
+    private final Upstream upstream;
     private final int uncachedTokens;
     private final int waitingTokens;
     private final double predictedMillis;
@@ -73,7 +73,7 @@
     Attempt(ServingContext context, ServingRequest request, Selection selection, Owner owner) {
         this.context = context;
         this.request = request;
-        this.worker = selection.worker();
+        this.upstream = selection.upstream();
         this.uncachedTokens = Math.max(0, request.prompt().tokensIn() - selection.cachedTokens());
         this.waitingTokens = selection.waitingTokens();
         this.predictedMillis = selection.predictedMillis();
@@ -83,8 +83,8 @@
     }
 
     void start(OutgoingCall outgoing) {
-        context.loads().sent(worker.id(), uncachedTokens);
-        context.rollouts().sent(request.service(), worker);
+        context.loads().sent(upstream.id(), uncachedTokens);
+        context.rollouts().sent(request.service(), upstream);
         context.demand().sent(request.service(), uncachedTokens, createdMillis);
         call = context.connector().send(outgoing, this);
         if (over) {
@@ -92,8 +92,8 @@
         }
     }
 
-    Worker worker() {
-        return worker;
+    Upstream upstream() {
+        return upstream;
     }
 
     boolean isSent() {
@@ -146,7 +146,7 @@
     private void promptRead() {
         if (!promptRead) {
             promptRead = true;
-            context.loads().promptRead(worker.id(), uncachedTokens);
+            context.loads().promptRead(upstream.id(), uncachedTokens);
         }
     }
 
@@ -187,9 +187,9 @@
         }
         long now = context.loop().nowMillis();
         if (status >= SERVER_ERRORS) {
-            context.loads().failed(worker.id(), now);
+            context.loads().failed(upstream.id(), now);
         } else if (status >= SUCCESS_FROM && status <= SUCCESS_TO) {
-            context.loads().succeeded(worker.id(), now);
+            context.loads().succeeded(upstream.id(), now);
             learn(now);
         }
         tellVersion(status >= SERVER_ERRORS, true);
@@ -211,7 +211,7 @@
                         predictedMillis,
                         whole ? pauseMillis() : 0,
                         whole);
-        context.rollouts().answered(request.service(), worker, seen);
+        context.rollouts().answered(request.service(), upstream, seen);
     }
 
     /** The mean pause between the events, in milliseconds; 0 if there were too few. */
@@ -224,7 +224,7 @@
     private void learn(long nowMillis) {
         context.engines().ended(request.service(), nowMillis - createdMillis, nowMillis);
         if (events > 1) {
-            int running = context.loads().requests(worker.id());
+            int running = context.loads().requests(upstream.id());
             context.engines().paused(request.service(), running, pauseMillis(), nowMillis);
         }
     }
@@ -243,12 +243,12 @@
         AttemptFailure failure = sent ? reason : reason.beforeSending();
         long now = context.loop().nowMillis();
         if (failure == AttemptFailure.UNREACHABLE || failure == AttemptFailure.MISDIRECTED) {
-            context.loads().unreachable(worker.id(), now);
+            context.loads().unreachable(upstream.id(), now);
             if (failure == AttemptFailure.UNREACHABLE) {
-                context.selector().unreachable(worker, now);
+                context.selector().unreachable(upstream, now);
             }
         } else if (failure != AttemptFailure.LEAVING && failure != AttemptFailure.NOT_SENT) {
-            context.loads().failed(worker.id(), now);
+            context.loads().failed(upstream.id(), now);
         }
         if (failure == AttemptFailure.SILENT || failure == AttemptFailure.BROKEN) {
             tellVersion(false, false);
@@ -263,6 +263,6 @@
     private void finish() {
         over = true;
         promptRead();
-        context.loads().ended(worker.id());
+        context.loads().ended(upstream.id());
     }
 }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/AttemptCalls.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/AttemptCalls.java
@@ -16,7 +16,7 @@
 package io.trailladder.entry.gateway;
 
 import io.trailladder.core.pipeline.ServingRequest;
-import io.trailladder.core.worker.Worker;
+import io.trailladder.core.upstream.Upstream;
 import io.trailladder.entry.http.HeaderList;
 import io.trailladder.entry.http.OutgoingCall;
 import io.trailladder.entry.http.ServerExchange;
@@ -56,24 +56,24 @@
     /**
      * Writes a call.
      *
-     * @param worker the upstream
+     * @param upstream the upstream
      * @param lastEventId the last event that the caller has; empty for a beginning
      * @param nowMillis the time
      * @return the call
      */
-    OutgoingCall to(Worker worker, String lastEventId, long nowMillis) {
+    OutgoingCall to(Upstream upstream, String lastEventId, long nowMillis) {
         long left = request.deadlineMillis() - nowMillis;
         HeaderList headers =
                 protocol.attempt(
                         exchange.headers(),
                         new AttemptFields(
-                                worker.id(),
+                                upstream.id(),
                                 request.organisation(),
                                 request.priority(),
                                 left,
                                 lastEventId));
         return new OutgoingCall(
-                HostPort.parse(worker.address()),
+                HostPort.parse(upstream.address()),
                 exchange.method(),
                 exchange.uri(),
                 headers,
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ClusterView.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ClusterView.java
@@ -20,10 +20,10 @@
 import io.trailladder.core.engine.ServiceLoad;
 import io.trailladder.core.membership.MemberCount;
 import io.trailladder.core.membership.MemberCount.Reading;
-import io.trailladder.core.worker.DemandMeter;
-import io.trailladder.core.worker.ServiceDemand;
-import io.trailladder.core.worker.Worker;
-import io.trailladder.core.worker.WorkerLoads;
+import io.trailladder.core.upstream.DemandMeter;
+import io.trailladder.core.upstream.ServiceDemand;
+import io.trailladder.core.upstream.Upstream;
+import io.trailladder.core.upstream.UpstreamLoads;
 import io.trailladder.entry.gateway.DigestWriter.SenderState;
 import io.trailladder.entry.mesh.Mesh;
 import io.trailladder.entry.mesh.MeshListener;
@@ -74,7 +74,7 @@
     private final DirectoryKeeper directory;
     private final StoreHealth store;
     private final LimitExchange limits;
-    private final WorkerLoads loads;
+    private final UpstreamLoads loads;
     private final UsageLedger usage;
     private final EngineModel engines;
     private final DigestWriter writer;
@@ -107,7 +107,7 @@
             DirectoryKeeper directory,
             StoreHealth store,
             Quotas quotas,
-            WorkerLoads loads,
+            UpstreamLoads loads,
             UsageLedger usage,
             DemandMeter demand,
             EngineModel engines,
@@ -123,7 +123,7 @@
         this.engines = engines;
         this.writer = new DigestWriter(policies, directory, quotas, loads, usage, demand, engines);
         this.snapshots = new SnapshotExchange(nowMillis, policies, directory, store, metrics);
-        directory.onLeaving(worker -> remember(worker.id()));
+        directory.onLeaving(upstream -> remember(upstream.id()));
         directory.onNews(this::tellLeaves);
     }
 
@@ -208,7 +208,7 @@
      * @param upstreams its upstreams, leaving ones too
      * @return the load now
      */
-    public ServiceLoad load(String service, Collection<Worker> upstreams) {
+    public ServiceLoad load(String service, Collection<Upstream> upstreams) {
         int running = loads.requests(upstreams);
         for (ServiceDemand sum : writer.sum(counted(), nowMillis.getAsLong())) {
             if (sum.service().equals(service)) {
@@ -400,11 +400,11 @@
     }
 
     /** An upstream whose entry is only gone may come back, so peers are not told that it leaves. */
-    private void remember(String worker) {
-        if (!directory.isLeaving(worker)) {
+    private void remember(String upstream) {
+        if (!directory.isLeaving(upstream)) {
             return;
         }
-        recentLeaving.add(worker);
+        recentLeaving.add(upstream);
         if (recentLeaving.size() > RECENT_LEAVING) {
             recentLeaving.remove(0);
         }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/DecisionLog.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/DecisionLog.java
@@ -87,7 +87,7 @@
      *
      * @param id the request
      * @param attempt number of the attempt, from 1
-     * @param worker the upstream
+     * @param upstream the upstream
      * @param predictedMs predicted time to its first answer, in milliseconds
      * @param running requests under way there
      * @param waitingTokens prompt tokens waiting there
@@ -99,7 +99,7 @@
     public record Dispatch(
             String id,
             int attempt,
-            String worker,
+            String upstream,
             long predictedMs,
             int running,
             int waitingTokens,
@@ -112,7 +112,7 @@
         public void write(JsonGenerator json) throws IOException {
             json.writeStringField("id", id);
             json.writeNumberField("attempt", attempt);
-            json.writeStringField("worker", worker);
+            json.writeStringField("upstream", upstream);
             json.writeNumberField("predictedMs", predictedMs);
             json.writeNumberField("running", running);
             json.writeNumberField("waitingTokens", waitingTokens);
@@ -153,19 +153,19 @@
      * An attempt failed.
      *
      * @param id the request
-     * @param worker the upstream
+     * @param upstream the upstream
      * @param failure how it failed
      * @param status the upstream's HTTP status; 0 if none came
      * @param afterMs time since the attempt was sent, in milliseconds
      * @param recovery what is done now
      */
     public record AttemptFailed(
-            String id, String worker, String failure, int status, long afterMs, String recovery)
+            String id, String upstream, String failure, int status, long afterMs, String recovery)
             implements Decision {
         @Override
         public void write(JsonGenerator json) throws IOException {
             json.writeStringField("id", id);
-            json.writeStringField("worker", worker);
+            json.writeStringField("upstream", upstream);
             json.writeStringField("failure", failure);
             json.writeNumberField("status", status);
             json.writeNumberField("afterMs", afterMs);
@@ -179,7 +179,7 @@
      * @param id the request
      * @param outcome how
      * @param status the HTTP status that the caller was sent; 0 if none
-     * @param worker the last upstream; empty if there was none
+     * @param upstream the last upstream; empty if there was none
      * @param attempts upstreams it was sent to
      * @param tookMs time since it was accepted, in milliseconds
      * @param firstMs time to the first byte of the answer, in milliseconds; below 0 if there was
@@ -189,7 +189,7 @@
             String id,
             String outcome,
             int status,
-            String worker,
+            String upstream,
             int attempts,
             long tookMs,
             long firstMs)
@@ -199,7 +199,7 @@
             json.writeStringField("id", id);
             json.writeStringField("outcome", outcome);
             json.writeNumberField("status", status);
-            json.writeStringField("worker", worker);
+            json.writeStringField("upstream", upstream);
             json.writeNumberField("attempts", attempts);
             json.writeNumberField("tookMs", tookMs);
             json.writeNumberField("firstMs", firstMs);
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/DigestWriter.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/DigestWriter.java
@@ -19,10 +19,10 @@
 import io.trailladder.core.duty.UsageLedger;
 import io.trailladder.core.engine.EngineEvidence;
 import io.trailladder.core.engine.EngineModel;
-import io.trailladder.core.worker.DemandMeter;
-import io.trailladder.core.worker.ServiceDemand;
-import io.trailladder.core.worker.WorkerLoads;
-import io.trailladder.core.worker.WorkerUse;
+import io.trailladder.core.upstream.DemandMeter;
+import io.trailladder.core.upstream.ServiceDemand;
+import io.trailladder.core.upstream.UpstreamLoads;
+import io.trailladder.core.upstream.UpstreamUse;
 import io.trailladder.wire.NodeMessage.DigestScope;
 import io.trailladder.wire.NodeMessage.NodeDigest;
 import io.trailladder.wire.NodeMessage.OrganisationUse;
@@ -47,7 +47,7 @@
     private final PolicyKeeper policies;
     private final DirectoryKeeper directory;
     private final Quotas quotas;
-    private final WorkerLoads loads;
+    private final UpstreamLoads loads;
     private final UsageLedger usage;
     private final DemandMeter demand;
     private final EngineModel engines;
@@ -69,7 +69,7 @@
             PolicyKeeper policies,
             DirectoryKeeper directory,
             Quotas quotas,
-            WorkerLoads loads,
+            UpstreamLoads loads,
             UsageLedger usage,
             DemandMeter demand,
             EngineModel engines) {
@@ -176,7 +176,7 @@
             int processes,
             List<UsageHistory> news,
             List<OrganisationUse> organisations,
-            List<WorkerUse> uses,
+            List<UpstreamUse> uses,
             List<ServiceDemand> demands,
             List<EngineEvidence> evidence) {
         return new NodeDigest(
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/DirectoryKeeper.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/DirectoryKeeper.java
@@ -15,13 +15,13 @@
  */
 package io.trailladder.entry.gateway;
 
-import io.trailladder.core.worker.Worker;
-import io.trailladder.core.worker.WorkerDirectory;
+import io.trailladder.core.upstream.Upstream;
+import io.trailladder.core.upstream.UpstreamDirectory;
 import io.trailladder.entry.gateway.DecisionLog.Belief;
 import io.trailladder.entry.port.PlatformFormat;
 import io.trailladder.entry.port.StoreItem;
+import io.trailladder.wire.NodeMessage.UpstreamEntry;
 import io.trailladder.wire.NodeMessage.UpstreamNews;
-import io.trailladder.wire.NodeMessage.WorkerEntry;
 import io.vavr.control.Either;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -46,10 +46,10 @@
     static final long RETURN_MILLIS = 2_200;
 
     private final PlatformFormat format;
-    private final WorkerDirectory directory;
+    private final UpstreamDirectory directory;
     private final LongSupplier nowMillis;
     private final Consumer<Runnable> afterReturn;
-    private final List<Consumer<Worker>> onLeaving = new ArrayList<>();
+    private final List<Consumer<Upstream>> onLeaving = new ArrayList<>();
     private final Map<String, byte[]> entries = new HashMap<>();
     private Consumer<UpstreamNews> onNews = news -> {};
     private long revision;
@@ -65,7 +65,7 @@
      */
     public DirectoryKeeper(
             PlatformFormat format,
-            WorkerDirectory directory,
+            UpstreamDirectory directory,
             LongSupplier nowMillis,
             Consumer<Runnable> afterReturn) {
         this.format = format;
@@ -88,7 +88,7 @@
      *
      * @param listener the listener
      */
-    public void onLeaving(Consumer<Worker> listener) {
+    public void onLeaving(Consumer<Upstream> listener) {
         onLeaving.add(listener);
     }
 
@@ -115,7 +115,7 @@
         String id = idOf(item.key());
         byte[] value = item.gone() ? NO_BYTES : item.value();
         apply(id, value);
-        onNews.accept(new UpstreamNews(before, revision, new WorkerEntry(id, value)));
+        onNews.accept(new UpstreamNews(before, revision, new UpstreamEntry(id, value)));
     }
 
     /**
@@ -134,37 +134,37 @@
         if (value.length == 0) {
             entries.remove(id);
             if (!mayReturn(id)) {
-                directory.removed(id).ifPresent(worker -> left(worker, "gone"));
+                directory.removed(id).ifPresent(upstream -> left(upstream, "gone"));
             }
             return;
         }
         entries.put(id, value);
-        Either<String, Worker> worker = format.worker(id, value);
-        if (worker.isLeft()) {
-            Logger.warn("entry of upstream {} cannot be read: {}", id, worker.getLeft());
+        Either<String, Upstream> upstream = format.upstream(id, value);
+        if (upstream.isLeft()) {
+            Logger.warn("entry of upstream {} cannot be read: {}", id, upstream.getLeft());
             return;
         }
         boolean known = directory.find(id).isPresent();
-        directory.changed(worker.get()).ifPresent(leaving -> left(leaving, "draining"));
+        directory.changed(upstream.get()).ifPresent(leaving -> left(leaving, "draining"));
         if (!known) {
             DecisionLog.write(
-                    new Belief("upstream " + id, worker.get().address(), "store", revision));
+                    new Belief("upstream " + id, upstream.get().address(), "store", revision));
         }
     }
 
     /**
      * Takes a peer's list over if it is newer.
      *
-     * @param workers the entries
+     * @param upstreams the entries
      * @param peerRevision the revision of the peer's list
      * @param peer the peer's name
      */
-    public void fromPeer(List<WorkerEntry> workers, long peerRevision, String peer) {
+    public void fromPeer(List<UpstreamEntry> upstreams, long peerRevision, String peer) {
         if (peerRevision <= revision) {
             return;
         }
         entries.clear();
-        workers.forEach(entry -> entries.put(entry.id(), entry.value()));
+        upstreams.forEach(entry -> entries.put(entry.id(), entry.value()));
         replaceAll(peerRevision, peer);
     }
 
@@ -175,7 +175,7 @@
      * @param peer the peer's name
      */
     public void leavingSeenBy(String id, String peer) {
-        directory.leaving(id).ifPresent(worker -> left(worker, "draining, told by " + peer));
+        directory.leaving(id).ifPresent(upstream -> left(upstream, "draining, told by " + peer));
     }
 
     /**
@@ -202,25 +202,25 @@
      *
      * @return the entries
      */
-    public List<WorkerEntry> entries() {
-        List<WorkerEntry> all = new ArrayList<>();
-        entries.forEach((id, value) -> all.add(new WorkerEntry(id, value)));
+    public List<UpstreamEntry> entries() {
+        List<UpstreamEntry> all = new ArrayList<>();
+        entries.forEach((id, value) -> all.add(new UpstreamEntry(id, value)));
         return all;
     }
 
     private void replaceAll(long atRevision, String source) {
         revision = atRevision;
-        List<Worker> workers = new ArrayList<>();
+        List<Upstream> upstreams = new ArrayList<>();
         entries.forEach(
                 (id, value) ->
-                        format.worker(id, value)
-                                .peek(workers::add)
+                        format.upstream(id, value)
+                                .peek(upstreams::add)
                                 .peekLeft(fault -> Logger.warn("upstream {}: {}", id, fault)));
-        DecisionLog.write(new Belief("upstreams", workers.size() + " listed", source, revision));
+        DecisionLog.write(new Belief("upstreams", upstreams.size() + " listed", source, revision));
         directory.all().stream()
-                .filter(worker -> !entries.containsKey(worker.id()) && mayReturn(worker.id()))
-                .forEach(workers::add);
-        directory.replaceAll(workers).forEach(worker -> left(worker, "left, by list"));
+                .filter(upstream -> !entries.containsKey(upstream.id()) && mayReturn(upstream.id()))
+                .forEach(upstreams::add);
+        directory.replaceAll(upstreams).forEach(upstream -> left(upstream, "left, by list"));
     }
 
     private boolean mayReturn(String id) {
@@ -231,19 +231,19 @@
         if (nowMillis.getAsLong() < returnsUntilMillis) {
             return;
         }
-        for (Worker worker : directory.all()) {
-            if (!entries.containsKey(worker.id())) {
-                directory.removed(worker.id()).ifPresent(gone -> left(gone, "gone, not back"));
+        for (Upstream upstream : directory.all()) {
+            if (!entries.containsKey(upstream.id())) {
+                directory.removed(upstream.id()).ifPresent(gone -> left(gone, "gone, not back"));
             }
         }
     }
 
-    private void left(Worker worker, String how) {
-        DecisionLog.write(new Belief("upstream " + worker.id(), how, "store", revision));
-        onLeaving.forEach(listener -> listener.accept(worker));
+    private void left(Upstream upstream, String how) {
+        DecisionLog.write(new Belief("upstream " + upstream.id(), how, "store", revision));
+        onLeaving.forEach(listener -> listener.accept(upstream));
     }
 
     private String idOf(String key) {
-        return key.substring(format.workerPrefix().length());
+        return key.substring(format.upstreamPrefix().length());
     }
 }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/FleetRunner.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/FleetRunner.java
@@ -17,7 +17,7 @@
 
 import io.trailladder.core.duty.FleetPlanner;
 import io.trailladder.core.duty.RegistrationWatch;
-import io.trailladder.core.duty.WorkerOrder;
+import io.trailladder.core.duty.UpstreamOrder;
 import io.trailladder.core.engine.EngineEstimate;
 import io.trailladder.core.engine.EngineModel;
 import io.trailladder.core.engine.FleetNeed;
@@ -26,8 +26,8 @@
 import io.trailladder.core.policy.Route;
 import io.trailladder.core.policy.ScalingSpec;
 import io.trailladder.core.policy.ServiceSpec;
-import io.trailladder.core.worker.Worker;
-import io.trailladder.core.worker.WorkerDirectory;
+import io.trailladder.core.upstream.Upstream;
+import io.trailladder.core.upstream.UpstreamDirectory;
 import io.trailladder.entry.loop.EventLoop;
 import io.trailladder.entry.port.DutyApi;
 import java.util.Collection;
@@ -62,7 +62,7 @@
     private final EventLoop loop;
     private final DutyRunner leadership;
     private final PolicyKeeper policies;
-    private final WorkerDirectory directory;
+    private final UpstreamDirectory directory;
     private final LoadSource loads;
     private final EngineModel engines;
     private final Predicate<String> isMoving;
@@ -81,7 +81,7 @@
          * @param upstreams its upstreams, leaving ones too
          * @return the load over all processes
          */
-        ServiceLoad load(String service, Collection<Worker> upstreams);
+        ServiceLoad load(String service, Collection<Upstream> upstreams);
     }
 
     /** What is kept of one service. */
@@ -124,7 +124,7 @@
             DutyApi duties,
             DutyRunner leadership,
             PolicyKeeper policies,
-            WorkerDirectory directory,
+            UpstreamDirectory directory,
             LoadSource loads,
             EngineModel engines,
             GatewayMetrics metrics,
@@ -165,37 +165,38 @@
 
     private void plan(ServiceSpec spec, ScalingSpec scaling) {
         String service = spec.name();
-        List<Worker> workers =
+        List<Upstream> upstreams =
                 directory.all().stream().filter(w -> w.service().equals(service)).toList();
-        if (workers.isEmpty() || isMoving.test(service)) {
+        if (upstreams.isEmpty() || isMoving.test(service)) {
             return;
         }
         Fleet fleet =
                 fleets.computeIfAbsent(
                         service,
                         name -> new Fleet(new FleetPlanner(name, takesOver || hasFollowed)));
-        ServiceLoad load = fleet.smooth(loads.load(service, workers));
-        Optional<FleetNeed> need = need(service, load, workers);
-        boolean settled = fleet.registrations.isSettled(workers, loop.nowMillis());
+        ServiceLoad load = fleet.smooth(loads.load(service, upstreams));
+        Optional<FleetNeed> need = need(service, load, upstreams);
+        boolean settled = fleet.registrations.isSettled(upstreams, loop.nowMillis());
         Set<String> declined = desk.declined(service);
-        List<WorkerOrder> orders =
-                fleet.planner.plan(scaling, workers, need, declined, loop.nowMillis());
+        List<UpstreamOrder> orders =
+                fleet.planner.plan(scaling, upstreams, need, declined, loop.nowMillis());
         if (!settled || !leadership.leads()) {
             return;
         }
-        Supplier<String> reason = () -> reason(workers, load, need, declined);
+        Supplier<String> reason = () -> reason(upstreams, load, need, declined);
         boolean protectsBooting = need.isPresent();
         orders.forEach(
-                order -> desk.give(order, workers, scaling.bootMillis(), protectsBooting, reason));
+                order ->
+                        desk.give(order, upstreams, scaling.bootMillis(), protectsBooting, reason));
     }
 
-    private Optional<FleetNeed> need(String service, ServiceLoad load, List<Worker> workers) {
+    private Optional<FleetNeed> need(String service, ServiceLoad load, List<Upstream> upstreams) {
         EngineEstimate engine = engines.estimate(service, loop.nowMillis());
         if (!load.isKnown() || !engine.isLearned()) {
             return Optional.empty();
         }
-        int slots = workers.stream().mapToInt(Worker::slots).min().orElse(1);
-        int places = workers.stream().filter(w -> !w.draining()).mapToInt(Worker::slots).sum();
+        int slots = upstreams.stream().mapToInt(Upstream::slots).min().orElse(1);
+        int places = upstreams.stream().filter(w -> !w.draining()).mapToInt(Upstream::slots).sum();
         ServiceLoad served = load.withBacklog(places, engine.runMillis());
         return Optional.of(FleetSizer.need(served, engine, slots, objectiveMillis(service)));
     }
@@ -211,12 +212,12 @@
 
     /** Tells what an order was worked out from: what serves, the need with its bounds, the load. */
     private String reason(
-            List<Worker> workers,
+            List<Upstream> upstreams,
             ServiceLoad load,
             Optional<FleetNeed> need,
             Set<String> declined) {
-        long reclaimable = workers.stream().filter(w -> w.reclaimable() && !w.draining()).count();
-        long full = workers.stream().filter(w -> !w.reclaimable() && !w.draining()).count();
+        long reclaimable = upstreams.stream().filter(w -> w.reclaimable() && !w.draining()).count();
+        long full = upstreams.stream().filter(w -> !w.reclaimable() && !w.draining()).count();
         String fleet =
                 "serving "
                         + reclaimable
@@ -227,7 +228,7 @@
         if (need.isEmpty()) {
             return "no load known, " + fleet;
         }
-        EngineEstimate engine = engines.estimate(workers.get(0).service(), loop.nowMillis());
+        EngineEstimate engine = engines.estimate(upstreams.get(0).service(), loop.nowMillis());
         return String.format(
                 Locale.ROOT,
                 "%s, %s, %.1f requests under way, %.1f tokens/ms to read at %.4f ms each, %.0f seen",
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
@@ -23,11 +23,11 @@
 import io.trailladder.core.policy.RequestBounds;
 import io.trailladder.core.policy.ServingPolicy;
 import io.trailladder.core.rollout.VersionGate;
-import io.trailladder.core.worker.DemandMeter;
-import io.trailladder.core.worker.Worker;
-import io.trailladder.core.worker.WorkerDirectory;
-import io.trailladder.core.worker.WorkerLoads;
-import io.trailladder.core.worker.WorkerSelector;
+import io.trailladder.core.upstream.DemandMeter;
+import io.trailladder.core.upstream.Upstream;
+import io.trailladder.core.upstream.UpstreamDirectory;
+import io.trailladder.core.upstream.UpstreamLoads;
+import io.trailladder.core.upstream.UpstreamSelector;
 import io.trailladder.entry.gateway.DecisionLog.Lifecycle;
 import io.trailladder.entry.gateway.DecisionLog.StoreUse;
 import io.trailladder.entry.gateway.StoreCalls.Purpose;
@@ -81,8 +81,8 @@
     private final GatewayMetrics metrics = new GatewayMetrics();
     private final StoreCalls storeCalls = new StoreCalls(metrics);
     private final HttpConnector connector = new HttpConnector(loop);
-    private final WorkerDirectory directory = new WorkerDirectory();
-    private final WorkerLoads loads = new WorkerLoads();
+    private final UpstreamDirectory directory = new UpstreamDirectory();
+    private final UpstreamLoads loads = new UpstreamLoads();
     private final EngineModel engines = new EngineModel();
     private final StoreHealth storeHealth = new StoreHealth(metrics);
     private final PolicyKeeper policies;
@@ -213,8 +213,8 @@
                         connector,
                         directory,
                         loads,
-                        new WorkerSelector(
-                                settings.node().zone(), directory, loads, engines, versions),
+                        new UpstreamSelector(
+                                settings.node().dataCentre(), directory, loads, engines, versions),
                         quotas,
                         new RetryBudgets(settings.retries(), view::entries),
                         usage,
@@ -241,7 +241,7 @@
                 watcher(
                         counted(platform, Purpose.UPSTREAMS),
                         random,
-                        format.workerPrefix(),
+                        format.upstreamPrefix(),
                         DIRECTORY_PAUSE_MILLIS,
                         directoryKeeper);
         leaderWatcher =
@@ -327,12 +327,12 @@
     }
 
     /** A lost upstream says nothing, so streams that have been silent leave it at once. */
-    private void upstreamLeaves(Worker worker) {
-        if (!worker.draining()) {
-            intake.lost(worker, LOST_SILENT_MILLIS);
-        } else if (worker.leavesMillis() > 0) {
-            long notice = Math.max(0, worker.leavesMillis() - END_MARGIN_MILLIS);
-            loop.schedule(notice, () -> intake.moveAway(worker));
+    private void upstreamLeaves(Upstream upstream) {
+        if (!upstream.draining()) {
+            intake.lost(upstream, LOST_SILENT_MILLIS);
+        } else if (upstream.leavesMillis() > 0) {
+            long notice = Math.max(0, upstream.leavesMillis() - END_MARGIN_MILLIS);
+            loop.schedule(notice, () -> intake.moveAway(upstream));
         }
     }
 
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/GatewaySettings.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/GatewaySettings.java
@@ -61,29 +61,33 @@
      */
     public GatewayMember self() {
         return new GatewayMember(
-                node.name(), node.zone(), listen.peers().toString(), node.linkMbps(), node.cores());
+                node.name(),
+                node.dataCentre(),
+                listen.peers().toString(),
+                node.linkMbps(),
+                node.cores());
     }
 
     /**
      * Who and where a process is.
      *
      * @param name its name, unlike all others
-     * @param zone its data centre
+     * @param dataCentre its data centre
      * @param firstStart true only if the whole installation starts for the first time
      * @param cores processor it may use, in cores
      * @param linkMbps bandwidth of its network link, in megabits a second
      */
     public record Node(
-            String name, String zone, boolean firstStart, double cores, double linkMbps) {
+            String name, String dataCentre, boolean firstStart, double cores, double linkMbps) {
         /**
          * Creates a process of usual size.
          *
          * @param name its name, unlike all others
-         * @param zone its data centre
+         * @param dataCentre its data centre
          * @param firstStart true only if the whole installation starts for the first time
          */
-        public Node(String name, String zone, boolean firstStart) {
-            this(name, zone, firstStart, USUAL_CORES, USUAL_LINK_MBPS);
+        public Node(String name, String dataCentre, boolean firstStart) {
+            this(name, dataCentre, firstStart, USUAL_CORES, USUAL_LINK_MBPS);
         }
     }
 
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/OrderDesk.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/OrderDesk.java
@@ -15,8 +15,8 @@
  */
 package io.trailladder.entry.gateway;
 
-import io.trailladder.core.duty.WorkerOrder;
-import io.trailladder.core.worker.Worker;
+import io.trailladder.core.duty.UpstreamOrder;
+import io.trailladder.core.upstream.Upstream;
 import io.trailladder.entry.gateway.DecisionLog.Duty;
 import io.trailladder.entry.loop.EventLoop;
 import io.trailladder.entry.port.DutyApi;
@@ -59,9 +59,9 @@
     private long heldSinceMillis;
 
     /** What an order is about. */
-    private record Subject(String service, String zone, boolean reclaimable) {
-        static Subject of(WorkerOrder order) {
-            return new Subject(order.service(), order.zone(), order.reclaimable());
+    private record Subject(String service, String dataCentre, boolean reclaimable) {
+        static Subject of(UpstreamOrder order) {
+            return new Subject(order.service(), order.dataCentre(), order.reclaimable());
         }
     }
 
@@ -103,35 +103,35 @@
 
     /** Returns the data centres where reclaimable upstreams could not be had when last ordered. */
     Set<String> declined(String service) {
-        Set<String> zones = new TreeSet<>();
+        Set<String> dataCentres = new TreeSet<>();
         given.forEach(
                 (subject, last) -> {
                     if (subject.reclaimable()
                             && subject.service().equals(service)
                             && last.declined > 0) {
-                        zones.add(subject.zone());
+                        dataCentres.add(subject.dataCentre());
                     }
                 });
-        return zones;
+        return dataCentres;
     }
 
     /**
      * Gives an order, unless it was given already or must wait.
      *
      * @param order the order
-     * @param workers the service's upstreams, leaving ones too
+     * @param upstreams the service's upstreams, leaving ones too
      * @param bootMillis how long an upstream boots, in milliseconds
      * @param protectsBooting true if upstreams that an earlier leader has bought may be needed
      * @param reason tells what led to it; asked only if it is given
      */
     void give(
-            WorkerOrder order,
-            List<Worker> workers,
+            UpstreamOrder order,
+            List<Upstream> upstreams,
             long bootMillis,
             boolean protectsBooting,
             Supplier<String> reason) {
         boolean mayBoot = protectsBooting && loop.nowMillis() - heldSinceMillis < bootMillis;
-        if (mayBoot && givesBack(order, workers)) {
+        if (mayBoot && givesBack(order, upstreams)) {
             return;
         }
         Given last = given.computeIfAbsent(Subject.of(order), key -> new Given());
@@ -139,7 +139,7 @@
         boolean changed = last.count != order.count() || !last.accepted;
         boolean ignored =
                 since >= bootMillis + SETTLE_MILLIS
-                        && serving(workers, Subject.of(order)) != order.count();
+                        && serving(upstreams, Subject.of(order)) != order.count();
         if (last.waiting || since < last.pauseMillis() || !(changed || ignored)) {
             return;
         }
@@ -156,12 +156,12 @@
      * and that still boot: a new one does not know of them, nor of what was declined to its
      * predecessor.
      */
-    private static boolean givesBack(WorkerOrder order, List<Worker> workers) {
-        return !order.reclaimable() && order.count() <= serving(workers, Subject.of(order));
+    private static boolean givesBack(UpstreamOrder order, List<Upstream> upstreams) {
+        return !order.reclaimable() && order.count() <= serving(upstreams, Subject.of(order));
     }
 
     private void answered(
-            DutyHolder giver, WorkerOrder order, String reason, Given last, DutyResult result) {
+            DutyHolder giver, UpstreamOrder order, String reason, Given last, DutyResult result) {
         last.waiting = false;
         last.declined = result == DutyResult.DECLINED ? last.declined + 1 : 0;
         last.accepted = result == DutyResult.ACCEPTED;
@@ -174,7 +174,7 @@
                                 "%d %s in %s, %s",
                                 order.count(),
                                 kind,
-                                order.zone(),
+                                order.dataCentre(),
                                 reason),
                         giver.token(),
                         result.name()));
@@ -183,12 +183,12 @@
         }
     }
 
-    private static int serving(List<Worker> workers, Subject subject) {
+    private static int serving(List<Upstream> upstreams, Subject subject) {
         return (int)
-                workers.stream()
-                        .filter(worker -> worker.zone().equals(subject.zone()))
-                        .filter(worker -> worker.reclaimable() == subject.reclaimable())
-                        .filter(worker -> !worker.draining())
+                upstreams.stream()
+                        .filter(upstream -> upstream.dataCentre().equals(subject.dataCentre()))
+                        .filter(upstream -> upstream.reclaimable() == subject.reclaimable())
+                        .filter(upstream -> !upstream.draining())
                         .count();
     }
 }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Peer.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Peer.java
@@ -17,7 +17,7 @@
 
 import io.trailladder.core.engine.EngineEvidence;
 import io.trailladder.core.membership.MemberCount.Reading;
-import io.trailladder.core.worker.ServiceDemand;
+import io.trailladder.core.upstream.ServiceDemand;
 import io.trailladder.wire.NodeMessage.DigestScope;
 import io.trailladder.wire.NodeMessage.NodeDigest;
 import io.trailladder.wire.NodeMessage.NodeHello;
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestDriver.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestDriver.java
@@ -23,8 +23,8 @@
 import io.trailladder.core.pipeline.RecoveryPolicy;
 import io.trailladder.core.pipeline.ServingRequest;
 import io.trailladder.core.policy.RouteKind;
-import io.trailladder.core.worker.Selection;
-import io.trailladder.core.worker.Worker;
+import io.trailladder.core.upstream.Selection;
+import io.trailladder.core.upstream.Upstream;
 import io.trailladder.entry.gateway.DecisionLog.AttemptFailed;
 import io.trailladder.entry.gateway.DecisionLog.Dispatch;
 import io.trailladder.entry.gateway.DecisionLog.Ended;
@@ -88,8 +88,8 @@
     }
 
     /** Tells whether the request runs at an upstream now. */
-    boolean runsAt(String worker) {
-        return attempt != null && attempt.worker().id().equals(worker);
+    boolean runsAt(String upstream) {
+        return attempt != null && attempt.upstream().id().equals(upstream);
     }
 
     /** Returns how long the upstream has been silent, in milliseconds. */
@@ -121,7 +121,7 @@
 
     @Override
     public void sending(Attempt sender) {
-        history.sent(sender.worker().id());
+        history.sent(sender.upstream().id());
         if (request.prompt().tokensIn() == 0) {
             startedRunning();
         }
@@ -182,12 +182,12 @@
     }
 
     private void send(Selection selection, long now) {
-        Worker worker = selection.worker();
+        Upstream upstream = selection.upstream();
         DecisionLog.write(
                 new Dispatch(
                         request.id(),
                         history.sent() + 1,
-                        worker.id(),
+                        upstream.id(),
                         Math.round(selection.predictedMillis()),
                         selection.requests(),
                         selection.waitingTokens(),
@@ -195,11 +195,11 @@
                         selection.candidates(),
                         context.peersAgeMillis().getAsLong(),
                         history.lastEventId()));
-        context.selector().sent(request, worker.id());
+        context.selector().sent(request, upstream.id());
         answer.newAttempt();
         attempt = new Attempt(context, request, selection, this);
         silence.watch(attempt, selection);
-        attempt.start(calls.to(worker, history.lastEventId(), now));
+        attempt.start(calls.to(upstream, history.lastEventId(), now));
     }
 
     private void firstByte() {
@@ -217,7 +217,7 @@
     private void attemptFailed(Attempt sender, AttemptFailure failure) {
         attempt = null;
         silence.stop();
-        history.failed(sender.worker().id(), failure);
+        history.failed(sender.upstream().id(), failure);
         context.metrics().attempt(request.service(), failure.name());
         long now = context.loop().nowMillis();
         Recovery recovery = RecoveryPolicy.after(request, history, failure, true, now);
@@ -233,7 +233,7 @@
         DecisionLog.write(
                 new AttemptFailed(
                         request.id(),
-                        sender.worker().id(),
+                        sender.upstream().id(),
                         failure.name(),
                         sender.status(),
                         sender.ageMillis(),
@@ -279,7 +279,7 @@
         Ending ending = RecoveryPolicy.endingInTime(history, isUnderWay());
         Attempt last = attempt;
         if (isUnderWay()) {
-            context.loads().failed(attempt.worker().id(), context.loop().nowMillis());
+            context.loads().failed(attempt.upstream().id(), context.loop().nowMillis());
         }
         cancelAttempt();
         giveUp(ending, last);
@@ -310,10 +310,16 @@
         deadline.cancel();
         long took = context.loop().nowMillis() - request.acceptedMillis();
         context.metrics().ended(request.organisation(), request.service(), outcome, took);
-        String worker = last == null ? "" : last.worker().id();
+        String upstream = last == null ? "" : last.upstream().id();
         DecisionLog.write(
                 new Ended(
-                        request.id(), outcome, status, worker, history.sent(), took, firstMillis));
+                        request.id(),
+                        outcome,
+                        status,
+                        upstream,
+                        history.sent(),
+                        took,
+                        firstMillis));
         onEnd.accept(this);
     }
 }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestIntake.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestIntake.java
@@ -20,7 +20,7 @@
 import io.trailladder.core.policy.OrganisationSpec;
 import io.trailladder.core.policy.Route;
 import io.trailladder.core.policy.ServingPolicy;
-import io.trailladder.core.worker.Worker;
+import io.trailladder.core.upstream.Upstream;
 import io.trailladder.entry.gateway.DecisionLog.Intake;
 import io.trailladder.entry.http.HeaderList;
 import io.trailladder.entry.http.RequestHandler;
@@ -118,12 +118,12 @@
     /**
      * Has requests leave an upstream that was lost without notice, if it has been silent.
      *
-     * @param worker the upstream
+     * @param upstream the upstream
      * @param silentMillis least silence, in milliseconds
      */
-    public void lost(Worker worker, long silentMillis) {
+    public void lost(Upstream upstream, long silentMillis) {
         for (RequestDriver driver : List.copyOf(open)) {
-            if (driver.runsAt(worker.id()) && driver.silentMillis() >= silentMillis) {
+            if (driver.runsAt(upstream.id()) && driver.silentMillis() >= silentMillis) {
                 driver.moveAway(AttemptFailure.SILENT);
             }
         }
@@ -132,11 +132,11 @@
     /**
      * Has requests go on at other upstreams because theirs will end before they do.
      *
-     * @param worker the upstream
+     * @param upstream the upstream
      */
-    public void moveAway(Worker worker) {
+    public void moveAway(Upstream upstream) {
         for (RequestDriver driver : List.copyOf(open)) {
-            if (driver.runsAt(worker.id())) {
+            if (driver.runsAt(upstream.id())) {
                 driver.moveAway(AttemptFailure.LEAVING);
             }
         }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ReturnTimes.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ReturnTimes.java
@@ -17,9 +17,9 @@
 
 import io.trailladder.core.engine.EngineModel;
 import io.trailladder.core.policy.ServiceSpec;
-import io.trailladder.core.worker.PlaceForecast;
-import io.trailladder.core.worker.WorkerDirectory;
-import io.trailladder.core.worker.WorkerLoads;
+import io.trailladder.core.upstream.PlaceForecast;
+import io.trailladder.core.upstream.UpstreamDirectory;
+import io.trailladder.core.upstream.UpstreamLoads;
 import java.util.OptionalLong;
 import java.util.SplittableRandom;
 
@@ -32,15 +32,15 @@
     private static final double SPREAD = 0.5;
 
     private final PolicyKeeper policies;
-    private final WorkerDirectory directory;
-    private final WorkerLoads loads;
+    private final UpstreamDirectory directory;
+    private final UpstreamLoads loads;
     private final EngineModel engines;
     private final SplittableRandom random;
 
     ReturnTimes(
             PolicyKeeper policies,
-            WorkerDirectory directory,
-            WorkerLoads loads,
+            UpstreamDirectory directory,
+            UpstreamLoads loads,
             EngineModel engines,
             SplittableRandom random) {
         this.policies = policies;
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RolloutKeeper.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RolloutKeeper.java
@@ -22,7 +22,7 @@
 import io.trailladder.core.rollout.RolloutOrder;
 import io.trailladder.core.rollout.RolloutStatus;
 import io.trailladder.core.rollout.VersionGate;
-import io.trailladder.core.worker.Worker;
+import io.trailladder.core.upstream.Upstream;
 import io.trailladder.entry.gateway.DecisionLog.Belief;
 import io.trailladder.entry.gateway.DecisionLog.Lifecycle;
 import io.trailladder.entry.port.PlatformFormat;
@@ -124,15 +124,15 @@
     }
 
     /** Records a request that is sent to an upstream. */
-    void sent(String service, Worker worker) {
-        gate.rollout(service).ifPresent(rollout -> rollout.sent(worker));
+    void sent(String service, Upstream upstream) {
+        gate.rollout(service).ifPresent(rollout -> rollout.sent(upstream));
     }
 
     /** Records how a request ended at an upstream. */
-    void answered(String service, Worker worker, AnswerSeen answer) {
+    void answered(String service, Upstream upstream, AnswerSeen answer) {
         gate.rollout(service)
                 .filter(rollout -> !rollout.phase().isFinal())
-                .ifPresent(rollout -> rollout.answered(worker, answer));
+                .ifPresent(rollout -> rollout.answered(upstream, answer));
     }
 
     /** Takes over what a peer tells, if its order is as new as the one known here. */
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RolloutParts.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RolloutParts.java
@@ -16,8 +16,8 @@
 package io.trailladder.entry.gateway;
 
 import io.trailladder.core.rollout.VersionGate;
-import io.trailladder.core.worker.WorkerDirectory;
-import io.trailladder.core.worker.WorkerLoads;
+import io.trailladder.core.upstream.UpstreamDirectory;
+import io.trailladder.core.upstream.UpstreamLoads;
 import io.trailladder.entry.loop.EventLoop;
 import io.trailladder.entry.port.CoordinationStore;
 import io.trailladder.entry.port.PlatformFormat;
@@ -58,8 +58,8 @@
             PlatformFormat format,
             GatewaySettings settings,
             VersionGate gate,
-            WorkerDirectory directory,
-            WorkerLoads loads,
+            UpstreamDirectory directory,
+            UpstreamLoads loads,
             ClusterView view,
             BooleanSupplier leads) {
         ordered = settings.rollouts().ordered();
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RolloutRunner.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RolloutRunner.java
@@ -22,9 +22,9 @@
 import io.trailladder.core.rollout.RolloutStatus;
 import io.trailladder.core.rollout.RolloutStatus.State;
 import io.trailladder.core.rollout.RouteEvidence;
-import io.trailladder.core.worker.Worker;
-import io.trailladder.core.worker.WorkerDirectory;
-import io.trailladder.core.worker.WorkerLoads;
+import io.trailladder.core.upstream.Upstream;
+import io.trailladder.core.upstream.UpstreamDirectory;
+import io.trailladder.core.upstream.UpstreamLoads;
 import io.trailladder.entry.gateway.DecisionLog.Lifecycle;
 import io.trailladder.entry.loop.EventLoop;
 import io.trailladder.entry.port.CoordinationStore;
@@ -57,8 +57,8 @@
     private final StoreHealth health;
     private final PlatformFormat format;
     private final RolloutKeeper keeper;
-    private final WorkerDirectory directory;
-    private final WorkerLoads loads;
+    private final UpstreamDirectory directory;
+    private final UpstreamLoads loads;
     private final BooleanSupplier leads;
     private final Function<Rollout, List<RouteEvidence>> evidence;
     private final Map<Long, RolloutLead> deciders = new HashMap<>();
@@ -84,8 +84,8 @@
             StoreHealth health,
             PlatformFormat format,
             RolloutKeeper keeper,
-            WorkerDirectory directory,
-            WorkerLoads loads,
+            UpstreamDirectory directory,
+            UpstreamLoads loads,
             BooleanSupplier leads,
             Function<Rollout, List<RouteEvidence>> evidence) {
         this.loop = loop;
@@ -129,12 +129,12 @@
     }
 
     private Fleet fleet(Rollout rollout) {
-        List<Worker> serving = directory.serving(rollout.order().service());
-        List<Worker> target = serving.stream().filter(rollout::isTarget).toList();
-        List<Worker> old =
+        List<Upstream> serving = directory.serving(rollout.order().service());
+        List<Upstream> target = serving.stream().filter(rollout::isTarget).toList();
+        List<Upstream> old =
                 directory.all().stream()
-                        .filter(worker -> worker.service().equals(rollout.order().service()))
-                        .filter(worker -> !rollout.isTarget(worker))
+                        .filter(upstream -> upstream.service().equals(rollout.order().service()))
+                        .filter(upstream -> !rollout.isTarget(upstream))
                         .toList();
         return new Fleet(serving.size() - target.size(), target.size(), loads.requests(old));
     }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ServingContext.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ServingContext.java
@@ -17,10 +17,10 @@
 
 import io.trailladder.core.duty.UsageLedger;
 import io.trailladder.core.engine.EngineModel;
-import io.trailladder.core.worker.DemandMeter;
-import io.trailladder.core.worker.WorkerDirectory;
-import io.trailladder.core.worker.WorkerLoads;
-import io.trailladder.core.worker.WorkerSelector;
+import io.trailladder.core.upstream.DemandMeter;
+import io.trailladder.core.upstream.UpstreamDirectory;
+import io.trailladder.core.upstream.UpstreamLoads;
+import io.trailladder.core.upstream.UpstreamSelector;
 import io.trailladder.entry.http.HttpConnector;
 import io.trailladder.entry.loop.EventLoop;
 import io.trailladder.entry.port.RequestProtocol;
@@ -53,9 +53,9 @@
         Clock clock,
         RequestProtocol protocol,
         HttpConnector connector,
-        WorkerDirectory directory,
-        WorkerLoads loads,
-        WorkerSelector selector,
+        UpstreamDirectory directory,
+        UpstreamLoads loads,
+        UpstreamSelector selector,
         Quotas quotas,
         RetryBudgets budgets,
         UsageLedger usage,
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/SettingsReader.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/SettingsReader.java
@@ -36,7 +36,7 @@
  * Reads and checks a gateway's settings file, which is JSON.
  *
  * <pre>{@code
- * {"node": {"name": "edge-1", "zone": "baires-a", "first_start": true},
+ * {"node": {"name": "edge-1", "data_centre": "baires-a", "first_start": true},
  *  "listen": {"callers": "10.0.0.1:80", "health": "10.0.0.1:81", ...}, ...}
  * }</pre>
  *
@@ -88,11 +88,12 @@
     }
 
     private GatewaySettings settings() {
+        refuseOldKey("/node/zone", "node.data_centre");
         GatewaySettings settings =
                 new GatewaySettings(
                         new Node(
                                 text("/node/name"),
-                                text("/node/zone"),
+                                text("/node/data_centre"),
                                 root.at("/node/first_start").asBoolean(false),
                                 number("/capacity/core_share", GatewaySettings.USUAL_CORES)
                                         * number("/capacity/core_speed", 1),
@@ -121,6 +122,14 @@
         return settings;
     }
 
+    /** A key of an earlier version is no default: it is refused with the name to use. */
+    private void refuseOldKey(String pointer, String name) {
+        JsonNode node = root.at(pointer);
+        if (!node.isMissingNode()) {
+            fault(pointer, node, "it under its new name " + name);
+        }
+    }
+
     private Rollouts rollouts() {
         if (!root.at("/rollouts").isObject()) {
             return Rollouts.NONE;
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/SilenceWatch.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/SilenceWatch.java
@@ -19,7 +19,7 @@
 import io.trailladder.core.pipeline.AttemptHistory;
 import io.trailladder.core.pipeline.RecoveryPolicy;
 import io.trailladder.core.pipeline.ServingRequest;
-import io.trailladder.core.worker.Selection;
+import io.trailladder.core.upstream.Selection;
 
 /** Leaves an upstream that is silent for too long, if the request may run again elsewhere. */
 final class SilenceWatch {
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/SnapshotExchange.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/SnapshotExchange.java
@@ -88,7 +88,7 @@
             metrics.count(GatewayMetrics.Event.POLICY_FROM_PEER);
         }
         if (!store.isReachable() || directory.revision() == 0 || mesh.isOwnHub(peer)) {
-            directory.fromPeer(snapshot.workers(), snapshot.directoryRevision(), peer.name());
+            directory.fromPeer(snapshot.upstreams(), snapshot.directoryRevision(), peer.name());
         }
     }
 
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/SoundFigures.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/SoundFigures.java
@@ -16,7 +16,7 @@
 package io.trailladder.entry.gateway;
 
 import io.trailladder.core.engine.EngineEvidence;
-import io.trailladder.core.worker.ServiceDemand;
+import io.trailladder.core.upstream.ServiceDemand;
 import io.trailladder.entry.gateway.DecisionLog.Lifecycle;
 import io.trailladder.wire.NodeMessage.NodeDigest;
 import java.util.List;
--- a/trailladder-entry/src/main/java/io/trailladder/entry/port/AttemptFields.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/port/AttemptFields.java
@@ -18,7 +18,7 @@
 /**
  * What the gateway tells an upstream with an attempt.
  *
- * @param worker the upstream that is meant; any other refuses
+ * @param upstream the upstream that is meant; any other refuses
  * @param organisation whose the request is; empty if nobody's
  * @param priority its rank; 0 is the most urgent
  * @param leftMillis how long the caller still waits, in milliseconds
@@ -26,4 +26,4 @@
  * @since 0.2
  */
 public record AttemptFields(
-        String worker, String organisation, int priority, long leftMillis, String lastEventId) {}
+        String upstream, String organisation, int priority, long leftMillis, String lastEventId) {}
--- a/trailladder-entry/src/main/java/io/trailladder/entry/port/DutyApi.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/port/DutyApi.java
@@ -15,7 +15,7 @@
  */
 package io.trailladder.entry.port;
 
-import io.trailladder.core.duty.WorkerOrder;
+import io.trailladder.core.duty.UpstreamOrder;
 import java.util.Map;
 import java.util.function.Consumer;
 
@@ -47,5 +47,5 @@
      * @param order how many
      * @param result told of the answer
      */
-    void order(DutyHolder holder, WorkerOrder order, Consumer<DutyResult> result);
+    void order(DutyHolder holder, UpstreamOrder order, Consumer<DutyResult> result);
 }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/port/PlatformFormat.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/port/PlatformFormat.java
@@ -18,7 +18,7 @@
 import io.trailladder.core.policy.ServingPolicy;
 import io.trailladder.core.rollout.RolloutOrder;
 import io.trailladder.core.rollout.RolloutStatus;
-import io.trailladder.core.worker.Worker;
+import io.trailladder.core.upstream.Upstream;
 import io.vavr.control.Either;
 
 /**
@@ -39,7 +39,7 @@
      *
      * @return the prefix
      */
-    String workerPrefix();
+    String upstreamPrefix();
 
     /**
      * Returns the prefix of the keys where operators order roll-outs; the service's name follows.
@@ -99,5 +99,5 @@
      * @param value its bytes
      * @return the upstream, or what is wrong with its entry
      */
-    Either<String, Worker> worker(String id, byte[] value);
+    Either<String, Upstream> upstream(String id, byte[] value);
 }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/serve/EngineApi.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/serve/EngineApi.java
@@ -15,7 +15,7 @@
  */
 package io.trailladder.entry.serve;
 
-import io.trailladder.core.membership.Upstream;
+import io.trailladder.core.membership.LocalUpstream;
 import io.trailladder.core.routing.LoadReport;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
@@ -94,7 +94,7 @@
      * @param listener told of the answer
      * @return the running attempt
      */
-    Running generate(Upstream engine, Attempt attempt, Listener listener);
+    Running generate(LocalUpstream engine, Attempt attempt, Listener listener);
 
     /**
      * Exports the KV cache of an attempt.
@@ -106,7 +106,7 @@
      * @return where it can be imported from
      */
     CompletableFuture<String> export(
-            Upstream engine, String requestId, int attempt, long timeoutMillis);
+            LocalUpstream engine, String requestId, int attempt, long timeoutMillis);
 
     /**
      * Asks an engine for its load.
@@ -114,5 +114,5 @@
      * @param engine the engine
      * @return its report
      */
-    CompletableFuture<LoadReport> load(Upstream engine);
+    CompletableFuture<LoadReport> load(LocalUpstream engine);
 }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/serve/GenerationRunner.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/serve/GenerationRunner.java
@@ -15,7 +15,7 @@
  */
 package io.trailladder.entry.serve;
 
-import io.trailladder.core.membership.Upstream;
+import io.trailladder.core.membership.LocalUpstream;
 import io.trailladder.core.request.AnswerLog;
 import io.trailladder.core.request.Failure;
 import io.trailladder.core.request.GenerationAction;
@@ -66,8 +66,8 @@
     private volatile RoutingQuery query;
     private volatile boolean begun;
     private EngineApi.Running running;
-    private Upstream current;
-    private Upstream reserved;
+    private LocalUpstream current;
+    private LocalUpstream reserved;
     private long wakeAtMillis;
     private long lastTokenMillis;
     private long lateFrames;
@@ -257,7 +257,7 @@
     }
 
     @Override
-    public synchronized void placed(Upstream upstream) {
+    public synchronized void placed(LocalUpstream upstream) {
         if (reserved != null && machine.wants(reserved.id())) {
             // placed twice: once from the queue and once at once; the first one counts
             context.placements().release(upstream.id());
@@ -295,7 +295,7 @@
 
     private void place(Place place) {
         query = query(place.excluded());
-        Optional<Upstream> upstream = context.placements().request(this);
+        Optional<LocalUpstream> upstream = context.placements().request(this);
         if (upstream.isPresent()) {
             placed(upstream.get());
         } else {
@@ -421,7 +421,7 @@
         releaseCurrent();
     }
 
-    private void reserve(Upstream upstream) {
+    private void reserve(LocalUpstream upstream) {
         releaseUnused();
         reserved = upstream;
     }
@@ -448,7 +448,7 @@
     /** Passes one attempt's answer to the machine. */
     private final class AttemptListener implements EngineApi.Listener {
         private final Dispatch dispatch;
-        private final Upstream upstream = current;
+        private final LocalUpstream upstream = current;
 
         AttemptListener(Dispatch dispatch) {
             this.dispatch = dispatch;
--- a/trailladder-entry/src/main/java/io/trailladder/entry/serve/HttpEngineApi.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/serve/HttpEngineApi.java
@@ -19,7 +19,7 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import io.trailladder.core.membership.Upstream;
+import io.trailladder.core.membership.LocalUpstream;
 import io.trailladder.core.routing.LoadReport;
 import io.trailladder.platform.PlatformException;
 import io.trailladder.platform.http.HostPort;
@@ -65,7 +65,7 @@
     }
 
     @Override
-    public Running generate(Upstream engine, Attempt attempt, Listener listener) {
+    public Running generate(LocalUpstream engine, Attempt attempt, Listener listener) {
         HostPort address = HostPort.parse(engine.address());
         ObjectNode body = named(attempt.requestId(), attempt.attempt());
         body.put("organisation", attempt.organisation())
@@ -87,7 +87,7 @@
 
     @Override
     public CompletableFuture<String> export(
-            Upstream engine, String requestId, int attempt, long timeoutMillis) {
+            LocalUpstream engine, String requestId, int attempt, long timeoutMillis) {
         String body = named(requestId, attempt).toString();
         HostPort address = HostPort.parse(engine.address());
         return client.call(HttpCall.post(address, "/v1/export", body, timeoutMillis))
@@ -95,7 +95,7 @@
     }
 
     @Override
-    public CompletableFuture<LoadReport> load(Upstream engine) {
+    public CompletableFuture<LoadReport> load(LocalUpstream engine) {
         HostPort address = HostPort.parse(engine.address());
         return client.call(HttpCall.get(address, "/v1/load", CONTROL_MILLIS))
                 .thenApply(reply -> report(json(reply)));
--- a/trailladder-entry/src/main/java/io/trailladder/entry/serve/Placements.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/serve/Placements.java
@@ -15,8 +15,8 @@
  */
 package io.trailladder.entry.serve;
 
-import io.trailladder.core.membership.Upstream;
-import io.trailladder.core.membership.UpstreamDirectory;
+import io.trailladder.core.membership.LocalUpstream;
+import io.trailladder.core.membership.LocalUpstreamDirectory;
 import io.trailladder.core.membership.UpstreamState;
 import io.trailladder.core.request.WeightedQueue;
 import io.trailladder.core.routing.LoadReport;
@@ -50,7 +50,7 @@
 
     private final String dataCentre;
     private final Executor callbacks;
-    private final UpstreamDirectory directory = new UpstreamDirectory();
+    private final LocalUpstreamDirectory directory = new LocalUpstreamDirectory();
     private final Router router;
     private final Map<String, WeightedQueue<Ticket>> waiting = new HashMap<>();
     private final Set<Ticket> queued = new HashSet<>();
@@ -94,7 +94,7 @@
          *
          * @param upstream the upstream
          */
-        void placed(Upstream upstream);
+        void placed(LocalUpstream upstream);
     }
 
     /**
@@ -114,7 +114,7 @@
             RoutingDecision decision) {}
 
     /** A ticket whose wait is over. */
-    private record Granted(Ticket ticket, Upstream upstream) {}
+    private record Granted(Ticket ticket, LocalUpstream upstream) {}
 
     /**
      * Creates placements.
@@ -135,12 +135,12 @@
      * @param ticket the request
      * @return the upstream, or empty if the request must wait for {@link Ticket#placed}
      */
-    public synchronized Optional<Upstream> request(Ticket ticket) {
+    public synchronized Optional<LocalUpstream> request(Ticket ticket) {
         if (queued.contains(ticket)) {
             return Optional.empty();
         }
         WeightedQueue<Ticket> queue = queue(ticket.query().target());
-        Optional<Upstream> upstream = queue.size() == 0 ? choose(ticket) : Optional.empty();
+        Optional<LocalUpstream> upstream = queue.size() == 0 ? choose(ticket) : Optional.empty();
         if (upstream.isEmpty()) {
             queued.add(ticket);
             queue.add(ticket, ticket.organisation(), ticket.weight(), ticket.begun());
@@ -212,8 +212,8 @@
      * @param leaving names of those that are leaving
      * @return upstreams that are newly leaving
      */
-    public synchronized List<Upstream> listed(
-            Collection<Upstream> listed, Collection<String> leaving) {
+    public synchronized List<LocalUpstream> listed(
+            Collection<LocalUpstream> listed, Collection<String> leaving) {
         return directory.listed(listed, leaving);
     }
 
@@ -287,7 +287,7 @@
     private void pump(WeightedQueue<Ticket> queue, List<Granted> granted) {
         while (queue.size() > 0) {
             Optional<Ticket> next = queue.peek();
-            Optional<Upstream> upstream = next.flatMap(this::choose);
+            Optional<LocalUpstream> upstream = next.flatMap(this::choose);
             if (upstream.isEmpty()) {
                 return;
             }
@@ -297,7 +297,7 @@
         }
     }
 
-    private Optional<Upstream> choose(Ticket ticket) {
+    private Optional<LocalUpstream> choose(Ticket ticket) {
         RoutingQuery query = ticket.query();
         long now = MonotonicClock.millis();
         RoutingDecision decision = router.choose(query, now);
--- a/trailladder-entry/src/main/java/io/trailladder/entry/serve/ServiceRunner.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/serve/ServiceRunner.java
@@ -15,7 +15,7 @@
  */
 package io.trailladder.entry.serve;
 
-import io.trailladder.core.membership.Upstream;
+import io.trailladder.core.membership.LocalUpstream;
 import io.trailladder.core.request.CallMachine;
 import io.trailladder.core.request.Failure;
 import io.trailladder.core.request.Outcome;
@@ -131,7 +131,7 @@
     }
 
     @Override
-    public synchronized void placed(Upstream upstream) {
+    public synchronized void placed(LocalUpstream upstream) {
         if (state != State.WAITING) {
             context.placements().release(upstream.id());
             return;
@@ -146,7 +146,7 @@
 
     private synchronized void place() {
         state = State.WAITING;
-        Optional<Upstream> upstream = context.placements().request(this);
+        Optional<LocalUpstream> upstream = context.placements().request(this);
         if (upstream.isPresent()) {
             placed(upstream.get());
         } else if (MonotonicClock.millis() - startedMillis >= patienceMillis()) {
@@ -167,7 +167,7 @@
         return context.settings().limits().queueMillis(row.latencyTargetMillis());
     }
 
-    private void answered(Upstream upstream, HttpReply reply, Throwable failure) {
+    private void answered(LocalUpstream upstream, HttpReply reply, Throwable failure) {
         context.placements().release(upstream.id());
         context.placements().went(upstream.id(), failure == null);
         if (failure == null) {
@@ -194,7 +194,7 @@
         onResult.accept(result);
     }
 
-    private HttpCall call(Upstream upstream) {
+    private HttpCall call(LocalUpstream upstream) {
         Map<String, String> headers = new TreeMap<>();
         headers.put("Trailladder-Organisation", row.organisation());
         headers.put(Answers.REQUEST_HEADER, requestId);
--- a/trailladder-entry/src/main/java/io/trailladder/entry/sync/FleetSync.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/sync/FleetSync.java
@@ -15,7 +15,7 @@
  */
 package io.trailladder.entry.sync;
 
-import io.trailladder.core.membership.Upstream;
+import io.trailladder.core.membership.LocalUpstream;
 import io.trailladder.core.membership.UpstreamState;
 import io.trailladder.core.table.Row;
 import io.trailladder.core.table.TargetKind;
@@ -162,19 +162,19 @@
     }
 
     private void read(CloudApi.InstanceList list) {
-        List<Upstream> here =
+        List<LocalUpstream> here =
                 list.upstreams().stream()
                         .filter(upstream -> upstream.dataCentre().equals(self.dataCentre()))
                         .toList();
-        Set<String> names = here.stream().map(Upstream::id).collect(Collectors.toSet());
+        Set<String> names = here.stream().map(LocalUpstream::id).collect(Collectors.toSet());
         List<String> leaving = list.leaving().stream().filter(names::contains).toList();
         listed(here, leaving);
         toDataCentre(new UpstreamList(here, leaving));
     }
 
-    private void listed(List<Upstream> upstreams, List<String> leaving) {
+    private void listed(List<LocalUpstream> upstreams, List<String> leaving) {
         listedMillis = MonotonicClock.millis();
-        for (Upstream upstream : placements.listed(upstreams, leaving)) {
+        for (LocalUpstream upstream : placements.listed(upstreams, leaving)) {
             listener.leaving(upstream.id(), LISTED_NOTICE_MILLIS);
         }
         placements.pump();
--- a/trailladder-entry/src/test/java/io/trailladder/entry/gateway/ClusterViewTest.java
+++ b/trailladder-entry/src/test/java/io/trailladder/entry/gateway/ClusterViewTest.java
@@ -24,9 +24,9 @@
 import io.trailladder.core.policy.RateSpec;
 import io.trailladder.core.policy.RequestBounds;
 import io.trailladder.core.policy.ServingPolicy;
-import io.trailladder.core.worker.DemandMeter;
-import io.trailladder.core.worker.WorkerDirectory;
-import io.trailladder.core.worker.WorkerLoads;
+import io.trailladder.core.upstream.DemandMeter;
+import io.trailladder.core.upstream.UpstreamDirectory;
+import io.trailladder.core.upstream.UpstreamLoads;
 import io.trailladder.entry.mesh.Mesh;
 import io.trailladder.wire.NodeMessage;
 import io.trailladder.wire.NodeMessage.DigestScope;
@@ -54,10 +54,10 @@
                 new ClusterView(
                         () -> 0,
                         new PolicyKeeper(format),
-                        new DirectoryKeeper(format, new WorkerDirectory(), () -> 0, task -> {}),
+                        new DirectoryKeeper(format, new UpstreamDirectory(), () -> 0, task -> {}),
                         new StoreHealth(metrics),
                         quotas,
-                        new WorkerLoads(),
+                        new UpstreamLoads(),
                         new UsageLedger("self/1", 5_000),
                         new DemandMeter(),
                         new EngineModel(),
--- a/trailladder-entry/src/test/java/io/trailladder/entry/gateway/DirectoryKeeperTest.java
+++ b/trailladder-entry/src/test/java/io/trailladder/entry/gateway/DirectoryKeeperTest.java
@@ -19,8 +19,8 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import io.trailladder.core.worker.Worker;
-import io.trailladder.core.worker.WorkerDirectory;
+import io.trailladder.core.upstream.Upstream;
+import io.trailladder.core.upstream.UpstreamDirectory;
 import io.trailladder.entry.port.StoreItem;
 import io.vavr.control.Either;
 import java.nio.charset.StandardCharsets;
@@ -33,7 +33,7 @@
     private static final String READY = "ready";
     private static final String LEAVING = "leaving";
 
-    private final WorkerDirectory directory = new WorkerDirectory();
+    private final UpstreamDirectory directory = new UpstreamDirectory();
     private final List<String> left = new ArrayList<>();
     private final List<Runnable> later = new ArrayList<>();
     private long now;
@@ -41,16 +41,16 @@
             new DirectoryKeeper(new PlainFormat(), directory, () -> now, later::add);
 
     DirectoryKeeperTest() {
-        keeper.onLeaving(worker -> left.add(worker.id()));
+        keeper.onLeaving(upstream -> left.add(upstream.id()));
         keeper.listed(List.of(item("a", READY, 1), item("b", READY, 2)), 2);
     }
 
     /** Entries whose whole text is their state. */
     private static final class PlainFormat extends NoFormat {
         @Override
-        public Either<String, Worker> worker(String id, byte[] value) {
+        public Either<String, Upstream> upstream(String id, byte[] value) {
             boolean leaving = new String(value, StandardCharsets.UTF_8).equals(LEAVING);
-            return Either.right(new Worker(id, "s", "z", "h:1", 8, leaving, false, 0));
+            return Either.right(new Upstream(id, "s", "z", "h:1", 8, leaving, false, 0));
         }
     }
 
--- a/trailladder-entry/src/test/java/io/trailladder/entry/gateway/NoFormat.java
+++ b/trailladder-entry/src/test/java/io/trailladder/entry/gateway/NoFormat.java
@@ -18,7 +18,7 @@
 import io.trailladder.core.policy.ServingPolicy;
 import io.trailladder.core.rollout.RolloutOrder;
 import io.trailladder.core.rollout.RolloutStatus;
-import io.trailladder.core.worker.Worker;
+import io.trailladder.core.upstream.Upstream;
 import io.trailladder.entry.port.PlatformFormat;
 import io.vavr.control.Either;
 
@@ -30,7 +30,7 @@
     }
 
     @Override
-    public String workerPrefix() {
+    public String upstreamPrefix() {
         return "upstream/";
     }
 
@@ -50,7 +50,7 @@
     }
 
     @Override
-    public Either<String, Worker> worker(String id, byte[] value) {
+    public Either<String, Upstream> upstream(String id, byte[] value) {
         return Either.left("no upstream here");
     }
 
--- a/trailladder-entry/src/test/java/io/trailladder/entry/gateway/SettingsReaderTest.java
+++ b/trailladder-entry/src/test/java/io/trailladder/entry/gateway/SettingsReaderTest.java
@@ -25,7 +25,7 @@
 class SettingsReaderTest {
     private static final String GOOD =
             """
-            {"node": {"name": "n", "zone": "z", "first_start": true},
+            {"node": {"name": "n", "data_centre": "z", "first_start": true},
              "listen": {"callers": "127.0.0.1:1", "health": "127.0.0.1:2",
                         "peers": "127.0.0.1:3", "metrics": "127.0.0.1:4"},
              "seeds": ["127.0.0.1:5"], "store": "127.0.0.1:6", "cloud": "127.0.0.1:7",
@@ -56,6 +56,19 @@
         assertTrue(e.getMessage().contains("option retries.ratio is 'much'"), e.getMessage());
     }
 
+    @Example
+    void keyOfTheVersionBeforeIsRefusedWithItsNewName() {
+        String old = GOOD.replace("data_centre", "zone");
+        SettingsException e =
+                assertThrows(SettingsException.class, () -> SettingsReader.parse("f", old));
+        assertTrue(
+                e.getMessage()
+                        .contains(
+                                "option node.zone is 'z', expected it under its new name"
+                                        + " node.data_centre"),
+                e.getMessage());
+    }
+
     @Example
     void rolloutsAreOrderedOnlyWhereTheSettingsSaySo() {
         assertEquals(GatewaySettings.Rollouts.NONE, SettingsReader.parse("f", GOOD).rollouts());
