--- a/trailladder-entry/src/test/java/io/trailladder/entry/gateway/SimulatedProcess.java
+++ b/trailladder-entry/src/test/java/io/trailladder/entry/gateway/SimulatedProcess.java
@@ -21,9 +21,9 @@
 import io.trailladder.core.membership.HubTopology;
 import io.trailladder.core.membership.LinkPlanner;
 import io.trailladder.core.membership.LinkPlanner.LinkPlan;
-import io.trailladder.core.worker.DemandMeter;
-import io.trailladder.core.worker.WorkerDirectory;
-import io.trailladder.core.worker.WorkerLoads;
+import io.trailladder.core.upstream.DemandMeter;
+import io.trailladder.core.upstream.UpstreamDirectory;
+import io.trailladder.core.upstream.UpstreamLoads;
 import io.trailladder.entry.mesh.Mesh;
 import io.trailladder.entry.mesh.PeerMesh;
 import io.trailladder.entry.port.PlatformFormat;
@@ -86,10 +86,10 @@
                         cluster::now,
                         new PolicyKeeper(format),
                         new DirectoryKeeper(
-                                format, new WorkerDirectory(), cluster::now, task -> {}),
+                                format, new UpstreamDirectory(), cluster::now, task -> {}),
                         new StoreHealth(metrics),
                         quotas,
-                        new WorkerLoads(),
+                        new UpstreamLoads(),
                         new UsageLedger(member.name() + '/' + life, USAGE_WINDOW_MILLIS),
                         new DemandMeter(),
                         new EngineModel(),
--- a/trailladder-entry/src/test/java/io/trailladder/entry/gateway/SoundFiguresTest.java
+++ b/trailladder-entry/src/test/java/io/trailladder/entry/gateway/SoundFiguresTest.java
@@ -20,7 +20,7 @@
 
 import io.trailladder.core.engine.EngineEvidence;
 import io.trailladder.core.engine.FitSums;
-import io.trailladder.core.worker.ServiceDemand;
+import io.trailladder.core.upstream.ServiceDemand;
 import io.trailladder.wire.NodeMessage.DigestScope;
 import io.trailladder.wire.NodeMessage.NodeDigest;
 import java.util.List;
--- a/trailladder-entry/src/test/java/io/trailladder/entry/serve/HttpEngineApiTest.java
+++ b/trailladder-entry/src/test/java/io/trailladder/entry/serve/HttpEngineApiTest.java
@@ -18,7 +18,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import io.trailladder.core.membership.Upstream;
+import io.trailladder.core.membership.LocalUpstream;
 import io.trailladder.platform.http.HttpClient;
 import io.trailladder.testkit.EngineStandIn;
 import java.util.List;
@@ -67,7 +67,7 @@
         try (EngineStandIn engine = new EngineStandIn("127.0.0.1", 0, settings);
                 HttpClient client = new HttpClient(timer)) {
             engine.start();
-            Upstream upstream = new Upstream("e-1", "a", engine.address(), "model");
+            LocalUpstream upstream = new LocalUpstream("e-1", "a", engine.address(), "model");
             EngineApi.Attempt attempt =
                     new EngineApi.Attempt(
                             "request",
--- a/trailladder-platform/src/main/java/io/trailladder/platform/CloudApi.java
+++ b/trailladder-platform/src/main/java/io/trailladder/platform/CloudApi.java
@@ -17,7 +17,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
-import io.trailladder.core.membership.Upstream;
+import io.trailladder.core.membership.LocalUpstream;
 import io.trailladder.platform.http.HostPort;
 import io.trailladder.platform.http.HttpCall;
 import io.trailladder.platform.http.HttpClient;
@@ -45,7 +45,7 @@
      * @param upstreams instances live or leaving
      * @param leaving names of those that are leaving
      */
-    public record InstanceList(List<Upstream> upstreams, List<String> leaving) {
+    public record InstanceList(List<LocalUpstream> upstreams, List<String> leaving) {
         /** Copies both. */
         public InstanceList {
             upstreams = List.copyOf(upstreams);
@@ -109,12 +109,12 @@
     }
 
     private static InstanceList instances(JsonNode root) {
-        List<Upstream> upstreams = new ArrayList<>();
+        List<LocalUpstream> upstreams = new ArrayList<>();
         List<String> leaving = new ArrayList<>();
         for (JsonNode node : root.path("instances")) {
             String id = node.path("id").asText();
             upstreams.add(
-                    new Upstream(
+                    new LocalUpstream(
                             id,
                             node.path("dataCentre").asText(),
                             node.path("address").asText(),
--- a/trailladder-testkit/src/main/java/io/trailladder/testkit/StandIn.java
+++ b/trailladder-testkit/src/main/java/io/trailladder/testkit/StandIn.java
@@ -75,7 +75,7 @@
      */
     protected StandIn(String host, int port) {
         listener = new NetworkListener("stand-in", host, port);
-        // answers on the worker's own thread: a response that is suspended and resumed before the
+        // answers on the upstream's own thread: a response that is suspended and resumed before the
         // handler returns may be recycled under the request
         listener.getTransport().setIOStrategy(WorkerThreadIOStrategy.getInstance());
         listener.getTransport()
--- a/trailladder-wire/src/main/java/io/trailladder/wire/NodeMessage.java
+++ b/trailladder-wire/src/main/java/io/trailladder/wire/NodeMessage.java
@@ -18,8 +18,8 @@
 import io.trailladder.core.duty.UsageCount;
 import io.trailladder.core.engine.EngineEvidence;
 import io.trailladder.core.rollout.RolloutNews;
-import io.trailladder.core.worker.ServiceDemand;
-import io.trailladder.core.worker.WorkerUse;
+import io.trailladder.core.upstream.ServiceDemand;
+import io.trailladder.core.upstream.UpstreamUse;
 import java.util.List;
 
 /**
@@ -33,10 +33,10 @@
      *
      * @param name the sender's name
      * @param incarnation names this life of the sender
-     * @param zone its data centre
+     * @param dataCentre its data centre
      * @param address where it takes links
      */
-    record NodeHello(String name, String incarnation, String zone, String address)
+    record NodeHello(String name, String incarnation, String dataCentre, String address)
             implements NodeMessage {}
 
     /** Whose figures a digest carries. */
@@ -76,7 +76,7 @@
             int members,
             List<UsageHistory> usage,
             List<OrganisationUse> quotas,
-            List<WorkerUse> uses,
+            List<UpstreamUse> uses,
             List<ServiceDemand> demands,
             List<EngineEvidence> evidence,
             List<String> leaving)
@@ -140,7 +140,7 @@
      * @param revision revision of the list with it
      * @param upstream the entry; without bytes if it is gone
      */
-    record UpstreamNews(long after, long revision, WorkerEntry upstream) implements NodeMessage {}
+    record UpstreamNews(long after, long revision, UpstreamEntry upstream) implements NodeMessage {}
 
     /**
      * What the sender knows and has seen of roll-outs; sent only while there are some.
@@ -160,10 +160,13 @@
      * @param policyVersion version of the policy; 0 if it knows none
      * @param policy the policy's bytes
      * @param directoryRevision revision of the list of upstreams; 0 if it knows none
-     * @param workers the upstreams' entries
+     * @param upstreams the upstreams' entries
      */
     record Snapshot(
-            long policyVersion, byte[] policy, long directoryRevision, List<WorkerEntry> workers)
+            long policyVersion,
+            byte[] policy,
+            long directoryRevision,
+            List<UpstreamEntry> upstreams)
             implements NodeMessage {}
 
     /**
@@ -172,5 +175,5 @@
      * @param id the upstream's name
      * @param value the entry's bytes
      */
-    record WorkerEntry(String id, byte[] value) {}
+    record UpstreamEntry(String id, byte[] value) {}
 }
--- a/trailladder-wire/src/main/java/io/trailladder/wire/NodePacker.java
+++ b/trailladder-wire/src/main/java/io/trailladder/wire/NodePacker.java
@@ -22,17 +22,17 @@
 import io.trailladder.core.rollout.RolloutNews;
 import io.trailladder.core.rollout.RolloutOrder;
 import io.trailladder.core.rollout.RouteEvidence;
-import io.trailladder.core.worker.ServiceDemand;
-import io.trailladder.core.worker.WorkerUse;
+import io.trailladder.core.upstream.ServiceDemand;
+import io.trailladder.core.upstream.UpstreamUse;
 import io.trailladder.wire.NodeMessage.NodeDigest;
 import io.trailladder.wire.NodeMessage.NodeHello;
 import io.trailladder.wire.NodeMessage.OrganisationUse;
 import io.trailladder.wire.NodeMessage.RolloutReport;
 import io.trailladder.wire.NodeMessage.Snapshot;
 import io.trailladder.wire.NodeMessage.SnapshotAsk;
+import io.trailladder.wire.NodeMessage.UpstreamEntry;
 import io.trailladder.wire.NodeMessage.UpstreamNews;
 import io.trailladder.wire.NodeMessage.UsageHistory;
-import io.trailladder.wire.NodeMessage.WorkerEntry;
 import java.io.IOException;
 import java.util.List;
 import org.msgpack.core.MessageBufferPacker;
@@ -76,7 +76,7 @@
         } else if (message instanceof SnapshotAsk ask) {
             fields(2).number(ask.policyVersion()).number(ask.directoryRevision());
         } else if (message instanceof UpstreamNews news) {
-            fields(3).number(news.after()).number(news.revision()).workerEntry(news.upstream());
+            fields(3).number(news.after()).number(news.revision()).upstreamEntry(news.upstream());
         } else if (message instanceof RolloutReport report) {
             fields(1).list(report.rollouts(), this::rollout);
         } else if (message instanceof Snapshot snapshot) {
@@ -88,7 +88,7 @@
         fields(4)
                 .text(hello.name())
                 .text(hello.incarnation())
-                .text(hello.zone())
+                .text(hello.dataCentre())
                 .text(hello.address());
     }
 
@@ -103,7 +103,7 @@
                 .number(digest.members())
                 .list(digest.usage(), this::usageHistory)
                 .list(digest.quotas(), this::organisationUse)
-                .list(digest.uses(), this::workerUse)
+                .list(digest.uses(), this::upstreamUse)
                 .list(digest.demands(), this::demand)
                 .list(digest.evidence(), this::evidence)
                 .list(digest.leaving(), this::text);
@@ -114,7 +114,7 @@
                 .number(snapshot.policyVersion())
                 .bytes(snapshot.policy())
                 .number(snapshot.directoryRevision())
-                .list(snapshot.workers(), this::workerEntry);
+                .list(snapshot.upstreams(), this::upstreamEntry);
     }
 
     private void usageHistory(UsageHistory history) throws IOException {
@@ -133,8 +133,8 @@
                 .fraction(use.level());
     }
 
-    private void workerUse(WorkerUse use) throws IOException {
-        fields(3).text(use.worker()).number(use.requests()).number(use.promptTokens());
+    private void upstreamUse(UpstreamUse use) throws IOException {
+        fields(3).text(use.upstream()).number(use.requests()).number(use.promptTokens());
     }
 
     private void demand(ServiceDemand demand) throws IOException {
@@ -183,7 +183,7 @@
         number(count.answers()).number(count.bad());
     }
 
-    private void workerEntry(WorkerEntry entry) throws IOException {
+    private void upstreamEntry(UpstreamEntry entry) throws IOException {
         fields(2).text(entry.id()).bytes(entry.value());
     }
 
--- a/trailladder-wire/src/main/java/io/trailladder/wire/NodeUnpacker.java
+++ b/trailladder-wire/src/main/java/io/trailladder/wire/NodeUnpacker.java
@@ -23,8 +23,8 @@
 import io.trailladder.core.rollout.RolloutOrder;
 import io.trailladder.core.rollout.RolloutPhase;
 import io.trailladder.core.rollout.RouteEvidence;
-import io.trailladder.core.worker.ServiceDemand;
-import io.trailladder.core.worker.WorkerUse;
+import io.trailladder.core.upstream.ServiceDemand;
+import io.trailladder.core.upstream.UpstreamUse;
 import io.trailladder.wire.NodeMessage.DigestScope;
 import io.trailladder.wire.NodeMessage.NodeDigest;
 import io.trailladder.wire.NodeMessage.NodeHello;
@@ -32,9 +32,9 @@
 import io.trailladder.wire.NodeMessage.RolloutReport;
 import io.trailladder.wire.NodeMessage.Snapshot;
 import io.trailladder.wire.NodeMessage.SnapshotAsk;
+import io.trailladder.wire.NodeMessage.UpstreamEntry;
 import io.trailladder.wire.NodeMessage.UpstreamNews;
 import io.trailladder.wire.NodeMessage.UsageHistory;
-import io.trailladder.wire.NodeMessage.WorkerEntry;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
@@ -119,7 +119,7 @@
                 smallNumber(),
                 list(this::usageHistory),
                 list(this::organisationUse),
-                list(this::workerUse),
+                list(this::upstreamUse),
                 list(this::demand),
                 list(this::evidence),
                 list(this::text));
@@ -141,12 +141,12 @@
 
     private UpstreamNews upstreamNews() throws IOException {
         fields(3);
-        return new UpstreamNews(number(), number(), workerEntry());
+        return new UpstreamNews(number(), number(), upstreamEntry());
     }
 
     private Snapshot snapshot() throws IOException {
         fields(4);
-        return new Snapshot(number(), bytes(), number(), list(this::workerEntry));
+        return new Snapshot(number(), bytes(), number(), list(this::upstreamEntry));
     }
 
     private UsageHistory usageHistory() throws IOException {
@@ -164,9 +164,9 @@
         return new OrganisationUse(text(), fraction(), fraction(), fraction());
     }
 
-    private WorkerUse workerUse() throws IOException {
+    private UpstreamUse upstreamUse() throws IOException {
         fields(3);
-        return new WorkerUse(text(), smallNumber(), smallNumber());
+        return new UpstreamUse(text(), smallNumber(), smallNumber());
     }
 
     private ServiceDemand demand() throws IOException {
@@ -213,9 +213,9 @@
         return new AnswerCount(smallNumber(), smallNumber());
     }
 
-    private WorkerEntry workerEntry() throws IOException {
+    private UpstreamEntry upstreamEntry() throws IOException {
         fields(2);
-        return new WorkerEntry(text(), bytes());
+        return new UpstreamEntry(text(), bytes());
     }
 
     private void fields(int expected) throws IOException {
--- a/trailladder-wire/src/main/java/io/trailladder/wire/PeerMessage.java
+++ b/trailladder-wire/src/main/java/io/trailladder/wire/PeerMessage.java
@@ -19,7 +19,7 @@
 import io.trailladder.core.claim.ClaimKey;
 import io.trailladder.core.claim.ClaimReply;
 import io.trailladder.core.claim.RangeMap;
-import io.trailladder.core.membership.Upstream;
+import io.trailladder.core.membership.LocalUpstream;
 import io.trailladder.core.table.Row;
 import io.trailladder.core.table.TableChange;
 import java.util.List;
@@ -108,7 +108,7 @@
      * @param listed upstreams live or leaving
      * @param leaving names of those that are leaving
      */
-    record UpstreamList(List<Upstream> listed, List<String> leaving) implements PeerMessage {}
+    record UpstreamList(List<LocalUpstream> listed, List<String> leaving) implements PeerMessage {}
 
     /**
      * Says that upstreams have begun to leave.
--- a/trailladder-wire/src/test/java/io/trailladder/wire/NodeMessageProperties.java
+++ b/trailladder-wire/src/test/java/io/trailladder/wire/NodeMessageProperties.java
@@ -29,8 +29,8 @@
 import io.trailladder.core.rollout.RolloutOrder;
 import io.trailladder.core.rollout.RolloutPhase;
 import io.trailladder.core.rollout.RouteEvidence;
-import io.trailladder.core.worker.ServiceDemand;
-import io.trailladder.core.worker.WorkerUse;
+import io.trailladder.core.upstream.ServiceDemand;
+import io.trailladder.core.upstream.UpstreamUse;
 import io.trailladder.wire.NodeMessage.DigestScope;
 import io.trailladder.wire.NodeMessage.NodeDigest;
 import io.trailladder.wire.NodeMessage.NodeHello;
@@ -38,9 +38,9 @@
 import io.trailladder.wire.NodeMessage.RolloutReport;
 import io.trailladder.wire.NodeMessage.Snapshot;
 import io.trailladder.wire.NodeMessage.SnapshotAsk;
+import io.trailladder.wire.NodeMessage.UpstreamEntry;
 import io.trailladder.wire.NodeMessage.UpstreamNews;
 import io.trailladder.wire.NodeMessage.UsageHistory;
-import io.trailladder.wire.NodeMessage.WorkerEntry;
 import java.io.IOException;
 import java.util.Arrays;
 import java.util.List;
@@ -70,7 +70,7 @@
                 4,
                 List.of(new UsageHistory(name, List.of(new UsageCount(5, "t", 6)))),
                 List.of(new OrganisationUse("t", figure, 7, 8)),
-                List.of(new WorkerUse(name, 9, 10)),
+                List.of(new UpstreamUse(name, 9, 10)),
                 List.of(new ServiceDemand("s", figure, 11)),
                 List.of(new EngineEvidence("s", sums, FitSums.NONE, 12, figure)),
                 List.of("left", name));
@@ -96,13 +96,13 @@
         assertEquals(ask, roundTrip(ask));
         UsageHistory history = new UsageHistory("life", List.of());
         assertEquals(history, roundTrip(history));
-        UpstreamNews news = new UpstreamNews(1, 2, new WorkerEntry("w", new byte[] {1, 2}));
+        UpstreamNews news = new UpstreamNews(1, 2, new UpstreamEntry("w", new byte[] {1, 2}));
         UpstreamNews newsBack = (UpstreamNews) roundTrip(news);
         assertArrayEquals(news.upstream().value(), newsBack.upstream().value());
         Snapshot snapshot = new Snapshot(3, new byte[300], 4, List.of(news.upstream()));
         Snapshot snapshotBack = (Snapshot) roundTrip(snapshot);
         assertEquals(300, snapshotBack.policy().length);
-        assertEquals("w", snapshotBack.workers().get(0).id());
+        assertEquals("w", snapshotBack.upstreams().get(0).id());
     }
 
     @Property(tries = 300, seed = "20261202")
