Serve requests in the own region; send others only what they have room for

Cause: requests went to whatever upstream was best by a few milliseconds, in either region. Change: the own region is weighed first, and alone if it can begin within the objective; prompts have homes in each region; another region is taken for what the own one cannot begin in time or has no upstream for, within the room that is lent and this process's part of it (CrossingRule).

--- a/trailladder-core/src/main/java/io/trailladder/core/membership/LinkPlanner.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/membership/LinkPlanner.java
@@ -15,6 +15,7 @@
  */
 package io.trailladder.core.membership;
 
+import io.trailladder.core.topology.Topology;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -38,6 +39,7 @@
     private static final int MOST_DOUBLINGS = 4;
 
     private final GatewayMember self;
+    private final Topology topology;
     private final Map<String, Long> avoidedUntilMillis = new HashMap<>();
     private final Map<String, Integer> failures = new HashMap<>();
     private List<GatewayMember> members = List.of();
@@ -59,12 +61,23 @@
     }
 
     /**
-     * Creates a planner that knows nobody.
+     * Creates a planner that knows nobody, where all is one region.
      *
      * @param self this process
      */
     public LinkPlanner(GatewayMember self) {
+        this(self, Topology.oneRegion(self.dataCentre()));
+    }
+
+    /**
+     * Creates a planner that knows nobody.
+     *
+     * @param self this process
+     * @param topology where it is
+     */
+    public LinkPlanner(GatewayMember self, Topology topology) {
         this.self = self;
+        this.topology = topology;
     }
 
     /**
@@ -88,6 +101,22 @@
         return members.size() + (listed ? 0 : 1);
     }
 
+    /**
+     * Returns how many processes of the own region are known, this one included.
+     *
+     * @return a count of at least 1
+     */
+    public int regionSize() {
+        if (topology.isOneRegion()) {
+            return size();
+        }
+        int count = 0;
+        for (GatewayMember member : members) {
+            count += topology.isOwnRegion(member.dataCentre()) ? 1 : 0;
+        }
+        return Math.max(1, count);
+    }
+
     /**
      * Records that a process could not be reached, or fell silent.
      *
@@ -148,7 +177,7 @@
     }
 
     private boolean isLocalHub(Optional<GatewayMember> member) {
-        return member.filter(m -> m.dataCentre().equals(self.dataCentre()))
+        return member.filter(m -> topology.isLocal(m.dataCentre()))
                 .filter(m -> hubs.contains(m))
                 .isPresent();
     }
--- a/trailladder-core/src/main/java/io/trailladder/core/upstream/CostTerms.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/upstream/CostTerms.java
@@ -16,6 +16,8 @@
 package io.trailladder.core.upstream;
 
 import io.trailladder.core.engine.EngineEstimate;
+import io.trailladder.core.topology.Distance;
+import io.trailladder.core.topology.Topology;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -25,11 +27,11 @@
  * answer. The work that a choice adds counts more than once, because it delays what comes after.
  */
 final class CostTerms {
-    /** What another data centre counts for, in milliseconds: four times the way there and back. */
-    private static final double OTHER_DATA_CENTRE_MILLIS = 4;
+    /** How often the way there and back counts: bytes between data centres are dear. */
+    private static final double WAY_WEIGHT = 4;
 
-    /** What each kilobyte sent there counts for, in milliseconds: bytes between them are dear. */
-    private static final double OTHER_DATA_CENTRE_MILLIS_PER_KB = 0.5;
+    /** What each kilobyte sent to another data centre of the region counts, in milliseconds. */
+    private static final double MILLIS_PER_KB = 0.5;
 
     /** How often the request's own reading counts: it delays itself and what comes after. */
     private static final double WORK_WEIGHT = 2;
@@ -47,12 +49,12 @@
 
     private static final double BYTES_PER_KB = 1024;
 
-    private final String dataCentre;
+    private final Topology topology;
     private final UpstreamLoads loads;
     private final Map<String, Long> suspectUntilMillis = new HashMap<>();
 
-    CostTerms(String dataCentre, UpstreamLoads loads) {
-        this.dataCentre = dataCentre;
+    CostTerms(Topology topology, UpstreamLoads loads) {
+        this.topology = topology;
         this.loads = loads;
     }
 
@@ -68,17 +70,19 @@
 
     /** Records that no connection to an upstream came about. */
     void unreachable(Upstream upstream, long nowMillis) {
-        if (!upstream.dataCentre().equals(dataCentre)) {
+        if (!topology.isLocal(upstream.dataCentre())) {
             suspectUntilMillis.put(upstream.dataCentre(), nowMillis + SUSPECT_MILLIS);
         }
     }
 
     private double distance(Candidate candidate) {
-        if (candidate.upstream().dataCentre().equals(dataCentre)) {
+        Distance distance = topology.distance(candidate.upstream().dataCentre());
+        if (distance == Distance.SAME_DATA_CENTRE) {
             return 0;
         }
-        int bytes = candidate.request().bodyBytes();
-        return OTHER_DATA_CENTRE_MILLIS + OTHER_DATA_CENTRE_MILLIS_PER_KB * bytes / BYTES_PER_KB;
+        double wayMillis = 2 * distance.oneWayMillis();
+        double perKb = MILLIS_PER_KB * distance.bytePrice();
+        return WAY_WEIGHT * wayMillis + perKb * candidate.request().bodyBytes() / BYTES_PER_KB;
     }
 
     private double failures(Candidate candidate) {
--- a/trailladder-core/src/main/java/io/trailladder/core/upstream/PromptHomes.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/upstream/PromptHomes.java
@@ -18,6 +18,7 @@
 import com.dynatrace.hash4j.hashing.Hashing;
 import io.trailladder.core.pipeline.Prompt;
 import io.trailladder.core.pipeline.PromptBlock;
+import io.trailladder.core.topology.Topology;
 import java.util.List;
 
 /**
@@ -40,8 +41,11 @@
         this.second = second;
     }
 
-    /** Finds the homes of a prompt among the upstreams that serve. */
-    static PromptHomes of(Prompt prompt, List<Upstream> serving) {
+    /**
+     * Finds the homes of a prompt among the upstreams of a region that serve: each region reads a
+     * shared part for itself, and finds it again without a way to another one.
+     */
+    static PromptHomes of(Prompt prompt, List<Upstream> serving, Topology topology, String region) {
         String subject = prompt.subject();
         if (subject.isEmpty()) {
             return NONE;
@@ -52,6 +56,9 @@
         long firstRank = 0;
         long secondRank = 0;
         for (Upstream upstream : serving) {
+            if (!topology.region(upstream.dataCentre()).equals(region)) {
+                continue;
+            }
             long rank = rank(subjectHash, upstream);
             if (first == null || rank < firstRank) {
                 second = first;
--- a/trailladder-core/src/main/java/io/trailladder/core/upstream/Selection.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/upstream/Selection.java
@@ -16,6 +16,7 @@
 package io.trailladder.core.upstream;
 
 import java.util.List;
+import java.util.Optional;
 
 /**
  * The choice of an upstream for one request, with the inputs that led to it.
@@ -29,6 +30,7 @@
  * @param placeMillis how long a place there is expected to be waited for, in milliseconds; 0 while
  *     one is free, or while too little is known of the upstreams
  * @param costs what made up the predicted time, by cost term
+ * @param crossing why another region was chosen; empty if the own one was
  * @since 0.2
  */
 public record Selection(
@@ -39,7 +41,8 @@
         int cachedTokens,
         int candidates,
         long placeMillis,
-        List<CostShare> costs) {
+        List<CostShare> costs,
+        Optional<Crossing> crossing) {
     /** Copies the costs. */
     public Selection {
         costs = List.copyOf(costs);
--- a/trailladder-core/src/main/java/io/trailladder/core/upstream/UpstreamLoads.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/upstream/UpstreamLoads.java
@@ -175,6 +175,28 @@
         return list(sum);
     }
 
+    /**
+     * Returns the requests under way at an upstream that this entry sent.
+     *
+     * @param upstream the upstream's name
+     * @return a count
+     */
+    public int ownRequests(String upstream) {
+        Load load = own.get(upstream);
+        return load == null ? 0 : load.requests;
+    }
+
+    /**
+     * Returns the prompt tokens waiting at an upstream that this entry sent.
+     *
+     * @param upstream the upstream's name
+     * @return tokens
+     */
+    public int ownPromptTokens(String upstream) {
+        Load load = own.get(upstream);
+        return load == null ? 0 : load.promptTokens;
+    }
+
     /**
      * Returns the requests under way at an upstream, of all entries.
      *
@@ -203,9 +225,8 @@
      * @return tokens
      */
     public int promptTokens(String upstream) {
-        Load load = own.get(upstream);
         Use peers = ofPeers.get(upstream);
-        return (load == null ? 0 : load.promptTokens) + (peers == null ? 0 : peers.promptTokens);
+        return ownPromptTokens(upstream) + (peers == null ? 0 : peers.promptTokens);
     }
 
     /**
@@ -275,11 +296,6 @@
         }
     }
 
-    private int ownRequests(String upstream) {
-        Load load = own.get(upstream);
-        return load == null ? 0 : load.requests;
-    }
-
     private Load load(String upstream) {
         return own.computeIfAbsent(upstream, name -> new Load());
     }
--- a/trailladder-core/src/main/java/io/trailladder/core/upstream/UpstreamSelector.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/upstream/UpstreamSelector.java
@@ -20,10 +20,12 @@
 import io.trailladder.core.pipeline.Prompt;
 import io.trailladder.core.pipeline.ServingRequest;
 import io.trailladder.core.rollout.VersionGate;
+import io.trailladder.core.topology.Topology;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.IntSupplier;
 
 /**
  * Chooses the upstream of a service with the lowest sum of cost terms, most of it the predicted
@@ -43,6 +45,8 @@
     private final UpstreamLoads loads;
     private final EngineModel engines;
     private final VersionGate versions;
+    private final Topology topology;
+    private final CrossingRule crossings;
     private final CostTerms usual;
     private final List<CostTerm> terms;
     private final PrefixIndex prefixes = new PrefixIndex(REMEMBERED_PARTS);
@@ -60,42 +64,55 @@
             UpstreamDirectory directory,
             UpstreamLoads loads,
             EngineModel engines) {
-        this(dataCentre, directory, loads, engines, new VersionGate(), List.of());
+        this(
+                Topology.oneRegion(dataCentre),
+                directory,
+                loads,
+                engines,
+                new VersionGate(),
+                () -> 1,
+                List.of());
     }
 
     /**
      * Creates a selector.
      *
-     * @param dataCentre the data centre of this entry
+     * @param topology where this entry is
      * @param directory the upstreams known
      * @param loads the work under way at them
      * @param engines what is believed of their speed
      * @param versions decides which versions may be chosen
+     * @param processes tells how many entries of the own region share the room of the others
      * @param further terms beside those that every gateway weighs
      */
     public UpstreamSelector(
-            String dataCentre,
+            Topology topology,
             UpstreamDirectory directory,
             UpstreamLoads loads,
             EngineModel engines,
             VersionGate versions,
+            IntSupplier processes,
             List<CostTerm> further) {
         this.versions = versions;
         this.directory = directory;
         this.loads = loads;
         this.engines = engines;
-        this.usual = new CostTerms(dataCentre, loads);
+        this.topology = topology;
+        this.crossings = new CrossingRule(topology, loads, processes);
+        this.usual = new CostTerms(topology, loads);
         this.terms = new ArrayList<>(usual.all());
         terms.addAll(further);
     }
 
     /**
-     * Chooses an upstream. Those left out for their failures are taken only if there is no other.
+     * Chooses an upstream. Those left out for their failures are taken only if there is no other,
+     * and those of other regions only if the own one cannot begin within the objective.
      *
      * @param request the request
      * @param excluded upstreams that must not be chosen
      * @param nowMillis the time
-     * @return the choice; empty if no upstream of the service takes new work
+     * @return the choice; empty if no upstream of the service takes new work, and none in another
+     *     region has a place left
      */
     public Optional<Selection> choose(
             ServingRequest request, Set<String> excluded, long nowMillis) {
@@ -103,28 +120,19 @@
         List<Upstream> serving =
                 versions.admitted(
                         service, directory.serving(service), excluded.isEmpty(), nowMillis);
-        PromptHomes homes = PromptHomes.of(request.prompt(), serving);
-        EngineEstimate engine = engines.estimate(service, nowMillis);
-        Candidate best = null;
-        double bestMillis = 0;
-        boolean bestEjected = true;
-        for (Upstream upstream : serving) {
-            if (excluded.contains(upstream.id())) {
-                continue;
-            }
-            boolean ejected = loads.ejected(upstream.id(), nowMillis);
-            Candidate candidate = candidate(upstream, request, engine, homes, nowMillis);
-            double millis = cost(candidate);
-            boolean better = best == null || millis < bestMillis;
-            if ((bestEjected && !ejected) || (bestEjected == ejected && better)) {
-                best = candidate;
-                bestMillis = millis;
-                bestEjected = ejected;
-            }
+        Round round = new Round(request, excluded, serving, engines.estimate(service, nowMillis));
+        Candidate own = round.best(topology.region(), false, nowMillis);
+        if (topology.isOneRegion() || (own != null && crossings.isEnough(own))) {
+            return selection(own, null, serving.size());
+        }
+        Candidate other = round.bestElsewhere(own == null, nowMillis);
+        if (other == null) {
+            return selection(own, null, serving.size());
+        }
+        if (own == null || round.crosses(own, other)) {
+            return selection(other, crossings.crossing(own, other), serving.size());
         }
-        return best == null
-                ? Optional.empty()
-                : Optional.of(selection(best, bestMillis, serving.size()));
+        return selection(own, null, serving.size());
     }
 
     /**
@@ -149,6 +157,76 @@
         usual.unreachable(upstream, nowMillis);
     }
 
+    /** One choice: the request and the upstreams that may run it. */
+    private final class Round {
+        private final ServingRequest request;
+        private final Set<String> excluded;
+        private final List<Upstream> serving;
+        private final EngineEstimate engine;
+
+        Round(
+                ServingRequest request,
+                Set<String> excluded,
+                List<Upstream> serving,
+                EngineEstimate engine) {
+            this.request = request;
+            this.excluded = excluded;
+            this.serving = serving;
+            this.engine = engine;
+        }
+
+        /** Returns the best upstream of a region; null if it has none, or none with room. */
+        Candidate best(String region, boolean noneHere, long nowMillis) {
+            PromptHomes homes = PromptHomes.of(request.prompt(), serving, topology, region);
+            boolean own = region.equals(topology.region());
+            Candidate best = null;
+            double bestMillis = 0;
+            boolean bestEjected = true;
+            for (Upstream upstream : serving) {
+                boolean there = topology.region(upstream.dataCentre()).equals(region);
+                if (!there || excluded.contains(upstream.id())) {
+                    continue;
+                }
+                Candidate candidate = candidate(upstream, request, engine, homes, nowMillis);
+                if (!own && !crossings.hasRoom(candidate, noneHere)) {
+                    continue;
+                }
+                boolean ejected = loads.ejected(upstream.id(), nowMillis);
+                double millis = cost(candidate);
+                boolean better = best == null || millis < bestMillis;
+                if ((bestEjected && !ejected) || (bestEjected == ejected && better)) {
+                    best = candidate;
+                    bestMillis = millis;
+                    bestEjected = ejected;
+                }
+            }
+            return best;
+        }
+
+        /** Returns the best upstream of all other regions; null if none has room. */
+        Candidate bestElsewhere(boolean noneHere, long nowMillis) {
+            Candidate best = null;
+            for (String region : topology.otherRegions()) {
+                Candidate there = best(region, noneHere, nowMillis);
+                if (there != null && (best == null || isBetter(there, best))) {
+                    best = there;
+                }
+            }
+            return best;
+        }
+
+        boolean crosses(Candidate own, Candidate other) {
+            return crossings.isWorthTheWay(own, other) && crossings.isInShare(other, serving);
+        }
+
+        private boolean isBetter(Candidate one, Candidate other) {
+            long now = one.nowMillis();
+            boolean ejected = loads.ejected(one.upstream().id(), now);
+            boolean otherEjected = loads.ejected(other.upstream().id(), now);
+            return ejected == otherEjected ? cost(one) < cost(other) : otherEjected;
+        }
+    }
+
     private Candidate candidate(
             Upstream upstream,
             ServingRequest request,
@@ -178,19 +256,24 @@
         return millis;
     }
 
-    private Selection selection(Candidate best, double millis, int candidates) {
+    private Optional<Selection> selection(Candidate best, Crossing crossing, int candidates) {
+        if (best == null) {
+            return Optional.empty();
+        }
         EngineEstimate engine = best.engine();
         int slots = best.upstream().slots();
         double place = engine.isLearned() ? engine.placeMillis(best.running(), slots) : 0;
-        return new Selection(
-                best.upstream(),
-                millis,
-                best.running(),
-                best.waitingTokens(),
-                best.cachedTokens(),
-                candidates,
-                Math.round(place),
-                costs(best));
+        return Optional.of(
+                new Selection(
+                        best.upstream(),
+                        cost(best),
+                        best.running(),
+                        best.waitingTokens(),
+                        best.cachedTokens(),
+                        candidates,
+                        Math.round(place),
+                        costs(best),
+                        Optional.ofNullable(crossing)));
     }
 
     /** What the terms count that a choice was made by, those that count nothing left out. */
