Wire regions from the settings to the choice; log and count what crosses

Change: Gateway builds the topology for links and choice; a line SentAcross tells of each request sent to another region what was expected here and there, and the event sent_to_other_region counts them. The part of other regions' room is shared by the processes of the own region. MembershipTest gives its mesh a topology of one region, nothing else in it changed.

--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/DecisionLog.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/DecisionLog.java
@@ -129,6 +129,26 @@
         }
     }
 
+    /**
+     * A request was sent to another region.
+     *
+     * @param id the request
+     * @param region where to
+     * @param hereMs when the own region was expected to begin, in milliseconds; -1 if none of its
+     *     upstreams serves
+     * @param thereMs when the other one is expected to, in milliseconds
+     */
+    public record SentAcross(String id, String region, long hereMs, long thereMs)
+            implements Decision {
+        @Override
+        public void write(JsonGenerator json) throws IOException {
+            json.writeStringField("id", id);
+            json.writeStringField("region", region);
+            json.writeNumberField("hereMs", hereMs);
+            json.writeNumberField("thereMs", thereMs);
+        }
+    }
+
     /**
      * A request was ended before a further attempt, because none could bring an answer in time.
      *
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
@@ -23,6 +23,7 @@
 import io.trailladder.core.policy.RequestBounds;
 import io.trailladder.core.policy.ServingPolicy;
 import io.trailladder.core.rollout.VersionGate;
+import io.trailladder.core.topology.Topology;
 import io.trailladder.core.upstream.DemandMeter;
 import io.trailladder.core.upstream.Upstream;
 import io.trailladder.core.upstream.UpstreamDirectory;
@@ -150,7 +151,8 @@
                         metrics,
                         !settings.node().firstStart());
         GatewayMember self = settings.self();
-        mesh = new PeerMesh(loop, self, incarnation, view);
+        Topology topology = Topology.of(self.dataCentre(), settings.regions().byDataCentre());
+        mesh = new PeerMesh(loop, self, topology, incarnation, view);
         mesh.seeds(settings.seeds().stream().map(HostPort::toString).toList());
         membership =
                 new Membership(
@@ -214,11 +216,12 @@
                         directory,
                         loads,
                         new UpstreamSelector(
-                                settings.node().dataCentre(),
+                                topology,
                                 directory,
                                 loads,
                                 engines,
                                 versions,
+                                mesh::regionSize,
                                 List.of()),
                         quotas,
                         new RetryBudgets(settings.retries(), view::entries),
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/GatewayMetrics.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/GatewayMetrics.java
@@ -97,7 +97,9 @@
         /** A second attempt was not made because the budget was used up. */
         RETRY_BUDGET_EMPTY,
         /** A usage report or an order was not accepted. */
-        DUTY_FAILURE
+        DUTY_FAILURE,
+        /** A request was sent to another region. */
+        SENT_TO_OTHER_REGION
     }
 
     /**
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestDriver.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestDriver.java
@@ -23,11 +23,13 @@
 import io.trailladder.core.pipeline.RecoveryPolicy;
 import io.trailladder.core.pipeline.ServingRequest;
 import io.trailladder.core.policy.RouteKind;
+import io.trailladder.core.upstream.Crossing;
 import io.trailladder.core.upstream.Selection;
 import io.trailladder.core.upstream.Upstream;
 import io.trailladder.entry.gateway.DecisionLog.AttemptFailed;
 import io.trailladder.entry.gateway.DecisionLog.Dispatch;
 import io.trailladder.entry.gateway.DecisionLog.Ended;
+import io.trailladder.entry.gateway.DecisionLog.SentAcross;
 import io.trailladder.entry.gateway.DecisionLog.TurnedAway;
 import io.trailladder.entry.http.HeaderList;
 import io.trailladder.entry.http.ServerExchange;
@@ -196,6 +198,7 @@
                         selection.candidates(),
                         context.peersAgeMillis().getAsLong(),
                         history.lastEventId()));
+        selection.crossing().ifPresent(this::crosses);
         context.selector().sent(request, upstream.id());
         answer.newAttempt();
         attempt = new Attempt(context, request, selection, this);
@@ -203,6 +206,16 @@
         attempt.start(calls.to(upstream, history.lastEventId(), now));
     }
 
+    private void crosses(Crossing crossing) {
+        context.metrics().count(GatewayMetrics.Event.SENT_TO_OTHER_REGION);
+        DecisionLog.write(
+                new SentAcross(
+                        request.id(),
+                        crossing.region(),
+                        crossing.hereMillis(),
+                        crossing.thereMillis()));
+    }
+
     private void firstByte() {
         firstMillis = context.loop().nowMillis() - request.acceptedMillis();
         context.metrics().firstAnswer(request.organisation(), request.service(), firstMillis);
--- a/trailladder-entry/src/main/java/io/trailladder/entry/mesh/PeerMesh.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/mesh/PeerMesh.java
@@ -19,6 +19,7 @@
 import io.trailladder.core.membership.HubTopology;
 import io.trailladder.core.membership.LinkPlanner;
 import io.trailladder.core.membership.LinkPlanner.LinkPlan;
+import io.trailladder.core.topology.Topology;
 import io.trailladder.entry.http.SocketFilter;
 import io.trailladder.entry.loop.EventLoop;
 import io.trailladder.entry.loop.LoopTimer;
@@ -71,13 +72,19 @@
      *
      * @param loop the loop whose thread runs it
      * @param self this process
+     * @param topology where it is
      * @param incarnation names this life of this process
      * @param listener told of peers and messages
      */
-    public PeerMesh(EventLoop loop, GatewayMember self, String incarnation, MeshListener listener) {
+    public PeerMesh(
+            EventLoop loop,
+            GatewayMember self,
+            Topology topology,
+            String incarnation,
+            MeshListener listener) {
         this.loop = loop;
         this.self = new NodeHello(self.name(), incarnation, self.dataCentre(), self.address());
-        this.planner = new LinkPlanner(self);
+        this.planner = new LinkPlanner(self, topology);
         this.listener = listener;
         this.chain =
                 FilterChainBuilder.stateless()
@@ -113,6 +120,15 @@
         return planner.size();
     }
 
+    /**
+     * Returns how many processes of the own region are known, this one included.
+     *
+     * @return a count of at least 1
+     */
+    public int regionSize() {
+        return planner.regionSize();
+    }
+
     @Override
     public boolean isHub() {
         return plan.hub();
--- a/trailladder-entry/src/test/java/io/trailladder/entry/gateway/MembershipTest.java
+++ b/trailladder-entry/src/test/java/io/trailladder/entry/gateway/MembershipTest.java
@@ -18,6 +18,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import io.trailladder.core.membership.GatewayMember;
+import io.trailladder.core.topology.Topology;
 import io.trailladder.entry.loop.EventLoop;
 import io.trailladder.entry.mesh.MeshListener;
 import io.trailladder.entry.mesh.PeerMesh;
@@ -42,7 +43,7 @@
     private void start(boolean firstStart) throws IOException {
         try (EventLoop loop = new EventLoop()) {
             GatewayMember self = new GatewayMember("e1", "a", "127.0.0.1:1", 1, 1);
-            PeerMesh mesh = new PeerMesh(loop, self, "1", new NoPeers());
+            PeerMesh mesh = new PeerMesh(loop, self, Topology.oneRegion("a"), "1", new NoPeers());
             StoreHealth health = new StoreHealth(new GatewayMetrics());
             new Membership(loop, new CountingStore(), health, mesh, self, firstStart).start();
         }
