--- a/trailladder-wire/src/main/java/io/trailladder/wire/MessageType.java
+++ b/trailladder-wire/src/main/java/io/trailladder/wire/MessageType.java
@@ -93,7 +93,9 @@
     /** {@link NodeMessage.UpstreamNews}. */
     UPSTREAM_NEWS(36, NodeMessage.UpstreamNews.class),
     /** {@link NodeMessage.RolloutReport}. */
-    ROLLOUT_REPORT(37, NodeMessage.RolloutReport.class);
+    ROLLOUT_REPORT(37, NodeMessage.RolloutReport.class),
+    /** {@link NodeMessage.RegionDigest}. */
+    REGION_DIGEST(38, NodeMessage.RegionDigest.class);
 
     private static final Map<Integer, MessageType> BY_NUMBER = new HashMap<>();
     private static final Map<Class<?>, MessageType> BY_CLASS = new HashMap<>();
--- a/trailladder-wire/src/main/java/io/trailladder/wire/NodeMessage.java
+++ b/trailladder-wire/src/main/java/io/trailladder/wire/NodeMessage.java
@@ -138,6 +138,17 @@
      */
     record OrganisationUse(String organisation, double used, double toldBefore, double level) {}
 
+    /**
+     * What a region knows and does, told to other regions and passed on within them as it came.
+     *
+     * @param speaks true if the origin tells for its region; else only versions are told
+     * @param hears who tells the origin for the receiver's region; empty if nobody does
+     * @param origin the process that told it first
+     * @param digest the sums of all processes of its region that the origin hears
+     */
+    record RegionDigest(boolean speaks, String hears, NodeHello origin, NodeDigest digest)
+            implements NodeMessage {}
+
     /**
      * Requests that began to run at one process, told to a peer that may not have heard of them.
      *
--- a/trailladder-wire/src/main/java/io/trailladder/wire/NodePacker.java
+++ b/trailladder-wire/src/main/java/io/trailladder/wire/NodePacker.java
@@ -28,6 +28,7 @@
 import io.trailladder.wire.NodeMessage.NodeDigest;
 import io.trailladder.wire.NodeMessage.NodeHello;
 import io.trailladder.wire.NodeMessage.OrganisationUse;
+import io.trailladder.wire.NodeMessage.RegionDigest;
 import io.trailladder.wire.NodeMessage.RolloutReport;
 import io.trailladder.wire.NodeMessage.Snapshot;
 import io.trailladder.wire.NodeMessage.SnapshotAsk;
@@ -82,6 +83,10 @@
             fields(1).list(report.rollouts(), this::rollout);
         } else if (message instanceof Snapshot snapshot) {
             snapshot(snapshot);
+        } else if (message instanceof RegionDigest region) {
+            fields(4).flag(region.speaks()).text(region.hears());
+            hello(region.origin());
+            digest(region.digest());
         }
     }
 
--- a/trailladder-wire/src/main/java/io/trailladder/wire/NodeUnpacker.java
+++ b/trailladder-wire/src/main/java/io/trailladder/wire/NodeUnpacker.java
@@ -30,6 +30,7 @@
 import io.trailladder.wire.NodeMessage.NodeDigest;
 import io.trailladder.wire.NodeMessage.NodeHello;
 import io.trailladder.wire.NodeMessage.OrganisationUse;
+import io.trailladder.wire.NodeMessage.RegionDigest;
 import io.trailladder.wire.NodeMessage.RolloutReport;
 import io.trailladder.wire.NodeMessage.Snapshot;
 import io.trailladder.wire.NodeMessage.SnapshotAsk;
@@ -99,10 +100,16 @@
             case UPSTREAM_NEWS -> upstreamNews();
             case SNAPSHOT -> snapshot();
             case ROLLOUT_REPORT -> rolloutReport();
+            case REGION_DIGEST -> regionDigest();
             default -> throw new IOException(type + " is no message between gateways");
         };
     }
 
+    private RegionDigest regionDigest() throws IOException {
+        fields(4);
+        return new RegionDigest(flag(), text(), hello(), digest());
+    }
+
     private NodeHello hello() throws IOException {
         fields(4);
         return new NodeHello(text(), text(), text(), text());
--- a/trailladder-wire/src/test/java/io/trailladder/wire/NodeMessageProperties.java
+++ b/trailladder-wire/src/test/java/io/trailladder/wire/NodeMessageProperties.java
@@ -36,6 +36,7 @@
 import io.trailladder.wire.NodeMessage.NodeDigest;
 import io.trailladder.wire.NodeMessage.NodeHello;
 import io.trailladder.wire.NodeMessage.OrganisationUse;
+import io.trailladder.wire.NodeMessage.RegionDigest;
 import io.trailladder.wire.NodeMessage.RolloutReport;
 import io.trailladder.wire.NodeMessage.Snapshot;
 import io.trailladder.wire.NodeMessage.SnapshotAsk;
@@ -147,6 +148,17 @@
         assertEquals("w", snapshotBack.upstreams().get(0).id());
     }
 
+    @Example
+    void digestOfARegionComesBackUnchanged() {
+        NodeHello origin = new NodeHello("n", "i", "z", "127.0.0.1:1");
+        RegionDigest told = new RegionDigest(true, "m", origin, digest(77, 1.5, "w"));
+        RegionDigest back = (RegionDigest) roundTrip(told);
+        assertEquals(origin, back.origin());
+        assertEquals(told.speaks(), back.speaks());
+        assertEquals("m", back.hears());
+        assertArrayEquals(PeerCodec.encode(told), PeerCodec.encode(back));
+    }
+
     @Property(tries = 300, seed = "20261202")
     void reportsOfRolloutsComeBackUnchanged(
             @ForAll String name, @ForAll long number, @ForAll RolloutPhase phase) {
