Links between processes in two levels: one hub speaks for each region

Cause: the hubs of all data centres linked to each other and told everything across, so bytes between regions grew with the square of the data centres. Change: hubs link within their region, two of each region to two of each other one; the first in rank of those that hear one another tells the sums of its region, and those it reaches pass the message on as it came, so each region counts once (RegionExchange). Work at single upstreams stays home, a sum for each service crosses. SimulatedCluster and SimulatedProcess know regions and count bytes between them; existing tests that use them are unchanged.

--- a/trailladder-core/src/main/java/io/trailladder/core/duty/UsageLedger.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/duty/UsageLedger.java
@@ -36,6 +36,11 @@
     private final long windowMillis;
     private final Map<String, NavigableMap<Long, Map<String, Integer>>> byEntry = new HashMap<>();
     private final LinkedHashMap<Key, Long> changes = new LinkedHashMap<>();
+
+    /** Changes in the own region, of this entry and all others; kept only if others are told. */
+    private final LinkedHashMap<Key, Long> regionChanges = new LinkedHashMap<>();
+
+    private boolean keepsRegionChanges;
     private long sequence;
 
     /** Names one count. */
@@ -90,13 +95,35 @@
      * @param passOn true if this entry has to tell others of them
      */
     public void merge(String entry, List<UsageCount> counts, boolean passOn) {
+        merge(entry, counts, passOn, true);
+    }
+
+    /**
+     * Takes over counts of an entry of another region, which are not told to other regions again.
+     *
+     * @param entry names the life of the entry
+     * @param counts its counts of recent windows
+     */
+    public void mergeElsewhere(String entry, List<UsageCount> counts) {
+        merge(entry, counts, false, false);
+    }
+
+    /** Keeps from now on what other regions are to be told of. */
+    public void keepRegionChanges() {
+        keepsRegionChanges = true;
+    }
+
+    private void merge(String entry, List<UsageCount> counts, boolean passOn, boolean ofRegion) {
         for (UsageCount count : counts) {
             Map<String, Integer> window = counts(entry, count.window());
             int before = window.getOrDefault(count.organisation(), 0);
             if (count.started() > before) {
                 window.put(count.organisation(), count.started());
+                Key key = new Key(entry, count.window(), count.organisation());
                 if (passOn) {
-                    changed(new Key(entry, count.window(), count.organisation()));
+                    changed(key);
+                } else if (ofRegion) {
+                    changedInRegion(key);
                 }
             }
         }
@@ -118,8 +145,22 @@
      * @return the counts as they are now
      */
     public Map<String, List<UsageCount>> changesAfter(long after) {
+        return changesAfter(changes, after);
+    }
+
+    /**
+     * Returns the counts of the own region that have changed, by entry.
+     *
+     * @param after the number of the latest change that was told
+     * @return the counts as they are now; none unless they are kept
+     */
+    public Map<String, List<UsageCount>> regionChangesAfter(long after) {
+        return changesAfter(regionChanges, after);
+    }
+
+    private Map<String, List<UsageCount>> changesAfter(Map<Key, Long> from, long after) {
         Map<String, List<UsageCount>> news = new TreeMap<>();
-        changes.forEach(
+        from.forEach(
                 (key, number) -> {
                     if (number > after) {
                         int started = counts(key.entry(), key.window()).get(key.organisation());
@@ -197,6 +238,7 @@
     public void forgetOld(long wallMillis) {
         long oldest = windowAt(wallMillis) - KEPT_WINDOWS;
         changes.keySet().removeIf(key -> key.window() < oldest);
+        regionChanges.keySet().removeIf(key -> key.window() < oldest);
         byEntry.values().forEach(windows -> windows.headMap(oldest).clear());
         byEntry.entrySet()
                 .removeIf(entry -> entry.getValue().isEmpty() && !entry.getKey().equals(self));
@@ -206,6 +248,18 @@
         sequence++;
         changes.remove(key);
         changes.put(key, sequence);
+        if (keepsRegionChanges) {
+            regionChanges.remove(key);
+            regionChanges.put(key, sequence);
+        }
+    }
+
+    private void changedInRegion(Key key) {
+        if (keepsRegionChanges) {
+            sequence++;
+            regionChanges.remove(key);
+            regionChanges.put(key, sequence);
+        }
     }
 
     private Map<String, Integer> counts(String entry, long window) {
--- a/trailladder-core/src/main/java/io/trailladder/core/membership/HubTopology.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/membership/HubTopology.java
@@ -16,6 +16,7 @@
 package io.trailladder.core.membership;
 
 import com.dynatrace.hash4j.hashing.Hashing;
+import io.trailladder.core.topology.Topology;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
@@ -45,6 +46,9 @@
                     .thenComparingDouble(member -> -member.cores())
                     .thenComparing(GatewayMember::name);
 
+    /** Processes of a region that link to other regions. */
+    public static final int CARRIERS_PER_REGION = 2;
+
     private HubTopology() {}
 
     /**
@@ -81,33 +85,63 @@
         return hubs;
     }
 
+    /**
+     * Orders the hubs of a region by who is to carry its sums to other regions: the strongest, then
+     * the strongest of another data centre, so that no loss of one takes both, then the others.
+     *
+     * @param hubs all hubs
+     * @param topology tells the regions
+     * @param region the region's name
+     * @return its hubs, the first {@link #CARRIERS_PER_REGION} of those that can be reached carry
+     */
+    public static List<GatewayMember> carriers(
+            Collection<GatewayMember> hubs, Topology topology, String region) {
+        List<GatewayMember> order = new ArrayList<>();
+        for (GatewayMember hub : hubs) {
+            if (topology.region(hub.dataCentre()).equals(region)) {
+                order.add(hub);
+            }
+        }
+        order.sort(STRONGEST_FIRST);
+        for (int i = 1; i < order.size(); i++) {
+            if (!order.get(i).dataCentre().equals(order.get(0).dataCentre())) {
+                order.add(1, order.remove(i));
+                break;
+            }
+        }
+        return order;
+    }
+
     /**
      * Orders the processes that a leaf may link to: the hubs of its data centre in an order of its
-     * own, so that leaves spread over them, then the next strongest there, then hubs elsewhere.
+     * own, so that leaves spread over them, then the next strongest there, then hubs of its region,
+     * then hubs elsewhere.
      *
      * @param self the leaf
      * @param members all known processes
+     * @param topology tells how far they are
      * @return the others, the most wanted first
      */
     public static List<GatewayMember> candidates(
-            GatewayMember self, Collection<GatewayMember> members) {
+            GatewayMember self, Collection<GatewayMember> members, Topology topology) {
         List<GatewayMember> hubs = hubs(members);
         Comparator<GatewayMember> order =
-                Comparator.<GatewayMember>comparingInt(member -> rank(self, member, hubs))
+                Comparator.<GatewayMember>comparingInt(member -> rank(member, hubs, topology))
                         .thenComparingLong(member -> spread(self, member, hubs))
                         .thenComparing(STRONGEST_FIRST);
         return members.stream()
                 .filter(member -> !member.name().equals(self.name()))
-                .filter(member -> isLocal(self, member) || hubs.contains(member))
+                .filter(member -> topology.isLocal(member.dataCentre()) || hubs.contains(member))
                 .sorted(order)
                 .toList();
     }
 
-    private static int rank(GatewayMember self, GatewayMember member, List<GatewayMember> hubs) {
-        if (!isLocal(self, member)) {
-            return 2;
-        }
-        return hubs.contains(member) ? 0 : 1;
+    private static int rank(GatewayMember member, List<GatewayMember> hubs, Topology topology) {
+        return switch (topology.distance(member.dataCentre())) {
+            case SAME_DATA_CENTRE -> hubs.contains(member) ? 0 : 1;
+            case SAME_REGION -> 2;
+            case OTHER_REGION -> 3;
+        };
     }
 
     private static long spread(GatewayMember self, GatewayMember member, List<GatewayMember> hubs) {
@@ -117,8 +151,4 @@
         String pair = self.name() + '/' + member.name();
         return Hashing.xxh3_64().hashCharsToLong(pair);
     }
-
-    private static boolean isLocal(GatewayMember self, GatewayMember member) {
-        return member.dataCentre().equals(self.dataCentre());
-    }
 }
--- a/trailladder-core/src/main/java/io/trailladder/core/membership/LinkPlanner.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/membership/LinkPlanner.java
@@ -16,6 +16,7 @@
 package io.trailladder.core.membership;
 
 import io.trailladder.core.topology.Topology;
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -47,6 +48,9 @@
     private List<GatewayMember> candidates = List.of();
     private String hub = "";
 
+    /** The hubs of each region, those that are to carry its sums first. */
+    private final Map<String, List<GatewayMember>> carriers = new HashMap<>();
+
     /**
      * What to do about links.
      *
@@ -88,7 +92,10 @@
     public void members(Collection<GatewayMember> listed) {
         members = List.copyOf(listed);
         hubs = HubTopology.hubs(members);
-        candidates = HubTopology.candidates(self, members);
+        candidates = HubTopology.candidates(self, members, topology);
+        carriers.clear();
+        order(topology.region());
+        topology.otherRegions().forEach(this::order);
     }
 
     /**
@@ -150,20 +157,84 @@
      */
     public LinkPlan plan(boolean needed, long nowMillis) {
         avoidedUntilMillis.values().removeIf(until -> until <= nowMillis);
-        if (HubTopology.isFullMesh(members)) {
-            return new LinkPlan(true, mesh(members));
-        }
-        boolean chosen = hubs.stream().anyMatch(member -> member.name().equals(self.name()));
-        if (chosen) {
-            return new LinkPlan(true, mesh(hubs));
+        List<GatewayMember> own = carriers.getOrDefault(topology.region(), List.of());
+        if (HubTopology.isFullMesh(members) || own.stream().anyMatch(this::isSelf)) {
+            return hubPlan(mesh(own), own);
         }
         if (needed) {
-            return new LinkPlan(true, addresses(hubs));
+            List<GatewayMember> withSelf = new ArrayList<>(own);
+            withSelf.add(self);
+            return hubPlan(addresses(own), withSelf);
         }
         chooseHub();
         return new LinkPlan(false, hub.isEmpty() ? Set.of() : Set.of(hub));
     }
 
+    /**
+     * Returns the place of a hub in the order in which hubs carry the sums of their region.
+     *
+     * @param name the hub's name
+     * @param dataCentre its data centre
+     * @return 0 for the first; more than any hub's for a process that is none
+     */
+    public int carrierRank(String name, String dataCentre) {
+        List<GatewayMember> order = carriers.getOrDefault(topology.region(dataCentre), List.of());
+        for (int i = 0; i < order.size(); i++) {
+            if (order.get(i).name().equals(name)) {
+                return i;
+            }
+        }
+        return Integer.MAX_VALUE;
+    }
+
+    private void order(String region) {
+        carriers.put(region, HubTopology.carriers(hubs, topology, region));
+    }
+
+    private boolean isSelf(GatewayMember member) {
+        return member.name().equals(self.name());
+    }
+
+    /** A hub links to those of its region, and to other regions if it is to carry sums. */
+    private LinkPlan hubPlan(Set<String> dial, List<GatewayMember> own) {
+        if (!topology.isOneRegion() && standing(own).stream().anyMatch(this::isSelf)) {
+            boolean first = first(own).stream().anyMatch(this::isSelf);
+            topology.otherRegions().forEach(region -> dialAcross(region, first, dial));
+        }
+        return new LinkPlan(true, dial);
+    }
+
+    /**
+     * The first carriers of a region are always wanted. Who stands in for one dials, and is
+     * dialled, whatever the addresses: the other side may not know that it does.
+     */
+    private void dialAcross(String region, boolean first, Set<String> dial) {
+        List<GatewayMember> order = carriers.getOrDefault(region, List.of());
+        List<GatewayMember> wanted = first(order);
+        dial.addAll(first ? mesh(wanted) : addresses(wanted));
+        for (GatewayMember member : standing(order)) {
+            if (!wanted.contains(member)) {
+                dial.add(member.address());
+            }
+        }
+    }
+
+    private static List<GatewayMember> first(List<GatewayMember> order) {
+        return order.subList(0, Math.min(HubTopology.CARRIERS_PER_REGION, order.size()));
+    }
+
+    /** The first of a region's hubs that could be reached when last tried. */
+    private List<GatewayMember> standing(List<GatewayMember> order) {
+        List<GatewayMember> standing = new ArrayList<>();
+        for (GatewayMember member : order) {
+            boolean lost = !isSelf(member) && failures.containsKey(member.address());
+            if (!lost && standing.size() < HubTopology.CARRIERS_PER_REGION) {
+                standing.add(member);
+            }
+        }
+        return standing;
+    }
+
     private void chooseHub() {
         Optional<GatewayMember> best =
                 candidates.stream()
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ClusterView.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ClusterView.java
@@ -28,10 +28,12 @@
 import io.trailladder.entry.mesh.Mesh;
 import io.trailladder.entry.mesh.MeshListener;
 import io.trailladder.entry.mesh.PeerMesh;
+import io.trailladder.entry.mesh.RegionView;
 import io.trailladder.wire.NodeMessage;
 import io.trailladder.wire.NodeMessage.DigestScope;
 import io.trailladder.wire.NodeMessage.NodeDigest;
 import io.trailladder.wire.NodeMessage.NodeHello;
+import io.trailladder.wire.NodeMessage.RegionDigest;
 import io.trailladder.wire.NodeMessage.RolloutReport;
 import io.trailladder.wire.NodeMessage.Snapshot;
 import io.trailladder.wire.NodeMessage.SnapshotAsk;
@@ -69,6 +71,12 @@
 
     private static final int RECENT_LEAVING = 32;
 
+    /**
+     * Least time between two digests that are told because an upstream leaves, in milliseconds:
+     * many may leave at once, and a digest takes a hub some processor time.
+     */
+    private static final long LEAVING_MILLIS = 50;
+
     private final LongSupplier nowMillis;
     private final PolicyKeeper policies;
     private final DirectoryKeeper directory;
@@ -80,12 +88,14 @@
     private final DigestParts parts = new DigestParts();
     private final DigestWriter writer;
     private final SnapshotExchange snapshots;
+    private final RegionExchange regions;
     private final List<String> recentLeaving = new ArrayList<>();
     private final Map<String, Peer> peers = new HashMap<>();
     private Optional<RolloutExchange> rollouts = Optional.empty();
     private BooleanSupplier leads = () -> false;
     private Mesh mesh;
     private boolean draining;
+    private long leavingToldMillis = -LEAVING_MILLIS;
 
     /**
      * Creates a view without peers.
@@ -125,6 +135,7 @@
         this.writer =
                 new DigestWriter(policies, directory, quotas, loads, usage, demand, engines, parts);
         this.snapshots = new SnapshotExchange(nowMillis, policies, directory, store, metrics);
+        this.regions = new RegionExchange(directory, limits, loads, usage, parts, writer);
         directory.onLeaving(upstream -> remember(upstream.id()));
         directory.onNews(this::tellLeaves);
     }
@@ -137,6 +148,7 @@
      */
     public void start(Mesh links, BooleanSupplier leading) {
         mesh = links;
+        mesh.regions().ifPresent(view -> usage.keepRegionChanges());
         leads = leading;
         policies.onChange(policy -> tellPeers());
     }
@@ -198,6 +210,15 @@
         return peers.size();
     }
 
+    /**
+     * Returns how many processes' figures were heard just now, this one's included.
+     *
+     * @return a count of at least 1
+     */
+    public int heardProcesses() {
+        return heard();
+    }
+
     /**
      * Returns the age of the oldest digest that counts.
      *
@@ -267,6 +288,8 @@
     public void received(NodeHello hello, NodeMessage message) {
         if (message instanceof NodeDigest digest) {
             digest(peers.compute(hello.name(), (name, known) -> sameLife(known, hello)), digest);
+        } else if (message instanceof RegionDigest digest) {
+            mesh.regions().ifPresent(view -> regionDigest(view, hello, digest));
         } else if (message instanceof UsageHistory history) {
             usage.merge(history.life(), history.usage(), false);
         } else if (message instanceof SnapshotAsk ask) {
@@ -280,6 +303,18 @@
         }
     }
 
+    private void regionDigest(RegionView view, NodeHello sender, RegionDigest digest) {
+        if (!mesh.isHub()) {
+            return;
+        }
+        long now = nowMillis.getAsLong();
+        if (view.isElsewhere(sender)) {
+            peers.compute(sender.name(), (name, known) -> sameLife(known, sender)).heard(now);
+            snapshots.digest(mesh, sender, digest.digest());
+        }
+        regions.received(mesh, view, sender, digest, ownHubs(), now);
+    }
+
     /** A peer that has started again may be linked anew before its old link is found dead. */
     private Peer sameLife(Peer known, NodeHello hello) {
         boolean same = known != null && known.hello().incarnation().equals(hello.incarnation());
@@ -321,6 +356,8 @@
     /** Tells the peers, and forgets silent ones. To be called every {@link #DIGEST_MILLIS}. */
     public void tick() {
         forgetSilentPeers();
+        mesh.regions()
+                .ifPresent(view -> regions.tick(mesh, view, ownHubs(), nowMillis.getAsLong()));
         engines.others(counted().stream().flatMap(peer -> peer.evidence().stream()).toList());
         boolean othersKnown = mesh.isPlanned() || !peers.isEmpty();
         limits.share(othersKnown, !mesh.isHub(), heard(), entries(), nowMillis.getAsLong());
@@ -356,6 +393,9 @@
         List<Peer> counted = counted();
         int heard = heard();
         for (Peer peer : told) {
+            if (isElsewhere(peer)) {
+                continue;
+            }
             if (mesh.isHub() && peer.isLeaf()) {
                 mesh.send(
                         peer.name(),
@@ -367,6 +407,13 @@
             }
         }
         byUsageTold.forEach((usageTold, same) -> tellAlike(same, digest(state, usageTold, now)));
+        mesh.regions().ifPresent(view -> tellRegions(view, state, told, now));
+    }
+
+    private void tellRegions(RegionView view, SenderState state, Collection<Peer> told, long now) {
+        List<Peer> own = countedHere();
+        int processes = 1 + own.stream().mapToInt(this::justHeard).sum();
+        regions.tell(mesh, view, state, told, own, processes, now);
     }
 
     private NodeDigest digest(SenderState state, long usageTold, long now) {
@@ -401,12 +448,37 @@
     }
 
     private List<Peer> counted() {
-        return peers.values().stream().filter(this::counts).toList();
+        List<Peer> counted = countedHere();
+        counted.addAll(regions.counted());
+        return counted;
+    }
+
+    /** The peers that count, but for those that tell for other regions. */
+    private List<Peer> countedHere() {
+        List<Peer> counted = new ArrayList<>();
+        for (Peer peer : peers.values()) {
+            if (counts(peer)) {
+                counted.add(peer);
+            }
+        }
+        return counted;
+    }
+
+    private List<Peer> ownHubs() {
+        return peers.values().stream()
+                .filter(peer -> !peer.isLeaf() && !isElsewhere(peer))
+                .toList();
+    }
+
+    private boolean isElsewhere(Peer peer) {
+        return mesh.regions().filter(view -> RegionExchange.isElsewhere(view, peer)).isPresent();
     }
 
     /** To a leaf only its hub's figures count, and those of peers that take it for a hub. */
     private boolean counts(Peer peer) {
-        return peer.isHeard() && (peer.isLeaf() || mesh.isHub() || mesh.isOwnHub(peer.hello()));
+        return peer.isHeard()
+                && !isElsewhere(peer)
+                && (peer.isLeaf() || mesh.isHub() || mesh.isOwnHub(peer.hello()));
     }
 
     private List<Peer> leaves() {
@@ -422,5 +494,16 @@
         if (recentLeaving.size() > RECENT_LEAVING) {
             recentLeaving.remove(0);
         }
+        tellOfLeaving();
+    }
+
+    /** The way between regions is longer by two processes, so news of leaving does not wait. */
+    private void tellOfLeaving() {
+        boolean several = mesh != null && mesh.regions().isPresent();
+        long now = nowMillis.getAsLong();
+        if (several && now - leavingToldMillis >= LEAVING_MILLIS) {
+            leavingToldMillis = now;
+            tellPeers();
+        }
     }
 }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/DigestWriter.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/DigestWriter.java
@@ -122,6 +122,48 @@
                 parts.sections(DigestScope.GROUP, names(leaves), nowMillis));
     }
 
+    /**
+     * Writes what is told to other regions: the sums of the processes of the own one. Work under
+     * way is told by service; single upstreams are the own region's matter.
+     */
+    NodeDigest region(
+            SenderState state,
+            Collection<Peer> own,
+            int processes,
+            List<UsageHistory> news,
+            List<UpstreamUse> uses,
+            long nowMillis) {
+        return digest(
+                state,
+                DigestScope.GROUP,
+                processes,
+                news,
+                quotas.regionUses(nowMillis),
+                uses,
+                sum(own, nowMillis),
+                evidence(own, nowMillis),
+                parts.sections(DigestScope.GROUP, names(own), nowMillis));
+    }
+
+    /** Writes what is told to other regions by a process that does not tell for its own. */
+    NodeDigest versions(SenderState state) {
+        return new NodeDigest(
+                policies.version(),
+                directory.revision(),
+                state.storeReachable(),
+                state.draining(),
+                DigestScope.GROUP,
+                0,
+                state.members(),
+                List.of(),
+                List.of(),
+                List.of(),
+                List.of(),
+                List.of(),
+                List.of(),
+                List.of());
+    }
+
     /** Writes what a hub tells a leaf: the figures of all others, so many processes. */
     NodeDigest rest(
             SenderState state, Peer leaf, Collection<Peer> counted, int processes, long nowMillis) {
@@ -171,14 +213,18 @@
     }
 
     private List<UsageHistory> news(long usageTold) {
-        if (usageTold >= usage.sequence()) {
-            return List.of();
-        }
-        List<UsageHistory> news = new ArrayList<>();
-        for (Map.Entry<String, List<UsageCount>> entry : usage.changesAfter(usageTold).entrySet()) {
-            news.add(new UsageHistory(entry.getKey(), entry.getValue()));
-        }
-        return news;
+        return usageTold >= usage.sequence() ? List.of() : histories(usage.changesAfter(usageTold));
+    }
+
+    /** Returns the changes of usage of the own region that another one was not told of. */
+    List<UsageHistory> regionNews(long usageTold) {
+        return histories(usage.regionChangesAfter(usageTold));
+    }
+
+    private static List<UsageHistory> histories(Map<String, List<UsageCount>> changes) {
+        List<UsageHistory> histories = new ArrayList<>();
+        changes.forEach((life, counts) -> histories.add(new UsageHistory(life, counts)));
+        return histories;
     }
 
     private NodeDigest digest(
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/DirectoryKeeper.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/DirectoryKeeper.java
@@ -27,6 +27,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import org.tinylog.Logger;
@@ -178,6 +179,16 @@
         directory.leaving(id).ifPresent(upstream -> left(upstream, "draining, told by " + peer));
     }
 
+    /**
+     * Finds an upstream, leaving or not.
+     *
+     * @param id its name
+     * @return the upstream
+     */
+    public Optional<Upstream> find(String id) {
+        return directory.find(id);
+    }
+
     /**
      * Tells whether an upstream has announced that it leaves.
      *
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/LimitExchange.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/LimitExchange.java
@@ -73,6 +73,20 @@
         }
     }
 
+    /**
+     * Takes over the use that another region tells.
+     *
+     * @param peer the process that tells for it, which has taken the digest over
+     * @param uses the region's use
+     * @param nowMillis the time
+     */
+    void toldByRegion(Peer peer, List<OrganisationUse> uses, long nowMillis) {
+        if (peer.followed()) {
+            quotas.beginAnew(peer.life());
+        }
+        quotas.regionUsed(peer.life(), uses, nowMillis);
+    }
+
     /**
      * Sets which part of the limits this process and those it hears may use.
      *
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Peer.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Peer.java
@@ -70,6 +70,11 @@
         directoryRevision = digest.directoryRevision();
     }
 
+    /** Records that the peer told something that is no digest of its own. */
+    void heard(long nowMillis) {
+        digestMillis = nowMillis;
+    }
+
     /**
      * Records that the figures of its last digest count.
      *
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Quotas.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Quotas.java
@@ -55,6 +55,9 @@
     private final Map<String, Double> ofLeaves = new RecentMap<>(MOST_REMEMBERED);
     private final Map<String, Double> told = new HashMap<>();
 
+    /** What other regions have let pass, by organisation. */
+    private final Map<String, Double> ofRegions = new HashMap<>();
+
     /** What is told of one organisation: all units, and the part that was told before. */
     private record Told(double used, double before) {
         static Told all(double used) {
@@ -138,16 +141,37 @@
      */
     public void peerUsed(String life, List<OrganisationUse> uses, long nowMillis) {
         for (OrganisationUse use : uses) {
-            QuotaBucket bucket = buckets.get(use.organisation());
-            if (bucket != null) {
-                if (!seen.containsKey(key(life, use))) {
-                    bucket.atMost(use.level(), nowMillis);
-                }
-                bucket.takenByPeers(increase(life, use), nowMillis);
-            }
+            peerUsed(life, use, nowMillis);
+        }
+    }
+
+    /**
+     * Takes over what the processes of another region have let pass.
+     *
+     * @param life names the life of the process that tells it
+     * @param uses what was let pass since that life began
+     * @param nowMillis the time
+     */
+    public void regionUsed(String life, List<OrganisationUse> uses, long nowMillis) {
+        for (OrganisationUse use : uses) {
+            double units = peerUsed(life, use, nowMillis);
+            ofRegions.merge(use.organisation(), units, Double::sum);
         }
     }
 
+    private double peerUsed(String life, OrganisationUse use, long nowMillis) {
+        QuotaBucket bucket = buckets.get(use.organisation());
+        if (bucket == null) {
+            return 0;
+        }
+        if (!seen.containsKey(key(life, use))) {
+            bucket.atMost(use.level(), nowMillis);
+        }
+        double units = increase(life, use);
+        bucket.takenByPeers(units, nowMillis);
+        return units;
+    }
+
     /**
      * Takes over what a process has let pass that relies on this one to tell the others.
      *
@@ -216,6 +240,18 @@
                 });
     }
 
+    /**
+     * Returns what the processes of the own region have let pass, to be told to other regions.
+     *
+     * @param nowMillis the time
+     * @return their use of limited organisations
+     */
+    public List<OrganisationUse> regionUses(long nowMillis) {
+        return uses(
+                nowMillis,
+                (name, bucket) -> Told.all(bucket.usedByAll() - ofRegions.getOrDefault(name, 0.0)));
+    }
+
     /**
      * Returns what all processes have let pass but one that relies on this process.
      *
--- /dev/null
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RegionExchange.java
@@ -0,0 +1,319 @@
+/*
+ * Copyright 2026 The trailladder authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package io.trailladder.entry.gateway;
+
+import io.trailladder.core.duty.UsageLedger;
+import io.trailladder.core.upstream.RegionUse;
+import io.trailladder.core.upstream.UpstreamLoads;
+import io.trailladder.core.upstream.UpstreamUse;
+import io.trailladder.entry.gateway.DecisionLog.Lifecycle;
+import io.trailladder.entry.gateway.DigestWriter.SenderState;
+import io.trailladder.entry.mesh.Mesh;
+import io.trailladder.entry.mesh.RegionView;
+import io.trailladder.wire.NodeMessage.NodeDigest;
+import io.trailladder.wire.NodeMessage.NodeHello;
+import io.trailladder.wire.NodeMessage.RegionDigest;
+import io.trailladder.wire.NodeMessage.UsageHistory;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * What regions tell each other.
+ *
+ * <p>Of the hubs of a region that hear one another the first in rank speaks for it: it tells the
+ * sums of the region to the hubs of other regions that it is linked to, which pass the message on
+ * to the hubs of their own region as it came. A sum is known by who told it first, so it counts
+ * once however many ways it comes, and of a region that two speak for only the first in rank
+ * counts.
+ */
+final class RegionExchange {
+    /**
+     * How old the last message of a hub may be for it to count as there, in milliseconds: three
+     * digests. With the next digest of the one that steps in, a region is heard again within 1.2 s.
+     */
+    static final long FRESH_MILLIS = 700;
+
+    /**
+     * How often hubs that do not speak tell other regions which versions they know, in
+     * milliseconds: often enough that their links are not taken for dead.
+     */
+    private static final long STANDBY_MILLIS = 600;
+
+    private final DirectoryKeeper directory;
+    private final LimitExchange limits;
+    private final UpstreamLoads loads;
+    private final UsageLedger usage;
+    private final DigestParts parts;
+    private final DigestWriter writer;
+
+    /** Those who told for other regions, by name. */
+    private final Map<String, Peer> speakers = new HashMap<>();
+
+    /** Who counts for each region; a region that is lost has none. */
+    private final Map<String, Peer> heard = new HashMap<>();
+
+    /** When a hub of the own region that goes first passed a region's message on. */
+    private final Map<String, Long> passedOnMillis = new HashMap<>();
+
+    /** Whom the hubs of other regions that are linked hear for the own one, and when they said. */
+    private final Map<String, HeardThere> heardThere = new HashMap<>();
+
+    private boolean speaking;
+    private long standbyMillis;
+
+    /** Whom a hub of another region hears for the own one. */
+    private record HeardThere(String speaker, long atMillis) {}
+
+    RegionExchange(
+            DirectoryKeeper directory,
+            LimitExchange limits,
+            UpstreamLoads loads,
+            UsageLedger usage,
+            DigestParts parts,
+            DigestWriter writer) {
+        this.directory = directory;
+        this.limits = limits;
+        this.loads = loads;
+        this.usage = usage;
+        this.parts = parts;
+        this.writer = writer;
+    }
+
+    /** Returns those who tell for other regions and whose figures count here. */
+    Collection<Peer> counted() {
+        return heard.values();
+    }
+
+    /** Tells whether a peer is no process of the own region, and does not rely on this one. */
+    static boolean isElsewhere(RegionView view, Peer peer) {
+        return view.isElsewhere(peer.hello()) && !peer.isLeaf();
+    }
+
+    /** Tells whether this process tells the other regions of its own one. */
+    boolean isSpeaking() {
+        return speaking;
+    }
+
+    /** Forgets regions that are silent, and finds out who speaks for the own one. */
+    void tick(Mesh mesh, RegionView view, Collection<Peer> own, long nowMillis) {
+        for (Peer peer : List.copyOf(speakers.values())) {
+            if (nowMillis - peer.digestMillis() > FRESH_MILLIS) {
+                speakers.remove(peer.name());
+                passOver(peer);
+                if (heard.remove(view.region(peer.hello()), peer)) {
+                    log(view.region(peer.hello()), "lost", peer.name());
+                }
+            }
+        }
+        boolean first = mesh.isHub() && isFirst(view, own, nowMillis);
+        if (first != speaking) {
+            speaking = first;
+            log(view.region(view.self()), first ? "spoken for" : "not spoken for", "by this");
+        }
+    }
+
+    /** Tells other regions of the own one. */
+    void tell(
+            Mesh mesh,
+            RegionView view,
+            SenderState state,
+            Collection<Peer> linked,
+            Collection<Peer> own,
+            int processes,
+            long nowMillis) {
+        List<Peer> elsewhere = new ArrayList<>();
+        for (Peer peer : linked) {
+            if (isElsewhere(view, peer)) {
+                elsewhere.add(peer);
+            }
+        }
+        if (elsewhere.isEmpty()) {
+            return;
+        }
+        if (!speaking) {
+            standBy(mesh, view, state, elsewhere, nowMillis);
+            return;
+        }
+        List<UpstreamUse> uses =
+                RegionUse.of(
+                        loads.groupUses(names(own)),
+                        directory::find,
+                        view.region(view.self()),
+                        view::isOwnRegion);
+        Map<String, Peer> first = firstOfEach(view, elsewhere, nowMillis);
+        for (Peer peer : elsewhere) {
+            boolean hearsUsage = first.containsValue(peer);
+            List<UsageHistory> news =
+                    hearsUsage ? writer.regionNews(peer.usageTold()) : List.<UsageHistory>of();
+            NodeDigest digest = writer.region(state, own, processes, news, uses, nowMillis);
+            boolean sent =
+                    mesh.send(
+                            peer.name(),
+                            new RegionDigest(true, hears(view, peer), view.self(), digest));
+            if (sent && hearsUsage) {
+                peer.usageTold(usage.sequence());
+            }
+        }
+    }
+
+    /**
+     * Takes over what another region tells.
+     *
+     * @param sender who sent it
+     * @param hubs those of the own region
+     */
+    void received(
+            Mesh mesh,
+            RegionView view,
+            NodeHello sender,
+            RegionDigest message,
+            Collection<Peer> hubs,
+            long nowMillis) {
+        NodeHello origin = message.origin();
+        if (origin.name().equals(sender.name())) {
+            heardThere.put(sender.name(), new HeardThere(message.hears(), nowMillis));
+        }
+        if (!view.isElsewhere(origin) || !message.speaks()) {
+            return;
+        }
+        boolean direct = origin.name().equals(sender.name());
+        String region = view.region(origin);
+        if (!direct && view.rank(sender) < view.rank(view.self())) {
+            passedOnMillis.put(region, nowMillis);
+        }
+        Peer peer =
+                speakers.compute(
+                        origin.name(), (name, known) -> sameLife(known, origin, nowMillis));
+        peer.told(SoundFigures.of(peer.name(), message.digest()), nowMillis);
+        if (!counts(view, peer, region, nowMillis)) {
+            passOver(peer);
+            return;
+        }
+        take(peer, message.digest(), nowMillis);
+        if (direct
+                && nowMillis - passedOnMillis.getOrDefault(region, -FRESH_MILLIS) >= FRESH_MILLIS) {
+            mesh.send(names(hubs), message);
+        }
+    }
+
+    /** Of those who tell for a region the first in rank counts that is still heard. */
+    private boolean counts(RegionView view, Peer peer, String region, long nowMillis) {
+        Peer before = heard.get(region);
+        if (before == peer) {
+            return true;
+        }
+        if (before != null && before.name().equals(peer.name())) {
+            heard.put(region, peer);
+            return true;
+        }
+        boolean better = before == null || view.rank(peer.hello()) < view.rank(before.hello());
+        if (!better && nowMillis - before.digestMillis() <= FRESH_MILLIS) {
+            return false;
+        }
+        if (before != null) {
+            passOver(before);
+        }
+        heard.put(region, peer);
+        log(region, before == null ? "heard" : "told by another", peer.name());
+        return true;
+    }
+
+    private void take(Peer peer, NodeDigest digest, long nowMillis) {
+        digest.leaving().forEach(id -> directory.leavingSeenBy(id, peer.name()));
+        digest.usage().forEach(news -> usage.mergeElsewhere(news.life(), news.usage()));
+        loads.peerUses(peer.name(), digest.uses());
+        limits.toldByRegion(peer, digest.quotas(), nowMillis);
+        parts.told(peer.name(), digest, nowMillis);
+    }
+
+    private void passOver(Peer peer) {
+        loads.peerLost(peer.name());
+        parts.forget(peer.name());
+        peer.passedOver();
+    }
+
+    private boolean isFirst(RegionView view, Collection<Peer> own, long nowMillis) {
+        int rank = view.rank(view.self());
+        for (Peer peer : own) {
+            boolean fresh = nowMillis - peer.digestMillis() <= FRESH_MILLIS;
+            if (fresh && peer.isHeard() && view.rank(peer.hello()) < rank) {
+                return isMissedElsewhere(view, nowMillis);
+            }
+        }
+        return true;
+    }
+
+    /** A hub that goes first may not reach other regions: then the next one speaks as well. */
+    private boolean isMissedElsewhere(RegionView view, long nowMillis) {
+        heardThere.values().removeIf(there -> nowMillis - there.atMillis() > FRESH_MILLIS);
+        for (HeardThere there : heardThere.values()) {
+            if (there.speaker().isEmpty() || there.speaker().equals(view.self().name())) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private String hears(RegionView view, Peer there) {
+        Peer speaker = heard.get(view.region(there.hello()));
+        return speaker == null ? "" : speaker.name();
+    }
+
+    private void standBy(
+            Mesh mesh, RegionView view, SenderState state, List<Peer> elsewhere, long nowMillis) {
+        if (nowMillis - standbyMillis >= STANDBY_MILLIS) {
+            standbyMillis = nowMillis;
+            NodeDigest versions = writer.versions(state);
+            for (Peer peer : elsewhere) {
+                mesh.send(
+                        peer.name(),
+                        new RegionDigest(false, hears(view, peer), view.self(), versions));
+            }
+        }
+    }
+
+    /** Usage is told to one process of each region, the first in rank that is there. */
+    private static Map<String, Peer> firstOfEach(
+            RegionView view, List<Peer> elsewhere, long nowMillis) {
+        Map<String, Peer> first = new HashMap<>();
+        for (Peer peer : elsewhere) {
+            if (nowMillis - peer.digestMillis() <= FRESH_MILLIS) {
+                first.merge(
+                        view.region(peer.hello()),
+                        peer,
+                        (one, other) ->
+                                view.rank(one.hello()) <= view.rank(other.hello()) ? one : other);
+            }
+        }
+        return first;
+    }
+
+    private static Peer sameLife(Peer known, NodeHello origin, long nowMillis) {
+        boolean same = known != null && known.hello().incarnation().equals(origin.incarnation());
+        return same ? known : new Peer(origin, nowMillis);
+    }
+
+    private static List<String> names(Collection<Peer> peers) {
+        return peers.stream().map(Peer::name).toList();
+    }
+
+    private static void log(String region, String what, String by) {
+        DecisionLog.write(new Lifecycle("region " + region, what, by));
+    }
+}
--- a/trailladder-entry/src/main/java/io/trailladder/entry/mesh/Mesh.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/mesh/Mesh.java
@@ -19,6 +19,7 @@
 import io.trailladder.wire.NodeMessage.NodeHello;
 import java.util.Collection;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 
 /**
@@ -57,6 +58,15 @@
      */
     boolean isOwnHub(NodeHello peer);
 
+    /**
+     * Tells where peers stand if there are several regions.
+     *
+     * @return the regions; empty if all is one
+     */
+    default Optional<RegionView> regions() {
+        return Optional.empty();
+    }
+
     /**
      * Sends a message to one peer.
      *
--- a/trailladder-entry/src/main/java/io/trailladder/entry/mesh/PeerMesh.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/mesh/PeerMesh.java
@@ -34,6 +34,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.filterchain.FilterChain;
@@ -57,6 +58,7 @@
 
     private final EventLoop loop;
     private final NodeHello self;
+    private final Optional<RegionView> regions;
     private final LinkPlanner planner;
     private final MeshListener listener;
     private final FilterChain chain;
@@ -85,6 +87,10 @@
         this.loop = loop;
         this.self = new NodeHello(self.name(), incarnation, self.dataCentre(), self.address());
         this.planner = new LinkPlanner(self, topology);
+        this.regions =
+                topology.isOneRegion()
+                        ? Optional.empty()
+                        : Optional.of(new RegionView(this.self, topology, planner));
         this.listener = listener;
         this.chain =
                 FilterChainBuilder.stateless()
@@ -129,6 +135,11 @@
         return planner.regionSize();
     }
 
+    @Override
+    public Optional<RegionView> regions() {
+        return regions;
+    }
+
     @Override
     public boolean isHub() {
         return plan.hub();
@@ -199,7 +210,8 @@
 
     /** Links that were opened before the processes were known are not needed by a leaf or hub. */
     private void closeUnwanted() {
-        if (planner.size() <= HubTopology.FULL_MESH_MOST) {
+        boolean all = planner.size() <= HubTopology.FULL_MESH_MOST && regions.isEmpty();
+        if (all || !planned) {
             return;
         }
         for (NodeLink link : List.copyOf(open)) {
--- /dev/null
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/mesh/RegionView.java
@@ -0,0 +1,93 @@
+/*
+ * Copyright 2026 The trailladder authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package io.trailladder.entry.mesh;
+
+import io.trailladder.core.membership.LinkPlanner;
+import io.trailladder.core.topology.Topology;
+import io.trailladder.wire.NodeMessage.NodeHello;
+
+/**
+ * Where peers stand, as seen by one process of several regions.
+ *
+ * @since 0.4
+ */
+public final class RegionView {
+    private final NodeHello self;
+    private final Topology topology;
+    private final LinkPlanner planner;
+
+    /**
+     * Creates a view.
+     *
+     * @param self this process
+     * @param topology tells the regions
+     * @param planner knows the hubs
+     */
+    public RegionView(NodeHello self, Topology topology, LinkPlanner planner) {
+        this.self = self;
+        this.topology = topology;
+        this.planner = planner;
+    }
+
+    /**
+     * Returns this process as its peers know it.
+     *
+     * @return what it greets them with
+     */
+    public NodeHello self() {
+        return self;
+    }
+
+    /**
+     * Tells whether a peer stands in another region.
+     *
+     * @param peer the peer
+     * @return true if it does
+     */
+    public boolean isElsewhere(NodeHello peer) {
+        return !topology.isOwnRegion(peer.dataCentre());
+    }
+
+    /**
+     * Returns a peer's region.
+     *
+     * @param peer the peer
+     * @return the region's name
+     */
+    public String region(NodeHello peer) {
+        return topology.region(peer.dataCentre());
+    }
+
+    /**
+     * Returns the place of a process in the order in which hubs carry the sums of their region.
+     *
+     * @param peer the process, which may be this one
+     * @return 0 for the first; more than any hub's for a process that is none
+     */
+    public int rank(NodeHello peer) {
+        return planner.carrierRank(peer.name(), peer.dataCentre());
+    }
+
+    /**
+     * Tells where an upstream's data centre lies.
+     *
+     * @param dataCentre the data centre
+     * @return true if it is of the own region
+     */
+    public boolean isOwnRegion(String dataCentre) {
+        return topology.isOwnRegion(dataCentre);
+    }
+}
--- a/trailladder-entry/src/test/java/io/trailladder/entry/gateway/SimulatedCluster.java
+++ b/trailladder-entry/src/test/java/io/trailladder/entry/gateway/SimulatedCluster.java
@@ -20,8 +20,10 @@
 import io.trailladder.core.policy.RateSpec;
 import io.trailladder.core.policy.RequestBounds;
 import io.trailladder.core.policy.ServingPolicy;
+import io.trailladder.core.topology.Topology;
 import io.trailladder.wire.NodeMessage;
 import io.trailladder.wire.NodeMessage.NodeHello;
+import io.trailladder.wire.PeerCodec;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -49,6 +51,12 @@
 
     static final String ORGANISATION = "t";
 
+    /** Two regions of three data centres each. */
+    static final Map<String, String> REGIONS_OF_SIX =
+            Map.of(
+                    "dc0", "north", "dc1", "south", "dc2", "north", "dc3", "south", "dc4", "north",
+                    "dc5", "south");
+
     /** Over how long the limit is measured, in milliseconds. */
     static final long WINDOW_MILLIS = 8_000;
 
@@ -68,6 +76,8 @@
     private final TreeMap<Long, Integer> granted = new TreeMap<>();
     private final TreeMap<Long, Integer> refused = new TreeMap<>();
     private BiPredicate<String, String> cut = (one, other) -> false;
+    private final Map<String, String> regions;
+    private long bytesBetweenRegions;
     private ServingPolicy policy;
     private double demand;
     private double mostAllowed;
@@ -85,6 +95,13 @@
     private record Message(NodeHello from, String to, NodeMessage content) {}
 
     SimulatedCluster(int dataCentres, int processesOfEach, double perSecond) {
+        this(dataCentres, processesOfEach, perSecond, Map.of());
+    }
+
+    /** Creates processes that know the regions of their data centres. */
+    SimulatedCluster(
+            int dataCentres, int processesOfEach, double perSecond, Map<String, String> regions) {
+        this.regions = regions;
         limit(perSecond);
         for (int i = 0; i < dataCentres * processesOfEach; i++) {
             String dataCentre = "dc" + i % dataCentres;
@@ -98,6 +115,28 @@
         processes.values().forEach(process -> process.start(true));
     }
 
+    Topology topology(String dataCentre) {
+        return Topology.of(dataCentre, regions);
+    }
+
+    SimulatedProcess process(String name) {
+        return processes.get(name);
+    }
+
+    /** Tells whether two processes stand in different regions, whether they know it or not. */
+    boolean isBetweenRegions(String one, String other) {
+        return !regionOf(one).equals(regionOf(other));
+    }
+
+    private String regionOf(String name) {
+        return SimulatedCluster.REGIONS_OF_SIX.getOrDefault(entries.get(name).dataCentre(), "");
+    }
+
+    /** Returns how many bytes went from one region to another, both ways together. */
+    long bytesBetweenRegions() {
+        return bytesBetweenRegions;
+    }
+
     long now() {
         return now;
     }
@@ -259,6 +298,9 @@
     }
 
     void send(NodeHello from, String to, NodeMessage message) {
+        if (isBetweenRegions(from.name(), to)) {
+            bytesBetweenRegions += PeerCodec.encode(message).length;
+        }
         underWay.add(new Message(from, to, message));
     }
 
--- a/trailladder-entry/src/test/java/io/trailladder/entry/gateway/SimulatedProcess.java
+++ b/trailladder-entry/src/test/java/io/trailladder/entry/gateway/SimulatedProcess.java
@@ -21,11 +21,13 @@
 import io.trailladder.core.membership.HubTopology;
 import io.trailladder.core.membership.LinkPlanner;
 import io.trailladder.core.membership.LinkPlanner.LinkPlan;
+import io.trailladder.core.topology.Topology;
 import io.trailladder.core.upstream.DemandMeter;
 import io.trailladder.core.upstream.UpstreamDirectory;
 import io.trailladder.core.upstream.UpstreamLoads;
 import io.trailladder.entry.mesh.Mesh;
 import io.trailladder.entry.mesh.PeerMesh;
+import io.trailladder.entry.mesh.RegionView;
 import io.trailladder.entry.port.PlatformFormat;
 import io.trailladder.wire.NodeMessage;
 import io.trailladder.wire.NodeMessage.NodeHello;
@@ -33,6 +35,7 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 
 /** One process of a {@link SimulatedCluster}. */
@@ -47,6 +50,11 @@
     private final GatewayMember member;
     private final long offsetMillis;
     private final Map<String, Long> heardMillis = new HashMap<>();
+    private final UpstreamDirectory upstreams = new UpstreamDirectory();
+    private Topology topology;
+    private DirectoryKeeper directory;
+    private UsageLedger usage;
+    private UpstreamLoads loads;
     private LinkPlanner planner;
     private LinkPlan plan;
     private Quotas quotas;
@@ -71,7 +79,8 @@
         running = true;
         planned = false;
         plan = new LinkPlan(true, Set.of());
-        planner = new LinkPlanner(member);
+        topology = cluster.topology(member.dataCentre());
+        planner = new LinkPlanner(member, topology);
         hello =
                 new NodeHello(
                         member.name(),
@@ -81,16 +90,18 @@
         quotas = new Quotas(firstStart, cluster.tolerance());
         GatewayMetrics metrics = new GatewayMetrics();
         PlatformFormat format = new NoFormat();
+        directory = new DirectoryKeeper(format, upstreams, cluster::now, task -> {});
+        usage = new UsageLedger(member.name() + '/' + life, USAGE_WINDOW_MILLIS);
+        loads = new UpstreamLoads();
         view =
                 new ClusterView(
                         cluster::now,
                         new PolicyKeeper(format),
-                        new DirectoryKeeper(
-                                format, new UpstreamDirectory(), cluster::now, task -> {}),
+                        directory,
                         new StoreHealth(metrics),
                         quotas,
-                        new UpstreamLoads(),
-                        new UsageLedger(member.name() + '/' + life, USAGE_WINDOW_MILLIS),
+                        loads,
+                        usage,
                         new DemandMeter(),
                         new EngineModel(),
                         metrics,
@@ -114,6 +125,30 @@
         return running && !frozen;
     }
 
+    boolean isHub() {
+        return plan.hub();
+    }
+
+    UpstreamDirectory upstreams() {
+        return upstreams;
+    }
+
+    DirectoryKeeper directory() {
+        return directory;
+    }
+
+    UsageLedger usage() {
+        return usage;
+    }
+
+    UpstreamLoads loads() {
+        return loads;
+    }
+
+    ClusterView view() {
+        return view;
+    }
+
     GatewayMember member() {
         return member;
     }
@@ -184,7 +219,8 @@
         if (planned) {
             plan = planner.plan(view.isNeeded(), now);
         }
-        if (planner.size() > HubTopology.FULL_MESH_MOST) {
+        boolean few = planner.size() <= HubTopology.FULL_MESH_MOST && topology.isOneRegion();
+        if (planned && !few) {
             cluster.closeUnwanted(member.name(), plan.dial());
         }
         for (String address : plan.dial()) {
@@ -217,6 +253,13 @@
             return !plan.hub() && plan.dial().contains(peer.address());
         }
 
+        @Override
+        public Optional<RegionView> regions() {
+            return topology.isOneRegion()
+                    ? Optional.empty()
+                    : Optional.of(new RegionView(hello, topology, planner));
+        }
+
         @Override
         public Set<String> send(Collection<String> peers, NodeMessage message) {
             Set<String> linked = new HashSet<>();
