Have three hubs follow the platform's store for all

Cause: each hub watched policy and upstreams for itself, so each change of one of some 90 upstreams made as many calls as there are hubs (12 in six data centres), and each leaf that starts made four watches in vain before its hub told it. Change: of each data centre the strongest hub follows, three in all; the others are told by these as leaves are by hubs. The first watch after a list waits 0.4 s.

--- a/trailladder-core/src/main/java/io/trailladder/core/membership/LinkPlanner.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/membership/LinkPlanner.java
@@ -43,6 +43,7 @@
     private List<GatewayMember> members = List.of();
     private List<GatewayMember> hubs = List.of();
     private List<GatewayMember> candidates = List.of();
+    private Set<String> followers = Set.of();
     private String hub = "";
 
     /**
@@ -76,6 +77,17 @@
         members = List.copyOf(listed);
         hubs = HubTopology.hubs(members);
         candidates = HubTopology.candidates(self, members);
+        followers = StoreFollowers.of(hubs);
+    }
+
+    /**
+     * Tells whether a process is one of the few hubs that follow the store for all.
+     *
+     * @param name the process's name
+     * @return false where all processes link to each other: there each follows for itself
+     */
+    public boolean isStoreFollower(String name) {
+        return !HubTopology.isFullMesh(members) && followers.contains(name);
     }
 
     /**
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ClusterView.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ClusterView.java
@@ -126,7 +126,7 @@
                 new DigestWriter(policies, directory, quotas, loads, usage, demand, engines, parts);
         this.snapshots = new SnapshotExchange(nowMillis, policies, directory, store, metrics);
         directory.onLeaving(upstream -> remember(upstream.id()));
-        directory.onNews(this::tellLeaves);
+        directory.onNews(this::passOn);
     }
 
     /**
@@ -230,19 +230,17 @@
     }
 
     /**
-     * Tells whether a hub tells this process of policy and upstreams in time, so that it need not
+     * Tells whether a peer tells this process of policy and upstreams in time, so that it need not
      * follow the store itself.
      *
      * @param before true if that was so until now
-     * @return false for hubs, and while the hub is silent or cannot reach the store
+     * @return false for the store's followers, and while those that tell it are silent or cannot
+     *     reach the store
      */
     public boolean isFed(boolean before) {
-        if (mesh.isHub()) {
-            return false;
-        }
         long oldest = nowMillis.getAsLong() - FED_MILLIS;
         return counted().stream()
-                .filter(peer -> !peer.isLeaf())
+                .filter(peer -> !peer.isLeaf() && mesh.isFedBy(peer.hello()))
                 .filter(peer -> peer.isStoreReachable() && peer.digestMillis() >= oldest)
                 .anyMatch(peer -> before || snapshots.isLevelWith(peer));
     }
@@ -271,7 +269,7 @@
             usage.merge(history.life(), history.usage(), false);
         } else if (message instanceof SnapshotAsk ask) {
             snapshots.asked(mesh, hello, ask);
-        } else if (message instanceof UpstreamNews news && mesh.isOwnHub(hello)) {
+        } else if (message instanceof UpstreamNews news && mesh.isFedBy(hello)) {
             directory.fromPeer(news);
         } else if (message instanceof Snapshot snapshot) {
             snapshots.answered(mesh, hello, snapshot);
@@ -312,10 +310,20 @@
         }
     }
 
-    private void tellLeaves(UpstreamNews news) {
-        if (mesh != null && mesh.isHub()) {
-            leaves().forEach(leaf -> mesh.send(leaf.name(), news));
+    /** A hub passes changes on to its leaves, and a follower of the store to the other hubs too. */
+    private void passOn(UpstreamNews news) {
+        if (mesh == null || !mesh.isHub()) {
+            return;
+        }
+        boolean follower = mesh.followsStoreForHubs();
+        List<String> fed = new ArrayList<>();
+        for (Peer peer : peers.values()) {
+            boolean otherHub = !peer.isLeaf() && !mesh.isStoreFollower(peer.name());
+            if (peer.isLeaf() || (follower && otherHub)) {
+                fed.add(peer.name());
+            }
         }
+        mesh.send(fed, news);
     }
 
     /** Tells the peers, and forgets silent ones. To be called every {@link #DIGEST_MILLIS}. */
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/DirectoryKeeper.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/DirectoryKeeper.java
@@ -93,7 +93,7 @@
     }
 
     /**
-     * Has a listener told of every change that the store tells.
+     * Has a listener told of every change that the store or a peer tells.
      *
      * @param listener the listener
      */
@@ -127,6 +127,7 @@
         if (news.after() <= revision && news.revision() > revision) {
             revision = news.revision();
             apply(news.upstream().id(), news.upstream().value());
+            onNews.accept(news);
         }
     }
 
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
@@ -383,7 +383,8 @@
                 watcher.restart();
             }
         }
-        rollouts.follow(fed);
+        // a leader, which is a hub, writes records under the revision that it has read itself
+        rollouts.follow(fed && !mesh.isHub());
         followLeader();
     }
 
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/SnapshotExchange.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/SnapshotExchange.java
@@ -60,7 +60,7 @@
         boolean newerPolicy = digest.policyVersion() > policies.version();
         boolean newerList =
                 digest.directoryRevision() > directory.revision()
-                        && (!store.isReachable() || mesh.isOwnHub(peer));
+                        && (!store.isReachable() || mesh.isFedBy(peer));
         long now = nowMillis.getAsLong();
         if ((newerPolicy || newerList) && now - askedMillis >= ASK_MILLIS) {
             askedMillis = now;
@@ -87,7 +87,7 @@
                 && policies.offer(snapshot.policy(), peer.name())) {
             metrics.count(GatewayMetrics.Event.POLICY_FROM_PEER);
         }
-        if (!store.isReachable() || directory.revision() == 0 || mesh.isOwnHub(peer)) {
+        if (!store.isReachable() || directory.revision() == 0 || mesh.isFedBy(peer)) {
             directory.fromPeer(snapshot.upstreams(), snapshot.directoryRevision(), peer.name());
         }
     }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/StoreWatcher.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/StoreWatcher.java
@@ -35,6 +35,13 @@
  */
 public final class StoreWatcher {
     private static final long WATCH_MILLIS = 10_000;
+
+    /**
+     * Pause between a list and the first watch after it, in milliseconds: most processes that start
+     * are told by a peer by then and need no watch, which is a call to pay for.
+     */
+    private static final long FIRST_WATCH_MILLIS = 400;
+
     private static final long FIRST_BACKOFF_MILLIS = 150;
     private static final long LONGEST_BACKOFF_MILLIS = 1_200;
 
@@ -172,7 +179,7 @@
         backoffMillis = FIRST_BACKOFF_MILLIS;
         listener.listed(List.copyOf(listed), revision);
         listed.clear();
-        watch(current);
+        loop.schedule(FIRST_WATCH_MILLIS, () -> watchIfCurrent(current));
     }
 
     private void watch(int current) {
--- a/trailladder-entry/src/main/java/io/trailladder/entry/mesh/Mesh.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/mesh/Mesh.java
@@ -57,6 +57,35 @@
      */
     boolean isOwnHub(NodeHello peer);
 
+    /**
+     * Tells whether a process is one of the hubs that follow the store for the other hubs.
+     *
+     * @param name the process's name
+     * @return false where each process follows for itself
+     */
+    default boolean isStoreFollower(String name) {
+        return false;
+    }
+
+    /**
+     * Tells whether this process is one of the hubs that follow the store for the other hubs.
+     *
+     * @return false where each process follows for itself
+     */
+    default boolean followsStoreForHubs() {
+        return false;
+    }
+
+    /**
+     * Tells whether a peer passes on to this process what it hears of policy and upstreams.
+     *
+     * @param peer the peer
+     * @return true for the hub of a leaf, and for the store's followers to another hub
+     */
+    default boolean isFedBy(NodeHello peer) {
+        return isOwnHub(peer);
+    }
+
     /**
      * Sends a message to one peer.
      *
--- a/trailladder-entry/src/main/java/io/trailladder/entry/mesh/PeerMesh.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/mesh/PeerMesh.java
@@ -128,6 +128,24 @@
         return !plan.hub() && plan.dial().contains(peer.address());
     }
 
+    @Override
+    public boolean isStoreFollower(String name) {
+        return planner.isStoreFollower(name);
+    }
+
+    @Override
+    public boolean followsStoreForHubs() {
+        return planner.isStoreFollower(self.name());
+    }
+
+    @Override
+    public boolean isFedBy(NodeHello peer) {
+        if (!plan.hub()) {
+            return isOwnHub(peer);
+        }
+        return isStoreFollower(peer.name()) && !followsStoreForHubs();
+    }
+
     /**
      * Tells whether this process looks for a hub that it can reach.
      *
--- a/trailladder-entry/src/test/java/io/trailladder/entry/gateway/SimulatedCluster.java
+++ b/trailladder-entry/src/test/java/io/trailladder/entry/gateway/SimulatedCluster.java
@@ -20,6 +20,7 @@
 import io.trailladder.core.policy.RateSpec;
 import io.trailladder.core.policy.RequestBounds;
 import io.trailladder.core.policy.ServingPolicy;
+import io.trailladder.entry.port.StoreItem;
 import io.trailladder.wire.NodeMessage;
 import io.trailladder.wire.NodeMessage.NodeHello;
 import java.util.ArrayDeque;
@@ -154,6 +155,32 @@
                 .toList();
     }
 
+    /** Has the store tell a change of the list of upstreams to all that follow it now. */
+    void storeTells(StoreItem item) {
+        followers().forEach(name -> processes.get(name).storeTells(item));
+    }
+
+    /** Has the store answer a process, or not. */
+    void storeAnswers(String name, boolean answers) {
+        processes.get(name).storeAnswers(answers);
+    }
+
+    /** Returns the processes that follow the store themselves. */
+    List<String> followers() {
+        return processes.values().stream()
+                .filter(process -> process.isRunning() && process.followsStore())
+                .map(process -> process.member().name())
+                .toList();
+    }
+
+    /** Returns the processes whose list of upstreams is older than a revision. */
+    List<String> behind(long revision) {
+        return processes.values().stream()
+                .filter(process -> process.isRunning() && process.directoryRevision() < revision)
+                .map(process -> process.member().name())
+                .toList();
+    }
+
     /** Ends a process; its peers see their links close. */
     void kill(String name) {
         processes.get(name).stop();
--- a/trailladder-entry/src/test/java/io/trailladder/entry/gateway/SimulatedProcess.java
+++ b/trailladder-entry/src/test/java/io/trailladder/entry/gateway/SimulatedProcess.java
@@ -27,6 +27,8 @@
 import io.trailladder.entry.mesh.Mesh;
 import io.trailladder.entry.mesh.PeerMesh;
 import io.trailladder.entry.port.PlatformFormat;
+import io.trailladder.entry.port.StoreFailure;
+import io.trailladder.entry.port.StoreItem;
 import io.trailladder.wire.NodeMessage;
 import io.trailladder.wire.NodeMessage.NodeHello;
 import java.util.Collection;
@@ -51,6 +53,9 @@
     private LinkPlan plan;
     private Quotas quotas;
     private ClusterView view;
+    private DirectoryKeeper directory;
+    private StoreHealth health;
+    private boolean fed;
     private NodeHello hello;
     private boolean planned;
     private boolean running;
@@ -81,13 +86,15 @@
         quotas = new Quotas(firstStart, cluster.tolerance());
         GatewayMetrics metrics = new GatewayMetrics();
         PlatformFormat format = new NoFormat();
+        health = new StoreHealth(metrics);
+        directory = new DirectoryKeeper(format, new UpstreamDirectory(), cluster::now, task -> {});
+        fed = false;
         view =
                 new ClusterView(
                         cluster::now,
                         new PolicyKeeper(format),
-                        new DirectoryKeeper(
-                                format, new UpstreamDirectory(), cluster::now, task -> {}),
-                        new StoreHealth(metrics),
+                        directory,
+                        health,
                         quotas,
                         new UpstreamLoads(),
                         new UsageLedger(member.name() + '/' + life, USAGE_WINDOW_MILLIS),
@@ -153,6 +160,32 @@
         }
     }
 
+    /** Tells a change of the list of upstreams as the store would. */
+    void storeTells(StoreItem item) {
+        if (isRunning()) {
+            directory.changed(item);
+        }
+    }
+
+    /** Has the store lost to this process, or answering it again. */
+    void storeAnswers(boolean answers) {
+        if (answers) {
+            health.answered();
+        } else {
+            health.failed(StoreFailure.UNANSWERED);
+        }
+    }
+
+    /** Tells whether this process would follow the store itself. */
+    boolean followsStore() {
+        fed = view.isFed(fed);
+        return !fed;
+    }
+
+    long directoryRevision() {
+        return directory.revision();
+    }
+
     void linked(NodeHello peer) {
         planner.reached(peer.address());
         heardMillis.put(peer.name(), cluster.now());
@@ -217,6 +250,22 @@
             return !plan.hub() && plan.dial().contains(peer.address());
         }
 
+        @Override
+        public boolean isStoreFollower(String name) {
+            return planner.isStoreFollower(name);
+        }
+
+        @Override
+        public boolean followsStoreForHubs() {
+            return planner.isStoreFollower(member.name());
+        }
+
+        @Override
+        public boolean isFedBy(NodeHello peer) {
+            boolean follower = isStoreFollower(peer.name()) && !followsStoreForHubs();
+            return plan.hub() ? follower : isOwnHub(peer);
+        }
+
         @Override
         public Set<String> send(Collection<String> peers, NodeMessage message) {
             Set<String> linked = new HashSet<>();
