Count usage by a time of day that the processes agree on

Change: core/time takes the median of what digests tell, by voters, from three processes on; never backward.

--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
@@ -124,7 +124,8 @@
         SplittableRandom random = new SplittableRandom(name.hashCode() ^ System.nanoTime());
         String incarnation = Long.toHexString(random.nextLong());
         String life = name + '/' + incarnation;
-        Clock clock = new SteadyClock(Clock.systemUTC(), loop::nowMillis);
+        Clock own = new SteadyClock(Clock.systemUTC(), loop::nowMillis);
+        TimePart clock = new TimePart(own, loop::nowMillis);
         UsageLedger usage = new UsageLedger(life, settings.timing().usageWindowMillis());
         DemandMeter demand = new DemandMeter();
         policies = new PolicyKeeper(platform.format());
@@ -149,6 +150,7 @@
                         engines,
                         metrics,
                         !settings.node().firstStart());
+        view.add(clock);
         GatewayMember self = settings.self();
         mesh = new PeerMesh(loop, self, incarnation, view);
         mesh.seeds(settings.seeds().stream().map(HostPort::toString).toList());
