--- a/trailladder-cli/src/main/java/io/trailladder/cli/TableCommand.java
+++ b/trailladder-cli/src/main/java/io/trailladder/cli/TableCommand.java
@@ -29,6 +29,7 @@
 import java.io.IOException;
 import java.io.PrintWriter;
 import java.io.StringReader;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -297,6 +298,11 @@
     }
 
     private Optional<Seq<Row>> read(Path file) {
+        if (!Files.isRegularFile(file)) {
+            err().println("error: FILE is '" + file + "', expected a CSV file that exists");
+            err().println("nothing was applied");
+            return Optional.empty();
+        }
         Validation<Seq<RowFault>, Seq<Row>> read = TableFile.read(file);
         if (read.isInvalid()) {
             read.getError().forEach(f -> err().println("error: " + f.describe(file.toString())));
--- a/trailladder-cli/src/test/java/io/trailladder/cli/CommandLineTest.java
+++ b/trailladder-cli/src/test/java/io/trailladder/cli/CommandLineTest.java
@@ -76,6 +76,13 @@
         assertTrue(err.toString().contains(expected), err.toString());
     }
 
+    @Example
+    void tableThatDoesNotExistIsNamed() {
+        assertEquals(1, run("table", "validate", "no-such-table.csv"));
+        String expected = "error: FILE is 'no-such-table.csv', expected a CSV file that exists";
+        assertTrue(err.toString().contains(expected), err.toString());
+    }
+
     @Example
     void exampleTablesAreRight() {
         assertEquals(0, run("table", "validate", "../examples/plata.csv"), err.toString());
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
@@ -377,7 +377,12 @@
 
     /** What a hub tells in time is not asked of the store as well. */
     private void followStore() {
-        fed = view.isFed(fed);
+        boolean before = fed;
+        fed = view.isFed(before);
+        if (fed != before) {
+            String how = fed ? "told by peers" : "followed";
+            DecisionLog.write(new Lifecycle("policy and upstreams", how, ""));
+        }
         for (StoreWatcher watcher : List.of(policyWatcher, directoryWatcher)) {
             if (fed && watcher.isRunning()) {
                 watcher.stop();
