A test that fails: what a bad version gets, however its roll-out ends

Cause: RolloutProperties left out the plays in which a bad version is completed, which are those where the bound breaks. Change: a property over all plays, with bad versions of 1 to 30% and faults drawn by seed, counted from the order to its deadline, repeated requests too; the simulated processes repeat a failed request once and see the order up to 400 ms late, and the old version stops at the completion.

--- a/trailladder-core/src/test/java/io/trailladder/core/rollout/RolloutProperties.java
+++ b/trailladder-core/src/test/java/io/trailladder/core/rollout/RolloutProperties.java
@@ -21,6 +21,12 @@
 import io.trailladder.core.rollout.RolloutStatus.State;
 import io.trailladder.core.rollout.SimulatedRollout.Faults;
 import io.trailladder.core.rollout.SimulatedRollout.Version;
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.SplittableRandom;
 import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
@@ -33,6 +39,9 @@
 class RolloutProperties {
     private static final int DURATION_MILLIS = 12_000;
 
+    /** Plays over all kinds of bad versions and faults: some seconds of computing. */
+    private static final int ALL_PLAYS = 400;
+
     private static SimulatedRollout play(
             Version version, Faults faults, int processes, double perSecond, long seed) {
         return new SimulatedRollout(version, faults, processes, DURATION_MILLIS, seed)
@@ -79,6 +88,61 @@
         }
     }
 
+    /**
+     * What anybody believed does not matter: of all plays, those that end completed among them,
+     * what a bad version gets from the order to its deadline, repeated requests too, stays within
+     * the bound.
+     */
+    @Example
+    void exposureIsKeptHoweverThePlayEnds() {
+        Map<State, Integer> ends = new EnumMap<>(State.class);
+        List<String> broken = new ArrayList<>();
+        double closest = 0;
+        for (int seed = 1; seed <= ALL_PLAYS; seed++) {
+            SimulatedRollout played = anyPlay(seed);
+            ends.merge(played.state(), 1, Integer::sum);
+            closest = Math.max(closest, played.exposed() / played.exposureBound());
+            boolean late = played.lateMillis() > SimulatedRollout.LEFT_MILLIS;
+            if (played.exposed() > played.exposureBound() || late) {
+                broken.add(
+                        String.format(
+                                Locale.ROOT,
+                                "seed %d ended %s: %d sent, expected at most %.0f; %d ms after",
+                                seed,
+                                played.state(),
+                                played.exposed(),
+                                played.exposureBound(),
+                                played.lateMillis()));
+            }
+        }
+        System.out.printf(
+                Locale.ROOT,
+                "%d plays with bad versions ended %s; most used of the bound %.2f%n",
+                ALL_PLAYS,
+                ends,
+                closest);
+        assertEquals(List.of(), broken);
+    }
+
+    /** A play with a bad version and faults, all drawn by its seed. */
+    private static SimulatedRollout anyPlay(int seed) {
+        SplittableRandom random = new SplittableRandom(seed);
+        double[] rates = {0.01, 0.02, 0.05, 0.1, 0.3};
+        double fails = rates[random.nextInt(rates.length)];
+        double slow = random.nextBoolean() ? 0 : rates[random.nextInt(rates.length)];
+        int from = random.nextBoolean() ? 0 : random.nextInt(DURATION_MILLIS);
+        int above = random.nextInt(3) == 0 ? random.nextInt(8) : -1;
+        int route = random.nextInt(3) == 0 ? random.nextInt(3) : -1;
+        Version version =
+                new Version(fails, slow, 1.5 + 4 * random.nextDouble(), from, above, route);
+        int lost = random.nextBoolean() ? -1 : 200 * random.nextInt(60);
+        int restart = random.nextInt(3) == 0 ? 300 + 20 * random.nextInt(100) : 0;
+        Faults faults = new Faults(lost, 2_000, random.nextInt(3), restart, 400);
+        int processes = 6 + random.nextInt(90);
+        double perSecond = 5 + random.nextInt(400);
+        return play(version, faults, processes, perSecond, seed);
+    }
+
     @Property(tries = 40, seed = "20261202")
     void slowVersionsAreRolledBack(
             @ForAll @DoubleRange(min = 0.4, max = 1) double slow,
--- a/trailladder-core/src/test/java/io/trailladder/core/rollout/SimulatedRollout.java
+++ b/trailladder-core/src/test/java/io/trailladder/core/rollout/SimulatedRollout.java
@@ -73,9 +73,23 @@
         }
     }
 
-    /** What strikes the processes, by time after the order. */
-    record Faults(int leaderLostMillis, int cutFromMillis, int cutParts, int restartEveryMillis) {
+    /**
+     * What strikes the processes, by time after the order.
+     *
+     * @param seenLateMillis how much later than it was written some processes see the order, at
+     *     most
+     */
+    record Faults(
+            int leaderLostMillis,
+            int cutFromMillis,
+            int cutParts,
+            int restartEveryMillis,
+            int seenLateMillis) {
         static final Faults NONE = new Faults(-1, -1, 0, 0);
+
+        Faults(int leaderLostMillis, int cutFromMillis, int cutParts, int restartEveryMillis) {
+            this(leaderLostMillis, cutFromMillis, cutParts, restartEveryMillis, 0);
+        }
     }
 
     private record Due(double at, Runnable task) {}
@@ -96,6 +110,12 @@
                     order, new ExposureLedger(SHARE, allowance, processes.size() + 1), now);
         }
 
+        void seeLate(int lateMillis) {
+            now = lateMillis;
+            rollout = newView(SLACK);
+            now = 0;
+        }
+
         void restart() {
             rollout = newView(0);
             rollout.heard(
@@ -150,6 +170,9 @@
             processes.add(new Member(SLACK));
         }
         processes.forEach(process -> process.rollout = process.newView(SLACK));
+        if (faults.seenLateMillis() > 0) {
+            processes.forEach(process -> process.seeLate(random.nextInt(faults.seenLateMillis())));
+        }
         for (int i = 0; i < 12; i++) {
             serving.add(upstream("a" + i, OLD));
             serving.add(upstream("b" + i, NEW));
@@ -216,12 +239,13 @@
         double expected = perSecond * STEP_MILLIS / 1_000;
         int count = (int) expected + (random.nextDouble() < expected % 1 ? 1 : 0);
         for (int i = 0; i < count; i++) {
-            send(processes.get(random.nextInt(processes.size())), random.nextInt(ROUTES));
+            send(processes.get(random.nextInt(processes.size())), random.nextInt(ROUTES), true);
         }
     }
 
-    private void send(Member process, int route) {
-        List<Upstream> candidates = process.rollout.admitted(serving, true, now);
+    /** Sends a request; one that fails at its first upstream is repeated once. */
+    private void send(Member process, int route, boolean first) {
+        List<Upstream> candidates = process.rollout.admitted(serving, first, now);
         if (candidates.isEmpty()) {
             return;
         }
@@ -229,7 +253,10 @@
         boolean isTarget = upstream.version().equals(NEW);
         Rollout sentBy = process.rollout;
         sentBy.sent(upstream);
-        if (now <= deadline && !status.state().equals(State.COMPLETED)) {
+        if (!isTarget && status.state() == State.COMPLETED) {
+            return; // the old version has stopped: nothing reaches it
+        }
+        if (now <= deadline) {
             total++;
             exposed += isTarget ? 1 : 0;
         }
@@ -240,12 +267,17 @@
         boolean badNow = isTarget && version.isBadNow((int) now, load, route);
         boolean fails = random.nextDouble() < (badNow ? version.fails() : OLD_FAILS);
         boolean slow = badNow && random.nextDouble() < version.slow();
-        double first = FIRST_MILLIS * Math.exp(0.4 * (random.nextDouble() - 0.5));
-        double took = slow ? first * version.slowTimes() : first;
+        double usual = FIRST_MILLIS * Math.exp(0.4 * (random.nextDouble() - 0.5));
+        double took = slow ? usual * version.slowTimes() : usual;
         due.add(
                 new Due(
                         now + took + RUN_MILLIS,
-                        () -> ended(sentBy, upstream, route, fails, slow, took)));
+                        () -> {
+                            ended(sentBy, upstream, route, fails, slow, took);
+                            if (fails && first) {
+                                send(process, route, false);
+                            }
+                        }));
     }
 
     private void ended(
