Pay for samples and switch from one part of the bound

Cause: the leader gave a version that it took for good all requests 5 s before the deadline, 42% of an order of 12 s where 10% and 50 requests are allowed. Change: a process's ledger pays for both; samples take 0.75 of the bound, the rest pays for the move of new work before the record, which is written 400 ms before the deadline; what is not paid for waits until then. The new version is charged when it is chosen, the whole when a request leaves. A life begins with a random piece of a request instead of a dealt allowance, which processes that saw few others took too much of. A version that is suspect at the end is not completed, and slow answers (1.5 times the usual) count by themselves. An order that a process finds at its start has no deadline until a peer tells it; without one nothing is completed.

Tests of the fixtures take the new constructors; the bound they check is the same.

--- a/trailladder-core/src/main/java/io/trailladder/core/rollout/AnswerCount.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/rollout/AnswerCount.java
@@ -20,15 +20,26 @@
  *
  * @param answers how many ended, well or badly
  * @param bad how many of them failed or came several times later than usual
+ * @param slow how many of them failed or came clearly later than usual, the bad ones among them
  * @since 0.4
  */
-public record AnswerCount(int answers, int bad) {
+public record AnswerCount(int answers, int bad, int slow) {
     /** No answers. */
-    public static final AnswerCount NONE = new AnswerCount(0, 0);
+    public static final AnswerCount NONE = new AnswerCount(0, 0, 0);
 
     /** Most answers that are believed of one process and all it speaks for. */
     private static final int MOST = 10_000_000;
 
+    /**
+     * Creates a count in which only bad answers came late.
+     *
+     * @param answers how many ended, well or badly
+     * @param bad how many of them failed or came several times later than usual
+     */
+    public AnswerCount(int answers, int bad) {
+        this(answers, bad, bad);
+    }
+
     /**
      * Returns the sum of both.
      *
@@ -36,17 +47,29 @@
      * @return their sum
      */
     public AnswerCount plus(AnswerCount other) {
-        return new AnswerCount(answers + other.answers, bad + other.bad);
+        return new AnswerCount(answers + other.answers, bad + other.bad, slow + other.slow);
     }
 
     /**
-     * Returns the count with one more answer.
+     * Returns the count with one more answer, which came in time unless it is bad.
      *
-     * @param isBad true if it failed or came late
+     * @param isBad true if it failed or came several times later than usual
      * @return the new count
      */
     public AnswerCount with(boolean isBad) {
-        return new AnswerCount(answers + 1, bad + (isBad ? 1 : 0));
+        return with(isBad, isBad);
+    }
+
+    /**
+     * Returns the count with one more answer.
+     *
+     * @param isBad true if it failed or came several times later than usual
+     * @param isSlow true if it came clearly later than usual
+     * @return the new count
+     */
+    public AnswerCount with(boolean isBad, boolean isSlow) {
+        return new AnswerCount(
+                answers + 1, bad + (isBad ? 1 : 0), slow + (isBad || isSlow ? 1 : 0));
     }
 
     /**
@@ -55,6 +78,6 @@
      * @return false if a figure is negative, absurdly large or beyond its whole
      */
     public boolean isSound() {
-        return answers >= 0 && answers <= MOST && bad >= 0 && bad <= answers;
+        return answers >= 0 && answers <= MOST && bad >= 0 && bad <= slow && slow <= answers;
     }
 }
--- a/trailladder-core/src/main/java/io/trailladder/core/rollout/ExposureLedger.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/rollout/ExposureLedger.java
@@ -15,28 +15,43 @@
  */
 package io.trailladder.core.rollout;
 
+import java.util.SplittableRandom;
+
 /**
- * Keeps one process within its part of the requests that a version may get before it is found good.
+ * Keeps one process within its part of the requests that a version may get before the order's
+ * deadline, whatever is believed of the version: samples and the switch spend from the same part.
  *
  * <p>Each process spends a fixed part of its own requests and no other's. So all processes together
  * stay within the bound whatever they have heard of each other: while digests are late, hubs are
  * lost or a data centre is cut off, and also when a process starts anew and has forgotten what it
  * spent, because each life keeps the part of its own requests.
  *
+ * <p>A part of a few requests is less than one, so each life begins with a random piece of a
+ * request: all lives together then spend what the part gives, and not a whole request less each.
+ * What they spend more by chance is a few requests, and never more than one a life.
+ *
  * @since 0.4
  */
 public final class ExposureLedger {
     /**
-     * Part of the bound that is spent. The rest is for requests that are counted here but never
-     * reach an upstream, and for those counted at the edges of the order's time.
+     * Part of the bound that samples and switch may spend together. The rest is for requests that
+     * are counted here as sent but never reach an upstream, and for those counted at the edges of
+     * the order's time.
      */
-    private static final double SPENT_PART = 0.75;
+    private static final double SPENT_PART = 0.9;
+
+    /** Part of the bound that samples may spend; what they leave pays for the switch. */
+    private static final double SAMPLED_PART = 0.75;
 
-    /** Part of the allowance on top that all processes together may spend. */
-    private static final double SPENT_ALLOWANCE = 0.5;
+    /**
+     * Requests on top without which no life begins with a piece of one. By chance the lives of 100
+     * processes that start once more exceed their parts by more than 25 once in a thousand times.
+     */
+    private static final double LEAST_ALLOWANCE = 25;
 
-    private final double share;
-    private final double allowance;
+    private final double spent;
+    private final double sampled;
+    private final double credit;
     private int sent;
     private int exposed;
 
@@ -44,41 +59,72 @@
      * Creates a ledger.
      *
      * @param bound part of a service's requests that a bad version may get
-     * @param allowance requests that it may get on top, over all processes; 0 for a process that
-     *     others may have run before, which could have spent its part of them already
-     * @param processes how many processes there are
+     * @param credit what is added to the part of this life's requests, in requests, below 1
      */
-    public ExposureLedger(double bound, double allowance, int processes) {
-        this.share = SPENT_PART * bound;
-        this.allowance = Math.floor(SPENT_ALLOWANCE * allowance / Math.max(1, processes));
+    public ExposureLedger(double bound, double credit) {
+        this.spent = SPENT_PART * bound;
+        this.sampled = SAMPLED_PART * bound;
+        this.credit = credit;
     }
 
     /**
-     * Records a request that is sent, first or repeated.
+     * Creates the ledger of a new life.
      *
-     * @param isTarget true if it goes to the version under test
+     * @param bound part of a service's requests that a bad version may get
+     * @param allowance requests that it may get on top, over all processes
+     * @param random draws the piece of a request that the life begins with
+     * @return a ledger that has spent nothing
      */
-    public void sent(boolean isTarget) {
+    public static ExposureLedger of(double bound, double allowance, SplittableRandom random) {
+        return new ExposureLedger(bound, allowance >= LEAST_ALLOWANCE ? random.nextDouble() : 0);
+    }
+
+    /** Records that the version under test was chosen for a request, which may never reach it. */
+    public void chosen() {
+        exposed++;
+    }
+
+    /** Records that a request, first or repeated, leaves for either version. */
+    public void sent() {
         sent++;
-        exposed += isTarget ? 1 : 0;
     }
 
     /**
-     * Tells whether the next request may go to the version under test.
+     * Tells whether the next request may be a sample.
      *
-     * @return true if the part stays kept with it
+     * @return true if the samples' part stays kept with it
+     */
+    public boolean maySample() {
+        return exposed + 1 <= sampled * (sent + 1) + credit;
+    }
+
+    /**
+     * Tells whether the next request may go to the version under test during the switch.
+     *
+     * @return true if the whole part stays kept with it
      */
     public boolean mayExpose() {
-        return exposed + 1 <= share * (sent + 1) + allowance;
+        return exposed + 1 <= spent * (sent + 1) + credit;
     }
 
     /**
-     * Returns the part of the requests that is spent in the long run.
+     * Returns the part of the requests that samples spend in the long run.
      *
      * @return from 0 to 1
      */
-    public double spentShare() {
-        return share;
+    public double sampledShare() {
+        return sampled;
+    }
+
+    /**
+     * Tells for how long all requests can be paid for, at the usual rate, after samples were taken
+     * for a while.
+     *
+     * @param sampledMillis how long samples were taken, in milliseconds
+     * @return a time, in milliseconds
+     */
+    public long paidMillis(long sampledMillis) {
+        return Math.round((spent - sampled) * sampledMillis);
     }
 
     /**
@@ -86,16 +132,16 @@
      *
      * @return a count
      */
-    public int sent() {
+    public int sentRequests() {
         return sent;
     }
 
     /**
-     * Returns those that went to the version under test.
+     * Returns those for which the version under test was chosen.
      *
      * @return a count
      */
-    public int exposed() {
+    public int exposedRequests() {
         return exposed;
     }
 }
--- a/trailladder-core/src/main/java/io/trailladder/core/rollout/PaceBaseline.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/rollout/PaceBaseline.java
@@ -20,7 +20,7 @@
 
 /**
  * Tells late answers from usual ones, by what answers of the old version on the same route take
- * against what was predicted for them.
+ * against what was predicted for them. A process that has few of a route goes by all routes.
  *
  * @since 0.4
  */
@@ -28,7 +28,13 @@
     /** How many times the usual an answer must take to count as late. */
     private static final double LATE_TIMES = 2.5;
 
-    /** Answers of the old version before which nothing counts as late. */
+    /** How many times the usual an answer must take to count as slow. */
+    private static final double SLOW_TIMES = 1.5;
+
+    /**
+     * Answers of the old version on a route before which those of all routes tell what is usual,
+     * and on all routes before which nothing counts as late.
+     */
     private static final int LEAST_SEEN = 5;
 
     /** Weight of the latest answer in the mean once some have been seen. */
@@ -57,27 +63,52 @@
     /**
      * Records how long an answer of the old version took.
      *
-     * @param kind the route, and what was measured
+     * @param route the route's name
+     * @param kind what was measured
      * @param millis how long it took, in milliseconds
      * @param predictedMillis what was predicted, in milliseconds
      */
-    public void usual(String kind, double millis, double predictedMillis) {
-        byKind.computeIfAbsent(kind, name -> new Usual()).add(ratio(millis, predictedMillis));
+    public void usual(String route, String kind, double millis, double predictedMillis) {
+        double ratio = ratio(millis, predictedMillis);
+        byKind.computeIfAbsent(kind + route, name -> new Usual()).add(ratio);
+        byKind.computeIfAbsent(kind, name -> new Usual()).add(ratio);
     }
 
     /**
      * Tells whether an answer came several times later than usual.
      *
-     * @param kind the route, and what was measured
+     * @param route the route's name
+     * @param kind what was measured
+     * @param millis how long it took, in milliseconds
+     * @param predictedMillis what was predicted, in milliseconds
+     * @return false while too little is known
+     */
+    public boolean isLate(String route, String kind, double millis, double predictedMillis) {
+        return times(route, kind, millis, predictedMillis) > LATE_TIMES;
+    }
+
+    /**
+     * Tells whether an answer came clearly later than usual. Many do by chance; more of one version
+     * than of the other do not.
+     *
+     * @param route the route's name
+     * @param kind what was measured
      * @param millis how long it took, in milliseconds
      * @param predictedMillis what was predicted, in milliseconds
      * @return false while too little is known
      */
-    public boolean isLate(String kind, double millis, double predictedMillis) {
-        Usual usual = byKind.get(kind);
-        return usual != null
-                && usual.seen >= LEAST_SEEN
-                && ratio(millis, predictedMillis) > LATE_TIMES * usual.mean;
+    public boolean isSlow(String route, String kind, double millis, double predictedMillis) {
+        return times(route, kind, millis, predictedMillis) > SLOW_TIMES;
+    }
+
+    /** How many times the usual an answer took; 0 while too little is known. */
+    private double times(String route, String kind, double millis, double predictedMillis) {
+        Usual usual = byKind.get(kind + route);
+        if (usual == null || usual.seen < LEAST_SEEN) {
+            usual = byKind.get(kind);
+        }
+        boolean known = usual != null && usual.seen >= LEAST_SEEN;
+        return known ? ratio(millis, predictedMillis) / usual.mean : 0;
     }
 
     private static double ratio(double millis, double predictedMillis) {
--- a/trailladder-core/src/main/java/io/trailladder/core/rollout/Rollout.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/rollout/Rollout.java
@@ -34,7 +34,8 @@
  * <pre>{@code
  * Rollout rollout = new Rollout(order, ledger, nowMillis);
  * List<Upstream> candidates = rollout.admitted(directory.serving("chat"), true, nowMillis);
- * rollout.sent(candidates.get(0));
+ * rollout.chosen(candidates.get(0));
+ * rollout.sent();
  * }</pre>
  *
  * @since 0.4
@@ -52,14 +53,18 @@
      */
     private static final long SETTLE_MILLIS = 10_000;
 
-    private static final String FIRST = "/first";
-    private static final String PAUSE = "/pause";
+    /** Stands for a deadline that is not known. */
+    private static final long NOT_KNOWN = Long.MAX_VALUE / 4;
+
+    private static final String FIRST = "first/";
+    private static final String PAUSE = "pause/";
 
     private final RolloutOrder order;
     private final ExposureLedger ledger;
     private final PaceBaseline pace = new PaceBaseline();
     private final Map<String, RouteEvidence> seen = new TreeMap<>();
     private RolloutPhase phase = RolloutPhase.SAMPLING;
+    private final long begunMillis;
     private long deadlineMillis;
     private long round;
     private long heardMillis = Long.MIN_VALUE / 2;
@@ -76,9 +81,26 @@
     public Rollout(RolloutOrder order, ExposureLedger ledger, long nowMillis) {
         this.order = order;
         this.ledger = ledger;
+        this.begunMillis = nowMillis;
         this.deadlineMillis = nowMillis + order.durationMillis();
     }
 
+    /**
+     * Creates the view of a roll-out whose order was found in the store by a process that has just
+     * started, or was told by a peer: its deadline is known once a peer tells it. A process that
+     * counted the order's time anew could take a deadline that has passed for one to come.
+     *
+     * @param order the order
+     * @param ledger what may be spent on the new version
+     * @param nowMillis the time
+     * @return a view without a deadline
+     */
+    public static Rollout ofUnknownAge(RolloutOrder order, ExposureLedger ledger, long nowMillis) {
+        Rollout rollout = new Rollout(order, ledger, nowMillis);
+        rollout.deadlineMillis = NOT_KNOWN;
+        return rollout;
+    }
+
     /**
      * Returns the order.
      *
@@ -98,14 +120,33 @@
     }
 
     /**
-     * Returns when the order is to be carried out.
+     * Returns when the order is to be carried out. That is never before its true deadline, since
+     * each process that counts its time has seen it after it was written.
      *
-     * @return a time, in milliseconds
+     * @return a time, in milliseconds; far off while it is not known
      */
     public long deadlineMillis() {
         return deadlineMillis;
     }
 
+    /**
+     * Tells whether it is known by when the order is to be carried out.
+     *
+     * @return false if no process that is heard saw the order written
+     */
+    public boolean isDeadlineKnown() {
+        return deadlineMillis < NOT_KNOWN / 2;
+    }
+
+    /**
+     * Returns since when this process knows of the order.
+     *
+     * @return a time, in milliseconds
+     */
+    public long begunMillis() {
+        return begunMillis;
+    }
+
     /**
      * Returns what this process has spent.
      *
@@ -138,8 +179,8 @@
         noteOld(serving);
         return switch (phase) {
             case SAMPLING -> first && maySample(nowMillis) ? sampleOrOld(serving) : old(serving);
-            case SWITCHING -> isHeard(nowMillis) ? targetOrOld(serving) : old(serving);
-            case COMPLETED -> afterCompletion(serving, nowMillis);
+            case SWITCHING -> mayMove(nowMillis) ? targetOrOld(serving) : old(serving);
+            case COMPLETED -> completed(serving, nowMillis);
             case HALTED, ROLLED_BACK -> old(serving);
         };
     }
@@ -156,9 +197,34 @@
     }
 
     private boolean maySample(long nowMillis) {
+        return isHeard(nowMillis) && ledger.maySample();
+    }
+
+    private boolean mayMove(long nowMillis) {
         return isHeard(nowMillis) && ledger.mayExpose();
     }
 
+    /** The old version has stopped; what the rest of the part does not pay for has to wait. */
+    private List<Upstream> completed(List<Upstream> serving, long nowMillis) {
+        boolean paid = heldMillis(nowMillis) == 0 || ledger.mayExpose();
+        return paid ? afterCompletion(serving, nowMillis) : List.of();
+    }
+
+    /**
+     * Tells how long requests have to wait that are not paid for, because the old version has
+     * stopped and the order's time is not over.
+     *
+     * @param nowMillis the time
+     * @return a time, in milliseconds; 0 if none has to wait
+     */
+    public long heldMillis(long nowMillis) {
+        if (phase != RolloutPhase.COMPLETED) {
+            return 0;
+        }
+        long until = Math.min(deadlineMillis, finalMillis + RolloutLead.LAST_MILLIS);
+        return Math.max(0, until - nowMillis);
+    }
+
     private List<Upstream> sampleOrOld(List<Upstream> serving) {
         List<Upstream> target = target(serving);
         return target.isEmpty() ? old(serving) : sampled(target);
@@ -198,7 +264,7 @@
      * is to come and a fault that shows only under load shows in the sample.
      */
     private List<Upstream> sampled(List<Upstream> target) {
-        int few = (int) Math.ceil(target.size() * ledger.spentShare());
+        int few = (int) Math.floor(target.size() * ledger.sampledShare());
         return target.stream()
                 .sorted(Comparator.comparing(Upstream::id))
                 .limit(Math.max(1, few))
@@ -210,12 +276,20 @@
     }
 
     /**
-     * Records a request that is sent, first or repeated.
+     * Records that an upstream was chosen for a request, first or repeated. The new version is
+     * charged for it at once, so that requests on their way cannot spend the same twice.
      *
      * @param upstream the upstream
      */
-    public void sent(Upstream upstream) {
-        ledger.sent(isTarget(upstream));
+    public void chosen(Upstream upstream) {
+        if (isTarget(upstream)) {
+            ledger.chosen();
+        }
+    }
+
+    /** Records that a request leaves for an upstream that it could connect to. */
+    public void sent() {
+        ledger.sent();
     }
 
     /**
@@ -237,25 +311,35 @@
         RouteEvidence none = new RouteEvidence(answer.route(), AnswerCount.NONE, AnswerCount.NONE);
         RouteEvidence before = seen.getOrDefault(answer.route(), none);
         boolean bad = late || answer.failed();
-        seen.put(answer.route(), before.with(isTarget, bad));
-        if (isTarget && bad && !phase.isFinal() && RolloutJudge.isBad(evidence())) {
+        boolean slow = upstream.coldLeftMillis() <= 0 && isSlow(answer);
+        seen.put(answer.route(), before.with(isTarget, bad, slow));
+        if (isTarget && (bad || slow) && !phase.isFinal() && RolloutJudge.isBad(evidence())) {
             phase = phase.merge(RolloutPhase.HALTED);
         }
     }
 
     private boolean isLate(AnswerSeen answer) {
         boolean firstLate =
-                pace.isLate(answer.route() + FIRST, answer.firstMillis(), answer.predictedMillis());
+                pace.isLate(answer.route(), FIRST, answer.firstMillis(), answer.predictedMillis());
         boolean pausesLong =
                 answer.pauseMillis() > 0
-                        && pace.isLate(answer.route() + PAUSE, answer.pauseMillis(), 0);
+                        && pace.isLate(answer.route(), PAUSE, answer.pauseMillis(), 0);
         return firstLate || pausesLong;
     }
 
+    private boolean isSlow(AnswerSeen answer) {
+        boolean firstSlow =
+                pace.isSlow(answer.route(), FIRST, answer.firstMillis(), answer.predictedMillis());
+        boolean pausesSlow =
+                answer.pauseMillis() > 0
+                        && pace.isSlow(answer.route(), PAUSE, answer.pauseMillis(), 0);
+        return firstSlow || pausesSlow;
+    }
+
     private void learnPace(AnswerSeen answer) {
-        pace.usual(answer.route() + FIRST, answer.firstMillis(), answer.predictedMillis());
+        pace.usual(answer.route(), FIRST, answer.firstMillis(), answer.predictedMillis());
         if (answer.pauseMillis() > 0) {
-            pace.usual(answer.route() + PAUSE, answer.pauseMillis(), 0);
+            pace.usual(answer.route(), PAUSE, answer.pauseMillis(), 0);
         }
     }
 
--- a/trailladder-core/src/main/java/io/trailladder/core/rollout/RolloutJudge.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/rollout/RolloutJudge.java
@@ -45,9 +45,19 @@
     /** How likely a version that is worse by {@link #TOLERATED} may be taken for good. */
     private static final double FALSE_PASS = 0.02;
 
+    /**
+     * How likely at most so many bad answers of a good version are, all over or on one route, for
+     * it not to be taken for good yet: a good one is left for that about once in fifty roll-outs,
+     * and of those that fail 2 to 5% of their answers most are not completed.
+     */
+    private static final double SUSPECT = 0.01;
+
     /** By how much more of its answers a version may fail and still count as good. */
     private static final double TOLERATED = 0.1;
 
+    /** Bad answers below which nothing is suspect: one may be chance. */
+    private static final int LEAST_SUSPECT = 2;
+
     /** Answers of the target without which it is not taken for good. */
     private static final int LEAST_ANSWERS = 30;
 
@@ -116,14 +126,30 @@
     }
 
     private static boolean isBad(RouteEvidence seen) {
+        return isBeyondChance(seen, LEAST_BAD, FALSE_ALARM);
+    }
+
+    /** Tells whether more answers are bad, or more are slow, than those of the old version are. */
+    private static boolean isBeyondChance(RouteEvidence seen, int least, double chance) {
+        AnswerCount old = seen.old();
         AnswerCount target = seen.target();
-        return target.bad() >= LEAST_BAD
-                && Binomial.atLeast(target.bad(), target.answers(), rate(seen.old())) < FALSE_ALARM;
+        if (isBeyondChance(target.bad(), target, rate(old.bad(), old), least, chance)) {
+            return true;
+        }
+        boolean same = target.slow() == target.bad() && old.slow() == old.bad();
+        return !same && isBeyondChance(target.slow(), target, rate(old.slow(), old), least, chance);
+    }
+
+    private static boolean isBeyondChance(
+            int some, AnswerCount target, double rate, int least, double chance) {
+        return some >= least && Binomial.atLeast(some, target.answers(), rate) < chance;
     }
 
-    /** The rate of bad answers to be expected of a version as good as the old one. */
-    private static double rate(AnswerCount old) {
-        return (old.bad() + 1.0) / (old.answers() + 2.0);
+    /**
+     * The rate to be expected of a version as good as the old one, some of whose answers are bad.
+     */
+    private static double rate(int some, AnswerCount old) {
+        return (some + 1.0) / (old.answers() + 2.0);
     }
 
     private static Optional<String> missing(List<RouteEvidence> evidence, RouteEvidence all) {
@@ -141,9 +167,14 @@
                 return Optional.of("too few answers on " + figures(route));
             }
         }
-        return isShownGood(all.target(), rate(all.old()))
-                ? Optional.empty()
-                : Optional.of("not yet sure by " + figures(all));
+        if (!isShownGood(all.target(), rate(all.old().bad(), all.old()))) {
+            return Optional.of("not yet sure by " + figures(all));
+        }
+        double suspect = SUSPECT / (evidence.size() + 1);
+        return Stream.concat(evidence.stream(), Stream.of(all))
+                .filter(seen -> isBeyondChance(seen, LEAST_SUSPECT, suspect))
+                .findFirst()
+                .map(seen -> "suspect by " + figures(seen));
     }
 
     private static boolean isShownGood(AnswerCount target, double oldRate) {
@@ -154,11 +185,13 @@
     private static String figures(RouteEvidence seen) {
         return String.format(
                 Locale.ROOT,
-                "%s: %d of %d answers of the new version bad, %d of %d of the old",
+                "%s: %d of %d answers of the new version bad and %d slow, %d of %d and %d of the old",
                 seen.route(),
                 seen.target().bad(),
                 seen.target().answers(),
+                seen.target().slow(),
                 seen.old().bad(),
-                seen.old().answers());
+                seen.old().answers(),
+                seen.old().slow());
     }
 }
--- a/trailladder-core/src/main/java/io/trailladder/core/rollout/RolloutLead.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/rollout/RolloutLead.java
@@ -27,34 +27,36 @@
  * that another leader goes on from the phase that the processes tell each other and from the record
  * in the store.
  *
- * <p>A bad version is left as soon as it is found bad. A good one is sampled for most of the
- * order's time, because some faults begin late, and then gets all requests; the switch is recorded
- * once the old version has nothing under way, or when time runs out.
+ * <p>A bad version is left as soon as it is found bad. A good one is sampled until what samples
+ * have left of the bound pays for the rest of the order's time; then all requests move as far as
+ * that pays, and the result is recorded just before the deadline. So a version that was taken for
+ * good wrongly gets no more than the bound either.
  *
  * @since 0.4
  */
 public final class RolloutLead {
     /**
-     * Time before the deadline at which sampling ends, in milliseconds: full load is watched for
-     * {@link #WATCHED_MILLIS}, streams at the old version end within some 2 s, and the record has
-     * to be written and seen.
+     * Time before the deadline at which the completion is recorded, in milliseconds: two of the
+     * leader's steps, a lost answer read back, and an order seen 100 ms after it was written.
      */
-    private static final long FINISH_MILLIS = 5_000;
+    public static final long LAST_MILLIS = 400;
 
-    /** Most of a short order's time that the finish may take. */
-    private static final double FINISH_PART = 0.5;
+    /** Time before the deadline at which a version that was not shown to be good is left. */
+    private static final long GIVE_UP_MILLIS = 1_000;
 
-    /** How long the new version bears all requests before that is recorded, in milliseconds. */
-    private static final long WATCHED_MILLIS = 1_500;
+    /**
+     * How long a leader that has just started waits to be told the deadline, in milliseconds: links
+     * to peers are made within a second, and each digest tells it.
+     */
+    private static final long TOLD_MILLIS = 2_000;
 
-    /** Time before the deadline at which the result is recorded whatever is under way. */
-    private static final long LAST_MILLIS = 1_000;
+    /** Longest time for which all requests move before the record, in milliseconds. */
+    private static final long MOST_MOVING_MILLIS = 3_000;
 
     /** New upstreams that must serve before all requests move, as a part of the old ones. */
     private static final double ENOUGH = 0.7;
 
     private final Rollout rollout;
-    private long switchedMillis = -1;
 
     /**
      * The upstreams of both versions.
@@ -112,33 +114,36 @@
         if (bad || rollout.phase() == RolloutPhase.HALTED) {
             return halt(bad ? judgement.reason() : "found bad by a process");
         }
-        if (rollout.phase() == RolloutPhase.SWITCHING) {
-            return finish(fleet, left, nowMillis);
+        if (!rollout.isDeadlineKnown()) {
+            return nowMillis - rollout.begunMillis() < TOLD_MILLIS
+                    ? keep(RolloutPhase.SAMPLING, "waiting for a process that knows the deadline")
+                    : halt("no process knows when the order was written");
         }
-        if (left > finishMillis()) {
+        if (left <= 0) {
+            return halt("the order's time is over");
+        }
+        if (left > Math.max(GIVE_UP_MILLIS, movingMillis())) {
             return keep(RolloutPhase.SAMPLING, judgement.reason());
         }
         String missing = missing(judgement, fleet);
-        if (missing.isEmpty()) {
-            switchedMillis = nowMillis;
-            return keep(RolloutPhase.SWITCHING, judgement.reason());
+        if (!missing.isEmpty()) {
+            return left > GIVE_UP_MILLIS
+                    ? keep(RolloutPhase.SAMPLING, missing)
+                    : halt("time is up: " + missing);
         }
-        return left > LAST_MILLIS
-                ? keep(RolloutPhase.SAMPLING, missing)
-                : halt("time is up: " + missing);
+        return move(judgement, fleet, left);
     }
 
-    /** A result that is recorded too early cuts streams; one too late misses the deadline. */
-    private Step finish(Fleet fleet, long left, long nowMillis) {
-        if (switchedMillis < 0) {
-            switchedMillis = nowMillis;
-        }
-        boolean idle = fleet.oldRequests() == 0 && nowMillis - switchedMillis >= WATCHED_MILLIS;
-        if (idle || left <= LAST_MILLIS) {
-            String cut = fleet.oldRequests() + " requests under way at the old version";
-            return new Step(RolloutPhase.SWITCHING, Optional.of(State.COMPLETED), cut);
+    /** The old version stops with the record, so new work leaves it as long before as is paid. */
+    private Step move(Judgement judgement, Fleet fleet, long left) {
+        if (left <= LAST_MILLIS) {
+            String cut = fleet.oldRequests() + " requests under way at the old version, ";
+            return new Step(
+                    RolloutPhase.SWITCHING, Optional.of(State.COMPLETED), cut + judgement.reason());
         }
-        return keep(RolloutPhase.SWITCHING, "waiting for the old version's requests to end");
+        RolloutPhase phase =
+                left <= movingMillis() ? RolloutPhase.SWITCHING : RolloutPhase.SAMPLING;
+        return keep(phase, judgement.reason());
     }
 
     private static String missing(Judgement judgement, Fleet fleet) {
@@ -155,8 +160,10 @@
         return "";
     }
 
-    private long finishMillis() {
-        return Math.min(FINISH_MILLIS, (long) (FINISH_PART * rollout.order().durationMillis()));
+    /** Time before the deadline for which all requests are paid for. */
+    private long movingMillis() {
+        long paid = rollout.ledger().paidMillis(rollout.order().durationMillis());
+        return Math.min(MOST_MOVING_MILLIS, paid);
     }
 
     private static Step keep(RolloutPhase phase, String reason) {
--- a/trailladder-core/src/main/java/io/trailladder/core/rollout/RouteEvidence.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/rollout/RouteEvidence.java
@@ -43,13 +43,14 @@
      * Returns the evidence with one more answer.
      *
      * @param isTarget true if the version that the order names gave it
-     * @param isBad true if it failed or came late
+     * @param isBad true if it failed or came several times later than usual
+     * @param isSlow true if it came clearly later than usual
      * @return the new evidence
      */
-    public RouteEvidence with(boolean isTarget, boolean isBad) {
+    public RouteEvidence with(boolean isTarget, boolean isBad, boolean isSlow) {
         return isTarget
-                ? new RouteEvidence(route, old, target.with(isBad))
-                : new RouteEvidence(route, old.with(isBad), target);
+                ? new RouteEvidence(route, old, target.with(isBad, isSlow))
+                : new RouteEvidence(route, old.with(isBad, isSlow), target);
     }
 
     /**
--- a/trailladder-core/src/test/java/io/trailladder/core/rollout/RolloutTest.java
+++ b/trailladder-core/src/test/java/io/trailladder/core/rollout/RolloutTest.java
@@ -34,7 +34,7 @@
     private static final Upstream NEW = upstream("b", "v2");
     private static final List<Upstream> BOTH = List.of(OLD, NEW);
 
-    private final Rollout rollout = new Rollout(ORDER, new ExposureLedger(1, 1_000, 1), 0);
+    private final Rollout rollout = new Rollout(ORDER, new ExposureLedger(1, 0.9), 0);
 
     private static Upstream upstream(String id, String version) {
         return new Upstream(id, "s", "z", "h:1", 8, false, false, 0, version, 0);
@@ -125,16 +125,19 @@
         SplittableRandom random = new SplittableRandom(seed);
         ExposureLedger[] ledgers = new ExposureLedger[processes];
         for (int i = 0; i < processes; i++) {
-            ledgers[i] = new ExposureLedger(0.1, 50, processes);
+            ledgers[i] = ExposureLedger.of(0.1, 50, random);
         }
         int exposed = 0;
         for (int request = 0; request < requests; request++) {
             int at = random.nextInt(processes);
             if (random.nextInt(200) == 0) {
-                ledgers[at] = new ExposureLedger(0.1, 0, processes);
+                ledgers[at] = ExposureLedger.of(0.1, 50, random);
             }
             boolean isTarget = ledgers[at].mayExpose();
-            ledgers[at].sent(isTarget);
+            ledgers[at].sent();
+            if (isTarget) {
+                ledgers[at].chosen();
+            }
             exposed += isTarget ? 1 : 0;
             assertTrue(exposed <= 0.1 * (request + 1) + 50);
         }
--- a/trailladder-core/src/test/java/io/trailladder/core/rollout/SimulatedRollout.java
+++ b/trailladder-core/src/test/java/io/trailladder/core/rollout/SimulatedRollout.java
@@ -101,23 +101,22 @@
         private final Map<Integer, List<RouteEvidence>> told = new HashMap<>();
         private boolean cut;
 
-        Member(double allowance) {
-            rollout = newView(allowance);
+        Member() {
+            rollout = newView();
         }
 
-        private Rollout newView(double allowance) {
-            return new Rollout(
-                    order, new ExposureLedger(SHARE, allowance, processes.size() + 1), now);
+        private Rollout newView() {
+            return new Rollout(order, ExposureLedger.of(SHARE, SLACK, random), now);
         }
 
         void seeLate(int lateMillis) {
             now = lateMillis;
-            rollout = newView(SLACK);
+            rollout = newView();
             now = 0;
         }
 
         void restart() {
-            rollout = newView(0);
+            rollout = newView();
             rollout.heard(
                     new RolloutNews(order, RolloutPhase.SAMPLING, deadline - now, 0, List.of()),
                     now);
@@ -159,6 +158,8 @@
     private long manyBadMillis = -1;
     private long lastExposedMillis = -1;
     private long finalMillis = -1;
+    private int held;
+    private int cut;
 
     SimulatedRollout(Version version, Faults faults, int count, int durationMillis, long seed) {
         this.version = version;
@@ -167,9 +168,9 @@
         this.order = new RolloutOrder(SERVICE, NEW, durationMillis, revision);
         this.deadline = durationMillis;
         for (int i = 0; i < count; i++) {
-            processes.add(new Member(SLACK));
+            processes.add(new Member());
         }
-        processes.forEach(process -> process.rollout = process.newView(SLACK));
+        processes.forEach(process -> process.rollout = process.newView());
         if (faults.seenLateMillis() > 0) {
             processes.forEach(process -> process.seeLate(random.nextInt(faults.seenLateMillis())));
         }
@@ -215,6 +216,16 @@
         return SHARE * total + SLACK;
     }
 
+    /** How many requests had to wait for the deadline. */
+    int held() {
+        return held;
+    }
+
+    /** How many requests were under way at the old version when it stopped. */
+    int cut() {
+        return cut;
+    }
+
     /** How long after the 50th bad answer the new version still got a request; 0 if not at all. */
     long lateMillis() {
         return manyBadMillis < 0 ? 0 : Math.max(0, lastExposedMillis - manyBadMillis);
@@ -247,15 +258,21 @@
     private void send(Member process, int route, boolean first) {
         List<Upstream> candidates = process.rollout.admitted(serving, first, now);
         if (candidates.isEmpty()) {
+            long waits = process.rollout.heldMillis(now);
+            if (waits > 0) {
+                held++;
+                due.add(new Due(now + waits + STEP_MILLIS, () -> send(process, route, first)));
+            }
             return;
         }
         Upstream upstream = candidates.get(random.nextInt(candidates.size()));
         boolean isTarget = upstream.version().equals(NEW);
         Rollout sentBy = process.rollout;
-        sentBy.sent(upstream);
+        sentBy.chosen(upstream);
         if (!isTarget && status.state() == State.COMPLETED) {
             return; // the old version has stopped: nothing reaches it
         }
+        sentBy.sent();
         if (now <= deadline) {
             total++;
             exposed += isTarget ? 1 : 0;
@@ -330,6 +347,13 @@
         }
     }
 
+    private int oldRunning() {
+        return running.entrySet().stream()
+                .filter(entry -> entry.getKey().startsWith("a"))
+                .mapToInt(Map.Entry::getValue)
+                .sum();
+    }
+
     private void lead(Member leading) {
         if (leading.lead == null) {
             leading.lead = new RolloutLead(leading.rollout);
@@ -337,12 +361,7 @@
         Stream<RouteEvidence> others = leading.told.values().stream().flatMap(List::stream);
         List<RouteEvidence> all =
                 RouteEvidence.sum(Stream.concat(leading.rollout.evidence().stream(), others));
-        int oldRunning =
-                running.entrySet().stream()
-                        .filter(entry -> entry.getKey().startsWith("a"))
-                        .mapToInt(Map.Entry::getValue)
-                        .sum();
-        Step step = leading.lead.next(all, status, new Fleet(12, 12, oldRunning), now);
+        Step step = leading.lead.next(all, status, new Fleet(12, 12, oldRunning()), now);
         leading.rollout.lead(step.phase(), now);
         step.record().ifPresent(this::record);
         leading.rollout.recorded(status, now);
@@ -352,6 +371,7 @@
         status = new RolloutStatus(SERVICE, NEW, state, ++revision);
         if (state != State.IN_PROGRESS) {
             finalMillis = now;
+            cut = state == State.COMPLETED ? oldRunning() : 0;
         }
     }
 }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RolloutKeeper.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RolloutKeeper.java
@@ -32,7 +32,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.function.IntSupplier;
+import java.util.SplittableRandom;
 import java.util.function.LongSupplier;
 import org.tinylog.Logger;
 
@@ -44,8 +44,7 @@
     private final PlatformFormat format;
     private final VersionGate gate;
     private final GatewaySettings.Rollouts bounds;
-    private final boolean firstStart;
-    private final IntSupplier processes;
+    private final SplittableRandom random;
     private final LongSupplier nowMillis;
     private final Map<String, RolloutStatus> records = new HashMap<>();
 
@@ -55,22 +54,19 @@
      * @param format how orders and records are written
      * @param gate decides by them which upstreams are chosen
      * @param bounds what a version under test may get
-     * @param firstStart false if this process may have run before
-     * @param processes tells how many processes there are
+     * @param random spreads the samples of processes that have few requests
      * @param nowMillis tells the time
      */
     RolloutKeeper(
             PlatformFormat format,
             VersionGate gate,
             GatewaySettings.Rollouts bounds,
-            boolean firstStart,
-            IntSupplier processes,
+            SplittableRandom random,
             LongSupplier nowMillis) {
         this.format = format;
         this.gate = gate;
         this.bounds = bounds;
-        this.firstStart = firstStart;
-        this.processes = processes;
+        this.random = random;
         this.nowMillis = nowMillis;
     }
 
@@ -123,9 +119,21 @@
                 .ifPresent(rollout -> rollout.recorded(status, nowMillis.getAsLong()));
     }
 
-    /** Records a request that is sent to an upstream. */
-    void sent(String service, Upstream upstream) {
-        gate.rollout(service).ifPresent(rollout -> rollout.sent(upstream));
+    /** Records that an upstream was chosen for a request, before it leaves. */
+    void chosen(String service, Upstream upstream) {
+        gate.rollout(service).ifPresent(rollout -> rollout.chosen(upstream));
+    }
+
+    /** Records that a request leaves for an upstream. */
+    void sent(String service) {
+        gate.rollout(service).ifPresent(Rollout::sent);
+    }
+
+    /** Returns how long requests wait that no version may get now, in milliseconds. */
+    long heldMillis(String service) {
+        return gate.rollout(service)
+                .map(rollout -> rollout.heldMillis(nowMillis.getAsLong()))
+                .orElse(0L);
     }
 
     /** Records how a request ended at an upstream. */
@@ -137,26 +145,38 @@
 
     /** Takes over what a peer tells, if its order is as new as the one known here. */
     void heard(RolloutNews news) {
-        ordered(news.order(), "peer");
+        ordered(news.order(), "peer", false);
         gate.rollout(news.order().service())
                 .filter(rollout -> rollout.order().revision() == news.order().revision())
                 .ifPresent(rollout -> rollout.heard(news, nowMillis.getAsLong()));
     }
 
-    private void ordered(RolloutOrder order, String source) {
+    /**
+     * Begins to follow an order.
+     *
+     * @param fresh true if it was written just now; otherwise a peer has to tell how much of its
+     *     time is left
+     */
+    private void ordered(RolloutOrder order, String source, boolean fresh) {
         Optional<Rollout> known = gate.rollout(order.service());
         if (known.isPresent() && known.get().order().revision() >= order.revision()) {
             return;
         }
-        double allowance = firstStart ? bounds.allowance() : 0;
-        ExposureLedger ledger = new ExposureLedger(bounds.share(), allowance, processes.getAsInt());
-        Rollout rollout = new Rollout(order, ledger, nowMillis.getAsLong());
+        ExposureLedger ledger = ExposureLedger.of(bounds.share(), bounds.allowance(), random);
+        long now = nowMillis.getAsLong();
+        Rollout rollout =
+                fresh ? new Rollout(order, ledger, now) : Rollout.ofUnknownAge(order, ledger, now);
         gate.begin(rollout);
         rollout.recorded(record(order.service()), nowMillis.getAsLong());
         DecisionLog.write(
                 new Belief(
                         "roll-out of " + order.service(),
-                        "to " + order.version() + " within " + order.durationMillis() + " ms",
+                        "to "
+                                + order.version()
+                                + " within "
+                                + order.durationMillis()
+                                + " ms, "
+                                + (fresh ? "just written" : "of an age not known here"),
                         source,
                         order.revision()));
     }
@@ -187,20 +207,28 @@
 
     /** Takes the operators' orders. */
     private final class Orders implements StoreWatcher.Listener {
+        private boolean followed;
+
+        /** What lies in the store when this process starts may have lain there for long. */
         @Override
         public void listed(List<StoreItem> items, long revision) {
-            items.forEach(this::changed);
+            items.forEach(item -> read(item, followed));
+            followed = true;
         }
 
         @Override
         public void changed(StoreItem item) {
+            read(item, true);
+        }
+
+        private void read(StoreItem item, boolean fresh) {
             String service = serviceOf(item.key(), format.rolloutOrderPrefix());
             if (item.gone()) {
                 withdrawn(service);
                 return;
             }
             sound(format.rolloutOrder(service, item.value(), item.revision()))
-                    .ifPresent(order -> ordered(order, "store"));
+                    .ifPresent(order -> ordered(order, "store", fresh));
         }
     }
 
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RolloutParts.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RolloutParts.java
@@ -65,12 +65,7 @@
         ordered = settings.rollouts().ordered();
         keeper =
                 new RolloutKeeper(
-                        format,
-                        gate,
-                        settings.rollouts(),
-                        settings.node().firstStart(),
-                        view::entries,
-                        loop::nowMillis);
+                        format, gate, settings.rollouts(), random.split(), loop::nowMillis);
         RolloutExchange exchange = new RolloutExchange(keeper, loop::nowMillis);
         runner =
                 new RolloutRunner(
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RolloutRunner.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RolloutRunner.java
@@ -47,7 +47,7 @@
  * state in the store, each time under the condition that nobody else has.
  */
 final class RolloutRunner {
-    private static final long STEP_MILLIS = 200;
+    private static final long STEP_MILLIS = 100;
 
     /** Pause after a write that failed, in milliseconds: the store's usual time for some calls. */
     private static final long AGAIN_MILLIS = 300;
@@ -147,7 +147,10 @@
         if (!state.equals(logged.put(service, state))) {
             String subject = "roll-out of " + service + " to " + rollout.order().version();
             String spent =
-                    "; sent here " + rollout.ledger().exposed() + " of " + rollout.ledger().sent();
+                    "; sent here "
+                            + rollout.ledger().exposedRequests()
+                            + " of "
+                            + rollout.ledger().sentRequests();
             DecisionLog.write(new Lifecycle(subject, state, step.reason() + spent));
         }
     }
