Tell the ledgers of roll-outs what is chosen, what leaves and what waits

Cause: ledgers charged both versions when a request was handed over, whether or not it left. Change: Attempt tells both moments, RequestDriver waits where the keeper says so, the wire carries slow answers. Conclusion: wired in.

--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Attempt.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Attempt.java
@@ -84,7 +84,7 @@
 
     void start(OutgoingCall outgoing) {
         context.loads().sent(upstream.id(), uncachedTokens);
-        context.rollouts().sent(request.service(), upstream);
+        context.rollouts().chosen(request.service(), upstream);
         context.demand().sent(request.service(), uncachedTokens, createdMillis);
         call = context.connector().send(outgoing, this);
         if (over) {
@@ -153,6 +153,7 @@
     @Override
     public void sending() {
         sent = true;
+        context.rollouts().sent(request.service());
         owner.sending(this);
     }
 
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestDriver.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestDriver.java
@@ -164,7 +164,10 @@
         if (choice.isEmpty() && request.route().repeatable() && !history.tried().isEmpty()) {
             choice = context.selector().choose(request, Set.of(), now);
         }
-        if (choice.isEmpty()) {
+        long held = choice.isEmpty() ? context.rollouts().heldMillis(request.service()) : 0;
+        if (held > 0) {
+            context.loop().schedule(held, this::goOn);
+        } else if (choice.isEmpty()) {
             turnAway(TurnedAway.NO_UPSTREAM, 0);
         } else if (!history.hasAnswerBegun()
                 && choice.get().placeMillis() > request.deadlineMillis() - now) {
@@ -174,6 +177,13 @@
         }
     }
 
+    /** Tries again after a roll-out has had it wait. */
+    private void goOn() {
+        if (!over) {
+            nextAttempt();
+        }
+    }
+
     /** Ends the request at once because what it waits for does not come in time. */
     private void turnAway(String reason, long placeMillis) {
         long left = request.deadlineMillis() - context.loop().nowMillis();
--- a/trailladder-wire/src/main/java/io/trailladder/wire/NodePacker.java
+++ b/trailladder-wire/src/main/java/io/trailladder/wire/NodePacker.java
@@ -184,13 +184,13 @@
     }
 
     private void routeEvidence(RouteEvidence evidence) throws IOException {
-        fields(5).text(evidence.route());
+        fields(7).text(evidence.route());
         answerCount(evidence.old());
         answerCount(evidence.target());
     }
 
     private void answerCount(AnswerCount count) throws IOException {
-        number(count.answers()).number(count.bad());
+        number(count.answers()).number(count.bad()).number(count.slow());
     }
 
     private void upstreamEntry(UpstreamEntry entry) throws IOException {
--- a/trailladder-wire/src/main/java/io/trailladder/wire/NodeUnpacker.java
+++ b/trailladder-wire/src/main/java/io/trailladder/wire/NodeUnpacker.java
@@ -218,12 +218,12 @@
     }
 
     private RouteEvidence routeEvidence() throws IOException {
-        fields(5);
+        fields(7);
         return new RouteEvidence(text(), answerCount(), answerCount());
     }
 
     private AnswerCount answerCount() throws IOException {
-        return new AnswerCount(smallNumber(), smallNumber());
+        return new AnswerCount(smallNumber(), smallNumber(), smallNumber());
     }
 
     private UpstreamEntry upstreamEntry() throws IOException {
--- a/trailladder-wire/src/test/java/io/trailladder/wire/NodeMessageProperties.java
+++ b/trailladder-wire/src/test/java/io/trailladder/wire/NodeMessageProperties.java
@@ -151,7 +151,7 @@
     void reportsOfRolloutsComeBackUnchanged(
             @ForAll String name, @ForAll long number, @ForAll RolloutPhase phase) {
         RouteEvidence evidence =
-                new RouteEvidence(name, new AnswerCount(4, 3), new AnswerCount(2, 1));
+                new RouteEvidence(name, new AnswerCount(9, 3, 5), new AnswerCount(8, 1, 2));
         RolloutOrder order = new RolloutOrder(name, "v2", 12_000, number);
         RolloutNews news = new RolloutNews(order, phase, -number, 7, List.of(evidence));
         RolloutReport report = new RolloutReport(List.of(news));
