--- a/trailladder-core/src/test/java/io/trailladder/core/rollout/RolloutProperties.java
+++ b/trailladder-core/src/test/java/io/trailladder/core/rollout/RolloutProperties.java
@@ -83,9 +83,7 @@
         Version version = new Version(fails, slow, 4, from, -1, -1);
         Faults faults = new Faults(leaderLostSecond * 1_000, 2_000, cutParts, restart * 300);
         SimulatedRollout played = play(version, faults, processes, perSecond, seed);
-        if (played.state() != State.COMPLETED) {
-            assertExposureKept(played);
-        }
+        assertExposureKept(played);
     }
 
     /**
--- a/trailladder-core/src/test/java/io/trailladder/core/rollout/RolloutTest.java
+++ b/trailladder-core/src/test/java/io/trailladder/core/rollout/RolloutTest.java
@@ -117,6 +117,53 @@
         assertEquals(List.of(OLD), rollout.admitted(BOTH, true, 200));
     }
 
+    @Example
+    void whatIsNotPaidForWaitsOnceTheOldVersionHasStopped() {
+        Rollout spent = new Rollout(ORDER, new ExposureLedger(0.1, 0), 0);
+        spent.admitted(BOTH, true, 0);
+        spent.recorded(new RolloutStatus("s", "v2", State.COMPLETED, 9), 11_700);
+        assertEquals(List.of(), spent.admitted(BOTH, true, 11_800));
+        assertEquals(200, spent.heldMillis(11_800));
+        assertEquals(0, spent.heldMillis(12_000));
+        assertEquals(List.of(NEW), spent.admitted(BOTH, true, 12_000));
+    }
+
+    /** Whoever learns of a completion long after it has no deadline to wait for. */
+    @Example
+    void nothingWaitsLongerThanARecordIsEarly() {
+        Rollout late = Rollout.ofUnknownAge(ORDER, new ExposureLedger(0.1, 0), 0);
+        late.recorded(new RolloutStatus("s", "v2", State.COMPLETED, 9), 50_000);
+        assertEquals(RolloutLead.LAST_MILLIS, late.heldMillis(50_000));
+        assertEquals(List.of(NEW), late.admitted(BOTH, true, 50_000 + RolloutLead.LAST_MILLIS));
+    }
+
+    @Example
+    void switchGoesBackToTheOldVersionWhenItIsNotPaidFor() {
+        Rollout moving = new Rollout(ORDER, new ExposureLedger(0.1, 0), 0);
+        for (int i = 0; i < 100; i++) {
+            moving.sent();
+        }
+        moving.lead(RolloutPhase.SWITCHING, 0);
+        int moved = 0;
+        while (moving.admitted(BOTH, false, 0).equals(List.of(NEW))) {
+            moving.chosen(NEW);
+            moved++;
+        }
+        assertEquals(9, moved);
+        assertEquals(List.of(OLD), moving.admitted(BOTH, true, 0));
+    }
+
+    @Example
+    void requestsThatNeverLeaveEarnNoSamples() {
+        ExposureLedger ledger = new ExposureLedger(0.1, 0.5);
+        for (int i = 0; i < 100; i++) {
+            ledger.chosen();
+        }
+        assertFalse(ledger.maySample());
+        assertFalse(ledger.mayExpose());
+        assertEquals(0, ledger.sentRequests());
+    }
+
     @Property(tries = 300, seed = "20261202")
     void partsOfAllLivesTogetherKeepTheBound(
             @ForAll @IntRange(min = 1, max = 95) int processes,
