--- a/trailladder-core/src/test/java/io/trailladder/core/rollout/SimulatedRollout.java
+++ b/trailladder-core/src/test/java/io/trailladder/core/rollout/SimulatedRollout.java
@@ -73,9 +73,23 @@
         }
     }
 
-    /** What strikes the processes, by time after the order. */
-    record Faults(int leaderLostMillis, int cutFromMillis, int cutParts, int restartEveryMillis) {
+    /**
+     * What strikes the processes, by time after the order.
+     *
+     * @param seenLateMillis how much later than it was written some processes see the order, at
+     *     most
+     */
+    record Faults(
+            int leaderLostMillis,
+            int cutFromMillis,
+            int cutParts,
+            int restartEveryMillis,
+            int seenLateMillis) {
         static final Faults NONE = new Faults(-1, -1, 0, 0);
+
+        Faults(int leaderLostMillis, int cutFromMillis, int cutParts, int restartEveryMillis) {
+            this(leaderLostMillis, cutFromMillis, cutParts, restartEveryMillis, 0);
+        }
     }
 
     private record Due(double at, Runnable task) {}
@@ -87,17 +101,22 @@
         private final Map<Integer, List<RouteEvidence>> told = new HashMap<>();
         private boolean cut;
 
-        Member(double allowance) {
-            rollout = newView(allowance);
+        Member() {
+            rollout = newView();
+        }
+
+        private Rollout newView() {
+            return new Rollout(order, ExposureLedger.of(SHARE, SLACK, random), now);
         }
 
-        private Rollout newView(double allowance) {
-            return new Rollout(
-                    order, new ExposureLedger(SHARE, allowance, processes.size() + 1), now);
+        void seeLate(int lateMillis) {
+            now = lateMillis;
+            rollout = newView();
+            now = 0;
         }
 
         void restart() {
-            rollout = newView(0);
+            rollout = newView();
             rollout.heard(
                     new RolloutNews(order, RolloutPhase.SAMPLING, deadline - now, 0, List.of()),
                     now);
@@ -139,6 +158,8 @@
     private long manyBadMillis = -1;
     private long lastExposedMillis = -1;
     private long finalMillis = -1;
+    private int held;
+    private int cut;
 
     SimulatedRollout(Version version, Faults faults, int count, int durationMillis, long seed) {
         this.version = version;
@@ -147,9 +168,12 @@
         this.order = new RolloutOrder(SERVICE, NEW, durationMillis, revision);
         this.deadline = durationMillis;
         for (int i = 0; i < count; i++) {
-            processes.add(new Member(SLACK));
+            processes.add(new Member());
+        }
+        processes.forEach(process -> process.rollout = process.newView());
+        if (faults.seenLateMillis() > 0) {
+            processes.forEach(process -> process.seeLate(random.nextInt(faults.seenLateMillis())));
         }
-        processes.forEach(process -> process.rollout = process.newView(SLACK));
         for (int i = 0; i < 12; i++) {
             serving.add(upstream("a" + i, OLD));
             serving.add(upstream("b" + i, NEW));
@@ -192,6 +216,16 @@
         return SHARE * total + SLACK;
     }
 
+    /** How many requests had to wait for the deadline. */
+    int held() {
+        return held;
+    }
+
+    /** How many requests were under way at the old version when it stopped. */
+    int cut() {
+        return cut;
+    }
+
     /** How long after the 50th bad answer the new version still got a request; 0 if not at all. */
     long lateMillis() {
         return manyBadMillis < 0 ? 0 : Math.max(0, lastExposedMillis - manyBadMillis);
@@ -216,20 +250,30 @@
         double expected = perSecond * STEP_MILLIS / 1_000;
         int count = (int) expected + (random.nextDouble() < expected % 1 ? 1 : 0);
         for (int i = 0; i < count; i++) {
-            send(processes.get(random.nextInt(processes.size())), random.nextInt(ROUTES));
+            send(processes.get(random.nextInt(processes.size())), random.nextInt(ROUTES), true);
         }
     }
 
-    private void send(Member process, int route) {
-        List<Upstream> candidates = process.rollout.admitted(serving, true, now);
+    /** Sends a request; one that fails at its first upstream is repeated once. */
+    private void send(Member process, int route, boolean first) {
+        List<Upstream> candidates = process.rollout.admitted(serving, first, now);
         if (candidates.isEmpty()) {
+            long waits = process.rollout.heldMillis(now);
+            if (waits > 0) {
+                held++;
+                due.add(new Due(now + waits + STEP_MILLIS, () -> send(process, route, first)));
+            }
             return;
         }
         Upstream upstream = candidates.get(random.nextInt(candidates.size()));
         boolean isTarget = upstream.version().equals(NEW);
         Rollout sentBy = process.rollout;
-        sentBy.sent(upstream);
-        if (now <= deadline && !status.state().equals(State.COMPLETED)) {
+        sentBy.chosen(upstream);
+        if (!isTarget && status.state() == State.COMPLETED) {
+            return; // the old version has stopped: nothing reaches it
+        }
+        sentBy.sent();
+        if (now <= deadline) {
             total++;
             exposed += isTarget ? 1 : 0;
         }
@@ -240,12 +284,17 @@
         boolean badNow = isTarget && version.isBadNow((int) now, load, route);
         boolean fails = random.nextDouble() < (badNow ? version.fails() : OLD_FAILS);
         boolean slow = badNow && random.nextDouble() < version.slow();
-        double first = FIRST_MILLIS * Math.exp(0.4 * (random.nextDouble() - 0.5));
-        double took = slow ? first * version.slowTimes() : first;
+        double usual = FIRST_MILLIS * Math.exp(0.4 * (random.nextDouble() - 0.5));
+        double took = slow ? usual * version.slowTimes() : usual;
         due.add(
                 new Due(
                         now + took + RUN_MILLIS,
-                        () -> ended(sentBy, upstream, route, fails, slow, took)));
+                        () -> {
+                            ended(sentBy, upstream, route, fails, slow, took);
+                            if (fails && first) {
+                                send(process, route, false);
+                            }
+                        }));
     }
 
     private void ended(
@@ -298,6 +347,13 @@
         }
     }
 
+    private int oldRunning() {
+        return running.entrySet().stream()
+                .filter(entry -> entry.getKey().startsWith("a"))
+                .mapToInt(Map.Entry::getValue)
+                .sum();
+    }
+
     private void lead(Member leading) {
         if (leading.lead == null) {
             leading.lead = new RolloutLead(leading.rollout);
@@ -305,12 +361,7 @@
         Stream<RouteEvidence> others = leading.told.values().stream().flatMap(List::stream);
         List<RouteEvidence> all =
                 RouteEvidence.sum(Stream.concat(leading.rollout.evidence().stream(), others));
-        int oldRunning =
-                running.entrySet().stream()
-                        .filter(entry -> entry.getKey().startsWith("a"))
-                        .mapToInt(Map.Entry::getValue)
-                        .sum();
-        Step step = leading.lead.next(all, status, new Fleet(12, 12, oldRunning), now);
+        Step step = leading.lead.next(all, status, new Fleet(12, 12, oldRunning()), now);
         leading.rollout.lead(step.phase(), now);
         step.record().ifPresent(this::record);
         leading.rollout.recorded(status, now);
@@ -320,6 +371,7 @@
         status = new RolloutStatus(SERVICE, NEW, state, ++revision);
         if (state != State.IN_PROGRESS) {
             finalMillis = now;
+            cut = state == State.COMPLETED ? oldRunning() : 0;
         }
     }
 }
