--- /dev/null
+++ b/trailladder-core/src/test/java/io/trailladder/core/memory/MemoryAccountProperties.java
@@ -0,0 +1,106 @@
+/*
+ * Copyright 2026 The trailladder authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package io.trailladder.core.memory;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+
+/** Nothing that was taken is forgotten, and levels do not flap. */
+class MemoryAccountProperties {
+    private static final String SEED = "20261202";
+    private static final long BUDGET = 1_000;
+
+    @Property(tries = 300, seed = SEED)
+    void whatIsHeldIsWhatHoldersSay(@ForAll long seed, @ForAll @IntRange(max = 400) int steps) {
+        Random random = new Random(seed);
+        MemoryAccount account = new MemoryAccount(new MemoryBudget(BUDGET));
+        List<MemoryAccount.Holding> open = new ArrayList<>();
+        for (int step = 0; step < steps; step++) {
+            int action = random.nextInt(4);
+            if (action == 0 || open.isEmpty()) {
+                HeldKind[] kinds = HeldKind.values();
+                open.add(account.open(kinds[random.nextInt(kinds.length)]));
+            } else if (action == 1) {
+                MemoryAccount.Holding left = open.remove(random.nextInt(open.size()));
+                left.close();
+                left.set(random.nextInt(100));
+                left.close();
+            } else {
+                open.get(random.nextInt(open.size())).set(random.nextInt(200));
+            }
+            long sum = open.stream().mapToLong(MemoryAccount.Holding::bytes).sum();
+            assertEquals(sum, account.total());
+            assertTrue(account.peak() >= sum);
+        }
+        open.forEach(MemoryAccount.Holding::close);
+        assertEquals(0, account.total());
+        for (HeldKind kind : HeldKind.values()) {
+            assertEquals(0, account.held(kind), kind.name());
+        }
+        assertEquals(MemoryLevel.CALM, account.level());
+    }
+
+    @Example
+    void levelsEndLowerThanTheyBegin() {
+        MemoryAccount account = new MemoryAccount(new MemoryBudget(BUDGET));
+        List<MemoryLevel> seen = new ArrayList<>();
+        account.onLevel((before, now) -> seen.add(now));
+        MemoryAccount.Holding holding = account.open(HeldKind.ANSWERS_WAITING);
+        for (long held : new long[] {599, 600, 500, 460, 849, 850, 800, 700, 699, 450, 449, 500}) {
+            holding.set(held);
+        }
+        assertEquals(
+                List.of(
+                        MemoryLevel.PRESSED,
+                        MemoryLevel.FULL,
+                        MemoryLevel.PRESSED,
+                        MemoryLevel.CALM),
+                seen);
+    }
+
+    @Example
+    void requestThatWouldFillTheProcessHasNoRoom() {
+        MemoryAccount account = new MemoryAccount(new MemoryBudget(BUDGET));
+        assertFalse(account.hasRoom(BUDGET));
+        assertTrue(account.hasRoom(BUDGET / 2));
+        account.open(HeldKind.REQUESTS).set(BUDGET / 2);
+        assertFalse(account.hasRoom(BUDGET / 2));
+        account.open(HeldKind.REQUESTS).set(BUDGET / 2);
+        assertFalse(account.hasRoom(0));
+    }
+
+    @Example
+    void limitThatIsAbsentOrTooSmallLeavesAConservativeBudget() {
+        long heap = 160L << 20;
+        long known = MemoryBudget.of(330L << 20, heap).bytes();
+        long unknown = MemoryBudget.of(0, heap).bytes();
+        long least = MemoryBudget.of(1, heap).bytes();
+        assertTrue(0 < least && least < unknown && unknown < known);
+        assertTrue(known <= heap / 2);
+        assertTrue(known <= (330L << 20) - MemoryBudget.RUNTIME_BYTES);
+        assertTrue(MemoryBudget.fits(330L << 20));
+        assertFalse(MemoryBudget.fits(1));
+    }
+}
