Hold answers that callers have not read where they are counted and can be dropped

Cause: answers went into the socket's queue without a bound. A request counted as answered when its end was queued, so a drain or the idle limit closed connections whose answers were still being read. Change: AnswerWriter has one write under way per answer; what comes meanwhile waits in whole pieces, counts in the account, and leaves in writes of 16 KB. A request ends when its last byte has left. A cut answer gets no end; a resumable stream still gets the whole events under way; who sends it is told at once. An answer that is broken off still brings what was written before. Conclusion: a caller that reads as fast as the answer comes costs neither a queue nor a change of the account.

--- /dev/null
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/http/AnswerWriter.java
@@ -0,0 +1,273 @@
+/*
+ * Copyright 2026 The trailladder authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package io.trailladder.entry.http;
+
+import io.trailladder.core.memory.HeldKind;
+import io.trailladder.core.memory.MemoryAccount.Holding;
+import java.net.SocketAddress;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
+import org.glassfish.grizzly.Connection;
+import org.glassfish.grizzly.EmptyCompletionHandler;
+import org.glassfish.grizzly.WriteResult;
+import org.glassfish.grizzly.http.HttpContent;
+import org.glassfish.grizzly.http.HttpResponsePacket;
+import org.glassfish.grizzly.memory.Buffers;
+import org.glassfish.grizzly.nio.NIOConnection;
+
+/**
+ * Writes one answer to its caller. One write is under way at a time: what comes meanwhile waits
+ * here, where it is counted and can still be dropped, and leaves in larger writes. A caller that
+ * reads as fast as the answer comes costs no queue and nothing in the account.
+ */
+final class AnswerWriter extends EmptyCompletionHandler<WriteResult<HttpContent, SocketAddress>> {
+    /**
+     * Waiting pieces leave in writes of at least this many bytes, if there are as many: small
+     * enough that an answer which is cut ends soon, large against the head of a chunk.
+     */
+    private static final int WRITE_BYTES = 16 * 1024;
+
+    /** What a waiting piece takes beside its bytes: the array's head and its place in the queue. */
+    private static final int PIECE_BYTES = 24;
+
+    /** Held bytes from which the producer of an answer that can wait is to wait. */
+    private static final int WRITABLE_BYTES = 64 * 1024;
+
+    private static final byte[] NO_BYTES = {};
+
+    private final ServerConnection owner;
+    private final ServerExchange exchange;
+    private final HttpResponsePacket head;
+    private ArrayDeque<byte[]> waiting;
+    private List<Runnable> whenWritable;
+    private Holding holding;
+    private int waitingBytes;
+    private int writingBytes;
+    private boolean headSent;
+    private boolean writing;
+    private boolean writingLast;
+    private boolean ended;
+    private boolean cut;
+    private boolean brokenOff;
+    private volatile int heldBytes;
+    private boolean progressed;
+    private int leftAtCheck;
+    private long progressMillis;
+
+    AnswerWriter(ServerConnection owner, ServerExchange exchange, HttpResponsePacket head) {
+        this.owner = owner;
+        this.exchange = exchange;
+        this.head = head;
+    }
+
+    void write(byte[] bytes, boolean last) {
+        if (writing) {
+            keep(bytes);
+            ended |= last;
+        } else {
+            send(bytes, last);
+        }
+        account();
+        if (heldBytes > owner.server().account().budget().answerBytes()) {
+            owner.server().unread().overBound(exchange);
+        }
+    }
+
+    /** Returns what is held of the answer, in bytes. May be called on any thread. */
+    int heldBytes() {
+        return heldBytes;
+    }
+
+    boolean isWritable() {
+        return heldBytes < WRITABLE_BYTES;
+    }
+
+    void whenWritable(Runnable task) {
+        if (isWritable()) {
+            task.run();
+            return;
+        }
+        if (whenWritable == null) {
+            whenWritable = new ArrayList<>();
+        }
+        whenWritable.add(task);
+    }
+
+    /** Returns since when nothing was read of what is held, in milliseconds; to be called often. */
+    long idleMillis(long nowMillis) {
+        int left = leftInSocketQueue();
+        if (!writing || progressed || left != leftAtCheck) {
+            progressed = false;
+            leftAtCheck = left;
+            progressMillis = nowMillis;
+        }
+        return nowMillis - progressMillis;
+    }
+
+    /** Drops what waits, and closes once the write under way is done; its end is not sent. */
+    void cut() {
+        cut = true;
+        waiting = null;
+        waitingBytes = 0;
+        if (writing) {
+            account();
+        } else {
+            owner.close();
+        }
+    }
+
+    /** Closes without an end once all that was written has left. */
+    void breakOff() {
+        brokenOff = true;
+        if (!writing) {
+            owner.close();
+        }
+    }
+
+    /** Gives back what is held: the connection is closed, or all is written. */
+    void release() {
+        waiting = null;
+        waitingBytes = 0;
+        writingBytes = 0;
+        heldBytes = 0;
+        if (holding != null) {
+            holding.close();
+        }
+        tellWritable();
+    }
+
+    @Override
+    public void completed(WriteResult<HttpContent, SocketAddress> result) {
+        if (!writing) {
+            return;
+        }
+        writing = false;
+        writingBytes = 0;
+        progressed = true;
+        if (writingLast) {
+            release();
+            owner.written(exchange);
+        } else if (cut) {
+            owner.close();
+        } else if (ended || waitingBytes > 0) {
+            sendWaiting();
+            account();
+        } else if (brokenOff) {
+            owner.close();
+        }
+    }
+
+    @Override
+    public void failed(Throwable cause) {
+        owner.terminate();
+    }
+
+    private void keep(byte[] bytes) {
+        if (cut || bytes.length == 0) {
+            return;
+        }
+        if (waiting == null) {
+            waiting = new ArrayDeque<>();
+        }
+        waiting.addLast(bytes);
+        waitingBytes += bytes.length + PIECE_BYTES;
+    }
+
+    private void sendWaiting() {
+        byte[] piece = waiting == null ? null : waiting.pollFirst();
+        if (piece == null) {
+            send(NO_BYTES, true);
+            return;
+        }
+        waitingBytes -= piece.length + PIECE_BYTES;
+        byte[] bytes = piece.length >= WRITE_BYTES ? piece : joined(piece);
+        send(bytes, ended && waiting.isEmpty());
+    }
+
+    /** Joins whole pieces up to the size of a write. */
+    private byte[] joined(byte[] first) {
+        List<byte[]> pieces = new ArrayList<>();
+        pieces.add(first);
+        int size = first.length;
+        while (!waiting.isEmpty() && size + waiting.peekFirst().length <= WRITE_BYTES) {
+            byte[] piece = waiting.pollFirst();
+            waitingBytes -= piece.length + PIECE_BYTES;
+            size += piece.length;
+            pieces.add(piece);
+        }
+        if (pieces.size() == 1) {
+            return first;
+        }
+        byte[] all = new byte[size];
+        int at = 0;
+        for (byte[] piece : pieces) {
+            System.arraycopy(piece, 0, all, at, piece.length);
+            at += piece.length;
+        }
+        return all;
+    }
+
+    @SuppressWarnings("unchecked") // a TCP connection's address type
+    private void send(byte[] bytes, boolean last) {
+        Connection<SocketAddress> connection = (Connection<SocketAddress>) owner.connection();
+        HttpContent content =
+                HttpContent.builder(head)
+                        .content(Buffers.wrap(connection.getMemoryManager(), bytes))
+                        .last(last)
+                        .build();
+        boolean mayBeEmpty = headSent && bytes.length == 0;
+        headSent = true;
+        writing = true;
+        writingLast = last;
+        writingBytes = bytes.length;
+        connection.write(null, content, this);
+        // An end that needs no bytes is never told as written.
+        if (mayBeEmpty && writing && leftInSocketQueue() == 0) {
+            completed(null);
+        }
+    }
+
+    /** Returns what the socket has not yet taken, in bytes. */
+    private int leftInSocketQueue() {
+        return ((NIOConnection) owner.connection()).getAsyncWriteQueue().spaceInBytes();
+    }
+
+    /** Brings the account up to date; costs nothing while the caller keeps up. */
+    private void account() {
+        int held = writingBytes + waitingBytes;
+        if (held == heldBytes) {
+            return;
+        }
+        if (holding == null) {
+            holding = owner.server().account().open(HeldKind.ANSWERS_WAITING);
+            progressMillis = owner.server().nowMillis();
+        }
+        heldBytes = held;
+        holding.set(held);
+        if (whenWritable != null && isWritable()) {
+            tellWritable();
+        }
+    }
+
+    private void tellWritable() {
+        if (whenWritable != null) {
+            List<Runnable> tasks = whenWritable;
+            whenWritable = null;
+            tasks.forEach(Runnable::run);
+        }
+    }
+}
--- a/trailladder-entry/src/main/java/io/trailladder/entry/http/HttpServer.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/http/HttpServer.java
@@ -15,10 +15,13 @@
  */
 package io.trailladder.entry.http;
 
+import io.trailladder.core.memory.MemoryAccount;
+import io.trailladder.core.memory.MemoryBudget;
 import io.trailladder.entry.loop.EventLoop;
 import io.trailladder.platform.http.HostPort;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
@@ -51,6 +54,8 @@
     private final int maxHeadBytes;
     private final RequestHandler handler;
     private final Set<ServerConnection> connections = new HashSet<>();
+    private MemoryAccount account = new MemoryAccount(new MemoryBudget(Long.MAX_VALUE));
+    private UnreadAnswers unread = UnreadAnswers.IDLE_ONLY;
     private ServerBounds bounds;
     private boolean closing;
     private Connection<?> listener;
@@ -131,6 +136,34 @@
         bounds = changed;
     }
 
+    /**
+     * Has requests and answers count in an account; to be called before it listens. Without it
+     * nothing bounds what is held but the time that callers may leave answers unread.
+     *
+     * @param shared the account
+     * @param decides decides about answers that are not read
+     */
+    public void memory(MemoryAccount shared, UnreadAnswers decides) {
+        account = shared;
+        unread = decides;
+    }
+
+    /**
+     * Returns the requests whose answers are held because their callers do not read them.
+     *
+     * @return a new list
+     */
+    public List<ServerExchange> unreadAnswers() {
+        List<ServerExchange> held = new ArrayList<>();
+        for (ServerConnection connection : connections) {
+            ServerExchange current = connection.current();
+            if (current != null && current.unreadBytes() > 0) {
+                held.add(current);
+            }
+        }
+        return held;
+    }
+
     /** Has every further answer close its connection. */
     public void closing() {
         closing = true;
@@ -151,7 +184,7 @@
     }
 
     /**
-     * Returns how many requests are being worked on.
+     * Returns how many requests are being worked on, or have answers not yet all sent.
      *
      * @return a count
      */
@@ -159,6 +192,14 @@
         return (int) connections.stream().filter(ServerConnection::hasRequest).count();
     }
 
+    MemoryAccount account() {
+        return account;
+    }
+
+    UnreadAnswers unread() {
+        return unread;
+    }
+
     ServerBounds bounds() {
         return bounds;
     }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/http/ServerConnection.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/http/ServerConnection.java
@@ -15,6 +15,9 @@
  */
 package io.trailladder.entry.http;
 
+import io.trailladder.core.memory.HeldKind;
+import io.trailladder.core.memory.MemoryAccount;
+import io.trailladder.core.memory.MemoryLevel;
 import java.io.ByteArrayOutputStream;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -30,10 +33,12 @@
     private static final int BAD_REQUEST = 400;
     private static final int REQUEST_TIMEOUT = 408;
     private static final int TOO_LARGE = 413;
+    private static final int UNAVAILABLE = 503;
     private static final byte[] NO_BYTES = {};
 
     private final HttpServer server;
     private final Connection<?> connection;
+    private final MemoryAccount.Holding holding;
     private final Deque<ServerExchange> waiting = new ArrayDeque<>();
     private HttpRequestPacket reading;
 
@@ -51,6 +56,7 @@
     ServerConnection(HttpServer server, Connection<?> connection) {
         this.server = server;
         this.connection = connection;
+        this.holding = server.account().open(HeldKind.REQUESTS);
         this.restingSinceMillis = server.nowMillis();
     }
 
@@ -62,6 +68,10 @@
         return server.isClosing();
     }
 
+    HttpServer server() {
+        return server;
+    }
+
     void bytesRead() {
         if (current == null && reading == null && headSinceMillis < 0) {
             headSinceMillis = server.nowMillis();
@@ -79,7 +89,6 @@
             headers = HeaderList.of(request.getHeaders());
             headSinceMillis = -1;
             restingSinceMillis = server.nowMillis();
-            body = new ByteArrayOutputStream();
             if (!acceptable(request) || answeredWithoutBody(request, content)) {
                 bodyDropped(content);
                 return;
@@ -95,20 +104,32 @@
                 bodyDropped(content);
                 return;
             }
+            account();
+            if (!content.isLast() && server.account().level() == MemoryLevel.FULL) {
+                refuse(request, UNAVAILABLE);
+                bodyDropped(content);
+                return;
+            }
         }
         if (content.isLast()) {
             reading = null;
-            accept(new ServerExchange(this, request, headers, body.toByteArray()));
+            byte[] whole = takeBody();
+            accept(new ServerExchange(this, request, headers, whole));
+            account();
         }
     }
 
-    void answered(ServerExchange exchange) {
+    /** Called when the last byte of an answer has left. */
+    void written(ServerExchange exchange) {
         if (exchange != current) {
             return;
         }
         current = null;
+        account();
         restingSinceMillis = server.nowMillis();
-        if (!exchange.closesAfter()) {
+        if (exchange.closesAfter()) {
+            closeAfterAnswer();
+        } else {
             startNext();
         }
     }
@@ -117,15 +138,23 @@
         if (current != null) {
             ServerExchange left = current;
             current = null;
+            left.release();
             left.gone();
         }
         waiting.clear();
+        holding.close();
     }
 
+    /** Closes once what was given to the socket has left. */
     void close() {
         connection.closeSilently();
     }
 
+    /** Closes at once and drops what has not left. */
+    void terminate() {
+        connection.terminateSilently();
+    }
+
     /**
      * Closes after the last answer. While a body is still coming whose request was refused, closing
      * would reset the connection, and the caller would not see the answer.
@@ -152,6 +181,11 @@
             return;
         }
         ServerBounds bounds = server.bounds();
+        long idle = current == null ? 0 : current.unreadMillis(nowMillis);
+        if (idle > bounds.idleTimeoutMillis()) {
+            server.unread().idle(current, idle);
+            return;
+        }
         boolean headLate =
                 headSinceMillis >= 0 && nowMillis - headSinceMillis > bounds.headerTimeoutMillis();
         boolean bodyLate =
@@ -165,6 +199,27 @@
         }
     }
 
+    private byte[] takeBody() {
+        if (body.size() == 0) {
+            return NO_BYTES;
+        }
+        byte[] whole = body.toByteArray();
+        body = new ByteArrayOutputStream();
+        return whole;
+    }
+
+    /** Tells what the requests of the connection hold. */
+    private void account() {
+        long held = body.size();
+        if (current != null) {
+            held += current.requestBytes();
+        }
+        for (ServerExchange exchange : waiting) {
+            held += exchange.requestBytes();
+        }
+        holding.set(held);
+    }
+
     private void accept(ServerExchange exchange) {
         if (current == null) {
             start(exchange);
@@ -175,6 +230,11 @@
         }
     }
 
+    /** Returns the request whose answer is not yet all read; null if there is none. */
+    ServerExchange current() {
+        return current;
+    }
+
     private void startNext() {
         ServerExchange next = waiting.pollFirst();
         if (next != null) {
@@ -207,6 +267,8 @@
 
     private void refuse(HttpRequestPacket request, int status) {
         refusing = true;
+        takeBody();
+        account();
         if (current != null) {
             close();
             return;
--- a/trailladder-entry/src/main/java/io/trailladder/entry/http/ServerExchange.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/http/ServerExchange.java
@@ -15,15 +15,8 @@
  */
 package io.trailladder.entry.http;
 
-import java.net.SocketAddress;
-import org.glassfish.grizzly.Connection;
-import org.glassfish.grizzly.EmptyCompletionHandler;
-import org.glassfish.grizzly.WriteHandler;
-import org.glassfish.grizzly.WriteResult;
-import org.glassfish.grizzly.http.HttpContent;
 import org.glassfish.grizzly.http.HttpRequestPacket;
 import org.glassfish.grizzly.http.HttpResponsePacket;
-import org.glassfish.grizzly.memory.Buffers;
 
 /**
  * One request that was read whole, and its answer.
@@ -31,17 +24,22 @@
  * @since 0.2
  */
 public final class ServerExchange {
+    /** What a request holds beside its body: its head, and the objects that carry it through. */
+    static final int REQUEST_BYTES = 4 * 1024;
+
     private static final byte[] NO_BYTES = {};
 
     private final ServerConnection owner;
     private final HttpRequestPacket request;
     private final HeaderList headers;
     private final byte[] body;
-    private HttpResponsePacket response;
+    private volatile AnswerWriter writer;
+    private AnswerOwner answerOwner = AnswerOwner.UNKNOWN;
     private Runnable onGone = () -> {};
     private boolean closeAfter;
     private volatile boolean over;
     private boolean gone;
+    private boolean cut;
 
     ServerExchange(
             ServerConnection owner, HttpRequestPacket request, HeaderList headers, byte[] body) {
@@ -98,6 +96,15 @@
         return body;
     }
 
+    /**
+     * Returns the length that the head announces.
+     *
+     * @return bytes of the body; 0 if not told
+     */
+    public long announcedBytes() {
+        return Math.max(0, request.getContentLength());
+    }
+
     /**
      * Sets what is done when the caller leaves before the answer is whole; at once if it has left.
      *
@@ -157,7 +164,7 @@
         if (closeAfter) {
             head.header("Connection", "close");
         }
-        response = head.build();
+        writer = new AnswerWriter(owner, this, head.build());
     }
 
     /**
@@ -167,7 +174,7 @@
      */
     public void write(byte[] bytes) {
         if (!over && bytes.length > 0) {
-            send(bytes, false);
+            writer.write(bytes, false);
         }
     }
 
@@ -177,28 +184,84 @@
      * @return false while the caller does not read
      */
     public boolean isWritable() {
-        return owner.connection().canWrite();
+        AnswerWriter begun = writer;
+        return begun == null || begun.isWritable();
     }
 
     /**
-     * Has a task run once more may be written, or nothing more can be.
+     * Has a task run once more may be written, or nothing more can be. To be called on the loop's
+     * thread.
      *
      * @param task the task
      */
     public void whenWritable(Runnable task) {
-        owner.connection()
-                .notifyCanWrite(
-                        new WriteHandler() {
-                            @Override
-                            public void onWritePossible() {
-                                task.run();
-                            }
-
-                            @Override
-                            public void onError(Throwable cause) {
-                                task.run();
-                            }
-                        });
+        if (over || writer == null) {
+            task.run();
+        } else {
+            writer.whenWritable(task);
+        }
+    }
+
+    /**
+     * Tells whose answer it is.
+     *
+     * @param told whose
+     */
+    public void answerOwner(AnswerOwner told) {
+        answerOwner = told;
+    }
+
+    /**
+     * Returns whose answer it is.
+     *
+     * @return whose, as far as was told
+     */
+    public AnswerOwner answerOwner() {
+        return answerOwner;
+    }
+
+    /**
+     * Returns what is held of the answer because the caller has not read it.
+     *
+     * @return bytes
+     */
+    public int unreadBytes() {
+        return writer == null ? 0 : writer.heldBytes();
+    }
+
+    /**
+     * Returns how long the caller has taken nothing of what is held.
+     *
+     * @param nowMillis the time, in milliseconds
+     * @return milliseconds; 0 if nothing is held
+     */
+    public long unreadMillis(long nowMillis) {
+        return unreadBytes() == 0 ? 0 : writer.idleMillis(nowMillis);
+    }
+
+    /**
+     * Ends an answer that is not read. Its connection is closed, so that it does not look whole; of
+     * a stream that can be resumed the whole events that are under way still go first, unless it is
+     * cut again. Who sends the answer is told at once that the caller is gone.
+     */
+    public void cut() {
+        boolean again = cut;
+        cut = true;
+        if (writer == null || again || !answerOwner.resumable()) {
+            owner.terminate();
+        } else {
+            writer.cut();
+        }
+        gone();
+    }
+
+    /**
+     * Tells whether the answer was cut.
+     *
+     * @return true if it was ended because it was not read
+     */
+    public boolean isCut() {
+        return cut;
     }
 
     /** Ends the answer as whole. */
@@ -206,23 +269,25 @@
         endWith(NO_BYTES);
     }
 
-    /**
-     * Sends the last part with the end, since an end without bytes tells nobody that it is sent.
-     */
+    /** Sends the last part with the end, which saves a write. */
     private void endWith(byte[] bytes) {
         if (over) {
             return;
         }
         over = true;
-        send(bytes, true);
-        owner.answered(this);
+        writer.write(bytes, true);
     }
 
-    /** Breaks the answer off so that it does not look whole. */
+    /** Breaks the answer off so that it does not look whole; what was written still leaves. */
     public void abort() {
-        if (!over) {
-            over = true;
+        if (over) {
+            return;
+        }
+        over = true;
+        if (writer == null) {
             owner.close();
+        } else {
+            writer.breakOff();
         }
     }
 
@@ -230,6 +295,18 @@
         return closeAfter;
     }
 
+    /** Returns what its request holds, in bytes. */
+    int requestBytes() {
+        return REQUEST_BYTES + body.length;
+    }
+
+    /** Gives back what is held of the answer. */
+    void release() {
+        if (writer != null) {
+            writer.release();
+        }
+    }
+
     void gone() {
         if (!over) {
             over = true;
@@ -238,32 +315,6 @@
         }
     }
 
-    @SuppressWarnings("unchecked") // a TCP connection's address type
-    private void send(byte[] bytes, boolean last) {
-        Connection<SocketAddress> connection = (Connection<SocketAddress>) owner.connection();
-        HttpContent content =
-                HttpContent.builder(response)
-                        .content(Buffers.wrap(connection.getMemoryManager(), bytes))
-                        .last(last)
-                        .build();
-        connection.write(
-                null,
-                content,
-                new EmptyCompletionHandler<WriteResult<HttpContent, SocketAddress>>() {
-                    @Override
-                    public void completed(WriteResult<HttpContent, SocketAddress> result) {
-                        if (last && closeAfter) {
-                            owner.closeAfterAnswer();
-                        }
-                    }
-
-                    @Override
-                    public void failed(Throwable cause) {
-                        owner.close();
-                    }
-                });
-    }
-
     private static boolean wantsClose(HeaderList headers) {
         return headers.first("Connection").map(v -> v.equalsIgnoreCase("close")).orElse(false);
     }
--- /dev/null
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/http/UnreadAnswers.java
@@ -0,0 +1,50 @@
+/*
+ * Copyright 2026 The trailladder authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package io.trailladder.entry.http;
+
+/**
+ * Told of answers that their callers do not read; decides whether they go on.
+ *
+ * @since 0.2
+ */
+public interface UnreadAnswers {
+    /** Ends those that are not read at all, and none for their size. */
+    UnreadAnswers IDLE_ONLY =
+            new UnreadAnswers() {
+                @Override
+                public void overBound(ServerExchange exchange) {}
+
+                @Override
+                public void idle(ServerExchange exchange, long idleMillis) {
+                    exchange.cut();
+                }
+            };
+
+    /**
+     * More of an answer is held than its request's bound. Called after each further piece.
+     *
+     * @param exchange the request
+     */
+    void overBound(ServerExchange exchange);
+
+    /**
+     * Nothing of an answer was read for the idle limit. Called until it ends.
+     *
+     * @param exchange the request
+     * @param idleMillis since when, in milliseconds
+     */
+    void idle(ServerExchange exchange, long idleMillis);
+}
