Keep a gateway inside its memory: refuse unread at full, end answers that give way

Cause: memory_mb of the settings reached the process and bounded nothing; each answer was buffered up to a constant of 1 MB. Change: MemoryKeeper decides by the account's level; the intake refuses with 503 and Retry-After before a body is read; AnswerPassing's bound is a part of the budget and counted; metrics by kind, level, reason; a line for each change of level and each answer cut.

--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/AnswerPassing.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/AnswerPassing.java
@@ -15,6 +15,8 @@
  */
 package io.trailladder.entry.gateway;
 
+import io.trailladder.core.memory.HeldKind;
+import io.trailladder.core.memory.MemoryAccount;
 import io.trailladder.core.pipeline.AttemptHistory;
 import io.trailladder.entry.gateway.EventSplitter.StreamEvent;
 import io.trailladder.entry.http.HeaderList;
@@ -27,14 +29,15 @@
  * once it is whole, unless it is too large to be held.
  */
 final class AnswerPassing {
-    private static final int MAX_BUFFERED_BYTES = 1024 * 1024;
     private static final int SUCCESS_TO = 299;
 
+    private final MemoryKeeper memory;
+    private final MemoryAccount.Holding holding;
     private final ServerExchange exchange;
     private final AttemptHistory history;
     private final boolean stream;
     private final Runnable onFirstByte;
-    private final ByteArrayOutputStream buffered = new ByteArrayOutputStream();
+    private ByteArrayOutputStream buffered = new ByteArrayOutputStream();
     private EventSplitter splitter = new EventSplitter();
     private HeaderList headers = HeaderList.EMPTY;
     private int status;
@@ -43,13 +46,20 @@
     /**
      * Creates the passing of a request's answer.
      *
+     * @param memory bounds what is held back
      * @param exchange the caller's request
      * @param history told of what was passed on
      * @param stream true if the answer is a series of events
      * @param onFirstByte runs before the first byte is sent
      */
     AnswerPassing(
-            ServerExchange exchange, AttemptHistory history, boolean stream, Runnable onFirstByte) {
+            MemoryKeeper memory,
+            ServerExchange exchange,
+            AttemptHistory history,
+            boolean stream,
+            Runnable onFirstByte) {
+        this.memory = memory;
+        this.holding = memory.account().open(HeldKind.ANSWERS_PARSED);
         this.exchange = exchange;
         this.history = history;
         this.stream = stream;
@@ -71,18 +81,21 @@
     /** Takes a part of the body; returns how many events of the stream are whole with it. */
     int body(byte[] bytes) {
         if (passing && stream) {
-            return passEvents(splitter.take(bytes));
+            int events = passEvents(splitter.take(bytes));
+            holdBack(splitter.pendingBytes());
+            return events;
         }
         if (passing) {
             passBytes(bytes);
             return 0;
         }
         buffered.writeBytes(bytes);
-        if (buffered.size() > MAX_BUFFERED_BYTES) {
+        if (buffered.size() > memory.answerBytes()) {
             passing = true;
             passBytes(buffered.toByteArray());
-            buffered.reset();
+            buffered = new ByteArrayOutputStream();
         }
+        holding.set(buffered.size());
         return 0;
     }
 
@@ -109,6 +122,19 @@
         return status;
     }
 
+    /** Gives back what was held back; nothing more is passed on. */
+    void close() {
+        holding.close();
+    }
+
+    /** An event that never ends would be held without end, so one above the bound ends it all. */
+    private void holdBack(int bytes) {
+        holding.set(bytes);
+        if (bytes > memory.account().budget().answerBytes()) {
+            memory.cut(exchange, MemoryKeeper.CutReason.EVENT_TOO_LARGE);
+        }
+    }
+
     private int passEvents(List<StreamEvent> events) {
         for (StreamEvent event : events) {
             passBytes(event.bytes());
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/DecisionLog.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/DecisionLog.java
@@ -212,6 +212,38 @@
         }
     }
 
+    /**
+     * An answer was ended before its caller had all of it, because the caller did not read it.
+     *
+     * @param id the request
+     * @param organisation whose it is; empty if nobody's
+     * @param reason why
+     * @param unreadBytes what was held of it
+     * @param unreadMs since when the caller has taken nothing, in milliseconds
+     * @param level the level of the process
+     * @param heldBytes what the process held for all requests
+     */
+    public record AnswerCut(
+            String id,
+            String organisation,
+            String reason,
+            long unreadBytes,
+            long unreadMs,
+            String level,
+            long heldBytes)
+            implements Decision {
+        @Override
+        public void write(JsonGenerator json) throws IOException {
+            json.writeStringField("id", id);
+            json.writeStringField("organisation", organisation);
+            json.writeStringField("reason", reason);
+            json.writeNumberField("unreadBytes", unreadBytes);
+            json.writeNumberField("unreadMs", unreadMs);
+            json.writeStringField("level", level);
+            json.writeNumberField("heldBytes", heldBytes);
+        }
+    }
+
     /**
      * The process began to believe something new.
      *
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/EventSplitter.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/EventSplitter.java
@@ -72,6 +72,15 @@
         return pending.toByteArray();
     }
 
+    /**
+     * Returns how many bytes came after the last whole event.
+     *
+     * @return bytes that are held back
+     */
+    public int pendingBytes() {
+        return pending.size();
+    }
+
     private static String idOf(byte[] event) {
         String text = new String(event, StandardCharsets.UTF_8);
         for (String line : text.split("\n", -1)) {
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
@@ -20,6 +20,8 @@
 import io.trailladder.core.duty.UsageLedger;
 import io.trailladder.core.engine.EngineModel;
 import io.trailladder.core.membership.GatewayMember;
+import io.trailladder.core.memory.MemoryAccount;
+import io.trailladder.core.memory.MemoryBudget;
 import io.trailladder.core.policy.RequestBounds;
 import io.trailladder.core.policy.ServingPolicy;
 import io.trailladder.core.rollout.VersionGate;
@@ -94,6 +96,7 @@
     private final DutyRunner duties;
     private final RolloutParts rollouts;
     private final FleetRunner fleet;
+    private final MemoryKeeper memory;
     private final RequestIntake intake;
     private final HttpServer callers;
     private final HttpServer health;
@@ -205,6 +208,7 @@
                         rollouts.keeper()::isMoving,
                         mesh::isHub,
                         !settings.node().firstStart());
+        memory = memory(settings.limits());
         ServingContext context =
                 new ServingContext(
                         loop,
@@ -228,9 +232,12 @@
                         rollouts.keeper(),
                         new ReturnTimes(policies, directory, loads, engines, random.split()),
                         metrics,
-                        view::oldestDigestMillis);
+                        view::oldestDigestMillis,
+                        memory);
         intake = new RequestIntake(context, policies, this::isInformed, random.split());
         callers = new HttpServer(loop, bounds(RequestBounds.DEFAULTS), intake);
+        callers.memory(memory.account(), memory);
+        memory.unreadAnswers(callers::unreadAnswers);
         ServerBounds inside = bounds(RequestBounds.DEFAULTS);
         health = new HttpServer(loop, inside, this::answerReady);
         figures = new HttpServer(loop, inside, this::answerFigures);
@@ -275,6 +282,7 @@
         loop.repeat(FORGET_MILLIS, () -> loads.forgetGone(directory));
         loop.repeat(ROLE_MILLIS, this::followStore);
         loop.repeat(STORE_USE_MILLIS, this::logStoreUse);
+        loop.repeat(MemoryKeeper.CHECK_MILLIS, memory::tick);
         loop.execute(
                 () -> {
                     policyWatcher.restart();
@@ -287,6 +295,7 @@
         loop.start();
         DecisionLog.write(
                 new Lifecycle("process", "started", settings.listen().callers().toString()));
+        logMemoryBudget();
         settings.notes()
                 .forEach(note -> DecisionLog.write(new Lifecycle("settings", "note", note)));
     }
@@ -309,6 +318,22 @@
                 });
     }
 
+    private MemoryKeeper memory(GatewaySettings.Limits limits) {
+        MemoryBudget budget =
+                MemoryBudget.of(limits.memoryBytes(), Runtime.getRuntime().maxMemory());
+        MemoryAccount account = new MemoryAccount(budget);
+        return new MemoryKeeper(
+                account, new MemoryMetrics(metrics.registry()), loop::nowMillis, loop::execute);
+    }
+
+    private void logMemoryBudget() {
+        long limit = settings.limits().memoryBytes();
+        String told = limit > 0 ? "limit of " + limit + " bytes" : "no limit known";
+        String fits = MemoryBudget.fits(limit) ? "" : ", a conservative bound";
+        long budget = memory.account().budget().bytes();
+        DecisionLog.write(new Lifecycle("memory", "budget", budget + " bytes; " + told + fits));
+    }
+
     private CoordinationStore counted(PlatformAdapter platform, Purpose purpose) {
         return new CountedStore(platform.store(), storeCalls, purpose);
     }
@@ -398,6 +423,7 @@
     }
 
     private void tellState() {
+        memory.tellState();
         policies.policy()
                 .ifPresent(policy -> policy.services().forEach(spec -> tellUpstreams(spec.name())));
         metrics.state(
--- /dev/null
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/MemoryMetrics.java
@@ -0,0 +1,110 @@
+/*
+ * Copyright 2026 The trailladder authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package io.trailladder.entry.gateway;
+
+import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.Gauge;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import io.trailladder.core.memory.HeldKind;
+import io.trailladder.core.memory.MemoryAccount;
+import io.trailladder.core.memory.MemoryLevel;
+import java.util.Locale;
+
+/**
+ * The figures of what a process holds for others.
+ *
+ * @since 0.2
+ */
+public final class MemoryMetrics {
+    private final Gauge held;
+    private final Gauge peak;
+    private final Gauge budget;
+    private final Gauge level;
+    private final Counter cut;
+    private final Counter refused;
+
+    /**
+     * Creates the figures.
+     *
+     * @param registry where they are exposed
+     */
+    public MemoryMetrics(PrometheusRegistry registry) {
+        held =
+                Gauge.builder()
+                        .name("trailladder_held_bytes")
+                        .help("Bytes held for callers and upstreams by kind")
+                        .labelNames("kind")
+                        .register(registry);
+        peak =
+                Gauge.builder()
+                        .name("trailladder_held_peak_bytes")
+                        .help("Most bytes held since the start")
+                        .register(registry);
+        budget =
+                Gauge.builder()
+                        .name("trailladder_held_budget_bytes")
+                        .help("Bytes that may be held")
+                        .register(registry);
+        level =
+                Gauge.builder()
+                        .name("trailladder_memory_level")
+                        .help("1 for the level that holds")
+                        .labelNames("level")
+                        .register(registry);
+        cut =
+                Counter.builder()
+                        .name("trailladder_answers_cut_total")
+                        .help("Answers ended because their callers did not read them, by reason")
+                        .labelNames("reason")
+                        .register(registry);
+        refused =
+                Counter.builder()
+                        .name("trailladder_refused_no_room_total")
+                        .help("Requests refused before they ran because there was no room")
+                        .register(registry);
+    }
+
+    /**
+     * Counts an answer that was ended.
+     *
+     * @param reason why
+     */
+    public void cut(MemoryKeeper.CutReason reason) {
+        cut.labelValues(reason.name().toLowerCase(Locale.ROOT)).inc();
+    }
+
+    /** Counts a request that was refused. */
+    public void refused() {
+        refused.inc();
+    }
+
+    /**
+     * Records what is held.
+     *
+     * @param account the account
+     */
+    public void state(MemoryAccount account) {
+        for (HeldKind kind : HeldKind.values()) {
+            held.labelValues(kind.name().toLowerCase(Locale.ROOT)).set((double) account.held(kind));
+        }
+        for (MemoryLevel one : MemoryLevel.values()) {
+            level.labelValues(one.name().toLowerCase(Locale.ROOT))
+                    .set(one == account.level() ? 1 : 0);
+        }
+        peak.set((double) account.peak());
+        budget.set((double) account.budget().bytes());
+    }
+}
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestDriver.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestDriver.java
@@ -29,6 +29,7 @@
 import io.trailladder.entry.gateway.DecisionLog.Dispatch;
 import io.trailladder.entry.gateway.DecisionLog.Ended;
 import io.trailladder.entry.gateway.DecisionLog.TurnedAway;
+import io.trailladder.entry.http.AnswerOwner;
 import io.trailladder.entry.http.HeaderList;
 import io.trailladder.entry.http.ServerExchange;
 import io.trailladder.entry.loop.LoopTimer;
@@ -75,7 +76,10 @@
             history.eventPassed(lastEventId);
         }
         this.calls = new AttemptCalls(context.protocol(), exchange, request);
-        this.answer = new AnswerPassing(exchange, history, isStream(), this::firstByte);
+        this.answer =
+                new AnswerPassing(context.memory(), exchange, history, isStream(), this::firstByte);
+        boolean resumable = isStream() && request.route().repeatable();
+        exchange.answerOwner(new AnswerOwner(request.id(), request.organisation(), resumable));
         this.silence = new SilenceWatch(context, request, history);
         exchange.onGone(this::callerGone);
         long left = request.deadlineMillis() - context.loop().nowMillis();
@@ -294,7 +298,7 @@
         if (!over) {
             Attempt last = attempt;
             cancelAttempt();
-            end("caller-gone", 0, last);
+            end(exchange.isCut() ? "answer-cut" : "caller-gone", 0, last);
         }
     }
 
@@ -307,6 +311,7 @@
 
     private void end(String outcome, int status, Attempt last) {
         over = true;
+        answer.close();
         silence.stop();
         deadline.cancel();
         long took = context.loop().nowMillis() - request.acceptedMillis();
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestIntake.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestIntake.java
@@ -53,6 +53,10 @@
     /** When a caller may come back that met a stopping process: another one takes it at once. */
     private static final long STOPPING_RETRY_MILLIS = 30;
 
+    /** When a caller may come back that met a full process: another one takes it at once. */
+    private static final long FULL_RETRY_MILLIS = 30;
+
+    private static final String NO_ROOM = "no room in memory";
     private static final long DEFAULT_WAIT_MILLIS = 60_000;
     private static final byte[] NO_BYTES = {};
 
@@ -94,6 +98,10 @@
             refuse(exchange, "", UNAVAILABLE, STOPPING_RETRY_MILLIS, "stopping");
             return;
         }
+        if (!context.memory().hasRoom(0)) {
+            refuse(exchange, "", UNAVAILABLE, FULL_RETRY_MILLIS, NO_ROOM);
+            return;
+        }
         if (policy.isEmpty() || starting.isUninformed()) {
             starting.hold(exchange);
             return;
@@ -106,6 +114,22 @@
         admit(exchange, read.get(), policy.get());
     }
 
+    @Override
+    public boolean answersWithoutBody(ServerExchange exchange) {
+        if (context.memory().hasRoom(exchange.announcedBytes())) {
+            return false;
+        }
+        refuse(exchange, "", UNAVAILABLE, FULL_RETRY_MILLIS, NO_ROOM);
+        return true;
+    }
+
+    @Override
+    public void refuse(ServerExchange exchange, int status) {
+        long retryAfter = status == UNAVAILABLE ? FULL_RETRY_MILLIS : 0;
+        String reason = status == UNAVAILABLE ? NO_ROOM : "cannot be read";
+        refuse(exchange, "", status, retryAfter, reason);
+    }
+
     /**
      * Returns how many requests are in flight.
      *
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ServingContext.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ServingContext.java
@@ -46,6 +46,7 @@
  * @param returns tells callers when to come back
  * @param metrics the process's figures
  * @param peersAgeMillis tells how old the oldest peer digest in use is, in milliseconds
+ * @param memory keeps what requests hold inside the process's memory
  * @since 0.2
  */
 public record ServingContext(
@@ -64,4 +65,5 @@
         RolloutKeeper rollouts,
         ReturnTimes returns,
         GatewayMetrics metrics,
-        LongSupplier peersAgeMillis) {}
+        LongSupplier peersAgeMillis,
+        MemoryKeeper memory) {}
