Hold the ports that tests choose until their servers listen

Cause: GatewayRunner, SoakGateway and Deployment each asked the system for a free port, let it go and had a gateway bind it later. Meanwhile another process could be given it (HubFaultTest failed once with "Address already in use").

Change: one copy, ReservedPorts in the test kit. A port is held by a socket that is bound and does not listen, so the system gives it to nobody else, also while a killed gateway is started again; where a process names the port itself, a gateway or entry of the test's own process is started anew at other ports, five times at most. The entries of Deployment use 127.0.0.1 now: the addresses of their own that kept outgoing connections off are not needed any more.

Conclusion: no test lets go of a port before its server listens. A process of its own (soak, spawned entries) is kept only from ports that the system gives, not from somebody who names the port.

--- a/trailladder-cli/src/test/java/io/trailladder/cli/fault/Deployment.java
+++ b/trailladder-cli/src/test/java/io/trailladder/cli/fault/Deployment.java
@@ -32,11 +32,10 @@
 import io.trailladder.testkit.CloudStandIn;
 import io.trailladder.testkit.EngineStandIn;
 import io.trailladder.testkit.KeyValueStandIn;
+import io.trailladder.testkit.ReservedPorts;
 import io.trailladder.testkit.ServiceStandIn;
 import java.io.File;
 import java.io.IOException;
-import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
 import java.util.ArrayList;
@@ -46,7 +45,6 @@
 import java.util.Map;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
-import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
 
 /**
@@ -57,8 +55,6 @@
     static final String SERVICE = "calculo";
     static final long LIST_LAG_MILLIS = 30_000;
     private static final String PEER_KEY = "failure-tests-shared-key";
-    private static final long RUN = 1 + ProcessHandle.current().pid() % 250;
-    private static final AtomicInteger ADDRESSES = new AtomicInteger();
     private static final long AWAIT_MILLIS = 30_000;
 
     final KeyValueStandIn keyValue = new KeyValueStandIn("127.0.0.1", 0);
@@ -68,6 +64,10 @@
     final List<EntryDaemon> entries = new ArrayList<>();
     final List<SpawnedEntry> spawned = new ArrayList<>();
     final HttpClient client;
+
+    /** Ports of entries that are processes, which bind them long after they were chosen. */
+    private final ReservedPorts ports = new ReservedPorts();
+
     private final ScheduledExecutorService timer =
             Executors.newSingleThreadScheduledExecutor(
                     work -> {
@@ -113,31 +113,44 @@
     }
 
     EntryDaemon entry(String dataCentre, List<String> peers) throws IOException {
-        EntrySettings settings =
-                new EntrySettings(
-                        dataCentre,
-                        "",
-                        freePort(),
-                        freePort(),
-                        freePort(),
-                        HostPort.parse(keyValue.address()),
-                        HostPort.parse(cloud.address()),
-                        peers,
-                        PEER_KEY.getBytes(StandardCharsets.UTF_8),
-                        new CallerLimits(1 << 20, 16 * 1024, 2_000, 2_000, 20_000, 3_000, 1_000),
-                        3_600_000,
-                        20_000,
-                        Foreign.RELAY);
-        EntryDaemon entry = new EntryDaemon(settings);
-        entry.start();
+        EntryDaemon entry =
+                ReservedPorts.start(3, ports -> started(settings(dataCentre, peers, ports)));
         entries.add(entry);
         return entry;
     }
 
+    private EntrySettings settings(String dataCentre, List<String> peers, List<Integer> ports) {
+        return new EntrySettings(
+                dataCentre,
+                "",
+                local(ports.get(0)),
+                local(ports.get(1)),
+                local(ports.get(2)),
+                HostPort.parse(keyValue.address()),
+                HostPort.parse(cloud.address()),
+                peers,
+                PEER_KEY.getBytes(StandardCharsets.UTF_8),
+                new CallerLimits(1 << 20, 16 * 1024, 2_000, 2_000, 20_000, 3_000, 1_000),
+                3_600_000,
+                20_000,
+                Foreign.RELAY);
+    }
+
+    private static EntryDaemon started(EntrySettings settings) throws IOException {
+        EntryDaemon entry = new EntryDaemon(settings);
+        try {
+            entry.start();
+        } catch (IOException e) {
+            entry.kill();
+            throw e;
+        }
+        return entry;
+    }
+
     /** Starts an entry as a process. */
     SpawnedEntry spawn(String dataCentre, String... options) throws IOException {
-        HostPort callers = freePort();
-        HostPort operators = freePort();
+        HostPort callers = local(ports.reserve());
+        HostPort operators = local(ports.reserve());
         List<String> command =
                 new ArrayList<>(
                         List.of(
@@ -151,7 +164,7 @@
                                 "entry",
                                 "--data-centre=" + dataCentre,
                                 "--caller-address=" + callers,
-                                "--peer-address=" + freePort(),
+                                "--peer-address=" + local(ports.reserve()),
                                 "--operator-address=" + operators,
                                 "--key-value=" + keyValue.address(),
                                 "--cloud=" + cloud.address()));
@@ -282,14 +295,8 @@
         }
     }
 
-    /** Every call gives an address of its own, which no outgoing connection can take. */
-    private static HostPort freePort() throws IOException {
-        int number = ADDRESSES.incrementAndGet();
-        String host = "127." + RUN + "." + (1 + number / 250) + "." + (1 + number % 250);
-        try (ServerSocket socket = new ServerSocket()) {
-            socket.bind(new InetSocketAddress(host, 0));
-            return new HostPort(host, socket.getLocalPort());
-        }
+    private static HostPort local(int port) {
+        return new HostPort("127.0.0.1", port);
     }
 
     static String sha256(String key) {
@@ -316,5 +323,6 @@
         services.values().forEach(ServiceStandIn::close);
         keyValue.close();
         cloud.close();
+        ports.close();
     }
 }
--- a/trailladder-cli/src/test/java/io/trailladder/cli/soak/SoakGateway.java
+++ b/trailladder-cli/src/test/java/io/trailladder/cli/soak/SoakGateway.java
@@ -15,9 +15,9 @@
  */
 package io.trailladder.cli.soak;
 
-import io.trailladder.adapter.GatewayRunner;
 import io.trailladder.cli.GatewayProcess;
 import io.trailladder.platform.http.HostPort;
+import io.trailladder.testkit.ReservedPorts;
 import java.io.File;
 import java.io.IOException;
 import java.net.HttpURLConnection;
@@ -42,10 +42,14 @@
     private final String name;
     private final Path folder;
     private final FaultProxy store;
-    private final HostPort callers = GatewayRunner.freePort();
-    private final HostPort health = GatewayRunner.freePort();
-    private final HostPort peers = GatewayRunner.freePort();
-    private final HostPort metrics = GatewayRunner.freePort();
+
+    /** Held until this process ends, as a gateway is started again at the ports that it had. */
+    private final ReservedPorts ports = new ReservedPorts();
+
+    private final HostPort callers = reserve();
+    private final HostPort health = reserve();
+    private final HostPort peers = reserve();
+    private final HostPort metrics = reserve();
     private Process process;
     private boolean paused;
 
@@ -55,6 +59,10 @@
         this.store = new FaultProxy(platform);
     }
 
+    private HostPort reserve() throws IOException {
+        return new HostPort("127.0.0.1", ports.reserve());
+    }
+
     void start(boolean first) throws IOException {
         Path settings = folder.resolve(name + ".json");
         Files.writeString(
