--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/DecisionLog.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/DecisionLog.java
@@ -143,6 +143,9 @@
         /** No upstream of the service takes new work, or all were tried. */
         static final String NO_UPSTREAM = "no upstream left";
 
+        /** All upstreams left take bodies more slowly than they come. */
+        static final String NO_BODY_ROOM = "no upstream takes bodies";
+
         /** Every place is taken for longer than the caller waits. */
         static final String NO_PLACE_IN_TIME = "no place in time";
 
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestDriver.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestDriver.java
@@ -55,6 +55,7 @@
     private final AttemptCalls calls;
     private final AnswerPassing answer;
     private final SilenceWatch silence;
+    private final BodyRoom bodyRoom;
     private Attempt attempt;
     private boolean started;
     private boolean over;
@@ -81,6 +82,7 @@
         boolean resumable = isStream() && request.route().repeatable();
         exchange.answerOwner(new AnswerOwner(request.id(), request.organisation(), resumable));
         this.silence = new SilenceWatch(context, request, history);
+        this.bodyRoom = new BodyRoom(context, request);
         exchange.onGone(this::callerGone);
         long left = request.deadlineMillis() - context.loop().nowMillis();
         this.deadline = context.loop().schedule(left, this::timeOver);
@@ -164,12 +166,12 @@
 
     private void nextAttempt() {
         long now = context.loop().nowMillis();
-        Optional<Selection> choice = context.selector().choose(request, history.tried(), now);
+        Optional<Selection> choice = bodyRoom.choose(history.tried(), now);
         if (choice.isEmpty() && request.route().repeatable() && !history.tried().isEmpty()) {
-            choice = context.selector().choose(request, Set.of(), now);
+            choice = bodyRoom.choose(Set.of(), now);
         }
         if (choice.isEmpty()) {
-            turnAway(TurnedAway.NO_UPSTREAM, 0);
+            turnAway(bodyRoom.wasShort() ? TurnedAway.NO_BODY_ROOM : TurnedAway.NO_UPSTREAM, 0);
         } else if (!history.hasAnswerBegun()
                 && choice.get().placeMillis() > request.deadlineMillis() - now) {
             turnAway(TurnedAway.NO_PLACE_IN_TIME, choice.get().placeMillis());
--- a/trailladder-entry/src/main/java/io/trailladder/entry/http/ClientCall.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/http/ClientCall.java
@@ -31,6 +31,7 @@
     private boolean requestWritten;
     private boolean reusable = true;
     private boolean endsWithConnection;
+    private Runnable onWritten;
 
     ClientCall(OutgoingCall request, CallListener listener) {
         this.request = request;
@@ -39,7 +40,7 @@
 
     /** Breaks the call off: its connection is closed, and its listener is told nothing more. */
     public void cancel() {
-        over = true;
+        over();
         closeConnection();
     }
 
@@ -58,6 +59,29 @@
 
     void written() {
         requestWritten = true;
+        tellWritten();
+    }
+
+    boolean isWritten() {
+        return requestWritten;
+    }
+
+    /** Sets what is done once the request has left, or never will; at most once. */
+    void onWritten(Runnable task) {
+        onWritten = task;
+    }
+
+    private void over() {
+        over = true;
+        tellWritten();
+    }
+
+    private void tellWritten() {
+        if (onWritten != null) {
+            Runnable task = onWritten;
+            onWritten = null;
+            task.run();
+        }
     }
 
     boolean canKeepConnection() {
@@ -91,14 +115,14 @@
 
     void end() {
         if (!over) {
-            over = true;
+            over();
             listener.ended();
         }
     }
 
     void fail(CallFailure failure) {
         if (!over) {
-            over = true;
+            over();
             closeConnection();
             listener.failed(failure);
         }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/http/HttpConnector.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/http/HttpConnector.java
@@ -59,6 +59,10 @@
     private final EventLoop loop;
     private final FilterChain chain;
     private final Map<HostPort, Deque<Resting>> resting = new HashMap<>();
+
+    /** Bytes of requests that servers have not taken yet; none for those that keep up. */
+    private final Map<HostPort, Long> unwritten = new HashMap<>();
+
     private long opened;
     private long surplus;
 
@@ -132,6 +136,25 @@
         return surplus;
     }
 
+    /**
+     * Tells whether any server has yet to take a request sent to it.
+     *
+     * @return false if all keep up
+     */
+    public boolean hasUnwritten() {
+        return !unwritten.isEmpty();
+    }
+
+    /**
+     * Returns how much of the requests sent to a server it has not taken yet.
+     *
+     * @param target the server
+     * @return bytes of bodies of which some part still waits here
+     */
+    public long unwrittenBytes(HostPort target) {
+        return unwritten.getOrDefault(target, 0L);
+    }
+
     private void open(ClientCall call) {
         opened++;
         HostPort target = call.request().target();
@@ -184,6 +207,19 @@
                                 call.written();
                             }
                         });
+        if (!call.isWritten() && !call.isOver() && request.body().length > 0) {
+            countUnwritten(call);
+        }
+    }
+
+    private void countUnwritten(ClientCall call) {
+        HostPort target = call.request().target();
+        long bytes = call.request().body().length;
+        unwritten.merge(target, bytes, Long::sum);
+        call.onWritten(
+                () ->
+                        unwritten.computeIfPresent(
+                                target, (server, all) -> all == bytes ? null : all - bytes));
     }
 
     private static boolean needsLength(String method) {
@@ -261,8 +297,11 @@
         private void finish(ClientCall call, Connection<?> connection) {
             if (call.canKeepConnection() && call.request().maxRestMillis() > 0) {
                 keep(call.request().target(), connection);
-            } else {
+            } else if (call.isWritten()) {
                 connection.closeSilently();
+            } else {
+                // The rest of its body is not waited for: nobody needs it, and it takes memory.
+                connection.terminateSilently();
             }
             call.end();
         }
