--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestDriver.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestDriver.java
@@ -29,6 +29,7 @@
 import io.trailladder.entry.gateway.DecisionLog.Dispatch;
 import io.trailladder.entry.gateway.DecisionLog.Ended;
 import io.trailladder.entry.gateway.DecisionLog.TurnedAway;
+import io.trailladder.entry.http.AnswerOwner;
 import io.trailladder.entry.http.HeaderList;
 import io.trailladder.entry.http.ServerExchange;
 import io.trailladder.entry.loop.LoopTimer;
@@ -54,6 +55,7 @@
     private final AttemptCalls calls;
     private final AnswerPassing answer;
     private final SilenceWatch silence;
+    private final BodyRoom bodyRoom;
     private Attempt attempt;
     private boolean started;
     private boolean over;
@@ -75,8 +77,12 @@
             history.eventPassed(lastEventId);
         }
         this.calls = new AttemptCalls(context.protocol(), exchange, request);
-        this.answer = new AnswerPassing(exchange, history, isStream(), this::firstByte);
+        this.answer =
+                new AnswerPassing(context.memory(), exchange, history, isStream(), this::firstByte);
+        boolean resumable = isStream() && request.route().repeatable();
+        exchange.answerOwner(new AnswerOwner(request.id(), request.organisation(), resumable));
         this.silence = new SilenceWatch(context, request, history);
+        this.bodyRoom = new BodyRoom(context, request);
         exchange.onGone(this::callerGone);
         long left = request.deadlineMillis() - context.loop().nowMillis();
         this.deadline = context.loop().schedule(left, this::timeOver);
@@ -160,15 +166,15 @@
 
     private void nextAttempt() {
         long now = context.loop().nowMillis();
-        Optional<Selection> choice = context.selector().choose(request, history.tried(), now);
+        Optional<Selection> choice = bodyRoom.choose(history.tried(), now);
         if (choice.isEmpty() && request.route().repeatable() && !history.tried().isEmpty()) {
-            choice = context.selector().choose(request, Set.of(), now);
+            choice = bodyRoom.choose(Set.of(), now);
         }
         long held = choice.isEmpty() ? context.rollouts().heldMillis(request.service()) : 0;
         if (held > 0) {
             context.loop().schedule(held, this::goOn);
         } else if (choice.isEmpty()) {
-            turnAway(TurnedAway.NO_UPSTREAM, 0);
+            turnAway(bodyRoom.wasShort() ? TurnedAway.NO_BODY_ROOM : TurnedAway.NO_UPSTREAM, 0);
         } else if (!history.hasAnswerBegun()
                 && choice.get().placeMillis() > request.deadlineMillis() - now) {
             turnAway(TurnedAway.NO_PLACE_IN_TIME, choice.get().placeMillis());
@@ -304,7 +310,7 @@
         if (!over) {
             Attempt last = attempt;
             cancelAttempt();
-            end("caller-gone", 0, last);
+            end(exchange.isCut() ? "answer-cut" : "caller-gone", 0, last);
         }
     }
 
@@ -317,6 +323,7 @@
 
     private void end(String outcome, int status, Attempt last) {
         over = true;
+        answer.close();
         silence.stop();
         deadline.cancel();
         long took = context.loop().nowMillis() - request.acceptedMillis();
