Merge main: followers of the store are chosen in each region

Each region's hubs have followers of their own, and what these pass on does not cross. Conflicts were places where both sides added a method or a field; both stay.

--- a/trailladder-core/src/main/java/io/trailladder/core/membership/LinkPlanner.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/membership/LinkPlanner.java
@@ -46,6 +46,7 @@
     private List<GatewayMember> members = List.of();
     private List<GatewayMember> hubs = List.of();
     private List<GatewayMember> candidates = List.of();
+    private Set<String> followers = Set.of();
     private String hub = "";
 
     /** The hubs of each region, those that are to carry its sums first. */
@@ -96,6 +97,17 @@
         carriers.clear();
         order(topology.region());
         topology.otherRegions().forEach(this::order);
+        followers = StoreFollowers.of(hubsOfOwnRegion());
+    }
+
+    /**
+     * Tells whether a process is one of the few hubs that follow the store for all.
+     *
+     * @param name the process's name
+     * @return false where all processes link to each other: there each follows for itself
+     */
+    public boolean isStoreFollower(String name) {
+        return !HubTopology.isFullMesh(members) && followers.contains(name);
     }
 
     /**
@@ -187,6 +199,17 @@
         return Integer.MAX_VALUE;
     }
 
+    /** Each region has followers of its own: what they pass on does not cross. */
+    private List<GatewayMember> hubsOfOwnRegion() {
+        List<GatewayMember> own = new ArrayList<>();
+        for (GatewayMember member : hubs) {
+            if (topology.isOwnRegion(member.dataCentre())) {
+                own.add(member);
+            }
+        }
+        return own;
+    }
+
     private void order(String region) {
         carriers.put(region, HubTopology.carriers(hubs, topology, region));
     }
--- a/trailladder-core/src/test/java/io/trailladder/core/rollout/RolloutTest.java
+++ b/trailladder-core/src/test/java/io/trailladder/core/rollout/RolloutTest.java
@@ -34,7 +34,7 @@
     private static final Upstream NEW = upstream("b", "v2");
     private static final List<Upstream> BOTH = List.of(OLD, NEW);
 
-    private final Rollout rollout = new Rollout(ORDER, new ExposureLedger(1, 1_000, 1), 0);
+    private final Rollout rollout = new Rollout(ORDER, new ExposureLedger(1, 0.9), 0);
 
     private static Upstream upstream(String id, String version) {
         return new Upstream(id, "s", "z", "h:1", 8, false, false, 0, version, 0);
@@ -117,6 +117,53 @@
         assertEquals(List.of(OLD), rollout.admitted(BOTH, true, 200));
     }
 
+    @Example
+    void whatIsNotPaidForWaitsOnceTheOldVersionHasStopped() {
+        Rollout spent = new Rollout(ORDER, new ExposureLedger(0.1, 0), 0);
+        spent.admitted(BOTH, true, 0);
+        spent.recorded(new RolloutStatus("s", "v2", State.COMPLETED, 9), 11_700);
+        assertEquals(List.of(), spent.admitted(BOTH, true, 11_800));
+        assertEquals(200, spent.heldMillis(11_800));
+        assertEquals(0, spent.heldMillis(12_000));
+        assertEquals(List.of(NEW), spent.admitted(BOTH, true, 12_000));
+    }
+
+    /** Whoever learns of a completion long after it has no deadline to wait for. */
+    @Example
+    void nothingWaitsLongerThanARecordIsEarly() {
+        Rollout late = Rollout.ofUnknownAge(ORDER, new ExposureLedger(0.1, 0), 0);
+        late.recorded(new RolloutStatus("s", "v2", State.COMPLETED, 9), 50_000);
+        assertEquals(RolloutLead.LAST_MILLIS, late.heldMillis(50_000));
+        assertEquals(List.of(NEW), late.admitted(BOTH, true, 50_000 + RolloutLead.LAST_MILLIS));
+    }
+
+    @Example
+    void switchGoesBackToTheOldVersionWhenItIsNotPaidFor() {
+        Rollout moving = new Rollout(ORDER, new ExposureLedger(0.1, 0), 0);
+        for (int i = 0; i < 100; i++) {
+            moving.sent();
+        }
+        moving.lead(RolloutPhase.SWITCHING, 0);
+        int moved = 0;
+        while (moving.admitted(BOTH, false, 0).equals(List.of(NEW))) {
+            moving.chosen(NEW);
+            moved++;
+        }
+        assertEquals(9, moved);
+        assertEquals(List.of(OLD), moving.admitted(BOTH, true, 0));
+    }
+
+    @Example
+    void requestsThatNeverLeaveEarnNoSamples() {
+        ExposureLedger ledger = new ExposureLedger(0.1, 0.5);
+        for (int i = 0; i < 100; i++) {
+            ledger.chosen();
+        }
+        assertFalse(ledger.maySample());
+        assertFalse(ledger.mayExpose());
+        assertEquals(0, ledger.sentRequests());
+    }
+
     @Property(tries = 300, seed = "20261202")
     void partsOfAllLivesTogetherKeepTheBound(
             @ForAll @IntRange(min = 1, max = 95) int processes,
@@ -125,16 +172,19 @@
         SplittableRandom random = new SplittableRandom(seed);
         ExposureLedger[] ledgers = new ExposureLedger[processes];
         for (int i = 0; i < processes; i++) {
-            ledgers[i] = new ExposureLedger(0.1, 50, processes);
+            ledgers[i] = ExposureLedger.of(0.1, 50, random);
         }
         int exposed = 0;
         for (int request = 0; request < requests; request++) {
             int at = random.nextInt(processes);
             if (random.nextInt(200) == 0) {
-                ledgers[at] = new ExposureLedger(0.1, 0, processes);
+                ledgers[at] = ExposureLedger.of(0.1, 50, random);
             }
             boolean isTarget = ledgers[at].mayExpose();
-            ledgers[at].sent(isTarget);
+            ledgers[at].sent();
+            if (isTarget) {
+                ledgers[at].chosen();
+            }
             exposed += isTarget ? 1 : 0;
             assertTrue(exposed <= 0.1 * (request + 1) + 50);
         }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
@@ -20,6 +20,8 @@
 import io.trailladder.core.duty.UsageLedger;
 import io.trailladder.core.engine.EngineModel;
 import io.trailladder.core.membership.GatewayMember;
+import io.trailladder.core.memory.MemoryAccount;
+import io.trailladder.core.memory.MemoryBudget;
 import io.trailladder.core.policy.RequestBounds;
 import io.trailladder.core.policy.ServingPolicy;
 import io.trailladder.core.rollout.VersionGate;
@@ -95,6 +97,7 @@
     private final DutyRunner duties;
     private final RolloutParts rollouts;
     private final FleetRunner fleet;
+    private final MemoryKeeper memory;
     private final RequestIntake intake;
     private final HttpServer callers;
     private final HttpServer health;
@@ -125,7 +128,8 @@
         SplittableRandom random = new SplittableRandom(name.hashCode() ^ System.nanoTime());
         String incarnation = Long.toHexString(random.nextLong());
         String life = name + '/' + incarnation;
-        Clock clock = new SteadyClock(Clock.systemUTC(), loop::nowMillis);
+        Clock own = new SteadyClock(Clock.systemUTC(), loop::nowMillis);
+        TimePart clock = new TimePart(own, loop::nowMillis);
         UsageLedger usage = new UsageLedger(life, settings.timing().usageWindowMillis());
         DemandMeter demand = new DemandMeter();
         policies = new PolicyKeeper(platform.format());
@@ -150,6 +154,7 @@
                         engines,
                         metrics,
                         !settings.node().firstStart());
+        view.add(clock);
         GatewayMember self = settings.self();
         Topology topology = Topology.of(self.dataCentre(), settings.regions().byDataCentre());
         mesh = new PeerMesh(loop, self, topology, incarnation, view);
@@ -207,6 +212,7 @@
                         rollouts.keeper()::isMoving,
                         mesh::isHub,
                         !settings.node().firstStart());
+        memory = memory(settings.limits());
         ServingContext context =
                 new ServingContext(
                         loop,
@@ -231,9 +237,12 @@
                         rollouts.keeper(),
                         new ReturnTimes(policies, directory, loads, engines, random.split()),
                         metrics,
-                        view::oldestDigestMillis);
+                        view::oldestDigestMillis,
+                        memory);
         intake = new RequestIntake(context, policies, this::isInformed, random.split());
         callers = new HttpServer(loop, bounds(RequestBounds.DEFAULTS), intake);
+        callers.memory(memory.account(), memory);
+        memory.unreadAnswers(callers::unreadAnswers);
         ServerBounds inside = bounds(RequestBounds.DEFAULTS);
         health = new HttpServer(loop, inside, this::answerReady);
         figures = new HttpServer(loop, inside, this::answerFigures);
@@ -278,6 +287,7 @@
         loop.repeat(FORGET_MILLIS, () -> loads.forgetGone(directory));
         loop.repeat(ROLE_MILLIS, this::followStore);
         loop.repeat(STORE_USE_MILLIS, this::logStoreUse);
+        loop.repeat(MemoryKeeper.CHECK_MILLIS, memory::tick);
         loop.execute(
                 () -> {
                     policyWatcher.restart();
@@ -290,6 +300,7 @@
         loop.start();
         DecisionLog.write(
                 new Lifecycle("process", "started", settings.listen().callers().toString()));
+        logMemoryBudget();
         settings.notes()
                 .forEach(note -> DecisionLog.write(new Lifecycle("settings", "note", note)));
     }
@@ -312,6 +323,22 @@
                 });
     }
 
+    private MemoryKeeper memory(GatewaySettings.Limits limits) {
+        MemoryBudget budget =
+                MemoryBudget.of(limits.memoryBytes(), Runtime.getRuntime().maxMemory());
+        MemoryAccount account = new MemoryAccount(budget);
+        return new MemoryKeeper(
+                account, new MemoryMetrics(metrics.registry()), loop::nowMillis, loop::execute);
+    }
+
+    private void logMemoryBudget() {
+        long limit = settings.limits().memoryBytes();
+        String told = limit > 0 ? "limit of " + limit + " bytes" : "no limit known";
+        String fits = MemoryBudget.fits(limit) ? "" : ", a conservative bound";
+        long budget = memory.account().budget().bytes();
+        DecisionLog.write(new Lifecycle("memory", "budget", budget + " bytes; " + told + fits));
+    }
+
     private CoordinationStore counted(PlatformAdapter platform, Purpose purpose) {
         return new CountedStore(platform.store(), storeCalls, purpose);
     }
@@ -378,7 +405,12 @@
 
     /** What a hub tells in time is not asked of the store as well. */
     private void followStore() {
-        fed = view.isFed(fed);
+        boolean before = fed;
+        fed = view.isFed(before);
+        if (fed != before) {
+            String how = fed ? "told by peers" : "followed";
+            DecisionLog.write(new Lifecycle("policy and upstreams", how, ""));
+        }
         for (StoreWatcher watcher : List.of(policyWatcher, directoryWatcher)) {
             if (fed && watcher.isRunning()) {
                 watcher.stop();
@@ -386,7 +418,8 @@
                 watcher.restart();
             }
         }
-        rollouts.follow(fed);
+        // a leader, which is a hub, writes records under the revision that it has read itself
+        rollouts.follow(fed && !mesh.isHub());
         followLeader();
     }
 
@@ -401,6 +434,7 @@
     }
 
     private void tellState() {
+        memory.tellState();
         policies.policy()
                 .ifPresent(policy -> policy.services().forEach(spec -> tellUpstreams(spec.name())));
         metrics.state(
--- a/trailladder-entry/src/test/java/io/trailladder/entry/gateway/SimulatedProcess.java
+++ b/trailladder-entry/src/test/java/io/trailladder/entry/gateway/SimulatedProcess.java
@@ -29,6 +29,8 @@
 import io.trailladder.entry.mesh.PeerMesh;
 import io.trailladder.entry.mesh.RegionView;
 import io.trailladder.entry.port.PlatformFormat;
+import io.trailladder.entry.port.StoreFailure;
+import io.trailladder.entry.port.StoreItem;
 import io.trailladder.wire.NodeMessage;
 import io.trailladder.wire.NodeMessage.NodeHello;
 import java.util.Collection;
@@ -59,6 +61,8 @@
     private LinkPlan plan;
     private Quotas quotas;
     private ClusterView view;
+    private StoreHealth health;
+    private boolean fed;
     private NodeHello hello;
     private boolean planned;
     private boolean running;
@@ -90,7 +94,9 @@
         quotas = new Quotas(firstStart, cluster.tolerance());
         GatewayMetrics metrics = new GatewayMetrics();
         PlatformFormat format = new NoFormat();
+        health = new StoreHealth(metrics);
         directory = new DirectoryKeeper(format, upstreams, cluster::now, task -> {});
+        fed = false;
         usage = new UsageLedger(member.name() + '/' + life, USAGE_WINDOW_MILLIS);
         loads = new UpstreamLoads();
         view =
@@ -98,7 +104,7 @@
                         cluster::now,
                         new PolicyKeeper(format),
                         directory,
-                        new StoreHealth(metrics),
+                        health,
                         quotas,
                         loads,
                         usage,
@@ -188,6 +194,32 @@
         }
     }
 
+    /** Tells a change of the list of upstreams as the store would. */
+    void storeTells(StoreItem item) {
+        if (isRunning()) {
+            directory.changed(item);
+        }
+    }
+
+    /** Has the store lost to this process, or answering it again. */
+    void storeAnswers(boolean answers) {
+        if (answers) {
+            health.answered();
+        } else {
+            health.failed(StoreFailure.UNANSWERED);
+        }
+    }
+
+    /** Tells whether this process would follow the store itself. */
+    boolean followsStore() {
+        fed = view.isFed(fed);
+        return !fed;
+    }
+
+    long directoryRevision() {
+        return directory.revision();
+    }
+
     void linked(NodeHello peer) {
         planner.reached(peer.address());
         heardMillis.put(peer.name(), cluster.now());
@@ -260,6 +292,22 @@
                     : Optional.of(new RegionView(hello, topology, planner));
         }
 
+        @Override
+        public boolean isStoreFollower(String name) {
+            return planner.isStoreFollower(name);
+        }
+
+        @Override
+        public boolean followsStoreForHubs() {
+            return planner.isStoreFollower(member.name());
+        }
+
+        @Override
+        public boolean isFedBy(NodeHello peer) {
+            boolean follower = isStoreFollower(peer.name()) && !followsStoreForHubs();
+            return plan.hub() ? follower : isOwnHub(peer);
+        }
+
         @Override
         public Set<String> send(Collection<String> peers, NodeMessage message) {
             Set<String> linked = new HashSet<>();
