--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/EventSplitter.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/EventSplitter.java
@@ -18,6 +18,7 @@
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 
 /**
@@ -48,11 +49,12 @@
      */
     public List<StreamEvent> take(byte[] bytes) {
         List<StreamEvent> events = new ArrayList<>();
-        for (byte b : bytes) {
-            pending.write(b);
+        int from = 0;
+        for (int at = 0; at < bytes.length; at++) {
+            byte b = bytes[at];
             if (b == '\n' && lineEmpty) {
-                byte[] whole = pending.toByteArray();
-                pending.reset();
+                byte[] whole = whole(bytes, from, at + 1);
+                from = at + 1;
                 events.add(new StreamEvent(idOf(whole), whole));
             } else if (b == '\n') {
                 lineEmpty = true;
@@ -60,6 +62,7 @@
                 lineEmpty = false;
             }
         }
+        pending.write(bytes, from, bytes.length - from);
         return events;
     }
 
@@ -81,13 +84,37 @@
         return pending.size();
     }
 
+    private byte[] whole(byte[] bytes, int from, int to) {
+        if (pending.size() == 0) {
+            return Arrays.copyOfRange(bytes, from, to);
+        }
+        pending.write(bytes, from, to - from);
+        byte[] whole = pending.toByteArray();
+        pending.reset();
+        return whole;
+    }
+
+    /** Returns the rest of the first line that names the event. */
     private static String idOf(byte[] event) {
-        String text = new String(event, StandardCharsets.UTF_8);
-        for (String line : text.split("\n", -1)) {
-            if (line.startsWith(ID_FIELD)) {
-                return line.substring(ID_FIELD.length()).trim();
+        int line = 0;
+        while (line < event.length) {
+            int end = line;
+            while (end < event.length && event[end] != '\n') {
+                end++;
             }
+            if (isIdLine(event, line, end)) {
+                int value = line + ID_FIELD.length();
+                return new String(event, value, end - value, StandardCharsets.UTF_8).trim();
+            }
+            line = end + 1;
         }
         return "";
     }
+
+    private static boolean isIdLine(byte[] event, int from, int to) {
+        return to - from >= ID_FIELD.length()
+                && event[from] == 'i'
+                && event[from + 1] == 'd'
+                && event[from + 2] == ':';
+    }
 }
--- a/trailladder-entry/src/test/java/io/trailladder/entry/gateway/EventSplitterProperties.java
+++ b/trailladder-entry/src/test/java/io/trailladder/entry/gateway/EventSplitterProperties.java
@@ -52,6 +52,15 @@
         assertEquals(0, splitter.rest().length);
     }
 
+    @Example
+    void idIsOfTheFirstLineThatNamesIt() {
+        EventSplitter splitter = new EventSplitter();
+        byte[] bytes = "data: id: 7\nid\nid:8 \nid: 9\n\ni\n\n".getBytes(StandardCharsets.UTF_8);
+        List<StreamEvent> events = splitter.take(bytes);
+        assertEquals(List.of("8", ""), events.stream().map(StreamEvent::id).toList());
+        assertEquals(0, splitter.pendingBytes());
+    }
+
     @Example
     void halfAnEventIsKeptBack() {
         EventSplitter splitter = new EventSplitter();
