Give roll-outs a counter, a line of how they stand, and news at once

Cause: how a roll-out stands could only be read from the lines of its phases, and a completion reached leaves with the next digests, up to 400 ms after the old version had stopped. Change: a counter by service, version and result; the decision RolloutStep; ClusterView.tellRollouts.

--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ClusterView.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ClusterView.java
@@ -325,6 +325,11 @@
         boolean othersKnown = mesh.isPlanned() || !peers.isEmpty();
         limits.share(othersKnown, !mesh.isHub(), heard(), entries(), nowMillis.getAsLong());
         tellPeers();
+        tellRollouts();
+    }
+
+    /** Tells the peers how far roll-outs have come. */
+    void tellRollouts() {
         rollouts.ifPresent(exchange -> exchange.tell(mesh, peers.values()));
     }
 
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/DecisionLog.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/DecisionLog.java
@@ -17,6 +17,8 @@
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
+import io.trailladder.core.rollout.AnswerCount;
+import io.trailladder.core.rollout.RouteEvidence;
 import io.trailladder.core.upstream.CostShare;
 import io.trailladder.entry.log.EarlyLines;
 import java.io.IOException;
@@ -299,6 +301,63 @@
         }
     }
 
+    /**
+     * How a roll-out stands, as its leader sees it: at each change, and once a second.
+     *
+     * @param service the service
+     * @param version the version that it is to move to
+     * @param phase how far it has come
+     * @param recorded what the store records
+     * @param reason what led to the phase, or what it waits for
+     * @param leftMs time left until the deadline; -1 if it is not known
+     * @param bound part of the requests that the version may get before it
+     * @param routes what all processes have seen, by route
+     */
+    public record RolloutStep(
+            String service,
+            String version,
+            String phase,
+            String recorded,
+            String reason,
+            long leftMs,
+            double bound,
+            List<RouteEvidence> routes)
+            implements Decision {
+        /** Copies the evidence. */
+        public RolloutStep {
+            routes = List.copyOf(routes);
+        }
+
+        @Override
+        public void write(JsonGenerator json) throws IOException {
+            json.writeStringField("service", service);
+            json.writeStringField("version", version);
+            json.writeStringField("phase", phase);
+            json.writeStringField("recorded", recorded);
+            json.writeStringField("reason", reason);
+            json.writeNumberField("leftMs", leftMs);
+            json.writeNumberField("bound", bound);
+            json.writeArrayFieldStart("routes");
+            for (RouteEvidence route : routes) {
+                json.writeStartObject();
+                json.writeStringField("route", route.route());
+                write(json, "old", route.old());
+                write(json, "new", route.target());
+                json.writeEndObject();
+            }
+            json.writeEndArray();
+        }
+
+        private static void write(JsonGenerator json, String name, AnswerCount count)
+                throws IOException {
+            json.writeObjectFieldStart(name);
+            json.writeNumberField("answers", count.answers());
+            json.writeNumberField("bad", count.bad());
+            json.writeNumberField("slow", count.slow());
+            json.writeEndObject();
+        }
+    }
+
     /** Turns a decision into text when the line is written, and tells if that is much later. */
     private record Line(Decision decision, long madeNanos) {
         private static final long TOLD_FROM_MILLIS = 50;
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/GatewayMetrics.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/GatewayMetrics.java
@@ -20,6 +20,7 @@
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import io.trailladder.core.engine.EngineEstimate;
+import io.trailladder.core.rollout.AnswerSort;
 import java.util.Locale;
 
 /**
@@ -47,6 +48,12 @@
                     .help("Attempts at upstreams by service and result")
                     .labelNames("service", "result")
                     .register(registry);
+    private final Counter versionAnswers =
+            Counter.builder()
+                    .name("trailladder_rollout_answers_total")
+                    .help("Answers of both versions during roll-outs by what they say of theirs")
+                    .labelNames("service", "version", "result")
+                    .register(registry);
     private final Counter events =
             Counter.builder()
                     .name("trailladder_events_total")
@@ -143,6 +150,17 @@
         attempts.labelValues(service, result).inc();
     }
 
+    /**
+     * Counts an answer during a roll-out.
+     *
+     * @param service the service
+     * @param version the version of the upstream that gave it
+     * @param sort what it says of the version
+     */
+    public void versionAnswered(String service, String version, AnswerSort sort) {
+        versionAnswers.labelValues(service, version, sort.name().toLowerCase(Locale.ROOT)).inc();
+    }
+
     /**
      * Counts an event.
      *
