--- a/trailladder-core/src/main/java/io/trailladder/core/rollout/ExposureLedger.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/rollout/ExposureLedger.java
@@ -49,6 +49,7 @@
      */
     private static final double LEAST_ALLOWANCE = 25;
 
+    private final double bound;
     private final double spent;
     private final double sampled;
     private final double credit;
@@ -62,6 +63,7 @@
      * @param credit what is added to the part of this life's requests, in requests, below 1
      */
     public ExposureLedger(double bound, double credit) {
+        this.bound = bound;
         this.spent = SPENT_PART * bound;
         this.sampled = SAMPLED_PART * bound;
         this.credit = credit;
@@ -107,6 +109,15 @@
         return exposed + 1 <= spent * (sent + 1) + credit;
     }
 
+    /**
+     * Returns the part of a service's requests that a bad version may get.
+     *
+     * @return from 0 to 1
+     */
+    public double bound() {
+        return bound;
+    }
+
     /**
      * Returns the part of the requests that samples spend in the long run.
      *
--- a/trailladder-core/src/main/java/io/trailladder/core/rollout/Rollout.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/rollout/Rollout.java
@@ -298,12 +298,13 @@
      *
      * @param upstream the upstream
      * @param answer how it ended
+     * @return what it says of the version
      */
-    public void answered(Upstream upstream, AnswerSeen answer) {
+    public AnswerSort answered(Upstream upstream, AnswerSeen answer) {
         boolean isTarget = isTarget(upstream);
         boolean late = upstream.coldLeftMillis() <= 0 && isLate(answer);
         if (!answer.whole() && !late && !answer.failed()) {
-            return;
+            return AnswerSort.NOT_COUNTED;
         }
         if (!isTarget && !answer.failed()) {
             learnPace(answer);
@@ -316,6 +317,7 @@
         if (isTarget && (bad || slow) && !phase.isFinal() && RolloutJudge.isBad(evidence())) {
             phase = phase.merge(RolloutPhase.HALTED);
         }
+        return AnswerSort.of(bad, slow);
     }
 
     private boolean isLate(AnswerSeen answer) {
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
@@ -191,7 +191,8 @@
                         directory,
                         loads,
                         view,
-                        duties::leads);
+                        duties::leads,
+                        metrics);
         fleet =
                 new FleetRunner(
                         loop,
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RolloutKeeper.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RolloutKeeper.java
@@ -16,10 +16,12 @@
 package io.trailladder.entry.gateway;
 
 import io.trailladder.core.rollout.AnswerSeen;
+import io.trailladder.core.rollout.AnswerSort;
 import io.trailladder.core.rollout.ExposureLedger;
 import io.trailladder.core.rollout.Rollout;
 import io.trailladder.core.rollout.RolloutNews;
 import io.trailladder.core.rollout.RolloutOrder;
+import io.trailladder.core.rollout.RolloutPhase;
 import io.trailladder.core.rollout.RolloutStatus;
 import io.trailladder.core.rollout.VersionGate;
 import io.trailladder.core.upstream.Upstream;
@@ -29,9 +31,11 @@
 import io.trailladder.entry.port.StoreItem;
 import io.vavr.control.Either;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.function.LongSupplier;
 import org.tinylog.Logger;
@@ -46,7 +50,10 @@
     private final GatewaySettings.Rollouts bounds;
     private final SplittableRandom random;
     private final LongSupplier nowMillis;
+    private final GatewayMetrics metrics;
+    private Runnable onAdvance = () -> {};
     private final Map<String, RolloutStatus> records = new HashMap<>();
+    private final Set<String> unreadable = new HashSet<>();
 
     /**
      * Creates a keeper that knows of none.
@@ -56,18 +63,39 @@
      * @param bounds what a version under test may get
      * @param random spreads the samples of processes that have few requests
      * @param nowMillis tells the time
+     * @param metrics told of answers while traffic moves
      */
     RolloutKeeper(
             PlatformFormat format,
             VersionGate gate,
             GatewaySettings.Rollouts bounds,
             SplittableRandom random,
-            LongSupplier nowMillis) {
+            LongSupplier nowMillis,
+            GatewayMetrics metrics) {
         this.format = format;
         this.gate = gate;
         this.bounds = bounds;
         this.random = random;
         this.nowMillis = nowMillis;
+        this.metrics = metrics;
+    }
+
+    /** Has somebody told when a roll-out has come further. */
+    void onAdvance(Runnable told) {
+        onAdvance = told;
+    }
+
+    /** Goes on as the leader decides. */
+    void lead(Rollout rollout, RolloutPhase decided) {
+        advance(rollout, () -> rollout.lead(decided, nowMillis.getAsLong()));
+    }
+
+    private void advance(Rollout rollout, Runnable change) {
+        RolloutPhase before = rollout.phase();
+        change.run();
+        if (rollout.phase() != before) {
+            onAdvance.run();
+        }
     }
 
     /** Returns who is to be told of the orders in the store. */
@@ -100,6 +128,23 @@
         return records.getOrDefault(service, RolloutStatus.none(service));
     }
 
+    /** Tells whether somebody wrote a record that cannot be read: it is left as it is. */
+    boolean isRecordUnreadable(String service) {
+        return unreadable.contains(service);
+    }
+
+    /** Reads a record. */
+    void read(String service, StoreItem item) {
+        Optional<RolloutStatus> status =
+                sound(format.rolloutStatus(service, item.value(), item.revision()));
+        if (status.isPresent()) {
+            unreadable.remove(service);
+            recorded(status.get());
+        } else {
+            unreadable.add(service);
+        }
+    }
+
     /** Takes over a record that was read or written. */
     void recorded(RolloutStatus status) {
         RolloutStatus before = record(status.service());
@@ -115,8 +160,9 @@
                             "store",
                             status.revision()));
         }
+        long now = nowMillis.getAsLong();
         gate.rollout(status.service())
-                .ifPresent(rollout -> rollout.recorded(status, nowMillis.getAsLong()));
+                .ifPresent(rollout -> advance(rollout, () -> rollout.recorded(status, now)));
     }
 
     /** Records that an upstream was chosen for a request, before it leaves. */
@@ -140,7 +186,12 @@
     void answered(String service, Upstream upstream, AnswerSeen answer) {
         gate.rollout(service)
                 .filter(rollout -> !rollout.phase().isFinal())
-                .ifPresent(rollout -> rollout.answered(upstream, answer));
+                .ifPresent(rollout -> advance(rollout, () -> count(rollout, upstream, answer)));
+    }
+
+    private void count(Rollout rollout, Upstream upstream, AnswerSeen answer) {
+        AnswerSort sort = rollout.answered(upstream, answer);
+        metrics.versionAnswered(rollout.order().service(), upstream.version(), sort);
     }
 
     /** Takes over what a peer tells, if its order is as new as the one known here. */
@@ -148,7 +199,9 @@
         ordered(news.order(), "peer", false);
         gate.rollout(news.order().service())
                 .filter(rollout -> rollout.order().revision() == news.order().revision())
-                .ifPresent(rollout -> rollout.heard(news, nowMillis.getAsLong()));
+                .ifPresent(
+                        rollout ->
+                                advance(rollout, () -> rollout.heard(news, nowMillis.getAsLong())));
     }
 
     /**
@@ -243,8 +296,7 @@
         public void changed(StoreItem item) {
             String service = serviceOf(item.key(), format.rolloutStatusPrefix());
             if (!item.gone()) {
-                sound(format.rolloutStatus(service, item.value(), item.revision()))
-                        .ifPresent(RolloutKeeper.this::recorded);
+                read(service, item);
             }
         }
     }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RolloutParts.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RolloutParts.java
@@ -49,6 +49,7 @@
      * @param loads the work under way at them
      * @param view the peers
      * @param leads tells whether this process leads
+     * @param metrics the process's figures
      */
     RolloutParts(
             EventLoop loop,
@@ -61,11 +62,17 @@
             UpstreamDirectory directory,
             UpstreamLoads loads,
             ClusterView view,
-            BooleanSupplier leads) {
+            BooleanSupplier leads,
+            GatewayMetrics metrics) {
         ordered = settings.rollouts().ordered();
         keeper =
                 new RolloutKeeper(
-                        format, gate, settings.rollouts(), random.split(), loop::nowMillis);
+                        format,
+                        gate,
+                        settings.rollouts(),
+                        random.split(),
+                        loop::nowMillis,
+                        metrics);
         RolloutExchange exchange = new RolloutExchange(keeper, loop::nowMillis);
         runner =
                 new RolloutRunner(
@@ -89,6 +96,8 @@
         orders = watcher(loop, store, health, random, format.rolloutOrderPrefix(), keeper.orders());
         if (ordered) {
             view.rollouts(exchange);
+            // the old version stops with the record: whoever hears it late sends to nobody
+            keeper.onAdvance(view::tellRollouts);
         }
     }
 
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RolloutRunner.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RolloutRunner.java
@@ -26,6 +26,7 @@
 import io.trailladder.core.upstream.UpstreamDirectory;
 import io.trailladder.core.upstream.UpstreamLoads;
 import io.trailladder.entry.gateway.DecisionLog.Lifecycle;
+import io.trailladder.entry.gateway.DecisionLog.RolloutStep;
 import io.trailladder.entry.loop.EventLoop;
 import io.trailladder.entry.port.CoordinationStore;
 import io.trailladder.entry.port.PlatformFormat;
@@ -40,7 +41,6 @@
 import java.util.Set;
 import java.util.function.BooleanSupplier;
 import java.util.function.Function;
-import org.tinylog.Logger;
 
 /**
  * Leads the roll-outs while this process is the leader: decides how each goes on and records its
@@ -49,6 +49,9 @@
 final class RolloutRunner {
     private static final long STEP_MILLIS = 100;
 
+    /** Time between lines that tell how a roll-out stands, in milliseconds. */
+    private static final long TOLD_MILLIS = 1_000;
+
     /** Pause after a write that failed, in milliseconds: the store's usual time for some calls. */
     private static final long AGAIN_MILLIS = 300;
 
@@ -63,6 +66,7 @@
     private final Function<Rollout, List<RouteEvidence>> evidence;
     private final Map<Long, RolloutLead> deciders = new HashMap<>();
     private final Map<String, String> logged = new HashMap<>();
+    private final Map<String, Long> toldMillis = new HashMap<>();
     private final Set<String> writing = new HashSet<>();
 
     /**
@@ -110,21 +114,29 @@
             return;
         }
         for (Rollout rollout : keeper.rollouts()) {
-            if (!rollout.phase().isFinal()) {
+            if (!rollout.phase().isFinal() && isKnown(rollout.order().service())) {
                 lead(rollout);
             }
         }
     }
 
+    /** A service without upstreams, or with a record nobody can read, is left as it is. */
+    private boolean isKnown(String service) {
+        boolean hasUpstreams =
+                directory.all().stream().anyMatch(upstream -> upstream.service().equals(service));
+        return hasUpstreams && !keeper.isRecordUnreadable(service);
+    }
+
     private void lead(Rollout rollout) {
         RolloutLead decider =
                 deciders.computeIfAbsent(
                         rollout.order().revision(), order -> new RolloutLead(rollout));
         String service = rollout.order().service();
         RolloutStatus status = keeper.record(service);
-        Step step = decider.next(evidence.apply(rollout), status, fleet(rollout), loop.nowMillis());
-        rollout.lead(step.phase(), loop.nowMillis());
-        log(rollout, step);
+        List<RouteEvidence> seen = evidence.apply(rollout);
+        Step step = decider.next(seen, status, fleet(rollout), loop.nowMillis());
+        keeper.lead(rollout, step.phase());
+        log(rollout, step, status, seen);
         step.record().ifPresent(state -> record(rollout, status, state));
     }
 
@@ -139,12 +151,13 @@
         return new Fleet(serving.size() - target.size(), target.size(), loads.requests(old));
     }
 
-    /** Writes one line for each phase, and for each thing that a phase waits for. */
-    private void log(Rollout rollout, Step step) {
+    /** Writes one line for each phase and record, and how the roll-out stands once a second. */
+    private void log(Rollout rollout, Step step, RolloutStatus status, List<RouteEvidence> seen) {
         String service = rollout.order().service();
         String state =
                 step.phase() + step.record().map(record -> ", recording " + record).orElse("");
-        if (!state.equals(logged.put(service, state))) {
+        boolean changed = !state.equals(logged.put(service, state));
+        if (changed) {
             String subject = "roll-out of " + service + " to " + rollout.order().version();
             String spent =
                     "; sent here "
@@ -153,6 +166,26 @@
                             + rollout.ledger().sentRequests();
             DecisionLog.write(new Lifecycle(subject, state, step.reason() + spent));
         }
+        long now = loop.nowMillis();
+        if (changed || now - toldMillis.getOrDefault(service, now - TOLD_MILLIS) >= TOLD_MILLIS) {
+            toldMillis.put(service, now);
+            DecisionLog.write(stands(rollout, step, status, seen));
+        }
+    }
+
+    private RolloutStep stands(
+            Rollout rollout, Step step, RolloutStatus status, List<RouteEvidence> seen) {
+        long left = rollout.deadlineMillis() - loop.nowMillis();
+        State recorded = status.isAbout(rollout.order()) ? status.state() : State.NONE;
+        return new RolloutStep(
+                rollout.order().service(),
+                rollout.order().version(),
+                step.phase().name(),
+                step.record().orElse(recorded).name(),
+                step.reason(),
+                rollout.isDeadlineKnown() ? left : -1,
+                rollout.ledger().bound(),
+                seen);
     }
 
     private void record(Rollout rollout, RolloutStatus before, State state) {
@@ -188,9 +221,7 @@
         }
         health.answered();
         if (!read.get().gone()) {
-            format.rolloutStatus(service, read.get().value(), read.get().revision())
-                    .peek(keeper::recorded)
-                    .peekLeft(fault -> Logger.warn("record of a roll-out: {}", fault));
+            keeper.read(service, read.get());
         }
     }
 }
