--- a/trailladder-cli/src/main/java/io/trailladder/cli/TrailladderCommand.java
+++ b/trailladder-cli/src/main/java/io/trailladder/cli/TrailladderCommand.java
@@ -45,6 +45,7 @@
             ExplainCommand.class,
             LossesCommand.class,
             ReplayCommand.class,
+            RolloutCommand.class,
             GenerateCompletion.class
         })
 public final class TrailladderCommand implements Runnable {
--- a/trailladder-core/src/test/java/io/trailladder/core/rollout/RolloutModelTest.java
+++ b/trailladder-core/src/test/java/io/trailladder/core/rollout/RolloutModelTest.java
@@ -62,7 +62,7 @@
     }
 
     /** One process: its view and the record as it last read it. */
-    private record Process(
+    private record Member(
             RolloutPhase phase,
             boolean deadlineKnown,
             int begun,
@@ -76,21 +76,27 @@
 
     /** All there is: who leads and until when, the time as an index, lives lost, both processes. */
     private record World(
-            int time, int leader, int leaseEnd, int restarts, Store store, Process a, Process b) {
+            int time, int leader, int leaseEnd, int restarts, Store store, Member a, Member b) {
         int now() {
             return TIMES[time];
         }
 
-        Process process(int index) {
+        Member process(int index) {
             return index == 0 ? a : b;
         }
 
-        World with(int index, Process process) {
-            Process first = index == 0 ? process : a;
-            Process second = index == 0 ? b : process;
+        World with(int index, Member process) {
+            Member first = index == 0 ? process : a;
+            Member second = index == 0 ? b : process;
             int least = Math.max(1, Math.min(first.round(), second.round())) - 1;
             return new World(
-                    time, leader, leaseEnd, restarts, store, near(first, least), near(second, least));
+                    time,
+                    leader,
+                    leaseEnd,
+                    restarts,
+                    store,
+                    near(first, least),
+                    near(second, least));
         }
 
         World with(Store next) {
@@ -98,9 +104,9 @@
         }
 
         /** Only who is ahead counts, so rounds are kept small. */
-        private static Process near(Process process, int least) {
+        private static Member near(Member process, int least) {
             int round = Math.min(MOST_ROUNDS_APART, process.round() - least);
-            return new Process(
+            return new Member(
                     process.phase(),
                     process.deadlineKnown(),
                     process.begun(),
@@ -125,7 +131,7 @@
 
     @Example
     void noInterleavingBreaksTheRules() {
-        Process fresh = new Process(RolloutPhase.SAMPLING, true, 0, 0, NEVER, State.NONE, 0);
+        Member fresh = new Member(RolloutPhase.SAMPLING, true, 0, 0, NEVER, State.NONE, 0);
         meet(new World(0, 0, LEASE, 0, new Store(State.NONE, 0, -1), fresh, fresh));
         while (!open.isEmpty()) {
             World world = open.remove();
@@ -155,9 +161,9 @@
                 canonical(world.b(), world.now()));
     }
 
-    private static Process canonical(Process process, int now) {
+    private static Member canonical(Member process, int now) {
         boolean heardLately = now - process.heard() <= Rollout.HEARD_MILLIS;
-        return new Process(
+        return new Member(
                 process.phase(),
                 process.deadlineKnown(),
                 process.deadlineKnown() ? 0 : process.begun(),
@@ -175,8 +181,7 @@
             boolean toNew = view.admitted(List.of(OLD, NEW), true, world.now()).contains(NEW);
             boolean leftLong =
                     world.store().state() == State.ROLLED_BACK
-                            && world.now() - world.store().endedAt()
-                                    > LEASE + Rollout.HEARD_MILLIS;
+                            && world.now() - world.store().endedAt() > LEASE + Rollout.HEARD_MILLIS;
             assertFalse(toNew && leftLong, () -> "sent long after the roll-back: " + world);
             boolean readBack = world.process(index).read() == State.ROLLED_BACK;
             assertFalse(toNew && readBack, () -> "sent though it knows better: " + world);
@@ -227,9 +232,8 @@
 
     /** A life that starts anew has read the store and no peer. */
     private static World restart(World world, int index) {
-        Process life =
-                new Process(
-                        RolloutPhase.SAMPLING, false, world.now(), 0, NEVER, State.NONE, 0);
+        Member life =
+                new Member(RolloutPhase.SAMPLING, false, world.now(), 0, NEVER, State.NONE, 0);
         World lost =
                 new World(
                         world.time(),
@@ -243,8 +247,8 @@
     }
 
     private static World tell(World world, int from) {
-        Process teller = world.process(from);
-        Process told = world.process(1 - from);
+        Member teller = world.process(from);
+        Member told = world.process(1 - from);
         RolloutNews news = view(teller).news(List.of(), world.now());
         Rollout view = view(told);
         view.heard(news, world.now());
@@ -253,10 +257,10 @@
     }
 
     private static World read(World world, int index) {
-        Process reader = world.process(index);
+        Member reader = world.process(index);
         Rollout view = view(reader);
         view.recorded(status(world.store()), world.now());
-        Process seen = process(view, reader, reader.heard(), world.now());
+        Member seen = process(view, reader, reader.heard(), world.now());
         return world.with(index, withRead(seen, world.store()));
     }
 
@@ -268,12 +272,10 @@
         }
     }
 
-    private static World step(
-            World world, int index, List<RouteEvidence> evidence, Write write) {
-        Process leading = world.process(index);
+    private static World step(World world, int index, List<RouteEvidence> evidence, Write write) {
+        Member leading = world.process(index);
         Rollout view = view(leading);
-        RolloutStatus read =
-                new RolloutStatus("s", "v2", leading.read(), leading.readRevision());
+        RolloutStatus read = new RolloutStatus("s", "v2", leading.read(), leading.readRevision());
         if (view.phase().isFinal()) {
             return world;
         }
@@ -285,7 +287,7 @@
 
     /** Writes under the condition of the revision that the process has read. */
     private static World write(World world, int index, State state, Write write) {
-        Process writer = world.process(index);
+        Member writer = world.process(index);
         Store before = world.store();
         if (write == Write.LOST || writer.readRevision() != before.revision()) {
             return world;
@@ -297,7 +299,7 @@
         return write == Write.DONE ? read(written, index) : written;
     }
 
-    private static void checkChange(World world, Process writer, State before, State after) {
+    private static void checkChange(World world, Member writer, State before, State after) {
         assertFalse(
                 before == State.COMPLETED || before == State.ROLLED_BACK,
                 () -> after + " after an end: " + world);
@@ -315,8 +317,8 @@
                 : new RolloutStatus("s", "v2", store.state(), store.revision());
     }
 
-    private static Process withRead(Process process, Store store) {
-        return new Process(
+    private static Member withRead(Member process, Store store) {
+        return new Member(
                 process.phase(),
                 process.deadlineKnown(),
                 process.begun(),
@@ -327,7 +329,7 @@
     }
 
     /** Builds the view of a process anew; whoever knows the deadline knows the true one. */
-    private static Rollout view(Process process) {
+    private static Rollout view(Member process) {
         ExposureLedger ledger = new ExposureLedger(1, 0.9);
         Rollout view =
                 process.deadlineKnown()
@@ -340,8 +342,8 @@
         return view;
     }
 
-    private static Process process(Rollout view, Process before, int heard, int now) {
-        return new Process(
+    private static Member process(Rollout view, Member before, int heard, int now) {
+        return new Member(
                 view.phase(),
                 view.isDeadlineKnown(),
                 before.begun(),
@@ -353,8 +355,8 @@
 
     @Example
     void viewsBuiltAnewAreTheSame() {
-        Process process =
-                new Process(RolloutPhase.SWITCHING, false, 100, 2, 900, State.IN_PROGRESS, 2);
+        Member process =
+                new Member(RolloutPhase.SWITCHING, false, 100, 2, 900, State.IN_PROGRESS, 2);
         assertEquals(process, process(view(process), process, process.heard(), 1_000));
     }
 }
