Write decisions to the log without the logging library

Cause: each line went through tinylog on the event loop, which made its text there (5 % of the loop's samples), and was written as JSON twice; loading tinylog took each start some 0.1 s. Change: a decision is queued as it is, and the writing thread makes its text, once. Lines carry the time of their decision, also those of the first 2 s. tinylog is loaded with the first warning or the first line of a library. Times are made by hand, once a second but for their last digits.

--- a/trailladder-cli/src/main/java/io/trailladder/cli/GatewayProcess.java
+++ b/trailladder-cli/src/main/java/io/trailladder/cli/GatewayProcess.java
@@ -29,6 +29,8 @@
 import io.trailladder.entry.gateway.SettingsReader;
 import io.trailladder.entry.http.HttpConnector;
 import io.trailladder.entry.log.EarlyLines;
+import io.trailladder.entry.log.LibraryLines;
+import io.trailladder.entry.log.LineQueue;
 import io.trailladder.entry.loop.EventLoop;
 import java.io.IOException;
 import java.nio.file.Files;
@@ -38,7 +40,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.logging.Level;
 import java.util.logging.Logger;
-import org.tinylog.jul.JulTinylogBridge;
 
 /**
  * One gateway with its settings file, its signals and the adapter of the users' platform.
@@ -110,7 +111,7 @@
      * @throws SettingsException if the settings are wrong
      */
     public void run() throws IOException, InterruptedException {
-        System.setProperty("tinylog.writer.stream", "out");
+        System.setProperty(LineQueue.STREAM_PROPERTY, "out");
         GRIZZLY.setLevel(Level.OFF);
         EarlyLines.hold();
         settings = SettingsReader.read(settingsFile);
@@ -126,10 +127,10 @@
         }
     }
 
-    /** Lets the first requests be served before the logging library is loaded. */
+    /** Lets the first requests be served before lines are written. */
     private void beginLog() throws InterruptedException {
         stopped.await(LOG_AFTER_MILLIS, TimeUnit.MILLISECONDS);
-        JulTinylogBridge.activate();
+        LibraryLines.take();
         EarlyLines.release();
     }
 
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/DecisionLog.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/DecisionLog.java
@@ -19,12 +19,13 @@
 import com.fasterxml.jackson.core.JsonGenerator;
 import io.trailladder.core.upstream.CostShare;
 import io.trailladder.entry.log.EarlyLines;
+import io.trailladder.entry.log.LineQueue;
+import io.trailladder.entry.log.LineTime;
 import java.io.IOException;
 import java.io.StringWriter;
+import java.time.Instant;
 import java.util.List;
 import java.util.Locale;
-import java.util.concurrent.TimeUnit;
-import org.tinylog.Logger;
 
 /**
  * Writes one structured line for each decision. The line's fields are those of the decision's
@@ -293,15 +294,16 @@
      * @param decision the decision
      */
     public static void write(Decision decision) {
-        Line line = new Line(decision, System.nanoTime());
+        Line line = new Line(decision, Instant.now());
         if (!EarlyLines.keep(line)) {
-            Logger.info("{}", line);
+            LineQueue.shared().add(line);
         }
     }
 
     /** Turns a decision into text when the line is written, and tells if that is much later. */
-    private record Line(Decision decision, long madeNanos) {
-        private static final long TOLD_FROM_MILLIS = 50;
+    private record Line(Decision decision, Instant made) {
+        /** Several times what the writing thread pauses, in milliseconds. */
+        private static final long TOLD_FROM_MILLIS = 500;
 
         @Override
         public String toString() {
@@ -309,15 +311,21 @@
             StringWriter text = new StringWriter();
             try (JsonGenerator json = JSON.createGenerator(text)) {
                 json.writeStartObject();
+                json.writeStringField("time", LineTime.text(made));
+                json.writeStringField("level", "INFO");
+                json.writeObjectFieldStart("decision");
                 json.writeStringField("kind", kind);
                 decision.write(json);
-                long held = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - madeNanos);
+                long held = System.currentTimeMillis() - made.toEpochMilli();
                 if (held >= TOLD_FROM_MILLIS) {
                     json.writeNumberField("heldMs", held);
                 }
                 json.writeEndObject();
+                json.writeEndObject();
             } catch (IOException e) {
-                return "{\"kind\":\"" + kind + "\",\"fault\":\"not writable\"}";
+                return "{\"level\":\"WARN\",\"message\":\"a line could not be written: "
+                        + kind
+                        + "\"}";
             }
             return text.toString();
         }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/log/EarlyLines.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/log/EarlyLines.java
@@ -17,12 +17,10 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
-import org.tinylog.Logger;
 
 /**
- * Keeps the lines of a process that has just started until it has time to write them. The first
- * line that is written loads the logging library, some 0.1 s of processor time: on a third of a
- * core callers would wait 0.3 s longer after a restart.
+ * Keeps the lines of a process that has just started until it has time to write them: on a third of
+ * a core each millisecond that goes into lines has callers wait three more after a restart.
  *
  * <pre>{@code
  * EarlyLines.hold();
@@ -65,7 +63,7 @@
     public static void release() {
         Deque<Object> lines = take();
         while (!lines.isEmpty()) {
-            lines.forEach(line -> Logger.info("{}", line));
+            lines.forEach(line -> LineQueue.shared().add(line.toString()));
             lines = take();
         }
     }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/log/JsonLinesWriter.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/log/JsonLinesWriter.java
@@ -17,30 +17,18 @@
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
-import java.io.FileDescriptor;
-import java.io.FileOutputStream;
 import java.io.IOException;
-import java.io.PrintStream;
 import java.io.StringWriter;
-import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.EnumSet;
-import java.util.List;
 import java.util.Map;
-import java.util.concurrent.ArrayBlockingQueue;
-import java.util.concurrent.BlockingQueue;
-import java.util.concurrent.atomic.AtomicLong;
 import org.tinylog.core.LogEntry;
 import org.tinylog.core.LogEntryValue;
 import org.tinylog.writers.Writer;
 
 /**
- * Writes every log entry as one JSON object on one line, on a thread of its own.
- *
- * <p>The thread that logs never waits: lines beyond a bounded queue are dropped and counted, and
- * the next line that is written tells how many. tinylog's own JSON writer needs a file, and entries
- * have no disks.
+ * Writes every log entry as one JSON object on one line of a {@link LineQueue}. tinylog's own JSON
+ * writer needs a file, and entries have no disks.
  *
  * @since 0.1
  */
@@ -49,14 +37,8 @@
     public static final String STREAM_PROPERTY = "stream";
 
     private static final JsonFactory JSON = new JsonFactory();
-    private static final int MAX_WAITING = 4_096;
-    private static final int MAX_BATCH = 512;
-    private static final long PAUSE_MILLIS = 100;
 
-    private final PrintStream out;
-    private final BlockingQueue<LogEntry> waiting = new ArrayBlockingQueue<>(MAX_WAITING);
-    private final AtomicLong dropped = new AtomicLong();
-    private volatile boolean closing;
+    private final LineQueue queue;
 
     /**
      * Creates the writer; called by tinylog.
@@ -64,12 +46,7 @@
      * @param properties settings: {@value #STREAM_PROPERTY}
      */
     public JsonLinesWriter(Map<String, String> properties) {
-        boolean toOutput = "out".equals(properties.get(STREAM_PROPERTY));
-        FileDescriptor stream = toOutput ? FileDescriptor.out : FileDescriptor.err;
-        out = new PrintStream(new FileOutputStream(stream), false, StandardCharsets.UTF_8);
-        Thread thread = new Thread(this::run, "log-writer");
-        thread.setDaemon(true);
-        thread.start();
+        queue = LineQueue.of("out".equals(properties.get(STREAM_PROPERTY)));
     }
 
     @Override
@@ -84,52 +61,25 @@
 
     @Override
     public void write(LogEntry entry) {
-        if (!waiting.offer(entry)) {
-            dropped.incrementAndGet();
-        }
+        queue.add(new Line(entry));
     }
 
     @Override
     public void flush() {
-        writeWaiting();
+        queue.flush();
     }
 
     @Override
     public void close() {
-        closing = true;
-        writeWaiting();
-    }
-
-    private void run() {
-        while (!closing) {
-            try {
-                LogEntry first = waiting.take();
-                writeBatch(List.of(first));
-                writeWaiting();
-                Thread.sleep(PAUSE_MILLIS);
-            } catch (InterruptedException e) {
-                return;
-            }
-        }
-    }
-
-    private void writeWaiting() {
-        List<LogEntry> batch = new ArrayList<>();
-        while (waiting.drainTo(batch, MAX_BATCH) > 0) {
-            writeBatch(batch);
-            batch.clear();
-        }
+        queue.flush();
     }
 
-    private synchronized void writeBatch(List<LogEntry> batch) {
-        StringBuilder lines = new StringBuilder();
-        long lost = dropped.getAndSet(0);
-        if (lost > 0) {
-            lines.append("{\"level\":\"WARN\",\"dropped_lines\":").append(lost).append("}\n");
+    /** Turns an entry into text when it is written. */
+    private record Line(LogEntry entry) {
+        @Override
+        public String toString() {
+            return line(entry);
         }
-        batch.forEach(entry -> lines.append(line(entry)).append('\n'));
-        out.print(lines);
-        out.flush();
     }
 
     private static String line(LogEntry entry) {
