Deliver streams that are read on while there is memory; bound callers' connections

Cause: SlowReaderFaultTest failed once: a caller that read on was cut at the bound of its stream, because a burst of 24 MB came faster, while memory was calm. Descriptors: connections that callers keep could use up those of serving. Change: above its bound a resumable stream is ended only once its caller took nothing for a second or the process is pressed. Callers' connections have a bound out of the descriptors; above it those that rest are closed, of the caller that keeps most the oldest first. Conclusion: who reads is served; who keeps connections gives them up first.

--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
@@ -76,6 +76,14 @@
     private static final long ELECTION_PATIENCE_MILLIS = 100;
     private static final long ELECTION_SPREAD_MILLIS = 500;
     private static final long PEERS_FIRST_MILLIS = 700;
+
+    /** Descriptors set aside for files: archives, libraries, pipes of the selector. */
+    private static final int FILE_DESCRIPTORS = 200;
+
+    /** Of four sockets three may be callers': a request needs one more at most, and shares it. */
+    private static final int CALLERS_PART = 3;
+
+    private static final int CALLERS_OF = 4;
     private static final byte[] NO_BYTES = {};
 
     private final GatewaySettings settings;
@@ -238,6 +246,9 @@
         callers = new HttpServer(loop, bounds(RequestBounds.DEFAULTS), intake);
         callers.memory(memory.account(), memory);
         memory.unreadAnswers(callers::unreadAnswers);
+        if (settings.limits().descriptors() > 0) {
+            callers.maxConnections(callerConnections(settings.limits().descriptors()));
+        }
         ServerBounds inside = bounds(RequestBounds.DEFAULTS);
         health = new HttpServer(loop, inside, this::answerReady);
         figures = new HttpServer(loop, inside, this::answerFigures);
@@ -326,6 +337,12 @@
                 account, new MemoryMetrics(metrics.registry()), loop::nowMillis, loop::execute);
     }
 
+    /** Callers may keep part of the descriptors; the rest is for upstreams, peers and the store. */
+    private static int callerConnections(int descriptors) {
+        int sockets = Math.max(0, descriptors - FILE_DESCRIPTORS);
+        return Math.max(1, sockets / CALLERS_OF * CALLERS_PART);
+    }
+
     private void logMemoryBudget() {
         long limit = settings.limits().memoryBytes();
         String told = limit > 0 ? "limit of " + limit + " bytes" : "no limit known";
@@ -423,7 +440,7 @@
     }
 
     private void tellState() {
-        memory.tellState();
+        memory.tellState(callers.refused());
         policies.policy()
                 .ifPresent(policy -> policy.services().forEach(spec -> tellUpstreams(spec.name())));
         metrics.state(
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/MemoryKeeper.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/MemoryKeeper.java
@@ -43,11 +43,15 @@
     public static final long CHECK_MILLIS = 250;
 
     /**
-     * An answer above its bound is ended in a pressed process only if its caller took nothing for
-     * this long, in milliseconds: one that reads on is delivered, however large.
+     * An answer above its bound whose caller took nothing for this long, in milliseconds, is ended:
+     * a stream that can be resumed at any level, another in a pressed process. One that reads on is
+     * delivered, however large, while there is memory; a pressed process ends such streams as well.
      */
     private static final long STALLED_MILLIS = 1_000;
 
+    /** Part of the usual bound that is held back of an answer in a pressed process. */
+    private static final int PRESSED_PART = 4;
+
     private final MemoryAccount account;
     private final MemoryMetrics metrics;
     private final LongSupplier nowMillis;
@@ -105,7 +109,7 @@
     }
 
     /**
-     * Tells whether a request may be taken in.
+     * Tells whether a request may be taken in, and counts it if not.
      *
      * @param bytes what it announces
      * @return false if it is to be refused, before it has run
@@ -125,7 +129,7 @@
      */
     public long answerBytes() {
         long bound = account.budget().answerBytes();
-        return account.level() == MemoryLevel.CALM ? bound : bound / 4;
+        return account.level() == MemoryLevel.CALM ? bound : bound / PRESSED_PART;
     }
 
     /** Makes room if the process needs it; to be called again and again. */
@@ -137,14 +141,22 @@
         }
     }
 
-    /** Records what is held. */
-    public void tellState() {
-        metrics.state(account);
+    /**
+     * Records what is held.
+     *
+     * @param refusedConnections connections closed unread since the start
+     */
+    public void tellState(long refusedConnections) {
+        metrics.state(account, refusedConnections);
     }
 
     @Override
     public void overBound(ServerExchange exchange) {
-        if (exchange.answerOwner().resumable() && !exchange.isCut()) {
+        if (!exchange.answerOwner().resumable() || exchange.isCut()) {
+            return;
+        }
+        boolean stalled = exchange.unreadMillis(nowMillis.getAsLong()) >= STALLED_MILLIS;
+        if (stalled || account.level() != MemoryLevel.CALM) {
             later.accept(() -> cut(exchange, CutReason.OVER_BOUND));
         }
     }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/MemoryMetrics.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/MemoryMetrics.java
@@ -33,6 +33,7 @@
     private final Gauge peak;
     private final Gauge budget;
     private final Gauge level;
+    private final Gauge connections;
     private final Counter cut;
     private final Counter refused;
 
@@ -64,6 +65,11 @@
                         .help("1 for the level that holds")
                         .labelNames("level")
                         .register(registry);
+        connections =
+                Gauge.builder()
+                        .name("trailladder_connections_refused")
+                        .help("Callers' connections closed unread because all others were busy")
+                        .register(registry);
         cut =
                 Counter.builder()
                         .name("trailladder_answers_cut_total")
@@ -95,8 +101,10 @@
      * Records what is held.
      *
      * @param account the account
+     * @param refusedConnections connections closed unread since the start
      */
-    public void state(MemoryAccount account) {
+    public void state(MemoryAccount account, long refusedConnections) {
+        connections.set((double) refusedConnections);
         for (HeldKind kind : HeldKind.values()) {
             held.labelValues(kind.name().toLowerCase(Locale.ROOT)).set((double) account.held(kind));
         }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/http/HttpServer.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/http/HttpServer.java
@@ -22,9 +22,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.List;
-import java.util.Set;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.Grizzly;
 import org.glassfish.grizzly.attributes.Attribute;
@@ -53,11 +51,12 @@
     private final EventLoop loop;
     private final int maxHeadBytes;
     private final RequestHandler handler;
-    private final Set<ServerConnection> connections = new HashSet<>();
+    private final ServerConnections connections = new ServerConnections();
     private MemoryAccount account = new MemoryAccount(new MemoryBudget(Long.MAX_VALUE));
     private UnreadAnswers unread = UnreadAnswers.IDLE_ONLY;
     private ServerBounds bounds;
     private boolean closing;
+    private long refused;
     private Connection<?> listener;
 
     /**
@@ -136,6 +135,25 @@
         bounds = changed;
     }
 
+    /**
+     * Bounds the callers' connections. One above it has a connection closed that rests; if none
+     * does, it is closed itself, unread.
+     *
+     * @param most largest number of connections
+     */
+    public void maxConnections(int most) {
+        connections.bound(most);
+    }
+
+    /**
+     * Returns how many connections were closed unread because there was no room for them.
+     *
+     * @return a count since the start
+     */
+    public long refused() {
+        return refused;
+    }
+
     /**
      * Has requests and answers count in an account; to be called before it listens. Without it
      * nothing bounds what is held but the time that callers may leave answers unread.
@@ -155,7 +173,7 @@
      */
     public List<ServerExchange> unreadAnswers() {
         List<ServerExchange> held = new ArrayList<>();
-        for (ServerConnection connection : connections) {
+        for (ServerConnection connection : connections.copy()) {
             ServerExchange current = connection.current();
             if (current != null && current.unreadBytes() > 0) {
                 held.add(current);
@@ -171,7 +189,7 @@
 
     /** Closes connections that have no request. */
     public void closeResting() {
-        for (ServerConnection connection : List.copyOf(connections)) {
+        for (ServerConnection connection : connections.copy()) {
             if (connection.isResting()) {
                 connection.close();
             }
@@ -189,7 +207,7 @@
      * @return a count
      */
     public int open() {
-        return (int) connections.stream().filter(ServerConnection::hasRequest).count();
+        return (int) connections.copy().stream().filter(ServerConnection::hasRequest).count();
     }
 
     MemoryAccount account() {
@@ -218,7 +236,7 @@
 
     private void checkTimes() {
         long now = loop.nowMillis();
-        List.copyOf(connections).forEach(connection -> connection.checkTime(now));
+        connections.copy().forEach(connection -> connection.checkTime(now));
     }
 
     /** Tells a connection of bytes before they make a request. */
@@ -239,7 +257,11 @@
             ServerConnection connection =
                     new ServerConnection(HttpServer.this, context.getConnection());
             CONNECTION.set(context.getConnection(), connection);
-            connections.add(connection);
+            if (!connections.add(connection)) {
+                refused++;
+                connection.terminate();
+                return context.getStopAction();
+            }
             return context.getInvokeAction();
         }
 
--- a/trailladder-entry/src/main/java/io/trailladder/entry/http/ServerConnection.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/http/ServerConnection.java
@@ -171,6 +171,11 @@
         return current == null && reading == null && headSinceMillis < 0;
     }
 
+    /** Returns since when it has had no request, in milliseconds; of use while it rests. */
+    long restingSinceMillis() {
+        return restingSinceMillis;
+    }
+
     boolean hasRequest() {
         return current != null || !waiting.isEmpty();
     }
--- a/trailladder-entry/src/test/java/io/trailladder/entry/http/HttpServerTest.java
+++ b/trailladder-entry/src/test/java/io/trailladder/entry/http/HttpServerTest.java
@@ -146,6 +146,49 @@
         assertTrue(requests.isEmpty());
     }
 
+    @Example
+    void oldestRestingConnectionsOfTheCallerThatKeepsMostGiveRoom() throws Exception {
+        loop.execute(() -> server.maxConnections(4));
+        try (RawSocket oldest = RawSocket.to(server.port());
+                RawSocket busy = RawSocket.to(server.port());
+                RawSocket other = RawSocket.from("127.0.0.2", server.port());
+                RawSocket newer = RawSocket.to(server.port())) {
+            answered(oldest, "/1");
+            answered(newer, "/2");
+            answered(other, "/3");
+            busy.send(get("/busy"));
+            ServerExchange running = next();
+            try (RawSocket fifth = RawSocket.to(server.port())) {
+                answered(fifth, "/5");
+                assertEquals("", oldest.readAll());
+            }
+            answered(newer, "/6");
+            answered(other, "/7");
+            respond(running, "done");
+            busy.readUntil("done");
+        }
+    }
+
+    @Example
+    void connectionBesideBusyOnesOnlyIsClosedUnread() throws Exception {
+        loop.execute(() -> server.maxConnections(1));
+        try (RawSocket busy = RawSocket.to(server.port())) {
+            busy.send(get("/busy"));
+            ServerExchange running = next();
+            try (RawSocket second = RawSocket.to(server.port())) {
+                assertEquals("", second.readAll());
+            }
+            respond(running, "done");
+            busy.readUntil("done");
+        }
+    }
+
+    private void answered(RawSocket caller, String uri) throws Exception {
+        caller.send(get(uri));
+        respond(next(), "done");
+        caller.readUntil("done");
+    }
+
     @Example
     void brokenOffAnswerDoesNotLookWhole() throws Exception {
         try (RawSocket caller = RawSocket.to(server.port())) {
--- a/trailladder-entry/src/test/java/io/trailladder/entry/http/RawSocket.java
+++ b/trailladder-entry/src/test/java/io/trailladder/entry/http/RawSocket.java
@@ -36,6 +36,12 @@
         return new RawSocket(new Socket(InetAddress.getLoopbackAddress(), port));
     }
 
+    /** Connects from another address of the loopback interface. */
+    static RawSocket from(String address, int port) throws IOException {
+        InetAddress source = InetAddress.getByName(address);
+        return new RawSocket(new Socket(InetAddress.getLoopbackAddress(), port, source, 0));
+    }
+
     void send(String text) throws IOException {
         socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
         socket.getOutputStream().flush();
