--- a/trailladder-bench/src/main/java/io/trailladder/bench/MeasuredGateway.java
+++ b/trailladder-bench/src/main/java/io/trailladder/bench/MeasuredGateway.java
@@ -15,8 +15,8 @@
  */
 package io.trailladder.bench;
 
-import io.trailladder.adapter.GatewayRunner;
 import io.trailladder.platform.http.HostPort;
+import io.trailladder.testkit.ReservedPorts;
 import java.io.IOException;
 import java.net.HttpURLConnection;
 import java.net.URI;
@@ -39,8 +39,11 @@
     private static final int ANSWER_MILLIS = 500;
     private static final long STOP_SECONDS = 15;
 
-    private final HostPort callers = GatewayRunner.freePort();
-    private final HostPort health = GatewayRunner.freePort();
+    /** Held until the process ends. */
+    private final ReservedPorts ports = new ReservedPorts();
+
+    private final HostPort callers = reserve();
+    private final HostPort health = reserve();
     private final Process process;
 
     /**
@@ -56,8 +59,8 @@
             String name, String dataCentre, Path folder, HostPort platform, List<String> command)
             throws IOException {
         Path settings = folder.resolve(name + ".json");
-        HostPort peers = GatewayRunner.freePort();
-        HostPort metrics = GatewayRunner.freePort();
+        HostPort peers = reserve();
+        HostPort metrics = reserve();
         Files.writeString(
                 settings,
                 SETTINGS.formatted(
@@ -71,6 +74,10 @@
         process = builder.start();
     }
 
+    private HostPort reserve() throws IOException {
+        return new HostPort("127.0.0.1", ports.reserve());
+    }
+
     long pid() {
         return process.pid();
     }
@@ -99,5 +106,6 @@
         if (!process.waitFor(STOP_SECONDS, TimeUnit.SECONDS)) {
             process.destroyForcibly();
         }
+        ports.close();
     }
 }
