Leave those that are not heard their part of what a limit still holds

Cause: processes that hear one another shared the rate of a limit with those that they did not hear, but not what the bucket held. A process that was cut off by itself had the whole burst, as had each other one; and a leaf that lost its hub took what it thought the others left for 3 s, and its part on top.

Change: QuotaBucket divides what it holds by the part of the processes that is heard, and puts together again when they are heard; the rate of the unheard is theirs, as before. A leaf between two hubs still takes what the others leave; if it finds none in 3 s, what it took is charged to its part. A part that is smaller than a request is saved up until one fits.

Conclusion: a cut, however fine, passes what one bucket holds.

--- a/trailladder-core/src/main/java/io/trailladder/core/limit/QuotaBucket.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/limit/QuotaBucket.java
@@ -21,8 +21,11 @@
  * One organisation's limit over all entries, as this entry sees it: a token bucket that its own
  * requests and those its peers tell of draw on.
  *
- * <p>Peers that cannot be heard are taken to use an equal part of the rate each. While none is
- * heard for a moment, they are taken to go on as before.
+ * <p>The part of processes that cannot be heard is left to them, of the rate and of what the bucket
+ * holds: cut off one by one, all of them together pass what one bucket holds, where each would pass
+ * that much otherwise. While none is heard for a moment, they are taken to go on as before, and
+ * what they leave may be taken; if they stay unheard it was taken from the own part. A part smaller
+ * than a request is saved up until one fits.
  *
  * @since 0.2
  */
@@ -34,8 +37,13 @@
 
     private RateSpec limit;
     private double level;
+    private double levelOfUnheard;
     private long updatedMillis;
     private double ownPart = 1;
+    private double savedFor;
+    private boolean othersGoOn;
+    private double levelIfOthersGoOn;
+    private double partIfOthersGoOn;
     private double used;
     private double usedByLeaves;
     private double usedByPeers;
@@ -67,13 +75,15 @@
     public long tryTake(double units, long nowMillis) {
         refill(nowMillis);
         double needed = Math.min(units, limit.burst());
-        if (!limit.limited() || level >= needed) {
-            level -= units;
+        savedFor = Math.max(savedFor, needed);
+        if (!limit.limited() || usable() >= needed) {
+            take(units);
             used += units;
             return 0;
         }
-        double perSecond = Math.max(1, limit.perSecond() * ownPart);
-        return Math.max(1, (long) Math.ceil((needed - level) * MILLIS_PER_SECOND / perSecond));
+        double part = othersGoOn ? partIfOthersGoOn : ownPart;
+        double perSecond = Math.max(1, limit.perSecond() * part);
+        return Math.max(1, (long) Math.ceil((needed - usable()) * MILLIS_PER_SECOND / perSecond));
     }
 
     /**
@@ -84,7 +94,7 @@
      */
     public void takenByPeers(double units, long nowMillis) {
         refill(nowMillis);
-        level -= units;
+        take(units);
         usedByPeers += units;
         othersTook(units, nowMillis);
     }
@@ -97,7 +107,7 @@
      */
     public void takenByLeaf(double units, long nowMillis) {
         refill(nowMillis);
-        level -= units;
+        take(units);
         usedByLeaves += units;
         othersTook(units, nowMillis);
     }
@@ -108,7 +118,7 @@
      * @param units the request's size
      */
     public void giveBack(double units) {
-        level += units;
+        take(-units);
         used -= units;
     }
 
@@ -121,21 +131,24 @@
     public void limit(RateSpec changed, long nowMillis) {
         refill(nowMillis);
         if (changed.limited() && !limit.limited()) {
-            level = changed.burst();
+            level = changed.burst() * ownPart;
+            levelOfUnheard = changed.burst() * (1 - ownPart);
+            levelIfOthersGoOn = changed.burst();
         }
         limit = changed;
-        level = Math.min(level, limit.burst());
+        bound();
     }
 
     /**
-     * Sets the part of the rate that heard entries share.
+     * Sets the part of the limit that heard entries share.
      *
-     * @param part from 0 to 1; 1 if every peer is heard
+     * @param part above 0, at most 1; 1 if every peer is heard
      * @param nowMillis the time
      */
     public void sharedPart(double part, long nowMillis) {
         refill(nowMillis);
-        ownPart = part;
+        split(part);
+        othersGoOn = false;
         othersTook(0, nowMillis);
         othersPerSecond = othersRecent * MILLIS_PER_SECOND / OTHERS_MILLIS;
     }
@@ -144,24 +157,45 @@
      * Has this entry use what the others leave if they go on as they did when they were last heard.
      * To be called in place of {@link #sharedPart} while it hears nobody for a moment.
      *
-     * @param part the least part of the rate that is its own, from 0 to 1
+     * @param part the part of the limit that is its own, above 0 and at most 1
      * @param nowMillis the time
      */
     public void othersGoOn(double part, long nowMillis) {
         refill(nowMillis);
+        if (!othersGoOn) {
+            levelIfOthersGoOn = level + levelOfUnheard;
+        }
+        split(part);
         double left = limit.limited() ? 1 - othersPerSecond / limit.perSecond() : 1;
-        ownPart = Math.max(part, left);
+        partIfOthersGoOn = Math.max(part, left);
+        othersGoOn = true;
+    }
+
+    /**
+     * Tells that others are heard again that were taken to go on: what they left was free to take.
+     *
+     * @param nowMillis the time
+     */
+    public void othersWentOn(long nowMillis) {
+        refill(nowMillis);
+        if (othersGoOn) {
+            level = levelIfOthersGoOn * ownPart;
+            levelOfUnheard = levelIfOthersGoOn * (1 - ownPart);
+        }
     }
 
     /**
      * Takes over a lower level that a peer knows of, after a start.
      *
-     * @param peerLevel the peer's level
+     * @param peerLevel the peer's {@link #levelOfAll}
      * @param nowMillis the time
      */
     public void atMost(double peerLevel, long nowMillis) {
         refill(nowMillis);
-        level = Math.min(level, peerLevel);
+        double excess = Math.max(0, level + levelOfUnheard - peerLevel);
+        level -= excess * ownPart;
+        levelOfUnheard -= excess * (1 - ownPart);
+        levelIfOthersGoOn = Math.min(levelIfOthersGoOn, peerLevel);
     }
 
     /**
@@ -192,14 +226,47 @@
     }
 
     /**
-     * Returns the units left.
+     * Returns the units that this entry may let pass.
      *
      * @param nowMillis the time
      * @return units; below 0 if peers have taken more than there was
      */
     public double level(long nowMillis) {
         refill(nowMillis);
-        return level;
+        return usable();
+    }
+
+    /**
+     * Returns the units left if those that are not heard have taken nothing but their part of the
+     * rate since.
+     *
+     * @param nowMillis the time
+     * @return units; below 0 if more was taken than there was
+     */
+    public double levelOfAll(long nowMillis) {
+        refill(nowMillis);
+        return othersGoOn ? levelIfOthersGoOn : level + levelOfUnheard;
+    }
+
+    private double usable() {
+        return othersGoOn ? levelIfOthersGoOn : level;
+    }
+
+    private void take(double units) {
+        level -= units;
+        levelIfOthersGoOn -= units;
+    }
+
+    /** Divides what there is anew between those that are heard and those that are not. */
+    private void split(double part) {
+        double moved =
+                part <= ownPart
+                        ? level * (part - ownPart) / ownPart
+                        : levelOfUnheard * (part - ownPart) / (1 - ownPart);
+        level += moved;
+        levelOfUnheard -= moved;
+        ownPart = part;
+        savedFor = part < 1 ? savedFor : 0;
     }
 
     private void othersTook(double units, long nowMillis) {
@@ -210,7 +277,15 @@
 
     private void refill(long nowMillis) {
         double elapsed = Math.max(0, nowMillis - updatedMillis) / MILLIS_PER_SECOND;
-        level = Math.min(limit.burst(), level + elapsed * limit.perSecond() * ownPart);
+        level += elapsed * limit.perSecond() * ownPart;
+        levelIfOthersGoOn += elapsed * limit.perSecond() * partIfOthersGoOn;
+        bound();
         updatedMillis = Math.max(updatedMillis, nowMillis);
     }
+
+    private void bound() {
+        level = Math.min(level, Math.max(limit.burst() * ownPart, savedFor));
+        levelOfUnheard = Math.min(levelOfUnheard, limit.burst() * (1 - ownPart));
+        levelIfOthersGoOn = Math.min(levelIfOthersGoOn, limit.burst());
+    }
 }
--- a/trailladder-core/src/test/java/io/trailladder/core/limit/QuotaBucketTest.java
+++ b/trailladder-core/src/test/java/io/trailladder/core/limit/QuotaBucketTest.java
@@ -19,10 +19,12 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.trailladder.core.policy.RateSpec;
+import java.util.List;
 import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
 
 /**
  * An organisation's limit holds over all entries that hear one another, and over those that do not.
@@ -80,6 +82,87 @@
         assertEquals(before + 10, bucket.level(11 * SECOND), 60);
     }
 
+    /** Takes all that a bucket lets pass at a time, in small requests. */
+    private static double takeAll(QuotaBucket bucket, long now) {
+        double passed = 0;
+        while (bucket.tryTake(10, now) == 0) {
+            passed += 10;
+        }
+        return passed;
+    }
+
+    @Example
+    void entryThatIsCutOffSpendsItsPartOfWhatIsLeft() {
+        QuotaBucket bucket = new QuotaBucket(LIMIT, 800, 0);
+        bucket.sharedPart(0.1, 0);
+        assertEquals(80, takeAll(bucket, 0), 10);
+        assertEquals(100, takeAll(bucket, 10 * SECOND), 10);
+    }
+
+    @Example
+    void entryThatStaysCutOffHasTakenFromItsPartWhatOthersWereThoughtToLeave() {
+        QuotaBucket bucket = hearing(40);
+        double left = bucket.level(10 * SECOND);
+        bucket.othersGoOn(0.1, 10 * SECOND);
+        assertEquals(left, takeAll(bucket, 10 * SECOND), 10);
+        bucket.sharedPart(0.1, 10 * SECOND);
+        assertEquals(0, takeAll(bucket, 12 * SECOND));
+    }
+
+    @Example
+    void entryThatHearsOthersAgainIsChargedNothingThatTheyLeft() {
+        QuotaBucket bucket = hearing(40);
+        bucket.othersGoOn(0.1, 10 * SECOND);
+        takeAll(bucket, 10 * SECOND);
+        bucket.othersWentOn(11 * SECOND);
+        bucket.sharedPart(1, 11 * SECOND);
+        assertEquals(600, bucket.level(11 * SECOND), 60);
+    }
+
+    @Example
+    void entryThatIsHeardAgainHasWhatItLeftToTheOthers() {
+        QuotaBucket bucket = new QuotaBucket(LIMIT, LIMIT.burst(), 0);
+        bucket.sharedPart(0.25, 0);
+        bucket.tryTake(200, 0);
+        bucket.sharedPart(0.5, 0);
+        assertEquals(800, bucket.levelOfAll(0), 0.001);
+        assertEquals(300, bucket.level(0), 0.001);
+        bucket.sharedPart(1, 0);
+        assertEquals(800, bucket.level(0), 0.001);
+    }
+
+    @Example
+    void partThatIsSmallerThanARequestIsSavedUpUntilOneFits() {
+        QuotaBucket bucket = new QuotaBucket(LIMIT, LIMIT.burst(), 0);
+        bucket.sharedPart(0.01, 0);
+        assertTrue(bucket.tryTake(100, 0) > 0);
+        assertTrue(bucket.tryTake(100, 8 * SECOND) > 0);
+        assertEquals(0, bucket.tryTake(100, 9 * SECOND));
+        assertTrue(bucket.tryTake(100, 9 * SECOND) > 0);
+        assertEquals(0, bucket.tryTake(100, 60 * SECOND));
+        assertTrue(bucket.tryTake(100, 60 * SECOND) > 0);
+    }
+
+    /** However the processes are cut apart, and again, all together pass what one bucket holds. */
+    @Property
+    void partsOfACutPassTogetherNoMoreThanRateAndBurst(
+            @ForAll @Size(min = 1, max = 6) List<@IntRange(min = 1, max = 5) Integer> groups,
+            @ForAll @IntRange(min = 100, max = 2_000) int stepMillis) {
+        int processes = groups.stream().mapToInt(size -> size).sum();
+        double passed = 0;
+        int steps = 5;
+        for (int size : groups) {
+            QuotaBucket bucket = new QuotaBucket(LIMIT, LIMIT.burst(), 0);
+            for (long now = 0; now <= (long) steps * stepMillis; now += stepMillis) {
+                bucket.sharedPart(
+                        (now / stepMillis + 1 < steps ? size : 1) / (double) processes, now);
+                passed += takeAll(bucket, now);
+            }
+        }
+        double allowed = LIMIT.burst() + LIMIT.perSecond() * steps * stepMillis / SECOND;
+        assertTrue(passed <= allowed + 10 * groups.size(), passed + " of " + allowed);
+    }
+
     @Example
     void restartedEntryTakesOverALowerLevel() {
         QuotaBucket bucket = new QuotaBucket(LIMIT, LIMIT.burst(), 0);
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/LimitExchange.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/LimitExchange.java
@@ -89,6 +89,9 @@
         } else if (leaf && heard == 1 && sharing > 1 && changesHub(nowMillis)) {
             quotas.othersGoOn(part, nowMillis);
         } else {
+            if (heard > 1) {
+                quotas.othersWentOn(nowMillis);
+            }
             quotas.sharedPart(part, nowMillis);
             remember(heard, nowMillis);
         }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Quotas.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Quotas.java
@@ -169,7 +169,7 @@
     /**
      * Sets the part of every limit that the processes share that hear one another.
      *
-     * @param part from 0 to 1
+     * @param part above 0, at most 1
      * @param nowMillis the time
      */
     public void sharedPart(double part, long nowMillis) {
@@ -179,13 +179,22 @@
     /**
      * Has limits used as far as the others leave them if they go on as they last did.
      *
-     * @param part the least part of each that is this process's own, from 0 to 1
+     * @param part the least part of each that is this process's own, above 0, at most 1
      * @param nowMillis the time
      */
     public void othersGoOn(double part, long nowMillis) {
         buckets.values().forEach(bucket -> bucket.othersGoOn(part, nowMillis));
     }
 
+    /**
+     * Tells that others are heard again that were taken to go on.
+     *
+     * @param nowMillis the time
+     */
+    public void othersWentOn(long nowMillis) {
+        buckets.values().forEach(bucket -> bucket.othersWentOn(nowMillis));
+    }
+
     /**
      * Returns what this process has let pass, to be told to the hub it relies on.
      *
@@ -265,7 +274,10 @@
                     Told figure = figures.apply(name, bucket);
                     uses.add(
                             new OrganisationUse(
-                                    name, figure.used(), figure.before(), bucket.level(nowMillis)));
+                                    name,
+                                    figure.used(),
+                                    figure.before(),
+                                    bucket.levelOfAll(nowMillis)));
                 });
         return uses;
     }
--- a/trailladder-entry/src/test/java/io/trailladder/entry/gateway/LimitHistoriesTest.java
+++ b/trailladder-entry/src/test/java/io/trailladder/entry/gateway/LimitHistoriesTest.java
@@ -191,4 +191,17 @@
         double fullest = cluster.fullestWindow();
         assertTrue(fullest <= 1, "the fullest window passed " + fullest + " of what is allowed");
     }
+
+    /** Callers that spread evenly over all processes need no more than the part of each. */
+    @Example
+    void processesCutOffOneByOneRefuseNobodyWhoIsWithinTheirPart() {
+        begin();
+        long since = cluster.now() + 1;
+        List<String> single = cluster.names().stream().filter(n -> n.matches(".*[369]")).toList();
+        cluster.cut((one, other) -> single.contains(one) || single.contains(other));
+        cluster.pass(12_000);
+        assertEquals(0, cluster.refusedSince(since));
+        cluster.cut((one, other) -> false);
+        assertEquals(0, refusedAWindowLater());
+    }
 }
