Have the usage ledger tell all changes to whoever keeps all

Cause: a ledger numbers only the changes that its process has to pass on, so a hub cannot tell a leaf what came from other hubs.

Change: all changes are numbered, each with whether it is to be passed on; allChangesAfter returns all of them, changesAfter those to be passed on, as before.

--- a/trailladder-core/src/main/java/io/trailladder/core/duty/UsageLedger.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/duty/UsageLedger.java
@@ -17,7 +17,6 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.NavigableMap;
@@ -35,8 +34,16 @@
     private final String self;
     private final long windowMillis;
     private final Map<String, NavigableMap<Long, Map<String, Integer>>> byEntry = new HashMap<>();
-    private final LinkedHashMap<Key, Long> changes = new LinkedHashMap<>();
+
+    /** The latest change of each count, by its number, so that few are looked at for the last. */
+    private final NavigableMap<Long, Change> changes = new TreeMap<>();
+
+    private final Map<Key, Long> numbers = new HashMap<>();
     private long sequence;
+    private long oldestWindow = Long.MIN_VALUE;
+
+    /** A count that has changed, and whether this entry has to tell others of it. */
+    private record Change(Key key, boolean passOn) {}
 
     /** Names one count. */
     private record Key(
@@ -79,7 +86,7 @@
     public void started(String organisation, long wallMillis) {
         long window = windowAt(wallMillis);
         counts(self, window).merge(organisation, 1, Integer::sum);
-        changed(new Key(self, window, organisation));
+        changed(new Key(self, window, organisation), true);
     }
 
     /**
@@ -95,15 +102,13 @@
             int before = window.getOrDefault(count.organisation(), 0);
             if (count.started() > before) {
                 window.put(count.organisation(), count.started());
-                if (passOn) {
-                    changed(new Key(entry, count.window(), count.organisation()));
-                }
+                changed(new Key(entry, count.window(), count.organisation()), passOn);
             }
         }
     }
 
     /**
-     * Returns the number of the latest change that others are to be told of.
+     * Returns the number of the latest change.
      *
      * @return a number that grows with every change
      */
@@ -112,21 +117,35 @@
     }
 
     /**
-     * Returns the counts that have changed, by entry.
+     * Returns the counts that have changed and that this entry has to tell of, by entry.
      *
      * @param after the number of the latest change that was told
      * @return the counts as they are now
      */
     public Map<String, List<UsageCount>> changesAfter(long after) {
+        return changes(after, false);
+    }
+
+    /**
+     * Returns all counts that have changed, by entry, for one that is to know them as well.
+     *
+     * @param after the number of the latest change that was told
+     * @return the counts as they are now
+     */
+    public Map<String, List<UsageCount>> allChangesAfter(long after) {
+        return changes(after, true);
+    }
+
+    private Map<String, List<UsageCount>> changes(long after, boolean all) {
         Map<String, List<UsageCount>> news = new TreeMap<>();
-        changes.forEach(
-                (key, number) -> {
-                    if (number > after) {
-                        int started = counts(key.entry(), key.window()).get(key.organisation());
-                        news.computeIfAbsent(key.entry(), entry -> new ArrayList<>())
-                                .add(new UsageCount(key.window(), key.organisation(), started));
-                    }
-                });
+        for (Change change : changes.tailMap(after, false).values()) {
+            if (all || change.passOn()) {
+                Key key = change.key();
+                int started = counts(key.entry(), key.window()).get(key.organisation());
+                news.computeIfAbsent(key.entry(), entry -> new ArrayList<>())
+                        .add(new UsageCount(key.window(), key.organisation(), started));
+            }
+        }
         return news;
     }
 
@@ -196,16 +215,24 @@
      */
     public void forgetOld(long wallMillis) {
         long oldest = windowAt(wallMillis) - KEPT_WINDOWS;
-        changes.keySet().removeIf(key -> key.window() < oldest);
+        if (oldest == oldestWindow) {
+            return;
+        }
+        oldestWindow = oldest;
+        changes.values().removeIf(change -> change.key().window() < oldest);
+        numbers.keySet().removeIf(key -> key.window() < oldest);
         byEntry.values().forEach(windows -> windows.headMap(oldest).clear());
         byEntry.entrySet()
                 .removeIf(entry -> entry.getValue().isEmpty() && !entry.getKey().equals(self));
     }
 
-    private void changed(Key key) {
+    private void changed(Key key, boolean passOn) {
         sequence++;
-        changes.remove(key);
-        changes.put(key, sequence);
+        Long before = numbers.put(key, sequence);
+        if (before != null) {
+            changes.remove(before);
+        }
+        changes.put(sequence, new Change(key, passOn));
     }
 
     private Map<String, Integer> counts(String entry, long window) {
--- a/trailladder-core/src/test/java/io/trailladder/core/duty/UsageLedgerTest.java
+++ b/trailladder-core/src/test/java/io/trailladder/core/duty/UsageLedgerTest.java
@@ -69,4 +69,32 @@
         assertEquals(
                 Map.of("leaf/1", List.of(new UsageCount(1, "t", 7))), ledger.changesAfter(told));
     }
+
+    @Example
+    void whoeverKeepsAllIsToldAllThatHasChanged() {
+        UsageLedger ledger = new UsageLedger("hub/1", WINDOW);
+        ledger.merge("other-hub/1", List.of(new UsageCount(1, "t", 9)), false);
+        long told = ledger.sequence();
+        ledger.started("t", 5_000);
+        ledger.started("t", 5_000);
+        ledger.merge("other-hub/1", List.of(new UsageCount(1, "t", 9)), false);
+        assertEquals(
+                Map.of(
+                        "hub/1", List.of(new UsageCount(1, "t", 2)),
+                        "other-hub/1", List.of(new UsageCount(1, "t", 9))),
+                ledger.allChangesAfter(0));
+        assertEquals(
+                Map.of("hub/1", List.of(new UsageCount(1, "t", 2))), ledger.allChangesAfter(told));
+    }
+
+    @Example
+    void changesOfOldWindowsAreForgottenWithTheirCounts() {
+        UsageLedger ledger = new UsageLedger("a/1", WINDOW);
+        ledger.started("t", 0);
+        ledger.merge("b/1", List.of(new UsageCount(0, "t", 9)), false);
+        ledger.started("t", 20 * WINDOW);
+        ledger.forgetOld(20 * WINDOW);
+        assertEquals(Map.of("a/1", List.of(new UsageCount(20, "t", 1))), ledger.allChangesAfter(0));
+        assertEquals(List.of("a/1"), ledger.entries());
+    }
 }
