Have two leaves of each hub keep the usage of all processes

Cause: what a process counted outlived it at hubs alone, 12 of 80. Where 74 of 80 lost power, the survivors knew only their own, and two windows were reported wrong.

Processor time was not measured.

A leader that became a hub just then may still record a window before it is told them; for the loss of all nothing is built.

--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ClusterView.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ClusterView.java
@@ -29,7 +29,6 @@
 import io.trailladder.entry.mesh.MeshListener;
 import io.trailladder.entry.mesh.PeerMesh;
 import io.trailladder.wire.NodeMessage;
-import io.trailladder.wire.NodeMessage.DigestScope;
 import io.trailladder.wire.NodeMessage.NodeDigest;
 import io.trailladder.wire.NodeMessage.NodeHello;
 import io.trailladder.wire.NodeMessage.RolloutReport;
@@ -39,6 +38,7 @@
 import io.trailladder.wire.NodeMessage.UsageHistory;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -69,6 +69,12 @@
 
     private static final int RECENT_LEAVING = 32;
 
+    /**
+     * Leaves of each hub that keep the usage of all, beside the hubs: with 12 hubs of 80 processes,
+     * 36 keep it, and six that outlive all others hold it in 98 of 100 cases (counted out).
+     */
+    private static final int KEEPERS = 2;
+
     private final LongSupplier nowMillis;
     private final PolicyKeeper policies;
     private final DirectoryKeeper directory;
@@ -268,7 +274,8 @@
         if (message instanceof NodeDigest digest) {
             digest(peers.compute(hello.name(), (name, known) -> sameLife(known, hello)), digest);
         } else if (message instanceof UsageHistory history) {
-            usage.merge(history.life(), history.usage(), false);
+            Peer peer = peers.get(hello.name());
+            usage.merge(history.life(), history.usage(), peer != null && peer.isLeaf());
         } else if (message instanceof SnapshotAsk ask) {
             snapshots.asked(mesh, hello, ask);
         } else if (message instanceof UpstreamNews news && mesh.isOwnHub(hello)) {
@@ -307,7 +314,7 @@
         loads.peerUses(peer.name(), digest.uses());
         limits.told(peer, digest.quotas(), now);
         parts.told(peer.name(), digest, now);
-        if (digest.scope() == DigestScope.GROUP && !wasHub) {
+        if (!leaf && !wasHub) {
             tellAllUsage(peer);
         }
     }
@@ -354,12 +361,12 @@
                         store.isReachable(), draining, membersRead(), List.copyOf(recentLeaving));
         Map<Long, List<Peer>> byUsageTold = new HashMap<>();
         List<Peer> counted = counted();
+        List<Peer> keepers = keepers();
         int heard = heard();
         for (Peer peer : told) {
             if (mesh.isHub() && peer.isLeaf()) {
-                mesh.send(
-                        peer.name(),
-                        writer.rest(state, peer, counted, heard - justHeard(peer), now));
+                int others = heard - justHeard(peer);
+                tellLeaf(peer, keepers.contains(peer), state, counted, others, now);
             } else if (mesh.isHub() || mesh.isOwnHub(peer.hello())) {
                 byUsageTold
                         .computeIfAbsent(peer.usageTold(), sequence -> new ArrayList<>())
@@ -369,6 +376,23 @@
         byUsageTold.forEach((usageTold, same) -> tellAlike(same, digest(state, usageTold, now)));
     }
 
+    private void tellLeaf(
+            Peer leaf,
+            boolean keepsUsage,
+            SenderState state,
+            List<Peer> counted,
+            int processes,
+            long now) {
+        if (keepsUsage && leaf.usageTold() == 0) {
+            tellAllUsage(leaf);
+            leaf.usageTold(usage.sequence());
+        }
+        NodeDigest digest = writer.rest(state, leaf, counted, processes, keepsUsage, now);
+        if (mesh.send(leaf.name(), digest) && keepsUsage) {
+            leaf.usageTold(usage.sequence());
+        }
+    }
+
     private NodeDigest digest(SenderState state, long usageTold, long now) {
         return mesh.isHub()
                 ? writer.group(state, leaves(), usageTold, now)
@@ -383,7 +407,14 @@
                 .forEach(peer -> peer.usageTold(usage.sequence()));
     }
 
-    /** A hub that was not linked before may lack what other processes told long ago. */
+    /** The leaves that keep the usage of all: the same ones as long as they are linked. */
+    private List<Peer> keepers() {
+        return leaves().stream().sorted(Comparator.comparing(Peer::name)).limit(KEEPERS).toList();
+    }
+
+    /**
+     * A hub that was not linked before may lack what other processes told long ago, also to a leaf.
+     */
     private void tellAllUsage(Peer peer) {
         for (String life : usage.entries()) {
             mesh.send(peer.name(), new UsageHistory(life, usage.countsOf(life)));
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/DigestWriter.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/DigestWriter.java
@@ -122,15 +122,23 @@
                 parts.sections(DigestScope.GROUP, names(leaves), nowMillis));
     }
 
-    /** Writes what a hub tells a leaf: the figures of all others, so many processes. */
+    /**
+     * Writes what a hub tells a leaf: the figures of all others, so many processes, and what has
+     * changed of the usage of all if the leaf is to keep it.
+     */
     NodeDigest rest(
-            SenderState state, Peer leaf, Collection<Peer> counted, int processes, long nowMillis) {
+            SenderState state,
+            Peer leaf,
+            Collection<Peer> counted,
+            int processes,
+            boolean keepsUsage,
+            long nowMillis) {
         List<Peer> others = counted.stream().filter(peer -> peer != leaf).toList();
         return digest(
                 state,
                 DigestScope.REST,
                 processes,
-                List.of(),
+                keepsUsage ? histories(usage.allChangesAfter(leaf.usageTold())) : List.of(),
                 quotas.restUses(leaf.life(), nowMillis),
                 loads.restUses(leaf.name()),
                 sum(others, nowMillis),
@@ -171,14 +179,13 @@
     }
 
     private List<UsageHistory> news(long usageTold) {
-        if (usageTold >= usage.sequence()) {
-            return List.of();
-        }
-        List<UsageHistory> news = new ArrayList<>();
-        for (Map.Entry<String, List<UsageCount>> entry : usage.changesAfter(usageTold).entrySet()) {
-            news.add(new UsageHistory(entry.getKey(), entry.getValue()));
-        }
-        return news;
+        return usageTold >= usage.sequence() ? List.of() : histories(usage.changesAfter(usageTold));
+    }
+
+    private static List<UsageHistory> histories(Map<String, List<UsageCount>> counts) {
+        List<UsageHistory> histories = new ArrayList<>();
+        counts.forEach((life, some) -> histories.add(new UsageHistory(life, some)));
+        return histories;
     }
 
     private NodeDigest digest(
--- a/trailladder-entry/src/test/java/io/trailladder/entry/gateway/SimulatedProcess.java
+++ b/trailladder-entry/src/test/java/io/trailladder/entry/gateway/SimulatedProcess.java
@@ -41,7 +41,9 @@
     private static final long SILENT_MILLIS = 2_500;
     private static final long SETTLING_LIST_MILLIS = 1_000;
     private static final long LIST_MILLIS = 3_000;
-    private static final long USAGE_WINDOW_MILLIS = 5_000;
+
+    /** Length of the windows of usage, in milliseconds. */
+    static final long USAGE_WINDOW_MILLIS = 5_000;
 
     private final SimulatedCluster cluster;
     private final GatewayMember member;
@@ -50,6 +52,7 @@
     private LinkPlanner planner;
     private LinkPlan plan;
     private Quotas quotas;
+    private UsageLedger usage;
     private ClusterView view;
     private NodeHello hello;
     private boolean planned;
@@ -79,6 +82,7 @@
                         member.dataCentre(),
                         member.address());
         quotas = new Quotas(firstStart, cluster.tolerance());
+        usage = new UsageLedger(member.name() + '/' + life, USAGE_WINDOW_MILLIS);
         GatewayMetrics metrics = new GatewayMetrics();
         PlatformFormat format = new NoFormat();
         view =
@@ -90,7 +94,7 @@
                         new StoreHealth(metrics),
                         quotas,
                         new UpstreamLoads(),
-                        new UsageLedger(member.name() + '/' + life, USAGE_WINDOW_MILLIS),
+                        usage,
                         new DemandMeter(),
                         new EngineModel(),
                         metrics,
@@ -118,6 +122,14 @@
         return member;
     }
 
+    UsageLedger usage() {
+        return usage;
+    }
+
+    boolean isHub() {
+        return plan.hub();
+    }
+
     NodeHello hello() {
         return hello;
     }
