--- a/trailladder-core/src/main/java/io/trailladder/core/duty/UsageLedger.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/duty/UsageLedger.java
@@ -17,7 +17,6 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.NavigableMap;
@@ -35,21 +34,32 @@
     private final String self;
     private final long windowMillis;
     private final Map<String, NavigableMap<Long, Map<String, Integer>>> byEntry = new HashMap<>();
-    private final LinkedHashMap<Key, Long> changes = new LinkedHashMap<>();
 
-    /** Changes in the own region, of this entry and all others; kept only if others are told. */
-    private final LinkedHashMap<Key, Long> regionChanges = new LinkedHashMap<>();
+    /** The latest change of each count, by its number, so that few are looked at for the last. */
+    private final NavigableMap<Long, Change> changes = new TreeMap<>();
 
-    private boolean keepsRegionChanges;
+    private final Map<Key, Long> numbers = new HashMap<>();
     private long sequence;
+    private long oldestWindow = Long.MIN_VALUE;
 
-    /** Names one count. */
-    private record Key(
-            String entry,
-            long window,
-            String organisation) { // written out: the methods that records get are linked at their
-        // first call, which takes a
-        // process that starts some 5 ms of processor time for each record
+    /** Whom this entry has to tell of a change, each among those that follow. */
+    private enum Audience {
+        /** Those that keep all counts, lest these are lost with the others. */
+        KEEPERS,
+        /** Other regions. */
+        REGIONS,
+        /** All hubs. */
+        HUBS
+    }
+
+    /** A count that has changed, and who has to be told. */
+    private record Change(Key key, Audience audience) {}
+
+    /**
+     * Names one count. Equality is written out: the methods that records get are linked at their
+     * first call, which takes a process that starts some 5 ms of processor time for each record.
+     */
+    private record Key(String entry, long window, String organisation) {
         @Override
         public boolean equals(Object other) {
             return other instanceof Key that
@@ -84,7 +94,7 @@
     public void started(String organisation, long wallMillis) {
         long window = windowAt(wallMillis);
         counts(self, window).merge(organisation, 1, Integer::sum);
-        changed(new Key(self, window, organisation));
+        changed(new Key(self, window, organisation), Audience.HUBS);
     }
 
     /**
@@ -95,7 +105,7 @@
      * @param passOn true if this entry has to tell others of them
      */
     public void merge(String entry, List<UsageCount> counts, boolean passOn) {
-        merge(entry, counts, passOn, true);
+        merge(entry, counts, passOn ? Audience.HUBS : Audience.REGIONS);
     }
 
     /**
@@ -105,26 +115,16 @@
      * @param counts its counts of recent windows
      */
     public void mergeElsewhere(String entry, List<UsageCount> counts) {
-        merge(entry, counts, false, false);
+        merge(entry, counts, Audience.KEEPERS);
     }
 
-    /** Keeps from now on what other regions are to be told of. */
-    public void keepRegionChanges() {
-        keepsRegionChanges = true;
-    }
-
-    private void merge(String entry, List<UsageCount> counts, boolean passOn, boolean ofRegion) {
+    private void merge(String entry, List<UsageCount> counts, Audience audience) {
         for (UsageCount count : counts) {
             Map<String, Integer> window = counts(entry, count.window());
             int before = window.getOrDefault(count.organisation(), 0);
             if (count.started() > before) {
                 window.put(count.organisation(), count.started());
-                Key key = new Key(entry, count.window(), count.organisation());
-                if (passOn) {
-                    changed(key);
-                } else if (ofRegion) {
-                    changedInRegion(key);
-                }
+                changed(new Key(entry, count.window(), count.organisation()), audience);
             }
         }
     }
@@ -139,35 +139,45 @@
     }
 
     /**
-     * Returns the counts that have changed, by entry.
+     * Returns the counts that have changed and that hubs have to be told of, by entry.
      *
      * @param after the number of the latest change that was told
      * @return the counts as they are now
      */
     public Map<String, List<UsageCount>> changesAfter(long after) {
-        return changesAfter(changes, after);
+        return changesAfter(after, Audience.HUBS);
     }
 
     /**
      * Returns the counts of the own region that have changed, by entry.
      *
      * @param after the number of the latest change that was told
-     * @return the counts as they are now; none unless they are kept
+     * @return the counts as they are now
      */
     public Map<String, List<UsageCount>> regionChangesAfter(long after) {
-        return changesAfter(regionChanges, after);
+        return changesAfter(after, Audience.REGIONS);
+    }
+
+    /**
+     * Returns all counts that have changed, by entry, for one that is to know them as well.
+     *
+     * @param after the number of the latest change that was told
+     * @return the counts as they are now
+     */
+    public Map<String, List<UsageCount>> allChangesAfter(long after) {
+        return changesAfter(after, Audience.KEEPERS);
     }
 
-    private Map<String, List<UsageCount>> changesAfter(Map<Key, Long> from, long after) {
+    private Map<String, List<UsageCount>> changesAfter(long after, Audience audience) {
         Map<String, List<UsageCount>> news = new TreeMap<>();
-        from.forEach(
-                (key, number) -> {
-                    if (number > after) {
-                        int started = counts(key.entry(), key.window()).get(key.organisation());
-                        news.computeIfAbsent(key.entry(), entry -> new ArrayList<>())
-                                .add(new UsageCount(key.window(), key.organisation(), started));
-                    }
-                });
+        for (Change change : changes.tailMap(after, false).values()) {
+            if (change.audience().compareTo(audience) >= 0) {
+                Key key = change.key();
+                int started = counts(key.entry(), key.window()).get(key.organisation());
+                news.computeIfAbsent(key.entry(), entry -> new ArrayList<>())
+                        .add(new UsageCount(key.window(), key.organisation(), started));
+            }
+        }
         return news;
     }
 
@@ -237,29 +247,24 @@
      */
     public void forgetOld(long wallMillis) {
         long oldest = windowAt(wallMillis) - KEPT_WINDOWS;
-        changes.keySet().removeIf(key -> key.window() < oldest);
-        regionChanges.keySet().removeIf(key -> key.window() < oldest);
+        if (oldest == oldestWindow) {
+            return;
+        }
+        oldestWindow = oldest;
+        changes.values().removeIf(change -> change.key().window() < oldest);
+        numbers.keySet().removeIf(key -> key.window() < oldest);
         byEntry.values().forEach(windows -> windows.headMap(oldest).clear());
         byEntry.entrySet()
                 .removeIf(entry -> entry.getValue().isEmpty() && !entry.getKey().equals(self));
     }
 
-    private void changed(Key key) {
+    /** A change that was to be told to more, and may not have been told yet, stays so. */
+    private void changed(Key key, Audience audience) {
         sequence++;
-        changes.remove(key);
-        changes.put(key, sequence);
-        if (keepsRegionChanges) {
-            regionChanges.remove(key);
-            regionChanges.put(key, sequence);
-        }
-    }
-
-    private void changedInRegion(Key key) {
-        if (keepsRegionChanges) {
-            sequence++;
-            regionChanges.remove(key);
-            regionChanges.put(key, sequence);
-        }
+        Long before = numbers.put(key, sequence);
+        Change replaced = before == null ? null : changes.remove(before);
+        boolean wider = replaced != null && replaced.audience().compareTo(audience) > 0;
+        changes.put(sequence, new Change(key, wider ? replaced.audience() : audience));
     }
 
     private Map<String, Integer> counts(String entry, long window) {
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/DigestWriter.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/DigestWriter.java
@@ -164,15 +164,23 @@
                 List.of());
     }
 
-    /** Writes what a hub tells a leaf: the figures of all others, so many processes. */
+    /**
+     * Writes what a hub tells a leaf: the figures of all others, so many processes, and what has
+     * changed of the usage of all if the leaf is to keep it.
+     */
     NodeDigest rest(
-            SenderState state, Peer leaf, Collection<Peer> counted, int processes, long nowMillis) {
+            SenderState state,
+            Peer leaf,
+            Collection<Peer> counted,
+            int processes,
+            boolean keepsUsage,
+            long nowMillis) {
         List<Peer> others = counted.stream().filter(peer -> peer != leaf).toList();
         return digest(
                 state,
                 DigestScope.REST,
                 processes,
-                List.of(),
+                keepsUsage ? histories(usage.allChangesAfter(leaf.usageTold())) : List.of(),
                 quotas.restUses(leaf.life(), nowMillis),
                 loads.restUses(leaf.name()),
                 sum(others, nowMillis),
@@ -221,9 +229,9 @@
         return histories(usage.regionChangesAfter(usageTold));
     }
 
-    private static List<UsageHistory> histories(Map<String, List<UsageCount>> changes) {
+    private static List<UsageHistory> histories(Map<String, List<UsageCount>> counts) {
         List<UsageHistory> histories = new ArrayList<>();
-        changes.forEach((life, counts) -> histories.add(new UsageHistory(life, counts)));
+        counts.forEach((life, some) -> histories.add(new UsageHistory(life, some)));
         return histories;
     }
 
--- a/trailladder-entry/src/test/java/io/trailladder/entry/gateway/SimulatedProcess.java
+++ b/trailladder-entry/src/test/java/io/trailladder/entry/gateway/SimulatedProcess.java
@@ -46,7 +46,9 @@
     private static final long SILENT_MILLIS = 2_500;
     private static final long SETTLING_LIST_MILLIS = 1_000;
     private static final long LIST_MILLIS = 3_000;
-    private static final long USAGE_WINDOW_MILLIS = 5_000;
+
+    /** Length of the windows of usage, in milliseconds. */
+    static final long USAGE_WINDOW_MILLIS = 5_000;
 
     private final SimulatedCluster cluster;
     private final GatewayMember member;
@@ -55,11 +57,11 @@
     private final UpstreamDirectory upstreams = new UpstreamDirectory();
     private Topology topology;
     private DirectoryKeeper directory;
-    private UsageLedger usage;
     private UpstreamLoads loads;
     private LinkPlanner planner;
     private LinkPlan plan;
     private Quotas quotas;
+    private UsageLedger usage;
     private ClusterView view;
     private StoreHealth health;
     private boolean fed;
@@ -159,6 +161,14 @@
         return member;
     }
 
+    UsageLedger usage() {
+        return usage;
+    }
+
+    boolean isHub() {
+        return plan.hub();
+    }
+
     NodeHello hello() {
         return hello;
     }
