--- a/trailladder-entry/src/test/java/io/trailladder/entry/gateway/SimulatedCluster.java
+++ b/trailladder-entry/src/test/java/io/trailladder/entry/gateway/SimulatedCluster.java
@@ -183,10 +183,6 @@
         }
     }
 
-    SimulatedProcess process(String name) {
-        return processes.get(name);
-    }
-
     List<String> names() {
         return List.copyOf(processes.keySet());
     }
--- a/trailladder-entry/src/test/java/io/trailladder/entry/gateway/SimulatedProcess.java
+++ b/trailladder-entry/src/test/java/io/trailladder/entry/gateway/SimulatedProcess.java
@@ -161,14 +161,6 @@
         return member;
     }
 
-    UsageLedger usage() {
-        return usage;
-    }
-
-    boolean isHub() {
-        return plan.hub();
-    }
-
     NodeHello hello() {
         return hello;
     }
