Train the archive of classes with processes that are ready, and with faults

Cause: on a busy machine the training asked twenty times while its processes read the policy, so that 16 of 40 requests were served; classes of retries and resumed streams were in no archive. Change: the training waits until both are ready, then sends 40 requests each; upstreams answer in pieces, turn one of eight away and cut one of eight.

--- a/trailladder-cli/src/main/java/io/trailladder/cli/ClassDataTraining.java
+++ b/trailladder-cli/src/main/java/io/trailladder/cli/ClassDataTraining.java
@@ -52,9 +52,14 @@
     private static final String SERVICE = "service";
     private static final String REQUEST_ID = "0123456789abcdef";
     private static final int OK = 200;
+    private static final int UNAVAILABLE = 503;
     private static final int PROCESSES = 2;
-    private static final int REQUESTS = 20;
-    private static final long PAUSE_MILLIS = 100;
+    private static final int REQUESTS = 40;
+    private static final long PAUSE_MILLIS = 50;
+
+    /** Each so many requests one is turned away by its upstream, and the next one is cut. */
+    private static final int FAULT_EACH = 8;
+
     private static final long MOST_MILLIS = 6_000;
     private static final int MAX_BODY_BYTES = 1 << 20;
     private static final byte[] NO_BYTES = {};
@@ -64,6 +69,7 @@
     private final CountDownLatch stopped = new CountDownLatch(PROCESSES);
     private HostPort platform;
     private HostPort seed;
+    private int answers;
 
     private ClassDataTraining() {}
 
@@ -88,6 +94,9 @@
         for (TrainedProcess process : processes) {
             process.start();
         }
+        for (TrainedProcess process : processes) {
+            process.awaitReady();
+        }
         for (int i = 0; i < REQUESTS; i++) {
             Thread.sleep(PAUSE_MILLIS);
             for (TrainedProcess process : processes) {
@@ -106,6 +115,7 @@
         private final HostPort health = freePort();
         private final HostPort peers = freePort();
         private final HostPort metrics = freePort();
+        private final ReadyAnswer ready = new ReadyAnswer();
         private final GatewayProcess gateway;
 
         TrainedProcess(String name) throws IOException {
@@ -135,6 +145,15 @@
             }
         }
 
+        /** Waits for a while only: an archive of a slow build lacks classes, and starts go on. */
+        private void awaitReady() throws InterruptedException {
+            long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(MOST_MILLIS);
+            while (!ready.isSet() && System.nanoTime() - end < 0) {
+                loop.execute(() -> ask(health, "/ready", ready));
+                Thread.sleep(PAUSE_MILLIS);
+            }
+        }
+
         private String settings(String name) {
             return """
             {"node":{"name":"%s","data_centre":"zone","first_start":true},
@@ -150,6 +169,10 @@
     }
 
     private void ask(HostPort target, String path) {
+        ask(target, path, new IgnoredAnswer());
+    }
+
+    private void ask(HostPort target, String path, CallListener listener) {
         HeaderList headers =
                 new HeaderList(
                         List.of(
@@ -160,7 +183,7 @@
                                 new HeaderField("Authorization", "Bearer key")));
         OutgoingCall call =
                 new OutgoingCall(target, "POST", path, headers, NO_BYTES, MOST_MILLIS, MOST_MILLIS);
-        connector.send(call, new IgnoredAnswer());
+        connector.send(call, listener);
     }
 
     private void answer(ServerExchange exchange) {
@@ -176,13 +199,28 @@
                     exchange,
                     "{\"entries\":[],\"lease\":1,\"ttl_ms\":1000,\"revision\":3,\"at\":3}");
         } else {
-            byte[] events = "id: 1\ndata: x\n\nid: 2\ndata: y\n\n".getBytes(StandardCharsets.UTF_8);
-            exchange.begin(OK, HeaderList.of("Attempt-Id", REQUEST_ID), -1);
-            exchange.write(events);
-            exchange.end();
+            serve(exchange);
         }
     }
 
+    /** Answers as an upstream, in pieces; some requests meet faults. */
+    private void serve(ServerExchange exchange) {
+        answers++;
+        if (answers % FAULT_EACH == 1) {
+            exchange.respond(UNAVAILABLE, HeaderList.of("Not-Executed", "1"), NO_BYTES);
+            return;
+        }
+        exchange.begin(OK, HeaderList.of("Attempt-Id", REQUEST_ID), -1);
+        exchange.write("id: 1\ndata: x\n\n".getBytes(StandardCharsets.UTF_8));
+        if (answers % FAULT_EACH == 2) {
+            loop.schedule(1, exchange::abort);
+            return;
+        }
+        loop.schedule(1, () -> exchange.write("id: 2\n".getBytes(StandardCharsets.UTF_8)));
+        loop.schedule(2, () -> exchange.write("data: y\n\n".getBytes(StandardCharsets.UTF_8)));
+        loop.schedule(3, exchange::end);
+    }
+
     private static void respond(ServerExchange exchange, String json) {
         byte[] body = json.getBytes(StandardCharsets.UTF_8);
         exchange.respond(OK, HeaderList.of("Content-Type", "application/json"), body);
@@ -219,8 +257,24 @@
         }
     }
 
+    /** Remembers that a process was ready once. */
+    private static final class ReadyAnswer extends IgnoredAnswer {
+        private volatile boolean set;
+
+        boolean isSet() {
+            return set;
+        }
+
+        @Override
+        public void head(int status, HeaderList headers, long length) {
+            if (status == OK) {
+                set = true;
+            }
+        }
+    }
+
     /** Takes no interest in an answer. */
-    private static final class IgnoredAnswer implements CallListener {
+    private static class IgnoredAnswer implements CallListener {
         @Override
         public void head(int status, HeaderList headers, long length) {}
 
