Work out once a tick which peers count, and sum their evidence up when it changes

Cause: a tick made the list of peers that count four times by streams, and added up what they saw of upstreams five times a second though it is told once; the tick was 18 % of the loop's samples at rest. Change: one list a tick, loops in place of streams, evidence added up when told or when other peers count.

--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ClusterView.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ClusterView.java
@@ -16,6 +16,7 @@
 package io.trailladder.entry.gateway;
 
 import io.trailladder.core.duty.UsageLedger;
+import io.trailladder.core.engine.EngineEvidence;
 import io.trailladder.core.engine.EngineModel;
 import io.trailladder.core.engine.ServiceLoad;
 import io.trailladder.core.membership.MemberCount;
@@ -86,6 +87,8 @@
     private BooleanSupplier leads = () -> false;
     private Mesh mesh;
     private boolean draining;
+    private List<Peer> evidenceOf = List.of();
+    private boolean evidenceTold;
 
     /**
      * Creates a view without peers.
@@ -180,8 +183,17 @@
      * @return a count of at least 1
      */
     public int entries() {
+        List<Peer> counted = counted();
+        return entries(counted, heard(counted));
+    }
+
+    private int entries(List<Peer> counted, int heard) {
         Reading own = new Reading(membersRead(), store.isReachable());
-        return MemberCount.of(own, counted().stream().map(Peer::members).toList(), heard());
+        List<Reading> read = new ArrayList<>(counted.size());
+        for (Peer peer : counted) {
+            read.add(peer.members());
+        }
+        return MemberCount.of(own, read, heard);
     }
 
     /** Returns how many processes this one has read in the store; 0 if it has read none. */
@@ -294,6 +306,7 @@
         boolean wasHub = peer.isHeard() && !peer.isLeaf();
         long now = nowMillis.getAsLong();
         peer.told(SoundFigures.of(peer.name(), digest), now);
+        evidenceTold |= !digest.evidence().isEmpty();
         digest.leaving().forEach(id -> directory.leavingSeenBy(id, peer.name()));
         snapshots.digest(mesh, peer.hello(), digest);
         if (!counts(peer)) {
@@ -321,13 +334,27 @@
     /** Tells the peers, and forgets silent ones. To be called every {@link #DIGEST_MILLIS}. */
     public void tick() {
         forgetSilentPeers();
-        engines.others(counted().stream().flatMap(peer -> peer.evidence().stream()).toList());
+        List<Peer> counted = counted();
+        addEvidence(counted);
         boolean othersKnown = mesh.isPlanned() || !peers.isEmpty();
-        limits.share(othersKnown, !mesh.isHub(), heard(), entries(), nowMillis.getAsLong());
+        int heard = heard(counted);
+        limits.share(
+                othersKnown, !mesh.isHub(), heard, entries(counted, heard), nowMillis.getAsLong());
         tellPeers();
         rollouts.ifPresent(exchange -> exchange.tell(mesh, peers.values()));
     }
 
+    /** Adds up what peers saw of upstreams, if any has told more or other peers count. */
+    private void addEvidence(List<Peer> counted) {
+        if (evidenceTold || !counted.equals(evidenceOf)) {
+            evidenceTold = false;
+            evidenceOf = counted;
+            List<EngineEvidence> told = new ArrayList<>();
+            counted.forEach(peer -> told.addAll(peer.evidence()));
+            engines.others(told);
+        }
+    }
+
     private void forgetSilentPeers() {
         long oldest = nowMillis.getAsLong() - PeerMesh.HEARD_MILLIS;
         for (Peer peer : List.copyOf(peers.values())) {
@@ -354,7 +381,7 @@
                         store.isReachable(), draining, membersRead(), List.copyOf(recentLeaving));
         Map<Long, List<Peer>> byUsageTold = new HashMap<>();
         List<Peer> counted = counted();
-        int heard = heard();
+        int heard = heard(counted);
         for (Peer peer : told) {
             if (mesh.isHub() && peer.isLeaf()) {
                 mesh.send(
@@ -391,8 +418,12 @@
     }
 
     /** The processes whose figures this one has just heard, itself included. */
-    private int heard() {
-        return 1 + counted().stream().mapToInt(this::justHeard).sum();
+    private int heard(List<Peer> counted) {
+        int heard = 1;
+        for (Peer peer : counted) {
+            heard += justHeard(peer);
+        }
+        return heard;
     }
 
     private int justHeard(Peer peer) {
@@ -401,7 +432,13 @@
     }
 
     private List<Peer> counted() {
-        return peers.values().stream().filter(this::counts).toList();
+        List<Peer> counted = new ArrayList<>(peers.size());
+        for (Peer peer : peers.values()) {
+            if (counts(peer)) {
+                counted.add(peer);
+            }
+        }
+        return counted;
     }
 
     /** To a leaf only its hub's figures count, and those of peers that take it for a hub. */
@@ -410,7 +447,13 @@
     }
 
     private List<Peer> leaves() {
-        return peers.values().stream().filter(Peer::isLeaf).toList();
+        List<Peer> leaves = new ArrayList<>();
+        for (Peer peer : peers.values()) {
+            if (peer.isLeaf()) {
+                leaves.add(peer);
+            }
+        }
+        return leaves;
     }
 
     /** An upstream whose entry is only gone may come back, so peers are not told that it leaves. */
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/DigestWriter.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/DigestWriter.java
@@ -35,7 +35,6 @@
 import java.util.TreeMap;
 import java.util.function.BinaryOperator;
 import java.util.function.Function;
-import java.util.stream.Stream;
 
 /** Writes what a process tells its peers, each the part that it lacks. */
 final class DigestWriter {
@@ -139,34 +138,40 @@
     }
 
     private static List<String> names(Collection<Peer> peers) {
-        return peers.stream().map(Peer::name).toList();
+        List<String> names = new ArrayList<>(peers.size());
+        for (Peer peer : peers) {
+            names.add(peer.name());
+        }
+        return names;
     }
 
     /** Returns the load of every service at this process and some peers. */
     List<ServiceDemand> sum(Collection<Peer> peers, long nowMillis) {
-        Stream<ServiceDemand> told = peers.stream().flatMap(peer -> peer.demands().stream());
-        return byService(
-                Stream.concat(demand.demands(nowMillis).stream(), told),
-                ServiceDemand::service,
-                ServiceDemand::plus);
+        List<ServiceDemand> told = new ArrayList<>(demand.demands(nowMillis));
+        for (Peer peer : peers) {
+            told.addAll(peer.demands());
+        }
+        return byService(told, ServiceDemand::service, ServiceDemand::plus);
     }
 
     private List<EngineEvidence> evidence(Collection<Peer> peers, long nowMillis) {
         if (!tellsEvidence) {
             return List.of();
         }
-        Stream<EngineEvidence> told = peers.stream().flatMap(peer -> peer.evidence().stream());
-        return byService(
-                Stream.concat(engines.evidence(nowMillis).stream(), told),
-                EngineEvidence::service,
-                EngineEvidence::plus);
+        List<EngineEvidence> told = new ArrayList<>(engines.evidence(nowMillis));
+        for (Peer peer : peers) {
+            told.addAll(peer.evidence());
+        }
+        return byService(told, EngineEvidence::service, EngineEvidence::plus);
     }
 
     /** Adds up what is told of the same service. */
     private static <T> List<T> byService(
-            Stream<T> told, Function<T, String> service, BinaryOperator<T> plus) {
+            List<T> told, Function<T, String> service, BinaryOperator<T> plus) {
         Map<String, T> sum = new TreeMap<>();
-        told.forEach(part -> sum.merge(service.apply(part), part, plus));
+        for (T part : told) {
+            sum.merge(service.apply(part), part, plus);
+        }
         return List.copyOf(sum.values());
     }
 
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/SoundFigures.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/SoundFigures.java
@@ -33,6 +33,9 @@
      * @return the digest itself if all its figures are sound
      */
     static NodeDigest of(String peer, NodeDigest digest) {
+        if (digest.demands().isEmpty() && digest.evidence().isEmpty()) {
+            return digest;
+        }
         List<ServiceDemand> demands =
                 digest.demands().stream().filter(ServiceDemand::isSound).toList();
         List<EngineEvidence> evidence =
