Have periodic tasks share wake-ups; read and rank listed processes when they change

Cause: ten periodic tasks woke the loop each at its own time; each list of the store was parsed and ranked anew; counts of old windows were looked for ten times a second among all counts. Change: EventLoop.repeat runs at beats of 50 ms with an offset of each process; entries are read once a revision; the plan of links is worked out for a changed list only; old windows are dropped once a second.

--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/DutyRunner.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/DutyRunner.java
@@ -58,6 +58,9 @@
     private static final long SETTLE_MILLIS = 1_800;
     private static final long WINDOWS_BACK = 4;
 
+    /** How often counts of old windows are dropped, in milliseconds: it looks at all counts. */
+    private static final long FORGET_MILLIS = 1_000;
+
     private final EventLoop loop;
     private final Clock clock;
     private final CoordinationStore store;
@@ -116,6 +119,7 @@
     /** Begins to take part. */
     public void start() {
         loop.repeat(STEP_MILLIS, this::step);
+        loop.repeat(FORGET_MILLIS, () -> usage.forgetOld(clock.millis()));
     }
 
     /** Gives the lease up if it is held, and asks for none any more. */
@@ -183,7 +187,6 @@
         if (leads) {
             reportDue();
         }
-        usage.forgetOld(clock.millis());
     }
 
     private void granted(Either<StoreFailure, Long> result) {
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Membership.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Membership.java
@@ -27,7 +27,11 @@
 import io.trailladder.entry.port.StoreWrite;
 import io.vavr.control.Either;
 import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
+import java.util.Set;
 import org.tinylog.Logger;
 
 /**
@@ -62,6 +66,9 @@
     private static final long HUB_RENEW_MILLIS = 900;
     private static final long RETRY_MILLIS = 700;
 
+    /** An entry as it was read. */
+    private record Known(long revision, GatewayMember member) {}
+
     private final EventLoop loop;
     private final CoordinationStore store;
     private final StoreHealth health;
@@ -70,6 +77,10 @@
     private final GatewayMember self;
     private final boolean firstStart;
     private final List<GatewayMember> listed = new ArrayList<>();
+
+    /** The entries of the last list by key: one that has not changed is not read anew. */
+    private final Map<String, Known> known = new HashMap<>();
+
     private int lists;
     private long ownRevision;
     private long lease;
@@ -145,6 +156,10 @@
             return;
         }
         lists++;
+        if (known.size() > listed.size()) {
+            Set<GatewayMember> present = new HashSet<>(listed);
+            known.values().removeIf(entry -> !present.contains(entry.member()));
+        }
         mesh.members(List.copyOf(listed));
         loop.schedule(listMillis(), this::list);
     }
@@ -160,11 +175,21 @@
         if (item.key().equals(key)) {
             ownRevision = item.revision();
         }
+        Known before = known.get(item.key());
+        if (before != null && before.revision() == item.revision()) {
+            listed.add(before.member());
+            return;
+        }
         MemberFormat.read(item.value())
-                .peek(listed::add)
+                .peek(member -> take(item, member))
                 .peekLeft(fault -> Logger.warn("entry {} cannot be read: {}", item.key(), fault));
     }
 
+    private void take(StoreItem item, GatewayMember member) {
+        listed.add(member);
+        known.put(item.key(), new Known(item.revision(), member));
+    }
+
     private void grant() {
         store.grant(TTL_MILLIS, this::granted);
     }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/loop/EventLoop.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/loop/EventLoop.java
@@ -43,11 +43,20 @@
 public final class EventLoop implements AutoCloseable {
     private static final int BACKLOG = 512;
 
+    /**
+     * Tasks that run again and again run at multiples of this, in milliseconds, so that several are
+     * done at one wake-up. All such periods of a process are multiples of it.
+     */
+    private static final long BEAT_MILLIS = 50;
+
     private final TCPNIOTransport transport;
     private final TimerQueue timers = new TimerQueue();
     private final Queue<Runnable> posted = new ConcurrentLinkedQueue<>();
     private volatile Selector selector;
 
+    /** When the beats are, so that processes of one machine do not all wake at once. */
+    private final long beatOffsetNanos = System.nanoTime();
+
     /** Creates a loop that is not yet running. */
     public EventLoop() {
         transport =
@@ -139,16 +148,26 @@
     }
 
     /**
-     * Runs a task again and again. To be called on the loop's thread, or before it has started.
+     * Runs a task again and again, the first time after at most a period. To be called on the
+     * loop's thread, or before it has started. A run that is late does not move those after it, and
+     * runs that were missed are left out.
      *
-     * @param periodMillis pause between two runs, in milliseconds
+     * @param periodMillis time between two runs, in milliseconds
      * @param task the task
      */
     public void repeat(long periodMillis, Runnable task) {
-        schedule(
-                periodMillis,
+        long periodNanos = TimeUnit.MILLISECONDS.toNanos(periodMillis);
+        long beatNanos = TimeUnit.MILLISECONDS.toNanos(Math.min(BEAT_MILLIS, periodMillis));
+        long first = System.nanoTime() - beatOffsetNanos + periodNanos;
+        repeatAt(beatOffsetNanos + first / beatNanos * beatNanos, periodNanos, task);
+    }
+
+    private void repeatAt(long atNanos, long periodNanos, Runnable task) {
+        timers.add(
+                atNanos,
                 () -> {
-                    repeat(periodMillis, task);
+                    long late = System.nanoTime() - atNanos;
+                    repeatAt(atNanos + periodNanos * (1 + late / periodNanos), periodNanos, task);
                     task.run();
                 });
     }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/mesh/PeerMesh.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/mesh/PeerMesh.java
@@ -64,6 +64,7 @@
     private final Set<String> dialling = new HashSet<>();
     private Set<String> seeds = Set.of();
     private LinkPlan plan = new LinkPlan(true, Set.of());
+    private List<GatewayMember> members = List.of();
     private boolean planned;
 
     /**
@@ -103,7 +104,11 @@
      * @param listed all of them
      */
     public void members(Collection<GatewayMember> listed) {
-        planner.members(listed);
+        List<GatewayMember> current = List.copyOf(listed);
+        if (!planned || !current.equals(members)) {
+            members = current;
+            planner.members(current);
+        }
         planned = true;
         maintain();
     }
