Count what processes tell each other in virtual time

Cause: nothing showed what a part that is added to digests costs. SimulatedCluster counts what is sent.

--- a/trailladder-entry/src/test/java/io/trailladder/entry/gateway/SimulatedCluster.java
+++ b/trailladder-entry/src/test/java/io/trailladder/entry/gateway/SimulatedCluster.java
@@ -22,6 +22,7 @@
 import io.trailladder.core.policy.ServingPolicy;
 import io.trailladder.wire.NodeMessage;
 import io.trailladder.wire.NodeMessage.NodeHello;
+import io.trailladder.wire.PeerCodec;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -72,6 +73,8 @@
     private double demand;
     private double mostAllowed;
     private long now;
+    private long messages;
+    private long bytes;
 
     /** A link between two processes, named in the order of their names; one of them dialled. */
     private record Link(String one, String other, String dialler) {
@@ -260,6 +263,18 @@
 
     void send(NodeHello from, String to, NodeMessage message) {
         underWay.add(new Message(from, to, message));
+        messages++;
+        bytes += PeerCodec.encode(message).length;
+    }
+
+    /** Returns how many messages were sent so far. */
+    long messages() {
+        return messages;
+    }
+
+    /** Returns how many bytes the messages had that were sent so far. */
+    long bytes() {
+        return bytes;
     }
 
     private void deliver() {
