--- a/trailladder-entry/src/test/java/io/trailladder/entry/gateway/SimulatedCluster.java
+++ b/trailladder-entry/src/test/java/io/trailladder/entry/gateway/SimulatedCluster.java
@@ -83,6 +83,8 @@
     private double demand;
     private double mostAllowed;
     private long now;
+    private long messages;
+    private long bytes;
 
     /** A link between two processes, named in the order of their names; one of them dialled. */
     private record Link(String one, String other, String dialler) {
@@ -329,6 +331,18 @@
             bytesBetweenRegions += PeerCodec.encode(message).length;
         }
         underWay.add(new Message(from, to, message));
+        messages++;
+        bytes += PeerCodec.encode(message).length;
+    }
+
+    /** Returns how many messages were sent so far. */
+    long messages() {
+        return messages;
+    }
+
+    /** Returns how many bytes the messages had that were sent so far. */
+    long bytes() {
+        return bytes;
     }
 
     private void deliver() {
