--- a/trailladder-core/src/main/java/io/trailladder/core/duty/LeaderElection.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/duty/LeaderElection.java
@@ -15,6 +15,8 @@
  */
 package io.trailladder.core.duty;
 
+import java.util.function.LongSupplier;
+
 /**
  * Decides when this entry asks for, renews and gives up the lease under which one entry at a time
  * does the work that needs a single doer.
@@ -35,7 +37,7 @@
 
     private final long ttlMillis;
     private final long returnMillis;
-    private final long patienceMillis;
+    private final LongSupplier patienceMillis;
 
     private State state = State.FOLLOWING;
     private boolean keyPresent = true;
@@ -79,6 +81,17 @@
      * @param returnMillis how long a former leader waits before it asks again, in milliseconds
      */
     public LeaderElection(long ttlMillis, long patienceMillis, long returnMillis) {
+        this(ttlMillis, () -> patienceMillis, returnMillis);
+    }
+
+    /**
+     * Creates the state of an entry that follows, with a patience that changes.
+     *
+     * @param ttlMillis time to live of the lease, in milliseconds
+     * @param patienceMillis tells how long this entry waits after the key is gone, in milliseconds
+     * @param returnMillis how long a former leader waits before it asks again, in milliseconds
+     */
+    public LeaderElection(long ttlMillis, LongSupplier patienceMillis, long returnMillis) {
         this.ttlMillis = ttlMillis;
         this.patienceMillis = patienceMillis;
         this.returnMillis = returnMillis;
@@ -106,7 +119,7 @@
             state = State.WAITING_FOR_CLAIM;
             return Step.CLAIM;
         }
-        boolean free = !keyPresent && nowMillis - keyGoneMillis >= patienceMillis;
+        boolean free = !keyPresent && nowMillis - keyGoneMillis >= patienceMillis.getAsLong();
         if (state == State.FOLLOWING && free && nowMillis >= notBeforeMillis) {
             state = State.WAITING_FOR_GRANT;
             renewSentMillis = nowMillis;
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/CountedStore.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/CountedStore.java
@@ -24,14 +24,25 @@
 import io.trailladder.entry.port.StoreWrite;
 import io.vavr.control.Either;
 import java.util.function.Consumer;
+import java.util.function.LongConsumer;
+import java.util.function.LongSupplier;
 
-/** A store whose calls are counted for one purpose. */
+/** A store whose calls are counted for one purpose, and whose short ones are timed. */
 final class CountedStore implements CoordinationStore {
     private final CoordinationStore store;
     private final StoreCalls calls;
     private final Purpose purpose;
+    private final LongSupplier nowMillis;
+    private final LongConsumer answered;
 
-    CountedStore(CoordinationStore store, StoreCalls calls, Purpose purpose) {
+    CountedStore(
+            CoordinationStore store,
+            StoreCalls calls,
+            Purpose purpose,
+            LongSupplier nowMillis,
+            LongConsumer answered) {
+        this.nowMillis = nowMillis;
+        this.answered = answered;
         this.store = store;
         this.calls = calls;
         this.purpose = purpose;
@@ -79,13 +90,13 @@
     @Override
     public void grant(long ttlMillis, Consumer<Either<StoreFailure, Long>> result) {
         made(Kind.GRANT);
-        store.grant(ttlMillis, result);
+        store.grant(ttlMillis, timed(result));
     }
 
     @Override
     public void renew(long lease, Consumer<Either<StoreFailure, Long>> result) {
         made(Kind.RENEWAL);
-        store.renew(lease, result);
+        store.renew(lease, timed(result));
     }
 
     @Override
@@ -94,6 +105,16 @@
         store.end(lease, result);
     }
 
+    private <T> Consumer<Either<StoreFailure, T>> timed(Consumer<Either<StoreFailure, T>> result) {
+        long sent = nowMillis.getAsLong();
+        return answer -> {
+            if (answer.isRight()) {
+                answered.accept(nowMillis.getAsLong() - sent);
+            }
+            result.accept(answer);
+        };
+    }
+
     private void made(Kind kind) {
         calls.made(purpose, kind);
     }
