Spread another region's work over its upstreams where it is heard

Cause: a sum under a name of its own was known to the choice alone; the fleet's load and times to come back at did not count it. Change: who hears it spreads it in equal parts over the service's upstreams there, so that all readers count it.

--- a/trailladder-core/src/main/java/io/trailladder/core/upstream/CrossingRule.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/upstream/CrossingRule.java
@@ -142,9 +142,6 @@
                 sentTokens += loads.ownPromptTokens(id);
             }
         }
-        String others = RegionUse.name(region, request.service());
-        places = Math.max(0, places - loads.requests(others));
-        readings = Math.max(0, readings - loads.promptTokens(others) / (double) tokens);
         double draw = draw(request.id());
         return fits(places, sent, draw)
                 && (!isPrompted(other) || fits(readings, sentTokens / (double) tokens, draw));
--- a/trailladder-core/src/main/java/io/trailladder/core/upstream/RegionUse.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/upstream/RegionUse.java
@@ -16,12 +16,15 @@
 package io.trailladder.core.upstream;
 
 import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
 import java.util.function.Function;
 import java.util.function.Predicate;
+import java.util.function.UnaryOperator;
 
 /**
  * The work under way at a region's upstreams as other regions are told of it: one sum for each
@@ -30,7 +33,9 @@
  * @since 0.4
  */
 public final class RegionUse {
+    /** Begins the names of sums; names of upstreams do not begin so. */
     private static final char MARK = '@';
+
     private static final char SEPARATOR = '/';
 
     private RegionUse() {}
@@ -80,6 +85,51 @@
         return told;
     }
 
+    /**
+     * Spreads the sums that another region told over its upstreams in equal parts.
+     *
+     * @param told what it told
+     * @param region its name
+     * @param upstreams all upstreams known
+     * @param regionOf tells the region of a data centre
+     * @return work under way at single upstreams; as many requests as told, where upstreams of the
+     *     service are known there
+     */
+    public static List<UpstreamUse> spread(
+            List<UpstreamUse> told,
+            String region,
+            Collection<Upstream> upstreams,
+            UnaryOperator<String> regionOf) {
+        Map<String, List<String>> byName = new HashMap<>();
+        for (Upstream upstream : upstreams) {
+            if (regionOf.apply(upstream.dataCentre()).equals(region)) {
+                byName.computeIfAbsent(name(region, upstream.service()), n -> new ArrayList<>())
+                        .add(upstream.id());
+            }
+        }
+        List<UpstreamUse> single = new ArrayList<>();
+        for (UpstreamUse use : told) {
+            if (use.upstream().isEmpty() || use.upstream().charAt(0) != MARK) {
+                single.add(use);
+                continue;
+            }
+            List<String> there = byName.getOrDefault(use.upstream(), List.of());
+            for (int i = 0; i < there.size(); i++) {
+                int requests = part(use.requests(), i, there.size());
+                int tokens = part(use.promptTokens(), i, there.size());
+                if (requests != 0 || tokens != 0) {
+                    single.add(new UpstreamUse(there.get(i), requests, tokens));
+                }
+            }
+        }
+        return single;
+    }
+
+    /** The parts of a sum differ by one at most, and make it up. */
+    private static int part(int sum, int number, int parts) {
+        return sum / parts + (number < sum % parts ? 1 : 0);
+    }
+
     private static UpstreamUse plus(UpstreamUse one, UpstreamUse other) {
         return new UpstreamUse(
                 one.upstream(),
--- a/trailladder-core/src/main/java/io/trailladder/core/upstream/UpstreamSelector.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/upstream/UpstreamSelector.java
@@ -188,9 +188,6 @@
                     continue;
                 }
                 Candidate candidate = candidate(upstream, request, engine, homes, nowMillis);
-                if (!own) {
-                    candidate = withWorkOf(region, candidate);
-                }
                 if (!own && !crossings.hasRoom(candidate, noneHere)) {
                     continue;
                 }
@@ -206,27 +203,6 @@
             return best;
         }
 
-        /** Of another region's own work only the sum is known: it counts in equal parts. */
-        private Candidate withWorkOf(String region, Candidate single) {
-            String sum = RegionUse.name(region, request.service());
-            int requests = loads.requests(sum);
-            if (requests == 0) {
-                return single;
-            }
-            int upstreams = 0;
-            for (Upstream upstream : serving) {
-                upstreams += topology.region(upstream.dataCentre()).equals(region) ? 1 : 0;
-            }
-            return new Candidate(
-                    single.upstream(),
-                    request,
-                    engine,
-                    single.running() + requests / upstreams,
-                    single.waitingTokens() + loads.promptTokens(sum) / upstreams,
-                    single.cachedTokens(),
-                    single.nowMillis());
-        }
-
         /** Returns the best upstream of all other regions; null if none has room. */
         Candidate bestElsewhere(boolean noneHere, long nowMillis) {
             Candidate best = null;
--- a/trailladder-core/src/test/java/io/trailladder/core/rollout/RolloutLeadTest.java
+++ b/trailladder-core/src/test/java/io/trailladder/core/rollout/RolloutLeadTest.java
@@ -33,8 +33,7 @@
     private static final int DURATION_MILLIS = 12_000;
     private static final RolloutOrder ORDER = new RolloutOrder("s", "v2", DURATION_MILLIS, 7);
     private static final Fleet FLEET = new Fleet(12, 12, 40);
-    private static final RolloutStatus MOVING =
-            new RolloutStatus("s", "v2", State.IN_PROGRESS, 8);
+    private static final RolloutStatus MOVING = new RolloutStatus("s", "v2", State.IN_PROGRESS, 8);
     private static final List<RouteEvidence> GOOD =
             List.of(new RouteEvidence("r", new AnswerCount(900, 2), new AnswerCount(90, 0)));
 
--- a/trailladder-core/src/test/java/io/trailladder/core/rollout/RolloutModelTest.java
+++ b/trailladder-core/src/test/java/io/trailladder/core/rollout/RolloutModelTest.java
@@ -90,7 +90,13 @@
             Process second = index == 0 ? b : process;
             int least = Math.max(1, Math.min(first.round(), second.round())) - 1;
             return new World(
-                    time, leader, leaseEnd, restarts, store, near(first, least), near(second, least));
+                    time,
+                    leader,
+                    leaseEnd,
+                    restarts,
+                    store,
+                    near(first, least),
+                    near(second, least));
         }
 
         World with(Store next) {
@@ -175,8 +181,7 @@
             boolean toNew = view.admitted(List.of(OLD, NEW), true, world.now()).contains(NEW);
             boolean leftLong =
                     world.store().state() == State.ROLLED_BACK
-                            && world.now() - world.store().endedAt()
-                                    > LEASE + Rollout.HEARD_MILLIS;
+                            && world.now() - world.store().endedAt() > LEASE + Rollout.HEARD_MILLIS;
             assertFalse(toNew && leftLong, () -> "sent long after the roll-back: " + world);
             boolean readBack = world.process(index).read() == State.ROLLED_BACK;
             assertFalse(toNew && readBack, () -> "sent though it knows better: " + world);
@@ -228,8 +233,7 @@
     /** A life that starts anew has read the store and no peer. */
     private static World restart(World world, int index) {
         Process life =
-                new Process(
-                        RolloutPhase.SAMPLING, false, world.now(), 0, NEVER, State.NONE, 0);
+                new Process(RolloutPhase.SAMPLING, false, world.now(), 0, NEVER, State.NONE, 0);
         World lost =
                 new World(
                         world.time(),
@@ -268,12 +272,10 @@
         }
     }
 
-    private static World step(
-            World world, int index, List<RouteEvidence> evidence, Write write) {
+    private static World step(World world, int index, List<RouteEvidence> evidence, Write write) {
         Process leading = world.process(index);
         Rollout view = view(leading);
-        RolloutStatus read =
-                new RolloutStatus("s", "v2", leading.read(), leading.readRevision());
+        RolloutStatus read = new RolloutStatus("s", "v2", leading.read(), leading.readRevision());
         if (view.phase().isFinal()) {
             return world;
         }
