--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ClusterView.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ClusterView.java
@@ -210,6 +210,15 @@
         return peers.size();
     }
 
+    /**
+     * Tells what is known of other regions.
+     *
+     * @return the exchange with them
+     */
+    RegionExchange regions() {
+        return regions;
+    }
+
     /**
      * Returns how many processes' figures were heard just now, this one's included.
      *
@@ -480,7 +489,9 @@
     }
 
     private boolean isElsewhere(Peer peer) {
-        return mesh.regions().filter(view -> RegionExchange.isElsewhere(view, peer)).isPresent();
+        return mesh.regions()
+                .filter(view -> RegionExchange.isElsewhere(mesh, view, peer))
+                .isPresent();
     }
 
     /** To a leaf only its hub's figures count, and those of peers that take it for a hub. */
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/DirectoryKeeper.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/DirectoryKeeper.java
@@ -190,6 +190,15 @@
         return directory.find(id);
     }
 
+    /**
+     * Returns all listed upstreams, leaving ones too.
+     *
+     * @return a copy
+     */
+    public List<Upstream> all() {
+        return directory.all();
+    }
+
     /**
      * Tells whether an upstream has announced that it leaves.
      *
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
@@ -17,6 +17,7 @@
 
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
 import io.trailladder.core.duty.LeaderElection;
+import io.trailladder.core.duty.StorePatience;
 import io.trailladder.core.duty.UsageLedger;
 import io.trailladder.core.engine.EngineModel;
 import io.trailladder.core.membership.GatewayMember;
@@ -51,8 +52,10 @@
 import java.io.UncheckedIOException;
 import java.time.Clock;
 import java.util.List;
+import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.function.BiFunction;
+import java.util.function.LongSupplier;
 import org.tinylog.Logger;
 
 /**
@@ -87,6 +90,9 @@
     private final UpstreamDirectory directory = new UpstreamDirectory();
     private final UpstreamLoads loads = new UpstreamLoads();
     private final EngineModel engines = new EngineModel();
+    private final Topology topology;
+    private final Optional<RegionMetrics> regionMetrics;
+    private final StorePatience storePatience = new StorePatience();
     private final StoreHealth storeHealth = new StoreHealth(metrics);
     private final PolicyKeeper policies;
     private final DirectoryKeeper directoryKeeper;
@@ -156,8 +162,12 @@
                         !settings.node().firstStart());
         view.add(clock);
         GatewayMember self = settings.self();
-        Topology topology = Topology.of(self.dataCentre(), settings.regions().byDataCentre());
-        mesh = new PeerMesh(loop, self, topology, incarnation, view);
+        topology = Topology.of(self.dataCentre(), settings.regions().byDataCentre());
+        regionMetrics =
+                topology.isOneRegion()
+                        ? Optional.empty()
+                        : Optional.of(new RegionMetrics(metrics.registry()));
+        mesh = new PeerMesh(loop, self, linksOf(), incarnation, view);
         mesh.seeds(settings.seeds().stream().map(HostPort::toString).toList());
         membership =
                 new Membership(
@@ -170,7 +180,7 @@
         LeaderElection election =
                 new LeaderElection(
                         settings.timing().leaseMillis(),
-                        ELECTION_PATIENCE_MILLIS + random.nextLong(ELECTION_SPREAD_MILLIS),
+                        patience(random.nextLong(ELECTION_SPREAD_MILLIS)),
                         2 * settings.timing().leaseMillis());
         duties =
                 new DutyRunner(
@@ -339,8 +349,28 @@
         DecisionLog.write(new Lifecycle("memory", "budget", budget + " bytes; " + told + fits));
     }
 
+    /**
+     * What hubs tell of roll-outs is not summed up by region, so that where these are ordered all
+     * hubs link to each other.
+     */
+    private Topology linksOf() {
+        boolean all = settings.rollouts().ordered() && !topology.isOneRegion();
+        if (all) {
+            DecisionLog.write(
+                    new Lifecycle("regions", "links as in one", "roll-outs are ordered here"));
+        }
+        return all ? Topology.oneRegion(topology.dataCentre()) : topology;
+    }
+
+    /** Where there are several regions, those near the store ask first. */
+    private LongSupplier patience(long spreadMillis) {
+        long own = ELECTION_PATIENCE_MILLIS + spreadMillis;
+        return topology.isOneRegion() ? () -> own : () -> own + storePatience.extraMillis();
+    }
+
     private CoordinationStore counted(PlatformAdapter platform, Purpose purpose) {
-        return new CountedStore(platform.store(), storeCalls, purpose);
+        return new CountedStore(
+                platform.store(), storeCalls, purpose, loop::nowMillis, storePatience::answered);
     }
 
     private StoreWatcher watcher(
@@ -434,6 +464,13 @@
     }
 
     private void tellState() {
+        regionMetrics.ifPresent(
+                figures ->
+                        figures.state(
+                                mesh::sentBytes,
+                                view.regions().ages(loop.nowMillis()),
+                                topology.otherRegions(),
+                                view.regions().isSpeaking()));
         memory.tellState();
         policies.policy()
                 .ifPresent(policy -> policy.services().forEach(spec -> tellUpstreams(spec.name())));
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RegionExchange.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RegionExchange.java
@@ -100,9 +100,19 @@
         return heard.values();
     }
 
-    /** Tells whether a peer is no process of the own region, and does not rely on this one. */
-    static boolean isElsewhere(RegionView view, Peer peer) {
-        return view.isElsewhere(peer.hello()) && !peer.isLeaf();
+    /**
+     * Tells whether a peer is no process of the own region, and neither relies on this one nor this
+     * one on it.
+     */
+    static boolean isElsewhere(Mesh mesh, RegionView view, Peer peer) {
+        return view.isElsewhere(peer.hello()) && !peer.isLeaf() && !mesh.isOwnHub(peer.hello());
+    }
+
+    /** Returns how old what each heard region told is, in milliseconds. */
+    Map<String, Long> ages(long nowMillis) {
+        Map<String, Long> ages = new HashMap<>();
+        heard.forEach((region, peer) -> ages.put(region, nowMillis - peer.digestMillis()));
+        return ages;
     }
 
     /** Tells whether this process tells the other regions of its own one. */
@@ -139,7 +149,7 @@
             long nowMillis) {
         List<Peer> elsewhere = new ArrayList<>();
         for (Peer peer : linked) {
-            if (isElsewhere(view, peer)) {
+            if (isElsewhere(mesh, view, peer)) {
                 elsewhere.add(peer);
             }
         }
@@ -205,7 +215,7 @@
             passOver(peer);
             return;
         }
-        take(peer, message.digest(), nowMillis);
+        take(view, region, peer, message.digest(), nowMillis);
         if (direct
                 && nowMillis - passedOnMillis.getOrDefault(region, -FRESH_MILLIS) >= FRESH_MILLIS) {
             mesh.send(names(hubs), message);
@@ -234,10 +244,13 @@
         return true;
     }
 
-    private void take(Peer peer, NodeDigest digest, long nowMillis) {
+    private void take(
+            RegionView view, String region, Peer peer, NodeDigest digest, long nowMillis) {
         digest.leaving().forEach(id -> directory.leavingSeenBy(id, peer.name()));
         digest.usage().forEach(news -> usage.mergeElsewhere(news.life(), news.usage()));
-        loads.peerUses(peer.name(), digest.uses());
+        loads.peerUses(
+                peer.name(),
+                RegionUse.spread(digest.uses(), region, directory.all(), view::regionOf));
         limits.toldByRegion(peer, digest.quotas(), nowMillis);
         parts.told(peer.name(), digest, nowMillis);
     }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/mesh/PeerMesh.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/mesh/PeerMesh.java
@@ -19,6 +19,7 @@
 import io.trailladder.core.membership.HubTopology;
 import io.trailladder.core.membership.LinkPlanner;
 import io.trailladder.core.membership.LinkPlanner.LinkPlan;
+import io.trailladder.core.topology.Distance;
 import io.trailladder.core.topology.Topology;
 import io.trailladder.entry.http.SocketFilter;
 import io.trailladder.entry.loop.EventLoop;
@@ -58,6 +59,8 @@
 
     private final EventLoop loop;
     private final NodeHello self;
+    private final Topology topology;
+    private final long[] sentBytes = new long[Distance.values().length];
     private final Optional<RegionView> regions;
     private final LinkPlanner planner;
     private final MeshListener listener;
@@ -87,6 +90,7 @@
         this.loop = loop;
         this.self = new NodeHello(self.name(), incarnation, self.dataCentre(), self.address());
         this.planner = new LinkPlanner(self, topology);
+        this.topology = topology;
         this.regions =
                 topology.isOneRegion()
                         ? Optional.empty()
@@ -135,6 +139,16 @@
         return planner.regionSize();
     }
 
+    /**
+     * Returns how many bytes of messages were sent to peers so far.
+     *
+     * @param distance how far they are
+     * @return bytes
+     */
+    public long sentBytes(Distance distance) {
+        return sentBytes[distance.ordinal()];
+    }
+
     @Override
     public Optional<RegionView> regions() {
         return regions;
@@ -197,7 +211,12 @@
         linked.retainAll(links.keySet());
         if (!linked.isEmpty()) {
             byte[] frame = PeerCodec.encode(message);
-            linked.forEach(peer -> links.get(peer).sendFrame(frame));
+            for (String peer : linked) {
+                NodeLink link = links.get(peer);
+                link.sendFrame(frame);
+                Distance distance = topology.distance(link.peer().dataCentre());
+                sentBytes[distance.ordinal()] += frame.length;
+            }
         }
         return linked;
     }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/mesh/RegionView.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/mesh/RegionView.java
@@ -68,7 +68,17 @@
      * @return the region's name
      */
     public String region(NodeHello peer) {
-        return topology.region(peer.dataCentre());
+        return regionOf(peer.dataCentre());
+    }
+
+    /**
+     * Returns a data centre's region.
+     *
+     * @param dataCentre the data centre
+     * @return the region's name
+     */
+    public String regionOf(String dataCentre) {
+        return topology.region(dataCentre);
     }
 
     /**
