--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/DecisionLog.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/DecisionLog.java
@@ -17,14 +17,17 @@
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
+import io.trailladder.core.rollout.AnswerCount;
+import io.trailladder.core.rollout.RouteEvidence;
 import io.trailladder.core.upstream.CostShare;
 import io.trailladder.entry.log.EarlyLines;
+import io.trailladder.entry.log.LineQueue;
+import io.trailladder.entry.log.LineTime;
 import java.io.IOException;
 import java.io.StringWriter;
+import java.time.Instant;
 import java.util.List;
 import java.util.Locale;
-import java.util.concurrent.TimeUnit;
-import org.tinylog.Logger;
 
 /**
  * Writes one structured line for each decision. The line's fields are those of the decision's
@@ -348,15 +351,73 @@
      * @param decision the decision
      */
     public static void write(Decision decision) {
-        Line line = new Line(decision, System.nanoTime());
+        Line line = new Line(decision, Instant.now());
         if (!EarlyLines.keep(line)) {
-            Logger.info("{}", line);
+            LineQueue.shared().add(line);
+        }
+    }
+
+    /**
+     * How a roll-out stands, as its leader sees it: at each change, and once a second.
+     *
+     * @param service the service
+     * @param version the version that it is to move to
+     * @param phase how far it has come
+     * @param recorded what the store records
+     * @param reason what led to the phase, or what it waits for
+     * @param leftMs time left until the deadline; -1 if it is not known
+     * @param bound part of the requests that the version may get before it
+     * @param routes what all processes have seen, by route
+     */
+    public record RolloutStep(
+            String service,
+            String version,
+            String phase,
+            String recorded,
+            String reason,
+            long leftMs,
+            double bound,
+            List<RouteEvidence> routes)
+            implements Decision {
+        /** Copies the evidence. */
+        public RolloutStep {
+            routes = List.copyOf(routes);
+        }
+
+        @Override
+        public void write(JsonGenerator json) throws IOException {
+            json.writeStringField("service", service);
+            json.writeStringField("version", version);
+            json.writeStringField("phase", phase);
+            json.writeStringField("recorded", recorded);
+            json.writeStringField("reason", reason);
+            json.writeNumberField("leftMs", leftMs);
+            json.writeNumberField("bound", bound);
+            json.writeArrayFieldStart("routes");
+            for (RouteEvidence route : routes) {
+                json.writeStartObject();
+                json.writeStringField("route", route.route());
+                write(json, "old", route.old());
+                write(json, "new", route.target());
+                json.writeEndObject();
+            }
+            json.writeEndArray();
+        }
+
+        private static void write(JsonGenerator json, String name, AnswerCount count)
+                throws IOException {
+            json.writeObjectFieldStart(name);
+            json.writeNumberField("answers", count.answers());
+            json.writeNumberField("bad", count.bad());
+            json.writeNumberField("slow", count.slow());
+            json.writeEndObject();
         }
     }
 
     /** Turns a decision into text when the line is written, and tells if that is much later. */
-    private record Line(Decision decision, long madeNanos) {
-        private static final long TOLD_FROM_MILLIS = 50;
+    private record Line(Decision decision, Instant made) {
+        /** Several times what the writing thread pauses, in milliseconds. */
+        private static final long TOLD_FROM_MILLIS = 500;
 
         @Override
         public String toString() {
@@ -364,15 +425,21 @@
             StringWriter text = new StringWriter();
             try (JsonGenerator json = JSON.createGenerator(text)) {
                 json.writeStartObject();
+                json.writeStringField("time", LineTime.text(made));
+                json.writeStringField("level", "INFO");
+                json.writeObjectFieldStart("decision");
                 json.writeStringField("kind", kind);
                 decision.write(json);
-                long held = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - madeNanos);
+                long held = System.currentTimeMillis() - made.toEpochMilli();
                 if (held >= TOLD_FROM_MILLIS) {
                     json.writeNumberField("heldMs", held);
                 }
                 json.writeEndObject();
+                json.writeEndObject();
             } catch (IOException e) {
-                return "{\"kind\":\"" + kind + "\",\"fault\":\"not writable\"}";
+                return "{\"level\":\"WARN\",\"message\":\"a line could not be written: "
+                        + kind
+                        + "\"}";
             }
             return text.toString();
         }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/GatewayMetrics.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/GatewayMetrics.java
@@ -20,12 +20,16 @@
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import io.trailladder.core.engine.EngineEstimate;
+import io.trailladder.core.rollout.AnswerSort;
 import java.util.Locale;
 
 /**
  * The figures of a gateway process. Label values come from the policy and from enums, so callers
  * cannot add series.
  *
+ * <p>Samples of single requests (exemplars) are off: nobody reads them, and they have a thread of
+ * their own that wakes some five times a second.
+ *
  * @since 0.2
  */
 public final class GatewayMetrics {
@@ -37,24 +41,34 @@
     private final PrometheusRegistry registry = new PrometheusRegistry();
     private final Counter requests =
             Counter.builder()
+                    .withoutExemplars()
                     .name("trailladder_requests_total")
                     .help("Requests by organisation, service and outcome")
                     .labelNames("organisation", "service", "outcome")
                     .register(registry);
     private final Counter attempts =
             Counter.builder()
+                    .withoutExemplars()
                     .name("trailladder_attempts_total")
                     .help("Attempts at upstreams by service and result")
                     .labelNames("service", "result")
                     .register(registry);
+    private final Counter versionAnswers =
+            Counter.builder()
+                    .name("trailladder_rollout_answers_total")
+                    .help("Answers of both versions during roll-outs by what they say of theirs")
+                    .labelNames("service", "version", "result")
+                    .register(registry);
     private final Counter events =
             Counter.builder()
+                    .withoutExemplars()
                     .name("trailladder_events_total")
                     .help("Events inside the process")
                     .labelNames("event")
                     .register(registry);
     private final Counter storeCalls =
             Counter.builder()
+                    .withoutExemplars()
                     .name("trailladder_store_calls_total")
                     .help("Calls to the platform's store by purpose and kind")
                     .labelNames("purpose", "kind")
@@ -145,6 +159,17 @@
         attempts.labelValues(service, result).inc();
     }
 
+    /**
+     * Counts an answer during a roll-out.
+     *
+     * @param service the service
+     * @param version the version of the upstream that gave it
+     * @param sort what it says of the version
+     */
+    public void versionAnswered(String service, String version, AnswerSort sort) {
+        versionAnswers.labelValues(service, version, sort.name().toLowerCase(Locale.ROOT)).inc();
+    }
+
     /**
      * Counts an event.
      *
@@ -209,15 +234,21 @@
     }
 
     private Gauge serviceGauge(String name, String help) {
-        return Gauge.builder().name(name).help(help).labelNames("service").register(registry);
+        return Gauge.builder()
+                .withoutExemplars()
+                .name(name)
+                .help(help)
+                .labelNames("service")
+                .register(registry);
     }
 
     private Gauge gauge(String name, String help) {
-        return Gauge.builder().name(name).help(help).register(registry);
+        return Gauge.builder().withoutExemplars().name(name).help(help).register(registry);
     }
 
     private Histogram histogram(String name, String help) {
         return Histogram.builder()
+                .withoutExemplars()
                 .name(name)
                 .help(help)
                 .labelNames("organisation", "service")
