--- a/trailladder-entry/src/main/java/io/trailladder/entry/mesh/PeerMesh.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/mesh/PeerMesh.java
@@ -31,6 +31,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.Collection;
+import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -60,7 +61,7 @@
     private final EventLoop loop;
     private final NodeHello self;
     private final Topology topology;
-    private final long[] sentBytes = new long[Distance.values().length];
+    private final Map<Distance, Long> sentBytes = new EnumMap<>(Distance.class);
     private final Optional<RegionView> regions;
     private final LinkPlanner planner;
     private final MeshListener listener;
@@ -146,7 +147,7 @@
      * @return bytes
      */
     public long sentBytes(Distance distance) {
-        return sentBytes[distance.ordinal()];
+        return sentBytes.getOrDefault(distance, 0L);
     }
 
     @Override
@@ -215,7 +216,7 @@
                 NodeLink link = links.get(peer);
                 link.sendFrame(frame);
                 Distance distance = topology.distance(link.peer().dataCentre());
-                sentBytes[distance.ordinal()] += frame.length;
+                sentBytes.merge(distance, (long) frame.length, Long::sum);
             }
         }
         return linked;
