--- a/trailladder-entry/src/main/java/io/trailladder/entry/mesh/PeerMesh.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/mesh/PeerMesh.java
@@ -19,6 +19,7 @@
 import io.trailladder.core.membership.HubTopology;
 import io.trailladder.core.membership.LinkPlanner;
 import io.trailladder.core.membership.LinkPlanner.LinkPlan;
+import io.trailladder.core.topology.Distance;
 import io.trailladder.core.topology.Topology;
 import io.trailladder.entry.http.SocketFilter;
 import io.trailladder.entry.loop.EventLoop;
@@ -30,6 +31,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.Collection;
+import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -58,6 +60,8 @@
 
     private final EventLoop loop;
     private final NodeHello self;
+    private final Topology topology;
+    private final Map<Distance, Long> sentBytes = new EnumMap<>(Distance.class);
     private final Optional<RegionView> regions;
     private final LinkPlanner planner;
     private final MeshListener listener;
@@ -88,6 +92,7 @@
         this.loop = loop;
         this.self = new NodeHello(self.name(), incarnation, self.dataCentre(), self.address());
         this.planner = new LinkPlanner(self, topology);
+        this.topology = topology;
         this.regions =
                 topology.isOneRegion()
                         ? Optional.empty()
@@ -140,6 +145,16 @@
         return planner.regionSize();
     }
 
+    /**
+     * Returns how many bytes of messages were sent to peers so far.
+     *
+     * @param distance how far they are
+     * @return bytes
+     */
+    public long sentBytes(Distance distance) {
+        return sentBytes.getOrDefault(distance, 0L);
+    }
+
     @Override
     public Optional<RegionView> regions() {
         return regions;
@@ -202,7 +217,12 @@
         linked.retainAll(links.keySet());
         if (!linked.isEmpty()) {
             byte[] frame = PeerCodec.encode(message);
-            linked.forEach(peer -> links.get(peer).sendFrame(frame));
+            for (String peer : linked) {
+                NodeLink link = links.get(peer);
+                link.sendFrame(frame);
+                Distance distance = topology.distance(link.peer().dataCentre());
+                sentBytes.merge(distance, (long) frame.length, Long::sum);
+            }
         }
         return linked;
     }
