Keep a service whose old version is gone

Cause: a process that was cut off over a completion had nobody to send to once the old version was no longer listed, and an order of the past without a record could have its version rolled back where it serves alone. Change: after the deadline what is left serves; an order of unknown age is left alone while only its version serves.

--- a/trailladder-core/src/main/java/io/trailladder/core/rollout/Rollout.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/rollout/Rollout.java
@@ -178,8 +178,12 @@
     public List<Upstream> admitted(List<Upstream> serving, boolean first, long nowMillis) {
         noteOld(serving);
         return switch (phase) {
-            case SAMPLING -> first && maySample(nowMillis) ? sampleOrOld(serving) : old(serving);
-            case SWITCHING -> mayMove(nowMillis) ? targetOrOld(serving) : old(serving);
+            case SAMPLING ->
+                    first && maySample(nowMillis)
+                            ? sampleOrOld(serving)
+                            : oldOrLeft(serving, nowMillis);
+            case SWITCHING ->
+                    mayMove(nowMillis) ? targetOrOld(serving) : oldOrLeft(serving, nowMillis);
             case COMPLETED -> completed(serving, nowMillis);
             case HALTED, ROLLED_BACK -> old(serving);
         };
@@ -251,6 +255,15 @@
         return serving.stream().filter(this::isTarget).toList();
     }
 
+    /**
+     * The old version. A process that was cut off and hears of no result serves with what is left
+     * once the deadline has passed and the old version is gone.
+     */
+    private List<Upstream> oldOrLeft(List<Upstream> serving, long nowMillis) {
+        List<Upstream> old = old(serving);
+        return old.isEmpty() && nowMillis > deadlineMillis ? serving : old;
+    }
+
     /** All but the new version, unless no other ever served beside it. */
     private List<Upstream> old(List<Upstream> serving) {
         if (oldVersions.isEmpty() && phase != RolloutPhase.ROLLED_BACK) {
--- a/trailladder-core/src/main/java/io/trailladder/core/rollout/RolloutLead.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/rollout/RolloutLead.java
@@ -114,6 +114,10 @@
         if (bad || rollout.phase() == RolloutPhase.HALTED) {
             return halt(bad ? judgement.reason() : "found bad by a process");
         }
+        if (!rollout.isDeadlineKnown() && fleet.old() == 0 && fleet.target() > 0) {
+            return keep(
+                    RolloutPhase.SAMPLING, "only the new version serves, since a time not known");
+        }
         if (!rollout.isDeadlineKnown()) {
             return nowMillis - rollout.begunMillis() < TOLD_MILLIS
                     ? keep(RolloutPhase.SAMPLING, "waiting for a process that knows the deadline")
--- a/trailladder-core/src/test/java/io/trailladder/core/rollout/RolloutLeadTest.java
+++ b/trailladder-core/src/test/java/io/trailladder/core/rollout/RolloutLeadTest.java
@@ -89,6 +89,16 @@
         assertEquals(Optional.of(State.ROLLED_BACK), step(rollout, GOOD, 2_000).record());
     }
 
+    /** An order of the past whose version serves alone must not take the service away. */
+    @Example
+    void versionThatServesAloneIsLeftAlone() {
+        Rollout rollout = Rollout.ofUnknownAge(ORDER, new ExposureLedger(0.1, 0), 0);
+        Fleet alone = new Fleet(0, 12, 0);
+        Step step = new RolloutLead(rollout).next(GOOD, MOVING, alone, 60_000);
+        assertEquals(Optional.empty(), step.record());
+        assertEquals(RolloutPhase.SAMPLING, step.phase());
+    }
+
     /** A process that starts anew takes the deadline from one that goes on. */
     @Example
     void deadlineThatAPeerKnowsHolds() {
--- a/trailladder-core/src/test/java/io/trailladder/core/rollout/RolloutTest.java
+++ b/trailladder-core/src/test/java/io/trailladder/core/rollout/RolloutTest.java
@@ -153,6 +153,14 @@
         assertEquals(List.of(OLD), moving.admitted(BOTH, true, 0));
     }
 
+    @Example
+    void processThatWasCutOffServesWithWhatIsLeftAfterTheDeadline() {
+        rollout.admitted(BOTH, true, 100);
+        assertEquals(List.of(), rollout.admitted(List.of(NEW), true, 11_900));
+        assertEquals(List.of(NEW), rollout.admitted(List.of(NEW), true, 12_100));
+        assertEquals(List.of(OLD), rollout.admitted(BOTH, true, 12_100));
+    }
+
     @Example
     void requestsThatNeverLeaveEarnNoSamples() {
         ExposureLedger ledger = new ExposureLedger(0.1, 0.5);
