Test the loss of all processes during a roll-out

Cause: that nothing is completed once nobody knows the deadline was tested on the leader alone. Change: a play in which all processes start anew at the same moment; in plays, what is on its way to a life that ends no longer reaches the next one, which had told new lives the deadline.

--- a/trailladder-core/src/test/java/io/trailladder/core/rollout/RolloutProperties.java
+++ b/trailladder-core/src/test/java/io/trailladder/core/rollout/RolloutProperties.java
@@ -192,6 +192,21 @@
         }
     }
 
+    /** Nobody knows the deadline any more, so nothing is completed; each life keeps its part. */
+    @Example
+    void lossOfAllProcessesCompletesNothingAndKeepsTheBounds() {
+        for (int second = 1; second < 12; second++) {
+            for (Version version : List.of(Version.GOOD, Version.failing(0.3))) {
+                SimulatedRollout played =
+                        new SimulatedRollout(version, Faults.NONE, 60, DURATION_MILLIS, second)
+                                .losingAllAt(second * 1_000)
+                                .play(250);
+                assertExposureKept(played);
+                assertEquals(State.ROLLED_BACK, played.state(), "second " + second);
+            }
+        }
+    }
+
     @Example
     void lossOfTheLeaderDelaysButKeepsTheBounds() {
         for (int second = 1; second < 11; second++) {
--- a/trailladder-core/src/test/java/io/trailladder/core/rollout/SimulatedRollout.java
+++ b/trailladder-core/src/test/java/io/trailladder/core/rollout/SimulatedRollout.java
@@ -115,6 +115,14 @@
             now = 0;
         }
 
+        /** Starts anew with what lies in the store, when no peer can tell more. */
+        void restartAlone() {
+            rollout = Rollout.ofUnknownAge(order, ExposureLedger.of(SHARE, SLACK, random), now);
+            rollout.recorded(status, now);
+            told.clear();
+            lead = null;
+        }
+
         void restart() {
             rollout = newView();
             rollout.heard(
@@ -158,6 +166,7 @@
     private long manyBadMillis = -1;
     private long lastExposedMillis = -1;
     private long finalMillis = -1;
+    private int allLostMillis = -1;
     private int held;
     private int cut;
 
@@ -231,7 +240,17 @@
         return manyBadMillis < 0 ? 0 : Math.max(0, lastExposedMillis - manyBadMillis);
     }
 
+    /** Has all processes start anew at the same moment. */
+    SimulatedRollout losingAllAt(int millis) {
+        allLostMillis = millis;
+        return this;
+    }
+
     private void strike() {
+        if (now == allLostMillis) {
+            processes.forEach(Member::restartAlone);
+            leaderFromMillis = (int) now + 4_000;
+        }
         if (now == faults.leaderLostMillis()) {
             processes.get(leader).restart();
             leader = (leader + 1) % processes.size();
@@ -330,20 +349,21 @@
                 continue;
             }
             int from = i;
+            // what is on its way to a life that ends does not reach the next one
             Rollout told = process.rollout;
+            Rollout teller = leading.rollout;
             RolloutNews up = told.news(told.evidence(), now);
-            RolloutNews down = leading.rollout.news(List.of(), now);
+            RolloutNews down = teller.news(List.of(), now);
             due.add(
                     new Due(
                             now + 20 + random.nextInt(230),
                             () -> {
-                                leading.rollout.heard(up, now);
-                                leading.told.put(from, up.evidence());
+                                if (leading.rollout.equals(teller)) {
+                                    teller.heard(up, now);
+                                    leading.told.put(from, up.evidence());
+                                }
                             }));
-            due.add(
-                    new Due(
-                            now + 20 + random.nextInt(230),
-                            () -> process.rollout.heard(down, now)));
+            due.add(new Due(now + 20 + random.nextInt(230), () -> told.heard(down, now)));
         }
     }
 
