Charge an open request with what it was measured to hold; leave read answers alone

Cause: an open request was charged with 4 KB beside its body, a guess; a cut that was decided just before its answer was read whole would have closed the connection under the next request. Change: 20 KB, as measured; a cut touches only the answer that its connection is sending. Refusals of half-read bodies are counted. Figures: live heap of a gateway process 2.9 MB before and 12.9 MB with 500 requests that their upstream does not answer.

--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/MemoryKeeper.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/MemoryKeeper.java
@@ -122,6 +122,11 @@
         return room;
     }
 
+    /** Counts a request that was refused while its body was read. */
+    public void refusedWhileRead() {
+        metrics.refused();
+    }
+
     /**
      * Returns how much of one answer may be held back before it is passed on as it comes.
      *
@@ -157,7 +162,7 @@
         }
         boolean stalled = exchange.unreadMillis(nowMillis.getAsLong()) >= STALLED_MILLIS;
         if (stalled || account.level() != MemoryLevel.CALM) {
-            later.accept(() -> cut(exchange, CutReason.OVER_BOUND));
+            later.accept(() -> cutIfHeld(exchange));
         }
     }
 
@@ -188,6 +193,13 @@
         exchange.cut();
     }
 
+    /** Between the decision and now its caller may have read all of it. */
+    private void cutIfHeld(ServerExchange exchange) {
+        if (exchange.unreadBytes() > 0 && !exchange.isCut()) {
+            cut(exchange, CutReason.OVER_BOUND);
+        }
+    }
+
     private void makeRoom() {
         List<ServerExchange> held = unread.get();
         List<WaitingAnswer> waiting = new ArrayList<>(held.size());
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestIntake.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestIntake.java
@@ -125,9 +125,12 @@
 
     @Override
     public void refuse(ServerExchange exchange, int status) {
-        long retryAfter = status == UNAVAILABLE ? FULL_RETRY_MILLIS : 0;
-        String reason = status == UNAVAILABLE ? NO_ROOM : "cannot be read";
-        refuse(exchange, "", status, retryAfter, reason);
+        if (status == UNAVAILABLE) {
+            context.memory().refusedWhileRead();
+            refuse(exchange, "", status, FULL_RETRY_MILLIS, NO_ROOM);
+        } else {
+            refuse(exchange, "", status, 0, "cannot be read");
+        }
     }
 
     /**
--- a/trailladder-entry/src/main/java/io/trailladder/entry/http/RequestHandler.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/http/RequestHandler.java
@@ -43,7 +43,7 @@
      * Answers a request that cannot be read whole.
      *
      * @param exchange the request without its body
-     * @param status HTTP status: 400, 408 or 413
+     * @param status HTTP status: 400, 408, 413, or 503 if there is no room for the rest of it
      */
     default void refuse(ServerExchange exchange, int status) {
         exchange.respond(status, HeaderList.EMPTY, new byte[0]);
--- a/trailladder-entry/src/main/java/io/trailladder/entry/http/ServerConnection.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/http/ServerConnection.java
@@ -235,6 +235,10 @@
         }
     }
 
+    boolean isAnswering(ServerExchange exchange) {
+        return exchange == current;
+    }
+
     /** Returns the request whose answer is not yet all read; null if there is none. */
     ServerExchange current() {
         return current;
--- a/trailladder-entry/src/main/java/io/trailladder/entry/http/ServerExchange.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/http/ServerExchange.java
@@ -24,8 +24,12 @@
  * @since 0.2
  */
 public final class ServerExchange {
-    /** What a request holds beside its body: its head, and the objects that carry it through. */
-    static final int REQUEST_BYTES = 4 * 1024;
+    /**
+     * What a request holds beside its body: its head, the connections to caller and upstream, and
+     * the objects that carry it through. The live heap of a gateway grew by 20 KB for each of 500
+     * requests that their upstream did not answer.
+     */
+    static final int REQUEST_BYTES = 20 * 1024;
 
     private static final byte[] NO_BYTES = {};
 
@@ -242,9 +246,13 @@
     /**
      * Ends an answer that is not read. Its connection is closed, so that it does not look whole; of
      * a stream that can be resumed the whole events that are under way still go first, unless it is
-     * cut again. Who sends the answer is told at once that the caller is gone.
+     * cut again. Who sends the answer is told at once that the caller is gone. An answer that was
+     * read whole meanwhile is not touched, nor is the next one of its connection.
      */
     public void cut() {
+        if (!owner.isAnswering(this)) {
+            return;
+        }
         boolean again = cut;
         cut = true;
         if (writer == null || again || !answerOwner.resumable()) {
--- a/trailladder-entry/src/test/java/io/trailladder/entry/http/SlowCallerTest.java
+++ b/trailladder-entry/src/test/java/io/trailladder/entry/http/SlowCallerTest.java
@@ -161,6 +161,20 @@
         }
     }
 
+    @Example
+    void cutThatComesAfterTheAnswerWasReadLeavesTheNextOneAlone() throws Exception {
+        try (Socket caller = caller("")) {
+            ServerExchange first = next();
+            onLoop(() -> respond(first, 1));
+            caller.getOutputStream().write(request("Connection: close\r\n"));
+            ServerExchange second = next();
+            onLoop(() -> cut(first));
+            onLoop(() -> respond(second, LARGE));
+            assertTrue(caller.getInputStream().readAllBytes().length > LARGE);
+        }
+        awaitEmptyAccount();
+    }
+
     @Example
     void answerThatBreaksOffStillBringsWhatWasWrittenBefore() throws Exception {
         try (Socket caller = caller("")) {
