Let the loop not wake itself, make its thread without a concatenation, train a leaf

Cause: a task that the loop posts to itself, once a call that ends, woke it by two system calls; Grizzly's thread factory links a concatenation (11 of 92 samples of linking); the training listed no processes, so that what hubs and leaves do with each other was in no archive. Change: execute wakes the loop from other threads only; the loop's thread, now event-loop, is made here; the training's store lists fourteen processes, so that one trained process is a hub and one its leaf.

--- a/trailladder-cli/src/main/java/io/trailladder/cli/ClassDataTraining.java
+++ b/trailladder-cli/src/main/java/io/trailladder/cli/ClassDataTraining.java
@@ -15,6 +15,8 @@
  */
 package io.trailladder.cli;
 
+import io.trailladder.core.membership.HubTopology;
+import io.trailladder.entry.gateway.Membership;
 import io.trailladder.entry.http.CallFailure;
 import io.trailladder.entry.http.CallListener;
 import io.trailladder.entry.http.HeaderField;
@@ -33,10 +35,13 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.Base64;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 
 /**
  * Runs two linked gateways for a moment against a canned platform on the loopback interface, one of
@@ -64,11 +69,23 @@
     private static final int MAX_BODY_BYTES = 1 << 20;
     private static final byte[] NO_BYTES = {};
 
+    /** Links of the trained processes, and of one between them that ranks as a hub, in Mbit/s. */
+    private static final int STRONG_MBPS = 1_000;
+
+    private static final int MIDDLE_MBPS = 700;
+    private static final int WEAK_MBPS = 500;
+
+    /** A process's entry inside a write. */
+    private static final Pattern MEMBER =
+            Pattern.compile(
+                    "\"private_key\":\"(" + Membership.PREFIX + "[^\"]*)\",\"value\":\"([^\"]*)\"");
+
     private final EventLoop loop = new EventLoop();
     private final HttpConnector connector = new HttpConnector(loop);
     private final CountDownLatch stopped = new CountDownLatch(PROCESSES);
     private HostPort platform;
     private HostPort seed;
+    private final List<String> members = new ArrayList<>();
     private int answers;
 
     private ClassDataTraining() {}
@@ -86,11 +103,14 @@
 
     private int train() throws IOException, InterruptedException {
         platform = freePort();
+        addUnreachable();
         ServerBounds bounds = new ServerBounds(MAX_BODY_BYTES, MOST_MILLIS, MOST_MILLIS);
         new HttpServer(loop, bounds, this::answer).start(platform);
         loop.start();
         List<TrainedProcess> processes =
-                List.of(new TrainedProcess("one"), new TrainedProcess("two"));
+                List.of(
+                        new TrainedProcess("one", STRONG_MBPS),
+                        new TrainedProcess("two", WEAK_MBPS));
         for (TrainedProcess process : processes) {
             process.start();
         }
@@ -118,13 +138,13 @@
         private final ReadyAnswer ready = new ReadyAnswer();
         private final GatewayProcess gateway;
 
-        TrainedProcess(String name) throws IOException {
+        TrainedProcess(String name, int linkMbps) throws IOException {
             Path file = Files.createTempFile("training", ".json");
             file.toFile().deleteOnExit();
             if (seed == null) {
                 seed = peers;
             }
-            Files.writeString(file, settings(name));
+            Files.writeString(file, settings(name, linkMbps));
             gateway = new GatewayProcess(file);
         }
 
@@ -154,17 +174,19 @@
             }
         }
 
-        private String settings(String name) {
+        private String settings(String name, int linkMbps) {
             return """
             {"node":{"name":"%s","data_centre":"zone","first_start":true},
-             "capacity":{"core_share":1,"core_speed":1,"link_mbps":1000},
+             "capacity":{"core_share":1,"core_speed":1,"link_mbps":%d},
              "listen":{"callers":"%s","health":"%s","peers":"%s","metrics":"%s"},
              "seeds":["%s"],"store":"%s","cloud":"%s",
              "retries":{"ratio":0.1,"allowance":1,"window_s":6},
              "tolerance":{"ratio":0,"units":0},
              "timing":{"grace_s":6,"lease_ms":3000,"usage_window_s":1}}
             """
-                    .formatted(name, callers, health, peers, metrics, seed, platform, platform);
+                    .formatted(
+                            name, linkMbps, callers, health, peers, metrics, seed, platform,
+                            platform);
         }
     }
 
@@ -188,10 +210,15 @@
 
     private void answer(ServerExchange exchange) {
         String path = exchange.uri();
+        if (path.contains("kv-txn")) {
+            keep(exchange.body());
+        }
         if (path.contains("kv-watch")) {
             loop.schedule(MOST_MILLIS, () -> respond(exchange, "{\"events\":[],\"at\":2}"));
         } else if (path.contains("op%2Fconfig")) {
             respond(exchange, listing("op/config", policy()));
+        } else if (path.contains("live%2Fnode")) {
+            respond(exchange, "{\"entries\":[" + String.join(",", members) + "],\"at\":2}");
         } else if (path.contains("servers%2F")) {
             respond(exchange, listing("servers/one", upstream()));
         } else if (path.startsWith("/v1/") || path.equals("/usage") || path.equals("/scale")) {
@@ -203,6 +230,25 @@
         }
     }
 
+    /** Keeps the entry of a process, to be listed; others are not read. */
+    private void keep(byte[] body) {
+        Matcher put = MEMBER.matcher(new String(body, StandardCharsets.UTF_8));
+        if (put.find()) {
+            members.add(entry(put.group(1), put.group(2)));
+        }
+    }
+
+    /** Lists processes that cannot be reached, so many that one trained process acts as a leaf. */
+    private void addUnreachable() {
+        for (int i = 0; i < HubTopology.FULL_MESH_MOST; i++) {
+            String name = "none-" + i;
+            String value =
+                    "{\"name\":\"%s\",\"dataCentre\":\"zone\",\"address\":\"%s:1\",\"linkMbps\":%d,\"cores\":1}"
+                            .formatted(name, LOOPBACK, i == 0 ? MIDDLE_MBPS : 1);
+            members.add(entry(Membership.PREFIX + name, encoded(value)));
+        }
+    }
+
     /** Answers as an upstream, in pieces; some requests meet faults. */
     private void serve(ServerExchange exchange) {
         answers++;
@@ -227,11 +273,18 @@
     }
 
     private static String listing(String key, String value) {
-        String encoded = Base64.getEncoder().encodeToString(value.getBytes(StandardCharsets.UTF_8));
-        return "{\"entries\":[{\"private_key\":\"%s\",\"value\":\"%s\",\"revision\":1,\"made\":1}],\"at\":2}"
+        return "{\"entries\":[" + entry(key, encoded(value)) + "],\"at\":2}";
+    }
+
+    private static String entry(String key, String encoded) {
+        return "{\"private_key\":\"%s\",\"value\":\"%s\",\"revision\":1,\"made\":1}"
                 .formatted(key, encoded);
     }
 
+    private static String encoded(String value) {
+        return Base64.getEncoder().encodeToString(value.getBytes(StandardCharsets.UTF_8));
+    }
+
     private static String policy() {
         return """
         {"version":1,
--- a/trailladder-entry/src/main/java/io/trailladder/entry/loop/EventLoop.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/loop/EventLoop.java
@@ -24,12 +24,18 @@
 import java.util.function.Consumer;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.EmptyCompletionHandler;
+import org.glassfish.grizzly.Grizzly;
 import org.glassfish.grizzly.filterchain.FilterChain;
+import org.glassfish.grizzly.memory.MemoryManager;
+import org.glassfish.grizzly.memory.ThreadLocalPool;
+import org.glassfish.grizzly.memory.ThreadLocalPoolProvider;
 import org.glassfish.grizzly.nio.transport.TCPNIOBindingHandler;
 import org.glassfish.grizzly.nio.transport.TCPNIOConnectorHandler;
 import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
 import org.glassfish.grizzly.nio.transport.TCPNIOTransportBuilder;
 import org.glassfish.grizzly.strategies.SameThreadIOStrategy;
+import org.glassfish.grizzly.threadpool.DefaultWorkerThread;
+import org.glassfish.grizzly.threadpool.ThreadPoolConfig;
 import org.tinylog.Logger;
 
 /**
@@ -53,6 +59,7 @@
     private final TimerQueue timers = new TimerQueue();
     private final Queue<Runnable> posted = new ConcurrentLinkedQueue<>();
     private volatile Selector selector;
+    private volatile Thread thread;
 
     /** When the beats are, so that processes of one machine do not all wake at once. */
     private final long beatOffsetNanos = System.nanoTime();
@@ -68,6 +75,28 @@
                         .setReuseAddress(true)
                         .setServerConnectionBackLog(BACKLOG)
                         .build();
+        transport.setKernelThreadPoolConfig(
+                ThreadPoolConfig.defaultConfig()
+                        .setCorePoolSize(1)
+                        .setMaxPoolSize(1)
+                        .setThreadFactory(this::newThread));
+    }
+
+    /**
+     * Makes the loop's thread as Grizzly does, with a name that is not put together: Grizzly's way
+     * links a concatenation, which takes a start some 10 ms of processor time.
+     */
+    private Thread newThread(Runnable task) {
+        MemoryManager<?> memory = transport.getMemoryManager();
+        ThreadLocalPool<?> pool =
+                memory instanceof ThreadLocalPoolProvider provider
+                        ? provider.createThreadLocalPool()
+                        : null;
+        Thread made =
+                new DefaultWorkerThread(
+                        Grizzly.DEFAULT_ATTRIBUTE_BUILDER, "event-loop", pool, task);
+        made.setDaemon(transport.getKernelThreadPoolConfig().isDaemon());
+        return made;
     }
 
     /**
@@ -180,7 +209,8 @@
     public void execute(Runnable task) {
         posted.add(task);
         Selector open = selector;
-        if (open != null) {
+        // the loop itself looks for tasks before it sleeps; waking it would cost two system calls
+        if (open != null && Thread.currentThread() != thread) {
             open.wakeup();
         }
     }
@@ -191,6 +221,7 @@
     }
 
     void runTasks(Selector current) {
+        thread = Thread.currentThread();
         selector = current;
         for (Runnable task = posted.poll(); task != null; task = posted.poll()) {
             run(task);
