Complete a good version late if its leader was lost over the deadline

Change: past a known deadline the evidence decides as before it; until there is a record, nothing more goes to the new version then, since RolloutModelTest showed a leader that was cut off and had not heard of a roll-back. Conclusion: traced, not rerun.

--- a/trailladder-core/src/main/java/io/trailladder/core/rollout/Rollout.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/rollout/Rollout.java
@@ -201,11 +201,18 @@
     }
 
     private boolean maySample(long nowMillis) {
-        return isHeard(nowMillis) && ledger.maySample();
+        return mayTry(nowMillis) && ledger.maySample();
     }
 
     private boolean mayMove(long nowMillis) {
-        return isHeard(nowMillis) && ledger.mayExpose();
+        return mayTry(nowMillis) && ledger.mayExpose();
+    }
+
+    /**
+     * After the deadline only a record brings the new version more: there may be one unheard of.
+     */
+    private boolean mayTry(long nowMillis) {
+        return isHeard(nowMillis) && nowMillis < deadlineMillis;
     }
 
     /** The old version has stopped; what the rest of the part does not pay for has to wait. */
--- a/trailladder-core/src/main/java/io/trailladder/core/rollout/RolloutLead.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/rollout/RolloutLead.java
@@ -32,6 +32,9 @@
  * that pays, and the result is recorded just before the deadline. So a version that was taken for
  * good wrongly gets no more than the bound either.
  *
+ * <p>A good version whose record could not be written in time is completed late: after the deadline
+ * nothing is spent, and the order is carried out.
+ *
  * @since 0.4
  */
 public final class RolloutLead {
@@ -123,9 +126,6 @@
                     ? keep(RolloutPhase.SAMPLING, "waiting for a process that knows the deadline")
                     : halt("no process knows when the order was written");
         }
-        if (left <= 0) {
-            return halt("the order's time is over");
-        }
         if (left > Math.max(GIVE_UP_MILLIS, movingMillis())) {
             return keep(RolloutPhase.SAMPLING, judgement.reason());
         }
