--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ClusterView.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ClusterView.java
@@ -28,7 +28,6 @@
 import io.trailladder.entry.gateway.DigestWriter.SenderState;
 import io.trailladder.entry.mesh.Mesh;
 import io.trailladder.entry.mesh.MeshListener;
-import io.trailladder.entry.mesh.PeerMesh;
 import io.trailladder.entry.mesh.RegionView;
 import io.trailladder.wire.NodeMessage;
 import io.trailladder.wire.NodeMessage.NodeDigest;
@@ -41,7 +40,6 @@
 import io.trailladder.wire.NodeMessage.UsageHistory;
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -64,12 +62,6 @@
 
     private static final long FED_MILLIS = 800;
 
-    /**
-     * How old figures may be for their processes to share limits with this one, in milliseconds:
-     * three digests. Until then both sides of a cut use whole limits.
-     */
-    private static final long FRESH_MILLIS = 600;
-
     private static final int RECENT_LEAVING = 32;
 
     /**
@@ -78,12 +70,6 @@
      */
     private static final long LEAVING_MILLIS = 50;
 
-    /**
-     * Leaves of each hub that keep the usage of all, beside the hubs: with 12 hubs of 80 processes,
-     * 36 keep it, and six that outlive all others hold it in 98 of 100 cases (counted out).
-     */
-    private static final int KEEPERS = 2;
-
     private final LongSupplier nowMillis;
     private final PolicyKeeper policies;
     private final DirectoryKeeper directory;
@@ -97,7 +83,7 @@
     private final SnapshotExchange snapshots;
     private final RegionExchange regions;
     private final List<String> recentLeaving = new ArrayList<>();
-    private final Map<String, Peer> peers = new HashMap<>();
+    private final LinkedPeers peers;
     private Optional<RolloutExchange> rollouts = Optional.empty();
     private BooleanSupplier leads = () -> false;
     private Mesh mesh;
@@ -145,6 +131,7 @@
                 new DigestWriter(policies, directory, quotas, loads, usage, demand, engines, parts);
         this.snapshots = new SnapshotExchange(nowMillis, policies, directory, store, metrics);
         this.regions = new RegionExchange(directory, limits, loads, usage, parts, writer);
+        this.peers = new LinkedPeers(nowMillis, regions);
         directory.onLeaving(upstream -> remember(upstream.id()));
         directory.onNews(this::passOn);
     }
@@ -157,6 +144,7 @@
      */
     public void start(Mesh links, BooleanSupplier leading) {
         mesh = links;
+        peers.linkedBy(links);
         leads = leading;
         policies.onChange(policy -> tellPeers());
     }
@@ -185,7 +173,7 @@
      * @return their names
      */
     List<String> countedPeers() {
-        return counted().stream().map(Peer::name).toList();
+        return peers.counted().stream().map(Peer::name).toList();
     }
 
     /** Has the peers told that this process stops. */
@@ -200,8 +188,8 @@
      * @return a count of at least 1
      */
     public int entries() {
-        List<Peer> counted = counted();
-        return entries(counted, heard(counted));
+        List<Peer> counted = peers.counted();
+        return entries(counted, peers.heard(counted));
     }
 
     private int entries(List<Peer> counted, int heard) {
@@ -242,7 +230,7 @@
      * @return a count of at least 1
      */
     public int heardProcesses() {
-        return heard(counted());
+        return peers.heard(peers.counted());
     }
 
     /**
@@ -253,7 +241,7 @@
     public long oldestDigestMillis() {
         long now = nowMillis.getAsLong();
         long oldest = 0;
-        for (Peer peer : counted()) {
+        for (Peer peer : peers.counted()) {
             oldest = Math.max(oldest, now - peer.digestMillis());
         }
         return oldest;
@@ -268,7 +256,7 @@
      */
     public ServiceLoad load(String service, Collection<Upstream> upstreams) {
         int running = loads.requests(upstreams);
-        for (ServiceDemand sum : writer.sum(counted(), nowMillis.getAsLong())) {
+        for (ServiceDemand sum : writer.sum(peers.counted(), nowMillis.getAsLong())) {
             if (sum.service().equals(service)) {
                 return new ServiceLoad(sum.tokensPerMilli(), sum.squaredTokensPerMilli(), running);
             }
@@ -286,7 +274,7 @@
      */
     public boolean isFed(boolean before) {
         long oldest = nowMillis.getAsLong() - FED_MILLIS;
-        return counted().stream()
+        return peers.counted().stream()
                 .filter(peer -> !peer.isLeaf() && mesh.isFedBy(peer.hello()))
                 .filter(peer -> peer.isStoreReachable() && peer.digestMillis() >= oldest)
                 .anyMatch(peer -> before || snapshots.isLevelWith(peer));
@@ -294,15 +282,14 @@
 
     @Override
     public boolean isNeeded() {
-        return leads.getAsBoolean() || !leaves().isEmpty();
+        return leads.getAsBoolean() || !peers.leaves().isEmpty();
     }
 
     @Override
     public void linked(NodeHello hello) {
         DecisionLog.write(
                 new DecisionLog.Lifecycle("peer " + hello.name(), "linked", hello.address()));
-        Peer peer = newPeer(hello);
-        peers.put(hello.name(), peer);
+        Peer peer = peers.linked(hello);
         tell(List.of(peer));
         rollouts.ifPresent(exchange -> exchange.tell(mesh, List.of(peer)));
         snapshots.linked(mesh, hello);
@@ -311,12 +298,11 @@
     @Override
     public void received(NodeHello hello, NodeMessage message) {
         if (message instanceof NodeDigest digest) {
-            digest(peers.compute(hello.name(), (name, known) -> sameLife(known, hello)), digest);
+            digest(peers.of(hello), digest);
         } else if (message instanceof RegionDigest digest) {
             mesh.regions().ifPresent(view -> regionDigest(view, hello, digest));
         } else if (message instanceof UsageHistory history) {
-            Peer peer = peers.get(hello.name());
-            usage.merge(history.life(), history.usage(), peer != null && peer.isLeaf());
+            usage.merge(history.life(), history.usage(), peers.isLeaf(hello.name()));
         } else if (message instanceof SnapshotAsk ask) {
             snapshots.asked(mesh, hello, ask);
         } else if (message instanceof UpstreamNews news && mesh.isFedBy(hello)) {
@@ -334,20 +320,10 @@
         }
         long now = nowMillis.getAsLong();
         if (view.isElsewhere(sender)) {
-            peers.compute(sender.name(), (name, known) -> sameLife(known, sender)).heard(now);
+            peers.of(sender).heard(now);
             snapshots.digest(mesh, sender, digest.digest());
         }
-        regions.received(mesh, view, sender, digest, ownHubs(), now);
-    }
-
-    /** A peer that has started again may be linked anew before its old link is found dead. */
-    private Peer sameLife(Peer known, NodeHello hello) {
-        boolean same = known != null && known.hello().incarnation().equals(hello.incarnation());
-        return same ? known : newPeer(hello);
-    }
-
-    private Peer newPeer(NodeHello hello) {
-        return new Peer(hello, nowMillis.getAsLong());
+        regions.received(mesh, view, sender, digest, peers.ownHubs(), now);
     }
 
     private void digest(Peer peer, NodeDigest digest) {
@@ -357,7 +333,7 @@
         evidenceTold |= !digest.evidence().isEmpty();
         digest.leaving().forEach(id -> directory.leavingSeenBy(id, peer.name()));
         snapshots.digest(mesh, peer.hello(), digest);
-        if (!counts(peer)) {
+        if (!peers.counts(peer)) {
             loads.peerLost(peer.name());
             parts.forget(peer.name());
             peer.passedOver();
@@ -380,8 +356,8 @@
         }
         boolean follower = mesh.followsStoreForHubs();
         List<String> fed = new ArrayList<>();
-        for (Peer peer : peers.values()) {
-            boolean hub = !peer.isLeaf() && !isElsewhere(peer);
+        for (Peer peer : peers.all()) {
+            boolean hub = !peer.isLeaf() && !peers.isElsewhere(peer);
             boolean otherHub = hub && !mesh.isStoreFollower(peer.name());
             if (peer.isLeaf() || (follower && otherHub)) {
                 fed.add(peer.name());
@@ -394,11 +370,12 @@
     public void tick() {
         forgetSilentPeers();
         mesh.regions()
-                .ifPresent(view -> regions.tick(mesh, view, ownHubs(), nowMillis.getAsLong()));
-        List<Peer> counted = counted();
+                .ifPresent(
+                        view -> regions.tick(mesh, view, peers.ownHubs(), nowMillis.getAsLong()));
+        List<Peer> counted = peers.counted();
         addEvidence(counted);
         boolean othersKnown = mesh.isPlanned() || !peers.isEmpty();
-        int heard = heard(counted);
+        int heard = peers.heard(counted);
         limits.share(
                 othersKnown, !mesh.isHub(), heard, entries(counted, heard), nowMillis.getAsLong());
         tellPeers();
@@ -407,7 +384,7 @@
 
     /** Tells the peers how far roll-outs have come. */
     void tellRollouts() {
-        rollouts.ifPresent(exchange -> exchange.tell(mesh, peers.values()));
+        rollouts.ifPresent(exchange -> exchange.tell(mesh, peers.all()));
     }
 
     /** Adds up what peers saw of upstreams, if any has told more or other peers count. */
@@ -422,21 +399,17 @@
     }
 
     private void forgetSilentPeers() {
-        long oldest = nowMillis.getAsLong() - PeerMesh.HEARD_MILLIS;
-        for (Peer peer : List.copyOf(peers.values())) {
-            if (peer.digestMillis() < oldest) {
-                peers.remove(peer.name());
-                loads.peerLost(peer.name());
-                parts.forget(peer.name());
-                rollouts.ifPresent(exchange -> exchange.forget(peer.name()));
-                DecisionLog.write(new DecisionLog.Lifecycle("peer " + peer.name(), "silent", ""));
-            }
+        for (Peer peer : peers.removeSilent()) {
+            loads.peerLost(peer.name());
+            parts.forget(peer.name());
+            rollouts.ifPresent(exchange -> exchange.forget(peer.name()));
+            DecisionLog.write(new DecisionLog.Lifecycle("peer " + peer.name(), "silent", ""));
         }
     }
 
     /** Tells the peers what this process knows now. */
     public void tellPeers() {
-        tell(peers.values());
+        tell(peers.all());
     }
 
     private void tell(Collection<Peer> told) {
@@ -446,15 +419,15 @@
                 new SenderState(
                         store.isReachable(), draining, membersRead(), List.copyOf(recentLeaving));
         Map<Long, List<Peer>> byUsageTold = new HashMap<>();
-        List<Peer> counted = counted();
-        List<Peer> keepers = keepers();
-        int heard = heard(counted);
+        List<Peer> counted = peers.counted();
+        List<Peer> keepers = peers.keepers();
+        int heard = peers.heard(counted);
         for (Peer peer : told) {
-            if (isElsewhere(peer)) {
+            if (peers.isElsewhere(peer)) {
                 continue;
             }
             if (mesh.isHub() && peer.isLeaf()) {
-                int others = heard - justHeard(peer);
+                int others = heard - peers.justHeard(peer);
                 tellLeaf(peer, keepers.contains(peer), state, counted, others, now);
             } else if (mesh.isHub() || mesh.isOwnHub(peer.hello())) {
                 byUsageTold
@@ -467,8 +440,8 @@
     }
 
     private void tellRegions(RegionView view, SenderState state, Collection<Peer> told, long now) {
-        List<Peer> own = countedHere();
-        int processes = 1 + own.stream().mapToInt(this::justHeard).sum();
+        List<Peer> own = peers.countedHere();
+        int processes = 1 + own.stream().mapToInt(peers::justHeard).sum();
         regions.tell(mesh, view, state, told, own, processes, now);
     }
 
@@ -491,7 +464,7 @@
 
     private NodeDigest digest(SenderState state, long usageTold, long now) {
         return mesh.isHub()
-                ? writer.group(state, leaves(), usageTold, now)
+                ? writer.group(state, peers.leaves(), usageTold, now)
                 : writer.own(state, usageTold, now);
     }
 
@@ -503,11 +476,6 @@
                 .forEach(peer -> peer.usageTold(usage.sequence()));
     }
 
-    /** The leaves that keep the usage of all: the same ones as long as they are linked. */
-    private List<Peer> keepers() {
-        return leaves().stream().sorted(Comparator.comparing(Peer::name)).limit(KEEPERS).toList();
-    }
-
     /**
      * A hub that was not linked before may lack what other processes told long ago, also to a leaf.
      */
@@ -517,66 +485,6 @@
         }
     }
 
-    /** The processes whose figures this one has just heard, itself included. */
-    private int heard(List<Peer> counted) {
-        int heard = 1;
-        for (Peer peer : counted) {
-            heard += justHeard(peer);
-        }
-        return heard;
-    }
-
-    private int justHeard(Peer peer) {
-        boolean fresh = peer.digestMillis() >= nowMillis.getAsLong() - FRESH_MILLIS;
-        return fresh ? peer.processes() : 0;
-    }
-
-    private List<Peer> counted() {
-        List<Peer> counted = countedHere();
-        counted.addAll(regions.counted());
-        return counted;
-    }
-
-    /** The peers that count, but for those that tell for other regions. */
-    private List<Peer> countedHere() {
-        List<Peer> counted = new ArrayList<>(peers.size());
-        for (Peer peer : peers.values()) {
-            if (counts(peer)) {
-                counted.add(peer);
-            }
-        }
-        return counted;
-    }
-
-    private List<Peer> ownHubs() {
-        return peers.values().stream()
-                .filter(peer -> !peer.isLeaf() && !isElsewhere(peer))
-                .toList();
-    }
-
-    private boolean isElsewhere(Peer peer) {
-        return mesh.regions()
-                .filter(view -> RegionExchange.isElsewhere(mesh, view, peer))
-                .isPresent();
-    }
-
-    /** To a leaf only its hub's figures count, and those of peers that take it for a hub. */
-    private boolean counts(Peer peer) {
-        return peer.isHeard()
-                && !isElsewhere(peer)
-                && (peer.isLeaf() || mesh.isHub() || mesh.isOwnHub(peer.hello()));
-    }
-
-    private List<Peer> leaves() {
-        List<Peer> leaves = new ArrayList<>();
-        for (Peer peer : peers.values()) {
-            if (peer.isLeaf()) {
-                leaves.add(peer);
-            }
-        }
-        return leaves;
-    }
-
     /** An upstream whose entry is only gone may come back, so peers are not told that it leaves. */
     private void remember(String upstream) {
         if (!directory.isLeaving(upstream)) {
