--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ClusterView.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ClusterView.java
@@ -323,6 +323,7 @@
             peers.of(sender).heard(now);
             snapshots.digest(mesh, sender, digest.digest());
         }
+        evidenceTold |= !digest.digest().evidence().isEmpty();
         regions.received(mesh, view, sender, digest, peers.ownHubs(), now);
     }
 
