Work out once how many times the usual an answer took

Cause: Rollout.isLate and isSlow were the same method with another threshold. Change: one method, whose result PaceBaseline compares with both thresholds; whichever of first event and pause is more decides, as when either did. No decision changes; the slow test still comes after the answer of the old version was learned.

--- a/trailladder-core/src/main/java/io/trailladder/core/rollout/PaceBaseline.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/rollout/PaceBaseline.java
@@ -77,32 +77,34 @@
     /**
      * Tells whether an answer came several times later than usual.
      *
-     * @param route the route's name
-     * @param kind what was measured
-     * @param millis how long it took, in milliseconds
-     * @param predictedMillis what was predicted, in milliseconds
+     * @param times how many {@link #times} the usual it took
      * @return false while too little is known
      */
-    public boolean isLate(String route, String kind, double millis, double predictedMillis) {
-        return times(route, kind, millis, predictedMillis) > LATE_TIMES;
+    public static boolean isLate(double times) {
+        return times > LATE_TIMES;
     }
 
     /**
      * Tells whether an answer came clearly later than usual. Many do by chance; more of one version
      * than of the other do not.
      *
+     * @param times how many {@link #times} the usual it took
+     * @return false while too little is known
+     */
+    public static boolean isSlow(double times) {
+        return times > SLOW_TIMES;
+    }
+
+    /**
+     * Returns how many times the usual an answer took.
+     *
      * @param route the route's name
      * @param kind what was measured
      * @param millis how long it took, in milliseconds
      * @param predictedMillis what was predicted, in milliseconds
-     * @return false while too little is known
+     * @return a factor; 0 while too little is known
      */
-    public boolean isSlow(String route, String kind, double millis, double predictedMillis) {
-        return times(route, kind, millis, predictedMillis) > SLOW_TIMES;
-    }
-
-    /** How many times the usual an answer took; 0 while too little is known. */
-    private double times(String route, String kind, double millis, double predictedMillis) {
+    public double times(String route, String kind, double millis, double predictedMillis) {
         Usual usual = byKind.get(kind + route);
         if (usual == null || usual.seen < LEAST_SEEN) {
             usual = byKind.get(kind);
--- a/trailladder-core/src/main/java/io/trailladder/core/rollout/Rollout.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/rollout/Rollout.java
@@ -322,7 +322,8 @@
      */
     public AnswerSort answered(Upstream upstream, AnswerSeen answer) {
         boolean isTarget = isTarget(upstream);
-        boolean late = upstream.coldLeftMillis() <= 0 && isLate(answer);
+        boolean warm = upstream.coldLeftMillis() <= 0;
+        boolean late = warm && PaceBaseline.isLate(times(answer));
         if (!answer.whole() && !late && !answer.failed()) {
             return AnswerSort.NOT_COUNTED;
         }
@@ -332,7 +333,7 @@
         RouteEvidence none = new RouteEvidence(answer.route(), AnswerCount.NONE, AnswerCount.NONE);
         RouteEvidence before = seen.getOrDefault(answer.route(), none);
         boolean bad = late || answer.failed();
-        boolean slow = upstream.coldLeftMillis() <= 0 && isSlow(answer);
+        boolean slow = warm && PaceBaseline.isSlow(times(answer));
         seen.put(answer.route(), before.with(isTarget, bad, slow));
         if (isTarget && (bad || slow) && !phase.isFinal() && RolloutJudge.isBad(evidence())) {
             phase = phase.merge(RolloutPhase.HALTED);
@@ -340,22 +341,13 @@
         return AnswerSort.of(bad, slow);
     }
 
-    private boolean isLate(AnswerSeen answer) {
-        boolean firstLate =
-                pace.isLate(answer.route(), FIRST, answer.firstMillis(), answer.predictedMillis());
-        boolean pausesLong =
-                answer.pauseMillis() > 0
-                        && pace.isLate(answer.route(), PAUSE, answer.pauseMillis(), 0);
-        return firstLate || pausesLong;
-    }
-
-    private boolean isSlow(AnswerSeen answer) {
-        boolean firstSlow =
-                pace.isSlow(answer.route(), FIRST, answer.firstMillis(), answer.predictedMillis());
-        boolean pausesSlow =
-                answer.pauseMillis() > 0
-                        && pace.isSlow(answer.route(), PAUSE, answer.pauseMillis(), 0);
-        return firstSlow || pausesSlow;
+    /** How many times the usual it took to the first event, or between two, whichever is more. */
+    private double times(AnswerSeen answer) {
+        double first =
+                pace.times(answer.route(), FIRST, answer.firstMillis(), answer.predictedMillis());
+        return answer.pauseMillis() > 0
+                ? Math.max(first, pace.times(answer.route(), PAUSE, answer.pauseMillis(), 0))
+                : first;
     }
 
     private void learnPace(AnswerSeen answer) {
