Choose the store's followers from the hubs of the region that are known already

Cause: the hubs of the own region were picked out a second time beside the order of carriers. Change: StoreFollowers gets that order, in which the hubs of each data centre stand the strongest first, as it asks.

--- a/trailladder-core/src/main/java/io/trailladder/core/membership/LinkPlanner.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/membership/LinkPlanner.java
@@ -97,7 +97,8 @@
         carriers.clear();
         order(topology.region());
         topology.otherRegions().forEach(this::order);
-        followers = StoreFollowers.of(hubsOfOwnRegion());
+        // each region has followers of its own: what they pass on does not cross
+        followers = StoreFollowers.of(carriers.get(topology.region()));
     }
 
     /**
@@ -199,17 +200,6 @@
         return Integer.MAX_VALUE;
     }
 
-    /** Each region has followers of its own: what they pass on does not cross. */
-    private List<GatewayMember> hubsOfOwnRegion() {
-        List<GatewayMember> own = new ArrayList<>();
-        for (GatewayMember member : hubs) {
-            if (topology.isOwnRegion(member.dataCentre())) {
-                own.add(member);
-            }
-        }
-        return own;
-    }
-
     private void order(String region) {
         carriers.put(region, HubTopology.carriers(hubs, topology, region));
     }
