Write the sums for other regions once a digest, and a peer's life and names in one place

Cause: a speaker worked out the sums of its region again for each hub of another region that it is linked to (up to four), five times a second, though only the news of usage differ. Whether a peer is the same life of it, and the list of peers' names, stood in two classes each. Change: the sums are written once, the news put in for those that hear them; Peer.ofLife and Peer.names serve all.

--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ClusterView.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ClusterView.java
@@ -173,7 +173,7 @@
      * @return their names
      */
     List<String> countedPeers() {
-        return peers.counted().stream().map(Peer::name).toList();
+        return Peer.names(peers.counted());
     }
 
     /** Has the peers told that this process stops. */
@@ -471,7 +471,7 @@
 
     /** Peers that were told of the same changes of usage get the same digest, written once. */
     private void tellAlike(List<Peer> same, NodeDigest digest) {
-        Set<String> linked = mesh.send(same.stream().map(Peer::name).toList(), digest);
+        Set<String> linked = mesh.send(Peer.names(same), digest);
         same.stream()
                 .filter(peer -> linked.contains(peer.name()))
                 .forEach(peer -> peer.usageTold(usage.sequence()));
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/DigestWriter.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/DigestWriter.java
@@ -115,33 +115,32 @@
                 1 + leaves.size(),
                 news(usageTold),
                 quotas.groupUses(nowMillis),
-                loads.groupUses(names(leaves)),
+                loads.groupUses(Peer.names(leaves)),
                 sum(leaves, nowMillis),
                 evidence(leaves, nowMillis),
-                parts.sections(DigestScope.GROUP, names(leaves), nowMillis));
+                parts.sections(DigestScope.GROUP, Peer.names(leaves), nowMillis));
     }
 
     /**
-     * Writes what is told to other regions: the sums of the processes of the own one. Work under
-     * way is told by service; single upstreams are the own region's matter.
+     * Writes what is told to other regions: the sums of the processes of the own one, without news
+     * of usage. Work under way is told by service; single upstreams are the own region's matter.
      */
     NodeDigest region(
             SenderState state,
             Collection<Peer> own,
             int processes,
-            List<UsageHistory> news,
             List<UpstreamUse> uses,
             long nowMillis) {
         return digest(
                 state,
                 DigestScope.GROUP,
                 processes,
-                news,
+                List.of(),
                 quotas.regionUses(nowMillis),
                 uses,
                 sum(own, nowMillis),
                 evidence(own, nowMillis),
-                parts.sections(DigestScope.GROUP, names(own), nowMillis));
+                parts.sections(DigestScope.GROUP, Peer.names(own), nowMillis));
     }
 
     /** Writes what is told to other regions by a process that does not tell for its own. */
@@ -184,15 +183,7 @@
                 loads.restUses(leaf.name()),
                 sum(others, nowMillis),
                 evidence(others, nowMillis),
-                parts.sections(DigestScope.REST, names(others), nowMillis));
-    }
-
-    private static List<String> names(Collection<Peer> peers) {
-        List<String> names = new ArrayList<>(peers.size());
-        for (Peer peer : peers) {
-            names.add(peer.name());
-        }
-        return names;
+                parts.sections(DigestScope.REST, Peer.names(others), nowMillis));
     }
 
     /** Returns the load of every service at this process and some peers. */
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/LinkedPeers.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/LinkedPeers.java
@@ -61,7 +61,7 @@
 
     /** Takes in a peer that has just been linked; what it told before is forgotten. */
     Peer linked(NodeHello hello) {
-        Peer peer = newPeer(hello);
+        Peer peer = new Peer(hello, nowMillis.getAsLong());
         peers.put(hello.name(), peer);
         return peer;
     }
@@ -71,16 +71,8 @@
      * link is found dead.
      */
     Peer of(NodeHello hello) {
-        return peers.compute(hello.name(), (name, known) -> sameLife(known, hello));
-    }
-
-    private Peer sameLife(Peer known, NodeHello hello) {
-        boolean same = known != null && known.hello().incarnation().equals(hello.incarnation());
-        return same ? known : newPeer(hello);
-    }
-
-    private Peer newPeer(NodeHello hello) {
-        return new Peer(hello, nowMillis.getAsLong());
+        long now = nowMillis.getAsLong();
+        return peers.compute(hello.name(), (name, known) -> Peer.ofLife(known, hello, now));
     }
 
     /** Forgets the peers that have told nothing for too long, and returns them. */
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Peer.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Peer.java
@@ -21,6 +21,8 @@
 import io.trailladder.wire.NodeMessage.DigestScope;
 import io.trailladder.wire.NodeMessage.NodeDigest;
 import io.trailladder.wire.NodeMessage.NodeHello;
+import java.util.ArrayList;
+import java.util.Collection;
 import java.util.List;
 
 /** One linked peer and what it told last. */
@@ -43,6 +45,21 @@
         this.digestMillis = nowMillis;
     }
 
+    /** Returns a known peer if it is the same life of it, else one that has told nothing yet. */
+    static Peer ofLife(Peer known, NodeHello hello, long nowMillis) {
+        boolean same = known != null && known.hello.incarnation().equals(hello.incarnation());
+        return same ? known : new Peer(hello, nowMillis);
+    }
+
+    /** Returns the names of some peers. */
+    static List<String> names(Collection<Peer> peers) {
+        List<String> names = new ArrayList<>(peers.size());
+        for (Peer peer : peers) {
+            names.add(peer.name());
+        }
+        return names;
+    }
+
     NodeHello hello() {
         return hello;
     }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RegionExchange.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RegionExchange.java
@@ -26,7 +26,6 @@
 import io.trailladder.wire.NodeMessage.NodeDigest;
 import io.trailladder.wire.NodeMessage.NodeHello;
 import io.trailladder.wire.NodeMessage.RegionDigest;
-import io.trailladder.wire.NodeMessage.UsageHistory;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
@@ -162,16 +161,16 @@
         }
         List<UpstreamUse> uses =
                 RegionUse.of(
-                        loads.groupUses(names(own)),
+                        loads.groupUses(Peer.names(own)),
                         directory::find,
                         view.region(view.self()),
                         view::isOwnRegion);
+        NodeDigest sums = writer.region(state, own, processes, uses, nowMillis);
         Map<String, Peer> first = firstOfEach(view, elsewhere, nowMillis);
         for (Peer peer : elsewhere) {
             boolean hearsUsage = first.containsValue(peer);
-            List<UsageHistory> news =
-                    hearsUsage ? writer.regionNews(peer.usageTold()) : List.<UsageHistory>of();
-            NodeDigest digest = writer.region(state, own, processes, news, uses, nowMillis);
+            NodeDigest digest =
+                    hearsUsage ? sums.withUsage(writer.regionNews(peer.usageTold())) : sums;
             boolean sent =
                     mesh.send(
                             peer.name(),
@@ -209,7 +208,7 @@
         }
         Peer peer =
                 speakers.compute(
-                        origin.name(), (name, known) -> sameLife(known, origin, nowMillis));
+                        origin.name(), (name, known) -> Peer.ofLife(known, origin, nowMillis));
         peer.told(SoundFigures.of(peer.name(), message.digest()), nowMillis);
         if (!counts(view, peer, region, nowMillis)) {
             passOver(peer);
@@ -218,7 +217,7 @@
         take(view, region, peer, message.digest(), nowMillis);
         if (direct
                 && nowMillis - passedOnMillis.getOrDefault(region, -FRESH_MILLIS) >= FRESH_MILLIS) {
-            mesh.send(names(hubs), message);
+            mesh.send(Peer.names(hubs), message);
         }
     }
 
@@ -317,15 +316,6 @@
         return first;
     }
 
-    private static Peer sameLife(Peer known, NodeHello origin, long nowMillis) {
-        boolean same = known != null && known.hello().incarnation().equals(origin.incarnation());
-        return same ? known : new Peer(origin, nowMillis);
-    }
-
-    private static List<String> names(Collection<Peer> peers) {
-        return peers.stream().map(Peer::name).toList();
-    }
-
     private static void log(String region, String what, String by) {
         DecisionLog.write(new Lifecycle("region " + region, what, by));
     }
--- a/trailladder-wire/src/main/java/io/trailladder/wire/NodeMessage.java
+++ b/trailladder-wire/src/main/java/io/trailladder/wire/NodeMessage.java
@@ -83,6 +83,30 @@
             List<String> leaving,
             List<DigestSection> sections)
             implements NodeMessage {
+        /**
+         * Returns the digest with other news of usage.
+         *
+         * @param news requests that began to run
+         * @return a copy
+         */
+        public NodeDigest withUsage(List<UsageHistory> news) {
+            return new NodeDigest(
+                    policyVersion,
+                    directoryRevision,
+                    storeReachable,
+                    draining,
+                    scope,
+                    processes,
+                    members,
+                    news,
+                    quotas,
+                    uses,
+                    demands,
+                    evidence,
+                    leaving,
+                    sections);
+        }
+
         /**
          * Returns the digest with other figures of services.
          *
