Drop what the log's writer did for decisions, which no longer come to it

Cause: decisions are queued as they are; a message of the logging library that begins with a brace would have been written as one, unchecked. Change: a message is a text always. Nothing in the product logs such a message.

--- a/trailladder-entry/src/main/java/io/trailladder/entry/log/JsonLinesWriter.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/log/JsonLinesWriter.java
@@ -97,13 +97,7 @@
     private static void fields(LogEntry entry, JsonGenerator json) throws IOException {
         json.writeStringField("time", entry.getTimestamp().toInstant().toString());
         json.writeStringField("level", entry.getLevel().name());
-        String message = entry.getMessage();
-        if (message != null && message.startsWith("{")) {
-            json.writeFieldName("decision");
-            json.writeRawValue(message);
-        } else {
-            json.writeStringField("message", message);
-        }
+        json.writeStringField("message", entry.getMessage());
         if (entry.getContext() != null) {
             for (Map.Entry<String, String> field : entry.getContext().entrySet()) {
                 json.writeStringField(field.getKey(), field.getValue());
