Sight: tell which requests upstreams end under, the same at all their tries

Cause: a log line names a try, so that nobody can see that tries at several processes are one request, nor who else was at an upstream when it ended. Both hypotheses of the incident (nothing outlives an exchange; the upstreams' own fault) look alike.

Change: a fingerprint of caller, method, target and body, keyed by the caller's key and made only when an upstream ends; a line UpstreamEnded for each attempt that broke; `trailladder losses` sums them up by request over all logs: upstreams, how many of them nobody else was seen to break at, tries, processes.

--- a/trailladder-cli/src/main/java/io/trailladder/cli/LossesCommand.java
+++ b/trailladder-cli/src/main/java/io/trailladder/cli/LossesCommand.java
@@ -79,12 +79,14 @@
     public Integer call() throws IOException {
         LossTable table = new LossTable();
         StoreUseTable storeUse = new StoreUseTable();
+        CrashTable crashes = new CrashTable();
         LogFiles.read(
                 files,
                 spec.commandLine(),
                 line -> {
                     table.add(line);
                     storeUse.add(line);
+                    crashes.add(line);
                 });
         PrintWriter out = spec.commandLine().getOut();
         Row total = table.total();
@@ -99,6 +101,7 @@
             print(out, dimension.name().toLowerCase(Locale.ROOT), table.rows(dimension));
         }
         print(out, storeUse);
+        print(out, crashes);
         out.flush();
         return 0;
     }
@@ -114,6 +117,36 @@
         out.println();
     }
 
+    private void print(PrintWriter out, CrashTable crashes) {
+        List<CrashTable.Row> rows = crashes.rows();
+        if (rows.isEmpty()) {
+            return;
+        }
+        out.printf(
+                Locale.ROOT,
+                "%-40s %9s %9s %9s %9s %9s  %s%n",
+                "requests under which upstreams ended",
+                "upstreams",
+                "alone",
+                "tries",
+                "processes",
+                "lasted s",
+                "first");
+        for (CrashTable.Row row : rows.subList(0, Math.min(most, rows.size()))) {
+            out.printf(
+                    Locale.ROOT,
+                    "%-40s %9d %9d %9d %9d %9.1f  %s%n",
+                    row.request(),
+                    row.upstreams(),
+                    row.alone(),
+                    row.tries(),
+                    row.processes(),
+                    row.lasted().toMillis() / MILLIS_PER_SECOND,
+                    row.first());
+        }
+        out.println();
+    }
+
     private void print(PrintWriter out, String title, List<Row> rows) {
         out.printf(
                 Locale.ROOT,
--- a/trailladder-cli/src/test/java/io/trailladder/cli/LossesCommandTest.java
+++ b/trailladder-cli/src/test/java/io/trailladder/cli/LossesCommandTest.java
@@ -167,4 +167,19 @@
         assertEquals(2, run("losses", "/no/such.log"));
         assertTrue(err.toString().contains("'/no/such.log' is not there"), err.toString());
     }
+
+    @Example
+    void requestsUnderWhichUpstreamsEndAreToldOverTheirTries() throws IOException {
+        String ended = "'kind':'UpstreamEnded','id':'%s','request':'%s','upstream':'%s','ranMs':90";
+        String log =
+                taken(1, "t1", "accepted")
+                        + line(1, ended.formatted("t1", "aa", "u1"))
+                        + line(1, ended.formatted("t9", "bb", "u1"))
+                        + line(2, ended.formatted("t1", "aa", "u2"))
+                        + line(4, ended.formatted("t2", "aa", "u3"));
+        assertEquals(0, losses(log));
+        String rows = out.toString().replaceAll(" +", " ");
+        assertTrue(rows.contains("\naa 3 2 2 1 3.0 2026-12-02T13:00:01Z"), rows);
+        assertTrue(rows.contains("\nbb 1 0 1 1 0.0 2026-12-02T13:00:01Z"), rows);
+    }
 }
--- /dev/null
+++ b/trailladder-core/src/main/java/io/trailladder/core/crash/package-info.java
@@ -0,0 +1,6 @@
+/**
+ * Requests that end the upstreams that run them.
+ *
+ * @since 0.6
+ */
+package io.trailladder.core.crash;
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/DecisionLog.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/DecisionLog.java
@@ -44,7 +44,7 @@
      * One kind of decision. Its fields are written one by one: a library that looks them up by
      * reflection takes a process that has just started a tenth of a second.
      */
-    public sealed interface Decision {
+    public interface Decision {
         /**
          * Writes the decision's fields.
          *
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestDriver.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestDriver.java
@@ -50,6 +50,7 @@
     private final ServingContext context;
     private final ServerExchange exchange;
     private final ServingRequest request;
+    private final RequestIdentity identity;
     private final int units;
     private final Consumer<RequestDriver> onEnd;
     private final AttemptHistory history = new AttemptHistory();
@@ -67,12 +68,14 @@
             ServingContext context,
             ServerExchange exchange,
             ServingRequest request,
+            RequestIdentity identity,
             int units,
             String lastEventId,
             Consumer<RequestDriver> onEnd) {
         this.context = context;
         this.exchange = exchange;
         this.request = request;
+        this.identity = identity;
         this.units = units;
         this.onEnd = onEnd;
         if (!lastEventId.isEmpty()) {
@@ -248,6 +251,9 @@
         attempt = null;
         silence.stop();
         history.failed(sender.upstream().id(), failure);
+        if (failure == AttemptFailure.BROKEN) {
+            upstreamEnded(sender);
+        }
         context.metrics().attempt(request.service(), failure.name());
         long now = context.loop().nowMillis();
         Recovery recovery = RecoveryPolicy.after(request, history, failure, true, now);
@@ -275,6 +281,15 @@
         }
     }
 
+    private void upstreamEnded(Attempt sender) {
+        DecisionLog.write(
+                new UpstreamEnded(
+                        request.id(),
+                        identity.fingerprint(),
+                        sender.upstream().id(),
+                        sender.ageMillis()));
+    }
+
     private void giveUp(Ending ending) {
         giveUp(ending, null);
     }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestIntake.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestIntake.java
@@ -219,13 +219,21 @@
             return;
         }
         ServingRequest request = request(exchange, caller, policy, route.get(), organisation);
-        drive(exchange, request, units, caller.lastEventId());
+        drive(exchange, caller, request, units);
     }
 
     private void drive(
-            ServerExchange exchange, ServingRequest request, int units, String lastEventId) {
+            ServerExchange exchange, CallerRequest caller, ServingRequest request, int units) {
+        RequestIdentity identity = new RequestIdentity(exchange, caller.host(), caller.key());
         RequestDriver driver =
-                new RequestDriver(context, exchange, request, units, lastEventId, open::remove);
+                new RequestDriver(
+                        context,
+                        exchange,
+                        request,
+                        identity,
+                        units,
+                        caller.lastEventId(),
+                        open::remove);
         open.add(driver);
         driver.start();
     }
--- /dev/null
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/UpstreamEnded.java
@@ -0,0 +1,40 @@
+/*
+ * Copyright 2026 The trailladder authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package io.trailladder.entry.gateway;
+
+import com.fasterxml.jackson.core.JsonGenerator;
+import io.trailladder.core.crash.RequestFingerprint;
+import io.trailladder.entry.gateway.DecisionLog.Decision;
+import java.io.IOException;
+
+/**
+ * A log line: an upstream ended, or its connection did, while it had a request.
+ *
+ * @param id the request's try
+ * @param request the request, the same at all its tries
+ * @param upstream the upstream
+ * @param ranMs time since it was sent there, in milliseconds
+ */
+record UpstreamEnded(String id, RequestFingerprint request, String upstream, long ranMs)
+        implements Decision {
+    @Override
+    public void write(JsonGenerator json) throws IOException {
+        json.writeStringField("id", id);
+        json.writeStringField("request", request.toString());
+        json.writeStringField("upstream", upstream);
+        json.writeNumberField("ranMs", ranMs);
+    }
+}
