Core: remember under which requests upstreams ended, and judge them

Not used yet. A ledger of ends by request, merged by union; refused from three ends, unless it only stood beside a likelier one (one more end sets two alike apart) or is tried once after a rest by one process; from four whatever stands beside.

--- /dev/null
+++ b/trailladder-core/src/main/java/io/trailladder/core/crash/CrashVerdict.java
@@ -0,0 +1,30 @@
+/*
+ * Copyright 2026 The trailladder authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package io.trailladder.core.crash;
+
+/**
+ * What becomes of a request, after what is known of upstreams that ended under it.
+ *
+ * @since 0.6
+ */
+public enum CrashVerdict {
+    /** It is served like any other. */
+    SERVED,
+    /** It is sent once more after a rest, by one process, to find out whether it is harmless. */
+    TRIED_AGAIN,
+    /** It is not sent to any upstream. */
+    REFUSED
+}
--- /dev/null
+++ b/trailladder-core/src/test/java/io/trailladder/core/crash/CrashLedgerProperties.java
@@ -0,0 +1,153 @@
+/*
+ * Copyright 2026 The trailladder authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package io.trailladder.core.crash;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+
+/** Many requests beside one that ends whatever runs it, over several processes. */
+class CrashLedgerProperties {
+    private static final RequestFingerprint BAD = new RequestFingerprint(-1);
+    private static final int PROCESSES = 4;
+    private static final int UPSTREAMS = 6;
+    private static final int OTHERS = 60;
+
+    private final List<CrashLedger> ledgers = new ArrayList<>();
+    private final Set<Integer> wronglyRefused = new HashSet<>();
+    private long now;
+    private long lives;
+    private Random random;
+    private int endsUnderBad;
+
+    private void begin(long seed) {
+        random = new Random(seed);
+        ledgers.clear();
+        wronglyRefused.clear();
+        endsUnderBad = 0;
+        now = 1_000_000;
+        for (int i = 0; i < PROCESSES; i++) {
+            ledgers.add(new CrashLedger());
+        }
+        lives = UPSTREAMS;
+    }
+
+    private CrashLedger any() {
+        return ledgers.get(random.nextInt(PROCESSES));
+    }
+
+    /** All tell all what they know, in any order, some of it twice. */
+    private void tell() {
+        List<int[]> ways = new ArrayList<>();
+        for (int from = 0; from < PROCESSES; from++) {
+            for (int to = 0; to < PROCESSES; to++) {
+                ways.add(new int[] {from, to});
+                ways.add(new int[] {from, to});
+            }
+        }
+        Collections.shuffle(ways, random);
+        for (int[] way : ways) {
+            if (way[0] != way[1]) {
+                CrashLedger to = ledgers.get(way[1]);
+                ledgers.get(way[0])
+                        .news(0, source -> true)
+                        .forEach(report -> to.told("p" + way[0], report, now));
+            }
+        }
+    }
+
+    /** The bad request comes once: one upstream ends, and with it some others that ran there. */
+    private void badComes(int standBeside) {
+        CrashLedger process = any();
+        if (process.verdict(BAD, now) == CrashVerdict.REFUSED) {
+            return;
+        }
+        endsUnderBad++;
+        long upstream = lives++;
+        process.ended(BAD, upstream, now - random.nextLong(100, 200), now);
+        for (int i = 0; i < standBeside; i++) {
+            int other = random.nextInt(OTHERS);
+            CrashLedger at = any();
+            if (at.verdict(new RequestFingerprint(other), now) == CrashVerdict.REFUSED) {
+                wronglyRefused.add(other);
+            } else {
+                long ran = random.nextLong(50, 2_050);
+                at.ended(new RequestFingerprint(other), upstream, now - ran, now);
+            }
+        }
+    }
+
+    @Property(tries = 100, seed = "20261203")
+    void badRequestEndsFourUpstreamsAtMostWhereAllHearOfIt(@ForAll long seed) {
+        begin(seed);
+        for (int i = 0; i < 30; i++) {
+            badComes(random.nextInt(30));
+            tell();
+            now += 500;
+        }
+        assertTrue(endsUnderBad <= CrashLedger.REFUSED_ANYWAY_FROM, endsUnderBad + " ended");
+        for (CrashLedger ledger : ledgers) {
+            assertEquals(CrashVerdict.REFUSED, ledger.verdict(BAD, now));
+        }
+    }
+
+    @Property(tries = 100, seed = "20261203")
+    void thoseThatStoodBesideAreServedOnceAllHaveHeard(@ForAll long seed) {
+        begin(seed);
+        for (int i = 0; i < 30; i++) {
+            badComes(random.nextInt(30));
+            tell();
+            now += 500;
+        }
+        for (int other = 0; other < OTHERS; other++) {
+            for (CrashLedger ledger : ledgers) {
+                CrashVerdict verdict = ledger.verdict(new RequestFingerprint(other), now);
+                assertEquals(CrashVerdict.SERVED, verdict, "request " + other);
+            }
+        }
+    }
+
+    @Property(tries = 200, seed = "20261203")
+    void whatIsToldInAnyOrderAndTwiceComesToTheSame(@ForAll long seed) {
+        begin(seed);
+        for (int i = 0; i < 40; i++) {
+            RequestFingerprint request = new RequestFingerprint(random.nextInt(4));
+            if (random.nextInt(6) == 0) {
+                any().cleared(request, now);
+            } else {
+                any().ended(request, random.nextInt(6), now - 10, now);
+            }
+            now += 1;
+        }
+        tell();
+        tell();
+        for (int request = 0; request < 4; request++) {
+            RequestFingerprint one = new RequestFingerprint(request);
+            int ends = ledgers.get(0).known(one).size();
+            for (CrashLedger ledger : ledgers) {
+                assertEquals(ends, ledger.known(one).size(), "ends of " + request);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/trailladder-core/src/test/java/io/trailladder/core/crash/CrashLedgerTest.java
@@ -0,0 +1,223 @@
+/*
+ * Copyright 2026 The trailladder authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package io.trailladder.core.crash;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Set;
+import net.jqwik.api.Example;
+
+/** What a process remembers of requests under which upstreams ended. */
+class CrashLedgerTest {
+    private static final RequestFingerprint BAD = new RequestFingerprint(1);
+    private static final RequestFingerprint OTHER = new RequestFingerprint(2);
+
+    private final CrashLedger ledger = new CrashLedger();
+    private long now = 1_000_000;
+
+    private void end(RequestFingerprint request, long upstream, long ranMillis) {
+        ledger.ended(request, upstream, now - ranMillis, now);
+    }
+
+    private void assertVerdict(CrashVerdict expected, RequestFingerprint request) {
+        assertEquals(expected, ledger.verdict(request, now));
+    }
+
+    private void endThree(RequestFingerprint request, long ranMillis) {
+        for (int upstream = 1; upstream <= 3; upstream++) {
+            end(request, upstream, ranMillis);
+            now += 200;
+        }
+    }
+
+    @Example
+    void thirdEndHasItRefused() {
+        end(BAD, 1, 100);
+        end(BAD, 2, 100);
+        assertVerdict(CrashVerdict.SERVED, BAD);
+        end(BAD, 3, 100);
+        assertVerdict(CrashVerdict.REFUSED, BAD);
+        assertVerdict(CrashVerdict.SERVED, OTHER);
+    }
+
+    @Example
+    void oneEndCountsOnceHoweverManyTriesItHad() {
+        for (int i = 0; i < 5; i++) {
+            end(BAD, 1, 100);
+        }
+        assertVerdict(CrashVerdict.SERVED, BAD);
+    }
+
+    @Example
+    void upstreamThatIsBackUnderItsNameAndEndsAgainCountsAgain() {
+        for (int i = 0; i < 3; i++) {
+            end(BAD, 1, 100);
+            now += 500;
+        }
+        assertVerdict(CrashVerdict.REFUSED, BAD);
+    }
+
+    @Example
+    void livesOfAnUpstreamHaveNamesOfTheirOwn() {
+        assertFalse(UpstreamEnd.nameOf("w", 0) == UpstreamEnd.nameOf("w", 1));
+        assertFalse(UpstreamEnd.nameOf("w", 0) == UpstreamEnd.nameOf("v", 0));
+    }
+
+    @Example
+    void wholeRunClearsWhatWasBefore() {
+        endThree(BAD, 100);
+        assertTrue(ledger.cleared(BAD, now));
+        assertVerdict(CrashVerdict.SERVED, BAD);
+        now += 100;
+        end(BAD, 4, 50);
+        end(BAD, 5, 50);
+        assertVerdict(CrashVerdict.SERVED, BAD);
+        end(BAD, 6, 50);
+        assertVerdict(CrashVerdict.REFUSED, BAD);
+    }
+
+    @Example
+    void endsBeforeAWholeRunAreNotBroughtBackByAPeer() {
+        endThree(BAD, 100);
+        List<CrashReport> told = ledger.suspected();
+        ledger.cleared(BAD, now);
+        now += 50;
+        for (CrashReport report : told) {
+            List<UpstreamEnd> later =
+                    report.ends().stream()
+                            .map(e -> new UpstreamEnd(e.upstream(), e.repeat(), now, e.ranMillis()))
+                            .toList();
+            ledger.told("p", new CrashReport(BAD, CrashReport.NEVER, later), now);
+        }
+        assertVerdict(CrashVerdict.SERVED, BAD);
+    }
+
+    @Example
+    void upstreamsThatAreStillListedDidNotEnd() {
+        endThree(BAD, 100);
+        now += CrashLedger.LISTED_MILLIS;
+        ledger.look(Set.of(1L), 0, now);
+        assertVerdict(CrashVerdict.SERVED, BAD);
+    }
+
+    @Example
+    void listThatIsNotSoundLongEnoughProvesNothing() {
+        endThree(BAD, 100);
+        now += CrashLedger.LISTED_MILLIS;
+        ledger.look(Set.of(1L, 2L, 3L), now - CrashLedger.LISTED_MILLIS + 1, now);
+        assertVerdict(CrashVerdict.REFUSED, BAD);
+    }
+
+    @Example
+    void oneThatStoodBesideALikelierOneIsServed() {
+        end(OTHER, 9, 100);
+        endThree(BAD, 100);
+        for (int upstream = 1; upstream <= 3; upstream++) {
+            ledger.ended(OTHER, upstream, now - 900, now);
+        }
+        assertVerdict(CrashVerdict.REFUSED, OTHER);
+        assertVerdict(CrashVerdict.SERVED, BAD);
+    }
+
+    @Example
+    void ofTwoAlikeTheOneThatRanShorterIsRefused() {
+        endThree(BAD, 100);
+        for (int upstream = 1; upstream <= 3; upstream++) {
+            ledger.ended(OTHER, upstream, now - 900, now);
+        }
+        assertVerdict(CrashVerdict.REFUSED, BAD);
+        assertVerdict(CrashVerdict.SERVED, OTHER);
+    }
+
+    @Example
+    void nextEndSetsThemApartWhereTheWrongOneWasChosen() {
+        endThree(OTHER, 50);
+        for (int upstream = 1; upstream <= 3; upstream++) {
+            ledger.ended(BAD, upstream, now - 900, now);
+        }
+        assertVerdict(CrashVerdict.SERVED, BAD);
+        end(BAD, 4, 900);
+        assertVerdict(CrashVerdict.REFUSED, BAD);
+        assertVerdict(CrashVerdict.SERVED, OTHER);
+    }
+
+    @Example
+    void fourEndsHaveItRefusedWhateverStandsBeside() {
+        for (int upstream = 1; upstream <= 5; upstream++) {
+            end(OTHER, upstream, 10);
+            if (upstream <= 4) {
+                end(BAD, upstream, 1_000);
+            }
+        }
+        assertVerdict(CrashVerdict.REFUSED, BAD);
+    }
+
+    @Example
+    void afterARestOneProcessTriesItOnceMore() {
+        endThree(BAD, 100);
+        now += CrashLedger.REST_MILLIS;
+        assertVerdict(CrashVerdict.TRIED_AGAIN, BAD);
+        ledger.triedAgain(BAD);
+        assertVerdict(CrashVerdict.REFUSED, BAD);
+    }
+
+    @Example
+    void processThatOnlyHeardOfTheEndsDoesNotTry() {
+        endThree(BAD, 100);
+        CrashLedger peer = new CrashLedger();
+        ledger.suspected().forEach(report -> peer.told("p", report, now));
+        now += CrashLedger.REST_MILLIS;
+        assertEquals(CrashVerdict.REFUSED, peer.verdict(BAD, now));
+    }
+
+    @Example
+    void requestsThatEverComeAnewTakeNoMoreRoom() {
+        endThree(BAD, 100);
+        for (int i = 0; i < 3 * CrashLedger.MOST_REQUESTS; i++) {
+            end(new RequestFingerprint(100 + i), 7_000 + i, 10);
+        }
+        assertEquals(CrashLedger.MOST_REQUESTS, ledger.size());
+        assertVerdict(CrashVerdict.REFUSED, BAD);
+    }
+
+    @Example
+    void whatIsOldIsForgotten() {
+        end(OTHER, 1, 100);
+        endThree(BAD, 100);
+        now += CrashLedger.KEPT_MILLIS + 1;
+        ledger.look(Set.of(), now, now);
+        assertEquals(1, ledger.size());
+        assertTrue(ledger.hasSuspects());
+        now += CrashLedger.REFUSED_KEPT_MILLIS + 1;
+        ledger.look(Set.of(), now, now);
+        assertEquals(0, ledger.size());
+        assertFalse(ledger.hasSuspects());
+    }
+
+    @Example
+    void fingerprintTellsCallersTargetsAndBodiesApart() {
+        byte[] body = "body".getBytes(StandardCharsets.UTF_8);
+        RequestFingerprint one = RequestFingerprint.of("k", "POST", "h/x", body);
+        assertEquals(one, RequestFingerprint.of("k", "POST", "h/x", body.clone()));
+        assertFalse(one.equals(RequestFingerprint.of("l", "POST", "h/x", body)));
+        assertFalse(one.equals(RequestFingerprint.of("k", "POST", "h/y", body)));
+        assertFalse(one.equals(RequestFingerprint.of("k", "POST", "h/x", new byte[0])));
+    }
+}
