Refuse a request that ends the upstreams that run it, at all processes

Cause: what is learned of a request ended with its exchange; the end of an upstream was always taken for its own fault; no process told another.

Change: each process keeps a ledger of requests under which upstreams ended and tells its peers of news in a section of the digest (for a second; all suspects to a peer's new life; one in turn at rest). A request with three ends that count is answered 503 at once, without a time to come back, and is not retried or resumed in its exchange. An end stops counting when the upstream is still listed after 8 s of a sound list, or the request runs whole. An upstream's life is id and start. Operators list and lift at the figures' address. Metrics, one log line a request and 10 s.

Ruled out: a retry budget a request (does not outlive the exchange); 4xx (the judgement may be wrong; 503 says only that this try has not run).

--- a/trailladder-core/src/main/java/io/trailladder/core/crash/CrashLedger.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/crash/CrashLedger.java
@@ -76,7 +76,7 @@
     static final long KEPT_MILLIS = 600_000;
 
     /** How long a refused one is remembered, in milliseconds: a day. */
-    static final long REFUSED_KEPT_MILLIS = 86_400_000;
+    public static final long REFUSED_KEPT_MILLIS = 86_400_000;
 
     private static final int SUSPECTED_FROM = REFUSED_FROM - 1;
 
@@ -300,6 +300,15 @@
         return history == null ? List.of() : history.known();
     }
 
+    /**
+     * Tells whether nothing is remembered.
+     *
+     * @return true if there is nothing to tell or to look through
+     */
+    public boolean isEmpty() {
+        return histories.isEmpty();
+    }
+
     /**
      * Returns how many requests are remembered.
      *
--- a/trailladder-core/src/main/java/io/trailladder/core/upstream/Upstream.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/upstream/Upstream.java
@@ -18,7 +18,7 @@
 /**
  * One running upstream as the platform lists it.
  *
- * @param id its name; every start has a new one
+ * @param id its name; it may start again under the same one
  * @param service the service it belongs to
  * @param dataCentre the data centre it runs in
  * @param address host and port
@@ -28,6 +28,7 @@
  * @param leavesMillis how long it still runs once it is draining, in milliseconds; 0 if not told
  * @param version version of its software; empty if not told
  * @param coldLeftMillis how long it is still slow after its start, in milliseconds
+ * @param bornMillis when it started, in milliseconds of the time of day; 0 if not told
  * @since 0.2
  */
 public record Upstream(
@@ -40,7 +41,8 @@
         boolean reclaimable,
         long leavesMillis,
         String version,
-        long coldLeftMillis) {
+        long coldLeftMillis,
+        long bornMillis) {
     /**
      * Creates an upstream that tells no version.
      *
@@ -64,4 +66,43 @@
             long leavesMillis) {
         this(id, service, dataCentre, address, slots, draining, reclaimable, leavesMillis, "", 0);
     }
+
+    /**
+     * Creates an upstream that does not tell when it started.
+     *
+     * @param id its name
+     * @param service the service it belongs to
+     * @param dataCentre the data centre it runs in
+     * @param address host and port
+     * @param slots requests it works on at once
+     * @param draining true if it has announced that it leaves
+     * @param reclaimable true if the cloud may take it back
+     * @param leavesMillis how long it still runs once it is draining, in milliseconds
+     * @param version version of its software
+     * @param coldLeftMillis how long it is still slow after its start, in milliseconds
+     */
+    public Upstream(
+            String id,
+            String service,
+            String dataCentre,
+            String address,
+            int slots,
+            boolean draining,
+            boolean reclaimable,
+            long leavesMillis,
+            String version,
+            long coldLeftMillis) {
+        this(
+                id,
+                service,
+                dataCentre,
+                address,
+                slots,
+                draining,
+                reclaimable,
+                leavesMillis,
+                version,
+                coldLeftMillis,
+                0);
+    }
 }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ClusterView.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ClusterView.java
@@ -65,10 +65,10 @@
     private static final int RECENT_LEAVING = 32;
 
     /**
-     * Least time between two digests that are told because an upstream leaves, in milliseconds:
-     * many may leave at once, and a digest takes a hub some processor time.
+     * Least time between two digests that are told out of turn, in milliseconds: many upstreams may
+     * leave or end at once, and a digest takes a hub some processor time.
      */
-    private static final long LEAVING_MILLIS = 50;
+    private static final long SOON_MILLIS = 50;
 
     private final LongSupplier nowMillis;
     private final PolicyKeeper policies;
@@ -88,7 +88,7 @@
     private BooleanSupplier leads = () -> false;
     private Mesh mesh;
     private boolean draining;
-    private long leavingToldMillis = -LEAVING_MILLIS;
+    private long soonToldMillis = -SOON_MILLIS;
     private List<Peer> evidenceOf = List.of();
     private boolean evidenceTold;
 
@@ -500,10 +500,16 @@
 
     /** The way between regions is longer by two processes, so news of leaving does not wait. */
     private void tellOfLeaving() {
-        boolean several = mesh != null && mesh.regions().isPresent();
+        if (mesh != null && mesh.regions().isPresent()) {
+            tellSoon();
+        }
+    }
+
+    /** Has the peers told at once, unless they were told so a moment ago. */
+    void tellSoon() {
         long now = nowMillis.getAsLong();
-        if (several && now - leavingToldMillis >= LEAVING_MILLIS) {
-            leavingToldMillis = now;
+        if (mesh != null && now - soonToldMillis >= SOON_MILLIS) {
+            soonToldMillis = now;
             tellPeers();
         }
     }
--- /dev/null
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/CrashReports.java
@@ -0,0 +1,115 @@
+/*
+ * Copyright 2026 The trailladder authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package io.trailladder.entry.gateway;
+
+import io.trailladder.core.crash.CrashHistory;
+import io.trailladder.core.crash.CrashLedger;
+import io.trailladder.core.crash.CrashReport;
+import io.trailladder.core.crash.RequestFingerprint;
+import io.trailladder.core.crash.UpstreamEnd;
+import java.io.IOException;
+import java.nio.BufferUnderflowException;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * The form in which reports of requests that end upstreams are told and kept. Times are written as
+ * ages, since each process has a clock of its own.
+ */
+final class CrashReports {
+    private static final int NEVER = -1;
+    private static final int END_BYTES = Long.BYTES + 1 + 2 * Integer.BYTES;
+    private static final int HEAD_BYTES = Long.BYTES + Integer.BYTES + 1;
+
+    private CrashReports() {}
+
+    /** Writes as many reports, in their order, as fit into so many bytes. */
+    static byte[] write(List<CrashReport> reports, int mostBytes, long nowMillis) {
+        ByteBuffer bytes = ByteBuffer.allocate(mostBytes);
+        for (CrashReport report : reports) {
+            if (bytes.remaining() < HEAD_BYTES + report.ends().size() * END_BYTES) {
+                break;
+            }
+            write(bytes, report, nowMillis);
+        }
+        byte[] written = new byte[bytes.position()];
+        bytes.flip().get(written);
+        return written;
+    }
+
+    private static void write(ByteBuffer bytes, CrashReport report, long nowMillis) {
+        boolean cleared = report.clearedMillis() != CrashReport.NEVER;
+        bytes.putLong(report.request().value());
+        bytes.putInt(cleared ? number(nowMillis - report.clearedMillis()) : NEVER);
+        bytes.put((byte) report.ends().size());
+        for (UpstreamEnd end : report.ends()) {
+            bytes.putLong(end.upstream());
+            bytes.put((byte) end.repeat());
+            bytes.putInt(number(nowMillis - end.atMillis()));
+            bytes.putInt(number(end.ranMillis()));
+        }
+    }
+
+    private static int number(long millis) {
+        return (int) Math.max(0, Math.min(Integer.MAX_VALUE, millis));
+    }
+
+    /**
+     * Reads reports.
+     *
+     * @param bytes what was written
+     * @param nowMillis the time to which ages are taken, in milliseconds
+     * @return the reports
+     * @throws IOException if any of it is unsound
+     */
+    static List<CrashReport> read(ByteBuffer bytes, long nowMillis) throws IOException {
+        List<CrashReport> reports = new ArrayList<>();
+        try {
+            while (bytes.hasRemaining()) {
+                reports.add(readOne(bytes, nowMillis));
+            }
+        } catch (BufferUnderflowException e) {
+            throw new IOException("a report ends early", e);
+        }
+        return reports;
+    }
+
+    private static CrashReport readOne(ByteBuffer bytes, long nowMillis) throws IOException {
+        RequestFingerprint request = new RequestFingerprint(bytes.getLong());
+        int clearedAge = bytes.getInt();
+        int count = bytes.get();
+        if (count < 0 || count > CrashHistory.MOST_ENDS) {
+            throw new IOException(count + " ends, expected 0 to " + CrashHistory.MOST_ENDS);
+        }
+        List<UpstreamEnd> ends = new ArrayList<>(count);
+        for (int i = 0; i < count; i++) {
+            long upstream = bytes.getLong();
+            int repeat = Byte.toUnsignedInt(bytes.get());
+            long at = nowMillis - age(bytes.getInt());
+            ends.add(new UpstreamEnd(upstream, repeat, at, age(bytes.getInt())));
+        }
+        long cleared = clearedAge == NEVER ? CrashReport.NEVER : nowMillis - age(clearedAge);
+        return new CrashReport(request, cleared, ends);
+    }
+
+    private static int age(int millis) throws IOException {
+        if (millis < 0 || millis > CrashLedger.REFUSED_KEPT_MILLIS) {
+            throw new IOException("an age of " + millis + " ms");
+        }
+        return millis;
+    }
+}
--- /dev/null
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/CrashWatch.java
@@ -0,0 +1,168 @@
+/*
+ * Copyright 2026 The trailladder authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package io.trailladder.entry.gateway;
+
+import io.trailladder.core.crash.CrashLedger;
+import io.trailladder.core.crash.CrashReport;
+import io.trailladder.core.crash.CrashVerdict;
+import io.trailladder.core.crash.RequestFingerprint;
+import io.trailladder.core.crash.UpstreamEnd;
+import io.trailladder.core.upstream.Upstream;
+import io.trailladder.entry.gateway.DecisionLog.Lifecycle;
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.LongSupplier;
+
+/** Watches for requests that end the upstreams that run them, and has them refused. */
+public final class CrashWatch {
+    /** How often the watch looks through what it remembers, in milliseconds. */
+    static final long LOOK_MILLIS = 1_000;
+
+    /** How often a refused request's ends are logged, in milliseconds; its tries may be many. */
+    private static final long LOGGED_MILLIS = 10_000;
+
+    /** Most requests of which it is known when their ends were last logged. */
+    private static final int MOST_LOGGED = 256;
+
+    private final CrashLedger ledger = new CrashLedger();
+    private final LongSupplier nowMillis;
+    private final GatewayMetrics metrics;
+    private final Map<RequestFingerprint, Long> loggedMillis =
+            new LinkedHashMap<>() {
+                private static final long serialVersionUID = 1;
+
+                @Override
+                protected boolean removeEldestEntry(Map.Entry<RequestFingerprint, Long> eldest) {
+                    return size() > MOST_LOGGED;
+                }
+            };
+    private Runnable onOwnNews = () -> {};
+    private long soundSinceMillis = Long.MAX_VALUE;
+
+    CrashWatch(LongSupplier nowMillis, GatewayMetrics metrics) {
+        this.nowMillis = nowMillis;
+        this.metrics = metrics;
+    }
+
+    /** Has a task run when an end was seen here that was not known. */
+    void onOwnNews(Runnable task) {
+        onOwnNews = task;
+    }
+
+    CrashLedger ledger() {
+        return ledger;
+    }
+
+    /** Tells whether a request that has just come is refused. */
+    boolean refuses(String tryId, RequestIdentity identity) {
+        CrashVerdict verdict = verdict(identity);
+        if (verdict == CrashVerdict.TRIED_AGAIN) {
+            ledger.triedAgain(identity.fingerprint());
+            DecisionLog.write(
+                    new Lifecycle(
+                            "request " + identity.fingerprint(), "sent once more", "try " + tryId));
+        }
+        return verdict == CrashVerdict.REFUSED && refused(tryId, identity);
+    }
+
+    /** Tells whether a request whose attempt has failed is not to be sent again. */
+    boolean refusesFurther(String tryId, RequestIdentity identity) {
+        return verdict(identity) != CrashVerdict.SERVED && refused(tryId, identity);
+    }
+
+    private CrashVerdict verdict(RequestIdentity identity) {
+        return ledger.hasSuspects()
+                ? ledger.verdict(identity.fingerprint(), nowMillis.getAsLong())
+                : CrashVerdict.SERVED;
+    }
+
+    private boolean refused(String tryId, RequestIdentity identity) {
+        metrics.count(GatewayMetrics.Event.REFUSED_AS_CRASHING);
+        RequestFingerprint request = identity.fingerprint();
+        long now = nowMillis.getAsLong();
+        Long logged = loggedMillis.get(request);
+        if (logged == null || now - logged >= LOGGED_MILLIS) {
+            loggedMillis.remove(request);
+            loggedMillis.put(request, now);
+            DecisionLog.write(new RefusedAsCrashing(tryId, request, ledger.known(request), now));
+        }
+        return true;
+    }
+
+    /** Records that an upstream ended, or its connection did, while it had a request. */
+    void ended(String tryId, RequestIdentity identity, Upstream upstream, long ranMillis) {
+        long now = nowMillis.getAsLong();
+        RequestFingerprint request = identity.fingerprint();
+        long life = UpstreamEnd.nameOf(upstream.id(), upstream.bornMillis());
+        boolean news = ledger.ended(request, life, now - ranMillis, now);
+        DecisionLog.write(
+                new UpstreamEnded(
+                        tryId, request, upstream.id(), ranMillis, ledger.known(request).size()));
+        if (news) {
+            onOwnNews.run();
+        }
+    }
+
+    /** Records that a request ran whole, which clears it. */
+    void ranWhole(RequestIdentity identity) {
+        if (ledger.hasSuspects() && ledger.cleared(identity.fingerprint(), nowMillis.getAsLong())) {
+            DecisionLog.write(
+                    new Lifecycle("request " + identity.fingerprint(), "cleared", "it ran whole"));
+        }
+    }
+
+    /** Clears a request because an operator says so; returns false if nothing was known of it. */
+    boolean lift(RequestFingerprint request) {
+        boolean lifted = ledger.cleared(request, nowMillis.getAsLong());
+        if (lifted) {
+            DecisionLog.write(new Lifecycle("request " + request, "cleared", "by an operator"));
+        }
+        return lifted;
+    }
+
+    /** Takes over what a peer, or the store, tells. */
+    void told(String source, CrashReport report) {
+        if (ledger.told(source, report, nowMillis.getAsLong())) {
+            DecisionLog.write(
+                    new Lifecycle(
+                            "request " + report.request(),
+                            "refused from now",
+                            report.ends().size() + " ends, told by " + source));
+        }
+    }
+
+    /**
+     * Looks through what is remembered. To be called every {@link #LOOK_MILLIS}.
+     *
+     * @param listed the upstreams that are listed
+     * @param sound true if the list is sound: the store answers, and no entries are missing that
+     *     may come back
+     */
+    void look(Collection<Upstream> listed, boolean sound) {
+        long now = nowMillis.getAsLong();
+        soundSinceMillis = sound ? Math.min(soundSinceMillis, now) : Long.MAX_VALUE;
+        if (ledger.isEmpty()) {
+            return;
+        }
+        Set<Long> living = new HashSet<>();
+        listed.forEach(one -> living.add(UpstreamEnd.nameOf(one.id(), one.bornMillis())));
+        ledger.look(living, Math.min(soundSinceMillis, now), now);
+        metrics.crashing(ledger.refused().size(), ledger.size());
+    }
+}
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/DirectoryKeeper.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/DirectoryKeeper.java
@@ -84,6 +84,16 @@
         afterReturn.accept(this::dropMissing);
     }
 
+    /**
+     * Tells whether the list holds upstreams that may be gone: the store was away, and it is not
+     * yet clear which of them come back.
+     *
+     * @return false if the list is what the store has
+     */
+    public boolean awaitsReturns() {
+        return nowMillis.getAsLong() < returnsUntilMillis;
+    }
+
     /**
      * Has a listener told of every upstream that begins to leave or is gone.
      *
@@ -245,11 +255,11 @@
     }
 
     private boolean mayReturn(String id) {
-        return nowMillis.getAsLong() < returnsUntilMillis && !directory.isLeaving(id);
+        return awaitsReturns() && !directory.isLeaving(id);
     }
 
     private void dropMissing() {
-        if (nowMillis.getAsLong() < returnsUntilMillis) {
+        if (awaitsReturns()) {
             return;
         }
         for (Upstream upstream : directory.all()) {
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
@@ -112,6 +112,8 @@
     private final RolloutParts rollouts;
     private final FleetRunner fleet;
     private final MemoryKeeper memory;
+    private final CrashWatch crashes = new CrashWatch(loop::nowMillis, metrics);
+    private final CrashPages crashPages = new CrashPages(crashes, loop::nowMillis);
     private final RequestIntake intake;
     private final HttpServer callers;
     private final HttpServer health;
@@ -169,6 +171,8 @@
                         metrics,
                         !settings.node().firstStart());
         view.add(clock);
+        view.add(new CrashPart(crashes, random.nextLong()));
+        crashes.onOwnNews(() -> loop.execute(view::tellSoon));
         GatewayMember self = settings.self();
         topology = Topology.of(self.dataCentre(), settings.regions().byDataCentre());
         regionMetrics =
@@ -257,7 +261,8 @@
                         new ReturnTimes(policies, directory, loads, engines, random.split()),
                         metrics,
                         view::oldestDigestMillis,
-                        memory);
+                        memory,
+                        crashes);
         intake = new RequestIntake(context, policies, this::isInformed, random.split());
         callers = new HttpServer(loop, bounds(RequestBounds.DEFAULTS), intake);
         callers.memory(memory.account(), memory);
@@ -310,6 +315,7 @@
         loop.repeat(ROLE_MILLIS, this::followStore);
         loop.repeat(STORE_USE_MILLIS, this::logStoreUse);
         loop.repeat(MemoryKeeper.CHECK_MILLIS, memory::tick);
+        loop.repeat(CrashWatch.LOOK_MILLIS, this::lookForCrashes);
         loop.execute(
                 () -> {
                     policyWatcher.restart();
@@ -439,7 +445,15 @@
         exchange.respond(isReady() ? OK : UNAVAILABLE, HeaderList.EMPTY, NO_BYTES);
     }
 
+    private void lookForCrashes() {
+        boolean sound = storeHealth.isReachable() && !directoryKeeper.awaitsReturns();
+        crashes.look(directory.all(), sound);
+    }
+
     private void answerFigures(ServerExchange exchange) {
+        if (crashPages.answers(exchange)) {
+            return;
+        }
         tellState();
         ByteArrayOutputStream text = new ByteArrayOutputStream();
         try {
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/GatewayMetrics.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/GatewayMetrics.java
@@ -87,6 +87,15 @@
     private final Gauge connections =
             gauge("trailladder_connections_opened", "Connections opened to servers");
 
+    private final Gauge refusedRequests =
+            gauge(
+                    "trailladder_crashing_requests",
+                    "Requests refused for upstreams ended under them");
+    private final Gauge rememberedRequests =
+            gauge(
+                    "trailladder_crash_suspects",
+                    "Requests remembered for upstreams ended under them");
+
     private final Gauge readingSpeed =
             serviceGauge(
                     "trailladder_upstream_tokens_per_second",
@@ -113,7 +122,9 @@
         /** A usage report or an order was not accepted. */
         DUTY_FAILURE,
         /** A request was sent to another region. */
-        SENT_TO_OTHER_REGION
+        SENT_TO_OTHER_REGION,
+        /** A request was not sent because upstreams ended under it before. */
+        REFUSED_AS_CRASHING
     }
 
     /**
@@ -221,6 +232,17 @@
         connections.set((double) opened);
     }
 
+    /**
+     * Records what is known of requests under which upstreams ended.
+     *
+     * @param refused how many are refused
+     * @param remembered how many are remembered
+     */
+    public void crashing(int refused, int remembered) {
+        refusedRequests.set(refused);
+        rememberedRequests.set(remembered);
+    }
+
     /**
      * Records what is believed of a service's upstreams.
      *
--- /dev/null
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RefusedAsCrashing.java
@@ -0,0 +1,52 @@
+/*
+ * Copyright 2026 The trailladder authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package io.trailladder.entry.gateway;
+
+import com.fasterxml.jackson.core.JsonGenerator;
+import io.trailladder.core.crash.CrashHistory;
+import io.trailladder.core.crash.RequestFingerprint;
+import io.trailladder.entry.gateway.DecisionLog.Decision;
+import java.io.IOException;
+import java.util.HexFormat;
+import java.util.List;
+
+/**
+ * A log line: a request is not sent to an upstream because upstreams ended under it before.
+ *
+ * @param id the request's try
+ * @param request the request, the same at all its tries
+ * @param ends the ends that count
+ * @param nowMillis the time to which their ages are told, in milliseconds
+ */
+record RefusedAsCrashing(
+        String id, RequestFingerprint request, List<CrashHistory.Known> ends, long nowMillis)
+        implements Decision {
+    @Override
+    public void write(JsonGenerator json) throws IOException {
+        json.writeStringField("id", id);
+        json.writeStringField("request", request.toString());
+        json.writeArrayFieldStart("ends");
+        for (CrashHistory.Known known : ends) {
+            json.writeStartObject();
+            json.writeStringField("life", HexFormat.of().toHexDigits(known.end().upstream()));
+            json.writeNumberField("ageMs", nowMillis - known.end().atMillis());
+            json.writeNumberField("ranMs", known.end().ranMillis());
+            json.writeStringField("toldBy", known.source());
+            json.writeEndObject();
+        }
+        json.writeEndArray();
+    }
+}
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestDriver.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestDriver.java
@@ -44,6 +44,7 @@
  * what {@link RecoveryPolicy} decides when an attempt fails.
  */
 final class RequestDriver implements Attempt.Owner {
+    private static final int FAILURES = 300;
     private static final int SERVER_ERRORS = 500;
     private static final byte[] NO_BYTES = {};
 
@@ -160,6 +161,9 @@
         }
         attempt = null;
         context.metrics().attempt(request.service(), "whole");
+        if (answer.status() < FAILURES) {
+            context.crashes().ranWhole(identity);
+        }
         answer.end();
         end("whole", answer.status(), sender);
     }
@@ -190,7 +194,12 @@
 
     /** Tries again after a roll-out has had it wait. */
     private void goOn() {
-        if (!over) {
+        if (over) {
+            return;
+        }
+        if (context.crashes().refusesFurther(request.id(), identity)) {
+            giveUp(RecoveryPolicy.endingOf(history, false));
+        } else {
             nextAttempt();
         }
     }
@@ -251,12 +260,16 @@
         attempt = null;
         silence.stop();
         history.failed(sender.upstream().id(), failure);
-        if (failure == AttemptFailure.BROKEN) {
+        if (mayHaveEnded(sender.upstream(), failure)) {
             upstreamEnded(sender);
         }
         context.metrics().attempt(request.service(), failure.name());
         long now = context.loop().nowMillis();
         Recovery recovery = RecoveryPolicy.after(request, history, failure, true, now);
+        if (!(recovery instanceof GiveUp)
+                && context.crashes().refusesFurther(request.id(), identity)) {
+            recovery = RecoveryPolicy.after(request, history, failure, false, now);
+        }
         boolean neverArrived =
                 failure == AttemptFailure.UNREACHABLE || failure == AttemptFailure.NOT_SENT;
         boolean paid = silence.takePaid() || neverArrived;
@@ -281,13 +294,18 @@
         }
     }
 
+    /** An upstream that ends breaks its connections, or is silent and soon not listed any more. */
+    private boolean mayHaveEnded(Upstream upstream, AttemptFailure failure) {
+        return failure == AttemptFailure.BROKEN
+                || (failure == AttemptFailure.SILENT && isGone(upstream));
+    }
+
+    private boolean isGone(Upstream upstream) {
+        return context.directory().find(upstream.id()).isEmpty();
+    }
+
     private void upstreamEnded(Attempt sender) {
-        DecisionLog.write(
-                new UpstreamEnded(
-                        request.id(),
-                        identity.fingerprint(),
-                        sender.upstream().id(),
-                        sender.ageMillis()));
+        context.crashes().ended(request.id(), identity, sender.upstream(), sender.ageMillis());
     }
 
     private void giveUp(Ending ending) {
@@ -325,6 +343,9 @@
         Attempt last = attempt;
         if (isUnderWay()) {
             context.loads().failed(attempt.upstream().id(), context.loop().nowMillis());
+            if (isGone(attempt.upstream())) {
+                upstreamEnded(attempt);
+            }
         }
         cancelAttempt();
         giveUp(ending, last);
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestIntake.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestIntake.java
@@ -27,6 +27,7 @@
 import io.trailladder.entry.http.ServerExchange;
 import io.trailladder.entry.port.CallerRequest;
 import io.vavr.control.Either;
+import java.nio.charset.StandardCharsets;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
@@ -59,6 +60,9 @@
     private static final String NO_ROOM = "no room in memory";
     private static final long DEFAULT_WAIT_MILLIS = 60_000;
     private static final byte[] NO_BYTES = {};
+    private static final byte[] CRASHING =
+            "not run: the servers that ran this request before ended under it\n"
+                    .getBytes(StandardCharsets.UTF_8);
 
     private final ServingContext context;
     private final PolicyKeeper policies;
@@ -192,6 +196,11 @@
             refuse(exchange, caller.id(), UNAUTHORIZED, 0, "unknown key");
             return;
         }
+        RequestIdentity identity = new RequestIdentity(exchange, caller.host(), caller.key());
+        if (context.crashes().refuses(caller.id(), identity)) {
+            refuseAsCrashing(exchange, caller.id());
+            return;
+        }
         int units =
                 organisation
                         .map(
@@ -219,21 +228,18 @@
             return;
         }
         ServingRequest request = request(exchange, caller, policy, route.get(), organisation);
-        drive(exchange, caller, request, units);
+        drive(exchange, request, identity, units, caller.lastEventId());
     }
 
     private void drive(
-            ServerExchange exchange, CallerRequest caller, ServingRequest request, int units) {
-        RequestIdentity identity = new RequestIdentity(exchange, caller.host(), caller.key());
+            ServerExchange exchange,
+            ServingRequest request,
+            RequestIdentity identity,
+            int units,
+            String lastEventId) {
         RequestDriver driver =
                 new RequestDriver(
-                        context,
-                        exchange,
-                        request,
-                        identity,
-                        units,
-                        caller.lastEventId(),
-                        open::remove);
+                        context, exchange, request, identity, units, lastEventId, open::remove);
         open.add(driver);
         driver.start();
     }
@@ -274,6 +280,20 @@
         turnBack(exchange, status, retryAfterMillis);
     }
 
+    /**
+     * Refuses a request that ends upstreams. No time to come back is told: it is the request, not
+     * the moment. The status says no more than is certain, that this try has not run; who is
+     * refused wrongly may ask again.
+     */
+    private void refuseAsCrashing(ServerExchange exchange, String id) {
+        String outcome = UNAVAILABLE + ", upstreams ended under it";
+        DecisionLog.write(new Intake(id, "", "", 0, policies.version(), 0, outcome));
+        context.metrics().ended("", "", "refused-" + UNAVAILABLE, 0);
+        HeaderList headers =
+                context.protocol().refusal(0).with("Content-Type", "text/plain; charset=utf-8");
+        exchange.respond(UNAVAILABLE, headers, CRASHING);
+    }
+
     private void turnBack(ServerExchange exchange, int status, long retryAfterMillis) {
         context.metrics().ended("", "", "refused-" + status, 0);
         long spread = context.returns().spread(retryAfterMillis);
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ServingContext.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ServingContext.java
@@ -47,6 +47,7 @@
  * @param metrics the process's figures
  * @param peersAgeMillis tells how old the oldest peer digest in use is, in milliseconds
  * @param memory keeps what requests hold inside the process's memory
+ * @param crashes watches for requests that end upstreams
  * @since 0.2
  */
 public record ServingContext(
@@ -66,4 +67,5 @@
         ReturnTimes returns,
         GatewayMetrics metrics,
         LongSupplier peersAgeMillis,
-        MemoryKeeper memory) {}
+        MemoryKeeper memory,
+        CrashWatch crashes) {}
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/UpstreamEnded.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/UpstreamEnded.java
@@ -27,8 +27,9 @@
  * @param request the request, the same at all its tries
  * @param upstream the upstream
  * @param ranMs time since it was sent there, in milliseconds
+ * @param ends how many ends under the request count now
  */
-record UpstreamEnded(String id, RequestFingerprint request, String upstream, long ranMs)
+record UpstreamEnded(String id, RequestFingerprint request, String upstream, long ranMs, int ends)
         implements Decision {
     @Override
     public void write(JsonGenerator json) throws IOException {
@@ -36,5 +37,6 @@
         json.writeStringField("request", request.toString());
         json.writeStringField("upstream", upstream);
         json.writeNumberField("ranMs", ranMs);
+        json.writeNumberField("ends", ends);
     }
 }
