--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestIdentity.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestIdentity.java
@@ -17,25 +17,31 @@
 
 import io.trailladder.core.crash.RequestFingerprint;
 import io.trailladder.entry.http.ServerExchange;
+import java.util.function.Supplier;
 
 /** Knows a request's fingerprint, which is made when it is first asked for: few ever are. */
 final class RequestIdentity {
-    private final ServerExchange exchange;
-    private final String host;
-    private final String callerKey;
+    private final Supplier<RequestFingerprint> maker;
     private RequestFingerprint fingerprint;
 
-    RequestIdentity(ServerExchange exchange, String host, String callerKey) {
-        this.exchange = exchange;
-        this.host = host;
-        this.callerKey = callerKey;
+    RequestIdentity(Supplier<RequestFingerprint> maker) {
+        this.maker = maker;
+    }
+
+    /** Returns the identity of a caller's request. */
+    static RequestIdentity of(ServerExchange exchange, String host, String callerKey) {
+        return new RequestIdentity(
+                () ->
+                        RequestFingerprint.of(
+                                callerKey,
+                                exchange.method(),
+                                host + exchange.uri(),
+                                exchange.body()));
     }
 
     RequestFingerprint fingerprint() {
         if (fingerprint == null) {
-            fingerprint =
-                    RequestFingerprint.of(
-                            callerKey, exchange.method(), host + exchange.uri(), exchange.body());
+            fingerprint = maker.get();
         }
         return fingerprint;
     }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestIntake.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestIntake.java
@@ -196,7 +196,7 @@
             refuse(exchange, caller.id(), UNAUTHORIZED, 0, "unknown key");
             return;
         }
-        RequestIdentity identity = new RequestIdentity(exchange, caller.host(), caller.key());
+        RequestIdentity identity = RequestIdentity.of(exchange, caller.host(), caller.key());
         if (context.crashes().refuses(caller.id(), identity)) {
             refuseAsCrashing(exchange, caller.id());
             return;
--- a/trailladder-entry/src/test/java/io/trailladder/entry/gateway/SimulatedCluster.java
+++ b/trailladder-entry/src/test/java/io/trailladder/entry/gateway/SimulatedCluster.java
@@ -80,6 +80,7 @@
     private final Map<String, String> regions;
     private long bytesBetweenRegions;
     private ServingPolicy policy;
+    private Runnable onStep = () -> {};
     private double demand;
     private double mostAllowed;
     private long now;
@@ -249,6 +250,11 @@
         processes.get(name).freeze(frozen);
     }
 
+    /** Has a task run after each step of time. */
+    void onStep(Runnable task) {
+        onStep = task;
+    }
+
     /** Has time pass. */
     void pass(long millis) {
         long end = now + millis;
@@ -257,6 +263,7 @@
             deliver();
             processes.values().forEach(this::step);
             ask();
+            onStep.run();
         }
     }
 
--- a/trailladder-entry/src/test/java/io/trailladder/entry/gateway/SimulatedProcess.java
+++ b/trailladder-entry/src/test/java/io/trailladder/entry/gateway/SimulatedProcess.java
@@ -69,6 +69,7 @@
     private Quotas quotas;
     private UsageLedger usage;
     private ClusterView view;
+    private CrashWatch crashes;
     private StoreHealth health;
     private boolean fed;
     private NodeHello hello;
@@ -121,6 +122,9 @@
                         new EngineModel(),
                         metrics,
                         !firstStart);
+        crashes = new CrashWatch(cluster::now, metrics);
+        view.add(new CrashPart(crashes, member.name().hashCode() * 31L + life));
+        crashes.onOwnNews(view::tellSoon);
         view.start(new Links(), () -> false);
         quotas.policy(cluster.policy(), cluster.now());
         startedMillis = cluster.now();
@@ -164,6 +168,10 @@
         return loads;
     }
 
+    CrashWatch crashes() {
+        return crashes;
+    }
+
     ClusterView view() {
         return view;
     }
