Keep refused requests in the platform's store, for the loss of all processes

Cause: where all processes are lost at once, nobody is left to tell; the request ends three more upstreams.

--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
@@ -113,6 +113,7 @@
     private final FleetRunner fleet;
     private final MemoryKeeper memory;
     private final CrashWatch crashes = new CrashWatch(loop::nowMillis, metrics);
+    private final CrashRecords crashRecords;
     private final CrashPages crashPages = new CrashPages(crashes, loop::nowMillis);
     private final RequestIntake intake;
     private final HttpServer callers;
@@ -207,6 +208,14 @@
                         life,
                         settings.timing(),
                         metrics);
+        crashRecords =
+                new CrashRecords(
+                        loop,
+                        clock,
+                        counted(platform, Purpose.CRASHES),
+                        storeHealth,
+                        crashes,
+                        duties::leads);
         VersionGate versions = new VersionGate();
         rollouts =
                 new RolloutParts(
@@ -324,6 +333,7 @@
                     duties.start();
                     fleet.start();
                     rollouts.start();
+                    crashRecords.start(settings.node().firstStart());
                 });
         loop.start();
         DecisionLog.write(
@@ -428,8 +438,8 @@
     }
 
     private boolean isInformed() {
-        boolean versionsKnown = rollouts.isKnown() || peersHaveTold();
-        return policies.version() > 0 && directoryKeeper.revision() > 0 && versionsKnown;
+        boolean recordsKnown = (rollouts.isKnown() && crashRecords.isKnown()) || peersHaveTold();
+        return policies.version() > 0 && directoryKeeper.revision() > 0 && recordsKnown;
     }
 
     /** What the store does not tell soon after the start is taken from peers. */
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/StoreCalls.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/StoreCalls.java
@@ -40,7 +40,9 @@
         /** The list of upstreams. */
         UPSTREAMS,
         /** Orders and records of roll-outs. */
-        ROLLOUTS
+        ROLLOUTS,
+        /** The record of requests that end upstreams. */
+        CRASHES
     }
 
     /** The kind of a call. */
