Take back tries of a request that was found to end upstreams

Cause: tries that are under way elsewhere when the third end is known run on and end their upstreams too: in the incident two processes sent the request to one fresh upstream in the same millisecond, where it waited 1.6 s.

Change: as a request becomes refused, the process ends its open tries: 502, or broken off, and their upstreams see the caller leave. A refusal of this kind never carries a time to come back, also where the try had found nobody.

--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/CrashWatch.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/CrashWatch.java
@@ -27,6 +27,7 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 
 /** Watches for requests that end the upstreams that run them, and has them refused. */
@@ -53,6 +54,7 @@
                 }
             };
     private Runnable onOwnNews = () -> {};
+    private Consumer<RequestFingerprint> onRefused = request -> {};
     private long soundSinceMillis = Long.MAX_VALUE;
 
     CrashWatch(LongSupplier nowMillis, GatewayMetrics metrics) {
@@ -65,6 +67,11 @@
         onOwnNews = task;
     }
 
+    /** Has a listener told of each request that is refused from now on. */
+    void onRefused(Consumer<RequestFingerprint> listener) {
+        onRefused = listener;
+    }
+
     CrashLedger ledger() {
         return ledger;
     }
@@ -116,6 +123,7 @@
                         tryId, request, upstream.id(), ranMillis, ledger.known(request).size()));
         if (news) {
             onOwnNews.run();
+            tellIfRefused(request);
         }
     }
 
@@ -144,6 +152,13 @@
                             "request " + report.request(),
                             "refused from now",
                             report.ends().size() + " ends, told by " + source));
+            tellIfRefused(report.request());
+        }
+    }
+
+    private void tellIfRefused(RequestFingerprint request) {
+        if (ledger.verdict(request, nowMillis.getAsLong()) == CrashVerdict.REFUSED) {
+            onRefused.accept(request);
         }
     }
 
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
@@ -273,6 +273,7 @@
                         memory,
                         crashes);
         intake = new RequestIntake(context, policies, this::isInformed, random.split());
+        crashes.onRefused(request -> loop.execute(() -> intake.stopCrashing(request)));
         callers = new HttpServer(loop, bounds(RequestBounds.DEFAULTS), intake);
         callers.memory(memory.account(), memory);
         memory.unreadAnswers(callers::unreadAnswers);
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestDriver.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestDriver.java
@@ -15,6 +15,7 @@
  */
 package io.trailladder.entry.gateway;
 
+import io.trailladder.core.crash.RequestFingerprint;
 import io.trailladder.core.pipeline.AttemptFailure;
 import io.trailladder.core.pipeline.AttemptHistory;
 import io.trailladder.core.pipeline.Ending;
@@ -63,6 +64,7 @@
     private Attempt attempt;
     private boolean started;
     private boolean over;
+    private boolean crashing;
     private long firstMillis = -1;
 
     RequestDriver(
@@ -131,6 +133,24 @@
         giveUp(ending);
     }
 
+    /**
+     * Ends the request if it is one that ends upstreams: the upstream that has it may not have
+     * begun to run it, and lives on if it is taken back.
+     *
+     * @param found the request that was found to end upstreams
+     */
+    void stopIf(RequestFingerprint found) {
+        if (!over && identity.fingerprint().equals(found)) {
+            crashing = true;
+            stop();
+        }
+    }
+
+    private boolean isRefusedFurther() {
+        crashing = context.crashes().refusesFurther(request.id(), identity);
+        return crashing;
+    }
+
     @Override
     public void sending(Attempt sender) {
         history.sent(sender.upstream().id());
@@ -197,7 +217,7 @@
         if (over) {
             return;
         }
-        if (context.crashes().refusesFurther(request.id(), identity)) {
+        if (isRefusedFurther()) {
             giveUp(RecoveryPolicy.endingOf(history, false));
         } else {
             nextAttempt();
@@ -266,8 +286,7 @@
         context.metrics().attempt(request.service(), failure.name());
         long now = context.loop().nowMillis();
         Recovery recovery = RecoveryPolicy.after(request, history, failure, true, now);
-        if (!(recovery instanceof GiveUp)
-                && context.crashes().refusesFurther(request.id(), identity)) {
+        if (!(recovery instanceof GiveUp) && isRefusedFurther()) {
             recovery = RecoveryPolicy.after(request, history, failure, false, now);
         }
         boolean neverArrived =
@@ -330,7 +349,7 @@
     }
 
     private long retryAfterMillis(Ending ending) {
-        return ending == Ending.NOT_RUN
+        return ending == Ending.NOT_RUN && !crashing
                 ? context.returns().place(request.service(), context.loop().nowMillis())
                 : 0;
     }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestIntake.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestIntake.java
@@ -15,6 +15,7 @@
  */
 package io.trailladder.entry.gateway;
 
+import io.trailladder.core.crash.RequestFingerprint;
 import io.trailladder.core.pipeline.AttemptFailure;
 import io.trailladder.core.pipeline.ServingRequest;
 import io.trailladder.core.policy.OrganisationSpec;
@@ -173,6 +174,15 @@
         }
     }
 
+    /**
+     * Ends all tries of a request that was found to end upstreams.
+     *
+     * @param found the request
+     */
+    void stopCrashing(RequestFingerprint found) {
+        List.copyOf(open).forEach(driver -> driver.stopIf(found));
+    }
+
     /** Refuses every further request, which callers may ask again of another process. */
     public void refuseNew() {
         refusing = true;
