List refused requests and lift a refusal; tests of what processes tell each other

trailladder refused --at HOST:PORT [--lift FINGERPRINT], over the figures' address. Reports: written and read unchanged, cut or random bytes read or refused whole (2,000 tries).

--- a/trailladder-cli/src/main/java/io/trailladder/cli/TrailladderCommand.java
+++ b/trailladder-cli/src/main/java/io/trailladder/cli/TrailladderCommand.java
@@ -46,6 +46,7 @@
             LossesCommand.class,
             ReplayCommand.class,
             RolloutCommand.class,
+            RefusedCommand.class,
             GenerateCompletion.class
         })
 public final class TrailladderCommand implements Runnable {
--- a/trailladder-cli/src/test/java/io/trailladder/cli/CommandLineTest.java
+++ b/trailladder-cli/src/test/java/io/trailladder/cli/CommandLineTest.java
@@ -99,4 +99,17 @@
         assertEquals(1, run("replay", file("{}\n").toString()));
         assertEquals(2, run("replay", "no-such-file"));
     }
+
+    @Example
+    void addressOfAGatewayThatIsNoneIsNamed() {
+        assertEquals(2, run("refused", "--at", "gateway-1"));
+        String expected = "--at 'gateway-1', expected HOST:PORT";
+        assertTrue(err.toString().contains(expected), err.toString());
+    }
+
+    @Example
+    void gatewayThatDoesNotAnswerIsNamed() {
+        assertEquals(1, run("refused", "--at", "127.0.0.1:1"));
+        assertTrue(err.toString().contains("error: "), err.toString());
+    }
 }
--- /dev/null
+++ b/trailladder-entry/src/test/java/io/trailladder/entry/gateway/CrashPartTest.java
@@ -0,0 +1,142 @@
+/*
+ * Copyright 2026 The trailladder authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package io.trailladder.entry.gateway;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.trailladder.core.crash.RequestFingerprint;
+import io.trailladder.core.upstream.Upstream;
+import io.trailladder.wire.NodeMessage.DigestScope;
+import io.trailladder.wire.NodeMessage.DigestSection;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import net.jqwik.api.Example;
+
+/** What processes tell each other of requests that end upstreams. */
+class CrashPartTest {
+    private static final long LONG_AGO_MILLIS = 60_000;
+
+    private long now = 1_000_000;
+    private final CrashWatch own = watch();
+    private final CrashPart ownPart = new CrashPart(own, 1);
+    private final CrashWatch other = watch();
+    private final CrashPart otherPart = new CrashPart(other, 2);
+
+    private CrashWatch watch() {
+        return new CrashWatch(() -> now, new GatewayMetrics());
+    }
+
+    private static RequestIdentity request(long value) {
+        return new RequestIdentity(() -> new RequestFingerprint(value));
+    }
+
+    private static Upstream upstream(String id) {
+        return new Upstream(id, "s", "dc", "h:1", 8, false, false, 0);
+    }
+
+    private void end(CrashWatch watch, long request, int times) {
+        for (int i = 0; i < times; i++) {
+            watch.ended("t", request(request), upstream(request + "-" + i), 100);
+        }
+    }
+
+    private DigestSection section(CrashPart from) {
+        return from.write(DigestScope.GROUP, List.of(), now).orElseThrow();
+    }
+
+    @Example
+    void endsSeenByTwoAddUp() throws IOException {
+        end(own, 1, 2);
+        other.ended("t", request(1), upstream("elsewhere"), 100);
+        otherPart.told("own", section(ownPart), now);
+        assertTrue(other.refuses("t", request(1)));
+        assertFalse(own.refuses("t", request(1)));
+        ownPart.told("other", section(otherPart), now);
+        assertTrue(own.refuses("t", request(1)));
+    }
+
+    @Example
+    void peersNewLifeIsToldOfAllSuspects() throws IOException {
+        for (int request = 1; request <= 20; request++) {
+            end(own, request, 3);
+        }
+        now += LONG_AGO_MILLIS;
+        int atRest = section(ownPart).body().length;
+        ownPart.told("other", section(otherPart), now);
+        DigestSection all = section(ownPart);
+        assertTrue(all.body().length > 10 * atRest, all.body().length + " bytes");
+        otherPart.told("own", all, now);
+        for (int request = 1; request <= 20; request++) {
+            assertTrue(other.refuses("t", request(request)));
+        }
+    }
+
+    @Example
+    void atRestSuspectsAreToldInTurn() throws IOException {
+        end(own, 1, 3);
+        end(own, 2, 3);
+        now += LONG_AGO_MILLIS;
+        for (int round = 0; round < 2; round++) {
+            otherPart.told("own", section(ownPart), now);
+            now += ClusterView.DIGEST_MILLIS;
+        }
+        assertTrue(other.refuses("t", request(1)));
+        assertTrue(other.refuses("t", request(2)));
+    }
+
+    @Example
+    void sectionIsBoundedHoweverManyThereAre() {
+        for (int request = 1; request <= 1_000; request++) {
+            end(own, request, 1);
+        }
+        assertTrue(section(ownPart).body().length <= DigestSection.MOST_BYTES);
+    }
+
+    @Example
+    void unsoundSectionIsRefusedWhole() {
+        DigestSection shortOne = new DigestSection("crashes", 1, 0, new byte[3]);
+        assertThrows(IOException.class, () -> ownPart.told("p", shortOne, now));
+        byte[] tooManyEnds = new byte[8 + 13];
+        tooManyEnds[8 + 12] = 100;
+        DigestSection unsound = new DigestSection("crashes", 1, 0, tooManyEnds);
+        assertThrows(IOException.class, () -> ownPart.told("p", unsound, now));
+        assertEquals(0, own.ledger().size());
+    }
+
+    @Example
+    void operatorsWordIsToldToo() throws IOException {
+        end(own, 1, 3);
+        otherPart.told("own", section(ownPart), now);
+        now += 1_000;
+        assertTrue(other.lift(new RequestFingerprint(1)));
+        ownPart.told("other", section(otherPart), now);
+        assertFalse(own.refuses("t", request(1)));
+    }
+
+    @Example
+    void foundRequestIsToldOnce() throws IOException {
+        List<RequestFingerprint> found = new ArrayList<>();
+        other.onRefused(found::add);
+        end(own, 1, 3);
+        otherPart.told("own", section(ownPart), now);
+        otherPart.told("own", section(ownPart), now);
+        assertEquals(List.of(new RequestFingerprint(1)), found);
+    }
+}
--- /dev/null
+++ b/trailladder-entry/src/test/java/io/trailladder/entry/gateway/CrashReportsProperties.java
@@ -0,0 +1,99 @@
+/*
+ * Copyright 2026 The trailladder authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package io.trailladder.entry.gateway;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.trailladder.core.crash.CrashHistory;
+import io.trailladder.core.crash.CrashReport;
+import io.trailladder.core.crash.RequestFingerprint;
+import io.trailladder.core.crash.UpstreamEnd;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+
+/** The form in which reports of requests that end upstreams are told. */
+class CrashReportsProperties {
+    private static final long NOW = 5_000_000;
+
+    private static List<CrashReport> drawn(Random random) {
+        List<CrashReport> reports = new ArrayList<>();
+        for (int i = random.nextInt(20); i > 0; i--) {
+            List<UpstreamEnd> ends = new ArrayList<>();
+            for (int e = random.nextInt(CrashHistory.MOST_ENDS + 1); e > 0; e--) {
+                long at = NOW - random.nextInt(1_000_000);
+                ends.add(
+                        new UpstreamEnd(
+                                random.nextLong(), random.nextInt(9), at, random.nextInt(9_000)));
+            }
+            long cleared = random.nextBoolean() ? CrashReport.NEVER : NOW - random.nextInt(99_999);
+            reports.add(new CrashReport(new RequestFingerprint(random.nextLong()), cleared, ends));
+        }
+        return reports;
+    }
+
+    @Property(tries = 500, seed = "20261203")
+    void reportsComeBackUnchangedByTheReadersClock(@ForAll long seed) throws IOException {
+        List<CrashReport> reports = drawn(new Random(seed));
+        byte[] bytes = CrashReports.write(reports, 100_000, NOW);
+        assertEquals(reports, CrashReports.read(ByteBuffer.wrap(bytes), NOW));
+    }
+
+    @Property(tries = 200, seed = "20261203")
+    void asManyReportsAreWrittenAsFit(@ForAll long seed) throws IOException {
+        List<CrashReport> reports = drawn(new Random(seed));
+        int most = new Random(seed).nextInt(2_000);
+        byte[] bytes = CrashReports.write(reports, most, NOW);
+        assertTrue(bytes.length <= most);
+        List<CrashReport> read = CrashReports.read(ByteBuffer.wrap(bytes), NOW);
+        assertEquals(reports.subList(0, read.size()), read);
+    }
+
+    /** Whatever comes is read, or refused as unsound; nothing else is thrown. */
+    @Property(tries = 2_000, seed = "20261203")
+    void anyBytesAreReadOrRefused(@ForAll byte[] bytes) {
+        try {
+            for (CrashReport report : CrashReports.read(ByteBuffer.wrap(bytes), NOW)) {
+                assertTrue(report.ends().size() <= CrashHistory.MOST_ENDS);
+                report.ends().forEach(end -> assertTrue(end.atMillis() <= NOW));
+            }
+        } catch (IOException e) {
+            assertTrue(e.getMessage() != null);
+        }
+    }
+
+    @Example
+    void reportThatEndsEarlyIsRefused() {
+        List<CrashReport> reports =
+                List.of(
+                        new CrashReport(
+                                new RequestFingerprint(7),
+                                CrashReport.NEVER,
+                                List.of(new UpstreamEnd(1, 0, NOW, 5))));
+        byte[] bytes = CrashReports.write(reports, 1_000, NOW);
+        for (int length = 1; length < bytes.length; length++) {
+            ByteBuffer cut = ByteBuffer.wrap(bytes, 0, length);
+            assertThrows(IOException.class, () -> CrashReports.read(cut, NOW));
+        }
+    }
+}
