--- a/trailladder-entry/src/test/java/io/trailladder/entry/gateway/CrashHistoriesTest.java
+++ b/trailladder-entry/src/test/java/io/trailladder/entry/gateway/CrashHistoriesTest.java
@@ -56,7 +56,7 @@
 
     private static final RequestFingerprint BAD = new RequestFingerprint(-1);
 
-    private final SimulatedCluster cluster = new SimulatedCluster(DATA_CENTRES, OF_EACH, 10_000);
+    private SimulatedCluster cluster = new SimulatedCluster(DATA_CENTRES, OF_EACH, 10_000);
     private final Map<String, Long> troubleMillis = new HashMap<>();
     private final List<Run> running = new ArrayList<>();
     private final Set<Integer> wronglyRefused = new HashSet<>();
@@ -240,6 +240,17 @@
         }
     }
 
+    /** The link between the regions carries sums only, and what is known of such requests. */
+    @Example
+    void bothRegionsRefuseIt() {
+        cluster = new SimulatedCluster(6, OF_EACH / 2, 10_000, SimulatedCluster.REGIONS_OF_SIX);
+        begin();
+        cluster.pass(12_000);
+        System.out.println("two regions: " + ends + " ends, " + later + " later in touch");
+        assertTrue(later <= MOST_LATER, later + " tries later, at most " + MOST_LATER);
+        assertEquals(List.of(), servedBy(BAD));
+    }
+
     @Example
     void allProcessesAtRestTellLittleOfIt() {
         cluster.pass(10_000);
