--- a/trailladder-core/src/main/java/io/trailladder/core/crash/CrashLedger.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/crash/CrashLedger.java
@@ -17,8 +17,9 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -80,11 +81,14 @@
 
     private static final int SUSPECTED_FROM = REFUSED_FROM - 1;
 
-    private static final Comparator<CrashHistory> LEAST_TELLING =
+    private static final Comparator<CrashHistory> MOST_TELLING =
             Comparator.comparingInt(CrashHistory::ends)
-                    .thenComparingLong(CrashHistory::changedMillis);
+                    .thenComparingLong(CrashHistory::changedMillis)
+                    .reversed();
+
+    /** In the order in which something became known of them last. */
+    private final Map<RequestFingerprint, CrashHistory> histories = new LinkedHashMap<>();
 
-    private final Map<RequestFingerprint, CrashHistory> histories = new HashMap<>();
     private boolean suspects;
 
     /**
@@ -285,7 +289,7 @@
                 some.add(entry);
             }
         }
-        some.sort(Map.Entry.comparingByValue(LEAST_TELLING.reversed()));
+        some.sort(Map.Entry.comparingByValue(MOST_TELLING));
         return some.stream().map(entry -> entry.getValue().report(entry.getKey())).toList();
     }
 
@@ -318,18 +322,26 @@
         return histories.size();
     }
 
+    /** Returns the history of a request of which something becomes known. */
     private CrashHistory history(RequestFingerprint request) {
-        CrashHistory known = histories.get(request);
-        if (known != null) {
-            return known;
-        }
-        if (histories.size() >= MOST_REQUESTS) {
-            histories.entrySet().stream()
-                    .min(Map.Entry.comparingByValue(LEAST_TELLING))
-                    .ifPresent(least -> histories.remove(least.getKey()));
+        CrashHistory known = histories.remove(request);
+        if (known == null && histories.size() >= MOST_REQUESTS) {
+            forgetOne();
         }
-        CrashHistory history = new CrashHistory();
+        CrashHistory history = known == null ? new CrashHistory() : known;
         histories.put(request, history);
         return history;
     }
+
+    /** Forgets what has not changed for longest; what is near to being refused goes last. */
+    private void forgetOne() {
+        Iterator<CrashHistory> oldestFirst = histories.values().iterator();
+        while (oldestFirst.hasNext()) {
+            if (oldestFirst.next().ends() < SUSPECTED_FROM) {
+                oldestFirst.remove();
+                return;
+            }
+        }
+        histories.remove(histories.keySet().iterator().next());
+    }
 }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/CrashPart.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/CrashPart.java
@@ -23,6 +23,7 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
+import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -43,8 +44,12 @@
     private final CrashWatch crashes;
     private final long life;
     private final Map<String, Long> lives = new HashMap<>();
+    private final Map<DigestScope, Written> written = new EnumMap<>(DigestScope.class);
     private long allUntilMillis = Long.MIN_VALUE;
 
+    /** A section that serves all peers of a round who are told the same. */
+    private record Written(List<String> peers, long millis, DigestSection section) {}
+
     /**
      * Creates the part.
      *
@@ -68,6 +73,16 @@
 
     @Override
     public Optional<DigestSection> write(DigestScope scope, List<String> peers, long nowMillis) {
+        List<String> sources = scope == DigestScope.REST ? List.of() : peers;
+        Written last = written.get(scope);
+        if (last == null || last.millis() != nowMillis || !last.peers().equals(sources)) {
+            last = new Written(sources, nowMillis, section(scope, sources, nowMillis));
+            written.put(scope, last);
+        }
+        return Optional.of(last.section());
+    }
+
+    private DigestSection section(DigestScope scope, List<String> peers, long nowMillis) {
         Map<RequestFingerprint, CrashReport> told = new LinkedHashMap<>();
         if (!crashes.ledger().isEmpty()) {
             crashes.ledger()
@@ -88,7 +103,7 @@
                         nowMillis);
         byte[] body =
                 ByteBuffer.allocate(Long.BYTES + reports.length).putLong(life).put(reports).array();
-        return Optional.of(new DigestSection(name(), version(), 0, body));
+        return new DigestSection(name(), version(), 0, body);
     }
 
     private static boolean isTold(DigestScope scope, List<String> peers, String source) {
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestDriver.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestDriver.java
@@ -313,10 +313,15 @@
         }
     }
 
-    /** An upstream that ends breaks its connections, or is silent and soon not listed any more. */
+    /**
+     * An upstream that ends breaks its connections, or is silent and soon not listed any more. One
+     * that has announced its leaving does not end because of what runs there.
+     */
     private boolean mayHaveEnded(Upstream upstream, AttemptFailure failure) {
-        return failure == AttemptFailure.BROKEN
-                || (failure == AttemptFailure.SILENT && isGone(upstream));
+        boolean ended =
+                failure == AttemptFailure.BROKEN
+                        || (failure == AttemptFailure.SILENT && isGone(upstream));
+        return ended && !context.directory().isLeaving(upstream.id());
     }
 
     private boolean isGone(Upstream upstream) {
@@ -362,7 +367,7 @@
         Attempt last = attempt;
         if (isUnderWay()) {
             context.loads().failed(attempt.upstream().id(), context.loop().nowMillis());
-            if (isGone(attempt.upstream())) {
+            if (mayHaveEnded(attempt.upstream(), AttemptFailure.SILENT)) {
                 upstreamEnded(attempt);
             }
         }
--- a/trailladder-entry/src/test/java/io/trailladder/entry/gateway/CrashPartTest.java
+++ b/trailladder-entry/src/test/java/io/trailladder/entry/gateway/CrashPartTest.java
@@ -58,6 +58,7 @@
     }
 
     private DigestSection section(CrashPart from) {
+        now++;
         return from.write(DigestScope.GROUP, List.of(), now).orElseThrow();
     }
 
