Refactor: a guard for each request, bystanders apart from the ledger, log lines in files of their own

RequestDriver keeps no part of the judgement on crashing requests (CrashGuard does); four records of log lines leave DecisionLog (447 to 307 lines). No change of behaviour; the tests of both pass.

--- a/trailladder-core/src/main/java/io/trailladder/core/crash/CrashLedger.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/crash/CrashLedger.java
@@ -17,7 +17,6 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.HashSet;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -180,7 +179,7 @@
             return CrashVerdict.SERVED;
         }
         if (ends < REFUSED_ANYWAY_FROM) {
-            if (stoodBeside(request, history)) {
+            if (Bystanders.isOne(request, histories, REFUSED_FROM)) {
                 return CrashVerdict.SERVED;
             }
             if (history.mayBeTriedHere(nowMillis - REST_MILLIS)) {
@@ -199,37 +198,6 @@
         history(request).triedAgain();
     }
 
-    /** Tells whether others that are likelier to be the cause explain the ends of a request. */
-    private boolean stoodBeside(RequestFingerprint request, CrashHistory history) {
-        Set<Long> explained = new HashSet<>();
-        for (Map.Entry<RequestFingerprint, CrashHistory> other : histories.entrySet()) {
-            CrashHistory suspect = other.getValue();
-            if (suspect != history
-                    && suspect.ends() >= REFUSED_FROM
-                    && isLikelier(other.getKey(), suspect, request, history)) {
-                suspect.known().forEach(known -> explained.add(known.end().upstream()));
-            }
-        }
-        long own =
-                history.known().stream()
-                        .filter(known -> !explained.contains(known.end().upstream()))
-                        .count();
-        return own < REFUSED_FROM;
-    }
-
-    private static boolean isLikelier(
-            RequestFingerprint one,
-            CrashHistory history,
-            RequestFingerprint other,
-            CrashHistory otherHistory) {
-        int byEnds = Integer.compare(history.ends(), otherHistory.ends());
-        if (byEnds != 0) {
-            return byEnds > 0;
-        }
-        int byTime = Long.compare(history.ranMillis(), otherHistory.ranMillis());
-        return byTime == 0 ? one.value() < other.value() : byTime < 0;
-    }
-
     /**
      * Looks through what is remembered: ends of upstreams that live on do not count, and what is
      * old is forgotten. To be called about once a second.
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/DecisionLog.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/DecisionLog.java
@@ -17,8 +17,6 @@
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
-import io.trailladder.core.rollout.AnswerCount;
-import io.trailladder.core.rollout.RouteEvidence;
 import io.trailladder.core.upstream.CostShare;
 import io.trailladder.entry.log.EarlyLines;
 import io.trailladder.entry.log.LineQueue;
@@ -132,55 +130,6 @@
         }
     }
 
-    /**
-     * A request was sent to another region.
-     *
-     * @param id the request
-     * @param region where to
-     * @param hereMs when the own region was expected to begin, in milliseconds; -1 if none of its
-     *     upstreams serves
-     * @param thereMs when the other one is expected to, in milliseconds
-     */
-    public record SentAcross(String id, String region, long hereMs, long thereMs)
-            implements Decision {
-        @Override
-        public void write(JsonGenerator json) throws IOException {
-            json.writeStringField("id", id);
-            json.writeStringField("region", region);
-            json.writeNumberField("hereMs", hereMs);
-            json.writeNumberField("thereMs", thereMs);
-        }
-    }
-
-    /**
-     * A request was ended before a further attempt, because none could bring an answer in time.
-     *
-     * @param id the request
-     * @param reason why
-     * @param placeMs how long a place was expected to be waited for, in milliseconds; 0 if no
-     *     upstream serves
-     * @param leftMs time left to its deadline, in milliseconds
-     */
-    public record TurnedAway(String id, String reason, long placeMs, long leftMs)
-            implements Decision {
-        /** No upstream of the service takes new work, or all were tried. */
-        static final String NO_UPSTREAM = "no upstream left";
-
-        /** All upstreams left take bodies more slowly than they come. */
-        static final String NO_BODY_ROOM = "no upstream takes bodies";
-
-        /** Every place is taken for longer than the caller waits. */
-        static final String NO_PLACE_IN_TIME = "no place in time";
-
-        @Override
-        public void write(JsonGenerator json) throws IOException {
-            json.writeStringField("id", id);
-            json.writeStringField("reason", reason);
-            json.writeNumberField("placeMs", placeMs);
-            json.writeNumberField("leftMs", leftMs);
-        }
-    }
-
     /**
      * An attempt failed.
      *
@@ -238,38 +187,6 @@
         }
     }
 
-    /**
-     * An answer was ended before its caller had all of it, because the caller did not read it.
-     *
-     * @param id the request
-     * @param organisation whose it is; empty if nobody's
-     * @param reason why
-     * @param unreadBytes what was held of it
-     * @param unreadMs since when the caller has taken nothing, in milliseconds
-     * @param level the level of the process
-     * @param heldBytes what the process held for all requests
-     */
-    public record AnswerCut(
-            String id,
-            String organisation,
-            String reason,
-            long unreadBytes,
-            long unreadMs,
-            String level,
-            long heldBytes)
-            implements Decision {
-        @Override
-        public void write(JsonGenerator json) throws IOException {
-            json.writeStringField("id", id);
-            json.writeStringField("organisation", organisation);
-            json.writeStringField("reason", reason);
-            json.writeNumberField("unreadBytes", unreadBytes);
-            json.writeNumberField("unreadMs", unreadMs);
-            json.writeStringField("level", level);
-            json.writeNumberField("heldBytes", heldBytes);
-        }
-    }
-
     /**
      * The process began to believe something new.
      *
@@ -357,63 +274,6 @@
         }
     }
 
-    /**
-     * How a roll-out stands, as its leader sees it: at each change, and once a second.
-     *
-     * @param service the service
-     * @param version the version that it is to move to
-     * @param phase how far it has come
-     * @param recorded what the store records
-     * @param reason what led to the phase, or what it waits for
-     * @param leftMs time left until the deadline; -1 if it is not known
-     * @param bound part of the requests that the version may get before it
-     * @param routes what all processes have seen, by route
-     */
-    public record RolloutStep(
-            String service,
-            String version,
-            String phase,
-            String recorded,
-            String reason,
-            long leftMs,
-            double bound,
-            List<RouteEvidence> routes)
-            implements Decision {
-        /** Copies the evidence. */
-        public RolloutStep {
-            routes = List.copyOf(routes);
-        }
-
-        @Override
-        public void write(JsonGenerator json) throws IOException {
-            json.writeStringField("service", service);
-            json.writeStringField("version", version);
-            json.writeStringField("phase", phase);
-            json.writeStringField("recorded", recorded);
-            json.writeStringField("reason", reason);
-            json.writeNumberField("leftMs", leftMs);
-            json.writeNumberField("bound", bound);
-            json.writeArrayFieldStart("routes");
-            for (RouteEvidence route : routes) {
-                json.writeStartObject();
-                json.writeStringField("route", route.route());
-                write(json, "old", route.old());
-                write(json, "new", route.target());
-                json.writeEndObject();
-            }
-            json.writeEndArray();
-        }
-
-        private static void write(JsonGenerator json, String name, AnswerCount count)
-                throws IOException {
-            json.writeObjectFieldStart(name);
-            json.writeNumberField("answers", count.answers());
-            json.writeNumberField("bad", count.bad());
-            json.writeNumberField("slow", count.slow());
-            json.writeEndObject();
-        }
-    }
-
     /** Turns a decision into text when the line is written, and tells if that is much later. */
     private record Line(Decision decision, Instant made) {
         /** Several times what the writing thread pauses, in milliseconds. */
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/MemoryKeeper.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/MemoryKeeper.java
@@ -20,7 +20,6 @@
 import io.trailladder.core.memory.MemoryAccount;
 import io.trailladder.core.memory.MemoryLevel;
 import io.trailladder.core.memory.WaitingAnswer;
-import io.trailladder.entry.gateway.DecisionLog.AnswerCut;
 import io.trailladder.entry.gateway.DecisionLog.Lifecycle;
 import io.trailladder.entry.http.ServerExchange;
 import io.trailladder.entry.http.UnreadAnswers;
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestDriver.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestDriver.java
@@ -30,8 +30,6 @@
 import io.trailladder.entry.gateway.DecisionLog.AttemptFailed;
 import io.trailladder.entry.gateway.DecisionLog.Dispatch;
 import io.trailladder.entry.gateway.DecisionLog.Ended;
-import io.trailladder.entry.gateway.DecisionLog.SentAcross;
-import io.trailladder.entry.gateway.DecisionLog.TurnedAway;
 import io.trailladder.entry.http.AnswerOwner;
 import io.trailladder.entry.http.HeaderList;
 import io.trailladder.entry.http.ServerExchange;
@@ -52,7 +50,7 @@
     private final ServingContext context;
     private final ServerExchange exchange;
     private final ServingRequest request;
-    private final RequestIdentity identity;
+    private final CrashGuard crashes;
     private final int units;
     private final Consumer<RequestDriver> onEnd;
     private final AttemptHistory history = new AttemptHistory();
@@ -64,7 +62,6 @@
     private Attempt attempt;
     private boolean started;
     private boolean over;
-    private boolean crashing;
     private long firstMillis = -1;
 
     RequestDriver(
@@ -78,7 +75,7 @@
         this.context = context;
         this.exchange = exchange;
         this.request = request;
-        this.identity = identity;
+        this.crashes = new CrashGuard(context, request.id(), identity);
         this.units = units;
         this.onEnd = onEnd;
         if (!lastEventId.isEmpty()) {
@@ -140,17 +137,11 @@
      * @param found the request that was found to end upstreams
      */
     void stopIf(RequestFingerprint found) {
-        if (!over && identity.fingerprint().equals(found)) {
-            crashing = true;
+        if (!over && crashes.stops(found)) {
             stop();
         }
     }
 
-    private boolean isRefusedFurther() {
-        crashing = context.crashes().refusesFurther(request.id(), identity);
-        return crashing;
-    }
-
     @Override
     public void sending(Attempt sender) {
         history.sent(sender.upstream().id());
@@ -182,7 +173,7 @@
         attempt = null;
         context.metrics().attempt(request.service(), "whole");
         if (answer.status() < FAILURES) {
-            context.crashes().ranWhole(identity);
+            crashes.ranWhole();
         }
         answer.end();
         end("whole", answer.status(), sender);
@@ -217,7 +208,7 @@
         if (over) {
             return;
         }
-        if (isRefusedFurther()) {
+        if (crashes.refusesFurther()) {
             giveUp(RecoveryPolicy.endingOf(history, false));
         } else {
             nextAttempt();
@@ -280,13 +271,11 @@
         attempt = null;
         silence.stop();
         history.failed(sender.upstream().id(), failure);
-        if (mayHaveEnded(sender.upstream(), failure)) {
-            upstreamEnded(sender);
-        }
+        crashes.failed(sender, failure);
         context.metrics().attempt(request.service(), failure.name());
         long now = context.loop().nowMillis();
         Recovery recovery = RecoveryPolicy.after(request, history, failure, true, now);
-        if (!(recovery instanceof GiveUp) && isRefusedFurther()) {
+        if (!(recovery instanceof GiveUp) && crashes.refusesFurther()) {
             recovery = RecoveryPolicy.after(request, history, failure, false, now);
         }
         boolean neverArrived =
@@ -313,25 +302,6 @@
         }
     }
 
-    /**
-     * An upstream that ends breaks its connections, or is silent and soon not listed any more. One
-     * that has announced its leaving does not end because of what runs there.
-     */
-    private boolean mayHaveEnded(Upstream upstream, AttemptFailure failure) {
-        boolean ended =
-                failure == AttemptFailure.BROKEN
-                        || (failure == AttemptFailure.SILENT && isGone(upstream));
-        return ended && !context.directory().isLeaving(upstream.id());
-    }
-
-    private boolean isGone(Upstream upstream) {
-        return context.directory().find(upstream.id()).isEmpty();
-    }
-
-    private void upstreamEnded(Attempt sender) {
-        context.crashes().ended(request.id(), identity, sender.upstream(), sender.ageMillis());
-    }
-
     private void giveUp(Ending ending) {
         giveUp(ending, null);
     }
@@ -354,7 +324,7 @@
     }
 
     private long retryAfterMillis(Ending ending) {
-        return ending == Ending.NOT_RUN && !crashing
+        return ending == Ending.NOT_RUN && !crashes.hasStopped()
                 ? context.returns().place(request.service(), context.loop().nowMillis())
                 : 0;
     }
@@ -367,9 +337,7 @@
         Attempt last = attempt;
         if (isUnderWay()) {
             context.loads().failed(attempt.upstream().id(), context.loop().nowMillis());
-            if (mayHaveEnded(attempt.upstream(), AttemptFailure.SILENT)) {
-                upstreamEnded(attempt);
-            }
+            crashes.failed(attempt, AttemptFailure.SILENT);
         }
         cancelAttempt();
         giveUp(ending, last);
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RolloutRunner.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RolloutRunner.java
@@ -26,7 +26,6 @@
 import io.trailladder.core.upstream.UpstreamDirectory;
 import io.trailladder.core.upstream.UpstreamLoads;
 import io.trailladder.entry.gateway.DecisionLog.Lifecycle;
-import io.trailladder.entry.gateway.DecisionLog.RolloutStep;
 import io.trailladder.entry.loop.EventLoop;
 import io.trailladder.entry.port.CoordinationStore;
 import io.trailladder.entry.port.PlatformFormat;
