Put the end of an upstream down to callers who left before it too

Cause: a try that its caller breaks off is taken back before its upstream's end is seen, so a caller who always leaves early ends one upstream with each try, for ever.

--- a/trailladder-core/src/main/java/io/trailladder/core/crash/CrashLedger.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/crash/CrashLedger.java
@@ -91,7 +91,7 @@
     private boolean suspects;
 
     /**
-     * Records that an upstream ended here while it had a request.
+     * Records that an upstream ended here just now while it had a request.
      *
      * @param request the request
      * @param upstream the upstream's life, see {@link UpstreamEnd#nameOf}
@@ -101,9 +101,28 @@
      */
     public boolean ended(
             RequestFingerprint request, long upstream, long sentMillis, long nowMillis) {
+        return ended(request, upstream, sentMillis, nowMillis, nowMillis);
+    }
+
+    /**
+     * Records that an upstream ended here while it had a request, perhaps a moment ago.
+     *
+     * @param request the request
+     * @param upstream the upstream's life, see {@link UpstreamEnd#nameOf}
+     * @param sentMillis when the request was sent there, in milliseconds
+     * @param atMillis when the request was there last, in milliseconds
+     * @param nowMillis the time, in milliseconds
+     * @return true if this was not known
+     */
+    public boolean ended(
+            RequestFingerprint request,
+            long upstream,
+            long sentMillis,
+            long atMillis,
+            long nowMillis) {
         CrashHistory history = history(request);
         int before = history.endsOf(upstream, sentMillis);
-        UpstreamEnd end = new UpstreamEnd(upstream, before, nowMillis, nowMillis - sentMillis);
+        UpstreamEnd end = new UpstreamEnd(upstream, before, atMillis, atMillis - sentMillis);
         return added(history, end, CrashHistory.OWN, nowMillis);
     }
 
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/CrashGuard.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/CrashGuard.java
@@ -35,11 +35,20 @@
     /** Takes over how an attempt failed. */
     void failed(Attempt attempt, AttemptFailure failure) {
         Upstream upstream = attempt.upstream();
-        if (mayHaveEnded(upstream, failure)) {
+        if (failure == AttemptFailure.UNREACHABLE) {
+            context.crashes().isGone(upstream);
+        } else if (mayHaveEnded(upstream, failure)) {
             context.crashes().ended(tryId, identity, upstream, attempt.ageMillis());
         }
     }
 
+    /** Takes over that an attempt is broken off whose outcome is not known. */
+    void tookBack(Attempt attempt) {
+        if (attempt.isSent()) {
+            context.crashes().tookBack(tryId, identity, attempt.upstream(), attempt.ageMillis());
+        }
+    }
+
     /**
      * An upstream that ends breaks its connections, or is silent and soon not listed any more. One
      * that has announced its leaving does not end because of what runs there.
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/CrashWatch.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/CrashWatch.java
@@ -18,6 +18,8 @@
 import io.trailladder.core.crash.CrashLedger;
 import io.trailladder.core.crash.CrashReport;
 import io.trailladder.core.crash.CrashVerdict;
+import io.trailladder.core.crash.LeftRequests;
+import io.trailladder.core.crash.LeftRequests.Left;
 import io.trailladder.core.crash.RequestFingerprint;
 import io.trailladder.core.crash.UpstreamEnd;
 import io.trailladder.core.upstream.Upstream;
@@ -42,6 +44,7 @@
     private static final int MOST_LOGGED = 256;
 
     private final CrashLedger ledger = new CrashLedger();
+    private final LeftRequests left = new LeftRequests();
     private final LongSupplier nowMillis;
     private final GatewayMetrics metrics;
     private final Map<RequestFingerprint, Long> loggedMillis =
@@ -114,13 +117,47 @@
 
     /** Records that an upstream ended, or its connection did, while it had a request. */
     void ended(String tryId, RequestIdentity identity, Upstream upstream, long ranMillis) {
+        ended(left(tryId, identity, upstream, ranMillis));
+        isGone(upstream);
+    }
+
+    /** Records that a request was taken back from an upstream, which may end under it yet. */
+    void tookBack(String tryId, RequestIdentity identity, Upstream upstream, long ranMillis) {
+        left.add(left(tryId, identity, upstream, ranMillis));
+    }
+
+    private Left left(String tryId, RequestIdentity identity, Upstream upstream, long ranMillis) {
         long now = nowMillis.getAsLong();
-        RequestFingerprint request = identity.fingerprint();
         long life = UpstreamEnd.nameOf(upstream.id(), upstream.bornMillis());
-        boolean news = ledger.ended(request, life, now - ranMillis, now);
+        return new Left(tryId, identity.fingerprint(), upstream.id(), life, now - ranMillis, now);
+    }
+
+    /**
+     * Records that an upstream has ended, or seems to: requests that were taken back from it lately
+     * had it too.
+     */
+    void isGone(Upstream upstream) {
+        for (Left one : left.takeFrom(upstream.id(), nowMillis.getAsLong())) {
+            ended(one);
+        }
+    }
+
+    private void ended(Left one) {
+        RequestFingerprint request = one.request();
+        boolean news =
+                ledger.ended(
+                        request,
+                        one.life(),
+                        one.sentMillis(),
+                        one.leftMillis(),
+                        nowMillis.getAsLong());
         DecisionLog.write(
                 new UpstreamEnded(
-                        tryId, request, upstream.id(), ranMillis, ledger.known(request).size()));
+                        one.tryId(),
+                        request,
+                        one.upstream(),
+                        one.leftMillis() - one.sentMillis(),
+                        ledger.known(request).size()));
         if (news) {
             onOwnNews.run();
             tellIfRefused(request);
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
@@ -432,6 +432,9 @@
     private void upstreamLeaves(Upstream upstream) {
         if (!upstream.draining()) {
             intake.lost(upstream, LOST_SILENT_MILLIS);
+            if (!directory.isLeaving(upstream.id())) {
+                crashes.isGone(upstream);
+            }
         } else if (upstream.leavesMillis() > 0) {
             long notice = Math.max(0, upstream.leavesMillis() - END_MARGIN_MILLIS);
             loop.schedule(notice, () -> intake.moveAway(upstream));
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestDriver.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestDriver.java
@@ -357,6 +357,7 @@
 
     private void cancelAttempt() {
         if (attempt != null) {
+            crashes.tookBack(attempt);
             attempt.cancel();
             attempt = null;
         }
