Read once more: one constructor, one method and one look-up that nothing needs

Cause: an upstream had three constructors, the third for four lines of tests; CrashHistory.isEmpty had no caller; the ledger looked a told request up three times; a refusal of a crashing request wrote its log line and counted itself beside the code that does so.

Change: those tests say that no start is told; the ledger asks the history it holds; refusals log and count in one place. No change of behaviour; assertions as they were.

--- a/trailladder-core/src/main/java/io/trailladder/core/crash/CrashHistory.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/crash/CrashHistory.java
@@ -172,10 +172,6 @@
         return first != null && first.source().equals(OWN);
     }
 
-    boolean isEmpty() {
-        return sights.isEmpty();
-    }
-
     void triedAgain() {
         triedAgain = true;
     }
--- a/trailladder-core/src/main/java/io/trailladder/core/crash/CrashLedger.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/crash/CrashLedger.java
@@ -153,20 +153,15 @@
         if (report.ends().isEmpty() && !histories.containsKey(report.request())) {
             return false;
         }
-        boolean refusedBefore = isRefusedOnCount(report.request());
         CrashHistory history = history(report.request());
+        boolean refusedBefore = history.ends() >= REFUSED_FROM;
         if (report.clearedMillis() != CrashReport.NEVER) {
             history.clear(report.clearedMillis(), peer, nowMillis);
         }
         for (UpstreamEnd end : report.ends()) {
             added(history, end, peer, nowMillis);
         }
-        return !refusedBefore && isRefusedOnCount(report.request());
-    }
-
-    private boolean isRefusedOnCount(RequestFingerprint request) {
-        CrashHistory history = histories.get(request);
-        return history != null && history.ends() >= REFUSED_FROM;
+        return !refusedBefore && history.ends() >= REFUSED_FROM;
     }
 
     private boolean added(CrashHistory history, UpstreamEnd end, String source, long nowMillis) {
--- a/trailladder-core/src/main/java/io/trailladder/core/upstream/Upstream.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/upstream/Upstream.java
@@ -44,7 +44,7 @@
         long coldLeftMillis,
         long bornMillis) {
     /**
-     * Creates an upstream that tells no version.
+     * Creates an upstream that tells neither its version nor when it started.
      *
      * @param id its name
      * @param service the service it belongs to
@@ -64,34 +64,6 @@
             boolean draining,
             boolean reclaimable,
             long leavesMillis) {
-        this(id, service, dataCentre, address, slots, draining, reclaimable, leavesMillis, "", 0);
-    }
-
-    /**
-     * Creates an upstream that does not tell when it started.
-     *
-     * @param id its name
-     * @param service the service it belongs to
-     * @param dataCentre the data centre it runs in
-     * @param address host and port
-     * @param slots requests it works on at once
-     * @param draining true if it has announced that it leaves
-     * @param reclaimable true if the cloud may take it back
-     * @param leavesMillis how long it still runs once it is draining, in milliseconds
-     * @param version version of its software
-     * @param coldLeftMillis how long it is still slow after its start, in milliseconds
-     */
-    public Upstream(
-            String id,
-            String service,
-            String dataCentre,
-            String address,
-            int slots,
-            boolean draining,
-            boolean reclaimable,
-            long leavesMillis,
-            String version,
-            long coldLeftMillis) {
         this(
                 id,
                 service,
@@ -101,8 +73,8 @@
                 draining,
                 reclaimable,
                 leavesMillis,
-                version,
-                coldLeftMillis,
+                "",
+                0,
                 0);
     }
 }
--- a/trailladder-core/src/test/java/io/trailladder/core/rollout/RolloutModelTest.java
+++ b/trailladder-core/src/test/java/io/trailladder/core/rollout/RolloutModelTest.java
@@ -122,7 +122,7 @@
     private final Set<State> ends = new HashSet<>();
 
     private static Upstream upstream(String id, String version) {
-        return new Upstream(id, "s", "z", "h:1", 8, false, false, 0, version, 0);
+        return new Upstream(id, "s", "z", "h:1", 8, false, false, 0, version, 0, 0);
     }
 
     private static List<RouteEvidence> evidence(int bad) {
--- a/trailladder-core/src/test/java/io/trailladder/core/rollout/RolloutTest.java
+++ b/trailladder-core/src/test/java/io/trailladder/core/rollout/RolloutTest.java
@@ -37,7 +37,7 @@
     private final Rollout rollout = new Rollout(ORDER, new ExposureLedger(1, 0.9), 0);
 
     private static Upstream upstream(String id, String version) {
-        return new Upstream(id, "s", "z", "h:1", 8, false, false, 0, version, 0);
+        return new Upstream(id, "s", "z", "h:1", 8, false, false, 0, version, 0, 0);
     }
 
     @Example
@@ -70,7 +70,7 @@
 
     @Example
     void coldUpstreamMayBeLate() {
-        Upstream cold = new Upstream("c", "s", "z", "h:1", 8, false, false, 0, "v2", 900);
+        Upstream cold = new Upstream("c", "s", "z", "h:1", 8, false, false, 0, "v2", 900, 0);
         for (int i = 0; i < 100; i++) {
             rollout.answered(OLD, new AnswerSeen("r", false, 50, 50, 0, true));
             rollout.answered(cold, new AnswerSeen("r", false, 900, 50, 0, true));
--- a/trailladder-core/src/test/java/io/trailladder/core/rollout/SimulatedRollout.java
+++ b/trailladder-core/src/test/java/io/trailladder/core/rollout/SimulatedRollout.java
@@ -190,7 +190,7 @@
     }
 
     private static Upstream upstream(String id, String version) {
-        return new Upstream(id, SERVICE, "z", "h:1", 8, false, false, 0, version, 0);
+        return new Upstream(id, SERVICE, "z", "h:1", 8, false, false, 0, version, 0, 0);
     }
 
     /** Plays the order's time and what is needed to see that nothing is sent after it. */
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestIntake.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestIntake.java
@@ -286,7 +286,7 @@
 
     private void refuse(
             ServerExchange exchange, String id, int status, long retryAfterMillis, String reason) {
-        DecisionLog.write(new Intake(id, "", "", 0, policies.version(), 0, status + ", " + reason));
+        logRefusal(id, status, reason);
         turnBack(exchange, status, retryAfterMillis);
     }
 
@@ -296,19 +296,24 @@
      * refused wrongly may ask again.
      */
     private void refuseAsCrashing(ServerExchange exchange, String id) {
-        String outcome = UNAVAILABLE + ", upstreams ended under it";
-        DecisionLog.write(new Intake(id, "", "", 0, policies.version(), 0, outcome));
-        context.metrics().ended("", "", "refused-" + UNAVAILABLE, 0);
+        logRefusal(id, UNAVAILABLE, "upstreams ended under it");
         HeaderList headers =
                 context.protocol().refusal(0).with("Content-Type", "text/plain; charset=utf-8");
-        exchange.respond(UNAVAILABLE, headers, CRASHING);
+        turnBack(exchange, UNAVAILABLE, headers, CRASHING);
+    }
+
+    private void logRefusal(String id, int status, String reason) {
+        DecisionLog.write(new Intake(id, "", "", 0, policies.version(), 0, status + ", " + reason));
     }
 
     private void turnBack(ServerExchange exchange, int status, long retryAfterMillis) {
-        context.metrics().ended("", "", "refused-" + status, 0);
         long spread = context.returns().spread(retryAfterMillis);
-        HeaderList headers = context.protocol().refusal(spread);
-        exchange.respond(status, headers, NO_BYTES);
+        turnBack(exchange, status, context.protocol().refusal(spread), NO_BYTES);
+    }
+
+    private void turnBack(ServerExchange exchange, int status, HeaderList headers, byte[] body) {
+        context.metrics().ended("", "", "refused-" + status, 0);
+        exchange.respond(status, headers, body);
     }
 
     /** Goes on with requests that were held while the process started. */
