--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Attempt.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Attempt.java
@@ -18,6 +18,7 @@
 import io.trailladder.core.pipeline.AttemptFailure;
 import io.trailladder.core.pipeline.ServingRequest;
 import io.trailladder.core.rollout.AnswerSeen;
+import io.trailladder.core.upstream.AnswerNotice;
 import io.trailladder.core.upstream.Selection;
 import io.trailladder.core.upstream.Upstream;
 import io.trailladder.entry.http.CallFailure;
@@ -161,6 +162,7 @@
     public void head(int answered, HeaderList headers, long length) {
         status = answered;
         heardMillis = context.loop().nowMillis();
+        logNotice(headers);
         if (context.protocol().misdirected(answered)) {
             fail(AttemptFailure.MISDIRECTED);
         } else if (context.protocol().notExecuted(answered, headers)) {
@@ -173,6 +175,20 @@
         }
     }
 
+    private void logNotice(HeaderList headers) {
+        AnswerNotice notice = context.protocol().notice(status, headers);
+        if (!notice.isNone()) {
+            DecisionLog.write(
+                    new UpstreamSaid(
+                            request.id(),
+                            upstream.id(),
+                            status,
+                            notice.leaving(),
+                            notice.restMillis(),
+                            notice.fault()));
+        }
+    }
+
     @Override
     public void body(byte[] bytes) {
         if (!over) {
--- /dev/null
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/UpstreamSaid.java
@@ -0,0 +1,44 @@
+/*
+ * Copyright 2026 The trailladder authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package io.trailladder.entry.gateway;
+
+import com.fasterxml.jackson.core.JsonGenerator;
+import io.trailladder.entry.gateway.DecisionLog.Decision;
+import java.io.IOException;
+
+/**
+ * An answer said something of its upstream.
+ *
+ * @param id the request that was answered
+ * @param upstream the upstream
+ * @param status the answer's HTTP status
+ * @param leaving true if it says that it leaves
+ * @param restMs how long it wants no request of this process, in milliseconds; 0 if not said
+ * @param fault what could not be read; empty if all could
+ */
+record UpstreamSaid(
+        String id, String upstream, int status, boolean leaving, long restMs, String fault)
+        implements Decision {
+    @Override
+    public void write(JsonGenerator json) throws IOException {
+        json.writeStringField("id", id);
+        json.writeStringField("upstream", upstream);
+        json.writeNumberField("status", status);
+        json.writeBooleanField("leaving", leaving);
+        json.writeNumberField("restMs", restMs);
+        json.writeStringField("fault", fault);
+    }
+}
--- a/trailladder-entry/src/main/java/io/trailladder/entry/port/RequestProtocol.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/port/RequestProtocol.java
@@ -15,6 +15,7 @@
  */
 package io.trailladder.entry.port;
 
+import io.trailladder.core.upstream.AnswerNotice;
 import io.trailladder.entry.http.HeaderList;
 import io.trailladder.entry.http.ServerExchange;
 import io.vavr.control.Either;
@@ -68,6 +69,15 @@
      */
     boolean belongs(String requestId, HeaderList headers);
 
+    /**
+     * Reads what an answer says of its upstream.
+     *
+     * @param status its status
+     * @param headers its header fields
+     * @return what it says; {@link AnswerNotice#NONE} if nothing
+     */
+    AnswerNotice notice(int status, HeaderList headers);
+
     /**
      * Makes the fields of a refusal.
      *
