Believe what upstreams say of themselves in answers, asked by every sender

Cause: an answer's head went by unread, so that an upstream that leaves was known by its entry only, and a refusal that asks for rest was one failure among many. Change: answers are read at the edge into one typed notice; leaving goes into the directory, whose records say so to every reader (choice, fleet plan, orders), rests into UpstreamRests by life and process; UpstreamAvailability is the one question, asked at the choice and again before the bytes leave. Callers are told the shortest rest where all rest. Peers are told of leavers that are still listed, in turn, in place of the last 32 ones. An answer that names another request is believed in nothing.

--- a/trailladder-core/src/main/java/io/trailladder/core/upstream/Upstream.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/upstream/Upstream.java
@@ -23,7 +23,7 @@
  * @param dataCentre the data centre it runs in
  * @param address host and port
  * @param slots requests it works on at once
- * @param draining true if it has announced that it leaves
+ * @param draining true if it is known to leave
  * @param reclaimable true if the cloud may take it back
  * @param leavesMillis how long it still runs once it is draining, in milliseconds; 0 if not told
  * @param version version of its software; empty if not told
@@ -77,4 +77,26 @@
                 0,
                 0);
     }
+
+    /**
+     * Returns the upstream as one that leaves, which may be known before its entry says so.
+     *
+     * @return a copy that is draining; this one if it is already
+     */
+    public Upstream asLeaving() {
+        return draining
+                ? this
+                : new Upstream(
+                        id,
+                        service,
+                        dataCentre,
+                        address,
+                        slots,
+                        true,
+                        reclaimable,
+                        leavesMillis,
+                        version,
+                        coldLeftMillis,
+                        bornMillis);
+    }
 }
--- /dev/null
+++ b/trailladder-core/src/main/java/io/trailladder/core/upstream/UpstreamAvailability.java
@@ -0,0 +1,126 @@
+/*
+ * Copyright 2026 The trailladder authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package io.trailladder.core.upstream;
+
+import java.util.List;
+
+/**
+ * Answers the one question that everything asks which sends to an upstream: does it take requests
+ * now? It brings together what its entry, peers, and its own answers say.
+ *
+ * <p>It is asked twice: when an upstream is chosen, and right before the bytes leave, since what is
+ * said in between must count as well.
+ *
+ * @since 0.5
+ */
+public final class UpstreamAvailability {
+    private final UpstreamDirectory directory;
+    private final UpstreamRests rests;
+
+    /** Whether an upstream takes requests. */
+    public enum State {
+        /** It takes requests. */
+        TAKES_REQUESTS,
+        /** It is not listed any more. */
+        GONE,
+        /** It has said that it leaves, in its entry or an answer, here or to a peer. */
+        LEAVING,
+        /** It has asked this process for rest, which is not over. */
+        RESTING
+    }
+
+    /**
+     * Creates an answer to the question.
+     *
+     * @param directory the upstreams listed, and which of them leave
+     * @param rests those that asked for rest
+     */
+    public UpstreamAvailability(UpstreamDirectory directory, UpstreamRests rests) {
+        this.directory = directory;
+        this.rests = rests;
+    }
+
+    /**
+     * Tells whether an upstream takes requests.
+     *
+     * @param upstream the upstream
+     * @param nowMillis the time
+     * @return its state
+     */
+    public State of(Upstream upstream, long nowMillis) {
+        if (directory.isLeaving(upstream.id())) {
+            return State.LEAVING;
+        }
+        if (directory.find(upstream.id()).isEmpty()) {
+            return State.GONE;
+        }
+        return rests.leftMillis(upstream, nowMillis) > 0 ? State.RESTING : State.TAKES_REQUESTS;
+    }
+
+    /**
+     * Returns the upstreams of a service that do not leave, those that rest too.
+     *
+     * @param service the service
+     * @return the upstreams
+     */
+    public List<Upstream> staying(String service) {
+        return directory.serving(service);
+    }
+
+    /**
+     * Leaves out those that rest.
+     *
+     * @param upstreams some upstreams
+     * @param nowMillis the time
+     * @return the others
+     */
+    public List<Upstream> withoutResting(List<Upstream> upstreams, long nowMillis) {
+        if (rests.isEmpty()) {
+            return upstreams;
+        }
+        return upstreams.stream()
+                .filter(upstream -> rests.leftMillis(upstream, nowMillis) == 0)
+                .toList();
+    }
+
+    /**
+     * Tells whether others are to be preferred to an upstream that comes back from its rest.
+     *
+     * @param upstream the upstream
+     * @param nowMillis the time
+     * @return false for all that have not rested lately
+     */
+    public boolean isReturning(Upstream upstream, long nowMillis) {
+        return !rests.isEmpty() && rests.isReturning(upstream, nowMillis);
+    }
+
+    /**
+     * Tells how long none of a service's upstreams takes requests because all that stay rest.
+     *
+     * @param service the service
+     * @param nowMillis the time
+     * @return the shortest of the rests, in milliseconds; 0 if one takes requests, or none stays
+     */
+    public long allRestMillis(String service, long nowMillis) {
+        if (rests.isEmpty()) {
+            return 0;
+        }
+        return directory.serving(service).stream()
+                .mapToLong(upstream -> rests.leftMillis(upstream, nowMillis))
+                .min()
+                .orElse(0);
+    }
+}
--- a/trailladder-core/src/main/java/io/trailladder/core/upstream/UpstreamDirectory.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/upstream/UpstreamDirectory.java
@@ -28,8 +28,9 @@
  * The upstreams that serve, by service.
  *
  * <p>Names are never used again, so an upstream that announced that it leaves stays so even if an
- * older entry arrives late. One whose entry is only gone serves again if the entry comes back: it
- * may have lapsed while the store was away.
+ * older entry arrives late, and is listed as {@link Upstream#draining draining} to every reader,
+ * whoever told it first: its entry, a peer, or one of its answers. One whose entry is only gone
+ * serves again if the entry comes back: it may have lapsed while the store was away.
  *
  * @since 0.2
  */
@@ -62,13 +63,21 @@
     /**
      * Records an upstream's entry.
      *
-     * @param upstream the entry
-     * @return the upstream if it is newly leaving
+     * @param entry the entry
+     * @return the upstream if it is newly leaving, or if it is newly known when it ends: an answer
+     *     or a peer may have told before that it leaves, but not until when it runs
      */
-    public Optional<Upstream> changed(Upstream upstream) {
-        upstreams.put(upstream.id(), upstream);
+    public Optional<Upstream> changed(Upstream entry) {
+        Upstream before = upstreams.get(entry.id());
+        boolean endWasKnown = before != null && before.leavesMillis() > 0;
+        upstreams.put(entry.id(), leaving.contains(entry.id()) ? entry.asLeaving() : entry);
         byService.clear();
-        return upstream.draining() ? leaving(upstream.id()) : Optional.empty();
+        if (!entry.draining()) {
+            return Optional.empty();
+        }
+        Optional<Upstream> newlyLeaving = leaving(entry.id());
+        boolean endIsNews = entry.leavesMillis() > 0 && !endWasKnown;
+        return endIsNews ? Optional.of(entry) : newlyLeaving;
     }
 
     /**
@@ -94,6 +103,7 @@
             return Optional.empty();
         }
         byService.clear();
+        upstreams.computeIfPresent(id, (name, upstream) -> upstream.asLeaving());
         return Optional.ofNullable(upstreams.get(id));
     }
 
--- a/trailladder-core/src/main/java/io/trailladder/core/upstream/UpstreamSelector.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/upstream/UpstreamSelector.java
@@ -41,7 +41,7 @@
     /** Most parts of prompts whose places are remembered: some 2 MB. */
     private static final int REMEMBERED_PARTS = 20_000;
 
-    private final UpstreamDirectory directory;
+    private final UpstreamAvailability availability;
     private final UpstreamLoads loads;
     private final EngineModel engines;
     private final VersionGate versions;
@@ -66,7 +66,7 @@
             EngineModel engines) {
         this(
                 Topology.oneRegion(dataCentre),
-                directory,
+                new UpstreamAvailability(directory, new UpstreamRests()),
                 loads,
                 engines,
                 new VersionGate(),
@@ -78,7 +78,7 @@
      * Creates a selector.
      *
      * @param topology where this entry is
-     * @param directory the upstreams known
+     * @param availability tells which upstreams take requests
      * @param loads the work under way at them
      * @param engines what is believed of their speed
      * @param versions decides which versions may be chosen
@@ -87,14 +87,14 @@
      */
     public UpstreamSelector(
             Topology topology,
-            UpstreamDirectory directory,
+            UpstreamAvailability availability,
             UpstreamLoads loads,
             EngineModel engines,
             VersionGate versions,
             IntSupplier processes,
             List<CostTerm> further) {
         this.versions = versions;
-        this.directory = directory;
+        this.availability = availability;
         this.loads = loads;
         this.engines = engines;
         this.topology = topology;
@@ -117,9 +117,7 @@
     public Optional<Selection> choose(
             ServingRequest request, Set<String> excluded, long nowMillis) {
         String service = request.service();
-        List<Upstream> serving =
-                versions.admitted(
-                        service, directory.serving(service), excluded.isEmpty(), nowMillis);
+        List<Upstream> serving = takingRequests(service, excluded.isEmpty(), nowMillis);
         Round round = new Round(request, excluded, serving, engines.estimate(service, nowMillis));
         Candidate own = round.best(topology.region(), false, nowMillis);
         if (topology.isOneRegion() || (own != null && crossings.isEnough(own))) {
@@ -135,6 +133,21 @@
         return selection(own, null, serving.size());
     }
 
+    /**
+     * Versions are admitted among all that stay, so that those under test do not get the requests
+     * of others that only rest. A sample whose upstreams all rest is left to the version in use.
+     */
+    private List<Upstream> takingRequests(String service, boolean first, long nowMillis) {
+        List<Upstream> staying = availability.staying(service);
+        List<Upstream> admitted = versions.admitted(service, staying, first, nowMillis);
+        List<Upstream> serving = availability.withoutResting(admitted, nowMillis);
+        if (serving.isEmpty() && first && !admitted.isEmpty()) {
+            List<Upstream> others = versions.admitted(service, staying, false, nowMillis);
+            return availability.withoutResting(others, nowMillis);
+        }
+        return serving;
+    }
+
     /**
      * Records that a request was sent as chosen.
      *
@@ -191,7 +204,7 @@
                 if (!own && !crossings.hasRoom(candidate, noneHere)) {
                     continue;
                 }
-                boolean ejected = loads.ejected(upstream.id(), nowMillis);
+                boolean ejected = isLeftOut(upstream, nowMillis);
                 double millis = cost(candidate);
                 boolean better = best == null || millis < bestMillis;
                 if ((bestEjected && !ejected) || (bestEjected == ejected && better)) {
@@ -221,12 +234,17 @@
 
         private boolean isBetter(Candidate one, Candidate other) {
             long now = one.nowMillis();
-            boolean ejected = loads.ejected(one.upstream().id(), now);
-            boolean otherEjected = loads.ejected(other.upstream().id(), now);
+            boolean ejected = isLeftOut(one.upstream(), now);
+            boolean otherEjected = isLeftOut(other.upstream(), now);
             return ejected == otherEjected ? cost(one) < cost(other) : otherEjected;
         }
     }
 
+    private boolean isLeftOut(Upstream upstream, long nowMillis) {
+        return loads.ejected(upstream.id(), nowMillis)
+                || availability.isReturning(upstream, nowMillis);
+    }
+
     private Candidate candidate(
             Upstream upstream,
             ServingRequest request,
--- a/trailladder-core/src/test/java/io/trailladder/core/upstream/OneRegionChoiceTest.java
+++ b/trailladder-core/src/test/java/io/trailladder/core/upstream/OneRegionChoiceTest.java
@@ -61,7 +61,7 @@
         UpstreamSelector selector =
                 new UpstreamSelector(
                         topology,
-                        directory,
+                        new UpstreamAvailability(directory, new UpstreamRests()),
                         loads,
                         engines,
                         new VersionGate(),
--- a/trailladder-core/src/test/java/io/trailladder/core/upstream/TwoRegions.java
+++ b/trailladder-core/src/test/java/io/trailladder/core/upstream/TwoRegions.java
@@ -117,7 +117,7 @@
             this.selector =
                     new UpstreamSelector(
                             topology,
-                            directory,
+                            new UpstreamAvailability(directory, new UpstreamRests()),
                             loads,
                             model,
                             new VersionGate(),
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Attempt.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Attempt.java
@@ -21,6 +21,7 @@
 import io.trailladder.core.upstream.AnswerNotice;
 import io.trailladder.core.upstream.Selection;
 import io.trailladder.core.upstream.Upstream;
+import io.trailladder.core.upstream.UpstreamAvailability;
 import io.trailladder.entry.http.CallFailure;
 import io.trailladder.entry.http.CallListener;
 import io.trailladder.entry.http.ClientCall;
@@ -151,9 +152,22 @@
         }
     }
 
+    @Override
+    public boolean isWanted() {
+        long now = context.loop().nowMillis();
+        boolean wanted =
+                context.availability().of(upstream, now)
+                        == UpstreamAvailability.State.TAKES_REQUESTS;
+        if (!wanted) {
+            context.metrics().count(GatewayMetrics.Event.SENDING_WITHHELD);
+        }
+        return wanted;
+    }
+
     @Override
     public void sending() {
         sent = true;
+        context.rests().sent(upstream, context.loop().nowMillis());
         context.rollouts().sent(request.service());
         owner.sending(this);
     }
@@ -162,31 +176,36 @@
     public void head(int answered, HeaderList headers, long length) {
         status = answered;
         heardMillis = context.loop().nowMillis();
-        logNotice(headers);
-        if (context.protocol().misdirected(answered)) {
+        if (context.protocol().belongsToAnother(request.id(), headers)) {
+            foreign();
+        } else if (context.protocol().misdirected(answered)) {
             fail(AttemptFailure.MISDIRECTED);
-        } else if (context.protocol().notExecuted(answered, headers)) {
+        } else {
+            AnswerNotice notice = context.protocol().notice(answered, headers);
+            context.notices().heard(request.id(), upstream, answered, notice);
+            answered(answered, headers, length);
+        }
+    }
+
+    private void answered(int answered, HeaderList headers, long length) {
+        if (context.protocol().notExecuted(answered, headers)) {
             fail(AttemptFailure.NOT_EXECUTED);
         } else if (!context.protocol().belongs(request.id(), headers)) {
-            context.metrics().count(GatewayMetrics.Event.FOREIGN_ANSWER);
-            fail(AttemptFailure.BROKEN);
+            foreign();
         } else {
+            if (answered <= SUCCESS_TO) {
+                context.rests().taken(upstream, heardMillis);
+            }
             owner.answered(this, answered, headers, length);
         }
     }
 
-    private void logNotice(HeaderList headers) {
-        AnswerNotice notice = context.protocol().notice(status, headers);
-        if (!notice.isNone()) {
-            DecisionLog.write(
-                    new UpstreamSaid(
-                            request.id(),
-                            upstream.id(),
-                            status,
-                            notice.leaving(),
-                            notice.restMillis(),
-                            notice.fault()));
-        }
+    /**
+     * What another request's answer says, also that it has not run, is not believed of this one.
+     */
+    private void foreign() {
+        context.metrics().count(GatewayMetrics.Event.FOREIGN_ANSWER);
+        fail(AttemptFailure.BROKEN);
     }
 
     @Override
@@ -248,8 +267,11 @@
 
     @Override
     public void failed(CallFailure failure) {
-        boolean unreachable = failure == CallFailure.UNREACHABLE && !sent;
-        fail(unreachable ? AttemptFailure.UNREACHABLE : AttemptFailure.BROKEN);
+        switch (failure) {
+            case UNREACHABLE -> fail(sent ? AttemptFailure.BROKEN : AttemptFailure.UNREACHABLE);
+            case WITHHELD -> fail(AttemptFailure.NOT_SENT);
+            case BROKEN -> fail(AttemptFailure.BROKEN);
+        }
     }
 
     /** Ends the attempt as failed and breaks its connection off. */
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ClusterView.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ClusterView.java
@@ -62,8 +62,6 @@
 
     private static final long FED_MILLIS = 800;
 
-    private static final int RECENT_LEAVING = 32;
-
     /**
      * Least time between two digests that are told out of turn, in milliseconds: many upstreams may
      * leave or end at once, and a digest takes a hub some processor time.
@@ -82,7 +80,7 @@
     private final DigestWriter writer;
     private final SnapshotExchange snapshots;
     private final RegionExchange regions;
-    private final List<String> recentLeaving = new ArrayList<>();
+    private final LeavingNews leavingNews;
     private final LinkedPeers peers;
     private Optional<RolloutExchange> rollouts = Optional.empty();
     private BooleanSupplier leads = () -> false;
@@ -132,6 +130,7 @@
         this.snapshots = new SnapshotExchange(nowMillis, policies, directory, store, metrics);
         this.regions = new RegionExchange(directory, limits, loads, usage, parts, writer);
         this.peers = new LinkedPeers(nowMillis, regions);
+        this.leavingNews = new LeavingNews(upstream -> directory.find(upstream).isPresent());
         directory.onLeaving(upstream -> remember(upstream.id()));
         directory.onNews(this::passOn);
     }
@@ -418,7 +417,7 @@
         writer.beginRound(now);
         SenderState state =
                 new SenderState(
-                        store.isReachable(), draining, membersRead(), List.copyOf(recentLeaving));
+                        store.isReachable(), draining, membersRead(), leavingNews.next(now));
         Map<Long, List<Peer>> byUsageTold = new HashMap<>();
         List<Peer> counted = peers.counted();
         List<Peer> keepers = peers.keepers();
@@ -491,10 +490,7 @@
         if (!directory.isLeaving(upstream)) {
             return;
         }
-        recentLeaving.add(upstream);
-        if (recentLeaving.size() > RECENT_LEAVING) {
-            recentLeaving.remove(0);
-        }
+        leavingNews.began(upstream, nowMillis.getAsLong());
         tellOfLeaving();
     }
 
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/DirectoryKeeper.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/DirectoryKeeper.java
@@ -190,6 +190,20 @@
         directory.leaving(id).ifPresent(upstream -> left(upstream, "draining, told by " + peer));
     }
 
+    /**
+     * Records that an upstream has said in an answer that it leaves.
+     *
+     * @param upstream the upstream
+     * @return true if that is news
+     */
+    public boolean leavingSaidBy(Upstream upstream) {
+        boolean news = !directory.isLeaving(upstream.id());
+        directory
+                .leaving(upstream.id())
+                .ifPresent(known -> left(known, "draining, said by itself"));
+        return news;
+    }
+
     /**
      * Finds an upstream, leaving or not.
      *
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
@@ -29,8 +29,10 @@
 import io.trailladder.core.topology.Topology;
 import io.trailladder.core.upstream.DemandMeter;
 import io.trailladder.core.upstream.Upstream;
+import io.trailladder.core.upstream.UpstreamAvailability;
 import io.trailladder.core.upstream.UpstreamDirectory;
 import io.trailladder.core.upstream.UpstreamLoads;
+import io.trailladder.core.upstream.UpstreamRests;
 import io.trailladder.core.upstream.UpstreamSelector;
 import io.trailladder.entry.gateway.DecisionLog.Lifecycle;
 import io.trailladder.entry.gateway.DecisionLog.StoreUse;
@@ -97,6 +99,8 @@
     private final HttpConnector connector = new HttpConnector(loop);
     private final UpstreamDirectory directory = new UpstreamDirectory();
     private final UpstreamLoads loads = new UpstreamLoads();
+    private final UpstreamRests rests = new UpstreamRests();
+    private final UpstreamAvailability availability = new UpstreamAvailability(directory, rests);
     private final EngineModel engines = new EngineModel();
     private final Topology topology;
     private final Optional<RegionMetrics> regionMetrics;
@@ -252,10 +256,13 @@
                         platform.protocol(),
                         connector,
                         directory,
+                        availability,
+                        rests,
+                        new UpstreamNotices(loop::nowMillis, directoryKeeper, rests, metrics),
                         loads,
                         new UpstreamSelector(
                                 topology,
-                                directory,
+                                availability,
                                 loads,
                                 engines,
                                 versions,
@@ -267,7 +274,7 @@
                         demand,
                         engines,
                         rollouts.keeper(),
-                        new ReturnTimes(policies, directory, loads, engines, random.split()),
+                        new ReturnTimes(policies, availability, loads, engines, random.split()),
                         metrics,
                         view::oldestDigestMillis,
                         memory,
@@ -321,7 +328,7 @@
         mesh.start(settings.listen().peers());
         view.start(mesh, duties::leads);
         loop.repeat(ClusterView.DIGEST_MILLIS, view::tick);
-        loop.repeat(FORGET_MILLIS, () -> loads.forgetGone(directory));
+        loop.repeat(FORGET_MILLIS, this::forgetGone);
         loop.repeat(ROLE_MILLIS, this::followStore);
         loop.repeat(STORE_USE_MILLIS, this::logStoreUse);
         loop.repeat(MemoryKeeper.CHECK_MILLIS, memory::tick);
@@ -344,6 +351,11 @@
                 .forEach(note -> DecisionLog.write(new Lifecycle("settings", "note", note)));
     }
 
+    private void forgetGone() {
+        loads.forgetGone(directory);
+        rests.forgetGone(directory, loop.nowMillis());
+    }
+
     /** Stops the process: it goes on serving until the balancer has left it out. */
     public void stop() {
         loop.execute(this::beginStop);
@@ -518,6 +530,7 @@
                                 topology.otherRegions(),
                                 view.regions().isSpeaking()));
         memory.tellState(callers.refused());
+        metrics.resting(rests.count(loop.nowMillis()));
         policies.policy()
                 .ifPresent(policy -> policy.services().forEach(spec -> tellUpstreams(spec.name())));
         metrics.state(
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/GatewayMetrics.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/GatewayMetrics.java
@@ -87,6 +87,9 @@
     private final Gauge connections =
             gauge("trailladder_connections_opened", "Connections opened to servers");
 
+    private final Gauge resting =
+            gauge("trailladder_upstreams_resting", "Upstreams that asked this process for rest");
+
     private final Gauge refusedRequests =
             gauge(
                     "trailladder_crashing_requests",
@@ -124,7 +127,15 @@
         /** A request was sent to another region. */
         SENT_TO_OTHER_REGION,
         /** A request was not sent because upstreams ended under it before. */
-        REFUSED_AS_CRASHING
+        REFUSED_AS_CRASHING,
+        /** An answer was the first to tell that its upstream leaves. */
+        UPSTREAM_SAID_IT_LEAVES,
+        /** An upstream that was not resting asked this process for rest. */
+        UPSTREAM_ASKED_FOR_REST,
+        /** What an answer said of its upstream could not be read. */
+        UPSTREAM_NOTICE_UNREADABLE,
+        /** A request was not sent because its upstream began to leave or rest on the way there. */
+        SENDING_WITHHELD
     }
 
     /**
@@ -232,6 +243,15 @@
         connections.set((double) opened);
     }
 
+    /**
+     * Records how many upstreams have asked this process for rest that is not over.
+     *
+     * @param count how many
+     */
+    public void resting(int count) {
+        resting.set(count);
+    }
+
     /**
      * Records what is known of requests under which upstreams ended.
      *
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestDriver.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestDriver.java
@@ -194,7 +194,7 @@
         if (held > 0) {
             context.loop().schedule(held, this::goOn);
         } else if (choice.isEmpty()) {
-            turnAway(bodyRoom.wasShort() ? TurnedAway.NO_BODY_ROOM : TurnedAway.NO_UPSTREAM, 0);
+            turnAwayWithoutChoice(now);
         } else if (!history.hasAnswerBegun()
                 && choice.get().placeMillis() > request.deadlineMillis() - now) {
             turnAway(TurnedAway.NO_PLACE_IN_TIME, choice.get().placeMillis());
@@ -203,6 +203,15 @@
         }
     }
 
+    private void turnAwayWithoutChoice(long now) {
+        long rest = context.availability().allRestMillis(request.service(), now);
+        if (rest > 0) {
+            turnAway(TurnedAway.ALL_REST, rest);
+        } else {
+            turnAway(bodyRoom.wasShort() ? TurnedAway.NO_BODY_ROOM : TurnedAway.NO_UPSTREAM, 0);
+        }
+    }
+
     /** Tries again after a roll-out has had it wait. */
     private void goOn() {
         if (over) {
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ReturnTimes.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ReturnTimes.java
@@ -18,7 +18,7 @@
 import io.trailladder.core.engine.EngineModel;
 import io.trailladder.core.policy.ServiceSpec;
 import io.trailladder.core.upstream.PlaceForecast;
-import io.trailladder.core.upstream.UpstreamDirectory;
+import io.trailladder.core.upstream.UpstreamAvailability;
 import io.trailladder.core.upstream.UpstreamLoads;
 import java.util.OptionalLong;
 import java.util.SplittableRandom;
@@ -32,26 +32,27 @@
     private static final double SPREAD = 0.5;
 
     private final PolicyKeeper policies;
-    private final UpstreamDirectory directory;
+    private final UpstreamAvailability availability;
     private final UpstreamLoads loads;
     private final EngineModel engines;
     private final SplittableRandom random;
 
     ReturnTimes(
             PolicyKeeper policies,
-            UpstreamDirectory directory,
+            UpstreamAvailability availability,
             UpstreamLoads loads,
             EngineModel engines,
             SplittableRandom random) {
         this.policies = policies;
-        this.directory = directory;
+        this.availability = availability;
         this.loads = loads;
         this.engines = engines;
         this.random = random;
     }
 
     /**
-     * Returns when a place for a request of a service is expected.
+     * Returns when a place for a request of a service is expected: not before the first upstream
+     * has rested, if all rest.
      *
      * @param service the service
      * @param nowMillis the time
@@ -60,11 +61,11 @@
     long place(String service, long nowMillis) {
         long place =
                 PlaceForecast.millis(
-                        directory.serving(service),
+                        availability.staying(service),
                         loads,
                         engines.estimate(service, nowMillis),
                         bootMillis(service));
-        return spread(place);
+        return spread(Math.max(place, availability.allRestMillis(service, nowMillis)));
     }
 
     /**
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ServingContext.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ServingContext.java
@@ -18,8 +18,10 @@
 import io.trailladder.core.duty.UsageLedger;
 import io.trailladder.core.engine.EngineModel;
 import io.trailladder.core.upstream.DemandMeter;
+import io.trailladder.core.upstream.UpstreamAvailability;
 import io.trailladder.core.upstream.UpstreamDirectory;
 import io.trailladder.core.upstream.UpstreamLoads;
+import io.trailladder.core.upstream.UpstreamRests;
 import io.trailladder.core.upstream.UpstreamSelector;
 import io.trailladder.entry.http.HttpConnector;
 import io.trailladder.entry.loop.EventLoop;
@@ -35,6 +37,9 @@
  * @param protocol how requests are told in HTTP heads
  * @param connector calls upstreams
  * @param directory the upstreams known
+ * @param availability tells which of them take requests
+ * @param rests those that asked for rest
+ * @param notices has what answers say of their upstreams believed
  * @param loads the work under way at them
  * @param selector chooses among them
  * @param quotas the organisations' limits
@@ -56,6 +61,9 @@
         RequestProtocol protocol,
         HttpConnector connector,
         UpstreamDirectory directory,
+        UpstreamAvailability availability,
+        UpstreamRests rests,
+        UpstreamNotices notices,
         UpstreamLoads loads,
         UpstreamSelector selector,
         Quotas quotas,
--- a/trailladder-entry/src/main/java/io/trailladder/entry/http/CallFailure.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/http/CallFailure.java
@@ -23,6 +23,8 @@
 public enum CallFailure {
     /** No connection came about; nothing was sent. */
     UNREACHABLE,
+    /** A connection came about, but the call was no longer wanted; nothing was sent. */
+    WITHHELD,
     /** The connection ended before the answer did. */
     BROKEN
 }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/http/CallListener.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/http/CallListener.java
@@ -22,6 +22,16 @@
  * @since 0.2
  */
 public interface CallListener {
+    /**
+     * Asked once a connection is there, right before the first byte of the request would leave. The
+     * way to it may have taken so long that what the call was decided by has changed.
+     *
+     * @return false to end the call with {@link CallFailure#WITHHELD}
+     */
+    default boolean isWanted() {
+        return true;
+    }
+
     /** Called once before the first byte of the request may leave. */
     default void sending() {}
 
--- a/trailladder-entry/src/main/java/io/trailladder/entry/http/ClientCall.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/http/ClientCall.java
@@ -52,9 +52,15 @@
         return over;
     }
 
-    void begin(Connection<?> opened) {
+    /** Begins on a connection; returns false, with the call over, if it is no longer wanted. */
+    boolean begin(Connection<?> opened) {
         connection = opened;
+        if (!listener.isWanted()) {
+            fail(CallFailure.WITHHELD);
+            return false;
+        }
         listener.sending();
+        return true;
     }
 
     void written() {
--- a/trailladder-entry/src/main/java/io/trailladder/entry/http/HttpConnector.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/http/HttpConnector.java
@@ -180,8 +180,10 @@
 
     @SuppressWarnings("unchecked") // a TCP connection's address type
     private void write(ClientCall call, Connection<?> connection) {
+        if (!call.begin(connection)) {
+            return;
+        }
         CALL.set(connection, call);
-        call.begin(connection);
         OutgoingCall request = call.request();
         HttpRequestPacket.Builder head =
                 HttpRequestPacket.builder()
--- a/trailladder-entry/src/main/java/io/trailladder/entry/port/RequestProtocol.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/port/RequestProtocol.java
@@ -69,6 +69,16 @@
      */
     boolean belongs(String requestId, HeaderList headers);
 
+    /**
+     * Tells whether an answer names another request. Nothing that it says is about this one,
+     * neither that it has not run nor what its upstream says of itself.
+     *
+     * @param requestId the caller's name for the request
+     * @param headers the answer's header fields
+     * @return false if it names this request or none
+     */
+    boolean belongsToAnother(String requestId, HeaderList headers);
+
     /**
      * Reads what an answer says of its upstream.
      *
