--- a/trailladder-entry/src/test/java/io/trailladder/entry/gateway/DirectoryKeeperTest.java
+++ b/trailladder-entry/src/test/java/io/trailladder/entry/gateway/DirectoryKeeperTest.java
@@ -124,4 +124,14 @@
         keeper.listed(List.of(item("a", READY, 1), item("b", READY, 2)), 5);
         assertEquals(1, serving());
     }
+
+    @Example
+    void whatAnUpstreamSaysItselfIsNewsOnce() {
+        assertTrue(keeper.leavingSaidBy(directory.find("a").orElseThrow()));
+        assertFalse(keeper.leavingSaidBy(directory.find("a").orElseThrow()));
+        keeper.changed(item("a", LEAVING, 3));
+        keeper.leavingSeenBy("a", "peer");
+        assertEquals(List.of("a"), left);
+        assertEquals(1, serving());
+    }
 }
--- /dev/null
+++ b/trailladder-entry/src/test/java/io/trailladder/entry/gateway/LeavingHistoriesTest.java
@@ -0,0 +1,150 @@
+/*
+ * Copyright 2026 The trailladder authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package io.trailladder.entry.gateway;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.trailladder.core.upstream.Upstream;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.function.Consumer;
+import net.jqwik.api.Example;
+
+/**
+ * A wave of upstreams leaves while the store tells nobody. Each says so in an answer to one of 30
+ * processes, and all others learn it from there, while processes and links fail.
+ */
+class LeavingHistoriesTest {
+    private static final int DATA_CENTRES = 3;
+    private static final int OF_EACH = 10;
+
+    /** The reclaimable part of a data centre of 825. */
+    private static final int LEAVERS = 355;
+
+    /** How long an upstream that leaves goes on serving, in milliseconds. */
+    private static final long DRAIN_MILLIS = 2_000;
+
+    private final SimulatedCluster cluster = new SimulatedCluster(DATA_CENTRES, OF_EACH, 10_000);
+
+    private static String id(int leaver) {
+        return "i-" + (1_000_000 + leaver);
+    }
+
+    private void listAll() {
+        cluster.pass(5_000);
+        for (int i = 0; i < LEAVERS; i++) {
+            Upstream upstream = new Upstream(id(i), "s", "dc0", "h:1", 8, false, true, 0);
+            for (String name : cluster.names()) {
+                cluster.process(name).upstreams().changed(upstream);
+            }
+        }
+        cluster.pass(1_000);
+    }
+
+    private void leave() {
+        List<String> names = cluster.names();
+        for (int i = 0; i < LEAVERS; i++) {
+            DirectoryKeeper directory = cluster.process(names.get(i % names.size())).directory();
+            directory.leavingSaidBy(directory.find(id(i)).orElseThrow());
+        }
+    }
+
+    private int unknown() {
+        int unknown = 0;
+        for (String name : cluster.names()) {
+            for (int i = 0; i < LEAVERS; i++) {
+                unknown += cluster.process(name).directory().isLeaving(id(i)) ? 0 : 1;
+            }
+        }
+        return unknown;
+    }
+
+    private void assertAllKnowWithin(long millis, Consumer<SimulatedCluster> trouble) {
+        listAll();
+        leave();
+        trouble.accept(cluster);
+        long begun = cluster.now();
+        while (unknown() > 0 && cluster.now() - begun < millis) {
+            cluster.pass(100);
+        }
+        assertEquals(0, unknown(), "pairs of process and leaver not known " + millis + " ms later");
+    }
+
+    @Example
+    void waveIsKnownToAllBeforeItsUpstreamsEnd() {
+        assertAllKnowWithin(DRAIN_MILLIS, all -> {});
+    }
+
+    @Example
+    void dataCentreThatWasCutOffLearnsItAfterwards() {
+        assertAllKnowWithin(
+                15_000,
+                all -> {
+                    Set<String> cutOff = new HashSet<>(all.namesOf("dc1"));
+                    all.cut((one, other) -> cutOff.contains(one) && !cutOff.contains(other));
+                    all.pass(5_500);
+                    all.cut((one, other) -> false);
+                });
+    }
+
+    @Example
+    void lossOfHubsInTheMiddleLosesNoLeaver() {
+        assertAllKnowWithin(
+                15_000,
+                all -> {
+                    all.pass(200);
+                    List<String> hubs =
+                            all.names().stream().filter(n -> all.process(n).isHub()).toList();
+                    hubs.forEach(name -> all.freeze(name, true));
+                    all.pass(3_500);
+                    hubs.forEach(name -> all.freeze(name, false));
+                });
+    }
+
+    @Example
+    void digestsAtRestNameNobody() {
+        LeavingNews news = new LeavingNews(id -> !id.equals("gone"));
+        assertTrue(news.next(0).isEmpty());
+        news.began("gone", 0);
+        assertTrue(news.next(0).isEmpty(), "one that is not listed any more");
+        news.began("listed", 0);
+        assertEquals(List.of("listed"), news.next(LeavingNews.NEWS_MILLIS - 1));
+    }
+
+    @Example
+    void everyLeaverIsNamedInTurn() {
+        LeavingNews news = new LeavingNews(id -> true);
+        Set<String> fresh = new HashSet<>();
+        Set<String> older = new HashSet<>();
+        for (int i = 0; i < LEAVERS; i++) {
+            news.began(id(i), 0);
+        }
+        for (int digest = 0; digest * LeavingNews.MOST_TOLD < LEAVERS; digest++) {
+            List<String> told = news.next(0);
+            assertTrue(told.size() <= LeavingNews.MOST_TOLD, told.size() + " in one digest");
+            fresh.addAll(told);
+        }
+        for (int digest = 0; digest * LeavingNews.MOST_REPEATED < LEAVERS; digest++) {
+            List<String> told = news.next(LeavingNews.NEWS_MILLIS);
+            assertTrue(told.size() <= LeavingNews.MOST_REPEATED, told.size() + " at rest");
+            older.addAll(told);
+        }
+        assertEquals(LEAVERS, fresh.size());
+        assertEquals(LEAVERS, older.size());
+    }
+}
--- a/trailladder-entry/src/test/java/io/trailladder/entry/http/HttpConnectorTest.java
+++ b/trailladder-entry/src/test/java/io/trailladder/entry/http/HttpConnectorTest.java
@@ -41,6 +41,7 @@
     private static final long REST_MILLIS = 60_000;
 
     private final BlockingQueue<String> results = new LinkedBlockingQueue<>();
+    private volatile boolean wanted = true;
     private EventLoop loop;
     private HttpConnector connector;
     private ServerSocket listener;
@@ -51,6 +52,11 @@
         private int status;
         private boolean sent;
 
+        @Override
+        public boolean isWanted() {
+            return wanted;
+        }
+
         @Override
         public void sending() {
             sent = true;
@@ -109,6 +115,22 @@
         return results.poll(PATIENCE_SECONDS, TimeUnit.SECONDS);
     }
 
+    /** No byte of it may arrive, also on a connection that another call has left behind. */
+    @Example
+    void callThatIsNoLongerWantedSendsNothing() throws Exception {
+        call("/kept");
+        RawSocket server = accept("/kept");
+        server.send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+        assertEquals("200 ", result());
+        wanted = false;
+        call("/kept");
+        assertEquals("WITHHELD unsent", result());
+        assertEquals("", server.readAll());
+        call("/new");
+        assertEquals("WITHHELD unsent", result());
+        assertEquals("", new RawSocket(listener.accept()).readAll());
+    }
+
     @Example
     void answerWithoutLengthEndsWithAnOrderlyClose() throws Exception {
         call("/x");
