Use a kept connection no longer than its server says it keeps it

A request that meets the close of a resting connection may have run, and is lost if it may not be repeated. Half of the time told is used; answers that tell none are as before. The test failed before: the second call went out on the first connection.

--- a/trailladder-entry/src/main/java/io/trailladder/entry/http/ClientCall.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/http/ClientCall.java
@@ -31,6 +31,7 @@
     private boolean requestWritten;
     private boolean reusable = true;
     private boolean endsWithConnection;
+    private long keptMillis = KeepAlive.NOT_TOLD;
     private Runnable onWritten;
 
     ClientCall(OutgoingCall request, CallListener listener) {
@@ -91,7 +92,12 @@
     }
 
     boolean canKeepConnection() {
-        return requestWritten && reusable;
+        return requestWritten && reusable && keptMillis > 0;
+    }
+
+    /** Returns how long the server lets the connection be used again, in milliseconds. */
+    long keptMillis() {
+        return keptMillis;
     }
 
     void head(int status, HeaderList headers, long length) {
@@ -105,6 +111,7 @@
         if (closes) {
             reusable = false;
         }
+        keptMillis = KeepAlive.restMillis(headers);
         listener.head(status, headers, length);
     }
 
--- a/trailladder-entry/src/main/java/io/trailladder/entry/http/HttpConnector.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/http/HttpConnector.java
@@ -66,8 +66,18 @@
     private long opened;
     private long surplus;
 
-    /** A connection between two calls. */
-    private record Resting(Connection<?> connection, long sinceMillis) {}
+    /**
+     * A connection between two calls.
+     *
+     * @param sinceMillis when it began to rest
+     * @param keptMillis how long its server lets it be used again, in milliseconds
+     */
+    private record Resting(Connection<?> connection, long sinceMillis, long keptMillis) {
+        boolean isUsable(long mostMillis, long nowMillis) {
+            long rested = nowMillis - sinceMillis;
+            return connection.isOpen() && rested <= mostMillis && rested < keptMillis;
+        }
+    }
 
     /**
      * Creates a connector.
@@ -230,10 +240,9 @@
 
     private Connection<?> takeResting(OutgoingCall request) {
         Deque<Resting> idle = resting.get(request.target());
-        long oldest = loop.nowMillis() - request.maxRestMillis();
         while (idle != null && !idle.isEmpty()) {
             Resting last = idle.removeLast();
-            if (last.connection().isOpen() && last.sinceMillis() >= oldest) {
+            if (last.isUsable(request.maxRestMillis(), loop.nowMillis())) {
                 return last.connection();
             }
             last.connection().terminateSilently();
@@ -242,7 +251,7 @@
     }
 
     /** Keeps a connection, but only after all bytes that came with the answer were looked at. */
-    private void keep(HostPort target, Connection<?> connection) {
+    private void keep(HostPort target, Connection<?> connection, long keptMillis) {
         loop.execute(
                 () -> {
                     Deque<Resting> idle =
@@ -253,7 +262,7 @@
                     if (idle.size() >= MAX_RESTING) {
                         idle.removeFirst().connection().terminateSilently();
                     }
-                    idle.addLast(new Resting(connection, loop.nowMillis()));
+                    idle.addLast(new Resting(connection, loop.nowMillis(), keptMillis));
                 });
     }
 
@@ -298,7 +307,7 @@
 
         private void finish(ClientCall call, Connection<?> connection) {
             if (call.canKeepConnection() && call.request().maxRestMillis() > 0) {
-                keep(call.request().target(), connection);
+                keep(call.request().target(), connection, call.keptMillis());
             } else if (call.isWritten()) {
                 connection.closeSilently();
             } else {
--- a/trailladder-entry/src/test/java/io/trailladder/entry/http/HttpConnectorTest.java
+++ b/trailladder-entry/src/test/java/io/trailladder/entry/http/HttpConnectorTest.java
@@ -89,6 +89,7 @@
         connector = new HttpConnector(loop);
         loop.start();
         listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        listener.setSoTimeout((int) TimeUnit.SECONDS.toMillis(PATIENCE_SECONDS));
     }
 
     @AfterTry
@@ -115,6 +116,21 @@
         return results.poll(PATIENCE_SECONDS, TimeUnit.SECONDS);
     }
 
+    /** A request sent as the server closes may or may not have run. */
+    @Example
+    void connectionIsNotUsedAgainLongerThanItsServerKeepsIt() throws Exception {
+        call("/first");
+        RawSocket first = accept("/first");
+        first.send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\nKeep-Alive: timeout=0\r\n\r\n");
+        assertEquals("200 ", result());
+        call("/second");
+        RawSocket second = accept("/second");
+        second.send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\nKeep-Alive: timeout=60\r\n\r\n");
+        assertEquals("200 ", result());
+        call("/third");
+        assertTrue(second.readUntil("\r\n\r\n").startsWith("GET /third "));
+    }
+
     /** No byte of it may arrive, also on a connection that another call has left behind. */
     @Example
     void callThatIsNoLongerWantedSendsNothing() throws Exception {
--- /dev/null
+++ b/trailladder-entry/src/test/java/io/trailladder/entry/http/KeepAliveTest.java
@@ -0,0 +1,59 @@
+/*
+ * Copyright 2026 The trailladder authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package io.trailladder.entry.http;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+
+/** How long connections are kept that a server says it keeps for some time. */
+class KeepAliveTest {
+    private static long rest(String value) {
+        return KeepAlive.restMillis(HeaderList.of("Keep-Alive", value));
+    }
+
+    @Example
+    void halfOfTheTimeToldIsUsed() {
+        for (String value :
+                List.of(
+                        "4",
+                        "timeout=4",
+                        "timeout=4, max=100",
+                        "max=9, timeout=4",
+                        "timeout = 4")) {
+            assertEquals(2_000, rest(value), value);
+        }
+        assertEquals(0, rest("timeout=0"), "not used again");
+        assertEquals(500, rest("1"));
+    }
+
+    @Example
+    void whatIsNotUnderstoodTellsNothing() {
+        assertEquals(KeepAlive.NOT_TOLD, KeepAlive.restMillis(HeaderList.EMPTY));
+        for (String value : List.of("", "max=100", "timeout=", "timeout=x", "-1", "1.5", "soon")) {
+            assertEquals(KeepAlive.NOT_TOLD, rest(value), value);
+        }
+    }
+
+    @Property(tries = 1_000, seed = "20261203")
+    void noValueThrows(@ForAll String value) {
+        assertTrue(rest(value) >= 0);
+    }
+}
