Leaving ends with the life that said it, told to peers in a section of its own

By id for good, an upstream that crashed while it left was never used again by any process, though its next life takes requests. Names stay in the field that all builds read, lives stand in a section beside it, which older builds pass over; a word without a life holds for the one listed. A late word of a former life changes nothing.

--- a/trailladder-core/src/main/java/io/trailladder/core/upstream/UpstreamAvailability.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/upstream/UpstreamAvailability.java
@@ -16,6 +16,7 @@
 package io.trailladder.core.upstream;
 
 import java.util.List;
+import java.util.Optional;
 
 /**
  * Answers the one question that everything asks which sends to an upstream: does it take requests
@@ -34,7 +35,7 @@
     public enum State {
         /** It takes requests. */
         TAKES_REQUESTS,
-        /** It is not listed any more. */
+        /** It is not listed any more, or has started anew under its name. */
         GONE,
         /** It has said that it leaves, in its entry or an answer, here or to a peer. */
         LEAVING,
@@ -64,7 +65,8 @@
         if (directory.isLeaving(upstream.id())) {
             return State.LEAVING;
         }
-        if (directory.find(upstream.id()).isEmpty()) {
+        Optional<Upstream> listed = directory.find(upstream.id());
+        if (listed.isEmpty() || listed.get().bornMillis() != upstream.bornMillis()) {
             return State.GONE;
         }
         return rests.leftMillis(upstream, nowMillis) > 0 ? State.RESTING : State.TAKES_REQUESTS;
--- a/trailladder-core/src/main/java/io/trailladder/core/upstream/UpstreamDirectory.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/upstream/UpstreamDirectory.java
@@ -27,10 +27,10 @@
 /**
  * The upstreams that serve, by service.
  *
- * <p>Names are never used again, so an upstream that announced that it leaves stays so even if an
- * older entry arrives late, and is listed as {@link Upstream#draining draining} to every reader,
- * whoever told it first: its entry, a peer, or one of its answers. One whose entry is only gone
- * serves again if the entry comes back: it may have lapsed while the store was away.
+ * <p>An upstream that announced that it leaves stays so until its life ends, even if an older entry
+ * arrives late, and is listed as {@link Upstream#draining draining} to every reader, whoever told
+ * it first: its entry, a peer, or one of its answers. One whose entry is only gone serves again if
+ * the entry comes back: it may have lapsed while the store was away.
  *
  * @since 0.2
  */
@@ -39,7 +39,9 @@
 
     private final Map<String, Upstream> upstreams = new HashMap<>();
     private final Map<String, List<Upstream>> byService = new HashMap<>();
-    private final Set<String> leaving = new HashSet<>();
+
+    /** When the lives that leave started; 0 if not told, which holds for any life. */
+    private final Map<String, Long> leaving = new HashMap<>();
 
     /**
      * Takes over a complete list; upstreams that it lacks are gone.
@@ -70,12 +72,16 @@
     public Optional<Upstream> changed(Upstream entry) {
         Upstream before = upstreams.get(entry.id());
         boolean endWasKnown = before != null && before.leavesMillis() > 0;
-        upstreams.put(entry.id(), leaving.contains(entry.id()) ? entry.asLeaving() : entry);
+        if (isLaterLife(entry)) {
+            leaving.remove(entry.id());
+        }
+        upstreams.put(entry.id(), isLeaving(entry.id()) ? entry.asLeaving() : entry);
         byService.clear();
         if (!entry.draining()) {
             return Optional.empty();
         }
-        Optional<Upstream> newlyLeaving = leaving(entry.id());
+        Optional<Upstream> newlyLeaving =
+                leaving(new LeavingUpstream(entry.id(), entry.bornMillis()));
         boolean endIsNews = entry.leavesMillis() > 0 && !endWasKnown;
         return endIsNews ? Optional.of(entry) : newlyLeaving;
     }
@@ -92,19 +98,39 @@
     }
 
     /**
-     * Records that an upstream leaves.
+     * Records that an upstream leaves. What is told of an earlier life than the one listed is
+     * passed over: it has ended.
      *
-     * @param id the upstream's name
+     * @param told the life that leaves
      * @return the upstream if this is news and it is known
      */
-    public Optional<Upstream> leaving(String id) {
+    public Optional<Upstream> leaving(LeavingUpstream told) {
         forgetOldNames();
-        if (!leaving.add(id)) {
+        Upstream listed = upstreams.get(told.id());
+        long listedBorn = listed == null ? 0 : listed.bornMillis();
+        boolean hasEnded = told.bornMillis() > 0 && told.bornMillis() < listedBorn;
+        if (hasEnded || isLeaving(told.id())) {
             return Optional.empty();
         }
+        leaving.put(told.id(), told.bornMillis() > 0 ? told.bornMillis() : listedBorn);
         byService.clear();
-        upstreams.computeIfPresent(id, (name, upstream) -> upstream.asLeaving());
-        return Optional.ofNullable(upstreams.get(id));
+        upstreams.computeIfPresent(told.id(), (name, upstream) -> upstream.asLeaving());
+        return Optional.ofNullable(upstreams.get(told.id()));
+    }
+
+    /**
+     * Tells which life of an upstream leaves.
+     *
+     * @param id the upstream's name
+     * @return the life, of a start that may not be known; empty if the upstream does not leave
+     */
+    public Optional<LeavingUpstream> leavingLife(String id) {
+        return Optional.ofNullable(leaving.get(id)).map(born -> new LeavingUpstream(id, born));
+    }
+
+    private boolean isLaterLife(Upstream entry) {
+        long born = leaving.getOrDefault(entry.id(), 0L);
+        return born > 0 && entry.bornMillis() > born;
     }
 
     /**
@@ -143,19 +169,19 @@
      * @return true if it takes no new work any more
      */
     public boolean isLeaving(String id) {
-        return leaving.contains(id);
+        return leaving.containsKey(id);
     }
 
     private List<Upstream> collect(String service) {
         return upstreams.values().stream()
                 .filter(upstream -> upstream.service().equals(service))
-                .filter(upstream -> !leaving.contains(upstream.id()))
+                .filter(upstream -> !isLeaving(upstream.id()))
                 .toList();
     }
 
     private void forgetOldNames() {
         if (leaving.size() > MAX_REMEMBERED) {
-            leaving.retainAll(upstreams.keySet());
+            leaving.keySet().retainAll(upstreams.keySet());
         }
     }
 }
--- a/trailladder-core/src/test/java/io/trailladder/core/upstream/TwoRegions.java
+++ b/trailladder-core/src/test/java/io/trailladder/core/upstream/TwoRegions.java
@@ -209,7 +209,7 @@
     void lose(String region) {
         for (Upstream upstream : directory.all()) {
             if (REGIONS.get(upstream.dataCentre()).equals(region)) {
-                directory.leaving(upstream.id());
+                directory.leaving(new LeavingUpstream(upstream.id(), 0));
             }
         }
     }
--- a/trailladder-core/src/test/java/io/trailladder/core/upstream/UpstreamAvailabilityTest.java
+++ b/trailladder-core/src/test/java/io/trailladder/core/upstream/UpstreamAvailabilityTest.java
@@ -88,7 +88,7 @@
     void whatIsSaidFirstHoldsWhateverIsToldLater() {
         Upstream upstream = listed("w");
         assertEquals(State.TAKES_REQUESTS, availability.of(upstream, 0));
-        directory.leaving("w");
+        directory.leaving(new LeavingUpstream("w", 0));
         assertEquals(State.LEAVING, availability.of(upstream, 0));
         directory.changed(entry("w", false, 0));
         assertEquals(State.LEAVING, availability.of(upstream, 0), "an older entry");
@@ -104,7 +104,7 @@
     @Example
     void recordSaysSoToThoseWhoOnlyReadIt() {
         listed("w");
-        directory.leaving("w");
+        directory.leaving(new LeavingUpstream("w", 0));
         assertTrue(directory.find("w").orElseThrow().draining());
         directory.changed(entry("w", false, 0));
         assertTrue(directory.all().get(0).draining());
@@ -112,7 +112,7 @@
 
     @Example
     void leavingToldBeforeTheEntryIsKnownHoldsForIt() {
-        assertTrue(directory.leaving("w").isEmpty());
+        assertTrue(directory.leaving(new LeavingUpstream("w", 0)).isEmpty());
         assertTrue(listed("w").draining());
     }
 
@@ -120,13 +120,41 @@
     @Example
     void timeOfTheEndIsNewsOnce() {
         listed("w");
-        assertTrue(directory.leaving("w").isPresent());
+        assertTrue(directory.leaving(new LeavingUpstream("w", 0)).isPresent());
         assertTrue(directory.changed(entry("w", true, 0)).isEmpty(), "known");
         Optional<Upstream> news = directory.changed(entry("w", true, 2_000));
         assertEquals(2_000, news.orElseThrow().leavesMillis());
         assertTrue(directory.changed(entry("w", true, 1_000)).isEmpty(), "told before");
     }
 
+    private static Upstream life(long bornMillis) {
+        return new Upstream("w", "s", "a", "h:1", 8, false, true, 0, "", 0, bornMillis);
+    }
+
+    /** An upstream may crash while it leaves and start again under its name. */
+    @Example
+    void leavingEndsWithTheLifeThatSaidIt() {
+        directory.changed(life(5));
+        directory.leaving(new LeavingUpstream("w", 5));
+        directory.changed(life(5));
+        assertEquals(State.LEAVING, availability.of(life(5), 0));
+        directory.changed(life(6));
+        assertEquals(State.TAKES_REQUESTS, availability.of(life(6), 0));
+        assertEquals(State.GONE, availability.of(life(5), 0), "the life before");
+        assertTrue(directory.leaving(new LeavingUpstream("w", 5)).isEmpty(), "a late word of it");
+        assertEquals("w", chosen(0).orElseThrow());
+        assertTrue(directory.leaving(new LeavingUpstream("w", 6)).isPresent());
+    }
+
+    @Example
+    void wordWithoutALifeHoldsForTheOneListed() {
+        directory.changed(life(5));
+        directory.leaving(new LeavingUpstream("w", 0));
+        assertEquals(State.LEAVING, availability.of(life(5), 0));
+        directory.changed(life(6));
+        assertEquals(State.TAKES_REQUESTS, availability.of(life(6), 0));
+    }
+
     @Example
     void upstreamThatIsListedNoMoreTakesNothing() {
         Upstream upstream = listed("w");
@@ -153,9 +181,9 @@
     void leavingUpstreamIsNoneThatRests() {
         rests.asked(listed("w0"), 3_000, 0);
         rests.asked(listed("w1"), 1_000, 0);
-        directory.leaving("w1");
+        directory.leaving(new LeavingUpstream("w1", 0));
         assertEquals(3_000, availability.allRestMillis("s", 0));
-        directory.leaving("w0");
+        directory.leaving(new LeavingUpstream("w0", 0));
         assertEquals(0, availability.allRestMillis("s", 0), "none stays, so no rest is waited for");
     }
 
--- a/trailladder-core/src/test/java/io/trailladder/core/upstream/UpstreamSelectorTest.java
+++ b/trailladder-core/src/test/java/io/trailladder/core/upstream/UpstreamSelectorTest.java
@@ -121,7 +121,7 @@
     @Example
     void leavingUpstreamGetsNoNewWork() {
         upstreams(2);
-        directory.leaving("w0");
+        directory.leaving(new LeavingUpstream("w0", 0));
         for (int i = 0; i < 20; i++) {
             assertEquals("w1", chosen(selector, request("subject" + i)));
         }
@@ -132,7 +132,7 @@
     @Example
     void lateListDoesNotBringALeavingUpstreamBack() {
         upstreams(1);
-        directory.leaving("w0");
+        directory.leaving(new LeavingUpstream("w0", 0));
         directory.changed(new Upstream("w0", "s", "a", "h:1", 8, false, false, 0));
         assertTrue(directory.serving("s").isEmpty());
     }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ClusterView.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ClusterView.java
@@ -130,7 +130,7 @@
         this.snapshots = new SnapshotExchange(nowMillis, policies, directory, store, metrics);
         this.regions = new RegionExchange(directory, limits, loads, usage, parts, writer);
         this.peers = new LinkedPeers(nowMillis, regions);
-        this.leavingNews = new LeavingNews(upstream -> directory.find(upstream).isPresent());
+        this.leavingNews = new LeavingNews(directory::listedLeaving);
         directory.onLeaving(upstream -> remember(upstream.id()));
         directory.onNews(this::passOn);
     }
@@ -331,7 +331,7 @@
         long now = nowMillis.getAsLong();
         peer.told(SoundFigures.of(peer.name(), digest), now);
         evidenceTold |= !digest.evidence().isEmpty();
-        digest.leaving().forEach(id -> directory.leavingSeenBy(id, peer.name()));
+        LeavingLives.of(digest).forEach(told -> directory.leavingSeenBy(told, peer.name()));
         snapshots.digest(mesh, peer.hello(), digest);
         if (!peers.counts(peer)) {
             loads.peerLost(peer.name());
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/DigestWriter.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/DigestWriter.java
@@ -20,6 +20,7 @@
 import io.trailladder.core.engine.EngineEvidence;
 import io.trailladder.core.engine.EngineModel;
 import io.trailladder.core.upstream.DemandMeter;
+import io.trailladder.core.upstream.LeavingUpstream;
 import io.trailladder.core.upstream.ServiceDemand;
 import io.trailladder.core.upstream.UpstreamLoads;
 import io.trailladder.core.upstream.UpstreamUse;
@@ -32,6 +33,7 @@
 import java.util.Collection;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.TreeMap;
 import java.util.function.BinaryOperator;
 import java.util.function.Function;
@@ -64,7 +66,7 @@
      * @param leaving upstreams it saw leaving lately
      */
     record SenderState(
-            boolean storeReachable, boolean draining, int members, List<String> leaving) {}
+            boolean storeReachable, boolean draining, int members, List<LeavingUpstream> leaving) {}
 
     DigestWriter(
             PolicyKeeper policies,
@@ -231,6 +233,17 @@
         return histories;
     }
 
+    private static List<DigestSection> withLives(
+            List<DigestSection> sections, List<LeavingUpstream> leaving) {
+        Optional<DigestSection> lives = LeavingLives.section(leaving);
+        if (lives.isEmpty()) {
+            return sections;
+        }
+        List<DigestSection> all = new ArrayList<>(sections);
+        all.add(lives.get());
+        return all;
+    }
+
     private NodeDigest digest(
             SenderState state,
             DigestScope scope,
@@ -254,7 +267,7 @@
                 uses,
                 demands,
                 evidence,
-                state.leaving(),
-                sections);
+                LeavingLives.ids(state.leaving()),
+                withLives(sections, state.leaving()));
     }
 }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/DirectoryKeeper.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/DirectoryKeeper.java
@@ -15,6 +15,7 @@
  */
 package io.trailladder.entry.gateway;
 
+import io.trailladder.core.upstream.LeavingUpstream;
 import io.trailladder.core.upstream.Upstream;
 import io.trailladder.core.upstream.UpstreamDirectory;
 import io.trailladder.entry.gateway.DecisionLog.Belief;
@@ -181,13 +182,13 @@
     }
 
     /**
-     * Records that a peer saw an upstream leave.
+     * Records that a peer knows of an upstream that leaves.
      *
-     * @param id the upstream's name
+     * @param told the life that leaves
      * @param peer the peer's name
      */
-    public void leavingSeenBy(String id, String peer) {
-        directory.leaving(id).ifPresent(upstream -> left(upstream, "draining, told by " + peer));
+    public void leavingSeenBy(LeavingUpstream told, String peer) {
+        directory.leaving(told).ifPresent(upstream -> left(upstream, "draining, told by " + peer));
     }
 
     /**
@@ -197,11 +198,21 @@
      * @return true if that is news
      */
     public boolean leavingSaidBy(Upstream upstream) {
-        boolean news = !directory.isLeaving(upstream.id());
+        boolean knownBefore = directory.isLeaving(upstream.id());
         directory
-                .leaving(upstream.id())
+                .leaving(new LeavingUpstream(upstream.id(), upstream.bornMillis()))
                 .ifPresent(known -> left(known, "draining, said by itself"));
-        return news;
+        return !knownBefore && directory.isLeaving(upstream.id());
+    }
+
+    /**
+     * Tells which life of an upstream leaves.
+     *
+     * @param id the upstream's name
+     * @return the life; empty if the upstream is not listed, or does not leave
+     */
+    public Optional<LeavingUpstream> listedLeaving(String id) {
+        return directory.find(id).isEmpty() ? Optional.empty() : directory.leavingLife(id);
     }
 
     /**
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/LeavingNews.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/LeavingNews.java
@@ -15,12 +15,14 @@
  */
 package io.trailladder.entry.gateway;
 
+import io.trailladder.core.upstream.LeavingUpstream;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.function.Predicate;
+import java.util.Optional;
+import java.util.function.Function;
 
 /**
  * Chooses which leaving upstreams a digest names. A wave of leavers is spread over some digests, so
@@ -41,17 +43,18 @@
     /** How long news is told first, in milliseconds: in five digests, in case some are lost. */
     static final long NEWS_MILLIS = 5 * ClusterView.DIGEST_MILLIS;
 
-    private final Predicate<String> isListed;
+    private final Function<String, Optional<LeavingUpstream>> listed;
     private final Map<String, Long> begunMillis = new LinkedHashMap<>();
     private final Map<Boolean, Integer> turns = new HashMap<>();
 
     /**
      * Creates news of nobody.
      *
-     * @param isListed tells whether an upstream is listed; one that is gone needs no telling
+     * @param listed tells which life of an upstream leaves; none of one that is gone or has started
+     *     anew, which needs no telling
      */
-    LeavingNews(Predicate<String> isListed) {
-        this.isListed = isListed;
+    LeavingNews(Function<String, Optional<LeavingUpstream>> listed) {
+        this.listed = listed;
     }
 
     /** Records that an upstream has begun to leave. */
@@ -60,11 +63,11 @@
     }
 
     /** Returns those that the next digests name. */
-    List<String> next(long nowMillis) {
+    List<LeavingUpstream> next(long nowMillis) {
         if (begunMillis.isEmpty()) {
             return List.of();
         }
-        begunMillis.keySet().removeIf(upstream -> !isListed.test(upstream));
+        begunMillis.keySet().removeIf(upstream -> listed.apply(upstream).isEmpty());
         List<String> fresh = new ArrayList<>();
         List<String> older = new ArrayList<>();
         begunMillis.forEach(
@@ -74,7 +77,7 @@
                 });
         List<String> told = new ArrayList<>(inTurn(fresh, true, MOST_TOLD));
         told.addAll(inTurn(older, false, Math.min(MOST_REPEATED, MOST_TOLD - told.size())));
-        return told;
+        return told.stream().flatMap(upstream -> listed.apply(upstream).stream()).toList();
     }
 
     /** Returns some of a list, and goes on with those after them the next time. */
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RegionExchange.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RegionExchange.java
@@ -245,7 +245,7 @@
 
     private void take(
             RegionView view, String region, Peer peer, NodeDigest digest, long nowMillis) {
-        digest.leaving().forEach(id -> directory.leavingSeenBy(id, peer.name()));
+        LeavingLives.of(digest).forEach(told -> directory.leavingSeenBy(told, peer.name()));
         digest.usage().forEach(news -> usage.mergeElsewhere(news.life(), news.usage()));
         loads.peerUses(
                 peer.name(),
--- a/trailladder-entry/src/test/java/io/trailladder/entry/gateway/DirectoryKeeperTest.java
+++ b/trailladder-entry/src/test/java/io/trailladder/entry/gateway/DirectoryKeeperTest.java
@@ -19,6 +19,7 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.trailladder.core.upstream.LeavingUpstream;
 import io.trailladder.core.upstream.Upstream;
 import io.trailladder.core.upstream.UpstreamDirectory;
 import io.trailladder.entry.port.StoreItem;
@@ -120,7 +121,7 @@
 
     @Example
     void leavingToldByAPeerBindsToo() {
-        keeper.leavingSeenBy("b", "peer");
+        keeper.leavingSeenBy(new LeavingUpstream("b", 0), "peer");
         keeper.listed(List.of(item("a", READY, 1), item("b", READY, 2)), 5);
         assertEquals(1, serving());
     }
@@ -130,7 +131,7 @@
         assertTrue(keeper.leavingSaidBy(directory.find("a").orElseThrow()));
         assertFalse(keeper.leavingSaidBy(directory.find("a").orElseThrow()));
         keeper.changed(item("a", LEAVING, 3));
-        keeper.leavingSeenBy("a", "peer");
+        keeper.leavingSeenBy(new LeavingUpstream("a", 0), "peer");
         assertEquals(List.of("a"), left);
         assertEquals(1, serving());
     }
--- a/trailladder-entry/src/test/java/io/trailladder/entry/gateway/LeavingHistoriesTest.java
+++ b/trailladder-entry/src/test/java/io/trailladder/entry/gateway/LeavingHistoriesTest.java
@@ -18,9 +18,14 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.trailladder.core.upstream.LeavingUpstream;
 import io.trailladder.core.upstream.Upstream;
+import io.trailladder.wire.NodeMessage.DigestScope;
+import io.trailladder.wire.NodeMessage.DigestSection;
+import io.trailladder.wire.NodeMessage.NodeDigest;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
 import net.jqwik.api.Example;
@@ -45,6 +50,10 @@
         return "i-" + (1_000_000 + leaver);
     }
 
+    private static Optional<LeavingUpstream> unlessGone(String id) {
+        return id.equals("gone") ? Optional.empty() : Optional.of(new LeavingUpstream(id, 5));
+    }
+
     private void listAll() {
         cluster.pass(5_000);
         for (int i = 0; i < LEAVERS; i++) {
@@ -118,33 +127,68 @@
 
     @Example
     void digestsAtRestNameNobody() {
-        LeavingNews news = new LeavingNews(id -> !id.equals("gone"));
+        LeavingNews news = new LeavingNews(LeavingHistoriesTest::unlessGone);
         assertTrue(news.next(0).isEmpty());
         news.began("gone", 0);
         assertTrue(news.next(0).isEmpty(), "one that is not listed any more");
         news.began("listed", 0);
-        assertEquals(List.of("listed"), news.next(LeavingNews.NEWS_MILLIS - 1));
+        assertEquals(
+                List.of(new LeavingUpstream("listed", 5)), news.next(LeavingNews.NEWS_MILLIS - 1));
     }
 
     @Example
     void everyLeaverIsNamedInTurn() {
-        LeavingNews news = new LeavingNews(id -> true);
-        Set<String> fresh = new HashSet<>();
-        Set<String> older = new HashSet<>();
+        LeavingNews news = new LeavingNews(LeavingHistoriesTest::unlessGone);
+        Set<LeavingUpstream> fresh = new HashSet<>();
+        Set<LeavingUpstream> older = new HashSet<>();
         for (int i = 0; i < LEAVERS; i++) {
             news.began(id(i), 0);
         }
         for (int digest = 0; digest * LeavingNews.MOST_TOLD < LEAVERS; digest++) {
-            List<String> told = news.next(0);
+            List<LeavingUpstream> told = news.next(0);
             assertTrue(told.size() <= LeavingNews.MOST_TOLD, told.size() + " in one digest");
             fresh.addAll(told);
         }
         for (int digest = 0; digest * LeavingNews.MOST_REPEATED < LEAVERS; digest++) {
-            List<String> told = news.next(LeavingNews.NEWS_MILLIS);
+            List<LeavingUpstream> told = news.next(LeavingNews.NEWS_MILLIS);
             assertTrue(told.size() <= LeavingNews.MOST_REPEATED, told.size() + " at rest");
             older.addAll(told);
         }
         assertEquals(LEAVERS, fresh.size());
         assertEquals(LEAVERS, older.size());
     }
+
+    /** Builds without the section read the names; an unfitting section tells no lives. */
+    @Example
+    void livesStandBesideTheNamesThatAllBuildsRead() {
+        List<LeavingUpstream> leaving =
+                List.of(new LeavingUpstream("a", 7), new LeavingUpstream("b", 0));
+        DigestSection lives = LeavingLives.section(leaving).orElseThrow();
+        assertEquals(leaving, LeavingLives.of(digest(List.of("a", "b"), List.of(lives))));
+        List<LeavingUpstream> unknown =
+                List.of(new LeavingUpstream("a", 0), new LeavingUpstream("b", 0));
+        assertEquals(unknown, LeavingLives.of(digest(List.of("a", "b"), List.of())));
+        assertEquals(
+                List.of(new LeavingUpstream("a", 0)),
+                LeavingLives.of(digest(List.of("a"), List.of(lives))));
+        assertTrue(LeavingLives.section(unknown).isEmpty(), "nothing to tell");
+    }
+
+    private static NodeDigest digest(List<String> leaving, List<DigestSection> sections) {
+        return new NodeDigest(
+                1,
+                1,
+                true,
+                false,
+                DigestScope.GROUP,
+                1,
+                1,
+                List.of(),
+                List.of(),
+                List.of(),
+                List.of(),
+                List.of(),
+                leaving,
+                sections);
+    }
 }
--- a/trailladder-entry/src/test/java/io/trailladder/entry/gateway/RegionLinksTest.java
+++ b/trailladder-entry/src/test/java/io/trailladder/entry/gateway/RegionLinksTest.java
@@ -18,6 +18,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.trailladder.core.upstream.LeavingUpstream;
 import io.trailladder.core.upstream.Upstream;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
@@ -124,7 +125,9 @@
         SimulatedCluster cluster = settled(12, REGIONS);
         allKnow(cluster, new Upstream("w", "s", "dc0", "h:1", 8, false, false, 0));
         List<String> north = cluster.namesOf("dc2");
-        cluster.process(north.get(north.size() - 1)).directory().leavingSeenBy("w", "itself");
+        cluster.process(north.get(north.size() - 1))
+                .directory()
+                .leavingSeenBy(new LeavingUpstream("w", 0), "itself");
         cluster.pass(500);
         assertEquals(List.of(), unaware(cluster, "w"));
     }
@@ -136,7 +139,9 @@
         cluster.kill("p000");
         cluster.kill("p002");
         List<String> north = cluster.namesOf("dc4");
-        cluster.process(north.get(north.size() - 1)).directory().leavingSeenBy("w", "itself");
+        cluster.process(north.get(north.size() - 1))
+                .directory()
+                .leavingSeenBy(new LeavingUpstream("w", 0), "itself");
         cluster.pass(2_000);
         assertEquals(List.of(), unaware(cluster, "w"));
     }
