Leave an upstream only while another takes requests

A request at an upstream that is reclaimed, or silent, was taken away although all others rested or left, which ended it for certain; its notice leaves time.

--- a/trailladder-core/src/main/java/io/trailladder/core/upstream/UpstreamAvailability.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/upstream/UpstreamAvailability.java
@@ -109,6 +109,18 @@
         return !rests.isEmpty() && rests.isReturning(upstream, nowMillis);
     }
 
+    /**
+     * Tells whether some upstream of a service takes requests. What runs at one that leaves, or is
+     * silent, has nowhere to go on otherwise, and is ended for certain by being taken away.
+     *
+     * @param service the service
+     * @param nowMillis the time
+     * @return false if all leave or rest
+     */
+    public boolean isAnyTaking(String service, long nowMillis) {
+        return !withoutResting(directory.serving(service), nowMillis).isEmpty();
+    }
+
     /**
      * Tells how long none of a service's upstreams takes requests because all that stay rest.
      *
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestDriver.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestDriver.java
@@ -112,10 +112,17 @@
         return request.route().kind() == RouteKind.STREAMING;
     }
 
-    /** Goes on at another upstream if the request may. */
+    /**
+     * Goes on at another upstream if the request may. It stays at one that leaves while no other
+     * takes requests: the notice leaves it time, and to move would end it for certain.
+     */
     void moveAway(AttemptFailure reason) {
-        boolean canMove = request.route().repeatable() || (attempt != null && !attempt.isSent());
-        if (attempt != null && canMove) {
+        if (attempt == null || (attempt.isSent() && !request.route().repeatable())) {
+            return;
+        }
+        long now = context.loop().nowMillis();
+        boolean leaves = reason == AttemptFailure.LEAVING;
+        if (!leaves || context.availability().isAnyTaking(request.service(), now)) {
             attempt.fail(reason);
         }
     }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/SilenceWatch.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/SilenceWatch.java
@@ -21,7 +21,10 @@
 import io.trailladder.core.pipeline.ServingRequest;
 import io.trailladder.core.upstream.Selection;
 
-/** Leaves an upstream that is silent for too long, if the request may run again elsewhere. */
+/**
+ * Leaves an upstream that is silent for too long, if the request may run again and some upstream
+ * takes it.
+ */
 final class SilenceWatch {
     private static final long LONGEST_PAUSE_MILLIS = 1_000;
     private static final long CHECK_MILLIS = 50;
@@ -74,6 +77,7 @@
         long now = context.loop().nowMillis();
         if (attempt.silentMillis() >= most
                 && RecoveryPolicy.allowsAnother(request, history, now)
+                && context.availability().isAnyTaking(request.service(), now)
                 && context.budgets().tryRetry(request.service(), now)) {
             paid = true;
             attempt.fail(AttemptFailure.SILENT);
