Soak: upstreams say that they leave and ask for rest, and gateways are held to it

A gateway that was stopped, paused or restarted since, or whose way there was disturbed, is excused.

--- a/trailladder-cli/src/test/java/io/trailladder/cli/soak/SoakCaller.java
+++ b/trailladder-cli/src/test/java/io/trailladder/cli/soak/SoakCaller.java
@@ -83,7 +83,7 @@
 
     /** Asks for one plain call; returns true if it was served. */
     boolean call(HostPort gateway, String path, boolean unsafe) {
-        String attempt = Long.toHexString(random.nextLong());
+        String attempt = attempt(gateway);
         if (unsafe) {
             record.unsafe.add(attempt);
         }
@@ -95,8 +95,13 @@
         return served;
     }
 
+    /** Names a try, so that upstreams see which gateway it was sent to. */
+    private String attempt(HostPort gateway) {
+        return gateway.port() + "-" + Long.toHexString(random.nextLong());
+    }
+
     private void stream(HostPort gateway) {
-        String attempt = Long.toHexString(random.nextLong());
+        String attempt = attempt(gateway);
         String fields = "Model: m\r\nToken-Usage: 100,36\r\nPrefix-Hash: a1:60,b2:40\r\n";
         CallerAnswer answer = ask(gateway, "POST /stream/x", attempt, fields);
         check(answer, attempt, false);
--- a/trailladder-cli/src/test/java/io/trailladder/cli/soak/SoakRun.java
+++ b/trailladder-cli/src/test/java/io/trailladder/cli/soak/SoakRun.java
@@ -72,6 +72,7 @@
     private final List<SoakUpstream> upstreams = new ArrayList<>();
     private final Map<String, Integer> runs = SoakUpstream.newRuns();
     private final Observations record = new Observations();
+    private final StatementCheck statements = new StatementCheck(record.violations);
     private final List<String> faults = new ArrayList<>();
     private final Path folder;
     private volatile boolean going = true;
@@ -173,14 +174,17 @@
         switch (random.nextInt(12)) {
             case 0 -> {
                 note("kill " + index(gateway));
+                trouble(gateway);
                 gateway.kill();
             }
             case 1 -> {
                 note("pause " + index(gateway));
+                trouble(gateway);
                 gateway.signal("STOP");
             }
             case 2 -> {
                 note("term " + index(gateway));
+                trouble(gateway);
                 gateway.signal("TERM");
             }
             case 3 -> {
@@ -188,7 +192,11 @@
                 gateway.signal("HUP");
             }
             case 4, 5 -> proxied("store of " + index(gateway), gateway.store(), forMillis);
-            case 6 -> proxied("upstream " + upstream.id(), upstream.proxy(), forMillis);
+            case 6 -> {
+                long afterwards = forMillis + STEP_MILLIS;
+                statements.trouble(upstream.id(), loop.nowMillis() + afterwards);
+                proxied("upstream " + upstream.id(), upstream.proxy(), forMillis);
+            }
             case 7 -> replace(upstream);
             case 8 -> {
                 note("config " + (version + 1));
@@ -209,10 +217,12 @@
     private void goOn() throws Exception {
         for (SoakGateway gateway : gateways) {
             if (gateway.isPaused() && random.nextInt(2) == 0) {
+                trouble(gateway);
                 gateway.signal("CONT");
             }
             if (!gateway.isRunning() && random.nextInt(2) == 0) {
                 note("start " + index(gateway));
+                trouble(gateway);
                 gateway.start(false);
             }
         }
@@ -229,6 +239,7 @@
         upstreams.forEach(upstream -> upstream.proxy().mode(Mode.PASS));
         for (SoakGateway gateway : gateways) {
             gateway.store().mode(Mode.PASS);
+            trouble(gateway);
             gateway.signal("CONT");
         }
     }
@@ -239,6 +250,7 @@
             boolean all = true;
             for (SoakGateway gateway : gateways) {
                 if (!gateway.isRunning()) {
+                    trouble(gateway);
                     gateway.start(false);
                 }
                 all &= gateway.isReady();
@@ -315,21 +327,30 @@
         note("replace " + upstream.id());
         addUpstream();
         upstreams.remove(upstream);
+        upstream.leave();
+        long untoldMillis = random.nextLong(LONGEST_FAULT_MILLIS);
         onLoop(
                 loop,
                 () -> {
-                    platform.put("servers/" + upstream.id(), upstream.entry("draining"));
-                    loop.schedule(
-                            LONGEST_FAULT_MILLIS,
-                            () -> platform.remove("servers/" + upstream.id()));
+                    loop.schedule(untoldMillis, () -> enterDraining(upstream));
                     return true;
                 });
     }
 
+    /** The store often learns later than callers that an upstream leaves. */
+    private void enterDraining(SoakUpstream upstream) {
+        platform.put("servers/" + upstream.id(), upstream.entry("draining"));
+        loop.schedule(LONGEST_FAULT_MILLIS, () -> platform.remove("servers/" + upstream.id()));
+    }
+
+    private void trouble(SoakGateway gateway) {
+        statements.trouble(Integer.toString(gateway.callers().port()), loop.nowMillis());
+    }
+
     private void addUpstream() throws Exception {
         String id = "u" + upstreamsMade++;
         SoakUpstream upstream =
-                onLoop(loop, () -> new SoakUpstream(loop, id, random.split(), runs));
+                onLoop(loop, () -> new SoakUpstream(loop, id, random.split(), runs, statements));
         onLoop(
                 loop,
                 () -> {
--- a/trailladder-cli/src/test/java/io/trailladder/cli/soak/SoakUpstream.java
+++ b/trailladder-cli/src/test/java/io/trailladder/cli/soak/SoakUpstream.java
@@ -25,6 +25,7 @@
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.concurrent.ConcurrentHashMap;
@@ -37,6 +38,12 @@
     private static final long EVENT_MILLIS = 15;
     private static final long IDLE_MILLIS = 60_000;
     private static final double REFUSED = 0.02;
+
+    /** Part of the requests that are refused with a word of rest. */
+    private static final double RESTS = 0.01;
+
+    private static final int SHORTEST_REST_MILLIS = 100;
+    private static final int LONGEST_REST_MILLIS = 2_500;
     private static final double FAILED = 0.02;
     private static final double CUT = 0.02;
     private static final byte[] NO_BYTES = {};
@@ -47,6 +54,8 @@
     private final Map<String, Integer> runs;
     private final HttpServer server;
     private final FaultProxy proxy;
+    private final StatementCheck statements;
+    private volatile boolean leaving;
 
     /**
      * Creates an upstream; it listens at once.
@@ -55,9 +64,16 @@
      * @param id its name
      * @param random draws its faults
      * @param runs counts, by attempt id, how often a request ran at any upstream
+     * @param statements checks that gateways keep to what it says
      */
-    SoakUpstream(EventLoop loop, String id, SplittableRandom random, Map<String, Integer> runs)
+    SoakUpstream(
+            EventLoop loop,
+            String id,
+            SplittableRandom random,
+            Map<String, Integer> runs,
+            StatementCheck statements)
             throws IOException {
+        this.statements = statements;
         this.loop = loop;
         this.id = id;
         this.random = random;
@@ -81,6 +97,11 @@
         return proxy;
     }
 
+    /** Has all its answers say from now on that it leaves. */
+    void leave() {
+        leaving = true;
+    }
+
     /** Returns its entry in the platform's store. */
     String entry(String state) {
         return String.format(
@@ -94,18 +115,15 @@
             exchange.respond(421, HeaderList.of("Instance-Id", id), NO_BYTES);
             return;
         }
+        String attempt = exchange.headers().first("Attempt-Id").orElse("");
+        statements.arrived(id, attempt, loop.nowMillis());
         double drawn = random.nextDouble();
         if (drawn < REFUSED) {
-            exchange.respond(503, HeaderList.of("Not-Executed", "1"), NO_BYTES);
+            exchange.respond(503, refusal(attempt, drawn < RESTS), NO_BYTES);
             return;
         }
-        String attempt = exchange.headers().first("Attempt-Id").orElse("");
         runs.merge(attempt, 1, Integer::sum);
-        HeaderList stamps =
-                new HeaderList(
-                        List.of(
-                                new HeaderField("Attempt-Id", attempt),
-                                new HeaderField("Instance-Stamp", "stamp-" + id)));
+        HeaderList stamps = stamps(attempt);
         if (drawn < REFUSED + FAILED) {
             exchange.respond(500, stamps, NO_BYTES);
             return;
@@ -120,6 +138,29 @@
         }
     }
 
+    private HeaderList refusal(String attempt, boolean rests) {
+        HeaderList headers = HeaderList.of("Not-Executed", "1").with("Attempt-Id", attempt);
+        if (!rests) {
+            return headers;
+        }
+        int millis = random.nextInt(SHORTEST_REST_MILLIS, LONGEST_REST_MILLIS);
+        statements.askedForRest(id, attempt, millis, loop.nowMillis());
+        return headers.with("Retry-After", String.format(Locale.ROOT, "%.3f", millis / 1000.0));
+    }
+
+    private HeaderList stamps(String attempt) {
+        HeaderList stamps =
+                new HeaderList(
+                        List.of(
+                                new HeaderField("Attempt-Id", attempt),
+                                new HeaderField("Instance-Stamp", "stamp-" + id)));
+        if (!leaving) {
+            return stamps;
+        }
+        statements.saidItLeaves(id, attempt, loop.nowMillis());
+        return stamps.with("Server-Leaving", "1");
+    }
+
     private static void plain(
             ServerExchange exchange, HeaderList stamps, String attempt, boolean cut) {
         if (cut) {
