Entries that cannot be used name no upstream, and the others hold

An entry of another writer with an address that is none was chosen, and the request that was chosen for it ended with its connection (the test failed before with requests not served).

--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/DirectoryKeeper.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/DirectoryKeeper.java
@@ -47,12 +47,20 @@
      */
     static final long RETURN_MILLIS = 2_200;
 
+    /** Most entries that cannot be used that are logged in {@link #FAULTS_LOGGED_MILLIS}. */
+    private static final int MOST_FAULTS_LOGGED = 20;
+
+    private static final long FAULTS_LOGGED_MILLIS = 10_000;
+
     private final PlatformFormat format;
     private final UpstreamDirectory directory;
     private final LongSupplier nowMillis;
     private final Consumer<Runnable> afterReturn;
     private final List<Consumer<Upstream>> onLeaving = new ArrayList<>();
     private final Map<String, byte[]> entries = new HashMap<>();
+    private final Map<String, String> faults = new HashMap<>();
+    private long faultsLoggedSinceMillis;
+    private int faultsLogged;
     private Consumer<UpstreamNews> onNews = news -> {};
     private long revision;
     private long returnsUntilMillis = Long.MIN_VALUE;
@@ -154,9 +162,10 @@
         entries.put(id, value);
         Either<String, Upstream> upstream = format.upstream(id, value);
         if (upstream.isLeft()) {
-            Logger.warn("entry of upstream {} cannot be read: {}", id, upstream.getLeft());
+            unusable(id, upstream.getLeft());
             return;
         }
+        faults.remove(id);
         boolean known = directory.find(id).isPresent();
         directory.changed(upstream.get()).ifPresent(leaving -> left(leaving, "draining"));
         if (!known) {
@@ -266,12 +275,14 @@
 
     private void replaceAll(long atRevision, String source) {
         revision = atRevision;
+        faults.keySet().retainAll(entries.keySet());
         List<Upstream> upstreams = new ArrayList<>();
         entries.forEach(
                 (id, value) ->
                         format.upstream(id, value)
                                 .peek(upstreams::add)
-                                .peekLeft(fault -> Logger.warn("upstream {}: {}", id, fault)));
+                                .peek(upstream -> faults.remove(id))
+                                .peekLeft(fault -> unusable(id, fault)));
         DecisionLog.write(new Belief("upstreams", upstreams.size() + " listed", source, revision));
         directory.all().stream()
                 .filter(upstream -> !entries.containsKey(upstream.id()) && mayReturn(upstream.id()))
@@ -279,6 +290,35 @@
         directory.replaceAll(upstreams).forEach(upstream -> left(upstream, "left, by list"));
     }
 
+    /**
+     * An entry that cannot be used names no upstream, whatever it said before. That is no end of
+     * the upstream: what runs there goes on, and nobody is told that it left.
+     */
+    private void unusable(String id, String fault) {
+        directory.removed(id);
+        boolean news = !fault.equals(faults.put(id, fault));
+        if (!news) {
+            return;
+        }
+        long now = nowMillis.getAsLong();
+        if (now - faultsLoggedSinceMillis >= FAULTS_LOGGED_MILLIS) {
+            faultsLoggedSinceMillis = now;
+            faultsLogged = 0;
+        }
+        if (faultsLogged++ < MOST_FAULTS_LOGGED) {
+            Logger.warn("entry {} at revision {} names no upstream: {}", id, revision, fault);
+        }
+    }
+
+    /**
+     * Returns how many entries name no upstream because they cannot be used.
+     *
+     * @return a count
+     */
+    public int unusable() {
+        return faults.size();
+    }
+
     private boolean mayReturn(String id) {
         return awaitsReturns() && !directory.isLeaving(id);
     }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
@@ -530,6 +530,7 @@
                                 topology.otherRegions(),
                                 view.regions().isSpeaking()));
         memory.tellState(callers.refused());
+        metrics.unusableEntries(directoryKeeper.unusable());
         metrics.resting(rests.count(loop.nowMillis()));
         policies.policy()
                 .ifPresent(policy -> policy.services().forEach(spec -> tellUpstreams(spec.name())));
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/GatewayMetrics.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/GatewayMetrics.java
@@ -87,6 +87,11 @@
     private final Gauge connections =
             gauge("trailladder_connections_opened", "Connections opened to servers");
 
+    private final Gauge unusableEntries =
+            gauge(
+                    "trailladder_upstream_entries_unusable",
+                    "Entries in the platform's store that name no upstream to use");
+
     private final Gauge resting =
             gauge("trailladder_upstreams_resting", "Upstreams that asked this process for rest");
 
@@ -243,6 +248,15 @@
         connections.set((double) opened);
     }
 
+    /**
+     * Records how many entries in the platform's store name no upstream to use.
+     *
+     * @param count how many
+     */
+    public void unusableEntries(int count) {
+        unusableEntries.set(count);
+    }
+
     /**
      * Records how many upstreams have asked this process for rest that is not over.
      *
--- a/trailladder-entry/src/test/java/io/trailladder/entry/gateway/DirectoryKeeperTest.java
+++ b/trailladder-entry/src/test/java/io/trailladder/entry/gateway/DirectoryKeeperTest.java
@@ -33,6 +33,7 @@
 class DirectoryKeeperTest {
     private static final String READY = "ready";
     private static final String LEAVING = "leaving";
+    private static final String SPOILED = "spoiled";
 
     private final UpstreamDirectory directory = new UpstreamDirectory();
     private final List<String> left = new ArrayList<>();
@@ -50,7 +51,11 @@
     private static final class PlainFormat extends NoFormat {
         @Override
         public Either<String, Upstream> upstream(String id, byte[] value) {
-            boolean leaving = new String(value, StandardCharsets.UTF_8).equals(LEAVING);
+            String state = new String(value, StandardCharsets.UTF_8);
+            if (state.equals(SPOILED)) {
+                return Either.left("field 'state' is missing");
+            }
+            boolean leaving = state.equals(LEAVING);
             return Either.right(new Upstream(id, "s", "z", "h:1", 8, leaving, false, 0));
         }
     }
@@ -135,4 +140,21 @@
         assertEquals(List.of("a"), left);
         assertEquals(1, serving());
     }
+
+    /** Its upstream has not ended: nothing is moved away or put down to a request. */
+    @Example
+    void entryThatCannotBeUsedNamesNobodyUntilItIsSoundAgain() {
+        keeper.changed(item("a", SPOILED, 3));
+        assertEquals(1, serving());
+        assertEquals(1, keeper.unusable());
+        keeper.listed(List.of(item("a", SPOILED, 3), item("b", SPOILED, 4)), 4);
+        assertEquals(0, serving());
+        assertEquals(2, keeper.unusable());
+        assertTrue(left.isEmpty(), left.toString());
+        keeper.changed(item("a", READY, 5));
+        keeper.changed(gone("b", 6));
+        assertEquals(1, serving());
+        keeper.listed(List.of(item("a", READY, 5)), 7);
+        assertEquals(0, keeper.unusable());
+    }
 }
