--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/MemberFormat.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/MemberFormat.java
@@ -16,8 +16,10 @@
 package io.trailladder.entry.gateway;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import io.trailladder.core.TrailladderException;
 import io.trailladder.core.membership.GatewayMember;
 import io.trailladder.entry.JsonTree;
+import io.trailladder.platform.http.HostPort;
 import io.vavr.control.Either;
 import java.io.IOException;
 
@@ -58,9 +60,11 @@
                     new GatewayMember(
                             name,
                             node.path(DATA_CENTRE).asText(),
-                            address,
+                            HostPort.parse(address).toString(),
                             node.path(LINK_MBPS).asDouble(),
                             node.path(CORES).asDouble()));
+        } catch (TrailladderException e) {
+            return Either.left(e.getMessage());
         } catch (IOException e) {
             return Either.left("it is no JSON: " + e.getMessage());
         }
--- a/trailladder-entry/src/test/java/io/trailladder/entry/gateway/MemberFormatTest.java
+++ b/trailladder-entry/src/test/java/io/trailladder/entry/gateway/MemberFormatTest.java
@@ -48,4 +48,11 @@
         assertTrue(MemberFormat.read(new byte[] {1, 2}).getLeft().contains("no JSON"));
         assertTrue(MemberFormat.read(new byte[0]).isLeft());
     }
+
+    @Example
+    void entryWhoseAddressIsNoneIsRefused() {
+        String entry = "{\"name\": \"g1\", \"dataCentre\": \"a\", \"address\": \"nowhere\"}";
+        String fault = MemberFormat.read(entry.getBytes(StandardCharsets.UTF_8)).getLeft();
+        assertTrue(fault.startsWith("address 'nowhere', expected HOST:PORT"), fault);
+    }
 }
