Crashing requests: an upstream that announces its leaving, or answers, has not ended

An upstream that has ended says nothing, so its word that it leaves, and its answer to a request sent later where its life is told, dismiss what was seen of its end before.

--- a/trailladder-core/src/main/java/io/trailladder/core/crash/CrashLedger.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/crash/CrashLedger.java
@@ -226,6 +226,23 @@
             histories.values().forEach(history -> history.dismiss(living, before));
         }
         histories.values().removeIf(history -> isOld(history, nowMillis));
+        lookForSuspects();
+    }
+
+    /**
+     * Takes over that an upstream lived at some time: what was seen of its end before was the end
+     * of a connection.
+     *
+     * @param upstream the upstream's life
+     * @param atMillis the time, in milliseconds
+     */
+    public void livedAt(long upstream, long atMillis) {
+        Set<Long> living = Set.of(upstream);
+        histories.values().forEach(history -> history.dismiss(living, atMillis));
+        lookForSuspects();
+    }
+
+    private void lookForSuspects() {
         suspects = histories.values().stream().anyMatch(h -> h.ends() >= SUSPECTED_FROM);
     }
 
--- a/trailladder-core/src/test/java/io/trailladder/core/crash/CrashLedgerTest.java
+++ b/trailladder-core/src/test/java/io/trailladder/core/crash/CrashLedgerTest.java
@@ -220,4 +220,17 @@
         assertFalse(one.equals(RequestFingerprint.of("k", "POST", "h/y", body)));
         assertFalse(one.equals(RequestFingerprint.of("k", "POST", "h/x", new byte[0])));
     }
+
+    /** A connection may break at an upstream that lives; what it does later shows it. */
+    @Example
+    void endsOfAnUpstreamThatLivedLaterDoNotCount() {
+        endThree(BAD, 100);
+        assertVerdict(CrashVerdict.REFUSED, BAD);
+        ledger.livedAt(2, now);
+        assertVerdict(CrashVerdict.SERVED, BAD);
+        end(BAD, 2, 100);
+        assertVerdict(CrashVerdict.REFUSED, BAD);
+        ledger.livedAt(2, now - 150);
+        assertVerdict(CrashVerdict.REFUSED, BAD);
+    }
 }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Attempt.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Attempt.java
@@ -193,6 +193,7 @@
         } else if (!context.protocol().belongs(request.id(), headers)) {
             foreign();
         } else {
+            context.crashes().answered(upstream, createdMillis);
             if (answered <= SUCCESS_TO) {
                 context.rests().taken(upstream, heardMillis);
             }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/CrashWatch.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/CrashWatch.java
@@ -128,7 +128,7 @@
 
     private Left left(String tryId, RequestIdentity identity, Upstream upstream, long ranMillis) {
         long now = nowMillis.getAsLong();
-        long life = UpstreamEnd.nameOf(upstream.id(), upstream.bornMillis());
+        long life = lifeOf(upstream);
         return new Left(tryId, identity.fingerprint(), upstream.id(), life, now - ranMillis, now);
     }
 
@@ -164,6 +164,31 @@
         }
     }
 
+    /**
+     * Records that an upstream has answered a request, so that it lived when that was sent. An
+     * upstream that does not tell when it started may be a later life under the same name.
+     */
+    void answered(Upstream upstream, long sentMillis) {
+        if (ledger.hasSuspects() && upstream.bornMillis() > 0) {
+            ledger.livedAt(lifeOf(upstream), sentMillis);
+        }
+    }
+
+    /**
+     * Records that an upstream has announced that it leaves, which one that has ended cannot. Three
+     * connections that broke to upstreams that left soon after would have a harmless request
+     * refused otherwise.
+     */
+    void announcedLeaving(Upstream upstream) {
+        if (!ledger.isEmpty()) {
+            ledger.livedAt(lifeOf(upstream), nowMillis.getAsLong());
+        }
+    }
+
+    private static long lifeOf(Upstream upstream) {
+        return UpstreamEnd.nameOf(upstream.id(), upstream.bornMillis());
+    }
+
     /** Records that a request ran whole, which clears it. */
     void ranWhole(RequestIdentity identity) {
         if (ledger.hasSuspects() && ledger.cleared(identity.fingerprint(), nowMillis.getAsLong())) {
@@ -213,7 +238,7 @@
             return;
         }
         Set<Long> living = new HashSet<>();
-        listed.forEach(one -> living.add(UpstreamEnd.nameOf(one.id(), one.bornMillis())));
+        listed.forEach(one -> living.add(lifeOf(one)));
         ledger.look(living, Math.min(soundSinceMillis, now), now);
         metrics.crashing(ledger.refused().size(), ledger.size());
     }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
@@ -443,6 +443,9 @@
 
     /** A lost upstream says nothing, so streams that have been silent leave it at once. */
     private void upstreamLeaves(Upstream upstream) {
+        if (directory.isLeaving(upstream.id())) {
+            crashes.announcedLeaving(upstream);
+        }
         if (!upstream.draining()) {
             intake.lost(upstream, LOST_SILENT_MILLIS);
             if (!directory.isLeaving(upstream.id())) {
