--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/DirectoryKeeper.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/DirectoryKeeper.java
@@ -31,7 +31,6 @@
 import java.util.Optional;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
-import org.tinylog.Logger;
 
 /**
  * The list of upstreams as the store tells it, or as a peer does while the store cannot be reached.
@@ -47,20 +46,13 @@
      */
     static final long RETURN_MILLIS = 2_200;
 
-    /** Most entries that cannot be used that are logged in {@link #FAULTS_LOGGED_MILLIS}. */
-    private static final int MOST_FAULTS_LOGGED = 20;
-
-    private static final long FAULTS_LOGGED_MILLIS = 10_000;
-
     private final PlatformFormat format;
     private final UpstreamDirectory directory;
     private final LongSupplier nowMillis;
     private final Consumer<Runnable> afterReturn;
     private final List<Consumer<Upstream>> onLeaving = new ArrayList<>();
     private final Map<String, byte[]> entries = new HashMap<>();
-    private final Map<String, String> faults = new HashMap<>();
-    private long faultsLoggedSinceMillis;
-    private int faultsLogged;
+    private final UnusableEntries unusable = new UnusableEntries();
     private Consumer<UpstreamNews> onNews = news -> {};
     private long revision;
     private long returnsUntilMillis = Long.MIN_VALUE;
@@ -154,6 +146,7 @@
     private void apply(String id, byte[] value) {
         if (value.length == 0) {
             entries.remove(id);
+            unusable.remove(id);
             if (!mayReturn(id)) {
                 directory.removed(id).ifPresent(upstream -> left(upstream, "gone"));
             }
@@ -165,7 +158,7 @@
             unusable(id, upstream.getLeft());
             return;
         }
-        faults.remove(id);
+        unusable.remove(id);
         boolean known = directory.find(id).isPresent();
         directory.changed(upstream.get()).ifPresent(leaving -> left(leaving, "draining"));
         if (!known) {
@@ -275,13 +268,13 @@
 
     private void replaceAll(long atRevision, String source) {
         revision = atRevision;
-        faults.keySet().retainAll(entries.keySet());
+        unusable.retain(entries.keySet());
         List<Upstream> upstreams = new ArrayList<>();
         entries.forEach(
                 (id, value) ->
                         format.upstream(id, value)
                                 .peek(upstreams::add)
-                                .peek(upstream -> faults.remove(id))
+                                .peek(upstream -> unusable.remove(id))
                                 .peekLeft(fault -> unusable(id, fault)));
         DecisionLog.write(new Belief("upstreams", upstreams.size() + " listed", source, revision));
         directory.all().stream()
@@ -296,18 +289,7 @@
      */
     private void unusable(String id, String fault) {
         directory.removed(id);
-        boolean news = !fault.equals(faults.put(id, fault));
-        if (!news) {
-            return;
-        }
-        long now = nowMillis.getAsLong();
-        if (now - faultsLoggedSinceMillis >= FAULTS_LOGGED_MILLIS) {
-            faultsLoggedSinceMillis = now;
-            faultsLogged = 0;
-        }
-        if (faultsLogged++ < MOST_FAULTS_LOGGED) {
-            Logger.warn("entry {} at revision {} names no upstream: {}", id, revision, fault);
-        }
+        unusable.add(id, revision, fault, nowMillis.getAsLong());
     }
 
     /**
@@ -316,7 +298,7 @@
      * @return a count
      */
     public int unusable() {
-        return faults.size();
+        return unusable.size();
     }
 
     private boolean mayReturn(String id) {
