--- a/trailladder-core/src/main/java/io/trailladder/core/limit/QuotaBucket.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/limit/QuotaBucket.java
@@ -199,14 +199,16 @@
     }
 
     /**
-     * Tells whether some units are much of what the limit allows at once.
+     * Tells whether some units are much of what the limit allows at once, or in a second if that is
+     * more.
      *
      * @param units units
-     * @param part a part of the burst
+     * @param part a part of that
      * @return false if they are less than it, or nothing is limited
      */
     public boolean isMuch(double units, double part) {
-        return limit.limited() && units >= limit.burst() * part;
+        double most = Math.max(limit.burst(), limit.perSecond());
+        return limit.limited() && units >= most * part;
     }
 
     /**
--- a/trailladder-entry/src/test/java/io/trailladder/entry/gateway/QuotasTest.java
+++ b/trailladder-entry/src/test/java/io/trailladder/entry/gateway/QuotasTest.java
@@ -17,6 +17,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
+import static org.junit.jupiter.api.Assertions.fail;
 
 import io.trailladder.core.policy.OrganisationSpec;
 import io.trailladder.core.policy.RateSpec;
@@ -191,4 +192,12 @@
         quotas.tryTake(ORGANISATION, 10, 0);
         assertEquals(1, told[0], "they were told");
     }
+
+    @Example
+    void limitWithoutABurstTellsNoMoreOften() {
+        Quotas quotas = new Quotas(true, EXACT);
+        quotas.policy(policy(1_000, 0), 0);
+        quotas.onMuchUsed(() -> fail("10 of 1,000 a second are little"));
+        quotas.tryTake(ORGANISATION, 10, 0);
+    }
 }
