--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/CrashWatch.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/CrashWatch.java
@@ -189,9 +189,12 @@
         return UpstreamEnd.nameOf(upstream.id(), upstream.bornMillis());
     }
 
-    /** Records that a request ran whole, which clears it. */
+    /**
+     * Records that a request ran whole, which clears it of a single end too: those of several
+     * processes would add up otherwise, although it ran whole between them.
+     */
     void ranWhole(RequestIdentity identity) {
-        if (ledger.hasSuspects() && ledger.cleared(identity.fingerprint(), nowMillis.getAsLong())) {
+        if (!ledger.isEmpty() && ledger.cleared(identity.fingerprint(), nowMillis.getAsLong())) {
             DecisionLog.write(
                     new Lifecycle("request " + identity.fingerprint(), "cleared", "it ran whole"));
         }
--- a/trailladder-entry/src/test/java/io/trailladder/entry/gateway/CrashPartTest.java
+++ b/trailladder-entry/src/test/java/io/trailladder/entry/gateway/CrashPartTest.java
@@ -140,4 +140,22 @@
         otherPart.told("own", section(ownPart), now);
         assertEquals(List.of(new RequestFingerprint(1)), found);
     }
+
+    /** Each saw one end and the request run whole after it, before it was told of the others. */
+    @Example
+    void wholeRunsBetweenEndsKeepARequestServed() throws IOException {
+        List<CrashPart> tellers = new ArrayList<>();
+        for (int i = 0; i < 3; i++) {
+            CrashWatch watch = watch();
+            watch.ended("t", request(1), upstream("w" + i), 50);
+            now += 20;
+            watch.ranWhole(request(1));
+            now += 20;
+            tellers.add(new CrashPart(watch, 10 + i));
+        }
+        for (CrashPart teller : tellers) {
+            otherPart.told("teller" + tellers.indexOf(teller), section(teller), now);
+        }
+        assertFalse(other.refuses("t", request(1)));
+    }
 }
