Refactor: bounded maps of the crash watch and of notices are RecentMap

Both wrote again what core/RecentMap does: one as an anonymous LinkedHashMap, one as a set that was emptied when full. Bounds stay; beyond them the entry unused for longest goes first, which decides only how often a log line is written again. Checked: build with lint, tests of the crash watch, leaving and resting (green).

--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/CrashWatch.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/CrashWatch.java
@@ -15,6 +15,7 @@
  */
 package io.trailladder.entry.gateway;
 
+import io.trailladder.core.RecentMap;
 import io.trailladder.core.crash.CrashLedger;
 import io.trailladder.core.crash.CrashReport;
 import io.trailladder.core.crash.CrashVerdict;
@@ -26,7 +27,6 @@
 import io.trailladder.entry.gateway.DecisionLog.Lifecycle;
 import java.util.Collection;
 import java.util.HashSet;
-import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
@@ -47,15 +47,7 @@
     private final LeftRequests left = new LeftRequests();
     private final LongSupplier nowMillis;
     private final GatewayMetrics metrics;
-    private final Map<RequestFingerprint, Long> loggedMillis =
-            new LinkedHashMap<>() {
-                private static final long serialVersionUID = 1;
-
-                @Override
-                protected boolean removeEldestEntry(Map.Entry<RequestFingerprint, Long> eldest) {
-                    return size() > MOST_LOGGED;
-                }
-            };
+    private final Map<RequestFingerprint, Long> loggedMillis = new RecentMap<>(MOST_LOGGED);
     private Runnable onOwnNews = () -> {};
     private Consumer<RequestFingerprint> onRefused = request -> {};
     private long soundSinceMillis = Long.MAX_VALUE;
@@ -108,7 +100,6 @@
         long now = nowMillis.getAsLong();
         Long logged = loggedMillis.get(request);
         if (logged == null || now - logged >= LOGGED_MILLIS) {
-            loggedMillis.remove(request);
             loggedMillis.put(request, now);
             DecisionLog.write(new RefusedAsCrashing(tryId, request, ledger.known(request), now));
         }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/UpstreamNotices.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/UpstreamNotices.java
@@ -15,12 +15,12 @@
  */
 package io.trailladder.entry.gateway;
 
+import io.trailladder.core.RecentMap;
 import io.trailladder.core.upstream.AnswerNotice;
 import io.trailladder.core.upstream.Upstream;
 import io.trailladder.core.upstream.UpstreamRests;
 import io.trailladder.entry.gateway.GatewayMetrics.Event;
-import java.util.HashSet;
-import java.util.Set;
+import java.util.Map;
 import java.util.function.LongSupplier;
 
 /**
@@ -31,14 +31,14 @@
  * upstream goes on to say so for seconds that would otherwise bring it more requests.
  */
 final class UpstreamNotices {
-    /** Most upstreams of which an unreadable notice is logged, until all are forgotten. */
+    /** Most upstreams of which it is known that an unreadable notice was logged. */
     private static final int MOST_FAULTY = 1_000;
 
     private final LongSupplier nowMillis;
     private final DirectoryKeeper directory;
     private final UpstreamRests rests;
     private final GatewayMetrics metrics;
-    private final Set<String> faulty = new HashSet<>();
+    private final Map<String, Boolean> faulty = new RecentMap<>(MOST_FAULTY);
 
     UpstreamNotices(
             LongSupplier nowMillis,
@@ -91,9 +91,6 @@
     }
 
     private boolean isFirstFault(Upstream upstream) {
-        if (faulty.size() >= MOST_FAULTY) {
-            faulty.clear();
-        }
-        return faulty.add(upstream.id());
+        return faulty.put(upstream.id(), true) == null;
     }
 }
