Sight: what answers say of their upstreams' limits, read and logged

Logs could not tell which answers named a limit and when a process read it, so processes that did not know looked like processes that kept it each by itself. UpstreamSaid now tells each change of the limit that an upstream names to this process. Nothing acts on it yet.

--- a/trailladder-core/src/main/java/io/trailladder/core/upstream/AnswerNotice.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/upstream/AnswerNotice.java
@@ -21,12 +21,13 @@
  * @param leaving true if the upstream says that it leaves
  * @param restMillis how long it wants no request of this process, in milliseconds; 0 if it does not
  *     say so
+ * @param limit how many requests it takes from all processes together
  * @param fault what could not be read, with the form that was expected; empty if all could
  * @since 0.5
  */
-public record AnswerNotice(boolean leaving, long restMillis, String fault) {
+public record AnswerNotice(boolean leaving, long restMillis, LimitNotice limit, String fault) {
     /** Says nothing. */
-    public static final AnswerNotice NONE = new AnswerNotice(false, 0, "");
+    public static final AnswerNotice NONE = new AnswerNotice(false, 0, LimitNotice.ABSENT, "");
 
     /**
      * Tells whether there is nothing to take over and nothing to complain about.
@@ -34,6 +35,9 @@
      * @return true for {@link #NONE} and its like
      */
     public boolean isNone() {
-        return !leaving && restMillis == 0 && fault.isEmpty();
+        return !leaving
+                && restMillis == 0
+                && limit.kind() == LimitNotice.Kind.ABSENT
+                && fault.isEmpty();
     }
 }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/UpstreamNotices.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/UpstreamNotices.java
@@ -17,6 +17,7 @@
 
 import io.trailladder.core.RecentMap;
 import io.trailladder.core.upstream.AnswerNotice;
+import io.trailladder.core.upstream.LimitNotice;
 import io.trailladder.core.upstream.Upstream;
 import io.trailladder.core.upstream.UpstreamRests;
 import io.trailladder.entry.gateway.GatewayMetrics.Event;
@@ -34,12 +35,18 @@
     /** Most upstreams of which it is known that an unreadable notice was logged. */
     private static final int MOST_FAULTY = 1_000;
 
+    /** Most upstreams whose limits are remembered: more than a site has. */
+    private static final int MOST_LIMITED = 10_000;
+
     private final LongSupplier nowMillis;
     private final DirectoryKeeper directory;
     private final UpstreamRests rests;
     private final GatewayMetrics metrics;
     private final Map<String, Boolean> faulty = new RecentMap<>(MOST_FAULTY);
 
+    /** The limits that upstreams named last, so that only a change is logged. */
+    private final Map<String, LimitNotice> limits = new RecentMap<>(MOST_LIMITED);
+
     UpstreamNotices(
             LongSupplier nowMillis,
             DirectoryKeeper directory,
@@ -61,10 +68,10 @@
      * @param notice what it says
      */
     void heard(String request, Upstream upstream, int status, AnswerNotice notice) {
-        if (notice.isNone()) {
+        boolean news = isNewLimit(upstream, notice.limit());
+        if (!news && notice.isNone()) {
             return;
         }
-        boolean news = false;
         if (notice.leaving() && directory.leavingSaidBy(upstream)) {
             metrics.count(Event.UPSTREAM_SAID_IT_LEAVES);
             news = true;
@@ -86,10 +93,19 @@
                             status,
                             notice.leaving(),
                             Math.min(notice.restMillis(), UpstreamRests.LONGEST_MILLIS),
+                            notice.limit(),
                             notice.fault()));
         }
     }
 
+    private boolean isNewLimit(Upstream upstream, LimitNotice limit) {
+        return switch (limit.kind()) {
+            case NAMED -> !limit.equals(limits.put(upstream.id(), limit));
+            case ABSENT -> limits.remove(upstream.id()) != null;
+            case UNREADABLE -> false;
+        };
+    }
+
     private boolean isFirstFault(Upstream upstream) {
         return faulty.put(upstream.id(), true) == null;
     }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/UpstreamSaid.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/UpstreamSaid.java
@@ -16,6 +16,7 @@
 package io.trailladder.entry.gateway;
 
 import com.fasterxml.jackson.core.JsonGenerator;
+import io.trailladder.core.upstream.LimitNotice;
 import io.trailladder.entry.gateway.DecisionLog.Decision;
 import java.io.IOException;
 
@@ -27,10 +28,17 @@
  * @param status the answer's HTTP status
  * @param leaving true if it says that it leaves
  * @param restMs how long it wants no request of this process, in milliseconds; 0 if not said
+ * @param limit how many requests it takes from all processes together
  * @param fault what could not be read; empty if all could
  */
 record UpstreamSaid(
-        String id, String upstream, int status, boolean leaving, long restMs, String fault)
+        String id,
+        String upstream,
+        int status,
+        boolean leaving,
+        long restMs,
+        LimitNotice limit,
+        String fault)
         implements Decision {
     @Override
     public void write(JsonGenerator json) throws IOException {
@@ -39,6 +47,8 @@
         json.writeNumberField("status", status);
         json.writeBooleanField("leaving", leaving);
         json.writeNumberField("restMs", restMs);
+        json.writeStringField("limit", limit.kind().name());
+        json.writeNumberField("limitPerSecond", limit.perSecond());
         json.writeStringField("fault", fault);
     }
 }
