Limits of upstreams: processes take turns, worked out alike from agreed time

What callers saw: an upstream in need, which named how many requests a second it takes from all, got as many as its neighbours, and was slow for those who needed it. Cause: the field was not read, and all that a process keeps of an upstream was its own, so no bound over all processes could be kept.

Each process now needs a turn to send such an upstream a request. Turns follow from the limit, the agreed time and the order of the processes' names, so none asks another; one that is cut off, frozen or gone leaves its turns unused. A turn is taken at the choice, asked for again right before bytes leave, and given back if none left. Below a request a second a turn begins each second and is void if another process used the limit lately, which is told out of turn. Peers are told what answers say; an answer without the field ends a limit only if its request was sent after the last one that named it came.

Why it holds: the sum of all parts is one limit by construction, also with different views of who there is.

--- /dev/null
+++ b/trailladder-core/src/main/java/io/trailladder/core/upstream/LimitReport.java
@@ -0,0 +1,56 @@
+/*
+ * Copyright 2026 The trailladder authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package io.trailladder.core.upstream;
+
+/**
+ * What a process believes of an upstream's limit, as it is told to peers.
+ *
+ * @param upstream the upstream's name
+ * @param bornMillis which life of it, by the time of its start; 0 if not told
+ * @param limit the limit it names, or that it names none any more
+ * @param sentMillis when the request was sent whose answer said so, in milliseconds
+ * @param heardMillis when that answer came, in milliseconds
+ * @param usedMillis when a request was last sent to it, as far as is known, in milliseconds
+ * @since 0.6
+ */
+public record LimitReport(
+        String upstream,
+        long bornMillis,
+        LimitNotice limit,
+        long sentMillis,
+        long heardMillis,
+        long usedMillis) {
+
+    /**
+     * Tells whether this is to be believed in place of something else of the same life. Answers
+     * overtake one another, so one without a limit ends a limit only if its request was sent after
+     * the last answer that named it had come.
+     *
+     * @param known what is believed
+     * @return true if this is the later word, or the safer one where that cannot be told
+     */
+    boolean replaces(LimitReport known) {
+        if (limit.isNamed() && known.limit.isNamed()) {
+            boolean lowerAtOnce =
+                    heardMillis == known.heardMillis && limit.perSecond() < known.limit.perSecond();
+            return heardMillis > known.heardMillis || lowerAtOnce;
+        }
+        if (limit.isNamed()) {
+            return known.sentMillis < heardMillis;
+        }
+        return sentMillis >= known.heardMillis;
+    }
+}
--- a/trailladder-core/src/main/java/io/trailladder/core/upstream/UpstreamAvailability.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/upstream/UpstreamAvailability.java
@@ -30,6 +30,7 @@
 public final class UpstreamAvailability {
     private final UpstreamDirectory directory;
     private final UpstreamRests rests;
+    private final UpstreamLimits limits;
 
     /** Whether an upstream takes requests. */
     public enum State {
@@ -40,18 +41,33 @@
         /** It has said that it leaves, in its entry or an answer, here or to a peer. */
         LEAVING,
         /** It has asked this process for rest, which is not over. */
-        RESTING
+        RESTING,
+        /** It names a limit, and it is not this process's turn. */
+        LIMITED
     }
 
     /**
-     * Creates an answer to the question.
+     * Creates an answer to the question where no upstream names a limit.
      *
      * @param directory the upstreams listed, and which of them leave
      * @param rests those that asked for rest
      */
     public UpstreamAvailability(UpstreamDirectory directory, UpstreamRests rests) {
+        this(directory, rests, new UpstreamLimits(() -> 0, upstream -> TurnOrder.NO_PART));
+    }
+
+    /**
+     * Creates an answer to the question.
+     *
+     * @param directory the upstreams listed, and which of them leave
+     * @param rests those that asked for rest
+     * @param limits those that name how many requests they take
+     */
+    public UpstreamAvailability(
+            UpstreamDirectory directory, UpstreamRests rests, UpstreamLimits limits) {
         this.directory = directory;
         this.rests = rests;
+        this.limits = limits;
     }
 
     /**
@@ -62,6 +78,26 @@
      * @return its state
      */
     public State of(Upstream upstream, long nowMillis) {
+        State state = beforeLimit(upstream, nowMillis);
+        boolean limited = state == State.TAKES_REQUESTS && limits.waitMillis(upstream) > 0;
+        return limited ? State.LIMITED : state;
+    }
+
+    /**
+     * Tells whether an upstream takes a request that has taken its turn, if one is needed.
+     *
+     * @param upstream the upstream
+     * @param hasTurn true if a turn is held
+     * @param nowMillis the time
+     * @return its state
+     */
+    public State of(Upstream upstream, boolean hasTurn, long nowMillis) {
+        State state = beforeLimit(upstream, nowMillis);
+        boolean limited = state == State.TAKES_REQUESTS && !hasTurn && limits.isLimited(upstream);
+        return limited ? State.LIMITED : state;
+    }
+
+    private State beforeLimit(Upstream upstream, long nowMillis) {
         if (directory.isLeaving(upstream.id())) {
             return State.LEAVING;
         }
@@ -73,7 +109,7 @@
     }
 
     /**
-     * Returns the upstreams of a service that do not leave, those that rest too.
+     * Returns the upstreams of a service that do not leave, those that rest or are limited too.
      *
      * @param service the service
      * @return the upstreams
@@ -83,21 +119,25 @@
     }
 
     /**
-     * Leaves out those that rest.
+     * Leaves out those that rest, or name a limit whose turn is not this process's.
      *
      * @param upstreams some upstreams
      * @param nowMillis the time
      * @return the others
      */
-    public List<Upstream> withoutResting(List<Upstream> upstreams, long nowMillis) {
-        if (rests.isEmpty()) {
+    public List<Upstream> takingNow(List<Upstream> upstreams, long nowMillis) {
+        if (rests.isEmpty() && limits.isEmpty()) {
             return upstreams;
         }
         return upstreams.stream()
-                .filter(upstream -> rests.leftMillis(upstream, nowMillis) == 0)
+                .filter(upstream -> withheldMillis(upstream, nowMillis) == 0)
                 .toList();
     }
 
+    private long withheldMillis(Upstream upstream, long nowMillis) {
+        return Math.max(rests.leftMillis(upstream, nowMillis), limits.waitMillis(upstream));
+    }
+
     /**
      * Tells whether others are to be preferred to an upstream that comes back from its rest.
      *
@@ -115,26 +155,42 @@
      *
      * @param service the service
      * @param nowMillis the time
-     * @return false if all leave or rest
+     * @return false if all leave, rest or are limited
      */
     public boolean isAnyTaking(String service, long nowMillis) {
-        return !withoutResting(directory.serving(service), nowMillis).isEmpty();
+        return !takingNow(directory.serving(service), nowMillis).isEmpty();
     }
 
     /**
-     * Tells how long none of a service's upstreams takes requests because all that stay rest.
+     * Tells how long none of a service's upstreams takes requests because all that stay rest or are
+     * limited.
      *
      * @param service the service
      * @param nowMillis the time
-     * @return the shortest of the rests, in milliseconds; 0 if one takes requests, or none stays
+     * @return milliseconds until the first takes one; 0 if one does now, or none stays
      */
-    public long allRestMillis(String service, long nowMillis) {
-        if (rests.isEmpty()) {
+    public long noneTakesMillis(String service, long nowMillis) {
+        if (rests.isEmpty() && limits.isEmpty()) {
             return 0;
         }
         return directory.serving(service).stream()
-                .mapToLong(upstream -> rests.leftMillis(upstream, nowMillis))
+                .mapToLong(upstream -> withheldMillis(upstream, nowMillis))
+                .filter(millis -> millis < Long.MAX_VALUE)
                 .min()
                 .orElse(0);
     }
+
+    /**
+     * Tells how often this process may send requests to a service whose upstreams are all limited.
+     *
+     * @param service the service
+     * @return milliseconds between two requests; 0 if some upstream names no limit
+     */
+    public double ownEveryMillis(String service) {
+        double perMilli = 0;
+        for (Upstream upstream : directory.serving(service)) {
+            perMilli += 1 / limits.ownEveryMillis(upstream);
+        }
+        return perMilli > 0 ? 1 / perMilli : 0;
+    }
 }
--- /dev/null
+++ b/trailladder-core/src/main/java/io/trailladder/core/upstream/UpstreamLimits.java
@@ -0,0 +1,349 @@
+/*
+ * Copyright 2026 The trailladder authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package io.trailladder.core.upstream;
+
+import io.trailladder.core.RecentMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import java.util.function.LongSupplier;
+
+/**
+ * The upstreams that name how many requests they take from all processes together.
+ *
+ * <p>To send a request to such an upstream a process needs a turn. Turns are taken when an upstream
+ * is chosen and given back if nothing was sent, so that two requests never count on the same one.
+ *
+ * <pre>{@code
+ * limits.answered(upstream, LimitNotice.of(4), sentMillis, nowMillis);
+ * if (limits.waitMillis(upstream) == 0) {
+ *     Optional<LimitTurn> turn = limits.take(upstream);
+ *     // send, or limits.giveBack(turn)
+ * }
+ * }</pre>
+ *
+ * @since 0.6
+ */
+public final class UpstreamLimits {
+    private static final int MOST_LIMITED = 10_000;
+
+    /** How long the end of a limit is kept, for peers that were cut off, in milliseconds. */
+    private static final long ENDED_MILLIS = 60_000;
+
+    /** How long what is told of an upstream is kept though it is not listed yet. */
+    private static final long UNLISTED_MILLIS = 10_000;
+
+    /** What the way of a message may add to the ages that it tells, in milliseconds. */
+    private static final long WAY_MILLIS = 100;
+
+    private final LongSupplier agreedMillis;
+    private final Function<Upstream, TurnOrder> order;
+    private final Map<String, Limit> limits = new RecentMap<>(MOST_LIMITED);
+    private Consumer<String> onNews = upstream -> {};
+    private int named;
+
+    /** What is believed of one upstream, and its turns. */
+    private static final class Limit {
+        private LimitReport believed;
+        private final LimitTurns turns;
+
+        Limit(LimitReport believed, long agreedMillis) {
+            this.believed = believed;
+            this.turns =
+                    new LimitTurns(believed.upstream(), believed.limit().perSecond(), agreedMillis);
+        }
+    }
+
+    /**
+     * Creates limits of no upstreams.
+     *
+     * @param agreedMillis the time of day that processes agree on
+     * @param order tells which turns at an upstream's limit are this process's
+     */
+    public UpstreamLimits(LongSupplier agreedMillis, Function<Upstream, TurnOrder> order) {
+        this.agreedMillis = agreedMillis;
+        this.order = order;
+    }
+
+    /**
+     * Has somebody told of each upstream of which something was learned that peers must know.
+     *
+     * @param told takes the upstream's name
+     */
+    public void onNews(Consumer<String> told) {
+        onNews = told;
+    }
+
+    /**
+     * Takes over what an answer says.
+     *
+     * @param upstream the upstream, which is known to be the one that answered
+     * @param limit what it says of its limit
+     * @param sentMillis when the request was sent
+     * @param nowMillis the time
+     * @return true if the limit has changed, begun or ended by it
+     */
+    public boolean answered(Upstream upstream, LimitNotice limit, long sentMillis, long nowMillis) {
+        boolean unknown = !limits.containsKey(upstream.id());
+        if (limit.kind() == LimitNotice.Kind.UNREADABLE || (unknown && !limit.isNamed())) {
+            return false;
+        }
+        return believe(
+                new LimitReport(
+                        upstream.id(),
+                        upstream.bornMillis(),
+                        limit,
+                        sentMillis,
+                        nowMillis,
+                        sentMillis),
+                nowMillis);
+    }
+
+    /**
+     * Takes over what a peer believes.
+     *
+     * @param told what it believes, by this process's clock
+     * @param nowMillis the time
+     * @return true if the limit has changed, begun or ended by it
+     */
+    public boolean told(LimitReport told, long nowMillis) {
+        LimitReport report = told;
+        if (!told.limit().isNamed()) {
+            report =
+                    new LimitReport(
+                            told.upstream(),
+                            told.bornMillis(),
+                            told.limit(),
+                            told.sentMillis() - WAY_MILLIS,
+                            told.heardMillis(),
+                            told.usedMillis());
+        }
+        return believe(report, nowMillis);
+    }
+
+    private boolean believe(LimitReport report, long nowMillis) {
+        Limit known = limits.get(report.upstream());
+        boolean sameLife = known != null && known.believed.bornMillis() == report.bornMillis();
+        if (known != null && !sameLife && report.bornMillis() < known.believed.bornMillis()) {
+            return false;
+        }
+        boolean changed = sameLife ? replace(known, report) : begin(report);
+        Limit limit = limits.get(report.upstream());
+        boolean used = limit != null && used(limit, report, nowMillis);
+        if (changed || used) {
+            onNews.accept(report.upstream());
+        }
+        return changed;
+    }
+
+    private boolean begin(LimitReport report) {
+        if (!report.limit().isNamed()) {
+            limits.remove(report.upstream());
+        } else {
+            limits.put(report.upstream(), new Limit(report, agreedMillis.getAsLong()));
+        }
+        count();
+        return report.limit().isNamed();
+    }
+
+    private boolean replace(Limit known, LimitReport report) {
+        if (!report.replaces(known.believed)) {
+            return false;
+        }
+        if (report.limit().isNamed() && !isNamed(known)) {
+            return begin(report);
+        }
+        boolean changed = !report.limit().equals(known.believed.limit());
+        known.believed = report;
+        if (changed && report.limit().isNamed()) {
+            known.turns.perSecond(report.limit().perSecond());
+        } else if (changed) {
+            count();
+        }
+        return changed;
+    }
+
+    /** Uses matter to others only if there are less than one a second. */
+    private boolean used(Limit limit, LimitReport report, long nowMillis) {
+        long age = Math.max(0, nowMillis - report.usedMillis());
+        boolean news = limit.turns.used(agreedMillis.getAsLong() - age);
+        return news && limit.turns.isSparse() && limit.believed.limit().isNamed();
+    }
+
+    private void count() {
+        named = (int) limits.values().stream().filter(UpstreamLimits::isNamed).count();
+    }
+
+    /**
+     * Tells whether an upstream names a limit, as far as is known.
+     *
+     * @param upstream the upstream
+     * @return true if requests to it need a turn
+     */
+    public boolean isLimited(Upstream upstream) {
+        return of(upstream) != null;
+    }
+
+    /**
+     * Tells whether no upstream names a limit, which is the usual state.
+     *
+     * @return true if there is nothing to ask for
+     */
+    public boolean isEmpty() {
+        return named == 0;
+    }
+
+    /**
+     * Returns how many of the upstreams listed name a limit.
+     *
+     * @param directory the upstreams listed
+     * @return a count
+     */
+    public int count(UpstreamDirectory directory) {
+        return (int) directory.all().stream().filter(this::isLimited).count();
+    }
+
+    /**
+     * Returns how long it is until this process may send an upstream a request.
+     *
+     * @param upstream the upstream
+     * @return milliseconds; 0 if it may now, {@link Long#MAX_VALUE} if it has no part in the limit
+     */
+    public long waitMillis(Upstream upstream) {
+        Limit limit = of(upstream);
+        return limit == null
+                ? 0
+                : limit.turns.waitMillis(order.apply(upstream), agreedMillis.getAsLong());
+    }
+
+    /**
+     * Returns how often this process may send an upstream a request.
+     *
+     * @param upstream the upstream
+     * @return milliseconds between two requests; 0 if it names no limit
+     */
+    public double ownEveryMillis(Upstream upstream) {
+        Limit limit = of(upstream);
+        return limit == null ? 0 : limit.turns.ownEveryMillis(order.apply(upstream));
+    }
+
+    /**
+     * Returns how much of the time is left in which the turn to be taken next may be used.
+     *
+     * @param upstream the upstream
+     * @return from 1, when it begins, to 0; 0 if the upstream names no limit
+     */
+    public double keptPart(Upstream upstream) {
+        Limit limit = of(upstream);
+        return limit == null
+                ? 0
+                : limit.turns.keptPart(order.apply(upstream), agreedMillis.getAsLong());
+    }
+
+    /**
+     * Takes a turn for one request.
+     *
+     * @param upstream the upstream
+     * @return the turn; empty if there is none now, or none is needed
+     */
+    public Optional<LimitTurn> take(Upstream upstream) {
+        Limit limit = of(upstream);
+        return limit == null
+                ? Optional.empty()
+                : limit.turns.take(order.apply(upstream), agreedMillis.getAsLong());
+    }
+
+    /**
+     * Gives a turn back under which nothing was sent.
+     *
+     * @param turn the turn
+     */
+    public void giveBack(LimitTurn turn) {
+        Limit limit = limits.get(turn.upstream());
+        if (limit != null) {
+            limit.turns.giveBack(turn);
+        }
+    }
+
+    /**
+     * Records that a request was sent under a turn.
+     *
+     * @param turn the turn
+     */
+    public void sent(LimitTurn turn) {
+        Limit limit = limits.get(turn.upstream());
+        if (limit != null && limit.turns.isSparse()) {
+            onNews.accept(turn.upstream());
+        }
+    }
+
+    /**
+     * Returns what is believed of an upstream, to be told to peers.
+     *
+     * @param upstream the upstream's name
+     * @param nowMillis the time
+     * @return the belief, also that a limit has ended a while ago; empty if there is none
+     */
+    public Optional<LimitReport> report(String upstream, long nowMillis) {
+        Limit limit = limits.get(upstream);
+        if (limit == null) {
+            return Optional.empty();
+        }
+        long usedAgo = agreedMillis.getAsLong() - limit.turns.usedMillis();
+        LimitReport believed = limit.believed;
+        return Optional.of(
+                new LimitReport(
+                        believed.upstream(),
+                        believed.bornMillis(),
+                        believed.limit(),
+                        believed.sentMillis(),
+                        believed.heardMillis(),
+                        nowMillis - Math.max(0, usedAgo)));
+    }
+
+    /**
+     * Forgets upstreams that are gone or have started anew, and limits that ended a while ago.
+     *
+     * @param directory the upstreams known
+     * @param nowMillis the time
+     */
+    public void forgetGone(UpstreamDirectory directory, long nowMillis) {
+        limits.values().removeIf(limit -> isOver(limit.believed, directory, nowMillis));
+        count();
+    }
+
+    private static boolean isOver(
+            LimitReport believed, UpstreamDirectory directory, long nowMillis) {
+        long age = nowMillis - believed.heardMillis();
+        Optional<Upstream> listed = directory.find(believed.upstream());
+        boolean lives = listed.isPresent() && listed.get().bornMillis() <= believed.bornMillis();
+        return believed.limit().isNamed() ? !lives && age > UNLISTED_MILLIS : age > ENDED_MILLIS;
+    }
+
+    private static boolean isNamed(Limit limit) {
+        return limit.believed.limit().isNamed();
+    }
+
+    private Limit of(Upstream upstream) {
+        Limit limit = named == 0 ? null : limits.get(upstream.id());
+        boolean holds =
+                limit != null
+                        && isNamed(limit)
+                        && limit.believed.bornMillis() == upstream.bornMillis();
+        return holds ? limit : null;
+    }
+}
--- a/trailladder-core/src/main/java/io/trailladder/core/upstream/UpstreamSelector.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/upstream/UpstreamSelector.java
@@ -135,15 +135,16 @@
 
     /**
      * Versions are admitted among all that stay, so that those under test do not get the requests
-     * of others that only rest. A sample whose upstreams all rest is left to the version in use.
+     * of others that only rest or are limited. A sample that none of them takes is left to the
+     * version in use.
      */
     private List<Upstream> takingRequests(String service, boolean first, long nowMillis) {
         List<Upstream> staying = availability.staying(service);
         List<Upstream> admitted = versions.admitted(service, staying, first, nowMillis);
-        List<Upstream> serving = availability.withoutResting(admitted, nowMillis);
+        List<Upstream> serving = availability.takingNow(admitted, nowMillis);
         if (serving.isEmpty() && first && !admitted.isEmpty()) {
             List<Upstream> others = versions.admitted(service, staying, false, nowMillis);
-            return availability.withoutResting(others, nowMillis);
+            return availability.takingNow(others, nowMillis);
         }
         return serving;
     }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Attempt.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Attempt.java
@@ -19,6 +19,7 @@
 import io.trailladder.core.pipeline.ServingRequest;
 import io.trailladder.core.rollout.AnswerSeen;
 import io.trailladder.core.upstream.AnswerNotice;
+import io.trailladder.core.upstream.LimitTurn;
 import io.trailladder.core.upstream.Selection;
 import io.trailladder.core.upstream.Upstream;
 import io.trailladder.core.upstream.UpstreamAvailability;
@@ -27,6 +28,7 @@
 import io.trailladder.entry.http.ClientCall;
 import io.trailladder.entry.http.HeaderList;
 import io.trailladder.entry.http.OutgoingCall;
+import java.util.Optional;
 
 /**
  * One sending of a request to an upstream. It keeps the upstream's load and health true, and sorts
@@ -45,8 +47,10 @@
     private final double predictedMillis;
     private final Owner owner;
     private final long createdMillis;
+    private Optional<LimitTurn> turn = Optional.empty();
     private ClientCall call;
     private boolean sent;
+    private long sentMillis;
     private boolean promptRead;
     private boolean over;
     private int status;
@@ -85,6 +89,8 @@
     }
 
     void start(OutgoingCall outgoing) {
+        // the turn that the choice counted on, which nobody else may count on now
+        turn = context.limits().take(upstream);
         context.loads().sent(upstream.id(), uncachedTokens);
         context.rollouts().chosen(request.service(), upstream);
         context.demand().sent(request.service(), uncachedTokens, createdMillis);
@@ -155,8 +161,11 @@
     @Override
     public boolean isWanted() {
         long now = context.loop().nowMillis();
+        if (turn.isEmpty()) {
+            turn = context.limits().take(upstream);
+        }
         boolean wanted =
-                context.availability().of(upstream, now)
+                context.availability().of(upstream, turn.isPresent(), now)
                         == UpstreamAvailability.State.TAKES_REQUESTS;
         if (!wanted) {
             context.metrics().count(GatewayMetrics.Event.SENDING_WITHHELD);
@@ -167,6 +176,8 @@
     @Override
     public void sending() {
         sent = true;
+        sentMillis = context.loop().nowMillis();
+        turn.ifPresent(context.limits()::sent);
         context.rests().sent(upstream, context.loop().nowMillis());
         context.rollouts().sent(request.service());
         owner.sending(this);
@@ -182,7 +193,7 @@
             fail(AttemptFailure.MISDIRECTED);
         } else {
             AnswerNotice notice = context.protocol().notice(answered, headers);
-            context.notices().heard(request.id(), upstream, answered, notice);
+            context.notices().heard(request.id(), upstream, answered, notice, sentMillis);
             answered(answered, headers, length);
         }
     }
@@ -302,6 +313,9 @@
 
     private void finish() {
         over = true;
+        if (!sent) {
+            turn.ifPresent(context.limits()::giveBack);
+        }
         promptRead();
         context.loads().ended(upstream.id());
     }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ClusterView.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ClusterView.java
@@ -289,6 +289,7 @@
         DecisionLog.write(
                 new DecisionLog.Lifecycle("peer " + hello.name(), "linked", hello.address()));
         Peer peer = peers.linked(hello);
+        parts.linked(peer.name(), nowMillis.getAsLong());
         tell(List.of(peer));
         rollouts.ifPresent(exchange -> exchange.tell(mesh, List.of(peer)));
         snapshots.linked(mesh, hello);
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/DigestPart.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/DigestPart.java
@@ -49,6 +49,14 @@
      */
     void told(String peer, DigestSection section, long nowMillis) throws IOException;
 
+    /**
+     * Tells that a peer has been linked, which may lack what was told before.
+     *
+     * @param peer the peer's name
+     * @param nowMillis the time, in milliseconds
+     */
+    default void linked(String peer, long nowMillis) {}
+
     /**
      * Forgets what a peer told: it is silent, or its figures come another way now.
      *
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/DigestParts.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/DigestParts.java
@@ -72,6 +72,10 @@
         }
     }
 
+    void linked(String peer, long nowMillis) {
+        parts.forEach(part -> part.linked(peer, nowMillis));
+    }
+
     void forget(String peer) {
         parts.forEach(part -> part.forget(peer));
     }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
@@ -31,6 +31,7 @@
 import io.trailladder.core.upstream.Upstream;
 import io.trailladder.core.upstream.UpstreamAvailability;
 import io.trailladder.core.upstream.UpstreamDirectory;
+import io.trailladder.core.upstream.UpstreamLimits;
 import io.trailladder.core.upstream.UpstreamLoads;
 import io.trailladder.core.upstream.UpstreamRests;
 import io.trailladder.core.upstream.UpstreamSelector;
@@ -100,7 +101,8 @@
     private final UpstreamDirectory directory = new UpstreamDirectory();
     private final UpstreamLoads loads = new UpstreamLoads();
     private final UpstreamRests rests = new UpstreamRests();
-    private final UpstreamAvailability availability = new UpstreamAvailability(directory, rests);
+    private final UpstreamLimits limits;
+    private final UpstreamAvailability availability;
     private final EngineModel engines = new EngineModel();
     private final Topology topology;
     private final Optional<RegionMetrics> regionMetrics;
@@ -175,12 +177,15 @@
                         engines,
                         metrics,
                         !settings.node().firstStart());
+        topology = Topology.of(settings.self().dataCentre(), settings.regions().byDataCentre());
+        limits = new UpstreamLimits(clock::millis, turnOrders(name)::of);
+        availability = new UpstreamAvailability(directory, rests, limits);
+        view.add(limitPart());
         view.add(clock);
         view.add(new CrashPart(crashes, random.nextLong()));
         crashes.onOwnNews(() -> loop.execute(view::tellSoon));
         quotas.onMuchUsed(() -> loop.execute(view::tellSoon));
         GatewayMember self = settings.self();
-        topology = Topology.of(self.dataCentre(), settings.regions().byDataCentre());
         regionMetrics =
                 topology.isOneRegion()
                         ? Optional.empty()
@@ -259,7 +264,9 @@
                         directory,
                         availability,
                         rests,
-                        new UpstreamNotices(loop::nowMillis, directoryKeeper, rests, metrics),
+                        limits,
+                        new UpstreamNotices(
+                                loop::nowMillis, directoryKeeper, rests, limits, metrics),
                         loads,
                         new UpstreamSelector(
                                 topology,
@@ -355,6 +362,7 @@
     private void forgetGone() {
         loads.forgetGone(directory);
         rests.forgetGone(directory, loop.nowMillis());
+        limits.forgetGone(directory, loop.nowMillis());
     }
 
     /** Stops the process: it goes on serving until the balancer has left it out. */
@@ -375,6 +383,21 @@
                 });
     }
 
+    private TurnOrders turnOrders(String name) {
+        return new TurnOrders(
+                name, topology, () -> mesh.members(), () -> view.entries(), loop::nowMillis);
+    }
+
+    private LimitPart limitPart() {
+        LimitPart part = new LimitPart(limits);
+        limits.onNews(
+                upstream -> {
+                    part.learned(upstream, loop.nowMillis());
+                    loop.execute(view::tellSoon);
+                });
+        return part;
+    }
+
     private MemoryKeeper memory(GatewaySettings.Limits limits) {
         MemoryBudget budget =
                 MemoryBudget.of(limits.memoryBytes(), Runtime.getRuntime().maxMemory());
@@ -536,6 +559,7 @@
         memory.tellState(callers.refused());
         metrics.unusableEntries(directoryKeeper.unusable());
         metrics.resting(rests.count(loop.nowMillis()));
+        metrics.limited(limits.count(directory));
         policies.policy()
                 .ifPresent(policy -> policy.services().forEach(spec -> tellUpstreams(spec.name())));
         metrics.state(
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/GatewayMetrics.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/GatewayMetrics.java
@@ -92,6 +92,10 @@
                     "trailladder_upstream_entries_unusable",
                     "Entries in the platform's store that name no upstream to use");
 
+    private final Gauge limited =
+            gauge(
+                    "trailladder_upstreams_limited",
+                    "Upstreams that name how many requests they take");
     private final Gauge resting =
             gauge("trailladder_upstreams_resting", "Upstreams that asked this process for rest");
 
@@ -137,9 +141,13 @@
         UPSTREAM_SAID_IT_LEAVES,
         /** An upstream that was not resting asked this process for rest. */
         UPSTREAM_ASKED_FOR_REST,
+        /**
+         * An answer named a limit of its upstream that was not known, another one, or none more.
+         */
+        UPSTREAM_CHANGED_ITS_LIMIT,
         /** What an answer said of its upstream could not be read. */
         UPSTREAM_NOTICE_UNREADABLE,
-        /** A request was not sent because its upstream began to leave or rest on the way there. */
+        /** A request was not sent since its upstream no longer takes it, by what it has said. */
         SENDING_WITHHELD
     }
 
@@ -257,6 +265,15 @@
         unusableEntries.set(count);
     }
 
+    /**
+     * Sets how many upstreams name a limit.
+     *
+     * @param count a count
+     */
+    public void limited(int count) {
+        limited.set(count);
+    }
+
     /**
      * Records how many upstreams have asked this process for rest that is not over.
      *
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/LeavingNews.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/LeavingNews.java
@@ -16,11 +16,7 @@
 package io.trailladder.entry.gateway;
 
 import io.trailladder.core.upstream.LeavingUpstream;
-import java.util.ArrayList;
-import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.function.Function;
 
@@ -40,12 +36,8 @@
      */
     static final int MOST_REPEATED = 8;
 
-    /** How long news is told first, in milliseconds: in five digests, in case some are lost. */
-    static final long NEWS_MILLIS = 5 * ClusterView.DIGEST_MILLIS;
-
     private final Function<String, Optional<LeavingUpstream>> listed;
-    private final Map<String, Long> begunMillis = new LinkedHashMap<>();
-    private final Map<Boolean, Integer> turns = new HashMap<>();
+    private final NewsInTurn news;
 
     /**
      * Creates news of nobody.
@@ -55,42 +47,22 @@
      */
     LeavingNews(Function<String, Optional<LeavingUpstream>> listed) {
         this.listed = listed;
+        this.news =
+                new NewsInTurn(
+                        (upstream, nowMillis) -> listed.apply(upstream).isPresent(),
+                        MOST_TOLD,
+                        MOST_REPEATED);
     }
 
     /** Records that an upstream has begun to leave. */
     void began(String upstream, long nowMillis) {
-        begunMillis.putIfAbsent(upstream, nowMillis);
+        news.began(upstream, nowMillis);
     }
 
     /** Returns those that the next digests name. */
     List<LeavingUpstream> next(long nowMillis) {
-        if (begunMillis.isEmpty()) {
-            return List.of();
-        }
-        begunMillis.keySet().removeIf(upstream -> listed.apply(upstream).isEmpty());
-        List<String> fresh = new ArrayList<>();
-        List<String> older = new ArrayList<>();
-        begunMillis.forEach(
-                (upstream, begun) -> {
-                    boolean news = nowMillis - begun < NEWS_MILLIS;
-                    (news ? fresh : older).add(upstream);
-                });
-        List<String> told = new ArrayList<>(inTurn(fresh, true, MOST_TOLD));
-        told.addAll(inTurn(older, false, Math.min(MOST_REPEATED, MOST_TOLD - told.size())));
-        return told.stream().flatMap(upstream -> listed.apply(upstream).stream()).toList();
-    }
-
-    /** Returns some of a list, and goes on with those after them the next time. */
-    private List<String> inTurn(List<String> all, boolean fresh, int most) {
-        if (all.size() <= most) {
-            return all;
-        }
-        int from = turns.getOrDefault(fresh, 0) % all.size();
-        List<String> some = new ArrayList<>(most);
-        for (int i = 0; i < most; i++) {
-            some.add(all.get((from + i) % all.size()));
-        }
-        turns.put(fresh, from + most);
-        return some;
+        return news.next(nowMillis).stream()
+                .flatMap(upstream -> listed.apply(upstream).stream())
+                .toList();
     }
 }
--- /dev/null
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/LimitPart.java
@@ -0,0 +1,110 @@
+/*
+ * Copyright 2026 The trailladder authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package io.trailladder.entry.gateway;
+
+import io.trailladder.core.upstream.LimitReport;
+import io.trailladder.core.upstream.UpstreamLimits;
+import io.trailladder.wire.NodeMessage.DigestScope;
+import io.trailladder.wire.NodeMessage.DigestSection;
+import java.io.IOException;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * Tells peers which upstreams name a limit, that one has ended, and when one of less than a request
+ * a second was used. What a process believes is the same whoever told it, so it is passed on as it
+ * is. Without limits nothing is told.
+ */
+final class LimitPart implements DigestPart {
+    private static final int MOST_TOLD = 128;
+
+    /** Of the older ones, for processes that came later or were cut off. */
+    private static final int MOST_REPEATED = 2;
+
+    private final UpstreamLimits limits;
+    private final NewsInTurn news;
+    private long writtenMillis = Long.MIN_VALUE;
+    private Optional<DigestSection> written = Optional.empty();
+
+    /**
+     * Creates the part.
+     *
+     * @param limits what is told
+     */
+    LimitPart(UpstreamLimits limits) {
+        this.limits = limits;
+        this.news =
+                new NewsInTurn(
+                        (upstream, nowMillis) -> limits.report(upstream, nowMillis).isPresent(),
+                        MOST_TOLD,
+                        MOST_REPEATED);
+    }
+
+    /** Records that something was learned of an upstream. */
+    void learned(String upstream, long nowMillis) {
+        news.began(upstream, nowMillis);
+        writtenMillis = Long.MIN_VALUE;
+    }
+
+    @Override
+    public String name() {
+        return "limits";
+    }
+
+    @Override
+    public int version() {
+        return 1;
+    }
+
+    /** All peers of a round are told the same. */
+    @Override
+    public Optional<DigestSection> write(DigestScope scope, List<String> peers, long nowMillis) {
+        if (writtenMillis != nowMillis) {
+            writtenMillis = nowMillis;
+            written = section(nowMillis);
+        }
+        return written;
+    }
+
+    private Optional<DigestSection> section(long nowMillis) {
+        List<LimitReport> reports =
+                news.next(nowMillis).stream()
+                        .flatMap(upstream -> limits.report(upstream, nowMillis).stream())
+                        .toList();
+        if (reports.isEmpty()) {
+            return Optional.empty();
+        }
+        byte[] body = LimitReports.write(reports, DigestSection.MOST_BYTES, nowMillis);
+        return Optional.of(new DigestSection(name(), version(), 0, body));
+    }
+
+    @Override
+    public void told(String peer, DigestSection section, long nowMillis) throws IOException {
+        List<LimitReport> reports =
+                LimitReports.read(section.body(), nowMillis - section.ageMillis());
+        reports.forEach(report -> limits.told(report, nowMillis));
+    }
+
+    @Override
+    public void linked(String peer, long nowMillis) {
+        news.beginAgain(nowMillis);
+        writtenMillis = Long.MIN_VALUE;
+    }
+
+    /** What was told stays true when the peer is silent. */
+    @Override
+    public void forget(String peer) {}
+}
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestDriver.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestDriver.java
@@ -211,9 +211,9 @@
     }
 
     private void turnAwayWithoutChoice(long now) {
-        long rest = context.availability().allRestMillis(request.service(), now);
-        if (rest > 0) {
-            turnAway(TurnedAway.ALL_REST, rest);
+        long none = context.availability().noneTakesMillis(request.service(), now);
+        if (none > 0) {
+            turnAway(TurnedAway.NONE_TAKES, none);
         } else {
             turnAway(bodyRoom.wasShort() ? TurnedAway.NO_BODY_ROOM : TurnedAway.NO_UPSTREAM, 0);
         }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ReturnTimes.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ReturnTimes.java
@@ -20,6 +20,8 @@
 import io.trailladder.core.upstream.PlaceForecast;
 import io.trailladder.core.upstream.UpstreamAvailability;
 import io.trailladder.core.upstream.UpstreamLoads;
+import java.util.HashMap;
+import java.util.Map;
 import java.util.OptionalLong;
 import java.util.SplittableRandom;
 
@@ -31,6 +33,10 @@
      */
     private static final double SPREAD = 0.5;
 
+    /** Latest turn that a caller is told of, in milliseconds after the first. */
+    private static final long LONGEST_MILLIS = 10_000;
+
+    private final Map<String, Double> promisedMillis = new HashMap<>();
     private final PolicyKeeper policies;
     private final UpstreamAvailability availability;
     private final UpstreamLoads loads;
@@ -59,13 +65,29 @@
      * @return milliseconds from now, spread over callers
      */
     long place(String service, long nowMillis) {
+        long noneTakes = availability.noneTakesMillis(service, nowMillis);
+        double every = availability.ownEveryMillis(service);
+        if (noneTakes > 0 && every > 0) {
+            return turn(service, nowMillis, nowMillis + noneTakes, every);
+        }
         long place =
                 PlaceForecast.millis(
                         availability.staying(service),
                         loads,
                         engines.estimate(service, nowMillis),
                         bootMillis(service));
-        return spread(Math.max(place, availability.allRestMillis(service, nowMillis)));
+        return spread(Math.max(place, noneTakes));
+    }
+
+    /** Tells each caller of another turn at upstreams that are all limited. */
+    private long turn(String service, long nowMillis, long firstMillis, double everyMillis) {
+        double after = promisedMillis.getOrDefault(service, 0.0) + everyMillis;
+        double turn = Math.max((double) firstMillis, after);
+        if (turn > firstMillis + LONGEST_MILLIS) {
+            return spread(firstMillis + LONGEST_MILLIS - nowMillis);
+        }
+        promisedMillis.put(service, turn);
+        return (long) Math.ceil(turn) - nowMillis;
     }
 
     /**
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ServingContext.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ServingContext.java
@@ -20,6 +20,7 @@
 import io.trailladder.core.upstream.DemandMeter;
 import io.trailladder.core.upstream.UpstreamAvailability;
 import io.trailladder.core.upstream.UpstreamDirectory;
+import io.trailladder.core.upstream.UpstreamLimits;
 import io.trailladder.core.upstream.UpstreamLoads;
 import io.trailladder.core.upstream.UpstreamRests;
 import io.trailladder.core.upstream.UpstreamSelector;
@@ -39,6 +40,7 @@
  * @param directory the upstreams known
  * @param availability tells which of them take requests
  * @param rests those that asked for rest
+ * @param limits those that name how many requests they take
  * @param notices has what answers say of their upstreams believed
  * @param loads the work under way at them
  * @param selector chooses among them
@@ -63,6 +65,7 @@
         UpstreamDirectory directory,
         UpstreamAvailability availability,
         UpstreamRests rests,
+        UpstreamLimits limits,
         UpstreamNotices notices,
         UpstreamLoads loads,
         UpstreamSelector selector,
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/TurnedAway.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/TurnedAway.java
@@ -32,8 +32,8 @@
     /** No upstream of the service takes new work, or all were tried. */
     static final String NO_UPSTREAM = "no upstream left";
 
-    /** All upstreams of the service that stay have asked this process for rest. */
-    static final String ALL_REST = "all upstreams rest";
+    /** All upstreams of the service that stay have asked this process for rest, or name a limit. */
+    static final String NONE_TAKES = "all upstreams rest or are limited";
 
     /** All upstreams left take bodies more slowly than they come. */
     static final String NO_BODY_ROOM = "no upstream takes bodies";
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/UpstreamNotices.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/UpstreamNotices.java
@@ -17,8 +17,8 @@
 
 import io.trailladder.core.RecentMap;
 import io.trailladder.core.upstream.AnswerNotice;
-import io.trailladder.core.upstream.LimitNotice;
 import io.trailladder.core.upstream.Upstream;
+import io.trailladder.core.upstream.UpstreamLimits;
 import io.trailladder.core.upstream.UpstreamRests;
 import io.trailladder.entry.gateway.GatewayMetrics.Event;
 import java.util.Map;
@@ -26,7 +26,7 @@
 
 /**
  * Has what upstreams say of themselves in answers believed: that they leave by all processes, that
- * they want rest by this one.
+ * they want rest by this one, how many requests they take by all that share the limit.
  *
  * <p>An answer is often the first to tell. While the store is away it is the only one, and an
  * upstream goes on to say so for seconds that would otherwise bring it more requests.
@@ -35,26 +35,23 @@
     /** Most upstreams of which it is known that an unreadable notice was logged. */
     private static final int MOST_FAULTY = 1_000;
 
-    /** Most upstreams whose limits are remembered: more than a site has. */
-    private static final int MOST_LIMITED = 10_000;
-
     private final LongSupplier nowMillis;
     private final DirectoryKeeper directory;
     private final UpstreamRests rests;
+    private final UpstreamLimits limits;
     private final GatewayMetrics metrics;
     private final Map<String, Boolean> faulty = new RecentMap<>(MOST_FAULTY);
 
-    /** The limits that upstreams named last, so that only a change is logged. */
-    private final Map<String, LimitNotice> limits = new RecentMap<>(MOST_LIMITED);
-
     UpstreamNotices(
             LongSupplier nowMillis,
             DirectoryKeeper directory,
             UpstreamRests rests,
+            UpstreamLimits limits,
             GatewayMetrics metrics) {
         this.nowMillis = nowMillis;
         this.directory = directory;
         this.rests = rests;
+        this.limits = limits;
         this.metrics = metrics;
     }
 
@@ -66,9 +63,15 @@
      * @param upstream the upstream, which is known to be the one that answered
      * @param status the answer's HTTP status
      * @param notice what it says
+     * @param sentMillis when the request was sent
      */
-    void heard(String request, Upstream upstream, int status, AnswerNotice notice) {
-        boolean news = isNewLimit(upstream, notice.limit());
+    void heard(
+            String request, Upstream upstream, int status, AnswerNotice notice, long sentMillis) {
+        long now = nowMillis.getAsLong();
+        boolean news = limits.answered(upstream, notice.limit(), sentMillis, now);
+        if (news) {
+            metrics.count(Event.UPSTREAM_CHANGED_ITS_LIMIT);
+        }
         if (!news && notice.isNone()) {
             return;
         }
@@ -76,8 +79,7 @@
             metrics.count(Event.UPSTREAM_SAID_IT_LEAVES);
             news = true;
         }
-        if (notice.restMillis() > 0
-                && rests.asked(upstream, notice.restMillis(), nowMillis.getAsLong())) {
+        if (notice.restMillis() > 0 && rests.asked(upstream, notice.restMillis(), now)) {
             metrics.count(Event.UPSTREAM_ASKED_FOR_REST);
             news = true;
         }
@@ -98,14 +100,6 @@
         }
     }
 
-    private boolean isNewLimit(Upstream upstream, LimitNotice limit) {
-        return switch (limit.kind()) {
-            case NAMED -> !limit.equals(limits.put(upstream.id(), limit));
-            case ABSENT -> limits.remove(upstream.id()) != null;
-            case UNREADABLE -> false;
-        };
-    }
-
     private boolean isFirstFault(Upstream upstream) {
         return faulty.put(upstream.id(), true) == null;
     }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/mesh/PeerMesh.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/mesh/PeerMesh.java
@@ -131,6 +131,15 @@
         maintain();
     }
 
+    /**
+     * Returns the processes that the store lists.
+     *
+     * @return all of them; none if it has told none yet
+     */
+    public List<GatewayMember> members() {
+        return members;
+    }
+
     @Override
     public int size() {
         return planner.size();
--- a/trailladder-entry/src/test/java/io/trailladder/entry/gateway/LeavingHistoriesTest.java
+++ b/trailladder-entry/src/test/java/io/trailladder/entry/gateway/LeavingHistoriesTest.java
@@ -133,7 +133,7 @@
         assertTrue(news.next(0).isEmpty(), "one that is not listed any more");
         news.began("listed", 0);
         assertEquals(
-                List.of(new LeavingUpstream("listed", 5)), news.next(LeavingNews.NEWS_MILLIS - 1));
+                List.of(new LeavingUpstream("listed", 5)), news.next(NewsInTurn.NEWS_MILLIS - 1));
     }
 
     @Example
@@ -150,7 +150,7 @@
             fresh.addAll(told);
         }
         for (int digest = 0; digest * LeavingNews.MOST_REPEATED < LEAVERS; digest++) {
-            List<LeavingUpstream> told = news.next(LeavingNews.NEWS_MILLIS);
+            List<LeavingUpstream> told = news.next(NewsInTurn.NEWS_MILLIS);
             assertTrue(told.size() <= LeavingNews.MOST_REPEATED, told.size() + " at rest");
             older.addAll(told);
         }
