Choice: a turn at a limited upstream is kept for requests that gain from it

An upstream with a limit has few requests under way, so it looked the best of all and its turns went to whoever came first. Test: the same request goes elsewhere at the turn's begin and there at its end.

--- a/trailladder-core/src/main/java/io/trailladder/core/upstream/LimitTurns.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/upstream/LimitTurns.java
@@ -126,12 +126,16 @@
      *
      * @param order which turns are the process's own
      * @param agreedMillis the agreed time of day
-     * @return from 1, when it begins, to 0
+     * @return from 1, when it begins, to 0; 0 if there is less than a turn a second, which must not
+     *     pass unused, or nobody learns that the limit has ended
      */
     double keptPart(TurnOrder order, long agreedMillis) {
+        if (isSparse()) {
+            return 0;
+        }
         long turn = next(order, agreedMillis);
         double age = agreedMillis - turn * turnMillis;
-        return Math.min(1, Math.max(0, 1 - age / keptMillis()));
+        return Math.min(1, Math.max(0, 1 - age / KEPT_MILLIS));
     }
 
     /** Takes the oldest turn that this process may use; empty if there is none now. */
--- a/trailladder-core/src/main/java/io/trailladder/core/upstream/UpstreamLimits.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/upstream/UpstreamLimits.java
@@ -16,6 +16,7 @@
 package io.trailladder.core.upstream;
 
 import io.trailladder.core.RecentMap;
+import java.util.Collection;
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
@@ -208,13 +209,22 @@
     }
 
     /**
-     * Returns how many of the upstreams listed name a limit.
+     * Returns how many of some upstreams name a limit.
      *
-     * @param directory the upstreams listed
+     * @param upstreams the upstreams
      * @return a count
      */
-    public int count(UpstreamDirectory directory) {
-        return (int) directory.all().stream().filter(this::isLimited).count();
+    public int count(Collection<Upstream> upstreams) {
+        return isEmpty() ? 0 : (int) upstreams.stream().filter(this::isLimited).count();
+    }
+
+    /**
+     * Returns the term by which a choice weighs how much of limits is left.
+     *
+     * @return the term
+     */
+    public CostTerm cost() {
+        return new LimitCost(this);
     }
 
     /**
--- a/trailladder-core/src/test/java/io/trailladder/core/upstream/UpstreamSelectorTest.java
+++ b/trailladder-core/src/test/java/io/trailladder/core/upstream/UpstreamSelectorTest.java
@@ -26,6 +26,8 @@
 import io.trailladder.core.policy.Route;
 import io.trailladder.core.policy.RouteKind;
 import io.trailladder.core.policy.ServiceShare;
+import io.trailladder.core.rollout.VersionGate;
+import io.trailladder.core.topology.Topology;
 import java.util.List;
 import java.util.Set;
 import net.jqwik.api.Example;
@@ -48,6 +50,14 @@
     }
 
     private static ServingRequest request(String subject) {
+        return request(
+                List.of(
+                        new PromptBlock("system", 2_500),
+                        new PromptBlock(subject, 3_500),
+                        new PromptBlock("own", 3_000)));
+    }
+
+    private static ServingRequest request(List<PromptBlock> blocks) {
         Route route =
                 new Route(
                         "r",
@@ -62,14 +72,7 @@
                         false,
                         true,
                         true);
-        Prompt prompt =
-                new Prompt(
-                        9_000,
-                        50,
-                        List.of(
-                                new PromptBlock("system", 2_500),
-                                new PromptBlock(subject, 3_500),
-                                new PromptBlock("own", 3_000)));
+        Prompt prompt = new Prompt(9_000, 50, blocks);
         return new ServingRequest("id", "t", route, "s", 0, prompt, 100, 0, 8_000, 1);
     }
 
@@ -136,4 +139,35 @@
         directory.changed(new Upstream("w0", "s", "a", "h:1", 8, false, false, 0));
         assertTrue(directory.serving("s").isEmpty());
     }
+
+    /** It is idle, but the few requests that it takes are kept for those that gain from it. */
+    @Example
+    void limitedUpstreamIsChosenForWhatItHolds() {
+        long[] now = {10_000};
+        UpstreamLimits limits = new UpstreamLimits(() -> now[0], any -> new TurnOrder(0, 1));
+        directory.changed(new Upstream("w0", "s", "a", "h:1", 8, false, false, 0));
+        directory.changed(new Upstream("w1", "s", "a", "h:1", 8, false, false, 0));
+        UpstreamSelector choosing =
+                new UpstreamSelector(
+                        Topology.oneRegion("a"),
+                        new UpstreamAvailability(directory, new UpstreamRests(), limits),
+                        loads,
+                        new EngineModel(),
+                        new VersionGate(),
+                        () -> 1,
+                        List.of(limits.cost()));
+        choosing.sent(request("held"), "w0");
+        choosing.sent(request("other"), "w1");
+        loads.peerUses("peer", List.of(new UpstreamUse("w1", 0, 300)));
+        ServingRequest anywhere = request(List.of());
+        assertEquals("w0", chosen(choosing, anywhere), "it has less to read");
+
+        limits.answered(directory.find("w0").orElseThrow(), LimitNotice.of(1), 0, now[0]);
+        assertEquals("w1", chosen(choosing, request("held")), "not its turn");
+        now[0] += 1_000;
+        assertEquals("w0", chosen(choosing, request("held")));
+        assertEquals("w1", chosen(choosing, anywhere), "the turn is kept for others");
+        now[0] += 990;
+        assertEquals("w0", chosen(choosing, anywhere), "nobody else came");
+    }
 }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
@@ -249,6 +249,7 @@
                         policies,
                         directory,
                         view::load,
+                        limits,
                         engines,
                         metrics,
                         rollouts.keeper()::isMoving,
@@ -275,7 +276,7 @@
                                 engines,
                                 versions,
                                 mesh::regionSize,
-                                List.of()),
+                                List.of(limits.cost())),
                         quotas,
                         new RetryBudgets(settings.retries(), view::entries),
                         usage,
@@ -559,7 +560,7 @@
         memory.tellState(callers.refused());
         metrics.unusableEntries(directoryKeeper.unusable());
         metrics.resting(rests.count(loop.nowMillis()));
-        metrics.limited(limits.count(directory));
+        metrics.limited(limits.count(directory.all()));
         policies.policy()
                 .ifPresent(policy -> policy.services().forEach(spec -> tellUpstreams(spec.name())));
         metrics.state(
