Fleet: places of upstreams that name a limit are not there

The plan counted them as serving. They now count neither as places for a backlog nor against the need, while the limit lasts.

--- a/trailladder-core/src/main/java/io/trailladder/core/engine/FleetNeed.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/engine/FleetNeed.java
@@ -36,6 +36,16 @@
         return Math.min(comfortable, tight + Math.sqrt(tight));
     }
 
+    /**
+     * Returns the need while some upstreams serve nearly nothing.
+     *
+     * @param without how many of those that are listed
+     * @return so many more
+     */
+    public FleetNeed beside(int without) {
+        return without == 0 ? this : new FleetNeed(comfortable + without, tight + without);
+    }
+
     @Override
     public String toString() {
         return String.format(Locale.ROOT, "need %.2f, at least %.2f", comfortable, tight);
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/FleetRunner.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/FleetRunner.java
@@ -28,6 +28,7 @@
 import io.trailladder.core.policy.ServiceSpec;
 import io.trailladder.core.upstream.Upstream;
 import io.trailladder.core.upstream.UpstreamDirectory;
+import io.trailladder.core.upstream.UpstreamLimits;
 import io.trailladder.entry.loop.EventLoop;
 import io.trailladder.entry.port.DutyApi;
 import java.util.Collection;
@@ -64,6 +65,7 @@
     private final PolicyKeeper policies;
     private final UpstreamDirectory directory;
     private final LoadSource loads;
+    private final UpstreamLimits limits;
     private final EngineModel engines;
     private final Predicate<String> isMoving;
     private final BooleanSupplier mayLead;
@@ -111,6 +113,7 @@
      * @param policies the policy in force
      * @param directory the upstreams known
      * @param loads tells the load of a service
+     * @param limits tells which upstreams take few requests: their places are not there
      * @param engines tells how fast its upstreams are
      * @param metrics the process's figures
      * @param isMoving tells of a service whose traffic is being moved to another version: both
@@ -126,6 +129,7 @@
             PolicyKeeper policies,
             UpstreamDirectory directory,
             LoadSource loads,
+            UpstreamLimits limits,
             EngineModel engines,
             GatewayMetrics metrics,
             Predicate<String> isMoving,
@@ -137,6 +141,7 @@
         this.policies = policies;
         this.directory = directory;
         this.loads = loads;
+        this.limits = limits;
         this.engines = engines;
         this.isMoving = isMoving;
         this.mayLead = mayLead;
@@ -196,9 +201,15 @@
             return Optional.empty();
         }
         int slots = upstreams.stream().mapToInt(Upstream::slots).min().orElse(1);
-        int places = upstreams.stream().filter(w -> !w.draining()).mapToInt(Upstream::slots).sum();
+        List<Upstream> serving = upstreams.stream().filter(w -> !w.draining()).toList();
+        int places =
+                serving.stream()
+                        .filter(upstream -> !limits.isLimited(upstream))
+                        .mapToInt(Upstream::slots)
+                        .sum();
         ServiceLoad served = load.withBacklog(places, engine.runMillis());
-        return Optional.of(FleetSizer.need(served, engine, slots, objectiveMillis(service)));
+        FleetNeed need = FleetSizer.need(served, engine, slots, objectiveMillis(service));
+        return Optional.of(need.beside(limits.count(serving)));
     }
 
     /** The tightest objective of the routes that lead to a service, in milliseconds. */
