--- a/trailladder-cli/src/test/java/io/trailladder/cli/soak/SoakRun.java
+++ b/trailladder-cli/src/test/java/io/trailladder/cli/soak/SoakRun.java
@@ -47,6 +47,9 @@
     private static final long READY_MILLIS = 25_000;
     private static final long SETTLE_MILLIS = 4_500;
     private static final int LAST_CALLS = 30;
+    private static final double[] LIMITS = {0.2, 1, 4, 20};
+    private static final long SHORTEST_LIMIT_MILLIS = 2_500;
+    private static final long LONGEST_LIMIT_MILLIS = 8_000;
     private static final String CONFIG =
             """
             {"version": %d,
@@ -73,6 +76,8 @@
     private final Map<String, Integer> runs = SoakUpstream.newRuns();
     private final Observations record = new Observations();
     private final StatementCheck statements = new StatementCheck(record.violations);
+    private final LimitCheck limits = new LimitCheck(record.violations, statements);
+    private final SplittableRandom limitRandom;
     private final List<String> faults = new ArrayList<>();
     private final Path folder;
     private volatile boolean going = true;
@@ -100,6 +105,7 @@
     SoakRun(long seed, int processes) throws Exception {
         this.seed = seed;
         this.random = new SplittableRandom(seed);
+        this.limitRandom = new SplittableRandom(~seed);
         this.folder = Files.createTempDirectory(Path.of("target"), "soak-" + seed + "-");
         loop.start();
         platform = onLoop(loop, () -> new PlatformStandIn(loop));
@@ -128,6 +134,7 @@
         long end = System.nanoTime() + millis * 1_000_000;
         while (System.nanoTime() < end) {
             strike();
+            limitOne();
             pause(LEAST_STEP_MILLIS + random.nextLong(STEP_MILLIS));
         }
         calm();
@@ -213,6 +220,27 @@
         goOn();
     }
 
+    /**
+     * Has an upstream name a limit for a while, now and then. It draws from a source of its own, so
+     * that a seed has the same other faults with and without it.
+     */
+    private void limitOne() throws Exception {
+        if (limitRandom.nextInt(3) > 0) {
+            return;
+        }
+        SoakUpstream upstream = upstreams.get(limitRandom.nextInt(upstreams.size()));
+        double perSecond = LIMITS[limitRandom.nextInt(LIMITS.length)];
+        long forMillis = limitRandom.nextLong(SHORTEST_LIMIT_MILLIS, LONGEST_LIMIT_MILLIS);
+        note("limit " + perSecond + " of " + upstream.id());
+        onLoop(
+                loop,
+                () -> {
+                    upstream.limit(perSecond);
+                    loop.schedule(forMillis, () -> upstream.limit(0));
+                    return true;
+                });
+    }
+
     /** Wakes what is paused and starts what has ended, each with some chance. */
     private void goOn() throws Exception {
         for (SoakGateway gateway : gateways) {
@@ -237,6 +265,12 @@
                     return true;
                 });
         upstreams.forEach(upstream -> upstream.proxy().mode(Mode.PASS));
+        onLoop(
+                loop,
+                () -> {
+                    upstreams.forEach(upstream -> upstream.limit(0));
+                    return true;
+                });
         for (SoakGateway gateway : gateways) {
             gateway.store().mode(Mode.PASS);
             trouble(gateway);
@@ -350,7 +384,9 @@
     private void addUpstream() throws Exception {
         String id = "u" + upstreamsMade++;
         SoakUpstream upstream =
-                onLoop(loop, () -> new SoakUpstream(loop, id, random.split(), runs, statements));
+                onLoop(
+                        loop,
+                        () -> new SoakUpstream(loop, id, random.split(), runs, statements, limits));
         onLoop(
                 loop,
                 () -> {
--- a/trailladder-cli/src/test/java/io/trailladder/cli/soak/SoakUpstream.java
+++ b/trailladder-cli/src/test/java/io/trailladder/cli/soak/SoakUpstream.java
@@ -55,7 +55,9 @@
     private final HttpServer server;
     private final FaultProxy proxy;
     private final StatementCheck statements;
+    private final LimitCheck limits;
     private volatile boolean leaving;
+    private double limit;
 
     /**
      * Creates an upstream; it listens at once.
@@ -65,15 +67,18 @@
      * @param random draws its faults
      * @param runs counts, by attempt id, how often a request ran at any upstream
      * @param statements checks that gateways keep to what it says
+     * @param limits checks that they keep to a limit that it names
      */
     SoakUpstream(
             EventLoop loop,
             String id,
             SplittableRandom random,
             Map<String, Integer> runs,
-            StatementCheck statements)
+            StatementCheck statements,
+            LimitCheck limits)
             throws IOException {
         this.statements = statements;
+        this.limits = limits;
         this.loop = loop;
         this.id = id;
         this.random = random;
@@ -102,6 +107,16 @@
         leaving = true;
     }
 
+    /** Has all its answers name a limit in requests a second from now on; 0 for none. */
+    void limit(double perSecond) {
+        limit = perSecond;
+        if (perSecond > 0) {
+            limits.begins(id, perSecond, loop.nowMillis());
+        } else {
+            limits.ends(id);
+        }
+    }
+
     /** Returns its entry in the platform's store. */
     String entry(String state) {
         return String.format(
@@ -117,6 +132,7 @@
         }
         String attempt = exchange.headers().first("Attempt-Id").orElse("");
         statements.arrived(id, attempt, loop.nowMillis());
+        limits.arrived(id, attempt, loop.nowMillis());
         double drawn = random.nextDouble();
         if (drawn < REFUSED) {
             exchange.respond(503, refusal(attempt, drawn < RESTS), NO_BYTES);
@@ -139,7 +155,8 @@
     }
 
     private HeaderList refusal(String attempt, boolean rests) {
-        HeaderList headers = HeaderList.of("Not-Executed", "1").with("Attempt-Id", attempt);
+        HeaderList headers =
+                limited(HeaderList.of("Not-Executed", "1").with("Attempt-Id", attempt), attempt);
         if (!rests) {
             return headers;
         }
@@ -155,10 +172,18 @@
                                 new HeaderField("Attempt-Id", attempt),
                                 new HeaderField("Instance-Stamp", "stamp-" + id)));
         if (!leaving) {
-            return stamps;
+            return limited(stamps, attempt);
         }
         statements.saidItLeaves(id, attempt, loop.nowMillis());
-        return stamps.with("Server-Leaving", "1");
+        return limited(stamps.with("Server-Leaving", "1"), attempt);
+    }
+
+    private HeaderList limited(HeaderList headers, String attempt) {
+        if (limit == 0) {
+            return headers;
+        }
+        limits.named(id, attempt, loop.nowMillis());
+        return headers.with("Server-Limit", Double.toString(limit));
     }
 
     private static void plain(
--- a/trailladder-cli/src/test/java/io/trailladder/cli/soak/StatementCheck.java
+++ b/trailladder-cli/src/test/java/io/trailladder/cli/soak/StatementCheck.java
@@ -105,12 +105,17 @@
     }
 
     private boolean isCalmSince(Pair pair, long millis) {
-        return troubleMillis.getOrDefault(pair.gateway(), 0L) < millis
-                && troubleMillis.getOrDefault(pair.upstream(), 0L) < millis;
+        return isCalmSince(pair.gateway(), pair.upstream(), millis);
+    }
+
+    /** Tells whether neither a gateway nor an upstream was disturbed since some time. */
+    boolean isCalmSince(String gateway, String upstream, long millis) {
+        return troubleMillis.getOrDefault(gateway, 0L) < millis
+                && troubleMillis.getOrDefault(upstream, 0L) < millis;
     }
 
     /** Callers name their tries by the port of the gateway that they ask. */
-    private static String gatewayOf(String attempt) {
+    static String gatewayOf(String attempt) {
         return attempt.substring(0, Math.max(0, attempt.indexOf('-')));
     }
 }
