Connections that rest: each process keeps its part of what an upstream accepts

Found while looking for bounds over all processes that each keeps by itself: an upstream accepts so many connections from all of them and resets what comes beyond, but the policy's figure was read and used by nobody. Each process let up to 64 rest to each upstream, 21,760 from 340 processes where 480 to 910 are accepted. Now the accepted ones less the upstream's places are shared out evenly, one each at least. Working connections are bounded by the places.

--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/AttemptCalls.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/AttemptCalls.java
@@ -46,9 +46,11 @@
     private final RequestProtocol protocol;
     private final ServerExchange exchange;
     private final ServingRequest request;
+    private final ConnectionShares connections;
 
-    AttemptCalls(RequestProtocol protocol, ServerExchange exchange, ServingRequest request) {
-        this.protocol = protocol;
+    AttemptCalls(ServingContext context, ServerExchange exchange, ServingRequest request) {
+        this.protocol = context.protocol();
+        this.connections = context.connections();
         this.exchange = exchange;
         this.request = request;
     }
@@ -79,7 +81,8 @@
                 headers,
                 exchange.body(),
                 request.route().repeatable() ? KEPT_MILLIS : KEPT_UNREPEATABLE_MILLIS,
-                connectMillis(left));
+                connectMillis(left),
+                connections.mostResting(request.service(), upstream));
     }
 
     private static long connectMillis(long leftMillis) {
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
@@ -262,6 +262,7 @@
                         clock,
                         platform.protocol(),
                         connector,
+                        new ConnectionShares(policies, mesh::size),
                         directory,
                         availability,
                         rests,
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestDriver.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestDriver.java
@@ -81,7 +81,7 @@
         if (!lastEventId.isEmpty()) {
             history.eventPassed(lastEventId);
         }
-        this.calls = new AttemptCalls(context.protocol(), exchange, request);
+        this.calls = new AttemptCalls(context, exchange, request);
         this.answer =
                 new AnswerPassing(context.memory(), exchange, history, isStream(), this::firstByte);
         boolean resumable = isStream() && request.route().repeatable();
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ServingContext.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ServingContext.java
@@ -37,6 +37,7 @@
  * @param clock the time of day
  * @param protocol how requests are told in HTTP heads
  * @param connector calls upstreams
+ * @param connections how many connections to an upstream this process may let rest
  * @param directory the upstreams known
  * @param availability tells which of them take requests
  * @param rests those that asked for rest
@@ -62,6 +63,7 @@
         Clock clock,
         RequestProtocol protocol,
         HttpConnector connector,
+        ConnectionShares connections,
         UpstreamDirectory directory,
         UpstreamAvailability availability,
         UpstreamRests rests,
--- a/trailladder-entry/src/main/java/io/trailladder/entry/http/HttpConnector.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/http/HttpConnector.java
@@ -52,7 +52,6 @@
  */
 public final class HttpConnector {
     private static final int MAX_HEAD_BYTES = 64 * 1024;
-    private static final int MAX_RESTING = 64;
     private static final Attribute<ClientCall> CALL =
             Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("trailladder.client-call");
 
@@ -251,15 +250,16 @@
     }
 
     /** Keeps a connection, but only after all bytes that came with the answer were looked at. */
-    private void keep(HostPort target, Connection<?> connection, long keptMillis) {
+    private void keep(OutgoingCall request, Connection<?> connection, long keptMillis) {
         loop.execute(
                 () -> {
                     Deque<Resting> idle =
-                            resting.computeIfAbsent(target, address -> new ArrayDeque<>());
+                            resting.computeIfAbsent(
+                                    request.target(), address -> new ArrayDeque<>());
                     if (!connection.isOpen()) {
                         return;
                     }
-                    if (idle.size() >= MAX_RESTING) {
+                    while (idle.size() >= request.mostResting()) {
                         idle.removeFirst().connection().terminateSilently();
                     }
                     idle.addLast(new Resting(connection, loop.nowMillis(), keptMillis));
@@ -307,7 +307,7 @@
 
         private void finish(ClientCall call, Connection<?> connection) {
             if (call.canKeepConnection() && call.request().maxRestMillis() > 0) {
-                keep(call.request().target(), connection, call.keptMillis());
+                keep(call.request(), connection, call.keptMillis());
             } else if (call.isWritten()) {
                 connection.closeSilently();
             } else {
--- a/trailladder-entry/src/main/java/io/trailladder/entry/http/OutgoingCall.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/http/OutgoingCall.java
@@ -28,6 +28,7 @@
  * @param maxRestMillis longest rest of a kept connection that may be used, in milliseconds; 0 for a
  *     new connection
  * @param connectMillis longest time for a new connection, in milliseconds
+ * @param mostResting how many connections to the server may rest between calls
  * @since 0.2
  */
 public record OutgoingCall(
@@ -37,4 +38,30 @@
         HeaderList headers,
         byte[] body,
         long maxRestMillis,
-        long connectMillis) {}
+        long connectMillis,
+        int mostResting) {
+    /** Connections to a server that may rest, where it does not share them out. */
+    public static final int MOST_RESTING = 64;
+
+    /**
+     * Creates a call to a server that accepts as many connections as are opened.
+     *
+     * @param target the server
+     * @param method HTTP method
+     * @param uri path with query, sent as it is
+     * @param headers header fields with the host, without those that concern the connection
+     * @param body the body; empty for none
+     * @param maxRestMillis longest rest of a kept connection that may be used, in milliseconds
+     * @param connectMillis longest time for a new connection, in milliseconds
+     */
+    public OutgoingCall(
+            HostPort target,
+            String method,
+            String uri,
+            HeaderList headers,
+            byte[] body,
+            long maxRestMillis,
+            long connectMillis) {
+        this(target, method, uri, headers, body, maxRestMillis, connectMillis, MOST_RESTING);
+    }
+}
--- a/trailladder-entry/src/test/java/io/trailladder/entry/http/HttpConnectorTest.java
+++ b/trailladder-entry/src/test/java/io/trailladder/entry/http/HttpConnectorTest.java
@@ -26,6 +26,8 @@
 import java.net.Socket;
 import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -116,6 +118,40 @@
         return results.poll(PATIENCE_SECONDS, TimeUnit.SECONDS);
     }
 
+    private static void assertEnded(RawSocket server) throws IOException {
+        try (server) {
+            assertEquals("", server.readAll());
+        } catch (SocketException e) {
+            // a reset ends a connection as well
+        }
+    }
+
+    /** A server that accepts few connections from many is not kept from accepting others. */
+    @Example
+    void noMoreConnectionsRestThanMay() throws Exception {
+        HostPort target = new HostPort("127.0.0.1", listener.getLocalPort());
+        HeaderList headers = HeaderList.of("Host", target.toString());
+        List<RawSocket> servers = new ArrayList<>();
+        for (int i = 0; i < 6; i++) {
+            OutgoingCall call =
+                    new OutgoingCall(
+                            target, "GET", "/" + i, headers, new byte[0], REST_MILLIS, 5_000, 2);
+            loop.execute(() -> connector.send(call, new Recorder()));
+            servers.add(accept("/" + i));
+        }
+        for (RawSocket server : servers) {
+            server.send("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na");
+            assertEquals("200 a", result());
+        }
+        for (RawSocket beyond : servers.subList(0, 4)) {
+            assertEnded(beyond);
+        }
+        call("/kept");
+        assertTrue(servers.get(5).readUntil("\r\n\r\n").startsWith("GET /kept "));
+        servers.get(4).close();
+        servers.get(5).close();
+    }
+
     /** A request sent as the server closes may or may not have run. */
     @Example
     void connectionIsNotUsedAgainLongerThanItsServerKeepsIt() throws Exception {
