Limits told round in a circle grow no younger; uses are told by agreed time

Found by a new test in virtual time, 30 processes over hubs: the end of 100 limits was not known to 628 of 3,000 pairs after nine seconds. Ages did not count the way of a message, so what peers told each other in a circle seemed later each time than the answer that ended it, and the last use of a rare limit seemed later than it was. What a peer tells now counts as 100 ms older, and uses are told by the agreed time, the same to all; one yet to come is passed over.

--- a/trailladder-core/src/main/java/io/trailladder/core/upstream/LimitReport.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/upstream/LimitReport.java
@@ -23,7 +23,8 @@
  * @param limit the limit it names, or that it names none any more
  * @param sentMillis when the request was sent whose answer said so, in milliseconds
  * @param heardMillis when that answer came, in milliseconds
- * @param usedMillis when a request was last sent to it, as far as is known, in milliseconds
+ * @param usedMillis when a request was last sent to it, as far as is known, by the agreed time of
+ *     day, so that the same use is the same to all
  * @since 0.6
  */
 public record LimitReport(
@@ -34,6 +35,18 @@
         long heardMillis,
         long usedMillis) {
 
+    /**
+     * Returns the report as one that is older: what is told again and again, round in a circle,
+     * must not seem later than it is by the ways that it took.
+     *
+     * @param millis by how much
+     * @return a copy
+     */
+    LimitReport older(long millis) {
+        return new LimitReport(
+                upstream, bornMillis, limit, sentMillis - millis, heardMillis - millis, usedMillis);
+    }
+
     /**
      * Tells whether this is to be believed in place of something else of the same life. Answers
      * overtake one another, so one without a limit ends a limit only if its request was sent after
--- a/trailladder-core/src/main/java/io/trailladder/core/upstream/LimitTurns.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/upstream/LimitTurns.java
@@ -55,14 +55,15 @@
      *
      * @param upstream the upstream's name
      * @param perSecond the limit, in requests a second
+     * @param usedMillis when it was last used, by the agreed time of day
      * @param agreedMillis the agreed time of day
      */
-    LimitTurns(String upstream, double perSecond, long agreedMillis) {
+    LimitTurns(String upstream, double perSecond, long usedMillis, long agreedMillis) {
         this.upstream = upstream;
         this.offset = upstream.hashCode();
         pace(perSecond);
         this.passed = numberAt(agreedMillis);
-        this.usedMillis = agreedMillis;
+        this.usedMillis = Math.min(usedMillis, agreedMillis);
     }
 
     /** Changes the limit. Turns that were used stay so. */
--- a/trailladder-core/src/main/java/io/trailladder/core/upstream/UpstreamLimits.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/upstream/UpstreamLimits.java
@@ -48,7 +48,7 @@
     /** How long what is told of an upstream is kept though it is not listed yet. */
     private static final long UNLISTED_MILLIS = 10_000;
 
-    /** What the way of a message may add to the ages that it tells, in milliseconds. */
+    /** By how much more what a peer tells counts as older: the way of a message takes less. */
     private static final long WAY_MILLIS = 100;
 
     private final LongSupplier agreedMillis;
@@ -65,7 +65,11 @@
         Limit(LimitReport believed, long agreedMillis) {
             this.believed = believed;
             this.turns =
-                    new LimitTurns(believed.upstream(), believed.limit().perSecond(), agreedMillis);
+                    new LimitTurns(
+                            believed.upstream(),
+                            believed.limit().perSecond(),
+                            believed.usedMillis(),
+                            agreedMillis);
         }
     }
 
@@ -110,33 +114,20 @@
                         limit,
                         sentMillis,
                         nowMillis,
-                        sentMillis),
-                nowMillis);
+                        agreedMillis.getAsLong() - (nowMillis - sentMillis)));
     }
 
     /**
      * Takes over what a peer believes.
      *
      * @param told what it believes, by this process's clock
-     * @param nowMillis the time
      * @return true if the limit has changed, begun or ended by it
      */
-    public boolean told(LimitReport told, long nowMillis) {
-        LimitReport report = told;
-        if (!told.limit().isNamed()) {
-            report =
-                    new LimitReport(
-                            told.upstream(),
-                            told.bornMillis(),
-                            told.limit(),
-                            told.sentMillis() - WAY_MILLIS,
-                            told.heardMillis(),
-                            told.usedMillis());
-        }
-        return believe(report, nowMillis);
+    public boolean told(LimitReport told) {
+        return believe(told.older(WAY_MILLIS));
     }
 
-    private boolean believe(LimitReport report, long nowMillis) {
+    private boolean believe(LimitReport report) {
         Limit known = limits.get(report.upstream());
         boolean sameLife = known != null && known.believed.bornMillis() == report.bornMillis();
         if (known != null && !sameLife && report.bornMillis() < known.believed.bornMillis()) {
@@ -144,7 +135,7 @@
         }
         boolean changed = sameLife ? replace(known, report) : begin(report);
         Limit limit = limits.get(report.upstream());
-        boolean used = limit != null && used(limit, report, nowMillis);
+        boolean used = limit != null && used(limit, report);
         if (changed || used) {
             onNews.accept(report.upstream());
         }
@@ -178,10 +169,13 @@
         return changed;
     }
 
-    /** Uses matter to others only if there are less than one a second. */
-    private boolean used(Limit limit, LimitReport report, long nowMillis) {
-        long age = Math.max(0, nowMillis - report.usedMillis());
-        boolean news = limit.turns.used(agreedMillis.getAsLong() - age);
+    /**
+     * Uses matter to others only if there are less than one a second. One that is yet to come was
+     * told by a process whose clock is wrong.
+     */
+    private boolean used(Limit limit, LimitReport report) {
+        boolean hasBeen = report.usedMillis() <= agreedMillis.getAsLong() + WAY_MILLIS;
+        boolean news = hasBeen && limit.turns.used(report.usedMillis());
         return news && limit.turns.isSparse() && limit.believed.limit().isNamed();
     }
 
@@ -305,15 +299,13 @@
      * Returns what is believed of an upstream, to be told to peers.
      *
      * @param upstream the upstream's name
-     * @param nowMillis the time
      * @return the belief, also that a limit has ended a while ago; empty if there is none
      */
-    public Optional<LimitReport> report(String upstream, long nowMillis) {
+    public Optional<LimitReport> report(String upstream) {
         Limit limit = limits.get(upstream);
         if (limit == null) {
             return Optional.empty();
         }
-        long usedAgo = agreedMillis.getAsLong() - limit.turns.usedMillis();
         LimitReport believed = limit.believed;
         return Optional.of(
                 new LimitReport(
@@ -322,7 +314,7 @@
                         believed.limit(),
                         believed.sentMillis(),
                         believed.heardMillis(),
-                        nowMillis - Math.max(0, usedAgo)));
+                        limit.turns.usedMillis()));
     }
 
     /**
--- a/trailladder-core/src/test/java/io/trailladder/core/upstream/UpstreamLimitHistoriesTest.java
+++ b/trailladder-core/src/test/java/io/trailladder/core/upstream/UpstreamLimitHistoriesTest.java
@@ -97,9 +97,7 @@
 
         private void tell(int sender) {
             if (toldUntil[sender] > now) {
-                all.get(sender)
-                        .report(UPSTREAM.id(), now)
-                        .ifPresent(report -> tell(sender, report));
+                all.get(sender).report(UPSTREAM.id()).ifPresent(report -> tell(sender, report));
                 after(DIGEST_MILLIS, () -> tell(sender));
             }
         }
@@ -109,7 +107,7 @@
                 int receiver = i;
                 long way = random.nextLong(LONGEST_WAY_MILLIS);
                 if (i != sender && !cut[sender] && !cut[i]) {
-                    after(way, () -> all.get(receiver).told(report, now));
+                    after(way, () -> all.get(receiver).told(report));
                 }
             }
         }
@@ -186,8 +184,8 @@
                     ANSWER_MILLIS,
                     () -> {
                         all.get(peer)
-                                .report(UPSTREAM.id(), now)
-                                .ifPresent(report -> all.get(process).told(report, now));
+                                .report(UPSTREAM.id())
+                                .ifPresent(report -> all.get(process).told(report));
                         frozen[process] = false;
                     });
         }
--- a/trailladder-core/src/test/java/io/trailladder/core/upstream/UpstreamLimitsTest.java
+++ b/trailladder-core/src/test/java/io/trailladder/core/upstream/UpstreamLimitsTest.java
@@ -143,13 +143,46 @@
         for (List<LimitReport> order :
                 List.of(List.of(first, second, ended), List.of(second, first, ended, first))) {
             UpstreamLimits other = new UpstreamLimits(() -> now, any -> new TurnOrder(0, 1));
-            order.forEach(report -> other.told(report, now));
+            order.forEach(report -> other.told(report));
             assertFalse(other.isLimited(upstream));
-            assertEquals(
-                    Optional.of(ended.limit()), other.report("w", now).map(LimitReport::limit));
+            assertEquals(Optional.of(ended.limit()), other.report("w").map(LimitReport::limit));
         }
     }
 
+    /** Told round in a circle, it must not seem new each time: its end would not be believed. */
+    @Example
+    void whatIsToldAgainGrowsNoYounger() {
+        UpstreamLimits other = new UpstreamLimits(() -> now, any -> new TurnOrder(0, 1));
+        answered(0, LimitNotice.of(0.5), 10);
+        for (int i = 0; i < 50; i++) {
+            now += 90;
+            other.told(later(limits.report("w").orElseThrow()));
+            limits.told(later(other.report("w").orElseThrow()));
+        }
+        LimitReport known = limits.report("w").orElseThrow();
+        assertEquals(BEGIN_MILLIS, known.heardMillis());
+        assertEquals(BEGIN_MILLIS - 10, known.usedMillis());
+    }
+
+    /** Returns a report as it seems after a way that its ages do not tell of. */
+    private static LimitReport later(LimitReport report) {
+        return new LimitReport(
+                report.upstream(),
+                report.bornMillis(),
+                report.limit(),
+                report.sentMillis() + 90,
+                report.heardMillis() + 90,
+                report.usedMillis());
+    }
+
+    /** A process whose clock was wrong told of it. */
+    @Example
+    void useThatIsYetToComeIsPassedOver() {
+        answered(0, LimitNotice.of(0.5), 10);
+        limits.told(new LimitReport("w", 5, LimitNotice.of(0.5), now, now, now + 3_600_000));
+        assertTrue(limits.waitMillis(upstream) <= 3_000, limits.waitMillis(upstream) + " ms");
+    }
+
     @Example
     void goneUpstreamsAreForgotten() {
         UpstreamDirectory directory = new UpstreamDirectory();
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/LeavingNews.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/LeavingNews.java
@@ -49,9 +49,7 @@
         this.listed = listed;
         this.news =
                 new NewsInTurn(
-                        (upstream, nowMillis) -> listed.apply(upstream).isPresent(),
-                        MOST_TOLD,
-                        MOST_REPEATED);
+                        upstream -> listed.apply(upstream).isPresent(), MOST_TOLD, MOST_REPEATED);
     }
 
     /** Records that an upstream has begun to leave. */
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/LimitPart.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/LimitPart.java
@@ -29,7 +29,8 @@
  * is. Without limits nothing is told.
  */
 final class LimitPart implements DigestPart {
-    private static final int MOST_TOLD = 128;
+    /** Most that one digest tells: so many fit with names of up to 16 bytes. */
+    static final int MOST_TOLD = 80;
 
     /** Of the older ones, for processes that came later or were cut off. */
     private static final int MOST_REPEATED = 2;
@@ -48,9 +49,7 @@
         this.limits = limits;
         this.news =
                 new NewsInTurn(
-                        (upstream, nowMillis) -> limits.report(upstream, nowMillis).isPresent(),
-                        MOST_TOLD,
-                        MOST_REPEATED);
+                        upstream -> limits.report(upstream).isPresent(), MOST_TOLD, MOST_REPEATED);
     }
 
     /** Records that something was learned of an upstream. */
@@ -82,7 +81,7 @@
     private Optional<DigestSection> section(long nowMillis) {
         List<LimitReport> reports =
                 news.next(nowMillis).stream()
-                        .flatMap(upstream -> limits.report(upstream, nowMillis).stream())
+                        .flatMap(upstream -> limits.report(upstream).stream())
                         .toList();
         if (reports.isEmpty()) {
             return Optional.empty();
@@ -95,7 +94,7 @@
     public void told(String peer, DigestSection section, long nowMillis) throws IOException {
         List<LimitReport> reports =
                 LimitReports.read(section.body(), nowMillis - section.ageMillis());
-        reports.forEach(report -> limits.told(report, nowMillis));
+        reports.forEach(limits::told);
     }
 
     @Override
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/LimitReports.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/LimitReports.java
@@ -25,15 +25,15 @@
 import java.util.List;
 
 /**
- * The form in which peers tell each other of upstreams' limits. Times are written as ages, since
- * each process has a clock of its own.
+ * The form in which peers tell each other of upstreams' limits. Times of answers are written as
+ * ages, since each process has a clock of its own; that of a use is agreed.
  */
 final class LimitReports {
     /** Stands for a limit that is not named any more. */
     private static final double ENDED = -1;
 
     private static final int NUMBERS_BYTES =
-            Short.BYTES + Long.BYTES + Double.BYTES + 3 * Integer.BYTES;
+            Short.BYTES + 2 * Long.BYTES + Double.BYTES + 2 * Integer.BYTES;
 
     private LimitReports() {}
 
@@ -50,7 +50,7 @@
             bytes.putDouble(report.limit().isNamed() ? report.limit().perSecond() : ENDED);
             bytes.putInt(age(report.sentMillis(), nowMillis));
             bytes.putInt(age(report.heardMillis(), nowMillis));
-            bytes.putInt(age(report.usedMillis(), nowMillis));
+            bytes.putLong(report.usedMillis());
         }
         byte[] written = new byte[bytes.position()];
         bytes.flip().get(written);
@@ -91,7 +91,7 @@
                 limit(bytes.getDouble()),
                 nowMillis - age(bytes.getInt()),
                 nowMillis - age(bytes.getInt()),
-                nowMillis - age(bytes.getInt()));
+                bytes.getLong());
     }
 
     private static int length(ByteBuffer bytes) throws IOException {
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/NewsInTurn.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/NewsInTurn.java
@@ -19,6 +19,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Predicate;
 
 /**
  * Chooses what a digest tells of many things: those that are news, in turn if they are many, so
@@ -28,34 +29,21 @@
     /** How long news is told first, in milliseconds: in five digests, in case some are lost. */
     static final long NEWS_MILLIS = 5 * ClusterView.DIGEST_MILLIS;
 
-    private final Known known;
+    private final Predicate<String> known;
     private final int mostTold;
     private final int mostRepeated;
     private final Map<String, Long> begunMillis = new LinkedHashMap<>();
     private int freshTurn;
     private int olderTurn;
 
-    /** Tells whether something is still to be told. */
-    @FunctionalInterface
-    interface Known {
-        /**
-         * Answers for one name.
-         *
-         * @param name what it is about
-         * @param nowMillis the time
-         * @return false if it need not be told any more
-         */
-        boolean isKnown(String name, long nowMillis);
-    }
-
     /**
      * Creates news of nothing.
      *
-     * @param known tells what is still to be told
+     * @param known tells whether what a name stands for is still to be told
      * @param mostTold most that one digest tells
      * @param mostRepeated most of the older ones that one digest tells
      */
-    NewsInTurn(Known known, int mostTold, int mostRepeated) {
+    NewsInTurn(Predicate<String> known, int mostTold, int mostRepeated) {
         this.known = known;
         this.mostTold = mostTold;
         this.mostRepeated = mostRepeated;
@@ -76,7 +64,7 @@
         if (begunMillis.isEmpty()) {
             return List.of();
         }
-        begunMillis.keySet().removeIf(name -> !known.isKnown(name, nowMillis));
+        begunMillis.keySet().removeIf(name -> !known.test(name));
         List<String> fresh = new ArrayList<>();
         List<String> older = new ArrayList<>();
         begunMillis.forEach(
--- a/trailladder-entry/src/test/java/io/trailladder/entry/gateway/LimitReportsTest.java
+++ b/trailladder-entry/src/test/java/io/trailladder/entry/gateway/LimitReportsTest.java
@@ -50,7 +50,7 @@
         byte[] written = LimitReports.write(SOME.subList(0, 1), MOST_BYTES, NOW_MILLIS);
         assertEquals(
                 "[0, 3, 119, 45, 49, 0, 0, 0, 0, 0, 0, 0, 5, 63, -87, -103, -103, -103, -103, -103,"
-                        + " -102, 0, 1, -122, -96, 0, 1, -122, -106, 0, 0, 3, -24]",
+                        + " -102, 0, 1, -122, -96, 0, 1, -122, -106, 0, 0, 0, 0, 0, 15, 62, 88]",
                 Arrays.toString(written));
     }
 
@@ -69,7 +69,7 @@
         byte[] written = LimitReports.write(SOME, MOST_BYTES, NOW_MILLIS);
         for (int length = 1; length < written.length; length++) {
             byte[] cut = Arrays.copyOf(written, length);
-            boolean whole = length == 33 || length == 66;
+            boolean whole = length == 37 || length == 74;
             if (!whole) {
                 assertThrows(IOException.class, () -> LimitReports.read(cut, NOW_MILLIS));
             }
--- a/trailladder-entry/src/test/java/io/trailladder/entry/gateway/SimulatedProcess.java
+++ b/trailladder-entry/src/test/java/io/trailladder/entry/gateway/SimulatedProcess.java
@@ -25,7 +25,10 @@
 import io.trailladder.core.policy.ServingPolicy;
 import io.trailladder.core.topology.Topology;
 import io.trailladder.core.upstream.DemandMeter;
+import io.trailladder.core.upstream.TurnOrder;
+import io.trailladder.core.upstream.Upstream;
 import io.trailladder.core.upstream.UpstreamDirectory;
+import io.trailladder.core.upstream.UpstreamLimits;
 import io.trailladder.core.upstream.UpstreamLoads;
 import io.trailladder.entry.mesh.Mesh;
 import io.trailladder.entry.mesh.PeerMesh;
@@ -70,6 +73,7 @@
     private UsageLedger usage;
     private ClusterView view;
     private CrashWatch crashes;
+    private UpstreamLimits limits;
     private StoreHealth health;
     private boolean fed;
     private NodeHello hello;
@@ -124,6 +128,14 @@
                         metrics,
                         !firstStart);
         crashes = new CrashWatch(cluster::now, metrics);
+        limits = new UpstreamLimits(cluster::now, this::turns);
+        LimitPart limitPart = new LimitPart(limits);
+        limits.onNews(
+                upstream -> {
+                    limitPart.learned(upstream, cluster.now());
+                    tellsSoon = true;
+                });
+        view.add(limitPart);
         view.add(new CrashPart(crashes, member.name().hashCode() * 31L + life));
         crashes.onOwnNews(view::tellSoon);
         quotas.onMuchUsed(() -> tellsSoon = true);
@@ -170,6 +182,15 @@
         return loads;
     }
 
+    UpstreamLimits limits() {
+        return limits;
+    }
+
+    private TurnOrder turns(Upstream upstream) {
+        List<String> names = cluster.names();
+        return new TurnOrder(names.indexOf(member.name()), names.size());
+    }
+
     CrashWatch crashes() {
         return crashes;
     }
