News in turn: what does not fit into one digest stays news until it was told

Of 1,000 limits that as many processes of 336 learned at once, some were not known to all after 20 s: news was told first for a second only, whether it had fitted into a digest by then or not. Limits now stay news until five digests told them; older ones are told four a second instead of two a digest. Leavers are told as before.

--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/LeavingNews.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/LeavingNews.java
@@ -16,6 +16,7 @@
 package io.trailladder.entry.gateway;
 
 import io.trailladder.core.upstream.LeavingUpstream;
+import io.trailladder.entry.gateway.NewsInTurn.Pace;
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Function;
@@ -49,7 +50,8 @@
         this.listed = listed;
         this.news =
                 new NewsInTurn(
-                        upstream -> listed.apply(upstream).isPresent(), MOST_TOLD, MOST_REPEATED);
+                        upstream -> listed.apply(upstream).isPresent(),
+                        new Pace(MOST_TOLD, 0, MOST_REPEATED, 0));
     }
 
     /** Records that an upstream has begun to leave. */
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/LimitPart.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/LimitPart.java
@@ -17,6 +17,7 @@
 
 import io.trailladder.core.upstream.LimitReport;
 import io.trailladder.core.upstream.UpstreamLimits;
+import io.trailladder.entry.gateway.NewsInTurn.Pace;
 import io.trailladder.wire.NodeMessage.DigestScope;
 import io.trailladder.wire.NodeMessage.DigestSection;
 import java.io.IOException;
@@ -32,8 +33,13 @@
     /** Most that one digest tells: so many fit with names of up to 16 bytes. */
     static final int MOST_TOLD = 80;
 
+    private static final int LEAST_TIMES = 5;
+
     /** Of the older ones, for processes that came later or were cut off. */
-    private static final int MOST_REPEATED = 2;
+    private static final int MOST_REPEATED = 4;
+
+    /** How often older ones are told, in milliseconds: most processes were told when it was new. */
+    private static final long REPEAT_MILLIS = 1_000;
 
     private final UpstreamLimits limits;
     private final NewsInTurn news;
@@ -49,7 +55,8 @@
         this.limits = limits;
         this.news =
                 new NewsInTurn(
-                        upstream -> limits.report(upstream).isPresent(), MOST_TOLD, MOST_REPEATED);
+                        upstream -> limits.report(upstream).isPresent(),
+                        new Pace(MOST_TOLD, LEAST_TIMES, MOST_REPEATED, REPEAT_MILLIS));
     }
 
     /** Records that something was learned of an upstream. */
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/NewsInTurn.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/NewsInTurn.java
@@ -30,50 +30,77 @@
     static final long NEWS_MILLIS = 5 * ClusterView.DIGEST_MILLIS;
 
     private final Predicate<String> known;
-    private final int mostTold;
-    private final int mostRepeated;
-    private final Map<String, Long> begunMillis = new LinkedHashMap<>();
+    private final Pace pace;
+    private final Map<String, News> all = new LinkedHashMap<>();
     private int freshTurn;
     private int olderTurn;
+    private long repeatedMillis = Long.MIN_VALUE / 2;
 
     /**
-     * Creates news of nothing.
+     * How much is told.
      *
-     * @param known tells whether what a name stands for is still to be told
      * @param mostTold most that one digest tells
+     * @param leastTimes in how many digests news is told at least, if not all fits into each
      * @param mostRepeated most of the older ones that one digest tells
+     * @param repeatMillis least time between two digests that tell older ones, in milliseconds
      */
-    NewsInTurn(Predicate<String> known, int mostTold, int mostRepeated) {
+    record Pace(int mostTold, int leastTimes, int mostRepeated, long repeatMillis) {}
+
+    /** One thing that is told, and in how many digests it was since it was news. */
+    private static final class News {
+        private final long begunMillis;
+        private int told;
+
+        News(long begunMillis) {
+            this.begunMillis = begunMillis;
+        }
+
+        boolean isFresh(int leastTimes, long nowMillis) {
+            return nowMillis - begunMillis < NEWS_MILLIS || told < leastTimes;
+        }
+    }
+
+    /**
+     * Creates news of nothing.
+     *
+     * @param known tells whether what a name stands for is still to be told
+     * @param pace how much is told
+     */
+    NewsInTurn(Predicate<String> known, Pace pace) {
         this.known = known;
-        this.mostTold = mostTold;
-        this.mostRepeated = mostRepeated;
+        this.pace = pace;
     }
 
     /** Records that something is news now. */
     void began(String name, long nowMillis) {
-        begunMillis.put(name, nowMillis);
+        all.put(name, new News(nowMillis));
     }
 
     /** Records that all is news now, to somebody who came later. */
     void beginAgain(long nowMillis) {
-        begunMillis.replaceAll((name, begun) -> nowMillis);
+        all.replaceAll((name, news) -> new News(nowMillis));
     }
 
     /** Returns the names that the next digests tell of. */
     List<String> next(long nowMillis) {
-        if (begunMillis.isEmpty()) {
+        if (all.isEmpty()) {
             return List.of();
         }
-        begunMillis.keySet().removeIf(name -> !known.test(name));
+        all.keySet().removeIf(name -> !known.test(name));
         List<String> fresh = new ArrayList<>();
         List<String> older = new ArrayList<>();
-        begunMillis.forEach(
-                (name, begun) -> (nowMillis - begun < NEWS_MILLIS ? fresh : older).add(name));
-        List<String> told = new ArrayList<>(inTurn(fresh, freshTurn, mostTold));
-        int repeated = Math.min(mostRepeated, mostTold - told.size());
+        all.forEach(
+                (name, news) ->
+                        (news.isFresh(pace.leastTimes(), nowMillis) ? fresh : older).add(name));
+        List<String> told = new ArrayList<>(inTurn(fresh, freshTurn, pace.mostTold()));
         freshTurn += told.size();
-        told.addAll(inTurn(older, olderTurn, repeated));
-        olderTurn += repeated;
+        told.forEach(name -> all.get(name).told++);
+        if (nowMillis - repeatedMillis >= pace.repeatMillis()) {
+            repeatedMillis = nowMillis;
+            int repeated = Math.min(pace.mostRepeated(), pace.mostTold() - told.size());
+            told.addAll(inTurn(older, olderTurn, repeated));
+            olderTurn += repeated;
+        }
         return told;
     }
 
