Limits: one upstream's limit in a class of its own; a turn given back undoes its own use only

A turn of a rare limit that was given back also undid the use that another process had told meanwhile; UpstreamLimitsTest.turnOfARareLimit*.

--- a/trailladder-core/src/main/java/io/trailladder/core/upstream/LimitReport.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/upstream/LimitReport.java
@@ -47,6 +47,11 @@
                 upstream, bornMillis, limit, sentMillis - millis, heardMillis - millis, usedMillis);
     }
 
+    /** Returns the report with another time of the last use. */
+    LimitReport usedAt(long millis) {
+        return new LimitReport(upstream, bornMillis, limit, sentMillis, heardMillis, millis);
+    }
+
     /**
      * Tells whether this is to be believed in place of something else of the same life. Answers
      * overtake one another, so one without a limit ends a limit only if its request was sent after
--- a/trailladder-core/src/main/java/io/trailladder/core/upstream/LimitTurns.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/upstream/LimitTurns.java
@@ -144,7 +144,8 @@
         if (waitMillis(order, agreedMillis) > 0) {
             return Optional.empty();
         }
-        LimitTurn turn = new LimitTurn(upstream, next(order, agreedMillis), usedMillis);
+        LimitTurn turn =
+                new LimitTurn(upstream, next(order, agreedMillis), agreedMillis, usedMillis);
         passed = turn.number();
         used(agreedMillis);
         return Optional.of(turn);
@@ -154,6 +155,8 @@
     void giveBack(LimitTurn turn) {
         if (turn.number() == passed) {
             passed--;
+        }
+        if (turn.takenMillis() == usedMillis) {
             usedMillis = turn.usedBeforeMillis();
         }
     }
--- a/trailladder-core/src/main/java/io/trailladder/core/upstream/UpstreamLimits.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/upstream/UpstreamLimits.java
@@ -42,37 +42,15 @@
 public final class UpstreamLimits {
     private static final int MOST_LIMITED = 10_000;
 
-    /** How long the end of a limit is kept, for peers that were cut off, in milliseconds. */
-    private static final long ENDED_MILLIS = 60_000;
-
-    /** How long what is told of an upstream is kept though it is not listed yet. */
-    private static final long UNLISTED_MILLIS = 10_000;
-
     /** By how much more what a peer tells counts as older: the way of a message takes less. */
     private static final long WAY_MILLIS = 100;
 
     private final LongSupplier agreedMillis;
     private final Function<Upstream, TurnOrder> order;
-    private final Map<String, Limit> limits = new RecentMap<>(MOST_LIMITED);
+    private final Map<String, UpstreamLimit> limits = new RecentMap<>(MOST_LIMITED);
     private Consumer<String> onNews = upstream -> {};
     private int named;
 
-    /** What is believed of one upstream, and its turns. */
-    private static final class Limit {
-        private LimitReport believed;
-        private final LimitTurns turns;
-
-        Limit(LimitReport believed, long agreedMillis) {
-            this.believed = believed;
-            this.turns =
-                    new LimitTurns(
-                            believed.upstream(),
-                            believed.limit().perSecond(),
-                            believed.usedMillis(),
-                            agreedMillis);
-        }
-    }
-
     /**
      * Creates limits of no upstreams.
      *
@@ -128,59 +106,36 @@
     }
 
     private boolean believe(LimitReport report) {
-        Limit known = limits.get(report.upstream());
-        boolean sameLife = known != null && known.believed.bornMillis() == report.bornMillis();
-        if (known != null && !sameLife && report.bornMillis() < known.believed.bornMillis()) {
+        long agreed = agreedMillis.getAsLong();
+        UpstreamLimit known = limits.get(report.upstream());
+        if (known != null && report.bornMillis() < known.bornMillis()) {
             return false;
         }
-        boolean changed = sameLife ? replace(known, report) : begin(report);
-        Limit limit = limits.get(report.upstream());
-        boolean used = limit != null && used(limit, report);
+        boolean sameLife = known != null && known.bornMillis() == report.bornMillis();
+        boolean changed = sameLife ? known.replace(report, agreed) : begin(report, agreed);
+        if (changed) {
+            count();
+        }
+        UpstreamLimit limit = limits.get(report.upstream());
+        boolean used = limit != null && limit.used(report, agreed);
         if (changed || used) {
             onNews.accept(report.upstream());
         }
         return changed;
     }
 
-    private boolean begin(LimitReport report) {
-        if (!report.limit().isNamed()) {
-            limits.remove(report.upstream());
-        } else {
-            limits.put(report.upstream(), new Limit(report, agreedMillis.getAsLong()));
+    private boolean begin(LimitReport report, long agreed) {
+        if (report.limit().isNamed()) {
+            limits.put(report.upstream(), new UpstreamLimit(report, agreed));
+            return true;
         }
+        limits.remove(report.upstream());
         count();
-        return report.limit().isNamed();
-    }
-
-    private boolean replace(Limit known, LimitReport report) {
-        if (!report.replaces(known.believed)) {
-            return false;
-        }
-        if (report.limit().isNamed() && !isNamed(known)) {
-            return begin(report);
-        }
-        boolean changed = !report.limit().equals(known.believed.limit());
-        known.believed = report;
-        if (changed && report.limit().isNamed()) {
-            known.turns.perSecond(report.limit().perSecond());
-        } else if (changed) {
-            count();
-        }
-        return changed;
-    }
-
-    /**
-     * Uses matter to others only if there are less than one a second. One that is yet to come was
-     * told by a process whose clock is wrong.
-     */
-    private boolean used(Limit limit, LimitReport report) {
-        boolean hasBeen = report.usedMillis() <= agreedMillis.getAsLong() + WAY_MILLIS;
-        boolean news = hasBeen && limit.turns.used(report.usedMillis());
-        return news && limit.turns.isSparse() && limit.believed.limit().isNamed();
+        return false;
     }
 
     private void count() {
-        named = (int) limits.values().stream().filter(UpstreamLimits::isNamed).count();
+        named = (int) limits.values().stream().filter(UpstreamLimit::isNamed).count();
     }
 
     /**
@@ -228,10 +183,10 @@
      * @return milliseconds; 0 if it may now, {@link Long#MAX_VALUE} if it has no part in the limit
      */
     public long waitMillis(Upstream upstream) {
-        Limit limit = of(upstream);
+        UpstreamLimit limit = of(upstream);
         return limit == null
                 ? 0
-                : limit.turns.waitMillis(order.apply(upstream), agreedMillis.getAsLong());
+                : limit.turns().waitMillis(order.apply(upstream), agreedMillis.getAsLong());
     }
 
     /**
@@ -241,8 +196,8 @@
      * @return milliseconds between two requests; 0 if it names no limit
      */
     public double ownEveryMillis(Upstream upstream) {
-        Limit limit = of(upstream);
-        return limit == null ? 0 : limit.turns.ownEveryMillis(order.apply(upstream));
+        UpstreamLimit limit = of(upstream);
+        return limit == null ? 0 : limit.turns().ownEveryMillis(order.apply(upstream));
     }
 
     /**
@@ -252,10 +207,10 @@
      * @return from 1, when it begins, to 0; 0 if the upstream names no limit
      */
     public double keptPart(Upstream upstream) {
-        Limit limit = of(upstream);
+        UpstreamLimit limit = of(upstream);
         return limit == null
                 ? 0
-                : limit.turns.keptPart(order.apply(upstream), agreedMillis.getAsLong());
+                : limit.turns().keptPart(order.apply(upstream), agreedMillis.getAsLong());
     }
 
     /**
@@ -265,10 +220,10 @@
      * @return the turn; empty if there is none now, or none is needed
      */
     public Optional<LimitTurn> take(Upstream upstream) {
-        Limit limit = of(upstream);
+        UpstreamLimit limit = of(upstream);
         return limit == null
                 ? Optional.empty()
-                : limit.turns.take(order.apply(upstream), agreedMillis.getAsLong());
+                : limit.turns().take(order.apply(upstream), agreedMillis.getAsLong());
     }
 
     /**
@@ -277,9 +232,9 @@
      * @param turn the turn
      */
     public void giveBack(LimitTurn turn) {
-        Limit limit = limits.get(turn.upstream());
+        UpstreamLimit limit = limits.get(turn.upstream());
         if (limit != null) {
-            limit.turns.giveBack(turn);
+            limit.turns().giveBack(turn);
         }
     }
 
@@ -289,8 +244,8 @@
      * @param turn the turn
      */
     public void sent(LimitTurn turn) {
-        Limit limit = limits.get(turn.upstream());
-        if (limit != null && limit.turns.isSparse()) {
+        UpstreamLimit limit = limits.get(turn.upstream());
+        if (limit != null && limit.turns().isSparse()) {
             onNews.accept(turn.upstream());
         }
     }
@@ -302,19 +257,7 @@
      * @return the belief, also that a limit has ended a while ago; empty if there is none
      */
     public Optional<LimitReport> report(String upstream) {
-        Limit limit = limits.get(upstream);
-        if (limit == null) {
-            return Optional.empty();
-        }
-        LimitReport believed = limit.believed;
-        return Optional.of(
-                new LimitReport(
-                        believed.upstream(),
-                        believed.bornMillis(),
-                        believed.limit(),
-                        believed.sentMillis(),
-                        believed.heardMillis(),
-                        limit.turns.usedMillis()));
+        return Optional.ofNullable(limits.get(upstream)).map(UpstreamLimit::report);
     }
 
     /**
@@ -324,28 +267,14 @@
      * @param nowMillis the time
      */
     public void forgetGone(UpstreamDirectory directory, long nowMillis) {
-        limits.values().removeIf(limit -> isOver(limit.believed, directory, nowMillis));
+        limits.values().removeIf(limit -> limit.isOver(directory, nowMillis));
         count();
     }
 
-    private static boolean isOver(
-            LimitReport believed, UpstreamDirectory directory, long nowMillis) {
-        long age = nowMillis - believed.heardMillis();
-        Optional<Upstream> listed = directory.find(believed.upstream());
-        boolean lives = listed.isPresent() && listed.get().bornMillis() <= believed.bornMillis();
-        return believed.limit().isNamed() ? !lives && age > UNLISTED_MILLIS : age > ENDED_MILLIS;
-    }
-
-    private static boolean isNamed(Limit limit) {
-        return limit.believed.limit().isNamed();
-    }
-
-    private Limit of(Upstream upstream) {
-        Limit limit = named == 0 ? null : limits.get(upstream.id());
+    private UpstreamLimit of(Upstream upstream) {
+        UpstreamLimit limit = named == 0 ? null : limits.get(upstream.id());
         boolean holds =
-                limit != null
-                        && isNamed(limit)
-                        && limit.believed.bornMillis() == upstream.bornMillis();
+                limit != null && limit.isNamed() && limit.bornMillis() == upstream.bornMillis();
         return holds ? limit : null;
     }
 }
--- a/trailladder-core/src/test/java/io/trailladder/core/upstream/UpstreamLimitsTest.java
+++ b/trailladder-core/src/test/java/io/trailladder/core/upstream/UpstreamLimitsTest.java
@@ -100,6 +100,21 @@
         assertTrue(limits.take(upstream).isPresent());
     }
 
+    @Example
+    void turnOfARareLimitThatIsGivenBackLeavesItUnused() {
+        answered(0, LimitNotice.of(0.5), 10);
+        now += 2_000;
+        LimitTurn turn = limits.take(upstream).orElseThrow();
+        assertTrue(limits.waitMillis(upstream) > 1_000, "used");
+        limits.giveBack(turn);
+        assertEquals(0, limits.waitMillis(upstream));
+        LimitTurn again = limits.take(upstream).orElseThrow();
+        now += 10;
+        limits.told(new LimitReport("w", 5, LimitNotice.of(0.5), now, now, now));
+        limits.giveBack(again);
+        assertTrue(limits.waitMillis(upstream) > 1_000, "another process has used it");
+    }
+
     @Example
     void saidWaitIsOver() {
         for (double perSecond : new double[] {0, 0.2, 1, 3, 7, 500}) {
