Limits: turns at services that are all limited are held for more urgent requests

Whoever came first took a turn, so that of six urgent and forty other requests a second before two upstreams of four a second each 0.19 of the urgent and 0.17 of the others were served. A turn is now held for the more urgent for as large a part of its time as these need of all turns, 0.8 at most; the others are told when it opens. Nothing is held while an upstream names no limit.

--- a/trailladder-core/src/main/java/io/trailladder/core/upstream/LimitTurns.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/upstream/LimitTurns.java
@@ -110,15 +110,17 @@
      * Returns how long it is until this process may send a request.
      *
      * @param order which turns are its own
+     * @param heldPart part of the time of each turn for which it is held for more urgent requests
      * @param agreedMillis the agreed time of day
      * @return milliseconds, 0 if it may now
      */
-    long waitMillis(TurnOrder order, long agreedMillis) {
+    long waitMillis(TurnOrder order, double heldPart, long agreedMillis) {
         long turn = next(order, agreedMillis);
         if (turn == Long.MAX_VALUE) {
             return Long.MAX_VALUE;
         }
-        double begins = Math.max(freeMillis(agreedMillis), turn * turnMillis);
+        double opens = turn * turnMillis + heldPart * keptMillis();
+        double begins = Math.max(freeMillis(agreedMillis), opens);
         return (long) Math.ceil(begins - agreedMillis);
     }
 
@@ -141,7 +143,7 @@
 
     /** Takes the oldest turn that this process may use; empty if there is none now. */
     Optional<LimitTurn> take(TurnOrder order, long agreedMillis) {
-        if (waitMillis(order, agreedMillis) > 0) {
+        if (waitMillis(order, 0, agreedMillis) > 0) {
             return Optional.empty();
         }
         LimitTurn turn =
--- a/trailladder-core/src/main/java/io/trailladder/core/upstream/UpstreamAvailability.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/upstream/UpstreamAvailability.java
@@ -28,9 +28,13 @@
  * @since 0.5
  */
 public final class UpstreamAvailability {
+    /** Longest part of its time for which a turn is held: the rest is left to find a taker. */
+    static final double MOST_HELD = 0.8;
+
     private final UpstreamDirectory directory;
     private final UpstreamRests rests;
     private final UpstreamLimits limits;
+    private final UrgencyMeter urgency = new UrgencyMeter();
 
     /** Whether an upstream takes requests. */
     public enum State {
@@ -118,24 +122,56 @@
         return directory.serving(service);
     }
 
+    /**
+     * Records that a request has come. Only while there are limits its rank matters.
+     *
+     * @param service its service
+     * @param priority its rank; 0 is the most urgent
+     * @param nowMillis the time
+     */
+    public void asked(String service, int priority, long nowMillis) {
+        if (!limits.isEmpty()) {
+            urgency.asked(service, priority, nowMillis);
+        }
+    }
+
+    /**
+     * Tells for which part of its time a turn is held for more urgent requests: the more of the
+     * turns these need, the longer. What they leave is taken before it lapses.
+     *
+     * @param service a service
+     * @param priority the rank of the request that would take it
+     * @param nowMillis the time
+     * @return from 0 to {@link #MOST_HELD}; 0 while some upstream of the service names no limit
+     */
+    public double heldPart(String service, int priority, long nowMillis) {
+        if (limits.isEmpty()) {
+            return 0;
+        }
+        double needed = urgency.moreUrgentPerMilli(service, priority, nowMillis);
+        return Math.min(MOST_HELD, needed * ownEveryMillis(service));
+    }
+
     /**
      * Leaves out those that rest, or name a limit whose turn is not this process's.
      *
      * @param upstreams some upstreams
+     * @param heldPart part of their time for which turns are held for more urgent requests
      * @param nowMillis the time
      * @return the others
      */
-    public List<Upstream> takingNow(List<Upstream> upstreams, long nowMillis) {
+    public List<Upstream> takingNow(List<Upstream> upstreams, double heldPart, long nowMillis) {
         if (rests.isEmpty() && limits.isEmpty()) {
             return upstreams;
         }
         return upstreams.stream()
-                .filter(upstream -> withheldMillis(upstream, nowMillis) == 0)
+                .filter(upstream -> withheldMillis(upstream, heldPart, nowMillis) == 0)
                 .toList();
     }
 
-    private long withheldMillis(Upstream upstream, long nowMillis) {
-        return Math.max(rests.leftMillis(upstream, nowMillis), limits.waitMillis(upstream));
+    private long withheldMillis(Upstream upstream, double heldPart, long nowMillis) {
+        long rest = rests.leftMillis(upstream, nowMillis);
+        return Math.max(rest, limits.waitMillis(upstream, heldPart));
     }
 
     /**
@@ -158,7 +194,7 @@
      * @return false if all leave, rest or are limited
      */
     public boolean isAnyTaking(String service, long nowMillis) {
-        return !takingNow(directory.serving(service), nowMillis).isEmpty();
+        return !takingNow(directory.serving(service), 0, nowMillis).isEmpty();
     }
 
     /**
@@ -166,15 +202,17 @@
      * limited.
      *
      * @param service the service
+     * @param priority the rank of the request; 0 is the most urgent
      * @param nowMillis the time
      * @return milliseconds until the first takes one; 0 if one does now, or none stays
      */
-    public long noneTakesMillis(String service, long nowMillis) {
+    public long noneTakesMillis(String service, int priority, long nowMillis) {
         if (rests.isEmpty() && limits.isEmpty()) {
             return 0;
         }
+        double heldPart = heldPart(service, priority, nowMillis);
         return directory.serving(service).stream()
-                .mapToLong(upstream -> withheldMillis(upstream, nowMillis))
+                .mapToLong(upstream -> withheldMillis(upstream, heldPart, nowMillis))
                 .filter(millis -> millis < Long.MAX_VALUE)
                 .min()
                 .orElse(0);
--- a/trailladder-core/src/main/java/io/trailladder/core/upstream/UpstreamLimits.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/upstream/UpstreamLimits.java
@@ -183,10 +183,24 @@
      * @return milliseconds; 0 if it may now, {@link Long#MAX_VALUE} if it has no part in the limit
      */
     public long waitMillis(Upstream upstream) {
+        return waitMillis(upstream, 0);
+    }
+
+    /**
+     * Returns how long it is until this process may send an upstream a request that is not urgent.
+     *
+     * @param upstream the upstream
+     * @param heldPart part of the time of each turn for which it is held for more urgent requests,
+     *     from 0, below 1
+     * @return milliseconds; 0 if it may now, {@link Long#MAX_VALUE} if it has no part in the limit
+     */
+    public long waitMillis(Upstream upstream, double heldPart) {
         UpstreamLimit limit = of(upstream);
-        return limit == null
-                ? 0
-                : limit.turns().waitMillis(order.apply(upstream), agreedMillis.getAsLong());
+        if (limit == null) {
+            return 0;
+        }
+        long agreed = agreedMillis.getAsLong();
+        return limit.turns().waitMillis(order.apply(upstream), heldPart, agreed);
     }
 
     /**
--- a/trailladder-core/src/main/java/io/trailladder/core/upstream/UpstreamSelector.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/upstream/UpstreamSelector.java
@@ -117,7 +117,7 @@
     public Optional<Selection> choose(
             ServingRequest request, Set<String> excluded, long nowMillis) {
         String service = request.service();
-        List<Upstream> serving = takingRequests(service, excluded.isEmpty(), nowMillis);
+        List<Upstream> serving = takingRequests(request, excluded.isEmpty(), nowMillis);
         Round round = new Round(request, excluded, serving, engines.estimate(service, nowMillis));
         Candidate own = round.best(topology.region(), false, nowMillis);
         if (topology.isOneRegion() || (own != null && crossings.isEnough(own))) {
@@ -138,13 +138,15 @@
      * of others that only rest or are limited. A sample that none of them takes is left to the
      * version in use.
      */
-    private List<Upstream> takingRequests(String service, boolean first, long nowMillis) {
+    private List<Upstream> takingRequests(ServingRequest request, boolean first, long nowMillis) {
+        String service = request.service();
+        double held = availability.heldPart(service, request.priority(), nowMillis);
         List<Upstream> staying = availability.staying(service);
         List<Upstream> admitted = versions.admitted(service, staying, first, nowMillis);
-        List<Upstream> serving = availability.takingNow(admitted, nowMillis);
+        List<Upstream> serving = availability.takingNow(admitted, held, nowMillis);
         if (serving.isEmpty() && first && !admitted.isEmpty()) {
             List<Upstream> others = versions.admitted(service, staying, false, nowMillis);
-            return availability.takingNow(others, nowMillis);
+            return availability.takingNow(others, held, nowMillis);
         }
         return serving;
     }
--- /dev/null
+++ b/trailladder-core/src/main/java/io/trailladder/core/upstream/UrgencyMeter.java
@@ -0,0 +1,69 @@
+/*
+ * Copyright 2026 The trailladder authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package io.trailladder.core.upstream;
+
+import java.util.HashMap;
+import java.util.Map;
+
+/** How often requests for a service have come lately, by how urgent they are. */
+final class UrgencyMeter {
+    /** Time after which a request counts a third, in milliseconds: some requests of most kinds. */
+    private static final double SMOOTHING_MILLIS = 2_000;
+
+    private static final int RANKS = 10;
+
+    private final Map<String, Counts> byService = new HashMap<>();
+
+    /** Requests of one service by rank, each counted less the longer ago it came. */
+    private static final class Counts {
+        private final double[] byRank = new double[RANKS];
+        private long updatedMillis;
+
+        void fade(long nowMillis) {
+            double elapsed = Math.max(0, nowMillis - updatedMillis);
+            double factor = Math.exp(-elapsed / SMOOTHING_MILLIS);
+            for (int i = 0; i < RANKS; i++) {
+                byRank[i] *= factor;
+            }
+            updatedMillis = Math.max(updatedMillis, nowMillis);
+        }
+    }
+
+    /** Records a request. */
+    void asked(String service, int priority, long nowMillis) {
+        Counts counts = byService.computeIfAbsent(service, name -> new Counts());
+        counts.fade(nowMillis);
+        counts.byRank[rank(priority)]++;
+    }
+
+    /** Returns how many requests a millisecond come that are more urgent than some. */
+    double moreUrgentPerMilli(String service, int priority, long nowMillis) {
+        Counts counts = byService.get(service);
+        if (counts == null) {
+            return 0;
+        }
+        counts.fade(nowMillis);
+        double sum = 0;
+        for (int i = 0; i < rank(priority); i++) {
+            sum += counts.byRank[i];
+        }
+        return sum / SMOOTHING_MILLIS;
+    }
+
+    private static int rank(int priority) {
+        return Math.max(0, Math.min(RANKS - 1, priority));
+    }
+}
--- a/trailladder-core/src/test/java/io/trailladder/core/upstream/UpstreamAvailabilityTest.java
+++ b/trailladder-core/src/test/java/io/trailladder/core/upstream/UpstreamAvailabilityTest.java
@@ -172,9 +172,9 @@
         }
         rests.asked(other, 1_000, 1_500);
         assertTrue(chosen(1_600).isEmpty());
-        assertEquals(900, availability.noneTakesMillis("s", 1_600), "the shortest of the rests");
+        assertEquals(900, availability.noneTakesMillis("s", 0, 1_600), "the shortest of the rests");
         assertEquals("w1", chosen(2_500).orElseThrow());
-        assertEquals(0, availability.noneTakesMillis("s", 2_500));
+        assertEquals(0, availability.noneTakesMillis("s", 0, 2_500));
     }
 
     @Example
@@ -182,10 +182,10 @@
         rests.asked(listed("w0"), 3_000, 0);
         rests.asked(listed("w1"), 1_000, 0);
         directory.leaving(new LeavingUpstream("w1", 0));
-        assertEquals(3_000, availability.noneTakesMillis("s", 0));
+        assertEquals(3_000, availability.noneTakesMillis("s", 0, 0));
         directory.leaving(new LeavingUpstream("w0", 0));
         assertEquals(
-                0, availability.noneTakesMillis("s", 0), "none stays, so no rest is waited for");
+                0, availability.noneTakesMillis("s", 0, 0), "none stays, so no rest is waited for");
     }
 
     /** Requests of one moment: those under way at others make an idle upstream the best choice. */
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestDriver.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestDriver.java
@@ -94,7 +94,9 @@
     }
 
     void start() {
-        context.budgets().requested(request.service(), context.loop().nowMillis());
+        long now = context.loop().nowMillis();
+        context.budgets().requested(request.service(), now);
+        context.availability().asked(request.service(), request.priority(), now);
         nextAttempt();
     }
 
@@ -211,7 +213,8 @@
     }
 
     private void turnAwayWithoutChoice(long now) {
-        long none = context.availability().noneTakesMillis(request.service(), now);
+        long none =
+                context.availability().noneTakesMillis(request.service(), request.priority(), now);
         if (none > 0) {
             turnAway(TurnedAway.NONE_TAKES, none);
         } else {
@@ -341,7 +344,7 @@
 
     private long retryAfterMillis(Ending ending) {
         return ending == Ending.NOT_RUN && !crashes.hasStopped()
-                ? context.returns().place(request.service(), context.loop().nowMillis())
+                ? context.returns().place(request, context.loop().nowMillis())
                 : 0;
     }
 
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ReturnTimes.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ReturnTimes.java
@@ -16,6 +16,7 @@
 package io.trailladder.entry.gateway;
 
 import io.trailladder.core.engine.EngineModel;
+import io.trailladder.core.pipeline.ServingRequest;
 import io.trailladder.core.policy.ServiceSpec;
 import io.trailladder.core.upstream.PlaceForecast;
 import io.trailladder.core.upstream.UpstreamAvailability;
@@ -57,18 +58,20 @@
     }
 
     /**
-     * Returns when a place for a request of a service is expected: not before the first upstream
-     * has rested, if all rest.
+     * Returns when a place for a request is expected: not before the first upstream has rested, if
+     * all rest, and at a turn of its own if all are limited.
      *
-     * @param service the service
+     * @param request the request
      * @param nowMillis the time
      * @return milliseconds from now, spread over callers
      */
-    long place(String service, long nowMillis) {
-        long noneTakes = availability.noneTakesMillis(service, nowMillis);
+    long place(ServingRequest request, long nowMillis) {
+        String service = request.service();
+        long noneTakes = availability.noneTakesMillis(service, request.priority(), nowMillis);
         double every = availability.ownEveryMillis(service);
         if (noneTakes > 0 && every > 0) {
-            return turn(service, nowMillis, nowMillis + noneTakes, every);
+            String queue = service + '/' + request.priority();
+            return turn(queue, nowMillis, nowMillis + noneTakes, every);
         }
         long place =
                 PlaceForecast.millis(
@@ -79,14 +82,16 @@
         return spread(Math.max(place, noneTakes));
     }
 
-    /** Tells each caller of another turn at upstreams that are all limited. */
-    private long turn(String service, long nowMillis, long firstMillis, double everyMillis) {
-        double after = promisedMillis.getOrDefault(service, 0.0) + everyMillis;
+    /**
+     * Tells each caller of a service and rank of another turn at upstreams that are all limited.
+     */
+    private long turn(String queue, long nowMillis, long firstMillis, double everyMillis) {
+        double after = promisedMillis.getOrDefault(queue, 0.0) + everyMillis;
         double turn = Math.max((double) firstMillis, after);
         if (turn > firstMillis + LONGEST_MILLIS) {
             return spread(firstMillis + LONGEST_MILLIS - nowMillis);
         }
-        promisedMillis.put(service, turn);
+        promisedMillis.put(queue, turn);
         return (long) Math.ceil(turn) - nowMillis;
     }
 
