--- a/trailladder-core/src/main/java/io/trailladder/core/upstream/LimitNotice.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/upstream/LimitNotice.java
@@ -21,7 +21,7 @@
  * @param kind whether it names a limit
  * @param perSecond the requests a second that the upstream takes from all processes together; 0 if
  *     none is named
- * @since 0.5
+ * @since 0.6
  */
 public record LimitNotice(Kind kind, double perSecond) {
     /** Names no limit. */
--- a/trailladder-core/src/main/java/io/trailladder/core/upstream/LimitTurns.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/upstream/LimitTurns.java
@@ -25,7 +25,7 @@
  * <p>Turns begin as far apart as the limit says and are kept for a second. In any four seconds five
  * seconds' worth and one request more are sent at most.
  *
- * <p>If the limit is less than a request a second, a turn begins each second, and is void if
+ * <p>If the limit is rare, less than a request a second, a turn begins each second, and is void if
  * another process has used the limit since less than its time. Such a turn is kept for half of its
  * second only, so that its use is known to the next process: then, too, there are at most the
  * requests of the limit, and while no process hears another, one a second.
@@ -40,7 +40,7 @@
     private static final double MILLIS_PER_SECOND = 1_000;
     private static final double LONGEST_TURN_MILLIS = 1_000;
     private static final double KEPT_MILLIS = 1_000;
-    private static final double SPARSE_KEPT_MILLIS = 500;
+    private static final double RARE_KEPT_MILLIS = 500;
 
     private final String upstream;
     private final long offset;
@@ -79,8 +79,8 @@
         turnMillis = Math.min(everyMillis, LONGEST_TURN_MILLIS);
     }
 
-    /** Tells whether there is less than a request a second, so that uses must be told. */
-    boolean isSparse() {
+    /** Tells whether the limit is rare, less than a request a second: then uses must be told. */
+    boolean isRare() {
         return everyMillis > LONGEST_TURN_MILLIS;
     }
 
@@ -133,7 +133,7 @@
      *     pass unused, or nobody learns that the limit has ended
      */
     double keptPart(TurnOrder order, long agreedMillis) {
-        if (isSparse()) {
+        if (isRare()) {
             return 0;
         }
         long turn = next(order, agreedMillis);
@@ -175,11 +175,11 @@
 
     private double freeMillis(long agreedMillis) {
         double now = agreedMillis;
-        return isSparse() ? Math.max(now, usedMillis + everyMillis) : now;
+        return isRare() ? Math.max(now, usedMillis + everyMillis) : now;
     }
 
     private double keptMillis() {
-        return isSparse() ? SPARSE_KEPT_MILLIS : KEPT_MILLIS;
+        return isRare() ? RARE_KEPT_MILLIS : KEPT_MILLIS;
     }
 
     private long numberAt(long agreedMillis) {
--- a/trailladder-core/src/main/java/io/trailladder/core/upstream/UpstreamLimit.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/upstream/UpstreamLimit.java
@@ -89,7 +89,7 @@
     boolean used(LimitReport report, long agreedMillis) {
         boolean hasBeen = report.usedMillis() <= agreedMillis + TIMES_DIFFER_MILLIS;
         boolean news = hasBeen && turns.used(report.usedMillis());
-        return news && turns.isSparse() && isNamed();
+        return news && turns.isRare() && isNamed();
     }
 
     LimitReport report() {
--- a/trailladder-core/src/main/java/io/trailladder/core/upstream/UpstreamLimits.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/upstream/UpstreamLimits.java
@@ -259,7 +259,7 @@
      */
     public void sent(LimitTurn turn) {
         UpstreamLimit limit = limits.get(turn.upstream());
-        if (limit != null && limit.turns().isSparse()) {
+        if (limit != null && limit.turns().isRare()) {
             onNews.accept(turn.upstream());
         }
     }
--- a/trailladder-core/src/main/java/io/trailladder/core/upstream/UpstreamRests.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/upstream/UpstreamRests.java
@@ -42,8 +42,8 @@
 
     /**
      * Least time between two requests to an upstream that has rested and has taken none since, in
-     * milliseconds: several times what a refusal takes to come back. It lowers what a burst of 100
-     * requests sends there at once from 100 to 1, counted in virtual time.
+     * milliseconds: several times what a refusal takes to come back. A burst would else be sent
+     * there at once.
      */
     static final long RETURN_PAUSE_MILLIS = 200;
 
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/CrashPart.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/CrashPart.java
@@ -43,8 +43,8 @@
 
     /**
      * How long a process tells its life at its start though it has nothing else to tell, in
-     * milliseconds: its links come about meanwhile. At rest the section is left out, which halves
-     * the bytes of a digest (810 to 442.5 a second and process of 72, counted in virtual time).
+     * milliseconds: its links come about meanwhile. At rest the section is left out, since it is
+     * half of a digest.
      */
     private static final long LIFE_TOLD_MILLIS = 3_000;
 
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/CrashReports.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/CrashReports.java
@@ -21,7 +21,6 @@
 import io.trailladder.core.crash.RequestFingerprint;
 import io.trailladder.core.crash.UpstreamEnd;
 import java.io.IOException;
-import java.nio.BufferUnderflowException;
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.List;
@@ -77,15 +76,7 @@
      * @throws IOException if any of it is unsound
      */
     static List<CrashReport> read(ByteBuffer bytes, long nowMillis) throws IOException {
-        List<CrashReport> reports = new ArrayList<>();
-        try {
-            while (bytes.hasRemaining()) {
-                reports.add(readOne(bytes, nowMillis));
-            }
-        } catch (BufferUnderflowException e) {
-            throw new IOException("a report ends early", e);
-        }
-        return reports;
+        return ReportBytes.readAll(bytes, report -> readOne(report, nowMillis));
     }
 
     private static CrashReport readOne(ByteBuffer bytes, long nowMillis) throws IOException {
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
@@ -180,7 +180,7 @@
         topology = Topology.of(settings.self().dataCentre(), settings.regions().byDataCentre());
         limits = new UpstreamLimits(clock::millis, turnOrders(name)::of);
         availability = new UpstreamAvailability(directory, rests, limits);
-        view.add(limitPart());
+        view.add(LimitPart.of(limits, loop::nowMillis, () -> loop.execute(view::tellSoon)));
         view.add(clock);
         view.add(new CrashPart(crashes, random.nextLong()));
         crashes.onOwnNews(() -> loop.execute(view::tellSoon));
@@ -390,16 +390,6 @@
                 name, topology, () -> mesh.members(), () -> view.entries(), loop::nowMillis);
     }
 
-    private LimitPart limitPart() {
-        LimitPart part = new LimitPart(limits);
-        limits.onNews(
-                upstream -> {
-                    part.learned(upstream, loop.nowMillis());
-                    loop.execute(view::tellSoon);
-                });
-        return part;
-    }
-
     private MemoryKeeper memory(GatewaySettings.Limits limits) {
         MemoryBudget budget =
                 MemoryBudget.of(limits.memoryBytes(), Runtime.getRuntime().maxMemory());
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/LimitPart.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/LimitPart.java
@@ -23,6 +23,7 @@
 import java.io.IOException;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.LongSupplier;
 
 /**
  * Tells peers which upstreams name a limit, that one has ended, and when one of less than a request
@@ -47,11 +48,23 @@
     private Optional<DigestSection> written = Optional.empty();
 
     /**
-     * Creates the part.
+     * Creates the part, and has it hear what is learned.
      *
      * @param limits what is told
+     * @param nowMillis the time
+     * @param tellSoon has peers told out of turn
      */
-    LimitPart(UpstreamLimits limits) {
+    static LimitPart of(UpstreamLimits limits, LongSupplier nowMillis, Runnable tellSoon) {
+        LimitPart part = new LimitPart(limits);
+        limits.onNews(
+                upstream -> {
+                    part.learned(upstream, nowMillis.getAsLong());
+                    tellSoon.run();
+                });
+        return part;
+    }
+
+    private LimitPart(UpstreamLimits limits) {
         this.limits = limits;
         this.news =
                 new NewsInTurn(
@@ -59,8 +72,7 @@
                         new Pace(MOST_TOLD, LEAST_TIMES, MOST_REPEATED, REPEAT_MILLIS));
     }
 
-    /** Records that something was learned of an upstream. */
-    void learned(String upstream, long nowMillis) {
+    private void learned(String upstream, long nowMillis) {
         news.began(upstream, nowMillis);
         writtenMillis = Long.MIN_VALUE;
     }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/LimitReports.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/LimitReports.java
@@ -18,10 +18,8 @@
 import io.trailladder.core.upstream.LimitNotice;
 import io.trailladder.core.upstream.LimitReport;
 import java.io.IOException;
-import java.nio.BufferUnderflowException;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
 import java.util.List;
 
 /**
@@ -70,16 +68,7 @@
      * @throws IOException if any of it is unsound
      */
     static List<LimitReport> read(byte[] body, long nowMillis) throws IOException {
-        ByteBuffer bytes = ByteBuffer.wrap(body);
-        List<LimitReport> reports = new ArrayList<>();
-        try {
-            while (bytes.hasRemaining()) {
-                reports.add(readOne(bytes, nowMillis));
-            }
-        } catch (BufferUnderflowException e) {
-            throw new IOException("a report ends early", e);
-        }
-        return reports;
+        return ReportBytes.readAll(ByteBuffer.wrap(body), bytes -> readOne(bytes, nowMillis));
     }
 
     private static LimitReport readOne(ByteBuffer bytes, long nowMillis) throws IOException {
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Quotas.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Quotas.java
@@ -22,9 +22,11 @@
 import io.trailladder.core.policy.ServingPolicy;
 import io.trailladder.wire.NodeMessage.OrganisationUse;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.BiFunction;
 import java.util.function.Predicate;
 
@@ -38,15 +40,14 @@
 
     /**
      * Part of the tolerance that is used, so that what peers tell late refuses nobody within the
-     * limit. The rest is for processes that hear nobody: with 0.4 a window passed 1% more than is
-     * allowed while a third of 70 were cut off and an organisation asked six times its usual.
+     * limit. The rest is for processes that hear nobody.
      */
     private static final double TOLERANCE_USED = 0.1;
 
     /**
      * Part of an organisation's burst that a process lets pass before it tells its peers out of
      * turn. Each process grants from what it knows, so that together they let pass what is asked
-     * between two digests. In calm, eight processes use 0.025 of a burst of one second between two.
+     * between two digests.
      */
     private static final double MUCH_PART = 0.05;
 
@@ -68,7 +69,7 @@
     /**
      * Lives that have told of their use before, so that what they do not name is used for nothing.
      */
-    private final Map<String, Double> heard = new RecentMap<>(MOST_REMEMBERED);
+    private final Set<String> heard = Collections.newSetFromMap(new RecentMap<>(MOST_REMEMBERED));
 
     private final Map<String, Double> ofLeaves = new RecentMap<>(MOST_REMEMBERED);
     private final Map<String, Double> told = new HashMap<>();
@@ -184,7 +185,7 @@
         for (OrganisationUse use : uses) {
             peerUsed(life, use, nowMillis);
         }
-        heard.put(life, 0.0);
+        heard.add(life);
     }
 
     /**
@@ -199,7 +200,7 @@
             double units = peerUsed(life, use, nowMillis);
             ofRegions.merge(use.organisation(), units, Double::sum);
         }
-        heard.put(life, 0.0);
+        heard.add(life);
     }
 
     private double peerUsed(String life, OrganisationUse use, long nowMillis) {
@@ -223,7 +224,7 @@
      * More than the limit gives at once was used for longer, and its figure has fallen out here.
      */
     private boolean isFirstUse(String life, OrganisationUse use, QuotaBucket bucket) {
-        return heard.containsKey(life) && !bucket.isMuch(use.used(), MOST_AT_ONCE);
+        return heard.contains(life) && !bucket.isMuch(use.used(), MOST_AT_ONCE);
     }
 
     /**
--- a/trailladder-entry/src/test/java/io/trailladder/entry/gateway/SimulatedProcess.java
+++ b/trailladder-entry/src/test/java/io/trailladder/entry/gateway/SimulatedProcess.java
@@ -129,13 +129,7 @@
                         !firstStart);
         crashes = new CrashWatch(cluster::now, metrics);
         limits = new UpstreamLimits(cluster::now, this::turns);
-        LimitPart limitPart = new LimitPart(limits);
-        limits.onNews(
-                upstream -> {
-                    limitPart.learned(upstream, cluster.now());
-                    tellsSoon = true;
-                });
-        view.add(limitPart);
+        view.add(LimitPart.of(limits, cluster::now, () -> tellsSoon = true));
         view.add(new CrashPart(crashes, member.name().hashCode() * 31L + life));
         crashes.onOwnNews(view::tellSoon);
         quotas.onMuchUsed(() -> tellsSoon = true);
