--- a/trailladder-cli/src/test/java/io/trailladder/cli/soak/StatementCheck.java
+++ b/trailladder-cli/src/test/java/io/trailladder/cli/soak/StatementCheck.java
@@ -41,6 +41,7 @@
     private final Map<String, Long> troubleMillis = new ConcurrentHashMap<>();
     private final Map<Pair, Long> leavingSince = new HashMap<>();
     private final Map<Pair, Rest> rests = new HashMap<>();
+    private volatile long restsUntilMillis;
 
     /** A gateway, by the port that callers reach it at, and an upstream. */
     private record Pair(String gateway, String upstream) {}
@@ -74,12 +75,18 @@
     /** Takes over that an upstream has asked for rest. */
     void askedForRest(String upstream, String attempt, long restMillis, long nowMillis) {
         Pair pair = new Pair(gatewayOf(attempt), upstream);
+        restsUntilMillis = Math.max(restsUntilMillis, nowMillis + restMillis);
         Rest known = rests.get(pair);
         if (known == null || known.untilMillis <= nowMillis) {
             rests.put(pair, new Rest(nowMillis, nowMillis + restMillis));
         }
     }
 
+    /** Returns until when gateways may leave out upstreams that asked them for rest. */
+    long restsUntilMillis() {
+        return restsUntilMillis;
+    }
+
     /** Checks a request that has reached an upstream. */
     void arrived(String upstream, String attempt, long nowMillis) {
         Pair pair = new Pair(gatewayOf(attempt), upstream);
