Sight: epochs that the store names are read and logged, news that are passed over too

The timeline's logs could not say which history of the store a revision is of, nor that a change was passed over as older. Each answer's epoch is read, its changes are one line and a counter; an earlier or absurd one does not count and is counted. A change that a peer tells and that differs from the list, but counts as older, is a bounded line and a counter. Gauges: epoch and revision of the list. Nothing acts on an epoch yet but for late answers.

--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/CountedStore.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/CountedStore.java
@@ -48,6 +48,11 @@
         this.purpose = purpose;
     }
 
+    @Override
+    public void onEpoch(EpochListener listener) {
+        store.onEpoch(listener);
+    }
+
     @Override
     public void list(
             String prefix,
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/DirectoryKeeper.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/DirectoryKeeper.java
@@ -25,6 +25,7 @@
 import io.trailladder.wire.NodeMessage.UpstreamNews;
 import io.vavr.control.Either;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -54,6 +55,7 @@
     private final Map<String, byte[]> entries = new HashMap<>();
     private final UnusableEntries unusable = new UnusableEntries();
     private Consumer<UpstreamNews> onNews = news -> {};
+    private Consumer<UpstreamNews> onPassedOver = news -> {};
     private long revision;
     private long returnsUntilMillis = Long.MIN_VALUE;
 
@@ -113,6 +115,16 @@
         onNews = listener;
     }
 
+    /**
+     * Has a listener told of every change that a peer tells and that is not taken over, though the
+     * list here differs from it, because the list counts as newer.
+     *
+     * @param listener the listener
+     */
+    public void onPassedOver(Consumer<UpstreamNews> listener) {
+        onPassedOver = listener;
+    }
+
     @Override
     public void listed(List<StoreItem> items, long atRevision) {
         entries.clear();
@@ -140,9 +152,15 @@
             revision = news.revision();
             apply(news.upstream().id(), news.upstream().value());
             onNews.accept(news);
+        } else if (news.revision() <= revision && differs(news.upstream())) {
+            onPassedOver.accept(news);
         }
     }
 
+    private boolean differs(UpstreamEntry told) {
+        return !Arrays.equals(entries.getOrDefault(told.id(), NO_BYTES), told.value());
+    }
+
     private void apply(String id, byte[] value) {
         if (value.length == 0) {
             entries.remove(id);
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
@@ -108,6 +108,7 @@
     private final Optional<RegionMetrics> regionMetrics;
     private final StorePatience storePatience = new StorePatience();
     private final StoreHealth storeHealth = new StoreHealth(metrics);
+    private final StoreHistory storeHistory = new StoreHistory(metrics, loop::nowMillis);
     private final PolicyKeeper policies;
     private final DirectoryKeeper directoryKeeper;
     private final Quotas quotas;
@@ -163,6 +164,9 @@
                         loop::nowMillis,
                         task -> loop.schedule(DirectoryKeeper.RETURN_MILLIS, task));
         storeHealth.onRegained(directoryKeeper::storeRegained);
+        platform.store().onEpoch(storeHistory);
+        directoryKeeper.onPassedOver(
+                news -> storeHistory.newsPassedOver(news, directoryKeeper.revision()));
         quotas = new Quotas(settings.node().firstStart(), settings.tolerance());
         view =
                 new ClusterView(
@@ -549,6 +553,7 @@
                                 topology.otherRegions(),
                                 view.regions().isSpeaking()));
         memory.tellState(callers.refused());
+        metrics.list(storeHistory.epoch(), directoryKeeper.revision());
         metrics.unusableEntries(directoryKeeper.unusable());
         metrics.resting(rests.count(loop.nowMillis()));
         metrics.limited(limits.count(directory.all()));
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/GatewayMetrics.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/GatewayMetrics.java
@@ -79,6 +79,10 @@
             histogram("trailladder_request_seconds", "Time to the whole answer");
     private final Gauge policyVersion = gauge("trailladder_policy_version", "Policy in force");
     private final Gauge upstreams = gauge("trailladder_upstreams", "Upstreams listed");
+    private final Gauge storeEpoch =
+            gauge("trailladder_store_epoch", "Epoch of the store's history; 0 if none is named");
+    private final Gauge listRevision =
+            gauge("trailladder_upstream_list_revision", "Revision of the list of upstreams");
     private final Gauge peers = gauge("trailladder_peers_heard", "Peers heard lately");
     private final Gauge members =
             gauge("trailladder_processes", "Processes that share limits, as this one counts them");
@@ -148,7 +152,13 @@
         /** What an answer said of its upstream could not be read. */
         UPSTREAM_NOTICE_UNREADABLE,
         /** A request was not sent since its upstream no longer takes it, by what it has said. */
-        SENDING_WITHHELD
+        SENDING_WITHHELD,
+        /** The store, or a peer, named a later epoch of the store's history than before. */
+        STORE_EPOCH_CHANGED,
+        /** An earlier epoch of the store's history was named, or one that cannot be true. */
+        STORE_EPOCH_PASSED_OVER,
+        /** A peer told of a change of an upstream that counts as older than the list here. */
+        UPSTREAM_NEWS_PASSED_OVER
     }
 
     /**
@@ -256,6 +266,17 @@
         connections.set((double) opened);
     }
 
+    /**
+     * Records what the list of upstreams is.
+     *
+     * @param epoch epoch of the store's history; 0 if none is named
+     * @param revision the list's revision
+     */
+    public void list(long epoch, long revision) {
+        storeEpoch.set((double) epoch);
+        listRevision.set((double) revision);
+    }
+
     /**
      * Records how many entries in the platform's store name no upstream to use.
      *
--- a/platform/src/main/java/io/trailladder/adapter/JsonCalls.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/http/JsonCalls.java
@@ -13,19 +13,12 @@
  * See the License for the specific language governing permissions and
  * limitations under the License.
  */
-package io.trailladder.adapter;
+package io.trailladder.entry.http;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.MissingNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.trailladder.entry.JsonTree;
-import io.trailladder.entry.http.CallFailure;
-import io.trailladder.entry.http.CallListener;
-import io.trailladder.entry.http.ClientCall;
-import io.trailladder.entry.http.HeaderField;
-import io.trailladder.entry.http.HeaderList;
-import io.trailladder.entry.http.HttpConnector;
-import io.trailladder.entry.http.OutgoingCall;
 import io.trailladder.entry.loop.EventLoop;
 import io.trailladder.entry.loop.LoopTimer;
 import io.trailladder.platform.http.HostPort;
@@ -35,8 +28,12 @@
 import java.util.List;
 import java.util.function.Consumer;
 
-/** Calls with JSON bodies to one server of the platform; every call has a time-out. */
-final class JsonCalls {
+/**
+ * Calls with JSON bodies to one server; every call has a time-out.
+ *
+ * @since 0.2
+ */
+public final class JsonCalls {
     private static final long REST_MILLIS = 3_000;
     private static final long CONNECT_MILLIS = 800;
     private static final byte[] NO_BYTES = {};
@@ -49,27 +46,58 @@
      * An answer.
      *
      * @param status its HTTP status; 0 if none came
+     * @param headers its headers; none if none came
      * @param body its body; missing if none came
      */
-    record Reply(int status, JsonNode body) {
-        static final Reply NONE = new Reply(0, MissingNode.getInstance());
+    public record Reply(int status, HeaderList headers, JsonNode body) {
+        /** Stands for no answer. */
+        public static final Reply NONE = new Reply(0, HeaderList.EMPTY, MissingNode.getInstance());
     }
 
-    JsonCalls(EventLoop loop, HttpConnector connector, HostPort server) {
+    /**
+     * Creates calls to a server.
+     *
+     * @param loop the loop whose thread makes them
+     * @param connector sends them
+     * @param server the server
+     */
+    public JsonCalls(EventLoop loop, HttpConnector connector, HostPort server) {
         this.loop = loop;
         this.connector = connector;
         this.server = server;
     }
 
-    static ObjectNode object() {
+    /**
+     * Creates an empty JSON object.
+     *
+     * @return the object
+     */
+    public static ObjectNode object() {
         return JsonTree.object();
     }
 
-    Runnable get(String uri, long timeoutMillis, Consumer<Reply> result) {
+    /**
+     * Gets.
+     *
+     * @param uri path and query
+     * @param timeoutMillis how long an answer is waited for, in milliseconds
+     * @param result told of the answer, or of {@link Reply#NONE}
+     * @return breaks the call off; its result is then never told
+     */
+    public Runnable get(String uri, long timeoutMillis, Consumer<Reply> result) {
         return call("GET", uri, List.of(), NO_BYTES, timeoutMillis, result);
     }
 
-    void post(
+    /**
+     * Posts a JSON body.
+     *
+     * @param uri path and query
+     * @param fields further headers
+     * @param body the body
+     * @param timeoutMillis how long an answer is waited for, in milliseconds
+     * @param result told of the answer, or of {@link Reply#NONE}
+     */
+    public void post(
             String uri,
             List<HeaderField> fields,
             JsonNode body,
@@ -80,7 +108,18 @@
         call("POST", uri, withType, JsonTree.write(body), timeoutMillis, result);
     }
 
-    Runnable call(
+    /**
+     * Makes a call.
+     *
+     * @param method its method
+     * @param uri path and query
+     * @param fields further headers
+     * @param body the body
+     * @param timeoutMillis how long an answer is waited for, in milliseconds
+     * @param result told of the answer, or of {@link Reply#NONE}
+     * @return breaks the call off; its result is then never told
+     */
+    public Runnable call(
             String method,
             String uri,
             List<HeaderField> fields,
@@ -108,6 +147,7 @@
         private ClientCall call;
         private LoopTimer timeout;
         private int status;
+        private HeaderList headers = HeaderList.EMPTY;
         private boolean over;
 
         Pending(Consumer<Reply> result) {
@@ -127,8 +167,9 @@
         }
 
         @Override
-        public void head(int answered, HeaderList headers, long length) {
+        public void head(int answered, HeaderList fields, long length) {
             status = answered;
+            headers = fields;
         }
 
         @Override
@@ -138,11 +179,13 @@
 
         @Override
         public void ended() {
+            JsonNode tree = MissingNode.getInstance();
             try {
-                finish(new Reply(status, JsonTree.read(body.toByteArray())));
+                tree = JsonTree.read(body.toByteArray());
             } catch (IOException e) {
-                finish(new Reply(status, MissingNode.getInstance()));
+                // a refusal may carry any text
             }
+            finish(new Reply(status, headers, tree));
         }
 
         @Override
--- a/trailladder-entry/src/main/java/io/trailladder/entry/port/CoordinationStore.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/port/CoordinationStore.java
@@ -33,6 +33,28 @@
         RECENT
     }
 
+    /**
+     * Told of each answer's epoch: the number of the store's history, which rises when the store
+     * comes back without some of what it had acknowledged.
+     */
+    interface EpochListener {
+        /**
+         * Called before an answer is handed out.
+         *
+         * @param epoch the epoch that the answer names; 0 if none, below 0 if it cannot be read
+         * @return false if the answer is of another history than the current one and does not count
+         */
+        boolean isCurrent(long epoch);
+    }
+
+    /**
+     * Has a listener told of each answer's epoch; an answer that it refuses is handed out as {@link
+     * StoreFailure#HISTORY_LOST}.
+     *
+     * @param listener the listener, in place of an earlier one
+     */
+    void onEpoch(EpochListener listener);
+
     /**
      * Reads the keys with a prefix.
      *
--- a/trailladder-entry/src/main/java/io/trailladder/entry/port/StoreFailure.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/port/StoreFailure.java
@@ -25,7 +25,10 @@
     REFUSED,
     /** No answer came; the call may have been done, or may still be done. */
     UNANSWERED,
-    /** The changes asked for are no longer kept; everything is to be read again. */
+    /**
+     * The changes asked for are no longer kept, or the answer is of another history than the
+     * current one; everything is to be read again. A write may have been done.
+     */
     HISTORY_LOST,
     /** A key did not have the expected revision; nothing was done. */
     CONFLICT,
--- a/trailladder-entry/src/test/java/io/trailladder/entry/gateway/MembershipTest.java
+++ b/trailladder-entry/src/test/java/io/trailladder/entry/gateway/MembershipTest.java
@@ -77,6 +77,9 @@
 
     /** Records calls and answers none. */
     private final class CountingStore implements CoordinationStore {
+        @Override
+        public void onEpoch(EpochListener listener) {}
+
         @Override
         public void list(
                 String prefix,
