Lists of upstreams belong to a history of the store: its epoch decides which is newer

Cause: a revision was taken for an age. The store came back from a copy at revision 294; processes that held 315 took every change for older, and gave their older list to those that had read the new one. Change: each answer's epoch says which history its revisions are of. A new epoch, from an answer or a peer's digest, makes any list of that history newer than the one held; followers read it at once, peers are told first, and lists and changes of peers that are on another history do not count. Entries that are missing just after may come back, and those that went before are not believed again until they are written anew. Why it works: the epoch only rises, so of two (epoch, revision) the later one is higher, which revisions alone no longer are.

--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ClusterView.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ClusterView.java
@@ -133,6 +133,8 @@
         this.leavingNews = new LeavingNews(directory::listedLeaving);
         directory.onLeaving(upstream -> remember(upstream.id()));
         directory.onNews(this::passOn);
+        // before anything of the new history is passed on, so that nobody takes it for the old one
+        store.history().onReplaced(this::tellPeers);
     }
 
     /**
@@ -276,6 +278,7 @@
         return peers.counted().stream()
                 .filter(peer -> !peer.isLeaf() && mesh.isFedBy(peer.hello()))
                 .filter(peer -> peer.isStoreReachable() && peer.digestMillis() >= oldest)
+                .filter(peer -> store.history().mayBeOf(peer.storeEpoch()))
                 .anyMatch(peer -> before || snapshots.isLevelWith(peer));
     }
 
@@ -306,19 +309,28 @@
         } else if (message instanceof SnapshotAsk ask) {
             snapshots.asked(mesh, hello, ask);
         } else if (message instanceof UpstreamNews news && mesh.isFedBy(hello)) {
-            directory.fromPeer(news);
+            upstreamNews(peers.of(hello), news);
         } else if (message instanceof Snapshot snapshot) {
-            snapshots.answered(mesh, hello, snapshot);
+            snapshots.answered(mesh, peers.of(hello), snapshot);
         } else if (message instanceof RolloutReport report) {
             rollouts.ifPresent(exchange -> exchange.heard(hello, report));
         }
     }
 
+    private void upstreamNews(Peer from, UpstreamNews news) {
+        if (store.history().mayBeOf(from.storeEpoch())) {
+            directory.fromPeer(news);
+        } else {
+            store.history().newsPassedOver(news, directory.revision());
+        }
+    }
+
     private void regionDigest(RegionView view, NodeHello sender, RegionDigest digest) {
         if (!mesh.isHub()) {
             return;
         }
         long now = nowMillis.getAsLong();
+        history(sender, digest.digest());
         if (view.isElsewhere(sender)) {
             peers.of(sender).heard(now);
             snapshots.digest(mesh, sender, digest.digest());
@@ -330,6 +342,7 @@
     private void digest(Peer peer, NodeDigest digest) {
         boolean wasHub = peer.isHeard() && !peer.isLeaf();
         long now = nowMillis.getAsLong();
+        history(peer.hello(), digest);
         peer.told(SoundFigures.of(peer.name(), digest), now);
         evidenceTold |= !digest.evidence().isEmpty();
         LeavingLives.of(digest).forEach(told -> directory.leavingSeenBy(told, peer.name()));
@@ -350,6 +363,10 @@
         }
     }
 
+    private void history(NodeHello sender, NodeDigest digest) {
+        store.history().told(sender.name(), StoreEpochSection.of(digest).epoch());
+    }
+
     /** A hub passes changes on to its leaves, and a follower of the store to the other hubs too. */
     private void passOn(UpstreamNews news) {
         if (mesh == null || !mesh.isHub()) {
@@ -410,7 +427,9 @@
 
     /** Tells the peers what this process knows now. */
     public void tellPeers() {
-        tell(peers.all());
+        if (mesh != null) {
+            tell(peers.all());
+        }
     }
 
     private void tell(Collection<Peer> told) {
@@ -418,7 +437,11 @@
         writer.beginRound(now);
         SenderState state =
                 new SenderState(
-                        store.isReachable(), draining, membersRead(), leavingNews.next(now));
+                        store.isReachable(),
+                        draining,
+                        membersRead(),
+                        leavingNews.next(now),
+                        new StoreEpochSection(store.history().epoch(), 0));
         Map<Long, List<Peer>> byUsageTold = new HashMap<>();
         List<Peer> counted = peers.counted();
         List<Peer> keepers = peers.keepers();
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/DigestWriter.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/DigestWriter.java
@@ -33,7 +33,6 @@
 import java.util.Collection;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.TreeMap;
 import java.util.function.BinaryOperator;
 import java.util.function.Function;
@@ -64,9 +63,14 @@
      * @param draining true if it is stopping
      * @param members how many processes it has read in the store; 0 if none
      * @param leaving upstreams it saw leaving lately
+     * @param history the epoch that its revisions are of
      */
     record SenderState(
-            boolean storeReachable, boolean draining, int members, List<LeavingUpstream> leaving) {}
+            boolean storeReachable,
+            boolean draining,
+            int members,
+            List<LeavingUpstream> leaving,
+            StoreEpochSection history) {}
 
     DigestWriter(
             PolicyKeeper policies,
@@ -161,7 +165,7 @@
                 List.of(),
                 List.of(),
                 List.of(),
-                List.of());
+                state.history().write().map(List::of).orElse(List.of()));
     }
 
     /**
@@ -233,14 +237,10 @@
         return histories;
     }
 
-    private static List<DigestSection> withLives(
-            List<DigestSection> sections, List<LeavingUpstream> leaving) {
-        Optional<DigestSection> lives = LeavingLives.section(leaving);
-        if (lives.isEmpty()) {
-            return sections;
-        }
+    private static List<DigestSection> with(List<DigestSection> sections, SenderState state) {
         List<DigestSection> all = new ArrayList<>(sections);
-        all.add(lives.get());
+        LeavingLives.section(state.leaving()).ifPresent(all::add);
+        state.history().write().ifPresent(all::add);
         return all;
     }
 
@@ -268,6 +268,6 @@
                 demands,
                 evidence,
                 LeavingLives.ids(state.leaving()),
-                withLives(sections, state.leaving()));
+                with(sections, state));
     }
 }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/DirectoryKeeper.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/DirectoryKeeper.java
@@ -54,9 +54,11 @@
     private final List<Consumer<Upstream>> onLeaving = new ArrayList<>();
     private final Map<String, byte[]> entries = new HashMap<>();
     private final UnusableEntries unusable = new UnusableEntries();
+    private final GoneEntries gone = new GoneEntries();
     private Consumer<UpstreamNews> onNews = news -> {};
     private Consumer<UpstreamNews> onPassedOver = news -> {};
     private long revision;
+    private boolean known;
     private long returnsUntilMillis = Long.MIN_VALUE;
 
     /**
@@ -87,6 +89,26 @@
         afterReturn.accept(this::dropMissing);
     }
 
+    /**
+     * Has the next list, from the store or a peer, count as newer than the one here, whatever its
+     * revision: the store's history is another one. Entries that are missing there may come back.
+     */
+    public void historyReplaced() {
+        revision = 0;
+        gone.historyReplaced();
+        storeRegained();
+        afterReturn.accept(() -> afterReturn.accept(this::endDoubt));
+    }
+
+    /**
+     * Tells whether a list was ever read.
+     *
+     * @return true if upstreams are known
+     */
+    public boolean isKnown() {
+        return known;
+    }
+
     /**
      * Tells whether the list holds upstreams that may be gone: the store was away, and it is not
      * yet clear which of them come back.
@@ -127,9 +149,9 @@
 
     @Override
     public void listed(List<StoreItem> items, long atRevision) {
-        entries.clear();
-        items.forEach(item -> entries.put(idOf(item.key()), item.value()));
-        replaceAll(atRevision, "store");
+        Map<String, byte[]> listed = new HashMap<>();
+        items.forEach(item -> listed.put(idOf(item.key()), item.value()));
+        replaceAll(listed, atRevision, "store");
     }
 
     @Override
@@ -163,7 +185,7 @@
 
     private void apply(String id, byte[] value) {
         if (value.length == 0) {
-            entries.remove(id);
+            remember(id, entries.remove(id));
             unusable.remove(id);
             if (!mayReturn(id)) {
                 directory.removed(id).ifPresent(upstream -> left(upstream, "gone"));
@@ -171,34 +193,34 @@
             return;
         }
         entries.put(id, value);
-        Either<String, Upstream> upstream = format.upstream(id, value);
-        if (upstream.isLeft()) {
-            unusable(id, upstream.getLeft());
-            return;
-        }
-        unusable.remove(id);
-        boolean known = directory.find(id).isPresent();
-        directory.changed(upstream.get()).ifPresent(leaving -> left(leaving, "draining"));
-        if (!known) {
+        gone.written(id);
+        read(id, value).ifPresent(this::changed);
+    }
+
+    private void changed(Upstream upstream) {
+        boolean isNew = directory.find(upstream.id()).isEmpty();
+        directory.changed(upstream).ifPresent(leaving -> left(leaving, "draining"));
+        if (isNew) {
             DecisionLog.write(
-                    new Belief("upstream " + id, upstream.get().address(), "store", revision));
+                    new Belief("upstream " + upstream.id(), upstream.address(), "store", revision));
         }
     }
 
     /**
-     * Takes a peer's list over if it is newer.
+     * Takes a peer's list over if it is newer. An empty one says only that the peer has none that
+     * is newer than the asker's.
      *
      * @param upstreams the entries
      * @param peerRevision the revision of the peer's list
      * @param peer the peer's name
      */
     public void fromPeer(List<UpstreamEntry> upstreams, long peerRevision, String peer) {
-        if (peerRevision <= revision) {
+        if (peerRevision <= revision || upstreams.isEmpty()) {
             return;
         }
-        entries.clear();
-        upstreams.forEach(entry -> entries.put(entry.id(), entry.value()));
-        replaceAll(peerRevision, peer);
+        Map<String, byte[]> listed = new HashMap<>();
+        upstreams.forEach(entry -> listed.put(entry.id(), entry.value()));
+        replaceAll(listed, peerRevision, peer);
     }
 
     /**
@@ -284,16 +306,25 @@
         return all;
     }
 
-    private void replaceAll(long atRevision, String source) {
+    private void replaceAll(Map<String, byte[]> listed, long atRevision, String source) {
         revision = atRevision;
+        known = true;
+        entries.forEach(
+                (id, value) -> {
+                    if (!listed.containsKey(id)) {
+                        remember(id, value);
+                    }
+                });
+        entries.clear();
+        entries.putAll(listed);
         unusable.retain(entries.keySet());
         List<Upstream> upstreams = new ArrayList<>();
         entries.forEach(
-                (id, value) ->
-                        format.upstream(id, value)
-                                .peek(upstreams::add)
-                                .peek(upstream -> unusable.remove(id))
-                                .peekLeft(fault -> unusable(id, fault)));
+                (id, value) -> {
+                    if (!gone.isDoubted(id, value)) {
+                        read(id, value).ifPresent(upstreams::add);
+                    }
+                });
         DecisionLog.write(new Belief("upstreams", upstreams.size() + " listed", source, revision));
         directory.all().stream()
                 .filter(upstream -> !entries.containsKey(upstream.id()) && mayReturn(upstream.id()))
@@ -301,6 +332,33 @@
         directory.replaceAll(upstreams).forEach(upstream -> left(upstream, "left, by list"));
     }
 
+    private Optional<Upstream> read(String id, byte[] value) {
+        Either<String, Upstream> upstream = format.upstream(id, value);
+        if (upstream.isLeft()) {
+            unusable(id, upstream.getLeft());
+        } else {
+            unusable.remove(id);
+        }
+        return upstream.toJavaOptional();
+    }
+
+    private void remember(String id, byte[] lastValue) {
+        if (lastValue != null) {
+            gone.went(id, lastValue);
+        }
+    }
+
+    /** By now an upstream that lives has written itself again, and other entries have lapsed. */
+    private void endDoubt() {
+        gone.endDoubt();
+        entries.forEach(
+                (id, value) -> {
+                    if (directory.find(id).isEmpty()) {
+                        read(id, value).ifPresent(directory::changed);
+                    }
+                });
+    }
+
     /**
      * An entry that cannot be used names no upstream, whatever it said before. That is no end of
      * the upstream: what runs there goes on, and nobody is told that it left.
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
@@ -108,7 +108,6 @@
     private final Optional<RegionMetrics> regionMetrics;
     private final StorePatience storePatience = new StorePatience();
     private final StoreHealth storeHealth = new StoreHealth(metrics);
-    private final StoreHistory storeHistory = new StoreHistory(metrics, loop::nowMillis);
     private final PolicyKeeper policies;
     private final DirectoryKeeper directoryKeeper;
     private final Quotas quotas;
@@ -164,9 +163,11 @@
                         loop::nowMillis,
                         task -> loop.schedule(DirectoryKeeper.RETURN_MILLIS, task));
         storeHealth.onRegained(directoryKeeper::storeRegained);
-        platform.store().onEpoch(storeHistory);
+        StoreHistory history = storeHealth.history();
+        platform.store().onEpoch(history);
+        history.onReplaced(directoryKeeper::historyReplaced);
         directoryKeeper.onPassedOver(
-                news -> storeHistory.newsPassedOver(news, directoryKeeper.revision()));
+                news -> history.newsPassedOver(news, directoryKeeper.revision()));
         quotas = new Quotas(settings.node().firstStart(), settings.tolerance());
         view =
                 new ClusterView(
@@ -436,8 +437,9 @@
     }
 
     private CoordinationStore counted(PlatformAdapter platform, Purpose purpose) {
+        CoordinationStore store = new SameHistoryStore(platform.store(), storeHealth.history());
         return new CountedStore(
-                platform.store(), storeCalls, purpose, loop::nowMillis, storePatience::answered);
+                store, storeCalls, purpose, loop::nowMillis, storePatience::answered);
     }
 
     private StoreWatcher watcher(
@@ -478,7 +480,7 @@
 
     private boolean isInformed() {
         boolean recordsKnown = (rollouts.isKnown() && crashRecords.isKnown()) || peersHaveTold();
-        return policies.version() > 0 && directoryKeeper.revision() > 0 && recordsKnown;
+        return policies.version() > 0 && directoryKeeper.isKnown() && recordsKnown;
     }
 
     /** What the store does not tell soon after the start is taken from peers. */
@@ -553,7 +555,7 @@
                                 topology.otherRegions(),
                                 view.regions().isSpeaking()));
         memory.tellState(callers.refused());
-        metrics.list(storeHistory.epoch(), directoryKeeper.revision());
+        metrics.list(storeHealth.history().epoch(), directoryKeeper.revision());
         metrics.unusableEntries(directoryKeeper.unusable());
         metrics.resting(rests.count(loop.nowMillis()));
         metrics.limited(limits.count(directory.all()));
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Peer.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Peer.java
@@ -39,6 +39,7 @@
     private boolean storeReachable;
     private long policyVersion;
     private long directoryRevision;
+    private long storeEpoch;
 
     Peer(NodeHello hello, long nowMillis) {
         this.hello = hello;
@@ -85,6 +86,7 @@
         storeReachable = digest.storeReachable();
         policyVersion = digest.policyVersion();
         directoryRevision = digest.directoryRevision();
+        storeEpoch = StoreEpochSection.of(digest).epoch();
     }
 
     /** Records that the peer told something that is no digest of its own. */
@@ -147,6 +149,11 @@
         return directoryRevision;
     }
 
+    /** Returns the epoch that the peer's revisions are of; 0 if it names none. */
+    long storeEpoch() {
+        return storeEpoch;
+    }
+
     List<ServiceDemand> demands() {
         return demands;
     }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/SnapshotExchange.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/SnapshotExchange.java
@@ -59,7 +59,8 @@
     void digest(Mesh mesh, NodeHello peer, NodeDigest digest) {
         boolean newerPolicy = digest.policyVersion() > policies.version();
         boolean newerList =
-                digest.directoryRevision() > directory.revision()
+                store.history().mayBeOf(StoreEpochSection.of(digest).epoch())
+                        && digest.directoryRevision() > directory.revision()
                         && (!store.isReachable() || mesh.isFedBy(peer));
         long now = nowMillis.getAsLong();
         if ((newerPolicy || newerList) && now - askedMillis >= ASK_MILLIS) {
@@ -81,13 +82,15 @@
         mesh.send(peer.name(), snapshot);
     }
 
-    /** Takes a peer's answer over where it is newer. */
-    void answered(Mesh mesh, NodeHello peer, Snapshot snapshot) {
+    /** Takes a peer's answer over where it is newer; its list only if it is of this history. */
+    void answered(Mesh mesh, Peer from, Snapshot snapshot) {
+        NodeHello peer = from.hello();
         if (snapshot.policyVersion() > policies.version()
                 && policies.offer(snapshot.policy(), peer.name())) {
             metrics.count(GatewayMetrics.Event.POLICY_FROM_PEER);
         }
-        if (!store.isReachable() || directory.revision() == 0 || mesh.isFedBy(peer)) {
+        boolean wanted = !store.isReachable() || directory.revision() == 0 || mesh.isFedBy(peer);
+        if (wanted && store.history().mayBeOf(from.storeEpoch())) {
             directory.fromPeer(snapshot.upstreams(), snapshot.directoryRevision(), peer.name());
         }
     }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/StoreHealth.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/StoreHealth.java
@@ -27,16 +27,27 @@
  */
 public final class StoreHealth {
     private final GatewayMetrics metrics;
+    private final StoreHistory history;
     private final List<Runnable> onRegained = new ArrayList<>();
     private boolean reachable = true;
 
     /**
      * Creates the state of a store that is taken to answer.
      *
-     * @param metrics counts failures
+     * @param metrics counts failures, and changes of the store's history
      */
     public StoreHealth(GatewayMetrics metrics) {
         this.metrics = metrics;
+        this.history = new StoreHistory(metrics);
+    }
+
+    /**
+     * Tells which history of the store is current.
+     *
+     * @return the history
+     */
+    public StoreHistory history() {
+        return history;
     }
 
     /**
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/StoreHistory.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/StoreHistory.java
@@ -20,32 +20,55 @@
 import io.trailladder.entry.gateway.DecisionLog.Lifecycle;
 import io.trailladder.entry.port.CoordinationStore.EpochListener;
 import io.trailladder.wire.NodeMessage.UpstreamNews;
-import java.util.function.LongSupplier;
+import java.util.ArrayList;
+import java.util.List;
 
-/** Which history of the store is current, as its answers and peers tell. */
+/**
+ * Which history of the store is current, as its answers and peers tell. Revisions and leases of
+ * another one say nothing of those of the current one.
+ *
+ * @since 0.5
+ */
 public final class StoreHistory implements EpochListener {
-    /** How often what was passed over is logged, in milliseconds: it comes in rows. */
-    private static final long LOG_MILLIS = 1_000;
+    private static final String STORE = "store";
 
     private final GatewayMetrics metrics;
-    private final LongSupplier nowMillis;
     private final StoreEpoch epoch = new StoreEpoch();
-    private long loggedMillis = -LOG_MILLIS;
+    private final List<Runnable> onReplaced = new ArrayList<>();
+    private long passedOver;
 
     /**
      * Creates the state of a store that has named no epoch yet.
      *
-     * @param metrics counts changes, and epochs that were passed over
-     * @param nowMillis tells the time
+     * @param metrics counts changes, and what was passed over
      */
-    public StoreHistory(GatewayMetrics metrics, LongSupplier nowMillis) {
+    public StoreHistory(GatewayMetrics metrics) {
         this.metrics = metrics;
-        this.nowMillis = nowMillis;
+    }
+
+    /**
+     * Has a task run whenever another history becomes the current one, after those of earlier
+     * calls.
+     *
+     * @param task the task
+     */
+    public void onReplaced(Runnable task) {
+        onReplaced.add(task);
     }
 
     @Override
     public boolean isCurrent(long named) {
-        return named("store", named);
+        return named(STORE, named);
+    }
+
+    /**
+     * Takes over what a peer tells.
+     *
+     * @param peer the peer's name
+     * @param named the epoch that it names; 0 if none
+     */
+    void told(String peer, long named) {
+        named(peer, named);
     }
 
     /**
@@ -57,6 +80,16 @@
         return epoch.current();
     }
 
+    /**
+     * Tells whether what a peer says of the store can be of the current history.
+     *
+     * @param peerEpoch the epoch that the peer named last; 0 if none, as older builds do
+     * @return false if the peer has named another epoch
+     */
+    boolean mayBeOf(long peerEpoch) {
+        return peerEpoch == 0 || epoch() == 0 || peerEpoch == epoch();
+    }
+
     /**
      * Records that a peer told of a change that counts as older than the list here.
      *
@@ -66,7 +99,7 @@
     void newsPassedOver(UpstreamNews news, long ownRevision) {
         metrics.count(GatewayMetrics.Event.UPSTREAM_NEWS_PASSED_OVER);
         String what = news.upstream().id() + " at " + news.revision() + ", list at " + ownRevision;
-        log("upstream news", what);
+        logSome("upstream news", what);
     }
 
     private boolean named(String source, long named) {
@@ -76,22 +109,20 @@
             metrics.count(GatewayMetrics.Event.STORE_EPOCH_CHANGED);
             String detail = "from " + before + ", told by " + source;
             DecisionLog.write(new Lifecycle("store epoch", Long.toString(named), detail));
+            onReplaced.forEach(Runnable::run);
         } else if (meaning != Named.CURRENT) {
-            passedOver(source, named, meaning);
+            metrics.count(GatewayMetrics.Event.STORE_EPOCH_PASSED_OVER);
+            logSome("store epoch", meaning + " epoch " + named + " of " + source);
         }
         return meaning == Named.CURRENT || meaning == Named.NEW;
     }
 
-    private void passedOver(String source, long named, Named meaning) {
-        metrics.count(GatewayMetrics.Event.STORE_EPOCH_PASSED_OVER);
-        log("store epoch", meaning + " epoch " + named + " of " + source);
-    }
-
-    private void log(String what, String detail) {
-        long now = nowMillis.getAsLong();
-        if (now - loggedMillis >= LOG_MILLIS) {
-            loggedMillis = now;
-            DecisionLog.write(new Lifecycle(what, "passed over", detail));
+    /** Logs the first, second, fourth, eighth: what is passed over comes in rows. */
+    private void logSome(String what, String detail) {
+        passedOver++;
+        if (Long.bitCount(passedOver) == 1) {
+            String counted = detail + ", " + passedOver + " so far";
+            DecisionLog.write(new Lifecycle(what, "passed over", counted));
         }
     }
 }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/StoreWatcher.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/StoreWatcher.java
@@ -106,6 +106,7 @@
         this.pauseMillis = pauseMillis;
         this.listener = listener;
         health.onRegained(this::resume);
+        health.history().onReplaced(this::resume);
     }
 
     /** Begins, or begins anew, with reading all keys. */
