--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ClusterView.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ClusterView.java
@@ -307,7 +307,7 @@
         } else if (message instanceof UsageHistory history) {
             usage.merge(history.life(), history.usage(), peers.isLeaf(hello.name()));
         } else if (message instanceof SnapshotAsk ask) {
-            snapshots.asked(mesh, hello, ask);
+            snapshots.asked(mesh, peers.of(hello), ask);
         } else if (message instanceof UpstreamNews news && mesh.isFedBy(hello)) {
             upstreamNews(peers.of(hello), news);
         } else if (message instanceof Snapshot snapshot) {
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/DirectoryKeeper.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/DirectoryKeeper.java
@@ -207,15 +207,14 @@
     }
 
     /**
-     * Takes a peer's list over if it is newer. An empty one says only that the peer has none that
-     * is newer than the asker's.
+     * Takes a peer's list over if it is newer.
      *
      * @param upstreams the entries
      * @param peerRevision the revision of the peer's list
      * @param peer the peer's name
      */
     public void fromPeer(List<UpstreamEntry> upstreams, long peerRevision, String peer) {
-        if (peerRevision <= revision || upstreams.isEmpty()) {
+        if (peerRevision <= revision) {
             return;
         }
         Map<String, byte[]> listed = new HashMap<>();
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/SnapshotExchange.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/SnapshotExchange.java
@@ -15,17 +15,23 @@
  */
 package io.trailladder.entry.gateway;
 
+import io.trailladder.core.RecentMap;
 import io.trailladder.entry.mesh.Mesh;
 import io.trailladder.wire.NodeMessage.NodeDigest;
 import io.trailladder.wire.NodeMessage.NodeHello;
 import io.trailladder.wire.NodeMessage.Snapshot;
 import io.trailladder.wire.NodeMessage.SnapshotAsk;
 import java.util.List;
+import java.util.Map;
 import java.util.function.LongSupplier;
 
 /** Takes the policy and the list of upstreams over from peers that have newer ones. */
 final class SnapshotExchange {
     private static final long ASK_MILLIS = 300;
+
+    /** Most peers of which it is remembered what they were asked: those of the largest hub. */
+    private static final int MOST_ASKED = 1_000;
+
     private static final byte[] NO_BYTES = {};
 
     private final LongSupplier nowMillis;
@@ -33,6 +39,7 @@
     private final DirectoryKeeper directory;
     private final StoreHealth store;
     private final GatewayMetrics metrics;
+    private final Map<String, Long> askedAfter = new RecentMap<>(MOST_ASKED);
     private long askedMillis;
 
     SnapshotExchange(
@@ -69,10 +76,12 @@
         }
     }
 
-    /** Answers a peer with what is newer here. */
-    void asked(Mesh mesh, NodeHello peer, SnapshotAsk ask) {
+    /** Answers a peer with what is newer here; any list is newer than one of another history. */
+    void asked(Mesh mesh, Peer peer, SnapshotAsk ask) {
         boolean newerPolicy = policies.version() > ask.policyVersion();
-        boolean newerList = directory.revision() > ask.directoryRevision();
+        boolean sameHistory = store.history().mayBeOf(peer.storeEpoch());
+        long peerRevision = sameHistory ? ask.directoryRevision() : 0;
+        boolean newerList = directory.revision() > peerRevision;
         Snapshot snapshot =
                 new Snapshot(
                         policies.version(),
@@ -90,11 +99,18 @@
             metrics.count(GatewayMetrics.Event.POLICY_FROM_PEER);
         }
         boolean wanted = !store.isReachable() || directory.revision() == 0 || mesh.isFedBy(peer);
-        if (wanted && store.history().mayBeOf(from.storeEpoch())) {
+        if (wanted && hasList(peer, snapshot) && store.history().mayBeOf(from.storeEpoch())) {
             directory.fromPeer(snapshot.upstreams(), snapshot.directoryRevision(), peer.name());
         }
     }
 
+    /** A peer whose list is not newer than the one it was asked about sends an empty one. */
+    private boolean hasList(NodeHello peer, Snapshot snapshot) {
+        Long after = askedAfter.remove(peer.name());
+        boolean isNewer = after != null && after < snapshot.directoryRevision();
+        return isNewer || !snapshot.upstreams().isEmpty();
+    }
+
     /** Tells whether the policy and list here are at least those of a peer. */
     boolean isLevelWith(Peer peer) {
         return policies.version() >= peer.policyVersion()
@@ -102,6 +118,7 @@
     }
 
     private void ask(Mesh mesh, NodeHello peer) {
+        askedAfter.put(peer.name(), directory.revision());
         mesh.send(peer.name(), new SnapshotAsk(policies.version(), directory.revision()));
     }
 }
