Leadership: tokens rise over histories of the store, and the leader confirms its key

What users saw: after the store came back from a copy no usage report and no order was accepted any more, once a leader had been elected after the copy: each later token was a lower revision, and leaders changed hands at each 409. Cause: a fencing token was the revision of the leader's key, and revisions go back. Change: a token is one above the highest known if the revision is lower; the leader's key says above which, digests tell the highest beside the epoch, and a record in the store keeps it while revisions are lower. At a new epoch the leader stops acting until its key is read; displaced, it claims anew at once, in place of what stands there. Others wait until its lease would be over. A gone key that was read before the own claim no longer ends a leadership. Usage: who stored counts stores them again; of windows that were due while the store was last reachable others report only what is stored.

--- a/trailladder-core/src/main/java/io/trailladder/core/duty/LeaderElection.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/duty/LeaderElection.java
@@ -22,10 +22,15 @@
  * does the work that needs a single doer.
  *
  * <p>The lease and the leader's key live in the platform's store. The fencing token is the revision
- * at which the key was made, so a later leader always has a higher one. This entry believes in its
+ * at which the key was made, or one more than the highest token known if that is higher: revisions
+ * go back when the store comes back from a copy, and tokens must not. This entry believes in its
  * lease only until a margin before its time to live has passed since the last renewal was
  * <em>sent</em>.
  *
+ * <p>After the store's history was replaced the leader does not act until the store has shown that
+ * its key is still there, and claims it anew if not. All others wait until its lease would have
+ * ended, since it may not have heard of the change.
+ *
  * @since 0.2
  */
 public final class LeaderElection {
@@ -48,6 +53,9 @@
     private long token;
     private long renewSentMillis;
     private long validUntilMillis;
+    private long highestToken;
+    private long keyRevision;
+    private boolean reclaims;
 
     /** What this entry is doing about the lease. */
     private enum State {
@@ -55,7 +63,9 @@
         WAITING_FOR_GRANT,
         GRANTED,
         WAITING_FOR_CLAIM,
-        LEADING
+        LEADING,
+        UNCONFIRMED,
+        WAITING_FOR_CONFIRMATION
     }
 
     /** What is to be asked of the store. */
@@ -68,6 +78,8 @@
         CLAIM,
         /** The lease is to be renewed. */
         RENEW,
+        /** The leader's key is to be read, and the lease to be renewed if it is this entry's. */
+        CONFIRM,
         /** The lease is to be ended. */
         END
     }
@@ -107,10 +119,14 @@
         if (stopping) {
             return endIfHeld();
         }
-        if (state == State.LEADING && nowMillis >= validUntilMillis) {
+        if (isAsLeader() && nowMillis >= validUntilMillis) {
             follow(nowMillis);
             return Step.NONE;
         }
+        if (state == State.UNCONFIRMED && nowMillis >= notBeforeMillis) {
+            state = State.WAITING_FOR_CONFIRMATION;
+            return Step.CONFIRM;
+        }
         if (state == State.LEADING && nowMillis - renewSentMillis >= ttlMillis / RENEWALS_PER_TTL) {
             renewSentMillis = nowMillis;
             return Step.RENEW;
@@ -119,8 +135,7 @@
             state = State.WAITING_FOR_CLAIM;
             return Step.CLAIM;
         }
-        boolean free = !keyPresent && nowMillis - keyGoneMillis >= patienceMillis.getAsLong();
-        if (state == State.FOLLOWING && free && nowMillis >= notBeforeMillis) {
+        if (state == State.FOLLOWING && mayClaim(nowMillis)) {
             state = State.WAITING_FOR_GRANT;
             renewSentMillis = nowMillis;
             return Step.GRANT;
@@ -131,12 +146,111 @@
     /**
      * Records that the leader's key was seen in the store.
      *
-     * @param made the revision at which it was made
+     * @param keyToken the token of the leader whose key it is
+     */
+    public void keySeen(long keyToken) {
+        keyPresent = true;
+        tokenSeen(keyToken);
+        if (state == State.LEADING && keyToken > token) {
+            state = State.FOLLOWING;
+        }
+    }
+
+    /**
+     * Records that a leader has, or had, a token. Later ones must be higher.
+     *
+     * @param seen the token
+     */
+    public void tokenSeen(long seen) {
+        highestToken = Math.max(highestToken, seen);
+    }
+
+    /**
+     * Returns the highest token of any leader that is known here.
+     *
+     * @return the token; 0 if none is known
+     */
+    public long highestToken() {
+        return highestToken;
+    }
+
+    /**
+     * Records that the store's history was replaced: keys and leases may be gone, and their numbers
+     * given out again.
+     *
+     * @param nowMillis the time
      */
-    public void keySeen(long made) {
+    public void historyReplaced(long nowMillis) {
         keyPresent = true;
-        if (state == State.LEADING && made > token) {
+        endReclaim();
+        if (isAsLeader() && nowMillis < validUntilMillis) {
+            state = State.UNCONFIRMED;
+            notBeforeMillis = nowMillis;
+        } else {
+            state = State.FOLLOWING;
+            lease = 0;
+            notBeforeMillis = Math.max(notBeforeMillis, nowMillis + ttlMillis - MARGIN_MILLIS);
+        }
+    }
+
+    /**
+     * Records that the leader's key is still this entry's, and that its lease was renewed.
+     *
+     * @param sentMillis when the renewal was sent
+     */
+    public void confirmed(long sentMillis) {
+        if (state == State.WAITING_FOR_CONFIRMATION) {
+            state = State.LEADING;
+            renewSentMillis = sentMillis;
+            renewed(sentMillis);
+        }
+    }
+
+    /**
+     * Records that the leader's key is not this entry's any more. It may be claimed at once: nobody
+     * else has led since this entry did.
+     *
+     * @param revision the revision of the key that stands there; 0 if there is none
+     */
+    public void displaced(long revision) {
+        if (state == State.WAITING_FOR_CONFIRMATION) {
             state = State.FOLLOWING;
+            reclaims = true;
+            keyRevision = revision;
+        }
+    }
+
+    /**
+     * Records that nothing was heard of the leader's key; it is asked for again soon.
+     *
+     * @param nowMillis the time
+     */
+    public void notConfirmed(long nowMillis) {
+        if (state == State.WAITING_FOR_CONFIRMATION) {
+            state = State.UNCONFIRMED;
+            notBeforeMillis = nowMillis + BACKOFF_MILLIS;
+        }
+    }
+
+    /**
+     * Returns which revision of the leader's key a claim replaces.
+     *
+     * @return the revision; 0 if the key must be absent
+     */
+    public long claimedRevision() {
+        return keyRevision;
+    }
+
+    /**
+     * Takes a higher token, because the platform has seen a higher one than this leader's although
+     * the leader's key is its own.
+     *
+     * @param next the token
+     */
+    public void raise(long next) {
+        if (state == State.LEADING && next > token) {
+            token = next;
+            tokenSeen(next);
         }
     }
 
@@ -174,7 +288,9 @@
      */
     public void claimed(long made) {
         if (state == State.WAITING_FOR_CLAIM) {
-            token = made;
+            token = Math.max(made, highestToken + 1);
+            tokenSeen(token);
+            endReclaim();
             keyPresent = true;
             validUntilMillis = renewSentMillis + ttlMillis - MARGIN_MILLIS;
             state = State.LEADING;
@@ -188,8 +304,9 @@
      * @param nowMillis the time
      */
     public void notClaimed(long nowMillis) {
-        if (state != State.LEADING) {
+        if (!isAsLeader()) {
             state = State.FOLLOWING;
+            endReclaim();
             notBeforeMillis = nowMillis + BACKOFF_MILLIS;
         }
     }
@@ -235,7 +352,7 @@
     /**
      * Returns the fencing token of this entry's leadership.
      *
-     * @return the revision at which its key was made
+     * @return the token
      */
     public long token() {
         return token;
@@ -250,6 +367,22 @@
         return lease;
     }
 
+    private boolean isAsLeader() {
+        return state == State.LEADING
+                || state == State.UNCONFIRMED
+                || state == State.WAITING_FOR_CONFIRMATION;
+    }
+
+    private boolean mayClaim(long nowMillis) {
+        boolean free = !keyPresent && nowMillis - keyGoneMillis >= patienceMillis.getAsLong();
+        return reclaims || (free && nowMillis >= notBeforeMillis);
+    }
+
+    private void endReclaim() {
+        reclaims = false;
+        keyRevision = 0;
+    }
+
     private Step endIfHeld() {
         if (state == State.LEADING) {
             state = State.FOLLOWING;
@@ -260,6 +393,7 @@
 
     private void follow(long nowMillis) {
         state = State.FOLLOWING;
+        endReclaim();
         notBeforeMillis = nowMillis + returnMillis;
     }
 }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ClusterView.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ClusterView.java
@@ -46,6 +46,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.BooleanSupplier;
+import java.util.function.LongConsumer;
 import java.util.function.LongSupplier;
 
 /**
@@ -84,6 +85,8 @@
     private final LinkedPeers peers;
     private Optional<RolloutExchange> rollouts = Optional.empty();
     private BooleanSupplier leads = () -> false;
+    private LongSupplier highestToken = () -> 0;
+    private LongConsumer tokenTold = token -> {};
     private Mesh mesh;
     private boolean draining;
     private long soonToldMillis = -SOON_MILLIS;
@@ -159,6 +162,17 @@
         rollouts = Optional.of(exchange);
     }
 
+    /**
+     * Has the peers told of the highest fencing token that is known here.
+     *
+     * @param highest tells it
+     * @param told hears what peers tell
+     */
+    void tokens(LongSupplier highest, LongConsumer told) {
+        highestToken = highest;
+        tokenTold = told;
+    }
+
     /**
      * Has a part of the product told and heard with each digest.
      *
@@ -364,7 +378,9 @@
     }
 
     private void history(NodeHello sender, NodeDigest digest) {
-        store.history().told(sender.name(), StoreEpochSection.of(digest).epoch());
+        StoreEpochSection section = StoreEpochSection.of(digest);
+        store.history().told(sender.name(), section.epoch());
+        tokenTold.accept(section.token());
     }
 
     /** A hub passes changes on to its leaves, and a follower of the store to the other hubs too. */
@@ -441,7 +457,7 @@
                         draining,
                         membersRead(),
                         leavingNews.next(now),
-                        new StoreEpochSection(store.history().epoch(), 0));
+                        new StoreEpochSection(store.history().epoch(), highestToken.getAsLong()));
         Map<Long, List<Peer>> byUsageTold = new HashMap<>();
         List<Peer> counted = peers.counted();
         List<Peer> keepers = peers.keepers();
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/DutyRunner.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/DutyRunner.java
@@ -15,37 +15,23 @@
  */
 package io.trailladder.entry.gateway;
 
-import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.trailladder.core.duty.LeaderElection;
 import io.trailladder.core.duty.UsageLedger;
-import io.trailladder.entry.JsonTree;
-import io.trailladder.entry.gateway.DecisionLog.Duty;
 import io.trailladder.entry.gateway.DecisionLog.Lifecycle;
 import io.trailladder.entry.loop.EventLoop;
 import io.trailladder.entry.port.CoordinationStore;
 import io.trailladder.entry.port.DutyApi;
 import io.trailladder.entry.port.DutyHolder;
-import io.trailladder.entry.port.DutyResult;
 import io.trailladder.entry.port.StoreFailure;
 import io.trailladder.entry.port.StoreItem;
 import io.trailladder.entry.port.StoreWrite;
 import io.vavr.control.Either;
-import java.io.IOException;
-import java.nio.charset.StandardCharsets;
 import java.time.Clock;
-import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
-import java.util.Set;
-import java.util.TreeMap;
-import org.tinylog.Logger;
+import java.util.SplittableRandom;
 
 /**
- * Holds the leader's lease if it can, and reports usage while it does.
- *
- * <p>The counts of a window are stored under a condition before they are reported, and exactly what
- * is stored is reported, so that two leaders never report different counts.
+ * Holds the leader's lease if it can, and has usage reported while it does.
  *
  * @since 0.2
  */
@@ -53,10 +39,7 @@
     /** Prefix of the leader's key. */
     public static final String LEADER_PREFIX = "trailladder/live/leader";
 
-    private static final String USAGE_PREFIX = "trailladder/record/usage/";
     private static final long STEP_MILLIS = 100;
-    private static final long SETTLE_MILLIS = 1_800;
-    private static final long WINDOWS_BACK = 4;
 
     /** How often counts of old windows are dropped, in milliseconds: it looks at all counts. */
     private static final long FORGET_MILLIS = 1_000;
@@ -65,15 +48,14 @@
     private final Clock clock;
     private final CoordinationStore store;
     private final StoreHealth health;
-    private final DutyApi duties;
     private final UsageLedger usage;
+    private final UsageReporter reporter;
+    private final LeaderTokens tokens;
     private final LeaderElection election;
     private final String name;
     private final String life;
     private final long ttlMillis;
-    private final GatewayMetrics metrics;
-    private final Set<Long> reported = new HashSet<>();
-    private final Set<Long> busy = new HashSet<>();
+    private long claimedRevision;
     private boolean led;
 
     /**
@@ -89,6 +71,7 @@
      * @param name this process's name
      * @param life names this life of this process
      * @param timing bounds of time
+     * @param random draws how far a token is raised
      * @param metrics the process's figures
      */
     public DutyRunner(
@@ -102,18 +85,29 @@
             String name,
             String life,
             GatewaySettings.Timing timing,
+            SplittableRandom random,
             GatewayMetrics metrics) {
         this.loop = loop;
         this.clock = clock;
         this.store = store;
         this.health = health;
-        this.duties = duties;
         this.usage = usage;
         this.election = election;
         this.name = name;
         this.life = life;
         this.ttlMillis = timing.leaseMillis();
-        this.metrics = metrics;
+        this.tokens = new LeaderTokens(store, health, election, random);
+        this.reporter =
+                new UsageReporter(
+                        clock,
+                        store,
+                        health,
+                        duties,
+                        usage,
+                        () -> leads() ? holder() : new DutyHolder(name, 0),
+                        this::outranked,
+                        metrics);
+        health.history().onReplaced(this::historyReplaced);
     }
 
     /** Begins to take part. */
@@ -146,15 +140,44 @@
         return new DutyHolder(name, election.token());
     }
 
-    /** Records that a call was refused because another process has a higher token. */
+    /**
+     * Records that a call was refused because the platform has seen a higher token. If the leader's
+     * key is this process's all the same, the higher one is of a history that the store has lost.
+     */
     public void outranked() {
-        election.lost(loop.nowMillis());
+        store.read(LEADER_PREFIX, this::outrankedBy);
+    }
+
+    private void outrankedBy(Either<StoreFailure, StoreItem> key) {
+        if (key.isRight() && isOwn(key.get()) && leads()) {
+            tokens.raise();
+        } else {
+            election.lost(loop.nowMillis());
+        }
+    }
+
+    /**
+     * Returns the highest fencing token that is known here.
+     *
+     * @return the token; 0 if none is known
+     */
+    public long highestToken() {
+        return election.highestToken();
+    }
+
+    /**
+     * Records that a peer knows of a token.
+     *
+     * @param token the token; 0 if the peer knows of none
+     */
+    public void tokenTold(long token) {
+        election.tokenSeen(token);
     }
 
     @Override
     public void listed(List<StoreItem> items, long revision) {
         if (items.isEmpty()) {
-            election.keyGone(loop.nowMillis());
+            keyGone(revision);
         } else {
             changed(items.get(0));
         }
@@ -163,18 +186,31 @@
     @Override
     public void changed(StoreItem item) {
         if (item.gone()) {
-            election.keyGone(loop.nowMillis());
+            keyGone(item.revision());
         } else {
-            election.keySeen(item.made());
+            election.keySeen(LeaderKey.token(item));
+        }
+    }
+
+    /** What was read before this process claimed the key may be told after it. */
+    private void keyGone(long revision) {
+        if (revision >= claimedRevision) {
+            election.keyGone(loop.nowMillis());
         }
     }
 
+    private void historyReplaced() {
+        claimedRevision = 0;
+        election.historyReplaced(loop.nowMillis());
+    }
+
     private void step() {
         long now = loop.nowMillis();
         switch (election.next(now)) {
             case GRANT -> store.grant(ttlMillis, this::granted);
             case CLAIM -> claim();
             case RENEW -> renew(now);
+            case CONFIRM -> store.read(LEADER_PREFIX, this::confirm);
             case END -> store.end(election.lease(), ended -> {});
             case NONE -> {}
         }
@@ -184,8 +220,9 @@
             String state = leads ? "leading" : "following";
             DecisionLog.write(new Lifecycle("leadership", state, "token " + election.token()));
         }
+        reporter.tick();
         if (leads) {
-            reportDue();
+            reporter.reportDue();
         }
     }
 
@@ -196,21 +233,27 @@
             return;
         }
         health.answered();
-        election.granted(result.get());
-        step();
+        tokens.read(
+                () -> {
+                    election.granted(result.get());
+                    step();
+                });
     }
 
     private void claim() {
         long lease = election.lease();
-        byte[] value = life.getBytes(StandardCharsets.UTF_8);
+        byte[] value = new LeaderKey(life, election.highestToken()).write();
         store.write(
-                new StoreWrite(LEADER_PREFIX, value, 0, lease), result -> claimed(lease, result));
+                new StoreWrite(LEADER_PREFIX, value, election.claimedRevision(), lease),
+                result -> claimed(lease, result));
     }
 
     private void claimed(long lease, Either<StoreFailure, Long> result) {
         if (result.isRight()) {
             health.answered();
-            election.claimed(result.get());
+            claimedRevision = result.get();
+            election.claimed(claimedRevision);
+            tokens.led(claimedRevision);
             step();
             return;
         }
@@ -219,101 +262,56 @@
         store.end(lease, ended -> {});
     }
 
-    private void renew(long sentMillis) {
+    /** Goes on as the leader if its key is still there and its lease is its own. */
+    private void confirm(Either<StoreFailure, StoreItem> key) {
+        if (key.isLeft()) {
+            health.failed(key.getLeft());
+            election.notConfirmed(loop.nowMillis());
+            return;
+        }
+        health.answered();
+        StoreItem item = key.get();
+        if (!isOwn(item)) {
+            displaced(item);
+            return;
+        }
+        long sentMillis = loop.nowMillis();
         store.renew(
                 election.lease(),
                 result -> {
                     if (result.isRight()) {
                         health.answered();
-                        election.renewed(sentMillis);
+                        election.confirmed(sentMillis);
                     } else if (result.getLeft() == StoreFailure.LEASE_GONE) {
-                        election.lost(loop.nowMillis());
+                        displaced(item);
                     } else {
                         health.failed(result.getLeft());
+                        election.notConfirmed(loop.nowMillis());
                     }
                 });
     }
 
-    private void reportDue() {
-        long settled = usage.windowAt(clock.millis() - SETTLE_MILLIS) - 1;
-        for (long window = settled - WINDOWS_BACK + 1; window <= settled; window++) {
-            if (!reported.contains(window) && busy.add(window)) {
-                record(window);
-            }
-        }
-        reported.removeIf(window -> window < settled - WINDOWS_BACK);
+    private void displaced(StoreItem item) {
+        election.displaced(item.gone() ? 0 : item.revision());
+        step();
     }
 
-    /** Stores the counts of a window unless an earlier leader did, then reports what is stored. */
-    private void record(long window) {
-        Map<String, Integer> counts = usage.total(window);
-        byte[] value = encode(counts);
-        String key = USAGE_PREFIX + window;
-        store.write(
-                new StoreWrite(key, value, 0, 0),
+    private boolean isOwn(StoreItem item) {
+        return !item.gone() && LeaderKey.read(item.value()).life().equals(life);
+    }
+
+    private void renew(long sentMillis) {
+        store.renew(
+                election.lease(),
                 result -> {
                     if (result.isRight()) {
                         health.answered();
-                        report(window, counts);
+                        election.renewed(sentMillis);
+                    } else if (result.getLeft() == StoreFailure.LEASE_GONE) {
+                        election.lost(loop.nowMillis());
                     } else {
                         health.failed(result.getLeft());
-                        readRecord(window, key);
                     }
                 });
     }
-
-    private void readRecord(long window, String key) {
-        store.read(
-                key,
-                result -> {
-                    if (result.isRight() && !result.get().gone()) {
-                        report(window, decode(result.get().value()));
-                    } else {
-                        busy.remove(window);
-                    }
-                });
-    }
-
-    private void report(long window, Map<String, Integer> counts) {
-        if (!leads()) {
-            busy.remove(window);
-            return;
-        }
-        DutyHolder holder = holder();
-        duties.reportUsage(
-                holder,
-                window,
-                counts,
-                result -> {
-                    DecisionLog.write(
-                            new Duty("usage", "window " + window, holder.token(), result.name()));
-                    busy.remove(window);
-                    if (result == DutyResult.ACCEPTED) {
-                        reported.add(window);
-                    } else {
-                        metrics.count(GatewayMetrics.Event.DUTY_FAILURE);
-                    }
-                    if (result == DutyResult.DECLINED) {
-                        outranked();
-                    }
-                });
-    }
-
-    private static byte[] encode(Map<String, Integer> counts) {
-        ObjectNode node = JsonTree.object();
-        counts.forEach(node::put);
-        return JsonTree.write(node);
-    }
-
-    private static Map<String, Integer> decode(byte[] value) {
-        Map<String, Integer> counts = new TreeMap<>();
-        try {
-            for (Map.Entry<String, JsonNode> field : JsonTree.read(value).properties()) {
-                counts.put(field.getKey(), field.getValue().asInt());
-            }
-        } catch (IOException e) {
-            Logger.warn("stored usage cannot be read: {}", e.getMessage());
-        }
-        return counts;
-    }
 }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
@@ -222,7 +222,9 @@
                         name,
                         life,
                         settings.timing(),
+                        random.split(),
                         metrics);
+        view.tokens(duties::highestToken, duties::tokenTold);
         crashRecords =
                 new CrashRecords(
                         loop,
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/StoreEpochSection.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/StoreEpochSection.java
@@ -48,7 +48,8 @@
             boolean meant = section.name().equals(NAME) && section.version() == VERSION;
             if (meant && section.body().length == BYTES) {
                 ByteBuffer body = ByteBuffer.wrap(section.body());
-                return new StoreEpochSection(body.getLong(), body.getLong());
+                long epoch = body.getLong();
+                return new StoreEpochSection(epoch, LeaderKey.sound(body.getLong()));
             }
         }
         return NONE;
--- /dev/null
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/UsageReporter.java
@@ -0,0 +1,219 @@
+/*
+ * Copyright 2026 The trailladder authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package io.trailladder.entry.gateway;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.trailladder.core.duty.UsageLedger;
+import io.trailladder.entry.JsonTree;
+import io.trailladder.entry.gateway.DecisionLog.Duty;
+import io.trailladder.entry.gateway.DecisionLog.Lifecycle;
+import io.trailladder.entry.port.CoordinationStore;
+import io.trailladder.entry.port.DutyApi;
+import io.trailladder.entry.port.DutyHolder;
+import io.trailladder.entry.port.DutyResult;
+import io.trailladder.entry.port.StoreWrite;
+import java.io.IOException;
+import java.time.Clock;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Supplier;
+import org.tinylog.Logger;
+
+/**
+ * Reports usage while this process leads.
+ *
+ * <p>The counts of a window are stored under a condition before they are reported, and exactly what
+ * is stored is reported, so that two leaders never report different counts. When the store's
+ * history is replaced, who stored counts stores them again; of windows that were due before, others
+ * report only what is stored.
+ */
+final class UsageReporter {
+    private static final String USAGE_PREFIX = "trailladder/record/usage/";
+    private static final long SETTLE_MILLIS = 1_800;
+    private static final long WINDOWS_BACK = 4;
+
+    /** Windows whose counts are kept to be stored again: twice those that are still reported. */
+    private static final long WINDOWS_KEPT = 8;
+
+    private final Clock clock;
+    private final CoordinationStore store;
+    private final StoreHealth health;
+    private final DutyApi duties;
+    private final UsageLedger usage;
+    private final Supplier<DutyHolder> holder;
+    private final Runnable outranked;
+    private final GatewayMetrics metrics;
+    private final Set<Long> reported = new HashSet<>();
+    private final Set<Long> busy = new HashSet<>();
+    private final Map<Long, byte[]> stored = new TreeMap<>();
+    private long settledWhileReachable = Long.MIN_VALUE;
+    private long uncertainUntil = Long.MIN_VALUE;
+
+    /**
+     * Creates a reporter.
+     *
+     * @param clock the time of day
+     * @param store the store
+     * @param health told of answers and failures
+     * @param duties the platform's calls
+     * @param usage the counts
+     * @param holder who reports; no token while this process does not lead
+     * @param outranked told that the platform has seen a higher token
+     * @param metrics the process's figures
+     */
+    UsageReporter(
+            Clock clock,
+            CoordinationStore store,
+            StoreHealth health,
+            DutyApi duties,
+            UsageLedger usage,
+            Supplier<DutyHolder> holder,
+            Runnable outranked,
+            GatewayMetrics metrics) {
+        this.clock = clock;
+        this.store = store;
+        this.health = health;
+        this.duties = duties;
+        this.usage = usage;
+        this.holder = holder;
+        this.outranked = outranked;
+        this.metrics = metrics;
+        health.history().onReplaced(this::storeAgain);
+    }
+
+    /** Notes until when counts may have been stored. To be called a few times a second. */
+    void tick() {
+        if (health.isReachable()) {
+            settledWhileReachable = settled();
+        }
+    }
+
+    /** Reports the windows that are due. To be called a few times a second by the leader. */
+    void reportDue() {
+        long settled = settled();
+        for (long window = settled - WINDOWS_BACK + 1; window <= settled; window++) {
+            if (!reported.contains(window) && busy.add(window)) {
+                record(window);
+            }
+        }
+        reported.removeIf(window -> window < settled - WINDOWS_BACK);
+        stored.keySet().removeIf(window -> window < settled - WINDOWS_KEPT);
+    }
+
+    private long settled() {
+        return usage.windowAt(clock.millis() - SETTLE_MILLIS) - 1;
+    }
+
+    private void storeAgain() {
+        uncertainUntil = settledWhileReachable;
+        busy.clear();
+        stored.forEach(
+                (window, value) ->
+                        store.write(
+                                new StoreWrite(USAGE_PREFIX + window, value, 0, 0), done -> {}));
+    }
+
+    /** Stores the counts of a window unless an earlier leader did, then reports what is stored. */
+    private void record(long window) {
+        if (window <= uncertainUntil && !stored.containsKey(window)) {
+            readRecord(window);
+            return;
+        }
+        byte[] value =
+                stored.containsKey(window) ? stored.get(window) : encode(usage.total(window));
+        store.write(
+                new StoreWrite(USAGE_PREFIX + window, value, 0, 0),
+                result -> {
+                    if (result.isRight()) {
+                        health.answered();
+                        stored.put(window, value);
+                        report(window, decode(value));
+                    } else {
+                        health.failed(result.getLeft());
+                        readRecord(window);
+                    }
+                });
+    }
+
+    private void readRecord(long window) {
+        store.read(
+                USAGE_PREFIX + window,
+                result -> {
+                    if (result.isRight() && !result.get().gone()) {
+                        stored.put(window, result.get().value());
+                        report(window, decode(result.get().value()));
+                    } else if (result.isRight() && window <= uncertainUntil) {
+                        leaveOut(window);
+                    } else {
+                        busy.remove(window);
+                    }
+                });
+    }
+
+    /** Other counts may have been reported under a record that the store has lost. */
+    private void leaveOut(long window) {
+        busy.remove(window);
+        reported.add(window);
+        DecisionLog.write(
+                new Lifecycle("usage of window " + window, "left out", "its record is lost"));
+    }
+
+    private void report(long window, Map<String, Integer> counts) {
+        DutyHolder reporter = holder.get();
+        if (reporter.token() == 0) {
+            busy.remove(window);
+            return;
+        }
+        duties.reportUsage(
+                reporter,
+                window,
+                counts,
+                result -> {
+                    DecisionLog.write(
+                            new Duty("usage", "window " + window, reporter.token(), result.name()));
+                    busy.remove(window);
+                    if (result == DutyResult.ACCEPTED) {
+                        reported.add(window);
+                    } else {
+                        metrics.count(GatewayMetrics.Event.DUTY_FAILURE);
+                    }
+                    if (result == DutyResult.DECLINED) {
+                        outranked.run();
+                    }
+                });
+    }
+
+    private static byte[] encode(Map<String, Integer> counts) {
+        ObjectNode node = JsonTree.object();
+        counts.forEach(node::put);
+        return JsonTree.write(node);
+    }
+
+    private static Map<String, Integer> decode(byte[] value) {
+        Map<String, Integer> counts = new TreeMap<>();
+        try {
+            for (Map.Entry<String, JsonNode> field : JsonTree.read(value).properties()) {
+                counts.put(field.getKey(), field.getValue().asInt());
+            }
+        } catch (IOException e) {
+            Logger.warn("stored usage cannot be read: {}", e.getMessage());
+        }
+        return counts;
+    }
+}
