Members: an entry is kept by a lease only if it stands as this process wrote it

What users saw: after a return some processes were never listed again, so limits were shared by too few. Cause: the store gives lease numbers out again, and a process renewed another's lease while its own entry was gone. At a new epoch each process reads its entry, spread over 5 ms a process, keeps its lease if the entry stands as it was written last, and writes it anew if not; lists of the next 4 s take nobody away. The list is not told by revisions of the lost history any more.

--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
@@ -204,7 +204,8 @@
                         storeHealth,
                         mesh,
                         self,
-                        settings.node().firstStart());
+                        settings.node().firstStart(),
+                        random.split());
         LeaderElection election =
                 new LeaderElection(
                         settings.timing().leaseMillis(),
@@ -355,7 +356,7 @@
                     policyWatcher.restart();
                     directoryWatcher.restart();
                     membership.start();
-                    duties.start();
+                    duties.start(settings.node().firstStart());
                     fleet.start();
                     rollouts.start();
                     crashRecords.start(settings.node().firstStart());
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Membership.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Membership.java
@@ -27,11 +27,14 @@
 import io.trailladder.entry.port.StoreWrite;
 import io.vavr.control.Either;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.SplittableRandom;
 import org.tinylog.Logger;
 
 /**
@@ -66,6 +69,18 @@
     private static final long HUB_RENEW_MILLIS = 900;
     private static final long RETRY_MILLIS = 700;
 
+    /**
+     * Over how long processes look after their entries once the store's history was replaced, in
+     * milliseconds for each process: 340 make 600 calls a second.
+     */
+    private static final long SPREAD_MILLIS = 5;
+
+    /**
+     * How long after that a process counts as listed that was listed before, in milliseconds: it
+     * hears of the change within 2 s and writes itself again.
+     */
+    private static final long RETURN_MILLIS = 4_000;
+
     /** An entry as it was read. */
     private record Known(long revision, GatewayMember member) {}
 
@@ -74,16 +89,20 @@
     private final StoreHealth health;
     private final PeerMesh mesh;
     private final String key;
-    private final GatewayMember self;
     private final boolean firstStart;
     private final List<GatewayMember> listed = new ArrayList<>();
 
     /** The entries of the last list by key: one that has not changed is not read anew. */
     private final Map<String, Known> known = new HashMap<>();
 
+    private final byte[] value;
+    private final SplittableRandom random;
     private int lists;
+    private int round;
+    private long returnsUntilMillis = Long.MIN_VALUE;
     private long ownRevision;
     private long lease;
+    private long writtenLease;
     private boolean stopped;
 
     /**
@@ -95,6 +114,7 @@
      * @param mesh told of the others
      * @param self this process
      * @param firstStart true if all processes start now, so that few are listed at once
+     * @param random spreads calls that all processes make for the same reason
      */
     public Membership(
             EventLoop loop,
@@ -102,19 +122,22 @@
             StoreHealth health,
             PeerMesh mesh,
             GatewayMember self,
-            boolean firstStart) {
+            boolean firstStart,
+            SplittableRandom random) {
         this.loop = loop;
         this.store = store;
         this.health = health;
         this.mesh = mesh;
         this.key = PREFIX + self.name();
-        this.self = self;
         this.firstStart = firstStart;
+        this.random = random;
+        this.value = MemberFormat.write(self);
+        health.history().onReplaced(this::historyReplaced);
     }
 
     /** Writes the entry and keeps it, and reads those of the others. */
     public void start() {
-        grant();
+        grant(round);
         if (firstStart) {
             loop.schedule(FIRST_LIST_MILLIS, this::list);
         } else {
@@ -160,10 +183,31 @@
             Set<GatewayMember> present = new HashSet<>(listed);
             known.values().removeIf(entry -> !present.contains(entry.member()));
         }
-        mesh.members(List.copyOf(listed));
+        mesh.members(loop.nowMillis() < returnsUntilMillis ? withMissing() : List.copyOf(listed));
         loop.schedule(listMillis(), this::list);
     }
 
+    /** Returns the processes listed, and those listed before that may write themselves again. */
+    private List<GatewayMember> withMissing() {
+        Map<String, GatewayMember> byName = new LinkedHashMap<>();
+        mesh.members().forEach(member -> byName.put(member.name(), member));
+        listed.forEach(member -> byName.put(member.name(), member));
+        return List.copyOf(byName.values());
+    }
+
+    /** Neither the entry nor its lease need be there any more, nor be this process's. */
+    private void historyReplaced() {
+        known.clear();
+        returnsUntilMillis = loop.nowMillis() + RETURN_MILLIS;
+        if (lease != 0 && !stopped) {
+            lease = 0;
+            round++;
+            int current = round;
+            long spread = 1 + SPREAD_MILLIS * mesh.size();
+            loop.schedule(random.nextLong(spread), () -> readOwn(current));
+        }
+    }
+
     private long listMillis() {
         if (lists < SETTLING_LISTS || mesh.lacksHub()) {
             return SETTLING_LIST_MILLIS;
@@ -190,53 +234,61 @@
         known.put(item.key(), new Known(item.revision(), member));
     }
 
-    private void grant() {
-        store.grant(TTL_MILLIS, this::granted);
+    private void grant(int current) {
+        store.grant(TTL_MILLIS, result -> ifCurrent(current, () -> granted(current, result)));
     }
 
-    private void granted(Either<StoreFailure, Long> result) {
-        if (stopped) {
-            return;
-        }
+    private void granted(int current, Either<StoreFailure, Long> result) {
         if (result.isLeft()) {
-            retryLater(result.getLeft());
+            retryLater(current, result.getLeft());
             return;
         }
         health.answered();
         lease = result.get();
         store.write(
-                new StoreWrite(key, MemberFormat.write(self), ownRevision, lease), this::written);
+                new StoreWrite(key, value, ownRevision, lease),
+                done -> ifCurrent(current, () -> written(current, done)));
     }
 
-    private void written(Either<StoreFailure, Long> result) {
+    private void written(int current, Either<StoreFailure, Long> result) {
         if (result.isLeft()) {
-            retryLater(result.getLeft());
+            retryLater(current, result.getLeft());
             return;
         }
         health.answered();
         ownRevision = result.get();
-        loop.schedule(RENEW_MILLIS, this::renew);
+        writtenLease = lease;
+        renewAfter(RENEW_MILLIS, current);
     }
 
-    private void renew() {
-        if (!stopped) {
-            store.renew(lease, this::renewed);
-        }
+    private void renewAfter(long millis, int current) {
+        loop.schedule(millis, () -> ifCurrent(current, () -> renew(current)));
+    }
+
+    private void renew(int current) {
+        store.renew(lease, result -> ifCurrent(current, () -> renewed(current, result)));
     }
 
-    private void renewed(Either<StoreFailure, Long> result) {
+    private void renewed(int current, Either<StoreFailure, Long> result) {
         if (result.isLeft() && result.getLeft() == StoreFailure.LEASE_GONE) {
             health.answered();
-            grant();
+            grant(current);
             return;
         }
         if (result.isLeft()) {
             health.failed(result.getLeft());
-            loop.schedule(RETRY_MILLIS, this::renew);
+            renewAfter(RETRY_MILLIS, current);
             return;
         }
         health.answered();
-        loop.schedule(renewMillis(), this::renew);
+        renewAfter(renewMillis(), current);
+    }
+
+    /** Does what a call or a pause was for, unless that was in an earlier history of the store. */
+    private void ifCurrent(int current, Runnable task) {
+        if (current == round && !stopped) {
+            task.run();
+        }
     }
 
     /** A hub must know soon that the store is lost, because its leaves rely on it. */
@@ -245,23 +297,38 @@
         return feeds ? HUB_RENEW_MILLIS : RENEW_MILLIS;
     }
 
-    private void retryLater(StoreFailure failure) {
+    private void retryLater(int current, StoreFailure failure) {
         health.failed(failure);
-        loop.schedule(RETRY_MILLIS, this::readOwn);
+        loop.schedule(RETRY_MILLIS, () -> readOwn(current));
     }
 
     /**
-     * After a conflict or a lost answer the entry's revision is read before it is written again.
+     * After a conflict, a lost answer or a change of the store's history the entry is read before
+     * it is written again. One that stands as it was written last was there all the time, with its
+     * lease.
      */
-    private void readOwn() {
-        if (stopped) {
+    private void readOwn(int current) {
+        if (current == round && !stopped) {
+            store.read(key, result -> ifCurrent(current, () -> ownRead(current, result)));
+        }
+    }
+
+    private void ownRead(int current, Either<StoreFailure, StoreItem> result) {
+        result.peekLeft(health::failed);
+        if (result.isRight() && isAsWritten(result.get())) {
+            lease = writtenLease;
+            renew(current);
             return;
         }
-        store.read(
-                key,
-                result -> {
-                    result.peek(item -> ownRevision = item.gone() ? 0 : item.revision());
-                    grant();
-                });
+        result.peek(item -> ownRevision = item.gone() ? 0 : item.revision());
+        grant(current);
+    }
+
+    private boolean isAsWritten(StoreItem item) {
+        return lease == 0
+                && writtenLease != 0
+                && !item.gone()
+                && item.revision() == ownRevision
+                && Arrays.equals(item.value(), value);
     }
 }
--- a/trailladder-entry/src/test/java/io/trailladder/entry/gateway/MembershipTest.java
+++ b/trailladder-entry/src/test/java/io/trailladder/entry/gateway/MembershipTest.java
@@ -33,6 +33,7 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.SplittableRandom;
 import java.util.function.Consumer;
 import net.jqwik.api.Example;
 
@@ -45,7 +46,9 @@
             GatewayMember self = new GatewayMember("e1", "a", "127.0.0.1:1", 1, 1);
             PeerMesh mesh = new PeerMesh(loop, self, Topology.oneRegion("a"), "1", new NoPeers());
             StoreHealth health = new StoreHealth(new GatewayMetrics());
-            new Membership(loop, new CountingStore(), health, mesh, self, firstStart).start();
+            SplittableRandom random = new SplittableRandom(1);
+            new Membership(loop, new CountingStore(), health, mesh, self, firstStart, random)
+                    .start();
         }
     }
 
