Leadership: who has just started waits, and a later leader's key is not taken over

A property over returns, lost calls, pauses and restarts found three ways to calls that are accepted turn about, and one to a token that two use: an entry that had just started claimed while the leader of the lost history still acted; that leader claimed anew in place of a later one; a grant that was answered in the new epoch cut the wait short; a process that knew no token took the number of one of the lost history.

--- a/trailladder-core/src/main/java/io/trailladder/core/duty/LeaderElection.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/duty/LeaderElection.java
@@ -56,6 +56,7 @@
     private long highestToken;
     private long keyRevision;
     private boolean reclaims;
+    private long epoch;
 
     /** What this entry is doing about the lease. */
     private enum State {
@@ -150,7 +151,8 @@
      */
     public void keySeen(long keyToken) {
         keyPresent = true;
-        tokenSeen(keyToken);
+        // the leader's own may be higher by one, to fit its epoch
+        tokenSeen(keyToken + 1);
         if (state == State.LEADING && keyToken > token) {
             state = State.FOLLOWING;
         }
@@ -174,6 +176,31 @@
         return highestToken;
     }
 
+    /**
+     * Records which history of the store is current.
+     *
+     * @param current the epoch; 0 if the store names none
+     */
+    public void epoch(long current) {
+        epoch = current;
+    }
+
+    /**
+     * Has this entry wait as after a change of the history: it has just started, and a leader that
+     * the store has lost may still act.
+     *
+     * @param nowMillis the time
+     */
+    public void started(long nowMillis) {
+        notBeforeMillis = nowMillis + ttlMillis - MARGIN_MILLIS;
+    }
+
+    /** Returns the lowest token that is at least as high as a number and fits the epoch. */
+    private long fitting(long least) {
+        boolean fits = epoch == 0 || (least & 1) == (epoch & 1);
+        return fits ? least : least + 1;
+    }
+
     /**
      * Records that the store's history was replaced: keys and leases may be gone, and their numbers
      * given out again.
@@ -207,13 +234,22 @@
     }
 
     /**
-     * Records that the leader's key is not this entry's any more. It may be claimed at once: nobody
-     * else has led since this entry did.
+     * Records that the leader's key is not this entry's any more. Unless another one has led since,
+     * the key may be claimed at once: one of a lower token is of an earlier leader, and a copy has
+     * held it.
      *
      * @param revision the revision of the key that stands there; 0 if there is none
+     * @param keyToken the token of the leader whose key it is; 0 if there is none
+     * @param nowMillis the time
      */
-    public void displaced(long revision) {
-        if (state == State.WAITING_FOR_CONFIRMATION) {
+    public void displaced(long revision, long keyToken, long nowMillis) {
+        if (state != State.WAITING_FOR_CONFIRMATION) {
+            return;
+        }
+        if (keyToken > token) {
+            keySeen(keyToken);
+            follow(nowMillis);
+        } else {
             state = State.FOLLOWING;
             reclaims = true;
             keyRevision = revision;
@@ -245,12 +281,12 @@
      * Takes a higher token, because the platform has seen a higher one than this leader's although
      * the leader's key is its own.
      *
-     * @param next the token
+     * @param next the least token to take
      */
     public void raise(long next) {
         if (state == State.LEADING && next > token) {
-            token = next;
-            tokenSeen(next);
+            token = fitting(next);
+            tokenSeen(token);
         }
     }
 
@@ -288,7 +324,7 @@
      */
     public void claimed(long made) {
         if (state == State.WAITING_FOR_CLAIM) {
-            token = Math.max(made, highestToken + 1);
+            token = fitting(Math.max(made, highestToken + 1));
             tokenSeen(token);
             endReclaim();
             keyPresent = true;
@@ -307,7 +343,7 @@
         if (!isAsLeader()) {
             state = State.FOLLOWING;
             endReclaim();
-            notBeforeMillis = nowMillis + BACKOFF_MILLIS;
+            notBeforeMillis = Math.max(notBeforeMillis, nowMillis + BACKOFF_MILLIS);
         }
     }
 
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/DutyRunner.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/DutyRunner.java
@@ -110,8 +110,15 @@
         health.history().onReplaced(this::historyReplaced);
     }
 
-    /** Begins to take part. */
-    public void start() {
+    /**
+     * Begins to take part.
+     *
+     * @param firstStart true if nobody has led before
+     */
+    public void start(boolean firstStart) {
+        if (!firstStart) {
+            election.started(loop.nowMillis());
+        }
         loop.repeat(STEP_MILLIS, this::step);
         loop.repeat(FORGET_MILLIS, () -> usage.forgetOld(clock.millis()));
     }
@@ -206,6 +213,7 @@
 
     private void step() {
         long now = loop.nowMillis();
+        election.epoch(health.history().epoch());
         switch (election.next(now)) {
             case GRANT -> store.grant(ttlMillis, this::granted);
             case CLAIM -> claim();
@@ -292,7 +300,9 @@
     }
 
     private void displaced(StoreItem item) {
-        election.displaced(item.gone() ? 0 : item.revision());
+        boolean none = item.gone();
+        long token = none ? 0 : LeaderKey.token(item);
+        election.displaced(none ? 0 : item.revision(), token, loop.nowMillis());
         step();
     }
 
