Refused requests: their record is read and written again at a new epoch

The record of requests that end upstreams is written when it changes. After a return it was older or gone and would have stayed so until the next change, so a loss of all processes would have let them run again. The leader reads what stands there, takes it over and writes what it refuses. No test of its own: the soak and StoreEpochFaultTest run it, none asserts on the record.

--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/CrashRecords.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/CrashRecords.java
@@ -71,6 +71,7 @@
     private int reads;
     private boolean known;
     private boolean busy;
+    private boolean replaced;
 
     CrashRecords(
             EventLoop loop,
@@ -85,6 +86,7 @@
         this.health = health;
         this.crashes = crashes;
         this.leads = leads;
+        health.history().onReplaced(this::historyReplaced);
     }
 
     /**
@@ -105,6 +107,14 @@
         return known;
     }
 
+    /** What was written may be gone: the leader reads what stands there and writes again. */
+    private void historyReplaced() {
+        revision = 0;
+        written = Set.of();
+        busy = false;
+        replaced = true;
+    }
+
     private void read() {
         reads++;
         store.list(KEY, "", Freshness.RECENT, this::wasRead);
@@ -145,7 +155,10 @@
         List<CrashReport> reports = crashes.ledger().refused();
         Set<RequestFingerprint> now = new HashSet<>();
         reports.forEach(report -> now.add(report.request()));
-        if (!now.equals(written)) {
+        if (replaced) {
+            replaced = false;
+            readBack();
+        } else if (!now.equals(written)) {
             write(reports, now);
         }
     }
@@ -174,11 +187,15 @@
         if (result.getLeft() == StoreFailure.CONFLICT
                 || result.getLeft() == StoreFailure.UNANSWERED) {
             // another leader has written, or this write was done: what stands there is taken over
-            busy = true;
-            store.read(KEY, this::wasReadBack);
+            readBack();
         }
     }
 
+    private void readBack() {
+        busy = true;
+        store.read(KEY, this::wasReadBack);
+    }
+
     private void wasReadBack(Either<StoreFailure, StoreItem> result) {
         busy = false;
         if (result.isRight()) {
