Roll-outs: orders and records hold over histories of the store

What users saw: after a return an order that was written again was passed over, its record was gone, and a roll-out that had been rolled back was begun anew by processes that started then, with a new part to spend; a new order waited until revisions had passed those of the lost history. Cause: revisions named an order, decided which record is newer and under which condition records are written. The leader writes a record again that was about its order and does not stand. Nothing is decided or told of roll-outs until orders are found again: evidence is filed by them. RolloutFaultTest.recordThatTheStoreLostIsWrittenAgain and newOrderAfterTheStoreCameBackIsCarriedOut failed before and pass.

--- a/trailladder-core/src/main/java/io/trailladder/core/rollout/Rollout.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/rollout/Rollout.java
@@ -59,7 +59,7 @@
     private static final String FIRST = "first/";
     private static final String PAUSE = "pause/";
 
-    private final RolloutOrder order;
+    private RolloutOrder order;
     private final ExposureLedger ledger;
     private final PaceBaseline pace = new PaceBaseline();
     private final Map<String, RouteEvidence> seen = new TreeMap<>();
@@ -110,6 +110,15 @@
         return order;
     }
 
+    /**
+     * Takes over the revision that the order has now: the store's history was replaced.
+     *
+     * @param same an order that is alike but for its revision
+     */
+    public void renumbered(RolloutOrder same) {
+        order = same;
+    }
+
     /**
      * Returns how far it has come.
      *
--- a/trailladder-core/src/main/java/io/trailladder/core/rollout/RolloutOrder.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/rollout/RolloutOrder.java
@@ -24,4 +24,27 @@
  * @param revision the store's revision of the order, which names it: a later order has a higher one
  * @since 0.4
  */
-public record RolloutOrder(String service, String version, long durationMillis, long revision) {}
+public record RolloutOrder(String service, String version, long durationMillis, long revision) {
+    /**
+     * Tells whether another order says the same. After the store came back from a copy an order
+     * that is written again has another revision.
+     *
+     * @param other the other order
+     * @return true if they differ in their revision at most
+     */
+    public boolean isAlike(RolloutOrder other) {
+        return service.equals(other.service)
+                && version.equals(other.version)
+                && durationMillis == other.durationMillis;
+    }
+
+    /**
+     * Returns the same order under another revision.
+     *
+     * @param next the revision
+     * @return a copy
+     */
+    public RolloutOrder at(long next) {
+        return new RolloutOrder(service, version, durationMillis, next);
+    }
+}
--- a/trailladder-core/src/main/java/io/trailladder/core/rollout/RolloutStatus.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/rollout/RolloutStatus.java
@@ -56,4 +56,26 @@
     public boolean isAbout(RolloutOrder order) {
         return revision > order.revision() && version.equals(order.version());
     }
+
+    /**
+     * Tells whether another record says the same.
+     *
+     * @param other the other record
+     * @return true if they differ in their revision at most
+     */
+    public boolean isAlike(RolloutStatus other) {
+        return service.equals(other.service)
+                && version.equals(other.version)
+                && state == other.state;
+    }
+
+    /**
+     * Returns the same record under another revision.
+     *
+     * @param next the revision
+     * @return a copy
+     */
+    public RolloutStatus at(long next) {
+        return new RolloutStatus(service, version, state, next);
+    }
 }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ClusterView.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ClusterView.java
@@ -327,7 +327,15 @@
         } else if (message instanceof Snapshot snapshot) {
             snapshots.answered(mesh, peers.of(hello), snapshot);
         } else if (message instanceof RolloutReport report) {
-            rollouts.ifPresent(exchange -> exchange.heard(hello, report));
+            rolloutReport(peers.of(hello), report);
+        }
+    }
+
+    private void rolloutReport(Peer from, RolloutReport report) {
+        StoreHistory history = store.history();
+        boolean sameHistory = from.storeEpoch() == history.epoch();
+        if (history.mayBeOf(from.storeEpoch())) {
+            rollouts.ifPresent(exchange -> exchange.heard(from.hello(), report, sameHistory));
         }
     }
 
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RolloutExchange.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RolloutExchange.java
@@ -47,7 +47,8 @@
 
     /** Tells the peers, if there is a roll-out to tell of. */
     void tell(Mesh mesh, Collection<Peer> peers) {
-        if (keeper.rollouts().isEmpty()) {
+        // an order that was not found in the store's new history has a revision of the lost one
+        if (keeper.rollouts().isEmpty() || keeper.awaitsOrders()) {
             return;
         }
         List<String> leaves = new ArrayList<>();
@@ -67,8 +68,12 @@
         }
     }
 
-    /** Takes over what a peer tells; figures that cannot be true are left out. */
-    void heard(NodeHello peer, RolloutReport report) {
+    /**
+     * Takes over what a peer tells; figures that cannot be true are left out.
+     *
+     * @param sameHistory false if the peer may be on another history of the store
+     */
+    void heard(NodeHello peer, RolloutReport report, boolean sameHistory) {
         Map<Long, List<RouteEvidence>> told = new HashMap<>();
         for (RolloutNews news : report.rollouts()) {
             List<RouteEvidence> sound =
@@ -78,7 +83,7 @@
                         new Lifecycle("peer " + peer.name(), "figures refused", news.toString()));
             }
             told.put(news.order().revision(), sound);
-            keeper.heard(news);
+            keeper.heard(news, sameHistory);
         }
         byPeer.put(peer.name(), told);
     }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RolloutKeeper.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RolloutKeeper.java
@@ -30,6 +30,7 @@
 import io.trailladder.entry.port.PlatformFormat;
 import io.trailladder.entry.port.StoreItem;
 import io.vavr.control.Either;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -54,6 +55,7 @@
     private Runnable onAdvance = () -> {};
     private final Map<String, RolloutStatus> records = new HashMap<>();
     private final Set<String> unreadable = new HashSet<>();
+    private final RolloutReturns returns = new RolloutReturns();
 
     /**
      * Creates a keeper that knows of none.
@@ -98,6 +100,14 @@
         }
     }
 
+    /** When an order was written. */
+    private enum Written {
+        /** Just now, so that its time begins. */
+        NOW,
+        /** Perhaps long ago. */
+        BEFORE
+    }
+
     /** Returns who is to be told of the orders in the store. */
     StoreWatcher.Listener orders() {
         return new Orders();
@@ -133,25 +143,81 @@
         return unreadable.contains(service);
     }
 
-    /** Reads a record. */
-    void read(String service, StoreItem item) {
+    /**
+     * Has orders and records be found again: the store's history was replaced. What is known of
+     * them here holds on.
+     */
+    void historyReplaced() {
+        List<RolloutStatus> recorded = new ArrayList<>();
+        for (Rollout rollout : gate.rollouts()) {
+            RolloutStatus record = record(rollout.order().service());
+            if (record.isAbout(rollout.order())) {
+                recorded.add(record);
+            }
+        }
+        List<String> services = new ArrayList<>();
+        gate.rollouts().forEach(rollout -> services.add(rollout.order().service()));
+        returns.begin(services, recorded, nowMillis.getAsLong());
+        records.replaceAll((service, record) -> record.at(0));
+    }
+
+    /** Tells whether orders known here were not found yet in the store's new history. */
+    boolean awaitsOrders() {
+        long now = nowMillis.getAsLong();
+        for (String missed : returns.takeMissed(now)) {
+            gate.rollout(missed).ifPresent(rollout -> rollout.renumbered(rollout.order().at(0)));
+        }
+        return returns.awaitsOrders(now);
+    }
+
+    /** Returns the record of a roll-out that the store has lost, for the leader to write again. */
+    Optional<RolloutStatus> lostRecord(Rollout rollout) {
+        String service = rollout.order().service();
+        boolean stands = record(service).isAbout(rollout.order());
+        return stands ? Optional.empty() : returns.record(service);
+    }
+
+    /** Returns under which revision a service's record is to be written. */
+    long standingRevision(String service) {
+        return returns.record(service).isPresent()
+                ? returns.standing(service)
+                : record(service).revision();
+    }
+
+    /**
+     * Reads a record.
+     *
+     * @param certain true if it was written in the store's current history; a list may hold older
+     *     ones for a moment
+     */
+    void read(String service, StoreItem item, boolean certain) {
         Optional<RolloutStatus> status =
                 sound(format.rolloutStatus(service, item.value(), item.revision()));
         if (status.isPresent()) {
             unreadable.remove(service);
-            recorded(status.get());
+            recorded(status.get(), certain);
         } else {
             unreadable.add(service);
         }
     }
 
     /** Takes over a record that was read or written. */
-    void recorded(RolloutStatus status) {
-        RolloutStatus before = record(status.service());
+    void recorded(RolloutStatus status, boolean certain) {
+        String service = status.service();
+        RolloutStatus before = record(service);
+        boolean mayBeOlder = returns.record(service).isPresent() && !certain;
+        if (mayBeOlder && returns.isOpen(nowMillis.getAsLong()) && !status.isAlike(before)) {
+            returns.stands(service, status.revision());
+            return;
+        }
         if (status.revision() < before.revision()) {
             return;
         }
-        records.put(status.service(), status);
+        returns.stands(service, status.revision());
+        if (certain) {
+            returns.foundRecord(service);
+        }
+        records.put(service, status);
         if (before.state() != status.state() || before.revision() == 0) {
             DecisionLog.write(
                     new Belief(
@@ -194,11 +260,22 @@
         metrics.versionAnswered(rollout.order().service(), upstream.version(), sort);
     }
 
-    /** Takes over what a peer tells, if its order is as new as the one known here. */
-    void heard(RolloutNews news) {
-        ordered(news.order(), "peer", false);
-        gate.rollout(news.order().service())
-                .filter(rollout -> rollout.order().revision() == news.order().revision())
+    /**
+     * Takes over what a peer tells, if its order is as new as the one known here.
+     *
+     * @param sameHistory false if the peer does not say which history of the store its order's
+     *     revision is of, though this process knows that there are several
+     */
+    void heard(RolloutNews news, boolean sameHistory) {
+        RolloutOrder order = news.order();
+        Optional<Rollout> known = gate.rollout(order.service());
+        boolean alike = known.filter(rollout -> rollout.order().isAlike(order)).isPresent();
+        if (sameHistory || !alike) {
+            ordered(order, "peer", Written.BEFORE, sameHistory);
+        }
+        boolean numbered = sameHistory || !alike;
+        gate.rollout(order.service())
+                .filter(rollout -> !numbered || rollout.order().revision() == order.revision())
                 .ifPresent(
                         rollout ->
                                 advance(rollout, () -> rollout.heard(news, nowMillis.getAsLong())));
@@ -207,14 +284,19 @@
     /**
      * Begins to follow an order.
      *
-     * @param fresh true if it was written just now; otherwise a peer has to tell how much of its
-     *     time is left
+     * @param written {@code BEFORE}: a peer has to tell how much of its time is left
+     * @param certain true if it was written in the store's current history, or found there by a
+     *     peer; a list may hold older ones for a moment
      */
-    private void ordered(RolloutOrder order, String source, boolean fresh) {
+    private void ordered(RolloutOrder order, String source, Written written, boolean certain) {
         Optional<Rollout> known = gate.rollout(order.service());
-        if (known.isPresent() && known.get().order().revision() >= order.revision()) {
+        if (known.isPresent() && isKnown(known.get(), order, certain)) {
             return;
         }
+        known.ifPresent(before -> returns.replaced(before.order()));
+        returns.foundOrder(order.service());
+        returns.foundRecord(order.service());
+        boolean fresh = written == Written.NOW;
         ExposureLedger ledger = ExposureLedger.of(bounds.share(), bounds.allowance(), random);
         long now = nowMillis.getAsLong();
         Rollout rollout =
@@ -234,6 +316,19 @@
                         order.revision()));
     }
 
+    private boolean isKnown(Rollout known, RolloutOrder order, boolean certain) {
+        long now = nowMillis.getAsLong();
+        String service = order.service();
+        if (returns.isOpen(now) && known.order().isAlike(order)) {
+            known.renumbered(order);
+            returns.foundOrder(service);
+            return true;
+        }
+        return returns.awaitsOrder(service, now)
+                ? !certain && returns.isEarlier(order)
+                : known.order().revision() >= order.revision();
+    }
+
     private void withdrawn(String service) {
         gate.rollout(service)
                 .filter(rollout -> !rollout.phase().isFinal())
@@ -265,23 +360,24 @@
         /** What lies in the store when this process starts may have lain there for long. */
         @Override
         public void listed(List<StoreItem> items, long revision) {
-            items.forEach(item -> read(item, followed));
+            Written written = followed ? Written.NOW : Written.BEFORE;
+            items.forEach(item -> read(item, written, false));
             followed = true;
         }
 
         @Override
         public void changed(StoreItem item) {
-            read(item, true);
+            read(item, Written.NOW, true);
         }
 
-        private void read(StoreItem item, boolean fresh) {
+        private void read(StoreItem item, Written written, boolean certain) {
             String service = serviceOf(item.key(), format.rolloutOrderPrefix());
             if (item.gone()) {
                 withdrawn(service);
                 return;
             }
             sound(format.rolloutOrder(service, item.value(), item.revision()))
-                    .ifPresent(order -> ordered(order, "store", fresh));
+                    .ifPresent(order -> ordered(order, "store", written, certain));
         }
     }
 
@@ -289,14 +385,18 @@
     private final class Records implements StoreWatcher.Listener {
         @Override
         public void listed(List<StoreItem> items, long revision) {
-            items.forEach(this::changed);
+            items.forEach(item -> take(item, false));
         }
 
         @Override
         public void changed(StoreItem item) {
+            take(item, true);
+        }
+
+        private void take(StoreItem item, boolean certain) {
             String service = serviceOf(item.key(), format.rolloutStatusPrefix());
             if (!item.gone()) {
-                read(service, item);
+                read(service, item, certain);
             }
         }
     }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RolloutParts.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RolloutParts.java
@@ -73,6 +73,7 @@
                         random.split(),
                         loop::nowMillis,
                         metrics);
+        health.history().onReplaced(keeper::historyReplaced);
         RolloutExchange exchange = new RolloutExchange(keeper, loop::nowMillis);
         runner =
                 new RolloutRunner(
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RolloutRunner.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RolloutRunner.java
@@ -63,7 +63,7 @@
     private final UpstreamLoads loads;
     private final BooleanSupplier leads;
     private final Function<Rollout, List<RouteEvidence>> evidence;
-    private final Map<Long, RolloutLead> deciders = new HashMap<>();
+    private final Map<Rollout, RolloutLead> deciders = new HashMap<>();
     private final Map<String, String> logged = new HashMap<>();
     private final Map<String, Long> toldMillis = new HashMap<>();
     private final Set<String> writing = new HashSet<>();
@@ -108,11 +108,16 @@
     }
 
     private void step() {
+        // what others have seen is filed under the orders' revisions
+        if (keeper.awaitsOrders()) {
+            return;
+        }
         if (!leads.getAsBoolean()) {
             deciders.clear();
             return;
         }
         for (Rollout rollout : keeper.rollouts()) {
+            keeper.lostRecord(rollout).ifPresent(this::recordAgain);
             if (!rollout.phase().isFinal() && isKnown(rollout.order().service())) {
                 lead(rollout);
             }
@@ -127,16 +132,14 @@
     }
 
     private void lead(Rollout rollout) {
-        RolloutLead decider =
-                deciders.computeIfAbsent(
-                        rollout.order().revision(), order -> new RolloutLead(rollout));
+        RolloutLead decider = deciders.computeIfAbsent(rollout, RolloutLead::new);
         String service = rollout.order().service();
         RolloutStatus status = keeper.record(service);
         List<RouteEvidence> seen = evidence.apply(rollout);
         Step step = decider.next(seen, status, fleet(rollout), loop.nowMillis());
         keeper.lead(rollout, step.phase());
         log(rollout, step, status, seen);
-        step.record().ifPresent(state -> record(rollout, status, state));
+        step.record().ifPresent(state -> record(rollout, state));
     }
 
     private Fleet fleet(Rollout rollout) {
@@ -187,15 +190,28 @@
                 seen);
     }
 
-    private void record(Rollout rollout, RolloutStatus before, State state) {
+    private void record(Rollout rollout, State state) {
         String service = rollout.order().service();
+        write(new RolloutStatus(service, rollout.order().version(), state, 0));
+    }
+
+    private void recordAgain(RolloutStatus lost) {
+        if (!writing.contains(lost.service())) {
+            String subject = "roll-out of " + lost.service() + " to " + lost.version();
+            DecisionLog.write(new Lifecycle(subject, "recorded again", lost.state().name()));
+            write(lost.at(0));
+        }
+    }
+
+    private void write(RolloutStatus next) {
+        String service = next.service();
         if (!writing.add(service)) {
             return;
         }
-        RolloutStatus next = new RolloutStatus(service, rollout.order().version(), state, 0);
         String key = format.rolloutStatusPrefix() + service;
+        long expected = keeper.standingRevision(service);
         store.write(
-                new StoreWrite(key, format.rolloutStatus(next), before.revision(), 0),
+                new StoreWrite(key, format.rolloutStatus(next), expected, 0),
                 result -> recorded(key, next, result));
     }
 
@@ -204,7 +220,7 @@
         if (result.isRight()) {
             health.answered();
             writing.remove(service);
-            keeper.recorded(new RolloutStatus(service, next.version(), next.state(), result.get()));
+            keeper.recorded(next.at(result.get()), true);
             return;
         }
         health.failed(result.getLeft());
@@ -220,7 +236,7 @@
         }
         health.answered();
         if (!read.get().gone()) {
-            keeper.read(service, read.get());
+            keeper.read(service, read.get(), false);
         }
     }
 }
