--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ClusterView.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ClusterView.java
@@ -69,6 +69,12 @@
      */
     private static final long SOON_MILLIS = 50;
 
+    /** How often digests tell the epoch of the store, in milliseconds: it hardly ever changes. */
+    private static final long EPOCH_MILLIS = 1_000;
+
+    /** For how long each digest tells an epoch that has changed, in milliseconds. */
+    private static final long EPOCH_NEWS_MILLIS = 5_000;
+
     private final LongSupplier nowMillis;
     private final PolicyKeeper policies;
     private final DirectoryKeeper directory;
@@ -90,6 +96,8 @@
     private Mesh mesh;
     private boolean draining;
     private long soonToldMillis = -SOON_MILLIS;
+    private long epochChangedMillis = Long.MIN_VALUE / 2;
+    private long epochToldMillis = Long.MIN_VALUE / 2;
     private List<Peer> evidenceOf = List.of();
     private boolean evidenceTold;
 
@@ -137,7 +145,7 @@
         directory.onLeaving(upstream -> remember(upstream.id()));
         directory.onNews(this::passOn);
         // before anything of the new history is passed on, so that nobody takes it for the old one
-        store.history().onReplaced(this::tellPeers);
+        store.history().onReplaced(this::historyReplaced);
     }
 
     /**
@@ -307,6 +315,7 @@
                 new DecisionLog.Lifecycle("peer " + hello.name(), "linked", hello.address()));
         Peer peer = peers.linked(hello);
         parts.linked(peer.name(), nowMillis.getAsLong());
+        epochToldMillis = Long.MIN_VALUE / 2;
         tell(List.of(peer));
         rollouts.ifPresent(exchange -> exchange.tell(mesh, List.of(peer)));
         snapshots.linked(mesh, hello);
@@ -352,10 +361,11 @@
             return;
         }
         long now = nowMillis.getAsLong();
-        history(sender, digest.digest());
+        Peer peer = peers.of(sender);
+        history(peer, digest.digest());
         if (view.isElsewhere(sender)) {
-            peers.of(sender).heard(now);
-            snapshots.digest(mesh, sender, digest.digest());
+            peer.heard(now);
+            snapshots.digest(mesh, peer, digest.digest());
         }
         evidenceTold |= !digest.digest().evidence().isEmpty();
         regions.received(mesh, view, sender, digest, peers.ownHubs(), now);
@@ -364,11 +374,11 @@
     private void digest(Peer peer, NodeDigest digest) {
         boolean wasHub = peer.isHeard() && !peer.isLeaf();
         long now = nowMillis.getAsLong();
-        history(peer.hello(), digest);
+        history(peer, digest);
         peer.told(SoundFigures.of(peer.name(), digest), now);
         evidenceTold |= !digest.evidence().isEmpty();
         LeavingLives.of(digest).forEach(told -> directory.leavingSeenBy(told, peer.name()));
-        snapshots.digest(mesh, peer.hello(), digest);
+        snapshots.digest(mesh, peer, digest);
         if (!peers.counts(peer)) {
             loads.peerLost(peer.name());
             parts.forget(peer.name());
@@ -385,8 +395,14 @@
         }
     }
 
-    private void history(NodeHello sender, NodeDigest digest) {
+    private void historyReplaced() {
+        epochChangedMillis = nowMillis.getAsLong();
+        tellPeers();
+    }
+
+    private void history(Peer sender, NodeDigest digest) {
         StoreEpochSection section = StoreEpochSection.of(digest);
+        sender.storeEpoch(section.epoch());
         store.history().told(sender.name(), section.epoch());
         tokenTold.accept(section.token());
     }
@@ -465,7 +481,7 @@
                         draining,
                         membersRead(),
                         leavingNews.next(now),
-                        new StoreEpochSection(store.history().epoch(), highestToken.getAsLong()));
+                        epochSection(now));
         Map<Long, List<Peer>> byUsageTold = new HashMap<>();
         List<Peer> counted = peers.counted();
         List<Peer> keepers = peers.keepers();
@@ -487,6 +503,16 @@
         mesh.regions().ifPresent(view -> tellRegions(view, state, told, now));
     }
 
+    /** Tells the epoch at once when it has changed, and now and then to who has missed it. */
+    private StoreEpochSection epochSection(long now) {
+        boolean isNews = now - epochChangedMillis < EPOCH_NEWS_MILLIS;
+        if (!isNews && now - epochToldMillis < EPOCH_MILLIS) {
+            return StoreEpochSection.NONE;
+        }
+        epochToldMillis = now;
+        return new StoreEpochSection(store.history().epoch(), highestToken.getAsLong());
+    }
+
     private void tellRegions(RegionView view, SenderState state, Collection<Peer> told, long now) {
         List<Peer> own = peers.countedHere();
         int processes = 1 + own.stream().mapToInt(peers::justHeard).sum();
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Peer.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Peer.java
@@ -86,7 +86,13 @@
         storeReachable = digest.storeReachable();
         policyVersion = digest.policyVersion();
         directoryRevision = digest.directoryRevision();
-        storeEpoch = StoreEpochSection.of(digest).epoch();
+    }
+
+    /** Records of which epoch of the store the peer's revisions are; not each digest tells it. */
+    void storeEpoch(long named) {
+        if (named != 0) {
+            storeEpoch = named;
+        }
     }
 
     /** Records that the peer told something that is no digest of its own. */
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/SnapshotExchange.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/SnapshotExchange.java
@@ -63,10 +63,11 @@
     }
 
     /** Asks a peer whose digest tells of a newer policy or list. */
-    void digest(Mesh mesh, NodeHello peer, NodeDigest digest) {
+    void digest(Mesh mesh, Peer from, NodeDigest digest) {
+        NodeHello peer = from.hello();
         boolean newerPolicy = digest.policyVersion() > policies.version();
         boolean newerList =
-                store.history().mayBeOf(StoreEpochSection.of(digest).epoch())
+                store.history().mayBeOf(from.storeEpoch())
                         && digest.directoryRevision() > directory.revision()
                         && (!store.isReachable() || mesh.isFedBy(peer));
         long now = nowMillis.getAsLong();
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/StoreEpochSection.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/StoreEpochSection.java
@@ -31,7 +31,9 @@
     private static final String NAME = "store-epoch";
     private static final int VERSION = 1;
     private static final int BYTES = 2 * Long.BYTES;
-    private static final StoreEpochSection NONE = new StoreEpochSection(0, 0);
+
+    /** Tells nothing. */
+    static final StoreEpochSection NONE = new StoreEpochSection(0, 0);
 
     /** Writes the section; none for a store that names no epochs. */
     Optional<DigestSection> write() {
--- a/trailladder-entry/src/test/java/io/trailladder/entry/gateway/SimulatedProcess.java
+++ b/trailladder-entry/src/test/java/io/trailladder/entry/gateway/SimulatedProcess.java
@@ -111,6 +111,7 @@
         policies = new PolicyKeeper(format);
         health = new StoreHealth(metrics);
         directory = new DirectoryKeeper(format, upstreams, cluster::now, task -> {});
+        health.history().onReplaced(directory::historyReplaced);
         fed = false;
         usage = new UsageLedger(member.name() + '/' + life, USAGE_WINDOW_MILLIS);
         loads = new UpstreamLoads();
@@ -256,6 +257,11 @@
         }
     }
 
+    /** Returns what this process knows of the store. */
+    StoreHealth health() {
+        return health;
+    }
+
     /** Tells whether this process would follow the store itself. */
     boolean followsStore() {
         fed = view.isFed(fed);
