Lists: what the store has not told within two digests is asked of peers

The incident's class is a belief whose age nothing measures. Its like: a process that follows the store took a wait that had not ended for a sign that it hears; where its connection was silent it and all its leaves missed changes for up to 11 s, while its digests said that the store answers. Now a peer whose list of the same history is newer for 400 ms is asked for it; if it says something else, the watch is begun anew. A list that only has a higher number is taken over without a call, so that one reading causes no other. What stays: if all who follow are deaf at once, their waits end after 11 s.

--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ClusterView.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ClusterView.java
@@ -170,6 +170,16 @@
         rollouts = Optional.of(exchange);
     }
 
+    /**
+     * Has a task run when a peer knew of a change of the upstreams that the store has not told here
+     * though it answers.
+     *
+     * @param task the task
+     */
+    void onMissedChange(Runnable task) {
+        snapshots.onMissed(task);
+    }
+
     /**
      * Has the peers told of the highest fencing token that is known here.
      *
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/DirectoryKeeper.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/DirectoryKeeper.java
@@ -212,14 +212,22 @@
      * @param upstreams the entries
      * @param peerRevision the revision of the peer's list
      * @param peer the peer's name
+     * @return true if it says something else than the list here did
      */
-    public void fromPeer(List<UpstreamEntry> upstreams, long peerRevision, String peer) {
+    public boolean fromPeer(List<UpstreamEntry> upstreams, long peerRevision, String peer) {
         if (peerRevision <= revision) {
-            return;
+            return false;
         }
         Map<String, byte[]> listed = new HashMap<>();
         upstreams.forEach(entry -> listed.put(entry.id(), entry.value()));
-        replaceAll(listed, peerRevision, peer);
+        boolean same =
+                listed.size() == entries.size() && upstreams.stream().noneMatch(this::differs);
+        if (same && known) {
+            revision = peerRevision;
+        } else {
+            replaceAll(listed, peerRevision, peer);
+        }
+        return !same;
     }
 
     /**
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
@@ -323,6 +323,7 @@
                         format.upstreamPrefix(),
                         DIRECTORY_PAUSE_MILLIS,
                         directoryKeeper);
+        view.onMissedChange(directoryWatcher::watchAnew);
         leaderWatcher =
                 watcher(
                         counted(platform, Purpose.LEADERSHIP),
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/SnapshotExchange.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/SnapshotExchange.java
@@ -29,6 +29,13 @@
 final class SnapshotExchange {
     private static final long ASK_MILLIS = 300;
 
+    /**
+     * How long a peer's list may be newer before it is asked for although the store answers, in
+     * milliseconds: two digests. By then the store has told the change here too, unless the wait
+     * for changes hears nothing.
+     */
+    private static final long LAG_MILLIS = 400;
+
     /** Most peers of which it is remembered what they were asked: those of the largest hub. */
     private static final int MOST_ASKED = 1_000;
 
@@ -40,6 +47,8 @@
     private final StoreHealth store;
     private final GatewayMetrics metrics;
     private final Map<String, Long> askedAfter = new RecentMap<>(MOST_ASKED);
+    private final Map<String, Long> newerSinceMillis = new RecentMap<>(MOST_ASKED);
+    private Runnable onMissed = () -> {};
     private long askedMillis;
 
     SnapshotExchange(
@@ -55,6 +64,11 @@
         this.metrics = metrics;
     }
 
+    /** Has a task run when a peer knew of a change that the store has not told here. */
+    void onMissed(Runnable task) {
+        onMissed = task;
+    }
+
     /** Asks a peer that has just been linked if the store does not tell, or has not told yet. */
     void linked(Mesh mesh, NodeHello peer) {
         if (!store.isReachable() || policies.version() == 0) {
@@ -65,18 +79,32 @@
     /** Asks a peer whose digest tells of a newer policy or list. */
     void digest(Mesh mesh, Peer from, NodeDigest digest) {
         NodeHello peer = from.hello();
+        long now = nowMillis.getAsLong();
         boolean newerPolicy = digest.policyVersion() > policies.version();
         boolean newerList =
-                store.history().mayBeOf(from.storeEpoch())
-                        && digest.directoryRevision() > directory.revision()
-                        && (!store.isReachable() || mesh.isFedBy(peer));
-        long now = nowMillis.getAsLong();
+                isNewer(from, digest)
+                        && (!store.isReachable() || mesh.isFedBy(peer) || isMissed(peer, now));
         if ((newerPolicy || newerList) && now - askedMillis >= ASK_MILLIS) {
             askedMillis = now;
             ask(mesh, peer);
         }
     }
 
+    private boolean isNewer(Peer from, NodeDigest digest) {
+        boolean newer =
+                store.history().mayBeOf(from.storeEpoch())
+                        && digest.directoryRevision() > directory.revision();
+        if (!newer) {
+            newerSinceMillis.remove(from.name());
+        }
+        return newer;
+    }
+
+    private boolean isMissed(NodeHello peer, long now) {
+        Long since = newerSinceMillis.putIfAbsent(peer.name(), now);
+        return since != null && now - since >= LAG_MILLIS;
+    }
+
     /** Answers a peer with what is newer here; any list is newer than one of another history. */
     void asked(Mesh mesh, Peer peer, SnapshotAsk ask) {
         boolean newerPolicy = policies.version() > ask.policyVersion();
@@ -99,9 +127,16 @@
                 && policies.offer(snapshot.policy(), peer.name())) {
             metrics.count(GatewayMetrics.Event.POLICY_FROM_PEER);
         }
-        boolean wanted = !store.isReachable() || directory.revision() == 0 || mesh.isFedBy(peer);
-        if (wanted && hasList(peer, snapshot) && store.history().mayBeOf(from.storeEpoch())) {
-            directory.fromPeer(snapshot.upstreams(), snapshot.directoryRevision(), peer.name());
+        boolean missed = newerSinceMillis.remove(peer.name()) != null;
+        boolean fed = !store.isReachable() || directory.revision() == 0 || mesh.isFedBy(peer);
+        boolean wanted = (fed || missed) && hasList(peer, snapshot);
+        if (wanted && store.history().mayBeOf(from.storeEpoch())) {
+            boolean changed =
+                    directory.fromPeer(
+                            snapshot.upstreams(), snapshot.directoryRevision(), peer.name());
+            if (changed && missed && !fed) {
+                onMissed.run();
+            }
         }
     }
 
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/StoreWatcher.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/StoreWatcher.java
@@ -117,6 +117,14 @@
         list(round, "");
     }
 
+    /** Reads all keys again if they are followed: the wait for changes has heard nothing of one. */
+    public void watchAnew() {
+        if (running) {
+            DecisionLog.write(new DecisionLog.Lifecycle("watch of " + prefix, "anew", "silent"));
+            restart();
+        }
+    }
+
     /** Stops following. */
     public void stop() {
         running = false;
