Soak: the store comes back from copies

Drawn from a source of its own, so that a seed's other faults stay: a copy up to 4 s old, away for up to 1.2 s or not at all, watches cut or left unheard; the operator and the upstreams write again within 2 s, what nobody writes lapses.

--- a/trailladder-cli/src/test/java/io/trailladder/cli/soak/SoakRun.java
+++ b/trailladder-cli/src/test/java/io/trailladder/cli/soak/SoakRun.java
@@ -30,9 +30,12 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.concurrent.CopyOnWriteArrayList;
 
 /**
  * One seeded run: gateways as processes, upstreams, store and callers round them, and faults from
@@ -48,6 +51,16 @@
     private static final long SETTLE_MILLIS = 4_500;
     private static final int LAST_CALLS = 30;
     private static final double[] LIMITS = {0.2, 1, 4, 20};
+    private static final long RETURNS = 0x5eed;
+    private static final long OLDEST_COPY_MILLIS = 4_000;
+    private static final long AWAY_MILLIS = 1_200;
+
+    /** Within which time upstreams write themselves again after the store came back. */
+    private static final long WRITTEN_AGAIN_MILLIS = 2_000;
+
+    /** When entries lapse that nobody writes again: three heartbeats. */
+    private static final long LAPSE_MILLIS = 3_600;
+
     private static final long SHORTEST_LIMIT_MILLIS = 2_500;
     private static final long LONGEST_LIMIT_MILLIS = 8_000;
     private static final String CONFIG =
@@ -72,15 +85,18 @@
     private final EventLoop loop = new EventLoop();
     private final PlatformStandIn platform;
     private final List<SoakGateway> gateways = new ArrayList<>();
-    private final List<SoakUpstream> upstreams = new ArrayList<>();
+    private final List<SoakUpstream> upstreams = new CopyOnWriteArrayList<>();
     private final Map<String, Integer> runs = SoakUpstream.newRuns();
     private final Observations record = new Observations();
     private final StatementCheck statements = new StatementCheck(record.violations);
     private final LimitCheck limits = new LimitCheck(record.violations, statements);
     private final SplittableRandom limitRandom;
+    private final SplittableRandom returnRandom;
+    private final Set<String> gone = new HashSet<>();
     private final List<String> faults = new ArrayList<>();
     private final Path folder;
     private volatile boolean going = true;
+    private volatile String config = "";
     private int version = 1;
     private int upstreamsMade;
 
@@ -106,9 +122,11 @@
         this.seed = seed;
         this.random = new SplittableRandom(seed);
         this.limitRandom = new SplittableRandom(~seed);
+        this.returnRandom = new SplittableRandom(seed ^ RETURNS);
         this.folder = Files.createTempDirectory(Path.of("target"), "soak-" + seed + "-");
         loop.start();
         platform = onLoop(loop, () -> new PlatformStandIn(loop));
+        onLoop(loop, this::nameEpochs);
         configure();
         for (int i = 0; i < UPSTREAMS; i++) {
             addUpstream();
@@ -135,6 +153,7 @@
         while (System.nanoTime() < end) {
             strike();
             limitOne();
+            returnStore();
             pause(LEAST_STEP_MILLIS + random.nextLong(STEP_MILLIS));
         }
         long saidUntilMillis = calm();
@@ -242,6 +261,52 @@
                 });
     }
 
+    /**
+     * Has the store come back from a copy now and then, after a moment away or without one. It
+     * draws from a source of its own, as limits do.
+     */
+    private void returnStore() throws Exception {
+        if (returnRandom.nextInt(6) > 0) {
+            return;
+        }
+        long copyMillis = returnRandom.nextLong(OLDEST_COPY_MILLIS);
+        long awayMillis = returnRandom.nextBoolean() ? returnRandom.nextLong(AWAY_MILLIS) : 0;
+        boolean cutWatches = returnRandom.nextBoolean();
+        SplittableRandom pauses = returnRandom.split();
+        note("copy, back after " + copyMillis + " ms, away for " + awayMillis);
+        onLoop(
+                loop,
+                () -> {
+                    platform.keepCopy();
+                    loop.schedule(copyMillis, () -> platform.down(awayMillis > 0));
+                    loop.schedule(copyMillis + awayMillis, () -> comeBack(cutWatches, pauses));
+                    return true;
+                });
+    }
+
+    private boolean nameEpochs() {
+        platform.era(1);
+        return true;
+    }
+
+    /** What the operator and the upstreams wrote is written again; what nobody writes lapses. */
+    private void comeBack(boolean cutWatches, SplittableRandom pauses) {
+        platform.returnFromCopy(cutWatches);
+        platform.down(false);
+        loop.schedule(
+                pauses.nextLong(WRITTEN_AGAIN_MILLIS), () -> platform.put("op/config", config));
+        for (SoakUpstream upstream : upstreams) {
+            loop.schedule(pauses.nextLong(WRITTEN_AGAIN_MILLIS), () -> enterAgain(upstream));
+        }
+        loop.schedule(LAPSE_MILLIS, () -> gone.forEach(id -> platform.remove("servers/" + id)));
+    }
+
+    private void enterAgain(SoakUpstream upstream) {
+        if (upstreams.contains(upstream)) {
+            platform.put("servers/" + upstream.id(), upstream.entry("ready"));
+        }
+    }
+
     /** Wakes what is paused and starts what has ended, each with some chance. */
     private void goOn() throws Exception {
         for (SoakGateway gateway : gateways) {
@@ -382,7 +447,12 @@
     /** The store often learns later than callers that an upstream leaves. */
     private void enterDraining(SoakUpstream upstream) {
         platform.put("servers/" + upstream.id(), upstream.entry("draining"));
-        loop.schedule(LONGEST_FAULT_MILLIS, () -> platform.remove("servers/" + upstream.id()));
+        loop.schedule(
+                LONGEST_FAULT_MILLIS,
+                () -> {
+                    gone.add(upstream.id());
+                    platform.remove("servers/" + upstream.id());
+                });
     }
 
     private void trouble(SoakGateway gateway) {
@@ -405,11 +475,11 @@
     }
 
     private void configure() throws Exception {
-        int next = version;
+        config = CONFIG.formatted(version);
         onLoop(
                 loop,
                 () -> {
-                    platform.put("op/config", CONFIG.formatted(next));
+                    platform.put("op/config", config);
                     return true;
                 });
     }
