Sight: how old the list of upstreams is, and what became of the own entry

trailladder_upstream_list_age_seconds tells since when nothing has shown that the list is current; no figure did, so nobody could see who was deaf. One line tells whether the own entry was kept or written again.

--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ClusterView.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ClusterView.java
@@ -391,9 +391,13 @@
         peer.told(SoundFigures.of(peer.name(), digest), now);
         evidenceTold |= !digest.evidence().isEmpty();
         LeavingLives.of(digest).forEach(told -> directory.leavingSeenBy(told, peer.name()));
-        if (peer.fellBack() && mesh.isFedBy(peer.hello())) {
+        boolean feeds = mesh.isFedBy(peer.hello());
+        if (peer.fellBack() && feeds) {
             directory.historyReplaced();
         }
+        if (feeds && peer.isStoreReachable() && snapshots.isLevelWith(peer)) {
+            directory.heard();
+        }
         snapshots.digest(mesh, peer, digest);
         if (!peers.counts(peer)) {
             loads.peerLost(peer.name());
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/DirectoryKeeper.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/DirectoryKeeper.java
@@ -59,6 +59,7 @@
     private Consumer<UpstreamNews> onPassedOver = news -> {};
     private long revision;
     private boolean known;
+    private long heardMillis;
     private long returnsUntilMillis = Long.MIN_VALUE;
 
     /**
@@ -147,6 +148,21 @@
         onPassedOver = listener;
     }
 
+    @Override
+    public void heard() {
+        heardMillis = nowMillis.getAsLong();
+    }
+
+    /**
+     * Returns how long ago the store, or a peer that passes its changes on, last showed that the
+     * list is current.
+     *
+     * @return a time, in milliseconds
+     */
+    public long ageMillis() {
+        return nowMillis.getAsLong() - heardMillis;
+    }
+
     @Override
     public void listed(List<StoreItem> items, long atRevision) {
         Map<String, byte[]> listed = new HashMap<>();
@@ -172,6 +188,7 @@
     public void fromPeer(UpstreamNews news) {
         if (news.after() <= revision && news.revision() > revision) {
             revision = news.revision();
+            heard();
             apply(news.upstream().id(), news.upstream().value());
             onNews.accept(news);
         } else if (news.revision() <= revision && differs(news.upstream())) {
@@ -316,6 +333,7 @@
     private void replaceAll(Map<String, byte[]> listed, long atRevision, String source) {
         revision = atRevision;
         known = true;
+        heard();
         entries.forEach(
                 (id, value) -> {
                     if (!listed.containsKey(id)) {
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
@@ -559,7 +559,10 @@
                                 topology.otherRegions(),
                                 view.regions().isSpeaking()));
         memory.tellState(callers.refused());
-        metrics.list(storeHealth.history().epoch(), directoryKeeper.revision());
+        metrics.list(
+                storeHealth.history().epoch(),
+                directoryKeeper.revision(),
+                directoryKeeper.ageMillis());
         metrics.unusableEntries(directoryKeeper.unusable());
         metrics.resting(rests.count(loop.nowMillis()));
         metrics.limited(limits.count(directory.all()));
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/GatewayMetrics.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/GatewayMetrics.java
@@ -83,6 +83,10 @@
             gauge("trailladder_store_epoch", "Epoch of the store's history; 0 if none is named");
     private final Gauge listRevision =
             gauge("trailladder_upstream_list_revision", "Revision of the list of upstreams");
+    private final Gauge listAge =
+            gauge(
+                    "trailladder_upstream_list_age_seconds",
+                    "Time since the store or a peer last showed that the list is current");
     private final Gauge peers = gauge("trailladder_peers_heard", "Peers heard lately");
     private final Gauge members =
             gauge("trailladder_processes", "Processes that share limits, as this one counts them");
@@ -271,10 +275,12 @@
      *
      * @param epoch epoch of the store's history; 0 if none is named
      * @param revision the list's revision
+     * @param ageMillis time since it was last shown to be current, in milliseconds
      */
-    public void list(long epoch, long revision) {
+    public void list(long epoch, long revision, long ageMillis) {
         storeEpoch.set((double) epoch);
         listRevision.set((double) revision);
+        listAge.set(ageMillis / MILLIS);
     }
 
     /**
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Membership.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Membership.java
@@ -17,6 +17,7 @@
 
 import io.trailladder.core.membership.GatewayMember;
 import io.trailladder.core.membership.HubTopology;
+import io.trailladder.entry.gateway.DecisionLog.Lifecycle;
 import io.trailladder.entry.loop.EventLoop;
 import io.trailladder.entry.mesh.PeerMesh;
 import io.trailladder.entry.port.CoordinationStore;
@@ -258,6 +259,7 @@
         health.answered();
         ownRevision = result.get();
         writtenLease = lease;
+        log("written");
         renewAfter(RENEW_MILLIS, current);
     }
 
@@ -317,6 +319,7 @@
         result.peekLeft(health::failed);
         if (result.isRight() && isAsWritten(result.get())) {
             lease = writtenLease;
+            log("kept");
             renew(current);
             return;
         }
@@ -324,6 +327,10 @@
         grant(current);
     }
 
+    private void log(String what) {
+        DecisionLog.write(new Lifecycle("own entry", what, "revision " + ownRevision));
+    }
+
     private boolean isAsWritten(StoreItem item) {
         return lease == 0
                 && writtenLease != 0
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/StoreWatcher.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/StoreWatcher.java
@@ -76,6 +76,9 @@
          * @param item the key, or that it is gone
          */
         void changed(StoreItem item);
+
+        /** Called when the store has shown that no change was missed. */
+        default void heard() {}
     }
 
     /**
@@ -204,6 +207,7 @@
 
     private void changes(int current, StoreBatch batch) {
         backoffMillis = FIRST_BACKOFF_MILLIS;
+        listener.heard();
         for (StoreItem item : batch.items()) {
             revision = Math.max(revision, item.revision());
             listener.changed(item);
--- a/trailladder-entry/src/test/java/io/trailladder/entry/gateway/DirectoryKeeperTest.java
+++ b/trailladder-entry/src/test/java/io/trailladder/entry/gateway/DirectoryKeeperTest.java
@@ -23,6 +23,7 @@
 import io.trailladder.core.upstream.Upstream;
 import io.trailladder.core.upstream.UpstreamDirectory;
 import io.trailladder.entry.port.StoreItem;
+import io.trailladder.wire.NodeMessage.UpstreamEntry;
 import io.vavr.control.Either;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -157,4 +158,43 @@
         keeper.listed(List.of(item("a", READY, 5)), 7);
         assertEquals(0, keeper.unusable());
     }
+
+    // Guards against lists of a lost history that count as newer for their higher revision.
+    @Example
+    void anyListOfANewHistoryIsNewer() {
+        keeper.changed(item("a", READY, 400));
+        keeper.historyReplaced();
+        assertTrue(keeper.isKnown(), "upstreams stay known");
+        keeper.fromPeer(List.of(new UpstreamEntry("a", bytes(READY))), 20, "hub");
+        assertEquals(20, keeper.revision());
+        assertEquals(2, serving(), "one that is missing may come back");
+        pass(DirectoryKeeper.RETURN_MILLIS);
+        assertEquals(1, serving());
+    }
+
+    // Guards against upstreams that went and that a copy lists as they were.
+    @Example
+    void entryThatWentIsNotBelievedBackUntilItIsWrittenAnew() {
+        keeper.changed(gone("a", 400));
+        keeper.historyReplaced();
+        keeper.listed(List.of(item("a", READY, 1), item("b", READY, 2)), 5);
+        assertEquals(1, serving());
+        keeper.changed(item("a", READY, 6));
+        assertEquals(2, serving());
+    }
+
+    // Guards against an upstream being left out for good because its entry was doubted.
+    @Example
+    void doubtedEntryIsBelievedOnceOthersHaveLapsed() {
+        keeper.changed(gone("a", 400));
+        keeper.historyReplaced();
+        keeper.listed(List.of(item("a", READY, 1), item("b", READY, 2)), 5);
+        pass(DirectoryKeeper.RETURN_MILLIS);
+        pass(DirectoryKeeper.RETURN_MILLIS);
+        assertEquals(2, serving());
+    }
+
+    private static byte[] bytes(String state) {
+        return state.getBytes(StandardCharsets.UTF_8);
+    }
 }
