Refactor: what peers tell of the store's epoch is a class of its own

A report of a peer that names no epoch counts by its order's revision as before, until this process has seen the history replaced; only then by what the order says.

--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ClusterView.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ClusterView.java
@@ -46,7 +46,6 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.BooleanSupplier;
-import java.util.function.LongConsumer;
 import java.util.function.LongSupplier;
 
 /**
@@ -69,15 +68,6 @@
      */
     private static final long SOON_MILLIS = 50;
 
-    /** How often digests tell the epoch of the store, in milliseconds: it hardly ever changes. */
-    private static final long EPOCH_MILLIS = 1_000;
-
-    /** For how long each digest tells an epoch that has changed, in milliseconds. */
-    private static final long EPOCH_NEWS_MILLIS = 5_000;
-
-    /** For how long after a change leaves may have been left behind, in milliseconds. */
-    private static final long LEFT_BEHIND_MILLIS = 30_000;
-
     private final LongSupplier nowMillis;
     private final PolicyKeeper policies;
     private final DirectoryKeeper directory;
@@ -91,16 +81,13 @@
     private final SnapshotExchange snapshots;
     private final RegionExchange regions;
     private final LeavingNews leavingNews;
+    private final EpochNews epochNews;
     private final LinkedPeers peers;
     private Optional<RolloutExchange> rollouts = Optional.empty();
     private BooleanSupplier leads = () -> false;
-    private LongSupplier highestToken = () -> 0;
-    private LongConsumer tokenTold = token -> {};
     private Mesh mesh;
     private boolean draining;
     private long soonToldMillis = -SOON_MILLIS;
-    private long epochChangedMillis = Long.MIN_VALUE / 2;
-    private long epochToldMillis = Long.MIN_VALUE / 2;
     private List<Peer> evidenceOf = List.of();
     private boolean evidenceTold;
 
@@ -145,6 +132,7 @@
         this.regions = new RegionExchange(directory, limits, loads, usage, parts, writer);
         this.peers = new LinkedPeers(nowMillis, regions);
         this.leavingNews = new LeavingNews(directory::listedLeaving);
+        this.epochNews = new EpochNews(store.history());
         directory.onLeaving(upstream -> remember(upstream.id()));
         directory.onNews(this::passOn);
         // before anything of the new history is passed on, so that nobody takes it for the old one
@@ -184,14 +172,12 @@
     }
 
     /**
-     * Has the peers told of the highest fencing token that is known here.
+     * Returns what peers are told of the store's epoch.
      *
-     * @param highest tells it
-     * @param told hears what peers tell
+     * @return the news
      */
-    void tokens(LongSupplier highest, LongConsumer told) {
-        highestToken = highest;
-        tokenTold = told;
+    EpochNews epochNews() {
+        return epochNews;
     }
 
     /**
@@ -328,7 +314,7 @@
                 new DecisionLog.Lifecycle("peer " + hello.name(), "linked", hello.address()));
         Peer peer = peers.linked(hello);
         parts.linked(peer.name(), nowMillis.getAsLong());
-        epochToldMillis = Long.MIN_VALUE / 2;
+        epochNews.tellNext();
         tell(List.of(peer));
         rollouts.ifPresent(exchange -> exchange.tell(mesh, List.of(peer)));
         snapshots.linked(mesh, hello);
@@ -375,7 +361,7 @@
         }
         long now = nowMillis.getAsLong();
         Peer peer = peers.of(sender);
-        history(peer, digest.digest());
+        epochNews.told(peer, StoreEpochSection.of(digest.digest()));
         if (view.isElsewhere(sender)) {
             peer.heard(now);
             snapshots.digest(mesh, peer, digest.digest());
@@ -387,7 +373,7 @@
     private void digest(Peer peer, NodeDigest digest) {
         boolean wasHub = peer.isHeard() && !peer.isLeaf();
         long now = nowMillis.getAsLong();
-        history(peer, digest);
+        epochNews.told(peer, StoreEpochSection.of(digest));
         peer.told(SoundFigures.of(peer.name(), digest), now);
         evidenceTold |= !digest.evidence().isEmpty();
         LeavingLives.of(digest).forEach(told -> directory.leavingSeenBy(told, peer.name()));
@@ -416,17 +402,10 @@
     }
 
     private void historyReplaced() {
-        epochChangedMillis = nowMillis.getAsLong();
+        epochNews.changed(nowMillis.getAsLong());
         tellPeers();
     }
 
-    private void history(Peer sender, NodeDigest digest) {
-        StoreEpochSection section = StoreEpochSection.of(digest);
-        sender.storeEpoch(section.epoch());
-        store.history().told(sender.name(), section.epoch());
-        tokenTold.accept(section.token());
-    }
-
     /** A hub passes changes on to its leaves, and a follower of the store to the other hubs too. */
     private void passOn(UpstreamNews news) {
         if (mesh == null || !mesh.isHub()) {
@@ -501,7 +480,7 @@
                         draining,
                         membersRead(),
                         leavingNews.next(now),
-                        epochSection(now));
+                        epochNews.next(now));
         Map<Long, List<Peer>> byUsageTold = new HashMap<>();
         List<Peer> counted = peers.counted();
         List<Peer> keepers = peers.keepers();
@@ -523,16 +502,6 @@
         mesh.regions().ifPresent(view -> tellRegions(view, state, told, now));
     }
 
-    /** Tells the epoch at once when it has changed, and now and then to who has missed it. */
-    private StoreEpochSection epochSection(long now) {
-        boolean isNews = now - epochChangedMillis < EPOCH_NEWS_MILLIS;
-        if (!isNews && now - epochToldMillis < EPOCH_MILLIS) {
-            return StoreEpochSection.NONE;
-        }
-        epochToldMillis = now;
-        return new StoreEpochSection(store.history().epoch(), highestToken.getAsLong());
-    }
-
     private void tellRegions(RegionView view, SenderState state, Collection<Peer> told, long now) {
         List<Peer> own = peers.countedHere();
         int processes = 1 + own.stream().mapToInt(peers::justHeard).sum();
@@ -550,26 +519,15 @@
             tellAllUsage(leaf);
             leaf.usageTold(usage.sequence());
         }
-        SenderState told = isLeftBehind(leaf, now) ? state.withoutStore() : state;
+        // told that the store is out of reach here, it reads the list itself
+        boolean isLeftBehind = epochNews.isLeftBehind(leaf, directory.revision(), now);
+        SenderState told = isLeftBehind ? state.withoutStore() : state;
         NodeDigest digest = writer.rest(told, leaf, counted, processes, keepsUsage, now);
         if (mesh.send(leaf.name(), digest) && keepsUsage) {
             leaf.usageTold(usage.sequence());
         }
     }
 
-    /**
-     * Tells whether a leaf of an older build holds a list of a history that the store has lost, and
-     * would take every change for older. Told that the store is out of reach here, it reads the
-     * list itself.
-     */
-    private boolean isLeftBehind(Peer leaf, long now) {
-        return leaf.storeEpoch() == 0
-                && store.history().epoch() != 0
-                && now - epochChangedMillis < LEFT_BEHIND_MILLIS
-                && directory.revision() > 0
-                && leaf.directoryRevision() > directory.revision();
-    }
-
     private NodeDigest digest(SenderState state, long usageTold, long now) {
         return mesh.isHub()
                 ? writer.group(state, peers.leaves(), usageTold, now)
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
@@ -225,7 +225,7 @@
                         settings.timing(),
                         random.split(),
                         metrics);
-        view.tokens(duties::highestToken, duties::tokenTold);
+        view.epochNews().tokens(duties::highestToken, duties::tokenTold);
         crashRecords =
                 new CrashRecords(
                         loop,
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RolloutKeeper.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RolloutKeeper.java
@@ -270,10 +270,10 @@
         RolloutOrder order = news.order();
         Optional<Rollout> known = gate.rollout(order.service());
         boolean alike = known.filter(rollout -> rollout.order().isAlike(order)).isPresent();
-        if (sameHistory || !alike) {
+        boolean numbered = sameHistory || !alike || !returns.hasBegun();
+        if (numbered) {
             ordered(order, "peer", Written.BEFORE, sameHistory);
         }
-        boolean numbered = sameHistory || !alike;
         gate.rollout(order.service())
                 .filter(rollout -> !numbered || rollout.order().revision() == order.revision())
                 .ifPresent(
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RolloutReturns.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RolloutReturns.java
@@ -67,6 +67,11 @@
         return before != null && before.isAlike(order);
     }
 
+    /** Tells whether the history was replaced since this process started. */
+    boolean hasBegun() {
+        return untilMillis != Long.MIN_VALUE;
+    }
+
     /** Tells whether what a list holds may be older than what is known. */
     boolean isOpen(long nowMillis) {
         return nowMillis < untilMillis;
