Usage: windows that settled while this process led are its own

A window that was just due when the store came back was left out by the very leader that alone could have stored it. Only those that settled while another might have led, and while the store answered, are uncertain now.

--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/SnapshotExchange.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/SnapshotExchange.java
@@ -31,10 +31,10 @@
 
     /**
      * How long a peer's list may be newer before it is asked for although the store answers, in
-     * milliseconds: two digests. By then the store has told the change here too, unless the wait
+     * milliseconds: three digests. By then the store has told the change here too, unless the wait
      * for changes hears nothing.
      */
-    private static final long LAG_MILLIS = 400;
+    private static final long LAG_MILLIS = 600;
 
     /** Most peers of which it is remembered what they were asked: those of the largest hub. */
     private static final int MOST_ASKED = 1_000;
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/UsageReporter.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/UsageReporter.java
@@ -63,6 +63,7 @@
     private final Set<Long> busy = new HashSet<>();
     private final Map<Long, byte[]> stored = new TreeMap<>();
     private long settledWhileReachable = Long.MIN_VALUE;
+    private long settledWhileOthersLed = Long.MIN_VALUE;
     private long uncertainUntil = Long.MIN_VALUE;
 
     /**
@@ -97,11 +98,14 @@
         health.history().onReplaced(this::storeAgain);
     }
 
-    /** Notes until when counts may have been stored. To be called a few times a second. */
+    /** Notes which counts others may have stored. To be called a few times a second. */
     void tick() {
         if (health.isReachable()) {
             settledWhileReachable = settled();
         }
+        if (holder.get().token() == 0) {
+            settledWhileOthersLed = settled();
+        }
     }
 
     /** Reports the windows that are due. To be called a few times a second by the leader. */
@@ -121,7 +125,8 @@
     }
 
     private void storeAgain() {
-        uncertainUntil = settledWhileReachable;
+        long others = Math.min(settledWhileReachable, settledWhileOthersLed);
+        uncertainUntil = Math.max(uncertainUntil, others);
         busy.clear();
         stored.forEach(
                 (window, value) ->
