--- a/trailladder-cli/src/test/java/io/trailladder/cli/soak/SoakRun.java
+++ b/trailladder-cli/src/test/java/io/trailladder/cli/soak/SoakRun.java
@@ -53,6 +53,12 @@
     private static final double[] LIMITS = {0.2, 1, 4, 20};
     private static final long RETURNS = 0x5eed;
     private static final long OLDEST_COPY_MILLIS = 4_000;
+    private static final int LOST_WRITES = 200;
+    private static final String OTHER_UPSTREAM =
+            """
+            {"service": "other", "address": "127.0.0.1:1", "zone": "a", "slots": 1,
+             "state": "ready", "sequence": %d}
+            """;
     private static final long AWAY_MILLIS = 1_200;
 
     /** Within which time upstreams write themselves again after the store came back. */
@@ -168,6 +174,7 @@
                     "a gateway was not ready " + READY_MILLIS + " ms after the faults");
         }
         checkRecovered();
+        checkDuties();
         pause(SETTLE_MILLIS);
         checkRuns();
         checkUsage();
@@ -272,18 +279,30 @@
         long copyMillis = returnRandom.nextLong(OLDEST_COPY_MILLIS);
         long awayMillis = returnRandom.nextBoolean() ? returnRandom.nextLong(AWAY_MILLIS) : 0;
         boolean cutWatches = returnRandom.nextBoolean();
+        boolean leaderLapses = returnRandom.nextBoolean();
         SplittableRandom pauses = returnRandom.split();
         note("copy, back after " + copyMillis + " ms, away for " + awayMillis);
         onLoop(
                 loop,
                 () -> {
                     platform.keepCopy();
+                    loop.schedule(copyMillis / 2, () -> writeWhatIsLost(leaderLapses));
                     loop.schedule(copyMillis, () -> platform.down(awayMillis > 0));
                     loop.schedule(copyMillis + awayMillis, () -> comeBack(cutWatches, pauses));
                     return true;
                 });
     }
 
+    /** Revisions rise, and a leader may be chosen whose key is not in the copy. */
+    private void writeWhatIsLost(boolean leaderLapses) {
+        for (int i = 0; i < LOST_WRITES; i++) {
+            platform.put("servers/other" + i % 5, OTHER_UPSTREAM.formatted(i));
+        }
+        if (leaderLapses) {
+            platform.remove("trailladder/live/leader");
+        }
+    }
+
     private boolean nameEpochs() {
         platform.era(1);
         return true;
@@ -385,6 +404,35 @@
         }
     }
 
+    /** Once all is calm a leader's calls are accepted, and every gateway is listed. */
+    private void checkDuties() throws Exception {
+        int before = onLoop(loop, () -> platform.dutyCalls().size());
+        long end = System.nanoTime() + READY_MILLIS * 1_000_000;
+        boolean accepted = false;
+        List<String> missing = List.of();
+        while (System.nanoTime() < end && !(accepted && missing.isEmpty())) {
+            pause(100);
+            accepted = onLoop(loop, () -> platform.dutyCalls().size()) > before;
+            missing = onLoop(loop, this::notListed);
+        }
+        if (!accepted) {
+            record.violations.add("no duty was accepted for " + READY_MILLIS + " ms at the end");
+        }
+        if (!missing.isEmpty()) {
+            record.violations.add(missing + " are not listed at the end");
+        }
+    }
+
+    private List<String> notListed() {
+        List<String> missing = new ArrayList<>();
+        for (SoakGateway gateway : gateways) {
+            if (!platform.has("trailladder/live/node/" + index(gateway))) {
+                missing.add(index(gateway));
+            }
+        }
+        return missing;
+    }
+
     private void checkRuns() {
         for (String attempt : record.unsafe) {
             int count = runs.getOrDefault(attempt, 0);
