Epochs: an answer whose epoch is spoiled counts as one that names none

It was dropped, so that a field which nobody can read on each answer would have cost the whole store; found by reading. StoreHistoryTest says so; it was not run on the code before.

--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/StoreHistory.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/StoreHistory.java
@@ -114,7 +114,8 @@
             metrics.count(GatewayMetrics.Event.STORE_EPOCH_PASSED_OVER);
             logSome("store epoch", meaning + " epoch " + named + " of " + source);
         }
-        return meaning == Named.CURRENT || meaning == Named.NEW;
+        // an answer whose epoch is spoiled counts as one that names none
+        return meaning != Named.OLD;
     }
 
     /** Logs the first, second, fourth, eighth: what is passed over comes in rows. */
