Roll-outs: a result that only a peer told is recorded again as well

Cause: the record to restore was taken from what was read last, not from what is known. A final phase says that a result was recorded, so after a return the leader has it recorded whenever the record does not say so. RolloutKeeperTest: two of three failed before. RolloutFaultTest whole, three times after.

--- a/trailladder-core/src/main/java/io/trailladder/core/rollout/RolloutPhase.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/rollout/RolloutPhase.java
@@ -15,6 +15,8 @@
  */
 package io.trailladder.core.rollout;
 
+import java.util.Optional;
+
 /**
  * How far a roll-out has come. A process never goes back to an earlier phase of the same order.
  *
@@ -43,6 +45,19 @@
         return this == ROLLED_BACK || this == COMPLETED;
     }
 
+    /**
+     * Returns the result that is recorded.
+     *
+     * @return the state; empty if there is no result yet
+     */
+    public Optional<RolloutStatus.State> result() {
+        return switch (this) {
+            case ROLLED_BACK -> Optional.of(RolloutStatus.State.ROLLED_BACK);
+            case COMPLETED -> Optional.of(RolloutStatus.State.COMPLETED);
+            case SAMPLING, SWITCHING, HALTED -> Optional.empty();
+        };
+    }
+
     /**
      * Returns the later of two phases. Of two final ones the first stays: the record decides, and
      * the platform writes it once.
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RolloutKeeper.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RolloutKeeper.java
@@ -23,6 +23,7 @@
 import io.trailladder.core.rollout.RolloutOrder;
 import io.trailladder.core.rollout.RolloutPhase;
 import io.trailladder.core.rollout.RolloutStatus;
+import io.trailladder.core.rollout.RolloutStatus.State;
 import io.trailladder.core.rollout.VersionGate;
 import io.trailladder.core.upstream.Upstream;
 import io.trailladder.entry.gateway.DecisionLog.Belief;
@@ -170,11 +171,21 @@
         return returns.awaitsOrders(now);
     }
 
-    /** Returns the record of a roll-out that the store has lost, for the leader to write again. */
+    /**
+     * Returns the record of a roll-out that the store has lost, for the leader to write again. A
+     * result that peers told was recorded, whether or not this process has read it.
+     */
     Optional<RolloutStatus> lostRecord(Rollout rollout) {
-        String service = rollout.order().service();
-        boolean stands = record(service).isAbout(rollout.order());
-        return stands ? Optional.empty() : returns.record(service);
+        RolloutOrder order = rollout.order();
+        RolloutStatus record = record(order.service());
+        Optional<State> result = rollout.phase().result();
+        if (result.isEmpty() || !returns.hasBegun()) {
+            return record.isAbout(order) ? Optional.empty() : returns.record(order.service());
+        }
+        boolean stands = record.isAbout(order) && record.state() == result.get();
+        return stands
+                ? Optional.empty()
+                : Optional.of(new RolloutStatus(order.service(), order.version(), result.get(), 0));
     }
 
     /** Returns under which revision a service's record is to be written. */
