Log each hand-over, each request taken up, and each caller who asks again

Cause: nothing that runs told of a hand-over, so the cause of the known failure was found by printing in a stand-in, and on call it could not be told from another. Change: RequestMoves writes one decision line for each offer to an heir (sender, heir, why this heir, tokens, last event delivered, answer), for each request that was to be taken up (from whom, why, with the reason if it was not) and for each caller who asks again (found where, after how many tries and how long). trailladder explain names from them why a stream ended. Peers is the interface of what serving code needs of the links, and searches and copies end by the entry's own timer, so that tests can run entries in virtual time. No other behaviour changes.

--- a/trailladder-cli/src/main/java/io/trailladder/cli/RequestTrace.java
+++ b/trailladder-cli/src/main/java/io/trailladder/cli/RequestTrace.java
@@ -68,6 +68,10 @@
 
     /** Returns why the request ended as it did, in one sentence. */
     String cause() {
+        MoveTrace moves = new MoveTrace(own);
+        if (!moves.isEmpty()) {
+            return moves.cause();
+        }
         Optional<DecisionLine> intake = last("Intake");
         Optional<DecisionLine> ended = last("Ended");
         if (intake.isPresent() && !intake.get().text("outcome").equals("accepted")) {
--- a/trailladder-cli/src/test/java/io/trailladder/cli/ExplainCommandTest.java
+++ b/trailladder-cli/src/test/java/io/trailladder/cli/ExplainCommandTest.java
@@ -103,6 +103,50 @@
         assertTrue(out.toString().contains("429, over limit of t; decided by policy version 3"));
     }
 
+    @Example
+    void streamThatNobodyTookUpIsExplainedByTheEntryThatDidNot() throws IOException {
+        String log =
+                line(
+                                "01.000",
+                                "{\"kind\":\"HandOver\",\"id\":\"r1\",\"sender\":\"a\",\"heir\":\"b\","
+                                        + "\"tokens\":50,\"answer\":\"SENT\"}")
+                        + line(
+                                "01.001",
+                                "{\"kind\":\"TakeUp\",\"id\":\"r1\",\"from\":\"a\",\"tokens\":50,"
+                                        + "\"cause\":\"HANDED_OVER\",\"result\":\"STOPPING\"}")
+                        + line(
+                                "01.900",
+                                "{\"kind\":\"AskedAgain\",\"id\":\"r1\",\"fromEvent\":50,"
+                                        + "\"found\":\"NOWHERE\",\"tries\":2}");
+        assertEquals(0, explain("r1", log), err.toString());
+        assertTrue(
+                out.toString()
+                        .contains(
+                                "caller asked for event 50 and 2 times no entry had it: it was not"
+                                        + " taken up at e-1, HANDED_OVER: STOPPING"),
+                out.toString());
+    }
+
+    @Example
+    void streamThatPassedToAnotherEntryIsExplainedByItsWay() throws IOException {
+        String log =
+                line(
+                                "01.001",
+                                "{\"kind\":\"TakeUp\",\"id\":\"r1\",\"from\":\"a\",\"tokens\":50,"
+                                        + "\"cause\":\"HOLDER_LOST\",\"result\":\"GOES_ON\"}")
+                        + line(
+                                "01.200",
+                                "{\"kind\":\"AskedAgain\",\"id\":\"r1\",\"fromEvent\":50,"
+                                        + "\"found\":\"AT_PEER\",\"peer\":\"b\",\"tookMs\":7}");
+        assertEquals(0, explain("r1", log), err.toString());
+        assertTrue(
+                out.toString()
+                        .contains(
+                                "it passed from a to e-1 with 50 tokens, HOLDER_LOST: GOES_ON;"
+                                        + " its caller found it AT_PEER b after 7 ms"),
+                out.toString());
+    }
+
     @Example
     void timedOutRequestTellsWhatWasExpectedOfItsUpstream() throws IOException {
         String log =
--- a/trailladder-entry/src/main/java/io/trailladder/entry/EntryDaemon.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/EntryDaemon.java
@@ -140,7 +140,7 @@
                         settings.claimRetentionMillis());
         this.chooser = new DataCentreChooser(links, placements);
         this.relay = new PeerRelay(links);
-        RequestFinder finder = new RequestFinder(links);
+        RequestFinder finder = new RequestFinder(links, timer);
         this.dispatcher = new RequestDispatcher(context, book, claims, relay, chooser, finder);
         HttpKeyValueStore store = new HttpKeyValueStore(client, settings.keyValue());
         this.callers = callerServer();
--- a/trailladder-entry/src/main/java/io/trailladder/entry/PeerRouter.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/PeerRouter.java
@@ -160,7 +160,7 @@
         } else if (message instanceof RecordDrop drop) {
             parts.book().drop(drop);
         } else if (message instanceof RecordHandOver handOver) {
-            parts.book().handedOver(handOver);
+            parts.book().handedOver(from, handOver);
         } else if (message instanceof RecordFind find) {
             parts.server().find(from.id(), find);
         } else if (message instanceof RecordFound found) {
--- a/trailladder-entry/src/main/java/io/trailladder/entry/peer/PeerLinks.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/peer/PeerLinks.java
@@ -47,7 +47,7 @@
  *
  * @since 0.1
  */
-public final class PeerLinks implements AutoCloseable {
+public final class PeerLinks implements Peers, AutoCloseable {
     /** How long a peer counts as live after its last message, in milliseconds. */
     public static final long LIVE_MILLIS = 3_000;
 
@@ -128,13 +128,7 @@
                 .removeIf(address -> !keep.contains(address) && !linked.contains(address));
     }
 
-    /**
-     * Sends a message.
-     *
-     * @param peer the peer's name
-     * @param message the message
-     * @return false if no link to the peer is up
-     */
+    @Override
     public boolean send(String peer, PeerMessage message) {
         PeerLink link = preferred(peer);
         if (link == null || cut) {
@@ -153,11 +147,7 @@
         links.keySet().forEach(peer -> send(peer, message));
     }
 
-    /**
-     * Returns the peers that were heard of lately.
-     *
-     * @return their presentations
-     */
+    @Override
     public List<EntryInfo> live() {
         long oldest = System.nanoTime() - TimeUnit.MILLISECONDS.toNanos(LIVE_MILLIS);
         return links.values().stream()
--- a/trailladder-entry/src/main/java/io/trailladder/entry/serve/AnswerFeed.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/serve/AnswerFeed.java
@@ -57,6 +57,11 @@
         return over;
     }
 
+    /** Returns the last event that the receiver was sent; below 0 if none was. */
+    int lastEvent() {
+        return headSent ? cursor - 1 : -1;
+    }
+
     /** Sends what the receiver can take; returns false if it cannot take all. */
     boolean pump(AnswerLog log) {
         if (over) {
--- a/trailladder-entry/src/main/java/io/trailladder/entry/serve/ClaimService.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/serve/ClaimService.java
@@ -30,7 +30,7 @@
 import io.trailladder.core.claim.RangeAssignment;
 import io.trailladder.core.claim.RangeMap;
 import io.trailladder.core.claim.RangePlanner;
-import io.trailladder.entry.peer.PeerLinks;
+import io.trailladder.entry.peer.Peers;
 import io.trailladder.wire.EntryInfo;
 import io.trailladder.wire.PeerMessage;
 import io.trailladder.wire.PeerMessage.ClaimAll;
@@ -58,7 +58,7 @@
     public static final long ANSWER_MILLIS = 1_000;
 
     private final String self;
-    private final PeerLinks links;
+    private final Peers links;
     private final ClaimRegistry registry;
     private final RangePlanner planner;
     private final long retentionMillis;
@@ -73,8 +73,7 @@
      * @param capacity how many claims this entry may keep
      * @param retentionMillis how long claims are kept, in milliseconds
      */
-    public ClaimService(
-            String self, PeerLinks links, int ranges, int capacity, long retentionMillis) {
+    public ClaimService(String self, Peers links, int ranges, int capacity, long retentionMillis) {
         this.self = self;
         this.links = links;
         this.retentionMillis = retentionMillis;
--- a/trailladder-entry/src/main/java/io/trailladder/entry/serve/CopyStore.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/serve/CopyStore.java
@@ -31,8 +31,13 @@
 final class CopyStore {
     private final Map<String, Copy> copies = new ConcurrentHashMap<>();
 
-    /** A request another entry works on. */
-    private record Copy(RequestRecord request, String owner) {}
+    /**
+     * A request another entry works on.
+     *
+     * @param request the request
+     * @param owner the entry that works on it
+     */
+    record Copy(RequestRecord request, String owner) {}
 
     /** Keeps a copy. */
     void put(RequestRecord request, String owner) {
@@ -44,29 +49,29 @@
         copies.remove(requestId);
     }
 
-    /** Tells whether there is a copy of an organisation's request. */
-    boolean has(String requestId, String organisation) {
-        Copy copy = copies.get(requestId);
-        return copy != null && copy.request().organisation().equals(organisation);
+    /** Finds the copy of an organisation's request. */
+    Optional<Copy> find(String requestId, String organisation) {
+        return Optional.ofNullable(copies.get(requestId))
+                .filter(copy -> copy.request().organisation().equals(organisation));
     }
 
     /** Takes a copy out, to go on with its request. */
-    Optional<RequestRecord> take(String requestId, String organisation) {
-        return has(requestId, organisation)
-                ? Optional.ofNullable(copies.remove(requestId)).map(Copy::request)
-                : Optional.empty();
+    Optional<Copy> take(String requestId, String organisation) {
+        return find(requestId, organisation).filter(copy -> copies.remove(requestId) != null);
+    }
+
+    /** Finds the copies of an entry's unfinished requests. */
+    List<Copy> unfinishedOf(String owner) {
+        return copies.values().stream()
+                .filter(copy -> copy.owner().equals(owner) && !copy.request().complete())
+                .toList();
     }
 
     /** Takes the copies of a lost entry's unfinished requests out. */
-    List<RequestRecord> takeUnfinishedOf(String owner) {
-        List<RequestRecord> orphans = new ArrayList<>();
-        for (Copy copy : List.copyOf(copies.values())) {
-            boolean orphan = copy.owner().equals(owner) && !copy.request().complete();
-            if (orphan && copies.remove(copy.request().requestId(), copy)) {
-                orphans.add(copy.request());
-            }
-        }
-        return orphans;
+    List<Copy> takeUnfinishedOf(String owner) {
+        return unfinishedOf(owner).stream()
+                .filter(copy -> copies.remove(copy.request().requestId(), copy))
+                .toList();
     }
 
     /** Adds tokens to a copy; a part after a gap is passed over. */
--- a/trailladder-entry/src/main/java/io/trailladder/entry/serve/DataCentreChooser.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/serve/DataCentreChooser.java
@@ -15,7 +15,7 @@
  */
 package io.trailladder.entry.serve;
 
-import io.trailladder.entry.peer.PeerLinks;
+import io.trailladder.entry.peer.Peers;
 import io.trailladder.wire.EntryInfo;
 import io.trailladder.wire.PeerMessage.Heartbeat;
 import io.trailladder.wire.PeerMessage.TargetLoad;
@@ -39,7 +39,7 @@
 
     private static final int NOT_SERVED = Integer.MAX_VALUE;
 
-    private final PeerLinks links;
+    private final Peers links;
     private final Placements placements;
     private final Map<String, Heartbeat> heartbeats = new ConcurrentHashMap<>();
 
@@ -49,7 +49,7 @@
      * @param links knows the live peers
      * @param placements knows this data centre's upstreams
      */
-    public DataCentreChooser(PeerLinks links, Placements placements) {
+    public DataCentreChooser(Peers links, Placements placements) {
         this.links = links;
         this.placements = placements;
     }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/serve/GenerationRunner.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/serve/GenerationRunner.java
@@ -71,6 +71,7 @@
     private long wakeAtMillis;
     private long lastTokenMillis;
     private long lateFrames;
+    private int lastEvent = -1;
     private Failure failure;
     private boolean movedAway;
 
@@ -222,6 +223,15 @@
         }
     }
 
+    /**
+     * Returns the last event that any receiver of this entry was sent.
+     *
+     * @return its position; below 0 if none was sent any
+     */
+    public synchronized int lastEvent() {
+        return lastEvent;
+    }
+
     /**
      * Stops working on the request because another entry goes on with it, and sends every receiver
      * there.
@@ -361,6 +371,7 @@
         if (!feed.pump(log)) {
             feed.sink().whenWritable(() -> pumpLater(feed));
         }
+        lastEvent = Math.max(lastEvent, feed.lastEvent());
     }
 
     private synchronized void pumpLater(AnswerFeed feed) {
--- a/trailladder-entry/src/main/java/io/trailladder/entry/serve/PeerRelay.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/serve/PeerRelay.java
@@ -17,7 +17,7 @@
 
 import io.trailladder.core.request.Failure;
 import io.trailladder.core.request.Outcome;
-import io.trailladder.entry.peer.PeerLinks;
+import io.trailladder.entry.peer.Peers;
 import io.trailladder.wire.PeerMessage.AnswerBody;
 import io.trailladder.wire.PeerMessage.AnswerCancel;
 import io.trailladder.wire.PeerMessage.AnswerEnd;
@@ -43,7 +43,7 @@
 public final class PeerRelay {
     private static final long RETRY_AFTER_MILLIS = 2_000;
 
-    private final PeerLinks links;
+    private final Peers links;
     private final AtomicLong exchanges = new AtomicLong();
     private final Map<Long, Exchange> open = new ConcurrentHashMap<>();
     private Function<Lost, Boolean> onLost = lost -> false;
@@ -86,7 +86,7 @@
      *
      * @param links reaches peers
      */
-    public PeerRelay(PeerLinks links) {
+    public PeerRelay(Peers links) {
         this.links = links;
     }
 
--- a/trailladder-entry/src/main/java/io/trailladder/entry/serve/PeerServer.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/serve/PeerServer.java
@@ -15,7 +15,7 @@
  */
 package io.trailladder.entry.serve;
 
-import io.trailladder.entry.peer.PeerLinks;
+import io.trailladder.entry.peer.Peers;
 import io.trailladder.wire.PeerMessage.AnswerCancel;
 import io.trailladder.wire.PeerMessage.Forward;
 import io.trailladder.wire.PeerMessage.RecordFind;
@@ -29,7 +29,7 @@
  * @since 0.1
  */
 public final class PeerServer {
-    private final PeerLinks links;
+    private final Peers links;
     private final RequestDispatcher dispatcher;
     private final RequestBook book;
     private final Map<Key, PeerSink> open = new ConcurrentHashMap<>();
@@ -44,7 +44,7 @@
      * @param dispatcher serves requests
      * @param book knows the requests worked on
      */
-    public PeerServer(PeerLinks links, RequestDispatcher dispatcher, RequestBook book) {
+    public PeerServer(Peers links, RequestDispatcher dispatcher, RequestBook book) {
         this.links = links;
         this.dispatcher = dispatcher;
         this.book = book;
--- a/trailladder-entry/src/main/java/io/trailladder/entry/serve/PeerSink.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/serve/PeerSink.java
@@ -15,7 +15,7 @@
  */
 package io.trailladder.entry.serve;
 
-import io.trailladder.entry.peer.PeerLinks;
+import io.trailladder.entry.peer.Peers;
 import io.trailladder.wire.PeerMessage.AnswerBody;
 import io.trailladder.wire.PeerMessage.AnswerEnd;
 import io.trailladder.wire.PeerMessage.AnswerHead;
@@ -28,7 +28,7 @@
  * @since 0.1
  */
 final class PeerSink implements CallerSink {
-    private final PeerLinks links;
+    private final Peers links;
     private final String peer;
     private final long exchange;
     private final Runnable onEnd;
@@ -36,7 +36,7 @@
     private int parts;
     private boolean over;
 
-    PeerSink(PeerLinks links, String peer, long exchange, Runnable onEnd) {
+    PeerSink(Peers links, String peer, long exchange, Runnable onEnd) {
         this.links = links;
         this.peer = peer;
         this.exchange = exchange;
--- a/trailladder-entry/src/main/java/io/trailladder/entry/serve/RequestBook.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/serve/RequestBook.java
@@ -20,6 +20,13 @@
 import io.trailladder.core.table.RowKey;
 import io.trailladder.entry.EntryMetrics.Event;
 import io.trailladder.entry.PeriodicTasks;
+import io.trailladder.entry.serve.CopyStore.Copy;
+import io.trailladder.entry.serve.RequestMoves.Answer;
+import io.trailladder.entry.serve.RequestMoves.Cause;
+import io.trailladder.entry.serve.RequestMoves.Choice;
+import io.trailladder.entry.serve.RequestMoves.HandOver;
+import io.trailladder.entry.serve.RequestMoves.Result;
+import io.trailladder.entry.serve.RequestMoves.TakeUp;
 import io.trailladder.wire.EntryInfo;
 import io.trailladder.wire.PeerMessage.RecordDrop;
 import io.trailladder.wire.PeerMessage.RecordHandOver;
@@ -40,7 +47,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
-import org.tinylog.Logger;
+import java.util.concurrent.TimeoutException;
 
 /**
  * Knows the model requests this entry works on, and keeps copies of those that other entries work
@@ -116,15 +123,19 @@
         if (keeper.isEmpty() || !context.links().send(keeper, new RecordPut(request))) {
             copied.completeExceptionally(new IllegalStateException("no keeper"));
         }
-        copied.orTimeout(COPY_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
-                .whenComplete(
-                        (done, failure) -> {
-                            awaited.remove(request.requestId());
-                            if (failure != null) {
-                                context.metrics().count(Event.UNCOPIED);
-                            }
-                            begin(request, row, keeper, sink);
-                        });
+        context.timer()
+                .schedule(
+                        () -> copied.completeExceptionally(new TimeoutException("no copy in time")),
+                        COPY_TIMEOUT_MILLIS,
+                        TimeUnit.MILLISECONDS);
+        copied.whenComplete(
+                (done, failure) -> {
+                    awaited.remove(request.requestId());
+                    if (failure != null) {
+                        context.metrics().count(Event.UNCOPIED);
+                    }
+                    begin(request, row, keeper, sink);
+                });
     }
 
     /**
@@ -149,9 +160,13 @@
      * @return its runner, if there is such a copy
      */
     public Optional<GenerationRunner> adopt(String requestId, String organisation) {
-        return handedOver
-                ? Optional.empty()
-                : copies.take(requestId, organisation).flatMap(this::resume);
+        if (handedOver) {
+            copies.find(requestId, organisation)
+                    .ifPresent(copy -> log(copy, Cause.ASKED_FOR, Result.STOPPING));
+            return Optional.empty();
+        }
+        return copies.take(requestId, organisation)
+                .flatMap(copy -> resume(copy.request(), copy.owner(), Cause.ASKED_FOR));
     }
 
     /**
@@ -165,7 +180,7 @@
         if (find(requestId, organisation).isPresent()) {
             return Standing.HOLDER;
         }
-        boolean copy = !handedOver && copies.has(requestId, organisation);
+        boolean copy = !handedOver && copies.find(requestId, organisation).isPresent();
         return copy ? Standing.COPY : Standing.NONE;
     }
 
@@ -220,23 +235,49 @@
             if (h.runner.isEnded()) {
                 continue;
             }
+            Choice choice = h.keeper.isEmpty() ? Choice.ALLOWED : Choice.HOLDS_COPY;
             String heir = h.keeper.isEmpty() ? keeperOf(h.runner.request()) : h.keeper;
             RequestRecord record = h.runner.record();
-            if (context.links().send(heir, new RecordHandOver(record))) {
+            boolean sent = context.links().send(heir, new RecordHandOver(record));
+            if (sent) {
                 h.runner.moveAway();
             }
+            log(h, heir, heir.isEmpty() ? Choice.NONE : choice, sent);
         }
     }
 
+    private void log(Held h, String heir, Choice choice, boolean sent) {
+        Answer failed = heir.isEmpty() ? Answer.NO_HEIR : Answer.NOT_SENT;
+        RequestMoves.log(
+                new HandOver(
+                        h.runner.request().requestId(),
+                        context.self().id(),
+                        heir,
+                        choice,
+                        h.runner.record().tokens().size(),
+                        h.runner.lastEvent(),
+                        sent ? Answer.SENT : failed));
+    }
+
+    private static void log(Copy copy, Cause cause, Result result) {
+        RequestRecord request = copy.request();
+        int tokens = request.tokens().size();
+        RequestMoves.log(new TakeUp(request.requestId(), copy.owner(), cause, tokens, result));
+    }
+
     /**
      * Is told that a peer is lost: its requests go on here if this entry has their copies.
      *
      * @param peer the peer's name
      */
     public void lost(String peer) {
-        if (!handedOver) {
-            copies.takeUnfinishedOf(peer).forEach(this::resume);
+        if (handedOver) {
+            copies.unfinishedOf(peer)
+                    .forEach(copy -> log(copy, Cause.HOLDER_LOST, Result.STOPPING));
+            return;
         }
+        copies.takeUnfinishedOf(peer)
+                .forEach(copy -> resume(copy.request(), peer, Cause.HOLDER_LOST));
     }
 
     /**
@@ -283,11 +324,12 @@
     /**
      * Goes on with a request that a stopping peer hands over.
      *
+     * @param from the peer
      * @param handOver the request
      */
-    public void handedOver(RecordHandOver handOver) {
+    public void handedOver(EntryInfo from, RecordHandOver handOver) {
         copies.drop(handOver.request().requestId());
-        resume(handOver.request());
+        resume(handOver.request(), from.id(), Cause.HANDED_OVER);
     }
 
     private static boolean same(RequestRecord known, RequestRecord request) {
@@ -306,9 +348,11 @@
         }
     }
 
-    private Optional<GenerationRunner> resume(RequestRecord request) {
+    private Optional<GenerationRunner> resume(RequestRecord request, String from, Cause cause) {
+        Copy copy = new Copy(request, from);
         Held known = held.get(request.requestId());
         if (known != null && !known.runner.isEnded() && !known.runner.isMovedAway()) {
+            log(copy, cause, Result.ALREADY_HERE);
             return Optional.of(known.runner);
         }
         RowKey key = new RowKey(request.organisation(), request.model());
@@ -318,13 +362,14 @@
                         .row(key)
                         .filter(r -> r.allows(context.self().dataCentre()));
         if (row.isEmpty()) {
-            Logger.warn("request {} is not allowed here and is dropped", request.requestId());
+            log(copy, cause, Result.ROW_FORBIDS);
             return Optional.empty();
         }
         context.metrics().count(Event.ADOPTED);
         Held mine = hold(request, row.get(), keeper(row.get()));
         context.links().send(mine.keeper, new RecordPut(request));
         mine.runner.start();
+        log(copy, cause, Result.GOES_ON);
         return Optional.of(mine.runner);
     }
 
--- a/trailladder-entry/src/main/java/io/trailladder/entry/serve/RequestFinder.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/serve/RequestFinder.java
@@ -15,16 +15,19 @@
  */
 package io.trailladder.entry.serve;
 
-import io.trailladder.entry.peer.PeerLinks;
+import io.trailladder.entry.peer.Peers;
 import io.trailladder.wire.EntryInfo;
 import io.trailladder.wire.PeerMessage.RecordFind;
 import io.trailladder.wire.PeerMessage.RecordFound;
 import io.trailladder.wire.PeerMessage.Standing;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -35,23 +38,43 @@
 public final class RequestFinder {
     private static final long ANSWER_MILLIS = 400;
 
-    private final PeerLinks links;
+    private final Peers links;
+    private final ScheduledExecutorService timer;
     private final Map<String, Search> searches = new ConcurrentHashMap<>();
 
     /** A search under way. */
     private static final class Search {
-        final CompletableFuture<Optional<String>> found = new CompletableFuture<>();
-        int open;
+        final CompletableFuture<Optional<String>> holder = new CompletableFuture<>();
+        final Set<String> open = new HashSet<>();
         String copyAt = "";
+
+        /** Tells who works on the request, or else who has a copy of it. */
+        CompletableFuture<Optional<String>> result() {
+            return holder.thenApply(peer -> peer.or(this::copy));
+        }
+
+        private synchronized Optional<String> copy() {
+            return Optional.of(copyAt).filter(peer -> !peer.isEmpty());
+        }
+
+        /** Takes an answer; returns true if it was the last one. */
+        synchronized boolean answered(String peer, Standing standing) {
+            if (standing == Standing.COPY) {
+                copyAt = peer;
+            }
+            return open.remove(peer) && open.isEmpty();
+        }
     }
 
     /**
      * Creates the finder.
      *
      * @param links reaches peers
+     * @param timer ends searches that peers leave unanswered
      */
-    public RequestFinder(PeerLinks links) {
+    public RequestFinder(Peers links, ScheduledExecutorService timer) {
         this.links = links;
+        this.timer = timer;
     }
 
     /**
@@ -64,10 +87,10 @@
     public CompletableFuture<Optional<String>> find(String requestId, String organisation) {
         List<EntryInfo> peers = links.live();
         Search search = new Search();
-        search.open = peers.size();
+        peers.forEach(peer -> search.open.add(peer.id()));
         Search running = searches.putIfAbsent(requestId, search);
         if (running != null) {
-            return running.found;
+            return running.result();
         }
         RecordFind find = new RecordFind(requestId, organisation);
         for (EntryInfo peer : peers) {
@@ -76,12 +99,13 @@
             }
         }
         if (peers.isEmpty()) {
-            search.found.complete(Optional.empty());
+            search.holder.complete(Optional.empty());
         }
-        return search.found
-                .completeOnTimeout(Optional.empty(), ANSWER_MILLIS, TimeUnit.MILLISECONDS)
-                .thenApply(holder -> holder.or(() -> copyAt(search)))
-                .whenComplete((holder, failure) -> searches.remove(requestId));
+        timer.schedule(
+                () -> search.holder.complete(Optional.empty()),
+                ANSWER_MILLIS,
+                TimeUnit.MILLISECONDS);
+        return search.result().whenComplete((peer, failure) -> searches.remove(requestId, search));
     }
 
     /**
@@ -95,24 +119,11 @@
         if (search == null) {
             return;
         }
-        boolean last;
-        synchronized (search) {
-            search.open--;
-            last = search.open <= 0;
-            if (answer.standing() == Standing.COPY) {
-                search.copyAt = peer;
-            }
-        }
+        boolean last = search.answered(peer, answer.standing());
         if (answer.standing() == Standing.HOLDER) {
-            search.found.complete(Optional.of(peer));
+            search.holder.complete(Optional.of(peer));
         } else if (last) {
-            search.found.complete(Optional.empty());
-        }
-    }
-
-    private static Optional<String> copyAt(Search search) {
-        synchronized (search) {
-            return Optional.of(search.copyAt).filter(peer -> !peer.isEmpty());
+            search.holder.complete(Optional.empty());
         }
     }
 }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/serve/RequestRecovery.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/serve/RequestRecovery.java
@@ -15,6 +15,9 @@
  */
 package io.trailladder.entry.serve;
 
+import io.trailladder.entry.MonotonicClock;
+import io.trailladder.entry.serve.RequestMoves.AskedAgain;
+import io.trailladder.entry.serve.RequestMoves.Found;
 import io.trailladder.wire.PeerMessage.Header;
 import java.util.ArrayList;
 import java.util.List;
@@ -52,96 +55,122 @@
         relay.onLost(this::goOn);
     }
 
+    /** A question for a request that is asked of this entry and then of its peers. */
+    private static final class Question {
+        final IncomingRequest request;
+        List<String> names;
+        final CallerSink sink;
+        final boolean begun;
+        final long sinceMillis = MonotonicClock.millis();
+        int tries;
+        int triesLeft;
+
+        Question(
+                IncomingRequest request,
+                List<String> names,
+                CallerSink sink,
+                boolean begun,
+                int triesLeft) {
+            this.request = request;
+            this.names = names;
+            this.sink = sink;
+            this.begun = begun;
+            this.triesLeft = triesLeft;
+        }
+
+        /** Writes a line that tells where the request was found. */
+        void log(Found found, String peer) {
+            RequestMoves.log(
+                    new AskedAgain(
+                            names.get(0),
+                            request.firstWantedEvent(),
+                            request.relayed(),
+                            found,
+                            peer,
+                            tries,
+                            MonotonicClock.millis() - sinceMillis));
+        }
+
+        /** Brings the caller the rest from a runner of this entry, if there is one. */
+        boolean attach(Optional<GenerationRunner> runner, Found found) {
+            CallerSink rest = begun ? new BegunSink(sink) : sink;
+            runner.ifPresent(
+                    present -> {
+                        log(found, "");
+                        present.attach(rest, request.firstWantedEvent());
+                    });
+            return runner.isPresent();
+        }
+
+        /** Tells the caller that the request was not found. */
+        void notFound() {
+            log(Found.NOWHERE, "");
+            if (begun) {
+                sink.abort();
+            } else {
+                Answers.refuse(sink, 404, "no request of this name");
+            }
+        }
+    }
+
     /** Brings a caller the rest of a request's answer, wherever the request is. */
     void findAgain(IncomingRequest request, CallerSink sink) {
         String name = request.path().substring(REQUESTS_PATH.length());
-        int from = request.firstWantedEvent();
         String organisation = request.organisation();
-        Optional<GenerationRunner> mine =
-                book.find(name, organisation)
-                        .or(() -> book.find(RequestNames.keyed(organisation, name), organisation));
-        if (mine.isPresent()) {
-            mine.get().attach(sink, from);
-            return;
+        List<String> names = List.of(name, RequestNames.keyed(organisation, name));
+        Question question = new Question(request, names, sink, false, 1);
+        if (!request.relayed()) {
+            look(question);
+        } else if (!question.attach(here(question), Found.HERE)
+                && !question.attach(book.adopt(name, organisation), Found.TAKEN_UP)) {
+            question.notFound();
         }
-        if (request.relayed()) {
-            book.adopt(name, organisation)
-                    .ifPresentOrElse(
-                            runner -> runner.attach(sink, from),
-                            () -> Answers.refuse(sink, 404, "no request of this name"));
-            return;
-        }
-        findAtPeers(request, List.of(name, RequestNames.keyed(organisation, name)), sink, false, 1);
     }
 
-    private void findAtPeers(
-            IncomingRequest request,
-            List<String> names,
-            CallerSink sink,
-            boolean begun,
-            int triesLeft) {
-        String name = names.get(0);
-        if (attachHere(book.find(name, request.organisation()), request, sink, begun)) {
-            return;
+    private Optional<GenerationRunner> here(Question question) {
+        String organisation = question.request.organisation();
+        return question.names.stream()
+                .flatMap(name -> book.find(name, organisation).stream())
+                .findFirst();
+    }
+
+    /** Looks for a request in this entry, then at its peers, under each of its names. */
+    private void look(Question question) {
+        question.tries++;
+        if (!question.attach(here(question), Found.HERE)) {
+            askPeers(question, 0);
         }
-        finder.find(name, request.organisation())
+    }
+
+    private void askPeers(Question question, int nameIndex) {
+        String name = question.names.get(nameIndex);
+        String organisation = question.request.organisation();
+        finder.find(name, organisation)
                 .thenAccept(
                         holder -> {
-                            if (holder.isPresent()
-                                    && attachAt(holder.get(), name, request, sink, begun)) {
+                            if (holder.isPresent() && attachAt(holder.get(), name, question)) {
                                 return;
                             }
-                            Optional<GenerationRunner> adopted =
-                                    book.adopt(name, request.organisation());
-                            if (attachHere(adopted, request, sink, begun)) {
+                            if (question.attach(book.adopt(name, organisation), Found.TAKEN_UP)) {
                                 return;
                             }
-                            if (names.size() > 1) {
-                                findAtPeers(
-                                        request,
-                                        names.subList(1, names.size()),
-                                        sink,
-                                        begun,
-                                        triesLeft);
-                            } else if (triesLeft > 0) {
-                                tryLater(request, names, sink, begun, triesLeft - 1);
-                            } else if (begun) {
-                                sink.abort();
+                            if (nameIndex + 1 < question.names.size()) {
+                                askPeers(question, nameIndex + 1);
+                            } else if (question.triesLeft-- > 0) {
+                                question.names = List.of(name);
+                                // it may be passing from a lost entry to its copy's keeper
+                                timer.schedule(
+                                        () -> look(question),
+                                        TRY_AGAIN_MILLIS,
+                                        TimeUnit.MILLISECONDS);
                             } else {
-                                Answers.refuse(sink, 404, "no request of this name");
+                                question.notFound();
                             }
                         });
     }
 
-    /** Brings the caller the rest from a runner of this entry, if there is one. */
-    private static boolean attachHere(
-            Optional<GenerationRunner> runner,
-            IncomingRequest request,
-            CallerSink sink,
-            boolean begun) {
-        CallerSink rest = begun ? new BegunSink(sink) : sink;
-        runner.ifPresent(found -> found.attach(rest, request.firstWantedEvent()));
-        return runner.isPresent();
-    }
-
-    /**
-     * A request that is just passing from a lost entry to its copy's keeper is found a little
-     * later.
-     */
-    private void tryLater(
-            IncomingRequest request,
-            List<String> names,
-            CallerSink sink,
-            boolean begun,
-            int triesLeft) {
-        timer.schedule(
-                () -> findAtPeers(request, names, sink, begun, triesLeft),
-                TRY_AGAIN_MILLIS,
-                TimeUnit.MILLISECONDS);
-    }
-
-    private boolean attachAt(
-            String peer, String name, IncomingRequest request, CallerSink sink, boolean begun) {
+    private boolean attachAt(String peer, String name, Question question) {
+        IncomingRequest request = question.request;
         IncomingRequest lookUp =
                 new IncomingRequest(
                         request.organisation(),
@@ -150,7 +179,11 @@
                         request.headers(),
                         new byte[0],
                         true);
-        return relay.forward(peer, name, lookUp, sink, begun);
+        boolean sent = relay.forward(peer, name, lookUp, question.sink, question.begun);
+        if (sent) {
+            question.log(Found.AT_PEER, peer);
+        }
+        return sent;
     }
 
     /** Goes on with an answer whose peer was lost, at another entry that has the request. */
@@ -171,7 +204,7 @@
                         headers,
                         new byte[0],
                         false);
-        findAtPeers(again, List.of(lost.requestId()), lost.sink(), lost.begun(), TRIES);
+        look(new Question(again, List.of(lost.requestId()), lost.sink(), lost.begun(), TRIES));
         return true;
     }
 }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/serve/ServingContext.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/serve/ServingContext.java
@@ -17,7 +17,7 @@
 
 import io.trailladder.entry.EntryMetrics;
 import io.trailladder.entry.EntrySettings;
-import io.trailladder.entry.peer.PeerLinks;
+import io.trailladder.entry.peer.Peers;
 import io.trailladder.platform.http.HttpClient;
 import io.trailladder.wire.EntryInfo;
 import java.util.concurrent.ScheduledExecutorService;
@@ -42,7 +42,7 @@
         Placements placements,
         EngineApi engines,
         HttpClient client,
-        PeerLinks links,
+        Peers links,
         ScheduledExecutorService timer,
         EntryMetrics metrics,
         RowPolicies policies) {}
