Requests are looked for again under their own names, not only under their keys

Callers saw: who asked the heir just before the hand-over had arrived was told 404 'no request of this name', and had to ask once more. Cause: a search has two names, the request's and the one made from a caller's key; the second try kept the second name only, and nobody looked at this entry under the first one. Change: each try looks under all names. Why it works: the request is under its own name at its heir.

--- a/trailladder-entry/src/main/java/io/trailladder/entry/serve/RequestRecovery.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/serve/RequestRecovery.java
@@ -58,7 +58,7 @@
     /** A question for a request that is asked of this entry and then of its peers. */
     private static final class Question {
         final IncomingRequest request;
-        List<String> names;
+        final List<String> names;
         final CallerSink sink;
         final boolean begun;
         final long sinceMillis = MonotonicClock.millis();
@@ -157,7 +157,6 @@
                             if (nameIndex + 1 < question.names.size()) {
                                 askPeers(question, nameIndex + 1);
                             } else if (question.triesLeft-- > 0) {
-                                question.names = List.of(name);
                                 // it may be passing from a lost entry to its copy's keeper
                                 timer.schedule(
                                         () -> look(question),
--- /dev/null
+++ b/trailladder-entry/src/test/java/io/trailladder/entry/VirtualClock.java
@@ -0,0 +1,58 @@
+/*
+ * Copyright 2026 The trailladder authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package io.trailladder.entry;
+
+import java.util.PriorityQueue;
+
+/** Runs work in the order of its times, without waiting for any of them. */
+final class VirtualClock {
+    private final PriorityQueue<Work> queue = new PriorityQueue<>();
+    private long nowMillis;
+    private long count;
+
+    /** Work for a time; of two for the same time the earlier one asked for goes first. */
+    private record Work(long atMillis, long number, Runnable action) implements Comparable<Work> {
+        @Override
+        public int compareTo(Work other) {
+            int byTime = Long.compare(atMillis, other.atMillis);
+            return byTime != 0 ? byTime : Long.compare(number, other.number);
+        }
+    }
+
+    long millis() {
+        return nowMillis;
+    }
+
+    /** Has work run at a time, or now if that is past. */
+    void at(long atMillis, Runnable action) {
+        queue.add(new Work(Math.max(atMillis, nowMillis), count++, action));
+    }
+
+    void after(long delayMillis, Runnable action) {
+        at(nowMillis + delayMillis, action);
+    }
+
+    /** Runs everything that is due within a span. */
+    void run(long spanMillis) {
+        long end = nowMillis + spanMillis;
+        while (!queue.isEmpty() && queue.peek().atMillis() <= end) {
+            Work work = queue.poll();
+            nowMillis = work.atMillis();
+            work.action().run();
+        }
+        nowMillis = end;
+    }
+}
