A model request that runs at most once is not begun again by another entry

Callers saw: a request marked at-most-once, or of a row that is not repeatable, ran a second time at the heir or at its copy's keeper when its entry stopped or was lost. Cause: what makes a request unrepeatable was known to the entry that had accepted it only; copies and hand-overs do not carry it, and whoever took one up began it. Change: such a request has no copy and is not handed over; it goes on to the end of its entry's time and then its caller is told 'unknown', or 'not-run' if it was never sent. Its name tells what it is, so that an entry which gets one all the same, or whose row is not repeatable, answers 'unknown' (GenerationMachine.goOn). A copy that is whole is read and no longer sent to an engine again. Why it works: no other entry has anything to begin.

--- a/trailladder-core/src/main/java/io/trailladder/core/request/AnswerLog.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/request/AnswerLog.java
@@ -34,9 +34,11 @@
      * Creates a log from a copy.
      *
      * @param tokens the tokens so far
+     * @param complete true if the answer is whole
      */
-    public AnswerLog(List<String> tokens) {
+    public AnswerLog(List<String> tokens, boolean complete) {
         this.tokens.addAll(tokens);
+        this.complete = complete;
     }
 
     /**
--- a/trailladder-core/src/main/java/io/trailladder/core/request/Failure.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/request/Failure.java
@@ -48,6 +48,8 @@
         CLAIM_MISMATCH(422, "the key was used before for a different request"),
         /** The row no longer allows the data centre that served the request. */
         ROW_NARROWED(503, "the table no longer allows the data centre that served the request"),
+        /** The entry that worked on the request was lost, and the request may run only once. */
+        HOLDER_LOST(502, "the entry that worked on the request was lost"),
         /** The entry is stopping. */
         STOPPING(503, "the entry is stopping");
 
--- a/trailladder-core/src/main/java/io/trailladder/core/request/GenerationMachine.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/request/GenerationMachine.java
@@ -84,7 +84,7 @@
     private final AnswerLog log;
     private final Set<String> failedUpstreams = new HashSet<>();
 
-    private Phase phase = Phase.PLACING;
+    private Phase phase;
     private int attempt;
     private String upstream = "";
     private String nextUpstream = "";
@@ -109,6 +109,7 @@
         this.log = log;
         this.waitingSinceMillis = nowMillis;
         this.everSent = log.size() > 0;
+        this.phase = log.isComplete() ? Phase.ENDED : Phase.PLACING;
     }
 
     /**
@@ -120,6 +121,19 @@
         return List.of(new Place(failedUpstreams));
     }
 
+    /**
+     * Begins a request that another entry had accepted and may have sent.
+     *
+     * @return what is to be done
+     */
+    public List<GenerationAction> goOn() {
+        if (phase == Phase.ENDED) {
+            return List.of();
+        }
+        everSent = true;
+        return settings.repeatable() ? start() : fail(Kind.HOLDER_LOST, 0);
+    }
+
     /**
      * Is told that an upstream was chosen.
      *
--- a/trailladder-entry/src/main/java/io/trailladder/entry/EntryDaemon.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/EntryDaemon.java
@@ -303,6 +303,7 @@
             book.handOver();
             pause(HAND_OVER_MILLIS);
         }
+        book.endUnfinished();
         shutDown();
     }
 
--- a/trailladder-entry/src/main/java/io/trailladder/entry/serve/CopyStore.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/serve/CopyStore.java
@@ -49,6 +49,11 @@
         copies.remove(requestId);
     }
 
+    /** Gives a copy up if it is still the copy of this entry's request. */
+    void drop(String requestId, String owner) {
+        copies.computeIfPresent(requestId, (id, copy) -> copy.owner().equals(owner) ? null : copy);
+    }
+
     /** Finds the copy of an organisation's request. */
     Optional<Copy> find(String requestId, String organisation) {
         return Optional.ofNullable(copies.get(requestId))
--- a/trailladder-entry/src/main/java/io/trailladder/entry/serve/GenerationRunner.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/serve/GenerationRunner.java
@@ -74,6 +74,7 @@
     private int lastEvent = -1;
     private Failure failure;
     private boolean movedAway;
+    private boolean toldMoved;
 
     /**
      * Creates the runner of an accepted request.
@@ -89,7 +90,7 @@
         this.request = request;
         this.row = row;
         this.onEnd = onEnd;
-        this.log = new AnswerLog(request.tokens());
+        this.log = new AnswerLog(request.tokens(), request.complete());
         this.begun = log.size() > 0;
         this.blocks = PromptBlocks.of(request.organisation(), request.model(), request.prompt());
         this.query = query(Set.of());
@@ -111,7 +112,27 @@
 
     /** Begins. */
     public synchronized void start() {
-        perform(machine.start());
+        if (!movedAway) {
+            perform(machine.start());
+        }
+    }
+
+    /** Begins where another entry left off; an answer that is whole needs nothing more. */
+    public synchronized void goOn() {
+        if (log.isComplete()) {
+            onEnd.run();
+        } else {
+            perform(machine.goOn());
+        }
+    }
+
+    /**
+     * Tells whether the request may run again where it may have run before.
+     *
+     * @return false if it runs at most once
+     */
+    public boolean mayRunAgain() {
+        return row.repeatable();
     }
 
     /**
@@ -163,7 +184,7 @@
     /**
      * Tells whether another entry goes on with the request.
      *
-     * @return true after {@link #moveAway}
+     * @return true after {@link #suspend}
      */
     public synchronized boolean isMovedAway() {
         return movedAway;
@@ -181,7 +202,7 @@
         sink.whenGone(() -> gone(feed));
         if (failure != null) {
             feed.fail(request.requestId(), failure);
-        } else if (movedAway) {
+        } else if (toldMoved) {
             feed.moved(request.requestId());
         } else {
             pump(feed);
@@ -233,17 +254,27 @@
     }
 
     /**
-     * Stops working on the request because another entry goes on with it, and sends every receiver
-     * there.
+     * Stops working on the request. Receivers are told nothing before {@link #moved}.
      *
-     * @return the request with its tokens so far
+     * @return the request with its tokens so far, all that any receiver was sent among them
      */
-    public synchronized RequestRecord moveAway() {
-        RequestRecord record = record();
+    public synchronized RequestRecord suspend() {
         movedAway = true;
+        context.placements().withdraw(this);
         perform(machine.cancelled());
+        releaseUnused();
+        return record();
+    }
+
+    /** Sends every receiver to the entries that have the request now. */
+    public synchronized void moved() {
+        toldMoved = true;
         feeds.forEach(feed -> feed.moved(request.requestId()));
-        return record;
+    }
+
+    /** Gives the receivers a final answer because this entry is about to end. */
+    public synchronized void endUnfinished() {
+        perform(machine.abort(Failure.Kind.STOPPING, RETRY_AFTER_MILLIS));
     }
 
     @Override
--- a/trailladder-entry/src/main/java/io/trailladder/entry/serve/RequestBook.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/serve/RequestBook.java
@@ -117,6 +117,11 @@
             Answers.failure(sink, "", Failure.notRun(Failure.Kind.CLAIM_MISMATCH, 0));
             return;
         }
+        if (!row.repeatable()) {
+            // nobody may go on with it, so nobody needs a copy
+            begin(request, row, "", sink);
+            return;
+        }
         String keeper = keeper(row);
         CompletableFuture<Void> copied = new CompletableFuture<>();
         awaited.put(request.requestId(), copied);
@@ -228,11 +233,14 @@
         }
     }
 
-    /** Hands every request in flight to another entry. */
+    /**
+     * Hands every request in flight to another entry, but those that run at most once: these go on
+     * here until {@link #endUnfinished}.
+     */
     public void handOver() {
         handedOver = true;
         for (Held h : held.values()) {
-            if (h.runner.isEnded()) {
+            if (h.runner.isEnded() || !h.runner.mayRunAgain()) {
                 continue;
             }
             Choice choice = h.keeper.isEmpty() ? Choice.ALLOWED : Choice.HOLDS_COPY;
@@ -240,12 +248,31 @@
             RequestRecord record = h.runner.record();
             boolean sent = context.links().send(heir, new RecordHandOver(record));
             if (sent) {
-                h.runner.moveAway();
+                h.runner.suspend();
+                h.runner.moved();
             }
             log(h, heir, heir.isEmpty() ? Choice.NONE : choice, sent);
         }
     }
 
+    /**
+     * Tells the callers of requests that are still in flight to ask again, or, if nobody may go on
+     * with their requests, how these ended.
+     */
+    public void endUnfinished() {
+        for (Held h : held.values()) {
+            if (h.runner.isEnded()) {
+                continue;
+            }
+            if (h.keeper.isEmpty()) {
+                h.runner.endUnfinished();
+            } else {
+                h.runner.suspend();
+                h.runner.moved();
+            }
+        }
+    }
+
     private void log(Held h, String heir, Choice choice, boolean sent) {
         Answer failed = heir.isEmpty() ? Answer.NO_HEIR : Answer.NOT_SENT;
         RequestMoves.log(
@@ -366,10 +393,15 @@
             return Optional.empty();
         }
         context.metrics().count(Event.ADOPTED);
-        Held mine = hold(request, row.get(), keeper(row.get()));
-        context.links().send(mine.keeper, new RecordPut(request));
-        mine.runner.start();
-        log(copy, cause, Result.GOES_ON);
+        boolean mayRun = RequestNames.mayRunAgain(request.requestId()) && row.get().repeatable();
+        Row effective = mayRun ? row.get() : row.get().notRepeatable();
+        Held mine = hold(request, effective, mayRun ? keeper(effective) : "");
+        if (mayRun) {
+            context.links().send(mine.keeper, new RecordPut(request));
+        }
+        mine.runner.goOn();
+        boolean goesOn = mayRun || request.complete();
+        log(copy, cause, goesOn ? Result.GOES_ON : Result.MAY_HAVE_RUN);
         return Optional.of(mine.runner);
     }
 
@@ -400,7 +432,7 @@
         Set<String> live = new HashSet<>();
         context.links().live().forEach(peer -> live.add(peer.id()));
         for (Held h : held.values()) {
-            if (h.endCopied || !hasLiveKeeper(h, live)) {
+            if (h.endCopied || !h.runner.mayRunAgain() || !hasLiveKeeper(h, live)) {
                 continue;
             }
             boolean complete = h.runner.isComplete();
--- a/trailladder-entry/src/main/java/io/trailladder/entry/serve/RequestDispatcher.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/serve/RequestDispatcher.java
@@ -160,14 +160,15 @@
         boolean atMostOnce = atMostOnce(request, row.get());
         Optional<String> key = request.header(IncomingRequest.KEY_HEADER);
         if (!atMostOnce || key.isEmpty()) {
+            String prefix = atMostOnce ? RequestNames.ONCE : RequestNames.REPEATABLE;
             String requestId =
                     key.map(k -> RequestNames.keyed(request.organisation(), k))
-                            .orElseGet(() -> RequestNames.fresh("r"));
+                            .orElseGet(() -> RequestNames.fresh(prefix));
             Row effective = atMostOnce ? row.get().notRepeatable() : row.get();
             begin(request, completion, requestId, effective, sink);
             return;
         }
-        String requestId = RequestNames.fresh("c");
+        String requestId = RequestNames.fresh(RequestNames.CLAIMED);
         ClaimKey claimKey = ClaimKey.of(request.organisation(), key.get());
         claims.claim(claimKey, RequestNames.fingerprint(request), requestId)
                 .thenAccept(
--- a/trailladder-entry/src/main/java/io/trailladder/entry/serve/RequestMoves.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/serve/RequestMoves.java
@@ -72,7 +72,9 @@
         /** This entry has handed its requests over and is about to end. */
         STOPPING,
         /** The table in force here does not allow the request in this data centre. */
-        ROW_FORBIDS
+        ROW_FORBIDS,
+        /** It must run at most once and may have run. */
+        MAY_HAVE_RUN
     }
 
     /** Where a caller who asks again was sent. */
--- a/trailladder-entry/src/main/java/io/trailladder/entry/serve/RequestNames.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/serve/RequestNames.java
@@ -26,8 +26,22 @@
  * @since 0.1
  */
 final class RequestNames {
+    /** Begins the names of requests that may run any number of times. */
+    static final String REPEATABLE = "r";
+
+    /** Begins the names of requests that run at most once and have no key. */
+    static final String ONCE = "o";
+
+    /** Begins the names of requests that run at most once by their keys. */
+    static final String CLAIMED = "c";
+
     private RequestNames() {}
 
+    /** Tells whether a request of this name may run again where another entry began it. */
+    static boolean mayRunAgain(String requestId) {
+        return !requestId.startsWith(ONCE) && !requestId.startsWith(CLAIMED);
+    }
+
     /** Makes a name that was never used before. */
     static String fresh(String prefix) {
         ThreadLocalRandom random = ThreadLocalRandom.current();
--- a/trailladder-entry/src/test/java/io/trailladder/entry/SimulatedEntries.java
+++ b/trailladder-entry/src/test/java/io/trailladder/entry/SimulatedEntries.java
@@ -170,7 +170,14 @@
         SimulatedEntry entry = entries.get(id);
         entry.drain();
         entry.book.handOver();
-        clock.after(HAND_OVER_MILLIS, () -> entry.timer.run(() -> kill(id)));
+        clock.after(
+                HAND_OVER_MILLIS,
+                () ->
+                        entry.timer.run(
+                                () -> {
+                                    entry.book.endUnfinished();
+                                    kill(id);
+                                }));
     }
 
     /** Freezes an entry, as SIGSTOP does, and wakes it after a span. */
