An heir has a request once it says so; one that refuses or is silent is followed by another

Callers saw: a stream whose entry stopped was told 'moved' and was then found nowhere. Cause: a hand-over that was queued counted as taken. The heir could be about to end itself (it began the request for the half second it had left, or, since it had handed over, for nothing), its table could forbid the request, its link could break or it could be frozen; nobody had the request then, or two had it. Change: HandOvers offers a request to one heir after another, first its copy's keeper, entries that stop last. A question for the request follows each hand-over on the same link; its answer tells whether the heir has it, also of an heir of an earlier build. Callers are told 'moved' after the answer. An entry that ends takes nothing up, also if it has no request of its own, passes on what an earlier build hands to it, and tells requests that it was just accepting 'not-run'. Generation stops before the record is made, so no caller has an event that the heir lacks. Why it works: there is one owner of a request at each moment that both sides know.

--- a/trailladder-entry/src/main/java/io/trailladder/entry/EntryDaemon.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/EntryDaemon.java
@@ -130,7 +130,8 @@
                         metrics,
                         policies);
         this.members = new Members(self, links, settings.peers());
-        this.book = new RequestBook(context);
+        this.chooser = new DataCentreChooser(links, placements);
+        this.book = new RequestBook(context, chooser::isStopping);
         this.claims =
                 new ClaimService(
                         self.id(),
@@ -138,7 +139,6 @@
                         RangeMap.DEFAULT_RANGES,
                         MAX_CLAIMS,
                         settings.claimRetentionMillis());
-        this.chooser = new DataCentreChooser(links, placements);
         this.relay = new PeerRelay(links);
         RequestFinder finder = new RequestFinder(links, timer);
         this.dispatcher = new RequestDispatcher(context, book, claims, relay, chooser, finder);
@@ -298,9 +298,10 @@
         while (busy(started) && MonotonicClock.millis() < deadline) {
             pause(DRAIN_POLL_MILLIS);
         }
-        if (book.open() > 0) {
-            Logger.info("entry {} hands over {} requests", self.id(), book.open());
-            book.handOver();
+        int unfinished = book.open();
+        book.handOver();
+        if (unfinished > 0) {
+            Logger.info("entry {} hands over {} requests", self.id(), unfinished);
             pause(HAND_OVER_MILLIS);
         }
         book.endUnfinished();
@@ -311,12 +312,12 @@
         boolean handsRangesOver =
                 claims.owned() > 0
                         && MonotonicClock.millis() - sinceMillis < RANGES_MILLIS
-                        && links.live().stream().anyMatch(peer -> !isStopping(peer));
+                        && links.live().stream().anyMatch(peer -> serves(peer));
         return book.open() > 0 || relay.size() > 0 || handsRangesOver;
     }
 
-    private boolean isStopping(EntryInfo peer) {
-        return chooser.heartbeat(peer.id()).map(Heartbeat::draining).orElse(true);
+    private boolean serves(EntryInfo peer) {
+        return chooser.heartbeat(peer.id()).isPresent() && !chooser.isStopping(peer.id());
     }
 
     private void shutDown() {
--- a/trailladder-entry/src/main/java/io/trailladder/entry/PeerRouter.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/PeerRouter.java
@@ -158,12 +158,13 @@
         } else if (message instanceof RecordTokens tokens) {
             parts.book().tokens(tokens);
         } else if (message instanceof RecordDrop drop) {
-            parts.book().drop(drop);
+            parts.book().drop(from, drop);
         } else if (message instanceof RecordHandOver handOver) {
             parts.book().handedOver(from, handOver);
         } else if (message instanceof RecordFind find) {
             parts.server().find(from.id(), find);
         } else if (message instanceof RecordFound found) {
+            parts.book().found(from.id(), found);
             parts.finder().found(from.id(), found);
         } else {
             return false;
--- a/trailladder-entry/src/main/java/io/trailladder/entry/serve/DataCentreChooser.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/serve/DataCentreChooser.java
@@ -83,6 +83,16 @@
         return Optional.ofNullable(heartbeats.get(peer));
     }
 
+    /**
+     * Tells whether a peer has said that it stops.
+     *
+     * @param peer the peer's name
+     * @return false if its last heartbeat does not say so, or none came
+     */
+    public boolean isStopping(String peer) {
+        return heartbeat(peer).map(Heartbeat::draining).orElse(false);
+    }
+
     /**
      * Finds a better place than here.
      *
@@ -126,7 +136,7 @@
     private List<EntryInfo> candidates(Collection<String> allowed) {
         return links.live().stream()
                 .filter(peer -> allowed.contains(peer.dataCentre()))
-                .filter(peer -> !heartbeat(peer.id()).map(Heartbeat::draining).orElse(false))
+                .filter(peer -> !isStopping(peer.id()))
                 .toList();
     }
 
--- a/trailladder-entry/src/main/java/io/trailladder/entry/serve/PeerServer.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/serve/PeerServer.java
@@ -91,10 +91,7 @@
      * @param find names the request
      */
     public void find(String peer, RecordFind find) {
-        RecordFound found =
-                new RecordFound(
-                        find.requestId(), book.standing(find.requestId(), find.organisation()));
-        links.send(peer, found);
+        links.send(peer, new RecordFound(find.requestId(), book.asked(peer, find)));
     }
 
     /**
--- a/trailladder-entry/src/main/java/io/trailladder/entry/serve/RequestBook.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/serve/RequestBook.java
@@ -21,14 +21,13 @@
 import io.trailladder.entry.EntryMetrics.Event;
 import io.trailladder.entry.PeriodicTasks;
 import io.trailladder.entry.serve.CopyStore.Copy;
-import io.trailladder.entry.serve.RequestMoves.Answer;
 import io.trailladder.entry.serve.RequestMoves.Cause;
-import io.trailladder.entry.serve.RequestMoves.Choice;
-import io.trailladder.entry.serve.RequestMoves.HandOver;
 import io.trailladder.entry.serve.RequestMoves.Result;
 import io.trailladder.entry.serve.RequestMoves.TakeUp;
 import io.trailladder.wire.EntryInfo;
 import io.trailladder.wire.PeerMessage.RecordDrop;
+import io.trailladder.wire.PeerMessage.RecordFind;
+import io.trailladder.wire.PeerMessage.RecordFound;
 import io.trailladder.wire.PeerMessage.RecordHandOver;
 import io.trailladder.wire.PeerMessage.RecordKept;
 import io.trailladder.wire.PeerMessage.RecordPut;
@@ -48,6 +47,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.function.Predicate;
 
 /**
  * Knows the model requests this entry works on, and keeps copies of those that other entries work
@@ -66,35 +66,33 @@
     private static final long COPY_TIMEOUT_MILLIS = 150;
     private static final long KEPT_AFTER_END_MILLIS = 15_000;
     private static final long MOVE_PACE_MILLIS = 2;
+    private static final long PASS_ON_MILLIS = 50;
+    private static final long STOPPING_RETRY_MILLIS = 1_000;
 
     private final ServingContext context;
     private final Map<String, Held> held = new ConcurrentHashMap<>();
     private final CopyStore copies = new CopyStore();
     private final Map<String, CompletableFuture<Void>> awaited = new ConcurrentHashMap<>();
 
-    /** Set once this entry has handed its requests over: it must not begin any more. */
-    private volatile boolean handedOver;
+    private final KeeperChoice keepers;
+    private final HandOvers handOvers;
+    private final Map<String, Copy> refused = new ConcurrentHashMap<>();
 
-    /** A request this entry works on, and where its copy is. */
-    private static final class Held {
-        final GenerationRunner runner;
-        volatile String keeper;
-        int copied;
-        boolean endCopied;
-
-        Held(GenerationRunner runner, String keeper) {
-            this.runner = runner;
-            this.keeper = keeper;
-        }
-    }
+    /** Set once this entry hands its requests over: it must not begin any more. */
+    private volatile boolean leaving;
 
     /**
      * Creates an empty book.
      *
      * @param context what serving code shares
+     * @param stopping tells whether a peer has said that it stops
      */
-    public RequestBook(ServingContext context) {
+    public RequestBook(ServingContext context, Predicate<String> stopping) {
         this.context = context;
+        this.keepers =
+                new KeeperChoice(
+                        context.links(), context.policies(), context.self().dataCentre(), stopping);
+        this.handOvers = new HandOvers(context, keepers);
         PeriodicTasks.repeat(context.timer(), "copies", this::copyTokens, COPY_MILLIS);
         context.policies().onChange(table -> held.values().forEach(h -> h.runner.recheckRow()));
     }
@@ -122,7 +120,7 @@
             begin(request, row, "", sink);
             return;
         }
-        String keeper = keeper(row);
+        String keeper = keepers.choose(request).orElse("");
         CompletableFuture<Void> copied = new CompletableFuture<>();
         awaited.put(request.requestId(), copied);
         if (keeper.isEmpty() || !context.links().send(keeper, new RecordPut(request))) {
@@ -165,7 +163,7 @@
      * @return its runner, if there is such a copy
      */
     public Optional<GenerationRunner> adopt(String requestId, String organisation) {
-        if (handedOver) {
+        if (leaving) {
             copies.find(requestId, organisation)
                     .ifPresent(copy -> log(copy, Cause.ASKED_FOR, Result.STOPPING));
             return Optional.empty();
@@ -185,7 +183,7 @@
         if (find(requestId, organisation).isPresent()) {
             return Standing.HOLDER;
         }
-        boolean copy = !handedOver && copies.find(requestId, organisation).isPresent();
+        boolean copy = !leaving && copies.find(requestId, organisation).isPresent();
         return copy ? Standing.COPY : Standing.NONE;
     }
 
@@ -234,34 +232,34 @@
     }
 
     /**
-     * Hands every request in flight to another entry, but those that run at most once: these go on
-     * here until {@link #endUnfinished}.
+     * Hands every request in flight to another entry, but those that run at most once and those
+     * that no other entry may have: these go on here until {@link #endUnfinished}. From now on this
+     * entry takes up none.
      */
     public void handOver() {
-        handedOver = true;
-        for (Held h : held.values()) {
-            if (h.runner.isEnded() || !h.runner.mayRunAgain()) {
-                continue;
-            }
-            Choice choice = h.keeper.isEmpty() ? Choice.ALLOWED : Choice.HOLDS_COPY;
-            String heir = h.keeper.isEmpty() ? keeperOf(h.runner.request()) : h.keeper;
-            RequestRecord record = h.runner.record();
-            boolean sent = context.links().send(heir, new RecordHandOver(record));
-            if (sent) {
-                h.runner.suspend();
-                h.runner.moved();
+        List<Held> mine;
+        synchronized (this) {
+            leaving = true;
+            mine = held.values().stream().filter(Held::isActive).toList();
+        }
+        for (Held h : mine) {
+            GenerationRunner runner = h.runner;
+            boolean mayMove = runner.mayRunAgain() && keepers.choose(runner.request()).isPresent();
+            if (mayMove) {
+                RequestRecord record = runner.suspend();
+                handOvers.offer(record, h.keeper, runner.lastEvent(), runner::moved);
             }
-            log(h, heir, heir.isEmpty() ? Choice.NONE : choice, sent);
         }
     }
 
     /**
-     * Tells the callers of requests that are still in flight to ask again, or, if nobody may go on
-     * with their requests, how these ended.
+     * Ends what was not handed over: callers are told to ask again or, if nobody may go on with
+     * their requests, how these ended.
      */
     public void endUnfinished() {
+        handOvers.giveUp();
         for (Held h : held.values()) {
-            if (h.runner.isEnded()) {
+            if (!h.isActive()) {
                 continue;
             }
             if (h.keeper.isEmpty()) {
@@ -273,19 +271,6 @@
         }
     }
 
-    private void log(Held h, String heir, Choice choice, boolean sent) {
-        Answer failed = heir.isEmpty() ? Answer.NO_HEIR : Answer.NOT_SENT;
-        RequestMoves.log(
-                new HandOver(
-                        h.runner.request().requestId(),
-                        context.self().id(),
-                        heir,
-                        choice,
-                        h.runner.record().tokens().size(),
-                        h.runner.lastEvent(),
-                        sent ? Answer.SENT : failed));
-    }
-
     private static void log(Copy copy, Cause cause, Result result) {
         RequestRecord request = copy.request();
         int tokens = request.tokens().size();
@@ -298,7 +283,8 @@
      * @param peer the peer's name
      */
     public void lost(String peer) {
-        if (handedOver) {
+        handOvers.lost(peer);
+        if (leaving) {
             copies.unfinishedOf(peer)
                     .forEach(copy -> log(copy, Cause.HOLDER_LOST, Result.STOPPING));
             return;
@@ -307,6 +293,30 @@
                 .forEach(copy -> resume(copy.request(), peer, Cause.HOLDER_LOST));
     }
 
+    /**
+     * Tells a peer that asks what this entry has of a request.
+     *
+     * @param peer the peer's name
+     * @param find names the request
+     * @return its standing here
+     */
+    public Standing asked(String peer, RecordFind find) {
+        // who asks sees that its hand-over was refused and chooses another heir itself
+        refused.computeIfPresent(
+                find.requestId(), (id, copy) -> copy.owner().equals(peer) ? null : copy);
+        return standing(find.requestId(), find.organisation());
+    }
+
+    /**
+     * Takes a peer's answer to a question for a request.
+     *
+     * @param peer the peer's name
+     * @param found its answer
+     */
+    public void found(String peer, RecordFound found) {
+        handOvers.answered(peer, found);
+    }
+
     /**
      * Keeps a copy for a peer.
      *
@@ -340,12 +350,29 @@
     }
 
     /**
-     * Gives a copy up.
+     * Gives a copy up, or a request that the peer had handed over and that another one has now.
      *
+     * @param from the peer
      * @param drop names the request
      */
-    public void drop(RecordDrop drop) {
-        copies.drop(drop.requestId());
+    public void drop(EntryInfo from, RecordDrop drop) {
+        copies.drop(drop.requestId(), from.id());
+        Held h = held.get(drop.requestId());
+        if (h != null && h.isActive() && h.handedOverBy.equals(from.id())) {
+            RequestRecord record = giveUp(h);
+            log(new Copy(record, from.id()), Cause.HANDED_OVER, Result.TAKEN_BACK);
+        }
+    }
+
+    /** Ends the work on a request that another entry works on, and sends its callers there. */
+    private RequestRecord giveUp(Held h) {
+        RequestRecord record = h.runner.suspend();
+        held.remove(h.requestId(), h);
+        if (!h.keeper.isEmpty()) {
+            context.links().send(h.keeper, new RecordDrop(h.requestId()));
+        }
+        h.runner.moved();
+        return record;
     }
 
     /**
@@ -355,8 +382,30 @@
      * @param handOver the request
      */
     public void handedOver(EntryInfo from, RecordHandOver handOver) {
-        copies.drop(handOver.request().requestId());
-        resume(handOver.request(), from.id(), Cause.HANDED_OVER);
+        RequestRecord request = handOver.request();
+        Copy offered = new Copy(request, from.id());
+        if (leaving) {
+            log(offered, Cause.HANDED_OVER, Result.STOPPING);
+            refused.put(request.requestId(), offered);
+            context.timer().schedule(() -> passOn(offered), PASS_ON_MILLIS, TimeUnit.MILLISECONDS);
+            return;
+        }
+        copies.drop(request.requestId());
+        resume(request, from.id(), Cause.HANDED_OVER)
+                .map(runner -> held.get(request.requestId()))
+                .ifPresent(
+                        h -> {
+                            h.handedOverBy = from.id();
+                            h.takenFrom = "";
+                        });
+    }
+
+    /** Hands a refused request over to another entry unless its sender does so itself. */
+    private void passOn(Copy offered) {
+        RequestRecord request = offered.request();
+        if (refused.remove(request.requestId(), offered)) {
+            handOvers.offer(request, "", -1, () -> {});
+        }
     }
 
     private static boolean same(RequestRecord known, RequestRecord request) {
@@ -368,17 +417,26 @@
     }
 
     private void begin(RequestRecord request, Row row, String keeper, CallerSink sink) {
-        Held mine = hold(request, row, keeper);
-        mine.runner.attach(sink, 0);
-        if (!request.complete()) {
-            mine.runner.start();
+        Held mine;
+        synchronized (this) {
+            mine = leaving ? null : hold(request, row, keeper);
+        }
+        if (mine == null) {
+            if (!keeper.isEmpty()) {
+                context.links().send(keeper, new RecordDrop(request.requestId()));
+            }
+            Failure stopping = Failure.notRun(Failure.Kind.STOPPING, STOPPING_RETRY_MILLIS);
+            Answers.failure(sink, request.requestId(), stopping);
+            return;
         }
+        mine.runner.attach(sink, 0);
+        mine.runner.start();
     }
 
     private Optional<GenerationRunner> resume(RequestRecord request, String from, Cause cause) {
         Copy copy = new Copy(request, from);
         Held known = held.get(request.requestId());
-        if (known != null && !known.runner.isEnded() && !known.runner.isMovedAway()) {
+        if (known != null && (known.isActive() || known.runner.isComplete())) {
             log(copy, cause, Result.ALREADY_HERE);
             return Optional.of(known.runner);
         }
@@ -395,7 +453,8 @@
         context.metrics().count(Event.ADOPTED);
         boolean mayRun = RequestNames.mayRunAgain(request.requestId()) && row.get().repeatable();
         Row effective = mayRun ? row.get() : row.get().notRepeatable();
-        Held mine = hold(request, effective, mayRun ? keeper(effective) : "");
+        String keeper = mayRun ? keepers.choose(request).orElse("") : "";
+        Held mine = hold(request, effective, keeper);
         if (mayRun) {
             context.links().send(mine.keeper, new RecordPut(request));
         }
@@ -432,7 +491,10 @@
         Set<String> live = new HashSet<>();
         context.links().live().forEach(peer -> live.add(peer.id()));
         for (Held h : held.values()) {
-            if (h.endCopied || !h.runner.mayRunAgain() || !hasLiveKeeper(h, live)) {
+            if (h.endCopied
+                    || h.runner.isMovedAway()
+                    || !h.runner.mayRunAgain()
+                    || !hasLiveKeeper(h, live)) {
                 continue;
             }
             boolean complete = h.runner.isComplete();
@@ -451,7 +513,10 @@
     /** Finds another keeper for a request whose keeper is lost, or that never had one. */
     private boolean hasLiveKeeper(Held h, Set<String> live) {
         if (!live.contains(h.keeper)) {
-            h.keeper = keeperOf(h.runner.request());
+            if (!h.keeper.isEmpty()) {
+                context.links().send(h.keeper, new RecordDrop(h.requestId()));
+            }
+            h.keeper = keepers.choose(h.runner.request()).orElse("");
             RequestRecord record = h.runner.record();
             h.copied = record.tokens().size();
             h.endCopied = record.complete();
@@ -459,26 +524,4 @@
         }
         return !h.keeper.isEmpty();
     }
-
-    private String keeperOf(RequestRecord request) {
-        RowKey key = new RowKey(request.organisation(), request.model());
-        return context.policies().table().row(key).map(this::keeper).orElse("");
-    }
-
-    /**
-     * Prefers an entry of the same data centre; never one where the row's data may not be handled.
-     */
-    private String keeper(Row row) {
-        List<EntryInfo> allowed =
-                context.links().live().stream()
-                        .filter(peer -> row.allows(peer.dataCentre()))
-                        .toList();
-        String here = context.self().dataCentre();
-        return allowed.stream()
-                .filter(peer -> peer.dataCentre().equals(here))
-                .findFirst()
-                .or(() -> allowed.stream().findFirst())
-                .map(EntryInfo::id)
-                .orElse("");
-    }
 }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/serve/RequestMoves.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/serve/RequestMoves.java
@@ -45,10 +45,18 @@
 
     /** How an heir answered. */
     enum Answer {
-        /** The hand-over is on its way; no answer is awaited. */
-        SENT,
+        /** The heir works on the request. */
+        TAKEN,
+        /** The heir says that it does not work on the request. */
+        REFUSED,
+        /** The heir did not answer in time; another one is asked. */
+        SILENT,
         /** No link to the heir is up. */
         NOT_SENT,
+        /** The link to the heir broke before its answer. */
+        LINK_LOST,
+        /** No answer came before this entry ends. */
+        TIME_OVER,
         /** No other entry may have the request. */
         NO_HEIR
     }
@@ -74,7 +82,9 @@
         /** The table in force here does not allow the request in this data centre. */
         ROW_FORBIDS,
         /** It must run at most once and may have run. */
-        MAY_HAVE_RUN
+        MAY_HAVE_RUN,
+        /** The entry that handed it over found another heir. */
+        TAKEN_BACK
     }
 
     /** Where a caller who asks again was sent. */
--- a/trailladder-entry/src/test/java/io/trailladder/entry/HandOverTest.java
+++ b/trailladder-entry/src/test/java/io/trailladder/entry/HandOverTest.java
@@ -18,6 +18,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.trailladder.core.table.Table;
 import io.trailladder.wire.PeerMessage.Forward;
 import io.trailladder.wire.PeerMessage.RecordHandOver;
 import io.trailladder.wire.PeerMessage.RecordPut;
@@ -114,4 +115,137 @@
         system.run(200);
         assertEquals(runs, system.engine.runsOf("a").size(), system.engine.runs().toString());
     }
+
+    // Guards against a request that is begun at an entry which is about to end, and lost with it.
+    @Example
+    void heirThatHasHandedOverItselfIsPassedBy() {
+        SimulatedEntries system = new SimulatedEntries(3);
+        String id = begin(system, 250);
+        system.handOver("b");
+        system.handOver("a");
+        system.run(700);
+        assertTrue(begun.isMoved(), begun.toString());
+        RecordedAnswer rest = system.entry("c").ask(id, begun.tokens(), new RecordedAnswer());
+        system.run(4_000);
+        assertWhole(rest);
+        assertEquals(2, system.engine.runs().size(), system.engine.runs().toString());
+    }
+
+    // Guards against a request that nobody has, since the heir was told by an entry that expects
+    // no answer.
+    @Example
+    void heirThatHasHandedOverItselfPassesOnWhatAnEarlierBuildSends() {
+        SimulatedEntries system = new SimulatedEntries(3);
+        begin(system, 250);
+        RecordPut put = system.sent("a", "b", RecordPut.class).get(0);
+        system.handOver("b");
+        system.send("a", "b", new RecordHandOver(put.request()));
+        system.run(5);
+        system.kill("a");
+        system.run(700);
+        assertEquals(List.of("c"), system.engine.holders(), system.engine.runs().toString());
+    }
+
+    // Guards against a request that nobody has, since its hand-over was lost with the link.
+    @Example
+    void handOverThatIsLostWithItsLinkIsSentToAnother() {
+        SimulatedEntries system = new SimulatedEntries(3);
+        String id = begin(system, 250);
+        system.hold("a", "b", 50);
+        system.handOver("a");
+        system.run(10);
+        system.kill("b");
+        system.run(600);
+        RecordedAnswer rest = system.entry("c").ask(id, begun.tokens(), new RecordedAnswer());
+        system.run(4_000);
+        assertWhole(rest);
+    }
+
+    // Guards against a request that nobody has, since its copy's keeper was lost just before.
+    @Example
+    void requestWhoseKeeperIsLostJustBeforeIsHandedToAnother() {
+        SimulatedEntries system = new SimulatedEntries(3);
+        String id = begin(system, 250);
+        system.kill("b");
+        system.handOver("a");
+        system.run(600);
+        RecordedAnswer rest = system.entry("c").ask(id, begun.tokens(), new RecordedAnswer());
+        system.run(4_000);
+        assertWhole(rest);
+    }
+
+    // Guards against a request that nobody has, since the heir's table does not allow it.
+    @Example
+    void heirWhoseTableForbidsTheRequestIsPassedBy() {
+        SimulatedEntries system = new SimulatedEntries(3);
+        String id = begin(system, 250);
+        system.entry("b").table(Table.of(system.clock.millis(), "none", List.of()));
+        system.handOver("a");
+        system.run(600);
+        RecordedAnswer rest = system.entry("c").ask(id, begun.tokens(), new RecordedAnswer());
+        system.run(4_000);
+        assertWhole(rest);
+    }
+
+    // Guards against two entries that work on one request after a hand-over: a silent heir that
+    // wakes up, and the one that was asked in its place.
+    @Example
+    void silentHeirGivesUpWhatAnotherOneHasTaken() {
+        SimulatedEntries system = new SimulatedEntries(3);
+        String id = begin(system, 250);
+        system.freeze("b", 400);
+        system.handOver("a");
+        system.run(1_000);
+        assertEquals(List.of("c"), system.engine.holders(), system.engine.runs().toString());
+        RecordedAnswer rest = system.entry("b").ask(id, begun.tokens(), new RecordedAnswer());
+        system.run(4_000);
+        assertWhole(rest);
+    }
+
+    // Guards against a caller that is told its stream moved before anybody has it.
+    @Example
+    void callerIsToldThatItsStreamMovedOnceAnHeirHasIt() {
+        SimulatedEntries system = new SimulatedEntries(2);
+        begin(system, 250);
+        system.hold("a", "b", 50);
+        system.handOver("a");
+        system.run(45);
+        assertTrue(!begun.isMoved(), begun.toString());
+        system.run(20);
+        assertTrue(begun.isMoved(), begun.toString());
+    }
+
+    // Guards against a copy that is taken up although its request went to another heir.
+    @Example
+    void copyOfARequestThatWentToAnotherHeirIsNotTakenUp() {
+        SimulatedEntries system = new SimulatedEntries(3);
+        begin(system, 250);
+        system.freeze("b", 150);
+        system.handOver("a");
+        system.run(1_000);
+        assertEquals(List.of("c"), system.engine.holders(), system.engine.runs().toString());
+        assertEquals(0, system.engine.runsOf("b").stream().filter(r -> !r.over).count());
+    }
+
+    // Guards against a request that is begun by an entry which has handed over, and lost with it.
+    @Example
+    void requestThatIsAcceptedWhileItsEntryHandsOverIsToldNotRun() {
+        SimulatedEntries system = new SimulatedEntries(2);
+        system.entry("a").stream(TOKENS, begun);
+        system.handOver("a");
+        system.run(1_000);
+        assertEquals("not-run", begun.outcome(), begun.toString());
+        assertEquals(0, system.engine.runs().size(), system.engine.runs().toString());
+    }
+
+    // Guards against an entry without requests that takes some up while it ends.
+    @Example
+    void entryThatEndsWithoutRequestsTakesNoneUp() {
+        SimulatedEntries system = new SimulatedEntries(2);
+        begin(system, 250);
+        system.handOver("b");
+        system.kill("a");
+        system.run(200);
+        assertEquals(0, system.engine.runsOf("b").size(), system.engine.runs().toString());
+    }
 }
--- a/trailladder-entry/src/test/java/io/trailladder/entry/SimulatedEntry.java
+++ b/trailladder-entry/src/test/java/io/trailladder/entry/SimulatedEntry.java
@@ -75,8 +75,8 @@
                         timer,
                         new EntryMetrics(),
                         policies);
-        book = new RequestBook(context);
         chooser = new DataCentreChooser(links, placements);
+        book = new RequestBook(context, chooser::isStopping);
         ClaimService claims =
                 new ClaimService(info.id(), links, RangeMap.DEFAULT_RANGES, 1_000, 60_000);
         PeerRelay relay = new PeerRelay(links);
