A peer's refusal is not passed on in the middle of an answer

Callers saw: the text 'no request of this name' in a stream, which then ended cleanly. Cause: an entry that passes an answer on and has lost its peer asks the copy's keeper; if that could not go on (its table forbids the request), its 404 was taken for the rest of the answer, since only the head of a begun answer was passed over. Change: a refusal after the beginning counts as the loss of the peer and is looked for elsewhere. Why it works: only bytes of an answer with status 200 reach a begun stream.

--- a/trailladder-entry/src/main/java/io/trailladder/entry/serve/PeerRelay.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/serve/PeerRelay.java
@@ -42,6 +42,7 @@
  */
 public final class PeerRelay {
     private static final long RETRY_AFTER_MILLIS = 2_000;
+    private static final int OK = 200;
 
     private final Peers links;
     private final AtomicLong exchanges = new AtomicLong();
@@ -152,6 +153,12 @@
             return;
         }
         synchronized (exchange) {
+            if (exchange.headSeen && head.status() != OK) {
+                // an answer that has begun cannot end with a peer's refusal
+                open.remove(head.exchange());
+                lost(exchange);
+                return;
+            }
             requestId(head.headers()).ifPresent(id -> exchange.requestId = id);
             if (!exchange.headSeen) {
                 exchange.headSeen = true;
