A request that was given up is not taken up from its copy; one that two work on has one owner again

Callers saw, or paid for: a request that had its final answer, also 'not-run', was begun again by its copy's keeper once its entry was lost; after a cut or a freeze two entries generated one answer to its end; one key sent twice at the same moment ran twice. Cause: whoever gives a request up told nobody. Change: a request that ends without its whole answer drops its copy at once. A peer drops a copy only for the entry it belongs to, an entry forgets only the request that ended. Sendings of one name join. A copy that the table forbids here is not offered to peers that ask. CopySender is split from RequestBook.

--- a/trailladder-entry/src/main/java/io/trailladder/entry/serve/GenerationRunner.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/serve/GenerationRunner.java
@@ -40,6 +40,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.tinylog.Logger;
 
 /**
@@ -60,7 +61,7 @@
     private final AnswerLog log;
     private final GenerationMachine machine;
     private final PromptBlocks blocks;
-    private final Runnable onEnd;
+    private final Consumer<GenerationRunner> onEnd;
     private final long startedMillis = MonotonicClock.millis();
     private final List<AnswerFeed> feeds = new ArrayList<>();
     private volatile RoutingQuery query;
@@ -85,7 +86,10 @@
      * @param onEnd called once the request has had its final answer
      */
     public GenerationRunner(
-            ServingContext context, RequestRecord request, Row row, Runnable onEnd) {
+            ServingContext context,
+            RequestRecord request,
+            Row row,
+            Consumer<GenerationRunner> onEnd) {
         this.context = context;
         this.request = request;
         this.row = row;
@@ -120,7 +124,7 @@
     /** Begins where another entry left off; an answer that is whole needs nothing more. */
     public synchronized void goOn() {
         if (log.isComplete()) {
-            onEnd.run();
+            onEnd.accept(this);
         } else {
             perform(machine.goOn());
         }
@@ -440,7 +444,7 @@
         feeds.forEach(this::pump);
         long took = MonotonicClock.millis() - startedMillis;
         context.metrics().ended(request.organisation(), KIND, outcome, took);
-        onEnd.run();
+        onEnd.accept(this);
     }
 
     private void wakeAt(long atMillis) {
--- a/trailladder-entry/src/main/java/io/trailladder/entry/serve/RequestBook.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/serve/RequestBook.java
@@ -33,16 +33,11 @@
 import io.trailladder.wire.PeerMessage.RecordPut;
 import io.trailladder.wire.PeerMessage.RecordTokens;
 import io.trailladder.wire.PeerMessage.Standing;
-import io.trailladder.wire.PeerMessage.TokenPart;
 import io.trailladder.wire.RequestRecord;
-import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
@@ -76,6 +71,7 @@
 
     private final KeeperChoice keepers;
     private final HandOvers handOvers;
+    private final CopySender copySender;
     private final Map<String, Copy> refused = new ConcurrentHashMap<>();
 
     /** Set once this entry hands its requests over: it must not begin any more. */
@@ -93,7 +89,9 @@
                 new KeeperChoice(
                         context.links(), context.policies(), context.self().dataCentre(), stopping);
         this.handOvers = new HandOvers(context, keepers);
-        PeriodicTasks.repeat(context.timer(), "copies", this::copyTokens, COPY_MILLIS);
+        this.copySender = new CopySender(context, keepers);
+        PeriodicTasks.repeat(
+                context.timer(), "copies", () -> copySender.send(held.values()), COPY_MILLIS);
         context.policies().onChange(table -> held.values().forEach(h -> h.runner.recheckRow()));
     }
 
@@ -107,12 +105,8 @@
      */
     public void accept(RequestRecord request, Row row, CallerSink sink) {
         Held known = held.get(request.requestId());
-        if (known != null && same(known.runner.request(), request)) {
-            known.runner.attach(sink, 0);
-            return;
-        }
         if (known != null) {
-            Answers.failure(sink, "", Failure.notRun(Failure.Kind.CLAIM_MISMATCH, 0));
+            join(known, request, sink);
             return;
         }
         if (!row.repeatable()) {
@@ -121,8 +115,8 @@
             return;
         }
         String keeper = keepers.choose(request).orElse("");
-        CompletableFuture<Void> copied = new CompletableFuture<>();
-        awaited.put(request.requestId(), copied);
+        CompletableFuture<Void> copied =
+                awaited.computeIfAbsent(request.requestId(), id -> new CompletableFuture<>());
         if (keeper.isEmpty() || !context.links().send(keeper, new RecordPut(request))) {
             copied.completeExceptionally(new IllegalStateException("no keeper"));
         }
@@ -183,7 +177,11 @@
         if (find(requestId, organisation).isPresent()) {
             return Standing.HOLDER;
         }
-        boolean copy = !leaving && copies.find(requestId, organisation).isPresent();
+        boolean copy =
+                !leaving
+                        && copies.find(requestId, organisation)
+                                .flatMap(kept -> row(kept.request()))
+                                .isPresent();
         return copy ? Standing.COPY : Standing.NONE;
     }
 
@@ -289,6 +287,7 @@
                     .forEach(copy -> log(copy, Cause.HOLDER_LOST, Result.STOPPING));
             return;
         }
+        held.values().stream().filter(h -> h.keeper.equals(peer)).forEach(h -> h.keeper = "");
         copies.takeUnfinishedOf(peer)
                 .forEach(copy -> resume(copy.request(), peer, Cause.HOLDER_LOST));
     }
@@ -315,6 +314,17 @@
      */
     public void found(String peer, RecordFound found) {
         handOvers.answered(peer, found);
+        Held h = held.get(found.requestId());
+        if (h == null || !h.takenFrom.equals(peer) || h.runner.isComplete()) {
+            return;
+        }
+        h.takenFrom = "";
+        if (found.standing() == Standing.HOLDER) {
+            RequestRecord record = giveUp(h);
+            // has the peer send its copy anew
+            copySender.drop(peer, h.requestId());
+            log(new Copy(record, peer), Cause.HOLDER_LOST, Result.GIVEN_BACK);
+        }
     }
 
     /**
@@ -350,7 +360,8 @@
     }
 
     /**
-     * Gives a copy up, or a request that the peer had handed over and that another one has now.
+     * Gives a copy up, or a request that the peer had handed over and that another one has now. A
+     * peer that keeps a copy for this entry says so that it keeps it no more.
      *
      * @param from the peer
      * @param drop names the request
@@ -358,6 +369,9 @@
     public void drop(EntryInfo from, RecordDrop drop) {
         copies.drop(drop.requestId(), from.id());
         Held h = held.get(drop.requestId());
+        if (h != null && h.keeper.equals(from.id())) {
+            h.keeper = "";
+        }
         if (h != null && h.isActive() && h.handedOverBy.equals(from.id())) {
             RequestRecord record = giveUp(h);
             log(new Copy(record, from.id()), Cause.HANDED_OVER, Result.TAKEN_BACK);
@@ -368,9 +382,7 @@
     private RequestRecord giveUp(Held h) {
         RequestRecord record = h.runner.suspend();
         held.remove(h.requestId(), h);
-        if (!h.keeper.isEmpty()) {
-            context.links().send(h.keeper, new RecordDrop(h.requestId()));
-        }
+        copySender.drop(h.keeper, h.requestId());
         h.runner.moved();
         return record;
     }
@@ -391,13 +403,7 @@
             return;
         }
         copies.drop(request.requestId());
-        resume(request, from.id(), Cause.HANDED_OVER)
-                .map(runner -> held.get(request.requestId()))
-                .ifPresent(
-                        h -> {
-                            h.handedOverBy = from.id();
-                            h.takenFrom = "";
-                        });
+        resume(request, from.id(), Cause.HANDED_OVER);
     }
 
     /** Hands a refused request over to another entry unless its sender does so itself. */
@@ -416,15 +422,28 @@
                 && known.chat() == request.chat();
     }
 
+    /** Brings the answer of a request that is here already, unless its content differs. */
+    private static void join(Held known, RequestRecord request, CallerSink sink) {
+        if (same(known.runner.request(), request)) {
+            known.runner.attach(sink, 0);
+        } else {
+            Answers.failure(sink, "", Failure.notRun(Failure.Kind.CLAIM_MISMATCH, 0));
+        }
+    }
+
     private void begin(RequestRecord request, Row row, String keeper, CallerSink sink) {
         Held mine;
+        Held known;
         synchronized (this) {
-            mine = leaving ? null : hold(request, row, keeper);
+            known = held.get(request.requestId());
+            mine = leaving || known != null ? null : hold(request, row, keeper);
+        }
+        if (known != null) {
+            join(known, request, sink);
+            return;
         }
         if (mine == null) {
-            if (!keeper.isEmpty()) {
-                context.links().send(keeper, new RecordDrop(request.requestId()));
-            }
+            copySender.drop(keeper, request.requestId());
             Failure stopping = Failure.notRun(Failure.Kind.STOPPING, STOPPING_RETRY_MILLIS);
             Answers.failure(sink, request.requestId(), stopping);
             return;
@@ -437,15 +456,14 @@
         Copy copy = new Copy(request, from);
         Held known = held.get(request.requestId());
         if (known != null && (known.isActive() || known.runner.isComplete())) {
+            if (cause == Cause.HANDED_OVER) {
+                known.takenFrom = "";
+                known.handedOverBy = from;
+            }
             log(copy, cause, Result.ALREADY_HERE);
             return Optional.of(known.runner);
         }
-        RowKey key = new RowKey(request.organisation(), request.model());
-        Optional<Row> row =
-                context.policies()
-                        .table()
-                        .row(key)
-                        .filter(r -> r.allows(context.self().dataCentre()));
+        Optional<Row> row = row(request);
         if (row.isEmpty()) {
             log(copy, cause, Result.ROW_FORBIDS);
             return Optional.empty();
@@ -458,70 +476,47 @@
         if (mayRun) {
             context.links().send(mine.keeper, new RecordPut(request));
         }
+        mine.takenFrom = cause == Cause.HANDED_OVER ? "" : from;
+        mine.handedOverBy = cause == Cause.HANDED_OVER ? from : "";
         mine.runner.goOn();
         boolean goesOn = mayRun || request.complete();
         log(copy, cause, goesOn ? Result.GOES_ON : Result.MAY_HAVE_RUN);
         return Optional.of(mine.runner);
     }
 
+    /** Finds the row of a request that may be handled here. */
+    private Optional<Row> row(RequestRecord request) {
+        return context.policies()
+                .table()
+                .row(new RowKey(request.organisation(), request.model()))
+                .filter(row -> row.allows(context.self().dataCentre()));
+    }
+
     private Held hold(RequestRecord request, Row row, String keeper) {
-        String requestId = request.requestId();
-        GenerationRunner runner =
-                new GenerationRunner(context, request, row, () -> ended(requestId));
+        GenerationRunner runner = new GenerationRunner(context, request, row, this::ended);
         Held mine = new Held(runner, keeper);
         mine.copied = request.tokens().size();
-        held.put(requestId, mine);
+        mine.endCopied = request.complete();
+        held.put(request.requestId(), mine);
         return mine;
     }
 
-    private void ended(String requestId) {
-        context.timer()
-                .schedule(() -> forget(requestId), KEPT_AFTER_END_MILLIS, TimeUnit.MILLISECONDS);
-    }
-
-    private void forget(String requestId) {
-        Held mine = held.remove(requestId);
-        if (mine != null && !mine.keeper.isEmpty()) {
-            context.links().send(mine.keeper, new RecordDrop(requestId));
+    private void ended(GenerationRunner runner) {
+        Held mine = held.get(runner.request().requestId());
+        if (mine == null || mine.runner != runner) {
+            return;
         }
-    }
-
-    private void copyTokens() {
-        Map<String, List<TokenPart>> byKeeper = new HashMap<>();
-        Set<String> live = new HashSet<>();
-        context.links().live().forEach(peer -> live.add(peer.id()));
-        for (Held h : held.values()) {
-            if (h.endCopied
-                    || h.runner.isMovedAway()
-                    || !h.runner.mayRunAgain()
-                    || !hasLiveKeeper(h, live)) {
-                continue;
-            }
-            boolean complete = h.runner.isComplete();
-            List<String> news = h.runner.tokensFrom(h.copied);
-            if (!news.isEmpty() || complete) {
-                String id = h.runner.request().requestId();
-                byKeeper.computeIfAbsent(h.keeper, k -> new ArrayList<>())
-                        .add(new TokenPart(id, h.copied, news, complete));
-                h.copied += news.size();
-                h.endCopied = complete;
-            }
+        if (!runner.isComplete()) {
+            // its callers have a final answer: no other entry may begin it again
+            mine.endCopied = true;
+            copySender.drop(mine.keeper, mine.requestId());
         }
-        byKeeper.forEach((keeper, parts) -> context.links().send(keeper, new RecordTokens(parts)));
+        context.timer().schedule(() -> forget(mine), KEPT_AFTER_END_MILLIS, TimeUnit.MILLISECONDS);
     }
 
-    /** Finds another keeper for a request whose keeper is lost, or that never had one. */
-    private boolean hasLiveKeeper(Held h, Set<String> live) {
-        if (!live.contains(h.keeper)) {
-            if (!h.keeper.isEmpty()) {
-                context.links().send(h.keeper, new RecordDrop(h.requestId()));
-            }
-            h.keeper = keepers.choose(h.runner.request()).orElse("");
-            RequestRecord record = h.runner.record();
-            h.copied = record.tokens().size();
-            h.endCopied = record.complete();
-            context.links().send(h.keeper, new RecordPut(record));
+    private void forget(Held ended) {
+        if (held.remove(ended.requestId(), ended)) {
+            copySender.drop(ended.keeper, ended.requestId());
         }
-        return !h.keeper.isEmpty();
     }
 }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/serve/RequestMoves.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/serve/RequestMoves.java
@@ -83,6 +83,8 @@
         ROW_FORBIDS,
         /** It must run at most once and may have run. */
         MAY_HAVE_RUN,
+        /** The entry it was taken up from works on it still and has it back. */
+        GIVEN_BACK,
         /** The entry that handed it over found another heir. */
         TAKEN_BACK
     }
