--- a/trailladder-entry/src/main/java/io/trailladder/entry/serve/GenerationRunner.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/serve/GenerationRunner.java
@@ -185,6 +185,15 @@
         return machine.isEnded();
     }
 
+    /**
+     * Tells whether the request was given up because nobody wanted its answer.
+     *
+     * @return true if it has neither its whole answer nor a failure, and nothing makes more of it
+     */
+    public synchronized boolean isAbandoned() {
+        return machine.isEnded() && !log.isComplete() && failure == null && !movedAway;
+    }
+
     /**
      * Tells whether another entry goes on with the request.
      *
--- a/trailladder-entry/src/main/java/io/trailladder/entry/serve/RequestBook.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/serve/RequestBook.java
@@ -143,10 +143,22 @@
      * @return its runner
      */
     public Optional<GenerationRunner> find(String requestId, String organisation) {
-        return Optional.ofNullable(held.get(requestId))
+        return here(requestId, organisation)
                 .map(h -> h.runner)
-                .filter(runner -> runner.organisation().equals(organisation))
-                .filter(runner -> !runner.isMovedAway());
+                .flatMap(runner -> runner.isAbandoned() ? beginAgain(runner) : Optional.of(runner));
+    }
+
+    private Optional<Held> here(String requestId, String organisation) {
+        return Optional.ofNullable(held.get(requestId))
+                .filter(h -> h.runner.organisation().equals(organisation))
+                .filter(h -> !h.runner.isMovedAway());
+    }
+
+    /** Goes on with a request whose caller had left and is back. */
+    private Optional<GenerationRunner> beginAgain(GenerationRunner abandoned) {
+        return leaving
+                ? Optional.empty()
+                : resume(abandoned.record(), context.self().id(), Cause.ASKED_FOR);
     }
 
     /**
@@ -174,14 +186,16 @@
      * @return its standing here
      */
     public Standing standing(String requestId, String organisation) {
-        if (find(requestId, organisation).isPresent()) {
+        Optional<Held> mine = here(requestId, organisation);
+        if (mine.isPresent() && !mine.get().runner.isAbandoned()) {
             return Standing.HOLDER;
         }
         boolean copy =
                 !leaving
-                        && copies.find(requestId, organisation)
-                                .flatMap(kept -> row(kept.request()))
-                                .isPresent();
+                        && (mine.isPresent()
+                                || copies.find(requestId, organisation)
+                                        .flatMap(kept -> row(kept.request()))
+                                        .isPresent());
         return copy ? Standing.COPY : Standing.NONE;
     }
 
--- a/trailladder-entry/src/test/java/io/trailladder/entry/CopiesTest.java
+++ b/trailladder-entry/src/test/java/io/trailladder/entry/CopiesTest.java
@@ -168,4 +168,18 @@
         assertTrue(begun.isWhole() && second.isWhole(), begun + ", " + second);
         assertEquals(1, system.engine.runs().size(), system.engine.runs().toString());
     }
+
+    // Guards against a stream that is silent for ever: its caller left, came back after the request
+    // was given up, and was attached to it.
+    @Example
+    void callerWhoComesBackLateHasTheRest() {
+        SimulatedEntries system = new SimulatedEntries(2);
+        String id = begin(system, 1_000, 250);
+        begun.leave();
+        system.run(3_000);
+        RecordedAnswer rest = system.entry("a").ask(id, begun.tokens(), new RecordedAnswer());
+        system.run(6_000);
+        assertTrue(rest.isWhole(), rest.toString());
+        assertEquals(SimulatedEngine.answer(1_000), begun.text() + rest.text());
+    }
 }
