Postmortem of the handed-over stream; the heir's copy never goes to the entry that hands over

Cause of one more loss: an heir that had not heard that its sender stops could choose it as keeper of its own copy; killed at that moment, it left the request to nobody. Change: who handed a request over, or was lost, is not chosen as its first keeper.

--- a/trailladder-cli/src/main/java/io/trailladder/cli/MoveTrace.java
+++ b/trailladder-cli/src/main/java/io/trailladder/cli/MoveTrace.java
@@ -25,6 +25,7 @@
 final class MoveTrace {
     private static final Set<String> KINDS = Set.of("HandOver", "TakeUp", "AskedAgain");
     private static final String GOES_ON = "GOES_ON";
+    private static final String ALREADY_HERE = "ALREADY_HERE";
     private static final String NOWHERE = "NOWHERE";
 
     private final List<DecisionLine> lines;
@@ -64,6 +65,9 @@
     /** Names the last thing before a vain question that kept the request from going on. */
     private String whyNowhere(Instant before) {
         Optional<DecisionLine> taken = last("TakeUp", before);
+        if (taken.isPresent() && taken.get().text("result").equals(ALREADY_HERE)) {
+            return at(taken.get()) + " worked on it and was not asked, or was lost since";
+        }
         if (taken.isPresent() && !taken.get().text("result").equals(GOES_ON)) {
             return "it was not taken up at " + at(taken.get()) + ", " + result(taken.get());
         }
--- a/trailladder-cli/src/test/java/io/trailladder/cli/ExplainCommandTest.java
+++ b/trailladder-cli/src/test/java/io/trailladder/cli/ExplainCommandTest.java
@@ -109,7 +109,7 @@
                 line(
                                 "01.000",
                                 "{\"kind\":\"HandOver\",\"id\":\"r1\",\"sender\":\"a\",\"heir\":\"b\","
-                                        + "\"tokens\":50,\"answer\":\"SENT\"}")
+                                        + "\"tokens\":50,\"answer\":\"REFUSED\"}")
                         + line(
                                 "01.001",
                                 "{\"kind\":\"TakeUp\",\"id\":\"r1\",\"from\":\"a\",\"tokens\":50,"
--- a/trailladder-cli/src/test/java/io/trailladder/cli/fault/AtMostOnceFaultTest.java
+++ b/trailladder-cli/src/test/java/io/trailladder/cli/fault/AtMostOnceFaultTest.java
@@ -20,7 +20,11 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.trailladder.cli.fault.Caller.Reply;
+import io.trailladder.cli.fault.Caller.Streamed;
 import io.trailladder.cli.fault.Deployment.SpawnedEntry;
+import io.trailladder.core.table.Row;
+import io.trailladder.core.table.Table;
+import io.trailladder.core.table.TargetKind;
 import io.trailladder.entry.EntryDaemon;
 import io.trailladder.testkit.ServiceStandIn;
 import io.trailladder.testkit.StandIn.Fault;
@@ -28,6 +32,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicReference;
 import net.jqwik.api.Example;
 
 /** Promise: a request marked at-most-once runs at most once, and "not run" is true. */
@@ -211,4 +216,55 @@
             keys.forEach(key -> assertTrue(system.runs(key) <= 1, key));
         }
     }
+
+    /** A stream of a row that is not repeatable, whose entry is sent a signal in its middle. */
+    private static Streamed streamWhoseEntryGets(String signal, Deployment system)
+            throws Exception {
+        system.engine("e-1", "baires-a");
+        system.service("s-1", "baires-a");
+        Table base = system.tables().load().join();
+        List<String> here = List.of("baires-a");
+        List<Row> rows =
+                List.of(
+                        Deployment.row(ORGANISATION, Deployment.MODEL, TargetKind.MODEL, here)
+                                .notRepeatable(),
+                        Deployment.row(ORGANISATION, Deployment.SERVICE, TargetKind.SERVICE, here));
+        system.tables().commit(base, "once", "test", rows, List.of()).join().get();
+        SpawnedEntry entry = system.spawn("baires-a", "--drain=100ms");
+        system.spawn("baires-a");
+        system.awaitServing(ORGANISATION);
+        AtomicReference<Exception> failed = new AtomicReference<>();
+        Streamed begun =
+                new Caller(entry.callerAddress(), KEY)
+                        .stream(
+                                "once",
+                                400,
+                                token -> {
+                                    if (token == 100) {
+                                        try {
+                                            entry.signal(signal);
+                                        } catch (IOException | InterruptedException e) {
+                                            failed.set(e);
+                                        }
+                                    }
+                                });
+        assertEquals(null, failed.get());
+        return begun;
+    }
+
+    // Guards against a second run, at another entry, of a model request that runs at most once.
+    @Example
+    void modelRequestRunsOnceAlthoughItsEntryIsKilledOrStops() throws Exception {
+        for (String signal : List.of("KILL", "TERM")) {
+            try (Deployment system = new Deployment()) {
+                Streamed begun = streamWhoseEntryGets(signal, system);
+                assertTrue(!begun.whole() && begun.tokens() >= 100, signal + " " + begun.tokens());
+                Caller other = new Caller(system.spawned.get(1).callerAddress(), KEY);
+                Streamed rest = other.resume(begun.requestId(), begun.tokens() - 1);
+                assertNotEquals(200, rest.status(), signal);
+                Deployment.pause(500);
+                assertEquals(1, system.engines.get("e-1").runs(), signal);
+            }
+        }
+    }
 }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/EntryMetrics.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/EntryMetrics.java
@@ -79,6 +79,12 @@
         UNCOPIED,
         /** A request was taken over from another entry. */
         ADOPTED,
+        /** A request was handed over to another entry, which has taken it. */
+        HANDED_OVER,
+        /** An heir refused a request, was lost, was silent, or there was none. */
+        HAND_OVER_FAILED,
+        /** A request that was taken up went back to the entry that works on it still. */
+        GIVEN_BACK,
         /** A caller did not read its answer in time. */
         SLOW_CALLER
     }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/serve/HandOvers.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/serve/HandOvers.java
@@ -15,6 +15,7 @@
  */
 package io.trailladder.entry.serve;
 
+import io.trailladder.entry.EntryMetrics.Event;
 import io.trailladder.entry.serve.RequestMoves.Answer;
 import io.trailladder.entry.serve.RequestMoves.Choice;
 import io.trailladder.entry.serve.RequestMoves.HandOver;
@@ -201,6 +202,8 @@
     }
 
     private void log(Offer offer, String heir, Answer answer) {
+        boolean taken = answer == Answer.TAKEN;
+        context.metrics().count(taken ? Event.HANDED_OVER : Event.HAND_OVER_FAILED);
         Choice choice = heir.equals(offer.copyAt) ? Choice.HOLDS_COPY : Choice.ALLOWED;
         RequestMoves.log(
                 new HandOver(
--- a/trailladder-entry/src/main/java/io/trailladder/entry/serve/RequestBook.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/serve/RequestBook.java
@@ -38,6 +38,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
@@ -334,6 +335,7 @@
         }
         h.takenFrom = "";
         if (found.standing() == Standing.HOLDER) {
+            context.metrics().count(Event.GIVEN_BACK);
             RequestRecord record = giveUp(h);
             // has the peer send its copy anew
             copySender.drop(peer, h.requestId());
@@ -485,7 +487,8 @@
         context.metrics().count(Event.ADOPTED);
         boolean mayRun = RequestNames.mayRunAgain(request.requestId()) && row.get().repeatable();
         Row effective = mayRun ? row.get() : row.get().notRepeatable();
-        String keeper = mayRun ? keepers.choose(request).orElse("") : "";
+        // who hands over is about to end, and who was lost may be
+        String keeper = mayRun ? keepers.choose(request, "", Set.of(from)).orElse("") : "";
         Held mine = hold(request, effective, keeper);
         if (mayRun) {
             context.links().send(mine.keeper, new RecordPut(request));
--- a/trailladder-entry/src/test/java/io/trailladder/entry/HandOverTest.java
+++ b/trailladder-entry/src/test/java/io/trailladder/entry/HandOverTest.java
@@ -248,4 +248,46 @@
         system.run(200);
         assertEquals(0, system.engine.runsOf("b").size(), system.engine.runs().toString());
     }
+
+    // Guards against a request that is lost with an entry which is killed in the middle of its
+    // hand-over.
+    @Example
+    void entryThatIsKilledWhileItHandsOverLeavesTheRequestToOne() {
+        for (int millis = 0; millis <= 10; millis++) {
+            SimulatedEntries system = new SimulatedEntries(3);
+            RecordedAnswer first = new RecordedAnswer();
+            system.entry("a").stream(TOKENS, first);
+            system.run(250);
+            system.handOver("a");
+            system.run(millis);
+            system.kill("a");
+            system.run(100);
+            assertEquals(1, system.engine.holders().size(), system.engine.runs().toString());
+            RecordedAnswer rest =
+                    system.entry("c").ask(first.requestId(), first.tokens(), new RecordedAnswer());
+            system.run(4_000);
+            assertTrue(rest.isWhole(), millis + " ms: " + rest);
+            assertEquals(SimulatedEngine.answer(TOKENS), first.text() + rest.text());
+        }
+    }
+
+    // Guards against a request that is lost with an heir which is killed just after it took it.
+    @Example
+    void heirThatIsKilledJustAfterItTookTheRequestLeavesItToOne() {
+        for (int millis = 0; millis <= 10; millis++) {
+            SimulatedEntries system = new SimulatedEntries(3);
+            RecordedAnswer first = new RecordedAnswer();
+            system.entry("a").stream(TOKENS, first);
+            system.run(250);
+            system.handOver("a");
+            system.run(millis);
+            system.kill("b");
+            system.run(600);
+            assertEquals(List.of("c"), system.engine.holders(), millis + " ms");
+            RecordedAnswer rest =
+                    system.entry("c").ask(first.requestId(), first.tokens(), new RecordedAnswer());
+            system.run(4_000);
+            assertTrue(rest.isWhole(), millis + " ms: " + rest);
+        }
+    }
 }
