Refactor: who is worked on, and who is taken up, are classes of their own

RequestBook had grown to 520 lines and checked whether its entry leaves apart from adding a request, so a take-up that was under way when the entry began to hand over could add one after it, and two take-ups of one name could both begin. HeldRequests adds under one lock; TakeUps holds what is done with requests of other entries. A request that its caller named is told 'unknown', not 'not-run', by an entry that leaves, since it may have been sent before. Read, no run showed the two races.

--- a/trailladder-entry/src/main/java/io/trailladder/entry/serve/RequestBook.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/serve/RequestBook.java
@@ -16,14 +16,11 @@
 package io.trailladder.entry.serve;
 
 import io.trailladder.core.request.Failure;
+import io.trailladder.core.request.Outcome;
 import io.trailladder.core.table.Row;
-import io.trailladder.core.table.RowKey;
 import io.trailladder.entry.EntryMetrics.Event;
 import io.trailladder.entry.PeriodicTasks;
-import io.trailladder.entry.serve.CopyStore.Copy;
-import io.trailladder.entry.serve.RequestMoves.Cause;
-import io.trailladder.entry.serve.RequestMoves.Result;
-import io.trailladder.entry.serve.RequestMoves.TakeUp;
+import io.trailladder.entry.serve.HeldRequests.Holding;
 import io.trailladder.wire.EntryInfo;
 import io.trailladder.wire.PeerMessage.RecordDrop;
 import io.trailladder.wire.PeerMessage.RecordFind;
@@ -38,7 +35,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
@@ -60,23 +56,18 @@
     public static final long COPY_MILLIS = 100;
 
     private static final long COPY_TIMEOUT_MILLIS = 150;
-    private static final long KEPT_AFTER_END_MILLIS = 15_000;
     private static final long MOVE_PACE_MILLIS = 2;
-    private static final long PASS_ON_MILLIS = 50;
     private static final long STOPPING_RETRY_MILLIS = 1_000;
 
     private final ServingContext context;
-    private final Map<String, Held> held = new ConcurrentHashMap<>();
     private final CopyStore copies = new CopyStore();
     private final Map<String, CompletableFuture<Void>> awaited = new ConcurrentHashMap<>();
 
     private final KeeperChoice keepers;
     private final HandOvers handOvers;
     private final CopySender copySender;
-    private final Map<String, Copy> refused = new ConcurrentHashMap<>();
-
-    /** Set once this entry hands its requests over: it must not begin any more. */
-    private volatile boolean leaving;
+    private final HeldRequests held;
+    private final TakeUps takeUps;
 
     /**
      * Creates an empty book.
@@ -91,9 +82,11 @@
                         context.links(), context.policies(), context.self().dataCentre(), stopping);
         this.handOvers = new HandOvers(context, keepers);
         this.copySender = new CopySender(context, keepers);
+        this.held = new HeldRequests(context, copySender);
+        this.takeUps = new TakeUps(context, held, copies, copySender, keepers, handOvers);
         PeriodicTasks.repeat(
-                context.timer(), "copies", () -> copySender.send(held.values()), COPY_MILLIS);
-        context.policies().onChange(table -> held.values().forEach(h -> h.runner.recheckRow()));
+                context.timer(), "copies", () -> copySender.send(held.all()), COPY_MILLIS);
+        context.policies().onChange(table -> held.all().forEach(h -> h.runner.recheckRow()));
     }
 
     /**
@@ -105,9 +98,9 @@
      * @param sink where the answer goes
      */
     public void accept(RequestRecord request, Row row, CallerSink sink) {
-        Held known = held.get(request.requestId());
-        if (known != null) {
-            join(known, request, sink);
+        Optional<Held> known = held.find(request.requestId());
+        if (known.isPresent()) {
+            join(known.get(), request, sink);
             return;
         }
         if (!row.repeatable()) {
@@ -146,22 +139,19 @@
     public Optional<GenerationRunner> find(String requestId, String organisation) {
         return here(requestId, organisation)
                 .map(h -> h.runner)
-                .flatMap(runner -> runner.isAbandoned() ? beginAgain(runner) : Optional.of(runner));
+                .flatMap(
+                        runner ->
+                                runner.isAbandoned()
+                                        ? takeUps.askedForAgain(runner)
+                                        : Optional.of(runner));
     }
 
     private Optional<Held> here(String requestId, String organisation) {
-        return Optional.ofNullable(held.get(requestId))
+        return held.find(requestId)
                 .filter(h -> h.runner.organisation().equals(organisation))
                 .filter(h -> !h.runner.isMovedAway());
     }
 
-    /** Goes on with a request whose caller had left and is back. */
-    private Optional<GenerationRunner> beginAgain(GenerationRunner abandoned) {
-        return leaving
-                ? Optional.empty()
-                : resume(abandoned.record(), context.self().id(), Cause.ASKED_FOR);
-    }
-
     /**
      * Goes on with a request this entry has a copy of.
      *
@@ -170,13 +160,7 @@
      * @return its runner, if there is such a copy
      */
     public Optional<GenerationRunner> adopt(String requestId, String organisation) {
-        if (leaving) {
-            copies.find(requestId, organisation)
-                    .ifPresent(copy -> log(copy, Cause.ASKED_FOR, Result.STOPPING));
-            return Optional.empty();
-        }
-        return copies.take(requestId, organisation)
-                .flatMap(copy -> resume(copy.request(), copy.owner(), Cause.ASKED_FOR));
+        return takeUps.askedFor(requestId, organisation);
     }
 
     /**
@@ -192,10 +176,10 @@
             return Standing.HOLDER;
         }
         boolean copy =
-                !leaving
+                !held.isLeaving()
                         && (mine.isPresent()
                                 || copies.find(requestId, organisation)
-                                        .flatMap(kept -> row(kept.request()))
+                                        .flatMap(kept -> takeUps.row(kept.request()))
                                         .isPresent());
         return copy ? Standing.COPY : Standing.NONE;
     }
@@ -206,7 +190,7 @@
      * @return a count
      */
     public int open() {
-        return (int) held.values().stream().filter(h -> !h.runner.isEnded()).count();
+        return (int) held.all().stream().filter(h -> !h.runner.isEnded()).count();
     }
 
     /**
@@ -227,7 +211,7 @@
      */
     public void leaving(String upstream, long noticeMillis) {
         List<GenerationRunner> runners =
-                held.values().stream()
+                held.all().stream()
                         .map(h -> h.runner)
                         .filter(runner -> !runner.isEnded())
                         .sorted(Comparator.comparingInt(GenerationRunner::weight).reversed())
@@ -250,12 +234,7 @@
      * entry takes up none.
      */
     public void handOver() {
-        List<Held> mine;
-        synchronized (this) {
-            leaving = true;
-            mine = held.values().stream().filter(Held::isActive).toList();
-        }
-        for (Held h : mine) {
+        for (Held h : held.leave()) {
             GenerationRunner runner = h.runner;
             boolean mayMove = runner.mayRunAgain() && keepers.choose(runner.request()).isPresent();
             if (mayMove) {
@@ -271,7 +250,7 @@
      */
     public void endUnfinished() {
         handOvers.giveUp();
-        for (Held h : held.values()) {
+        for (Held h : held.all()) {
             if (!h.isActive()) {
                 continue;
             }
@@ -284,12 +263,6 @@
         }
     }
 
-    private static void log(Copy copy, Cause cause, Result result) {
-        RequestRecord request = copy.request();
-        int tokens = request.tokens().size();
-        RequestMoves.log(new TakeUp(request.requestId(), copy.owner(), cause, tokens, result));
-    }
-
     /**
      * Is told that a peer is lost: its requests go on here if this entry has their copies.
      *
@@ -297,14 +270,8 @@
      */
     public void lost(String peer) {
         handOvers.lost(peer);
-        if (leaving) {
-            copies.unfinishedOf(peer)
-                    .forEach(copy -> log(copy, Cause.HOLDER_LOST, Result.STOPPING));
-            return;
-        }
-        held.values().stream().filter(h -> h.keeper.equals(peer)).forEach(h -> h.keeper = "");
-        copies.takeUnfinishedOf(peer)
-                .forEach(copy -> resume(copy.request(), peer, Cause.HOLDER_LOST));
+        held.all().stream().filter(h -> h.keeper.equals(peer)).forEach(h -> h.keeper = "");
+        takeUps.lost(peer);
     }
 
     /**
@@ -315,9 +282,7 @@
      * @return its standing here
      */
     public Standing asked(String peer, RecordFind find) {
-        // who asks sees that its hand-over was refused and chooses another heir itself
-        refused.computeIfPresent(
-                find.requestId(), (id, copy) -> copy.owner().equals(peer) ? null : copy);
+        takeUps.asked(peer, find);
         return standing(find.requestId(), find.organisation());
     }
 
@@ -329,18 +294,8 @@
      */
     public void found(String peer, RecordFound found) {
         handOvers.answered(peer, found);
-        Held h = held.get(found.requestId());
-        if (h == null || !h.takenFrom.equals(peer) || h.runner.isComplete()) {
-            return;
-        }
-        h.takenFrom = "";
-        if (found.standing() == Standing.HOLDER) {
-            context.metrics().count(Event.GIVEN_BACK);
-            RequestRecord record = giveUp(h);
-            // has the peer send its copy anew
-            copySender.drop(peer, h.requestId());
-            log(new Copy(record, peer), Cause.HOLDER_LOST, Result.GIVEN_BACK);
-        }
+        held.find(found.requestId())
+                .ifPresent(h -> takeUps.ownerAnswered(h, peer, found.standing()));
     }
 
     /**
@@ -384,23 +339,14 @@
      */
     public void drop(EntryInfo from, RecordDrop drop) {
         copies.drop(drop.requestId(), from.id());
-        Held h = held.get(drop.requestId());
-        if (h != null && h.keeper.equals(from.id())) {
-            h.keeper = "";
-        }
-        if (h != null && h.isActive() && h.handedOverBy.equals(from.id())) {
-            RequestRecord record = giveUp(h);
-            log(new Copy(record, from.id()), Cause.HANDED_OVER, Result.TAKEN_BACK);
-        }
-    }
-
-    /** Ends the work on a request that another entry works on, and sends its callers there. */
-    private RequestRecord giveUp(Held h) {
-        RequestRecord record = h.runner.suspend();
-        held.remove(h.requestId(), h);
-        copySender.drop(h.keeper, h.requestId());
-        h.runner.moved();
-        return record;
+        held.find(drop.requestId())
+                .ifPresent(
+                        h -> {
+                            if (h.keeper.equals(from.id())) {
+                                h.keeper = "";
+                            }
+                            takeUps.takenBack(h, from.id());
+                        });
     }
 
     /**
@@ -410,24 +356,7 @@
      * @param handOver the request
      */
     public void handedOver(EntryInfo from, RecordHandOver handOver) {
-        RequestRecord request = handOver.request();
-        Copy offered = new Copy(request, from.id());
-        if (leaving) {
-            log(offered, Cause.HANDED_OVER, Result.STOPPING);
-            refused.put(request.requestId(), offered);
-            context.timer().schedule(() -> passOn(offered), PASS_ON_MILLIS, TimeUnit.MILLISECONDS);
-            return;
-        }
-        copies.drop(request.requestId());
-        resume(request, from.id(), Cause.HANDED_OVER);
-    }
-
-    /** Hands a refused request over to another entry unless its sender does so itself. */
-    private void passOn(Copy offered) {
-        RequestRecord request = offered.request();
-        if (refused.remove(request.requestId(), offered)) {
-            handOvers.offer(request, "", -1, () -> {});
-        }
+        takeUps.handedOver(from.id(), handOver.request());
     }
 
     private static boolean same(RequestRecord known, RequestRecord request) {
@@ -448,92 +377,23 @@
     }
 
     private void begin(RequestRecord request, Row row, String keeper, CallerSink sink) {
-        Held mine;
-        Held known;
-        synchronized (this) {
-            known = held.get(request.requestId());
-            mine = leaving || known != null ? null : hold(request, row, keeper);
-        }
-        if (known != null) {
-            join(known, request, sink);
-            return;
-        }
-        if (mine == null) {
+        Optional<Holding> holding = held.add(request, row, keeper, known -> true);
+        if (holding.isEmpty()) {
             copySender.drop(keeper, request.requestId());
-            Failure stopping = Failure.notRun(Failure.Kind.STOPPING, STOPPING_RETRY_MILLIS);
-            Answers.failure(sink, request.requestId(), stopping);
-            return;
-        }
-        mine.runner.attach(sink, 0);
-        mine.runner.start();
-    }
-
-    private Optional<GenerationRunner> resume(RequestRecord request, String from, Cause cause) {
-        Copy copy = new Copy(request, from);
-        Held known = held.get(request.requestId());
-        if (known != null && (known.isActive() || known.runner.isComplete())) {
-            if (cause == Cause.HANDED_OVER) {
-                known.takenFrom = "";
-                known.handedOverBy = from;
-            }
-            log(copy, cause, Result.ALREADY_HERE);
-            return Optional.of(known.runner);
-        }
-        Optional<Row> row = row(request);
-        if (row.isEmpty()) {
-            log(copy, cause, Result.ROW_FORBIDS);
-            return Optional.empty();
-        }
-        context.metrics().count(Event.ADOPTED);
-        boolean mayRun = RequestNames.mayRunAgain(request.requestId()) && row.get().repeatable();
-        Row effective = mayRun ? row.get() : row.get().notRepeatable();
-        // who hands over is about to end, and who was lost may be
-        String keeper = mayRun ? keepers.choose(request, "", Set.of(from)).orElse("") : "";
-        Held mine = hold(request, effective, keeper);
-        if (mayRun) {
-            context.links().send(mine.keeper, new RecordPut(request));
-        }
-        mine.takenFrom = cause == Cause.HANDED_OVER ? "" : from;
-        mine.handedOverBy = cause == Cause.HANDED_OVER ? from : "";
-        mine.runner.goOn();
-        boolean goesOn = mayRun || request.complete();
-        log(copy, cause, goesOn ? Result.GOES_ON : Result.MAY_HAVE_RUN);
-        return Optional.of(mine.runner);
-    }
-
-    /** Finds the row of a request that may be handled here. */
-    private Optional<Row> row(RequestRecord request) {
-        return context.policies()
-                .table()
-                .row(new RowKey(request.organisation(), request.model()))
-                .filter(row -> row.allows(context.self().dataCentre()));
-    }
-
-    private Held hold(RequestRecord request, Row row, String keeper) {
-        GenerationRunner runner = new GenerationRunner(context, request, row, this::ended);
-        Held mine = new Held(runner, keeper);
-        mine.copied = request.tokens().size();
-        mine.endCopied = request.complete();
-        held.put(request.requestId(), mine);
-        return mine;
-    }
-
-    private void ended(GenerationRunner runner) {
-        Held mine = held.get(runner.request().requestId());
-        if (mine == null || mine.runner != runner) {
-            return;
-        }
-        if (!runner.isComplete()) {
-            // its callers have a final answer: no other entry may begin it again
-            mine.endCopied = true;
-            copySender.drop(mine.keeper, mine.requestId());
+            Answers.failure(sink, request.requestId(), stopping(request));
+        } else if (holding.get().added()) {
+            GenerationRunner runner = holding.get().held().runner;
+            runner.attach(sink, 0);
+            runner.start();
+        } else {
+            join(holding.get().held(), request, sink);
         }
-        context.timer().schedule(() -> forget(mine), KEPT_AFTER_END_MILLIS, TimeUnit.MILLISECONDS);
     }
 
-    private void forget(Held ended) {
-        if (held.remove(ended.requestId(), ended)) {
-            copySender.drop(ended.keeper, ended.requestId());
-        }
+    /** A request that its caller named may have run when it was sent before. */
+    private static Failure stopping(RequestRecord request) {
+        boolean named = RequestNames.isKeyed(request.requestId());
+        Outcome outcome = named ? Outcome.UNKNOWN : Outcome.NOT_RUN;
+        return new Failure(outcome, Failure.Kind.STOPPING, STOPPING_RETRY_MILLIS);
     }
 }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/serve/RequestNames.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/serve/RequestNames.java
@@ -35,6 +35,8 @@
     /** Begins the names of requests that run at most once by their keys. */
     static final String CLAIMED = "c";
 
+    private static final String KEYED = "k";
+
     private RequestNames() {}
 
     /** Tells whether a request of this name may run again where another entry began it. */
@@ -51,7 +53,12 @@
     /** Makes the name of a request from its caller's key, the same at every entry. */
     static String keyed(String organisation, String key) {
         ClaimKey hash = ClaimKey.of(organisation, key);
-        return "k" + hex(hash.high()) + hex(hash.low());
+        return KEYED + hex(hash.high()) + hex(hash.low());
+    }
+
+    /** Tells whether a name was made from its caller's key. */
+    static boolean isKeyed(String requestId) {
+        return requestId.startsWith(KEYED);
     }
 
     /** Hashes what a request asks for, to tell a key that is used for something else. */
--- a/trailladder-entry/src/test/java/io/trailladder/entry/HandOverTest.java
+++ b/trailladder-entry/src/test/java/io/trailladder/entry/HandOverTest.java
@@ -69,6 +69,7 @@
         system.run(5_000);
         assertTrue(passed.isWhole(), passed.toString());
         assertEquals(SimulatedEngine.answer(TOKENS), passed.text());
+        assertEquals(1, passed.heads(), "an answer has one head");
     }
 
     // Guards against an entry that has handed over and takes the heir's copy up when asked for it.
--- a/trailladder-entry/src/test/java/io/trailladder/entry/RecordedAnswer.java
+++ b/trailladder-entry/src/test/java/io/trailladder/entry/RecordedAnswer.java
@@ -34,6 +34,7 @@
     private String requestId = "";
     private String outcome = "";
     private int status;
+    private int heads;
     private int tokens;
     private int firstEvent = -1;
     private boolean over;
@@ -54,6 +55,7 @@
     @Override
     public void head(int newStatus, List<Header> headers) {
         status = newStatus;
+        heads++;
         for (Header header : headers) {
             if (header.name().equals("Trailladder-Request")) {
                 requestId = header.value();
@@ -122,6 +124,10 @@
         return status;
     }
 
+    int heads() {
+        return heads;
+    }
+
     String requestId() {
         return requestId;
     }
