--- a/trailladder-entry/src/test/java/io/trailladder/entry/HandOverTest.java
+++ b/trailladder-entry/src/test/java/io/trailladder/entry/HandOverTest.java
@@ -39,6 +39,13 @@
         return begun.requestId();
     }
 
+    /** Asks an entry for the rest, as the caller of a stream that moved does. */
+    private void assertGoesOnAt(SimulatedEntries system, String entry, String id) {
+        RecordedAnswer rest = system.entry(entry).ask(id, begun.tokens(), new RecordedAnswer());
+        system.run(4_000);
+        assertWhole(rest);
+    }
+
     private void assertWhole(RecordedAnswer rest) {
         assertTrue(rest.isWhole(), rest.toString());
         assertEquals(SimulatedEngine.answer(TOKENS), begun.text() + rest.text());
@@ -126,9 +133,7 @@
         system.handOver("a");
         system.run(700);
         assertTrue(begun.isMoved(), begun.toString());
-        RecordedAnswer rest = system.entry("c").ask(id, begun.tokens(), new RecordedAnswer());
-        system.run(4_000);
-        assertWhole(rest);
+        assertGoesOnAt(system, "c", id);
         assertEquals(2, system.engine.runs().size(), system.engine.runs().toString());
     }
 
@@ -157,9 +162,7 @@
         system.run(10);
         system.kill("b");
         system.run(600);
-        RecordedAnswer rest = system.entry("c").ask(id, begun.tokens(), new RecordedAnswer());
-        system.run(4_000);
-        assertWhole(rest);
+        assertGoesOnAt(system, "c", id);
     }
 
     // Guards against a request that nobody has, since its copy's keeper was lost just before.
@@ -170,9 +173,7 @@
         system.kill("b");
         system.handOver("a");
         system.run(600);
-        RecordedAnswer rest = system.entry("c").ask(id, begun.tokens(), new RecordedAnswer());
-        system.run(4_000);
-        assertWhole(rest);
+        assertGoesOnAt(system, "c", id);
     }
 
     // Guards against a request that nobody has, since the heir's table does not allow it.
@@ -183,9 +184,7 @@
         system.entry("b").table(Table.of(system.clock.millis(), "none", List.of()));
         system.handOver("a");
         system.run(600);
-        RecordedAnswer rest = system.entry("c").ask(id, begun.tokens(), new RecordedAnswer());
-        system.run(4_000);
-        assertWhole(rest);
+        assertGoesOnAt(system, "c", id);
     }
 
     // Guards against two entries that work on one request after a hand-over: a silent heir that
@@ -198,9 +197,7 @@
         system.handOver("a");
         system.run(1_000);
         assertEquals(List.of("c"), system.engine.holders(), system.engine.runs().toString());
-        RecordedAnswer rest = system.entry("b").ask(id, begun.tokens(), new RecordedAnswer());
-        system.run(4_000);
-        assertWhole(rest);
+        assertGoesOnAt(system, "b", id);
     }
 
     // Guards against a caller that is told its stream moved before anybody has it.
