Log how connections to upstreams fail, and whether a process reaches any of them

A gateway that had lost its links to all upstreams logged 391 failed connections of upstreams in 12 s and not that it reached none. The log could not tell no answer from a refusal, nor this process's fault from the upstreams'.

AttemptFailed names the cause of a failed call (CONNECT_TIMEOUT, UNREACHABLE, BROKEN), PathState tells when connections to several upstreams fail and none opens, and trailladder_upstream_paths is the same as a metric.

--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Attempt.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Attempt.java
@@ -56,6 +56,7 @@
     private int status;
     private long lastReceivedMillis;
     private long firstEventMillis = -1;
+    private Optional<CallFailure> callFailure = Optional.empty();
     private int eventsReceived;
 
     /**
@@ -119,6 +120,11 @@
         return status;
     }
 
+    /** Returns how the call to the upstream failed; empty if it did not, or was given up. */
+    Optional<CallFailure> callFailure() {
+        return callFailure;
+    }
+
     long ageMillis() {
         return context.loop().nowMillis() - createdMillis;
     }
@@ -180,6 +186,11 @@
         return wanted;
     }
 
+    @Override
+    public void connected() {
+        context.paths().opened(upstream.id(), context.loop().nowMillis());
+    }
+
     @Override
     public void sending() {
         sent = true;
@@ -287,13 +298,19 @@
 
     @Override
     public void failed(CallFailure failure) {
+        callFailure = Optional.of(failure);
         switch (failure) {
-            case UNREACHABLE -> fail(sent ? AttemptFailure.BROKEN : AttemptFailure.UNREACHABLE);
+            case UNREACHABLE, CONNECT_TIMEOUT -> connectFailed();
             case WITHHELD -> fail(AttemptFailure.NOT_SENT);
             case BROKEN -> fail(AttemptFailure.BROKEN);
         }
     }
 
+    private void connectFailed() {
+        context.paths().failed(upstream.id(), context.loop().nowMillis());
+        fail(AttemptFailure.UNREACHABLE);
+    }
+
     /** Ends the attempt as failed and cancels its call. */
     void fail(AttemptFailure reason) {
         if (finished) {
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/DecisionLog.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/DecisionLog.java
@@ -137,18 +137,26 @@
      * @param id the request
      * @param upstream the upstream
      * @param failure the kind of failure
+     * @param cause how the call to the upstream failed; empty if it did not, or was given up
      * @param status the upstream's HTTP status; 0 if none came
      * @param afterMs time since the attempt was sent, in milliseconds
      * @param recovery the action taken
      */
     public record AttemptFailed(
-            String id, String upstream, String failure, int status, long afterMs, String recovery)
+            String id,
+            String upstream,
+            String failure,
+            String cause,
+            int status,
+            long afterMs,
+            String recovery)
             implements Decision {
         @Override
         public void write(JsonGenerator json) throws IOException {
             json.writeStringField("id", id);
             json.writeStringField("upstream", upstream);
             json.writeStringField("failure", failure);
+            json.writeStringField("cause", cause);
             json.writeNumberField("status", status);
             json.writeNumberField("afterMs", afterMs);
             json.writeStringField("recovery", recovery);
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
@@ -28,6 +28,7 @@
 import io.trailladder.core.rollout.VersionGate;
 import io.trailladder.core.topology.Topology;
 import io.trailladder.core.upstream.DemandMeter;
+import io.trailladder.core.upstream.PathMonitor;
 import io.trailladder.core.upstream.Upstream;
 import io.trailladder.core.upstream.UpstreamAvailability;
 import io.trailladder.core.upstream.UpstreamBackoffs;
@@ -101,8 +102,10 @@
     private final GatewaySettings settings;
     private final EventLoop loop = new EventLoop();
     private final GatewayMetrics metrics = new GatewayMetrics();
+    private final PathMetrics pathMetrics = new PathMetrics(metrics.registry());
     private final StoreCalls storeCalls = new StoreCalls(metrics);
     private final HttpConnector connector = new HttpConnector(loop);
+    private final PathMonitor paths = new PathMonitor(this::pathsChanged);
     private final UpstreamDirectory directory = new UpstreamDirectory();
     private final UpstreamLoads loads = new UpstreamLoads();
     private final UpstreamBackoffs backoffs = new UpstreamBackoffs();
@@ -278,6 +281,7 @@
                         clock,
                         platform.protocol(),
                         connector,
+                        paths,
                         new ConnectionShares(policyManager, view::limitSharing),
                         directory,
                         availability,
@@ -403,6 +407,11 @@
                 });
     }
 
+    private void pathsChanged(PathMonitor.Change change) {
+        pathMetrics.changed(change.state());
+        DecisionLog.write(new PathState(change));
+    }
+
     private SendSlotOrders turnOrders(String name) {
         return new SendSlotOrders(
                 name,
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestDriver.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestDriver.java
@@ -31,6 +31,7 @@
 import io.trailladder.entry.gateway.DecisionLog.Dispatch;
 import io.trailladder.entry.gateway.DecisionLog.Ended;
 import io.trailladder.entry.http.AnswerOwner;
+import io.trailladder.entry.http.CallFailure;
 import io.trailladder.entry.http.HeaderList;
 import io.trailladder.entry.http.ServerExchange;
 import io.trailladder.entry.loop.LoopTimer;
@@ -325,6 +326,7 @@
                         request.id(),
                         sender.upstream().id(),
                         failure.name(),
+                        sender.callFailure().map(CallFailure::name).orElse(""),
                         sender.status(),
                         sender.ageMillis(),
                         recovery.toString()));
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ServingContext.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ServingContext.java
@@ -18,6 +18,7 @@
 import io.trailladder.core.duty.UsageLedger;
 import io.trailladder.core.engine.EngineModel;
 import io.trailladder.core.upstream.DemandMeter;
+import io.trailladder.core.upstream.PathMonitor;
 import io.trailladder.core.upstream.UpstreamAvailability;
 import io.trailladder.core.upstream.UpstreamBackoffs;
 import io.trailladder.core.upstream.UpstreamDirectory;
@@ -37,6 +38,7 @@
  * @param clock the time of day
  * @param protocol maps requests to HTTP heads
  * @param connector sends calls to upstreams
+ * @param paths tells whether this process reaches the upstreams
  * @param connections the number of idle connections that this process may keep to an upstream
  * @param directory the known upstreams
  * @param availability which upstreams take requests
@@ -63,6 +65,7 @@
         Clock clock,
         RequestProtocol protocol,
         HttpConnector connector,
+        PathMonitor paths,
         ConnectionShares connections,
         UpstreamDirectory directory,
         UpstreamAvailability availability,
--- a/trailladder-entry/src/main/java/io/trailladder/entry/http/CallFailure.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/http/CallFailure.java
@@ -21,8 +21,10 @@
  * @since 0.2
  */
 public enum CallFailure {
-    /** No connection could be opened; nothing was sent. */
+    /** A connection was refused or reset while it was opened; nothing was sent. */
     UNREACHABLE,
+    /** No connection was opened within the timeout; nothing was sent. */
+    CONNECT_TIMEOUT,
     /** A connection was available, but the call was no longer wanted; nothing was sent. */
     WITHHELD,
     /** The connection ended before the answer did. */
--- a/trailladder-entry/src/main/java/io/trailladder/entry/http/CallListener.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/http/CallListener.java
@@ -33,6 +33,9 @@
         return true;
     }
 
+    /** Called when a new connection was opened for the call; not if one is reused. */
+    default void connected() {}
+
     /** Called once before the first byte of the request may be sent. */
     default void sending() {}
 
--- a/trailladder-entry/src/main/java/io/trailladder/entry/http/ClientCall.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/http/ClientCall.java
@@ -53,6 +53,11 @@
         return over;
     }
 
+    /** Records that a new connection was opened for the call. */
+    void connected() {
+        listener.connected();
+    }
+
     /** Begins on a connection. Returns false, with the call failed, if it is no longer wanted. */
     boolean begin(Connection<?> opened) {
         connection = opened;
--- a/trailladder-entry/src/main/java/io/trailladder/entry/http/HttpConnector.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/http/HttpConnector.java
@@ -171,7 +171,7 @@
         LoopTimer timeout =
                 loop.schedule(
                         call.request().connectTimeoutMillis(),
-                        () -> call.fail(CallFailure.UNREACHABLE));
+                        () -> call.fail(CallFailure.CONNECT_TIMEOUT));
         loop.connect(
                 new InetSocketAddress(target.host(), target.port()),
                 chain,
@@ -180,6 +180,7 @@
                     if (call.isOver()) {
                         connection.terminateSilently();
                     } else {
+                        call.connected();
                         write(call, connection);
                     }
                 },
