--- a/trailladder-cli/src/test/java/io/trailladder/cli/soak/FaultProxy.java
+++ b/trailladder-cli/src/test/java/io/trailladder/cli/soak/FaultProxy.java
@@ -19,9 +19,13 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.nio.channels.SocketChannel;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 
@@ -31,10 +35,21 @@
     private static final long DELAY_MILLIS = 120;
     private static final long HELD_CHECK_MILLIS = 10;
 
+    private static final int BACKLOG = 64;
+    private static final int ACCEPT_CHECK_MILLIS = 20;
+
+    private static final int MAX_BIND_TRIES = 100;
+
+    /** Connections that fill the queue of a socket that accepts none. */
+    private static final int FILLING = 4;
+
     private final HostPort target;
-    private final ServerSocket server;
+    private final int port;
     private final Set<Socket> open = ConcurrentHashMap.newKeySet();
+    private final List<SocketChannel> filling = new ArrayList<>();
+    private volatile ServerSocket server;
     private volatile Mode mode = Mode.PASS;
+    private volatile boolean closed;
 
     /** What becomes of bytes. */
     enum Mode {
@@ -47,34 +62,105 @@
         /** Requests pass, answers do not. */
         NO_ANSWERS,
         /** Connections are reset, new ones as well. */
-        RESET
+        RESET,
+        /** Neither way anything passes; connections stay open, and none can be opened. */
+        HANG,
+        /** Connections are reset, and new ones refused. */
+        CUT,
+        /** New connections are refused; those that are open go on. */
+        REFUSE_NEW;
+
+        private boolean holds() {
+            return this == SILENT || this == HANG;
+        }
+
+        private boolean resets() {
+            return this == RESET || this == CUT;
+        }
+
+        private boolean refuses() {
+            return this == CUT || this == REFUSE_NEW;
+        }
     }
 
     FaultProxy(HostPort target) throws IOException {
         this.target = target;
-        this.server = new ServerSocket(0, 64, InetAddress.getLoopbackAddress());
+        this.server = new ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress());
+        this.port = server.getLocalPort();
+        server.setSoTimeout(ACCEPT_CHECK_MILLIS);
         daemon(this::accept);
     }
 
     HostPort address() {
-        return new HostPort("127.0.0.1", server.getLocalPort());
+        return new HostPort("127.0.0.1", port);
     }
 
-    void mode(Mode next) {
+    /** Sets what becomes of bytes; at once also for connections that are open. */
+    synchronized void mode(Mode next) throws IOException {
+        Mode before = mode;
         mode = next;
-        if (next == Mode.RESET) {
+        if (next.refuses() != before.refuses() || (next == Mode.HANG) != (before == Mode.HANG)) {
+            listen(next);
+        }
+        if (next.resets()) {
             open.forEach(FaultProxy::reset);
         }
     }
 
+    /**
+     * Listens, or refuses connections, or leaves them unanswered: a connection to a socket whose
+     * queue is full is neither accepted nor refused.
+     */
+    private void listen(Mode next) throws IOException {
+        server.close();
+        for (SocketChannel each : filling) {
+            each.close();
+        }
+        filling.clear();
+        if (next.refuses()) {
+            return;
+        }
+        int backlog = next == Mode.HANG ? 1 : BACKLOG;
+        ServerSocket socket = bindAgain(backlog);
+        socket.setSoTimeout(ACCEPT_CHECK_MILLIS);
+        if (next == Mode.HANG) {
+            for (int i = 0; i < FILLING; i++) {
+                SocketChannel filler = SocketChannel.open();
+                filler.configureBlocking(false);
+                filler.connect(socket.getLocalSocketAddress());
+                filling.add(filler);
+            }
+        }
+        server = socket;
+    }
+
+    /** Binds to the port, which stays bound until the thread that accepts notices the close. */
+    private ServerSocket bindAgain(int backlog) throws IOException {
+        for (int tries = 1; ; tries++) {
+            try {
+                return new ServerSocket(port, backlog, InetAddress.getLoopbackAddress());
+            } catch (BindException e) {
+                if (tries == MAX_BIND_TRIES) {
+                    throw e;
+                }
+                pause(HELD_CHECK_MILLIS);
+            }
+        }
+    }
+
     @Override
-    public void close() throws IOException {
+    public synchronized void close() throws IOException {
+        closed = true;
         server.close();
         open.forEach(FaultProxy::reset);
     }
 
     private void accept() {
-        while (!server.isClosed()) {
+        while (!closed) {
+            if (mode == Mode.HANG || server.isClosed()) {
+                pause(HELD_CHECK_MILLIS);
+                continue;
+            }
             try {
                 Socket caller = server.accept();
                 if (mode == Mode.RESET) {
@@ -113,8 +199,8 @@
         if (mode == Mode.DELAY) {
             pause(DELAY_MILLIS);
         }
-        while (mode == Mode.SILENT || (answers && mode == Mode.NO_ANSWERS)) {
-            if (server.isClosed()) {
+        while (mode.holds() || (answers && mode == Mode.NO_ANSWERS)) {
+            if (closed) {
                 throw new IOException("closed");
             }
             pause(HELD_CHECK_MILLIS);
--- /dev/null
+++ b/trailladder-cli/src/test/java/io/trailladder/cli/soak/PathCluster.java
@@ -0,0 +1,330 @@
+/*
+ * Copyright 2026 The trailladder authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package io.trailladder.cli.soak;
+
+import static io.trailladder.adapter.GatewayRunner.onLoop;
+
+import io.trailladder.adapter.PlatformStandIn;
+import io.trailladder.cli.soak.FaultProxy.Mode;
+import io.trailladder.cli.soak.SoakCaller.Observations;
+import io.trailladder.entry.loop.EventLoop;
+import io.trailladder.platform.http.HostPort;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/**
+ * Gateways as processes, with a proxy on the path from each gateway to each upstream: a gateway
+ * finds the address of its own proxy in the store's list of upstreams.
+ */
+final class PathCluster implements AutoCloseable {
+    private static final int UPSTREAMS = 5;
+    private static final long READY_MILLIS = 25_000;
+    private static final String CONFIG =
+            """
+            {"version": 1,
+             "routes": [
+               {"name": "stream", "host": "h.example", "path_prefix": "/stream/",
+                "route_type": "streaming", "timeout_ms": 4000, "slo_ms": 800, "service": "s0",
+                "max_attempts": 3, "sticky": true, "resumable": true},
+               {"name": "unsafe", "host": "h.example", "path_prefix": "/unsafe/",
+                "route_type": "unsafe", "timeout_ms": 1500, "slo_ms": 200, "service": "s1",
+                "max_attempts": 2},
+               {"name": "safe", "host": "h.example", "path_prefix": "/safe/",
+                "route_type": "safe", "timeout_ms": 1500, "slo_ms": 200, "service": "s1",
+                "max_attempts": 3}],
+             "services": [{"name": "s0", "max_conns": 400}, {"name": "s1", "max_conns": 400}],
+             "tenants": [{"name": "t", "api_keys": ["key"]}]}
+            """;
+
+    private final EventLoop loop = new EventLoop();
+    private final List<SoakUpstream> upstreams = new ArrayList<>();
+    private final List<SoakGateway> gateways = new ArrayList<>();
+    private final List<List<FaultProxy>> paths = new ArrayList<>();
+    private final Map<String, Integer> runs = SoakUpstream.newRuns();
+    private final Observations record = new Observations();
+    private final Path folder;
+    private final PlatformStandIn platform;
+
+    /**
+     * Starts everything, and waits until all gateways are ready.
+     *
+     * @param dataCentres the data centre of each gateway
+     */
+    PathCluster(String... dataCentres) throws Exception {
+        folder = Files.createTempDirectory(Path.of("target"), "paths-");
+        loop.start();
+        platform = onLoop(loop, () -> new PlatformStandIn(loop));
+        put("op/config", CONFIG);
+        StatementCheck statements = new StatementCheck(record.violations);
+        LimitCheck limits = new LimitCheck(record.violations, statements);
+        for (int i = 0; i < UPSTREAMS; i++) {
+            String id = "u" + i;
+            upstreams.add(
+                    onLoop(
+                            loop,
+                            () ->
+                                    new SoakUpstream(
+                                            loop,
+                                            id,
+                                            new SplittableRandom(0),
+                                            runs,
+                                            statements,
+                                            limits,
+                                            new OrganisationLimitCheck())));
+            SoakUpstream upstream = upstreams.get(i);
+            upstream.faultless();
+            put("servers/" + id, entry(upstream, i));
+        }
+        for (int i = 0; i < dataCentres.length; i++) {
+            addGateway("g" + i, dataCentres[i]);
+        }
+        awaitReady();
+    }
+
+    private static String entry(SoakUpstream upstream, int index) {
+        return String.format(
+                "{\"service\": \"s%d\", \"address\": \"%s\", \"zone\": \"a\", \"slots\": 64,"
+                        + " \"state\": \"ready\"}",
+                index % 2, upstream.proxy().address());
+    }
+
+    private void put(String key, String value) throws Exception {
+        onLoop(
+                loop,
+                () -> {
+                    platform.put(key, value);
+                    return true;
+                });
+    }
+
+    private void addGateway(String name, String dataCentre) throws Exception {
+        List<FaultProxy> own = new ArrayList<>();
+        for (SoakUpstream upstream : upstreams) {
+            own.add(new FaultProxy(upstream.proxy().address()));
+        }
+        paths.add(own);
+        HostPort view = onLoop(loop, () -> platform.view(value -> ownAddress(value, own)));
+        SoakGateway gateway = new SoakGateway(name, dataCentre, folder, view);
+        gateway.start(true);
+        gateways.add(gateway);
+    }
+
+    private String ownAddress(String value, List<FaultProxy> own) {
+        for (int i = 0; i < own.size(); i++) {
+            String address = '"' + upstreams.get(i).proxy().address().toString() + '"';
+            if (value.contains(address)) {
+                return value.replace(address, '"' + own.get(i).address().toString() + '"');
+            }
+        }
+        return value;
+    }
+
+    private void awaitReady() throws Exception {
+        long end = System.nanoTime() + READY_MILLIS * 1_000_000;
+        for (SoakGateway gateway : gateways) {
+            while (!gateway.isReady()) {
+                if (System.nanoTime() > end) {
+                    throw new IllegalStateException("a gateway is not ready; logs: " + folder);
+                }
+                Thread.sleep(50);
+            }
+        }
+        // so that all processes are known to each other
+        Thread.sleep(2_000);
+    }
+
+    SoakGateway gateway(int index) {
+        return gateways.get(index);
+    }
+
+    PlatformStandIn platform() {
+        return platform;
+    }
+
+    EventLoop loop() {
+        return loop;
+    }
+
+    Path folder() {
+        return folder;
+    }
+
+    /** Has the links of one gateway to all upstreams do something. */
+    void links(int gateway, Mode mode) throws IOException {
+        for (FaultProxy path : paths.get(gateway)) {
+            path.mode(mode);
+        }
+    }
+
+    /** Has the links of one gateway to some upstreams do something. */
+    void links(int gateway, List<Integer> some, Mode mode) throws IOException {
+        for (int upstream : some) {
+            paths.get(gateway).get(upstream).mode(mode);
+        }
+    }
+
+    /** Returns what was seen that breaks a promise, also by upstreams. */
+    List<String> violations() {
+        List<String> broken = new ArrayList<>(record.violations);
+        for (String attempt : record.unsafe) {
+            if (runs.getOrDefault(attempt, 0) > 1) {
+                broken.add(attempt + ": not repeatable, ran " + runs.get(attempt) + " times");
+            }
+        }
+        for (SoakCaller.NotRun told : record.notRun) {
+            if (runs.containsKey(told.attempt())) {
+                broken.add(told.attempt() + ": " + told.status() + ", but it ran");
+            }
+        }
+        return broken;
+    }
+
+    /** The first tries of the callers of one gateway that began in a span of time. */
+    static final class Tally {
+        private final AtomicInteger asked = new AtomicInteger();
+        private final AtomicInteger served = new AtomicInteger();
+
+        void add(boolean success) {
+            asked.incrementAndGet();
+            if (success) {
+                served.incrementAndGet();
+            }
+        }
+
+        int asked() {
+            return asked.get();
+        }
+
+        double share() {
+            return asked.get() == 0 ? 0 : (double) served.get() / asked.get();
+        }
+
+        @Override
+        public String toString() {
+            return served + " of " + asked;
+        }
+    }
+
+    /**
+     * Has callers use all gateways while a task runs, and counts the tries that begin after it said
+     * so, and those of the others.
+     *
+     * @param threads number of callers of each kind of request at each gateway
+     * @param pauseMillis pause of a caller between two requests, in milliseconds
+     * @param faults runs while callers call
+     * @param counting tells whether tries that begin now count
+     * @return one tally for each gateway
+     */
+    List<Tally> callWhile(int threads, long pauseMillis, Faults faults, Counting counting)
+            throws Exception {
+        List<Tally> tallies = new ArrayList<>();
+        List<Thread> callers = new ArrayList<>();
+        boolean[] going = {true};
+        for (int i = 0; i < gateways.size(); i++) {
+            Tally tally = new Tally();
+            tallies.add(tally);
+            for (int kind = 0; kind < 3 * threads; kind++) {
+                HostPort target = gateways.get(i).callers();
+                int asks = kind % 3;
+                SplittableRandom random = new SplittableRandom(31L * i + kind);
+                SoakCaller caller = new SoakCaller(List.of(target), random, () -> false, record);
+                Thread thread =
+                        new Thread(
+                                () ->
+                                        callUntilOver(
+                                                caller,
+                                                target,
+                                                asks,
+                                                pauseMillis,
+                                                tally,
+                                                going,
+                                                counting));
+                thread.start();
+                callers.add(thread);
+            }
+        }
+        try {
+            faults.run();
+        } finally {
+            going[0] = false;
+            for (Thread caller : callers) {
+                caller.join();
+            }
+        }
+        return tallies;
+    }
+
+    private static void callUntilOver(
+            SoakCaller caller,
+            HostPort target,
+            int kind,
+            long pauseMillis,
+            Tally tally,
+            boolean[] going,
+            Counting counting) {
+        while (going[0]) {
+            boolean counts = counting.counts();
+            boolean served =
+                    switch (kind) {
+                        case 0 -> caller.stream(target);
+                        case 1 -> caller.call(target, "/unsafe/", true);
+                        default -> caller.call(target, "/safe/", false);
+                    };
+            if (counts) {
+                tally.add(served);
+            }
+            try {
+                Thread.sleep(pauseMillis);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }
+    }
+
+    /** Strikes the cluster. */
+    interface Faults {
+        void run() throws Exception;
+    }
+
+    /** Tells whether tries that begin now count. */
+    interface Counting {
+        boolean counts();
+    }
+
+    @Override
+    public void close() throws IOException {
+        for (SoakGateway gateway : gateways) {
+            try {
+                gateway.kill();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+            gateway.store().close();
+        }
+        for (List<FaultProxy> own : paths) {
+            for (FaultProxy path : own) {
+                path.close();
+            }
+        }
+        loop.close();
+    }
+}
--- a/trailladder-cli/src/test/java/io/trailladder/cli/soak/SoakCaller.java
+++ b/trailladder-cli/src/test/java/io/trailladder/cli/soak/SoakCaller.java
@@ -100,13 +100,14 @@
         return gateway.port() + "-" + Long.toHexString(random.nextLong());
     }
 
-    private void stream(HostPort gateway) {
+    /** Asks for one stream; returns true if it was served whole. */
+    boolean stream(HostPort gateway) {
         String attempt = attempt(gateway);
         String fields = "Model: m\r\nToken-Usage: 100,36\r\nPrefix-Hash: a1:60,b2:40\r\n";
         CallerAnswer answer = ask(gateway, "POST /stream/x", attempt, fields);
-        check(answer, attempt, false);
+        boolean served = check(answer, attempt, false);
         if (answer.status() != 200) {
-            return;
+            return false;
         }
         StringBuilder expected = new StringBuilder();
         for (int event = 1; event <= SoakUpstream.EVENTS; event++) {
@@ -119,6 +120,7 @@
         if (!right) {
             violation(attempt, "stream is not the right one: " + answer);
         }
+        return served;
     }
 
     private static String wholeEvents(String body) {
--- a/trailladder-cli/src/test/java/io/trailladder/cli/soak/SoakGateway.java
+++ b/trailladder-cli/src/test/java/io/trailladder/cli/soak/SoakGateway.java
@@ -31,7 +31,7 @@
 final class SoakGateway {
     private static final String SETTINGS =
             """
-            {"node": {"name": "%s", "data_centre": "a", "first_start": %s},
+            {"node": {"name": "%s", "data_centre": "%s", "first_start": %s},
              "listen": {"callers": "%s", "health": "%s", "peers": "%s", "metrics": "%s"},
              "seeds": [], "store": "%s", "cloud": "%s",
              "retries": {"ratio": 0.2, "allowance": 1000, "window_s": 10},
@@ -41,6 +41,7 @@
     private static final int READY_MILLIS = 500;
 
     private final String name;
+    private final String dataCentre;
     private final Path folder;
     private final FaultProxy store;
 
@@ -55,7 +56,12 @@
     private boolean paused;
 
     SoakGateway(String name, Path folder, HostPort platform) throws IOException {
+        this(name, "a", folder, platform);
+    }
+
+    SoakGateway(String name, String dataCentre, Path folder, HostPort platform) throws IOException {
         this.name = name;
+        this.dataCentre = dataCentre;
         this.folder = folder;
         this.store = new FaultProxy(platform);
     }
@@ -70,6 +76,7 @@
                 settings,
                 SETTINGS.formatted(
                         name,
+                        dataCentre,
                         first,
                         callers,
                         health,
--- a/trailladder-cli/src/test/java/io/trailladder/cli/soak/SoakRun.java
+++ b/trailladder-cli/src/test/java/io/trailladder/cli/soak/SoakRun.java
@@ -26,6 +26,7 @@
 import io.trailladder.entry.loop.EventLoop;
 import io.trailladder.platform.http.HostPort;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -52,6 +53,7 @@
     private static final int LAST_CALLS = 30;
     private static final double[] LIMITS = {0.2, 1, 4, 20};
     private static final long RETURNS = 0x5eed;
+    private static final Mode[] MODES = {Mode.DELAY, Mode.SILENT, Mode.NO_ANSWERS, Mode.RESET};
     private static final long OLDEST_COPY_MILLIS = 4_000;
     private static final int LOST_WRITES = 200;
     private static final String OTHER_UPSTREAM =
@@ -363,7 +365,9 @@
                     platform.loseWriteAnswers(false);
                     return true;
                 });
-        upstreams.forEach(upstream -> upstream.proxy().mode(Mode.PASS));
+        for (SoakUpstream upstream : upstreams) {
+            upstream.proxy().mode(Mode.PASS);
+        }
         boolean limited = onLoop(loop, limits::isAnyLimited);
         onLoop(
                 loop,
@@ -484,12 +488,19 @@
         }
     }
 
-    private void proxied(String what, FaultProxy proxy, long forMillis) {
-        Mode[] modes = Mode.values();
-        Mode mode = modes[1 + random.nextInt(modes.length - 1)];
+    private void proxied(String what, FaultProxy proxy, long forMillis) throws IOException {
+        Mode mode = MODES[random.nextInt(MODES.length)];
         note(mode + " " + what);
         proxy.mode(mode);
-        loop.execute(() -> loop.schedule(forMillis, () -> proxy.mode(Mode.PASS)));
+        loop.execute(() -> loop.schedule(forMillis, () -> pass(proxy)));
+    }
+
+    private static void pass(FaultProxy proxy) {
+        try {
+            proxy.mode(Mode.PASS);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
     }
 
     private void switched(String what, long forMillis, java.util.function.Consumer<Boolean> fault) {
--- a/trailladder-cli/src/test/java/io/trailladder/cli/soak/SoakUpstream.java
+++ b/trailladder-cli/src/test/java/io/trailladder/cli/soak/SoakUpstream.java
@@ -60,6 +60,7 @@
     private volatile boolean leaving;
     private double limit;
     private boolean calm;
+    private boolean faultless;
 
     /**
      * Creates an upstream; it listens at once.
@@ -128,6 +129,11 @@
         limit(0);
     }
 
+    /** Has it fail and refuse no request any more. */
+    void faultless() {
+        faultless = true;
+    }
+
     /** Returns its entry in the platform's store. */
     String entry(String state) {
         return String.format(
@@ -144,7 +150,7 @@
         String attempt = exchange.headers().first("Attempt-Id").orElse("");
         statements.arrived(id, attempt, loop.nowMillis());
         limits.arrived(id, attempt, loop.nowMillis());
-        double drawn = random.nextDouble();
+        double drawn = faultless ? 1 : random.nextDouble();
         if (drawn < REFUSED) {
             exchange.respond(503, refusal(attempt, drawn < RESTS && !calm), NO_BYTES);
             return;
