A process that does not reach an upstream is connected to it by a peer

Cause: the only way to an upstream was a connection of the gateway's own, so one that had lost its path could refuse sooner or later, and do nothing else.

UpstreamDialer opens a connection directly and, if that fails or has not opened after 50 ms and two round trips, asks a peer to connect it. The first connection that opens is used; no byte of a request is sent before, so tries, budgets, limits and usage stay where they were. PathMonitor remembers which upstreams only peers reach, and calls a process isolated once that holds for two and none is reached directly; then peers are asked at once, idle connections are closed, and silent attempts that may run again leave their direct connections. Both ways are tried each time, so the own path is used again when it is back. RelayPeers chooses near peers, evenly, and last those that refused.

A peer relays to upstreams of its own list only, for known processes only, never through a third one, at most 256 connections and 64 KiB waiting in each direction; it answers at once if it is isolated itself, stops or is full. The upstream's bytes travel in frames, so that the loss of the peer is neither the end of an answer (PATH_LOST, not BROKEN) nor of the upstream. Attempts to connect that are given up free their socket; before, they kept it for 30 s.

--- a/trailladder-cli/src/test/java/io/trailladder/cli/soak/PathCluster.java
+++ b/trailladder-cli/src/test/java/io/trailladder/cli/soak/PathCluster.java
@@ -61,6 +61,7 @@
     private final List<List<FaultProxy>> paths = new ArrayList<>();
     private final Map<String, Integer> runs = SoakUpstream.newRuns();
     private final Observations record = new Observations();
+    private final List<Tally> tallies = new ArrayList<>();
     private final Path folder;
     private final PlatformStandIn platform;
 
@@ -236,7 +237,7 @@
      */
     List<Tally> callWhile(int threads, long pauseMillis, Faults faults, Counting counting)
             throws Exception {
-        List<Tally> tallies = new ArrayList<>();
+        tallies.clear();
         List<Thread> callers = new ArrayList<>();
         boolean[] going = {true};
         for (int i = 0; i < gateways.size(); i++) {
@@ -273,6 +274,19 @@
         return tallies;
     }
 
+    /** Waits until so many tries are counted at each gateway that runs. */
+    void awaitTries(int count) throws InterruptedException {
+        long end = System.nanoTime() + READY_MILLIS * 1_000_000;
+        for (int i = 0; i < gateways.size(); i++) {
+            while (gateways.get(i).isRunning() && tallies.get(i).asked() < count) {
+                if (System.nanoTime() > end) {
+                    return;
+                }
+                Thread.sleep(50);
+            }
+        }
+    }
+
     private static void callUntilOver(
             SoakCaller caller,
             HostPort target,
--- a/trailladder-core/src/main/java/io/trailladder/core/pipeline/AttemptFailure.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/pipeline/AttemptFailure.java
@@ -31,6 +31,11 @@
     MISDIRECTED(false),
     /** The connection ended, or the answer was malformed; the request may have run. */
     BROKEN(true),
+    /**
+     * The path to the upstream was lost, at this process or at the peer that relayed the
+     * connection, which says nothing about the upstream; the request may have run.
+     */
+    PATH_LOST(true),
     /** The upstream answered that it failed; the request ran. */
     SERVER_ERROR(true),
     /** The upstream is leaving before it can finish; the attempt was stopped. */
@@ -53,6 +58,16 @@
         return mayHaveRun;
     }
 
+    /**
+     * Returns whether the failure counts against the upstream.
+     *
+     * @return false if this process or the path to the upstream caused it, or the upstream
+     *     announced it
+     */
+    public boolean isUpstreamFault() {
+        return this != NOT_SENT && this != LEAVING && this != PATH_LOST;
+    }
+
     /**
      * Returns the failure of an attempt of which no byte was sent.
      *
--- a/trailladder-core/src/main/java/io/trailladder/core/upstream/PathMonitor.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/upstream/PathMonitor.java
@@ -23,14 +23,21 @@
 
 /**
  * Tells whether connections to single upstreams fail, or whether this process has lost its own path
- * to all of them.
+ * to them.
+ *
+ * <p>An upstream that cannot be reached from here but through a peer has not failed; the path to it
+ * has. If this holds for several upstreams and none is reached, the process is isolated: it serves
+ * its callers through peers only.
  *
  * <pre>{@code
  * PathMonitor paths = new PathMonitor(change -> {});
  * paths.failed("u1", 1_000);
  * paths.failed("u2", 1_050);
  * paths.state(); // FAILING
- * paths.opened("u2", 1_100);
+ * paths.openedThroughPeer("u1", 1_060);
+ * paths.openedThroughPeer("u2", 1_070);
+ * paths.state(); // ISOLATED
+ * paths.opened("u2", 5_000);
  * paths.state(); // DIRECT
  * }</pre>
  *
@@ -38,28 +45,49 @@
  */
 public final class PathMonitor {
     /** Number of upstreams that must fail, with none reached in between, to be suspicious. */
-    static final int MIN_FAILED_UPSTREAMS = 2;
+    static final int MIN_UPSTREAMS = 2;
+
+    /**
+     * How long an upstream that a peer did not reach either is not tried through peers, in
+     * milliseconds.
+     */
+    static final long RELAY_PAUSE_MILLIS = 1_000;
+
+    /**
+     * How long isolation is assumed after it was last observed, in milliseconds. A process without
+     * requests does not notice that its path is back.
+     */
+    static final long ISOLATION_MEMORY_MILLIS = 2_000;
 
-    /** Maximum number of upstreams whose last failure is remembered. */
+    /** Maximum number of upstreams that are remembered. */
     private static final int MAX_REMEMBERED = 4_096;
 
     private final Consumer<Change> onChange;
 
-    /** When connections to an upstream began to fail, since one to it last opened. */
-    private final Map<String, Long> failingSince = new RecentMap<>(MAX_REMEMBERED);
+    /** Upstreams reached through a peer, since a connection from here last opened. */
+    private final Map<String, Long> indirect = new RecentMap<>(MAX_REMEMBERED);
+
+    /** Until when upstreams that no peer reaches are not tried through peers. */
+    private final Map<String, Long> relayPausedUntil = new RecentMap<>(MAX_REMEMBERED);
 
-    /** Upstreams to which a connection failed since a connection to any upstream last opened. */
+    /** Upstreams to which connections failed since a connection to any upstream last opened. */
     private final Set<String> failedSinceOpened = new HashSet<>();
 
+    /** Those of them that peers reached. */
+    private final Set<String> indirectSinceOpened = new HashSet<>();
+
     private State state = State.DIRECT;
     private long firstFailedMillis;
+    private long lastFailedMillis;
 
     /** What is known of the paths from this process to the upstreams. */
     public enum State {
-        /** Connections open, or at most to one upstream they fail. */
+        /** Connections open, or fail to at most one upstream. */
         DIRECT,
         /** Connections to several upstreams failed, and none has opened since. */
-        FAILING
+        FAILING,
+        /** Peers reach several of these upstreams: this process has lost its own path. */
+        ISOLATED
     }
 
     /**
@@ -67,9 +95,10 @@
      *
      * @param state the new state
      * @param failed number of upstreams to which connections failed, with none opened in between
+     * @param throughPeers number of these that peers reached
      * @param sinceMillis time since the first of these failures, in milliseconds
      */
-    public record Change(State state, int failed, long sinceMillis) {}
+    public record Change(State state, int failed, int throughPeers, long sinceMillis) {}
 
     /**
      * Creates a monitor that knows of no failure.
@@ -81,18 +110,21 @@
     }
 
     /**
-     * Records that no connection to an upstream could be opened from this process.
+     * Records that a connection from this process to an upstream could not be opened, or not in the
+     * time that it usually takes.
      *
      * @param upstream the upstream's name
      * @param nowMillis the current time, in milliseconds
      */
     public void failed(String upstream, long nowMillis) {
-        failingSince.putIfAbsent(upstream, nowMillis);
         if (failedSinceOpened.isEmpty()) {
             firstFailedMillis = nowMillis;
         }
+        lastFailedMillis = nowMillis;
         failedSinceOpened.add(upstream);
-        update(nowMillis);
+        if (state == State.DIRECT && failedSinceOpened.size() >= MIN_UPSTREAMS) {
+            change(State.FAILING, nowMillis);
+        }
     }
 
     /**
@@ -102,14 +134,81 @@
      * @param nowMillis the current time, in milliseconds
      */
     public void opened(String upstream, long nowMillis) {
-        failingSince.remove(upstream);
+        relayPausedUntil.remove(upstream);
+        indirect.remove(upstream);
+        if (state == State.ISOLATED) {
+            // the paths were lost together, so the others are back too
+            indirect.clear();
+        }
         if (!failedSinceOpened.isEmpty()) {
-            int failed = failedSinceOpened.size();
+            change(State.DIRECT, nowMillis);
             failedSinceOpened.clear();
-            change(State.DIRECT, failed, nowMillis);
+            indirectSinceOpened.clear();
+        }
+    }
+
+    /**
+     * Records that a peer connected this process to an upstream while a connection from here failed
+     * or was not yet open.
+     *
+     * @param upstream the upstream's name
+     * @param nowMillis the current time, in milliseconds
+     */
+    public void openedThroughPeer(String upstream, long nowMillis) {
+        relayPausedUntil.remove(upstream);
+        failed(upstream, nowMillis);
+        indirect.put(upstream, nowMillis);
+        indirectSinceOpened.add(upstream);
+        if (indirectSinceOpened.size() >= MIN_UPSTREAMS) {
+            change(State.ISOLATED, nowMillis);
         }
     }
 
+    /**
+     * Records that a peer did not reach an upstream that could not be reached from here either.
+     *
+     * @param upstream the upstream's name
+     * @param nowMillis the current time, in milliseconds
+     */
+    public void failedThroughPeer(String upstream, long nowMillis) {
+        indirect.remove(upstream);
+        relayPausedUntil.put(upstream, nowMillis + RELAY_PAUSE_MILLIS);
+    }
+
+    /**
+     * Returns whether peers are to be asked at once for a connection to an upstream, because one
+     * from here is unlikely to open.
+     *
+     * @param upstream the upstream's name
+     * @return true if the upstream was last reached through a peer, or this process is isolated
+     */
+    public boolean prefersRelay(String upstream) {
+        return state == State.ISOLATED || indirect.containsKey(upstream);
+    }
+
+    /**
+     * Returns whether peers may be asked for a connection to an upstream.
+     *
+     * @param upstream the upstream's name
+     * @param nowMillis the current time, in milliseconds
+     * @return false shortly after a peer did not reach it
+     */
+    public boolean mayRelay(String upstream, long nowMillis) {
+        Long until = relayPausedUntil.get(upstream);
+        return until == null || nowMillis >= until;
+    }
+
+    /**
+     * Returns whether this process is known to reach no upstream.
+     *
+     * @param nowMillis the current time, in milliseconds
+     * @return true if it was observed to be isolated in the last {@value #ISOLATION_MEMORY_MILLIS}
+     *     ms
+     */
+    public boolean isIsolated(long nowMillis) {
+        return state == State.ISOLATED && nowMillis - lastFailedMillis <= ISOLATION_MEMORY_MILLIS;
+    }
+
     /**
      * Returns what is known of the paths to the upstreams.
      *
@@ -119,17 +218,15 @@
         return state;
     }
 
-    private void update(long nowMillis) {
-        int failed = failedSinceOpened.size();
-        if (failed >= MIN_FAILED_UPSTREAMS) {
-            change(State.FAILING, failed, nowMillis);
-        }
-    }
-
-    private void change(State next, int failed, long nowMillis) {
+    private void change(State next, long nowMillis) {
         if (next != state) {
             state = next;
-            onChange.accept(new Change(next, failed, nowMillis - firstFailedMillis));
+            onChange.accept(
+                    new Change(
+                            next,
+                            failedSinceOpened.size(),
+                            indirectSinceOpened.size(),
+                            nowMillis - firstFailedMillis));
         }
     }
 }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Attempt.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Attempt.java
@@ -51,6 +51,7 @@
     private ClientCall call;
     private boolean sent;
     private long sentMillis;
+    private boolean relayed;
     private boolean promptRead;
     private boolean finished;
     private int status;
@@ -116,6 +117,11 @@
         return sent;
     }
 
+    /** Returns whether a peer relays the connection to the upstream. */
+    boolean isRelayed() {
+        return relayed;
+    }
+
     int status() {
         return status;
     }
@@ -187,8 +193,8 @@
     }
 
     @Override
-    public void connected() {
-        context.paths().opened(upstream.id(), context.loop().nowMillis());
+    public void connected(Optional<String> peer) {
+        relayed = peer.isPresent();
     }
 
     @Override
@@ -300,17 +306,13 @@
     public void failed(CallFailure failure) {
         callFailure = Optional.of(failure);
         switch (failure) {
-            case UNREACHABLE, CONNECT_TIMEOUT -> connectFailed();
+            case UNREACHABLE, CONNECT_TIMEOUT -> fail(AttemptFailure.UNREACHABLE);
             case WITHHELD -> fail(AttemptFailure.NOT_SENT);
             case BROKEN -> fail(AttemptFailure.BROKEN);
+            case RELAY_LOST -> fail(AttemptFailure.PATH_LOST);
         }
     }
 
-    private void connectFailed() {
-        context.paths().failed(upstream.id(), context.loop().nowMillis());
-        fail(AttemptFailure.UNREACHABLE);
-    }
-
     /** Ends the attempt as failed and cancels its call. */
     void fail(AttemptFailure reason) {
         if (finished) {
@@ -323,10 +325,12 @@
             if (failure == AttemptFailure.UNREACHABLE) {
                 context.selector().unreachable(upstream, now);
             }
-        } else if (failure != AttemptFailure.LEAVING && failure != AttemptFailure.NOT_SENT) {
+        } else if (failure.isUpstreamFault()) {
             context.loads().failed(upstream.id(), now);
         }
-        if (failure == AttemptFailure.SILENT || failure == AttemptFailure.BROKEN) {
+        if (failure == AttemptFailure.SILENT
+                || failure == AttemptFailure.BROKEN
+                || failure == AttemptFailure.PATH_LOST) {
             recordVersionAnswer(false, false);
         }
         finish();
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/AttemptCalls.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/AttemptCalls.java
@@ -19,10 +19,12 @@
 import io.trailladder.core.upstream.Upstream;
 import io.trailladder.entry.http.HeaderList;
 import io.trailladder.entry.http.OutgoingCall;
+import io.trailladder.entry.http.OutgoingCall.UpstreamName;
 import io.trailladder.entry.http.ServerExchange;
 import io.trailladder.entry.port.AttemptFields;
 import io.trailladder.entry.port.RequestProtocol;
 import io.trailladder.platform.http.HostPort;
+import java.util.Optional;
 
 /** Creates the outgoing calls that send a request to upstreams. */
 final class AttemptCalls {
@@ -88,7 +90,8 @@
                 exchange.body(),
                 request.route().repeatable() ? MAX_IDLE_MILLIS : MAX_IDLE_UNREPEATABLE_MILLIS,
                 connectTimeoutMillis(remainingMillis),
-                connections.maxIdle(request.service(), upstream));
+                connections.maxIdle(request.service(), upstream),
+                Optional.of(new UpstreamName(upstream.id(), request.id(), remainingMillis)));
     }
 
     private static long connectTimeoutMillis(long remainingMillis) {
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
@@ -29,6 +29,7 @@
 import io.trailladder.core.topology.Topology;
 import io.trailladder.core.upstream.DemandMeter;
 import io.trailladder.core.upstream.PathMonitor;
+import io.trailladder.core.upstream.RelayPeers;
 import io.trailladder.core.upstream.Upstream;
 import io.trailladder.core.upstream.UpstreamAvailability;
 import io.trailladder.core.upstream.UpstreamBackoffs;
@@ -50,6 +51,9 @@
 import io.trailladder.entry.port.CoordinationStore;
 import io.trailladder.entry.port.PlatformFormat;
 import io.trailladder.entry.port.StoreItem;
+import io.trailladder.entry.relay.RelayObserver;
+import io.trailladder.entry.relay.RelayServer;
+import io.trailladder.entry.relay.UpstreamDialer;
 import io.trailladder.platform.http.HostPort;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
@@ -121,6 +125,7 @@
     private final Quotas quotas;
     private final ClusterView view;
     private final PeerMesh mesh;
+    private final RelayServer relays;
     private final Membership membership;
     private final DutyRunner duties;
     private final RolloutParts rollouts;
@@ -208,6 +213,12 @@
                         : Optional.of(new RegionMetrics(metrics.registry()));
         mesh = new PeerMesh(loop, self, linkTopology(), incarnation, view);
         mesh.seeds(settings.seeds().stream().map(HostPort::toString).toList());
+        RelayObserver relayObserver = new RelayRecorder(pathMetrics);
+        relays =
+                new RelayServer(
+                        loop, directory, paths, relayObserver, settings.limits().descriptors());
+        mesh.relays(relays);
+        useRelays(name, random.split(), relayObserver);
         membership =
                 new Membership(
                         loop,
@@ -410,6 +421,32 @@
     private void pathsChanged(PathMonitor.Change change) {
         pathMetrics.changed(change.state());
         DecisionLog.write(new PathState(change));
+        if (change.state() == PathMonitor.State.ISOLATED) {
+            // after the current event, which may be that of a connection
+            loop.execute(this::leaveDirectConnections);
+        }
+    }
+
+    /** Uses the connections no more that were opened before this process lost its own path. */
+    private void leaveDirectConnections() {
+        directory
+                .all()
+                .forEach(upstream -> connector.closeIdle(HostPort.parse(upstream.address())));
+        intake.pathLost();
+    }
+
+    /** Has connections to upstreams opened through peers where this process reaches none. */
+    private void useRelays(String name, SplittableRandom random, RelayObserver observer) {
+        connector.upstreams(
+                new UpstreamDialer(
+                        loop,
+                        name,
+                        topology,
+                        directory,
+                        paths,
+                        new RelayPeers(name, topology, random),
+                        mesh::knownPeers,
+                        observer));
     }
 
     private SendSlotOrders turnOrders(String name) {
@@ -610,6 +647,7 @@
                 directoryManager.revision(),
                 directoryManager.ageMillis());
         metrics.unusableEntries(directoryManager.unusable());
+        pathMetrics.openRelays(relays.open());
         metrics.backingOff(backoffs.count(loop.nowMillis()));
         metrics.limited(limits.count(directory.all()));
         policyManager
@@ -647,6 +685,7 @@
         DecisionLog.write(new Lifecycle("process", "stopping", intake.open() + " in flight"));
         view.draining();
         duties.stop();
+        relays.stop();
         callerServer.closing();
         long begunMillis = loop.nowMillis();
         loop.repeat(STOP_CHECK_INTERVAL_MILLIS, () -> checkStopped(begunMillis));
@@ -659,7 +698,8 @@
             intake.refuseNew();
             callerServer.closeIdle();
         }
-        boolean idle = elapsedMillis >= MIN_DRAIN_MILLIS && callerServer.open() == 0;
+        boolean idle =
+                elapsedMillis >= MIN_DRAIN_MILLIS && callerServer.open() == 0 && relays.open() == 0;
         boolean timedOut = elapsedMillis >= settings.timing().graceMillis() - END_MARGIN_MILLIS;
         if (idle || timedOut) {
             intake.stopAll();
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/PathState.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/PathState.java
@@ -30,6 +30,7 @@
     public void write(JsonGenerator json) throws IOException {
         json.writeStringField("state", change.state().name());
         json.writeNumberField("failedUpstreams", change.failed());
+        json.writeNumberField("throughPeers", change.throughPeers());
         json.writeNumberField("sinceMs", change.sinceMillis());
     }
 }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestDriver.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestDriver.java
@@ -116,6 +116,23 @@
         return attempt == null ? 0 : attempt.unresponsiveMillis();
     }
 
+    /** Returns whether a direct connection to an upstream has brought bytes in the last time. */
+    boolean isDirectWithin(long millis) {
+        return attempt != null
+                && attempt.status() > 0
+                && !attempt.isRelayed()
+                && attempt.unresponsiveMillis() < millis;
+    }
+
+    /**
+     * Gives up an attempt on a direct connection that has been lost, if the request may run again.
+     */
+    void leaveLostPath() {
+        if (attempt != null && attempt.isSent() && !attempt.isRelayed()) {
+            responseTimeout.pathLost();
+        }
+    }
+
     boolean isStream() {
         return request.route().kind() == RouteKind.STREAMING;
     }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestIntake.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestIntake.java
@@ -43,6 +43,9 @@
  * @since 0.2
  */
 public final class RequestIntake implements RequestHandler {
+    /** Time without a byte after which a direct connection counts as lost, in milliseconds. */
+    private static final long PATH_LOST_SILENCE_MILLIS = 300;
+
     private static final int BAD_REQUEST = 400;
     private static final int UNAUTHORIZED = 401;
     private static final int NOT_FOUND = 404;
@@ -173,6 +176,24 @@
         }
     }
 
+    /**
+     * Sends requests again, through peers, that wait for answers on direct connections which this
+     * process has lost: none of them has brought a byte for some time. Connections may also live on
+     * while no new ones open.
+     */
+    public void pathLost() {
+        long lostMillis = context.loop().nowMillis();
+        context.loop().schedule(PATH_LOST_SILENCE_MILLIS, () -> leaveLostPath(lostMillis));
+    }
+
+    private void leaveLostPath(long lostMillis) {
+        long unresponsive = context.loop().nowMillis() - lostMillis;
+        boolean lives = open.stream().anyMatch(driver -> driver.isDirectWithin(unresponsive));
+        if (!lives) {
+            List.copyOf(open).forEach(RequestDriver::leaveLostPath);
+        }
+    }
+
     /**
      * Moves requests to other upstreams because theirs will end before they do.
      *
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ResponseTimeoutWatch.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ResponseTimeoutWatch.java
@@ -81,15 +81,30 @@
             return;
         }
         long timeoutMillis = history.hasAnswerStarted() ? MAX_BODY_GAP_MILLIS : firstTimeoutMillis;
+        boolean silent = attempt.unresponsiveMillis() >= timeoutMillis;
+        if (!silent || !leave(attempt, AttemptFailure.SILENT)) {
+            scheduleCheck(attempt, timeoutMillis);
+        }
+    }
+
+    /** Fails the watched attempt because this process has lost its path to the upstream. */
+    void pathLost() {
+        if (watched != null && request.route().repeatable()) {
+            leave(watched, AttemptFailure.PATH_LOST);
+        }
+    }
+
+    /** Fails an attempt if another one is allowed; returns whether it is. */
+    private boolean leave(Attempt attempt, AttemptFailure reason) {
         long now = context.loop().nowMillis();
-        if (attempt.unresponsiveMillis() >= timeoutMillis
-                && RecoveryPolicy.allowsAnother(request, history, now)
-                && context.availability().isAnyAccepting(request.service(), now)
-                && context.budgets().tryRetry(request.service(), now)) {
+        boolean allowed =
+                RecoveryPolicy.allowsAnother(request, history, now)
+                        && context.availability().isAnyAccepting(request.service(), now)
+                        && context.budgets().tryRetry(request.service(), now);
+        if (allowed) {
             retryCharged = true;
-            attempt.fail(AttemptFailure.SILENT);
-        } else {
-            scheduleCheck(attempt, timeoutMillis);
+            attempt.fail(reason);
         }
+        return allowed;
     }
 }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/http/CallFailure.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/http/CallFailure.java
@@ -28,5 +28,7 @@
     /** A connection was available, but the call was no longer wanted; nothing was sent. */
     WITHHELD,
     /** The connection ended before the answer did. */
-    BROKEN
+    BROKEN,
+    /** The connection to the peer that relayed the call was lost before the answer ended. */
+    RELAY_LOST
 }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/http/CallListener.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/http/CallListener.java
@@ -15,6 +15,8 @@
  */
 package io.trailladder.entry.http;
 
+import java.util.Optional;
+
 /**
  * Receives an answer while it arrives. Either {@link #ended} or {@link #failed} is called last,
  * once, unless the call is cancelled.
@@ -33,8 +35,12 @@
         return true;
     }
 
-    /** Called when a new connection was opened for the call; not if one is reused. */
-    default void connected() {}
+    /**
+     * Called when a new connection was opened for the call; not if one is reused.
+     *
+     * @param peer the peer that relays the connection; empty if it is direct
+     */
+    default void connected(Optional<String> peer) {}
 
     /** Called once before the first byte of the request may be sent. */
     default void sending() {}
--- a/trailladder-entry/src/main/java/io/trailladder/entry/http/ClientCall.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/http/ClientCall.java
@@ -15,6 +15,7 @@
  */
 package io.trailladder.entry.http;
 
+import java.util.Optional;
 import org.glassfish.grizzly.Connection;
 
 /**
@@ -33,12 +34,18 @@
     private boolean endsWithConnection;
     private long reuseMillis = KeepAlive.NOT_SPECIFIED;
     private Runnable onWritten;
+    private Runnable cancelOpening = () -> {};
 
     ClientCall(OutgoingCall request, CallListener listener) {
         this.request = request;
         this.listener = listener;
     }
 
+    /** Sets the task that gives up the connection which is being opened. */
+    void opening(Runnable cancelTask) {
+        cancelOpening = cancelTask;
+    }
+
     /** Cancels the call: closes its connection, and calls its listener no more. */
     public void cancel() {
         over();
@@ -53,9 +60,9 @@
         return over;
     }
 
-    /** Records that a new connection was opened for the call. */
-    void connected() {
-        listener.connected();
+    /** Records that a new connection was opened for the call, directly or through a peer. */
+    void connected(Optional<String> peer) {
+        listener.connected(peer);
     }
 
     /** Begins on a connection. Returns false, with the call failed, if it is no longer wanted. */
@@ -155,6 +162,8 @@
     private void closeConnection() {
         if (connection != null) {
             connection.terminateSilently();
+        } else {
+            cancelOpening.run();
         }
     }
 }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/http/HttpConnector.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/http/HttpConnector.java
@@ -15,16 +15,17 @@
  */
 package io.trailladder.entry.http;
 
+import io.trailladder.entry.http.ConnectionOpener.Filters;
 import io.trailladder.entry.loop.EventLoop;
-import io.trailladder.entry.loop.LoopTimer;
 import io.trailladder.platform.http.HostPort;
 import java.io.IOException;
-import java.net.InetSocketAddress;
 import java.net.SocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.EmptyCompletionHandler;
@@ -32,8 +33,6 @@
 import org.glassfish.grizzly.WriteResult;
 import org.glassfish.grizzly.attributes.Attribute;
 import org.glassfish.grizzly.filterchain.BaseFilter;
-import org.glassfish.grizzly.filterchain.FilterChain;
-import org.glassfish.grizzly.filterchain.FilterChainBuilder;
 import org.glassfish.grizzly.filterchain.FilterChainContext;
 import org.glassfish.grizzly.filterchain.NextAction;
 import org.glassfish.grizzly.http.HttpClientFilter;
@@ -56,7 +55,9 @@
             Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("trailladder.client-call");
 
     private final EventLoop loop;
-    private final FilterChain chain;
+    private final Filters filters;
+    private final ConnectionOpener direct;
+    private ConnectionOpener upstreams;
     private final Map<HostPort, Deque<IdleConnection>> idleConnections = new HashMap<>();
 
     /** Bytes of requests that are not yet written, by server; no entry for servers that keep up. */
@@ -88,12 +89,18 @@
         this.loop = loop;
         HttpClientFilter codec = new HttpClientFilter(MAX_HEAD_BYTES);
         codec.setPreserveHeaderCase(true);
-        this.chain =
-                FilterChainBuilder.stateless()
-                        .add(new SocketFilter())
-                        .add(codec)
-                        .add(new AnswerFilter())
-                        .build();
+        this.filters = new Filters(List.of(codec, new AnswerFilter()));
+        this.direct = new DirectOpener(loop);
+        this.upstreams = direct;
+    }
+
+    /**
+     * Sets what opens the connections to upstreams.
+     *
+     * @param opener opens them, directly or through a peer
+     */
+    public void upstreams(ConnectionOpener opener) {
+        upstreams = opener;
     }
 
     /**
@@ -167,27 +174,23 @@
 
     private void open(ClientCall call) {
         opened++;
-        HostPort target = call.request().target();
-        LoopTimer timeout =
-                loop.schedule(
-                        call.request().connectTimeoutMillis(),
-                        () -> call.fail(CallFailure.CONNECT_TIMEOUT));
-        loop.connect(
-                new InetSocketAddress(target.host(), target.port()),
-                chain,
-                connection -> {
-                    timeout.cancel();
-                    if (call.isOver()) {
-                        connection.terminateSilently();
-                    } else {
-                        call.connected();
-                        write(call, connection);
-                    }
-                },
-                cause -> {
-                    timeout.cancel();
-                    loop.execute(() -> call.fail(CallFailure.UNREACHABLE));
-                });
+        ConnectionOpener opener = call.request().upstream().isPresent() ? upstreams : direct;
+        call.opening(
+                opener.open(
+                        call.request(),
+                        filters,
+                        new ConnectionOpener.Listener() {
+                            @Override
+                            public void opened(Connection<?> connection, Optional<String> peer) {
+                                call.connected(peer);
+                                write(call, connection);
+                            }
+
+                            @Override
+                            public void failed(CallFailure failure) {
+                                call.fail(failure);
+                            }
+                        }));
     }
 
     @SuppressWarnings("unchecked") // a TCP connection's address type
@@ -312,7 +315,8 @@
         }
 
         private void finish(ClientCall call, Connection<?> connection) {
-            if (call.canKeepConnection() && call.request().maxIdleMillis() > 0) {
+            boolean keeps = call.canKeepConnection() && call.request().maxIdleMillis() > 0;
+            if (keeps && !RelayState.isRelayed(connection)) {
                 keep(call.request(), connection, call.reuseMillis());
             } else if (call.isWritten()) {
                 connection.closeSilently();
@@ -328,7 +332,8 @@
             if (call.endsWithConnection() && SocketFilter.endedOrderly(connection)) {
                 call.end();
             } else {
-                call.fail(CallFailure.BROKEN);
+                boolean lost = RelayState.isLost(connection);
+                call.fail(lost ? CallFailure.RELAY_LOST : CallFailure.BROKEN);
             }
         }
     }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/http/OutgoingCall.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/http/OutgoingCall.java
@@ -16,6 +16,7 @@
 package io.trailladder.entry.http;
 
 import io.trailladder.platform.http.HostPort;
+import java.util.Optional;
 
 /**
  * A request to an HTTP server.
@@ -29,6 +30,7 @@
  *     a new connection
  * @param connectTimeoutMillis timeout for opening a connection, in milliseconds
  * @param maxIdleConnections maximum number of idle connections to the server
+ * @param upstream the upstream that the server is; empty for any other server
  * @since 0.2
  */
 public record OutgoingCall(
@@ -39,7 +41,17 @@
         byte[] body,
         long maxIdleMillis,
         long connectTimeoutMillis,
-        int maxIdleConnections) {
+        int maxIdleConnections,
+        Optional<UpstreamName> upstream) {
+    /**
+     * An upstream that is called.
+     *
+     * @param name the upstream's name
+     * @param requestId id of the request for which it is called
+     * @param lifetimeMillis time after which the request is over, in milliseconds
+     */
+    public record UpstreamName(String name, String requestId, long lifetimeMillis) {}
+
     /** Maximum number of idle connections to a server that does not limit its connections. */
     public static final int MAX_IDLE_CONNECTIONS = 64;
 
@@ -70,6 +82,7 @@
                 body,
                 maxIdleMillis,
                 connectTimeoutMillis,
-                MAX_IDLE_CONNECTIONS);
+                MAX_IDLE_CONNECTIONS,
+                Optional.empty());
     }
 }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/http/SocketFilter.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/http/SocketFilter.java
@@ -51,6 +51,7 @@
         try {
             count = ((SocketChannel) connection.getChannel()).read(space);
         } catch (IOException e) {
+            ORDERLY.set(connection, Boolean.FALSE);
             connection.closeWithReason(e);
             return context.getStopAction();
         }
@@ -78,7 +79,28 @@
      */
     protected void bytesRead(Connection<?> connection, int count) {}
 
-    static boolean endedOrderly(Connection<?> connection) {
+    /**
+     * Returns whether the other side ended a connection, in an orderly way or not.
+     *
+     * @param connection a connection that has ended
+     * @return false if this side closed it
+     */
+    public static boolean endedByOtherSide(Connection<?> connection) {
+        return ORDERLY.get(connection) != null;
+    }
+
+    /** Sets whether the server's end of a relayed connection was orderly. */
+    static void endedOrderly(Connection<?> connection, boolean orderly) {
+        ORDERLY.set(connection, orderly);
+    }
+
+    /**
+     * Returns whether the other side closed a connection in an orderly way.
+     *
+     * @param connection a connection that has ended
+     * @return false if it broke, or was closed by this side
+     */
+    public static boolean endedOrderly(Connection<?> connection) {
         return Boolean.TRUE.equals(ORDERLY.get(connection));
     }
 }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/loop/EventLoop.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/loop/EventLoop.java
@@ -127,35 +127,67 @@
     }
 
     /**
-     * Opens a connection. Exactly one of the callbacks runs, if any; there is no timeout.
+     * Opens a connection. Exactly one of the callbacks runs, if any; there is no timeout. After an
+     * attempt is cancelled, {@code failed} may still run.
      *
      * @param address where to connect to
      * @param chain filters of the connection
      * @param opened receives the connection
      * @param failed receives the cause if no connection can be opened
+     * @return cancels the attempt, which frees its socket; has no effect on an open connection
      */
-    public void connect(
+    public Runnable connect(
             InetSocketAddress address,
             FilterChain chain,
             Consumer<Connection<?>> opened,
             Consumer<Throwable> failed) {
-        TCPNIOConnectorHandler.builder(transport)
-                .processor(chain)
-                .build()
-                .connect(
-                        address,
-                        new EmptyCompletionHandler<>() {
-                            @Override
-                            @SuppressWarnings("rawtypes") // Grizzly's own signature
-                            public void completed(Connection connection) {
-                                opened.accept(connection);
-                            }
-
-                            @Override
-                            public void failed(Throwable cause) {
-                                failed.accept(cause);
-                            }
-                        });
+        PendingConnect pending = new PendingConnect(transport);
+        pending.setProcessor(chain);
+        pending.connect(
+                address,
+                new EmptyCompletionHandler<>() {
+                    @Override
+                    @SuppressWarnings("rawtypes") // Grizzly's own signature
+                    public void completed(Connection connection) {
+                        pending.end();
+                        opened.accept(connection);
+                    }
+
+                    @Override
+                    public void failed(Throwable cause) {
+                        pending.end();
+                        failed.accept(cause);
+                    }
+                });
+        return pending::cancel;
+    }
+
+    /** Opens one connection. Grizzly offers no other way to give up an attempt in progress. */
+    private static final class PendingConnect extends TCPNIOConnectorHandler {
+        private Connection<?> connection;
+        private boolean ended;
+
+        PendingConnect(TCPNIOTransport transport) {
+            super(transport);
+        }
+
+        @Override
+        @SuppressWarnings("rawtypes") // Grizzly's own signature
+        protected void preConfigure(Connection opening) {
+            super.preConfigure(opening);
+            connection = opening;
+        }
+
+        void end() {
+            ended = true;
+        }
+
+        void cancel() {
+            if (!ended && connection != null) {
+                ended = true;
+                connection.terminateSilently();
+            }
+        }
     }
 
     /**
--- a/trailladder-entry/src/main/java/io/trailladder/entry/mesh/NodeFrameFilter.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/mesh/NodeFrameFilter.java
@@ -15,10 +15,11 @@
  */
 package io.trailladder.entry.mesh;
 
+import io.trailladder.entry.loop.FrameReader;
 import io.trailladder.wire.NodeMessage;
-import io.trailladder.wire.PeerCodec;
 import io.trailladder.wire.PeerMessage;
 import io.trailladder.wire.WireException;
+import java.util.Optional;
 import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.Grizzly;
@@ -33,6 +34,9 @@
     private static final Attribute<NodeLink> LINK =
             Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("trailladder.node-link");
 
+    private static final Attribute<RelayTarget> RELAY =
+            Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("trailladder.relay-target");
+
     private final Listener listener;
 
     /** Receives links and messages. */
@@ -48,6 +52,12 @@
         this.listener = listener;
     }
 
+    /** Has all further bytes of a connection passed on unread. */
+    static void relay(Connection<?> connection, RelayTarget target) {
+        LINK.remove(connection);
+        RELAY.set(connection, target);
+    }
+
     static void attach(Connection<?> connection, NodeLink link) {
         LINK.set(connection, link);
     }
@@ -61,10 +71,18 @@
     @Override
     public NextAction handleRead(FilterChainContext context) {
         Buffer buffer = context.getMessage();
-        NodeLink link = LINK.get(context.getConnection());
+        Connection<?> connection = context.getConnection();
+        RelayTarget relay = RELAY.get(connection);
+        if (relay != null) {
+            relay.received(buffer);
+            return context.getStopAction();
+        }
+        NodeLink link = LINK.get(connection);
         try {
-            while (link != null && readFrame(link, buffer)) {
-                // continues while complete frames are available
+            Optional<PeerMessage> message = FrameReader.next(buffer);
+            while (message.isPresent()) {
+                received(link, message.get());
+                message = FrameReader.next(buffer);
             }
         } catch (WireException e) {
             Logger.warn("peer link closed: {}", e.getMessage());
@@ -76,29 +94,20 @@
 
     @Override
     public NextAction handleClose(FilterChainContext context) {
-        NodeLink link = LINK.get(context.getConnection());
-        if (link != null) {
+        Connection<?> connection = context.getConnection();
+        RelayTarget relay = RELAY.get(connection);
+        NodeLink link = LINK.get(connection);
+        if (relay != null) {
+            relay.closed();
+        } else if (link != null) {
             listener.closed(link);
         }
         return context.getInvokeAction();
     }
 
-    private boolean readFrame(NodeLink link, Buffer buffer) {
-        if (buffer.remaining() < PeerCodec.LENGTH_BYTES) {
-            return false;
-        }
-        int length = buffer.getInt(buffer.position());
-        PeerCodec.checkLength(length);
-        if (buffer.remaining() < PeerCodec.LENGTH_BYTES + length) {
-            return false;
-        }
-        buffer.position(buffer.position() + PeerCodec.LENGTH_BYTES);
-        byte[] frame = new byte[length];
-        buffer.get(frame);
-        PeerMessage message = PeerCodec.decode(frame, 0, length);
-        if (message instanceof NodeMessage known) {
+    private void received(NodeLink link, PeerMessage message) {
+        if (link != null && message instanceof NodeMessage known) {
             listener.message(link, known);
         }
-        return true;
     }
 }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/mesh/NodeLink.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/mesh/NodeLink.java
@@ -19,6 +19,7 @@
 import io.trailladder.wire.NodeMessage;
 import io.trailladder.wire.NodeMessage.NodeHello;
 import io.trailladder.wire.PeerCodec;
+import java.net.InetSocketAddress;
 import java.net.SocketAddress;
 import org.glassfish.grizzly.Connection;
 
@@ -36,6 +37,17 @@
         this.lastReceivedMillis = nowMillis;
     }
 
+    Connection<SocketAddress> connection() {
+        return connection;
+    }
+
+    /** Returns the IP address of the other side; empty if the connection has ended. */
+    String remoteHost() {
+        return connection.getPeerAddress() instanceof InetSocketAddress address
+                ? address.getAddress().getHostAddress()
+                : "";
+    }
+
     void helloReceived(NodeHello hello) {
         peer = hello;
     }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/mesh/PeerMesh.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/mesh/PeerMesh.java
@@ -27,6 +27,7 @@
 import io.trailladder.platform.http.HostPort;
 import io.trailladder.wire.NodeMessage;
 import io.trailladder.wire.NodeMessage.NodeHello;
+import io.trailladder.wire.NodeMessage.RelayRequest;
 import io.trailladder.wire.PeerCodec;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -41,6 +42,7 @@
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.filterchain.FilterChain;
 import org.glassfish.grizzly.filterchain.FilterChainBuilder;
+import org.tinylog.Logger;
 
 /**
  * Links to the other gateway processes.
@@ -72,6 +74,7 @@
     private Set<String> seeds = Set.of();
     private LinkPlan plan = new LinkPlan(true, Set.of());
     private List<GatewayMember> members = List.of();
+    private Optional<RelayAcceptor> relays = Optional.empty();
     private boolean planned;
     private boolean listedAtStart;
 
@@ -117,6 +120,15 @@
         loop.repeat(MAINTENANCE_PERIOD_MILLIS, this::maintain);
     }
 
+    /**
+     * Sets what relays connections of peers to upstreams.
+     *
+     * @param acceptor accepts the connections
+     */
+    public void relays(RelayAcceptor acceptor) {
+        relays = Optional.of(acceptor);
+    }
+
     /**
      * Sets the processes that the store lists.
      *
@@ -144,6 +156,25 @@
         return members;
     }
 
+    /**
+     * Returns the other processes that are known: those that the store lists, or the linked ones
+     * until it has listed any.
+     *
+     * @return the processes; may include this one
+     */
+    public List<GatewayMember> knownPeers() {
+        if (!members.isEmpty()) {
+            return members;
+        }
+        return links.values().stream()
+                .map(NodeLink::peer)
+                .map(
+                        peer ->
+                                new GatewayMember(
+                                        peer.name(), peer.dataCentre(), peer.address(), 0, 0))
+                .toList();
+    }
+
     @Override
     public String name() {
         return self.name();
@@ -370,7 +401,9 @@
         @Override
         public void message(NodeLink link, NodeMessage message) {
             link.messageReceived(loop.nowMillis());
-            if (message instanceof NodeHello hello) {
+            if (message instanceof RelayRequest request && !link.hasHello()) {
+                relay(link, request);
+            } else if (message instanceof NodeHello hello) {
                 link.helloReceived(hello);
                 planner.reached(hello.address());
                 NodeLink before = links.put(hello.name(), link);
@@ -382,6 +415,36 @@
             }
         }
 
+        private void relay(NodeLink link, RelayRequest request) {
+            open.remove(link);
+            if (relays.isEmpty() || !isKnown(request.sender(), link.remoteHost())) {
+                Logger.warn(
+                        "relay request of {} at {} refused: not a known process",
+                        request.sender(),
+                        link.remoteHost());
+                link.close();
+                return;
+            }
+            RelayTarget target = relays.get().accept(link.connection(), request);
+            NodeFrameFilter.relay(link.connection(), target);
+        }
+
+        /** Returns whether a process of that name is known at that IP address. */
+        private boolean isKnown(String name, String host) {
+            NodeLink link = links.get(name);
+            boolean linked = link != null && isAt(link.peer().address(), host);
+            return linked
+                    || members.stream()
+                            .anyMatch(
+                                    member ->
+                                            member.name().equals(name)
+                                                    && isAt(member.address(), host));
+        }
+
+        private boolean isAt(String address, String host) {
+            return HostPort.parse(address).host().equals(host);
+        }
+
         @Override
         public void closed(NodeLink link) {
             open.remove(link);
--- a/trailladder-entry/src/test/java/io/trailladder/entry/http/HttpConnectorTest.java
+++ b/trailladder-entry/src/test/java/io/trailladder/entry/http/HttpConnectorTest.java
@@ -28,6 +28,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -139,7 +140,15 @@
         for (int i = 0; i < 6; i++) {
             OutgoingCall call =
                     new OutgoingCall(
-                            target, "GET", "/" + i, headers, new byte[0], REST_MILLIS, 5_000, 2);
+                            target,
+                            "GET",
+                            "/" + i,
+                            headers,
+                            new byte[0],
+                            REST_MILLIS,
+                            5_000,
+                            2,
+                            Optional.empty());
             loop.execute(() -> connector.send(call, new Recorder()));
             servers.add(accept("/" + i));
         }
--- a/trailladder-wire/src/main/java/io/trailladder/wire/MessageType.java
+++ b/trailladder-wire/src/main/java/io/trailladder/wire/MessageType.java
@@ -102,7 +102,17 @@
     /** {@link NodeMessage.UnitsGrant}. */
     UNITS_GRANT(40, NodeMessage.UnitsGrant.class),
     /** {@link NodeMessage.UnitsReturn}. */
-    UNITS_RETURN(41, NodeMessage.UnitsReturn.class);
+    UNITS_RETURN(41, NodeMessage.UnitsReturn.class),
+    /** {@link NodeMessage.RelayRequest}. */
+    RELAY_REQUEST(42, NodeMessage.RelayRequest.class),
+    /** {@link NodeMessage.RelayOpened}. */
+    RELAY_OPENED(43, NodeMessage.RelayOpened.class),
+    /** {@link NodeMessage.RelayRefused}. */
+    RELAY_REFUSED(44, NodeMessage.RelayRefused.class),
+    /** {@link NodeMessage.RelayData}. */
+    RELAY_DATA(45, NodeMessage.RelayData.class),
+    /** {@link NodeMessage.RelayEnd}. */
+    RELAY_END(46, NodeMessage.RelayEnd.class);
 
     private static final Map<Integer, MessageType> BY_NUMBER = new HashMap<>();
     private static final Map<Class<?>, MessageType> BY_CLASS = new HashMap<>();
--- a/trailladder-wire/src/main/java/io/trailladder/wire/NodeMessage.java
+++ b/trailladder-wire/src/main/java/io/trailladder/wire/NodeMessage.java
@@ -265,4 +265,58 @@
      * @param value the entry's bytes
      */
     record UpstreamEntry(String id, byte[] value) {}
+
+    /**
+     * A message on a connection of its own, over which a process relays the bytes between a peer
+     * and an upstream that the peer does not reach.
+     */
+    sealed interface RelayMessage extends NodeMessage {}
+
+    /**
+     * Requests the receiver to connect the sender to an upstream; the first message on the
+     * connection. After a {@link RelayOpened}, the sender sends bytes for the upstream, without
+     * frames.
+     *
+     * @param sender the sender's name
+     * @param upstream the upstream's name
+     * @param requestId id of the request for which the connection is opened
+     * @param timeoutMillis timeout for the connection to the upstream, in milliseconds
+     * @param lifetimeMillis time after which the request is over, in milliseconds
+     */
+    record RelayRequest(
+            String sender,
+            String upstream,
+            String requestId,
+            long timeoutMillis,
+            long lifetimeMillis)
+            implements RelayMessage {}
+
+    /**
+     * Answers a {@link RelayRequest}: the connection to the upstream is open.
+     *
+     * @param upstream the upstream's name
+     */
+    record RelayOpened(String upstream) implements RelayMessage {}
+
+    /**
+     * Answers a {@link RelayRequest}: nothing was sent to the upstream.
+     *
+     * @param reason the name of the reason; a receiver may not know it
+     */
+    record RelayRefused(String reason) implements RelayMessage {}
+
+    /**
+     * Carries bytes that the upstream sent.
+     *
+     * @param bytes the bytes
+     */
+    record RelayData(byte[] bytes) implements RelayMessage {}
+
+    /**
+     * Ends a relayed connection. Without it, the receiver cannot tell the end of the upstream's
+     * connection from the loss of its own.
+     *
+     * @param orderly true if the upstream closed its connection, false if the connection broke
+     */
+    record RelayEnd(boolean orderly) implements RelayMessage {}
 }
--- a/trailladder-wire/src/main/java/io/trailladder/wire/NodePacker.java
+++ b/trailladder-wire/src/main/java/io/trailladder/wire/NodePacker.java
@@ -29,6 +29,12 @@
 import io.trailladder.wire.NodeMessage.NodeHello;
 import io.trailladder.wire.NodeMessage.OrganisationUse;
 import io.trailladder.wire.NodeMessage.RegionDigest;
+import io.trailladder.wire.NodeMessage.RelayData;
+import io.trailladder.wire.NodeMessage.RelayEnd;
+import io.trailladder.wire.NodeMessage.RelayMessage;
+import io.trailladder.wire.NodeMessage.RelayOpened;
+import io.trailladder.wire.NodeMessage.RelayRefused;
+import io.trailladder.wire.NodeMessage.RelayRequest;
 import io.trailladder.wire.NodeMessage.RolloutReport;
 import io.trailladder.wire.NodeMessage.Snapshot;
 import io.trailladder.wire.NodeMessage.SnapshotRequest;
@@ -103,6 +109,27 @@
             fields(4).flag(region.represents()).text(region.receivesFrom());
             hello(region.origin());
             digest(region.digest());
+        } else if (message instanceof RelayMessage relay) {
+            relay(relay);
+        }
+    }
+
+    private void relay(RelayMessage message) throws IOException {
+        if (message instanceof RelayRequest request) {
+            fields(5)
+                    .text(request.sender())
+                    .text(request.upstream())
+                    .text(request.requestId())
+                    .number(request.timeoutMillis())
+                    .number(request.lifetimeMillis());
+        } else if (message instanceof RelayOpened opened) {
+            fields(1).text(opened.upstream());
+        } else if (message instanceof RelayRefused refused) {
+            fields(1).text(refused.reason());
+        } else if (message instanceof RelayData data) {
+            fields(1).bytes(data.bytes());
+        } else if (message instanceof RelayEnd end) {
+            fields(1).flag(end.orderly());
         }
     }
 
--- a/trailladder-wire/src/main/java/io/trailladder/wire/NodeUnpacker.java
+++ b/trailladder-wire/src/main/java/io/trailladder/wire/NodeUnpacker.java
@@ -31,6 +31,11 @@
 import io.trailladder.wire.NodeMessage.NodeHello;
 import io.trailladder.wire.NodeMessage.OrganisationUse;
 import io.trailladder.wire.NodeMessage.RegionDigest;
+import io.trailladder.wire.NodeMessage.RelayData;
+import io.trailladder.wire.NodeMessage.RelayEnd;
+import io.trailladder.wire.NodeMessage.RelayOpened;
+import io.trailladder.wire.NodeMessage.RelayRefused;
+import io.trailladder.wire.NodeMessage.RelayRequest;
 import io.trailladder.wire.NodeMessage.RolloutReport;
 import io.trailladder.wire.NodeMessage.Snapshot;
 import io.trailladder.wire.NodeMessage.SnapshotRequest;
@@ -107,6 +112,11 @@
             case UNITS_ASK -> unitsRequest();
             case UNITS_GRANT -> unitsGrant();
             case UNITS_RETURN -> unitsReturn();
+            case RELAY_REQUEST -> relayRequest();
+            case RELAY_OPENED -> relayOpened();
+            case RELAY_REFUSED -> relayRefused();
+            case RELAY_DATA -> relayData();
+            case RELAY_END -> relayEnd();
             default -> throw new IOException(type + " is not a message between gateways");
         };
     }
@@ -126,6 +136,27 @@
         return new UnitsReturn(text(), decimal());
     }
 
+    private RelayRequest relayRequest() throws IOException {
+        return extensible(5, () -> new RelayRequest(text(), text(), text(), number(), number()));
+    }
+
+    private RelayOpened relayOpened() throws IOException {
+        return extensible(1, () -> new RelayOpened(text()));
+    }
+
+    private RelayRefused relayRefused() throws IOException {
+        return extensible(1, () -> new RelayRefused(text()));
+    }
+
+    private RelayData relayData() throws IOException {
+        fields(1);
+        return new RelayData(bytes());
+    }
+
+    private RelayEnd relayEnd() throws IOException {
+        return extensible(1, () -> new RelayEnd(flag()));
+    }
+
     private RegionDigest regionDigest() throws IOException {
         fields(4);
         return new RegionDigest(flag(), text(), hello(), digest());
@@ -137,10 +168,7 @@
     }
 
     private NodeDigest digest() throws IOException {
-        int surplus = fieldsAtLeast(14);
-        NodeDigest digest = digestFields();
-        unpacker.skipValue(surplus);
-        return digest;
+        return extensible(14, this::digestFields);
     }
 
     private NodeDigest digestFields() throws IOException {
@@ -259,13 +287,16 @@
         return new UpstreamEntry(text(), bytes());
     }
 
-    /** Reads the header of an array that a later version may extend; returns its surplus fields. */
-    private int fieldsAtLeast(int expected) throws IOException {
+    /** Reads an array that a later version may extend by more fields, which are skipped. */
+    private <T> T extensible(int expected, PartReader<T> reader) throws IOException {
         int found = unpacker.unpackArrayHeader();
         if (found < expected) {
             throw new IOException(found + " fields, expected at least " + expected);
         }
-        return checkedSize(found - expected);
+        int surplus = checkedSize(found - expected);
+        T message = reader.read();
+        unpacker.skipValue(surplus);
+        return message;
     }
 
     private void fields(int expected) throws IOException {
--- a/trailladder-wire/src/test/java/io/trailladder/wire/NodeMessageProperties.java
+++ b/trailladder-wire/src/test/java/io/trailladder/wire/NodeMessageProperties.java
@@ -37,6 +37,11 @@
 import io.trailladder.wire.NodeMessage.NodeHello;
 import io.trailladder.wire.NodeMessage.OrganisationUse;
 import io.trailladder.wire.NodeMessage.RegionDigest;
+import io.trailladder.wire.NodeMessage.RelayData;
+import io.trailladder.wire.NodeMessage.RelayEnd;
+import io.trailladder.wire.NodeMessage.RelayOpened;
+import io.trailladder.wire.NodeMessage.RelayRefused;
+import io.trailladder.wire.NodeMessage.RelayRequest;
 import io.trailladder.wire.NodeMessage.RolloutReport;
 import io.trailladder.wire.NodeMessage.Snapshot;
 import io.trailladder.wire.NodeMessage.SnapshotRequest;
@@ -64,7 +69,7 @@
  */
 class NodeMessageProperties {
     private static final int FIRST_TYPE = 29;
-    private static final int LAST_TYPE = 41;
+    private static final int LAST_TYPE = 46;
 
     private static NodeDigest digest(long version, double figure, String name) {
         FitSums sums = new FitSums(1, figure, 2, 3, 4);
@@ -160,6 +165,24 @@
         assertEquals("w", snapshotBack.upstreams().get(0).id());
     }
 
+    @Property(tries = 300, seed = "20261203")
+    void relayMessagesComeBackUnchanged(
+            @ForAll String text,
+            @ForAll long millis,
+            @ForAll boolean orderly,
+            @ForAll byte[] body) {
+        for (NodeMessage message :
+                List.of(
+                        new RelayRequest(text, "u", text, millis, 1 - millis),
+                        new RelayOpened(text),
+                        new RelayRefused(text),
+                        new RelayEnd(orderly))) {
+            assertEquals(message, roundTrip(message));
+        }
+        RelayData data = (RelayData) roundTrip(new RelayData(body));
+        assertArrayEquals(body, data.bytes());
+    }
+
     @Example
     void digestOfARegionComesBackUnchanged() {
         NodeHello origin = new NodeHello("n", "i", "z", "127.0.0.1:1");
