Relays: peers are not asked for 0.5 s after none of them reached any upstream

A process whose peers all lack a path now leaves them alone for 0.5 s, unless one has reached an upstream in the last second. RelayTest and PathMonitorTest hold both sides.

--- a/trailladder-core/src/main/java/io/trailladder/core/upstream/PathMonitor.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/upstream/PathMonitor.java
@@ -53,6 +53,17 @@
      */
     static final long RELAY_PAUSE_MILLIS = 1_000;
 
+    /**
+     * How long no peer is asked after none reached any upstream, in milliseconds: the upstreams
+     * themselves are gone, or all processes are cut off.
+     */
+    static final long ALL_RELAYS_PAUSE_MILLIS = 500;
+
+    /**
+     * Time since a peer last reached an upstream, in which peers are not given up, in milliseconds.
+     */
+    static final long RELAY_MEMORY_MILLIS = 1_000;
+
     /**
      * How long isolation is assumed after it was last observed, in milliseconds. A process without
      * requests does not notice that its path is back.
@@ -79,6 +90,8 @@
     private State state = State.DIRECT;
     private long firstFailedMillis;
     private long lastFailedMillis;
+    private long lastRelayedMillis = Long.MIN_VALUE / 2;
+    private long allRelaysPausedUntilMillis = Long.MIN_VALUE;
 
     /** What is known of the paths from this process to the upstreams. */
     public enum State {
@@ -156,6 +169,7 @@
      */
     public void openedThroughPeer(String upstream, long nowMillis) {
         relayPausedUntil.remove(upstream);
+        lastRelayedMillis = nowMillis;
         failed(upstream, nowMillis);
         indirect.put(upstream, nowMillis);
         indirectSinceOpened.add(upstream);
@@ -175,6 +189,17 @@
         relayPausedUntil.put(upstream, nowMillis + RELAY_PAUSE_MILLIS);
     }
 
+    /**
+     * Records that no peer that was asked reaches any upstream.
+     *
+     * @param nowMillis the current time, in milliseconds
+     */
+    public void noPeerReaches(long nowMillis) {
+        if (nowMillis - lastRelayedMillis > RELAY_MEMORY_MILLIS) {
+            allRelaysPausedUntilMillis = nowMillis + ALL_RELAYS_PAUSE_MILLIS;
+        }
+    }
+
     /**
      * Returns whether peers are to be asked at once for a connection to an upstream, because one
      * from here is unlikely to open.
@@ -191,11 +216,11 @@
      *
      * @param upstream the upstream's name
      * @param nowMillis the current time, in milliseconds
-     * @return false shortly after a peer did not reach it
+     * @return false shortly after a peer did not reach it, or no peer reached any upstream
      */
     public boolean mayRelay(String upstream, long nowMillis) {
         Long until = relayPausedUntil.get(upstream);
-        return until == null || nowMillis >= until;
+        return nowMillis >= allRelaysPausedUntilMillis && (until == null || nowMillis >= until);
     }
 
     /**
--- a/trailladder-core/src/test/java/io/trailladder/core/upstream/PathMonitorTest.java
+++ b/trailladder-core/src/test/java/io/trailladder/core/upstream/PathMonitorTest.java
@@ -79,6 +79,17 @@
                 "without requests it is not known whether the path is back");
     }
 
+    /** Guards against every request asking all peers while the upstreams themselves are gone. */
+    @Example
+    void peersAreLeftAloneWhileNoneReachesAnything() {
+        paths.noPeerReaches(5_000);
+        assertFalse(paths.mayRelay("u1", 5_499));
+        assertTrue(paths.mayRelay("u1", 5_500));
+        paths.openedThroughPeer("u1", 5_500);
+        paths.noPeerReaches(6_500);
+        assertTrue(paths.mayRelay("u2", 6_500), "a peer has just reached one");
+    }
+
     /** Guards against relaying on after the own path is back. */
     @Example
     void oneDirectConnectionEndsIsolation() {
--- a/trailladder-entry/src/main/java/io/trailladder/entry/relay/RelayRefusal.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/relay/RelayRefusal.java
@@ -34,6 +34,11 @@
     /** The peer did not answer in time, closed the connection, or gave an unknown reason. */
     NO_ANSWER;
 
+    /** Returns whether the peer did not reach the upstream, rather than was not willing to. */
+    boolean isMissingPath() {
+        return this == UNREACHABLE || this == NO_PATH || this == NO_ANSWER;
+    }
+
     /** Returns the reason of a name. */
     static RelayRefusal of(String name) {
         for (RelayRefusal reason : values()) {
--- a/trailladder-entry/src/main/java/io/trailladder/entry/relay/UpstreamDialer.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/relay/UpstreamDialer.java
@@ -121,6 +121,7 @@
         private LoopTimer timeout;
         private LoopTimer next;
         private boolean directFailed;
+        private boolean refusedByAny;
         private boolean over;
 
         Race(OutgoingCall call, Filters filters, Listener listener) {
@@ -204,6 +205,10 @@
             Optional<GatewayMember> peer =
                     mayAsk ? choice.choose(peers.get(), asked, now) : Optional.empty();
             if (peer.isEmpty()) {
+                boolean allFailed = !asked.isEmpty() && dials.isEmpty() && !refusedByAny;
+                if (allFailed && (mayAsk || asked.size() >= MAX_PEERS_WITHOUT_PATH)) {
+                    paths.noPeerReaches(now);
+                }
                 endIfHopeless();
                 return;
             }
@@ -245,6 +250,7 @@
             String peer = dial.peer().name();
             observer.notReached(upstream.requestId(), upstream.name(), peer, reason);
             long now = loop.nowMillis();
+            refusedByAny |= !reason.isMissingPath();
             if (reason == RelayRefusal.UNREACHABLE) {
                 if (paths.state() != PathMonitor.State.ISOLATED) {
                     paths.failedThroughPeer(upstream.name(), now);
