An upstream that can be reached right after its connection broke has not ended

A connection that broke is now followed by one that sends nothing, directly or through a peer. If it opens, the upstream lives: the attempt counts as abandoned there, as after a cancellation, and its end only if the upstream is lost soon after. If not, the end is recorded as before, some milliseconds later: a process that has ended refuses connections at once.

CrashingRequestFaultTest#requestWhoseConnectionsBreakAtUpstreamsThatLiveIsServed failed before (503 at all gateways) and passes, as do the seven others there.

--- a/trailladder-cli/src/test/java/io/trailladder/cli/soak/LostPathFaultTest.java
+++ b/trailladder-cli/src/test/java/io/trailladder/cli/soak/LostPathFaultTest.java
@@ -133,6 +133,21 @@
                 });
     }
 
+    /** Guards against requests refused everywhere because one gateway's connections are reset. */
+    @Example
+    void connectionsThatAreResetAtOneGatewayBlameNoRequest() throws Exception {
+        check(
+                new Case(List.of(2), 1, OFTEN_MILLIS, SIX),
+                cluster -> {
+                    for (int i = 0; i < 12; i++) {
+                        cluster.links(2, Mode.CUT);
+                        Thread.sleep(50);
+                        cluster.links(2, Mode.PASS);
+                        Thread.sleep(150);
+                    }
+                });
+    }
+
     private static void servesAsTheOthersDo(List<Integer> cut, Mode mode) throws Exception {
         servesAsTheOthersDo(1, OFTEN_MILLIS, cut, mode);
     }
--- a/trailladder-core/src/main/java/io/trailladder/core/pipeline/AttemptFailure.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/pipeline/AttemptFailure.java
@@ -32,8 +32,8 @@
     /** The connection ended, or the answer was malformed; the request may have run. */
     BROKEN(true),
     /**
-     * The path to the upstream was lost, at this process or at the peer that relayed the
-     * connection, which says nothing about the upstream; the request may have run.
+     * The connection was lost by this process or by the peer that relayed it, or although the
+     * upstream can be reached. The upstream has not ended; the request may have run.
      */
     PATH_LOST(true),
     /** The upstream answered that it failed; the request ran. */
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/AttemptCalls.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/AttemptCalls.java
@@ -50,6 +50,11 @@
      */
     private static final long MAX_IDLE_UNREPEATABLE_MILLIS = 400;
 
+    /** Time-out for a connection that only shows whether an upstream is there, in milliseconds. */
+    private static final long CHECK_TIMEOUT_MILLIS = 150;
+
+    private static final byte[] NO_BODY = {};
+
     private final RequestProtocol protocol;
     private final ServerExchange exchange;
     private final ServingRequest request;
@@ -94,6 +99,20 @@
                 Optional.of(new UpstreamName(upstream.id(), request.id(), remainingMillis)));
     }
 
+    /** Creates a call that opens a connection to an upstream, to see whether it is there. */
+    OutgoingCall check(Upstream upstream) {
+        return new OutgoingCall(
+                HostPort.parse(upstream.address()),
+                "",
+                "",
+                HeaderList.EMPTY,
+                NO_BODY,
+                0,
+                CHECK_TIMEOUT_MILLIS,
+                0,
+                Optional.of(new UpstreamName(upstream.id(), request.id(), CHECK_TIMEOUT_MILLIS)));
+    }
+
     private static long connectTimeoutMillis(long remainingMillis) {
         return Math.max(
                 MIN_CONNECT_TIMEOUT_MILLIS,
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/CrashGuard.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/CrashGuard.java
@@ -35,6 +35,14 @@
         this.identity = identity;
     }
 
+    /**
+     * Returns whether it must be known if the upstream of a failed attempt is still there, before
+     * the failure is recorded.
+     */
+    boolean needsCheck(Attempt attempt, AttemptFailure failure) {
+        return failure == AttemptFailure.BROKEN && mayHaveEnded(attempt.upstream(), failure);
+    }
+
     /** Records how an attempt failed. */
     void failed(Attempt attempt, AttemptFailure failure) {
         Upstream upstream = attempt.upstream();
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestDriver.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestDriver.java
@@ -217,7 +217,32 @@
 
     @Override
     public void failed(Attempt sender, AttemptFailure failure) {
-        attemptFailed(sender, failure);
+        if (!crashes.needsCheck(sender, failure)) {
+            attemptFailed(sender, failure);
+            return;
+        }
+        attempt = null;
+        responseTimeout.stop();
+        context.connector()
+                .check(
+                        calls.check(sender.upstream()),
+                        reached -> brokenAttemptChecked(sender, reached));
+    }
+
+    /**
+     * Continues after an attempt whose connection broke. An upstream that can be reached right
+     * afterwards has not ended, but may do so soon.
+     */
+    private void brokenAttemptChecked(Attempt sender, boolean reached) {
+        if (reached) {
+            crashes.attemptAbandoned(sender);
+        }
+        AttemptFailure failure = reached ? AttemptFailure.PATH_LOST : AttemptFailure.BROKEN;
+        if (finished) {
+            crashes.failed(sender, failure);
+        } else {
+            attemptFailed(sender, failure);
+        }
     }
 
     private void nextAttempt() {
--- a/trailladder-entry/src/main/java/io/trailladder/entry/http/HttpConnector.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/http/HttpConnector.java
@@ -26,6 +26,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Consumer;
 import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.EmptyCompletionHandler;
@@ -122,6 +123,36 @@
         return call;
     }
 
+    /**
+     * Tests whether a server can be reached: opens a connection like that of a call, and sends
+     * nothing.
+     *
+     * @param call the call
+     * @param result receives true if a connection was opened
+     */
+    public void check(OutgoingCall call, Consumer<Boolean> result) {
+        opener(call)
+                .open(
+                        call,
+                        filters,
+                        new ConnectionOpener.Listener() {
+                            @Override
+                            public void opened(Connection<?> connection, Optional<String> peer) {
+                                connection.terminateSilently();
+                                result.accept(true);
+                            }
+
+                            @Override
+                            public void failed(CallFailure failure) {
+                                result.accept(false);
+                            }
+                        });
+    }
+
+    private ConnectionOpener opener(OutgoingCall call) {
+        return call.upstream().isPresent() ? upstreams : direct;
+    }
+
     /**
      * Closes the idle connections to a server. To be called when a connection to it does not
      * respond: the others may be dead as well, and each would make a call run into its timeout.
@@ -174,23 +205,24 @@
 
     private void open(ClientCall call) {
         opened++;
-        ConnectionOpener opener = call.request().upstream().isPresent() ? upstreams : direct;
         call.opening(
-                opener.open(
-                        call.request(),
-                        filters,
-                        new ConnectionOpener.Listener() {
-                            @Override
-                            public void opened(Connection<?> connection, Optional<String> peer) {
-                                call.connected(peer);
-                                write(call, connection);
-                            }
+                opener(call.request())
+                        .open(
+                                call.request(),
+                                filters,
+                                new ConnectionOpener.Listener() {
+                                    @Override
+                                    public void opened(
+                                            Connection<?> connection, Optional<String> peer) {
+                                        call.connected(peer);
+                                        write(call, connection);
+                                    }
 
-                            @Override
-                            public void failed(CallFailure failure) {
-                                call.fail(failure);
-                            }
-                        }));
+                                    @Override
+                                    public void failed(CallFailure failure) {
+                                        call.fail(failure);
+                                    }
+                                }));
     }
 
     @SuppressWarnings("unchecked") // a TCP connection's address type
