A stream whose upstream is silent for a second goes on there if the upstream is still reached

An upstream that is sound may fall silent for a second or so. A stream was given up 1.0 s after its last event and resumed elsewhere: a second run, and the prompt read again.

--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestDriver.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestDriver.java
@@ -89,7 +89,8 @@
                 new AnswerRelay(context.memory(), exchange, history, isStream(), this::firstByte);
         boolean resumable = isStream() && request.route().repeatable();
         exchange.answerOwner(new AnswerOwner(request.id(), request.organisation(), resumable));
-        this.responseTimeout = new ResponseTimeoutWatch(context, request, history);
+        this.responseTimeout =
+                new ResponseTimeoutWatch(context, request, history, this::checkReachable);
         this.selector = new BodyCapacitySelector(context, request);
         exchange.onDisconnect(this::callerDisconnected);
         long remainingMillis = request.deadlineMillis() - context.loop().nowMillis();
@@ -223,10 +224,11 @@
         }
         attempt = null;
         responseTimeout.stop();
-        context.connector()
-                .check(
-                        calls.check(sender.upstream()),
-                        reached -> brokenAttemptChecked(sender, reached));
+        checkReachable(sender.upstream(), reached -> brokenAttemptChecked(sender, reached));
+    }
+
+    private void checkReachable(Upstream upstream, Consumer<Boolean> result) {
+        context.connector().check(calls.check(upstream), result);
     }
 
     /**
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ResponseTimeoutWatch.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ResponseTimeoutWatch.java
@@ -20,14 +20,23 @@
 import io.trailladder.core.pipeline.RecoveryPolicy;
 import io.trailladder.core.pipeline.ServingRequest;
 import io.trailladder.core.upstream.Selection;
+import io.trailladder.core.upstream.Upstream;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
 
 /**
  * Fails an attempt whose upstream has sent nothing for too long, if the request may run again, some
  * upstream takes requests, and the retry budget allows it.
  */
 final class ResponseTimeoutWatch {
-    /** Longest time without data once the answer has begun, in milliseconds. */
-    private static final long MAX_BODY_GAP_MILLIS = 1_000;
+    /**
+     * Time without data, once the answer has begun, after which it is checked whether the upstream
+     * is still there, in milliseconds.
+     */
+    private static final long CHECKED_BODY_GAP_MILLIS = 1_000;
+
+    /** Longest time without data from an upstream that is still there, in milliseconds. */
+    private static final long MAX_BODY_GAP_MILLIS = 1_900;
 
     private static final long MIN_CHECK_INTERVAL_MILLIS = 50;
 
@@ -37,10 +46,24 @@
     private final ServingContext context;
     private final ServingRequest request;
     private final AttemptHistory history;
+    private final BiConsumer<Upstream, Consumer<Boolean>> reachable;
     private Attempt watched;
     private boolean retryCharged;
 
-    ResponseTimeoutWatch(ServingContext context, ServingRequest request, AttemptHistory history) {
+    /**
+     * Creates a watch.
+     *
+     * @param context the objects that all requests share
+     * @param request the request
+     * @param history its attempts
+     * @param reachable tests whether an upstream can be reached
+     */
+    ResponseTimeoutWatch(
+            ServingContext context,
+            ServingRequest request,
+            AttemptHistory history,
+            BiConsumer<Upstream, Consumer<Boolean>> reachable) {
+        this.reachable = reachable;
         this.context = context;
         this.request = request;
         this.history = history;
@@ -80,13 +103,29 @@
         if (attempt != watched) {
             return;
         }
-        long timeoutMillis = history.hasAnswerStarted() ? MAX_BODY_GAP_MILLIS : firstTimeoutMillis;
-        boolean silent = attempt.unresponsiveMillis() >= timeoutMillis;
-        if (!silent || !leave(attempt, AttemptFailure.SILENT)) {
+        boolean begun = history.hasAnswerStarted();
+        long timeoutMillis = begun ? CHECKED_BODY_GAP_MILLIS : firstTimeoutMillis;
+        long unresponsiveMillis = attempt.unresponsiveMillis();
+        if (unresponsiveMillis < timeoutMillis) {
+            scheduleCheck(attempt, timeoutMillis);
+        } else if (begun && unresponsiveMillis < MAX_BODY_GAP_MILLIS) {
+            reachable.accept(attempt.upstream(), reached -> checked(attempt, reached));
+        } else if (!leave(attempt, AttemptFailure.SILENT)) {
             scheduleCheck(attempt, timeoutMillis);
         }
     }
 
+    /** Continues once it is known whether the upstream of a silent attempt is still there. */
+    private void checked(Attempt attempt, boolean reached) {
+        if (attempt != watched) {
+            return;
+        }
+        boolean silent = attempt.unresponsiveMillis() >= CHECKED_BODY_GAP_MILLIS;
+        if (!silent || reached || !leave(attempt, AttemptFailure.SILENT)) {
+            scheduleCheck(attempt, silent ? MAX_BODY_GAP_MILLIS : CHECKED_BODY_GAP_MILLIS);
+        }
+    }
+
     /** Fails the watched attempt because this process has lost its path to the upstream. */
     void pathLost() {
         if (watched != null && request.route().repeatable()) {
