Upstreams that say how many refusals they bear are read, told to peers, and spared

Nothing read it, and processes send by what digests told them up to 0.2 s ago: in a model of three upstreams, eight processes and 1.5 times what can be served, upstreams fell more than six times in 20 s.

HeadTranslator reads the field, UpstreamNotices has BrittleUpstreams believe it, and a section of digests tells peers. While an upstream uses less than half of its slots, requests are sent as before; beyond that each process keeps to its part of the slots, in the order that limits of upstreams use. After a refusal it keeps to its part for a time that grows with the number of processes, and if it is refused then, it sends nothing until the refusals of all add up to half of N.

--- a/trailladder-core/src/main/java/io/trailladder/core/upstream/AnswerNotice.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/upstream/AnswerNotice.java
@@ -22,12 +22,14 @@
  * @param backoffMillis duration of the back-off that it requests from this process, in
  *     milliseconds; 0 if none
  * @param limit how many requests it accepts from all processes together
+ * @param brittle the number of refusals in a second at which it ends; 0 if it announces none
  * @param fault what could not be parsed, with the expected form; empty if everything could
  * @since 0.5
  */
-public record AnswerNotice(boolean leaving, long backoffMillis, LimitNotice limit, String fault) {
+public record AnswerNotice(
+        boolean leaving, long backoffMillis, LimitNotice limit, double brittle, String fault) {
     /** Reports nothing. */
-    public static final AnswerNotice NONE = new AnswerNotice(false, 0, LimitNotice.ABSENT, "");
+    public static final AnswerNotice NONE = new AnswerNotice(false, 0, LimitNotice.ABSENT, 0, "");
 
     /**
      * Returns whether there is nothing to apply and no fault to report.
@@ -38,6 +40,7 @@
         return !leaving
                 && backoffMillis == 0
                 && limit.kind() == LimitNotice.Kind.ABSENT
+                && brittle == 0
                 && fault.isEmpty();
     }
 }
--- a/trailladder-core/src/main/java/io/trailladder/core/upstream/UpstreamAvailability.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/upstream/UpstreamAvailability.java
@@ -17,6 +17,8 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.function.BooleanSupplier;
+import java.util.function.ToLongFunction;
 
 /**
  * Determines whether an upstream accepts requests now, for all classes that send requests. Combines
@@ -37,6 +39,8 @@
     private final UpstreamDirectory directory;
     private final UpstreamBackoffs backoffs;
     private final UpstreamLimits limits;
+    private final BooleanSupplier isAnyBrittle;
+    private final ToLongFunction<Upstream> roomWaitMillis;
     private final UrgencyMeter urgency = new UrgencyMeter();
 
     /** Whether an upstream accepts requests. */
@@ -74,6 +78,26 @@
      */
     public UpstreamAvailability(
             UpstreamDirectory directory, UpstreamBackoffs backoffs, UpstreamLimits limits) {
+        this(directory, backoffs, limits, () -> false, upstream -> 0);
+    }
+
+    /**
+     * Creates an instance.
+     *
+     * @param directory the listed upstreams, and which of them leave
+     * @param backoffs the upstreams that requested a back-off
+     * @param limits the upstreams that name a limit of requests
+     * @param isAnyBrittle returns whether some upstream bears few refusals
+     * @param roomWaitMillis returns how long it is until such an upstream has room, in milliseconds
+     */
+    public UpstreamAvailability(
+            UpstreamDirectory directory,
+            UpstreamBackoffs backoffs,
+            UpstreamLimits limits,
+            BooleanSupplier isAnyBrittle,
+            ToLongFunction<Upstream> roomWaitMillis) {
+        this.isAnyBrittle = isAnyBrittle;
+        this.roomWaitMillis = roomWaitMillis;
         this.directory = directory;
         this.backoffs = backoffs;
         this.limits = limits;
@@ -174,7 +198,7 @@
      */
     public List<Upstream> acceptingNow(
             List<Upstream> upstreams, double reservedFraction, long nowMillis) {
-        if (backoffs.isEmpty() && limits.isEmpty()) {
+        if (takesAll()) {
             return upstreams;
         }
         return upstreams.stream()
@@ -184,7 +208,13 @@
 
     private long waitMillis(Upstream upstream, double reservedFraction, long nowMillis) {
         long backoffMillis = backoffs.remainingMillis(upstream, nowMillis);
-        return Math.max(backoffMillis, limits.waitMillis(upstream, reservedFraction));
+        long limitMillis = limits.waitMillis(upstream, reservedFraction);
+        return Math.max(roomWaitMillis.applyAsLong(upstream), Math.max(backoffMillis, limitMillis));
+    }
+
+    /** Returns whether no upstream has announced anything that keeps requests from it. */
+    private boolean takesAll() {
+        return backoffs.isEmpty() && limits.isEmpty() && !isAnyBrittle.getAsBoolean();
     }
 
     /**
@@ -222,7 +252,7 @@
      *     process has no share of any of their limits
      */
     public long untilAnyAcceptsMillis(String service, int priority, long nowMillis) {
-        if (backoffs.isEmpty() && limits.isEmpty()) {
+        if (takesAll()) {
             return 0;
         }
         double reservedFraction = reservedFraction(service, priority, nowMillis);
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Attempt.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Attempt.java
@@ -224,6 +224,7 @@
 
     private void answered(int answerStatus, HeaderList headers, long length) {
         if (context.protocol().notExecuted(answerStatus, headers)) {
+            refused();
             fail(AttemptFailure.NOT_EXECUTED);
         } else if (!context.protocol().belongs(request.id(), headers)) {
             failAsForeign();
@@ -236,6 +237,15 @@
         }
     }
 
+    /** Sends an upstream that bears few refusals nothing for a while after one. */
+    private void refused() {
+        long pauseMillis = context.brittle().refused(upstream);
+        if (pauseMillis > 0) {
+            long withJitter = context.retryAfter().withJitter(pauseMillis);
+            context.backoffs().backoffRequested(upstream, withJitter, lastReceivedMillis);
+        }
+    }
+
     /**
      * Fails the attempt because the answer belongs to another request. Nothing that such an answer
      * reports applies to this request, not even that it was not executed.
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
@@ -27,6 +27,7 @@
 import io.trailladder.core.policy.ServingPolicy;
 import io.trailladder.core.rollout.VersionGate;
 import io.trailladder.core.topology.Topology;
+import io.trailladder.core.upstream.BrittleUpstreams;
 import io.trailladder.core.upstream.DemandMeter;
 import io.trailladder.core.upstream.PathMonitor;
 import io.trailladder.core.upstream.RelayPeers;
@@ -114,6 +115,7 @@
     private final UpstreamLoads loads = new UpstreamLoads();
     private final UpstreamBackoffs backoffs = new UpstreamBackoffs();
     private final UpstreamLimits limits;
+    private final BrittleUpstreams brittle;
     private final UpstreamAvailability availability;
     private final EngineModel engines = new EngineModel();
     private final Topology topology;
@@ -201,9 +203,13 @@
                         loop::schedule);
         topology = Topology.of(settings.self().dataCentre(), settings.regions().byDataCentre());
         limits = new UpstreamLimits(clock::millis, turnOrders(name)::of);
-        availability = new UpstreamAvailability(directory, backoffs, limits);
+        brittle = new BrittleUpstreams(loads, clock::millis, loop::nowMillis, turnOrders(name)::of);
+        availability =
+                new UpstreamAvailability(
+                        directory, backoffs, limits, () -> !brittle.isEmpty(), brittle::waitMillis);
         view.add(LimitPart.of(limits, loop::nowMillis, () -> loop.execute(view::sendDigestsSoon)));
         view.add(clock);
+        view.add(new BrittlePart(brittle));
         view.add(new CrashPart(crashes, random.nextLong()));
         crashes.onNewEnd(() -> loop.execute(view::sendDigestsSoon));
         GatewayMember self = settings.self();
@@ -298,8 +304,14 @@
                         availability,
                         backoffs,
                         limits,
+                        brittle,
                         new UpstreamNotices(
-                                loop::nowMillis, directoryManager, backoffs, limits, metrics),
+                                loop::nowMillis,
+                                directoryManager,
+                                backoffs,
+                                limits,
+                                brittle,
+                                metrics),
                         loads,
                         new UpstreamSelector(
                                 topology,
@@ -650,6 +662,7 @@
         pathMetrics.openRelays(relays.open());
         metrics.backingOff(backoffs.count(loop.nowMillis()));
         metrics.limited(limits.count(directory.all()));
+        metrics.brittle(brittle.count());
         policyManager
                 .policy()
                 .ifPresent(
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/GatewayMetrics.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/GatewayMetrics.java
@@ -110,6 +110,8 @@
 
     private final Gauge limited =
             gauge("trailladder_upstreams_limited", "Upstreams that announce a request limit");
+    private final Gauge brittle =
+            gauge("trailladder_upstreams_brittle", "Upstreams that bear few refusals");
     private final Gauge backingOff =
             gauge(
                     "trailladder_upstreams_resting",
@@ -161,6 +163,8 @@
          * An answer announced a new or changed limit of its upstream, or that the limit has ended.
          */
         UPSTREAM_CHANGED_ITS_LIMIT,
+        /** An answer announced, changed or withdrew how many refusals its upstream bears. */
+        UPSTREAM_CHANGED_ITS_BRITTLENESS,
         /** What an answer reported about its upstream could not be parsed. */
         UPSTREAM_NOTICE_UNREADABLE,
         /** A request was not sent because its upstream has reported that it takes no more. */
@@ -322,6 +326,15 @@
         limited.set(count);
     }
 
+    /**
+     * Records the number of upstreams that end if they must refuse too many requests.
+     *
+     * @param count the number of upstreams
+     */
+    public void brittle(int count) {
+        brittle.set(count);
+    }
+
     /**
      * Records the number of upstreams with a back-off in force at this process.
      *
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ServingContext.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ServingContext.java
@@ -17,6 +17,7 @@
 
 import io.trailladder.core.duty.UsageLedger;
 import io.trailladder.core.engine.EngineModel;
+import io.trailladder.core.upstream.BrittleUpstreams;
 import io.trailladder.core.upstream.DemandMeter;
 import io.trailladder.core.upstream.PathMonitor;
 import io.trailladder.core.upstream.UpstreamAvailability;
@@ -44,6 +45,7 @@
  * @param availability which upstreams take requests
  * @param backoffs back-offs that upstreams requested
  * @param limits request limits that upstreams announce
+ * @param brittle upstreams that bear few refusals
  * @param notices processes what answers report about their upstreams
  * @param loads the load of upstreams
  * @param selector selects the upstream of a request
@@ -71,6 +73,7 @@
         UpstreamAvailability availability,
         UpstreamBackoffs backoffs,
         UpstreamLimits limits,
+        BrittleUpstreams brittle,
         UpstreamNotices notices,
         UpstreamLoads loads,
         UpstreamSelector selector,
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/UpstreamNotices.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/UpstreamNotices.java
@@ -17,6 +17,7 @@
 
 import io.trailladder.core.RecentMap;
 import io.trailladder.core.upstream.AnswerNotice;
+import io.trailladder.core.upstream.BrittleUpstreams;
 import io.trailladder.core.upstream.Upstream;
 import io.trailladder.core.upstream.UpstreamBackoffs;
 import io.trailladder.core.upstream.UpstreamLimits;
@@ -41,6 +42,7 @@
     private final DirectoryManager directory;
     private final UpstreamBackoffs backoffs;
     private final UpstreamLimits limits;
+    private final BrittleUpstreams brittle;
     private final GatewayMetrics metrics;
     private final Map<String, Boolean> faulty = new RecentMap<>(MAX_FAULTY_UPSTREAMS);
 
@@ -49,11 +51,13 @@
             DirectoryManager directory,
             UpstreamBackoffs backoffs,
             UpstreamLimits limits,
+            BrittleUpstreams brittle,
             GatewayMetrics metrics) {
         this.nowMillis = nowMillis;
         this.directory = directory;
         this.backoffs = backoffs;
         this.limits = limits;
+        this.brittle = brittle;
         this.metrics = metrics;
     }
 
@@ -74,9 +78,14 @@
         if (changed) {
             metrics.count(Event.UPSTREAM_CHANGED_ITS_LIMIT);
         }
-        if (!changed && notice.isNone()) {
+        boolean brittleChanged = brittle.answerReceived(upstream, notice.brittle(), sentMillis);
+        if (brittleChanged) {
+            metrics.count(Event.UPSTREAM_CHANGED_ITS_BRITTLENESS);
+        }
+        if (!changed && !brittleChanged && notice.isNone()) {
             return;
         }
+        changed |= brittleChanged;
         if (notice.leaving() && directory.leavingAnnouncedBy(upstream)) {
             metrics.count(Event.UPSTREAM_SAID_IT_LEAVES);
             changed = true;
@@ -99,6 +108,7 @@
                             notice.leaving(),
                             Math.min(notice.backoffMillis(), UpstreamBackoffs.MAX_BACKOFF_MILLIS),
                             notice.limit(),
+                            notice.brittle(),
                             notice.fault()));
         }
     }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/UpstreamSaid.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/UpstreamSaid.java
@@ -29,6 +29,7 @@
  * @param leaving whether the upstream reports that it is leaving
  * @param restMs requested back-off of this process, in milliseconds; 0 if none
  * @param limit how many requests it takes from all processes together
+ * @param brittle the number of refusals in a second at which it ends; 0 if it announces none
  * @param fault what could not be parsed; empty if nothing
  */
 record UpstreamSaid(
@@ -38,6 +39,7 @@
         boolean leaving,
         long restMs,
         LimitNotice limit,
+        double brittle,
         String fault)
         implements Decision {
     @Override
@@ -49,6 +51,7 @@
         json.writeNumberField("restMs", restMs);
         json.writeStringField("limit", limit.kind().name());
         json.writeNumberField("limitPerSecond", limit.perSecond());
+        json.writeNumberField("brittle", brittle);
         json.writeStringField("fault", fault);
     }
 }
