--- a/trailladder-cli/src/main/java/io/trailladder/cli/LossTable.java
+++ b/trailladder-cli/src/main/java/io/trailladder/cli/LossTable.java
@@ -68,6 +68,7 @@
         private String cause = UNKNOWN_END;
         private String outcome = UNKNOWN_END;
         private String failure = "";
+        private String peerReason = "";
         private long heldMillis;
         private long objectiveMillis;
         private boolean late;
@@ -120,6 +121,7 @@
             case "Intake" -> addIntake(line);
             case "Dispatch" -> request(line).upstream = line.text("upstream");
             case "AttemptFailed" -> request(line).failure = line.text("failure");
+            case "RelayNotOpened" -> addRelayNotOpened(line);
             case "TurnedAway" -> request(line).failure = line.text("reason");
             case "Ended" -> addEnd(line);
             default -> {
@@ -181,6 +183,13 @@
         }
     }
 
+    private void addRelayNotOpened(DecisionLine line) {
+        // the peer that was asked writes the same line, about a request that is not its own
+        if (!Boolean.parseBoolean(line.text("asked"))) {
+            request(line).peerReason = line.text("reason");
+        }
+    }
+
     private void addEnd(DecisionLine line) {
         Request request = request(line);
         String outcome = line.text("outcome");
@@ -196,6 +205,9 @@
         } else {
             request.cause =
                     request.failure.isEmpty() ? outcome : outcome + " after " + request.failure;
+            if (request.failure.equals("UNREACHABLE") && !request.peerReason.isEmpty()) {
+                request.cause += ", peers " + request.peerReason;
+            }
             request.outcome = unservedOutcome(outcome, request.heldMillis);
         }
     }
--- a/trailladder-cli/src/main/java/io/trailladder/cli/RequestTrace.java
+++ b/trailladder-cli/src/main/java/io/trailladder/cli/RequestTrace.java
@@ -40,7 +40,7 @@
     void add(DecisionLine line) {
         if (line.text("id").equals(id)) {
             ownLines.add(line);
-        } else if (line.kind().equals("Belief") || line.kind().equals("Lifecycle")) {
+        } else if (line.kind().equals("Belief") || isOfProcess(line)) {
             contextLines.add(line);
         }
     }
@@ -146,7 +146,8 @@
                                         + " after "
                                         + failed.number("afterMs")
                                         + " ms, then "
-                                        + failed.text("recovery"))
+                                        + failed.text("recovery")
+                                        + pathState(failed))
                 .orElseGet(
                         () ->
                                 last("Dispatch").isPresent()
@@ -179,10 +180,31 @@
 
     /** Whether the line is a lifecycle event of a process that handled the request. */
     private boolean isFromOwnProcess(DecisionLine line) {
-        return line.kind().equals("Lifecycle")
+        return isOfProcess(line)
                 && ownLines.stream().anyMatch(ownLine -> ownLine.source().equals(line.source()));
     }
 
+    private static boolean isOfProcess(DecisionLine line) {
+        return line.kind().equals("Lifecycle") || line.kind().equals("PathState");
+    }
+
+    /** Returns what was known of the paths to upstreams when an attempt failed to reach one. */
+    private String pathState(DecisionLine failed) {
+        Optional<DecisionLine> state =
+                contextLines.stream()
+                        .filter(line -> line.kind().equals("PathState") && isFromOwnProcess(line))
+                        .filter(line -> !line.time().isAfter(failed.time()))
+                        .max(Comparator.comparing(DecisionLine::time));
+        if (!failed.text("failure").equals("UNREACHABLE") || state.isEmpty()) {
+            return "";
+        }
+        return switch (state.get().text("state")) {
+            case "ISOLATED" -> "; the process had lost its own path to all upstreams";
+            case "FAILING" -> "; the process reached no upstream, and no peer was known to";
+            default -> "";
+        };
+    }
+
     private boolean isNear(DecisionLine line) {
         return ownLines.stream()
                 .anyMatch(
--- a/trailladder-cli/src/test/java/io/trailladder/cli/ExplainCommandTest.java
+++ b/trailladder-cli/src/test/java/io/trailladder/cli/ExplainCommandTest.java
@@ -92,6 +92,35 @@
         assertTrue(text.indexOf("Intake") < text.indexOf("Dispatch"), text);
     }
 
+    /** Guards against blaming upstreams for the lost path of the process that called them. */
+    @Example
+    void unreachableUpstreamIsExplainedByTheLostPathOfTheProcess() throws IOException {
+        String log =
+                ACCEPTED
+                        + SENT
+                        + line(
+                                "01.100",
+                                "{\"kind\":\"PathState\",\"state\":\"ISOLATED\","
+                                        + "\"failedUpstreams\":3,\"throughPeers\":2}")
+                        + line(
+                                "01.400",
+                                "{\"kind\":\"RelayNotOpened\",\"id\":\"r1\",\"upstream\":\"u7\","
+                                        + "\"peer\":\"e-2\",\"asked\":false,\"reason\":\"FULL\"}")
+                        + line(
+                                "01.401",
+                                "{\"kind\":\"AttemptFailed\",\"id\":\"r1\",\"upstream\":\"u7\","
+                                        + "\"failure\":\"UNREACHABLE\",\"afterMs\":400,"
+                                        + "\"recovery\":\"give up, NOT_RUN\"}")
+                        + line(
+                                "01.402",
+                                "{\"kind\":\"Ended\",\"id\":\"r1\",\"outcome\":\"NOT_RUN\","
+                                        + "\"status\":503,\"attempts\":0}");
+        assertEquals(0, explain("r1", log), err.toString());
+        String text = out.toString();
+        assertTrue(text.contains("the process had lost its own path to all upstreams"), text);
+        assertTrue(text.contains("\"reason\":\"FULL\""), text);
+    }
+
     @Example
     void refusalNamesLimitAndPolicyVersion() throws IOException {
         String log =
--- a/trailladder-cli/src/test/java/io/trailladder/cli/LossesCommandTest.java
+++ b/trailladder-cli/src/test/java/io/trailladder/cli/LossesCommandTest.java
@@ -111,6 +111,21 @@
         assertEquals("u1", dispatch.text("upstream"));
     }
 
+    /** Guards against losses of a cut process that look like losses of its upstreams. */
+    @Example
+    void requestsThatNoPeerCouldRelayAreSummedByThePeersReason() throws IOException {
+        String asked = "'kind':'RelayNotOpened','id':'r1','upstream':'u1','asked':%s,'reason':'%s'";
+        String log =
+                taken(0, "r1", "accepted")
+                        + sent(0, "r1", "u1")
+                        + line(1, asked.formatted("false", "NO_PATH"))
+                        + line(1, asked.formatted("true", "FULL"))
+                        + line(1, "'kind':'AttemptFailed','id':'r1','failure':'UNREACHABLE'")
+                        + ended(1, "r1", "NOT_RUN", -1);
+        assertEquals(0, losses(log), err.toString());
+        assertShows("NOT_RUN after UNREACHABLE, peers NO_PATH 1 1 0");
+    }
+
     @Example
     void requestsAreSummedByWhatTheyHaveInCommon() throws IOException {
         assertEquals(0, losses(day()), err.toString());
