--- a/trailladder-core/src/main/java/io/trailladder/core/upstream/RelayPeers.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/upstream/RelayPeers.java
@@ -26,7 +26,8 @@
 
 /**
  * Chooses the peers that connect this process to upstreams that it does not reach: near ones first,
- * those through which few connections of this process run, and last those that have just refused.
+ * those through which few connections of this process run for the bandwidth that they have, and
+ * last those that have just refused.
  *
  * @since 0.7
  */
@@ -38,6 +39,7 @@
     static final int MAX_REFUSALS = 3;
 
     private static final int MAX_DOUBLINGS = 4;
+    private static final double LOAD_SCALE = 1_000;
 
     /** Maximum number of peers that are remembered. */
     private static final int MAX_REMEMBERED = 1_024;
@@ -121,7 +123,8 @@
                 (standing != null && standing.isAvoided(nowMillis))
                         || of(dataCentres, peer.dataCentre()).isAvoided(nowMillis);
         long distance = Math.round(topology.distance(peer.dataCentre()).oneWayMillis() * 1_000);
-        return ((avoided ? 1L : 0L) << 48) + (distance << 32) + open;
+        long load = Math.round(LOAD_SCALE * open / Math.max(1, peer.linkMbps()));
+        return ((avoided ? 1L : 0L) << 48) + (distance << 32) + load;
     }
 
     /**
--- a/trailladder-core/src/test/java/io/trailladder/core/upstream/RelayPeersTest.java
+++ b/trailladder-core/src/test/java/io/trailladder/core/upstream/RelayPeersTest.java
@@ -79,6 +79,20 @@
         assertEquals(Optional.of("p3"), choose(peers));
     }
 
+    /** Guards against filling the narrow link of a small instance. */
+    @Example
+    void peersCarryInProportionToTheirBandwidth() {
+        GatewayMember wide = new GatewayMember("wide", "a1", "10.0.0.1:1", 200, 1);
+        GatewayMember narrow = new GatewayMember("narrow", "a1", "10.0.0.2:1", 10, 1);
+        int throughWide = 0;
+        for (int i = 0; i < 210; i++) {
+            GatewayMember peer = choice.choose(List.of(wide, narrow), Set.of(), NOW).orElseThrow();
+            choice.opened(peer);
+            throughWide += peer.equals(wide) ? 1 : 0;
+        }
+        assertEquals(200, throughWide, 1);
+    }
+
     @Example
     void aPeerThatRefusedIsAvoidedLongerEachTime() {
         GatewayMember one = member("one", "a1");
