Soak: gateways lose their own paths to upstreams, by a source of draws of its own

Each gateway of the soak now finds proxies of its own in the store's list, which hang, are reset and refuse, or refuse new connections only; the other faults of a seed stay as they were.

--- a/trailladder-cli/src/test/java/io/trailladder/cli/soak/PathCluster.java
+++ b/trailladder-cli/src/test/java/io/trailladder/cli/soak/PathCluster.java
@@ -58,7 +58,7 @@
     private final EventLoop loop = new EventLoop();
     private final List<SoakUpstream> upstreams = new ArrayList<>();
     private final List<SoakGateway> gateways = new ArrayList<>();
-    private final List<List<FaultProxy>> paths = new ArrayList<>();
+    private final List<GatewayPaths> paths = new ArrayList<>();
     private final Map<String, Integer> runs = SoakUpstream.newRuns();
     private final Observations record = new Observations();
     private final List<Tally> tallies = new ArrayList<>();
@@ -118,27 +118,14 @@
     }
 
     private void addGateway(String name, String dataCentre) throws Exception {
-        List<FaultProxy> own = new ArrayList<>();
-        for (SoakUpstream upstream : upstreams) {
-            own.add(new FaultProxy(upstream.proxy().address()));
-        }
+        GatewayPaths own = new GatewayPaths();
         paths.add(own);
-        HostPort view = onLoop(loop, () -> platform.view(value -> ownAddress(value, own)));
+        HostPort view = onLoop(loop, () -> platform.view(own::view));
         SoakGateway gateway = new SoakGateway(name, dataCentre, folder, view);
         gateway.start(true);
         gateways.add(gateway);
     }
 
-    private String ownAddress(String value, List<FaultProxy> own) {
-        for (int i = 0; i < own.size(); i++) {
-            String address = '"' + upstreams.get(i).proxy().address().toString() + '"';
-            if (value.contains(address)) {
-                return value.replace(address, '"' + own.get(i).address().toString() + '"');
-            }
-        }
-        return value;
-    }
-
     private void awaitReady() throws Exception {
         long end = System.nanoTime() + READY_MILLIS * 1_000_000;
         for (SoakGateway gateway : gateways) {
@@ -171,15 +158,13 @@
 
     /** Has the links of one gateway to all upstreams do something. */
     void links(int gateway, Mode mode) throws IOException {
-        for (FaultProxy path : paths.get(gateway)) {
-            path.mode(mode);
-        }
+        paths.get(gateway).mode(mode);
     }
 
     /** Has the links of one gateway to some upstreams do something. */
     void links(int gateway, List<Integer> some, Mode mode) throws IOException {
         for (int upstream : some) {
-            paths.get(gateway).get(upstream).mode(mode);
+            paths.get(gateway).mode(upstreams.get(upstream).proxy().address().toString(), mode);
         }
     }
 
@@ -334,10 +319,8 @@
             }
             gateway.store().close();
         }
-        for (List<FaultProxy> own : paths) {
-            for (FaultProxy path : own) {
-                path.close();
-            }
+        for (GatewayPaths own : paths) {
+            own.close();
         }
         loop.close();
     }
--- a/trailladder-cli/src/test/java/io/trailladder/cli/soak/SoakRun.java
+++ b/trailladder-cli/src/test/java/io/trailladder/cli/soak/SoakRun.java
@@ -53,6 +53,8 @@
     private static final int LAST_CALLS = 30;
     private static final double[] LIMITS = {0.2, 1, 4, 20};
     private static final long RETURNS = 0x5eed;
+    private static final long PATHS = 0x9a7f;
+    private static final Mode[] PATH_MODES = {Mode.HANG, Mode.CUT, Mode.REFUSE_NEW};
     private static final Mode[] MODES = {Mode.DELAY, Mode.SILENT, Mode.NO_ANSWERS, Mode.RESET};
     private static final long OLDEST_COPY_MILLIS = 4_000;
     private static final int LOST_WRITES = 200;
@@ -105,6 +107,8 @@
     private final OrganisationLimitCheck organisation = new OrganisationLimitCheck();
     private final SplittableRandom limitRandom;
     private final SplittableRandom returnRandom;
+    private final SplittableRandom pathRandom;
+    private final List<GatewayPaths> paths = new ArrayList<>();
     private final Set<String> gone = new HashSet<>();
     private final List<String> faults = new ArrayList<>();
     private final Path folder;
@@ -136,6 +140,7 @@
         this.random = new SplittableRandom(seed);
         this.limitRandom = new SplittableRandom(~seed);
         this.returnRandom = new SplittableRandom(seed ^ RETURNS);
+        this.pathRandom = new SplittableRandom(seed ^ PATHS);
         this.folder = Files.createTempDirectory(Path.of("target"), "soak-" + seed + "-");
         loop.start();
         platform = onLoop(loop, () -> new PlatformStandIn(loop));
@@ -145,7 +150,10 @@
             addUpstream();
         }
         for (int i = 0; i < processes; i++) {
-            SoakGateway gateway = new SoakGateway("g" + i, folder, platform.address());
+            GatewayPaths own = new GatewayPaths();
+            paths.add(own);
+            HostPort view = onLoop(loop, () -> platform.view(own::view));
+            SoakGateway gateway = new SoakGateway("g" + i, folder, view);
             gateway.start(true);
             gateways.add(gateway);
         }
@@ -171,6 +179,7 @@
             strike();
             limitOne();
             returnStore();
+            losePath();
             pause(LEAST_STEP_MILLIS + random.nextLong(STEP_MILLIS));
         }
         long saidUntilMillis = calm();
@@ -209,6 +218,9 @@
             }
             gateway.store().close();
         }
+        for (GatewayPaths own : paths) {
+            own.close();
+        }
         loop.close();
     }
 
@@ -280,6 +292,33 @@
                 });
     }
 
+    /**
+     * Has a gateway lose its own paths to all upstreams for a while, now and then. It draws from a
+     * source of its own, as limits do.
+     */
+    private void losePath() throws Exception {
+        if (pathRandom.nextInt(4) > 0) {
+            return;
+        }
+        int index = pathRandom.nextInt(gateways.size());
+        Mode mode = PATH_MODES[pathRandom.nextInt(PATH_MODES.length)];
+        long forMillis = 200 + pathRandom.nextLong(LONGEST_FAULT_MILLIS);
+        note(mode + " paths of g" + index);
+        statements.trouble(
+                Integer.toString(gateways.get(index).callers().port()),
+                loop.nowMillis() + forMillis + STEP_MILLIS);
+        paths.get(index).mode(mode);
+        loop.execute(() -> loop.schedule(forMillis, () -> pass(paths.get(index))));
+    }
+
+    private static void pass(GatewayPaths own) {
+        try {
+            own.mode(Mode.PASS);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
     /**
      * Has the store come back from a copy now and then, after a moment away or without one. It
      * draws from a source of its own, as limits do.
@@ -368,6 +407,9 @@
         for (SoakUpstream upstream : upstreams) {
             upstream.proxy().mode(Mode.PASS);
         }
+        for (GatewayPaths own : paths) {
+            own.mode(Mode.PASS);
+        }
         boolean limited = onLoop(loop, limits::isAnyLimited);
         onLoop(
                 loop,
