Relays: a direct connection that opens at once does not go on to ask peers

Read in the diff: a connection whose callback runs inside the call that opens it would have ended the race before its timers were set, and a peer could have been asked for a second one 50 ms later. Soak: one place closes a gateway.

--- a/trailladder-cli/src/test/java/io/trailladder/cli/soak/SoakGateway.java
+++ b/trailladder-cli/src/test/java/io/trailladder/cli/soak/SoakGateway.java
@@ -130,6 +130,16 @@
         process.destroyForcibly().waitFor(5, TimeUnit.SECONDS);
     }
 
+    /** Kills the process and closes its path to the store. */
+    void close() throws IOException {
+        try {
+            kill();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        store.close();
+    }
+
     boolean isReady() {
         try {
             URI uri = URI.create("http://" + health + "/v1/readyz");
--- a/trailladder-cli/src/test/java/io/trailladder/cli/soak/SoakRun.java
+++ b/trailladder-cli/src/test/java/io/trailladder/cli/soak/SoakRun.java
@@ -211,12 +211,7 @@
     @Override
     public void close() throws IOException {
         for (SoakGateway gateway : gateways) {
-            try {
-                gateway.kill();
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-            }
-            gateway.store().close();
+            gateway.close();
         }
         for (GatewayPaths own : paths) {
             own.close();
--- a/trailladder-entry/src/main/java/io/trailladder/entry/relay/UpstreamDialer.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/relay/UpstreamDialer.java
@@ -139,6 +139,10 @@
                             filters.direct(),
                             this::directOpened,
                             cause -> loop.execute(this::directFailed));
+            if (over) {
+                // a connection to the own instance may open at once
+                return;
+            }
             if (paths.prefersRelay(upstream.name())) {
                 askPeer();
             } else {
