Relays: the race of one connection in a file of its own; brittle upstreams are passed as what they are

No behaviour changes. UpstreamDialer holds what connections share and ConnectionRace one connection's attempts; UpstreamAvailability takes BrittleUpstreams instead of two functions of it.

--- a/trailladder-core/src/main/java/io/trailladder/core/upstream/BrittleUpstreams.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/upstream/BrittleUpstreams.java
@@ -113,6 +113,16 @@
         this.order = order;
     }
 
+    /**
+     * Creates an instance for upstreams that announce nothing.
+     *
+     * @return the instance
+     */
+    static BrittleUpstreams none() {
+        return new BrittleUpstreams(
+                new UpstreamLoads(), () -> 0, () -> 0, upstream -> SendSlotOrder.NO_SHARE);
+    }
+
     /**
      * Applies what an answer announces.
      *
--- a/trailladder-core/src/main/java/io/trailladder/core/upstream/UpstreamAvailability.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/upstream/UpstreamAvailability.java
@@ -17,8 +17,6 @@
 
 import java.util.List;
 import java.util.Optional;
-import java.util.function.BooleanSupplier;
-import java.util.function.ToLongFunction;
 
 /**
  * Determines whether an upstream accepts requests now, for all classes that send requests. Combines
@@ -39,8 +37,7 @@
     private final UpstreamDirectory directory;
     private final UpstreamBackoffs backoffs;
     private final UpstreamLimits limits;
-    private final BooleanSupplier isAnyBrittle;
-    private final ToLongFunction<Upstream> roomWaitMillis;
+    private final BrittleUpstreams brittle;
     private final UrgencyMeter urgency = new UrgencyMeter();
 
     /** Whether an upstream accepts requests. */
@@ -78,7 +75,7 @@
      */
     public UpstreamAvailability(
             UpstreamDirectory directory, UpstreamBackoffs backoffs, UpstreamLimits limits) {
-        this(directory, backoffs, limits, () -> false, upstream -> 0);
+        this(directory, backoffs, limits, BrittleUpstreams.none());
     }
 
     /**
@@ -87,17 +84,14 @@
      * @param directory the listed upstreams, and which of them leave
      * @param backoffs the upstreams that requested a back-off
      * @param limits the upstreams that name a limit of requests
-     * @param isAnyBrittle returns whether some upstream bears few refusals
-     * @param roomWaitMillis returns how long it is until such an upstream has room, in milliseconds
+     * @param brittle the upstreams that bear few refusals
      */
     public UpstreamAvailability(
             UpstreamDirectory directory,
             UpstreamBackoffs backoffs,
             UpstreamLimits limits,
-            BooleanSupplier isAnyBrittle,
-            ToLongFunction<Upstream> roomWaitMillis) {
-        this.isAnyBrittle = isAnyBrittle;
-        this.roomWaitMillis = roomWaitMillis;
+            BrittleUpstreams brittle) {
+        this.brittle = brittle;
         this.directory = directory;
         this.backoffs = backoffs;
         this.limits = limits;
@@ -209,12 +203,12 @@
     private long waitMillis(Upstream upstream, double reservedFraction, long nowMillis) {
         long backoffMillis = backoffs.remainingMillis(upstream, nowMillis);
         long limitMillis = limits.waitMillis(upstream, reservedFraction);
-        return Math.max(roomWaitMillis.applyAsLong(upstream), Math.max(backoffMillis, limitMillis));
+        return Math.max(brittle.waitMillis(upstream), Math.max(backoffMillis, limitMillis));
     }
 
     /** Returns whether no upstream has announced anything that keeps requests from it. */
     private boolean takesAll() {
-        return backoffs.isEmpty() && limits.isEmpty() && !isAnyBrittle.getAsBoolean();
+        return backoffs.isEmpty() && limits.isEmpty() && brittle.isEmpty();
     }
 
     /**
--- a/trailladder-core/src/test/java/io/trailladder/core/upstream/BrittleHistoriesTest.java
+++ b/trailladder-core/src/test/java/io/trailladder/core/upstream/BrittleHistoriesTest.java
@@ -149,8 +149,7 @@
                             directory,
                             backoffs,
                             new UpstreamLimits(() -> now, upstream -> SendSlotOrder.NO_SHARE),
-                            () -> tells && !brittle.isEmpty(),
-                            upstream -> tells ? brittle.waitMillis(upstream) : 0);
+                            tells ? brittle : BrittleUpstreams.none());
         }
 
         /** Sends a request, whose caller comes back once if there is no room. */
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
@@ -204,9 +204,7 @@
         topology = Topology.of(settings.self().dataCentre(), settings.regions().byDataCentre());
         limits = new UpstreamLimits(clock::millis, turnOrders(name)::of);
         brittle = new BrittleUpstreams(loads, clock::millis, loop::nowMillis, turnOrders(name)::of);
-        availability =
-                new UpstreamAvailability(
-                        directory, backoffs, limits, () -> !brittle.isEmpty(), brittle::waitMillis);
+        availability = new UpstreamAvailability(directory, backoffs, limits, brittle);
         view.add(LimitPart.of(limits, loop::nowMillis, () -> loop.execute(view::sendDigestsSoon)));
         view.add(clock);
         view.add(new BrittlePart(brittle));
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestDriver.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestDriver.java
@@ -118,7 +118,7 @@
     }
 
     /** Returns whether a direct connection to an upstream has brought bytes in the last time. */
-    boolean isDirectWithin(long millis) {
+    boolean hasReceivedDirectly(long millis) {
         return attempt != null
                 && attempt.status() > 0
                 && !attempt.isRelayed()
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestIntake.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestIntake.java
@@ -188,7 +188,7 @@
 
     private void leaveLostPath(long lostMillis) {
         long unresponsive = context.loop().nowMillis() - lostMillis;
-        boolean lives = open.stream().anyMatch(driver -> driver.isDirectWithin(unresponsive));
+        boolean lives = open.stream().anyMatch(driver -> driver.hasReceivedDirectly(unresponsive));
         if (!lives) {
             List.copyOf(open).forEach(RequestDriver::leaveLostPath);
         }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/relay/UpstreamDialer.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/relay/UpstreamDialer.java
@@ -21,20 +21,13 @@
 import io.trailladder.core.upstream.RelayPeers;
 import io.trailladder.core.upstream.Upstream;
 import io.trailladder.core.upstream.UpstreamDirectory;
-import io.trailladder.entry.http.CallFailure;
 import io.trailladder.entry.http.ConnectionOpener;
 import io.trailladder.entry.http.OutgoingCall;
-import io.trailladder.entry.http.OutgoingCall.UpstreamName;
 import io.trailladder.entry.loop.EventLoop;
-import io.trailladder.entry.loop.LoopTimer;
-import io.trailladder.wire.NodeMessage.RelayRequest;
-import java.net.InetSocketAddress;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Supplier;
-import org.glassfish.grizzly.Connection;
 
 /**
  * Opens connections to upstreams: directly, and through peers if that fails or takes unusually
@@ -56,10 +49,10 @@
     static final long PEER_MILLIS = 60;
 
     /** Number of peers asked about one upstream that fails while others are reached. */
-    private static final int MAX_PEERS = 2;
+    static final int MAX_PEERS = 2;
 
     /** Number of peers asked once this process is likely to have lost its own path. */
-    private static final int MAX_PEERS_WITHOUT_PATH = 6;
+    static final int MAX_PEERS_WITHOUT_PATH = 6;
 
     private final EventLoop loop;
     private final String self;
@@ -103,206 +96,44 @@
 
     @Override
     public Runnable open(OutgoingCall call, Filters filters, Listener listener) {
-        Race race = new Race(call, filters, listener);
+        ConnectionRace race = new ConnectionRace(this, call, filters, listener);
         race.start();
         return race::cancel;
     }
 
-    /** The attempts to open one connection, of which the first that succeeds is used. */
-    private final class Race implements RelayDial.Listener {
-        private final OutgoingCall call;
-        private final Filters filters;
-        private final Listener listener;
-        private final UpstreamName upstream;
-        private final long startedMillis = loop.nowMillis();
-        private final Set<String> asked = new HashSet<>();
-        private final Set<RelayDial> dials = new HashSet<>();
-        private Runnable cancelDirect = () -> {};
-        private LoopTimer timeout;
-        private LoopTimer next;
-        private boolean directFailed;
-        private boolean refusedByAny;
-        private boolean over;
-
-        Race(OutgoingCall call, Filters filters, Listener listener) {
-            this.call = call;
-            this.filters = filters;
-            this.listener = listener;
-            this.upstream = call.upstream().orElseThrow();
-        }
-
-        void start() {
-            timeout = loop.schedule(call.connectTimeoutMillis(), this::timedOut);
-            cancelDirect =
-                    loop.connect(
-                            new InetSocketAddress(call.target().host(), call.target().port()),
-                            filters.direct(),
-                            this::directOpened,
-                            cause -> loop.execute(this::directFailed));
-            if (over) {
-                // a connection to the own instance may open at once
-                return;
-            }
-            if (paths.prefersRelay(upstream.name())) {
-                askPeer();
-            } else {
-                long delay = Math.min(directMillis(), call.connectTimeoutMillis() / 2);
-                next = loop.schedule(delay, () -> directIsLate(delay));
-            }
-        }
-
-        private long directMillis() {
-            double oneWayMillis =
-                    directory
-                            .find(upstream.name())
-                            .map(Upstream::dataCentre)
-                            .map(dataCentre -> topology.distance(dataCentre).oneWayMillis())
-                            .orElse(0.0);
-            return DIRECT_MILLIS + Math.round(ONE_WAY_DELAYS * oneWayMillis);
-        }
-
-        private void directOpened(Connection<?> connection) {
-            paths.opened(upstream.name(), loop.nowMillis());
-            if (over) {
-                connection.terminateSilently();
-                return;
-            }
-            end();
-            listener.opened(connection, Optional.empty());
-        }
-
-        private void directFailed() {
-            if (over) {
-                return;
-            }
-            directFailed = true;
-            paths.failed(upstream.name(), loop.nowMillis());
-            if (asked.isEmpty()) {
-                askPeer();
-            } else {
-                endIfHopeless();
-            }
-        }
-
-        private void directIsLate(long delayMillis) {
-            long elapsed = loop.nowMillis() - startedMillis;
-            if (elapsed > 2 * delayMillis && elapsed < call.connectTimeoutMillis() / 2) {
-                // the process was held up itself, and may not yet have read that the connection is
-                // open
-                next = loop.schedule(delayMillis, () -> directIsLate(elapsed));
-                return;
-            }
-            paths.failed(upstream.name(), loop.nowMillis());
-            askPeer();
-        }
-
-        private void askPeer() {
-            if (next != null) {
-                next.cancel();
-            }
-            long now = loop.nowMillis();
-            boolean pathLikelyLost =
-                    paths.state() != PathMonitor.State.DIRECT
-                            || paths.prefersRelay(upstream.name());
-            int maxPeers = pathLikelyLost ? MAX_PEERS_WITHOUT_PATH : MAX_PEERS;
-            boolean mayAsk = asked.size() < maxPeers && paths.mayRelay(upstream.name(), now);
-            Optional<GatewayMember> peer =
-                    mayAsk ? choice.choose(peers.get(), asked, now) : Optional.empty();
-            if (peer.isEmpty()) {
-                boolean allFailed = !asked.isEmpty() && dials.isEmpty() && !refusedByAny;
-                if (allFailed && (mayAsk || asked.size() >= MAX_PEERS_WITHOUT_PATH)) {
-                    paths.noPeerReaches(now);
-                }
-                endIfHopeless();
-                return;
-            }
-            asked.add(peer.get().name());
-            long remaining = call.connectTimeoutMillis() - (now - startedMillis);
-            RelayRequest request =
-                    new RelayRequest(
-                            self,
-                            upstream.name(),
-                            upstream.requestId(),
-                            remaining,
-                            upstream.lifetimeMillis());
-            RelayDial dial = new RelayDial(loop, peer.get(), request, this);
-            dials.add(dial);
-            dial.start(filters.relayed());
-            next = loop.schedule(PEER_MILLIS, () -> peerIsLate(dial));
-        }
-
-        private void peerIsLate(RelayDial dial) {
-            choice.refused(dial.peer(), loop.nowMillis());
-            askPeer();
-        }
-
-        @Override
-        public void opened(RelayDial dial, Connection<?> connection) {
-            dials.remove(dial);
-            long now = loop.nowMillis();
-            paths.openedThroughPeer(upstream.name(), now);
-            choice.opened(dial.peer());
-            end();
-            String peer = dial.peer().name();
-            observer.reached(upstream.requestId(), upstream.name(), peer, now - startedMillis);
-            listener.opened(connection, Optional.of(peer));
-        }
+    EventLoop loop() {
+        return loop;
+    }
 
-        @Override
-        public void refused(RelayDial dial, RelayRefusal reason) {
-            dials.remove(dial);
-            String peer = dial.peer().name();
-            observer.notReached(upstream.requestId(), upstream.name(), peer, reason);
-            long now = loop.nowMillis();
-            refusedByAny |= !reason.isMissingPath();
-            if (reason == RelayRefusal.UNREACHABLE) {
-                if (paths.state() != PathMonitor.State.ISOLATED) {
-                    paths.failedThroughPeer(upstream.name(), now);
-                }
-            } else {
-                choice.refused(dial.peer(), now);
-            }
-            askPeer();
-        }
+    String self() {
+        return self;
+    }
 
-        @Override
-        public void ended(RelayDial dial) {
-            choice.ended(dial.peer());
-        }
+    PathMonitor paths() {
+        return paths;
+    }
 
-        private void endIfHopeless() {
-            if (over || !dials.isEmpty()) {
-                return;
-            }
-            long untilLate = directMillis() - (loop.nowMillis() - startedMillis);
-            if (directFailed || (untilLate <= 0 && paths.prefersRelay(upstream.name()))) {
-                end();
-                listener.failed(CallFailure.UNREACHABLE);
-            } else if (untilLate > 0) {
-                next = loop.schedule(untilLate, this::endIfHopeless);
-            }
-        }
+    RelayPeers choice() {
+        return choice;
+    }
 
-        private void timedOut() {
-            end();
-            listener.failed(CallFailure.CONNECT_TIMEOUT);
-        }
+    RelayObserver observer() {
+        return observer;
+    }
 
-        private void end() {
-            over = true;
-            timeout.cancel();
-            if (next != null) {
-                next.cancel();
-            }
-            cancelDirect.run();
-            dials.forEach(RelayDial::cancel);
-            dials.clear();
-        }
+    /** Chooses a peer that was not yet asked; empty if there is none. */
+    Optional<GatewayMember> choosePeer(Set<String> asked) {
+        return choice.choose(peers.get(), asked, loop.nowMillis());
+    }
 
-        void cancel() {
-            if (!over) {
-                end();
-            }
-        }
+    /** Returns the time in which a direct connection to an upstream usually opens. */
+    long directMillis(String upstream) {
+        double oneWayMillis =
+                directory
+                        .find(upstream)
+                        .map(Upstream::dataCentre)
+                        .map(dataCentre -> topology.distance(dataCentre).oneWayMillis())
+                        .orElse(0.0);
+        return DIRECT_MILLIS + Math.round(ONE_WAY_DELAYS * oneWayMillis);
     }
 }
