Log how each process uses the retry budget of a service

Nothing told whether a process made too many retries because it counted too few processes, because it had just started, or because attempts arrived that were not charged. RetryUse now says for each second with retries: requests, attempts sent first and again, retries allowed and refused, what is left, the processes that share the budget, and the age of the process.

--- a/trailladder-core/src/main/java/io/trailladder/core/limit/WindowedRetryBudget.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/limit/WindowedRetryBudget.java
@@ -75,7 +75,22 @@
      * @return true if the retry may be made
      */
     public boolean tryRetry(int entries, long nowMillis) {
-        Slice current = slice(nowMillis);
+        if (left(entries, nowMillis) < 1) {
+            return false;
+        }
+        slice(nowMillis).retries++;
+        return true;
+    }
+
+    /**
+     * Returns how many retries the window has left.
+     *
+     * @param entries the number of entries that share the allowance
+     * @param nowMillis the current time, in milliseconds
+     * @return a number of retries; 0 if there is none
+     */
+    public int left(int entries, long nowMillis) {
+        slice(nowMillis);
         int requests = 0;
         int retries = 0;
         for (Slice slice : slices) {
@@ -83,11 +98,7 @@
             retries += slice.retries;
         }
         double max = SAFETY_FACTOR * (ratio * requests + allowance / Math.max(1, entries));
-        if (retries + 1 > max) {
-            return false;
-        }
-        current.retries++;
-        return true;
+        return (int) Math.max(0, Math.floor(max - retries));
     }
 
     private Slice slice(long nowMillis) {
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
@@ -133,6 +133,7 @@
     private final RolloutParts rollouts;
     private final FleetRunner fleet;
     private final MemoryManager memoryManager;
+    private final RetryBudgets budgets;
     private final CrashWatch crashes = new CrashWatch(loop::nowMillis, metrics);
     private final CrashRecords crashRecords;
     private final CrashPages crashPages = new CrashPages(crashes, loop::nowMillis);
@@ -290,6 +291,7 @@
                         mesh::isHub,
                         !settings.node().firstStart());
         memoryManager = memoryManager(settings.limits());
+        budgets = new RetryBudgets(settings.retries(), view::limitSharing, loop.nowMillis());
         ServingContext context =
                 new ServingContext(
                         loop,
@@ -320,7 +322,7 @@
                                 mesh::regionSize,
                                 List.of(limits.cost())),
                         quotas,
-                        new RetryBudgets(settings.retries(), view::limitSharing),
+                        budgets,
                         usage,
                         demand,
                         engines,
@@ -384,6 +386,7 @@
         loop.repeat(PRUNE_INTERVAL_MILLIS, this::pruneRemovedUpstreams);
         loop.repeat(ROLE_CHECK_INTERVAL_MILLIS, this::updateStoreWatches);
         loop.repeat(STORE_USE_LOG_INTERVAL_MILLIS, this::logStoreUse);
+        loop.repeat(RetryBudgets.LOG_INTERVAL_MILLIS, () -> budgets.flush(loop.nowMillis()));
         loop.repeat(MemoryManager.CHECK_INTERVAL_MILLIS, memoryManager::tick);
         loop.repeat(CrashWatch.CHECK_INTERVAL_MILLIS, this::checkForCrashes);
         loop.execute(
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestDriver.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestDriver.java
@@ -179,6 +179,7 @@
     @Override
     public void sending(Attempt sender) {
         history.sent(sender.upstream().id());
+        context.budgets().sent(request.service(), history.sent() > 1);
         long now = context.loop().nowMillis();
         context.quotas()
                 .sent(request.organisation(), units, history.sent(), now - admittedMillis, now);
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RetryBudgets.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RetryBudgets.java
@@ -26,19 +26,38 @@
  * @since 0.2
  */
 public final class RetryBudgets {
+    /** Interval between log lines of the budgets' use, in milliseconds. */
+    static final long LOG_INTERVAL_MILLIS = 1_000;
+
     private final GatewaySettings.Retries settings;
     private final IntSupplier processes;
-    private final Map<String, WindowedRetryBudget> byService = new HashMap<>();
+    private final long startedMillis;
+    private final Map<String, ServiceBudget> byService = new HashMap<>();
+    private long flushedMillis;
+
+    /** The budget of one service, and its use since the last log line. */
+    private static final class ServiceBudget {
+        private final WindowedRetryBudget budget;
+        private RetryUse.Counts counts = new RetryUse.Counts();
+
+        ServiceBudget(WindowedRetryBudget budget) {
+            this.budget = budget;
+        }
+    }
 
     /**
      * Creates unused budgets.
      *
      * @param settings the bounds of retries over all processes
      * @param processes supplies the number of processes that share the budgets
+     * @param startedMillis when this process started, in milliseconds
      */
-    public RetryBudgets(GatewaySettings.Retries settings, IntSupplier processes) {
+    public RetryBudgets(
+            GatewaySettings.Retries settings, IntSupplier processes, long startedMillis) {
         this.settings = settings;
         this.processes = processes;
+        this.startedMillis = startedMillis;
+        this.flushedMillis = startedMillis;
     }
 
     /**
@@ -48,7 +67,9 @@
      * @param nowMillis the current time, in milliseconds
      */
     public void requested(String service, long nowMillis) {
-        budget(service).requested(nowMillis);
+        ServiceBudget own = budget(service);
+        own.budget.requested(nowMillis);
+        own.counts.requested();
     }
 
     /**
@@ -59,14 +80,54 @@
      * @return true if the retry may be made
      */
     public boolean tryRetry(String service, long nowMillis) {
-        return budget(service).tryRetry(processes.getAsInt(), nowMillis);
+        ServiceBudget own = budget(service);
+        boolean allowed = own.budget.tryRetry(processes.getAsInt(), nowMillis);
+        own.counts.asked(allowed);
+        return allowed;
+    }
+
+    /**
+     * Records that a request is sent to an upstream.
+     *
+     * @param service the service
+     * @param again true if it was sent to one before
+     */
+    void sent(String service, boolean again) {
+        budget(service).counts.sent(again);
+    }
+
+    /**
+     * Writes a log line for each service whose requests asked for retries since the previous call.
+     *
+     * @param nowMillis the current time, in milliseconds
+     */
+    void flush(long nowMillis) {
+        int sharing = processes.getAsInt();
+        byService.forEach(
+                (service, own) -> {
+                    if (own.counts.isUnusual()) {
+                        DecisionLog.write(
+                                new RetryUse(
+                                        service,
+                                        nowMillis - flushedMillis,
+                                        own.counts,
+                                        own.budget.left(sharing, nowMillis),
+                                        sharing,
+                                        nowMillis - startedMillis));
+                    }
+                    own.counts = new RetryUse.Counts();
+                });
+        flushedMillis = nowMillis;
     }
 
-    private WindowedRetryBudget budget(String service) {
+    private ServiceBudget budget(String service) {
         return byService.computeIfAbsent(
                 service,
                 name ->
-                        new WindowedRetryBudget(
-                                settings.ratio(), settings.allowance(), settings.windowMillis()));
+                        new ServiceBudget(
+                                new WindowedRetryBudget(
+                                        settings.ratio(),
+                                        settings.allowance(),
+                                        settings.windowMillis())));
     }
 }
