Retry budget: retries count until the window that contains them has ended

Callers of a service saw no harm, but its upstreams got up to twice what a window allows of one process: with two bursts of failures 9.5 to 10 s apart, 302 retries in 10 s where 252 are allowed.

Cause: the window is counted in slices of a twentieth, and a slice was dropped when its first moment left the window, with the retries of its last moment. Retries are now kept for one slice more, requests as long as before, so what is counted as made contains the window, and what is counted as earned lies within it. The new test failed with 302 before and passes.

--- a/trailladder-core/src/main/java/io/trailladder/core/limit/WindowedRetryBudget.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/limit/WindowedRetryBudget.java
@@ -90,11 +90,12 @@
      * @return a number of retries; 0 if there is none
      */
     public int left(int entries, long nowMillis) {
-        slice(nowMillis);
+        long firstInside = slice(nowMillis).number - SLICES + 1;
         int requests = 0;
         int retries = 0;
         for (Slice slice : slices) {
-            requests += slice.requests;
+            // a slice that lies only partly inside the window still contains retries of the window
+            requests += slice.number >= firstInside ? slice.requests : 0;
             retries += slice.retries;
         }
         double max = SAFETY_FACTOR * (ratio * requests + allowance / Math.max(1, entries));
@@ -103,7 +104,7 @@
 
     private Slice slice(long nowMillis) {
         long number = nowMillis / sliceMillis;
-        while (!slices.isEmpty() && slices.peekFirst().number <= number - SLICES) {
+        while (!slices.isEmpty() && slices.peekFirst().number < number - SLICES) {
             slices.removeFirst();
         }
         Slice last = slices.peekLast();
--- a/trailladder-core/src/test/java/io/trailladder/core/limit/WindowedRetryBudgetTest.java
+++ b/trailladder-core/src/test/java/io/trailladder/core/limit/WindowedRetryBudgetTest.java
@@ -18,6 +18,7 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.TreeMap;
 import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
@@ -55,4 +56,30 @@
         assertTrue(budget.tryRetry(1, 1));
         assertFalse(budget.tryRetry(1, 2 * WINDOW));
     }
+
+    /** Guards against retries that are forgotten before the window that contains them ends. */
+    @Property(tries = 200, seed = "20261203")
+    void noWindowOfAnyStartExceedsTheBound(
+            @ForAll @IntRange(min = 1, max = 99) int firstBurst,
+            @ForAll @IntRange(min = 8_000, max = 10_100) int pause) {
+        WindowedRetryBudget budget = new WindowedRetryBudget(RATIO, ALLOWANCE, WINDOW);
+        TreeMap<Long, Integer> retries = new TreeMap<>();
+        long lastMillis = 3 * WINDOW;
+        for (long now = 0; now < lastMillis; now++) {
+            if (now % 10 == 0) {
+                budget.requested(now);
+            }
+            boolean failing = now % pause / 100 == firstBurst;
+            while (failing && budget.tryRetry(1, now)) {
+                retries.merge(now, 1, Integer::sum);
+            }
+        }
+        for (long end : retries.keySet()) {
+            int made =
+                    retries.subMap(end - WINDOW, false, end, true).values().stream()
+                            .mapToInt(count -> count)
+                            .sum();
+            assertTrue(made <= RATIO * WINDOW / 10 + ALLOWANCE, made + " until " + end);
+        }
+    }
 }
