Retry budget: no part of the allowance until the number of processes is known

Cause: a process that had just started counted itself alone, and so took the whole allowance that all share; with a data centre restarted while it is cut off, a third of it.

A process now has a part only once it, or a peer that it hears, has read in the store how many there are.

--- a/trailladder-core/src/main/java/io/trailladder/core/limit/WindowedRetryBudget.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/limit/WindowedRetryBudget.java
@@ -70,7 +70,8 @@
     /**
      * Takes one retry if the window has one left.
      *
-     * @param entries the number of entries that share the allowance
+     * @param entries the number of entries that share the allowance; 0 if it is not known, and this
+     *     entry has no part of it
      * @param nowMillis the current time, in milliseconds
      * @return true if the retry may be made
      */
@@ -85,7 +86,8 @@
     /**
      * Returns how many retries the window has left.
      *
-     * @param entries the number of entries that share the allowance
+     * @param entries the number of entries that share the allowance; 0 if it is not known, and this
+     *     entry has no part of it
      * @param nowMillis the current time, in milliseconds
      * @return a number of retries; 0 if there is none
      */
@@ -98,7 +100,8 @@
             requests += slice.number >= firstInside ? slice.requests : 0;
             retries += slice.retries;
         }
-        double max = SAFETY_FACTOR * (ratio * requests + allowance / Math.max(1, entries));
+        double part = entries > 0 ? allowance / entries : 0;
+        double max = SAFETY_FACTOR * (ratio * requests + part);
         return (int) Math.max(0, Math.floor(max - retries));
     }
 
--- a/trailladder-core/src/main/java/io/trailladder/core/membership/MemberCount.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/membership/MemberCount.java
@@ -41,7 +41,12 @@
      * @param current true if the store answers the process, so that the number follows changes
      */
     public record Reading(int members, boolean current) {
-        private boolean isKnown() {
+        /**
+         * Returns whether the process has read the number.
+         *
+         * @return false until then
+         */
+        public boolean isKnown() {
             return members > 0;
         }
     }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ClusterView.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ClusterView.java
@@ -97,6 +97,7 @@
     private final HeldCount reportingCount = new HeldCount(REPORTING_HOLD_MILLIS);
     private final LimitNeeds needs;
     private int limitSharing = 1;
+    private boolean sharingKnown;
     private final UpstreamLoads loads;
     private final UsageLedger usage;
     private final EngineModel engines;
@@ -257,8 +258,20 @@
         return limitSharing;
     }
 
+    /**
+     * Returns the number of processes among which a bound is divided that may never be exceeded.
+     *
+     * @return {@link #limitSharing()}; 0 until this process or a peer has read the number in the
+     *     store
+     */
+    public int knownSharing() {
+        return sharingKnown ? limitSharing : 0;
+    }
+
     private void updateLimitSharing(List<Peer> counted, int reporting) {
         long now = nowMillis.getAsLong();
+        sharingKnown =
+                membersRead() > 0 || counted.stream().anyMatch(peer -> peer.members().isKnown());
         int listed = listedCount.record(sharingProcesses(counted, 1), now);
         limitSharing = Math.max(listed, reportingCount.record(reporting, now));
     }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
@@ -291,7 +291,7 @@
                         mesh::isHub,
                         !settings.node().firstStart());
         memoryManager = memoryManager(settings.limits());
-        budgets = new RetryBudgets(settings.retries(), view::limitSharing, loop.nowMillis());
+        budgets = new RetryBudgets(settings.retries(), view::knownSharing, loop.nowMillis());
         ServingContext context =
                 new ServingContext(
                         loop,
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RetryBudgets.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RetryBudgets.java
@@ -49,7 +49,8 @@
      * Creates unused budgets.
      *
      * @param settings the bounds of retries over all processes
-     * @param processes supplies the number of processes that share the budgets
+     * @param processes supplies the number of processes that share the budgets; 0 if it is not
+     *     known
      * @param startedMillis when this process started, in milliseconds
      */
     public RetryBudgets(
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RetryUse.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RetryUse.java
@@ -26,7 +26,8 @@
  * @param forMillis the time covered, in milliseconds
  * @param counts what happened in that time
  * @param left number of retries that this process might still make at its end
- * @param sharing number of processes that share the allowance, as this one counts them
+ * @param sharing number of processes that share the allowance, as this one counts them; 0 if it
+ *     does not know
  * @param ageMillis time since the process started, in milliseconds
  */
 record RetryUse(
--- a/trailladder-entry/src/test/java/io/trailladder/entry/gateway/SimulatedRetries.java
+++ b/trailladder-entry/src/test/java/io/trailladder/entry/gateway/SimulatedRetries.java
@@ -107,7 +107,7 @@
 
     private void begin(String name) {
         ClusterView view = cluster.process(name).view();
-        lives.put(name, new Life(new RetryBudgets(SETTINGS, view::limitSharing, cluster.now())));
+        lives.put(name, new Life(new RetryBudgets(SETTINGS, view::knownSharing, cluster.now())));
     }
 
     private void step() {
