Retry budget: incarnations within one window together stay within a part of it

Cause: a budget began with nothing spent at each start, and each life could spend 0.7 of what one window earns; upstreams see the sum over the lives.

A process uses 0.7 of its budget only once it has run for a whole window, when nothing that an earlier life of it spent can lie in the same window. Until then it uses the remaining 0.3 of the ratio, paid by its own requests, and no part of the allowance. Lives of one process do not overlap, so their requests add up to those of the window however often it restarts. Without a restart nothing changes.

--- a/trailladder-core/src/main/java/io/trailladder/core/limit/WindowedRetryBudget.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/limit/WindowedRetryBudget.java
@@ -23,15 +23,29 @@
  * sliding window, to a part of the requests of that window plus this entry's part of a fixed
  * allowance.
  *
+ * <p>The bound holds over restarts, which lose all counts. An entry that has run for a whole window
+ * may use {@link #SETTLED_PART} of the budget, and nothing that an earlier incarnation used lies in
+ * the same window. Until then it may use the rest, paid by requests of its own incarnation, so that
+ * any number of incarnations within a window together stay within that rest.
+ *
+ * <pre>{@code
+ * WindowedRetryBudget budget = new WindowedRetryBudget(0.2, 52, 10_000, startedMillis);
+ * budget.requested(nowMillis);
+ * boolean allowed = budget.tryRetry(entries, nowMillis);
+ * }</pre>
+ *
  * @since 0.2
  */
 public final class WindowedRetryBudget {
     private static final int SLICES = 20;
-    private static final double SAFETY_FACTOR = 0.7;
+
+    /** Part of the budget of an entry that has run for a whole window. */
+    static final double SETTLED_PART = 0.7;
 
     private final double ratio;
     private final double allowance;
     private final long sliceMillis;
+    private final long settledMillis;
     private final Deque<Slice> slices = new ArrayDeque<>();
 
     /** Counts of one slice of the window. */
@@ -51,11 +65,14 @@
      * @param ratio the number of retries allowed for each request
      * @param allowance the number of additional retries allowed in each window, over all entries
      * @param windowMillis length of the window, in milliseconds
+     * @param startedMillis when this incarnation of the entry started, in milliseconds
      */
-    public WindowedRetryBudget(double ratio, double allowance, long windowMillis) {
+    public WindowedRetryBudget(
+            double ratio, double allowance, long windowMillis, long startedMillis) {
         this.ratio = ratio;
         this.allowance = allowance;
         this.sliceMillis = Math.max(1, windowMillis / SLICES);
+        this.settledMillis = startedMillis + windowMillis;
     }
 
     /**
@@ -100,9 +117,15 @@
             requests += slice.number >= firstInside ? slice.requests : 0;
             retries += slice.retries;
         }
+        return (int) Math.max(0, Math.floor(max(requests, entries, nowMillis) - retries));
+    }
+
+    private double max(int requests, int entries, long nowMillis) {
+        if (nowMillis < settledMillis) {
+            return (1 - SETTLED_PART) * ratio * requests;
+        }
         double part = entries > 0 ? allowance / entries : 0;
-        double max = SAFETY_FACTOR * (ratio * requests + part);
-        return (int) Math.max(0, Math.floor(max - retries));
+        return SETTLED_PART * (ratio * requests + part);
     }
 
     private Slice slice(long nowMillis) {
--- a/trailladder-core/src/test/java/io/trailladder/core/limit/WindowedRetryBudgetTest.java
+++ b/trailladder-core/src/test/java/io/trailladder/core/limit/WindowedRetryBudgetTest.java
@@ -18,6 +18,7 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.NavigableMap;
 import java.util.TreeMap;
 import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
@@ -36,7 +37,7 @@
             @ForAll @IntRange(min = 0, max = 300) int requests) {
         int retries = 0;
         for (int entry = 0; entry < entries; entry++) {
-            WindowedRetryBudget budget = new WindowedRetryBudget(RATIO, ALLOWANCE, WINDOW);
+            WindowedRetryBudget budget = new WindowedRetryBudget(RATIO, ALLOWANCE, WINDOW, -WINDOW);
             for (int i = 0; i < requests; i++) {
                 budget.requested(i);
             }
@@ -49,7 +50,7 @@
 
     @Example
     void oldRequestsNoLongerCount() {
-        WindowedRetryBudget budget = new WindowedRetryBudget(RATIO, 0, WINDOW);
+        WindowedRetryBudget budget = new WindowedRetryBudget(RATIO, 0, WINDOW, -WINDOW);
         for (int i = 0; i < 100; i++) {
             budget.requested(0);
         }
@@ -62,7 +63,7 @@
     void noWindowOfAnyStartExceedsTheBound(
             @ForAll @IntRange(min = 1, max = 99) int firstBurst,
             @ForAll @IntRange(min = 8_000, max = 10_100) int pause) {
-        WindowedRetryBudget budget = new WindowedRetryBudget(RATIO, ALLOWANCE, WINDOW);
+        WindowedRetryBudget budget = new WindowedRetryBudget(RATIO, ALLOWANCE, WINDOW, -WINDOW);
         TreeMap<Long, Integer> retries = new TreeMap<>();
         long lastMillis = 3 * WINDOW;
         for (long now = 0; now < lastMillis; now++) {
@@ -74,12 +75,39 @@
                 retries.merge(now, 1, Integer::sum);
             }
         }
+        assertNoWindowExceeds(retries, RATIO * WINDOW / 10 + ALLOWANCE);
+    }
+
+    /** Guards against each incarnation using what a whole window earns, with nothing remembered. */
+    @Property(tries = 200, seed = "20261203")
+    void incarnationsTogetherStayWithinTheBound(
+            @ForAll @IntRange(min = 100, max = 12_000) int firstLife,
+            @ForAll @IntRange(min = 100, max = 12_000) int nextLives) {
+        WindowedRetryBudget budget = new WindowedRetryBudget(RATIO, ALLOWANCE, WINDOW, 0);
+        TreeMap<Long, Integer> retries = new TreeMap<>();
+        long endOfLife = WINDOW + firstLife;
+        for (long now = 0; now < 4 * WINDOW; now++) {
+            if (now == endOfLife) {
+                budget = new WindowedRetryBudget(RATIO, ALLOWANCE, WINDOW, now);
+                endOfLife += nextLives;
+            }
+            if (now % 10 == 0) {
+                budget.requested(now);
+            }
+            while (now > WINDOW && budget.tryRetry(1, now)) {
+                retries.merge(now, 1, Integer::sum);
+            }
+        }
+        assertNoWindowExceeds(retries, RATIO * WINDOW / 10 + ALLOWANCE);
+    }
+
+    private static void assertNoWindowExceeds(NavigableMap<Long, Integer> retries, double max) {
         for (long end : retries.keySet()) {
             int made =
                     retries.subMap(end - WINDOW, false, end, true).values().stream()
                             .mapToInt(count -> count)
                             .sum();
-            assertTrue(made <= RATIO * WINDOW / 10 + ALLOWANCE, made + " until " + end);
+            assertTrue(made <= max, made + " until " + end);
         }
     }
 }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RetryBudgets.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RetryBudgets.java
@@ -129,6 +129,7 @@
                                 new WindowedRetryBudget(
                                         settings.ratio(),
                                         settings.allowance(),
-                                        settings.windowMillis())));
+                                        settings.windowMillis(),
+                                        startedMillis)));
     }
 }
