Retry budget: a list of processes that was just read does not count as complete

Cause: entries lapse while the store is away, and the first lists after it name only the processes that have written theirs again; each took a part of a too small number. The number counts as known from 5 s after the first list on, longer than the interval of renewals and the next list.

--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ClusterView.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ClusterView.java
@@ -76,6 +76,13 @@
      */
     private static final long REPORTING_HOLD_MILLIS = 30_000;
 
+    /**
+     * How long after the first list the number of processes counts as known, in milliseconds. After
+     * an outage of the store the list lacks the processes whose entries lapsed; they write them
+     * again at their next renewal.
+     */
+    private static final long LIST_SETTLE_MILLIS = 5_000;
+
     /**
      * Maximum age of the last digest of a peer that supplies policy and upstreams, in milliseconds.
      */
@@ -98,6 +105,7 @@
     private final LimitNeeds needs;
     private int limitSharing = 1;
     private boolean sharingKnown;
+    private long sharingKnownMillis;
     private final UpstreamLoads loads;
     private final UsageLedger usage;
     private final EngineModel engines;
@@ -262,16 +270,21 @@
      * Returns the number of processes among which a bound is divided that may never be exceeded.
      *
      * @return {@link #limitSharing()}; 0 until this process or a peer has read the number in the
-     *     store
+     *     store, and long enough after that
      */
     public int knownSharing() {
-        return sharingKnown ? limitSharing : 0;
+        boolean settled = nowMillis.getAsLong() - sharingKnownMillis >= LIST_SETTLE_MILLIS;
+        return sharingKnown && settled ? limitSharing : 0;
     }
 
     private void updateLimitSharing(List<Peer> counted, int reporting) {
         long now = nowMillis.getAsLong();
+        boolean knownBefore = sharingKnown;
         sharingKnown =
                 membersRead() > 0 || counted.stream().anyMatch(peer -> peer.members().isKnown());
+        if (sharingKnown && !knownBefore) {
+            sharingKnownMillis = now;
+        }
         int listed = listedCount.record(sharingProcesses(counted, 1), now);
         limitSharing = Math.max(listed, reportingCount.record(reporting, now));
     }
