Retry budget: one place per request charges retries, at the time at which they are sent

A retry was charged when it was decided and could be sent seconds later (a connection through a peer, a turn at a limited upstream, a wait for a roll-out, a frozen process), in a window that no longer counted it; and it stayed charged if it was never sent. RetryCharge replaces the two places that charged: an attempt is free until one has been sent, and each later one moves its charge to the time of sending, or gives it back. Attempts that reached no upstream are free as before: they are never recorded as sent. The test of late sends fails without the move.

--- a/trailladder-core/src/main/java/io/trailladder/core/limit/WindowedRetryBudget.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/limit/WindowedRetryBudget.java
@@ -100,6 +100,30 @@
         return true;
     }
 
+    /**
+     * Counts a retry at the time at which it is sent instead of the time at which it was taken.
+     *
+     * @param takenMillis when {@link #tryRetry} allowed it, in milliseconds
+     * @param nowMillis the current time, in milliseconds
+     */
+    public void sentLater(long takenMillis, long nowMillis) {
+        giveBack(takenMillis);
+        slice(nowMillis).retries++;
+    }
+
+    /**
+     * Gives back a retry that is not made.
+     *
+     * @param takenMillis when {@link #tryRetry} allowed it, in milliseconds
+     */
+    public void giveBack(long takenMillis) {
+        for (Slice slice : slices) {
+            if (slice.number == takenMillis / sliceMillis) {
+                slice.retries--;
+            }
+        }
+    }
+
     /**
      * Returns how many retries the window has left.
      *
--- a/trailladder-core/src/test/java/io/trailladder/core/limit/WindowedRetryBudgetTest.java
+++ b/trailladder-core/src/test/java/io/trailladder/core/limit/WindowedRetryBudgetTest.java
@@ -15,9 +15,12 @@
  */
 package io.trailladder.core.limit;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.ArrayList;
+import java.util.List;
 import java.util.NavigableMap;
 import java.util.TreeMap;
 import net.jqwik.api.Example;
@@ -101,6 +104,29 @@
         assertNoWindowExceeds(retries, RATIO * WINDOW / 10 + ALLOWANCE);
     }
 
+    /** Guards against retries that are sent seconds after they were taken, with those of then. */
+    @Example
+    void retriesCountWhenTheyAreSent() {
+        WindowedRetryBudget budget = new WindowedRetryBudget(RATIO, ALLOWANCE, WINDOW, -WINDOW);
+        List<Long> taken = new ArrayList<>();
+        while (budget.tryRetry(1, 0)) {
+            taken.add(0L);
+        }
+        taken.forEach(takenMillis -> budget.sentLater(takenMillis, 6_000));
+        assertFalse(budget.tryRetry(1, WINDOW + 5_000), "retries sent 9 s ago are forgotten");
+        assertTrue(budget.tryRetry(1, WINDOW + 7_000));
+    }
+
+    @Example
+    void retriesThatAreNotMadeAreGivenBack() {
+        WindowedRetryBudget budget = new WindowedRetryBudget(RATIO, ALLOWANCE, WINDOW, -WINDOW);
+        int left = budget.left(1, 0);
+        assertTrue(budget.tryRetry(1, 0));
+        assertEquals(left - 1, budget.left(1, 0));
+        budget.giveBack(0);
+        assertEquals(left, budget.left(1, 0));
+    }
+
     private static void assertNoWindowExceeds(NavigableMap<Long, Integer> retries, double max) {
         for (long end : retries.keySet()) {
             int made =
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestDriver.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestDriver.java
@@ -57,6 +57,7 @@
     private final Consumer<RequestDriver> onEnd;
     private final AttemptHistory history = new AttemptHistory();
     private final LoopTimer deadline;
+    private final RetryCharge retries;
     private final AttemptCalls calls;
     private final AnswerRelay answer;
     private final ResponseTimeoutWatch responseTimeout;
@@ -84,13 +85,14 @@
         if (!lastEventId.isEmpty()) {
             history.eventForwarded(lastEventId);
         }
+        this.retries = new RetryCharge(context.budgets(), request.service());
         this.calls = new AttemptCalls(context, exchange, request);
         this.answer =
                 new AnswerRelay(context.memory(), exchange, history, isStream(), this::firstByte);
         boolean resumable = isStream() && request.route().repeatable();
         exchange.answerOwner(new AnswerOwner(request.id(), request.organisation(), resumable));
         this.responseTimeout =
-                new ResponseTimeoutWatch(context, request, history, this::checkReachable);
+                new ResponseTimeoutWatch(context, request, history, retries, this::checkReachable);
         this.selector = new BodyCapacitySelector(context, request);
         exchange.onDisconnect(this::callerDisconnected);
         long remainingMillis = request.deadlineMillis() - context.loop().nowMillis();
@@ -179,8 +181,8 @@
     @Override
     public void sending(Attempt sender) {
         history.sent(sender.upstream().id());
-        context.budgets().sent(request.service(), history.sent() > 1);
         long now = context.loop().nowMillis();
+        retries.sent(now);
         context.quotas()
                 .sent(request.organisation(), units, history.sent(), now - admittedMillis, now);
         if (request.prompt().tokensIn() == 0) {
@@ -357,12 +359,7 @@
         if (!(recovery instanceof GiveUp) && crashes.refusesRetry()) {
             recovery = RecoveryPolicy.after(request, history, failure, false, now);
         }
-        boolean notReceived =
-                failure == AttemptFailure.UNREACHABLE || failure == AttemptFailure.NOT_SENT;
-        boolean charged = responseTimeout.takeRetryCharged() || notReceived;
-        if (!(recovery instanceof GiveUp)
-                && !charged
-                && !context.budgets().tryRetry(request.service(), now)) {
+        if (!(recovery instanceof GiveUp) && !retries.allowsAnother(now)) {
             context.metrics().count(GatewayMetrics.Event.RETRY_BUDGET_EMPTY);
             recovery = RecoveryPolicy.after(request, history, failure, false, now);
         }
@@ -447,6 +444,7 @@
         finished = true;
         answer.close();
         responseTimeout.stop();
+        retries.end();
         deadline.cancel();
         long durationMillis = context.loop().nowMillis() - request.acceptedMillis();
         context.metrics()
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ResponseTimeoutWatch.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ResponseTimeoutWatch.java
@@ -46,9 +46,9 @@
     private final ServingContext context;
     private final ServingRequest request;
     private final AttemptHistory history;
+    private final RetryCharge retries;
     private final BiConsumer<Upstream, Consumer<Boolean>> reachable;
     private Attempt watched;
-    private boolean retryCharged;
 
     /**
      * Creates a watch.
@@ -56,17 +56,20 @@
      * @param context the objects that all requests share
      * @param request the request
      * @param history its attempts
+     * @param retries the charge of its retries
      * @param reachable tests whether an upstream can be reached
      */
     ResponseTimeoutWatch(
             ServingContext context,
             ServingRequest request,
             AttemptHistory history,
+            RetryCharge retries,
             BiConsumer<Upstream, Consumer<Boolean>> reachable) {
         this.reachable = reachable;
         this.context = context;
         this.request = request;
         this.history = history;
+        this.retries = retries;
     }
 
     /** Starts to watch an attempt instead of the previous one. */
@@ -81,15 +84,6 @@
         watched = null;
     }
 
-    /**
-     * Whether the next attempt was charged to the retry budget when the last one failed; resets it.
-     */
-    boolean takeRetryCharged() {
-        boolean charged = retryCharged;
-        retryCharged = false;
-        return charged;
-    }
-
     private void scheduleCheck(Attempt attempt, long timeoutMillis) {
         if (!request.route().repeatable() || timeoutMillis <= 0) {
             return;
@@ -139,9 +133,8 @@
         boolean allowed =
                 RecoveryPolicy.allowsAnother(request, history, now)
                         && context.availability().isAnyAccepting(request.service(), now)
-                        && context.budgets().tryRetry(request.service(), now);
+                        && retries.allowsAnother(now);
         if (allowed) {
-            retryCharged = true;
             attempt.fail(reason);
         }
         return allowed;
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RetryBudgets.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RetryBudgets.java
@@ -87,6 +87,27 @@
         return allowed;
     }
 
+    /**
+     * Counts a retry at the time at which it is sent.
+     *
+     * @param service the service
+     * @param takenMillis when {@link #tryRetry} allowed it, in milliseconds
+     * @param nowMillis the current time, in milliseconds
+     */
+    void sentLater(String service, long takenMillis, long nowMillis) {
+        budget(service).budget.sentLater(takenMillis, nowMillis);
+    }
+
+    /**
+     * Gives back a retry that is not made.
+     *
+     * @param service the service
+     * @param takenMillis when {@link #tryRetry} allowed it, in milliseconds
+     */
+    void giveBack(String service, long takenMillis) {
+        budget(service).budget.giveBack(takenMillis);
+    }
+
     /**
      * Records that a request is sent to an upstream.
      *
--- a/trailladder-entry/src/test/java/io/trailladder/entry/gateway/SimulatedRetries.java
+++ b/trailladder-entry/src/test/java/io/trailladder/entry/gateway/SimulatedRetries.java
@@ -58,11 +58,14 @@
         POWER
     }
 
+    /** An attempt that fails, or whose connection is open, at a time. */
+    private record Attempt(long atMillis, RetryCharge charge) {}
+
     /** The budgets and the attempts in progress of a process from its start to its end. */
     private static final class Life {
         private final RetryBudgets budgets;
-        private final List<Long> failures = new ArrayList<>();
-        private final List<Long> connecting = new ArrayList<>();
+        private final List<Attempt> failures = new ArrayList<>();
+        private final List<Attempt> connecting = new ArrayList<>();
 
         Life(RetryBudgets budgets) {
             this.budgets = budgets;
@@ -133,23 +136,27 @@
         requests.merge(now, 1, Integer::sum);
         life.budgets.requested(SERVICE, now);
         if (failing) {
-            life.failures.add(now + random.nextLong(MAX_ATTEMPT_MILLIS));
+            RetryCharge charge = new RetryCharge(life.budgets, SERVICE);
+            charge.sent(now);
+            life.failures.add(new Attempt(now + random.nextLong(MAX_ATTEMPT_MILLIS), charge));
         }
     }
 
     /** Asks for retries of the attempts that have failed, and sends those that are connected. */
     private void progress(Life life, long now) {
-        for (Long failure : List.copyOf(life.failures)) {
-            if (failure <= now) {
+        for (Attempt failure : List.copyOf(life.failures)) {
+            if (failure.atMillis() <= now) {
                 life.failures.remove(failure);
-                if (life.budgets.tryRetry(SERVICE, now)) {
-                    life.connecting.add(now + random.nextLong(MAX_CONNECT_MILLIS));
+                if (failure.charge().allowsAnother(now)) {
+                    long connectedMillis = now + random.nextLong(MAX_CONNECT_MILLIS);
+                    life.connecting.add(new Attempt(connectedMillis, failure.charge()));
                 }
             }
         }
-        for (Long connected : List.copyOf(life.connecting)) {
-            if (connected <= now) {
+        for (Attempt connected : List.copyOf(life.connecting)) {
+            if (connected.atMillis() <= now) {
                 life.connecting.remove(connected);
+                connected.charge().sent(now);
                 retries.merge(now, 1, Integer::sum);
             }
         }
