Retry budget: at the first start of an installation nothing was used before

With the rule for restarted processes alone, a new installation made no retry in its first 10 s; gateway tests that retry right after their start ask for more. The setting first_start says that no earlier incarnation exists, so such a process has the whole of its part from its start, and a list read then lacks no lapsed entries. Restarted processes are unchanged.

--- a/trailladder-core/src/main/java/io/trailladder/core/limit/WindowedRetryBudget.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/limit/WindowedRetryBudget.java
@@ -29,7 +29,7 @@
  * any number of incarnations within a window together stay within that rest.
  *
  * <pre>{@code
- * WindowedRetryBudget budget = new WindowedRetryBudget(0.2, 52, 10_000, startedMillis);
+ * WindowedRetryBudget budget = new WindowedRetryBudget(0.2, 52, 10_000, startedMillis + 10_000);
  * budget.requested(nowMillis);
  * boolean allowed = budget.tryRetry(entries, nowMillis);
  * }</pre>
@@ -65,14 +65,15 @@
      * @param ratio the number of retries allowed for each request
      * @param allowance the number of additional retries allowed in each window, over all entries
      * @param windowMillis length of the window, in milliseconds
-     * @param startedMillis when this incarnation of the entry started, in milliseconds
+     * @param settledMillis from when on no window contains retries of an earlier incarnation of
+     *     this entry, in milliseconds
      */
     public WindowedRetryBudget(
-            double ratio, double allowance, long windowMillis, long startedMillis) {
+            double ratio, double allowance, long windowMillis, long settledMillis) {
         this.ratio = ratio;
         this.allowance = allowance;
         this.sliceMillis = Math.max(1, windowMillis / SLICES);
-        this.settledMillis = startedMillis + windowMillis;
+        this.settledMillis = settledMillis;
     }
 
     /**
--- a/trailladder-core/src/test/java/io/trailladder/core/limit/WindowedRetryBudgetTest.java
+++ b/trailladder-core/src/test/java/io/trailladder/core/limit/WindowedRetryBudgetTest.java
@@ -40,7 +40,7 @@
             @ForAll @IntRange(min = 0, max = 300) int requests) {
         int retries = 0;
         for (int entry = 0; entry < entries; entry++) {
-            WindowedRetryBudget budget = new WindowedRetryBudget(RATIO, ALLOWANCE, WINDOW, -WINDOW);
+            WindowedRetryBudget budget = new WindowedRetryBudget(RATIO, ALLOWANCE, WINDOW, 0);
             for (int i = 0; i < requests; i++) {
                 budget.requested(i);
             }
@@ -53,7 +53,7 @@
 
     @Example
     void oldRequestsNoLongerCount() {
-        WindowedRetryBudget budget = new WindowedRetryBudget(RATIO, 0, WINDOW, -WINDOW);
+        WindowedRetryBudget budget = new WindowedRetryBudget(RATIO, 0, WINDOW, 0);
         for (int i = 0; i < 100; i++) {
             budget.requested(0);
         }
@@ -66,7 +66,7 @@
     void noWindowOfAnyStartExceedsTheBound(
             @ForAll @IntRange(min = 1, max = 99) int firstBurst,
             @ForAll @IntRange(min = 8_000, max = 10_100) int pause) {
-        WindowedRetryBudget budget = new WindowedRetryBudget(RATIO, ALLOWANCE, WINDOW, -WINDOW);
+        WindowedRetryBudget budget = new WindowedRetryBudget(RATIO, ALLOWANCE, WINDOW, 0);
         TreeMap<Long, Integer> retries = new TreeMap<>();
         long lastMillis = 3 * WINDOW;
         for (long now = 0; now < lastMillis; now++) {
@@ -86,12 +86,12 @@
     void incarnationsTogetherStayWithinTheBound(
             @ForAll @IntRange(min = 100, max = 12_000) int firstLife,
             @ForAll @IntRange(min = 100, max = 12_000) int nextLives) {
-        WindowedRetryBudget budget = new WindowedRetryBudget(RATIO, ALLOWANCE, WINDOW, 0);
+        WindowedRetryBudget budget = new WindowedRetryBudget(RATIO, ALLOWANCE, WINDOW, WINDOW);
         TreeMap<Long, Integer> retries = new TreeMap<>();
         long endOfLife = WINDOW + firstLife;
         for (long now = 0; now < 4 * WINDOW; now++) {
             if (now == endOfLife) {
-                budget = new WindowedRetryBudget(RATIO, ALLOWANCE, WINDOW, now);
+                budget = new WindowedRetryBudget(RATIO, ALLOWANCE, WINDOW, now + WINDOW);
                 endOfLife += nextLives;
             }
             if (now % 10 == 0) {
@@ -107,7 +107,7 @@
     /** Guards against retries that are sent seconds after they were taken, with those of then. */
     @Example
     void retriesCountWhenTheyAreSent() {
-        WindowedRetryBudget budget = new WindowedRetryBudget(RATIO, ALLOWANCE, WINDOW, -WINDOW);
+        WindowedRetryBudget budget = new WindowedRetryBudget(RATIO, ALLOWANCE, WINDOW, 0);
         List<Long> taken = new ArrayList<>();
         while (budget.tryRetry(1, 0)) {
             taken.add(0L);
@@ -119,7 +119,7 @@
 
     @Example
     void retriesThatAreNotMadeAreGivenBack() {
-        WindowedRetryBudget budget = new WindowedRetryBudget(RATIO, ALLOWANCE, WINDOW, -WINDOW);
+        WindowedRetryBudget budget = new WindowedRetryBudget(RATIO, ALLOWANCE, WINDOW, 0);
         int left = budget.left(1, 0);
         assertTrue(budget.tryRetry(1, 0));
         assertEquals(left - 1, budget.left(1, 0));
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ClusterView.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ClusterView.java
@@ -77,9 +77,8 @@
     private static final long REPORTING_HOLD_MILLIS = 30_000;
 
     /**
-     * How long after the first list the number of processes counts as known, in milliseconds. After
-     * an outage of the store the list lacks the processes whose entries lapsed; they write them
-     * again at their next renewal.
+     * How long after the first list all processes are listed, in milliseconds: longer than the
+     * interval between two renewals and the next list.
      */
     private static final long LIST_SETTLE_MILLIS = 5_000;
 
@@ -267,14 +266,24 @@
     }
 
     /**
-     * Returns the number of processes among which a bound is divided that may never be exceeded.
+     * Returns the number of processes among which limits are divided, once it has been read.
      *
      * @return {@link #limitSharing()}; 0 until this process or a peer has read the number in the
-     *     store, and long enough after that
+     *     store
      */
-    public int knownSharing() {
+    public int listedSharing() {
+        return sharingKnown ? limitSharing : 0;
+    }
+
+    /**
+     * Returns the number of processes among which limits are divided, once all that run are listed.
+     *
+     * @return {@link #listedSharing()}; 0 also for some time after the first list, because entries
+     *     that lapsed while the store was unavailable are written again at the next renewal
+     */
+    public int settledSharing() {
         boolean settled = nowMillis.getAsLong() - sharingKnownMillis >= LIST_SETTLE_MILLIS;
-        return sharingKnown && settled ? limitSharing : 0;
+        return settled ? listedSharing() : 0;
     }
 
     private void updateLimitSharing(List<Peer> counted, int reporting) {
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
@@ -291,7 +291,13 @@
                         mesh::isHub,
                         !settings.node().firstStart());
         memoryManager = memoryManager(settings.limits());
-        budgets = new RetryBudgets(settings.retries(), view::knownSharing, loop.nowMillis());
+        boolean firstStart = settings.node().firstStart();
+        budgets =
+                new RetryBudgets(
+                        settings.retries(),
+                        firstStart ? view::listedSharing : view::settledSharing,
+                        loop.nowMillis(),
+                        firstStart);
         ServingContext context =
                 new ServingContext(
                         loop,
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RetryBudgets.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RetryBudgets.java
@@ -32,6 +32,7 @@
     private final GatewaySettings.Retries settings;
     private final IntSupplier processes;
     private final long startedMillis;
+    private final long settledMillis;
     private final Map<String, ServiceBudget> byService = new HashMap<>();
     private long flushedMillis;
 
@@ -52,12 +53,17 @@
      * @param processes supplies the number of processes that share the budgets; 0 if it is not
      *     known
      * @param startedMillis when this process started, in milliseconds
+     * @param firstStart true if no retries were made before, by an earlier incarnation
      */
     public RetryBudgets(
-            GatewaySettings.Retries settings, IntSupplier processes, long startedMillis) {
+            GatewaySettings.Retries settings,
+            IntSupplier processes,
+            long startedMillis,
+            boolean firstStart) {
         this.settings = settings;
         this.processes = processes;
         this.startedMillis = startedMillis;
+        this.settledMillis = startedMillis + (firstStart ? 0 : settings.windowMillis());
         this.flushedMillis = startedMillis;
     }
 
@@ -151,6 +157,6 @@
                                         settings.ratio(),
                                         settings.allowance(),
                                         settings.windowMillis(),
-                                        startedMillis)));
+                                        settledMillis)));
     }
 }
--- a/trailladder-entry/src/test/java/io/trailladder/entry/gateway/SimulatedRetries.java
+++ b/trailladder-entry/src/test/java/io/trailladder/entry/gateway/SimulatedRetries.java
@@ -22,6 +22,7 @@
 import java.util.NavigableMap;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
+import java.util.function.IntSupplier;
 
 /**
  * Requests to one service through the processes of a {@link SimulatedCluster}, each of which fails
@@ -77,7 +78,7 @@
         this.cluster = cluster;
         this.perSecond = perSecond;
         this.stepMillis = cluster.now();
-        cluster.names().forEach(this::begin);
+        cluster.names().forEach(name -> begin(name, true));
         cluster.onStep(this::step);
     }
 
@@ -104,13 +105,14 @@
         cluster.advance(downMillis);
         for (String name : names) {
             cluster.restart(name);
-            begin(name);
+            begin(name, false);
         }
     }
 
-    private void begin(String name) {
+    private void begin(String name, boolean firstStart) {
         ClusterView view = cluster.process(name).view();
-        lives.put(name, new Life(new RetryBudgets(SETTINGS, view::knownSharing, cluster.now())));
+        IntSupplier processes = firstStart ? view::listedSharing : view::settledSharing;
+        lives.put(name, new Life(new RetryBudgets(SETTINGS, processes, cluster.now(), firstStart)));
     }
 
     private void step() {
