A request stays at a leaving upstream if no attempt or retry is left

Callers got a broken stream or a failure although the upstream that was about to leave would have finished in its notice: the attempt was ended to move it, and only then the attempts and the budget were asked for. The move is asked for first, as a silent attempt is. The test (second attempt, 2.5 s of work, notice of 1.5 s) failed before with one request not served.

--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestDriver.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestDriver.java
@@ -142,8 +142,8 @@
 
     /**
      * Moves the request to another upstream if it may be repeated or has not been sent. It stays at
-     * an upstream that is leaving while no other takes requests: the notice leaves it time, and
-     * moving would end it for certain.
+     * an upstream that is leaving while no other takes requests, or no retry is left: the notice
+     * leaves it time, and moving would end it for certain.
      */
     void moveToOtherUpstream(AttemptFailure reason) {
         if (attempt == null || (attempt.isSent() && !request.route().repeatable())) {
@@ -151,11 +151,17 @@
         }
         long now = context.loop().nowMillis();
         boolean leaving = reason == AttemptFailure.LEAVING;
-        if (!leaving || context.availability().isAnyAccepting(request.service(), now)) {
+        if (!leaving || canMove(now)) {
             attempt.fail(reason);
         }
     }
 
+    private boolean canMove(long nowMillis) {
+        return context.availability().isAnyAccepting(request.service(), nowMillis)
+                && RecoveryPolicy.allowsAnother(request, history, nowMillis)
+                && retries.allowsAnother(nowMillis);
+    }
+
     /** Ends the request because the process stops. */
     void stop() {
         if (finished) {
