--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ConnectionShares.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ConnectionShares.java
@@ -34,7 +34,7 @@
      * Creates shares.
      *
      * @param policies returns how many connections services accept
-     * @param processes returns the number of processes, this one included
+     * @param processes returns the number of processes, this one included; 0 if it is not known
      */
     ConnectionShares(PolicyManager policies, IntSupplier processes) {
         this.policies = policies;
@@ -60,7 +60,7 @@
     }
 
     static int share(int connections, int processes) {
-        int evenShare = connections / Math.max(1, processes);
+        int evenShare = processes > 0 ? connections / processes : 0;
         return Math.max(1, Math.min(OutgoingCall.MAX_IDLE_CONNECTIONS, evenShare));
     }
 }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
@@ -305,7 +305,7 @@
                         platform.protocol(),
                         connector,
                         paths,
-                        new ConnectionShares(policyManager, view::limitSharing),
+                        new ConnectionShares(policyManager, view::listedSharing),
                         directory,
                         availability,
                         backoffs,
--- a/trailladder-entry/src/test/java/io/trailladder/entry/gateway/ConnectionSharesTest.java
+++ b/trailladder-entry/src/test/java/io/trailladder/entry/gateway/ConnectionSharesTest.java
@@ -45,4 +45,10 @@
                 new ConnectionShares(new PolicyManager(new EmptyPlatformFormat()), () -> 340);
         assertEquals(64, shares.maxIdle("m", UPSTREAM));
     }
+
+    /** Guards against each process that has just started keeping what belongs to all. */
+    @Example
+    void processThatKnowsNoOthersKeepsOneIdleConnection() {
+        assertEquals(1, ConnectionShares.share(100, 0));
+    }
 }
