--- a/trailladder-cli/src/test/java/io/trailladder/cli/soak/FaultProxy.java
+++ b/trailladder-cli/src/test/java/io/trailladder/cli/soak/FaultProxy.java
@@ -167,17 +167,27 @@
                     reset(caller);
                     continue;
                 }
-                Socket callee = new Socket(target.host(), target.port());
+                Socket callee = connect(caller);
                 open.add(caller);
                 open.add(callee);
                 daemon(() -> pump(caller, callee, false));
                 daemon(() -> pump(callee, caller, true));
             } catch (IOException e) {
-                // closed, or the target is not there: the caller sees its connection end
+                // closed, or the target is not there
             }
         }
     }
 
+    /** Connects to the target; the caller sees its connection end if that is not there. */
+    private Socket connect(Socket caller) throws IOException {
+        try {
+            return new Socket(target.host(), target.port());
+        } catch (IOException e) {
+            reset(caller);
+            throw e;
+        }
+    }
+
     private void pump(Socket from, Socket to, boolean answers) {
         byte[] buffer = new byte[BUFFER_BYTES];
         try {
--- a/trailladder-cli/src/test/java/io/trailladder/cli/soak/PathCluster.java
+++ b/trailladder-cli/src/test/java/io/trailladder/cli/soak/PathCluster.java
@@ -60,10 +60,11 @@
     private final List<SoakGateway> gateways = new ArrayList<>();
     private final List<GatewayPaths> paths = new ArrayList<>();
     private final Map<String, Integer> runs = SoakUpstream.newRuns();
-    private final Observations record = new Observations();
+    private final Observations record;
     private final List<Tally> tallies = new ArrayList<>();
     private final Path folder;
     private final PlatformStandIn platform;
+    private final int allowance;
 
     /**
      * Starts everything, and waits until all gateways are ready.
@@ -71,6 +72,18 @@
      * @param dataCentres the data centre of each gateway
      */
     PathCluster(String... dataCentres) throws Exception {
+        this(SoakGateway.ALLOWANCE, dataCentres);
+    }
+
+    /**
+     * Starts everything, and waits until all gateways are ready.
+     *
+     * @param allowance retries in each window that all gateways share, beyond the ratio
+     * @param dataCentres the data centre of each gateway
+     */
+    PathCluster(int allowance, String... dataCentres) throws Exception {
+        this.allowance = allowance;
+        record = new Observations(new RetryCheck(allowance));
         folder = Files.createTempDirectory(Path.of("target"), "paths-");
         loop.start();
         platform = onLoop(loop, () -> new PlatformStandIn(loop));
@@ -90,7 +103,8 @@
                                             runs,
                                             statements,
                                             limits,
-                                            new OrganisationLimitCheck())));
+                                            new OrganisationLimitCheck(),
+                                            record.retries)));
             SoakUpstream upstream = upstreams.get(i);
             upstream.faultless();
             put("servers/" + id, entry(upstream, i));
@@ -121,12 +135,13 @@
         GatewayPaths own = new GatewayPaths();
         paths.add(own);
         HostPort view = onLoop(loop, () -> platform.view(own::view));
-        SoakGateway gateway = new SoakGateway(name, dataCentre, folder, view);
+        SoakGateway gateway = new SoakGateway(name, dataCentre, folder, view, allowance);
         gateway.start(true);
         gateways.add(gateway);
     }
 
-    private void awaitReady() throws Exception {
+    /** Waits until all gateways are ready. */
+    void awaitAllReady() throws Exception {
         long end = System.nanoTime() + READY_MILLIS * 1_000_000;
         for (SoakGateway gateway : gateways) {
             while (!gateway.isReady()) {
@@ -136,6 +151,10 @@
                 Thread.sleep(50);
             }
         }
+    }
+
+    private void awaitReady() throws Exception {
+        awaitAllReady();
         // so that all processes are known to each other
         Thread.sleep(2_000);
     }
@@ -144,6 +163,20 @@
         return gateways.get(index);
     }
 
+    RetryCheck retries() {
+        return record.retries;
+    }
+
+    /** Has all upstreams fail every request, or none. */
+    void upstreamsFail(boolean now) throws Exception {
+        onLoop(
+                loop,
+                () -> {
+                    upstreams.forEach(upstream -> upstream.failing(now));
+                    return true;
+                });
+    }
+
     PlatformStandIn platform() {
         return platform;
     }
--- a/trailladder-cli/src/test/java/io/trailladder/cli/soak/SoakCaller.java
+++ b/trailladder-cli/src/test/java/io/trailladder/cli/soak/SoakCaller.java
@@ -54,6 +54,11 @@
         final Queue<String> unsafe = new ConcurrentLinkedQueue<>();
         final Queue<NotRun> notRun = new ConcurrentLinkedQueue<>();
         final Queue<String> violations = new ConcurrentLinkedQueue<>();
+        final RetryCheck retries;
+
+        Observations(RetryCheck retries) {
+            this.retries = retries;
+        }
     }
 
     SoakCaller(
@@ -84,6 +89,7 @@
     /** Asks for one plain call; returns true if it was served. */
     boolean call(HostPort gateway, String path, boolean unsafe) {
         String attempt = attempt(gateway);
+        record.retries.sent();
         if (unsafe) {
             record.unsafe.add(attempt);
         }
@@ -103,6 +109,7 @@
     /** Asks for one stream; returns true if it was served whole. */
     boolean stream(HostPort gateway) {
         String attempt = attempt(gateway);
+        record.retries.sent();
         String fields = "Model: m\r\nToken-Usage: 100,36\r\nPrefix-Hash: a1:60,b2:40\r\n";
         CallerAnswer answer = ask(gateway, "POST /stream/x", attempt, fields);
         boolean served = check(answer, attempt, false);
@@ -187,8 +194,13 @@
             return known;
         }
         Socket socket = new Socket();
-        socket.connect(new InetSocketAddress(gateway.host(), gateway.port()), CONNECT_MILLIS);
-        socket.setSoTimeout(READ_MILLIS);
+        try {
+            socket.connect(new InetSocketAddress(gateway.host(), gateway.port()), CONNECT_MILLIS);
+            socket.setSoTimeout(READ_MILLIS);
+        } catch (IOException e) {
+            socket.close();
+            throw e;
+        }
         kept.put(gateway, socket);
         return socket;
     }
--- a/trailladder-cli/src/test/java/io/trailladder/cli/soak/SoakGateway.java
+++ b/trailladder-cli/src/test/java/io/trailladder/cli/soak/SoakGateway.java
@@ -34,16 +34,20 @@
             {"node": {"name": "%s", "data_centre": "%s", "first_start": %s},
              "listen": {"callers": "%s", "health": "%s", "peers": "%s", "metrics": "%s"},
              "seeds": [], "store": "%s", "cloud": "%s",
-             "retries": {"ratio": 0.2, "allowance": 1000, "window_s": 10},
+             "retries": {"ratio": 0.2, "allowance": %s, "window_s": 10},
              "tolerance": {"ratio": 0.1, "units": 15},
              "timing": {"grace_s": 3, "lease_ms": 1500, "usage_window_s": 2}}
             """;
     private static final int READY_MILLIS = 500;
 
+    /** Retries in each window that all gateways share, beyond the ratio. */
+    static final int ALLOWANCE = 40;
+
     private final String name;
     private final String dataCentre;
     private final Path folder;
     private final FaultProxy store;
+    private final int allowance;
 
     /** Held until this process ends, as a gateway is started again at the ports that it had. */
     private final ReservedPorts ports = new ReservedPorts();
@@ -60,6 +64,13 @@
     }
 
     SoakGateway(String name, String dataCentre, Path folder, HostPort platform) throws IOException {
+        this(name, dataCentre, folder, platform, ALLOWANCE);
+    }
+
+    /** Creates a gateway that shares an allowance of retries with the others. */
+    SoakGateway(String name, String dataCentre, Path folder, HostPort platform, int allowance)
+            throws IOException {
+        this.allowance = allowance;
         this.name = name;
         this.dataCentre = dataCentre;
         this.folder = folder;
@@ -83,7 +94,8 @@
                         peers,
                         metrics,
                         store.address(),
-                        store.address()));
+                        store.address(),
+                        allowance));
         ProcessBuilder builder =
                 new ProcessBuilder(
                         Path.of(System.getProperty("java.home"), "bin", "java").toString(),
--- a/trailladder-cli/src/test/java/io/trailladder/cli/soak/SoakRun.java
+++ b/trailladder-cli/src/test/java/io/trailladder/cli/soak/SoakRun.java
@@ -101,7 +101,7 @@
     private final List<SoakGateway> gateways = new ArrayList<>();
     private final List<SoakUpstream> upstreams = new CopyOnWriteArrayList<>();
     private final Map<String, Integer> runs = SoakUpstream.newRuns();
-    private final Observations record = new Observations();
+    private final Observations record = new Observations(new RetryCheck(SoakGateway.ALLOWANCE));
     private final StatementCheck statements = new StatementCheck(record.violations);
     private final LimitCheck limits = new LimitCheck(record.violations, statements);
     private final OrganisationLimitCheck organisation = new OrganisationLimitCheck();
@@ -199,6 +199,7 @@
         checkRuns();
         checkUsage();
         checkOrganisationLimit();
+        checkRetries();
         return new Result(
                 seed,
                 record.asked.get(),
@@ -498,6 +499,13 @@
         }
     }
 
+    private void checkRetries() {
+        double fullest = record.retries.fullestWindowShare();
+        if (fullest > 1) {
+            record.violations.add("a window has " + fullest + " of the retries that it allows");
+        }
+    }
+
     private void checkOrganisationLimit() {
         if (organisation.fullest() > OrganisationLimitCheck.allowed()) {
             record.violations.add(
@@ -591,7 +599,8 @@
                                         runs,
                                         statements,
                                         limits,
-                                        organisation));
+                                        organisation,
+                                        record.retries));
         onLoop(
                 loop,
                 () -> {
--- a/trailladder-cli/src/test/java/io/trailladder/cli/soak/SoakUpstream.java
+++ b/trailladder-cli/src/test/java/io/trailladder/cli/soak/SoakUpstream.java
@@ -57,10 +57,12 @@
     private final StatementCheck statements;
     private final LimitCheck limits;
     private final OrganisationLimitCheck organisation;
+    private final RetryCheck retries;
     private volatile boolean leaving;
     private double limit;
     private boolean calm;
     private boolean faultless;
+    private boolean failing;
 
     /**
      * Creates an upstream; it listens at once.
@@ -72,6 +74,7 @@
      * @param statements checks that gateways keep to what it says
      * @param limits checks that they keep to a limit that it names
      * @param organisation checks that they keep the limit of an organisation
+     * @param retries counts the arrivals of requests
      */
     SoakUpstream(
             EventLoop loop,
@@ -80,11 +83,13 @@
             Map<String, Integer> runs,
             StatementCheck statements,
             LimitCheck limits,
-            OrganisationLimitCheck organisation)
+            OrganisationLimitCheck organisation,
+            RetryCheck retries)
             throws IOException {
         this.statements = statements;
         this.limits = limits;
         this.organisation = organisation;
+        this.retries = retries;
         this.loop = loop;
         this.id = id;
         this.random = random;
@@ -134,6 +139,11 @@
         faultless = true;
     }
 
+    /** Has it fail every request, or none. */
+    void failing(boolean now) {
+        failing = now;
+    }
+
     /** Returns its entry in the platform's store. */
     String entry(String state) {
         return String.format(
@@ -148,6 +158,7 @@
             return;
         }
         String attempt = exchange.headers().first("Attempt-Id").orElse("");
+        retries.arrived(attempt);
         statements.arrived(id, attempt, loop.nowMillis());
         limits.arrived(id, attempt, loop.nowMillis());
         double drawn = faultless ? 1 : random.nextDouble();
@@ -158,7 +169,7 @@
         runs.merge(attempt, 1, Integer::sum);
         organisation.ran(attempt, loop.nowMillis());
         HeaderList stamps = stamps(attempt);
-        if (drawn < REFUSED + FAILED) {
+        if (failing || drawn < REFUSED + FAILED) {
             exchange.respond(500, stamps, NO_BYTES);
             return;
         }
