Streams go on only at the version that began them

Inside an answer 3 of 4 streams that are seen in the logs went on at another version; over a caller's tries the choice did not know the version at all, and Resumes was not read.

Cause: the version of an upstream was known everywhere and no part of the choice.

Within an answer the version of the upstream that sent the first event binds all later attempts. Over tries the version follows from the id of the attempt that began the stream: while a service has several versions, a new stream that may be resumed begins at the version that rendezvous hashing, weighted by slots, assigns to its id. Any process computes the same from Resumes. Lists differ between processes and over time, so a stream goes on only if its version is the same for all slots since it may have begun (its route's longest wait less what its caller still waits), or this process began it; else it is refused at once. Dispatch names version and how it was known, TurnedAway the new reasons.

--- /dev/null
+++ b/trailladder-core/src/main/java/io/trailladder/core/upstream/StreamVersions.java
@@ -0,0 +1,192 @@
+/*
+ * Copyright 2026 The trailladder authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package io.trailladder.core.upstream;
+
+import io.trailladder.core.rollout.VersionGate;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Determines the version of upstreams at which a stream begins and at which it may be resumed. What
+ * two versions generate must not be joined.
+ *
+ * <p>While a service has several versions, the version of a stream follows from the id of its first
+ * attempt, by rendezvous hashing with the number of slots of each version as its weight. So every
+ * process can tell which version began a stream, also one that has just started. Versions come and
+ * go, and processes notice that at different times; a stream is resumed only if its version is the
+ * same for all weights of the time in which it may have begun, or if this process began it.
+ *
+ * <pre>{@code
+ * StreamOrigin begin = streams.assigned("chat", attemptId, nowMillis);
+ * streams.began(attemptId, upstream.version());
+ * StreamOrigin origin = streams.origin("chat", route, attemptId, waitMillis, nowMillis);
+ * }</pre>
+ *
+ * @since 0.6
+ */
+public final class StreamVersions {
+    /** Maximum age of a stream that is resumed, in milliseconds. */
+    public static final long MAX_AGE_MILLIS = 20_000;
+
+    /**
+     * How long after the start of this process the version of an earlier stream is unknown if there
+     * are several, in milliseconds: the upstreams of before are not known.
+     */
+    static final long SETTLE_MILLIS = 3_000;
+
+    /**
+     * How much later than its caller a process may count the start of a stream, in milliseconds.
+     */
+    private static final long AGE_TOLERANCE_MILLIS = 1_000;
+
+    private static final long UNKNOWN_WAIT_MILLIS = 60_000;
+    private static final int MAX_BEGUN = 20_000;
+
+    private final UpstreamDirectory directory;
+    private final VersionGate versions;
+    private final long startedMillis;
+    private final Map<String, VersionWeights> weights = new HashMap<>();
+    private final Map<String, Long> longestWaits = new HashMap<>();
+    private final Map<String, String> begun =
+            new LinkedHashMap<>() {
+                private static final long serialVersionUID = 1L;
+
+                @Override
+                protected boolean removeEldestEntry(Map.Entry<String, String> eldest) {
+                    return size() > MAX_BEGUN;
+                }
+            };
+
+    /**
+     * Creates an instance that knows of no streams.
+     *
+     * @param directory the known upstreams
+     * @param versions decides which versions new requests may go to
+     * @param startedMillis when this process started, in milliseconds
+     */
+    public StreamVersions(UpstreamDirectory directory, VersionGate versions, long startedMillis) {
+        this.directory = directory;
+        this.versions = versions;
+        this.startedMillis = startedMillis;
+    }
+
+    /**
+     * Returns the version at which a new stream begins. During a roll-out, which decides that by
+     * itself, any version may be chosen.
+     *
+     * @param service the service
+     * @param attempt the id of the caller's attempt
+     * @param nowMillis the current time, in milliseconds
+     * @return the version, or {@link StreamOrigin#ANY}
+     */
+    public StreamOrigin assigned(String service, String attempt, long nowMillis) {
+        if (versions.rollout(service).isPresent()) {
+            return StreamOrigin.ANY;
+        }
+        return record(service, nowMillis)
+                .assigned(attempt)
+                .map(StreamOrigin::assigned)
+                .orElse(StreamOrigin.ANY);
+    }
+
+    /**
+     * Records that this process forwarded the first event of a stream.
+     *
+     * @param attempt the id of the caller's attempt
+     * @param version the version of the upstream that sent the event
+     */
+    public void began(String attempt, String version) {
+        begun.put(attempt, version);
+    }
+
+    /**
+     * Records how long the caller of a new stream waits for it. Streams of its route are no older
+     * than the time by which their callers wait less.
+     *
+     * @param route the route's name
+     * @param waitMillis how long the caller waits, in milliseconds; 0 if it does not say
+     */
+    public void requested(String route, long waitMillis) {
+        longestWaits.merge(route, waitMillis > 0 ? waitMillis : UNKNOWN_WAIT_MILLIS, Math::max);
+    }
+
+    /**
+     * Returns where a stream began that its caller resumes.
+     *
+     * @param service the service
+     * @param route the route's name
+     * @param attempt the id of the caller's attempt that brought the first event; empty if the
+     *     caller does not name it
+     * @param waitMillis how long the caller still waits, in milliseconds; 0 if it does not say
+     * @param nowMillis the current time, in milliseconds
+     * @return the version, if it is known
+     */
+    public StreamOrigin origin(
+            String service, String route, String attempt, long waitMillis, long nowMillis) {
+        String version = begun.get(attempt);
+        if (version != null) {
+            return StreamOrigin.recorded(version);
+        }
+        if (versions.rollout(service).isPresent()) {
+            return StreamOrigin.ANY;
+        }
+        VersionWeights history = record(service, nowMillis);
+        long beganMillis = nowMillis - maxAgeMillis(route, waitMillis);
+        if (history.isOneVersion(beganMillis)) {
+            return StreamOrigin.ANY;
+        }
+        if (attempt.isEmpty() || nowMillis - startedMillis < SETTLE_MILLIS) {
+            return StreamOrigin.UNKNOWN;
+        }
+        return history.assignedSince(attempt, beganMillis)
+                .map(StreamOrigin::computed)
+                .orElse(StreamOrigin.UNKNOWN);
+    }
+
+    private long maxAgeMillis(String route, long waitMillis) {
+        Long longest = longestWaits.get(route);
+        if (longest == null || waitMillis <= 0) {
+            return MAX_AGE_MILLIS;
+        }
+        long age = longest - waitMillis + AGE_TOLERANCE_MILLIS;
+        return Math.max(AGE_TOLERANCE_MILLIS, Math.min(MAX_AGE_MILLIS, age));
+    }
+
+    /**
+     * Records the upstreams of all services. To be called several times a second.
+     *
+     * @param nowMillis the current time, in milliseconds
+     */
+    public void tick(long nowMillis) {
+        directory.services().forEach(service -> record(service, nowMillis));
+    }
+
+    private VersionWeights record(String service, long nowMillis) {
+        List<Upstream> listed = directory.serving(service);
+        VersionWeights own = weights.computeIfAbsent(service, name -> new VersionWeights());
+        if (own.hasOnlyVersionOf(listed)) {
+            return own;
+        }
+        List<Upstream> admitted =
+                versions.rollout(service).isPresent()
+                        ? listed
+                        : versions.admitted(service, listed, false, nowMillis);
+        own.record(listed, admitted, nowMillis);
+        return own;
+    }
+}
--- a/trailladder-core/src/main/java/io/trailladder/core/upstream/UpstreamDirectory.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/upstream/UpstreamDirectory.java
@@ -140,6 +140,17 @@
         return startedMillis > 0 && entry.startedMillis() > startedMillis;
     }
 
+    /**
+     * Returns the services that have upstreams.
+     *
+     * @return their names
+     */
+    public Set<String> services() {
+        Set<String> services = new HashSet<>();
+        upstreams.values().forEach(upstream -> services.add(upstream.service()));
+        return services;
+    }
+
     /**
      * Returns the upstreams of a service that accept new work.
      *
--- a/trailladder-core/src/main/java/io/trailladder/core/upstream/UpstreamSelector.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/upstream/UpstreamSelector.java
@@ -118,8 +118,28 @@
      */
     public Optional<Selection> choose(
             ServingRequest request, Set<String> excluded, long nowMillis) {
+        return choose(request, excluded, Optional.empty(), nowMillis);
+    }
+
+    /**
+     * Chooses an upstream of one version, as {@link #choose(ServingRequest, Set, long)} does.
+     *
+     * @param request the request
+     * @param excluded upstreams that must not be chosen
+     * @param version the version of the upstream; empty if any may be chosen
+     * @param nowMillis the current time, in milliseconds
+     * @return the choice; empty if no upstream of the version accepts new work
+     */
+    public Optional<Selection> choose(
+            ServingRequest request,
+            Set<String> excluded,
+            Optional<String> version,
+            long nowMillis) {
         String service = request.service();
-        List<Upstream> serving = accepting(request, excluded.isEmpty(), nowMillis);
+        List<Upstream> serving =
+                version.isPresent()
+                        ? accepting(request, version.get(), nowMillis)
+                        : accepting(request, excluded.isEmpty(), nowMillis);
         Choice choice =
                 new Choice(request, excluded, serving, engines.estimate(service, nowMillis));
         Candidate local = choice.best(topology.region(), false, nowMillis);
@@ -156,6 +176,23 @@
         return serving;
     }
 
+    /**
+     * Returns the upstreams of one version that accept the request. Without a roll-out they include
+     * a version that gets no new requests yet, since another entry may have begun the stream there.
+     */
+    private List<Upstream> accepting(ServingRequest request, String version, long nowMillis) {
+        String service = request.service();
+        List<Upstream> notLeaving = availability.notLeaving(service);
+        List<Upstream> admitted =
+                versions.rollout(service).isPresent()
+                        ? versions.admitted(service, notLeaving, false, nowMillis)
+                        : notLeaving;
+        return availability.acceptingNow(
+                admitted.stream().filter(upstream -> upstream.version().equals(version)).toList(),
+                availability.reservedFraction(service, request.priority(), nowMillis),
+                nowMillis);
+    }
+
     /**
      * Records that a request was sent as chosen.
      *
--- /dev/null
+++ b/trailladder-core/src/test/java/io/trailladder/core/upstream/StreamHistoriesTest.java
@@ -0,0 +1,239 @@
+/*
+ * Copyright 2026 The trailladder authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package io.trailladder.core.upstream;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.trailladder.core.rollout.VersionGate;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.PriorityQueue;
+import java.util.SplittableRandom;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.GenerationMode;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+
+/**
+ * Tests that streams are resumed at the version that began them while upstreams of several versions
+ * come and go, and processes notice that at different times and restart.
+ */
+class StreamHistoriesTest {
+    private static final String SERVICE = "s";
+    private static final String ROUTE = "r";
+    private static final long DEADLINE_MILLIS = 8_000;
+    private static final long SETTLE_MILLIS = 25_000;
+    private static final long STEP_MILLIS = 20;
+    private static final long MAX_LAG_MILLIS = 300;
+    private static final long MIN_RETURN_MILLIS = 400;
+    private static final long MAX_RETURN_MILLIS = 4_000;
+
+    private SplittableRandom random;
+    private final List<Gateway> processes = new ArrayList<>();
+    private final PriorityQueue<Change> changes =
+            new PriorityQueue<>((one, other) -> Long.compare(one.atMillis(), other.atMillis()));
+    private final PriorityQueue<Stream> returns =
+            new PriorityQueue<>(
+                    (one, other) -> Long.compare(one.returnMillis(), other.returnMillis()));
+    private long now;
+    private int streams;
+    private int resumed;
+    private int continued;
+    private int joined;
+
+    /** A change of the list that a process notices at a time. */
+    private record Change(long atMillis, Gateway process, Upstream upstream, boolean added) {}
+
+    /** A stream whose caller comes back. */
+    private record Stream(String attempt, String version, long beganMillis, long returnMillis) {}
+
+    /** One process, which loses all it knows but the list when it restarts. */
+    private final class Gateway {
+        private final UpstreamDirectory directory = new UpstreamDirectory();
+        private StreamVersions versions;
+        private long downUntilMillis;
+
+        Gateway() {
+            restart(0);
+        }
+
+        void restart(long downMillis) {
+            downUntilMillis = now + downMillis;
+            versions = new StreamVersions(directory, new VersionGate(), now + downMillis);
+        }
+
+        boolean isRunning() {
+            return now >= downUntilMillis;
+        }
+    }
+
+    private static Upstream upstream(String id, String version) {
+        return new Upstream(id, SERVICE, "a", id + ":1", 8, false, false, 0, version, 0, 0);
+    }
+
+    private void start(int processCount, int versionCount) {
+        random = new SplittableRandom(20261203);
+        now = 0;
+        streams = 0;
+        resumed = 0;
+        continued = 0;
+        joined = 0;
+        processes.clear();
+        changes.clear();
+        returns.clear();
+        for (int i = 0; i < processCount; i++) {
+            processes.add(new Gateway());
+        }
+        for (int i = 0; i < 12; i++) {
+            change(upstream("u" + i, "v" + i % versionCount), true);
+        }
+        advance(SETTLE_MILLIS, 0);
+    }
+
+    /** Has all processes notice a change of the list, each at its own time. */
+    private void change(Upstream upstream, boolean added) {
+        for (Gateway process : processes) {
+            long lag = random.nextLong(MAX_LAG_MILLIS);
+            changes.add(new Change(now + lag, process, upstream, added));
+        }
+    }
+
+    private void advance(long millis, int streamsPerSecond) {
+        for (long end = now + millis; now < end; now += STEP_MILLIS) {
+            while (!changes.isEmpty() && changes.peek().atMillis() <= now) {
+                apply(changes.poll());
+            }
+            for (Gateway process : processes) {
+                if (process.isRunning()) {
+                    process.versions.tick(now);
+                }
+            }
+            if (random.nextDouble() < streamsPerSecond * STEP_MILLIS / 1_000.0) {
+                begin();
+            }
+            while (!returns.isEmpty() && returns.peek().returnMillis() <= now) {
+                resume(returns.poll());
+            }
+        }
+    }
+
+    private static void apply(Change change) {
+        if (change.added()) {
+            change.process().directory.changed(change.upstream());
+        } else {
+            change.process().directory.removed(change.upstream().id());
+        }
+    }
+
+    private Gateway running() {
+        Gateway process = processes.get(random.nextInt(processes.size()));
+        return process.isRunning() ? process : processes.get(0);
+    }
+
+    private void begin() {
+        Gateway process = running();
+        String attempt = "attempt-" + streams++;
+        process.versions.requested(ROUTE, DEADLINE_MILLIS);
+        StreamOrigin origin = process.versions.assigned(SERVICE, attempt, now);
+        List<Upstream> serving = process.directory.serving(SERVICE);
+        String version =
+                origin.required().orElseGet(() -> serving.get(streams % serving.size()).version());
+        process.versions.began(attempt, version);
+        long delay = random.nextLong(MIN_RETURN_MILLIS, MAX_RETURN_MILLIS);
+        returns.add(new Stream(attempt, version, now, now + delay));
+    }
+
+    private void resume(Stream stream) {
+        Gateway process = running();
+        long waitMillis = DEADLINE_MILLIS - (now - stream.beganMillis());
+        StreamOrigin origin =
+                process.versions.origin(SERVICE, ROUTE, stream.attempt(), waitMillis, now);
+        List<Upstream> serving = process.directory.serving(SERVICE);
+        boolean served =
+                serving.stream().anyMatch(upstream -> upstream.version().equals(stream.version()));
+        if (!process.isRunning() || !served) {
+            return;
+        }
+        resumed++;
+        if (origin.source() != StreamOrigin.Source.UNKNOWN) {
+            continued++;
+            String version =
+                    origin.required()
+                            .orElseGet(() -> serving.get(resumed % serving.size()).version());
+            joined += version.equals(stream.version()) ? 0 : 1;
+        }
+    }
+
+    private void assertContinued(double minShare) {
+        String seen = joined + " joined, " + continued + " of " + resumed + " continued";
+        assertEquals(0, joined, seen);
+        assertTrue(continued >= minShare * resumed, seen);
+    }
+
+    /**
+     * Guards against streams that go on at another version at a process that did not begin them.
+     */
+    @Property(tries = 16, generation = GenerationMode.EXHAUSTIVE)
+    void processesAgreeOnTheVersionOfAStream(
+            @ForAll @IntRange(min = 1, max = 4) int versionCount,
+            @ForAll @IntRange(min = 0, max = 3) int size) {
+        start(List.of(2, 6, 30, 81).get(size), versionCount);
+        advance(20_000, 40);
+        assertContinued(1);
+    }
+
+    /** Guards against the same while the upstreams of one version replace those of another. */
+    @Example
+    void streamsGoOnWhileAVersionIsReplaced() {
+        start(8, 1);
+        advance(5_000, 40);
+        for (int i = 0; i < 12; i++) {
+            change(upstream("n" + i, "v9"), true);
+            advance(1_500, 40);
+            change(upstream("u" + i, "v0"), false);
+            advance(500, 40);
+        }
+        advance(5_000, 40);
+        assertContinued(0.95);
+    }
+
+    /** Guards against a process that has just started resuming streams at any version. */
+    @Example
+    void streamsGoOnAfterAllProcessesRestart() {
+        start(8, 3);
+        advance(5_000, 40);
+        for (int restart = 0; restart < 3; restart++) {
+            processes.forEach(process -> process.restart(1_000));
+            advance(8_000, 40);
+        }
+        assertContinued(0.95);
+    }
+
+    /** Guards against streams joined when upstreams end without notice and new ones start. */
+    @Example
+    void streamsGoOnWhileUpstreamsOfThreeVersionsComeAndGo() {
+        start(8, 3);
+        for (int i = 0; i < 30; i++) {
+            change(upstream("n" + i, "v" + random.nextInt(3)), true);
+            advance(700, 40);
+            change(upstream("u" + i % 12, "v" + i % 3), false);
+            advance(700, 40);
+        }
+        assertContinued(0.95);
+    }
+}
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/BodyCapacitySelector.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/BodyCapacitySelector.java
@@ -44,12 +44,13 @@
      * Chooses an upstream.
      *
      * @param tried ids of the upstreams to exclude
+     * @param version the version of the upstream; empty if any may be chosen
      * @param nowMillis the current time, in milliseconds
      * @return the best upstream with capacity for the body; empty if there is none
      */
-    Optional<Selection> choose(Set<String> tried, long nowMillis) {
+    Optional<Selection> choose(Set<String> tried, Optional<String> version, long nowMillis) {
         wasCapacityShort = false;
-        Optional<Selection> choice = context.selector().choose(request, tried, nowMillis);
+        Optional<Selection> choice = context.selector().choose(request, tried, version, nowMillis);
         if (choice.isEmpty() || hasCapacity(choice.get().upstream())) {
             return choice;
         }
@@ -57,7 +58,7 @@
         Set<String> excluded = new HashSet<>(tried);
         while (choice.isPresent() && !hasCapacity(choice.get().upstream())) {
             excluded.add(choice.get().upstream().id());
-            choice = context.selector().choose(request, excluded, nowMillis);
+            choice = context.selector().choose(request, excluded, version, nowMillis);
         }
         return choice;
     }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/DecisionLog.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/DecisionLog.java
@@ -18,6 +18,7 @@
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
 import io.trailladder.core.upstream.CostShare;
+import io.trailladder.core.upstream.StreamOrigin;
 import io.trailladder.entry.log.EarlyLines;
 import io.trailladder.entry.log.LineQueue;
 import io.trailladder.entry.log.LineTime;
@@ -99,6 +100,8 @@
      * @param peersAgeMs age of the oldest peer digest that was used, in milliseconds
      * @param resumeAfter id of the last event that the caller has received; empty to start from the
      *     beginning
+     * @param version version of the upstream; empty if unknown
+     * @param versionFrom how it is known that the stream may run at this version
      */
     public record Dispatch(
             String id,
@@ -111,7 +114,9 @@
             int cachedTokens,
             int candidates,
             long peersAgeMs,
-            String resumeAfter)
+            String resumeAfter,
+            String version,
+            StreamOrigin.Source versionFrom)
             implements Decision {
         @Override
         public void write(JsonGenerator json) throws IOException {
@@ -128,6 +133,8 @@
             json.writeNumberField("candidates", candidates);
             json.writeNumberField("peersAgeMs", peersAgeMs);
             json.writeStringField("resumeAfter", resumeAfter);
+            json.writeStringField("version", version);
+            json.writeStringField("versionFrom", versionFrom.name());
         }
     }
 
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
@@ -31,6 +31,7 @@
 import io.trailladder.core.upstream.DemandMeter;
 import io.trailladder.core.upstream.PathMonitor;
 import io.trailladder.core.upstream.RelayPeers;
+import io.trailladder.core.upstream.StreamVersions;
 import io.trailladder.core.upstream.Upstream;
 import io.trailladder.core.upstream.UpstreamAvailability;
 import io.trailladder.core.upstream.UpstreamBackoffs;
@@ -134,6 +135,7 @@
     private final FleetRunner fleet;
     private final MemoryManager memoryManager;
     private final RetryBudgets budgets;
+    private final StreamVersions streams;
     private final CrashWatch crashes = new CrashWatch(loop::nowMillis, metrics);
     private final CrashRecords crashRecords;
     private final CrashPages crashPages = new CrashPages(crashes, loop::nowMillis);
@@ -298,6 +300,7 @@
                         firstStart ? view::listedSharing : view::settledSharing,
                         loop.nowMillis(),
                         firstStart);
+        streams = new StreamVersions(directory, versions, loop.nowMillis());
         ServingContext context =
                 new ServingContext(
                         loop,
@@ -327,6 +330,7 @@
                                 versions,
                                 mesh::regionSize,
                                 List.of(limits.cost())),
+                        streams,
                         quotas,
                         budgets,
                         usage,
@@ -389,6 +393,7 @@
         mesh.start(settings.listen().peers());
         view.start(mesh, duties::leads);
         loop.repeat(ClusterView.DIGEST_INTERVAL_MILLIS, view::tick);
+        loop.repeat(ClusterView.DIGEST_INTERVAL_MILLIS, () -> streams.tick(loop.nowMillis()));
         loop.repeat(PRUNE_INTERVAL_MILLIS, this::pruneRemovedUpstreams);
         loop.repeat(ROLE_CHECK_INTERVAL_MILLIS, this::updateStoreWatches);
         loop.repeat(STORE_USE_LOG_INTERVAL_MILLIS, this::logStoreUse);
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestDriver.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestDriver.java
@@ -26,6 +26,7 @@
 import io.trailladder.core.policy.RouteKind;
 import io.trailladder.core.upstream.CrossRegionChoice;
 import io.trailladder.core.upstream.Selection;
+import io.trailladder.core.upstream.StreamOrigin;
 import io.trailladder.core.upstream.Upstream;
 import io.trailladder.entry.gateway.DecisionLog.AttemptFailed;
 import io.trailladder.entry.gateway.DecisionLog.Dispatch;
@@ -35,6 +36,7 @@
 import io.trailladder.entry.http.HeaderList;
 import io.trailladder.entry.http.ServerExchange;
 import io.trailladder.entry.loop.LoopTimer;
+import io.trailladder.entry.port.CallerRequest;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
@@ -62,6 +64,7 @@
     private final AnswerRelay answer;
     private final ResponseTimeoutWatch responseTimeout;
     private final BodyCapacitySelector selector;
+    private final StreamVersion version;
     private Attempt attempt;
     private boolean runStarted;
     private boolean finished;
@@ -73,7 +76,7 @@
             ServingRequest request,
             RequestIdentity identity,
             int units,
-            String lastEventId,
+            CallerRequest caller,
             Consumer<RequestDriver> onEnd) {
         this.context = context;
         this.exchange = exchange;
@@ -82,9 +85,10 @@
         this.units = units;
         this.admittedMillis = context.loop().nowMillis();
         this.onEnd = onEnd;
-        if (!lastEventId.isEmpty()) {
-            history.eventForwarded(lastEventId);
+        if (!caller.lastEventId().isEmpty()) {
+            history.eventForwarded(caller.lastEventId());
         }
+        this.version = new StreamVersion(context.streams(), request, caller);
         this.retries = new RetryCharge(context.budgets(), request.service());
         this.calls = new AttemptCalls(context, exchange, request);
         this.answer =
@@ -206,6 +210,7 @@
         int events = answer.body(bytes);
         if (events > 0) {
             sender.eventsReceived(events);
+            version.eventReceived(sender.upstream());
             recordRunStarted();
         }
     }
@@ -258,34 +263,39 @@
 
     private void nextAttempt() {
         long now = context.loop().nowMillis();
-        Optional<Selection> choice = selector.choose(history.tried(), now);
+        StreamOrigin origin = version.origin(now);
+        if (origin.source() == StreamOrigin.Source.UNKNOWN) {
+            turnAway(TurnedAway.VERSION_UNKNOWN, 0);
+            return;
+        }
+        Optional<Selection> choice = selector.choose(history.tried(), origin.required(), now);
         if (choice.isEmpty() && request.route().repeatable() && !history.tried().isEmpty()) {
-            choice = selector.choose(Set.of(), now);
+            choice = selector.choose(Set.of(), origin.required(), now);
         }
         long waitMillis = choice.isEmpty() ? context.rollouts().heldMillis(request.service()) : 0;
         if (waitMillis > 0) {
             context.loop().schedule(waitMillis, this::continueAfterRollout);
         } else if (choice.isEmpty()) {
-            turnAwayWithoutChoice(now);
+            turnAwayWithoutChoice(origin, now);
         } else if (!history.hasAnswerStarted()
                 && choice.get().slotWaitMillis() > request.deadlineMillis() - now) {
             turnAway(TurnedAway.NO_PLACE_IN_TIME, choice.get().slotWaitMillis());
         } else {
-            send(choice.get(), now);
+            send(choice.get(), origin, now);
         }
     }
 
-    private void turnAwayWithoutChoice(long now) {
+    private void turnAwayWithoutChoice(StreamOrigin origin, long now) {
         long unavailableMillis =
                 context.availability()
                         .untilAnyAcceptsMillis(request.service(), request.priority(), now);
         if (unavailableMillis > 0) {
             turnAway(TurnedAway.NONE_AVAILABLE, unavailableMillis);
+        } else if (selector.wasCapacityShort()) {
+            turnAway(TurnedAway.NO_BODY_CAPACITY, 0);
         } else {
             turnAway(
-                    selector.wasCapacityShort()
-                            ? TurnedAway.NO_BODY_CAPACITY
-                            : TurnedAway.NO_UPSTREAM,
+                    origin.required().isPresent() ? TurnedAway.NO_VERSION : TurnedAway.NO_UPSTREAM,
                     0);
         }
     }
@@ -309,7 +319,7 @@
         giveUp(RecoveryPolicy.endingOf(history, false));
     }
 
-    private void send(Selection selection, long now) {
+    private void send(Selection selection, StreamOrigin origin, long now) {
         Upstream upstream = selection.upstream();
         DecisionLog.write(
                 new Dispatch(
@@ -323,7 +333,9 @@
                         selection.cachedTokens(),
                         selection.candidates(),
                         context.peersAgeMillis().getAsLong(),
-                        history.lastEventId()));
+                        history.lastEventId(),
+                        upstream.version(),
+                        origin.source()));
         selection.crossRegion().ifPresent(this::recordCrossing);
         context.selector().sent(request, upstream.id());
         answer.newAttempt();
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestIntake.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestIntake.java
@@ -315,7 +315,7 @@
                         decided.request(),
                         decided.identity(),
                         decided.units(),
-                        decided.caller().lastEventId(),
+                        decided.caller(),
                         open::remove);
         open.add(driver);
         driver.start();
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ServingContext.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ServingContext.java
@@ -20,6 +20,7 @@
 import io.trailladder.core.upstream.BrittleUpstreams;
 import io.trailladder.core.upstream.DemandMeter;
 import io.trailladder.core.upstream.PathMonitor;
+import io.trailladder.core.upstream.StreamVersions;
 import io.trailladder.core.upstream.UpstreamAvailability;
 import io.trailladder.core.upstream.UpstreamBackoffs;
 import io.trailladder.core.upstream.UpstreamDirectory;
@@ -49,6 +50,7 @@
  * @param notices processes what answers report about their upstreams
  * @param loads the load of upstreams
  * @param selector selects the upstream of a request
+ * @param streams determines the versions of streams
  * @param quotas the limits of organisations
  * @param budgets the retry budgets
  * @param usage counts requests that started to run
@@ -77,6 +79,7 @@
         UpstreamNotices notices,
         UpstreamLoads loads,
         UpstreamSelector selector,
+        StreamVersions streams,
         Quotas quotas,
         RetryBudgets budgets,
         UsageLedger usage,
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/TurnedAway.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/TurnedAway.java
@@ -40,6 +40,12 @@
     /** All remaining upstreams read bodies more slowly than they arrive. */
     static final String NO_BODY_CAPACITY = "no upstream takes bodies";
 
+    /** No upstream takes requests of the version that began the stream. */
+    static final String NO_VERSION = "no upstream of the version that began the stream";
+
+    /** This process does not know which of several versions began the stream. */
+    static final String VERSION_UNKNOWN = "version that began the stream is not known";
+
     /** All upstreams are expected to be busy for longer than the caller waits. */
     static final String NO_PLACE_IN_TIME = "no place in time";
 
--- a/trailladder-entry/src/main/java/io/trailladder/entry/port/CallerRequest.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/port/CallerRequest.java
@@ -26,6 +26,8 @@
  * @param key the caller's key; empty if it sent none
  * @param waitMillis how long the caller waits, in milliseconds; 0 if not given
  * @param lastEventId the last event the caller received; empty if it does not resume a stream
+ * @param resumes the request id of the attempt that brought the first event of the stream that it
+ *     resumes; empty if not given
  * @param prompt the size of the prompt, as far as given
  * @since 0.2
  */
@@ -36,4 +38,5 @@
         String key,
         long waitMillis,
         String lastEventId,
+        String resumes,
         Prompt prompt) {}
