--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/GatewayMetrics.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/GatewayMetrics.java
@@ -149,6 +149,11 @@
         POLICY_FROM_PEER,
         /** A second attempt was not made because the budget was used up. */
         RETRY_BUDGET_EMPTY,
+        /**
+         * A stream was refused because the version that began it is not known, or no upstream of it
+         * takes requests.
+         */
+        STREAM_NOT_RESUMED,
         /** A usage report or an order was not accepted. */
         DUTY_FAILURE,
         /** A request was sent to another region. */
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestDriver.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestDriver.java
@@ -314,6 +314,9 @@
 
     /** Ends the request at once because no upstream can serve it in time. */
     private void turnAway(String reason, long placeMillis) {
+        if (reason.equals(TurnedAway.VERSION_UNKNOWN) || reason.equals(TurnedAway.NO_VERSION)) {
+            context.metrics().count(GatewayMetrics.Event.STREAM_NOT_RESUMED);
+        }
         long remainingMillis = request.deadlineMillis() - context.loop().nowMillis();
         DecisionLog.write(new TurnedAway(request.id(), reason, placeMillis, remainingMillis));
         giveUp(RecoveryPolicy.endingOf(history, false));
