Streams: processes tell each other where streams began that cannot be computed

While versions replaced each other 10 to 12 % of the streams were refused, as their version was not the same for all slots of late. A process that has just started refuses only streams that may have begun before it did. During roll-outs, which choose versions by themselves, all streams are told.

--- a/trailladder-core/src/main/java/io/trailladder/core/upstream/StreamVersions.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/upstream/StreamVersions.java
@@ -17,9 +17,9 @@
 
 import io.trailladder.core.rollout.VersionGate;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 
 /**
  * Determines the version of upstreams at which a stream begins and at which it may be resumed. What
@@ -28,12 +28,13 @@
  * <p>While a service has several versions, the version of a stream follows from the id of its first
  * attempt, by rendezvous hashing with the number of slots of each version as its weight. So every
  * process can tell which version began a stream, also one that has just started. Versions come and
- * go, and processes notice that at different times; a stream is resumed only if its version is the
- * same for all weights of the time in which it may have begun, or if this process began it.
+ * go, and processes notice that at different times. Where a stream's version is not the same for
+ * all weights since it may have begun, the process that began it tells the others; one that was not
+ * told does not resume it.
  *
  * <pre>{@code
  * StreamOrigin begin = streams.assigned("chat", attemptId, nowMillis);
- * streams.began(attemptId, upstream.version());
+ * streams.began("chat", attemptId, upstream.version(), nowMillis);
  * StreamOrigin origin = streams.origin("chat", route, attemptId, waitMillis, nowMillis);
  * }</pre>
  *
@@ -44,8 +45,8 @@
     public static final long MAX_AGE_MILLIS = 20_000;
 
     /**
-     * How long after the start of this process the version of an earlier stream is unknown if there
-     * are several, in milliseconds: the upstreams of before are not known.
+     * How long after the start of this process the version is unknown of a stream that may have
+     * begun before, in milliseconds: upstreams may have left or come shortly before.
      */
     static final long SETTLE_MILLIS = 3_000;
 
@@ -54,23 +55,17 @@
      */
     private static final long AGE_TOLERANCE_MILLIS = 1_000;
 
+    /** How much later than another process this one may notice a change, in milliseconds. */
+    private static final long LAG_MILLIS = 500;
+
     private static final long UNKNOWN_WAIT_MILLIS = 60_000;
-    private static final int MAX_BEGUN = 20_000;
 
     private final UpstreamDirectory directory;
     private final VersionGate versions;
     private final long startedMillis;
     private final Map<String, VersionWeights> weights = new HashMap<>();
     private final Map<String, Long> longestWaits = new HashMap<>();
-    private final Map<String, String> begun =
-            new LinkedHashMap<>() {
-                private static final long serialVersionUID = 1L;
-
-                @Override
-                protected boolean removeEldestEntry(Map.Entry<String, String> eldest) {
-                    return size() > MAX_BEGUN;
-                }
-            };
+    private final BegunStreams begun = new BegunStreams();
 
     /**
      * Creates an instance that knows of no streams.
@@ -107,11 +102,33 @@
     /**
      * Records that this process forwarded the first event of a stream.
      *
+     * @param service the service
      * @param attempt the id of the caller's attempt
      * @param version the version of the upstream that sent the event
+     * @param nowMillis the current time, in milliseconds
+     */
+    public void began(String service, String attempt, String version, long nowMillis) {
+        begun.add(service, attempt, version, nowMillis);
+    }
+
+    /**
+     * Returns the streams of which the others must be told where they began.
+     *
+     * @param nowMillis the current time, in milliseconds
+     * @return streams that began at this process, or of which it was told lately
      */
-    public void began(String attempt, String version) {
-        begun.put(attempt, version);
+    public List<StreamRecord> news(long nowMillis) {
+        return begun.news(nowMillis);
+    }
+
+    /**
+     * Records where a stream began at another process.
+     *
+     * @param stream the stream
+     * @param nowMillis the current time, in milliseconds
+     */
+    public void learned(StreamRecord stream, long nowMillis) {
+        begun.learned(stream, nowMillis);
     }
 
     /**
@@ -138,9 +155,9 @@
      */
     public StreamOrigin origin(
             String service, String route, String attempt, long waitMillis, long nowMillis) {
-        String version = begun.get(attempt);
-        if (version != null) {
-            return StreamOrigin.recorded(version);
+        Optional<String> recorded = begun.version(attempt);
+        if (recorded.isPresent()) {
+            return StreamOrigin.recorded(recorded.get());
         }
         if (versions.rollout(service).isPresent()) {
             return StreamOrigin.ANY;
@@ -150,7 +167,8 @@
         if (history.isOneVersion(beganMillis)) {
             return StreamOrigin.ANY;
         }
-        if (attempt.isEmpty() || nowMillis - startedMillis < SETTLE_MILLIS) {
+        boolean older = beganMillis < startedMillis;
+        if (attempt.isEmpty() || (older && nowMillis - startedMillis < SETTLE_MILLIS)) {
             return StreamOrigin.UNKNOWN;
         }
         return history.assignedSince(attempt, beganMillis)
@@ -174,6 +192,19 @@
      */
     public void tick(long nowMillis) {
         directory.services().forEach(service -> record(service, nowMillis));
+        begun.tell(this::isUncertain, nowMillis);
+    }
+
+    /** Returns whether other processes may not compute the version at which a stream began. */
+    private boolean isUncertain(BegunStreams.Begun stream) {
+        VersionWeights history = weights.get(stream.service());
+        long sinceMillis = stream.beganMillis() - AGE_TOLERANCE_MILLIS - LAG_MILLIS;
+        if (history == null || history.isOneVersion(sinceMillis)) {
+            return false;
+        }
+        return versions.rollout(stream.service()).isPresent()
+                || !history.assignedSince(stream.attempt(), sinceMillis)
+                        .equals(Optional.of(stream.version()));
     }
 
     private VersionWeights record(String service, long nowMillis) {
--- a/trailladder-core/src/main/java/io/trailladder/core/upstream/VersionWeights.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/upstream/VersionWeights.java
@@ -168,14 +168,17 @@
 
     /** Returns a number between 0, exclusive, and 1 that is the same in every process. */
     private static double uniform(String id, String version) {
+        return ((hash(id + '\n' + version) >>> 11) + 0.5) / HASH_RANGE;
+    }
+
+    /** Returns a hash that is the same in every process. */
+    static long hash(String text) {
         long hash = HASH_START;
-        String text = id + '\n' + version;
         for (int i = 0; i < text.length(); i++) {
             hash = (hash ^ text.charAt(i)) * HASH_PRIME;
         }
         hash = (hash ^ (hash >>> 33)) * MIX_FIRST;
         hash = (hash ^ (hash >>> 33)) * MIX_SECOND;
-        hash ^= hash >>> 33;
-        return ((hash >>> 11) + 0.5) / HASH_RANGE;
+        return hash ^ (hash >>> 33);
     }
 }
--- a/trailladder-core/src/test/java/io/trailladder/core/upstream/StreamHistoriesTest.java
+++ b/trailladder-core/src/test/java/io/trailladder/core/upstream/StreamHistoriesTest.java
@@ -39,6 +39,7 @@
     private static final long DEADLINE_MILLIS = 8_000;
     private static final long SETTLE_MILLIS = 25_000;
     private static final long STEP_MILLIS = 20;
+    private static final long DIGEST_MILLIS = 200;
     private static final long MAX_LAG_MILLIS = 300;
     private static final long MIN_RETURN_MILLIS = 400;
     private static final long MAX_RETURN_MILLIS = 4_000;
@@ -123,6 +124,9 @@
                     process.versions.tick(now);
                 }
             }
+            if (now % DIGEST_MILLIS == 0) {
+                sendDigests();
+            }
             if (random.nextDouble() < streamsPerSecond * STEP_MILLIS / 1_000.0) {
                 begin();
             }
@@ -132,6 +136,19 @@
         }
     }
 
+    /** Has each process that runs tell all others, as digests do. */
+    private void sendDigests() {
+        for (Gateway sender : processes) {
+            List<StreamRecord> news =
+                    sender.isRunning() ? sender.versions.news(now) : List.<StreamRecord>of();
+            for (Gateway receiver : processes) {
+                if (receiver != sender && receiver.isRunning()) {
+                    news.forEach(stream -> receiver.versions.learned(stream, now));
+                }
+            }
+        }
+    }
+
     private static void apply(Change change) {
         if (change.added()) {
             change.process().directory.changed(change.upstream());
@@ -153,7 +170,7 @@
         List<Upstream> serving = process.directory.serving(SERVICE);
         String version =
                 origin.required().orElseGet(() -> serving.get(streams % serving.size()).version());
-        process.versions.began(attempt, version);
+        process.versions.began(SERVICE, attempt, version, now);
         long delay = random.nextLong(MIN_RETURN_MILLIS, MAX_RETURN_MILLIS);
         returns.add(new Stream(attempt, version, now, now + delay));
     }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
@@ -301,6 +301,7 @@
                         loop.nowMillis(),
                         firstStart);
         streams = new StreamVersions(directory, versions, loop.nowMillis());
+        view.add(new StreamPart(streams));
         ServingContext context =
                 new ServingContext(
                         loop,
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestDriver.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestDriver.java
@@ -210,7 +210,7 @@
         int events = answer.body(bytes);
         if (events > 0) {
             sender.eventsReceived(events);
-            version.eventReceived(sender.upstream());
+            version.eventReceived(sender.upstream(), context.loop().nowMillis());
             recordRunStarted();
         }
     }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/StreamVersion.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/StreamVersion.java
@@ -76,11 +76,12 @@
     }
 
     /** Records that an upstream sent an event, which binds the stream to its version. */
-    void eventReceived(Upstream upstream) {
+    void eventReceived(Upstream upstream, long nowMillis) {
         if (!resumable || fixed.isPresent()) {
             return;
         }
         fixed = Optional.of(StreamOrigin.recorded(upstream.version()));
-        streams.began(isResumed() ? caller.resumes() : request.id(), upstream.version());
+        String attempt = isResumed() ? caller.resumes() : request.id();
+        streams.began(request.service(), attempt, upstream.version(), nowMillis);
     }
 }
