--- a/trailladder-cli/src/test/java/io/trailladder/cli/soak/RetryCheck.java
+++ b/trailladder-cli/src/test/java/io/trailladder/cli/soak/RetryCheck.java
@@ -33,6 +33,11 @@
     private final NavigableMap<Long, Integer> requests = new TreeMap<>();
     private final NavigableMap<Long, Integer> retries = new TreeMap<>();
 
+    /**
+     * Creates a check of unused budgets.
+     *
+     * @param allowance retries in each window beyond the ratio, of all services together
+     */
     RetryCheck(double allowance) {
         this.allowance = allowance;
     }
