A stream stays at the last upstream of its version, also if that leaves or is silent for a while

With streams bound to a version, an attempt was ended to move it although no upstream of its version could take it, and its caller got a broken stream where the upstream's notice, or its next event a second later, would have finished it. Moving and leaving a silent upstream ask for an upstream of the version first. The test (the only upstream of v0 leaves 0.9 s after the notice while a stream pauses) fails without it.

--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestDriver.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestDriver.java
@@ -96,7 +96,13 @@
         boolean resumable = isStream() && request.route().repeatable();
         exchange.answerOwner(new AnswerOwner(request.id(), request.organisation(), resumable));
         this.responseTimeout =
-                new ResponseTimeoutWatch(context, request, history, retries, this::checkReachable);
+                new ResponseTimeoutWatch(
+                        context,
+                        request,
+                        history,
+                        retries,
+                        this::isServedElsewhere,
+                        this::checkReachable);
         this.selector = new BodyCapacitySelector(context, request);
         exchange.onDisconnect(this::callerDisconnected);
         long remainingMillis = request.deadlineMillis() - context.loop().nowMillis();
@@ -146,8 +152,8 @@
 
     /**
      * Moves the request to another upstream if it may be repeated or has not been sent. It stays at
-     * an upstream that is leaving while no other takes requests, or no retry is left: the notice
-     * leaves it time, and moving would end it for certain.
+     * an upstream that is leaving while no other takes it, or no retry is left: the notice leaves
+     * it time, and moving would end it for certain.
      */
     void moveToOtherUpstream(AttemptFailure reason) {
         if (attempt == null || (attempt.isSent() && !request.route().repeatable())) {
@@ -161,11 +167,22 @@
     }
 
     private boolean canMove(long nowMillis) {
-        return context.availability().isAnyAccepting(request.service(), nowMillis)
+        return isServedElsewhere()
                 && RecoveryPolicy.allowsAnother(request, history, nowMillis)
                 && retries.allowsAnother(nowMillis);
     }
 
+    /**
+     * Returns whether another upstream takes the request, if it is bound to a version one of it.
+     */
+    private boolean isServedElsewhere() {
+        long now = context.loop().nowMillis();
+        Optional<String> required = version.origin(now).required();
+        return context.availability().isAnyAccepting(request.service(), now)
+                && (required.isEmpty()
+                        || selector.choose(history.tried(), required, now).isPresent());
+    }
+
     /** Ends the request because the process stops. */
     void stop() {
         if (finished) {
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ResponseTimeoutWatch.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ResponseTimeoutWatch.java
@@ -22,6 +22,7 @@
 import io.trailladder.core.upstream.Selection;
 import io.trailladder.core.upstream.Upstream;
 import java.util.function.BiConsumer;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 
 /**
@@ -47,6 +48,7 @@
     private final ServingRequest request;
     private final AttemptHistory history;
     private final RetryCharge retries;
+    private final BooleanSupplier servedElsewhere;
     private final BiConsumer<Upstream, Consumer<Boolean>> reachable;
     private Attempt watched;
 
@@ -57,6 +59,7 @@
      * @param request the request
      * @param history its attempts
      * @param retries the charge of its retries
+     * @param servedElsewhere tells whether another upstream takes the request
      * @param reachable tests whether an upstream can be reached
      */
     ResponseTimeoutWatch(
@@ -64,12 +67,14 @@
             ServingRequest request,
             AttemptHistory history,
             RetryCharge retries,
+            BooleanSupplier servedElsewhere,
             BiConsumer<Upstream, Consumer<Boolean>> reachable) {
         this.reachable = reachable;
         this.context = context;
         this.request = request;
         this.history = history;
         this.retries = retries;
+        this.servedElsewhere = servedElsewhere;
     }
 
     /** Starts to watch an attempt instead of the previous one. */
@@ -132,7 +137,7 @@
         long now = context.loop().nowMillis();
         boolean allowed =
                 RecoveryPolicy.allowsAnother(request, history, now)
-                        && context.availability().isAnyAccepting(request.service(), now)
+                        && servedElsewhere.getAsBoolean()
                         && retries.allowsAnother(now);
         if (allowed) {
             attempt.fail(reason);
