--- a/trailladder-core/src/main/java/io/trailladder/core/upstream/BegunStreams.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/upstream/BegunStreams.java
@@ -56,7 +56,7 @@
     private record News(long attempt, String version, long sinceMillis) {}
 
     void add(String service, String attempt, String version, long nowMillis) {
-        versions.put(hash(attempt), version);
+        versions.put(VersionWeights.hash(attempt), version);
         own.addLast(new Begun(service, attempt, version, nowMillis));
         if (own.size() > MAX_OWN) {
             own.removeFirst();
@@ -64,7 +64,7 @@
     }
 
     Optional<String> version(String attempt) {
-        return Optional.ofNullable(versions.get(hash(attempt)));
+        return Optional.ofNullable(versions.get(VersionWeights.hash(attempt)));
     }
 
     /** Begins to tell others of the streams that pass a test, each once. */
@@ -75,7 +75,11 @@
         for (Iterator<Begun> each = own.iterator(); each.hasNext(); ) {
             Begun stream = each.next();
             if (test.test(stream)) {
-                news.addLast(new News(hash(stream.attempt()), stream.version(), nowMillis));
+                news.addLast(
+                        new News(
+                                VersionWeights.hash(stream.attempt()),
+                                stream.version(),
+                                nowMillis));
                 each.remove();
             }
         }
@@ -97,8 +101,4 @@
         }
         return told;
     }
-
-    private static long hash(String attempt) {
-        return VersionWeights.hash(attempt);
-    }
 }
--- a/trailladder-core/src/main/java/io/trailladder/core/upstream/VersionWeights.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/upstream/VersionWeights.java
@@ -58,7 +58,8 @@
             samples.addLast(sample);
         }
         // keeps the sample that was in force when the history begins
-        while (samples.size() > 1 && second().fromMillis() < nowMillis - maxAgeMillis()) {
+        long oldestMillis = nowMillis - StreamVersions.MAX_AGE_MILLIS;
+        while (samples.size() > 1 && second().fromMillis() < oldestMillis) {
             samples.removeFirst();
         }
     }
@@ -72,10 +73,6 @@
         return listed.stream().allMatch(upstream -> last.listed().containsKey(upstream.version()));
     }
 
-    private static long maxAgeMillis() {
-        return StreamVersions.MAX_AGE_MILLIS;
-    }
-
     private Sample second() {
         var oldestFirst = samples.iterator();
         oldestFirst.next();
