Log how an upstream's answer ended where its framing does not show that it is complete

Ended says whole for an answer that ended with its connection, between two events or inside one, and for one whose length or last chunk arrived inside an event: the three hypotheses of the incident look alike. AnswerEnd names the framing, the complete events and the bytes after the last of them, once for each such answer; answers with a length or chunks that end with a complete event write none. No behaviour changes.

--- /dev/null
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/AnswerEnd.java
@@ -0,0 +1,42 @@
+/*
+ * Copyright 2026 The trailladder authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package io.trailladder.entry.gateway;
+
+import com.fasterxml.jackson.core.JsonGenerator;
+import io.trailladder.entry.gateway.DecisionLog.Decision;
+import java.io.IOException;
+
+/**
+ * Log line: an upstream's answer ended with its connection, or inside an event, so that its framing
+ * does not show that it is complete.
+ *
+ * @param id the request
+ * @param upstream the upstream
+ * @param framing how the answer told where its body ends
+ * @param events the number of complete events
+ * @param incompleteBytes bytes after the last complete event
+ */
+record AnswerEnd(String id, String upstream, AnswerFraming framing, int events, int incompleteBytes)
+        implements Decision {
+    @Override
+    public void write(JsonGenerator json) throws IOException {
+        json.writeStringField("id", id);
+        json.writeStringField("upstream", upstream);
+        json.writeStringField("framing", framing.name());
+        json.writeNumberField("events", events);
+        json.writeNumberField("incompleteBytes", incompleteBytes);
+    }
+}
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/AnswerRelay.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/AnswerRelay.java
@@ -122,6 +122,11 @@
         return status;
     }
 
+    /** Returns the number of bytes of a stream after its last complete event. */
+    int incompleteBytes() {
+        return splitter.pendingBytes();
+    }
+
     /** Releases the reserved bytes; nothing more is relayed. */
     void close() {
         reservation.close();
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Attempt.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Attempt.java
@@ -54,6 +54,7 @@
     private boolean relayed;
     private boolean promptRead;
     private boolean finished;
+    private AnswerFraming framing = AnswerFraming.CONNECTION;
     private int status;
     private long lastReceivedMillis;
     private long firstEventMillis = -1;
@@ -126,6 +127,15 @@
         return status;
     }
 
+    /** Returns how the answer tells where its body ends. */
+    AnswerFraming framing() {
+        return framing;
+    }
+
+    int events() {
+        return eventsReceived;
+    }
+
     /** Returns how the call to the upstream failed; empty if it did not, or was given up. */
     Optional<CallFailure> callFailure() {
         return callFailure;
@@ -210,6 +220,7 @@
     @Override
     public void head(int answerStatus, HeaderList headers, long length) {
         status = answerStatus;
+        framing = AnswerFraming.of(headers, length);
         lastReceivedMillis = context.loop().nowMillis();
         if (context.protocol().belongsToAnother(request.id(), headers)) {
             failAsForeign();
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestDriver.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestDriver.java
@@ -234,6 +234,15 @@
 
     @Override
     public void ended(Attempt sender) {
+        if (sender.framing() == AnswerFraming.CONNECTION || answer.incompleteBytes() > 0) {
+            DecisionLog.write(
+                    new AnswerEnd(
+                            request.id(),
+                            sender.upstream().id(),
+                            sender.framing(),
+                            sender.events(),
+                            answer.incompleteBytes()));
+        }
         if (answer.status() >= MIN_SERVER_ERROR_STATUS && !history.hasAnswerStarted()) {
             attemptFailed(sender, AttemptFailure.SERVER_ERROR);
             return;
