Callers of HTTP/1.0 get answers of unknown length without chunks, and a reset when they break off

Such a caller was sent chunks, which it takes for a part of the body. It now gets the body alone, ended by an orderly close; until that end, SO_LINGER of 0 turns every other end of the connection into a reset, also that of a killed process, since a close would say that the answer is complete.

--- a/trailladder-entry/src/main/java/io/trailladder/entry/http/HttpServer.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/http/HttpServer.java
@@ -100,7 +100,7 @@
         keepAlive.setMaxRequestsCount(-1);
         HttpServerFilter codec =
                 new HttpServerFilter(
-                        true,
+                        false,
                         maxHeadBytes,
                         null,
                         keepAlive,
--- a/trailladder-entry/src/main/java/io/trailladder/entry/http/ServerConnection.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/http/ServerConnection.java
@@ -19,12 +19,17 @@
 import io.trailladder.core.memory.MemoryLevel;
 import io.trailladder.core.memory.ReservationKind;
 import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.net.StandardSocketOptions;
+import java.nio.channels.SocketChannel;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.http.HttpContent;
 import org.glassfish.grizzly.http.HttpRequestPacket;
+import org.glassfish.grizzly.nio.NIOConnection;
+import org.tinylog.Logger;
 
 /** The connection of one caller. Answers its requests one at a time, in the order of arrival. */
 final class ServerConnection {
@@ -34,6 +39,7 @@
     private static final int REQUEST_TIMEOUT = 408;
     private static final int TOO_LARGE = 413;
     private static final int UNAVAILABLE = 503;
+    private static final int LINGER_OFF = -1;
     private static final byte[] NO_BYTES = {};
 
     private final HttpServer server;
@@ -128,6 +134,9 @@
         current = null;
         updateAccount();
         markIdle();
+        if (exchange.isUnframed()) {
+            resetOnClose(false);
+        }
         if (exchange.closesAfter()) {
             closeAfterAnswer();
         } else {
@@ -146,6 +155,17 @@
         holding.close();
     }
 
+    /** Sets whether the connection is reset when it closes, for whatever reason it does. */
+    void resetOnClose(boolean reset) {
+        SocketChannel channel = (SocketChannel) ((NIOConnection) connection).getChannel();
+        try {
+            channel.setOption(StandardSocketOptions.SO_LINGER, reset ? 0 : LINGER_OFF);
+        } catch (IOException e) {
+            Logger.warn(e, "connection {} closes: SO_LINGER was not set", connection);
+            terminate();
+        }
+    }
+
     /** Closes after all bytes passed to the socket have been written. */
     void close() {
         connection.closeSilently();
--- a/trailladder-entry/src/main/java/io/trailladder/entry/http/ServerExchange.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/http/ServerExchange.java
@@ -15,8 +15,10 @@
  */
 package io.trailladder.entry.http;
 
+import java.util.function.Consumer;
 import org.glassfish.grizzly.http.HttpRequestPacket;
 import org.glassfish.grizzly.http.HttpResponsePacket;
+import org.glassfish.grizzly.http.Protocol;
 
 /**
  * A request that was read completely, and its answer.
@@ -41,6 +43,7 @@
     private AnswerOwner answerOwner = AnswerOwner.UNKNOWN;
     private Runnable onDisconnect = () -> {};
     private boolean closeAfter;
+    private boolean unframed;
     private volatile boolean over;
     private boolean disconnected;
     private boolean cut;
@@ -150,21 +153,43 @@
     }
 
     /**
-     * Begins an answer.
+     * Begins an answer. A body whose length is not known is sent in chunks, or to a caller of
+     * HTTP/1.0 without framing.
      *
      * @param status HTTP status
      * @param fields header fields without those that concern the connection
      * @param length length of the body in bytes; below 0 if not known
      */
     public void begin(int status, HeaderList fields, long length) {
-        HttpResponsePacket.Builder head = HttpResponsePacket.builder(request).status(status);
-        head.protocol("HTTP/1.1");
-        fields.fields().forEach(field -> head.header(field.name(), field.value()));
         if (length >= 0) {
-            head.contentLength(length);
+            begin(status, fields, head -> head.contentLength(length));
+        } else if (request.getProtocol() == Protocol.HTTP_1_1) {
+            begin(status, fields, head -> head.chunked(true));
         } else {
-            head.chunked(true);
+            beginUnframed(status, fields);
         }
+    }
+
+    /**
+     * Begins an answer with neither a length nor chunks: it ends with its connection. Until then
+     * any other end of the connection resets it, since a close would make the answer look complete.
+     *
+     * @param status HTTP status
+     * @param fields header fields without those that concern the connection
+     */
+    public void beginUnframed(int status, HeaderList fields) {
+        unframed = true;
+        closeAfter = true;
+        owner.resetOnClose(true);
+        begin(status, fields, head -> {});
+    }
+
+    private void begin(
+            int status, HeaderList fields, Consumer<HttpResponsePacket.Builder> framing) {
+        HttpResponsePacket.Builder head = HttpResponsePacket.builder(request).status(status);
+        head.protocol("HTTP/1.1");
+        fields.fields().forEach(field -> head.header(field.name(), field.value()));
+        framing.accept(head);
         closeAfter |= owner.isClosing();
         if (closeAfter) {
             head.header("Connection", "close");
@@ -304,6 +329,11 @@
         }
     }
 
+    /** Returns whether the answer ends with its connection. */
+    boolean isUnframed() {
+        return unframed;
+    }
+
     boolean closesAfter() {
         return closeAfter;
     }
