Answers that were broken off are no longer passed on as complete

What callers saw: a stream that its upstream had broken off, with half an event at its end, framed as complete (ORDER); a body cut short by a killed upstream with a made-up length.

Cause: the end of the bytes was taken for the end of the message. An answer with neither a length nor chunks ends with its connection, and an orderly close says nothing of completeness: upstreams close so after a part of a stream, and the system of a killed process closes its connections in the same way. AnswerRelay.end passed the rest on and ended the answer. The attempt counted as a success as well: for roll-outs, speeds, circuit states, and as a whole run that clears a request under which upstreams end.

Now CallListener tells the two ends apart (endedUnframed), and AnswerEndCheck decides before an attempt completes: a stream that ends inside an event, whatever its framing says, has been broken off, and so has an unframed stream without an event; any other answer without framing is complete only if its upstream still accepts a connection 5 ms later. What is incomplete fails as BROKEN: resumed, sent again, or broken off, as after a reset. Why a check: between two events nothing else tells the end of a process from the end of an answer; it costs one connection for each unframed answer.

HttpConnectorTest.answerWithoutLengthEndsWithAnOrderlyClose, RelayTest.theEndOfTheUpstreamsConnectionIsPassedOnAsItWas: expected such an answer to be whole; they now expect it to be told from one, which is stricter.

--- a/trailladder-bench/src/main/java/io/trailladder/bench/StandIns.java
+++ b/trailladder-bench/src/main/java/io/trailladder/bench/StandIns.java
@@ -187,6 +187,11 @@
             (status == OK ? whole : other).incrementAndGet();
         }
 
+        @Override
+        public void endedUnframed() {
+            other.incrementAndGet();
+        }
+
         @Override
         public void failed(CallFailure failure) {
             other.incrementAndGet();
--- a/trailladder-cli/src/main/java/io/trailladder/cli/ClassDataTraining.java
+++ b/trailladder-cli/src/main/java/io/trailladder/cli/ClassDataTraining.java
@@ -343,6 +343,9 @@
         @Override
         public void ended() {}
 
+        @Override
+        public void endedUnframed() {}
+
         @Override
         public void failed(CallFailure failure) {}
     }
--- a/trailladder-cli/src/test/java/io/trailladder/cli/soak/SoakUpstream.java
+++ b/trailladder-cli/src/test/java/io/trailladder/cli/soak/SoakUpstream.java
@@ -30,7 +30,10 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.ConcurrentHashMap;
 
-/** An upstream that streams at its own pace and records which requests it ran. */
+/**
+ * An upstream that streams at its own pace and records which requests it ran. A part of its answers
+ * has neither a length nor chunks; such a stream is broken off by an orderly close inside an event.
+ */
 final class SoakUpstream {
     /** Events of a whole stream. */
     static final int EVENTS = 12;
@@ -46,6 +49,7 @@
     private static final int LONGEST_REST_MILLIS = 2_500;
     private static final double FAILED = 0.02;
     private static final double CUT = 0.02;
+    private static final int UNFRAMED_ONE_IN = 3;
     private static final byte[] NO_BYTES = {};
 
     private final EventLoop loop;
@@ -176,13 +180,22 @@
         boolean cut = drawn < REFUSED + FAILED + CUT;
         if (exchange.headers().first("Token-Usage").isPresent()) {
             int after = Integer.parseInt(exchange.headers().first("Last-Event-Id").orElse("0"));
-            exchange.begin(200, stamps, -1);
+            if (isUnframed(attempt)) {
+                exchange.beginUnframed(200, stamps);
+            } else {
+                exchange.begin(200, stamps, -1);
+            }
             stream(exchange, attempt, after + 1, cut);
         } else {
             loop.schedule(EVENT_MILLIS, () -> plain(exchange, stamps, attempt, cut));
         }
     }
 
+    /** Returns whether the answer to an attempt ends with its connection. */
+    private static boolean isUnframed(String attempt) {
+        return Math.floorMod(attempt.hashCode(), UNFRAMED_ONE_IN) == 0;
+    }
+
     private HeaderList refusal(String attempt, boolean rests) {
         HeaderList headers =
                 limited(HeaderList.of("Not-Executed", "1").with("Attempt-Id", attempt), attempt);
@@ -217,9 +230,18 @@
 
     private static void plain(
             ServerExchange exchange, HeaderList stamps, String attempt, boolean cut) {
+        if (exchange.isOver()) {
+            return;
+        }
+        if (isUnframed(attempt)) {
+            exchange.beginUnframed(200, stamps);
+            exchange.write(bytes("answer " + (cut ? "" : attempt)));
+        }
         if (cut) {
             exchange.abort();
-        } else if (!exchange.isOver()) {
+        } else if (isUnframed(attempt)) {
+            exchange.end();
+        } else {
             exchange.respond(200, stamps, bytes("answer " + attempt));
         }
     }
@@ -230,7 +252,11 @@
         }
         if (cut && event == EVENTS / 2) {
             exchange.write(bytes("id: " + event + "\nda"));
-            exchange.abort();
+            if (isUnframed(attempt)) {
+                exchange.end();
+            } else {
+                exchange.abort();
+            }
             return;
         }
         if (event > EVENTS) {
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/AnswerEnd.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/AnswerEnd.java
@@ -20,16 +20,23 @@
 import java.io.IOException;
 
 /**
- * Log line: an upstream's answer ended with its connection, or inside an event, so that its framing
- * does not show that it is complete.
+ * Log line: whether an upstream's answer was taken as complete that ended with its connection, or
+ * as an incomplete stream.
  *
  * @param id the request
  * @param upstream the upstream
  * @param framing how the answer told where its body ends
  * @param events the number of complete events
  * @param incompleteBytes bytes after the last complete event
+ * @param complete true if it was taken as complete
  */
-record AnswerEnd(String id, String upstream, AnswerFraming framing, int events, int incompleteBytes)
+record AnswerEnd(
+        String id,
+        String upstream,
+        AnswerFraming framing,
+        int events,
+        int incompleteBytes,
+        boolean complete)
         implements Decision {
     @Override
     public void write(JsonGenerator json) throws IOException {
@@ -38,5 +45,6 @@
         json.writeStringField("framing", framing.name());
         json.writeNumberField("events", events);
         json.writeNumberField("incompleteBytes", incompleteBytes);
+        json.writeBooleanField("complete", complete);
     }
 }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/AnswerRelay.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/AnswerRelay.java
@@ -23,6 +23,7 @@
 import io.trailladder.entry.http.ServerExchange;
 import java.io.ByteArrayOutputStream;
 import java.util.List;
+import java.util.Locale;
 
 /**
  * Relays an upstream's answer to the caller. A stream is relayed event by event as it arrives; any
@@ -30,6 +31,7 @@
  */
 final class AnswerRelay {
     private static final int MAX_SUCCESS_STATUS = 299;
+    private static final String EVENT_STREAM_TYPE = "text/event-stream";
 
     private final MemoryManager memory;
     private final MemoryAccount.Reservation reservation;
@@ -42,6 +44,8 @@
     private HeaderList headers = HeaderList.EMPTY;
     private int status;
     private boolean relaying;
+    private boolean eventStream;
+    private boolean eventsSeen;
 
     /**
      * Creates a relay for the answer to one request.
@@ -76,12 +80,20 @@
         headers = fields;
         buffered.reset();
         relaying = stream && answerStatus <= MAX_SUCCESS_STATUS;
+        eventStream = relaying && mayBeEventStream(fields);
+    }
+
+    private static boolean mayBeEventStream(HeaderList fields) {
+        return fields.first("Content-Type")
+                .map(type -> type.toLowerCase(Locale.ROOT).startsWith(EVENT_STREAM_TYPE))
+                .orElse(true);
     }
 
     /** Relays or buffers a part of the body; returns the number of events that it completes. */
     int body(byte[] bytes) {
         if (relaying && stream) {
             int events = relayEvents(splitter.append(bytes));
+            eventsSeen |= events > 0;
             reservePending(splitter.pendingBytes());
             return events;
         }
@@ -122,6 +134,16 @@
         return status;
     }
 
+    /**
+     * Returns whether the part of the answer that has arrived is less than a whole stream.
+     *
+     * @param framed true if the length or the chunks of the answer say that it is complete
+     */
+    boolean isIncompleteStream(boolean framed) {
+        boolean empty = !eventsSeen && history.lastEventId().isEmpty();
+        return eventStream && (splitter.endsInsideEvent() || (!framed && empty));
+    }
+
     /** Returns the number of bytes of a stream after its last complete event. */
     int incompleteBytes() {
         return splitter.pendingBytes();
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Attempt.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Attempt.java
@@ -75,6 +75,15 @@
         /** Called with each part of the body of that answer. */
         void body(Attempt attempt, byte[] bytes);
 
+        /**
+         * Called when no more of that answer will come. The listener calls {@link Attempt#complete}
+         * or {@link Attempt#fail}.
+         *
+         * @param framed true if its length or chunks, and not only the end of its connection, say
+         *     that it is complete
+         */
+        void answerEnded(Attempt attempt, boolean framed);
+
         /** Called when that answer is complete. */
         void ended(Attempt attempt);
 
@@ -114,6 +123,11 @@
         return upstream;
     }
 
+    /** Returns whether the attempt has completed, failed or been cancelled. */
+    boolean isFinished() {
+        return finished;
+    }
+
     boolean isSent() {
         return sent;
     }
@@ -276,6 +290,20 @@
 
     @Override
     public void ended() {
+        if (!finished) {
+            listener.answerEnded(this, true);
+        }
+    }
+
+    @Override
+    public void endedUnframed() {
+        if (!finished) {
+            listener.answerEnded(this, false);
+        }
+    }
+
+    /** Ends the attempt with what has arrived of the answer as the whole answer. */
+    void complete() {
         if (finished) {
             return;
         }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/EventSplitter.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/EventSplitter.java
@@ -29,6 +29,7 @@
  */
 public final class EventSplitter {
     private static final String ID_FIELD = "id:";
+    private static final byte COMMENT = ':';
 
     private final ByteArrayOutputStream pending = new ByteArrayOutputStream();
     private boolean lineEmpty = true;
@@ -84,6 +85,24 @@
         return pending.size();
     }
 
+    /**
+     * Returns whether the body so far ends inside an event. Lines that are only comments belong to
+     * no event.
+     *
+     * @return false after a complete event, and before the first one
+     */
+    public boolean endsInsideEvent() {
+        byte[] bytes = remainder();
+        boolean lineStart = true;
+        for (byte b : bytes) {
+            if (lineStart && b != COMMENT && b != '\r' && b != '\n') {
+                return true;
+            }
+            lineStart = b == '\n';
+        }
+        return false;
+    }
+
     private byte[] completeEvent(byte[] bytes, int from, int to) {
         if (pending.size() == 0) {
             return Arrays.copyOfRange(bytes, from, to);
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/GatewayMetrics.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/GatewayMetrics.java
@@ -154,6 +154,8 @@
          * takes requests.
          */
         STREAM_NOT_RESUMED,
+        /** An answer ended in a way that its framing does not show to be a failure, incomplete. */
+        ANSWER_INCOMPLETE,
         /** A usage report or an order was not accepted. */
         DUTY_FAILURE,
         /** A request was sent to another region. */
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestDriver.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestDriver.java
@@ -62,6 +62,7 @@
     private final RetryCharge retries;
     private final AttemptCalls calls;
     private final AnswerRelay answer;
+    private final AnswerEndCheck answerEnd;
     private final ResponseTimeoutWatch responseTimeout;
     private final BodyCapacitySelector selector;
     private final StreamVersion version;
@@ -93,6 +94,7 @@
         this.calls = new AttemptCalls(context, exchange, request);
         this.answer =
                 new AnswerRelay(context.memory(), exchange, history, isStream(), this::firstByte);
+        this.answerEnd = new AnswerEndCheck(context, request.id(), answer, this::checkReachable);
         boolean resumable = isStream() && request.route().repeatable();
         exchange.answerOwner(new AnswerOwner(request.id(), request.organisation(), resumable));
         this.responseTimeout =
@@ -232,17 +234,13 @@
         }
     }
 
+    @Override
+    public void answerEnded(Attempt sender, boolean framed) {
+        answerEnd.answerEnded(sender, framed);
+    }
+
     @Override
     public void ended(Attempt sender) {
-        if (sender.framing() == AnswerFraming.CONNECTION || answer.incompleteBytes() > 0) {
-            DecisionLog.write(
-                    new AnswerEnd(
-                            request.id(),
-                            sender.upstream().id(),
-                            sender.framing(),
-                            sender.events(),
-                            answer.incompleteBytes()));
-        }
         if (answer.status() >= MIN_SERVER_ERROR_STATUS && !history.hasAnswerStarted()) {
             attemptFailed(sender, AttemptFailure.SERVER_ERROR);
             return;
--- a/trailladder-entry/src/main/java/io/trailladder/entry/http/CallListener.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/http/CallListener.java
@@ -18,8 +18,8 @@
 import java.util.Optional;
 
 /**
- * Receives an answer while it arrives. Either {@link #ended} or {@link #failed} is called last,
- * once, unless the call is cancelled.
+ * Receives an answer while it arrives. One of {@link #ended}, {@link #endedUnframed} and {@link
+ * #failed} is called last, once, unless the call is cancelled.
  *
  * @since 0.2
  */
@@ -61,9 +61,16 @@
      */
     void body(byte[] bytes);
 
-    /** Called when the answer is complete. */
+    /** Called when the answer is complete by its length or chunks, or has no body. */
     void ended();
 
+    /**
+     * Called when an answer with neither a length nor chunks has ended with an orderly close of its
+     * connection. It may be incomplete: the connections of a killed server are closed in the same
+     * way.
+     */
+    void endedUnframed();
+
     /**
      * Called when the answer will never be complete.
      *
--- a/trailladder-entry/src/main/java/io/trailladder/entry/http/ClientCall.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/http/ClientCall.java
@@ -147,6 +147,14 @@
         }
     }
 
+    /** Ends an answer with neither a length nor chunks after its connection was closed. */
+    void endUnframed() {
+        if (!over) {
+            over();
+            listener.endedUnframed();
+        }
+    }
+
     void fail(CallFailure failure) {
         if (!over) {
             over();
--- a/trailladder-entry/src/main/java/io/trailladder/entry/http/HttpConnector.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/http/HttpConnector.java
@@ -362,7 +362,7 @@
 
         private void closed(ClientCall call, Connection<?> connection) {
             if (call.endsWithConnection() && SocketFilter.endedOrderly(connection)) {
-                call.end();
+                call.endUnframed();
             } else {
                 boolean lost = RelayState.isLost(connection);
                 call.fail(lost ? CallFailure.RELAY_LOST : CallFailure.BROKEN);
--- a/trailladder-entry/src/main/java/io/trailladder/entry/http/JsonCalls.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/http/JsonCalls.java
@@ -194,6 +194,12 @@
             finish(new Reply(status, headers, tree));
         }
 
+        @Override
+        public void endedUnframed() {
+            // an object or array of which a part is missing cannot be read
+            ended();
+        }
+
         @Override
         public void failed(CallFailure failure) {
             finish(Reply.NONE);
--- a/trailladder-entry/src/test/java/io/trailladder/entry/gateway/EventSplitterProperties.java
+++ b/trailladder-entry/src/test/java/io/trailladder/entry/gateway/EventSplitterProperties.java
@@ -61,6 +61,24 @@
         assertEquals(0, splitter.pendingBytes());
     }
 
+    @Property
+    void bodyEndsInsideAnEventUnlessItEndsBetweenTwo(
+            @ForAll @IntRange(min = 0, max = 75) int length) {
+        byte[] bytes = STREAM.getBytes(StandardCharsets.UTF_8);
+        EventSplitter splitter = new EventSplitter();
+        splitter.append(java.util.Arrays.copyOf(bytes, Math.min(length, bytes.length)));
+        assertEquals(splitter.pendingBytes() > 0, splitter.endsInsideEvent());
+    }
+
+    @Example
+    void commentsAfterTheLastEventBelongToNoEvent() {
+        EventSplitter splitter = new EventSplitter();
+        splitter.append("id: 1\ndata: a\n\n: keep-alive\n: en".getBytes(StandardCharsets.UTF_8));
+        assertEquals(false, splitter.endsInsideEvent());
+        splitter.append("d\nid".getBytes(StandardCharsets.UTF_8));
+        assertEquals(true, splitter.endsInsideEvent());
+    }
+
     @Example
     void incompleteEventIsHeldBack() {
         EventSplitter splitter = new EventSplitter();
--- a/trailladder-entry/src/test/java/io/trailladder/entry/http/HttpConnectorTest.java
+++ b/trailladder-entry/src/test/java/io/trailladder/entry/http/HttpConnectorTest.java
@@ -81,6 +81,11 @@
             results.add(status + " " + body);
         }
 
+        @Override
+        public void endedUnframed() {
+            results.add(status + " " + body + " unframed");
+        }
+
         @Override
         public void failed(CallFailure failure) {
             results.add(failure + (sent ? " sent" : " unsent"));
@@ -203,12 +208,12 @@
     }
 
     @Example
-    void answerWithoutLengthEndsWithAnOrderlyClose() throws Exception {
+    void answerWithoutLengthThatIsClosedIsNotTakenAsComplete() throws Exception {
         call("/x");
         try (RawSocket server = accept("/x")) {
             server.send("HTTP/1.1 200 OK\r\nA: b\r\n\r\nabc");
         }
-        assertEquals("200 abc", result());
+        assertEquals("200 abc unframed", result());
     }
 
     @Example
--- a/trailladder-entry/src/test/java/io/trailladder/entry/http/SlowUpstreamTest.java
+++ b/trailladder-entry/src/test/java/io/trailladder/entry/http/SlowUpstreamTest.java
@@ -69,6 +69,11 @@
             results.add("ended " + status);
         }
 
+        @Override
+        public void endedUnframed() {
+            results.add("ended unframed " + status);
+        }
+
         @Override
         public void failed(CallFailure failure) {
             results.add(failure.name());
--- a/trailladder-entry/src/test/java/io/trailladder/entry/relay/RelayTest.java
+++ b/trailladder-entry/src/test/java/io/trailladder/entry/relay/RelayTest.java
@@ -136,6 +136,11 @@
             results.add(status + " " + body.size() + " bytes through " + peer.orElse("none"));
         }
 
+        @Override
+        public void endedUnframed() {
+            results.add(status + " " + body.size() + " bytes, unframed");
+        }
+
         @Override
         public void failed(CallFailure failure) {
             results.add(failure + " after " + body.size() + " bytes");
@@ -316,7 +321,7 @@
             readHead(server.getInputStream());
             send(server, "HTTP/1.1 200 OK\r\n\r\nwhole");
         }
-        assertEquals("200 5 bytes through peer", result());
+        assertEquals("200 5 bytes, unframed", result());
         call(new byte[0]);
         Socket server = accept();
         readHead(server.getInputStream());
