An answer with two different lengths fails

What callers saw: an answer cut at the first of two different Content-Length fields, with that length as its own. RFC 9112 calls such an answer invalid; the call now fails as broken. The same length twice is accepted.

--- a/trailladder-entry/src/main/java/io/trailladder/entry/http/ClientCall.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/http/ClientCall.java
@@ -119,6 +119,10 @@
             return;
         }
         headSeen = true;
+        if (headers.differ("Content-Length")) {
+            fail(CallFailure.BROKEN);
+            return;
+        }
         endsWithConnection = length < 0 && !isChunked(headers);
         boolean closes =
                 headers.first("Connection").map(v -> v.equalsIgnoreCase("close")).orElse(false);
--- a/trailladder-entry/src/main/java/io/trailladder/entry/http/HeaderList.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/http/HeaderList.java
@@ -101,6 +101,21 @@
         return Optional.empty();
     }
 
+    /**
+     * Returns whether the fields of one name have different values.
+     *
+     * @param name the field's name in any case
+     * @return false if there is none, one, or the same value several times
+     */
+    public boolean differ(String name) {
+        return fields.stream()
+                        .filter(field -> field.name().equalsIgnoreCase(name))
+                        .map(field -> field.value().trim())
+                        .distinct()
+                        .count()
+                > 1;
+    }
+
     /**
      * Counts the fields of one name.
      *
