--- a/trailladder-core/src/main/java/io/trailladder/core/crash/CancelledRequests.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/crash/CancelledRequests.java
@@ -46,6 +46,8 @@
      *
      * @param attemptId the id of the attempt
      * @param request the request
+     * @param parts the parts of its prompt of which each may end an upstream; empty if it had begun
+     *     to be answered
      * @param upstream the upstream's name
      * @param incarnation the upstream's incarnation, see {@link UpstreamEnd#incarnationOf}
      * @param sentMillis when it was sent there, in milliseconds
@@ -53,7 +55,8 @@
      */
     public record CancelledRequest(
             String attemptId,
-            RequestFingerprint request,
+            RequestTrait request,
+            List<RequestTrait> parts,
             String upstream,
             long incarnation,
             long sentMillis,
--- a/trailladder-core/src/main/java/io/trailladder/core/crash/CrashAttribution.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/crash/CrashAttribution.java
@@ -20,55 +20,56 @@
 import java.util.Set;
 
 /**
- * Distinguishes requests that were only in progress at upstreams that ended from those that ended
- * them.
+ * Distinguishes traits of requests that were only in progress at upstreams that ended from those
+ * that ended them.
  */
 final class CrashAttribution {
     private CrashAttribution() {}
 
     /**
-     * Returns whether the ends of a request are explained by other requests that are likelier to be
-     * the cause.
+     * Returns whether the ends of a trait are explained by others that are likelier to be the
+     * cause.
      *
-     * @param request the request
-     * @param histories the histories of all requests, this one included
-     * @param minEnds the number of ends from which a request is refused
-     * @return true if fewer of its ends than that are without a likelier cause
+     * @param request the trait
+     * @param histories the histories of all traits, this one included
+     * @param minEnds the evidence from which a trait counts
+     * @return true if its evidence without the explained ends is less than that
      */
     static boolean isExplainedByOthers(
-            RequestFingerprint request,
-            Map<RequestFingerprint, CrashHistory> histories,
-            int minEnds) {
+            RequestTrait request, Map<RequestTrait, CrashHistory> histories, int minEnds) {
         CrashHistory history = histories.get(request);
         Set<Long> explained = new HashSet<>();
-        for (Map.Entry<RequestFingerprint, CrashHistory> other : histories.entrySet()) {
+        for (Map.Entry<RequestTrait, CrashHistory> other : histories.entrySet()) {
             CrashHistory suspect = other.getValue();
             if (suspect != history
-                    && suspect.endCount() >= minEnds
+                    && suspect.evidence() >= minEnds
                     && isLikelier(other.getKey(), suspect, request, history)) {
                 suspect.countedEnds().forEach(known -> explained.add(known.end().incarnation()));
             }
         }
-        long unexplained =
-                history.countedEnds().stream()
-                        .filter(known -> !explained.contains(known.end().incarnation()))
-                        .count();
-        return unexplained < minEnds;
+        return history.evidenceWithout(explained) < minEnds;
     }
 
     /**
-     * Returns whether one request is likelier to be the cause than another. More ends make it
-     * likelier; with as many ends, a shorter time at the upstreams does.
+     * Returns whether one trait is likelier to be the cause than another. One that has survived at
+     * an upstream shortly before is less likely, more ends make it likelier, and with as many ends
+     * a later position does: whoever has the later part of a prompt has the earlier ones as well,
+     * so an earlier one that is the cause soon has more ends. Last counts a shorter time at the
+     * upstreams.
      */
     private static boolean isLikelier(
-            RequestFingerprint one,
-            CrashHistory history,
-            RequestFingerprint other,
-            CrashHistory otherHistory) {
+            RequestTrait one, CrashHistory history, RequestTrait other, CrashHistory otherHistory) {
+        boolean survived = history.hasSurvivedBefore();
+        if (survived != otherHistory.hasSurvivedBefore()) {
+            return !survived;
+        }
         int endComparison = Integer.compare(history.endCount(), otherHistory.endCount());
         if (endComparison != 0) {
             return endComparison > 0;
         }
+        if (one.position() != other.position()) {
+            return one.position() > other.position();
+        }
         int timeComparison = Long.compare(history.ranMillis(), otherHistory.ranMillis());
         return timeComparison == 0 ? one.value() < other.value() : timeComparison < 0;
     }
--- a/trailladder-core/src/main/java/io/trailladder/core/crash/CrashHistory.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/crash/CrashHistory.java
@@ -16,13 +16,17 @@
 package io.trailladder.core.crash;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Predicate;
 
-/** The ends of upstreams that one request was in progress at. */
+/**
+ * The ends of upstreams at which a request with one trait was in progress: one request, or all
+ * requests with one part of a prompt.
+ */
 public final class CrashHistory {
     /**
      * Highest number of ends recorded of one request: twice as many as have it refused
@@ -33,12 +37,23 @@
     /** Source of what this process observed itself. */
     public static final String OWN_SOURCE = "";
 
+    /**
+     * Time before its first end within which a trait must have survived at an upstream to be less
+     * likely as the cause than one that has not, in milliseconds.
+     */
+    static final long SURVIVAL_MILLIS = 60_000;
+
+    private final boolean part;
     private final Map<UpstreamEnd.Key, RecordedEnd> recordedEnds = new LinkedHashMap<>();
     private long clearedMillis = CrashReport.NEVER;
     private String clearedBy = OWN_SOURCE;
     private long clearReceivedMillis;
     private boolean retried;
 
+    CrashHistory(boolean part) {
+        this.part = part;
+    }
+
     /** One end with its source. */
     private static final class RecordedEnd {
         UpstreamEnd end;
@@ -150,6 +165,39 @@
         return count;
     }
 
+    /**
+     * Returns the strength of the evidence against the trait: of a whole request the number of its
+     * ends, of a part the number of different requests that had it at one. One request that stood
+     * at several ends shows nothing about its parts.
+     */
+    int evidence() {
+        return evidenceWithout(Set.of());
+    }
+
+    /** Returns the strength of the evidence without the ends of some incarnations. */
+    int evidenceWithout(Set<Long> explained) {
+        int ends = 0;
+        Set<Integer> requests = new HashSet<>();
+        for (RecordedEnd recordedEnd : recordedEnds.values()) {
+            if (counts(recordedEnd) && !explained.contains(recordedEnd.end.incarnation())) {
+                ends++;
+                requests.add(recordedEnd.end.request());
+            }
+        }
+        return part ? requests.size() : ends;
+    }
+
+    /** Returns whether a request with the trait survived at an upstream shortly before the ends. */
+    boolean hasSurvivedBefore() {
+        long firstMillis = Long.MAX_VALUE;
+        for (RecordedEnd recordedEnd : recordedEnds.values()) {
+            if (counts(recordedEnd)) {
+                firstMillis = Math.min(firstMillis, recordedEnd.end.atMillis());
+            }
+        }
+        return clearedMillis != CrashReport.NEVER && firstMillis - clearedMillis <= SURVIVAL_MILLIS;
+    }
+
     /** Returns the total time that the request ran at the upstreams that ended, in milliseconds. */
     long ranMillis() {
         return countedEnds().stream().mapToLong(counted -> counted.end().ranMillis()).sum();
@@ -205,7 +253,7 @@
                                         && sources.test(recordedEnd.source));
     }
 
-    CrashReport report(RequestFingerprint request) {
+    CrashReport report(RequestTrait request) {
         List<UpstreamEnd> ends =
                 recordedEnds.values().stream()
                         .filter(recordedEnd -> !recordedEnd.dismissed)
--- a/trailladder-core/src/main/java/io/trailladder/core/crash/CrashLedger.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/crash/CrashLedger.java
@@ -42,9 +42,13 @@
  *       sends it once more. If it is then served completely, no earlier end counts, at any process.
  * </ul>
  *
- * <p>From {@value #UNCONDITIONAL_REFUSAL_MIN_ENDS} ends on it is refused whatever the other
- * requests were, so that no request ends more upstreams than these and those where it runs before
- * all processes have received the reports.
+ * <p>A part of a prompt is judged in the same way by the ends under all requests that have it, of
+ * which {@value #REFUSAL_MIN_ENDS} must be different. Upstreams that survive a request with it
+ * clear it, so that a part which many requests share has few ends that count at any time.
+ *
+ * <p>From {@value #UNCONDITIONAL_REFUSAL_MIN_ENDS} ends on a whole request is refused whatever the
+ * other requests were, so that no request ends more upstreams than these and those where it runs
+ * before all processes have received the reports.
  *
  * <pre>{@code
  * ledger.ended(request, UpstreamEnd.incarnationOf("w-1", startedMillis), sentMillis, now);
@@ -84,12 +88,12 @@
     private static final int SUSPECT_MIN_ENDS = REFUSAL_MIN_ENDS - 1;
 
     private static final Comparator<CrashHistory> MOST_ENDS_FIRST =
-            Comparator.comparingInt(CrashHistory::endCount)
+            Comparator.comparingInt(CrashHistory::evidence)
                     .thenComparingLong(CrashHistory::changedMillis)
                     .reversed();
 
     /** Ordered by the last change, oldest first. */
-    private final Map<RequestFingerprint, CrashHistory> histories = new LinkedHashMap<>();
+    private final Map<RequestTrait, CrashHistory> histories = new LinkedHashMap<>();
 
     private boolean suspects;
 
@@ -102,8 +106,7 @@
      * @param nowMillis the current time, in milliseconds
      * @return true if this end was not known
      */
-    public boolean ended(
-            RequestFingerprint request, long incarnation, long sentMillis, long nowMillis) {
+    public boolean ended(RequestTrait request, long incarnation, long sentMillis, long nowMillis) {
         return ended(request, incarnation, sentMillis, nowMillis, nowMillis);
     }
 
@@ -118,7 +121,7 @@
      * @return true if this end was not known
      */
     public boolean ended(
-            RequestFingerprint request,
+            RequestTrait request,
             long incarnation,
             long sentMillis,
             long atMillis,
@@ -130,6 +133,65 @@
         return added(history, end, CrashHistory.OWN_SOURCE, nowMillis);
     }
 
+    /**
+     * Records that an upstream ended before it had begun to answer a request of this process, which
+     * any part of its prompt may have caused.
+     *
+     * @param part the part
+     * @param request the whole request
+     * @param incarnation the upstream's incarnation, see {@link UpstreamEnd#incarnationOf}
+     * @param sentMillis when the request was sent there, in milliseconds
+     * @param atMillis when the request was there last, in milliseconds
+     * @param nowMillis the current time, in milliseconds
+     * @return true if this end was not known
+     */
+    public boolean endedUnderPart(
+            RequestTrait part,
+            RequestTrait request,
+            long incarnation,
+            long sentMillis,
+            long atMillis,
+            long nowMillis) {
+        CrashHistory history = history(part);
+        UpstreamEnd end =
+                new UpstreamEnd(
+                        incarnation,
+                        history.endCountOf(incarnation, sentMillis),
+                        atMillis,
+                        atMillis - sentMillis,
+                        Long.hashCode(request.value()));
+        return added(history, end, CrashHistory.OWN_SOURCE, nowMillis);
+    }
+
+    /**
+     * Records that a request with a trait survived at an upstream: ends before do not count.
+     *
+     * @param trait the trait
+     * @param atMillis when it survived, in milliseconds
+     * @param nowMillis the current time, in milliseconds
+     */
+    public void survived(RequestTrait trait, long atMillis, long nowMillis) {
+        CrashHistory history = histories.get(trait);
+        if (history != null && history.endCount() > 0) {
+            history.clear(atMillis, CrashHistory.OWN_SOURCE, nowMillis);
+        }
+    }
+
+    /**
+     * Returns whether a part of a prompt may be the cause of ends, so that a request under which an
+     * upstream has just ended is not sent again.
+     *
+     * @param part the part
+     * @return true if upstreams ended under two different requests with it, and nothing else is
+     *     likelier to be the cause
+     */
+    public boolean isSuspected(RequestTrait part) {
+        CrashHistory history = histories.get(part);
+        return history != null
+                && history.evidence() >= SUSPECT_MIN_ENDS
+                && !CrashAttribution.isExplainedByOthers(part, histories, SUSPECT_MIN_ENDS);
+    }
+
     /**
      * Records that a request ran completely, or that an operator declares it harmless: earlier ends
      * do not count.
@@ -138,7 +200,7 @@
      * @param nowMillis the current time, in milliseconds
      * @return false if no end of it counted
      */
-    public boolean cleared(RequestFingerprint request, long nowMillis) {
+    public boolean cleared(RequestTrait request, long nowMillis) {
         CrashHistory history = histories.get(request);
         return history != null
                 && history.endCount() > 0
@@ -158,19 +220,19 @@
             return false;
         }
         CrashHistory history = history(report.request());
-        boolean refusedBefore = history.endCount() >= REFUSAL_MIN_ENDS;
+        boolean refusedBefore = history.evidence() >= REFUSAL_MIN_ENDS;
         if (report.clearedMillis() != CrashReport.NEVER) {
             history.clear(report.clearedMillis(), peer, nowMillis);
         }
         for (UpstreamEnd end : report.ends()) {
             added(history, end, peer, nowMillis);
         }
-        return !refusedBefore && history.endCount() >= REFUSAL_MIN_ENDS;
+        return !refusedBefore && history.evidence() >= REFUSAL_MIN_ENDS;
     }
 
     private boolean added(CrashHistory history, UpstreamEnd end, String source, long nowMillis) {
         boolean added = history.add(end, source, nowMillis);
-        suspects |= added && history.endCount() >= SUSPECT_MIN_ENDS;
+        suspects |= added && history.evidence() >= SUSPECT_MIN_ENDS;
         return added;
     }
 
@@ -192,21 +254,19 @@
      * @return the verdict; for {@link CrashVerdict#TRIED_AGAIN} the caller must call {@link
      *     #retried}
      */
-    public CrashVerdict verdict(RequestFingerprint request, long nowMillis) {
+    public CrashVerdict verdict(RequestTrait request, long nowMillis) {
         CrashHistory history = histories.get(request);
-        int ends = history == null ? 0 : history.endCount();
-        if (ends < REFUSAL_MIN_ENDS) {
+        if (history == null || history.evidence() < REFUSAL_MIN_ENDS) {
             return CrashVerdict.SERVED;
         }
-        if (ends < UNCONDITIONAL_REFUSAL_MIN_ENDS) {
-            if (CrashAttribution.isExplainedByOthers(request, histories, REFUSAL_MIN_ENDS)) {
-                return CrashVerdict.SERVED;
-            }
-            if (history.mayBeRetriedHere(nowMillis - RETRY_DELAY_MILLIS)) {
-                return CrashVerdict.TRIED_AGAIN;
-            }
+        boolean few = history.endCount() < UNCONDITIONAL_REFUSAL_MIN_ENDS;
+        if ((few || request.isPart())
+                && CrashAttribution.isExplainedByOthers(request, histories, REFUSAL_MIN_ENDS)) {
+            return CrashVerdict.SERVED;
         }
-        return CrashVerdict.REFUSED;
+        return few && history.mayBeRetriedHere(nowMillis - RETRY_DELAY_MILLIS)
+                ? CrashVerdict.TRIED_AGAIN
+                : CrashVerdict.REFUSED;
     }
 
     /**
@@ -214,7 +274,7 @@
      *
      * @param request the request
      */
-    public void retried(RequestFingerprint request) {
+    public void retried(RequestTrait request) {
         history(request).retried();
     }
 
@@ -252,11 +312,11 @@
     private void updateSuspects() {
         suspects =
                 histories.values().stream()
-                        .anyMatch(history -> history.endCount() >= SUSPECT_MIN_ENDS);
+                        .anyMatch(history -> history.evidence() >= SUSPECT_MIN_ENDS);
     }
 
     private static boolean isOld(CrashHistory history, long nowMillis) {
-        boolean refused = history.endCount() >= REFUSAL_MIN_ENDS;
+        boolean refused = history.evidence() >= REFUSAL_MIN_ENDS;
         long retentionMillis = refused ? REFUSED_RETENTION_MILLIS : RETENTION_MILLIS;
         return nowMillis - history.changedMillis() > retentionMillis;
     }
@@ -278,7 +338,7 @@
      * @return reports, those with the most ends first
      */
     public List<CrashReport> suspected() {
-        return reports(history -> history.endCount() >= SUSPECT_MIN_ENDS);
+        return reports(history -> history.evidence() >= SUSPECT_MIN_ENDS);
     }
 
     /**
@@ -288,12 +348,12 @@
      * @return reports, those with the most ends first
      */
     public List<CrashReport> refused() {
-        return reports(history -> history.endCount() >= REFUSAL_MIN_ENDS);
+        return reports(history -> history.evidence() >= REFUSAL_MIN_ENDS);
     }
 
     private List<CrashReport> reports(Predicate<CrashHistory> filter) {
-        List<Map.Entry<RequestFingerprint, CrashHistory>> entries = new ArrayList<>();
-        for (Map.Entry<RequestFingerprint, CrashHistory> entry : histories.entrySet()) {
+        List<Map.Entry<RequestTrait, CrashHistory>> entries = new ArrayList<>();
+        for (Map.Entry<RequestTrait, CrashHistory> entry : histories.entrySet()) {
             if (filter.test(entry.getValue())) {
                 entries.add(entry);
             }
@@ -308,7 +368,7 @@
      * @param request the request
      * @return the ends with their sources; empty if there are none
      */
-    public List<CrashHistory.CountedEnd> countedEnds(RequestFingerprint request) {
+    public List<CrashHistory.CountedEnd> countedEnds(RequestTrait request) {
         CrashHistory history = histories.get(request);
         return history == null ? List.of() : history.countedEnds();
     }
@@ -335,12 +395,12 @@
      * Returns the history of a request that is about to change, and makes it the most recently
      * changed one.
      */
-    private CrashHistory history(RequestFingerprint request) {
+    private CrashHistory history(RequestTrait request) {
         CrashHistory known = histories.remove(request);
         if (known == null && histories.size() >= MAX_REQUESTS) {
             evictOne();
         }
-        CrashHistory history = known == null ? new CrashHistory() : known;
+        CrashHistory history = known == null ? new CrashHistory(request.isPart()) : known;
         histories.put(request, history);
         return history;
     }
@@ -352,7 +412,7 @@
     private void evictOne() {
         Iterator<CrashHistory> oldestFirst = histories.values().iterator();
         while (oldestFirst.hasNext()) {
-            if (oldestFirst.next().endCount() < SUSPECT_MIN_ENDS) {
+            if (oldestFirst.next().evidence() < SUSPECT_MIN_ENDS) {
                 oldestFirst.remove();
                 return;
             }
--- a/trailladder-core/src/main/java/io/trailladder/core/crash/CrashReport.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/crash/CrashReport.java
@@ -27,7 +27,7 @@
  *     CrashHistory#MAX_ENDS}
  * @since 0.6
  */
-public record CrashReport(RequestFingerprint request, long clearedMillis, List<UpstreamEnd> ends) {
+public record CrashReport(RequestTrait request, long clearedMillis, List<UpstreamEnd> ends) {
     /** Value of {@link #clearedMillis} of a request that was never cleared. */
     public static final long NEVER = Long.MIN_VALUE;
 
--- a/trailladder-core/src/main/java/io/trailladder/core/crash/UpstreamEnd.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/crash/UpstreamEnd.java
@@ -25,9 +25,24 @@
  *     was sent there: an upstream may have restarted before its new incarnation is known
  * @param atMillis when it ended, in milliseconds
  * @param ranMillis how long the request had been there, in milliseconds
+ * @param request for the end under a part of a prompt, a hash of the whole request that had it; 0
+ *     else
  * @since 0.6
  */
-public record UpstreamEnd(long incarnation, int earlierEnds, long atMillis, long ranMillis) {
+public record UpstreamEnd(
+        long incarnation, int earlierEnds, long atMillis, long ranMillis, int request) {
+    /**
+     * Creates the end under a whole request.
+     *
+     * @param incarnation the upstream's incarnation
+     * @param earlierEnds how many ends of the incarnation were recorded before
+     * @param atMillis when it ended, in milliseconds
+     * @param ranMillis how long the request had been there, in milliseconds
+     */
+    public UpstreamEnd(long incarnation, int earlierEnds, long atMillis, long ranMillis) {
+        this(incarnation, earlierEnds, atMillis, ranMillis, 0);
+    }
+
     /** Identifies one end; equal at all processes that observed it. */
     record Key(long incarnation, int earlierEnds) {}
 
--- a/trailladder-core/src/test/java/io/trailladder/core/crash/CancelledRequestsTest.java
+++ b/trailladder-core/src/test/java/io/trailladder/core/crash/CancelledRequestsTest.java
@@ -27,7 +27,7 @@
 
     private static CancelledRequest cancelled(long request, String upstream, long cancelledMillis) {
         return new CancelledRequest(
-                "t", new RequestFingerprint(request), upstream, 7, 0, cancelledMillis);
+                "t", new RequestTrait(request), List.of(), upstream, 7, 0, cancelledMillis);
     }
 
     @Example
--- a/trailladder-core/src/test/java/io/trailladder/core/crash/CrashLedgerProperties.java
+++ b/trailladder-core/src/test/java/io/trailladder/core/crash/CrashLedgerProperties.java
@@ -31,7 +31,7 @@
  * Many harmless requests beside one that ends every upstream it runs at, over several processes.
  */
 class CrashLedgerProperties {
-    private static final RequestFingerprint BAD = new RequestFingerprint(-1);
+    private static final RequestTrait BAD = new RequestTrait(-1);
     private static final int PROCESSES = 4;
     private static final int UPSTREAMS = 6;
     private static final int OTHERS = 60;
@@ -93,11 +93,11 @@
         for (int i = 0; i < concurrent; i++) {
             int other = random.nextInt(OTHERS);
             CrashLedger at = randomLedger();
-            if (at.verdict(new RequestFingerprint(other), now) == CrashVerdict.REFUSED) {
+            if (at.verdict(new RequestTrait(other), now) == CrashVerdict.REFUSED) {
                 wronglyRefused.add(other);
             } else {
                 long ran = random.nextLong(50, 2_050);
-                at.ended(new RequestFingerprint(other), upstream, now - ran, now);
+                at.ended(new RequestTrait(other), upstream, now - ran, now);
             }
         }
     }
@@ -128,7 +128,7 @@
         }
         for (int other = 0; other < OTHERS; other++) {
             for (CrashLedger ledger : ledgers) {
-                CrashVerdict verdict = ledger.verdict(new RequestFingerprint(other), now);
+                CrashVerdict verdict = ledger.verdict(new RequestTrait(other), now);
                 assertEquals(CrashVerdict.SERVED, verdict, "request " + other);
             }
         }
@@ -138,7 +138,7 @@
     void orderAndRepeatsOfReportsDoNotMatter(@ForAll long seed) {
         begin(seed);
         for (int i = 0; i < 40; i++) {
-            RequestFingerprint request = new RequestFingerprint(random.nextInt(4));
+            RequestTrait request = new RequestTrait(random.nextInt(4));
             if (random.nextInt(6) == 0) {
                 randomLedger().cleared(request, now);
             } else {
@@ -149,7 +149,7 @@
         exchangeReports();
         exchangeReports();
         for (int request = 0; request < 4; request++) {
-            RequestFingerprint one = new RequestFingerprint(request);
+            RequestTrait one = new RequestTrait(request);
             int ends = ledgers.get(0).countedEnds(one).size();
             for (CrashLedger ledger : ledgers) {
                 assertEquals(ends, ledger.countedEnds(one).size(), "ends of " + request);
--- a/trailladder-core/src/test/java/io/trailladder/core/crash/CrashLedgerTest.java
+++ b/trailladder-core/src/test/java/io/trailladder/core/crash/CrashLedgerTest.java
@@ -26,21 +26,21 @@
 
 /** Which requests a process refuses after upstreams ended under them. */
 class CrashLedgerTest {
-    private static final RequestFingerprint BAD = new RequestFingerprint(1);
-    private static final RequestFingerprint OTHER = new RequestFingerprint(2);
+    private static final RequestTrait BAD = new RequestTrait(1);
+    private static final RequestTrait OTHER = new RequestTrait(2);
 
     private final CrashLedger ledger = new CrashLedger();
     private long now = 1_000_000;
 
-    private void end(RequestFingerprint request, long upstream, long ranMillis) {
+    private void end(RequestTrait request, long upstream, long ranMillis) {
         ledger.ended(request, upstream, now - ranMillis, now);
     }
 
-    private void assertVerdict(CrashVerdict expected, RequestFingerprint request) {
+    private void assertVerdict(CrashVerdict expected, RequestTrait request) {
         assertEquals(expected, ledger.verdict(request, now));
     }
 
-    private void endThree(RequestFingerprint request, long ranMillis) {
+    private void endThree(RequestTrait request, long ranMillis) {
         for (int upstream = 1; upstream <= 3; upstream++) {
             end(request, upstream, ranMillis);
             now += 200;
@@ -197,7 +197,7 @@
     void numberOfRememberedRequestsIsBounded() {
         endThree(BAD, 100);
         for (int i = 0; i < 3 * CrashLedger.MAX_REQUESTS; i++) {
-            end(new RequestFingerprint(100 + i), 7_000 + i, 10);
+            end(new RequestTrait(100 + i), 7_000 + i, 10);
         }
         assertEquals(CrashLedger.MAX_REQUESTS, ledger.size());
         assertVerdict(CrashVerdict.REFUSED, BAD);
@@ -220,11 +220,11 @@
     @Example
     void fingerprintDependsOnCallerTargetAndBody() {
         byte[] body = "body".getBytes(StandardCharsets.UTF_8);
-        RequestFingerprint one = RequestFingerprint.of("k", "POST", "h/x", body);
-        assertEquals(one, RequestFingerprint.of("k", "POST", "h/x", body.clone()));
-        assertFalse(one.equals(RequestFingerprint.of("l", "POST", "h/x", body)));
-        assertFalse(one.equals(RequestFingerprint.of("k", "POST", "h/y", body)));
-        assertFalse(one.equals(RequestFingerprint.of("k", "POST", "h/x", new byte[0])));
+        RequestTrait one = RequestTrait.whole("k", "POST", "h/x", body);
+        assertEquals(one, RequestTrait.whole("k", "POST", "h/x", body.clone()));
+        assertFalse(one.equals(RequestTrait.whole("l", "POST", "h/x", body)));
+        assertFalse(one.equals(RequestTrait.whole("k", "POST", "h/y", body)));
+        assertFalse(one.equals(RequestTrait.whole("k", "POST", "h/x", new byte[0])));
     }
 
     /**
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Attempt.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Attempt.java
@@ -159,6 +159,11 @@
         return context.loop().nowMillis() - createdMillis;
     }
 
+    /** Returns the time since the first complete event, in milliseconds; 0 without one. */
+    long answeringMillis() {
+        return firstEventMillis < 0 ? 0 : context.loop().nowMillis() - firstEventMillis;
+    }
+
     long unresponsiveMillis() {
         return context.loop().nowMillis() - lastReceivedMillis;
     }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/CrashGuard.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/CrashGuard.java
@@ -15,7 +15,7 @@
  */
 package io.trailladder.entry.gateway;
 
-import io.trailladder.core.crash.RequestFingerprint;
+import io.trailladder.core.crash.RequestTrait;
 import io.trailladder.core.pipeline.AttemptFailure;
 import io.trailladder.core.upstream.Upstream;
 
@@ -24,10 +24,17 @@
  * is found to end upstreams.
  */
 final class CrashGuard {
+    /**
+     * Time that an upstream must have been answering a request to show that no part of its prompt
+     * ends upstreams, in milliseconds.
+     */
+    private static final long SURVIVAL_MILLIS = 500;
+
     private final ServingContext context;
     private final String tryId;
     private final RequestIdentity identity;
     private boolean stopped;
+    private Attempt survivor;
 
     CrashGuard(ServingContext context, String tryId, RequestIdentity identity) {
         this.context = context;
@@ -49,15 +56,37 @@
         if (failure == AttemptFailure.UNREACHABLE) {
             context.crashes().upstreamLost(upstream);
         } else if (mayHaveEnded(upstream, failure)) {
-            context.crashes().recordEnd(tryId, identity, upstream, attempt.ageMillis());
+            CrashWatch crashes = context.crashes();
+            if (hasSurvived(attempt)) {
+                crashes.recordEndWhileAnswering(tryId, identity, upstream, attempt.ageMillis());
+            } else {
+                crashes.recordEnd(tryId, identity, upstream, attempt.ageMillis());
+            }
+        }
+    }
+
+    /** Records that an attempt brings events of its answer. */
+    void answering(Attempt attempt) {
+        if (survivor != attempt && hasSurvived(attempt)) {
+            survivor = attempt;
+            context.crashes().survived(identity);
         }
     }
 
+    private static boolean hasSurvived(Attempt attempt) {
+        return attempt.answeringMillis() >= SURVIVAL_MILLIS;
+    }
+
     /** Records that an attempt was abandoned, so that its outcome is not known. */
     void attemptAbandoned(Attempt attempt) {
         if (attempt.isSent()) {
             context.crashes()
-                    .attemptAbandoned(tryId, identity, attempt.upstream(), attempt.ageMillis());
+                    .attemptAbandoned(
+                            tryId,
+                            identity,
+                            attempt.upstream(),
+                            attempt.ageMillis(),
+                            hasSurvived(attempt));
         }
     }
 
@@ -87,8 +116,9 @@
      * Stops the request if it is the one that was found to end upstreams; returns whether it is
      * stopped.
      */
-    boolean stopIfSame(RequestFingerprint found) {
-        stopped |= identity.fingerprint().equals(found);
+    boolean stopIfSame(RequestTrait found, Attempt attempt) {
+        boolean survives = found.isPart() && attempt != null && hasSurvived(attempt);
+        stopped |= !survives && identity.has(found);
         return stopped;
     }
 
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/CrashPages.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/CrashPages.java
@@ -19,7 +19,7 @@
 import com.fasterxml.jackson.core.JsonGenerator;
 import io.trailladder.core.crash.CrashReport;
 import io.trailladder.core.crash.CrashVerdict;
-import io.trailladder.core.crash.RequestFingerprint;
+import io.trailladder.core.crash.RequestTrait;
 import io.trailladder.entry.http.HeaderList;
 import io.trailladder.entry.http.ServerExchange;
 import java.io.ByteArrayOutputStream;
@@ -38,7 +38,6 @@
     private static final int OK = 200;
     private static final int BAD_REQUEST = 400;
     private static final int NOT_FOUND = 404;
-    private static final int HEX_RADIX = 16;
     private static final JsonFactory JSON = new JsonFactory();
 
     private final CrashWatch crashes;
@@ -66,12 +65,14 @@
 
     private void lift(ServerExchange exchange, String name) {
         try {
-            RequestFingerprint request =
-                    new RequestFingerprint(Long.parseUnsignedLong(name, HEX_RADIX));
+            RequestTrait request = RequestTrait.parse(name);
             boolean lifted = crashes.lift(request);
             text(exchange, lifted ? OK : NOT_FOUND, lifted ? "lifted" : "no such request");
         } catch (NumberFormatException e) {
-            text(exchange, BAD_REQUEST, "'" + name + "', expected a fingerprint of 16 hex digits");
+            text(
+                    exchange,
+                    BAD_REQUEST,
+                    "'" + name + "', expected 16 hex digits, for a part with '-' and its position");
         }
     }
 
@@ -86,7 +87,7 @@
         try (JsonGenerator json = JSON.createGenerator(bytes)) {
             json.writeStartArray();
             for (CrashReport report : crashes.ledger().refused()) {
-                RequestFingerprint request = report.request();
+                RequestTrait request = report.request();
                 CrashVerdict verdict = crashes.ledger().verdict(request, now);
                 json.writeStartObject();
                 new RefusedAsCrashing("", request, crashes.ledger().countedEnds(request), now)
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/CrashPart.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/CrashPart.java
@@ -17,7 +17,7 @@
 
 import io.trailladder.core.crash.CrashHistory;
 import io.trailladder.core.crash.CrashReport;
-import io.trailladder.core.crash.RequestFingerprint;
+import io.trailladder.core.crash.RequestTrait;
 import io.trailladder.wire.NodeMessage.DigestScope;
 import io.trailladder.wire.NodeMessage.DigestSection;
 import java.io.IOException;
@@ -76,7 +76,7 @@
 
     @Override
     public int version() {
-        return 1;
+        return 2;
     }
 
     @Override
@@ -91,7 +91,7 @@
     }
 
     private Optional<DigestSection> section(DigestScope scope, List<String> peers, long nowMillis) {
-        Map<RequestFingerprint, CrashReport> selected = new LinkedHashMap<>();
+        Map<RequestTrait, CrashReport> selected = new LinkedHashMap<>();
         if (!crashes.ledger().isEmpty()) {
             crashes.ledger()
                     .changedSince(
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/CrashRecords.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/CrashRecords.java
@@ -16,7 +16,7 @@
 package io.trailladder.entry.gateway;
 
 import io.trailladder.core.crash.CrashReport;
-import io.trailladder.core.crash.RequestFingerprint;
+import io.trailladder.core.crash.RequestTrait;
 import io.trailladder.entry.gateway.DecisionLog.Lifecycle;
 import io.trailladder.entry.loop.EventLoop;
 import io.trailladder.entry.port.CoordinationStore;
@@ -66,7 +66,7 @@
     private final StoreHealth health;
     private final CrashWatch crashes;
     private final BooleanSupplier leads;
-    private Set<RequestFingerprint> writtenRequests = Set.of();
+    private Set<RequestTrait> writtenRequests = Set.of();
     private long revision;
     private int readCount;
     private boolean loaded;
@@ -155,7 +155,7 @@
             return;
         }
         List<CrashReport> reports = crashes.ledger().refused();
-        Set<RequestFingerprint> refused = new HashSet<>();
+        Set<RequestTrait> refused = new HashSet<>();
         reports.forEach(report -> refused.add(report.request()));
         if (replaced) {
             replaced = false;
@@ -165,7 +165,7 @@
         }
     }
 
-    private void write(List<CrashReport> reports, Set<RequestFingerprint> requests) {
+    private void write(List<CrashReport> reports, Set<RequestTrait> requests) {
         busy = true;
         byte[] encoded =
                 CrashReportCodec.write(reports, MAX_VALUE_BYTES - Long.BYTES, loop.nowMillis());
@@ -177,7 +177,7 @@
         store.write(new StoreWrite(KEY, value, revision, 0), result -> onWritten(requests, result));
     }
 
-    private void onWritten(Set<RequestFingerprint> requests, Either<StoreFailure, Long> result) {
+    private void onWritten(Set<RequestTrait> requests, Either<StoreFailure, Long> result) {
         busy = false;
         if (result.isRight()) {
             health.answered();
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/CrashReportCodec.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/CrashReportCodec.java
@@ -18,7 +18,7 @@
 import io.trailladder.core.crash.CrashHistory;
 import io.trailladder.core.crash.CrashLedger;
 import io.trailladder.core.crash.CrashReport;
-import io.trailladder.core.crash.RequestFingerprint;
+import io.trailladder.core.crash.RequestTrait;
 import io.trailladder.core.crash.UpstreamEnd;
 import java.io.IOException;
 import java.nio.ByteBuffer;
@@ -32,7 +32,7 @@
 final class CrashReportCodec {
     private static final int NEVER = -1;
     private static final int END_BYTES = Long.BYTES + 1 + 2 * Integer.BYTES;
-    private static final int HEAD_BYTES = Long.BYTES + Integer.BYTES + 1;
+    private static final int HEAD_BYTES = Long.BYTES + 1 + Integer.BYTES + 1;
 
     private CrashReportCodec() {}
 
@@ -40,7 +40,8 @@
     static byte[] write(List<CrashReport> reports, int maxBytes, long nowMillis) {
         ByteBuffer bytes = ByteBuffer.allocate(maxBytes);
         for (CrashReport report : reports) {
-            if (bytes.remaining() < HEAD_BYTES + report.ends().size() * END_BYTES) {
+            int endBytes = END_BYTES + (report.request().isPart() ? Integer.BYTES : 0);
+            if (bytes.remaining() < HEAD_BYTES + report.ends().size() * endBytes) {
                 break;
             }
             write(bytes, report, nowMillis);
@@ -53,6 +54,7 @@
     private static void write(ByteBuffer bytes, CrashReport report, long nowMillis) {
         boolean cleared = report.clearedMillis() != CrashReport.NEVER;
         bytes.putLong(report.request().value());
+        bytes.put((byte) report.request().position());
         bytes.putInt(cleared ? clampMillis(nowMillis - report.clearedMillis()) : NEVER);
         bytes.put((byte) report.ends().size());
         for (UpstreamEnd end : report.ends()) {
@@ -60,6 +62,9 @@
             bytes.put((byte) end.earlierEnds());
             bytes.putInt(clampMillis(nowMillis - end.atMillis()));
             bytes.putInt(clampMillis(end.ranMillis()));
+            if (report.request().isPart()) {
+                bytes.putInt(end.request());
+            }
         }
     }
 
@@ -80,7 +85,12 @@
     }
 
     private static CrashReport readOne(ByteBuffer bytes, long nowMillis) throws IOException {
-        RequestFingerprint request = new RequestFingerprint(bytes.getLong());
+        long value = bytes.getLong();
+        int position = bytes.get();
+        if (position < 0) {
+            throw new IOException("position " + position + ", expected 0 to 127");
+        }
+        RequestTrait request = new RequestTrait(value, position);
         int clearedAge = bytes.getInt();
         int count = bytes.get();
         if (count < 0 || count > CrashHistory.MAX_ENDS) {
@@ -91,7 +101,10 @@
             long upstream = bytes.getLong();
             int repeat = Byte.toUnsignedInt(bytes.get());
             long at = nowMillis - checkedAge(bytes.getInt());
-            ends.add(new UpstreamEnd(upstream, repeat, at, checkedAge(bytes.getInt())));
+            int ran = checkedAge(bytes.getInt());
+            ends.add(
+                    new UpstreamEnd(
+                            upstream, repeat, at, ran, request.isPart() ? bytes.getInt() : 0));
         }
         long cleared = clearedAge == NEVER ? CrashReport.NEVER : nowMillis - checkedAge(clearedAge);
         return new CrashReport(request, cleared, ends);
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/CrashWatch.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/CrashWatch.java
@@ -21,12 +21,14 @@
 import io.trailladder.core.crash.CrashLedger;
 import io.trailladder.core.crash.CrashReport;
 import io.trailladder.core.crash.CrashVerdict;
-import io.trailladder.core.crash.RequestFingerprint;
+import io.trailladder.core.crash.RequestTrait;
 import io.trailladder.core.crash.UpstreamEnd;
 import io.trailladder.core.upstream.Upstream;
 import io.trailladder.entry.gateway.DecisionLog.Lifecycle;
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
@@ -40,16 +42,23 @@
     /** Min. time between two log lines about one refused request, in milliseconds. */
     private static final long LOG_INTERVAL_MILLIS = 10_000;
 
+    /** Max. number of parts of prompts that are known to have survived, of about 100 bytes each. */
+    private static final int MAX_SURVIVED_PARTS = 4_096;
+
     /** Max. number of requests whose last log line is remembered. */
     private static final int MAX_LOGGED_REQUESTS = 256;
 
     private final CrashLedger ledger = new CrashLedger();
     private final CancelledRequests abandoned = new CancelledRequests();
+
+    /** When a request with a part of a prompt last survived at an upstream, in milliseconds. */
+    private final Map<RequestTrait, Long> survivedMillis = new RecentMap<>(MAX_SURVIVED_PARTS);
+
     private final LongSupplier nowMillis;
     private final GatewayMetrics metrics;
-    private final Map<RequestFingerprint, Long> loggedMillis = new RecentMap<>(MAX_LOGGED_REQUESTS);
+    private final Map<RequestTrait, Long> loggedMillis = new RecentMap<>(MAX_LOGGED_REQUESTS);
     private Runnable onNewEnd = () -> {};
-    private Consumer<RequestFingerprint> onRefused = request -> {};
+    private Consumer<RequestTrait> onRefused = request -> {};
     private long listValidSinceMillis = Long.MAX_VALUE;
 
     CrashWatch(LongSupplier nowMillis, GatewayMetrics metrics) {
@@ -63,7 +72,7 @@
     }
 
     /** Sets the listener that is called with each request that is refused from then on. */
-    void onRefused(Consumer<RequestFingerprint> listener) {
+    void onRefused(Consumer<RequestTrait> listener) {
         onRefused = listener;
     }
 
@@ -73,14 +82,23 @@
 
     /** Returns whether a request that has just arrived is refused; counts and logs the refusal. */
     boolean refuses(String tryId, RequestIdentity identity) {
-        CrashVerdict verdict = verdict(identity);
-        if (verdict == CrashVerdict.TRIED_AGAIN) {
-            ledger.retried(identity.fingerprint());
-            DecisionLog.write(
-                    new Lifecycle(
-                            "request " + identity.fingerprint(), "sent once more", "try " + tryId));
+        if (!ledger.hasSuspects()) {
+            return false;
         }
-        return verdict == CrashVerdict.REFUSED && recordRefusal(tryId, identity);
+        List<RequestTrait> triedAgain = new ArrayList<>();
+        for (RequestTrait trait : identity.traits()) {
+            CrashVerdict verdict = ledger.verdict(trait, nowMillis.getAsLong());
+            if (verdict == CrashVerdict.REFUSED) {
+                return recordRefusal(tryId, trait);
+            } else if (verdict == CrashVerdict.TRIED_AGAIN) {
+                triedAgain.add(trait);
+            }
+        }
+        for (RequestTrait trait : triedAgain) {
+            ledger.retried(trait);
+            DecisionLog.write(new Lifecycle("request " + trait, "sent once more", "try " + tryId));
+        }
+        return false;
     }
 
     /**
@@ -88,19 +106,21 @@
      * the refusal.
      */
     boolean refusesRetry(String tryId, RequestIdentity identity) {
-        return verdict(identity) != CrashVerdict.SERVED && recordRefusal(tryId, identity);
-    }
-
-    private CrashVerdict verdict(RequestIdentity identity) {
-        return ledger.hasSuspects()
-                ? ledger.verdict(identity.fingerprint(), nowMillis.getAsLong())
-                : CrashVerdict.SERVED;
+        if (!ledger.hasSuspects()) {
+            return false;
+        }
+        for (RequestTrait trait : identity.traits()) {
+            if (ledger.verdict(trait, nowMillis.getAsLong()) != CrashVerdict.SERVED
+                    || (trait.isPart() && ledger.isSuspected(trait))) {
+                return recordRefusal(tryId, trait);
+            }
+        }
+        return false;
     }
 
     /** Counts and logs a refusal; always returns true. */
-    private boolean recordRefusal(String tryId, RequestIdentity identity) {
+    private boolean recordRefusal(String tryId, RequestTrait request) {
         metrics.count(GatewayMetrics.Event.REFUSED_AS_CRASHING);
-        RequestFingerprint request = identity.fingerprint();
         long now = nowMillis.getAsLong();
         Long logged = loggedMillis.get(request);
         if (logged == null || now - logged >= LOG_INTERVAL_MILLIS) {
@@ -113,7 +133,17 @@
 
     /** Records that an upstream ended, or its connection did, while it ran a request. */
     void recordEnd(String tryId, RequestIdentity identity, Upstream upstream, long ranMillis) {
-        recordEnd(abandoned(tryId, identity, upstream, ranMillis));
+        recordEnd(abandoned(tryId, identity, upstream, ranMillis, false));
+        upstreamLost(upstream);
+    }
+
+    /**
+     * Records that an upstream ended, or its connection did, a while after it had begun to answer a
+     * request: no part of the prompt was the cause.
+     */
+    void recordEndWhileAnswering(
+            String tryId, RequestIdentity identity, Upstream upstream, long ranMillis) {
+        recordEnd(abandoned(tryId, identity, upstream, ranMillis, true));
         upstreamLost(upstream);
     }
 
@@ -122,16 +152,29 @@
      * {@link #upstreamLost}.
      */
     void attemptAbandoned(
-            String tryId, RequestIdentity identity, Upstream upstream, long ranMillis) {
-        abandoned.add(abandoned(tryId, identity, upstream, ranMillis));
+            String tryId,
+            RequestIdentity identity,
+            Upstream upstream,
+            long ranMillis,
+            boolean answering) {
+        abandoned.add(abandoned(tryId, identity, upstream, ranMillis, answering));
     }
 
     private CancelledRequest abandoned(
-            String tryId, RequestIdentity identity, Upstream upstream, long ranMillis) {
+            String tryId,
+            RequestIdentity identity,
+            Upstream upstream,
+            long ranMillis,
+            boolean answering) {
         long now = nowMillis.getAsLong();
-        long incarnation = incarnationOf(upstream);
         return new CancelledRequest(
-                tryId, identity.fingerprint(), upstream.id(), incarnation, now - ranMillis, now);
+                tryId,
+                identity.whole(),
+                answering ? List.of() : identity.parts(),
+                upstream.id(),
+                incarnationOf(upstream),
+                now - ranMillis,
+                now);
     }
 
     /**
@@ -146,7 +189,7 @@
     }
 
     private void recordEnd(CancelledRequest attempt) {
-        RequestFingerprint request = attempt.request();
+        RequestTrait request = attempt.request();
         boolean isNew =
                 ledger.ended(
                         request,
@@ -158,12 +201,51 @@
                 new UpstreamEnded(
                         attempt.attemptId(),
                         request,
+                        attempt.parts(),
                         attempt.upstream(),
                         attempt.cancelledMillis() - attempt.sentMillis(),
                         ledger.countedEnds(request).size()));
-        if (isNew) {
+        boolean isNewOfPart = false;
+        for (RequestTrait part : attempt.parts()) {
+            isNewOfPart |= recordEndUnderPart(attempt, part);
+        }
+        if (isNew || isNewOfPart) {
             onNewEnd.run();
             notifyIfRefused(request);
+            attempt.parts().forEach(this::notifyIfRefused);
+        }
+    }
+
+    private boolean recordEndUnderPart(CancelledRequest attempt, RequestTrait part) {
+        boolean isNew =
+                ledger.endedUnderPart(
+                        part,
+                        attempt.request(),
+                        attempt.incarnation(),
+                        attempt.sentMillis(),
+                        attempt.cancelledMillis(),
+                        nowMillis.getAsLong());
+        tellSurvival(part);
+        return isNew;
+    }
+
+    /** Has the ledger know, and peers told, when a suspected part last survived here. */
+    private void tellSurvival(RequestTrait part) {
+        Long atMillis = survivedMillis.get(part);
+        if (atMillis != null) {
+            ledger.survived(part, atMillis, nowMillis.getAsLong());
+        }
+    }
+
+    /**
+     * Records that an upstream has been answering a request for a while, so that no part of the
+     * prompt ends upstreams.
+     */
+    void survived(RequestIdentity identity) {
+        long now = nowMillis.getAsLong();
+        for (RequestTrait part : identity.parts()) {
+            survivedMillis.put(part, now);
+            ledger.survived(part, now, now);
         }
     }
 
@@ -198,17 +280,16 @@
      * ends seen by several processes would add up, although the request completed in between.
      */
     void ranToCompletion(RequestIdentity identity) {
-        if (!ledger.isEmpty() && ledger.cleared(identity.fingerprint(), nowMillis.getAsLong())) {
+        survived(identity);
+        if (!ledger.isEmpty() && ledger.cleared(identity.whole(), nowMillis.getAsLong())) {
             DecisionLog.write(
                     new Lifecycle(
-                            "request " + identity.fingerprint(),
-                            "cleared",
-                            "it ran to completion"));
+                            "request " + identity.whole(), "cleared", "it ran to completion"));
         }
     }
 
     /** Clears a request on an operator's request; returns false if no end of it was known. */
-    boolean lift(RequestFingerprint request) {
+    boolean lift(RequestTrait request) {
         boolean lifted = ledger.cleared(request, nowMillis.getAsLong());
         if (lifted) {
             DecisionLog.write(new Lifecycle("request " + request, "cleared", "by an operator"));
@@ -226,9 +307,12 @@
                             report.ends().size() + " ends, reported by " + source));
             notifyIfRefused(report.request());
         }
+        if (report.request().isPart()) {
+            tellSurvival(report.request());
+        }
     }
 
-    private void notifyIfRefused(RequestFingerprint request) {
+    private void notifyIfRefused(RequestTrait request) {
         if (ledger.verdict(request, nowMillis.getAsLong()) == CrashVerdict.REFUSED) {
             onRefused.accept(request);
         }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RefusedAsCrashing.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RefusedAsCrashing.java
@@ -17,7 +17,7 @@
 
 import com.fasterxml.jackson.core.JsonGenerator;
 import io.trailladder.core.crash.CrashHistory;
-import io.trailladder.core.crash.RequestFingerprint;
+import io.trailladder.core.crash.RequestTrait;
 import io.trailladder.entry.gateway.DecisionLog.Decision;
 import java.io.IOException;
 import java.util.HexFormat;
@@ -32,7 +32,7 @@
  * @param nowMillis the time at which their ages are computed, in milliseconds
  */
 record RefusedAsCrashing(
-        String id, RequestFingerprint request, List<CrashHistory.CountedEnd> ends, long nowMillis)
+        String id, RequestTrait request, List<CrashHistory.CountedEnd> ends, long nowMillis)
         implements Decision {
     @Override
     public void write(JsonGenerator json) throws IOException {
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestDriver.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestDriver.java
@@ -15,7 +15,7 @@
  */
 package io.trailladder.entry.gateway;
 
-import io.trailladder.core.crash.RequestFingerprint;
+import io.trailladder.core.crash.RequestTrait;
 import io.trailladder.core.pipeline.AttemptFailure;
 import io.trailladder.core.pipeline.AttemptHistory;
 import io.trailladder.core.pipeline.Ending;
@@ -196,13 +196,13 @@
     }
 
     /**
-     * Ends the request if it is one that makes upstreams end. Its upstream may not have started to
+     * Ends the request if it is found to make upstreams end. Its upstream may not have started to
      * run it, and then survives if the request is cancelled.
      *
-     * @param found the fingerprint of the request that makes upstreams end
+     * @param found the whole request or the part of a prompt that makes upstreams end
      */
-    void stopIfMatches(RequestFingerprint found) {
-        if (!finished && crashes.stopIfSame(found)) {
+    void stopIfMatches(RequestTrait found) {
+        if (!finished && crashes.stopIfSame(found, attempt)) {
             stop();
         }
     }
@@ -229,6 +229,7 @@
         int events = answer.body(bytes);
         if (events > 0) {
             sender.eventsReceived(events);
+            crashes.answering(sender);
             version.eventReceived(sender.upstream(), context.loop().nowMillis());
             recordRunStarted();
         }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestIntake.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestIntake.java
@@ -15,7 +15,7 @@
  */
 package io.trailladder.entry.gateway;
 
-import io.trailladder.core.crash.RequestFingerprint;
+import io.trailladder.core.crash.RequestTrait;
 import io.trailladder.core.pipeline.AttemptFailure;
 import io.trailladder.core.pipeline.ServingRequest;
 import io.trailladder.core.policy.OrganisationSpec;
@@ -208,11 +208,11 @@
     }
 
     /**
-     * Ends all tries of a request that makes upstreams end.
+     * Ends all tries of requests that make upstreams end.
      *
-     * @param found the fingerprint of the request
+     * @param found the whole request, or the part that their prompts share
      */
-    void stopCrashing(RequestFingerprint found) {
+    void stopCrashing(RequestTrait found) {
         List.copyOf(open).forEach(driver -> driver.stopIfMatches(found));
     }
 
@@ -239,7 +239,7 @@
             refuse(exchange, caller.id(), UNAUTHORIZED, 0, "unknown key");
             return;
         }
-        RequestIdentity identity = RequestIdentity.of(exchange, caller.host(), caller.key());
+        RequestIdentity identity = RequestIdentity.of(exchange, caller);
         if (context.crashes().refuses(caller.id(), identity)) {
             refuseAsCrashing(exchange, caller.id());
             return;
--- a/trailladder-entry/src/test/java/io/trailladder/entry/gateway/CrashHistoriesTest.java
+++ b/trailladder-entry/src/test/java/io/trailladder/entry/gateway/CrashHistoriesTest.java
@@ -20,7 +20,8 @@
 
 import io.trailladder.core.crash.CrashLedger;
 import io.trailladder.core.crash.CrashVerdict;
-import io.trailladder.core.crash.RequestFingerprint;
+import io.trailladder.core.crash.RequestTrait;
+import io.trailladder.core.pipeline.Prompt;
 import io.trailladder.core.upstream.Upstream;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -61,7 +62,7 @@
      */
     private static final int MAX_LATE_ATTEMPTS = 3;
 
-    private static final RequestFingerprint CRASHING = new RequestFingerprint(-1);
+    private static final RequestTrait CRASHING = new RequestTrait(-1);
 
     private SimulatedCluster cluster =
             new SimulatedCluster(DATA_CENTRES, PROCESSES_PER_DATA_CENTRE, 10_000);
@@ -164,8 +165,8 @@
         return names.get(random.nextInt(names.size()));
     }
 
-    private static RequestIdentity identity(RequestFingerprint request) {
-        return new RequestIdentity(() -> request);
+    private static RequestIdentity identity(RequestTrait request) {
+        return new RequestIdentity(() -> request, Prompt.NONE);
     }
 
     private void requestArrives(String process) {
@@ -191,7 +192,7 @@
         recordEnd(run.process(), CRASHING, run.upstream(), cluster.now() - run.sentMillis());
         for (int i = 0; i < CONCURRENT_REQUESTS; i++) {
             int other = random.nextInt(OTHER_REQUESTS);
-            RequestFingerprint request = new RequestFingerprint(other);
+            RequestTrait request = new RequestTrait(other);
             String process = anyRunning();
             if (cluster.process(process).crashes().refuses("o", identity(request))) {
                 wronglyRefused.add(other);
@@ -202,7 +203,7 @@
     }
 
     private void recordEnd(
-            String process, RequestFingerprint request, Upstream upstream, long ranMillis) {
+            String process, RequestTrait request, Upstream upstream, long ranMillis) {
         if (cluster.process(process).isRunning()) {
             cluster.process(process)
                     .crashes()
@@ -210,7 +211,7 @@
         }
     }
 
-    private List<String> processesServing(RequestFingerprint request) {
+    private List<String> processesServing(RequestTrait request) {
         List<String> serving = new ArrayList<>();
         for (String name : cluster.names()) {
             CrashLedger ledger = cluster.process(name).crashes().ledger();
@@ -250,7 +251,7 @@
         EVENTS.get(event).accept(this);
         cluster.advance(10_000);
         for (int other = 0; other < OTHER_REQUESTS; other++) {
-            List<String> serving = processesServing(new RequestFingerprint(other));
+            List<String> serving = processesServing(new RequestTrait(other));
             assertEquals(
                     DATA_CENTRES * PROCESSES_PER_DATA_CENTRE, serving.size(), "request " + other);
         }
--- a/trailladder-entry/src/test/java/io/trailladder/entry/gateway/CrashPartTest.java
+++ b/trailladder-entry/src/test/java/io/trailladder/entry/gateway/CrashPartTest.java
@@ -20,7 +20,8 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import io.trailladder.core.crash.RequestFingerprint;
+import io.trailladder.core.crash.RequestTrait;
+import io.trailladder.core.pipeline.Prompt;
 import io.trailladder.core.upstream.Upstream;
 import io.trailladder.wire.NodeMessage.DigestScope;
 import io.trailladder.wire.NodeMessage.DigestSection;
@@ -44,7 +45,7 @@
     }
 
     private static RequestIdentity request(long value) {
-        return new RequestIdentity(() -> new RequestFingerprint(value));
+        return new RequestIdentity(() -> new RequestTrait(value), Prompt.NONE);
     }
 
     private static Upstream upstream(String id) {
@@ -126,19 +127,19 @@
         recordEnds(own, 1, 3);
         otherPart.received("own", section(ownPart), now);
         now += 1_000;
-        assertTrue(other.lift(new RequestFingerprint(1)));
+        assertTrue(other.lift(new RequestTrait(1)));
         ownPart.received("other", section(otherPart), now);
         assertFalse(own.refuses("t", request(1)));
     }
 
     @Example
     void newlyRefusedRequestIsReportedOnce() throws IOException {
-        List<RequestFingerprint> reported = new ArrayList<>();
+        List<RequestTrait> reported = new ArrayList<>();
         other.onRefused(reported::add);
         recordEnds(own, 1, 3);
         otherPart.received("own", section(ownPart), now);
         otherPart.received("own", section(ownPart), now);
-        assertEquals(List.of(new RequestFingerprint(1)), reported);
+        assertEquals(List.of(new RequestTrait(1)), reported);
     }
 
     /**
--- a/trailladder-entry/src/test/java/io/trailladder/entry/gateway/CrashReportsProperties.java
+++ b/trailladder-entry/src/test/java/io/trailladder/entry/gateway/CrashReportsProperties.java
@@ -21,7 +21,7 @@
 
 import io.trailladder.core.crash.CrashHistory;
 import io.trailladder.core.crash.CrashReport;
-import io.trailladder.core.crash.RequestFingerprint;
+import io.trailladder.core.crash.RequestTrait;
 import io.trailladder.core.crash.UpstreamEnd;
 import java.io.IOException;
 import java.nio.ByteBuffer;
@@ -48,7 +48,7 @@
             }
             long cleared =
                     random.nextBoolean() ? CrashReport.NEVER : NOW_MILLIS - random.nextInt(99_999);
-            reports.add(new CrashReport(new RequestFingerprint(random.nextLong()), cleared, ends));
+            reports.add(new CrashReport(new RequestTrait(random.nextLong()), cleared, ends));
         }
         return reports;
     }
@@ -88,7 +88,7 @@
         List<CrashReport> reports =
                 List.of(
                         new CrashReport(
-                                new RequestFingerprint(7),
+                                new RequestTrait(7),
                                 CrashReport.NEVER,
                                 List.of(new UpstreamEnd(1, 0, NOW_MILLIS, 5))));
         byte[] bytes = CrashReportCodec.write(reports, 1_000, NOW_MILLIS);
