--- a/trailladder-entry/src/test/java/io/trailladder/entry/gateway/SimulatedCluster.java
+++ b/trailladder-entry/src/test/java/io/trailladder/entry/gateway/SimulatedCluster.java
@@ -63,7 +63,9 @@
     /** Length of the windows over which the limit is checked, in milliseconds. */
     static final long WINDOW_MILLIS = 8_000;
 
-    private static final long STEP_MILLIS = 20;
+    /** Length of a step, in milliseconds. */
+    static final long STEP_MILLIS = 20;
+
     private static final long LEASE_TTL_MILLIS = 8_000;
     private static final long RENEWAL_INTERVAL_MILLIS = 2_000;
     private static final double TOLERANCE = 0.1;
