explain tells when an answer ended as an incomplete stream or with its upstream

AttemptFailed says BROKEN or PATH_LOST for such an answer, as for one whose connection broke.

ExplainCommandTest.brokenStreamIsExplainedByItsIncompleteEvent is new; it passes, with the other tests of the command.

--- a/trailladder-cli/src/main/java/io/trailladder/cli/RequestTrace.java
+++ b/trailladder-cli/src/main/java/io/trailladder/cli/RequestTrace.java
@@ -148,7 +148,8 @@
                                         + " ms, then "
                                         + failed.text("recovery")
                                         + budgetState(failed)
-                                        + pathState(failed))
+                                        + pathState(failed)
+                                        + answerState())
                 .orElseGet(
                         () ->
                                 last("Dispatch").isPresent()
@@ -156,6 +157,19 @@
                                         : "no upstream of its service accepted new requests");
     }
 
+    /** Returns why the last answer that ended without a failure of its connection was not whole. */
+    private String answerState() {
+        return last("AnswerEnd")
+                .filter(end -> !end.fields().path("complete").asBoolean())
+                .map(
+                        end ->
+                                end.number("incompleteBytes") > 0
+                                        ? "; its answer ended inside an event"
+                                        : "; its answer ended with its connection, and the"
+                                                + " upstream could not be reached any more")
+                .orElse("");
+    }
+
     private String lastPrediction(DecisionLine ended) {
         return last("Dispatch")
                 .map(
--- a/trailladder-cli/src/test/java/io/trailladder/cli/ExplainCommandTest.java
+++ b/trailladder-cli/src/test/java/io/trailladder/cli/ExplainCommandTest.java
@@ -84,6 +84,31 @@
         assertTrue(text.contains("the retry budget of the service was used up"), text);
     }
 
+    /** Guards against an answer without framing that looks as if its connection had broken. */
+    @Example
+    void brokenStreamIsExplainedByItsIncompleteEvent() throws IOException {
+        String log =
+                ACCEPTED
+                        + SENT
+                        + line(
+                                "02.000",
+                                "{\"kind\":\"AnswerEnd\",\"id\":\"r1\",\"upstream\":\"u7\","
+                                        + "\"framing\":\"CONNECTION\",\"events\":3,"
+                                        + "\"incompleteBytes\":8,\"complete\":false}")
+                        + line(
+                                "02.001",
+                                "{\"kind\":\"AttemptFailed\",\"id\":\"r1\",\"upstream\":\"u7\","
+                                        + "\"failure\":\"PATH_LOST\",\"afterMs\":900,"
+                                        + "\"recovery\":\"give up, BROKEN_OFF\"}")
+                        + line(
+                                "02.002",
+                                "{\"kind\":\"Ended\",\"id\":\"r1\",\"outcome\":\"BROKEN_OFF\","
+                                        + "\"status\":0,\"attempts\":1}");
+        assertEquals(0, explain("r1", log));
+        String text = out.toString();
+        assertTrue(text.contains("its answer ended inside an event"), text);
+    }
+
     @Example
     void brokenStreamIsExplainedByItsRemovedUpstream() throws IOException {
         String log =
