losses and refused show the parts of prompts under which upstreams ended

Different requests that share a part each stood at one or two ends, so no row of losses showed the cause.

LossesCommandTest.upstreamEndsAreSummedOverAllRequestsWithAPart is new; it passes, with the other tests of the commands.

--- a/trailladder-cli/src/main/java/io/trailladder/cli/CrashTable.java
+++ b/trailladder-cli/src/main/java/io/trailladder/cli/CrashTable.java
@@ -15,6 +15,7 @@
  */
 package io.trailladder.cli;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
@@ -42,9 +43,10 @@
     }
 
     /**
-     * One row: one request.
+     * One row: one request, or all requests with one part of a prompt.
      *
-     * @param request the request's fingerprint, the same for all its tries
+     * @param request the request's fingerprint, the same for all its tries; of a part its hash and
+     *     position
      * @param upstreams the number of upstreams that ended while running it
      * @param alone the number of these upstreams at which no other request broke
      * @param tries the number of its tries under which upstreams ended
@@ -70,14 +72,22 @@
         if (!line.kind().equals(KIND)) {
             return;
         }
-        String request = line.text("request");
+        addTo(line.text("request"), line);
+        for (JsonNode part : line.fields().path("parts")) {
+            addTo(part.asText(), line);
+        }
+        requestsAt
+                .computeIfAbsent(line.text("upstream"), name -> new HashSet<>())
+                .add(line.text("request"));
+    }
+
+    private void addTo(String request, DecisionLine line) {
         Sum sum = sums.computeIfAbsent(request, name -> new Sum());
         sum.upstreams.add(line.text("upstream"));
         sum.processes.add(processName(line.source()));
         sum.tries.add(line.text("id"));
         sum.first = line.time().isBefore(sum.first) ? line.time() : sum.first;
         sum.last = line.time().isAfter(sum.last) ? line.time() : sum.last;
-        requestsAt.computeIfAbsent(line.text("upstream"), name -> new HashSet<>()).add(request);
     }
 
     /** Returns the last word of the source, as log collectors may prefix the name with a time. */
--- a/trailladder-cli/src/main/java/io/trailladder/cli/LossesCommand.java
+++ b/trailladder-cli/src/main/java/io/trailladder/cli/LossesCommand.java
@@ -209,7 +209,7 @@
         out.printf(
                 Locale.ROOT,
                 "%-40s %9s %9s %9s %9s %9s  %s%n",
-                "requests under which upstreams ended",
+                "requests, parts with upstreams that ended",
                 "upstreams",
                 "alone",
                 "tries",
--- a/trailladder-cli/src/main/java/io/trailladder/cli/RefusedCommand.java
+++ b/trailladder-cli/src/main/java/io/trailladder/cli/RefusedCommand.java
@@ -70,7 +70,7 @@
     @Option(
             names = "--lift",
             paramLabel = "FINGERPRINT",
-            description = "The request whose refusal all gateways lift.")
+            description = "The request or part of prompts whose refusal all gateways lift.")
     private String lift;
 
     @Override
@@ -119,7 +119,7 @@
             return;
         }
         out.printf(
-                Locale.ROOT, "%-16s %9s %12s  %s%n", "request", "upstreams", "last ms ago", "is");
+                Locale.ROOT, "%-20s %9s %12s  %s%n", "request", "upstreams", "last ms ago", "is");
         for (JsonNode request : requests) {
             long last = Long.MAX_VALUE;
             for (JsonNode end : request.path("ends")) {
@@ -127,7 +127,7 @@
             }
             out.printf(
                     Locale.ROOT,
-                    "%-16s %9d %12d  %s%n",
+                    "%-20s %9d %12d  %s%n",
                     request.path("request").asText(),
                     request.path("ends").size(),
                     last,
--- a/trailladder-cli/src/test/java/io/trailladder/cli/LossesCommandTest.java
+++ b/trailladder-cli/src/test/java/io/trailladder/cli/LossesCommandTest.java
@@ -222,6 +222,23 @@
         assertTrue(rows.contains("\nbb 1 0 1 1 0.0 2026-12-02T13:00:01Z"), rows);
     }
 
+    /** Guards against a cause that different requests share and that no row shows. */
+    @Example
+    void upstreamEndsAreSummedOverAllRequestsWithAPart() throws IOException {
+        String ended =
+                "'kind':'UpstreamEnded','id':'%s','request':'%s','parts':['f-1','p-2'],"
+                        + "'upstream':'%s','ranMs':90";
+        String log =
+                taken(1, "t1", "accepted")
+                        + line(1, ended.formatted("t1", "aa", "u1"))
+                        + line(2, ended.formatted("t2", "bb", "u2"))
+                        + line(3, ended.formatted("t3", "cc", "u3"));
+        assertEquals(0, losses(log));
+        String rows = out.toString().replaceAll(" +", " ");
+        assertTrue(rows.contains("\np-2 3 3 3 1 2.0 2026-12-02T13:00:01Z"), rows);
+        assertTrue(rows.contains("\naa 1 1 1 1 0.0 2026-12-02T13:00:01Z"), rows);
+    }
+
     private static String admitted(int second, String process, long units) {
         return process
                 + line(
