Suspected parts forbid a retry only after an end; the store's record holds causes only

A request with a part that is near to being refused was not sent again after any failure, also after a connection that could not be made; now only where its own upstream has just ended before it had answered. And the leader wrote the record anew whenever a bystander's part reached three ends or was cleared; it now writes what is refused and not explained by a likelier cause, which is all that a process needs after a start.

--- a/trailladder-core/src/main/java/io/trailladder/core/crash/CrashLedger.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/crash/CrashLedger.java
@@ -189,7 +189,7 @@
         CrashHistory history = histories.get(part);
         return history != null
                 && history.evidence() >= SUSPECT_MIN_ENDS
-                && !CrashAttribution.isExplainedByOthers(part, histories, SUSPECT_MIN_ENDS);
+                && !isExplained(part, SUSPECT_MIN_ENDS);
     }
 
     /**
@@ -259,11 +259,10 @@
         if (history == null || history.evidence() < REFUSAL_MIN_ENDS) {
             return CrashVerdict.SERVED;
         }
-        boolean few = history.endCount() < UNCONDITIONAL_REFUSAL_MIN_ENDS;
-        if ((few || request.isPart())
-                && CrashAttribution.isExplainedByOthers(request, histories, REFUSAL_MIN_ENDS)) {
+        if (isExplained(request, REFUSAL_MIN_ENDS)) {
             return CrashVerdict.SERVED;
         }
+        boolean few = history.endCount() < UNCONDITIONAL_REFUSAL_MIN_ENDS;
         return few && history.mayBeRetriedHere(nowMillis - RETRY_DELAY_MILLIS)
                 ? CrashVerdict.TRIED_AGAIN
                 : CrashVerdict.REFUSED;
@@ -351,6 +350,24 @@
         return reports(history -> history.evidence() >= REFUSAL_MIN_ENDS);
     }
 
+    /**
+     * Returns what is refused for ends that nothing else is likelier to have caused.
+     *
+     * @return reports, those with the most ends first
+     */
+    public List<CrashReport> refusedAsCause() {
+        return refused().stream()
+                .filter(report -> !isExplained(report.request(), REFUSAL_MIN_ENDS))
+                .toList();
+    }
+
+    private boolean isExplained(RequestTrait trait, int minEnds) {
+        boolean unconditional =
+                !trait.isPart()
+                        && histories.get(trait).endCount() >= UNCONDITIONAL_REFUSAL_MIN_ENDS;
+        return !unconditional && CrashAttribution.isExplainedByOthers(trait, histories, minEnds);
+    }
+
     private List<CrashReport> reports(Predicate<CrashHistory> filter) {
         List<Map.Entry<RequestTrait, CrashHistory>> entries = new ArrayList<>();
         for (Map.Entry<RequestTrait, CrashHistory> entry : histories.entrySet()) {
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/CrashGuard.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/CrashGuard.java
@@ -35,6 +35,7 @@
     private final RequestIdentity identity;
     private boolean stopped;
     private Attempt survivor;
+    private boolean endedUpstream;
 
     CrashGuard(ServingContext context, String tryId, RequestIdentity identity) {
         this.context = context;
@@ -53,15 +54,15 @@
     /** Records how an attempt failed. */
     void failed(Attempt attempt, AttemptFailure failure) {
         Upstream upstream = attempt.upstream();
+        CrashWatch crashes = context.crashes();
+        boolean ended = failure != AttemptFailure.UNREACHABLE && mayHaveEnded(upstream, failure);
+        endedUpstream = ended && !hasSurvived(attempt);
         if (failure == AttemptFailure.UNREACHABLE) {
-            context.crashes().upstreamLost(upstream);
-        } else if (mayHaveEnded(upstream, failure)) {
-            CrashWatch crashes = context.crashes();
-            if (hasSurvived(attempt)) {
-                crashes.recordEndWhileAnswering(tryId, identity, upstream, attempt.ageMillis());
-            } else {
-                crashes.recordEnd(tryId, identity, upstream, attempt.ageMillis());
-            }
+            crashes.upstreamLost(upstream);
+        } else if (endedUpstream) {
+            crashes.recordEnd(tryId, identity, upstream, attempt.ageMillis());
+        } else if (ended) {
+            crashes.recordEndWhileAnswering(tryId, identity, upstream, attempt.ageMillis());
         }
     }
 
@@ -108,7 +109,7 @@
 
     /** Returns whether the request must not be sent again, by the ends known so far. */
     boolean refusesRetry() {
-        stopped |= context.crashes().refusesRetry(tryId, identity);
+        stopped |= context.crashes().refusesRetry(tryId, identity, endedUpstream);
         return stopped;
     }
 
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/CrashRecords.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/CrashRecords.java
@@ -154,7 +154,7 @@
         if (busy || !leads.getAsBoolean()) {
             return;
         }
-        List<CrashReport> reports = crashes.ledger().refused();
+        List<CrashReport> reports = crashes.ledger().refusedAsCause();
         Set<RequestTrait> refused = new HashSet<>();
         reports.forEach(report -> refused.add(report.request()));
         if (replaced) {
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/CrashWatch.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/CrashWatch.java
@@ -104,14 +104,19 @@
     /**
      * Returns whether a request whose attempt has failed must not be sent again; counts and logs
      * the refusal.
+     *
+     * @param tryId the id of the attempt's request
+     * @param identity the request
+     * @param endedUpstream true if the attempt's upstream ended before it had answered, so that a
+     *     suspected part is enough
      */
-    boolean refusesRetry(String tryId, RequestIdentity identity) {
+    boolean refusesRetry(String tryId, RequestIdentity identity, boolean endedUpstream) {
         if (!ledger.hasSuspects()) {
             return false;
         }
         for (RequestTrait trait : identity.traits()) {
             if (ledger.verdict(trait, nowMillis.getAsLong()) != CrashVerdict.SERVED
-                    || (trait.isPart() && ledger.isSuspected(trait))) {
+                    || (endedUpstream && trait.isPart() && ledger.isSuspected(trait))) {
                 return recordRefusal(tryId, trait);
             }
         }
--- a/trailladder-entry/src/test/java/io/trailladder/entry/gateway/CrashingPartHistoriesTest.java
+++ b/trailladder-entry/src/test/java/io/trailladder/entry/gateway/CrashingPartHistoriesTest.java
@@ -256,7 +256,8 @@
                     .accept(
                             crashes -> {
                                 if (run.attempt < MAX_ATTEMPTS
-                                        && !crashes.refusesRetry("t", run.identity)) {
+                                        && !crashes.refusesRetry(
+                                                "t", run.identity, !run.survived)) {
                                     Request again = new Request(run.identity, run.bad);
                                     send(again, run.process, run.attempt + 1);
                                 }
