AnswerEnd names what an answer was taken for

Its flag did not tell an incomplete stream from an answer whose upstream had ended, so explain said the latter also for a stream without any event. The line now has a finding: COMPLETE, INCOMPLETE_STREAM, UPSTREAM_ENDED. Found when the change was read again; nothing is decided differently. ExplainCommandTest, LossesCommandTest and AnswerEndFaultTest pass.

--- a/trailladder-cli/src/main/java/io/trailladder/cli/RequestTrace.java
+++ b/trailladder-cli/src/main/java/io/trailladder/cli/RequestTrace.java
@@ -159,15 +159,13 @@
 
     /** Returns why the last answer that ended without a failure of its connection was not whole. */
     private String answerState() {
-        return last("AnswerEnd")
-                .filter(end -> !end.fields().path("complete").asBoolean())
-                .map(
-                        end ->
-                                end.number("incompleteBytes") > 0
-                                        ? "; its answer ended inside an event"
-                                        : "; its answer ended with its connection, and the"
-                                                + " upstream could not be reached any more")
-                .orElse("");
+        String finding = last("AnswerEnd").map(end -> end.text("finding")).orElse("");
+        return switch (finding) {
+            case "INCOMPLETE_STREAM" -> "; its answer ended as an incomplete stream";
+            case "UPSTREAM_ENDED" ->
+                    "; its answer ended with its connection, and the upstream with it";
+            default -> "";
+        };
     }
 
     private String lastPrediction(DecisionLine ended) {
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/AnswerEnd.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/AnswerEnd.java
@@ -28,7 +28,7 @@
  * @param framing how the answer told where its body ends
  * @param events the number of complete events
  * @param incompleteBytes bytes after the last complete event
- * @param complete true if it was taken as complete
+ * @param finding whether it was taken as complete, and why not
  */
 record AnswerEnd(
         String id,
@@ -36,8 +36,18 @@
         AnswerFraming framing,
         int events,
         int incompleteBytes,
-        boolean complete)
+        Finding finding)
         implements Decision {
+    /** What an answer was taken for. */
+    enum Finding {
+        /** The whole answer. */
+        COMPLETE,
+        /** A stream that ends inside an event, or without framing before its first one. */
+        INCOMPLETE_STREAM,
+        /** An answer without framing whose upstream could not be reached after its end. */
+        UPSTREAM_ENDED
+    }
+
     @Override
     public void write(JsonGenerator json) throws IOException {
         json.writeStringField("id", id);
@@ -45,6 +55,6 @@
         json.writeStringField("framing", framing.name());
         json.writeNumberField("events", events);
         json.writeNumberField("incompleteBytes", incompleteBytes);
-        json.writeBooleanField("complete", complete);
+        json.writeStringField("finding", finding.name());
     }
 }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/AnswerEndCheck.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/AnswerEndCheck.java
@@ -17,6 +17,7 @@
 
 import io.trailladder.core.pipeline.AttemptFailure;
 import io.trailladder.core.upstream.Upstream;
+import io.trailladder.entry.gateway.AnswerEnd.Finding;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 
@@ -68,7 +69,7 @@
      */
     void answerEnded(Attempt attempt, boolean framed) {
         if (answer.isIncompleteStream(framed)) {
-            decide(attempt, false);
+            decide(attempt, Finding.INCOMPLETE_STREAM);
         } else if (framed) {
             attempt.complete();
         } else {
@@ -78,11 +79,14 @@
 
     private void checkUpstream(Attempt attempt) {
         if (!attempt.isFinished()) {
-            reachable.accept(attempt.upstream(), reached -> decide(attempt, reached));
+            reachable.accept(
+                    attempt.upstream(),
+                    reached ->
+                            decide(attempt, reached ? Finding.COMPLETE : Finding.UPSTREAM_ENDED));
         }
     }
 
-    private void decide(Attempt attempt, boolean complete) {
+    private void decide(Attempt attempt, Finding finding) {
         if (attempt.isFinished()) {
             return;
         }
@@ -93,8 +97,8 @@
                         attempt.framing(),
                         attempt.events(),
                         answer.incompleteBytes(),
-                        complete));
-        if (complete) {
+                        finding));
+        if (finding == Finding.COMPLETE) {
             attempt.complete();
         } else {
             context.metrics().count(GatewayMetrics.Event.ANSWER_INCOMPLETE);
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RefusedAsCrashing.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RefusedAsCrashing.java
@@ -27,7 +27,7 @@
  * Log line: a request is not sent to an upstream because upstreams ended while running it before.
  *
  * @param id the id of this try of the request
- * @param request the fingerprint of the request, the same for all its tries
+ * @param request the whole request, or the part of its prompt, that is refused
  * @param ends the ends of upstreams that count
  * @param nowMillis the time at which their ages are computed, in milliseconds
  */
