CrashLedger.cleared calls survived: one copy of the check

Both looked a trait up, asked whether any end of it counts and cleared its history; only the time differed. Found when the change was read again. No behaviour changes: CrashLedgerTest, CrashLedgerProperties, CrashPartTest, CrashReportsProperties and CancelledRequestsTest pass; no other test was run on this commit.

--- a/trailladder-core/src/main/java/io/trailladder/core/crash/CrashLedger.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/crash/CrashLedger.java
@@ -169,12 +169,13 @@
      * @param trait the trait
      * @param atMillis when it survived, in milliseconds
      * @param nowMillis the current time, in milliseconds
+     * @return false if no end of it counted, or it had survived later
      */
-    public void survived(RequestTrait trait, long atMillis, long nowMillis) {
+    public boolean survived(RequestTrait trait, long atMillis, long nowMillis) {
         CrashHistory history = histories.get(trait);
-        if (history != null && history.endCount() > 0) {
-            history.clear(atMillis, CrashHistory.OWN_SOURCE, nowMillis);
-        }
+        return history != null
+                && history.endCount() > 0
+                && history.clear(atMillis, CrashHistory.OWN_SOURCE, nowMillis);
     }
 
     /**
@@ -201,10 +202,7 @@
      * @return false if no end of it counted
      */
     public boolean cleared(RequestTrait request, long nowMillis) {
-        CrashHistory history = histories.get(request);
-        return history != null
-                && history.endCount() > 0
-                && history.clear(nowMillis, CrashHistory.OWN_SOURCE, nowMillis);
+        return survived(request, nowMillis, nowMillis);
     }
 
     /**
