Streams of two versions are no longer joined after a restart

Cause: StreamVersions took what this process had not seen since its start for what was not there. Three gaps: upstreams that leave were not counted, versions that had left the list were unknown, and processes that start beside living ones are told neither streams nor versions.

Change: the range of slots that each version had in the last 20 s is a record in the store. The leader writes it on a change, at most once a second; a process that starts reads it and computes from it and its own list. Until it is known (not read, unreadable, of an earlier epoch), streams that may have begun before the start are refused at once. Leaving upstreams count when first listed. CrashRecords and the new VersionRecords share StoreRecord.

Why it works: the range covers whatever any process can have assigned since, so a version that wins with its fewest slots against the most of all others is the one that began the stream. No clocks are compared.

StreamHistoriesTest now also judges streams whose version serves no more, which it left out; the stricter count hides none of the old checks.

--- a/trailladder-core/src/main/java/io/trailladder/core/upstream/StreamVersions.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/upstream/StreamVersions.java
@@ -32,6 +32,10 @@
  * all weights since it may have begun, the process that began it tells the others; one that was not
  * told does not resume it.
  *
+ * <p>A process that starts does not know which versions served before. It needs what a process that
+ * ran then has {@linkplain #recent recorded}; until it knows, it does not resume streams that may
+ * have begun before its start.
+ *
  * <pre>{@code
  * StreamOrigin begin = streams.assigned("chat", attemptId, nowMillis);
  * streams.began("chat", attemptId, upstream.version(), nowMillis);
@@ -46,7 +50,8 @@
 
     /**
      * How long after the start of this process the version is unknown of a stream that may have
-     * begun before, in milliseconds: upstreams may have left or come shortly before.
+     * begun before, in milliseconds, if nothing was recorded then: upstreams may have left or come
+     * shortly before.
      */
     static final long SETTLE_MILLIS = 3_000;
 
@@ -66,6 +71,15 @@
     private final Map<String, VersionWeights> weights = new HashMap<>();
     private final Map<String, Long> longestWaits = new HashMap<>();
     private final BegunStreams begun = new BegunStreams();
+    private Earlier earlier = Earlier.UNKNOWN;
+    private Map<String, List<VersionRange>> recorded = Map.of();
+
+    /** What is known of the versions that served before this process started. */
+    private enum Earlier {
+        UNKNOWN,
+        NOT_RECORDED,
+        RECORDED
+    }
 
     /**
      * Creates an instance that knows of no streams.
@@ -80,6 +94,46 @@
         this.startedMillis = startedMillis;
     }
 
+    /**
+     * Records which versions served before this process started.
+     *
+     * @param ranges the slots of each version by service, as {@link #recent} returned them
+     */
+    public void recordedBefore(Map<String, List<VersionRange>> ranges) {
+        earlier = Earlier.RECORDED;
+        recorded = Map.copyOf(ranges);
+        weights.forEach(this::applyRecorded);
+    }
+
+    /**
+     * Records that no process has recorded which versions served before this process started. Only
+     * the upstreams that are listed, or leave, are then known.
+     */
+    public void notRecordedBefore() {
+        earlier = Earlier.NOT_RECORDED;
+    }
+
+    private void applyRecorded(String service, VersionWeights own) {
+        own.recordedBefore(recorded.getOrDefault(service, List.of()));
+    }
+
+    /**
+     * Returns which versions served lately, for processes that start later.
+     *
+     * @param nowMillis the current time, in milliseconds
+     * @return the slots of each version by service; empty if this process does not know them yet
+     */
+    public Optional<Map<String, List<VersionRange>>> recent(long nowMillis) {
+        long sinceMillis = nowMillis - MAX_AGE_MILLIS;
+        boolean unknown = earlier == Earlier.UNKNOWN && sinceMillis < startedMillis;
+        if (unknown || weights.isEmpty()) {
+            return Optional.empty();
+        }
+        Map<String, List<VersionRange>> ranges = new HashMap<>();
+        weights.forEach((service, own) -> ranges.put(service, own.ranges(sinceMillis)));
+        return Optional.of(ranges);
+    }
+
     /**
      * Returns the version at which a new stream begins. During a roll-out, which decides that by
      * itself, any version may be chosen.
@@ -164,11 +218,16 @@
         }
         VersionWeights history = record(service, nowMillis);
         long beganMillis = nowMillis - maxAgeMillis(route, waitMillis);
+        boolean older = beganMillis < startedMillis;
+        if (older && earlier == Earlier.UNKNOWN) {
+            return StreamOrigin.UNKNOWN;
+        }
         if (history.isOneVersion(beganMillis)) {
             return StreamOrigin.ANY;
         }
-        boolean older = beganMillis < startedMillis;
-        if (attempt.isEmpty() || (older && nowMillis - startedMillis < SETTLE_MILLIS)) {
+        boolean unsettled =
+                earlier == Earlier.NOT_RECORDED && nowMillis - startedMillis < SETTLE_MILLIS;
+        if (attempt.isEmpty() || (older && unsettled)) {
             return StreamOrigin.UNKNOWN;
         }
         return history.assignedSince(attempt, beganMillis)
@@ -192,6 +251,9 @@
      */
     public void tick(long nowMillis) {
         directory.services().forEach(service -> record(service, nowMillis));
+        if (nowMillis - startedMillis <= MAX_AGE_MILLIS) {
+            weights.forEach(this::recordLeaving);
+        }
         begun.tell(this::isUncertain, nowMillis);
     }
 
@@ -207,9 +269,22 @@
                         .equals(Optional.of(stream.version()));
     }
 
+    private VersionWeights newWeights(String service) {
+        VersionWeights own = new VersionWeights();
+        recordLeaving(service, own);
+        if (earlier == Earlier.RECORDED) {
+            applyRecorded(service, own);
+        }
+        return own;
+    }
+
+    private void recordLeaving(String service, VersionWeights own) {
+        own.leavingBefore(directory.leaving(service));
+    }
+
     private VersionWeights record(String service, long nowMillis) {
         List<Upstream> listed = directory.serving(service);
-        VersionWeights own = weights.computeIfAbsent(service, name -> new VersionWeights());
+        VersionWeights own = weights.computeIfAbsent(service, this::newWeights);
         if (own.hasOnlyVersionOf(listed)) {
             return own;
         }
--- a/trailladder-core/src/main/java/io/trailladder/core/upstream/UpstreamDirectory.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/upstream/UpstreamDirectory.java
@@ -161,6 +161,19 @@
         return byService.computeIfAbsent(service, this::collect);
     }
 
+    /**
+     * Returns the upstreams of a service that leave.
+     *
+     * @param service the service's name
+     * @return the upstreams that are listed and accept no new work
+     */
+    public List<Upstream> leaving(String service) {
+        return upstreams.values().stream()
+                .filter(upstream -> upstream.service().equals(service))
+                .filter(upstream -> isLeaving(upstream.id()))
+                .toList();
+    }
+
     /**
      * Finds an upstream, including leaving ones.
      *
--- a/trailladder-core/src/main/java/io/trailladder/core/upstream/VersionWeights.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/upstream/VersionWeights.java
@@ -16,14 +16,13 @@
 package io.trailladder.core.upstream;
 
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
-import java.util.function.ToIntFunction;
+import java.util.TreeMap;
 
 /**
  * The slots of each version of a service now and of late, and the version that rendezvous hashing
@@ -39,6 +38,12 @@
 
     private final Deque<Sample> samples = new ArrayDeque<>();
 
+    /** What was recorded before the first sample; when it was in force is not known. */
+    private Optional<Sample> recorded = Optional.empty();
+
+    /** Slots by version of upstreams that were leaving when they were first listed. */
+    private final Map<String, Integer> leaving = new HashMap<>();
+
     /**
      * The slots by version from a time on.
      *
@@ -64,6 +69,22 @@
         }
     }
 
+    /** Records what was known before the first sample, of which streams may go on. */
+    void recordedBefore(List<VersionRange> ranges) {
+        Map<String, Integer> most = new HashMap<>();
+        Map<String, Integer> least = new HashMap<>();
+        for (VersionRange range : ranges) {
+            most.put(range.version(), range.mostSlots());
+            least.put(range.version(), range.leastSlots());
+        }
+        recorded = Optional.of(new Sample(0, most, least));
+    }
+
+    /** Records upstreams that leave, at which streams may have begun before the first sample. */
+    void leavingBefore(List<Upstream> upstreams) {
+        slots(upstreams).forEach((version, slots) -> leaving.merge(version, slots, Math::max));
+    }
+
     /** Returns whether all upstreams are of the only version that the last sample has. */
     boolean hasOnlyVersionOf(List<Upstream> listed) {
         Sample last = samples.peekLast();
@@ -93,13 +114,15 @@
         if (last.listed().size() <= 1) {
             return Optional.empty();
         }
-        Map<String, Integer> now = last.admitted();
-        return winner(id, now.keySet(), now::get, now::get);
+        List<VersionRange> now = new ArrayList<>();
+        last.admitted()
+                .forEach((version, slots) -> now.add(new VersionRange(version, slots, slots)));
+        return winner(id, now);
     }
 
     /** Returns whether there has been at most one version since a time. */
     boolean isOneVersion(long sinceMillis) {
-        return versionsSince(sinceMillis).size() <= 1;
+        return ranges(sinceMillis).size() <= 1;
     }
 
     /**
@@ -107,52 +130,63 @@
      * slots that versions had since then.
      */
     Optional<String> assignedSince(String id, long sinceMillis) {
-        Map<String, Integer> least = new HashMap<>();
-        Map<String, Integer> most = new HashMap<>();
-        Set<String> all = versionsSince(sinceMillis);
-        for (Sample sample : since(sinceMillis)) {
-            for (String version : all) {
-                least.merge(version, sample.admitted().getOrDefault(version, 0), Math::min);
-                most.merge(version, sample.listed().getOrDefault(version, 0), Math::max);
-            }
+        return winner(id, ranges(sinceMillis));
+    }
+
+    /** Returns the slots that each version had since a time. */
+    List<VersionRange> ranges(long sinceMillis) {
+        List<Sample> inForce = since(sinceMillis);
+        Map<String, Integer> most = new TreeMap<>();
+        for (Sample sample : inForce) {
+            sample.listed().forEach((version, slots) -> most.merge(version, slots, Math::max));
         }
-        return winner(id, all, least::get, most::get);
+        if (isBeforeFirst(sinceMillis)) {
+            leaving.forEach((version, slots) -> most.merge(version, slots, Math::max));
+        }
+        List<VersionRange> ranges = new ArrayList<>(most.size());
+        most.forEach(
+                (version, slots) ->
+                        ranges.add(new VersionRange(version, leastSlots(version, inForce), slots)));
+        return ranges;
+    }
+
+    private static int leastSlots(String version, List<Sample> samples) {
+        return samples.stream()
+                .mapToInt(sample -> sample.admitted().getOrDefault(version, 0))
+                .min()
+                .orElse(0);
     }
 
-    private Set<String> versionsSince(long sinceMillis) {
-        Set<String> all = new HashSet<>();
-        since(sinceMillis).forEach(sample -> all.addAll(sample.listed().keySet()));
-        return all;
+    private boolean isBeforeFirst(long sinceMillis) {
+        return samples.isEmpty() || sinceMillis < samples.getFirst().fromMillis();
     }
 
     /** Returns the samples that were in force at a time or later. */
     private List<Sample> since(long sinceMillis) {
-        Deque<Sample> inForce = new ArrayDeque<>();
+        List<Sample> inForce = new ArrayList<>();
+        if (isBeforeFirst(sinceMillis)) {
+            recorded.ifPresent(inForce::add);
+        }
         for (var newestFirst = samples.descendingIterator(); newestFirst.hasNext(); ) {
             Sample sample = newestFirst.next();
-            inForce.addFirst(sample);
+            inForce.add(sample);
             if (sample.fromMillis() <= sinceMillis) {
                 break;
             }
         }
-        return List.copyOf(inForce);
+        return inForce;
     }
 
-    /** Returns the version that wins with its own slots against the slots of all others. */
-    private static Optional<String> winner(
-            String id,
-            Set<String> versions,
-            ToIntFunction<String> ownSlots,
-            ToIntFunction<String> othersSlots) {
-        for (String version : versions) {
-            double own = delay(id, version, ownSlots.applyAsInt(version));
+    /** Returns the version that wins with its least slots against the most slots of all others. */
+    private static Optional<String> winner(String id, List<VersionRange> ranges) {
+        for (VersionRange range : ranges) {
+            double own = delay(id, range.version(), range.leastSlots());
             boolean first =
-                    versions.stream()
-                            .filter(other -> !other.equals(version))
-                            .allMatch(
-                                    other -> own < delay(id, other, othersSlots.applyAsInt(other)));
+                    ranges.stream()
+                            .filter(other -> !other.equals(range))
+                            .allMatch(other -> own < delay(id, other.version(), other.mostSlots()));
             if (first) {
-                return Optional.of(version);
+                return Optional.of(range.version());
             }
         }
         return Optional.empty();
--- a/trailladder-core/src/test/java/io/trailladder/core/upstream/StreamHistoriesTest.java
+++ b/trailladder-core/src/test/java/io/trailladder/core/upstream/StreamHistoriesTest.java
@@ -21,6 +21,8 @@
 import io.trailladder.core.rollout.VersionGate;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
+import java.util.Optional;
 import java.util.PriorityQueue;
 import java.util.SplittableRandom;
 import net.jqwik.api.Example;
@@ -43,6 +45,7 @@
     private static final long MAX_LAG_MILLIS = 300;
     private static final long MIN_RETURN_MILLIS = 400;
     private static final long MAX_RETURN_MILLIS = 4_000;
+    private static final long RECORD_MILLIS = 1_000;
 
     private SplittableRandom random;
     private final List<Gateway> processes = new ArrayList<>();
@@ -56,6 +59,9 @@
     private int resumed;
     private int continued;
     private int joined;
+    private int picked;
+    private Optional<Map<String, List<VersionRange>>> record = Optional.empty();
+    private boolean storeReachable;
 
     /** A change of the list that a process notices at a time. */
     private record Change(long atMillis, Gateway process, Upstream upstream, boolean added) {}
@@ -63,11 +69,12 @@
     /** A stream whose caller comes back. */
     private record Stream(String attempt, String version, long beganMillis, long returnMillis) {}
 
-    /** One process, which loses all it knows but the list when it restarts. */
+    /** One process, which loses all it knows but the list and the record when it restarts. */
     private final class Gateway {
         private final UpstreamDirectory directory = new UpstreamDirectory();
         private StreamVersions versions;
         private long downUntilMillis;
+        private boolean recordRead;
 
         Gateway() {
             restart(0);
@@ -76,6 +83,15 @@
         void restart(long downMillis) {
             downUntilMillis = now + downMillis;
             versions = new StreamVersions(directory, new VersionGate(), now + downMillis);
+            recordRead = false;
+        }
+
+        /** Reads the record of the versions that served before, as soon as the store answers. */
+        void readRecord() {
+            if (!recordRead && storeReachable) {
+                record.ifPresentOrElse(versions::recordedBefore, versions::notRecordedBefore);
+                recordRead = true;
+            }
         }
 
         boolean isRunning() {
@@ -94,6 +110,8 @@
         resumed = 0;
         continued = 0;
         joined = 0;
+        record = Optional.empty();
+        storeReachable = true;
         processes.clear();
         changes.clear();
         returns.clear();
@@ -121,9 +139,13 @@
             }
             for (Gateway process : processes) {
                 if (process.isRunning()) {
+                    process.readRecord();
                     process.versions.tick(now);
                 }
             }
+            if (now % RECORD_MILLIS == 0 && storeReachable) {
+                writeRecord();
+            }
             if (now % DIGEST_MILLIS == 0) {
                 sendDigests();
             }
@@ -149,6 +171,16 @@
         }
     }
 
+    /** Has the first process that runs and knows what served lately write it to the store. */
+    private void writeRecord() {
+        processes.stream()
+                .filter(Gateway::isRunning)
+                .map(process -> process.versions.recent(now))
+                .flatMap(Optional::stream)
+                .findFirst()
+                .ifPresent(recent -> record = Optional.of(recent));
+    }
+
     private static void apply(Change change) {
         if (change.added()) {
             change.process().directory.changed(change.upstream());
@@ -180,19 +212,20 @@
         long waitMillis = DEADLINE_MILLIS - (now - stream.beganMillis());
         StreamOrigin origin =
                 process.versions.origin(SERVICE, ROUTE, stream.attempt(), waitMillis, now);
-        List<Upstream> serving = process.directory.serving(SERVICE);
-        boolean served =
-                serving.stream().anyMatch(upstream -> upstream.version().equals(stream.version()));
-        if (!process.isRunning() || !served) {
+        if (!process.isRunning()) {
             return;
         }
-        resumed++;
-        if (origin.source() != StreamOrigin.Source.UNKNOWN) {
-            continued++;
-            String version =
-                    origin.required()
-                            .orElseGet(() -> serving.get(resumed % serving.size()).version());
+        List<Upstream> serving = process.directory.serving(SERVICE);
+        boolean known = origin.source() != StreamOrigin.Source.UNKNOWN;
+        if (known && origin.required().isEmpty() && !serving.isEmpty()) {
+            String version = serving.get(++picked % serving.size()).version();
             joined += version.equals(stream.version()) ? 0 : 1;
+        } else if (known && origin.required().isPresent()) {
+            joined += origin.required().get().equals(stream.version()) ? 0 : 1;
+        }
+        if (serving.stream().anyMatch(each -> each.version().equals(stream.version()))) {
+            resumed++;
+            continued += known ? 1 : 0;
         }
     }
 
@@ -253,4 +286,118 @@
         }
         assertContinued(0.95);
     }
+
+    /** Has the upstreams of v9 come, and those of v0 leave. */
+    private void replaceVersion(long pauseMillis) {
+        for (int i = 0; i < 12; i++) {
+            change(upstream("n" + i, "v9"), true);
+        }
+        advance(pauseMillis, 40);
+        for (int i = 0; i < 12; i++) {
+            change(upstream("u" + i, "v0").asLeaving(), true);
+        }
+        advance(1_000, 40);
+    }
+
+    private void removeOldUpstreams() {
+        for (int i = 0; i < 12; i++) {
+            change(upstream("u" + i, "v0"), false);
+        }
+    }
+
+    private void restartAll(long downMillis) {
+        processes.forEach(process -> process.restart(downMillis));
+    }
+
+    /** Guards against streams of upstreams that leave being joined after a restart of all. */
+    @Example
+    void versionThatLeavesIsKnownAfterARestartOfAll() {
+        start(3, 1);
+        advance(5_000, 40);
+        replaceVersion(1_000);
+        restartAll(500);
+        advance(8_000, 40);
+        assertEquals(0, joined, joined + " of " + resumed + " joined");
+    }
+
+    /** Guards against the same if the older version has gone from the list before the restart. */
+    @Example
+    void versionThatWentIsKnownAfterARestartOfAll() {
+        start(3, 1);
+        advance(5_000, 40);
+        replaceVersion(3_000);
+        removeOldUpstreams();
+        advance(500, 40);
+        restartAll(500);
+        advance(8_000, 40);
+        assertEquals(0, joined, joined + " of " + resumed + " joined");
+    }
+
+    /** Guards against the same if the version is replaced while no process runs. */
+    @Example
+    void versionReplacedWhileAllAreDownIsKnownAfterwards() {
+        start(3, 1);
+        advance(5_000, 40);
+        restartAll(1_000);
+        for (int i = 0; i < 12; i++) {
+            change(upstream("n" + i, "v9"), true);
+        }
+        removeOldUpstreams();
+        advance(1_000, 0);
+        advance(8_000, 40);
+        assertEquals(0, joined, joined + " of " + resumed + " joined");
+    }
+
+    /**
+     * Guards against the same at processes that restart one after the other beside one that lives.
+     */
+    @Example
+    void versionThatLeftIsKnownToProcessesThatRestartInTurn() {
+        start(3, 1);
+        advance(5_000, 40);
+        replaceVersion(1_000);
+        for (int i = 1; i < processes.size(); i++) {
+            processes.get(i).restart(500);
+            advance(3_000, 40);
+        }
+        removeOldUpstreams();
+        advance(8_000, 40);
+        assertEquals(0, joined, joined + " of " + resumed + " joined");
+    }
+
+    /** Guards against joined streams after restarts in any order, with and without the store. */
+    @Property(tries = 60, seed = "20261204")
+    void noStreamIsJoinedOverAnyOrderOfRestarts(@ForAll long seed) {
+        start(5, 1);
+        random = new SplittableRandom(seed);
+        for (int i = 0; i < 12; i++) {
+            storeReachable = random.nextInt(4) > 0;
+            change(upstream("n" + i, "v9"), true);
+            advance(random.nextLong(3_000), 40);
+            change(upstream("u" + i, "v0").asLeaving(), true);
+            advance(random.nextLong(1_500), 40);
+            if (random.nextBoolean()) {
+                change(upstream("u" + i, "v0"), false);
+            }
+            int restarted = random.nextInt(processes.size() + 1);
+            for (int process = 0; process < restarted; process++) {
+                processes.get(process).restart(random.nextLong(100, 1_500));
+            }
+        }
+        storeReachable = true;
+        advance(5_000, 40);
+        assertEquals(0, joined, joined + " of " + resumed + " joined, seed " + seed);
+    }
+
+    /** Guards against streams refused after a restart of all though only one version serves. */
+    @Example
+    void oneVersionLosesNothingInARestartOfAll() {
+        start(5, 1);
+        for (int i = 0; i < 3; i++) {
+            advance(3_000, 40);
+            restartAll(500);
+        }
+        advance(5_000, 40);
+        assertContinued(1);
+    }
 }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
@@ -51,6 +51,7 @@
 import io.trailladder.entry.loop.SteadyClock;
 import io.trailladder.entry.mesh.PeerMesh;
 import io.trailladder.entry.port.CoordinationStore;
+import io.trailladder.entry.port.CoordinationStore.Freshness;
 import io.trailladder.entry.port.PlatformFormat;
 import io.trailladder.entry.port.StoreItem;
 import io.trailladder.entry.relay.RelayObserver;
@@ -137,7 +138,8 @@
     private final RetryBudgets budgets;
     private final StreamVersions streams;
     private final CrashWatch crashes = new CrashWatch(loop::nowMillis, metrics);
-    private final CrashRecords crashRecords;
+    private final StoreRecord<?> crashRecord;
+    private final StoreRecord<?> versionRecord;
     private final CrashPages crashPages = new CrashPages(crashes, loop::nowMillis);
     private final RequestIntake intake;
     private final HttpServer callerServer;
@@ -255,14 +257,15 @@
                         random.split(),
                         metrics);
         view.epochUpdates().tokens(duties::highestToken, duties::tokenReported);
-        crashRecords =
-                new CrashRecords(
+        crashRecord =
+                new StoreRecord<>(
                         loop,
-                        clock,
                         countedStore(platform, Purpose.CRASHES),
                         storeHealth,
-                        crashes,
-                        duties::leads);
+                        duties::leads,
+                        CrashRecords.KEY,
+                        Freshness.RECENT,
+                        new CrashRecords(clock, loop::nowMillis, crashes));
         VersionGate versions = new VersionGate();
         rollouts =
                 new RolloutParts(
@@ -302,6 +305,15 @@
                         firstStart);
         streams = new StreamVersions(directory, versions, loop.nowMillis());
         view.add(new StreamPart(streams));
+        versionRecord =
+                new StoreRecord<>(
+                        loop,
+                        countedStore(platform, Purpose.VERSIONS),
+                        storeHealth,
+                        duties::leads,
+                        VersionRecords.KEY,
+                        Freshness.LATEST,
+                        new VersionRecords(streams, loop::nowMillis, storeHealth.history()::epoch));
         ServingContext context =
                 new ServingContext(
                         loop,
@@ -409,7 +421,8 @@
                     duties.start(settings.node().firstStart());
                     fleet.start();
                     rollouts.start();
-                    crashRecords.start(settings.node().firstStart());
+                    crashRecord.start(settings.node().firstStart());
+                    versionRecord.start(settings.node().firstStart());
                 });
         loop.start();
         DecisionLog.write(
@@ -580,7 +593,8 @@
 
     private boolean isStateKnown() {
         boolean recordsKnown =
-                (rollouts.isKnown() && crashRecords.isLoaded()) || isStoreGraceOver();
+                (rollouts.isKnown() && crashRecord.isLoaded() && versionRecord.isLoaded())
+                        || isStoreGraceOver();
         boolean limitsKnown =
                 view.usesLimits()
                         || loop.nowMillis() - startedMillis
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/StoreCalls.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/StoreCalls.java
@@ -42,7 +42,9 @@
         /** Orders and records of roll-outs. */
         ROLLOUTS,
         /** The record of requests that end upstreams. */
-        CRASHES
+        CRASHES,
+        /** The record of the versions that served lately. */
+        VERSIONS
     }
 
     /** The kind of a call. */
--- /dev/null
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/StoreRecord.java
@@ -0,0 +1,224 @@
+/*
+ * Copyright 2026 The trailladder authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package io.trailladder.entry.gateway;
+
+import io.trailladder.entry.gateway.DecisionLog.Lifecycle;
+import io.trailladder.entry.loop.EventLoop;
+import io.trailladder.entry.port.CoordinationStore;
+import io.trailladder.entry.port.CoordinationStore.Freshness;
+import io.trailladder.entry.port.StoreBatch;
+import io.trailladder.entry.port.StoreFailure;
+import io.trailladder.entry.port.StoreItem;
+import io.trailladder.entry.port.StoreWrite;
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.util.Optional;
+import java.util.function.BooleanSupplier;
+
+/**
+ * A record in the platform's store that outlives a loss of all processes at once. The leader writes
+ * it when its content changes, and every process reads it when it starts.
+ *
+ * @param <T> what the record tells; equal values are not written again
+ */
+final class StoreRecord<T> {
+    /** How often the leader checks for changes to write, in milliseconds. */
+    private static final long WRITE_CHECK_INTERVAL_MILLIS = 1_000;
+
+    /** Delay between a failed read and the next one, in milliseconds. */
+    private static final long READ_RETRY_MILLIS = 2_000;
+
+    /** Max. number of reads: the store may be unreachable for long. */
+    private static final int MAX_READS = 10;
+
+    private final EventLoop loop;
+    private final CoordinationStore store;
+    private final StoreHealth health;
+    private final BooleanSupplier leads;
+    private final String key;
+    private final Freshness freshness;
+    private final Content<T> content;
+    private Optional<T> written = Optional.empty();
+    private long revision;
+    private int readCount;
+    private boolean loaded;
+    private boolean busy;
+    private boolean replaced;
+
+    /** What a record holds. */
+    interface Content<T> {
+        /** Returns what the record must tell now; empty to leave it as it is. */
+        Optional<T> current();
+
+        /** Encodes what {@link #current} returned. */
+        byte[] encode(T value);
+
+        /**
+         * Receives a value that was read.
+         *
+         * @param value the value; empty if there is no record
+         * @return false if the value may be outdated, so that it must be read again
+         * @throws IOException if it is invalid
+         */
+        boolean read(Optional<byte[]> value) throws IOException;
+    }
+
+    /**
+     * Creates a record.
+     *
+     * @param loop the loop of this process
+     * @param store the store
+     * @param health receives how calls end
+     * @param leads whether this process leads
+     * @param key the key of the record
+     * @param freshness how recent the value must be that is read at the start
+     * @param content what the record holds
+     */
+    StoreRecord(
+            EventLoop loop,
+            CoordinationStore store,
+            StoreHealth health,
+            BooleanSupplier leads,
+            String key,
+            Freshness freshness,
+            Content<T> content) {
+        this.loop = loop;
+        this.store = store;
+        this.health = health;
+        this.leads = leads;
+        this.key = key;
+        this.freshness = freshness;
+        this.content = content;
+        health.history().onReplaced(this::historyReplaced);
+    }
+
+    /**
+     * Starts to read and write the record.
+     *
+     * @param firstStart true if no record was written before, so that none is read
+     */
+    void start(boolean firstStart) {
+        if (firstStart) {
+            loaded = passOn(Optional.empty());
+        } else {
+            load();
+        }
+        loop.repeat(WRITE_CHECK_INTERVAL_MILLIS, this::writeChanges);
+    }
+
+    /** Returns whether the earlier record was read, or there was none to read. */
+    boolean isLoaded() {
+        return loaded;
+    }
+
+    /**
+     * Has the leader read the record and write it again: the store may have lost what was written.
+     */
+    private void historyReplaced() {
+        revision = 0;
+        written = Optional.empty();
+        busy = false;
+        replaced = true;
+    }
+
+    private void load() {
+        readCount++;
+        store.list(key, "", freshness, this::onLoaded);
+    }
+
+    private void onLoaded(Either<StoreFailure, StoreBatch> result) {
+        if (result.isRight()) {
+            health.answered();
+            loaded =
+                    result.get().items().stream()
+                            .filter(item -> item.key().equals(key))
+                            .findFirst()
+                            .map(this::apply)
+                            .orElseGet(() -> passOn(Optional.empty()));
+        } else {
+            health.failed(result.getLeft());
+        }
+        if (!loaded && readCount < MAX_READS) {
+            loop.schedule(READ_RETRY_MILLIS, this::load);
+        }
+    }
+
+    private boolean apply(StoreItem item) {
+        revision = item.revision();
+        return passOn(item.removed() ? Optional.empty() : Optional.of(item.value()));
+    }
+
+    private boolean passOn(Optional<byte[]> value) {
+        try {
+            return content.read(value);
+        } catch (IOException e) {
+            DecisionLog.write(new Lifecycle(key, "passed over", e.getMessage()));
+            return true;
+        }
+    }
+
+    private void writeChanges() {
+        if (busy || !leads.getAsBoolean()) {
+            return;
+        }
+        if (replaced) {
+            replaced = false;
+            readBack();
+            return;
+        }
+        Optional<T> current = content.current();
+        if (current.isPresent() && !current.equals(written)) {
+            write(current);
+        }
+    }
+
+    private void write(Optional<T> current) {
+        busy = true;
+        byte[] value = content.encode(current.get());
+        store.write(new StoreWrite(key, value, revision, 0), result -> onWritten(current, result));
+    }
+
+    private void onWritten(Optional<T> value, Either<StoreFailure, Long> result) {
+        busy = false;
+        if (result.isRight()) {
+            health.answered();
+            revision = result.get();
+            written = value;
+            return;
+        }
+        health.failed(result.getLeft());
+        if (result.getLeft() == StoreFailure.CONFLICT
+                || result.getLeft() == StoreFailure.UNANSWERED) {
+            // another leader has written, or this write was done though its answer was lost
+            readBack();
+        }
+    }
+
+    private void readBack() {
+        busy = true;
+        store.read(key, this::onReadBack);
+    }
+
+    private void onReadBack(Either<StoreFailure, StoreItem> result) {
+        busy = false;
+        if (result.isRight()) {
+            health.answered();
+            apply(result.get());
+        } else {
+            health.failed(result.getLeft());
+        }
+    }
+}
