Streams are not resumed at any version during a roll-out

What callers saw: while a roll-out ran, a stream of which a process had not been told (it had started again, or the digest was full) went on at whichever version the roll-out admitted.

StreamVersions returned ANY for a service with a roll-out, as if an unknown version were no constraint.

Change: a roll-out that chooses versions assigns no ids, so its samples have no admitted slots: such a stream is computed by nobody and goes on only where one version served. After the result the excluded version is not counted, and hashing assigns streams again.

Evidence: StreamRolloutTest fails three of three on the code before (ONE_VERSION where the version is unknown) and passes.

--- a/trailladder-core/src/main/java/io/trailladder/core/upstream/StreamVersions.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/upstream/StreamVersions.java
@@ -136,7 +136,7 @@
 
     /**
      * Returns the version at which a new stream begins. During a roll-out, which decides that by
-     * itself, any version may be chosen.
+     * itself, any version may be chosen; other processes know it only if they are told.
      *
      * @param service the service
      * @param attempt the id of the caller's attempt
@@ -144,7 +144,7 @@
      * @return the version, or {@link StreamOrigin#ANY}
      */
     public StreamOrigin assigned(String service, String attempt, long nowMillis) {
-        if (versions.rollout(service).isPresent()) {
+        if (isChosenByRollout(service, nowMillis)) {
             return StreamOrigin.ANY;
         }
         return record(service, nowMillis)
@@ -213,9 +213,6 @@
         if (recorded.isPresent()) {
             return StreamOrigin.recorded(recorded.get());
         }
-        if (versions.rollout(service).isPresent()) {
-            return StreamOrigin.ANY;
-        }
         VersionWeights history = record(service, nowMillis);
         long beganMillis = nowMillis - maxAgeMillis(route, waitMillis);
         boolean older = beganMillis < startedMillis;
@@ -264,9 +261,15 @@
         if (history == null || history.isOneVersion(sinceMillis)) {
             return false;
         }
-        return versions.rollout(stream.service()).isPresent()
-                || !history.assignedSince(stream.attempt(), sinceMillis)
-                        .equals(Optional.of(stream.version()));
+        return !history.assignedSince(stream.attempt(), sinceMillis)
+                .equals(Optional.of(stream.version()));
+    }
+
+    /** Returns whether a roll-out chooses the version of each stream, so that none is assigned. */
+    private boolean isChosenByRollout(String service, long nowMillis) {
+        return versions.rollout(service)
+                .filter(rollout -> !rollout.phase().isFinal() || rollout.waitMillis(nowMillis) > 0)
+                .isPresent();
     }
 
     private VersionWeights newWeights(String service) {
@@ -288,11 +291,14 @@
         if (own.hasOnlyVersionOf(listed)) {
             return own;
         }
-        List<Upstream> admitted =
-                versions.rollout(service).isPresent()
-                        ? listed
-                        : versions.admitted(service, listed, false, nowMillis);
-        own.record(listed, admitted, nowMillis);
+        if (isChosenByRollout(service, nowMillis)) {
+            own.record(listed, List.of(), nowMillis);
+            return own;
+        }
+        List<Upstream> admitted = versions.admitted(service, listed, false, nowMillis);
+        // a version that a roll-out has excluded is out of choice at every process
+        boolean excludes = versions.rollout(service).isPresent();
+        own.record(excludes ? admitted : listed, admitted, nowMillis);
         return own;
     }
 }
--- a/trailladder-core/src/main/java/io/trailladder/core/upstream/VersionWeights.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/upstream/VersionWeights.java
@@ -48,7 +48,7 @@
      * The slots by version from a time on.
      *
      * @param listed slots of all upstreams that do not leave
-     * @param admitted slots of those that new requests may go to
+     * @param admitted slots of those that ids are assigned to; none during a roll-out
      */
     private record Sample(
             long fromMillis, Map<String, Integer> listed, Map<String, Integer> admitted) {}
