A request that was sent may have run until its failure is recorded

Cause: RequestDriver.failed forgot the attempt 150 ms before its failure was recorded, while it examined whether the upstream could still be reached. In between the attempt was in neither of the two places that decide how the request ends, and each caller of RecoveryPolicy said by itself whether one was under way.

Change: AttemptHistory opens an attempt when it is sent and closes it when its failure is recorded; one under way may have run. The second argument of endingOf and endingAtDeadline is gone.

Why it works: the ending depends on one record alone, and that is written before the first byte leaves and closed with what is known.

--- a/trailladder-core/src/main/java/io/trailladder/core/pipeline/AttemptHistory.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/pipeline/AttemptHistory.java
@@ -19,7 +19,9 @@
 import java.util.Set;
 
 /**
- * The attempts of a request so far and their results.
+ * The attempts of a request so far and their results. At most one attempt is under way at a time;
+ * it counts as one that may have run from the moment at which it is sent until its failure is
+ * recorded.
  *
  * @since 0.2
  */
@@ -27,6 +29,7 @@
     private final Set<String> tried = new HashSet<>();
     private int sent;
     private int connectFailures;
+    private boolean inProgress;
     private boolean mayHaveRun;
     private boolean answerStarted;
     private String lastEventId = "";
@@ -39,6 +42,7 @@
     public void sent(String upstream) {
         tried.add(upstream);
         sent++;
+        inProgress = true;
     }
 
     /**
@@ -49,6 +53,7 @@
      */
     public void failed(String upstream, AttemptFailure failure) {
         tried.add(upstream);
+        inProgress = false;
         mayHaveRun |= failure.mayHaveRun();
         if (failure == AttemptFailure.UNREACHABLE) {
             connectFailures++;
@@ -100,12 +105,12 @@
     }
 
     /**
-     * Returns whether any attempt may have run.
+     * Returns whether any attempt may have run, or may be running.
      *
      * @return false only if the request certainly did not run
      */
     public boolean mayHaveRun() {
-        return mayHaveRun;
+        return mayHaveRun || inProgress;
     }
 
     /**
--- a/trailladder-core/src/main/java/io/trailladder/core/pipeline/RecoveryPolicy.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/pipeline/RecoveryPolicy.java
@@ -84,32 +84,29 @@
     /**
      * Returns how a request ends that has no attempt left, or whose process stops.
      *
-     * @param history its attempts
-     * @param inProgress true if an attempt was sent whose outcome is not known
+     * @param history its attempts, including one that is under way
      * @return the ending
      */
-    public static Ending endingOf(AttemptHistory history, boolean inProgress) {
+    public static Ending endingOf(AttemptHistory history) {
         if (history.hasAnswerStarted()) {
             return Ending.BROKEN_OFF;
         }
-        boolean mayHaveRun = history.mayHaveRun() || inProgress;
-        return mayHaveRun ? Ending.MAY_HAVE_RUN : Ending.NOT_RUN;
+        return history.mayHaveRun() ? Ending.MAY_HAVE_RUN : Ending.NOT_RUN;
     }
 
     /**
      * Returns how a request ends whose deadline has passed.
      *
-     * @param history its attempts
-     * @param inProgress true if an attempt was sent whose outcome is not known
+     * @param history its attempts, including one that is under way
      * @return the ending
      */
-    public static Ending endingAtDeadline(AttemptHistory history, boolean inProgress) {
-        Ending ending = endingOf(history, inProgress);
+    public static Ending endingAtDeadline(AttemptHistory history) {
+        Ending ending = endingOf(history);
         return ending == Ending.MAY_HAVE_RUN ? Ending.TIMED_OUT : ending;
     }
 
     private static Ending ending(AttemptHistory history, AttemptFailure failure) {
         boolean answered = failure == AttemptFailure.SERVER_ERROR && !history.hasAnswerStarted();
-        return answered ? Ending.PASSED_ON : endingOf(history, false);
+        return answered ? Ending.PASSED_ON : endingOf(history);
     }
 }
--- a/trailladder-core/src/test/java/io/trailladder/core/pipeline/RecoveryPolicyProperties.java
+++ b/trailladder-core/src/test/java/io/trailladder/core/pipeline/RecoveryPolicyProperties.java
@@ -73,6 +73,7 @@
                         "sent again after it may have run");
                 history.sent(name);
             }
+            assertNotRunIsCertain(history, failure != AttemptFailure.UNREACHABLE);
             history.failed(name, failure);
             recovery = RecoveryPolicy.after(request, history, failure, true, NOW);
             if (recovery instanceof GiveUp giveUp) {
@@ -82,6 +83,29 @@
         return null;
     }
 
+    /** Checks how the request would end now, at its deadline or because its process stops. */
+    private static void assertNotRunIsCertain(AttemptHistory history, boolean underWay) {
+        if (underWay) {
+            assertEquals(Ending.MAY_HAVE_RUN, RecoveryPolicy.endingOf(history));
+            assertEquals(Ending.TIMED_OUT, RecoveryPolicy.endingAtDeadline(history));
+        }
+    }
+
+    /**
+     * Guards against "not run" for a request that ends while the failure of its attempt is open.
+     */
+    @Example
+    void anAttemptMayHaveRunUntilItsFailureIsKnown() {
+        AttemptHistory history = new AttemptHistory();
+        history.sent("w0");
+        assertNotRunIsCertain(history, true);
+        history.failed("w0", AttemptFailure.NOT_EXECUTED);
+        assertEquals(Ending.NOT_RUN, RecoveryPolicy.endingOf(history));
+        history.sent("w1");
+        history.failed("w1", AttemptFailure.PATH_LOST);
+        assertNotRunIsCertain(history, true);
+    }
+
     @Property
     void unsafeRequestIsNotRepeatedAndNotRunIsCertain(
             @ForAll @Size(min = 1, max = 6) List<AttemptFailure> failures,
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestDriver.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestDriver.java
@@ -190,7 +190,7 @@
         if (finished) {
             return;
         }
-        Ending ending = RecoveryPolicy.endingOf(history, isUnderWay());
+        Ending ending = RecoveryPolicy.endingOf(history);
         cancelAttempt();
         giveUp(ending);
     }
@@ -331,7 +331,7 @@
             return;
         }
         if (crashes.refusesRetry()) {
-            giveUp(RecoveryPolicy.endingOf(history, false));
+            giveUp(RecoveryPolicy.endingOf(history));
         } else {
             nextAttempt();
         }
@@ -344,7 +344,7 @@
         }
         long remainingMillis = request.deadlineMillis() - context.loop().nowMillis();
         DecisionLog.write(new TurnedAway(request.id(), reason, placeMillis, remainingMillis));
-        giveUp(RecoveryPolicy.endingOf(history, false));
+        giveUp(RecoveryPolicy.endingOf(history));
     }
 
     private void send(Selection selection, StreamOrigin origin, long now) {
@@ -458,9 +458,9 @@
         if (finished) {
             return;
         }
-        Ending ending = RecoveryPolicy.endingAtDeadline(history, isUnderWay());
+        Ending ending = RecoveryPolicy.endingAtDeadline(history);
         Attempt last = attempt;
-        if (isUnderWay()) {
+        if (attempt != null && attempt.isSent()) {
             context.loads().failed(attempt.upstream().id(), context.loop().nowMillis());
             crashes.failed(attempt, AttemptFailure.SILENT);
         }
@@ -468,10 +468,6 @@
         giveUp(ending, last);
     }
 
-    private boolean isUnderWay() {
-        return attempt != null && attempt.isSent();
-    }
-
     private void callerDisconnected() {
         if (!finished) {
             Attempt last = attempt;
