Requests that wait for units are decided when their limit is taken away

Cause: Quotas.applyPolicy dropped the limit with the queue of those who waited, and no deadline was set before the queue had decided.

Change: a queue that is taken away tells callers and peers. Callers are admitted anew under the policy in force, so a key that is gone gets 401. LimitGate holds the requests that wait: each leaves once, at its deadline at the latest, which counts from when the request was received. The end of a stop, and a request found to end upstreams, reach those who wait too; a limit in other units is a new one.

With the queue dropped as before, the two new cases of QuotasTest fail.

Why it works: whatever takes a queue away decides who waits in it, and below that a timer that belongs to the request and not to the queue.

--- a/trailladder-core/src/main/java/io/trailladder/core/limit/LimitAccount.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/limit/LimitAccount.java
@@ -161,6 +161,15 @@
         return limit.limited();
     }
 
+    /**
+     * Returns whether the limit is counted in tokens.
+     *
+     * @return false if it is counted in requests
+     */
+    public boolean isInTokens() {
+        return limit.inTokens();
+    }
+
     /**
      * Takes units if there are enough. A request above the capacity is granted on credit once the
      * account is full, if most processes rely on this one or the credit is small.
--- a/trailladder-core/src/main/java/io/trailladder/core/limit/UnitQueue.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/limit/UnitQueue.java
@@ -125,6 +125,9 @@
          * @param waitMillis the time after which another attempt may succeed, in milliseconds
          */
         void refused(long waitMillis);
+
+        /** The limit no longer exists, so that nothing was decided by it. */
+        void withdrawn();
     }
 
     /** A request that waits for units. */
@@ -254,6 +257,14 @@
         }
     }
 
+    /** Ends all waits, because the limit no longer exists. */
+    public void close() {
+        askedMillis = NEVER;
+        while (!waiters.isEmpty()) {
+            waiters.remove().outcome().withdrawn();
+        }
+    }
+
     /** Forgets the last request for units, because the process that was asked is lost. */
     public void supplierLost() {
         askedMillis = NEVER;
--- a/trailladder-core/src/test/java/io/trailladder/core/limit/UnitQueueTest.java
+++ b/trailladder-core/src/test/java/io/trailladder/core/limit/UnitQueueTest.java
@@ -76,6 +76,11 @@
             public void refused(long waitMillis) {
                 outcomes.add(name + " refused " + waitMillis);
             }
+
+            @Override
+            public void withdrawn() {
+                outcomes.add(name + " withdrawn");
+            }
         };
     }
 
@@ -133,6 +138,18 @@
         assertFalse(queue.isWaiting());
     }
 
+    /** Guards against requests that are never decided because their limit was taken away. */
+    @Example
+    void requestsThatWaitAreToldThatTheirLimitIsGone() {
+        request("a", 80, 0);
+        queue.requestOfPeer(new Demand(10, 20, 0), outcome("peer"), 0);
+        queue.close();
+        assertEquals(List.of("a withdrawn", "peer withdrawn"), outcomes);
+        assertFalse(queue.isWaiting());
+        queue.tick(1_000);
+        assertEquals(2, outcomes.size());
+    }
+
     /** Guards against a request that is decided twice because another one came meanwhile. */
     @Example
     void outcomeMayLeadToAnotherRequest() {
@@ -150,6 +167,11 @@
                         outcomes.add("first refused");
                         request("second", 80, 260);
                     }
+
+                    @Override
+                    public void withdrawn() {
+                        outcomes.add("first withdrawn");
+                    }
                 };
         queue.request(80, MAX_WAIT_MILLIS, again, 0);
         request("other", 90, 0);
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/LimitExchange.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/LimitExchange.java
@@ -288,5 +288,10 @@
         public void refused(long waitMillis) {
             mesh.send(peer, new UnitsGrant(organisation, 0, waitMillis));
         }
+
+        @Override
+        public void withdrawn() {
+            mesh.send(peer, new UnitsGrant(organisation, 0, CROSSED_WAIT_MILLIS));
+        }
     }
 }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Quotas.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Quotas.java
@@ -30,7 +30,6 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Function;
-import java.util.function.LongConsumer;
 
 /**
  * The rate limits of organisations, shared by all processes.
@@ -66,6 +65,26 @@
     private Function<String, UnitQueue.Supplier> suppliers = organisation -> NO_SUPPLIER;
     private Runnable onWaiting = () -> {};
 
+    /** The result of a request for units. */
+    interface Outcome {
+        /** The request is admitted. */
+        void admitted();
+
+        /**
+         * The request is refused.
+         *
+         * @param retryAfterMillis the time after which a retry may succeed, in milliseconds; at
+         *     least 1
+         */
+        void refused(long retryAfterMillis);
+
+        /**
+         * The limit was taken away while the request waited. It has taken no units, and has to be
+         * admitted anew under the policy in force.
+         */
+        void withdrawn();
+    }
+
     /** The limit of one organisation. */
     private record Limit(LimitAccount account, UnitQueue queue) {}
 
@@ -95,7 +114,8 @@
 
     /**
      * Applies the limits of a policy. The units of a new limit accrue from now on, since other
-     * processes may have spent all that accrued before, unless nothing was served before.
+     * processes may have spent all that accrued before, unless nothing was served before. Requests
+     * that wait for units of a limit that is no longer there are told.
      *
      * @param policy the policy
      * @param nowMillis the current time, in milliseconds
@@ -108,8 +128,20 @@
         if (firstStart && limits.isEmpty()) {
             unused.addAll(specs.keySet());
         }
+        List<Limit> removed = new ArrayList<>();
+        for (String name : List.copyOf(limits.keySet())) {
+            if (!specs.containsKey(name) || isInOtherUnits(name, specs.get(name))) {
+                removed.add(limits.remove(name));
+            }
+        }
         specs.forEach((name, spec) -> applyLimit(name, spec, nowMillis));
-        limits.keySet().retainAll(specs.keySet());
+        // requests that are admitted anew find all limits of the policy
+        removed.forEach(limit -> limit.queue().close());
+    }
+
+    private boolean isInOtherUnits(String name, RateSpec spec) {
+        LimitAccount account = limits.get(name).account();
+        return account.isLimited() && spec.limited() && account.isInTokens() != spec.inTokens();
     }
 
     private void applyLimit(String name, RateSpec spec, long nowMillis) {
@@ -130,18 +162,17 @@
      * @param units size of the request
      * @param maxWaitMillis maximum time to wait, in milliseconds
      * @param nowMillis the current time, in milliseconds
-     * @param outcome receives 0 if the request is admitted, else the milliseconds after which a
-     *     retry may succeed; perhaps during this call
+     * @param outcome receives the result, perhaps during this call
      */
     public void request(
             String organisation,
             double units,
             long maxWaitMillis,
             long nowMillis,
-            LongConsumer outcome) {
+            Outcome outcome) {
         Limit limit = limits.get(organisation);
         if (limit == null || !limit.account().isLimited()) {
-            outcome.accept(0);
+            outcome.admitted();
             return;
         }
         Admission admission = new Admission(organisation, outcome);
@@ -330,10 +361,10 @@
     /** Passes on the result of a caller's request. */
     private final class Admission implements UnitQueue.Outcome {
         private final String organisation;
-        private final LongConsumer outcome;
+        private final Outcome outcome;
         private boolean decided;
 
-        Admission(String organisation, LongConsumer outcome) {
+        Admission(String organisation, Outcome outcome) {
             this.organisation = organisation;
             this.outcome = outcome;
         }
@@ -342,14 +373,20 @@
         public void granted(double units) {
             decided = true;
             log.admitted(organisation, units);
-            outcome.accept(0);
+            outcome.admitted();
         }
 
         @Override
         public void refused(long waitMillis) {
             decided = true;
             log.refused(organisation);
-            outcome.accept(Math.max(1, waitMillis));
+            outcome.refused(Math.max(1, waitMillis));
+        }
+
+        @Override
+        public void withdrawn() {
+            decided = true;
+            outcome.withdrawn();
         }
     }
 
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestIntake.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestIntake.java
@@ -66,11 +66,6 @@
     /** Retry-After value for lack of memory, in milliseconds; another process accepts at once. */
     private static final long FULL_RETRY_AFTER_MILLIS = 30;
 
-    /** Bounds of the time that a request waits for units of its organisation's limit. */
-    private static final long MIN_UNITS_WAIT_MILLIS = 30;
-
-    private static final long MAX_UNITS_WAIT_MILLIS = 250;
-
     private static final String NO_MEMORY_REASON = "no room in memory";
     private static final long DEFAULT_WAIT_MILLIS = 60_000;
     private static final byte[] EMPTY_BODY = {};
@@ -82,6 +77,7 @@
     private final PolicyManager policies;
     private final SplittableRandom random;
     private final StartupRequestQueue<ServerExchange> startupQueue;
+    private final LimitGate<PendingRequest> limits;
     private final Set<RequestDriver> open = new HashSet<>();
     private boolean refusing;
 
@@ -107,10 +103,21 @@
                         context.loop()::schedule,
                         stateKnown,
                         new StartOutcome());
+        this.limits =
+                new LimitGate<>(
+                        context.quotas(),
+                        context.loop()::nowMillis,
+                        (delay, task) -> context.loop().schedule(delay, task)::cancel,
+                        new LimitOutcome());
     }
 
     @Override
     public void handle(ServerExchange exchange) {
+        handle(exchange, context.loop().nowMillis());
+    }
+
+    /** Handles a request whose deadline counts from when it was received. */
+    private void handle(ServerExchange exchange, long receivedMillis) {
         Optional<ServingPolicy> policy = policies.policy();
         if (refusing) {
             refuse(exchange, "", UNAVAILABLE, STOPPING_RETRY_AFTER_MILLIS, "stopping");
@@ -129,7 +136,7 @@
             refuse(exchange, "", BAD_REQUEST, 0, read.getLeft());
             return;
         }
-        admit(exchange, read.get(), policy.get());
+        admit(exchange, read.get(), policy.get(), receivedMillis);
     }
 
     @Override
@@ -157,7 +164,7 @@
      * @return the number of requests
      */
     public int open() {
-        return open.size();
+        return open.size() + limits.size();
     }
 
     /**
@@ -213,6 +220,9 @@
      * @param found the whole request, or the part that their prompts share
      */
     void stopCrashing(RequestTrait found) {
+        limits.end(
+                pending -> pending.identity().has(found),
+                pending -> refuseAsCrashing(pending.exchange(), pending.request().id()));
         List.copyOf(open).forEach(driver -> driver.stopIfMatches(found));
     }
 
@@ -221,20 +231,35 @@
         refusing = true;
     }
 
-    /** Ends all requests because the process stops. */
+    /** Ends all requests, including those that wait, because the process stops. */
     public void stopAll() {
+        refuseNew();
+        startupQueue.refuseAll();
+        limits.end(pending -> true, this::refuseAsStopping);
         List.copyOf(open).forEach(RequestDriver::stop);
     }
 
-    private void admit(ServerExchange exchange, CallerRequest caller, ServingPolicy policy) {
+    private void refuseAsStopping(PendingRequest pending) {
+        refuse(
+                pending.exchange(),
+                pending.request().id(),
+                UNAVAILABLE,
+                STOPPING_RETRY_AFTER_MILLIS,
+                "stopping");
+    }
+
+    private void admit(
+            ServerExchange exchange,
+            CallerRequest caller,
+            ServingPolicy policy,
+            long receivedMillis) {
         Optional<Route> route = policy.route(caller.host(), caller.path());
         if (route.isEmpty()) {
             refuse(exchange, caller.id(), NOT_FOUND, 0, "no route");
             return;
         }
         boolean needsKey = policy.needsKeys() && !route.get().anonymous();
-        Optional<OrganisationSpec> organisation =
-                caller.key().isEmpty() ? Optional.empty() : policy.organisationOfKey(caller.key());
+        Optional<OrganisationSpec> organisation = organisation(policy, caller);
         if (needsKey && organisation.isEmpty()) {
             refuse(exchange, caller.id(), UNAUTHORIZED, 0, "unknown key");
             return;
@@ -253,69 +278,75 @@
                                                 caller.prompt().tokensIn(),
                                                 caller.prompt().tokensOut()))
                         .orElse(0);
-        String name = organisation.map(OrganisationSpec::name).orElse("");
-        long now = context.loop().nowMillis();
-        ServingRequest request = request(exchange, caller, policy, route.get(), organisation);
-        context.quotas()
-                .request(
-                        name,
-                        units,
-                        maxWaitForUnitsMillis(route.get()),
-                        now,
-                        retryAfterMillis ->
-                                limitDecided(
-                                        new Decided(exchange, caller, request, identity, units),
-                                        retryAfterMillis));
+        ServingRequest request =
+                request(exchange, caller, policy, route.get(), organisation, receivedMillis);
+        limits.enter(
+                new PendingRequest(exchange, caller, request, identity, units), request, units);
+    }
+
+    private static Optional<OrganisationSpec> organisation(
+            ServingPolicy policy, CallerRequest caller) {
+        return caller.key().isEmpty() ? Optional.empty() : policy.organisationOfKey(caller.key());
     }
 
     /**
-     * Returns how long a request waits for units of other processes, in milliseconds: a small part
-     * of its objective, since it may still be refused then.
+     * Admits a request under the policy in force, after another one was applied while it waited.
      */
-    private static long maxWaitForUnitsMillis(Route route) {
-        long part = route.objectiveMillis() / 4;
-        return Math.max(MIN_UNITS_WAIT_MILLIS, Math.min(MAX_UNITS_WAIT_MILLIS, part));
+    private void admitAgain(PendingRequest pending) {
+        if (pending.exchange().isOver()) {
+            return;
+        }
+        Optional<ServingPolicy> policy = policies.policy();
+        if (refusing || policy.isEmpty()) {
+            refuseAsStopping(pending);
+        } else {
+            admit(
+                    pending.exchange(),
+                    pending.caller(),
+                    policy.get(),
+                    pending.request().acceptedMillis());
+        }
     }
 
-    /** A request for which the limit of its organisation was asked. */
-    private record Decided(
-            ServerExchange exchange,
-            CallerRequest caller,
-            ServingRequest request,
-            RequestIdentity identity,
-            int units) {}
-
-    private void limitDecided(Decided decided, long retryAfterMillis) {
-        ServingRequest request = decided.request();
-        String name = request.organisation();
-        String outcome = retryAfterMillis > 0 ? OVER_LIMIT + ", over limit of " + name : "accepted";
+    /** Returns whether the policy in force allows a request of its organisation on its route. */
+    private boolean isStillAllowed(PendingRequest pending) {
+        if (pending.request().policyVersion() == policies.version()) {
+            return true;
+        }
+        CallerRequest caller = pending.caller();
+        return policies.policy()
+                .filter(policy -> policy.route(caller.host(), caller.path()).isPresent())
+                .map(policy -> organisation(policy, caller).map(OrganisationSpec::name).orElse(""))
+                .filter(pending.request().organisation()::equals)
+                .isPresent();
+    }
+
+    private static String overLimit(PendingRequest pending) {
+        return OVER_LIMIT + ", over limit of " + pending.request().organisation();
+    }
+
+    private void logIntake(PendingRequest pending, String outcome) {
+        ServingRequest request = pending.request();
         DecisionLog.write(
                 new Intake(
                         request.id(),
                         request.route().name(),
-                        name,
-                        decided.units(),
+                        request.organisation(),
+                        pending.units(),
                         request.policyVersion(),
                         request.route().objectiveMillis(),
                         outcome));
-        if (retryAfterMillis > 0) {
-            respondRefused(decided.exchange(), OVER_LIMIT, retryAfterMillis);
-        } else if (decided.exchange().isOver()) {
-            context.quotas().add(name, decided.units(), context.loop().nowMillis());
-        } else {
-            startRequest(decided);
-        }
     }
 
-    private void startRequest(Decided decided) {
+    private void startRequest(PendingRequest pending) {
         RequestDriver driver =
                 new RequestDriver(
                         context,
-                        decided.exchange(),
-                        decided.request(),
-                        decided.identity(),
-                        decided.units(),
-                        decided.caller(),
+                        pending.exchange(),
+                        pending.request(),
+                        pending.identity(),
+                        pending.units(),
+                        pending.caller(),
                         open::remove);
         open.add(driver);
         driver.start();
@@ -326,8 +357,8 @@
             CallerRequest caller,
             ServingPolicy policy,
             Route route,
-            Optional<OrganisationSpec> organisation) {
-        long now = context.loop().nowMillis();
+            Optional<OrganisationSpec> organisation,
+            long receivedMillis) {
         long callerWaitMillis = caller.waitMillis() > 0 ? caller.waitMillis() : DEFAULT_WAIT_MILLIS;
         long maxWaitMillis =
                 route.timeoutMillis() > 0
@@ -349,8 +380,8 @@
                 priority,
                 caller.prompt(),
                 exchange.body().length,
-                now,
-                now + maxWaitMillis,
+                receivedMillis,
+                receivedMillis + maxWaitMillis,
                 policy.version());
     }
 
@@ -387,11 +418,52 @@
         exchange.respond(status, headers, body);
     }
 
+    /** Handles requests that leave the limit of their organisation. */
+    private final class LimitOutcome implements LimitGate.Listener<PendingRequest> {
+        @Override
+        public boolean isOver(PendingRequest pending) {
+            return pending.exchange().isOver();
+        }
+
+        @Override
+        public void admitted(PendingRequest pending) {
+            if (!isStillAllowed(pending)) {
+                limits.giveBack(pending.request(), pending.units());
+                admitAgain(pending);
+                return;
+            }
+            logIntake(pending, "accepted");
+            startRequest(pending);
+        }
+
+        @Override
+        public void overLimit(PendingRequest pending, long retryAfterMillis) {
+            logIntake(pending, RequestIntake.overLimit(pending));
+            respondRefused(pending.exchange(), OVER_LIMIT, retryAfterMillis);
+        }
+
+        @Override
+        public void withdrawn(PendingRequest pending) {
+            logIntake(pending, "limit taken away");
+            admitAgain(pending);
+        }
+
+        @Override
+        public void expired(PendingRequest pending) {
+            long now = context.loop().nowMillis();
+            logIntake(pending, UNAVAILABLE + ", no units before its deadline");
+            respondRefused(
+                    pending.exchange(),
+                    UNAVAILABLE,
+                    context.retryAfter().retryAfterMillis(pending.request(), now));
+        }
+    }
+
     /** Handles requests that were held while the process started. */
     private final class StartOutcome implements StartupRequestQueue.Outcome<ServerExchange> {
         @Override
-        public void accepted(ServerExchange exchange) {
-            handle(exchange);
+        public void accepted(ServerExchange exchange, long sinceMillis) {
+            handle(exchange, sinceMillis);
         }
 
         @Override
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/StartupRequestQueue.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/StartupRequestQueue.java
@@ -62,8 +62,13 @@
 
     /** Receives the requests that were held. */
     interface Outcome<R> {
-        /** Handles a request after policy and upstreams have become known. */
-        void accepted(R request);
+        /**
+         * Handles a request after policy and upstreams have become known.
+         *
+         * @param request the request
+         * @param sinceMillis since when it was held, in milliseconds
+         */
+        void accepted(R request, long sinceMillis);
 
         /** Refuses a request that cannot be held, or not any longer. */
         void refused(R request);
@@ -114,10 +119,18 @@
         }
     }
 
+    /** Refuses all requests that are held. */
+    void refuseAll() {
+        while (!held.isEmpty()) {
+            outcome.refused(held.removeFirst().request());
+        }
+    }
+
     private void check() {
         held.removeIf(waiting -> outcome.isOver(waiting.request()));
         while (!held.isEmpty() && stateKnown.getAsBoolean()) {
-            outcome.accepted(held.removeFirst().request());
+            Held<R> first = held.removeFirst();
+            outcome.accepted(first.request(), first.sinceMillis());
         }
         long oldestMillis = nowMillis.getAsLong() - MAX_HOLD_MILLIS;
         while (!held.isEmpty() && held.peekFirst().sinceMillis() <= oldestMillis) {
--- a/trailladder-entry/src/test/java/io/trailladder/entry/gateway/QuotasTest.java
+++ b/trailladder-entry/src/test/java/io/trailladder/entry/gateway/QuotasTest.java
@@ -19,11 +19,13 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.trailladder.core.limit.LimitAccount.Share;
+import io.trailladder.core.limit.UnitQueue;
 import io.trailladder.core.policy.OrganisationSpec;
 import io.trailladder.core.policy.RateSpec;
 import io.trailladder.core.policy.RequestBounds;
 import io.trailladder.core.policy.ServingPolicy;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.OptionalInt;
 import net.jqwik.api.Example;
@@ -66,7 +68,7 @@
     }
 
     private void request(double units) {
-        quotas.request(ORGANISATION, units, 250, 0, outcomes::add);
+        quotas.request(ORGANISATION, units, 250, 0, new DecidedOutcome(outcomes::add));
     }
 
     /** Guards against a start, or a limit that is set again, that grants what was spent before. */
@@ -131,7 +133,7 @@
     void requestOfAnUnlimitedOrUnknownOrganisationIsAdmitted() {
         apply(RateSpec.UNLIMITED);
         request(1_000_000);
-        quotas.request("other", 1_000_000, 250, 0, outcomes::add);
+        quotas.request("other", 1_000_000, 250, 0, new DecidedOutcome(outcomes::add));
         assertEquals(List.of(0L, 0L), outcomes);
     }
 
@@ -146,4 +148,60 @@
         assertTrue(admitted >= 99, admitted + " of 100 requests at the rate of the limit");
         assertTrue(admitted <= 101, admitted + " of 100 requests at the rate of the limit");
     }
+
+    /** Has requests wait for the units of another process that never answers. */
+    private void waitForUnits(int requests) {
+        quotas.suppliers(organisation -> new SilentSupplier(), () -> {});
+        apply(new RateSpec(0.001, 100, true, 1));
+        for (int i = 0; i < requests; i++) {
+            request(80);
+        }
+        assertEquals(List.of(), outcomes);
+    }
+
+    /** Guards against callers that get no answer because their organisation is taken away. */
+    @Example
+    void requestsThatWaitAreDecidedWhenTheirOrganisationIsTakenAway() {
+        waitForUnits(3);
+        quotas.applyPolicy(
+                new ServingPolicy(2, List.of(), List.of(), List.of(), RequestBounds.DEFAULTS), 10);
+        assertEquals(Collections.nCopies(3, DecidedOutcome.WITHDRAWN), outcomes);
+    }
+
+    /** Guards against requests that are admitted by their size in the units of an earlier limit. */
+    @Example
+    void requestsThatWaitAreDecidedAnewWhenTheirLimitIsInOtherUnits() {
+        waitForUnits(2);
+        apply(new RateSpec(0.001, 100, false, 1));
+        assertEquals(Collections.nCopies(2, DecidedOutcome.WITHDRAWN), outcomes);
+    }
+
+    @Example
+    void requestsThatWaitAreAdmittedWhenTheirLimitIsRemoved() {
+        waitForUnits(2);
+        apply(RateSpec.UNLIMITED);
+        quotas.check(20);
+        assertEquals(List.of(0L, 0L), outcomes);
+    }
+
+    /** A process that receives requests for units and does not answer them. */
+    private static final class SilentSupplier implements UnitQueue.Supplier {
+        @Override
+        public boolean exists() {
+            return true;
+        }
+
+        @Override
+        public boolean ask(UnitQueue.Demand demand) {
+            return true;
+        }
+
+        @Override
+        public long replyTimeoutMillis() {
+            return 50;
+        }
+
+        @Override
+        public void unanswered() {}
+    }
 }
--- a/trailladder-entry/src/test/java/io/trailladder/entry/gateway/SimulatedProcess.java
+++ b/trailladder-entry/src/test/java/io/trailladder/entry/gateway/SimulatedProcess.java
@@ -244,7 +244,7 @@
                 units,
                 MAX_UNITS_WAIT_MILLIS,
                 cluster.now(),
-                outcome);
+                new DecidedOutcome(outcome));
     }
 
     /** Records that a request reaches an upstream once more. */
--- a/trailladder-entry/src/test/java/io/trailladder/entry/gateway/StartupRequestQueueTest.java
+++ b/trailladder-entry/src/test/java/io/trailladder/entry/gateway/StartupRequestQueueTest.java
@@ -43,7 +43,7 @@
     /** Records the outcome of requests. */
     private final class Outcome implements StartupRequestQueue.Outcome<String> {
         @Override
-        public void accepted(String request) {
+        public void accepted(String request, long sinceMillis) {
             accepted.add(request);
         }
 
@@ -114,4 +114,17 @@
         assertTrue(refused.isEmpty());
         assertTrue(timers.isEmpty());
     }
+
+    /** Guards against requests that a process holds and never answers because it stops. */
+    @Example
+    void heldRequestsAreRefusedWhenTheProcessStops() {
+        queue.hold("r1");
+        queue.hold("r2");
+        queue.refuseAll();
+        assertEquals(List.of("r1", "r2"), refused);
+        informed = true;
+        advanceTo(1_000);
+        assertTrue(accepted.isEmpty());
+        assertEquals(2, refused.size());
+    }
 }
