Refusals: the answers of refused requests leave RequestIntake

Refusals answers and logs whatever is refused before it is sent; admission and open requests stay. No change of behaviour: GatewayFaultTest, LimitTakenAwayFaultTest, LimitGateHistoriesTest, QuotasTest, StartupRequestQueueTest pass.

SilentSupplier serves two tests.

--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestIntake.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestIntake.java
@@ -22,13 +22,10 @@
 import io.trailladder.core.policy.Route;
 import io.trailladder.core.policy.ServingPolicy;
 import io.trailladder.core.upstream.Upstream;
-import io.trailladder.entry.gateway.DecisionLog.Intake;
-import io.trailladder.entry.http.HeaderList;
 import io.trailladder.entry.http.RequestHandler;
 import io.trailladder.entry.http.ServerExchange;
 import io.trailladder.entry.port.CallerRequest;
 import io.vavr.control.Either;
-import java.nio.charset.StandardCharsets;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
@@ -49,7 +46,6 @@
     private static final int BAD_REQUEST = 400;
     private static final int UNAUTHORIZED = 401;
     private static final int NOT_FOUND = 404;
-    private static final int OVER_LIMIT = 429;
     private static final int UNAVAILABLE = 503;
 
     /**
@@ -58,24 +54,11 @@
      */
     private static final long NO_POLICY_RETRY_AFTER_MILLIS = 500;
 
-    /**
-     * Retry-After value of a stopping process, in milliseconds; another process accepts at once.
-     */
-    private static final long STOPPING_RETRY_AFTER_MILLIS = 30;
-
-    /** Retry-After value for lack of memory, in milliseconds; another process accepts at once. */
-    private static final long FULL_RETRY_AFTER_MILLIS = 30;
-
-    private static final String NO_MEMORY_REASON = "no room in memory";
     private static final long DEFAULT_WAIT_MILLIS = 60_000;
-    private static final byte[] EMPTY_BODY = {};
-    private static final byte[] CRASHING_BODY =
-            "not run: the servers that ran this request before ended under it\n"
-                    .getBytes(StandardCharsets.UTF_8);
-
     private final ServingContext context;
     private final PolicyManager policies;
     private final SplittableRandom random;
+    private final Refusals refusals;
     private final StartupRequestQueue<ServerExchange> startupQueue;
     private final LimitGate<PendingRequest> limits;
     private final Set<RequestDriver> open = new HashSet<>();
@@ -97,6 +80,7 @@
         this.context = context;
         this.policies = policies;
         this.random = random;
+        this.refusals = new Refusals(context, policies::version);
         this.startupQueue =
                 new StartupRequestQueue<>(
                         context.loop()::nowMillis,
@@ -120,11 +104,11 @@
     private void handle(ServerExchange exchange, long receivedMillis) {
         Optional<ServingPolicy> policy = policies.policy();
         if (refusing) {
-            refuse(exchange, "", UNAVAILABLE, STOPPING_RETRY_AFTER_MILLIS, "stopping");
+            refusals.refuseAsStopping(exchange, "");
             return;
         }
         if (!context.memory().hasCapacity(0)) {
-            refuse(exchange, "", UNAVAILABLE, FULL_RETRY_AFTER_MILLIS, NO_MEMORY_REASON);
+            refusals.refuseForMemory(exchange);
             return;
         }
         if (policy.isEmpty() || startupQueue.isStateUnknown()) {
@@ -133,7 +117,7 @@
         }
         Either<String, CallerRequest> read = context.protocol().read(exchange);
         if (read.isLeft()) {
-            refuse(exchange, "", BAD_REQUEST, 0, read.getLeft());
+            refusals.refuse(exchange, "", BAD_REQUEST, 0, read.getLeft());
             return;
         }
         admit(exchange, read.get(), policy.get(), receivedMillis);
@@ -144,7 +128,7 @@
         if (context.memory().hasCapacity(exchange.announcedBytes())) {
             return false;
         }
-        refuse(exchange, "", UNAVAILABLE, FULL_RETRY_AFTER_MILLIS, NO_MEMORY_REASON);
+        refusals.refuseForMemory(exchange);
         return true;
     }
 
@@ -152,9 +136,9 @@
     public void refuse(ServerExchange exchange, int status) {
         if (status == UNAVAILABLE) {
             context.memory().countRefusedWhileReading();
-            refuse(exchange, "", status, FULL_RETRY_AFTER_MILLIS, NO_MEMORY_REASON);
+            refusals.refuseForMemory(exchange);
         } else {
-            refuse(exchange, "", status, 0, "cannot be read");
+            refusals.refuse(exchange, "", status, 0, "cannot be read");
         }
     }
 
@@ -222,7 +206,7 @@
     void stopCrashing(RequestTrait found) {
         limits.end(
                 pending -> pending.identity().has(found),
-                pending -> refuseAsCrashing(pending.exchange(), pending.request().id()));
+                pending -> refusals.refuseAsCrashing(pending.exchange(), pending.request().id()));
         List.copyOf(open).forEach(driver -> driver.stopIfMatches(found));
     }
 
@@ -240,12 +224,7 @@
     }
 
     private void refuseAsStopping(PendingRequest pending) {
-        refuse(
-                pending.exchange(),
-                pending.request().id(),
-                UNAVAILABLE,
-                STOPPING_RETRY_AFTER_MILLIS,
-                "stopping");
+        refusals.refuseAsStopping(pending.exchange(), pending.request().id());
     }
 
     private void admit(
@@ -255,18 +234,18 @@
             long receivedMillis) {
         Optional<Route> route = policy.route(caller.host(), caller.path());
         if (route.isEmpty()) {
-            refuse(exchange, caller.id(), NOT_FOUND, 0, "no route");
+            refusals.refuse(exchange, caller.id(), NOT_FOUND, 0, "no route");
             return;
         }
         boolean needsKey = policy.needsKeys() && !route.get().anonymous();
         Optional<OrganisationSpec> organisation = organisation(policy, caller);
         if (needsKey && organisation.isEmpty()) {
-            refuse(exchange, caller.id(), UNAUTHORIZED, 0, "unknown key");
+            refusals.refuse(exchange, caller.id(), UNAUTHORIZED, 0, "unknown key");
             return;
         }
         RequestIdentity identity = RequestIdentity.of(exchange, caller);
         if (context.crashes().refuses(caller.id(), identity)) {
-            refuseAsCrashing(exchange, caller.id());
+            refusals.refuseAsCrashing(exchange, caller.id());
             return;
         }
         int units =
@@ -321,23 +300,6 @@
                 .isPresent();
     }
 
-    private static String overLimit(PendingRequest pending) {
-        return OVER_LIMIT + ", over limit of " + pending.request().organisation();
-    }
-
-    private void logIntake(PendingRequest pending, String outcome) {
-        ServingRequest request = pending.request();
-        DecisionLog.write(
-                new Intake(
-                        request.id(),
-                        request.route().name(),
-                        request.organisation(),
-                        pending.units(),
-                        request.policyVersion(),
-                        request.route().objectiveMillis(),
-                        outcome));
-    }
-
     private void startRequest(PendingRequest pending) {
         RequestDriver driver =
                 new RequestDriver(
@@ -385,39 +347,6 @@
                 policy.version());
     }
 
-    private void refuse(
-            ServerExchange exchange, String id, int status, long retryAfterMillis, String reason) {
-        logRefusal(id, status, reason);
-        respondRefused(exchange, status, retryAfterMillis);
-    }
-
-    /**
-     * Refuses a request that makes upstreams end. The answer gives no time to retry, since the
-     * cause is the request and not the moment. Its status states only what is certain, that this
-     * try has not run; a caller refused by mistake may retry.
-     */
-    private void refuseAsCrashing(ServerExchange exchange, String id) {
-        logRefusal(id, UNAVAILABLE, "upstreams ended under it");
-        HeaderList headers =
-                context.protocol().refusal(0).with("Content-Type", "text/plain; charset=utf-8");
-        respondRefused(exchange, UNAVAILABLE, headers, CRASHING_BODY);
-    }
-
-    private void logRefusal(String id, int status, String reason) {
-        DecisionLog.write(new Intake(id, "", "", 0, policies.version(), 0, status + ", " + reason));
-    }
-
-    private void respondRefused(ServerExchange exchange, int status, long retryAfterMillis) {
-        long jitteredMillis = context.retryAfter().withJitter(retryAfterMillis);
-        respondRefused(exchange, status, context.protocol().refusal(jitteredMillis), EMPTY_BODY);
-    }
-
-    private void respondRefused(
-            ServerExchange exchange, int status, HeaderList headers, byte[] body) {
-        context.metrics().requestEnded("", "", "refused-" + status, 0);
-        exchange.respond(status, headers, body);
-    }
-
     /** Handles requests that leave the limit of their organisation. */
     private final class LimitOutcome implements LimitGate.Listener<PendingRequest> {
         @Override
@@ -432,30 +361,24 @@
                 admitAgain(pending);
                 return;
             }
-            logIntake(pending, "accepted");
+            refusals.logIntake(pending, "accepted");
             startRequest(pending);
         }
 
         @Override
         public void overLimit(PendingRequest pending, long retryAfterMillis) {
-            logIntake(pending, RequestIntake.overLimit(pending));
-            respondRefused(pending.exchange(), OVER_LIMIT, retryAfterMillis);
+            refusals.refuseOverLimit(pending, retryAfterMillis);
         }
 
         @Override
         public void withdrawn(PendingRequest pending) {
-            logIntake(pending, "limit taken away");
+            refusals.logIntake(pending, "limit taken away");
             admitAgain(pending);
         }
 
         @Override
         public void expired(PendingRequest pending) {
-            long now = context.loop().nowMillis();
-            logIntake(pending, UNAVAILABLE + ", no units before its deadline");
-            respondRefused(
-                    pending.exchange(),
-                    UNAVAILABLE,
-                    context.retryAfter().retryAfterMillis(pending.request(), now));
+            refusals.refuseExpired(pending);
         }
     }
 
@@ -469,7 +392,7 @@
         @Override
         public void refused(ServerExchange exchange) {
             String unknown = policies.version() == 0 ? "policy" : "list of upstreams";
-            refuse(
+            refusals.refuse(
                     exchange,
                     "",
                     UNAVAILABLE,
--- a/trailladder-entry/src/test/java/io/trailladder/entry/gateway/LimitGateHistoriesTest.java
+++ b/trailladder-entry/src/test/java/io/trailladder/entry/gateway/LimitGateHistoriesTest.java
@@ -20,7 +20,6 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.trailladder.core.limit.LimitAccount.Share;
-import io.trailladder.core.limit.UnitQueue;
 import io.trailladder.core.pipeline.Prompt;
 import io.trailladder.core.pipeline.ServingRequest;
 import io.trailladder.core.policy.OrganisationSpec;
@@ -204,7 +203,7 @@
         }
 
         void run() {
-            quotas.suppliers(organisation -> new OtherProcess(), () -> {});
+            quotas.suppliers(organisation -> new SilentSupplier(), () -> {});
             applyRandomPolicy();
             for (int id = 0; id < STEPS; id++) {
                 step(id);
@@ -220,25 +219,4 @@
             quotas.check(now);
         }
     }
-
-    /** A process that is asked for units; the history decides whether it answers. */
-    private static final class OtherProcess implements UnitQueue.Supplier {
-        @Override
-        public boolean exists() {
-            return true;
-        }
-
-        @Override
-        public boolean ask(UnitQueue.Demand demand) {
-            return true;
-        }
-
-        @Override
-        public long replyTimeoutMillis() {
-            return 120;
-        }
-
-        @Override
-        public void unanswered() {}
-    }
 }
--- a/trailladder-entry/src/test/java/io/trailladder/entry/gateway/QuotasTest.java
+++ b/trailladder-entry/src/test/java/io/trailladder/entry/gateway/QuotasTest.java
@@ -19,7 +19,6 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.trailladder.core.limit.LimitAccount.Share;
-import io.trailladder.core.limit.UnitQueue;
 import io.trailladder.core.policy.OrganisationSpec;
 import io.trailladder.core.policy.RateSpec;
 import io.trailladder.core.policy.RequestBounds;
@@ -183,25 +182,4 @@
         quotas.check(20);
         assertEquals(List.of(0L, 0L), outcomes);
     }
-
-    /** A process that receives requests for units and does not answer them. */
-    private static final class SilentSupplier implements UnitQueue.Supplier {
-        @Override
-        public boolean exists() {
-            return true;
-        }
-
-        @Override
-        public boolean ask(UnitQueue.Demand demand) {
-            return true;
-        }
-
-        @Override
-        public long replyTimeoutMillis() {
-            return 50;
-        }
-
-        @Override
-        public void unanswered() {}
-    }
 }
