The soak takes an organisation away while its requests wait, and has versions

SoakSurge now reports requests that an undisturbed gateway does not answer in 4 s, and has its organisation taken away and added again just after it has asked. Upstreams of the soak are of a new version every four; callers resume broken streams at any gateway, and StreamCheck looks at which version goes on.

--- a/trailladder-cli/src/test/java/io/trailladder/cli/soak/PathCluster.java
+++ b/trailladder-cli/src/test/java/io/trailladder/cli/soak/PathCluster.java
@@ -100,12 +100,14 @@
                                     new SoakUpstream(
                                             loop,
                                             id,
+                                            "v0",
                                             new SplittableRandom(0),
                                             runs,
                                             statements,
                                             limits,
                                             new OrganisationLimitCheck(),
-                                            record.retries)));
+                                            record.retries,
+                                            new StreamCheck())));
             SoakUpstream upstream = upstreams.get(i);
             upstream.faultless();
             put("servers/" + id, entry(upstream, i));
--- a/trailladder-cli/src/test/java/io/trailladder/cli/soak/SoakCaller.java
+++ b/trailladder-cli/src/test/java/io/trailladder/cli/soak/SoakCaller.java
@@ -37,6 +37,8 @@
     private static final int READ_MILLIS = 6_000;
     private static final int CONNECT_MILLIS = 500;
     private static final long PAUSE_MILLIS = 15;
+    private static final long DEADLINE_MILLIS = 4_000;
+    private static final int MAX_RESUMED = 3;
 
     private final List<HostPort> gateways;
     private final SplittableRandom random;
@@ -93,7 +95,7 @@
         if (unsafe) {
             record.unsafe.add(attempt);
         }
-        CallerAnswer answer = ask(gateway, "GET " + path + "x", attempt, "");
+        CallerAnswer answer = ask(gateway, "GET " + path + "x", attempt, DEADLINE_MILLIS, "");
         boolean served = check(answer, attempt, unsafe);
         if (served && !answer.body().equals("answer " + attempt)) {
             violation(attempt, "another body: " + answer);
@@ -106,18 +108,40 @@
         return gateway.port() + "-" + Long.toHexString(random.nextLong());
     }
 
-    /** Asks for one stream; returns true if it was served whole. */
+    /**
+     * Asks for one stream, and resumes it if it breaks; returns true if its first answer was whole.
+     */
     boolean stream(HostPort gateway) {
-        String attempt = attempt(gateway);
+        long startNanos = System.nanoTime();
+        String root = attempt(gateway);
+        CallerAnswer answer = askStream(gateway, root, 0, DEADLINE_MILLIS, "");
+        boolean whole = answer.status() == 200 && answer.whole();
+        int last = lastEvent(answer, 0);
+        for (int i = 0; i < MAX_RESUMED && !answer.whole() && last > 0; i++) {
+            long waited = (System.nanoTime() - startNanos) / 1_000_000;
+            if (last == SoakUpstream.EVENTS || waited >= DEADLINE_MILLIS) {
+                break;
+            }
+            HostPort next = gateways.get(random.nextInt(gateways.size()));
+            String fields = "Last-Event-Id: " + last + "\r\nResumes: " + root + "\r\n";
+            answer = askStream(next, attempt(next), last, DEADLINE_MILLIS - waited, fields);
+            last = lastEvent(answer, last);
+        }
+        return whole;
+    }
+
+    /** Asks for the events of a stream after one of them, and checks them. */
+    private CallerAnswer askStream(
+            HostPort gateway, String attempt, int after, long waitMillis, String resumes) {
         record.retries.sent();
         String fields = "Model: m\r\nToken-Usage: 100,36\r\nPrefix-Hash: a1:60,b2:40\r\n";
-        CallerAnswer answer = ask(gateway, "POST /stream/x", attempt, fields);
-        boolean served = check(answer, attempt, false);
+        CallerAnswer answer = ask(gateway, "POST /stream/x", attempt, waitMillis, fields + resumes);
+        check(answer, attempt, false);
         if (answer.status() != 200) {
-            return false;
+            return answer;
         }
         StringBuilder expected = new StringBuilder();
-        for (int event = 1; event <= SoakUpstream.EVENTS; event++) {
+        for (int event = after + 1; event <= SoakUpstream.EVENTS; event++) {
             expected.append("id: " + event + "\ndata: " + attempt + ' ' + event + "\n\n");
         }
         boolean right =
@@ -127,7 +151,16 @@
         if (!right) {
             violation(attempt, "stream is not the right one: " + answer);
         }
-        return served;
+        return answer;
+    }
+
+    /** Returns the id of the last whole event; that of an earlier answer if there is none. */
+    private static int lastEvent(CallerAnswer answer, int before) {
+        String events = answer.status() == 200 ? wholeEvents(answer.body()) : "";
+        int id = events.lastIndexOf("id: ");
+        return id < 0
+                ? before
+                : Integer.parseInt(events.substring(id + 4, events.indexOf('\n', id)));
     }
 
     private static String wholeEvents(String body) {
@@ -164,7 +197,8 @@
         record.violations.add(attempt + ": " + what);
     }
 
-    private CallerAnswer ask(HostPort gateway, String line, String attempt, String fields) {
+    private CallerAnswer ask(
+            HostPort gateway, String line, String attempt, long waitMillis, String fields) {
         Socket socket = null;
         try {
             socket = connection(gateway);
@@ -173,7 +207,9 @@
                             + " HTTP/1.1\r\nHost: h.example\r\nAuthorization: Bearer key\r\n"
                             + "Attempt-Id: "
                             + attempt
-                            + "\r\nDeadline-Ms: 4000\r\n"
+                            + "\r\nDeadline-Ms: "
+                            + waitMillis
+                            + "\r\n"
                             + fields
                             + (line.startsWith("POST") ? "Content-Length: 2\r\n\r\n{}" : "\r\n");
             socket.getOutputStream().write(head.getBytes(StandardCharsets.ISO_8859_1));
--- a/trailladder-cli/src/test/java/io/trailladder/cli/soak/SoakGateway.java
+++ b/trailladder-cli/src/test/java/io/trailladder/cli/soak/SoakGateway.java
@@ -57,7 +57,7 @@
     private final HostPort peers = reserve();
     private final HostPort metrics = reserve();
     private Process process;
-    private boolean paused;
+    private volatile boolean paused;
 
     SoakGateway(String name, Path folder, HostPort platform) throws IOException {
         this(name, "a", folder, platform);
--- a/trailladder-cli/src/test/java/io/trailladder/cli/soak/SoakRun.java
+++ b/trailladder-cli/src/test/java/io/trailladder/cli/soak/SoakRun.java
@@ -54,6 +54,9 @@
     private static final double[] LIMITS = {0.2, 1, 4, 20};
     private static final long RETURNS = 0x5eed;
     private static final long PATHS = 0x9a7f;
+    private static final long ORGANISATIONS = 0x0b0e;
+    private static final long LONGEST_WAIT_MILLIS = 80;
+    private static final long LONGEST_AWAY_MILLIS = 400;
     private static final Mode[] PATH_MODES = {Mode.HANG, Mode.CUT, Mode.REFUSE_NEW};
     private static final Mode[] MODES = {Mode.DELAY, Mode.SILENT, Mode.NO_ANSWERS, Mode.RESET};
     private static final long OLDEST_COPY_MILLIS = 4_000;
@@ -90,8 +93,11 @@
                 "route_type": "unsafe", "timeout_ms": 1500, "slo_ms": 200, "service": "m",
                 "max_attempts": 1}],
              "services": [{"name": "m", "max_conns": 400}],
-             "tenants": [{"name": "t", "api_keys": ["key"]},
-                         {"name": "b", "api_keys": ["bounded"], "rate_per_s": 30, "burst": 30}]}
+             "tenants": [%s{"name": "t", "api_keys": ["key"]}]}
+            """;
+    private static final String BOUNDED =
+            """
+            {"name": "b", "api_keys": ["bounded"], "rate_per_s": 30, "burst": 30},
             """;
 
     private final long seed;
@@ -108,13 +114,16 @@
     private final SplittableRandom limitRandom;
     private final SplittableRandom returnRandom;
     private final SplittableRandom pathRandom;
+    private final SplittableRandom organisationRandom;
     private final List<GatewayPaths> paths = new ArrayList<>();
     private final Set<String> gone = new HashSet<>();
     private final List<String> faults = new ArrayList<>();
     private final Path folder;
     private volatile boolean going = true;
     private volatile String config = "";
+    private final StreamCheck streams = new StreamCheck();
     private int version = 1;
+    private boolean organisationAway;
     private int upstreamsMade;
 
     /**
@@ -141,6 +150,7 @@
         this.limitRandom = new SplittableRandom(~seed);
         this.returnRandom = new SplittableRandom(seed ^ RETURNS);
         this.pathRandom = new SplittableRandom(seed ^ PATHS);
+        this.organisationRandom = new SplittableRandom(seed ^ ORGANISATIONS);
         this.folder = Files.createTempDirectory(Path.of("target"), "soak-" + seed + "-");
         loop.start();
         platform = onLoop(loop, () -> new PlatformStandIn(loop));
@@ -171,7 +181,15 @@
             callers.add(thread);
         }
         Thread surge =
-                new Thread(new SoakSurge(SoakGateway.callers(gateways), () -> going), "surge");
+                new Thread(
+                        new SoakSurge(
+                                SoakGateway.callers(gateways),
+                                () -> going,
+                                loop::nowMillis,
+                                this::isCalmSince,
+                                record.violations,
+                                this::switchOrganisation),
+                        "surge");
         surge.start();
         callers.add(surge);
         long end = System.nanoTime() + millis * 1_000_000;
@@ -200,6 +218,7 @@
         checkUsage();
         checkOrganisationLimit();
         checkRetries();
+        checkStreams();
         return new Result(
                 seed,
                 record.asked.get(),
@@ -254,8 +273,7 @@
             case 7 -> replace(upstream);
             case 8 -> {
                 note("config " + (version + 1));
-                version++;
-                configure();
+                reconfigure();
             }
             case 9 -> {
                 note("history");
@@ -307,6 +325,51 @@
         loop.execute(() -> loop.schedule(forMillis, () -> pass(paths.get(index))));
     }
 
+    /**
+     * Takes the organisation of the surge away while its requests wait, now and then, and adds it
+     * again. It draws from a source of its own, as limits do.
+     */
+    private void switchOrganisation() {
+        if (organisationRandom.nextBoolean()) {
+            return;
+        }
+        try {
+            pause(organisationRandom.nextLong(LONGEST_WAIT_MILLIS));
+            reconfigure(true);
+            pause(organisationRandom.nextLong(LONGEST_AWAY_MILLIS));
+        } catch (Exception e) {
+            record.violations.add("organisation not taken away: " + e);
+        } finally {
+            addOrganisation();
+        }
+    }
+
+    private void addOrganisation() {
+        try {
+            reconfigure(false);
+        } catch (Exception e) {
+            record.violations.add("organisation not added again: " + e);
+        }
+    }
+
+    private synchronized void reconfigure(boolean away) throws Exception {
+        organisationAway = away;
+        reconfigure();
+    }
+
+    private synchronized void reconfigure() throws Exception {
+        version++;
+        configure();
+    }
+
+    private boolean isCalmSince(HostPort callers, long millis) {
+        boolean paused =
+                gateways.stream()
+                        .anyMatch(
+                                gateway -> gateway.callers().equals(callers) && gateway.isPaused());
+        return !paused && statements.isCalmSince(Integer.toString(callers.port()), "", millis);
+    }
+
     private static void pass(GatewayPaths own) {
         try {
             own.mode(Mode.PASS);
@@ -582,11 +645,18 @@
                 });
     }
 
+    private void checkStreams() {
+        if (streams.joined().size() > StreamCheck.MAX_JOINED) {
+            record.violations.addAll(streams.joined());
+        }
+    }
+
     private void trouble(SoakGateway gateway) {
         statements.trouble(Integer.toString(gateway.callers().port()), loop.nowMillis());
     }
 
     private void addUpstream() throws Exception {
+        String version = "v" + upstreamsMade / UPSTREAMS;
         String id = "u" + upstreamsMade++;
         SoakUpstream upstream =
                 onLoop(
@@ -595,12 +665,14 @@
                                 new SoakUpstream(
                                         loop,
                                         id,
+                                        version,
                                         random.split(),
                                         runs,
                                         statements,
                                         limits,
                                         organisation,
-                                        record.retries));
+                                        record.retries,
+                                        streams));
         onLoop(
                 loop,
                 () -> {
@@ -611,7 +683,7 @@
     }
 
     private void configure() throws Exception {
-        config = CONFIG.formatted(version);
+        config = CONFIG.formatted(version, organisationAway ? "" : BOUNDED);
         onLoop(
                 loop,
                 () -> {
--- a/trailladder-cli/src/test/java/io/trailladder/cli/soak/SoakSurge.java
+++ b/trailladder-cli/src/test/java/io/trailladder/cli/soak/SoakSurge.java
@@ -18,16 +18,21 @@
 import io.trailladder.platform.http.HostPort;
 import java.net.URI;
 import java.net.http.HttpClient;
+import java.net.http.HttpConnectTimeoutException;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse.BodyHandlers;
+import java.net.http.HttpTimeoutException;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Queue;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.function.BooleanSupplier;
+import java.util.function.LongSupplier;
 
 /**
  * Callers of one organisation that all ask at the same moment, again and again: each gateway gets
@@ -35,10 +40,16 @@
  */
 final class SoakSurge implements Runnable {
     private static final long PAUSE_MILLIS = 1_200;
-    private static final Duration TIMEOUT = Duration.ofSeconds(2);
+
+    /** Longer than the time-out of the route, so that every request is answered before. */
+    private static final Duration TIMEOUT = Duration.ofSeconds(4);
 
     private final List<HostPort> gateways;
     private final BooleanSupplier going;
+    private final LongSupplier nowMillis;
+    private final Calm calm;
+    private final Queue<String> violations;
+    private final Runnable afterAsking;
     private final HttpClient client =
             HttpClient.newBuilder()
                     .version(HttpClient.Version.HTTP_1_1)
@@ -46,9 +57,25 @@
                     .build();
     private int asked;
 
-    SoakSurge(List<HostPort> gateways, BooleanSupplier going) {
+    /** Tells which gateways have not been disturbed. */
+    interface Calm {
+        /** Returns whether a gateway has run without a disturbance since a time. */
+        boolean isCalmSince(HostPort gateway, long millis);
+    }
+
+    SoakSurge(
+            List<HostPort> gateways,
+            BooleanSupplier going,
+            LongSupplier nowMillis,
+            Calm calm,
+            Queue<String> violations,
+            Runnable afterAsking) {
         this.gateways = gateways;
         this.going = going;
+        this.nowMillis = nowMillis;
+        this.calm = calm;
+        this.violations = violations;
+        this.afterAsking = afterAsking;
     }
 
     @Override
@@ -71,23 +98,38 @@
                 answers.add(ask(gateway));
             }
         }
+        afterAsking.run();
         CompletableFuture<?> all =
                 CompletableFuture.allOf(answers.toArray(CompletableFuture[]::new));
         try {
-            all.handle((ended, failure) -> null).get(TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
+            all.handle((ended, failure) -> null)
+                    .get(TIMEOUT.toMillis() + PAUSE_MILLIS, TimeUnit.MILLISECONDS);
         } catch (TimeoutException | ExecutionException e) {
             answers.forEach(answer -> answer.cancel(true));
         }
     }
 
     private CompletableFuture<?> ask(HostPort gateway) {
-        asked++;
+        String attempt = OrganisationLimitCheck.attempt(gateway.port(), ++asked);
+        long sentMillis = nowMillis.getAsLong();
         HttpRequest request =
                 HttpRequest.newBuilder(URI.create("http://" + gateway + "/bounded/x"))
                         .header("Authorization", "Bearer bounded")
-                        .header("Attempt-Id", OrganisationLimitCheck.attempt(gateway.port(), asked))
+                        .header("Attempt-Id", attempt)
                         .timeout(TIMEOUT)
                         .build();
-        return client.sendAsync(request, BodyHandlers.discarding());
+        return client.sendAsync(request, BodyHandlers.discarding())
+                .whenComplete(
+                        (answer, failure) -> {
+                            if (isUnanswered(failure) && calm.isCalmSince(gateway, sentMillis)) {
+                                violations.add(attempt + ": not answered in " + TIMEOUT);
+                            }
+                        });
+    }
+
+    private static boolean isUnanswered(Throwable failure) {
+        Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
+        return cause instanceof HttpTimeoutException
+                && !(cause instanceof HttpConnectTimeoutException);
     }
 }
--- a/trailladder-cli/src/test/java/io/trailladder/cli/soak/SoakUpstream.java
+++ b/trailladder-cli/src/test/java/io/trailladder/cli/soak/SoakUpstream.java
@@ -62,6 +62,8 @@
     private final LimitCheck limits;
     private final OrganisationLimitCheck organisation;
     private final RetryCheck retries;
+    private final StreamCheck streams;
+    private final String version;
     private volatile boolean leaving;
     private double limit;
     private boolean calm;
@@ -73,23 +75,29 @@
      *
      * @param loop the loop whose thread runs it
      * @param id its name
+     * @param version the version of its software
      * @param random draws its faults
      * @param runs counts, by attempt id, how often a request ran at any upstream
      * @param statements checks that gateways keep to what it says
      * @param limits checks that they keep to a limit that it names
      * @param organisation checks that they keep the limit of an organisation
      * @param retries counts the arrivals of requests
+     * @param streams checks that streams go on at their version
      */
     SoakUpstream(
             EventLoop loop,
             String id,
+            String version,
             SplittableRandom random,
             Map<String, Integer> runs,
             StatementCheck statements,
             LimitCheck limits,
             OrganisationLimitCheck organisation,
-            RetryCheck retries)
+            RetryCheck retries,
+            StreamCheck streams)
             throws IOException {
+        this.version = version;
+        this.streams = streams;
         this.statements = statements;
         this.limits = limits;
         this.organisation = organisation;
@@ -152,8 +160,8 @@
     String entry(String state) {
         return String.format(
                 "{\"service\": \"m\", \"address\": \"%s\", \"zone\": \"a\", \"slots\": 64,"
-                        + " \"state\": \"%s\"}",
-                proxy.address(), state);
+                        + " \"state\": \"%s\", \"version\": \"%s\"}",
+                proxy.address(), state, version);
     }
 
     private void handle(ServerExchange exchange) {
@@ -180,6 +188,12 @@
         boolean cut = drawn < REFUSED + FAILED + CUT;
         if (exchange.headers().first("Token-Usage").isPresent()) {
             int after = Integer.parseInt(exchange.headers().first("Last-Event-Id").orElse("0"));
+            String root = exchange.headers().first("Resumes").orElse(attempt);
+            if (after > 0) {
+                streams.resumed(root, version);
+            } else {
+                streams.began(root, version);
+            }
             if (isUnframed(attempt)) {
                 exchange.beginUnframed(200, stamps);
             } else {
