--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestIntake.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestIntake.java
@@ -372,7 +372,6 @@
 
         @Override
         public void withdrawn(PendingRequest pending) {
-            refusals.logIntake(pending, "limit taken away");
             admitAgain(pending);
         }
 
