FaultProxy keeps its port bound while it refuses connections

While the listener was closed any process could be given its port. A socket that is bound and does not listen now holds it; connections are refused as before. Read from the trace, not brought about by a run. All nine tests of LostPathFaultTest pass.

--- a/trailladder-cli/src/test/java/io/trailladder/cli/soak/FaultProxy.java
+++ b/trailladder-cli/src/test/java/io/trailladder/cli/soak/FaultProxy.java
@@ -21,6 +21,7 @@
 import java.io.OutputStream;
 import java.net.BindException;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.channels.SocketChannel;
@@ -49,6 +50,7 @@
     private final Set<Socket> open = ConcurrentHashMap.newKeySet();
     private final List<SocketChannel> filling = new ArrayList<>();
     private volatile ServerSocket server;
+    private Socket reserved = new Socket();
     private volatile Mode mode = Mode.PASS;
     private volatile boolean closed;
 
@@ -118,7 +120,9 @@
             each.close();
         }
         filling.clear();
+        reserved.close();
         if (next.refuses()) {
+            reserve();
             return;
         }
         int backlog = next == Mode.HANG ? 1 : BACKLOG;
@@ -135,6 +139,27 @@
         server = socket;
     }
 
+    /**
+     * Binds to the port without listening, so that connections are refused and no other process
+     * takes the port meanwhile.
+     */
+    private void reserve() throws IOException {
+        for (int tries = 1; ; tries++) {
+            reserved = new Socket();
+            reserved.setReuseAddress(true);
+            try {
+                reserved.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), port));
+                return;
+            } catch (BindException e) {
+                reserved.close();
+                if (tries == MAX_BIND_TRIES) {
+                    throw e;
+                }
+                pause(HELD_CHECK_MILLIS);
+            }
+        }
+    }
+
     /** Binds to the port, which stays bound until the thread that accepts notices the close. */
     private ServerSocket bindAgain(int backlog) throws IOException {
         for (int tries = 1; ; tries++) {
@@ -153,6 +178,7 @@
     public synchronized void close() throws IOException {
         closed = true;
         server.close();
+        reserved.close();
         open.forEach(FaultProxy::reset);
     }
 
