Restart records and the soak's proxy without state and loops written twice

StreamHistoriesTest, StreamRolloutTest, StreamVersionFaultTest, StreamPartTest, VersionRecordsTest, the crash tests of core and entry and CrashingPartFaultTest pass; LostPathFaultTest and StoreEpochFaultTest run with the whole script.

--- a/trailladder-cli/src/test/java/io/trailladder/cli/soak/FaultProxy.java
+++ b/trailladder-cli/src/test/java/io/trailladder/cli/soak/FaultProxy.java
@@ -122,11 +122,12 @@
         filling.clear();
         reserved.close();
         if (next.refuses()) {
-            reserve();
+            reserved = bindAgain(this::reserve);
             return;
         }
         int backlog = next == Mode.HANG ? 1 : BACKLOG;
-        ServerSocket socket = bindAgain(backlog);
+        ServerSocket socket =
+                bindAgain(() -> new ServerSocket(port, backlog, InetAddress.getLoopbackAddress()));
         socket.setSoTimeout(ACCEPT_CHECK_MILLIS);
         if (next == Mode.HANG) {
             for (int i = 0; i < FILLING; i++) {
@@ -143,28 +144,23 @@
      * Binds to the port without listening, so that connections are refused and no other process
      * takes the port meanwhile.
      */
-    private void reserve() throws IOException {
-        for (int tries = 1; ; tries++) {
-            reserved = new Socket();
-            reserved.setReuseAddress(true);
-            try {
-                reserved.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), port));
-                return;
-            } catch (BindException e) {
-                reserved.close();
-                if (tries == MAX_BIND_TRIES) {
-                    throw e;
-                }
-                pause(HELD_CHECK_MILLIS);
-            }
+    private Socket reserve() throws IOException {
+        Socket socket = new Socket();
+        try {
+            socket.setReuseAddress(true);
+            socket.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), port));
+            return socket;
+        } catch (IOException e) {
+            socket.close();
+            throw e;
         }
     }
 
     /** Binds to the port, which stays bound until the thread that accepts notices the close. */
-    private ServerSocket bindAgain(int backlog) throws IOException {
+    private static <S> S bindAgain(Binding<S> binding) throws IOException {
         for (int tries = 1; ; tries++) {
             try {
-                return new ServerSocket(port, backlog, InetAddress.getLoopbackAddress());
+                return binding.bind();
             } catch (BindException e) {
                 if (tries == MAX_BIND_TRIES) {
                     throw e;
@@ -174,6 +170,12 @@
         }
     }
 
+    /** Binds a socket to the port of the proxy. */
+    @FunctionalInterface
+    private interface Binding<S> {
+        S bind() throws IOException;
+    }
+
     @Override
     public synchronized void close() throws IOException {
         closed = true;
--- a/trailladder-core/src/main/java/io/trailladder/core/upstream/StreamVersions.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/upstream/StreamVersions.java
@@ -72,7 +72,7 @@
     private final Map<String, Long> longestWaits = new HashMap<>();
     private final BegunStreams begun = new BegunStreams();
     private Earlier earlier = Earlier.UNKNOWN;
-    private Map<String, List<VersionRange>> recorded = Map.of();
+    private Map<String, List<VersionRange>> earlierRanges = Map.of();
 
     /** What is known of the versions that served before this process started. */
     private enum Earlier {
@@ -101,7 +101,7 @@
      */
     public void recordedBefore(Map<String, List<VersionRange>> ranges) {
         earlier = Earlier.RECORDED;
-        recorded = Map.copyOf(ranges);
+        earlierRanges = Map.copyOf(ranges);
         weights.forEach(this::applyRecorded);
     }
 
@@ -113,8 +113,17 @@
         earlier = Earlier.NOT_RECORDED;
     }
 
+    /**
+     * Returns whether it was recorded which versions served before, or that nothing was.
+     *
+     * @return false until one of the two is known
+     */
+    public boolean isEarlierKnown() {
+        return earlier != Earlier.UNKNOWN;
+    }
+
     private void applyRecorded(String service, VersionWeights own) {
-        own.recordedBefore(recorded.getOrDefault(service, List.of()));
+        own.recordedBefore(earlierRanges.getOrDefault(service, List.of()));
     }
 
     /**
@@ -125,7 +134,7 @@
      */
     public Optional<Map<String, List<VersionRange>>> recent(long nowMillis) {
         long sinceMillis = nowMillis - MAX_AGE_MILLIS;
-        boolean unknown = earlier == Earlier.UNKNOWN && sinceMillis < startedMillis;
+        boolean unknown = !isEarlierKnown() && sinceMillis < startedMillis;
         if (unknown || weights.isEmpty()) {
             return Optional.empty();
         }
@@ -216,7 +225,7 @@
         VersionWeights history = record(service, nowMillis);
         long beganMillis = nowMillis - maxAgeMillis(route, waitMillis);
         boolean older = beganMillis < startedMillis;
-        if (older && earlier == Earlier.UNKNOWN) {
+        if (older && !isEarlierKnown()) {
             return StreamOrigin.UNKNOWN;
         }
         if (history.isOneVersion(beganMillis)) {
--- a/trailladder-core/src/main/java/io/trailladder/core/upstream/UpstreamDirectory.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/upstream/UpstreamDirectory.java
@@ -168,12 +168,9 @@
      * @return the upstreams that are listed and accept no new work
      */
     public List<Upstream> leaving(String service) {
-        if (leaving.isEmpty()) {
-            return List.of();
-        }
-        return upstreams.values().stream()
-                .filter(upstream -> upstream.service().equals(service))
-                .filter(upstream -> isLeaving(upstream.id()))
+        return leaving.keySet().stream()
+                .map(upstreams::get)
+                .filter(upstream -> upstream != null && upstream.service().equals(service))
                 .toList();
     }
 
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/CrashRecords.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/CrashRecords.java
@@ -44,7 +44,6 @@
     private final Clock clock;
     private final LongSupplier nowMillis;
     private final CrashWatch crashes;
-    private boolean changed;
 
     /**
      * Creates the content.
@@ -59,13 +58,17 @@
         this.crashes = crashes;
     }
 
-    /** Returns the refused requests; empty until there were any. */
+    @Override
+    public Optional<Set<RequestTrait>> absent() {
+        return Optional.of(Set.of());
+    }
+
+    /** Returns the refused requests. */
     @Override
     public Optional<Set<RequestTrait>> current() {
         Set<RequestTrait> refused = new HashSet<>();
         crashes.ledger().refusedAsCause().forEach(report -> refused.add(report.request()));
-        changed |= !refused.isEmpty();
-        return changed ? Optional.of(refused) : Optional.empty();
+        return Optional.of(refused);
     }
 
     @Override
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/StoreRecord.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/StoreRecord.java
@@ -51,7 +51,7 @@
     private final String key;
     private final Freshness freshness;
     private final Content<T> content;
-    private Optional<T> written = Optional.empty();
+    private Optional<T> written;
     private long revision;
     private int readCount;
     private boolean loaded;
@@ -60,6 +60,11 @@
 
     /** What a record holds. */
     interface Content<T> {
+        /** Returns what the absence of a record tells; empty if that tells nothing. */
+        default Optional<T> absent() {
+            return Optional.empty();
+        }
+
         /** Returns what the record must tell now; empty to leave it as it is. */
         Optional<T> current();
 
@@ -102,6 +107,7 @@
         this.key = key;
         this.freshness = freshness;
         this.content = content;
+        this.written = content.absent();
         health.history().onReplaced(this::historyReplaced);
     }
 
@@ -129,7 +135,7 @@
      */
     private void historyReplaced() {
         revision = 0;
-        written = Optional.empty();
+        written = content.absent();
         busy = false;
         replaced = true;
     }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/VersionRecords.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/VersionRecords.java
@@ -48,7 +48,6 @@
     private final StreamVersions streams;
     private final LongSupplier nowMillis;
     private final LongSupplier epoch;
-    private boolean known;
 
     /**
      * Creates the content.
@@ -92,12 +91,11 @@
 
     @Override
     public boolean read(Optional<byte[]> value) throws IOException {
-        if (known) {
+        if (streams.isEarlierKnown()) {
             return true;
         }
         if (value.isEmpty()) {
             streams.notRecordedBefore();
-            known = true;
             return true;
         }
         DataInputStream in = new DataInputStream(new ByteArrayInputStream(value.get()));
@@ -109,7 +107,6 @@
             return false;
         }
         streams.recordedBefore(readServices(in));
-        known = true;
         return true;
     }
 
