The slots of versions are computed once for each stream

isUncertain and origin asked for the ranges of slots twice, for "one version?" and for the version assigned; isUncertain does so for each stream that began here, several times a second. They now ask once and compute the version from the answer, so isOneVersion, its shortcut and assignedSince go.

Same answers: StreamHistoriesTest (ten), StreamRolloutTest pass.

--- a/trailladder-core/src/main/java/io/trailladder/core/upstream/StreamVersions.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/upstream/StreamVersions.java
@@ -228,7 +228,8 @@
         if (older && !isEarlierKnown()) {
             return StreamOrigin.UNKNOWN;
         }
-        if (history.isOneVersion(beganMillis)) {
+        List<VersionRange> ranges = history.ranges(beganMillis);
+        if (ranges.size() <= 1) {
             return StreamOrigin.ANY;
         }
         boolean unsettled =
@@ -236,7 +237,7 @@
         if (attempt.isEmpty() || (older && unsettled)) {
             return StreamOrigin.UNKNOWN;
         }
-        return history.assignedSince(attempt, beganMillis)
+        return VersionWeights.assigned(attempt, ranges)
                 .map(StreamOrigin::computed)
                 .orElse(StreamOrigin.UNKNOWN);
     }
@@ -267,11 +268,10 @@
     private boolean isUncertain(BegunStreams.Begun stream) {
         VersionWeights history = weights.get(stream.service());
         long sinceMillis = stream.beganMillis() - AGE_TOLERANCE_MILLIS - LAG_MILLIS;
-        if (history == null || history.isOneVersion(sinceMillis)) {
-            return false;
-        }
-        return !history.assignedSince(stream.attempt(), sinceMillis)
-                .equals(Optional.of(stream.version()));
+        List<VersionRange> ranges = history == null ? List.of() : history.ranges(sinceMillis);
+        return ranges.size() > 1
+                && !VersionWeights.assigned(stream.attempt(), ranges)
+                        .equals(Optional.of(stream.version()));
     }
 
     /** Returns whether a roll-out chooses the version of each stream, so that none is assigned. */
--- a/trailladder-core/src/main/java/io/trailladder/core/upstream/VersionWeights.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/upstream/VersionWeights.java
@@ -117,23 +117,7 @@
         List<VersionRange> now = new ArrayList<>();
         last.admitted()
                 .forEach((version, slots) -> now.add(new VersionRange(version, slots, slots)));
-        return winner(id, now);
-    }
-
-    /** Returns whether there has been at most one version since a time. */
-    boolean isOneVersion(long sinceMillis) {
-        if (samples.size() == 1 && !isBeforeFirst(sinceMillis)) {
-            return samples.getFirst().listed().size() <= 1;
-        }
-        return ranges(sinceMillis).size() <= 1;
-    }
-
-    /**
-     * Returns the version that an id was assigned since a time; empty if it is not the same for all
-     * slots that versions had since then.
-     */
-    Optional<String> assignedSince(String id, long sinceMillis) {
-        return winner(id, ranges(sinceMillis));
+        return assigned(id, now);
     }
 
     /** Returns the slots that each version had since a time. */
@@ -154,10 +138,11 @@
     }
 
     private static int leastSlots(String version, List<Sample> samples) {
-        return samples.stream()
-                .mapToInt(sample -> sample.admitted().getOrDefault(version, 0))
-                .min()
-                .orElse(0);
+        int least = Integer.MAX_VALUE;
+        for (Sample sample : samples) {
+            least = Math.min(least, sample.admitted().getOrDefault(version, 0));
+        }
+        return samples.isEmpty() ? 0 : least;
     }
 
     private boolean isBeforeFirst(long sinceMillis) {
@@ -180,8 +165,12 @@
         return inForce;
     }
 
-    /** Returns the version that wins with its least slots against the most slots of all others. */
-    private static Optional<String> winner(String id, List<VersionRange> ranges) {
+    /**
+     * Returns the version that an id was assigned, whatever slots the versions had within their
+     * ranges: the one that wins with its least slots against the most slots of all others. Empty if
+     * that is none.
+     */
+    static Optional<String> assigned(String id, List<VersionRange> ranges) {
         for (VersionRange range : ranges) {
             double own = delay(id, range.version(), range.leastSlots());
             boolean first =
