--- /dev/null
+++ b/trailladder-core/src/test/java/io/trailladder/core/upstream/SimulatedStreams.java
@@ -0,0 +1,232 @@
+/*
+ * Copyright 2026 The trailladder authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package io.trailladder.core.upstream;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.trailladder.core.rollout.VersionGate;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.SplittableRandom;
+
+/**
+ * Processes in virtual time that serve streams while upstreams of several versions come and go, and
+ * notice that at different times.
+ */
+abstract class SimulatedStreams {
+    private static final String SERVICE = "s";
+    private static final String ROUTE = "r";
+    private static final long DEADLINE_MILLIS = 8_000;
+    private static final long SETTLE_MILLIS = 25_000;
+    private static final long STEP_MILLIS = 20;
+    private static final long DIGEST_MILLIS = 200;
+    private static final long MAX_LAG_MILLIS = 300;
+    private static final long MIN_RETURN_MILLIS = 400;
+    private static final long MAX_RETURN_MILLIS = 4_000;
+    private static final long RECORD_MILLIS = 1_000;
+
+    SplittableRandom random;
+    final List<Gateway> processes = new ArrayList<>();
+    private final PriorityQueue<Change> changes =
+            new PriorityQueue<>((one, other) -> Long.compare(one.atMillis(), other.atMillis()));
+    private final PriorityQueue<Stream> returns =
+            new PriorityQueue<>(
+                    (one, other) -> Long.compare(one.returnMillis(), other.returnMillis()));
+    private long now;
+    private int streams;
+    int resumed;
+    private int continued;
+    int joined;
+    private int picked;
+    private Optional<Map<String, List<VersionRange>>> record = Optional.empty();
+    boolean storeReachable;
+
+    /** A change of the list that a process notices at a time. */
+    private record Change(long atMillis, Gateway process, Upstream upstream, boolean added) {}
+
+    /** A stream whose caller comes back. */
+    private record Stream(String attempt, String version, long beganMillis, long returnMillis) {}
+
+    /** One process, which loses all it knows but the list and the record when it restarts. */
+    final class Gateway {
+        private final UpstreamDirectory directory = new UpstreamDirectory();
+        private StreamVersions versions;
+        private long downUntilMillis;
+        private boolean recordRead;
+
+        Gateway() {
+            restart(0);
+        }
+
+        void restart(long downMillis) {
+            downUntilMillis = now + downMillis;
+            versions = new StreamVersions(directory, new VersionGate(), now + downMillis);
+            recordRead = false;
+        }
+
+        /** Reads the record of the versions that served before, as soon as the store answers. */
+        void readRecord() {
+            if (!recordRead && storeReachable) {
+                record.ifPresentOrElse(versions::recordedBefore, versions::notRecordedBefore);
+                recordRead = true;
+            }
+        }
+
+        boolean isRunning() {
+            return now >= downUntilMillis;
+        }
+    }
+
+    static Upstream upstream(String id, String version) {
+        return new Upstream(id, SERVICE, "a", id + ":1", 8, false, false, 0, version, 0, 0);
+    }
+
+    final void start(int processCount, int versionCount) {
+        random = new SplittableRandom(20261203);
+        now = 0;
+        streams = 0;
+        resumed = 0;
+        continued = 0;
+        joined = 0;
+        record = Optional.empty();
+        storeReachable = true;
+        processes.clear();
+        changes.clear();
+        returns.clear();
+        for (int i = 0; i < processCount; i++) {
+            processes.add(new Gateway());
+        }
+        for (int i = 0; i < 12; i++) {
+            change(upstream("u" + i, "v" + i % versionCount), true);
+        }
+        advance(SETTLE_MILLIS, 0);
+    }
+
+    /** Has all processes notice a change of the list, each at its own time. */
+    final void change(Upstream upstream, boolean added) {
+        for (Gateway process : processes) {
+            long lag = random.nextLong(MAX_LAG_MILLIS);
+            changes.add(new Change(now + lag, process, upstream, added));
+        }
+    }
+
+    final void advance(long millis, int streamsPerSecond) {
+        for (long end = now + millis; now < end; now += STEP_MILLIS) {
+            while (!changes.isEmpty() && changes.peek().atMillis() <= now) {
+                apply(changes.poll());
+            }
+            for (Gateway process : processes) {
+                if (process.isRunning()) {
+                    process.readRecord();
+                    process.versions.tick(now);
+                }
+            }
+            if (now % RECORD_MILLIS == 0 && storeReachable) {
+                writeRecord();
+            }
+            if (now % DIGEST_MILLIS == 0) {
+                sendDigests();
+            }
+            if (random.nextDouble() < streamsPerSecond * STEP_MILLIS / 1_000.0) {
+                begin();
+            }
+            while (!returns.isEmpty() && returns.peek().returnMillis() <= now) {
+                resume(returns.poll());
+            }
+        }
+    }
+
+    /** Has each process that runs tell all others, as digests do. */
+    private void sendDigests() {
+        for (Gateway sender : processes) {
+            List<StreamRecord> news =
+                    sender.isRunning() ? sender.versions.news(now) : List.<StreamRecord>of();
+            for (Gateway receiver : processes) {
+                if (receiver != sender && receiver.isRunning()) {
+                    news.forEach(stream -> receiver.versions.learned(stream, now));
+                }
+            }
+        }
+    }
+
+    /** Has the first process that runs and knows what served lately write it to the store. */
+    private void writeRecord() {
+        processes.stream()
+                .filter(Gateway::isRunning)
+                .map(process -> process.versions.recent(now))
+                .flatMap(Optional::stream)
+                .findFirst()
+                .ifPresent(recent -> record = Optional.of(recent));
+    }
+
+    private static void apply(Change change) {
+        if (change.added()) {
+            change.process().directory.changed(change.upstream());
+        } else {
+            change.process().directory.removed(change.upstream().id());
+        }
+    }
+
+    private Gateway running() {
+        Gateway process = processes.get(random.nextInt(processes.size()));
+        return process.isRunning() ? process : processes.get(0);
+    }
+
+    private void begin() {
+        Gateway process = running();
+        String attempt = "attempt-" + streams++;
+        process.versions.requested(ROUTE, DEADLINE_MILLIS);
+        StreamOrigin origin = process.versions.assigned(SERVICE, attempt, now);
+        List<Upstream> serving = process.directory.serving(SERVICE);
+        String version =
+                origin.required().orElseGet(() -> serving.get(streams % serving.size()).version());
+        process.versions.began(SERVICE, attempt, version, now);
+        long delay = random.nextLong(MIN_RETURN_MILLIS, MAX_RETURN_MILLIS);
+        returns.add(new Stream(attempt, version, now, now + delay));
+    }
+
+    private void resume(Stream stream) {
+        Gateway process = running();
+        long waitMillis = DEADLINE_MILLIS - (now - stream.beganMillis());
+        StreamOrigin origin =
+                process.versions.origin(SERVICE, ROUTE, stream.attempt(), waitMillis, now);
+        if (!process.isRunning()) {
+            return;
+        }
+        List<Upstream> serving = process.directory.serving(SERVICE);
+        boolean known = origin.source() != StreamOrigin.Source.UNKNOWN;
+        if (known && origin.required().isEmpty() && !serving.isEmpty()) {
+            String version = serving.get(++picked % serving.size()).version();
+            joined += version.equals(stream.version()) ? 0 : 1;
+        } else if (known && origin.required().isPresent()) {
+            joined += origin.required().get().equals(stream.version()) ? 0 : 1;
+        }
+        if (serving.stream().anyMatch(each -> each.version().equals(stream.version()))) {
+            resumed++;
+            continued += known ? 1 : 0;
+        }
+    }
+
+    final void assertContinued(double minShare) {
+        String seen = joined + " joined, " + continued + " of " + resumed + " continued";
+        assertEquals(0, joined, seen);
+        assertTrue(continued >= minShare * resumed, seen);
+    }
+}
