OpenRequests: the accepted requests leave RequestIntake

RequestIntake decided on requests and moved or ended the accepted ones. The latter is OpenRequests, which Gateway addresses itself when an upstream or a path is lost. No change of behaviour: GatewayFaultTest, LeavingUpstreamFaultTest, LimitTakenAwayFaultTest, StreamVersionFaultTest pass.

--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
@@ -470,7 +470,7 @@
         directory
                 .all()
                 .forEach(upstream -> connector.closeIdle(HostPort.parse(upstream.address())));
-        intake.pathLost();
+        intake.accepted().pathLost();
     }
 
     /** Has connections to upstreams opened through peers where this process reaches none. */
@@ -581,13 +581,13 @@
             crashes.announcedLeaving(upstream);
         }
         if (!upstream.draining()) {
-            intake.upstreamLost(upstream, LOST_UNRESPONSIVE_MILLIS);
+            intake.accepted().upstreamLost(upstream, LOST_UNRESPONSIVE_MILLIS);
             if (!directory.isLeaving(upstream.id())) {
                 crashes.upstreamLost(upstream);
             }
         } else if (upstream.leavesInMillis() > 0) {
             long delayMillis = Math.max(0, upstream.leavesInMillis() - END_MARGIN_MILLIS);
-            loop.schedule(delayMillis, () -> intake.upstreamEnding(upstream));
+            loop.schedule(delayMillis, () -> intake.accepted().upstreamEnding(upstream));
         }
     }
 
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestIntake.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestIntake.java
@@ -16,20 +16,15 @@
 package io.trailladder.entry.gateway;
 
 import io.trailladder.core.crash.RequestTrait;
-import io.trailladder.core.pipeline.AttemptFailure;
 import io.trailladder.core.pipeline.ServingRequest;
 import io.trailladder.core.policy.OrganisationSpec;
 import io.trailladder.core.policy.Route;
 import io.trailladder.core.policy.ServingPolicy;
-import io.trailladder.core.upstream.Upstream;
 import io.trailladder.entry.http.RequestHandler;
 import io.trailladder.entry.http.ServerExchange;
 import io.trailladder.entry.port.CallerRequest;
 import io.vavr.control.Either;
-import java.util.HashSet;
-import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.function.BooleanSupplier;
 
@@ -40,9 +35,6 @@
  * @since 0.2
  */
 public final class RequestIntake implements RequestHandler {
-    /** Time without a byte after which a direct connection counts as lost, in milliseconds. */
-    private static final long PATH_LOST_SILENCE_MILLIS = 300;
-
     private static final int BAD_REQUEST = 400;
     private static final int UNAUTHORIZED = 401;
     private static final int NOT_FOUND = 404;
@@ -61,7 +53,7 @@
     private final Refusals refusals;
     private final StartupRequestQueue<ServerExchange> startupQueue;
     private final LimitGate<PendingRequest> limits;
-    private final Set<RequestDriver> open = new HashSet<>();
+    private final OpenRequests open;
     private boolean refusing;
 
     /**
@@ -80,6 +72,7 @@
         this.context = context;
         this.policies = policies;
         this.random = random;
+        this.open = new OpenRequests(context.loop());
         this.refusals = new Refusals(context, policies::version);
         this.startupQueue =
                 new StartupRequestQueue<>(
@@ -142,8 +135,13 @@
         }
     }
 
+    /** Returns the requests that were accepted and have not ended. */
+    OpenRequests accepted() {
+        return open;
+    }
+
     /**
-     * Returns the number of requests in flight.
+     * Returns the number of requests in flight, including those that wait for units.
      *
      * @return the number of requests
      */
@@ -151,53 +149,6 @@
         return open.size() + limits.size();
     }
 
-    /**
-     * Moves requests away from an upstream that was lost without notice, if they have received
-     * nothing for some time.
-     *
-     * @param upstream the upstream
-     * @param unresponsiveMillis the minimum time without anything received, in milliseconds
-     */
-    public void upstreamLost(Upstream upstream, long unresponsiveMillis) {
-        for (RequestDriver driver : List.copyOf(open)) {
-            if (driver.isRunningAt(upstream.id())
-                    && driver.unresponsiveMillis() >= unresponsiveMillis) {
-                driver.moveToOtherUpstream(AttemptFailure.SILENT);
-            }
-        }
-    }
-
-    /**
-     * Sends requests again, through peers, that wait for answers on direct connections which this
-     * process has lost: none of them has brought a byte for some time. Connections may also live on
-     * while no new ones open.
-     */
-    public void pathLost() {
-        long lostMillis = context.loop().nowMillis();
-        context.loop().schedule(PATH_LOST_SILENCE_MILLIS, () -> leaveLostPath(lostMillis));
-    }
-
-    private void leaveLostPath(long lostMillis) {
-        long unresponsive = context.loop().nowMillis() - lostMillis;
-        boolean lives = open.stream().anyMatch(driver -> driver.hasReceivedDirectly(unresponsive));
-        if (!lives) {
-            List.copyOf(open).forEach(RequestDriver::leaveLostPath);
-        }
-    }
-
-    /**
-     * Moves requests to other upstreams because theirs will end before they do.
-     *
-     * @param upstream the upstream
-     */
-    public void upstreamEnding(Upstream upstream) {
-        for (RequestDriver driver : List.copyOf(open)) {
-            if (driver.isRunningAt(upstream.id())) {
-                driver.moveToOtherUpstream(AttemptFailure.LEAVING);
-            }
-        }
-    }
-
     /**
      * Ends all tries of requests that make upstreams end.
      *
@@ -207,7 +158,7 @@
         limits.end(
                 pending -> pending.identity().has(found),
                 pending -> refusals.refuseAsCrashing(pending.exchange(), pending.request().id()));
-        List.copyOf(open).forEach(driver -> driver.stopIfMatches(found));
+        open.stopCrashing(found);
     }
 
     /** Refuses every further request; callers may retry at another process. */
@@ -220,7 +171,7 @@
         refuseNew();
         startupQueue.refuseAll();
         limits.end(pending -> true, this::refuseAsStopping);
-        List.copyOf(open).forEach(RequestDriver::stop);
+        open.stopAll();
     }
 
     private void refuseAsStopping(PendingRequest pending) {
@@ -301,7 +252,7 @@
     }
 
     private void startRequest(PendingRequest pending) {
-        RequestDriver driver =
+        open.start(
                 new RequestDriver(
                         context,
                         pending.exchange(),
@@ -309,9 +260,7 @@
                         pending.identity(),
                         pending.units(),
                         pending.caller(),
-                        open::remove);
-        open.add(driver);
-        driver.start();
+                        open::ended));
     }
 
     private ServingRequest request(
