Limits have their shares before a gateway is ready

Cause: shares of limits are set every 200 ms. A policy that is read after the list of processes makes a gateway ready, while its limits have no share; and isAccruing was answered by the clock, the share followed at the next tick.

In virtual time 9 and 5 requests of a process that says it uses its limits were refused. Both tests fail on the code before and pass now.

Why it works: Quotas tells when a policy was applied, before any request meets its limits, and LimitShares sets the shares of the last update then, and when the units of the process begin to accrue. isAccruing says what is applied.

--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ClusterView.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ClusterView.java
@@ -542,7 +542,7 @@
         int inRegion = peers.totalProcesses(peers.countedHere());
         int group = 1 + peers.leaves().size();
         updateLimitSharing(counted, total);
-        limits.tick(othersKnown, total, inRegion, group, limitSharing);
+        limits.tick(new LimitShares.Processes(othersKnown, total, inRegion, group, limitSharing));
         quotas.log()
                 .flush(
                         total,
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/LimitExchange.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/LimitExchange.java
@@ -71,23 +71,16 @@
         this.suppliers = suppliers;
         this.needs = needs;
         this.mesh = mesh;
-        this.shares = new LimitShares(quotas, suppliers, mesh, nowMillis.getAsLong());
+        this.shares = new LimitShares(nowMillis, timer, quotas, suppliers, mesh);
         quotas.suppliers(OrganisationSupplier::new, this::checkSoon);
+        quotas.onPolicy(shares::reapply);
     }
 
-    /**
-     * Sets the shares of this process, and returns units that it does not need.
-     *
-     * @param othersKnown true if the store has listed the processes, or a peer is linked
-     * @param reporting number of processes whose figures are known, this one included
-     * @param inRegion those of them in the region of this process
-     * @param group this process and its leaves
-     * @param sharing number of processes that share limits
-     */
-    void tick(boolean othersKnown, int reporting, int inRegion, int group, int sharing) {
+    /** Sets the shares of this process, and returns units that it does not need. */
+    void tick(LimitShares.Processes processes) {
         long now = nowMillis.getAsLong();
-        quotas.log().basis(basis(othersKnown, reporting, sharing));
-        shares.update(othersKnown, reporting, inRegion, group, sharing, now);
+        quotas.log().basis(basis(processes));
+        shares.update(processes);
         for (String organisation : quotas.organisations()) {
             returnSurplus(organisation, shares.holdsPool(organisation), now);
         }
@@ -96,14 +89,15 @@
 
     /** Returns whether units accrue at this process. */
     boolean isAccruing() {
-        return shares.isAccruing(nowMillis.getAsLong());
+        return shares.isAccruing();
     }
 
-    private static LimitBasis basis(boolean othersKnown, int reporting, int sharing) {
-        if (!othersKnown) {
+    private static LimitBasis basis(LimitShares.Processes processes) {
+        if (!processes.othersKnown()) {
             return LimitBasis.OTHERS_UNKNOWN;
         }
-        return reporting > 1 || sharing == 1 ? LimitBasis.SHARED : LimitBasis.ALONE;
+        boolean shared = processes.reporting() > 1 || processes.sharing() == 1;
+        return shared ? LimitBasis.SHARED : LimitBasis.ALONE;
     }
 
     /**
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Quotas.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Quotas.java
@@ -64,6 +64,7 @@
 
     private Function<String, UnitQueue.Supplier> suppliers = organisation -> NO_SUPPLIER;
     private Runnable onWaiting = () -> {};
+    private Runnable onPolicy = () -> {};
 
     /** The result of a request for units. */
     interface Outcome {
@@ -112,6 +113,11 @@
         onWaiting = waiting;
     }
 
+    /** Sets what runs when the limits of a policy were applied, before any request meets them. */
+    void onPolicy(Runnable applied) {
+        onPolicy = applied;
+    }
+
     /**
      * Applies the limits of a policy. The units of a new limit accrue from now on, since other
      * processes may have spent all that accrued before, unless nothing was served before. Requests
@@ -135,6 +141,7 @@
             }
         }
         specs.forEach((name, spec) -> applyLimit(name, spec, nowMillis));
+        onPolicy.run();
         // requests that are admitted anew find all limits of the policy
         removed.forEach(limit -> limit.queue().close());
     }
--- a/trailladder-entry/src/test/java/io/trailladder/entry/gateway/SimulatedCluster.java
+++ b/trailladder-entry/src/test/java/io/trailladder/entry/gateway/SimulatedCluster.java
@@ -183,16 +183,21 @@
         RateSpec limit = new RateSpec(perSecond, perSecond, true, 1);
         OrganisationSpec organisation =
                 new OrganisationSpec(ORGANISATION, List.of("k"), OptionalInt.empty(), limit);
+        double measured = perSecond * (WINDOW_MILLIS / 1000.0 + 1);
+        maxAllowedUnits = measured * (1 + TOLERANCE) + toleranceUnits;
+        apply(List.of(organisation));
+    }
+
+    /** Applies a policy without organisations. */
+    void removeLimit() {
+        apply(List.of());
+    }
+
+    private void apply(List<OrganisationSpec> organisations) {
         long version = policy == null ? 1 : policy.version() + 1;
         policy =
                 new ServingPolicy(
-                        version,
-                        List.of(),
-                        List.of(),
-                        List.of(organisation),
-                        RequestBounds.DEFAULTS);
-        double measured = perSecond * (WINDOW_MILLIS / 1000.0 + 1);
-        maxAllowedUnits = measured * (1 + TOLERANCE) + toleranceUnits;
+                        version, List.of(), List.of(), organisations, RequestBounds.DEFAULTS);
         processes.values().forEach(SimulatedProcess::policyChanged);
     }
 
