The soak waits for the end of a gateway that was told to stop

Log of g1: stopping, stopped after 2.4 s, no start. isReady is false from the signal until the next start, so the soak also finds a process that does not end.

--- a/trailladder-cli/src/test/java/io/trailladder/cli/soak/SoakGateway.java
+++ b/trailladder-cli/src/test/java/io/trailladder/cli/soak/SoakGateway.java
@@ -58,6 +58,7 @@
     private final HostPort metrics = reserve();
     private Process process;
     private volatile boolean paused;
+    private volatile boolean ending;
 
     SoakGateway(String name, Path folder, HostPort platform) throws IOException {
         this(name, "a", folder, platform);
@@ -111,6 +112,7 @@
         builder.redirectOutput(ProcessBuilder.Redirect.appendTo(log));
         process = builder.start();
         paused = false;
+        ending = false;
     }
 
     HostPort callers() {
@@ -135,6 +137,7 @@
             String id = Long.toString(process.pid());
             new ProcessBuilder("kill", "-" + signal, id).start().waitFor();
             paused = signal.equals("STOP") || (paused && !signal.equals("CONT"));
+            ending |= signal.equals("TERM");
         }
     }
 
@@ -152,7 +155,11 @@
         store.close();
     }
 
+    /** Returns whether the process is ready. One that was told to stop says so for a moment. */
     boolean isReady() {
+        if (ending) {
+            return false;
+        }
         try {
             URI uri = URI.create("http://" + health + "/v1/readyz");
             HttpURLConnection call = (HttpURLConnection) uri.toURL().openConnection();
