A gateway is not ready before its units accrue

Cause: the first write to the store failed, so the process was not in the list that it read 0.4 s after its start. Units then accrue 1.3 s after the list, but the process is ready 1.5 s after its start in any case.

Why it works: a process that has determined its part within the 1.5 s waits for it; one that cannot learn of the others by then serves as before, and does not become unready later.

--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ClusterView.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ClusterView.java
@@ -307,6 +307,15 @@
         return limits != null && limits.isAccruing();
     }
 
+    /**
+     * Returns whether this process will soon use its part of limits.
+     *
+     * @return true while the others are known, but may not count this process yet
+     */
+    public boolean awaitsLimits() {
+        return limits != null && limits.isAwaited();
+    }
+
     private int sharingProcesses(List<Peer> counted, int reporting) {
         Reading own = new Reading(membersRead(), store.isReachable());
         List<Reading> read = new ArrayList<>(counted.size());
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
@@ -595,16 +595,18 @@
         boolean recordsKnown =
                 (rollouts.isKnown() && crashRecord.isLoaded() && versionRecord.isLoaded())
                         || isStoreGraceOver();
-        boolean limitsKnown =
-                view.usesLimits()
-                        || loop.nowMillis() - startedMillis
-                                >= StartupRequestQueue.STARTUP_WINDOW_MILLIS;
+        boolean limitsKnown = view.usesLimits() || (isStartupWindowOver() && !view.awaitsLimits());
         return policyManager.version() > 0
                 && directoryManager.isKnown()
                 && recordsKnown
                 && limitsKnown;
     }
 
+    /** Whether the time is over for which a process waits that cannot learn of the others. */
+    private boolean isStartupWindowOver() {
+        return loop.nowMillis() - startedMillis >= StartupRequestQueue.STARTUP_WINDOW_MILLIS;
+    }
+
     /**
      * Whether the store has had its time to answer after the start; then state from peers suffices.
      */
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/LimitExchange.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/LimitExchange.java
@@ -92,6 +92,11 @@
         return shares.isAccruing();
     }
 
+    /** Returns whether units will soon accrue at this process. */
+    boolean isAwaited() {
+        return shares.isAwaited();
+    }
+
     private static LimitBasis basis(LimitShares.Processes processes) {
         if (!processes.othersKnown()) {
             return LimitBasis.OTHERS_UNKNOWN;
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/LimitShares.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/LimitShares.java
@@ -43,6 +43,7 @@
     private final Mesh mesh;
     private final long startedMillis;
     private long accruesFromMillis = Long.MAX_VALUE;
+    private boolean startKnownInTime;
     private double own;
 
     /** Whether units that accrued since the start may still have to be added. */
@@ -85,6 +86,14 @@
         return own > 0;
     }
 
+    /**
+     * Returns whether units will soon accrue at this process, which was determined while requests
+     * were held after its start.
+     */
+    boolean isAwaited() {
+        return startKnownInTime && !isAccruing();
+    }
+
     /** Returns whether this process holds a part of an organisation's pool. */
     boolean holdsPool(String organisation) {
         return mesh.isHub() || suppliers.holdsPool(organisation);
@@ -131,7 +140,9 @@
             return;
         }
         boolean listed = mesh.wasListedAtStart();
-        accruesFromMillis = nowMillis.getAsLong() + (listed ? 0 : SETTLE_MILLIS);
+        long now = nowMillis.getAsLong();
+        accruesFromMillis = now + (listed ? 0 : SETTLE_MILLIS);
+        startKnownInTime = now - startedMillis < StartupRequestQueue.STARTUP_WINDOW_MILLIS;
         accruedPending = listed;
         if (!listed) {
             timer.schedule(SETTLE_MILLIS, this::reapply);
