The list of processes is read as soon as the store answers again

Cause of this part: a call to a store that does not answer fails after 2 s, and the list is read again 1 s later, while policy and upstreams are read at once when the store answers again. So a process learns of the others up to 3 s after its policy.

Change: a process that has never read the list reads it when the store answers again; answers and delays of earlier rounds are ignored. One that has read it keeps its intervals, so that an outage ends without extra calls.

--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Membership.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Membership.java
@@ -101,6 +101,9 @@
     private final SplittableRandom random;
     private int listCount;
 
+    /** Incremented when the list is read anew; pages and delays of earlier rounds are ignored. */
+    private int listRound;
+
     /**
      * Incremented when the store's history is replaced; calls and delays of earlier rounds are
      * ignored.
@@ -140,6 +143,7 @@
         this.firstStart = firstStart;
         this.random = random;
         this.value = MemberFormat.write(self);
+        health.onRegained(this::listIfOverdue);
         health.history().onReplaced(this::historyReplaced);
     }
 
@@ -147,7 +151,7 @@
     public void start() {
         grant(historyRound);
         if (firstStart) {
-            loop.schedule(FIRST_LIST_DELAY_MILLIS, this::list);
+            listLater(FIRST_LIST_DELAY_MILLIS);
         } else {
             list();
         }
@@ -161,29 +165,58 @@
         }
     }
 
+    /**
+     * Reads the list at once if that has been tried, but never succeeded: a call to a store that
+     * does not answer takes long to fail.
+     */
+    private void listIfOverdue() {
+        if (listRound > 0 && listCount == 0) {
+            list();
+        }
+    }
+
+    private void listLater(long millis) {
+        int current = listRound;
+        loop.schedule(
+                millis,
+                () -> {
+                    if (current == listRound) {
+                        list();
+                    }
+                });
+    }
+
     private void list() {
         if (!stopped) {
+            listRound++;
             listed.clear();
-            listAfter("");
+            listAfter(listRound, "");
         }
     }
 
-    private void listAfter(String afterKey) {
+    private void listAfter(int current, String afterKey) {
         Freshness freshness = listCount < SETTLING_LIST_COUNT ? Freshness.LATEST : Freshness.RECENT;
-        store.list(PREFIX, afterKey, freshness, this::pageReceived);
+        store.list(PREFIX, afterKey, freshness, result -> pageReceived(current, result));
     }
 
-    private void pageReceived(Either<StoreFailure, StoreBatch> result) {
+    private void pageReceived(int current, Either<StoreFailure, StoreBatch> result) {
+        if (current != listRound) {
+            return;
+        }
         if (result.isLeft()) {
             health.failed(result.getLeft());
-            loop.schedule(SETTLING_LIST_INTERVAL_MILLIS, this::list);
+            listLater(SETTLING_LIST_INTERVAL_MILLIS);
             return;
         }
+        // the first answer after a failure may start a new round
         health.answered();
+        if (current != listRound) {
+            return;
+        }
         List<StoreItem> items = result.get().items();
         items.forEach(this::add);
         if (result.get().more() && !items.isEmpty()) {
-            listAfter(items.get(items.size() - 1).key());
+            listAfter(current, items.get(items.size() - 1).key());
             return;
         }
         listCount++;
@@ -193,7 +226,7 @@
         }
         mesh.members(
                 loop.nowMillis() < rewriteGraceUntilMillis ? withMissing() : List.copyOf(listed));
-        loop.schedule(listMillis(), this::list);
+        listLater(listMillis());
     }
 
     /** Returns the listed processes, and those listed before that may write their entries again. */
