A gateway that has never been ready waits for its units, however late they are known

A process that learns policy and others later, because the store is down or slow, was ready at once, and its units accrue 1.3 s later.

Change: the wait ends with the first time that the process is ready, not with the clock; the time to learn of the others, 1.5 s, begins with the policy.

GatewayFaultTest, MembershipFaultTest, BrokenAttemptFaultTest and the Limit*Test classes pass once.

--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
@@ -151,6 +151,11 @@
     private final long startedMillis = loop.nowMillis();
     private final Runnable onStopped;
     private boolean stopping;
+    private long policyKnownMillis = Long.MAX_VALUE;
+
+    /** Whether the state has once been known, after which nothing waits for limits. */
+    private boolean stateOnceKnown;
+
     private boolean fedByPeers;
 
     /**
@@ -567,6 +572,7 @@
     }
 
     private void policyChanged(ServingPolicy policy) {
+        policyKnownMillis = Math.min(policyKnownMillis, loop.nowMillis());
         quotas.applyPolicy(policy, loop.nowMillis());
         callerServer.bounds(bounds(policy.bounds()));
     }
@@ -595,16 +601,23 @@
         boolean recordsKnown =
                 (rollouts.isKnown() && crashRecord.isLoaded() && versionRecord.isLoaded())
                         || isStoreGraceOver();
-        boolean limitsKnown = view.usesLimits() || (isStartupWindowOver() && !view.awaitsLimits());
-        return policyManager.version() > 0
-                && directoryManager.isKnown()
-                && recordsKnown
-                && limitsKnown;
+        boolean known =
+                policyManager.version() > 0
+                        && directoryManager.isKnown()
+                        && recordsKnown
+                        && (stateOnceKnown || isLimitPartKnown());
+        stateOnceKnown |= known;
+        return known;
     }
 
-    /** Whether the time is over for which a process waits that cannot learn of the others. */
-    private boolean isStartupWindowOver() {
-        return loop.nowMillis() - startedMillis >= StartupRequestQueue.STARTUP_WINDOW_MILLIS;
+    /**
+     * Whether this process uses its part of limits, or cannot learn of the others. The time for
+     * that begins with the policy, because the store may not answer before.
+     */
+    private boolean isLimitPartKnown() {
+        boolean windowOver =
+                loop.nowMillis() - policyKnownMillis >= StartupRequestQueue.STARTUP_WINDOW_MILLIS;
+        return view.usesLimits() || (windowOver && !view.awaitsLimits());
     }
 
     /**
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/LimitShares.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/LimitShares.java
@@ -43,7 +43,6 @@
     private final Mesh mesh;
     private final long startedMillis;
     private long accruesFromMillis = Long.MAX_VALUE;
-    private boolean startKnownInTime;
     private double own;
 
     /** Whether units that accrued since the start may still have to be added. */
@@ -86,12 +85,9 @@
         return own > 0;
     }
 
-    /**
-     * Returns whether units will soon accrue at this process, which was determined while requests
-     * were held after its start.
-     */
+    /** Returns whether it is determined that units accrue at this process, but not yet now. */
     boolean isAwaited() {
-        return startKnownInTime && !isAccruing();
+        return isKnown() && !isAccruing();
     }
 
     /** Returns whether this process holds a part of an organisation's pool. */
@@ -142,7 +138,6 @@
         boolean listed = mesh.wasListedAtStart();
         long now = nowMillis.getAsLong();
         accruesFromMillis = now + (listed ? 0 : SETTLE_MILLIS);
-        startKnownInTime = now - startedMillis < StartupRequestQueue.STARTUP_WINDOW_MILLIS;
         accruedPending = listed;
         if (!listed) {
             timer.schedule(SETTLE_MILLIS, this::reapply);
