Records of the store are read as soon as it answers again

Cause: the first call of the process failed. The record of crashes is read again 2 s after a failed read, while the process is ready without it 0.7 s after its start. The record of versions is read by the same class.

Change: a record that was never read is read when the store answers again; answers and delays of earlier reads are ignored.

--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/StoreRecord.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/StoreRecord.java
@@ -54,6 +54,10 @@
     private Optional<T> written;
     private long revision;
     private int readCount;
+
+    /** Incremented with each read; answers and delays of earlier ones are ignored. */
+    private int readRound;
+
     private boolean loaded;
     private boolean busy;
     private boolean replaced;
@@ -108,6 +112,7 @@
         this.freshness = freshness;
         this.content = content;
         this.written = content.absent();
+        health.onRegained(this::loadIfOverdue);
         health.history().onReplaced(this::historyReplaced);
     }
 
@@ -120,6 +125,7 @@
         if (firstStart) {
             loaded = passOn(Optional.empty());
         } else {
+            readCount++;
             load();
         }
         loop.repeat(WRITE_CHECK_INTERVAL_MILLIS, this::writeChanges);
@@ -140,14 +146,28 @@
         replaced = true;
     }
 
+    /** Reads the record at once if no read has succeeded yet: the next one is due much later. */
+    private void loadIfOverdue() {
+        if (!loaded && readRound > 0) {
+            load();
+        }
+    }
+
     private void load() {
-        readCount++;
-        store.list(key, "", freshness, this::onLoaded);
+        readRound++;
+        int current = readRound;
+        store.list(key, "", freshness, result -> onLoaded(current, result));
     }
 
-    private void onLoaded(Either<StoreFailure, StoreBatch> result) {
+    private void onLoaded(int current, Either<StoreFailure, StoreBatch> result) {
         if (result.isRight()) {
+            // the first answer after a failure may start another read
             health.answered();
+        }
+        if (current != readRound) {
+            return;
+        }
+        if (result.isRight()) {
             loaded =
                     result.get().items().stream()
                             .filter(item -> item.key().equals(key))
@@ -158,7 +178,14 @@
             health.failed(result.getLeft());
         }
         if (!loaded && readCount < MAX_READS) {
-            loop.schedule(READ_RETRY_MILLIS, this::load);
+            loop.schedule(READ_RETRY_MILLIS, () -> loadAgain(current));
+        }
+    }
+
+    private void loadAgain(int current) {
+        if (current == readRound) {
+            readCount++;
+            load();
         }
     }
 
