StoreReads: one way to repeat reads until one succeeds

The list of processes and the records of the store had each got their own number of the current read, guard of its answers and delays, and read at once when the store answers again. Both now call StoreReads.

Behaviour: as before, but an answer of a read that another one has replaced is no longer noted as a sign that the store answers; StoreWatcher does the same. Reads without success are counted when they end, not when they begin.

--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Membership.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Membership.java
@@ -99,11 +99,9 @@
 
     private final byte[] value;
     private final SplittableRandom random;
+    private final StoreReads reads;
     private int listCount;
 
-    /** Incremented when the list is read anew; pages and delays of earlier rounds are ignored. */
-    private int listRound;
-
     /**
      * Incremented when the store's history is replaced; calls and delays of earlier rounds are
      * ignored.
@@ -143,7 +141,7 @@
         this.firstStart = firstStart;
         this.random = random;
         this.value = MemberFormat.write(self);
-        health.onRegained(this::listIfOverdue);
+        this.reads = new StoreReads(loop, health, () -> listCount > 0, this::list);
         health.history().onReplaced(this::historyReplaced);
     }
 
@@ -151,9 +149,9 @@
     public void start() {
         grant(historyRound);
         if (firstStart) {
-            listLater(FIRST_LIST_DELAY_MILLIS);
+            reads.beginAfter(FIRST_LIST_DELAY_MILLIS);
         } else {
-            list();
+            reads.begin();
         }
     }
 
@@ -165,58 +163,30 @@
         }
     }
 
-    /**
-     * Reads the list at once if that has been tried, but never succeeded: a call to a store that
-     * does not answer takes long to fail.
-     */
-    private void listIfOverdue() {
-        if (listRound > 0 && listCount == 0) {
-            list();
-        }
-    }
-
-    private void listLater(long millis) {
-        int current = listRound;
-        loop.schedule(
-                millis,
-                () -> {
-                    if (current == listRound) {
-                        list();
-                    }
-                });
-    }
-
-    private void list() {
+    private void list(int read) {
         if (!stopped) {
-            listRound++;
             listed.clear();
-            listAfter(listRound, "");
+            listAfter(read, "");
         }
     }
 
-    private void listAfter(int current, String afterKey) {
+    private void listAfter(int read, String afterKey) {
         Freshness freshness = listCount < SETTLING_LIST_COUNT ? Freshness.LATEST : Freshness.RECENT;
-        store.list(PREFIX, afterKey, freshness, result -> pageReceived(current, result));
+        store.list(PREFIX, afterKey, freshness, result -> pageReceived(read, result));
     }
 
-    private void pageReceived(int current, Either<StoreFailure, StoreBatch> result) {
-        if (current != listRound) {
+    private void pageReceived(int read, Either<StoreFailure, StoreBatch> result) {
+        if (!reads.ended(read, result)) {
             return;
         }
         if (result.isLeft()) {
-            health.failed(result.getLeft());
-            listLater(SETTLING_LIST_INTERVAL_MILLIS);
-            return;
-        }
-        // the first answer after a failure may start a new round
-        health.answered();
-        if (current != listRound) {
+            reads.beginAfter(SETTLING_LIST_INTERVAL_MILLIS);
             return;
         }
         List<StoreItem> items = result.get().items();
         items.forEach(this::add);
         if (result.get().more() && !items.isEmpty()) {
-            listAfter(current, items.get(items.size() - 1).key());
+            listAfter(read, items.get(items.size() - 1).key());
             return;
         }
         listCount++;
@@ -226,7 +196,7 @@
         }
         mesh.members(
                 loop.nowMillis() < rewriteGraceUntilMillis ? withMissing() : List.copyOf(listed));
-        listLater(listMillis());
+        reads.beginAfter(listMillis());
     }
 
     /** Returns the listed processes, and those listed before that may write their entries again. */
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/StoreRecord.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/StoreRecord.java
@@ -41,7 +41,7 @@
     /** Delay between a failed read and the next one, in milliseconds. */
     private static final long READ_RETRY_MILLIS = 2_000;
 
-    /** Max. number of reads: the store may be unreachable for long. */
+    /** Max. number of reads without success: the store may be unreachable for long. */
     private static final int MAX_READS = 10;
 
     private final EventLoop loop;
@@ -51,13 +51,10 @@
     private final String key;
     private final Freshness freshness;
     private final Content<T> content;
+    private final StoreReads reads;
     private Optional<T> written;
     private long revision;
-    private int readCount;
-
-    /** Incremented with each read; answers and delays of earlier ones are ignored. */
-    private int readRound;
-
+    private int failedReads;
     private boolean loaded;
     private boolean busy;
     private boolean replaced;
@@ -112,7 +109,7 @@
         this.freshness = freshness;
         this.content = content;
         this.written = content.absent();
-        health.onRegained(this::loadIfOverdue);
+        this.reads = new StoreReads(loop, health, this::isLoaded, this::load);
         health.history().onReplaced(this::historyReplaced);
     }
 
@@ -125,8 +122,7 @@
         if (firstStart) {
             loaded = passOn(Optional.empty());
         } else {
-            readCount++;
-            load();
+            reads.begin();
         }
         loop.repeat(WRITE_CHECK_INTERVAL_MILLIS, this::writeChanges);
     }
@@ -146,25 +142,12 @@
         replaced = true;
     }
 
-    /** Reads the record at once if no read has succeeded yet: the next one is due much later. */
-    private void loadIfOverdue() {
-        if (!loaded && readRound > 0) {
-            load();
-        }
-    }
-
-    private void load() {
-        readRound++;
-        int current = readRound;
-        store.list(key, "", freshness, result -> onLoaded(current, result));
+    private void load(int read) {
+        store.list(key, "", freshness, result -> onLoaded(read, result));
     }
 
-    private void onLoaded(int current, Either<StoreFailure, StoreBatch> result) {
-        if (result.isRight()) {
-            // the first answer after a failure may start another read
-            health.answered();
-        }
-        if (current != readRound) {
+    private void onLoaded(int read, Either<StoreFailure, StoreBatch> result) {
+        if (!reads.ended(read, result)) {
             return;
         }
         if (result.isRight()) {
@@ -174,18 +157,12 @@
                             .findFirst()
                             .map(this::apply)
                             .orElseGet(() -> passOn(Optional.empty()));
-        } else {
-            health.failed(result.getLeft());
         }
-        if (!loaded && readCount < MAX_READS) {
-            loop.schedule(READ_RETRY_MILLIS, () -> loadAgain(current));
+        if (!loaded) {
+            failedReads++;
         }
-    }
-
-    private void loadAgain(int current) {
-        if (current == readRound) {
-            readCount++;
-            load();
+        if (!loaded && failedReads < MAX_READS) {
+            reads.beginAfter(READ_RETRY_MILLIS);
         }
     }
 
