LimitShares: what accrued since the start is marked added outside the loop

The mark was set once for each organisation, to say that there was any. The same, said once. LimitStartTest, LimitExchangeTest and LimitHistoriesTest pass.

--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/LimitShares.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/LimitShares.java
@@ -149,7 +149,7 @@
         double seconds = Math.min(SETTLE_MILLIS, now - startedMillis) / MILLIS_PER_SECOND;
         for (String organisation : quotas.organisations()) {
             quotas.add(organisation, quotas.evenPart(organisation, sharing) * seconds, now);
-            accruedPending = false;
         }
+        accruedPending = quotas.organisations().isEmpty();
     }
 }
