PathCluster: callers and their tallies leave it; warm means fast calls in a row

PathCaller and Tally are files of their own; the seeds, order and pauses of the callers are as before.

The wait before the strike asked whether the last slow call was a second ago, which a gateway whose calls all hang for a second also fulfils. It now asks for 50 fast plain calls in a row at each gateway, once. Bounds, faults and counted time are unchanged.

--- a/trailladder-cli/src/test/java/io/trailladder/cli/soak/LostPathFaultTest.java
+++ b/trailladder-cli/src/test/java/io/trailladder/cli/soak/LostPathFaultTest.java
@@ -19,7 +19,6 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.trailladder.cli.soak.FaultProxy.Mode;
-import io.trailladder.cli.soak.PathCluster.Tally;
 import java.io.IOException;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicBoolean;
--- a/trailladder-cli/src/test/java/io/trailladder/cli/soak/PathCluster.java
+++ b/trailladder-cli/src/test/java/io/trailladder/cli/soak/PathCluster.java
@@ -28,10 +28,9 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import java.util.Queue;
 import java.util.SplittableRandom;
-import java.util.concurrent.ConcurrentLinkedQueue;
-import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.BooleanSupplier;
 
 /**
  * Gateways as processes, with a proxy on the path from each gateway to each upstream: a gateway
@@ -40,10 +39,9 @@
 final class PathCluster implements AutoCloseable {
     private static final int UPSTREAMS = 5;
     private static final int SERVICES = 2;
-    private static final List<String> KINDS = List.of("stream", "unsafe", "safe");
+    private static final List<PathCaller.Kind> KINDS = List.of(PathCaller.Kind.values());
     private static final long READY_MILLIS = 25_000;
-    private static final long WARM_MILLIS = 100;
-    private static final long WARM_PERIOD_MILLIS = 1_000;
+    private static final int WARM_CALLS = 50;
     private static final String CONFIG =
             """
             {"version": 1,
@@ -93,7 +91,7 @@
         folder = Files.createTempDirectory(Path.of("target"), "paths-");
         loop.start();
         platform = onLoop(loop, () -> new PlatformStandIn(loop));
-        put("op/config", CONFIG);
+        platform.putAndWait("op/config", CONFIG);
         StatementCheck statements = new StatementCheck(record.violations);
         LimitCheck limits = new LimitCheck(record.violations, statements);
         for (int i = 0; i < UPSTREAMS; i++) {
@@ -115,7 +113,7 @@
                                             new StreamCheck())));
             SoakUpstream upstream = upstreams.get(i);
             upstream.faultless();
-            put("servers/" + id, entry(upstream, i));
+            platform.putAndWait("servers/" + id, entry(upstream, i));
         }
         for (int i = 0; i < dataCentres.length; i++) {
             addGateway("g" + i, dataCentres[i]);
@@ -130,15 +128,6 @@
                 index % SERVICES, upstream.proxy().address());
     }
 
-    private void put(String key, String value) throws Exception {
-        onLoop(
-                loop,
-                () -> {
-                    platform.put(key, value);
-                    return true;
-                });
-    }
-
     private void addGateway(String name, String dataCentre) throws Exception {
         GatewayPaths own = new GatewayPaths();
         paths.add(own);
@@ -225,47 +214,6 @@
         return broken;
     }
 
-    /** The first tries of the callers of one gateway that began in a span of time. */
-    static final class Tally {
-        private final AtomicInteger asked = new AtomicInteger();
-        private final AtomicInteger served = new AtomicInteger();
-        private final Queue<String> failures = new ConcurrentLinkedQueue<>();
-        private volatile long slowNanos = System.nanoTime();
-
-        void served() {
-            asked.incrementAndGet();
-            served.incrementAndGet();
-        }
-
-        /** Counts a try that failed; says what it was, for the report of a failed test. */
-        void failed(String what) {
-            asked.incrementAndGet();
-            failures.add(what);
-        }
-
-        /** Notes a plain call that failed, or took longer than one of a warmed-up gateway. */
-        void slow() {
-            slowNanos = System.nanoTime();
-        }
-
-        boolean hasBeenFastFor(long millis) {
-            return System.nanoTime() - slowNanos >= millis * 1_000_000;
-        }
-
-        int asked() {
-            return asked.get();
-        }
-
-        double share() {
-            return asked.get() == 0 ? 0 : (double) served.get() / asked.get();
-        }
-
-        @Override
-        public String toString() {
-            return served + " of " + asked + (failures.isEmpty() ? "" : " " + failures);
-        }
-    }
-
     /**
      * Has callers use all gateways while a task runs, and counts the tries that begin after it said
      * so, and those of the others.
@@ -276,30 +224,27 @@
      * @param counting tells whether tries that begin now count
      * @return one tally for each gateway
      */
-    List<Tally> callWhile(int threads, long pauseMillis, Faults faults, Counting counting)
+    List<Tally> callWhile(int threads, long pauseMillis, Faults faults, BooleanSupplier counting)
             throws Exception {
         tallies.clear();
         List<Thread> callers = new ArrayList<>();
-        boolean[] going = {true};
+        AtomicBoolean going = new AtomicBoolean(true);
         for (int i = 0; i < gateways.size(); i++) {
             Tally tally = new Tally();
             tallies.add(tally);
-            for (int kind = 0; kind < 3 * threads; kind++) {
-                HostPort target = gateways.get(i).callers();
-                int asks = kind % 3;
+            HostPort target = gateways.get(i).callers();
+            for (int kind = 0; kind < KINDS.size() * threads; kind++) {
                 SplittableRandom random = new SplittableRandom(31L * i + kind);
-                SoakCaller caller = new SoakCaller(List.of(target), random, () -> false, record);
-                Thread thread =
-                        new Thread(
-                                () ->
-                                        callUntilOver(
-                                                caller,
-                                                target,
-                                                asks,
-                                                pauseMillis,
-                                                tally,
-                                                going,
-                                                counting));
+                PathCaller caller =
+                        new PathCaller(
+                                new SoakCaller(List.of(target), random, () -> false, record),
+                                target,
+                                KINDS.get(kind % KINDS.size()),
+                                pauseMillis,
+                                tally,
+                                going,
+                                counting);
+                Thread thread = new Thread(caller);
                 thread.start();
                 callers.add(thread);
             }
@@ -307,7 +252,7 @@
         try {
             faults.run();
         } finally {
-            going[0] = false;
+            going.set(false);
             for (Thread caller : callers) {
                 caller.join();
             }
@@ -316,13 +261,13 @@
     }
 
     /**
-     * Waits until plain calls at all gateways have been fast for a second, so that what is checked
-     * does not depend on how long the machine takes to compile the code of six new processes.
+     * Waits until each gateway has had a number of fast plain calls in a row, so that what is
+     * checked does not depend on how long the machine takes to compile the code of new processes.
      */
     void awaitWarm() throws InterruptedException {
         long end = System.nanoTime() + READY_MILLIS * 1_000_000;
         while (System.nanoTime() < end
-                && !tallies.stream().allMatch(tally -> tally.hasBeenFastFor(WARM_PERIOD_MILLIS))) {
+                && !tallies.stream().allMatch(tally -> tally.mostFastCalls() >= WARM_CALLS)) {
             Thread.sleep(50);
         }
     }
@@ -340,51 +285,11 @@
         }
     }
 
-    private static void callUntilOver(
-            SoakCaller caller,
-            HostPort target,
-            int kind,
-            long pauseMillis,
-            Tally tally,
-            boolean[] going,
-            Counting counting) {
-        while (going[0]) {
-            boolean counts = counting.counts();
-            long startNanos = System.nanoTime();
-            boolean served =
-                    switch (kind) {
-                        case 0 -> caller.stream(target);
-                        case 1 -> caller.call(target, "/unsafe/", true);
-                        default -> caller.call(target, "/safe/", false);
-                    };
-            long tookMillis = (System.nanoTime() - startNanos) / 1_000_000;
-            if (kind > 0 && (!served || tookMillis > WARM_MILLIS)) {
-                tally.slow();
-            }
-            if (counts && served) {
-                tally.served();
-            } else if (counts) {
-                int status = caller.lastAnswer().status();
-                tally.failed(KINDS.get(kind) + " " + status + " after " + tookMillis + " ms");
-            }
-            try {
-                Thread.sleep(pauseMillis);
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-            }
-        }
-    }
-
     /** Strikes the cluster. */
     interface Faults {
         void run() throws Exception;
     }
 
-    /** Tells whether tries that begin now count. */
-    interface Counting {
-        boolean counts();
-    }
-
     @Override
     public void close() throws IOException {
         for (SoakGateway gateway : gateways) {
