--- a/trailladder-core/src/main/java/io/trailladder/core/rollout/VersionGate.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/rollout/VersionGate.java
@@ -37,7 +37,7 @@
      * written before their upstreams start, and reach every process that receives a hub's digests
      * within a second.
      */
-    static final long UNORDERED_VERSION_DELAY_MILLIS = 2_500;
+    public static final long UNORDERED_VERSION_DELAY_MILLIS = 2_500;
 
     private final Map<String, Rollout> rollouts = new HashMap<>();
     private final Map<String, Map<String, Long>> servesFromMillis = new HashMap<>();
@@ -127,6 +127,26 @@
         return servesFrom;
     }
 
+    /**
+     * Records when versions were first listed before this process started, so that it admits them
+     * at the same time as processes that have run for longer.
+     *
+     * @param service the service
+     * @param firstListedMillis when each version was first listed, in milliseconds
+     * @param startedMillis when this process started, in milliseconds: no process that ran before
+     *     listed the other versions
+     */
+    public void listedBefore(
+            String service, Map<String, Long> firstListedMillis, long startedMillis) {
+        Map<String, Long> servesFrom =
+                servesFromMillis.computeIfAbsent(service, name -> new HashMap<>());
+        servesFrom.replaceAll(
+                (version, from) -> Math.max(from, startedMillis + UNORDERED_VERSION_DELAY_MILLIS));
+        firstListedMillis.forEach(
+                (version, millis) ->
+                        servesFrom.put(version, millis + UNORDERED_VERSION_DELAY_MILLIS));
+    }
+
     private static boolean isOneVersion(List<Upstream> serving) {
         for (Upstream upstream : serving) {
             if (!upstream.version().equals(serving.get(0).version())) {
--- a/trailladder-core/src/main/java/io/trailladder/core/time/AgreedTime.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/time/AgreedTime.java
@@ -97,6 +97,15 @@
         return lastMillis;
     }
 
+    /**
+     * Returns whether enough processes were heard for the time not to be that of the own clock.
+     *
+     * @return false until {@value #MIN_VOTERS} processes, this one included, were heard
+     */
+    public boolean isAgreed() {
+        return agreed.voters() >= MIN_VOTERS;
+    }
+
     /**
      * Returns the vote of this process and some peers.
      *
--- /dev/null
+++ b/trailladder-core/src/main/java/io/trailladder/core/upstream/ListFreshness.java
@@ -0,0 +1,118 @@
+/*
+ * Copyright 2026 The trailladder authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package io.trailladder.core.upstream;
+
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * Until when the list of upstreams is known to this process to be the one that all processes use.
+ *
+ * <p>The list is current while the store, or a peer that forwards its changes, confirms it. While
+ * the store answers nobody, it is also current as long as every peer responds that did at its last
+ * confirmation: then no process can have a newer one.
+ */
+final class ListFreshness {
+    /** Maximum time between two confirmations of a list that is current, in milliseconds. */
+    static final long MAX_CONFIRMATION_GAP_MILLIS = 2_000;
+
+    /** How long a silent peer may still serve callers by its last list, in milliseconds. */
+    static final long MAX_SILENCE_MILLIS = 60_000;
+
+    /** How long a peer may take to tell which streams it began while it was silent. */
+    private static final long TELLING_MILLIS = 1_500;
+
+    private final Map<String, Silence> silences = new HashMap<>();
+    private long confirmedMillis;
+    private boolean everConfirmed;
+
+    /** A time in which a peer was silent; {@code untilMillis} is when it can be forgotten. */
+    private record Silence(long sinceMillis, long untilMillis, boolean over) {}
+
+    /**
+     * Creates an instance for a list that is about to be received.
+     *
+     * @param startedMillis when this process started, in milliseconds
+     */
+    ListFreshness(long startedMillis) {
+        confirmedMillis = startedMillis;
+    }
+
+    void confirmed(long atMillis) {
+        everConfirmed = true;
+        confirmedMillis = Math.max(confirmedMillis, atMillis);
+    }
+
+    /** Records that a peer that may still run has sent nothing since a time. */
+    void peerSilent(String peer, long sinceMillis) {
+        silences.merge(
+                peer,
+                new Silence(sinceMillis, sinceMillis + MAX_SILENCE_MILLIS, false),
+                (known, now) -> known.over() ? now : known);
+    }
+
+    void peerHeard(String peer, long nowMillis) {
+        silences.computeIfPresent(
+                peer,
+                (name, silence) ->
+                        silence.over()
+                                ? silence
+                                : new Silence(
+                                        silence.sinceMillis(), nowMillis + TELLING_MILLIS, true));
+    }
+
+    /** Forgets peers that have been silent for long, unless this process is isolated itself. */
+    void prune(long nowMillis) {
+        if (isConfirmed(nowMillis)) {
+            silences.values().removeIf(silence -> silence.untilMillis() < nowMillis);
+        }
+    }
+
+    private boolean isConfirmed(long nowMillis) {
+        return everConfirmed && nowMillis - confirmedMillis <= MAX_CONFIRMATION_GAP_MILLIS;
+    }
+
+    /** Returns since when each peer has been silent that still is. */
+    Map<String, Long> silences() {
+        Map<String, Long> since = new HashMap<>();
+        silences.forEach(
+                (peer, silence) -> {
+                    if (!silence.over()) {
+                        since.put(peer, silence.sinceMillis());
+                    }
+                });
+        return since;
+    }
+
+    /** Returns since when some peer has been silent; {@code Long.MAX_VALUE} if none is. */
+    long silentSinceMillis() {
+        return silences.values().stream()
+                .mapToLong(Silence::sinceMillis)
+                .min()
+                .orElse(Long.MAX_VALUE);
+    }
+
+    /** Returns until when the list is known to be current, at the latest now. */
+    long currentUntilMillis(long nowMillis) {
+        boolean current = isConfirmed(nowMillis) || (everConfirmed && silences.isEmpty());
+        return current ? nowMillis : Math.min(nowMillis - 1, confirmedMillis);
+    }
+
+    /** Returns how long ago the list was last confirmed, in milliseconds. */
+    long ageMillis(long nowMillis) {
+        return nowMillis - confirmedMillis;
+    }
+}
--- a/trailladder-core/src/main/java/io/trailladder/core/upstream/StreamOrigin.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/upstream/StreamOrigin.java
@@ -31,6 +31,9 @@
     /** A stream of which it is not known which of several versions began it. */
     public static final StreamOrigin UNKNOWN = new StreamOrigin(Source.UNKNOWN, "");
 
+    /** A stream that may have begun after the list of upstreams was last known to be current. */
+    public static final StreamOrigin OUTDATED = new StreamOrigin(Source.OUTDATED, "");
+
     /** How the version of a stream is known. */
     public enum Source {
         /** The stream is a new one, whose version follows from the id of its attempt. */
@@ -42,7 +45,18 @@
         /** The version follows from the id of the attempt. */
         COMPUTED,
         /** It is not known. */
-        UNKNOWN
+        UNKNOWN,
+        /** It is not known, because this process may lack the latest changes of the versions. */
+        OUTDATED
+    }
+
+    /**
+     * Returns whether it is known at which version the stream may run.
+     *
+     * @return false if it must not be resumed here
+     */
+    public boolean isKnown() {
+        return source != Source.UNKNOWN && source != Source.OUTDATED;
     }
 
     /**
--- a/trailladder-core/src/main/java/io/trailladder/core/upstream/StreamVersions.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/upstream/StreamVersions.java
@@ -26,20 +26,23 @@
  * two versions generate must not be joined.
  *
  * <p>While a service has several versions, the version of a stream follows from the id of its first
- * attempt, by rendezvous hashing with the number of slots of each version as its weight. So every
- * process can tell which version began a stream, also one that has just started. Versions come and
- * go, and processes notice that at different times. Where a stream's version is not the same for
- * all weights since it may have begun, the process that began it tells the others; one that was not
+ * attempt, by rendezvous hashing with the number of slots of each version as its weight. The slots
+ * are those of the time when the caller first called. Its deadline tells that time to every process
+ * that it calls, so each can tell which version began the stream, also one that has just started.
+ * Processes notice changes at different times. Where a stream's version is not the same for all
+ * slots that may have been in force, the process that began it tells the others; one that was not
  * told does not resume it.
  *
  * <p>A process that starts does not know which versions served before. It needs what a process that
  * ran then has {@linkplain #recent recorded}; until it knows, it does not resume streams that may
- * have begun before its start.
+ * have begun before its start. A process whose list of upstreams may be outdated does not resume
+ * streams that may have begun since, unless it knows itself where they did.
  *
  * <pre>{@code
- * StreamOrigin begin = streams.assigned("chat", attemptId, nowMillis);
- * streams.began("chat", attemptId, upstream.version(), nowMillis);
- * StreamOrigin origin = streams.origin("chat", route, attemptId, waitMillis, nowMillis);
+ * StreamCall call = new StreamCall("chat", route, attemptId, deadlineMillis);
+ * StreamOrigin begin = streams.assigned(call, nowMillis);
+ * streams.began(call, upstream.version(), nowMillis);
+ * StreamOrigin origin = streams.origin(call, nowMillis);
  * }</pre>
  *
  * @since 0.6
@@ -55,24 +58,37 @@
      */
     static final long SETTLE_MILLIS = 3_000;
 
-    /**
-     * How much later than its caller a process may count the start of a stream, in milliseconds.
-     */
-    private static final long AGE_TOLERANCE_MILLIS = 1_000;
+    /** How often the record must show that it is still valid, in milliseconds. */
+    private static final long RECORD_INTERVAL_MILLIS = 4_000;
 
-    /** How much later than another process this one may notice a change, in milliseconds. */
-    private static final long LAG_MILLIS = 500;
+    /** The same while a service has several versions, in milliseconds. */
+    private static final long MIXED_RECORD_INTERVAL_MILLIS = 1_000;
 
-    private static final long UNKNOWN_WAIT_MILLIS = 60_000;
+    /**
+     * How much later one process may notice a change, or count the first call of a caller, than
+     * another one, in milliseconds.
+     */
+    private static final long TOLERANCE_MILLIS = 700;
 
     private final UpstreamDirectory directory;
     private final VersionGate versions;
     private final long startedMillis;
-    private final Map<String, VersionWeights> weights = new HashMap<>();
-    private final Map<String, Long> longestWaits = new HashMap<>();
+    private final Map<String, VersionHistory> histories = new HashMap<>();
+    private final RouteWaits waits = new RouteWaits();
     private final BegunStreams begun = new BegunStreams();
+    private final ListFreshness freshness;
     private Earlier earlier = Earlier.UNKNOWN;
-    private Map<String, List<VersionRange>> earlierRanges = Map.of();
+    private Optional<VersionRecord> earlierRecord = Optional.empty();
+    private boolean earlierTimesKnown;
+
+    /** When the list was last not known to be current, in milliseconds. */
+    private long outdatedMillis;
+
+    /** When a peer was last linked, in milliseconds. One that starts admits all that is listed. */
+    private long peerLinkedMillis = Long.MIN_VALUE / 2;
+
+    /** From when on this process assigns versions as those do that have run for longer. */
+    private long settledMillis;
 
     /** What is known of the versions that served before this process started. */
     private enum Earlier {
@@ -92,17 +108,42 @@
         this.directory = directory;
         this.versions = versions;
         this.startedMillis = startedMillis;
+        this.outdatedMillis = startedMillis;
+        this.settledMillis = startedMillis + SETTLE_MILLIS;
+        this.freshness = new ListFreshness(startedMillis);
     }
 
     /**
-     * Records which versions served before this process started.
+     * Records which versions served before this process started. May be called again once the times
+     * of the steps are known better.
      *
-     * @param ranges the slots of each version by service, as {@link #recent} returned them
+     * @param record what {@link #recent} returned, with times on the clock of this process
+     * @param timesKnown false if that clock cannot yet be compared with the one of the record
+     * @param nowMillis the current time, in milliseconds
      */
-    public void recordedBefore(Map<String, List<VersionRange>> ranges) {
+    public void recordedBefore(VersionRecord record, boolean timesKnown, long nowMillis) {
         earlier = Earlier.RECORDED;
-        earlierRanges = Map.copyOf(ranges);
-        weights.forEach(this::applyRecorded);
+        earlierRecord = Optional.of(record);
+        earlierTimesKnown = timesKnown;
+        waits.recordedBefore(record.longestWaits());
+        record.silences().forEach(freshness::peerSilent);
+        begun.recordedBefore(record.streams(), nowMillis);
+        histories.forEach(this::applyRecorded);
+        if (timesKnown) {
+            settledMillis = Math.min(settledMillis, nowMillis);
+            record.steps().forEach(this::admitAsBefore);
+        }
+    }
+
+    /** Has versions that were first listed lately wait as long as at processes that ran then. */
+    private void admitAsBefore(String service, List<VersionStep> steps) {
+        Map<String, Long> firstListed = new HashMap<>();
+        for (VersionStep step : steps) {
+            boolean first = step.equals(steps.get(0));
+            long fromMillis = first ? step.fromMillis() - MAX_AGE_MILLIS : step.fromMillis();
+            step.listed().keySet().forEach(version -> firstListed.putIfAbsent(version, fromMillis));
+        }
+        versions.listedBefore(service, firstListed, startedMillis);
     }
 
     /**
@@ -122,42 +163,141 @@
         return earlier != Earlier.UNKNOWN;
     }
 
-    private void applyRecorded(String service, VersionWeights own) {
-        own.recordedBefore(earlierRanges.getOrDefault(service, List.of()));
+    private void applyRecorded(String service, VersionHistory own) {
+        earlierRecord.ifPresent(
+                record ->
+                        own.recordedBefore(
+                                record.steps().getOrDefault(service, List.of()),
+                                record.validMillis(),
+                                earlierTimesKnown));
     }
 
     /**
      * Returns which versions served lately, for processes that start later.
      *
      * @param nowMillis the current time, in milliseconds
-     * @return the slots of each version by service; empty if this process does not know them yet
+     * @return the record; empty if this process does not know them yet
      */
-    public Optional<Map<String, List<VersionRange>>> recent(long nowMillis) {
+    public Optional<VersionRecord> recent(long nowMillis) {
         long sinceMillis = nowMillis - MAX_AGE_MILLIS;
         boolean unknown = !isEarlierKnown() && sinceMillis < startedMillis;
-        if (unknown || weights.isEmpty()) {
+        if (unknown || histories.isEmpty()) {
             return Optional.empty();
         }
-        Map<String, List<VersionRange>> ranges = new HashMap<>();
-        weights.forEach((service, own) -> ranges.put(service, own.ranges(sinceMillis)));
-        return Optional.of(ranges);
+        Map<String, List<VersionStep>> steps = new HashMap<>();
+        histories.forEach((service, own) -> steps.put(service, own.recent(sinceMillis)));
+        boolean mixed = steps.values().stream().anyMatch(StreamVersions::haveSeveralVersions);
+        long intervalMillis = mixed ? MIXED_RECORD_INTERVAL_MILLIS : RECORD_INTERVAL_MILLIS;
+        long validMillis = nowMillis - nowMillis % intervalMillis;
+        return Optional.of(
+                new VersionRecord(
+                        validMillis,
+                        steps,
+                        waits.longest(),
+                        freshness.silences(),
+                        begun.told(nowMillis)));
+    }
+
+    private static boolean haveSeveralVersions(List<VersionStep> steps) {
+        return steps.stream().flatMap(step -> step.listed().keySet().stream()).distinct().count()
+                > 1;
+    }
+
+    /**
+     * Records that the list of upstreams was shown to be current.
+     *
+     * @param atMillis when, in milliseconds
+     */
+    public void listConfirmed(long atMillis) {
+        freshness.confirmed(atMillis);
+    }
+
+    /**
+     * Returns how long ago the list of upstreams was last shown to be current.
+     *
+     * @param nowMillis the current time, in milliseconds
+     * @return the age, in milliseconds
+     */
+    public long listAgeMillis(long nowMillis) {
+        return freshness.ageMillis(nowMillis);
+    }
+
+    /**
+     * Returns until when the list of upstreams is known to be the one that all processes use.
+     *
+     * @param nowMillis the current time, in milliseconds
+     * @return the time, in milliseconds; at the latest now
+     */
+    public long listCurrentUntilMillis(long nowMillis) {
+        return freshness.currentUntilMillis(nowMillis);
+    }
+
+    /**
+     * Describes the versions of a service, for a log line on a stream that is not resumed.
+     *
+     * @param service the service
+     * @param nowMillis the current time, in milliseconds
+     * @return the steps of its versions' slots with their ages, oldest first
+     */
+    public String describeVersions(String service, long nowMillis) {
+        VersionHistory history = histories.get(service);
+        return history == null ? "" : history.describe(nowMillis);
+    }
+
+    /**
+     * Records that a peer sends nothing any more, though it has not announced that it stops. It may
+     * still serve callers by the list of upstreams that it had.
+     *
+     * @param peer the peer's name
+     * @param sinceMillis when it last sent something, in milliseconds
+     */
+    public void peerSilent(String peer, long sinceMillis) {
+        freshness.peerSilent(peer, sinceMillis);
+    }
+
+    /**
+     * Returns since when each peer has been silent that may still serve callers. Processes that
+     * start must be told of them.
+     *
+     * @return the times by peer, in milliseconds
+     */
+    public Map<String, Long> silences() {
+        return freshness.silences();
+    }
+
+    /**
+     * Records that a peer has been linked. It may have just started.
+     *
+     * @param nowMillis the current time, in milliseconds
+     */
+    public void peerLinked(long nowMillis) {
+        peerLinkedMillis = nowMillis;
+    }
+
+    /**
+     * Records that a peer has sent something.
+     *
+     * @param peer the peer's name
+     * @param nowMillis the current time, in milliseconds
+     */
+    public void peerHeard(String peer, long nowMillis) {
+        freshness.peerHeard(peer, nowMillis);
     }
 
     /**
      * Returns the version at which a new stream begins. During a roll-out, which decides that by
      * itself, any version may be chosen; other processes know it only if they are told.
      *
-     * @param service the service
-     * @param attempt the id of the caller's attempt
+     * @param call the caller's request
      * @param nowMillis the current time, in milliseconds
      * @return the version, or {@link StreamOrigin#ANY}
      */
-    public StreamOrigin assigned(String service, String attempt, long nowMillis) {
-        if (isChosenByRollout(service, nowMillis)) {
+    public StreamOrigin assigned(StreamCall call, long nowMillis) {
+        if (isChosenByRollout(call.service(), nowMillis)) {
             return StreamOrigin.ANY;
         }
-        return record(service, nowMillis)
-                .assigned(attempt)
+        return record(call.service(), nowMillis)
+                .assigned(call.attempt(), waits.firstCallMillis(call, nowMillis))
                 .map(StreamOrigin::assigned)
                 .orElse(StreamOrigin.ANY);
     }
@@ -165,13 +305,19 @@
     /**
      * Records that this process forwarded the first event of a stream.
      *
-     * @param service the service
-     * @param attempt the id of the caller's attempt
+     * @param call the request of the caller that began it
      * @param version the version of the upstream that sent the event
      * @param nowMillis the current time, in milliseconds
      */
-    public void began(String service, String attempt, String version, long nowMillis) {
-        begun.add(service, attempt, version, nowMillis);
+    public void began(StreamCall call, String version, long nowMillis) {
+        begun.add(
+                new BegunStreams.Begun(
+                        call.service(),
+                        call.attempt(),
+                        version,
+                        waits.firstCallMillis(call, nowMillis),
+                        nowMillis,
+                        isListCurrent(nowMillis)));
     }
 
     /**
@@ -195,60 +341,80 @@
     }
 
     /**
-     * Records how long the caller of a new stream waits for it. Streams of its route are no older
-     * than the time by which their callers wait less.
+     * Records the request of the caller of a new stream. The longest time that callers of its route
+     * wait tells when a caller that retries first called.
+     *
+     * @param call the request
+     * @param nowMillis the current time, in milliseconds
+     */
+    public void requested(StreamCall call, long nowMillis) {
+        if (call.hasDeadline()) {
+            waits.requested(call.route(), call.deadlineMillis() - nowMillis, nowMillis);
+        }
+    }
+
+    /**
+     * Returns the longest waits that became known lately, of which the others must be told.
+     *
+     * @param nowMillis the current time, in milliseconds
+     * @return the longest wait by route, in milliseconds
+     */
+    public Map<String, Long> newWaits(long nowMillis) {
+        return waits.news(nowMillis);
+    }
+
+    /**
+     * Records how long callers of a route wait according to another process.
      *
      * @param route the route's name
-     * @param waitMillis how long the caller waits, in milliseconds; 0 if it does not say
+     * @param waitMillis the longest wait, in milliseconds
+     * @param nowMillis the current time, in milliseconds
      */
-    public void requested(String route, long waitMillis) {
-        longestWaits.merge(route, waitMillis > 0 ? waitMillis : UNKNOWN_WAIT_MILLIS, Math::max);
+    public void learnedWait(String route, long waitMillis, long nowMillis) {
+        waits.requested(route, waitMillis, nowMillis);
     }
 
     /**
      * Returns where a stream began that its caller resumes.
      *
-     * @param service the service
-     * @param route the route's name
-     * @param attempt the id of the caller's attempt that brought the first event; empty if the
-     *     caller does not name it
-     * @param waitMillis how long the caller still waits, in milliseconds; 0 if it does not say
+     * @param call the caller's request, with the id of the attempt that brought the first event
      * @param nowMillis the current time, in milliseconds
      * @return the version, if it is known
      */
-    public StreamOrigin origin(
-            String service, String route, String attempt, long waitMillis, long nowMillis) {
-        Optional<String> recorded = begun.version(attempt);
+    public StreamOrigin origin(StreamCall call, long nowMillis) {
+        Optional<String> recorded = begun.version(call.attempt());
         if (recorded.isPresent()) {
             return StreamOrigin.recorded(recorded.get());
         }
-        VersionWeights history = record(service, nowMillis);
-        long beganMillis = nowMillis - maxAgeMillis(route, waitMillis);
-        boolean older = beganMillis < startedMillis;
-        if (older && !isEarlierKnown()) {
-            return StreamOrigin.UNKNOWN;
-        }
-        List<VersionRange> ranges = history.ranges(beganMillis);
-        if (ranges.size() <= 1) {
-            return StreamOrigin.ANY;
-        }
+        VersionHistory history = record(call.service(), nowMillis);
+        RouteWaits.FirstCall first = waits.firstCall(call, nowMillis);
+        long earliestMillis = first.earliestMillis() - TOLERANCE_MILLIS;
+        long latestMillis = Math.min(nowMillis, first.latestMillis() + TOLERANCE_MILLIS);
+        boolean older = earliestMillis < startedMillis;
         boolean unsettled =
                 earlier == Earlier.NOT_RECORDED && nowMillis - startedMillis < SETTLE_MILLIS;
-        if (attempt.isEmpty() || (older && unsettled)) {
+        if (older && !isEarlierKnown()) {
             return StreamOrigin.UNKNOWN;
         }
-        return VersionWeights.assigned(attempt, ranges)
-                .map(StreamOrigin::computed)
-                .orElse(StreamOrigin.UNKNOWN);
+        if (latestMillis > freshness.currentUntilMillis(nowMillis)) {
+            return StreamOrigin.OUTDATED;
+        }
+        long sinceMillis = sinceSilence(earliestMillis, latestMillis);
+        StreamOrigin origin = history.origin(call.attempt(), sinceMillis, latestMillis);
+        boolean computed = origin.source() == StreamOrigin.Source.COMPUTED;
+        boolean untold = call.attempt().isEmpty() || (older && unsettled);
+        return computed && untold ? StreamOrigin.UNKNOWN : origin;
     }
 
-    private long maxAgeMillis(String route, long waitMillis) {
-        Long longest = longestWaits.get(route);
-        if (longest == null || waitMillis <= 0) {
-            return MAX_AGE_MILLIS;
-        }
-        long age = longest - waitMillis + AGE_TOLERANCE_MILLIS;
-        return Math.max(AGE_TOLERANCE_MILLIS, Math.min(MAX_AGE_MILLIS, age));
+    /**
+     * Returns from when on the slots count by which a stream may have begun: a silent peer goes on
+     * with those that it knew.
+     */
+    private long sinceSilence(long earliestMillis, long latestMillis) {
+        long silentMillis = freshness.silentSinceMillis();
+        return latestMillis > silentMillis
+                ? Math.min(earliestMillis, silentMillis - TOLERANCE_MILLIS)
+                : earliestMillis;
     }
 
     /**
@@ -257,21 +423,41 @@
      * @param nowMillis the current time, in milliseconds
      */
     public void tick(long nowMillis) {
+        freshness.prune(nowMillis);
         directory.services().forEach(service -> record(service, nowMillis));
         if (nowMillis - startedMillis <= MAX_AGE_MILLIS) {
-            weights.forEach(this::recordLeaving);
+            histories.forEach(this::recordLeaving);
+        }
+        begun.tell(this::mustBeTold, nowMillis);
+        if (isListCurrent(nowMillis)) {
+            begun.tellOutdated(nowMillis);
+        } else {
+            outdatedMillis = nowMillis;
+            settledMillis = nowMillis + SETTLE_MILLIS;
         }
-        begun.tell(this::isUncertain, nowMillis);
+    }
+
+    private boolean isListCurrent(long nowMillis) {
+        return freshness.currentUntilMillis(nowMillis) >= nowMillis;
     }
 
     /** Returns whether other processes may not compute the version at which a stream began. */
-    private boolean isUncertain(BegunStreams.Begun stream) {
-        VersionWeights history = weights.get(stream.service());
-        long sinceMillis = stream.beganMillis() - AGE_TOLERANCE_MILLIS - LAG_MILLIS;
-        List<VersionRange> ranges = history == null ? List.of() : history.ranges(sinceMillis);
-        return ranges.size() > 1
-                && !VersionWeights.assigned(stream.attempt(), ranges)
-                        .equals(Optional.of(stream.version()));
+    private boolean mustBeTold(BegunStreams.Begun stream) {
+        if (!stream.listCurrent()) {
+            return true;
+        }
+        VersionHistory history = histories.get(stream.service());
+        if (history == null) {
+            return false;
+        }
+        StreamOrigin origin =
+                history.origin(
+                        stream.attempt(),
+                        stream.firstCallMillis() - 2 * TOLERANCE_MILLIS,
+                        stream.firstCallMillis() + 2 * TOLERANCE_MILLIS);
+        boolean unsettled = stream.beganMillis() < settledMillis;
+        return !origin.equals(StreamOrigin.ANY)
+                && (unsettled || !origin.equals(StreamOrigin.computed(stream.version())));
     }
 
     /** Returns whether a roll-out chooses the version of each stream, so that none is assigned. */
@@ -281,8 +467,8 @@
                 .isPresent();
     }
 
-    private VersionWeights newWeights(String service) {
-        VersionWeights own = new VersionWeights();
+    private VersionHistory newHistory(String service) {
+        VersionHistory own = new VersionHistory();
         recordLeaving(service, own);
         if (earlier == Earlier.RECORDED) {
             applyRecorded(service, own);
@@ -290,24 +476,39 @@
         return own;
     }
 
-    private void recordLeaving(String service, VersionWeights own) {
+    private void recordLeaving(String service, VersionHistory own) {
         own.leavingBefore(directory.leaving(service));
     }
 
-    private VersionWeights record(String service, long nowMillis) {
+    /** Returns whether versions that were listed at a time may not yet be admitted everywhere. */
+    private static boolean isRecent(long listedMillis, long nowMillis) {
+        return nowMillis - listedMillis <= VersionGate.UNORDERED_VERSION_DELAY_MILLIS;
+    }
+
+    private VersionHistory record(String service, long nowMillis) {
         List<Upstream> listed = directory.serving(service);
-        VersionWeights own = weights.computeIfAbsent(service, this::newWeights);
+        VersionHistory own = histories.computeIfAbsent(service, this::newHistory);
         if (own.hasOnlyVersionOf(listed)) {
             return own;
         }
+        long oldestMillis = Math.min(nowMillis - MAX_AGE_MILLIS, freshness.silentSinceMillis());
+        own.prune(oldestMillis - 2 * TOLERANCE_MILLIS);
+        boolean peerStarted = isRecent(peerLinkedMillis, nowMillis);
+        boolean certain =
+                !peerStarted && !isRecent(outdatedMillis, nowMillis) && isListCurrent(nowMillis);
+        long currentMillis = freshness.currentUntilMillis(nowMillis);
+        if (peerStarted) {
+            long startedAgoMillis = VersionHistory.EFFECT_DELAY_MILLIS + TOLERANCE_MILLIS;
+            currentMillis = Math.min(currentMillis, peerLinkedMillis - startedAgoMillis);
+        }
         if (isChosenByRollout(service, nowMillis)) {
-            own.record(listed, List.of(), nowMillis);
+            own.record(listed, List.of(), nowMillis, currentMillis, certain);
             return own;
         }
         List<Upstream> admitted = versions.admitted(service, listed, false, nowMillis);
         // a version that an ended roll-out excludes gets no requests, though it is listed
         boolean rolloutEnded = versions.rollout(service).isPresent();
-        own.record(rolloutEnded ? admitted : listed, admitted, nowMillis);
+        own.record(rolloutEnded ? admitted : listed, admitted, nowMillis, currentMillis, certain);
         return own;
     }
 }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ClusterView.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ClusterView.java
@@ -586,6 +586,9 @@
         for (Peer peer : peers.removeUnresponsive()) {
             loads.peerLost(peer.name());
             parts.forget(peer.name());
+            if (!peer.isDraining()) {
+                parts.silent(peer.name(), peer.digestMillis());
+            }
             rollouts.ifPresent(exchange -> exchange.forget(peer.name()));
             DecisionLog.write(new DecisionLog.Lifecycle("peer " + peer.name(), "silent", ""));
         }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/DecisionLog.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/DecisionLog.java
@@ -98,6 +98,8 @@
      * @param cachedTokens prompt tokens that the upstream probably has in its cache
      * @param candidates number of upstreams compared
      * @param peersAgeMs age of the oldest peer digest that was used, in milliseconds
+     * @param listAgeMs time since the list of upstreams was last shown to be current, in
+     *     milliseconds
      * @param resumeAfter id of the last event that the caller has received; empty to start from the
      *     beginning
      * @param version version of the upstream; empty if unknown
@@ -114,6 +116,7 @@
             int cachedTokens,
             int candidates,
             long peersAgeMs,
+            long listAgeMs,
             String resumeAfter,
             String version,
             StreamOrigin.Source versionFrom)
@@ -132,6 +135,7 @@
             json.writeNumberField("cachedTokens", cachedTokens);
             json.writeNumberField("candidates", candidates);
             json.writeNumberField("peersAgeMs", peersAgeMs);
+            json.writeNumberField("listAgeMs", listAgeMs);
             json.writeStringField("resumeAfter", resumeAfter);
             json.writeStringField("version", version);
             json.writeStringField("versionFrom", versionFrom.name());
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/DigestPart.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/DigestPart.java
@@ -62,6 +62,23 @@
      */
     default void linked(String peer, long nowMillis) {}
 
+    /**
+     * Notifies this part that a digest of a peer has arrived, before its section is received.
+     *
+     * @param peer the peer's name
+     * @param nowMillis the current time, in milliseconds
+     */
+    default void heard(String peer, long nowMillis) {}
+
+    /**
+     * Notifies this part that a peer does not respond any more, though it has not announced that it
+     * stops.
+     *
+     * @param peer the peer's name
+     * @param sinceMillis when it last sent something, in milliseconds
+     */
+    default void silent(String peer, long sinceMillis) {}
+
     /**
      * Removes what a peer sent, because it does not respond or its figures now arrive on another
      * path.
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/DigestParts.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/DigestParts.java
@@ -66,6 +66,7 @@
      * ignored.
      */
     void received(String peer, NodeDigest digest, long nowMillis) {
+        parts.forEach(part -> part.heard(peer, nowMillis));
         if (digest.sections().size() > DigestSection.MAX_SECTIONS) {
             logDropped(peer, digest.sections().size() + " sections", nowMillis);
             return;
@@ -83,6 +84,10 @@
         parts.forEach(part -> part.linked(peer, nowMillis));
     }
 
+    void silent(String peer, long sinceMillis) {
+        parts.forEach(part -> part.silent(peer, sinceMillis));
+    }
+
     void forget(String peer) {
         parts.forEach(part -> part.forget(peer));
     }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
@@ -137,6 +137,7 @@
     private final MemoryManager memoryManager;
     private final RetryBudgets budgets;
     private final StreamVersions streams;
+    private final VersionRecords versionRecords;
     private final CrashWatch crashes = new CrashWatch(loop::nowMillis, metrics);
     private final StoreRecord<?> crashRecord;
     private final StoreRecord<?> versionRecord;
@@ -310,6 +311,9 @@
                         firstStart);
         streams = new StreamVersions(directory, versions, loop.nowMillis());
         view.add(new StreamPart(streams));
+        view.add(new StreamBasisPart(streams));
+        versionRecords =
+                new VersionRecords(streams, loop::nowMillis, clock, storeHealth.history()::epoch);
         versionRecord =
                 new StoreRecord<>(
                         loop,
@@ -318,7 +322,7 @@
                         duties::leads,
                         VersionRecords.KEY,
                         Freshness.LATEST,
-                        new VersionRecords(streams, loop::nowMillis, storeHealth.history()::epoch));
+                        versionRecords);
         ServingContext context =
                 new ServingContext(
                         loop,
@@ -388,6 +392,7 @@
                         DIRECTORY_WATCH_PAUSE_MILLIS,
                         directoryManager);
         view.onMissedChange(directoryWatcher::relist);
+        storeHealth.onAnswered(this::storeAnswered);
         leaderWatcher =
                 watcher(
                         countedStore(platform, Purpose.LEADERSHIP),
@@ -411,7 +416,7 @@
         mesh.start(settings.listen().peers());
         view.start(mesh, duties::leads);
         loop.repeat(ClusterView.DIGEST_INTERVAL_MILLIS, view::tick);
-        loop.repeat(ClusterView.DIGEST_INTERVAL_MILLIS, () -> streams.tick(loop.nowMillis()));
+        loop.repeat(ClusterView.DIGEST_INTERVAL_MILLIS, this::updateStreams);
         loop.repeat(PRUNE_INTERVAL_MILLIS, this::pruneRemovedUpstreams);
         loop.repeat(ROLE_CHECK_INTERVAL_MILLIS, this::updateStoreWatches);
         loop.repeat(STORE_USE_LOG_INTERVAL_MILLIS, this::logStoreUse);
@@ -675,6 +680,20 @@
         updateLeaderWatch();
     }
 
+    private void updateStreams() {
+        long now = loop.nowMillis();
+        streams.listConfirmed(now - directoryManager.ageMillis());
+        versionRecords.refresh();
+        streams.tick(now);
+    }
+
+    /** Records that the store answered: it would have reported a change of the upstreams. */
+    private void storeAnswered() {
+        if (directoryWatcher.isWatching()) {
+            directoryManager.confirmedCurrent();
+        }
+    }
+
     /**
      * Only hubs watch leadership, so that not all processes react at once when a leader is lost.
      */
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/GatewayMetrics.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/GatewayMetrics.java
@@ -149,11 +149,12 @@
         POLICY_FROM_PEER,
         /** A second attempt was not made because the budget was used up. */
         RETRY_BUDGET_EMPTY,
-        /**
-         * A stream was refused because the version that began it is not known, or no upstream of it
-         * takes requests.
-         */
-        STREAM_NOT_RESUMED,
+        /** A stream was not resumed because the version that began it is not known. */
+        STREAM_VERSION_UNKNOWN,
+        /** A stream was not resumed because the list of upstreams may be outdated. */
+        STREAM_LIST_OUTDATED,
+        /** A stream was not resumed because no upstream of its version takes requests. */
+        STREAM_VERSION_NOT_SERVED,
         /** An answer ended in a way that its framing does not show to be a failure, incomplete. */
         ANSWER_INCOMPLETE,
         /** A usage report or an order was not accepted. */
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Peer.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Peer.java
@@ -36,6 +36,7 @@
     private List<EngineEvidence> evidence = List.of();
     private long usageSent;
     private boolean storeReachable;
+    private boolean draining;
     private long policyVersion;
     private long directoryRevision;
     private long storeEpoch;
@@ -83,11 +84,17 @@
             evidence = digest.evidence();
         }
         storeReachable = digest.storeReachable();
+        draining = digest.draining();
         policyVersion = digest.policyVersion();
         revisionDecreased = storeEpoch == 0 && digest.directoryRevision() < directoryRevision;
         directoryRevision = digest.directoryRevision();
     }
 
+    /** Returns whether the peer has announced that it stops. */
+    boolean isDraining() {
+        return draining;
+    }
+
     /**
      * Returns whether the revision of a peer that names no epoch was lower in its last digest than
      * before: the store's history was replaced, and the peer has read the new one.
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestDriver.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestDriver.java
@@ -27,6 +27,7 @@
 import io.trailladder.core.upstream.CrossRegionChoice;
 import io.trailladder.core.upstream.Selection;
 import io.trailladder.core.upstream.StreamOrigin;
+import io.trailladder.core.upstream.StreamVersions;
 import io.trailladder.core.upstream.Upstream;
 import io.trailladder.entry.gateway.DecisionLog.AttemptFailed;
 import io.trailladder.entry.gateway.DecisionLog.Dispatch;
@@ -289,8 +290,8 @@
     private void nextAttempt() {
         long now = context.loop().nowMillis();
         StreamOrigin origin = version.origin(now);
-        if (origin.source() == StreamOrigin.Source.UNKNOWN) {
-            turnAway(TurnedAway.VERSION_UNKNOWN, 0);
+        if (!origin.isKnown()) {
+            turnAwayUnknownVersion(origin, now);
             return;
         }
         Optional<Selection> choice = selector.choose(history.tried(), origin.required(), now);
@@ -310,6 +311,19 @@
         }
     }
 
+    private void turnAwayUnknownVersion(StreamOrigin origin, long now) {
+        StreamVersions streams = context.streams();
+        DecisionLog.write(
+                new VersionUnknown(
+                        request.id(),
+                        version.call(),
+                        streams.listAgeMillis(now),
+                        request.deadlineMillis() - now,
+                        streams.describeVersions(request.service(), now)));
+        boolean outdated = origin.source() == StreamOrigin.Source.OUTDATED;
+        turnAway(outdated ? TurnedAway.LIST_OUTDATED : TurnedAway.VERSION_UNKNOWN, 0);
+    }
+
     private void turnAwayWithoutChoice(StreamOrigin origin, long now) {
         long unavailableMillis =
                 context.availability()
@@ -339,9 +353,7 @@
 
     /** Ends the request at once because no upstream can serve it in time. */
     private void turnAway(String reason, long placeMillis) {
-        if (reason.equals(TurnedAway.VERSION_UNKNOWN) || reason.equals(TurnedAway.NO_VERSION)) {
-            context.metrics().count(GatewayMetrics.Event.STREAM_NOT_RESUMED);
-        }
+        TurnedAway.notResumed(reason).ifPresent(context.metrics()::count);
         long remainingMillis = request.deadlineMillis() - context.loop().nowMillis();
         DecisionLog.write(new TurnedAway(request.id(), reason, placeMillis, remainingMillis));
         giveUp(RecoveryPolicy.endingOf(history));
@@ -361,6 +373,7 @@
                         selection.cachedTokens(),
                         selection.candidates(),
                         context.peersAgeMillis().getAsLong(),
+                        context.streams().listAgeMillis(now),
                         history.lastEventId(),
                         upstream.version(),
                         origin.source()));
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/StoreHealth.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/StoreHealth.java
@@ -30,6 +30,7 @@
     private final GatewayMetrics metrics;
     private final StoreHistory history;
     private final List<Runnable> onRegained = new ArrayList<>();
+    private final List<Runnable> onAnswered = new ArrayList<>();
     private boolean reachable = true;
 
     /**
@@ -60,6 +61,15 @@
         onRegained.add(task);
     }
 
+    /**
+     * Adds a task that runs with every answer of the store.
+     *
+     * @param task the task
+     */
+    public void onAnswered(Runnable task) {
+        onAnswered.add(task);
+    }
+
     /**
      * Records an answer; runs the tasks of {@link #onRegained} if the store did not answer before.
      */
@@ -69,6 +79,7 @@
             DecisionLog.write(new Lifecycle("store", "regained", ""));
             onRegained.forEach(Runnable::run);
         }
+        onAnswered.forEach(Runnable::run);
     }
 
     /**
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/StoreWatcher.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/StoreWatcher.java
@@ -59,6 +59,7 @@
     private int round;
     private boolean complete;
     private boolean running;
+    private boolean watching;
 
     /** Receives the keys and their changes. */
     public interface Listener {
@@ -135,6 +136,7 @@
     /** Stops following the keys. */
     public void stop() {
         running = false;
+        watching = false;
         round++;
         cancelWatch.run();
         cancelWatch = () -> {};
@@ -149,6 +151,15 @@
         return running;
     }
 
+    /**
+     * Returns whether the store has been asked to report changes and has not failed to.
+     *
+     * @return false while all keys are read
+     */
+    public boolean isWatching() {
+        return watching;
+    }
+
     /**
      * Returns whether all keys were read at least once.
      *
@@ -200,6 +211,7 @@
     }
 
     private void watch(int current) {
+        watching = true;
         cancelWatch =
                 store.watch(
                         prefix,
@@ -243,6 +255,7 @@
         if (current != round) {
             return;
         }
+        watching = false;
         long pause = failure == StoreFailure.HISTORY_LOST ? 0 : backoffMillis;
         backoffMillis = Math.min(MAX_BACKOFF_MILLIS, backoffMillis * 2);
         long jittered = pause / 2 + random.nextLong(pause / 2 + 1);
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/StreamVersion.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/StreamVersion.java
@@ -17,6 +17,7 @@
 
 import io.trailladder.core.pipeline.ServingRequest;
 import io.trailladder.core.policy.RouteKind;
+import io.trailladder.core.upstream.StreamCall;
 import io.trailladder.core.upstream.StreamOrigin;
 import io.trailladder.core.upstream.StreamOrigin.Source;
 import io.trailladder.core.upstream.StreamVersions;
@@ -30,22 +31,37 @@
  */
 final class StreamVersion {
     private final StreamVersions streams;
-    private final ServingRequest request;
     private final CallerRequest caller;
     private final boolean resumable;
+    private final StreamCall call;
     private Optional<StreamOrigin> fixed = Optional.empty();
 
     StreamVersion(StreamVersions streams, ServingRequest request, CallerRequest caller) {
         this.streams = streams;
-        this.request = request;
         this.caller = caller;
         this.resumable =
                 request.route().kind() == RouteKind.STREAMING && request.route().resumable();
+        this.call = streamCall(request, caller);
         if (resumable && !isResumed()) {
-            streams.requested(request.route().name(), caller.waitMillis());
+            streams.requested(call, request.acceptedMillis());
         }
     }
 
+    private static StreamCall streamCall(ServingRequest request, CallerRequest caller) {
+        boolean resumed = !caller.lastEventId().isEmpty();
+        long waitMillis = caller.waitMillis();
+        return new StreamCall(
+                request.service(),
+                request.route().name(),
+                resumed ? caller.resumes() : request.id(),
+                waitMillis > 0 ? request.acceptedMillis() + waitMillis : StreamCall.NO_DEADLINE);
+    }
+
+    /** Returns what the caller asks for. */
+    StreamCall call() {
+        return call;
+    }
+
     private boolean isResumed() {
         return !caller.lastEventId().isEmpty();
     }
@@ -58,17 +74,10 @@
         if (fixed.isPresent()) {
             return fixed.get();
         }
-        String service = request.service();
         if (!isResumed()) {
-            return streams.assigned(service, request.id(), nowMillis);
+            return streams.assigned(call, nowMillis);
         }
-        StreamOrigin origin =
-                streams.origin(
-                        service,
-                        request.route().name(),
-                        caller.resumes(),
-                        caller.waitMillis(),
-                        nowMillis);
+        StreamOrigin origin = streams.origin(call, nowMillis);
         if (origin.source() == Source.COMPUTED || origin.source() == Source.RECORDED) {
             fixed = Optional.of(origin);
         }
@@ -81,7 +90,6 @@
             return;
         }
         fixed = Optional.of(StreamOrigin.recorded(upstream.version()));
-        String attempt = isResumed() ? caller.resumes() : request.id();
-        streams.began(request.service(), attempt, upstream.version(), nowMillis);
+        streams.began(call, upstream.version(), nowMillis);
     }
 }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/TimePart.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/TimePart.java
@@ -114,6 +114,11 @@
         return millis;
     }
 
+    /** Returns whether the time is that of several processes. */
+    boolean isAgreed() {
+        return agreed.isAgreed();
+    }
+
     @Override
     public Instant instant() {
         return Instant.ofEpochMilli(millis());
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/TurnedAway.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/TurnedAway.java
@@ -18,6 +18,7 @@
 import com.fasterxml.jackson.core.JsonGenerator;
 import io.trailladder.entry.gateway.DecisionLog.Decision;
 import java.io.IOException;
+import java.util.Optional;
 
 /**
  * Log line: a request was ended without a further attempt, because none could answer in time.
@@ -46,9 +47,25 @@
     /** This process does not know which of several versions began the stream. */
     static final String VERSION_UNKNOWN = "version that began the stream is not known";
 
+    /**
+     * The stream may have begun after the list of upstreams was last shown to be current, so that
+     * its version may not be listed here.
+     */
+    static final String LIST_OUTDATED = "list of upstreams may be outdated";
+
     /** All upstreams are expected to be busy for longer than the caller waits. */
     static final String NO_PLACE_IN_TIME = "no place in time";
 
+    /** Returns the event to count if a stream is not resumed for a reason; empty for others. */
+    static Optional<GatewayMetrics.Event> notResumed(String reason) {
+        return switch (reason) {
+            case VERSION_UNKNOWN -> Optional.of(GatewayMetrics.Event.STREAM_VERSION_UNKNOWN);
+            case LIST_OUTDATED -> Optional.of(GatewayMetrics.Event.STREAM_LIST_OUTDATED);
+            case NO_VERSION -> Optional.of(GatewayMetrics.Event.STREAM_VERSION_NOT_SERVED);
+            default -> Optional.empty();
+        };
+    }
+
     @Override
     public void write(JsonGenerator json) throws IOException {
         json.writeStringField("id", id);
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/VersionRecords.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/VersionRecords.java
@@ -16,7 +16,8 @@
 package io.trailladder.entry.gateway;
 
 import io.trailladder.core.upstream.StreamVersions;
-import io.trailladder.core.upstream.VersionRange;
+import io.trailladder.core.upstream.VersionRecord;
+import io.trailladder.core.upstream.VersionStep;
 import java.io.ByteArrayInputStream;
 import java.io.ByteArrayOutputStream;
 import java.io.DataInputStream;
@@ -35,53 +36,94 @@
  * computes at which version streams began before.
  *
  * <p>The value names the epoch of the store in which it was written. In a later one it may lack the
- * latest changes, so it is read again until the leader has written it anew.
+ * latest changes, so it is read again until the leader has written it anew. Its times are times of
+ * day on which the processes agree.
  */
-final class VersionRecords implements StoreRecord.Content<Map<String, List<VersionRange>>> {
+final class VersionRecords implements StoreRecord.Content<VersionRecord> {
     /** Key of the record. */
     static final String KEY = "trailladder/record/versions";
 
-    private static final int FORMAT = 1;
-    private static final int MAX_SERVICES = 10_000;
+    private static final int FORMAT = 2;
+    private static final int MAX_ENTRIES = 10_000;
     private static final int MAX_VERSIONS = 100;
 
+    /**
+     * How long after its start a process waits for others before it trusts its own clock, in
+     * milliseconds.
+     */
+    private static final long OWN_CLOCK_MILLIS = 2_000;
+
     private final StreamVersions streams;
     private final LongSupplier nowMillis;
+    private final TimePart clock;
     private final LongSupplier epoch;
+    private final long startedMillis;
+
+    /** What was read, until its times are known on the clock of this process. */
+    private Optional<VersionRecord> untimed = Optional.empty();
 
     /**
      * Creates the content.
      *
      * @param streams receives what was recorded before
      * @param nowMillis the current time, in milliseconds
+     * @param clock the time of day on which the processes agree
      * @param epoch the current epoch of the store
      */
-    VersionRecords(StreamVersions streams, LongSupplier nowMillis, LongSupplier epoch) {
+    VersionRecords(
+            StreamVersions streams, LongSupplier nowMillis, TimePart clock, LongSupplier epoch) {
         this.streams = streams;
         this.nowMillis = nowMillis;
+        this.clock = clock;
         this.epoch = epoch;
+        this.startedMillis = nowMillis.getAsLong();
     }
 
     @Override
-    public Optional<Map<String, List<VersionRange>>> current() {
+    public Optional<VersionRecord> current() {
         return streams.recent(nowMillis.getAsLong());
     }
 
+    /**
+     * Passes the record on with its times as soon as the processes agree on the time of day. To be
+     * called several times a second.
+     */
+    void refresh() {
+        if (untimed.isPresent() && isTimeKnown()) {
+            VersionRecord record = untimed.get();
+            untimed = Optional.empty();
+            passOn(record, true);
+        }
+    }
+
+    private boolean isTimeKnown() {
+        return clock.isAgreed() || nowMillis.getAsLong() - startedMillis >= OWN_CLOCK_MILLIS;
+    }
+
+    private void passOn(VersionRecord record, boolean timesKnown) {
+        long now = nowMillis.getAsLong();
+        streams.recordedBefore(record.shifted(now - clock.millis()), timesKnown, now);
+    }
+
     @Override
-    public byte[] encode(Map<String, List<VersionRange>> services) {
+    public byte[] encode(VersionRecord record) {
+        VersionRecord byTimeOfDay = record.shifted(clock.millis() - nowMillis.getAsLong());
         ByteArrayOutputStream bytes = new ByteArrayOutputStream();
         try (DataOutputStream out = new DataOutputStream(bytes)) {
             out.writeByte(FORMAT);
             out.writeLong(epoch.getAsLong());
-            out.writeShort(services.size());
-            for (Map.Entry<String, List<VersionRange>> service : services.entrySet()) {
+            out.writeLong(byTimeOfDay.validMillis());
+            out.writeShort(byTimeOfDay.steps().size());
+            for (Map.Entry<String, List<VersionStep>> service : byTimeOfDay.steps().entrySet()) {
                 out.writeUTF(service.getKey());
-                out.writeByte(service.getValue().size());
-                for (VersionRange range : service.getValue()) {
-                    out.writeUTF(range.version());
-                    out.writeInt(range.leastSlots());
-                    out.writeInt(range.mostSlots());
-                }
+                writeSteps(service.getValue(), out);
+            }
+            writeTimes(byTimeOfDay.longestWaits(), out);
+            writeTimes(byTimeOfDay.silences(), out);
+            out.writeShort(byTimeOfDay.streams().size());
+            for (Map.Entry<Long, String> stream : byTimeOfDay.streams().entrySet()) {
+                out.writeLong(stream.getKey());
+                out.writeUTF(stream.getValue());
             }
         } catch (IOException e) {
             throw new UncheckedIOException(e);
@@ -89,6 +131,36 @@
         return bytes.toByteArray();
     }
 
+    private static void writeSteps(List<VersionStep> steps, DataOutputStream out)
+            throws IOException {
+        out.writeShort(steps.size());
+        for (VersionStep step : steps) {
+            out.writeLong(step.sinceMillis());
+            out.writeLong(step.fromMillis());
+            out.writeBoolean(step.certain());
+            writeSlots(step.listed(), out);
+            writeSlots(step.admitted(), out);
+        }
+    }
+
+    private static void writeSlots(Map<String, Integer> slots, DataOutputStream out)
+            throws IOException {
+        out.writeByte(slots.size());
+        for (Map.Entry<String, Integer> version : slots.entrySet()) {
+            out.writeUTF(version.getKey());
+            out.writeInt(version.getValue());
+        }
+    }
+
+    private static void writeTimes(Map<String, Long> times, DataOutputStream out)
+            throws IOException {
+        out.writeShort(times.size());
+        for (Map.Entry<String, Long> entry : times.entrySet()) {
+            out.writeUTF(entry.getKey());
+            out.writeLong(entry.getValue());
+        }
+    }
+
     @Override
     public boolean read(Optional<byte[]> value) throws IOException {
         if (streams.isEarlierKnown()) {
@@ -106,24 +178,65 @@
         if (in.readLong() != epoch.getAsLong()) {
             return false;
         }
-        streams.recordedBefore(readServices(in));
+        VersionRecord record = readRecord(in);
+        untimed = Optional.of(record);
+        passOn(record, false);
+        refresh();
         return true;
     }
 
-    private static Map<String, List<VersionRange>> readServices(DataInputStream in)
-            throws IOException {
-        int count = checkedCount(in.readUnsignedShort(), MAX_SERVICES, "services");
-        Map<String, List<VersionRange>> services = new HashMap<>();
+    private static VersionRecord readRecord(DataInputStream in) throws IOException {
+        long validMillis = in.readLong();
+        int services = readCount(in, MAX_ENTRIES, "services");
+        Map<String, List<VersionStep>> steps = new HashMap<>();
+        for (int i = 0; i < services; i++) {
+            steps.put(in.readUTF(), readSteps(in));
+        }
+        Map<String, Long> longestWaits = readTimes(in);
+        Map<String, Long> silences = readTimes(in);
+        int count = readCount(in, MAX_ENTRIES, "streams");
+        Map<Long, String> streams = new HashMap<>();
         for (int i = 0; i < count; i++) {
-            String service = in.readUTF();
-            int versions = checkedCount(in.readUnsignedByte(), MAX_VERSIONS, "versions");
-            List<VersionRange> ranges = new ArrayList<>(versions);
-            for (int j = 0; j < versions; j++) {
-                ranges.add(new VersionRange(in.readUTF(), in.readInt(), in.readInt()));
-            }
-            services.put(service, ranges);
+            streams.put(in.readLong(), in.readUTF());
+        }
+        return new VersionRecord(validMillis, steps, longestWaits, silences, streams);
+    }
+
+    private static List<VersionStep> readSteps(DataInputStream in) throws IOException {
+        int count = readCount(in, MAX_ENTRIES, "steps");
+        List<VersionStep> steps = new ArrayList<>(count);
+        for (int i = 0; i < count; i++) {
+            steps.add(
+                    new VersionStep(
+                            in.readLong(),
+                            in.readLong(),
+                            in.readBoolean(),
+                            readSlots(in),
+                            readSlots(in)));
         }
-        return services;
+        return steps;
+    }
+
+    private static Map<String, Integer> readSlots(DataInputStream in) throws IOException {
+        int count = checkedCount(in.readUnsignedByte(), MAX_VERSIONS, "versions");
+        Map<String, Integer> slots = new HashMap<>();
+        for (int i = 0; i < count; i++) {
+            slots.put(in.readUTF(), in.readInt());
+        }
+        return slots;
+    }
+
+    private static Map<String, Long> readTimes(DataInputStream in) throws IOException {
+        int count = readCount(in, MAX_ENTRIES, "times");
+        Map<String, Long> times = new HashMap<>();
+        for (int i = 0; i < count; i++) {
+            times.put(in.readUTF(), in.readLong());
+        }
+        return times;
+    }
+
+    private static int readCount(DataInputStream in, int max, String what) throws IOException {
+        return checkedCount(in.readUnsignedShort(), max, what);
     }
 
     private static int checkedCount(int count, int max, String what) throws IOException {
