--- a/trailladder-core/src/main/java/io/trailladder/core/time/AgreedTime.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/time/AgreedTime.java
@@ -86,15 +86,24 @@
      * @return milliseconds since the start of 1970; never less than before
      */
     public long millis(long steadyMillis, long ownOffsetMillis) {
+        lastMillis = Math.max(lastMillis, steadyMillis + offsetMillis(ownOffsetMillis));
+        return lastMillis;
+    }
+
+    /**
+     * Returns the time of day relative to the steady clock. Unlike {@link #millis}, it may step
+     * back.
+     *
+     * @param ownOffsetMillis the offset of the own clock from the steady clock, in milliseconds
+     * @return the offset, in milliseconds
+     */
+    public long offsetMillis(long ownOffsetMillis) {
         boolean stale = agreedOwnOffsetMillis == Long.MIN_VALUE;
         if (stale || Math.abs(ownOffsetMillis - agreedOwnOffsetMillis) > RECOMPUTE_CHANGE_MILLIS) {
             agreed = median(ownOffsetMillis, reported.values());
             agreedOwnOffsetMillis = ownOffsetMillis;
         }
-        boolean enoughVoters = agreed.voters() >= MIN_VOTERS;
-        long offset = enoughVoters ? agreed.offsetMillis() : ownOffsetMillis;
-        lastMillis = Math.max(lastMillis, steadyMillis + offset);
-        return lastMillis;
+        return isAgreed() ? agreed.offsetMillis() : ownOffsetMillis;
     }
 
     /**
--- a/trailladder-core/src/main/java/io/trailladder/core/upstream/ListFreshness.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/upstream/ListFreshness.java
@@ -32,12 +32,25 @@
     /** How long a silent peer may still serve callers by its last list, in milliseconds. */
     static final long MAX_SILENCE_MILLIS = 60_000;
 
+    /** Age from which a silence is not told any more, so that all processes forget it. */
+    static final long MAX_TOLD_SILENCE_MILLIS = 55_000;
+
+    /** Time between two ticks from which this process was frozen, in milliseconds. */
+    private static final long FROZEN_MILLIS = 1_000;
+
+    /** How long the statement of a process that forwards the list counts, in milliseconds. */
+    private static final long FEEDER_MILLIS = 1_000;
+
     /** How long a peer may take to tell which streams it began while it was silent. */
     private static final long TELLING_MILLIS = 1_500;
 
     private final Map<String, Silence> silences = new HashMap<>();
     private long confirmedMillis;
     private boolean everConfirmed;
+    private long tickedMillis;
+    private long frozenUntilMillis = Long.MIN_VALUE;
+    private long feederCurrentMillis = Long.MAX_VALUE;
+    private long feederToldMillis = Long.MIN_VALUE / 2;
 
     /** A time in which a peer was silent; {@code untilMillis} is when it can be forgotten. */
     private record Silence(long sinceMillis, long untilMillis, boolean over) {}
@@ -49,6 +62,13 @@
      */
     ListFreshness(long startedMillis) {
         confirmedMillis = startedMillis;
+        tickedMillis = startedMillis;
+    }
+
+    /** Records that the process that forwards the list may lack changes since a time. */
+    void feederOutdated(long currentUntilMillis, long nowMillis) {
+        feederCurrentMillis = currentUntilMillis;
+        feederToldMillis = nowMillis;
     }
 
     void confirmed(long atMillis) {
@@ -57,7 +77,10 @@
     }
 
     /** Records that a peer that may still run has sent nothing since a time. */
-    void peerSilent(String peer, long sinceMillis) {
+    void peerSilent(String peer, long sinceMillis, long nowMillis) {
+        if (nowMillis - sinceMillis > MAX_TOLD_SILENCE_MILLIS) {
+            return;
+        }
         silences.merge(
                 peer,
                 new Silence(sinceMillis, sinceMillis + MAX_SILENCE_MILLIS, false),
@@ -74,8 +97,17 @@
                                         silence.sinceMillis(), nowMillis + TELLING_MILLIS, true));
     }
 
+    /** To be called several times a second; a longer pause shows that the process was frozen. */
+    void tick(long nowMillis) {
+        if (nowMillis - tickedMillis > FROZEN_MILLIS) {
+            frozenUntilMillis = nowMillis;
+        }
+        tickedMillis = nowMillis;
+        prune(nowMillis);
+    }
+
     /** Forgets peers that have been silent for long, unless this process is isolated itself. */
-    void prune(long nowMillis) {
+    private void prune(long nowMillis) {
         if (isConfirmed(nowMillis)) {
             silences.values().removeIf(silence -> silence.untilMillis() < nowMillis);
         }
@@ -86,11 +118,12 @@
     }
 
     /** Returns since when each peer has been silent that still is. */
-    Map<String, Long> silences() {
+    Map<String, Long> silences(long nowMillis) {
         Map<String, Long> since = new HashMap<>();
         silences.forEach(
                 (peer, silence) -> {
-                    if (!silence.over()) {
+                    boolean recent = nowMillis - silence.sinceMillis() <= MAX_TOLD_SILENCE_MILLIS;
+                    if (!silence.over() && recent) {
                         since.put(peer, silence.sinceMillis());
                     }
                 });
@@ -107,8 +140,18 @@
 
     /** Returns until when the list is known to be current, at the latest now. */
     long currentUntilMillis(long nowMillis) {
-        boolean current = isConfirmed(nowMillis) || (everConfirmed && silences.isEmpty());
-        return current ? nowMillis : Math.min(nowMillis - 1, confirmedMillis);
+        boolean frozen =
+                confirmedMillis < frozenUntilMillis || nowMillis - tickedMillis > FROZEN_MILLIS;
+        boolean heard = isConfirmed(nowMillis) || (everConfirmed && silences.isEmpty());
+        if (frozen || !heard) {
+            return Math.min(nowMillis - 1, Math.min(tickedMillis, confirmedMillis));
+        }
+        boolean fedOutdated = nowMillis - feederToldMillis <= FEEDER_MILLIS;
+        return fedOutdated ? Math.min(nowMillis - 1, feederCurrentMillis) : nowMillis;
+    }
+
+    long confirmedMillis() {
+        return confirmedMillis;
     }
 
     /** Returns how long ago the list was last confirmed, in milliseconds. */
--- a/trailladder-core/src/main/java/io/trailladder/core/upstream/RouteWaits.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/upstream/RouteWaits.java
@@ -26,7 +26,11 @@
     /** How long a longest wait is told to other processes, in milliseconds: several digests. */
     private static final long NEWS_MILLIS = 800;
 
+    /** The longest wait of a route where some callers wait so long that none can be dated. */
+    private static final long UNDATABLE_MILLIS = StreamVersions.MAX_AGE_MILLIS + 1;
+
     private final Map<String, Wait> waits = new HashMap<>();
+    private long toldAllMillis = Long.MIN_VALUE / 2;
 
     /**
      * The longest wait of a route.
@@ -41,7 +45,8 @@
     record FirstCall(long earliestMillis, long latestMillis) {}
 
     /** Records how long the caller of a new stream waits, in milliseconds. */
-    void requested(String route, long waitMillis, long nowMillis) {
+    void requested(String route, long callerWaitMillis, long nowMillis) {
+        long waitMillis = Math.min(UNDATABLE_MILLIS, callerWaitMillis);
         Wait known = waits.get(route);
         if (known == null) {
             waits.put(route, new Wait(waitMillis, waitMillis, nowMillis));
@@ -66,12 +71,17 @@
                                         own.longestMillis() > other.longestMillis() ? own : other));
     }
 
+    /** Tells all longest waits once more, since a process may have started. */
+    void tellAll(long nowMillis) {
+        toldAllMillis = nowMillis;
+    }
+
     /** Returns the longest waits that became known lately. */
     Map<String, Long> news(long nowMillis) {
         Map<String, Long> news = new HashMap<>();
         waits.forEach(
                 (route, wait) -> {
-                    if (nowMillis - wait.sinceMillis() <= NEWS_MILLIS) {
+                    if (nowMillis - Math.max(wait.sinceMillis(), toldAllMillis) <= NEWS_MILLIS) {
                         news.put(route, wait.longestMillis());
                     }
                 });
@@ -90,7 +100,7 @@
      */
     long firstCallMillis(StreamCall call, long nowMillis) {
         Wait wait = waits.get(call.route());
-        if (wait == null || !call.hasDeadline()) {
+        if (!isDatable(wait, call)) {
             return nowMillis;
         }
         long firstMillis = call.deadlineMillis() - wait.longestMillis();
@@ -98,11 +108,15 @@
                 nowMillis - StreamVersions.MAX_AGE_MILLIS, Math.min(nowMillis, firstMillis));
     }
 
+    private static boolean isDatable(Wait wait, StreamCall call) {
+        return wait != null && wait.longestMillis() < UNDATABLE_MILLIS && call.hasDeadline();
+    }
+
     /** Returns when the caller of a stream that it resumes may have called first. */
     FirstCall firstCall(StreamCall call, long nowMillis) {
         long oldestMillis = nowMillis - StreamVersions.MAX_AGE_MILLIS;
         Wait wait = waits.get(call.route());
-        if (wait == null || !call.hasDeadline()) {
+        if (!isDatable(wait, call)) {
             return new FirstCall(oldestMillis, nowMillis);
         }
         long earliest = call.deadlineMillis() - wait.longestMillis();
--- a/trailladder-core/src/main/java/io/trailladder/core/upstream/StreamVersions.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/upstream/StreamVersions.java
@@ -72,7 +72,10 @@
 
     private final UpstreamDirectory directory;
     private final VersionGate versions;
-    private final long startedMillis;
+
+    /** From when on this process knows the versions itself, in milliseconds. */
+    private long startedMillis;
+
     private final Map<String, VersionHistory> histories = new HashMap<>();
     private final RouteWaits waits = new RouteWaits();
     private final BegunStreams begun = new BegunStreams();
@@ -84,6 +87,9 @@
     /** When the list was last not known to be current, in milliseconds. */
     private long outdatedMillis;
 
+    /** Since when the list was not confirmed then, in milliseconds. */
+    private long unconfirmedSinceMillis;
+
     /** When a peer was last linked, in milliseconds. One that starts admits all that is listed. */
     private long peerLinkedMillis = Long.MIN_VALUE / 2;
 
@@ -109,6 +115,7 @@
         this.versions = versions;
         this.startedMillis = startedMillis;
         this.outdatedMillis = startedMillis;
+        this.unconfirmedSinceMillis = startedMillis;
         this.settledMillis = startedMillis + SETTLE_MILLIS;
         this.freshness = new ListFreshness(startedMillis);
     }
@@ -126,7 +133,10 @@
         earlierRecord = Optional.of(record);
         earlierTimesKnown = timesKnown;
         waits.recordedBefore(record.longestWaits());
-        record.silences().forEach(freshness::peerSilent);
+        if (timesKnown) {
+            record.silences()
+                    .forEach((peer, since) -> freshness.peerSilent(peer, since, nowMillis));
+        }
         begun.recordedBefore(record.streams(), nowMillis);
         histories.forEach(this::applyRecorded);
         if (timesKnown) {
@@ -194,7 +204,7 @@
                         validMillis,
                         steps,
                         waits.longest(),
-                        freshness.silences(),
+                        freshness.silences(nowMillis),
                         begun.told(nowMillis)));
     }
 
@@ -209,6 +219,12 @@
      * @param atMillis when, in milliseconds
      */
     public void listConfirmed(long atMillis) {
+        long beforeMillis = freshness.confirmedMillis();
+        if (atMillis - beforeMillis > ListFreshness.MAX_CONFIRMATION_GAP_MILLIS) {
+            unconfirmedSinceMillis = beforeMillis;
+            outdatedMillis = atMillis;
+            settledMillis = Math.max(settledMillis, atMillis + SETTLE_MILLIS);
+        }
         freshness.confirmed(atMillis);
     }
 
@@ -233,15 +249,24 @@
     }
 
     /**
-     * Describes the versions of a service, for a log line on a stream that is not resumed.
+     * Describes by what a stream is not resumed, for a log line.
      *
-     * @param service the service
+     * @param call the caller's request
      * @param nowMillis the current time, in milliseconds
-     * @return the steps of its versions' slots with their ages, oldest first
+     * @return when its caller may have called first, and the steps of the versions' slots that may
+     *     have been in force then, with their ages
      */
-    public String describeVersions(String service, long nowMillis) {
-        VersionHistory history = histories.get(service);
-        return history == null ? "" : history.describe(nowMillis);
+    public String describe(StreamCall call, long nowMillis) {
+        VersionHistory history = record(call.service(), nowMillis);
+        RouteWaits.FirstCall first = waits.firstCall(call, nowMillis);
+        long earliestMillis = first.earliestMillis() - TOLERANCE_MILLIS;
+        long latestMillis = Math.min(nowMillis, first.latestMillis() + TOLERANCE_MILLIS);
+        long sinceMillis = sinceSilence(earliestMillis, latestMillis);
+        return "first called %d to %d ms ago; %s"
+                .formatted(
+                        nowMillis - sinceMillis,
+                        nowMillis - latestMillis,
+                        history.describe(sinceMillis, latestMillis, nowMillis));
     }
 
     /**
@@ -250,19 +275,31 @@
      *
      * @param peer the peer's name
      * @param sinceMillis when it last sent something, in milliseconds
+     * @param nowMillis the current time, in milliseconds
      */
-    public void peerSilent(String peer, long sinceMillis) {
-        freshness.peerSilent(peer, sinceMillis);
+    public void peerSilent(String peer, long sinceMillis, long nowMillis) {
+        freshness.peerSilent(peer, sinceMillis, nowMillis);
+    }
+
+    /**
+     * Records that the process that forwards the list of upstreams to this one may lack changes.
+     *
+     * @param currentUntilMillis until when its list is known to be current, in milliseconds
+     * @param nowMillis the current time, in milliseconds
+     */
+    public void feederOutdated(long currentUntilMillis, long nowMillis) {
+        freshness.feederOutdated(currentUntilMillis, nowMillis);
     }
 
     /**
      * Returns since when each peer has been silent that may still serve callers. Processes that
      * start must be told of them.
      *
+     * @param nowMillis the current time, in milliseconds
      * @return the times by peer, in milliseconds
      */
-    public Map<String, Long> silences() {
-        return freshness.silences();
+    public Map<String, Long> silences(long nowMillis) {
+        return freshness.silences(nowMillis);
     }
 
     /**
@@ -272,6 +309,7 @@
      */
     public void peerLinked(long nowMillis) {
         peerLinkedMillis = nowMillis;
+        waits.tellAll(nowMillis);
     }
 
     /**
@@ -310,6 +348,9 @@
      * @param nowMillis the current time, in milliseconds
      */
     public void began(StreamCall call, String version, long nowMillis) {
+        if (call.attempt().isEmpty()) {
+            return;
+        }
         begun.add(
                 new BegunStreams.Begun(
                         call.service(),
@@ -383,7 +424,7 @@
      */
     public StreamOrigin origin(StreamCall call, long nowMillis) {
         Optional<String> recorded = begun.version(call.attempt());
-        if (recorded.isPresent()) {
+        if (recorded.isPresent() && !call.attempt().isEmpty()) {
             return StreamOrigin.recorded(recorded.get());
         }
         VersionHistory history = record(call.service(), nowMillis);
@@ -423,7 +464,7 @@
      * @param nowMillis the current time, in milliseconds
      */
     public void tick(long nowMillis) {
-        freshness.prune(nowMillis);
+        freshness.tick(nowMillis);
         directory.services().forEach(service -> record(service, nowMillis));
         if (nowMillis - startedMillis <= MAX_AGE_MILLIS) {
             histories.forEach(this::recordLeaving);
@@ -486,6 +527,9 @@
     }
 
     private VersionHistory record(String service, long nowMillis) {
+        if (histories.isEmpty()) {
+            startedMillis = Math.max(startedMillis, nowMillis);
+        }
         List<Upstream> listed = directory.serving(service);
         VersionHistory own = histories.computeIfAbsent(service, this::newHistory);
         if (own.hasOnlyVersionOf(listed)) {
@@ -497,6 +541,9 @@
         boolean certain =
                 !peerStarted && !isRecent(outdatedMillis, nowMillis) && isListCurrent(nowMillis);
         long currentMillis = freshness.currentUntilMillis(nowMillis);
+        if (isRecent(outdatedMillis, nowMillis)) {
+            currentMillis = Math.min(currentMillis, unconfirmedSinceMillis);
+        }
         if (peerStarted) {
             long startedAgoMillis = VersionHistory.EFFECT_DELAY_MILLIS + TOLERANCE_MILLIS;
             currentMillis = Math.min(currentMillis, peerLinkedMillis - startedAgoMillis);
--- a/trailladder-core/src/test/java/io/trailladder/core/upstream/RouteWaitsTest.java
+++ b/trailladder-core/src/test/java/io/trailladder/core/upstream/RouteWaitsTest.java
@@ -70,4 +70,15 @@
         assertEquals(
                 new FirstCall(NOW - 3_000, NOW - 3_000), waits.firstCall(call(NOW + 5_000), NOW));
     }
+
+    /** Guards against streams dated by the wait of one caller that waits for very long. */
+    @Example
+    void streamsOfARouteWithVeryLongWaitsAreNotDated() {
+        waits.requested("r", 8_000, NOW);
+        waits.requested("r", Long.MAX_VALUE / 2, NOW);
+        long oldest = NOW - StreamVersions.MAX_AGE_MILLIS;
+        assertEquals(new FirstCall(oldest, NOW), waits.firstCall(call(NOW + 8_000), NOW));
+        assertEquals(NOW, waits.firstCallMillis(call(NOW + 1_000), NOW));
+        assertEquals(StreamVersions.MAX_AGE_MILLIS + 1, waits.longest().get("r"));
+    }
 }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ClusterView.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ClusterView.java
@@ -93,6 +93,9 @@
      */
     private static final long MIN_EXTRA_DIGEST_INTERVAL_MILLIS = 50;
 
+    /** Age from which a link was not opened before the processes were known, in milliseconds. */
+    private static final long KEPT_LINK_MILLIS = 10_000;
+
     private final LongSupplier nowMillis;
     private final PolicyManager policies;
     private final DirectoryManager directory;
@@ -390,6 +393,13 @@
         return new ServiceLoad(0, 0, running);
     }
 
+    /** Returns whether a peer forwards changes of the list of upstreams to this process. */
+    boolean isFedBy(String name) {
+        return peers.all().stream()
+                .anyMatch(
+                        peer -> peer.name().equals(name) && mesh.receivesUpdatesFrom(peer.hello()));
+    }
+
     /**
      * Returns whether a peer supplies this process with policy and upstreams in time, so that it
      * need not follow the store itself.
@@ -586,8 +596,10 @@
         for (Peer peer : peers.removeUnresponsive()) {
             loads.peerLost(peer.name());
             parts.forget(peer.name());
-            if (!peer.isDraining()) {
-                parts.silent(peer.name(), peer.digestMillis());
+            boolean wasKept =
+                    mesh.keepsLinkTo(peer.hello()) || peer.linkedForMillis() >= KEPT_LINK_MILLIS;
+            if (!peer.isDraining() && wasKept) {
+                parts.silent(peer.name(), peer.digestMillis(), nowMillis.getAsLong());
             }
             rollouts.ifPresent(exchange -> exchange.forget(peer.name()));
             DecisionLog.write(new DecisionLog.Lifecycle("peer " + peer.name(), "silent", ""));
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/DigestPart.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/DigestPart.java
@@ -76,8 +76,9 @@
      *
      * @param peer the peer's name
      * @param sinceMillis when it last sent something, in milliseconds
+     * @param nowMillis the current time, in milliseconds
      */
-    default void silent(String peer, long sinceMillis) {}
+    default void silent(String peer, long sinceMillis, long nowMillis) {}
 
     /**
      * Removes what a peer sent, because it does not respond or its figures now arrive on another
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
@@ -311,7 +311,7 @@
                         firstStart);
         streams = new StreamVersions(directory, versions, loop.nowMillis());
         view.add(new StreamPart(streams));
-        view.add(new StreamBasisPart(streams));
+        view.add(new StreamBasisPart(streams, view::isFedBy));
         versionRecords =
                 new VersionRecords(streams, loop::nowMillis, clock, storeHealth.history()::epoch);
         versionRecord =
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Peer.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Peer.java
@@ -28,6 +28,7 @@
 /** A linked peer and the contents of its last digest. */
 final class Peer {
     private final NodeHello hello;
+    private final long linkedMillis;
     private DigestScope scope;
     private long digestMillis;
     private int processes;
@@ -45,6 +46,12 @@
     Peer(NodeHello hello, long nowMillis) {
         this.hello = hello;
         this.digestMillis = nowMillis;
+        this.linkedMillis = nowMillis;
+    }
+
+    /** Returns how long the peer was linked until it last sent something, in milliseconds. */
+    long linkedForMillis() {
+        return digestMillis - linkedMillis;
     }
 
     /**
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestDriver.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestDriver.java
@@ -319,7 +319,7 @@
                         version.call(),
                         streams.listAgeMillis(now),
                         request.deadlineMillis() - now,
-                        streams.describeVersions(request.service(), now)));
+                        streams.describe(version.call(), now)));
         boolean outdated = origin.source() == StreamOrigin.Source.OUTDATED;
         turnAway(outdated ? TurnedAway.LIST_OUTDATED : TurnedAway.VERSION_UNKNOWN, 0);
     }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/StoreHealth.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/StoreHealth.java
@@ -74,12 +74,16 @@
      * Records an answer; runs the tasks of {@link #onRegained} if the store did not answer before.
      */
     public void answered() {
+        regained();
+        onAnswered.forEach(Runnable::run);
+    }
+
+    private void regained() {
         if (!reachable) {
             reachable = true;
             DecisionLog.write(new Lifecycle("store", "regained", ""));
             onRegained.forEach(Runnable::run);
         }
-        onAnswered.forEach(Runnable::run);
     }
 
     /**
@@ -93,7 +97,7 @@
                         || failure == StoreFailure.LEASE_GONE
                         || failure == StoreFailure.HISTORY_LOST;
         if (answer) {
-            answered();
+            regained();
             return;
         }
         metrics.count(GatewayMetrics.Event.STORE_FAILURE);
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/StreamBasisPart.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/StreamBasisPart.java
@@ -28,6 +28,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Predicate;
 
 /**
  * Tells peers what they need to compute the versions of streams as this process does: how long
@@ -43,9 +44,17 @@
     private static final String OUTDATED = "list of ";
 
     private final StreamVersions streams;
-
-    StreamBasisPart(StreamVersions streams) {
+    private final Predicate<String> feeds;
+
+    /**
+     * Creates the part.
+     *
+     * @param streams the versions of streams
+     * @param feeds whether a peer forwards changes of the list of upstreams to this process
+     */
+    StreamBasisPart(StreamVersions streams, Predicate<String> feeds) {
         this.streams = streams;
+        this.feeds = feeds;
     }
 
     @Override
@@ -64,7 +73,8 @@
         streams.newWaits(nowMillis)
                 .forEach((route, wait) -> waits.put(route, Math.toIntExact(wait)));
         Map<String, Integer> silences = new HashMap<>();
-        streams.silences().forEach((peer, since) -> silences.put(peer, age(since, nowMillis)));
+        streams.silences(nowMillis)
+                .forEach((peer, since) -> silences.put(peer, age(since, nowMillis)));
         int outdatedMillis = age(streams.listCurrentUntilMillis(nowMillis), nowMillis);
         if (waits.isEmpty() && silences.isEmpty() && outdatedMillis == 0) {
             return Optional.empty();
@@ -106,9 +116,12 @@
         Map<String, Integer> silences = read(in);
         long toldMillis = nowMillis - section.ageMillis();
         waits.forEach((route, wait) -> streams.learnedWait(route, wait, nowMillis));
-        silences.forEach((silent, age) -> streams.peerSilent(silent, toldMillis - age));
+        silences.forEach((silent, age) -> streams.peerSilent(silent, toldMillis - age, nowMillis));
         if (outdatedMillis > 0) {
-            streams.peerSilent(OUTDATED + peer, toldMillis - outdatedMillis);
+            streams.peerSilent(OUTDATED + peer, toldMillis - outdatedMillis, nowMillis);
+            if (feeds.test(peer)) {
+                streams.feederOutdated(toldMillis - outdatedMillis, nowMillis);
+            }
         }
     }
 
@@ -142,8 +155,8 @@
     }
 
     @Override
-    public void silent(String peer, long sinceMillis) {
-        streams.peerSilent(peer, sinceMillis);
+    public void silent(String peer, long sinceMillis, long nowMillis) {
+        streams.peerSilent(peer, sinceMillis, nowMillis);
     }
 
     /** Keeps what the peer told: it is also true when its figures arrive on another path. */
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/TimePart.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/TimePart.java
@@ -114,8 +114,14 @@
         return millis;
     }
 
+    /** Returns the time of day relative to the steady clock, in milliseconds; it may step back. */
+    long offsetMillis() {
+        return agreed.offsetMillis(ownOffset());
+    }
+
     /** Returns whether the time is that of several processes. */
     boolean isAgreed() {
+        agreed.offsetMillis(ownOffset());
         return agreed.isAgreed();
     }
 
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/VersionRecords.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/VersionRecords.java
@@ -102,12 +102,12 @@
 
     private void passOn(VersionRecord record, boolean timesKnown) {
         long now = nowMillis.getAsLong();
-        streams.recordedBefore(record.shifted(now - clock.millis()), timesKnown, now);
+        streams.recordedBefore(record.shifted(-clock.offsetMillis()), timesKnown, now);
     }
 
     @Override
     public byte[] encode(VersionRecord record) {
-        VersionRecord byTimeOfDay = record.shifted(clock.millis() - nowMillis.getAsLong());
+        VersionRecord byTimeOfDay = record.shifted(clock.offsetMillis());
         ByteArrayOutputStream bytes = new ByteArrayOutputStream();
         try (DataOutputStream out = new DataOutputStream(bytes)) {
             out.writeByte(FORMAT);
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/VersionUnknown.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/VersionUnknown.java
@@ -27,7 +27,7 @@
  * @param call what the caller resumes
  * @param listAgeMs time since the list of upstreams was last shown to be current, in milliseconds
  * @param leftMs how long the caller still waits, in milliseconds
- * @param versions the steps of the versions' slots that may count, with their ages
+ * @param versions the steps of the versions' slots that count, with their ages
  */
 record VersionUnknown(String id, StreamCall call, long listAgeMs, long leftMs, String versions)
         implements Decision {
--- a/trailladder-entry/src/main/java/io/trailladder/entry/mesh/Mesh.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/mesh/Mesh.java
@@ -119,6 +119,17 @@
         return isOwnHub(peer);
     }
 
+    /**
+     * Returns whether this process keeps a link to a peer. Other links are closed once the
+     * processes are known.
+     *
+     * @param peer the peer
+     * @return false if a link that was lost may have been closed because it is not needed
+     */
+    default boolean keepsLinkTo(NodeHello peer) {
+        return true;
+    }
+
     /**
      * Sends a message to one peer.
      *
--- a/trailladder-entry/src/main/java/io/trailladder/entry/mesh/PeerMesh.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/mesh/PeerMesh.java
@@ -316,10 +316,18 @@
         return ownHub ? PEER_REACHABLE_MILLIS : LINK_TIMEOUT_MILLIS;
     }
 
+    private boolean isFullMesh() {
+        return planner.size() <= HubTopology.FULL_MESH_MAX_PROCESSES && regions.isEmpty();
+    }
+
+    @Override
+    public boolean keepsLinkTo(NodeHello peer) {
+        return isFullMesh() || plan.dial().contains(peer.address());
+    }
+
     /** Closes the links opened before the processes were known that a leaf or hub does not need. */
     private void closeUnwanted() {
-        boolean all = planner.size() <= HubTopology.FULL_MESH_MAX_PROCESSES && regions.isEmpty();
-        if (all || !planned) {
+        if (isFullMesh() || !planned) {
             return;
         }
         for (NodeLink link : List.copyOf(open)) {
--- a/trailladder-entry/src/test/java/io/trailladder/entry/gateway/StreamPartTest.java
+++ b/trailladder-entry/src/test/java/io/trailladder/entry/gateway/StreamPartTest.java
@@ -44,6 +44,9 @@
 
     private StreamVersions streams() {
         StreamVersions streams = new StreamVersions(directory, new VersionGate(), 0);
+        for (long tick = 0; tick <= NOW; tick += 200) {
+            streams.tick(tick);
+        }
         streams.listConfirmed(NOW);
         return streams;
     }
@@ -63,9 +66,9 @@
     /** Guards against a process that refuses a stream, or joins two, because it was not told. */
     @Example
     void processesAreToldOfAStreamThatDidNotBeginAtItsVersion() throws IOException {
-        StreamVersions own = streams();
         list("w1", "v1");
         list("w2", "v2");
+        StreamVersions own = streams();
         own.tick(NOW);
         for (int i = 0; i < STREAMS; i++) {
             own.began(call("a" + i, NOW + 8_000), "v1", NOW);
@@ -90,6 +93,20 @@
         assertTrue(write(last, NOW + 5_000).isEmpty(), "still told after seconds");
     }
 
+    /** Guards against a process that lists a new version first and joins it to earlier streams. */
+    @Example
+    void aProcessThatListsAVersionLaterDoesNotJoinIt() {
+        list("w1", "v1");
+        list("w2", "v2");
+        StreamVersions last = new StreamVersions(directory, new VersionGate(), 0);
+        last.listConfirmed(NOW + 510);
+        last.tick(NOW + 510);
+        for (int i = 0; i < STREAMS; i++) {
+            StreamOrigin origin = last.origin(call("a" + i, NOW + 4_520), NOW + 520);
+            assertEquals(StreamOrigin.Source.UNKNOWN, origin.source());
+        }
+    }
+
     @Example
     void nothingIsSentWhileThereIsOneVersion() {
         StreamVersions own = streams();
