Silences are told only of others, and end when nobody tells them

A process ignores silences under its own name, one without a list tells nothing of its list, what a peer tells of its own list is not passed on, and a silence that no process has told for 2 s is over.

--- a/trailladder-core/src/main/java/io/trailladder/core/upstream/ListFreshness.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/upstream/ListFreshness.java
@@ -17,6 +17,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.stream.Stream;
 
 /**
  * Until when the list of upstreams is known to this process to be the one that all processes use.
@@ -35,6 +36,9 @@
     /** Age from which a silence is not told any more, so that all processes forget it. */
     static final long MAX_TOLD_SILENCE_MILLIS = 55_000;
 
+    /** How long a silence lasts that nobody tells any more, in milliseconds: several digests. */
+    private static final long MAX_UNTOLD_MILLIS = 2_000;
+
     /** Time between two ticks from which this process was frozen, in milliseconds. */
     private static final long FROZEN_MILLIS = 1_000;
 
@@ -44,7 +48,14 @@
     /** How long a peer may take to tell which streams it began while it was silent. */
     private static final long TELLING_MILLIS = 1_500;
 
+    private final String own;
+
+    /** Peers that send nothing. */
     private final Map<String, Silence> silences = new HashMap<>();
+
+    /** Peers that tell that their list may be outdated. */
+    private final Map<String, Silence> outdated = new HashMap<>();
+
     private long confirmedMillis;
     private boolean everConfirmed;
     private long tickedMillis;
@@ -52,15 +63,46 @@
     private long feederCurrentMillis = Long.MAX_VALUE;
     private long feederToldMillis = Long.MIN_VALUE / 2;
 
-    /** A time in which a peer was silent; {@code untilMillis} is when it can be forgotten. */
-    private record Silence(long sinceMillis, long untilMillis, boolean over) {}
+    /**
+     * A time in which a peer may have served by an older list.
+     *
+     * @param untilMillis when it can be forgotten
+     * @param toldMillis when another process told it last; {@link #OWN} if this process has noticed
+     *     it itself
+     */
+    private record Silence(long sinceMillis, long untilMillis, boolean over, long toldMillis) {
+        static final long OWN = Long.MAX_VALUE;
+
+        Silence endedAt(long nowMillis) {
+            return over
+                    ? this
+                    : new Silence(sinceMillis, nowMillis + TELLING_MILLIS, true, toldMillis);
+        }
+
+        /** Returns this silence after another statement that it lasts. */
+        Silence confirmedBy(Silence other) {
+            return over
+                    ? other
+                    : new Silence(
+                            Math.min(sinceMillis, other.sinceMillis),
+                            Math.min(untilMillis, other.untilMillis),
+                            false,
+                            Math.max(toldMillis, other.toldMillis));
+        }
+
+        boolean isNoLongerTold(long nowMillis) {
+            return toldMillis != OWN && nowMillis - toldMillis > MAX_UNTOLD_MILLIS;
+        }
+    }
 
     /**
      * Creates an instance for a list that is about to be received.
      *
+     * @param own the name of this process
      * @param startedMillis when this process started, in milliseconds
      */
-    ListFreshness(long startedMillis) {
+    ListFreshness(String own, long startedMillis) {
+        this.own = own;
         confirmedMillis = startedMillis;
         tickedMillis = startedMillis;
     }
@@ -76,25 +118,35 @@
         confirmedMillis = Math.max(confirmedMillis, atMillis);
     }
 
-    /** Records that a peer that may still run has sent nothing since a time. */
-    void peerSilent(String peer, long sinceMillis, long nowMillis) {
-        if (nowMillis - sinceMillis > MAX_TOLD_SILENCE_MILLIS) {
-            return;
+    /** Records that a peer that may still run has sent nothing to this process since a time. */
+    void peerSilent(String peer, long sinceMillis) {
+        record(silences, peer, sinceMillis, Silence.OWN);
+    }
+
+    /** Records that a peer tells that another one is silent, unless that is this process. */
+    void learnedSilence(String peer, long sinceMillis, long nowMillis) {
+        if (!peer.equals(own) && nowMillis - sinceMillis <= MAX_TOLD_SILENCE_MILLIS) {
+            record(silences, peer, sinceMillis, nowMillis);
         }
+    }
+
+    /** Records that a peer tells that its list may be outdated since a time. */
+    void peerOutdated(String peer, long sinceMillis, long nowMillis) {
+        record(outdated, peer, sinceMillis, nowMillis);
+    }
+
+    private static void record(
+            Map<String, Silence> silences, String peer, long sinceMillis, long toldMillis) {
+        long untilMillis = sinceMillis + MAX_SILENCE_MILLIS;
         silences.merge(
                 peer,
-                new Silence(sinceMillis, sinceMillis + MAX_SILENCE_MILLIS, false),
-                (known, now) -> known.over() ? now : known);
+                new Silence(sinceMillis, untilMillis, false, toldMillis),
+                Silence::confirmedBy);
     }
 
+    /** Records that a peer has sent something. */
     void peerHeard(String peer, long nowMillis) {
-        silences.computeIfPresent(
-                peer,
-                (name, silence) ->
-                        silence.over()
-                                ? silence
-                                : new Silence(
-                                        silence.sinceMillis(), nowMillis + TELLING_MILLIS, true));
+        silences.computeIfPresent(peer, (name, silence) -> silence.endedAt(nowMillis));
     }
 
     /** To be called several times a second; a longer pause shows that the process was frozen. */
@@ -103,13 +155,22 @@
             frozenUntilMillis = nowMillis;
         }
         tickedMillis = nowMillis;
+        endUntold(silences, nowMillis);
+        endUntold(outdated, nowMillis);
         prune(nowMillis);
     }
 
+    private static void endUntold(Map<String, Silence> silences, long nowMillis) {
+        silences.replaceAll(
+                (peer, silence) ->
+                        silence.isNoLongerTold(nowMillis) ? silence.endedAt(nowMillis) : silence);
+    }
+
     /** Forgets peers that have been silent for long, unless this process is isolated itself. */
     private void prune(long nowMillis) {
         if (isConfirmed(nowMillis)) {
             silences.values().removeIf(silence -> silence.untilMillis() < nowMillis);
+            outdated.values().removeIf(silence -> silence.untilMillis() < nowMillis);
         }
     }
 
@@ -132,7 +193,7 @@
 
     /** Returns since when some peer has been silent; {@code Long.MAX_VALUE} if none is. */
     long silentSinceMillis() {
-        return silences.values().stream()
+        return Stream.concat(silences.values().stream(), outdated.values().stream())
                 .mapToLong(Silence::sinceMillis)
                 .min()
                 .orElse(Long.MAX_VALUE);
@@ -142,7 +203,9 @@
     long currentUntilMillis(long nowMillis) {
         boolean frozen =
                 confirmedMillis < frozenUntilMillis || nowMillis - tickedMillis > FROZEN_MILLIS;
-        boolean heard = isConfirmed(nowMillis) || (everConfirmed && silences.isEmpty());
+        boolean heard =
+                isConfirmed(nowMillis)
+                        || (everConfirmed && silences.isEmpty() && outdated.isEmpty());
         if (frozen || !heard) {
             return Math.min(nowMillis - 1, Math.min(tickedMillis, confirmedMillis));
         }
@@ -150,6 +213,11 @@
         return fedOutdated ? Math.min(nowMillis - 1, feederCurrentMillis) : nowMillis;
     }
 
+    /** Returns whether the list was ever confirmed. */
+    boolean isEverConfirmed() {
+        return everConfirmed;
+    }
+
     long confirmedMillis() {
         return confirmedMillis;
     }
--- a/trailladder-core/src/main/java/io/trailladder/core/upstream/StreamVersions.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/upstream/StreamVersions.java
@@ -106,18 +106,20 @@
     /**
      * Creates an instance that knows of no streams.
      *
+     * @param own the name of this process
      * @param directory the known upstreams
      * @param versions decides which versions new requests may go to
      * @param startedMillis when this process started, in milliseconds
      */
-    public StreamVersions(UpstreamDirectory directory, VersionGate versions, long startedMillis) {
+    public StreamVersions(
+            String own, UpstreamDirectory directory, VersionGate versions, long startedMillis) {
         this.directory = directory;
         this.versions = versions;
         this.startedMillis = startedMillis;
         this.outdatedMillis = startedMillis;
         this.unconfirmedSinceMillis = startedMillis;
         this.settledMillis = startedMillis + SETTLE_MILLIS;
-        this.freshness = new ListFreshness(startedMillis);
+        this.freshness = new ListFreshness(own, startedMillis);
     }
 
     /**
@@ -135,7 +137,7 @@
         waits.recordedBefore(record.longestWaits());
         if (timesKnown) {
             record.silences()
-                    .forEach((peer, since) -> freshness.peerSilent(peer, since, nowMillis));
+                    .forEach((peer, since) -> freshness.learnedSilence(peer, since, nowMillis));
         }
         begun.recordedBefore(record.streams(), nowMillis);
         histories.forEach(this::applyRecorded);
@@ -245,7 +247,8 @@
      * @return the time, in milliseconds; at the latest now
      */
     public long listCurrentUntilMillis(long nowMillis) {
-        return freshness.currentUntilMillis(nowMillis);
+        // a process that has no list yet does not serve by an old one
+        return freshness.isEverConfirmed() ? freshness.currentUntilMillis(nowMillis) : nowMillis;
     }
 
     /**
@@ -275,10 +278,32 @@
      *
      * @param peer the peer's name
      * @param sinceMillis when it last sent something, in milliseconds
+     */
+    public void peerSilent(String peer, long sinceMillis) {
+        freshness.peerSilent(peer, sinceMillis);
+    }
+
+    /**
+     * Records that a peer tells that another one is silent. It is over when no peer tells it any
+     * more.
+     *
+     * @param peer the silent peer's name
+     * @param sinceMillis when the silent peer last sent something, in milliseconds
+     * @param nowMillis the current time, in milliseconds
+     */
+    public void learnedSilence(String peer, long sinceMillis, long nowMillis) {
+        freshness.learnedSilence(peer, sinceMillis, nowMillis);
+    }
+
+    /**
+     * Records that a peer tells that its list of upstreams may be outdated.
+     *
+     * @param peer the peer's name
+     * @param sinceMillis since when, in milliseconds
      * @param nowMillis the current time, in milliseconds
      */
-    public void peerSilent(String peer, long sinceMillis, long nowMillis) {
-        freshness.peerSilent(peer, sinceMillis, nowMillis);
+    public void peerOutdated(String peer, long sinceMillis, long nowMillis) {
+        freshness.peerOutdated(peer, sinceMillis, nowMillis);
     }
 
     /**
--- a/trailladder-core/src/test/java/io/trailladder/core/upstream/ListFreshnessTest.java
+++ b/trailladder-core/src/test/java/io/trailladder/core/upstream/ListFreshnessTest.java
@@ -25,7 +25,7 @@
     private static final long LATER = CONFIRMED + ListFreshness.MAX_CONFIRMATION_GAP_MILLIS + 1;
 
     private long lastTickMillis = 1_000;
-    private final ListFreshness freshness = new ListFreshness(1_000);
+    private final ListFreshness freshness = new ListFreshness("own", 1_000);
 
     /** Ticks as often as processes do until a time. */
     private void tickUntil(long untilMillis) {
@@ -46,7 +46,7 @@
     void aConfirmedListIsCurrentForAWhile() {
         tickUntil(CONFIRMED);
         freshness.confirmed(CONFIRMED);
-        freshness.peerSilent("p", CONFIRMED, CONFIRMED);
+        freshness.peerSilent("p", CONFIRMED);
         tickUntil(LATER);
         assertEquals(LATER - 1, freshness.currentUntilMillis(LATER - 1));
         assertEquals(CONFIRMED, freshness.currentUntilMillis(LATER));
@@ -87,7 +87,7 @@
     void aSilentPeerIsNotForgottenByAProcessThatIsIsolated() {
         tickUntil(CONFIRMED);
         freshness.confirmed(CONFIRMED);
-        freshness.peerSilent("p", CONFIRMED, CONFIRMED);
+        freshness.peerSilent("p", CONFIRMED);
         long now = CONFIRMED + 2 * ListFreshness.MAX_SILENCE_MILLIS;
         tickUntil(now);
         assertEquals(CONFIRMED, freshness.currentUntilMillis(now));
@@ -101,10 +101,10 @@
     void aSilenceIsNotTakenUpAgainWhenItIsForgotten() {
         tickUntil(CONFIRMED);
         freshness.confirmed(CONFIRMED);
-        freshness.peerSilent("p", CONFIRMED, CONFIRMED);
+        freshness.peerSilent("p", CONFIRMED);
         long now = CONFIRMED + ListFreshness.MAX_SILENCE_MILLIS;
         assertEquals(Map.of(), freshness.silences(now));
-        freshness.peerSilent("q", CONFIRMED, now);
+        freshness.learnedSilence("q", CONFIRMED, now);
         freshness.confirmed(now);
         tickUntil(now + 1);
         assertEquals(Long.MAX_VALUE, freshness.silentSinceMillis());
@@ -114,11 +114,31 @@
     void aPeerThatIsHeardAgainCountsUntilItHasToldItsStreams() {
         tickUntil(CONFIRMED);
         freshness.confirmed(CONFIRMED);
-        freshness.peerSilent("p", CONFIRMED, CONFIRMED);
+        freshness.peerSilent("p", CONFIRMED);
         freshness.peerHeard("p", LATER);
         assertEquals(CONFIRMED, freshness.silentSinceMillis());
         freshness.confirmed(LATER + 2_000);
         tickUntil(LATER + 2_000);
         assertEquals(Long.MAX_VALUE, freshness.silentSinceMillis());
     }
+
+    /** Guards against a process that takes itself for silent, and so refuses streams for long. */
+    @Example
+    void aProcessIsNotSilentToItself() {
+        tickUntil(CONFIRMED);
+        freshness.learnedSilence("own", CONFIRMED - 500, CONFIRMED);
+        assertEquals(Long.MAX_VALUE, freshness.silentSinceMillis());
+    }
+
+    /** Guards against a silence that is told on though its peer is heard elsewhere. */
+    @Example
+    void aSilenceIsOverWhenItIsNotToldAnyMore() {
+        tickUntil(CONFIRMED);
+        freshness.confirmed(CONFIRMED);
+        freshness.learnedSilence("p", CONFIRMED - 500, CONFIRMED);
+        tickUntil(CONFIRMED + 2_000);
+        assertEquals(Map.of("p", CONFIRMED - 500), freshness.silences(CONFIRMED + 2_000));
+        tickUntil(CONFIRMED + 2_200);
+        assertEquals(Map.of(), freshness.silences(CONFIRMED + 2_200));
+    }
 }
--- a/trailladder-core/src/test/java/io/trailladder/core/upstream/SimulatedStreams.java
+++ b/trailladder-core/src/test/java/io/trailladder/core/upstream/SimulatedStreams.java
@@ -107,7 +107,8 @@
 
         void restart(long downMillis) {
             downUntilMillis = now + downMillis;
-            versions = new StreamVersions(directory, new VersionGate(), now + downMillis);
+            versions =
+                    new StreamVersions(name(this), directory, new VersionGate(), now + downMillis);
             recordRead = false;
             heardMillis.clear();
         }
@@ -218,6 +219,10 @@
         }
     }
 
+    private String name(Gateway process) {
+        return "p" + processes.indexOf(process);
+    }
+
     /** Has each process that runs tell all others, as digests do. */
     private void sendDigests() {
         for (Gateway sender : processes) {
@@ -237,7 +242,7 @@
                 if (receiver != sender && receiver.isRunning() && !receiver.isolated) {
                     news.forEach(stream -> receiver.versions.learned(stream, now));
                     silences.forEach(
-                            (peer, since) -> receiver.versions.peerSilent(peer, since, now));
+                            (peer, since) -> receiver.versions.learnedSilence(peer, since, now));
                     waits.forEach((route, wait) -> receiver.versions.learnedWait(route, wait, now));
                 }
             }
@@ -252,7 +257,7 @@
                 if (peer == process || !process.isRunning()) {
                     continue;
                 }
-                String name = "p" + processes.indexOf(peer);
+                String name = name(peer);
                 if (heard) {
                     Long lastMillis = process.heardMillis.put(name, now);
                     if (lastMillis == null || lastMillis < peer.downUntilMillis) {
@@ -260,7 +265,7 @@
                     }
                     process.versions.peerHeard(name, now);
                 } else if (now - process.heardMillis.getOrDefault(name, now) > SILENCE_MILLIS) {
-                    process.versions.peerSilent(name, process.heardMillis.remove(name), now);
+                    process.versions.peerSilent(name, process.heardMillis.remove(name));
                 }
             }
         }
--- a/trailladder-core/src/test/java/io/trailladder/core/upstream/StreamRolloutTest.java
+++ b/trailladder-core/src/test/java/io/trailladder/core/upstream/StreamRolloutTest.java
@@ -44,7 +44,7 @@
 
     private StreamVersions processDuringARollout(long startedMillis) {
         list("u1", "v1");
-        StreamVersions streams = new StreamVersions(directory, gate, startedMillis);
+        StreamVersions streams = new StreamVersions("own", directory, gate, startedMillis);
         streams.tick(startedMillis);
         gate.begin(rollout);
         list("u2", "v2");
@@ -84,7 +84,7 @@
         list("u1", "v1");
         list("u2", "v2");
         gate.begin(rollout);
-        StreamVersions streams = new StreamVersions(directory, gate, NOW - 5_000);
+        StreamVersions streams = new StreamVersions("own", directory, gate, NOW - 5_000);
         streams.recordedBefore(
                 processDuringARollout(STARTED).recent(NOW - 5_000).orElseThrow(),
                 true,
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ClusterView.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ClusterView.java
@@ -599,7 +599,7 @@
             boolean wasKept =
                     mesh.keepsLinkTo(peer.hello()) || peer.linkedForMillis() >= KEPT_LINK_MILLIS;
             if (!peer.isDraining() && wasKept) {
-                parts.silent(peer.name(), peer.digestMillis(), nowMillis.getAsLong());
+                parts.silent(peer.name(), peer.digestMillis());
             }
             rollouts.ifPresent(exchange -> exchange.forget(peer.name()));
             DecisionLog.write(new DecisionLog.Lifecycle("peer " + peer.name(), "silent", ""));
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/DigestPart.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/DigestPart.java
@@ -76,9 +76,8 @@
      *
      * @param peer the peer's name
      * @param sinceMillis when it last sent something, in milliseconds
-     * @param nowMillis the current time, in milliseconds
      */
-    default void silent(String peer, long sinceMillis, long nowMillis) {}
+    default void silent(String peer, long sinceMillis) {}
 
     /**
      * Removes what a peer sent, because it does not respond or its figures now arrive on another
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/DigestParts.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/DigestParts.java
@@ -84,8 +84,8 @@
         parts.forEach(part -> part.linked(peer, nowMillis));
     }
 
-    void silent(String peer, long sinceMillis, long nowMillis) {
-        parts.forEach(part -> part.silent(peer, sinceMillis, nowMillis));
+    void silent(String peer, long sinceMillis) {
+        parts.forEach(part -> part.silent(peer, sinceMillis));
     }
 
     void forget(String peer) {
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
@@ -309,7 +309,7 @@
                         firstStart ? view::listedSharing : view::settledSharing,
                         loop.nowMillis(),
                         firstStart);
-        streams = new StreamVersions(directory, versions, loop.nowMillis());
+        streams = new StreamVersions(name, directory, versions, loop.nowMillis());
         view.add(new StreamPart(streams));
         view.add(new StreamBasisPart(streams, view::isFedBy));
         versionRecords =
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/StreamBasisPart.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/StreamBasisPart.java
@@ -40,9 +40,6 @@
     private static final int MAX_AGE_MILLIS = 3_600_000;
     private static final int MAX_NAME_LENGTH = 60;
 
-    /** Prefix of the entry for a peer that may lack changes of the list, though it responds. */
-    private static final String OUTDATED = "list of ";
-
     private final StreamVersions streams;
     private final Predicate<String> feeds;
 
@@ -116,9 +113,10 @@
         Map<String, Integer> silences = read(in);
         long toldMillis = nowMillis - section.ageMillis();
         waits.forEach((route, wait) -> streams.learnedWait(route, wait, nowMillis));
-        silences.forEach((silent, age) -> streams.peerSilent(silent, toldMillis - age, nowMillis));
+        silences.forEach(
+                (silent, age) -> streams.learnedSilence(silent, toldMillis - age, nowMillis));
         if (outdatedMillis > 0) {
-            streams.peerSilent(OUTDATED + peer, toldMillis - outdatedMillis, nowMillis);
+            streams.peerOutdated(peer, toldMillis - outdatedMillis, nowMillis);
             if (feeds.test(peer)) {
                 streams.feederOutdated(toldMillis - outdatedMillis, nowMillis);
             }
@@ -151,12 +149,11 @@
     @Override
     public void heard(String peer, long nowMillis) {
         streams.peerHeard(peer, nowMillis);
-        streams.peerHeard(OUTDATED + peer, nowMillis);
     }
 
     @Override
-    public void silent(String peer, long sinceMillis, long nowMillis) {
-        streams.peerSilent(peer, sinceMillis, nowMillis);
+    public void silent(String peer, long sinceMillis) {
+        streams.peerSilent(peer, sinceMillis);
     }
 
     /** Keeps what the peer told: it is also true when its figures arrive on another path. */
--- a/trailladder-entry/src/test/java/io/trailladder/entry/gateway/StreamBasisPartTest.java
+++ b/trailladder-entry/src/test/java/io/trailladder/entry/gateway/StreamBasisPartTest.java
@@ -37,11 +37,12 @@
     private static final long NOW = 50_000;
 
     private static StreamVersions streams() {
-        StreamVersions streams = new StreamVersions(new UpstreamDirectory(), new VersionGate(), 0);
+        StreamVersions streams =
+                new StreamVersions("own", new UpstreamDirectory(), new VersionGate(), 0);
         for (long tick = 0; tick <= NOW; tick += 200) {
+            streams.listConfirmed(tick);
             streams.tick(tick);
         }
-        streams.listConfirmed(NOW);
         return streams;
     }
 
@@ -79,7 +80,7 @@
     @Example
     void silentPeersAreToldUntilTheyAreHeard() throws IOException {
         StreamVersions own = streams();
-        part(own).silent("lost", NOW - 1_200, NOW);
+        part(own).silent("lost", NOW - 1_200);
         StreamVersions other = streams();
         StreamBasisPart part = part(other);
         part.received("p", write(own, NOW).orElseThrow(), NOW);
@@ -92,7 +93,7 @@
     @Example
     void aProcessWhoseListMayBeOutdatedTellsIt() throws IOException {
         StreamVersions hub = streams();
-        hub.peerSilent("lost", NOW, NOW);
+        hub.peerSilent("lost", NOW);
         StreamVersions leaf = streams();
         long now = NOW + 5_000;
         for (long tick = 0; tick <= now; tick += 200) {
--- a/trailladder-entry/src/test/java/io/trailladder/entry/gateway/StreamPartTest.java
+++ b/trailladder-entry/src/test/java/io/trailladder/entry/gateway/StreamPartTest.java
@@ -43,11 +43,11 @@
     private final UpstreamDirectory directory = new UpstreamDirectory();
 
     private StreamVersions streams() {
-        StreamVersions streams = new StreamVersions(directory, new VersionGate(), 0);
+        StreamVersions streams = new StreamVersions("own", directory, new VersionGate(), 0);
         for (long tick = 0; tick <= NOW; tick += 200) {
+            streams.listConfirmed(tick);
             streams.tick(tick);
         }
-        streams.listConfirmed(NOW);
         return streams;
     }
 
@@ -98,7 +98,7 @@
     void aProcessThatListsAVersionLaterDoesNotJoinIt() {
         list("w1", "v1");
         list("w2", "v2");
-        StreamVersions last = new StreamVersions(directory, new VersionGate(), 0);
+        StreamVersions last = new StreamVersions("own", directory, new VersionGate(), 0);
         last.listConfirmed(NOW + 510);
         last.tick(NOW + 510);
         for (int i = 0; i < STREAMS; i++) {
--- a/trailladder-entry/src/test/java/io/trailladder/entry/gateway/VersionRecordsTest.java
+++ b/trailladder-entry/src/test/java/io/trailladder/entry/gateway/VersionRecordsTest.java
@@ -45,7 +45,7 @@
 
     private final UpstreamDirectory directory = new UpstreamDirectory();
     private final StreamVersions streams =
-            new StreamVersions(directory, new VersionGate(), STARTED);
+            new StreamVersions("own", directory, new VersionGate(), STARTED);
 
     private VersionRecords records(long epoch) {
         TimePart clock =
