StreamResumed line: the event that an upstream resumes a stream with

The log named the event after which an upstream was asked to resume a stream (Dispatch, resumeAfter), but not the event that it sent first. An answer that repeats or leaves out events could not be told from one that resumes where it was asked to. StreamOrder follows the ids over all attempts of a request and writes the line; what is relayed is unchanged.

--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/AnswerRelay.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/AnswerRelay.java
@@ -18,6 +18,7 @@
 import io.trailladder.core.memory.MemoryAccount;
 import io.trailladder.core.memory.ReservationKind;
 import io.trailladder.core.pipeline.AttemptHistory;
+import io.trailladder.core.upstream.Upstream;
 import io.trailladder.entry.gateway.EventSplitter.StreamEvent;
 import io.trailladder.entry.http.HeaderList;
 import io.trailladder.entry.http.ServerExchange;
@@ -38,6 +39,7 @@
     private final ServerExchange exchange;
     private final AttemptHistory history;
     private final boolean stream;
+    private final StreamOrder order;
     private final Runnable onFirstByte;
     private ByteArrayOutputStream buffered = new ByteArrayOutputStream();
     private EventSplitter splitter = new EventSplitter();
@@ -54,6 +56,7 @@
      * @param exchange the caller's exchange
      * @param history records what was relayed
      * @param stream true if the answer is an event stream
+     * @param order follows the ids of its events
      * @param onFirstByte runs when the first byte of the answer is sent
      */
     AnswerRelay(
@@ -61,18 +64,21 @@
             ServerExchange exchange,
             AttemptHistory history,
             boolean stream,
+            StreamOrder order,
             Runnable onFirstByte) {
         this.memory = memory;
         this.reservation = memory.account().open(ReservationKind.ANSWERS_PARSED);
         this.exchange = exchange;
         this.history = history;
         this.stream = stream;
+        this.order = order;
         this.onFirstByte = onFirstByte;
     }
 
     /** Discards the incomplete event that a failed attempt left behind. */
-    void newAttempt() {
+    void newAttempt(Upstream upstream) {
         splitter = new EventSplitter();
+        order.newAttempt(upstream);
     }
 
     void head(int answerStatus, HeaderList fields) {
@@ -167,6 +173,7 @@
 
     private int relayEvents(List<StreamEvent> events) {
         for (StreamEvent event : events) {
+            order.received(event.id());
             relayBytes(event.bytes());
             if (!event.id().isEmpty()) {
                 history.eventForwarded(event.id());
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestDriver.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestDriver.java
@@ -93,7 +93,13 @@
         this.retries = new RetryCharge(context.budgets(), request.service());
         this.calls = new AttemptCalls(context, exchange, request);
         this.answer =
-                new AnswerRelay(context.memory(), exchange, history, isStream(), this::firstByte);
+                new AnswerRelay(
+                        context.memory(),
+                        exchange,
+                        history,
+                        isStream(),
+                        new StreamOrder(request.id(), history),
+                        this::firstByte);
         this.answerEnd = new AnswerEndCheck(context, request.id(), answer, this::checkReachable);
         boolean resumable = isStream() && request.route().repeatable();
         exchange.answerOwner(new AnswerOwner(request.id(), request.organisation(), resumable));
@@ -366,7 +372,7 @@
                         origin.source()));
         selection.crossRegion().ifPresent(this::recordCrossing);
         context.selector().sent(request, upstream.id());
-        answer.newAttempt();
+        answer.newAttempt(upstream);
         attempt = new Attempt(context, request, selection, this);
         responseTimeout.watch(attempt, selection);
         attempt.start(calls.to(upstream, history.lastEventId(), now));
