An event is passed on only if its id is above the last one

The relay recorded the last id to name it to the next upstream, but did not compare what came back with it.

EventOrder keeps the last id over all attempts of a request, beginning with the one that the caller named. An event whose id is not above it makes the attempt fail as broken: the usual recovery asks another upstream, or breaks the answer off without its end. Whole numbers are compared by value; other ids only with the last and the first one.

Repeated events are not dropped to go on with the rest: an upstream that begins at or before the event asked for has most likely not read Last-Event-Id, and nothing in the answer shows that it is the same run.

--- a/trailladder-cli/src/main/java/io/trailladder/cli/RequestTrace.java
+++ b/trailladder-cli/src/main/java/io/trailladder/cli/RequestTrace.java
@@ -159,6 +159,9 @@
 
     /** Returns why the last answer that ended without a failure of its connection was not whole. */
     private String answerState() {
+        if (last("AnswerOutOfOrder").isPresent()) {
+            return "; an answer did not continue the stream that the caller has";
+        }
         String finding = last("AnswerEnd").map(end -> end.text("finding")).orElse("");
         return switch (finding) {
             case "INCOMPLETE_STREAM" -> "; its answer ended as an incomplete stream";
--- a/trailladder-cli/src/test/java/io/trailladder/cli/ExplainCommandTest.java
+++ b/trailladder-cli/src/test/java/io/trailladder/cli/ExplainCommandTest.java
@@ -84,31 +84,46 @@
         assertTrue(text.contains("the retry budget of the service was used up"), text);
     }
 
+    private static String brokenOffAfter(String answer) {
+        return ACCEPTED
+                + SENT
+                + line("02.000", answer)
+                + line(
+                        "02.001",
+                        "{\"kind\":\"AttemptFailed\",\"id\":\"r1\",\"upstream\":\"u7\","
+                                + "\"failure\":\"PATH_LOST\",\"afterMs\":900,"
+                                + "\"recovery\":\"give up, BROKEN_OFF\"}")
+                + line(
+                        "02.002",
+                        "{\"kind\":\"Ended\",\"id\":\"r1\",\"outcome\":\"BROKEN_OFF\","
+                                + "\"status\":0,\"attempts\":1}");
+    }
+
     /** Guards against an answer without framing that looks as if its connection had broken. */
     @Example
     void brokenStreamIsExplainedByItsIncompleteEvent() throws IOException {
         String log =
-                ACCEPTED
-                        + SENT
-                        + line(
-                                "02.000",
-                                "{\"kind\":\"AnswerEnd\",\"id\":\"r1\",\"upstream\":\"u7\","
-                                        + "\"framing\":\"CONNECTION\",\"events\":3,"
-                                        + "\"incompleteBytes\":8,\"finding\":\"INCOMPLETE_STREAM\"}")
-                        + line(
-                                "02.001",
-                                "{\"kind\":\"AttemptFailed\",\"id\":\"r1\",\"upstream\":\"u7\","
-                                        + "\"failure\":\"PATH_LOST\",\"afterMs\":900,"
-                                        + "\"recovery\":\"give up, BROKEN_OFF\"}")
-                        + line(
-                                "02.002",
-                                "{\"kind\":\"Ended\",\"id\":\"r1\",\"outcome\":\"BROKEN_OFF\","
-                                        + "\"status\":0,\"attempts\":1}");
+                brokenOffAfter(
+                        "{\"kind\":\"AnswerEnd\",\"id\":\"r1\",\"upstream\":\"u7\","
+                                + "\"framing\":\"CONNECTION\",\"events\":3,"
+                                + "\"incompleteBytes\":8,\"finding\":\"INCOMPLETE_STREAM\"}");
         assertEquals(0, explain("r1", log));
         String text = out.toString();
         assertTrue(text.contains("its answer ended as an incomplete stream"), text);
     }
 
+    /** Guards against repeated events that look as if a connection had broken. */
+    @Example
+    void brokenStreamIsExplainedByItsEventOutOfOrder() throws IOException {
+        String log =
+                brokenOffAfter(
+                        "{\"kind\":\"AnswerOutOfOrder\",\"id\":\"r1\",\"upstream\":\"u7\","
+                                + "\"lastEvent\":\"3\",\"event\":\"1\",\"finding\":\"REPEATED\"}");
+        assertEquals(0, explain("r1", log));
+        String text = out.toString();
+        assertTrue(text.contains("did not continue the stream that the caller has"), text);
+    }
+
     @Example
     void brokenStreamIsExplainedByItsRemovedUpstream() throws IOException {
         String log =
--- /dev/null
+++ b/trailladder-core/src/test/java/io/trailladder/core/pipeline/EventOrderProperties.java
@@ -0,0 +1,85 @@
+/*
+ * Copyright 2026 The trailladder authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *     http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package io.trailladder.core.pipeline;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import io.trailladder.core.pipeline.EventOrder.Position;
+import java.math.BigInteger;
+import java.util.List;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.BigRange;
+import net.jqwik.api.constraints.Size;
+
+/** Guards against events of a stream that are delivered twice, and against breaking whole ones. */
+class EventOrderProperties {
+    private static void assertInOrder(EventOrder order, String... ids) {
+        for (String id : ids) {
+            assertEquals(Position.NEXT, order.received(id), id);
+        }
+    }
+
+    private static void assertRepeated(EventOrder order, String... ids) {
+        for (String id : ids) {
+            assertEquals(Position.REPEATED, order.received(id), id);
+        }
+    }
+
+    @Property
+    void numbersThatRiseAreInOrder(
+            @ForAll @Size(min = 1, max = 20)
+                    List<@BigRange(min = "1", max = "99999999999999999999") BigInteger> steps) {
+        EventOrder order = new EventOrder("");
+        BigInteger id = BigInteger.ZERO;
+        for (BigInteger step : steps) {
+            id = id.add(step);
+            assertInOrder(order, id.toString());
+            assertRepeated(order, id.toString(), id.subtract(step).toString());
+        }
+    }
+
+    @Example
+    void numbersAreComparedByValue() {
+        EventOrder order = new EventOrder("9");
+        assertRepeated(order, "9", "09", "8");
+        assertInOrder(order, "10");
+        assertRepeated(order, "9", "010");
+    }
+
+    @Example
+    void otherIdsAreComparedWithTheLastAndTheFirst() {
+        EventOrder order = new EventOrder("");
+        assertInOrder(order, "c", "b", "7", "a");
+        assertRepeated(order, "a", "c");
+        assertInOrder(order, "b");
+    }
+
+    @Example
+    void theEventAfterWhichACallerResumesIsDelivered() {
+        EventOrder order = new EventOrder("b");
+        assertRepeated(order, "b");
+        assertInOrder(order, "a", "c", "d");
+    }
+
+    @Example
+    void eventsWithoutIdChangeNothing() {
+        EventOrder order = new EventOrder("3");
+        assertInOrder(order, "", "4", "");
+        assertRepeated(order, "4");
+    }
+}
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/AnswerRelay.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/AnswerRelay.java
@@ -56,7 +56,7 @@
      * @param exchange the caller's exchange
      * @param history records what was relayed
      * @param stream true if the answer is an event stream
-     * @param order follows the ids of its events
+     * @param order decides which of its events are relayed
      * @param onFirstByte runs when the first byte of the answer is sent
      */
     AnswerRelay(
@@ -95,7 +95,7 @@
                 .orElse(true);
     }
 
-    /** Relays or buffers a part of the body; returns the number of events that it completes. */
+    /** Relays or buffers a part of the body; returns the number of events that were relayed. */
     int body(byte[] bytes) {
         if (relaying && stream) {
             int events = relayEvents(splitter.append(bytes));
@@ -150,6 +150,11 @@
         return eventStream && (splitter.endsInsideEvent() || (!framed && empty));
     }
 
+    /** Returns whether what the attempt sends does not continue what was relayed before. */
+    boolean isOutOfOrder() {
+        return order.isBroken();
+    }
+
     /** Returns the number of bytes of a stream after its last complete event. */
     int incompleteBytes() {
         return splitter.pendingBytes();
@@ -172,14 +177,18 @@
     }
 
     private int relayEvents(List<StreamEvent> events) {
+        int relayed = 0;
         for (StreamEvent event : events) {
-            order.received(event.id());
+            if (eventStream && !order.accepts(event.id())) {
+                break;
+            }
             relayBytes(event.bytes());
+            relayed++;
             if (!event.id().isEmpty()) {
                 history.eventForwarded(event.id());
             }
         }
-        return events.size();
+        return relayed;
     }
 
     private void relayBytes(byte[] bytes) {
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/GatewayMetrics.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/GatewayMetrics.java
@@ -156,6 +156,8 @@
         STREAM_NOT_RESUMED,
         /** An answer ended in a way that its framing does not show to be a failure, incomplete. */
         ANSWER_INCOMPLETE,
+        /** An answer did not continue the stream that its caller has. */
+        ANSWER_OUT_OF_ORDER,
         /** A usage report or an order was not accepted. */
         DUTY_FAILURE,
         /** A request was sent to another region. */
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestDriver.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestDriver.java
@@ -98,7 +98,7 @@
                         exchange,
                         history,
                         isStream(),
-                        new StreamOrder(request.id(), history),
+                        new StreamOrder(context.metrics(), request.id(), history),
                         this::firstByte);
         this.answerEnd = new AnswerEndCheck(context, request.id(), answer, this::checkReachable);
         boolean resumable = isStream() && request.route().repeatable();
@@ -239,6 +239,9 @@
             version.eventReceived(sender.upstream(), context.loop().nowMillis());
             recordRunStarted();
         }
+        if (answer.isOutOfOrder()) {
+            sender.fail(AttemptFailure.BROKEN);
+        }
     }
 
     @Override
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/StreamOrder.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/StreamOrder.java
@@ -16,42 +16,76 @@
 package io.trailladder.entry.gateway;
 
 import io.trailladder.core.pipeline.AttemptHistory;
+import io.trailladder.core.pipeline.EventOrder;
 import io.trailladder.core.upstream.Upstream;
+import io.trailladder.entry.gateway.AnswerOutOfOrder.Finding;
 
-/** Follows the ids of the events that upstreams send for one request, over all its attempts. */
+/**
+ * Decides whether what upstreams send for one request, over all its attempts, continues the stream
+ * that its caller has. After the first event that does not, nothing of that attempt is accepted.
+ *
+ * <p>Such events are not dropped to go on with those behind them: an answer that begins at or
+ * before the event that was asked for may be another run, whose text differs.
+ */
 final class StreamOrder {
+    private final GatewayMetrics metrics;
     private final String requestId;
     private final AttemptHistory history;
+    private final EventOrder order;
     private String upstream = "";
     private boolean awaitsResumption;
+    private boolean broken;
 
     /**
      * Creates the object for one request.
      *
+     * @param metrics counts the answers that do not continue a stream
      * @param requestId the request
      * @param history records which events were forwarded
      */
-    StreamOrder(String requestId, AttemptHistory history) {
+    StreamOrder(GatewayMetrics metrics, String requestId, AttemptHistory history) {
+        this.metrics = metrics;
         this.requestId = requestId;
         this.history = history;
+        this.order = new EventOrder(history.lastEventId());
     }
 
     /** Begins with the answer of the next attempt. */
     void newAttempt(Upstream next) {
         upstream = next.id();
         awaitsResumption = !history.lastEventId().isEmpty();
+        broken = false;
     }
 
     /**
-     * Records an event that has arrived and is not forwarded yet.
+     * Returns whether an event may be forwarded, and records it if so.
      *
      * @param eventId its id; empty if it has none
      */
-    void received(String eventId) {
+    boolean accepts(String eventId) {
+        if (broken) {
+            return false;
+        }
         if (awaitsResumption) {
             awaitsResumption = false;
             DecisionLog.write(
                     new StreamResumed(requestId, upstream, history.lastEventId(), eventId));
         }
+        if (order.received(eventId) == EventOrder.Position.REPEATED) {
+            reject(eventId, Finding.REPEATED);
+        }
+        return !broken;
+    }
+
+    /** Returns whether the answer of the current attempt does not continue the stream. */
+    boolean isBroken() {
+        return broken;
+    }
+
+    private void reject(String eventId, Finding finding) {
+        broken = true;
+        metrics.count(GatewayMetrics.Event.ANSWER_OUT_OF_ORDER);
+        DecisionLog.write(
+                new AnswerOutOfOrder(requestId, upstream, history.lastEventId(), eventId, finding));
     }
 }
