An answer that is no event stream does not resume one

A caller whose stream broke off after event 3 got a JSON document behind it, answered 200 and whole; one that resumed after event 3 got the document as the rest (StreamOrderFaultTest).

The relay looked at the content type only to tell whether an answer may end inside an event, and passed any 2xx on after the events before it.

An answer of another content type now fails the attempt where the caller has a part of the stream. The first answer to a request that resumes nothing may still be a document.

--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/AnswerOutOfOrder.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/AnswerOutOfOrder.java
@@ -25,7 +25,7 @@
  * @param id the request
  * @param upstream the upstream
  * @param lastEvent id of the last event that the caller has; empty if none
- * @param event id of the event that was not forwarded
+ * @param event id of the event that was not forwarded; empty if the answer brings none
  * @param finding what is wrong with the answer
  */
 record AnswerOutOfOrder(String id, String upstream, String lastEvent, String event, Finding finding)
@@ -33,7 +33,9 @@
     /** What is wrong with an answer. */
     enum Finding {
         /** The event has been delivered, or belongs to another run. */
-        REPEATED
+        REPEATED,
+        /** The content type of an answer that was to resume the stream is another one. */
+        NO_EVENT_STREAM
     }
 
     @Override
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/AnswerRelay.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/AnswerRelay.java
@@ -87,6 +87,9 @@
         buffered.reset();
         relaying = stream && answerStatus <= MAX_SUCCESS_STATUS;
         eventStream = relaying && mayBeEventStream(fields);
+        if (relaying && !eventStream) {
+            order.answerIsNoEventStream();
+        }
     }
 
     private static boolean mayBeEventStream(HeaderList fields) {
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestDriver.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestDriver.java
@@ -228,6 +228,13 @@
     @Override
     public void answered(Attempt sender, int status, HeaderList headers, long length) {
         answer.head(status, headers);
+        failIfOutOfOrder(sender);
+    }
+
+    private void failIfOutOfOrder(Attempt sender) {
+        if (answer.isOutOfOrder()) {
+            sender.fail(AttemptFailure.BROKEN);
+        }
     }
 
     @Override
@@ -239,9 +246,7 @@
             version.eventReceived(sender.upstream(), context.loop().nowMillis());
             recordRunStarted();
         }
-        if (answer.isOutOfOrder()) {
-            sender.fail(AttemptFailure.BROKEN);
-        }
+        failIfOutOfOrder(sender);
     }
 
     @Override
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/StreamOrder.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/StreamOrder.java
@@ -57,6 +57,13 @@
         broken = false;
     }
 
+    /** Records that the answer is a document, which continues no stream. */
+    void answerIsNoEventStream() {
+        if (history.hasAnswerStarted() || !history.lastEventId().isEmpty()) {
+            reject("", Finding.NO_EVENT_STREAM);
+        }
+    }
+
     /**
      * Returns whether an event may be forwarded, and records it if so.
      *
