A stream that runs only once is not resumed for its caller

A caller that sent Last-Event-Id on a streaming route whose streams may not be resumed got the rest as 200 and whole (StreamOrderFaultTest: 456 after 3). That is the rest of another run: the first one ended with its connection, and the route says that runs may not be joined.

The header was passed on whatever the route said; only the version of the upstream depended on it.

Such a request is now refused with 503 before any attempt. It is true, since nothing has run, and the caller can tell at once that it has to begin anew. A stream from the beginning would come twice at a caller that appends it; a 4xx would forbid a request that the policy allows. No Retry-After is sent, because waiting does not help.

--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/GatewayMetrics.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/GatewayMetrics.java
@@ -150,8 +150,8 @@
         /** A second attempt was not made because the budget was used up. */
         RETRY_BUDGET_EMPTY,
         /**
-         * A stream was refused because the version that began it is not known, or no upstream of it
-         * takes requests.
+         * A stream was refused because the version that began it is not known, no upstream of it
+         * takes requests, or its route does not allow that it is resumed.
          */
         STREAM_NOT_RESUMED,
         /** An answer ended in a way that its framing does not show to be a failure, incomplete. */
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestDriver.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestDriver.java
@@ -121,7 +121,11 @@
         long now = context.loop().nowMillis();
         context.budgets().requested(request.service(), now);
         context.availability().requestReceived(request.service(), request.priority(), now);
-        nextAttempt();
+        if (version.isResumedAgainstRoute()) {
+            turnAway(TurnedAway.NOT_RESUMABLE, 0);
+        } else {
+            nextAttempt();
+        }
     }
 
     /** Whether the request is currently at an upstream. */
@@ -353,7 +357,7 @@
 
     /** Ends the request at once because no upstream can serve it in time. */
     private void turnAway(String reason, long placeMillis) {
-        if (reason.equals(TurnedAway.VERSION_UNKNOWN) || reason.equals(TurnedAway.NO_VERSION)) {
+        if (TurnedAway.NOT_RESUMED.contains(reason)) {
             context.metrics().count(GatewayMetrics.Event.STREAM_NOT_RESUMED);
         }
         long remainingMillis = request.deadlineMillis() - context.loop().nowMillis();
@@ -463,7 +467,8 @@
     }
 
     private long retryAfterMillis(Ending ending) {
-        return ending == Ending.NOT_RUN && !crashes.hasStopped()
+        boolean helps = !crashes.hasStopped() && !version.isResumedAgainstRoute();
+        return ending == Ending.NOT_RUN && helps
                 ? context.retryAfter().retryAfterMillis(request, context.loop().nowMillis())
                 : 0;
     }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/StreamVersion.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/StreamVersion.java
@@ -46,6 +46,11 @@
         }
     }
 
+    /** Returns whether the caller resumes a stream on a route whose streams may not be resumed. */
+    boolean isResumedAgainstRoute() {
+        return request.route().kind() == RouteKind.STREAMING && !resumable && isResumed();
+    }
+
     private boolean isResumed() {
         return !caller.lastEventId().isEmpty();
     }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/TurnedAway.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/TurnedAway.java
@@ -18,6 +18,7 @@
 import com.fasterxml.jackson.core.JsonGenerator;
 import io.trailladder.entry.gateway.DecisionLog.Decision;
 import java.io.IOException;
+import java.util.Set;
 
 /**
  * Log line: a request was ended without a further attempt, because none could answer in time.
@@ -46,6 +47,12 @@
     /** This process does not know which of several versions began the stream. */
     static final String VERSION_UNKNOWN = "version that began the stream is not known";
 
+    /** The caller resumes a stream on a route whose streams may not be resumed. */
+    static final String NOT_RESUMABLE = "streams of the route may not be resumed";
+
+    /** The reasons that concern only streams that their callers resume. */
+    static final Set<String> NOT_RESUMED = Set.of(NO_VERSION, VERSION_UNKNOWN, NOT_RESUMABLE);
+
     /** All upstreams are expected to be busy for longer than the caller waits. */
     static final String NO_PLACE_IN_TIME = "no place in time";
 
