An answer that resumes too late leaves out events, and is not passed on

Callers got 12356, answered 200 and whole, where the upstream that was to resume after event 3 began with 5, and 56 where they had resumed after event 3 themselves (StreamOrderFaultTest).

Ids rise, but need not be consecutive: events may carry several tokens. An id that is more than one above the last shows no gap by itself.

EventSteps keeps for each service how ids rise within single answers. While every step at a service was one, an answer that begins more than one above the event asked for makes its attempt fail. After a single larger step within an answer, and before two steps were seen, nothing is concluded, so streams whose ids rise with gaps are passed on as before; what is missing there cannot be told.

--- a/trailladder-core/src/main/java/io/trailladder/core/pipeline/EventOrder.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/pipeline/EventOrder.java
@@ -24,13 +24,18 @@
  *
  * <p>Ids that are whole numbers rise. Of other ids it is known only that no two are the same; such
  * an id is compared with the last one and with the first one, with which a new run would begin.
+ * Whether events are missing can be told only where an answer resumes the stream and the ids of its
+ * service are consecutive.
  *
  * @since 0.2
  */
 public final class EventOrder {
     private static final Pattern NUMBER = Pattern.compile("[0-9]{1,40}");
 
+    private final EventSteps steps;
+    private final String service;
     private final String resumedAfter;
+    private boolean answerBegins = true;
     private String first = "";
     private String last;
 
@@ -39,19 +44,30 @@
         /** It may be the next one. */
         NEXT,
         /** It has been delivered, or belongs to another run. */
-        REPEATED
+        REPEATED,
+        /** Events before it are missing: it begins an answer, and ids are consecutive. */
+        AFTER_A_GAP
     }
 
     /**
      * Creates the order of a stream.
      *
+     * @param steps how the ids of each service rise
+     * @param service the service that the stream comes from
      * @param resumedAfter id of the last event that the caller had before; empty if none
      */
-    public EventOrder(String resumedAfter) {
+    public EventOrder(EventSteps steps, String service, String resumedAfter) {
+        this.steps = steps;
+        this.service = service;
         this.resumedAfter = resumedAfter;
         this.last = resumedAfter;
     }
 
+    /** Begins with the answer of another attempt. */
+    public void answerBegins() {
+        answerBegins = true;
+    }
+
     /**
      * Returns how an event follows those before it, and records it if it may be the next one.
      *
@@ -62,23 +78,39 @@
         if (eventId.isEmpty()) {
             return Position.NEXT;
         }
-        if (!last.isEmpty() && !follows(eventId)) {
-            return Position.REPEATED;
+        Position position = last.isEmpty() ? Position.NEXT : after(eventId);
+        if (position == Position.NEXT) {
+            record(eventId);
         }
+        return position;
+    }
+
+    private void record(String eventId) {
         if (first.isEmpty() && resumedAfter.isEmpty()) {
             first = eventId;
         }
         last = eventId;
-        return Position.NEXT;
+        answerBegins = false;
     }
 
-    private boolean follows(String eventId) {
+    private Position after(String eventId) {
         Optional<BigInteger> before = number(last);
         Optional<BigInteger> now = number(eventId);
-        if (before.isPresent() && now.isPresent()) {
-            return now.get().compareTo(before.get()) > 0;
+        if (before.isEmpty() || now.isEmpty()) {
+            boolean same = eventId.equals(last) || eventId.equals(first);
+            return same ? Position.REPEATED : Position.NEXT;
+        }
+        BigInteger step = now.get().subtract(before.get());
+        if (step.signum() <= 0) {
+            return Position.REPEATED;
         }
-        return !eventId.equals(last) && !eventId.equals(first);
+        boolean one = step.equals(BigInteger.ONE);
+        if (answerBegins) {
+            boolean gap = !one && steps.areConsecutive(service);
+            return gap ? Position.AFTER_A_GAP : Position.NEXT;
+        }
+        steps.seen(service, one);
+        return Position.NEXT;
     }
 
     private static Optional<BigInteger> number(String id) {
--- a/trailladder-core/src/test/java/io/trailladder/core/pipeline/EventOrderProperties.java
+++ b/trailladder-core/src/test/java/io/trailladder/core/pipeline/EventOrderProperties.java
@@ -28,6 +28,12 @@
 
 /** Guards against events of a stream that are delivered twice, and against breaking whole ones. */
 class EventOrderProperties {
+    private final EventSteps steps = new EventSteps();
+
+    private EventOrder order(String resumedAfter) {
+        return new EventOrder(steps, "s", resumedAfter);
+    }
+
     private static void assertInOrder(EventOrder order, String... ids) {
         for (String id : ids) {
             assertEquals(Position.NEXT, order.received(id), id);
@@ -44,7 +50,7 @@
     void numbersThatRiseAreInOrder(
             @ForAll @Size(min = 1, max = 20)
                     List<@BigRange(min = "1", max = "99999999999999999999") BigInteger> steps) {
-        EventOrder order = new EventOrder("");
+        EventOrder order = order("");
         BigInteger id = BigInteger.ZERO;
         for (BigInteger step : steps) {
             id = id.add(step);
@@ -55,7 +61,7 @@
 
     @Example
     void numbersAreComparedByValue() {
-        EventOrder order = new EventOrder("9");
+        EventOrder order = order("9");
         assertRepeated(order, "9", "09", "8");
         assertInOrder(order, "10");
         assertRepeated(order, "9", "010");
@@ -63,7 +69,7 @@
 
     @Example
     void otherIdsAreComparedWithTheLastAndTheFirst() {
-        EventOrder order = new EventOrder("");
+        EventOrder order = order("");
         assertInOrder(order, "c", "b", "7", "a");
         assertRepeated(order, "a", "c");
         assertInOrder(order, "b");
@@ -71,15 +77,57 @@
 
     @Example
     void theEventAfterWhichACallerResumesIsDelivered() {
-        EventOrder order = new EventOrder("b");
+        EventOrder order = order("b");
         assertRepeated(order, "b");
         assertInOrder(order, "a", "c", "d");
     }
 
     @Example
     void eventsWithoutIdChangeNothing() {
-        EventOrder order = new EventOrder("3");
+        EventOrder order = order("3");
         assertInOrder(order, "", "4", "");
         assertRepeated(order, "4");
     }
+
+    @Example
+    void eventIsMissingWhereAnAnswerResumesTooLate() {
+        EventOrder order = order("");
+        assertInOrder(order, "1", "2", "3");
+        order.answerBegins();
+        assertEquals(Position.AFTER_A_GAP, order.received("5"));
+        order.answerBegins();
+        assertInOrder(order, "4", "5");
+        EventOrder resumedByCaller = order("7");
+        assertEquals(Position.AFTER_A_GAP, resumedByCaller.received("9"));
+        assertInOrder(resumedByCaller, "8");
+    }
+
+    /** Guards against breaking off streams whose events carry several tokens. */
+    @Example
+    void noEventIsMissingWhereIdsRiseInLargerSteps() {
+        assertInOrder(order(""), "1", "2", "3", "5", "6", "7", "8");
+        assertInOrder(order("8"), "11");
+        EventOrder later = order("");
+        assertInOrder(later, "1", "2", "3");
+        later.answerBegins();
+        assertInOrder(later, "5");
+    }
+
+    @Example
+    void noEventIsMissingBeforeItIsKnownHowIdsRise() {
+        assertInOrder(order("3"), "6");
+        EventOrder order = order("");
+        assertInOrder(order, "4", "5");
+        order.answerBegins();
+        assertInOrder(order, "9");
+    }
+
+    @Example
+    void servicesAreJudgedByTheirOwnIds() {
+        assertInOrder(order(""), "1", "3", "5");
+        EventOrder other = new EventOrder(steps, "other", "");
+        assertInOrder(other, "1", "2", "3");
+        other.answerBegins();
+        assertEquals(Position.AFTER_A_GAP, other.received("5"));
+    }
 }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/AnswerOutOfOrder.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/AnswerOutOfOrder.java
@@ -34,6 +34,8 @@
     enum Finding {
         /** The event has been delivered, or belongs to another run. */
         REPEATED,
+        /** Events before it are missing. */
+        AFTER_A_GAP,
         /** The content type of an answer that was to resume the stream is another one. */
         NO_EVENT_STREAM
     }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
@@ -23,6 +23,7 @@
 import io.trailladder.core.membership.GatewayMember;
 import io.trailladder.core.memory.MemoryAccount;
 import io.trailladder.core.memory.MemoryBudget;
+import io.trailladder.core.pipeline.EventSteps;
 import io.trailladder.core.policy.RequestBounds;
 import io.trailladder.core.policy.ServingPolicy;
 import io.trailladder.core.rollout.VersionGate;
@@ -349,6 +350,7 @@
                                 mesh::regionSize,
                                 List.of(limits.cost())),
                         streams,
+                        new EventSteps(),
                         quotas,
                         budgets,
                         usage,
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestDriver.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestDriver.java
@@ -98,7 +98,7 @@
                         exchange,
                         history,
                         isStream(),
-                        new StreamOrder(context.metrics(), request.id(), history),
+                        new StreamOrder(context, request, history),
                         this::firstByte);
         this.answerEnd = new AnswerEndCheck(context, request.id(), answer, this::checkReachable);
         boolean resumable = isStream() && request.route().repeatable();
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ServingContext.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ServingContext.java
@@ -17,6 +17,7 @@
 
 import io.trailladder.core.duty.UsageLedger;
 import io.trailladder.core.engine.EngineModel;
+import io.trailladder.core.pipeline.EventSteps;
 import io.trailladder.core.upstream.BrittleUpstreams;
 import io.trailladder.core.upstream.DemandMeter;
 import io.trailladder.core.upstream.PathMonitor;
@@ -51,6 +52,7 @@
  * @param loads the load of upstreams
  * @param selector selects the upstream of a request
  * @param streams determines the versions of streams
+ * @param eventSteps how the ids of the events of each service rise
  * @param quotas the limits of organisations
  * @param budgets the retry budgets
  * @param usage counts requests that started to run
@@ -80,6 +82,7 @@
         UpstreamLoads loads,
         UpstreamSelector selector,
         StreamVersions streams,
+        EventSteps eventSteps,
         Quotas quotas,
         RetryBudgets budgets,
         UsageLedger usage,
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/StreamOrder.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/StreamOrder.java
@@ -17,6 +17,7 @@
 
 import io.trailladder.core.pipeline.AttemptHistory;
 import io.trailladder.core.pipeline.EventOrder;
+import io.trailladder.core.pipeline.ServingRequest;
 import io.trailladder.core.upstream.Upstream;
 import io.trailladder.entry.gateway.AnswerOutOfOrder.Finding;
 
@@ -39,15 +40,15 @@
     /**
      * Creates the object for one request.
      *
-     * @param metrics counts the answers that do not continue a stream
-     * @param requestId the request
+     * @param context the objects that all requests share
+     * @param request the request
      * @param history records which events were forwarded
      */
-    StreamOrder(GatewayMetrics metrics, String requestId, AttemptHistory history) {
-        this.metrics = metrics;
-        this.requestId = requestId;
+    StreamOrder(ServingContext context, ServingRequest request, AttemptHistory history) {
+        this.metrics = context.metrics();
+        this.requestId = request.id();
         this.history = history;
-        this.order = new EventOrder(history.lastEventId());
+        this.order = new EventOrder(context.eventSteps(), request.service(), history.lastEventId());
     }
 
     /** Begins with the answer of the next attempt. */
@@ -55,6 +56,7 @@
         upstream = next.id();
         awaitsResumption = !history.lastEventId().isEmpty();
         broken = false;
+        order.answerBegins();
     }
 
     /** Records that the answer is a document, which continues no stream. */
@@ -78,8 +80,10 @@
             DecisionLog.write(
                     new StreamResumed(requestId, upstream, history.lastEventId(), eventId));
         }
-        if (order.received(eventId) == EventOrder.Position.REPEATED) {
-            reject(eventId, Finding.REPEATED);
+        switch (order.received(eventId)) {
+            case NEXT -> {}
+            case REPEATED -> reject(eventId, Finding.REPEATED);
+            case AFTER_A_GAP -> reject(eventId, Finding.AFTER_A_GAP);
         }
         return !broken;
     }
