A stream that breaks off after an event without an id is not resumed

Callers got two runs joined, 200 and whole: behind an event without an id the stream was begun anew, because no event was named to resume after (StreamOrderFaultTest). After events 1 to 3 and one without an id, it would have been resumed after 3, and the one without an id come twice.

The history recorded only events with an id.

It now knows whether an event without an id was sent after the last one with an id. The request then gets no further attempt, is not moved, and is broken off without its end. Comments, which upstreams send to keep a connection, are no events; the next event with an id makes the stream resumable again.

--- a/trailladder-core/src/main/java/io/trailladder/core/pipeline/AttemptHistory.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/pipeline/AttemptHistory.java
@@ -33,6 +33,7 @@
     private boolean mayHaveRun;
     private boolean answerStarted;
     private String lastEventId = "";
+    private boolean unnamedEvent;
 
     /**
      * Records an attempt that was sent to an upstream.
@@ -71,10 +72,22 @@
     /**
      * Records a complete event that was sent to the caller.
      *
-     * @param eventId the event's id
+     * @param eventId the event's id; empty if it has none
      */
     public void eventForwarded(String eventId) {
-        lastEventId = eventId;
+        unnamedEvent = eventId.isEmpty();
+        if (!unnamedEvent) {
+            lastEventId = eventId;
+        }
+    }
+
+    /**
+     * Returns whether an id names what the caller has of the answer.
+     *
+     * @return false if events were sent after the last one with an id, which would come twice
+     */
+    public boolean isResumable() {
+        return !unnamedEvent;
     }
 
     /**
@@ -123,7 +136,7 @@
     }
 
     /**
-     * Returns the last complete event that was sent to the caller.
+     * Returns the last complete event with an id that was sent to the caller.
      *
      * @return its id; empty if there is none
      */
--- a/trailladder-core/src/main/java/io/trailladder/core/pipeline/RecoveryPolicy.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/pipeline/RecoveryPolicy.java
@@ -67,7 +67,8 @@
     }
 
     /**
-     * Returns whether a request has attempts and time left, regardless of whether it may run again.
+     * Returns whether a request has attempts and time left, and what its caller has of the answer
+     * can be continued, regardless of whether it may run again.
      *
      * @param request the request
      * @param history its attempts
@@ -76,7 +77,8 @@
      */
     public static boolean allowsAnother(
             ServingRequest request, AttemptHistory history, long nowMillis) {
-        return history.sent() < request.route().maxAttempts()
+        return history.isResumable()
+                && history.sent() < request.route().maxAttempts()
                 && history.connectFailures() < MAX_CONNECT_FAILURES
                 && request.deadlineMillis() - nowMillis >= MIN_REMAINING_MILLIS;
     }
--- a/trailladder-core/src/test/java/io/trailladder/core/pipeline/RecoveryPolicyProperties.java
+++ b/trailladder-core/src/test/java/io/trailladder/core/pipeline/RecoveryPolicyProperties.java
@@ -139,6 +139,25 @@
         assertEquals("7", assertInstanceOf(Resume.class, recovery).lastEventId());
     }
 
+    /** Guards against resuming before an event that the caller has. */
+    @Example
+    void streamIsResumedOnlyAfterAnEventWithAnId() {
+        ServingRequest request = request(RouteKind.STREAMING, true, 2);
+        AttemptHistory history = new AttemptHistory();
+        history.sent("w0");
+        history.answerStarted();
+        history.eventForwarded("7");
+        history.eventForwarded("");
+        history.failed("w0", AttemptFailure.BROKEN);
+        assertEquals(
+                new GiveUp(Ending.BROKEN_OFF),
+                RecoveryPolicy.after(request, history, AttemptFailure.BROKEN, true, NOW));
+        history.eventForwarded("8");
+        assertEquals(
+                new Resume("8"),
+                RecoveryPolicy.after(request, history, AttemptFailure.BROKEN, true, NOW));
+    }
+
     @Example
     void streamThatMayNotBeResumedIsBrokenOff() {
         AttemptHistory history = new AttemptHistory();
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/AnswerRelay.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/AnswerRelay.java
@@ -187,7 +187,7 @@
             }
             relayBytes(event.bytes());
             relayed++;
-            if (!event.id().isEmpty()) {
+            if (!event.isComment()) {
                 history.eventForwarded(event.id());
             }
         }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/EventSplitter.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/EventSplitter.java
@@ -40,7 +40,16 @@
      * @param id the value of its {@code id} field; empty if it has none
      * @param bytes its bytes, including the empty line that ends it
      */
-    public record StreamEvent(String id, byte[] bytes) {}
+    public record StreamEvent(String id, byte[] bytes) {
+        /**
+         * Returns whether it consists only of comments, which upstreams send to keep a connection.
+         *
+         * @return true if it has no field
+         */
+        public boolean isComment() {
+            return !hasField(bytes);
+        }
+    }
 
     /**
      * Appends a part of the body.
@@ -92,7 +101,10 @@
      * @return false after a complete event, and before the first one
      */
     public boolean endsInsideEvent() {
-        byte[] bytes = remainder();
+        return hasField(remainder());
+    }
+
+    private static boolean hasField(byte[] bytes) {
         boolean lineStart = true;
         for (byte b : bytes) {
             if (lineStart && b != COMMENT && b != '\r' && b != '\n') {
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestDriver.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestDriver.java
@@ -168,7 +168,8 @@
      * it time, and moving would end it for certain.
      */
     void moveToOtherUpstream(AttemptFailure reason) {
-        if (attempt == null || (attempt.isSent() && !request.route().repeatable())) {
+        boolean repeatable = request.route().repeatable() && history.isResumable();
+        if (attempt == null || (attempt.isSent() && !repeatable)) {
             return;
         }
         long now = context.loop().nowMillis();
--- a/trailladder-entry/src/test/java/io/trailladder/entry/gateway/EventSplitterProperties.java
+++ b/trailladder-entry/src/test/java/io/trailladder/entry/gateway/EventSplitterProperties.java
@@ -86,4 +86,14 @@
         assertEquals(1, splitter.append(bytes).size());
         assertEquals("id: 2\nda", new String(splitter.remainder(), StandardCharsets.UTF_8));
     }
+
+    @Example
+    void onlyEventsWithoutAnyFieldAreComments() {
+        EventSplitter splitter = new EventSplitter();
+        byte[] bytes = ": a\r\n:\n\n\n: a\ndata: b\n\nid: 1\n\n".getBytes(StandardCharsets.UTF_8);
+        List<StreamEvent> events = splitter.append(bytes);
+        assertEquals(
+                List.of(true, true, false, false),
+                events.stream().map(StreamEvent::isComment).toList());
+    }
 }
