An error where a stream is to be resumed leads to another attempt

Callers' streams were broken off after event 3 when the upstream that was to resume them answered 500, though the route allowed a third attempt (StreamOrderFaultTest). The log called the request whole.

Only the first answer to a request was checked for a failure status; a later one was buffered to its end, and then ended the request.

An answer with another status than 2xx now fails the attempt at its head if a part of the stream was sent, and the usual recovery follows. That also ends a path by which the body of an error above the bound for buffered answers would have been appended to the stream; that path was read, not seen in a run.

--- a/trailladder-core/src/main/java/io/trailladder/core/pipeline/AttemptFailure.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/pipeline/AttemptFailure.java
@@ -36,7 +36,7 @@
      * upstream can be reached. The upstream has not ended; the request may have run.
      */
     PATH_LOST(true),
-    /** The upstream answered that it failed; the request ran. */
+    /** The upstream answered that it failed, or does not resume a stream; the request ran. */
     SERVER_ERROR(true),
     /** The upstream is leaving before it can finish; the attempt was stopped. */
     LEAVING(true),
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/AnswerRelay.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/AnswerRelay.java
@@ -126,8 +126,6 @@
             relayBytes(splitter.remainder());
             begin();
             exchange.end();
-        } else if (history.hasAnswerStarted()) {
-            exchange.abort();
         } else {
             respondBuffered();
         }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestDriver.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestDriver.java
@@ -232,6 +232,10 @@
 
     @Override
     public void answered(Attempt sender, int status, HeaderList headers, long length) {
+        if (status >= MIN_FAILURE_STATUS && history.hasAnswerStarted()) {
+            sender.fail(AttemptFailure.SERVER_ERROR);
+            return;
+        }
         answer.head(status, headers);
         failIfOutOfOrder(sender);
     }
@@ -261,7 +265,7 @@
 
     @Override
     public void ended(Attempt sender) {
-        if (answer.status() >= MIN_SERVER_ERROR_STATUS && !history.hasAnswerStarted()) {
+        if (answer.status() >= MIN_SERVER_ERROR_STATUS) {
             attemptFailed(sender, AttemptFailure.SERVER_ERROR);
             return;
         }
