--- a/trailladder-entry/src/test/java/io/trailladder/entry/relay/RelayTest.java
+++ b/trailladder-entry/src/test/java/io/trailladder/entry/relay/RelayTest.java
@@ -367,6 +367,34 @@
         }
     }
 
+    /** Guards against bytes of an attempt that was given up in the answer of the next one. */
+    @Example
+    void bytesAfterACancelReachNobody() throws Exception {
+        ClientCall call = call(new byte[0]);
+        try (Socket first = accept()) {
+            readHead(first.getInputStream());
+            send(first, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npart");
+            on(
+                    loop,
+                    () -> {
+                        call.cancel();
+                        return true;
+                    });
+            try {
+                send(first, " late");
+            } catch (IOException e) {
+                // the connection has been reset, which also keeps the bytes away
+            }
+            call(new byte[0]);
+            try (Socket second = accept()) {
+                readHead(second.getInputStream());
+                send(second, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole");
+                assertEquals("200 5 bytes through peer", result());
+            }
+        }
+        assertTrue(results.isEmpty(), results.toString());
+    }
+
     /** Guards against a peer that holds all that a slow caller has not yet read. */
     @Example
     void noMoreIsReadThanIsPassedOn() throws Exception {
