--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/AnswerRelay.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/AnswerRelay.java
@@ -18,6 +18,7 @@
 import io.trailladder.core.memory.MemoryAccount;
 import io.trailladder.core.memory.ReservationKind;
 import io.trailladder.core.pipeline.AttemptHistory;
+import io.trailladder.core.upstream.Upstream;
 import io.trailladder.entry.gateway.EventSplitter.StreamEvent;
 import io.trailladder.entry.http.HeaderList;
 import io.trailladder.entry.http.ServerExchange;
@@ -38,6 +39,7 @@
     private final ServerExchange exchange;
     private final AttemptHistory history;
     private final boolean stream;
+    private final StreamOrder order;
     private final Runnable onFirstByte;
     private ByteArrayOutputStream buffered = new ByteArrayOutputStream();
     private EventSplitter splitter = new EventSplitter();
@@ -54,6 +56,7 @@
      * @param exchange the caller's exchange
      * @param history records what was relayed
      * @param stream true if the answer is an event stream
+     * @param order decides which of its events are relayed
      * @param onFirstByte runs when the first byte of the answer is sent
      */
     AnswerRelay(
@@ -61,18 +64,21 @@
             ServerExchange exchange,
             AttemptHistory history,
             boolean stream,
+            StreamOrder order,
             Runnable onFirstByte) {
         this.memory = memory;
         this.reservation = memory.account().open(ReservationKind.ANSWERS_PARSED);
         this.exchange = exchange;
         this.history = history;
         this.stream = stream;
+        this.order = order;
         this.onFirstByte = onFirstByte;
     }
 
     /** Discards the incomplete event that a failed attempt left behind. */
-    void newAttempt() {
+    void newAttempt(Upstream upstream) {
         splitter = new EventSplitter();
+        order.newAttempt(upstream);
     }
 
     void head(int answerStatus, HeaderList fields) {
@@ -81,6 +87,9 @@
         buffered.reset();
         relaying = stream && answerStatus <= MAX_SUCCESS_STATUS;
         eventStream = relaying && mayBeEventStream(fields);
+        if (relaying && !eventStream) {
+            order.answerIsNoEventStream();
+        }
     }
 
     private static boolean mayBeEventStream(HeaderList fields) {
@@ -89,7 +98,7 @@
                 .orElse(true);
     }
 
-    /** Relays or buffers a part of the body; returns the number of events that it completes. */
+    /** Relays or buffers a part of the body; returns the number of events that were relayed. */
     int body(byte[] bytes) {
         if (relaying && stream) {
             int events = relayEvents(splitter.append(bytes));
@@ -117,8 +126,6 @@
             relayBytes(splitter.remainder());
             begin();
             exchange.end();
-        } else if (history.hasAnswerStarted()) {
-            exchange.abort();
         } else {
             respondBuffered();
         }
@@ -144,6 +151,11 @@
         return eventStream && (splitter.endsInsideEvent() || (!framed && empty));
     }
 
+    /** Returns whether what the attempt sends does not continue what was relayed before. */
+    boolean isOutOfOrder() {
+        return order.isBroken();
+    }
+
     /** Returns the number of bytes of a stream after its last complete event. */
     int incompleteBytes() {
         return splitter.pendingBytes();
@@ -166,13 +178,18 @@
     }
 
     private int relayEvents(List<StreamEvent> events) {
+        int relayed = 0;
         for (StreamEvent event : events) {
+            if (eventStream && !order.accepts(event.id())) {
+                break;
+            }
             relayBytes(event.bytes());
-            if (!event.id().isEmpty()) {
+            relayed++;
+            if (!event.isComment()) {
                 history.eventForwarded(event.id());
             }
         }
-        return events.size();
+        return relayed;
     }
 
     private void relayBytes(byte[] bytes) {
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/GatewayMetrics.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/GatewayMetrics.java
@@ -155,8 +155,12 @@
         STREAM_LIST_OUTDATED,
         /** A stream was not resumed because no upstream of its version takes requests. */
         STREAM_VERSION_NOT_SERVED,
+        /** A stream was not resumed because its route does not allow that. */
+        STREAM_NOT_RESUMABLE,
         /** An answer ended in a way that its framing does not show to be a failure, incomplete. */
         ANSWER_INCOMPLETE,
+        /** An answer did not continue the stream that its caller has. */
+        ANSWER_OUT_OF_ORDER,
         /** A usage report or an order was not accepted. */
         DUTY_FAILURE,
         /** A request was sent to another region. */
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestDriver.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestDriver.java
@@ -94,7 +94,13 @@
         this.retries = new RetryCharge(context.budgets(), request.service());
         this.calls = new AttemptCalls(context, exchange, request);
         this.answer =
-                new AnswerRelay(context.memory(), exchange, history, isStream(), this::firstByte);
+                new AnswerRelay(
+                        context.memory(),
+                        exchange,
+                        history,
+                        isStream(),
+                        new StreamOrder(context, request, history),
+                        this::firstByte);
         this.answerEnd = new AnswerEndCheck(context, request.id(), answer, this::checkReachable);
         boolean resumable = isStream() && request.route().repeatable();
         exchange.answerOwner(new AnswerOwner(request.id(), request.organisation(), resumable));
@@ -116,7 +122,11 @@
         long now = context.loop().nowMillis();
         context.budgets().requested(request.service(), now);
         context.availability().requestReceived(request.service(), request.priority(), now);
-        nextAttempt();
+        if (version.isResumedAgainstRoute()) {
+            turnAway(TurnedAway.NOT_RESUMABLE, 0);
+        } else {
+            nextAttempt();
+        }
     }
 
     /** Whether the request is currently at an upstream. */
@@ -159,7 +169,8 @@
      * it time, and moving would end it for certain.
      */
     void moveToOtherUpstream(AttemptFailure reason) {
-        if (attempt == null || (attempt.isSent() && !request.route().repeatable())) {
+        boolean repeatable = request.route().repeatable() && history.isResumable();
+        if (attempt == null || (attempt.isSent() && !repeatable)) {
             return;
         }
         long now = context.loop().nowMillis();
@@ -222,7 +233,18 @@
 
     @Override
     public void answered(Attempt sender, int status, HeaderList headers, long length) {
+        if (status >= MIN_FAILURE_STATUS && history.hasAnswerStarted()) {
+            sender.fail(AttemptFailure.SERVER_ERROR);
+            return;
+        }
         answer.head(status, headers);
+        failIfOutOfOrder(sender);
+    }
+
+    private void failIfOutOfOrder(Attempt sender) {
+        if (answer.isOutOfOrder()) {
+            sender.fail(AttemptFailure.BROKEN);
+        }
     }
 
     @Override
@@ -234,6 +256,7 @@
             version.eventReceived(sender.upstream(), context.loop().nowMillis());
             recordRunStarted();
         }
+        failIfOutOfOrder(sender);
     }
 
     @Override
@@ -243,7 +266,7 @@
 
     @Override
     public void ended(Attempt sender) {
-        if (answer.status() >= MIN_SERVER_ERROR_STATUS && !history.hasAnswerStarted()) {
+        if (answer.status() >= MIN_SERVER_ERROR_STATUS) {
             attemptFailed(sender, AttemptFailure.SERVER_ERROR);
             return;
         }
@@ -379,7 +402,7 @@
                         origin.source()));
         selection.crossRegion().ifPresent(this::recordCrossing);
         context.selector().sent(request, upstream.id());
-        answer.newAttempt();
+        answer.newAttempt(upstream);
         attempt = new Attempt(context, request, selection, this);
         responseTimeout.watch(attempt, selection);
         attempt.start(calls.to(upstream, history.lastEventId(), now));
@@ -462,7 +485,8 @@
     }
 
     private long retryAfterMillis(Ending ending) {
-        return ending == Ending.NOT_RUN && !crashes.hasStopped()
+        boolean helps = !crashes.hasStopped() && !version.isResumedAgainstRoute();
+        return ending == Ending.NOT_RUN && helps
                 ? context.retryAfter().retryAfterMillis(request, context.loop().nowMillis())
                 : 0;
     }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/StreamVersion.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/StreamVersion.java
@@ -32,6 +32,7 @@
 final class StreamVersion {
     private final StreamVersions streams;
     private final CallerRequest caller;
+    private final boolean streaming;
     private final boolean resumable;
     private final StreamCall call;
     private Optional<StreamOrigin> fixed = Optional.empty();
@@ -39,8 +40,8 @@
     StreamVersion(StreamVersions streams, ServingRequest request, CallerRequest caller) {
         this.streams = streams;
         this.caller = caller;
-        this.resumable =
-                request.route().kind() == RouteKind.STREAMING && request.route().resumable();
+        this.streaming = request.route().kind() == RouteKind.STREAMING;
+        this.resumable = streaming && request.route().resumable();
         this.call = streamCall(request, caller);
         if (resumable && !isResumed()) {
             streams.requested(call, request.acceptedMillis());
@@ -62,6 +63,11 @@
         return call;
     }
 
+    /** Returns whether the caller resumes a stream on a route whose streams may not be resumed. */
+    boolean isResumedAgainstRoute() {
+        return streaming && !resumable && isResumed();
+    }
+
     private boolean isResumed() {
         return !caller.lastEventId().isEmpty();
     }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/TurnedAway.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/TurnedAway.java
@@ -53,6 +53,9 @@
      */
     static final String LIST_OUTDATED = "list of upstreams may be outdated";
 
+    /** The caller resumes a stream on a route whose streams may not be resumed. */
+    static final String NOT_RESUMABLE = "streams of the route may not be resumed";
+
     /** All upstreams are expected to be busy for longer than the caller waits. */
     static final String NO_PLACE_IN_TIME = "no place in time";
 
@@ -61,6 +64,7 @@
         return switch (reason) {
             case VERSION_UNKNOWN -> Optional.of(GatewayMetrics.Event.STREAM_VERSION_UNKNOWN);
             case LIST_OUTDATED -> Optional.of(GatewayMetrics.Event.STREAM_LIST_OUTDATED);
+            case NOT_RESUMABLE -> Optional.of(GatewayMetrics.Event.STREAM_NOT_RESUMABLE);
             case NO_VERSION -> Optional.of(GatewayMetrics.Event.STREAM_VERSION_NOT_SERVED);
             default -> Optional.empty();
         };
