Sight: attempts whose upstream sends bytes that complete nothing

A caller whose upstream sent bytes without end saw a 504 or a stream that was broken off, and the log did not say why the attempt had been kept: time-outs look at the last byte received. WithoutProgress lines and the event answer_without_progress tell such an attempt from a silent one: bytes and time since the last event, time since the last byte.

--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Attempt.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Attempt.java
@@ -57,6 +57,9 @@
     private AnswerFraming framing = AnswerFraming.CONNECTION;
     private int status;
     private long lastReceivedMillis;
+    private long progressMillis;
+    private long bytesWithoutProgress;
+    private boolean reportedWithoutProgress;
     private long firstEventMillis = -1;
     private Optional<CallFailure> callFailure = Optional.empty();
     private int eventsReceived;
@@ -105,6 +108,7 @@
         this.listener = listener;
         this.createdMillis = context.loop().nowMillis();
         this.lastReceivedMillis = createdMillis;
+        this.progressMillis = createdMillis;
     }
 
     void start(OutgoingCall outgoing) {
@@ -164,10 +168,49 @@
         return firstEventMillis < 0 ? 0 : context.loop().nowMillis() - firstEventMillis;
     }
 
+    /** Returns the time since any byte of the answer was received, in milliseconds. */
     long unresponsiveMillis() {
         return context.loop().nowMillis() - lastReceivedMillis;
     }
 
+    /** Returns the time since the answer last progressed, in milliseconds. */
+    long millisWithoutProgress() {
+        return context.loop().nowMillis() - progressMillis;
+    }
+
+    /** Returns whether bytes of a body have arrived since the answer last progressed. */
+    boolean hasBytesWithoutProgress() {
+        return bytesWithoutProgress > 0;
+    }
+
+    /** Records that what has arrived brings the answer nearer to its end. */
+    void progressed() {
+        progressMillis = context.loop().nowMillis();
+        bytesWithoutProgress = 0;
+    }
+
+    /** Logs and counts, once for each attempt and finding, that bytes complete nothing. */
+    void reportWithoutProgress(WithoutProgress.Finding finding) {
+        boolean kept = finding == WithoutProgress.Finding.KEPT;
+        if (!hasBytesWithoutProgress() || (kept && reportedWithoutProgress)) {
+            return;
+        }
+        if (!reportedWithoutProgress) {
+            context.metrics().count(GatewayMetrics.Event.ANSWER_WITHOUT_PROGRESS);
+        }
+        reportedWithoutProgress = true;
+        DecisionLog.write(
+                new WithoutProgress(
+                        request.id(),
+                        upstream.id(),
+                        framing,
+                        eventsReceived,
+                        bytesWithoutProgress,
+                        millisWithoutProgress(),
+                        unresponsiveMillis(),
+                        finding));
+    }
+
     /** Cancels the attempt; its listener is not called any more. */
     void cancel() {
         if (!finished) {
@@ -197,6 +240,7 @@
                             firstEventMillis);
         }
         eventsReceived += count;
+        progressed();
     }
 
     private void promptRead() {
@@ -241,6 +285,7 @@
         status = answerStatus;
         framing = AnswerFraming.of(headers, length);
         lastReceivedMillis = context.loop().nowMillis();
+        progressed();
         if (context.protocol().belongsToAnother(request.id(), headers)) {
             failAsForeign();
         } else if (context.protocol().misdirected(answerStatus)) {
@@ -289,6 +334,7 @@
     public void body(byte[] bytes) {
         if (!finished) {
             lastReceivedMillis = context.loop().nowMillis();
+            bytesWithoutProgress += bytes.length;
             listener.body(this, bytes);
         }
     }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/GatewayMetrics.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/GatewayMetrics.java
@@ -156,6 +156,10 @@
         STREAM_NOT_RESUMED,
         /** An answer ended in a way that its framing does not show to be a failure, incomplete. */
         ANSWER_INCOMPLETE,
+        /**
+         * An upstream sent bytes that complete nothing for longer, or more of them, than allowed.
+         */
+        ANSWER_WITHOUT_PROGRESS,
         /** A usage report or an order was not accepted. */
         DUTY_FAILURE,
         /** A request was sent to another region. */
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestDriver.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestDriver.java
@@ -462,6 +462,7 @@
         Attempt last = attempt;
         if (attempt != null && attempt.isSent()) {
             context.loads().failed(attempt.upstream().id(), context.loop().nowMillis());
+            attempt.reportWithoutProgress(WithoutProgress.Finding.TOO_LONG);
             crashes.failed(attempt, AttemptFailure.SILENT);
         }
         cancelAttempt();
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ResponseTimeoutWatch.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ResponseTimeoutWatch.java
@@ -105,6 +105,9 @@
         boolean begun = history.hasAnswerStarted();
         long timeoutMillis = begun ? CHECKED_BODY_GAP_MILLIS : firstTimeoutMillis;
         long unresponsiveMillis = attempt.unresponsiveMillis();
+        if (attempt.millisWithoutProgress() >= timeoutMillis) {
+            attempt.reportWithoutProgress(WithoutProgress.Finding.KEPT);
+        }
         if (unresponsiveMillis < timeoutMillis) {
             scheduleCheck(attempt, timeoutMillis);
         } else if (begun && unresponsiveMillis < MAX_BODY_GAP_MILLIS) {
