An answer progresses only by what it completes

Callers whose upstream sent bytes without end waited for their deadline and got a 504, or a stream that was broken off; an event without end cut the answer. No other upstream was tried, though the route allowed it.

Cause: time-outs counted from the last byte of any kind, and an event above the bound of memory ended the exchange with the caller instead of the attempt. 300 such streams at once reserved more than the budget.

An attempt now progresses by its head, by each event with data, and by each byte of a body that is no event stream if its length is given or a part of it has been relayed. Comments and incomplete events do not count: callers see only complete events, and leave a stream without them. A body without a length ends at 16 MB. The usual recovery follows each time, and the connection is closed. The first answer to a resumed stream that is too large to buffer is not relayed into the stream any more.

--- a/trailladder-core/src/main/java/io/trailladder/core/pipeline/AttemptFailure.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/pipeline/AttemptFailure.java
@@ -38,6 +38,10 @@
     PATH_LOST(true),
     /** The upstream answered that it failed; the request ran. */
     SERVER_ERROR(true),
+    /** The upstream sent more bytes than an answer or an event may have, without its end. */
+    OVERSIZED(true),
+    /** This process has too little memory for the answer; the attempt was stopped. */
+    NO_MEMORY(true),
     /** The upstream is leaving before it can finish; the attempt was stopped. */
     LEAVING(true),
     /** The upstream did not respond in time; the attempt was stopped. */
@@ -65,7 +69,7 @@
      *     announced it
      */
     public boolean isUpstreamFault() {
-        return this != NOT_SENT && this != LEAVING && this != PATH_LOST;
+        return this != NOT_SENT && this != LEAVING && this != PATH_LOST && this != NO_MEMORY;
     }
 
     /**
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/AnswerRelay.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/AnswerRelay.java
@@ -17,6 +17,7 @@
 
 import io.trailladder.core.memory.MemoryAccount;
 import io.trailladder.core.memory.ReservationKind;
+import io.trailladder.core.pipeline.AttemptFailure;
 import io.trailladder.core.pipeline.AttemptHistory;
 import io.trailladder.entry.gateway.EventSplitter.StreamEvent;
 import io.trailladder.entry.http.HeaderList;
@@ -24,6 +25,7 @@
 import java.io.ByteArrayOutputStream;
 import java.util.List;
 import java.util.Locale;
+import java.util.Optional;
 
 /**
  * Relays an upstream's answer to the caller. A stream is relayed event by event as it arrives; any
@@ -31,6 +33,13 @@
  */
 final class AnswerRelay {
     private static final int MAX_SUCCESS_STATUS = 299;
+
+    /** Largest number of bytes of a stream after an event and up to the next one, in bytes. */
+    private static final int MAX_EVENT_BYTES = 1 << 20;
+
+    /** Largest body that is no event stream and whose length is not given, in bytes. */
+    private static final int MAX_UNKNOWN_LENGTH_BYTES = 16 << 20;
+
     private static final String EVENT_STREAM_TYPE = "text/event-stream";
 
     private final MemoryManager memory;
@@ -46,6 +55,9 @@
     private boolean relaying;
     private boolean eventStream;
     private boolean eventsSeen;
+    private boolean lengthGiven;
+    private boolean unusable;
+    private long bytesSinceEvent;
 
     /**
      * Creates a relay for the answer to one request.
@@ -70,14 +82,26 @@
         this.onFirstByte = onFirstByte;
     }
 
-    /** Discards the incomplete event that a failed attempt left behind. */
+    /** Discards the part of an answer that a failed attempt left behind. */
     void newAttempt() {
         splitter = new EventSplitter();
+        buffered = new ByteArrayOutputStream();
+        reservation.set(0);
     }
 
-    void head(int answerStatus, HeaderList fields) {
+    /**
+     * Begins an answer.
+     *
+     * @param answerStatus its status
+     * @param fields its header fields
+     * @param length the length of its body in bytes; below 0 if not given
+     */
+    void head(int answerStatus, HeaderList fields, long length) {
         status = answerStatus;
         headers = fields;
+        lengthGiven = length >= 0;
+        unusable = false;
+        bytesSinceEvent = 0;
         buffered.reset();
         relaying = stream && answerStatus <= MAX_SUCCESS_STATUS;
         eventStream = relaying && mayBeEventStream(fields);
@@ -91,11 +115,9 @@
 
     /** Relays or buffers a part of the body; returns the number of events that it completes. */
     int body(byte[] bytes) {
+        bytesSinceEvent += bytes.length;
         if (relaying && stream) {
-            int events = relayEvents(splitter.append(bytes));
-            eventsSeen |= events > 0;
-            reservePending(splitter.pendingBytes());
-            return events;
+            return streamBody(bytes);
         }
         if (relaying) {
             relayBytes(bytes);
@@ -103,6 +125,10 @@
         }
         buffered.writeBytes(bytes);
         if (buffered.size() > memory.maxBufferedAnswerBytes()) {
+            unusable = history.hasAnswerStarted();
+            if (unusable) {
+                return 0;
+            }
             relaying = true;
             relayBytes(buffered.toByteArray());
             buffered = new ByteArrayOutputStream();
@@ -111,6 +137,47 @@
         return 0;
     }
 
+    private int streamBody(byte[] bytes) {
+        int events = relayEvents(splitter.append(bytes));
+        if (events > 0) {
+            eventsSeen = true;
+            bytesSinceEvent = splitter.pendingBytes();
+        }
+        reservation.set(splitter.pendingBytes());
+        return events;
+    }
+
+    /**
+     * Returns why no more of the answer may be read: its end is not to be expected, or there is no
+     * memory for what is incomplete.
+     *
+     * @return the failure of the attempt; empty if more may be read
+     */
+    Optional<AttemptFailure> excess() {
+        if (isOversized()) {
+            return Optional.of(AttemptFailure.OVERSIZED);
+        }
+        boolean fits = splitter.pendingBytes() <= memory.maxBufferedAnswerBytes();
+        return fits ? Optional.empty() : Optional.of(AttemptFailure.NO_MEMORY);
+    }
+
+    private boolean isOversized() {
+        if (!relaying || !stream) {
+            return unusable || (!lengthGiven && bytesSinceEvent > MAX_UNKNOWN_LENGTH_BYTES);
+        }
+        return splitter.pendingBytes() > memory.account().budget().answerBytes()
+                || (eventStream && bytesSinceEvent > MAX_EVENT_BYTES);
+    }
+
+    /**
+     * Returns whether each byte that arrives brings the answer nearer to its end. It does not in an
+     * event stream, whose receiver sees only events, nor in a body of which neither the length is
+     * known nor a part has been relayed.
+     */
+    boolean progressesByBytes() {
+        return !eventStream && (lengthGiven || history.hasAnswerStarted());
+    }
+
     /** Ends the answer after the upstream has sent all of it. */
     void end() {
         if (relaying) {
@@ -154,25 +221,17 @@
         reservation.close();
     }
 
-    /**
-     * Reserves the bytes of an incomplete event. An event above the bound cuts the answer, since an
-     * event that never ends would be buffered without limit.
-     */
-    private void reservePending(int bytes) {
-        reservation.set(bytes);
-        if (bytes > memory.account().budget().answerBytes()) {
-            memory.cut(exchange, MemoryManager.CutReason.EVENT_TOO_LARGE);
-        }
-    }
-
-    private int relayEvents(List<StreamEvent> events) {
-        for (StreamEvent event : events) {
+    /** Relays events and what stands between them; returns the number of events. */
+    private int relayEvents(List<StreamEvent> blocks) {
+        int events = 0;
+        for (StreamEvent event : blocks) {
+            events += event.hasData() ? 1 : 0;
             relayBytes(event.bytes());
             if (!event.id().isEmpty()) {
                 history.eventForwarded(event.id());
             }
         }
-        return events.size();
+        return events;
     }
 
     private void relayBytes(byte[] bytes) {
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Attempt.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Attempt.java
@@ -413,6 +413,19 @@
         }
     }
 
+    /** Ends the attempt as failed because its answer does not progress. */
+    void failWithoutProgress(AttemptFailure reason) {
+        if (!finished) {
+            reportWithoutProgress(
+                    switch (reason) {
+                        case OVERSIZED -> WithoutProgress.Finding.TOO_LARGE;
+                        case NO_MEMORY -> WithoutProgress.Finding.NO_MEMORY;
+                        default -> WithoutProgress.Finding.TOO_LONG;
+                    });
+            fail(reason);
+        }
+    }
+
     /** Ends the attempt as failed and cancels its call. */
     void fail(AttemptFailure reason) {
         if (finished) {
@@ -429,6 +442,8 @@
             context.loads().failed(upstream.id(), now);
         }
         if (failure == AttemptFailure.SILENT
+                || failure == AttemptFailure.OVERSIZED
+                || failure == AttemptFailure.NO_MEMORY
                 || failure == AttemptFailure.BROKEN
                 || failure == AttemptFailure.PATH_LOST) {
             recordVersionAnswer(false, false);
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/EventSplitter.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/EventSplitter.java
@@ -29,6 +29,7 @@
  */
 public final class EventSplitter {
     private static final String ID_FIELD = "id:";
+    private static final byte[] DATA_FIELD = {'d', 'a', 't', 'a'};
     private static final byte COMMENT = ':';
 
     private final ByteArrayOutputStream pending = new ByteArrayOutputStream();
@@ -39,8 +40,10 @@
      *
      * @param id the value of its {@code id} field; empty if it has none
      * @param bytes its bytes, including the empty line that ends it
+     * @param hasData true if it has a {@code data} field; a block without one, such as a comment,
+     *     is no event to its receiver
      */
-    public record StreamEvent(String id, byte[] bytes) {}
+    public record StreamEvent(String id, byte[] bytes, boolean hasData) {}
 
     /**
      * Appends a part of the body.
@@ -56,7 +59,7 @@
             if (b == '\n' && lineEmpty) {
                 byte[] event = completeEvent(bytes, from, at + 1);
                 from = at + 1;
-                events.add(new StreamEvent(idOf(event), event));
+                events.add(new StreamEvent(idOf(event), event, hasData(event)));
             } else if (b == '\n') {
                 lineEmpty = true;
             } else if (b != '\r') {
@@ -130,6 +133,29 @@
         return "";
     }
 
+    private static boolean hasData(byte[] event) {
+        int line = 0;
+        while (line < event.length) {
+            if (isDataLine(event, line)) {
+                return true;
+            }
+            while (line < event.length && event[line] != '\n') {
+                line++;
+            }
+            line++;
+        }
+        return false;
+    }
+
+    private static boolean isDataLine(byte[] event, int from) {
+        int end = from + DATA_FIELD.length;
+        if (end >= event.length
+                || !Arrays.equals(event, from, end, DATA_FIELD, 0, DATA_FIELD.length)) {
+            return false;
+        }
+        return event[end] == ':' || event[end] == '\n' || event[end] == '\r';
+    }
+
     private static boolean isIdLine(byte[] event, int from, int to) {
         return to - from >= ID_FIELD.length()
                 && event[from] == 'i'
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/MemoryManager.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/MemoryManager.java
@@ -50,11 +50,12 @@
      */
     private static final long STALL_TIMEOUT_MILLIS = 1_000;
 
-    /**
-     * Divides the bound of buffered bytes per answer while the memory level is not {@code CALM}.
-     */
+    /** Divides the bound of buffered bytes per answer at level {@code PRESSED}. */
     private static final int PRESSED_DIVISOR = 4;
 
+    /** Divides that bound at level {@code FULL}: a thousand such answers fit into the budget. */
+    private static final int FULL_DIVISOR = 64;
+
     private final MemoryAccount account;
     private final MemoryMetrics metrics;
     private final LongSupplier nowMillis;
@@ -68,9 +69,7 @@
         /** The unread bytes exceeded the bound for one answer. */
         OVER_BOUND,
         /** The memory level was {@code FULL}, and the answer was chosen to free memory. */
-        NO_ROOM,
-        /** A single event was larger than the bound for one answer. */
-        EVENT_TOO_LARGE
+        NO_ROOM
     }
 
     /**
@@ -131,13 +130,18 @@
     }
 
     /**
-     * Returns how much of one answer may be buffered before it is relayed as it arrives.
+     * Returns how much of one answer may be buffered before it is relayed as it arrives, and how
+     * much of an event before its attempt fails.
      *
      * @return the bound in bytes
      */
     public long maxBufferedAnswerBytes() {
         long bound = account.budget().answerBytes();
-        return account.level() == MemoryLevel.CALM ? bound : bound / PRESSED_DIVISOR;
+        return switch (account.level()) {
+            case CALM -> bound;
+            case PRESSED -> bound / PRESSED_DIVISOR;
+            case FULL -> bound / FULL_DIVISOR;
+        };
     }
 
     /**
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestDriver.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestDriver.java
@@ -221,7 +221,7 @@
 
     @Override
     public void answered(Attempt sender, int status, HeaderList headers, long length) {
-        answer.head(status, headers);
+        answer.head(status, headers, length);
     }
 
     @Override
@@ -232,7 +232,10 @@
             crashes.answering(sender);
             version.eventReceived(sender.upstream(), context.loop().nowMillis());
             recordRunStarted();
+        } else if (answer.progressesByBytes()) {
+            sender.progressed();
         }
+        answer.excess().ifPresent(sender::failWithoutProgress);
     }
 
     @Override
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ResponseTimeoutWatch.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ResponseTimeoutWatch.java
@@ -26,17 +26,17 @@
 import java.util.function.Consumer;
 
 /**
- * Fails an attempt whose upstream has sent nothing for too long, if the request may run again, some
- * upstream takes requests, and the retry budget allows it.
+ * Fails an attempt whose upstream has sent nothing that brings the answer nearer to its end for too
+ * long, if the request may run again, some upstream takes requests, and the retry budget allows it.
  */
 final class ResponseTimeoutWatch {
     /**
-     * Time without data, once the answer has begun, after which it is checked whether the upstream
-     * is still there, in milliseconds.
+     * Time without progress, once the answer has begun, after which it is checked whether the
+     * upstream is still there, in milliseconds.
      */
     private static final long CHECKED_BODY_GAP_MILLIS = 1_000;
 
-    /** Longest time without data from an upstream that is still there, in milliseconds. */
+    /** Longest time without progress from an upstream that is still there, in milliseconds. */
     private static final long MAX_BODY_GAP_MILLIS = 1_900;
 
     private static final long MIN_CHECK_INTERVAL_MILLIS = 50;
@@ -94,7 +94,8 @@
             return;
         }
         long delayMillis =
-                Math.max(MIN_CHECK_INTERVAL_MILLIS, timeoutMillis - attempt.unresponsiveMillis());
+                Math.max(
+                        MIN_CHECK_INTERVAL_MILLIS, timeoutMillis - attempt.millisWithoutProgress());
         context.loop().schedule(delayMillis, () -> check(attempt, timeoutMillis));
     }
 
@@ -104,15 +105,13 @@
         }
         boolean begun = history.hasAnswerStarted();
         long timeoutMillis = begun ? CHECKED_BODY_GAP_MILLIS : firstTimeoutMillis;
-        long unresponsiveMillis = attempt.unresponsiveMillis();
-        if (attempt.millisWithoutProgress() >= timeoutMillis) {
-            attempt.reportWithoutProgress(WithoutProgress.Finding.KEPT);
-        }
-        if (unresponsiveMillis < timeoutMillis) {
+        long waitedMillis = attempt.millisWithoutProgress();
+        if (waitedMillis < timeoutMillis) {
             scheduleCheck(attempt, timeoutMillis);
-        } else if (begun && unresponsiveMillis < MAX_BODY_GAP_MILLIS) {
+        } else if (begun && waitedMillis < MAX_BODY_GAP_MILLIS) {
             reachable.accept(attempt.upstream(), reached -> checked(attempt, reached));
         } else if (!leave(attempt, AttemptFailure.SILENT)) {
+            attempt.reportWithoutProgress(WithoutProgress.Finding.KEPT);
             scheduleCheck(attempt, timeoutMillis);
         }
     }
@@ -122,7 +121,7 @@
         if (attempt != watched) {
             return;
         }
-        boolean silent = attempt.unresponsiveMillis() >= CHECKED_BODY_GAP_MILLIS;
+        boolean silent = attempt.millisWithoutProgress() >= CHECKED_BODY_GAP_MILLIS;
         if (!silent || reached || !leave(attempt, AttemptFailure.SILENT)) {
             scheduleCheck(attempt, silent ? MAX_BODY_GAP_MILLIS : CHECKED_BODY_GAP_MILLIS);
         }
@@ -142,7 +141,9 @@
                 RecoveryPolicy.allowsAnother(request, history, now)
                         && servedElsewhere.getAsBoolean()
                         && retries.allowsAnother(now);
-        if (allowed) {
+        if (allowed && reason == AttemptFailure.SILENT) {
+            attempt.failWithoutProgress(reason);
+        } else if (allowed) {
             attempt.fail(reason);
         }
         return allowed;
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/WithoutProgress.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/WithoutProgress.java
@@ -48,7 +48,9 @@
         /** It was given up because its time was over. */
         TOO_LONG,
         /** It was given up because of the number of bytes. */
-        TOO_LARGE
+        TOO_LARGE,
+        /** It was given up because this process has too little memory for more of its bytes. */
+        NO_MEMORY
     }
 
     @Override
