Bytes that are no answer leave one log line

An upstream that sent bytes in place of a head, malformed chunks or bytes after its answer left a stack trace of the HTTP library on standard error for each connection; at hundreds of them the log said little else. The library logs all but an IOException in this way.

AnswerCodec turns its parse errors into one line with the server and the cause, and an IOException; the connection is closed and the call fails as before.

--- a/trailladder-entry/src/main/java/io/trailladder/entry/http/HttpConnector.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/http/HttpConnector.java
@@ -36,7 +36,6 @@
 import org.glassfish.grizzly.filterchain.BaseFilter;
 import org.glassfish.grizzly.filterchain.FilterChainContext;
 import org.glassfish.grizzly.filterchain.NextAction;
-import org.glassfish.grizzly.http.HttpClientFilter;
 import org.glassfish.grizzly.http.HttpContent;
 import org.glassfish.grizzly.http.HttpRequestPacket;
 import org.glassfish.grizzly.http.HttpResponsePacket;
@@ -88,9 +87,7 @@
      */
     public HttpConnector(EventLoop loop) {
         this.loop = loop;
-        HttpClientFilter codec = new HttpClientFilter(MAX_HEAD_BYTES);
-        codec.setPreserveHeaderCase(true);
-        this.filters = new Filters(List.of(codec, new AnswerFilter()));
+        this.filters = new Filters(List.of(new AnswerCodec(MAX_HEAD_BYTES), new AnswerFilter()));
         this.direct = new DirectOpener(loop);
         this.upstreams = direct;
     }
--- a/trailladder-entry/src/test/java/io/trailladder/entry/http/EndlessServerTest.java
+++ b/trailladder-entry/src/test/java/io/trailladder/entry/http/EndlessServerTest.java
@@ -120,6 +120,13 @@
         assertEquals(0, logged.size());
     }
 
+    /** Guards against stack traces for each server that sends more than its answer. */
+    @Example
+    void bytesAfterAnAnswerLeaveNoStackTrace() throws Exception {
+        assertEquals("status 200", answered("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"));
+        assertEquals(0, logged.size());
+    }
+
     /** Guards against a body of the store or a peer that grows in memory until the time-out. */
     @Example
     void bodyWithoutEndIsNotCollected() throws Exception {
