A reply of the store or a peer is bounded

A store or peer that sent a body without end filled the memory of a process until the call's time-out, which is up to 30 s for a watch; the bytes are in no memory account. The body was collected whatever its size.

A call whose reply exceeds 16 MB now ends as one without an answer, with one log line.

--- a/trailladder-entry/src/main/java/io/trailladder/entry/http/JsonCalls.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/http/JsonCalls.java
@@ -27,6 +27,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Consumer;
+import org.tinylog.Logger;
 
 /**
  * Makes calls with JSON bodies to one server. Every call has a timeout.
@@ -36,6 +37,10 @@
 public final class JsonCalls {
     private static final long MAX_IDLE_MILLIS = 3_000;
     private static final long CONNECT_MILLIS = 800;
+
+    /** Largest body of an answer, in bytes; a call with a larger one counts as unanswered. */
+    private static final int MAX_BODY_BYTES = 16 << 20;
+
     private static final byte[] NO_BYTES = {};
 
     private final EventLoop loop;
@@ -131,7 +136,7 @@
             headers = headers.with(field.name(), field.value());
         }
         Pending pending = new Pending(result);
-        pending.timeout = loop.schedule(timeoutMillis, pending::timeOut);
+        pending.timeout = loop.schedule(timeoutMillis, pending::abandon);
         pending.call =
                 connector.send(
                         new OutgoingCall(
@@ -166,7 +171,8 @@
             call.cancel();
         }
 
-        void timeOut() {
+        /** Ends the call as unanswered. */
+        void abandon() {
             call.cancel();
             connector.closeIdle(server);
             finish(Reply.NONE);
@@ -181,6 +187,10 @@
         @Override
         public void body(byte[] bytes) {
             body.writeBytes(bytes);
+            if (body.size() > MAX_BODY_BYTES) {
+                Logger.warn("call to {} ended, answer over {} bytes", server, MAX_BODY_BYTES);
+                abandon();
+            }
         }
 
         @Override
