--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/GatewayMetrics.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/GatewayMetrics.java
@@ -161,6 +161,10 @@
         ANSWER_INCOMPLETE,
         /** An answer did not continue the stream that its caller has. */
         ANSWER_OUT_OF_ORDER,
+        /**
+         * An upstream sent bytes that complete nothing for longer, or more of them, than allowed.
+         */
+        ANSWER_WITHOUT_PROGRESS,
         /** A usage report or an order was not accepted. */
         DUTY_FAILURE,
         /** A request was sent to another region. */
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestDriver.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestDriver.java
@@ -237,7 +237,7 @@
             sender.fail(AttemptFailure.SERVER_ERROR);
             return;
         }
-        answer.head(status, headers);
+        answer.head(status, headers, length);
         failIfOutOfOrder(sender);
     }
 
@@ -255,8 +255,11 @@
             crashes.answering(sender);
             version.eventReceived(sender.upstream(), context.loop().nowMillis());
             recordRunStarted();
+        } else if (answer.progressesByBytes()) {
+            sender.progressed();
         }
         failIfOutOfOrder(sender);
+        answer.excess().ifPresent(sender::failWithoutProgress);
     }
 
     @Override
@@ -499,6 +502,7 @@
         Attempt last = attempt;
         if (attempt != null && attempt.isSent()) {
             context.loads().failed(attempt.upstream().id(), context.loop().nowMillis());
+            attempt.reportWithoutProgress(WithoutProgress.Finding.TOO_LONG);
             crashes.failed(attempt, AttemptFailure.SILENT);
         }
         cancelAttempt();
