--- a/trailladder-cli/src/test/java/io/trailladder/cli/soak/CallerAnswer.java
+++ b/trailladder-cli/src/test/java/io/trailladder/cli/soak/CallerAnswer.java
@@ -24,6 +24,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.function.Predicate;
 
 /** One answer as it stands on a caller's connection. */
 record CallerAnswer(int status, Map<String, String> headers, String body, boolean whole) {
@@ -31,6 +32,11 @@
     static final CallerAnswer NONE = new CallerAnswer(0, Map.of(), "", false);
 
     static CallerAnswer read(Socket socket) throws IOException {
+        return read(socket, body -> false);
+    }
+
+    /** Reads an answer until it ends, or its body so far is enough. */
+    static CallerAnswer read(Socket socket, Predicate<String> enough) throws IOException {
         InputStream in = socket.getInputStream();
         String first = line(in);
         int status = Integer.parseInt(first.split(" ", 3)[1]);
@@ -47,7 +53,7 @@
             whole =
                     headers.containsKey("content-length")
                             ? sized(in, headers, body)
-                            : chunks(in, body);
+                            : chunks(in, body, enough);
         } catch (IOException e) {
             whole = false;
         }
@@ -66,7 +72,9 @@
         return body.size() == length;
     }
 
-    private static boolean chunks(InputStream in, ByteArrayOutputStream body) throws IOException {
+    private static boolean chunks(
+            InputStream in, ByteArrayOutputStream body, Predicate<String> enough)
+            throws IOException {
         while (true) {
             int length = Integer.parseInt(line(in), 16);
             byte[] chunk = in.readNBytes(length);
@@ -75,7 +83,7 @@
             if (length == 0) {
                 return true;
             }
-            if (chunk.length < length) {
+            if (chunk.length < length || enough.test(body.toString(StandardCharsets.UTF_8))) {
                 return false;
             }
         }
--- a/trailladder-cli/src/test/java/io/trailladder/cli/soak/SoakGateway.java
+++ b/trailladder-cli/src/test/java/io/trailladder/cli/soak/SoakGateway.java
@@ -119,6 +119,10 @@
         return callers;
     }
 
+    HostPort peers() {
+        return peers;
+    }
+
     FaultProxy store() {
         return store;
     }
