--- a/trailladder-cli/src/test/java/io/trailladder/cli/soak/StreamCluster.java
+++ b/trailladder-cli/src/test/java/io/trailladder/cli/soak/StreamCluster.java
@@ -63,6 +63,8 @@
     private static final class Node {
         final SoakGateway gateway;
         final GatewayPaths peers = new GatewayPaths();
+        private int storeCuts;
+        private int peerCuts;
         private int disturbances;
         private long undisturbedNanos;
         private boolean ready;
@@ -146,21 +148,29 @@
 
     /** Begins or ends a cut of a gateway from the store. */
     void cutStore(int index, boolean now) throws IOException {
-        nodes.get(index).gateway.store().mode(now ? Mode.HANG : Mode.PASS);
-        nodes.get(index).disturb(now ? 1 : -1);
+        Node cut = nodes.get(index);
+        cut.storeCuts += now ? 1 : -1;
+        cut.gateway.store().mode(cut.storeCuts > 0 ? Mode.HANG : Mode.PASS);
+        cut.disturb(now ? 1 : -1);
     }
 
     /** Begins or ends a cut of a gateway from all its peers. */
     void cutPeers(int index, boolean now) throws IOException {
-        Mode mode = now ? Mode.HANG : Mode.PASS;
         Node cut = nodes.get(index);
-        cut.peers.mode(mode);
+        cut.peerCuts += now ? 1 : -1;
         for (Node node : nodes) {
-            node.peers.mode(cut.gateway.peers().toString(), mode);
+            link(cut, node);
+            link(node, cut);
         }
         cut.disturb(now ? 1 : -1);
     }
 
+    /** Has a path between gateways hang while one of both is cut off, and pass otherwise. */
+    private static void link(Node from, Node to) throws IOException {
+        boolean hangs = from.peerCuts + to.peerCuts > 0;
+        from.peers.mode(to.gateway.peers().toString(), hangs ? Mode.HANG : Mode.PASS);
+    }
+
     /** Freezes a gateway, or wakes it. */
     void freeze(int index, boolean now) throws IOException, InterruptedException {
         nodes.get(index).gateway.signal(now ? "STOP" : "CONT");
