A process that has lost a peer since its last confirmation is not sure of its list

A confirmation now counts only if it is later than the silence of every peer that this process has lost itself; the new test of ListFreshness failed before.

--- a/trailladder-core/src/main/java/io/trailladder/core/upstream/ListFreshness.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/upstream/ListFreshness.java
@@ -203,9 +203,9 @@
     long currentUntilMillis(long nowMillis) {
         boolean frozen =
                 confirmedMillis < frozenUntilMillis || nowMillis - tickedMillis > FROZEN_MILLIS;
-        boolean heard =
-                isConfirmed(nowMillis)
-                        || (everConfirmed && silences.isEmpty() && outdated.isEmpty());
+        boolean confirmed = isConfirmed(nowMillis) && !isSilentSinceConfirmed();
+        boolean allHeard = everConfirmed && silences.isEmpty() && outdated.isEmpty();
+        boolean heard = confirmed || allHeard;
         if (frozen || !heard) {
             return Math.min(nowMillis - 1, Math.min(tickedMillis, confirmedMillis));
         }
@@ -222,6 +222,16 @@
         return confirmedMillis;
     }
 
+    /** Returns whether the list has not been confirmed since this process lost a peer. */
+    private boolean isSilentSinceConfirmed() {
+        return silences.values().stream()
+                .anyMatch(
+                        silence ->
+                                !silence.over()
+                                        && silence.toldMillis() == Silence.OWN
+                                        && silence.sinceMillis() >= confirmedMillis);
+    }
+
     /** Returns how long ago the list was last confirmed, in milliseconds. */
     long ageMillis(long nowMillis) {
         return nowMillis - confirmedMillis;
--- a/trailladder-core/src/test/java/io/trailladder/core/upstream/ListFreshnessTest.java
+++ b/trailladder-core/src/test/java/io/trailladder/core/upstream/ListFreshnessTest.java
@@ -45,13 +45,26 @@
     @Example
     void aConfirmedListIsCurrentForAWhile() {
         tickUntil(CONFIRMED);
+        freshness.peerSilent("p", CONFIRMED - 100);
         freshness.confirmed(CONFIRMED);
-        freshness.peerSilent("p", CONFIRMED);
         tickUntil(LATER);
         assertEquals(LATER - 1, freshness.currentUntilMillis(LATER - 1));
         assertEquals(CONFIRMED, freshness.currentUntilMillis(LATER));
     }
 
+    /** Guards against a process that trusts its list for as long after it lost all peers. */
+    @Example
+    void aListIsNotCurrentIfAPeerWasLostSinceItWasConfirmed() {
+        tickUntil(CONFIRMED);
+        freshness.confirmed(CONFIRMED);
+        freshness.peerSilent("p", CONFIRMED);
+        tickUntil(CONFIRMED + 1_200);
+        assertEquals(CONFIRMED, freshness.currentUntilMillis(CONFIRMED + 1_200));
+        freshness.confirmed(CONFIRMED + 1_300);
+        tickUntil(CONFIRMED + 1_400);
+        assertEquals(CONFIRMED + 1_400, freshness.currentUntilMillis(CONFIRMED + 1_400));
+    }
+
     /** Guards against streams refused by all processes while the store answers none of them. */
     @Example
     void aListIsCurrentWithoutTheStoreWhileAllPeersRespond() {
