A silence is not learned of a peer that was heard since

Cause: a peer that had been frozen for some seconds was heard again, but other processes, which had not ended its silence yet, told of it; each that heard it took the silence up anew and told it on, for 55 s. The log shows it: "first called 33557 to 366 ms ago", the time of the freeze.

A silence that a peer tells counts only if this process has not heard the silent one since. The new test of ListFreshness fails without the change.

--- a/trailladder-core/src/main/java/io/trailladder/core/upstream/ListFreshness.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/upstream/ListFreshness.java
@@ -53,6 +53,9 @@
     /** Peers that send nothing. */
     private final Map<String, Silence> silences = new HashMap<>();
 
+    /** When this process itself last heard each peer. */
+    private final Map<String, Long> heardMillis = new HashMap<>();
+
     /** Peers that tell that their list may be outdated. */
     private final Map<String, Silence> outdated = new HashMap<>();
 
@@ -125,7 +128,9 @@
 
     /** Records that a peer tells that another one is silent, unless that is this process. */
     void learnedSilence(String peer, long sinceMillis, long nowMillis) {
-        if (!peer.equals(own) && nowMillis - sinceMillis <= MAX_TOLD_SILENCE_MILLIS) {
+        boolean heardSince = heardMillis.getOrDefault(peer, Long.MIN_VALUE) > sinceMillis;
+        boolean old = nowMillis - sinceMillis > MAX_TOLD_SILENCE_MILLIS;
+        if (!peer.equals(own) && !heardSince && !old) {
             record(silences, peer, sinceMillis, nowMillis);
         }
     }
@@ -146,6 +151,7 @@
 
     /** Records that a peer has sent something. */
     void peerHeard(String peer, long nowMillis) {
+        heardMillis.put(peer, nowMillis);
         silences.computeIfPresent(peer, (name, silence) -> silence.endedAt(nowMillis));
     }
 
@@ -169,6 +175,7 @@
     /** Forgets peers that have been silent for long, unless this process is isolated itself. */
     private void prune(long nowMillis) {
         if (isConfirmed(nowMillis)) {
+            heardMillis.values().removeIf(heard -> nowMillis - heard > MAX_SILENCE_MILLIS);
             silences.values().removeIf(silence -> silence.untilMillis() < nowMillis);
             outdated.values().removeIf(silence -> silence.untilMillis() < nowMillis);
         }
--- a/trailladder-core/src/test/java/io/trailladder/core/upstream/ListFreshnessTest.java
+++ b/trailladder-core/src/test/java/io/trailladder/core/upstream/ListFreshnessTest.java
@@ -154,4 +154,15 @@
         tickUntil(CONFIRMED + 2_200);
         assertEquals(Map.of(), freshness.silences(CONFIRMED + 2_200));
     }
+
+    /** Guards against processes that tell each other for long of a peer that they hear again. */
+    @Example
+    void aSilenceIsNotLearnedOfAPeerThatWasHeardSince() {
+        tickUntil(CONFIRMED);
+        freshness.confirmed(CONFIRMED);
+        freshness.peerSilent("p", CONFIRMED);
+        freshness.peerHeard("p", CONFIRMED + 3_000);
+        freshness.learnedSilence("p", CONFIRMED, CONFIRMED + 3_100);
+        assertEquals(Map.of(), freshness.silences(CONFIRMED + 3_100));
+    }
 }
