--- a/trailladder-core/src/main/java/io/trailladder/core/rollout/VersionGate.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/rollout/VersionGate.java
@@ -147,6 +147,19 @@
                         servesFrom.put(version, millis + UNORDERED_VERSION_DELAY_MILLIS));
     }
 
+    /**
+     * Admits versions that another process has found to serve already.
+     *
+     * @param service the service
+     * @param versions the versions
+     * @param nowMillis the current time, in milliseconds
+     */
+    public void admit(String service, Collection<String> versions, long nowMillis) {
+        Map<String, Long> servesFrom =
+                servesFromMillis.computeIfAbsent(service, name -> new HashMap<>());
+        versions.forEach(version -> servesFrom.merge(version, nowMillis, Math::min));
+    }
+
     private static boolean isOneVersion(List<Upstream> serving) {
         for (Upstream upstream : serving) {
             if (!upstream.version().equals(serving.get(0).version())) {
--- a/trailladder-core/src/main/java/io/trailladder/core/upstream/VersionRange.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/upstream/PlanNews.java
@@ -15,12 +15,13 @@
  */
 package io.trailladder.core.upstream;
 
+import java.util.Map;
+
 /**
- * The number of slots that a version of a service's upstreams had over some time.
+ * What a process tells others of its current plan.
  *
- * @param version the version
- * @param leastSlots the lowest number of slots that took new requests
- * @param mostSlots the highest number of slots listed
+ * @param baseNumber the number of the plan whose changes are told; 0 if the whole plan is
+ * @param changes the slots of each version by service
  * @since 0.7
  */
-public record VersionRange(String version, int leastSlots, int mostSlots) {}
+public record PlanNews(long baseNumber, Map<String, Map<String, Integer>> changes) {}
--- a/trailladder-core/src/main/java/io/trailladder/core/upstream/StreamCall.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/upstream/StreamCall.java
@@ -16,26 +16,11 @@
 package io.trailladder.core.upstream;
 
 /**
- * A caller's request for a stream, a new one or one that it resumes.
+ * A stream that a caller begins or resumes.
  *
  * @param service the service
- * @param route the route's name
  * @param attempt the id of the caller's attempt that brings, or brought, the first event; empty if
- *     a caller that resumes a stream does not name it
- * @param deadlineMillis when the caller stops waiting, on the monotonic clock, in milliseconds;
- *     {@link #NO_DEADLINE} if it does not say
- * @since 0.8
+ *     the caller does not name it
+ * @since 0.6
  */
-public record StreamCall(String service, String route, String attempt, long deadlineMillis) {
-    /** The deadline of a caller that does not say how long it waits. */
-    public static final long NO_DEADLINE = Long.MIN_VALUE;
-
-    /**
-     * Returns whether the caller says how long it waits.
-     *
-     * @return true if it does
-     */
-    public boolean hasDeadline() {
-        return deadlineMillis != NO_DEADLINE;
-    }
-}
+public record StreamCall(String service, String attempt) {}
--- a/trailladder-core/src/main/java/io/trailladder/core/upstream/StreamOrigin.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/upstream/StreamOrigin.java
@@ -28,7 +28,7 @@
     /** A stream that may run at any upstream: its service had only one version. */
     public static final StreamOrigin ANY = new StreamOrigin(Source.ONE_VERSION, "");
 
-    /** A stream of which it is not known which of several versions began it. */
+    /** A stream of which it is not known at which of several versions it began. */
     public static final StreamOrigin UNKNOWN = new StreamOrigin(Source.UNKNOWN, "");
 
     /** A stream that may have begun after the list of upstreams was last known to be current. */
--- a/trailladder-core/src/main/java/io/trailladder/core/upstream/StreamVersions.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/upstream/StreamVersions.java
@@ -16,33 +16,33 @@
 package io.trailladder.core.upstream;
 
 import io.trailladder.core.rollout.VersionGate;
+import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 /**
  * Determines the version of upstreams at which a stream begins and at which it may be resumed. What
  * two versions generate must not be joined.
  *
- * <p>While a service has several versions, the version of a stream follows from the id of its first
- * attempt, by rendezvous hashing with the number of slots of each version as its weight. The slots
- * are those of the time when the caller first called. Its deadline tells that time to every process
- * that it calls, so each can tell which version began the stream, also one that has just started.
- * Processes notice changes at different times. Where a stream's version is not the same for all
- * slots that may have been in force, the process that began it tells the others; one that was not
- * told does not resume it.
- *
- * <p>A process that starts does not know which versions served before. It needs what a process that
- * ran then has {@linkplain #recent recorded}; until it knows, it does not resume streams that may
- * have begun before its start. A process whose list of upstreams may be outdated does not resume
- * streams that may have begun since, unless it knows itself where they did.
+ * <p>The version of a stream is known to the process that sent it to an upstream, and to those that
+ * it told. For streams of processes that are gone it follows from the {@linkplain VersionPlan plan}
+ * by which they assigned versions to the ids of attempts. The leader makes plans and records each
+ * one before a process uses it. Every process tells the number of the plan that it uses and, before
+ * it tells a newer number, the streams that the newer plan assigns to another version than they
+ * have. So a stream that nobody was told of began at the version that all plans assign to it that
+ * are still in use; if they differ, it is not resumed. No clock of a caller or another process is
+ * part of this.
  *
  * <pre>{@code
- * StreamCall call = new StreamCall("chat", route, attemptId, deadlineMillis);
+ * StreamCall call = new StreamCall("chat", attemptId);
  * StreamOrigin begin = streams.assigned(call, nowMillis);
- * streams.began(call, upstream.version(), nowMillis);
- * StreamOrigin origin = streams.origin(call, nowMillis);
+ * streams.sent(call, upstream.version(), nowMillis);
+ * Optional<StreamOrigin> origin = streams.recorded(call);
  * }</pre>
  *
  * @since 0.6
@@ -52,49 +52,56 @@
     public static final long MAX_AGE_MILLIS = 20_000;
 
     /**
-     * How long after the start of this process the version is unknown of a stream that may have
-     * begun before, in milliseconds, if nothing was recorded then: upstreams may have left or come
-     * shortly before.
+     * How long after the start of this process the version is unknown of a stream, in milliseconds,
+     * if nothing was recorded before: upstreams may have left or come shortly before.
      */
     static final long SETTLE_MILLIS = 3_000;
 
-    /** How often the record must show that it is still valid, in milliseconds. */
-    private static final long RECORD_INTERVAL_MILLIS = 4_000;
+    private static final int MAX_RECORDED_PLANS = 60;
 
-    /** The same while a service has several versions, in milliseconds. */
-    private static final long MIXED_RECORD_INTERVAL_MILLIS = 1_000;
+    /** How long the changes of a new plan are told, in milliseconds: several digests. */
+    private static final long PLAN_TOLD_MILLIS = 1_000;
 
-    /**
-     * How much later one process may notice a change, or count the first call of a caller, than
-     * another one, in milliseconds.
-     */
-    private static final long TOLERANCE_MILLIS = 700;
+    private static final long NEVER_MILLIS = Long.MIN_VALUE / 2;
+
+    /** Time between two ticks from which this process was frozen, in milliseconds. */
+    private static final long FROZEN_MILLIS = 1_000;
 
     private final UpstreamDirectory directory;
     private final VersionGate versions;
-
-    /** From when on this process knows the versions itself, in milliseconds. */
-    private long startedMillis;
-
-    private final Map<String, VersionHistory> histories = new HashMap<>();
-    private final RouteWaits waits = new RouteWaits();
+    private final VersionPlanner planner;
+    private final long startedMillis;
+    private final KnownPlans plans = new KnownPlans();
+    private final PlanUse use = new PlanUse();
+    private final TrailingMinimum ownUse = new TrailingMinimum();
+    private final TrailingMinimum oldestUse = new TrailingMinimum();
+    private final Map<String, VersionGaps> gaps = new HashMap<>();
     private final BegunStreams begun = new BegunStreams();
     private final ListFreshness freshness;
     private Earlier earlier = Earlier.UNKNOWN;
-    private Optional<VersionRecord> earlierRecord = Optional.empty();
-    private boolean earlierTimesKnown;
 
-    /** When the list was last not known to be current, in milliseconds. */
-    private long outdatedMillis;
+    /** The plan that this process told when it had told all streams that do not follow from it. */
+    private long toldNumber;
+
+    /** The newest plan of which another process told. */
+    private long newestNumber;
+
+    /** Since when this process does not know it, in milliseconds. */
+    private long lackingMillis = NEVER_MILLIS;
+
+    /** When the current plan became known, in milliseconds. */
+    private long adoptedMillis = NEVER_MILLIS;
 
-    /** Since when the list was not confirmed then, in milliseconds. */
-    private long unconfirmedSinceMillis;
+    /** When a peer was linked last, in milliseconds. */
+    private long linkedMillis = NEVER_MILLIS;
 
-    /** When a peer was last linked, in milliseconds. One that starts admits all that is listed. */
-    private long peerLinkedMillis = Long.MIN_VALUE / 2;
+    /** When the record was last read, in milliseconds. */
+    private long readMillis = NEVER_MILLIS;
 
-    /** From when on this process assigns versions as those do that have run for longer. */
-    private long settledMillis;
+    /** Until when processes may have ended without being missed, in milliseconds. */
+    private long lostMillis;
+
+    private long tickedMillis;
 
     /** What is known of the versions that served before this process started. */
     private enum Earlier {
@@ -115,104 +122,256 @@
             String own, UpstreamDirectory directory, VersionGate versions, long startedMillis) {
         this.directory = directory;
         this.versions = versions;
+        this.planner = new VersionPlanner(directory, versions);
         this.startedMillis = startedMillis;
-        this.outdatedMillis = startedMillis;
-        this.unconfirmedSinceMillis = startedMillis;
-        this.settledMillis = startedMillis + SETTLE_MILLIS;
+        this.tickedMillis = startedMillis;
+        this.lostMillis = startedMillis + SETTLE_MILLIS;
         this.freshness = new ListFreshness(own, startedMillis);
     }
 
     /**
-     * Records which versions served before this process started. May be called again once the times
-     * of the steps are known better.
+     * Records what the store tells: at the start, and whenever the record is read again.
      *
-     * @param record what {@link #recent} returned, with times on the clock of this process
-     * @param timesKnown false if that clock cannot yet be compared with the one of the record
+     * @param record the record
      * @param nowMillis the current time, in milliseconds
      */
-    public void recordedBefore(VersionRecord record, boolean timesKnown, long nowMillis) {
-        earlier = Earlier.RECORDED;
-        earlierRecord = Optional.of(record);
-        earlierTimesKnown = timesKnown;
-        waits.recordedBefore(record.longestWaits());
-        if (timesKnown) {
-            record.silences()
-                    .forEach((peer, since) -> freshness.learnedSilence(peer, since, nowMillis));
+    public void recordRead(VersionRecord record, long nowMillis) {
+        if (earlier == Earlier.UNKNOWN && !record.plans().isEmpty()) {
+            use.usedBefore(record.oldestNumber(), record.silentNumber(), nowMillis);
+            admitAsPlanned(record.plans());
         }
+        earlier = Earlier.RECORDED;
+        readMillis = nowMillis;
         begun.recordedBefore(record.streams(), nowMillis);
-        histories.forEach(this::applyRecorded);
-        if (timesKnown) {
-            settledMillis = Math.min(settledMillis, nowMillis);
-            record.steps().forEach(this::admitAsBefore);
+        recorded(record, nowMillis);
+    }
+
+    /** Has versions that are not planned yet wait as long as at processes that ran before. */
+    private void admitAsPlanned(List<VersionPlan> recorded) {
+        VersionPlan latest = recorded.get(recorded.size() - 1);
+        for (String service : latest.slots().keySet()) {
+            Map<String, Long> admitted = new HashMap<>();
+            long listedMillis = startedMillis - VersionGate.UNORDERED_VERSION_DELAY_MILLIS;
+            latest.versions(service).forEach(version -> admitted.put(version, listedMillis));
+            if (!admitted.isEmpty()) {
+                versions.listedBefore(service, admitted, startedMillis);
+            }
         }
     }
 
-    /** Has versions that were first listed lately wait as long as at processes that ran then. */
-    private void admitAsBefore(String service, List<VersionStep> steps) {
-        Map<String, Long> firstListed = new HashMap<>();
-        for (VersionStep step : steps) {
-            boolean first = step.equals(steps.get(0));
-            long fromMillis = first ? step.fromMillis() - MAX_AGE_MILLIS : step.fromMillis();
-            step.listed().keySet().forEach(version -> firstListed.putIfAbsent(version, fromMillis));
+    /**
+     * Records that the store has no record. Only the upstreams that are listed, or leave, are then
+     * known.
+     *
+     * @param nowMillis the current time, in milliseconds
+     */
+    public void nothingRecorded(long nowMillis) {
+        if (earlier == Earlier.UNKNOWN) {
+            earlier = Earlier.NOT_RECORDED;
         }
-        versions.listedBefore(service, firstListed, startedMillis);
+        readMillis = nowMillis;
+    }
+
+    /** Returns whether this process knows which streams of earlier processes may be resumed. */
+    private boolean isEarlierKnown(long nowMillis) {
+        return earlier != Earlier.UNKNOWN || nowMillis - startedMillis > MAX_AGE_MILLIS;
     }
 
     /**
-     * Records that no process has recorded which versions served before this process started. Only
-     * the upstreams that are listed, or leave, are then known.
+     * Returns what the leader must record.
+     *
+     * @param nowMillis the current time, in milliseconds
+     * @return the record, with a new plan if one is needed; empty if this process does not know the
+     *     latest plan
      */
-    public void notRecordedBefore() {
-        earlier = Earlier.NOT_RECORDED;
+    public Optional<VersionRecord> toRecord(long nowMillis) {
+        boolean lost = lacksPlan() && nowMillis - lackingMillis > MAX_AGE_MILLIS;
+        if (!isEarlierKnown(nowMillis) || (lacksPlan() && !lost)) {
+            return Optional.empty();
+        }
+        Map<Long, String> streams = begun.told(nowMillis);
+        long oldest = oldestNumber();
+        if (!begun.isRecordComplete(nowMillis)) {
+            oldest = oldestUse.least(oldest);
+        }
+        List<VersionPlan> recorded = new ArrayList<>(plans.latest(oldest, MAX_RECORDED_PLANS));
+        // a plan that nobody recorded any more is replaced by a new one
+        VersionPlan current = lost ? new VersionPlan(newestNumber, Map.of()) : plans.current();
+        VersionPlan next = planner.next(current, recorded.size(), nowMillis);
+        if (lost) {
+            recorded.clear();
+        }
+        if (next.number() > current.number()) {
+            recorded.add(next);
+        }
+        return recorded.isEmpty()
+                ? Optional.empty()
+                : Optional.of(new VersionRecord(oldest, recorded, use.silentNumber(), streams));
     }
 
     /**
-     * Returns whether it was recorded which versions served before, or that nothing was.
+     * Records that the store has a record, so that its latest plan may be used.
      *
-     * @return false until one of the two is known
+     * @param record the record
+     * @param nowMillis the current time, in milliseconds
      */
-    public boolean isEarlierKnown() {
-        return earlier != Earlier.UNKNOWN;
+    public void recorded(VersionRecord record, long nowMillis) {
+        long before = plans.current().number();
+        plans.addAll(record.plans());
+        if (plans.current().number() > before) {
+            adopted(nowMillis);
+        }
     }
 
-    private void applyRecorded(String service, VersionHistory own) {
-        earlierRecord.ifPresent(
-                record ->
-                        own.recordedBefore(
-                                record.steps().getOrDefault(service, List.of()),
-                                record.validMillis(),
-                                earlierTimesKnown));
+    /** Tells others of the streams that the new plan assigns to another version. */
+    private void adopted(long nowMillis) {
+        VersionPlan plan = plans.current();
+        adoptedMillis = nowMillis;
+        lackingMillis = NEVER_MILLIS;
+        planner.planned(nowMillis);
+        plan.slots()
+                .forEach((service, slots) -> versions.admit(service, slots.keySet(), nowMillis));
+        begun.tell(stream -> !isAssigned(plan, stream.call(), stream.version()), nowMillis);
+        ownUse.record(plan.number(), nowMillis);
+    }
+
+    private static boolean isAssigned(VersionPlan plan, StreamCall call, String version) {
+        return plan.assigned(call.service(), call.attempt()).equals(Optional.of(version));
+    }
+
+    /**
+     * Returns the plan by which this process assigns streams.
+     *
+     * @return the plan; {@link VersionPlan#NONE} if it has none
+     */
+    public VersionPlan plan() {
+        return plans.current();
     }
 
     /**
-     * Returns which versions served lately, for processes that start later.
+     * Returns what others may lack of the current plan.
      *
      * @param nowMillis the current time, in milliseconds
-     * @return the record; empty if this process does not know them yet
+     * @return the whole plan after a peer has been linked, its changes while it is new; empty if
+     *     there is nothing to tell
      */
-    public Optional<VersionRecord> recent(long nowMillis) {
-        long sinceMillis = nowMillis - MAX_AGE_MILLIS;
-        boolean unknown = !isEarlierKnown() && sinceMillis < startedMillis;
-        if (unknown || histories.isEmpty()) {
+    public Optional<PlanNews> planNews(long nowMillis) {
+        List<VersionPlan> known = plans.latest(1, 2);
+        if (known.isEmpty() || lacksPlan()) {
             return Optional.empty();
         }
-        Map<String, List<VersionStep>> steps = new HashMap<>();
-        histories.forEach((service, own) -> steps.put(service, own.recent(sinceMillis)));
-        boolean mixed = steps.values().stream().anyMatch(StreamVersions::haveSeveralVersions);
-        long intervalMillis = mixed ? MIXED_RECORD_INTERVAL_MILLIS : RECORD_INTERVAL_MILLIS;
-        long validMillis = nowMillis - nowMillis % intervalMillis;
-        return Optional.of(
-                new VersionRecord(
-                        validMillis,
-                        steps,
-                        waits.longest(),
-                        freshness.silences(nowMillis),
-                        begun.told(nowMillis)));
+        VersionPlan current = plans.current();
+        if (nowMillis - linkedMillis <= PLAN_TOLD_MILLIS) {
+            return Optional.of(new PlanNews(0, current.slots()));
+        }
+        boolean isNew = nowMillis - adoptedMillis <= PLAN_TOLD_MILLIS;
+        return isNew && known.size() > 1
+                ? Optional.of(
+                        new PlanNews(known.get(0).number(), current.changesSince(known.get(0))))
+                : Optional.empty();
     }
 
-    private static boolean haveSeveralVersions(List<VersionStep> steps) {
-        return steps.stream().flatMap(step -> step.listed().keySet().stream()).distinct().count()
-                > 1;
+    /**
+     * Records that a process tells of a plan.
+     *
+     * @param number its number
+     * @param news what the process tells of it
+     * @param nowMillis the current time, in milliseconds
+     */
+    public void planTold(long number, Optional<PlanNews> news, long nowMillis) {
+        VersionPlan current = plans.current();
+        if (number > newestNumber) {
+            newestNumber = number;
+            lackingMillis = nowMillis;
+        }
+        if (news.isEmpty() || number <= current.number()) {
+            return;
+        }
+        if (news.get().baseNumber() == 0) {
+            plans.add(new VersionPlan(number, news.get().changes()));
+            adopted(nowMillis);
+        } else if (news.get().baseNumber() == current.number()) {
+            plans.add(current.next(news.get().changes()));
+            adopted(nowMillis);
+        }
+    }
+
+    /**
+     * Returns the number of the latest plan that is known to be in use.
+     *
+     * @return the number
+     */
+    public long newestPlanNumber() {
+        return Math.max(newestNumber, plans.current().number());
+    }
+
+    /**
+     * Returns whether other processes use a plan that this one does not know, so that it must read
+     * the record.
+     *
+     * @return true until the record was read
+     */
+    public boolean lacksPlan() {
+        return newestNumber > plans.current().number();
+    }
+
+    /**
+     * Returns the number of the oldest plan by which this process and some others assign streams,
+     * or did before they ended.
+     *
+     * @param peers the others
+     * @param nowMillis the current time, in milliseconds
+     * @return the number
+     */
+    public long usedNumber(Collection<String> peers, long nowMillis) {
+        long own = plans.current().number();
+        if (own == 0 && earlier != Earlier.NOT_RECORDED) {
+            own = newestNumber; // all streams that begin here are told
+        }
+        if (!begun.isEachTold(nowMillis)) {
+            own = ownUse.least(own);
+        } else if (begun.isNewsComplete()) {
+            toldNumber = own;
+        } else {
+            own = Math.min(own, toldNumber);
+        }
+        return use.oldest(own, peers);
+    }
+
+    /**
+     * Records the oldest plan that a peer, or those for which it speaks, use.
+     *
+     * @param peer the peer's name
+     * @param number the number of the plan
+     */
+    public void planUsed(String peer, long number) {
+        use.told(peer, number);
+    }
+
+    /**
+     * Records that the figures of a peer are not received any more.
+     *
+     * @param peer the peer's name
+     * @param nowMillis the current time, in milliseconds
+     */
+    public void peerRemoved(String peer, long nowMillis) {
+        if (use.removed(peer, nowMillis)) {
+            lostMillis = Math.max(lostMillis, nowMillis);
+        }
+    }
+
+    /**
+     * Records the processes that the store lists, where all of them are linked.
+     *
+     * @param peers the names of all but this process
+     * @param nowMillis the current time, in milliseconds
+     */
+    public void peersListed(Collection<String> peers, long nowMillis) {
+        use.listed(peers, plans.current().number(), nowMillis);
+    }
+
+    private long oldestNumber() {
+        return use.oldest(plans.current().number());
     }
 
     /**
@@ -221,12 +380,6 @@
      * @param atMillis when, in milliseconds
      */
     public void listConfirmed(long atMillis) {
-        long beforeMillis = freshness.confirmedMillis();
-        if (atMillis - beforeMillis > ListFreshness.MAX_CONFIRMATION_GAP_MILLIS) {
-            unconfirmedSinceMillis = beforeMillis;
-            outdatedMillis = atMillis;
-            settledMillis = Math.max(settledMillis, atMillis + SETTLE_MILLIS);
-        }
         freshness.confirmed(atMillis);
     }
 
@@ -256,20 +409,18 @@
      *
      * @param call the caller's request
      * @param nowMillis the current time, in milliseconds
-     * @return when its caller may have called first, and the steps of the versions' slots that may
-     *     have been in force then, with their ages
+     * @return the plans that may be in use and the versions that they assign
      */
     public String describe(StreamCall call, long nowMillis) {
-        VersionHistory history = record(call.service(), nowMillis);
-        RouteWaits.FirstCall first = waits.firstCall(call, nowMillis);
-        long earliestMillis = first.earliestMillis() - TOLERANCE_MILLIS;
-        long latestMillis = Math.min(nowMillis, first.latestMillis() + TOLERANCE_MILLIS);
-        long sinceMillis = sinceSilence(earliestMillis, latestMillis);
-        return "first called %d to %d ms ago; %s"
+        long oldest = oldestNumber();
+        return "plans %d to %d in use%s; versions %s, listed %s; record read %d ms ago"
                 .formatted(
-                        nowMillis - sinceMillis,
-                        nowMillis - latestMillis,
-                        history.describe(sinceMillis, latestMillis, nowMillis));
+                        oldest,
+                        plans.current().number(),
+                        plans.from(oldest).isPresent() ? "" : ", some not known",
+                        plans.versions(call.service(), oldest),
+                        listedVersions(call.service()),
+                        readMillis == NEVER_MILLIS ? -1 : nowMillis - readMillis);
     }
 
     /**
@@ -280,6 +431,7 @@
      * @param sinceMillis when it last sent something, in milliseconds
      */
     public void peerSilent(String peer, long sinceMillis) {
+        use.silent(peer, plans.current().number(), sinceMillis);
         freshness.peerSilent(peer, sinceMillis);
     }
 
@@ -330,11 +482,13 @@
     /**
      * Records that a peer has been linked. It may have just started.
      *
+     * @param peer the peer's name
      * @param nowMillis the current time, in milliseconds
      */
-    public void peerLinked(long nowMillis) {
-        peerLinkedMillis = nowMillis;
-        waits.tellAll(nowMillis);
+    public void peerLinked(String peer, long nowMillis) {
+        linkedMillis = nowMillis;
+        use.linked(peer, nowMillis);
+        begun.tellAgain();
     }
 
     /**
@@ -344,6 +498,7 @@
      * @param nowMillis the current time, in milliseconds
      */
     public void peerHeard(String peer, long nowMillis) {
+        use.heard(peer);
         freshness.peerHeard(peer, nowMillis);
     }
 
@@ -356,34 +511,69 @@
      * @return the version, or {@link StreamOrigin#ANY}
      */
     public StreamOrigin assigned(StreamCall call, long nowMillis) {
-        if (isChosenByRollout(call.service(), nowMillis)) {
+        String service = call.service();
+        if (planner.isChosenByRollout(service, nowMillis)) {
             return StreamOrigin.ANY;
         }
-        return record(call.service(), nowMillis)
-                .assigned(call.attempt(), waits.firstCallMillis(call, nowMillis))
+        List<Upstream> serving = directory.serving(service);
+        if (VersionWeights.slots(serving).size() <= 1) {
+            return StreamOrigin.ANY;
+        }
+        Map<String, Integer> available =
+                VersionWeights.slots(versions.admitted(service, serving, false, nowMillis));
+        return plans.current()
+                .assigned(service, call.attempt(), available.keySet())
+                .or(() -> VersionWeights.assigned(call.attempt(), available))
                 .map(StreamOrigin::assigned)
                 .orElse(StreamOrigin.ANY);
     }
 
     /**
-     * Records that this process forwarded the first event of a stream.
+     * Records that this process sends a stream to an upstream, before it may forward the first
+     * event.
      *
-     * @param call the request of the caller that began it
-     * @param version the version of the upstream that sent the event
+     * @param call the request of the caller that begins or resumes it
+     * @param version the version of the upstream
      * @param nowMillis the current time, in milliseconds
      */
-    public void began(StreamCall call, String version, long nowMillis) {
+    public void sent(StreamCall call, String version, long nowMillis) {
         if (call.attempt().isEmpty()) {
             return;
         }
-        begun.add(
-                new BegunStreams.Begun(
-                        call.service(),
-                        call.attempt(),
-                        version,
-                        waits.firstCallMillis(call, nowMillis),
-                        nowMillis,
-                        isListCurrent(nowMillis)));
+        Optional<String> before = begun.version(call.attempt());
+        boolean corrected = before.isPresent() && !before.get().equals(version);
+        begun.sent(call, version, nowMillis);
+        if (corrected || !isKnownFromPlans(call, version)) {
+            begun.tell(call.attempt(), version, nowMillis);
+        }
+    }
+
+    /** Returns whether a process that is not told of a stream knows its version. */
+    private boolean isKnownFromPlans(StreamCall call, String version) {
+        return plans.current().number() == 0
+                ? earlier == Earlier.NOT_RECORDED && !hasSeveralVersions(call.service())
+                : plans.assigned(call, oldestNumber()).equals(Optional.of(version));
+    }
+
+    /**
+     * Returns whether streams of a service may have begun at several versions, so that another
+     * process must know where one began before it may be resumed.
+     *
+     * @param service the service
+     * @return false if all of them began at the same version
+     */
+    public boolean hasSeveralVersions(String service) {
+        Set<String> known = listedVersions(service);
+        known.addAll(plans.versions(service, oldestNumber()));
+        return known.size() > 1;
+    }
+
+    /** Returns the versions of all listed upstreams, those included that are leaving. */
+    private Set<String> listedVersions(String service) {
+        Set<String> listed = new HashSet<>();
+        directory.serving(service).forEach(upstream -> listed.add(upstream.version()));
+        directory.leaving(service).forEach(upstream -> listed.add(upstream.version()));
+        return listed;
     }
 
     /**
@@ -400,187 +590,138 @@
      * Records where a stream began at another process.
      *
      * @param stream the stream
+     * @param passOn whether this process tells it to others
      * @param nowMillis the current time, in milliseconds
      */
-    public void learned(StreamRecord stream, long nowMillis) {
-        begun.learned(stream, nowMillis);
+    public void learned(StreamRecord stream, boolean passOn, long nowMillis) {
+        begun.learned(stream, passOn, nowMillis);
     }
 
     /**
-     * Records the request of the caller of a new stream. The longest time that callers of its route
-     * wait tells when a caller that retries first called.
+     * Records where a stream began according to a process that keeps it for this purpose alone.
      *
-     * @param call the request
-     * @param nowMillis the current time, in milliseconds
+     * @param attempt the hash of the id of the attempt that began it
+     * @param version the version of the upstream
      */
-    public void requested(StreamCall call, long nowMillis) {
-        if (call.hasDeadline()) {
-            waits.requested(call.route(), call.deadlineMillis() - nowMillis, nowMillis);
-        }
+    public void learned(long attempt, String version) {
+        begun.learned(attempt, version);
     }
 
     /**
-     * Returns the longest waits that became known lately, of which the others must be told.
+     * Returns the streams that this process began, or resumed, lately.
      *
-     * @param nowMillis the current time, in milliseconds
-     * @return the longest wait by route, in milliseconds
+     * @return the version of each by the hash of the id of the attempt that began it
      */
-    public Map<String, Long> newWaits(long nowMillis) {
-        return waits.news(nowMillis);
+    public Map<Long, String> own() {
+        return begun.own();
     }
 
     /**
-     * Records how long callers of a route wait according to another process.
+     * Returns the hash by which processes tell each other of a stream.
      *
-     * @param route the route's name
-     * @param waitMillis the longest wait, in milliseconds
-     * @param nowMillis the current time, in milliseconds
+     * @param call the request of the caller
+     * @return a hash that is the same in every process
      */
-    public void learnedWait(String route, long waitMillis, long nowMillis) {
-        waits.requested(route, waitMillis, nowMillis);
+    public static long hash(StreamCall call) {
+        return VersionWeights.hash(call.attempt());
     }
 
     /**
-     * Returns where a stream began that its caller resumes.
+     * Returns at which version a stream began, if this process began it or was told.
      *
-     * @param call the caller's request, with the id of the attempt that brought the first event
-     * @param nowMillis the current time, in milliseconds
-     * @return the version, if it is known
+     * @param attempt the hash of the id of the attempt that began it
+     * @return the version
      */
-    public StreamOrigin origin(StreamCall call, long nowMillis) {
-        Optional<String> recorded = begun.version(call.attempt());
-        if (recorded.isPresent() && !call.attempt().isEmpty()) {
-            return StreamOrigin.recorded(recorded.get());
-        }
-        VersionHistory history = record(call.service(), nowMillis);
-        RouteWaits.FirstCall first = waits.firstCall(call, nowMillis);
-        long earliestMillis = first.earliestMillis() - TOLERANCE_MILLIS;
-        long latestMillis = Math.min(nowMillis, first.latestMillis() + TOLERANCE_MILLIS);
-        boolean older = earliestMillis < startedMillis;
-        boolean unsettled =
-                earlier == Earlier.NOT_RECORDED && nowMillis - startedMillis < SETTLE_MILLIS;
-        if (older && !isEarlierKnown()) {
-            return StreamOrigin.UNKNOWN;
-        }
-        if (latestMillis > freshness.currentUntilMillis(nowMillis)) {
-            return StreamOrigin.OUTDATED;
-        }
-        long sinceMillis = sinceSilence(earliestMillis, latestMillis);
-        StreamOrigin origin = history.origin(call.attempt(), sinceMillis, latestMillis);
-        boolean computed = origin.source() == StreamOrigin.Source.COMPUTED;
-        boolean untold = call.attempt().isEmpty() || (older && unsettled);
-        return computed && untold ? StreamOrigin.UNKNOWN : origin;
+    public Optional<String> recorded(long attempt) {
+        return begun.version(attempt);
     }
 
     /**
-     * Returns from when on the slots count by which a stream may have begun: a silent peer goes on
-     * with those that it knew.
+     * Returns where a stream began, if this process began it or was told.
+     *
+     * @param call the caller's request, with the id of the attempt that brought the first event
+     * @return the origin
      */
-    private long sinceSilence(long earliestMillis, long latestMillis) {
-        long silentMillis = freshness.silentSinceMillis();
-        return latestMillis > silentMillis
-                ? Math.min(earliestMillis, silentMillis - TOLERANCE_MILLIS)
-                : earliestMillis;
+    public Optional<StreamOrigin> recorded(StreamCall call) {
+        return begun.version(call.attempt()).map(StreamOrigin::recorded);
     }
 
     /**
-     * Records the upstreams of all services. To be called several times a second.
+     * Returns where a stream began of which no process that could be asked knows.
      *
+     * @param call the caller's request, with the id of the attempt that brought the first event
+     * @param allAnswered whether all processes that are known could be asked, and use no newer plan
+     * @param recordRead whether the record was read after the caller resumed the stream
      * @param nowMillis the current time, in milliseconds
+     * @return the version, if it is known
      */
-    public void tick(long nowMillis) {
-        freshness.tick(nowMillis);
-        directory.services().forEach(service -> record(service, nowMillis));
-        if (nowMillis - startedMillis <= MAX_AGE_MILLIS) {
-            histories.forEach(this::recordLeaving);
+    public StreamOrigin computed(
+            StreamCall call, boolean allAnswered, boolean recordRead, long nowMillis) {
+        Optional<StreamOrigin> recorded = recorded(call);
+        if (recorded.isPresent()) {
+            return recorded.get();
         }
-        begun.tell(this::mustBeTold, nowMillis);
-        if (isListCurrent(nowMillis)) {
-            begun.tellOutdated(nowMillis);
-        } else {
-            outdatedMillis = nowMillis;
-            settledMillis = nowMillis + SETTLE_MILLIS;
+        if (!isEarlierKnown(nowMillis) || isUnsettled(nowMillis)) {
+            return StreamOrigin.UNKNOWN;
+        }
+        boolean current = recordRead || (allAnswered && isRecordCurrent());
+        if ((allAnswered || recordRead) && isOnlyVersion(call.service(), nowMillis)) {
+            return StreamOrigin.ANY;
         }
+        if (!current || lacksPlan()) {
+            return StreamOrigin.OUTDATED;
+        }
+        if (call.attempt().isEmpty()) {
+            return StreamOrigin.UNKNOWN;
+        }
+        return plans.assigned(call, oldestNumber())
+                .filter(version -> !gapsOf(call.service()).wasGone(version))
+                .map(StreamOrigin::computed)
+                .orElse(StreamOrigin.UNKNOWN);
     }
 
-    private boolean isListCurrent(long nowMillis) {
-        return freshness.currentUntilMillis(nowMillis) >= nowMillis;
+    private boolean isUnsettled(long nowMillis) {
+        return earlier == Earlier.NOT_RECORDED
+                && plans.current().number() == 0
+                && nowMillis - startedMillis < SETTLE_MILLIS;
     }
 
-    /** Returns whether other processes may not compute the version at which a stream began. */
-    private boolean mustBeTold(BegunStreams.Begun stream) {
-        if (!stream.listCurrent()) {
-            return true;
-        }
-        VersionHistory history = histories.get(stream.service());
-        if (history == null) {
-            return false;
-        }
-        StreamOrigin origin =
-                history.origin(
-                        stream.attempt(),
-                        stream.firstCallMillis() - 2 * TOLERANCE_MILLIS,
-                        stream.firstCallMillis() + 2 * TOLERANCE_MILLIS);
-        boolean unsettled = stream.beganMillis() < settledMillis;
-        return !origin.equals(StreamOrigin.ANY)
-                && (unsettled || !origin.equals(StreamOrigin.computed(stream.version())));
-    }
-
-    /** Returns whether a roll-out chooses the version of each stream, so that none is assigned. */
-    private boolean isChosenByRollout(String service, long nowMillis) {
-        return versions.rollout(service)
-                .filter(rollout -> !rollout.phase().isFinal() || rollout.waitMillis(nowMillis) > 0)
-                .isPresent();
-    }
-
-    private VersionHistory newHistory(String service) {
-        VersionHistory own = new VersionHistory();
-        recordLeaving(service, own);
-        if (earlier == Earlier.RECORDED) {
-            applyRecorded(service, own);
-        }
-        return own;
+    /** Returns whether no process can have ended since the record was read. */
+    private boolean isRecordCurrent() {
+        return readMillis > lostMillis;
     }
 
-    private void recordLeaving(String service, VersionHistory own) {
-        own.leavingBefore(directory.leaving(service));
+    private boolean isOnlyVersion(String service, long nowMillis) {
+        return !hasSeveralVersions(service)
+                && !gapsOf(service).hasAny()
+                && freshness.isEverConfirmed()
+                && freshness.currentUntilMillis(nowMillis) >= nowMillis;
     }
 
-    /** Returns whether versions that were listed at a time may not yet be admitted everywhere. */
-    private static boolean isRecent(long listedMillis, long nowMillis) {
-        return nowMillis - listedMillis <= VersionGate.UNORDERED_VERSION_DELAY_MILLIS;
+    private VersionGaps gapsOf(String service) {
+        return gaps.computeIfAbsent(service, name -> new VersionGaps());
     }
 
-    private VersionHistory record(String service, long nowMillis) {
-        if (histories.isEmpty()) {
-            startedMillis = Math.max(startedMillis, nowMillis);
-        }
-        List<Upstream> listed = directory.serving(service);
-        VersionHistory own = histories.computeIfAbsent(service, this::newHistory);
-        if (own.hasOnlyVersionOf(listed)) {
-            return own;
-        }
-        long oldestMillis = Math.min(nowMillis - MAX_AGE_MILLIS, freshness.silentSinceMillis());
-        own.prune(oldestMillis - 2 * TOLERANCE_MILLIS);
-        boolean peerStarted = isRecent(peerLinkedMillis, nowMillis);
-        boolean certain =
-                !peerStarted && !isRecent(outdatedMillis, nowMillis) && isListCurrent(nowMillis);
-        long currentMillis = freshness.currentUntilMillis(nowMillis);
-        if (isRecent(outdatedMillis, nowMillis)) {
-            currentMillis = Math.min(currentMillis, unconfirmedSinceMillis);
-        }
-        if (peerStarted) {
-            long startedAgoMillis = VersionHistory.EFFECT_DELAY_MILLIS + TOLERANCE_MILLIS;
-            currentMillis = Math.min(currentMillis, peerLinkedMillis - startedAgoMillis);
+    /**
+     * Records the upstreams of all services. To be called several times a second, after digests
+     * have been sent.
+     *
+     * @param nowMillis the current time, in milliseconds
+     */
+    public void tick(long nowMillis) {
+        if (nowMillis - tickedMillis > FROZEN_MILLIS) {
+            lostMillis = Math.max(lostMillis, nowMillis);
         }
-        if (isChosenByRollout(service, nowMillis)) {
-            own.record(listed, List.of(), nowMillis, currentMillis, certain);
-            return own;
+        tickedMillis = nowMillis;
+        freshness.tick(nowMillis);
+        begun.tick();
+        use.prune(nowMillis);
+        oldestUse.record(oldestNumber(), nowMillis);
+        ownUse.record(plans.current().number(), nowMillis);
+        plans.prune(oldestUse.least(oldestNumber()));
+        for (String service : directory.services()) {
+            Set<String> serving = VersionWeights.slots(directory.serving(service)).keySet();
+            gapsOf(service).record(serving, plans.current().versions(service), nowMillis);
         }
-        List<Upstream> admitted = versions.admitted(service, listed, false, nowMillis);
-        // a version that an ended roll-out excludes gets no requests, though it is listed
-        boolean rolloutEnded = versions.rollout(service).isPresent();
-        own.record(rolloutEnded ? admitted : listed, admitted, nowMillis, currentMillis, certain);
-        return own;
     }
 }
--- a/trailladder-core/src/main/java/io/trailladder/core/upstream/VersionRecord.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/upstream/VersionRecord.java
@@ -15,43 +15,27 @@
  */
 package io.trailladder.core.upstream;
 
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 
 /**
- * What processes that start later need to tell at which version streams began before.
+ * What is recorded in the store of the versions of upstreams at which streams begin. A stream that
+ * is not among {@code streams} began by one of the plans.
  *
- * @param validMillis until when all changes are among the steps, in milliseconds
- * @param steps the changes of the upstreams of each service, oldest first
- * @param longestWaits the longest time that callers of each route wait, in milliseconds
- * @param silences since when peers have been silent that may still serve, by name, in milliseconds
- * @param streams the versions of streams that cannot be computed, by the hash of their attempts'
- *     ids
- * @since 0.8
+ * @param oldestNumber the number of the oldest plan by which a process may have assigned a stream
+ *     that is still resumed; 0 if one may have assigned some without a plan
+ * @param plans the plans since then that are known, with consecutive numbers
+ * @param silentNumber the oldest plan that a process may still use that has become silent; 0 if
+ *     there is none
+ * @param streams streams whose version does not follow from the plans, by the hash of the id of the
+ *     attempt that began them
+ * @since 0.6
  */
 public record VersionRecord(
-        long validMillis,
-        Map<String, List<VersionStep>> steps,
-        Map<String, Long> longestWaits,
-        Map<String, Long> silences,
-        Map<Long, String> streams) {
-    /**
-     * Returns this record with times on another clock.
-     *
-     * @param offsetMillis added to each time, in milliseconds
-     * @return the record
-     */
-    public VersionRecord shifted(long offsetMillis) {
-        Map<String, List<VersionStep>> shifted = new HashMap<>();
-        steps.forEach(
-                (service, all) ->
-                        shifted.put(
-                                service,
-                                all.stream().map(step -> step.shifted(offsetMillis)).toList()));
-        Map<String, Long> shiftedSilences = new HashMap<>();
-        silences.forEach((peer, millis) -> shiftedSilences.put(peer, millis + offsetMillis));
-        return new VersionRecord(
-                validMillis + offsetMillis, shifted, longestWaits, shiftedSilences, streams);
+        long oldestNumber, List<VersionPlan> plans, long silentNumber, Map<Long, String> streams) {
+    /** Copies the collections. */
+    public VersionRecord {
+        plans = List.copyOf(plans);
+        streams = Map.copyOf(streams);
     }
 }
--- a/trailladder-core/src/main/java/io/trailladder/core/upstream/VersionWeights.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/upstream/VersionWeights.java
@@ -15,8 +15,7 @@
  */
 package io.trailladder.core.upstream;
 
-import java.util.ArrayList;
-import java.util.List;
+import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
 
@@ -34,30 +33,27 @@
 
     private VersionWeights() {}
 
-    /** Returns the version that an id is assigned; empty if no version has slots. */
-    static Optional<String> assigned(String id, Map<String, Integer> slots) {
-        List<VersionRange> exact = new ArrayList<>(slots.size());
-        slots.forEach((version, count) -> exact.add(new VersionRange(version, count, count)));
-        return assigned(id, exact);
+    /** Returns the slots of each version of some upstreams. */
+    static Map<String, Integer> slots(Iterable<Upstream> upstreams) {
+        Map<String, Integer> slots = new HashMap<>();
+        for (Upstream upstream : upstreams) {
+            slots.merge(upstream.version(), Math.max(1, upstream.slots()), Integer::sum);
+        }
+        return slots;
     }
 
-    /**
-     * Returns the version that an id was assigned, whatever slots the versions had within their
-     * ranges: the one that wins with its least slots against the most slots of all others. Empty if
-     * that is none.
-     */
-    static Optional<String> assigned(String id, List<VersionRange> ranges) {
-        for (VersionRange range : ranges) {
-            double own = delay(id, range.version(), range.leastSlots());
-            boolean first =
-                    ranges.stream()
-                            .filter(other -> !other.equals(range))
-                            .allMatch(other -> own < delay(id, other.version(), other.mostSlots()));
-            if (first) {
-                return Optional.of(range.version());
+    /** Returns the version that an id is assigned; empty if no version has slots. */
+    static Optional<String> assigned(String id, Map<String, Integer> slots) {
+        String first = null;
+        double least = Double.POSITIVE_INFINITY;
+        for (Map.Entry<String, Integer> version : slots.entrySet()) {
+            double delay = delay(id, version.getKey(), version.getValue());
+            if (delay < least) {
+                first = version.getKey();
+                least = delay;
             }
         }
-        return Optional.empty();
+        return Optional.ofNullable(first);
     }
 
     /** Returns an exponential variate whose rate is the number of slots; the smallest wins. */
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ClusterView.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ClusterView.java
@@ -37,6 +37,9 @@
 import io.trailladder.wire.NodeMessage.RolloutReport;
 import io.trailladder.wire.NodeMessage.Snapshot;
 import io.trailladder.wire.NodeMessage.SnapshotRequest;
+import io.trailladder.wire.NodeMessage.StreamNews;
+import io.trailladder.wire.NodeMessage.StreamQuery;
+import io.trailladder.wire.NodeMessage.StreamReply;
 import io.trailladder.wire.NodeMessage.UnitsGrant;
 import io.trailladder.wire.NodeMessage.UnitsRequest;
 import io.trailladder.wire.NodeMessage.UnitsReturn;
@@ -119,6 +122,7 @@
     private final EpochUpdates epochUpdates;
     private final LinkedPeers peers;
     private Optional<RolloutExchange> rollouts = Optional.empty();
+    private Optional<StreamExchange> streams = Optional.empty();
     private BooleanSupplier leads = () -> false;
     private Mesh mesh;
     private LimitExchange limits;
@@ -194,6 +198,30 @@
         policies.onChange(policy -> sendDigests());
     }
 
+    /**
+     * Sets the exchange of the versions of streams with the peers.
+     *
+     * @param exchange sends and receives the messages
+     */
+    void streams(StreamExchange exchange) {
+        streams = Optional.of(exchange);
+    }
+
+    /**
+     * Returns the peers that know where streams began: for a leaf its hub, for a hub the others.
+     */
+    List<String> streamPeers() {
+        return peers.all().stream()
+                .filter(peer -> mesh.isHub() ? !peer.isLeaf() : mesh.isOwnHub(peer.hello()))
+                .map(Peer::name)
+                .toList();
+    }
+
+    /** Returns whether a peer relies on this process as its hub. */
+    boolean isLeaf(String peer) {
+        return peers.isLeaf(peer);
+    }
+
     /**
      * Sets the exchange of roll-out reports with the peers.
      *
@@ -455,6 +483,10 @@
                 || message instanceof UnitsGrant
                 || message instanceof UnitsReturn) {
             limits.received(hello, message);
+        } else if (message instanceof StreamQuery
+                || message instanceof StreamReply
+                || message instanceof StreamNews) {
+            streams.ifPresent(exchange -> exchange.received(hello.name(), message));
         }
     }
 
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
@@ -21,6 +21,7 @@
 import io.trailladder.core.duty.UsageLedger;
 import io.trailladder.core.engine.EngineModel;
 import io.trailladder.core.membership.GatewayMember;
+import io.trailladder.core.membership.HubTopology;
 import io.trailladder.core.memory.MemoryAccount;
 import io.trailladder.core.memory.MemoryBudget;
 import io.trailladder.core.pipeline.EventSteps;
@@ -107,6 +108,9 @@
     private static final int CALLER_SHARE_DENOMINATOR = 4;
     private static final byte[] EMPTY_BODY = {};
 
+    /** Minimum time between two reads of a plan that others use, in milliseconds. */
+    private static final long PLAN_READ_INTERVAL_MILLIS = 2_000;
+
     private final GatewaySettings settings;
     private final EventLoop loop = new EventLoop();
     private final GatewayMetrics metrics = new GatewayMetrics();
@@ -138,10 +142,10 @@
     private final MemoryManager memoryManager;
     private final RetryBudgets budgets;
     private final StreamVersions streams;
-    private final VersionRecords versionRecords;
     private final CrashWatch crashes = new CrashWatch(loop::nowMillis, metrics);
     private final StoreRecord<?> crashRecord;
     private final StoreRecord<?> versionRecord;
+    private long planReadMillis = -PLAN_READ_INTERVAL_MILLIS;
     private final CrashPages crashPages = new CrashPages(crashes, loop::nowMillis);
     private final RequestIntake intake;
     private final HttpServer callerServer;
@@ -311,10 +315,9 @@
                         loop.nowMillis(),
                         firstStart);
         streams = new StreamVersions(name, directory, versions, loop.nowMillis());
-        view.add(new StreamPart(streams));
-        view.add(new StreamBasisPart(streams, view::isFedBy));
-        versionRecords =
-                new VersionRecords(streams, loop::nowMillis, clock, storeHealth.history()::epoch);
+        StreamBasisPart streamBasis = new StreamBasisPart(streams, view::isFedBy, loop::nowMillis);
+        view.add(new StreamPart(streams, () -> !isFullMesh()));
+        view.add(streamBasis);
         versionRecord =
                 new StoreRecord<>(
                         loop,
@@ -323,7 +326,20 @@
                         duties::leads,
                         VersionRecords.KEY,
                         Freshness.LATEST,
-                        versionRecords);
+                        new VersionRecords(
+                                streams,
+                                loop::nowMillis,
+                                storeHealth.history()::epoch,
+                                view::sendDigests));
+        StreamExchange streamExchange =
+                new StreamExchange(
+                        loop::nowMillis,
+                        loop::schedule,
+                        streams,
+                        new StreamLinks(view, mesh, streamBasis::isSpeaker),
+                        versionRecord::read);
+        view.streams(streamExchange);
+        streamBasis.onSpeaker(streamExchange::speakerFound);
         ServingContext context =
                 new ServingContext(
                         loop,
@@ -354,6 +370,7 @@
                                 mesh::regionSize,
                                 List.of(limits.cost())),
                         streams,
+                        streamExchange,
                         new EventSteps(),
                         quotas,
                         budgets,
@@ -433,8 +450,11 @@
                     duties.start(settings.node().firstStart());
                     fleet.start();
                     rollouts.start();
-                    crashRecord.start(settings.node().firstStart());
-                    versionRecord.start(settings.node().firstStart());
+                    crashRecord.start(
+                            settings.node().firstStart(), StoreRecord.WRITE_CHECK_INTERVAL_MILLIS);
+                    versionRecord.start(
+                            settings.node().firstStart(),
+                            VersionRecords.WRITE_CHECK_INTERVAL_MILLIS);
                 });
         loop.start();
         DecisionLog.write(
@@ -685,8 +705,25 @@
     private void updateStreams() {
         long now = loop.nowMillis();
         streams.listConfirmed(now - directoryManager.ageMillis());
-        versionRecords.refresh();
+        if (mesh.isPlanned() && isFullMesh()) {
+            streams.peersListed(otherMembers(), now);
+        }
         streams.tick(now);
+        if (streams.lacksPlan() && now - planReadMillis >= PLAN_READ_INTERVAL_MILLIS) {
+            planReadMillis = now;
+            versionRecord.read(read -> {});
+        }
+    }
+
+    private boolean isFullMesh() {
+        return topology.isOneRegion() && HubTopology.isFullMesh(mesh.members());
+    }
+
+    private List<String> otherMembers() {
+        return mesh.members().stream()
+                .map(GatewayMember::name)
+                .filter(name -> !name.equals(mesh.name()))
+                .toList();
     }
 
     /** Records that the store answered: it would have reported a change of the upstreams. */
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestDriver.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestDriver.java
@@ -253,7 +253,7 @@
         if (events > 0) {
             sender.eventsReceived(events);
             crashes.answering(sender);
-            version.eventReceived(sender.upstream(), context.loop().nowMillis());
+            version.eventReceived(sender.upstream());
             recordRunStarted();
         } else if (answer.progressesByBytes()) {
             sender.progressed();
@@ -314,6 +314,10 @@
     }
 
     private void nextAttempt() {
+        if (version.isToBeFound()) {
+            context.streamExchange().find(version.call(), this::streamFound);
+            return;
+        }
         long now = context.loop().nowMillis();
         StreamOrigin origin = version.origin(now);
         if (!origin.isKnown()) {
@@ -337,12 +341,20 @@
         }
     }
 
+    private void streamFound(StreamExchange.Finding finding) {
+        if (!finished) {
+            version.found(finding);
+            nextAttempt();
+        }
+    }
+
     private void turnAwayUnknownVersion(StreamOrigin origin, long now) {
         StreamVersions streams = context.streams();
         DecisionLog.write(
                 new VersionUnknown(
                         request.id(),
                         version.call(),
+                        version.finding(),
                         streams.listAgeMillis(now),
                         request.deadlineMillis() - now,
                         streams.describe(version.call(), now)));
@@ -408,6 +420,9 @@
         answer.newAttempt(upstream);
         attempt = new Attempt(context, request, selection, this);
         responseTimeout.watch(attempt, selection);
+        if (version.sent(upstream, now)) {
+            context.streamExchange().sent(version.call(), upstream.version());
+        }
         attempt.start(calls.to(upstream, history.lastEventId(), now));
     }
 
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ServingContext.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ServingContext.java
@@ -52,6 +52,7 @@
  * @param loads the load of upstreams
  * @param selector selects the upstream of a request
  * @param streams determines the versions of streams
+ * @param streamExchange asks and tells peers where streams began
  * @param eventSteps how the ids of the events of each service rise
  * @param quotas the limits of organisations
  * @param budgets the retry budgets
@@ -82,6 +83,7 @@
         UpstreamLoads loads,
         UpstreamSelector selector,
         StreamVersions streams,
+        StreamExchange streamExchange,
         EventSteps eventSteps,
         Quotas quotas,
         RetryBudgets budgets,
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/StoreRecord.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/StoreRecord.java
@@ -25,8 +25,11 @@
 import io.trailladder.entry.port.StoreWrite;
 import io.vavr.control.Either;
 import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
 import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
 
 /**
  * A record in the platform's store that outlives a loss of all processes at once. The leader writes
@@ -35,8 +38,11 @@
  * @param <T> what the record tells; equal values are not written again
  */
 final class StoreRecord<T> {
-    /** How often the leader checks for changes to write, in milliseconds. */
-    private static final long WRITE_CHECK_INTERVAL_MILLIS = 1_000;
+    /** How often the leader checks for changes to write by default, in milliseconds. */
+    static final long WRITE_CHECK_INTERVAL_MILLIS = 1_000;
+
+    /** Timeout of a read on request, in milliseconds. */
+    private static final long READ_TIMEOUT_MILLIS = 600;
 
     /** Delay between a failed read and the next one, in milliseconds. */
     private static final long READ_RETRY_MILLIS = 2_000;
@@ -57,6 +63,8 @@
     private int failedReads;
     private boolean loaded;
     private boolean busy;
+    private final List<PendingRead> nextReads = new ArrayList<>();
+    private boolean reading;
     private boolean replaced;
 
     /** What a record holds. */
@@ -72,6 +80,13 @@
         /** Encodes what {@link #current} returned. */
         byte[] encode(T value);
 
+        /**
+         * Notifies the content that a value has been written.
+         *
+         * @param value what {@link #current} returned
+         */
+        default void written(T value) {}
+
         /**
          * Receives a value that was read.
          *
@@ -117,14 +132,71 @@
      * Starts to read and write the record.
      *
      * @param firstStart true if no record was written before, so that none is read
+     * @param checkIntervalMillis how often the leader checks for changes to write, in milliseconds
      */
-    void start(boolean firstStart) {
+    void start(boolean firstStart, long checkIntervalMillis) {
         if (firstStart) {
             loaded = passOn(Optional.empty());
         } else {
             reads.begin();
         }
-        loop.repeat(WRITE_CHECK_INTERVAL_MILLIS, this::writeChanges);
+        loop.repeat(checkIntervalMillis, this::writeChanges);
+    }
+
+    /**
+     * Reads the record. Reads that are requested while one is in progress share the next one.
+     *
+     * @param done receives whether the content has accepted the value, or the absence of one
+     */
+    void read(Consumer<Boolean> done) {
+        PendingRead read = new PendingRead(done);
+        loop.schedule(READ_TIMEOUT_MILLIS, () -> read.end(false));
+        nextReads.add(read);
+        if (!reading) {
+            readNext();
+        }
+    }
+
+    private void readNext() {
+        reading = !nextReads.isEmpty();
+        if (reading) {
+            List<PendingRead> current = List.copyOf(nextReads);
+            nextReads.clear();
+            store.read(key, result -> readEnded(current, result));
+        }
+    }
+
+    private void readEnded(List<PendingRead> current, Either<StoreFailure, StoreItem> result) {
+        boolean accepted = false;
+        if (result.isRight()) {
+            health.answered();
+            StoreItem item = result.get();
+            revision = item.revision();
+            accepted = isAccepted(item.removed() ? Optional.empty() : Optional.of(item.value()));
+        } else {
+            health.failed(result.getLeft());
+        }
+        for (PendingRead read : current) {
+            read.end(accepted);
+        }
+        readNext();
+    }
+
+    /** A read that was requested. */
+    private static final class PendingRead {
+        private final Consumer<Boolean> done;
+        private boolean ended;
+
+        PendingRead(Consumer<Boolean> done) {
+            this.done = done;
+        }
+
+        void end(boolean accepted) {
+            if (!ended) {
+                ended = true;
+                done.accept(accepted);
+            }
+        }
     }
 
     /** Returns whether the earlier record was read, or there was none to read. */
@@ -175,11 +247,25 @@
         try {
             return content.read(value);
         } catch (IOException e) {
-            DecisionLog.write(new Lifecycle(key, "passed over", e.getMessage()));
+            logPassedOver(e);
             return true;
         }
     }
 
+    /** Passes a value on; returns false if it cannot be read. */
+    private boolean isAccepted(Optional<byte[]> value) {
+        try {
+            return content.read(value);
+        } catch (IOException e) {
+            logPassedOver(e);
+            return false;
+        }
+    }
+
+    private void logPassedOver(IOException cause) {
+        DecisionLog.write(new Lifecycle(key, "passed over", cause.getMessage()));
+    }
+
     private void writeChanges() {
         if (busy || !leads.getAsBoolean()) {
             return;
@@ -207,6 +293,7 @@
             health.answered();
             revision = result.get();
             written = value;
+            value.ifPresent(content::written);
             return;
         }
         health.failed(result.getLeft());
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/StreamBasisPart.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/StreamBasisPart.java
@@ -15,6 +15,7 @@
  */
 package io.trailladder.entry.gateway;
 
+import io.trailladder.core.upstream.PlanNews;
 import io.trailladder.core.upstream.StreamVersions;
 import io.trailladder.wire.NodeMessage.DigestScope;
 import io.trailladder.wire.NodeMessage.DigestSection;
@@ -25,33 +26,49 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 import java.util.function.Predicate;
 
 /**
- * Tells peers what they need to compute the versions of streams as this process does: how long
- * callers of each route wait, which peers are silent, and since when this process may lack changes
- * of the list of upstreams. Sent only when there is something to tell.
+ * Tells peers what they need to know the versions of streams: by which plan this process assigns
+ * them, which peers are silent, and since when this process may lack changes of the list of
+ * upstreams.
  */
 final class StreamBasisPart implements DigestPart {
     private static final int MAX_ENTRIES = 60;
+
+    /** Maximum size of what is told of a plan; a peer reads a larger one in the store, in bytes. */
+    private static final int MAX_NEWS_BYTES = 2_000;
+
     private static final int MAX_AGE_MILLIS = 3_600_000;
     private static final int MAX_NAME_LENGTH = 60;
 
     private final StreamVersions streams;
     private final Predicate<String> feeds;
+    private final LongSupplier nowMillis;
+
+    /** Peers that assign streams by plans. */
+    private final Set<String> speakers = new HashSet<>();
+
+    private Consumer<String> onSpeaker = peer -> {};
 
     /**
      * Creates the part.
      *
      * @param streams the versions of streams
      * @param feeds whether a peer forwards changes of the list of upstreams to this process
+     * @param nowMillis the current time, in milliseconds
      */
-    StreamBasisPart(StreamVersions streams, Predicate<String> feeds) {
+    StreamBasisPart(StreamVersions streams, Predicate<String> feeds, LongSupplier nowMillis) {
         this.streams = streams;
         this.feeds = feeds;
+        this.nowMillis = nowMillis;
     }
 
     @Override
@@ -61,25 +78,23 @@
 
     @Override
     public int version() {
-        return 1;
+        return 2;
     }
 
     @Override
     public Optional<DigestSection> write(DigestScope scope, List<String> peers, long nowMillis) {
-        Map<String, Integer> waits = new HashMap<>();
-        streams.newWaits(nowMillis)
-                .forEach((route, wait) -> waits.put(route, Math.toIntExact(wait)));
         Map<String, Integer> silences = new HashMap<>();
         streams.silences(nowMillis)
                 .forEach((peer, since) -> silences.put(peer, age(since, nowMillis)));
         int outdatedMillis = age(streams.listCurrentUntilMillis(nowMillis), nowMillis);
-        if (waits.isEmpty() && silences.isEmpty() && outdatedMillis == 0) {
-            return Optional.empty();
-        }
         ByteArrayOutputStream bytes = new ByteArrayOutputStream();
         try (DataOutputStream out = new DataOutputStream(bytes)) {
+            out.writeLong(streams.usedNumber(peers, nowMillis));
+            out.writeLong(streams.newestPlanNumber());
+            byte[] news = planNews(nowMillis);
+            out.writeShort(news.length);
+            out.write(news);
             out.writeInt(outdatedMillis);
-            write(waits, out);
             write(silences, out);
         } catch (IOException e) {
             throw new UncheckedIOException(e);
@@ -87,6 +102,18 @@
         return Optional.of(new DigestSection(name(), version(), 0, bytes.toByteArray()));
     }
 
+    /** Returns what is told of a plan that others may lack; nothing if it is too much. */
+    private byte[] planNews(long nowMillis) throws IOException {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        Optional<PlanNews> news = streams.planNews(nowMillis);
+        if (news.isPresent()) {
+            DataOutputStream out = new DataOutputStream(bytes);
+            out.writeLong(news.get().baseNumber());
+            PlanFormat.write(news.get().changes(), out);
+        }
+        return bytes.size() > MAX_NEWS_BYTES ? new byte[0] : bytes.toByteArray();
+    }
+
     private static int age(long sinceMillis, long nowMillis) {
         return (int) Math.max(0, Math.min(MAX_AGE_MILLIS, nowMillis - sinceMillis));
     }
@@ -108,11 +135,21 @@
     @Override
     public void received(String peer, DigestSection section, long nowMillis) throws IOException {
         DataInputStream in = new DataInputStream(new ByteArrayInputStream(section.body()));
+        long usedNumber = in.readLong();
+        long planNumber = in.readLong();
+        if (usedNumber < 0 || planNumber < usedNumber) {
+            throw new IOException(
+                    "plans " + usedNumber + " to " + planNumber + ", expected rising numbers");
+        }
+        Optional<PlanNews> news = readPlanNews(in);
         int outdatedMillis = in.readInt();
-        Map<String, Integer> waits = read(in);
         Map<String, Integer> silences = read(in);
         long toldMillis = nowMillis - section.ageMillis();
-        waits.forEach((route, wait) -> streams.learnedWait(route, wait, nowMillis));
+        streams.planTold(planNumber, news, nowMillis);
+        streams.planUsed(peer, usedNumber);
+        if (speakers.add(peer)) {
+            onSpeaker.accept(peer);
+        }
         silences.forEach(
                 (silent, age) -> streams.learnedSilence(silent, toldMillis - age, nowMillis));
         if (outdatedMillis > 0) {
@@ -123,6 +160,15 @@
         }
     }
 
+    private static Optional<PlanNews> readPlanNews(DataInputStream in) throws IOException {
+        int length = in.readUnsignedShort();
+        if (length == 0) {
+            return Optional.empty();
+        }
+        DataInputStream news = new DataInputStream(new ByteArrayInputStream(in.readNBytes(length)));
+        return Optional.of(new PlanNews(news.readLong(), PlanFormat.read(news)));
+    }
+
     private static Map<String, Integer> read(DataInputStream in) throws IOException {
         int count = in.readUnsignedByte();
         if (count > MAX_ENTRIES) {
@@ -143,7 +189,7 @@
 
     @Override
     public void linked(String peer, long nowMillis) {
-        streams.peerLinked(nowMillis);
+        streams.peerLinked(peer, nowMillis);
     }
 
     @Override
@@ -156,7 +202,20 @@
         streams.peerSilent(peer, sinceMillis);
     }
 
-    /** Keeps what the peer told: it is also true when its figures arrive on another path. */
+    /** Keeps the silences that the peer told: they also hold when its figures take another path. */
     @Override
-    public void forget(String peer) {}
+    public void forget(String peer) {
+        speakers.remove(peer);
+        streams.peerRemoved(peer, this.nowMillis.getAsLong());
+    }
+
+    /** Sets what is notified of each peer that can be asked from now on. */
+    void onSpeaker(Consumer<String> listener) {
+        onSpeaker = listener;
+    }
+
+    /** Returns whether a peer can be asked where streams began. */
+    boolean isSpeaker(String peer) {
+        return speakers.contains(peer);
+    }
 }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/StreamPart.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/StreamPart.java
@@ -28,22 +28,31 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.BooleanSupplier;
 
 /**
  * Tells peers at which version streams began whose version they may not be able to compute. Records
  * are passed on for a short time, so that they reach every process through the hubs.
  */
 final class StreamPart implements DigestPart {
-    /** Maximum number of streams in one digest, the latest ones if there are more. */
+    /** Maximum number of streams in one digest. */
     static final int MAX_STREAMS = 250;
 
     private static final int MAX_VERSIONS = 16;
-    private static final int MAX_AGE_MILLIS = 10_000;
+    private static final int MAX_AGE_MILLIS = 30_000;
 
     private final StreamVersions streams;
+    private final BooleanSupplier passesOn;
 
-    StreamPart(StreamVersions streams) {
+    /**
+     * Creates the part.
+     *
+     * @param streams the versions of streams
+     * @param passesOn whether this process passes on what it is told
+     */
+    StreamPart(StreamVersions streams, BooleanSupplier passesOn) {
         this.streams = streams;
+        this.passesOn = passesOn;
     }
 
     @Override
@@ -59,12 +68,10 @@
     @Override
     public Optional<DigestSection> write(DigestScope scope, List<String> peers, long nowMillis) {
         List<StreamRecord> news = streams.news(nowMillis);
-        List<StreamRecord> latest =
-                news.subList(Math.max(0, news.size() - MAX_STREAMS), news.size());
         List<String> versions =
-                latest.stream().map(StreamRecord::version).distinct().limit(MAX_VERSIONS).toList();
+                news.stream().map(StreamRecord::version).distinct().limit(MAX_VERSIONS).toList();
         List<StreamRecord> written =
-                latest.stream().filter(each -> versions.contains(each.version())).toList();
+                news.stream().filter(each -> versions.contains(each.version())).toList();
         if (written.isEmpty()) {
             return Optional.empty();
         }
@@ -89,7 +96,7 @@
     @Override
     public void received(String peer, DigestSection section, long nowMillis) throws IOException {
         for (StreamRecord stream : read(section)) {
-            streams.learned(stream, nowMillis);
+            streams.learned(stream, passesOn.getAsBoolean(), nowMillis);
         }
     }
 
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/StreamVersion.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/StreamVersion.java
@@ -19,7 +19,6 @@
 import io.trailladder.core.policy.RouteKind;
 import io.trailladder.core.upstream.StreamCall;
 import io.trailladder.core.upstream.StreamOrigin;
-import io.trailladder.core.upstream.StreamOrigin.Source;
 import io.trailladder.core.upstream.StreamVersions;
 import io.trailladder.core.upstream.Upstream;
 import io.trailladder.entry.port.CallerRequest;
@@ -36,26 +35,15 @@
     private final boolean resumable;
     private final StreamCall call;
     private Optional<StreamOrigin> fixed = Optional.empty();
+    private Optional<StreamExchange.Finding> found = Optional.empty();
 
     StreamVersion(StreamVersions streams, ServingRequest request, CallerRequest caller) {
         this.streams = streams;
         this.caller = caller;
         this.streaming = request.route().kind() == RouteKind.STREAMING;
         this.resumable = streaming && request.route().resumable();
-        this.call = streamCall(request, caller);
-        if (resumable && !isResumed()) {
-            streams.requested(call, request.acceptedMillis());
-        }
-    }
-
-    private static StreamCall streamCall(ServingRequest request, CallerRequest caller) {
-        boolean resumed = !caller.lastEventId().isEmpty();
-        long waitMillis = caller.waitMillis();
-        return new StreamCall(
-                request.service(),
-                request.route().name(),
-                resumed ? caller.resumes() : request.id(),
-                waitMillis > 0 ? request.acceptedMillis() + waitMillis : StreamCall.NO_DEADLINE);
+        this.call =
+                new StreamCall(request.service(), isResumed() ? caller.resumes() : request.id());
     }
 
     /** Returns what the caller asks for. */
@@ -72,6 +60,25 @@
         return !caller.lastEventId().isEmpty();
     }
 
+    /** Returns whether peers must be asked where the stream began before it is resumed. */
+    boolean isToBeFound() {
+        return resumable
+                && isResumed()
+                && fixed.isEmpty()
+                && found.isEmpty()
+                && streams.recorded(call).isEmpty();
+    }
+
+    /** Records what the peers answered. */
+    void found(StreamExchange.Finding finding) {
+        found = Optional.of(finding);
+    }
+
+    /** Returns what is known of a stream of which the peers were asked. */
+    Optional<StreamExchange.Finding> finding() {
+        return found;
+    }
+
     /** Returns the version at which the request may run now, and how it is known. */
     StreamOrigin origin(long nowMillis) {
         if (!resumable) {
@@ -83,19 +90,28 @@
         if (!isResumed()) {
             return streams.assigned(call, nowMillis);
         }
-        StreamOrigin origin = streams.origin(call, nowMillis);
-        if (origin.source() == Source.COMPUTED || origin.source() == Source.RECORDED) {
+        StreamOrigin origin =
+                streams.recorded(call)
+                        .or(() -> found.map(StreamExchange.Finding::origin))
+                        .orElse(StreamOrigin.UNKNOWN);
+        if (origin.isKnown() && origin.required().isPresent()) {
             fixed = Optional.of(origin);
         }
         return origin;
     }
 
+    /** Records that the request is sent to an upstream; returns whether others must be told. */
+    boolean sent(Upstream upstream, long nowMillis) {
+        if (resumable) {
+            streams.sent(call, upstream.version(), nowMillis);
+        }
+        return resumable && !call.attempt().isEmpty();
+    }
+
     /** Records that an upstream sent an event, which binds the stream to its version. */
-    void eventReceived(Upstream upstream, long nowMillis) {
-        if (!resumable || fixed.isPresent()) {
-            return;
+    void eventReceived(Upstream upstream) {
+        if (resumable && fixed.isEmpty()) {
+            fixed = Optional.of(StreamOrigin.recorded(upstream.version()));
         }
-        fixed = Optional.of(StreamOrigin.recorded(upstream.version()));
-        streams.began(call, upstream.version(), nowMillis);
     }
 }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/VersionUnknown.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/VersionUnknown.java
@@ -19,23 +19,36 @@
 import io.trailladder.core.upstream.StreamCall;
 import io.trailladder.entry.gateway.DecisionLog.Decision;
 import java.io.IOException;
+import java.util.Optional;
 
 /**
  * Log line: it is not known at which version a stream began that its caller resumes.
  *
  * @param id the request
  * @param call what the caller resumes
+ * @param finding what the peers that were asked know
  * @param listAgeMs time since the list of upstreams was last shown to be current, in milliseconds
  * @param leftMs how long the caller still waits, in milliseconds
- * @param versions the steps of the versions' slots that count, with their ages
+ * @param versions the plans that may be in use and the versions that they assign
  */
-record VersionUnknown(String id, StreamCall call, long listAgeMs, long leftMs, String versions)
+record VersionUnknown(
+        String id,
+        StreamCall call,
+        Optional<StreamExchange.Finding> finding,
+        long listAgeMs,
+        long leftMs,
+        String versions)
         implements Decision {
     @Override
     public void write(JsonGenerator json) throws IOException {
         json.writeStringField("id", id);
         json.writeStringField("service", call.service());
         json.writeStringField("resumes", call.attempt());
+        if (finding.isPresent()) {
+            json.writeNumberField("asked", finding.get().asked());
+            json.writeNumberField("answered", finding.get().answered());
+            json.writeBooleanField("recordRead", finding.get().recordRead());
+        }
         json.writeNumberField("listAgeMs", listAgeMs);
         json.writeNumberField("leftMs", leftMs);
         json.writeStringField("versions", versions);
--- a/trailladder-wire/src/main/java/io/trailladder/wire/MessageType.java
+++ b/trailladder-wire/src/main/java/io/trailladder/wire/MessageType.java
@@ -112,7 +112,13 @@
     /** {@link NodeMessage.RelayData}. */
     RELAY_DATA(45, NodeMessage.RelayData.class),
     /** {@link NodeMessage.RelayEnd}. */
-    RELAY_END(46, NodeMessage.RelayEnd.class);
+    RELAY_END(46, NodeMessage.RelayEnd.class),
+    /** {@link NodeMessage.StreamQuery}. */
+    STREAM_QUERY(47, NodeMessage.StreamQuery.class),
+    /** {@link NodeMessage.StreamReply}. */
+    STREAM_REPLY(48, NodeMessage.StreamReply.class),
+    /** {@link NodeMessage.StreamNews}. */
+    STREAM_NEWS(49, NodeMessage.StreamNews.class);
 
     private static final Map<Integer, MessageType> BY_NUMBER = new HashMap<>();
     private static final Map<Class<?>, MessageType> BY_CLASS = new HashMap<>();
--- a/trailladder-wire/src/main/java/io/trailladder/wire/NodeMessage.java
+++ b/trailladder-wire/src/main/java/io/trailladder/wire/NodeMessage.java
@@ -205,6 +205,44 @@
      */
     record UnitsReturn(String organisation, double units) implements NodeMessage {}
 
+    /**
+     * Asks at which version of upstreams a stream began; answered by a {@link StreamReply}.
+     *
+     * @param stream a hash of the id of the attempt that began it
+     */
+    record StreamQuery(long stream) implements NodeMessage {}
+
+    /**
+     * Tells at which version of upstreams a stream began.
+     *
+     * @param stream a hash of the id of the attempt that began it
+     * @param version the version; empty if the sender does not know it
+     * @param plan the number of the latest plan that the sender knows
+     * @param complete false if the sender could not ask all processes for which it answers
+     */
+    record StreamReply(long stream, String version, long plan, boolean complete)
+            implements NodeMessage {}
+
+    /**
+     * Tells at which versions of upstreams streams begin, so that this is known if the sender ends.
+     *
+     * @param streams the streams
+     */
+    record StreamNews(List<StreamSent> streams) implements NodeMessage {
+        /** Copies the list. */
+        public StreamNews {
+            streams = List.copyOf(streams);
+        }
+    }
+
+    /**
+     * A stream that was sent to an upstream.
+     *
+     * @param stream a hash of the id of the attempt that began it
+     * @param version the version of the upstream
+     */
+    record StreamSent(long stream, String version) {}
+
     /**
      * Counts of requests that began to run at one process, for a peer that may lack them.
      *
--- a/trailladder-wire/src/main/java/io/trailladder/wire/NodePacker.java
+++ b/trailladder-wire/src/main/java/io/trailladder/wire/NodePacker.java
@@ -38,6 +38,10 @@
 import io.trailladder.wire.NodeMessage.RolloutReport;
 import io.trailladder.wire.NodeMessage.Snapshot;
 import io.trailladder.wire.NodeMessage.SnapshotRequest;
+import io.trailladder.wire.NodeMessage.StreamNews;
+import io.trailladder.wire.NodeMessage.StreamQuery;
+import io.trailladder.wire.NodeMessage.StreamReply;
+import io.trailladder.wire.NodeMessage.StreamSent;
 import io.trailladder.wire.NodeMessage.UnitsGrant;
 import io.trailladder.wire.NodeMessage.UnitsRequest;
 import io.trailladder.wire.NodeMessage.UnitsReturn;
@@ -105,6 +109,16 @@
             fields(3).text(grant.organisation()).decimal(grant.units()).number(grant.waitMillis());
         } else if (message instanceof UnitsReturn returned) {
             fields(2).text(returned.organisation()).decimal(returned.units());
+        } else if (message instanceof StreamQuery query) {
+            fields(1).number(query.stream());
+        } else if (message instanceof StreamReply reply) {
+            fields(4)
+                    .number(reply.stream())
+                    .text(reply.version())
+                    .number(reply.plan())
+                    .flag(reply.complete());
+        } else if (message instanceof StreamNews news) {
+            fields(1).list(news.streams(), this::streamSent);
         } else if (message instanceof RegionDigest region) {
             fields(4).flag(region.represents()).text(region.receivesFrom());
             hello(region.origin());
@@ -218,6 +232,10 @@
                 .decimal(sums.xy());
     }
 
+    private void streamSent(StreamSent stream) throws IOException {
+        fields(2).number(stream.stream()).text(stream.version());
+    }
+
     private void rollout(RolloutUpdate update) throws IOException {
         RolloutOrder order = update.order();
         fields(8)
--- a/trailladder-wire/src/main/java/io/trailladder/wire/NodeUnpacker.java
+++ b/trailladder-wire/src/main/java/io/trailladder/wire/NodeUnpacker.java
@@ -39,6 +39,10 @@
 import io.trailladder.wire.NodeMessage.RolloutReport;
 import io.trailladder.wire.NodeMessage.Snapshot;
 import io.trailladder.wire.NodeMessage.SnapshotRequest;
+import io.trailladder.wire.NodeMessage.StreamNews;
+import io.trailladder.wire.NodeMessage.StreamQuery;
+import io.trailladder.wire.NodeMessage.StreamReply;
+import io.trailladder.wire.NodeMessage.StreamSent;
 import io.trailladder.wire.NodeMessage.UnitsGrant;
 import io.trailladder.wire.NodeMessage.UnitsRequest;
 import io.trailladder.wire.NodeMessage.UnitsReturn;
@@ -112,6 +116,9 @@
             case UNITS_ASK -> unitsRequest();
             case UNITS_GRANT -> unitsGrant();
             case UNITS_RETURN -> unitsReturn();
+            case STREAM_QUERY -> streamQuery();
+            case STREAM_REPLY -> streamReply();
+            case STREAM_NEWS -> streamNews();
             case RELAY_REQUEST -> relayRequest();
             case RELAY_OPENED -> relayOpened();
             case RELAY_REFUSED -> relayRefused();
@@ -136,6 +143,22 @@
         return new UnitsReturn(text(), decimal());
     }
 
+    private StreamQuery streamQuery() throws IOException {
+        return extensible(1, () -> new StreamQuery(number()));
+    }
+
+    private StreamReply streamReply() throws IOException {
+        return extensible(4, () -> new StreamReply(number(), text(), number(), flag()));
+    }
+
+    private StreamNews streamNews() throws IOException {
+        return extensible(
+                1,
+                () ->
+                        new StreamNews(
+                                list(() -> extensible(2, () -> new StreamSent(number(), text())))));
+    }
+
     private RelayRequest relayRequest() throws IOException {
         return extensible(5, () -> new RelayRequest(text(), text(), text(), number(), number()));
     }
--- a/trailladder-wire/src/test/java/io/trailladder/wire/NodeMessageProperties.java
+++ b/trailladder-wire/src/test/java/io/trailladder/wire/NodeMessageProperties.java
@@ -45,6 +45,10 @@
 import io.trailladder.wire.NodeMessage.RolloutReport;
 import io.trailladder.wire.NodeMessage.Snapshot;
 import io.trailladder.wire.NodeMessage.SnapshotRequest;
+import io.trailladder.wire.NodeMessage.StreamNews;
+import io.trailladder.wire.NodeMessage.StreamQuery;
+import io.trailladder.wire.NodeMessage.StreamReply;
+import io.trailladder.wire.NodeMessage.StreamSent;
 import io.trailladder.wire.NodeMessage.UnitsGrant;
 import io.trailladder.wire.NodeMessage.UnitsRequest;
 import io.trailladder.wire.NodeMessage.UnitsReturn;
@@ -183,6 +187,25 @@
         assertArrayEquals(body, data.bytes());
     }
 
+    @Property(tries = 300, seed = "20261205")
+    void streamMessagesComeBackUnchanged(
+            @ForAll long stream,
+            @ForAll String version,
+            @ForAll long plan,
+            @ForAll boolean complete) {
+        for (NodeMessage message :
+                List.of(
+                        new StreamQuery(stream),
+                        new StreamReply(stream, version, plan, complete),
+                        new StreamNews(List.of()),
+                        new StreamNews(
+                                List.of(
+                                        new StreamSent(stream, version),
+                                        new StreamSent(plan, "v"))))) {
+            assertEquals(message, roundTrip(message));
+        }
+    }
+
     @Example
     void digestOfARegionComesBackUnchanged() {
         NodeHello origin = new NodeHello("n", "i", "z", "127.0.0.1:1");
