--- a/trailladder-core/src/main/java/io/trailladder/core/upstream/BegunStreams.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/upstream/BegunStreams.java
@@ -15,9 +15,7 @@
  */
 package io.trailladder.core.upstream;
 
-import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Deque;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -28,19 +26,16 @@
 /** The versions at which streams began at this process, and at others that told it. */
 final class BegunStreams {
     private static final int MAX_STREAMS = 20_000;
-    private static final int MAX_OWN = 5_000;
-
-    /** Maximum number of streams that are told in one digest. */
-    static final int MAX_TOLD = 250;
-
-    /** Maximum number of streams that wait to be told. */
-    private static final int MAX_NEWS = 4 * MAX_TOLD;
+    private static final int MAX_OWN = 20_000;
 
     /** Maximum number of streams that are recorded for processes that start later. */
     static final int MAX_RECORDED = 1_000;
 
-    /** Number of ticks for which a stream is told: each peer is sent a digest between two. */
-    private static final int TOLD_TICKS = 3;
+    /** Maximum number of streams that others were told of. */
+    private static final int MAX_TOLD = 50_000;
+
+    /** Age from which others are told once more of a stream that goes on, in milliseconds. */
+    private static final long RENEWAL_MILLIS = StreamVersions.MAX_AGE_MILLIS / 2;
 
     private final Map<Long, String> versions =
             new LinkedHashMap<>() {
@@ -52,37 +47,27 @@
                 }
             };
 
-    /** Streams that began here lately, by the id of their attempt. */
-    private final Map<String, Begun> own = new LinkedHashMap<>();
+    /** Streams that go on here, or did lately, by their hash. */
+    private final Map<Long, Begun> own = new LinkedHashMap<>();
 
-    /** Streams that are told to others, the oldest first. */
-    private final Map<Long, News> news = new LinkedHashMap<>();
-
-    /** Streams that must be recorded, by the hash of their attempt. */
+    /** Streams whose version does not follow from the plans, by their hash. */
     private final Map<Long, Told> told = new LinkedHashMap<>();
 
-    private long tick;
-
-    /** When a stream was last left out of the record because there were too many. */
-    private long unrecordedMillis = Long.MIN_VALUE / 2;
-
-    /** When a stream was last not told because there were too many. */
-    private long untoldMillis = Long.MIN_VALUE / 2;
+    /** Streams that are yet to be told. */
+    private final Map<Long, String> news = new LinkedHashMap<>();
 
-    /** A stream that began at this process. */
-    record Begun(StreamCall call, String version, long sentMillis) {}
+    /** Incremented whenever the streams to record change. */
+    private long changes;
 
-    /** A stream that is told to others. */
-    private static final class News {
-        private final StreamRecord stream;
-        private final long sinceMillis;
-        private long untilTick = Long.MAX_VALUE;
+    /** When a stream was last forgotten that may still be resumed, in milliseconds. */
+    private long forgottenMillis = Long.MIN_VALUE / 2;
 
-        News(StreamRecord stream, long sinceMillis) {
-            this.stream = stream;
-            this.sinceMillis = sinceMillis;
-        }
-    }
+    /**
+     * A stream that was sent to an upstream by this process.
+     *
+     * @param lastMillis when it last made progress, in milliseconds
+     */
+    record Begun(StreamCall call, String version, long sentMillis, long lastMillis) {}
 
     /**
      * A stream that others were told of.
@@ -93,156 +78,174 @@
 
     /** Records the upstream's version to which this process sends a stream. */
     void sent(StreamCall call, String version, long nowMillis) {
-        versions.put(VersionWeights.hash(call.attempt()), version);
-        own.remove(call.attempt());
-        own.put(call.attempt(), new Begun(call, version, nowMillis));
+        long stream = StreamVersions.hash(call);
+        versions.put(stream, version);
+        own.remove(stream);
+        own.put(stream, new Begun(call, version, nowMillis, nowMillis));
         if (own.size() > MAX_OWN) {
             own.remove(own.keySet().iterator().next());
+            forgottenMillis = nowMillis;
         }
     }
 
-    Optional<String> version(String attempt) {
-        return attempt.isEmpty() ? Optional.empty() : version(VersionWeights.hash(attempt));
+    /** Records that a stream of this process has brought an event. */
+    void progressed(StreamCall call, long nowMillis) {
+        own.computeIfPresent(
+                StreamVersions.hash(call),
+                (stream, before) ->
+                        new Begun(call, before.version(), before.sentMillis(), nowMillis));
     }
 
-    Optional<String> version(long attempt) {
-        return Optional.ofNullable(versions.get(attempt));
+    Optional<String> version(long stream) {
+        Told known = told.get(stream);
+        return known == null
+                ? Optional.ofNullable(versions.get(stream))
+                : Optional.of(known.version());
     }
 
-    /** Returns the versions of the streams that began here lately, by the hash of their attempt. */
+    /** Returns the versions of the streams of this process, by their hash. */
     Map<Long, String> own() {
         Map<Long, String> latest = new HashMap<>();
-        own.forEach((attempt, each) -> latest.put(VersionWeights.hash(attempt), each.version()));
+        own.forEach((stream, each) -> latest.put(stream, each.version()));
         return latest;
     }
 
-    /** Tells others of the streams that began here and pass a test. */
+    /** Returns the streams of this process since a time, by the hash of their attempt alone. */
+    List<StreamRecord> begunSince(long sinceMillis, long nowMillis) {
+        List<StreamRecord> begun = new ArrayList<>();
+        for (Begun each : own.values()) {
+            if (each.sentMillis() >= sinceMillis) {
+                long attempt = VersionWeights.hash(each.call().attempt());
+                begun.add(new StreamRecord(attempt, each.version(), nowMillis - each.sentMillis()));
+            }
+        }
+        return begun;
+    }
+
+    /** Tells others of the streams of this process that pass a test. */
     void tell(Predicate<Begun> test, long nowMillis) {
-        own.values()
-                .removeIf(each -> nowMillis - each.sentMillis() > StreamVersions.MAX_AGE_MILLIS);
-        own.values().stream()
-                .filter(each -> test.test(each) && !isTold(each))
-                .forEach(each -> tell(each.call().attempt(), each.version(), nowMillis));
+        own.forEach(
+                (stream, each) -> {
+                    if (test.test(each) && !isTold(stream, each.version())) {
+                        tell(stream, each.version(), nowMillis);
+                    }
+                });
     }
 
-    private boolean isTold(Begun stream) {
-        Told before = told.get(VersionWeights.hash(stream.call().attempt()));
-        return before != null && before.version().equals(stream.version());
+    private boolean isTold(long stream, String version) {
+        Told before = told.get(stream);
+        return before != null && before.version().equals(version);
     }
 
     /** Tells others of a stream, also if they were told before that it began elsewhere. */
-    void tell(String attempt, String version, long nowMillis) {
-        tell(new StreamRecord(VersionWeights.hash(attempt), version, 0), nowMillis);
+    void tell(long stream, String version, long nowMillis) {
+        news.put(stream, version);
+        record(stream, version, nowMillis);
     }
 
-    private void tell(StreamRecord stream, long nowMillis) {
-        long sinceMillis = nowMillis - stream.ageMillis();
-        news.remove(stream.attempt());
-        news.put(stream.attempt(), new News(stream, sinceMillis));
-        if (news.size() > MAX_NEWS) {
-            news.remove(news.keySet().iterator().next());
-            untoldMillis = nowMillis;
+    private void record(long stream, String version, long sinceMillis) {
+        told.remove(stream);
+        told.put(stream, new Told(version, sinceMillis, false));
+        changes++;
+        if (told.size() > MAX_TOLD) {
+            told.remove(told.keySet().iterator().next());
+            forgottenMillis = Math.max(forgottenMillis, sinceMillis);
         }
-        record(stream, sinceMillis);
     }
 
-    private void record(StreamRecord stream, long sinceMillis) {
-        told.remove(stream.attempt());
-        told.put(stream.attempt(), new Told(stream.version(), sinceMillis, false));
-    }
-
-    /** Records where a stream began at another process. */
-    void learned(StreamRecord stream, boolean passOn, long nowMillis) {
-        String before = versions.put(stream.attempt(), stream.version());
-        if (passOn && !stream.version().equals(before)) {
-            tell(stream, nowMillis);
-        } else {
-            record(stream, nowMillis - stream.ageMillis());
-        }
+    /**
+     * Records a stream whose version does not follow from the plans.
+     *
+     * @return whether this process was not told of it before
+     */
+    boolean learned(StreamRecord stream, long nowMillis) {
+        boolean isNew = !isTold(stream.attempt(), stream.version());
+        versions.put(stream.attempt(), stream.version());
+        record(stream.attempt(), stream.version(), nowMillis - stream.ageMillis());
+        return isNew;
     }
 
-    /** Records a stream of which another process was asked. */
-    void learned(long attempt, String version) {
-        versions.put(attempt, version);
+    /** Records where a stream began according to a process that keeps it for this purpose. */
+    void learned(long stream, String version) {
+        versions.put(stream, version);
     }
 
     /** Records streams that an earlier process recorded. */
     void recordedBefore(Map<Long, String> streams, long nowMillis) {
         streams.forEach(
-                (attempt, version) -> {
-                    if (versions.putIfAbsent(attempt, version) == null) {
-                        told.putIfAbsent(attempt, new Told(version, nowMillis, true));
-                    }
+                (stream, version) -> {
+                    versions.putIfAbsent(stream, version);
+                    told.putIfAbsent(stream, new Told(version, nowMillis, true));
+                    changes++;
                 });
     }
 
-    /** Returns the streams that must be recorded, by the hash of their attempts' ids. */
-    Map<Long, String> told(long nowMillis) {
-        told.values()
-                .removeIf(each -> nowMillis - each.sinceMillis() > StreamVersions.MAX_AGE_MILLIS);
-        while (told.size() > MAX_RECORDED) {
-            told.remove(told.keySet().iterator().next());
-            unrecordedMillis = nowMillis;
-        }
+    /** Returns the latest streams that must be recorded, by their hash. */
+    Map<Long, String> toRecord() {
         Map<Long, String> latest = new HashMap<>();
-        told.forEach((attempt, each) -> latest.put(attempt, each.version()));
+        int skipped = Math.max(0, told.size() - MAX_RECORDED);
+        for (Map.Entry<Long, Told> each : told.entrySet()) {
+            if (skipped > 0) {
+                skipped--;
+            } else {
+                latest.put(each.getKey(), each.getValue().version());
+            }
+        }
         return latest;
     }
 
-    /** Returns whether all streams are recorded that were told and may still be resumed. */
-    boolean isRecordComplete(long nowMillis) {
-        return nowMillis - unrecordedMillis > StreamVersions.MAX_AGE_MILLIS;
-    }
-
-    /** Tells all streams once more that must be recorded: a peer may lack them. */
-    void tellAgain() {
-        told.forEach(
-                (attempt, each) -> {
-                    if (!each.read()) {
-                        StreamRecord stream = new StreamRecord(attempt, each.version(), 0);
-                        news.putIfAbsent(attempt, new News(stream, each.sinceMillis()));
-                    }
-                });
+    /** Returns how often the streams to record have changed. */
+    long changes() {
+        return changes;
     }
 
-    /** To be called after a digest has been sent to every peer. */
-    void tick() {
-        tick++;
-        news.values().removeIf(each -> each.untilTick < tick);
+    /** Returns whether all streams are known that must be recorded, and none is left out. */
+    boolean isRecordComplete(long nowMillis) {
+        return told.size() <= MAX_RECORDED && !isAnyForgotten(nowMillis);
     }
 
-    /** Returns whether the next digest tells all streams that have not been told yet. */
-    boolean isNewsComplete() {
-        return news.size() <= MAX_TOLD;
+    /** Returns whether streams were forgotten that may still be resumed. */
+    boolean isAnyForgotten(long nowMillis) {
+        return nowMillis - forgottenMillis <= StreamVersions.MAX_AGE_MILLIS;
     }
 
-    /** Returns whether all streams were told, or will be, that may still be resumed. */
-    boolean isEachTold(long nowMillis) {
-        return nowMillis - untoldMillis > StreamVersions.MAX_AGE_MILLIS;
+    /** Returns the streams that others were told of, for one that lacks them. */
+    List<StreamRecord> told(long nowMillis) {
+        List<StreamRecord> streams = new ArrayList<>(told.size());
+        told.forEach(
+                (stream, each) ->
+                        streams.add(
+                                new StreamRecord(
+                                        stream,
+                                        each.version(),
+                                        Math.max(0, nowMillis - each.sinceMillis()))));
+        return streams;
+    }
+
+    /** Returns the streams that are yet to be told, once. */
+    List<StreamRecord> takeNews() {
+        List<StreamRecord> streams = new ArrayList<>(news.size());
+        news.forEach((stream, version) -> streams.add(new StreamRecord(stream, version, 0)));
+        news.clear();
+        return streams;
+    }
+
+    /** Forgets what is too old to be resumed, and tells once more what goes on. */
+    void tick(long nowMillis) {
+        own.values().removeIf(each -> isOld(each.lastMillis(), nowMillis));
+        if (told.values().removeIf(each -> isOld(each.sinceMillis(), nowMillis))) {
+            changes++;
+        }
+        own.forEach(
+                (stream, each) -> {
+                    Told before = told.get(stream);
+                    if (before != null && nowMillis - before.sinceMillis() > RENEWAL_MILLIS) {
+                        tell(stream, each.version(), nowMillis);
+                    }
+                });
     }
 
-    /** Returns the streams to tell now, those first that were not told yet. */
-    List<StreamRecord> news(long nowMillis) {
-        Deque<News> next = new ArrayDeque<>();
-        for (News each : news.values()) {
-            if (each.untilTick == Long.MAX_VALUE) {
-                next.addLast(each);
-            }
-        }
-        for (News each : news.values()) {
-            if (each.untilTick != Long.MAX_VALUE) {
-                next.addLast(each);
-            }
-        }
-        List<StreamRecord> told = new ArrayList<>();
-        while (!next.isEmpty() && told.size() < MAX_TOLD) {
-            News each = next.removeFirst();
-            if (each.untilTick == Long.MAX_VALUE) {
-                each.untilTick = tick + TOLD_TICKS;
-            }
-            long ageMillis = nowMillis - each.sinceMillis;
-            told.add(new StreamRecord(each.stream.attempt(), each.stream.version(), ageMillis));
-        }
-        return told;
+    private static boolean isOld(long millis, long nowMillis) {
+        return nowMillis - millis > StreamVersions.MAX_AGE_MILLIS;
     }
 }
--- a/trailladder-core/src/main/java/io/trailladder/core/upstream/PlanUse.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/upstream/PlanUse.java
@@ -28,60 +28,65 @@
  * The oldest plan by which a process may have assigned a stream that is still resumed, of all
  * processes that this one knows of.
  *
- * <p>Each process tells the number of the plan that it uses. What a process told last holds for
+ * <p>Each process states the number of the plan that it uses. What a process stated last holds for
  * some time after it has ended, since its streams are resumed, and for longer after it has become
  * silent, since it may still serve callers.
  */
 final class PlanUse {
-    /** Number of digests without a plan after which a peer does not assign streams by plans. */
+    /** The number that {@link #silentNumber} returns if no process is silent. */
+    static final long NONE = -1;
+
+    /** How long a silent process may still serve callers by its plan, in milliseconds. */
+    private static final long MAX_SILENCE_MILLIS = 600_000;
+
+    /** Number of digests without a statement after which a peer is known to use no plans. */
     private static final int MAX_UNPLANNED_DIGESTS = 3;
 
-    private final Map<String, Long> told = new HashMap<>();
+    private final Map<String, Long> stated = new HashMap<>();
 
-    /** How many digests came of peers that have not told a plan. */
+    /** How many digests came of peers that have not stated a plan. */
     private final Map<String, Integer> unplanned = new HashMap<>();
 
-    /** Processes that are listed in the store and have told nothing yet. */
+    /** Processes that were listed or linked and have stated nothing yet. */
     private final Map<String, Held> unheard = new HashMap<>();
 
-    private final Set<String> everTold = new HashSet<>();
+    /** Processes that have become silent. */
+    private final Map<String, Held> silent = new HashMap<>();
 
-    /** What processes told before they ended, became silent or restarted. */
-    private final List<Held> held = new ArrayList<>();
+    /** What processes stated before they ended. */
+    private final List<Held> ended = new ArrayList<>();
 
-    /** The same of processes that ended before this one started; the others know it themselves. */
+    /** What processes used that ended, or became silent, before this one started. */
     private final List<Held> earlier = new ArrayList<>();
 
-    /** What peers told whose figures were removed last. */
-    private final Map<String, Long> removed = new HashMap<>();
+    private long earlierSilentNumber = NONE;
+    private long earlierSilentUntilMillis;
+    private final Set<String> everStated = new HashSet<>();
 
-    /**
-     * A plan that may be in use until a time.
-     *
-     * @param silent whether the process that used it may still assign streams
-     */
-    private record Held(long number, boolean silent, long untilMillis) {
+    /** A plan that may be in use until a time. */
+    private record Held(long number, long untilMillis) {
         static Held ended(long number, long nowMillis) {
-            return new Held(number, false, nowMillis + StreamVersions.MAX_AGE_MILLIS);
+            return new Held(number, nowMillis + StreamVersions.MAX_AGE_MILLIS);
         }
 
         static Held silent(long number, long sinceMillis) {
-            return new Held(number, true, sinceMillis + ListFreshness.MAX_SILENCE_MILLIS);
+            return new Held(number, sinceMillis + MAX_SILENCE_MILLIS);
         }
     }
 
     /** Records the oldest plan that a peer, or those for which it speaks, use. */
-    void told(String peer, long number) {
-        told.put(peer, number);
-        everTold.add(peer);
-        removed.remove(peer);
+    void stated(String peer, long number) {
+        stated.put(peer, number);
+        everStated.add(peer);
         unplanned.remove(peer);
         unheard.remove(peer);
     }
 
-    /** Records that a digest of a peer has arrived, which may tell a plan or not. */
-    void heard(String peer) {
-        if (!told.containsKey(peer)) {
+    /** Records that a digest of a peer has arrived, with a statement or without. */
+    void heard(String peer, boolean planned) {
+        if (planned) {
+            unplanned.remove(peer);
+        } else if (!stated.containsKey(peer)) {
             unplanned.merge(peer, 1, Integer::sum);
         }
     }
@@ -89,90 +94,118 @@
     /** Records the processes that the store lists, this one excluded, all of which are linked. */
     void listed(Collection<String> peers, long ownNumber, long nowMillis) {
         for (String peer : peers) {
-            if (!everTold.contains(peer)) {
-                Held before = unheard.get(peer);
-                long number = before == null ? oldest(ownNumber) : before.number();
-                unheard.put(peer, Held.silent(number, nowMillis));
+            if (!everStated.contains(peer)) {
+                expect(peer, ownNumber, nowMillis);
             }
         }
     }
 
+    private void expect(String peer, long ownNumber, long nowMillis) {
+        Held before = unheard.get(peer);
+        long number = before == null ? oldest(ownNumber) : before.number();
+        unheard.put(peer, Held.silent(number, nowMillis));
+    }
+
     /** Holds the oldest plan that processes used before this one started. */
     void usedBefore(long number, long silentNumber, long nowMillis) {
         earlier.add(Held.ended(number, nowMillis));
-        if (silentNumber > 0) {
-            earlier.add(Held.silent(silentNumber, nowMillis));
-        }
+        earlierSilentNumber = silentNumber;
+        earlierSilentUntilMillis = nowMillis + MAX_SILENCE_MILLIS;
     }
 
     /**
-     * Records that the figures of a peer are not received any more.
+     * Records that the statements of a peer are not received any more.
      *
-     * @return whether it had told any
+     * @return whether it had made any
      */
     boolean removed(String peer, long nowMillis) {
-        Long number = unplanned.containsKey(peer) ? Long.valueOf(0) : told.get(peer);
-        told.remove(peer);
+        boolean isUnplanned = isUnplanned(peer);
+        Long number = stated.remove(peer);
         unplanned.remove(peer);
-        if (number != null) {
-            held.add(Held.ended(number, nowMillis));
-            removed.put(peer, number);
+        if (isUnplanned || number != null) {
+            long held = isUnplanned ? 0 : number;
+            ended.add(Held.ended(held, nowMillis));
+            // counts only if the peer turns out to be silent
+            silent.put(peer, new Held(held, nowMillis - 1));
         }
-        return number != null;
+        return isUnplanned || number != null;
     }
 
     /** Records that a peer has become silent, though it has not announced that it stops. */
     void silent(String peer, long ownNumber, long sinceMillis) {
-        Long number = removed.remove(peer);
-        held.add(Held.silent(number == null ? oldest(ownNumber) : number, sinceMillis));
+        Held before = silent.get(peer);
+        long number = before == null ? oldest(ownNumber) : before.number();
+        silent.put(peer, Held.silent(number, sinceMillis));
     }
 
     /** Records that a process has been linked, which may have restarted. */
-    void linked(String peer, long nowMillis) {
-        Long number = told.get(peer);
+    void linked(String peer, long ownNumber, long nowMillis) {
+        expect(peer, ownNumber, nowMillis);
+        Long number = stated.remove(peer);
+        Held before = silent.remove(peer);
         if (number != null) {
-            held.add(Held.ended(number, nowMillis));
+            ended.add(Held.ended(number, nowMillis));
+        }
+        if (before != null) {
+            ended.add(Held.ended(before.number(), nowMillis));
         }
     }
 
     void prune(long nowMillis) {
-        held.removeIf(each -> each.untilMillis() < nowMillis);
+        ended.removeIf(each -> each.untilMillis() < nowMillis);
         earlier.removeIf(each -> each.untilMillis() < nowMillis);
         unheard.values().removeIf(each -> each.untilMillis() < nowMillis);
+        silent.values().removeIf(each -> each.untilMillis() < nowMillis);
+        if (earlierSilentUntilMillis < nowMillis) {
+            earlierSilentNumber = NONE;
+        }
     }
 
-    /** Returns the oldest plan that this process, some peers or processes that left it use. */
+    private boolean isUnplanned(String peer) {
+        return unplanned.getOrDefault(peer, 0) > MAX_UNPLANNED_DIGESTS;
+    }
+
+    /**
+     * Returns the oldest plan that this process, some peers or processes that have left use.
+     *
+     * @return the number; 0 if one of them does not use plans
+     */
     long oldest(long ownNumber, Collection<String> peers) {
         long oldest = ownNumber;
         for (String peer : peers) {
-            oldest = Math.min(oldest, told.getOrDefault(peer, ownNumber));
+            Held expected = unheard.get(peer);
+            long number = expected == null ? ownNumber : expected.number();
+            oldest = Math.min(oldest, isUnplanned(peer) ? 0 : stated.getOrDefault(peer, number));
         }
-        return Math.min(oldest, least(held.stream(), ownNumber));
+        return Math.min(
+                oldest, least(Stream.concat(ended.stream(), silent.values().stream()), ownNumber));
     }
 
     /** Returns the oldest plan that any known process uses; 0 if one does not use plans. */
     long oldest(long ownNumber) {
-        if (unplanned.values().stream().anyMatch(count -> count > MAX_UNPLANNED_DIGESTS)) {
-            return 0;
-        }
-        Stream<Held> unknown = Stream.concat(earlier.stream(), unheard.values().stream());
-        return Math.min(oldest(ownNumber, told.keySet()), least(unknown, ownNumber));
+        Set<String> known = new HashSet<>(stated.keySet());
+        known.addAll(unplanned.keySet());
+        known.addAll(unheard.keySet());
+        long oldest = Math.min(oldest(ownNumber, known), least(earlier.stream(), ownNumber));
+        return earlierSilentNumber == NONE ? oldest : Math.min(oldest, earlierSilentNumber);
     }
 
-    /** Returns the oldest plan that a silent process may use; 0 if there is none. */
+    /** Returns the oldest plan that a silent process may use; {@link #NONE} if there is none. */
     long silentNumber() {
-        return least(silent(), 0);
+        long least = least(silentOnes(), Long.MAX_VALUE);
+        if (earlierSilentNumber != NONE) {
+            least = Math.min(least, earlierSilentNumber);
+        }
+        return least == Long.MAX_VALUE ? NONE : least;
     }
 
     /** Returns whether processes may be running that cannot be asked. */
     boolean isAnySilent() {
-        return silent().findAny().isPresent();
+        return silentNumber() != NONE;
     }
 
-    private Stream<Held> silent() {
-        return Stream.of(held, earlier, unheard.values())
-                .flatMap(Collection::stream)
-                .filter(Held::silent);
+    private Stream<Held> silentOnes() {
+        return Stream.concat(silent.values().stream(), unheard.values().stream());
     }
 
     private static long least(Stream<Held> held, long otherwise) {
--- a/trailladder-core/src/main/java/io/trailladder/core/upstream/StreamVersions.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/upstream/StreamVersions.java
@@ -59,6 +59,12 @@
 
     private static final int MAX_RECORDED_PLANS = 60;
 
+    /** Gap in the numbers of plans after one was lost, so that others do not take it for known. */
+    private static final long SERIES_GAP = 1_000;
+
+    /** Largest plausible difference between the numbers of two plans in use. */
+    private static final long MAX_NUMBER_GAP = 1_000_000;
+
     /** How long the changes of a new plan are told, in milliseconds: several digests. */
     private static final long PLAN_TOLD_MILLIS = 1_000;
 
@@ -73,15 +79,13 @@
     private final long startedMillis;
     private final KnownPlans plans = new KnownPlans();
     private final PlanUse use = new PlanUse();
-    private final TrailingMinimum ownUse = new TrailingMinimum();
-    private final TrailingMinimum oldestUse = new TrailingMinimum();
     private final Map<String, VersionGaps> gaps = new HashMap<>();
     private final BegunStreams begun = new BegunStreams();
     private final ListFreshness freshness;
     private Earlier earlier = Earlier.UNKNOWN;
 
-    /** The plan that this process told when it had told all streams that do not follow from it. */
-    private long toldNumber;
+    /** Whether the next plan must not continue the ones before. */
+    private boolean newSeries;
 
     /** The newest plan that a process may have used that has ended. */
     private long endedNumber;
@@ -136,24 +140,22 @@
      * Records what the store tells: at the start, and whenever the record is read again.
      *
      * @param record the record
+     * @param beganMillis when the read began, in milliseconds
      * @param nowMillis the current time, in milliseconds
      */
-    public void recordRead(VersionRecord record, long nowMillis) {
+    public void recordRead(VersionRecord record, long beganMillis, long nowMillis) {
         if (earlier == Earlier.UNKNOWN && !record.plans().isEmpty()) {
             use.usedBefore(record.oldestNumber(), record.silentNumber(), nowMillis);
             admitAsPlanned(record.plans());
         }
         earlier = Earlier.RECORDED;
         boolean firstSinceLoss = readMillis < lostMillis;
-        readMillis = nowMillis;
+        readMillis = beganMillis;
         begun.recordedBefore(record.streams(), nowMillis);
         recorded(record, nowMillis);
         if (firstSinceLoss) {
             endedNumber = plans.current().number();
         }
-        if (toldNumber == 0 && begun.isNewsComplete()) {
-            toldNumber = plans.current().number();
-        }
     }
 
     /** Has versions that are not planned yet wait as long as at processes that ran before. */
@@ -173,13 +175,18 @@
      * Records that the store has no record. Only the upstreams that are listed, or leave, are then
      * known.
      *
-     * @param nowMillis the current time, in milliseconds
+     * @param beganMillis when the read began, in milliseconds
      */
-    public void nothingRecorded(long nowMillis) {
+    public void nothingRecorded(long beganMillis) {
         if (earlier == Earlier.UNKNOWN) {
             earlier = Earlier.NOT_RECORDED;
         }
-        readMillis = nowMillis;
+        readMillis = beganMillis;
+    }
+
+    /** Records that the store has lost its latest writes, plans among them. */
+    public void historyReplaced() {
+        newSeries = true;
     }
 
     /** Returns whether this process knows which streams of earlier processes may be resumed. */
@@ -187,6 +194,15 @@
         return earlier != Earlier.UNKNOWN || nowMillis - startedMillis > MAX_AGE_MILLIS;
     }
 
+    /**
+     * Returns how often the streams that must be recorded have changed.
+     *
+     * @return a count
+     */
+    public long recordChanges() {
+        return begun.changes();
+    }
+
     /**
      * Returns what the leader must record.
      *
@@ -199,24 +215,21 @@
         if (!isEarlierKnown(nowMillis) || (lacksPlan() && !lost)) {
             return Optional.empty();
         }
-        Map<Long, String> streams = begun.told(nowMillis);
-        long oldest = oldestNumber();
-        if (!begun.isRecordComplete(nowMillis)) {
-            oldest = oldestUse.least(oldest);
-        }
+        long oldest = begun.isRecordComplete(nowMillis) ? oldestNumber() : 0;
         List<VersionPlan> recorded = new ArrayList<>(plans.latest(oldest, MAX_RECORDED_PLANS));
-        // a plan that nobody recorded any more is replaced by a new one
-        VersionPlan current = lost ? new VersionPlan(newestNumber, Map.of()) : plans.current();
-        VersionPlan next = planner.next(current, recorded.size(), nowMillis);
-        if (lost) {
+        VersionPlan current = plans.current();
+        if (lost || newSeries) {
+            current = new VersionPlan(newestPlanNumber() + SERIES_GAP, Map.of());
             recorded.clear();
         }
+        VersionPlan next = planner.next(current, nowMillis);
         if (next.number() > current.number()) {
             recorded.add(next);
         }
         return recorded.isEmpty()
                 ? Optional.empty()
-                : Optional.of(new VersionRecord(oldest, recorded, use.silentNumber(), streams));
+                : Optional.of(
+                        new VersionRecord(oldest, recorded, use.silentNumber(), begun.toRecord()));
     }
 
     /**
@@ -237,12 +250,11 @@
     private void adopted(long nowMillis) {
         VersionPlan plan = plans.current();
         adoptedMillis = nowMillis;
-        lackingMillis = NEVER_MILLIS;
+        newSeries = false;
         planner.planned(nowMillis);
         plan.slots()
                 .forEach((service, slots) -> versions.admit(service, slots.keySet(), nowMillis));
         begun.tell(stream -> !isAssigned(plan, stream.call(), stream.version()), nowMillis);
-        ownUse.record(plan.number(), nowMillis);
     }
 
     private static boolean isAssigned(VersionPlan plan, StreamCall call, String version) {
@@ -281,6 +293,15 @@
                 : Optional.empty();
     }
 
+    /**
+     * Records that a peer assigns streams by plans, though it may not have stated one yet.
+     *
+     * @param peer the peer's name
+     */
+    public void peerPlans(String peer) {
+        use.heard(peer, true);
+    }
+
     /**
      * Records that a process tells of a plan.
      *
@@ -290,6 +311,9 @@
      */
     public void planTold(long number, Optional<PlanNews> news, long nowMillis) {
         VersionPlan current = plans.current();
+        if (number - current.number() > MAX_NUMBER_GAP) {
+            return;
+        }
         if (number > newestNumber) {
             newestNumber = number;
             lackingMillis = nowMillis;
@@ -327,25 +351,14 @@
 
     /**
      * Returns the number of the oldest plan by which this process and some others assign streams,
-     * or did before they ended.
+     * or did before they ended. To be stated after all {@linkplain #takeNews news} have been told.
      *
      * @param peers the others
      * @param nowMillis the current time, in milliseconds
-     * @return the number
+     * @return the number; 0 if one of them does not use plans
      */
     public long usedNumber(Collection<String> peers, long nowMillis) {
-        long own = plans.current().number();
-        if (own == 0 && earlier != Earlier.NOT_RECORDED) {
-            own = newestNumber; // all streams that begin here are told
-        }
-        if (!begun.isEachTold(nowMillis)) {
-            own = ownUse.least(own);
-        } else if (begun.isNewsComplete()) {
-            toldNumber = own;
-        } else {
-            own = Math.min(own, toldNumber);
-        }
-        return use.oldest(own, peers);
+        return begun.isAnyForgotten(nowMillis) ? 0 : use.oldest(plans.current().number(), peers);
     }
 
     /**
@@ -355,7 +368,7 @@
      * @param number the number of the plan
      */
     public void planUsed(String peer, long number) {
-        use.told(peer, number);
+        use.stated(peer, number);
     }
 
     /**
@@ -500,18 +513,17 @@
      */
     public void peerLinked(String peer, long nowMillis) {
         linkedMillis = nowMillis;
-        use.linked(peer, nowMillis);
-        begun.tellAgain();
+        use.linked(peer, plans.current().number(), nowMillis);
     }
 
     /**
-     * Records that a peer has sent something.
+     * Records that a digest of a peer has arrived.
      *
      * @param peer the peer's name
      * @param nowMillis the current time, in milliseconds
      */
     public void peerHeard(String peer, long nowMillis) {
-        use.heard(peer);
+        use.heard(peer, false);
         freshness.peerHeard(peer, nowMillis);
     }
 
@@ -541,6 +553,29 @@
                 .orElse(StreamOrigin.ANY);
     }
 
+    /**
+     * Returns whether the next plan must be awaited before a new stream begins: the current one
+     * assigns it to a version that has no upstream any more.
+     *
+     * @param call the caller's request
+     * @param nowMillis the current time, in milliseconds
+     * @return false if the stream can begin where it is assigned, or by no plan
+     */
+    public boolean awaitsPlan(StreamCall call, long nowMillis) {
+        String service = call.service();
+        List<Upstream> serving = directory.serving(service);
+        if (serving.isEmpty() || planner.isChosenByRollout(service, nowMillis)) {
+            return false;
+        }
+        Set<String> available =
+                VersionWeights.slots(versions.admitted(service, serving, false, nowMillis))
+                        .keySet();
+        return plans.current()
+                .assigned(service, call.attempt())
+                .filter(version -> !available.contains(version))
+                .isPresent();
+    }
+
     /**
      * Records that this process sends a stream to an upstream, before it may forward the first
      * event.
@@ -548,21 +583,28 @@
      * @param call the request of the caller that begins or resumes it
      * @param version the version of the upstream
      * @param nowMillis the current time, in milliseconds
-     * @return whether all others must be told of it, since its version does not follow from the
-     *     plans
      */
-    public boolean sent(StreamCall call, String version, long nowMillis) {
+    public void sent(StreamCall call, String version, long nowMillis) {
         if (call.attempt().isEmpty()) {
-            return false;
+            return;
         }
-        Optional<String> before = begun.version(call.attempt());
+        long stream = hash(call);
+        Optional<String> before = begun.version(stream);
         boolean corrected = before.isPresent() && !before.get().equals(version);
         begun.sent(call, version, nowMillis);
-        boolean told = corrected || !isKnownFromPlans(call, version);
-        if (told) {
-            begun.tell(call.attempt(), version, nowMillis);
+        if (corrected || !isKnownFromPlans(call, version)) {
+            begun.tell(stream, version, nowMillis);
         }
-        return told;
+    }
+
+    /**
+     * Records that a stream of this process has brought an event.
+     *
+     * @param call the request of the caller that begins or resumes it
+     * @param nowMillis the current time, in milliseconds
+     */
+    public void progressed(StreamCall call, long nowMillis) {
+        begun.progressed(call, nowMillis);
     }
 
     /** Returns whether a process that is not told of a stream knows its version. */
@@ -595,24 +637,45 @@
     }
 
     /**
-     * Returns the streams of which the others must be told where they began.
+     * Returns the streams that this process began lately, as processes of the build before tell
+     * each other: identified by their attempt alone.
      *
+     * @param sinceMillis since when, in milliseconds
      * @param nowMillis the current time, in milliseconds
-     * @return streams that began at this process, or of which it was told lately
+     * @return the streams, the latest last
      */
-    public List<StreamRecord> news(long nowMillis) {
-        return begun.news(nowMillis);
+    public List<StreamRecord> begunSince(long sinceMillis, long nowMillis) {
+        return begun.begunSince(sinceMillis, nowMillis);
     }
 
     /**
-     * Records where a stream began at another process.
+     * Returns the streams of which all others must be told at once, each one once.
+     *
+     * @return streams of this process whose version does not follow from the plans
+     */
+    public List<StreamRecord> takeNews() {
+        return begun.takeNews();
+    }
+
+    /**
+     * Returns the streams of which the others were told, for a process that has been linked.
+     *
+     * @param nowMillis the current time, in milliseconds
+     * @return streams whose version does not follow from the plans
+     */
+    public List<StreamRecord> told(long nowMillis) {
+        return begun.told(nowMillis);
+    }
+
+    /**
+     * Records a stream whose version does not follow from the plans.
      *
      * @param stream the stream
-     * @param passOn whether this process tells it to others
      * @param nowMillis the current time, in milliseconds
+     * @return whether this process was not told of it before
      */
-    public void learned(StreamRecord stream, boolean passOn, long nowMillis) {
-        begun.learned(stream, passOn, nowMillis);
+    public boolean learned(StreamRecord stream, long nowMillis) {
+        return begun.learned(stream, nowMillis);
     }
 
     /**
@@ -641,7 +704,7 @@
      * @return a hash that is the same in every process
      */
     public static long hash(StreamCall call) {
-        return VersionWeights.hash(call.attempt());
+        return VersionWeights.hash(call.service() + '\n' + call.attempt());
     }
 
     /**
@@ -661,39 +724,45 @@
      * @return the origin
      */
     public Optional<StreamOrigin> recorded(StreamCall call) {
-        return begun.version(call.attempt()).map(StreamOrigin::recorded);
+        return call.attempt().isEmpty()
+                ? Optional.empty()
+                : begun.version(hash(call))
+                        .or(() -> begun.version(VersionWeights.hash(call.attempt())))
+                        .map(StreamOrigin::recorded);
     }
 
     /**
      * Returns where a stream began of which no process that could be asked knows.
      *
      * @param call the caller's request, with the id of the attempt that brought the first event
-     * @param allAnswered whether all processes that are known could be asked, and use no newer plan
-     * @param recordRead whether the record was read after the caller resumed the stream
+     * @param inquiry which processes were asked
      * @param nowMillis the current time, in milliseconds
      * @return the version, if it is known
      */
-    public StreamOrigin computed(
-            StreamCall call, boolean allAnswered, boolean recordRead, long nowMillis) {
+    public StreamOrigin computed(StreamCall call, StreamInquiry inquiry, long nowMillis) {
         Optional<StreamOrigin> recorded = recorded(call);
         if (recorded.isPresent()) {
             return recorded.get();
         }
-        if (!isEarlierKnown(nowMillis) || isUnsettled(nowMillis)) {
+        if (!isEarlierKnown(nowMillis)) {
             return StreamOrigin.UNKNOWN;
         }
-        boolean current = recordRead || (allAnswered && isRecordCurrent());
-        if ((allAnswered || recordRead) && isOnlyVersion(call.service(), nowMillis)) {
+        if (lacksPlan()) {
+            return StreamOrigin.OUTDATED;
+        }
+        boolean asked = inquiry.answered() || inquiry.recordRead();
+        if (asked && isOnlyVersion(call.service(), nowMillis)) {
             return StreamOrigin.ANY;
         }
-        if (!current || lacksPlan()) {
+        boolean everywhere = inquiry.answered() && inquiry.everywhere();
+        if (!inquiry.recordRead() && !(everywhere && isRecordCurrent())) {
             return StreamOrigin.OUTDATED;
         }
-        if (call.attempt().isEmpty()) {
+        if (call.attempt().isEmpty() || isUnsettled(nowMillis)) {
             return StreamOrigin.UNKNOWN;
         }
         // a stream that nobody knows who was asked began at a process that has ended
-        boolean ended = allAnswered && isRecordCurrent() && !use.isAnySilent();
+        boolean ended = everywhere && isRecordCurrent() && !use.isAnySilent();
         long oldest = oldestNumber();
         long newest = plans.current().number();
         return plans.assigned(call, oldest, ended ? Math.max(oldest, endedNumber) : newest)
@@ -736,11 +805,10 @@
         }
         tickedMillis = nowMillis;
         freshness.tick(nowMillis);
-        begun.tick();
+        begun.tick(nowMillis);
         use.prune(nowMillis);
-        oldestUse.record(oldestNumber(), nowMillis);
-        ownUse.record(plans.current().number(), nowMillis);
-        plans.prune(oldestUse.least(oldestNumber()));
+        plans.prune(oldestNumber());
+        gaps.keySet().retainAll(directory.services());
         for (String service : directory.services()) {
             Set<String> serving = VersionWeights.slots(directory.serving(service)).keySet();
             gapsOf(service).record(serving, plans.current().versions(service), nowMillis);
--- a/trailladder-core/src/main/java/io/trailladder/core/upstream/VersionPlanner.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/upstream/VersionPlanner.java
@@ -28,9 +28,6 @@
      */
     private static final long MIN_INTERVAL_MILLIS = 2_000;
 
-    /** Number of plans in use from which the slots alone are no reason for a new one. */
-    private static final int MANY_PLANS = 20;
-
     private final UpstreamDirectory directory;
     private final VersionGate versions;
     private long plannedMillis = Long.MIN_VALUE / 2;
@@ -48,10 +45,9 @@
     /**
      * Returns the next plan.
      *
-     * @param plansInUse number of plans in use
      * @return {@code current} if it need not change
      */
-    VersionPlan next(VersionPlan current, int plansInUse, long nowMillis) {
+    VersionPlan next(VersionPlan current, long nowMillis) {
         Map<String, Map<String, Integer>> changes = new HashMap<>();
         boolean otherVersions = false;
         for (String service : directory.services()) {
@@ -63,7 +59,7 @@
                 otherVersions |= !planned || !slots.keySet().equals(current.versions(service));
             }
         }
-        boolean due = nowMillis - plannedMillis >= MIN_INTERVAL_MILLIS && plansInUse < MANY_PLANS;
+        boolean due = nowMillis - plannedMillis >= MIN_INTERVAL_MILLIS;
         boolean needed = otherVersions || (due && !changes.isEmpty());
         return needed ? current.next(changes) : current;
     }
--- a/trailladder-core/src/test/java/io/trailladder/core/upstream/SimulatedStreams.java
+++ b/trailladder-core/src/test/java/io/trailladder/core/upstream/SimulatedStreams.java
@@ -40,8 +40,10 @@
     private static final long MAX_LAG_MILLIS = 300;
     private static final long MIN_RETURN_MILLIS = 400;
     private static final long MAX_RETURN_MILLIS = 4_000;
-    private static final long RECORD_MILLIS = 100;
-    private static final int REPLICAS = 2;
+    private static final long RECORD_MILLIS = 40;
+    private static final long ENTRY_MILLIS = 10_000;
+    private static final long MAX_PLAN_WAIT_MILLIS = 1_000;
+    private static final int COPIES = 2;
     private static final int FAILED_SHARE = 5;
 
     SplittableRandom random;
@@ -51,6 +53,7 @@
     private final PriorityQueue<Stream> returns =
             new PriorityQueue<>(
                     (one, other) -> Long.compare(one.returnMillis(), other.returnMillis()));
+    private final List<Waiting> waiting = new ArrayList<>();
     private long now;
     private int streams;
     int resumed;
@@ -83,6 +86,9 @@
     /** A stream whose caller comes back. */
     private record Stream(String attempt, String version, long beganMillis, long returnMillis) {}
 
+    /** A request for a new stream that waits for a plan. */
+    private record Waiting(Gateway process, StreamCall call, long sinceMillis) {}
+
     /** One process, which loses all it knows but the list and the record when it restarts. */
     final class Gateway {
         private final UpstreamDirectory directory = new UpstreamDirectory();
@@ -96,8 +102,15 @@
         private int revision;
 
         private boolean isolated;
+
+        /** Whether it reaches the store, but no other process. */
+        boolean cutFromPeers;
+
         private long currentFromMillis;
 
+        /** When its entry in the store was last renewed. */
+        private long registeredMillis;
+
         /** When each peer that responds was last heard. */
         private final Map<String, Long> heardMillis = new HashMap<>();
 
@@ -147,7 +160,7 @@
         private boolean readRecord() {
             if (reachesStore()) {
                 record.ifPresentOrElse(
-                        earlier -> versions.recordRead(earlier, now),
+                        earlier -> versions.recordRead(earlier, now, now),
                         () -> versions.nothingRecorded(now));
                 revision = recordRevision;
             }
@@ -159,11 +172,23 @@
             if (!listed && isUp()) {
                 listed = readRecord();
             }
+            if (isRunning() && reachesStore()) {
+                registeredMillis = now;
+            }
             if (isRunning() && reachesStore() && now > currentFromMillis) {
                 versions.listConfirmed(now);
             }
         }
 
+        /** Returns whether the store lists a process; one that is cut off keeps its last list. */
+        private boolean lists(Gateway peer) {
+            return !reachesStore() || now - peer.registeredMillis <= ENTRY_MILLIS;
+        }
+
+        private long startedMillis() {
+            return downUntilMillis;
+        }
+
         private boolean isUp() {
             return now >= downUntilMillis;
         }
@@ -174,7 +199,8 @@
         }
 
         private boolean isHeardBy(Gateway peer) {
-            return peer != this && isUp() && peer.isUp() && !isolated && !peer.isolated;
+            boolean cut = cutFromPeers || peer.cutFromPeers || isolated || peer.isolated;
+            return peer != this && !cut && isUp() && peer.isUp();
         }
     }
 
@@ -197,6 +223,7 @@
         processes.clear();
         changes.clear();
         returns.clear();
+        waiting.clear();
         for (int i = 0; i < processCount; i++) {
             processes.add(new Gateway());
         }
@@ -231,6 +258,9 @@
                         .filter(Gateway::isRunning)
                         .forEach(process -> process.versions.tick(now));
             }
+            List<Waiting> continued = List.copyOf(waiting);
+            waiting.clear();
+            continued.forEach(this::begin);
             if (random.nextDouble() < streamsPerSecond * STEP_MILLIS / 1_000.0) {
                 begin();
             }
@@ -251,15 +281,14 @@
                 continue;
             }
             StreamVersions own = sender.versions;
-            List<StreamRecord> news = own.news(now);
+            tellNews(sender);
             long used = own.usedNumber(List.of(), now);
             for (Gateway receiver : processes) {
                 if (sender.isHeardBy(receiver)) {
                     StreamVersions versions = receiver.versions;
                     receiver.listed = true;
                     versions.peerHeard(name(sender), now);
-                    news.forEach(stream -> versions.learned(stream, false, now));
-                    versions.planTold(own.newestPlanNumber(), own.planNews(now), now);
+                    versions.planTold(own.plan().number(), own.planNews(now), now);
                     versions.planUsed(name(sender), used);
                     own.silences(now)
                             .forEach((peer, since) -> versions.learnedSilence(peer, since, now));
@@ -277,7 +306,24 @@
     }
 
     private List<String> othersOf(Gateway process) {
-        return processes.stream().filter(peer -> peer != process).map(this::name).toList();
+        return processes.stream()
+                .filter(peer -> peer != process && process.lists(peer))
+                .map(this::name)
+                .toList();
+    }
+
+    /** Has a process tell all others of streams that do not follow from the plans. */
+    private void tellNews(Gateway process) {
+        List<StreamRecord> news = process.versions.takeNews();
+        processes.stream()
+                .filter(process::isHeardBy)
+                .forEach(peer -> news.forEach(each -> peer.versions.learned(each, now)));
+    }
+
+    /** Has one process that has been linked to another tell it what it must know. */
+    private void introduce(Gateway process, Gateway peer) {
+        peer.versions.peerLinked(name(process), now);
+        process.versions.told(now).forEach(each -> peer.versions.learned(each, now));
     }
 
     /** Tells each process that others have been silent for long, or have been linked again. */
@@ -291,8 +337,8 @@
                 if (peer.isHeardBy(process)) {
                     Long lastMillis = process.heardMillis.put(name, now);
                     if (lastMillis == null || lastMillis < peer.downUntilMillis) {
-                        process.versions.peerLinked(name, now);
-                        peer.versions.peerLinked(name(process), now);
+                        introduce(peer, process);
+                        introduce(process, peer);
                     }
                 } else if (now - process.heardMillis.getOrDefault(name, now) > SILENCE_MILLIS) {
                     process.versions.peerRemoved(name, now);
@@ -332,10 +378,23 @@
 
     private void begin() {
         Gateway process = running();
-        if (!process.isRunning()) {
+        if (process.isRunning()) {
+            begin(new Waiting(process, new StreamCall(SERVICE, "attempt-" + streams++), now));
+        }
+    }
+
+    /** Begins a stream, or has it wait for a plan. */
+    private void begin(Waiting request) {
+        Gateway process = request.process();
+        StreamCall call = request.call();
+        boolean waits = now - request.sinceMillis() < MAX_PLAN_WAIT_MILLIS;
+        if (!process.isRunning() || process.startedMillis() > request.sinceMillis()) {
+            return;
+        }
+        if (waits && process.versions.awaitsPlan(call, now)) {
+            waiting.add(request);
             return;
         }
-        StreamCall call = new StreamCall(SERVICE, "attempt-" + streams++);
         StreamOrigin origin = process.versions.assigned(call, now);
         List<Upstream> serving = process.directory.serving(SERVICE);
         if (serving.isEmpty()) {
@@ -353,16 +412,12 @@
 
     /** Has a process send a stream to an upstream, and tell some others of it. */
     private void send(Gateway process, StreamCall call, String version) {
-        boolean toAll = process.versions.sent(call, version, now);
-        boolean several = process.versions.hasSeveralVersions(SERVICE);
-        long hash = StreamVersions.hash(call);
-        List<Gateway> others = processes.stream().filter(process::isHeardBy).toList();
-        if (toAll) {
-            StreamRecord told = new StreamRecord(hash, version, 0);
-            others.forEach(peer -> peer.versions.learned(told, false, now));
-        } else if (several) {
-            others.stream().limit(REPLICAS).forEach(p -> p.versions.learned(hash, version));
-        }
+        process.versions.sent(call, version, now);
+        tellNews(process);
+        processes.stream()
+                .filter(process::isHeardBy)
+                .limit(COPIES)
+                .forEach(peer -> peer.versions.learned(StreamVersions.hash(call), version));
     }
 
     /** Counts from now on only streams that have begun before. */
@@ -381,9 +436,10 @@
                 peer.versions
                         .recorded(hash)
                         .ifPresent(version -> process.versions.learned(hash, version));
-                process.versions.planTold(peer.versions.newestPlanNumber(), Optional.empty(), now);
+                long plan = peer.versions.plan().number();
+                process.versions.planTold(plan, Optional.empty(), now);
             } else {
-                all &= peer == process || !process.heardMillis.containsKey(name(peer));
+                all &= peer == process || !process.lists(peer);
             }
         }
         return all;
@@ -395,12 +451,13 @@
             return recorded.get();
         }
         boolean answered = askOthers(process, call);
-        StreamOrigin origin = process.versions.computed(call, answered, false, now);
+        StreamOrigin origin =
+                process.versions.computed(call, new StreamInquiry(answered, true, false), now);
         if (origin.source() != StreamOrigin.Source.OUTDATED) {
             return origin;
         }
         boolean read = process.readRecord();
-        return process.versions.computed(call, answered, read, now);
+        return process.versions.computed(call, new StreamInquiry(answered, true, read), now);
     }
 
     private void resume(Stream stream) {
--- a/trailladder-core/src/test/java/io/trailladder/core/upstream/StreamRolloutTest.java
+++ b/trailladder-core/src/test/java/io/trailladder/core/upstream/StreamRolloutTest.java
@@ -63,7 +63,7 @@
     private static StreamOrigin originAt(StreamVersions streams, long nowMillis) {
         streams.tick(nowMillis);
         streams.listConfirmed(nowMillis);
-        return streams.computed(CALL, true, true, nowMillis);
+        return streams.computed(CALL, new StreamInquiry(true, true, true), nowMillis);
     }
 
     private static Source origin(StreamVersions streams, long nowMillis) {
@@ -77,7 +77,7 @@
         streams.nothingRecorded(NOW - 1_000);
         record(streams, NOW - 1_000);
         assertEquals(Source.UNKNOWN, origin(streams, NOW));
-        streams.learned(new StreamRecord(VersionWeights.hash("a1"), "v1", 100), false, NOW);
+        streams.learned(new StreamRecord(StreamVersions.hash(CALL), "v1", 100), NOW);
         assertEquals(Source.RECORDED, origin(streams, NOW));
     }
 
@@ -90,7 +90,7 @@
         StreamVersions streams = new StreamVersions("own", directory, gate, NOW - 5_000);
         StreamVersions earlier = processDuringARollout(STARTED);
         earlier.nothingRecorded(STARTED);
-        streams.recordRead(earlier.toRecord(NOW - 5_000).orElseThrow(), NOW - 5_000);
+        streams.recordRead(earlier.toRecord(NOW - 5_000).orElseThrow(), NOW - 5_000, NOW - 5_000);
         assertEquals(Source.UNKNOWN, origin(streams, NOW));
     }
 
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ClusterView.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ClusterView.java
@@ -54,6 +54,7 @@
 import java.util.Set;
 import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
+import java.util.function.Predicate;
 
 /**
  * Exchanges digests, updates and snapshots with the peers.
@@ -123,6 +124,7 @@
     private final LinkedPeers peers;
     private Optional<RolloutExchange> rollouts = Optional.empty();
     private Optional<StreamExchange> streams = Optional.empty();
+    private Optional<StreamTelling> streamTelling = Optional.empty();
     private BooleanSupplier leads = () -> false;
     private Mesh mesh;
     private LimitExchange limits;
@@ -199,18 +201,33 @@
     }
 
     /**
-     * Sets the exchange of the versions of streams with the peers.
+     * Sets the exchange of where streams began.
      *
-     * @param exchange sends and receives the messages
+     * @param exchange asks peers
+     * @param telling tells peers
      */
-    void streams(StreamExchange exchange) {
+    void streams(StreamExchange exchange, StreamTelling telling) {
         streams = Optional.of(exchange);
+        streamTelling = Optional.of(telling);
     }
 
-    /**
-     * Returns the peers that know where streams began: for a leaf its hub, for a hub the others.
-     */
-    List<String> streamPeers() {
+    /** Returns whether a responding peer does not take part in an exchange. */
+    boolean isAnyPeerNot(Predicate<String> takesPart) {
+        return linkedPeers().stream().anyMatch(takesPart.negate());
+    }
+
+    /** Returns whether a peer is linked and responding. */
+    boolean isLinked(String name) {
+        return peers.all().stream().anyMatch(peer -> peer.name().equals(name));
+    }
+
+    /** Returns the names of all responding peers. */
+    List<String> linkedPeers() {
+        return peers.all().stream().map(Peer::name).toList();
+    }
+
+    /** Returns the peers on which a leaf relies, or the other hubs. */
+    List<String> peersToAsk() {
         return peers.all().stream()
                 .filter(peer -> mesh.isHub() ? !peer.isLeaf() : mesh.isOwnHub(peer.hello()))
                 .map(Peer::name)
@@ -222,6 +239,12 @@
         return peers.isLeaf(peer);
     }
 
+    /** Returns whether a peer is in another region. */
+    boolean isElsewhere(String name) {
+        return peers.all().stream()
+                .anyMatch(peer -> peer.name().equals(name) && peers.isElsewhere(peer));
+    }
+
     /**
      * Sets the exchange of roll-out reports with the peers.
      *
@@ -483,10 +506,10 @@
                 || message instanceof UnitsGrant
                 || message instanceof UnitsReturn) {
             limits.received(hello, message);
-        } else if (message instanceof StreamQuery
-                || message instanceof StreamReply
-                || message instanceof StreamNews) {
+        } else if (message instanceof StreamQuery || message instanceof StreamReply) {
             streams.ifPresent(exchange -> exchange.received(hello.name(), message));
+        } else if (message instanceof StreamNews news) {
+            streamTelling.ifPresent(telling -> telling.received(hello.name(), news));
         }
     }
 
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
@@ -21,7 +21,6 @@
 import io.trailladder.core.duty.UsageLedger;
 import io.trailladder.core.engine.EngineModel;
 import io.trailladder.core.membership.GatewayMember;
-import io.trailladder.core.membership.HubTopology;
 import io.trailladder.core.memory.MemoryAccount;
 import io.trailladder.core.memory.MemoryBudget;
 import io.trailladder.core.pipeline.EventSteps;
@@ -69,6 +68,7 @@
 import java.util.SplittableRandom;
 import java.util.function.BiFunction;
 import java.util.function.LongSupplier;
+import java.util.function.Predicate;
 import org.tinylog.Logger;
 
 /**
@@ -142,6 +142,8 @@
     private final MemoryManager memoryManager;
     private final RetryBudgets budgets;
     private final StreamVersions streams;
+    private final LinkedStreamPeers streamPeers;
+    private final StreamBasisPart streamBasis;
     private final CrashWatch crashes = new CrashWatch(loop::nowMillis, metrics);
     private final StoreRecord<?> crashRecord;
     private final StoreRecord<?> versionRecord;
@@ -315,9 +317,15 @@
                         loop.nowMillis(),
                         firstStart);
         streams = new StreamVersions(name, directory, versions, loop.nowMillis());
-        StreamBasisPart streamBasis = new StreamBasisPart(streams, view::isFedBy, loop::nowMillis);
-        view.add(new StreamPart(streams, () -> !isFullMesh()));
+        Predicate<String> plans = this::plansStreams;
+        streamPeers = new LinkedStreamPeers(view, mesh, plans);
+        StreamTelling streamTelling =
+                new StreamTelling(loop::nowMillis, loop::schedule, streams, streamPeers);
+        streamBasis =
+                new StreamBasisPart(
+                        streams, streamTelling, view::isFedBy, view::isLinked, loop::nowMillis);
         view.add(streamBasis);
+        view.add(new StreamPart(streams, () -> view.isAnyPeerNot(plans)));
         versionRecord =
                 new StoreRecord<>(
                         loop,
@@ -333,13 +341,9 @@
                                 view::sendDigests));
         StreamExchange streamExchange =
                 new StreamExchange(
-                        loop::nowMillis,
-                        loop::schedule,
-                        streams,
-                        new StreamLinks(view, mesh, streamBasis::isSpeaker),
-                        versionRecord::read);
-        view.streams(streamExchange);
-        streamBasis.onSpeaker(streamExchange::speakerFound);
+                        loop::nowMillis, loop::schedule, streams, streamPeers, versionRecord::read);
+        view.streams(streamExchange, streamTelling);
+        storeHealth.history().onReplaced(streams::historyReplaced);
         ServingContext context =
                 new ServingContext(
                         loop,
@@ -371,6 +375,7 @@
                                 List.of(limits.cost())),
                         streams,
                         streamExchange,
+                        streamTelling,
                         new EventSteps(),
                         quotas,
                         budgets,
@@ -705,8 +710,8 @@
     private void updateStreams() {
         long now = loop.nowMillis();
         streams.listConfirmed(now - directoryManager.ageMillis());
-        if (mesh.isPlanned() && isFullMesh()) {
-            streams.peersListed(otherMembers(), now);
+        if (mesh.isPlanned() && streamPeers.isFullMesh()) {
+            streams.peersListed(streamPeers.needed(""), now);
         }
         streams.tick(now);
         if (streams.lacksPlan() && now - planReadMillis >= PLAN_READ_INTERVAL_MILLIS) {
@@ -715,15 +720,8 @@
         }
     }
 
-    private boolean isFullMesh() {
-        return topology.isOneRegion() && HubTopology.isFullMesh(mesh.members());
-    }
-
-    private List<String> otherMembers() {
-        return mesh.members().stream()
-                .map(GatewayMember::name)
-                .filter(name -> !name.equals(mesh.name()))
-                .toList();
+    private boolean plansStreams(String peer) {
+        return streamBasis.plans(peer);
     }
 
     /** Records that the store answered: it would have reported a change of the upstreams. */
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestDriver.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestDriver.java
@@ -51,6 +51,11 @@
     private static final int MIN_SERVER_ERROR_STATUS = 500;
     private static final byte[] EMPTY_BODY = {};
 
+    /** How long a new stream waits at most for the plan that assigns its version. */
+    private static final long MAX_PLAN_WAIT_MILLIS = 1_000;
+
+    private static final long PLAN_CHECK_INTERVAL_MILLIS = 20;
+
     private final ServingContext context;
     private final ServerExchange exchange;
     private final ServingRequest request;
@@ -253,7 +258,7 @@
         if (events > 0) {
             sender.eventsReceived(events);
             crashes.answering(sender);
-            version.eventReceived(sender.upstream());
+            version.eventReceived(sender.upstream(), context.loop().nowMillis());
             recordRunStarted();
         } else if (answer.progressesByBytes()) {
             sender.progressed();
@@ -319,6 +324,10 @@
             return;
         }
         long now = context.loop().nowMillis();
+        if (version.awaitsPlan(now) && now - admittedMillis < MAX_PLAN_WAIT_MILLIS) {
+            context.loop().schedule(PLAN_CHECK_INTERVAL_MILLIS, this::continueAfterPlan);
+            return;
+        }
         StreamOrigin origin = version.origin(now);
         if (!origin.isKnown()) {
             turnAwayUnknownVersion(origin, now);
@@ -341,6 +350,12 @@
         }
     }
 
+    private void continueAfterPlan() {
+        if (!finished) {
+            nextAttempt();
+        }
+    }
+
     private void streamFound(StreamExchange.Finding finding) {
         if (!finished) {
             version.found(finding);
@@ -385,6 +400,7 @@
         if (crashes.refusesRetry()) {
             giveUp(RecoveryPolicy.endingOf(history));
         } else {
+            version.waited();
             nextAttempt();
         }
     }
@@ -420,7 +436,7 @@
         answer.newAttempt(upstream);
         attempt = new Attempt(context, request, selection, this);
         responseTimeout.watch(attempt, selection);
-        version.sent(upstream, context.streamExchange(), now);
+        version.sent(upstream, context.streamTelling(), now);
         attempt.start(calls.to(upstream, history.lastEventId(), now));
     }
 
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ServingContext.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ServingContext.java
@@ -52,7 +52,8 @@
  * @param loads the load of upstreams
  * @param selector selects the upstream of a request
  * @param streams determines the versions of streams
- * @param streamExchange asks and tells peers where streams began
+ * @param streamExchange asks peers where streams began
+ * @param streamTelling tells peers where streams begin
  * @param eventSteps how the ids of the events of each service rise
  * @param quotas the limits of organisations
  * @param budgets the retry budgets
@@ -84,6 +85,7 @@
         UpstreamSelector selector,
         StreamVersions streams,
         StreamExchange streamExchange,
+        StreamTelling streamTelling,
         EventSteps eventSteps,
         Quotas quotas,
         RetryBudgets budgets,
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/StoreRecord.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/StoreRecord.java
@@ -87,6 +87,9 @@
          */
         default void written(T value) {}
 
+        /** Notifies the content that a read begins. */
+        default void readBegins() {}
+
         /**
          * Receives a value that was read.
          *
@@ -162,6 +165,7 @@
         if (reading) {
             List<PendingRead> current = List.copyOf(nextReads);
             nextReads.clear();
+            content.readBegins();
             store.read(key, result -> readEnded(current, result));
         }
     }
@@ -215,6 +219,7 @@
     }
 
     private void load(int read) {
+        content.readBegins();
         store.list(key, "", freshness, result -> onLoaded(read, result));
     }
 
@@ -306,6 +311,7 @@
 
     private void readBack() {
         busy = true;
+        content.readBegins();
         store.read(key, this::onReadBack);
     }
 
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/StreamBasisPart.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/StreamBasisPart.java
@@ -31,7 +31,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import java.util.function.Predicate;
 
@@ -44,30 +43,39 @@
     private static final int MAX_ENTRIES = 60;
 
     /** Maximum size of what is told of a plan; a peer reads a larger one in the store, in bytes. */
-    private static final int MAX_NEWS_BYTES = 2_000;
+    private static final int MAX_NEWS_BYTES = 3_000;
 
     private static final int MAX_AGE_MILLIS = 3_600_000;
     private static final int MAX_NAME_LENGTH = 60;
 
     private final StreamVersions streams;
+    private final StreamTelling telling;
     private final Predicate<String> feeds;
+    private final Predicate<String> isLinked;
     private final LongSupplier nowMillis;
 
     /** Peers that assign streams by plans. */
-    private final Set<String> speakers = new HashSet<>();
-
-    private Consumer<String> onSpeaker = peer -> {};
+    private final Set<String> planners = new HashSet<>();
 
     /**
      * Creates the part.
      *
      * @param streams the versions of streams
+     * @param telling tells peers what they must know before the statements of this process
      * @param feeds whether a peer forwards changes of the list of upstreams to this process
+     * @param isLinked whether a peer is linked, so that it tells what must be known before its own
      * @param nowMillis the current time, in milliseconds
      */
-    StreamBasisPart(StreamVersions streams, Predicate<String> feeds, LongSupplier nowMillis) {
+    StreamBasisPart(
+            StreamVersions streams,
+            StreamTelling telling,
+            Predicate<String> feeds,
+            Predicate<String> isLinked,
+            LongSupplier nowMillis) {
         this.streams = streams;
+        this.telling = telling;
         this.feeds = feeds;
+        this.isLinked = isLinked;
         this.nowMillis = nowMillis;
     }
 
@@ -87,10 +95,11 @@
         streams.silences(nowMillis)
                 .forEach((peer, since) -> silences.put(peer, age(since, nowMillis)));
         int outdatedMillis = age(streams.listCurrentUntilMillis(nowMillis), nowMillis);
+        telling.tellAll();
         ByteArrayOutputStream bytes = new ByteArrayOutputStream();
         try (DataOutputStream out = new DataOutputStream(bytes)) {
             out.writeLong(streams.usedNumber(peers, nowMillis));
-            out.writeLong(streams.newestPlanNumber());
+            out.writeLong(streams.plan().number());
             byte[] news = planNews(nowMillis);
             out.writeShort(news.length);
             out.write(news);
@@ -146,9 +155,12 @@
         Map<String, Integer> silences = read(in);
         long toldMillis = nowMillis - section.ageMillis();
         streams.planTold(planNumber, news, nowMillis);
-        streams.planUsed(peer, usedNumber);
-        if (speakers.add(peer)) {
-            onSpeaker.accept(peer);
+        streams.peerPlans(peer);
+        if (planners.add(peer)) {
+            telling.introduce(peer);
+        }
+        if (telling.isIntroduced(peer) || !isLinked.test(peer)) {
+            streams.planUsed(peer, usedNumber);
         }
         silences.forEach(
                 (silent, age) -> streams.learnedSilence(silent, toldMillis - age, nowMillis));
@@ -189,6 +201,8 @@
 
     @Override
     public void linked(String peer, long nowMillis) {
+        planners.remove(peer);
+        telling.linkChanged(peer);
         streams.peerLinked(peer, nowMillis);
     }
 
@@ -205,17 +219,13 @@
     /** Keeps the silences that the peer told: they also hold when its figures take another path. */
     @Override
     public void forget(String peer) {
-        speakers.remove(peer);
+        planners.remove(peer);
+        telling.linkChanged(peer);
         streams.peerRemoved(peer, this.nowMillis.getAsLong());
     }
 
-    /** Sets what is notified of each peer that can be asked from now on. */
-    void onSpeaker(Consumer<String> listener) {
-        onSpeaker = listener;
-    }
-
-    /** Returns whether a peer can be asked where streams began. */
-    boolean isSpeaker(String peer) {
-        return speakers.contains(peer);
+    /** Returns whether a peer assigns streams by plans, so that it can be asked and told. */
+    boolean plans(String peer) {
+        return planners.contains(peer);
     }
 }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/StreamPart.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/StreamPart.java
@@ -31,28 +31,31 @@
 import java.util.function.BooleanSupplier;
 
 /**
- * Tells peers at which version streams began whose version they may not be able to compute. Records
- * are passed on for a short time, so that they reach every process through the hubs.
+ * Exchanges with peers of the build before at which version streams began. They identify a stream
+ * by its attempt alone.
  */
 final class StreamPart implements DigestPart {
     /** Maximum number of streams in one digest. */
     static final int MAX_STREAMS = 250;
 
     private static final int MAX_VERSIONS = 16;
-    private static final int MAX_AGE_MILLIS = 30_000;
+    private static final int MAX_AGE_MILLIS = 10_000;
+
+    /** How long the start of a stream is told, in milliseconds: several digests. */
+    private static final long NEWS_MILLIS = 800;
 
     private final StreamVersions streams;
-    private final BooleanSupplier passesOn;
+    private final BooleanSupplier needed;
 
     /**
      * Creates the part.
      *
      * @param streams the versions of streams
-     * @param passesOn whether this process passes on what it is told
+     * @param needed whether there are peers of that build
      */
-    StreamPart(StreamVersions streams, BooleanSupplier passesOn) {
+    StreamPart(StreamVersions streams, BooleanSupplier needed) {
         this.streams = streams;
-        this.passesOn = passesOn;
+        this.needed = needed;
     }
 
     @Override
@@ -67,7 +70,12 @@
 
     @Override
     public Optional<DigestSection> write(DigestScope scope, List<String> peers, long nowMillis) {
-        List<StreamRecord> news = streams.news(nowMillis);
+        if (!needed.getAsBoolean()) {
+            return Optional.empty();
+        }
+        List<StreamRecord> begun = streams.begunSince(nowMillis - NEWS_MILLIS, nowMillis);
+        List<StreamRecord> news =
+                begun.subList(Math.max(0, begun.size() - MAX_STREAMS), begun.size());
         List<String> versions =
                 news.stream().map(StreamRecord::version).distinct().limit(MAX_VERSIONS).toList();
         List<StreamRecord> written =
@@ -96,7 +104,7 @@
     @Override
     public void received(String peer, DigestSection section, long nowMillis) throws IOException {
         for (StreamRecord stream : read(section)) {
-            streams.learned(stream, passesOn.getAsBoolean(), nowMillis);
+            streams.learned(stream.attempt(), stream.version());
         }
     }
 
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/StreamVersion.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/StreamVersion.java
@@ -79,6 +79,11 @@
         return found;
     }
 
+    /** Returns whether a new stream waits for the plan that assigns its version. */
+    boolean awaitsPlan(long nowMillis) {
+        return resumable && !isResumed() && fixed.isEmpty() && streams.awaitsPlan(call, nowMillis);
+    }
+
     /** Returns the version at which the request may run now, and how it is known. */
     StreamOrigin origin(long nowMillis) {
         if (!resumable) {
@@ -100,18 +105,36 @@
         return origin;
     }
 
-    /** Records that the request is sent to an upstream, and tells others of it. */
-    void sent(Upstream upstream, StreamExchange exchange, long nowMillis) {
-        if (resumable && !call.attempt().isEmpty()) {
-            boolean toAll = streams.sent(call, upstream.version(), nowMillis);
-            exchange.sent(call, upstream.version(), toAll);
+    /**
+     * Records that the request is sent to an upstream, and tells others of it. A stream that is
+     * resumed stays at that version.
+     */
+    void sent(Upstream upstream, StreamTelling telling, long nowMillis) {
+        if (!resumable) {
+            return;
+        }
+        if (isResumed() && fixed.isEmpty()) {
+            fixed = Optional.of(StreamOrigin.recorded(upstream.version()));
+        }
+        if (!call.attempt().isEmpty()) {
+            streams.sent(call, upstream.version(), nowMillis);
+            telling.sent(call, upstream.version());
         }
     }
 
     /** Records that an upstream sent an event, which binds the stream to its version. */
-    void eventReceived(Upstream upstream) {
-        if (resumable && fixed.isEmpty()) {
+    void eventReceived(Upstream upstream, long nowMillis) {
+        if (!resumable) {
+            return;
+        }
+        if (fixed.isEmpty()) {
             fixed = Optional.of(StreamOrigin.recorded(upstream.version()));
         }
+        streams.progressed(call, nowMillis);
+    }
+
+    /** Has the peers asked once more, since the request has waited. */
+    void waited() {
+        found = Optional.empty();
     }
 }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/VersionRecords.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/VersionRecords.java
@@ -43,7 +43,10 @@
     static final String KEY = "trailladder/record/versions";
 
     /** How often the leader checks for changes to record, in milliseconds. */
-    static final long WRITE_CHECK_INTERVAL_MILLIS = 100;
+    static final long WRITE_CHECK_INTERVAL_MILLIS = 40;
+
+    /** How often it checks whether a new plan is needed, in milliseconds. */
+    private static final long PLAN_CHECK_INTERVAL_MILLIS = 200;
 
     /** Maximum number of bytes that are written per millisecond while no plan changes. */
     private static final int MAX_BYTES_PER_MILLI = 16;
@@ -56,6 +59,10 @@
     private final LongSupplier epoch;
     private final Runnable onPlan;
 
+    private long readBeganMillis;
+    private long checkMillis = Long.MIN_VALUE;
+    private long checkedChanges = -1;
+
     /** When streams may be recorded again, in milliseconds. */
     private long nextMillis = Long.MIN_VALUE;
 
@@ -78,7 +85,17 @@
     @Override
     public Optional<VersionRecord> current() {
         long now = nowMillis.getAsLong();
-        return streams.toRecord(now).filter(record -> now >= nextMillis || isNewPlan(record));
+        boolean due = now >= checkMillis || streams.recordChanges() != checkedChanges;
+        if (!due) {
+            return Optional.empty();
+        }
+        checkMillis = now + PLAN_CHECK_INTERVAL_MILLIS;
+        Optional<VersionRecord> record = streams.toRecord(now);
+        if (record.isPresent() && now < nextMillis && !isNewPlan(record.get())) {
+            return Optional.empty();
+        }
+        checkedChanges = streams.recordChanges();
+        return record;
     }
 
     private boolean isNewPlan(VersionRecord record) {
@@ -128,11 +145,15 @@
         }
     }
 
+    @Override
+    public void readBegins() {
+        readBeganMillis = nowMillis.getAsLong();
+    }
+
     @Override
     public boolean read(Optional<byte[]> value) throws IOException {
-        long now = nowMillis.getAsLong();
         if (value.isEmpty()) {
-            streams.nothingRecorded(now);
+            streams.nothingRecorded(readBeganMillis);
             return true;
         }
         DataInputStream in = new DataInputStream(new ByteArrayInputStream(value.get()));
@@ -143,7 +164,7 @@
         if (in.readLong() != epoch.getAsLong()) {
             return false;
         }
-        streams.recordRead(readRecord(in), now);
+        streams.recordRead(readRecord(in), readBeganMillis, nowMillis.getAsLong());
         return true;
     }
 
--- a/trailladder-entry/src/main/java/io/trailladder/entry/mesh/PeerMesh.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/mesh/PeerMesh.java
@@ -156,6 +156,17 @@
         return members;
     }
 
+    /**
+     * Returns the processes of the own region that the store lists.
+     *
+     * @return all of them; empty if it has listed none yet
+     */
+    public List<GatewayMember> membersOfRegion() {
+        return members.stream()
+                .filter(member -> topology.isOwnRegion(member.dataCentre()))
+                .toList();
+    }
+
     /**
      * Returns the other processes that are known: those that the store lists, or the linked ones
      * until it has listed any.
--- a/trailladder-entry/src/test/java/io/trailladder/entry/gateway/StreamBasisPartTest.java
+++ b/trailladder-entry/src/test/java/io/trailladder/entry/gateway/StreamBasisPartTest.java
@@ -48,7 +48,13 @@
     }
 
     private static StreamBasisPart part(StreamVersions streams) {
-        return new StreamBasisPart(streams, "hub"::equals, () -> NOW);
+        return new StreamBasisPart(
+                streams, telling(streams), "hub"::equals, peer -> false, () -> NOW);
+    }
+
+    private static StreamTelling telling(StreamVersions streams) {
+        return new StreamTelling(
+                () -> NOW, (delay, task) -> {}, streams, new ScriptedStreamPeers());
     }
 
     private static Optional<DigestSection> write(StreamVersions streams, long nowMillis) {
--- a/trailladder-entry/src/test/java/io/trailladder/entry/gateway/VersionRecordsTest.java
+++ b/trailladder-entry/src/test/java/io/trailladder/entry/gateway/VersionRecordsTest.java
@@ -22,6 +22,7 @@
 
 import io.trailladder.core.rollout.VersionGate;
 import io.trailladder.core.upstream.StreamCall;
+import io.trailladder.core.upstream.StreamInquiry;
 import io.trailladder.core.upstream.StreamOrigin.Source;
 import io.trailladder.core.upstream.StreamVersions;
 import io.trailladder.core.upstream.Upstream;
@@ -42,6 +43,7 @@
     private static final long NOW = 100_000;
     private static final long STARTED = 90_000;
     private static final long EPOCH = 3;
+    private static final StreamInquiry ASKED = new StreamInquiry(true, true, true);
 
     private final UpstreamDirectory directory = new UpstreamDirectory();
     private final StreamVersions streams =
@@ -58,14 +60,14 @@
     private static VersionRecord record() {
         VersionPlan first = new VersionPlan(6, Map.of("m", Map.of("v1", 1), "s", Map.of("v3", 1)));
         VersionPlan second = first.next(Map.of("m", Map.of("v1", 4, "v2", 4), "s", Map.of()));
-        return new VersionRecord(6, List.of(first, second), 0, Map.of(5L, "v1"));
+        return new VersionRecord(6, List.of(first, second), -1, Map.of(5L, "v1"));
     }
 
     private Source originOfAnOlderStream() {
         directory.changed(new Upstream("w", "m", "a", "w:1", 8, false, false, 0, "v2", 0, 0));
         streams.listConfirmed(NOW);
         streams.tick(NOW);
-        return streams.computed(new StreamCall("m", "a1"), true, true, NOW).source();
+        return streams.computed(new StreamCall("m", "a1"), ASKED, NOW).source();
     }
 
     /** Guards against a process that writes a record before it knows what was before its start. */
@@ -96,7 +98,7 @@
         for (int i = 0; i < 40; i++) {
             StreamCall call = new StreamCall("m", "a" + i);
             Optional<String> assigned = record().plans().get(1).assigned("m", "a" + i);
-            Source source = streams.computed(call, true, true, NOW).source();
+            Source source = streams.computed(call, ASKED, NOW).source();
             known += source == Source.COMPUTED ? 1 : 0;
             refused += source == Source.UNKNOWN ? 1 : 0;
             assertEquals(
--- a/trailladder-wire/src/main/java/io/trailladder/wire/NodeMessage.java
+++ b/trailladder-wire/src/main/java/io/trailladder/wire/NodeMessage.java
@@ -208,28 +208,53 @@
     /**
      * Asks at which version of upstreams a stream began; answered by a {@link StreamReply}.
      *
-     * @param stream a hash of the id of the attempt that began it
+     * @param stream a hash of the service and of the id of the attempt that began it
      */
     record StreamQuery(long stream) implements NodeMessage {}
 
     /**
      * Tells at which version of upstreams a stream began.
      *
-     * @param stream a hash of the id of the attempt that began it
+     * @param stream a hash of the service and of the id of the attempt that began it
      * @param version the version; empty if the sender does not know it
-     * @param plan the number of the latest plan that the sender knows
+     * @param plan the number of the plan that the sender uses
      * @param complete false if the sender could not ask all processes for which it answers
      */
     record StreamReply(long stream, String version, long plan, boolean complete)
             implements NodeMessage {}
 
     /**
-     * Tells at which versions of upstreams streams begin, so that this is known if the sender ends.
+     * Tells at which versions of upstreams streams began.
      *
-     * @param recorded whether the leader must record them
+     * @param kind why they are told
      * @param streams the streams
      */
-    record StreamNews(boolean recorded, List<StreamSent> streams) implements NodeMessage {
+    record StreamNews(Kind kind, List<StreamSent> streams) implements NodeMessage {
+        /** Why streams are told. */
+        public enum Kind {
+            /** To be known if the sender ends. */
+            COPY(0),
+            /** Their versions do not follow from the plans, which every process must know. */
+            UNPLANNED(1),
+            /** The same, all that the sender knows; sent once after a link is open. */
+            ALL_UNPLANNED(2);
+
+            private final int number;
+
+            Kind(int number) {
+                this.number = number;
+            }
+
+            /**
+             * Returns the number of the kind on the wire.
+             *
+             * @return the number
+             */
+            public int number() {
+                return number;
+            }
+        }
+
         /** Copies the list. */
         public StreamNews {
             streams = List.copyOf(streams);
@@ -239,10 +264,11 @@
     /**
      * A stream that was sent to an upstream.
      *
-     * @param stream a hash of the id of the attempt that began it
+     * @param stream a hash of the service and of the id of the attempt that began it
      * @param version the version of the upstream
+     * @param ageMillis time since it was first told, in milliseconds
      */
-    record StreamSent(long stream, String version) {}
+    record StreamSent(long stream, String version, long ageMillis) {}
 
     /**
      * Counts of requests that began to run at one process, for a peer that may lack them.
--- a/trailladder-wire/src/main/java/io/trailladder/wire/NodePacker.java
+++ b/trailladder-wire/src/main/java/io/trailladder/wire/NodePacker.java
@@ -118,7 +118,7 @@
                     .number(reply.plan())
                     .flag(reply.complete());
         } else if (message instanceof StreamNews news) {
-            fields(2).flag(news.recorded()).list(news.streams(), this::streamSent);
+            fields(2).number(news.kind().number()).list(news.streams(), this::streamSent);
         } else if (message instanceof RegionDigest region) {
             fields(4).flag(region.represents()).text(region.receivesFrom());
             hello(region.origin());
@@ -233,7 +233,7 @@
     }
 
     private void streamSent(StreamSent stream) throws IOException {
-        fields(2).number(stream.stream()).text(stream.version());
+        fields(3).number(stream.stream()).text(stream.version()).number(stream.ageMillis());
     }
 
     private void rollout(RolloutUpdate update) throws IOException {
--- a/trailladder-wire/src/main/java/io/trailladder/wire/NodeUnpacker.java
+++ b/trailladder-wire/src/main/java/io/trailladder/wire/NodeUnpacker.java
@@ -152,12 +152,21 @@
     }
 
     private StreamNews streamNews() throws IOException {
-        return extensible(
-                2,
-                () ->
-                        new StreamNews(
-                                flag(),
-                                list(() -> extensible(2, () -> new StreamSent(number(), text())))));
+        return extensible(2, () -> new StreamNews(newsKind(), list(this::streamSent)));
+    }
+
+    private StreamNews.Kind newsKind() throws IOException {
+        long number = number();
+        for (StreamNews.Kind kind : StreamNews.Kind.values()) {
+            if (kind.number() == number) {
+                return kind;
+            }
+        }
+        throw new IOException("kind " + number + ", expected a known one");
+    }
+
+    private StreamSent streamSent() throws IOException {
+        return extensible(3, () -> new StreamSent(number(), text(), number()));
     }
 
     private RelayRequest relayRequest() throws IOException {
--- a/trailladder-wire/src/test/java/io/trailladder/wire/NodeMessageProperties.java
+++ b/trailladder-wire/src/test/java/io/trailladder/wire/NodeMessageProperties.java
@@ -197,12 +197,12 @@
                 List.of(
                         new StreamQuery(stream),
                         new StreamReply(stream, version, plan, complete),
-                        new StreamNews(complete, List.of()),
+                        new StreamNews(StreamNews.Kind.ALL_UNPLANNED, List.of()),
                         new StreamNews(
-                                complete,
+                                StreamNews.Kind.UNPLANNED,
                                 List.of(
-                                        new StreamSent(stream, version),
-                                        new StreamSent(plan, "v"))))) {
+                                        new StreamSent(stream, version, plan),
+                                        new StreamSent(plan, "v", stream))))) {
             assertEquals(message, roundTrip(message));
         }
     }
