Core: figures have the same bits on every processor; OneRegionChoiceTest holds on arm64

Cause: Math.exp, Math.pow and Math.log may differ in their last bit between processors, since a JVM computes them with what suits the processor. The hash of OneRegionChoiceTest covers all bits of the predicted times, which come from Math.exp and Math.pow in EngineModel (the decay of observations, their weights). It was taken on x86-64.

Change: the core and FleetRunner compute with StrictMath, which is bit-identical by its contract, so processes on different processors decide alike. ArchitectureTest checks that the core calls none of the methods of Math whose last bit is not fixed; it found one call that was left over at first.

--- a/trailladder-core/src/main/java/io/trailladder/core/engine/EngineModel.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/engine/EngineModel.java
@@ -113,7 +113,7 @@
         void decay(long nowMillis) {
             long elapsed = nowMillis - ownMillis;
             if (elapsed > 0) {
-                own = own.times(Math.exp(-elapsed / DECAY_MILLIS));
+                own = own.times(StrictMath.exp(-elapsed / DECAY_MILLIS));
                 ownMillis = nowMillis;
             }
         }
@@ -254,7 +254,7 @@
     private static double plausibility(double millis, double expected) {
         double deviation = Math.abs(millis - expected);
         double tolerance = Math.max(MIN_TOLERANCE_MILLIS, expected);
-        return deviation <= tolerance ? 1 : Math.pow(tolerance / deviation, OUTLIER_EXPONENT);
+        return deviation <= tolerance ? 1 : StrictMath.pow(tolerance / deviation, OUTLIER_EXPONENT);
     }
 
     private static boolean isValidMillis(double millis) {
--- a/trailladder-core/src/main/java/io/trailladder/core/engine/FleetSizer.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/engine/FleetSizer.java
@@ -92,8 +92,8 @@
         }
         double busy = MIN_READING_FRACTION;
         while (busy < MAX_READING_FRACTION
-                && Math.pow(busy, PREFERRED_UPSTREAMS)
-                                * Math.exp(-waitMillis * (1 - busy) / residualMillis)
+                && StrictMath.pow(busy, PREFERRED_UPSTREAMS)
+                                * StrictMath.exp(-waitMillis * (1 - busy) / residualMillis)
                         < MAX_LATE_FRACTION) {
             busy += READING_FRACTION_STEP;
         }
--- a/trailladder-core/src/main/java/io/trailladder/core/rollout/Binomial.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/rollout/Binomial.java
@@ -34,12 +34,12 @@
         if (max < 0 || probability >= 1) {
             return 0;
         }
-        double logOdds = Math.log(probability) - Math.log1p(-probability);
-        double logTerm = trials * Math.log1p(-probability);
-        double sum = Math.exp(logTerm);
+        double logOdds = StrictMath.log(probability) - StrictMath.log1p(-probability);
+        double logTerm = trials * StrictMath.log1p(-probability);
+        double sum = StrictMath.exp(logTerm);
         for (int i = 1; i <= max; i++) {
-            logTerm += logOdds + Math.log((trials - i + 1.0) / i);
-            sum += Math.exp(logTerm);
+            logTerm += logOdds + StrictMath.log((trials - i + 1.0) / i);
+            sum += StrictMath.exp(logTerm);
         }
         return Math.min(1, sum);
     }
--- a/trailladder-core/src/main/java/io/trailladder/core/upstream/DemandMeter.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/upstream/DemandMeter.java
@@ -57,7 +57,7 @@
 
         void decay(long nowMillis) {
             long elapsed = Math.max(0, nowMillis - updatedMillis);
-            double factor = Math.exp(-elapsed / SMOOTHING_MILLIS);
+            double factor = StrictMath.exp(-elapsed / SMOOTHING_MILLIS);
             tokens *= factor;
             squaredTokens *= factor;
             updatedMillis = Math.max(updatedMillis, nowMillis);
@@ -68,7 +68,7 @@
          */
         double spanMillis() {
             double age = updatedMillis - startMillis;
-            double span = SMOOTHING_MILLIS * (1 - Math.exp(-age / SMOOTHING_MILLIS));
+            double span = SMOOTHING_MILLIS * (1 - StrictMath.exp(-age / SMOOTHING_MILLIS));
             return Math.max(MIN_SPAN_MILLIS, span);
         }
     }
--- a/trailladder-core/src/main/java/io/trailladder/core/upstream/UpstreamHealth.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/upstream/UpstreamHealth.java
@@ -75,7 +75,8 @@
     }
 
     private void decay(long nowMillis) {
-        double factor = Math.pow(0.5, Math.max(0, nowMillis - updatedMillis) / HALF_LIFE_MILLIS);
+        double factor =
+                StrictMath.pow(0.5, Math.max(0, nowMillis - updatedMillis) / HALF_LIFE_MILLIS);
         failures *= factor;
         successes *= factor;
         updatedMillis = Math.max(updatedMillis, nowMillis);
--- a/trailladder-core/src/main/java/io/trailladder/core/upstream/UrgencyMeter.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/upstream/UrgencyMeter.java
@@ -37,7 +37,7 @@
 
         void decay(long nowMillis) {
             double elapsed = Math.max(0, nowMillis - updatedMillis);
-            double factor = Math.exp(-elapsed / SMOOTHING_MILLIS);
+            double factor = StrictMath.exp(-elapsed / SMOOTHING_MILLIS);
             for (int i = 0; i < PRIORITIES; i++) {
                 byPriority[i] *= factor;
             }
--- a/trailladder-core/src/main/java/io/trailladder/core/upstream/VersionWeights.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/upstream/VersionWeights.java
@@ -58,7 +58,9 @@
 
     /** Returns an exponential variate whose rate is the number of slots; the smallest wins. */
     private static double delay(String id, String version, int slots) {
-        return slots == 0 ? Double.POSITIVE_INFINITY : -Math.log(uniform(id, version)) / slots;
+        return slots == 0
+                ? Double.POSITIVE_INFINITY
+                : -StrictMath.log(uniform(id, version)) / slots;
     }
 
     /** Returns a number between 0, exclusive, and 1 that is the same in every process. */
--- a/trailladder-core/src/test/java/io/trailladder/core/ArchitectureTest.java
+++ b/trailladder-core/src/test/java/io/trailladder/core/ArchitectureTest.java
@@ -15,6 +15,10 @@
  */
 package io.trailladder.core;
 
+import static com.tngtech.archunit.core.domain.JavaCall.Predicates.target;
+import static com.tngtech.archunit.core.domain.JavaClass.Predicates.type;
+import static com.tngtech.archunit.core.domain.properties.HasName.Predicates.nameMatching;
+import static com.tngtech.archunit.core.domain.properties.HasOwner.Predicates.With.owner;
 import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
 
 import com.tngtech.archunit.core.domain.JavaClasses;
@@ -22,8 +26,15 @@
 import com.tngtech.archunit.core.importer.ImportOption;
 import net.jqwik.api.Example;
 
-/** Checks that the core performs no input or output and uses no threads or clocks. */
+/**
+ * Checks that the core performs no input or output, uses no threads or clocks and computes alike on
+ * every processor.
+ */
 class ArchitectureTest {
+    /** Methods of {@link Math} whose last bit may differ between processors. */
+    private static final String INEXACT_METHODS =
+            "a?(sin|cos|tan)h?|atan2|exp|expm1|log|log10|log1p|pow|cbrt|hypot";
+
     private final JavaClasses core =
             new ClassFileImporter()
                     .withImportOption(new ImportOption.DoNotIncludeTests())
@@ -50,4 +61,14 @@
         noClasses().should().callMethod(System.class, "nanoTime").check(core);
         noClasses().should().dependOnClassesThat().areAssignableTo(Thread.class).check(core);
     }
+
+    @Example
+    void coreComputesAlikeOnEveryProcessor() {
+        noClasses()
+                .should()
+                .callMethodWhere(
+                        target(owner(type(Math.class))).and(target(nameMatching(INEXACT_METHODS))))
+                .because("processes on different processors must decide alike; use StrictMath")
+                .check(core);
+    }
 }
--- a/trailladder-core/src/test/java/io/trailladder/core/upstream/OneRegionChoiceTest.java
+++ b/trailladder-core/src/test/java/io/trailladder/core/upstream/OneRegionChoiceTest.java
@@ -37,10 +37,11 @@
 
 /**
  * Guards against changes of choices and their figures in a deployment with a single region. The
- * hash covers 4,000 choices of the last version without regions.
+ * hash covers 4,000 choices of the last version without regions, computed with {@link StrictMath},
+ * whose results have the same bits on every processor.
  */
 class OneRegionChoiceTest {
-    private static final long EXPECTED_HASH = -6_340_258_481_634_832_708L;
+    private static final long EXPECTED_HASH = 3_322_769_132_594_807_495L;
     private static final int CHOICES = 4_000;
     private static final long STEP_MILLIS = 7;
 
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/FleetRunner.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/FleetRunner.java
@@ -101,7 +101,7 @@
 
         /** Smooths the number of requests under way, which varies with each long answer. */
         ServiceLoad smooth(ServiceLoad load) {
-            double weight = 1 - Math.exp(-STEP_INTERVAL_MILLIS / SMOOTHING_TIME_MILLIS);
+            double weight = 1 - StrictMath.exp(-STEP_INTERVAL_MILLIS / SMOOTHING_TIME_MILLIS);
             running = running < 0 ? load.running() : running + weight * (load.running() - running);
             return new ServiceLoad(load.tokensPerMilli(), load.squaredTokensPerMilli(), running);
         }
