Seeded draws of tests and of the bench's traces are the same on every processor

So a seed that fails on one machine need not on another. Change: SimulatedCallers, TwoRegions, SimulatedRollout, EngineModelProperties, FleetPlannerTest and TraceGenerator use StrictMath. No seed, bound or check changes. Looked for and left: VersionEvaluatorTest compares with Math.pow within 1e-12, Math.sqrt is exact by contract, RolloutPowerTest computes a bound with it. No code asks for the processor or the count of processors, and no other test hashes figures.

--- a/trailladder-bench/src/main/java/io/trailladder/bench/TraceGenerator.java
+++ b/trailladder-bench/src/main/java/io/trailladder/bench/TraceGenerator.java
@@ -91,7 +91,7 @@
     private void arrivals(double perSecond, int seconds, Arrival arrival) {
         double at = 0;
         while (at < seconds * 1000.0) {
-            at += -Math.log(1 - random.nextDouble()) * 1000 / perSecond;
+            at += -StrictMath.log(1 - random.nextDouble()) * 1000 / perSecond;
             arrival.at(at);
         }
     }
--- a/trailladder-core/src/test/java/io/trailladder/core/duty/FleetPlannerTest.java
+++ b/trailladder-core/src/test/java/io/trailladder/core/duty/FleetPlannerTest.java
@@ -232,7 +232,7 @@
         List<Upstream> upstreams = fleet(0, 20);
         int min = Integer.MAX_VALUE;
         for (long now = 0; now <= 160_000; now += 250) {
-            double load = 20 * (1 + 0.42 * Math.sin(now * 2 * Math.PI / 40_000));
+            double load = 20 * (1 + 0.42 * StrictMath.sin(now * 2 * Math.PI / 40_000));
             List<UpstreamOrder> orders = planner.plan(large, upstreams, busy(load), NONE, now);
             assertEquals(0, ordered(orders, false), "full price at " + now);
             min = Math.min(min, ordered(orders, true));
--- a/trailladder-core/src/test/java/io/trailladder/core/engine/EngineModelProperties.java
+++ b/trailladder-core/src/test/java/io/trailladder/core/engine/EngineModelProperties.java
@@ -49,7 +49,7 @@
         SplittableRandom random = new SplittableRandom(seed);
         for (int i = 0; i < SECONDS * REQUESTS_PER_SECOND; i++) {
             long now = fromMillis + i * 1_000L / REQUESTS_PER_SECOND;
-            int tokens = (int) Math.exp(5 + 4 * random.nextDouble());
+            int tokens = (int) StrictMath.exp(5 + 4 * random.nextDouble());
             SimulatedEngine engine = engines.get(random.nextInt(engines.size()));
             model.firstEvent("s", tokens, 0, engine.firstEvent(tokens, random), now);
             model.ended("s", 800, now);
--- a/trailladder-core/src/test/java/io/trailladder/core/rollout/SimulatedRollout.java
+++ b/trailladder-core/src/test/java/io/trailladder/core/rollout/SimulatedRollout.java
@@ -311,7 +311,7 @@
         boolean badNow = isTarget && version.isBadNow((int) now, load, route);
         boolean fails = random.nextDouble() < (badNow ? version.fails() : OLD_FAILS);
         boolean slow = badNow && random.nextDouble() < version.slow();
-        double usualMillis = FIRST_MILLIS * Math.exp(0.4 * (random.nextDouble() - 0.5));
+        double usualMillis = FIRST_MILLIS * StrictMath.exp(0.4 * (random.nextDouble() - 0.5));
         double tookMillis = slow ? usualMillis * version.slowFactor() : usualMillis;
         due.add(
                 new Due(
--- a/trailladder-core/src/test/java/io/trailladder/core/upstream/TwoRegions.java
+++ b/trailladder-core/src/test/java/io/trailladder/core/upstream/TwoRegions.java
@@ -247,14 +247,14 @@
     }
 
     private void scheduleArrivals(String region, double requestsPerSecond, double end) {
-        double at = now - Math.log(1 - random.nextDouble()) * 1_000 / requestsPerSecond;
+        double at = now - StrictMath.log(1 - random.nextDouble()) * 1_000 / requestsPerSecond;
         while (at < end) {
             List<Gateway> there =
                     processes.stream().filter(process -> process.region.equals(region)).toList();
             Gateway process = there.get(random.nextInt(there.size()));
             double accepted = at;
             at(accepted, () -> process.serve(request((long) accepted)));
-            at -= Math.log(1 - random.nextDouble()) * 1_000 / requestsPerSecond;
+            at -= StrictMath.log(1 - random.nextDouble()) * 1_000 / requestsPerSecond;
         }
     }
 
--- a/trailladder-entry/src/test/java/io/trailladder/entry/gateway/SimulatedCallers.java
+++ b/trailladder-entry/src/test/java/io/trailladder/entry/gateway/SimulatedCallers.java
@@ -49,14 +49,14 @@
      */
     record Sizes(double median, double spread, double max) {
         double mean() {
-            return median * Math.exp(spread * spread / 2);
+            return median * StrictMath.exp(spread * spread / 2);
         }
 
         private double draw(SplittableRandom random) {
             double gaussian =
-                    Math.sqrt(-2 * Math.log(1 - random.nextDouble()))
-                            * Math.cos(2 * Math.PI * random.nextDouble());
-            return Math.min(max, median * Math.exp(spread * gaussian));
+                    Math.sqrt(-2 * StrictMath.log(1 - random.nextDouble()))
+                            * StrictMath.cos(2 * Math.PI * random.nextDouble());
+            return Math.min(max, median * StrictMath.exp(spread * gaussian));
         }
     }
 
@@ -148,7 +148,7 @@
     private int poisson(double expected) {
         int count = 0;
         double product = random.nextDouble();
-        double limit = Math.exp(-expected);
+        double limit = StrictMath.exp(-expected);
         while (product > limit) {
             count++;
             product *= random.nextDouble();
