Only an answer that shows to be the upstream's own reaches its caller

Callers of any route got a 200 without the upstream's signature when an upstream ended its head before that field: empty and framed as whole if the connection was closed then, with its body if it had a length. An interim status was passed on as the answer, and so were heads with two request ids or two signatures.

Cause: a head was asked for its request id only, in three methods of the protocol, and nobody asked for the signature.

RequestProtocol.identity is now the one place that says whose answer a head begins, before any byte of it is relayed, on direct and on relayed connections. A success needs its request's id and one signature; failures need no signature, refusals neither, as before. What does not show it fails as BROKEN: it may have run, so an unsafe request gets 502, and what may be repeated goes on within its attempts and retry budget. AnswerUnidentified is logged.

The upstream that trains the class data sends a signature.

--- a/trailladder-cli/src/main/java/io/trailladder/cli/ClassDataTraining.java
+++ b/trailladder-cli/src/main/java/io/trailladder/cli/ClassDataTraining.java
@@ -262,7 +262,8 @@
             exchange.respond(UNAVAILABLE, HeaderList.of("Not-Executed", "1"), NO_BYTES);
             return;
         }
-        exchange.begin(OK, HeaderList.of("Attempt-Id", REQUEST_ID), -1);
+        HeaderList stamps = HeaderList.of("Attempt-Id", REQUEST_ID).with("Instance-Stamp", "one");
+        exchange.begin(OK, stamps, -1);
         exchange.write("id: 1\ndata: x\n\n".getBytes(StandardCharsets.UTF_8));
         if (answers % FAULT_INTERVAL_REQUESTS == 2) {
             loop.schedule(1, exchange::abort);
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Attempt.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Attempt.java
@@ -28,6 +28,7 @@
 import io.trailladder.entry.http.ClientCall;
 import io.trailladder.entry.http.HeaderList;
 import io.trailladder.entry.http.OutgoingCall;
+import io.trailladder.entry.port.AnswerIdentity;
 import java.util.Optional;
 
 /**
@@ -286,30 +287,29 @@
         framing = AnswerFraming.of(headers, length);
         lastReceivedMillis = context.loop().nowMillis();
         progressed();
-        if (context.protocol().belongsToAnother(request.id(), headers)) {
-            failAsForeign();
-        } else if (context.protocol().misdirected(answerStatus)) {
-            fail(AttemptFailure.MISDIRECTED);
-        } else {
+        AnswerIdentity identity = context.protocol().identity(request.id(), answerStatus, headers);
+        if (identity != AnswerIdentity.OF_ANOTHER_REQUEST
+                && identity != AnswerIdentity.MISDIRECTED) {
             AnswerNotice notice = context.protocol().notice(answerStatus, headers);
             context.notices().received(request.id(), upstream, answerStatus, notice, sentMillis);
-            answered(answerStatus, headers, length);
+        }
+        switch (identity) {
+            case OWN -> answered(headers, length);
+            case NOT_EXECUTED -> {
+                refused();
+                fail(AttemptFailure.NOT_EXECUTED);
+            }
+            case MISDIRECTED -> fail(AttemptFailure.MISDIRECTED);
+            case OF_ANOTHER_REQUEST, UNPROVEN -> failAsForeign(identity);
         }
     }
 
-    private void answered(int answerStatus, HeaderList headers, long length) {
-        if (context.protocol().notExecuted(answerStatus, headers)) {
-            refused();
-            fail(AttemptFailure.NOT_EXECUTED);
-        } else if (!context.protocol().belongs(request.id(), headers)) {
-            failAsForeign();
-        } else {
-            context.crashes().answered(upstream, createdMillis);
-            if (answerStatus <= MAX_SUCCESS_STATUS) {
-                context.backoffs().requestAccepted(upstream, lastReceivedMillis);
-            }
-            listener.answered(this, answerStatus, headers, length);
+    private void answered(HeaderList headers, long length) {
+        context.crashes().answered(upstream, createdMillis);
+        if (status <= MAX_SUCCESS_STATUS) {
+            context.backoffs().requestAccepted(upstream, lastReceivedMillis);
         }
+        listener.answered(this, status, headers, length);
     }
 
     /** Sends an upstream that bears few refusals nothing for a while after one. */
@@ -321,12 +321,11 @@
         }
     }
 
-    /**
-     * Fails the attempt because the answer belongs to another request. Nothing that such an answer
-     * reports applies to this request, not even that it was not executed.
-     */
-    private void failAsForeign() {
+    /** Fails the attempt because its answer is not shown to be the upstream's to this request. */
+    private void failAsForeign(AnswerIdentity identity) {
         context.metrics().count(GatewayMetrics.Event.FOREIGN_ANSWER);
+        DecisionLog.write(
+                new AnswerUnidentified(request.id(), upstream.id(), status, framing, identity));
         fail(AttemptFailure.BROKEN);
     }
 
--- a/trailladder-entry/src/main/java/io/trailladder/entry/port/RequestProtocol.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/port/RequestProtocol.java
@@ -44,40 +44,15 @@
     HeaderList attempt(HeaderList callerHeaders, AttemptFields fields);
 
     /**
-     * Returns whether an upstream reports that it did not run a request.
-     *
-     * @param status its status
-     * @param headers its header fields
-     * @return true if the request certainly did not run there
-     */
-    boolean notExecuted(int status, HeaderList headers);
-
-    /**
-     * Returns whether an upstream other than the intended one has answered.
-     *
-     * @param status its status
-     * @return true if the request certainly did not run there
-     */
-    boolean misdirected(int status);
-
-    /**
-     * Returns whether an answer belongs to a request.
-     *
-     * @param requestId the request id given by the caller
-     * @param headers the answer's header fields
-     * @return false if it belongs to another request or to none
-     */
-    boolean belongs(String requestId, HeaderList headers);
-
-    /**
-     * Returns whether an answer names another request. Nothing in such an answer applies to this
-     * request, neither that it has not run nor what the upstream reports about itself.
+     * Returns whose answer a head begins. Only an {@link AnswerIdentity#OWN} one may reach the
+     * caller.
      *
      * @param requestId the request id given by the caller
-     * @param headers the answer's header fields
-     * @return false if it names this request or none
+     * @param status the answer's status
+     * @param headers its header fields
+     * @return what the head shows
      */
-    boolean belongsToAnother(String requestId, HeaderList headers);
+    AnswerIdentity identity(String requestId, int status, HeaderList headers);
 
     /**
      * Reads what an answer reports about its upstream.
