A head with a field name that no field can have is no answer

When an upstream broke its head off inside a field and began another answer on the connection, callers got one success joined of both: the id of the one, the signature of the other, and a field whose name holds a line end, passed on as it was.

Cause: the parser reads a field's name up to the next colon, over spaces and line ends.

A call fails as BROKEN if a name in its answer's head is no token, beside the check for two lengths; both are logged now.

Evidence: AnswerIdentityFaultTest#headThatNamesTwoRequestsIsNoAnswer failed before, with 200 passed on.

--- a/trailladder-entry/src/main/java/io/trailladder/entry/http/ClientCall.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/http/ClientCall.java
@@ -17,6 +17,7 @@
 
 import java.util.Optional;
 import org.glassfish.grizzly.Connection;
+import org.tinylog.Logger;
 
 /**
  * A call in progress.
@@ -119,7 +120,12 @@
             return;
         }
         headSeen = true;
-        if (headers.differ("Content-Length")) {
+        if (headers.differ("Content-Length") || !headers.areNamesValid()) {
+            Logger.warn(
+                    "connection to {} closed, received a head with status {} whose fields are not"
+                            + " valid, expected names without spaces and at most one length",
+                    request.target(),
+                    status);
             fail(CallFailure.BROKEN);
             return;
         }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/http/HeaderList.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/http/HeaderList.java
@@ -46,6 +46,9 @@
                     "expect",
                     "content-length");
 
+    /** What names may have besides letters and digits. */
+    private static final String NAME_SYMBOLS = "!#$%&'*+-.^_`|~";
+
     private final List<HeaderField> fields;
 
     /**
@@ -116,6 +119,27 @@
                 > 1;
     }
 
+    /**
+     * Returns whether each name is one that a field may have. Others are parts of lines that were
+     * joined.
+     *
+     * @return false if any name is empty or has a character that names do not have
+     */
+    public boolean areNamesValid() {
+        return fields.stream().allMatch(field -> isName(field.name()));
+    }
+
+    private static boolean isName(String name) {
+        return !name.isEmpty() && name.chars().allMatch(HeaderList::isNameCharacter);
+    }
+
+    private static boolean isNameCharacter(int character) {
+        return (character >= '0' && character <= '9')
+                || (character >= 'A' && character <= 'Z')
+                || (character >= 'a' && character <= 'z')
+                || NAME_SYMBOLS.indexOf(character) >= 0;
+    }
+
     /**
      * Counts the fields of one name.
      *
