An unsafe request that may have run gets no refusal whose upstream does not confirm it

Callers of requests that may run once got an upstream's 503, 429 or 408 as it was, also when its head had ended before the field that says that the request has not run. These statuses promise that; only that field says so.

Cause: a refusal without that field was taken for the upstream's failure and passed on.

RequestProtocol.identity tells such refusals apart. They fail an attempt that may run once, whose caller gets 502; other requests go on as before, as their callers ask again after any failure. Refusals with the field, and 421, stay as they are.

Evidence: AnswerIdentityFaultTest#refusalThatDoesNotSayThatItDidNotRunPromisesNothing failed before, with 503. TruthfulRefusalFaultTest looks at the gateway's own refusals only and saw none of it.

--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Attempt.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Attempt.java
@@ -300,10 +300,20 @@
                 fail(AttemptFailure.NOT_EXECUTED);
             }
             case MISDIRECTED -> fail(AttemptFailure.MISDIRECTED);
+            case UNCONFIRMED_REFUSAL -> refusalUnconfirmed(identity, headers, length);
             case OF_ANOTHER_REQUEST, UNPROVEN -> failAsForeign(identity);
         }
     }
 
+    /** Passes on a refusal that may be untrue only where it is asked again after any failure. */
+    private void refusalUnconfirmed(AnswerIdentity identity, HeaderList headers, long length) {
+        if (request.route().repeatable()) {
+            answered(headers, length);
+        } else {
+            failAsForeign(identity);
+        }
+    }
+
     private void answered(HeaderList headers, long length) {
         context.crashes().answered(upstream, createdMillis);
         if (status <= MAX_SUCCESS_STATUS) {
--- a/trailladder-entry/src/main/java/io/trailladder/entry/port/AnswerIdentity.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/port/AnswerIdentity.java
@@ -32,6 +32,11 @@
      * nor what the upstream reports about itself.
      */
     OF_ANOTHER_REQUEST,
+    /**
+     * The upstream that was asked answers this request with a status that promises that it has not
+     * run, but does not say so itself. The request may have run.
+     */
+    UNCONFIRMED_REFUSAL,
     /** It lacks what an answer of its status bears, so it may be a part of one. */
     UNPROVEN
 }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/port/RequestProtocol.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/port/RequestProtocol.java
@@ -45,7 +45,8 @@
 
     /**
      * Returns whose answer a head begins. Only an {@link AnswerIdentity#OWN} one may reach the
-     * caller.
+     * caller, and an {@link AnswerIdentity#UNCONFIRMED_REFUSAL} that of a request that may run
+     * again.
      *
      * @param requestId the request id given by the caller
      * @param status the answer's status
