A stream without any event is not whole, whatever its framing says

Callers of streams got 200, whole and without any event when an upstream sent a length of 0 or only the last chunk, also where the stream could be resumed elsewhere.

Cause: AnswerRelay asked only streams without framing for an event.

It asks every event stream for one now, unless its caller has events already, or the answer has no body (HEAD, 204). The attempt fails as BROKEN: such a stream is asked for again within its attempts, and one that runs once gets 502, as nothing has been sent.

Evidence: AnswerCutFaultTest#streamOfNoEventIsSentAgain and #streamOfNoEventThatRunsOnceFails failed before.

--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/AnswerEnd.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/AnswerEnd.java
@@ -42,7 +42,7 @@
     enum Finding {
         /** The whole answer. */
         COMPLETE,
-        /** A stream that ends inside an event, or without framing before its first one. */
+        /** A stream that ends inside an event, or before its first one. */
         INCOMPLETE_STREAM,
         /** An answer without framing whose upstream could not be reached after its end. */
         UPSTREAM_ENDED
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/AnswerEndCheck.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/AnswerEndCheck.java
@@ -25,9 +25,9 @@
  * Decides whether an upstream's answer is complete once no more of it will come.
  *
  * <p>An answer that is complete by its length or chunks is complete, unless it is a stream that
- * ends inside an event. An answer without framing is complete only if its upstream can still be
- * reached: the connections of a process that ended are closed in the same way as those of one that
- * has answered.
+ * ends inside an event or has none. An answer without framing is complete only if its upstream can
+ * still be reached: the connections of a process that ended are closed in the same way as those of
+ * one that has answered.
  */
 final class AnswerEndCheck {
     /**
@@ -68,7 +68,7 @@
      * @param framed true if the length or the chunks of the answer say that it is complete
      */
     void answerEnded(Attempt attempt, boolean framed) {
-        if (answer.isIncompleteStream(framed)) {
+        if (answer.isIncompleteStream()) {
             decide(attempt, Finding.INCOMPLETE_STREAM);
         } else if (framed) {
             attempt.complete();
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/AnswerRelay.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/AnswerRelay.java
@@ -34,6 +34,7 @@
  */
 final class AnswerRelay {
     private static final int MAX_SUCCESS_STATUS = 299;
+    private static final int NO_CONTENT = 204;
 
     /** Largest number of bytes of a stream after an event and up to the next one, in bytes. */
     private static final int MAX_EVENT_BYTES = 1 << 20;
@@ -57,6 +58,7 @@
     private boolean relaying;
     private boolean eventStream;
     private boolean eventsSeen;
+    private boolean bodiless;
     private boolean lengthGiven;
     private boolean unusable;
     private long bytesSinceEvent;
@@ -106,6 +108,7 @@
         status = answerStatus;
         headers = fields;
         lengthGiven = length >= 0;
+        bodiless = answerStatus == NO_CONTENT || exchange.method().equals("HEAD");
         unusable = false;
         bytesSinceEvent = 0;
         buffered.reset();
@@ -209,13 +212,12 @@
     }
 
     /**
-     * Returns whether the part of the answer that has arrived is less than a whole stream.
-     *
-     * @param framed true if the length or the chunks of the answer say that it is complete
+     * Returns whether the part of the answer that has arrived is less than a whole stream, whatever
+     * its framing says: it ends inside an event, or its caller gets no event at all.
      */
-    boolean isIncompleteStream(boolean framed) {
-        boolean empty = !eventsSeen && history.lastEventId().isEmpty();
-        return eventStream && (splitter.endsInsideEvent() || (!framed && empty));
+    boolean isIncompleteStream() {
+        boolean empty = !bodiless && !eventsSeen && history.lastEventId().isEmpty();
+        return eventStream && (splitter.endsInsideEvent() || empty);
     }
 
     /** Returns whether what the attempt sends does not continue what was relayed before. */
