--- a/trailladder-entry/src/test/java/io/trailladder/entry/relay/RelayTest.java
+++ b/trailladder-entry/src/test/java/io/trailladder/entry/relay/RelayTest.java
@@ -332,6 +332,20 @@
         assertEquals("BROKEN after 4 bytes", result());
     }
 
+    /** Guards against a relayed answer whose head is cut and that looks whole. */
+    @Example
+    void aHeadThatIsCutIsNoAnswer() throws Exception {
+        String head = "HTTP/1.1 200 OK\r\nA: b\r\nContent-Length: 0\r\n\r\n";
+        for (int length = 1; length < head.length(); length++) {
+            call(new byte[0]);
+            try (Socket server = accept()) {
+                readHead(server.getInputStream());
+                send(server, head.substring(0, length));
+            }
+            assertEquals("BROKEN after 0 bytes", result(), head.substring(0, length));
+        }
+    }
+
     /** Guards against taking the end of a peer for the end of an answer, or of the upstream. */
     @Example
     void theLossOfThePeerIsNoEndOfTheAnswer() throws Exception {
