Values of other writers out of range are invalid, and reported in short messages

StoreRecord was marked as being written before the value was encoded.

Why it works: a value that cannot be used is found invalid where it is decoded, so the policy in force, and all other entries, hold.

--- a/trailladder-entry/src/main/java/io/trailladder/entry/JsonFields.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/JsonFields.java
@@ -35,6 +35,9 @@
     /** Maximum length of a value in a message, in characters. */
     private static final int MAX_SHOWN_CHARS = 60;
 
+    /** Maximum length of a text, in characters; texts name things and are passed on to peers. */
+    private static final int MAX_TEXT_CHARS = 256;
+
     private final JsonNode node;
 
     /** Thrown for a field that is missing or has the wrong type. */
@@ -69,12 +72,15 @@
      *
      * @param name the name of the field
      * @return the text, which is not empty
-     * @throws FieldException if the field is missing, empty or not a text
+     * @throws FieldException if the field is missing, empty, longer than 256 characters, or not a
+     *     text
      */
     public String text(String name) {
         JsonNode field = node.path(name);
-        if (!field.isTextual() || field.textValue().isEmpty()) {
-            throw invalid(name, field, "a text");
+        if (!field.isTextual()
+                || field.textValue().isEmpty()
+                || field.textValue().length() > MAX_TEXT_CHARS) {
+            throw invalid(name, field, "a text of 1 to " + MAX_TEXT_CHARS + " characters");
         }
         return field.textValue();
     }
@@ -134,7 +140,7 @@
      *
      * @param name the name of the field
      * @return the text; empty if the field is missing
-     * @throws FieldException if the field is present, but empty or not a text
+     * @throws FieldException if the field is present, but empty, too long or not a text
      */
     public String textIfAny(String name) {
         return node.path(name).isMissingNode() ? "" : text(name);
@@ -160,8 +166,14 @@
         return new FieldException("field '" + name + "' is " + found + ", expected " + expected);
     }
 
-    /** Formats a value without nested content: it may be as large as the store accepts. */
-    private static String shown(JsonNode field) {
+    /**
+     * Formats a value for a message, without nested content: it may be as large as the store
+     * accepts.
+     *
+     * @param field the value
+     * @return a short text
+     */
+    public static String shown(JsonNode field) {
         if (!field.isValueNode()) {
             return field.isArray() ? "a list" : "an object";
         }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/JsonTree.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/JsonTree.java
@@ -17,7 +17,9 @@
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
+import com.fasterxml.jackson.core.JsonParseException;
 import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.core.JsonToken;
 import com.fasterxml.jackson.core.StreamReadConstraints;
 import com.fasterxml.jackson.databind.JsonNode;
@@ -45,6 +47,9 @@
     /** Maximum nesting depth; the platform's own values have fewer than ten levels. */
     private static final int MAX_DEPTH = 100;
 
+    /** Maximum length of the message about invalid text, in characters. */
+    private static final int MAX_MESSAGE_CHARS = 200;
+
     private static final JsonNodeFactory NODES = JsonNodeFactory.instance;
     private static final JsonFactory JSON =
             JsonFactory.builder()
@@ -74,9 +79,19 @@
         try (JsonParser parser = JSON.createParser(bytes)) {
             JsonToken first = parser.nextToken();
             return first == null ? MissingNode.getInstance() : value(parser);
+        } catch (JsonProcessingException e) {
+            // the message may cite the text at length
+            throw new JsonParseException(
+                    null, shortened(e.getOriginalMessage()), e.getLocation(), e);
         }
     }
 
+    private static String shortened(String message) {
+        return message.length() > MAX_MESSAGE_CHARS
+                ? message.substring(0, MAX_MESSAGE_CHARS) + "..."
+                : message;
+    }
+
     /**
      * Writes a value.
      *
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/MemberFormat.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/MemberFormat.java
@@ -34,6 +34,9 @@
     private static final String LINK_MBPS = "linkMbps";
     private static final String CORES = "cores";
 
+    /** Maximum length of a name, in characters: the store's keys are no longer. */
+    private static final int MAX_NAME_CHARS = 200;
+
     private MemberFormat() {}
 
     /** Writes an entry. */
@@ -53,13 +56,20 @@
             JsonNode node = JsonTree.read(value);
             String name = node.path(NAME).asText();
             String address = node.path(ADDRESS).asText();
+            String dataCentre = node.path(DATA_CENTRE).asText();
             if (name.isEmpty() || address.isEmpty()) {
-                return Either.left("missing name or address: " + node);
+                return Either.left("missing name or address");
+            }
+            if (Math.max(name.length(), dataCentre.length()) > MAX_NAME_CHARS) {
+                return Either.left("name or data centre over " + MAX_NAME_CHARS + " characters");
+            }
+            if (!isFigure(node.path(LINK_MBPS)) || !isFigure(node.path(CORES))) {
+                return Either.left("link rate or cores invalid, expected numbers from 0");
             }
             return Either.right(
                     new GatewayMember(
                             name,
-                            node.path(DATA_CENTRE).asText(),
+                            dataCentre,
                             HostPort.parse(address).toString(),
                             node.path(LINK_MBPS).asDouble(),
                             node.path(CORES).asDouble()));
@@ -69,4 +79,11 @@
             return Either.left("invalid JSON: " + e.getMessage());
         }
     }
+
+    /** Returns whether a figure is valid or missing, as earlier builds leave some out. */
+    private static boolean isFigure(JsonNode figure) {
+        double value = figure.doubleValue();
+        return figure.isMissingNode()
+                || (figure.isNumber() && value >= 0 && Double.isFinite(value));
+    }
 }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/StoreRecord.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/StoreRecord.java
@@ -282,8 +282,8 @@
     }
 
     private void write(Optional<T> current) {
-        busy = true;
         byte[] value = content.encode(current.get());
+        busy = true;
         store.write(new StoreWrite(key, value, revision, 0), result -> onWritten(current, result));
     }
 
--- a/trailladder-entry/src/test/java/io/trailladder/entry/gateway/MemberFormatTest.java
+++ b/trailladder-entry/src/test/java/io/trailladder/entry/gateway/MemberFormatTest.java
@@ -26,6 +26,8 @@
 
 /** Tests the encoding of the members' store entries. */
 class MemberFormatTest {
+    private static final int MAX_MESSAGE_CHARS = 400;
+
     private static final GatewayMember MEMBER =
             new GatewayMember("edge-1", "baires-a", "10.0.0.1:7400", 140.5, 0.36);
 
@@ -56,4 +58,31 @@
         String error = MemberFormat.read(entry.getBytes(StandardCharsets.UTF_8)).getLeft();
         assertTrue(error.startsWith("address 'nowhere', expected HOST:PORT"), error);
     }
+
+    /** Guards against messages that are as long as the entry that they report. */
+    @Example
+    void messagesAreShort() {
+        String text = "x".repeat(60_000);
+        for (String entry :
+                new String[] {
+                    "{\"name\": {\"" + text + "\": 1}}",
+                    "{\"name\": \"g1\", \"address\": \"" + text + "\"}",
+                    "{\"name\": \"" + text + "\", \"address\": \"10.0.0.1:80\"}",
+                    "\"" + text
+                }) {
+            String message = MemberFormat.read(entry.getBytes(StandardCharsets.UTF_8)).getLeft();
+            assertTrue(message.length() <= MAX_MESSAGE_CHARS, message.length() + " characters");
+        }
+    }
+
+    /** Guards against figures of a process by which no share can be computed. */
+    @Example
+    void entryWithFiguresOutOfRangeIsRefused() {
+        for (String figure : new String[] {"1e400", "-1", "\"NaN\"", "[]"}) {
+            String entry =
+                    "{\"name\": \"g1\", \"address\": \"10.0.0.1:80\", \"cores\": %s}"
+                            .formatted(figure);
+            assertTrue(MemberFormat.read(entry.getBytes(StandardCharsets.UTF_8)).isLeft(), figure);
+        }
+    }
 }
--- a/trailladder-platform/src/main/java/io/trailladder/platform/http/HostPort.java
+++ b/trailladder-platform/src/main/java/io/trailladder/platform/http/HostPort.java
@@ -68,13 +68,22 @@
     public static class BadAddressException extends TrailladderException {
         private static final long serialVersionUID = 1L;
 
+        /** Maximum length of the text in the message, in characters. */
+        private static final int MAX_SHOWN_CHARS = 60;
+
         /**
          * Creates the exception.
          *
          * @param text the text
          */
         public BadAddressException(String text) {
-            super("address '" + text + "', expected HOST:PORT, for example 127.0.0.1:8080");
+            super("address '" + shown(text) + "', expected HOST:PORT, for example 127.0.0.1:8080");
+        }
+
+        private static String shown(String text) {
+            return text.length() > MAX_SHOWN_CHARS
+                    ? text.substring(0, MAX_SHOWN_CHARS) + "..."
+                    : text;
         }
     }
 }
