Only the followed keys count, and a fault in one leaves the others followed

What operators would see: requests answered 404 after another writer left a policy under op/config-copy; no process leads (no usage reports, no roll-outs) while a key such as trailladder/live/leader-copy exists; the watch of a prefix ends for good after one exception.

Cause: the policy and the leader's key are followed as prefixes, and every key below counted as the key itself. StoreWatcher began the next watch only after all changes had been applied without an exception.

Why it works: listeners name the keys they follow and how long their values may be; longer ones are truncated before they are kept. An exception is logged, at most 20 times in 10 s, and the next change is applied.

--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/DutyRunner.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/DutyRunner.java
@@ -36,7 +36,7 @@
  * @since 0.2
  */
 public final class DutyRunner implements StoreWatcher.Listener {
-    /** Prefix of the leader's key. */
+    /** The leader's key. */
     public static final String LEADER_PREFIX = "trailladder/live/leader";
 
     private static final long STEP_INTERVAL_MILLIS = 100;
@@ -182,6 +182,11 @@
         election.tokenSeen(token);
     }
 
+    @Override
+    public boolean follows(String key) {
+        return key.equals(LEADER_PREFIX);
+    }
+
     @Override
     public void listed(List<StoreItem> items, long revision) {
         if (items.isEmpty()) {
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
@@ -402,7 +402,7 @@
                         random,
                         format.policyKey(),
                         0,
-                        new PolicyListener());
+                        new PolicyListener(format.policyKey()));
         directoryWatcher =
                 watcher(
                         countedStore(platform, Purpose.UPSTREAMS),
@@ -827,6 +827,12 @@
 
     /** Passes policy changes in the store to the policy manager. */
     private final class PolicyListener implements StoreWatcher.Listener {
+        private final String policyKey;
+
+        PolicyListener(String policyKey) {
+            this.policyKey = policyKey;
+        }
+
         @Override
         public void listed(List<StoreItem> items, long revision) {
             items.forEach(this::changed);
@@ -840,5 +846,10 @@
                 policyManager.offer(item.value(), "store");
             }
         }
+
+        @Override
+        public boolean follows(String key) {
+            return key.equals(policyKey);
+        }
     }
 }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/StoreWatcher.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/StoreWatcher.java
@@ -23,9 +23,11 @@
 import io.trailladder.entry.port.StoreItem;
 import io.vavr.control.Either;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
 import java.util.SplittableRandom;
+import org.tinylog.Logger;
 
 /**
  * Follows the keys with one prefix: reads them all, then watches for changes, and reads them all
@@ -45,6 +47,9 @@
     private static final long INITIAL_BACKOFF_MILLIS = 150;
     private static final long MAX_BACKOFF_MILLIS = 1_200;
 
+    /** Maximum length of the platform's values, in bytes. */
+    private static final int DEFAULT_MAX_VALUE_BYTES = 1 << 20;
+
     private final EventLoop loop;
     private final CoordinationStore store;
     private final StoreHealth health;
@@ -53,6 +58,7 @@
     private final long pauseMillis;
     private final Listener listener;
     private final List<StoreItem> listed = new ArrayList<>();
+    private final LogRate faults = new LogRate();
     private Runnable cancelWatch = () -> {};
     private long revision;
     private long backoffMillis = INITIAL_BACKOFF_MILLIS;
@@ -80,6 +86,27 @@
 
         /** Called when an answer of the store shows that no change was missed. */
         default void confirmedCurrent() {}
+
+        /**
+         * Returns whether a key is followed. Other writers may add keys that only begin with the
+         * same prefix.
+         *
+         * @param key the key
+         * @return false to pass it over
+         */
+        default boolean follows(String key) {
+            return true;
+        }
+
+        /**
+         * Returns the maximum length of a value. Longer ones are truncated, so that the values of
+         * other writers do not fill the memory.
+         *
+         * @return the length, in bytes
+         */
+        default int maxValueBytes() {
+            return DEFAULT_MAX_VALUE_BYTES;
+        }
     }
 
     /**
@@ -198,18 +225,54 @@
         if (afterKey.isEmpty()) {
             revision = batch.revision();
         }
-        listed.addAll(batch.items());
+        batch.items().stream().filter(this::isFollowed).map(this::bounded).forEach(listed::add);
         if (batch.more() && !batch.items().isEmpty()) {
-            list(current, batch.items().get(batch.items().size() - 1).key());
+            nextPage(current, afterKey, batch.items().get(batch.items().size() - 1).key());
             return;
         }
         complete = true;
         backoffMillis = INITIAL_BACKOFF_MILLIS;
-        listener.listed(List.copyOf(listed), revision);
+        List<StoreItem> all = List.copyOf(listed);
         listed.clear();
+        apply(prefix, () -> listener.listed(all, revision));
         loop.schedule(FIRST_WATCH_DELAY_MILLIS, () -> watchIfCurrent(current));
     }
 
+    /** Reads the next page; one that ends with the same key as the page before would never end. */
+    private void nextPage(int current, String afterKey, String lastKey) {
+        if (lastKey.isEmpty() || lastKey.equals(afterKey)) {
+            failed(current, StoreFailure.UNANSWERED);
+        } else {
+            list(current, lastKey);
+        }
+    }
+
+    private boolean isFollowed(StoreItem item) {
+        return item.key().startsWith(prefix) && listener.follows(item.key());
+    }
+
+    private StoreItem bounded(StoreItem item) {
+        return item.value().length <= listener.maxValueBytes()
+                ? item
+                : new StoreItem(
+                        item.key(),
+                        Arrays.copyOf(item.value(), listener.maxValueBytes()),
+                        item.revision(),
+                        item.createdRevision(),
+                        item.removed());
+    }
+
+    /** Has the listener apply a change; the next ones are followed even if it fails. */
+    private void apply(String subject, Runnable change) {
+        try {
+            change.run();
+        } catch (RuntimeException e) {
+            if (faults.allows(loop.nowMillis())) {
+                Logger.error(e, "store entries {} could not be applied", subject);
+            }
+        }
+    }
+
     private void watch(int current) {
         watching = true;
         cancelWatch =
@@ -227,7 +290,9 @@
         listener.confirmedCurrent();
         for (StoreItem item : batch.items()) {
             revision = Math.max(revision, item.revision());
-            listener.changed(item);
+            if (isFollowed(item)) {
+                apply(item.key(), () -> listener.changed(bounded(item)));
+            }
         }
         revision = Math.max(revision, batch.revision());
         if (batch.items().isEmpty() || pauseMillis == 0) {
