Invalid entries are no removals, are not kept, and cause few log lines

What operators would see: an empty entry in place of a live upstream's counts as its end: its requests are moved, and the end is attributed to them as a crash. Each odd entry of a process is logged with every list, each odd order with every change.

Cause: between processes an empty value means a removal, and DirectoryManager used the same for the store's entries. It kept all values, and sent them on. Membership and RolloutManager logged each invalid value each time it was read. Membership also took an entry whose name is not that of its key, which replaces the address of another process.

Why it works: an empty or long invalid value is replaced by one byte that no reader accepts, in the list and towards peers; an entry may have 4 KB. A fault is logged when it is new, at most 20 times in 10 s and kind.

--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/DirectoryManager.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/DirectoryManager.java
@@ -41,6 +41,15 @@
 public final class DirectoryManager implements StoreWatcher.Listener {
     private static final byte[] NO_BYTES = {};
 
+    /** Maximum length of an entry, in bytes; upstreams write some hundred. */
+    private static final int MAX_ENTRY_BYTES = 4_096;
+
+    /** Maximum length of a value that is kept though it names no upstream, in bytes. */
+    private static final int MAX_UNUSABLE_BYTES = 64;
+
+    /** Stands for an empty value, and for a longer one that names no upstream. */
+    private static final byte[] UNUSABLE_VALUE = {0};
+
     /**
      * How long entries that expired while the store was unreachable may take to reappear, in
      * milliseconds: about two seconds by the platform's contract, plus a message's latency.
@@ -53,7 +62,7 @@
     private final Consumer<Runnable> afterReappearance;
     private final List<Consumer<Upstream>> onLeaving = new ArrayList<>();
     private final Map<String, byte[]> entries = new HashMap<>();
-    private final UnusableEntries unusable = new UnusableEntries();
+    private final UnusableEntries unusable = new UnusableEntries("upstream");
     private final RemovedEntries removedEntries = new RemovedEntries();
     private Consumer<UpstreamUpdate> onUpdate = update -> {};
     private Consumer<UpstreamUpdate> onIgnoredUpdate = update -> {};
@@ -168,7 +177,7 @@
     @Override
     public void listed(List<StoreItem> items, long atRevision) {
         Map<String, byte[]> listed = new HashMap<>();
-        items.forEach(item -> listed.put(idOf(item.key()), item.value()));
+        items.forEach(item -> listed.put(idOf(item.key()), valueOf(item)));
         replaceAll(listed, atRevision, "store");
     }
 
@@ -177,9 +186,24 @@
         long before = revision;
         revision = Math.max(revision, item.revision());
         String id = idOf(item.key());
-        byte[] value = item.removed() ? NO_BYTES : item.value();
-        apply(id, value);
-        onUpdate.accept(new UpstreamUpdate(before, revision, new UpstreamEntry(id, value)));
+        apply(id, item.removed() ? NO_BYTES : valueOf(item));
+        byte[] kept = entries.getOrDefault(id, NO_BYTES);
+        onUpdate.accept(new UpstreamUpdate(before, revision, new UpstreamEntry(id, kept)));
+    }
+
+    /** Returns the value of an entry that exists: between processes, an empty one is a removal. */
+    private static byte[] valueOf(StoreItem item) {
+        return item.value().length == 0 ? UNUSABLE_VALUE : item.value();
+    }
+
+    @Override
+    public boolean follows(String key) {
+        return key.length() > format.upstreamPrefix().length();
+    }
+
+    @Override
+    public int maxValueBytes() {
+        return MAX_ENTRY_BYTES;
     }
 
     /**
@@ -199,7 +223,16 @@
     }
 
     private boolean differs(UpstreamEntry entry) {
-        return !Arrays.equals(entries.getOrDefault(entry.id(), NO_BYTES), entry.value());
+        byte[] known = entries.getOrDefault(entry.id(), NO_BYTES);
+        boolean bothUnusable =
+                isUnusable(known)
+                        && entry.value().length > 0
+                        && format.upstream(entry.id(), entry.value()).isLeft();
+        return !bothUnusable && !Arrays.equals(known, entry.value());
+    }
+
+    private static boolean isUnusable(byte[] value) {
+        return Arrays.equals(value, UNUSABLE_VALUE);
     }
 
     private void apply(String id, byte[] value) {
@@ -211,9 +244,8 @@
             }
             return;
         }
-        entries.put(id, value);
         removedEntries.recordWritten(id);
-        read(id, value).ifPresent(this::changed);
+        readAndKeep(id, value).ifPresent(this::changed);
     }
 
     private void changed(Upstream upstream) {
@@ -345,13 +377,14 @@
                     }
                 });
         entries.clear();
-        entries.putAll(listed);
-        unusable.retain(entries.keySet());
+        unusable.retain(listed.keySet());
         List<Upstream> upstreams = new ArrayList<>();
-        entries.forEach(
+        listed.forEach(
                 (id, value) -> {
-                    if (!removedEntries.isSuspect(id, value)) {
-                        read(id, value).ifPresent(upstreams::add);
+                    if (removedEntries.isSuspect(id, value)) {
+                        entries.put(id, value);
+                    } else {
+                        readAndKeep(id, value).ifPresent(upstreams::add);
                     }
                 });
         DecisionLog.write(new Belief("upstreams", upstreams.size() + " listed", source, revision));
@@ -365,8 +398,18 @@
                 .forEach(upstream -> notifyLeaving(upstream, "leaving or removed, by list"));
     }
 
+    private Optional<Upstream> readAndKeep(String id, byte[] value) {
+        Optional<Upstream> upstream = read(id, value);
+        boolean kept = upstream.isPresent() || value.length <= MAX_UNUSABLE_BYTES;
+        entries.put(id, kept ? value : UNUSABLE_VALUE);
+        return upstream;
+    }
+
     private Optional<Upstream> read(String id, byte[] value) {
-        Either<String, Upstream> upstream = format.upstream(id, value);
+        Either<String, Upstream> upstream =
+                isUnusable(value)
+                        ? Either.left("value is empty or unusable")
+                        : format.upstream(id, value);
         if (upstream.isLeft()) {
             unusable(id, upstream.getLeft());
         } else {
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Membership.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Membership.java
@@ -36,7 +36,6 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.SplittableRandom;
-import org.tinylog.Logger;
 
 /**
  * Keeps this process's own entry in the store, under a lease, and reads those of the others.
@@ -97,6 +96,8 @@
     /** The entries of the last list by key; an entry that has not changed is not parsed again. */
     private final Map<String, Known> known = new HashMap<>();
 
+    private final Set<String> listedKeys = new HashSet<>();
+    private final UnusableEntries unusable = new UnusableEntries("process");
     private final byte[] value;
     private final SplittableRandom random;
     private final StoreReads reads;
@@ -166,6 +167,7 @@
     private void list(int read) {
         if (!stopped) {
             listed.clear();
+            listedKeys.clear();
             listAfter(read, "");
         }
     }
@@ -185,11 +187,13 @@
         }
         List<StoreItem> items = result.get().items();
         items.forEach(this::add);
+        items.forEach(item -> listedKeys.add(item.key()));
         if (result.get().more() && !items.isEmpty()) {
             listAfter(read, items.get(items.size() - 1).key());
             return;
         }
         listCount++;
+        unusable.retain(listedKeys);
         if (known.size() > listed.size()) {
             Set<GatewayMember> present = new HashSet<>(listed);
             known.values().removeIf(entry -> !present.contains(entry.member()));
@@ -240,15 +244,18 @@
             return;
         }
         MemberFormat.read(item.value())
+                .filterOrElse(
+                        member -> item.key().equals(PREFIX + member.name()),
+                        member -> "name '" + member.name() + "', expected the end of the key")
                 .peek(member -> add(item, member))
                 .peekLeft(
                         fault ->
-                                Logger.warn(
-                                        "process entry {} cannot be read: {}", item.key(), fault));
+                                unusable.add(item.key(), item.revision(), fault, loop.nowMillis()));
     }
 
     private void add(StoreItem item, GatewayMember member) {
         listed.add(member);
+        unusable.remove(item.key());
         known.put(item.key(), new Known(item.revision(), member));
     }
 
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RolloutManager.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RolloutManager.java
@@ -40,13 +40,16 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.function.LongSupplier;
-import org.tinylog.Logger;
+import java.util.stream.Collectors;
 
 /**
  * Maintains the roll-outs that this process knows, from orders and records in the store and from
  * reports of peers.
  */
 final class RolloutManager {
+    /** Maximum length of an order or a record, in bytes. */
+    private static final int MAX_VALUE_BYTES = 4_096;
+
     private final PlatformFormat format;
     private final VersionGate gate;
     private final GatewaySettings.Rollouts bounds;
@@ -56,6 +59,8 @@
     private Runnable onAdvance = () -> {};
     private final Map<String, RolloutStatus> records = new HashMap<>();
     private final Set<String> unreadable = new HashSet<>();
+    private final UnusableEntries unusableOrders = new UnusableEntries("roll-out order");
+    private final UnusableEntries unusableRecords = new UnusableEntries("roll-out record");
     private final RolloutRecovery recovery = new RolloutRecovery();
 
     /**
@@ -211,7 +216,10 @@
      */
     void read(String service, StoreItem item, boolean certain) {
         Optional<RolloutStatus> status =
-                readable(format.rolloutStatus(service, item.value(), item.revision()));
+                readable(
+                        unusableRecords,
+                        item,
+                        format.rolloutStatus(service, item.value(), item.revision()));
         if (status.isPresent()) {
             unreadable.remove(service);
             recorded(status.get(), certain);
@@ -371,14 +379,20 @@
     }
 
     /** Returns the decoded value; logs a warning and returns empty if it could not be decoded. */
-    private static <T> Optional<T> readable(Either<String, T> decoded) {
+    private <T> Optional<T> readable(
+            UnusableEntries unusable, StoreItem item, Either<String, T> decoded) {
         if (decoded.isLeft()) {
-            Logger.warn(
-                    "roll-out order or record cannot be decoded, ignored: {}", decoded.getLeft());
+            unusable.add(item.key(), item.revision(), decoded.getLeft(), nowMillis.getAsLong());
+        } else {
+            unusable.remove(item.key());
         }
         return decoded.toJavaOptional();
     }
 
+    private static Set<String> keys(List<StoreItem> items) {
+        return items.stream().map(StoreItem::key).collect(Collectors.toSet());
+    }
+
     private static String serviceOf(String key, String prefix) {
         return key.substring(prefix.length());
     }
@@ -387,11 +401,22 @@
     private final class Orders implements StoreWatcher.Listener {
         private boolean followed;
 
+        @Override
+        public boolean follows(String key) {
+            return key.length() > format.rolloutOrderPrefix().length();
+        }
+
+        @Override
+        public int maxValueBytes() {
+            return MAX_VALUE_BYTES;
+        }
+
         /**
          * Orders that are in the store when this process starts may have been written long before.
          */
         @Override
         public void listed(List<StoreItem> items, long revision) {
+            unusableOrders.retain(keys(items));
             Written written = followed ? Written.NOW : Written.BEFORE;
             items.forEach(item -> read(item, written, false));
             followed = true;
@@ -405,18 +430,33 @@
         private void read(StoreItem item, Written written, boolean certain) {
             String service = serviceOf(item.key(), format.rolloutOrderPrefix());
             if (item.removed()) {
+                unusableOrders.remove(item.key());
                 withdraw(service);
                 return;
             }
-            readable(format.rolloutOrder(service, item.value(), item.revision()))
+            readable(
+                            unusableOrders,
+                            item,
+                            format.rolloutOrder(service, item.value(), item.revision()))
                     .ifPresent(order -> startIfNew(order, "store", written, certain));
         }
     }
 
     /** Receives the records of results. */
     private final class Records implements StoreWatcher.Listener {
+        @Override
+        public boolean follows(String key) {
+            return key.length() > format.rolloutStatusPrefix().length();
+        }
+
+        @Override
+        public int maxValueBytes() {
+            return MAX_VALUE_BYTES;
+        }
+
         @Override
         public void listed(List<StoreItem> items, long revision) {
+            unusableRecords.retain(keys(items));
             items.forEach(item -> apply(item, false));
         }
 
@@ -427,7 +467,9 @@
 
         private void apply(StoreItem item, boolean certain) {
             String service = serviceOf(item.key(), format.rolloutStatusPrefix());
-            if (!item.removed()) {
+            if (item.removed()) {
+                unusableRecords.remove(item.key());
+            } else {
                 read(service, item, certain);
             }
         }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/UnusableEntries.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/UnusableEntries.java
@@ -21,35 +21,35 @@
 import org.tinylog.Logger;
 
 /**
- * Store entries that cannot be used as upstreams. Each is logged when its fault becomes known, up
- * to a maximum rate, since another writer may invalidate many at once.
+ * Store entries of one kind that cannot be used. Each is logged when its fault becomes known, up to
+ * a maximum rate, since another writer may invalidate many at once.
  */
 final class UnusableEntries {
-    /** Maximum number of log lines in {@link #LOG_INTERVAL_MILLIS}. */
-    private static final int MAX_LOGGED_PER_INTERVAL = 20;
-
-    private static final long LOG_INTERVAL_MILLIS = 10_000;
-
+    private final String kind;
     private final Map<String, String> faults = new HashMap<>();
-    private long loggedSinceMillis;
-    private int logged;
+    private final LogRate logRate = new LogRate();
 
-    /** Records the fault of an entry. */
-    void add(String id, long revision, String fault, long nowMillis) {
-        if (fault.equals(faults.put(id, fault))) {
-            return;
-        }
-        if (nowMillis - loggedSinceMillis >= LOG_INTERVAL_MILLIS) {
-            loggedSinceMillis = nowMillis;
-            logged = 0;
-        }
-        if (logged++ < MAX_LOGGED_PER_INTERVAL) {
-            Logger.warn(
-                    "store entry {} at revision {} is not a valid upstream: {}",
-                    id,
-                    revision,
-                    fault);
+    /**
+     * Creates an empty collection.
+     *
+     * @param kind what a valid entry is, for the log
+     */
+    UnusableEntries(String kind) {
+        this.kind = kind;
+    }
+
+    /**
+     * Records the fault of an entry.
+     *
+     * @return whether it was logged
+     */
+    boolean add(String id, long revision, String fault, long nowMillis) {
+        if (fault.equals(faults.put(id, fault)) || !logRate.allows(nowMillis)) {
+            return false;
         }
+        Logger.warn(
+                "store entry {} at revision {} is not a valid {}: {}", id, revision, kind, fault);
+        return true;
     }
 
     /** Records that an entry is valid or has been removed. */
--- a/trailladder-entry/src/test/java/io/trailladder/entry/gateway/DirectoryKeeperTest.java
+++ b/trailladder-entry/src/test/java/io/trailladder/entry/gateway/DirectoryKeeperTest.java
@@ -23,7 +23,10 @@
 import io.trailladder.core.upstream.Upstream;
 import io.trailladder.core.upstream.UpstreamDirectory;
 import io.trailladder.entry.port.StoreItem;
+import io.trailladder.wire.NodeMessage.Snapshot;
 import io.trailladder.wire.NodeMessage.UpstreamEntry;
+import io.trailladder.wire.NodeMessage.UpstreamUpdate;
+import io.trailladder.wire.PeerCodec;
 import io.vavr.control.Either;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -35,6 +38,8 @@
     private static final String READY = "ready";
     private static final String LEAVING = "leaving";
     private static final String INVALID = "spoiled";
+    private static final int MANY = 5_000;
+    private static final int LONG_BYTES = 10_000;
 
     private final UpstreamDirectory directory = new UpstreamDirectory();
     private final List<String> leftIds = new ArrayList<>();
@@ -53,7 +58,7 @@
         @Override
         public Either<String, Upstream> upstream(String id, byte[] value) {
             String state = new String(value, StandardCharsets.UTF_8);
-            if (state.equals(INVALID)) {
+            if (state.startsWith(INVALID)) {
                 return Either.left("field 'state' is missing");
             }
             boolean leaving = state.equals(LEAVING);
@@ -200,4 +205,44 @@
     private static byte[] bytes(String state) {
         return state.getBytes(StandardCharsets.UTF_8);
     }
+
+    /** Guards against an empty entry that counts as the end of its upstream. */
+    @Example
+    void emptyEntryIsInvalidAndNoRemoval() {
+        List<UpstreamUpdate> updates = new ArrayList<>();
+        manager.onUpdate(updates::add);
+        manager.changed(item("a", "", 3));
+        assertEquals(1, serving());
+        assertTrue(leftIds.isEmpty(), leftIds.toString());
+        assertTrue(updates.get(0).upstream().value().length > 0, "peers take it as removed");
+        manager.changed(item("a", READY, 4));
+        assertEquals(2, serving());
+    }
+
+    /** Guards against invalid entries that exceed the memory, or a message to a peer. */
+    @Example
+    void manyLongInvalidEntriesAreNotKept() {
+        List<StoreItem> items = new ArrayList<>();
+        items.add(item("a", READY, 1));
+        for (int i = 0; i < MANY; i++) {
+            items.add(item("odd-" + i, INVALID + " ".repeat(LONG_BYTES), 2));
+        }
+        manager.listed(items, 3);
+        manager.changed(item("odd-0", INVALID + " ".repeat(LONG_BYTES), 4));
+        assertEquals(1, serving());
+        assertEquals(MANY, manager.unusable());
+        Snapshot snapshot = new Snapshot(0, new byte[0], 4, manager.entries());
+        assertTrue(PeerCodec.encode(snapshot).length < 1 << 20);
+    }
+
+    /** Guards against processes that count the same invalid entry as different. */
+    @Example
+    void invalidEntryOfAPeerIsTheSameAsThatOfTheStore() {
+        List<UpstreamUpdate> ignored = new ArrayList<>();
+        manager.onIgnoredUpdate(ignored::add);
+        manager.changed(item("a", INVALID + " 1", 3));
+        byte[] value = bytes(INVALID + " 1");
+        manager.applyFromPeer(new UpstreamUpdate(2, 3, new UpstreamEntry("a", value)));
+        assertTrue(ignored.isEmpty(), ignored.toString());
+    }
 }
