A record of usage that another writer left is replaced by the leader's own counts

What operators would see: no usage, or a negative one, is reported of a window whose record holds something else than counts.

Cause: whatever was found under the record's key was reported, fields that are no numbers as 0, a value that cannot be read as no usage.

Why it works: counts are whole numbers from 0. A record without them is written again, on the condition that it has not changed, before anything is reported. A value of the right form cannot be told from that of a leader.

--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/UsageReporter.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/UsageReporter.java
@@ -18,6 +18,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.trailladder.core.duty.UsageLedger;
+import io.trailladder.entry.JsonFields;
 import io.trailladder.entry.JsonTree;
 import io.trailladder.entry.gateway.DecisionLog.Duty;
 import io.trailladder.entry.gateway.DecisionLog.Lifecycle;
@@ -25,11 +26,13 @@
 import io.trailladder.entry.port.DutyApi;
 import io.trailladder.entry.port.DutyHolder;
 import io.trailladder.entry.port.DutyResult;
+import io.trailladder.entry.port.StoreItem;
 import io.trailladder.entry.port.StoreWrite;
 import java.io.IOException;
 import java.time.Clock;
 import java.util.HashSet;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Supplier;
@@ -151,15 +154,19 @@
             readRecord(window);
             return;
         }
-        byte[] value =
-                stored.containsKey(window) ? stored.get(window) : encode(usage.total(window));
+        write(window, 0);
+    }
+
+    private void write(long window, long expectedRevision) {
+        Map<String, Integer> own = usage.total(window);
+        byte[] value = stored.containsKey(window) ? stored.get(window) : encode(own);
         store.write(
-                new StoreWrite(USAGE_PREFIX + window, value, 0, 0),
+                new StoreWrite(USAGE_PREFIX + window, value, expectedRevision, 0),
                 result -> {
                     if (result.isRight()) {
                         health.answered();
                         stored.put(window, value);
-                        report(window, decode(value));
+                        report(window, decode(value).orElse(own));
                     } else {
                         health.failed(result.getLeft());
                         readRecord(window);
@@ -172,8 +179,7 @@
                 USAGE_PREFIX + window,
                 result -> {
                     if (result.isRight() && !result.get().removed()) {
-                        stored.put(window, result.get().value());
-                        report(window, decode(result.get().value()));
+                        recordFound(window, result.get());
                     } else if (result.isRight() && window <= lastUncertainWindow) {
                         skip(window);
                     } else {
@@ -182,6 +188,17 @@
                 });
     }
 
+    /** Reports the counts of a record; one of another writer that holds none is replaced. */
+    private void recordFound(long window, StoreItem item) {
+        Optional<Map<String, Integer>> counts = decode(item.value());
+        if (counts.isPresent()) {
+            stored.put(window, item.value());
+            report(window, counts.get());
+        } else {
+            write(window, item.revision());
+        }
+    }
+
     /**
      * Skips a window, since other counts may have been reported from a record that the store has
      * lost.
@@ -224,15 +241,28 @@
         return JsonTree.write(node);
     }
 
-    private static Map<String, Integer> decode(byte[] value) {
-        Map<String, Integer> counts = new TreeMap<>();
+    /** Returns the counts of a record; empty if another writer left something else there. */
+    private static Optional<Map<String, Integer>> decode(byte[] value) {
         try {
-            for (Map.Entry<String, JsonNode> field : JsonTree.read(value).properties()) {
-                counts.put(field.getKey(), field.getValue().asInt());
+            JsonNode node = JsonTree.read(value);
+            Map<String, Integer> counts = new TreeMap<>();
+            for (Map.Entry<String, JsonNode> field : node.properties()) {
+                JsonNode count = field.getValue();
+                if (!count.isInt() || count.intValue() < 0) {
+                    Logger.warn(
+                            "stored usage count is {}, expected a whole number from 0",
+                            JsonFields.shown(count));
+                    return Optional.empty();
+                }
+                counts.put(field.getKey(), count.intValue());
+            }
+            if (node.isObject()) {
+                return Optional.of(counts);
             }
+            Logger.warn("stored usage counts are {}, expected an object", JsonFields.shown(node));
         } catch (IOException e) {
             Logger.warn("stored usage counts cannot be decoded: {}", e.getMessage());
         }
-        return counts;
+        return Optional.empty();
     }
 }
--- a/trailladder-entry/src/test/java/io/trailladder/entry/gateway/OtherWritersRecordsProperties.java
+++ b/trailladder-entry/src/test/java/io/trailladder/entry/gateway/OtherWritersRecordsProperties.java
@@ -15,10 +15,12 @@
  */
 package io.trailladder.entry.gateway;
 
+import static org.junit.jupiter.api.Assertions.assertDoesNotThrow;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.trailladder.core.rollout.VersionGate;
 import io.trailladder.core.upstream.StreamVersions;
+import io.trailladder.core.upstream.Upstream;
 import io.trailladder.core.upstream.UpstreamDirectory;
 import io.trailladder.core.upstream.VersionPlan;
 import io.trailladder.core.upstream.VersionRecord;
@@ -98,4 +100,25 @@
             readAll(ByteBuffer.allocate(30).putLong(time).putLong(5).array());
         }
     }
+
+    /** Guards against a record that no process can read, because of entries with many versions. */
+    @Example
+    void recordOfManyVersionsIsReadAsItWasWritten() throws IOException {
+        for (int count : new int[] {2, 100, 101, 256, 1_000}) {
+            UpstreamDirectory directory = new UpstreamDirectory();
+            StreamVersions streams =
+                    new StreamVersions("own", directory, new VersionGate(), NOW - 30_000);
+            VersionRecords records = new VersionRecords(streams, () -> NOW, () -> 0, () -> {});
+            for (int i = 0; i < count; i++) {
+                directory.changed(
+                        new Upstream("w" + i, "m", "a", "w:1", 8, false, false, 0, "v" + i, 0, 0));
+            }
+            streams.listConfirmed(NOW);
+            streams.tick(NOW);
+            assertTrue(records.read(Optional.empty()));
+            byte[] value = records.encode(records.current().orElseThrow());
+            assertDoesNotThrow(
+                    () -> versionRecords().read(Optional.of(value)), count + " versions");
+        }
+    }
 }
