--- a/trailladder-core/src/main/java/io/trailladder/core/upstream/VersionPlan.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/upstream/VersionPlan.java
@@ -31,6 +31,9 @@
  * @since 0.7
  */
 public record VersionPlan(long number, Map<String, Map<String, Integer>> slots) {
+    /** Maximum number of versions of a service to which streams are assigned. */
+    public static final int MAX_VERSIONS = 100;
+
     /** The plan of a process that has received none. */
     public static final VersionPlan NONE = new VersionPlan(0, Map.of());
 
--- a/trailladder-core/src/main/java/io/trailladder/core/upstream/VersionPlanner.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/upstream/VersionPlanner.java
@@ -70,6 +70,9 @@
         }
         Map<String, Integer> slots =
                 VersionWeights.slots(versions.admitted(service, listed, false, nowMillis));
+        if (slots.size() > VersionPlan.MAX_VERSIONS) {
+            return Map.of();
+        }
         // the number of slots does not matter for a single version
         return slots.size() == 1 ? Map.of(slots.keySet().iterator().next(), 1) : slots;
     }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/PlanFormat.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/PlanFormat.java
@@ -15,6 +15,7 @@
  */
 package io.trailladder.entry.gateway;
 
+import io.trailladder.core.upstream.VersionPlan;
 import java.io.DataInputStream;
 import java.io.DataOutputStream;
 import java.io.IOException;
@@ -24,7 +25,6 @@
 /** Encodes and decodes the slots of each version by service, for peers and for the store. */
 final class PlanFormat {
     private static final int MAX_SERVICES = 10_000;
-    private static final int MAX_VERSIONS = 100;
 
     private PlanFormat() {}
 
@@ -56,7 +56,7 @@
     }
 
     private static Map<String, Integer> readSlots(DataInputStream in) throws IOException {
-        int count = checkedCount(in.readUnsignedByte(), MAX_VERSIONS, "versions");
+        int count = checkedCount(in.readUnsignedByte(), VersionPlan.MAX_VERSIONS, "versions");
         Map<String, Integer> slots = new HashMap<>();
         for (int i = 0; i < count; i++) {
             slots.put(in.readUTF(), in.readInt());
