Where a stream began is final with its first event; what is recorded is not held without end

Now an attempt tells only that its stream does not follow from the plans; its version, and copies, are told with the first event.

Causes: the record told neither for how long a stream nor for how long a plan still counts, so each reading began 20 s anew; the plan of a silent process was kept though it was heard again; what a process held for others was part of its own statement, and was held again by the next. Now the record tells what is left (RecordTimes), a statement ends a silence, and a process speaks for others only behind hubs. A peer that lost what it was told is told again. Streams in the record take 12 bytes; 2,000 have place; at most 64 bytes a millisecond, 4 if streams had to be left out.

--- a/trailladder-core/src/main/java/io/trailladder/core/upstream/BegunStreams.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/upstream/BegunStreams.java
@@ -29,7 +29,7 @@
     private static final int MAX_OWN = 20_000;
 
     /** Maximum number of streams that are recorded for processes that start later. */
-    static final int MAX_RECORDED = 1_000;
+    static final int MAX_RECORDED = 2_000;
 
     /** Maximum number of streams that others were told of. */
     private static final int MAX_TOLD = 50_000;
@@ -37,6 +37,9 @@
     /** Age from which others are told once more of a stream that goes on, in milliseconds. */
     private static final long RENEWAL_MILLIS = StreamVersions.MAX_AGE_MILLIS / 2;
 
+    /** Tells of a stream that its version does not follow from the plans, and may still change. */
+    static final String NOT_FINAL = "";
+
     private final Map<Long, String> versions =
             new LinkedHashMap<>() {
                 private static final long serialVersionUID = 1L;
@@ -65,9 +68,15 @@
     /**
      * A stream that was sent to an upstream by this process.
      *
+     * @param began whether it has brought an event, so that its version is final
      * @param lastMillis when it last made progress, in milliseconds
      */
-    record Begun(StreamCall call, String version, long sentMillis, long lastMillis) {}
+    record Begun(StreamCall call, String version, boolean began, long sentMillis, long lastMillis) {
+        /** Returns the version that others are told; {@link #NOT_FINAL} before the first event. */
+        String toldVersion() {
+            return began ? version : NOT_FINAL;
+        }
+    }
 
     /**
      * A stream that others were told of.
@@ -79,26 +88,37 @@
     /** Records the upstream's version to which this process sends a stream. */
     void sent(StreamCall call, String version, long nowMillis) {
         long stream = StreamVersions.hash(call);
-        versions.put(stream, version);
         own.remove(stream);
-        own.put(stream, new Begun(call, version, nowMillis, nowMillis));
+        own.put(stream, new Begun(call, version, false, nowMillis, nowMillis));
         if (own.size() > MAX_OWN) {
             own.remove(own.keySet().iterator().next());
             forgottenMillis = nowMillis;
         }
     }
 
-    /** Records that a stream of this process has brought an event. */
-    void progressed(StreamCall call, long nowMillis) {
-        own.computeIfPresent(
-                StreamVersions.hash(call),
-                (stream, before) ->
-                        new Begun(call, before.version(), before.sentMillis(), nowMillis));
+    /** Records that a stream has brought its first event; returns whether it had none before. */
+    boolean began(StreamCall call, String version, long nowMillis) {
+        long stream = StreamVersions.hash(call);
+        Begun before = own.get(stream);
+        boolean first = before == null || !before.began();
+        long sentMillis = before == null ? nowMillis : before.sentMillis();
+        own.put(stream, new Begun(call, version, true, sentMillis, nowMillis));
+        versions.put(stream, version);
+        if (first && told.containsKey(stream)) {
+            tell(stream, version, nowMillis);
+        }
+        return first;
+    }
+
+    /** Returns whether a stream's version does not follow from the plans, and is not known. */
+    boolean isNotFinal(long stream) {
+        Told known = told.get(stream);
+        return known != null && known.version().equals(NOT_FINAL) && !versions.containsKey(stream);
     }
 
     Optional<String> version(long stream) {
         Told known = told.get(stream);
-        return known == null
+        return known == null || known.version().equals(NOT_FINAL)
                 ? Optional.ofNullable(versions.get(stream))
                 : Optional.of(known.version());
     }
@@ -106,7 +126,12 @@
     /** Returns the versions of the streams of this process, by their hash. */
     Map<Long, String> own() {
         Map<Long, String> latest = new HashMap<>();
-        own.forEach((stream, each) -> latest.put(stream, each.version()));
+        own.forEach(
+                (stream, each) -> {
+                    if (each.began()) {
+                        latest.put(stream, each.version());
+                    }
+                });
         return latest;
     }
 
@@ -114,7 +139,7 @@
     List<StreamRecord> begunSince(long sinceMillis, long nowMillis) {
         List<StreamRecord> begun = new ArrayList<>();
         for (Begun each : own.values()) {
-            if (each.sentMillis() >= sinceMillis) {
+            if (each.began() && each.sentMillis() >= sinceMillis) {
                 long attempt = VersionWeights.hash(each.call().attempt());
                 begun.add(new StreamRecord(attempt, each.version(), nowMillis - each.sentMillis()));
             }
@@ -126,8 +151,8 @@
     void tell(Predicate<Begun> test, long nowMillis) {
         own.forEach(
                 (stream, each) -> {
-                    if (test.test(each) && !isTold(stream, each.version())) {
-                        tell(stream, each.version(), nowMillis);
+                    if (test.test(each) && !isTold(stream, each.toldVersion())) {
+                        tell(stream, each.toldVersion(), nowMillis);
                     }
                 });
     }
@@ -160,7 +185,11 @@
      */
     boolean learned(StreamRecord stream, long nowMillis) {
         boolean isNew = !isTold(stream.attempt(), stream.version());
-        versions.put(stream.attempt(), stream.version());
+        if (stream.version().equals(NOT_FINAL)) {
+            versions.remove(stream.attempt());
+        } else {
+            versions.put(stream.attempt(), stream.version());
+        }
         record(stream.attempt(), stream.version(), nowMillis - stream.ageMillis());
         return isNew;
     }
@@ -170,16 +199,35 @@
         versions.put(stream, version);
     }
 
-    /** Records streams that an earlier process recorded. */
-    void recordedBefore(Map<Long, String> streams, long nowMillis) {
+    /**
+     * Records streams that an earlier process recorded.
+     *
+     * @param leftMillis for how long they may be resumed; the longest time where it is not known
+     */
+    void recordedBefore(Map<Long, String> streams, Map<Long, Long> leftMillis, long nowMillis) {
         streams.forEach(
                 (stream, version) -> {
-                    versions.putIfAbsent(stream, version);
-                    told.putIfAbsent(stream, new Told(version, nowMillis, true));
+                    long left = leftMillis.getOrDefault(stream, StreamVersions.MAX_AGE_MILLIS);
+                    long sinceMillis = nowMillis - StreamVersions.MAX_AGE_MILLIS + left;
+                    if (!version.equals(NOT_FINAL)) {
+                        versions.putIfAbsent(stream, version);
+                    }
+                    told.putIfAbsent(stream, new Told(version, sinceMillis, true));
                     changes++;
                 });
     }
 
+    /** Returns for how long the streams that must be recorded may be resumed, by their hash. */
+    Map<Long, Long> leftMillis(long nowMillis) {
+        Map<Long, Long> left = new HashMap<>();
+        told.forEach(
+                (stream, each) ->
+                        left.put(
+                                stream,
+                                each.sinceMillis() + StreamVersions.MAX_AGE_MILLIS - nowMillis));
+        return left;
+    }
+
     /** Returns the latest streams that must be recorded, by their hash. */
     Map<Long, String> toRecord() {
         Map<Long, String> latest = new HashMap<>();
@@ -240,7 +288,7 @@
                 (stream, each) -> {
                     Told before = told.get(stream);
                     if (before != null && nowMillis - before.sinceMillis() > RENEWAL_MILLIS) {
-                        tell(stream, each.version(), nowMillis);
+                        tell(stream, each.toldVersion(), nowMillis);
                     }
                 });
     }
--- a/trailladder-core/src/main/java/io/trailladder/core/upstream/PlanUse.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/upstream/PlanUse.java
@@ -39,6 +39,9 @@
     /** How long a silent process may still serve callers by its plan, in milliseconds. */
     private static final long MAX_SILENCE_MILLIS = 600_000;
 
+    /** How long a process counts that was listed and never heard, in milliseconds. */
+    private static final long MAX_UNHEARD_MILLIS = 60_000;
+
     /** Number of digests without a statement after which a peer is known to use no plans. */
     private static final int MAX_UNPLANNED_DIGESTS = 3;
 
@@ -75,7 +78,11 @@
     }
 
     /** Records the oldest plan that a peer, or those for which it speaks, use. */
-    void stated(String peer, long number) {
+    void stated(String peer, long number, long nowMillis) {
+        Held before = silent.remove(peer);
+        if (before != null) {
+            ended.add(Held.ended(before.number(), nowMillis));
+        }
         stated.put(peer, number);
         everStated.add(peer);
         unplanned.remove(peer);
@@ -103,16 +110,41 @@
     private void expect(String peer, long ownNumber, long nowMillis) {
         Held before = unheard.get(peer);
         long number = before == null ? oldest(ownNumber) : before.number();
-        unheard.put(peer, Held.silent(number, nowMillis));
+        unheard.put(peer, new Held(number, nowMillis + MAX_UNHEARD_MILLIS));
     }
 
-    /** Holds the oldest plan that processes used before this one started. */
-    void usedBefore(long number, long silentNumber, long nowMillis) {
-        earlier.add(Held.ended(number, nowMillis));
+    /**
+     * Holds the plans that processes used before this one started.
+     *
+     * @param leftMillis for how long, by the number of the plan
+     */
+    void usedBefore(Map<Long, Long> leftMillis, long silentNumber, long nowMillis) {
+        leftMillis.forEach((number, left) -> earlier.add(new Held(number, nowMillis + left)));
         earlierSilentNumber = silentNumber;
         earlierSilentUntilMillis = nowMillis + MAX_SILENCE_MILLIS;
     }
 
+    /** Returns for how long plans may have assigned streams that are resumed, by their number. */
+    Map<Long, Long> leftMillis(long ownNumber, long nowMillis) {
+        Map<Long, Long> left = new HashMap<>();
+        for (Held each : earlier) {
+            left.merge(each.number(), each.untilMillis() - nowMillis, Math::max);
+        }
+        for (Held each : ended) {
+            left.merge(each.number(), each.untilMillis() - nowMillis, Math::max);
+        }
+        Set<String> known = new HashSet<>(stated.keySet());
+        known.addAll(unheard.keySet());
+        known.addAll(unplanned.keySet());
+        long used = oldestOf(known, ownNumber);
+        for (Held each : silent.values()) {
+            used = Math.min(used, each.number());
+        }
+        left.put(used, StreamVersions.MAX_AGE_MILLIS);
+        left.values().removeIf(millis -> millis <= 0);
+        return left;
+    }
+
     /**
      * Records that the statements of a peer are not received any more.
      *
@@ -168,17 +200,22 @@
     /**
      * Returns the oldest plan that this process, some peers or processes that have left use.
      *
+     * @param ownNumber the plan that this process uses
      * @return the number; 0 if one of them does not use plans
      */
     long oldest(long ownNumber, Collection<String> peers) {
+        long left = least(Stream.concat(ended.stream(), silent.values().stream()), ownNumber);
+        return Math.min(oldestOf(peers, ownNumber), left);
+    }
+
+    private long oldestOf(Collection<String> peers, long ownNumber) {
         long oldest = ownNumber;
         for (String peer : peers) {
             Held expected = unheard.get(peer);
             long number = expected == null ? ownNumber : expected.number();
             oldest = Math.min(oldest, isUnplanned(peer) ? 0 : stated.getOrDefault(peer, number));
         }
-        return Math.min(
-                oldest, least(Stream.concat(ended.stream(), silent.values().stream()), ownNumber));
+        return oldest;
     }
 
     /** Returns the oldest plan that any known process uses; 0 if one does not use plans. */
--- a/trailladder-core/src/main/java/io/trailladder/core/upstream/StreamOrigin.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/upstream/StreamOrigin.java
@@ -31,7 +31,7 @@
     /** A stream of which it is not known at which of several versions it began. */
     public static final StreamOrigin UNKNOWN = new StreamOrigin(Source.UNKNOWN, "");
 
-    /** A stream that may have begun after the list of upstreams was last known to be current. */
+    /** A stream that a process may have begun that did not answer, or uses a newer plan. */
     public static final StreamOrigin OUTDATED = new StreamOrigin(Source.OUTDATED, "");
 
     /** How the version of a stream is known. */
@@ -46,7 +46,7 @@
         COMPUTED,
         /** It is not known. */
         UNKNOWN,
-        /** It is not known, because this process may lack the latest changes of the versions. */
+        /** It is not known, because this process may lack what others know. */
         OUTDATED
     }
 
--- a/trailladder-core/src/main/java/io/trailladder/core/upstream/StreamVersions.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/upstream/StreamVersions.java
@@ -140,18 +140,22 @@
      * Records what the store tells: at the start, and whenever the record is read again.
      *
      * @param record the record
+     * @param times how long it counts
      * @param beganMillis when the read began, in milliseconds
      * @param nowMillis the current time, in milliseconds
      */
-    public void recordRead(VersionRecord record, long beganMillis, long nowMillis) {
+    public void recordRead(
+            VersionRecord record, RecordTimes times, long beganMillis, long nowMillis) {
         if (earlier == Earlier.UNKNOWN && !record.plans().isEmpty()) {
-            use.usedBefore(record.oldestNumber(), record.silentNumber(), nowMillis);
+            Map<Long, Long> left = new HashMap<>(times.plans());
+            left.putIfAbsent(record.oldestNumber(), MAX_AGE_MILLIS);
+            use.usedBefore(left, record.silentNumber(), nowMillis);
             admitAsPlanned(record.plans());
         }
         earlier = Earlier.RECORDED;
         boolean firstSinceLoss = readMillis < lostMillis;
         readMillis = beganMillis;
-        begun.recordedBefore(record.streams(), nowMillis);
+        begun.recordedBefore(record.streams(), times.streams(), nowMillis);
         recorded(record, nowMillis);
         if (firstSinceLoss) {
             endedNumber = plans.current().number();
@@ -194,6 +198,17 @@
         return earlier != Earlier.UNKNOWN || nowMillis - startedMillis > MAX_AGE_MILLIS;
     }
 
+    /**
+     * Returns how long what the leader records still counts.
+     *
+     * @param nowMillis the current time, in milliseconds
+     * @return the times
+     */
+    public RecordTimes recordTimes(long nowMillis) {
+        return new RecordTimes(
+                use.leftMillis(plans.current().number(), nowMillis), begun.leftMillis(nowMillis));
+    }
+
     /**
      * Returns how often the streams that must be recorded have changed.
      *
@@ -354,11 +369,17 @@
      * or did before they ended. To be stated after all {@linkplain #takeNews news} have been told.
      *
      * @param peers the others
+     * @param speaksForOthers whether the receivers rely on this process to allow for others that
+     *     have ended or are silent
      * @param nowMillis the current time, in milliseconds
      * @return the number; 0 if one of them does not use plans
      */
-    public long usedNumber(Collection<String> peers, long nowMillis) {
-        return begun.isAnyForgotten(nowMillis) ? 0 : use.oldest(plans.current().number(), peers);
+    public long usedNumber(Collection<String> peers, boolean speaksForOthers, long nowMillis) {
+        long own = plans.current().number();
+        if (begun.isAnyForgotten(nowMillis)) {
+            return 0;
+        }
+        return speaksForOthers ? use.oldest(own, peers) : own;
     }
 
     /**
@@ -366,9 +387,10 @@
      *
      * @param peer the peer's name
      * @param number the number of the plan
+     * @param nowMillis the current time, in milliseconds
      */
-    public void planUsed(String peer, long number) {
-        use.stated(peer, number);
+    public void planUsed(String peer, long number, long nowMillis) {
+        use.stated(peer, number, nowMillis);
     }
 
     /**
@@ -577,7 +599,7 @@
     }
 
     /**
-     * Records that this process sends a stream to an upstream, before it may forward the first
+     * Records that this process sends a stream to an upstream. Its version is final with the first
      * event.
      *
      * @param call the request of the caller that begins or resumes it
@@ -588,23 +610,22 @@
         if (call.attempt().isEmpty()) {
             return;
         }
-        long stream = hash(call);
-        Optional<String> before = begun.version(stream);
-        boolean corrected = before.isPresent() && !before.get().equals(version);
         begun.sent(call, version, nowMillis);
-        if (corrected || !isKnownFromPlans(call, version)) {
-            begun.tell(stream, version, nowMillis);
+        if (!isKnownFromPlans(call, version)) {
+            begun.tell(hash(call), BegunStreams.NOT_FINAL, nowMillis);
         }
     }
 
     /**
-     * Records that a stream of this process has brought an event.
+     * Records that a stream of this process has brought an event, so that its version is final.
      *
      * @param call the request of the caller that begins or resumes it
+     * @param version the version of the upstream
      * @param nowMillis the current time, in milliseconds
+     * @return whether it is the first event here
      */
-    public void progressed(StreamCall call, long nowMillis) {
-        begun.progressed(call, nowMillis);
+    public boolean began(StreamCall call, String version, long nowMillis) {
+        return !call.attempt().isEmpty() && begun.began(call, version, nowMillis);
     }
 
     /** Returns whether a process that is not told of a stream knows its version. */
@@ -758,7 +779,8 @@
         if (!inquiry.recordRead() && !(everywhere && isRecordCurrent())) {
             return StreamOrigin.OUTDATED;
         }
-        if (call.attempt().isEmpty() || isUnsettled(nowMillis)) {
+        boolean isNotFinal = begun.isNotFinal(hash(call));
+        if (call.attempt().isEmpty() || isNotFinal || isUnsettled(nowMillis)) {
             return StreamOrigin.UNKNOWN;
         }
         // a stream that nobody knows who was asked began at a process that has ended
--- a/trailladder-core/src/test/java/io/trailladder/core/upstream/SimulatedStreams.java
+++ b/trailladder-core/src/test/java/io/trailladder/core/upstream/SimulatedStreams.java
@@ -62,6 +62,8 @@
     private int picked;
     private Optional<VersionRecord> record = Optional.empty();
 
+    private RecordTimes recordTimes = new RecordTimes(Map.of(), Map.of());
+
     /** Incremented with each write of the record. */
     private int recordRevision;
 
@@ -160,7 +162,7 @@
         private boolean readRecord() {
             if (reachesStore()) {
                 record.ifPresentOrElse(
-                        earlier -> versions.recordRead(earlier, now, now),
+                        earlier -> versions.recordRead(earlier, recordTimes, now, now),
                         () -> versions.nothingRecorded(now));
                 revision = recordRevision;
             }
@@ -185,6 +187,11 @@
             return !reachesStore() || now - peer.registeredMillis <= ENTRY_MILLIS;
         }
 
+        /** Returns the plan by which this process assigns streams. */
+        long plan() {
+            return versions.plan().number();
+        }
+
         private long startedMillis() {
             return downUntilMillis;
         }
@@ -282,14 +289,14 @@
             }
             StreamVersions own = sender.versions;
             tellNews(sender);
-            long used = own.usedNumber(List.of(), now);
+            long used = own.usedNumber(List.of(), false, now);
             for (Gateway receiver : processes) {
                 if (sender.isHeardBy(receiver)) {
                     StreamVersions versions = receiver.versions;
                     receiver.listed = true;
                     versions.peerHeard(name(sender), now);
                     versions.planTold(own.plan().number(), own.planNews(now), now);
-                    versions.planUsed(name(sender), used);
+                    versions.planUsed(name(sender), used, now);
                     own.silences(now)
                             .forEach((peer, since) -> versions.learnedSilence(peer, since, now));
                 }
@@ -365,6 +372,7 @@
         Optional<VersionRecord> next = process.versions.toRecord(now);
         if (next.isPresent() && !next.equals(record)) {
             record = next;
+            recordTimes = process.versions.recordTimes(now);
             process.revision = ++recordRevision;
             process.versions.recorded(next.get(), now);
         }
@@ -406,14 +414,21 @@
             send(process, call, serving.get(random.nextInt(serving.size())).version());
         }
         send(process, call, version);
+        receive(process, call, version);
         long delay = random.nextLong(MIN_RETURN_MILLIS, MAX_RETURN_MILLIS);
         returns.add(new Stream(call.attempt(), version, now, now + delay));
     }
 
-    /** Has a process send a stream to an upstream, and tell some others of it. */
+    /** Has a process send a stream to an upstream. */
     private void send(Gateway process, StreamCall call, String version) {
         process.versions.sent(call, version, now);
         tellNews(process);
+    }
+
+    /** Has a stream of a process bring its first event. */
+    private void receive(Gateway process, StreamCall call, String version) {
+        process.versions.began(call, version, now);
+        tellNews(process);
         processes.stream()
                 .filter(process::isHeardBy)
                 .limit(COPIES)
@@ -492,6 +507,11 @@
         return joined == 0 && continued >= minShare * resumed;
     }
 
+    /** Returns the oldest plan in the record. */
+    final long recordedSince() {
+        return record.map(VersionRecord::oldestNumber).orElse(0L);
+    }
+
     /** Describes what became of the streams. */
     final String seen() {
         return joined + " joined, " + continued + " of " + resumed + " continued";
--- a/trailladder-core/src/test/java/io/trailladder/core/upstream/StreamPlansTest.java
+++ b/trailladder-core/src/test/java/io/trailladder/core/upstream/StreamPlansTest.java
@@ -44,13 +44,17 @@
         return new VersionRecord(plans[0].number(), List.of(plans), PlanUse.NONE, Map.of());
     }
 
+    private static void read(StreamVersions streams, VersionRecord record, long nowMillis) {
+        streams.recordRead(record, RecordTimes.longest(record), nowMillis, nowMillis);
+    }
+
     private void list(String id, String version) {
         directory.changed(new Upstream(id, "m", "a", id + ":1", 8, false, false, 0, version, 0, 0));
     }
 
     private StreamVersions process(String name) {
         StreamVersions streams = new StreamVersions(name, directory, new VersionGate(), 0);
-        streams.recordRead(record(ONE), 0, 0);
+        read(streams, record(ONE), 0);
         for (long tick = 0; tick <= T; tick += 200) {
             streams.listConfirmed(tick);
             streams.tick(tick);
@@ -78,10 +82,11 @@
         StreamVersions other = process("other");
         for (int i = 0; i < 40; i++) {
             leaf.sent(call(i), "v1", T);
+            leaf.began(call(i), "v1", T);
             hub.learned(StreamVersions.hash(call(i)), "v1");
         }
-        hub.planUsed("leaf", leaf.usedNumber(List.of(), T));
-        other.planUsed("hub", hub.usedNumber(List.of("leaf"), T));
+        hub.planUsed("leaf", leaf.usedNumber(List.of(), false, T), T);
+        other.planUsed("hub", hub.usedNumber(List.of("leaf"), true, T), T);
         list("u2", "v2");
         VersionPlan next = two(8, 8);
         for (StreamVersions each : List.of(leaf, hub, other)) {
@@ -92,11 +97,11 @@
                 other.learned(stream, T + 120);
             }
         }
-        hub.planUsed("leaf", leaf.usedNumber(List.of(), T + 200));
-        other.planUsed("hub", hub.usedNumber(List.of("leaf"), T + 200));
+        hub.planUsed("leaf", leaf.usedNumber(List.of(), false, T + 200), T);
+        other.planUsed("hub", hub.usedNumber(List.of("leaf"), true, T + 200), T);
         long now = T + 2_100;
         other.peerRemoved("hub", now);
-        other.recordRead(other.toRecord(now).orElseThrow(), now, now);
+        read(other, other.toRecord(now).orElseThrow(), now);
         int joined = 0;
         for (int i = 0; i < 40; i++) {
             joined +=
@@ -135,7 +140,7 @@
         VersionPlan next = new VersionPlan(2, Map.of("m", Map.of("v2", 1)));
         own.recorded(record(ONE, next), T + 100);
         assertEquals(600, own.takeNews().size(), "told before plan 2 is stated");
-        assertEquals(2, own.usedNumber(List.of(), T + 100));
+        assertEquals(2, own.usedNumber(List.of(), false, T + 100));
     }
 
     /** Guards against processes that keep, and tell again, what was told long ago. */
@@ -167,7 +172,7 @@
         own.recorded(record(ONE, next), begun);
         Set<Long> told = new HashSet<>();
         own.takeNews().forEach(each -> told.add(each.attempt()));
-        long stated = own.usedNumber(List.of(), begun);
+        long stated = own.usedNumber(List.of(), false, begun);
         int untold = 0;
         for (int i = 0; i < 24_000; i++) {
             boolean moved = next.assigned("m", "a" + i).equals(Optional.of("v2"));
@@ -184,12 +189,12 @@
         list("u2", "v2");
         StreamVersions own = process("own");
         VersionPlan next = new VersionPlan(2, Map.of("m", Map.of("v2", 1)));
-        own.recordRead(record(ONE, next), T, T);
+        read(own, record(ONE, next), T);
         for (long now = T; now <= T + 30_000; now += 200) {
             own.tick(now);
         }
         long now = T + 30_000;
-        own.recordRead(record(next), now, now);
+        read(own, record(next), now);
         own.learned(new StreamRecord(StreamVersions.hash(call(1)), "v1", 0), now);
         for (int i = 2; i < 20_002; i++) {
             own.learned(StreamVersions.hash(call(i)), "v2");
@@ -234,7 +239,7 @@
         other.recorded(next, T + 10);
         one.planTold(other.plan().number(), Optional.empty(), T + 20);
         assertTrue(one.lacksPlan());
-        one.recordRead(next, T + 30, T + 30);
+        read(one, next, T + 30);
         assertEquals(other.plan(), one.plan());
         StreamOrigin origin = one.computed(call(1), ASKED, T + 40);
         assertEquals(StreamOrigin.Source.UNKNOWN, origin.source());
@@ -340,7 +345,7 @@
         long now = T + 61_000;
         for (long tick = T; tick <= now; tick += 200) {
             for (int i = 0; i < 40; i++) {
-                own.progressed(call(i), tick);
+                own.began(call(i), "v1", tick);
             }
             own.tick(tick);
         }
@@ -354,14 +359,14 @@
     void streamsThatAreNotRecordedAreAllowedFor() {
         list("u1", "v1");
         StreamVersions leader = process("leader");
-        for (int i = 0; i < 1_500; i++) {
+        for (int i = 0; i < BegunStreams.MAX_RECORDED + 500; i++) {
             StreamRecord stream = new StreamRecord(StreamVersions.hash(call(i)), "v9", 0);
             leader.learned(stream, T);
         }
         VersionRecord recorded = leader.toRecord(T).orElseThrow();
         list("u2", "v9");
         StreamVersions reader = new StreamVersions("r", directory, new VersionGate(), T + 1_000);
-        reader.recordRead(recorded, T + 1_000, T + 1_000);
+        read(reader, recorded, T + 1_000);
         assertEquals(StreamOrigin.UNKNOWN, reader.computed(call(0), ASKED, T + 1_100));
     }
 
@@ -373,16 +378,47 @@
         for (int i = 0; i < 10; i++) {
             hub.peerHeard("leaf", T + 200L * i);
         }
-        assertEquals(0, hub.usedNumber(List.of("leaf"), T + 2_000));
+        assertEquals(0, hub.usedNumber(List.of("leaf"), true, T + 2_000));
     }
 
     /** Guards against streams of two services whose callers use one id. */
     @Example
     void anIdOfTwoServicesNamesTwoStreams() {
         StreamVersions own = process("own");
-        own.sent(new StreamCall("m", "x"), "v1", T);
-        own.sent(new StreamCall("n", "x"), "v2", T);
+        own.began(new StreamCall("m", "x"), "v1", T);
+        own.began(new StreamCall("n", "x"), "v2", T);
         assertEquals(
                 Optional.of(StreamOrigin.recorded("v1")), own.recorded(new StreamCall("m", "x")));
     }
+
+    /** Guards against plans that are held without end by losses of all in series. */
+    @Example
+    void plansAreForgottenThoughAllProcessesAreLostInSeries() {
+        start(8, 1);
+        String before = "u";
+        String version = "v0";
+        long usedTwoLossesAgo = 0;
+        long usedAtLoss = 0;
+        for (int loss = 0; loss < 6; loss++) {
+            assertTrue(
+                    recordedSince() >= usedTwoLossesAgo,
+                    recordedSince() + " recorded, " + usedTwoLossesAgo + " used two losses ago");
+            String next = "v" + (20 + loss);
+            for (int i = 0; i < 12; i++) {
+                change(upstream(next + i, next), true);
+            }
+            advance(4_000, 40);
+            for (int i = 0; i < 12; i++) {
+                change(upstream(before + i, version).asLeaving(), true);
+            }
+            before = next;
+            version = next;
+            advance(12_000, 40);
+            usedTwoLossesAgo = usedAtLoss;
+            usedAtLoss = processes.get(0).plan();
+            processes.forEach(process -> process.restart(1_000));
+            advance(2_000, 40);
+        }
+        assertEquals(0, joined, seen());
+    }
 }
--- a/trailladder-core/src/test/java/io/trailladder/core/upstream/StreamRolloutTest.java
+++ b/trailladder-core/src/test/java/io/trailladder/core/upstream/StreamRolloutTest.java
@@ -90,7 +90,8 @@
         StreamVersions streams = new StreamVersions("own", directory, gate, NOW - 5_000);
         StreamVersions earlier = processDuringARollout(STARTED);
         earlier.nothingRecorded(STARTED);
-        streams.recordRead(earlier.toRecord(NOW - 5_000).orElseThrow(), NOW - 5_000, NOW - 5_000);
+        VersionRecord record = earlier.toRecord(NOW - 5_000).orElseThrow();
+        streams.recordRead(record, RecordTimes.longest(record), NOW - 5_000, NOW - 5_000);
         assertEquals(Source.UNKNOWN, origin(streams, NOW));
     }
 
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestDriver.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestDriver.java
@@ -258,7 +258,8 @@
         if (events > 0) {
             sender.eventsReceived(events);
             crashes.answering(sender);
-            version.eventReceived(sender.upstream(), context.loop().nowMillis());
+            version.eventReceived(
+                    sender.upstream(), context.streamTelling(), context.loop().nowMillis());
             recordRunStarted();
         } else if (answer.progressesByBytes()) {
             sender.progressed();
@@ -374,7 +375,7 @@
                         request.deadlineMillis() - now,
                         streams.describe(version.call(), now)));
         boolean outdated = origin.source() == StreamOrigin.Source.OUTDATED;
-        turnAway(outdated ? TurnedAway.LIST_OUTDATED : TurnedAway.VERSION_UNKNOWN, 0);
+        turnAway(outdated ? TurnedAway.OTHERS_UNKNOWN : TurnedAway.VERSION_UNKNOWN, 0);
     }
 
     private void turnAwayWithoutChoice(StreamOrigin origin, long now) {
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/StreamBasisPart.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/StreamBasisPart.java
@@ -98,7 +98,7 @@
         telling.tellAll();
         ByteArrayOutputStream bytes = new ByteArrayOutputStream();
         try (DataOutputStream out = new DataOutputStream(bytes)) {
-            out.writeLong(streams.usedNumber(peers, nowMillis));
+            out.writeLong(streams.usedNumber(peers, !telling.isFullMesh(), nowMillis));
             out.writeLong(streams.plan().number());
             byte[] news = planNews(nowMillis);
             out.writeShort(news.length);
@@ -160,7 +160,7 @@
             telling.introduce(peer);
         }
         if (telling.isIntroduced(peer) || !isLinked.test(peer)) {
-            streams.planUsed(peer, usedNumber);
+            streams.planUsed(peer, usedNumber, nowMillis);
         }
         silences.forEach(
                 (silent, age) -> streams.learnedSilence(silent, toldMillis - age, nowMillis));
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/StreamTelling.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/StreamTelling.java
@@ -75,12 +75,12 @@
     }
 
     /**
-     * Tells peers that a stream is sent to an upstream, before it can send events.
+     * Tells peers that a stream has brought its first event.
      *
      * @param call the request of the caller
-     * @param version the version of the upstream
+     * @param version the version of the upstream that sent it
      */
-    void sent(StreamCall call, String version) {
+    void began(StreamCall call, String version) {
         tellAll();
         copies.add(new StreamSent(StreamVersions.hash(call), version, 0));
         if (streams.hasSeveralVersions(call.service())) {
@@ -146,6 +146,11 @@
         send(List.of(peer), Kind.ALL_UNPLANNED, streams.told(nowMillis.getAsLong()));
     }
 
+    /** Returns whether all processes are linked, so that each one speaks for itself alone. */
+    boolean isFullMesh() {
+        return peers.isFullMesh();
+    }
+
     /** Returns whether a peer has told all that must be known to count its statements. */
     boolean isIntroduced(String peer) {
         return introduced.contains(peer);
@@ -174,8 +179,9 @@
         if (!unknown.isEmpty() && !receivers.isEmpty()) {
             send(receivers, Kind.UNPLANNED, unknown);
         }
-        if (news.kind() == Kind.ALL_UNPLANNED) {
-            introduced.add(peer);
+        if (news.kind() == Kind.ALL_UNPLANNED && !introduced.add(peer)) {
+            // the peer has lost what it was told
+            introduce(peer);
         }
     }
 }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/StreamVersion.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/StreamVersion.java
@@ -116,21 +116,21 @@
         if (isResumed() && fixed.isEmpty()) {
             fixed = Optional.of(StreamOrigin.recorded(upstream.version()));
         }
-        if (!call.attempt().isEmpty()) {
-            streams.sent(call, upstream.version(), nowMillis);
-            telling.sent(call, upstream.version());
-        }
+        streams.sent(call, upstream.version(), nowMillis);
+        telling.tellAll();
     }
 
     /** Records that an upstream sent an event, which binds the stream to its version. */
-    void eventReceived(Upstream upstream, long nowMillis) {
+    void eventReceived(Upstream upstream, StreamTelling telling, long nowMillis) {
         if (!resumable) {
             return;
         }
         if (fixed.isEmpty()) {
             fixed = Optional.of(StreamOrigin.recorded(upstream.version()));
         }
-        streams.progressed(call, nowMillis);
+        if (streams.began(call, upstream.version(), nowMillis)) {
+            telling.began(call, upstream.version());
+        }
     }
 
     /** Has the peers asked once more, since the request has waited. */
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/TurnedAway.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/TurnedAway.java
@@ -48,10 +48,10 @@
     static final String VERSION_UNKNOWN = "version that began the stream is not known";
 
     /**
-     * The stream may have begun after the list of upstreams was last shown to be current, so that
-     * its version may not be listed here.
+     * Some processes that may have begun the stream did not answer, and the record of the plans
+     * could not be read.
      */
-    static final String LIST_OUTDATED = "list of upstreams may be outdated";
+    static final String OTHERS_UNKNOWN = "versions of other processes are not known";
 
     /** The caller resumes a stream on a route whose streams may not be resumed. */
     static final String NOT_RESUMABLE = "streams of the route may not be resumed";
@@ -63,7 +63,7 @@
     static Optional<GatewayMetrics.Event> notResumed(String reason) {
         return switch (reason) {
             case VERSION_UNKNOWN -> Optional.of(GatewayMetrics.Event.STREAM_VERSION_UNKNOWN);
-            case LIST_OUTDATED -> Optional.of(GatewayMetrics.Event.STREAM_LIST_OUTDATED);
+            case OTHERS_UNKNOWN -> Optional.of(GatewayMetrics.Event.STREAM_LIST_OUTDATED);
             case NOT_RESUMABLE -> Optional.of(GatewayMetrics.Event.STREAM_NOT_RESUMABLE);
             case NO_VERSION -> Optional.of(GatewayMetrics.Event.STREAM_VERSION_NOT_SERVED);
             default -> Optional.empty();
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/VersionRecords.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/VersionRecords.java
@@ -15,6 +15,7 @@
  */
 package io.trailladder.entry.gateway;
 
+import io.trailladder.core.upstream.RecordTimes;
 import io.trailladder.core.upstream.StreamVersions;
 import io.trailladder.core.upstream.VersionPlan;
 import io.trailladder.core.upstream.VersionRecord;
@@ -49,7 +50,10 @@
     private static final long PLAN_CHECK_INTERVAL_MILLIS = 200;
 
     /** Maximum number of bytes that are written per millisecond while no plan changes. */
-    private static final int MAX_BYTES_PER_MILLI = 16;
+    private static final int MAX_BYTES_PER_MILLI = 64;
+
+    /** The same while streams are left out, so that nothing follows from the plans anyway. */
+    private static final int MIN_BYTES_PER_MILLI = 4;
 
     private static final int FORMAT = 3;
     private static final int MAX_ENTRIES = 10_000;
@@ -121,18 +125,44 @@
             out.writeLong(record.oldestNumber());
             out.writeLong(record.silentNumber());
             writePlans(record.plans(), out);
-            out.writeShort(record.streams().size());
-            for (Map.Entry<Long, String> stream : record.streams().entrySet()) {
-                out.writeLong(stream.getKey());
-                out.writeUTF(stream.getValue());
+            RecordTimes times = streams.recordTimes(nowMillis.getAsLong());
+            out.writeShort(times.plans().size());
+            for (Map.Entry<Long, Long> plan : times.plans().entrySet()) {
+                out.writeLong(plan.getKey());
+                writeLeft(plan.getValue(), out);
             }
+            writeStreams(record.streams(), times.streams(), out);
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
-        nextMillis = nowMillis.getAsLong() + bytes.size() / MAX_BYTES_PER_MILLI;
+        boolean complete = record.oldestNumber() > 0;
+        int bytesPerMilli = complete ? MAX_BYTES_PER_MILLI : MIN_BYTES_PER_MILLI;
+        nextMillis = nowMillis.getAsLong() + bytes.size() / bytesPerMilli;
         return bytes.toByteArray();
     }
 
+    private static void writeStreams(
+            Map<Long, String> streams, Map<Long, Long> left, DataOutputStream out)
+            throws IOException {
+        List<String> versions = streams.values().stream().distinct().toList();
+        out.writeShort(versions.size());
+        for (String version : versions) {
+            out.writeUTF(version);
+        }
+        Map<String, Integer> indexes = new HashMap<>();
+        versions.forEach(version -> indexes.put(version, indexes.size()));
+        out.writeShort(streams.size());
+        for (Map.Entry<Long, String> stream : streams.entrySet()) {
+            out.writeLong(stream.getKey());
+            out.writeShort(indexes.get(stream.getValue()));
+            writeLeft(left.getOrDefault(stream.getKey(), 0L), out);
+        }
+    }
+
+    private static void writeLeft(long millis, DataOutputStream out) throws IOException {
+        out.writeShort((int) Math.max(0, Math.min(StreamVersions.MAX_AGE_MILLIS, millis)));
+    }
+
     /** Writes the first plan, and of each further one what changed since the one before. */
     private static void writePlans(List<VersionPlan> plans, DataOutputStream out)
             throws IOException {
@@ -164,20 +194,45 @@
         if (in.readLong() != epoch.getAsLong()) {
             return false;
         }
-        streams.recordRead(readRecord(in), readBeganMillis, nowMillis.getAsLong());
+        readRecord(in);
         return true;
     }
 
-    private static VersionRecord readRecord(DataInputStream in) throws IOException {
+    private void readRecord(DataInputStream in) throws IOException {
         long oldestNumber = in.readLong();
         long silentNumber = in.readLong();
         List<VersionPlan> plans = readPlans(in);
+        int planCount = PlanFormat.readCount(in, MAX_ENTRIES, "held plans");
+        Map<Long, Long> held = new HashMap<>();
+        for (int i = 0; i < planCount; i++) {
+            held.put(in.readLong(), readLeft(in));
+        }
+        int versionCount = PlanFormat.readCount(in, MAX_ENTRIES, "versions");
+        List<String> versions = new ArrayList<>(versionCount);
+        for (int i = 0; i < versionCount; i++) {
+            versions.add(in.readUTF());
+        }
         int count = PlanFormat.readCount(in, MAX_ENTRIES, "streams");
-        Map<Long, String> streams = new HashMap<>();
+        Map<Long, String> recorded = new HashMap<>();
+        Map<Long, Long> left = new HashMap<>();
         for (int i = 0; i < count; i++) {
-            streams.put(in.readLong(), in.readUTF());
+            long stream = in.readLong();
+            int version = in.readUnsignedShort();
+            if (version >= versionCount) {
+                throw new IOException("version " + version + ", expected below " + versionCount);
+            }
+            recorded.put(stream, versions.get(version));
+            left.put(stream, readLeft(in));
         }
-        return new VersionRecord(oldestNumber, plans, silentNumber, streams);
+        streams.recordRead(
+                new VersionRecord(oldestNumber, plans, silentNumber, recorded),
+                new RecordTimes(held, left),
+                readBeganMillis,
+                nowMillis.getAsLong());
+    }
+
+    private static long readLeft(DataInputStream in) throws IOException {
+        return Math.min(StreamVersions.MAX_AGE_MILLIS, in.readUnsignedShort());
     }
 
     private static List<VersionPlan> readPlans(DataInputStream in) throws IOException {
--- a/trailladder-entry/src/test/java/io/trailladder/entry/gateway/StreamBasisPartTest.java
+++ b/trailladder-entry/src/test/java/io/trailladder/entry/gateway/StreamBasisPartTest.java
@@ -79,7 +79,7 @@
         StreamVersions other = streams();
         part(other).received("p", write(own, NOW).orElseThrow(), NOW);
         assertEquals(own.plan(), other.plan());
-        assertEquals(1, other.usedNumber(List.of("p"), NOW));
+        assertEquals(1, other.usedNumber(List.of("p"), true, NOW));
     }
 
     /** Guards against a process that goes on by its plan though another one has a newer one. */
--- a/trailladder-entry/src/test/java/io/trailladder/entry/gateway/StreamExchangeTest.java
+++ b/trailladder-entry/src/test/java/io/trailladder/entry/gateway/StreamExchangeTest.java
@@ -26,6 +26,7 @@
 import io.trailladder.core.policy.RouteKind;
 import io.trailladder.core.policy.ServiceShare;
 import io.trailladder.core.rollout.VersionGate;
+import io.trailladder.core.upstream.RecordTimes;
 import io.trailladder.core.upstream.StreamCall;
 import io.trailladder.core.upstream.StreamOrigin;
 import io.trailladder.core.upstream.StreamVersions;
@@ -58,7 +59,8 @@
 
     private StreamVersions process(String name) {
         StreamVersions streams = new StreamVersions(name, directory, new VersionGate(), 0);
-        streams.recordRead(new VersionRecord(1, List.of(ONE), -1, Map.of()), 4_000, 4_000);
+        VersionRecord record = new VersionRecord(1, List.of(ONE), -1, Map.of());
+        streams.recordRead(record, RecordTimes.longest(record), 4_000, 4_000);
         for (long tick = 0; tick <= T; tick += 200) {
             streams.listConfirmed(tick);
             streams.tick(tick);
--- a/trailladder-entry/src/test/java/io/trailladder/entry/gateway/StreamPartTest.java
+++ b/trailladder-entry/src/test/java/io/trailladder/entry/gateway/StreamPartTest.java
@@ -56,7 +56,7 @@
     private static StreamVersions withStreams(int count) {
         StreamVersions own = streams();
         for (int i = 0; i < count; i++) {
-            own.sent(call(i), "v" + i % 3, NOW);
+            own.began(call(i), "v" + i % 3, NOW);
         }
         return own;
     }
--- a/trailladder-entry/src/test/java/io/trailladder/entry/gateway/VersionRecordsTest.java
+++ b/trailladder-entry/src/test/java/io/trailladder/entry/gateway/VersionRecordsTest.java
@@ -53,8 +53,12 @@
         return new VersionRecords(streams, () -> NOW, () -> epoch, () -> {});
     }
 
-    private static byte[] twoPlans(VersionRecords records) {
-        return records.encode(record());
+    /** Returns what a leader records that uses the latest plan. */
+    private static byte[] twoPlans() {
+        StreamVersions leader =
+                new StreamVersions("leader", new UpstreamDirectory(), new VersionGate(), STARTED);
+        leader.recorded(record(), NOW);
+        return new VersionRecords(leader, () -> NOW, () -> EPOCH, () -> {}).encode(record());
     }
 
     private static VersionRecord record() {
@@ -83,14 +87,14 @@
     /** Guards against a record that lacks a plan, or a stream, of before. */
     @Example
     void aRecordIsReadAsItWasWritten() throws IOException {
-        assertTrue(records(EPOCH).read(Optional.of(twoPlans(records(EPOCH)))));
+        assertTrue(records(EPOCH).read(Optional.of(twoPlans())));
         assertEquals(Optional.of(record()), records(EPOCH).current());
     }
 
     /** Guards against streams joined because two plans assign them to different versions. */
     @Example
     void aStreamIsRefusedThatPlansAssignToSeveralVersions() throws IOException {
-        assertTrue(records(EPOCH).read(Optional.of(twoPlans(records(EPOCH)))));
+        assertTrue(records(EPOCH).read(Optional.of(twoPlans())));
         directory.changed(new Upstream("w1", "m", "a", "w1:1", 8, false, false, 0, "v1", 0, 0));
         originOfAnOlderStream();
         int known = 0;
@@ -110,7 +114,7 @@
     /** Guards against streams joined because the store lost the latest changes of the record. */
     @Example
     void aRecordOfAnEarlierEpochIsNotUsed() throws IOException {
-        byte[] before = twoPlans(records(EPOCH));
+        byte[] before = twoPlans();
         assertFalse(records(EPOCH + 1).read(Optional.of(before)));
         assertEquals(Source.UNKNOWN, originOfAnOlderStream());
         assertEquals(Optional.empty(), records(EPOCH + 1).current());
@@ -119,7 +123,7 @@
     /** Guards against a record that cannot be read being taken for one version. */
     @Example
     void anInvalidRecordLeavesTheEarlierVersionsUnknown() {
-        byte[] record = twoPlans(records(EPOCH));
+        byte[] record = twoPlans();
         record[0] = 9;
         assertThrows(IOException.class, () -> records(EPOCH).read(Optional.of(record)));
         assertThrows(
@@ -131,7 +135,7 @@
     @Property(tries = 2_000, seed = "20261205")
     void aDamagedRecordIsRefusedOrRead(
             @ForAll @Size(min = 1, max = 8) int[] places, @ForAll byte value) {
-        byte[] record = twoPlans(records(EPOCH));
+        byte[] record = twoPlans();
         for (int place : places) {
             record[Math.floorMod(place, record.length)] = value;
         }
