--- a/trailladder-cli/src/main/java/io/trailladder/cli/RequestTrace.java
+++ b/trailladder-cli/src/main/java/io/trailladder/cli/RequestTrace.java
@@ -157,8 +157,11 @@
                                         : "no upstream of its service accepted new requests");
     }
 
-    /** Returns why the last answer that ended without a failure of its connection was not whole. */
+    /** Returns why an answer without a failure of its connection was not the whole answer. */
     private String answerState() {
+        if (last("AnswerUnidentified").isPresent()) {
+            return "; the head of an answer did not show that it answers the request";
+        }
         if (last("AnswerOutOfOrder").isPresent()) {
             return "; an answer did not continue the stream that the caller has";
         }
--- a/trailladder-cli/src/test/java/io/trailladder/cli/ExplainCommandTest.java
+++ b/trailladder-cli/src/test/java/io/trailladder/cli/ExplainCommandTest.java
@@ -124,6 +124,19 @@
         assertTrue(text.contains("did not continue the stream that the caller has"), text);
     }
 
+    /** Guards against answers of no one that look as if a connection had broken. */
+    @Example
+    void brokenStreamIsExplainedByAHeadWithoutIdentity() throws IOException {
+        String log =
+                brokenOffAfter(
+                        "{\"kind\":\"AnswerUnidentified\",\"id\":\"r1\",\"upstream\":\"u7\","
+                                + "\"status\":200,\"framing\":\"CONNECTION\","
+                                + "\"identity\":\"UNPROVEN\"}");
+        assertEquals(0, explain("r1", log));
+        String text = out.toString();
+        assertTrue(text.contains("did not show that it answers the request"), text);
+    }
+
     @Example
     void brokenStreamIsExplainedByItsRemovedUpstream() throws IOException {
         String log =
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/GatewayMetrics.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/GatewayMetrics.java
@@ -141,7 +141,7 @@
 
     /** The events inside the process that are counted. */
     public enum Event {
-        /** A connection brought an answer that belongs to another request. */
+        /** A connection brought an answer that is not shown to be the answer to its request. */
         FOREIGN_ANSWER,
         /** The store did not answer, or refused a call. */
         STORE_FAILURE,
