--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/VersionRecords.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/VersionRecords.java
@@ -112,6 +112,7 @@
         long before = streams.plan().number();
         streams.recorded(record, nowMillis.getAsLong());
         if (streams.plan().number() > before) {
+            checkMillis = nowMillis.getAsLong();
             onPlan.run();
         }
     }
