--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/StreamTelling.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/StreamTelling.java
@@ -37,7 +37,7 @@
  * this process to it, count.
  */
 final class StreamTelling {
-    /** How long streams are collected that need not be told at once, in milliseconds. */
+    /** How long a leaf collects streams of services with one version, in milliseconds. */
     private static final long COPY_DELAY_MILLIS = 50;
 
     /** Number of peers that keep a copy of what is known of a stream. */
@@ -83,7 +83,7 @@
     void began(StreamCall call, String version) {
         tellAll();
         copies.add(new StreamSent(StreamVersions.hash(call), version, 0));
-        if (streams.hasSeveralVersions(call.service())) {
+        if (peers.isHub() || streams.hasSeveralVersions(call.service())) {
             sendCopies();
         } else if (copies.size() == 1) {
             timer.schedule(COPY_DELAY_MILLIS, this::sendCopies);
