Peers that are known before the record is read do not count as using no plan; postmortem

Cause: a process that lists or links peers before it has read the record notes that they use its own plan, which is none yet, until they have stated theirs. They use a plan of the record, or a later one: those that ran before are held as the record tells.

--- a/trailladder-core/src/main/java/io/trailladder/core/upstream/PlanUse.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/upstream/PlanUse.java
@@ -116,9 +116,15 @@
     /**
      * Holds the plans that processes used before this one started.
      *
+     * @param oldestNumber the oldest of them
      * @param leftMillis for how long, by the number of the plan
      */
-    void usedBefore(Map<Long, Long> leftMillis, long silentNumber, long nowMillis) {
+    void usedBefore(
+            long oldestNumber, Map<Long, Long> leftMillis, long silentNumber, long nowMillis) {
+        // processes that were listed or linked before the record was read use none of before
+        unheard.replaceAll(
+                (peer, each) ->
+                        new Held(Math.max(oldestNumber, each.number()), each.untilMillis()));
         leftMillis.forEach((number, left) -> earlier.add(new Held(number, nowMillis + left)));
         earlierSilentNumber = silentNumber;
         earlierSilentUntilMillis = nowMillis + MAX_SILENCE_MILLIS;
--- a/trailladder-core/src/main/java/io/trailladder/core/upstream/StreamVersions.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/upstream/StreamVersions.java
@@ -149,7 +149,7 @@
         if (earlier == Earlier.UNKNOWN && !record.plans().isEmpty()) {
             Map<Long, Long> left = new HashMap<>(times.plans());
             left.putIfAbsent(record.oldestNumber(), MAX_AGE_MILLIS);
-            use.usedBefore(left, record.silentNumber(), nowMillis);
+            use.usedBefore(record.oldestNumber(), left, record.silentNumber(), nowMillis);
             admitAsPlanned(record.plans());
         }
         earlier = Earlier.RECORDED;
--- a/trailladder-core/src/test/java/io/trailladder/core/upstream/StreamPlansTest.java
+++ b/trailladder-core/src/test/java/io/trailladder/core/upstream/StreamPlansTest.java
@@ -421,4 +421,19 @@
         }
         assertEquals(0, joined, seen());
     }
+
+    /** Guards against streams refused after a start because peers were known before the record. */
+    @Example
+    void peersThatWereListedBeforeTheRecordWasReadUseItsPlans() {
+        list("u1", "v1");
+        list("u2", "v2");
+        StreamVersions own = new StreamVersions("own", directory, new VersionGate(), T);
+        own.tick(T);
+        own.peersListed(List.of("p"), T);
+        own.peerLinked("q", T);
+        read(own, record(two(8, 8)), T + 20);
+        own.listConfirmed(T + 100);
+        StreamOrigin origin = own.computed(call(1), ASKED, T + 100);
+        assertEquals(StreamOrigin.Source.COMPUTED, origin.source());
+    }
 }
