A process that restarted within a second has ended: its streams are not computed by an older plan

Cause: what counts for a stream that nobody knows are the plans that were recorded when a process was last missed. A process that is linked again before it is missed was not counted as one that has ended, though all that it knew is lost. Now each new link is a loss, after which the record is read before a stream is computed.

--- a/trailladder-core/src/main/java/io/trailladder/core/upstream/StreamVersions.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/upstream/StreamVersions.java
@@ -535,6 +535,8 @@
      */
     public void peerLinked(String peer, long nowMillis) {
         linkedMillis = nowMillis;
+        // it may have restarted, so that its earlier streams are those of a process that has ended
+        lostMillis = Math.max(lostMillis, nowMillis);
         use.linked(peer, plans.current().number(), nowMillis);
     }
 
