A process that has not read the record states no plan

Cause: a process that starts has no plan until it has read the record, and stated 0, which stands for streams that follow from no plan. The leader recorded that, and whoever read the record then held it for 20 s. Such a process tells all its streams, so it needs no statement; until it makes one it counts with the oldest plan there was when it was linked.

--- a/trailladder-core/src/main/java/io/trailladder/core/upstream/StreamVersions.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/upstream/StreamVersions.java
@@ -48,6 +48,9 @@
  * @since 0.6
  */
 public final class StreamVersions {
+    /** Stands for the number of a plan that a process does not state yet. */
+    public static final long NO_STATEMENT = -1;
+
     /** Maximum age of a stream that is resumed, in milliseconds. */
     public static final long MAX_AGE_MILLIS = 20_000;
 
@@ -372,10 +375,14 @@
      * @param speaksForOthers whether the receivers rely on this process to allow for others that
      *     have ended or are silent
      * @param nowMillis the current time, in milliseconds
-     * @return the number; 0 if one of them does not use plans
+     * @return the number; 0 if one of them does not use plans; {@link #NO_STATEMENT} until this
+     *     process has read which plans there are, as it tells all its streams until then
      */
     public long usedNumber(Collection<String> peers, boolean speaksForOthers, long nowMillis) {
         long own = plans.current().number();
+        if (own == 0 && earlier != Earlier.NOT_RECORDED) {
+            return NO_STATEMENT;
+        }
         if (begun.isAnyForgotten(nowMillis)) {
             return 0;
         }
@@ -390,6 +397,9 @@
      * @param nowMillis the current time, in milliseconds
      */
     public void planUsed(String peer, long number, long nowMillis) {
+        if (number == NO_STATEMENT) {
+            return;
+        }
         use.stated(peer, number, nowMillis);
     }
 
--- a/trailladder-core/src/test/java/io/trailladder/core/upstream/StreamPlansTest.java
+++ b/trailladder-core/src/test/java/io/trailladder/core/upstream/StreamPlansTest.java
@@ -436,4 +436,19 @@
         StreamOrigin origin = own.computed(call(1), ASKED, T + 100);
         assertEquals(StreamOrigin.Source.COMPUTED, origin.source());
     }
+
+    /** Guards against streams refused because a process has not read the record yet. */
+    @Example
+    void aProcessThatHasNotReadTheRecordStatesNoPlan() {
+        list("u1", "v1");
+        list("u2", "v2");
+        StreamVersions started = new StreamVersions("p", directory, new VersionGate(), T);
+        StreamVersions own = process("own");
+        own.recorded(record(ONE, two(8, 8)), T);
+        own.peerLinked("p", T);
+        own.planUsed("p", started.usedNumber(List.of(), false, T), T);
+        assertEquals(2, own.toRecord(T + 100).orElseThrow().oldestNumber());
+        started.nothingRecorded(T);
+        assertEquals(0, started.usedNumber(List.of(), false, T));
+    }
 }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/StreamBasisPart.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/StreamBasisPart.java
@@ -146,7 +146,7 @@
         DataInputStream in = new DataInputStream(new ByteArrayInputStream(section.body()));
         long usedNumber = in.readLong();
         long planNumber = in.readLong();
-        if (usedNumber < 0 || planNumber < usedNumber) {
+        if (usedNumber < StreamVersions.NO_STATEMENT || planNumber < usedNumber) {
             throw new IOException(
                     "plans " + usedNumber + " to " + planNumber + ", expected rising numbers");
         }
