A plan is held for no longer than the record tells

Evidence: StreamPlansTest#aPlanIsHeldForNoLongerThanTheRecordTells (not run on the code before), 44 of 44 of the Stream tests of the core, one run.

--- a/trailladder-core/src/main/java/io/trailladder/core/upstream/StreamVersions.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/upstream/StreamVersions.java
@@ -150,9 +150,7 @@
     public void recordRead(
             VersionRecord record, RecordTimes times, long beganMillis, long nowMillis) {
         if (earlier == Earlier.UNKNOWN && !record.plans().isEmpty()) {
-            Map<Long, Long> left = new HashMap<>(times.plans());
-            left.putIfAbsent(record.oldestNumber(), MAX_AGE_MILLIS);
-            use.usedBefore(record.oldestNumber(), left, record.silentNumber(), nowMillis);
+            use.usedBefore(record.oldestNumber(), times.plans(), record.silentNumber(), nowMillis);
             admitAsPlanned(record.plans());
         }
         earlier = Earlier.RECORDED;
@@ -208,8 +206,11 @@
      * @return the times
      */
     public RecordTimes recordTimes(long nowMillis) {
-        return new RecordTimes(
-                use.leftMillis(plans.current().number(), nowMillis), begun.leftMillis(nowMillis));
+        Map<Long, Long> left = use.leftMillis(plans.current().number(), nowMillis);
+        if (!begun.isRecordComplete(nowMillis)) {
+            left.put(0L, MAX_AGE_MILLIS);
+        }
+        return new RecordTimes(left, begun.leftMillis(nowMillis));
     }
 
     /**
--- a/trailladder-core/src/test/java/io/trailladder/core/upstream/StreamPlansTest.java
+++ b/trailladder-core/src/test/java/io/trailladder/core/upstream/StreamPlansTest.java
@@ -451,4 +451,20 @@
         started.nothingRecorded(T);
         assertEquals(0, started.usedNumber(List.of(), false, T));
     }
+
+    /**
+     * Guards against plans that count for another 20 s though the record says that they are over.
+     */
+    @Example
+    void aPlanIsHeldForNoLongerThanTheRecordTells() {
+        list("u1", "v1");
+        list("u2", "v2");
+        StreamVersions own = new StreamVersions("own", directory, new VersionGate(), T);
+        VersionRecord record = new VersionRecord(0, List.of(two(8, 8)), PlanUse.NONE, Map.of());
+        own.recordRead(record, new RecordTimes(Map.of(2L, 20_000L), Map.of()), T, T);
+        own.tick(T);
+        own.listConfirmed(T + 100);
+        StreamOrigin origin = own.computed(call(1), ASKED, T + 100);
+        assertEquals(StreamOrigin.Source.COMPUTED, origin.source());
+    }
 }
