What is known of plans, and what is recorded, are classes of their own

SharedPlans holds the plans that a process knows, RecordedVersions what the store holds, ListFreshness (public now) how current the list of upstreams is; StreamVersions answers for streams. Which versions a new stream may begin at is computed in one place. No behaviour changes: the core's Stream tests (44) and ArchitectureTest, and the entry's StreamExchangeTest, StreamBasisPartTest, StreamPartTest, VersionRecordsTest and OtherWritersRecordsProperties pass. Tests call the same methods at their new places.

--- a/trailladder-core/src/main/java/io/trailladder/core/upstream/ListFreshness.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/upstream/ListFreshness.java
@@ -25,8 +25,15 @@
  * <p>The list is current while the store, or a peer that forwards its changes, confirms it. While
  * the store answers nobody, it is also current as long as every peer responds that did at its last
  * confirmation: then no process can have a newer one.
+ *
+ * <pre>{@code
+ * streams.list().confirmed(nowMillis);
+ * long ageMillis = streams.list().ageMillis(nowMillis);
+ * }</pre>
+ *
+ * @since 0.7
  */
-final class ListFreshness {
+public final class ListFreshness {
     /** Maximum time between two confirmations of a list that is current, in milliseconds. */
     static final long MAX_CONFIRMATION_GAP_MILLIS = 2_000;
 
@@ -110,13 +117,23 @@
         tickedMillis = startedMillis;
     }
 
-    /** Records that the process that forwards the list may lack changes since a time. */
-    void feederOutdated(long currentUntilMillis, long nowMillis) {
+    /**
+     * Records that the process that forwards the list of upstreams to this one may lack changes.
+     *
+     * @param currentUntilMillis until when its list is known to be current, in milliseconds
+     * @param nowMillis the current time, in milliseconds
+     */
+    public void feederOutdated(long currentUntilMillis, long nowMillis) {
         feederCurrentMillis = currentUntilMillis;
         feederToldMillis = nowMillis;
     }
 
-    void confirmed(long atMillis) {
+    /**
+     * Records that the list of upstreams was shown to be current.
+     *
+     * @param atMillis when, in milliseconds
+     */
+    public void confirmed(long atMillis) {
         everConfirmed = true;
         confirmedMillis = Math.max(confirmedMillis, atMillis);
     }
@@ -126,8 +143,15 @@
         record(silences, peer, sinceMillis, Silence.OWN);
     }
 
-    /** Records that a peer tells that another one is silent, unless that is this process. */
-    void learnedSilence(String peer, long sinceMillis, long nowMillis) {
+    /**
+     * Records that a peer tells that another one is silent, unless that is this process. It is over
+     * when no peer tells it any more.
+     *
+     * @param peer the silent peer's name
+     * @param sinceMillis when the silent peer last sent something, in milliseconds
+     * @param nowMillis the current time, in milliseconds
+     */
+    public void learnedSilence(String peer, long sinceMillis, long nowMillis) {
         boolean heardSince = heardMillis.getOrDefault(peer, Long.MIN_VALUE) > sinceMillis;
         boolean old = nowMillis - sinceMillis > MAX_TOLD_SILENCE_MILLIS;
         if (!peer.equals(own) && !heardSince && !old) {
@@ -135,8 +159,14 @@
         }
     }
 
-    /** Records that a peer tells that its list may be outdated since a time. */
-    void peerOutdated(String peer, long sinceMillis, long nowMillis) {
+    /**
+     * Records that a peer tells that its list of upstreams may be outdated.
+     *
+     * @param peer the peer's name
+     * @param sinceMillis since when, in milliseconds
+     * @param nowMillis the current time, in milliseconds
+     */
+    public void peerOutdated(String peer, long sinceMillis, long nowMillis) {
         record(outdated, peer, sinceMillis, nowMillis);
     }
 
@@ -185,8 +215,14 @@
         return everConfirmed && nowMillis - confirmedMillis <= MAX_CONFIRMATION_GAP_MILLIS;
     }
 
-    /** Returns since when each peer has been silent that still is. */
-    Map<String, Long> silences(long nowMillis) {
+    /**
+     * Returns since when each peer has been silent that may still serve callers. Processes that
+     * start must be told of them.
+     *
+     * @param nowMillis the current time, in milliseconds
+     * @return the times by peer, in milliseconds
+     */
+    public Map<String, Long> silences(long nowMillis) {
         Map<String, Long> since = new HashMap<>();
         silences.forEach(
                 (peer, silence) -> {
@@ -220,6 +256,17 @@
         return fedOutdated ? Math.min(nowMillis - 1, feederCurrentMillis) : nowMillis;
     }
 
+    /**
+     * Returns until when other processes are told that the list is current.
+     *
+     * @param nowMillis the current time, in milliseconds
+     * @return the time, in milliseconds; at the latest now
+     */
+    public long statedUntilMillis(long nowMillis) {
+        // a process that has no list yet does not serve by an old one
+        return everConfirmed ? currentUntilMillis(nowMillis) : nowMillis;
+    }
+
     /** Returns whether the list was ever confirmed. */
     boolean isEverConfirmed() {
         return everConfirmed;
@@ -239,8 +286,13 @@
                                         && silence.sinceMillis() >= confirmedMillis);
     }
 
-    /** Returns how long ago the list was last confirmed, in milliseconds. */
-    long ageMillis(long nowMillis) {
+    /**
+     * Returns how long ago the list was last shown to be current.
+     *
+     * @param nowMillis the current time, in milliseconds
+     * @return the age, in milliseconds
+     */
+    public long ageMillis(long nowMillis) {
         return nowMillis - confirmedMillis;
     }
 }
--- a/trailladder-core/src/main/java/io/trailladder/core/upstream/StreamVersions.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/upstream/StreamVersions.java
@@ -16,7 +16,6 @@
 package io.trailladder.core.upstream;
 
 import io.trailladder.core.rollout.VersionGate;
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -60,66 +59,21 @@
      */
     static final long SETTLE_MILLIS = 3_000;
 
-    private static final int MAX_RECORDED_PLANS = 60;
-
-    /** Gap in the numbers of plans after one was lost, so that others do not take it for known. */
-    private static final long SERIES_GAP = 1_000;
-
-    /** Largest plausible difference between the numbers of two plans in use. */
-    private static final long MAX_NUMBER_GAP = 1_000_000;
-
-    /** How long the changes of a new plan are told, in milliseconds: several digests. */
-    private static final long PLAN_TOLD_MILLIS = 1_000;
-
-    private static final long NEVER_MILLIS = Long.MIN_VALUE / 2;
-
     /** Time between two ticks from which this process was frozen, in milliseconds. */
     private static final long FROZEN_MILLIS = 1_000;
 
     private final UpstreamDirectory directory;
     private final VersionGate versions;
     private final VersionPlanner planner;
-    private final long startedMillis;
-    private final KnownPlans plans = new KnownPlans();
+    private final BegunStreams begun = new BegunStreams();
     private final PlanUse use = new PlanUse();
+    private final SharedPlans plans;
+    private final RecordedVersions record;
+    private final ListFreshness list;
     private final Map<String, VersionGaps> gaps = new HashMap<>();
-    private final BegunStreams begun = new BegunStreams();
-    private final ListFreshness freshness;
-    private Earlier earlier = Earlier.UNKNOWN;
-
-    /** Whether the next plan must not continue the ones before. */
-    private boolean newSeries;
-
-    /** The newest plan that a process may have used that has ended. */
-    private long endedNumber;
-
-    /** The newest plan of which another process told. */
-    private long newestNumber;
-
-    /** Since when this process does not know it, in milliseconds. */
-    private long lackingMillis = NEVER_MILLIS;
-
-    /** When the current plan became known, in milliseconds. */
-    private long adoptedMillis = NEVER_MILLIS;
-
-    /** When a peer was linked last, in milliseconds. */
-    private long linkedMillis = NEVER_MILLIS;
-
-    /** When the record was last read, in milliseconds. */
-    private long readMillis = NEVER_MILLIS;
-
-    /** Until when processes may have ended without being missed, in milliseconds. */
-    private long lostMillis;
-
+    private final long startedMillis;
     private long tickedMillis;
 
-    /** What is known of the versions that served before this process started. */
-    private enum Earlier {
-        UNKNOWN,
-        NOT_RECORDED,
-        RECORDED
-    }
-
     /**
      * Creates an instance that knows of no streams.
      *
@@ -132,184 +86,39 @@
             String own, UpstreamDirectory directory, VersionGate versions, long startedMillis) {
         this.directory = directory;
         this.versions = versions;
-        this.planner = new VersionPlanner(directory, versions);
+        planner = new VersionPlanner(directory, versions);
+        plans = new SharedPlans(versions, planner, begun, use);
+        record = new RecordedVersions(versions, plans, begun, use, startedMillis);
+        list = new ListFreshness(own, startedMillis);
         this.startedMillis = startedMillis;
-        this.tickedMillis = startedMillis;
-        this.lostMillis = startedMillis + SETTLE_MILLIS;
-        this.freshness = new ListFreshness(own, startedMillis);
+        tickedMillis = startedMillis;
     }
 
     /**
-     * Records what the store tells: at the start, and whenever the record is read again.
+     * Returns the plans by which processes assign streams.
      *
-     * @param record the record
-     * @param times how long it counts
-     * @param beganMillis when the read began, in milliseconds
-     * @param nowMillis the current time, in milliseconds
+     * @return the plans
      */
-    public void recordRead(
-            VersionRecord record, RecordTimes times, long beganMillis, long nowMillis) {
-        if (earlier == Earlier.UNKNOWN && !record.plans().isEmpty()) {
-            use.usedBefore(record.oldestNumber(), times.plans(), record.silentNumber(), nowMillis);
-            admitAsPlanned(record.plans());
-        }
-        earlier = Earlier.RECORDED;
-        boolean firstSinceLoss = readMillis < lostMillis;
-        readMillis = beganMillis;
-        begun.recordedBefore(record.streams(), times.streams(), nowMillis);
-        recorded(record, nowMillis);
-        if (firstSinceLoss) {
-            endedNumber = plans.current().number();
-        }
-    }
-
-    /** Has versions that are not planned yet wait as long as at processes that ran before. */
-    private void admitAsPlanned(List<VersionPlan> recorded) {
-        VersionPlan latest = recorded.get(recorded.size() - 1);
-        for (String service : latest.slots().keySet()) {
-            Map<String, Long> admitted = new HashMap<>();
-            long listedMillis = startedMillis - VersionGate.UNORDERED_VERSION_DELAY_MILLIS;
-            latest.versions(service).forEach(version -> admitted.put(version, listedMillis));
-            if (!admitted.isEmpty()) {
-                versions.listedBefore(service, admitted, startedMillis);
-            }
-        }
+    public SharedPlans plans() {
+        return plans;
     }
 
     /**
-     * Records that the store has no record. Only the upstreams that are listed, or leave, are then
-     * known.
+     * Returns what is recorded in the store of the versions of streams.
      *
-     * @param beganMillis when the read began, in milliseconds
+     * @return the record
      */
-    public void nothingRecorded(long beganMillis) {
-        if (earlier == Earlier.UNKNOWN) {
-            earlier = Earlier.NOT_RECORDED;
-        }
-        readMillis = beganMillis;
-    }
-
-    /** Records that the store has lost its latest writes, plans among them. */
-    public void historyReplaced() {
-        newSeries = true;
-    }
-
-    /** Returns whether this process knows which streams of earlier processes may be resumed. */
-    private boolean isEarlierKnown(long nowMillis) {
-        return earlier != Earlier.UNKNOWN || nowMillis - startedMillis > MAX_AGE_MILLIS;
+    public RecordedVersions record() {
+        return record;
     }
 
     /**
-     * Returns how long what the leader records still counts.
+     * Returns until when the list of upstreams is current.
      *
-     * @param nowMillis the current time, in milliseconds
-     * @return the times
+     * @return what is known of it
      */
-    public RecordTimes recordTimes(long nowMillis) {
-        Map<Long, Long> left = use.leftMillis(plans.current().number(), nowMillis);
-        if (!begun.isRecordComplete(nowMillis)) {
-            left.put(0L, MAX_AGE_MILLIS);
-        }
-        return new RecordTimes(left, begun.leftMillis(nowMillis));
-    }
-
-    /**
-     * Returns how often the streams that must be recorded have changed.
-     *
-     * @return a count
-     */
-    public long recordChanges() {
-        return begun.changes();
-    }
-
-    /**
-     * Returns what the leader must record.
-     *
-     * @param nowMillis the current time, in milliseconds
-     * @return the record, with a new plan if one is needed; empty if this process does not know the
-     *     latest plan
-     */
-    public Optional<VersionRecord> toRecord(long nowMillis) {
-        boolean lost = lacksPlan() && nowMillis - lackingMillis > MAX_AGE_MILLIS;
-        if (!isEarlierKnown(nowMillis) || (lacksPlan() && !lost)) {
-            return Optional.empty();
-        }
-        long oldest = begun.isRecordComplete(nowMillis) ? oldestNumber() : 0;
-        List<VersionPlan> recorded = new ArrayList<>(plans.latest(oldest, MAX_RECORDED_PLANS));
-        VersionPlan current = plans.current();
-        if (lost || newSeries) {
-            current = new VersionPlan(newestPlanNumber() + SERIES_GAP, Map.of());
-            recorded.clear();
-        }
-        VersionPlan next = planner.next(current, nowMillis);
-        if (next.number() > current.number()) {
-            recorded.add(next);
-        }
-        return recorded.isEmpty()
-                ? Optional.empty()
-                : Optional.of(
-                        new VersionRecord(oldest, recorded, use.silentNumber(), begun.toRecord()));
-    }
-
-    /**
-     * Records that the store has a record, so that its latest plan may be used.
-     *
-     * @param record the record
-     * @param nowMillis the current time, in milliseconds
-     */
-    public void recorded(VersionRecord record, long nowMillis) {
-        long before = plans.current().number();
-        plans.addAll(record.plans());
-        if (plans.current().number() > before) {
-            adopted(nowMillis);
-        }
-    }
-
-    /** Tells others of the streams that the new plan assigns to another version. */
-    private void adopted(long nowMillis) {
-        VersionPlan plan = plans.current();
-        adoptedMillis = nowMillis;
-        newSeries = false;
-        planner.planned(nowMillis);
-        plan.slots()
-                .forEach((service, slots) -> versions.admit(service, slots.keySet(), nowMillis));
-        begun.tell(stream -> !isAssigned(plan, stream.call(), stream.version()), nowMillis);
-    }
-
-    private static boolean isAssigned(VersionPlan plan, StreamCall call, String version) {
-        return plan.assigned(call.service(), call.attempt()).equals(Optional.of(version));
-    }
-
-    /**
-     * Returns the plan by which this process assigns streams.
-     *
-     * @return the plan; {@link VersionPlan#NONE} if it has none
-     */
-    public VersionPlan plan() {
-        return plans.current();
-    }
-
-    /**
-     * Returns what others may lack of the current plan.
-     *
-     * @param nowMillis the current time, in milliseconds
-     * @return the whole plan after a peer has been linked, its changes while it is new; empty if
-     *     there is nothing to tell
-     */
-    public Optional<PlanNews> planNews(long nowMillis) {
-        List<VersionPlan> known = plans.latest(1, 2);
-        if (known.isEmpty() || lacksPlan()) {
-            return Optional.empty();
-        }
-        VersionPlan current = plans.current();
-        if (nowMillis - linkedMillis <= PLAN_TOLD_MILLIS) {
-            return Optional.of(new PlanNews(0, current.slots()));
-        }
-        boolean isNew = nowMillis - adoptedMillis <= PLAN_TOLD_MILLIS;
-        return isNew && known.size() > 1
-                ? Optional.of(
-                        new PlanNews(known.get(0).number(), current.changesSince(known.get(0))))
-                : Optional.empty();
+    public ListFreshness list() {
+        return list;
     }
 
     /**
@@ -321,53 +130,6 @@
         use.heard(peer, true);
     }
 
-    /**
-     * Records that a process tells of a plan.
-     *
-     * @param number its number
-     * @param news what the process tells of it
-     * @param nowMillis the current time, in milliseconds
-     */
-    public void planTold(long number, Optional<PlanNews> news, long nowMillis) {
-        VersionPlan current = plans.current();
-        if (number - current.number() > MAX_NUMBER_GAP) {
-            return;
-        }
-        if (number > newestNumber) {
-            newestNumber = number;
-            lackingMillis = nowMillis;
-        }
-        if (news.isEmpty() || number <= current.number()) {
-            return;
-        }
-        if (news.get().baseNumber() == 0) {
-            plans.add(new VersionPlan(number, news.get().changes()));
-            adopted(nowMillis);
-        } else if (news.get().baseNumber() == current.number()) {
-            plans.add(current.next(news.get().changes()));
-            adopted(nowMillis);
-        }
-    }
-
-    /**
-     * Returns the number of the latest plan that is known to be in use.
-     *
-     * @return the number
-     */
-    public long newestPlanNumber() {
-        return Math.max(newestNumber, plans.current().number());
-    }
-
-    /**
-     * Returns whether other processes use a plan that this one does not know, so that it must read
-     * the record.
-     *
-     * @return true until the record was read
-     */
-    public boolean lacksPlan() {
-        return newestNumber > plans.current().number();
-    }
-
     /**
      * Returns the number of the oldest plan by which this process and some others assign streams,
      * or did before they ended. To be stated after all {@linkplain #takeNews news} have been told.
@@ -381,7 +143,7 @@
      */
     public long usedNumber(Collection<String> peers, boolean speaksForOthers, long nowMillis) {
         long own = plans.current().number();
-        if (own == 0 && earlier != Earlier.NOT_RECORDED) {
+        if (own == 0 && !record.isFirst()) {
             return NO_STATEMENT;
         }
         if (begun.isAnyForgotten(nowMillis)) {
@@ -412,7 +174,7 @@
      */
     public void peerRemoved(String peer, long nowMillis) {
         if (use.removed(peer, nowMillis)) {
-            lostMillis = Math.max(lostMillis, nowMillis);
+            record.processLost(nowMillis);
         }
     }
 
@@ -425,44 +187,10 @@
     public void peersListed(Collection<String> peers, long nowMillis) {
         use.listed(peers, plans.current().number(), nowMillis);
         if (!use.isAnySilent()) {
-            lostMillis = Math.min(lostMillis, nowMillis);
+            record.noneLost(nowMillis);
         }
     }
 
-    private long oldestNumber() {
-        return use.oldest(plans.current().number());
-    }
-
-    /**
-     * Records that the list of upstreams was shown to be current.
-     *
-     * @param atMillis when, in milliseconds
-     */
-    public void listConfirmed(long atMillis) {
-        freshness.confirmed(atMillis);
-    }
-
-    /**
-     * Returns how long ago the list of upstreams was last shown to be current.
-     *
-     * @param nowMillis the current time, in milliseconds
-     * @return the age, in milliseconds
-     */
-    public long listAgeMillis(long nowMillis) {
-        return freshness.ageMillis(nowMillis);
-    }
-
-    /**
-     * Returns until when the list of upstreams is known to be the one that all processes use.
-     *
-     * @param nowMillis the current time, in milliseconds
-     * @return the time, in milliseconds; at the latest now
-     */
-    public long listCurrentUntilMillis(long nowMillis) {
-        // a process that has no list yet does not serve by an old one
-        return freshness.isEverConfirmed() ? freshness.currentUntilMillis(nowMillis) : nowMillis;
-    }
-
     /**
      * Describes by what a stream is not resumed, for a log line.
      *
@@ -471,15 +199,11 @@
      * @return the plans that may be in use and the versions that they assign
      */
     public String describe(StreamCall call, long nowMillis) {
-        long oldest = oldestNumber();
-        return "plans %d to %d in use%s; versions %s, listed %s; record read %d ms ago"
+        return "%s, listed %s; record read %d ms ago"
                 .formatted(
-                        oldest,
-                        plans.current().number(),
-                        plans.isComplete(oldest) ? "" : ", some not known",
-                        plans.versions(call.service(), oldest),
+                        plans.describe(call.service()),
                         listedVersions(call.service()),
-                        readMillis == NEVER_MILLIS ? -1 : nowMillis - readMillis);
+                        record.ageMillis(nowMillis));
     }
 
     /**
@@ -491,51 +215,7 @@
      */
     public void peerSilent(String peer, long sinceMillis) {
         use.silent(peer, plans.current().number(), sinceMillis);
-        freshness.peerSilent(peer, sinceMillis);
-    }
-
-    /**
-     * Records that a peer tells that another one is silent. It is over when no peer tells it any
-     * more.
-     *
-     * @param peer the silent peer's name
-     * @param sinceMillis when the silent peer last sent something, in milliseconds
-     * @param nowMillis the current time, in milliseconds
-     */
-    public void learnedSilence(String peer, long sinceMillis, long nowMillis) {
-        freshness.learnedSilence(peer, sinceMillis, nowMillis);
-    }
-
-    /**
-     * Records that a peer tells that its list of upstreams may be outdated.
-     *
-     * @param peer the peer's name
-     * @param sinceMillis since when, in milliseconds
-     * @param nowMillis the current time, in milliseconds
-     */
-    public void peerOutdated(String peer, long sinceMillis, long nowMillis) {
-        freshness.peerOutdated(peer, sinceMillis, nowMillis);
-    }
-
-    /**
-     * Records that the process that forwards the list of upstreams to this one may lack changes.
-     *
-     * @param currentUntilMillis until when its list is known to be current, in milliseconds
-     * @param nowMillis the current time, in milliseconds
-     */
-    public void feederOutdated(long currentUntilMillis, long nowMillis) {
-        freshness.feederOutdated(currentUntilMillis, nowMillis);
-    }
-
-    /**
-     * Returns since when each peer has been silent that may still serve callers. Processes that
-     * start must be told of them.
-     *
-     * @param nowMillis the current time, in milliseconds
-     * @return the times by peer, in milliseconds
-     */
-    public Map<String, Long> silences(long nowMillis) {
-        return freshness.silences(nowMillis);
+        list.peerSilent(peer, sinceMillis);
     }
 
     /**
@@ -545,9 +225,9 @@
      * @param nowMillis the current time, in milliseconds
      */
     public void peerLinked(String peer, long nowMillis) {
-        linkedMillis = nowMillis;
+        plans.linked(nowMillis);
         // it may have restarted, so that its earlier streams are those of a process that has ended
-        lostMillis = Math.max(lostMillis, nowMillis);
+        record.processLost(nowMillis);
         use.linked(peer, plans.current().number(), nowMillis);
     }
 
@@ -559,7 +239,7 @@
      */
     public void peerHeard(String peer, long nowMillis) {
         use.heard(peer, false);
-        freshness.peerHeard(peer, nowMillis);
+        list.peerHeard(peer, nowMillis);
     }
 
     /**
@@ -575,12 +255,10 @@
         if (planner.isChosenByRollout(service, nowMillis)) {
             return StreamOrigin.ANY;
         }
-        List<Upstream> serving = directory.serving(service);
-        if (VersionWeights.slots(serving).size() <= 1) {
+        if (VersionWeights.slots(directory.serving(service)).size() <= 1) {
             return StreamOrigin.ANY;
         }
-        Map<String, Integer> available =
-                VersionWeights.slots(versions.admitted(service, serving, false, nowMillis));
+        Map<String, Integer> available = available(service, nowMillis);
         return plans.current()
                 .assigned(service, call.attempt(), available.keySet())
                 .or(() -> VersionWeights.assigned(call.attempt(), available))
@@ -598,19 +276,22 @@
      */
     public boolean awaitsPlan(StreamCall call, long nowMillis) {
         String service = call.service();
-        List<Upstream> serving = directory.serving(service);
-        if (serving.isEmpty() || planner.isChosenByRollout(service, nowMillis)) {
+        if (directory.serving(service).isEmpty() || planner.isChosenByRollout(service, nowMillis)) {
             return false;
         }
-        Set<String> available =
-                VersionWeights.slots(versions.admitted(service, serving, false, nowMillis))
-                        .keySet();
+        Set<String> available = available(service, nowMillis).keySet();
         return plans.current()
                 .assigned(service, call.attempt())
                 .filter(version -> !available.contains(version))
                 .isPresent();
     }
 
+    /** Returns the slots of the versions of a service at which new streams may begin. */
+    private Map<String, Integer> available(String service, long nowMillis) {
+        List<Upstream> serving = directory.serving(service);
+        return VersionWeights.slots(versions.admitted(service, serving, false, nowMillis));
+    }
+
     /**
      * Records that this process sends a stream to an upstream. Its version is final with the first
      * event.
@@ -644,9 +325,8 @@
     /** Returns whether a process that is not told of a stream knows its version. */
     private boolean isKnownFromPlans(StreamCall call, String version) {
         return plans.current().number() == 0
-                ? earlier == Earlier.NOT_RECORDED && !hasSeveralVersions(call.service())
-                : plans.assigned(call, oldestNumber(), plans.current().number())
-                        .equals(Optional.of(version));
+                ? record.isFirst() && !hasSeveralVersions(call.service())
+                : plans.assigned(call, plans.current().number()).equals(Optional.of(version));
     }
 
     /**
@@ -658,7 +338,7 @@
      */
     public boolean hasSeveralVersions(String service) {
         Set<String> known = listedVersions(service);
-        known.addAll(plans.versions(service, oldestNumber()));
+        known.addAll(plans.versions(service));
         return known.size() > 1;
     }
 
@@ -778,10 +458,10 @@
         if (recorded.isPresent()) {
             return recorded.get();
         }
-        if (!isEarlierKnown(nowMillis)) {
+        if (!record.isEarlierKnown(nowMillis)) {
             return StreamOrigin.UNKNOWN;
         }
-        if (lacksPlan()) {
+        if (plans.isOutdated()) {
             return StreamOrigin.OUTDATED;
         }
         boolean asked = inquiry.answered() || inquiry.recordRead();
@@ -789,7 +469,7 @@
             return StreamOrigin.ANY;
         }
         boolean everywhere = inquiry.answered() && inquiry.everywhere();
-        if (!inquiry.recordRead() && !(everywhere && isRecordCurrent())) {
+        if (!inquiry.recordRead() && !(everywhere && record.isCurrent())) {
             return StreamOrigin.OUTDATED;
         }
         boolean isNotFinal = begun.isNotFinal(hash(call));
@@ -797,31 +477,24 @@
             return StreamOrigin.UNKNOWN;
         }
         // a stream that nobody knows who was asked began at a process that has ended
-        boolean ended = everywhere && isRecordCurrent() && !use.isAnySilent();
-        long oldest = oldestNumber();
-        long newest = plans.current().number();
-        return plans.assigned(call, oldest, ended ? Math.max(oldest, endedNumber) : newest)
+        boolean ended = everywhere && record.isCurrent() && !use.isAnySilent();
+        return plans.assigned(call, ended ? record.endedNumber() : plans.current().number())
                 .filter(version -> !gapsOf(call.service()).wasGone(version))
                 .map(StreamOrigin::computed)
                 .orElse(StreamOrigin.UNKNOWN);
     }
 
     private boolean isUnsettled(long nowMillis) {
-        return earlier == Earlier.NOT_RECORDED
+        return record.isFirst()
                 && plans.current().number() == 0
                 && nowMillis - startedMillis < SETTLE_MILLIS;
     }
 
-    /** Returns whether no process can have ended since the record was read. */
-    private boolean isRecordCurrent() {
-        return readMillis >= lostMillis;
-    }
-
     private boolean isOnlyVersion(String service, long nowMillis) {
         return !hasSeveralVersions(service)
                 && !gapsOf(service).hasAny()
-                && freshness.isEverConfirmed()
-                && freshness.currentUntilMillis(nowMillis) >= nowMillis;
+                && list.isEverConfirmed()
+                && list.currentUntilMillis(nowMillis) >= nowMillis;
     }
 
     private VersionGaps gapsOf(String service) {
@@ -836,13 +509,13 @@
      */
     public void tick(long nowMillis) {
         if (nowMillis - tickedMillis > FROZEN_MILLIS) {
-            lostMillis = Math.max(lostMillis, nowMillis);
+            record.processLost(nowMillis);
         }
         tickedMillis = nowMillis;
-        freshness.tick(nowMillis);
+        list.tick(nowMillis);
         begun.tick(nowMillis);
         use.prune(nowMillis);
-        plans.prune(oldestNumber());
+        plans.prune();
         gaps.keySet().retainAll(directory.services());
         for (String service : directory.services()) {
             Set<String> serving = VersionWeights.slots(directory.serving(service)).keySet();
--- a/trailladder-core/src/test/java/io/trailladder/core/upstream/SimulatedStreams.java
+++ b/trailladder-core/src/test/java/io/trailladder/core/upstream/SimulatedStreams.java
@@ -162,8 +162,8 @@
         private boolean readRecord() {
             if (reachesStore()) {
                 record.ifPresentOrElse(
-                        earlier -> versions.recordRead(earlier, recordTimes, now, now),
-                        () -> versions.nothingRecorded(now));
+                        earlier -> versions.record().read(earlier, recordTimes, now, now),
+                        () -> versions.record().nothingRead(now));
                 revision = recordRevision;
             }
             return reachesStore();
@@ -178,7 +178,7 @@
                 registeredMillis = now;
             }
             if (isRunning() && reachesStore() && now > currentFromMillis) {
-                versions.listConfirmed(now);
+                versions.list().confirmed(now);
             }
         }
 
@@ -189,7 +189,7 @@
 
         /** Returns the plan by which this process assigns streams. */
         long plan() {
-            return versions.plan().number();
+            return versions.plans().current().number();
         }
 
         private long startedMillis() {
@@ -301,17 +301,21 @@
                     StreamVersions versions = receiver.versions;
                     receiver.listed = true;
                     versions.peerHeard(name(sender), now);
-                    versions.planTold(own.plan().number(), own.planNews(now), now);
+                    versions.plans()
+                            .told(own.plans().current().number(), own.plans().news(now), now);
                     versions.planUsed(name(sender), used, now);
-                    own.silences(now)
-                            .forEach((peer, since) -> versions.learnedSilence(peer, since, now));
+                    own.list()
+                            .silences(now)
+                            .forEach(
+                                    (peer, since) ->
+                                            versions.list().learnedSilence(peer, since, now));
                 }
             }
         }
         for (Gateway process : processes) {
             if (process.isRunning() && process.reachesStore()) {
                 process.versions.peersListed(othersOf(process), now);
-                if (process.versions.lacksPlan()) {
+                if (process.versions.plans().isOutdated()) {
                     process.readRecord();
                 }
             }
@@ -375,12 +379,12 @@
             process.readRecord();
             return;
         }
-        Optional<VersionRecord> next = process.versions.toRecord(now);
+        Optional<VersionRecord> next = process.versions.record().next(now);
         if (next.isPresent() && !next.equals(record)) {
             record = next;
-            recordTimes = process.versions.recordTimes(now);
+            recordTimes = process.versions.record().times(now);
             process.revision = ++recordRevision;
-            process.versions.recorded(next.get(), now);
+            process.versions.record().written(next.get(), now);
         }
     }
 
@@ -457,8 +461,8 @@
                 peer.versions
                         .recorded(hash)
                         .ifPresent(version -> process.versions.learned(hash, version));
-                long plan = peer.versions.plan().number();
-                process.versions.planTold(plan, Optional.empty(), now);
+                long plan = peer.versions.plans().current().number();
+                process.versions.plans().told(plan, Optional.empty(), now);
             } else {
                 all &= peer == process || !process.lists(peer);
             }
--- a/trailladder-core/src/test/java/io/trailladder/core/upstream/StreamPlansTest.java
+++ b/trailladder-core/src/test/java/io/trailladder/core/upstream/StreamPlansTest.java
@@ -45,7 +45,7 @@
     }
 
     private static void read(StreamVersions streams, VersionRecord record, long nowMillis) {
-        streams.recordRead(record, RecordTimes.longest(record), nowMillis, nowMillis);
+        streams.record().read(record, RecordTimes.longest(record), nowMillis, nowMillis);
     }
 
     private void list(String id, String version) {
@@ -56,7 +56,7 @@
         StreamVersions streams = new StreamVersions(name, directory, new VersionGate(), 0);
         read(streams, record(ONE), 0);
         for (long tick = 0; tick <= T; tick += 200) {
-            streams.listConfirmed(tick);
+            streams.list().confirmed(tick);
             streams.tick(tick);
         }
         return streams;
@@ -90,7 +90,7 @@
         list("u2", "v2");
         VersionPlan next = two(8, 8);
         for (StreamVersions each : List.of(leaf, hub, other)) {
-            each.recorded(record(ONE, next), T + 100);
+            each.record().written(record(ONE, next), T + 100);
         }
         for (StreamRecord stream : leaf.takeNews()) {
             if (hub.learned(stream, T + 110)) {
@@ -101,7 +101,7 @@
         other.planUsed("hub", hub.usedNumber(List.of("leaf"), true, T + 200), T);
         long now = T + 2_100;
         other.peerRemoved("hub", now);
-        read(other, other.toRecord(now).orElseThrow(), now);
+        read(other, other.record().next(now).orElseThrow(), now);
         int joined = 0;
         for (int i = 0; i < 40; i++) {
             joined +=
@@ -138,7 +138,7 @@
         }
         list("u2", "v2");
         VersionPlan next = new VersionPlan(2, Map.of("m", Map.of("v2", 1)));
-        own.recorded(record(ONE, next), T + 100);
+        own.record().written(record(ONE, next), T + 100);
         assertEquals(600, own.takeNews().size(), "told before plan 2 is stated");
         assertEquals(2, own.usedNumber(List.of(), false, T + 100));
     }
@@ -169,7 +169,7 @@
         list("u2", "v2");
         VersionPlan next = two(95, 5);
         long begun = T + 6_000;
-        own.recorded(record(ONE, next), begun);
+        own.record().written(record(ONE, next), begun);
         Set<Long> told = new HashSet<>();
         own.takeNews().forEach(each -> told.add(each.attempt()));
         long stated = own.usedNumber(List.of(), false, begun);
@@ -199,7 +199,7 @@
         for (int i = 2; i < 20_002; i++) {
             own.learned(StreamVersions.hash(call(i)), "v2");
         }
-        own.listConfirmed(now + 5_000);
+        own.list().confirmed(now + 5_000);
         assertNotEquals(Optional.of("v2"), own.computed(call(1), ASKED, now + 5_000).required());
     }
 
@@ -209,15 +209,15 @@
         list("u1", "v1");
         list("u2", "v2");
         StreamVersions own = process("own");
-        own.planTold(Long.MAX_VALUE, Optional.empty(), T);
+        own.plans().told(Long.MAX_VALUE, Optional.empty(), T);
         long now = T + 60_000;
         for (long tick = T; tick <= now; tick += 200) {
-            own.listConfirmed(tick);
+            own.list().confirmed(tick);
             own.tick(tick);
         }
-        assertTrue(own.toRecord(now).isPresent(), "no plan is made");
-        own.recorded(own.toRecord(now).orElseThrow(), now);
-        assertFalse(own.lacksPlan());
+        assertTrue(own.record().next(now).isPresent(), "no plan is made");
+        own.record().written(own.record().next(now).orElseThrow(), now);
+        assertFalse(own.plans().isOutdated());
     }
 
     /** Guards against two plans of one number after the store has lost its last writes. */
@@ -227,20 +227,20 @@
         list("u2", "v2");
         StreamVersions one = process("one");
         StreamVersions other = process("other");
-        one.recorded(record(ONE, two(8, 1)), T);
-        other.recorded(record(ONE, two(1, 8)), T);
+        one.record().written(record(ONE, two(8, 1)), T);
+        other.record().written(record(ONE, two(1, 8)), T);
         one.peerLinked("other", T);
         other.peerLinked("one", T);
-        other.planTold(one.newestPlanNumber(), one.planNews(T + 1), T + 1);
-        one.planTold(other.newestPlanNumber(), other.planNews(T + 1), T + 1);
-        one.historyReplaced();
-        other.historyReplaced();
-        VersionRecord next = other.toRecord(T + 10).orElseThrow();
-        other.recorded(next, T + 10);
-        one.planTold(other.plan().number(), Optional.empty(), T + 20);
-        assertTrue(one.lacksPlan());
+        other.plans().told(one.plans().current().number(), one.plans().news(T + 1), T + 1);
+        one.plans().told(other.plans().current().number(), other.plans().news(T + 1), T + 1);
+        one.record().storeReplaced();
+        other.record().storeReplaced();
+        VersionRecord next = other.record().next(T + 10).orElseThrow();
+        other.record().written(next, T + 10);
+        one.plans().told(other.plans().current().number(), Optional.empty(), T + 20);
+        assertTrue(one.plans().isOutdated());
         read(one, next, T + 30);
-        assertEquals(other.plan(), one.plan());
+        assertEquals(other.plans().current(), one.plans().current());
         StreamOrigin origin = one.computed(call(1), ASKED, T + 40);
         assertEquals(StreamOrigin.Source.UNKNOWN, origin.source());
     }
@@ -250,8 +250,8 @@
     void noVersionIsTheOnlyOneWhileAPlanIsLacking() {
         list("u1", "v1");
         StreamVersions own = process("own");
-        own.planTold(2, Optional.empty(), T);
-        own.listConfirmed(T);
+        own.plans().told(2, Optional.empty(), T);
+        own.list().confirmed(T);
         assertNotEquals(
                 StreamOrigin.Source.ONE_VERSION,
                 own.computed(call(1), new StreamInquiry(true, true, false), T).source());
@@ -350,7 +350,7 @@
             own.tick(tick);
         }
         VersionPlan next = new VersionPlan(2, Map.of("m", Map.of("v2", 1)));
-        own.recorded(record(ONE, next), now);
+        own.record().written(record(ONE, next), now);
         assertEquals(40, own.takeNews().size());
     }
 
@@ -363,7 +363,7 @@
             StreamRecord stream = new StreamRecord(StreamVersions.hash(call(i)), "v9", 0);
             leader.learned(stream, T);
         }
-        VersionRecord recorded = leader.toRecord(T).orElseThrow();
+        VersionRecord recorded = leader.record().next(T).orElseThrow();
         list("u2", "v9");
         StreamVersions reader = new StreamVersions("r", directory, new VersionGate(), T + 1_000);
         read(reader, recorded, T + 1_000);
@@ -432,7 +432,7 @@
         own.peersListed(List.of("p"), T);
         own.peerLinked("q", T);
         read(own, record(two(8, 8)), T + 20);
-        own.listConfirmed(T + 100);
+        own.list().confirmed(T + 100);
         StreamOrigin origin = own.computed(call(1), ASKED, T + 100);
         assertEquals(StreamOrigin.Source.COMPUTED, origin.source());
     }
@@ -444,11 +444,11 @@
         list("u2", "v2");
         StreamVersions started = new StreamVersions("p", directory, new VersionGate(), T);
         StreamVersions own = process("own");
-        own.recorded(record(ONE, two(8, 8)), T);
+        own.record().written(record(ONE, two(8, 8)), T);
         own.peerLinked("p", T);
         own.planUsed("p", started.usedNumber(List.of(), false, T), T);
-        assertEquals(2, own.toRecord(T + 100).orElseThrow().oldestNumber());
-        started.nothingRecorded(T);
+        assertEquals(2, own.record().next(T + 100).orElseThrow().oldestNumber());
+        started.record().nothingRead(T);
         assertEquals(0, started.usedNumber(List.of(), false, T));
     }
 
@@ -461,9 +461,9 @@
         list("u2", "v2");
         StreamVersions own = new StreamVersions("own", directory, new VersionGate(), T);
         VersionRecord record = new VersionRecord(0, List.of(two(8, 8)), PlanUse.NONE, Map.of());
-        own.recordRead(record, new RecordTimes(Map.of(2L, 20_000L), Map.of()), T, T);
+        own.record().read(record, new RecordTimes(Map.of(2L, 20_000L), Map.of()), T, T);
         own.tick(T);
-        own.listConfirmed(T + 100);
+        own.list().confirmed(T + 100);
         StreamOrigin origin = own.computed(call(1), ASKED, T + 100);
         assertEquals(StreamOrigin.Source.COMPUTED, origin.source());
     }
--- a/trailladder-core/src/test/java/io/trailladder/core/upstream/StreamRolloutTest.java
+++ b/trailladder-core/src/test/java/io/trailladder/core/upstream/StreamRolloutTest.java
@@ -56,13 +56,13 @@
     private static final StreamCall CALL = new StreamCall("s", "a1");
 
     private static void record(StreamVersions streams, long nowMillis) {
-        streams.recorded(streams.toRecord(nowMillis).orElseThrow(), nowMillis);
+        streams.record().written(streams.record().next(nowMillis).orElseThrow(), nowMillis);
     }
 
     /** Returns the origin at a process that has run, with a current list, until then. */
     private static StreamOrigin originAt(StreamVersions streams, long nowMillis) {
         streams.tick(nowMillis);
-        streams.listConfirmed(nowMillis);
+        streams.list().confirmed(nowMillis);
         return streams.computed(CALL, new StreamInquiry(true, true, true), nowMillis);
     }
 
@@ -74,7 +74,7 @@
     @Example
     void aStreamThatNobodyToldOfIsNotResumedDuringARollout() {
         StreamVersions streams = processDuringARollout(STARTED);
-        streams.nothingRecorded(NOW - 1_000);
+        streams.record().nothingRead(NOW - 1_000);
         record(streams, NOW - 1_000);
         assertEquals(Source.UNKNOWN, origin(streams, NOW));
         streams.learned(new StreamRecord(StreamVersions.hash(CALL), "v1", 100), NOW);
@@ -89,9 +89,9 @@
         gate.begin(rollout);
         StreamVersions streams = new StreamVersions("own", directory, gate, NOW - 5_000);
         StreamVersions earlier = processDuringARollout(STARTED);
-        earlier.nothingRecorded(STARTED);
-        VersionRecord record = earlier.toRecord(NOW - 5_000).orElseThrow();
-        streams.recordRead(record, RecordTimes.longest(record), NOW - 5_000, NOW - 5_000);
+        earlier.record().nothingRead(STARTED);
+        VersionRecord record = earlier.record().next(NOW - 5_000).orElseThrow();
+        streams.record().read(record, RecordTimes.longest(record), NOW - 5_000, NOW - 5_000);
         assertEquals(Source.UNKNOWN, origin(streams, NOW));
     }
 
@@ -99,7 +99,7 @@
     @Example
     void streamsAreResumedAfterARollbackThoughBothVersionsAreListed() {
         StreamVersions streams = processDuringARollout(STARTED);
-        streams.nothingRecorded(NOW - 1_000);
+        streams.record().nothingRead(NOW - 1_000);
         record(streams, NOW - 1_000);
         rollout.recorded(new RolloutStatus("s", "v2", State.ROLLED_BACK, 8), NOW);
         streams.tick(NOW);
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
@@ -343,7 +343,7 @@
                 new StreamExchange(
                         loop::nowMillis, loop::schedule, streams, streamPeers, versionRecord::read);
         view.streams(streamExchange, streamTelling);
-        storeHealth.history().onReplaced(streams::historyReplaced);
+        storeHealth.history().onReplaced(streams.record()::storeReplaced);
         ServingContext context =
                 new ServingContext(
                         loop,
@@ -709,12 +709,12 @@
 
     private void updateStreams() {
         long now = loop.nowMillis();
-        streams.listConfirmed(now - directoryManager.ageMillis());
+        streams.list().confirmed(now - directoryManager.ageMillis());
         if (mesh.isPlanned() && streamPeers.isFullMesh()) {
             streams.peersListed(streamPeers.needed(""), now);
         }
         streams.tick(now);
-        if (streams.lacksPlan() && now - planReadMillis >= PLAN_READ_INTERVAL_MILLIS) {
+        if (streams.plans().isOutdated() && now - planReadMillis >= PLAN_READ_INTERVAL_MILLIS) {
             planReadMillis = now;
             versionRecord.read(read -> {});
         }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestDriver.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestDriver.java
@@ -371,7 +371,7 @@
                         request.id(),
                         version.call(),
                         version.finding(),
-                        streams.listAgeMillis(now),
+                        streams.list().ageMillis(now),
                         request.deadlineMillis() - now,
                         streams.describe(version.call(), now)));
         boolean outdated = origin.source() == StreamOrigin.Source.OUTDATED;
@@ -428,7 +428,7 @@
                         selection.cachedTokens(),
                         selection.candidates(),
                         context.peersAgeMillis().getAsLong(),
-                        context.streams().listAgeMillis(now),
+                        context.streams().list().ageMillis(now),
                         history.lastEventId(),
                         upstream.version(),
                         origin.source()));
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/StreamBasisPart.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/StreamBasisPart.java
@@ -92,14 +92,15 @@
     @Override
     public Optional<DigestSection> write(DigestScope scope, List<String> peers, long nowMillis) {
         Map<String, Integer> silences = new HashMap<>();
-        streams.silences(nowMillis)
+        streams.list()
+                .silences(nowMillis)
                 .forEach((peer, since) -> silences.put(peer, age(since, nowMillis)));
-        int outdatedMillis = age(streams.listCurrentUntilMillis(nowMillis), nowMillis);
+        int outdatedMillis = age(streams.list().statedUntilMillis(nowMillis), nowMillis);
         telling.tellAll();
         ByteArrayOutputStream bytes = new ByteArrayOutputStream();
         try (DataOutputStream out = new DataOutputStream(bytes)) {
             out.writeLong(streams.usedNumber(peers, !telling.isFullMesh(), nowMillis));
-            out.writeLong(streams.plan().number());
+            out.writeLong(streams.plans().current().number());
             byte[] news = planNews(nowMillis);
             out.writeShort(news.length);
             out.write(news);
@@ -114,7 +115,7 @@
     /** Returns what is told of a plan that others may lack; nothing if it is too much. */
     private byte[] planNews(long nowMillis) throws IOException {
         ByteArrayOutputStream bytes = new ByteArrayOutputStream();
-        Optional<PlanNews> news = streams.planNews(nowMillis);
+        Optional<PlanNews> news = streams.plans().news(nowMillis);
         if (news.isPresent()) {
             DataOutputStream out = new DataOutputStream(bytes);
             out.writeLong(news.get().baseNumber());
@@ -154,7 +155,7 @@
         int outdatedMillis = in.readInt();
         Map<String, Integer> silences = read(in);
         long toldMillis = nowMillis - section.ageMillis();
-        streams.planTold(planNumber, news, nowMillis);
+        streams.plans().told(planNumber, news, nowMillis);
         streams.peerPlans(peer);
         if (planners.add(peer)) {
             telling.introduce(peer);
@@ -163,11 +164,12 @@
             streams.planUsed(peer, usedNumber, nowMillis);
         }
         silences.forEach(
-                (silent, age) -> streams.learnedSilence(silent, toldMillis - age, nowMillis));
+                (silent, age) ->
+                        streams.list().learnedSilence(silent, toldMillis - age, nowMillis));
         if (outdatedMillis > 0) {
-            streams.peerOutdated(peer, toldMillis - outdatedMillis, nowMillis);
+            streams.list().peerOutdated(peer, toldMillis - outdatedMillis, nowMillis);
             if (feeds.test(peer)) {
-                streams.feederOutdated(toldMillis - outdatedMillis, nowMillis);
+                streams.list().feederOutdated(toldMillis - outdatedMillis, nowMillis);
             }
         }
     }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/StreamExchange.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/StreamExchange.java
@@ -195,12 +195,12 @@
 
     private void reply(String peer, long stream, boolean complete) {
         Optional<String> version = streams.recorded(stream);
-        long plan = streams.plan().number();
+        long plan = streams.plans().current().number();
         peers.send(List.of(peer), new StreamReply(stream, version.orElse(""), plan, complete));
     }
 
     private void replyReceived(String peer, StreamReply reply) {
-        streams.planTold(reply.plan(), Optional.empty(), nowMillis.getAsLong());
+        streams.plans().told(reply.plan(), Optional.empty(), nowMillis.getAsLong());
         boolean known = !reply.version().isEmpty();
         if (known) {
             streams.learned(reply.stream(), reply.version());
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/VersionRecords.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/VersionRecords.java
@@ -89,29 +89,29 @@
     @Override
     public Optional<VersionRecord> current() {
         long now = nowMillis.getAsLong();
-        boolean due = now >= checkMillis || streams.recordChanges() != checkedChanges;
+        boolean due = now >= checkMillis || streams.record().changes() != checkedChanges;
         if (!due) {
             return Optional.empty();
         }
         checkMillis = now + PLAN_CHECK_INTERVAL_MILLIS;
-        Optional<VersionRecord> record = streams.toRecord(now);
+        Optional<VersionRecord> record = streams.record().next(now);
         if (record.isPresent() && now < nextMillis && !isNewPlan(record.get())) {
             return Optional.empty();
         }
-        checkedChanges = streams.recordChanges();
+        checkedChanges = streams.record().changes();
         return record;
     }
 
     private boolean isNewPlan(VersionRecord record) {
         int latest = record.plans().size() - 1;
-        return record.plans().get(latest).number() > streams.plan().number();
+        return record.plans().get(latest).number() > streams.plans().current().number();
     }
 
     @Override
     public void written(VersionRecord record) {
-        long before = streams.plan().number();
-        streams.recorded(record, nowMillis.getAsLong());
-        if (streams.plan().number() > before) {
+        long before = streams.plans().current().number();
+        streams.record().written(record, nowMillis.getAsLong());
+        if (streams.plans().current().number() > before) {
             checkMillis = nowMillis.getAsLong();
             onPlan.run();
         }
@@ -126,7 +126,7 @@
             out.writeLong(record.oldestNumber());
             out.writeLong(record.silentNumber());
             writePlans(record.plans(), out);
-            RecordTimes times = streams.recordTimes(nowMillis.getAsLong());
+            RecordTimes times = streams.record().times(nowMillis.getAsLong());
             out.writeShort(times.plans().size());
             for (Map.Entry<Long, Long> plan : times.plans().entrySet()) {
                 out.writeLong(plan.getKey());
@@ -184,7 +184,7 @@
     @Override
     public boolean read(Optional<byte[]> value) throws IOException {
         if (value.isEmpty()) {
-            streams.nothingRecorded(readBeganMillis);
+            streams.record().nothingRead(readBeganMillis);
             return true;
         }
         DataInputStream in = new DataInputStream(new ByteArrayInputStream(value.get()));
@@ -225,11 +225,12 @@
             recorded.put(stream, versions.get(version));
             left.put(stream, readLeft(in));
         }
-        streams.recordRead(
-                new VersionRecord(oldestNumber, plans, silentNumber, recorded),
-                new RecordTimes(held, left),
-                readBeganMillis,
-                nowMillis.getAsLong());
+        streams.record()
+                .read(
+                        new VersionRecord(oldestNumber, plans, silentNumber, recorded),
+                        new RecordTimes(held, left),
+                        readBeganMillis,
+                        nowMillis.getAsLong());
     }
 
     private static long readLeft(DataInputStream in) throws IOException {
--- a/trailladder-entry/src/test/java/io/trailladder/entry/gateway/OtherWritersRecordsProperties.java
+++ b/trailladder-entry/src/test/java/io/trailladder/entry/gateway/OtherWritersRecordsProperties.java
@@ -113,7 +113,7 @@
                 directory.changed(
                         new Upstream("w" + i, "m", "a", "w:1", 8, false, false, 0, "v" + i, 0, 0));
             }
-            streams.listConfirmed(NOW);
+            streams.list().confirmed(NOW);
             streams.tick(NOW);
             assertTrue(records.read(Optional.empty()));
             byte[] value = records.encode(records.current().orElseThrow());
--- a/trailladder-entry/src/test/java/io/trailladder/entry/gateway/StreamBasisPartTest.java
+++ b/trailladder-entry/src/test/java/io/trailladder/entry/gateway/StreamBasisPartTest.java
@@ -41,7 +41,7 @@
         StreamVersions streams =
                 new StreamVersions("own", new UpstreamDirectory(), new VersionGate(), 0);
         for (long tick = 0; tick <= NOW; tick += 200) {
-            streams.listConfirmed(tick);
+            streams.list().confirmed(tick);
             streams.tick(tick);
         }
         return streams;
@@ -66,8 +66,8 @@
         directory.changed(
                 new Upstream("w1", service, "a", "w:1", 8, false, false, 0, version, 0, 0));
         StreamVersions own = new StreamVersions("p", directory, new VersionGate(), NOW - 200);
-        own.nothingRecorded(NOW);
-        own.recorded(own.toRecord(NOW).orElseThrow(), NOW);
+        own.record().nothingRead(NOW);
+        own.record().written(own.record().next(NOW).orElseThrow(), NOW);
         return own;
     }
 
@@ -78,7 +78,7 @@
         part(own).linked("q", NOW);
         StreamVersions other = streams();
         part(other).received("p", write(own, NOW).orElseThrow(), NOW);
-        assertEquals(own.plan(), other.plan());
+        assertEquals(own.plans().current(), other.plans().current());
         assertEquals(1, other.usedNumber(List.of("p"), true, NOW));
     }
 
@@ -88,8 +88,8 @@
         StreamVersions own = withPlan("s", "v1");
         StreamVersions other = streams();
         part(other).received("p", write(own, NOW + 2_000).orElseThrow(), NOW + 2_000);
-        assertEquals(VersionPlan.NONE, other.plan());
-        assertTrue(other.lacksPlan());
+        assertEquals(VersionPlan.NONE, other.plans().current());
+        assertTrue(other.plans().isOutdated());
     }
 
     /** Guards against plans whose changes are larger than a section of a digest. */
@@ -101,7 +101,7 @@
         assertTrue(section.body().length <= DigestSection.MAX_BODY_BYTES);
         StreamVersions other = streams();
         part(other).received("p", section, NOW);
-        assertTrue(other.lacksPlan());
+        assertTrue(other.plans().isOutdated());
     }
 
     /** Guards against a process that does not know of one that was silent before its start. */
@@ -112,9 +112,9 @@
         StreamVersions other = streams();
         StreamBasisPart part = part(other);
         part.received("p", write(own, NOW).orElseThrow(), NOW);
-        assertEquals(Map.of("lost", NOW - 1_200), other.silences(NOW));
+        assertEquals(Map.of("lost", NOW - 1_200), other.list().silences(NOW));
         part.heard("lost", NOW);
-        assertEquals(Map.of(), other.silences(NOW));
+        assertEquals(Map.of(), other.list().silences(NOW));
     }
 
     /** Guards against leaves that trust the list of a hub that is cut off. */
@@ -128,9 +128,9 @@
             hub.tick(tick);
             leaf.tick(tick);
         }
-        leaf.listConfirmed(now);
+        leaf.list().confirmed(now);
         part(leaf).received("hub", write(hub, now).orElseThrow(), now);
-        assertEquals(NOW, leaf.listCurrentUntilMillis(now));
+        assertEquals(NOW, leaf.list().statedUntilMillis(now));
     }
 
     @Property(tries = 2_000, seed = "20261204")
@@ -139,8 +139,8 @@
         try {
             part(streams).received("p", new DigestSection("stream-basis", 2, 0, body), NOW);
         } catch (IOException e) {
-            assertEquals(VersionPlan.NONE, streams.plan());
-            assertTrue(streams.silences(NOW).isEmpty());
+            assertEquals(VersionPlan.NONE, streams.plans().current());
+            assertTrue(streams.list().silences(NOW).isEmpty());
         }
     }
 }
--- a/trailladder-entry/src/test/java/io/trailladder/entry/gateway/StreamExchangeTest.java
+++ b/trailladder-entry/src/test/java/io/trailladder/entry/gateway/StreamExchangeTest.java
@@ -60,9 +60,9 @@
     private StreamVersions process(String name) {
         StreamVersions streams = new StreamVersions(name, directory, new VersionGate(), 0);
         VersionRecord record = new VersionRecord(1, List.of(ONE), -1, Map.of());
-        streams.recordRead(record, RecordTimes.longest(record), 4_000, 4_000);
+        streams.record().read(record, RecordTimes.longest(record), 4_000, 4_000);
         for (long tick = 0; tick <= T; tick += 200) {
-            streams.listConfirmed(tick);
+            streams.list().confirmed(tick);
             streams.tick(tick);
         }
         return streams;
--- a/trailladder-entry/src/test/java/io/trailladder/entry/gateway/VersionRecordsTest.java
+++ b/trailladder-entry/src/test/java/io/trailladder/entry/gateway/VersionRecordsTest.java
@@ -57,7 +57,7 @@
     private static byte[] twoPlans() {
         StreamVersions leader =
                 new StreamVersions("leader", new UpstreamDirectory(), new VersionGate(), STARTED);
-        leader.recorded(record(), NOW);
+        leader.record().written(record(), NOW);
         leader.planUsed("peer", record().oldestNumber(), NOW);
         return new VersionRecords(leader, () -> NOW, () -> EPOCH, () -> {}).encode(record());
     }
@@ -70,7 +70,7 @@
 
     private Source originOfAnOlderStream() {
         directory.changed(new Upstream("w", "m", "a", "w:1", 8, false, false, 0, "v2", 0, 0));
-        streams.listConfirmed(NOW);
+        streams.list().confirmed(NOW);
         streams.tick(NOW);
         return streams.computed(new StreamCall("m", "a1"), ASKED, NOW).source();
     }
