Soak: gateways of one run link whatever ports they have

Of two gateways the one whose address sorts lower opens the link. Each gateway of StreamCluster saw a proxy's address in place of its peer's, and compared it with its own real one: for about a quarter of the pairs neither side dialled, by the ports of the run. Such gateways refuse what they cannot ask for or are not told. Where links formed, each side dialled the other anew every 0.4 s, as the address in the peer's greeting was another one than that in the list.

PeerPaths listens at an address that sorts after all gateways' and translates the peer's address in what it sends, as CutPath does in the tests of the adapter. Nothing that a test asks for changed.

--- a/trailladder-cli/src/test/java/io/trailladder/cli/soak/FaultProxy.java
+++ b/trailladder-cli/src/test/java/io/trailladder/cli/soak/FaultProxy.java
@@ -25,11 +25,13 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.channels.SocketChannel;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.UnaryOperator;
 
 /** A loopback proxy that can delay, reset, silence or cut what passes through it. */
 final class FaultProxy implements AutoCloseable {
@@ -46,6 +48,8 @@
     private static final int FILLING = 4;
 
     private final HostPort target;
+    private final InetAddress host;
+    private final Rewriting rewriting;
     private final int port;
     private final Set<Socket> open = ConcurrentHashMap.newKeySet();
     private final List<SocketChannel> filling = new ArrayList<>();
@@ -86,16 +90,40 @@
         }
     }
 
+    /**
+     * Changes to what passes, one character a byte; the length must stay.
+     *
+     * @param requests changes what those send that connect
+     * @param answers changes what the target sends
+     */
+    record Rewriting(UnaryOperator<String> requests, UnaryOperator<String> answers) {
+        static final Rewriting NONE =
+                new Rewriting(UnaryOperator.identity(), UnaryOperator.identity());
+
+        byte[] rewritten(byte[] bytes, int count, boolean isAnswer) {
+            String read = new String(bytes, 0, count, StandardCharsets.ISO_8859_1);
+            UnaryOperator<String> change = isAnswer ? answers : requests;
+            return change.apply(read).getBytes(StandardCharsets.ISO_8859_1);
+        }
+    }
+
     FaultProxy(HostPort target) throws IOException {
+        this(target, InetAddress.getLoopbackAddress(), Rewriting.NONE);
+    }
+
+    /** Starts a proxy that listens at some address of this machine. */
+    FaultProxy(HostPort target, InetAddress host, Rewriting rewriting) throws IOException {
         this.target = target;
-        this.server = new ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress());
+        this.host = host;
+        this.rewriting = rewriting;
+        this.server = new ServerSocket(0, BACKLOG, host);
         this.port = server.getLocalPort();
         server.setSoTimeout(ACCEPT_CHECK_MILLIS);
         daemon(this::accept);
     }
 
     HostPort address() {
-        return new HostPort("127.0.0.1", port);
+        return new HostPort(host.getHostAddress(), port);
     }
 
     /** Sets what becomes of bytes; at once also for connections that are open. */
@@ -126,8 +154,7 @@
             return;
         }
         int backlog = next == Mode.HANG ? 1 : BACKLOG;
-        ServerSocket socket =
-                bindAgain(() -> new ServerSocket(port, backlog, InetAddress.getLoopbackAddress()));
+        ServerSocket socket = bindAgain(() -> new ServerSocket(port, backlog, host));
         socket.setSoTimeout(ACCEPT_CHECK_MILLIS);
         if (next == Mode.HANG) {
             for (int i = 0; i < FILLING; i++) {
@@ -148,7 +175,7 @@
         Socket socket = new Socket();
         try {
             socket.setReuseAddress(true);
-            socket.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), port));
+            socket.bind(new InetSocketAddress(host, port));
             return socket;
         } catch (IOException e) {
             socket.close();
@@ -225,7 +252,7 @@
             OutputStream out = to.getOutputStream();
             for (int count = in.read(buffer); count >= 0; count = in.read(buffer)) {
                 hold(answers);
-                out.write(buffer, 0, count);
+                out.write(rewriting.rewritten(buffer, count, answers));
             }
             hold(answers);
             to.shutdownOutput();
--- a/trailladder-cli/src/test/java/io/trailladder/cli/soak/StreamCluster.java
+++ b/trailladder-cli/src/test/java/io/trailladder/cli/soak/StreamCluster.java
@@ -62,7 +62,7 @@
     /** A gateway, its paths to its peers, and what disturbs it. */
     private static final class Node {
         final SoakGateway gateway;
-        final GatewayPaths peers = new GatewayPaths();
+        final PeerPaths peers = new PeerPaths();
         private int storeCuts;
         private int peerCuts;
         private int disturbances;
@@ -114,12 +114,25 @@
         for (int i = 0; i < processes; i++) {
             String node = "g" + i;
             nodes.add(onLoop(loop, () -> new Node(node, folder, platform)));
-            nodes.get(i).gateway.start(true);
+        }
+        connect();
+        for (Node node : nodes) {
+            node.gateway.start(true);
         }
         awaitReady();
         Thread.sleep(CONTACT_MILLIS);
     }
 
+    private void connect() {
+        for (Node from : nodes) {
+            for (Node to : nodes) {
+                if (from != to) {
+                    from.peers.add(to.gateway.peers(), to.peers::view);
+                }
+            }
+        }
+    }
+
     StreamReleases releases() {
         return releases;
     }
@@ -159,8 +172,10 @@
         Node cut = nodes.get(index);
         cut.peerCuts += now ? 1 : -1;
         for (Node node : nodes) {
-            link(cut, node);
-            link(node, cut);
+            if (node != cut) {
+                link(cut, node);
+                link(node, cut);
+            }
         }
         cut.disturb(now ? 1 : -1);
     }
@@ -168,7 +183,7 @@
     /** Has a path between gateways hang while one of both is cut off, and pass otherwise. */
     private static void link(Node from, Node to) throws IOException {
         boolean hangs = from.peerCuts + to.peerCuts > 0;
-        from.peers.mode(to.gateway.peers().toString(), hangs ? Mode.HANG : Mode.PASS);
+        from.peers.mode(to.gateway.peers(), hangs ? Mode.HANG : Mode.PASS);
     }
 
     /** Freezes a gateway, or wakes it. */
