A roll-out is led only once its record was read after its order

Cause: orders and records are notified by two watches, and the order's may be answered first. The leader began by what it had. One read per order and leader.

--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RolloutRunner.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RolloutRunner.java
@@ -71,6 +71,11 @@
     private final Map<String, Long> statusLoggedMillis = new HashMap<>();
     private final Set<String> writing = new HashSet<>();
 
+    /** Roll-outs whose record was read after their order, while this process leads. */
+    private final Set<Rollout> recordsRead = new HashSet<>();
+
+    private final Set<Rollout> recordsAwaited = new HashSet<>();
+
     /**
      * Creates a runner.
      *
@@ -117,16 +122,46 @@
         }
         if (!leads.getAsBoolean()) {
             deciders.clear();
+            recordsRead.clear();
             return;
         }
         for (Rollout rollout : manager.rollouts()) {
             manager.lostRecord(rollout).ifPresent(this::recordAgain);
-            if (!rollout.phase().isFinal() && isKnown(rollout.order().service())) {
+            if (!rollout.phase().isFinal()
+                    && isRecordRead(rollout)
+                    && isKnown(rollout.order().service())) {
                 lead(rollout);
             }
         }
     }
 
+    /**
+     * Returns whether a roll-out's record was read after its order: a record that was written
+     * before the order may be notified after it.
+     */
+    private boolean isRecordRead(Rollout rollout) {
+        if (recordsRead.contains(rollout)) {
+            return true;
+        }
+        if (recordsAwaited.add(rollout)) {
+            String service = rollout.order().service();
+            store.read(key(service), read -> recordReceived(rollout, service, read));
+        }
+        return false;
+    }
+
+    private void recordReceived(
+            Rollout rollout, String service, Either<StoreFailure, StoreItem> read) {
+        if (read.isLeft()) {
+            health.failed(read.getLeft());
+            loop.schedule(READ_BACK_DELAY_MILLIS, () -> recordsAwaited.remove(rollout));
+            return;
+        }
+        recordsAwaited.remove(rollout);
+        recordsRead.add(rollout);
+        recordRead(service, read.get());
+    }
+
     /**
      * Returns false for a service without upstreams or with an undecodable record: its roll-out
      * waits.
@@ -217,7 +252,7 @@
         if (!writing.add(service)) {
             return;
         }
-        String key = format.rolloutStatusPrefix() + service;
+        String key = key(service);
         long expected = manager.expectedRevision(service);
         store.write(
                 new StoreWrite(key, format.rolloutStatus(next), expected, 0),
@@ -247,9 +282,17 @@
             health.failed(read.getLeft());
             return;
         }
+        recordRead(service, read.get());
+    }
+
+    private void recordRead(String service, StoreItem item) {
         health.answered();
-        if (!read.get().removed()) {
-            manager.read(service, read.get(), false);
+        if (!item.removed()) {
+            manager.read(service, item, false);
         }
     }
+
+    private String key(String service) {
+        return format.rolloutStatusPrefix() + service;
+    }
 }
