--- a/trailladder-cli/src/test/java/io/trailladder/cli/soak/FaultProxy.java
+++ b/trailladder-cli/src/test/java/io/trailladder/cli/soak/FaultProxy.java
@@ -18,7 +18,6 @@
 import io.trailladder.platform.http.HostPort;
 import java.io.IOException;
 import java.io.InputStream;
-import java.io.OutputStream;
 import java.net.BindException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -249,16 +248,16 @@
         byte[] buffer = new byte[BUFFER_BYTES];
         try {
             InputStream in = from.getInputStream();
-            OutputStream out = to.getOutputStream();
-            for (int count = in.read(buffer); count >= 0; count = in.read(buffer)) {
-                hold(answers);
-                out.write(rewriting.rewritten(buffer, count, answers));
+            int count = in.read(buffer);
+            while (count >= 0 && write(to, buffer, count, answers)) {
+                count = in.read(buffer);
             }
             hold(answers);
-            to.shutdownOutput();
             if (ended.incrementAndGet() == 2) {
                 close(from);
                 close(to);
+            } else if (count < 0) {
+                to.shutdownOutput();
             }
         } catch (IOException e) {
             reset(from);
@@ -266,6 +265,17 @@
         }
     }
 
+    /** Returns whether the receiver is there. What it sent before it ended must still pass. */
+    private boolean write(Socket to, byte[] bytes, int count, boolean answers) throws IOException {
+        hold(answers);
+        try {
+            to.getOutputStream().write(rewriting.rewritten(bytes, count, answers));
+            return true;
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
     private void close(Socket socket) throws IOException {
         socket.close();
         open.remove(socket);
