Others are told of a stream before its caller gets the first event

Cause: the answer was relayed first, and the copies of where the stream began were sent after it. The relay now runs what tells the others before it relays the first event of a part; both are written by the same thread, so the copies are on their way when the caller can resume the stream.

The relay of an answer cannot be tested without sockets, so no smaller test shows the order.

--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/AnswerRelay.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/AnswerRelay.java
@@ -125,11 +125,17 @@
                 .orElse(true);
     }
 
-    /** Relays or buffers a part of the body; returns the number of events that were relayed. */
-    int body(byte[] bytes) {
+    /**
+     * Relays or buffers a part of the body.
+     *
+     * @param bytes the part
+     * @param onEvent runs before its first event is relayed
+     * @return the number of events that were relayed
+     */
+    int body(byte[] bytes, Runnable onEvent) {
         bytesSinceEvent += bytes.length;
         if (relaying && stream) {
-            return streamBody(bytes);
+            return streamBody(bytes, onEvent);
         }
         if (relaying) {
             relayBytes(bytes);
@@ -149,8 +155,8 @@
         return 0;
     }
 
-    private int streamBody(byte[] bytes) {
-        int events = relayEvents(splitter.append(bytes));
+    private int streamBody(byte[] bytes, Runnable onEvent) {
+        int events = relayEvents(splitter.append(bytes), onEvent);
         if (events > 0) {
             eventsSeen = true;
             bytesSinceEvent = splitter.pendingBytes();
@@ -239,13 +245,18 @@
      * Relays events and what stands between them, up to one that does not continue the stream;
      * returns the number of events.
      */
-    private int relayEvents(List<StreamEvent> blocks) {
+    private int relayEvents(List<StreamEvent> blocks, Runnable onEvent) {
         int events = 0;
         for (StreamEvent event : blocks) {
             if (eventStream && !order.accepts(event.id())) {
                 break;
             }
-            events += event.hasData() ? 1 : 0;
+            if (event.hasData()) {
+                if (events == 0) {
+                    onEvent.run();
+                }
+                events++;
+            }
             relayBytes(event.bytes());
             if (!event.isComment()) {
                 history.eventForwarded(event.id());
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestDriver.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestDriver.java
@@ -254,12 +254,10 @@
 
     @Override
     public void body(Attempt sender, byte[] bytes) {
-        int events = answer.body(bytes);
+        int events = answer.body(bytes, () -> recordVersion(sender));
         if (events > 0) {
             sender.eventsReceived(events);
             crashes.answering(sender);
-            version.eventReceived(
-                    sender.upstream(), context.streamTelling(), context.loop().nowMillis());
             recordRunStarted();
         } else if (answer.progressesByBytes()) {
             sender.progressed();
@@ -268,6 +266,12 @@
         answer.excess().ifPresent(sender::failWithoutProgress);
     }
 
+    /** Tells others of the stream before its caller can resume it. */
+    private void recordVersion(Attempt sender) {
+        version.eventReceived(
+                sender.upstream(), context.streamTelling(), context.loop().nowMillis());
+    }
+
     @Override
     public void answerEnded(Attempt sender, boolean framed) {
         answerEnd.answerEnded(sender, framed);
