A request stays at a slow upstream while none takes its body

What callers saw: a request that may be repeated was answered with 502 one second after it was sent, with 29 s left, although its upstream still ran it. It was given up at its objective because upstreams accept requests, and then turned away because none had room for its body: the body of another request was still being written. With it its memory was released, which is why SlowReaderFaultTest#fullProcessRefusesUnreadAndStaysReadyAndServesAgain once got 408 in place of 503: each of its runs outlives the objective, because a refused caller's connection is kept open for a second, so both pending requests are sent again in each run, and only how long the first one's body takes decides whether the second one survives.

Cause: what decides whether an attempt is given up asked whether upstreams accept requests; what sends the next one also asks for room for the body.

Now both ask the same: an attempt is given up only if the choice that follows would find an upstream. A body of its own that is not yet written takes no room, since it is dropped first, so a connection that takes nothing is left as before.

--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Attempt.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Attempt.java
@@ -137,6 +137,11 @@
         return sent;
     }
 
+    /** Returns whether the whole request has been written to the upstream. */
+    boolean isBodyWritten() {
+        return call != null && call.isWritten();
+    }
+
     /** Returns whether a peer relays the connection to the upstream. */
     boolean isRelayed() {
         return relayed;
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/BodyCapacitySelector.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/BodyCapacitySelector.java
@@ -68,12 +68,17 @@
         return wasCapacityShort;
     }
 
+    /** Whether some upstream may lack the capacity for the body. */
+    boolean mayCapacityBeShort() {
+        return request.bodyBytes() > 0 && context.connector().hasUnwritten();
+    }
+
     /**
      * Whether an upstream has capacity for the body. It always has if no other body waits to be
      * sent.
      */
     private boolean hasCapacity(Upstream upstream) {
-        if (request.bodyBytes() == 0 || !context.connector().hasUnwritten()) {
+        if (!mayCapacityBeShort()) {
             return true;
         }
         long unsentBytes = context.connector().unwrittenBytes(HostPort.parse(upstream.address()));
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestDriver.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestDriver.java
@@ -199,7 +199,27 @@
         Optional<String> required = version.origin(now).required();
         return context.availability().isAnyAccepting(request.service(), now)
                 && (required.isEmpty()
-                        || selector.choose(history.tried(), required, now).isPresent());
+                        ? isBodyTaken(now)
+                        : selector.choose(history.tried(), required, now).isPresent());
+    }
+
+    /**
+     * Returns whether another attempt would find capacity for the body. A body that the present
+     * attempt has not yet written takes none, as it is dropped first.
+     */
+    private boolean isBodyTaken(long nowMillis) {
+        return !attempt.isBodyWritten()
+                || !selector.mayCapacityBeShort()
+                || choose(Optional.empty(), nowMillis).isPresent()
+                || !selector.wasCapacityShort();
+    }
+
+    /** Chooses an upstream that was not tried; one that was if the request may be repeated. */
+    private Optional<Selection> choose(Optional<String> required, long nowMillis) {
+        Optional<Selection> choice = selector.choose(history.tried(), required, nowMillis);
+        return choice.isEmpty() && request.route().repeatable() && !history.tried().isEmpty()
+                ? selector.choose(Set.of(), required, nowMillis)
+                : choice;
     }
 
     /** Ends the request because the process stops. */
@@ -338,10 +358,7 @@
             turnAwayUnknownVersion(origin, now);
             return;
         }
-        Optional<Selection> choice = selector.choose(history.tried(), origin.required(), now);
-        if (choice.isEmpty() && request.route().repeatable() && !history.tried().isEmpty()) {
-            choice = selector.choose(Set.of(), origin.required(), now);
-        }
+        Optional<Selection> choice = choose(origin.required(), now);
         long waitMillis = choice.isEmpty() ? context.rollouts().heldMillis(request.service()) : 0;
         if (waitMillis > 0) {
             context.loop().schedule(waitMillis, this::continueAfterRollout);
--- a/trailladder-entry/src/main/java/io/trailladder/entry/http/ClientCall.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/http/ClientCall.java
@@ -82,7 +82,12 @@
         notifyWritten();
     }
 
-    boolean isWritten() {
+    /**
+     * Returns whether the whole request has been written.
+     *
+     * @return false while a part of it waits to be sent
+     */
+    public boolean isWritten() {
         return requestWritten;
     }
 
