Silent processes and those not heard yet are recorded with the time that is left

Each read now takes in the silent processes, and a process that was listed, never heard and is not listed any more has the record read again.

Streams were refused for minutes: peers that were linked or listed and had stated nothing yet were recorded as silent, with the oldest plan that was held for any reason; each reader held that for another ten minutes, and so did a peer whose link had just ended. The record has, by number, how long each plan of a silent or unheard process still counts, and readers count on. A process that runs may use a plan that others use, or that is recorded as silent; plans that are held for processes that have ended say nothing of it.

The record's format is 4.

--- a/trailladder-core/src/main/java/io/trailladder/core/upstream/PlanUse.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/upstream/PlanUse.java
@@ -37,7 +37,7 @@
     static final long NONE = -1;
 
     /** How long a silent process may still serve callers by its plan, in milliseconds. */
-    private static final long MAX_SILENCE_MILLIS = 600_000;
+    static final long MAX_SILENCE_MILLIS = 600_000;
 
     /** How long a process counts that was listed and never heard, in milliseconds. */
     private static final long MAX_UNHEARD_MILLIS = 60_000;
@@ -59,11 +59,15 @@
     /** What processes stated before they ended. */
     private final List<Held> ended = new ArrayList<>();
 
-    /** What processes used that ended, or became silent, before this one started. */
+    /** What processes stated whose link was lost, and that may turn out to be silent. */
+    private final Map<String, Held> removed = new HashMap<>();
+
+    /** What processes used that ended before this one started. */
     private final List<Held> earlier = new ArrayList<>();
 
-    private long earlierSilentNumber = NONE;
-    private long earlierSilentUntilMillis;
+    /** What the record tells of processes that are silent, or were not heard yet. */
+    private final List<Held> recordedSilent = new ArrayList<>();
+
     private final Set<String> everStated = new HashSet<>();
 
     /** A plan that may be in use until a time. */
@@ -83,6 +87,7 @@
         if (before != null) {
             ended.add(Held.ended(before.number(), nowMillis));
         }
+        removed.remove(peer);
         stated.put(peer, number);
         everStated.add(peer);
         unplanned.remove(peer);
@@ -98,36 +103,53 @@
         }
     }
 
-    /** Records the processes that the store lists, this one excluded, all of which are linked. */
-    void listed(Collection<String> peers, long ownNumber, long nowMillis) {
+    /**
+     * Records the processes that the store lists, this one excluded, all of which are linked.
+     *
+     * @return whether one is not listed any more that was never heard
+     */
+    boolean listed(Collection<String> peers, long ownNumber, long nowMillis) {
+        boolean isAnyLost = !peers.containsAll(unheard.keySet());
         for (String peer : peers) {
             if (!everStated.contains(peer)) {
                 expect(peer, ownNumber, nowMillis);
             }
         }
+        return isAnyLost;
     }
 
     private void expect(String peer, long ownNumber, long nowMillis) {
         Held before = unheard.get(peer);
-        long number = before == null ? oldest(ownNumber) : before.number();
+        long number = before == null ? running(ownNumber) : before.number();
         unheard.put(peer, new Held(number, nowMillis + MAX_UNHEARD_MILLIS));
     }
 
     /**
      * Holds the plans that processes used before this one started.
      *
-     * @param oldestNumber the oldest of them
+     * @param leastNumber the oldest plan that one may use that still runs
      * @param leftMillis for how long, by the number of the plan
      */
-    void usedBefore(
-            long oldestNumber, Map<Long, Long> leftMillis, long silentNumber, long nowMillis) {
-        // processes that were listed or linked before the record was read use none of before
+    void usedBefore(long leastNumber, Map<Long, Long> leftMillis, long nowMillis) {
         unheard.replaceAll(
-                (peer, each) ->
-                        new Held(Math.max(oldestNumber, each.number()), each.untilMillis()));
+                (peer, each) -> new Held(Math.max(leastNumber, each.number()), each.untilMillis()));
         leftMillis.forEach((number, left) -> earlier.add(new Held(number, nowMillis + left)));
-        earlierSilentNumber = silentNumber;
-        earlierSilentUntilMillis = nowMillis + MAX_SILENCE_MILLIS;
+    }
+
+    /**
+     * Holds the plans that processes may use that are silent according to the record.
+     *
+     * @param leftMillis for how long, by the number of the plan
+     */
+    void silentBefore(Map<Long, Long> leftMillis, long nowMillis) {
+        for (Held before : recordedSilent) {
+            if (before.untilMillis() >= nowMillis && !leftMillis.containsKey(before.number())) {
+                ended.add(Held.ended(before.number(), nowMillis));
+            }
+        }
+        recordedSilent.clear();
+        leftMillis.forEach(
+                (number, left) -> recordedSilent.add(new Held(number, nowMillis + left)));
     }
 
     /** Returns for how long plans may have assigned streams that are resumed, by their number. */
@@ -140,13 +162,20 @@
             left.merge(each.number(), each.untilMillis() - nowMillis, Math::max);
         }
         Set<String> known = new HashSet<>(stated.keySet());
-        known.addAll(unheard.keySet());
         known.addAll(unplanned.keySet());
-        long used = oldestOf(known, ownNumber);
-        for (Held each : silent.values()) {
-            used = Math.min(used, each.number());
-        }
-        left.put(used, StreamVersions.MAX_AGE_MILLIS);
+        left.put(oldestOf(known, ownNumber), StreamVersions.MAX_AGE_MILLIS);
+        left.values().removeIf(millis -> millis <= 0);
+        return left;
+    }
+
+    /** Returns for how long silent processes may use plans, by their number. */
+    Map<Long, Long> silentMillis(long nowMillis) {
+        Map<Long, Long> left = new HashMap<>();
+        silentOnes()
+                .forEach(
+                        each ->
+                                left.merge(
+                                        each.number(), each.untilMillis() - nowMillis, Math::max));
         left.values().removeIf(millis -> millis <= 0);
         return left;
     }
@@ -163,16 +192,15 @@
         if (isUnplanned || number != null) {
             long held = isUnplanned ? 0 : number;
             ended.add(Held.ended(held, nowMillis));
-            // counts only if the peer turns out to be silent
-            silent.put(peer, new Held(held, nowMillis - 1));
+            removed.put(peer, Held.ended(held, nowMillis));
         }
         return isUnplanned || number != null;
     }
 
     /** Records that a peer has become silent, though it has not announced that it stops. */
     void silent(String peer, long ownNumber, long sinceMillis) {
-        Held before = silent.get(peer);
-        long number = before == null ? oldest(ownNumber) : before.number();
+        Held before = silent.getOrDefault(peer, removed.getOrDefault(peer, unheard.get(peer)));
+        long number = before == null ? running(ownNumber) : before.number();
         silent.put(peer, Held.silent(number, sinceMillis));
     }
 
@@ -194,9 +222,8 @@
         earlier.removeIf(each -> each.untilMillis() < nowMillis);
         unheard.values().removeIf(each -> each.untilMillis() < nowMillis);
         silent.values().removeIf(each -> each.untilMillis() < nowMillis);
-        if (earlierSilentUntilMillis < nowMillis) {
-            earlierSilentNumber = NONE;
-        }
+        removed.values().removeIf(each -> each.untilMillis() < nowMillis);
+        recordedSilent.removeIf(each -> each.untilMillis() < nowMillis);
     }
 
     private boolean isUnplanned(String peer) {
@@ -226,29 +253,32 @@
 
     /** Returns the oldest plan that any known process uses; 0 if one does not use plans. */
     long oldest(long ownNumber) {
+        Stream<Held> left = Stream.concat(ended.stream(), earlier.stream());
+        return Math.min(running(ownNumber), least(left, ownNumber));
+    }
+
+    /** Returns the oldest plan that a process may use that has not ended. */
+    private long running(long ownNumber) {
         Set<String> known = new HashSet<>(stated.keySet());
         known.addAll(unplanned.keySet());
-        known.addAll(unheard.keySet());
-        long oldest = Math.min(oldest(ownNumber, known), least(earlier.stream(), ownNumber));
-        return earlierSilentNumber == NONE ? oldest : Math.min(oldest, earlierSilentNumber);
+        return Math.min(oldestOf(known, ownNumber), least(silentOnes(), ownNumber));
     }
 
     /** Returns the oldest plan that a silent process may use; {@link #NONE} if there is none. */
     long silentNumber() {
-        long least = least(silentOnes(), Long.MAX_VALUE);
-        if (earlierSilentNumber != NONE) {
-            least = Math.min(least, earlierSilentNumber);
-        }
+        long least = least(silent.values().stream(), Long.MAX_VALUE);
         return least == Long.MAX_VALUE ? NONE : least;
     }
 
     /** Returns whether processes may be running that cannot be asked. */
     boolean isAnySilent() {
-        return silentNumber() != NONE;
+        return silentOnes().findAny().isPresent();
     }
 
+    /** Returns what processes may use that are silent, or were not heard yet. */
     private Stream<Held> silentOnes() {
-        return Stream.concat(silent.values().stream(), unheard.values().stream());
+        Stream<Held> own = Stream.concat(silent.values().stream(), unheard.values().stream());
+        return Stream.concat(own, recordedSilent.stream());
     }
 
     private static long least(Stream<Held> held, long otherwise) {
--- a/trailladder-core/src/main/java/io/trailladder/core/upstream/RecordTimes.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/upstream/RecordTimes.java
@@ -23,13 +23,16 @@
  *
  * @param plans for how long plans may have assigned streams that are resumed, by their number, in
  *     milliseconds
+ * @param silent for how long processes may use plans that are silent, or were not heard yet, by
+ *     their number, in milliseconds
  * @param streams for how long streams may be resumed, by their hash, in milliseconds
  * @since 0.7
  */
-public record RecordTimes(Map<Long, Long> plans, Map<Long, Long> streams) {
+public record RecordTimes(Map<Long, Long> plans, Map<Long, Long> silent, Map<Long, Long> streams) {
     /** Copies the maps. */
     public RecordTimes {
         plans = Map.copyOf(plans);
+        silent = Map.copyOf(silent);
         streams = Map.copyOf(streams);
     }
 
@@ -41,6 +44,6 @@
      */
     public static RecordTimes longest(VersionRecord record) {
         return new RecordTimes(
-                Map.of(record.oldestNumber(), StreamVersions.MAX_AGE_MILLIS), Map.of());
+                Map.of(record.oldestNumber(), StreamVersions.MAX_AGE_MILLIS), Map.of(), Map.of());
     }
 }
--- a/trailladder-core/src/main/java/io/trailladder/core/upstream/RecordedVersions.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/upstream/RecordedVersions.java
@@ -90,10 +90,12 @@
      * @param nowMillis the current time, in milliseconds
      */
     public void read(VersionRecord record, RecordTimes times, long beganMillis, long nowMillis) {
+        Map<Long, Long> silent = silentMillis(record, times);
         if (earlier == Earlier.UNKNOWN && !record.plans().isEmpty()) {
-            use.usedBefore(record.oldestNumber(), times.plans(), record.silentNumber(), nowMillis);
+            use.usedBefore(leastNumber(record, silent), times.plans(), nowMillis);
             admitAsPlanned(record.plans());
         }
+        use.silentBefore(silent, nowMillis);
         earlier = Earlier.RECORDED;
         boolean firstSinceLoss = readMillis < lostMillis;
         readMillis = beganMillis;
@@ -104,6 +106,24 @@
         }
     }
 
+    /** Returns for how long silent processes may use plans; the longest time if it is not told. */
+    private static Map<Long, Long> silentMillis(VersionRecord record, RecordTimes times) {
+        Map<Long, Long> silent = new HashMap<>(times.silent());
+        if (record.silentNumber() != PlanUse.NONE) {
+            silent.putIfAbsent(record.silentNumber(), PlanUse.MAX_SILENCE_MILLIS);
+        }
+        return silent;
+    }
+
+    /** Returns the oldest plan that a process may use that runs and has not been heard. */
+    private static long leastNumber(VersionRecord record, Map<Long, Long> silent) {
+        long least = record.plans().get(record.plans().size() - 1).number();
+        for (long number : silent.keySet()) {
+            least = Math.min(least, number);
+        }
+        return least;
+    }
+
     /** Has versions that are not planned yet wait as long as at processes that ran before. */
     private void admitAsPlanned(List<VersionPlan> recorded) {
         VersionPlan latest = recorded.get(recorded.size() - 1);
@@ -174,7 +194,7 @@
         if (!begun.isRecordComplete(nowMillis)) {
             left.put(0L, StreamVersions.MAX_AGE_MILLIS);
         }
-        return new RecordTimes(left, begun.leftMillis(nowMillis));
+        return new RecordTimes(left, use.silentMillis(nowMillis), begun.leftMillis(nowMillis));
     }
 
     /**
--- a/trailladder-core/src/main/java/io/trailladder/core/upstream/StreamVersions.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/upstream/StreamVersions.java
@@ -185,8 +185,10 @@
      * @param nowMillis the current time, in milliseconds
      */
     public void peersListed(Collection<String> peers, long nowMillis) {
-        use.listed(peers, plans.current().number(), nowMillis);
-        if (!use.isAnySilent()) {
+        boolean isAnyLost = use.listed(peers, plans.current().number(), nowMillis);
+        if (isAnyLost) {
+            record.processLost(nowMillis);
+        } else if (!use.isAnySilent()) {
             record.noneLost(nowMillis);
         }
     }
--- a/trailladder-core/src/main/java/io/trailladder/core/upstream/VersionRecord.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/upstream/VersionRecord.java
@@ -25,7 +25,7 @@
  * @param oldestNumber the number of the oldest plan by which a process may have assigned a stream
  *     that is still resumed; 0 if one may have assigned some without a plan
  * @param plans the plans since then that are known, with consecutive numbers
- * @param silentNumber the oldest plan that a process may still use that has become silent; 0 if
+ * @param silentNumber the oldest plan that a process may still use that has become silent; -1 if
  *     there is none
  * @param streams streams whose version does not follow from the plans, by the hash of the id of the
  *     attempt that began them
--- a/trailladder-core/src/test/java/io/trailladder/core/upstream/SimulatedStreams.java
+++ b/trailladder-core/src/test/java/io/trailladder/core/upstream/SimulatedStreams.java
@@ -62,7 +62,7 @@
     private int picked;
     private Optional<VersionRecord> record = Optional.empty();
 
-    private RecordTimes recordTimes = new RecordTimes(Map.of(), Map.of());
+    private RecordTimes recordTimes = new RecordTimes(Map.of(), Map.of(), Map.of());
 
     /** Incremented with each write of the record. */
     private int recordRevision;
--- a/trailladder-core/src/test/java/io/trailladder/core/upstream/StreamPlansTest.java
+++ b/trailladder-core/src/test/java/io/trailladder/core/upstream/StreamPlansTest.java
@@ -461,7 +461,7 @@
         list("u2", "v2");
         StreamVersions own = new StreamVersions("own", directory, new VersionGate(), T);
         VersionRecord record = new VersionRecord(0, List.of(two(8, 8)), PlanUse.NONE, Map.of());
-        own.record().read(record, new RecordTimes(Map.of(2L, 20_000L), Map.of()), T, T);
+        own.record().read(record, new RecordTimes(Map.of(2L, 20_000L), Map.of(), Map.of()), T, T);
         own.tick(T);
         own.list().confirmed(T + 100);
         StreamOrigin origin = own.computed(call(1), ASKED, T + 100);
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/VersionRecords.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/VersionRecords.java
@@ -55,7 +55,7 @@
     /** The same while streams are left out, so that nothing follows from the plans anyway. */
     private static final int MIN_BYTES_PER_MILLI = 4;
 
-    private static final int FORMAT = 3;
+    private static final int FORMAT = 4;
     private static final int MAX_ENTRIES = 10_000;
 
     private final StreamVersions streams;
@@ -132,6 +132,11 @@
                 out.writeLong(plan.getKey());
                 writeLeft(plan.getValue(), out);
             }
+            out.writeShort(times.silent().size());
+            for (Map.Entry<Long, Long> silent : times.silent().entrySet()) {
+                out.writeLong(silent.getKey());
+                out.writeInt(silent.getValue().intValue());
+            }
             writeStreams(record.streams(), times.streams(), out);
         } catch (IOException e) {
             throw new UncheckedIOException(e);
@@ -208,6 +213,11 @@
         for (int i = 0; i < planCount; i++) {
             held.put(in.readLong(), readLeft(in));
         }
+        int silentCount = PlanFormat.readCount(in, MAX_ENTRIES, "silent processes' plans");
+        Map<Long, Long> silent = new HashMap<>();
+        for (int i = 0; i < silentCount; i++) {
+            silent.put(in.readLong(), (long) in.readInt());
+        }
         int versionCount = PlanFormat.readCount(in, MAX_ENTRIES, "versions");
         List<String> versions = new ArrayList<>(versionCount);
         for (int i = 0; i < versionCount; i++) {
@@ -228,7 +238,7 @@
         streams.record()
                 .read(
                         new VersionRecord(oldestNumber, plans, silentNumber, recorded),
-                        new RecordTimes(held, left),
+                        new RecordTimes(held, silent, left),
                         readBeganMillis,
                         nowMillis.getAsLong());
     }
