A roll-out goes on after an unreadable record was removed

An order waited for good after its operator had removed a record that this build cannot read: only a readable record ended the wait, and the removal of the key did not.

--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RolloutManager.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RolloutManager.java
@@ -469,6 +469,7 @@
             String service = serviceOf(item.key(), format.rolloutStatusPrefix());
             if (item.removed()) {
                 unusableRecords.remove(item.key());
+                unreadable.remove(service);
             } else {
                 read(service, item, certain);
             }
