Units of limits are pooled only where they accrue

Callers saw: a gateway that was not listed at its start, because its first write to the store had failed, refused 6 requests, served some, and refused 55 more with 429 within 44 ms, all within their limit (LimitedUpstreamFaultTest.processesTogetherKeepTheLimit, once).

That it served some in between, and lost units that it held, is another fault: hubs select by rank the process that pools an organisation's units, and did so with one at which nothing accrues yet. Others return units to it, it may hold none, and drops them at its next tick; and since it relies on no other process it refuses at once. A process that learns of the others late still serves in this state, and peers get nothing from such a pool. This was found by reading and in virtual time; the log of the failing run was no longer there to confirm it.

Evidence: LimitStartTest.processThatWasNotListedIsSuppliedUntilItsOwnUnitsAccrue, eight processes of which each in turn is not listed: without the change the one that ranks first refuses 36 requests after the first that it admitted, with it none does.

Why it works: before units accrue here, a hub counts as relying on another one and asks the best of its peers; its section that shows that it can be asked goes to its leaves only. So no unit is sent to where it cannot be held, and none accrues twice.

--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ClusterView.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/ClusterView.java
@@ -173,7 +173,8 @@
         this.snapshots = new SnapshotExchange(nowMillis, policies, directory, store, metrics);
         this.regions = new RegionExchange(directory, loads, usage, parts, writer);
         this.peers = new LinkedPeers(nowMillis, regions);
-        this.needs = new LimitNeeds(() -> limits == null ? List.of() : limits.needs());
+        this.needs =
+                new LimitNeeds(() -> limits == null ? List.of() : limits.needs(), this::usesLimits);
         parts.add(needs);
         this.leavingUpdates = new LeavingUpdates(directory::leavingIncarnation);
         this.epochUpdates = new EpochUpdates(store.history());
@@ -193,7 +194,8 @@
     public void start(Mesh links, BooleanSupplier leading) {
         mesh = links;
         peers.setMesh(links);
-        LimitSuppliers suppliers = new LimitSuppliers(nowMillis, links, peers, regions);
+        LimitSuppliers suppliers =
+                new LimitSuppliers(nowMillis, links, peers, regions, this::usesLimits);
         needs.suppliers(suppliers);
         limits = new LimitExchange(nowMillis, timer, quotas, suppliers, needs, links);
         leads = leading;
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/LimitNeeds.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/LimitNeeds.java
@@ -27,11 +27,14 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 
 /**
  * Tells peers for which organisations this process holds few units. Its section also shows that
- * this process can be asked for units.
+ * this process can be asked for units. Hubs are told once units accrue here: before that, units
+ * that they return could not be held. Leaves are told at once, because their hub passes on what
+ * they ask for.
  */
 final class LimitNeeds implements DigestPart {
     private static final int MAX_NAME_BYTES = 255;
@@ -43,6 +46,7 @@
     private static final long EMPTY_INTERVAL_MILLIS = 2_000;
 
     private final Supplier<Collection<String>> own;
+    private final BooleanSupplier accruing;
     private final Map<String, Set<String>> byPeer = new HashMap<>();
     private Optional<LimitSuppliers> suppliers = Optional.empty();
     private long changedMillis;
@@ -52,9 +56,11 @@
      * Creates the part.
      *
      * @param own returns the organisations for which this process holds few units
+     * @param accruing returns whether units accrue at this process
      */
-    LimitNeeds(Supplier<Collection<String>> own) {
+    LimitNeeds(Supplier<Collection<String>> own, BooleanSupplier accruing) {
         this.own = own;
+        this.accruing = accruing;
     }
 
     /** Sets what is notified of the peers that can be asked. */
@@ -79,10 +85,14 @@
 
     @Override
     public Optional<DigestSection> write(DigestScope scope, List<String> peers, long nowMillis) {
+        boolean accrues = accruing.getAsBoolean();
         Collection<String> names = own.get();
-        if (!names.isEmpty()) {
+        if (!names.isEmpty() || !accrues) {
             changedMillis = nowMillis;
         }
+        if (!accrues && scope != DigestScope.REST) {
+            return Optional.empty();
+        }
         boolean due = nowMillis - writtenMillis >= EMPTY_INTERVAL_MILLIS;
         if (nowMillis - changedMillis >= REPEAT_MILLIS && !due && nowMillis != writtenMillis) {
             return Optional.empty();
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/LimitSuppliers.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/LimitSuppliers.java
@@ -24,13 +24,15 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
 
 /**
  * Selects the process that this one asks for units of an organisation's limit: a leaf asks its hub,
  * and the hubs ask the one of them that pools the units of the organisation. With several regions
  * each has a pool, and the pools ask one of them. Processes that know different hubs may select
- * different pools; then units are in several places, but not more of them.
+ * different pools; then units are in several places, but not more of them. A hub at which no units
+ * accrue yet pools none: it asks another one.
  */
 final class LimitSuppliers {
     /** Maximum age of the last message of a hub that is selected, in milliseconds. */
@@ -52,6 +54,7 @@
     private final Mesh mesh;
     private final LinkedPeers peers;
     private final RegionExchange regions;
+    private final BooleanSupplier accruing;
 
     /** Peers that can be asked for units; those of an older build cannot. */
     private final Set<String> capable = new HashSet<>();
@@ -64,11 +67,17 @@
 
     private long linkedMillis;
 
-    LimitSuppliers(LongSupplier nowMillis, Mesh mesh, LinkedPeers peers, RegionExchange regions) {
+    LimitSuppliers(
+            LongSupplier nowMillis,
+            Mesh mesh,
+            LinkedPeers peers,
+            RegionExchange regions,
+            BooleanSupplier accruing) {
         this.nowMillis = nowMillis;
         this.mesh = mesh;
         this.peers = peers;
         this.regions = regions;
+        this.accruing = accruing;
         this.linkedMillis = nowMillis.getAsLong();
     }
 
@@ -117,10 +126,12 @@
      * Returns whether this process relies on another one for units.
      *
      * @param organisation the organisation
-     * @return true also while this process has no link to another one yet, or is changing its hub
+     * @return true also while this process has no link to another one yet, or is changing its hub,
+     *     and before units accrue here
      */
     boolean exists(String organisation) {
-        if (!mesh.isPlanned()) {
+        if (!mesh.isPlanned() || !accruing.getAsBoolean()) {
+            linkedMillis = nowMillis.getAsLong();
             return true;
         }
         boolean linked = mesh.isHub() ? isAnyCapable() : ownHub().isPresent();
@@ -180,9 +191,15 @@
         return Optional.ofNullable(best);
     }
 
-    /** Whether a hub ranks before another one, or before this process if there is no other. */
+    /**
+     * Whether a hub ranks before another one, or before this process if there is no other. Before
+     * units accrue here, each ranks before this process.
+     */
     private boolean isBefore(
             Optional<RegionView> view, String organisation, Peer peer, Peer other) {
+        if (other == null && !accruing.getAsBoolean()) {
+            return true;
+        }
         if (view.isPresent()) {
             int rank = other == null ? view.get().rank(view.get().self()) : rank(view.get(), other);
             return rank(view.get(), peer) < rank;
@@ -201,7 +218,10 @@
         }
         RegionView view = mesh.regions().get();
         Peer best = null;
-        long most = hash(organisation, view.region(view.self()));
+        long most =
+                accruing.getAsBoolean()
+                        ? hash(organisation, view.region(view.self()))
+                        : Long.MIN_VALUE;
         for (Peer peer : List.copyOf(regions.counted())) {
             long hash = hash(organisation, view.region(peer.hello()));
             if (isSelectable(peer) && hash > most) {
--- a/trailladder-entry/src/test/java/io/trailladder/entry/gateway/LimitStartTest.java
+++ b/trailladder-entry/src/test/java/io/trailladder/entry/gateway/LimitStartTest.java
@@ -64,4 +64,34 @@
         cluster.limit(PER_SECOND);
         requestWhileLimitsAreUsed();
     }
+
+    /**
+     * Guards against pooling units at a process that may not hold any yet, and refuses requests.
+     */
+    @Example
+    void processThatWasNotListedIsSuppliedUntilItsOwnUnitsAccrue() {
+        for (int i = 0; i < 8; i++) {
+            assertSuppliedUntilItsUnitsAccrue("p00" + i);
+        }
+    }
+
+    private static void assertSuppliedUntilItsUnitsAccrue(String name) {
+        SimulatedCluster eight = new SimulatedCluster(1, 8, PER_SECOND);
+        eight.revokeEntries(List.of(name));
+        SimulatedProcess process = eight.process(name);
+        List<Long> ownUnits = new ArrayList<>();
+        List<Long> supplied = new ArrayList<>();
+        eight.onStep(
+                () -> {
+                    List<Long> current = process.view().usesLimits() ? ownUnits : supplied;
+                    process.request(SimulatedCluster.UNITS_PER_REQUEST, current::add);
+                });
+        eight.advance(4_000);
+        List<Long> all = new ArrayList<>(supplied);
+        all.addAll(ownUnits);
+        int firstAdmitted = all.indexOf(0L);
+        assertTrue(supplied.contains(0L), name + " was not supplied");
+        long refused = all.stream().skip(firstAdmitted).filter(wait -> wait > 0).count();
+        assertEquals(0, refused, name + " refused requests after the first that it admitted");
+    }
 }
