--- a/trailladder-entry/src/test/java/io/trailladder/entry/gateway/StoreWatcherTest.java
+++ b/trailladder-entry/src/test/java/io/trailladder/entry/gateway/StoreWatcherTest.java
@@ -24,7 +24,6 @@
 import io.trailladder.entry.port.StoreItem;
 import io.vavr.control.Either;
 import java.io.IOException;
-import java.lang.reflect.Proxy;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.SplittableRandom;
@@ -62,22 +61,19 @@
         }
     }
 
-    @SuppressWarnings("unchecked")
     private CoordinationStore store() {
-        return (CoordinationStore)
-                Proxy.newProxyInstance(
-                        CoordinationStore.class.getClassLoader(),
-                        new Class<?>[] {CoordinationStore.class},
-                        (proxy, method, arguments) -> {
-                            if (method.getName().equals("list")) {
-                                listCalls++;
-                                answer(lists, arguments[3]);
-                            } else if (method.getName().equals("watch")) {
-                                answer(watches, arguments[3]);
-                                return (Runnable) () -> {};
-                            }
-                            return null;
-                        });
+        return PortStandIn.of(
+                CoordinationStore.class,
+                (proxy, method, arguments) -> {
+                    if (method.getName().equals("list")) {
+                        listCalls++;
+                        answer(lists, arguments[3]);
+                    } else if (method.getName().equals("watch")) {
+                        answer(watches, arguments[3]);
+                        return (Runnable) () -> {};
+                    }
+                    return null;
+                });
     }
 
     /** Passes on the next answer, the last one again and again for a list. */
--- a/trailladder-entry/src/test/java/io/trailladder/entry/gateway/UsageReporterTest.java
+++ b/trailladder-entry/src/test/java/io/trailladder/entry/gateway/UsageReporterTest.java
@@ -26,7 +26,6 @@
 import io.trailladder.entry.port.StoreItem;
 import io.trailladder.entry.port.StoreWrite;
 import io.vavr.control.Either;
-import java.lang.reflect.Proxy;
 import java.nio.charset.StandardCharsets;
 import java.time.Clock;
 import java.time.Instant;
@@ -49,20 +48,18 @@
 
     @SuppressWarnings("unchecked")
     private CoordinationStore store() {
-        return (CoordinationStore)
-                Proxy.newProxyInstance(
-                        CoordinationStore.class.getClassLoader(),
-                        new Class<?>[] {CoordinationStore.class},
-                        (proxy, method, arguments) -> {
-                            if (method.getName().equals("write")) {
-                                ((Consumer<Either<StoreFailure, Long>>) arguments[1])
-                                        .accept(write((StoreWrite) arguments[0]));
-                            } else if (method.getName().equals("read")) {
-                                ((Consumer<Either<StoreFailure, StoreItem>>) arguments[1])
-                                        .accept(Either.right(item((String) arguments[0])));
-                            }
-                            return null;
-                        });
+        return PortStandIn.of(
+                CoordinationStore.class,
+                (proxy, method, arguments) -> {
+                    if (method.getName().equals("write")) {
+                        ((Consumer<Either<StoreFailure, Long>>) arguments[1])
+                                .accept(write((StoreWrite) arguments[0]));
+                    } else if (method.getName().equals("read")) {
+                        ((Consumer<Either<StoreFailure, StoreItem>>) arguments[1])
+                                .accept(Either.right(item((String) arguments[0])));
+                    }
+                    return null;
+                });
     }
 
     private StoreItem item(String key) {
@@ -80,14 +77,12 @@
     }
 
     private DutyApi duties() {
-        return (DutyApi)
-                Proxy.newProxyInstance(
-                        DutyApi.class.getClassLoader(),
-                        new Class<?>[] {DutyApi.class},
-                        (proxy, method, arguments) -> {
-                            report(arguments);
-                            return null;
-                        });
+        return PortStandIn.of(
+                DutyApi.class,
+                (proxy, method, arguments) -> {
+                    report(arguments);
+                    return null;
+                });
     }
 
     @SuppressWarnings("unchecked")
