Plans count that are known though the record is gone

If the store had no record any more, streams were computed by the oldest plan alone: what was known of the newest plan of processes that had ended was kept from before. A read that finds nothing now counts the current plan, as one that finds the record does. It needs a store that lost the record, and lost copies. Evidence: StreamPlansOrdersTest#plansCountThatAreKnownThoughTheRecordIsGone failed before (reviewer) and passes.

--- a/trailladder-core/src/main/java/io/trailladder/core/upstream/RecordedVersions.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/upstream/RecordedVersions.java
@@ -147,6 +147,9 @@
         if (earlier == Earlier.UNKNOWN) {
             earlier = Earlier.NOT_RECORDED;
         }
+        if (readMillis < lostMillis) {
+            endedNumber = plans.current().number();
+        }
         readMillis = beganMillis;
     }
 
