Streams and roll-outs: names and comments from the review, an unheard process is missed once

An unheard process that is not listed any more has the record read once, not until it is forgotten. Ended roll-outs are forgotten by the leader's sets. Names: SharedPlans.beginNewSeries, RecordedVersions.wasAbsent, RequestDriver.tellOfStream.

--- a/trailladder-core/src/main/java/io/trailladder/core/upstream/ListFreshness.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/upstream/ListFreshness.java
@@ -260,7 +260,7 @@
      * Returns until when other processes are told that the list is current.
      *
      * @param nowMillis the current time, in milliseconds
-     * @return the time, in milliseconds; at the latest now
+     * @return the time, in milliseconds; now if the list is current, or there is none yet
      */
     public long statedUntilMillis(long nowMillis) {
         // a process that has no list yet does not serve by an old one
--- a/trailladder-core/src/main/java/io/trailladder/core/upstream/PlanUse.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/upstream/PlanUse.java
@@ -53,6 +53,9 @@
     /** Processes that were listed or linked and have stated nothing yet. */
     private final Map<String, Held> unheard = new HashMap<>();
 
+    /** Those of them that are not listed any more. */
+    private final Set<String> missed = new HashSet<>();
+
     /** Processes that have become silent. */
     private final Map<String, Held> silent = new HashMap<>();
 
@@ -106,10 +109,15 @@
     /**
      * Records the processes that the store lists, this one excluded, all of which are linked.
      *
-     * @return whether one is not listed any more that was never heard
+     * @return whether one that was never heard is not listed any more, each one once
      */
     boolean listed(Collection<String> peers, long ownNumber, long nowMillis) {
-        boolean isAnyLost = !peers.containsAll(unheard.keySet());
+        missed.retainAll(unheard.keySet());
+        missed.removeAll(peers);
+        boolean isAnyLost = false;
+        for (String peer : unheard.keySet()) {
+            isAnyLost |= !peers.contains(peer) && missed.add(peer);
+        }
         for (String peer : peers) {
             if (!everStated.contains(peer)) {
                 expect(peer, ownNumber, nowMillis);
--- a/trailladder-core/src/main/java/io/trailladder/core/upstream/RecordTimes.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/upstream/RecordTimes.java
@@ -18,8 +18,8 @@
 import java.util.Map;
 
 /**
- * How long what a {@link VersionRecord} tells still counts, from when it was written on. It counts
- * for no longer when it is read.
+ * For how long what a {@link VersionRecord} tells still counts. Who reads it holds it for these
+ * times, and records what is left of them.
  *
  * @param plans for how long plans may have assigned streams that are resumed, by their number, in
  *     milliseconds
--- a/trailladder-core/src/main/java/io/trailladder/core/upstream/RecordedVersions.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/upstream/RecordedVersions.java
@@ -155,7 +155,7 @@
 
     /** Records that the store has lost its latest writes, plans among them. */
     public void storeReplaced() {
-        plans.lost();
+        plans.beginNewSeries();
     }
 
     /**
@@ -227,7 +227,7 @@
     }
 
     /** Returns whether the store had no record when this process started. */
-    boolean isFirst() {
+    boolean wasAbsent() {
         return earlier == Earlier.NOT_RECORDED;
     }
 
--- a/trailladder-core/src/main/java/io/trailladder/core/upstream/SharedPlans.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/upstream/SharedPlans.java
@@ -180,7 +180,7 @@
     }
 
     /** Records that plans were lost that others may know, so that the next starts a new series. */
-    void lost() {
+    void beginNewSeries() {
         newSeries = true;
     }
 
--- a/trailladder-core/src/main/java/io/trailladder/core/upstream/StreamVersions.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/upstream/StreamVersions.java
@@ -143,7 +143,7 @@
      */
     public long usedNumber(Collection<String> peers, boolean speaksForOthers, long nowMillis) {
         long own = plans.current().number();
-        if (own == 0 && !record.isFirst()) {
+        if (own == 0 && !record.wasAbsent()) {
             return NO_STATEMENT;
         }
         if (begun.isAnyForgotten(nowMillis)) {
@@ -327,7 +327,7 @@
     /** Returns whether a process that is not told of a stream knows its version. */
     private boolean isKnownFromPlans(StreamCall call, String version) {
         return plans.current().number() == 0
-                ? record.isFirst() && !hasSeveralVersions(call.service())
+                ? record.wasAbsent() && !hasSeveralVersions(call.service())
                 : plans.assigned(call, plans.current().number()).equals(Optional.of(version));
     }
 
@@ -487,7 +487,7 @@
     }
 
     private boolean isUnsettled(long nowMillis) {
-        return record.isFirst()
+        return record.wasAbsent()
                 && plans.current().number() == 0
                 && nowMillis - startedMillis < SETTLE_MILLIS;
     }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestDriver.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestDriver.java
@@ -274,7 +274,7 @@
 
     @Override
     public void body(Attempt sender, byte[] bytes) {
-        int events = answer.body(bytes, () -> recordVersion(sender));
+        int events = answer.body(bytes, () -> tellOfStream(sender));
         if (events > 0) {
             sender.eventsReceived(events);
             crashes.answering(sender);
@@ -287,7 +287,7 @@
     }
 
     /** Tells others of the stream before its caller can resume it. */
-    private void recordVersion(Attempt sender) {
+    private void tellOfStream(Attempt sender) {
         version.eventReceived(
                 sender.upstream(), context.streamTelling(), context.loop().nowMillis());
     }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RolloutRunner.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RolloutRunner.java
@@ -125,7 +125,10 @@
             recordsRead.clear();
             return;
         }
-        for (Rollout rollout : manager.rollouts()) {
+        List<Rollout> rollouts = manager.rollouts();
+        deciders.keySet().retainAll(rollouts);
+        recordsRead.retainAll(rollouts);
+        for (Rollout rollout : rollouts) {
             manager.lostRecord(rollout).ifPresent(this::recordAgain);
             if (!rollout.phase().isFinal()
                     && isRecordRead(rollout)
