Plans in use: one place for what a silence leaves, what others use and a pause

PlanUse held what a silent peer leaves in two places, listed the peers that are heard in two, and counted times down in two more. StreamVersions kept the time of its last tick beside ListFreshness, with the same bound, to notice that the process was frozen; tick of the list tells it now. StreamPlansOrdersTest repeated a change of versions five times.

--- a/trailladder-core/src/main/java/io/trailladder/core/upstream/ListFreshness.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/upstream/ListFreshness.java
@@ -185,15 +185,21 @@
         silences.computeIfPresent(peer, (name, silence) -> silence.endedAt(nowMillis));
     }
 
-    /** To be called several times a second; a longer pause shows that the process was frozen. */
-    void tick(long nowMillis) {
-        if (nowMillis - tickedMillis > FROZEN_MILLIS) {
+    /**
+     * To be called several times a second; a longer pause shows that the process was frozen.
+     *
+     * @return whether it was frozen since the last call
+     */
+    boolean tick(long nowMillis) {
+        boolean wasFrozen = nowMillis - tickedMillis > FROZEN_MILLIS;
+        if (wasFrozen) {
             frozenUntilMillis = nowMillis;
         }
         tickedMillis = nowMillis;
         endUntold(silences, nowMillis);
         endUntold(outdated, nowMillis);
         prune(nowMillis);
+        return wasFrozen;
     }
 
     private static void endUntold(Map<String, Silence> silences, long nowMillis) {
--- a/trailladder-core/src/main/java/io/trailladder/core/upstream/PlanUse.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/upstream/PlanUse.java
@@ -86,10 +86,7 @@
 
     /** Records the oldest plan that a peer, or those for which it speaks, use. */
     void stated(String peer, long number, long nowMillis) {
-        Held before = silent.remove(peer);
-        if (before != null) {
-            ended.add(Held.ended(before.number(), nowMillis));
-        }
+        endSilence(peer, nowMillis);
         removed.remove(peer);
         stated.put(peer, number);
         everStated.add(peer);
@@ -162,28 +159,19 @@
 
     /** Returns for how long plans may have assigned streams that are resumed, by their number. */
     Map<Long, Long> leftMillis(long ownNumber, long nowMillis) {
-        Map<Long, Long> left = new HashMap<>();
-        for (Held each : earlier) {
-            left.merge(each.number(), each.untilMillis() - nowMillis, Math::max);
-        }
-        for (Held each : ended) {
-            left.merge(each.number(), each.untilMillis() - nowMillis, Math::max);
-        }
-        Set<String> known = new HashSet<>(stated.keySet());
-        known.addAll(unplanned.keySet());
-        left.put(oldestOf(known, ownNumber), StreamVersions.MAX_AGE_MILLIS);
-        left.values().removeIf(millis -> millis <= 0);
+        Map<Long, Long> left = leftOf(Stream.concat(earlier.stream(), ended.stream()), nowMillis);
+        left.put(oldestHeard(ownNumber), StreamVersions.MAX_AGE_MILLIS);
         return left;
     }
 
     /** Returns for how long silent processes may use plans, by their number. */
     Map<Long, Long> silentMillis(long nowMillis) {
+        return leftOf(silentOnes(), nowMillis);
+    }
+
+    private static Map<Long, Long> leftOf(Stream<Held> held, long nowMillis) {
         Map<Long, Long> left = new HashMap<>();
-        silentOnes()
-                .forEach(
-                        each ->
-                                left.merge(
-                                        each.number(), each.untilMillis() - nowMillis, Math::max));
+        held.forEach(each -> left.merge(each.number(), each.untilMillis() - nowMillis, Math::max));
         left.values().removeIf(millis -> millis <= 0);
         return left;
     }
@@ -216,10 +204,15 @@
     void linked(String peer, long ownNumber, long nowMillis) {
         expect(peer, ownNumber, nowMillis);
         Long number = stated.remove(peer);
-        Held before = silent.remove(peer);
         if (number != null) {
             ended.add(Held.ended(number, nowMillis));
         }
+        endSilence(peer, nowMillis);
+    }
+
+    /** Holds the plan by which a silent peer may have assigned streams until now. */
+    private void endSilence(String peer, long nowMillis) {
+        Held before = silent.remove(peer);
         if (before != null) {
             ended.add(Held.ended(before.number(), nowMillis));
         }
@@ -267,9 +260,14 @@
 
     /** Returns the oldest plan that a process may use that has not ended. */
     private long running(long ownNumber) {
-        Set<String> known = new HashSet<>(stated.keySet());
-        known.addAll(unplanned.keySet());
-        return Math.min(oldestOf(known, ownNumber), least(silentOnes(), ownNumber));
+        return Math.min(oldestHeard(ownNumber), least(silentOnes(), ownNumber));
+    }
+
+    /** Returns the oldest plan that this process, or one that it hears, uses. */
+    private long oldestHeard(long ownNumber) {
+        Set<String> heard = new HashSet<>(stated.keySet());
+        heard.addAll(unplanned.keySet());
+        return oldestOf(heard, ownNumber);
     }
 
     /** Returns the oldest plan that a silent process may use; {@link #NONE} if there is none. */
--- a/trailladder-core/src/main/java/io/trailladder/core/upstream/StreamVersions.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/upstream/StreamVersions.java
@@ -59,9 +59,6 @@
      */
     static final long SETTLE_MILLIS = 3_000;
 
-    /** Time between two ticks from which this process was frozen, in milliseconds. */
-    private static final long FROZEN_MILLIS = 1_000;
-
     private final UpstreamDirectory directory;
     private final VersionGate versions;
     private final VersionPlanner planner;
@@ -72,7 +69,6 @@
     private final ListFreshness list;
     private final Map<String, VersionGaps> gaps = new HashMap<>();
     private final long startedMillis;
-    private long tickedMillis;
 
     /**
      * Creates an instance that knows of no streams.
@@ -91,7 +87,6 @@
         record = new RecordedVersions(versions, plans, begun, use, startedMillis);
         list = new ListFreshness(own, startedMillis);
         this.startedMillis = startedMillis;
-        tickedMillis = startedMillis;
     }
 
     /**
@@ -510,11 +505,9 @@
      * @param nowMillis the current time, in milliseconds
      */
     public void tick(long nowMillis) {
-        if (nowMillis - tickedMillis > FROZEN_MILLIS) {
+        if (list.tick(nowMillis)) {
             record.processLost(nowMillis);
         }
-        tickedMillis = nowMillis;
-        list.tick(nowMillis);
         begun.tick(nowMillis);
         use.prune(nowMillis);
         plans.prune();
--- a/trailladder-core/src/test/java/io/trailladder/core/upstream/StreamPlansOrdersTest.java
+++ b/trailladder-core/src/test/java/io/trailladder/core/upstream/StreamPlansOrdersTest.java
@@ -54,6 +54,12 @@
         streams.record().read(record, times, nowMillis, nowMillis);
     }
 
+    private void addVersion(String version, int upstreams) {
+        for (int i = 0; i < upstreams; i++) {
+            change(upstream("n" + i, version), true);
+        }
+    }
+
     private static StreamCall call(int i) {
         return new StreamCall("m", "a" + i);
     }
@@ -80,11 +86,18 @@
         // the leader that has ended knew a process that is silent and uses plan 1
         read(own, new VersionRecord(1, List.of(ONE, TWO), 1, Map.of()), T + 40_100);
         settle(own, T + 40_100, T + 70_000);
-        StreamOrigin origin =
-                own.computed(call(1), new StreamInquiry(true, true, true), T + 70_000);
+        StreamOrigin origin = own.computed(call(1), ASKED, T + 70_000);
         assertNotEquals(Optional.of("v2"), origin.required());
     }
 
+    /** Returns how many streams are joined long after the versions have changed. */
+    private int joinedAfterAChange() {
+        advance(2_000, 40);
+        addVersion("v9", 6);
+        advance(100_000, 40);
+        return joined;
+    }
+
     /** Guards against the same, played: a process restarts as another one is cut off. */
     @Example
     void streamsOfAProcessThatIsCutOffAreNotJoinedByOneThatRestartsThen() {
@@ -94,12 +107,7 @@
             advance(5_000, 40);
             processes.get(1).isolate();
             processes.get(2).restart(down);
-            advance(2_000, 40);
-            for (int i = 0; i < 6; i++) {
-                change(upstream("n" + i, "v9"), true);
-            }
-            advance(100_000, 40);
-            sum += joined;
+            sum += joinedAfterAChange();
         }
         assertEquals(0, sum);
     }
@@ -116,12 +124,7 @@
             for (int i : new int[] {0, 2, 3, 4}) {
                 processes.get(i).restart(400 + 200 * i);
             }
-            advance(2_000, 40);
-            for (int i = 0; i < 6; i++) {
-                change(upstream("n" + i, "v9"), true);
-            }
-            advance(100_000, 40);
-            sum += joined;
+            sum += joinedAfterAChange();
         }
         assertEquals(0, sum);
     }
@@ -134,9 +137,7 @@
         processes.get(1).restart(300);
         processes.get(1).cutFromPeers = true;
         advance(4_000, 40);
-        for (int i = 0; i < 6; i++) {
-            change(upstream("n" + i, "v9"), true);
-        }
+        addVersion("v9", 6);
         advance(100_000, 40);
         assertEquals(0, joined, seen());
     }
@@ -228,9 +229,7 @@
     void streamsGoOnAfterAllReturnedAtDifferentTimes() {
         start(5, 2);
         advance(5_000, 40);
-        for (int i = 0; i < 5; i++) {
-            processes.get(i).restart(500 + 700 * i);
-        }
+        restartInTurn();
         loseAllButOneAfterAChange();
     }
 
@@ -243,11 +242,15 @@
         loseAllButOneAfterAChange();
     }
 
+    private void restartInTurn() {
+        for (int i = 0; i < 5; i++) {
+            processes.get(i).restart(500 + 700 * i);
+        }
+    }
+
     private void loseAllButOneAfterAChange() {
         advance(90_000, 40);
-        for (int i = 0; i < 6; i++) {
-            change(upstream("n" + i, "v9"), true);
-        }
+        addVersion("v9", 6);
         advance(30_000, 40);
         assertEquals(0, joined, seen());
         countEarlierStreams();
@@ -263,13 +266,9 @@
     void plansAreForgottenAfterAllReturnedAtDifferentTimes() {
         start(5, 2);
         advance(5_000, 40);
-        for (int i = 0; i < 5; i++) {
-            processes.get(i).restart(500 + 700 * i);
-        }
+        restartInTurn();
         advance(10_000, 40);
-        for (int i = 0; i < 6; i++) {
-            change(upstream("n" + i, "v9"), true);
-        }
+        addVersion("v9", 6);
         advance(90_000, 40);
         long used = processes.get(0).plan();
         assertEquals(used, recordedSince(), "recorded by the process that returned first");
@@ -311,9 +310,7 @@
                 case 3 -> storeReachable = !storeReachable;
                 case 4 -> {
                     version++;
-                    for (int i = 0; i < 4; i++) {
-                        change(upstream("n" + i, "v" + version), true);
-                    }
+                    addVersion("v" + version, 4);
                 }
                 case 5 -> change(upstream("u" + random.nextInt(12), "v" + version), false);
                 case 6 -> change(upstream("u" + random.nextInt(12), "v" + version), true);
