--- a/trailladder-entry/src/main/java/io/trailladder/entry/JsonFields.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/JsonFields.java
@@ -17,6 +17,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import io.trailladder.core.TrailladderException;
+import io.trailladder.platform.ShortText;
 import java.util.List;
 
 /**
@@ -178,6 +179,6 @@
             return field.isArray() ? "a list" : "an object";
         }
         String text = field.isTextual() ? "'" + field.textValue() + "'" : field.asText();
-        return text.length() > MAX_SHOWN_CHARS ? text.substring(0, MAX_SHOWN_CHARS) + "..." : text;
+        return ShortText.of(text, MAX_SHOWN_CHARS);
     }
 }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/JsonTree.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/JsonTree.java
@@ -27,6 +27,7 @@
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.MissingNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.trailladder.platform.ShortText;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.UncheckedIOException;
@@ -82,16 +83,13 @@
         } catch (JsonProcessingException e) {
             // the message may cite the text at length
             throw new JsonParseException(
-                    null, shortened(e.getOriginalMessage()), e.getLocation(), e);
+                    null,
+                    ShortText.of(e.getOriginalMessage(), MAX_MESSAGE_CHARS),
+                    e.getLocation(),
+                    e);
         }
     }
 
-    private static String shortened(String message) {
-        return message.length() > MAX_MESSAGE_CHARS
-                ? message.substring(0, MAX_MESSAGE_CHARS) + "..."
-                : message;
-    }
-
     /**
      * Writes a value.
      *
--- a/trailladder-platform/src/main/java/io/trailladder/platform/http/HostPort.java
+++ b/trailladder-platform/src/main/java/io/trailladder/platform/http/HostPort.java
@@ -16,6 +16,7 @@
 package io.trailladder.platform.http;
 
 import io.trailladder.core.TrailladderException;
+import io.trailladder.platform.ShortText;
 
 /**
  * A host and a port.
@@ -77,13 +78,10 @@
          * @param text the text
          */
         public BadAddressException(String text) {
-            super("address '" + shown(text) + "', expected HOST:PORT, for example 127.0.0.1:8080");
-        }
-
-        private static String shown(String text) {
-            return text.length() > MAX_SHOWN_CHARS
-                    ? text.substring(0, MAX_SHOWN_CHARS) + "..."
-                    : text;
+            super(
+                    "address '"
+                            + ShortText.of(text, MAX_SHOWN_CHARS)
+                            + "', expected HOST:PORT, for example 127.0.0.1:8080");
         }
     }
 }
