How the ids of each service rise outlives the processes that saw it

What callers saw: 200, whole, with an event missing, soon after a kill of the processes.

Cause: a gap was told only where the same process had seen two steps of the service; a process that had just started accepted any. Class: what is known by observation alone, and forgotten by a restart.

Change: the leader records the services whose ids are known to be consecutive; a process that starts reads the record, and takes every gap for a missing event until it has. Weighed: sections in digests (each process sees two steps of what it serves within a tenth of a second, and a loss of all takes them along), holding the first event back until a second one tells (the last event has none), one more attempt for each gap (a process that has just started has no retries). The record is one small value, written when a service joins or leaves it.

--- a/trailladder-core/src/main/java/io/trailladder/core/pipeline/EventSteps.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/pipeline/EventSteps.java
@@ -17,9 +17,12 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
 
 /**
- * How the ids of the events of each service rise, as seen within single answers of upstreams.
+ * How the ids of the events of each service rise, as seen within single answers of upstreams, and
+ * as recorded by processes that have ended.
  *
  * <p>Ids need not be consecutive. An event is known to be missing only where each id was one above
  * the id before it. A service one of whose answers had a larger step, as with events that carry
@@ -32,6 +35,24 @@
     private static final int UNEVEN = -1;
 
     private final Map<String, Integer> evenSteps = new HashMap<>();
+    private boolean awaitsRecord;
+
+    /** Takes ids for consecutive, unless larger steps were seen, until the record is known. */
+    public void awaitRecord() {
+        awaitsRecord = true;
+    }
+
+    /**
+     * Takes in which services were known to have consecutive ids.
+     *
+     * @param services their names; empty if there is no record
+     */
+    public void recorded(Set<String> services) {
+        awaitsRecord = false;
+        for (String service : services) {
+            evenSteps.merge(service, MIN_STEPS, (seen, known) -> seen == UNEVEN ? UNEVEN : known);
+        }
+    }
 
     /**
      * Records two events that follow one another within an answer.
@@ -50,12 +71,25 @@
     }
 
     /**
-     * Returns whether the ids of a service are known to be consecutive.
+     * Returns whether an event is missing where an id is more than one above the id before it.
      *
      * @param service the service
-     * @return false if any step was larger, or too few were seen
+     * @return false if any step was larger, or too few were seen and none are recorded
      */
     public boolean areConsecutive(String service) {
-        return evenSteps.getOrDefault(service, 0) >= MIN_STEPS;
+        int seen = evenSteps.getOrDefault(service, 0);
+        return seen >= MIN_STEPS || (awaitsRecord && seen != UNEVEN);
+    }
+
+    /**
+     * Returns the services whose ids are known to be consecutive.
+     *
+     * @return their names
+     */
+    public Set<String> consecutive() {
+        return evenSteps.entrySet().stream()
+                .filter(entry -> entry.getValue() >= MIN_STEPS)
+                .map(Map.Entry::getKey)
+                .collect(Collectors.toUnmodifiableSet());
     }
 }
--- a/trailladder-core/src/test/java/io/trailladder/core/pipeline/EventOrderProperties.java
+++ b/trailladder-core/src/test/java/io/trailladder/core/pipeline/EventOrderProperties.java
@@ -20,6 +20,7 @@
 import io.trailladder.core.pipeline.EventOrder.Position;
 import java.math.BigInteger;
 import java.util.List;
+import java.util.Set;
 import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
@@ -122,6 +123,27 @@
         assertInOrder(order, "9");
     }
 
+    /** Guards against a missing event before a process that has started knows how ids rise. */
+    @Example
+    void eventIsMissingWhereTheRecordIsAwaitedOrTellsSo() {
+        steps.awaitRecord();
+        assertEquals(Position.AFTER_A_GAP, order("3").received("6"));
+        steps.recorded(Set.of("s"));
+        assertEquals(Position.AFTER_A_GAP, order("3").received("6"));
+        assertEquals(Set.of("s"), steps.consecutive());
+    }
+
+    /** Guards against breaking off streams by a record that tells less than what was seen. */
+    @Example
+    void noEventIsMissingWhereTheRecordDoesNotTellSo() {
+        steps.awaitRecord();
+        steps.recorded(Set.of("other"));
+        assertInOrder(order("3"), "6", "8");
+        steps.recorded(Set.of("s"));
+        assertInOrder(order("8"), "11");
+        assertEquals(Set.of("other"), steps.consecutive());
+    }
+
     @Example
     void servicesAreJudgedByTheirOwnIds() {
         assertInOrder(order(""), "1", "3", "5");
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
@@ -147,6 +147,7 @@
     private final CrashWatch crashes = new CrashWatch(loop::nowMillis, metrics);
     private final StoreRecord<?> crashRecord;
     private final StoreRecord<?> versionRecord;
+    private final StoreRecord<?> eventStepsRecord;
     private long planReadMillis = -PLAN_READ_INTERVAL_MILLIS;
     private final CrashPages crashPages = new CrashPages(crashes, loop::nowMillis);
     private final RequestIntake intake;
@@ -339,6 +340,16 @@
                                 loop::nowMillis,
                                 storeHealth.history()::epoch,
                                 view::sendDigests));
+        EventSteps eventSteps = new EventSteps();
+        eventStepsRecord =
+                new StoreRecord<>(
+                        loop,
+                        countedStore(platform, Purpose.EVENT_STEPS),
+                        storeHealth,
+                        duties::leads,
+                        EventStepsRecord.KEY,
+                        Freshness.RECENT,
+                        new EventStepsRecord(eventSteps, firstStart));
         StreamExchange streamExchange =
                 new StreamExchange(
                         loop::nowMillis, loop::schedule, streams, streamPeers, versionRecord::read);
@@ -376,7 +387,7 @@
                         streams,
                         streamExchange,
                         streamTelling,
-                        new EventSteps(),
+                        eventSteps,
                         quotas,
                         budgets,
                         usage,
@@ -460,6 +471,8 @@
                     versionRecord.start(
                             settings.node().firstStart(),
                             VersionRecords.WRITE_CHECK_INTERVAL_MILLIS);
+                    eventStepsRecord.start(
+                            settings.node().firstStart(), StoreRecord.WRITE_CHECK_INTERVAL_MILLIS);
                 });
         loop.start();
         DecisionLog.write(
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/StoreCalls.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/StoreCalls.java
@@ -44,7 +44,9 @@
         /** The record of requests that end upstreams. */
         CRASHES,
         /** The record of the versions that served lately. */
-        VERSIONS
+        VERSIONS,
+        /** The record of the services whose events have consecutive ids. */
+        EVENT_STEPS
     }
 
     /** The kind of a call. */
--- a/trailladder-entry/src/test/java/io/trailladder/entry/gateway/OtherWritersRecordsProperties.java
+++ b/trailladder-entry/src/test/java/io/trailladder/entry/gateway/OtherWritersRecordsProperties.java
@@ -18,6 +18,7 @@
 import static org.junit.jupiter.api.Assertions.assertDoesNotThrow;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.trailladder.core.pipeline.EventSteps;
 import io.trailladder.core.rollout.VersionGate;
 import io.trailladder.core.upstream.StreamVersions;
 import io.trailladder.core.upstream.Upstream;
@@ -56,6 +57,10 @@
         return new VersionRecords(streams, () -> NOW, () -> 0, () -> {});
     }
 
+    private static EventStepsRecord eventStepsRecord() {
+        return new EventStepsRecord(new EventSteps(), false);
+    }
+
     private static byte[] versions() {
         VersionPlan first = new VersionPlan(6, Map.of("m", Map.of("v1", 1), "s", Map.of("v3", 1)));
         VersionPlan second = first.next(Map.of("m", Map.of("v1", 4, "v2", 4), "s", Map.of()));
@@ -67,7 +72,8 @@
         LeaderKey.read(value);
         LeaderKey.parseToken(new String(value, StandardCharsets.US_ASCII));
         MemberFormat.read(value);
-        for (StoreRecord.Content<?> record : List.of(crashRecords, versionRecords())) {
+        for (StoreRecord.Content<?> record :
+                List.of(crashRecords, versionRecords(), eventStepsRecord())) {
             try {
                 record.read(Optional.of(value));
             } catch (IOException e) {
