Records of the store are created and started at one place

Gateway created three StoreRecords with the same five arguments and started each. StoreRecords has that once; behaviour is unchanged.

--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Gateway.java
@@ -147,7 +147,7 @@
     private final CrashWatch crashes = new CrashWatch(loop::nowMillis, metrics);
     private final StoreRecord<?> crashRecord;
     private final StoreRecord<?> versionRecord;
-    private final StoreRecord<?> eventStepsRecord;
+    private final StoreRecords records;
     private long planReadMillis = -PLAN_READ_INTERVAL_MILLIS;
     private final CrashPages crashPages = new CrashPages(crashes, loop::nowMillis);
     private final RequestIntake intake;
@@ -271,14 +271,18 @@
                         random.split(),
                         metrics);
         view.epochUpdates().tokens(duties::highestToken, duties::tokenReported);
-        crashRecord =
-                new StoreRecord<>(
+        records =
+                new StoreRecords(
                         loop,
-                        countedStore(platform, Purpose.CRASHES),
+                        purpose -> countedStore(platform, purpose),
                         storeHealth,
-                        duties::leads,
+                        duties::leads);
+        crashRecord =
+                records.add(
+                        Purpose.CRASHES,
                         CrashRecords.KEY,
                         Freshness.RECENT,
+                        StoreRecord.WRITE_CHECK_INTERVAL_MILLIS,
                         new CrashRecords(clock, loop::nowMillis, crashes));
         VersionGate versions = new VersionGate();
         rollouts =
@@ -328,28 +332,23 @@
         view.add(streamBasis);
         view.add(new StreamPart(streams, () -> view.isAnyPeerNot(plans)));
         versionRecord =
-                new StoreRecord<>(
-                        loop,
-                        countedStore(platform, Purpose.VERSIONS),
-                        storeHealth,
-                        duties::leads,
+                records.add(
+                        Purpose.VERSIONS,
                         VersionRecords.KEY,
                         Freshness.LATEST,
+                        VersionRecords.WRITE_CHECK_INTERVAL_MILLIS,
                         new VersionRecords(
                                 streams,
                                 loop::nowMillis,
                                 storeHealth.history()::epoch,
                                 view::sendDigests));
         EventSteps eventSteps = new EventSteps();
-        eventStepsRecord =
-                new StoreRecord<>(
-                        loop,
-                        countedStore(platform, Purpose.EVENT_STEPS),
-                        storeHealth,
-                        duties::leads,
-                        EventStepsRecord.KEY,
-                        Freshness.RECENT,
-                        new EventStepsRecord(eventSteps, firstStart));
+        records.add(
+                Purpose.EVENT_STEPS,
+                EventStepsRecord.KEY,
+                Freshness.RECENT,
+                StoreRecord.WRITE_CHECK_INTERVAL_MILLIS,
+                new EventStepsRecord(eventSteps, firstStart));
         StreamExchange streamExchange =
                 new StreamExchange(
                         loop::nowMillis, loop::schedule, streams, streamPeers, versionRecord::read);
@@ -466,13 +465,7 @@
                     duties.start(settings.node().firstStart());
                     fleet.start();
                     rollouts.start();
-                    crashRecord.start(
-                            settings.node().firstStart(), StoreRecord.WRITE_CHECK_INTERVAL_MILLIS);
-                    versionRecord.start(
-                            settings.node().firstStart(),
-                            VersionRecords.WRITE_CHECK_INTERVAL_MILLIS);
-                    eventStepsRecord.start(
-                            settings.node().firstStart(), StoreRecord.WRITE_CHECK_INTERVAL_MILLIS);
+                    records.start(settings.node().firstStart());
                 });
         loop.start();
         DecisionLog.write(
