A stream is not ended by an answer that breaks off after its head

What callers saw: 200, whole, events 123 of 6. A stream broke after its third event, and the upstream that was to resume it sent a whole head with neither a length nor chunks, and closed, serving on.

Cause: a stream without any event is incomplete, but not one whose caller has events: an answer with none was taken for the end, as nothing was left. Class: what an upstream seems to say is believed though nothing shows it.

Ruled out: to ask for events after each answer without any (built, one run): AnswerCutFaultTest#streamOfNoFurtherEventIsWhole then fails, rightly by its name; nothing in the protocol tells a caller that has all events from one that lacks some.

Change: an answer without framing that resumes a stream with no event ends it only if a second attempt is answered so, or if the route allows one attempt alone. Finding UNCONFIRMED_END.

Evidence: StreamContinuationFaultTest, before: unframed, length 0, last chunk alone each "200 whole, events 123"; after: the unframed one goes on to event 6, or is broken off where no attempt is left, and a caller that lacks the end alone gets it.

Open: where no retry is left, a caller that lacks the end alone gets 502 from an upstream without framing, and must ask again.

--- a/trailladder-cli/src/main/java/io/trailladder/cli/RequestTrace.java
+++ b/trailladder-cli/src/main/java/io/trailladder/cli/RequestTrace.java
@@ -168,6 +168,7 @@
         String finding = last("AnswerEnd").map(end -> end.text("finding")).orElse("");
         return switch (finding) {
             case "INCOMPLETE_STREAM" -> "; its answer ended as an incomplete stream";
+            case "UNCONFIRMED_END" -> "; an answer resumed the stream with no event";
             case "UPSTREAM_ENDED" ->
                     "; its answer ended with its connection, and the upstream with it";
             default -> "";
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/AnswerEnd.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/AnswerEnd.java
@@ -44,6 +44,8 @@
         COMPLETE,
         /** A stream that ends inside an event, or before its first one. */
         INCOMPLETE_STREAM,
+        /** The first answer without framing that resumes a stream with no event. */
+        UNCONFIRMED_END,
         /** An answer without framing whose upstream could not be reached after its end. */
         UPSTREAM_ENDED
     }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/AnswerEndCheck.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/AnswerEndCheck.java
@@ -16,6 +16,7 @@
 package io.trailladder.entry.gateway;
 
 import io.trailladder.core.pipeline.AttemptFailure;
+import io.trailladder.core.pipeline.ServingRequest;
 import io.trailladder.core.upstream.Upstream;
 import io.trailladder.entry.gateway.AnswerEnd.Finding;
 import java.util.function.BiConsumer;
@@ -38,7 +39,7 @@
     private static final long CHECK_DELAY_MILLIS = 5;
 
     private final ServingContext context;
-    private final String requestId;
+    private final ServingRequest request;
     private final AnswerRelay answer;
     private final BiConsumer<Upstream, Consumer<Boolean>> reachable;
 
@@ -46,17 +47,17 @@
      * Creates a check for the answers to one request.
      *
      * @param context the objects that all requests share
-     * @param requestId the request
+     * @param request the request
      * @param answer what has arrived of the answer
      * @param reachable tests whether an upstream can be reached
      */
     AnswerEndCheck(
             ServingContext context,
-            String requestId,
+            ServingRequest request,
             AnswerRelay answer,
             BiConsumer<Upstream, Consumer<Boolean>> reachable) {
         this.context = context;
-        this.requestId = requestId;
+        this.request = request;
         this.answer = answer;
         this.reachable = reachable;
     }
@@ -70,6 +71,8 @@
     void answerEnded(Attempt attempt, boolean framed) {
         if (answer.isIncompleteStream()) {
             decide(attempt, Finding.INCOMPLETE_STREAM);
+        } else if (!framed && answer.isUnconfirmedEnd() && request.route().maxAttempts() > 1) {
+            decide(attempt, Finding.UNCONFIRMED_END);
         } else if (framed) {
             attempt.complete();
         } else {
@@ -92,7 +95,7 @@
         }
         DecisionLog.write(
                 new AnswerEnd(
-                        requestId,
+                        request.id(),
                         attempt.upstream().id(),
                         attempt.framing(),
                         attempt.events(),
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/AnswerRelay.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/AnswerRelay.java
@@ -58,6 +58,8 @@
     private boolean relaying;
     private boolean eventStream;
     private boolean eventsSeen;
+    private boolean eventsOfAttempt;
+    private boolean continuedByNothing;
     private boolean bodiless;
     private boolean lengthGiven;
     private boolean unusable;
@@ -94,6 +96,7 @@
         splitter = new EventSplitter();
         buffered = new ByteArrayOutputStream();
         reservation.set(0);
+        eventsOfAttempt = false;
         order.newAttempt(upstream);
     }
 
@@ -159,6 +162,7 @@
         int events = relayEvents(splitter.append(bytes), onEvent);
         if (events > 0) {
             eventsSeen = true;
+            eventsOfAttempt = true;
             bytesSinceEvent = splitter.pendingBytes();
         }
         reservation.set(splitter.pendingBytes());
@@ -226,6 +230,19 @@
         return eventStream && (splitter.endsInsideEvent() || empty);
     }
 
+    /**
+     * Returns whether the answer that has ended without framing resumes a stream with no event, and
+     * is the first one to do so. The caller may lack the end alone, but an upstream that breaks off
+     * after its head answers in the same way.
+     */
+    boolean isUnconfirmedEnd() {
+        boolean nothing = eventStream && !bodiless && !eventsOfAttempt;
+        boolean resumedByNothing = nothing && !history.lastEventId().isEmpty();
+        boolean unconfirmed = resumedByNothing && !continuedByNothing;
+        continuedByNothing |= resumedByNothing;
+        return unconfirmed;
+    }
+
     /** Returns whether what the attempt sends does not continue what was relayed before. */
     boolean isOutOfOrder() {
         return order.isBroken();
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestDriver.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestDriver.java
@@ -106,7 +106,7 @@
                         isStream(),
                         new StreamOrder(context, request, history),
                         this::firstByte);
-        this.answerEnd = new AnswerEndCheck(context, request.id(), answer, this::checkReachable);
+        this.answerEnd = new AnswerEndCheck(context, request, answer, this::checkReachable);
         boolean resumable = isStream() && request.route().repeatable();
         exchange.answerOwner(new AnswerOwner(request.id(), request.organisation(), resumable));
         this.responseTimeout =
