A process that starts later takes gaps for missing events unless larger steps are known

Cause: the record told what its writer had seen. A service that is not in it was taken for one without consecutive ids, though it only says that the leader has not seen it. Class: a belief from what is not told.

Weighed: each process writes the record (hundreds of writes against each other's as an installation starts); sections in digests (a loss of all takes them along). Taken: the record names the services with larger steps, under a key of its own, and what is in neither is taken for consecutive by processes that start later. Two consecutive steps that a process sees itself go before the record, so that one answer with a gap does not count without end.

Price: a sound stream of a service with larger steps that is resumed just at a gap is broken off by a process that has restarted, if the leader did not serve that service, until the process sees a larger step. Before, that held until the record was read.

Tests: EventOrderProperties#noEventIsMissingWhereTheRecordDoesNotTellSo held the fault itself (a record that lacks the service lets a gap pass); it is replaced by one that asks for the missing event there, one that accepts gaps where larger steps are recorded or seen, and one for the way back.

--- a/trailladder-core/src/main/java/io/trailladder/core/pipeline/EventSteps.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/pipeline/EventSteps.java
@@ -16,17 +16,20 @@
 package io.trailladder.core.pipeline;
 
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
-import java.util.stream.Collectors;
 
 /**
  * How the ids of the events of each service rise, as seen within single answers of upstreams, and
  * as recorded by processes that have ended.
  *
- * <p>Ids need not be consecutive. An event is known to be missing only where each id was one above
- * the id before it. A service one of whose answers had a larger step, as with events that carry
- * several tokens, is never believed to have consecutive ids again.
+ * <p>Ids need not be consecutive. Where no process ran before, an event is known to be missing only
+ * once ids were seen to rise by one. A process that starts later takes each gap for a missing event
+ * unless it has seen a larger step of the service, or one is recorded: what it lacks may have been
+ * seen by processes that have ended. A service one of whose answers had a larger step, as with
+ * events that carry several tokens, is not believed to have consecutive ids again by the process
+ * that saw it.
  *
  * @since 0.2
  */
@@ -35,23 +38,21 @@
     private static final int UNEVEN = -1;
 
     private final Map<String, Integer> evenSteps = new HashMap<>();
-    private boolean awaitsRecord;
+    private Set<String> recorded = Set.of();
+    private boolean othersRan;
 
-    /** Takes ids for consecutive, unless larger steps were seen, until the record is known. */
-    public void awaitRecord() {
-        awaitsRecord = true;
+    /** Records that processes ran before this one, which may have seen how ids rise. */
+    public void othersRan() {
+        othersRan = true;
     }
 
     /**
-     * Takes in which services were known to have consecutive ids.
+     * Takes in which services were known to have larger steps.
      *
      * @param services their names; empty if there is no record
      */
     public void recorded(Set<String> services) {
-        awaitsRecord = false;
-        for (String service : services) {
-            evenSteps.merge(service, MIN_STEPS, (seen, known) -> seen == UNEVEN ? UNEVEN : known);
-        }
+        recorded = Set.copyOf(services);
     }
 
     /**
@@ -74,22 +75,29 @@
      * Returns whether an event is missing where an id is more than one above the id before it.
      *
      * @param service the service
-     * @return false if any step was larger, or too few were seen and none are recorded
+     * @return false if a step was larger, or too few are known
      */
     public boolean areConsecutive(String service) {
         int seen = evenSteps.getOrDefault(service, 0);
-        return seen >= MIN_STEPS || (awaitsRecord && seen != UNEVEN);
+        boolean believed = othersRan && !recorded.contains(service);
+        return seen >= MIN_STEPS || (believed && seen != UNEVEN);
     }
 
     /**
-     * Returns the services whose ids are known to be consecutive.
+     * Returns the services that are known to have larger steps.
      *
      * @return their names
      */
-    public Set<String> consecutive() {
-        return evenSteps.entrySet().stream()
-                .filter(entry -> entry.getValue() >= MIN_STEPS)
-                .map(Map.Entry::getKey)
-                .collect(Collectors.toUnmodifiableSet());
+    public Set<String> uneven() {
+        Set<String> services = new HashSet<>(recorded);
+        evenSteps.forEach(
+                (service, seen) -> {
+                    if (seen == UNEVEN) {
+                        services.add(service);
+                    } else if (seen >= MIN_STEPS) {
+                        services.remove(service);
+                    }
+                });
+        return Set.copyOf(services);
     }
 }
--- a/trailladder-core/src/test/java/io/trailladder/core/pipeline/EventOrderProperties.java
+++ b/trailladder-core/src/test/java/io/trailladder/core/pipeline/EventOrderProperties.java
@@ -123,25 +123,36 @@
         assertInOrder(order, "9");
     }
 
-    /** Guards against a missing event before a process that has started knows how ids rise. */
+    /** Guards against a missing event at a process that starts after one that saw how ids rise. */
     @Example
-    void eventIsMissingWhereTheRecordIsAwaitedOrTellsSo() {
-        steps.awaitRecord();
+    void eventIsMissingWhereOthersRanAndNoLargerStepIsRecorded() {
+        steps.othersRan();
         assertEquals(Position.AFTER_A_GAP, order("3").received("6"));
-        steps.recorded(Set.of("s"));
+        steps.recorded(Set.of("other"));
         assertEquals(Position.AFTER_A_GAP, order("3").received("6"));
-        assertEquals(Set.of("s"), steps.consecutive());
+        assertEquals(Set.of("other"), steps.uneven());
     }
 
-    /** Guards against breaking off streams by a record that tells less than what was seen. */
+    /** Guards against breaking off sound streams by a record that tells less than what was seen. */
     @Example
-    void noEventIsMissingWhereTheRecordDoesNotTellSo() {
-        steps.awaitRecord();
-        steps.recorded(Set.of("other"));
-        assertInOrder(order("3"), "6", "8");
+    void noEventIsMissingWhereLargerStepsAreRecordedOrSeen() {
+        steps.othersRan();
         steps.recorded(Set.of("s"));
+        assertInOrder(order("3"), "6", "8");
+        steps.recorded(Set.of());
         assertInOrder(order("8"), "11");
-        assertEquals(Set.of("other"), steps.consecutive());
+        assertEquals(Set.of("s"), steps.uneven());
+    }
+
+    /** Guards against a service taken for uneven without end because of one answer. */
+    @Example
+    void consecutiveIdsThatAreSeenGoBeforeTheRecord() {
+        steps.othersRan();
+        steps.recorded(Set.of("s"));
+        assertInOrder(order("3"), "6", "7");
+        assertInOrder(order("3"), "6", "7");
+        assertEquals(Position.AFTER_A_GAP, order("3").received("6"));
+        assertEquals(Set.of(), steps.uneven());
     }
 
     @Example
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/EventStepsRecord.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/EventStepsRecord.java
@@ -27,14 +27,14 @@
 import java.util.Set;
 
 /**
- * The record of the services whose events have consecutive ids. A process that has started knows by
- * it that events are missing before it has seen any of the service.
+ * The record of the services whose events do not have consecutive ids. A process that has started
+ * knows by it where no event is missing before it has seen any of the service.
  *
  * <p>The value consists of the number of services, in two bytes, and their names in modified UTF-8.
  */
 final class EventStepsRecord implements StoreRecord.Content<Set<String>> {
     /** Key of the record. */
-    static final String KEY = "trailladder/record/event-steps";
+    static final String KEY = "trailladder/record/uneven-steps";
 
     /** Max. number of services in a record. */
     private static final int MAX_SERVICES = 1_000;
@@ -50,7 +50,7 @@
     EventStepsRecord(EventSteps steps, boolean firstStart) {
         this.steps = steps;
         if (!firstStart) {
-            steps.awaitRecord();
+            steps.othersRan();
         }
     }
 
@@ -61,7 +61,7 @@
 
     @Override
     public Optional<Set<String>> current() {
-        Set<String> services = steps.consecutive();
+        Set<String> services = steps.uneven();
         return services.size() > MAX_SERVICES ? Optional.empty() : Optional.of(services);
     }
 
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/StoreCalls.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/StoreCalls.java
@@ -45,7 +45,7 @@
         CRASHES,
         /** The record of the versions that served lately. */
         VERSIONS,
-        /** The record of the services whose events have consecutive ids. */
+        /** The record of the services whose events do not have consecutive ids. */
         EVENT_STEPS
     }
 
