The memory budget is a bound

What was seen: 300 endless bodies reserved 8538572 of 8388608 bytes, once beside load.

Cause, by reading who reserves: everyone (buffered body, incomplete event, unread answer, request) kept its bytes first and reserved them afterwards, and the account refused nothing. What ends answers runs after the turn of the event loop, and one turn reads up to 64 KB for each connection: from 85% of the budget, where answers begin to be ended, 19 such reads pass it. Besides, bytes that an answer hands from its buffer to its caller's queue counted twice until the buffer was released, and at a full process answers grew for up to 250 ms between two checks.

Change: a reservation that would pass the budget is refused and its owner keeps nothing: a request gets 503, an incomplete event fails its attempt (NO_MEMORY), a body that is buffered is relayed, and an answer whose caller has not read is ended (NO_ROOM). A piece that the socket takes at once is sent as before. Buffers are released before their bytes are handed on, and a refusal has memory freed right after the turn. Ruled out: a lower level for ending answers (any level is passed with enough connections), and refusing pieces before the socket was tried (ends answers of callers that read).

MemoryAccountProperties holds the bound for the account.

A stream that may be resumed can now end inside an event if the budget is used up while its socket has taken a part of one; it never looks whole.

--- a/trailladder-core/src/main/java/io/trailladder/core/memory/MemoryAccount.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/memory/MemoryAccount.java
@@ -24,8 +24,9 @@
  * and closes it; bytes are reserved and released in no other way. A change of size costs a few
  * additions and no allocation.
  *
- * <p>The account itself refuses no reservation, so that it never stops work that keeps the process
- * running.
+ * <p>The sum of all reservations never exceeds the budget: a reservation that would is refused, and
+ * its owner must drop the bytes. Bytes that the process itself needs to keep running are not
+ * reserved, so a refusal never stops that work.
  *
  * @since 0.2
  */
@@ -167,13 +168,20 @@
          * drops what arrives later.
          *
          * @param now bytes, at least 0
+         * @return false if the budget has no room for them; nothing is changed then, and the owner
+         *     must not keep the bytes. A decrease always succeeds.
          */
-        public void set(long now) {
-            if (!closed && now != bytes) {
-                long added = now - bytes;
-                bytes = now;
-                add(kind, added);
+        public boolean set(long now) {
+            long added = now - bytes;
+            if (closed || added == 0) {
+                return true;
             }
+            if (added > 0 && added > budget.bytes() - total) {
+                return false;
+            }
+            bytes = now;
+            add(kind, added);
+            return true;
         }
 
         /**
--- a/trailladder-core/src/test/java/io/trailladder/core/memory/MemoryAccountProperties.java
+++ b/trailladder-core/src/test/java/io/trailladder/core/memory/MemoryAccountProperties.java
@@ -65,6 +65,27 @@
         assertEquals(MemoryLevel.CALM, account.level());
     }
 
+    /** Guards against a budget that is exceeded because the owners of bytes decide too late. */
+    @Property(tries = 300, seed = SEED)
+    void reservationsNeverExceedTheBudget(
+            @ForAll long seed, @ForAll @IntRange(min = 10, max = 400) int steps) {
+        Random random = new Random(seed);
+        MemoryAccount account = new MemoryAccount(new MemoryBudget(BUDGET));
+        List<MemoryAccount.Reservation> open = new ArrayList<>();
+        for (int number = 0; number < 20; number++) {
+            open.add(account.open(ReservationKind.ANSWERS_WAITING));
+        }
+        for (int step = 0; step < steps; step++) {
+            MemoryAccount.Reservation chosen = open.get(random.nextInt(open.size()));
+            long before = chosen.bytes();
+            long now = random.nextInt(400);
+            boolean fits = account.total() - before + now <= BUDGET;
+            assertEquals(fits || now <= before, chosen.set(now));
+            assertEquals(fits || now <= before ? now : before, chosen.bytes());
+            assertTrue(account.peak() <= BUDGET, () -> account.peak() + " bytes reserved");
+        }
+    }
+
     @Example
     void levelsEndLowerThanTheyBegin() {
         MemoryAccount account = new MemoryAccount(new MemoryBudget(BUDGET));
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/AnswerRelay.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/AnswerRelay.java
@@ -61,6 +61,7 @@
     private boolean bodiless;
     private boolean lengthGiven;
     private boolean unusable;
+    private boolean withoutRoom;
     private long bytesSinceEvent;
 
     /**
@@ -91,9 +92,8 @@
 
     /** Discards the part of an answer that a failed attempt left behind. */
     void newAttempt(Upstream upstream) {
-        splitter = new EventSplitter();
-        buffered = new ByteArrayOutputStream();
-        reservation.set(0);
+        dropIncomplete();
+        withoutRoom = false;
         order.newAttempt(upstream);
     }
 
@@ -110,6 +110,7 @@
         lengthGiven = length >= 0;
         bodiless = answerStatus == NO_CONTENT || exchange.method().equals("HEAD");
         unusable = false;
+        withoutRoom = false;
         bytesSinceEvent = 0;
         buffered.reset();
         relaying = stream && answerStatus <= MAX_SUCCESS_STATUS;
@@ -141,27 +142,53 @@
             relayBytes(bytes);
             return 0;
         }
-        buffered.writeBytes(bytes);
-        if (buffered.size() > memory.maxBufferedAnswerBytes()) {
-            unusable = history.hasAnswerStarted();
-            if (unusable) {
-                return 0;
-            }
+        bufferOrRelay(bytes);
+        return 0;
+    }
+
+    /** Buffers a part of the body, or begins to relay if there is no room for it. */
+    private void bufferOrRelay(byte[] bytes) {
+        long size = (long) buffered.size() + bytes.length;
+        unusable = size > memory.maxBufferedAnswerBytes() && history.hasAnswerStarted();
+        if (unusable) {
+            return;
+        }
+        if (size <= memory.maxBufferedAnswerBytes() && reservation.set(size)) {
+            buffered.writeBytes(bytes);
+        } else if (history.hasAnswerStarted()) {
+            withoutRoom = true;
+        } else {
             relaying = true;
-            relayBytes(buffered.toByteArray());
-            buffered = new ByteArrayOutputStream();
+            relayBytes(takeBuffered());
+            relayBytes(bytes);
         }
-        reservation.set(buffered.size());
-        return 0;
+    }
+
+    /** Returns the buffered bytes, for which whoever keeps them reserves memory from now on. */
+    private byte[] takeBuffered() {
+        byte[] bytes = buffered.toByteArray();
+        dropIncomplete();
+        return bytes;
+    }
+
+    private void dropIncomplete() {
+        buffered = new ByteArrayOutputStream();
+        splitter = new EventSplitter();
+        reservation.set(0);
     }
 
     private int streamBody(byte[] bytes, Runnable onEvent) {
-        int events = relayEvents(splitter.append(bytes), onEvent);
+        List<StreamEvent> complete = splitter.append(bytes);
+        // before the events are relayed: those that wait for the caller are reserved again there
+        withoutRoom = !reservation.set(splitter.pendingBytes());
+        if (withoutRoom) {
+            dropIncomplete();
+        }
+        int events = relayEvents(complete, onEvent);
         if (events > 0) {
             eventsSeen = true;
             bytesSinceEvent = splitter.pendingBytes();
         }
-        reservation.set(splitter.pendingBytes());
         return events;
     }
 
@@ -175,7 +202,7 @@
         if (isOversized()) {
             return Optional.of(AttemptFailure.OVERSIZED);
         }
-        boolean fits = splitter.pendingBytes() <= memory.maxBufferedAnswerBytes();
+        boolean fits = !withoutRoom && splitter.pendingBytes() <= memory.maxBufferedAnswerBytes();
         return fits ? Optional.empty() : Optional.of(AttemptFailure.NO_MEMORY);
     }
 
@@ -199,7 +226,9 @@
     /** Ends the answer after the upstream has sent all of it. */
     void end() {
         if (relaying) {
-            relayBytes(splitter.remainder());
+            byte[] remainder = splitter.remainder();
+            dropIncomplete();
+            relayBytes(remainder);
             begin();
             exchange.end();
         } else {
@@ -210,7 +239,7 @@
     /** Sends the buffered bytes as the complete answer. */
     void respondBuffered() {
         onFirstByte.run();
-        exchange.respond(status, headers.endToEnd(), buffered.toByteArray());
+        exchange.respond(status, headers.endToEnd(), takeBuffered());
     }
 
     int status() {
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/MemoryManager.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/MemoryManager.java
@@ -61,6 +61,7 @@
     private final LongSupplier nowMillis;
     private final Consumer<Runnable> deferred;
     private Supplier<List<ServerExchange>> unread = List::of;
+    private boolean tickPending;
 
     /** The reason why an answer was ended before its caller had received all of it. */
     public enum CutReason {
@@ -68,7 +69,10 @@
         NOT_READ,
         /** The unread bytes exceeded the bound for one answer. */
         OVER_BOUND,
-        /** The memory level was {@code FULL}, and the answer was chosen to free memory. */
+        /**
+         * The memory level was {@code FULL}, and the answer was chosen to free memory; or the
+         * budget had no room for its next piece.
+         */
         NO_ROOM
     }
 
@@ -175,6 +179,16 @@
         }
     }
 
+    /**
+     * Ends an answer whose next piece does not fit into the budget, and has memory freed before
+     * more is read, so that as few answers as possible end in the order in which they arrive.
+     */
+    @Override
+    public void noRoom(ServerExchange exchange) {
+        cut(exchange, CutReason.NO_ROOM);
+        tickSoon();
+    }
+
     @Override
     public void idle(ServerExchange exchange, long idleMillis) {
         cut(exchange, CutReason.NOT_READ);
@@ -255,7 +269,19 @@
                                 + "; was "
                                 + before.name().toLowerCase(Locale.ROOT)));
         if (now == MemoryLevel.FULL) {
-            deferred.accept(this::tick);
+            tickSoon();
+        }
+    }
+
+    private void tickSoon() {
+        if (tickPending) {
+            return;
         }
+        tickPending = true;
+        deferred.accept(
+                () -> {
+                    tickPending = false;
+                    tick();
+                });
     }
 }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestDriver.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestDriver.java
@@ -104,7 +104,7 @@
                         exchange,
                         history,
                         isStream(),
-                        new StreamOrder(context, request, history),
+                        new StreamOrder(context.metrics(), context.eventSteps(), request, history),
                         this::firstByte);
         this.answerEnd = new AnswerEndCheck(context, request.id(), answer, this::checkReachable);
         boolean resumable = isStream() && request.route().repeatable();
@@ -275,6 +275,9 @@
     @Override
     public void body(Attempt sender, byte[] bytes) {
         int events = answer.body(bytes, () -> tellOfStream(sender));
+        if (finished) {
+            return; // there was no room for what the caller has not read
+        }
         if (events > 0) {
             sender.eventsReceived(events);
             crashes.answering(sender);
@@ -309,7 +312,9 @@
             crashes.ranToCompletion();
         }
         answer.end();
-        end("whole", answer.status(), sender);
+        if (!finished) {
+            end("whole", answer.status(), sender);
+        }
     }
 
     @Override
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/StreamOrder.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/StreamOrder.java
@@ -17,6 +17,7 @@
 
 import io.trailladder.core.pipeline.AttemptHistory;
 import io.trailladder.core.pipeline.EventOrder;
+import io.trailladder.core.pipeline.EventSteps;
 import io.trailladder.core.pipeline.ServingRequest;
 import io.trailladder.core.upstream.Upstream;
 import io.trailladder.entry.gateway.AnswerOutOfOrder.Finding;
@@ -40,15 +41,20 @@
     /**
      * Creates the object for one request.
      *
-     * @param context the objects that all requests share
+     * @param metrics counts the answers that are out of order
+     * @param steps how event ids rise
      * @param request the request
      * @param history records which events were forwarded
      */
-    StreamOrder(ServingContext context, ServingRequest request, AttemptHistory history) {
-        this.metrics = context.metrics();
+    StreamOrder(
+            GatewayMetrics metrics,
+            EventSteps steps,
+            ServingRequest request,
+            AttemptHistory history) {
+        this.metrics = metrics;
         this.requestId = request.id();
         this.history = history;
-        this.order = new EventOrder(context.eventSteps(), request.service(), history.lastEventId());
+        this.order = new EventOrder(steps, request.service(), history.lastEventId());
     }
 
     /** Begins with the answer of the next attempt. */
--- a/trailladder-entry/src/main/java/io/trailladder/entry/http/AnswerWriter.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/http/AnswerWriter.java
@@ -78,13 +78,17 @@
     }
 
     void write(byte[] bytes, boolean last) {
-        if (writing) {
+        boolean queued = writing;
+        if (queued) {
             enqueue(bytes);
             ended |= last;
         } else {
             send(bytes, last);
         }
-        updateAccount();
+        if (!updateAccount()) {
+            endWithoutRoom(queued);
+            return;
+        }
         if (unsentBytes > owner.server().account().budget().answerBytes()) {
             owner.server().unread().overBound(exchange);
         }
@@ -188,6 +192,15 @@
         owner.terminate();
     }
 
+    /** Ends the answer because its last piece is kept in memory without a reservation. */
+    private void endWithoutRoom(boolean queued) {
+        owner.server().unread().noRoom(exchange);
+        if (!queued) {
+            // a cut lets the write in progress complete, but that is the piece without a place
+            owner.terminate();
+        }
+    }
+
     private void enqueue(byte[] bytes) {
         if (cut || bytes.length == 0) {
             return;
@@ -258,21 +271,28 @@
         return ((NIOConnection) owner.connection()).getAsyncWriteQueue().spaceInBytes();
     }
 
-    /** Updates the memory account. Costs nothing while the caller keeps up. */
-    private void updateAccount() {
+    /**
+     * Updates the memory account. Costs nothing while the caller keeps up.
+     *
+     * @return false if the budget has no room for the unsent bytes
+     */
+    private boolean updateAccount() {
         int bytes = writingBytes + waitingBytes;
         if (bytes == unsentBytes) {
-            return;
+            return true;
         }
         if (holding == null) {
             holding = owner.server().account().open(ReservationKind.ANSWERS_WAITING);
             progressMillis = owner.server().nowMillis();
         }
+        if (!holding.set(bytes)) {
+            return false;
+        }
         unsentBytes = bytes;
-        holding.set(bytes);
         if (whenWritable != null && isWritable()) {
             notifyWritable();
         }
+        return true;
     }
 
     private void notifyWritable() {
--- a/trailladder-entry/src/main/java/io/trailladder/entry/http/ServerConnection.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/http/ServerConnection.java
@@ -111,8 +111,8 @@
                 bodyDropped(content);
                 return;
             }
-            updateAccount();
-            if (!content.isLast() && server.account().level() == MemoryLevel.FULL) {
+            boolean fits = updateAccount();
+            if (!fits || (!content.isLast() && server.account().level() == MemoryLevel.FULL)) {
                 refuse(request, UNAVAILABLE);
                 bodyDropped(content);
                 return;
@@ -120,9 +120,14 @@
         }
         if (content.isLast()) {
             reading = null;
-            byte[] bytes = takeBody();
-            accept(new ServerExchange(this, request, headers, bytes));
-            updateAccount();
+            ServerExchange exchange = new ServerExchange(this, request, headers, takeBody());
+            if (holding.set(usedBytes() + exchange.requestBytes())) {
+                accept(exchange);
+                updateAccount();
+            } else {
+                refuse(request, UNAVAILABLE);
+                bodyDropped(content);
+            }
         }
     }
 
@@ -242,8 +247,16 @@
         return bytes;
     }
 
-    /** Updates the memory account with the bytes that the requests of this connection use. */
-    private void updateAccount() {
+    /**
+     * Updates the memory account with the bytes that the requests of this connection use.
+     *
+     * @return false if the budget has no room for them
+     */
+    private boolean updateAccount() {
+        return holding.set(usedBytes());
+    }
+
+    private long usedBytes() {
         long bytes = body.size();
         if (current != null) {
             bytes += current.requestBytes();
@@ -251,7 +264,7 @@
         for (ServerExchange exchange : waiting) {
             bytes += exchange.requestBytes();
         }
-        holding.set(bytes);
+        return bytes;
     }
 
     private void accept(ServerExchange exchange) {
--- a/trailladder-entry/src/main/java/io/trailladder/entry/http/UnreadAnswers.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/http/UnreadAnswers.java
@@ -27,6 +27,11 @@
                 @Override
                 public void overBound(ServerExchange exchange) {}
 
+                @Override
+                public void noRoom(ServerExchange exchange) {
+                    exchange.cut();
+                }
+
                 @Override
                 public void idle(ServerExchange exchange, long idleMillis) {
                     exchange.cut();
@@ -41,6 +46,14 @@
      */
     void overBound(ServerExchange exchange);
 
+    /**
+     * Called when the memory budget has no room for a further piece of an answer. The answer must
+     * be ended within this call, since the piece is lost.
+     *
+     * @param exchange the request
+     */
+    void noRoom(ServerExchange exchange);
+
     /**
      * Called when nothing of an answer was read for the idle limit, repeatedly until the answer
      * ends.
