A delay of both versions does not count against the new one

What was seen: a good version found bad after its first 5 answers, which were late in the same 100 ms as 13 of 152 of the old one.

Cause: the exact tests suppose answers that do not depend on each other, and compare with the rate of the old version since the order. A delay strikes all answers that are under way: 5 of 5 at a rate of 14 in 154 has a probability of 6e-6, below the limit of 2e-5.

Change: SharedDelay finds times in which late answers follow each other within 100 ms and at least three, and at least half, of the old version's answers between the first and the last are late. Late answers of such a time count for neither version, also those that came before it was recognised. Answers that failed always count. Weighed: to wait for the end of such a time before judging (finds slow versions later), and rates in fixed slices (answers in time before the delay in the same slice hide it).

Evidence, virtual time: RolloutTest.versionThatIsLateTogetherWithTheOldOneIsNotHalted plays these figures (interleaved); before HALTED each time, after SAMPLING. Bad versions are found as soon as before: a version late by itself after at most 5 answers, also right after a delay of the old one and beside single late answers of it (both tests pass before and after).

The order in which the 18 answers came is not in the record: if all five of the new version had come first, it would still be halted.

--- a/trailladder-core/src/main/java/io/trailladder/core/rollout/Rollout.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/rollout/Rollout.java
@@ -22,6 +22,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.stream.Stream;
 
 /**
  * The view that one process has of a roll-out: which upstreams a request may go to, what was
@@ -64,6 +65,7 @@
     private final ExposureLedger ledger;
     private final LatencyBaseline baseline = new LatencyBaseline();
     private final Map<String, RouteEvidence> evidenceByRoute = new TreeMap<>();
+    private final SharedDelay delay = new SharedDelay();
     private RolloutPhase phase = RolloutPhase.SAMPLING;
     private final long knownSinceMillis;
     private long deadlineMillis;
@@ -341,9 +343,10 @@
      *
      * @param upstream the upstream
      * @param answer how the request ended
+     * @param nowMillis the current time, in milliseconds
      * @return the rating of the answer
      */
-    public AnswerRating answered(Upstream upstream, AnswerObservation answer) {
+    public AnswerRating answered(Upstream upstream, AnswerObservation answer, long nowMillis) {
         boolean isTarget = isTarget(upstream);
         boolean warm = upstream.coldRemainingMillis() <= 0;
         boolean late = warm && LatencyBaseline.isLate(slowdown(answer));
@@ -353,17 +356,27 @@
         if (!isTarget && !answer.failed()) {
             recordBaseline(answer);
         }
-        RouteEvidence empty = new RouteEvidence(answer.route(), AnswerCount.NONE, AnswerCount.NONE);
-        RouteEvidence before = evidenceByRoute.getOrDefault(answer.route(), empty);
         boolean bad = late || answer.failed();
         boolean slow = warm && LatencyBaseline.isSlow(slowdown(answer));
-        evidenceByRoute.put(answer.route(), before.with(isTarget, bad, slow));
+        if (late && !answer.failed()) {
+            long begunMillis = nowMillis - (long) answer.firstEventMillis();
+            delay.late(answer.route(), isTarget, begunMillis, nowMillis).forEach(this::count);
+        } else {
+            if (!isTarget) {
+                delay.oldOnTime();
+            }
+            count(RouteEvidence.none(answer.route()).with(isTarget, bad, slow));
+        }
         if (isTarget && (bad || slow) && !phase.isFinal() && VersionEvaluator.isBad(evidence())) {
             phase = phase.merge(RolloutPhase.HALTED);
         }
         return AnswerRating.of(bad, slow);
     }
 
+    private void count(RouteEvidence more) {
+        evidenceByRoute.merge(more.route(), more, RouteEvidence::plus);
+    }
+
     /**
      * Returns the slowdown of the first event or of the interval between events, whichever is
      * higher.
@@ -392,12 +405,14 @@
     }
 
     /**
-     * Returns what this process has observed.
+     * Returns what this process has observed. Late answers may be removed again if the old version
+     * turns out to have been late at the same time.
      *
      * @return its evidence, by route
      */
     public List<RouteEvidence> evidence() {
-        return List.copyOf(evidenceByRoute.values());
+        return RouteEvidence.sum(
+                Stream.concat(evidenceByRoute.values().stream(), delay.counted().stream()));
     }
 
     /**
--- a/trailladder-core/src/main/java/io/trailladder/core/rollout/RouteEvidence.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/rollout/RouteEvidence.java
@@ -29,6 +29,16 @@
  * @since 0.4
  */
 public record RouteEvidence(String route, AnswerCount old, AnswerCount target) {
+    /**
+     * Returns the evidence of no answers.
+     *
+     * @param route the route's name
+     * @return evidence without answers
+     */
+    static RouteEvidence none(String route) {
+        return new RouteEvidence(route, AnswerCount.NONE, AnswerCount.NONE);
+    }
+
     /**
      * Returns the sum of two observations of the same route.
      *
--- a/trailladder-core/src/main/java/io/trailladder/core/rollout/VersionEvaluator.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/rollout/VersionEvaluator.java
@@ -128,10 +128,7 @@
     }
 
     private static RouteEvidence total(List<RouteEvidence> evidence) {
-        return evidence.stream()
-                .reduce(
-                        new RouteEvidence("all routes", AnswerCount.NONE, AnswerCount.NONE),
-                        RouteEvidence::plus);
+        return evidence.stream().reduce(RouteEvidence.none("all routes"), RouteEvidence::plus);
     }
 
     private static boolean isBad(RouteEvidence evidence) {
--- a/trailladder-core/src/test/java/io/trailladder/core/rollout/RolloutProperties.java
+++ b/trailladder-core/src/test/java/io/trailladder/core/rollout/RolloutProperties.java
@@ -88,6 +88,34 @@
         assertExposureWithinBound(simulated);
     }
 
+    /** Guards against good versions found bad for delays that both versions have. */
+    @Example
+    void goodVersionsAreCompletedDespiteDelaysOfBothVersions() {
+        int halted = 0;
+        for (int seed = 1; seed <= 50; seed++) {
+            SimulatedRollout simulated = delayed(Version.GOOD, seed);
+            halted += simulated.state() == State.ROLLED_BACK ? 1 : 0;
+        }
+        assertTrue(halted <= 1, halted + " of 50 good versions rolled back");
+    }
+
+    /** Guards against bad versions that pass because the old one is late at times. */
+    @Example
+    void lateVersionsAreRolledBackDespiteDelaysOfBothVersions() {
+        Version late = new Version(0.004, 1, 4, 0, -1, -1);
+        for (int seed = 1; seed <= 50; seed++) {
+            SimulatedRollout simulated = delayed(late, seed);
+            assertExposureWithinBound(simulated);
+            assertEquals(State.ROLLED_BACK, simulated.state());
+        }
+    }
+
+    private static SimulatedRollout delayed(Version version, int seed) {
+        return new SimulatedRollout(version, Faults.NONE, 2, DURATION_MILLIS, seed)
+                .delayingEvery(1_000)
+                .run(300);
+    }
+
     /**
      * Requests to a bad version from the order to its deadline, repeated ones included, stay within
      * the bound whatever the result is, also if the version is wrongly completed.
--- a/trailladder-core/src/test/java/io/trailladder/core/rollout/RolloutTest.java
+++ b/trailladder-core/src/test/java/io/trailladder/core/rollout/RolloutTest.java
@@ -59,10 +59,10 @@
     void processThatObservesFailuresHaltsByItself() {
         rollout.lead(RolloutPhase.SAMPLING, 0);
         for (int i = 0; i < 100; i++) {
-            rollout.answered(OLD, new AnswerObservation("r", false, 50, 50, 0, true));
+            rollout.answered(OLD, new AnswerObservation("r", false, 50, 50, 0, true), 0);
         }
         for (int i = 0; i < 6; i++) {
-            rollout.answered(NEW, new AnswerObservation("r", true, 50, 50, 0, true));
+            rollout.answered(NEW, new AnswerObservation("r", true, 50, 50, 0, true), 0);
         }
         assertEquals(RolloutPhase.HALTED, rollout.phase());
         assertEquals(List.of(OLD), rollout.admitted(BOTH, true, 100));
@@ -72,13 +72,74 @@
     void lateAnswersOfAColdUpstreamAreNotBad() {
         Upstream cold = new Upstream("c", "s", "z", "h:1", 8, false, false, 0, "v2", 900, 0);
         for (int i = 0; i < 100; i++) {
-            rollout.answered(OLD, new AnswerObservation("r", false, 50, 50, 0, true));
-            rollout.answered(cold, new AnswerObservation("r", false, 900, 50, 0, true));
+            rollout.answered(OLD, new AnswerObservation("r", false, 50, 50, 0, true), 0);
+            rollout.answered(cold, new AnswerObservation("r", false, 900, 50, 0, true), 0);
         }
         assertEquals(RolloutPhase.SAMPLING, rollout.phase());
         assertEquals(0, rollout.evidence().get(0).target().bad());
     }
 
+    /** Guards against a version that is found bad for a delay that the old one has as well. */
+    @Example
+    void versionThatIsLateTogetherWithTheOldOneIsNotHalted() {
+        rollout.lead(RolloutPhase.SAMPLING, 0);
+        answerInTime(139);
+        String interleaved = "ooonoonoonoonooono";
+        for (int i = 0; i < interleaved.length(); i++) {
+            Upstream upstream = interleaved.charAt(i) == 'n' ? NEW : OLD;
+            rollout.answered(upstream, late(), 1_010 + 5L * i);
+        }
+        assertEquals(RolloutPhase.SAMPLING, rollout.phase());
+        assertEquals(0, rollout.evidence().get(0).target().bad());
+    }
+
+    /** Guards against late answers that are excused by a delay of the old version before them. */
+    @Example
+    void versionThatIsLateByItselfIsHaltedAfterAsFewAnswersAsBefore() {
+        rollout.lead(RolloutPhase.SAMPLING, 0);
+        answerInTime(139);
+        for (int i = 0; i < 13; i++) {
+            rollout.answered(OLD, late(), 1_010 + 5L * i);
+        }
+        int answers = 0;
+        while (rollout.phase() == RolloutPhase.SAMPLING && answers < 20) {
+            rollout.answered(OLD, new AnswerObservation("r", false, 20, 20, 0, true), 2_000);
+            rollout.answered(NEW, late(), 2_000 + 10L * answers++);
+        }
+        assertTrue(answers <= 5, answers + " late answers");
+    }
+
+    /**
+     * Guards against a version that stays unjudged while single answers of the old one are late.
+     */
+    @Example
+    void versionThatIsAlwaysLateIsHaltedThoughTheOldOneIsLateAtTimes() {
+        rollout.lead(RolloutPhase.SAMPLING, 0);
+        answerInTime(139);
+        int answers = 0;
+        while (rollout.phase() == RolloutPhase.SAMPLING && answers < 40) {
+            answers++;
+            for (int i = 0; i < 10; i++) {
+                boolean slow = i == 0 && answers % 2 == 0;
+                double millis = slow ? 400 : 20;
+                rollout.answered(
+                        OLD, new AnswerObservation("r", false, millis, 20, 0, true), 50L * answers);
+            }
+            rollout.answered(NEW, late(), 50L * answers);
+        }
+        assertTrue(answers <= 5, answers + " late answers");
+    }
+
+    private void answerInTime(int count) {
+        for (int i = 0; i < count; i++) {
+            rollout.answered(OLD, new AnswerObservation("r", false, 20, 20, 0, true), 5L * i);
+        }
+    }
+
+    private static AnswerObservation late() {
+        return new AnswerObservation("r", false, 400, 20, 0, true);
+    }
+
     @Example
     void recordInTheStoreOverridesPeers() {
         rollout.received(new RolloutUpdate(ORDER, RolloutPhase.HALTED, 9_000, 1, List.of()), 0);
--- a/trailladder-core/src/test/java/io/trailladder/core/rollout/SimulatedRollout.java
+++ b/trailladder-core/src/test/java/io/trailladder/core/rollout/SimulatedRollout.java
@@ -44,6 +44,9 @@
     private static final int ROUTES = 3;
     private static final double OLD_FAILS = 0.004;
 
+    /** Length of a time at whose end all answers of requests sent in it come, in milliseconds. */
+    private static final int DELAY_MILLIS = 400;
+
     /**
      * The behaviour of the new version.
      *
@@ -168,6 +171,7 @@
     private long lastExposedMillis = -1;
     private long resultMillis = -1;
     private int restartAllMillis = -1;
+    private int delayEveryMillis;
     private int delayedRequests;
     private int interruptedRequests;
 
@@ -248,6 +252,16 @@
         return badLimitMillis < 0 ? 0 : Math.max(0, lastExposedMillis - badLimitMillis);
     }
 
+    /** Delays the answers of both versions again and again, at all processes. */
+    SimulatedRollout delayingEvery(int millis) {
+        delayEveryMillis = millis;
+        return this;
+    }
+
+    private long delayMillis() {
+        return delayEveryMillis > 0 ? Math.max(0, DELAY_MILLIS - now % delayEveryMillis) : 0;
+    }
+
     /** Makes all processes restart at the same moment. */
     SimulatedRollout restartingAllAt(int millis) {
         restartAllMillis = millis;
@@ -312,7 +326,8 @@
         boolean fails = random.nextDouble() < (badNow ? version.fails() : OLD_FAILS);
         boolean slow = badNow && random.nextDouble() < version.slow();
         double usualMillis = FIRST_MILLIS * StrictMath.exp(0.4 * (random.nextDouble() - 0.5));
-        double tookMillis = slow ? usualMillis * version.slowFactor() : usualMillis;
+        double tookMillis =
+                (slow ? usualMillis * version.slowFactor() : usualMillis) + delayMillis();
         due.add(
                 new Due(
                         now + tookMillis + RUN_MILLIS,
@@ -334,7 +349,8 @@
         running.merge(upstream.id(), -1, Integer::sum);
         sentBy.answered(
                 upstream,
-                new AnswerObservation("r" + route, fails, tookMillis, FIRST_MILLIS, 0, true));
+                new AnswerObservation("r" + route, fails, tookMillis, FIRST_MILLIS, 0, true),
+                now);
         if (upstream.version().equals(NEW) && (fails || slow) && isBadVersion()) {
             badAnswers++;
             if (badAnswers == BAD_ANSWERS_LIMIT) {
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RolloutManager.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RolloutManager.java
@@ -285,7 +285,7 @@
     }
 
     private void count(Rollout rollout, Upstream upstream, AnswerObservation answer) {
-        AnswerRating sort = rollout.answered(upstream, answer);
+        AnswerRating sort = rollout.answered(upstream, answer, nowMillis.getAsLong());
         metrics.versionAnswered(rollout.order().service(), upstream.version(), sort);
     }
 
