A process that is cut off from all begins no streams once others may forget it

A process that has lost a peer which had not announced its stop, and for 40 s has heard no peer and nothing of the store, now refuses new streams that may be resumed: 60 s less the 20 s for which they are resumed.

Ruled out: refusing only where it knows several versions (in the failing histories it knows one, as the other comes after the cut); holding unheard processes for ten minutes (refuses streams after each loss of all whose processes return under other names).

Cost: where the store is away and all other processes have ended without notice, the last one refuses such streams from 40 s on. A process that hears the store or any peer, or has lost no peer, is not affected: 0 refused in 90 s beside one that is cut off, and in 90 s without the store beside a lost one.

SimulatedStreams counts streams that are refused, and does not begin them.

--- a/trailladder-core/src/main/java/io/trailladder/core/upstream/ListFreshness.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/upstream/ListFreshness.java
@@ -43,6 +43,13 @@
     /** Age from which a silence is not told any more, so that all processes forget it. */
     static final long MAX_TOLD_SILENCE_MILLIS = 55_000;
 
+    /**
+     * How long a process begins streams that hears neither the store nor a peer, in milliseconds.
+     * Others that were lost meanwhile count it for as long as its streams are resumed then.
+     */
+    static final long MAX_ISOLATION_MILLIS =
+            PlanUse.MAX_UNHEARD_MILLIS - StreamVersions.MAX_AGE_MILLIS;
+
     /** How long a silence lasts that nobody tells any more, in milliseconds: several digests. */
     private static final long MAX_UNTOLD_MILLIS = 2_000;
 
@@ -248,6 +255,21 @@
                 .orElse(Long.MAX_VALUE);
     }
 
+    /**
+     * Returns whether this process has heard neither the store nor a peer for so long that others
+     * may take it for ended, and at least one peer may still serve callers.
+     */
+    boolean isIsolated(long nowMillis) {
+        return nowMillis - confirmedMillis > MAX_ISOLATION_MILLIS
+                && silences.values().stream().anyMatch(ListFreshness::isNoticedHere)
+                && heardMillis.values().stream()
+                        .allMatch(heard -> nowMillis - heard > MAX_ISOLATION_MILLIS);
+    }
+
+    private static boolean isNoticedHere(Silence silence) {
+        return !silence.over() && silence.toldMillis() == Silence.OWN;
+    }
+
     /** Returns until when the list is known to be current, at the latest now. */
     long currentUntilMillis(long nowMillis) {
         boolean frozen =
@@ -287,9 +309,7 @@
         return silences.values().stream()
                 .anyMatch(
                         silence ->
-                                !silence.over()
-                                        && silence.toldMillis() == Silence.OWN
-                                        && silence.sinceMillis() >= confirmedMillis);
+                                isNoticedHere(silence) && silence.sinceMillis() >= confirmedMillis);
     }
 
     /**
--- a/trailladder-core/src/main/java/io/trailladder/core/upstream/PlanUse.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/upstream/PlanUse.java
@@ -40,7 +40,7 @@
     static final long MAX_SILENCE_MILLIS = 600_000;
 
     /** How long a process counts that was listed and never heard, in milliseconds. */
-    private static final long MAX_UNHEARD_MILLIS = 60_000;
+    static final long MAX_UNHEARD_MILLIS = 60_000;
 
     /** Number of digests without a statement after which a peer is known to use no plans. */
     private static final int MAX_UNPLANNED_DIGESTS = 3;
--- a/trailladder-core/src/main/java/io/trailladder/core/upstream/StreamOrigin.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/upstream/StreamOrigin.java
@@ -34,6 +34,9 @@
     /** A stream that a process may have begun that did not answer, or uses a newer plan. */
     public static final StreamOrigin OUTDATED = new StreamOrigin(Source.OUTDATED, "");
 
+    /** A new stream at a process that others may take for ended, so that it must not begin. */
+    public static final StreamOrigin ISOLATED = new StreamOrigin(Source.ISOLATED, "");
+
     /** How the version of a stream is known. */
     public enum Source {
         /** The stream is a new one, whose version follows from the id of its attempt. */
@@ -47,16 +50,18 @@
         /** It is not known. */
         UNKNOWN,
         /** It is not known, because this process may lack what others know. */
-        OUTDATED
+        OUTDATED,
+        /** It must not begin, because others may take this process for ended. */
+        ISOLATED
     }
 
     /**
      * Returns whether it is known at which version the stream may run.
      *
-     * @return false if it must not be resumed here
+     * @return false if it must not begin or be resumed here
      */
     public boolean isKnown() {
-        return source != Source.UNKNOWN && source != Source.OUTDATED;
+        return source != Source.UNKNOWN && source != Source.OUTDATED && source != Source.ISOLATED;
     }
 
     /**
--- a/trailladder-core/src/main/java/io/trailladder/core/upstream/StreamVersions.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/upstream/StreamVersions.java
@@ -245,9 +245,13 @@
      *
      * @param call the caller's request
      * @param nowMillis the current time, in milliseconds
-     * @return the version, or {@link StreamOrigin#ANY}
+     * @return the version, {@link StreamOrigin#ANY}, or {@link StreamOrigin#ISOLATED}
      */
     public StreamOrigin assigned(StreamCall call, long nowMillis) {
+        // others may know versions that this process does not, also where it knows only one
+        if (list.isIsolated(nowMillis)) {
+            return StreamOrigin.ISOLATED;
+        }
         String service = call.service();
         if (planner.isChosenByRollout(service, nowMillis)) {
             return StreamOrigin.ANY;
@@ -273,7 +277,9 @@
      */
     public boolean awaitsPlan(StreamCall call, long nowMillis) {
         String service = call.service();
-        if (directory.serving(service).isEmpty() || planner.isChosenByRollout(service, nowMillis)) {
+        if (list.isIsolated(nowMillis)
+                || directory.serving(service).isEmpty()
+                || planner.isChosenByRollout(service, nowMillis)) {
             return false;
         }
         Set<String> available = available(service, nowMillis).keySet();
--- a/trailladder-core/src/test/java/io/trailladder/core/upstream/ListFreshnessTest.java
+++ b/trailladder-core/src/test/java/io/trailladder/core/upstream/ListFreshnessTest.java
@@ -16,6 +16,8 @@
 package io.trailladder.core.upstream;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.Map;
 import net.jqwik.api.Example;
@@ -24,6 +26,8 @@
     private static final long CONFIRMED = 10_000;
     private static final long LATER = CONFIRMED + ListFreshness.MAX_CONFIRMATION_GAP_MILLIS + 1;
 
+    private static final long FORGOTTEN = CONFIRMED + ListFreshness.MAX_ISOLATION_MILLIS + 1;
+
     private long lastTickMillis = 1_000;
     private final ListFreshness freshness = new ListFreshness("own", 1_000);
 
@@ -165,4 +169,43 @@
         freshness.learnedSilence("p", CONFIRMED, CONFIRMED + 3_100);
         assertEquals(Map.of(), freshness.silences(CONFIRMED + 3_100));
     }
+
+    /** Guards against a process that others have forgotten and that begins streams. */
+    @Example
+    void aProcessIsIsolatedThatHearsNeitherTheStoreNorItsPeers() {
+        isolate();
+        assertFalse(freshness.isIsolated(FORGOTTEN - 1));
+        assertTrue(freshness.isIsolated(FORGOTTEN));
+    }
+
+    /** Guards against a process that refuses streams though others know of it. */
+    @Example
+    void aProcessIsNotIsolatedOnceItHearsTheStoreOrAPeer() {
+        isolate();
+        freshness.confirmed(CONFIRMED + 100);
+        assertFalse(freshness.isIsolated(FORGOTTEN));
+        freshness.peerHeard("p", FORGOTTEN);
+        assertFalse(freshness.isIsolated(FORGOTTEN + 100));
+    }
+
+    /** Guards against the same where the other processes have stopped, or there is none. */
+    @Example
+    void aProcessThatHasLostNoPeerIsNotIsolated() {
+        tickUntil(CONFIRMED);
+        freshness.confirmed(CONFIRMED);
+        freshness.peerHeard("p", CONFIRMED);
+        tickUntil(FORGOTTEN);
+        assertFalse(freshness.isIsolated(FORGOTTEN));
+    }
+
+    /** Loses the store and both peers. */
+    private void isolate() {
+        tickUntil(CONFIRMED);
+        freshness.confirmed(CONFIRMED - 200);
+        freshness.peerHeard("p", CONFIRMED);
+        freshness.peerHeard("q", CONFIRMED - 300);
+        freshness.peerSilent("p", CONFIRMED);
+        freshness.peerSilent("q", CONFIRMED - 300);
+        tickUntil(FORGOTTEN);
+    }
 }
--- a/trailladder-core/src/test/java/io/trailladder/core/upstream/SimulatedStreams.java
+++ b/trailladder-core/src/test/java/io/trailladder/core/upstream/SimulatedStreams.java
@@ -59,6 +59,10 @@
     int resumed;
     private int continued;
     int joined;
+
+    /** New streams that did not begin. */
+    int refused;
+
     private int picked;
     private Optional<VersionRecord> record = Optional.empty();
 
@@ -228,6 +232,7 @@
         resumed = 0;
         continued = 0;
         joined = 0;
+        refused = 0;
         record = Optional.empty();
         recordRevision = 0;
         storeReachable = true;
@@ -414,6 +419,10 @@
             return;
         }
         StreamOrigin origin = process.versions.assigned(call, now);
+        if (!origin.isKnown()) {
+            refused++;
+            return;
+        }
         List<Upstream> serving = process.directory.serving(SERVICE);
         if (serving.isEmpty()) {
             return;
--- a/trailladder-core/src/test/java/io/trailladder/core/upstream/StreamIsolationHistoriesTest.java
+++ b/trailladder-core/src/test/java/io/trailladder/core/upstream/StreamIsolationHistoriesTest.java
@@ -105,4 +105,43 @@
         advance(10_000, STREAMS_PER_SECOND);
         assertContinued(0.95);
     }
+
+    /** Guards against new streams refused at processes in touch while one is cut off for long. */
+    @Example
+    void streamsBeginAtConnectedProcessesWhileOneIsCutOffForLong() {
+        start(5, 2);
+        advance(5_000, STREAMS_PER_SECOND);
+        processes.get(1).isolate();
+        callersAvoidIsolated = true;
+        advance(90_000, STREAMS_PER_SECOND);
+        assertEquals(0, refused, seen());
+    }
+
+    /** Guards against the same where the store is away and a process was lost. */
+    @Example
+    void streamsBeginWithoutTheStoreWhileAPeerResponds() {
+        start(3, 2);
+        advance(5_000, STREAMS_PER_SECOND);
+        storeReachable = false;
+        processes.get(1).restart(200_000);
+        advance(90_000, STREAMS_PER_SECOND);
+        assertEquals(0, refused, seen());
+    }
+
+    /** Guards against a process that is cut off and refuses streams sooner than it must. */
+    @Example
+    void streamsBeginAtAProcessThatIsCutOffUntilOthersForgetIt() {
+        start(3, 2);
+        advance(5_000, STREAMS_PER_SECOND);
+        processes.get(1).isolate();
+        advance(ListFreshness.MAX_ISOLATION_MILLIS - 1_000, STREAMS_PER_SECOND);
+        assertEquals(0, refused, seen());
+        advance(2_000, STREAMS_PER_SECOND);
+        processes.get(1).reconnect();
+        advance(1_000, 0);
+        refused = 0;
+        advance(10_000, STREAMS_PER_SECOND);
+        assertEquals(0, refused, seen());
+        assertEquals(0, joined, seen());
+    }
 }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestDriver.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/RequestDriver.java
@@ -355,7 +355,7 @@
         }
         StreamOrigin origin = version.origin(now);
         if (!origin.isKnown()) {
-            turnAwayUnknownVersion(origin, now);
+            turnAwayWithoutVersion(origin, now);
             return;
         }
         Optional<Selection> choice = choose(origin.required(), now);
@@ -385,7 +385,11 @@
         }
     }
 
-    private void turnAwayUnknownVersion(StreamOrigin origin, long now) {
+    private void turnAwayWithoutVersion(StreamOrigin origin, long now) {
+        if (origin.source() == StreamOrigin.Source.ISOLATED) {
+            turnAway(TurnedAway.ISOLATED, 0);
+            return;
+        }
         StreamVersions streams = context.streams();
         DecisionLog.write(
                 new VersionUnknown(
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/TurnedAway.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/TurnedAway.java
@@ -53,6 +53,9 @@
      */
     static final String OTHERS_UNKNOWN = "versions of other processes are not known";
 
+    /** Others may take this process for ended, and would not allow for a stream that it begins. */
+    static final String ISOLATED = "neither the store nor a peer was heard for long";
+
     /** The caller resumes a stream on a route whose streams may not be resumed. */
     static final String NOT_RESUMABLE = "streams of the route may not be resumed";
 
