Brittle upstreams: short turns for short runs, and callers are told of an own turn

Cause, by a trace of the places in the test's model (docs/design/upstream-limits.md): of the places of a turn 0.25 were in use, in 0.35 the process had no request, in 0.26 it paused after a refusal. All refusals from 4 s on (10 of 10; 37 of 42 with 8 processes) came in the first 30 ms of a turn, while requests of the turn before still ran. Callers were told to return at the next turn, mostly another process's. And slots that reports show as free are taken by many processes at once: at half load, which no test played, 3 upstreams fell (two are borne) with 30 and 80 processes. Ruled out by trials: shorter turns alone, the wait alone, a first restraint alone, fewer places by reports, turns from each process's own run times.

Change: for runs whose mean is below 100 ms (RunTimes) turns last 50 or 160 ms; a restrained process sends nothing in the second half of a turn that is not followed by another of its own; callers are told when this process's own turn begins; processes begin restrained; slots that reports show as free are taken outside turns only at upstreams that bear 3 refusals a second and slot. Longer runs are shared as before. No message changes.

Evidence: BrittleHistoriesTest passes: 5842 of 25688 and 0 falls; 7710 of 8516 and 0 falls.

Open: N = 3, 80 processes and run times that vary as much as they last: up to 3 falls, as before. Runs of 200 ms and 80 processes: 3, as before.

--- a/trailladder-core/src/main/java/io/trailladder/core/upstream/BrittleUpstreams.java
+++ b/trailladder-core/src/main/java/io/trailladder/core/upstream/BrittleUpstreams.java
@@ -31,6 +31,12 @@
  * then, it sends nothing for so long that the refusals of all processes add up to half of what the
  * upstream bears.
  *
+ * <p>Requests that run for less time than the reports of peers are old make these reports useless:
+ * the slots that they show as free are taken by several processes at once. For such requests, turns
+ * are shorter, and an upstream that bears few refusals is sent requests in turns only. A process
+ * then begins restrained: it sends nothing in the second half of its turn, so that its request has
+ * ended when the next process begins.
+ *
  * <pre>{@code
  * brittle.answerReceived(upstream, 5, sentMillis, nowMillis);
  * if (brittle.waitMillis(upstream) == 0) {
@@ -47,6 +53,12 @@
     /** Duration of a turn, in milliseconds: about the interval of digests. */
     static final long TURN_MILLIS = 200;
 
+    /**
+     * Refusals in a second per slot from which an upstream bears that several processes take the
+     * same slot.
+     */
+    private static final double MANY_REFUSALS_PER_SLOT = 3;
+
     private static final long MIN_RESTRAINT_MILLIS = 5_000;
     private static final long MAX_RESTRAINT_MILLIS = 600_000;
     private static final long MIN_PAUSE_MILLIS = 500;
@@ -75,6 +87,7 @@
     private final Function<Upstream, SendSlotOrder> order;
     private final Map<String, Statement> known = new RecentMap<>(MAX_REMEMBERED);
     private final Map<String, Restraint> restraints = new RecentMap<>(MAX_REMEMBERED);
+    private final RunTimes runTimes = new RunTimes();
 
     /**
      * What an upstream announced.
@@ -192,6 +205,18 @@
         return (int) statements().stream().filter(each -> each.refusalsPerSecond() > 0).count();
     }
 
+    /**
+     * Records that a request ran to its end. The time matters only while some upstream is brittle.
+     *
+     * @param upstream the upstream
+     * @param millis the time from sending the request to the end of its answer, in milliseconds
+     */
+    public void ended(Upstream upstream, long millis) {
+        if (!known.isEmpty()) {
+            runTimes.ended(upstream.service(), millis);
+        }
+    }
+
     /**
      * Returns how long it is until this process may send an upstream a request.
      *
@@ -199,27 +224,52 @@
      * @return milliseconds; 0 if it is not brittle, or has room for a request of this process
      */
     public long waitMillis(Upstream upstream) {
-        if (brittle(upstream) == null) {
+        Statement brittle = brittle(upstream);
+        if (brittle == null) {
             return 0;
         }
+        SendSlotOrder position = order.apply(upstream);
+        long shortTurnMillis = runTimes.turnMillis(upstream.service());
+        boolean isShort = shortTurnMillis > 0;
+        boolean inTurnsOnly =
+                isShort && brittle.refusalsPerSecond() < MANY_REFUSALS_PER_SLOT * upstream.slots();
+        if (inTurnsOnly) {
+            restraints.computeIfAbsent(upstream.id(), id -> firstRestraint(brittle, position));
+        }
+        boolean isRestrained = isRestrained(upstream.id());
         boolean half = loads.requests(upstream.id()) < upstream.slots() * FREELY_USED_PART;
-        if (half && !isRestrained(upstream.id())) {
+        if (half && !isRestrained && !inTurnsOnly) {
             return 0;
         }
         long agreedNow = agreedMillis.getAsLong();
-        boolean open = loads.ownRequests(upstream.id()) < part(upstream, agreedNow);
-        return open ? 0 : TURN_MILLIS - Math.floorMod(agreedNow, TURN_MILLIS);
+        int own = loads.ownRequests(upstream.id());
+        if (!isShort) {
+            PlaceTurns turns = new PlaceTurns(upstream, position, TURN_MILLIS);
+            return own < turns.part(agreedNow) ? 0 : turns.untilNextMillis(agreedNow);
+        }
+        PlaceTurns turns = new PlaceTurns(upstream, position, shortTurnMillis);
+        long unused = isRestrained ? shortTurnMillis / 2 : 0;
+        boolean open = own < turns.part(agreedNow) && own < turns.part(agreedNow + unused);
+        return open ? 0 : turns.untilNextOwnMillis(agreedNow);
     }
 
-    /** Returns how many of an upstream's slots this process may use in the current turn. */
-    private int part(Upstream upstream, long agreedNow) {
-        int slots = upstream.slots();
-        SendSlotOrder position = order.apply(upstream);
-        int processes = Math.max(1, position.count());
-        long turn = Math.floorDiv(agreedNow, TURN_MILLIS) + upstream.id().hashCode();
-        int first = Math.floorMod(turn * slots, processes);
-        boolean hasOneMore = Math.floorMod(position.index() - first, processes) < slots % processes;
-        return slots / processes + (hasOneMore ? 1 : 0);
+    /** Returns a restraint that ends at a different time in each process. */
+    private Restraint firstRestraint(Statement brittle, SendSlotOrder position) {
+        Restraint first = new Restraint();
+        double millis = freeUseIntervalMillis(brittle, position) * fraction(position);
+        first.untilMillis = nowMillis.getAsLong() + Math.round(millis);
+        return first;
+    }
+
+    /** Returns the interval at which each process may be refused when it is not restrained. */
+    private static double freeUseIntervalMillis(Statement brittle, SendSlotOrder position) {
+        double bornPerProcess = brittle.refusalsPerSecond() / Math.max(1, position.count());
+        return MILLIS_PER_SECOND / (FREELY_USED_REFUSALS * bornPerProcess);
+    }
+
+    /** Returns the position of this process among the others, from 0, below 1. */
+    private static double fraction(SendSlotOrder position) {
+        return (double) position.index() / Math.max(1, position.count());
     }
 
     private boolean isRestrained(String upstream) {
@@ -244,8 +294,8 @@
         long now = nowMillis.getAsLong();
         Restraint restraint = restraints.computeIfAbsent(upstream.id(), id -> new Restraint());
         if (now >= restraint.untilMillis) {
-            double spread = 1 + RESTRAINT_SPREAD * position.index() / Math.max(1, position.count());
-            double millis = MILLIS_PER_SECOND / (FREELY_USED_REFUSALS * bornPerProcess);
+            double spread = 1 + RESTRAINT_SPREAD * fraction(position);
+            double millis = freeUseIntervalMillis(brittle, position);
             double longer = Math.max(MIN_RESTRAINT_MILLIS, millis) * restraint.factor * spread;
             restraint.untilMillis = now + Math.round(Math.min(MAX_RESTRAINT_MILLIS, longer));
             restraint.factor *= 2;
--- a/trailladder-core/src/test/java/io/trailladder/core/upstream/BrittleHistoriesTest.java
+++ b/trailladder-core/src/test/java/io/trailladder/core/upstream/BrittleHistoriesTest.java
@@ -179,6 +179,7 @@
                     () -> {
                         loads.ended(upstream.id());
                         brittle.answerReceived(upstream, worker.brittle, sentMillis);
+                        brittle.ended(upstream, now - sentMillis);
                         backoffs.requestAccepted(upstream, now);
                         served++;
                     };
@@ -271,13 +272,27 @@
         }
     }
 
+    /** Guards against processes that take the same free slots of which they read in reports. */
+    @Example
+    void fewUpstreamsFallBelowWhatTheyServe() {
+        for (double load : new double[] {0.5, 0.75}) {
+            for (BrittleHistoriesTest history : histories(load)) {
+                assertTrue(history.falls <= MAX_FALLS, history.what + history.seen());
+            }
+        }
+    }
+
     private static List<BrittleHistoriesTest> overloads() {
+        return histories(OVERLOAD);
+    }
+
+    private static List<BrittleHistoriesTest> histories(double load) {
         List<BrittleHistoriesTest> histories = new ArrayList<>();
         for (int count : new int[] {1, 3, 8, 30, 80}) {
             for (double brittle : new double[] {3, 10, 40}) {
                 BrittleHistoriesTest history = new BrittleHistoriesTest();
                 history.what = count + " processes, " + brittle + " refusals a second: ";
-                history.play(count, brittle, OVERLOAD, true);
+                history.play(count, brittle, load, true);
                 histories.add(history);
             }
         }
--- a/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Attempt.java
+++ b/trailladder-entry/src/main/java/io/trailladder/entry/gateway/Attempt.java
@@ -377,6 +377,7 @@
             context.loads().failed(upstream.id(), now);
         } else if (status >= MIN_SUCCESS_STATUS && status <= MAX_SUCCESS_STATUS) {
             context.loads().succeeded(upstream.id(), now);
+            context.brittle().ended(upstream, now - sentMillis);
             recordTimings(now);
         }
         recordVersionAnswer(status >= MIN_SERVER_ERROR_STATUS, true);
