Tests: others return after the entry of a process that is cut off has run out

The process that is cut off begins streams for 40 s; those that return do not see it listed, and what the record tells of lost processes holds for 20 s.

--- a/trailladder-core/src/test/java/io/trailladder/core/upstream/StreamPlansOrdersTest.java
+++ b/trailladder-core/src/test/java/io/trailladder/core/upstream/StreamPlansOrdersTest.java
@@ -129,6 +129,22 @@
         assertEquals(0, sum);
     }
 
+    /** Guards against the same where its entry has run out before the others return. */
+    @Example
+    void streamsOfAProcessThatIsCutOffAreNotJoinedByOthersThatReturnLate() {
+        int sum = 0;
+        for (int down : new int[] {9_000, 11_000, 15_000, 25_000, 45_000}) {
+            start(5, 1);
+            advance(5_000, 40);
+            processes.get(1).isolate();
+            for (int i : new int[] {0, 2, 3, 4}) {
+                processes.get(i).restart(down + 200 * i);
+            }
+            sum += joinedAfterAChange();
+        }
+        assertEquals(0, sum);
+    }
+
     /** Guards against a process that restarts and from then on reaches the store alone. */
     @Example
     void streamsAreNotJoinedOfAProcessThatRestartsAndReachesOnlyTheStore() {
