Review: streams joined after a worker returns at another version, the store up

Cause: a process that only tried to resume a stream tells its peers that the stream has not begun; that message removes the version which the process that began it had told.

The product is not changed.

--- a/review/second/Gateway2.java
+++ b/review/second/Gateway2.java
@@ -73,7 +73,7 @@
         fields.put("cloud_api", Map.of("address", store));
         Map<String, Object> bounds = new LinkedHashMap<>();
         bounds.put("retry_budget_ratio", 0.2);
-        bounds.put("budget_extra", 52L);
+        bounds.put("budget_extra", 56L);
         bounds.put("budget_window_s", 10L);
         bounds.put("quota_overshoot", 0.1);
         bounds.put("quota_slack", 72000L);
--- a/review/second/StreamCaller2.java
+++ b/review/second/StreamCaller2.java
@@ -21,6 +21,8 @@
     volatile int last;
     volatile boolean whole;
     private String root = "";
+    private int first;
+    private String path = "/stream/x";
 
     StreamCaller2(String id, List<Integer> gateways, long pauseMillis) {
         this.id = id;
@@ -28,6 +30,17 @@
         this.pauseMillis = pauseMillis;
     }
 
+    StreamCaller2 at(String changed) {
+        path = changed;
+        return this;
+    }
+
+    /** Sends the first try to another gateway. */
+    StreamCaller2 firstAt(int gateway) {
+        first = gateway;
+        return this;
+    }
+
     void run() throws InterruptedException {
         long deadline = System.currentTimeMillis() + DEADLINE_MILLIS;
         for (int n = 0; n < MAX_TRIES && !whole; n++) {
@@ -36,7 +49,8 @@
                 return;
             }
             String attempt = id + "-" + n;
-            int gateway = gateways.get(Math.floorMod(id.hashCode() + n, gateways.size()));
+            int next = gateways.get(Math.floorMod(id.hashCode() + n, gateways.size()));
+            int gateway = n == 0 && first > 0 ? first : next;
             String outcome;
             long waitMillis = pauseMillis;
             try (Socket socket = new Socket()) {
@@ -45,7 +59,9 @@
                 String resumed =
                         last == 0 ? "" : "Last-Event-Id: " + last + "\r\nResumes: " + root + "\r\n";
                 String head =
-                        "POST /stream/x HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: "
+                        "POST "
+                                + path
+                                + " HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: "
                                 + attempt
                                 + "\r\nModel: m\r\nToken-Usage: 100,60\r\nPrefix-Hash: a1:60,"
                                 + Integer.toHexString(id.hashCode())
--- a/review/second/Worker2.java
+++ b/review/second/Worker2.java
@@ -58,13 +58,20 @@
     }
 
     /** Starts a life of the worker, which writes its entry as soon as the store takes it. */
-    synchronized void start(String withVersion) throws IOException {
+    void start(String withVersion) throws Exception {
+        start(withVersion, 0);
+    }
+
+    /** Does the same; the worker takes requests some time after it has tried to write its entry. */
+    synchronized void start(String withVersion, long loadMillis) throws Exception {
         version = withVersion;
         born = System.currentTimeMillis();
+        up = true;
+        Tasks2.daemon(this::register);
+        Thread.sleep(loadMillis);
         server = new ServerSocket();
         server.setReuseAddress(true);
         server.bind(new InetSocketAddress(InetAddress.getByName(Gateway2.HOST), port), 128);
-        up = true;
         ServerSocket current = server;
         Tasks2.daemon(
                 () -> {
@@ -73,7 +80,6 @@
                         Tasks2.daemon(() -> serve(socket));
                     }
                 });
-        Tasks2.daemon(this::register);
     }
 
     private void register() throws Exception {
